--- /dev/null
+++ b/internal/fault/kind.go
@@ -0,0 +1,170 @@
+package fault
+
+import "time"
+
+// Kind names one class of failure. The list is closed: every kind has a row in
+// the answer table, and a test walks the whole list.
+type Kind string
+
+// Kinds of failure on the request path.
+const (
+	// InvalidRequest: the caller's request is malformed.
+	InvalidRequest Kind = "invalid_request"
+	// UnknownService: no service of that name is configured.
+	UnknownService Kind = "unknown_service"
+	// NoOwner: the shard of the key has no owner at present.
+	NoOwner Kind = "no_owner"
+	// WrongEpoch: the back end does not hold the shard at the epoch sent.
+	WrongEpoch Kind = "wrong_epoch"
+	// LeaseExpired: the back end's lease had ended when execution was due.
+	LeaseExpired Kind = "lease_expired"
+	// Draining: the back end is leaving and takes no new work.
+	Draining Kind = "draining"
+	// Shedding: the back end refused the request to shed load.
+	Shedding Kind = "shedding"
+	// QueueFull: a bounded queue (router or back end) had no room.
+	QueueFull Kind = "queue_full"
+	// RateLimited: the service's admission limit was reached.
+	RateLimited Kind = "rate_limited"
+	// ConnectFailed: no connection was made, so nothing was written.
+	ConnectFailed Kind = "connect_failed"
+	// DeadlineBeforeStart: the deadline passed before execution began.
+	DeadlineBeforeStart Kind = "deadline_before_start"
+	// CancelledBeforeStart: a cancel was acknowledged as "never started".
+	CancelledBeforeStart Kind = "cancelled_before_start"
+	// DeadlineExceeded: the deadline passed while the outcome was open.
+	DeadlineExceeded Kind = "deadline_exceeded"
+	// ConnectionLost: the connection broke after the first byte went out.
+	ConnectionLost Kind = "connection_lost"
+	// AnswerTruncated: the back end's answer ended early.
+	AnswerTruncated Kind = "answer_truncated"
+	// AnswerMismatched: the answer carried another request's identifier.
+	AnswerMismatched Kind = "answer_mismatched"
+	// StaleRouter: the router cannot prove its configuration is current.
+	StaleRouter Kind = "stale_router"
+	// RouterStopping: the router is shutting down and takes no new work.
+	RouterStopping Kind = "router_stopping"
+	// RecordUnavailable: the idempotency record could not be stored, so the
+	// request was not dispatched.
+	RecordUnavailable Kind = "record_unavailable"
+	// RecordLost: an earlier request with this Idempotency-Key may have run,
+	// but its record is gone.
+	RecordLost Kind = "record_lost"
+	// KeyExpired: the Idempotency-Key is older than the record lifetime.
+	KeyExpired Kind = "key_expired"
+	// KeyReused: the Idempotency-Key was used before with another request.
+	KeyReused Kind = "key_reused"
+	// DuplicateInProgress: the first request with this Idempotency-Key still
+	// runs and did not finish before this one's deadline.
+	DuplicateInProgress Kind = "duplicate_in_progress"
+	// OutcomeUnknown: the first request with this Idempotency-Key ended with
+	// an unknown outcome, which is repeated to the resend.
+	OutcomeUnknown Kind = "outcome_unknown"
+)
+
+// Kinds of failure on the intent API.
+const (
+	// InvalidArgument: a field of the intent is wrong.
+	InvalidArgument Kind = "invalid_argument"
+	// NotFound: the named object does not exist.
+	NotFound Kind = "not_found"
+	// Conflict: the request identifier was used before with other content.
+	Conflict Kind = "conflict"
+	// StalePlan: the state that the plan rests on has changed.
+	StalePlan Kind = "stale_plan"
+	// NotLeader: this controller replica is not the leader.
+	NotLeader Kind = "not_leader"
+	// Unavailable: the controllers cannot reach a quorum.
+	Unavailable Kind = "unavailable"
+	// Unauthorized: the operator lacks the right for this call.
+	Unauthorized Kind = "unauthorized"
+	// Internal: a defect of this program.
+	Internal Kind = "internal"
+)
+
+// Outcome states what is known about the execution of a request.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	// NotRun is said only where it is proved that the request did not execute.
+	NotRun Outcome = "not_run"
+	// Completed means the back end answered.
+	Completed Outcome = "completed"
+	// Unknown means that the request may or may not have executed.
+	Unknown Outcome = "unknown"
+)
+
+// Answer is the row of the table for one kind.
+type Answer struct {
+	// Status is the HTTP status code.
+	Status int
+	// Outcome is what the caller may conclude about execution.
+	Outcome Outcome
+	// Resend tells whether the router may send the request again by itself.
+	// It is true only for kinds whose outcome is NotRun.
+	Resend bool
+	// RetryAfter is the wait that the caller is told; zero means that no
+	// Retry-After header is sent.
+	RetryAfter time.Duration
+}
+
+const (
+	retrySoon  = 1 * time.Second
+	retryLater = 2 * time.Second
+)
+
+var answers = map[Kind]Answer{
+	InvalidRequest:       {Status: 400, Outcome: NotRun},
+	UnknownService:       {Status: 404, Outcome: NotRun},
+	NoOwner:              {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
+	WrongEpoch:           {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
+	LeaseExpired:         {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
+	Draining:             {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
+	Shedding:             {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retryLater},
+	QueueFull:            {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retryLater},
+	RateLimited:          {Status: 429, Outcome: NotRun, RetryAfter: retryLater},
+	ConnectFailed:        {Status: 502, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
+	DeadlineBeforeStart:  {Status: 504, Outcome: NotRun, RetryAfter: retrySoon},
+	CancelledBeforeStart: {Status: 504, Outcome: NotRun, RetryAfter: retrySoon},
+	DeadlineExceeded:     {Status: 504, Outcome: Unknown, RetryAfter: retrySoon},
+	ConnectionLost:       {Status: 502, Outcome: Unknown, RetryAfter: retrySoon},
+	AnswerTruncated:      {Status: 502, Outcome: Unknown, RetryAfter: retrySoon},
+	AnswerMismatched:     {Status: 502, Outcome: Unknown, RetryAfter: retrySoon},
+	StaleRouter:          {Status: 503, Outcome: NotRun, RetryAfter: retryLater},
+	RouterStopping:       {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
+	RecordUnavailable:    {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
+	RecordLost:           {Status: 409, Outcome: Unknown},
+	KeyExpired:           {Status: 409, Outcome: Unknown},
+	KeyReused:            {Status: 422, Outcome: NotRun},
+	DuplicateInProgress:  {Status: 409, Outcome: Unknown, RetryAfter: retrySoon},
+	OutcomeUnknown:       {Status: 409, Outcome: Unknown},
+
+	InvalidArgument: {Status: 400, Outcome: NotRun},
+	NotFound:        {Status: 404, Outcome: NotRun},
+	Conflict:        {Status: 409, Outcome: NotRun},
+	StalePlan:       {Status: 409, Outcome: NotRun},
+	NotLeader:       {Status: 421, Outcome: NotRun, RetryAfter: retrySoon},
+	Unavailable:     {Status: 503, Outcome: Unknown, RetryAfter: retrySoon},
+	Unauthorized:    {Status: 403, Outcome: NotRun},
+	Internal:        {Status: 500, Outcome: Unknown},
+}
+
+// AnswerFor returns the table row of a kind. A kind outside the closed list
+// gets the row of Internal.
+func AnswerFor(kind Kind) Answer {
+	answer, found := answers[kind]
+	if !found {
+		return answers[Internal]
+	}
+	return answer
+}
+
+// Kinds returns every kind of the closed list, in no fixed order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(answers))
+	for kind := range answers {
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
--- /dev/null
+++ b/internal/message/types.go
@@ -0,0 +1,143 @@
+package message
+
+import (
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// ClusterID names one group of controllers. It is drawn at formation.
+type ClusterID string
+
+// Purpose tells what a connection is for.
+type Purpose string
+
+// Purposes of a connection.
+const (
+	// PurposeConsensus carries consensus messages one way between controllers.
+	PurposeConsensus Purpose = "consensus"
+	// PurposeFormation asks a controller for the group's formation.
+	PurposeFormation Purpose = "formation"
+	// PurposeTable subscribes a router to the routing table.
+	PurposeTable Purpose = "table"
+	// PurposeRouter carries requests between routers.
+	PurposeRouter Purpose = "router"
+)
+
+// Hello is the first message on each connection.
+type Hello struct {
+	Purpose Purpose
+	Cluster ClusterID
+	// From names the connecting process.
+	From string
+}
+
+// ConsensusBatch carries consensus messages to one replica.
+type ConsensusBatch struct {
+	Cluster  ClusterID
+	Messages []consensus.Message
+}
+
+// FormationRequest introduces a controller to another one.
+type FormationRequest struct {
+	Member consensus.Member
+	// Cluster is empty while the sender belongs to no group.
+	Cluster ClusterID
+}
+
+// FormationAnswer tells what the answering controller knows of the group.
+type FormationAnswer struct {
+	Member  consensus.Member
+	Cluster ClusterID
+	// Founders are the first members, in force at log index 0. Empty while the
+	// group is not formed.
+	Founders []consensus.Member
+	// Current is the newest membership that the answering controller knows.
+	Current []consensus.Member
+	// Leader is the address of the leader, if known.
+	Leader string
+}
+
+// RouterHello introduces a router on a table connection.
+type RouterHello struct {
+	Router state.Router
+	// Cluster and Revision are what the router holds; zero for none.
+	Cluster  ClusterID
+	Revision state.Revision
+	Digest   uint64
+}
+
+// RouterFrame is a message from a router on a table connection; exactly one
+// field is set.
+type RouterFrame struct {
+	Hello *RouterHello
+	Ping  *Ping
+}
+
+// Ping asks for proof that the router's table is current.
+type Ping struct {
+	Nonce uint64
+	// SentNs is the router's own monotonic clock, echoed in Pong.
+	SentNs int64
+	// Revision is the table revision in force on the router.
+	Revision state.Revision
+	// SyncedPartitions lists record partitions, of which this router is the
+	// primary, whose backup now holds every record.
+	SyncedPartitions []PartitionSync
+	// FailedBackups lists partitions whose backup does not answer the primary.
+	FailedBackups []PartitionSync
+}
+
+// PartitionSync names one record partition at one epoch.
+type PartitionSync struct {
+	Number int
+	Epoch  state.Epoch
+}
+
+// ControllerFrame is a message to a router on a table connection; exactly one
+// field is set.
+type ControllerFrame struct {
+	Snapshot *TableSnapshot
+	Delta    *TableDelta
+	Pong     *Pong
+	Refusal  *Refusal
+}
+
+// TableSnapshot is a part of the whole routing table. Parts come in order; the
+// table is complete with Last.
+type TableSnapshot struct {
+	Cluster  ClusterID
+	Revision state.Revision
+	Objects  []state.Object
+	Digest   uint64
+	First    bool
+	Last     bool
+}
+
+// TableDelta changes the table from one revision to the next.
+type TableDelta struct {
+	From    state.Revision
+	To      state.Revision
+	Objects []state.Object
+	// Digest is the digest of the table after the delta.
+	Digest uint64
+}
+
+// Pong proves that Revision covered every change acknowledged before the ping
+// was received: the leader confirmed its leadership with a quorum after that.
+type Pong struct {
+	Nonce    uint64
+	SentNs   int64
+	Revision state.Revision
+	// Session is the router's session, zero when it has none.
+	Session state.SessionNumber
+	// LeaseNs is how long, counted from SentNs on the router's clock, the
+	// router may act as a record primary. Zero grants nothing.
+	LeaseNs int64
+}
+
+// Refusal ends a connection with a reason.
+type Refusal struct {
+	Kind   fault.Kind
+	Detail string
+}
