--- /dev/null
+++ b/internal/intentapi/types.go
@@ -0,0 +1,105 @@
+package intentapi
+
+import (
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// Paths of the intent API. A follower answers writes, and reads without
+// PathStatus, with status 421 and an ErrorBody that names the leader.
+const (
+	// PathPlans takes state.Intent by POST and answers state.Plan.
+	PathPlans = "/v1/plans"
+	// PathPlan answers state.Plan by GET.
+	PathPlan = "/v1/plans/:id"
+	// PathConfirm takes ConfirmRequest by POST and answers state.Plan.
+	PathConfirm  = "/v1/plans/:id/confirm"
+	PathServices = "/v1/services"
+	PathServers  = "/v1/servers"
+	// PathShards takes the query parameter "service".
+	PathShards  = "/v1/shards"
+	PathRouters = "/v1/routers"
+	PathMembers = "/v1/members"
+	// PathStatus answers Status on every replica, leader or not.
+	PathStatus = "/v1/status"
+	// PathTransfer, by POST, asks the leader to hand over its leadership.
+	PathTransfer = "/v1/transfer"
+	PathLive     = "/health/live"
+	PathReady    = "/health/ready"
+	PathMetrics  = "/metrics"
+)
+
+// ErrorBody is the JSON body of every failed call.
+type ErrorBody struct {
+	Kind    fault.Kind    `json:"kind"`
+	Outcome fault.Outcome `json:"outcome"`
+	Detail  string        `json:"detail"`
+	// Leader is the API address of the leader, with kind not_leader.
+	Leader string `json:"leader,omitempty"`
+}
+
+// ConfirmRequest confirms a stored plan.
+type ConfirmRequest struct {
+	Operator string `json:"operator"`
+	// Digest must equal the plan's digest: the operator confirms what was seen.
+	Digest string `json:"digest"`
+}
+
+// Status describes one controller replica and what it knows of the cluster.
+type Status struct {
+	Cluster    string             `json:"cluster"`
+	Replica    string             `json:"replica"`
+	Role       string             `json:"role"`
+	Term       uint64             `json:"term"`
+	LeaderName string             `json:"leader_name"`
+	LeaderAPI  string             `json:"leader_api"`
+	Commit     uint64             `json:"commit"`
+	Applied    uint64             `json:"applied"`
+	Members    []consensus.Member `json:"members"`
+	// Revision is the newest revision of the routing table on this replica.
+	Revision state.Revision `json:"revision"`
+	// Current is true if the leader confirmed this answer with a quorum.
+	Current bool `json:"current"`
+	// Services, Servers and Routers summarise what is in force.
+	Services []ServiceStatus `json:"services"`
+	Servers  []ServerStatus  `json:"servers"`
+	Routers  []RouterStatus  `json:"routers"`
+}
+
+// ServiceStatus summarises one service.
+type ServiceStatus struct {
+	Name     state.ServiceName `json:"name"`
+	Mode     state.ServiceMode `json:"mode"`
+	Keyed    bool              `json:"keyed"`
+	Shards   int               `json:"shards"`
+	Owned    int               `json:"owned"`
+	Revoking int               `json:"revoking"`
+	Unowned  int               `json:"unowned"`
+}
+
+// ServerStatus summarises one server.
+type ServerStatus struct {
+	ID      state.ServerID     `json:"id"`
+	Service state.ServiceName  `json:"service"`
+	Address string             `json:"address"`
+	Zone    string             `json:"zone"`
+	Intent  state.ServerIntent `json:"intent"`
+	Open    bool               `json:"session_open"`
+	Shards  int                `json:"shards"`
+	// InForce is true once the server holds exactly its assignments.
+	InForce bool `json:"in_force"`
+}
+
+// RouterStatus summarises one router.
+type RouterStatus struct {
+	ID       state.RouterID `json:"id"`
+	Address  string         `json:"address"`
+	Zone     string         `json:"zone"`
+	Open     bool           `json:"session_open"`
+	Revision state.Revision `json:"revision"`
+	// LagMs is the time since the router last proved that it is current.
+	LagMs int64 `json:"lag_ms"`
+	// InForce is true if the router has the newest table.
+	InForce bool `json:"in_force"`
+}
--- /dev/null
+++ b/internal/state/plan.go
@@ -0,0 +1,182 @@
+package state
+
+import "time"
+
+// IntentKind names what an operator asks for.
+type IntentKind string
+
+// Kinds of intent.
+const (
+	IntentCreateService IntentKind = "create_service"
+	IntentUpdateService IntentKind = "update_service"
+	IntentAddServers    IntentKind = "add_servers"
+	IntentMoveKey       IntentKind = "move_key"
+	IntentRetireServer  IntentKind = "retire_server"
+	IntentRebalance     IntentKind = "rebalance"
+	IntentSetMode       IntentKind = "set_mode"
+)
+
+// Intent is what an operator asks for. Exactly one of the pointer fields is
+// set, the one that Kind names.
+type Intent struct {
+	// ID is chosen by the operator. A resend with the same content gets the
+	// first answer again; with other content it gets a conflict.
+	ID            IntentID       `json:"intent_id"`
+	Operator      string         `json:"operator"`
+	Kind          IntentKind     `json:"kind"`
+	CreateService *CreateService `json:"create_service,omitempty"`
+	UpdateService *UpdateService `json:"update_service,omitempty"`
+	AddServers    *AddServers    `json:"add_servers,omitempty"`
+	MoveKey       *MoveKey       `json:"move_key,omitempty"`
+	RetireServer  *RetireServer  `json:"retire_server,omitempty"`
+	Rebalance     *Rebalance     `json:"rebalance,omitempty"`
+	SetMode       *SetMode       `json:"set_mode,omitempty"`
+}
+
+// ServiceSettings are the operator's settings of a service.
+type ServiceSettings struct {
+	DefaultTimeoutMs int64   `json:"default_timeout_ms"`
+	QueueLimit       int     `json:"queue_limit"`
+	RequestLimit     int     `json:"request_limit"`
+	RetryRatio       float64 `json:"retry_ratio"`
+	MaxMoves         int     `json:"max_moves"`
+	Weights          Weights `json:"weights"`
+}
+
+// CreateService asks for a new service. Shards is the number of equal key
+// ranges that it starts with; zero for services without keys.
+type CreateService struct {
+	Name     ServiceName     `json:"name"`
+	Keyed    bool            `json:"keyed"`
+	Shards   int             `json:"shards"`
+	Settings ServiceSettings `json:"settings"`
+	Servers  []ServerSpec    `json:"servers,omitempty"`
+}
+
+// UpdateService replaces a service's settings.
+type UpdateService struct {
+	Name     ServiceName     `json:"name"`
+	Settings ServiceSettings `json:"settings"`
+}
+
+// ServerSpec describes one server.
+type ServerSpec struct {
+	ID          ServerID `json:"id"`
+	Address     string   `json:"address"`
+	Zone        string   `json:"zone"`
+	Slots       int      `json:"slots"`
+	Connections int      `json:"connections"`
+}
+
+// AddServers asks for more servers in a service.
+type AddServers struct {
+	Service ServiceName  `json:"service"`
+	Servers []ServerSpec `json:"servers"`
+}
+
+// MoveKey asks that one key gets another owner. The key's shard is split so
+// that the key moves alone. To may be empty: placement then chooses.
+type MoveKey struct {
+	Service ServiceName `json:"service"`
+	Key     string      `json:"key"`
+	To      ServerID    `json:"to"`
+}
+
+// RetireServer asks that a server gives up its shards and gets no new work.
+type RetireServer struct {
+	Server ServerID `json:"server"`
+}
+
+// Rebalance asks placement for moves that pay for themselves.
+type Rebalance struct {
+	Service ServiceName `json:"service"`
+}
+
+// SetMode switches a service between observed and managed.
+type SetMode struct {
+	Service ServiceName `json:"service"`
+	Mode    ServiceMode `json:"mode"`
+	// Map is the imported ownership, for observed services.
+	Map []ObservedRange `json:"map,omitempty"`
+}
+
+// ObservedRange is one line of an imported ownership map.
+type ObservedRange struct {
+	Range  KeyRange `json:"range"`
+	Server ServerID `json:"server"`
+}
+
+// Operation is one step of a plan; exactly one field is set.
+type Operation struct {
+	PutService    *Service      `json:"put_service,omitempty"`
+	PutServer     *Server       `json:"put_server,omitempty"`
+	CreateShards  *CreateShards `json:"create_shards,omitempty"`
+	IsolateKey    *IsolateKey   `json:"isolate_key,omitempty"`
+	MoveShard     *MoveShard    `json:"move_shard,omitempty"`
+	ObserveRanges *SetMode      `json:"observe_ranges,omitempty"`
+}
+
+// CreateShards cuts a service's key space into Count equal ranges.
+type CreateShards struct {
+	Service ServiceName `json:"service"`
+	Count   int         `json:"count"`
+}
+
+// IsolateKey splits Shard so that Hash stands alone in a shard of its own,
+// which then moves to To.
+type IsolateKey struct {
+	Shard ShardID  `json:"shard"`
+	Epoch Epoch    `json:"epoch"`
+	Hash  uint64   `json:"hash"`
+	To    ServerID `json:"to"`
+}
+
+// MoveShard moves a whole shard. Epoch is the epoch that the plan rests on.
+type MoveShard struct {
+	Shard ShardID  `json:"shard"`
+	Epoch Epoch    `json:"epoch"`
+	From  ServerID `json:"from"`
+	To    ServerID `json:"to"`
+}
+
+// Prediction is what a plan is expected to cost.
+type Prediction struct {
+	Moves int `json:"moves"`
+	// ImbalanceBefore and ImbalanceAfter are maximum load / mean load.
+	ImbalanceBefore float64 `json:"imbalance_before"`
+	ImbalanceAfter  float64 `json:"imbalance_after"`
+	// Churn is the share of the service's key space that changes owner.
+	Churn float64 `json:"churn"`
+	// Unavailable is the expected time that each moved shard has no owner.
+	Unavailable time.Duration `json:"unavailable_ns"`
+}
+
+// PlanStatus is the step of a plan's life.
+type PlanStatus string
+
+// Steps of a plan's life.
+const (
+	PlanStored    PlanStatus = "stored"
+	PlanConfirmed PlanStatus = "confirmed"
+	PlanStale     PlanStatus = "stale"
+)
+
+// Plan is the stored answer to an intent. It changes nothing until confirmed.
+type Plan struct {
+	ID     PlanID     `json:"id"`
+	Intent Intent     `json:"intent"`
+	Status PlanStatus `json:"status"`
+	// Base is the revision of the service at the time of planning: the plan is
+	// stale once the service's configuration or a shard that it moves changed.
+	Base       Revision    `json:"base"`
+	Operations []Operation `json:"operations"`
+	Prediction Prediction  `json:"prediction"`
+	// Reasons explain the operations to a person, one line each.
+	Reasons []string `json:"reasons"`
+	// Digest is the xxhash of the operations, shown to the operator.
+	Digest string `json:"digest"`
+	// Accepted is the revision at which the plan was confirmed.
+	Accepted Revision `json:"accepted"`
+	// Operator who confirmed.
+	ConfirmedBy string `json:"confirmed_by,omitempty"`
+}
