--- /dev/null
+++ b/internal/state/command.go
@@ -0,0 +1,129 @@
+package state
+
+import (
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Command changes the state; exactly one field is set.
+type Command struct {
+	StorePlan        *StorePlan
+	ConfirmPlan      *ConfirmPlan
+	OpenSession      *OpenSession
+	CloseSession     *CloseSession
+	ReleaseShards    *ReleaseShards
+	AssignShards     *AssignShards
+	RevokeShards     *RevokeShards
+	SetLeaving       *SetLeaving
+	RetireServerDone *RetireServerDone
+	PutRouter        *PutRouter
+	CloseRouter      *CloseRouter
+	PutPartitions    *PutPartitions
+}
+
+// StorePlan stores the plan that answers an intent.
+type StorePlan struct {
+	Plan Plan
+}
+
+// ConfirmPlan applies a stored plan if the state that it rests on still holds.
+type ConfirmPlan struct {
+	Plan     PlanID
+	Digest   string
+	Operator string
+}
+
+// OpenSession begins contact with a server process.
+type OpenSession struct {
+	Server      ServerID
+	Incarnation string
+	// After is the number of the last closed session; the command fails when
+	// another session was opened meanwhile.
+	After SessionNumber
+}
+
+// CloseSession says that the lease of a session has surely ended. It makes the
+// server's shards unowned.
+type CloseSession struct {
+	Server  ServerID
+	Session SessionNumber
+}
+
+// ShardEpoch names a shard at one epoch.
+type ShardEpoch struct {
+	Shard ShardID
+	Epoch Epoch
+}
+
+// ReleaseShards says that the owner acknowledged the revocation of shards and
+// executes none of their requests.
+type ReleaseShards struct {
+	Server ServerID
+	Shards []ShardEpoch
+}
+
+// ShardAssignment gives an unowned shard, last owned at Epoch, to a server. The
+// shard's epoch becomes Epoch + 1.
+type ShardAssignment struct {
+	Shard   ShardID
+	Epoch   Epoch
+	Server  ServerID
+	Session SessionNumber
+}
+
+// AssignShards gives unowned shards to servers with open sessions.
+type AssignShards struct {
+	Assignments []ShardAssignment
+}
+
+// RevokeShards begins moves that the controllers decided on by themselves, as
+// for a machine that the platform says is leaving.
+type RevokeShards struct {
+	Moves []MoveShard
+}
+
+// SetLeaving records the platform's word on a server's machine.
+type SetLeaving struct {
+	Server  ServerID
+	Leaving bool
+}
+
+// RetireServerDone marks a retiring server without shards as retired.
+type RetireServerDone struct {
+	Server ServerID
+}
+
+// PutRouter opens a session for a router process.
+type PutRouter struct {
+	Router Router
+}
+
+// CloseRouter says that a router's lease has surely ended.
+type CloseRouter struct {
+	Router  RouterID
+	Session SessionNumber
+}
+
+// PutPartitions replaces record partitions, each only if its epoch is still
+// the one before.
+type PutPartitions struct {
+	Partitions []RecordPartition
+}
+
+// Encode returns the command's msgpack encoding.
+func (c Command) Encode() ([]byte, error) {
+	encoded, err := msgpack.Marshal(&c)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode command")
+	}
+	return encoded, nil
+}
+
+// DecodeCommand reverses Encode.
+func DecodeCommand(encoded []byte) (Command, error) {
+	var command Command
+	if err := msgpack.Unmarshal(encoded, &command); err != nil {
+		return Command{}, eris.Wrap(err, "decode command")
+	}
+	return command, nil
+}
