--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"container/list"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// smoothing is the weight of the newest service time in the moving average.
+const smoothing = 0.1
+
+// Limits bound one server's queue.
+type Limits struct {
+	// Running bounds the requests sent to the server at the same time.
+	Running int
+	// Waiting bounds the requests that wait for one of these places.
+	Waiting int
+}
+
+// ServerLimits derives the bounds for one router from what the server takes.
+// The server's slots are shared with other routers, but the router that gets
+// most of the traffic must be able to fill them: each may send slots ×
+// slotFactor, and never more than its share of the connections.
+func ServerLimits(slots, connections, routers, waiting int) Limits {
+	const slotFactor = 2
+	share := ConnectionShare(connections, routers)
+	running := max(1, min(slots*slotFactor, share-CancelConnections))
+	return Limits{Running: running, Waiting: waiting}
+}
+
+// CancelConnections is how many connections of a router's share are kept for
+// cancels and health checks, where the share allows.
+const CancelConnections = 1
+
+// ConnectionShare returns how many connections one router may hold to a
+// server, at least one.
+func ConnectionShare(connections, routers int) int {
+	return max(1, connections/max(1, routers))
+}
+
+// Queue admits requests to one server.
+type Queue struct {
+	clock   clock.Clock
+	mutex   sync.Mutex
+	limits  Limits
+	running int
+	waiters list.List
+	// average is the moving average of service times.
+	average time.Duration
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(reader clock.Clock, limits Limits) *Queue {
+	return &Queue{clock: reader, limits: limits}
+}
+
+// SetLimits changes the bounds; requests already admitted stay.
+func (q *Queue) SetLimits(limits Limits) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.limits = limits
+	q.wakeLocked()
+}
+
+// Running returns the requests that hold a place.
+func (q *Queue) Running() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.running
+}
+
+// Waiting returns the requests that wait for a place.
+func (q *Queue) Waiting() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.waiters.Len()
+}
+
+// Limit returns the bound on running requests.
+func (q *Queue) Limit() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.limits.Running
+}
+
+// waiter is one request in the queue. Its channel is closed when it gets a
+// place.
+type waiter struct {
+	admitted chan struct{}
+}
+
+// Acquire waits for a place until the deadline, a reading of the queue's
+// clock. The error's kind is QueueFull or DeadlineBeforeStart; nil means that
+// the caller holds a place and must call Release. When the context ends first,
+// the context's error is returned.
+func (q *Queue) Acquire(ctx context.Context, deadline time.Duration) error {
+	element, err := q.enter(deadline)
+	if err != nil || element == nil {
+		return err
+	}
+	timer := time.NewTimer(deadline - q.clock.Now())
+	defer timer.Stop()
+	entry := element.Value.(*waiter)
+	select {
+	case <-entry.admitted:
+		return nil
+	case <-timer.C:
+		return q.abandon(element, fault.New(fault.DeadlineBeforeStart, "the deadline passed in the router's queue"))
+	case <-ctx.Done():
+		return q.abandon(element, context.Cause(ctx))
+	}
+}
+
+// enter takes a place at once (nil element), joins the queue, or refuses.
+func (q *Queue) enter(deadline time.Duration) (*list.Element, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.clock.Now()
+	if now >= deadline {
+		return nil, fault.New(fault.DeadlineBeforeStart, "the deadline passed before dispatch")
+	}
+	if q.running < q.limits.Running && q.waiters.Len() == 0 {
+		q.running++
+		return nil, nil
+	}
+	if q.waiters.Len() >= q.limits.Waiting {
+		return nil, fault.Newf(fault.QueueFull, "%d requests already wait for the server", q.waiters.Len())
+	}
+	if now+q.estimateLocked() > deadline {
+		return nil, fault.New(fault.DeadlineBeforeStart, "the request could not finish in time behind those that wait")
+	}
+	return q.waiters.PushBack(&waiter{admitted: make(chan struct{})}), nil
+}
+
+// estimateLocked returns how long a request that joins now takes to finish.
+func (q *Queue) estimateLocked() time.Duration {
+	ahead := q.waiters.Len() + 1
+	turns := float64(ahead)/float64(max(1, q.limits.Running)) + 1
+	return time.Duration(turns * float64(q.average))
+}
+
+// abandon leaves the queue with the given reason, or keeps the place if it was
+// given in the meantime.
+func (q *Queue) abandon(element *list.Element, reason error) error {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	entry := element.Value.(*waiter)
+	select {
+	case <-entry.admitted:
+		return nil
+	default:
+	}
+	q.waiters.Remove(element)
+	return reason
+}
+
+// Release gives back a place after the attempt took the given time.
+func (q *Queue) Release(took time.Duration) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.running--
+	q.observeLocked(took)
+	q.wakeLocked()
+}
+
+// ReleaseUnused gives back a place of which no attempt was made.
+func (q *Queue) ReleaseUnused() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.running--
+	q.wakeLocked()
+}
+
+func (q *Queue) observeLocked(took time.Duration) {
+	if q.average == 0 {
+		q.average = took
+		return
+	}
+	q.average += time.Duration(smoothing * float64(took-q.average))
+}
+
+func (q *Queue) wakeLocked() {
+	for q.running < q.limits.Running && q.waiters.Len() > 0 {
+		front := q.waiters.Front()
+		q.waiters.Remove(front)
+		q.running++
+		close(front.Value.(*waiter).admitted)
+	}
+}
--- /dev/null
+++ b/internal/table/doc.go
@@ -0,0 +1,8 @@
+// Package table holds the routing table of one router: an immutable snapshot
+// of services, servers, shards, routers and record partitions that is replaced
+// as a whole at each change. Readers take the current Table without a lock and
+// keep it for as long as they need one consistent view.
+//
+// A change copies only the buckets and chunks that it touches, so its cost does
+// not grow with the number of shards.
+package table
--- /dev/null
+++ b/internal/table/editor.go
@@ -0,0 +1,205 @@
+package table
+
+import (
+	"maps"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// editor makes the next version of a table.
+type editor struct {
+	next       *Table
+	servers    *bucketEdit[state.ServerID, *state.Server]
+	routers    *bucketEdit[state.RouterID, *state.Router]
+	partitions *bucketEdit[int, *state.RecordPartition]
+	locations  *bucketEdit[state.ShardID, location]
+	ranges     map[state.ServiceName]*rangeEdit
+}
+
+func newEditor(from *Table) *editor {
+	next := *from
+	next.services = maps.Clone(from.services)
+	return &editor{
+		next:       &next,
+		servers:    from.servers.edit(),
+		routers:    from.routers.edit(),
+		partitions: from.partitions.edit(),
+		locations:  from.locations.edit(),
+		ranges:     make(map[state.ServiceName]*rangeEdit),
+	}
+}
+
+// applyObjects returns the table after the objects were put or deleted. All
+// earlier versions of the shards go first, since a split or merge lets ranges
+// overlap halfway through.
+func applyObjects(from *Table, objects []state.Object) *Table {
+	edit := newEditor(from)
+	for _, object := range objects {
+		if object.Shard != nil {
+			edit.removeShard(object.Shard.ID)
+		}
+	}
+	for _, object := range objects {
+		edit.apply(object)
+	}
+	return edit.finish()
+}
+
+func (e *editor) finish() *Table {
+	for name, ranges := range e.ranges {
+		view := *e.view(name)
+		view.ranges = ranges.finish()
+		e.next.services[name] = &view
+	}
+	e.next.servers = e.servers.next
+	e.next.routers = e.routers.next
+	e.next.partitions = e.partitions.next
+	e.next.locations = e.locations.next
+	return e.next
+}
+
+func (e *editor) apply(object state.Object) {
+	switch {
+	case object.Service != nil:
+		e.applyService(object)
+	case object.Server != nil:
+		e.applyServer(object)
+	case object.Shard != nil:
+		e.applyShard(object)
+	case object.Router != nil:
+		e.applyRouter(object)
+	case object.Partition != nil:
+		e.applyPartition(object)
+	}
+}
+
+// view returns the service's view, or an empty one.
+func (e *editor) view(name state.ServiceName) *serviceView {
+	if view, found := e.next.services[name]; found {
+		return view
+	}
+	return &serviceView{ranges: &rangeIndex{}}
+}
+
+// replaced takes an object's earlier version out of the digest and its new
+// version in.
+func (e *editor) replaced(object state.Object, earlier state.Object, found bool) {
+	if found {
+		e.next.digest ^= state.ObjectDigest(earlier)
+	}
+	e.next.digest ^= state.ObjectDigest(object)
+}
+
+func (e *editor) applyService(object state.Object) {
+	name := object.Service.Name
+	view := *e.view(name)
+	e.replaced(object, state.Object{Service: view.service}, view.service != nil)
+	view.service = object.Service
+	if object.Deleted {
+		view.service = nil
+	}
+	e.next.services[name] = &view
+	e.dropEmpty(name)
+}
+
+// dropEmpty forgets a service of which nothing is left.
+func (e *editor) dropEmpty(name state.ServiceName) {
+	view := e.next.services[name]
+	if view.service == nil && len(view.servers) == 0 && len(view.ranges.chunks) == 0 {
+		delete(e.next.services, name)
+	}
+}
+
+func (e *editor) applyServer(object state.Object) {
+	id := object.Server.ID
+	earlier, found := e.servers.get(id)
+	e.replaced(object, state.Object{Server: earlier}, found)
+	if found && (object.Deleted || earlier.Service != object.Server.Service) {
+		e.next.services[earlier.Service] = e.view(earlier.Service).withoutServer(id)
+		e.dropEmpty(earlier.Service)
+	}
+	if object.Deleted {
+		e.servers.remove(id)
+		return
+	}
+	e.servers.put(id, object.Server)
+	service := object.Server.Service
+	e.next.services[service] = e.view(service).withServer(object.Server)
+}
+
+func (e *editor) applyRouter(object state.Object) {
+	id := object.Router.ID
+	earlier, found := e.routers.get(id)
+	e.replaced(object, state.Object{Router: earlier}, found)
+	if object.Deleted {
+		e.routers.remove(id)
+		return
+	}
+	e.routers.put(id, object.Router)
+}
+
+func (e *editor) applyPartition(object state.Object) {
+	number := object.Partition.Number
+	earlier, found := e.partitions.get(number)
+	e.replaced(object, state.Object{Partition: earlier}, found)
+	if object.Deleted {
+		e.partitions.remove(number)
+		return
+	}
+	e.partitions.put(number, object.Partition)
+}
+
+func (e *editor) rangesOf(name state.ServiceName) *rangeEdit {
+	if ranges, found := e.ranges[name]; found {
+		return ranges
+	}
+	ranges := e.view(name).ranges.edit()
+	e.ranges[name] = ranges
+	return ranges
+}
+
+func (e *editor) entryOf(object state.Object) entry {
+	shard := object.Shard
+	return entry{
+		shard: shard.ID, span: shard.Range, epoch: shard.Epoch, phase: phaseOf(shard.Phase),
+		owner: e.next.names.number(string(shard.Owner)), digest: state.ObjectDigest(object),
+	}
+}
+
+func (e *editor) applyShard(object state.Object) {
+	if object.Deleted {
+		return
+	}
+	shard := object.Shard
+	item := e.entryOf(object)
+	e.rangesOf(shard.Service).put(item)
+	e.locations.put(shard.ID, location{
+		first:   shard.Range.First,
+		service: e.next.names.number(string(shard.Service)),
+	})
+	e.next.digest ^= item.digest
+}
+
+func (e *editor) removeShard(id state.ShardID) {
+	place, found := e.locations.get(id)
+	if !found {
+		return
+	}
+	ranges := e.rangesOf(state.ServiceName(e.next.names.name(place.service)))
+	e.next.digest ^= ranges.digestAt(place.first, id)
+	ranges.remove(place.first, id)
+	e.locations.remove(id)
+}
+
+// digestAt returns the digest of the shard whose range begins at the hash.
+func (e *rangeEdit) digestAt(first uint64, shard state.ShardID) uint64 {
+	if len(e.chunks) == 0 {
+		return 0
+	}
+	chunk := e.chunks[e.chunkOf(first)]
+	at, found := search(chunk, first)
+	if !found || chunk[at].shard != shard {
+		return 0
+	}
+	return chunk[at].digest
+}
--- /dev/null
+++ b/internal/table/table.go
@@ -0,0 +1,223 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+const (
+	shardBuckets  = 1024
+	objectBuckets = 128
+)
+
+// location tells where a shard's entry is.
+type location struct {
+	first   uint64
+	service uint32
+}
+
+// Table is one immutable version of the routing table.
+type Table struct {
+	cluster  message.ClusterID
+	revision state.Revision
+	digest   uint64
+
+	services   map[state.ServiceName]*serviceView
+	servers    bucketMap[state.ServerID, *state.Server]
+	routers    bucketMap[state.RouterID, *state.Router]
+	partitions bucketMap[int, *state.RecordPartition]
+	locations  bucketMap[state.ShardID, location]
+	names      *nameIndex
+}
+
+// serviceView is a service with what belongs to it.
+type serviceView struct {
+	// service is nil while only servers or shards of it are known.
+	service *state.Service
+	// servers are ordered by identifier.
+	servers []*state.Server
+	ranges  *rangeIndex
+}
+
+// Shard is the routing view of one shard.
+type Shard struct {
+	ID    state.ShardID
+	Range state.KeyRange
+	Phase state.ShardPhase
+	// Owner is empty while the shard is unowned.
+	Owner state.ServerID
+	Epoch state.Epoch
+}
+
+// Summary describes a table in a few numbers.
+type Summary struct {
+	Cluster    message.ClusterID `json:"cluster"`
+	Revision   state.Revision    `json:"revision"`
+	Digest     uint64            `json:"digest,string"`
+	Services   int               `json:"services"`
+	Servers    int               `json:"servers"`
+	Shards     int               `json:"shards"`
+	Routers    int               `json:"routers"`
+	Partitions int               `json:"partitions"`
+}
+
+func emptyTable() *Table {
+	return &Table{
+		services:   make(map[state.ServiceName]*serviceView),
+		servers:    newBucketMap[state.ServerID, *state.Server](objectBuckets, hashName[state.ServerID]),
+		routers:    newBucketMap[state.RouterID, *state.Router](objectBuckets, hashName[state.RouterID]),
+		partitions: newBucketMap[int, *state.RecordPartition](objectBuckets, func(n int) uint64 { return uint64(n) }),
+		locations:  newBucketMap[state.ShardID, location](shardBuckets, func(id state.ShardID) uint64 { return uint64(id) }),
+		names:      newNameIndex(),
+	}
+}
+
+func hashName[N ~string](name N) uint64 {
+	return xxhash.Sum64String(string(name))
+}
+
+// Cluster returns the group of controllers that the table came from.
+func (t *Table) Cluster() message.ClusterID { return t.cluster }
+
+// Revision returns the revision of the table; zero before the first snapshot.
+func (t *Table) Revision() state.Revision { return t.revision }
+
+// Digest returns the exclusive-or of the digests of all objects.
+func (t *Table) Digest() uint64 { return t.digest }
+
+// Summary returns the numbers of objects, the revision and the digest.
+func (t *Table) Summary() Summary {
+	return Summary{
+		Cluster: t.cluster, Revision: t.revision, Digest: t.digest,
+		Services: len(t.services), Servers: t.servers.length, Shards: t.locations.length,
+		Routers: t.routers.length, Partitions: t.partitions.length,
+	}
+}
+
+// Service returns the configuration of a service. The result is shared and
+// must not be changed, as with every pointer that a Table gives out.
+func (t *Table) Service(name state.ServiceName) (*state.Service, bool) {
+	view, found := t.services[name]
+	if !found || view.service == nil {
+		return nil, false
+	}
+	return view.service, true
+}
+
+// Server returns one server.
+func (t *Table) Server(id state.ServerID) (*state.Server, bool) {
+	return t.servers.get(id)
+}
+
+// Servers returns the servers of a service, ordered by identifier.
+func (t *Table) Servers(name state.ServiceName) []*state.Server {
+	view, found := t.services[name]
+	if !found {
+		return nil
+	}
+	return view.servers
+}
+
+// EachServer calls visit for every server, in no fixed order.
+func (t *Table) EachServer(visit func(*state.Server)) {
+	t.servers.each(func(_ state.ServerID, server *state.Server) bool {
+		visit(server)
+		return true
+	})
+}
+
+// Router returns one router.
+func (t *Table) Router(id state.RouterID) (*state.Router, bool) {
+	return t.routers.get(id)
+}
+
+// OpenRouters counts the routers with an open session.
+func (t *Table) OpenRouters() int {
+	open := 0
+	t.routers.each(func(_ state.RouterID, router *state.Router) bool {
+		if router.Session.Open {
+			open++
+		}
+		return true
+	})
+	return open
+}
+
+// Partition returns one record partition.
+func (t *Table) Partition(number int) (*state.RecordPartition, bool) {
+	return t.partitions.get(number)
+}
+
+// Partitions returns the number of record partitions.
+func (t *Table) Partitions() int { return t.partitions.length }
+
+// Lookup returns the shard of a service that holds the key hash.
+func (t *Table) Lookup(name state.ServiceName, keyHash uint64) (Shard, bool) {
+	view, found := t.services[name]
+	if !found {
+		return Shard{}, false
+	}
+	item, found := view.ranges.lookup(keyHash)
+	if !found {
+		return Shard{}, false
+	}
+	return Shard{
+		ID: item.shard, Range: item.span, Epoch: item.epoch,
+		Phase: item.phase.state(), Owner: state.ServerID(t.names.name(item.owner)),
+	}, true
+}
+
+func (p phase) state() state.ShardPhase {
+	switch p {
+	case phaseOwned:
+		return state.ShardOwned
+	case phaseRevoking:
+		return state.ShardRevoking
+	default:
+		return state.ShardUnowned
+	}
+}
+
+func phaseOf(p state.ShardPhase) phase {
+	switch p {
+	case state.ShardOwned:
+		return phaseOwned
+	case state.ShardRevoking:
+		return phaseRevoking
+	default:
+		return phaseUnowned
+	}
+}
+
+// withServer returns a copy of the view in which the server replaces its
+// earlier version.
+func (v *serviceView) withServer(server *state.Server) *serviceView {
+	next := *v
+	at, found := v.search(server.ID)
+	next.servers = slices.Clone(v.servers)
+	if found {
+		next.servers[at] = server
+	} else {
+		next.servers = slices.Insert(next.servers, at, server)
+	}
+	return &next
+}
+
+func (v *serviceView) withoutServer(id state.ServerID) *serviceView {
+	next := *v
+	if at, found := v.search(id); found {
+		next.servers = slices.Delete(slices.Clone(v.servers), at, at+1)
+	}
+	return &next
+}
+
+func (v *serviceView) search(id state.ServerID) (int, bool) {
+	return slices.BinarySearchFunc(v.servers, id, func(server *state.Server, wanted state.ServerID) int {
+		return cmp.Compare(server.ID, wanted)
+	})
+}
