--- /dev/null
+++ b/internal/coordinator/contact.go
@@ -0,0 +1,74 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// contact is what this leader knows of one server process. It lasts for one
+// term of leadership.
+type contact struct {
+	server state.ServerID
+	// next is when the next message is due.
+	next time.Duration
+	// sequence is the last one sent; with the term it fences messages.
+	sequence uint64
+	inFlight bool
+	// answered is true until the tick after an answer.
+	answered bool
+	// eager asks for a renewal as soon as a quorum round covers the reading.
+	eager bool
+	// incarnation is the process that answered last; empty before that.
+	incarnation string
+	// reading is that process's clock, received at readingAt.
+	reading   int64
+	readingAt time.Duration
+	// renewedAt is the newest moment from which a lease may count, be it given
+	// by this leader or by one before.
+	renewedAt time.Duration
+	// closing is the session whose end was proposed; it is never renewed again.
+	closing state.SessionNumber
+	// session is the one that the last answer was given under.
+	session  state.SessionNumber
+	version  state.Revision
+	running  []backendapi.Assignment
+	draining bool
+	load     backendapi.LoadReport
+	// pendingSession and pendingRelease are the tokens of open proposals.
+	pendingSession uint64
+	pendingRelease uint64
+}
+
+// fence returns the next fence for a message to the server.
+func (c *contact) fence(term uint64) backendapi.Fence {
+	c.sequence++
+	return backendapi.Fence{Term: term, Sequence: c.sequence}
+}
+
+// learn takes over what an answer says about the process.
+func (c *contact) learn(now time.Duration, answer backendapi.LeaseAnswer) {
+	if answer.Incarnation != c.incarnation {
+		c.incarnation = answer.Incarnation
+		c.version = 0
+		c.running = nil
+	}
+	c.reading = answer.ClockNs
+	c.readingAt = now
+	c.session = state.SessionNumber(answer.Session)
+	c.version = state.Revision(answer.Version)
+	c.running = answer.Running
+	c.draining = answer.Draining
+	c.load = answer.Load
+}
+
+// runs reports whether the server still executes requests in the range.
+func (c *contact) runs(keys state.KeyRange) bool {
+	for _, running := range c.running {
+		if running.First <= keys.Last && keys.First <= running.Last {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,223 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// Coordinator is the core. It is not safe for concurrent use.
+type Coordinator struct {
+	config Config
+	// leading is true between Lead and Follow.
+	leading   bool
+	term      uint64
+	leadSince time.Duration
+	contacts  map[state.ServerID]*contact
+	// ordered holds the contacts by server, for a fixed order of actions.
+	ordered []*contact
+	// lastTick and closeAfter keep a leader that was itself paused from closing
+	// sessions before it has asked the servers again.
+	lastTick   time.Duration
+	closeAfter time.Duration
+	// lastToken and lastRound number proposals and quorum rounds.
+	lastToken uint64
+	lastRound uint64
+	// roundStarted is when the newest round began; roundOpen is true until it
+	// is confirmed. confirmedAt is when the newest confirmed round began.
+	roundStarted time.Duration
+	roundOpen    bool
+	confirmedAt  time.Duration
+	// pendingAssign and pendingRevoke are the tokens of open proposals.
+	pendingAssign uint64
+	pendingRevoke uint64
+}
+
+// New returns a coordinator that does nothing until Lead.
+func New(config Config) *Coordinator {
+	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact)}
+}
+
+// Lead begins a term of leadership. The replicated state must hold every
+// acknowledged entry: the leader has committed an entry of its own term.
+func (c *Coordinator) Lead(now time.Duration, term uint64, view *state.State) {
+	c.Follow()
+	c.leading = true
+	c.term = term
+	c.leadSince = now
+	c.confirmedAt = -1
+	c.lastTick = now
+	for _, server := range view.Servers() {
+		c.ensureContact(server.ID, now)
+	}
+}
+
+// Follow ends a term of leadership. All that was known of servers is dropped.
+func (c *Coordinator) Follow() {
+	c.leading = false
+	c.contacts = make(map[state.ServerID]*contact)
+	c.ordered = nil
+	c.roundOpen = false
+	c.pendingAssign = 0
+	c.pendingRevoke = 0
+}
+
+// Changed tells the coordinator which objects a command changed.
+func (c *Coordinator) Changed(now time.Duration, objects []state.Object) {
+	if !c.leading {
+		return
+	}
+	for _, object := range objects {
+		switch {
+		case object.Server != nil:
+			known := c.ensureContact(object.Server.ID, now)
+			known.eager = true
+			c.wake(known, now)
+		case object.Shard != nil && object.Shard.Owner != "":
+			c.wake(c.ensureContact(object.Shard.Owner, now), now)
+		}
+	}
+}
+
+func (c *Coordinator) wake(known *contact, now time.Duration) {
+	known.next = min(known.next, now)
+}
+
+func (c *Coordinator) ensureContact(server state.ServerID, now time.Duration) *contact {
+	if known, found := c.contacts[server]; found {
+		return known
+	}
+	created := &contact{server: server, next: now, eager: true, readingAt: -1, renewedAt: c.leadSince}
+	c.contacts[server] = created
+	position, _ := slices.BinarySearchFunc(c.ordered, server, func(known *contact, server state.ServerID) int {
+		return cmp.Compare(known.server, server)
+	})
+	c.ordered = slices.Insert(c.ordered, position, created)
+	return created
+}
+
+// Tick returns the actions that are due.
+func (c *Coordinator) Tick(now time.Duration, view *state.State) Actions {
+	var actions Actions
+	if !c.leading {
+		return actions
+	}
+	c.noticePause(now)
+	c.tickContacts(now, view, &actions)
+	c.tickShards(view, &actions)
+	c.tickRound(now, &actions)
+	return actions
+}
+
+// noticePause gives servers time to answer after this process was paused:
+// their leases ran out, but nobody else was told so, and a renewal spares the
+// moves that closing their sessions would cause.
+func (c *Coordinator) noticePause(now time.Duration) {
+	if now-c.lastTick > c.config.RenewInterval {
+		c.closeAfter = now + 2*c.config.RenewInterval
+	}
+	c.lastTick = now
+}
+
+func (c *Coordinator) propose(actions *Actions, command state.Command) uint64 {
+	c.lastToken++
+	actions.Proposals = append(actions.Proposals, Proposal{Token: c.lastToken, Command: command})
+	return c.lastToken
+}
+
+// ProposalDone says that a proposal was applied, refused or dropped.
+func (c *Coordinator) ProposalDone(token uint64) {
+	if c.pendingAssign == token {
+		c.pendingAssign = 0
+	}
+	if c.pendingRevoke == token {
+		c.pendingRevoke = 0
+	}
+	for _, known := range c.ordered {
+		if known.pendingSession == token {
+			known.pendingSession = 0
+		}
+		if known.pendingRelease == token {
+			known.pendingRelease = 0
+		}
+	}
+}
+
+// tickRound asks for a quorum round when some reading waits for one.
+func (c *Coordinator) tickRound(now time.Duration, actions *Actions) {
+	if now-c.roundStarted < c.config.RoundInterval {
+		return
+	}
+	if c.roundOpen && now-c.roundStarted < c.config.LeaseDuration {
+		return
+	}
+	for _, known := range c.ordered {
+		if known.readingAt > c.confirmedAt {
+			c.lastRound++
+			c.roundStarted = now
+			c.roundOpen = true
+			actions.Round = c.lastRound
+			return
+		}
+	}
+}
+
+// RoundConfirmed says that a quorum acknowledged this leader in the round.
+func (c *Coordinator) RoundConfirmed(now time.Duration, round uint64) {
+	if !c.leading || round != c.lastRound || !c.roundOpen {
+		return
+	}
+	c.roundOpen = false
+	c.confirmedAt = c.roundStarted
+	for _, known := range c.ordered {
+		if known.eager && known.readingAt >= 0 && known.readingAt <= c.confirmedAt {
+			known.eager = false
+			c.wake(known, now)
+		}
+	}
+}
+
+// Answered takes a server's answer to the message with the given sequence.
+func (c *Coordinator) Answered(now time.Duration, server state.ServerID, sequence uint64, answer backendapi.LeaseAnswer) {
+	known, found := c.contacts[server]
+	if !found || sequence != known.sequence {
+		return
+	}
+	known.inFlight = false
+	if answer.Server != string(server) {
+		return
+	}
+	changedProcess := answer.Incarnation != known.incarnation
+	known.learn(now, answer)
+	known.answered = true
+	known.eager = known.eager || changedProcess
+	if answer.Fence.Term == c.term && answer.Fence.Sequence > known.sequence {
+		known.sequence = answer.Fence.Sequence
+	}
+}
+
+// Failed says that the message with the given sequence was not answered.
+func (c *Coordinator) Failed(server state.ServerID, sequence uint64) {
+	known, found := c.contacts[server]
+	if found && sequence == known.sequence {
+		known.inFlight = false
+	}
+}
+
+// Views returns what is known of each server, by server.
+func (c *Coordinator) Views(view *state.State) []ServerView {
+	views := make([]ServerView, 0, len(c.ordered))
+	for _, known := range c.ordered {
+		server, _ := view.Server(known.server)
+		views = append(views, ServerView{
+			Server:     known.server,
+			LastAnswer: known.readingAt,
+			InForce:    server.Session.Open && known.session == server.Session.Number && known.version == view.AssignmentVersion(known.server),
+			Load:       known.load,
+		})
+	}
+	return views
+}
--- /dev/null
+++ b/internal/coordinator/sessions.go
@@ -0,0 +1,122 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+func (c *Coordinator) tickContacts(now time.Duration, view *state.State, actions *Actions) {
+	for _, known := range c.ordered {
+		expired := now > c.surelyEnded(known) && now > c.closeAfter
+		if now < known.next && !expired && !known.answered {
+			continue
+		}
+		known.answered = false
+		server, found := view.Server(known.server)
+		if !found {
+			continue
+		}
+		c.tickSession(now, expired, known, server, actions)
+		if now >= known.next && !known.inFlight {
+			c.contactServer(now, known, server, view, actions)
+		}
+	}
+}
+
+// surelyEnded returns when the last lease that the server may hold is over,
+// whatever became of the messages. The lease counts from a reading that was
+// taken before renewedAt, so a message that is held up cannot extend it.
+func (c *Coordinator) surelyEnded(known *contact) time.Duration {
+	stretched := float64(c.config.LeaseDuration) * (1 + c.config.ClockRateBound)
+	return known.renewedAt + time.Duration(stretched) + c.config.Margin
+}
+
+// tickSession opens a session for a process that answers, and closes the
+// session of one whose lease surely ended.
+func (c *Coordinator) tickSession(now time.Duration, expired bool, known *contact, server state.Server, actions *Actions) {
+	if known.pendingSession != 0 {
+		return
+	}
+	if !server.Session.Open {
+		if c.mayOpen(now, known, server) {
+			known.pendingSession = c.propose(actions, state.Command{OpenSession: &state.OpenSession{
+				Server: server.ID, Incarnation: known.incarnation, After: server.Session.Number,
+			}})
+		}
+		return
+	}
+	if expired {
+		known.closing = server.Session.Number
+		known.pendingSession = c.propose(actions, state.Command{CloseSession: &state.CloseSession{
+			Server: server.ID, Session: server.Session.Number,
+		}})
+	}
+}
+
+// mayOpen requires a recent answer, so that a session is not opened for a
+// process that has gone silent.
+func (c *Coordinator) mayOpen(now time.Duration, known *contact, server state.Server) bool {
+	if server.Intent == state.ServerRetired || known.incarnation == "" {
+		return false
+	}
+	return now-known.readingAt < 2*c.config.RenewInterval
+}
+
+// mayRenew reports whether the server process of the open session may get a
+// lease that counts from the last reading.
+func (c *Coordinator) mayRenew(known *contact, server state.Server) bool {
+	if !server.Session.Open || server.Intent == state.ServerRetired {
+		return false
+	}
+	if known.closing == server.Session.Number || known.incarnation != server.Session.Incarnation {
+		return false
+	}
+	return known.readingAt >= 0 && known.readingAt <= c.confirmedAt
+}
+
+func (c *Coordinator) contactServer(now time.Duration, known *contact, server state.Server, view *state.State, actions *Actions) {
+	if server.Intent == state.ServerRetired && !server.Session.Open {
+		known.next = now + c.config.LeaseDuration
+		return
+	}
+	request := backendapi.LeaseRequest{Server: string(server.ID)}
+	if c.mayRenew(known, server) {
+		c.fillRenewal(&request, known, server, view)
+		known.renewedAt = now
+	}
+	request.Fence = known.fence(c.term)
+	known.inFlight = true
+	known.next = now + c.config.RenewInterval
+	actions.Sends = append(actions.Sends, Send{Server: server.ID, Address: server.Address, Request: request})
+}
+
+func (c *Coordinator) fillRenewal(request *backendapi.LeaseRequest, known *contact, server state.Server, view *state.State) {
+	request.Incarnation = known.incarnation
+	request.Session = uint64(server.Session.Number)
+	request.ReadingNs = known.reading
+	request.DurationNs = int64(c.config.LeaseDuration)
+	request.Drain = server.Intent != state.ServerActive
+	wanted := view.AssignmentVersion(server.ID)
+	request.Version = uint64(wanted)
+	if known.version == wanted && known.session == server.Session.Number {
+		return
+	}
+	request.Replace = true
+	for _, shard := range view.OwnedBy(server.ID) {
+		if shard.Phase == state.ShardOwned {
+			request.Assignments = append(request.Assignments, backendapi.Assignment{
+				Shard: uint64(shard.ID), Epoch: uint64(shard.Epoch), First: shard.Range.First, Last: shard.Range.Last,
+			})
+		}
+	}
+}
+
+// answersFor reports whether the last answer came from the process of the open
+// session.
+func (c *Coordinator) answersFor(known *contact, server state.Server) bool {
+	return server.Session.Open &&
+		known.incarnation == server.Session.Incarnation &&
+		known.session == server.Session.Number
+}
--- /dev/null
+++ b/internal/coordinator/shards.go
@@ -0,0 +1,145 @@
+package coordinator
+
+import (
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// tickShards carries each shard that needs work one step on: a move begins, a
+// revoked shard is released, an unowned shard is assigned.
+func (c *Coordinator) tickShards(view *state.State, actions *Actions) {
+	active := view.ActiveShards()
+	c.releaseShards(active, view, actions)
+	planner := newPlanner(view, c.contacts)
+	if c.pendingAssign == 0 {
+		c.assignShards(active, planner, actions)
+	}
+	if c.pendingRevoke == 0 {
+		c.revokeShards(active, planner, view, actions)
+	}
+	c.finishRetirements(view, actions)
+}
+
+// releaseShards proposes the release of revoked shards which their owner no
+// longer holds and of which it executes nothing.
+func (c *Coordinator) releaseShards(active []state.Shard, view *state.State, actions *Actions) {
+	released := make(map[state.ServerID][]state.ShardEpoch)
+	for _, shard := range active {
+		known := c.contacts[shard.Owner]
+		if shard.Phase != state.ShardRevoking || known == nil || known.pendingRelease != 0 {
+			continue
+		}
+		server, _ := view.Server(shard.Owner)
+		if !c.answersFor(known, server) || known.version < shard.Revision || known.runs(shard.Range) {
+			continue
+		}
+		released[shard.Owner] = append(released[shard.Owner], state.ShardEpoch{Shard: shard.ID, Epoch: shard.Epoch})
+	}
+	for _, known := range c.ordered {
+		if shards := released[known.server]; len(shards) > 0 {
+			shards = shards[:min(len(shards), c.config.MaxBatch)]
+			known.pendingRelease = c.propose(actions, state.Command{ReleaseShards: &state.ReleaseShards{Server: known.server, Shards: shards}})
+		}
+	}
+}
+
+func (c *Coordinator) assignShards(active []state.Shard, planner *planner, actions *Actions) {
+	var assignments []state.ShardAssignment
+	for _, shard := range active {
+		if shard.Phase != state.ShardUnowned || len(assignments) == c.config.MaxBatch {
+			continue
+		}
+		target, found := planner.choose(shard)
+		if !found {
+			continue
+		}
+		assignments = append(assignments, state.ShardAssignment{
+			Shard: shard.ID, Epoch: shard.Epoch, Server: target.ID, Session: target.Session.Number,
+		})
+	}
+	if len(assignments) > 0 {
+		c.pendingAssign = c.propose(actions, state.Command{AssignShards: &state.AssignShards{Assignments: assignments}})
+	}
+}
+
+// revokeShards begins moves within each service's bound: first those that a
+// plan asked for, then those off servers that are leaving.
+func (c *Coordinator) revokeShards(active []state.Shard, planner *planner, view *state.State, actions *Actions) {
+	budget := newMoveBudget(view, active)
+	var moves []state.MoveShard
+	for _, shard := range active {
+		if shard.Phase == state.ShardOwned && shard.Target != "" {
+			moves = appendMove(moves, shard, planner, budget)
+		}
+	}
+	for _, known := range c.ordered {
+		server, found := view.Server(known.server)
+		if !found || !server.Session.Open || !leaves(server, known) {
+			continue
+		}
+		for _, shard := range view.OwnedBy(known.server) {
+			if shard.Phase == state.ShardOwned && shard.Target == "" {
+				moves = appendMove(moves, shard, planner, budget)
+			}
+		}
+	}
+	if len(moves) > 0 {
+		moves = moves[:min(len(moves), c.config.MaxBatch)]
+		c.pendingRevoke = c.propose(actions, state.Command{RevokeShards: &state.RevokeShards{Moves: moves}})
+	}
+}
+
+func appendMove(moves []state.MoveShard, shard state.Shard, planner *planner, budget *moveBudget) []state.MoveShard {
+	if !budget.allows(shard.Service) {
+		return moves
+	}
+	target, found := planner.choose(shard)
+	if !found || target.ID == shard.Owner {
+		return moves
+	}
+	budget.spend(shard.Service)
+	return append(moves, state.MoveShard{Shard: shard.ID, Epoch: shard.Epoch, From: shard.Owner, To: target.ID})
+}
+
+// leaves reports whether a server is to give up its shards.
+func leaves(server state.Server, known *contact) bool {
+	return server.Leaving || server.Intent != state.ServerActive || known.draining
+}
+
+func (c *Coordinator) finishRetirements(view *state.State, actions *Actions) {
+	for _, known := range c.ordered {
+		server, found := view.Server(known.server)
+		if !found || server.Intent != state.ServerRetiring || known.pendingRelease != 0 {
+			continue
+		}
+		if view.OwnedCount(server.ID) > 0 {
+			continue
+		}
+		known.pendingRelease = c.propose(actions, state.Command{RetireServerDone: &state.RetireServerDone{Server: server.ID}})
+	}
+}
+
+// moveBudget bounds the moves in flight of each service.
+type moveBudget struct {
+	left map[state.ServiceName]int
+}
+
+func newMoveBudget(view *state.State, active []state.Shard) *moveBudget {
+	budget := &moveBudget{left: make(map[state.ServiceName]int)}
+	for _, service := range view.Services() {
+		budget.left[service.Name] = service.MaxMoves
+	}
+	for _, shard := range active {
+		if shard.Phase != state.ShardOwned {
+			budget.left[shard.Service]--
+		}
+	}
+	return budget
+}
+
+func (b *moveBudget) allows(service state.ServiceName) bool {
+	return b.left[service] > 0
+}
+
+func (b *moveBudget) spend(service state.ServiceName) {
+	b.left[service]--
+}
--- /dev/null
+++ b/internal/state/apply.go
@@ -0,0 +1,227 @@
+package state
+
+import (
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// transaction collects the changes of one command.
+type transaction struct {
+	state    *State
+	revision Revision
+	changed  []Object
+}
+
+// Apply executes the command that stands at a log index. The result's error
+// leaves the routing table as it was.
+func (s *State) Apply(index uint64, command Command) Result {
+	tx := &transaction{state: s, revision: Revision(index)}
+	result := tx.execute(command)
+	result.Changed = tx.changed
+	if len(tx.changed) > 0 {
+		s.revision = tx.revision
+	}
+	return result
+}
+
+func (tx *transaction) execute(command Command) Result {
+	switch {
+	case command.StorePlan != nil:
+		return tx.storePlan(command.StorePlan)
+	case command.ConfirmPlan != nil:
+		return tx.confirmPlan(command.ConfirmPlan)
+	case command.OpenSession != nil:
+		return tx.openSession(command.OpenSession)
+	case command.CloseSession != nil:
+		return tx.closeSession(command.CloseSession)
+	case command.ReleaseShards != nil:
+		return tx.releaseShards(command.ReleaseShards)
+	case command.AssignShards != nil:
+		return tx.assignShards(command.AssignShards)
+	case command.RevokeShards != nil:
+		return tx.revokeShards(command.RevokeShards)
+	case command.SetLeaving != nil:
+		return tx.setLeaving(command.SetLeaving)
+	case command.RetireServerDone != nil:
+		return tx.retireServerDone(command.RetireServerDone)
+	case command.PutRouter != nil:
+		return tx.putRouter(command.PutRouter)
+	case command.CloseRouter != nil:
+		return tx.closeRouter(command.CloseRouter)
+	case command.PutPartitions != nil:
+		return tx.putPartitions(command.PutPartitions)
+	default:
+		return failure(fault.InvalidArgument, "command without content")
+	}
+}
+
+func failure(kind fault.Kind, detail string) Result {
+	return Result{Err: fault.New(kind, detail)}
+}
+
+func (tx *transaction) putService(service Service) {
+	service.Revision = tx.revision
+	tx.put(Object{Service: &service})
+}
+
+func (tx *transaction) putServer(server Server) {
+	server.Revision = tx.revision
+	tx.put(Object{Server: &server})
+}
+
+func (tx *transaction) putShard(shard Shard) {
+	shard.Revision = tx.revision
+	tx.put(Object{Shard: &shard})
+}
+
+func (tx *transaction) put(object Object) {
+	tx.state.put(object)
+	tx.changed = append(tx.changed, object)
+}
+
+func (tx *transaction) openSession(command *OpenSession) Result {
+	server, found := tx.state.Server(command.Server)
+	if !found {
+		return failure(fault.NotFound, "server "+string(command.Server))
+	}
+	if server.Session.Open || server.Session.Number != command.After {
+		return failure(fault.Conflict, "the server's session changed meanwhile")
+	}
+	if server.Intent == ServerRetired {
+		return failure(fault.Conflict, "the server is retired")
+	}
+	server.Session = Session{Number: command.After + 1, Incarnation: command.Incarnation, Open: true}
+	tx.putServer(server)
+	return Result{}
+}
+
+func (tx *transaction) closeSession(command *CloseSession) Result {
+	server, found := tx.state.Server(command.Server)
+	if !found {
+		return failure(fault.NotFound, "server "+string(command.Server))
+	}
+	if !server.Session.Open || server.Session.Number != command.Session {
+		return failure(fault.Conflict, "the session is not open")
+	}
+	server.Session.Open = false
+	tx.putServer(server)
+	for _, shard := range tx.state.OwnedBy(command.Server) {
+		tx.disown(shard)
+	}
+	return Result{}
+}
+
+// disown makes a shard unowned. Its epoch stays, so that the next assignment
+// rises above it.
+func (tx *transaction) disown(shard Shard) {
+	shard.Phase = ShardUnowned
+	shard.Owner = ""
+	tx.putShard(shard)
+}
+
+func (tx *transaction) releaseShards(command *ReleaseShards) Result {
+	for _, released := range command.Shards {
+		shard, found := tx.state.Shard(released.Shard)
+		if !found || shard.Phase != ShardRevoking {
+			continue
+		}
+		if shard.Owner != command.Server || shard.Epoch != released.Epoch {
+			continue
+		}
+		tx.disown(shard)
+	}
+	return Result{}
+}
+
+func (tx *transaction) assignShards(command *AssignShards) Result {
+	for _, assignment := range command.Assignments {
+		shard, found := tx.state.Shard(assignment.Shard)
+		if !found || shard.Phase != ShardUnowned || shard.Epoch != assignment.Epoch {
+			continue
+		}
+		server, found := tx.state.Server(assignment.Server)
+		if !found || !server.Session.Open || server.Session.Number != assignment.Session {
+			continue
+		}
+		shard.Phase = ShardOwned
+		shard.Owner = assignment.Server
+		shard.Epoch = assignment.Epoch + 1
+		shard.Target = ""
+		tx.putShard(shard)
+	}
+	return Result{}
+}
+
+func (tx *transaction) revokeShards(command *RevokeShards) Result {
+	for _, move := range command.Moves {
+		shard, found := tx.state.Shard(move.Shard)
+		if !found || shard.Phase != ShardOwned || shard.Epoch != move.Epoch {
+			continue
+		}
+		shard.Phase = ShardRevoking
+		shard.Target = move.To
+		tx.putShard(shard)
+	}
+	return Result{}
+}
+
+func (tx *transaction) setLeaving(command *SetLeaving) Result {
+	server, found := tx.state.Server(command.Server)
+	if !found {
+		return failure(fault.NotFound, "server "+string(command.Server))
+	}
+	if server.Leaving == command.Leaving {
+		return Result{}
+	}
+	server.Leaving = command.Leaving
+	tx.putServer(server)
+	return Result{}
+}
+
+func (tx *transaction) retireServerDone(command *RetireServerDone) Result {
+	server, found := tx.state.Server(command.Server)
+	if !found {
+		return failure(fault.NotFound, "server "+string(command.Server))
+	}
+	if server.Intent != ServerRetiring || tx.state.OwnedCount(server.ID) > 0 {
+		return failure(fault.Conflict, "the server is not ready to be retired")
+	}
+	server.Intent = ServerRetired
+	tx.putServer(server)
+	return Result{}
+}
+
+func (tx *transaction) putRouter(command *PutRouter) Result {
+	router := command.Router
+	previous, found := tx.state.Router(router.ID)
+	if found && previous.Session.Open {
+		return failure(fault.Conflict, "the router's session is still open")
+	}
+	router.Session.Number = previous.Session.Number + 1
+	router.Session.Open = true
+	router.Revision = tx.revision
+	tx.put(Object{Router: &router})
+	return Result{}
+}
+
+func (tx *transaction) closeRouter(command *CloseRouter) Result {
+	router, found := tx.state.Router(command.Router)
+	if !found || !router.Session.Open || router.Session.Number != command.Session {
+		return failure(fault.Conflict, "the router's session is not open")
+	}
+	router.Session.Open = false
+	router.Revision = tx.revision
+	tx.put(Object{Router: &router})
+	return Result{}
+}
+
+func (tx *transaction) putPartitions(command *PutPartitions) Result {
+	for _, partition := range command.Partitions {
+		previous, found := tx.state.partitions[partition.Number]
+		if found && previous.Epoch+1 != partition.Epoch {
+			continue
+		}
+		partition.Revision = tx.revision
+		tx.put(Object{Partition: &partition})
+	}
+	return Result{}
+}
--- /dev/null
+++ b/internal/state/apply_plan.go
@@ -0,0 +1,261 @@
+package state
+
+import (
+	"bytes"
+	"math/bits"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// storePlan stores the answer to an intent. A resend with the same content gets
+// the first answer; the same identifier with other content is a conflict.
+func (tx *transaction) storePlan(command *StorePlan) Result {
+	existing, found := tx.state.Plan(command.Plan.ID)
+	if !found {
+		plan := command.Plan
+		plan.Status = PlanStored
+		tx.state.storePlan(plan)
+		return Result{Plan: &plan}
+	}
+	if !sameIntent(existing.Intent, command.Plan.Intent) {
+		return failure(fault.Conflict, "intent_id "+string(command.Plan.Intent.ID)+
+			" was used before with other content: choose a new intent_id")
+	}
+	return Result{Plan: &existing}
+}
+
+// sameIntent compares what is asked for. Two operators who ask for the same
+// under one identifier get the same answer.
+func sameIntent(first, second Intent) bool {
+	first.Operator, second.Operator = "", ""
+	encodedFirst, errFirst := msgpack.Marshal(&first)
+	encodedSecond, errSecond := msgpack.Marshal(&second)
+	return errFirst == nil && errSecond == nil && bytes.Equal(encodedFirst, encodedSecond)
+}
+
+// confirmPlan applies a stored plan as a whole or not at all.
+func (tx *transaction) confirmPlan(command *ConfirmPlan) Result {
+	plan, found := tx.state.Plan(command.Plan)
+	if !found {
+		return failure(fault.NotFound, "plan "+string(command.Plan)+": plan again")
+	}
+	if plan.Digest != command.Digest {
+		return failure(fault.Conflict, "digest differs from the stored plan's: look at the plan again")
+	}
+	switch plan.Status {
+	case PlanConfirmed:
+		return Result{Plan: &plan}
+	case PlanStale:
+		return failure(fault.StalePlan, "the state that the plan rests on has changed: plan again")
+	case PlanStored:
+	}
+	if err := tx.checkPlan(plan); err != nil {
+		plan.Status = PlanStale
+		tx.state.storePlan(plan)
+		return Result{Err: err}
+	}
+	for _, operation := range plan.Operations {
+		tx.applyOperation(operation)
+	}
+	plan.Status = PlanConfirmed
+	plan.Accepted = tx.revision
+	plan.ConfirmedBy = command.Operator
+	tx.state.storePlan(plan)
+	return Result{Plan: &plan}
+}
+
+// checkPlan verifies that everything the plan rests on is still as planned.
+func (tx *transaction) checkPlan(plan Plan) *fault.Error {
+	created := false
+	for _, operation := range plan.Operations {
+		if operation.PutService != nil && operation.PutService.Revision == 0 {
+			created = true
+		}
+		if err := tx.checkOperation(operation, created); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (tx *transaction) checkOperation(operation Operation, created bool) *fault.Error {
+	switch {
+	case operation.PutService != nil:
+		current := tx.state.services[operation.PutService.Name]
+		if revisionOf(current) != operation.PutService.Revision {
+			return stale("service " + string(operation.PutService.Name) + " changed")
+		}
+	case operation.PutServer != nil:
+		return tx.checkServer(operation.PutServer)
+	case operation.CreateShards != nil:
+		service := operation.CreateShards.Service
+		if !created || len(tx.state.ranges[service]) > 0 {
+			return stale("service " + string(service) + " already has shards")
+		}
+	case operation.IsolateKey != nil:
+		isolate := operation.IsolateKey
+		return tx.checkMove(MoveShard{Shard: isolate.Shard, Epoch: isolate.Epoch, To: isolate.To})
+	case operation.MoveShard != nil:
+		return tx.checkMove(*operation.MoveShard)
+	case operation.ObserveRanges != nil:
+		return tx.checkObserved(operation.ObserveRanges)
+	}
+	return nil
+}
+
+func revisionOf(service *Service) Revision {
+	if service == nil {
+		return 0
+	}
+	return service.Revision
+}
+
+func (tx *transaction) checkServer(planned *Server) *fault.Error {
+	current, found := tx.state.Server(planned.ID)
+	if !found && planned.ConfigRevision == 0 {
+		return nil
+	}
+	if !found || current.ConfigRevision != planned.ConfigRevision {
+		return stale("server " + string(planned.ID) + " changed")
+	}
+	return nil
+}
+
+func (tx *transaction) checkMove(move MoveShard) *fault.Error {
+	shard, found := tx.state.Shard(move.Shard)
+	if !found || shard.Epoch != move.Epoch || shard.Phase != ShardOwned || shard.Target != "" {
+		return stale("a shard of the plan changed its owner or is moving")
+	}
+	if move.From != "" && shard.Owner != move.From {
+		return stale("a shard of the plan changed its owner")
+	}
+	target, found := tx.state.Server(move.To)
+	if !found || !target.Session.Open || target.Intent != ServerActive {
+		return stale("server " + string(move.To) + " can no longer take shards")
+	}
+	return nil
+}
+
+func stale(detail string) *fault.Error {
+	return fault.New(fault.StalePlan, detail+": plan again")
+}
+
+func (tx *transaction) applyOperation(operation Operation) {
+	switch {
+	case operation.PutService != nil:
+		tx.putService(*operation.PutService)
+	case operation.PutServer != nil:
+		tx.applyServer(*operation.PutServer)
+	case operation.CreateShards != nil:
+		tx.createShards(operation.CreateShards)
+	case operation.IsolateKey != nil:
+		tx.isolateKey(operation.IsolateKey)
+	case operation.MoveShard != nil:
+		shard, _ := tx.state.Shard(operation.MoveShard.Shard)
+		shard.Target = operation.MoveShard.To
+		tx.putShard(shard)
+	case operation.ObserveRanges != nil:
+		tx.observeRanges(operation.ObserveRanges)
+	}
+}
+
+// applyServer takes the operator's part of a server and keeps the rest.
+func (tx *transaction) applyServer(planned Server) {
+	current, found := tx.state.Server(planned.ID)
+	if found {
+		planned.Session = current.Session
+		planned.Leaving = current.Leaving
+	}
+	planned.ConfigRevision = tx.revision
+	tx.putServer(planned)
+}
+
+// createShards cuts the key space into equal ranges without owners.
+func (tx *transaction) createShards(command *CreateShards) {
+	count := uint64(command.Count)
+	for position := range count {
+		tx.newShard(command.Service, KeyRange{
+			First: rangeStart(position, count),
+			Last:  rangeStart(position+1, count) - 1,
+		}, Shard{Phase: ShardUnowned})
+	}
+}
+
+// rangeStart returns position/count of the 64-bit key space. For position =
+// count the result wraps to zero, so that start - 1 is the highest hash.
+func rangeStart(position, count uint64) uint64 {
+	if position == count {
+		return 0
+	}
+	quotient, _ := bits.Div64(position, 0, count)
+	return quotient
+}
+
+func (tx *transaction) newShard(service ServiceName, keys KeyRange, template Shard) ShardID {
+	template.ID = tx.state.nextShard
+	template.Service = service
+	template.Range = keys
+	tx.state.nextShard++
+	tx.putShard(template)
+	return template.ID
+}
+
+// isolateKey cuts a shard so that one hash stands alone and is to move. The
+// parts keep owner and epoch, since their owner does not change yet.
+func (tx *transaction) isolateKey(command *IsolateKey) {
+	shard, _ := tx.state.Shard(command.Shard)
+	whole := shard.Range
+	part := Shard{Phase: shard.Phase, Owner: shard.Owner, Epoch: shard.Epoch}
+	if whole.First == whole.Last {
+		shard.Target = command.To
+		tx.putShard(shard)
+		return
+	}
+	moved := part
+	moved.Target = command.To
+	if whole.First == command.Hash {
+		shard.Range.First = command.Hash + 1
+	} else {
+		shard.Range.Last = command.Hash - 1
+	}
+	tx.putShard(shard)
+	tx.newShard(shard.Service, KeyRange{First: command.Hash, Last: command.Hash}, moved)
+	if whole.First < command.Hash && command.Hash < whole.Last {
+		tx.newShard(shard.Service, KeyRange{First: command.Hash + 1, Last: whole.Last}, part)
+	}
+}
+
+// checkObserved verifies that the service is still the one that was planned for.
+func (tx *transaction) checkObserved(command *SetMode) *fault.Error {
+	if _, found := tx.state.services[command.Service]; !found {
+		return stale("service " + string(command.Service) + " is gone")
+	}
+	return nil
+}
+
+// observeRanges routes by an imported map: each range becomes a shard whose
+// owner the team's own scripts decided.
+func (tx *transaction) observeRanges(command *SetMode) {
+	for _, observed := range command.Map {
+		shard, found := tx.state.ShardAt(command.Service, observed.Range.First)
+		if found && shard.Range == observed.Range {
+			tx.observe(shard, observed.Server)
+			continue
+		}
+		if !found {
+			tx.newShard(command.Service, observed.Range, Shard{Phase: ShardOwned, Owner: observed.Server, Epoch: 1})
+		}
+	}
+}
+
+func (tx *transaction) observe(shard Shard, owner ServerID) {
+	if shard.Owner == owner {
+		return
+	}
+	shard.Phase = ShardOwned
+	shard.Owner = owner
+	shard.Epoch++
+	tx.putShard(shard)
+}
--- /dev/null
+++ b/internal/state/put.go
@@ -0,0 +1,90 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+)
+
+// put stores a routing-visible object and keeps the digest and the indexes in
+// step. The object must not be changed by the caller afterwards.
+func (s *State) put(object Object) {
+	previous, existed := s.lookup(object)
+	if existed {
+		s.digest ^= ObjectDigest(previous)
+	}
+	s.digest ^= ObjectDigest(object)
+	switch {
+	case object.Service != nil:
+		s.services[object.Service.Name] = object.Service
+	case object.Server != nil:
+		s.servers[object.Server.ID] = object.Server
+	case object.Shard != nil:
+		s.putShard(previous.Shard, object.Shard)
+	case object.Router != nil:
+		s.routers[object.Router.ID] = object.Router
+	case object.Partition != nil:
+		s.partitions[object.Partition.Number] = object.Partition
+	}
+}
+
+func (s *State) lookup(object Object) (Object, bool) {
+	var previous Object
+	var existed bool
+	switch {
+	case object.Service != nil:
+		previous.Service, existed = s.services[object.Service.Name]
+	case object.Server != nil:
+		previous.Server, existed = s.servers[object.Server.ID]
+	case object.Shard != nil:
+		previous.Shard, existed = s.shards[object.Shard.ID]
+	case object.Router != nil:
+		previous.Router, existed = s.routers[object.Router.ID]
+	case object.Partition != nil:
+		previous.Partition, existed = s.partitions[object.Partition.Number]
+	}
+	return previous, existed
+}
+
+func (s *State) putShard(previous, shard *Shard) {
+	if previous == nil {
+		s.insertRange(shard)
+	} else if previous.Owner != "" {
+		delete(s.owned[previous.Owner], previous.ID)
+		s.versions[previous.Owner] = shard.Revision
+	}
+	s.shards[shard.ID] = shard
+	if shard.Owner != "" {
+		if s.owned[shard.Owner] == nil {
+			s.owned[shard.Owner] = make(map[ShardID]struct{})
+		}
+		s.owned[shard.Owner][shard.ID] = struct{}{}
+		s.versions[shard.Owner] = shard.Revision
+	}
+	if shard.Phase == ShardOwned && shard.Target == "" {
+		delete(s.active, shard.ID)
+	} else {
+		s.active[shard.ID] = struct{}{}
+	}
+}
+
+// insertRange adds a new shard to its service's ordered list. The order is by
+// Range.First, which no two shards of a service share once a command ended.
+func (s *State) insertRange(shard *Shard) {
+	ids := s.ranges[shard.Service]
+	position, _ := slices.BinarySearchFunc(ids, shard.Range.First, func(id ShardID, first uint64) int {
+		return cmp.Compare(s.shards[id].Range.First, first)
+	})
+	s.shards[shard.ID] = shard
+	s.ranges[shard.Service] = slices.Insert(ids, position, shard.ID)
+}
+
+func (s *State) storePlan(plan Plan) {
+	if _, exists := s.plans[plan.ID]; !exists {
+		s.planOrder = append(s.planOrder, plan.ID)
+	}
+	s.plans[plan.ID] = &plan
+	for len(s.planOrder) > MaxPlans {
+		delete(s.plans, s.planOrder[0])
+		s.planOrder = s.planOrder[1:]
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,306 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// MaxPlans bounds the stored plans; the oldest are forgotten first. A resend of
+// a forgotten intent is planned anew, which changes nothing until confirmed.
+const MaxPlans = 4096
+
+// State is the whole replicated state. It is not safe for concurrent use.
+type State struct {
+	revision   Revision
+	digest     uint64
+	nextShard  ShardID
+	services   map[ServiceName]*Service
+	servers    map[ServerID]*Server
+	shards     map[ShardID]*Shard
+	routers    map[RouterID]*Router
+	partitions map[int]*RecordPartition
+	plans      map[PlanID]*Plan
+	planOrder  []PlanID
+	// ranges holds each service's shards in the order of their ranges.
+	ranges map[ServiceName][]ShardID
+	// owned indexes the shards by their owner.
+	owned map[ServerID]map[ShardID]struct{}
+	// versions holds, for each server, the revision at which the set of shards
+	// that it may serve last changed.
+	versions map[ServerID]Revision
+	// active indexes the shards that are not simply owned: unowned, revoking,
+	// or owned with a target.
+	active map[ShardID]struct{}
+}
+
+// New returns the empty state.
+func New() *State {
+	return &State{
+		nextShard:  1,
+		services:   make(map[ServiceName]*Service),
+		servers:    make(map[ServerID]*Server),
+		shards:     make(map[ShardID]*Shard),
+		routers:    make(map[RouterID]*Router),
+		partitions: make(map[int]*RecordPartition),
+		plans:      make(map[PlanID]*Plan),
+		ranges:     make(map[ServiceName][]ShardID),
+		owned:      make(map[ServerID]map[ShardID]struct{}),
+		versions:   make(map[ServerID]Revision),
+		active:     make(map[ShardID]struct{}),
+	}
+}
+
+// Result is what Apply did.
+type Result struct {
+	// Changed lists the routing-visible objects that changed, in order.
+	Changed []Object
+	// Plan is the stored plan, for StorePlan and ConfirmPlan.
+	Plan *Plan
+	// Err says why the command changed nothing.
+	Err *fault.Error
+}
+
+// Revision returns the revision of the newest routing-visible change.
+func (s *State) Revision() Revision { return s.revision }
+
+// Digest returns the digest of the routing table at Revision.
+func (s *State) Digest() uint64 { return s.digest }
+
+// Service returns a copy of a service.
+func (s *State) Service(name ServiceName) (Service, bool) {
+	service, found := s.services[name]
+	if !found {
+		return Service{}, false
+	}
+	return *service, true
+}
+
+// Server returns a copy of a server.
+func (s *State) Server(id ServerID) (Server, bool) {
+	server, found := s.servers[id]
+	if !found {
+		return Server{}, false
+	}
+	return *server, true
+}
+
+// Shard returns a copy of a shard.
+func (s *State) Shard(id ShardID) (Shard, bool) {
+	shard, found := s.shards[id]
+	if !found {
+		return Shard{}, false
+	}
+	return *shard, true
+}
+
+// Router returns a copy of a router.
+func (s *State) Router(id RouterID) (Router, bool) {
+	router, found := s.routers[id]
+	if !found {
+		return Router{}, false
+	}
+	return *router, true
+}
+
+// Plan returns a copy of a stored plan.
+func (s *State) Plan(id PlanID) (Plan, bool) {
+	plan, found := s.plans[id]
+	if !found {
+		return Plan{}, false
+	}
+	return *plan, true
+}
+
+// Services returns all services by name.
+func (s *State) Services() []Service {
+	return sortedValues(s.services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Servers returns all servers by identifier.
+func (s *State) Servers() []Server {
+	return sortedValues(s.servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Routers returns all routers by identifier.
+func (s *State) Routers() []Router {
+	return sortedValues(s.routers, func(a, b Router) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Partitions returns all record partitions by number.
+func (s *State) Partitions() []RecordPartition {
+	return sortedValues(s.partitions, func(a, b RecordPartition) int { return cmp.Compare(a.Number, b.Number) })
+}
+
+// Plans returns the stored plans, oldest first.
+func (s *State) Plans() []Plan {
+	plans := make([]Plan, 0, len(s.planOrder))
+	for _, id := range s.planOrder {
+		plans = append(plans, *s.plans[id])
+	}
+	return plans
+}
+
+// ServersOf returns the servers of one service by identifier.
+func (s *State) ServersOf(service ServiceName) []Server {
+	var servers []Server
+	for _, server := range s.servers {
+		if server.Service == service {
+			servers = append(servers, *server)
+		}
+	}
+	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
+
+// ShardsOf returns a service's shards in the order of their ranges.
+func (s *State) ShardsOf(service ServiceName) []Shard {
+	ids := s.ranges[service]
+	shards := make([]Shard, 0, len(ids))
+	for _, id := range ids {
+		shards = append(shards, *s.shards[id])
+	}
+	return shards
+}
+
+// ShardAt returns the shard of a service that holds a key hash.
+func (s *State) ShardAt(service ServiceName, hash uint64) (Shard, bool) {
+	ids := s.ranges[service]
+	position, _ := slices.BinarySearchFunc(ids, hash, func(id ShardID, hash uint64) int {
+		return cmp.Compare(s.shards[id].Range.Last, hash)
+	})
+	if position == len(ids) {
+		return Shard{}, false
+	}
+	shard := s.shards[ids[position]]
+	return *shard, shard.Range.Contains(hash)
+}
+
+// OwnedBy returns the shards that a server owns, revoking ones included, by
+// identifier.
+func (s *State) OwnedBy(server ServerID) []Shard {
+	return s.shardsByID(s.owned[server])
+}
+
+// OwnedCount returns how many shards a server owns.
+func (s *State) OwnedCount(server ServerID) int {
+	return len(s.owned[server])
+}
+
+// AssignmentVersion returns the revision at which the set of shards that a
+// server may serve last changed.
+func (s *State) AssignmentVersion(server ServerID) Revision {
+	return s.versions[server]
+}
+
+// ActiveShards returns the shards that need work: unowned, revoking, or owned
+// with a target. They come by identifier.
+func (s *State) ActiveShards() []Shard {
+	return s.shardsByID(s.active)
+}
+
+func (s *State) shardsByID(ids map[ShardID]struct{}) []Shard {
+	shards := make([]Shard, 0, len(ids))
+	for id := range ids {
+		shards = append(shards, *s.shards[id])
+	}
+	slices.SortFunc(shards, func(a, b Shard) int { return cmp.Compare(a.ID, b.ID) })
+	return shards
+}
+
+// Objects returns every routing-visible object in a fixed order.
+func (s *State) Objects() []Object {
+	var objects []Object
+	for _, service := range s.Services() {
+		objects = append(objects, Object{Service: &service})
+	}
+	for _, server := range s.Servers() {
+		objects = append(objects, Object{Server: &server})
+	}
+	for _, service := range s.Services() {
+		for _, shard := range s.ShardsOf(service.Name) {
+			objects = append(objects, Object{Shard: &shard})
+		}
+	}
+	for _, router := range s.Routers() {
+		objects = append(objects, Object{Router: &router})
+	}
+	for _, partition := range s.Partitions() {
+		objects = append(objects, Object{Partition: &partition})
+	}
+	return objects
+}
+
+// encodedState is the snapshot form of State.
+type encodedState struct {
+	Revision  Revision
+	NextShard ShardID
+	Objects   []Object
+	Plans     []Plan
+	Versions  []serverVersion
+}
+
+// serverVersion is the snapshot form of one assignment version.
+type serverVersion struct {
+	Server  ServerID
+	Version Revision
+}
+
+// Encode returns the snapshot form of the state.
+func (s *State) Encode() ([]byte, error) {
+	encoded, err := msgpack.Marshal(&encodedState{
+		Revision:  s.revision,
+		NextShard: s.nextShard,
+		Objects:   s.Objects(),
+		Plans:     s.Plans(),
+		Versions:  s.encodedVersions(),
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode state")
+	}
+	return encoded, nil
+}
+
+// Decode restores a state from its snapshot form.
+func Decode(encoded []byte) (*State, error) {
+	var decoded encodedState
+	if err := msgpack.Unmarshal(encoded, &decoded); err != nil {
+		return nil, eris.Wrap(err, "decode state")
+	}
+	restored := New()
+	for _, object := range decoded.Objects {
+		restored.put(object)
+	}
+	for _, plan := range decoded.Plans {
+		restored.storePlan(plan)
+	}
+	clear(restored.versions)
+	for _, version := range decoded.Versions {
+		restored.versions[version.Server] = version.Version
+	}
+	restored.revision = decoded.Revision
+	restored.nextShard = decoded.NextShard
+	return restored, nil
+}
+
+func (s *State) encodedVersions() []serverVersion {
+	versions := make([]serverVersion, 0, len(s.versions))
+	for server, version := range s.versions {
+		versions = append(versions, serverVersion{Server: server, Version: version})
+	}
+	slices.SortFunc(versions, func(a, b serverVersion) int { return cmp.Compare(a.Server, b.Server) })
+	return versions
+}
+
+func sortedValues[K comparable, V any](objects map[K]*V, compare func(a, b V) int) []V {
+	values := make([]V, 0, len(objects))
+	for _, object := range objects {
+		values = append(values, *object)
+	}
+	slices.SortFunc(values, compare)
+	return values
+}
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -99,9 +99,11 @@
 	Connections int          `json:"connections"`
 	Intent      ServerIntent `json:"intent"`
 	// Leaving is true while the platform's list says that the machine leaves.
-	Leaving  bool     `json:"leaving"`
-	Session  Session  `json:"session"`
-	Revision Revision `json:"revision"`
+	Leaving bool    `json:"leaving"`
+	Session Session `json:"session"`
+	// ConfigRevision is the revision of the last change by an operator.
+	ConfigRevision Revision `json:"config_revision"`
+	Revision       Revision `json:"revision"`
 }
 
 // KeyRange is a contiguous range of the 64-bit hash of the key, both ends
@@ -133,7 +135,8 @@
 	// Owner is empty while the shard is unowned.
 	Owner ServerID `json:"owner"`
 	Epoch Epoch    `json:"epoch"`
-	// Target is the server that is to own the shard next, if already chosen.
+	// Target is the server that is to own the shard next, if already chosen. An
+	// owned shard with a target waits for its move to begin.
 	Target   ServerID `json:"target,omitempty"`
 	Revision Revision `json:"revision"`
 }
