--- /dev/null
+++ b/internal/vfs/memory.go
@@ -0,0 +1,243 @@
+package vfs
+
+import (
+	"errors"
+	"io/fs"
+	"math/rand"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+)
+
+// ErrCrashed is returned by every operation of a Memory between the crash
+// point set by CrashAfter and Crash, and by files that were opened before a
+// crash.
+var ErrCrashed = errors.New("the modelled disk crashed")
+
+// noLimit switches off the write budget and the crash point.
+const noLimit = -1
+
+// node is the content of one file: what the running process sees and what
+// stable storage holds.
+type node struct {
+	content []byte
+	synced  []byte
+}
+
+// Memory models a disk. It is safe for concurrent use, and deterministic for
+// one order of calls. Directories are durable as soon as they are made.
+type Memory struct {
+	mutex       sync.Mutex
+	random      *rand.Rand
+	directories map[string]bool
+	names       map[string]*node
+	synced      map[string]*node
+	// generation rises at each crash; files of an older one are dead.
+	generation int
+	// budget is how many bytes may still be written.
+	budget int64
+	// steps is how many changing operations may still succeed.
+	steps int
+}
+
+var _ FileSystem = (*Memory)(nil)
+
+// NewMemory returns an empty disk. With a random source, Crash keeps a random
+// part of what was not synced, as real disks may; with nil it drops all of it.
+func NewMemory(random *rand.Rand) *Memory {
+	return &Memory{
+		random:      random,
+		directories: map[string]bool{},
+		names:       map[string]*node{},
+		synced:      map[string]*node{},
+		budget:      noLimit,
+		steps:       noLimit,
+	}
+}
+
+// step counts one changing operation towards the crash point.
+func (m *Memory) step() error {
+	if m.steps == 0 {
+		return ErrCrashed
+	}
+	if m.steps > 0 {
+		m.steps--
+	}
+	return nil
+}
+
+// Create implements FileSystem.
+func (m *Memory) Create(path string) (File, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	path = filepath.Clean(path)
+	if !m.directories[filepath.Dir(path)] {
+		return nil, notExist("create", path)
+	}
+	if err := m.step(); err != nil {
+		return nil, err
+	}
+	found := m.names[path]
+	if found == nil {
+		found = &node{}
+		m.names[path] = found
+	}
+	found.content = nil
+	return &memoryFile{disk: m, node: found, generation: m.generation, writable: true}, nil
+}
+
+// OpenAppend implements FileSystem.
+func (m *Memory) OpenAppend(path string) (File, error) {
+	return m.open(path, true)
+}
+
+// OpenRead implements FileSystem.
+func (m *Memory) OpenRead(path string) (File, error) {
+	return m.open(path, false)
+}
+
+func (m *Memory) open(path string, writable bool) (File, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found, err := m.find("open", path)
+	if err != nil {
+		return nil, err
+	}
+	return &memoryFile{disk: m, node: found, generation: m.generation, writable: writable}, nil
+}
+
+func (m *Memory) find(operation, path string) (*node, error) {
+	if m.steps == 0 {
+		return nil, ErrCrashed
+	}
+	found := m.names[filepath.Clean(path)]
+	if found == nil {
+		return nil, notExist(operation, path)
+	}
+	return found, nil
+}
+
+// Rename implements FileSystem.
+func (m *Memory) Rename(from, to string) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found, err := m.find("rename", from)
+	if err != nil {
+		return err
+	}
+	if err := m.step(); err != nil {
+		return err
+	}
+	delete(m.names, filepath.Clean(from))
+	m.names[filepath.Clean(to)] = found
+	return nil
+}
+
+// Remove implements FileSystem.
+func (m *Memory) Remove(path string) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if _, err := m.find("remove", path); err != nil {
+		return err
+	}
+	if err := m.step(); err != nil {
+		return err
+	}
+	delete(m.names, filepath.Clean(path))
+	return nil
+}
+
+// MkdirAll implements FileSystem.
+func (m *Memory) MkdirAll(path string) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.step(); err != nil {
+		return err
+	}
+	path = filepath.Clean(path)
+	for !m.directories[path] {
+		m.directories[path] = true
+		path = filepath.Dir(path)
+	}
+	return nil
+}
+
+// ReadDir implements FileSystem.
+func (m *Memory) ReadDir(path string) ([]string, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.steps == 0 {
+		return nil, ErrCrashed
+	}
+	path = filepath.Clean(path)
+	if !m.directories[path] {
+		return nil, notExist("readdir", path)
+	}
+	var names []string
+	for name := range m.names {
+		if filepath.Dir(name) == path {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Size implements FileSystem.
+func (m *Memory) Size(path string) (int64, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found, err := m.find("stat", path)
+	if err != nil {
+		return 0, err
+	}
+	return int64(len(found.content)), nil
+}
+
+// Truncate implements FileSystem.
+func (m *Memory) Truncate(path string, size int64) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found, err := m.find("truncate", path)
+	if err != nil {
+		return err
+	}
+	if size < 0 || size > int64(len(found.content)) {
+		return &fs.PathError{Op: "truncate", Path: path, Err: syscall.EINVAL}
+	}
+	if err := m.step(); err != nil {
+		return err
+	}
+	found.content = slices.Clone(found.content[:size])
+	return nil
+}
+
+// SyncDir implements FileSystem.
+func (m *Memory) SyncDir(path string) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.step(); err != nil {
+		return err
+	}
+	m.keepNames(filepath.Clean(path))
+	return nil
+}
+
+// keepNames makes the names in one directory durable.
+func (m *Memory) keepNames(directory string) {
+	for name := range m.synced {
+		if filepath.Dir(name) == directory {
+			delete(m.synced, name)
+		}
+	}
+	for name, found := range m.names {
+		if filepath.Dir(name) == directory {
+			m.synced[name] = found
+		}
+	}
+}
+
+func notExist(operation, path string) error {
+	return &fs.PathError{Op: operation, Path: path, Err: fs.ErrNotExist}
+}
