Planner: intents to plans

Cause: an intent is answered with a plan that names what it rests on, and changes nothing. Ruled out: computing the operations at confirm, which would apply something the operator never saw.

--- /dev/null
+++ b/internal/planner/predict.go
@@ -0,0 +1,105 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// expectedHandover is the time that a moved shard has no owner when both
+// servers answer: one lease message to each and two log commits.
+const expectedHandover = 50 * time.Millisecond
+
+// plannedMove is what a prediction needs to know of one move.
+type plannedMove struct {
+	from, to state.ServerID
+	width    float64
+}
+
+// predictMoves fills the prediction: load is taken as the share of the key
+// space that a server owns.
+func (d *draft) predictMoves(service state.ServiceName, moves []plannedMove) {
+	load := d.keySpaceOf(service)
+	before := imbalance(load)
+	churn := 0.0
+	for _, move := range moves {
+		load[move.from] -= move.width
+		load[move.to] += move.width
+		churn += move.width
+	}
+	d.plan.Prediction = state.Prediction{
+		Moves: len(moves), ImbalanceBefore: before, ImbalanceAfter: imbalance(load), Churn: churn,
+	}
+	if len(moves) > 0 {
+		d.plan.Prediction.Unavailable = expectedHandover
+	}
+}
+
+// keySpaceOf returns the share of the key space that each server owns.
+func (d *draft) keySpaceOf(service state.ServiceName) map[state.ServerID]float64 {
+	load := make(map[state.ServerID]float64)
+	for _, server := range d.view.ServersOf(service) {
+		if takesShards(server) {
+			load[server.ID] = 0
+		}
+	}
+	for _, shard := range d.view.ShardsOf(service) {
+		if shard.Owner != "" {
+			load[shard.Owner] += shard.Range.Width()
+		}
+	}
+	return load
+}
+
+// imbalance returns maximum / mean, or 0 without servers.
+func imbalance(load map[state.ServerID]float64) float64 {
+	total, highest := 0.0, 0.0
+	for _, share := range load {
+		total += share
+		highest = max(highest, share)
+	}
+	if total == 0 {
+		return 0
+	}
+	return highest * float64(len(load)) / total
+}
+
+func (d *draft) balancingMoves(service state.ServiceName) []state.MoveShard {
+	load := d.keySpaceOf(service)
+	shards := d.movable(service)
+	var moves []state.MoveShard
+	for _, shard := range shards {
+		least := leastOf(load)
+		width := shard.Range.Width()
+		if least == "" || least == shard.Owner || load[shard.Owner]-load[least] <= width {
+			continue
+		}
+		load[shard.Owner] -= width
+		load[least] += width
+		moves = append(moves, state.MoveShard{Shard: shard.ID, Epoch: shard.Epoch, From: shard.Owner, To: least})
+	}
+	return moves
+}
+
+// movable returns the owned shards at rest, the widest first.
+func (d *draft) movable(service state.ServiceName) []state.Shard {
+	shards := slices.DeleteFunc(d.view.ShardsOf(service), func(shard state.Shard) bool {
+		return shard.Phase != state.ShardOwned || shard.Target != ""
+	})
+	slices.SortStableFunc(shards, func(a, b state.Shard) int {
+		return cmp.Compare(b.Range.Last-b.Range.First, a.Range.Last-a.Range.First)
+	})
+	return shards
+}
+
+func leastOf(load map[state.ServerID]float64) state.ServerID {
+	var least state.ServerID
+	for server, share := range load {
+		if least == "" || share < load[least] || (share == load[least] && server < least) {
+			least = server
+		}
+	}
+	return least
+}
