Consensus: core that elects, replicates, changes members and confirms reads

The core has pre-vote, check-quorum, learners, one membership change at a time, leadership transfer and quorum-confirmed reads.

Membership changes take effect when applied, so that the status carries the membership of the applied index; the alternative, at append, needs a rollback on truncation. A joining replica gets the membership of index 0 attached to appends from index 0, since no log entry holds it.

--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,259 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rotisserie/eris"
+)
+
+// faults are planted in the test's driver to prove that the checker can fail.
+type faults struct {
+	// skipEntries acknowledges entries that were never persisted.
+	skipEntries bool
+	// skipHardState forgets the term and the vote at a crash.
+	skipHardState bool
+	// localReads takes the commit index without a quorum round.
+	localReads bool
+}
+
+// replica is one core with its simulated disk and state machine.
+type replica struct {
+	id       ReplicaID
+	core     *Core // nil while crashed
+	hard     HardState
+	snapshot Snapshot
+	entries  []Entry
+	state    []string // applied commands
+	err      error
+}
+
+// cluster runs cores over a simulated network and checks Raft's guarantees.
+type cluster struct {
+	ids      []ReplicaID
+	replicas map[ReplicaID]*replica
+	network  []Message
+	cut      map[[2]ReplicaID]bool
+	faults   faults
+	// crashAt, when set, tells before each step of a Ready whether to crash.
+	crashAt func(ReplicaID) bool
+	output  strings.Builder
+	checker checker
+}
+
+func newCluster(voters int) *cluster {
+	c := &cluster{replicas: map[ReplicaID]*replica{}, cut: map[[2]ReplicaID]bool{}, checker: newChecker()}
+	membership := Membership{}
+	for id := ReplicaID(1); id <= ReplicaID(voters); id++ {
+		membership.Members = append(membership.Members, Member{ID: id})
+	}
+	for _, member := range membership.Members {
+		c.start(member.ID, SnapshotMetadata{Membership: membership})
+	}
+	return c
+}
+
+func (c *cluster) start(id ReplicaID, first SnapshotMetadata) {
+	c.ids = append(c.ids, id)
+	c.replicas[id] = &replica{id: id, snapshot: Snapshot{Metadata: first}}
+	c.restart(id)
+}
+
+func (c *cluster) restart(id ReplicaID) {
+	r := c.replicas[id]
+	config := Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 1, MaxAppendBytes: 4, MaxInflight: 3, MaxUncommittedBytes: 64, Seed: 7}
+	initial := InitialState{HardState: r.hard, Snapshot: r.snapshot.Metadata, Entries: r.entries}
+	r.state = strings.Fields(string(r.snapshot.Data))
+	r.core, r.err = New(config, initial, func() (Snapshot, bool) { return r.snapshot, r.snapshot.Metadata.Index > 0 })
+	if r.err != nil {
+		r.core = nil
+		c.checker.failf("replica %d does not start: %v", id, r.err)
+	}
+}
+
+// run finishes the work that a replica has ready.
+func (c *cluster) run(id ReplicaID) {
+	r := c.replicas[id]
+	for r.core != nil && r.core.HasReady() {
+		ready := r.core.Ready()
+		if !c.persist(r, ready) {
+			r.core = nil
+			return
+		}
+		c.network = append(c.network, ready.Messages...)
+		for _, entry := range ready.Committed {
+			c.checker.applied(r, entry)
+			if entry.Kind == EntryCommand && len(entry.Data) > 0 {
+				r.state = append(r.state, string(entry.Data))
+			}
+		}
+		for _, read := range ready.ReadStates {
+			fmt.Fprintf(&c.output, "%d confirmed read %d at %d\n", id, read.Context, read.Index)
+			c.checker.confirmed(read)
+		}
+		r.core.Advance(ready)
+		c.checker.observe(r)
+	}
+}
+
+// persist writes a Ready in the order that its contract states. It returns
+// false when the replica crashes on the way.
+func (c *cluster) persist(r *replica, ready Ready) bool {
+	crash := func() bool { return c.crashAt != nil && c.crashAt(r.id) }
+	if ready.HardState != nil && !c.faults.skipHardState {
+		r.hard = *ready.HardState
+	}
+	if crash() {
+		return false
+	}
+	if ready.Snapshot != nil {
+		r.snapshot = *ready.Snapshot
+		r.entries = nil
+		r.state = strings.Fields(string(r.snapshot.Data))
+	}
+	if len(ready.Entries) > 0 && !c.faults.skipEntries {
+		keep := ready.Entries[0].Index - r.snapshot.Metadata.Index - 1
+		r.entries = append(slices.Clone(r.entries[:keep]), ready.Entries...)
+		c.checker.persisted(r)
+	}
+	return !crash()
+}
+
+// compact saves a snapshot at the applied index and drops the log before it.
+func (c *cluster) compact(id ReplicaID) error {
+	r := c.replicas[id]
+	status := r.core.Status()
+	term, _ := r.core.log.term(status.Applied)
+	drop := status.Applied - r.snapshot.Metadata.Index
+	r.entries = slices.Clone(r.entries[min(drop, uint64(len(r.entries))):])
+	r.snapshot = Snapshot{
+		Metadata: SnapshotMetadata{Index: status.Applied, Term: term, Membership: status.Membership},
+		Data:     []byte(strings.Join(r.state, " ")),
+	}
+	return r.core.Compact(status.Applied)
+}
+
+// receive steps one message into its receiver.
+func (c *cluster) receive(message Message) {
+	r, found := c.replicas[message.To]
+	if !found || r.core == nil || c.cut[[2]ReplicaID{message.From, message.To}] {
+		return
+	}
+	if err := r.core.Step(message); err != nil && !eris.Is(err, ErrReadQueueFull) {
+		c.checker.failf("replica %d refuses a message: %v", r.id, err)
+	}
+	c.checker.observe(r)
+	c.run(r.id)
+}
+
+// deliver runs the network in order until it is quiet.
+func (c *cluster) deliver() {
+	for _, id := range c.ids {
+		c.run(id)
+	}
+	for rounds := 0; len(c.network) > 0 && rounds < 10000; rounds++ {
+		message := c.network[0]
+		c.network = c.network[1:]
+		c.receive(message)
+	}
+}
+
+// checker holds what was seen in all replicas and the first violation.
+type checker struct {
+	violation string
+	leaders   map[uint64]ReplicaID
+	// positions maps index and term to the entry and the term before it.
+	positions map[[2]uint64]string
+	committed map[uint64]committedEntry
+	maxCommit uint64
+	// reads maps a read's context to the highest commit index at its call.
+	reads map[uint64]uint64
+}
+
+type committedEntry struct {
+	content string
+	term    uint64
+	// seenIn is the term of the replica that applied the entry first.
+	seenIn uint64
+}
+
+func newChecker() checker {
+	return checker{
+		leaders: map[uint64]ReplicaID{}, positions: map[[2]uint64]string{},
+		committed: map[uint64]committedEntry{}, reads: map[uint64]uint64{},
+	}
+}
+
+func (k *checker) failf(format string, arguments ...any) {
+	if k.violation == "" {
+		k.violation = fmt.Sprintf(format, arguments...)
+	}
+}
+
+func content(entry Entry) string {
+	return fmt.Sprintf("%d %d %x", entry.Term, entry.Kind, entry.Data)
+}
+
+// persisted checks log matching: an index and term name one entry after one
+// predecessor, in every log.
+func (k *checker) persisted(r *replica) {
+	previous := r.snapshot.Metadata.Term
+	for _, entry := range r.entries {
+		key := [2]uint64{entry.Index, entry.Term}
+		value := fmt.Sprintf("%d %s", previous, content(entry))
+		if known, found := k.positions[key]; found && known != value {
+			k.failf("logs differ at index %d term %d", entry.Index, entry.Term)
+		}
+		k.positions[key] = value
+		previous = entry.Term
+	}
+}
+
+// applied checks that an index is committed with one content for ever.
+func (k *checker) applied(r *replica, entry Entry) {
+	known, found := k.committed[entry.Index]
+	if found && known.content != content(entry) {
+		k.failf("replica %d commits another entry at index %d", r.id, entry.Index)
+	}
+	if !found {
+		k.committed[entry.Index] = committedEntry{content: content(entry), term: entry.Term, seenIn: r.core.term}
+	}
+}
+
+// observe checks one leader a term and that a leader holds all that was
+// committed in earlier terms.
+func (k *checker) observe(r *replica) {
+	k.maxCommit = max(k.maxCommit, r.core.log.committed)
+	if r.core.role != RoleLeader {
+		return
+	}
+	leader, found := k.leaders[r.core.term]
+	if found && leader != r.id {
+		k.failf("term %d has the leaders %d and %d", r.core.term, leader, r.id)
+	}
+	if found {
+		return
+	}
+	k.leaders[r.core.term] = r.id
+	for index, entry := range k.committed {
+		lacks := index > r.core.log.snapshotIndex && !r.core.log.matches(index, entry.term)
+		if entry.seenIn < r.core.term && lacks {
+			k.failf("leader %d of term %d lacks the committed index %d", r.id, r.core.term, index)
+		}
+	}
+}
+
+func (k *checker) confirmed(read ReadState) {
+	if least := k.reads[read.Context]; read.Index < least {
+		k.failf("read %d got index %d below the commit index %d at its call", read.Context, read.Index, least)
+	}
+}
+
+func (k *checker) verify(t *testing.T) {
+	t.Helper()
+	if k.violation != "" {
+		t.Fatal(k.violation)
+	}
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,170 @@
+package consensus
+
+// becomeFollower enters a term, or stays in it, as a follower of leader, which
+// may be unknown (0). All state of a leader or candidate is dropped.
+func (c *Core) becomeFollower(term uint64, leader ReplicaID) {
+	if term != c.term {
+		c.term = term
+		c.vote = 0
+	}
+	c.role = RoleFollower
+	c.leader = leader
+	c.votes = nil
+	c.progress = nil
+	c.uncommittedBytes = 0
+	c.pendingMembership = 0
+	c.transferee = 0
+	c.reads = readRounds{}
+	c.resetElectionTimer()
+}
+
+// resetElectionTimer draws the next timeout from [ElectionTicks, 2*ElectionTicks).
+func (c *Core) resetElectionTimer() {
+	c.electionElapsed = 0
+	c.electionTimeout = c.config.ElectionTicks + c.random.IntN(c.config.ElectionTicks)
+}
+
+// mayCampaign reports whether this replica may ask for votes. A replica with a
+// committed membership change that is not applied may not: see applyMembership.
+func (c *Core) mayCampaign() bool {
+	return c.isVoter(c.config.ID) && c.log.pendingSnapshot == nil && !c.log.hasUnappliedMembership()
+}
+
+// startPreVote asks whether an election could be won, without raising the term.
+func (c *Core) startPreVote() {
+	if !c.mayCampaign() {
+		return
+	}
+	c.role = RolePreCandidate
+	c.leader = 0
+	c.votes = map[ReplicaID]bool{c.config.ID: true}
+	if c.countVotes() {
+		return
+	}
+	c.requestVotes(Message{Kind: MessagePreVote, Term: c.term + 1})
+}
+
+// startElection raises the term and asks for votes. The own vote counts after
+// it is persisted, in Advance.
+func (c *Core) startElection(transfer bool) {
+	if !c.mayCampaign() {
+		return
+	}
+	c.becomeFollower(c.term+1, 0)
+	c.role = RoleCandidate
+	c.vote = c.config.ID
+	c.ownVoteTerm = c.term
+	c.votes = map[ReplicaID]bool{}
+	c.requestVotes(Message{Kind: MessageVote, Transfer: transfer})
+}
+
+func (c *Core) requestVotes(request Message) {
+	request.Index = c.log.lastIndex()
+	request.LogTerm = c.log.lastTerm()
+	for _, id := range c.voters {
+		if id == c.config.ID {
+			continue
+		}
+		request.To = id
+		c.send(request)
+	}
+}
+
+// handleVoteRequest answers a vote or pre-vote. A replica that believes itself
+// a learner answers too: a candidate asks only voters, so the candidate's newer
+// membership holds a promotion that this replica has not applied yet.
+func (c *Core) handleVoteRequest(request Message) {
+	answer := Message{Kind: MessageVoteAnswer, To: request.From}
+	preVote := request.Kind == MessagePreVote
+	if preVote {
+		answer.Kind = MessagePreVoteAnswer
+	}
+	free := c.vote == request.From || (c.vote == 0 && c.leader == 0)
+	if preVote {
+		free = request.Term > c.term
+	}
+	if !free || !c.log.isUpToDate(request.Index, request.LogTerm) {
+		answer.Reject = true
+		c.send(answer)
+		return
+	}
+	if preVote {
+		answer.Term = request.Term
+	} else {
+		c.vote = request.From
+		c.resetElectionTimer()
+	}
+	c.send(answer)
+}
+
+func (c *Core) handleVoteAnswer(answer Message) {
+	if !c.awaitsVoteAnswer(answer) {
+		return
+	}
+	if _, answered := c.votes[answer.From]; !answered {
+		c.votes[answer.From] = !answer.Reject
+	}
+	c.countVotes()
+}
+
+func (c *Core) awaitsVoteAnswer(answer Message) bool {
+	if answer.Kind == MessageVoteAnswer {
+		return c.role == RoleCandidate && answer.Term == c.term
+	}
+	if answer.Reject {
+		return c.role == RolePreCandidate
+	}
+	return c.role == RolePreCandidate && answer.Term == c.term+1
+}
+
+// countVotes moves on when the campaign is won or lost. It returns true when it
+// did.
+func (c *Core) countVotes() bool {
+	granted, refused := 0, 0
+	for _, id := range c.voters {
+		vote, answered := c.votes[id]
+		switch {
+		case answered && vote:
+			granted++
+		case answered:
+			refused++
+		}
+	}
+	switch {
+	case granted >= c.quorum() && c.role == RolePreCandidate:
+		c.startElection(false)
+	case granted >= c.quorum():
+		c.becomeLeader()
+	case refused > len(c.voters)-c.quorum():
+		c.becomeFollower(c.term, 0)
+	default:
+		return false
+	}
+	return true
+}
+
+// becomeLeader starts leading the present term with an empty entry, whose
+// commit also commits all entries of earlier terms.
+func (c *Core) becomeLeader() {
+	c.becomeFollower(c.term, c.config.ID)
+	c.role = RoleLeader
+	c.heartbeatElapsed = 0
+	c.uncommittedBytes = c.log.dataBytes(c.log.committed+1, c.log.lastIndex())
+	c.progress = make(map[ReplicaID]*progress, len(c.membership.Members))
+	for _, member := range c.membership.Members {
+		c.progress[member.ID] = newProgress(c.log.lastIndex() + 1)
+	}
+	c.progress[c.config.ID].match = c.log.stable
+	c.appendOwn(EntryCommand, nil)
+	c.pendingMembership = c.log.lastIndex()
+	c.broadcastAppend()
+}
+
+// confirmOwnVote counts the own vote, which is persisted now.
+func (c *Core) confirmOwnVote(term uint64) {
+	if c.role != RoleCandidate || c.term != term {
+		return
+	}
+	c.votes[c.config.ID] = true
+	c.countVotes()
+}
--- /dev/null
+++ b/internal/consensus/follower.go
@@ -0,0 +1,108 @@
+package consensus
+
+import "github.com/rotisserie/eris"
+
+// handleFromLeader takes a message of the leader of the present term.
+func (c *Core) handleFromLeader(message Message) error {
+	if c.role == RoleLeader {
+		return eris.Wrapf(ErrInvalidMessage, "replica %d also claims to lead term %d", message.From, message.Term)
+	}
+	if c.role != RoleFollower || c.leader != message.From {
+		c.becomeFollower(c.term, message.From)
+	}
+	c.electionElapsed = 0
+	switch message.Kind {
+	case MessageHeartbeat:
+		return c.handleHeartbeat(message)
+	case MessageSnapshot:
+		c.handleSnapshot(message)
+		return nil
+	default:
+		return c.handleAppend(message)
+	}
+}
+
+func (c *Core) handleHeartbeat(message Message) error {
+	if message.Commit > c.log.lastIndex() {
+		return eris.Wrapf(ErrLogLost, "the leader counts index %d as persisted here, the last index is %d",
+			message.Commit, c.log.lastIndex())
+	}
+	c.commitTo(message.Commit)
+	c.send(Message{Kind: MessageHeartbeatAnswer, To: message.From, Context: message.Context})
+	return nil
+}
+
+func (c *Core) handleAppend(message Message) error {
+	c.adoptFirstMembership(message)
+	if message.Index < c.log.committed {
+		c.acceptAppend(message.From, c.log.committed)
+		return nil
+	}
+	if len(c.membership.Members) == 0 || !c.log.matches(message.Index, message.LogTerm) {
+		c.rejectAppend(message)
+		return nil
+	}
+	if !c.log.merge(message.Entries) {
+		return eris.Wrapf(ErrLogLost, "the leader's entries after index %d contradict the commit index %d",
+			message.Index, c.log.committed)
+	}
+	last := message.Index + uint64(len(message.Entries))
+	c.commitTo(min(message.Commit, last))
+	c.acceptAppend(message.From, last)
+	return nil
+}
+
+// adoptFirstMembership gives a joining replica the membership at index 0, which
+// no log entry holds. It is persisted as a snapshot at index 0 without data.
+func (c *Core) adoptFirstMembership(message Message) {
+	joining := len(c.membership.Members) == 0 && c.log.lastIndex() == 0
+	if !joining || message.Index != 0 || message.Snapshot == nil {
+		return
+	}
+	if validateMembership(message.Snapshot.Metadata.Membership) != nil {
+		return
+	}
+	metadata := SnapshotMetadata{Membership: message.Snapshot.Metadata.Membership}
+	c.setMembership(metadata.Membership)
+	c.firstMembership = c.membership
+	c.log.restore(&Snapshot{Metadata: metadata})
+}
+
+func (c *Core) acceptAppend(leader ReplicaID, index uint64) {
+	c.send(Message{Kind: MessageAppendAnswer, To: leader, Index: index})
+}
+
+// rejectAppend tells the leader the highest position that could match: terms
+// never fall along a log, so positions above the leader's term cannot.
+func (c *Core) rejectAppend(message Message) {
+	hint, hintTerm := c.log.conflictByTerm(min(message.Index, c.log.lastIndex()), message.LogTerm)
+	c.send(Message{
+		Kind: MessageAppendAnswer, To: message.From, Reject: true,
+		Index: message.Index, Hint: hint, HintTerm: hintTerm,
+	})
+}
+
+// commitTo raises the commit index.
+func (c *Core) commitTo(index uint64) {
+	c.log.committed = max(c.log.committed, index)
+}
+
+// handleSnapshot replaces the log by the leader's snapshot unless this replica
+// is already that far.
+func (c *Core) handleSnapshot(message Message) {
+	metadata := message.Snapshot.Metadata
+	known := c.log.matches(metadata.Index, metadata.Term)
+	if metadata.Index <= c.log.committed || known {
+		if known {
+			c.commitTo(metadata.Index)
+		}
+		c.acceptAppend(message.From, c.log.committed)
+		return
+	}
+	if len(metadata.Membership.Members) == 0 || validateMembership(metadata.Membership) != nil {
+		return
+	}
+	c.log.restore(message.Snapshot)
+	c.setMembership(metadata.Membership)
+	c.acceptAppend(message.From, metadata.Index)
+}
