--- /dev/null
+++ b/internal/config/controller.go
@@ -0,0 +1,156 @@
+package config
+
+import "time"
+
+// Role names the kind of process that a settings file is for.
+type Role string
+
+// Roles of a process.
+const (
+	RoleController Role = "controller"
+	RoleRouter     Role = "router"
+)
+
+// Controller holds the settings of one controller replica.
+type Controller struct {
+	Role             Role             `koanf:"role" validate:"eq=controller" doc:"Kind of process; always controller here."`
+	Name             string           `koanf:"name" validate:"name" doc:"Name of this replica, one of the names in controllers."`
+	ClusterName      string           `koanf:"cluster_name" validate:"name" doc:"Name of the cluster, for people; the same on each process."`
+	Zone             string           `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
+	DataDirectory    string           `koanf:"data_directory" validate:"required" doc:"Folder of the log, the snapshots and the replica's identity."`
+	PeerAddress      string           `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other controllers and routers."`
+	APIAddress       string           `koanf:"api_address" validate:"address" doc:"IP:port of the intent API, the health checks and the metrics."`
+	AllowNonLoopback bool             `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
+	Controllers      []ControllerPeer `koanf:"controllers" validate:"required,max=7,dive" doc:"The configured group, this replica included: 1, 3 or 5 entries."`
+	Consensus        Consensus        `koanf:"consensus" doc:"Replicated log."`
+	Lease            Lease            `koanf:"lease" doc:"Leases of the servers."`
+	Platform         Platform         `koanf:"platform" doc:"The platform's list of machines."`
+	Table            Table            `koanf:"table" doc:"Routing table streams to the routers."`
+	Partitions       Partitions       `koanf:"partitions" doc:"Placement of the idempotency records on routers."`
+	API              API              `koanf:"api" doc:"Intent API."`
+	Maintenance      Maintenance      `koanf:"maintenance" doc:"Background work of the leader."`
+	StopTimeout      time.Duration    `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
+	Log              Log              `koanf:"log" doc:"Log lines."`
+}
+
+// ControllerPeer is one entry of the configured group of controllers.
+type ControllerPeer struct {
+	Name        string `koanf:"name" validate:"name" doc:"Name of the replica."`
+	PeerAddress string `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other controllers and routers."`
+	APIAddress  string `koanf:"api_address" validate:"address" doc:"IP:port of the replica's intent API."`
+}
+
+// Consensus holds the settings of the replicated log.
+type Consensus struct {
+	TickInterval        time.Duration `koanf:"tick_interval" validate:"min=1ms,max=1s" doc:"Unit of the two tick counts below."`
+	HeartbeatTicks      int           `koanf:"heartbeat_ticks" validate:"min=1,max=1000" doc:"Ticks between two heartbeats of the leader."`
+	ElectionTicks       int           `koanf:"election_ticks" validate:"min=2,max=10000" doc:"Ticks without a leader before an election; randomised up to twice as many."`
+	SnapshotEntries     int           `koanf:"snapshot_entries" validate:"min=10,max=1000000" doc:"Applied log entries after which a snapshot is taken."`
+	SnapshotBytes       int           `koanf:"snapshot_bytes" validate:"min=65536,max=1073741824" doc:"Applied log bytes after which a snapshot is taken."`
+	MaxAppendBytes      int           `koanf:"max_append_bytes" validate:"min=4096,max=16777216" doc:"Bound of the entry data in one append message, in bytes."`
+	MaxInflight         int           `koanf:"max_inflight" validate:"min=1,max=1024" doc:"Bound of unacknowledged append messages to one replica."`
+	MaxUncommittedBytes int           `koanf:"max_uncommitted_bytes" validate:"min=65536,max=1073741824" doc:"Bound of proposals that are not yet committed, in bytes."`
+	ProposalTimeout     time.Duration `koanf:"proposal_timeout" validate:"min=10ms,max=1m" doc:"Longest wait for a proposal or a confirmed read."`
+}
+
+// Lease holds the settings of the leases that servers hold.
+type Lease struct {
+	Duration       time.Duration `koanf:"duration" validate:"min=50ms,max=1m" doc:"Length of a server's lease, from the server's own clock reading."`
+	RenewInterval  time.Duration `koanf:"renew_interval" validate:"min=10ms,max=20s" doc:"Time between two renewals; at most a third of duration."`
+	ClockRateBound float64       `koanf:"clock_rate_bound" validate:"min=0,max=0.1" doc:"Largest difference in speed of two machines' clocks, as a share."`
+	Margin         time.Duration `koanf:"margin" validate:"min=1ms,max=10s" doc:"Time added before a lease counts as ended."`
+	RequestTimeout time.Duration `koanf:"request_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a server's answer to a renewal; below duration."`
+	Workers        int           `koanf:"workers" validate:"min=1,max=10000" doc:"Bound of renewals that run at the same time."`
+	MaxAnswerBytes int           `koanf:"max_answer_bytes" validate:"min=4096,max=67108864" doc:"Bound of a server's answer, in bytes."`
+}
+
+// Platform holds the settings of the platform's list of machines.
+type Platform struct {
+	URL            string        `koanf:"url" validate:"omitempty,platform_url" doc:"Where the list is served, http://IP:port/path; empty for none."`
+	PollInterval   time.Duration `koanf:"poll_interval" validate:"min=50ms,max=10m" doc:"Time between two reads of the list."`
+	RequestTimeout time.Duration `koanf:"request_timeout" validate:"min=10ms,max=1m" doc:"Longest wait for the list."`
+	MaxAnswerBytes int           `koanf:"max_answer_bytes" validate:"min=4096,max=67108864" doc:"Bound of the list, in bytes."`
+}
+
+// Table holds the settings of the routing table streams.
+type Table struct {
+	StreamLimit     int           `koanf:"stream_limit" validate:"min=1,max=100000" doc:"Bound of routers connected to one controller."`
+	HistoryDeltas   int           `koanf:"history_deltas" validate:"min=1,max=100000" doc:"Deltas kept for routers that reconnect; older ones get a snapshot."`
+	SnapshotObjects int           `koanf:"snapshot_objects" validate:"min=1,max=100000" doc:"Objects in one part of a table snapshot."`
+	QueueFrames     int           `koanf:"queue_frames" validate:"min=1,max=100000" doc:"Bound of frames that wait for one router; a slower router is disconnected."`
+	WriteTimeout    time.Duration `koanf:"write_timeout" validate:"min=10ms,max=1m" doc:"Longest time for one write to a router."`
+}
+
+// Partitions holds the settings of the placement of idempotency records.
+type Partitions struct {
+	Count         int           `koanf:"count" validate:"min=1,max=4096" doc:"Number of record partitions; fixed once the cluster is formed."`
+	LeaseDuration time.Duration `koanf:"lease_duration" validate:"min=100ms,max=1m" doc:"Length of a router's lease as a record primary, from its ping."`
+}
+
+// API holds the settings of the intent API.
+type API struct {
+	BodyLimit      int           `koanf:"body_limit" validate:"min=1024,max=67108864" doc:"Bound of a request body, in bytes."`
+	MaxConnections int           `koanf:"max_connections" validate:"min=1,max=100000" doc:"Bound of open connections."`
+	RequestTimeout time.Duration `koanf:"request_timeout" validate:"min=100ms,max=1m" doc:"Longest time for one call."`
+	PlanLimit      int           `koanf:"plan_limit" validate:"min=1,max=100000" doc:"Bound of stored plans; the oldest that are not in use go first."`
+}
+
+// Maintenance holds the settings of the leader's background work.
+type Maintenance struct {
+	Interval time.Duration `koanf:"interval" validate:"min=5ms,max=10s" doc:"Time between two looks at what is wanted and what is in force."`
+}
+
+// Log holds the settings of the log lines.
+type Log struct {
+	Level string `koanf:"level" validate:"oneof=debug info warning error" doc:"Least severe level that is written: debug, info, warning or error."`
+}
+
+// DefaultController returns the settings that hold where a file says nothing.
+// Fields without a default (name, controllers and the like) are empty.
+func DefaultController() Controller {
+	return Controller{
+		Role:          RoleController,
+		ClusterName:   "thorntiller",
+		Zone:          "default",
+		DataDirectory: "data",
+		PeerAddress:   "127.0.0.1:7101",
+		APIAddress:    "127.0.0.1:7201",
+		Consensus: Consensus{
+			TickInterval:        10 * time.Millisecond,
+			HeartbeatTicks:      4,
+			ElectionTicks:       20,
+			SnapshotEntries:     500,
+			SnapshotBytes:       8 * mebibyte,
+			MaxAppendBytes:      256 * kibibyte,
+			MaxInflight:         64,
+			MaxUncommittedBytes: 16 * mebibyte,
+			ProposalTimeout:     2 * time.Second,
+		},
+		Lease: Lease{
+			Duration:       700 * time.Millisecond,
+			RenewInterval:  150 * time.Millisecond,
+			ClockRateBound: 0.01,
+			Margin:         20 * time.Millisecond,
+			RequestTimeout: 200 * time.Millisecond,
+			Workers:        256,
+			MaxAnswerBytes: mebibyte,
+		},
+		Platform: Platform{
+			PollInterval:   500 * time.Millisecond,
+			RequestTimeout: time.Second,
+			MaxAnswerBytes: 4 * mebibyte,
+		},
+		Table: Table{
+			StreamLimit:     1024,
+			HistoryDeltas:   1024,
+			SnapshotObjects: 1000,
+			QueueFrames:     256,
+			WriteTimeout:    2 * time.Second,
+		},
+		Partitions:  Partitions{Count: 16, LeaseDuration: 2 * time.Second},
+		API:         API{BodyLimit: mebibyte, MaxConnections: 256, RequestTimeout: 5 * time.Second, PlanLimit: 1000},
+		Maintenance: Maintenance{Interval: 20 * time.Millisecond},
+		StopTimeout: 10 * time.Second,
+		Log:         Log{Level: "info"},
+	}
+}
--- /dev/null
+++ b/internal/telemetry/event.go
@@ -0,0 +1,148 @@
+package telemetry
+
+// Event names what a log line tells. The list is closed; docs/LOGS.md shows it.
+type Event string
+
+// EventRow describes one event for docs/LOGS.md.
+type EventRow struct {
+	Event Event
+	// Level is the level at which the event is written.
+	Level string
+	// Meaning tells operators what happened.
+	Meaning string
+}
+
+// Events of every process.
+const (
+	EventStarted     Event = "started"
+	EventStopping    Event = "stopping"
+	EventStopped     Event = "stopped"
+	EventListening   Event = "listening"
+	EventFailed      Event = "failed"
+	EventMisuse      Event = "misuse"
+	EventPeerLost    Event = "peer_lost"
+	EventPeerRefused Event = "peer_refused"
+)
+
+// Events of the controllers.
+const (
+	EventGroupFormed       Event = "group_formed"
+	EventGroupJoined       Event = "group_joined"
+	EventRecovered         Event = "recovered"
+	EventLeaderElected     Event = "leader_elected"
+	EventLeaderLost        Event = "leader_lost"
+	EventLeaderTransferred Event = "leader_transferred"
+	EventMemberChanged     Event = "member_changed"
+	EventSnapshotTaken     Event = "snapshot_taken"
+	EventSnapshotReceived  Event = "snapshot_received"
+	EventDiskFailed        Event = "disk_failed"
+	EventPlanStored        Event = "plan_stored"
+	EventPlanConfirmed     Event = "plan_confirmed"
+	EventPlanRefused       Event = "plan_refused"
+	EventSessionOpened     Event = "session_opened"
+	EventSessionClosed     Event = "session_closed"
+	EventShardRevoked      Event = "shard_revoked"
+	EventShardReleased     Event = "shard_released"
+	EventShardAssigned     Event = "shard_assigned"
+	EventServerLeaving     Event = "server_leaving"
+	EventServerRetired     Event = "server_retired"
+	EventServerUnreachable Event = "server_unreachable"
+	EventPlatformFailed    Event = "platform_failed"
+	EventRouterJoined      Event = "router_joined"
+	EventRouterClosed      Event = "router_closed"
+	EventRouterSlow        Event = "router_slow"
+	EventPartitionsMoved   Event = "partitions_moved"
+)
+
+// Events of the routers.
+const (
+	EventTableSnapshot     Event = "table_snapshot"
+	EventTableDigest       Event = "table_digest_mismatch"
+	EventTableStale        Event = "table_stale"
+	EventTableCurrent      Event = "table_current"
+	EventControllerLost    Event = "controller_lost"
+	EventServerEjected     Event = "server_ejected"
+	EventServerReadmitted  Event = "server_readmitted"
+	EventServerDraining    Event = "server_draining"
+	EventAnswerMismatched  Event = "answer_mismatched"
+	EventBackupLost        Event = "backup_lost"
+	EventBackupSynced      Event = "backup_synced"
+	EventPrimaryBegan      Event = "primary_began"
+	EventPrimaryEnded      Event = "primary_ended"
+	EventRequestOutcomeBad Event = "request_outcome_unknown"
+)
+
+const (
+	levelInfo    = "info"
+	levelWarning = "warning"
+	levelError   = "error"
+)
+
+// Events returns every event with its level and meaning, in the order of
+// docs/LOGS.md.
+func Events() []EventRow {
+	return append(append(commonEvents(), controllerEvents()...), routerEvents()...)
+}
+
+func commonEvents() []EventRow {
+	return []EventRow{
+		{EventStarted, levelInfo, "The process has its settings and begins."},
+		{EventListening, levelInfo, "A listener accepts connections."},
+		{EventStopping, levelInfo, "A graceful stop began."},
+		{EventStopped, levelInfo, "The process finished its graceful stop."},
+		{EventFailed, levelError, "The process cannot go on, and ends."},
+		{EventMisuse, levelWarning, "Another process sent what the protocol does not allow."},
+		{EventPeerLost, levelWarning, "The connection to another process broke."},
+		{EventPeerRefused, levelWarning, "Another process was refused, or refused this one."},
+	}
+}
+
+func controllerEvents() []EventRow {
+	return []EventRow{
+		{EventGroupFormed, levelInfo, "The controllers formed a new group."},
+		{EventGroupJoined, levelInfo, "This replica joined a group that was formed before."},
+		{EventRecovered, levelInfo, "The state was read back from the data folder."},
+		{EventLeaderElected, levelInfo, "This replica leads."},
+		{EventLeaderLost, levelWarning, "This replica leads no longer."},
+		{EventLeaderTransferred, levelInfo, "The leadership was handed over on request."},
+		{EventMemberChanged, levelInfo, "A replica was added, promoted or removed."},
+		{EventSnapshotTaken, levelInfo, "A snapshot was taken and the log cut."},
+		{EventSnapshotReceived, levelInfo, "A snapshot of the leader replaced the state."},
+		{EventDiskFailed, levelError, "A write or sync failed, or a file is damaged; the replica stops."},
+		{EventPlanStored, levelInfo, "An intent was answered with a plan."},
+		{EventPlanConfirmed, levelInfo, "An operator confirmed a plan; it is in force from this revision."},
+		{EventPlanRefused, levelInfo, "A plan or its confirmation was refused."},
+		{EventSessionOpened, levelInfo, "A server process may hold leases from now on."},
+		{EventSessionClosed, levelWarning, "A server's lease surely ended; its shards are without an owner."},
+		{EventShardRevoked, levelInfo, "A shard is being taken from its owner."},
+		{EventShardReleased, levelInfo, "The owner gave up a shard."},
+		{EventShardAssigned, levelInfo, "A shard has a new owner and epoch."},
+		{EventServerLeaving, levelInfo, "The platform's list says that a machine leaves, or no longer does."},
+		{EventServerRetired, levelInfo, "A retiring server holds no shard any more."},
+		{EventServerUnreachable, levelWarning, "A server does not answer renewals."},
+		{EventPlatformFailed, levelWarning, "The platform's list cannot be read."},
+		{EventRouterJoined, levelInfo, "A router has a session."},
+		{EventRouterClosed, levelInfo, "A router's session ended."},
+		{EventRouterSlow, levelWarning, "A router did not take its table in time and was disconnected."},
+		{EventPartitionsMoved, levelInfo, "Record partitions have other routers."},
+	}
+}
+
+func routerEvents() []EventRow {
+	return []EventRow{
+		{EventTableSnapshot, levelInfo, "The whole routing table was received."},
+		{EventTableDigest, levelWarning, "The table differs from the controllers'; it is fetched anew."},
+		{EventTableStale, levelWarning, "The table is not proved current; requests are refused."},
+		{EventTableCurrent, levelInfo, "The table is proved current again."},
+		{EventControllerLost, levelWarning, "The connection to the controllers broke."},
+		{EventServerEjected, levelWarning, "A server failed too often and gets no requests for a while."},
+		{EventServerReadmitted, levelInfo, "An ejected server gets requests again."},
+		{EventServerDraining, levelInfo, "A server takes no new work."},
+		{EventAnswerMismatched, levelError, "A back end answered with another request's identifier."},
+		{EventBackupLost, levelWarning, "The backup of a record partition does not answer."},
+		{EventBackupSynced, levelInfo, "The backup of a record partition holds every record."},
+		{EventPrimaryBegan, levelInfo, "This router is the primary of a record partition."},
+		{EventPrimaryEnded, levelInfo, "This router is the primary of a record partition no longer."},
+		{EventRequestOutcomeBad, levelWarning, "A request that may not be repeated ended with an unknown outcome."},
+	}
+}
