Router: request path, back end client and table subscription

Cause: callers need one address that finds the owner of a key and says what is proved of each request. Ruled out: fasthttp's own Do for requests, which returns a connection to the pool before the answer's identifier is checked.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,20 +21,19 @@
 	Waiting int
 }
 
-// ServerLimits derives the bounds for one router from what the server takes.
-// The server's slots are shared with other routers, but the router that gets
-// most of the traffic must be able to fill them: each may send slots ×
-// slotFactor, and never more than its share of the connections.
-func ServerLimits(slots, connections, routers, waiting int) Limits {
+// ServerLimits derives one router's bounds for a server with the given slots
+// and the given share of its connections. The slots are shared with other
+// routers, but the router that gets most of the traffic must be able to fill
+// them, so that each may send slots × slotFactor at the same time.
+func ServerLimits(slots, connections, waiting int) Limits {
 	const slotFactor = 2
-	share := ConnectionShare(connections, routers)
-	running := max(1, min(slots*slotFactor, share-CancelConnections))
+	running := max(1, min(slots*slotFactor, connections-ControlConnections))
 	return Limits{Running: running, Waiting: waiting}
 }
 
-// CancelConnections is how many connections of a router's share are kept for
+// ControlConnections is how many connections of a router's share are kept for
 // cancels and health checks, where the share allows.
-const CancelConnections = 1
+const ControlConnections = 2
 
 // ConnectionShare returns how many connections one router may hold to a
 // server, at least one.
@@ -88,15 +87,16 @@
 }
 
 // waiter is one request in the queue. Its channel is closed when it gets a
-// place.
+// place or, with a reason, when it is sent away.
 type waiter struct {
-	admitted chan struct{}
+	decided chan struct{}
+	reason  error
 }
 
 // Acquire waits for a place until the deadline, a reading of the queue's
-// clock. The error's kind is QueueFull or DeadlineBeforeStart; nil means that
-// the caller holds a place and must call Release. When the context ends first,
-// the context's error is returned.
+// clock. Nil means that the caller holds a place and must call Release. The
+// error's kind is QueueFull or DeadlineBeforeStart, or it is the context's
+// error, or the reason given to Evict.
 func (q *Queue) Acquire(ctx context.Context, deadline time.Duration) error {
 	element, err := q.enter(deadline)
 	if err != nil || element == nil {
@@ -106,8 +106,8 @@
 	defer timer.Stop()
 	entry := element.Value.(*waiter)
 	select {
-	case <-entry.admitted:
-		return nil
+	case <-entry.decided:
+		return entry.reason
 	case <-timer.C:
 		return q.abandon(element, fault.New(fault.DeadlineBeforeStart, "the deadline passed in the router's queue"))
 	case <-ctx.Done():
@@ -133,7 +133,7 @@
 	if now+q.estimateLocked() > deadline {
 		return nil, fault.New(fault.DeadlineBeforeStart, "the request could not finish in time behind those that wait")
 	}
-	return q.waiters.PushBack(&waiter{admitted: make(chan struct{})}), nil
+	return q.waiters.PushBack(&waiter{decided: make(chan struct{})}), nil
 }
 
 // estimateLocked returns how long a request that joins now takes to finish.
@@ -150,8 +150,8 @@
 	defer q.mutex.Unlock()
 	entry := element.Value.(*waiter)
 	select {
-	case <-entry.admitted:
-		return nil
+	case <-entry.decided:
+		return entry.reason
 	default:
 	}
 	q.waiters.Remove(element)
@@ -188,6 +188,20 @@
 		front := q.waiters.Front()
 		q.waiters.Remove(front)
 		q.running++
-		close(front.Value.(*waiter).admitted)
+		close(front.Value.(*waiter).decided)
+	}
+}
+
+// Evict sends every waiting request away with the reason, for instance because
+// the server's session ended.
+func (q *Queue) Evict(reason error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for q.waiters.Len() > 0 {
+		front := q.waiters.Front()
+		q.waiters.Remove(front)
+		entry := front.Value.(*waiter)
+		entry.reason = reason
+		close(entry.decided)
 	}
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -69,25 +69,39 @@
 		return refuse(last.Kind, "the owner refused the request and did not change in time")
 	}
 	if sameOwner && now < last.NotBefore {
-		return wait(min(last.NotBefore, request.Deadline), retry.OwnershipChanged(last.Kind))
+		return p.backOff(now, last, request, history)
 	}
 	return Decision{Action: Send, Server: server, Shard: shard.ID, Epoch: shard.Epoch}
 }
 
+// backOff waits until the owner may be tried again, within the bound on waits
+// for an owner if the owner said that it is none.
+func (p *Planner) backOff(now time.Duration, last Attempt, request *Request, history *History) Decision {
+	until := min(last.NotBefore, request.Deadline)
+	if !retry.OwnershipChanged(last.Kind) {
+		return wait(until, false)
+	}
+	return wait(min(until, p.waitEnd(now, history)), true)
+}
+
+// waitEnd returns the end of the request's wait for an owner.
+func (p *Planner) waitEnd(now time.Duration, history *History) time.Duration {
+	if history.Waiting {
+		return history.WaitingSince + p.settings.OwnerWait
+	}
+	return now + p.settings.OwnerWait
+}
+
 // awaitOwner waits for a change of owner within bounds.
 func (p *Planner) awaitOwner(now time.Duration, request *Request, history *History, detail string) Decision {
 	if p.ownerWaitOver(now, history) {
 		return refuse(fault.NoOwner, detail)
 	}
-	since := now
-	if history.Waiting {
-		since = history.WaitingSince
-	}
-	return wait(min(since+p.settings.OwnerWait, request.Deadline), true)
+	return wait(min(p.waitEnd(now, history), request.Deadline), true)
 }
 
 func (p *Planner) ownerWaitOver(now time.Duration, history *History) bool {
-	return history.Waiting && now >= history.WaitingSince+p.settings.OwnerWait
+	return history.Waiting && now >= p.waitEnd(now, history)
 }
 
 func wait(until time.Duration, buffered bool) Decision {
--- /dev/null
+++ b/internal/forward/connection.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"net"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+// countedConnection counts the bytes that the kernel accepted and gave, so
+// that a failed attempt can tell whether anything was written.
+type countedConnection struct {
+	net.Conn
+	written int64
+	read    int64
+	// used is true once an attempt was made on the connection.
+	used bool
+}
+
+// Write implements net.Conn.
+func (c *countedConnection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.written += int64(count)
+	return count, err
+}
+
+// Read implements net.Conn.
+func (c *countedConnection) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	c.read += int64(count)
+	return count, err
+}
+
+// begin starts the count of a new attempt.
+func (c *countedConnection) begin() {
+	c.written = 0
+	c.read = 0
+	c.used = true
+}
+
+// idle reports whether a kept connection is still open and silent. A peer that
+// closed it, or sent bytes that nobody asked for, makes it unusable.
+func (c *countedConnection) idle() bool {
+	systemConnection, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := systemConnection.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		silent = peekWouldBlock(int(descriptor))
+		return true
+	})
+	return err == nil && silent
+}
+
+func peekWouldBlock(descriptor int) bool {
+	var buffer [1]byte
+	_, _, err := syscall.Recvfrom(descriptor, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return eris.Is(err, syscall.EAGAIN)
+}
--- /dev/null
+++ b/internal/forward/control.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+)
+
+// Cancel asks the back end to give up an attempt. It reports true only when
+// the back end promised that the attempt never started and never will.
+func (c *Client) Cancel(attemptID string, timeout time.Duration) (bool, error) {
+	body, err := json.Marshal(backendapi.CancelRequest{RequestID: attemptID})
+	if err != nil {
+		return false, eris.Wrap(err, "encode cancel")
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(body)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	if err := c.controlCall(backendapi.PathCancel, request, response, timeout); err != nil {
+		return false, err
+	}
+	var answer backendapi.CancelAnswer
+	if err := json.Unmarshal(response.Body(), &answer); err != nil {
+		return false, eris.Wrap(err, "decode cancel answer")
+	}
+	proved := response.StatusCode() == fasthttp.StatusOK &&
+		answer.RequestID == attemptID && answer.Outcome == backendapi.CancelNeverStarted
+	return proved, nil
+}
+
+// Healthy asks the back end's health endpoint, whose answer is only a hint.
+func (c *Client) Healthy(timeout time.Duration) bool {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	err := c.controlCall(backendapi.PathHealth, request, response, timeout)
+	return err == nil && response.StatusCode() == fasthttp.StatusOK
+}
+
+func (c *Client) controlCall(path string, request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
+	request.SetRequestURI("http://" + c.address + path)
+	if err := c.control.DoTimeout(request, response, timeout); err != nil {
+		return eris.Wrapf(err, "call %s", path)
+	}
+	return nil
+}
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -15,11 +15,13 @@
 	// failed probe up to MaxEjection.
 	BaseEjection time.Duration
 	MaxEjection  time.Duration
+	// MaxRatio bounds the share of a service's servers that are left out.
+	MaxRatio float64
 }
 
 // DefaultSettings eject after three failures for one to thirty seconds.
 func DefaultSettings() Settings {
-	return Settings{Failures: 3, BaseEjection: time.Second, MaxEjection: 30 * time.Second}
+	return Settings{Failures: 3, BaseEjection: time.Second, MaxEjection: 30 * time.Second, MaxRatio: 0.5}
 }
 
 // Tracker holds the health of all back ends that one router knows.
@@ -151,16 +153,16 @@
 }
 
 // Choose returns the servers that should get new work, best class first:
-// neither ejected nor unwell. At most half of the servers are left out for
-// ejection; if more are ejected, the ones closest to their next probe come
-// back. Health hints alone never empty the set. Draining servers never come
+// neither ejected nor unwell. At most MaxRatio of the servers are left out for
+// ejection, and never the last one; if more are ejected, the ones closest to
+// their next probe come back. Health hints alone never empty the set. Draining servers never come
 // back.
 func (t *Tracker) Choose(servers []*state.Server, now time.Duration) []*state.Server {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	present := t.presentLocked(servers)
 	usable, ejected := t.splitLocked(present, now)
-	floor := (len(present) + 1) / 2
+	floor := max(1, len(present)-int(t.settings.MaxRatio*float64(len(present))))
 	for len(usable) < floor && len(ejected) > 0 {
 		soonest := t.soonestLocked(ejected)
 		usable = append(usable, ejected[soonest])
--- /dev/null
+++ b/internal/router/exchange.go
@@ -0,0 +1,204 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/dispatch"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// Exchange is one caller's request on its way through the handlers.
+type Exchange struct {
+	// ID is the router's own identifier of the request, unique among all
+	// requests of all routers.
+	ID string
+	// CallerID is the caller's identifier of the attempt, repeated in the
+	// answer; it may be empty.
+	CallerID string
+	// IdempotencyKey is empty when the caller sent none.
+	IdempotencyKey string
+	// Target is the path and query for the back end.
+	Target string
+	// Timeout is the caller's own, zero when it gave none.
+	Timeout time.Duration
+	// Request is what dispatch decides by.
+	Request dispatch.Request
+	// Inbound is the caller's HTTP request. It must not be changed.
+	Inbound *fasthttp.Request
+	// Answer takes the back end's whole answer when the handler returns nil.
+	Answer *fasthttp.Response
+
+	// key is the caller's key.
+	key     string
+	service *state.Service
+	arrived time.Duration
+	history dispatch.History
+}
+
+// Handler serves an exchange. A nil error means that Answer holds a back end's
+// whole answer; otherwise the error's chain holds a *fault.Error.
+type Handler func(ctx context.Context, exchange *Exchange) error
+
+// Deduplicator lets a request that may not be repeated run at most once, also
+// when its caller resends it with the same Idempotency-Key. It calls next for
+// the first, and answers from its records for the others.
+type Deduplicator interface {
+	Do(ctx context.Context, exchange *Exchange, next Handler) error
+}
+
+// controlPrefix begins the paths that back ends serve for controllers and
+// routers. Callers must not reach them.
+const controlPrefix = "/.thorntiller"
+
+// readExchange takes what the request itself says, without the routing table.
+func (r *Router) readExchange(context *fasthttp.RequestCtx) (*Exchange, error) {
+	request := &context.Request
+	exchange := &Exchange{
+		ID:             r.nextID(),
+		CallerID:       string(request.Header.Peek(callerapi.HeaderRequestID)),
+		IdempotencyKey: string(request.Header.Peek(callerapi.HeaderIdempotencyKey)),
+		Inbound:        request,
+		Answer:         fasthttp.AcquireResponse(),
+		arrived:        r.clock.Now(),
+	}
+	if err := exchange.readTarget(request); err != nil {
+		return exchange, err
+	}
+	if err := exchange.readKey(request); err != nil {
+		return exchange, err
+	}
+	if err := exchange.readTimeout(request); err != nil {
+		return exchange, err
+	}
+	return exchange, exchange.readRepeatable(request)
+}
+
+// readTarget splits /<service>/<rest>. The rest goes on as the caller wrote
+// it; its normal form decides whether it is allowed.
+func (e *Exchange) readTarget(request *fasthttp.Request) error {
+	original := string(request.URI().PathOriginal())
+	name, rest, found := strings.Cut(strings.TrimPrefix(original, "/"), "/")
+	if name == "" || !strings.HasPrefix(original, "/") {
+		return fault.Newf(fault.InvalidRequest, "path %.100q names no service; send /<service>/<path>", original)
+	}
+	e.Request.Service = state.ServiceName(name)
+	e.Target = "/"
+	if found {
+		e.Target += rest
+	}
+	if reserved(e.Target) {
+		return fault.Newf(fault.InvalidRequest, "path %.100q is reserved; use another path of the service", e.Target)
+	}
+	if query := request.URI().QueryString(); len(query) > 0 {
+		e.Target += "?" + string(query)
+	}
+	return nil
+}
+
+// reserved reports whether a back end could take the path for one of its
+// control paths.
+func reserved(target string) bool {
+	uri := fasthttp.AcquireURI()
+	defer fasthttp.ReleaseURI(uri)
+	uri.SetPath(target)
+	normal := bytes.ToLower(uri.Path())
+	return bytes.HasPrefix(normal, []byte(controlPrefix)) || strings.HasPrefix(strings.ToLower(target), controlPrefix)
+}
+
+func (e *Exchange) readKey(request *fasthttp.Request) error {
+	key := request.Header.Peek(callerapi.HeaderKey)
+	if len(key) == 0 {
+		return nil
+	}
+	e.key = string(key)
+	e.Request.Keyed = true
+	e.Request.KeyHash = state.HashKey(e.key)
+	return nil
+}
+
+func (e *Exchange) readTimeout(request *fasthttp.Request) error {
+	value := string(request.Header.Peek(callerapi.HeaderTimeout))
+	if value == "" {
+		return nil
+	}
+	milliseconds, err := strconv.ParseInt(value, 10, 32)
+	if err != nil || milliseconds <= 0 {
+		return fault.Newf(fault.InvalidRequest, "header %s is %.32q; give whole milliseconds above 0", callerapi.HeaderTimeout, value)
+	}
+	e.Timeout = time.Duration(milliseconds) * time.Millisecond
+	return nil
+}
+
+func (e *Exchange) readRepeatable(request *fasthttp.Request) error {
+	switch value := string(request.Header.Peek(callerapi.HeaderRepeatable)); value {
+	case "":
+		e.Request.Repeatable = request.Header.IsGet() || request.Header.IsHead()
+	case callerapi.RepeatableTrue:
+		e.Request.Repeatable = true
+	case callerapi.RepeatableFalse:
+		e.Request.Repeatable = false
+	default:
+		return fault.Newf(fault.InvalidRequest, "header %s is %.32q; give %s or %s", callerapi.HeaderRepeatable, value,
+			callerapi.RepeatableTrue, callerapi.RepeatableFalse)
+	}
+	return nil
+}
+
+// resolve takes the service's settings from the routing table.
+func (e *Exchange) resolve(service *state.Service, longest time.Duration) error {
+	e.service = service
+	if service.Keyed && !e.Request.Keyed {
+		return fault.Newf(fault.InvalidRequest, "header %s is missing; service %q routes by key", callerapi.HeaderKey, service.Name)
+	}
+	e.Request.Keyed = service.Keyed
+	timeout := min(service.DefaultTimeout, longest)
+	if e.Timeout > 0 {
+		timeout = min(timeout, e.Timeout)
+	}
+	e.Request.Deadline = e.arrived + timeout
+	return nil
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// fill makes the HTTP request of one attempt.
+func (e *Exchange) fill(request *fasthttp.Request, decision *dispatch.Decision, attemptID string, timeout time.Duration) {
+	e.Inbound.Header.CopyTo(&request.Header)
+	for _, name := range hopHeaders {
+		request.Header.Del(name)
+	}
+	request.Header.SetProtocol("HTTP/1.1")
+	request.Header.SetRequestURI(e.Target)
+	request.Header.SetHost(decision.Server.Address)
+	body := e.Inbound.Body()
+	request.SetBodyRaw(body)
+	request.Header.SetContentLength(len(body))
+	setHeader(request, backendapi.HeaderRequestID, attemptID)
+	setHeader(request, backendapi.HeaderTimeout, strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
+	request.Header.Del(backendapi.HeaderShard)
+	request.Header.Del(backendapi.HeaderEpoch)
+	if e.Request.Keyed {
+		setHeader(request, backendapi.HeaderKey, e.key)
+		setHeader(request, backendapi.HeaderShard, strconv.FormatUint(uint64(decision.Shard), 10))
+		setHeader(request, backendapi.HeaderEpoch, strconv.FormatUint(uint64(decision.Epoch), 10))
+	}
+}
+
+// setHeader replaces every value of the header that the caller sent.
+func setHeader(request *fasthttp.Request, name, value string) {
+	request.Header.Del(name)
+	request.Header.Set(name, value)
+}
--- /dev/null
+++ b/internal/router/lifecycle.go
@@ -0,0 +1,129 @@
+package router
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+const (
+	// stopGrace is how long kept connections may still bring requests after
+	// the listener closed, at most; each answer closes its connection.
+	stopGrace = time.Second
+	// graceShare bounds the grace as a part of the stop timeout.
+	graceShare = 4
+	// probeWorkers bounds health checks that run at the same time.
+	probeWorkers = 8
+)
+
+func (r *Router) newCallerServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               r.serve,
+		ErrorHandler:          refuseMalformed,
+		Name:                  role,
+		Concurrency:           r.settings.MaxConnections,
+		MaxRequestBodySize:    r.settings.MaxBodyBytes,
+		ReadTimeout:           r.settings.MaxTimeout,
+		WriteTimeout:          r.settings.MaxTimeout,
+		IdleTimeout:           r.settings.IdleTimeout,
+		NoDefaultServerHeader: true,
+		NoDefaultContentType:  true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+		ConnState:             r.countConnection,
+		// A multipart body must go on byte for byte.
+		DisablePreParseMultipartForm: true,
+		Logger:                       r.log,
+	}
+}
+
+func (r *Router) countConnection(_ net.Conn, change fasthttp.ConnState) {
+	switch change {
+	case fasthttp.StateNew:
+		r.connections.Add(1)
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		r.connections.Add(-1)
+	}
+}
+
+// onceListener may be closed twice: by the stop, and by the server's own
+// shutdown.
+type onceListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close implements net.Listener.
+func (l *onceListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
+// refuseMalformed answers requests that could not be read.
+func refuseMalformed(inbound *fasthttp.RequestCtx, err error) {
+	detail := "the request could not be read; check its syntax and size"
+	if eris.Is(err, fasthttp.ErrBodyTooLarge) {
+		detail = "the request's body is larger than max_body_bytes of this router; send less"
+	}
+	writeRefusal(&inbound.Response, "", fault.New(fault.InvalidRequest, detail))
+	inbound.SetConnectionClose()
+}
+
+// stop closes the listener, lets kept connections finish, and waits for the
+// running requests within the stop timeout.
+func (r *Router) stop(server *fasthttp.Server, listener net.Listener) error {
+	telemetry.With(r.log, telemetry.EventStopping).Info("stopping")
+	end := time.Now().Add(r.settings.StopTimeout)
+	r.stopping.Store(true)
+	_ = listener.Close()
+	r.awaitConnections(time.Now().Add(min(stopGrace, r.settings.StopTimeout/graceShare)))
+	r.closed.Store(true)
+	bounded, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := server.ShutdownWithContext(bounded); err != nil {
+		return eris.Wrapf(err, "%d requests did not finish within stop_timeout %s", r.limiter.Total(), r.settings.StopTimeout)
+	}
+	telemetry.With(r.log, telemetry.EventStopped).Info("stopped")
+	return nil
+}
+
+// awaitConnections returns once no connection is open, or at the given time.
+func (r *Router) awaitConnections(end time.Time) {
+	const interval = 10 * time.Millisecond
+	for r.connections.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(interval)
+	}
+}
+
+// probe asks the known back ends for their health, as a hint.
+func (r *Router) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, r.settings.Health.ProbeInterval)
+		workers := pool.New().WithMaxGoroutines(probeWorkers)
+		for _, known := range r.fleet.snapshot() {
+			if ctx.Err() != nil {
+				break
+			}
+			workers.Go(func() { r.probeOne(known) })
+		}
+		workers.Wait()
+	}
+}
+
+func (r *Router) probeOne(known *backEnd) {
+	server := known.server.Load()
+	if !server.Session.Open {
+		return
+	}
+	well := known.client.Load().Healthy(r.settings.Health.ProbeTimeout)
+	r.fleet.health.Hint(server.ID, well)
+}
--- /dev/null
+++ b/internal/router/metrics.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// metrics are the router's own measures.
+type metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	resends  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// unresolved stands for the name of a service that is not configured, so that
+// callers cannot make up label values.
+const unresolved = "unknown"
+
+// kindCompleted labels requests that a back end answered.
+const kindCompleted = "completed"
+
+func newMetrics(set *telemetry.Metrics) *metrics {
+	return &metrics{
+		requests: set.Counters("requests_total", "Requests by service and kind of answer.", "service", "kind"),
+		attempts: set.Counters("attempts_total", "Attempts sent to back ends.", "service"),
+		resends:  set.Counters("resends_total", "Attempts that will be sent again, by the kind of failure.", "service", "kind"),
+		latency:  set.Histograms("request_seconds", "Time from a request's arrival to its answer.", latencyBuckets(), "service"),
+	}
+}
+
+func latencyBuckets() []float64 {
+	const first, factor, count = 0.0005, 2, 15
+	return prometheus.ExponentialBuckets(first, factor, count)
+}
+
+// observe counts a finished request; an empty kind means completed.
+func (m *metrics) observe(exchange *Exchange, kind fault.Kind, now time.Duration) {
+	service := unresolved
+	if exchange.service != nil {
+		service = string(exchange.service.Name)
+	}
+	label := string(kind)
+	if label == "" {
+		label = kindCompleted
+	}
+	m.requests.WithLabelValues(service, label).Inc()
+	m.latency.WithLabelValues(service).Observe((now - exchange.arrived).Seconds())
+}
+
+// registerGauges adds gauges that are read at each scrape.
+func (r *Router) registerGauges(set *telemetry.Metrics) {
+	set.GaugeFunction("in_flight_requests", "Requests in flight.", func() float64 { return float64(r.limiter.Total()) })
+	set.GaugeFunction("owner_waits", "Requests that wait for an owner.", func() float64 { return float64(r.buffer.total()) })
+	set.GaugeFunction("queued_requests", "Requests that wait for a place at a server.", r.queued)
+	set.GaugeFunction("table_revision", "Revision of the routing table.", func() float64 {
+		return float64(r.builder.Table().Revision())
+	})
+	set.GaugeFunction("table_age_seconds", "Time since the table was proved current; -1 before the first proof.", func() float64 {
+		age, proved := r.freshness.age(r.clock.Now())
+		if !proved {
+			return -1
+		}
+		return age.Seconds()
+	})
+}
+
+func (r *Router) queued() float64 {
+	total := 0
+	for _, known := range r.fleet.snapshot() {
+		total += known.queue.Waiting()
+	}
+	return float64(total)
+}
--- /dev/null
+++ b/internal/router/middleware.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// middleware wraps a handler with one job.
+type middleware func(next Handler) Handler
+
+// chain puts the first middleware outermost.
+func chain(last Handler, layers ...middleware) Handler {
+	handler := last
+	for i := len(layers) - 1; i >= 0; i-- {
+		handler = layers[i](handler)
+	}
+	return handler
+}
+
+// serve is the entry point of callers' requests.
+func (r *Router) serve(inbound *fasthttp.RequestCtx) {
+	exchange, err := r.readExchange(inbound)
+	defer fasthttp.ReleaseResponse(exchange.Answer)
+	if err == nil {
+		err = r.handler(r.lifetime, exchange)
+	}
+	if r.stopping.Load() {
+		inbound.SetConnectionClose()
+	}
+	if err == nil {
+		writeAnswer(&inbound.Response, exchange)
+		r.metrics.observe(exchange, "", r.clock.Now())
+		return
+	}
+	failure := asFault(err)
+	writeRefusal(&inbound.Response, exchange.CallerID, failure)
+	if r.stopping.Load() {
+		inbound.SetConnectionClose()
+	}
+	r.metrics.observe(exchange, failure.Kind, r.clock.Now())
+	r.logUnknown(exchange, failure)
+}
+
+func asFault(err error) *fault.Error {
+	var typed *fault.Error
+	if eris.As(err, &typed) {
+		return typed
+	}
+	return fault.New(fault.Internal, eris.ToString(err, false))
+}
+
+func (r *Router) logUnknown(exchange *Exchange, failure *fault.Error) {
+	if exchange.Request.Repeatable || fault.AnswerFor(failure.Kind).Outcome != fault.Unknown {
+		return
+	}
+	telemetry.With(r.log, telemetry.EventRequestOutcomeBad).
+		WithField(telemetry.FieldRequest, exchange.ID).
+		WithField(telemetry.FieldService, exchange.Request.Service).
+		WithField(telemetry.FieldKind, failure.Kind).Warn("the outcome of a request is unknown")
+}
+
+// refuseAfterStop refuses what comes after the stop's grace.
+func (r *Router) refuseAfterStop(next Handler) Handler {
+	return func(ctx context.Context, exchange *Exchange) error {
+		if r.closed.Load() {
+			return fault.New(fault.RouterStopping, "the router is shutting down; send to another router")
+		}
+		return next(ctx, exchange)
+	}
+}
+
+// refuseStale refuses requests while the table is not proved current.
+func (r *Router) refuseStale(next Handler) Handler {
+	return func(ctx context.Context, exchange *Exchange) error {
+		if !r.freshness.fresh(r.clock.Now()) {
+			return errStale()
+		}
+		return next(ctx, exchange)
+	}
+}
+
+func errStale() *fault.Error {
+	return fault.New(fault.StaleRouter, "the router cannot prove that its configuration is current; send to another router")
+}
+
+// resolveService takes the service's settings from the table.
+func (r *Router) resolveService(next Handler) Handler {
+	return func(ctx context.Context, exchange *Exchange) error {
+		service, found := r.builder.Table().Service(exchange.Request.Service)
+		if !found {
+			return fault.Newf(fault.UnknownService, "no service %.64q is configured; check the first part of the path",
+				exchange.Request.Service)
+		}
+		if err := exchange.resolve(service, r.settings.MaxTimeout); err != nil {
+			return err
+		}
+		return next(ctx, exchange)
+	}
+}
+
+// limitRequests bounds the requests in flight.
+func (r *Router) limitRequests(next Handler) Handler {
+	return func(ctx context.Context, exchange *Exchange) error {
+		name := string(exchange.service.Name)
+		if !r.limiter.Enter(name, exchange.service.RequestLimit) {
+			return fault.New(fault.RateLimited, "too many requests in flight at this router")
+		}
+		defer r.limiter.Leave(name)
+		return next(ctx, exchange)
+	}
+}
+
+// deduplicate gives requests with an Idempotency-Key that may not be repeated
+// to the Deduplicator.
+func (r *Router) deduplicate(next Handler) Handler {
+	return func(ctx context.Context, exchange *Exchange) error {
+		if r.deduplicator == nil || exchange.IdempotencyKey == "" || exchange.Request.Repeatable {
+			return next(ctx, exchange)
+		}
+		return r.deduplicator.Do(ctx, exchange, next)
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,203 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	mathrand "math/rand/v2"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/admission"
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/dispatch"
+	"github.com/thorntiller/thorntiller/internal/retry"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/table"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+const role = "router"
+
+// Router is one router process.
+type Router struct {
+	settings     config.Router
+	log          *logrus.Entry
+	clock        clock.Clock
+	incarnation  string
+	sequence     atomic.Uint64
+	builder      *table.Builder
+	freshness    *freshness
+	fleet        *fleet
+	limiter      *admission.Limiter
+	buffer       *buffer
+	metrics      *metrics
+	registry     *telemetry.Metrics
+	deduplicator Deduplicator
+	handler      Handler
+	dial         tableDialer
+
+	// connections counts callers' open connections.
+	connections atomic.Int64
+
+	// stopping is set once the stop began; answers then close connections.
+	stopping atomic.Bool
+	// closed is set once requests are refused.
+	closed atomic.Bool
+	// lifetime ends when running requests must be given up.
+	lifetime context.Context
+	end      context.CancelFunc
+}
+
+// Options are parts that the caller of New may replace.
+type Options struct {
+	// Deduplicator serves requests with an Idempotency-Key; nil sends them on
+	// like any other.
+	Deduplicator Deduplicator
+}
+
+// Run starts a router and serves until the context ends, then stops it
+// gracefully. It returns an error when a listener cannot be opened or running
+// requests did not finish within the stop timeout.
+func Run(ctx context.Context, settings config.Router, log *logrus.Entry) error {
+	return New(settings, log, Options{}).Run(ctx)
+}
+
+// New returns a router that is not yet running.
+func New(settings config.Router, log *logrus.Entry, options Options) *Router {
+	router := &Router{
+		settings: settings, log: log, clock: clock.NewSystem(), incarnation: newIncarnation(),
+		builder: table.NewBuilder(), freshness: newFreshness(settings.StalenessLimit),
+		limiter: admission.NewLimiter(settings.MaxInFlight), buffer: newBuffer(),
+		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: dialController,
+	}
+	router.lifetime, router.end = context.WithCancel(context.Background())
+	router.fleet = newFleet(settings, router.clock, router.builder)
+	router.metrics = newMetrics(router.registry)
+	router.registerGauges(router.registry)
+	router.handler = chain(router.newExecutor().run,
+		router.refuseAfterStop, router.refuseStale, router.resolveService, router.limitRequests, router.deduplicate)
+	return router
+}
+
+func (r *Router) newExecutor() *executor {
+	planning := dispatch.DefaultSettings(r.settings.Zone)
+	planning.RampUp = r.settings.Health.RampUp
+	return &executor{
+		clock: r.clock, builder: r.builder, fleet: r.fleet, freshness: r.freshness,
+		planner: dispatch.NewPlanner(planning, mathrand.IntN),
+		policy: retry.Policy{
+			MaxAttempts: r.settings.Retry.MaxAttempts,
+			BaseDelay:   r.settings.Retry.BackoffBase,
+			MaxDelay:    r.settings.Retry.BackoffMax,
+		},
+		metrics: r.metrics, buffer: r.buffer, budgets: make(map[state.ServiceName]*retry.Budget),
+	}
+}
+
+// newIncarnation names this process among all that ever ran.
+func newIncarnation() string {
+	const size = 8
+	var bytes [size]byte
+	// crypto/rand.Read never fails on the platforms that Go supports.
+	_, _ = rand.Read(bytes[:])
+	return hex.EncodeToString(bytes[:])
+}
+
+// nextID returns a request identifier that no other request ever has, so that
+// a back end's promise about one attempt can never be taken for another's.
+func (r *Router) nextID() string {
+	return r.incarnation + "-" + strconv.FormatUint(r.sequence.Add(1), 36)
+}
+
+func (r *Router) self() state.Router {
+	return state.Router{
+		ID: state.RouterID(r.settings.Name), Address: r.settings.Address, PeerAddress: r.settings.PeerAddress,
+		Zone: r.settings.Zone, Session: state.Session{Incarnation: r.incarnation},
+	}
+}
+
+// Run serves until the context ends.
+func (r *Router) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", r.settings.Address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on address %q", r.settings.Address)
+	}
+	admin, err := net.Listen("tcp", r.settings.AdminAddress)
+	if err != nil {
+		_ = callers.Close()
+		return eris.Wrapf(err, "listen on admin_address %q", r.settings.AdminAddress)
+	}
+	return r.serveOn(ctx, callers, admin)
+}
+
+func (r *Router) serveOn(ctx context.Context, callers, admin net.Listener) error {
+	callers = &onceListener{Listener: callers}
+	background, stopBackground := context.WithCancel(context.Background())
+	callerServer := r.newCallerServer()
+	adminServer := &fasthttp.Server{Handler: r.serveAdmin(r.registry), Name: role, Concurrency: adminConnections}
+	var group conc.WaitGroup
+	failed := make(chan error, 2)
+	group.Go(func() { failed <- serveListener(callerServer, callers) })
+	group.Go(func() { failed <- serveListener(adminServer, admin) })
+	group.Go(func() { r.newSubscription().run(background) })
+	group.Go(func() { r.probe(background) })
+	group.Go(func() { r.watchFreshness(background) })
+	telemetry.With(r.log, telemetry.EventListening).
+		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("accepting callers")
+	var err error
+	select {
+	case <-ctx.Done():
+		err = r.stop(callerServer, callers)
+	case err = <-failed:
+		_ = callers.Close()
+	}
+	stopBackground()
+	r.end()
+	_ = adminServer.Shutdown()
+	group.Wait()
+	return err
+}
+
+const adminConnections = 64
+
+func serveListener(server *fasthttp.Server, listener net.Listener) error {
+	if err := server.Serve(listener); err != nil {
+		return eris.Wrapf(err, "serve on %s", listener.Addr())
+	}
+	return nil
+}
+
+func (r *Router) newSubscription() *subscription {
+	return &subscription{
+		self: r.self(), controllers: r.settings.Controllers, interval: r.settings.PingInterval,
+		dial: r.dial, clock: r.clock, builder: r.builder, freshness: r.freshness, log: r.log,
+		changed: func() { r.fleet.refresh(r.builder.Table()) },
+	}
+}
+
+// watchFreshness logs when the router becomes stale or current again.
+func (r *Router) watchFreshness(ctx context.Context) {
+	was := false
+	for ctx.Err() == nil {
+		fresh := r.freshness.fresh(r.clock.Now())
+		if fresh && !was {
+			telemetry.With(r.log, telemetry.EventTableCurrent).Info("the routing table is proved current")
+		}
+		if !fresh && was {
+			telemetry.With(r.log, telemetry.EventTableStale).Warn("the routing table is no longer proved current")
+		}
+		was = fresh
+		pause(ctx, freshnessInterval)
+	}
+}
+
+const freshnessInterval = 100 * time.Millisecond
--- /dev/null
+++ b/internal/router/subscription.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/table"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+const (
+	// silenceLimit is how long a table connection may bring no frame.
+	silenceLimit = 1500 * time.Millisecond
+	// silentPings is how many pings may stay unanswered when pings are rare.
+	silentPings = 3
+
+	reconnectBase = 50 * time.Millisecond
+	reconnectMax  = time.Second
+)
+
+// tableConnection carries frames between a router and a controller.
+type tableConnection interface {
+	Send(message.RouterFrame) error
+	Receive() (message.ControllerFrame, error)
+	Close() error
+}
+
+// tableDialer opens a table connection to a controller's peer address.
+type tableDialer func(ctx context.Context, address string, hello message.Hello) (tableConnection, error)
+
+// subscription keeps the routing table current.
+type subscription struct {
+	self        state.Router
+	controllers []string
+	interval    time.Duration
+	dial        tableDialer
+	clock       clock.Clock
+	builder     *table.Builder
+	freshness   *freshness
+	log         *logrus.Entry
+	// changed is called after each new version of the table.
+	changed func()
+
+	// preferred is the index of the controller that answered last.
+	preferred int
+	// resync asks for a whole snapshot on the next connection.
+	resync bool
+	nonce  uint64
+	// heard is the clock reading of the last frame, in nanoseconds.
+	heard atomic.Int64
+}
+
+// run keeps one connection open until the context ends.
+func (s *subscription) run(ctx context.Context) {
+	s.preferred = rand.IntN(len(s.controllers))
+	failures := 0
+	for ctx.Err() == nil {
+		address := s.controllers[s.preferred]
+		began := s.clock.Now()
+		err := s.connect(ctx, address)
+		s.freshness.disconnected()
+		if ctx.Err() != nil {
+			return
+		}
+		s.preferred = (s.preferred + 1) % len(s.controllers)
+		failures++
+		if s.clock.Now()-began > reconnectMax {
+			failures = 1
+		}
+		telemetry.WithError(s.log, telemetry.EventControllerLost, err).
+			WithField(telemetry.FieldAddress, address).Warn("table connection ended")
+		pause(ctx, reconnectDelay(failures))
+	}
+}
+
+func reconnectDelay(failures int) time.Duration {
+	delay := reconnectBase
+	for i := 1; i < failures && delay < reconnectMax; i++ {
+		delay *= 2
+	}
+	delay = min(delay, reconnectMax)
+	return delay/2 + rand.N(delay/2+1)
+}
+
+// pause waits for the duration or the end of the context.
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// connect serves one connection until it fails. It always returns an error.
+func (s *subscription) connect(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hello := message.Hello{Purpose: message.PurposeTable, Cluster: s.builder.Table().Cluster(), From: string(s.self.ID)}
+	connection, err := s.dial(ctx, address, hello)
+	if err != nil {
+		return err
+	}
+	s.heard.Store(int64(s.clock.Now()))
+	if err := connection.Send(message.RouterFrame{Hello: s.hello()}); err != nil {
+		_ = connection.Close()
+		return err
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		s.pingUntil(ctx, connection)
+		// Closing ends the receiving side as well.
+		_ = connection.Close()
+	})
+	err = s.receive(connection)
+	cancel()
+	group.Wait()
+	return err
+}
+
+func (s *subscription) hello() *message.RouterHello {
+	view := s.builder.Table()
+	hello := &message.RouterHello{Router: s.self, Cluster: view.Cluster()}
+	if !s.resync {
+		hello.Revision = view.Revision()
+		hello.Digest = view.Digest()
+	}
+	return hello
+}
+
+// pingUntil sends pings until the context ends, a write fails, or the
+// connection was silent for too long.
+func (s *subscription) pingUntil(ctx context.Context, connection tableConnection) {
+	ticker := time.NewTicker(s.interval)
+	defer ticker.Stop()
+	limit := max(silenceLimit, silentPings*s.interval)
+	for {
+		s.nonce++
+		now := s.clock.Now()
+		if now-time.Duration(s.heard.Load()) > limit {
+			return
+		}
+		ping := &message.Ping{Nonce: s.nonce, SentNs: int64(now), Revision: s.builder.Table().Revision()}
+		if err := connection.Send(message.RouterFrame{Ping: ping}); err != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *subscription) receive(connection tableConnection) error {
+	for {
+		frame, err := connection.Receive()
+		if err != nil {
+			return err
+		}
+		s.heard.Store(int64(s.clock.Now()))
+		if err := s.take(frame); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *subscription) take(frame message.ControllerFrame) error {
+	switch {
+	case frame.Snapshot != nil:
+		complete, err := s.builder.ApplySnapshot(*frame.Snapshot)
+		if complete {
+			s.resync = false
+			telemetry.With(s.log, telemetry.EventTableSnapshot).
+				WithField(telemetry.FieldRevision, frame.Snapshot.Revision).Info("routing table received")
+			s.advance()
+		}
+		return s.checked(err)
+	case frame.Delta != nil:
+		err := s.builder.ApplyDelta(*frame.Delta)
+		if err == nil {
+			s.advance()
+		}
+		return s.checked(err)
+	case frame.Pong != nil:
+		s.freshness.observe(*frame.Pong, s.builder.Table().Revision())
+		return nil
+	case frame.Refusal != nil:
+		return eris.Errorf("the controller refused: %s: %s", frame.Refusal.Kind, frame.Refusal.Detail)
+	default:
+		return eris.New("the controller sent an empty frame")
+	}
+}
+
+func (s *subscription) advance() {
+	s.freshness.advance(s.builder.Table().Revision())
+	s.changed()
+}
+
+// checked asks for a whole snapshot after a message that did not fit the table.
+func (s *subscription) checked(err error) error {
+	if eris.Is(err, table.ErrDigestMismatch) || eris.Is(err, table.ErrGap) || eris.Is(err, table.ErrPartOrder) {
+		s.resync = true
+		telemetry.WithError(s.log, telemetry.EventTableDigest, err).Warn("routing table is fetched anew")
+	}
+	return err
+}
