Coordinator: wait out a lease from its reading, not from the last message

Cause: a leader kept sending renewals with the same old reading to a silent server, and each one moved the time from which the lease is waited out, so the session was never closed; and a session that was just opened counted as expired at once, so a restarted process got a new session every tick (number 60 within two seconds). Ruled out: waiting from the moment of sending (safe but never ends while messages are sent); not resending an old reading (a lost message would then cost a whole interval). Conclusion: the lease counts from the reading, so its receipt bounds the lease and is sharper by up to one renewal interval.

--- a/internal/coordinator/contact.go
+++ b/internal/coordinator/contact.go
@@ -28,6 +28,8 @@
 	// renewedAt is the newest moment from which a lease may count, be it given
 	// by this leader or by one before.
 	renewedAt time.Duration
+	// tracked is the open session that renewedAt belongs to.
+	tracked state.SessionNumber
 	// closing is the session whose end was proposed; it is never renewed again.
 	closing state.SessionNumber
 	// session is the one that the last answer was given under.
@@ -47,6 +49,17 @@
 	return backendapi.Fence{Term: term, Sequence: c.sequence}
 }
 
+// begin starts to track a session that was not seen open before, and reports
+// whether it did. Nothing is known yet of leases in it, so it counts as renewed.
+func (c *contact) begin(now time.Duration, session state.Session) bool {
+	if !session.Open || session.Number == c.tracked {
+		return false
+	}
+	c.tracked = session.Number
+	c.renewedAt = max(c.renewedAt, now)
+	return true
+}
+
 // learn takes over what an answer says about the process.
 func (c *contact) learn(now time.Duration, answer backendapi.LeaseAnswer) {
 	if answer.Incarnation != c.incarnation {
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -18,6 +18,7 @@
 		if !found {
 			continue
 		}
+		expired = expired && !known.begin(now, server.Session)
 		c.tickSession(now, expired, known, server, actions)
 		if now >= known.next && !known.inFlight {
 			c.contactServer(now, known, server, view, actions)
@@ -27,7 +28,8 @@
 
 // surelyEnded returns when the last lease that the server may hold is over,
 // whatever became of the messages. The lease counts from a reading that was
-// taken before renewedAt, so a message that is held up cannot extend it.
+// taken before renewedAt, so a message that is held up cannot extend it. That
+// moment is sharper than the one of sending, which is later.
 func (c *Coordinator) surelyEnded(known *contact) time.Duration {
 	stretched := float64(c.config.LeaseDuration) * (1 + c.config.ClockRateBound)
 	return known.renewedAt + time.Duration(stretched) + c.config.Margin
@@ -84,7 +86,7 @@
 	request := backendapi.LeaseRequest{Server: string(server.ID)}
 	if c.mayRenew(known, server) {
 		c.fillRenewal(&request, known, server, view)
-		known.renewedAt = now
+		known.renewedAt = known.readingAt
 	}
 	request.Fence = known.fence(c.term)
 	known.inFlight = true
