Intent API client: leader hints, repeated calls, bounded answers

Plan and confirm carry identifiers, so the client repeats them until the context ends. A write whose outcome was unknown once keeps that error, since a later refusal says nothing of the first call. A transfer is not repeated after the leader may have taken it. types.go only gains comments on the lists.

--- /dev/null
+++ b/internal/intentapi/client_test.go
@@ -0,0 +1,188 @@
+package intentapi
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// replica is a stand-in for one controller's API.
+type replica struct {
+	address string
+	calls   atomic.Int32
+}
+
+func startReplica(t *testing.T, handler fasthttp.RequestHandler) *replica {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stub := &replica{address: listener.Addr().String()}
+	server := &fasthttp.Server{Handler: func(context *fasthttp.RequestCtx) {
+		stub.calls.Add(1)
+		handler(context)
+	}}
+	var group conc.WaitGroup
+	group.Go(func() {
+		if err := server.Serve(listener); err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	t.Cleanup(func() {
+		if err := server.Shutdown(); err != nil {
+			t.Errorf("shut down: %v", err)
+		}
+		group.Wait()
+	})
+	return stub
+}
+
+func refuse(kind fault.Kind, leader string) fasthttp.RequestHandler {
+	return func(context *fasthttp.RequestCtx) {
+		answer := fault.AnswerFor(kind)
+		context.SetStatusCode(answer.Status)
+		body, _ := json.Marshal(ErrorBody{Kind: kind, Outcome: answer.Outcome, Detail: "stub", Leader: leader})
+		context.SetBody(body)
+	}
+}
+
+func answerPlan(context *fasthttp.RequestCtx) {
+	var intent state.Intent
+	if json.Unmarshal(context.PostBody(), &intent) != nil || string(context.Path()) != PathPlans {
+		context.SetStatusCode(fasthttp.StatusTeapot)
+		return
+	}
+	body, _ := json.Marshal(state.Plan{ID: "p1", Intent: intent})
+	context.SetBody(body)
+}
+
+// dropConnection closes the connection without an answer.
+func dropConnection(context *fasthttp.RequestCtx) {
+	context.HijackSetNoResponse(true)
+	context.Hijack(func(connection net.Conn) { _ = connection.Close() })
+}
+
+func client(t *testing.T, endpoints ...string) *Client {
+	t.Helper()
+	made, err := NewClient(ClientConfig{Endpoints: endpoints, BackoffBase: time.Millisecond, BackoffMax: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(made.Close)
+	return made
+}
+
+func within(t *testing.T, limit time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestClientFollowsLeaderHint(t *testing.T) {
+	leader := startReplica(t, answerPlan)
+	other := startReplica(t, refuse(fault.Internal, ""))
+	follower := startReplica(t, refuse(fault.NotLeader, leader.address))
+	plan, err := client(t, follower.address, other.address).Plan(within(t, time.Minute), state.Intent{ID: "i1"})
+	if err != nil || plan.Intent.ID != "i1" {
+		t.Fatalf("plan = %+v, %v", plan, err)
+	}
+	if follower.calls.Load() != 1 || leader.calls.Load() != 1 || other.calls.Load() != 0 {
+		t.Errorf("calls: follower %d, leader %d, other %d", follower.calls.Load(), leader.calls.Load(), other.calls.Load())
+	}
+}
+
+func TestClientRepeatsUntilAnswered(t *testing.T) {
+	var failures atomic.Int32
+	flaky := startReplica(t, func(context *fasthttp.RequestCtx) {
+		if failures.Add(1) <= 3 {
+			dropConnection(context)
+			return
+		}
+		answerPlan(context)
+	})
+	if _, err := client(t, flaky.address).Plan(within(t, time.Minute), state.Intent{ID: "i1"}); err != nil {
+		t.Fatal(err)
+	}
+	if flaky.calls.Load() != 4 {
+		t.Errorf("%d calls, want 4", flaky.calls.Load())
+	}
+}
+
+func TestClientKeepsUnknownOutcome(t *testing.T) {
+	// The first call is lost after it was sent, all later ones are refused: the
+	// refusals do not tell what became of the first.
+	var calls atomic.Int32
+	refuseLeader := refuse(fault.NotLeader, "")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	replica := startReplica(t, func(context *fasthttp.RequestCtx) {
+		if calls.Add(1) == 1 {
+			dropConnection(context)
+			return
+		}
+		cancel()
+		refuseLeader(context)
+	})
+	_, err := client(t, replica.address).Confirm(ctx, "p1", ConfirmRequest{})
+	if !fault.Is(err, fault.ConnectionLost) || calls.Load() != 2 {
+		t.Errorf("error %v after %d calls", err, calls.Load())
+	}
+}
+
+func TestClientStopsAtFinalErrors(t *testing.T) {
+	for _, kind := range []fault.Kind{fault.StalePlan, fault.Conflict, fault.InvalidArgument, fault.NotFound, fault.Unauthorized} {
+		first := startReplica(t, refuse(kind, ""))
+		second := startReplica(t, answerPlan)
+		_, err := client(t, first.address, second.address).Plan(within(t, time.Minute), state.Intent{})
+		if !fault.Is(err, kind) || first.calls.Load() != 1 || second.calls.Load() != 0 {
+			t.Errorf("%s: error %v, calls %d and %d", kind, err, first.calls.Load(), second.calls.Load())
+		}
+	}
+}
+
+func TestClientTransferIsSentOnce(t *testing.T) {
+	lost := startReplica(t, dropConnection)
+	other := startReplica(t, answerPlan)
+	err := client(t, lost.address, other.address).Transfer(within(t, time.Minute))
+	if !fault.Is(err, fault.ConnectionLost) || lost.calls.Load() != 1 || other.calls.Load() != 0 {
+		t.Errorf("error %v, calls %d and %d", err, lost.calls.Load(), other.calls.Load())
+	}
+}
+
+func TestClientWithoutControllers(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := listener.Addr().String()
+	_ = listener.Close()
+	if _, err := client(t, closed).Services(within(t, time.Second)); !fault.Is(err, fault.ConnectFailed) {
+		t.Errorf("error %v", err)
+	}
+	if _, err := NewClient(ClientConfig{}); !fault.Is(err, fault.InvalidArgument) {
+		t.Errorf("no endpoints: %v", err)
+	}
+}
+
+func TestClientBoundsAnswers(t *testing.T) {
+	large := startReplica(t, func(context *fasthttp.RequestCtx) { context.SetBody(make([]byte, 4096)) })
+	bounded, err := NewClient(ClientConfig{Endpoints: []string{large.address}, MaxAnswerBytes: 1024})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(bounded.Close)
+	if _, err := bounded.Servers(within(t, time.Minute)); !fault.Is(err, fault.Internal) {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/intentapi/types.go
+++ b/internal/intentapi/types.go
@@ -9,17 +9,21 @@
 // Paths of the intent API. A follower answers writes, and reads without
 // PathStatus, with status 421 and an ErrorBody that names the leader.
 const (
-	// PathPlans takes state.Intent by POST and answers state.Plan.
+	// PathPlans takes state.Intent by POST and answers state.Plan; by GET it
+	// answers every stored state.Plan as a list.
 	PathPlans = "/v1/plans"
 	// PathPlan answers state.Plan by GET.
 	PathPlan = "/v1/plans/:id"
 	// PathConfirm takes ConfirmRequest by POST and answers state.Plan.
-	PathConfirm  = "/v1/plans/:id/confirm"
+	PathConfirm = "/v1/plans/:id/confirm"
+	// PathServices, PathServers, PathShards and PathRouters answer lists of the
+	// state's types of these names by GET.
 	PathServices = "/v1/services"
 	PathServers  = "/v1/servers"
 	// PathShards takes the query parameter "service".
 	PathShards  = "/v1/shards"
 	PathRouters = "/v1/routers"
+	// PathMembers answers a list of consensus.Member by GET.
 	PathMembers = "/v1/members"
 	// PathStatus answers Status on every replica, leader or not.
 	PathStatus = "/v1/status"
