--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,138 @@
+package cli
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// Runners run the roles of a process until their context ends.
+type Runners struct {
+	Controller func(context.Context, config.Controller, *logrus.Entry) error
+	Router     func(context.Context, config.Router, *logrus.Entry) error
+}
+
+// overrideFlag is a flag that takes the place of a field of the settings file.
+type overrideFlag struct {
+	flag  string
+	field string
+	help  string
+}
+
+var (
+	overrideName        = overrideFlag{"name", "name", "name of this process"}
+	overrideZone        = overrideFlag{"zone", "zone", "zone that the machine stands in"}
+	overrideData        = overrideFlag{"data-directory", "data_directory", "folder of the replica's state"}
+	overrideAddress     = overrideFlag{"address", "address", "IP:port for callers"}
+	overridePeer        = overrideFlag{"peer-address", "peer_address", "IP:port for other processes of the system"}
+	overrideAPI         = overrideFlag{"api-address", "api_address", "IP:port of the intent API"}
+	overrideAdmin       = overrideFlag{"admin-address", "admin_address", "IP:port of the health checks and the metrics"}
+	overrideControllers = overrideFlag{"controllers", "controllers", "peer addresses of the controllers, with commas between them"}
+)
+
+func newControllerCommand(program *program) *cobra.Command {
+	flags := []overrideFlag{overrideName, overrideZone, overrideData, overridePeer, overrideAPI}
+	return newRoleCommand("controller", "Run one replica of the controllers", flags,
+		func(ctx context.Context, path string, overrides []config.Override) error {
+			settings, err := config.LoadController(path, overrides...)
+			if err != nil {
+				return err
+			}
+			log := telemetry.New(string(config.RoleController), settings.Name, settings.Log.Level, program.streams.Err)
+			return supervise(ctx, log, func(ctx context.Context) error {
+				return program.runners.Controller(ctx, settings, log)
+			})
+		})
+}
+
+func newRouterCommand(program *program) *cobra.Command {
+	flags := []overrideFlag{overrideName, overrideZone, overrideAddress, overridePeer, overrideAdmin, overrideControllers}
+	return newRoleCommand("router", "Run a router", flags,
+		func(ctx context.Context, path string, overrides []config.Override) error {
+			settings, err := config.LoadRouter(path, overrides...)
+			if err != nil {
+				return err
+			}
+			log := telemetry.New(string(config.RoleRouter), settings.Name, settings.Log.Level, program.streams.Err)
+			return supervise(ctx, log, func(ctx context.Context) error {
+				return program.runners.Router(ctx, settings, log)
+			})
+		})
+}
+
+type roleRunner func(ctx context.Context, path string, overrides []config.Override) error
+
+func newRoleCommand(use, short string, flags []overrideFlag, run roleRunner) *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   use + " --config FILE",
+		Short: short,
+		Long: short + ".\n\nLog lines go to the standard error stream. SIGTERM and SIGINT begin a graceful\n" +
+			"stop; a second signal ends the process at once.",
+		Args: exactly(),
+		RunE: func(command *cobra.Command, _ []string) error {
+			if path == "" {
+				return usage(command, "the flag --config is missing")
+			}
+			return run(command.Context(), path, overridesOf(command.Flags(), flags))
+		},
+	}
+	command.Flags().StringVarP(&path, "config", "c", "", "settings file")
+	for _, flag := range flags {
+		command.Flags().String(flag.flag, "", flag.help+"; overrides the settings file")
+	}
+	return command
+}
+
+func overridesOf(set *pflag.FlagSet, flags []overrideFlag) []config.Override {
+	var overrides []config.Override
+	for _, flag := range flags {
+		given := set.Lookup(flag.flag)
+		if given.Changed {
+			overrides = append(overrides, config.Override{Field: flag.field, Flag: "--" + flag.flag, Value: given.Value.String()})
+		}
+	}
+	return overrides
+}
+
+// supervise runs a role until a signal asks it to stop. After the first signal
+// the default action is back in place, so that a second one ends the process.
+func supervise(ctx context.Context, log *logrus.Entry, run func(context.Context) error) error {
+	ctx, restore := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer restore()
+	telemetry.With(log, telemetry.EventStarted).Info("started")
+	finished := make(chan struct{})
+	var watcher conc.WaitGroup
+	watcher.Go(func() { watchStop(ctx, finished, restore, log) })
+	err := run(ctx)
+	close(finished)
+	watcher.Wait()
+	if err != nil {
+		telemetry.WithError(log, telemetry.EventFailed, err).Error("the process ends")
+		return err
+	}
+	telemetry.With(log, telemetry.EventStopped).Info("stopped")
+	return nil
+}
+
+// watchStop waits for the stop of the role and tells of it, unless the role
+// ends by itself before.
+func watchStop(ctx context.Context, finished <-chan struct{}, restore func(), log *logrus.Entry) {
+	select {
+	case <-ctx.Done():
+	case <-finished:
+		if ctx.Err() == nil {
+			return
+		}
+	}
+	restore()
+	telemetry.With(log, telemetry.EventStopping).Info("stopping; a second signal ends the process at once")
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,146 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+	"github.com/spf13/cobra"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/intentapi"
+)
+
+// replicaStatus is what one endpoint answered.
+type replicaStatus struct {
+	Endpoint string            `json:"endpoint"`
+	Status   *intentapi.Status `json:"status,omitempty"`
+	Error    string            `json:"error,omitempty"`
+}
+
+// clusterStatus is the output of status.
+type clusterStatus struct {
+	Replicas []replicaStatus `json:"replicas"`
+	// Cluster is the answer that a quorum confirmed; nil if there is none.
+	Cluster *intentapi.Status `json:"cluster,omitempty"`
+}
+
+func newStatusCommand(program *program) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show the replicas, and what is in force",
+		Long: "Show the replicas, and what is in force.\n\nThe exit code is 5 if no answer is confirmed by a quorum; what the\n" +
+			"replicas say by themselves is shown then, and may be old.",
+		Args: exactly(),
+		RunE: func(command *cobra.Command, _ []string) error {
+			return program.withClient(command, program.status)
+		},
+	}
+	program.addClientFlags(command)
+	return command
+}
+
+func (p *program) status(ctx context.Context, client *intentapi.Client) error {
+	endpoints, err := p.client.addresses()
+	if err != nil {
+		return err
+	}
+	found := clusterStatus{Replicas: askEach(ctx, client, endpoints)}
+	found.Cluster = newestCurrent(found.Replicas)
+	if found.Cluster == nil {
+		found.Replicas = append(found.Replicas, askLeader(ctx, client, found.Replicas)...)
+		found.Cluster = newestCurrent(found.Replicas)
+	}
+	tables := []*table{replicaTable(found.Replicas)}
+	if found.Cluster != nil {
+		tables = append(tables, serviceStatusTable(found.Cluster), serverStatusTable(found.Cluster), routerStatusTable(found.Cluster))
+	}
+	if err := p.print(found, tables...); err != nil {
+		return err
+	}
+	if found.Cluster == nil {
+		return fault.New(fault.Unavailable, "no replica gave an answer that a quorum confirmed; check that a majority of the controllers runs")
+	}
+	return nil
+}
+
+func askEach(ctx context.Context, client *intentapi.Client, endpoints []string) []replicaStatus {
+	return iter.Map(endpoints, func(endpoint *string) replicaStatus {
+		status, err := client.Status(ctx, *endpoint)
+		if err != nil {
+			return replicaStatus{Endpoint: *endpoint, Error: err.Error()}
+		}
+		return replicaStatus{Endpoint: *endpoint, Status: &status}
+	})
+}
+
+// askLeader asks the leader that a replica names, unless it was asked before.
+func askLeader(ctx context.Context, client *intentapi.Client, asked []replicaStatus) []replicaStatus {
+	known := map[string]bool{}
+	for _, replica := range asked {
+		known[replica.Endpoint] = true
+	}
+	for _, replica := range asked {
+		if replica.Status != nil && replica.Status.LeaderAPI != "" && !known[replica.Status.LeaderAPI] {
+			return askEach(ctx, client, []string{replica.Status.LeaderAPI})
+		}
+	}
+	return nil
+}
+
+// newestCurrent returns the confirmed answer of the highest term and revision.
+func newestCurrent(replicas []replicaStatus) *intentapi.Status {
+	var newest *intentapi.Status
+	for _, replica := range replicas {
+		status := replica.Status
+		if status == nil || !status.Current {
+			continue
+		}
+		if newest == nil || status.Term > newest.Term || (status.Term == newest.Term && status.Revision > newest.Revision) {
+			newest = status
+		}
+	}
+	return newest
+}
+
+func replicaTable(replicas []replicaStatus) *table {
+	rows := newTable("ENDPOINT", "REPLICA", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "REVISION", "CURRENT", "ERROR")
+	for _, replica := range replicas {
+		status := replica.Status
+		if status == nil {
+			rows.add(replica.Endpoint, "", "", "", "", "", "", "", "", replica.Error)
+			continue
+		}
+		rows.add(replica.Endpoint, status.Replica, status.Role, fmt.Sprint(status.Term), status.LeaderName, fmt.Sprint(status.Commit),
+			fmt.Sprint(status.Applied), fmt.Sprint(status.Revision), yesNo(status.Current), "")
+	}
+	return rows
+}
+
+func serviceStatusTable(status *intentapi.Status) *table {
+	rows := newTable("SERVICE", "MODE", "KEYED", "SHARDS", "OWNED", "REVOKING", "UNOWNED")
+	for _, service := range status.Services {
+		rows.add(string(service.Name), string(service.Mode), yesNo(service.Keyed), fmt.Sprint(service.Shards),
+			fmt.Sprint(service.Owned), fmt.Sprint(service.Revoking), fmt.Sprint(service.Unowned))
+	}
+	return rows
+}
+
+func serverStatusTable(status *intentapi.Status) *table {
+	rows := newTable("SERVER", "SERVICE", "ADDRESS", "ZONE", "INTENT", "SESSION OPEN", "SHARDS", "IN FORCE")
+	for _, server := range status.Servers {
+		rows.add(string(server.ID), string(server.Service), server.Address, server.Zone, string(server.Intent),
+			yesNo(server.Open), fmt.Sprint(server.Shards), yesNo(server.InForce))
+	}
+	return rows
+}
+
+func routerStatusTable(status *intentapi.Status) *table {
+	rows := newTable("ROUTER", "ADDRESS", "ZONE", "SESSION OPEN", "REVISION", "LAG", "IN FORCE")
+	for _, router := range status.Routers {
+		lag := time.Duration(router.LagMs) * time.Millisecond
+		rows.add(string(router.ID), router.Address, router.Zone, yesNo(router.Open), fmt.Sprint(router.Revision), lag.String(), yesNo(router.InForce))
+	}
+	return rows
+}
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -21,7 +21,7 @@
 	PeerAddress      string           `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other controllers and routers."`
 	APIAddress       string           `koanf:"api_address" validate:"address" doc:"IP:port of the intent API, the health checks and the metrics."`
 	AllowNonLoopback bool             `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
-	Controllers      []ControllerPeer `koanf:"controllers" validate:"required,max=7,dive" doc:"The configured group, this replica included: 1, 3 or 5 entries."`
+	Controllers      []ControllerPeer `koanf:"controllers" validate:"required,max=5,dive" doc:"The configured group, this replica included: 1, 3 or 5 entries."`
 	Consensus        Consensus        `koanf:"consensus" doc:"Replicated log."`
 	Lease            Lease            `koanf:"lease" doc:"Leases of the servers."`
 	Platform         Platform         `koanf:"platform" doc:"The platform's list of machines."`
--- a/internal/config/cross.go
+++ b/internal/config/cross.go
@@ -76,8 +76,6 @@
 	count := len(settings.Controllers)
 	if count > 0 && count%2 == 0 {
 		r.add("controllers", fmt.Sprint(count), "an even number of controllers tolerates no more losses than one fewer", "use 1, 3 or 5 controllers")
-	} else if count > 5 {
-		r.add("controllers", fmt.Sprint(count), "there are too many controllers", "use 1, 3 or 5 controllers")
 	}
 	addresses := newClashes(r)
 	names := newClashes(r)
