--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -268,6 +268,13 @@
 	}
 }
 
+func TestUnknownCommandSuggestion(t *testing.T) {
+	want := "error: unknown command \"rebalanse\", did you mean rebalance?; see thorntiller plan --help\n"
+	if _, _, errors := run(t, "", "plan", "rebalanse"); errors != want {
+		t.Errorf("errors %s", errors)
+	}
+}
+
 func TestConfigCheck(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "router.yaml")
 	if err := os.WriteFile(path, []byte(routerFile), 0o600); err != nil {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"os/user"
 	"strings"
 	"time"
 
@@ -91,14 +92,17 @@
 
 // operatorOf returns the operator's name for the record of plans.
 func operatorOf(flag string) (string, error) {
-	for _, name := range []string{flag, os.Getenv(environmentOperator), os.Getenv("USER")} {
+	for _, name := range []string{flag, os.Getenv(environmentOperator)} {
 		if name != "" {
 			return name, nil
 		}
 	}
-	return "", &usageError{cause: errors.New("the operator's name is missing; give --operator or set " + environmentOperator)}
+	if account, err := user.Current(); err == nil && account.Username != "" {
+		return account.Username, nil
+	}
+	return "", &usageError{cause: errors.New("the operator's name is missing and this account has none; give --operator or set " + environmentOperator)}
 }
 
 func addOperatorFlag(command *cobra.Command, operator *string) {
-	command.PersistentFlags().StringVar(operator, "operator", "", "your name, kept with the plan (default $"+environmentOperator+", else $USER)")
+	command.PersistentFlags().StringVar(operator, "operator", "", "your name, kept with the plan (default $"+environmentOperator+", else your account)")
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -9,6 +9,10 @@
 	"github.com/spf13/cobra"
 )
 
+// suggestionDistance is the largest edit distance of a command's name that is
+// suggested in place of an unknown one.
+const suggestionDistance = 2
+
 // Streams are the standard streams of the program.
 type Streams struct {
 	In  io.Reader
@@ -42,11 +46,15 @@
 		Short:         "Router for servers that own keys exclusively",
 		SilenceErrors: true,
 		SilenceUsage:  true,
-		Args:          exactly(),
-		RunE: func(command *cobra.Command, _ []string) error {
+		Args:          cobra.ArbitraryArgs,
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if len(arguments) > 0 {
+				return unknownCommand(command, arguments[0])
+			}
 			return command.Help()
 		},
 	}
+	root.SuggestionsMinimumDistance = suggestionDistance
 	root.SetIn(program.streams.In)
 	root.SetOut(program.streams.Out)
 	root.SetErr(program.streams.Err)
@@ -89,15 +97,24 @@
 		Args:  cobra.ArbitraryArgs,
 		RunE: func(command *cobra.Command, arguments []string) error {
 			if len(arguments) > 0 {
-				return usage(command, fmt.Sprintf("unknown command %q", arguments[0]))
+				return unknownCommand(command, arguments[0])
 			}
 			return usage(command, "a command is missing")
 		},
 	}
+	parent.SuggestionsMinimumDistance = suggestionDistance
 	parent.AddCommand(commands...)
 	return parent
 }
 
+func unknownCommand(command *cobra.Command, name string) error {
+	message := fmt.Sprintf("unknown command %q", name)
+	if near := command.SuggestionsFor(name); len(near) > 0 {
+		message += fmt.Sprintf(", did you mean %s?", near[0])
+	}
+	return usage(command, message)
+}
+
 func usage(command *cobra.Command, message string) error {
 	return &usageError{cause: errors.New(message + "; see " + command.CommandPath() + " --help")}
 }
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"reflect"
 	"sort"
@@ -119,7 +120,12 @@
 func (r *report) parse() ast.Node {
 	content, err := readBounded(r.file)
 	if err != nil {
-		r.problems = append(r.problems, Problem{File: r.file, Message: err.Error(), Remedy: "give the path of a readable settings file"})
+		var failed *fs.PathError
+		if errors.As(err, &failed) {
+			// The problem names the file already.
+			err = failed.Err
+		}
+		r.problems = append(r.problems, Problem{File: r.file, Message: "cannot be read: " + err.Error(), Remedy: "give the path of a readable settings file"})
 		return nil
 	}
 	file, err := parser.ParseBytes(content, 0)
