--- /dev/null
+++ b/internal/controller/access.go
@@ -0,0 +1,64 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// Propose appends a command to the log and waits until it is applied. Errors
+// are of the kinds not_leader and queue_full, which prove that the command will
+// not be applied, unavailable, which leaves it open, and those of the command.
+func (r *replica) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	request := proposal{command: command, done: make(chan outcome, 1)}
+	select {
+	case r.proposals <- request:
+	case <-ctx.Done():
+		return state.Result{}, fault.New(fault.QueueFull, "the controller is busy: ask again")
+	}
+	select {
+	case end := <-request.done:
+		return end.result, end.err
+	case <-ctx.Done():
+		return state.Result{}, fault.New(fault.Unavailable, "no quorum acknowledged the change in time: ask again with the same identifier")
+	}
+}
+
+// ReadRevision returns the table revision after a quorum confirmed, in a round
+// that began after the call, that no newer one was acknowledged before it.
+func (r *replica) ReadRevision(ctx context.Context) (state.Revision, error) {
+	request := read{done: make(chan state.Revision, 1)}
+	select {
+	case r.reads <- request:
+	case <-ctx.Done():
+		return 0, fault.New(fault.Unavailable, "the controller is busy: ask again")
+	}
+	select {
+	case revision := <-request.done:
+		return revision, nil
+	case <-ctx.Done():
+		return 0, fault.New(fault.Unavailable, "no quorum confirmed the read in time: ask again")
+	}
+}
+
+// tablePosition returns the revision and digest of the routing table.
+func (r *replica) tablePosition() (state.Revision, uint64) {
+	r.stateLock.RLock()
+	defer r.stateLock.RUnlock()
+	return r.state.Revision(), r.state.Digest()
+}
+
+// table returns the whole routing table at one revision.
+func (r *replica) table() ([]state.Object, state.Revision, uint64) {
+	r.stateLock.RLock()
+	defer r.stateLock.RUnlock()
+	return r.state.Objects(), r.state.Revision(), r.state.Digest()
+}
+
+// view calls read with the state, which read must not keep.
+func (r *replica) view(read func(*state.State)) {
+	r.stateLock.RLock()
+	defer r.stateLock.RUnlock()
+	read(r.state)
+}
--- /dev/null
+++ b/internal/controller/api.go
@@ -0,0 +1,214 @@
+package controller
+
+import (
+	"context"
+	"net"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/planner"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// api serves the intent API, the health checks and the metrics.
+type api struct {
+	settings config.API
+	replica  *replica
+	app      *fiber.App
+}
+
+func newAPI(settings config.API, r *replica, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
+	service := &api{settings: settings, replica: r}
+	service.app = fiber.New(fiber.Config{
+		BodyLimit:    settings.BodyLimit,
+		Concurrency:  settings.MaxConnections,
+		ReadTimeout:  settings.RequestTimeout,
+		WriteTimeout: settings.RequestTimeout,
+		IdleTimeout:  12 * settings.RequestTimeout,
+		ErrorHandler: service.answerError,
+	})
+	service.routes()
+	service.app.Get(intentapi.PathLive, telemetry.LiveHandler())
+	service.app.Get(intentapi.PathReady, telemetry.ReadyHandler(ready))
+	service.app.Get(intentapi.PathMetrics, telemetry.MetricsHandler(metrics))
+	return service
+}
+
+func (a *api) routes() {
+	a.app.Post(intentapi.PathPlans, a.plan)
+	a.app.Get(intentapi.PathPlans, a.plans)
+	a.app.Get(intentapi.PathPlan, a.getPlan)
+	a.app.Post(intentapi.PathConfirm, a.confirm)
+	a.app.Get(intentapi.PathServices, a.services)
+	a.app.Get(intentapi.PathServers, a.servers)
+	a.app.Get(intentapi.PathShards, a.shards)
+	a.app.Get(intentapi.PathRouters, a.routers)
+	a.app.Get(intentapi.PathMembers, a.members)
+	a.app.Get(intentapi.PathStatus, a.status)
+	a.app.Post(intentapi.PathTransfer, a.transfer)
+}
+
+func (a *api) serve(listener net.Listener) error {
+	return a.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+func (a *api) stop(ctx context.Context) error {
+	return a.app.ShutdownWithContext(ctx)
+}
+
+// answerError maps an error to its row of the table of kinds.
+func (a *api) answerError(call fiber.Ctx, err error) error {
+	var framework *fiber.Error
+	if errorAs(err, &framework) {
+		err = kindOfStatus(framework)
+	}
+	body := intentapi.ErrorBody{Kind: fault.KindOf(err), Detail: err.Error()}
+	answer := fault.AnswerFor(body.Kind)
+	body.Outcome = answer.Outcome
+	if body.Kind == fault.NotLeader {
+		if leader, known := a.replica.leader(); known {
+			body.Leader = leader.APIAddress
+		}
+	}
+	setRetryAfter(call, answer)
+	return call.Status(answer.Status).JSON(body)
+}
+
+func kindOfStatus(framework *fiber.Error) error {
+	switch framework.Code {
+	case fiber.StatusNotFound, fiber.StatusMethodNotAllowed:
+		return fault.Newf(fault.NotFound, "no such path or method: %s", framework.Message)
+	case fiber.StatusRequestEntityTooLarge:
+		return fault.New(fault.InvalidArgument, "body: too large: split the intent")
+	default:
+		return fault.New(fault.InvalidArgument, framework.Message)
+	}
+}
+
+func (a *api) context(call fiber.Ctx) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(call.Context(), a.settings.RequestTimeout)
+}
+
+// requireCurrent makes sure that this replica leads and that a quorum agrees.
+func (a *api) requireCurrent(ctx context.Context) error {
+	if _, leads := a.replica.leadershipContext(); !leads {
+		return fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
+	}
+	_, err := a.replica.ReadRevision(ctx)
+	return err
+}
+
+func (a *api) plan(call fiber.Ctx) error {
+	ctx, cancel := a.context(call)
+	defer cancel()
+	var intent state.Intent
+	if err := decodeStrictly(call.Body(), &intent); err != nil {
+		return err
+	}
+	if err := a.requireCurrent(ctx); err != nil {
+		return err
+	}
+	if known, found := a.storedPlan(state.PlanID(intent.ID)); found {
+		return a.storePlan(ctx, call, state.Plan{ID: known.ID, Intent: intent})
+	}
+	var built state.Plan
+	var err error
+	a.replica.view(func(view *state.State) { built, err = planner.Build(view, intent) })
+	if err != nil {
+		return err
+	}
+	return a.storePlan(ctx, call, built)
+}
+
+// storePlan commits a plan. For a resent intent the answer is the first plan,
+// and a conflict if the content differs.
+func (a *api) storePlan(ctx context.Context, call fiber.Ctx, plan state.Plan) error {
+	result, err := a.replica.Propose(ctx, state.Command{StorePlan: &state.StorePlan{Plan: plan}})
+	if err != nil {
+		return err
+	}
+	return call.JSON(result.Plan)
+}
+
+func (a *api) storedPlan(id state.PlanID) (state.Plan, bool) {
+	var plan state.Plan
+	var found bool
+	a.replica.view(func(view *state.State) { plan, found = view.Plan(id) })
+	return plan, found
+}
+
+func (a *api) confirm(call fiber.Ctx) error {
+	ctx, cancel := a.context(call)
+	defer cancel()
+	var request intentapi.ConfirmRequest
+	if err := decodeStrictly(call.Body(), &request); err != nil {
+		return err
+	}
+	result, err := a.replica.Propose(ctx, state.Command{ConfirmPlan: &state.ConfirmPlan{
+		Plan: state.PlanID(call.Params("id")), Digest: request.Digest, Operator: request.Operator,
+	}})
+	if err != nil {
+		return err
+	}
+	return call.JSON(result.Plan)
+}
+
+func (a *api) getPlan(call fiber.Ctx) error {
+	return a.readCurrent(call, func(view *state.State) error {
+		plan, found := view.Plan(state.PlanID(call.Params("id")))
+		if !found {
+			return fault.Newf(fault.NotFound, "no plan %q: list them with get plans", call.Params("id"))
+		}
+		return call.JSON(plan)
+	})
+}
+
+// readCurrent answers from a state that a quorum confirmed as current.
+func (a *api) readCurrent(call fiber.Ctx, read func(*state.State) error) error {
+	ctx, cancel := a.context(call)
+	defer cancel()
+	if err := a.requireCurrent(ctx); err != nil {
+		return err
+	}
+	var err error
+	a.replica.view(func(view *state.State) { err = read(view) })
+	return err
+}
+
+func (a *api) plans(call fiber.Ctx) error {
+	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Plans()) })
+}
+
+func (a *api) services(call fiber.Ctx) error {
+	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Services()) })
+}
+
+func (a *api) servers(call fiber.Ctx) error {
+	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Servers()) })
+}
+
+func (a *api) shards(call fiber.Ctx) error {
+	return a.readCurrent(call, func(view *state.State) error {
+		service := state.ServiceName(call.Query("service"))
+		if _, found := view.Service(service); !found {
+			return fault.Newf(fault.NotFound, "service: no service %q: list them with get services", service)
+		}
+		return call.JSON(view.ShardsOf(service))
+	})
+}
+
+func (a *api) transfer(call fiber.Ctx) error {
+	ctx, cancel := a.context(call)
+	defer cancel()
+	if _, leads := a.replica.leadershipContext(); !leads {
+		return fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
+	}
+	if err := a.replica.Transfer(ctx); err != nil {
+		return fault.Newf(fault.Conflict, "leadership stays here: %v", err)
+	}
+	return call.JSON(a.replica.describe(false))
+}
--- /dev/null
+++ b/internal/controller/formation.go
@@ -0,0 +1,220 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/identity"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+const (
+	formationInterval = 200 * time.Millisecond
+	formationTimeout  = 500 * time.Millisecond
+)
+
+// formation brings a replica without a group into one.
+//
+// A new group forms only when every configured controller answers and none
+// belongs to a group; the first by name then writes the founders to disk, and
+// the others take them from it. If any controller belongs to a group already,
+// this replica joins that group: as a founder if its identifier is among the
+// founders, else as a new replica under its new identifier. A replica whose
+// disk was lost thus never acts under the identity that it had.
+type formation struct {
+	settings config.Controller
+	log      *logrus.Entry
+	save     func(identity.Identity) error
+
+	mutex  sync.Mutex
+	self   consensus.Member
+	known  identity.Identity
+	status func() (current []consensus.Member, leader string)
+	join   func(consensus.Member)
+}
+
+func (f *formation) identity() identity.Identity {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.known
+}
+
+// attach lets answers tell of the running replica.
+func (f *formation) attach(status func() ([]consensus.Member, string), join func(consensus.Member)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.status = status
+	f.join = join
+}
+
+// run asks the other controllers until this replica belongs to a group.
+func (f *formation) run(ctx context.Context) error {
+	ticker := time.NewTicker(formationInterval)
+	defer ticker.Stop()
+	for f.identity().Cluster == "" {
+		if err := f.attempt(ctx); err != nil {
+			return err
+		}
+		if f.identity().Cluster != "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (f *formation) attempt(ctx context.Context) error {
+	answers, everyone := f.askAll(ctx)
+	for _, answer := range answers {
+		if answer.Cluster != "" {
+			return f.adopt(answer)
+		}
+	}
+	if !everyone || !f.isFirst() {
+		return nil
+	}
+	return f.found(answers)
+}
+
+// adopt takes over a group that another controller belongs to.
+func (f *formation) adopt(answer message.FormationAnswer) error {
+	joined := f.identity()
+	joined.Cluster = answer.Cluster
+	if slices.ContainsFunc(answer.Founders, func(founder consensus.Member) bool { return founder.ID == f.self.ID }) {
+		joined.Founders = answer.Founders
+	}
+	if err := f.set(joined); err != nil {
+		return err
+	}
+	telemetry.With(f.log, telemetry.EventGroupJoined).WithField("cluster", answer.Cluster).
+		WithField("founder", len(joined.Founders) > 0).Info("joined a group")
+	return nil
+}
+
+func (f *formation) isFirst() bool {
+	return !slices.ContainsFunc(f.settings.Controllers, func(peer config.ControllerPeer) bool {
+		return peer.Name < f.settings.Name
+	})
+}
+
+func (f *formation) found(answers []message.FormationAnswer) error {
+	formed := f.identity()
+	formed.Cluster = message.ClusterID(uuid.NewString())
+	formed.Founders = []consensus.Member{f.self}
+	for _, answer := range answers {
+		formed.Founders = append(formed.Founders, answer.Member)
+	}
+	slices.SortFunc(formed.Founders, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
+	if err := f.set(formed); err != nil {
+		return err
+	}
+	telemetry.With(f.log, telemetry.EventGroupFormed).WithField("cluster", formed.Cluster).Info("formed a new group")
+	return nil
+}
+
+// set makes the identity durable before it is told to anyone.
+func (f *formation) set(next identity.Identity) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if err := f.save(next); err != nil {
+		return err
+	}
+	f.known = next
+	return nil
+}
+
+// askAll asks every other configured controller, and reports whether each one
+// answered.
+func (f *formation) askAll(ctx context.Context) ([]message.FormationAnswer, bool) {
+	var group conc.WaitGroup
+	var mutex sync.Mutex
+	var answers []message.FormationAnswer
+	others := 0
+	for _, peer := range f.settings.Controllers {
+		if peer.Name == f.settings.Name {
+			continue
+		}
+		others++
+		group.Go(func() {
+			answer, err := f.ask(ctx, peer.PeerAddress)
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers = append(answers, answer)
+		})
+	}
+	group.Wait()
+	return answers, len(answers) == others
+}
+
+func (f *formation) ask(ctx context.Context, address string) (message.FormationAnswer, error) {
+	var answer message.FormationAnswer
+	ctx, cancel := context.WithTimeout(ctx, formationTimeout)
+	defer cancel()
+	connection, err := wire.Dial(ctx, address, wire.Options{IdleTimeout: formationTimeout, WriteTimeout: formationTimeout})
+	if err != nil {
+		return answer, err
+	}
+	defer connection.Close()
+	if err := connection.Send(ctx, &message.Hello{Purpose: message.PurposeFormation, From: f.settings.Name}); err != nil {
+		return answer, err
+	}
+	if err := connection.Send(ctx, &message.FormationRequest{Member: f.self, Cluster: f.identity().Cluster}); err != nil {
+		return answer, err
+	}
+	err = connection.Receive(&answer)
+	return answer, err
+}
+
+// serve answers one formation request.
+func (f *formation) serve(ctx context.Context, connection *wire.Conn) error {
+	var request message.FormationRequest
+	if err := connection.Receive(&request); err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	answer := message.FormationAnswer{Member: f.self, Cluster: f.known.Cluster, Founders: f.known.Founders}
+	status, join := f.status, f.join
+	f.mutex.Unlock()
+	if status != nil {
+		answer.Current, answer.Leader = status()
+	}
+	if join != nil && request.Cluster != "" && request.Cluster == answer.Cluster {
+		join(request.Member)
+	}
+	return connection.Send(ctx, &answer)
+}
+
+// keepJoining asks to be taken into the group for as long as this replica is
+// not one of its voters.
+func (f *formation) keepJoining(ctx context.Context, isVoter func() bool) {
+	ticker := time.NewTicker(formationInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !isVoter() {
+				f.askAll(ctx)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/leading.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+func (r *replica) startLeading(status consensus.Status) {
+	r.leading = true
+	r.coordinator.Lead(r.clock.Now(), status.Term, r.state)
+	r.leadershipLock.Lock()
+	r.leadership, r.endLeadership = context.WithCancel(context.Background())
+	r.leadershipLock.Unlock()
+	telemetry.With(r.log, telemetry.EventLeaderElected).WithField("term", status.Term).Info("this replica leads")
+}
+
+func (r *replica) stopLeading() {
+	if !r.leading {
+		return
+	}
+	r.leading = false
+	r.coordinator.Follow()
+	r.pending.drop(r.finish)
+	r.joining.pending = make(map[consensus.ReplicaID]consensus.Member)
+	r.leadershipLock.Lock()
+	r.endLeadership()
+	r.leadershipLock.Unlock()
+	telemetry.With(r.log, telemetry.EventLeaderLost).Warn("this replica leads no longer")
+}
+
+// leadershipContext returns a context that ends when this replica stops
+// leading, or false while it does not lead.
+func (r *replica) leadershipContext() (context.Context, bool) {
+	if !r.published.Load().leading {
+		return nil, false
+	}
+	r.leadershipLock.Lock()
+	defer r.leadershipLock.Unlock()
+	return r.leadership, r.leadership != nil && r.leadership.Err() == nil
+}
+
+// leader returns the member that leads, as far as this replica knows.
+func (r *replica) leader() (consensus.Member, bool) {
+	status := r.published.Load().status
+	return memberByID(status.Membership, status.Leader)
+}
+
+func memberByID(membership consensus.Membership, id consensus.ReplicaID) (consensus.Member, bool) {
+	for _, member := range membership.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return consensus.Member{}, false
+}
+
+// transferLeadership asks the voter with the longest log to take over.
+func (r *replica) transferLeadership() error {
+	status := r.core.Status()
+	var best consensus.Progress
+	for _, progress := range status.Progress {
+		if progress.ID == r.self.ID || progress.Learner || !progress.RecentActive {
+			continue
+		}
+		if best.ID == 0 || progress.Match > best.Match {
+			best = progress
+		}
+	}
+	if best.ID == 0 {
+		return errNoSuccessor
+	}
+	return r.core.TransferLeadership(best.ID)
+}
--- /dev/null
+++ b/internal/controller/logging.go
@@ -0,0 +1,48 @@
+package controller
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// logResult writes one line for each command that an operator would ask about.
+func logResult(log *logrus.Entry, index uint64, command state.Command, result state.Result) {
+	log = log.WithField("revision", index)
+	switch {
+	case command.StorePlan != nil:
+		plan := command.StorePlan.Plan
+		telemetry.With(log, planEvent(result, telemetry.EventPlanStored)).WithField("plan", plan.ID).
+			WithField("intent", plan.Intent.Kind).WithField("operator", plan.Intent.Operator).Info("plan")
+	case command.ConfirmPlan != nil:
+		telemetry.With(log, planEvent(result, telemetry.EventPlanConfirmed)).WithField("plan", command.ConfirmPlan.Plan).
+			WithField("operator", command.ConfirmPlan.Operator).Info("confirmation")
+	case result.Err != nil:
+		log.WithField("detail", result.Err.Error()).Debug("command refused")
+	case command.OpenSession != nil:
+		telemetry.With(log, telemetry.EventSessionOpened).WithField("server", command.OpenSession.Server).Info("session opened")
+	case command.CloseSession != nil:
+		telemetry.With(log, telemetry.EventSessionClosed).WithField("server", command.CloseSession.Server).
+			WithField("shards", len(result.Changed)-1).Warn("session closed")
+	case command.RevokeShards != nil:
+		telemetry.With(log, telemetry.EventShardRevoked).WithField("shards", len(result.Changed)).Info("shards revoked")
+	case command.ReleaseShards != nil:
+		telemetry.With(log, telemetry.EventShardReleased).WithField("server", command.ReleaseShards.Server).
+			WithField("shards", len(result.Changed)).Info("shards released")
+	case command.AssignShards != nil:
+		telemetry.With(log, telemetry.EventShardAssigned).WithField("shards", len(result.Changed)).Info("shards assigned")
+	case command.SetLeaving != nil:
+		telemetry.With(log, telemetry.EventServerLeaving).WithField("server", command.SetLeaving.Server).
+			WithField("leaving", command.SetLeaving.Leaving).Info("platform list")
+	case command.RetireServerDone != nil:
+		telemetry.With(log, telemetry.EventServerRetired).WithField("server", command.RetireServerDone.Server).Info("server retired")
+	}
+}
+
+func planEvent(result state.Result, accepted telemetry.Event) telemetry.Event {
+	if result.Err != nil {
+		return telemetry.EventPlanRefused
+	}
+	return accepted
+}
--- /dev/null
+++ b/internal/controller/platform.go
@@ -0,0 +1,101 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/platformapi"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// platformPoller reads the platform's list of machines while this replica
+// leads, and records which servers are leaving. The list lags, so it never
+// counts as proof that a server stopped; only an ended lease does.
+type platformPoller struct {
+	settings config.Platform
+	replica  *replica
+	client   *fasthttp.Client
+}
+
+func newPlatformPoller(settings config.Platform, r *replica) *platformPoller {
+	return &platformPoller{settings: settings, replica: r, client: &fasthttp.Client{
+		ReadTimeout:         settings.RequestTimeout,
+		WriteTimeout:        settings.RequestTimeout,
+		MaxResponseBodySize: settings.MaxAnswerBytes,
+	}}
+}
+
+func (p *platformPoller) run(ctx context.Context) {
+	if p.settings.URL == "" {
+		return
+	}
+	ticker := time.NewTicker(p.settings.PollInterval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, leads := p.replica.leadershipContext(); !leads {
+			continue
+		}
+		err := p.poll(ctx)
+		if err != nil && !failing {
+			telemetry.WithError(p.replica.log, telemetry.EventPlatformFailed, err).Warn("platform list not read")
+		}
+		failing = err != nil
+	}
+}
+
+func (p *platformPoller) poll(ctx context.Context) error {
+	machines, err := p.fetch()
+	if err != nil {
+		return err
+	}
+	for _, change := range p.changes(machines) {
+		command := state.Command{SetLeaving: &change}
+		if _, err := p.replica.Propose(ctx, command); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *platformPoller) fetch() (platformapi.MachineList, error) {
+	status, body, err := p.client.GetTimeout(nil, p.settings.URL, p.settings.RequestTimeout)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the platform's list")
+	}
+	if status != fasthttp.StatusOK {
+		return nil, eris.Errorf("read the platform's list: status %d", status)
+	}
+	var machines platformapi.MachineList
+	if err := json.Unmarshal(body, &machines); err != nil {
+		return nil, eris.Wrap(err, "decode the platform's list")
+	}
+	return machines, nil
+}
+
+// changes compares the list with the servers that it names. A server that the
+// list does not name stays as it is: the list may lag behind its arrival.
+func (p *platformPoller) changes(machines platformapi.MachineList) []state.SetLeaving {
+	var changes []state.SetLeaving
+	p.replica.view(func(view *state.State) {
+		for _, machine := range machines {
+			server, found := view.Server(state.ServerID(machine.ID))
+			leaving := machine.State != platformapi.MachineLive
+			if found && server.Leaving != leaving {
+				changes = append(changes, state.SetLeaving{Server: server.ID, Leaving: leaving})
+			}
+		}
+	})
+	return changes
+}
--- /dev/null
+++ b/internal/controller/ready.go
@@ -0,0 +1,150 @@
+package controller
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// handleReady carries out what the core asks for, in the order that it
+// prescribes: nothing is sent or acknowledged before it is on stable storage.
+func (r *replica) handleReady() error {
+	for r.core.HasReady() {
+		ready := r.core.Ready()
+		if ready.Snapshot != nil {
+			if err := r.restore(*ready.Snapshot); err != nil {
+				return err
+			}
+		}
+		if err := r.storage.log.Save(ready.HardState, ready.Entries); err != nil {
+			return eris.Wrap(err, "save the log")
+		}
+		r.peers.send(ready.Messages)
+		if err := r.applyAll(ready.Committed); err != nil {
+			return err
+		}
+		r.core.Advance(ready)
+		r.confirmReads(ready.ReadStates)
+	}
+	r.rounds.finish(r.applied, r.state.Revision())
+	return r.takeSnapshot()
+}
+
+func (r *replica) confirmReads(confirmations []consensus.ReadState) {
+	for _, confirmation := range confirmations {
+		if confirmation.Context&coordinatorContext != 0 {
+			r.coordinator.RoundConfirmed(r.clock.Now(), confirmation.Context&^coordinatorContext)
+			continue
+		}
+		r.rounds.confirm(confirmation)
+	}
+	if len(confirmations) > 0 {
+		r.rounds.begin(r.clock.Now(), r.core.ReadIndex)
+	}
+}
+
+func (r *replica) applyAll(entries []consensus.Entry) error {
+	for _, entry := range entries {
+		if err := r.apply(entry); err != nil {
+			return err
+		}
+		r.applied = entry.Index
+		r.storage.applied(entry)
+	}
+	return nil
+}
+
+func (r *replica) apply(entry consensus.Entry) error {
+	if entry.Kind == consensus.EntryMembership || len(entry.Data) == 0 {
+		return nil
+	}
+	content, err := decodeEnvelope(entry.Data)
+	if err != nil {
+		return eris.Wrapf(err, "apply log entry %d", entry.Index)
+	}
+	result := r.applyCommand(entry.Index, content.Command)
+	r.coordinator.Changed(r.clock.Now(), result.Changed)
+	logResult(r.log, entry.Index, content.Command, result)
+	if content.Replica != r.self.ID {
+		return nil
+	}
+	waiting, found := r.pending.take(content.Sequence)
+	if !found {
+		return nil
+	}
+	if result.Err != nil {
+		r.finish(waiting, outcome{err: result.Err})
+		return nil
+	}
+	r.finish(waiting, outcome{result: result})
+	return nil
+}
+
+func (r *replica) applyCommand(index uint64, command state.Command) state.Result {
+	r.stateLock.Lock()
+	defer r.stateLock.Unlock()
+	previous := r.state.Revision()
+	result := r.state.Apply(index, command)
+	if len(result.Changed) > 0 {
+		r.history.add(message.TableDelta{
+			From: previous, To: r.state.Revision(), Objects: result.Changed, Digest: r.state.Digest(),
+		})
+	}
+	return result
+}
+
+// restore replaces the state by a snapshot that the leader sent.
+func (r *replica) restore(snapshot consensus.Snapshot) error {
+	restored, err := state.Decode(snapshot.Data)
+	if err != nil {
+		return eris.Wrap(err, "decode the leader's snapshot")
+	}
+	if err := r.storage.saveSnapshot(snapshot); err != nil {
+		return err
+	}
+	r.stateLock.Lock()
+	r.state = restored
+	r.stateLock.Unlock()
+	r.applied = snapshot.Metadata.Index
+	r.history.reset(restored.Revision())
+	telemetry.With(r.log, telemetry.EventSnapshotReceived).WithField("index", r.applied).Info("snapshot received")
+	return nil
+}
+
+// takeSnapshot saves the state and cuts the log once enough was applied.
+func (r *replica) takeSnapshot() error {
+	if !r.storage.snapshotDue(r.settings.Consensus) {
+		return nil
+	}
+	data, err := r.state.Encode()
+	if err != nil {
+		return err
+	}
+	snapshot := consensus.Snapshot{Data: data, Metadata: consensus.SnapshotMetadata{
+		Index: r.applied, Term: r.storage.appliedTerm, Membership: r.core.Status().Membership,
+	}}
+	if err := r.storage.saveSnapshot(snapshot); err != nil {
+		return err
+	}
+	if err := r.compact(); err != nil {
+		return err
+	}
+	telemetry.With(r.log, telemetry.EventSnapshotTaken).WithField("index", r.applied).Info("snapshot taken")
+	return nil
+}
+
+// compact drops the log up to the snapshot but for a tail that serves members
+// which are a little behind.
+func (r *replica) compact() error {
+	keep := uint64(r.settings.Consensus.SnapshotEntries)
+	if r.applied <= keep {
+		return nil
+	}
+	if err := r.core.Compact(r.applied - keep); err != nil {
+		return eris.Wrap(err, "compact the log")
+	}
+	return r.storage.log.Release(r.storage.snapshots.Oldest())
+}
--- /dev/null
+++ b/internal/controller/status.go
@@ -0,0 +1,132 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// statusTimeout bounds the wait for the quorum that makes a status current. A
+// replica that cannot reach one answers all the same, marked as not current.
+const statusTimeout = 300 * time.Millisecond
+
+func (a *api) status(call fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(call.Context(), statusTimeout)
+	defer cancel()
+	current := a.requireCurrent(ctx) == nil
+	return call.JSON(a.replica.describe(current))
+}
+
+func (a *api) routers(call fiber.Ctx) error {
+	return a.readCurrent(call, func(view *state.State) error {
+		return call.JSON(a.replica.routerStatuses(view))
+	})
+}
+
+func (a *api) members(call fiber.Ctx) error {
+	ctx, cancel := a.context(call)
+	defer cancel()
+	if err := a.requireCurrent(ctx); err != nil {
+		return err
+	}
+	return call.JSON(a.replica.published.Load().status.Membership.Members)
+}
+
+// describe returns the status of this replica and of what it knows.
+func (r *replica) describe(current bool) intentapi.Status {
+	known := r.published.Load()
+	status := intentapi.Status{
+		Cluster: string(r.cluster), Replica: r.self.Name, Role: roleName(known.status.Role),
+		Term: known.status.Term, Commit: known.status.Commit, Applied: known.status.Applied,
+		Members: known.status.Membership.Members, Current: current,
+	}
+	if leader, found := r.leader(); found {
+		status.LeaderName = leader.Name
+		status.LeaderAPI = leader.APIAddress
+	}
+	r.view(func(view *state.State) {
+		status.Revision = view.Revision()
+		status.Services = serviceStatuses(view)
+		status.Servers = serverStatuses(view, known.views)
+		status.Routers = r.routerStatuses(view)
+	})
+	return status
+}
+
+func roleName(role consensus.Role) string {
+	names := [...]string{"follower", "pre_candidate", "candidate", "leader", "learner"}
+	if int(role) < len(names) {
+		return names[role]
+	}
+	return "unknown"
+}
+
+func serviceStatuses(view *state.State) []intentapi.ServiceStatus {
+	statuses := make([]intentapi.ServiceStatus, 0)
+	for _, service := range view.Services() {
+		status := intentapi.ServiceStatus{Name: service.Name, Mode: service.Mode, Keyed: service.Keyed}
+		for _, shard := range view.ShardsOf(service.Name) {
+			countShard(&status, shard)
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func countShard(status *intentapi.ServiceStatus, shard state.Shard) {
+	status.Shards++
+	switch shard.Phase {
+	case state.ShardOwned:
+		status.Owned++
+	case state.ShardRevoking:
+		status.Revoking++
+	case state.ShardUnowned:
+		status.Unowned++
+	}
+}
+
+func serverStatuses(view *state.State, views []coordinator.ServerView) []intentapi.ServerStatus {
+	inForce := make(map[state.ServerID]bool, len(views))
+	for _, known := range views {
+		inForce[known.Server] = known.InForce
+	}
+	statuses := make([]intentapi.ServerStatus, 0)
+	for _, server := range view.Servers() {
+		statuses = append(statuses, intentapi.ServerStatus{
+			ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
+			Intent: server.Intent, Open: server.Session.Open,
+			Shards: view.OwnedCount(server.ID), InForce: inForce[server.ID],
+		})
+	}
+	return statuses
+}
+
+func (r *replica) routerStatuses(view *state.State) []intentapi.RouterStatus {
+	now := r.clock.Now()
+	statuses := make([]intentapi.RouterStatus, 0)
+	for _, known := range r.routers.list() {
+		statuses = append(statuses, intentapi.RouterStatus{
+			ID: known.router.ID, Address: known.router.Address, Zone: known.router.Zone, Open: true,
+			Revision: known.revision, LagMs: (now - known.confirmed).Milliseconds(),
+			InForce: known.revision >= view.Revision(),
+		})
+	}
+	return statuses
+}
+
+// Transfer hands the leadership over and returns once the core took the order.
+func (r *replica) Transfer(ctx context.Context) error {
+	done := make(chan error, 1)
+	select {
+	case r.transfers <- done:
+		return <-done
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/controller/stream.go
@@ -0,0 +1,174 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// tableStream serves the routing table to one router: a snapshot if the router
+// holds nothing that the history leads on from, then deltas, and a pong for
+// each ping. Only the leader serves streams, since it alone knows every router.
+type tableStream struct {
+	replica    *replica
+	cluster    message.ClusterID
+	connection *wire.Conn
+	router     state.RouterID
+	// sent is the revision of the last frame.
+	sent  state.Revision
+	pongs chan message.Pong
+}
+
+// errNotLeading ends a stream when the replica does not lead.
+var errNotLeading = eris.New("this replica does not lead")
+
+// serveTable runs one stream until the connection or the leadership ends.
+func serveTable(ctx context.Context, r *replica, cluster message.ClusterID, connection *wire.Conn) error {
+	leadership, leads := r.leadershipContext()
+	if !leads {
+		return refuseTable(ctx, r, connection)
+	}
+	var first message.RouterFrame
+	if err := connection.Receive(&first); err != nil {
+		return err
+	}
+	if first.Hello == nil {
+		return eris.New("a table connection must begin with a hello")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopWatching := context.AfterFunc(leadership, func() {
+		cancel()
+		connection.Close()
+	})
+	defer stopWatching()
+	stream := &tableStream{
+		replica: r, cluster: cluster, connection: connection,
+		router: first.Hello.Router.ID,
+		pongs:  make(chan message.Pong, r.settings.Table.QueueFrames),
+	}
+	stream.begin(*first.Hello)
+	telemetry.With(r.log, telemetry.EventRouterJoined).WithField("router", stream.router).
+		WithField("revision", stream.sent).Info("router subscribed")
+	defer r.routers.leave(stream.router)
+	r.routers.join(first.Hello.Router)
+	return stream.run(ctx, cancel)
+}
+
+// refuseTable names the leader, so that the router goes there.
+func refuseTable(ctx context.Context, r *replica, connection *wire.Conn) error {
+	refusal := message.Refusal{Kind: fault.NotLeader}
+	if leader, known := r.leader(); known {
+		refusal.Detail = leader.Address
+	}
+	return connection.Send(ctx, &message.ControllerFrame{Refusal: &refusal})
+}
+
+// begin decides what the router holds already. A router with another cluster's
+// table, or one whose digest differs at the same revision, starts anew.
+func (s *tableStream) begin(hello message.RouterHello) {
+	if hello.Cluster != s.cluster {
+		return
+	}
+	revision, digest := s.replica.tablePosition()
+	if hello.Revision == revision && hello.Digest != digest {
+		return
+	}
+	if hello.Revision <= revision {
+		s.sent = hello.Revision
+	}
+}
+
+func (s *tableStream) run(ctx context.Context, cancel context.CancelFunc) error {
+	defer cancel()
+	readEnded := make(chan error, 1)
+	s.replica.background.Go(func() {
+		defer cancel()
+		readEnded <- s.readPings(ctx)
+	})
+	writeEnded := s.write(ctx)
+	s.connection.Close()
+	if readError := <-readEnded; readError != nil && writeEnded == nil {
+		return readError
+	}
+	return writeEnded
+}
+
+func (s *tableStream) readPings(ctx context.Context) error {
+	for {
+		var frame message.RouterFrame
+		if err := s.connection.Receive(&frame); err != nil {
+			return err
+		}
+		if frame.Ping == nil {
+			continue
+		}
+		revision, err := s.replica.ReadRevision(ctx)
+		if err != nil {
+			return err
+		}
+		pong := s.replica.routers.pong(s.router, *frame.Ping, revision, s.replica.clock.Now())
+		select {
+		case s.pongs <- pong:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *tableStream) write(ctx context.Context) error {
+	for {
+		changed, err := s.writeTable(ctx)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case pong := <-s.pongs:
+			if err := s.connection.Send(ctx, &message.ControllerFrame{Pong: &pong}); err != nil {
+				return err
+			}
+		case <-changed:
+		}
+	}
+}
+
+// writeTable sends what the router lacks, and returns a channel that is closed
+// at the next change.
+func (s *tableStream) writeTable(ctx context.Context) (<-chan struct{}, error) {
+	deltas, changed, reached := s.replica.history.after(s.sent)
+	if !reached {
+		return changed, s.writeSnapshot(ctx)
+	}
+	for _, delta := range deltas {
+		if err := s.connection.Send(ctx, &message.ControllerFrame{Delta: &delta}); err != nil {
+			return changed, err
+		}
+		s.sent = delta.To
+	}
+	return changed, nil
+}
+
+func (s *tableStream) writeSnapshot(ctx context.Context) error {
+	objects, revision, digest := s.replica.table()
+	size := s.replica.settings.Table.SnapshotObjects
+	for start := 0; start == 0 || start < len(objects); start += size {
+		end := min(start+size, len(objects))
+		part := message.TableSnapshot{
+			Cluster: s.cluster, Revision: revision, Digest: digest,
+			Objects: objects[start:end], First: start == 0, Last: end == len(objects),
+		}
+		if err := s.connection.Send(ctx, &message.ControllerFrame{Snapshot: &part}); err != nil {
+			return err
+		}
+	}
+	s.sent = revision
+	return nil
+}
--- /dev/null
+++ b/internal/lab/fleet/start.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/lab/backend"
+	"github.com/thorntiller/thorntiller/internal/lab/caller"
+	"github.com/thorntiller/thorntiller/internal/lab/process"
+	"github.com/thorntiller/thorntiller/internal/platformapi"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+func (f *Fleet) dial(from, to, address string) string {
+	if f.options.Dial == nil {
+		return address
+	}
+	return f.options.Dial(from, to, address)
+}
+
+func (f *Fleet) start(name, path string, arguments ...string) (*process.Process, error) {
+	return process.Start(process.Spec{
+		Name: name, Path: path, Arguments: arguments, LogFile: filepath.Join(f.options.Folder, "logs", name+".jsonl"),
+	})
+}
+
+func (f *Fleet) settingsFolder() string {
+	return filepath.Join(f.options.Folder, "settings")
+}
+
+func (f *Fleet) startPlatform() error {
+	started, err := f.start("platform", f.options.Lab, "platform", "--address", f.Platform.Address)
+	f.Platform.Process = started
+	return err
+}
+
+// StartController starts a controller, for the first time or again.
+func (f *Fleet) StartController(controller *Node) error {
+	settings := controllerSettings{
+		Role: "controller", Name: controller.Name, ClusterName: "lab", Zone: "control", DataDirectory: controller.DataFolder,
+		PeerAddress: controller.PeerAddress, APIAddress: controller.AdminAddress,
+		Platform: platformSettings{URL: "http://" + f.Platform.Address + platformapi.PathMachines},
+	}
+	for _, peer := range f.Controllers {
+		address := peer.PeerAddress
+		if peer != controller {
+			address = f.dial(controller.Name, peer.Name, address)
+		}
+		settings.Controllers = append(settings.Controllers, peerSettings{
+			Name: peer.Name, PeerAddress: address, APIAddress: peer.AdminAddress,
+		})
+	}
+	path, err := writeSettings(f.settingsFolder(), controller.Name, settings)
+	if err != nil {
+		return err
+	}
+	controller.Process, err = f.start(controller.Name, f.options.Product, "controller", "--config", path)
+	return err
+}
+
+// StartRouter starts a router, for the first time or again.
+func (f *Fleet) StartRouter(router *Node) error {
+	settings := routerSettings{
+		Role: "router", Name: router.Name, Zone: "edge",
+		Address: router.Address, PeerAddress: router.PeerAddress, AdminAddress: router.AdminAddress,
+	}
+	for _, controller := range f.Controllers {
+		settings.Controllers = append(settings.Controllers, f.dial(router.Name, controller.Name, controller.PeerAddress))
+	}
+	path, err := writeSettings(f.settingsFolder(), router.Name, settings)
+	if err != nil {
+		return err
+	}
+	router.Process, err = f.start(router.Name, f.options.Product, "router", "--config", path)
+	return err
+}
+
+// StartBackEnd starts a stand-in back end, for the first time or again.
+func (f *Fleet) StartBackEnd(backEnd *BackEnd) error {
+	settings := backend.Config{
+		ID: string(backEnd.Spec.ID), Service: string(backEnd.Service.Name), Address: backEnd.Spec.Address, Zone: backEnd.Spec.Zone,
+		Keyed: backEnd.Service.Keyed, Slots: backEnd.Spec.Slots, Connections: backEnd.Spec.Connections,
+		RecordFile:  backEnd.RecordFile,
+		ServiceTime: backend.ServiceTime{Distribution: backend.DistributionExponential, Mean: backEnd.Service.ServiceTime},
+	}
+	path, err := writeSettings(f.settingsFolder(), string(backEnd.Spec.ID), settings)
+	if err != nil {
+		return err
+	}
+	backEnd.Process, err = f.start(string(backEnd.Spec.ID), f.options.Lab, "backend", "--config", path)
+	return err
+}
+
+// CreateServices plans and confirms every service of the deployments with its
+// servers, and waits until each shard has an owner.
+func (f *Fleet) CreateServices(ctx context.Context) error {
+	client := f.Client()
+	for _, deployment := range f.options.Deployments {
+		for _, service := range deployment.Services {
+			if err := f.createService(ctx, client, service); err != nil {
+				return err
+			}
+		}
+	}
+	return f.WaitOwned(ctx)
+}
+
+// WaitOwned waits until every shard has an owner and every server that is not
+// retired has a session.
+func (f *Fleet) WaitOwned(ctx context.Context) error {
+	return WaitFor(ctx, "an owner for every shard", func() bool { return f.allOwned(ctx, f.Client()) })
+}
+
+func (f *Fleet) createService(ctx context.Context, client *intentapi.Client, service Service) error {
+	request := state.CreateService{Name: service.Name, Keyed: service.Keyed, Shards: service.Shards, Settings: service.Settings}
+	for _, backEnd := range f.BackEnds {
+		if backEnd.Service.Name == service.Name {
+			request.Servers = append(request.Servers, backEnd.Spec)
+		}
+	}
+	_, err := Execute(ctx, client, state.Intent{
+		ID: state.IntentID(fmt.Sprintf("create-%s", service.Name)), Operator: "lab",
+		Kind: state.IntentCreateService, CreateService: &request,
+	})
+	return err
+}
+
+// Execute plans an intent and confirms the plan.
+func Execute(ctx context.Context, client *intentapi.Client, intent state.Intent) (state.Plan, error) {
+	plan, err := client.Plan(ctx, intent)
+	if err != nil {
+		return plan, err
+	}
+	return client.Confirm(ctx, plan.ID, intentapi.ConfirmRequest{Operator: intent.Operator, Digest: plan.Digest})
+}
+
+func (f *Fleet) allOwned(ctx context.Context, client *intentapi.Client) bool {
+	for _, endpoint := range f.Endpoints() {
+		status, err := client.Status(ctx, endpoint)
+		if err != nil || !status.Current {
+			continue
+		}
+		for _, service := range status.Services {
+			if service.Owned < service.Shards {
+				return false
+			}
+		}
+		for _, server := range status.Servers {
+			if !server.Open && server.Intent == state.ServerActive {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
+// StartCaller starts a caller process; its settings stand beside the others.
+func (f *Fleet) StartCaller(settings caller.Config) (*process.Process, error) {
+	path, err := writeSettings(f.settingsFolder(), settings.Name, settings)
+	if err != nil {
+		return nil, err
+	}
+	started, err := f.start(settings.Name, f.options.Lab, "caller", "--config", path)
+	if err == nil {
+		f.callers = append(f.callers, started)
+	}
+	return started, err
+}
--- /dev/null
+++ b/internal/lab/trial/observer.go
@@ -0,0 +1,115 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/lab/fleet"
+	"github.com/thorntiller/thorntiller/internal/lab/record"
+	"github.com/thorntiller/thorntiller/internal/router"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+const (
+	observeInterval = 250 * time.Millisecond
+	observeTimeout  = time.Second
+	tableName       = "table"
+)
+
+// observer asks the controllers for assignments, by reads that claim to be
+// current, and the routers for the table revision in force.
+type observer struct {
+	fleet       *fleet.Fleet
+	assignments record.AssignmentHistory
+	revisions   record.RevisionHistory
+}
+
+func newObserver(running *fleet.Fleet) *observer {
+	return &observer{fleet: running}
+}
+
+func (o *observer) run(ctx context.Context) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			// A read that fails during a fault is no observation.
+			_ = o.observeOnce(ctx)
+		}
+	}
+}
+
+// observeOnce reads everything once. Each owned shard that a current read shows
+// was acknowledged, so later reads must not lack it.
+func (o *observer) observeOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*observeTimeout)
+	defer cancel()
+	services, err := o.fleet.Client().Services(ctx)
+	if err != nil {
+		return eris.Wrap(err, "read the services")
+	}
+	for _, service := range services {
+		if err := o.observeService(ctx, service); err != nil {
+			return err
+		}
+	}
+	for _, node := range o.fleet.Routers {
+		o.observeRouter(node)
+	}
+	return nil
+}
+
+func (o *observer) observeService(ctx context.Context, service state.Service) error {
+	asked := record.Monotonic().Nanoseconds()
+	shards, err := o.fleet.Client().Shards(ctx, service.Name)
+	if err != nil {
+		return eris.Wrapf(err, "read the shards of %s", service.Name)
+	}
+	answered := record.Monotonic().Nanoseconds()
+	for _, shard := range shards {
+		if shard.Owner == "" {
+			continue
+		}
+		seen := record.Assignment{
+			Service: string(service.Name), Shard: uint64(shard.ID), Epoch: uint64(shard.Epoch),
+			Server: string(shard.Owner), AtNs: asked, Source: "leader",
+		}
+		o.assignments.Observed = append(o.assignments.Observed, seen)
+		seen.AtNs = answered
+		o.assignments.Acknowledged = append(o.assignments.Acknowledged, seen)
+	}
+	return nil
+}
+
+func (o *observer) observeRouter(node *fleet.Node) {
+	if !node.Process.Running() {
+		return
+	}
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+node.AdminAddress+router.PathTable, observeTimeout)
+	if err != nil || status != fasthttp.StatusOK {
+		return
+	}
+	var table router.TableSummary
+	if err := json.Unmarshal(body, &table); err != nil || !table.Fresh {
+		return
+	}
+	o.revisions.Observed = append(o.revisions.Observed, record.Revision{
+		Name: tableName, Revision: uint64(table.Revision), Digest: strconv.FormatUint(table.Digest, 16),
+		AtNs: record.Monotonic().Nanoseconds(), Source: node.Name,
+	})
+}
+
+// accept records that a plan was accepted at a revision.
+func (o *observer) accept(plan state.Plan) {
+	o.revisions.Accepted = append(o.revisions.Accepted, record.Revision{
+		Name: tableName, Revision: uint64(plan.Accepted), AtNs: record.Monotonic().Nanoseconds(),
+	})
+}
--- a/internal/router/controller.go
+++ b/internal/router/controller.go
@@ -2,12 +2,46 @@
 
 import (
 	"context"
-
-	"github.com/rotisserie/eris"
+	"time"
 
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-func dialController(context.Context, string, message.Hello) (tableConnection, error) {
-	return nil, eris.New("not yet wired")
+// controllerWriteTimeout bounds the writing of one frame to a controller.
+const controllerWriteTimeout = time.Second
+
+// wireConnection is a table connection over TCP.
+type wireConnection struct {
+	connection *wire.Conn
+}
+
+func dialController(ctx context.Context, address string, hello message.Hello) (tableConnection, error) {
+	connection, err := wire.Dial(ctx, address, wire.Options{WriteTimeout: controllerWriteTimeout})
+	if err != nil {
+		return nil, err
+	}
+	if err := connection.Send(ctx, &hello); err != nil {
+		connection.Close()
+		return nil, err
+	}
+	return &wireConnection{connection: connection}, nil
+}
+
+// Send implements tableConnection.
+func (c *wireConnection) Send(frame message.RouterFrame) error {
+	return c.connection.Send(context.Background(), &frame)
+}
+
+// Receive implements tableConnection.
+func (c *wireConnection) Receive() (message.ControllerFrame, error) {
+	var frame message.ControllerFrame
+	err := c.connection.Receive(&frame)
+	return frame, err
+}
+
+// Close implements tableConnection.
+func (c *wireConnection) Close() error {
+	c.connection.Close()
+	return nil
 }
--- /dev/null
+++ b/internal/wire/conn.go
@@ -0,0 +1,216 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	lengthBytes     = 4
+	readBufferBytes = 32 << 10
+	// keptBufferBytes is the largest buffer that is kept for the next frame.
+	keptBufferBytes = 1 << 20
+)
+
+var frameBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// Conn sends and receives frames on one stream. Send and Close are safe for
+// concurrent use; Receive must have one caller at a time.
+type Conn struct {
+	stream  net.Conn
+	options Options
+	reader  *bufio.Reader
+	// frame is the last received one; its memory is used again.
+	frame bytes.Buffer
+	// writing holds one token while a Send writes.
+	writing  chan struct{}
+	closed   atomic.Bool
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// NewConn returns a Conn that owns the stream.
+func NewConn(stream net.Conn, options Options) *Conn {
+	tune(stream)
+	return &Conn{
+		stream:  stream,
+		options: options.withDefaults(),
+		reader:  bufio.NewReaderSize(stream, readBufferBytes),
+		writing: make(chan struct{}, 1),
+	}
+}
+
+// Send writes one value as a frame. It waits for other Sends until the context
+// ends. An error that satisfies errors.Is(err, ErrNotSent) means that nothing
+// was written and the connection is as before; any other error closes the
+// connection, since a part of the frame may be out.
+func (c *Conn) Send(ctx context.Context, value any) error {
+	buffer := frameBuffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(buffer)
+	if err := c.encode(buffer, value); err != nil {
+		return because(ErrNotSent, err)
+	}
+	select {
+	case c.writing <- struct{}{}:
+		defer func() { <-c.writing }()
+	case <-ctx.Done():
+		return because(ErrNotSent, ctx.Err())
+	}
+	if err := ctx.Err(); err != nil {
+		return because(ErrNotSent, err)
+	}
+	if c.closed.Load() {
+		return because(ErrNotSent, ErrClosed)
+	}
+	return c.write(ctx, buffer.Bytes())
+}
+
+// encode puts a whole frame into an empty buffer.
+func (c *Conn) encode(buffer *bytes.Buffer, value any) error {
+	buffer.Reset()
+	buffer.Write(make([]byte, lengthBytes))
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(buffer)
+	if err := encoder.Encode(value); err != nil {
+		return eris.Wrapf(err, "encode %T", value)
+	}
+	length := buffer.Len() - lengthBytes
+	if length > c.options.MaxFrameBytes {
+		return fmt.Errorf("%w: %T of %d bytes, limit %d", ErrFrameTooLarge, value, length, c.options.MaxFrameBytes)
+	}
+	binary.BigEndian.PutUint32(buffer.Bytes(), uint32(length))
+	return nil
+}
+
+// write sends a frame by one call, so that the kernel sees it whole. If the
+// context ends meanwhile, the write is cut off.
+func (c *Conn) write(ctx context.Context, frame []byte) error {
+	deadline := time.Now().Add(c.options.WriteTimeout)
+	if earlier, set := ctx.Deadline(); set && earlier.Before(deadline) {
+		deadline = earlier
+	}
+	if err := c.stream.SetWriteDeadline(deadline); err != nil {
+		c.Close()
+		return because(ErrNotSent, err)
+	}
+	count, err := c.stream.Write(frame)
+	c.sent.Add(uint64(count))
+	if err == nil {
+		return nil
+	}
+	c.Close()
+	if count == 0 {
+		return because(ErrNotSent, err)
+	}
+	return because(ErrConnectionLost, err)
+}
+
+func releaseBuffer(buffer *bytes.Buffer) {
+	if buffer.Cap() <= keptBufferBytes {
+		frameBuffers.Put(buffer)
+	}
+}
+
+// Receive reads one frame into value, a pointer. It returns io.EOF if the peer
+// closed the connection between two frames, and an error that satisfies
+// errors.Is(err, io.ErrUnexpectedEOF) if it closed within one. After any error
+// the connection is closed.
+func (c *Conn) Receive(value any) error {
+	err := c.receive(value)
+	if err != nil {
+		c.Close()
+	}
+	return err
+}
+
+func (c *Conn) receive(value any) error {
+	length, err := c.receiveLength()
+	if err != nil {
+		return err
+	}
+	if err := c.receiveContent(length); err != nil {
+		return err
+	}
+	err = msgpack.Unmarshal(c.frame.Bytes(), value)
+	if c.frame.Cap() > keptBufferBytes {
+		c.frame = bytes.Buffer{}
+	}
+	return eris.Wrapf(err, "decode %T", value)
+}
+
+func (c *Conn) receiveLength() (int64, error) {
+	if err := c.extendReadDeadline(); err != nil {
+		return 0, err
+	}
+	var header [lengthBytes]byte
+	count, err := io.ReadFull(c.reader, header[:])
+	c.received.Add(uint64(count))
+	if errors.Is(err, io.EOF) {
+		return 0, io.EOF
+	}
+	if err != nil {
+		return 0, eris.Wrap(err, "receive frame")
+	}
+	length := int64(binary.BigEndian.Uint32(header[:]))
+	if length > int64(c.options.MaxFrameBytes) {
+		return 0, fmt.Errorf("%w: received length %d, limit %d", ErrFrameTooLarge, length, c.options.MaxFrameBytes)
+	}
+	return length, nil
+}
+
+// receiveContent reads the rest of a frame. Memory grows with what arrives, not
+// with what the peer claims.
+func (c *Conn) receiveContent(length int64) error {
+	if err := c.extendReadDeadline(); err != nil {
+		return err
+	}
+	c.frame.Reset()
+	count, err := io.CopyN(&c.frame, c.reader, length)
+	c.received.Add(uint64(count))
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return eris.Wrap(err, "receive frame")
+}
+
+func (c *Conn) extendReadDeadline() error {
+	err := c.stream.SetReadDeadline(time.Now().Add(c.options.IdleTimeout))
+	return eris.Wrap(err, "set the read deadline")
+}
+
+// Close ends the connection; blocked calls return. It may be called repeatedly.
+func (c *Conn) Close() {
+	if c.closed.CompareAndSwap(false, true) {
+		_ = c.stream.Close() // nothing can be done about a failure
+	}
+}
+
+// BytesSent returns the bytes written, frame lengths included.
+func (c *Conn) BytesSent() uint64 { return c.sent.Load() }
+
+// BytesReceived returns the bytes read, frame lengths included.
+func (c *Conn) BytesReceived() uint64 { return c.received.Load() }
+
+// RemoteAddress returns the peer's address, for logs.
+func (c *Conn) RemoteAddress() string { return c.stream.RemoteAddr().String() }
+
+// awaitClose reads until the peer closes the connection or Close is called. It
+// is for connections on which the peer sends nothing.
+func (c *Conn) awaitClose() {
+	var discarded [1]byte
+	_ = c.stream.SetReadDeadline(time.Time{}) // a failure shows in the read
+	_, _ = c.stream.Read(discarded[:])        // any result means the end
+}
--- /dev/null
+++ b/internal/wire/options.go
@@ -0,0 +1,87 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxFrameBytes = 64 << 20
+	DefaultWriteTimeout  = 5 * time.Second
+	DefaultIdleTimeout   = 30 * time.Second
+	DefaultDialTimeout   = 2 * time.Second
+)
+
+const keepAlivePeriod = 15 * time.Second
+
+// DialFunc opens a stream to an address, IP:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Options configures connections. Zero fields take the defaults.
+type Options struct {
+	// MaxFrameBytes bounds a frame's content, sent and received.
+	MaxFrameBytes int
+	// WriteTimeout bounds the writing of one frame.
+	WriteTimeout time.Duration
+	// IdleTimeout bounds the wait for a frame, and then for the rest of it.
+	IdleTimeout time.Duration
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// Dial opens connections; nil means TCP.
+	Dial DialFunc
+}
+
+func (o Options) withDefaults() Options {
+	if o.MaxFrameBytes <= 0 {
+		o.MaxFrameBytes = DefaultMaxFrameBytes
+	}
+	if o.WriteTimeout <= 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	return o
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// Dial opens a connection to an address, IP:port.
+func Dial(ctx context.Context, address string, options Options) (*Conn, error) {
+	options = options.withDefaults()
+	ctx, cancel := context.WithTimeout(ctx, options.DialTimeout)
+	defer cancel()
+	stream, err := options.Dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to %s", address)
+	}
+	return NewConn(stream, options), nil
+}
+
+// tune sets TCP options. They only affect speed and the detection of dead
+// peers, so that a failure is left to the next read or write to report.
+func tune(stream net.Conn) {
+	connection, isTCP := stream.(*net.TCPConn)
+	if !isTCP {
+		return
+	}
+	_ = connection.SetNoDelay(true)
+	_ = connection.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAlivePeriod,
+		Interval: keepAlivePeriod,
+	})
+}
