Trial: read once more at the end; compare contents of one revision

The last read now only observes. The new planted fault (one revision with two contents) is caught by the test.

--- a/internal/lab/record/verify_state.go
+++ b/internal/lab/record/verify_state.go
@@ -67,7 +67,7 @@
 }
 
 // Revision says that the content with Digest is in force, at a revision, for
-// the object with Name.
+// the object with Name. An accepted revision may lack its digest.
 type Revision struct {
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
@@ -86,17 +86,25 @@
 
 // checkRevisions finds sources that went back to an earlier revision, lacked an
 // accepted one after the force limit, or had other content at its revision; and
-// accepted revisions that no source was asked about in time.
+// accepted revisions that no source was asked about in time. Two reads of one
+// revision must show the same content.
 func (c *checker) checkRevisions() {
 	observed := slices.Clone(c.inputs.Revisions.Observed)
 	slices.SortStableFunc(observed, func(a, b Revision) int { return cmp.Compare(a.AtNs, b.AtNs) })
 	highest := make(map[Revision]uint64)
+	digests := make(map[Revision]string)
 	for _, seen := range observed {
 		source := Revision{Name: seen.Name, Source: seen.Source}
 		if detail := c.revertedDetail(seen, highest[source]); detail != "" {
 			c.violate(Violation{Count: CountConfigReverted, Server: seen.Source, AtNs: seen.AtNs, Detail: seen.Name + ": " + detail})
 		}
 		highest[source] = max(highest[source], seen.Revision)
+		content := Revision{Name: seen.Name, Revision: seen.Revision}
+		if earlier, found := digests[content]; found && earlier != seen.Digest {
+			c.violate(Violation{Count: CountConfigReverted, Server: seen.Source, AtNs: seen.AtNs,
+				Detail: fmt.Sprintf("%s: revision %d has digest %s, an earlier read showed %s", seen.Name, seen.Revision, seen.Digest, earlier)})
+		}
+		digests[content] = seen.Digest
 	}
 	c.checkRevisionsCovered(observed)
 }
@@ -109,7 +117,7 @@
 		due := accepted.AtNs + c.inputs.ForceLimit.Nanoseconds()
 		switch {
 		case accepted.Name != seen.Name:
-		case seen.Revision == accepted.Revision && seen.Digest != accepted.Digest:
+		case seen.Revision == accepted.Revision && accepted.Digest != "" && seen.Digest != accepted.Digest:
 			return fmt.Sprintf("revision %d has digest %s, accepted was %s", seen.Revision, seen.Digest, accepted.Digest)
 		case seen.Revision < accepted.Revision && seen.AtNs > due:
 			return fmt.Sprintf("revision %d is in force long after %d was accepted", seen.Revision, accepted.Revision)
--- a/internal/lab/record/verify_test.go
+++ b/internal/lab/record/verify_test.go
@@ -163,6 +163,14 @@
 		}},
 		{"configuration late", CountConfigReverted, func(h *history) { h.inputs.Revisions.Observed[0].AtNs = 26 * second }},
 		{"configuration with other content", CountConfigReverted, func(h *history) { h.inputs.Revisions.Observed[1].Digest = "d8" }},
+		{"one revision with two contents", CountConfigReverted, func(h *history) {
+			h.inputs.Revisions.Accepted = nil
+			other := h.inputs.Revisions.Observed[1]
+			other.Digest = "d8"
+			other.AtNs += second
+			other.Source = "another"
+			h.inputs.Revisions.Observed = append(h.inputs.Revisions.Observed, other)
+		}},
 		{"configuration never read", CountConfigReverted, func(h *history) { h.inputs.Revisions.Observed = nil }},
 	}
 	for _, test := range tests {
--- a/internal/lab/trial/observer.go
+++ b/internal/lab/trial/observer.go
@@ -27,10 +27,12 @@
 	fleet       *fleet.Fleet
 	assignments record.AssignmentHistory
 	revisions   record.RevisionHistory
+	// known are the shards that any read showed.
+	known map[state.ShardID]state.ServiceName
 }
 
 func newObserver(running *fleet.Fleet) *observer {
-	return &observer{fleet: running}
+	return &observer{fleet: running, known: make(map[state.ShardID]state.ServiceName)}
 }
 
 func (o *observer) run(ctx context.Context) {
@@ -50,6 +52,16 @@
 // observeOnce reads everything once. Each owned shard that a current read shows
 // was acknowledged, so later reads must not lack it.
 func (o *observer) observeOnce(ctx context.Context) error {
+	return o.readAll(ctx, true)
+}
+
+// observeLast reads everything at the end of a trial. Nothing is read after it,
+// so it only checks what earlier reads showed.
+func (o *observer) observeLast(ctx context.Context) error {
+	return o.readAll(ctx, false)
+}
+
+func (o *observer) readAll(ctx context.Context, acknowledge bool) error {
 	ctx, cancel := context.WithTimeout(ctx, 5*observeTimeout)
 	defer cancel()
 	services, err := o.fleet.Client().Services(ctx)
@@ -57,7 +69,7 @@
 		return eris.Wrap(err, "read the services")
 	}
 	for _, service := range services {
-		if err := o.observeService(ctx, service); err != nil {
+		if err := o.observeService(ctx, service, acknowledge); err != nil {
 			return err
 		}
 	}
@@ -67,14 +79,16 @@
 	return nil
 }
 
-func (o *observer) observeService(ctx context.Context, service state.Service) error {
+func (o *observer) observeService(ctx context.Context, service state.Service, acknowledge bool) error {
 	asked := record.Monotonic().Nanoseconds()
 	shards, err := o.fleet.Client().Shards(ctx, service.Name)
 	if err != nil {
 		return eris.Wrapf(err, "read the shards of %s", service.Name)
 	}
 	answered := record.Monotonic().Nanoseconds()
+	o.observeMissing(service.Name, shards, asked)
 	for _, shard := range shards {
+		o.known[shard.ID] = service.Name
 		if shard.Owner == "" {
 			continue
 		}
@@ -83,12 +97,31 @@
 			Server: string(shard.Owner), AtNs: asked, Source: "leader",
 		}
 		o.assignments.Observed = append(o.assignments.Observed, seen)
+		if !acknowledge {
+			continue
+		}
 		seen.AtNs = answered
 		o.assignments.Acknowledged = append(o.assignments.Acknowledged, seen)
 	}
 	return nil
 }
 
+// observeMissing records the shards that an earlier read showed and this one
+// lacks.
+func (o *observer) observeMissing(service state.ServiceName, shards []state.Shard, asked int64) {
+	listed := make(map[state.ShardID]bool, len(shards))
+	for _, shard := range shards {
+		listed[shard.ID] = true
+	}
+	for id, owner := range o.known {
+		if owner == service && !listed[id] {
+			o.assignments.Observed = append(o.assignments.Observed, record.Assignment{
+				Service: string(service), Shard: uint64(id), AtNs: asked, Source: "leader", Missing: true,
+			})
+		}
+	}
+}
+
 func (o *observer) observeRouter(node *fleet.Node) {
 	if !node.Process.Running() {
 		return
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	return t.observer.observeOnce(ctx)
+	return t.observer.observeLast(ctx)
 }
 
 // load runs the callers and the steps side by side, and waits for both.
