Durable state and membership steps: shared by the process and the simulator

The order in which a replica makes and reads its files, what it adopts when it joins a group, and the next membership change were private to the controller process, so that a simulator would have had to repeat them. They move as they are to internal/durable and internal/membership; no behaviour changes.

--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/membership"
 )
 
 // ready reports whether this replica can serve: it leads, or it follows a
@@ -22,7 +23,7 @@
 
 // isVoter reports whether this replica has a vote in its group.
 func (r *replica) isVoter() bool {
-	return isVoter(r.published.Load().status.Membership, r.self.ID)
+	return membership.IsVoter(r.published.Load().status.Membership, r.self.ID)
 }
 
 // formationStatus returns what a joining controller asks for: the members and
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -13,6 +13,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/identity"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -93,11 +94,7 @@
 
 // adopt takes over a group that another controller belongs to.
 func (f *formation) adopt(answer message.FormationAnswer) error {
-	joined := f.identity()
-	joined.Cluster = answer.Cluster
-	if slices.ContainsFunc(answer.Founders, func(founder consensus.Member) bool { return founder.ID == f.self.ID }) {
-		joined.Founders = answer.Founders
-	}
+	joined := durable.Adopt(f.identity(), answer)
 	if err := f.set(joined); err != nil {
 		return err
 	}
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/membership"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -33,9 +34,9 @@
 	}
 	status := r.core.Status()
 	for _, id := range sortedIDs(r.joining.pending) {
-		change, wanted := nextChange(status, r.joining.pending[id])
+		change, wanted := membership.NextChange(status, r.joining.pending[id])
 		if !wanted {
-			if isVoter(status.Membership, id) {
+			if membership.IsVoter(status.Membership, id) {
 				delete(r.joining.pending, id)
 			}
 			continue
@@ -58,58 +59,3 @@
 	slices.SortFunc(ids, func(a, b consensus.ReplicaID) int { return cmp.Compare(a, b) })
 	return ids
 }
-
-// nextChange returns the next step that brings a replica into the group. It
-// returns false while there is nothing to do or something to wait for.
-func nextChange(status consensus.Status, joining consensus.Member) (consensus.MembershipChange, bool) {
-	current, found := memberByID(status.Membership, joining.ID)
-	if !found {
-		joining.Learner = true
-		return consensus.MembershipChange{Kind: consensus.AddLearner, Member: joining}, true
-	}
-	if !current.Learner || !caughtUp(status, joining.ID) {
-		return consensus.MembershipChange{}, false
-	}
-	replaced, found := memberByName(status.Membership, joining)
-	if !found {
-		return consensus.MembershipChange{Kind: consensus.PromoteLearner, Member: current}, true
-	}
-	if isActive(status, replaced.ID) {
-		// Two processes run under one name: an operator must stop one.
-		return consensus.MembershipChange{}, false
-	}
-	return consensus.MembershipChange{Kind: consensus.RemoveMember, Member: replaced}, true
-}
-
-func caughtUp(status consensus.Status, id consensus.ReplicaID) bool {
-	for _, progress := range status.Progress {
-		if progress.ID == id {
-			return progress.RecentActive && progress.Match >= status.Commit
-		}
-	}
-	return false
-}
-
-func isActive(status consensus.Status, id consensus.ReplicaID) bool {
-	for _, progress := range status.Progress {
-		if progress.ID == id {
-			return progress.RecentActive
-		}
-	}
-	return false
-}
-
-func isVoter(membership consensus.Membership, id consensus.ReplicaID) bool {
-	member, found := memberByID(membership, id)
-	return found && !member.Learner
-}
-
-// memberByName returns the other member that bears the joining replica's name.
-func memberByName(membership consensus.Membership, joining consensus.Member) (consensus.Member, bool) {
-	for _, member := range membership.Members {
-		if member.Name == joining.Name && member.ID != joining.ID {
-			return member, true
-		}
-	}
-	return consensus.Member{}, false
-}
--- a/internal/controller/ready.go
+++ b/internal/controller/ready.go
@@ -19,7 +19,7 @@
 				return err
 			}
 		}
-		if err := r.storage.log.Save(ready.HardState, ready.Entries); err != nil {
+		if err := r.storage.Log.Save(ready.HardState, ready.Entries); err != nil {
 			return eris.Wrap(err, "save the log")
 		}
 		r.peers.send(ready.Messages)
@@ -52,7 +52,7 @@
 			return err
 		}
 		r.applied = entry.Index
-		r.storage.applied(entry)
+		r.storage.Applied(entry)
 	}
 	return nil
 }
@@ -102,7 +102,7 @@
 	if err != nil {
 		return eris.Wrap(err, "decode the leader's snapshot")
 	}
-	if err := r.storage.saveSnapshot(snapshot); err != nil {
+	if err := r.storage.SaveSnapshot(snapshot); err != nil {
 		return err
 	}
 	r.stateLock.Lock()
@@ -116,7 +116,7 @@
 
 // takeSnapshot saves the state and cuts the log once enough was applied.
 func (r *replica) takeSnapshot() error {
-	if !r.storage.snapshotDue(r.settings.Consensus) {
+	if !r.storage.SnapshotDue(r.settings.Consensus.SnapshotEntries, r.settings.Consensus.SnapshotBytes) {
 		return nil
 	}
 	data, err := r.state.Encode()
@@ -124,9 +124,9 @@
 		return err
 	}
 	snapshot := consensus.Snapshot{Data: data, Metadata: consensus.SnapshotMetadata{
-		Index: r.applied, Term: r.storage.appliedTerm, Membership: r.core.Status().Membership,
+		Index: r.applied, Term: r.storage.AppliedTerm(), Membership: r.core.Status().Membership,
 	}}
-	if err := r.storage.saveSnapshot(snapshot); err != nil {
+	if err := r.storage.SaveSnapshot(snapshot); err != nil {
 		return err
 	}
 	if err := r.compact(); err != nil {
@@ -146,5 +146,5 @@
 	if err := r.core.Compact(r.applied - keep); err != nil {
 		return eris.Wrap(err, "compact the log")
 	}
-	return r.storage.log.Release(r.storage.snapshots.Oldest())
+	return r.storage.Log.Release(r.storage.Snapshots.Oldest())
 }
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -15,6 +15,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -40,7 +41,7 @@
 	log      *logrus.Entry
 	clock    clock.Clock
 	self     consensus.Member
-	storage  *storage
+	storage  *durable.Storage
 	peers    *peers
 	leases   *leaseSender
 	metrics  *metrics
@@ -92,7 +93,7 @@
 	answer   *backendapi.LeaseAnswer
 }
 
-func newReplica(settings config.Controller, log *logrus.Entry, self consensus.Member, disk *storage, metrics *metrics) (*replica, error) {
+func newReplica(settings config.Controller, log *logrus.Entry, self consensus.Member, disk *durable.Storage, metrics *metrics) (*replica, error) {
 	r := &replica{
 		settings:    settings,
 		log:         log,
@@ -109,8 +110,8 @@
 		results:     make(chan leaseResult, resultsSize),
 		joinInbox:   make(chan consensus.Member, 1),
 		transfers:   make(chan chan error),
-		state:       disk.recovered.state,
-		applied:     disk.recovered.initial.Snapshot.Index,
+		state:       disk.State,
+		applied:     disk.Initial.Snapshot.Index,
 	}
 	r.history = newTableHistory(settings.Table.HistoryDeltas, r.state.Revision())
 	core, err := consensus.New(consensus.Config{
@@ -121,7 +122,7 @@
 		MaxInflight:         settings.Consensus.MaxInflight,
 		MaxUncommittedBytes: settings.Consensus.MaxUncommittedBytes,
 		Seed:                rand.Uint64(),
-	}, disk.recovered.initial, disk.newestSnapshot)
+	}, disk.Initial, disk.Newest)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/identity"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -48,7 +49,7 @@
 
 func newNode(settings config.Controller, log *logrus.Entry) (*node, error) {
 	n := &node{settings: settings, log: log, files: vfs.System{}}
-	self, err := loadIdentity(n.files, settings.DataDirectory)
+	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, newReplicaID)
 	if err != nil {
 		return nil, err
 	}
@@ -62,19 +63,10 @@
 	return n, n.listen()
 }
 
-// loadIdentity reads the replica's identity, or draws one and makes it durable
-// before anyone hears of it.
-func loadIdentity(files vfs.FileSystem, folder string) (identity.Identity, error) {
-	known, found, err := identity.Load(files, folder)
-	if err != nil || found {
-		return known, err
-	}
-	if err := createLog(files, folder); err != nil {
-		return identity.Identity{}, err
-	}
-	// Zero means no replica, so the highest bit is set.
-	fresh := identity.Identity{Replica: consensus.ReplicaID(rand.Uint64() | 1<<63)}
-	return fresh, identity.Save(files, folder, fresh)
+// newReplicaID draws an identifier. Zero means no replica, so the highest bit
+// is set.
+func newReplicaID() consensus.ReplicaID {
+	return consensus.ReplicaID(rand.Uint64() | 1<<63)
 }
 
 func (n *node) listen() error {
@@ -114,7 +106,7 @@
 
 func (n *node) startReplica() error {
 	self := n.formation.identity()
-	disk, err := openStorage(n.files, n.settings.DataDirectory, self)
+	disk, err := durable.Open(n.files, n.settings.DataDirectory, self, durable.Options{})
 	if err != nil {
 		telemetry.WithError(n.log, telemetry.EventDiskFailed, err).Error("the data folder cannot be read")
 		return err
@@ -126,8 +118,8 @@
 	}
 	n.replica.cluster = self.Cluster
 	measured.attach(n.replica)
-	telemetry.With(n.log, telemetry.EventRecovered).WithField("index", disk.recovered.initial.Snapshot.Index).
-		WithField("entries", len(disk.recovered.initial.Entries)).Info("state read from the data folder")
+	telemetry.With(n.log, telemetry.EventRecovered).WithField("index", disk.Initial.Snapshot.Index).
+		WithField("entries", len(disk.Initial.Entries)).Info("state read from the data folder")
 	return nil
 }
 
--- /dev/null
+++ b/internal/durable/identity.go
@@ -0,0 +1,35 @@
+package durable
+
+import (
+	"slices"
+
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/identity"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/vfs"
+)
+
+// LoadIdentity reads the replica's identity from a data folder. If there is
+// none it takes an identifier from draw, never zero, and makes it durable
+// before anyone hears of it.
+func LoadIdentity(files vfs.FileSystem, folder string, draw func() consensus.ReplicaID) (identity.Identity, error) {
+	known, found, err := identity.Load(files, folder)
+	if err != nil || found {
+		return known, err
+	}
+	if err := CreateLog(files, folder); err != nil {
+		return identity.Identity{}, err
+	}
+	fresh := identity.Identity{Replica: draw()}
+	return fresh, identity.Save(files, folder, fresh)
+}
+
+// Adopt returns the identity of a replica without a group that joins the group
+// of an answering controller.
+func Adopt(own identity.Identity, answer message.FormationAnswer) identity.Identity {
+	own.Cluster = answer.Cluster
+	if slices.ContainsFunc(answer.Founders, func(founder consensus.Member) bool { return founder.ID == own.Replica }) {
+		own.Founders = answer.Founders
+	}
+	return own
+}
