Lab: fault proxies between the processes of a fleet

Back ends are registered under the address of their proxy while they listen on another one. No product code changes.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -27,12 +27,18 @@
 	Routers     int
 	Deployments []Deployment
 	// Dial, when not nil, gives the address by which one process reaches
-	// another, so that a fault proxy can stand in between.
-	Dial func(from, to, address string) string
+	// another, so that a fault proxy can stand in between. Back ends are reached
+	// from AnyProcess, since all use the address that the operator names.
+	Dial func(from, to, address string) (string, error)
 }
 
+// AnyProcess is the origin that Dial gets where many processes share a path.
+const AnyProcess = "anyone"
+
 // BackEnd is one stand-in back end of the fleet.
 type BackEnd struct {
+	// Address is where the process listens; Spec has the one to reach it by.
+	Address    string
 	Spec       state.ServerSpec
 	Service    Service
 	RecordFile string
@@ -111,25 +117,34 @@
 		})
 	}
 	for _, deployment := range f.options.Deployments {
-		f.layOutBackEnds(deployment, next)
+		if err := f.layOutBackEnds(deployment, next); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-func (f *Fleet) layOutBackEnds(deployment Deployment, next func() string) {
+func (f *Fleet) layOutBackEnds(deployment Deployment, next func() string) error {
 	for _, service := range deployment.Services {
 		for number := range service.Servers {
 			id := fmt.Sprintf("%s-%d", service.Name, number+1)
+			listening := next()
+			reached, err := f.dial(AnyProcess, id, listening)
+			if err != nil {
+				return err
+			}
 			f.BackEnds = append(f.BackEnds, &BackEnd{
+				Address:    listening,
 				Service:    service,
 				RecordFile: filepath.Join(f.options.Folder, "records", id+".jsonl"),
 				Spec: state.ServerSpec{
-					ID: state.ServerID(id), Address: next(), Zone: deployment.Zones[number%len(deployment.Zones)],
+					ID: state.ServerID(id), Address: reached, Zone: deployment.Zones[number%len(deployment.Zones)],
 					Slots: service.Slots, Connections: service.Connections,
 				},
 			})
 		}
 	}
+	return nil
 }
 
 func (f *Fleet) startAll(ctx context.Context) error {
--- a/internal/lab/fleet/start.go
+++ b/internal/lab/fleet/start.go
@@ -13,9 +13,9 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-func (f *Fleet) dial(from, to, address string) string {
+func (f *Fleet) dial(from, to, address string) (string, error) {
 	if f.options.Dial == nil {
-		return address
+		return address, nil
 	}
 	return f.options.Dial(from, to, address)
 }
@@ -44,13 +44,11 @@
 		Platform: platformSettings{URL: "http://" + f.Platform.Address + platformapi.PathMachines},
 	}
 	for _, peer := range f.Controllers {
-		address := peer.PeerAddress
-		if peer != controller {
-			address = f.dial(controller.Name, peer.Name, address)
+		known, err := f.peerOf(controller, peer)
+		if err != nil {
+			return err
 		}
-		settings.Controllers = append(settings.Controllers, peerSettings{
-			Name: peer.Name, PeerAddress: address, APIAddress: peer.AdminAddress,
-		})
+		settings.Controllers = append(settings.Controllers, known)
 	}
 	path, err := writeSettings(f.settingsFolder(), controller.Name, settings)
 	if err != nil {
@@ -60,6 +58,17 @@
 	return err
 }
 
+// peerOf returns how a controller is told to reach one of the group.
+func (f *Fleet) peerOf(controller, peer *Node) (peerSettings, error) {
+	known := peerSettings{Name: peer.Name, PeerAddress: peer.PeerAddress, APIAddress: peer.AdminAddress}
+	if peer == controller {
+		return known, nil
+	}
+	reached, err := f.dial(controller.Name, peer.Name, peer.PeerAddress)
+	known.PeerAddress = reached
+	return known, err
+}
+
 // StartRouter starts a router, for the first time or again.
 func (f *Fleet) StartRouter(router *Node) error {
 	settings := routerSettings{
@@ -67,7 +76,11 @@
 		Address: router.Address, PeerAddress: router.PeerAddress, AdminAddress: router.AdminAddress,
 	}
 	for _, controller := range f.Controllers {
-		settings.Controllers = append(settings.Controllers, f.dial(router.Name, controller.Name, controller.PeerAddress))
+		reached, err := f.dial(router.Name, controller.Name, controller.PeerAddress)
+		if err != nil {
+			return err
+		}
+		settings.Controllers = append(settings.Controllers, reached)
 	}
 	path, err := writeSettings(f.settingsFolder(), router.Name, settings)
 	if err != nil {
@@ -80,7 +93,7 @@
 // StartBackEnd starts a stand-in back end, for the first time or again.
 func (f *Fleet) StartBackEnd(backEnd *BackEnd) error {
 	settings := backend.Config{
-		ID: string(backEnd.Spec.ID), Service: string(backEnd.Service.Name), Address: backEnd.Spec.Address, Zone: backEnd.Spec.Zone,
+		ID: string(backEnd.Spec.ID), Service: string(backEnd.Service.Name), Address: backEnd.Address, Zone: backEnd.Spec.Zone,
 		Keyed: backEnd.Service.Keyed, Slots: backEnd.Spec.Slots, Connections: backEnd.Spec.Connections,
 		RecordFile:  backEnd.RecordFile,
 		ServiceTime: backend.ServiceTime{Distribution: backend.DistributionExponential, Mean: backEnd.Service.ServiceTime},
