Placement: a layout kept between decisions; exact undo

TestMovesPayForThemselves was red: the loads of servers drifted in the last bit when tried moves were taken back, so a decision without moves did not report the same measure before and after. Steps now keep the loads from before and undo puts them back to the bit. A whole recomputation per round would not hold at 530,000 shards, so Layout keeps servers sorted within their zone and takes changes one by one. A server that nothing relieves no longer hides the others. A debug print by environment variable left the property test; its checks are the same.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -1,11 +1,11 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
-
-	"github.com/thorntiller/thorntiller/internal/state"
 )
 
 // Bounds of the search.
@@ -14,90 +14,142 @@
 	// pay: while several servers are equally hot, no single move lowers the
 	// maximum.
 	lookaheadPerServer = 2
-	// maxPlanned bounds the moves that one decision may hold.
-	maxPlanned = 4096
+	// maxLookahead bounds one such run in a large service.
+	maxLookahead = 256
+	// maxPlanned bounds the moves that one decision looks at, deferred ones
+	// included.
+	maxPlanned = 1024
+	// planAhead is how many times the moves that may begin a decision looks at.
+	planAhead = 4
+	// maxRuns bounds the runs of tries in one decision.
+	maxRuns = 512
+	// maxExhausted bounds the servers that one decision sets aside because
+	// nothing relieves them.
+	maxExhausted = 64
 )
 
-// Decide returns the moves, splits and merges that pay for themselves. First
-// come the moves off servers that no longer accept shards; they need not pay.
+// Decide returns the decision on a whole problem. A caller that decides again
+// and again keeps a Layout instead, which costs only what changed.
 func Decide(problem Problem) Decision {
-	if problem.Weights == (state.Weights{}) {
-		problem.Weights = DefaultWeights
+	layout := NewLayout(problem.Weights, problem.Limits)
+	for _, server := range problem.Servers {
+		layout.PutServer(server)
 	}
-	search := &search{layout: newLayout(&problem), problem: &problem}
-	decision := Decision{Before: search.layout.measure(), After: search.layout.measure()}
-	if len(search.layout.accepting) == 0 {
+	for _, shard := range problem.Shards {
+		layout.PutShard(problem.Now, shard)
+	}
+	layout.remember(problem.History)
+	return layout.Decide(problem.Now)
+}
+
+// Decide returns the moves, splits and merges that pay for themselves. First
+// come the moves off servers that no longer accept shards; they need not pay.
+// The layout stays as it is: the caller reports what was carried out.
+func (l *Layout) Decide(now time.Duration) Decision {
+	l.prepare(now)
+	search := &search{layout: l}
+	decision := Decision{Before: l.measure(), After: l.measure()}
+	if l.accepting == 0 {
 		return decision
 	}
 	search.evacuate()
-	if search.layout.mean() > 0 {
+	if l.mean() > 0 {
 		search.balance()
 	}
-	decision.After = search.layout.measure()
+	decision.After = l.measure()
 	decision.Benefit = search.benefit
 	decision.Cost = search.cost
 	search.emit(&decision)
 	decision.Splits = search.splits()
-	decision.Merges = search.merges(decision)
+	decision.Merges = search.merges()
+	search.undoTo(0)
+	search.release()
 	return decision
 }
 
 // search builds one decision.
 type search struct {
-	problem *Problem
-	layout  *layout
+	layout  *Layout
 	planned []step
 	// evacuations counts the steps at the head of planned that need not pay.
 	evacuations   int
 	benefit, cost float64
+	exhausted     []*host
+	// cutting holds the shards that are to be split.
+	cutting []int
 }
 
-// step is one planned move, with what is needed to undo it.
+// step is one planned move, with what is needed to undo it exactly.
 type step struct {
-	move  Move
-	index int
-	// parent is the shard that an isolated key was cut from.
-	parent int
-	cost   float64
+	move     Move
+	position int
+	from, to *host
+	// fromLoad and toLoad are the loads before the step.
+	fromLoad, toLoad float64
+	// parent is the shard that an isolated key was cut from, or -1; parentLoad
+	// is its load before.
+	parent     int
+	parentLoad float64
+	cost       float64
 }
 
 // evacuate moves every shard off the servers that do not accept.
 func (s *search) evacuate() {
-	for _, known := range s.layout.hosts {
-		if known.Accepts {
-			continue
-		}
-		indexes := slices.Clone(known.shards)
-		slices.SortStableFunc(indexes, func(a, b int) int { return compareLoads(s.layout.shards[a], s.layout.shards[b]) })
-		for _, index := range indexes {
-			if s.layout.shards[index].Moving {
+	for _, leaving := range s.layout.leavers() {
+		positions := slices.Clone(leaving.shards)
+		slices.SortFunc(positions, func(a, b int) int {
+			return compareLoads(s.layout.records[a].Shard, s.layout.records[b].Shard)
+		})
+		for _, position := range positions {
+			known := &s.layout.records[position]
+			target := s.layout.targetFor(known, known.Load, leaving, false)
+			if known.Moving || target == nil || len(s.planned) == maxPlanned {
 				continue
 			}
-			target := s.layout.targets()[0]
-			s.apply(index, target, ReasonEvacuate)
-			s.layout.pinned[index] = true
+			s.apply(position, target, ReasonEvacuate)
+			s.layout.records[position].pinned = true
 		}
 	}
 	s.evacuations = len(s.planned)
 }
 
+// leavers returns the servers that own shards and do not accept.
+func (l *Layout) leavers() []*host {
+	var leavers []*host
+	for _, known := range l.hosts {
+		if !known.Accepts && len(known.shards) > 0 {
+			leavers = append(leavers, known)
+		}
+	}
+	slices.SortFunc(leavers, func(a, b *host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return leavers
+}
+
+// compareLoads orders shards by load, the highest first.
+func compareLoads(a, b Shard) int {
+	return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(b.Range.Width(), a.Range.Width()), cmp.Compare(a.ID, b.ID))
+}
+
 // apply plans the move of a whole shard.
-func (s *search) apply(index int, target *host, reason Reason) {
-	shard := s.layout.shards[index]
+func (s *search) apply(position int, target *host, reason Reason) {
+	shard := s.layout.records[position].Shard
+	from := s.layout.hosts[shard.Owner]
+	cost := s.price(shard)
 	s.planned = append(s.planned, step{
 		move: Move{
 			Shard: shard.ID, Epoch: shard.Epoch, From: shard.Owner, To: target.ID,
-			Range: shard.Range, Load: shard.Load, Reason: reason,
+			Range: shard.Range, Load: shard.Load, Reason: reason, Cost: cost,
 		},
-		index: index, parent: -1, cost: s.price(shard),
+		position: position, parent: -1, cost: cost,
+		from: from, to: target, fromLoad: from.load, toLoad: target.load,
 	})
-	s.layout.transfer(index, target)
+	s.layout.transfer(position, target)
 }
 
 // price is the cost of moving a shard once, in units of the weights.
 func (s *search) price(shard Shard) float64 {
-	weights := s.problem.Weights
-	seconds := s.problem.Limits.Handover.Seconds()
+	weights := s.layout.weights
+	seconds := s.layout.limits.Handover.Seconds()
 	return weights.Churn*shard.Range.Width() + weights.Unavailable*s.exposure(shard)*seconds
 }
 
@@ -115,24 +167,83 @@
 // until no run pays. Since it ends only then, a second decision on the result
 // finds nothing to do.
 func (s *search) balance() {
-	for len(s.planned) < maxPlanned && s.balanceOnce() {
+	limit := s.planLimit()
+	for range maxRuns {
+		switch {
+		case len(s.planned) >= limit:
+			return
+		case s.balanceOnce():
+			// What could not be relieved before may have found room.
+			s.forgive()
+		case !s.setAside():
+			return
+		}
+	}
+}
+
+// planLimit bounds the moves to look at: some more than may begin now, so that
+// a run is judged as a whole.
+func (s *search) planLimit() int {
+	room := s.layout.room() - s.evacuations
+	if room <= 0 {
+		return 0
+	}
+	return s.evacuations + min(room, maxPlanned/planAhead)*planAhead
+}
+
+// room is how many moves may begin.
+func (l *Layout) room() int {
+	return l.limits.MaxMoves - l.inFlight
+}
+
+// setAside takes the hottest server out of the objective, so that one that
+// cannot be relieved does not hide the others. Servers near the mean end it.
+func (s *search) setAside() bool {
+	hottest := s.layout.hottest()
+	if hottest == nil || len(s.exhausted) == maxExhausted {
+		return false
+	}
+	if hottest.utilization() <= s.layout.mean()*(1+s.layout.limits.MinGain) {
+		return false
+	}
+	hottest.exhausted = true
+	s.exhausted = append(s.exhausted, hottest)
+	return true
+}
+
+func (s *search) forgive() {
+	for _, known := range s.exhausted {
+		known.exhausted = false
+	}
+	s.exhausted = s.exhausted[:0]
+}
+
+// release takes the marks of this search off the layout.
+func (s *search) release() {
+	s.forgive()
+	for _, position := range s.cutting {
+		s.layout.records[position].pinned = false
 	}
 }
 
 func (s *search) balanceOnce() bool {
 	begin := len(s.planned)
-	initial := s.layout.objective()
+	initial, reserve := s.objective(), s.layout.shortfall()
 	bestNet, best, bestBenefit, bestCost := 0.0, begin, 0.0, 0.0
 	cost := 0.0
-	for range lookaheadPerServer * len(s.layout.accepting) {
+	limits := s.layout.limits
+	for range min(lookaheadPerServer*s.layout.accepting, maxLookahead) {
 		if !s.tryBest() {
 			break
 		}
 		cost += s.planned[len(s.planned)-1].cost
-		fall := initial - s.layout.objective()
-		benefit := fall * s.problem.Limits.Window.Hours()
-		net := benefit - s.problem.Limits.PayFactor*cost
-		if net > bestNet && fall >= s.problem.Limits.MinGain*s.problem.Weights.Imbalance {
+		if len(s.exhausted) > 0 && s.layout.shortfall() > reserve+minimumStep {
+			continue
+		}
+		fall := initial - s.objective()
+		benefit := fall * limits.Window.Hours()
+		net := benefit - limits.PayFactor*cost
+		if net > bestNet && fall >= limits.MinGain*s.layout.weights.Imbalance {
 			bestNet, best, bestBenefit, bestCost = net, len(s.planned), benefit, cost
 		}
 	}
@@ -142,24 +253,40 @@
 	return best > begin
 }
 
-// undoTo takes back the planned steps from a position on.
+// objective is the weighted imbalance: a rate, per hour.
+func (s *search) objective() float64 {
+	mean := s.layout.mean()
+	hottest := s.layout.hottest()
+	if mean == 0 || hottest == nil {
+		return 0
+	}
+	excess := max(hottest.utilization()/mean-1, 0)
+	return s.layout.weights.Imbalance * (excess + s.layout.shortfall())
+}
+
+// undoTo takes back the planned steps from a position on, to the last bit.
 func (s *search) undoTo(position int) {
+	if len(s.planned) == position {
+		return
+	}
 	for len(s.planned) > position {
 		last := s.planned[len(s.planned)-1]
 		s.planned = s.planned[:len(s.planned)-1]
-		from := s.layout.byID[last.move.From]
-		s.layout.transfer(last.index, from)
+		s.layout.transfer(last.position, last.from)
+		s.layout.change(last.from, func() { last.from.load = last.fromLoad })
+		s.layout.change(last.to, func() { last.to.load = last.toLoad })
 		if last.parent >= 0 {
-			s.layout.rejoin(last.parent, from)
+			s.layout.rejoin(last.parent, last.parentLoad)
 			continue
 		}
-		s.layout.pinned[last.index] = false
+		s.layout.records[last.position].pinned = false
 	}
+	s.layout.sumZones()
 }
 
 // emit takes as many of the planned moves as the limits allow.
 func (s *search) emit(decision *Decision) {
-	room := s.problem.Limits.MaxMoves - s.inFlight()
+	room := s.layout.room()
 	churnLeft := s.churnLeft()
 	unavailable := 0.0
 	for position, planned := range s.planned {
@@ -174,32 +301,16 @@
 		}
 		decision.Moves = append(decision.Moves, planned.move)
 		decision.Churn += width
-		unavailable += s.exposure(Shard{Range: planned.move.Range, Load: planned.move.Load}) * s.problem.Limits.Handover.Seconds()
+		unavailable += s.exposure(Shard{Range: planned.move.Range, Load: planned.move.Load}) * s.layout.limits.Handover.Seconds()
 	}
 	decision.Unavailable = time.Duration(unavailable * float64(time.Second))
 }
 
-func (s *search) inFlight() int {
-	count := 0
-	for _, shard := range s.problem.Shards {
-		if shard.Moving {
-			count++
-		}
-	}
-	return count
-}
-
 // churnLeft is the share of the key space that may still move within the
 // window for the sake of balance.
 func (s *search) churnLeft() float64 {
-	left := s.problem.Limits.MaxChurn
-	if left <= 0 {
+	if s.layout.limits.MaxChurn <= 0 {
 		return math.Inf(1)
 	}
-	for _, move := range s.problem.History {
-		if s.problem.Now-move.At < s.problem.Limits.Window {
-			left -= move.Range.Width()
-		}
-	}
-	return left
+	return s.layout.limits.MaxChurn - s.layout.recent.sum
 }
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -40,61 +40,75 @@
 	return EstimatorConfig{HalfLife: halfLife, MaxRatio: maxRatio, MaxChange: maxChange}
 }
 
-// Estimator smooths the loads of a service's shards. It holds one number per
-// shard of the last Observe, and is not safe for concurrent use.
+// Estimator smooths the loads of a service's shards, and is not safe for
+// concurrent use. An observation costs O(1).
 //
 // A server that reports ten times its load moves the estimate by MaxRatio at
-// most while routers count its requests, and by MaxChange per interval when
+// most while routers count its requests, and by MaxChange per observation when
 // none does. A silent server keeps its last estimate: it never looks idle, so
 // it attracts no load.
 type Estimator struct {
 	config EstimatorConfig
-	last   time.Duration
-	loads  map[state.ShardID]float64
+	loads  map[state.ShardID]estimate
+	// total is the sum of the loads.
+	total float64
+}
+
+// estimate is one shard's smoothed load and when it was last observed.
+type estimate struct {
+	load float64
+	at   time.Duration
 }
 
 // NewEstimator returns an estimator that knows no loads.
 func NewEstimator(config EstimatorConfig) *Estimator {
-	return &Estimator{config: config, loads: make(map[state.ShardID]float64)}
+	return &Estimator{config: config, loads: make(map[state.ShardID]estimate)}
 }
 
-// Observe takes the observations of one interval, of every shard that exists.
-// Shards that are not among them are forgotten.
+// Observe takes the observations of one interval, of any of the shards. Those
+// of one server that answered without naming a shard are zero, not unknown.
 func (e *Estimator) Observe(now time.Duration, observations []Observation) {
-	keep := 1.0
-	if e.config.HalfLife > 0 {
-		keep = math.Exp2(-max(now-e.last, 0).Seconds() / e.config.HalfLife.Seconds())
-	}
 	floor := e.floor(observations)
-	e.last = now
-	loads := make(map[state.ShardID]float64, len(observations))
 	for _, observation := range observations {
-		loads[observation.Shard] = e.next(observation, keep, floor)
+		e.set(observation.Shard, estimate{load: e.next(now, observation, floor), at: now})
 	}
-	e.loads = loads
+}
+
+func (e *Estimator) set(shard state.ShardID, next estimate) {
+	e.total = max(e.total+next.load-e.loads[shard].load, 0)
+	e.loads[shard] = next
+}
+
+// Forget drops a shard that is gone.
+func (e *Estimator) Forget(shard state.ShardID) {
+	e.total = max(e.total-e.loads[shard].load, 0)
+	delete(e.loads, shard)
 }
 
 // floor is the load from which MaxChange counts, so that an idle shard can
-// become busy: the mean load of a shard.
+// become busy: the mean load of a shard, as far as it is known.
 func (e *Estimator) floor(observations []Observation) float64 {
-	total := 0.0
+	total, count := e.total, len(e.loads)
 	for _, observation := range observations {
-		if known, found := e.loads[observation.Shard]; found {
-			total += known
-		} else if observation.RoutedKnown {
+		if _, found := e.loads[observation.Shard]; found {
+			continue
+		}
+		count++
+		if observation.RoutedKnown {
 			total += sane(observation.Routed)
 		}
 	}
-	return total / float64(max(len(observations), 1))
+	return total / float64(max(count, 1))
 }
 
-func (e *Estimator) next(observation Observation, keep, floor float64) float64 {
-	previous, found := e.loads[observation.Shard]
-	sample, known := e.sample(observation)
+func (e *Estimator) next(now time.Duration, observation Observation, floor float64) float64 {
+	known, found := e.loads[observation.Shard]
+	previous := known.load
+	sample, told := e.sample(observation)
 	switch {
-	case !known && found:
+	case !told && found:
 		return previous
-	case !known:
+	case !told:
 		return floor
 	case !found && observation.RoutedKnown:
 		return sample
@@ -103,9 +117,18 @@
 	}
 	sample = min(sample, max(previous, floor)*e.config.MaxChange)
 	sample = max(sample, previous/e.config.MaxChange)
+	keep := e.keep(now - known.at)
 	return keep*previous + (1-keep)*sample
 }
 
+// keep is the share of the old value that stays after some time.
+func (e *Estimator) keep(age time.Duration) float64 {
+	if e.config.HalfLife <= 0 {
+		return 1
+	}
+	return math.Exp2(-max(age, 0).Seconds() / e.config.HalfLife.Seconds())
+}
+
 // sample combines the two sources. The routers' count bounds the report.
 func (e *Estimator) sample(observation Observation) (float64, bool) {
 	routed, reported := sane(observation.Routed), sane(observation.Reported)
@@ -121,20 +144,25 @@
 
 // ShardLoad returns the smoothed load, and false when it is not known.
 func (e *Estimator) ShardLoad(shard state.ShardID) (float64, bool) {
-	load, found := e.loads[shard]
-	return load, found
+	known, found := e.loads[shard]
+	return known.load, found
 }
 
-// Split gives a part of a shard's load to a new shard, and Merge the reverse,
-// so that a change of shape needs no new ramp-up. Share is 0 to 1.
+// Split gives a part of a shard's load to a new shard, so that a change of
+// shape needs no new ramp-up. Share is 0 to 1.
 func (e *Estimator) Split(from, created state.ShardID, share float64) {
-	load := e.loads[from]
-	e.loads[created] = load * share
-	e.loads[from] = load * (1 - share)
+	known, found := e.loads[from]
+	if !found {
+		return
+	}
+	e.set(created, estimate{load: known.load * share, at: known.at})
+	e.set(from, estimate{load: known.load * (1 - share), at: known.at})
 }
 
 // Merge adds the load of a shard that is gone to its neighbour.
 func (e *Estimator) Merge(into, gone state.ShardID) {
-	e.loads[into] += e.loads[gone]
-	delete(e.loads, gone)
+	known := e.loads[into]
+	known.load += e.loads[gone].load
+	e.Forget(gone)
+	e.set(into, known)
 }
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -3,208 +3,325 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-// host is a server with what it owns in a layout.
-type host struct {
-	Server
-	load   float64
-	shards []int
-}
-
-// utilization is the load per slot.
-func (h *host) utilization() float64 {
-	return h.load / float64(h.Slots)
-}
-
-// layout is an assignment under change: moves are applied to it and undone.
-type layout struct {
-	problem *Problem
-	// hosts are in the order of their identifiers; accepting are those that may
-	// be targets.
-	hosts     []*host
-	accepting []*host
-	byID      map[state.ServerID]*host
-	shards    []Shard
-	// pinned shards may not move for the sake of balance.
-	pinned []bool
-	// leftAt names, by shard, servers that it left within the window.
-	left map[int][]state.ServerID
-	// total and slots are over all shards and the accepting servers.
-	total float64
-	slots int
-	zones *zoneTable
-}
-
-func newLayout(problem *Problem) *layout {
-	l := &layout{
-		problem: problem, byID: make(map[state.ServerID]*host, len(problem.Servers)),
-		shards: slices.Clone(problem.Shards), pinned: make([]bool, len(problem.Shards)),
-		left: make(map[int][]state.ServerID),
-	}
-	slices.SortFunc(l.shards, func(a, b Shard) int { return cmp.Compare(a.Range.First, b.Range.First) })
-	l.addHosts()
-	for index := range l.shards {
-		l.addShard(index)
-	}
-	l.pinRecent()
-	l.zones = newZoneTable(l.accepting)
+// Layout is the assignment of one service that placement keeps between its
+// decisions. Each change costs O(log n); a decision costs the changes since the
+// last one, one pass over the servers, and the search. It is not safe for
+// concurrent use.
+type Layout struct {
+	weights state.Weights
+	limits  Limits
+	now     time.Duration
+
+	hosts map[state.ServerID]*host
+	// zones holds the zones of the accepting servers by name.
+	zones []*zone
+	// sorted is false after a load changed and until the next decision.
+	sorted bool
+
+	records []record
+	// positions finds a shard in records; free lists the unused positions.
+	positions map[state.ShardID]int
+	free      []int
+	// order holds positions in the order of the ranges; fresh ones wait to be
+	// inserted.
+	order []int32
+	fresh []int32
+	// mergeCursor is where in order the search for cold neighbours goes on.
+	mergeCursor int
+
+	// total is the load of all shards, slots those of the accepting servers.
+	total     float64
+	slots     int
+	accepting int
+	inFlight  int
+	recent    recentChurn
+}
+
+// record is one shard with its past.
+type record struct {
+	Shard
+	live bool
+	// pinned shards are part of the decision in the making.
+	pinned bool
+	// source is the owner that a move under way began at.
+	source state.ServerID
+	// movedAt is when the shard last moved, if moved.
+	moved   bool
+	movedAt time.Duration
+	left    []departure
+}
+
+// departure is a server that a shard left.
+type departure struct {
+	server state.ServerID
+	at     time.Duration
+}
+
+// maxDepartures bounds what a shard remembers; the newest stay.
+const maxDepartures = 4
+
+// NewLayout returns an empty layout. All-zero weights mean DefaultWeights.
+func NewLayout(weights state.Weights, limits Limits) *Layout {
+	l := &Layout{limits: limits, hosts: make(map[state.ServerID]*host), positions: make(map[state.ShardID]int), sorted: true}
+	l.SetPolicy(weights, limits)
 	return l
 }
 
-func (l *layout) addHosts() {
-	for _, server := range l.problem.Servers {
-		server.Slots = max(server.Slots, 1)
-		l.hosts = append(l.hosts, &host{Server: server})
+// SetPolicy replaces weights and limits.
+func (l *Layout) SetPolicy(weights state.Weights, limits Limits) {
+	if weights == (state.Weights{}) {
+		weights = DefaultWeights
 	}
-	slices.SortFunc(l.hosts, func(a, b *host) int { return cmp.Compare(a.ID, b.ID) })
-	for _, known := range l.hosts {
-		l.byID[known.ID] = known
-		if known.Accepts {
-			l.accepting = append(l.accepting, known)
-			l.slots += known.Slots
-		}
+	l.weights = weights
+	l.limits = limits
+}
+
+// PutServer adds or replaces a server; what it owns stays.
+func (l *Layout) PutServer(server Server) {
+	server.Slots = max(server.Slots, 1)
+	known := l.ensureHost(server.ID)
+	l.leaveZone(known)
+	known.Server = server
+	l.enterZone(known)
+	l.sorted = false
+}
+
+// RemoveServer makes a server one that does not accept.
+func (l *Layout) RemoveServer(id state.ServerID) {
+	if known := l.hosts[id]; known != nil {
+		l.leaveZone(known)
+		known.Accepts = false
+		l.forgetIdle(known)
+	}
+}
+
+// ensureHost returns the server, which does not accept before PutServer.
+func (l *Layout) ensureHost(id state.ServerID) *host {
+	known := l.hosts[id]
+	if known == nil {
+		known = &host{Server: Server{ID: id, Slots: 1}}
+		l.hosts[id] = known
 	}
+	return known
 }
 
-func (l *layout) addShard(index int) {
-	shard := &l.shards[index]
-	shard.Load = sane(shard.Load)
+// forgetIdle drops a server that neither accepts nor owns anything.
+func (l *Layout) forgetIdle(known *host) {
+	if !known.Accepts && len(known.shards) == 0 {
+		delete(l.hosts, known.ID)
+	}
+}
+
+// PutShard adds or replaces a shard at the time now. An owner that differs from
+// the one at which a move began makes the move part of the shard's past. The
+// load of a known shard stays; SetLoad changes it.
+func (l *Layout) PutShard(now time.Duration, shard Shard) {
+	position, found := l.positions[shard.ID]
+	if !found {
+		l.insert(shard)
+		return
+	}
+	known := &l.records[position]
+	l.disown(position)
+	if shard.Moving && known.source == "" {
+		known.source = known.Owner
+	}
+	if !shard.Moving && shard.Owner != "" {
+		l.settle(now, known, shard.Owner)
+	}
+	if known.Range.First != shard.Range.First {
+		l.unorder(position)
+		l.fresh = append(l.fresh, int32(position))
+	}
+	known.Range, known.Owner, known.Epoch = shard.Range, shard.Owner, shard.Epoch
+	l.setMoving(known, shard.Moving)
+	l.own(position)
+}
+
+// settle records the end of a move, if one was under way.
+func (l *Layout) settle(now time.Duration, known *record, owner state.ServerID) {
+	source := known.source
+	known.source = ""
+	if source == "" || source == owner {
+		return
+	}
+	known.depart(now, source)
+	l.recent.add(now, known.Range.Width())
+}
+
+func (r *record) depart(at time.Duration, from state.ServerID) {
+	r.moved = true
+	r.movedAt = max(r.movedAt, at)
+	r.left = append(r.left, departure{server: from, at: at})
+	if len(r.left) > maxDepartures {
+		r.left = slices.Delete(r.left, 0, len(r.left)-maxDepartures)
+	}
+}
+
+func (l *Layout) insert(shard Shard) {
+	position := len(l.records)
+	if count := len(l.free); count > 0 {
+		position = l.free[count-1]
+		l.free = l.free[:count-1]
+	} else {
+		l.records = append(l.records, record{})
+	}
+	load := sane(shard.Load)
+	moving := shard.Moving
+	shard.Load, shard.Moving = 0, false
 	shard.HotShare = min(sane(shard.HotShare), 1)
-	l.total += shard.Load
-	l.pinned[index] = shard.Moving
-	if owner := l.byID[shard.Owner]; owner != nil {
-		owner.load += shard.Load
-		owner.shards = append(owner.shards, index)
-	}
-}
-
-// pinRecent applies the history: a shard rests for the cooldown, and does not
-// return within the window to a server that it left.
-func (l *layout) pinRecent() {
-	limits := l.problem.Limits
-	for _, move := range l.problem.History {
-		age := l.problem.Now - move.At
-		if age >= max(limits.Window, limits.Cooldown) {
-			continue
-		}
-		for _, index := range l.overlapping(move.Range) {
-			l.left[index] = append(l.left[index], move.From)
-			if age < limits.Cooldown {
-				l.pinned[index] = true
-			}
-		}
+	l.records[position] = record{Shard: shard, live: true}
+	l.positions[shard.ID] = position
+	l.fresh = append(l.fresh, int32(position))
+	l.own(position)
+	l.addLoad(position, load)
+	l.setMoving(&l.records[position], moving)
+}
+
+// RemoveShard forgets a shard that was merged into another.
+func (l *Layout) RemoveShard(id state.ShardID) {
+	position, found := l.positions[id]
+	if !found {
+		return
+	}
+	l.addLoad(position, -l.records[position].Load)
+	l.setMoving(&l.records[position], false)
+	l.disown(position)
+	l.unorder(position)
+	delete(l.positions, id)
+	l.records[position] = record{}
+	l.free = append(l.free, position)
+}
+
+// SetLoad replaces a shard's load, in busy slots, and what is known of its
+// busiest key. An unknown shard is ignored.
+func (l *Layout) SetLoad(id state.ShardID, load float64, hotHash uint64, hotShare float64) {
+	position, found := l.positions[id]
+	if !found {
+		return
+	}
+	known := &l.records[position]
+	known.HotHash = hotHash
+	known.HotShare = min(sane(hotShare), 1)
+	l.addLoad(position, sane(load)-known.Load)
+}
+
+func (l *Layout) addLoad(position int, difference float64) {
+	known := &l.records[position]
+	known.Load = max(known.Load+difference, 0)
+	l.total = max(l.total+difference, 0)
+	if owner := l.hosts[known.Owner]; owner != nil && difference != 0 {
+		owner.load = max(owner.load+difference, 0)
+		l.sorted = false
+	}
+}
+
+func (l *Layout) setMoving(known *record, moving bool) {
+	if known.Moving != moving {
+		l.inFlight += map[bool]int{true: 1, false: -1}[moving]
+	}
+	known.Moving = moving
+}
+
+// own and disown keep a server's list of shards. They are for changes between
+// decisions; transfer is for those within one.
+func (l *Layout) own(position int) {
+	shard := &l.records[position]
+	if shard.Owner == "" {
+		return
 	}
+	owner := l.ensureHost(shard.Owner)
+	owner.add(position, shard.Load)
+	l.sorted = false
 }
 
-// overlapping returns the shards that share a key with the range.
-func (l *layout) overlapping(keys state.KeyRange) []int {
-	first, _ := slices.BinarySearchFunc(l.shards, keys.First, func(shard Shard, hash uint64) int {
-		return cmp.Compare(shard.Range.Last, hash)
-	})
-	var found []int
-	for index := first; index < len(l.shards) && l.shards[index].Range.First <= keys.Last; index++ {
-		found = append(found, index)
+func (l *Layout) disown(position int) {
+	shard := &l.records[position]
+	owner := l.hosts[shard.Owner]
+	if owner == nil {
+		return
 	}
-	return found
+	owner.remove(position, shard.Load)
+	l.sorted = false
+	l.forgetIdle(owner)
 }
 
 // mean is the load per slot if it were even.
-func (l *layout) mean() float64 {
+func (l *Layout) mean() float64 {
 	if l.slots == 0 {
 		return 0
 	}
 	return l.total / float64(l.slots)
 }
 
-// transfer gives a shard another owner.
-func (l *layout) transfer(index int, to *host) {
-	shard := &l.shards[index]
-	if from := l.byID[shard.Owner]; from != nil {
-		from.load -= shard.Load
-		position := slices.Index(from.shards, index)
-		from.shards = slices.Delete(from.shards, position, position+1)
+// transfer gives a shard another owner within a decision.
+func (l *Layout) transfer(position int, to *host) {
+	shard := &l.records[position]
+	if from := l.hosts[shard.Owner]; from != nil {
+		l.change(from, func() { from.remove(position, shard.Load) })
 	}
 	shard.Owner = to.ID
-	to.load += shard.Load
-	to.shards = append(to.shards, index)
-}
-
-// isolate splits the hot key off a shard and returns the index of the new one.
-func (l *layout) isolate(index int) int {
-	parent := &l.shards[index]
-	child := *parent
-	child.Range = state.KeyRange{First: parent.HotHash, Last: parent.HotHash}
-	child.Load = parent.Load * parent.HotShare
-	parent.Load -= child.Load
-	l.shards = append(l.shards, child)
-	l.pinned = append(l.pinned, true)
-	l.pinned[index] = true
-	created := len(l.shards) - 1
-	owner := l.byID[child.Owner]
-	owner.shards = append(owner.shards, created)
-	return created
+	l.change(to, func() { to.add(position, shard.Load) })
 }
 
-// rejoin undoes isolate for the shard that was created last.
-func (l *layout) rejoin(index int, owner *host) {
-	last := len(l.shards) - 1
-	l.shards[index].Load += l.shards[last].Load
-	l.pinned[index] = false
-	owner.shards = slices.DeleteFunc(owner.shards, func(other int) bool { return other == last })
-	l.shards = l.shards[:last]
-	l.pinned = l.pinned[:last]
+// isolate splits the hot key off a shard and returns the position of the part.
+func (l *Layout) isolate(position int) int {
+	child := l.records[position]
+	child.Range = state.KeyRange{First: child.HotHash, Last: child.HotHash}
+	child.Load *= child.HotShare
+	child.pinned = true
+	l.records[position].Load -= child.Load
+	l.records[position].pinned = true
+	l.records = append(l.records, child)
+	created := len(l.records) - 1
+	owner := l.hosts[child.Owner]
+	l.change(owner, func() { owner.shards = append(owner.shards, created) })
+	return created
 }
 
-// measure returns the imbalance over the accepting servers and the shortfall.
-func (l *layout) measure() Measure {
-	mean := l.mean()
-	if mean == 0 {
-		return Measure{Imbalance: 1}
-	}
-	highest := 0.0
-	for _, known := range l.accepting {
-		highest = max(highest, known.utilization())
-	}
-	return Measure{Imbalance: highest / mean, Shortfall: l.shortfall()}
+// rejoin undoes isolate for the part that was created last.
+func (l *Layout) rejoin(position int, load float64) {
+	last := len(l.records) - 1
+	owner := l.hosts[l.records[last].Owner]
+	l.change(owner, func() { owner.drop(last) })
+	l.records = l.records[:last]
+	l.records[position].Load = load
+	l.records[position].pinned = false
 }
 
-// objective is the weighted imbalance: a rate, per hour. A server that owns
-// nothing but one key cannot be relieved and does not hide the others.
-func (l *layout) objective() float64 {
-	mean := l.mean()
-	if mean == 0 {
-		return 0
-	}
-	hottest := l.hottest()
-	if hottest == nil {
-		return 0
-	}
-	excess := max(hottest.utilization()/mean-1, 0)
-	return l.problem.Weights.Imbalance * (excess + l.shortfall())
+// resting reports whether a shard may not move for the sake of balance.
+func (l *Layout) resting(known *record) bool {
+	return known.pinned || known.Moving || (known.moved && l.now-known.movedAt < l.limits.Cooldown)
 }
 
-func (l *layout) hottest() *host {
-	var hottest *host
-	for _, known := range l.accepting {
-		if l.indivisible(known) {
-			continue
-		}
-		if hottest == nil || known.utilization() > hottest.utilization() {
-			hottest = known
+// hasLeft reports whether the shard left the server within the window.
+func (l *Layout) hasLeft(known *record, server state.ServerID) bool {
+	for _, past := range known.left {
+		if past.server == server && l.now-past.at < max(l.limits.Window, l.limits.Cooldown) {
+			return true
 		}
 	}
-	return hottest
+	return false
 }
 
-func (l *layout) indivisible(known *host) bool {
-	if len(known.shards) != 1 {
-		return false
+// prepare brings everything that is kept lazily up to date.
+func (l *Layout) prepare(now time.Duration) {
+	l.now = now
+	l.recent.expire(now - l.limits.Window)
+	l.insertFresh()
+	if l.sorted {
+		return
 	}
-	keys := l.shards[known.shards[0]].Range
-	return keys.First == keys.Last
+	for _, known := range l.zones {
+		slices.SortFunc(known.hosts, compareHosts)
+	}
+	l.sumZones()
+	l.sorted = true
 }
 
 // sane turns what is no load into zero.
@@ -217,3 +334,37 @@
 
 // maxLoad bounds one shard's load, in busy slots.
 const maxLoad = 1e9
+
+// recentChurn is the share of the key space that moved within the window.
+type recentChurn struct {
+	moves []recentMove
+	sum   float64
+}
+
+type recentMove struct {
+	at    time.Duration
+	width float64
+}
+
+func (r *recentChurn) add(at time.Duration, width float64) {
+	r.moves = append(r.moves, recentMove{at: at, width: width})
+	r.sum += width
+}
+
+// expire forgets the moves before a time.
+func (r *recentChurn) expire(before time.Duration) {
+	kept := 0
+	for kept < len(r.moves) && r.moves[kept].at < before {
+		r.sum -= r.moves[kept].width
+		kept++
+	}
+	r.moves = slices.Delete(r.moves, 0, kept)
+	if len(r.moves) == 0 {
+		r.sum = 0
+	}
+}
+
+// compareRanges orders positions by range.
+func (l *Layout) compareRanges(a, b int32) int {
+	return cmp.Compare(l.records[a].Range.First, l.records[b].Range.First)
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -116,9 +115,6 @@
 		if len(decision.Moves) == 0 {
 			return decision.Before == decision.After
 		}
-		if os.Getenv("DBG") != "" {
-			fmt.Printf("%+v\n", decision)
-		}
 		applied := Decide(apply(problem, decision)).Before
 		return decision.Benefit >= problem.Limits.PayFactor*decision.Cost &&
 			math.Abs(applied.Imbalance-decision.After.Imbalance) < 1e-9 &&
--- a/internal/placement/reshape.go
+++ b/internal/placement/reshape.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -23,31 +22,51 @@
 	// maxSplits and maxMerges bound one decision.
 	maxSplits = 4
 	maxMerges = 64
+	// mergeScan bounds the neighbours that one decision compares; the next one
+	// goes on behind them.
+	mergeScan = 4096
 )
 
 // splits proposes cuts through the large shards of servers that stay too hot.
 // A cut changes no owner; the parts can then move by themselves.
 func (s *search) splits() []Split {
 	var splits []Split
-	perServer := s.layout.total / float64(len(s.layout.accepting))
-	for _, known := range s.layout.accepting {
-		if known.utilization() <= splitAbove*s.layout.mean() {
-			continue
-		}
-		for _, index := range known.shards {
-			shard := s.layout.shards[index]
-			if s.layout.pinned[index] || shard.Range.First == shard.Range.Last || shard.Load < splitShare*perServer {
-				continue
+	for _, option := range s.layout.zones {
+		for place := len(option.hosts) - 1; place >= 0; place-- {
+			if option.hosts[place].utilization() <= splitAbove*s.layout.mean() {
+				break
 			}
-			if len(splits) == maxSplits || !s.mayGrow() {
-				return splits
-			}
-			splits = append(splits, Split{Shard: shard.ID, Epoch: shard.Epoch, Part: cut(shard)})
+			splits = s.splitsOf(splits, option.hosts[place])
 		}
 	}
 	return splits
 }
 
+// splitsOf adds cuts through a server's shards, the busiest first.
+func (s *search) splitsOf(splits []Split, owner *host) []Split {
+	perServer := s.layout.total / float64(s.layout.accepting)
+	var large []int
+	for _, position := range owner.shards {
+		known := &s.layout.records[position]
+		if known.Load >= splitShare*perServer && !known.pinned && !known.Moving && known.Range.First != known.Range.Last {
+			large = append(large, position)
+		}
+	}
+	slices.SortFunc(large, func(a, b int) int {
+		return compareLoads(s.layout.records[a].Shard, s.layout.records[b].Shard)
+	})
+	for _, position := range large {
+		if len(splits) == maxSplits || !s.mayGrow() {
+			break
+		}
+		known := &s.layout.records[position]
+		splits = append(splits, Split{Shard: known.ID, Epoch: known.Epoch, Part: cut(known.Shard)})
+		known.pinned = true
+		s.cutting = append(s.cutting, position)
+	}
+	return splits
+}
+
 // cut returns the part to split off: the busiest key when it dominates, else
 // the upper half.
 func cut(shard Shard) state.KeyRange {
@@ -60,40 +79,32 @@
 
 // merges proposes to join cold neighbours with the same owner while there are
 // more shards than wanted.
-func (s *search) merges(decision Decision) []Merge {
-	excess := len(s.problem.Shards) - s.problem.Limits.ShardsPerServer*len(s.layout.accepting)
-	if excess <= 0 {
+func (s *search) merges() []Merge {
+	layout := s.layout
+	excess := len(layout.positions) - layout.limits.ShardsPerServer*layout.accepting
+	if excess <= 0 || len(layout.order) < 2 {
 		return nil
 	}
-	busy := touched(decision)
-	bound := mergeShare * s.layout.total / float64(len(s.problem.Shards))
-	ordered := slices.Clone(s.problem.Shards)
-	slices.SortFunc(ordered, func(a, b Shard) int { return cmp.Compare(a.Range.First, b.Range.First) })
+	bound := mergeShare * layout.total / float64(len(layout.positions))
 	var merges []Merge
-	for index := 1; index < len(ordered) && len(merges) < min(excess, maxMerges); index++ {
-		first, second := ordered[index-1], ordered[index]
-		if busy[first.ID] || busy[second.ID] || !mergeable(first, second, bound) {
+	for scanned := 0; scanned < min(mergeScan, len(layout.order)) && len(merges) < min(excess, maxMerges); scanned++ {
+		layout.mergeCursor++
+		if layout.mergeCursor >= len(layout.order) {
+			layout.mergeCursor = 0
 			continue
 		}
-		merges = append(merges, Merge{First: first.ID, Second: second.ID})
-		index++
+		first := &layout.records[layout.order[layout.mergeCursor-1]]
+		second := &layout.records[layout.order[layout.mergeCursor]]
+		if mergeable(first, second, bound) {
+			merges = append(merges, Merge{First: first.ID, Second: second.ID})
+			layout.mergeCursor++
+		}
 	}
 	return merges
 }
 
-func mergeable(first, second Shard, bound float64) bool {
+func mergeable(first, second *record, bound float64) bool {
 	return first.Owner != "" && first.Owner == second.Owner && !first.Moving && !second.Moving &&
+		!first.pinned && !second.pinned &&
 		first.Range.Last+1 == second.Range.First && first.Load+second.Load <= bound
 }
-
-// touched returns the shards that the decision moves or splits.
-func touched(decision Decision) map[state.ShardID]bool {
-	busy := make(map[state.ShardID]bool, len(decision.Moves)+len(decision.Splits))
-	for _, move := range decision.Moves {
-		busy[move.Shard] = true
-	}
-	for _, split := range decision.Splits {
-		busy[split.Shard] = true
-	}
-	return busy
-}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -131,6 +131,8 @@
 	Range   state.KeyRange
 	Load    float64
 	Reason  Reason
+	// Cost is the predicted price of the move, in units of the weights.
+	Cost float64
 }
 
 // Split proposes to cut Part out of a shard whose owner stays the same.
