Lab: scenarios with real processes behind fault proxies

thorntiller-lab scenario list names the runs, scenario NAME [--seed S] carries one out and ends with one JSON line. Counts come from the records of stand-ins and callers; each run adds the bounds that it must keep, such as the time from a loss to the last request that was held up. The trial takes further callers and operators; calls to a frozen controller no longer hold the others up.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -75,7 +75,7 @@
 	if err := fleet.layOut(); err != nil {
 		return nil, err
 	}
-	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: fleet.Endpoints()})
+	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: fleet.Endpoints(), CallTimeout: callTimeout})
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +203,7 @@
 		if controller.Process == nil || !controller.Process.Running() {
 			continue
 		}
-		status, err := f.Client().Status(ctx, controller.AdminAddress)
+		status, err := f.status(ctx, controller.AdminAddress)
 		if err == nil && status.Role == "leader" && status.Current {
 			return controller, nil
 		}
@@ -211,6 +211,13 @@
 	return nil, eris.New("no controller leads")
 }
 
+// status asks one controller; a frozen one does not hold up the caller for long.
+func (f *Fleet) status(ctx context.Context, endpoint string) (intentapi.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	return f.Client().Status(ctx, endpoint)
+}
+
 // WaitLeader waits until some controller leads with a quorum.
 func (f *Fleet) WaitLeader(ctx context.Context) error {
 	return WaitFor(ctx, "a leading controller", func() bool {
@@ -232,7 +239,13 @@
 	})
 }
 
-const pollInterval = 20 * time.Millisecond
+const (
+	pollInterval = 20 * time.Millisecond
+	// callTimeout bounds one call of the intent API.
+	callTimeout = 2 * time.Second
+	// statusTimeout is above the wait of a controller without a quorum.
+	statusTimeout = 600 * time.Millisecond
+)
 
 // WaitFor polls a condition until it holds or the context ends.
 func WaitFor(ctx context.Context, what string, holds func() bool) error {
--- a/internal/lab/fleet/start.go
+++ b/internal/lab/fleet/start.go
@@ -123,7 +123,7 @@
 // WaitOwned waits until every shard has an owner and every server that is not
 // retired has a session.
 func (f *Fleet) WaitOwned(ctx context.Context) error {
-	return WaitFor(ctx, "an owner for every shard", func() bool { return f.allOwned(ctx, f.Client()) })
+	return WaitFor(ctx, "an owner for every shard", func() bool { return f.allOwned(ctx) })
 }
 
 func (f *Fleet) createService(ctx context.Context, client *intentapi.Client, service Service) error {
@@ -149,9 +149,9 @@
 	return client.Confirm(ctx, plan.ID, intentapi.ConfirmRequest{Operator: intent.Operator, Digest: plan.Digest})
 }
 
-func (f *Fleet) allOwned(ctx context.Context, client *intentapi.Client) bool {
+func (f *Fleet) allOwned(ctx context.Context) bool {
 	for _, endpoint := range f.Endpoints() {
-		status, err := client.Status(ctx, endpoint)
+		status, err := f.status(ctx, endpoint)
 		if err != nil || !status.Current {
 			continue
 		}
--- a/internal/lab/labcli/root.go
+++ b/internal/lab/labcli/root.go
@@ -35,6 +35,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newBackend(), newPlatform(), newCaller(), newDemo())
+	root.AddCommand(newScenario())
 	return root
 }
 
--- /dev/null
+++ b/internal/lab/scenario/measure.go
@@ -0,0 +1,100 @@
+package scenario
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/lab/record"
+)
+
+// slowAfter is the time above which an answer counts as held up by a fault.
+const slowAfter = 250 * time.Millisecond
+
+// check measures something in the callers' records after the run.
+type check func(attempts []record.Attempt) Bound
+
+// readAttempts returns the ended attempts of every caller.
+func readAttempts(files []string) ([]record.Attempt, error) {
+	var ended []record.Attempt
+	for _, file := range files {
+		lines, err := record.ReadFile[record.Attempt](file)
+		if err != nil {
+			return nil, err
+		}
+		for _, line := range lines {
+			if line.Kind == record.AttemptDone {
+				ended = append(ended, line)
+			}
+		}
+	}
+	return ended, nil
+}
+
+// span is a time on the machine's monotonic clock.
+type span struct {
+	from time.Duration
+	to   time.Duration
+}
+
+func (s span) contains(atNs int64) bool {
+	return atNs >= s.from.Nanoseconds() && atNs <= s.to.Nanoseconds()
+}
+
+// recovery is the time from the start of a span to the end of the last attempt
+// sent within it, or in flight at its start, that failed or was held up.
+func recovery(attempts []record.Attempt, within span) time.Duration {
+	last := within.from
+	for _, done := range attempts {
+		inFlight := done.SentNs < within.from.Nanoseconds() && done.ReceivedNs > within.from.Nanoseconds()
+		if !inFlight && !within.contains(done.SentNs) {
+			continue
+		}
+		if isImpaired(done) {
+			last = max(last, time.Duration(done.ReceivedNs))
+		}
+	}
+	return last - within.from
+}
+
+func isImpaired(done record.Attempt) bool {
+	return done.Outcome != fault.Completed || time.Duration(done.ReceivedNs-done.SentNs) > slowAfter
+}
+
+// completed counts the attempts that were sent within a span and answered.
+func completed(attempts []record.Attempt, within span, selects func(record.Attempt) bool) int {
+	count := 0
+	for _, done := range attempts {
+		if within.contains(done.SentNs) && done.Outcome == fault.Completed && selects(done) {
+			count++
+		}
+	}
+	return count
+}
+
+// goodput is the rate of whole answers per second that came within a span.
+func goodput(attempts []record.Attempt, within span) float64 {
+	answers := 0
+	for _, done := range attempts {
+		if within.contains(done.ReceivedNs) && done.Outcome == fault.Completed {
+			answers++
+		}
+	}
+	return float64(answers) / (within.to - within.from).Seconds()
+}
+
+// latencyAt returns the latency below which a share of the answers to attempts
+// of a span stays.
+func latencyAt(attempts []record.Attempt, within span, share float64) time.Duration {
+	var latencies []time.Duration
+	for _, done := range attempts {
+		if within.contains(done.SentNs) && done.Outcome == fault.Completed {
+			latencies = append(latencies, time.Duration(done.ReceivedNs-done.SentNs))
+		}
+	}
+	if len(latencies) == 0 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[min(int(share*float64(len(latencies))), len(latencies)-1)]
+}
--- a/internal/lab/trial/acts.go
+++ b/internal/lab/trial/acts.go
@@ -19,8 +19,9 @@
 	return state.IntentID(fmt.Sprintf("%s-%d", name, record.Monotonic().Nanoseconds()))
 }
 
-// execute plans an intent, shows the plan, and confirms it.
-func (t *Trial) execute(ctx context.Context, intent state.Intent) error {
+// Execute plans an intent, shows the plan, and confirms it. The accepted
+// revision must then be in force in time and never revert.
+func (t *Trial) Execute(ctx context.Context, intent state.Intent) error {
 	plan, err := fleet.Execute(ctx, t.Fleet.Client(), intent)
 	if err != nil {
 		return err
@@ -28,10 +29,15 @@
 	for _, reason := range plan.Reasons[:min(len(plan.Reasons), 3)] {
 		t.Say("  plan: %s", reason)
 	}
-	t.observer.accept(plan)
+	t.Accept(plan)
 	return nil
 }
 
+// Accept records that an operator was told that a plan is accepted.
+func (t *Trial) Accept(plan state.Plan) {
+	t.observer.accept(plan)
+}
+
 // MoveKey moves a key to a server that placement chooses, and waits until the
 // move is complete.
 func (t *Trial) MoveKey(ctx context.Context, service state.ServiceName, key string) error {
@@ -39,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	err = t.execute(ctx, state.Intent{
+	err = t.Execute(ctx, state.Intent{
 		ID: intentID("move"), Operator: operator, Kind: state.IntentMoveKey,
 		MoveKey: &state.MoveKey{Service: service, Key: key},
 	})
@@ -68,7 +74,7 @@
 
 // Retire retires a server and waits until it owns nothing.
 func (t *Trial) Retire(ctx context.Context, server state.ServerID) error {
-	err := t.execute(ctx, state.Intent{
+	err := t.Execute(ctx, state.Intent{
 		ID: intentID("retire"), Operator: operator, Kind: state.IntentRetireServer,
 		RetireServer: &state.RetireServer{Server: server},
 	})
--- a/internal/lab/trial/observer.go
+++ b/internal/lab/trial/observer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,6 +25,8 @@
 // observer asks the controllers for assignments, by reads that claim to be
 // current, and the routers for the table revision in force.
 type observer struct {
+	// accepting guards revisions.Accepted, which several operators append to.
+	accepting   sync.Mutex
 	fleet       *fleet.Fleet
 	assignments record.AssignmentHistory
 	revisions   record.RevisionHistory
@@ -142,6 +145,8 @@
 
 // accept records that a plan was accepted at a revision.
 func (o *observer) accept(plan state.Plan) {
+	o.accepting.Lock()
+	defer o.accepting.Unlock()
 	o.revisions.Accepted = append(o.revisions.Accepted, record.Revision{
 		Name: tableName, Revision: uint64(plan.Accepted), AtNs: record.Monotonic().Nanoseconds(),
 	})
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -39,6 +39,8 @@
 	events   *record.Writer[record.Event]
 	observer *observer
 	callers  []*process.Process
+	// callerFiles are the record files of the callers.
+	callerFiles []string
 }
 
 // Result is the judgement of a trial.
@@ -96,7 +98,8 @@
 // load runs the callers and the steps side by side, and waits for both.
 func (t *Trial) load(ctx context.Context) error {
 	for number, deployment := range t.options.Fleet.Deployments {
-		if err := t.startCaller(number, deployment); err != nil {
+		load := Load{Name: deployment.Name, Deployment: deployment, Rate: t.options.Rate, Duration: t.options.Duration, Seed: t.options.Seed + uint64(number)}
+		if err := t.StartLoad(load); err != nil {
 			return err
 		}
 	}
@@ -126,10 +129,23 @@
 	return running.Stop(patience)
 }
 
-func (t *Trial) startCaller(number int, deployment fleet.Deployment) error {
+// Load is what one caller process sends.
+type Load struct {
+	// Name is unique in the trial.
+	Name       string
+	Deployment fleet.Deployment
+	// Rate is in requests per second over all services.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+}
+
+// StartLoad starts one more caller. The trial waits for its end and judges its
+// records with the others.
+func (t *Trial) StartLoad(load Load) error {
 	config := caller.Config{
-		Name: "caller-" + deployment.Name, Loads: loadsOf(deployment, t.options.Rate), Duration: t.options.Duration,
-		Seed: t.options.Seed + uint64(number), RecordFile: t.callerRecords(deployment),
+		Name: "caller-" + load.Name, Loads: loadsOf(load.Deployment, load.Rate), Duration: load.Duration, Seed: load.Seed,
+		RecordFile:  filepath.Join(t.options.Fleet.Folder, "records", "caller-"+load.Name+".jsonl"),
 		OtherRouter: 0.5, Simultaneous: 0.05,
 	}
 	for _, router := range t.Fleet.Routers {
@@ -143,11 +159,13 @@
 		return err
 	}
 	t.callers = append(t.callers, started)
+	t.callerFiles = append(t.callerFiles, config.RecordFile)
 	return nil
 }
 
-func (t *Trial) callerRecords(deployment fleet.Deployment) string {
-	return filepath.Join(t.options.Fleet.Folder, "records", "caller-"+deployment.Name+".jsonl")
+// CallerFiles returns the record files of the callers.
+func (t *Trial) CallerFiles() []string {
+	return t.callerFiles
 }
 
 // loadsOf divides a rate over a deployment's services: the first, which is the
@@ -198,13 +216,11 @@
 		EventFiles:  []string{filepath.Join(t.options.Fleet.Folder, "events.jsonl")},
 		Assignments: t.observer.assignments,
 		Revisions:   t.observer.revisions,
+		CallerFiles: t.callerFiles,
 	}
 	for _, backEnd := range t.Fleet.BackEnds {
 		inputs.BackendFiles = append(inputs.BackendFiles, backEnd.RecordFile)
 	}
-	for _, deployment := range t.options.Fleet.Deployments {
-		inputs.CallerFiles = append(inputs.CallerFiles, t.callerRecords(deployment))
-	}
 	summary, violations, err := record.Verify(inputs)
 	return Result{Summary: summary, Violations: violations}, err
 }
