Adoption: observed services, ownership maps, and the change of authority both ways

A service may now be observed: its team's scripts decide about ownership, requests are routed by an imported map (ranges, keys, rest), its servers get no lease and differences between their claims and the map are reported. set_mode switches to managed and back by plan and confirm. Authority changes in one direction at a time: a session opens only after the server, in answer to this leader, gave up its claims; claims begin only on the process that held the last lease, within the lease's duration. Weighed against a grace period after the switch: a claim has no end, so no wait makes a frozen server safe.

Splitting of shards now stands once (cut), used by key moves and by maps.

--- a/internal/backendapi/types.go
+++ b/internal/backendapi/types.go
@@ -84,6 +84,11 @@
 	Assignments []Assignment `json:"assignments,omitempty"`
 	// Drain asks the server to take no new work, whatever its assignments.
 	Drain bool `json:"drain,omitempty"`
+	// Observed is true while the team's own scripts decide about the service's
+	// ownership. A server that holds a lease gives it up and claims Assignments
+	// instead; one that claims already goes on as it is. Without Observed, a
+	// server that claims gives up its claims, whatever the session.
+	Observed bool `json:"observed,omitempty"`
 }
 
 // Assignment lets a server serve one shard. First and Last bound the 64-bit
@@ -116,6 +121,12 @@
 	// Draining is true when the server refuses new work.
 	Draining bool       `json:"draining"`
 	Load     LoadReport `json:"load"`
+	// Observed is true while the server serves Claims, or everything if the
+	// service has no keys, by decision of its team's own scripts and without a
+	// lease.
+	Observed bool `json:"observed,omitempty"`
+	// Claims are the key ranges of an observed server; shard and epoch are zero.
+	Claims []Assignment `json:"claims,omitempty"`
 }
 
 // CancelRequest asks a back end to give up one attempt.
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -117,7 +117,7 @@
 
 // observedMap is the file of set-mode.
 type observedMap struct {
-	Map []state.ObservedRange `json:"map"`
+	Map state.OwnershipMap `json:"map"`
 }
 
 func newSetModeCommand(program *program, flags *planFlags) *cobra.Command {
@@ -141,7 +141,7 @@
 			return program.plan(command, flags, state.Intent{Kind: state.IntentSetMode, SetMode: request})
 		},
 	}
-	addFileFlag(command, &path, "YAML file with the list map of {range: {first, last}, server}; - for the standard input")
+	addFileFlag(command, &path, "YAML file with map: {ranges: [{range: {first, last}, server}], keys: [{key, server}], rest}; - for the standard input")
 	return command
 }
 
--- a/internal/cli/planview.go
+++ b/internal/cli/planview.go
@@ -57,7 +57,9 @@
 		return []string{"move shard", fmt.Sprintf("shard %d", move.Shard), fmt.Sprintf("%s to %s", move.From, move.To)}
 	case operation.ObserveRanges != nil:
 		observe := operation.ObserveRanges
-		return []string{"observe ranges", string(observe.Service), fmt.Sprintf("%d ranges", len(observe.Map))}
+		return []string{"observe ranges", string(observe.Service), fmt.Sprintf("%d ranges", len(observe.Ranges))}
+	case operation.ChangeMode != nil:
+		return []string{"change mode", string(operation.ChangeMode.Service), string(operation.ChangeMode.Mode)}
 	default:
 		return []string{"unknown", "", "this program is older than the controllers"}
 	}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -92,16 +92,17 @@
 }
 
 func serverStatuses(view *state.State, views []coordinator.ServerView) []intentapi.ServerStatus {
-	inForce := make(map[state.ServerID]bool, len(views))
+	seen := make(map[state.ServerID]coordinator.ServerView, len(views))
 	for _, known := range views {
-		inForce[known.Server] = known.InForce
+		seen[known.Server] = known
 	}
 	statuses := make([]intentapi.ServerStatus, 0)
 	for _, server := range view.Servers() {
 		statuses = append(statuses, intentapi.ServerStatus{
 			ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
 			Intent: server.Intent, Open: server.Session.Open,
-			Shards: view.OwnedCount(server.ID), InForce: inForce[server.ID],
+			Shards: view.OwnedCount(server.ID), InForce: seen[server.ID].InForce,
+			Observed: seen[server.ID].Observed, Differences: seen[server.ID].Differences,
 		})
 	}
 	return statuses
--- a/internal/coordinator/contact.go
+++ b/internal/coordinator/contact.go
@@ -38,6 +38,11 @@
 	running  []backendapi.Assignment
 	draining bool
 	load     backendapi.LoadReport
+	// observed and claims are what the process serves by its own authority.
+	observed bool
+	claims   []backendapi.Assignment
+	// fenceTerm is the term of the newest message that the process took.
+	fenceTerm uint64
 	// pendingSession and pendingRelease are the tokens of open proposals.
 	pendingSession uint64
 	pendingRelease uint64
@@ -74,6 +79,9 @@
 	c.running = answer.Running
 	c.draining = answer.Draining
 	c.load = answer.Load
+	c.observed = answer.Observed
+	c.claims = answer.Claims
+	c.fenceTerm = answer.Fence.Term
 }
 
 // runs reports whether the server still executes requests in the range.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -211,13 +211,23 @@
 func (c *Coordinator) Views(view *state.State) []ServerView {
 	views := make([]ServerView, 0, len(c.ordered))
 	for _, known := range c.ordered {
-		server, _ := view.Server(known.server)
-		views = append(views, ServerView{
-			Server:     known.server,
-			LastAnswer: known.readingAt,
-			InForce:    server.Session.Open && known.session == server.Session.Number && known.version == view.AssignmentVersion(known.server),
-			Load:       known.load,
-		})
+		views = append(views, known.view(view))
 	}
 	return views
 }
+
+func (c *contact) view(view *state.State) ServerView {
+	server, _ := view.Server(c.server)
+	service, _ := view.Service(server.Service)
+	seen := ServerView{Server: c.server, LastAnswer: c.readingAt, Load: c.load, Observed: c.observed}
+	if service.Mode == state.ModeObserved {
+		if c.observed && service.Keyed {
+			seen.Differences = differences(view.OwnedBy(c.server), c.claims)
+		}
+		seen.InForce = c.observed && seen.Differences == 0
+		return seen
+	}
+	seen.InForce = server.Session.Open && c.session == server.Session.Number &&
+		c.version == view.AssignmentVersion(c.server)
+	return seen
+}
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -18,10 +18,15 @@
 		if !found {
 			continue
 		}
+		service, _ := view.Service(server.Service)
+		if service.Mode == state.ModeObserved {
+			c.contactObserved(now, known, server, service, view, actions)
+			continue
+		}
 		expired = expired && !known.begin(now, server.Session)
-		c.tickSession(now, expired, known, server, actions)
+		c.tickSession(now, expired, known, server, service, actions)
 		if now >= known.next && !known.inFlight {
-			c.contactServer(now, known, server, view, actions)
+			c.contactServer(now, known, server, service, view, actions)
 		}
 	}
 }
@@ -37,12 +42,12 @@
 
 // tickSession opens a session for a process that answers, and closes the
 // session of one whose lease surely ended.
-func (c *Coordinator) tickSession(now time.Duration, expired bool, known *contact, server state.Server, actions *Actions) {
+func (c *Coordinator) tickSession(now time.Duration, expired bool, known *contact, server state.Server, service state.Service, actions *Actions) {
 	if known.pendingSession != 0 {
 		return
 	}
 	if !server.Session.Open {
-		if c.mayOpen(now, known, server) {
+		if c.mayOpen(now, known, server, service) {
 			known.pendingSession = c.propose(actions, state.Command{OpenSession: &state.OpenSession{
 				Server: server.ID, Incarnation: known.incarnation, After: server.Session.Number,
 			}})
@@ -58,8 +63,11 @@
 }
 
 // mayOpen requires a recent answer, so that a session is not opened for a
-// process that has gone silent.
-func (c *Coordinator) mayOpen(now time.Duration, known *contact, server state.Server) bool {
+// process that has gone silent, and that no claims of the process are left.
+func (c *Coordinator) mayOpen(now time.Duration, known *contact, server state.Server, service state.Service) bool {
+	if service.Adopted && !c.claimsEnded(known) {
+		return false
+	}
 	if server.Intent == state.ServerRetired || known.incarnation == "" {
 		return false
 	}
@@ -78,16 +86,23 @@
 	return known.readingAt >= 0 && known.readingAt <= c.confirmedAt
 }
 
-func (c *Coordinator) contactServer(now time.Duration, known *contact, server state.Server, view *state.State, actions *Actions) {
+func (c *Coordinator) contactServer(now time.Duration, known *contact, server state.Server, service state.Service, view *state.State, actions *Actions) {
 	if server.Intent == state.ServerRetired && !server.Session.Open {
 		known.next = now + c.config.LeaseDuration
 		return
 	}
 	request := backendapi.LeaseRequest{Server: string(server.ID)}
-	if c.mayRenew(known, server) {
+	switch {
+	case c.mayRenew(known, server):
 		c.fillRenewal(&request, known, server, view)
 		known.renewedAt = known.readingAt
+	case service.Adopted && !server.Session.Open:
+		endClaims(&request, known)
 	}
+	c.send(now, known, server, request, actions)
+}
+
+func (c *Coordinator) send(now time.Duration, known *contact, server state.Server, request backendapi.LeaseRequest, actions *Actions) {
 	request.Fence = known.fence(c.term)
 	known.inFlight = true
 	known.next = now + c.config.RenewInterval
@@ -108,13 +123,17 @@
 	request.Replace = true
 	for _, shard := range view.OwnedBy(server.ID) {
 		if shard.Phase == state.ShardOwned {
-			request.Assignments = append(request.Assignments, backendapi.Assignment{
-				Shard: uint64(shard.ID), Epoch: uint64(shard.Epoch), First: shard.Range.First, Last: shard.Range.Last,
-			})
+			request.Assignments = append(request.Assignments, assignmentOf(shard))
 		}
 	}
 }
 
+func assignmentOf(shard state.Shard) backendapi.Assignment {
+	return backendapi.Assignment{
+		Shard: uint64(shard.ID), Epoch: uint64(shard.Epoch), First: shard.Range.First, Last: shard.Range.Last,
+	}
+}
+
 // answersFor reports whether the last answer came from the process of the open
 // session.
 func (c *Coordinator) answersFor(known *contact, server state.Server) bool {
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -61,4 +61,9 @@
 	// InForce is true if the server holds exactly its assignments.
 	InForce bool
 	Load    backendapi.LoadReport
+	// Observed is true while the server serves by its own authority;
+	// Differences then counts the key ranges in which its claims and the
+	// imported map differ.
+	Observed    bool
+	Differences int
 }
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -25,7 +25,7 @@
 	if last, found := history.last(); found && now < last.NotBefore {
 		return wait(min(last.NotBefore, request.Deadline), false)
 	}
-	present := inService(view.Servers(request.Service))
+	present := inService(view.Servers(request.Service), isObserved(view, request.Service))
 	usable := fleet.Choose(present, now)
 	if len(usable) == 0 {
 		return p.awaitOwner(now, request, history, "no server of the service takes work at present")
@@ -39,10 +39,10 @@
 }
 
 // inService returns the servers that may take new work.
-func inService(servers []*state.Server) []*state.Server {
+func inService(servers []*state.Server, observed bool) []*state.Server {
 	present := make([]*state.Server, 0, len(servers))
 	for _, server := range servers {
-		if server.Intent == state.ServerActive && server.Session.Open && !server.Leaving {
+		if server.Intent == state.ServerActive && (server.Session.Open || observed) && !server.Leaving {
 			present = append(present, server)
 		}
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -60,7 +60,8 @@
 		return p.awaitOwner(now, request, history, "the key's shard has no owner at present")
 	}
 	server, found := view.Server(shard.Owner)
-	if !found || !server.Session.Open {
+	observed := isObserved(view, request.Service)
+	if !found || (!server.Session.Open && !observed) {
 		return p.awaitOwner(now, request, history, "the owner of the key's shard is not in service")
 	}
 	last, repeated := history.last()
@@ -71,7 +72,14 @@
 	if sameOwner && now < last.NotBefore {
 		return p.backOff(now, last, request, history)
 	}
-	return Decision{Action: Send, Server: server, Shard: shard.ID, Epoch: shard.Epoch}
+	return Decision{Action: Send, Server: server, Shard: shard.ID, Epoch: shard.Epoch, Unfenced: observed}
+}
+
+// isObserved reports whether the service's own scripts decide about ownership.
+// Its servers need no session, and know nothing of shards and epochs.
+func isObserved(view *table.Table, name state.ServiceName) bool {
+	service, found := view.Service(name)
+	return found && service.Mode == state.ModeObserved
 }
 
 // backOff waits until the owner may be tried again, within the bound on waits
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -68,6 +68,9 @@
 	Server *state.Server
 	Shard  state.ShardID
 	Epoch  state.Epoch
+	// Unfenced is true with Send when the server knows nothing of shard and
+	// epoch, since the service is observed.
+	Unfenced bool
 	// Until is set with Wait.
 	Until time.Duration
 	// Buffered is true with Wait when the request waits for an owner, which
--- a/internal/intentapi/types.go
+++ b/internal/intentapi/types.go
@@ -93,6 +93,11 @@
 	Shards  int                `json:"shards"`
 	// InForce is true once the server holds exactly its assignments.
 	InForce bool `json:"in_force"`
+	// Observed is true while the server serves by decision of its team's own
+	// scripts; Differences then counts the key ranges in which it and the
+	// imported map differ.
+	Observed    bool `json:"observed"`
+	Differences int  `json:"differences"`
 }
 
 // RouterStatus summarises one router.
--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -88,6 +88,9 @@
 		reportLoads: make(shardCounter),
 		lagging:     laggingLoad{lag: config.LoadLag},
 	}
+	if config.Observed {
+		created.holder.Observe(config.claims())
+	}
 	created.server = created.newServer()
 	return created, nil
 }
--- a/internal/lab/backend/config.go
+++ b/internal/lab/backend/config.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
 )
 
 // Config describes one stand-in back end. Durations are in nanoseconds in JSON
@@ -18,6 +20,10 @@
 	Zone    string `json:"zone" yaml:"zone"`
 	// Keyed services check shard, epoch and key of each request.
 	Keyed bool `json:"keyed" yaml:"keyed"`
+	// Observed makes the server serve Claims, or everything if it is not keyed,
+	// without a lease, as under the team's own scripts.
+	Observed bool    `json:"observed,omitempty" yaml:"observed"`
+	Claims   []Claim `json:"claims,omitempty" yaml:"claims"`
 	// Slots is how many requests execute at the same time.
 	Slots int `json:"slots" yaml:"slots"`
 	// Connections bounds the open connections that may send requests.
@@ -45,6 +51,20 @@
 	HealthLie bool `json:"health_lie" yaml:"health_lie"`
 }
 
+// Claim is a range of key hashes, both ends included.
+type Claim struct {
+	First uint64 `json:"first" yaml:"first"`
+	Last  uint64 `json:"last" yaml:"last"`
+}
+
+func (c Config) claims() []backendapi.Assignment {
+	claims := make([]backendapi.Assignment, 0, len(c.Claims))
+	for _, claim := range c.Claims {
+		claims = append(claims, backendapi.Assignment{First: claim.First, Last: claim.Last})
+	}
+	return claims
+}
+
 // Distribution names the shape of service times.
 type Distribution string
 
--- a/internal/lab/lease/holder.go
+++ b/internal/lab/lease/holder.go
@@ -30,6 +30,10 @@
 	version     uint64
 	assignments map[uint64]backendapi.Assignment
 
+	// observed is true while the process serves claims without a lease.
+	observed bool
+	claims   []backendapi.Assignment
+
 	leaseDrain bool
 	localDrain bool
 
@@ -64,6 +68,9 @@
 	if isProbe(request) {
 		return h.answer(now, request.Server == h.server)
 	}
+	if changesAuthority(request, h.observed) {
+		return h.answer(now, h.changeAuthority(now, request))
+	}
 	if !h.acceptable(now, request) {
 		return h.answer(now, false)
 	}
@@ -173,6 +180,8 @@
 
 func (h *Holder) answer(now time.Duration, accepted bool) backendapi.LeaseAnswer {
 	return backendapi.LeaseAnswer{
+		Observed:    h.observed,
+		Claims:      h.claims,
 		Server:      h.server,
 		Incarnation: h.incarnation,
 		Accepted:    accepted,
--- a/internal/lab/record/types.go
+++ b/internal/lab/record/types.go
@@ -41,6 +41,9 @@
 	// Session and LeaseEndNs are those in force at the check before execution.
 	Session    uint64 `json:"session"`
 	LeaseEndNs int64  `json:"lease_end_ns"`
+	// Observed is true when the server ran the request by decision of its
+	// team's own scripts; Shard and Epoch are then zero and no lease counts.
+	Observed bool `json:"observed,omitempty"`
 	// MonotonicNs of a start is the reading that the lease was checked with.
 	MonotonicNs int64 `json:"monotonic_ns"`
 	UnixNs      int64 `json:"unix_ns"`
--- a/internal/planner/check.go
+++ b/internal/planner/check.go
@@ -46,6 +46,8 @@
 		return checkSettings("update_service.settings", intent.UpdateService.Settings)
 	case state.IntentAddServers:
 		return checkServers("add_servers.servers", intent.AddServers.Servers)
+	case state.IntentSetMode:
+		return checkSetMode(*intent.SetMode)
 	case state.IntentMoveKey:
 		return checkKey(intent.MoveKey.Key)
 	default:
@@ -93,7 +95,10 @@
 	if err := checkName("create_service.name", string(request.Name)); err != nil {
 		return err
 	}
-	if request.Keyed && (request.Shards < 1 || request.Shards > maxShards) {
+	if err := checkMode(request); err != nil {
+		return err
+	}
+	if request.Keyed && request.Mode != state.ModeObserved && (request.Shards < 1 || request.Shards > maxShards) {
 		return fault.Newf(fault.InvalidArgument, "create_service.shards: %d: use 1 to %d for a service with keys", request.Shards, maxShards)
 	}
 	if !request.Keyed && request.Shards != 0 {
@@ -105,6 +110,30 @@
 	return checkServers("create_service.servers", request.Servers)
 }
 
+func checkSetMode(request state.SetMode) error {
+	if request.Mode != state.ModeObserved && request.Mode != state.ModeManaged {
+		return fault.Newf(fault.InvalidArgument, "set_mode.mode: %q: use managed or observed", request.Mode)
+	}
+	return nil
+}
+
+func checkMode(request state.CreateService) error {
+	switch request.Mode {
+	case "", state.ModeManaged:
+		if !emptyMap(request.Map) {
+			return fault.New(fault.InvalidArgument, "create_service.map: is for observed services: leave it out, or set mode to observed")
+		}
+		return nil
+	case state.ModeObserved:
+		if request.Shards != 0 {
+			return fault.Newf(fault.InvalidArgument, "create_service.shards: %d: leave it out, the map gives the shards of an observed service", request.Shards)
+		}
+		return nil
+	default:
+		return fault.Newf(fault.InvalidArgument, "create_service.mode: %q: use managed or observed", request.Mode)
+	}
+}
+
 func checkSettings(field string, settings state.ServiceSettings) error {
 	bounds := []struct {
 		name       string
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 
@@ -77,11 +78,15 @@
 	}
 	service := serviceFrom(request.Name, request.Settings)
 	service.Keyed = request.Keyed
-	service.Mode = state.ModeManaged
-	d.add(state.Operation{PutService: &service}, "service %s is created", request.Name)
+	service.Mode = cmp.Or(request.Mode, state.ModeManaged)
+	service.Adopted = service.Mode == state.ModeObserved
+	d.add(state.Operation{PutService: &service}, "service %s is created as %s", request.Name, service.Mode)
 	if err := d.putServers(request.Name, request.Servers); err != nil {
 		return err
 	}
+	if service.Mode == state.ModeObserved {
+		return d.observe(service, request.Map, serverSet(request.Servers))
+	}
 	if request.Keyed {
 		d.add(state.Operation{CreateShards: &state.CreateShards{Service: request.Name, Count: request.Shards}},
 			"its key space is cut into %d equal shards, spread over the servers that answer", request.Shards)
@@ -109,6 +114,8 @@
 	updated := serviceFrom(request.Name, request.Settings)
 	updated.Keyed = current.Keyed
 	updated.Mode = current.Mode
+	updated.Adopted = current.Adopted
+	updated.HandedBack = current.HandedBack
 	updated.Revision = current.Revision
 	d.add(state.Operation{PutService: &updated}, "the settings of service %s are replaced", request.Name)
 	return nil
@@ -151,7 +158,7 @@
 }
 
 func (d *draft) moveKey(request state.MoveKey) error {
-	if _, err := d.service("move_key.service", request.Service); err != nil {
+	if _, err := d.managedService("move_key.service", request.Service); err != nil {
 		return err
 	}
 	hash := state.HashKey(request.Key)
@@ -209,6 +216,16 @@
 	return best, nil
 }
 
+// managedService returns a service whose ownership the controllers decide.
+func (d *draft) managedService(field string, name state.ServiceName) (state.Service, error) {
+	service, err := d.service(field, name)
+	if err == nil && service.Mode == state.ModeObserved {
+		err = fault.Newf(fault.Conflict,
+			"%s: %q is observed, so its own scripts decide about ownership: switch it to managed with set_mode first", field, name)
+	}
+	return service, err
+}
+
 func (d *draft) service(field string, name state.ServiceName) (state.Service, error) {
 	service, found := d.view.Service(name)
 	if !found {
--- a/internal/planner/retire.go
+++ b/internal/planner/retire.go
@@ -13,6 +13,11 @@
 	if server.Intent != state.ServerActive {
 		return fault.Newf(fault.Conflict, "retire_server.server: %q is %s already", request.Server, server.Intent)
 	}
+	if d.view.OwnedCount(server.ID) > 0 {
+		if _, err := d.managedService("retire_server.server", server.Service); err != nil {
+			return err
+		}
+	}
 	moves, err := d.spread(server)
 	if err != nil {
 		return err
@@ -80,7 +85,7 @@
 // rebalance moves whole shards from the servers that own most of the key space
 // to those that own least, as long as each move narrows the gap.
 func (d *draft) rebalance(request state.Rebalance) error {
-	if _, err := d.service("rebalance.service", request.Service); err != nil {
+	if _, err := d.managedService("rebalance.service", request.Service); err != nil {
 		return err
 	}
 	moves := d.balancingMoves(request.Service)
@@ -93,14 +98,3 @@
 	d.predictMoves(request.Service, planned)
 	return nil
 }
-
-func (d *draft) setMode(request state.SetMode) error {
-	current, err := d.service("set_mode.service", request.Service)
-	if err != nil {
-		return err
-	}
-	if current.Mode == request.Mode {
-		return fault.Newf(fault.Conflict, "set_mode.mode: service %q is %s already", request.Service, request.Mode)
-	}
-	return fault.Newf(fault.InvalidArgument, "set_mode.mode: switching %q to %s is not supported by this version", request.Service, request.Mode)
-}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -192,6 +192,8 @@
 	request.Header.Del(backendapi.HeaderEpoch)
 	if e.Request.Keyed {
 		setHeader(request, backendapi.HeaderKey, e.key)
+	}
+	if e.Request.Keyed && !decision.Unfenced {
 		setHeader(request, backendapi.HeaderShard, strconv.FormatUint(uint64(decision.Shard), 10))
 		setHeader(request, backendapi.HeaderEpoch, strconv.FormatUint(uint64(decision.Epoch), 10))
 	}
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -89,6 +89,9 @@
 	if server.Intent == ServerRetired {
 		return failure(fault.Conflict, "the server is retired")
 	}
+	if tx.state.observed(server.Service) {
+		return failure(fault.Conflict, "the service is observed: its servers get no leases")
+	}
 	server.Session = Session{Number: command.After + 1, Incarnation: command.Incarnation, Open: true}
 	tx.putServer(server)
 	return Result{}
@@ -154,7 +157,7 @@
 func (tx *transaction) revokeShards(command *RevokeShards) Result {
 	for _, move := range command.Moves {
 		shard, found := tx.state.Shard(move.Shard)
-		if !found || shard.Phase != ShardOwned || shard.Epoch != move.Epoch {
+		if !found || shard.Phase != ShardOwned || shard.Epoch != move.Epoch || tx.state.observed(shard.Service) {
 			continue
 		}
 		shard.Phase = ShardRevoking
@@ -217,7 +220,7 @@
 func (tx *transaction) putPartitions(command *PutPartitions) Result {
 	for _, partition := range command.Partitions {
 		previous, found := tx.state.partitions[partition.Number]
-		if found && previous.Epoch+1 != partition.Epoch {
+		if found && previous.Epoch+1 != partition.Epoch && !onlySynced(*previous, partition) {
 			continue
 		}
 		partition.Revision = tx.revision
@@ -225,3 +228,12 @@
 	}
 	return Result{}
 }
+
+// onlySynced reports whether the partition differs from its previous version
+// only in that its backup now holds every record.
+func onlySynced(previous, partition RecordPartition) bool {
+	wanted := previous
+	wanted.BackupSynced = true
+	wanted.Revision = partition.Revision
+	return !previous.BackupSynced && wanted == partition
+}
--- /dev/null
+++ b/internal/state/apply_mode.go
@@ -0,0 +1,88 @@
+package state
+
+import (
+	"strconv"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// checkObserveRanges requires that the service is observed, and that each owner
+// is one of its servers. Within the plan that creates the service its servers
+// may not exist yet; the planner has checked them.
+func (tx *transaction) checkObserveRanges(command *ObserveRanges, created bool) *fault.Error {
+	if created {
+		return nil
+	}
+	service, found := tx.state.Service(command.Service)
+	if !found || service.Mode != ModeObserved {
+		return stale("service " + string(command.Service) + " is not observed")
+	}
+	for _, owned := range command.Ranges {
+		server, found := tx.state.Server(owned.Server)
+		if !found || server.Service != command.Service {
+			return stale("server " + string(owned.Server) + " is not one of the service")
+		}
+	}
+	return nil
+}
+
+// observeRanges routes by an imported map. Shards are cut where the map asks for
+// it and change owner at once: the scripts have decided already.
+func (tx *transaction) observeRanges(command *ObserveRanges) {
+	if len(tx.state.ranges[command.Service]) == 0 {
+		for _, owned := range command.Ranges {
+			tx.newShard(command.Service, owned.Range, Shard{Phase: ShardOwned, Owner: owned.Server, Epoch: 1})
+		}
+		return
+	}
+	for _, owned := range command.Ranges {
+		tx.cut(command.Service, owned.Range.First)
+	}
+	for _, owned := range command.Ranges {
+		tx.observe(command.Service, owned)
+	}
+}
+
+// observe gives every shard within a range to its observed owner.
+func (tx *transaction) observe(service ServiceName, owned OwnedRange) {
+	for _, shard := range tx.state.ShardsWithin(service, owned.Range) {
+		if shard.Owner == owned.Server {
+			continue
+		}
+		shard.Owner = owned.Server
+		shard.Epoch++
+		tx.putShard(shard)
+	}
+}
+
+// checkChangeMode requires that ownership is at rest, so that a shard which is
+// about to change hands does not change authority as well.
+func (tx *transaction) checkChangeMode(command *ChangeMode) *fault.Error {
+	service, found := tx.state.Service(command.Service)
+	if !found || service.Revision != command.Revision {
+		return stale("service " + string(command.Service) + " changed")
+	}
+	if shard, found := tx.state.Unsettled(command.Service); found {
+		return stale("shard " + strconv.FormatUint(uint64(shard), 10) + " is moving or has no owner")
+	}
+	return nil
+}
+
+// changeMode switches the authority over a service. Sessions end with every
+// switch and shards keep their owners: a session that begins after the switch
+// is a fresh one, for which nothing that was granted before counts.
+func (tx *transaction) changeMode(command *ChangeMode) {
+	service, _ := tx.state.Service(command.Service)
+	service.Mode = command.Mode
+	service.Adopted = true
+	if command.Mode == ModeObserved {
+		service.HandedBack = tx.revision
+	}
+	tx.putService(service)
+	for _, server := range tx.state.ServersOf(command.Service) {
+		if server.Session.Open {
+			server.Session.Open = false
+			tx.putServer(server)
+		}
+	}
+}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -105,7 +105,7 @@
 }
 
 // PutPartitions replaces record partitions, each only if its epoch is still
-// the one before.
+// the one before. At the same epoch it may only set BackupSynced.
 type PutPartitions struct {
 	Partitions []RecordPartition
 }
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -46,11 +46,15 @@
 // CreateService asks for a new service. Shards is the number of equal key
 // ranges that it starts with; zero for services without keys.
 type CreateService struct {
-	Name     ServiceName     `json:"name"`
-	Keyed    bool            `json:"keyed"`
+	Name  ServiceName `json:"name"`
+	Keyed bool        `json:"keyed"`
+	// Mode is managed when empty. An observed service with keys needs Map in
+	// place of Shards.
+	Mode     ServiceMode     `json:"mode,omitempty"`
 	Shards   int             `json:"shards"`
 	Settings ServiceSettings `json:"settings"`
 	Servers  []ServerSpec    `json:"servers,omitempty"`
+	Map      OwnershipMap    `json:"map"`
 }
 
 // UpdateService replaces a service's settings.
@@ -96,24 +100,55 @@
 type SetMode struct {
 	Service ServiceName `json:"service"`
 	Mode    ServiceMode `json:"mode"`
-	// Map is the imported ownership, for observed services.
-	Map []ObservedRange `json:"map,omitempty"`
+	// Map is the scripts' ownership, for services that are observed already.
+	Map OwnershipMap `json:"map"`
+}
+
+// OwnershipMap is the ownership that a team's own scripts decided. Keys go
+// before Ranges, and both before Rest.
+type OwnershipMap struct {
+	Ranges []OwnedRange `json:"ranges,omitempty"`
+	Keys   []OwnedKey   `json:"keys,omitempty"`
+	// Rest owns every key that neither list names; empty if the ranges cover
+	// the whole key space.
+	Rest ServerID `json:"rest,omitempty"`
 }
 
-// ObservedRange is one line of an imported ownership map.
-type ObservedRange struct {
+// OwnedRange gives a range of key hashes to a server.
+type OwnedRange struct {
 	Range  KeyRange `json:"range"`
 	Server ServerID `json:"server"`
 }
 
+// OwnedKey gives one key to a server.
+type OwnedKey struct {
+	Key    string   `json:"key"`
+	Server ServerID `json:"server"`
+}
+
+// ObserveRanges routes a service by ranges that cover its key space in order.
+type ObserveRanges struct {
+	Service ServiceName  `json:"service"`
+	Ranges  []OwnedRange `json:"ranges"`
+}
+
+// ChangeMode switches a service to a mode. Revision is the one of the service
+// that the plan rests on.
+type ChangeMode struct {
+	Service  ServiceName `json:"service"`
+	Mode     ServiceMode `json:"mode"`
+	Revision Revision    `json:"revision"`
+}
+
 // Operation is one step of a plan; exactly one field is set.
 type Operation struct {
-	PutService    *Service      `json:"put_service,omitempty"`
-	PutServer     *Server       `json:"put_server,omitempty"`
-	CreateShards  *CreateShards `json:"create_shards,omitempty"`
-	IsolateKey    *IsolateKey   `json:"isolate_key,omitempty"`
-	MoveShard     *MoveShard    `json:"move_shard,omitempty"`
-	ObserveRanges *SetMode      `json:"observe_ranges,omitempty"`
+	PutService    *Service       `json:"put_service,omitempty"`
+	PutServer     *Server        `json:"put_server,omitempty"`
+	CreateShards  *CreateShards  `json:"create_shards,omitempty"`
+	IsolateKey    *IsolateKey    `json:"isolate_key,omitempty"`
+	MoveShard     *MoveShard     `json:"move_shard,omitempty"`
+	ObserveRanges *ObserveRanges `json:"observe_ranges,omitempty"`
+	ChangeMode    *ChangeMode    `json:"change_mode,omitempty"`
 }
 
 // CreateShards cuts a service's key space into Count equal ranges.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -107,6 +107,15 @@
 	return *router, true
 }
 
+// Partition returns a copy of a record partition.
+func (s *State) Partition(number int) (RecordPartition, bool) {
+	partition, found := s.partitions[number]
+	if !found {
+		return RecordPartition{}, false
+	}
+	return *partition, true
+}
+
 // Plan returns a copy of a stored plan.
 func (s *State) Plan(id PlanID) (Plan, bool) {
 	plan, found := s.plans[id]
@@ -180,6 +189,45 @@
 	return *shard, shard.Range.Contains(hash)
 }
 
+// ShardsWithin returns a service's shards that lie wholly within a range, in
+// order.
+func (s *State) ShardsWithin(service ServiceName, keys KeyRange) []Shard {
+	ids := s.ranges[service]
+	start, _ := slices.BinarySearchFunc(ids, keys.First, func(id ShardID, first uint64) int {
+		return cmp.Compare(s.shards[id].Range.First, first)
+	})
+	var shards []Shard
+	for _, id := range ids[start:] {
+		shard := s.shards[id]
+		if shard.Range.Last > keys.Last {
+			break
+		}
+		shards = append(shards, *shard)
+	}
+	return shards
+}
+
+// Unsettled returns a shard of the service that has no owner in service, or is
+// to move, if there is one. Owners of an observed service need no session.
+func (s *State) Unsettled(service ServiceName) (ShardID, bool) {
+	observed := s.observed(service)
+	for _, id := range s.ranges[service] {
+		shard := s.shards[id]
+		owner := s.servers[shard.Owner]
+		settled := shard.Phase == ShardOwned && shard.Target == "" && owner != nil
+		if !settled || (!observed && !owner.Session.Open) {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+// observed reports whether the team's own scripts decide about the service.
+func (s *State) observed(service ServiceName) bool {
+	known, found := s.services[service]
+	return found && known.Mode == ModeObserved
+}
+
 // OwnedBy returns the shards that a server owns, revoking ones included, by
 // identifier.
 func (s *State) OwnedBy(server ServerID) []Shard {
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -54,8 +54,14 @@
 	RequestLimit int     `json:"request_limit"`
 	Weights      Weights `json:"weights"`
 	// MaxMoves bounds the shards that are moving at the same time.
-	MaxMoves int      `json:"max_moves"`
-	Revision Revision `json:"revision"`
+	MaxMoves int `json:"max_moves"`
+	// Adopted is true once the service was observed. Its servers may serve by
+	// their own authority, which must end before they get a lease.
+	Adopted bool `json:"adopted,omitempty"`
+	// HandedBack is the revision at which the service last changed from managed
+	// to observed; zero for never.
+	HandedBack Revision `json:"handed_back,omitempty"`
+	Revision   Revision `json:"revision"`
 }
 
 // Weights price the three measures of placement against each other.
@@ -156,15 +162,20 @@
 // RecordPartition places one partition of the idempotency records on routers.
 type RecordPartition struct {
 	Number int `json:"number"`
-	// Primary alone admits requests of the partition.
-	Primary RouterID `json:"primary"`
-	// Backup holds a copy of each record; empty while there is none.
-	Backup RouterID `json:"backup"`
-	Epoch  Epoch    `json:"epoch"`
+	// Primary alone admits requests of the partition, in the session
+	// PrimarySession only: a process that restarted holds no records.
+	Primary        RouterID      `json:"primary"`
+	PrimarySession SessionNumber `json:"primary_session"`
+	// Backup holds a copy of each record, in the session BackupSession; empty
+	// while there is none.
+	Backup        RouterID      `json:"backup"`
+	BackupSession SessionNumber `json:"backup_session"`
+	// Epoch rises at each change of the primary or the backup.
+	Epoch Epoch `json:"epoch"`
 	// BackupSynced is true once the backup holds every record of the primary.
 	BackupSynced bool `json:"backup_synced"`
 	// LostBefore is the time, in Unix milliseconds, before which records may
-	// have been lost; zero when none was lost.
+	// have been lost; zero when none was lost. Keys drawn before it never run.
 	LostBefore int64    `json:"lost_before"`
 	Revision   Revision `json:"revision"`
 }
