Table stream: a router that cannot build on the history gets a whole table

Ruled out: the router's own order of controllers (it did reach the new leader), and the history's length (196 of 1024 deltas).

The stream now sends a whole table to a router that holds nothing, another cluster's table, a digest that differs, or a revision ahead of the leader's.

--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -20,6 +20,9 @@
 	cluster    message.ClusterID
 	connection *wire.Conn
 	router     state.RouterID
+	// whole is true while the router needs a whole table, whatever the history
+	// holds.
+	whole bool
 	// sent is the revision of the last frame.
 	sent  state.Revision
 	pongs chan message.Pong
@@ -70,17 +73,19 @@
 	return connection.Send(ctx, &message.ControllerFrame{Refusal: &refusal})
 }
 
-// begin decides what the router holds already. A router with another cluster's
-// table, or one whose digest differs at the same revision, starts anew.
+// begin decides what the router holds already. A router starts anew that holds
+// nothing, another cluster's table, one that is ahead of the leader's, or one
+// whose digest differs at the same revision. Changes alone would not do even
+// where the history begins at revision zero: only a snapshot names the cluster,
+// and a router that holds a table refuses to go back.
 func (s *tableStream) begin(hello message.RouterHello) {
-	if hello.Cluster != s.cluster {
-		return
-	}
 	revision, digest := s.replica.tablePosition()
-	if hello.Revision == revision && hello.Digest != digest {
-		return
-	}
-	if hello.Revision <= revision {
+	switch {
+	case hello.Cluster != s.cluster, hello.Revision == 0, hello.Revision > revision:
+		s.whole = true
+	case hello.Revision == revision && hello.Digest != digest:
+		s.whole = true
+	default:
 		s.sent = hello.Revision
 	}
 }
@@ -144,7 +149,7 @@
 // at the next change.
 func (s *tableStream) writeTable(ctx context.Context) (<-chan struct{}, error) {
 	deltas, changed, reached := s.replica.history.after(s.sent)
-	if !reached {
+	if s.whole || !reached {
 		return changed, s.writeSnapshot(ctx)
 	}
 	for _, delta := range deltas {
@@ -170,5 +175,6 @@
 		}
 	}
 	s.sent = revision
+	s.whole = false
 	return nil
 }
