--- a/internal/lab/fleet/deployment.go
+++ b/internal/lab/fleet/deployment.go
@@ -18,6 +18,9 @@
 	// ServiceTime is the mean time that a request executes.
 	ServiceTime time.Duration
 	Settings    state.ServiceSettings
+	// Observed services begin under their team's own scripts, each keyed server
+	// with an equal share of the key space.
+	Observed bool
 }
 
 // Deployment is one team's services.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -38,9 +38,11 @@
 // BackEnd is one stand-in back end of the fleet.
 type BackEnd struct {
 	// Address is where the process listens; Spec has the one to reach it by.
-	Address    string
-	Spec       state.ServerSpec
-	Service    Service
+	Address string
+	Spec    state.ServerSpec
+	Service Service
+	// Claim is what the server owns at first if its service is observed.
+	Claim      state.KeyRange
 	RecordFile string
 	Process    *process.Process
 }
@@ -136,6 +138,7 @@
 			f.BackEnds = append(f.BackEnds, &BackEnd{
 				Address:    listening,
 				Service:    service,
+				Claim:      keyShare(service, number),
 				RecordFile: filepath.Join(f.options.Folder, "records", id+".jsonl"),
 				Spec: state.ServerSpec{
 					ID: state.ServerID(id), Address: reached, Zone: deployment.Zones[number%len(deployment.Zones)],
