Durable: a replica that joins a group keeps the group's founders

Cause: a machine whose disk was lost joined without the membership at log index 0. Before: TestJoinedReplicaStartsAgain finds 0 members at index 0; after: it starts twice with the 3 founders.

--- a/internal/durable/identity.go
+++ b/internal/durable/identity.go
@@ -1,8 +1,6 @@
 package durable
 
 import (
-	"slices"
-
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/identity"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -25,11 +23,11 @@
 }
 
 // Adopt returns the identity of a replica without a group that joins the group
-// of an answering controller.
+// of an answering controller. It keeps the founders also when it is none of
+// them: they are the membership at log index 0, from which it must apply the
+// log, before and after a restart.
 func Adopt(own identity.Identity, answer message.FormationAnswer) identity.Identity {
 	own.Cluster = answer.Cluster
-	if slices.ContainsFunc(answer.Founders, func(founder consensus.Member) bool { return founder.ID == own.Replica }) {
-		own.Founders = answer.Founders
-	}
+	own.Founders = answer.Founders
 	return own
 }
