Idempotency records: claims at a primary router with a backup

Routers now register as sessions, the controllers' leader places record partitions on a primary and a backup, and a request with an Idempotency-Key runs only after both hold its record.

--- a/internal/controller/logging.go
+++ b/internal/controller/logging.go
@@ -37,6 +37,12 @@
 			WithField("leaving", command.SetLeaving.Leaving).Info("platform list")
 	case command.RetireServerDone != nil:
 		telemetry.With(log, telemetry.EventServerRetired).WithField("server", command.RetireServerDone.Server).Info("server retired")
+	case command.PutRouter != nil:
+		telemetry.With(log, telemetry.EventRouterJoined).WithField("router", command.PutRouter.Router.ID).Info("router session opened")
+	case command.CloseRouter != nil:
+		telemetry.With(log, telemetry.EventRouterClosed).WithField("router", command.CloseRouter.Router).Info("router session closed")
+	case command.PutPartitions != nil:
+		telemetry.With(log, telemetry.EventPartitionsMoved).WithField("partitions", len(result.Changed)).Info("record partitions placed")
 	}
 }
 
--- /dev/null
+++ b/internal/controller/partitions.go
@@ -0,0 +1,119 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/record"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// partitionKeeper gives routers their sessions and leases and places the record
+// partitions, while this replica leads. The decisions are those of
+// record.Placement. It is safe for concurrent use.
+type partitionKeeper struct {
+	replica  *replica
+	interval time.Duration
+
+	mutex     sync.Mutex
+	placement *record.Placement
+	// term is the leadership that the placement works for.
+	term context.Context
+}
+
+func newPartitionKeeper(settings config.Controller, r *replica) *partitionKeeper {
+	return &partitionKeeper{
+		replica:  r,
+		interval: settings.Maintenance.Interval,
+		placement: record.NewPlacement(record.PlacementSettings{
+			Count:          settings.Partitions.Count,
+			LeaseDuration:  settings.Partitions.LeaseDuration,
+			ClockRateBound: settings.Lease.ClockRateBound,
+			Margin:         settings.Lease.Margin,
+		}),
+	}
+}
+
+// run looks after the partitions until the context ends.
+func (k *partitionKeeper) run(ctx context.Context) {
+	ticker := time.NewTicker(k.interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		leadership, leads := k.replica.leadershipContext()
+		if !leads {
+			continue
+		}
+		for _, command := range k.due(leadership) {
+			k.propose(ctx, leadership, command)
+		}
+	}
+}
+
+// propose waits for the command's end, so that nothing is proposed twice. What
+// was refused or lost shows in the state at the next look.
+func (k *partitionKeeper) propose(ctx, leadership context.Context, command state.Command) {
+	bounded, cancel := context.WithTimeout(ctx, k.replica.settings.Consensus.ProposalTimeout)
+	defer cancel()
+	stop := context.AfterFunc(leadership, cancel)
+	defer stop()
+	if _, err := k.replica.Propose(bounded, command); err != nil {
+		k.replica.log.WithError(err).Debug("partition command not applied")
+	}
+}
+
+func (k *partitionKeeper) due(leadership context.Context) []state.Command {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.follow(leadership)
+	var commands []state.Command
+	k.replica.view(func(view *state.State) {
+		moment := record.Moment{Now: k.replica.clock.Now(), UnixMs: time.Now().UnixMilli()}
+		commands = k.placement.Tick(moment, view)
+	})
+	return commands
+}
+
+// follow begins anew in each term of leadership.
+func (k *partitionKeeper) follow(leadership context.Context) {
+	if k.term == leadership {
+		return
+	}
+	k.term = leadership
+	k.placement.Lead(k.replica.clock.Now())
+}
+
+// grant completes the pong for a ping that a quorum round followed. It grants
+// nothing once the leadership ended.
+func (k *partitionKeeper) grant(leadership context.Context, process state.Router, ping message.Ping, pong *message.Pong) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if leadership.Err() != nil {
+		return
+	}
+	k.follow(leadership)
+	report := record.Report{
+		Synced: partitionEpochs(ping.SyncedPartitions), Failed: partitionEpochs(ping.FailedBackups),
+		Leaving: ping.Leaving, Stopped: ping.Stopped,
+	}
+	k.replica.view(func(view *state.State) {
+		session, lease := k.placement.Pinged(k.replica.clock.Now(), process, report, view)
+		pong.Session = session
+		pong.LeaseNs = int64(lease)
+	})
+}
+
+func partitionEpochs(reported []message.PartitionSync) []record.PartitionEpoch {
+	epochs := make([]record.PartitionEpoch, 0, len(reported))
+	for _, each := range reported {
+		epochs = append(epochs, record.PartitionEpoch{Number: each.Number, Epoch: each.Epoch})
+	}
+	return epochs
+}
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -47,7 +47,9 @@
 	metrics  *metrics
 	history  *tableHistory
 	routers  *routerRegistry
-	cluster  message.ClusterID
+	// partitions places the idempotency records on routers.
+	partitions *partitionKeeper
+	cluster    message.ClusterID
 	// background holds the goroutines of table streams.
 	background conc.WaitGroup
 
@@ -127,6 +129,7 @@
 		return nil, err
 	}
 	r.core = core
+	r.partitions = newPartitionKeeper(settings, r)
 	r.joining.pending = make(map[consensus.ReplicaID]consensus.Member)
 	r.publish()
 	return r, nil
@@ -148,6 +151,11 @@
 	ticker := time.NewTicker(r.settings.Consensus.TickInterval)
 	defer ticker.Stop()
 	defer r.stopLeading()
+	ctx, cancel := context.WithCancel(ctx)
+	var keeping conc.WaitGroup
+	keeping.Go(func() { r.partitions.run(ctx) })
+	defer keeping.Wait()
+	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -20,6 +20,10 @@
 	cluster    message.ClusterID
 	connection *wire.Conn
 	router     state.RouterID
+	// process is what the router said of itself.
+	process state.Router
+	// leadership ends when this replica stops leading.
+	leadership context.Context
 	// whole is true while the router needs a whole table, whatever the history
 	// holds.
 	whole bool
@@ -53,8 +57,8 @@
 	defer stopWatching()
 	stream := &tableStream{
 		replica: r, cluster: cluster, connection: connection,
-		router: first.Hello.Router.ID,
-		pongs:  make(chan message.Pong, r.settings.Table.QueueFrames),
+		router: first.Hello.Router.ID, process: first.Hello.Router, leadership: leadership,
+		pongs: make(chan message.Pong, r.settings.Table.QueueFrames),
 	}
 	stream.begin(*first.Hello)
 	telemetry.With(r.log, telemetry.EventRouterJoined).WithField("router", stream.router).
@@ -119,6 +123,7 @@
 			return err
 		}
 		pong := s.replica.routers.pong(s.router, *frame.Ping, revision, s.replica.clock.Now())
+		s.replica.partitions.grant(s.leadership, s.process, *frame.Ping, &pong)
 		select {
 		case s.pongs <- pong:
 		case <-ctx.Done():
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -86,6 +86,11 @@
 	SyncedPartitions []PartitionSync
 	// FailedBackups lists partitions whose backup does not answer the primary.
 	FailedBackups []PartitionSync
+	// Leaving says that the router stops and wants its partitions moved.
+	Leaving bool
+	// Stopped promises that the router process acts as a primary never again, so
+	// that its lease need not be waited out.
+	Stopped bool
 }
 
 // PartitionSync names one record partition at one epoch.
--- /dev/null
+++ b/internal/record/placement.go
@@ -0,0 +1,209 @@
+package record
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// PlacementSettings configure Placement.
+type PlacementSettings struct {
+	// Count is the number of partitions of a new cluster.
+	Count int
+	// LeaseDuration is the length of a router's lease, from the moment at which
+	// the router sent its ping.
+	LeaseDuration time.Duration
+	// ClockRateBound is the largest difference in speed of two clocks.
+	ClockRateBound float64
+	// Margin is added before a lease counts as ended.
+	Margin time.Duration
+}
+
+// surelyEnded is how long after the last grant a lease has surely ended.
+func (s PlacementSettings) surelyEnded() time.Duration {
+	return time.Duration(float64(s.LeaseDuration)*(1+s.ClockRateBound)) + s.Margin
+}
+
+const (
+	// foundingWait is how long the first router waits for a second one before
+	// the partitions are placed for the first time.
+	foundingWait = time.Second
+	// failedWait is how long a backup that did not answer is not chosen again by
+	// the same primary.
+	failedWait = 3 * time.Second
+)
+
+// PartitionEpoch names a partition at one epoch.
+type PartitionEpoch struct {
+	Number int
+	Epoch  state.Epoch
+}
+
+// Report is what a router process says with a ping.
+type Report struct {
+	// Synced lists partitions whose backup holds every record of this primary.
+	Synced []PartitionEpoch
+	// Failed lists partitions whose backup does not answer this primary.
+	Failed []PartitionEpoch
+	// Leaving asks to move the router's partitions.
+	Leaving bool
+	// Stopped promises that the process never acts as a primary again.
+	Stopped bool
+}
+
+// Placement decides, on the leading controller, about the routers' sessions and
+// the places of the record partitions. It is not safe for concurrent use.
+type Placement struct {
+	settings PlacementSettings
+	contacts map[state.RouterID]*contact
+	// leadingSince is when this controller was elected.
+	leadingSince time.Duration
+	// firstUsable is when the first router could take partitions.
+	firstUsable time.Duration
+	synced      map[PartitionEpoch]bool
+	failed      map[PartitionEpoch]bool
+	// unreachable holds until when a primary does not choose a backup.
+	unreachable map[routerPair]time.Duration
+}
+
+type routerPair struct {
+	primary state.RouterID
+	backup  state.RouterID
+}
+
+// contact is what the leader knows of one router.
+type contact struct {
+	// wanted is the process that pinged last.
+	wanted state.Router
+	pinged time.Duration
+	report Report
+	// session is the last one that renewedAt belongs to.
+	session state.SessionNumber
+	// renewedAt is the newest moment from which a lease may count.
+	renewedAt time.Duration
+	// closing is the session whose end is proposed; it gets no lease again.
+	closing state.SessionNumber
+}
+
+// NewPlacement returns a Placement that does not lead yet.
+func NewPlacement(settings PlacementSettings) *Placement {
+	placement := &Placement{settings: settings}
+	placement.Lead(0)
+	return placement
+}
+
+// Lead begins a term of leadership. Leases that earlier leaders gave count as
+// renewed at this moment.
+func (p *Placement) Lead(now time.Duration) {
+	p.contacts = make(map[state.RouterID]*contact)
+	p.synced = make(map[PartitionEpoch]bool)
+	p.failed = make(map[PartitionEpoch]bool)
+	p.unreachable = make(map[routerPair]time.Duration)
+	p.leadingSince = now
+	p.firstUsable = 0
+}
+
+// Pinged takes a ping of a router process, which a quorum round followed, and
+// returns the router's session and the length of the lease that its pong
+// grants; both are zero when the process has no open session. The routers are
+// those of the state.
+func (p *Placement) Pinged(now time.Duration, process state.Router, report Report, view *state.State) (state.SessionNumber, time.Duration) {
+	known := p.contact(process.ID)
+	known.wanted = process
+	known.pinged = now
+	known.report = report
+	p.learn(now, process.ID, report, view)
+	registered, found := view.Router(process.ID)
+	session := registered.Session
+	if !found || !session.Open || session.Incarnation != process.Session.Incarnation {
+		return 0, 0
+	}
+	if session.Number == known.closing || report.Stopped {
+		return session.Number, 0
+	}
+	known.session = session.Number
+	known.renewedAt = max(known.renewedAt, now)
+	return session.Number, p.settings.LeaseDuration
+}
+
+func (p *Placement) contact(id state.RouterID) *contact {
+	known, found := p.contacts[id]
+	if !found {
+		known = &contact{renewedAt: p.leadingSince}
+		p.contacts[id] = known
+	}
+	return known
+}
+
+// learn keeps what a primary says of its backups.
+func (p *Placement) learn(now time.Duration, router state.RouterID, report Report, view *state.State) {
+	for _, reported := range report.Synced {
+		if placed, found := view.Partition(reported.Number); found && placed.Primary == router && placed.Epoch == reported.Epoch {
+			p.synced[reported] = true
+		}
+	}
+	for _, reported := range report.Failed {
+		if placed, found := view.Partition(reported.Number); found && placed.Primary == router && placed.Epoch == reported.Epoch {
+			p.failed[reported] = true
+			p.unreachable[routerPair{primary: router, backup: placed.Backup}] = now + failedWait
+		}
+	}
+}
+
+// Tick returns the commands that are due, given the wall clock in Unix
+// milliseconds.
+func (p *Placement) Tick(moment Moment, view *state.State) []state.Command {
+	var commands []state.Command
+	for _, router := range view.Routers() {
+		if command, due := p.closeSession(moment.Now, router); due {
+			commands = append(commands, command)
+		}
+	}
+	commands = append(commands, p.openSessions(moment.Now, view)...)
+	if changes := p.place(moment, view); len(changes) > 0 {
+		commands = append(commands, state.Command{PutPartitions: &state.PutPartitions{Partitions: changes}})
+	}
+	return commands
+}
+
+// closeSession ends the session of a router whose lease has surely ended, or
+// which promised not to act any more.
+func (p *Placement) closeSession(now time.Duration, router state.Router) (state.Command, bool) {
+	if !router.Session.Open {
+		return state.Command{}, false
+	}
+	known := p.contact(router.ID)
+	if known.session != router.Session.Number {
+		known.session = router.Session.Number
+		known.renewedAt = max(known.renewedAt, now)
+	}
+	stopped := known.report.Stopped && known.wanted.Session.Incarnation == router.Session.Incarnation
+	if !stopped && now-known.renewedAt <= p.settings.surelyEnded() {
+		return state.Command{}, false
+	}
+	known.closing = router.Session.Number
+	return state.Command{CloseRouter: &state.CloseRouter{Router: router.ID, Session: router.Session.Number}}, true
+}
+
+func (p *Placement) openSessions(now time.Duration, view *state.State) []state.Command {
+	var commands []state.Command
+	for _, id := range slices.Sorted(maps.Keys(p.contacts)) {
+		known := p.contacts[id]
+		if known.wanted.ID == "" || known.report.Stopped || known.report.Leaving || !p.answers(now, known) {
+			continue
+		}
+		registered, found := view.Router(id)
+		if found && registered.Session.Open {
+			continue
+		}
+		commands = append(commands, state.Command{PutRouter: &state.PutRouter{Router: known.wanted}})
+	}
+	return commands
+}
+
+// answers reports whether the router's process pinged lately.
+func (p *Placement) answers(now time.Duration, known *contact) bool {
+	return known.pinged > 0 && now-known.pinged < p.settings.LeaseDuration
+}
--- /dev/null
+++ b/internal/router/keptanswer.go
@@ -0,0 +1,86 @@
+package router
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/record"
+)
+
+// fingerprintOf identifies the request's content. Headers but the key's do not
+// count, since callers and proxies change them between resends.
+func fingerprintOf(exchange *Exchange) record.Fingerprint {
+	sum := sha256.New()
+	for _, part := range [][]byte{
+		[]byte(exchange.Request.Service), exchange.Inbound.Header.Method(), []byte(exchange.Target),
+		[]byte(exchange.key), exchange.Inbound.Body(),
+	} {
+		addPart(sum, part)
+	}
+	var fingerprint record.Fingerprint
+	copy(fingerprint[:], sum.Sum(nil))
+	return fingerprint
+}
+
+// addPart adds a part with its length, so that no two lists of parts are alike.
+func addPart(sum hash.Hash, part []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+	// A hash's Write never fails.
+	_, _ = sum.Write(length[:])
+	_, _ = sum.Write(part)
+}
+
+// notKept are headers of a back end's answer that belong to one exchange.
+func notKept(name string) bool {
+	for _, other := range hopHeaders {
+		if name == other {
+			return true
+		}
+	}
+	switch name {
+	case backendapi.HeaderLoad, backendapi.HeaderRequestID, callerapi.HeaderError, callerapi.HeaderOutcome,
+		fasthttp.HeaderContentLength:
+		return true
+	default:
+		return false
+	}
+}
+
+// keepAnswer copies a back end's answer for resends, unless it is too large.
+func keepAnswer(answer *fasthttp.Response, maxBytes int) *record.Answer {
+	kept := &record.Answer{Status: answer.StatusCode(), SkipBody: answer.SkipBody}
+	if len(answer.Body()) > maxBytes {
+		kept.Omitted = true
+		return kept
+	}
+	for name, value := range answer.Header.All() {
+		if !notKept(string(name)) {
+			kept.Headers = append(kept.Headers, record.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	kept.Body = append([]byte(nil), answer.Body()...)
+	return kept
+}
+
+// restoreAnswer makes a kept answer the exchange's own.
+func restoreAnswer(exchange *Exchange, kept *record.Answer) error {
+	if kept == nil || kept.Omitted {
+		return fault.New(fault.OutcomeUnknown,
+			"the request with this Idempotency-Key ran and was answered, but its answer was too large to be kept; look its effect up")
+	}
+	exchange.Answer.Reset()
+	exchange.Answer.SetStatusCode(kept.Status)
+	for _, header := range kept.Headers {
+		exchange.Answer.Header.Add(header.Name, header.Value)
+	}
+	exchange.Answer.SkipBody = kept.SkipBody
+	exchange.Answer.SetBody(kept.Body)
+	return nil
+}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -20,6 +20,8 @@
 	stopGrace = time.Second
 	// graceShare bounds the grace as a part of the stop timeout.
 	graceShare = 4
+	// handOverTime bounds the hand-over of record partitions after a stop.
+	handOverTime = 3 * time.Second
 	// probeWorkers bounds health checks that run at the same time.
 	probeWorkers = 8
 )
@@ -96,6 +98,17 @@
 	return nil
 }
 
+// handOver records the ends of all requests and waits until other routers hold
+// this router's record partitions.
+func (r *Router) handOver() {
+	bounded, cancel := context.WithTimeout(context.Background(), min(handOverTime, r.settings.StopTimeout))
+	defer cancel()
+	if r.completions != nil {
+		r.completions.flush(bounded)
+	}
+	r.records.Stop(bounded)
+}
+
 // awaitConnections returns once no connection is open, or at the given time.
 func (r *Router) awaitConnections(end time.Time) {
 	const interval = 10 * time.Millisecond
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -14,6 +14,7 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	resends  *prometheus.CounterVec
+	claims   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 }
 
@@ -29,6 +30,7 @@
 		requests: set.Counters("requests_total", "Requests by service and kind of answer.", "service", "kind"),
 		attempts: set.Counters("attempts_total", "Attempts sent to back ends.", "service"),
 		resends:  set.Counters("resends_total", "Attempts that will be sent again, by the kind of failure.", "service", "kind"),
+		claims:   set.Counters("record_claims_total", "Claims of idempotency records, by verdict.", "verdict"),
 		latency:  set.Histograms("request_seconds", "Time from a request's arrival to its answer.", latencyBuckets(), "service"),
 	}
 }
@@ -57,6 +59,14 @@
 	set.GaugeFunction("in_flight_requests", "Requests in flight.", func() float64 { return float64(r.limiter.Total()) })
 	set.GaugeFunction("owner_waits", "Requests that wait for an owner.", func() float64 { return float64(r.buffer.total()) })
 	set.GaugeFunction("queued_requests", "Requests that wait for a place at a server.", r.queued)
+	set.GaugeFunction("records", "Idempotency records that this router holds.", func() float64 {
+		records, _ := r.records.Records()
+		return float64(records)
+	})
+	set.GaugeFunction("record_primaries", "Record partitions of which this router is the primary.", func() float64 {
+		_, primaries := r.records.Records()
+		return float64(primaries)
+	})
 	set.GaugeFunction("table_revision", "Revision of the routing table.", func() float64 {
 		return float64(r.builder.Table().Revision())
 	})
--- /dev/null
+++ b/internal/router/records/ask.go
@@ -0,0 +1,64 @@
+package records
+
+import (
+	"context"
+	"errors"
+
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/record"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// callTimeouts is how many peer timeouts a claim may take, since the primary
+// calls its backup meanwhile.
+const callTimeouts = 2
+
+// Claim asks the key's primary for the right to run a request. It returns true
+// when the claim may have been taken although no answer says so: then it must
+// be claimed again, or given up by a completion.
+func (s *Service) Claim(ctx context.Context, claim record.Claim) (message.RecordAnswer, bool) {
+	answer, err := s.ask(ctx, claim.Key, message.RecordCall{Claim: &claim})
+	if err != nil {
+		return message.RecordAnswer{Verdict: record.NotPrimary}, !errors.Is(err, wire.ErrNotSent)
+	}
+	return answer, answer.Verdict == record.NotStored
+}
+
+// Complete tells the key's primary how an attempt ended. It returns false when
+// it must be sent again.
+func (s *Service) Complete(ctx context.Context, completion record.Completion) bool {
+	answer, err := s.ask(ctx, completion.Claim.Key, message.RecordCall{Completion: &completion})
+	if err != nil {
+		return false
+	}
+	return answer.Verdict != record.NotPrimary && answer.Verdict != record.NotStored
+}
+
+// ask sends a call to the key's primary, which may be this router.
+func (s *Service) ask(ctx context.Context, key record.Key, call message.RecordCall) (message.RecordAnswer, error) {
+	notPrimary := message.RecordAnswer{Verdict: record.NotPrimary}
+	view := s.options.View()
+	if view.Partitions() == 0 {
+		return notPrimary, nil
+	}
+	call.Partition = key.Partition(view.Partitions())
+	placed, found := view.Partition(call.Partition)
+	if !found {
+		return notPrimary, nil
+	}
+	if placed.Primary == s.options.Self.ID {
+		return *s.handle(ctx, &call), nil
+	}
+	primary, found := view.Router(placed.Primary)
+	if !found || primary.Session.Number != placed.PrimarySession {
+		return notPrimary, nil
+	}
+	client, err := s.peers.client(primary, purposeClaim)
+	if err != nil {
+		return notPrimary, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeouts*s.options.Settings.PeerTimeout)
+	defer cancel()
+	var answer message.RecordAnswer
+	return answer, client.Call(ctx, &call, &answer)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/retry"
+	"github.com/thorntiller/thorntiller/internal/router/records"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -42,8 +43,12 @@
 	metrics      *metrics
 	registry     *telemetry.Metrics
 	deduplicator Deduplicator
-	handler      Handler
-	dial         tableDialer
+	records      *records.Service
+	// completions holds the ends of requests that are not recorded yet; nil when
+	// another Deduplicator was given.
+	completions *recordDeduplicator
+	handler     Handler
+	dial        tableDialer
 
 	// connections counts callers' open connections.
 	connections atomic.Int64
@@ -59,8 +64,8 @@
 
 // Options are parts that the caller of New may replace.
 type Options struct {
-	// Deduplicator serves requests with an Idempotency-Key; nil sends them on
-	// like any other.
+	// Deduplicator serves requests with an Idempotency-Key; nil keeps records on
+	// the routers of the cluster.
 	Deduplicator Deduplicator
 }
 
@@ -82,6 +87,13 @@
 	router.lifetime, router.end = context.WithCancel(context.Background())
 	router.fleet = newFleet(settings, router.clock, router.builder)
 	router.metrics = newMetrics(router.registry)
+	router.records = records.New(records.Options{
+		Self: router.self(), Settings: settings.Records, Clock: router.clock, Log: log, View: router.builder.Table,
+	})
+	if router.deduplicator == nil {
+		router.completions = router.newDeduplicator()
+		router.deduplicator = router.completions
+	}
 	router.registerGauges(router.registry)
 	router.handler = chain(router.newExecutor().run,
 		router.refuseAfterStop, router.refuseStale, router.resolveService, router.limitRequests, router.deduplicate)
@@ -103,6 +115,14 @@
 	}
 }
 
+func (r *Router) newDeduplicator() *recordDeduplicator {
+	return &recordDeduplicator{
+		self: state.RouterID(r.settings.Name), clock: r.clock, client: r.records, metrics: r.metrics,
+		maxAnswerBytes: r.settings.Records.MaxAnswerBytes, peerTimeout: r.settings.Records.PeerTimeout,
+		lifetime: r.lifetime, places: make(chan struct{}, maxCompletions),
+	}
+}
+
 // newIncarnation names this process among all that ever ran.
 func newIncarnation() string {
 	const size = 8
@@ -136,18 +156,25 @@
 		_ = callers.Close()
 		return eris.Wrapf(err, "listen on admin_address %q", r.settings.AdminAddress)
 	}
-	return r.serveOn(ctx, callers, admin)
+	peers, err := net.Listen("tcp", r.settings.PeerAddress)
+	if err != nil {
+		_ = callers.Close()
+		_ = admin.Close()
+		return eris.Wrapf(err, "listen for routers on peer_address %q", r.settings.PeerAddress)
+	}
+	return r.serveOn(ctx, callers, admin, peers)
 }
 
-func (r *Router) serveOn(ctx context.Context, callers, admin net.Listener) error {
+func (r *Router) serveOn(ctx context.Context, callers, admin, peers net.Listener) error {
 	callers = &onceListener{Listener: callers}
 	background, stopBackground := context.WithCancel(context.Background())
 	callerServer := r.newCallerServer()
 	adminServer := &fasthttp.Server{Handler: r.serveAdmin(r.registry), Name: role, Concurrency: adminConnections}
 	var group conc.WaitGroup
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	group.Go(func() { failed <- serveListener(callerServer, callers) })
 	group.Go(func() { failed <- serveListener(adminServer, admin) })
+	group.Go(func() { failed <- r.records.Run(background, peers) })
 	group.Go(func() { r.newSubscription().run(background) })
 	group.Go(func() { r.probe(background) })
 	group.Go(func() { r.watchFreshness(background) })
@@ -156,12 +183,17 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		r.records.Leave()
 		err = r.stop(callerServer, callers)
+		r.handOver()
 	case err = <-failed:
 		_ = callers.Close()
 	}
 	stopBackground()
 	r.end()
+	if r.completions != nil {
+		r.completions.wait()
+	}
 	_ = adminServer.Shutdown()
 	group.Wait()
 	return err
@@ -180,7 +212,11 @@
 	return &subscription{
 		self: r.self(), controllers: r.settings.Controllers, interval: r.settings.PingInterval,
 		dial: r.dial, clock: r.clock, builder: r.builder, freshness: r.freshness, log: r.log,
-		changed: func() { r.fleet.refresh(r.builder.Table()) },
+		changed: func() {
+			r.fleet.refresh(r.builder.Table())
+			r.records.TableChanged()
+		},
+		records: r.records,
 	}
 }
 
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -37,6 +37,16 @@
 // tableDialer opens a table connection to a controller's peer address.
 type tableDialer func(ctx context.Context, address string, hello message.Hello) (tableConnection, error)
 
+// recordReporter is the record service as the subscription sees it.
+type recordReporter interface {
+	// Report completes a ping whose SentNs is set.
+	Report(ping *message.Ping)
+	// ReportDue gets a token when a ping should go out soon.
+	ReportDue() <-chan struct{}
+	// Renew takes the lease in a pong.
+	Renew(pong message.Pong)
+}
+
 // subscription keeps the routing table current.
 type subscription struct {
 	self        state.Router
@@ -49,6 +59,8 @@
 	log         *logrus.Entry
 	// changed is called after each new version of the table.
 	changed func()
+	// records adds to pings and takes leases from pongs.
+	records recordReporter
 
 	// preferred is the index of the controller that answered last.
 	preferred int
@@ -150,11 +162,13 @@
 			return
 		}
 		ping := &message.Ping{Nonce: s.nonce, SentNs: int64(now), Revision: s.builder.Table().Revision()}
+		s.records.Report(ping)
 		if err := connection.Send(message.RouterFrame{Ping: ping}); err != nil {
 			return
 		}
 		select {
 		case <-ticker.C:
+		case <-s.records.ReportDue():
 		case <-ctx.Done():
 			return
 		}
@@ -193,6 +207,7 @@
 		return s.checked(err)
 	case frame.Pong != nil:
 		s.freshness.observe(*frame.Pong, s.builder.Table().Revision())
+		s.records.Renew(*frame.Pong)
 		return nil
 	case frame.Refusal != nil:
 		return eris.Errorf("the controller refused: %s: %s", frame.Refusal.Kind, frame.Refusal.Detail)
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -16,13 +16,32 @@
 func (s *State) Apply(index uint64, command Command) Result {
 	tx := &transaction{state: s, revision: Revision(index)}
 	result := tx.execute(command)
-	result.Changed = tx.changed
+	result.Changed = newestVersions(tx.changed)
 	if len(tx.changed) > 0 {
 		s.revision = tx.revision
 	}
 	return result
 }
 
+// newestVersions keeps the last version of each object, since a command may
+// change an object more than once. A table takes each object once in a delta.
+func newestVersions(changed []Object) []Object {
+	last := make(map[string]int, len(changed))
+	for position, object := range changed {
+		last[object.Key()] = position
+	}
+	if len(last) == len(changed) {
+		return changed
+	}
+	newest := make([]Object, 0, len(last))
+	for position, object := range changed {
+		if last[object.Key()] == position {
+			newest = append(newest, object)
+		}
+	}
+	return newest
+}
+
 func (tx *transaction) execute(command Command) Result {
 	switch {
 	case command.StorePlan != nil:
--- /dev/null
+++ b/internal/wire/call.go
@@ -0,0 +1,56 @@
+package wire
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// callFrame carries a request or its answer; both have the same number.
+type callFrame struct {
+	Number  uint64
+	Content msgpack.RawMessage
+}
+
+// ServeCalls answers requests of type Q with answers of type A until the
+// connection ends, with at most limit calls at the same time; further requests
+// wait in the connection. It returns once every handler has returned. Handlers
+// get a context that ends with the connection.
+func ServeCalls[Q, A any](ctx context.Context, connection *Conn, limit int, handle func(context.Context, *Q) *A) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var running conc.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	places := make(chan struct{}, limit)
+	for {
+		var frame callFrame
+		if err := connection.Receive(&frame); err != nil {
+			return err
+		}
+		request := new(Q)
+		if err := msgpack.Unmarshal(frame.Content, request); err != nil {
+			return eris.Wrapf(err, "decode %T", request)
+		}
+		select {
+		case places <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		running.Go(func() {
+			defer func() { <-places }()
+			// A failed send closes the connection, which ends the loop above.
+			_ = sendCall(ctx, connection, frame.Number, handle(ctx, request))
+		})
+	}
+}
+
+func sendCall(ctx context.Context, connection *Conn, number uint64, content any) error {
+	encoded, err := msgpack.Marshal(content)
+	if err != nil {
+		return because(ErrNotSent, eris.Wrapf(err, "encode %T", content))
+	}
+	return connection.Send(ctx, &callFrame{Number: number, Content: encoded})
+}
