Deadline of an answer is told from a lost connection

A read deadline that passed was reported as connection_lost instead of deadline_exceeded: fasthttp replaces the system's timeout by an error of its own that has Timeout() but is no net.Error, which isTimeout asked for. The test TestLateAnswerIsNeverTakenForAnother caught it, but its early end left the stand-in waiting for a release, so that the test binary hung instead of failing; the release now stands in a cleanup. The binary of internal/lab/caller hung in its own cleanup, which waited for both servers after it had stopped one; each server now has its own wait group.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -106,9 +106,11 @@
 	}
 }
 
+// isTimeout asks for the one method Timeout, not for a net.Error: fasthttp turns
+// a read deadline that passed into an error of its own, which is no net.Error.
 func isTimeout(err error) bool {
-	var network net.Error
-	return eris.As(err, &network) && network.Timeout()
+	var timeout interface{ Timeout() bool }
+	return eris.As(err, &timeout) && timeout.Timeout()
 }
 
 // errUnframed: the end of the answer's body is the end of the connection, so
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -142,17 +142,19 @@
 
 func TestLateAnswerIsNeverTakenForAnother(t *testing.T) {
 	release := make(chan struct{})
+	releaseLate := sync.OnceFunc(func() { close(release) })
 	s := serve(t, func(path, id string) ([]byte, bool) {
 		if path == "/late" {
 			<-release
 		}
 		return framed(id, len(path), path), true
 	})
+	t.Cleanup(releaseLate)
 	client := newTestClient(t, s.address)
 	if _, failure := send(client, fasthttp.MethodPost, "/late", "1", 20*time.Millisecond); failure == nil || failure.Kind != fault.DeadlineExceeded {
 		t.Fatalf("got %v", failure)
 	}
-	close(release)
+	releaseLate()
 	for _, id := range []string{"2", "3"} {
 		response, failure := send(client, fasthttp.MethodPost, "/"+id, id, patience)
 		if failure != nil || string(response.Body()) != "/"+id {
--- a/internal/lab/caller/caller_test.go
+++ b/internal/lab/caller/caller_test.go
@@ -39,7 +39,6 @@
 func startRouters(t *testing.T, script ...fasthttp.RequestHandler) *routers {
 	t.Helper()
 	started := &routers{script: script, arrivals: make(map[string][]arrival)}
-	serving := conc.NewWaitGroup()
 	for range 2 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -49,6 +48,7 @@
 		logger.SetOutput(io.Discard)
 		server := &fasthttp.Server{Handler: started.handle, Logger: logger, CloseOnShutdown: true}
 		started.addresses = append(started.addresses, listener.Addr().String())
+		serving := conc.NewWaitGroup()
 		serving.Go(func() {
 			if err := server.Serve(listener); err != nil {
 				t.Error(err)
