--- a/internal/lab/sim/checker/log.go
+++ b/internal/lab/sim/checker/log.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -35,6 +36,7 @@
 type tableChange struct {
 	at       time.Duration
 	revision state.Revision
+	digest   uint64
 }
 
 type logChecker struct {
@@ -42,6 +44,7 @@
 	entries map[uint64]entryContent
 	// owners has the server that each epoch of a shard was first given to.
 	owners  map[shardEpoch]state.ServerID
+	epochs  map[state.ShardID]state.Epoch
 	changes []tableChange
 	// acknowledged is the highest index whose effect someone was told of.
 	acknowledged uint64
@@ -53,6 +56,7 @@
 		leaders: make(map[uint64]string),
 		entries: make(map[uint64]entryContent),
 		owners:  make(map[shardEpoch]state.ServerID),
+		epochs:  make(map[state.ShardID]state.Epoch),
 	}
 }
 
@@ -68,6 +72,7 @@
 // Applied records an applied entry. Every replica must apply the same entry at
 // an index, and reach the same routing table by it.
 func (c *Checker) Applied(entry AppliedEntry) {
+	c.counts.Entries++
 	content := entryContent{term: entry.Term, content: entry.Content, digest: entry.Digest, table: entry.Table}
 	known, found := c.log.entries[entry.Index]
 	if found {
@@ -78,7 +83,7 @@
 	}
 	c.log.entries[entry.Index] = content
 	if len(entry.Changed) > 0 {
-		c.log.changes = append(c.log.changes, tableChange{at: c.now(), revision: entry.Table})
+		c.log.changes = append(c.log.changes, tableChange{at: c.now(), revision: entry.Table, digest: entry.Digest})
 	}
 	for _, object := range entry.Changed {
 		if object.Shard != nil {
@@ -87,8 +92,12 @@
 	}
 }
 
-// shardChanged checks that an epoch is given to one owner only.
+// shardChanged checks that epochs only rise and are given to one owner each.
 func (c *Checker) shardChanged(shard state.Shard) {
+	if shard.Epoch < c.log.epochs[shard.ID] {
+		c.Fail(EpochOrder, "shard %d goes back from epoch %d to %d", shard.ID, c.log.epochs[shard.ID], shard.Epoch)
+	}
+	c.log.epochs[shard.ID] = shard.Epoch
 	if shard.Owner == "" {
 		return
 	}
@@ -128,6 +137,7 @@
 // Read checks a table revision that a quorum confirmed as current for a request
 // that was made at the given time.
 func (c *Checker) Read(replica string, asked time.Duration, revision state.Revision) {
+	c.counts.Reads++
 	if least := c.tableAt(asked); revision < least {
 		c.Fail(CurrentRead, "%s confirms revision %d, but %d was committed before the read was asked for", replica, revision, least)
 	}
@@ -143,16 +153,38 @@
 	return c.log.changes[after-1].revision
 }
 
+// TableUpTo returns the newest table revision that the log makes up to an index.
+// An accepted plan without operations changes no table.
+func (c *Checker) TableUpTo(index uint64) state.Revision {
+	after := sort.Search(len(c.log.changes), func(i int) bool { return uint64(c.log.changes[i].revision) > index })
+	if after == 0 {
+		return 0
+	}
+	return c.log.changes[after-1].revision
+}
+
 // Promise is what a replica told others that it holds.
 type Promise struct {
-	Replica string
-	Term    uint64
-	Vote    uint64
-	Index   uint64
+	Replica    string
+	Identifier consensus.ReplicaID
+	Term       uint64
+	Vote       uint64
+	Index      uint64
+}
+
+// Note records a term and vote that were on stable storage before messages
+// told of them. A new term takes back what was promised of the log's end.
+func (p *Promise) Note(term, vote uint64) {
+	if term != p.Term {
+		p.Index = 0
+	}
+	p.Term = term
+	p.Vote = vote
 }
 
 // Recovered checks what a replica read from its disk against its promise.
 func (c *Checker) Recovered(promise, recovered Promise) {
+	c.counts.Recoveries++
 	switch {
 	case recovered.Term < promise.Term:
 		c.Fail(Durability, "%s starts in term %d after it had told of term %d", promise.Replica, recovered.Term, promise.Term)
@@ -162,3 +194,27 @@
 		c.Fail(Durability, "%s starts at index %d after it had acknowledged %d", promise.Replica, recovered.Index, promise.Index)
 	}
 }
+
+// Table checks a table that came in force at a router: it must hold all of one
+// committed revision. Within the life of a router process revisions only rise.
+func (c *Checker) Table(router string, revision state.Revision, digest uint64) {
+	c.counts.Tables++
+	if uint64(revision) < c.routers[router] {
+		c.Fail(RevisionOrder, "%s goes back from revision %d to %d", router, c.routers[router], revision)
+	}
+	c.routers[router] = uint64(revision)
+	if revision == 0 && digest == 0 {
+		return
+	}
+	at := sort.Search(len(c.log.changes), func(i int) bool { return c.log.changes[i].revision >= revision })
+	if at == len(c.log.changes) || c.log.changes[at].revision != revision {
+		c.Fail(RouterTable, "%s has revision %d, which was never committed", router, revision)
+		return
+	}
+	if c.log.changes[at].digest != digest {
+		c.Fail(RouterTable, "%s has revision %d with digest %x in place of %x", router, revision, digest, c.log.changes[at].digest)
+	}
+}
+
+// RouterStarts records that a router process began with an empty table.
+func (c *Checker) RouterStarts(router string) { delete(c.routers, router) }
--- /dev/null
+++ b/internal/lab/sim/stream.go
@@ -0,0 +1,141 @@
+package sim
+
+import (
+	"github.com/thorntiller/thorntiller/internal/lab/sim/network"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// tableHistory keeps the newest deltas of the routing table.
+type tableHistory struct {
+	deltas []message.TableDelta
+	newest state.Revision
+}
+
+func (h *tableHistory) add(delta message.TableDelta) {
+	h.deltas = append(h.deltas, delta)
+	if len(h.deltas) > historyDeltas {
+		h.deltas = append([]message.TableDelta(nil), h.deltas[len(h.deltas)-historyDeltas/2:]...)
+	}
+	h.newest = delta.To
+}
+
+func (h *tableHistory) reset(newest state.Revision) {
+	h.deltas = nil
+	h.newest = newest
+}
+
+// after returns the deltas that lead on from a revision; false when the history
+// does not reach back to it.
+func (h *tableHistory) after(revision state.Revision) ([]message.TableDelta, bool) {
+	if revision == h.newest {
+		return nil, true
+	}
+	for position, delta := range h.deltas {
+		if delta.From == revision {
+			return h.deltas[position:], true
+		}
+	}
+	return nil, false
+}
+
+// connection is one table connection between a router and a controller.
+type connection struct {
+	router     *router
+	controller *controller
+	up, down   *network.Pipe
+}
+
+func (c *connection) close() {
+	c.up.Close()
+	c.down.Close()
+}
+
+// toRouter queues a frame for the router.
+func (c *connection) toRouter(frame message.ControllerFrame) {
+	c.controller.outgoing(func() {
+		c.down.Send(func() { c.router.receive(func() { c.router.take(c, frame) }) })
+	})
+}
+
+// toController queues a frame for the controller.
+func (c *connection) toController(frame message.RouterFrame) {
+	c.router.outgoing(func() {
+		c.up.Send(func() { c.controller.receive(func() { c.controller.takeFrame(c, frame) }) })
+	})
+}
+
+// stream is the controller's side of a connection.
+type stream struct {
+	connection *connection
+	// whole is true while the router needs a whole table.
+	whole bool
+	sent  state.Revision
+}
+
+func (c *controller) takeFrame(from *connection, frame message.RouterFrame) {
+	switch {
+	case c.replica == nil || !c.replica.leading:
+		from.toRouter(message.ControllerFrame{Refusal: &message.Refusal{}})
+	case frame.Hello != nil:
+		c.replica.subscribe(from, *frame.Hello)
+	case frame.Ping != nil:
+		ping := *frame.Ping
+		c.step(func() {
+			c.replica.readRevision(func(revision state.Revision) {
+				from.toRouter(message.ControllerFrame{Pong: &message.Pong{Nonce: ping.Nonce, SentNs: ping.SentNs, Revision: revision}})
+			})
+		})
+	}
+}
+
+// subscribe decides what the router holds already, and sends the rest.
+func (r *replica) subscribe(from *connection, hello message.RouterHello) {
+	added := &stream{connection: from, sent: hello.Revision}
+	differs := hello.Revision == r.state.Revision() && hello.Digest != r.state.Digest()
+	if hello.Cluster != r.owner.self.Cluster || hello.Revision == 0 || hello.Revision > r.state.Revision() || differs {
+		added.whole = true
+		added.sent = 0
+	}
+	r.streams = append(r.streams, added)
+	r.feed(added)
+}
+
+func (r *replica) feedStreams() {
+	for _, subscribed := range r.streams {
+		r.feed(subscribed)
+	}
+}
+
+func (r *replica) feed(to *stream) {
+	deltas, reached := r.history.after(to.sent)
+	if to.whole || !reached {
+		r.feedSnapshot(to)
+		return
+	}
+	for _, delta := range deltas {
+		to.connection.toRouter(message.ControllerFrame{Delta: r.sim.spoil(delta)})
+		to.sent = delta.To
+	}
+}
+
+// feedSnapshot sends the whole table in two parts.
+func (r *replica) feedSnapshot(to *stream) {
+	objects := r.state.Objects()
+	half := len(objects) / 2
+	whole := message.TableSnapshot{Cluster: r.owner.self.Cluster, Revision: r.state.Revision(), Digest: r.state.Digest()}
+	first, last := whole, whole
+	first.First, first.Objects = true, objects[:half]
+	last.Last, last.Objects = true, objects[half:]
+	to.connection.toRouter(message.ControllerFrame{Snapshot: &first})
+	to.connection.toRouter(message.ControllerFrame{Snapshot: &last})
+	to.sent = whole.Revision
+	to.whole = false
+}
+
+func (r *replica) closeStreams() {
+	for _, subscribed := range r.streams {
+		subscribed.connection.toRouter(message.ControllerFrame{Refusal: &message.Refusal{}})
+	}
+	r.streams = nil
+}
