TLS with certificates from files on the intent API and between controllers; operators' rights

Each side presents a certificate of one authority; only configured controllers take part in consensus and formation, and a peer's name must be its certificate's. Operators plan, confirm and transfer by rights listed under api.operators, and the certificate's name goes into the record of a plan. Beyond loopback, plain text must be asked for by tls.allow_plaintext.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -174,11 +174,11 @@
 	if created == nil || created.Shards != 8 || created.Settings.RetryRatio != 0.1 || len(created.Servers) != 1 || created.Servers[0].Slots != 2 {
 		t.Errorf("sent %+v", created)
 	}
-	ranges := "map:\n  - {range: {first: 0, last: 18446744073709551615}, server: s1}\n"
+	ranges := "map:\n  ranges: [{range: {first: 0, last: 18446744073709551615}, server: s1}]\n  keys: [{key: k, server: s2}]\n"
 	if code, _, errors := run(t, ranges, "plan", "set-mode", "ledger", "observed", "-f", "-", "--endpoints", endpoint); code != ExitOK {
 		t.Fatal(errors)
 	}
-	if sent := api.bodies["POST /v1/plans"]; !strings.Contains(sent, `"last":18446744073709551615`) {
+	if sent := api.bodies["POST /v1/plans"]; !strings.Contains(sent, `"last":18446744073709551615`) || !strings.Contains(sent, `{"key":"k","server":"s2"}`) {
 		t.Errorf("sent %s", sent)
 	}
 	code, _, errors := run(t, "name: ledger\nshard: 8\n", "plan", "create-service", "-f", "-")
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
 )
 
@@ -19,6 +20,10 @@
 const (
 	environmentEndpoints = "THORNTILLER_ENDPOINTS"
 	environmentOperator  = "THORNTILLER_OPERATOR"
+	// The paths of PEM files, as certificate.Files has them.
+	environmentCertificate = "THORNTILLER_CERTIFICATE"
+	environmentKey         = "THORNTILLER_KEY"
+	environmentAuthority   = "THORNTILLER_AUTHORITY"
 )
 
 const (
@@ -30,6 +35,7 @@
 type clientFlags struct {
 	endpoints []string
 	timeout   time.Duration
+	files     certificate.Files
 }
 
 // addClientFlags gives the command, and those below it, the flags of the client and of the
@@ -38,6 +44,9 @@
 	flags := command.PersistentFlags()
 	flags.StringSliceVar(&p.client.endpoints, "endpoints", nil,
 		"API addresses of controllers, with commas between them (default $"+environmentEndpoints+", else "+defaultEndpoint+")")
+	flags.StringVar(&p.client.files.Certificate, "certificate", os.Getenv(environmentCertificate), "PEM file of your certificate (default $"+environmentCertificate+")")
+	flags.StringVar(&p.client.files.Key, "key", os.Getenv(environmentKey), "PEM file of its private key (default $"+environmentKey+")")
+	flags.StringVar(&p.client.files.Authority, "authority", os.Getenv(environmentAuthority), "PEM file of the authority that signed the controllers' certificates (default $"+environmentAuthority+")")
 	flags.DurationVar(&p.client.timeout, "timeout", defaultTimeout, "longest time for the command")
 	flags.VarP(&p.output, "output", "o", "form of the output: table or json")
 }
@@ -58,6 +67,18 @@
 	return endpoints, nil
 }
 
+// certificates opens the files, or returns nil for plain text.
+func (f clientFlags) certificates() (*certificate.Store, error) {
+	if f.files.Empty() {
+		return nil, nil
+	}
+	store, err := certificate.Open(f.files)
+	if err != nil {
+		return nil, &usageError{cause: fmt.Errorf("--certificate, --key and --authority must name PEM files that belong together: %w", err)}
+	}
+	return store, nil
+}
+
 func splitList(text string) []string {
 	var entries []string
 	for entry := range strings.SplitSeq(text, ",") {
@@ -80,7 +101,11 @@
 	if p.client.timeout <= 0 {
 		return &usageError{cause: errors.New("--timeout must be above zero, such as 10s")}
 	}
-	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: endpoints})
+	certificates, err := p.client.certificates()
+	if err != nil {
+		return err
+	}
+	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: endpoints, Certificates: certificates})
 	if err != nil {
 		return err
 	}
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -28,6 +28,7 @@
 	Table            Table            `koanf:"table" doc:"Routing table streams to the routers."`
 	Partitions       Partitions       `koanf:"partitions" doc:"Placement of the idempotency records on routers."`
 	API              API              `koanf:"api" doc:"Intent API."`
+	TLS              TLS              `koanf:"tls" doc:"Certificates."`
 	Maintenance      Maintenance      `koanf:"maintenance" doc:"Background work of the leader."`
 	StopTimeout      time.Duration    `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
 	Log              Log              `koanf:"log" doc:"Log lines."`
@@ -92,6 +93,7 @@
 	BodyLimit      int           `koanf:"body_limit" validate:"min=1024,max=67108864" doc:"Bound of a request body, in bytes."`
 	MaxConnections int           `koanf:"max_connections" validate:"min=1,max=100000" doc:"Bound of open connections."`
 	RequestTimeout time.Duration `koanf:"request_timeout" validate:"min=100ms,max=1m" doc:"Longest time for one call."`
+	Operators      []Operator    `koanf:"operators" validate:"max=1000,dive" doc:"Rights of operators, by their certificates."`
 	PlanLimit      int           `koanf:"plan_limit" validate:"min=1,max=100000" doc:"Bound of stored plans; the oldest that are not in use go first."`
 }
 
@@ -149,6 +151,7 @@
 		},
 		Partitions:  Partitions{Count: 16, LeaseDuration: 2 * time.Second},
 		API:         API{BodyLimit: mebibyte, MaxConnections: 256, RequestTimeout: 5 * time.Second, PlanLimit: 1000},
+		TLS:         defaultTLS(),
 		Maintenance: Maintenance{Interval: 20 * time.Millisecond},
 		StopTimeout: 10 * time.Second,
 		Log:         Log{Level: "info"},
--- a/internal/config/cross.go
+++ b/internal/config/cross.go
@@ -27,6 +27,8 @@
 	r.consensus(settings.Consensus)
 	r.lease(settings.Lease)
 	r.directory(settings.DataDirectory)
+	r.tls(settings.TLS, settings.AllowNonLoopback)
+	r.operators(settings.API.Operators, settings.TLS.Enabled())
 	if !settings.AllowNonLoopback {
 		r.loopback("peer_address", settings.PeerAddress)
 		r.loopback("api_address", settings.APIAddress)
@@ -60,6 +62,7 @@
 		r.add("retry.backoff_max", settings.Retry.BackoffMax.String(), "is below retry.backoff_base",
 			fmt.Sprintf("use at least %s", settings.Retry.BackoffBase))
 	}
+	r.tls(settings.TLS, settings.AllowNonLoopback)
 	if settings.AllowNonLoopback {
 		return
 	}
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -29,6 +29,7 @@
 	Retry            Retry         `koanf:"retry" doc:"Resends of requests that are proved not to have run."`
 	Health           Health        `koanf:"health" doc:"Judgement of the back ends' health."`
 	Records          Records       `koanf:"records" doc:"Idempotency records."`
+	TLS              TLS           `koanf:"tls" doc:"Certificates."`
 	Log              Log           `koanf:"log" doc:"Log lines."`
 }
 
@@ -103,6 +104,7 @@
 			MaxAnswerBytes:  64 * kibibyte,
 			PeerTimeout:     500 * time.Millisecond,
 		},
+		TLS: defaultTLS(),
 		Log: Log{Level: "info"},
 	}
 }
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -18,11 +18,12 @@
 type api struct {
 	settings config.API
 	replica  *replica
+	security *security
 	app      *fiber.App
 }
 
-func newAPI(settings config.API, r *replica, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
-	service := &api{settings: settings, replica: r}
+func newAPI(settings config.API, r *replica, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
+	service := &api{settings: settings, replica: r, security: security}
 	service.app = fiber.New(fiber.Config{
 		BodyLimit:    settings.BodyLimit,
 		Concurrency:  settings.MaxConnections,
@@ -109,6 +110,11 @@
 	if err := decodeStrictly(call.Body(), &intent); err != nil {
 		return err
 	}
+	operator, err := a.security.authorize(call, config.RightPlan, intent.Operator)
+	if err != nil {
+		return err
+	}
+	intent.Operator = operator
 	if err := a.requireCurrent(ctx); err != nil {
 		return err
 	}
@@ -116,7 +122,6 @@
 		return a.storePlan(ctx, call, state.Plan{ID: known.ID, Intent: intent})
 	}
 	var built state.Plan
-	var err error
 	a.replica.view(func(view *state.State) { built, err = planner.Build(view, intent) })
 	if err != nil {
 		return err
@@ -148,8 +153,12 @@
 	if err := decodeStrictly(call.Body(), &request); err != nil {
 		return err
 	}
+	operator, err := a.security.authorize(call, config.RightConfirm, request.Operator)
+	if err != nil {
+		return err
+	}
 	result, err := a.replica.Propose(ctx, state.Command{ConfirmPlan: &state.ConfirmPlan{
-		Plan: state.PlanID(call.Params("id")), Digest: request.Digest, Operator: request.Operator,
+		Plan: state.PlanID(call.Params("id")), Digest: request.Digest, Operator: operator,
 	}})
 	if err != nil {
 		return err
@@ -204,6 +213,9 @@
 func (a *api) transfer(call fiber.Ctx) error {
 	ctx, cancel := a.context(call)
 	defer cancel()
+	if _, err := a.security.authorize(call, config.RightTransfer, ""); err != nil {
+		return err
+	}
 	if _, leads := a.replica.leadershipContext(); !leads {
 		return fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
 	}
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -36,6 +36,7 @@
 type formation struct {
 	settings config.Controller
 	log      *logrus.Entry
+	dial     wire.DialFunc
 	save     func(identity.Identity) error
 
 	mutex  sync.Mutex
@@ -165,7 +166,9 @@
 	var answer message.FormationAnswer
 	ctx, cancel := context.WithTimeout(ctx, formationTimeout)
 	defer cancel()
-	connection, err := wire.Dial(ctx, address, wire.Options{IdleTimeout: formationTimeout, WriteTimeout: formationTimeout})
+	connection, err := wire.Dial(ctx, address, wire.Options{
+		IdleTimeout: formationTimeout, WriteTimeout: formationTimeout, Dial: f.dial,
+	})
 	if err != nil {
 		return answer, err
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -20,16 +20,18 @@
 	settings config.Controller
 	cluster  message.ClusterID
 	log      *logrus.Entry
+	dial     wire.DialFunc
 	// member finds the member that bears an identifier.
 	member  func(consensus.ReplicaID) (consensus.Member, bool)
 	senders map[consensus.ReplicaID]*wire.PeerSender
 }
 
-func newPeers(r *replica) *peers {
+func newPeers(r *replica, dial wire.DialFunc) *peers {
 	return &peers{
 		settings: r.settings,
 		cluster:  r.cluster,
 		log:      r.log,
+		dial:     dial,
 		member: func(id consensus.ReplicaID) (consensus.Member, bool) {
 			return memberByID(r.core.Status().Membership, id)
 		},
@@ -60,7 +62,7 @@
 		return nil
 	}
 	hello := message.Hello{Purpose: message.PurposeConsensus, Cluster: p.cluster, From: p.settings.Name}
-	sender := wire.NewPeerSender(p.address(member), hello, wire.Options{WriteTimeout: p.settings.Table.WriteTimeout})
+	sender := wire.NewPeerSender(p.address(member), hello, wire.Options{WriteTimeout: p.settings.Table.WriteTimeout, Dial: p.dial})
 	p.senders[receiver] = sender
 	return sender
 }
--- /dev/null
+++ b/internal/controller/security.go
@@ -0,0 +1,110 @@
+package controller
+
+import (
+	"context"
+	"net"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/thorntiller/thorntiller/internal/certificate"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// security authenticates peers and operators by their certificates. Its store
+// is nil where the settings ask for plain text.
+type security struct {
+	settings config.Controller
+	store    *certificate.Store
+}
+
+func newSecurity(settings config.Controller) (*security, error) {
+	if !settings.TLS.Enabled() {
+		return &security{settings: settings}, nil
+	}
+	store, err := certificate.Open(settings.TLS.Files())
+	return &security{settings: settings, store: store}, eris.Wrap(err, "tls")
+}
+
+// dial returns how connections to other processes are opened; nil means plain.
+func (s *security) dial() wire.DialFunc {
+	if s.store == nil {
+		return nil
+	}
+	return s.store.Dial
+}
+
+func (s *security) listener(inner net.Listener) net.Listener {
+	if s.store == nil {
+		return inner
+	}
+	return s.store.Listener(inner)
+}
+
+// watch takes up replaced certificates until the context ends.
+func (s *security) watch(ctx context.Context, log *logrus.Entry) {
+	if s.store == nil {
+		return
+	}
+	s.store.Watch(ctx, s.settings.TLS.ReloadInterval, func(renewed bool, err error) {
+		if err != nil {
+			telemetry.WithError(log, telemetry.EventCertificateFailed, err).Warn("the certificate files changed but cannot be used")
+		}
+		if renewed {
+			telemetry.With(log, telemetry.EventCertificateRenewed).Info("certificates read again")
+		}
+	})
+}
+
+// checkPeer requires that a peer is who it says, and that only configured
+// controllers take part in consensus and formation.
+func (s *security) checkPeer(connection *wire.Conn, hello message.Hello) error {
+	if s.store == nil {
+		return nil
+	}
+	name, known := connection.PeerName()
+	if !known || name != hello.From {
+		return eris.Errorf("the peer says that it is %q, its certificate says %q", hello.From, name)
+	}
+	if hello.Purpose != message.PurposeConsensus && hello.Purpose != message.PurposeFormation {
+		return nil
+	}
+	for _, peer := range s.settings.Controllers {
+		if peer.Name == name {
+			return nil
+		}
+	}
+	return eris.Errorf("%q is not among the configured controllers", name)
+}
+
+// authorize requires a right of the caller and returns the name to record:
+// that of the certificate, or the claimed one where there are no certificates.
+func (s *security) authorize(call fiber.Ctx, right config.Right, claimed string) (string, error) {
+	if s.store == nil {
+		return claimed, nil
+	}
+	name := ""
+	if state := call.RequestCtx().TLSConnectionState(); state != nil && len(state.PeerCertificates) > 0 {
+		name = state.PeerCertificates[0].Subject.CommonName
+	}
+	for _, operator := range s.settings.API.Operators {
+		if operator.Name == name && hasRight(operator, right) {
+			return name, nil
+		}
+	}
+	return "", fault.Newf(fault.Unauthorized, "operator %q lacks the right %q: add it to api.operators of the controllers", name, right)
+}
+
+func hasRight(operator config.Operator, wanted config.Right) bool {
+	for _, right := range operator.Rights {
+		if config.Right(right) == wanted {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/intentapi/call.go
+++ b/internal/intentapi/call.go
@@ -195,14 +195,25 @@
 func (e *dialError) Error() string { return e.cause.Error() }
 func (e *dialError) Unwrap() error { return e.cause }
 
-func dial(address string) (net.Conn, error) {
-	connection, err := fasthttp.DialTimeout(address, dialTimeout)
+// dial opens a connection. It encrypts it by itself, since each connection is to
+// take the newest certificates.
+func (c ClientConfig) dial(address string) (net.Conn, error) {
+	connection, err := c.connect(address)
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
 	return connection, nil
 }
 
+func (c ClientConfig) connect(address string) (net.Conn, error) {
+	if c.Certificates == nil {
+		return fasthttp.DialTimeout(address, dialTimeout)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return c.Certificates.Dial(ctx, address)
+}
+
 func transportFault(endpoint string, err error) error {
 	var failed *dialError
 	switch {
--- a/internal/intentapi/client.go
+++ b/internal/intentapi/client.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -38,6 +39,9 @@
 	BackoffMax  time.Duration
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
+	// Certificates authenticate the client and the controllers; nil means plain
+	// text.
+	Certificates *certificate.Store
 }
 
 // Client calls the intent API. It finds the leader by itself and repeats calls
@@ -58,7 +62,7 @@
 	config = withDefaults(config)
 	transport := &fasthttp.Client{
 		Name:                      "thorntiller",
-		Dial:                      dial,
+		Dial:                      config.dial,
 		ReadTimeout:               config.CallTimeout,
 		WriteTimeout:              config.CallTimeout,
 		MaxResponseBodySize:       config.MaxAnswerBytes,
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -22,6 +22,9 @@
 	EventMisuse      Event = "misuse"
 	EventPeerLost    Event = "peer_lost"
 	EventPeerRefused Event = "peer_refused"
+
+	EventCertificateRenewed Event = "certificate_renewed"
+	EventCertificateFailed  Event = "certificate_failed"
 )
 
 // Events of the controllers.
@@ -94,6 +97,8 @@
 		{EventMisuse, levelWarning, "Another process sent what the protocol does not allow."},
 		{EventPeerLost, levelWarning, "The connection to another process broke."},
 		{EventPeerRefused, levelWarning, "Another process was refused, or refused this one."},
+		{EventCertificateRenewed, levelInfo, "Replaced certificate files were read and are in use."},
+		{EventCertificateFailed, levelWarning, "Replaced certificate files cannot be used; the earlier ones stay in use."},
 	}
 }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -15,6 +15,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thorntiller/thorntiller/internal/certificate"
 )
 
 const (
@@ -204,6 +206,10 @@
 // BytesReceived returns the bytes read, frame lengths included.
 func (c *Conn) BytesReceived() uint64 { return c.received.Load() }
 
+// PeerName returns the common name of the peer's certificate, or false on a
+// plain connection. On the accepting side it is known once a frame was received.
+func (c *Conn) PeerName() (string, bool) { return certificate.PeerName(c.stream) }
+
 // RemoteAddress returns the peer's address, for logs.
 func (c *Conn) RemoteAddress() string { return c.stream.RemoteAddr().String() }
 
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -74,6 +75,9 @@
 // tune sets TCP options. They only affect speed and the detection of dead
 // peers, so that a failure is left to the next read or write to report.
 func tune(stream net.Conn) {
+	if secured, isTLS := stream.(*tls.Conn); isTLS {
+		stream = secured.NetConn()
+	}
 	connection, isTCP := stream.(*net.TCPConn)
 	if !isTCP {
 		return
