Router goes to the leader that a controller names

After a refusal as not_leader the subscription tried the controllers in turn, though the refusal carries the leader's peer address. It now goes there at once if that address is among the configured controllers; a stranger's address, an empty one or another kind of refusal still leads to the next in turn.

--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
@@ -83,7 +87,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		s.preferred = (s.preferred + 1) % len(s.controllers)
+		s.preferred = s.next(err)
 		failures++
 		if s.clock.Now()-began > reconnectMax {
 			failures = 1
@@ -94,6 +98,29 @@
 	}
 }
 
+// refusedError carries a controller's refusal of the table connection.
+type refusedError struct {
+	refusal message.Refusal
+}
+
+// Error implements the error interface.
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("the controller refused: %s: %s", e.refusal.Kind, e.refusal.Detail)
+}
+
+// next returns the index of the controller to try after a connection ended: the
+// leader that a refusal names, if it is among the configured ones, else the one
+// after the last.
+func (s *subscription) next(ended error) int {
+	var refused *refusedError
+	if errors.As(ended, &refused) && refused.refusal.Kind == fault.NotLeader {
+		if named := slices.Index(s.controllers, refused.refusal.Detail); named >= 0 {
+			return named
+		}
+	}
+	return (s.preferred + 1) % len(s.controllers)
+}
+
 func reconnectDelay(failures int) time.Duration {
 	delay := reconnectBase
 	for i := 1; i < failures && delay < reconnectMax; i++ {
@@ -210,7 +237,7 @@
 		s.records.Renew(*frame.Pong)
 		return nil
 	case frame.Refusal != nil:
-		return eris.Errorf("the controller refused: %s: %s", frame.Refusal.Kind, frame.Refusal.Detail)
+		return &refusedError{refusal: *frame.Refusal}
 	default:
 		return eris.New("the controller sent an empty frame")
 	}
