--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -41,6 +41,7 @@
 	settings  config.Controller
 	log       *logrus.Entry
 	files     vfs.FileSystem
+	security  *security
 	formation *formation
 	replica   *replica
 	peers     net.Listener
@@ -48,13 +49,17 @@
 }
 
 func newNode(settings config.Controller, log *logrus.Entry) (*node, error) {
-	n := &node{settings: settings, log: log, files: vfs.System{}}
+	secured, err := newSecurity(settings)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{settings: settings, log: log, files: vfs.System{}, security: secured}
 	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, newReplicaID)
 	if err != nil {
 		return nil, err
 	}
 	n.formation = &formation{
-		settings: settings, log: log, known: self,
+		settings: settings, log: log, dial: secured.dial(), known: self,
 		save: func(next identity.Identity) error { return identity.Save(n.files, settings.DataDirectory, next) },
 		self: consensus.Member{
 			ID: self.Replica, Name: settings.Name, Address: settings.PeerAddress, APIAddress: settings.APIAddress,
@@ -91,6 +96,7 @@
 	defer stopServing()
 	ready := make(chan struct{})
 	background.Go(func() { n.servePeers(serving, ready) })
+	background.Go(func() { n.security.watch(serving, n.log) })
 	if err := n.formation.run(ctx); err != nil {
 		if ctx.Err() != nil {
 			return nil
@@ -129,11 +135,11 @@
 	r := n.replica
 	driving, stopDriving := context.WithCancel(context.Background())
 	defer stopDriving()
-	r.peers = newPeers(r)
+	r.peers = newPeers(r, n.security.dial())
 	defer r.peers.stop()
 	r.leases = newLeaseSender(driving, n.settings.Lease, r.results)
 	n.formation.attach(r.formationStatus, r.requestJoin)
-	service := newAPI(n.settings.API, r, r.metrics.registry, r.ready)
+	service := newAPI(n.settings.API, r, n.security, r.metrics.registry, r.ready)
 	background.Go(func() { n.serveOperators(service) })
 	background.Go(func() { newPlatformPoller(n.settings.Platform, r).run(serving) })
 	background.Go(func() { n.formation.keepJoining(serving, r.isVoter) })
@@ -154,7 +160,7 @@
 }
 
 func (n *node) serveOperators(service *api) {
-	if err := service.serve(n.operators); err != nil {
+	if err := service.serve(n.security.listener(n.operators)); err != nil {
 		telemetry.WithError(n.log, telemetry.EventFailed, err).Error("the intent API ended")
 	}
 }
@@ -194,7 +200,7 @@
 // servePeers accepts connections from controllers and routers.
 func (n *node) servePeers(ctx context.Context, ready <-chan struct{}) {
 	server := wire.Server{MaxConnections: n.settings.Table.StreamLimit, Options: wire.Options{WriteTimeout: n.settings.Table.WriteTimeout}}
-	err := server.Serve(ctx, n.peers, func(ctx context.Context, connection *wire.Conn) {
+	err := server.Serve(ctx, n.security.listener(n.peers), func(ctx context.Context, connection *wire.Conn) {
 		if err := n.servePeer(ctx, connection, ready); err != nil {
 			n.log.WithError(err).Debug("peer connection ended")
 		}
@@ -209,6 +215,9 @@
 	if err := connection.Receive(&hello); err != nil {
 		return err
 	}
+	if err := n.security.checkPeer(connection, hello); err != nil {
+		return err
+	}
 	if hello.Purpose == message.PurposeFormation {
 		return n.formation.serve(ctx, connection)
 	}
