Controller: senders to removed replicas end; refusals reach the router

A table refusal was followed by a close with the router's frames unread, which resets the connection and may lose the refusal; it now waits for the router to hang up, within 16 frames.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
@@ -24,6 +25,8 @@
 	// member finds the member that bears an identifier.
 	member  func(consensus.ReplicaID) (consensus.Member, bool)
 	senders map[consensus.ReplicaID]*wire.PeerSender
+	// background runs what the replica's goroutine must not wait for.
+	background *conc.WaitGroup
 }
 
 func newPeers(r *replica, dial wire.DialFunc) *peers {
@@ -35,7 +38,8 @@
 		member: func(id consensus.ReplicaID) (consensus.Member, bool) {
 			return memberByID(r.core.Status().Membership, id)
 		},
-		senders: make(map[consensus.ReplicaID]*wire.PeerSender),
+		senders:    make(map[consensus.ReplicaID]*wire.PeerSender),
+		background: &r.background,
 	}
 }
 
@@ -83,7 +87,7 @@
 	for id, sender := range p.senders {
 		if _, found := memberByID(membership, id); !found {
 			delete(p.senders, id)
-			sender.Stop()
+			p.background.Go(sender.Stop)
 		}
 	}
 }
--- a/internal/controller/ready.go
+++ b/internal/controller/ready.go
@@ -27,12 +27,23 @@
 			return err
 		}
 		r.core.Advance(ready)
+		r.forgetRemoved(ready.Committed)
 		r.confirmReads(ready.ReadStates)
 	}
 	r.rounds.finish(r.applied, r.state.Revision())
 	return r.takeSnapshot()
 }
 
+// forgetRemoved stops the senders to replicas that a committed change removed.
+func (r *replica) forgetRemoved(committed []consensus.Entry) {
+	for _, entry := range committed {
+		if entry.Kind == consensus.EntryMembership {
+			r.peers.forget(r.core.Status().Membership)
+			return
+		}
+	}
+}
+
 func (r *replica) confirmReads(confirmations []consensus.ReadState) {
 	for _, confirmation := range confirmations {
 		if confirmation.Context&coordinatorContext != 0 {
@@ -75,11 +86,7 @@
 	if !found {
 		return nil
 	}
-	if result.Err != nil {
-		r.finish(waiting, outcome{err: result.Err})
-		return nil
-	}
-	r.finish(waiting, outcome{result: result})
+	r.finish(waiting, outcome{result: result, err: result.Err})
 	return nil
 }
 
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -50,7 +50,7 @@
 	// partitions places the idempotency records on routers.
 	partitions *partitionKeeper
 	cluster    message.ClusterID
-	// background holds the goroutines of table streams.
+	// background holds the goroutines of table streams and of senders that stop.
 	background conc.WaitGroup
 
 	core        *consensus.Core
@@ -60,7 +60,6 @@
 	joining     joins
 	applied     uint64
 	leading     bool
-	transfer    bool
 
 	inbox     chan consensus.Message
 	proposals chan proposal
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -32,15 +32,8 @@
 	pongs chan message.Pong
 }
 
-// errNotLeading ends a stream when the replica does not lead.
-var errNotLeading = eris.New("this replica does not lead")
-
 // serveTable runs one stream until the connection or the leadership ends.
 func serveTable(ctx context.Context, r *replica, cluster message.ClusterID, connection *wire.Conn) error {
-	leadership, leads := r.leadershipContext()
-	if !leads {
-		return refuseTable(ctx, r, connection)
-	}
 	var first message.RouterFrame
 	if err := connection.Receive(&first); err != nil {
 		return err
@@ -48,6 +41,10 @@
 	if first.Hello == nil {
 		return eris.New("a table connection must begin with a hello")
 	}
+	leadership, leads := r.leadershipContext()
+	if !leads {
+		return refuseTable(ctx, r, connection)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stopWatching := context.AfterFunc(leadership, func() {
@@ -68,13 +65,27 @@
 	return stream.run(ctx, cancel)
 }
 
-// refuseTable names the leader, so that the router goes there.
+// framesAfterRefusal bounds the frames that a refused router may still send.
+const framesAfterRefusal = 16
+
+// refuseTable names the leader, so that the router goes there, and waits for
+// the router to hang up: a connection that is closed with frames unread is
+// reset, by which the refusal may be lost.
 func refuseTable(ctx context.Context, r *replica, connection *wire.Conn) error {
 	refusal := message.Refusal{Kind: fault.NotLeader}
 	if leader, known := r.leader(); known {
 		refusal.Detail = leader.Address
 	}
-	return connection.Send(ctx, &message.ControllerFrame{Refusal: &refusal})
+	if err := connection.Send(ctx, &message.ControllerFrame{Refusal: &refusal}); err != nil {
+		return err
+	}
+	for range framesAfterRefusal {
+		var ignored message.RouterFrame
+		if err := connection.Receive(&ignored); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // begin decides what the router holds already. A router starts anew that holds
