--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -97,8 +97,9 @@
 	return nil
 }
 
-// write sends a frame by one call, so that the kernel sees it whole. If the
-// context ends meanwhile, the write is cut off.
+// write sends a frame by one call, so that the kernel sees it whole. The write
+// is cut off after WriteTimeout or at the context's deadline; a context that is
+// cancelled meanwhile does not cut it off.
 func (c *Conn) write(ctx context.Context, frame []byte) error {
 	deadline := time.Now().Add(c.options.WriteTimeout)
 	if earlier, set := ctx.Deadline(); set && earlier.Before(deadline) {
