--- a/internal/placement/candidate.go
+++ b/internal/placement/candidate.go
@@ -93,7 +93,7 @@
 		return 0
 	}
 	limits := s.layout.limits
-	value := s.layout.weights.Imbalance * gain / s.layout.mean() * limits.Window.Hours()
+	value := s.layout.weights.Imbalance * gain / s.layout.mean() * limits.Horizon.Hours()
 	return value - limits.PayFactor*s.price(moved)
 }
 
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -203,7 +203,7 @@
 	if hottest == nil || len(s.exhausted) == maxExhausted {
 		return false
 	}
-	if hottest.utilization() <= s.layout.mean()*(1+s.layout.limits.MinGain) {
+	if hottest.utilization() <= s.layout.mean()*(1+s.layout.limits.MinGain+s.layout.limits.Tolerance) {
 		return false
 	}
 	hottest.exhausted = true
@@ -241,7 +241,7 @@
 			continue
 		}
 		fall := initial - s.objective()
-		benefit := fall * limits.Window.Hours()
+		benefit := fall * limits.Horizon.Hours()
 		net := benefit - limits.PayFactor*cost
 		if net > bestNet && fall >= limits.MinGain*s.layout.weights.Imbalance {
 			bestNet, best, bestBenefit, bestCost = net, len(s.planned), benefit, cost
@@ -260,7 +260,7 @@
 	if mean == 0 || hottest == nil {
 		return 0
 	}
-	excess := max(hottest.utilization()/mean-1, 0)
+	excess := max(hottest.utilization()/mean-1-s.layout.limits.Tolerance, 0)
 	return s.layout.weights.Imbalance * (excess + s.layout.shortfall())
 }
 
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -33,7 +33,7 @@
 // DefaultEstimatorConfig returns the settings that the product uses.
 func DefaultEstimatorConfig() EstimatorConfig {
 	const (
-		halfLife  = 30 * time.Second
+		halfLife  = 15 * time.Second
 		maxRatio  = 1.25
 		maxChange = 2
 	)
@@ -86,19 +86,25 @@
 }
 
 // floor is the load from which MaxChange counts, so that an idle shard can
-// become busy: the mean load of a shard, as far as it is known.
+// become busy: the mean load of a shard, as far as it is known, or by the
+// routers' counts of now if that is more. Reports count only while no load is
+// known at all.
 func (e *Estimator) floor(observations []Observation) float64 {
-	total, count := e.total, len(e.loads)
+	known := e.total / float64(max(len(e.loads), 1))
+	routed, reported := 0.0, 0.0
 	for _, observation := range observations {
-		if _, found := e.loads[observation.Shard]; found {
-			continue
-		}
-		count++
 		if observation.RoutedKnown {
-			total += sane(observation.Routed)
+			routed += sane(observation.Routed)
+		}
+		if observation.ReportedKnown {
+			reported += sane(observation.Reported)
 		}
 	}
-	return total / float64(max(count, 1))
+	count := float64(max(len(observations), 1))
+	if known == 0 && routed == 0 {
+		return reported / count
+	}
+	return max(known, routed/count)
 }
 
 func (e *Estimator) next(now time.Duration, observation Observation, floor float64) float64 {
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -143,15 +143,18 @@
 	l.own(position)
 }
 
-// settle records the end of a move, if one was under way.
+// settle records the end of a move, if one was under way. A move off a server
+// that was leaving is no reason to rest, nor to stay away once it is back.
 func (l *Layout) settle(now time.Duration, known *record, owner state.ServerID) {
 	source := known.source
 	known.source = ""
 	if source == "" || source == owner {
 		return
 	}
-	known.depart(now, source)
 	l.recent.add(now, known.Range.Width())
+	if from := l.hosts[source]; from != nil && from.Accepts {
+		known.depart(now, source)
+	}
 }
 
 func (r *record) depart(at time.Duration, from state.ServerID) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -150,6 +150,7 @@
 // uniform has the given loads, one server to each row.
 func uniform(loads ...[]float64) Problem {
 	problem := Problem{Weights: state.Weights{Imbalance: 1, Churn: 1, Unavailable: 1}, Limits: DefaultLimits(), Now: now}
+	problem.Limits.Horizon = time.Hour
 	total := 0
 	for _, row := range loads {
 		total += len(row)
@@ -308,3 +309,22 @@
 		Decide(problem)
 	}
 }
+
+// A service that was idle when it was first seen must not count as idle for
+// ever.
+func TestEstimatorLeavesZero(t *testing.T) {
+	for name, told := range map[string]Observation{
+		"routed": {Shard: 1, Routed: 1, RoutedKnown: true}, "reported": {Shard: 1, Reported: 1, ReportedKnown: true},
+	} {
+		estimator := NewEstimator(DefaultEstimatorConfig())
+		idle := told
+		idle.Routed, idle.Reported = 0, 0
+		estimator.Observe(0, []Observation{idle})
+		for step := 1; step < 60; step++ {
+			estimator.Observe(time.Duration(step)*5*time.Second, []Observation{told})
+		}
+		if load, _ := estimator.ShardLoad(1); load < 0.9 {
+			t.Errorf("%s: a busy shard counts as %g", name, load)
+		}
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -45,7 +45,11 @@
 
 // Limits bound what a decision may do.
 type Limits struct {
-	// Window is the time over which a better balance must pay for its moves.
+	// Horizon is the time over which a better balance must pay for its moves:
+	// about as long as a load is expected to stay as it is.
+	Horizon time.Duration
+	// Window is how long moves of the past count: for MaxChurn, and since a
+	// shard does not return to a server that it left within it.
 	Window time.Duration
 	// Handover is the expected time without an owner during one move.
 	Handover time.Duration
@@ -62,6 +66,9 @@
 	PayFactor float64
 	// MinGain is the least fall of imbalance that is worth a change.
 	MinGain float64
+	// Tolerance is the excess over the mean load, as a share of it, that counts
+	// as even: the noise of the load estimates.
+	Tolerance float64
 	// ReserveUtilization is the utilization up to which servers may be loaded
 	// after the loss of one zone, 0 to 1; zero leaves the reserve out.
 	ReserveUtilization float64
@@ -72,13 +79,15 @@
 
 // Defaults of Limits.
 const (
+	defaultHorizon            = 20 * time.Minute
 	defaultWindow             = time.Hour
 	defaultHandover           = 50 * time.Millisecond
 	defaultMaxMoves           = 8
 	defaultCooldown           = 5 * time.Minute
-	defaultRamp               = time.Minute
+	defaultRamp               = 30 * time.Second
 	defaultPayFactor          = 1.5
 	defaultMinGain            = 0.03
+	defaultTolerance          = 0.1
 	defaultReserveUtilization = 0.9
 	defaultShardsPerServer    = 32
 )
@@ -86,8 +95,8 @@
 // DefaultLimits returns the limits that the product uses.
 func DefaultLimits() Limits {
 	return Limits{
-		Window: defaultWindow, Handover: defaultHandover, MaxMoves: defaultMaxMoves,
-		Cooldown: defaultCooldown, Ramp: defaultRamp, PayFactor: defaultPayFactor, MinGain: defaultMinGain,
+		Horizon: defaultHorizon, Window: defaultWindow, Handover: defaultHandover, MaxMoves: defaultMaxMoves,
+		Cooldown: defaultCooldown, Ramp: defaultRamp, PayFactor: defaultPayFactor, MinGain: defaultMinGain, Tolerance: defaultTolerance,
 		ReserveUtilization: defaultReserveUtilization, ShardsPerServer: defaultShardsPerServer,
 	}
 }
