Record core: property test with losses, restarts, pauses and clock differences

The test drives partitions and placement through random delays, lost and doubled messages, killed routers, cut-off routers and new leaders, and asserts that no key has two attempts that ran. It does not tell when the check after the backup's answer is left out: with a backup the epoch, without one LostBefore covers that case.

--- /dev/null
+++ b/internal/record/cluster_test.go
@@ -0,0 +1,465 @@
+package record
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+const (
+	testLifetime = 20 * time.Second
+	testLease    = 2 * time.Second
+	testRate     = 0.01
+	testSteps    = 4000
+	testKeys     = 4
+	startMs      = int64(1_800_000_000_000)
+)
+
+// testView is one version of the routing table.
+type testView struct {
+	partitions []state.RecordPartition
+	routers    map[state.RouterID]state.Router
+}
+
+// testRouter is one router process; a killed one is replaced by a new one.
+type testRouter struct {
+	identity state.Router
+	core     *Partition
+	view     int
+	lease    map[state.SessionNumber]time.Duration
+	synced   state.Epoch
+	failed   state.Epoch
+	// rate and skew are those of the machine's clocks.
+	rate float64
+	skew time.Duration
+	dead bool
+	// cutOff is until when the controllers and the router do not meet.
+	cutOff time.Duration
+}
+
+// testAttempt is one attempt of an entry router.
+type testAttempt struct {
+	claim  Claim
+	entry  *testRouter
+	active bool
+	// ran is true once the attempt was dispatched and not proved not to run.
+	ran bool
+	end Status
+}
+
+// testCluster runs partitions and a placement under random delays, losses,
+// restarts and clock differences. Every delayed step waits in events.
+type testCluster struct {
+	random    *rand.Rand
+	now       time.Duration
+	state     *state.State
+	index     uint64
+	placement *Placement
+	views     []testView
+	routers   []*testRouter
+	attempts  []*testAttempt
+	keys      []Key
+	events    []func()
+	slow      []slowEvent
+	failure   string
+	grants    int
+	kept      int
+	lost      int
+	serial    int
+}
+
+// slowEvent is a step that a pause or a slow network holds up for long.
+type slowEvent struct {
+	due  time.Duration
+	step func()
+}
+
+func newTestCluster(seed uint64) *testCluster {
+	c := &testCluster{random: rand.New(rand.NewPCG(seed, 1)), state: state.New()}
+	c.placement = NewPlacement(PlacementSettings{Count: 1, LeaseDuration: testLease, ClockRateBound: testRate, Margin: 10 * time.Millisecond})
+	c.placement.Lead(c.now)
+	c.snapshot()
+	for number := range 3 {
+		c.routers = append(c.routers, c.newRouter(state.RouterID(fmt.Sprintf("router-%d", number))))
+	}
+	for range testKeys {
+		c.keys = append(c.keys, c.drawKey())
+	}
+	return c
+}
+
+func (c *testCluster) newRouter(id state.RouterID) *testRouter {
+	c.serial++
+	return &testRouter{
+		identity: state.Router{ID: id, Session: state.Session{Incarnation: fmt.Sprint(c.serial)}},
+		core:     NewPartition(id, Settings{Lifetime: testLifetime, MaxRecords: 100, MaxAnswerBytes: 1 << 10}),
+		lease:    make(map[state.SessionNumber]time.Duration),
+		rate:     1 + (c.random.Float64()-0.5)*testRate,
+		skew:     time.Duration(c.random.Int64N(int64(ClockSkew))) - ClockSkew/2,
+	}
+}
+
+func (c *testCluster) drawKey() Key {
+	var key Key
+	drawn := startMs + (c.now + time.Duration(c.random.Int64N(int64(ClockSkew))) - ClockSkew/2).Milliseconds()
+	binary.BigEndian.PutUint64(key[:8], uint64(drawn)<<16)
+	binary.BigEndian.PutUint64(key[8:], c.random.Uint64())
+	return key
+}
+
+func (c *testCluster) snapshot() {
+	view := testView{partitions: c.state.Partitions(), routers: make(map[state.RouterID]state.Router)}
+	for _, router := range c.state.Routers() {
+		view.routers[router.ID] = router
+	}
+	c.views = append(c.views, view)
+}
+
+func (c *testCluster) moment(r *testRouter) Moment {
+	return Moment{Now: time.Duration(float64(c.now) * r.rate), UnixMs: startMs + (c.now + r.skew).Milliseconds()}
+}
+
+// later puts a step off, or loses it.
+func (c *testCluster) later(step func()) {
+	switch draw := c.random.IntN(60); {
+	case draw < 2:
+	case draw < 3:
+		c.slow = append(c.slow, slowEvent{due: c.now + c.longTime(), step: step})
+	default:
+		c.events = append(c.events, step)
+	}
+}
+
+func (c *testCluster) longTime() time.Duration {
+	return time.Duration(c.random.Int64N(int64(25 * time.Second)))
+}
+
+func (c *testCluster) pick() *testRouter { return c.routers[c.random.IntN(len(c.routers))] }
+
+func (c *testCluster) step() {
+	c.now += time.Duration(c.random.Int64N(int64(30 * time.Millisecond)))
+	c.wakeSlow()
+	for range 2 {
+		if len(c.events) > 0 && c.random.IntN(4) > 0 {
+			c.runEvent()
+		}
+	}
+	switch draw := c.random.IntN(1000); {
+	case draw < 200:
+		c.lead()
+	case draw < 500:
+		c.ping(c.pick())
+	case draw < 700:
+		c.follow(c.pick())
+	case draw < 800:
+		c.begin(c.pick())
+	case draw < 900:
+		c.endOrResend()
+	case draw < 989:
+		for _, router := range c.routers {
+			c.sync(router)
+		}
+	case draw < 993:
+		c.keys[c.random.IntN(testKeys)] = c.drawKey()
+	case draw < 995:
+		c.kill()
+	case draw < 996:
+		c.placement.Lead(c.now)
+	case draw < 997:
+		c.pick().cutOff = c.now + c.longTime()
+	case draw < 998:
+		c.now += time.Duration(c.random.Int64N(int64(4 * time.Second)))
+	}
+}
+
+func (c *testCluster) wakeSlow() {
+	waiting := c.slow[:0]
+	for _, event := range c.slow {
+		if event.due > c.now {
+			waiting = append(waiting, event)
+			continue
+		}
+		c.events = append(c.events, event.step)
+	}
+	c.slow = waiting
+}
+
+func (c *testCluster) runEvent() {
+	position := c.random.IntN(min(len(c.events), 6))
+	event := c.events[position]
+	if c.random.IntN(15) > 0 {
+		// Else it stays and happens again: a message that was delivered twice.
+		c.events = slices.Delete(c.events, position, position+1)
+	}
+	event()
+}
+
+// lead carries out what the placement wants. Each command may be lost.
+func (c *testCluster) lead() {
+	moment := Moment{Now: c.now, UnixMs: startMs + c.now.Milliseconds()}
+	for _, command := range c.placement.Tick(moment, c.state) {
+		if c.random.IntN(10) == 0 {
+			continue
+		}
+		c.index++
+		c.state.Apply(c.index, command)
+		c.snapshot()
+	}
+}
+
+func (c *testCluster) ping(r *testRouter) {
+	if c.now < r.cutOff {
+		return
+	}
+	sent := c.moment(r).Now
+	report := Report{Leaving: c.random.IntN(200) == 0}
+	at := PartitionEpoch{Number: 0, Epoch: r.core.Epoch()}
+	if r.core.Role() == RolePrimary && r.synced == at.Epoch {
+		report.Synced = append(report.Synced, at)
+	}
+	if r.core.Role() == RolePrimary && r.failed == at.Epoch {
+		report.Failed = append(report.Failed, at)
+	}
+	c.later(func() {
+		session, lease := c.placement.Pinged(c.now, r.identity, report, c.state)
+		c.later(func() {
+			if lease > 0 {
+				r.lease[session] = max(r.lease[session], sent+lease)
+			}
+		})
+	})
+}
+
+// follow lets a router see a later version of the table, not always the newest.
+func (c *testCluster) follow(r *testRouter) {
+	if c.now < r.cutOff {
+		return
+	}
+	r.view += c.random.IntN(len(c.views) - r.view)
+	view := c.views[r.view]
+	if len(view.partitions) > 0 {
+		r.core.Place(view.partitions[0], r.session(view))
+	}
+}
+
+func (r *testRouter) session(view testView) state.SessionNumber {
+	self := view.routers[r.identity.ID]
+	if !self.Session.Open || self.Session.Incarnation != r.identity.Session.Incarnation {
+		return 0
+	}
+	return self.Session.Number
+}
+
+func (c *testCluster) open(r *testRouter) func(state.RouterID, state.SessionNumber) bool {
+	return func(id state.RouterID, session state.SessionNumber) bool {
+		known := c.views[r.view].routers[id].Session
+		return known.Number < session || (known.Number == session && known.Open)
+	}
+}
+
+func (c *testCluster) byIncarnation(id state.RouterID, session state.SessionNumber, view testView) *testRouter {
+	known := view.routers[id]
+	for _, router := range c.routers {
+		if router.identity.ID == id && known.Session.Number == session && known.Session.Incarnation == router.identity.Session.Incarnation {
+			return router
+		}
+	}
+	return nil
+}
+
+// begin starts an attempt at an entry router.
+func (c *testCluster) begin(entry *testRouter) {
+	session := entry.session(c.views[entry.view])
+	if session == 0 {
+		return
+	}
+	c.serial++
+	attempt := &testAttempt{entry: entry, active: true, claim: Claim{
+		Key: c.keys[c.random.IntN(testKeys)], Attempt: fmt.Sprint(c.serial), Router: entry.identity.ID, Session: session,
+	}}
+	c.attempts = append(c.attempts, attempt)
+	c.send(attempt)
+}
+
+func (c *testCluster) primaryFor(entry *testRouter) *testRouter {
+	view := c.views[entry.view]
+	if len(view.partitions) == 0 {
+		return nil
+	}
+	return c.byIncarnation(view.partitions[0].Primary, view.partitions[0].PrimarySession, view)
+}
+
+func (c *testCluster) send(attempt *testAttempt) {
+	primary := c.primaryFor(attempt.entry)
+	if primary == nil {
+		return
+	}
+	c.later(func() {
+		placed := primary.core.Placed()
+		if primary.dead || primary.failed == primary.core.Epoch() {
+			return
+		}
+		verdict, stored := primary.core.Claim(c.moment(primary), primary.lease[placed.PrimarySession], attempt.claim, c.open(primary))
+		switch verdict {
+		case Granted:
+			c.replicate(primary, placed, stored, func() { c.granted(attempt) })
+		case AnswerKept:
+			c.kept++
+		case RecordsLost:
+			c.lost++
+			if position := slices.Index(c.keys, attempt.claim.Key); position >= 0 {
+				c.keys[position] = c.drawKey()
+			}
+		}
+	})
+}
+
+// replicate mirrors the router's order: backup first, then the check.
+func (c *testCluster) replicate(primary *testRouter, placed state.RecordPartition, stored Record, done func()) {
+	confirm := func() {
+		if !primary.dead && primary.core.Confirm(c.moment(primary), primary.lease[placed.PrimarySession], placed.Epoch) {
+			c.later(done)
+		}
+	}
+	if placed.Backup == "" {
+		c.later(confirm)
+		return
+	}
+	if c.random.IntN(150) == 0 && primary.core.Epoch() == placed.Epoch {
+		primary.failed = placed.Epoch
+	}
+	backup := c.byIncarnation(placed.Backup, placed.BackupSession, c.views[primary.view])
+	c.later(func() {
+		if backup != nil && !backup.dead && backup.core.Store(placed.Epoch, []Record{stored}) {
+			c.later(confirm)
+		}
+	})
+}
+
+func (c *testCluster) granted(attempt *testAttempt) {
+	if attempt.entry.dead || !attempt.active || attempt.ran || attempt.end != 0 {
+		return
+	}
+	c.grants++
+	for _, other := range c.attempts {
+		if other != attempt && other.ran && other.claim.Key == attempt.claim.Key {
+			c.failure = fmt.Sprintf("attempt %s runs although attempt %s did", attempt.claim.Attempt, other.claim.Attempt)
+		}
+	}
+	attempt.ran = true
+}
+
+// endOrResend ends an attempt, gives one up, or claims again.
+func (c *testCluster) endOrResend() {
+	if len(c.attempts) == 0 {
+		return
+	}
+	recent := min(len(c.attempts), 12)
+	attempt := c.attempts[len(c.attempts)-1-c.random.IntN(recent)]
+	switch {
+	case attempt.entry.dead:
+		return
+	case attempt.end == 0 && !attempt.ran && c.random.IntN(3) > 0:
+		c.send(attempt)
+		return
+	case attempt.end == 0 && attempt.ran:
+		attempt.end = []Status{Completed, Unknown, Released}[c.random.IntN(3)]
+	case attempt.end == 0:
+		attempt.end = Released
+	}
+	attempt.active = false
+	if attempt.end == Released {
+		attempt.ran = false
+	}
+	c.complete(attempt)
+}
+
+func (c *testCluster) complete(attempt *testAttempt) {
+	primary := c.primaryFor(attempt.entry)
+	if primary == nil {
+		return
+	}
+	completion := Completion{Claim: attempt.claim, Status: attempt.end}
+	if attempt.end == Completed {
+		completion.Answer = &Answer{Status: 200, Body: []byte(attempt.claim.Attempt)}
+	}
+	c.later(func() {
+		placed := primary.core.Placed()
+		if primary.dead {
+			return
+		}
+		verdict, stored := primary.core.Complete(c.moment(primary), primary.lease[placed.PrimarySession], completion)
+		if verdict == Stored {
+			c.replicate(primary, placed, stored, func() {})
+		}
+	})
+}
+
+// sync transfers every record to the backup and reports only when all arrived.
+func (c *testCluster) sync(primary *testRouter) {
+	placed := primary.core.Placed()
+	if primary.core.Role() != RolePrimary || placed.Backup == "" || primary.core.Epoch() != placed.Epoch {
+		return
+	}
+	keys := primary.core.Keys()
+	backup := c.byIncarnation(placed.Backup, placed.BackupSession, c.views[primary.view])
+	c.later(func() {
+		for first := true; first || len(keys) > 0; first = false {
+			var part []Record
+			part, keys = primary.core.Records(keys, 2, 1<<20)
+			if backup == nil || backup.dead || primary.dead || !backup.core.Store(placed.Epoch, part) {
+				return
+			}
+		}
+		c.later(func() {
+			if primary.core.Epoch() == placed.Epoch && primary.failed != placed.Epoch {
+				primary.synced = placed.Epoch
+			}
+		})
+	})
+}
+
+func (c *testCluster) kill() {
+	position := c.random.IntN(len(c.routers))
+	c.routers[position].dead = true
+	c.routers[position] = c.newRouter(c.routers[position].identity.ID)
+}
+
+func runTestCluster(seed uint64) *testCluster {
+	cluster := newTestCluster(seed)
+	for range testSteps {
+		cluster.step()
+		if cluster.failure != "" {
+			break
+		}
+	}
+	return cluster
+}
+
+func TestAtMostOneAttemptRuns(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 400
+	var grants, kept, lost int
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no key has two attempts that ran", prop.ForAll(func(seed uint64) string {
+		cluster := runTestCluster(seed)
+		grants += cluster.grants
+		kept += cluster.kept
+		lost += cluster.lost
+		return cluster.failure
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+	t.Logf("granted %d, kept answers %d, refused after a loss %d", grants, kept, lost)
+	if grants < 1000 || kept < 100 || lost < 10 {
+		t.Errorf("too little happened: granted %d, kept answers %d, refused after a loss %d", grants, kept, lost)
+	}
+}
