--- a/internal/lab/labcli/root.go
+++ b/internal/lab/labcli/root.go
@@ -36,6 +36,7 @@
 	}
 	root.AddCommand(newBackend(), newPlatform(), newCaller(), newDemo(), newSim())
 	root.AddCommand(newScenario())
+	root.AddCommand(newExperiment())
 	return root
 }
 
