Coordinator: track a session from its first tick, not from its first expiry

Cause: begin, which counts a session that was not seen before as renewed now, was only called once the session's lease seemed over. Ruled out: slow commits, a paused leader. Before: TestLossIsNoticedOnce closes at 1.69 s, want by 1.677 s; after: it passes.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -151,6 +151,19 @@
 	}
 }
 
+// TestLossIsNoticedOnce: the first time that a lease of a session runs out, no
+// further renewal interval passes before the session is closed.
+func TestLossIsNoticedOnce(t *testing.T) {
+	b := newBench(t)
+	b.run(time.Second)
+	b.silent["a"] = true
+	latest := b.core.contacts["a"].readingAt + waitOut + 20*millisecond
+	b.run(2 * time.Second)
+	if len(b.closed) != 1 || b.closed[0] > latest {
+		t.Errorf("session closed at %v, want by %v", b.closed, latest)
+	}
+}
+
 func TestNewLeaderWaitsAFullLease(t *testing.T) {
 	b := newBench(t)
 	b.run(time.Second)
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -23,7 +23,8 @@
 			c.contactObserved(now, known, server, service, view, actions)
 			continue
 		}
-		expired = expired && !known.begin(now, server.Session)
+		begun := known.begin(now, server.Session)
+		expired = expired && !begun
 		c.tickSession(now, expired, known, server, service, actions)
 		if now >= known.next && !known.inFlight {
 			c.contactServer(now, known, server, service, view, actions)
