--- a/internal/controller/ready.go
+++ b/internal/controller/ready.go
@@ -86,10 +86,19 @@
 	if !found {
 		return nil
 	}
-	r.finish(waiting, outcome{result: result, err: result.Err})
+	r.finish(waiting, outcomeOf(result))
 	return nil
 }
 
+// outcomeOf keeps a command without an error from becoming an error that holds
+// a nil pointer.
+func outcomeOf(result state.Result) outcome {
+	if result.Err != nil {
+		return outcome{err: result.Err}
+	}
+	return outcome{result: result}
+}
+
 func (r *replica) applyCommand(index uint64, command state.Command) state.Result {
 	r.stateLock.Lock()
 	defer r.stateLock.Unlock()
