--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -32,8 +32,10 @@
 	streams     []*stream
 	applied     uint64
 	leading     bool
-	joining     map[consensus.ReplicaID]consensus.Member
-	reads       readRounds
+	// leadsSince is the true time at which the replica began to lead.
+	leadsSince time.Duration
+	joining    map[consensus.ReplicaID]consensus.Member
+	reads      readRounds
 	// sequence numbers the proposals of this process, waiting holds them.
 	sequence uint64
 	waiting  map[uint64]proposal
@@ -202,6 +204,7 @@
 
 func (r *replica) startLeading(status consensus.Status) {
 	r.leading = true
+	r.leadsSince = r.sim.queue.Now()
 	r.sim.counts.Elections++
 	r.sim.trace("%s leads term %d at index %d", r.owner.node, status.Term, status.Applied)
 	r.sim.checker.MustHold(r.owner.name(), status.Term, status.Applied)
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -72,6 +72,10 @@
 func settleNeed(settings config.Controller) time.Duration {
 	const handover = 200 * time.Millisecond
 	election := 2 * 2 * time.Duration(settings.Consensus.ElectionTicks) * settings.Consensus.TickInterval
-	waitOut := time.Duration(float64(settings.Lease.Duration)*(1+settings.Lease.ClockRateBound)) + settings.Lease.Margin
-	return election + waitOut + handover
+	return election + leaseWait(settings) + handover
+}
+
+// leaseWait is how long a lease is waited out.
+func leaseWait(settings config.Controller) time.Duration {
+	return time.Duration(float64(settings.Lease.Duration)*(1+settings.Lease.ClockRateBound)) + settings.Lease.Margin
 }
