--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -59,9 +59,15 @@
 	Process      *process.Process
 }
 
+// addresses returns where the process of the node listens.
+func (n *Node) addresses() []string {
+	return []string{n.Address, n.PeerAddress, n.AdminAddress}
+}
+
 // Fleet is a running deployment.
 type Fleet struct {
 	options     Options
+	ports       *reservations
 	Controllers []*Node
 	Routers     []*Node
 	BackEnds    []*BackEnd
@@ -73,7 +79,8 @@
 // Start starts every process and waits until controllers lead and back ends
 // answer. Services are created by CreateServices.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
-	fleet := &Fleet{options: options}
+	fleet := &Fleet{options: options, ports: newReservations()}
+	defer fleet.ports.releaseAll()
 	if err := fleet.layOut(); err != nil {
 		return nil, err
 	}
@@ -97,7 +104,7 @@
 			servers += service.Servers
 		}
 	}
-	addresses, err := freeAddresses(2*f.options.Controllers + 3*f.options.Routers + servers + 1)
+	addresses, err := f.ports.take(2*f.options.Controllers + 3*f.options.Routers + servers + 1)
 	if err != nil {
 		return err
 	}
@@ -200,6 +207,16 @@
 	return f.BackEnds[position], true
 }
 
+// CheckRunning fails when a process of the fleet has ended.
+func (f *Fleet) CheckRunning() error {
+	for _, started := range f.processes() {
+		if !started.Running() {
+			return eris.Errorf("%s has ended; its log is %s", started.Name(), started.Spec().LogFile)
+		}
+	}
+	return nil
+}
+
 // Leader returns the controller that leads, as the controllers tell it.
 func (f *Fleet) Leader(ctx context.Context) (*Node, error) {
 	for _, controller := range f.Controllers {
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -82,6 +82,9 @@
 	if err := t.Fleet.WaitRouters(ctx); err != nil {
 		return err
 	}
+	if err := t.Fleet.CheckRunning(); err != nil {
+		return err
+	}
 	t.observer = newObserver(t.Fleet)
 	observing, stopObserving := context.WithCancel(ctx)
 	var background conc.WaitGroup
