Durable: a membership change in force is known as committed after a crash

Cause: a commit index that alone changed stays in memory, so replicas that crash go back to the membership before the last change. Now the commit index is synced before a change is put in force: one small record for each change of members. Ruled out: a longer wait, since the votes can never come.

--- a/internal/controller/ready.go
+++ b/internal/controller/ready.go
@@ -63,7 +63,9 @@
 			return err
 		}
 		r.applied = entry.Index
-		r.storage.Applied(entry)
+		if err := r.storage.Applied(entry); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/durable/storage.go
+++ b/internal/durable/storage.go
@@ -122,11 +122,17 @@
 	return nil
 }
 
-// Applied counts an applied entry towards the next snapshot.
-func (s *Storage) Applied(entry consensus.Entry) {
+// Applied counts an applied entry towards the next snapshot. A membership change
+// is on stable storage as committed when it returns, so that the replica goes by
+// the same members after a restart; call it before the change is put in force.
+func (s *Storage) Applied(entry consensus.Entry) error {
 	s.appliedTerm = entry.Term
 	s.appliedEntries++
 	s.appliedBytes += len(entry.Data)
+	if entry.Kind != consensus.EntryMembership {
+		return nil
+	}
+	return eris.Wrap(s.Log.SyncCommit(entry.Index), "save that a membership change is committed")
 }
 
 // AppliedTerm returns the term of the newest applied entry.
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -61,6 +61,27 @@
 	return l.saveParts(target, entries)
 }
 
+// SyncCommit returns once a commit index is on stable storage. The entries up
+// to it must have been saved. Save alone may leave it in memory; a replica that
+// has acted on a committed membership change must know it after a restart.
+func (l *Log) SyncCommit(index uint64) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.failure != nil {
+		return l.failure
+	}
+	if index <= l.hardState.Commit {
+		return nil
+	}
+	if index > l.tail.Last {
+		return eris.Errorf("commit index %d is behind the log's end %d", index, l.tail.Last)
+	}
+	l.commit = max(l.commit, index)
+	target := l.hardState
+	target.Commit = l.commit
+	return l.write(record{HardState: &target})
+}
+
 // checkSave refuses what does not fit the log.
 func (l *Log) checkSave(hardState *consensus.HardState, entries []consensus.Entry) error {
 	last := l.tail.Last
