--- /dev/null
+++ b/internal/lab/bench/rig/rig.go
@@ -0,0 +1,177 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/thorntiller/thorntiller/internal/lab/fleet"
+	"github.com/thorntiller/thorntiller/internal/lab/hollow"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// Service is the one service of a rig.
+const Service state.ServiceName = "ledger"
+
+const (
+	controllers = 3
+	operator    = "lab"
+	// serversPerIntent stays within what one intent may carry.
+	serversPerIntent = 1000
+	pingInterval     = 500 * time.Millisecond
+	pollInterval     = time.Millisecond
+)
+
+// Options describe a rig.
+type Options struct {
+	// Product and Lab are the paths of the two binaries.
+	Product string
+	Lab     string
+	// Folder takes settings, data and logs. It must exist.
+	Folder string
+	// Routers counts real router processes; HollowRouters counts hollow ones,
+	// of which Tables keep a whole routing table. At least one does.
+	Routers       int
+	HollowRouters int
+	Tables        int
+	Servers       int
+	Shards        int
+}
+
+// Rig is a running control plane with hollow nodes.
+type Rig struct {
+	options  Options
+	Fleet    *fleet.Fleet
+	BackEnds *hollow.BackEnds
+	Routers  *hollow.Routers
+	observer *observer
+	intents  int
+}
+
+// Start starts every process and hollow node, creates the service, and waits
+// until each shard has an owner.
+func Start(ctx context.Context, options Options) (*Rig, error) {
+	rig := &Rig{options: options, observer: newObserver()}
+	var err error
+	rig.Fleet, err = fleet.Start(ctx, fleet.Options{
+		Product: options.Product, Lab: options.Lab, Folder: options.Folder, Controllers: controllers, Routers: options.Routers,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := rig.startHollow(ctx); err != nil {
+		rig.Stop()
+		return nil, err
+	}
+	return rig, nil
+}
+
+func (r *Rig) startHollow(ctx context.Context) error {
+	var err error
+	r.BackEnds, err = hollow.NewBackEnds(hollow.BackEndOptions{
+		Count: r.options.Servers, Prefix: "server", Zones: zones(), Slots: 2, Connections: 100, OnGrant: r.observer.granted,
+	})
+	if err != nil {
+		return err
+	}
+	r.Routers = hollow.StartRouters(hollow.RouterOptions{
+		Count: r.options.HollowRouters, Prefix: "router", Tables: max(1, r.options.Tables), Controllers: r.peerAddresses(),
+		PingInterval: pingInterval, OnObjects: r.observer.take,
+	})
+	if _, err := r.Routers.WaitProved(ctx, 0); err != nil {
+		return err
+	}
+	return nil
+}
+
+// zones are the seven zones of the size to design for.
+func zones() []string {
+	return []string{"zone-1", "zone-2", "zone-3", "zone-4", "zone-5", "zone-6", "zone-7"}
+}
+
+func (r *Rig) peerAddresses() []string {
+	addresses := make([]string, 0, controllers)
+	for _, controller := range r.Fleet.Controllers {
+		addresses = append(addresses, controller.PeerAddress)
+	}
+	return addresses
+}
+
+// Stop ends everything.
+func (r *Rig) Stop() {
+	if r.Routers != nil {
+		r.Routers.Stop()
+	}
+	r.Fleet.Stop()
+	if r.BackEnds != nil {
+		r.BackEnds.Stop()
+	}
+}
+
+// Execute plans an intent and confirms the plan.
+func (r *Rig) Execute(ctx context.Context, intent state.Intent) (state.Plan, error) {
+	r.intents++
+	intent.ID = state.IntentID(fmt.Sprintf("%s-%d", intent.Kind, r.intents))
+	intent.Operator = operator
+	return fleet.Execute(ctx, r.Fleet.Client(), intent)
+}
+
+// Settings returns the service's settings with a given timeout.
+func Settings(timeoutMs int64) state.ServiceSettings {
+	return state.ServiceSettings{
+		DefaultTimeoutMs: timeoutMs, QueueLimit: 64, RequestLimit: 4096, RetryRatio: 0.2, MaxMoves: 64,
+		Weights: state.Weights{Imbalance: 1, Churn: 1, Unavailable: 1},
+	}
+}
+
+const defaultTimeoutMs = 2000
+
+// Register creates the service and registers every server; the back ends do
+// not answer yet.
+func (r *Rig) Register(ctx context.Context) error {
+	specs := r.BackEnds.Specs()
+	first := min(len(specs), serversPerIntent)
+	_, err := r.Execute(ctx, state.Intent{Kind: state.IntentCreateService, CreateService: &state.CreateService{
+		Name: Service, Keyed: true, Shards: r.options.Shards, Settings: Settings(defaultTimeoutMs), Servers: specs[:first],
+	}})
+	if err != nil {
+		return eris.Wrap(err, "create the service")
+	}
+	for specs = specs[first:]; len(specs) > 0; {
+		count := min(len(specs), serversPerIntent)
+		_, err := r.Execute(ctx, state.Intent{Kind: state.IntentAddServers, AddServers: &state.AddServers{
+			Service: Service, Servers: specs[:count],
+		}})
+		if err != nil {
+			return eris.Wrap(err, "add servers")
+		}
+		specs = specs[count:]
+	}
+	return nil
+}
+
+// Own lets the back ends answer and waits until each shard has an owner.
+func (r *Rig) Own(ctx context.Context) error {
+	r.BackEnds.Open()
+	return r.wait(ctx, "an owner for every shard", r.allSettled)
+}
+
+func (r *Rig) allSettled() bool {
+	return len(r.observer.shards) >= r.options.Shards && r.observer.settled == len(r.observer.shards)
+}
+
+// wait polls a condition on what the observer saw.
+func (r *Rig) wait(ctx context.Context, what string, condition func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !r.observer.holds(condition) {
+		select {
+		case <-ctx.Done():
+			return eris.Errorf("waited in vain for %s: %s", what, r.observer.summary())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -78,6 +78,9 @@
 // Spec returns what the process was started from.
 func (p *Process) Spec() Spec { return p.spec }
 
+// PID returns the number of the process, for readings of what it uses.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Running reports whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
