--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -201,7 +201,7 @@
 	var best *state.Router
 	for index := range l.candidates {
 		candidate := &l.candidates[index]
-		if candidate.ID == placed.Primary || l.avoids(placed.Primary, candidate.ID) {
+		if candidate.ID == placed.Primary || l.avoids(placed.Primary, candidate) {
 			continue
 		}
 		if best == nil || l.better(candidate, best, zone) {
@@ -215,8 +215,9 @@
 	l.backups[best.ID]++
 }
 
-func (l *placing) avoids(primary, backup state.RouterID) bool {
-	return l.moment.Now < l.placement.unreachable[routerPair{primary: primary, backup: backup}]
+func (l *placing) avoids(primary state.RouterID, backup *state.Router) bool {
+	_, failed := l.placement.unreachable[routerPair{primary: primary, backup: backup.ID, session: backup.Session.Number}]
+	return failed
 }
 
 func (l *placing) better(candidate, best *state.Router, zone string) bool {
--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -68,9 +68,12 @@
 	unreachable map[routerPair]time.Duration
 }
 
+// routerPair names a primary and a backup process, so that a restarted backup
+// is chosen at once.
 type routerPair struct {
 	primary state.RouterID
 	backup  state.RouterID
+	session state.SessionNumber
 }
 
 // contact is what the leader knows of one router.
@@ -147,14 +150,21 @@
 	for _, reported := range report.Failed {
 		if placed, found := view.Partition(reported.Number); found && placed.Primary == router && placed.Epoch == reported.Epoch {
 			p.failed[reported] = true
-			p.unreachable[routerPair{primary: router, backup: placed.Backup}] = now + failedWait
+			pair := routerPair{primary: router, backup: placed.Backup, session: placed.BackupSession}
+			p.unreachable[pair] = now + failedWait
 		}
 	}
 }
 
+// forgetFailures drops what no longer keeps a backup from being chosen.
+func (p *Placement) forgetFailures(now time.Duration) {
+	maps.DeleteFunc(p.unreachable, func(_ routerPair, until time.Duration) bool { return now >= until })
+}
+
 // Tick returns the commands that are due, given the wall clock in Unix
 // milliseconds.
 func (p *Placement) Tick(moment Moment, view *state.State) []state.Command {
+	p.forgetFailures(moment.Now)
 	var commands []state.Command
 	for _, router := range view.Routers() {
 		if command, due := p.closeSession(moment.Now, router); due {
--- a/internal/router/records/peers.go
+++ b/internal/router/records/peers.go
@@ -72,7 +72,7 @@
 	}
 	timeout := p.service.options.Settings.PeerTimeout
 	created := wire.NewClient(router.PeerAddress, hello, wire.Options{
-		WriteTimeout: timeout, DialTimeout: timeout, IdleTimeout: clientIdle,
+		WriteTimeout: timeout, DialTimeout: timeout, IdleTimeout: clientIdle, Dial: p.service.options.Dial,
 	})
 	p.clients[key] = created
 	return created, nil
@@ -104,6 +104,9 @@
 	if err := connection.Receive(&hello); err != nil {
 		return err
 	}
+	if name, secured := connection.PeerName(); secured && name != hello.From {
+		return eris.Errorf("the peer says that it is %q, its certificate says %q", hello.From, name)
+	}
 	if hello.Purpose != message.PurposeRouter {
 		return eris.Errorf("purpose %q is not served by routers", hello.Purpose)
 	}
--- a/internal/router/records/service.go
+++ b/internal/router/records/service.go
@@ -14,6 +14,7 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 // partitionAnswerBytes bounds the kept answers of one partition.
@@ -28,6 +29,8 @@
 	Log      *logrus.Entry
 	// View returns the routing table in force.
 	View func() *table.Table
+	// Dial opens connections to other routers; nil means plain TCP.
+	Dial wire.DialFunc
 }
 
 // Service is one router's share of the idempotency records. It is safe for
--- a/internal/router/records/service_test.go
+++ b/internal/router/records/service_test.go
@@ -38,7 +38,7 @@
 
 // bench runs services on loopback and plays the leading controller.
 type bench struct {
-	t         *testing.T
+	t         testing.TB
 	clock     clock.Clock
 	state     *state.State
 	index     uint64
@@ -47,7 +47,7 @@
 	attempts  atomic.Int64
 }
 
-func newBench(t *testing.T, count int) *bench {
+func newBench(t testing.TB, count int) *bench {
 	t.Helper()
 	b := &bench{t: t, clock: clock.NewSystem(), state: state.New(), placement: record.NewPlacement(record.PlacementSettings{
 		Count: 4, LeaseDuration: testLease, ClockRateBound: 0.01, Margin: 10 * time.Millisecond,
@@ -291,3 +291,26 @@
 		t.Errorf("%d attempts were granted", granted.Load())
 	}
 }
+
+// BenchmarkClaimAndComplete takes the whole way of one request's record: claim
+// and completion, from a router that holds neither copy, over loopback.
+func BenchmarkClaimAndComplete(b *testing.B) {
+	three := newBench(b, 3)
+	ctx := context.Background()
+	b.ResetTimer()
+	for b.Loop() {
+		key := three.newKey()
+		placed := three.placed(key)
+		for _, entry := range three.members {
+			if entry.self.ID == placed.Primary || entry.self.ID == placed.Backup {
+				continue
+			}
+			claim := three.claimOf(entry, key)
+			if answer, _ := entry.service.Claim(ctx, claim); answer.Verdict != record.Granted {
+				three.turn()
+				continue
+			}
+			entry.service.Complete(ctx, record.Completion{Claim: claim, Status: record.Completed, Answer: &record.Answer{Status: 200}})
+		}
+	}
+}
