Coordinator: ticks that cost what changed; back-off for lost servers

Each tick copied every server twice to look for leaving and retiring ones, and the end of a proposal went through all contacts. The leader now keeps a list of the servers that are to give up shards, an index of open proposals and the newest reading. Servers without a session that do not answer are asked at most every eighth renewal interval.

--- a/internal/coordinator/contact.go
+++ b/internal/coordinator/contact.go
@@ -43,6 +43,11 @@
 	claims   []backendapi.Assignment
 	// fenceTerm is the term of the newest message that the process took.
 	fenceTerm uint64
+	// withdrawn is true while operators or the platform want the server to give
+	// up its shards.
+	withdrawn bool
+	// failures counts messages without an answer, since the last answer.
+	failures int
 	// pendingSession and pendingRelease are the tokens of open proposals.
 	pendingSession uint64
 	pendingRelease uint64
@@ -72,6 +77,7 @@
 		c.version = 0
 		c.running = nil
 	}
+	c.failures = 0
 	c.reading = answer.ClockNs
 	c.readingAt = now
 	c.session = state.SessionNumber(answer.Session)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,12 @@
 	contacts  map[state.ServerID]*contact
 	// ordered holds the contacts by server, for a fixed order of actions.
 	ordered []*contact
+	// leaving holds, in the same order, those that are to give up their shards.
+	leaving []*contact
+	// awaiting finds the contact that an open proposal belongs to.
+	awaiting map[uint64]*contact
+	// newestReading is the newest readingAt of any contact.
+	newestReading time.Duration
 	// lastTick and closeAfter keep a leader that was itself paused from closing
 	// sessions before it has asked the servers again.
 	lastTick   time.Duration
@@ -38,7 +44,7 @@
 
 // New returns a coordinator that does nothing until Lead.
 func New(config Config) *Coordinator {
-	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact)}
+	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact)}
 }
 
 // Lead begins a term of leadership. The replicated state must hold every
@@ -51,7 +57,7 @@
 	c.confirmedAt = -1
 	c.lastTick = now
 	for _, server := range view.Servers() {
-		c.ensureContact(server.ID, now)
+		c.noteServer(c.ensureContact(server.ID, now), server)
 	}
 }
 
@@ -60,6 +66,9 @@
 	c.leading = false
 	c.contacts = make(map[state.ServerID]*contact)
 	c.ordered = nil
+	c.leaving = nil
+	c.awaiting = make(map[uint64]*contact)
+	c.newestReading = -1
 	c.roundOpen = false
 	c.pendingAssign = 0
 	c.pendingRevoke = 0
@@ -75,6 +84,7 @@
 		case object.Server != nil:
 			known := c.ensureContact(object.Server.ID, now)
 			known.eager = true
+			c.noteServer(known, *object.Server)
 			c.wake(known, now)
 		case object.Shard != nil && object.Shard.Owner != "":
 			c.wake(c.ensureContact(object.Shard.Owner, now), now)
@@ -92,13 +102,34 @@
 	}
 	created := &contact{server: server, next: now, eager: true, readingAt: -1, renewedAt: c.leadSince}
 	c.contacts[server] = created
-	position, _ := slices.BinarySearchFunc(c.ordered, server, func(known *contact, server state.ServerID) int {
-		return cmp.Compare(known.server, server)
-	})
+	position, _ := slices.BinarySearchFunc(c.ordered, server, compareContact)
 	c.ordered = slices.Insert(c.ordered, position, created)
 	return created
 }
 
+// noteServer takes over what the state says about a server.
+func (c *Coordinator) noteServer(known *contact, server state.Server) {
+	gone := server.Intent == state.ServerRetired && !server.Session.Open
+	known.withdrawn = !gone && (server.Leaving || server.Intent != state.ServerActive)
+	c.noteLeaving(known)
+}
+
+// noteLeaving keeps the list of servers that are to give up their shards, so
+// that a tick need not look at all of them.
+func (c *Coordinator) noteLeaving(known *contact) {
+	position, listed := slices.BinarySearchFunc(c.leaving, known.server, compareContact)
+	switch leaves := known.withdrawn || known.draining; {
+	case leaves && !listed:
+		c.leaving = slices.Insert(c.leaving, position, known)
+	case !leaves && listed:
+		c.leaving = slices.Delete(c.leaving, position, position+1)
+	}
+}
+
+func compareContact(known *contact, server state.ServerID) int {
+	return cmp.Compare(known.server, server)
+}
+
 // Tick returns the actions that are due.
 func (c *Coordinator) Tick(now time.Duration, view *state.State) Actions {
 	var actions Actions
@@ -128,6 +159,13 @@
 	return c.lastToken
 }
 
+// proposeFor proposes a command that concerns one server.
+func (c *Coordinator) proposeFor(known *contact, actions *Actions, command state.Command) uint64 {
+	token := c.propose(actions, command)
+	c.awaiting[token] = known
+	return token
+}
+
 // ProposalDone says that a proposal was applied, refused or dropped.
 func (c *Coordinator) ProposalDone(token uint64) {
 	if c.pendingAssign == token {
@@ -136,13 +174,16 @@
 	if c.pendingRevoke == token {
 		c.pendingRevoke = 0
 	}
-	for _, known := range c.ordered {
-		if known.pendingSession == token {
-			known.pendingSession = 0
-		}
-		if known.pendingRelease == token {
-			known.pendingRelease = 0
-		}
+	known, found := c.awaiting[token]
+	if !found {
+		return
+	}
+	delete(c.awaiting, token)
+	if known.pendingSession == token {
+		known.pendingSession = 0
+	}
+	if known.pendingRelease == token {
+		known.pendingRelease = 0
 	}
 }
 
@@ -154,14 +195,11 @@
 	if c.roundOpen && now-c.roundStarted < c.config.LeaseDuration {
 		return
 	}
-	for _, known := range c.ordered {
-		if known.readingAt > c.confirmedAt {
-			c.lastRound++
-			c.roundStarted = now
-			c.roundOpen = true
-			actions.Round = c.lastRound
-			return
-		}
+	if c.newestReading > c.confirmedAt {
+		c.lastRound++
+		c.roundStarted = now
+		c.roundOpen = true
+		actions.Round = c.lastRound
 	}
 }
 
@@ -192,6 +230,8 @@
 	}
 	changedProcess := answer.Incarnation != known.incarnation
 	known.learn(now, answer)
+	c.newestReading = now
+	c.noteLeaving(known)
 	known.answered = true
 	known.eager = known.eager || changedProcess
 	if answer.Fence.Term == c.term && answer.Fence.Sequence > known.sequence {
@@ -204,6 +244,7 @@
 	known, found := c.contacts[server]
 	if found && sequence == known.sequence {
 		known.inFlight = false
+		known.failures++
 	}
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -235,3 +235,28 @@
 		t.Errorf("the other server owns %d of 8 shards", b.ownedBy("b"))
 	}
 }
+
+// A server that is gone is asked less and less often, and found again within
+// the bound.
+func TestLostServerIsAskedLessOften(t *testing.T) {
+	b := newBench(t)
+	b.run(time.Second)
+	b.silent["a"] = true
+	b.run(3 * time.Second)
+	before := len(b.sends)
+	b.run(6 * time.Second)
+	asked := 0
+	for _, send := range b.sends[before:] {
+		if send.Server == "a" {
+			asked++
+		}
+	}
+	if asked < 4 || asked > 8 {
+		t.Errorf("a lost server was asked %d times in 6 s", asked)
+	}
+	b.silent["a"] = false
+	b.run(maxBackoff*testConfig.RenewInterval + 100*millisecond)
+	if server, _ := b.view.Server("a"); !server.Session.Open {
+		t.Error("the server came back and was not found")
+	}
+}
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -49,7 +49,7 @@
 	}
 	if !server.Session.Open {
 		if c.mayOpen(now, known, server, service) {
-			known.pendingSession = c.propose(actions, state.Command{OpenSession: &state.OpenSession{
+			known.pendingSession = c.proposeFor(known, actions, state.Command{OpenSession: &state.OpenSession{
 				Server: server.ID, Incarnation: known.incarnation, After: server.Session.Number,
 			}})
 		}
@@ -57,7 +57,7 @@
 	}
 	if expired {
 		known.closing = server.Session.Number
-		known.pendingSession = c.propose(actions, state.Command{CloseSession: &state.CloseSession{
+		known.pendingSession = c.proposeFor(known, actions, state.Command{CloseSession: &state.CloseSession{
 			Server: server.ID, Session: server.Session.Number,
 		}})
 	}
@@ -106,10 +106,23 @@
 func (c *Coordinator) send(now time.Duration, known *contact, server state.Server, request backendapi.LeaseRequest, actions *Actions) {
 	request.Fence = known.fence(c.term)
 	known.inFlight = true
-	known.next = now + c.config.RenewInterval
+	known.next = now + c.interval(known, server)
 	actions.Sends = append(actions.Sends, Send{Server: server.ID, Address: server.Address, Request: request})
 }
 
+// maxBackoff bounds the interval between probes of a server that is gone, in
+// renewal intervals.
+const maxBackoff = 8
+
+// interval is the time to the next message. A server without a session, which
+// holds no lease, is asked less and less often while it does not answer.
+func (c *Coordinator) interval(known *contact, server state.Server) time.Duration {
+	if server.Session.Open || known.failures == 0 {
+		return c.config.RenewInterval
+	}
+	return c.config.RenewInterval * time.Duration(min(1<<min(known.failures-1, maxBackoff), maxBackoff))
+}
+
 func (c *Coordinator) fillRenewal(request *backendapi.LeaseRequest, known *contact, server state.Server, view *state.State) {
 	request.Incarnation = known.incarnation
 	request.Session = uint64(server.Session.Number)
--- a/internal/coordinator/shards.go
+++ b/internal/coordinator/shards.go
@@ -1,6 +1,9 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -34,11 +37,10 @@
 		}
 		released[shard.Owner] = append(released[shard.Owner], state.ShardEpoch{Shard: shard.ID, Epoch: shard.Epoch})
 	}
-	for _, known := range c.ordered {
-		if shards := released[known.server]; len(shards) > 0 {
-			shards = shards[:min(len(shards), c.config.MaxBatch)]
-			known.pendingRelease = c.propose(actions, state.Command{ReleaseShards: &state.ReleaseShards{Server: known.server, Shards: shards}})
-		}
+	for _, server := range slices.Sorted(maps.Keys(released)) {
+		known, shards := c.contacts[server], released[server]
+		shards = shards[:min(len(shards), c.config.MaxBatch)]
+		known.pendingRelease = c.proposeFor(known, actions, state.Command{ReleaseShards: &state.ReleaseShards{Server: server, Shards: shards}})
 	}
 }
 
@@ -64,6 +66,9 @@
 // revokeShards begins moves within each service's bound: first those that a
 // plan asked for, then those off servers that are leaving.
 func (c *Coordinator) revokeShards(active []state.Shard, planner *planner, view *state.State, actions *Actions) {
+	if len(active) == 0 && len(c.leaving) == 0 {
+		return
+	}
 	budget := newMoveBudget(view, active)
 	var moves []state.MoveShard
 	for _, shard := range active {
@@ -71,7 +76,7 @@
 			moves = appendMove(moves, shard, planner, budget)
 		}
 	}
-	for _, known := range c.ordered {
+	for _, known := range c.leaving {
 		server, found := view.Server(known.server)
 		if !found || !server.Session.Open || !leaves(server, known) {
 			continue
@@ -106,7 +111,7 @@
 }
 
 func (c *Coordinator) finishRetirements(view *state.State, actions *Actions) {
-	for _, known := range c.ordered {
+	for _, known := range c.leaving {
 		server, found := view.Server(known.server)
 		if !found || server.Intent != state.ServerRetiring || known.pendingRelease != 0 {
 			continue
@@ -114,7 +119,7 @@
 		if view.OwnedCount(server.ID) > 0 {
 			continue
 		}
-		known.pendingRelease = c.propose(actions, state.Command{RetireServerDone: &state.RetireServerDone{Server: server.ID}})
+		known.pendingRelease = c.proposeFor(known, actions, state.Command{RetireServerDone: &state.RetireServerDone{Server: server.ID}})
 	}
 }
 
