Placement: a router without a peer address gets no record partition

Hollow routers and other readers of the table connect without an address for other routers; placed as a backup they would hold up every claim.

--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -66,10 +66,11 @@
 	return look
 }
 
-// usable reports whether a router may take new roles.
+// usable reports whether a router may take new roles. One without an address for
+// other routers only reads the table.
 func (p *Placement) usable(now time.Duration, router state.Router) bool {
 	known := p.contact(router.ID)
-	return p.answers(now, known) && known.wanted.Session.Incarnation == router.Session.Incarnation &&
+	return router.PeerAddress != "" && p.answers(now, known) && known.wanted.Session.Incarnation == router.Session.Incarnation &&
 		known.closing != router.Session.Number && !known.report.Leaving && !known.report.Stopped
 }
 
