State: a placement policy for each service, and splits that it allows

Services carry placement.automatic, off unless an operator confirms it. The command SplitShards cuts parts off owned shards; it is refused without that policy, for observed services, at another epoch and outside the shard. A split through a plan (isolate_key) was not enough, since it also starts a move. Placement's pool of servers is exported for the coordinator's use.

--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -42,14 +42,18 @@
 // meant for the path that recovers from a loss. Orphans that no server can
 // take are left out.
 func Assign(now time.Duration, limits Limits, takers []Taker, orphans []Orphan) []Assignment {
-	pool := newPool(now, limits, takers, orphans)
+	load := 0.0
+	for _, orphan := range orphans {
+		load += sane(orphan.Load)
+	}
+	pool := NewPool(now, limits, takers, load, len(orphans))
 	ordered := slices.Clone(orphans)
 	slices.SortFunc(ordered, func(a, b Orphan) int {
 		return cmp.Or(cmp.Compare(sane(b.Load), sane(a.Load)), cmp.Compare(a.Shard, b.Shard))
 	})
 	assignments := make([]Assignment, 0, len(ordered))
 	for _, orphan := range ordered {
-		if target, found := pool.take(orphan); found {
+		if target, found := pool.Take(orphan); found {
 			assignments = append(assignments, Assignment{Shard: orphan.Shard, To: target})
 		}
 	}
@@ -63,49 +67,46 @@
 	// while it is cold.
 	weight   float64
 	capacity float64
+	// key is the weight per capacity after one more shard.
+	key float64
 	// turn orders equal servers: by position within the zone, then by zone.
 	turn int
 }
 
-// pool is a heap of servers, the least loaded first.
-type pool struct {
-	entries []*entry
+// Pool is the servers that can take shards, the least loaded first.
+type Pool struct {
+	entries entries
 	base    float64
 }
 
-func newPool(now time.Duration, limits Limits, takers []Taker, orphans []Orphan) *pool {
-	p := &pool{base: baseWeight(takers, orphans)}
+// NewPool returns a pool of those takers that accept shards. Load and shards
+// are what is to be given away, as far as it is known.
+func NewPool(now time.Duration, limits Limits, takers []Taker, load float64, shards int) *Pool {
+	for _, taker := range takers {
+		load += sane(taker.Load)
+		shards += taker.Shards
+	}
+	p := &Pool{base: 1}
+	if load > 0 {
+		p.base = baseShare * load / float64(max(shards, 1))
+	}
 	for _, taker := range inTurns(takers) {
 		if !taker.Accepts {
 			continue
 		}
-		p.entries = append(p.entries, &entry{
+		known := &entry{
 			id:       taker.ID,
 			weight:   sane(taker.Load) + p.base*float64(taker.Shards),
 			capacity: float64(max(taker.Slots, 1)) * warmth(taker.Server, now, limits),
 			turn:     len(p.entries),
-		})
+		}
+		known.key = (known.weight + p.base) / known.capacity
+		p.entries = append(p.entries, known)
 	}
-	heap.Init(p)
+	heap.Init(&p.entries)
 	return p
 }
 
-// baseWeight returns what each shard weighs besides its load.
-func baseWeight(takers []Taker, orphans []Orphan) float64 {
-	load, shards := 0.0, len(orphans)
-	for _, taker := range takers {
-		load += sane(taker.Load)
-		shards += taker.Shards
-	}
-	for _, orphan := range orphans {
-		load += sane(orphan.Load)
-	}
-	if load == 0 {
-		return 1
-	}
-	return baseShare * load / float64(shards)
-}
-
 // inTurns orders servers so that zones alternate.
 func inTurns(takers []Taker) []Taker {
 	ordered := slices.Clone(takers)
@@ -122,30 +123,32 @@
 	return ordered
 }
 
-// take gives the orphan to the least loaded server that may have it.
-func (p *pool) take(orphan Orphan) (state.ServerID, bool) {
-	if len(p.entries) == 0 {
-		return "", false
-	}
+// Take gives the orphan to the least loaded server that may have it. It returns
+// false when there is none.
+func (p *Pool) Take(orphan Orphan) (state.ServerID, bool) {
 	position := 0
-	if p.entries[0].id == orphan.Except {
-		position = p.second()
+	if len(p.entries) > 0 && p.entries[0].id == orphan.Except {
+		position = p.entries.second()
 	}
-	if position < 0 {
+	if position < 0 || position >= len(p.entries) {
 		return "", false
 	}
 	chosen := p.entries[position]
 	chosen.weight += sane(orphan.Load) + p.base
-	heap.Fix(p, position)
+	chosen.key = (chosen.weight + p.base) / chosen.capacity
+	heap.Fix(&p.entries, position)
 	return chosen.id, true
 }
 
+// entries is a heap of servers.
+type entries []*entry
+
 // second returns the position of the second server in order, or -1.
-func (p *pool) second() int {
+func (e entries) second() int {
 	switch {
-	case len(p.entries) < 2:
+	case len(e) < 2:
 		return -1
-	case len(p.entries) > 2 && p.Less(2, 1):
+	case len(e) > 2 && e.Less(2, 1):
 		return 2
 	default:
 		return 1
@@ -153,30 +156,29 @@
 }
 
 // Len implements heap.Interface.
-func (p *pool) Len() int { return len(p.entries) }
+func (e entries) Len() int { return len(e) }
 
 // Less implements heap.Interface: the server with less weight for its capacity
 // after one more shard goes first.
-func (p *pool) Less(i, j int) bool {
-	a, b := p.entries[i], p.entries[j]
-	left, right := (a.weight+p.base)*b.capacity, (b.weight+p.base)*a.capacity
-	if left != right {
-		return left < right
+func (e entries) Less(i, j int) bool {
+	if e[i].key != e[j].key {
+		return e[i].key < e[j].key
 	}
-	return a.turn < b.turn
+	return e[i].turn < e[j].turn
 }
 
 // Swap implements heap.Interface.
-func (p *pool) Swap(i, j int) { p.entries[i], p.entries[j] = p.entries[j], p.entries[i] }
+func (e entries) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 
 // Push implements heap.Interface.
-func (p *pool) Push(value any) { p.entries = append(p.entries, value.(*entry)) }
+func (e *entries) Push(value any) { *e = append(*e, value.(*entry)) }
 
 // Pop implements heap.Interface.
-func (p *pool) Pop() any {
-	last := p.entries[len(p.entries)-1]
-	p.entries = p.entries[:len(p.entries)-1]
-	return last
+func (e *entries) Pop() any {
+	last := len(*e) - 1
+	taken := (*e)[last]
+	*e = (*e)[:last]
+	return taken
 }
 
 // warmth is the share of its full load that a server may carry: it rises from
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -201,6 +201,15 @@
 	l.free = append(l.free, position)
 }
 
+// Shard returns what the layout knows of a shard.
+func (l *Layout) Shard(id state.ShardID) (Shard, bool) {
+	position, found := l.positions[id]
+	if !found {
+		return Shard{}, false
+	}
+	return l.records[position].Shard, true
+}
+
 // SetLoad replaces a shard's load, in busy slots, and what is known of its
 // busiest key. An unknown shard is ignored.
 func (l *Layout) SetLoad(id state.ShardID, load float64, hotHash uint64, hotShare float64) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -102,6 +102,7 @@
 		RetryRatio:     settings.RetryRatio,
 		RequestLimit:   settings.RequestLimit,
 		Weights:        settings.Weights,
+		Placement:      settings.Placement,
 		MaxMoves:       settings.MaxMoves,
 	}
 }
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -58,6 +58,8 @@
 		return tx.assignShards(command.AssignShards)
 	case command.RevokeShards != nil:
 		return tx.revokeShards(command.RevokeShards)
+	case command.SplitShards != nil:
+		return tx.splitShards(command.SplitShards)
 	case command.SetLeaving != nil:
 		return tx.setLeaving(command.SetLeaving)
 	case command.RetireServerDone != nil:
--- /dev/null
+++ b/internal/state/apply_split.go
@@ -0,0 +1,35 @@
+package state
+
+// splitShards cuts parts off shards of services whose policy allows it. The
+// parts keep owner and epoch, since the owner does not change.
+func (tx *transaction) splitShards(command *SplitShards) Result {
+	for _, part := range command.Parts {
+		shard, found := tx.state.Shard(part.Shard)
+		if found && tx.maySplit(shard, part) {
+			tx.cutOut(shard, part.Range)
+		}
+	}
+	return Result{}
+}
+
+func (tx *transaction) maySplit(shard Shard, part ShardPart) bool {
+	service, found := tx.state.Service(shard.Service)
+	if !found || service.Mode == ModeObserved || !service.Placement.Automatic {
+		return false
+	}
+	if shard.Phase != ShardOwned || shard.Target != "" || shard.Epoch != part.Epoch {
+		return false
+	}
+	inside := shard.Range.First <= part.Range.First && part.Range.First <= part.Range.Last && part.Range.Last <= shard.Range.Last
+	return inside && part.Range != shard.Range
+}
+
+// cutOut makes a part of a shard a shard of its own.
+func (tx *transaction) cutOut(whole Shard, part KeyRange) {
+	if whole.Range.First < part.First {
+		tx.cut(whole.Service, part.First)
+	}
+	if part.Last < whole.Range.Last {
+		tx.cut(whole.Service, part.Last+1)
+	}
+}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -14,6 +14,7 @@
 	ReleaseShards    *ReleaseShards
 	AssignShards     *AssignShards
 	RevokeShards     *RevokeShards
+	SplitShards      *SplitShards
 	SetLeaving       *SetLeaving
 	RetireServerDone *RetireServerDone
 	PutRouter        *PutRouter
@@ -82,6 +83,19 @@
 	Moves []MoveShard
 }
 
+// SplitShards cuts parts off shards whose owner stays, as the service's policy
+// allows. A part that may not be cut is left out.
+type SplitShards struct {
+	Parts []ShardPart
+}
+
+// ShardPart is a part of a shard at one epoch.
+type ShardPart struct {
+	Shard ShardID
+	Epoch Epoch
+	Range KeyRange
+}
+
 // SetLeaving records the platform's word on a server's machine.
 type SetLeaving struct {
 	Server  ServerID
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -41,6 +41,8 @@
 	RetryRatio       float64 `json:"retry_ratio"`
 	MaxMoves         int     `json:"max_moves"`
 	Weights          Weights `json:"weights"`
+	// Placement is the policy for moves without a plan.
+	Placement PlacementPolicy `json:"placement"`
 }
 
 // CreateService asks for a new service. Shards is the number of equal key
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -53,6 +53,9 @@
 	// service.
 	RequestLimit int     `json:"request_limit"`
 	Weights      Weights `json:"weights"`
+	// Placement is the policy that an operator confirmed for moves which the
+	// controllers begin by themselves.
+	Placement PlacementPolicy `json:"placement"`
 	// MaxMoves bounds the shards that are moving at the same time.
 	MaxMoves int `json:"max_moves"`
 	// Adopted is true once the service was observed. Its servers may serve by
@@ -64,6 +67,14 @@
 	Revision   Revision `json:"revision"`
 }
 
+// PlacementPolicy says what the controllers may do without a plan. Shards of
+// servers that are lost or leaving always get other owners.
+type PlacementPolicy struct {
+	// Automatic lets the controllers split and move shards for the sake of
+	// balance, within MaxMoves and as the weights price it. Off unless set.
+	Automatic bool `json:"automatic"`
+}
+
 // Weights price the three measures of placement against each other.
 type Weights struct {
 	// Imbalance is the cost of one unit of (maximum load / mean load - 1).
