Coordinator: a change does not wait for the next regular renewal

Cause: a change that fell between a server's answer and the quorum round that covers it sent a probe in place of the renewal, and the next message came a whole interval later. Now the renewal follows as soon as the round is confirmed. Ruled out: renewing without the round, which would let a deposed leader extend a lease.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -221,6 +221,29 @@
 	}
 }
 
+// TestMoveNeedsNoRenewInterval: whatever moment a move begins at, it waits for
+// quorum rounds and messages, not for the next regular renewal.
+func TestMoveNeedsNoRenewInterval(t *testing.T) {
+	const bound = 80 * millisecond
+	for phase := time.Duration(0); phase < testConfig.RenewInterval; phase += 10 * millisecond {
+		b := newBench(t)
+		b.run(time.Second + phase)
+		shard := b.view.OwnedBy("a")[0]
+		b.confirmPlan("move", state.Operation{MoveShard: &state.MoveShard{Shard: shard.ID, Epoch: shard.Epoch, From: "a", To: "b"}})
+		began := b.now
+		for b.now < began+time.Second {
+			b.run(10 * millisecond)
+			moved, _ := b.view.Shard(shard.ID)
+			if moved.Owner == "b" && b.version["b"] >= uint64(moved.Revision) {
+				break
+			}
+		}
+		if took := b.now - began; took > bound {
+			t.Errorf("a move that begins %v after a second takes %v", phase, took)
+		}
+	}
+}
+
 func TestRetiredServerGivesUpEverything(t *testing.T) {
 	b := newBench(t)
 	b.run(time.Second)
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -87,11 +87,26 @@
 	return known.readingAt >= 0 && known.readingAt <= c.confirmedAt
 }
 
+// awaitsRound reports whether a renewal waits for a quorum round alone. It is
+// then sent once the round is confirmed; a probe now would keep it back for a
+// whole interval.
+func (c *Coordinator) awaitsRound(now time.Duration, known *contact, server state.Server) bool {
+	if !server.Session.Open || known.closing == server.Session.Number || known.incarnation != server.Session.Incarnation {
+		return false
+	}
+	return known.readingAt > c.confirmedAt && now-known.readingAt < c.config.RenewInterval
+}
+
 func (c *Coordinator) contactServer(now time.Duration, known *contact, server state.Server, service state.Service, view *state.State, actions *Actions) {
 	if server.Intent == state.ServerRetired && !server.Session.Open {
 		known.next = now + c.config.LeaseDuration
 		return
 	}
+	if c.awaitsRound(now, known, server) {
+		known.eager = true
+		known.next = now + c.config.RenewInterval
+		return
+	}
 	request := backendapi.LeaseRequest{Server: string(server.ID)}
 	switch {
 	case c.mayRenew(known, server):
