Router: answers of a stopping router close their connections; TLS on the routers' side

Ruled out: the accept queue (the cut attempts were on kept connections, sent after the grace). The new test fails with the order as it was. Answers now also carry Keep-Alive: timeout=2, and the grace outlasts it, so that an idle connection is not closed while a caller that keeps to it may use it.

Table streams and connections between routers use the certificates too.

--- a/internal/callerapi/types.go
+++ b/internal/callerapi/types.go
@@ -1,6 +1,10 @@
 package callerapi
 
-import "github.com/thorntiller/thorntiller/internal/fault"
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
 
 // Headers of requests that a caller sends to a router.
 const (
@@ -34,8 +38,14 @@
 	HeaderError = "Thorntiller-Error"
 	// HeaderRetryAfter carries the whole seconds to wait before a resend.
 	HeaderRetryAfter = "Retry-After"
+	// HeaderKeepAlive carries "timeout=" and KeepAlive in seconds.
+	HeaderKeepAlive = "Keep-Alive"
 )
 
+// KeepAlive is how long a caller may keep a connection idle and then use it
+// again. A router that stops closes no connection that was idle for less.
+const KeepAlive = 2 * time.Second
+
 // ContentTypeRefusal is the content type of RefusalBody.
 const ContentTypeRefusal = "application/json"
 
--- a/internal/lab/caller/send.go
+++ b/internal/lab/caller/send.go
@@ -35,6 +35,7 @@
 	dialer := &fasthttp.TCPDialer{}
 	return &fasthttp.Client{
 		MaxConnsPerHost:           concurrency,
+		MaxIdleConnDuration:       callerapi.KeepAlive,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 		MaxResponseBodySize:       maxAnswer,
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/lab/authority"
 	"github.com/thorntiller/thorntiller/internal/lab/process"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -30,6 +31,9 @@
 	// another, so that a fault proxy can stand in between. Back ends are reached
 	// from AnyProcess, since all use the address that the operator names.
 	Dial func(from, to, address string) (string, error)
+	// Encrypted gives each process of the product, and the operator, a
+	// certificate.
+	Encrypted bool
 }
 
 // AnyProcess is the origin that Dial gets where many processes share a path.
@@ -73,7 +77,9 @@
 	BackEnds    []*BackEnd
 	Platform    *Node
 	client      *intentapi.Client
-	callers     []*process.Process
+	// authority signs certificates; nil for plain text.
+	authority *authority.Authority
+	callers   []*process.Process
 }
 
 // Start starts every process and waits until controllers lead and back ends
@@ -84,11 +90,12 @@
 	if err := fleet.layOut(); err != nil {
 		return nil, err
 	}
-	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: fleet.Endpoints(), CallTimeout: callTimeout})
-	if err != nil {
+	if err := fleet.makeFolders(); err != nil {
+		return nil, err
+	}
+	if err := fleet.openClient(); err != nil {
 		return nil, err
 	}
-	fleet.client = client
 	if err := fleet.startAll(ctx); err != nil {
 		fleet.Stop()
 		return nil, err
@@ -157,12 +164,16 @@
 	return nil
 }
 
-func (f *Fleet) startAll(ctx context.Context) error {
+func (f *Fleet) makeFolders() error {
 	for _, name := range []string{"settings", "logs", "records", "data"} {
 		if err := os.MkdirAll(filepath.Join(f.options.Folder, name), 0o700); err != nil {
 			return eris.Wrap(err, "create the fleet's folders")
 		}
 	}
+	return nil
+}
+
+func (f *Fleet) startAll(ctx context.Context) error {
 	if err := f.startPlatform(); err != nil {
 		return err
 	}
--- a/internal/lab/fleet/settings.go
+++ b/internal/lab/fleet/settings.go
@@ -27,6 +27,8 @@
 	APIAddress    string           `yaml:"api_address"`
 	Controllers   []peerSettings   `yaml:"controllers"`
 	Platform      platformSettings `yaml:"platform"`
+	TLS           tlsSettings      `yaml:"tls"`
+	API           apiSettings      `yaml:"api"`
 }
 
 type platformSettings struct {
@@ -35,13 +37,14 @@
 
 // routerSettings are the fields of a router's settings file that a fleet sets.
 type routerSettings struct {
-	Role         string   `yaml:"role"`
-	Name         string   `yaml:"name"`
-	Zone         string   `yaml:"zone"`
-	Address      string   `yaml:"address"`
-	PeerAddress  string   `yaml:"peer_address"`
-	AdminAddress string   `yaml:"admin_address"`
-	Controllers  []string `yaml:"controllers"`
+	Role         string      `yaml:"role"`
+	Name         string      `yaml:"name"`
+	Zone         string      `yaml:"zone"`
+	Address      string      `yaml:"address"`
+	PeerAddress  string      `yaml:"peer_address"`
+	AdminAddress string      `yaml:"admin_address"`
+	Controllers  []string    `yaml:"controllers"`
+	TLS          tlsSettings `yaml:"tls"`
 }
 
 func writeSettings(folder, name string, settings any) (string, error) {
--- a/internal/lab/fleet/start.go
+++ b/internal/lab/fleet/start.go
@@ -47,6 +47,11 @@
 		PeerAddress: controller.PeerAddress, APIAddress: controller.AdminAddress,
 		Platform: platformSettings{URL: "http://" + f.Platform.Address + platformapi.PathMachines},
 	}
+	settings.API = f.rights()
+	var err error
+	if settings.TLS, err = f.tlsOf(controller.Name); err != nil {
+		return err
+	}
 	for _, peer := range f.Controllers {
 		known, err := f.peerOf(controller, peer)
 		if err != nil {
@@ -79,6 +84,10 @@
 		Role: "router", Name: router.Name, Zone: "edge",
 		Address: router.Address, PeerAddress: router.PeerAddress, AdminAddress: router.AdminAddress,
 	}
+	var err error
+	if settings.TLS, err = f.tlsOf(router.Name); err != nil {
+		return err
+	}
 	for _, controller := range f.Controllers {
 		reached, err := f.dial(router.Name, controller.Name, controller.PeerAddress)
 		if err != nil {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -31,6 +31,8 @@
 	rate float64
 	// duration is how long callers send.
 	duration time.Duration
+	// encrypted gives the processes certificates.
+	encrypted bool
 	// caller changes the settings of each caller.
 	caller func(*caller.Config)
 }
@@ -93,6 +95,7 @@
 		Fleet: fleet.Options{
 			Product: options.Product, Lab: options.Lab, Folder: options.Folder,
 			Controllers: controllers, Routers: routers, Deployments: shape.deployments, Dial: network.Address,
+			Encrypted: shape.encrypted,
 		},
 		Rate: shape.rate, Duration: shape.duration, Seed: options.Seed, Caller: shape.caller, Say: options.Say,
 		Steps: func(ctx context.Context, t *trial.Trial) error {
--- a/internal/router/controller.go
+++ b/internal/router/controller.go
@@ -16,8 +16,17 @@
 	connection *wire.Conn
 }
 
-func dialController(ctx context.Context, address string, hello message.Hello) (tableConnection, error) {
-	connection, err := wire.Dial(ctx, address, wire.Options{WriteTimeout: controllerWriteTimeout})
+// controllerDialer returns a dialer of table connections; dial is nil for plain
+// TCP.
+func controllerDialer(dial wire.DialFunc) tableDialer {
+	options := wire.Options{WriteTimeout: controllerWriteTimeout, Dial: dial}
+	return func(ctx context.Context, address string, hello message.Hello) (tableConnection, error) {
+		return dialController(ctx, address, hello, options)
+	}
+}
+
+func dialController(ctx context.Context, address string, hello message.Hello, options wire.Options) (tableConnection, error) {
+	connection, err := wire.Dial(ctx, address, options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -10,16 +10,19 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 const (
 	// stopGrace is how long kept connections may still bring requests after
-	// the listener closed, at most; each answer closes its connection.
-	stopGrace = time.Second
+	// the listener closed, at most; each answer closes its connection. Callers
+	// drop connections that were idle for callerapi.KeepAlive, so that none is
+	// in use when the rest is closed.
+	stopGrace = callerapi.KeepAlive + time.Second
 	// graceShare bounds the grace as a part of the stop timeout.
-	graceShare = 4
+	graceShare = 2
 	// handOverTime bounds the hand-over of record partitions after a stop.
 	handOverTime = 3 * time.Second
 	// probeWorkers bounds health checks that run at the same time.
--- a/internal/router/middleware.go
+++ b/internal/router/middleware.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -29,23 +31,30 @@
 	if err == nil {
 		err = r.handler(r.lifetime, exchange)
 	}
-	if r.stopping.Load() {
-		inbound.SetConnectionClose()
-	}
 	if err == nil {
 		writeAnswer(&inbound.Response, exchange)
+		r.setConnection(inbound)
 		r.metrics.observe(exchange, "", r.clock.Now())
 		return
 	}
 	failure := asFault(err)
 	writeRefusal(&inbound.Response, exchange.CallerID, failure)
+	r.setConnection(inbound)
+	r.metrics.observe(exchange, failure.Kind, r.clock.Now())
+	r.logUnknown(exchange, failure)
+}
+
+// setConnection tells the caller what becomes of the connection.
+func (r *Router) setConnection(inbound *fasthttp.RequestCtx) {
 	if r.stopping.Load() {
 		inbound.SetConnectionClose()
+		return
 	}
-	r.metrics.observe(exchange, failure.Kind, r.clock.Now())
-	r.logUnknown(exchange, failure)
+	inbound.Response.Header.Set(callerapi.HeaderKeepAlive, keepAliveValue)
 }
 
+var keepAliveValue = fmt.Sprintf("timeout=%d", int(callerapi.KeepAlive.Seconds()))
+
 func asFault(err error) *fault.Error {
 	var typed *fault.Error
 	if eris.As(err, &typed) {
--- /dev/null
+++ b/internal/router/middleware_test.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// TestAnswersOfAStoppingRouterCloseTheirConnections covers refusals and answers
+// of back ends: a connection that is kept would be cut off at the end of the
+// stop, perhaps under a request.
+func TestAnswersOfAStoppingRouterCloseTheirConnections(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	handlers := map[string]Handler{
+		"answer of a back end": func(_ context.Context, exchange *Exchange) error {
+			exchange.Answer.SetBodyString("whole")
+			return nil
+		},
+		"refusal": func(context.Context, *Exchange) error { return fault.New(fault.NoOwner, "none") },
+	}
+	for name, handler := range handlers {
+		t.Run(name, func(t *testing.T) {
+			router := New(config.DefaultRouter(), logrus.NewEntry(logger), Options{})
+			defer router.end()
+			router.handler = handler
+			for _, stopping := range []bool{false, true} {
+				router.stopping.Store(stopping)
+				inbound := &fasthttp.RequestCtx{}
+				inbound.Request.SetRequestURI("/service/path")
+				router.serve(inbound)
+				if closes := inbound.Response.ConnectionClose(); closes != stopping {
+					t.Errorf("stopping %v: the answer closes its connection: %v", stopping, closes)
+				}
+				if hint := string(inbound.Response.Header.Peek(callerapi.HeaderKeepAlive)); (hint == "timeout=2") == stopping {
+					t.Errorf("stopping %v: the answer's Keep-Alive is %q", stopping, hint)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/admission"
+	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
@@ -24,6 +25,7 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 const role = "router"
@@ -49,6 +51,8 @@
 	completions *recordDeduplicator
 	handler     Handler
 	dial        tableDialer
+	// certificates is nil for plain text.
+	certificates *certificate.Store
 
 	// connections counts callers' open connections.
 	connections atomic.Int64
@@ -67,13 +71,28 @@
 	// Deduplicator serves requests with an Idempotency-Key; nil keeps records on
 	// the routers of the cluster.
 	Deduplicator Deduplicator
+	// Certificates authenticate the router to controllers and other routers;
+	// nil means plain text.
+	Certificates *certificate.Store
+}
+
+// dial returns how connections to other processes are opened; nil means plain.
+func (o Options) dial() wire.DialFunc {
+	if o.Certificates == nil {
+		return nil
+	}
+	return o.Certificates.Dial
 }
 
 // Run starts a router and serves until the context ends, then stops it
 // gracefully. It returns an error when a listener cannot be opened or running
 // requests did not finish within the stop timeout.
 func Run(ctx context.Context, settings config.Router, log *logrus.Entry) error {
-	return New(settings, log, Options{}).Run(ctx)
+	certificates, err := openCertificates(settings.TLS)
+	if err != nil {
+		return err
+	}
+	return New(settings, log, Options{Certificates: certificates}).Run(ctx)
 }
 
 // New returns a router that is not yet running.
@@ -82,13 +101,14 @@
 		settings: settings, log: log, clock: clock.NewSystem(), incarnation: newIncarnation(),
 		builder: table.NewBuilder(), freshness: newFreshness(settings.StalenessLimit),
 		limiter: admission.NewLimiter(settings.MaxInFlight), buffer: newBuffer(),
-		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: dialController,
+		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: controllerDialer(options.dial()), certificates: options.Certificates,
 	}
 	router.lifetime, router.end = context.WithCancel(context.Background())
 	router.fleet = newFleet(settings, router.clock, router.builder)
 	router.metrics = newMetrics(router.registry)
 	router.records = records.New(records.Options{
 		Self: router.self(), Settings: settings.Records, Clock: router.clock, Log: log, View: router.builder.Table,
+		Dial: options.dial(),
 	})
 	if router.deduplicator == nil {
 		router.completions = router.newDeduplicator()
@@ -174,7 +194,8 @@
 	failed := make(chan error, 3)
 	group.Go(func() { failed <- serveListener(callerServer, callers) })
 	group.Go(func() { failed <- serveListener(adminServer, admin) })
-	group.Go(func() { failed <- r.records.Run(background, peers) })
+	group.Go(func() { failed <- r.records.Run(background, r.secure(peers)) })
+	group.Go(func() { r.watchCertificates(background) })
 	group.Go(func() { r.newSubscription().run(background) })
 	group.Go(func() { r.probe(background) })
 	group.Go(func() { r.watchFreshness(background) })
