--- a/internal/lab/sim/checker/owners.go
+++ b/internal/lab/sim/checker/owners.go
@@ -86,19 +86,6 @@
 	c.owners.holdings = slices.DeleteFunc(c.owners.holdings, func(known Holding) bool { return known.Incarnation == incarnation })
 }
 
-// Serves reports whether some process may serve a key hash of a service now.
-func (c *Checker) Serves(service string, hash uint64) bool {
-	for _, known := range c.owners.holdings {
-		if known.Service != service || known.LeaseEnd <= c.now() {
-			continue
-		}
-		if slices.ContainsFunc(known.Ranges, func(held HeldRange) bool { return held.First <= hash && hash <= held.Last }) {
-			return true
-		}
-	}
-	return false
-}
-
 // Uncovered returns the first key hash of a service that no process may serve
 // now, and false if every hash is served.
 func (c *Checker) Uncovered(service string) (uint64, bool) {
--- a/internal/lab/sim/controller.go
+++ b/internal/lab/sim/controller.go
@@ -75,6 +75,7 @@
 		c.failed(err)
 		return
 	}
+	c.checkRecovered(disk)
 	c.replica, err = newReplica(c, disk)
 	if err != nil {
 		c.failed(err)
@@ -84,7 +85,6 @@
 	c.known = c.replica.core.Status().Membership
 	c.sim.trace("%s starts replica %s at snapshot %d with %d entries", c.node, shortID(c.self.Replica),
 		disk.Initial.Snapshot.Index, len(disk.Initial.Entries))
-	c.checkRecovered(disk)
 	c.every(c.sim.settings.Consensus.TickInterval, func() { c.step(c.replica.tick) })
 }
 
--- a/internal/lab/sim/intents.go
+++ b/internal/lab/sim/intents.go
@@ -44,7 +44,7 @@
 
 func (r *replica) getPlan(id state.PlanID) intentAnswer {
 	plan, found := r.state.Plan(id)
-	if !found {
+	if !found || r.sim.planted.forgetPlans {
 		return intentAnswer{err: fault.New(fault.NotFound, "no such plan")}
 	}
 	return intentAnswer{plan: &plan}
--- a/internal/lab/sim/ready.go
+++ b/internal/lab/sim/ready.go
@@ -5,8 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/checker"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -109,7 +109,7 @@
 	var result state.Result
 	carriesCommand := entry.Kind == consensus.EntryCommand && len(entry.Data) > 0
 	if carriesCommand {
-		if err := msgpack.Unmarshal(entry.Data, &content); err != nil {
+		if err := codec.Unmarshal(entry.Data, &content); err != nil {
 			return eris.Wrapf(err, "apply log entry %d", entry.Index)
 		}
 		result = r.applyCommand(entry.Index, content.Command)
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
 	"github.com/thorntiller/thorntiller/internal/durable"
@@ -140,7 +140,7 @@
 func (r *replica) propose(input proposal) {
 	r.sequence++
 	r.waiting[r.sequence] = input
-	data, err := msgpack.Marshal(&envelope{Replica: r.owner.self.Replica, Sequence: r.sequence, Command: input.command})
+	data, err := codec.Marshal(&envelope{Replica: r.owner.self.Replica, Sequence: r.sequence, Command: input.command})
 	if err == nil {
 		err = r.core.Propose(data)
 	}
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -141,6 +141,9 @@
 }
 
 func (r *router) applyDelta(delta message.TableDelta) error {
+	if r.sim.planted.deafRouters {
+		return nil
+	}
 	if r.sim.planted.skipDigest && r.sim.chance(skipDigestChance) {
 		delta.Objects = nil
 		delta.Digest = r.builder.Table().Digest()
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,122 @@
+package sim
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/lab/sim/checker"
+	"github.com/thorntiller/thorntiller/internal/vfs"
+)
+
+const (
+	fixedSeeds     = 60
+	plantedSeeds   = 40
+	testWorkers    = 4
+	tracedSeed     = 8
+	traceLineLimit = 1500
+)
+
+// TestFixedSeeds runs the same seeds every time, and makes sure that they meet
+// every kind of fault.
+func TestFixedSeeds(t *testing.T) {
+	summary := RunSeeds(1, fixedSeeds, testWorkers, func(failure Failure) { t.Error(failure.Describe()) })
+	t.Logf("faults %+v", summary.Faults)
+	t.Logf("checks %+v", summary.Checks)
+	faults := summary.Faults
+	for name, count := range map[string]uint64{
+		"pauses": faults.Pauses, "crashes": faults.Crashes, "crashes in a write": faults.TornWrites,
+		"flipped bits": faults.FlippedBits, "lost disks": faults.LostDisks, "losses after a repair": faults.LossesAfterRepair,
+		"cuts": faults.Cuts, "freezes": faults.Freezes, "missed changes": faults.MissedChanges,
+		"races": faults.Races, "resends": faults.Resends, "snapshots": faults.Snapshots,
+	} {
+		if count == 0 {
+			t.Errorf("the fixed seeds meet no %s", name)
+		}
+	}
+}
+
+// TestSeedReplaysToTheByte: one seed gives the same trace every time.
+func TestSeedReplaysToTheByte(t *testing.T) {
+	var first, second bytes.Buffer
+	one := Run(tracedSeed, &first)
+	two := Run(tracedSeed, &second)
+	if one != two || !bytes.Equal(first.Bytes(), second.Bytes()) {
+		t.Fatalf("%+v and %+v, traces of %d and %d bytes", one, two, first.Len(), second.Len())
+	}
+	if lines := bytes.Count(first.Bytes(), []byte("\n")); lines == 0 || lines > traceLineLimit {
+		t.Errorf("the trace has %d lines", lines)
+	}
+}
+
+// unsyncedFiles is a file layer whose files are only synced the first time.
+type unsyncedFiles struct{ vfs.FileSystem }
+
+func (f unsyncedFiles) Create(path string) (vfs.File, error) {
+	file, err := f.FileSystem.Create(path)
+	return &unsyncedFile{File: file}, err
+}
+
+func (f unsyncedFiles) OpenAppend(path string) (vfs.File, error) {
+	file, err := f.FileSystem.OpenAppend(path)
+	return &unsyncedFile{File: file, synced: true}, err
+}
+
+type unsyncedFile struct {
+	vfs.File
+	synced bool
+}
+
+func (f *unsyncedFile) Sync() error {
+	if f.synced {
+		return nil
+	}
+	f.synced = true
+	return f.File.Sync()
+}
+
+// TestPlantedFaults proves that the checkers find each planted fault.
+func TestPlantedFaults(t *testing.T) {
+	cases := map[string]struct {
+		planted planted
+		caught  []checker.Guarantee
+	}{
+		"server ignores the end of its lease": {planted{ignoreLeaseEnd: true}, []checker.Guarantee{checker.OneOwner}},
+		"coordinator does not wait a lease out": {
+			planted{coordinator: func(config *coordinator.Config) { config.Margin = -config.LeaseDuration / 2 }},
+			[]checker.Guarantee{checker.OneOwner},
+		},
+		"coordinator waits far too long": {
+			planted{coordinator: func(config *coordinator.Config) { config.Margin = 3 * time.Second }},
+			[]checker.Guarantee{checker.OwnerLiveness},
+		},
+		"log without sync": {
+			planted{files: func(disk vfs.FileSystem) vfs.FileSystem { return unsyncedFiles{disk} }},
+			[]checker.Guarantee{checker.Durability, checker.NoFailure},
+		},
+		"term and vote are not written":      {planted{forgetVote: true}, []checker.Guarantee{checker.Durability}},
+		"replaced disk keeps the identity":   {planted{reuseIdentity: true}, []checker.Guarantee{checker.Durability}},
+		"router takes a change without look": {planted{skipDigest: true}, []checker.Guarantee{checker.RouterTable}},
+		"router ignores changes":             {planted{deafRouters: true}, []checker.Guarantee{checker.ConfigLiveness}},
+		"plan is forgotten":                  {planted{forgetPlans: true}, []checker.Guarantee{checker.IntentHistory}},
+	}
+	for name, planted := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= plantedSeeds; seed++ {
+				violation := runPlanted(seed, planted.planted, nil).Violation
+				if violation == nil {
+					continue
+				}
+				if !slices.Contains(planted.caught, violation.Guarantee) {
+					t.Fatalf("seed %d: caught by %s, want %v: %s", seed, violation.Guarantee, planted.caught, violation.Detail)
+				}
+				t.Logf("seed %d: %s: %s", seed, violation.Guarantee, violation.Detail)
+				return
+			}
+			t.Fatal("no checker found the fault")
+		})
+	}
+}
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -31,6 +31,10 @@
 	reuseIdentity bool
 	// skipDigest: routers take a delta's revision without its content.
 	skipDigest bool
+	// deafRouters: routers ignore what changes once they hold a table.
+	deafRouters bool
+	// forgetPlans: replicas forget plans once an operator was told of them.
+	forgetPlans bool
 }
 
 // simulation is one run.
