Scenarios: dead back ends refuse connections; bounds by what a caller can tell

A fault proxy accepts connections for a process that has ended, so that each request to a killed back end ended as unknown. Killing one now takes its proxy down, as on a machine that still answers. Answers that only tell how an earlier attempt ended are no outage. A run that cannot be carried out ends with a JSON line too.

--- a/internal/lab/labcli/scenario.go
+++ b/internal/lab/labcli/scenario.go
@@ -57,6 +57,10 @@
 		Say: func(format string, arguments ...any) { fmt.Fprintf(output, format+"\n", arguments...) },
 	})
 	if err != nil {
+		failed := scenario.Result{Scenario: chosen.Name, Seed: seed, Error: err.Error()}
+		if printErr := printJSON(output, failed); printErr != nil {
+			return printErr
+		}
 		return eris.Wrapf(err, "logs are in %s", place.keep())
 	}
 	fmt.Fprint(output, result.Table())
--- a/internal/lab/scenario/faultproxy/network.go
+++ b/internal/lab/scenario/faultproxy/network.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -138,6 +139,25 @@
 	return nil
 }
 
+// Down lets the connections that a process would accept be refused, as those to
+// a process that has ended.
+func (n *Network) Down(process string) {
+	for _, proxy := range n.pick(func(link Link) bool { return link.To == process }) {
+		proxy.Stop()
+	}
+}
+
+// Up undoes every Down.
+func (n *Network) Up() error {
+	for _, proxy := range n.pick(func(Link) bool { return true }) {
+		err := proxy.Start()
+		if err != nil && !errors.Is(err, toxiproxy.ErrProxyAlreadyStarted) {
+			return eris.Wrapf(err, "start the proxy at %s again", proxy.Listen)
+		}
+	}
+	return nil
+}
+
 func (n *Network) pick(selects func(Link) bool) []*toxiproxy.Proxy {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/lab/scenario/measure.go
+++ b/internal/lab/scenario/measure.go
@@ -57,7 +57,11 @@
 	return last - within.from
 }
 
+// isImpaired leaves out answers that only tell how an earlier attempt ended.
 func isImpaired(done record.Attempt) bool {
+	if done.ErrorKind == fault.OutcomeUnknown || done.ErrorKind == fault.DuplicateInProgress {
+		return false
+	}
 	return done.Outcome != fault.Completed || time.Duration(done.ReceivedNs-done.SentNs) > slowAfter
 }
 
--- a/internal/lab/scenario/operators.go
+++ b/internal/lab/scenario/operators.go
@@ -254,6 +254,9 @@
 // router is cut off from control and comes back, and a router restarts.
 func configUnderFaults(ctx context.Context, r *run) error {
 	const changes = 20
+	if err := r.sleep(ctx, settle); err != nil {
+		return err
+	}
 	cut := r.Fleet.Routers[0]
 	fromRouter := func(link faultproxy.Link) bool { return link.From == cut.Name }
 	if err := r.network.Add(faultproxy.Silence(faultproxy.Downstream), fromRouter); err != nil {
--- a/internal/lab/scenario/result.go
+++ b/internal/lab/scenario/result.go
@@ -30,6 +30,8 @@
 	// OK is true when every guarantee and every bound held.
 	OK         bool               `json:"ok"`
 	Violations []record.Violation `json:"violations,omitempty"`
+	// Error tells why a run could not be carried out; no count stands then.
+	Error string `json:"error,omitempty"`
 }
 
 // judge adds the bounds of the run to the judgement of its records.
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -88,6 +88,25 @@
 	return found, nil
 }
 
+// KillBackEnd kills a back end. Its connections are refused from then on, as the
+// proxy in front of it would not by itself.
+func (r *run) KillBackEnd(server state.ServerID) error {
+	if err := r.Trial.KillBackEnd(server); err != nil {
+		return err
+	}
+	r.network.Down(string(server))
+	return nil
+}
+
+// RestartDead starts every process that was killed, and lets connections to it
+// through again.
+func (r *run) RestartDead(ctx context.Context) error {
+	if err := r.network.Up(); err != nil {
+		return err
+	}
+	return r.Trial.RestartDead(ctx)
+}
+
 // setFault tells a stand-in back end how to misbehave, around its proxy.
 func (r *run) setFault(server state.ServerID, misbehaviour backend.Fault) error {
 	target, err := r.backEnd(server)
