Controller: a stopping leader asks until a successor leads; tests of a group

A stopping leader ordered the transfer once and then waited for up to stop_timeout (10 s) to lose the lead: if the chosen voter had just stopped, or no voter had answered since the last check of the quorum, the stop took 10 s or ended without a successor. The order is now repeated after an election timeout, and given up after two such timeouts without a voter.

--- /dev/null
+++ b/internal/controller/api_test.go
@@ -0,0 +1,97 @@
+package controller
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+func encoded(t *testing.T, value any) string {
+	t.Helper()
+	body, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+// wantError makes one call and checks the answer against the kind's row of the
+// table.
+func (g *group) wantError(number int, method, path, body string, kind fault.Kind) intentapi.ErrorBody {
+	g.t.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + g.processes[number].settings.APIAddress + path)
+	request.Header.SetMethod(method)
+	request.SetBodyString(body)
+	if err := fasthttp.DoTimeout(request, response, patience); err != nil {
+		g.t.Fatalf("%s %s: %v", method, path, err)
+	}
+	var answer intentapi.ErrorBody
+	if err := json.Unmarshal(response.Body(), &answer); err != nil {
+		g.t.Fatalf("%s %s: %v: %s", method, path, err, response.Body())
+	}
+	row := fault.AnswerFor(kind)
+	retry := len(response.Header.Peek(fasthttp.HeaderRetryAfter)) > 0
+	if answer.Kind != kind || answer.Outcome != row.Outcome || response.StatusCode() != row.Status || retry != (row.RetryAfter > 0) {
+		g.t.Errorf("%s %s: want %s, got status %d, retry-after %v, %s", method, path, kind, response.StatusCode(), retry, response.Body())
+	}
+	return answer
+}
+
+func TestIntentAPIErrors(t *testing.T) {
+	g := newGroup(t)
+	leader := g.leader()
+	const post, get = fasthttp.MethodPost, fasthttp.MethodGet
+	planned := creation("service")
+	plan, err := g.client.Plan(g.context(), planned)
+	if err != nil {
+		t.Fatal(err)
+	}
+	confirmPath := "/v1/plans/" + string(plan.ID) + "/confirm"
+
+	g.wantError(leader, post, intentapi.PathPlans, "{", fault.InvalidArgument)
+	g.wantError(leader, post, intentapi.PathPlans, `{"intent_id":"x","knid":"move_key"}`, fault.InvalidArgument)
+	g.wantError(leader, post, intentapi.PathPlans, strings.Repeat(" ", 65<<10), fault.InvalidArgument)
+	g.wantError(leader, get, "/v1/plans/none", "", fault.NotFound)
+	g.wantError(leader, get, "/v1/nowhere", "", fault.NotFound)
+	g.wantError(leader, get, intentapi.PathShards+"?service=none", "", fault.NotFound)
+	other := creation("other")
+	other.ID = planned.ID
+	g.wantError(leader, post, intentapi.PathPlans, encoded(t, other), fault.Conflict)
+	g.wantError(leader, post, confirmPath, encoded(t, intentapi.ConfirmRequest{Digest: "other"}), fault.Conflict)
+
+	follower := g.follower()
+	told := g.wantError(follower, post, intentapi.PathPlans, encoded(t, planned), fault.NotLeader)
+	if want := g.processes[leader].settings.APIAddress; told.Leader != want {
+		t.Errorf("the follower names leader %q, want %q", told.Leader, want)
+	}
+	g.wantError(follower, get, intentapi.PathServices, "", fault.NotLeader)
+
+	rival := creation("service")
+	rival.ID = "rival"
+	second, err := g.client.Plan(g.context(), rival)
+	if err != nil {
+		t.Fatal(err)
+	}
+	confirmation := intentapi.ConfirmRequest{Operator: "test", Digest: second.Digest}
+	if _, err := g.client.Confirm(g.context(), second.ID, confirmation); err != nil {
+		t.Fatal(err)
+	}
+	g.wantError(leader, post, confirmPath, encoded(t, intentapi.ConfirmRequest{Digest: plan.Digest}), fault.StalePlan)
+	repeated, err := g.client.Confirm(g.context(), second.ID, confirmation)
+	if err != nil || repeated.Status != state.PlanConfirmed {
+		t.Errorf("a confirmation sent again: got %+v, %v", repeated, err)
+	}
+
+	g.stop((leader + 1) % groupSize)
+	g.stop((leader + 2) % groupSize)
+	g.wantError(leader, get, intentapi.PathServices, "", fault.Unavailable)
+}
--- a/internal/controller/proposal.go
+++ b/internal/controller/proposal.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -18,7 +18,7 @@
 }
 
 func encodeEnvelope(content envelope) ([]byte, error) {
-	encoded, err := msgpack.Marshal(&content)
+	encoded, err := codec.Marshal(&content)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode proposal")
 	}
@@ -27,7 +27,7 @@
 
 func decodeEnvelope(data []byte) (envelope, error) {
 	var content envelope
-	if err := msgpack.Unmarshal(data, &content); err != nil {
+	if err := codec.Unmarshal(data, &content); err != nil {
 		return envelope{}, eris.Wrap(err, "decode proposal")
 	}
 	return content, nil
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -173,7 +173,9 @@
 	}
 }
 
-// handOver asks another voter to lead, and waits until one does.
+// handOver asks other voters to lead until one does. The order is repeated
+// after an election timeout, since the voter that got it may just have died. It
+// gives up when no voter has answered for two such timeouts.
 func (n *node) handOver() {
 	telemetry.With(n.log, telemetry.EventStopping).Info("stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
@@ -181,13 +183,21 @@
 	if _, leads := n.replica.leadershipContext(); !leads {
 		return
 	}
-	if err := n.replica.Transfer(ctx); err != nil {
-		return
-	}
 	const look = 5 * time.Millisecond
 	ticker := time.NewTicker(look)
 	defer ticker.Stop()
+	consensusSettings := n.settings.Consensus
+	electionTimeout := time.Duration(consensusSettings.ElectionTicks) * consensusSettings.TickInterval
+	answered := time.Now() // when a voter was last known to answer
+	var ordered time.Time
 	for n.replica.published.Load().status.Role == consensus.RoleLeader {
+		if time.Since(ordered) > electionTimeout && n.replica.Transfer(ctx) == nil {
+			ordered = time.Now()
+			answered = ordered
+		}
+		if time.Since(answered) > 2*electionTimeout {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/controller/stream_test.go
+++ b/internal/controller/stream_test.go
@@ -2,110 +2,164 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 
-	"github.com/sourcegraph/conc"
-
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-const streamCluster message.ClusterID = "c1"
+// subscriber is a router's side of a table connection.
+type subscriber struct {
+	t          *testing.T
+	connection *wire.Conn
+	builder    *table.Builder
+	// snapshots and deltas count the frames of these kinds.
+	snapshots, deltas int
+}
 
-// streamReplica returns a replica whose history leads on from revision zero.
-func streamReplica() *replica {
-	r := &replica{state: state.New()}
-	r.settings.Table.SnapshotObjects = 2
-	r.history = newTableHistory(16, 0)
-	for index, shards := range []int{3, 5} {
-		service := state.Service{Name: state.ServiceName([]string{"a", "b"}[index]), Keyed: true}
-		plan := state.Plan{ID: state.PlanID(service.Name), Operations: []state.Operation{
-			{PutService: &service}, {CreateShards: &state.CreateShards{Service: service.Name, Count: shards}},
-		}}
-		r.applyCommand(uint64(2*index+1), state.Command{StorePlan: &state.StorePlan{Plan: plan}})
-		r.applyCommand(uint64(2*index+2), state.Command{ConfirmPlan: &state.ConfirmPlan{Plan: plan.ID}})
+// subscribe opens a table connection to a controller.
+func (g *group) subscribe(number int, builder *table.Builder, hello message.RouterHello) *subscriber {
+	g.t.Helper()
+	connection, err := wire.Dial(context.Background(), g.processes[number].settings.PeerAddress, wire.Options{})
+	if err != nil {
+		g.t.Fatal(err)
 	}
-	return r
+	g.t.Cleanup(connection.Close)
+	s := &subscriber{t: g.t, connection: connection, builder: builder}
+	s.send(&message.Hello{Purpose: message.PurposeTable, From: "r"})
+	hello.Router = state.Router{ID: "r", Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", Zone: "z"}
+	s.send(&message.RouterFrame{Hello: &hello})
+	return s
 }
 
-// serveOnce sends what a router lacks and applies it to the router's table.
-func serveOnce(t *testing.T, r *replica, hello message.RouterHello, builder *table.Builder) (snapshots int, err error) {
-	t.Helper()
-	here, there := net.Pipe()
-	sender, receiver := wire.NewConn(here, wire.Options{}), wire.NewConn(there, wire.Options{})
-	stream := &tableStream{replica: r, cluster: streamCluster, connection: sender}
-	stream.begin(hello)
-	var group conc.WaitGroup
-	defer group.Wait()
-	defer receiver.Close()
-	group.Go(func() {
-		ctx := context.Background()
-		if _, err := stream.writeTable(ctx); err != nil {
-			t.Error(err)
-		}
-		if err := sender.Send(ctx, &message.ControllerFrame{Pong: &message.Pong{}}); err != nil {
-			t.Error(err)
-		}
-	})
-	for {
-		var frame message.ControllerFrame
-		if err := receiver.Receive(&frame); err != nil {
-			t.Fatal(err)
-		}
+func (s *subscriber) send(value any) {
+	s.t.Helper()
+	if err := s.connection.Send(context.Background(), value); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *subscriber) receive() message.ControllerFrame {
+	s.t.Helper()
+	var frame message.ControllerFrame
+	if err := s.connection.Receive(&frame); err != nil {
+		s.t.Fatal(err)
+	}
+	if frame.Refusal != nil {
+		s.t.Fatalf("refused: %+v", *frame.Refusal)
+	}
+	return frame
+}
+
+// reach applies frames until the table is at a revision.
+func (s *subscriber) reach(revision state.Revision) {
+	s.t.Helper()
+	for s.builder.Table().Revision() < revision {
+		frame := s.receive()
+		var err error
 		switch {
-		case frame.Pong != nil:
-			return snapshots, err
-		case err != nil:
 		case frame.Snapshot != nil:
-			snapshots++
-			_, err = builder.ApplySnapshot(*frame.Snapshot)
+			s.snapshots++
+			_, err = s.builder.ApplySnapshot(*frame.Snapshot)
 		case frame.Delta != nil:
-			err = builder.ApplyDelta(*frame.Delta)
+			s.deltas++
+			err = s.builder.ApplyDelta(*frame.Delta)
+		}
+		if err != nil {
+			s.t.Fatal(err)
 		}
 	}
 }
 
-// TestStreamStartsAnew: a router whose table cannot be built upon gets a whole
-// one, although the history leads on from revision zero.
-func TestStreamStartsAnew(t *testing.T) {
-	r := streamReplica()
-	revision, digest := r.tablePosition()
-	cases := map[string]message.RouterHello{
-		"empty":                 {},
-		"asks for a whole one":  {Cluster: streamCluster},
-		"digest differs":        {Cluster: streamCluster, Revision: revision, Digest: digest + 1},
-		"another cluster":       {Cluster: "c2", Revision: revision, Digest: digest},
-		"ahead of the leader":   {Cluster: streamCluster, Revision: revision + 1},
-		"same, no cluster seen": {Revision: revision, Digest: digest},
+func held(builder *table.Builder) message.RouterHello {
+	view := builder.Table()
+	return message.RouterHello{Cluster: view.Cluster(), Revision: view.Revision(), Digest: view.Digest()}
+}
+
+// TestTableStream: a new router gets one snapshot and then changes alone, also
+// when it comes back; one whose table differs gets a snapshot again; pongs echo
+// the ping and name a revision that covers every acknowledged change.
+func TestTableStream(t *testing.T) {
+	g := newGroup(t)
+	leader := g.leader()
+	first := g.create("first").Accepted
+	builder := table.NewBuilder()
+	s := g.subscribe(leader, builder, message.RouterHello{})
+	s.reach(first)
+	second := g.create("second").Accepted
+	s.reach(second)
+	if s.snapshots != 1 || s.deltas < 1 {
+		t.Errorf("%d snapshots and %d deltas", s.snapshots, s.deltas)
 	}
-	for name, hello := range cases {
-		builder := table.NewBuilder()
-		snapshots, err := serveOnce(t, r, hello, builder)
-		if err != nil || snapshots == 0 {
-			t.Errorf("%s: %d parts of a snapshot, %v", name, snapshots, err)
-		}
-		held := builder.Table()
-		if held.Cluster() != streamCluster || held.Revision() != revision || held.Digest() != digest {
-			t.Errorf("%s: the router holds %+v", name, held.Summary())
-		}
+
+	s.send(&message.RouterFrame{Ping: &message.Ping{Nonce: 7, SentNs: 11, Revision: second}})
+	frame := s.receive()
+	for frame.Pong == nil {
+		frame = s.receive()
+	}
+	if frame.Pong.Nonce != 7 || frame.Pong.SentNs != 11 || frame.Pong.Revision < second {
+		t.Errorf("pong %+v after revision %d", frame.Pong, second)
+	}
+	g.eventually("the router's revision in the status", func() bool {
+		status, err := g.status(leader)
+		return err == nil && len(status.Routers) == 1 && status.Routers[0].Revision == second
+	})
+
+	s.connection.Close()
+	third := g.create("third").Accepted
+	s = g.subscribe(leader, builder, held(builder))
+	s.reach(third)
+	if s.snapshots != 0 || s.deltas < 1 {
+		t.Errorf("after a reconnect: %d snapshots and %d deltas", s.snapshots, s.deltas)
+	}
+
+	stranger := held(builder)
+	stranger.Cluster = "another"
+	s = g.subscribe(leader, table.NewBuilder(), stranger)
+	s.reach(third)
+	if s.snapshots != 1 {
+		t.Errorf("after another cluster's table: %d snapshots", s.snapshots)
+	}
+
+	var answer message.ControllerFrame
+	s = g.subscribe((leader+1)%groupSize, table.NewBuilder(), message.RouterHello{})
+	if err := s.connection.Receive(&answer); err != nil || answer.Refusal == nil {
+		t.Fatalf("a follower answered %+v, %v", answer, err)
+	}
+	want := message.Refusal{Kind: fault.NotLeader, Detail: g.processes[leader].settings.PeerAddress}
+	if *answer.Refusal != want {
+		t.Errorf("a follower refused with %+v, want %+v", *answer.Refusal, want)
 	}
 }
 
-// TestStreamLeadsOn: a router that is behind gets the changes alone.
-func TestStreamLeadsOn(t *testing.T) {
-	r := streamReplica()
-	builder := table.NewBuilder()
-	if _, err := serveOnce(t, r, message.RouterHello{}, builder); err != nil {
-		t.Fatal(err)
+// TestStreamBegin shows what a router gets by what it says it holds.
+func TestStreamBegin(t *testing.T) {
+	r := &replica{state: state.New()}
+	for index := range uint64(5) {
+		router := state.Router{ID: state.RouterID(serviceName(int(index))), Address: "127.0.0.1:1"}
+		if result := r.state.Apply(index+1, state.Command{PutRouter: &state.PutRouter{Router: router}}); result.Err != nil {
+			t.Fatal(result.Err)
+		}
 	}
-	held := builder.Table()
-	r.applyCommand(9, state.Command{PutRouter: &state.PutRouter{Router: state.Router{ID: "r1"}}})
-	hello := message.RouterHello{Cluster: held.Cluster(), Revision: held.Revision(), Digest: held.Digest()}
-	snapshots, err := serveOnce(t, r, hello, builder)
-	if err != nil || snapshots != 0 || builder.Table().Revision() != 9 {
-		t.Errorf("%d parts of a snapshot, %v, table %+v", snapshots, err, builder.Table().Summary())
+	revision, digest := r.tablePosition()
+	for name, c := range map[string]struct {
+		hello message.RouterHello
+		whole bool
+	}{
+		"nothing":                     {message.RouterHello{Cluster: "c"}, true},
+		"the same":                    {message.RouterHello{Cluster: "c", Revision: revision, Digest: digest}, false},
+		"an older one":                {message.RouterHello{Cluster: "c", Revision: revision - 1, Digest: 1}, false},
+		"the same revision, not same": {message.RouterHello{Cluster: "c", Revision: revision, Digest: digest + 1}, true},
+		"a newer one":                 {message.RouterHello{Cluster: "c", Revision: revision + 1, Digest: digest}, true},
+		"another cluster's":           {message.RouterHello{Cluster: "d", Revision: revision, Digest: digest}, true},
+	} {
+		s := &tableStream{replica: r, cluster: "c"}
+		s.begin(c.hello)
+		if s.whole != c.whole || (!c.whole && s.sent != c.hello.Revision) {
+			t.Errorf("%s: whole %v from %d", name, s.whole, s.sent)
+		}
 	}
 }
