Coordinator: shards are placed by internal/placement

Unowned shards and those of leaving servers go to the least loaded server for its slots, zones in turns, by a heap in place of a scan of all servers for each shard. For services whose confirmed policy says so the leader reviews loads every 5 s, in chunks of 2,048 shards a tick, and proposes the moves and splits that pay for themselves. Loads rest on the requests that each server counted for shards it owns, at the median time a request takes on all servers; its word on busy slots counts within a tenth. Shards are not halved below a thousandth of the mean width: a single hot key went on being split. Merges are decided but not carried out: no command removes a shard.

--- /dev/null
+++ b/internal/coordinator/balancer.go
@@ -0,0 +1,273 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/placement"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+const (
+	// reviewInterval is the time between two looks at the loads of a service.
+	reviewInterval = 5 * time.Second
+	// reviewChunk bounds the shards whose loads are taken over in one tick, so
+	// that a large service does not hold up the leader.
+	reviewChunk = 2048
+)
+
+// balancer keeps the layouts of the services whose policy lets the controllers
+// move shards for the sake of balance. It lasts for one term of leadership.
+type balancer struct {
+	services map[state.ServiceName]*balanced
+}
+
+func newBalancer() *balancer {
+	return &balancer{services: make(map[state.ServiceName]*balanced)}
+}
+
+// balanced is one such service.
+type balanced struct {
+	layout    *placement.Layout
+	estimator *placement.Estimator
+	// accounts counts since begin what servers report; reviewed is the account
+	// of the interval before, of which queue holds the shards still to look at.
+	accounts account
+	reviewed account
+	begin    time.Duration
+	queue    []state.ShardID
+	// active are the shards that executed anything lately.
+	active map[state.ShardID]struct{}
+}
+
+// account sums up the reports of one interval.
+type account struct {
+	executed map[state.ShardID]uint64
+	servers  map[state.ServerID]*serverAccount
+	// length is how long the interval lasted; perRequest the time that a request
+	// keeps a slot busy. Both are in seconds.
+	length     float64
+	perRequest float64
+}
+
+// serverAccount is one server's part: the requests that it counted, and its
+// word on the slots that are busy.
+type serverAccount struct {
+	executed uint64
+	busy     float64
+	reports  int
+}
+
+func newAccount() account {
+	return account{executed: make(map[state.ShardID]uint64), servers: make(map[state.ServerID]*serverAccount)}
+}
+
+// load returns a shard's smoothed load in busy slots, or zero when the service
+// is not balanced or the load not known.
+func (b *balancer) load(service state.ServiceName, shard state.ShardID) float64 {
+	known := b.services[service]
+	if known == nil {
+		return 0
+	}
+	load, _ := known.estimator.ShardLoad(shard)
+	return load
+}
+
+func (b *balancer) serverLoad(service state.ServiceName, server state.ServerID) float64 {
+	known := b.services[service]
+	if known == nil {
+		return 0
+	}
+	return known.layout.ServerLoad(server)
+}
+
+// follow begins or ends the balancing of a service as its policy says.
+func (c *Coordinator) follow(now time.Duration, service state.Service, view *state.State) {
+	wanted := service.Placement.Automatic && service.Keyed && service.Mode != state.ModeObserved
+	known := c.balancer.services[service.Name]
+	switch {
+	case !wanted:
+		delete(c.balancer.services, service.Name)
+	case known == nil:
+		c.balancer.services[service.Name] = c.newBalanced(now, service, view)
+	default:
+		known.layout.SetPolicy(service.Weights, limitsOf(service, view))
+	}
+}
+
+// limitsOf takes the bounds from the service. A service that was created with
+// many shards may have twice as many before splits stop.
+func limitsOf(service state.Service, view *state.State) placement.Limits {
+	limits := placement.DefaultLimits()
+	limits.MaxMoves = service.MaxMoves
+	if servers := len(view.ServersOf(service.Name)); servers > 0 {
+		limits.ShardsPerServer = max(limits.ShardsPerServer, view.ShardCount(service.Name)/servers+1)
+	}
+	return limits
+}
+
+func (c *Coordinator) newBalanced(now time.Duration, service state.Service, view *state.State) *balanced {
+	created := &balanced{
+		layout:    placement.NewLayout(service.Weights, limitsOf(service, view)),
+		estimator: placement.NewEstimator(placement.DefaultEstimatorConfig()),
+		accounts:  newAccount(), begin: now, active: make(map[state.ShardID]struct{}),
+	}
+	c.noteTakers(service.Name, created, view)
+	for _, shard := range view.ShardsOf(service.Name) {
+		created.layout.PutShard(now, placed(shard))
+	}
+	return created
+}
+
+// placed returns a shard as placement sees it.
+func placed(shard state.Shard) placement.Shard {
+	return placement.Shard{
+		ID: shard.ID, Range: shard.Range, Owner: shard.Owner, Epoch: shard.Epoch,
+		Moving: shard.Phase == state.ShardRevoking || shard.Target != "",
+	}
+}
+
+// put takes over the shards that one command changed.
+func (b *balancer) put(now time.Duration, objects []state.Object) {
+	if len(b.services) == 0 {
+		return
+	}
+	var kept, created []state.Shard
+	for _, object := range objects {
+		if object.Shard == nil || b.services[object.Shard.Service] == nil {
+			continue
+		}
+		if _, found := b.services[object.Shard.Service].layout.Shard(object.Shard.ID); found {
+			kept = append(kept, *object.Shard)
+		} else {
+			created = append(created, *object.Shard)
+		}
+	}
+	for _, shard := range created {
+		b.services[shard.Service].inherit(kept, shard)
+	}
+	for _, shard := range slices.Concat(kept, created) {
+		known := b.services[shard.Service]
+		known.layout.PutShard(now, placed(shard))
+		load, _ := known.estimator.ShardLoad(shard.ID)
+		known.layout.SetLoad(shard.ID, load, 0, 0)
+	}
+}
+
+// inherit gives a part that was cut off its share of the load of the shard that
+// held its keys.
+func (b *balanced) inherit(kept []state.Shard, created state.Shard) {
+	for _, option := range kept {
+		before, found := b.layout.Shard(option.ID)
+		if found && option.Service == created.Service && before.Range.Contains(created.Range.First) {
+			b.estimator.Split(option.ID, created.ID, created.Range.Width()/before.Range.Width())
+			b.active[created.ID] = struct{}{}
+			return
+		}
+	}
+}
+
+// count takes a server's report. Only shards that the server owns count, so
+// that it can mislead about no others.
+func (b *balancer) count(service state.ServiceName, server state.ServerID, report backendapi.LoadReport) {
+	known := b.services[service]
+	if known == nil {
+		return
+	}
+	own := known.accounts.servers[server]
+	if own == nil {
+		own = &serverAccount{}
+		known.accounts.servers[server] = own
+	}
+	own.reports++
+	own.busy += float64(max(report.Running, 0))
+	for _, load := range report.ShardLoads[:min(len(report.ShardLoads), backendapi.MaxShardLoads)] {
+		shard, found := known.layout.Shard(state.ShardID(load.Shard))
+		if found && shard.Owner == server {
+			known.accounts.executed[shard.ID] += load.Requests
+			own.executed += load.Requests
+		}
+	}
+}
+
+// close ends the interval and begins to review it.
+func (b *balanced) close(now time.Duration) {
+	b.reviewed = b.accounts
+	b.reviewed.length = (now - b.begin).Seconds()
+	b.accounts = newAccount()
+	b.begin = now
+	b.reviewed.perRequest = b.reviewed.medianTime()
+	for shard := range b.reviewed.executed {
+		b.active[shard] = struct{}{}
+	}
+	b.queue = b.queue[:0]
+	for shard := range b.active {
+		b.queue = append(b.queue, shard)
+	}
+	slices.Sort(b.queue)
+}
+
+// medianTime is the time that a request keeps a slot busy, in seconds: the
+// median of the servers' words, which a minority of wrong ones cannot move far.
+// Without any word it is 1, since then only the ratios of loads matter.
+func (a account) medianTime() float64 {
+	times := make([]float64, 0, len(a.servers))
+	for _, own := range a.servers {
+		if own.executed > 0 && own.busy > 0 {
+			times = append(times, own.busy/float64(own.reports)*a.length/float64(own.executed))
+		}
+	}
+	if len(times) == 0 {
+		return 1
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+// take takes over the loads of some of the shards.
+func (b *balanced) take(now time.Duration) {
+	chunk := b.queue[:min(reviewChunk, len(b.queue))]
+	b.queue = b.queue[len(chunk):]
+	observations := make([]placement.Observation, 0, len(chunk))
+	for _, shard := range chunk {
+		if observation, found := b.observation(shard); found {
+			observations = append(observations, observation)
+		}
+	}
+	b.estimator.Observe(now, observations)
+	for _, observed := range observations {
+		load, _ := b.estimator.ShardLoad(observed.Shard)
+		b.layout.SetLoad(observed.Shard, load, 0, 0)
+		if load < idleLoad && observed.Routed == 0 {
+			delete(b.active, observed.Shard)
+		}
+	}
+}
+
+// idleLoad is the load, in busy slots, below which an idle shard is forgotten.
+const idleLoad = 1e-6
+
+// observation checks the two words of a server against each other: its counted
+// executions, at the time that a request takes on all servers, bound what it
+// says of its busy slots. The shards of a silent server are left as they were.
+func (b *balanced) observation(id state.ShardID) (placement.Observation, bool) {
+	shard, found := b.layout.Shard(id)
+	if !found {
+		b.estimator.Forget(id)
+		delete(b.active, id)
+		return placement.Observation{}, false
+	}
+	own := b.reviewed.servers[shard.Owner]
+	if own == nil || own.reports == 0 {
+		return placement.Observation{}, false
+	}
+	rate := float64(b.reviewed.executed[id]) / b.reviewed.length
+	observation := placement.Observation{Shard: id, Routed: rate * b.reviewed.perRequest, RoutedKnown: true}
+	if own.executed > 0 && own.busy > 0 {
+		share := float64(b.reviewed.executed[id]) / float64(own.executed)
+		observation.Reported = share * own.busy / float64(own.reports)
+		observation.ReportedKnown = true
+	}
+	return observation, true
+}
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -16,6 +16,8 @@
 	view  *state.State
 	core  *Coordinator
 	lost  map[state.ServerID]bool
+	// report makes a server's load report; nil reports nothing.
+	report func(server state.ServerID) backendapi.LoadReport
 }
 
 func newFleet(servers, shards int) *fleet {
@@ -73,9 +75,13 @@
 			f.core.Failed(send.Server, send.Request.Fence.Sequence)
 			continue
 		}
+		var load backendapi.LoadReport
+		if f.report != nil {
+			load = f.report(send.Server)
+		}
 		f.core.Answered(f.now, send.Server, send.Request.Fence.Sequence, backendapi.LeaseAnswer{
 			Server: string(send.Server), Incarnation: "one", ClockNs: int64(f.now), Accepted: true,
-			Session: 1, Version: send.Request.Version,
+			Session: 1, Version: send.Request.Version, Load: load,
 		})
 	}
 }
--- a/internal/coordinator/contact.go
+++ b/internal/coordinator/contact.go
@@ -43,6 +43,11 @@
 	claims   []backendapi.Assignment
 	// fenceTerm is the term of the newest message that the process took.
 	fenceTerm uint64
+	// service is the server's; readyAt is when its open session began, and
+	// openedAs the number of that session.
+	service  state.ServiceName
+	readyAt  time.Duration
+	openedAs state.SessionNumber
 	// withdrawn is true while operators or the platform want the server to give
 	// up its shards.
 	withdrawn bool
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -37,14 +37,18 @@
 	roundStarted time.Duration
 	roundOpen    bool
 	confirmedAt  time.Duration
-	// pendingAssign and pendingRevoke are the tokens of open proposals.
-	pendingAssign uint64
-	pendingRevoke uint64
+	// pendingAssign, pendingRevoke and pendingBalance are the tokens of open proposals.
+	pendingAssign  uint64
+	pendingRevoke  uint64
+	pendingBalance uint64
+	balancer       *balancer
+	// changedServices are those whose policy is to be looked at.
+	changedServices []state.ServiceName
 }
 
 // New returns a coordinator that does nothing until Lead.
 func New(config Config) *Coordinator {
-	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact)}
+	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact), balancer: newBalancer()}
 }
 
 // Lead begins a term of leadership. The replicated state must hold every
@@ -57,10 +61,19 @@
 	c.confirmedAt = -1
 	c.lastTick = now
 	for _, server := range view.Servers() {
-		c.noteServer(c.ensureContact(server.ID, now), server)
+		known := c.ensureContact(server.ID, now)
+		c.noteServer(known, server)
+		// A session that this leader found open began long ago, as far as it knows.
+		known.readyAt = now - warmAge
+	}
+	for _, service := range view.Services() {
+		c.changedServices = append(c.changedServices, service.Name)
 	}
 }
 
+// warmAge is longer than any ramp of a new server.
+const warmAge = time.Hour
+
 // Follow ends a term of leadership. All that was known of servers is dropped.
 func (c *Coordinator) Follow() {
 	c.leading = false
@@ -72,6 +85,9 @@
 	c.roundOpen = false
 	c.pendingAssign = 0
 	c.pendingRevoke = 0
+	c.pendingBalance = 0
+	c.balancer = newBalancer()
+	c.changedServices = nil
 }
 
 // Changed tells the coordinator which objects a command changed.
@@ -84,12 +100,16 @@
 		case object.Server != nil:
 			known := c.ensureContact(object.Server.ID, now)
 			known.eager = true
+			if session := object.Server.Session; session.Open && session.Number != known.openedAs {
+				known.readyAt = now
+			}
 			c.noteServer(known, *object.Server)
 			c.wake(known, now)
 		case object.Shard != nil && object.Shard.Owner != "":
 			c.wake(c.ensureContact(object.Shard.Owner, now), now)
 		}
 	}
+	c.noteLayouts(now, objects)
 }
 
 func (c *Coordinator) wake(known *contact, now time.Duration) {
@@ -110,6 +130,10 @@
 // noteServer takes over what the state says about a server.
 func (c *Coordinator) noteServer(known *contact, server state.Server) {
 	gone := server.Intent == state.ServerRetired && !server.Session.Open
+	known.service = server.Service
+	if server.Session.Open {
+		known.openedAs = server.Session.Number
+	}
 	known.withdrawn = !gone && (server.Leaving || server.Intent != state.ServerActive)
 	c.noteLeaving(known)
 }
@@ -138,7 +162,9 @@
 	}
 	c.noticePause(now)
 	c.tickContacts(now, view, &actions)
-	c.tickShards(view, &actions)
+	c.followPolicies(now, view)
+	c.tickShards(now, view, &actions)
+	c.balance(now, view, &actions)
 	c.tickRound(now, &actions)
 	return actions
 }
@@ -174,6 +200,9 @@
 	if c.pendingRevoke == token {
 		c.pendingRevoke = 0
 	}
+	if c.pendingBalance == token {
+		c.pendingBalance = 0
+	}
 	known, found := c.awaiting[token]
 	if !found {
 		return
@@ -232,6 +261,7 @@
 	known.learn(now, answer)
 	c.newestReading = now
 	c.noteLeaving(known)
+	c.balancer.count(known.service, server, answer.Load)
 	known.answered = true
 	known.eager = known.eager || changedProcess
 	if answer.Fence.Term == c.term && answer.Fence.Sequence > known.sequence {
--- a/internal/coordinator/planner.go
+++ b/internal/coordinator/planner.go
@@ -1,69 +1,76 @@
 package coordinator
 
 import (
-	"cmp"
-	"slices"
+	"time"
 
+	"github.com/thorntiller/thorntiller/internal/placement"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-// planner chooses owners for shards within one tick. It counts what it gave
-// away, so that a batch spreads over the servers.
+// planner chooses owners for shards within one tick. Its pools count what it
+// gave away, so that a batch spreads over the servers.
 type planner struct {
-	view       *state.State
-	contacts   map[state.ServerID]*contact
-	candidates map[state.ServiceName][]*candidate
+	now      time.Duration
+	view     *state.State
+	contacts map[state.ServerID]*contact
+	balancer *balancer
+	pools    map[state.ServiceName]*placement.Pool
 }
 
-type candidate struct {
-	server state.Server
-	shards int
-}
-
-func newPlanner(view *state.State, contacts map[state.ServerID]*contact) *planner {
-	return &planner{view: view, contacts: contacts, candidates: make(map[state.ServiceName][]*candidate)}
+func (c *Coordinator) newPlanner(now time.Duration, view *state.State) *planner {
+	return &planner{
+		now: now, view: view, contacts: c.contacts, balancer: c.balancer, pools: make(map[state.ServiceName]*placement.Pool),
+	}
 }
 
 // choose returns the shard's target, if it can take shards, or else the server
-// with the fewest shards.
+// that carries least for its slots.
 func (p *planner) choose(shard state.Shard) (state.Server, bool) {
-	candidates := p.candidatesOf(shard.Service)
-	for _, option := range candidates {
-		if option.server.ID == shard.Target {
-			option.shards++
-			return option.server, true
-		}
-	}
-	var best *candidate
-	for _, option := range candidates {
-		if option.server.ID != shard.Owner && (best == nil || option.shards < best.shards) {
-			best = option
-		}
+	if target, found := p.view.Server(shard.Target); found && target.Service == shard.Service && p.takesShards(target) {
+		return target, true
 	}
-	if best == nil {
+	orphan := placement.Orphan{Shard: shard.ID, Load: p.balancer.load(shard.Service, shard.ID), Except: shard.Owner}
+	chosen, found := p.poolOf(shard.Service).Take(orphan)
+	if !found {
 		return state.Server{}, false
 	}
-	best.shards++
-	return best.server, true
+	return p.view.Server(chosen)
 }
 
-func (p *planner) candidatesOf(service state.ServiceName) []*candidate {
-	if known, found := p.candidates[service]; found {
+func (p *planner) poolOf(service state.ServiceName) *placement.Pool {
+	if known, found := p.pools[service]; found {
 		return known
 	}
-	candidates := make([]*candidate, 0)
+	var takers []placement.Taker
 	for _, server := range p.view.ServersOf(service) {
-		if p.takesShards(server) {
-			candidates = append(candidates, &candidate{server: server, shards: p.view.OwnedCount(server.ID)})
+		known := p.contacts[server.ID]
+		if known == nil || !p.takesShards(server) {
+			continue
 		}
+		takers = append(takers, placement.Taker{
+			Server: described(server, known, true),
+			Load:   p.balancer.serverLoad(service, server.ID),
+			Shards: p.view.OwnedCount(server.ID),
+		})
+	}
+	pool := placement.NewPool(p.now, placement.DefaultLimits(), takers, 0, 0)
+	p.pools[service] = pool
+	return pool
+}
+
+// described returns a server as placement sees it.
+func described(server state.Server, known *contact, accepts bool) placement.Server {
+	return placement.Server{
+		ID: server.ID, Zone: server.Zone, Slots: server.Slots, Accepts: accepts, ReadyAt: known.readyAt,
 	}
-	slices.SortFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.server.ID, b.server.ID) })
-	p.candidates[service] = candidates
-	return candidates
 }
 
 func (p *planner) takesShards(server state.Server) bool {
-	known := p.contacts[server.ID]
+	return takesShards(server, p.contacts[server.ID])
+}
+
+// takesShards reports whether a server can be given shards.
+func takesShards(server state.Server, known *contact) bool {
 	if known == nil || known.incarnation != server.Session.Incarnation {
 		return false
 	}
--- a/internal/coordinator/shards.go
+++ b/internal/coordinator/shards.go
@@ -3,16 +3,17 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
 // tickShards carries each shard that needs work one step on: a move begins, a
 // revoked shard is released, an unowned shard is assigned.
-func (c *Coordinator) tickShards(view *state.State, actions *Actions) {
+func (c *Coordinator) tickShards(now time.Duration, view *state.State, actions *Actions) {
 	active := view.ActiveShards()
 	c.releaseShards(active, view, actions)
-	planner := newPlanner(view, c.contacts)
+	planner := c.newPlanner(now, view)
 	if c.pendingAssign == 0 {
 		c.assignShards(active, planner, actions)
 	}
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -34,7 +34,7 @@
 func DefaultEstimatorConfig() EstimatorConfig {
 	const (
 		halfLife  = 15 * time.Second
-		maxRatio  = 1.25
+		maxRatio  = 1.1
 		maxChange = 2
 	)
 	return EstimatorConfig{HalfLife: halfLife, MaxRatio: maxRatio, MaxChange: maxChange}
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -85,6 +85,9 @@
 func (l *Layout) PutServer(server Server) {
 	server.Slots = max(server.Slots, 1)
 	known := l.ensureHost(server.ID)
+	if known.Server == server {
+		return
+	}
 	l.leaveZone(known)
 	known.Server = server
 	l.enterZone(known)
@@ -210,6 +213,14 @@
 	return l.records[position].Shard, true
 }
 
+// ServerLoad returns the load of the shards that a server owns.
+func (l *Layout) ServerLoad(id state.ServerID) float64 {
+	if known := l.hosts[id]; known != nil {
+		return known.load
+	}
+	return 0
+}
+
 // SetLoad replaces a shard's load, in busy slots, and what is known of its
 // busiest key. An unknown shard is ignored.
 func (l *Layout) SetLoad(id state.ShardID, load float64, hotHash uint64, hotShare float64) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -243,7 +243,7 @@
 	for step := 2; step < 40; step++ {
 		observe(step, Observation{Routed: 1, RoutedKnown: true, Reported: 10, ReportedKnown: true}, Observation{})
 	}
-	if load, _ := estimator.ShardLoad(1); load < 1 || load > 1.25 {
+	if load, _ := estimator.ShardLoad(1); load < 1 || load > 1.1+1e-9 {
 		t.Errorf("a tenfold report moved the load to %g", load)
 	}
 	if load, _ := estimator.ShardLoad(2); load != 1 {
--- a/internal/placement/reshape.go
+++ b/internal/placement/reshape.go
@@ -19,6 +19,10 @@
 	// mergeShare bounds the load of a merged shard, as a share of the mean load
 	// of a shard.
 	mergeShare = 0.5
+	// narrowest is the width from which a shard is not halved any more, as a
+	// share of the mean: what is left is as cheap to move whole, and one busy key
+	// cannot be halved.
+	narrowest = 1.0 / 1024
 	// maxSplits and maxMerges bound one decision.
 	maxSplits = 4
 	maxMerges = 64
@@ -45,10 +49,11 @@
 // splitsOf adds cuts through a server's shards, the busiest first.
 func (s *search) splitsOf(splits []Split, owner *host) []Split {
 	perServer := s.layout.total / float64(s.layout.accepting)
+	width := narrowest / float64(len(s.layout.positions))
 	var large []int
 	for _, position := range owner.shards {
 		known := &s.layout.records[position]
-		if known.Load >= splitShare*perServer && !known.pinned && !known.Moving && known.Range.First != known.Range.Last {
+		if known.Load >= splitShare*perServer && !known.pinned && !known.Moving && known.Range.Width() > width {
 			large = append(large, position)
 		}
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
@@ -176,6 +176,11 @@
 	return shards
 }
 
+// ShardCount returns how many shards a service has.
+func (s *State) ShardCount(service ServiceName) int {
+	return len(s.ranges[service])
+}
+
 // ShardAt returns the shard of a service that holds a key hash.
 func (s *State) ShardAt(service ServiceName, hash uint64) (Shard, bool) {
 	ids := s.ranges[service]
@@ -300,7 +305,7 @@
 
 // Encode returns the snapshot form of the state.
 func (s *State) Encode() ([]byte, error) {
-	encoded, err := msgpack.Marshal(&encodedState{
+	encoded, err := codec.Marshal(&encodedState{
 		Revision:  s.revision,
 		NextShard: s.nextShard,
 		Objects:   s.Objects(),
@@ -316,7 +321,7 @@
 // Decode restores a state from its snapshot form.
 func Decode(encoded []byte) (*State, error) {
 	var decoded encodedState
-	if err := msgpack.Unmarshal(encoded, &decoded); err != nil {
+	if err := codec.Unmarshal(encoded, &decoded); err != nil {
 		return nil, eris.Wrap(err, "decode state")
 	}
 	restored := New()
