Lab: thorntiller-lab up keeps a fleet running until Ctrl-C

Operators had no fleet to try the command line on. The callers' loads are those of the trials, for which trial.LoadsOf is now exported.

--- a/internal/lab/labcli/root.go
+++ b/internal/lab/labcli/root.go
@@ -37,6 +37,7 @@
 	root.AddCommand(newBackend(), newPlatform(), newCaller(), newDemo(), newSim(), newHollow(), newCapacity())
 	root.AddCommand(newScenario())
 	root.AddCommand(newExperiment())
+	root.AddCommand(newUp())
 	return root
 }
 
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -147,7 +147,7 @@
 // records with the others.
 func (t *Trial) StartLoad(load Load) error {
 	config := caller.Config{
-		Name: "caller-" + load.Name, Loads: loadsOf(load.Deployment, load.Rate), Duration: load.Duration, Seed: load.Seed,
+		Name: "caller-" + load.Name, Loads: LoadsOf(load.Deployment, load.Rate), Duration: load.Duration, Seed: load.Seed,
 		RecordFile:  filepath.Join(t.options.Fleet.Folder, "records", "caller-"+load.Name+".jsonl"),
 		OtherRouter: 0.5, Simultaneous: 0.05,
 	}
@@ -171,9 +171,9 @@
 	return t.callerFiles
 }
 
-// loadsOf divides a rate over a deployment's services: the first, which is the
+// LoadsOf divides a rate over a deployment's services: the first, which is the
 // one that people watch, gets half, most of it repeatable reads.
-func loadsOf(deployment fleet.Deployment, rate float64) []caller.Load {
+func LoadsOf(deployment fleet.Deployment, rate float64) []caller.Load {
 	const firstShare, readShare, skew = 0.5, 0.8, 1.2
 	loads := make([]caller.Load, 0, len(deployment.Services))
 	for number, service := range deployment.Services {
