Log: a flipped bit behind a sector boundary is damage, not a torn write

Cause: a record whose first one to three bytes end a sector has a first sector of zeros, the high bytes of its length. Ruled out: refusing every such record, since a crash in a write can zero the same bytes; the end of the file and the checksum tell the two apart. Before: TestFlippedBitIsNoTornWrite finds a flipped bit that counts as torn at offset 509; after: none, and TestLostLengthIsTornWrite holds.

--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	end := offset + frameHeaderBytes + int(length)
-	if end > len(data) {
+	if end > len(data) || (end < len(data) && startsWithUntoldSector(data, offset)) {
 		return !onlyLengthDamaged(rest)
 	}
 	return hasZeroSector(data, offset, end)
@@ -166,9 +166,24 @@
 	return false
 }
 
-// hasZeroSector reports whether one of the sectors between two offsets of a
-// segment holds only zeros there.
+// lengthZeroBytes is how many bytes at the start of a record may be zero: the
+// high bytes of its length.
+const lengthZeroBytes = 3
+
+// startsWithUntoldSector reports whether the first sector of a record holds no
+// more than high bytes of its length, all zero. They are zero in most records, so
+// that they do not tell whether the sector was written.
+func startsWithUntoldSector(data []byte, offset int) bool {
+	next := offset + sectorBytes - offset%sectorBytes
+	return next <= offset+lengthZeroBytes && len(bytes.Trim(data[offset:next], "\x00")) == 0
+}
+
+// hasZeroSector reports whether one of the sectors between the start and the
+// end of a record holds only zeros there.
 func hasZeroSector(data []byte, offset, end int) bool {
+	if startsWithUntoldSector(data, offset) {
+		offset += sectorBytes - offset%sectorBytes
+	}
 	for offset < end {
 		next := min(end, offset+sectorBytes-offset%sectorBytes)
 		if len(bytes.Trim(data[offset:next], "\x00")) == 0 {
