--- a/internal/lab/bench/capacity/row.go
+++ b/internal/lab/bench/capacity/row.go
@@ -35,6 +35,9 @@
 	FollowerMB    float64 `json:"follower_mb"`
 	RouterCores   float64 `json:"router_cores"`
 	RouterMB      float64 `json:"router_mb"`
+	// HollowCores and HollowMB are of the process that holds the hollow nodes.
+	HollowCores float64 `json:"hollow_cores"`
+	HollowMB    float64 `json:"hollow_mb"`
 	// LeaseRate counts lease messages; the bytes are those of one message and
 	// of its answer, and LeaseNodeBytes those by second of one server.
 	LeaseRate      float64 `json:"lease_rate"`
@@ -48,9 +51,11 @@
 	// Leased is the share of servers with a lease at the end of the window.
 	Leased float64 `json:"leased"`
 
-	Change   Changes  `json:"change"`
-	Move     Moves    `json:"move"`
-	Loss     Losses   `json:"loss"`
+	Change Changes `json:"change"`
+	Move   Moves   `json:"move"`
+	Loss   Losses  `json:"loss"`
+	// Zone is the silent loss of a seventh of the servers at once.
+	Zone     Losses   `json:"zone"`
 	Failover Failover `json:"failover"`
 	// Breaks counts table connections that ended before the leader was killed.
 	Breaks uint64 `json:"breaks"`
@@ -77,10 +82,11 @@
 	BytesByRouter float64 `json:"table_bytes_each_router"`
 }
 
-// Losses are silent losses of one server, one after the other. Each figure but
+// Losses are silent losses of the same number of servers, one after the other. Each figure but
 // the total is a median.
 type Losses struct {
 	Count       int     `json:"count"`
+	Servers     int     `json:"servers"`
 	Shards      int     `json:"shards"`
 	LeaseLeftMs float64 `json:"lease_left_ms"`
 	// ClosedMs is until the session's end was in a router's table; the others
@@ -125,6 +131,8 @@
 	// Timeout bounds one run.
 	Timeout time.Duration
 	Say     func(format string, arguments ...any)
+	// Done takes the row of each run that came to its end.
+	Done func(Row)
 }
 
 // runPoint sets up one size and takes it through all acts.
@@ -139,7 +147,7 @@
 	const wholeTables = 2
 	running, err := rig.Start(ctx, rig.Options{
 		Product: options.Product, Lab: options.Lab, Folder: folder, Routers: 1,
-		HollowRouters: point.Routers, Tables: wholeTables, Servers: point.Servers, Shards: point.Shards,
+		HollowRouters: point.Routers, Tables: wholeTables, Servers: point.Servers, Shards: point.Shards, Slots: 2,
 	})
 	if err != nil {
 		return row, err
@@ -170,7 +178,7 @@
 func (r *run) steps() []step {
 	return []step{
 		{"create", r.create}, {"steady", r.steady}, {"configure", r.configure}, {"move", r.move},
-		{"lose", r.lose}, {"check", r.check}, {"kill leader", r.killLeader},
+		{"lose", r.lose}, {"lose zone", r.loseZone}, {"check", r.check}, {"kill leader", r.killLeader},
 	}
 }
 
@@ -202,6 +210,7 @@
 	row.LeaderCores, row.LeaderMB = window.Leader.Cores, window.Leader.ResidentMB
 	row.FollowerCores, row.FollowerMB = window.Follower.Cores, window.Follower.ResidentMB
 	row.RouterCores, row.RouterMB = window.Router.Cores, window.Router.ResidentMB
+	row.HollowCores, row.HollowMB = window.Hollow.Cores, window.Hollow.ResidentMB
 	row.LeaseRate = messages / seconds
 	row.LeaseBytes = float64(window.Leases.Received) / messages
 	row.AnswerBytes = float64(window.Leases.Sent) / messages
@@ -310,7 +319,7 @@
 	}
 	totals := each(rig.Loss.Total)
 	return Losses{
-		Count: len(courses), Shards: courses[0].Shards,
+		Count: len(courses), Servers: courses[0].Servers, Shards: courses[0].Shards,
 		LeaseLeftMs: median(each(func(l rig.Loss) time.Duration { return l.LeaseLeft })),
 		ClosedMs:    median(each(func(l rig.Loss) time.Duration { return l.Closed })),
 		OwnedMs:     median(each(func(l rig.Loss) time.Duration { return l.Owned - l.Closed })),
@@ -320,6 +329,20 @@
 	}
 }
 
+// loseZone loses every server of one zone; zones are given out in turn.
+func (r *run) loseZone(ctx context.Context) error {
+	var numbers []int
+	for number := 0; number < r.row.Servers; number += rig.Zones {
+		numbers = append(numbers, number)
+	}
+	course, err := r.rig.Lose(ctx, numbers...)
+	if err != nil {
+		return err
+	}
+	r.row.Zone = summarise([]rig.Loss{course})
+	return nil
+}
+
 // check compares the tables of all hollow routers.
 func (r *run) check(ctx context.Context) error {
 	r.row.Breaks = r.rig.Routers.Counts().Breaks
--- a/internal/lab/bench/capacity/sweep.go
+++ b/internal/lab/bench/capacity/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
@@ -93,6 +94,7 @@
 			continue
 		}
 		report.Rows = append(report.Rows, row)
+		options.Done(row)
 	}
 	report.Slopes = fit(report.Rows)
 	return report
@@ -115,6 +117,9 @@
 		{"health probes of one router", "1/s", SweepServers, func(r Row) float64 { return r.ProbeRate }},
 		{"router processor time, steady", "cores", SweepServers, func(r Row) float64 { return r.RouterCores }},
 		{"router memory", "MB", SweepServers, func(r Row) float64 { return r.RouterMB }},
+		{"hollow back ends, processor time", "cores", SweepServers, func(r Row) float64 { return r.HollowCores }},
+		{"hollow back ends, memory", "MB", SweepServers, func(r Row) float64 { return r.HollowMB }},
+		{"loss of a seventh of the servers", "ms", SweepServers, func(r Row) float64 { return r.Zone.TotalMs }},
 		{"leader kill: all servers renewed", "ms", SweepServers, func(r Row) float64 { return r.Failover.RenewedMs }},
 		{"leader processor time, steady", "cores", SweepShards, func(r Row) float64 { return r.LeaderCores }},
 		{"leader memory", "MB", SweepShards, func(r Row) float64 { return r.LeaderMB }},
@@ -123,6 +128,7 @@
 		{"creation of shards, leader processor time", "ms", SweepShards, func(r Row) float64 { return r.CreateCoreMs }},
 		{"creation of shards, time", "ms", SweepShards, func(r Row) float64 { return r.CreateMs }},
 		{"loss of a server with 1/100 of the shards", "ms", SweepShards, func(r Row) float64 { return r.Loss.TotalMs }},
+		{"loss of a seventh of the servers", "ms", SweepShards, func(r Row) float64 { return r.Zone.TotalMs }},
 		{"leader processor time, steady", "cores", SweepRouters, func(r Row) float64 { return r.LeaderCores }},
 		{"leader memory", "MB", SweepRouters, func(r Row) float64 { return r.LeaderMB }},
 		{"configuration change in force everywhere", "ms", SweepRouters, func(r Row) float64 { return r.Change.InForceMs }},
@@ -157,11 +163,18 @@
 		if len(sizes) < fewest {
 			continue
 		}
-		base, each := stat.LinearRegression(sizes, values, nil, false)
-		slopes = append(slopes, Slope{
-			Name: wanted.name, Unit: wanted.unit, Sweep: wanted.sweep, Base: base, Each: each,
-			RSquared: stat.RSquared(sizes, values, nil, base, each), Points: len(sizes),
-		})
+		slopes = append(slopes, line(wanted.name, wanted.unit, wanted.sweep, sizes, values))
 	}
 	return slopes
 }
+
+// line fits a straight line by least squares.
+func line(name, unit, sweep string, sizes, values []float64) Slope {
+	base, each := stat.LinearRegression(sizes, values, nil, false)
+	slope := Slope{Name: name, Unit: unit, Sweep: sweep, Base: base, Each: each, Points: len(sizes)}
+	// Equal values have no variance to explain.
+	if share := stat.RSquared(sizes, values, nil, base, each); !math.IsNaN(share) && !math.IsInf(share, 0) {
+		slope.RSquared = share
+	}
+	return slope
+}
--- a/internal/lab/bench/rig/acts.go
+++ b/internal/lab/bench/rig/acts.go
@@ -56,13 +56,14 @@
 	return record.Monotonic() - began, err
 }
 
-// Loss is the course of the silent loss of one server, from the moment at
-// which it went silent.
+// Loss is the course of the silent loss of servers, from the moment at which
+// they went silent.
 type Loss struct {
-	Shards int
-	// LeaseLeft is how long the server's own lease still ran.
+	Servers int
+	Shards  int
+	// LeaseLeft is how long the last lease that a server held still ran.
 	LeaseLeft time.Duration
-	// Closed is until a router's table showed its session closed.
+	// Closed is until a router's table showed the last session closed.
 	Closed time.Duration
 	// Owned is until a router's table showed a new owner for the last shard.
 	Owned time.Duration
@@ -95,15 +96,24 @@
 	return chosen
 }
 
-// Lose makes a server silent, follows its shards to their new owners, and lets
-// it answer again.
-func (r *Rig) Lose(ctx context.Context, number int) (Loss, error) {
-	server := r.BackEnds.ID(number)
-	lost := r.observer.watch(server)
-	began := r.BackEnds.Silence(number)
-	defer r.BackEnds.Thaw(number)
-	course := Loss{Shards: lost.shards, LeaseLeft: r.BackEnds.LeaseEnd(number) - began}
-	err := r.wait(ctx, "new owners of the shards of "+string(server), func() bool {
+// Lose makes servers silent at the same moment, follows their shards to new
+// owners, and lets the servers answer again.
+func (r *Rig) Lose(ctx context.Context, numbers ...int) (Loss, error) {
+	servers := make([]state.ServerID, 0, len(numbers))
+	for _, number := range numbers {
+		servers = append(servers, r.BackEnds.ID(number))
+	}
+	lost := r.observer.watch(servers)
+	defer r.observer.stopWatching()
+	var course Loss
+	course.Servers, course.Shards = len(servers), lost.shards
+	began := record.Monotonic()
+	for _, number := range numbers {
+		r.BackEnds.Silence(number)
+		defer r.BackEnds.Thaw(number)
+		course.LeaseLeft = max(course.LeaseLeft, r.BackEnds.LeaseEnd(number)-began)
+	}
+	err := r.wait(ctx, fmt.Sprintf("new owners of the shards of %d servers", len(servers)), func() bool {
 		return len(lost.missing) == 0 && len(lost.ungranted) == 0
 	})
 	if err != nil {
@@ -113,8 +123,10 @@
 	if err != nil {
 		return course, err
 	}
-	closedAt, _ := r.observer.closed(server)
-	course.Closed = closedAt - began
+	for _, server := range servers {
+		closedAt, _ := r.observer.closed(server)
+		course.Closed = max(course.Closed, closedAt-began)
+	}
 	course.Owned = lost.ownedAt - began
 	course.Granted = lost.grantedAt - began
 	// The poll of the routers ran after the wait for the grant.
--- a/internal/lab/bench/rig/observer.go
+++ b/internal/lab/bench/rig/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +21,8 @@
 	// closedAt is when a server's session was last seen closed.
 	closedAt map[state.ServerID]time.Duration
 	closures int
-	// lost is the loss that is being watched, or nil.
+	// lost is the loss that is being watched, or nil. An owner may be lost twice
+	// over, so that the epoch tells a new owner from the old one.
 	lost *loss
 }
 
@@ -104,13 +106,13 @@
 	}
 }
 
-// watch begins to follow the shards of a server that is about to be lost.
-func (o *observer) watch(server state.ServerID) *loss {
+// watch begins to follow the shards of servers that are about to be lost.
+func (o *observer) watch(servers []state.ServerID) *loss {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.lost = &loss{missing: make(map[state.ShardID]state.Epoch), ungranted: make(map[state.ShardID]state.Epoch)}
 	for id, shard := range o.shards {
-		if shard.Owner == server {
+		if slices.Contains(servers, shard.Owner) {
 			o.lost.missing[id] = shard.Epoch
 			o.lost.ungranted[id] = shard.Epoch
 		}
@@ -119,6 +121,12 @@
 	return o.lost
 }
 
+func (o *observer) stopWatching() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.lost = nil
+}
+
 // holds evaluates a condition while nothing changes.
 func (o *observer) holds(condition func() bool) bool {
 	o.mutex.Lock()
--- a/internal/lab/bench/rig/rig.go
+++ b/internal/lab/bench/rig/rig.go
@@ -38,6 +38,8 @@
 	Tables        int
 	Servers       int
 	Shards        int
+	// Slots is how many requests each server executes at the same time.
+	Slots int
 }
 
 // Rig is a running control plane with hollow nodes.
@@ -71,7 +73,7 @@
 func (r *Rig) startHollow(ctx context.Context) error {
 	var err error
 	r.BackEnds, err = hollow.NewBackEnds(hollow.BackEndOptions{
-		Count: r.options.Servers, Prefix: "server", Zones: zones(), Slots: 2, Connections: 100, OnGrant: r.observer.granted,
+		Count: r.options.Servers, Prefix: "server", Zones: zones(), Slots: max(1, r.options.Slots), Connections: 100, OnGrant: r.observer.granted,
 	})
 	if err != nil {
 		return err
@@ -86,9 +88,15 @@
 	return nil
 }
 
-// zones are the seven zones of the size to design for.
+// Zones is how many zones the servers stand in, each in the next one.
+const Zones = 7
+
 func zones() []string {
-	return []string{"zone-1", "zone-2", "zone-3", "zone-4", "zone-5", "zone-6", "zone-7"}
+	names := make([]string, 0, Zones)
+	for number := range Zones {
+		names = append(names, fmt.Sprintf("zone-%d", number+1))
+	}
+	return names
 }
 
 func (r *Rig) peerAddresses() []string {
--- a/internal/lab/bench/rig/window.go
+++ b/internal/lab/bench/rig/window.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
@@ -24,9 +25,11 @@
 	Leader   Load
 	Follower Load
 	Router   Load
-	Leases   hollow.Traffic
-	Probes   hollow.Traffic
-	Table    hollow.RouterCounts
+	// Hollow is of this process, which holds the hollow nodes.
+	Hollow Load
+	Leases hollow.Traffic
+	Probes hollow.Traffic
+	Table  hollow.RouterCounts
 	// Leased counts servers with a lease at the end.
 	Leased int
 }
@@ -35,6 +38,7 @@
 type reading struct {
 	at        time.Duration
 	usage     map[*fleet.Node]Usage
+	hollow    Usage
 	backEnds  hollow.BackEndCounts
 	routers   hollow.RouterCounts
 	processes []*fleet.Node
@@ -50,6 +54,10 @@
 		}
 		now.usage[node] = usage
 	}
+	var err error
+	if now.hollow, err = ReadUsage(os.Getpid()); err != nil {
+		return now, err
+	}
 	now.backEnds = r.BackEnds.Counts()
 	now.routers = r.Routers.Counts()
 	return now, nil
@@ -83,11 +91,8 @@
 		Table:  after.routers.Minus(before.routers),
 		Leased: after.backEnds.Leased,
 	}
-	load := func(node *fleet.Node) Load {
-		const megabyte = 1 << 20
-		used := after.usage[node].CPU - before.usage[node].CPU
-		return Load{Cores: used.Seconds() / window.Span.Seconds(), ResidentMB: float64(after.usage[node].Resident) / megabyte}
-	}
+	load := func(node *fleet.Node) Load { return loadBetween(before.usage[node], after.usage[node], window.Span) }
+	window.Hollow = loadBetween(before.hollow, after.hollow, window.Span)
 	followers := float64(len(r.Fleet.Controllers) - 1)
 	for _, node := range r.Fleet.Controllers {
 		if node == leader {
@@ -103,6 +108,14 @@
 	return window
 }
 
+func loadBetween(before, after Usage, span time.Duration) Load {
+	const megabyte = 1 << 20
+	return Load{
+		Cores:      (after.CPU - before.CPU).Seconds() / span.Seconds(),
+		ResidentMB: float64(after.Resident) / megabyte,
+	}
+}
+
 // Idle lets time pass.
 func Idle(span time.Duration) func(context.Context) error {
 	return func(ctx context.Context) error {
