--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-
 	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -6,8 +6,8 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -32,7 +32,7 @@
 }
 
 func digest(operations []state.Operation) string {
-	encoded, err := msgpack.Marshal(operations)
+	encoded, err := codec.Marshal(operations)
 	if err != nil {
 		// The types hold no value that msgpack cannot encode.
 		panic("planner: encode operations: " + err.Error())
--- a/internal/state/apply_plan.go
+++ b/internal/state/apply_plan.go
@@ -4,8 +4,7 @@
 	"bytes"
 	"math/bits"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
@@ -30,8 +29,8 @@
 // under one identifier get the same answer.
 func sameIntent(first, second Intent) bool {
 	first.Operator, second.Operator = "", ""
-	encodedFirst, errFirst := msgpack.Marshal(&first)
-	encodedSecond, errSecond := msgpack.Marshal(&second)
+	encodedFirst, errFirst := codec.Marshal(&first)
+	encodedSecond, errSecond := codec.Marshal(&second)
 	return errFirst == nil && errSecond == nil && bytes.Equal(encodedFirst, encodedSecond)
 }
 
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -2,7 +2,8 @@
 
 import (
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thorntiller/thorntiller/internal/codec"
 )
 
 // Command changes the state; exactly one field is set.
@@ -126,7 +127,7 @@
 
 // Encode returns the command's msgpack encoding.
 func (c Command) Encode() ([]byte, error) {
-	encoded, err := msgpack.Marshal(&c)
+	encoded, err := codec.Marshal(&c)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode command")
 	}
@@ -136,7 +137,7 @@
 // DecodeCommand reverses Encode.
 func DecodeCommand(encoded []byte) (Command, error) {
 	var command Command
-	if err := msgpack.Unmarshal(encoded, &command); err != nil {
+	if err := codec.Unmarshal(encoded, &command); err != nil {
 		return Command{}, eris.Wrap(err, "decode command")
 	}
 	return command, nil
--- a/internal/state/object.go
+++ b/internal/state/object.go
@@ -4,7 +4,8 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thorntiller/thorntiller/internal/codec"
 )
 
 // HashKey returns the 64-bit hash that places a key in a service's key space.
@@ -65,7 +66,7 @@
 	if object.Deleted {
 		return 0
 	}
-	encoded, err := msgpack.Marshal(&object)
+	encoded, err := codec.Marshal(&object)
 	if err != nil {
 		// The types hold no value that msgpack cannot encode.
 		panic("state: encode object: " + err.Error())
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,171 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+
+	"github.com/thorntiller/thorntiller/internal/codec"
+)
+
+// MaxSnapshotBytes bounds the memory that a snapshot may take once it is
+// decompressed.
+const MaxSnapshotBytes = 1 << 30
+
+// Frozen is the state at one revision. It shares the objects of the State that
+// it came from, which replaces objects and never changes them, so that it may be
+// read while the State goes on.
+type Frozen struct {
+	revision   Revision
+	nextShard  ShardID
+	services   []*Service
+	servers    []*Server
+	shards     []*Shard
+	routers    []*Router
+	partitions []*RecordPartition
+	plans      []Plan
+	versions   []serverVersion
+}
+
+// encodedState is the snapshot form of State.
+type encodedState struct {
+	Revision  Revision
+	NextShard ShardID
+	Objects   []Object
+	Plans     []Plan
+	Versions  []serverVersion
+}
+
+// serverVersion is the snapshot form of one assignment version.
+type serverVersion struct {
+	Server  ServerID
+	Version Revision
+}
+
+// Freeze returns the present state. It copies references only, which takes a
+// time that grows with the number of objects.
+func (s *State) Freeze() *Frozen {
+	frozen := &Frozen{
+		revision:   s.revision,
+		nextShard:  s.nextShard,
+		services:   references(s.services),
+		servers:    references(s.servers),
+		shards:     references(s.shards),
+		routers:    references(s.routers),
+		partitions: references(s.partitions),
+		plans:      s.Plans(),
+		versions:   make([]serverVersion, 0, len(s.versions)),
+	}
+	for server, version := range s.versions {
+		frozen.versions = append(frozen.versions, serverVersion{Server: server, Version: version})
+	}
+	return frozen
+}
+
+func references[K comparable, V any](objects map[K]*V) []*V {
+	list := make([]*V, 0, len(objects))
+	for _, object := range objects {
+		list = append(list, object)
+	}
+	return list
+}
+
+// Objects returns every routing-visible object in a fixed order. It may be
+// called by one goroutine at a time.
+func (f *Frozen) Objects() []Object {
+	f.sort()
+	objects := make([]Object, 0, len(f.services)+len(f.servers)+len(f.shards)+len(f.routers)+len(f.partitions))
+	for _, service := range f.services {
+		objects = append(objects, Object{Service: service})
+	}
+	for _, server := range f.servers {
+		objects = append(objects, Object{Server: server})
+	}
+	for _, shard := range f.shards {
+		objects = append(objects, Object{Shard: shard})
+	}
+	for _, router := range f.routers {
+		objects = append(objects, Object{Router: router})
+	}
+	for _, partition := range f.partitions {
+		objects = append(objects, Object{Partition: partition})
+	}
+	return objects
+}
+
+func (f *Frozen) sort() {
+	slices.SortFunc(f.services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(f.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(f.shards, func(a, b *Shard) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Range.First, b.Range.First))
+	})
+	slices.SortFunc(f.routers, func(a, b *Router) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(f.partitions, func(a, b *RecordPartition) int { return cmp.Compare(a.Number, b.Number) })
+	slices.SortFunc(f.versions, func(a, b serverVersion) int { return cmp.Compare(a.Server, b.Server) })
+}
+
+// Encode returns the compressed snapshot form. The same state has the same form.
+func (f *Frozen) Encode() ([]byte, error) {
+	encoded, err := codec.Marshal(&encodedState{
+		Revision:  f.revision,
+		NextShard: f.nextShard,
+		Objects:   f.Objects(),
+		Plans:     f.plans,
+		Versions:  f.versions,
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode state")
+	}
+	writer, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, eris.Wrap(err, "compress state")
+	}
+	return writer.EncodeAll(encoded, nil), eris.Wrap(writer.Close(), "compress state")
+}
+
+// Objects returns every routing-visible object in a fixed order.
+func (s *State) Objects() []Object {
+	return s.Freeze().Objects()
+}
+
+// Encode returns the snapshot form of the state.
+func (s *State) Encode() ([]byte, error) {
+	return s.Freeze().Encode()
+}
+
+// Decode restores a state from its snapshot form.
+func Decode(compressed []byte) (*State, error) {
+	reader, err := zstd.NewReader(nil, zstd.WithDecoderMaxMemory(MaxSnapshotBytes), zstd.WithDecoderConcurrency(1))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress state")
+	}
+	defer reader.Close()
+	encoded, err := reader.DecodeAll(compressed, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress state")
+	}
+	var decoded encodedState
+	if err := codec.Unmarshal(encoded, &decoded); err != nil {
+		return nil, eris.Wrap(err, "decode state")
+	}
+	return restore(decoded), nil
+}
+
+func restore(decoded encodedState) *State {
+	restored := New()
+	for _, object := range decoded.Objects {
+		restored.put(object)
+	}
+	for _, plan := range decoded.Plans {
+		restored.storePlan(plan)
+	}
+	clear(restored.versions)
+	for _, version := range decoded.Versions {
+		restored.versions[version.Server] = version.Version
+	}
+	restored.revision = decoded.Revision
+	restored.nextShard = decoded.NextShard
+	return restored
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -4,9 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/rotisserie/eris"
-
-	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
@@ -265,90 +262,6 @@
 	return shards
 }
 
-// Objects returns every routing-visible object in a fixed order.
-func (s *State) Objects() []Object {
-	var objects []Object
-	for _, service := range s.Services() {
-		objects = append(objects, Object{Service: &service})
-	}
-	for _, server := range s.Servers() {
-		objects = append(objects, Object{Server: &server})
-	}
-	for _, service := range s.Services() {
-		for _, shard := range s.ShardsOf(service.Name) {
-			objects = append(objects, Object{Shard: &shard})
-		}
-	}
-	for _, router := range s.Routers() {
-		objects = append(objects, Object{Router: &router})
-	}
-	for _, partition := range s.Partitions() {
-		objects = append(objects, Object{Partition: &partition})
-	}
-	return objects
-}
-
-// encodedState is the snapshot form of State.
-type encodedState struct {
-	Revision  Revision
-	NextShard ShardID
-	Objects   []Object
-	Plans     []Plan
-	Versions  []serverVersion
-}
-
-// serverVersion is the snapshot form of one assignment version.
-type serverVersion struct {
-	Server  ServerID
-	Version Revision
-}
-
-// Encode returns the snapshot form of the state.
-func (s *State) Encode() ([]byte, error) {
-	encoded, err := codec.Marshal(&encodedState{
-		Revision:  s.revision,
-		NextShard: s.nextShard,
-		Objects:   s.Objects(),
-		Plans:     s.Plans(),
-		Versions:  s.encodedVersions(),
-	})
-	if err != nil {
-		return nil, eris.Wrap(err, "encode state")
-	}
-	return encoded, nil
-}
-
-// Decode restores a state from its snapshot form.
-func Decode(encoded []byte) (*State, error) {
-	var decoded encodedState
-	if err := codec.Unmarshal(encoded, &decoded); err != nil {
-		return nil, eris.Wrap(err, "decode state")
-	}
-	restored := New()
-	for _, object := range decoded.Objects {
-		restored.put(object)
-	}
-	for _, plan := range decoded.Plans {
-		restored.storePlan(plan)
-	}
-	clear(restored.versions)
-	for _, version := range decoded.Versions {
-		restored.versions[version.Server] = version.Version
-	}
-	restored.revision = decoded.Revision
-	restored.nextShard = decoded.NextShard
-	return restored, nil
-}
-
-func (s *State) encodedVersions() []serverVersion {
-	versions := make([]serverVersion, 0, len(s.versions))
-	for server, version := range s.versions {
-		versions = append(versions, serverVersion{Server: server, Version: version})
-	}
-	slices.SortFunc(versions, func(a, b serverVersion) int { return cmp.Compare(a.Server, b.Server) })
-	return versions
-}
-
 func sortedValues[K comparable, V any](objects map[K]*V, compare func(a, b V) int) []V {
 	values := make([]V, 0, len(objects))
 	for _, object := range objects {
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -126,8 +126,8 @@
 // KeyRange is a contiguous range of the 64-bit hash of the key, both ends
 // included.
 type KeyRange struct {
-	First uint64 `json:"first"`
-	Last  uint64 `json:"last"`
+	First uint64 `json:"first" msgpack:"f"`
+	Last  uint64 `json:"last" msgpack:"l"`
 }
 
 // ShardPhase is the step of a shard's life.
@@ -143,19 +143,20 @@
 	ShardRevoking ShardPhase = "revoking"
 )
 
-// Shard is the unit of ownership: a range of keys of one service.
+// Shard is the unit of ownership: a range of keys of one service. There are
+// very many, so that msgpack names their fields by one letter.
 type Shard struct {
-	ID      ShardID     `json:"id"`
-	Service ServiceName `json:"service"`
-	Range   KeyRange    `json:"range"`
-	Phase   ShardPhase  `json:"phase"`
+	ID      ShardID     `json:"id" msgpack:"i"`
+	Service ServiceName `json:"service" msgpack:"s"`
+	Range   KeyRange    `json:"range" msgpack:"r"`
+	Phase   ShardPhase  `json:"phase" msgpack:"p"`
 	// Owner is empty while the shard is unowned.
-	Owner ServerID `json:"owner"`
-	Epoch Epoch    `json:"epoch"`
+	Owner ServerID `json:"owner" msgpack:"o,omitempty"`
+	Epoch Epoch    `json:"epoch" msgpack:"e"`
 	// Target is the server that is to own the shard next, if already chosen. An
 	// owned shard with a target waits for its move to begin.
-	Target   ServerID `json:"target,omitempty"`
-	Revision Revision `json:"revision"`
+	Target   ServerID `json:"target,omitempty" msgpack:"t,omitempty"`
+	Revision Revision `json:"revision" msgpack:"v"`
 }
 
 // Router is one router process that registered with the controllers.
@@ -193,12 +194,12 @@
 
 // Object is one routing-visible object, exactly one field of which is set.
 type Object struct {
-	Service   *Service         `json:"service,omitempty"`
-	Server    *Server          `json:"server,omitempty"`
-	Shard     *Shard           `json:"shard,omitempty"`
-	Router    *Router          `json:"router,omitempty"`
-	Partition *RecordPartition `json:"partition,omitempty"`
+	Service   *Service         `json:"service,omitempty" msgpack:",omitempty"`
+	Server    *Server          `json:"server,omitempty" msgpack:",omitempty"`
+	Shard     *Shard           `json:"shard,omitempty" msgpack:"S,omitempty"`
+	Router    *Router          `json:"router,omitempty" msgpack:",omitempty"`
+	Partition *RecordPartition `json:"partition,omitempty" msgpack:",omitempty"`
 	// Deleted names an object that is gone; its other fields are zero but for
 	// the identifier.
-	Deleted bool `json:"deleted,omitempty"`
+	Deleted bool `json:"deleted,omitempty" msgpack:",omitempty"`
 }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -6,6 +6,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thorntiller/thorntiller/internal/codec"
 )
 
 // callFrame carries a request or its answer; both have the same number.
@@ -31,7 +33,7 @@
 			return err
 		}
 		request := new(Q)
-		if err := msgpack.Unmarshal(frame.Content, request); err != nil {
+		if err := codec.Unmarshal(frame.Content, request); err != nil {
 			return eris.Wrapf(err, "decode %T", request)
 		}
 		select {
@@ -48,7 +50,7 @@
 }
 
 func sendCall(ctx context.Context, connection *Conn, number uint64, content any) error {
-	encoded, err := msgpack.Marshal(content)
+	encoded, err := codec.Marshal(content)
 	if err != nil {
 		return because(ErrNotSent, eris.Wrapf(err, "encode %T", content))
 	}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thorntiller/thorntiller/internal/codec"
 	"github.com/thorntiller/thorntiller/internal/message"
 )
 
@@ -148,7 +149,7 @@
 		if !whole {
 			return because(ErrConnectionLost, ErrClosed)
 		}
-		if err := msgpack.Unmarshal(content, answer); err != nil {
+		if err := codec.Unmarshal(content, answer); err != nil {
 			return because(ErrNoAnswer, eris.Wrapf(err, "decode %T", answer))
 		}
 		return nil
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thorntiller/thorntiller/internal/certificate"
+	"github.com/thorntiller/thorntiller/internal/codec"
 )
 
 const (
@@ -83,11 +83,8 @@
 func (c *Conn) encode(buffer *bytes.Buffer, value any) error {
 	buffer.Reset()
 	buffer.Write(make([]byte, lengthBytes))
-	encoder := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(encoder)
-	encoder.Reset(buffer)
-	if err := encoder.Encode(value); err != nil {
-		return eris.Wrapf(err, "encode %T", value)
+	if err := codec.Append(buffer, value); err != nil {
+		return err
 	}
 	length := buffer.Len() - lengthBytes
 	if length > c.options.MaxFrameBytes {
@@ -147,11 +144,11 @@
 	if err := c.receiveContent(length); err != nil {
 		return err
 	}
-	err = msgpack.Unmarshal(c.frame.Bytes(), value)
+	err = codec.Unmarshal(c.frame.Bytes(), value)
 	if c.frame.Cap() > keptBufferBytes {
 		c.frame = bytes.Buffer{}
 	}
-	return eris.Wrapf(err, "decode %T", value)
+	return err
 }
 
 func (c *Conn) receiveLength() (int64, error) {
