--- a/internal/lab/bench/capacity/local.go
+++ b/internal/lab/bench/capacity/local.go
@@ -109,12 +109,11 @@
 func measureParts(servers, shards int) (Parts, error) {
 	parts := Parts{Servers: servers, Shards: shards}
 	before := liveHeap()
-	view, created, err := buildState(servers, shards)
+	view, createdBytes, err := buildState(servers, shards)
 	if err != nil {
 		return parts, err
 	}
-	parts.CreatedMB = megabytes(uint64(encodedBytes(created)))
-	created = message.TableDelta{}
+	parts.CreatedMB = megabytes(uint64(createdBytes))
 	parts.UnownedTickMs = measureUnownedTick(view)
 	assignAll(view, servers, shards)
 	parts.StateMB = megabytes(liveHeap() - before)
@@ -137,8 +136,8 @@
 }
 
 // buildState returns a state with open sessions and unowned shards, and the
-// change that brought the shards into being.
-func buildState(servers, shards int) (*state.State, message.TableDelta, error) {
+// size on the wire of the change that brought the shards into being.
+func buildState(servers, shards int) (*state.State, int, error) {
 	view := state.New()
 	plan := state.Plan{ID: "create", Operations: []state.Operation{
 		{PutService: &state.Service{Name: "ledger", Keyed: true, Mode: state.ModeManaged, MaxMoves: 64}},
@@ -153,13 +152,13 @@
 	view.Apply(1, state.Command{StorePlan: &state.StorePlan{Plan: plan}})
 	result := view.Apply(2, state.Command{ConfirmPlan: &state.ConfirmPlan{Plan: plan.ID}})
 	if result.Err != nil {
-		return nil, message.TableDelta{}, result.Err
+		return nil, 0, result.Err
 	}
-	delta := message.TableDelta{To: 2, Objects: result.Changed, Digest: view.Digest()}
+	size := encodedBytes(&message.TableDelta{To: 2, Objects: result.Changed, Digest: view.Digest()})
 	for number := range servers {
 		view.Apply(uint64(3+number), state.Command{OpenSession: &state.OpenSession{Server: serverID(number), Incarnation: "0123456789abcdef"}})
 	}
-	return view, delta, nil
+	return view, size, nil
 }
 
 func serverID(number int) state.ServerID {
@@ -269,7 +268,7 @@
 	if err != nil {
 		return Sync{}, eris.Wrap(err, "create a folder for the log")
 	}
-	defer os.RemoveAll(place)
+	defer func() { _ = os.RemoveAll(place) }() // a folder that stays behind does no harm
 	log, _, err := wal.Open(vfs.System{}, filepath.Join(place, "wal"), wal.Options{})
 	if err != nil {
 		return Sync{}, err
