--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -24,6 +24,10 @@
 type EstimatorConfig struct {
 	// HalfLife is the time after which an old observation counts half.
 	HalfLife time.Duration
+	// RiseHalfLife takes its place while a load rises: when two observations in
+	// a row lie above the estimate by RiseRatio. One alone may be an outlier.
+	RiseHalfLife time.Duration
+	RiseRatio    float64
 	// MaxRatio bounds how far a report may differ from the routers' count.
 	MaxRatio float64
 	// MaxChange bounds the change of a load in one interval, as a ratio.
@@ -33,11 +37,15 @@
 // DefaultEstimatorConfig returns the settings that the product uses.
 func DefaultEstimatorConfig() EstimatorConfig {
 	const (
-		halfLife  = 15 * time.Second
-		maxRatio  = 1.1
-		maxChange = 2
+		halfLife     = 15 * time.Second
+		riseHalfLife = 5 * time.Second
+		riseRatio    = 1.25
+		maxRatio     = 1.1
+		maxChange    = 2
 	)
-	return EstimatorConfig{HalfLife: halfLife, MaxRatio: maxRatio, MaxChange: maxChange}
+	return EstimatorConfig{
+		HalfLife: halfLife, RiseHalfLife: riseHalfLife, RiseRatio: riseRatio, MaxRatio: maxRatio, MaxChange: maxChange,
+	}
 }
 
 // Estimator smooths the loads of a service's shards, and is not safe for
@@ -57,7 +65,9 @@
 // estimate is one shard's smoothed load and when it was last observed.
 type estimate struct {
 	load float64
-	at   time.Duration
+	// sample is the last observation, within the bounds of one change.
+	sample float64
+	at     time.Duration
 }
 
 // NewEstimator returns an estimator that knows no loads.
@@ -70,7 +80,7 @@
 func (e *Estimator) Observe(now time.Duration, observations []Observation) {
 	floor := e.floor(observations)
 	for _, observation := range observations {
-		e.set(observation.Shard, estimate{load: e.next(now, observation, floor), at: now})
+		e.set(observation.Shard, e.next(now, observation, floor))
 	}
 }
 
@@ -107,32 +117,37 @@
 	return max(known, routed/count)
 }
 
-func (e *Estimator) next(now time.Duration, observation Observation, floor float64) float64 {
-	known, found := e.loads[observation.Shard]
-	previous := known.load
+func (e *Estimator) next(now time.Duration, observation Observation, floor float64) estimate {
+	previous, found := e.loads[observation.Shard]
 	sample, told := e.sample(observation)
 	switch {
 	case !told && found:
-		return previous
+		return estimate{load: previous.load, sample: previous.sample, at: now}
 	case !told:
-		return floor
-	case !found && observation.RoutedKnown:
-		return sample
-	case !found:
-		return min(sample, max(floor, minimumStep)*e.config.MaxChange)
+		sample = floor
+	case !found && !observation.RoutedKnown:
+		sample = min(sample, max(floor, minimumStep)*e.config.MaxChange)
+	}
+	if !found {
+		return estimate{load: sample, sample: sample, at: now}
+	}
+	sample = min(sample, max(previous.load, floor)*e.config.MaxChange)
+	sample = max(sample, previous.load/e.config.MaxChange)
+	halfLife := e.config.HalfLife
+	target := sample
+	if confirmed := min(sample, previous.sample); e.config.RiseHalfLife > 0 && confirmed > previous.load*e.config.RiseRatio {
+		halfLife, target = e.config.RiseHalfLife, confirmed
 	}
-	sample = min(sample, max(previous, floor)*e.config.MaxChange)
-	sample = max(sample, previous/e.config.MaxChange)
-	keep := e.keep(now - known.at)
-	return keep*previous + (1-keep)*sample
+	keep := share(now-previous.at, halfLife)
+	return estimate{load: keep*previous.load + (1-keep)*target, sample: sample, at: now}
 }
 
-// keep is the share of the old value that stays after some time.
-func (e *Estimator) keep(age time.Duration) float64 {
-	if e.config.HalfLife <= 0 {
+// share is the part of an old value that stays after some time.
+func share(age, halfLife time.Duration) float64 {
+	if halfLife <= 0 {
 		return 1
 	}
-	return math.Exp2(-max(age, 0).Seconds() / e.config.HalfLife.Seconds())
+	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
 }
 
 // sample combines the two sources. The routers' count bounds the report.
@@ -155,20 +170,21 @@
 }
 
 // Split gives a part of a shard's load to a new shard, so that a change of
-// shape needs no new ramp-up. Share is 0 to 1.
-func (e *Estimator) Split(from, created state.ShardID, share float64) {
+// shape needs no new ramp-up. Part is 0 to 1.
+func (e *Estimator) Split(from, created state.ShardID, part float64) {
 	known, found := e.loads[from]
 	if !found {
 		return
 	}
-	e.set(created, estimate{load: known.load * share, at: known.at})
-	e.set(from, estimate{load: known.load * (1 - share), at: known.at})
+	e.set(created, estimate{load: known.load * part, sample: known.sample * part, at: known.at})
+	e.set(from, estimate{load: known.load * (1 - part), sample: known.sample * (1 - part), at: known.at})
 }
 
 // Merge adds the load of a shard that is gone to its neighbour.
 func (e *Estimator) Merge(into, gone state.ShardID) {
 	known := e.loads[into]
 	known.load += e.loads[gone].load
+	known.sample += e.loads[gone].sample
 	e.Forget(gone)
 	e.set(into, known)
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -328,3 +328,32 @@
 		}
 	}
 }
+
+// A rise that lasts is followed faster than one observation that stands alone.
+func TestEstimatorFollowsARise(t *testing.T) {
+	const interval = 5 * time.Second
+	estimator := NewEstimator(DefaultEstimatorConfig())
+	told := func(step int, load float64) float64 {
+		observations := []Observation{{Shard: 1, Routed: load, RoutedKnown: true}}
+		for other := range state.ShardID(20) {
+			observations = append(observations, Observation{Shard: 2 + other, Routed: 1, RoutedKnown: true})
+		}
+		estimator.Observe(time.Duration(step)*interval, observations)
+		known, _ := estimator.ShardLoad(1)
+		return known
+	}
+	for step := range 5 {
+		told(step, 1)
+	}
+	if outlier := told(5, 10); outlier > 1.35 {
+		t.Errorf("one outlier made the load %g", outlier)
+	}
+	if after := told(6, 1); after > 1.35 {
+		t.Errorf("an outlier that is past left %g", after)
+	}
+	told(7, 2)
+	told(8, 2)
+	if risen := told(9, 2); risen < 1.7 {
+		t.Errorf("15 s after it doubled the load counts as %g", risen)
+	}
+}
