Command line: routers as they are, who lags, costs with their units

get routers decoded the API's answer as another type, so that it showed each connected router with no session and no lag. It now shows what status shows. status begins with whether the newest revision is in force everywhere and who lags; plan shows churn in percent and says that the time without an owner is for each moved shard.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -100,8 +100,8 @@
 const planText = `PLAN  INTENT    STATUS  BASE  ACCEPTED  DIGEST
 i1    move_key  stored  7     -         abc
 
-MOVES  IMBALANCE BEFORE  IMBALANCE AFTER  CHURN   UNAVAILABLE
-2      1.500             1.250            0.1250  40ms
+MOVES  IMBALANCE BEFORE  IMBALANCE AFTER  CHURN   UNAVAILABLE PER SHARD
+2      1.500             1.250            12.50%  40ms
 
 OPERATION    OBJECT   DETAIL
 isolate key  shard 3  hash 00000000000000ff to s2
@@ -190,28 +190,39 @@
 const statusText = `ENDPOINT  REPLICA  ROLE    TERM  LEADER  COMMIT  APPLIED  REVISION  CURRENT  ERROR
 ADDRESS   a        leader  2     a       9       9        8         yes      -
 
+IN FORCE EVERYWHERE  REVISION  SHARDS OWNED  LAGGING
+no                   8         7 of 8        s2, r1
+
 SERVICE  MODE     KEYED  SHARDS  OWNED  REVOKING  UNOWNED
 ledger   managed  yes    8       7      1         0
 
 SERVER  SERVICE  ADDRESS      ZONE  INTENT  SESSION OPEN  SHARDS  IN FORCE
 s1      ledger   127.0.0.1:9  -     active  yes           7       yes
+s2      ledger   127.0.0.1:6  -     active  no            0       no
+
+` + routersText
 
-ROUTER  ADDRESS      ZONE  SESSION OPEN  REVISION  LAG    IN FORCE
-r1      127.0.0.1:8  z1    yes           8         120ms  no
+const routersText = `ROUTER  ADDRESS      ZONE  CONNECTED  REVISION  LAG    IN FORCE
+r1      127.0.0.1:8  z1    yes        7         120ms  no
 `
 
 func exampleStatus() intentapi.Status {
 	return intentapi.Status{
 		Replica: "a", Role: "leader", Term: 2, LeaderName: "a", Commit: 9, Applied: 9, Revision: 8, Current: true,
 		Services: []intentapi.ServiceStatus{{Name: "ledger", Mode: state.ModeManaged, Keyed: true, Shards: 8, Owned: 7, Revoking: 1}},
-		Servers:  []intentapi.ServerStatus{{ID: "s1", Service: "ledger", Address: "127.0.0.1:9", Intent: state.ServerActive, Open: true, Shards: 7, InForce: true}},
-		Routers:  []intentapi.RouterStatus{{ID: "r1", Address: "127.0.0.1:8", Zone: "z1", Open: true, Revision: 8, LagMs: 120}},
+		Servers: []intentapi.ServerStatus{
+			{ID: "s1", Service: "ledger", Address: "127.0.0.1:9", Intent: state.ServerActive, Open: true, Shards: 7, InForce: true},
+			{ID: "s2", Service: "ledger", Address: "127.0.0.1:6", Intent: state.ServerActive},
+		},
+		Routers: []intentapi.RouterStatus{{ID: "r1", Address: "127.0.0.1:8", Zone: "z1", Open: true, Revision: 7, LagMs: 120}},
 	}
 }
 
 func TestStatus(t *testing.T) {
 	status := exampleStatus()
-	api := &stub{status: fasthttp.StatusOK, answers: map[string]string{"GET /v1/status": encode(t, status)}}
+	api := &stub{status: fasthttp.StatusOK, answers: map[string]string{
+		"GET /v1/status": encode(t, status), "GET /v1/routers": encode(t, status.Routers),
+	}}
 	endpoint := api.start(t)
 	code, out, errors := run(t, "", "status", "--endpoints", endpoint)
 	// The address has the kernel's port, which sets the width of the column.
@@ -219,6 +230,9 @@
 	if code != ExitOK || squeeze(out) != squeeze(want) {
 		t.Errorf("code %d, errors %s, out:\n%s\nwant:\n%s", code, errors, out, want)
 	}
+	if code, out, errors := run(t, "", "get", "routers", "--endpoints", endpoint); code != ExitOK || out != routersText {
+		t.Errorf("code %d, errors %s, out:\n%s\nwant:\n%s", code, errors, out, routersText)
+	}
 	status.Current = false
 	api.answers["GET /v1/status"] = encode(t, status)
 	if code, _, _ := run(t, "", "status", "--endpoints", endpoint); code != ExitUnavailable {
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -109,12 +109,7 @@
 	if err != nil {
 		return err
 	}
-	rows := newTable("ROUTER", "ADDRESS", "PEER ADDRESS", "ZONE", "SESSION", "OPEN", "REVISION")
-	for _, router := range routers {
-		rows.add(string(router.ID), router.Address, router.PeerAddress, router.Zone,
-			fmt.Sprint(router.Session.Number), yesNo(router.Session.Open), fmt.Sprint(router.Revision))
-	}
-	return p.print(routers, rows)
+	return p.print(routers, routerTable(routers))
 }
 
 func (p *program) getMembers(ctx context.Context, client *intentapi.Client) error {
--- a/internal/cli/planview.go
+++ b/internal/cli/planview.go
@@ -11,10 +11,10 @@
 func (p *program) printPlan(plan state.Plan) error {
 	summary := newTable("PLAN", "INTENT", "STATUS", "BASE", "ACCEPTED", "DIGEST")
 	summary.add(string(plan.ID), string(plan.Intent.Kind), string(plan.Status), fmt.Sprint(plan.Base), acceptedText(plan), plan.Digest)
-	prediction := newTable("MOVES", "IMBALANCE BEFORE", "IMBALANCE AFTER", "CHURN", "UNAVAILABLE")
+	prediction := newTable("MOVES", "IMBALANCE BEFORE", "IMBALANCE AFTER", "CHURN", "UNAVAILABLE PER SHARD")
 	expected := plan.Prediction
 	prediction.add(fmt.Sprint(expected.Moves), fmt.Sprintf("%.3f", expected.ImbalanceBefore), fmt.Sprintf("%.3f", expected.ImbalanceAfter),
-		fmt.Sprintf("%.4f", expected.Churn), expected.Unavailable.String())
+		fmt.Sprintf("%.2f%%", 100*expected.Churn), expected.Unavailable.String())
 	operations := newTable("OPERATION", "OBJECT", "DETAIL")
 	for _, operation := range plan.Operations {
 		operations.add(describeOperation(operation)...)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc/iter"
@@ -10,6 +11,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/state"
 )
 
 // replicaStatus is what one endpoint answered.
@@ -54,7 +56,7 @@
 	}
 	tables := []*table{replicaTable(found.Replicas)}
 	if found.Cluster != nil {
-		tables = append(tables, serviceStatusTable(found.Cluster), serverStatusTable(found.Cluster), routerStatusTable(found.Cluster))
+		tables = append(tables, summaryTable(found.Cluster), serviceStatusTable(found.Cluster), serverStatusTable(found.Cluster), routerTable(found.Cluster.Routers))
 	}
 	if err := p.print(found, tables...); err != nil {
 		return err
@@ -136,11 +138,42 @@
 	return rows
 }
 
-func routerStatusTable(status *intentapi.Status) *table {
-	rows := newTable("ROUTER", "ADDRESS", "ZONE", "SESSION OPEN", "REVISION", "LAG", "IN FORCE")
-	for _, router := range status.Routers {
+func routerTable(routers []intentapi.RouterStatus) *table {
+	rows := newTable("ROUTER", "ADDRESS", "ZONE", "CONNECTED", "REVISION", "LAG", "IN FORCE")
+	for _, router := range routers {
 		lag := time.Duration(router.LagMs) * time.Millisecond
 		rows.add(string(router.ID), router.Address, router.Zone, yesNo(router.Open), fmt.Sprint(router.Revision), lag.String(), yesNo(router.InForce))
 	}
 	return rows
 }
+
+// summaryTable answers the first question of an operator: is what was accepted
+// in force everywhere, and if not, who lags.
+func summaryTable(status *intentapi.Status) *table {
+	shards, owned := 0, 0
+	for _, service := range status.Services {
+		shards += service.Shards
+		owned += service.Owned
+	}
+	lagging := laggards(status)
+	rows := newTable("IN FORCE EVERYWHERE", "REVISION", "SHARDS OWNED", "LAGGING")
+	rows.add(yesNo(len(lagging) == 0), fmt.Sprint(status.Revision), fmt.Sprintf("%d of %d", owned, shards), strings.Join(lagging, ", "))
+	return rows
+}
+
+// laggards names the servers and routers in which the newest revision is not in
+// force.
+func laggards(status *intentapi.Status) []string {
+	var lagging []string
+	for _, server := range status.Servers {
+		if !server.InForce && !server.Observed && server.Intent != state.ServerRetired {
+			lagging = append(lagging, string(server.ID))
+		}
+	}
+	for _, router := range status.Routers {
+		if !router.InForce {
+			lagging = append(lagging, string(router.ID))
+		}
+	}
+	return lagging
+}
--- a/internal/intentapi/client.go
+++ b/internal/intentapi/client.go
@@ -143,8 +143,8 @@
 }
 
 // Routers reads the registered routers.
-func (c *Client) Routers(ctx context.Context) ([]state.Router, error) {
-	var routers []state.Router
+func (c *Client) Routers(ctx context.Context) ([]RouterStatus, error) {
+	var routers []RouterStatus
 	err := c.get(ctx, PathRouters, &routers)
 	return routers, err
 }
--- a/internal/intentapi/types.go
+++ b/internal/intentapi/types.go
@@ -16,12 +16,13 @@
 	PathPlan = "/v1/plans/:id"
 	// PathConfirm takes ConfirmRequest by POST and answers state.Plan.
 	PathConfirm = "/v1/plans/:id/confirm"
-	// PathServices, PathServers, PathShards and PathRouters answer lists of the
-	// state's types of these names by GET.
+	// PathServices, PathServers and PathShards answer lists of the state's types
+	// of these names by GET.
 	PathServices = "/v1/services"
 	PathServers  = "/v1/servers"
 	// PathShards takes the query parameter "service".
-	PathShards  = "/v1/shards"
+	PathShards = "/v1/shards"
+	// PathRouters answers a list of RouterStatus by GET.
 	PathRouters = "/v1/routers"
 	// PathMembers answers a list of consensus.Member by GET.
 	PathMembers = "/v1/members"
