--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -222,5 +222,5 @@
 	if err := a.replica.Transfer(ctx); err != nil {
 		return fault.Newf(fault.Conflict, "leadership stays here: %v", err)
 	}
-	return call.JSON(a.replica.describe(false))
+	return call.JSON(a.replica.describe(ctx, false))
 }
--- a/internal/controller/ready.go
+++ b/internal/controller/ready.go
@@ -6,7 +6,6 @@
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
-	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 // handleReady carries out what the core asks for, in the order that it
@@ -31,7 +30,8 @@
 		r.confirmReads(ready.ReadStates)
 	}
 	r.rounds.finish(r.applied, r.state.Revision())
-	return r.takeSnapshot()
+	r.takeSnapshot()
+	return nil
 }
 
 // forgetRemoved stops the senders to replicas that a committed change removed.
@@ -113,56 +113,3 @@
 	}
 	return result
 }
-
-// restore replaces the state by a snapshot that the leader sent.
-func (r *replica) restore(snapshot consensus.Snapshot) error {
-	restored, err := state.Decode(snapshot.Data)
-	if err != nil {
-		return eris.Wrap(err, "decode the leader's snapshot")
-	}
-	if err := r.storage.SaveSnapshot(snapshot); err != nil {
-		return err
-	}
-	r.stateLock.Lock()
-	r.state = restored
-	r.stateLock.Unlock()
-	r.applied = snapshot.Metadata.Index
-	r.history.reset(restored.Revision())
-	telemetry.With(r.log, telemetry.EventSnapshotReceived).WithField("index", r.applied).Info("snapshot received")
-	return nil
-}
-
-// takeSnapshot saves the state and cuts the log once enough was applied.
-func (r *replica) takeSnapshot() error {
-	if !r.storage.SnapshotDue(r.settings.Consensus.SnapshotEntries, r.settings.Consensus.SnapshotBytes) {
-		return nil
-	}
-	data, err := r.state.Encode()
-	if err != nil {
-		return err
-	}
-	snapshot := consensus.Snapshot{Data: data, Metadata: consensus.SnapshotMetadata{
-		Index: r.applied, Term: r.storage.AppliedTerm(), Membership: r.core.Status().Membership,
-	}}
-	if err := r.storage.SaveSnapshot(snapshot); err != nil {
-		return err
-	}
-	if err := r.compact(); err != nil {
-		return err
-	}
-	telemetry.With(r.log, telemetry.EventSnapshotTaken).WithField("index", r.applied).Info("snapshot taken")
-	return nil
-}
-
-// compact drops the log up to the snapshot but for a tail that serves members
-// which are a little behind.
-func (r *replica) compact() error {
-	keep := uint64(r.settings.Consensus.SnapshotEntries)
-	if r.applied <= keep {
-		return nil
-	}
-	if err := r.core.Compact(r.applied - keep); err != nil {
-		return eris.Wrap(err, "compact the log")
-	}
-	return r.storage.Log.Release(r.storage.Snapshots.Oldest())
-}
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -60,6 +60,8 @@
 	joining     joins
 	applied     uint64
 	leading     bool
+	// snapshotting is true while a snapshot is written beside the loop.
+	snapshotting bool
 
 	inbox     chan consensus.Message
 	proposals chan proposal
@@ -67,6 +69,10 @@
 	results   chan leaseResult
 	joinInbox chan consensus.Member
 	transfers chan chan error
+	// snapshots brings the end of the snapshot that is being written.
+	snapshots chan savedSnapshot
+	// viewsWanted asks for what the coordinator knows of the servers.
+	viewsWanted chan chan []coordinator.ServerView
 
 	// stateLock guards state against readers; the loop alone writes.
 	stateLock sync.RWMutex
@@ -83,8 +89,6 @@
 type published struct {
 	status  consensus.Status
 	leading bool
-	now     time.Duration
-	views   []coordinator.ServerView
 }
 
 // leaseResult is the end of one lease message. Failed messages have no answer.
@@ -111,6 +115,8 @@
 		results:     make(chan leaseResult, resultsSize),
 		joinInbox:   make(chan consensus.Member, 1),
 		transfers:   make(chan chan error),
+		snapshots:   make(chan savedSnapshot, 1),
+		viewsWanted: make(chan chan []coordinator.ServerView),
 		state:       disk.State,
 		applied:     disk.Initial.Snapshot.Index,
 	}
@@ -155,6 +161,7 @@
 	keeping.Go(func() { r.partitions.run(ctx) })
 	defer keeping.Wait()
 	defer cancel()
+	defer r.endSnapshot()
 	for {
 		select {
 		case <-ctx.Done():
@@ -173,6 +180,12 @@
 			r.joining.pending[member.ID] = member
 		case done := <-r.transfers:
 			done <- r.transferLeadership()
+		case saved := <-r.snapshots:
+			if err := r.adoptSnapshot(saved); err != nil {
+				return err
+			}
+		case wanted := <-r.viewsWanted:
+			wanted <- r.coordinator.Views(r.state)
 		}
 		r.takeMore()
 		if err := r.handleReady(); err != nil {
@@ -290,18 +303,5 @@
 }
 
 func (r *replica) publish() {
-	snapshot := &published{status: r.core.Status(), leading: r.leading, now: r.clock.Now()}
-	if r.leading {
-		previous := r.published.Load()
-		snapshot.views = previous.views
-		if snapshot.now-previous.now > viewInterval || previous.views == nil {
-			snapshot.views = r.coordinator.Views(r.state)
-		} else {
-			snapshot.now = previous.now
-		}
-	}
-	r.published.Store(snapshot)
+	r.published.Store(&published{status: r.core.Status(), leading: r.leading})
 }
-
-// viewInterval is the least time between two copies of the servers' views.
-const viewInterval = 50 * time.Millisecond
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithTimeout(call.Context(), statusTimeout)
 	defer cancel()
 	current := a.requireCurrent(ctx) == nil
-	return call.JSON(a.replica.describe(current))
+	return call.JSON(a.replica.describe(ctx, current))
 }
 
 func (a *api) routers(call fiber.Ctx) error {
@@ -39,8 +39,9 @@
 }
 
 // describe returns the status of this replica and of what it knows.
-func (r *replica) describe(current bool) intentapi.Status {
+func (r *replica) describe(ctx context.Context, current bool) intentapi.Status {
 	known := r.published.Load()
+	views := r.serverViews(ctx)
 	status := intentapi.Status{
 		Cluster: string(r.cluster), Replica: r.self.Name, Role: roleName(known.status.Role),
 		Term: known.status.Term, Commit: known.status.Commit, Applied: known.status.Applied,
@@ -53,12 +54,28 @@
 	r.view(func(view *state.State) {
 		status.Revision = view.Revision()
 		status.Services = serviceStatuses(view)
-		status.Servers = serverStatuses(view, known.views)
+		status.Servers = serverStatuses(view, views)
 		status.Routers = r.routerStatuses(view)
 	})
 	return status
 }
 
+// serverViews returns what a leader knows of the servers, and nothing on a
+// follower or once the context has ended. The loop makes them on request only,
+// since that takes a time that grows with the number of servers.
+func (r *replica) serverViews(ctx context.Context) []coordinator.ServerView {
+	if !r.published.Load().leading {
+		return nil
+	}
+	wanted := make(chan []coordinator.ServerView, 1)
+	select {
+	case r.viewsWanted <- wanted:
+		return <-wanted
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 func roleName(role consensus.Role) string {
 	names := [...]string{"follower", "pre_candidate", "candidate", "leader", "learner"}
 	if int(role) < len(names) {
--- a/internal/durable/storage.go
+++ b/internal/durable/storage.go
@@ -106,19 +106,35 @@
 	return *s.newest, true
 }
 
-// SaveSnapshot makes a snapshot durable and tells the log of it, which a
-// snapshot from the leader may replace.
-func (s *Storage) SaveSnapshot(taken consensus.Snapshot) error {
-	if err := s.Snapshots.Save(taken); err != nil {
+// SaveSnapshot makes a snapshot from the leader durable and tells the log of it,
+// which the snapshot may replace.
+func (s *Storage) SaveSnapshot(received consensus.Snapshot) error {
+	if err := s.Snapshots.Save(received); err != nil {
 		return eris.Wrap(err, "save a snapshot")
 	}
-	if err := s.Log.MarkSnapshot(taken.Metadata.Index, taken.Metadata.Term); err != nil {
-		return eris.Wrap(err, "mark a snapshot in the log")
-	}
-	s.newest = &taken
-	s.appliedTerm = taken.Metadata.Term
+	s.BeginSnapshot()
+	s.appliedTerm = received.Metadata.Term
+	return s.AdoptSnapshot(received)
+}
+
+// BeginSnapshot starts to count anew towards the next snapshot. The snapshot of
+// this moment is then saved by Snapshots.Save, on any goroutine but only one at
+// a time, and taken into use by AdoptSnapshot.
+func (s *Storage) BeginSnapshot() {
 	s.appliedEntries = 0
 	s.appliedBytes = 0
+}
+
+// AdoptSnapshot tells the log of a snapshot that is on stable storage. One that
+// is older than the newest is left aside.
+func (s *Storage) AdoptSnapshot(saved consensus.Snapshot) error {
+	if s.newest != nil && saved.Metadata.Index <= s.newest.Metadata.Index {
+		return nil
+	}
+	if err := s.Log.MarkSnapshot(saved.Metadata.Index, saved.Metadata.Term); err != nil {
+		return eris.Wrap(err, "mark a snapshot in the log")
+	}
+	s.newest = &saved
 	return nil
 }
 
