Intent API: the detail of an error no longer repeats its kind

The command line printed "conflict: conflict: ...": the body's detail held the kind, which has a field of its own. A plan without operations is shown as such, without a digest to confirm, and status names at most five laggards; after a change of leader every server counts as lagging until its first renewal, which filled the line with 24 names on the demonstration fleet.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -106,6 +106,7 @@
 OPERATION    OBJECT   DETAIL
 isolate key  shard 3  hash 00000000000000ff to s2
 move shard   shard 4  s1 to s2
+
 reason: the key is hot
 
 confirm with: thorntiller confirm i1 --digest abc
--- a/internal/cli/planview.go
+++ b/internal/cli/planview.go
@@ -19,9 +19,18 @@
 	for _, operation := range plan.Operations {
 		operations.add(describeOperation(operation)...)
 	}
-	if err := p.print(plan, summary, prediction, operations); err != nil || p.output == outputJSON {
+	tables := []*table{summary, prediction, operations}
+	if len(plan.Operations) == 0 {
+		tables = tables[:1]
+	}
+	if err := p.print(plan, tables...); err != nil || p.output == outputJSON {
 		return err
 	}
+	if len(plan.Operations) == 0 {
+		fmt.Fprintln(p.streams.Out, "\nnothing would change")
+		return nil
+	}
+	fmt.Fprintln(p.streams.Out)
 	for _, reason := range plan.Reasons {
 		fmt.Fprintln(p.streams.Out, "reason:", reason)
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -147,6 +147,9 @@
 	return rows
 }
 
+// laggardsNamed bounds the names in the summary.
+const laggardsNamed = 5
+
 // summaryTable answers the first question of an operator: is what was accepted
 // in force everywhere, and if not, who lags.
 func summaryTable(status *intentapi.Status) *table {
@@ -156,8 +159,12 @@
 		owned += service.Owned
 	}
 	lagging := laggards(status)
+	named := strings.Join(lagging[:min(len(lagging), laggardsNamed)], ", ")
+	if more := len(lagging) - laggardsNamed; more > 0 {
+		named += fmt.Sprintf(" and %d more", more)
+	}
 	rows := newTable("IN FORCE EVERYWHERE", "REVISION", "SHARDS OWNED", "LAGGING")
-	rows.add(yesNo(len(lagging) == 0), fmt.Sprint(status.Revision), fmt.Sprintf("%d of %d", owned, shards), strings.Join(lagging, ", "))
+	rows.add(yesNo(len(lagging) == 0), fmt.Sprint(status.Revision), fmt.Sprintf("%d of %d", owned, shards), named)
 	return rows
 }
 
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -67,7 +67,7 @@
 	if errorAs(err, &framework) {
 		err = kindOfStatus(framework)
 	}
-	body := intentapi.ErrorBody{Kind: fault.KindOf(err), Detail: err.Error()}
+	body := intentapi.ErrorBody{Kind: fault.KindOf(err), Detail: detailOf(err)}
 	answer := fault.AnswerFor(body.Kind)
 	body.Outcome = answer.Outcome
 	if body.Kind == fault.NotLeader {
@@ -79,6 +79,15 @@
 	return call.Status(answer.Status).JSON(body)
 }
 
+// detailOf returns the text for people without the kind, which has its own field.
+func detailOf(err error) string {
+	var typed *fault.Error
+	if errorAs(err, &typed) {
+		return typed.Detail
+	}
+	return err.Error()
+}
+
 func kindOfStatus(framework *fiber.Error) error {
 	switch framework.Code {
 	case fiber.StatusNotFound, fiber.StatusMethodNotAllowed:
--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -43,6 +43,9 @@
 	if answer.Kind != kind || answer.Outcome != row.Outcome || response.StatusCode() != row.Status || retry != (row.RetryAfter > 0) {
 		g.t.Errorf("%s %s: want %s, got status %d, retry-after %v, %s", method, path, kind, response.StatusCode(), retry, response.Body())
 	}
+	if strings.HasPrefix(answer.Detail, string(kind)) {
+		g.t.Errorf("%s %s: the detail repeats the kind: %s", method, path, answer.Detail)
+	}
 	return answer
 }
 
