--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "open the log of %s", spec.Name)
 	}
-	defer output.Close()
+	defer func() { _ = output.Close() }() // the process has a copy of its own
 	command := exec.Command(spec.Path, spec.Arguments...)
 	command.Stdout = output
 	command.Stderr = output
--- a/internal/lab/trial/table.go
+++ b/internal/lab/trial/table.go
@@ -27,7 +27,7 @@
 	row("late_to_drained", r.LateToDrained, "new work on a leaving server after 5 s")
 	row("max_unavailable_ms", fmt.Sprintf("%.0f", r.MaxUnavailableMs), "longest time without success of one service")
 	row("ok", r.OK, "all of the above held")
-	writer.Flush()
+	_ = writer.Flush() // a strings.Builder takes everything
 	for _, violation := range r.Violations[:min(len(r.Violations), 10)] {
 		fmt.Fprintf(&text, "broken: %s %s %s %s: %s\n", violation.Count, violation.Service, violation.Server, violation.Request, violation.Detail)
 	}
