--- a/internal/lab/sim/checker/histories.go
+++ b/internal/lab/sim/checker/histories.go
@@ -82,10 +82,12 @@
 	limit      int
 	order      []string
 	operations map[string][]porcupine.Operation
+	// unknown has the calls without an answer that are in the history.
+	unknown map[IntentCall]bool
 }
 
 func newHistory(limit int) history {
-	return history{limit: limit, operations: make(map[string][]porcupine.Operation)}
+	return history{limit: limit, operations: make(map[string][]porcupine.Operation), unknown: make(map[IntentCall]bool)}
 }
 
 // add appends an operation, unless the partition's history is full.
@@ -116,12 +118,26 @@
 	end := int64(call.Returned)
 	if call.Answer == AnswerUnknown {
 		end = math.MaxInt64
+		if c.histories.intents.isRepeated(call) {
+			return
+		}
 	}
 	c.histories.intents.add(call.Intent, porcupine.Operation{
 		ClientId: call.Client, Input: call, Call: int64(call.Called), Output: struct{}{}, Return: end,
 	})
 }
 
+// isRepeated reports whether the same call without an answer is in the history.
+// Both may take effect at any later time and only the first effect counts, so
+// that one of them stands for all. Calls come in the order of their timeouts,
+// which all are alike, so the first has the earliest call.
+func (h *history) isRepeated(call IntentCall) bool {
+	kind := IntentCall{Intent: call.Intent, Action: call.Action, Content: call.Content, Digest: call.Digest}
+	known := h.unknown[kind]
+	h.unknown[kind] = true
+	return known
+}
+
 // CheckHistories checks every history for linearizability.
 func (c *Checker) CheckHistories() {
 	for _, key := range c.histories.owned.order {
--- a/internal/lab/sim/checker/log.go
+++ b/internal/lab/sim/checker/log.go
@@ -135,12 +135,16 @@
 // MustHold checks that a replica which begins to lead a term, or which stands
 // at the end of the run, holds every entry that was acknowledged up to the term.
 func (c *Checker) MustHold(replica string, term, applied uint64) {
+	var newest acknowledgement
 	for acknowledgedIn, known := range c.log.acknowledged {
-		if acknowledgedIn <= term && known.index > applied {
-			c.Fail(Durability, "%s leads term %d and holds the log up to index %d, but index %d was acknowledged (%s)",
-				replica, term, applied, known.index, known.what)
+		if acknowledgedIn <= term && known.index > newest.index {
+			newest = known
 		}
 	}
+	if newest.index > applied {
+		c.Fail(Durability, "%s leads term %d and holds the log up to index %d, but index %d was acknowledged (%s)",
+			replica, term, applied, newest.index, newest.what)
+	}
 }
 
 // Read checks a table revision that a quorum confirmed as current for a request
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -40,6 +40,7 @@
 	{1, (*simulation).crashRouter},
 	{1, (*simulation).pauseRouter},
 	{2, (*simulation).transferLeadership},
+	{1, (*simulation).listLeaving},
 }
 
 // injectFaults runs the period of faults. Each seed has its own pace.
@@ -77,6 +78,7 @@
 	s.operating = false
 	s.trace("faults end")
 	s.network.HealAll()
+	clear(s.leaving)
 	for _, each := range s.controllers {
 		each.disk.CrashAfter(-1)
 		each.heal()
@@ -372,6 +374,14 @@
 	})
 }
 
+// listLeaving puts a server on the platform's list as leaving for a while.
+func (s *simulation) listLeaving() {
+	target := s.servers[s.random.IntN(len(s.servers))].id
+	s.counts.Leaving++
+	s.leaving[target] = true
+	s.queue.After(s.pauseTime(), func() { delete(s.leaving, target) })
+}
+
 // spoil drops one object from a delta now and then, as a faulty controller or
 // memory might, without changing its digest.
 func (s *simulation) spoil(delta message.TableDelta) *message.TableDelta {
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -27,6 +27,7 @@
 	ServerCrashes     uint64 `json:"server_crashes"`
 	RouterCrashes     uint64 `json:"router_crashes"`
 	Transfers         uint64 `json:"transfers"`
+	Leaving           uint64 `json:"servers_listed_leaving"`
 	MissedChanges     uint64 `json:"missed_changes"`
 	Races             uint64 `json:"operator_races"`
 	Resends           uint64 `json:"operator_resends"`
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -60,6 +60,8 @@
 	// had a bit flipped since their last start.
 	lost    map[consensus.ReplicaID]bool
 	damaged map[string]bool
+	// leaving is the platform's list of machines that leave.
+	leaving map[state.ServerID]bool
 	// operating lets operators begin new intents.
 	operating bool
 	intents   []state.Intent
@@ -80,6 +82,7 @@
 		hosts:    make(map[consensus.ReplicaID]*controller),
 		lost:     make(map[consensus.ReplicaID]bool),
 		damaged:  make(map[string]bool),
+		leaving:  make(map[state.ServerID]bool),
 		plans:    make(map[state.PlanID]state.Revision),
 	}
 	s.coordination = coordinatorConfig(s.settings)
@@ -264,7 +267,8 @@
 func (s *simulation) loseServer() {
 	healthy := s.await(s.queue.Now()+setupLimit, func() bool {
 		leader, found := s.leader()
-		return found && s.queue.Now()-leader.leadsSince > leaseWait(s.settings) && s.everyKeyOwned()
+		return found && s.queue.Now()-leader.leadsSince > leaseWait(s.settings) &&
+			s.everyKeyOwned() && len(leader.platformChanges()) == 0
 	})
 	if !healthy {
 		s.checker.Fail(checker.OwnerLiveness, "no leader lasts, or not every key has an owner, without faults")
