Fleet: a port is held for the whole life of the fleet

Cause of a demo that waited in vain for a move: the killed controller's port had gone to another process of the machine, so that it could not listen again (address already in use) and the operator's call was answered by a stranger. Ports are now held by bound sockets that do not listen, also while their process is down.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -63,15 +63,10 @@
 	Process      *process.Process
 }
 
-// addresses returns where the process of the node listens.
-func (n *Node) addresses() []string {
-	return []string{n.Address, n.PeerAddress, n.AdminAddress}
-}
-
 // Fleet is a running deployment.
 type Fleet struct {
 	options     Options
-	ports       *reservations
+	ports       reservations
 	Controllers []*Node
 	Routers     []*Node
 	BackEnds    []*BackEnd
@@ -85,15 +80,9 @@
 // Start starts every process and waits until controllers lead and back ends
 // answer. Services are created by CreateServices.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
-	fleet := &Fleet{options: options, ports: newReservations()}
-	defer fleet.ports.releaseAll()
-	if err := fleet.layOut(); err != nil {
-		return nil, err
-	}
-	if err := fleet.makeFolders(); err != nil {
-		return nil, err
-	}
-	if err := fleet.openClient(); err != nil {
+	fleet := &Fleet{options: options}
+	if err := fleet.prepare(); err != nil {
+		fleet.ports.release()
 		return nil, err
 	}
 	if err := fleet.startAll(ctx); err != nil {
@@ -103,6 +92,17 @@
 	return fleet, nil
 }
 
+// prepare does what comes before the first process.
+func (f *Fleet) prepare() error {
+	if err := f.layOut(); err != nil {
+		return err
+	}
+	if err := f.makeFolders(); err != nil {
+		return err
+	}
+	return f.openClient()
+}
+
 // layOut gives each process its name and addresses.
 func (f *Fleet) layOut() error {
 	servers := 0
@@ -307,6 +307,7 @@
 			_ = running.Stop(patience)
 		}
 	}
+	f.ports.release()
 }
 
 func (f *Fleet) processes() []*process.Process {
--- a/internal/lab/fleet/start.go
+++ b/internal/lab/fleet/start.go
@@ -20,11 +20,7 @@
 	return f.options.Dial(from, to, address)
 }
 
-// start starts a process that listens on the addresses.
-func (f *Fleet) start(name, path string, addresses []string, arguments ...string) (*process.Process, error) {
-	if err := f.ports.release(addresses...); err != nil {
-		return nil, err
-	}
+func (f *Fleet) start(name, path string, arguments ...string) (*process.Process, error) {
 	return process.Start(process.Spec{
 		Name: name, Path: path, Arguments: arguments, LogFile: filepath.Join(f.options.Folder, "logs", name+".jsonl"),
 	})
@@ -35,7 +31,7 @@
 }
 
 func (f *Fleet) startPlatform() error {
-	started, err := f.start("platform", f.options.Lab, []string{f.Platform.Address}, "platform", "--address", f.Platform.Address)
+	started, err := f.start("platform", f.options.Lab, "platform", "--address", f.Platform.Address)
 	f.Platform.Process = started
 	return err
 }
@@ -63,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	controller.Process, err = f.start(controller.Name, f.options.Product, controller.addresses(), "controller", "--config", path)
+	controller.Process, err = f.start(controller.Name, f.options.Product, "controller", "--config", path)
 	return err
 }
 
@@ -99,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	router.Process, err = f.start(router.Name, f.options.Product, router.addresses(), "router", "--config", path)
+	router.Process, err = f.start(router.Name, f.options.Product, "router", "--config", path)
 	return err
 }
 
@@ -119,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	backEnd.Process, err = f.start(string(backEnd.Spec.ID), f.options.Lab, []string{backEnd.Address}, "backend", "--config", path)
+	backEnd.Process, err = f.start(string(backEnd.Spec.ID), f.options.Lab, "backend", "--config", path)
 	return err
 }
 
@@ -198,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	started, err := f.start(settings.Name, f.options.Lab, nil, "caller", "--config", path)
+	started, err := f.start(settings.Name, f.options.Lab, "caller", "--config", path)
 	if err == nil {
 		f.callers = append(f.callers, started)
 	}
