Controller: log lines of a replacement say what it is

A replica that took the place of one with a lost disk logged founder: true, since every joining replica keeps the founders now, and membership changes were logged by number. The line compares the identifiers, and changes are named; a test holds the former.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -71,6 +71,9 @@
 		now, known := g.find(lost)
 		return known && now.ID != before.ID && !now.Learner
 	})
+	if _, joined := g.processes[lost].logged(telemetry.EventGroupJoined); joined.Data["founder"] != false {
+		t.Errorf("the replacement says that it is a founder: %v", joined.Data)
+	}
 	members, err := g.client.Members(g.context())
 	if err != nil || len(members) != groupSize || slices.ContainsFunc(members, func(m consensus.Member) bool { return m.ID == before.ID }) {
 		t.Errorf("members after the replacement: %+v, %v", members, err)
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -100,10 +100,14 @@
 		return err
 	}
 	telemetry.With(f.log, telemetry.EventGroupJoined).WithField("cluster", answer.Cluster).
-		WithField("founder", len(joined.Founders) > 0).Info("joined a group")
+		WithField("founder", isFounder(joined)).Info("joined a group")
 	return nil
 }
 
+func isFounder(joined identity.Identity) bool {
+	return slices.ContainsFunc(joined.Founders, func(member consensus.Member) bool { return member.ID == joined.Replica })
+}
+
 func (f *formation) isFirst() bool {
 	return !slices.ContainsFunc(f.settings.Controllers, func(peer config.ControllerPeer) bool {
 		return peer.Name < f.settings.Name
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -46,11 +46,18 @@
 			return
 		}
 		telemetry.With(r.log, telemetry.EventMemberChanged).WithField("member", change.Member.Name).
-			WithField("replica", change.Member.ID).WithField("change", change.Kind).Info("membership change proposed")
+			WithField("replica", change.Member.ID).WithField("change", changeNames[change.Kind]).Info("membership change proposed")
 		return
 	}
 }
 
+// changeNames are the kinds of membership change in log lines.
+var changeNames = map[consensus.ChangeKind]string{
+	consensus.AddLearner:     "add_learner",
+	consensus.PromoteLearner: "promote_learner",
+	consensus.RemoveMember:   "remove_member",
+}
+
 func sortedIDs(members map[consensus.ReplicaID]consensus.Member) []consensus.ReplicaID {
 	ids := make([]consensus.ReplicaID, 0, len(members))
 	for id := range members {
