--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -97,7 +97,6 @@
 	if err := server.ShutdownWithContext(bounded); err != nil {
 		return eris.Wrapf(err, "%d requests did not finish within stop_timeout %s", r.limiter.Total(), r.settings.StopTimeout)
 	}
-	telemetry.With(r.log, telemetry.EventStopped).Info("stopped")
 	return nil
 }
 
