Placement: a hot key moves alone in the running system

Servers reported loads by shard with every renewal: at 85 shards that is some 35 bytes each, seven times a second, and nothing told which key is hot. The leader now asks for loads every 5 s, only for services that are balanced, and counts them over the time they cover; reports may name a shard's busiest key with a lower bound of its requests. SplitShards can give the part a target, so that the key is cut off and moved in one decision. TestHotKeyMovesAlone: with churn at 20 the key goes to the added server and the rest of its shard stays.

--- a/internal/backendapi/types.go
+++ b/internal/backendapi/types.go
@@ -84,6 +84,9 @@
 	Assignments []Assignment `json:"assignments,omitempty"`
 	// Drain asks the server to take no new work, whatever its assignments.
 	Drain bool `json:"drain,omitempty"`
+	// ReportLoads asks for LoadReport.ShardLoads in the answer. It comes every
+	// few seconds rather than with each renewal, since the list is long.
+	ReportLoads bool `json:"report_loads,omitempty"`
 	// Observed is true while the team's own scripts decide about the service's
 	// ownership. A server that holds a lease gives it up and claims Assignments
 	// instead; one that claims already goes on as it is. Without Observed, a
@@ -158,7 +161,8 @@
 	Queued  int `json:"queued"`
 	Slots   int `json:"slots"`
 	// ShardLoads gives the executed requests of each shard since the last
-	// report, in decimal; at most MaxShardLoads entries, the busiest first.
+	// report, in decimal; at most MaxShardLoads entries, the busiest first. In an
+	// answer to a lease message it is there only if ReportLoads asked for it.
 	ShardLoads []ShardLoad `json:"shard_loads,omitempty"`
 }
 
@@ -169,4 +173,8 @@
 type ShardLoad struct {
 	Shard    uint64 `json:"shard,string"`
 	Requests uint64 `json:"requests"`
+	// HotHash is the hash of the busiest key and HotRequests a lower bound of its
+	// requests; zero when the back end does not count by key.
+	HotHash     uint64 `json:"hot_hash,omitempty,string"`
+	HotRequests uint64 `json:"hot_requests,omitempty"`
 }
--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -32,12 +32,15 @@
 	}
 	c.noteTakers(name, known, view)
 	decision := known.layout.Decide(now)
-	if moves := c.chosenMoves(decision, view); len(moves) > 0 {
+	moves, parts := c.chosenMoves(decision, view)
+	if len(moves) > 0 {
 		c.pendingBalance = c.propose(actions, state.Command{RevokeShards: &state.RevokeShards{Moves: moves}})
-		return
 	}
-	if len(decision.Splits) > 0 {
-		c.pendingBalance = c.propose(actions, state.Command{SplitShards: &state.SplitShards{Parts: partsOf(decision.Splits)}})
+	if len(parts) == 0 && len(moves) == 0 {
+		parts = partsOf(decision.Splits)
+	}
+	if len(parts) > 0 {
+		c.pendingBalance = c.propose(actions, state.Command{SplitShards: &state.SplitShards{Parts: parts}})
 	}
 }
 
@@ -50,18 +53,23 @@
 	}
 }
 
-// chosenMoves takes the moves whose target can still take shards. Those off
+// chosenMoves takes the moves whose target can still take shards: those of
+// whole shards, and those of single keys that are cut off first. Those off
 // servers that are leaving are begun elsewhere, with or without a policy.
-func (c *Coordinator) chosenMoves(decision placement.Decision, view *state.State) []state.MoveShard {
+func (c *Coordinator) chosenMoves(decision placement.Decision, view *state.State) ([]state.MoveShard, []state.ShardPart) {
 	var moves []state.MoveShard
+	var parts []state.ShardPart
 	for _, move := range decision.Moves {
 		target, found := view.Server(move.To)
-		if move.Reason == placement.ReasonEvacuate || !found || !takesShards(target, c.contacts[target.ID]) {
-			continue
+		switch {
+		case move.Reason == placement.ReasonEvacuate || !found || !takesShards(target, c.contacts[target.ID]):
+		case move.Isolate:
+			parts = append(parts, state.ShardPart{Shard: move.Shard, Epoch: move.Epoch, Range: move.Range, To: move.To})
+		default:
+			moves = append(moves, state.MoveShard{Shard: move.Shard, Epoch: move.Epoch, From: move.From, To: move.To})
 		}
-		moves = append(moves, state.MoveShard{Shard: move.Shard, Epoch: move.Epoch, From: move.From, To: move.To})
 	}
-	return moves
+	return moves, parts
 }
 
 func partsOf(splits []placement.Split) []state.ShardPart {
--- a/internal/coordinator/balance_test.go
+++ b/internal/coordinator/balance_test.go
@@ -17,6 +17,8 @@
 	weight func(keys state.KeyRange) float64
 	// lies, if set, changes a report before it is sent.
 	lies func(server state.ServerID, report *backendapi.LoadReport)
+	// hot is a key that servers count by itself; zero for none.
+	hot uint64
 	// rest holds the fractions of requests that were not reported yet.
 	rest map[state.ShardID]float64
 	// mostMoves is the largest number of shards that were moving at once.
@@ -38,25 +40,38 @@
 }
 
 // perReport is the requests of the whole service in one report interval.
-const perReport = 100
+const perReport = 3000
 
-func (l *loaded) report(server state.ServerID) backendapi.LoadReport {
+func (l *loaded) report(server state.ServerID, loads bool) backendapi.LoadReport {
 	report := backendapi.LoadReport{Slots: 4}
 	total := 0.0
 	for _, shard := range l.view.OwnedBy(server) {
-		requests := perReport*l.weight(shard.Range) + l.rest[shard.ID]
-		l.rest[shard.ID] = requests - math.Floor(requests)
-		total += math.Floor(requests)
-		report.ShardLoads = append(report.ShardLoads, backendapi.ShardLoad{Shard: uint64(shard.ID), Requests: uint64(requests)})
+		requests := perReport * l.weight(shard.Range)
+		total += requests
+		if loads {
+			report.ShardLoads = append(report.ShardLoads, l.shardLoad(shard, requests))
+		}
 	}
-	const perBusySlot = 15
-	report.Running = int(total / perBusySlot)
+	// Ten milliseconds a request, and reports every five seconds.
+	const perBusySlot = 500
+	report.Running = int(total/perBusySlot + 0.5)
 	if l.lies != nil {
 		l.lies(server, &report)
 	}
 	return report
 }
 
+func (l *loaded) shardLoad(shard state.Shard, requests float64) backendapi.ShardLoad {
+	requests += l.rest[shard.ID]
+	l.rest[shard.ID] = requests - math.Floor(requests)
+	load := backendapi.ShardLoad{Shard: uint64(shard.ID), Requests: uint64(requests)}
+	if l.hot != 0 && shard.Range.Contains(l.hot) {
+		alone := l.weight(state.KeyRange{First: l.hot, Last: l.hot})
+		load.HotHash, load.HotRequests = l.hot, uint64(perReport*alone)
+	}
+	return load
+}
+
 func (l *loaded) run(duration time.Duration) {
 	for end := l.now + duration; l.now < end; {
 		l.tick()
@@ -139,6 +154,36 @@
 	}
 }
 
+// A key that servers count by itself moves alone, and costs next to no churn.
+func TestHotKeyMovesAlone(t *testing.T) {
+	const hot = 1<<57 + 5
+	l := newLoaded(t, true, func(keys state.KeyRange) float64 {
+		if keys.Contains(hot) {
+			return 0.2 + keys.Width()
+		}
+		return keys.Width()
+	})
+	l.hot = hot
+	service, _ := l.view.Service("s")
+	service.Weights.Churn = 20
+	plan := state.Plan{ID: "dear", Operations: []state.Operation{{PutService: &service}}}
+	l.apply(state.Command{StorePlan: &state.StorePlan{Plan: plan}})
+	l.apply(state.Command{ConfirmPlan: &state.ConfirmPlan{Plan: plan.ID}})
+	// One more server takes nothing but what is moved to it.
+	added := state.Server{ID: "server-9999", Service: "s", Zone: "a", Slots: 4, Intent: state.ServerActive}
+	plan = state.Plan{ID: "add", Operations: []state.Operation{{PutServer: &added}}}
+	l.apply(state.Command{StorePlan: &state.StorePlan{Plan: plan}})
+	l.apply(state.Command{ConfirmPlan: &state.ConfirmPlan{Plan: plan.ID}})
+	l.run(3 * time.Minute)
+	alone, _ := l.view.ShardAt("s", hot)
+	if alone.Range.First != alone.Range.Last || alone.Owner != added.ID {
+		t.Fatalf("the hot key's shard: %+v", alone)
+	}
+	if rest, _ := l.view.ShardAt("s", hot-1); rest.Owner != fleetServer(0) || rest.Epoch != 1 {
+		t.Errorf("the rest of the shard moved, too: %+v", rest)
+	}
+}
+
 // A server that overstates its busy slots, and counts requests of shards that
 // it does not own, moves nothing.
 func TestBalanceIsNotMisled(t *testing.T) {
--- a/internal/coordinator/balancer.go
+++ b/internal/coordinator/balancer.go
@@ -43,24 +43,35 @@
 
 // account sums up the reports of one interval.
 type account struct {
-	executed map[state.ShardID]uint64
-	servers  map[state.ServerID]*serverAccount
-	// length is how long the interval lasted; perRequest the time that a request
-	// keeps a slot busy. Both are in seconds.
-	length     float64
+	shards  map[state.ShardID]shardAccount
+	servers map[state.ServerID]*serverAccount
+	// perRequest is the time that a request keeps a slot busy, in seconds.
 	perRequest float64
 }
 
-// serverAccount is one server's part: the requests that it counted, and its
-// word on the slots that are busy.
+// shardAccount is the requests of a shard, and of its busiest key.
+type shardAccount struct {
+	executed uint64
+	hotHash  uint64
+	hot      uint64
+}
+
+// serverAccount is one server's part: the requests that it counted over the
+// covered time, and its word on the slots that are busy.
 type serverAccount struct {
 	executed uint64
+	covered  time.Duration
 	busy     float64
 	reports  int
 }
 
+// rate is the requests a second of which some were counted.
+func (s *serverAccount) rate(executed uint64) float64 {
+	return float64(executed) / s.covered.Seconds()
+}
+
 func newAccount() account {
-	return account{executed: make(map[state.ShardID]uint64), servers: make(map[state.ServerID]*serverAccount)}
+	return account{shards: make(map[state.ShardID]shardAccount), servers: make(map[state.ServerID]*serverAccount)}
 }
 
 // load returns a shard's smoothed load in busy slots, or zero when the service
@@ -161,44 +172,69 @@
 	for _, option := range kept {
 		before, found := b.layout.Shard(option.ID)
 		if found && option.Service == created.Service && before.Range.Contains(created.Range.First) {
-			b.estimator.Split(option.ID, created.ID, created.Range.Width()/before.Range.Width())
+			part := created.Range.Width() / before.Range.Width()
+			if before.HotShare > 0 && created.Range.Contains(before.HotHash) {
+				part = max(part, before.HotShare)
+			}
+			b.estimator.Split(option.ID, created.ID, min(part, 1))
 			b.active[created.ID] = struct{}{}
 			return
 		}
 	}
 }
 
+// wantsLoads reports whether the next message to a server should ask for the
+// loads of its shards.
+func (b *balancer) wantsLoads(now time.Duration, known *contact) bool {
+	return b.services[known.service] != nil && (known.loadAt < 0 || now-known.loadAt >= reviewInterval)
+}
+
 // count takes a server's report. Only shards that the server owns count, so
-// that it can mislead about no others.
-func (b *balancer) count(service state.ServiceName, server state.ServerID, report backendapi.LoadReport) {
-	known := b.services[service]
+// that it can mislead about no others. The first counts after an election reach
+// back to an unknown moment and are left out.
+func (b *balancer) count(now time.Duration, server *contact, report backendapi.LoadReport) {
+	known := b.services[server.service]
 	if known == nil {
 		return
 	}
-	own := known.accounts.servers[server]
+	own := known.accounts.servers[server.server]
 	if own == nil {
 		own = &serverAccount{}
-		known.accounts.servers[server] = own
+		known.accounts.servers[server.server] = own
 	}
 	own.reports++
 	own.busy += float64(max(report.Running, 0))
+	if !server.asked {
+		return
+	}
+	since := server.loadAt
+	server.asked, server.loadAt = false, now
+	if since < 0 || now <= since {
+		return
+	}
+	own.covered += now - since
 	for _, load := range report.ShardLoads[:min(len(report.ShardLoads), backendapi.MaxShardLoads)] {
-		shard, found := known.layout.Shard(state.ShardID(load.Shard))
-		if found && shard.Owner == server {
-			known.accounts.executed[shard.ID] += load.Requests
+		if shard, found := known.layout.Shard(state.ShardID(load.Shard)); found && shard.Owner == server.server {
+			known.accounts.add(load)
 			own.executed += load.Requests
 		}
 	}
 }
 
+func (a account) add(load backendapi.ShardLoad) {
+	known := a.shards[state.ShardID(load.Shard)]
+	known.executed += load.Requests
+	known.hotHash, known.hot = load.HotHash, min(load.HotRequests, load.Requests)
+	a.shards[state.ShardID(load.Shard)] = known
+}
+
 // close ends the interval and begins to review it.
 func (b *balanced) close(now time.Duration) {
 	b.reviewed = b.accounts
-	b.reviewed.length = (now - b.begin).Seconds()
 	b.accounts = newAccount()
 	b.begin = now
 	b.reviewed.perRequest = b.reviewed.medianTime()
-	for shard := range b.reviewed.executed {
+	for shard := range b.reviewed.shards {
 		b.active[shard] = struct{}{}
 	}
 	b.queue = b.queue[:0]
@@ -214,8 +250,8 @@
 func (a account) medianTime() float64 {
 	times := make([]float64, 0, len(a.servers))
 	for _, own := range a.servers {
-		if own.executed > 0 && own.busy > 0 {
-			times = append(times, own.busy/float64(own.reports)*a.length/float64(own.executed))
+		if own.executed > 0 && own.covered > 0 && own.busy > 0 {
+			times = append(times, own.busy/float64(own.reports)/own.rate(own.executed))
 		}
 	}
 	if len(times) == 0 {
@@ -238,7 +274,8 @@
 	b.estimator.Observe(now, observations)
 	for _, observed := range observations {
 		load, _ := b.estimator.ShardLoad(observed.Shard)
-		b.layout.SetLoad(observed.Shard, load, 0, 0)
+		counted := b.reviewed.shards[observed.Shard]
+		b.layout.SetLoad(observed.Shard, load, counted.hotHash, float64(counted.hot)/float64(max(counted.executed, 1)))
 		if load < idleLoad && observed.Routed == 0 {
 			delete(b.active, observed.Shard)
 		}
@@ -259,14 +296,13 @@
 		return placement.Observation{}, false
 	}
 	own := b.reviewed.servers[shard.Owner]
-	if own == nil || own.reports == 0 {
+	if own == nil || own.covered <= 0 {
 		return placement.Observation{}, false
 	}
-	rate := float64(b.reviewed.executed[id]) / b.reviewed.length
-	observation := placement.Observation{Shard: id, Routed: rate * b.reviewed.perRequest, RoutedKnown: true}
+	executed := b.reviewed.shards[id].executed
+	observation := placement.Observation{Shard: id, Routed: own.rate(executed) * b.reviewed.perRequest, RoutedKnown: true}
 	if own.executed > 0 && own.busy > 0 {
-		share := float64(b.reviewed.executed[id]) / float64(own.executed)
-		observation.Reported = share * own.busy / float64(own.reports)
+		observation.Reported = float64(executed) / float64(own.executed) * own.busy / float64(own.reports)
 		observation.ReportedKnown = true
 	}
 	return observation, true
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -17,7 +17,7 @@
 	core  *Coordinator
 	lost  map[state.ServerID]bool
 	// report makes a server's load report; nil reports nothing.
-	report func(server state.ServerID) backendapi.LoadReport
+	report func(server state.ServerID, loads bool) backendapi.LoadReport
 }
 
 func newFleet(servers, shards int) *fleet {
@@ -77,7 +77,7 @@
 		}
 		var load backendapi.LoadReport
 		if f.report != nil {
-			load = f.report(send.Server)
+			load = f.report(send.Server, send.Request.ReportLoads)
 		}
 		f.core.Answered(f.now, send.Server, send.Request.Fence.Sequence, backendapi.LeaseAnswer{
 			Server: string(send.Server), Incarnation: "one", ClockNs: int64(f.now), Accepted: true,
--- a/internal/coordinator/contact.go
+++ b/internal/coordinator/contact.go
@@ -48,6 +48,10 @@
 	service  state.ServiceName
 	readyAt  time.Duration
 	openedAs state.SessionNumber
+	// loadAt is when shard loads came last, -1 before that; asked is true while
+	// the message in flight asks for them.
+	loadAt time.Duration
+	asked  bool
 	// withdrawn is true while operators or the platform want the server to give
 	// up its shards.
 	withdrawn bool
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -120,7 +120,7 @@
 	if known, found := c.contacts[server]; found {
 		return known
 	}
-	created := &contact{server: server, next: now, eager: true, readingAt: -1, renewedAt: c.leadSince}
+	created := &contact{server: server, next: now, eager: true, readingAt: -1, loadAt: -1, renewedAt: c.leadSince}
 	c.contacts[server] = created
 	position, _ := slices.BinarySearchFunc(c.ordered, server, compareContact)
 	c.ordered = slices.Insert(c.ordered, position, created)
@@ -261,7 +261,7 @@
 	known.learn(now, answer)
 	c.newestReading = now
 	c.noteLeaving(known)
-	c.balancer.count(known.service, server, answer.Load)
+	c.balancer.count(now, known, answer.Load)
 	known.answered = true
 	known.eager = known.eager || changedProcess
 	if answer.Fence.Term == c.term && answer.Fence.Sequence > known.sequence {
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -120,6 +120,8 @@
 
 func (c *Coordinator) send(now time.Duration, known *contact, server state.Server, request backendapi.LeaseRequest, actions *Actions) {
 	request.Fence = known.fence(c.term)
+	known.asked = request.ReadingNs != 0 && c.balancer.wantsLoads(now, known)
+	request.ReportLoads = known.asked
 	known.inFlight = true
 	known.next = now + c.interval(known, server)
 	actions.Sends = append(actions.Sends, Send{Server: server.ID, Address: server.Address, Request: request})
--- a/internal/lab/backend/execute.go
+++ b/internal/lab/backend/execute.go
@@ -150,8 +150,8 @@
 		return
 	}
 	starting.run = b.holder.Begin(current.shard, current.keyHash)
-	b.leaseLoads.add(current.shard)
-	b.reportLoads.add(current.shard)
+	b.leaseLoads.add(current.shard, current.keyHash)
+	b.reportLoads.add(current.shard, current.keyHash)
 }
 
 // abandon gives back what a request that did not run held.
--- a/internal/lab/backend/handler.go
+++ b/internal/lab/backend/handler.go
@@ -111,7 +111,7 @@
 	b.mutex.Lock()
 	answered := b.holder.HandleLease(record.Monotonic(), message)
 	answered.Load = b.loadLocked()
-	if answered.Accepted && message.Incarnation != "" {
+	if answered.Accepted && message.ReportLoads {
 		answered.Load.ShardLoads = b.leaseLoads.take()
 	}
 	b.mutex.Unlock()
--- a/internal/state/apply_split.go
+++ b/internal/state/apply_split.go
@@ -1,12 +1,13 @@
 package state
 
 // splitShards cuts parts off shards of services whose policy allows it. The
-// parts keep owner and epoch, since the owner does not change.
+// parts keep owner and epoch, since the owner does not change yet.
 func (tx *transaction) splitShards(command *SplitShards) Result {
 	for _, part := range command.Parts {
 		shard, found := tx.state.Shard(part.Shard)
 		if found && tx.maySplit(shard, part) {
 			tx.cutOut(shard, part.Range)
+			tx.aim(shard.Service, part)
 		}
 	}
 	return Result{}
@@ -20,6 +21,9 @@
 	if shard.Phase != ShardOwned || shard.Target != "" || shard.Epoch != part.Epoch {
 		return false
 	}
+	if part.To != "" && (part.To == shard.Owner || !tx.takes(part.To, shard.Service)) {
+		return false
+	}
 	inside := shard.Range.First <= part.Range.First && part.Range.First <= part.Range.Last && part.Range.Last <= shard.Range.Last
 	return inside && part.Range != shard.Range
 }
@@ -33,3 +37,18 @@
 		tx.cut(whole.Service, part.Last+1)
 	}
 }
+
+// takes reports whether a server of the service can be a target.
+func (tx *transaction) takes(id ServerID, service ServiceName) bool {
+	server, found := tx.state.Server(id)
+	return found && server.Service == service && server.Session.Open && server.Intent == ServerActive
+}
+
+// aim gives the part its target, if it has one.
+func (tx *transaction) aim(service ServiceName, part ShardPart) {
+	shard, found := tx.state.ShardAt(service, part.Range.First)
+	if found && part.To != "" {
+		shard.Target = part.To
+		tx.putShard(shard)
+	}
+}
--- a/internal/state/apply_split_test.go
+++ b/internal/state/apply_split_test.go
@@ -28,6 +28,8 @@
 		"outside":   {Shard: 1, Epoch: owned.Epoch, Range: KeyRange{First: 1, Last: math.MaxUint64}},
 		"reversed":  {Shard: 1, Epoch: owned.Epoch, Range: KeyRange{First: middle.Last, Last: middle.First}},
 		"whole":     {Shard: 1, Epoch: owned.Epoch, Range: owned.Range},
+		"own owner": {Shard: 1, Epoch: owned.Epoch, Range: middle, To: "a"},
+		"no server": {Shard: 1, Epoch: owned.Epoch, Range: middle, To: "c"},
 		"unowned":   {Shard: 2, Range: KeyRange{First: 1 << 63, Last: 1<<63 + 5}},
 	} {
 		if count := split(part); count != 2 {
@@ -44,4 +46,12 @@
 		}
 		next = shard.Range.Last + 1
 	}
+	part, _ := m.state.ShardAt("s", middle.First)
+	hot := KeyRange{First: middle.First + 5, Last: middle.First + 5}
+	if count := split(ShardPart{Shard: part.ID, Epoch: part.Epoch, Range: hot, To: "b"}); count != 6 {
+		t.Fatalf("want the hot key alone: %d shards", count)
+	}
+	if alone, _ := m.state.ShardAt("s", hot.First); alone.Range != hot || alone.Target != "b" || alone.Owner != "a" {
+		t.Errorf("the hot key's shard: %+v", alone)
+	}
 }
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -84,17 +84,18 @@
 	Moves []MoveShard
 }
 
-// SplitShards cuts parts off shards whose owner stays, as the service's policy
-// allows. A part that may not be cut is left out.
+// SplitShards cuts parts off shards, as the service's policy allows. A part that may not be cut is left out.
 type SplitShards struct {
 	Parts []ShardPart
 }
 
-// ShardPart is a part of a shard at one epoch.
+// ShardPart is a part of a shard at one epoch. With To set, the part is to move
+// there.
 type ShardPart struct {
 	Shard ShardID
 	Epoch Epoch
 	Range KeyRange
+	To    ServerID
 }
 
 // SetLeaving records the platform's word on a server's machine.
