Demo: an outage or missing answers fail it

A run with 2070 of 6022 answers unknown and 11.3 s without success of one service called itself ok, since no guarantee was broken. The demo now holds each service to at most 2 s without success and at least 99 in 100 requests to their answer, across the loss of a back end, the leader and a router.

--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -28,6 +28,10 @@
 	loadDuration    = 20 * time.Second
 	betweenSteps    = 1500 * time.Millisecond
 	stepTimeout     = 15 * time.Second
+	// maxUnavailable covers the loss of a back end, of the leading controller and
+	// of a router, 1.5 s apart.
+	maxUnavailable = 2 * time.Second
+	minAnswered    = 0.99
 )
 
 // Run runs the demonstration and returns its judgement.
@@ -41,7 +45,8 @@
 			Controllers: controllers, Routers: routers, Deployments: []fleet.Deployment{paylink, derwent},
 		},
 		Rate: rate, Duration: loadDuration, Seed: 1, Say: options.Say,
-		Steps: func(ctx context.Context, t *trial.Trial) error { return steps(ctx, t, paylink, derwent) },
+		Limits: trial.Limits{MaxUnavailable: maxUnavailable, MinAnswered: minAnswered},
+		Steps:  func(ctx context.Context, t *trial.Trial) error { return steps(ctx, t, paylink, derwent) },
 	})
 }
 
--- a/internal/lab/trial/table.go
+++ b/internal/lab/trial/table.go
@@ -28,6 +28,9 @@
 	row("max_unavailable_ms", fmt.Sprintf("%.0f", r.MaxUnavailableMs), "longest time without success of one service")
 	row("ok", r.OK, "all of the above held")
 	_ = writer.Flush() // a strings.Builder takes everything
+	for _, line := range r.Exceeded {
+		fmt.Fprintf(&text, "exceeded: %s\n", line)
+	}
 	for _, violation := range r.Violations[:min(len(r.Violations), 10)] {
 		fmt.Fprintf(&text, "broken: %s %s %s %s: %s\n", violation.Count, violation.Service, violation.Server, violation.Request, violation.Detail)
 	}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -27,6 +27,8 @@
 	Caller func(*caller.Config)
 	// Steps act on the fleet while the callers send. An error ends the trial.
 	Steps func(ctx context.Context, t *Trial) error
+	// Limits bound what is no broken guarantee but must not happen either.
+	Limits Limits
 	// Say prints progress.
 	Say func(format string, arguments ...any)
 }
@@ -47,6 +49,8 @@
 type Result struct {
 	record.Summary
 	Violations []record.Violation `json:"violations,omitempty"`
+	// Exceeded lists the limits that the run did not keep.
+	Exceeded []string `json:"exceeded,omitempty"`
 }
 
 // Run runs a trial from start to judgement. No process outlives it.
@@ -225,5 +229,10 @@
 		inputs.BackendFiles = append(inputs.BackendFiles, backEnd.RecordFile)
 	}
 	summary, violations, err := record.Verify(inputs)
-	return Result{Summary: summary, Violations: violations}, err
+	if err != nil {
+		return Result{}, err
+	}
+	result := Result{Summary: summary, Violations: violations, Exceeded: t.options.Limits.exceededBy(summary)}
+	result.OK = result.OK && len(result.Exceeded) == 0
+	return result, nil
 }
