Record partitions move within a second; live routers keep their sessions

The lease of a record primary was 2 s, so that a dead router held up its keys for as long; it is 800 ms now, with a ping each 150 ms. A new leader now waits a second longer for routers that it has not heard, nobody's session ends while no router answers or after this controller was paused, and the last copy of a partition is waited for 4 s more.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -149,7 +149,7 @@
 			QueueFrames:     256,
 			WriteTimeout:    2 * time.Second,
 		},
-		Partitions:  Partitions{Count: 16, LeaseDuration: 2 * time.Second},
+		Partitions:  Partitions{Count: 16, LeaseDuration: 800 * time.Millisecond},
 		API:         API{BodyLimit: mebibyte, MaxConnections: 256, RequestTimeout: 5 * time.Second, PlanLimit: 1000},
 		TLS:         defaultTLS(),
 		Maintenance: Maintenance{Interval: 20 * time.Millisecond},
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -76,7 +76,7 @@
 		PeerAddress:    "127.0.0.1:7401",
 		AdminAddress:   "127.0.0.1:7501",
 		StalenessLimit: 4 * time.Second,
-		PingInterval:   500 * time.Millisecond,
+		PingInterval:   150 * time.Millisecond,
 		StopTimeout:    10 * time.Second,
 		MaxBodyBytes:   16 * mebibyte,
 		MaxConnections: 4096,
--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -33,6 +33,14 @@
 	// failedWait is how long a backup that did not answer is not chosen again by
 	// the same primary.
 	failedWait = 3 * time.Second
+	// reconnectWait is added for routers that a new leader has not heard yet.
+	reconnectWait = time.Second
+	// lastCopyWait is added before the session of a router is closed that alone
+	// holds the records of a partition, as far as is known: it may come back.
+	lastCopyWait = 4 * time.Second
+	// pauseShare is the part of a lease's length from which a gap between two
+	// looks counts as a pause of this controller.
+	pauseShare = 2
 )
 
 // PartitionEpoch names a partition at one epoch.
@@ -60,6 +68,8 @@
 	contacts map[state.RouterID]*contact
 	// leadingSince is when this controller was elected.
 	leadingSince time.Duration
+	// lastLook is when Tick was called last.
+	lastLook time.Duration
 	// firstUsable is when the first router could take partitions.
 	firstUsable time.Duration
 	synced      map[PartitionEpoch]bool
@@ -105,6 +115,7 @@
 	p.failed = make(map[PartitionEpoch]bool)
 	p.unreachable = make(map[routerPair]time.Duration)
 	p.leadingSince = now
+	p.lastLook = now
 	p.firstUsable = 0
 }
 
@@ -165,9 +176,11 @@
 // milliseconds.
 func (p *Placement) Tick(moment Moment, view *state.State) []state.Command {
 	p.forgetFailures(moment.Now)
+	p.noticeSilence(moment.Now)
+	lastCopies := p.lastCopies(moment.Now, view)
 	var commands []state.Command
 	for _, router := range view.Routers() {
-		if command, due := p.closeSession(moment.Now, router); due {
+		if command, due := p.closeSession(moment.Now, router, lastCopies[router.ID]); due {
 			commands = append(commands, command)
 		}
 	}
@@ -180,7 +193,7 @@
 
 // closeSession ends the session of a router whose lease has surely ended, or
 // which promised not to act any more.
-func (p *Placement) closeSession(now time.Duration, router state.Router) (state.Command, bool) {
+func (p *Placement) closeSession(now time.Duration, router state.Router, lastCopy bool) (state.Command, bool) {
 	if !router.Session.Open {
 		return state.Command{}, false
 	}
@@ -190,13 +203,72 @@
 		known.renewedAt = max(known.renewedAt, now)
 	}
 	stopped := known.report.Stopped && known.wanted.Session.Incarnation == router.Session.Incarnation
-	if !stopped && now-known.renewedAt <= p.settings.surelyEnded() {
+	if !stopped && now-known.renewedAt <= p.patience(known, router, lastCopy) {
 		return state.Command{}, false
 	}
 	known.closing = router.Session.Number
 	return state.Command{CloseRouter: &state.CloseRouter{Router: router.ID, Session: router.Session.Number}}, true
 }
 
+// patience is how long after its last lease a session stays open. Longer than
+// until the lease has surely ended is always safe.
+func (p *Placement) patience(known *contact, router state.Router, lastCopy bool) time.Duration {
+	wait := p.settings.surelyEnded()
+	if known.pinged == 0 {
+		wait += reconnectWait
+	}
+	replaced := known.pinged > 0 && known.wanted.Session.Incarnation != router.Session.Incarnation
+	if lastCopy && !replaced {
+		wait += lastCopyWait
+	}
+	return wait
+}
+
+// noticeSilence keeps sessions open after this controller was paused, and while
+// no router is heard: then the fault is rather on this side, and no session can
+// be put to better use.
+func (p *Placement) noticeSilence(now time.Duration) {
+	paused := now-p.lastLook > p.settings.LeaseDuration/pauseShare
+	p.lastLook = now
+	heard := false
+	for _, known := range p.contacts {
+		heard = heard || p.answers(now, known)
+	}
+	if heard && !paused {
+		return
+	}
+	for _, known := range p.contacts {
+		known.renewedAt = max(known.renewedAt, now)
+	}
+}
+
+// lastCopies returns the routers that hold the records of a partition of which
+// no other router that answers holds them all.
+func (p *Placement) lastCopies(now time.Duration, view *state.State) map[state.RouterID]bool {
+	last := make(map[state.RouterID]bool)
+	for _, placed := range view.Partitions() {
+		primary := p.holds(now, view, placed.Primary, placed.PrimarySession)
+		backup := placed.BackupSynced && p.holds(now, view, placed.Backup, placed.BackupSession)
+		if !backup {
+			last[placed.Primary] = true
+		}
+		if !primary && placed.BackupSynced {
+			last[placed.Backup] = true
+		}
+	}
+	return last
+}
+
+// holds reports whether the process of a session answers.
+func (p *Placement) holds(now time.Duration, view *state.State, id state.RouterID, session state.SessionNumber) bool {
+	registered, found := view.Router(id)
+	if !found || !registered.Session.Open || registered.Session.Number != session {
+		return false
+	}
+	known := p.contact(id)
+	return p.answers(now, known) && known.wanted.Session.Incarnation == registered.Session.Incarnation
+}
+
 func (p *Placement) openSessions(now time.Duration, view *state.State) []state.Command {
 	var commands []state.Command
 	for _, id := range slices.Sorted(maps.Keys(p.contacts)) {
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -70,8 +70,6 @@
 
 	// preferred is the index of the controller that answered last.
 	preferred int
-	// hint is the leader's address by a controller that refused, or empty.
-	hint string
 	// resync asks for a whole snapshot on the next connection.
 	resync bool
 	nonce  uint64
@@ -125,18 +123,6 @@
 	return (s.preferred + 1) % len(s.controllers)
 }
 
-// choose takes the controller for the next connection: the leader, if one was
-// named, else the next in turn.
-func (s *subscription) choose() {
-	named := slices.Index(s.controllers, s.hint)
-	s.hint = ""
-	if named >= 0 && named != s.preferred {
-		s.preferred = named
-		return
-	}
-	s.preferred = (s.preferred + 1) % len(s.controllers)
-}
-
 func reconnectDelay(failures int) time.Duration {
 	delay := reconnectBase
 	for i := 1; i < failures && delay < reconnectMax; i++ {
@@ -253,9 +239,6 @@
 		s.records.Renew(*frame.Pong)
 		return nil
 	case frame.Refusal != nil:
-		if frame.Refusal.Kind == fault.NotLeader {
-			s.hint = frame.Refusal.Detail
-		}
 		return &refusedError{refusal: *frame.Refusal}
 	default:
 		return eris.New("the controller sent an empty frame")
