Log lines: every event on the page is written by some code

Nine events stood on the page that nothing wrote. Routers now log when a server is ejected, gets requests again or refuses work because it drains, and when an answer carries another request's identifier, each at the change alone; the health tracker reports the changes. Five events that no code had a place for are off the list: misuse, peer_lost, peer_refused, server_unreachable and router_slow.

--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -70,27 +70,33 @@
 	}
 }
 
-// Succeeded records an answer of the server, also a refusal: it is alive.
-func (t *Tracker) Succeeded(id state.ServerID) {
+// Succeeded records an answer of the server, also a refusal: it is alive. It
+// reports whether that ended an ejection.
+func (t *Tracker) Succeeded(id state.ServerID) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	found := t.record(id)
+	readmitted := found.ejected
 	found.failures = 0
 	found.ejections = 0
 	found.ejected = false
 	found.probing = false
+	return readmitted
 }
 
 // Failed records a failed connection or a timeout. It ejects the server after
-// enough of them in a row, or at once if the attempt was a probe.
-func (t *Tracker) Failed(id state.ServerID, now time.Duration) {
+// enough of them in a row, or at once if the attempt was a probe. It reports
+// whether that began an ejection; a probe that fails only prolongs one.
+func (t *Tracker) Failed(id state.ServerID, now time.Duration) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	found := t.record(id)
 	found.failures++
+	ejected := found.ejected
 	if found.probing || found.failures >= t.settings.Failures {
 		t.eject(found, now)
 	}
+	return found.ejected && !ejected
 }
 
 func (t *Tracker) eject(found *record, now time.Duration) {
@@ -117,13 +123,15 @@
 
 // Drained records that the server refused work because it drains. It gets no
 // new work until the controllers change its object: a new session, or its
-// leaving mark.
-func (t *Tracker) Drained(server *state.Server) {
+// leaving mark. It reports whether that was not known before.
+func (t *Tracker) Drained(server *state.Server) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	found := t.record(server.ID)
+	known := found.drained && found.drainedRev == server.Revision
 	found.drained = true
 	found.drainedRev = server.Revision
+	return !known
 }
 
 // Hint records the answer of the server's health endpoint.
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -43,15 +43,21 @@
 	tracker.Failed("a", 0)
 	tracker.Failed("a", 0)
 	wantChosen(t, tracker.Choose(all, 0), "a", "b", "c")
-	tracker.Failed("a", 0)
+	if !tracker.Failed("a", 0) || tracker.Failed("a", 0) {
+		t.Error("an ejection begins once")
+	}
 	wantChosen(t, tracker.Choose(all, 0), "b", "c")
 	wantChosen(t, tracker.Choose(all, time.Second), "a", "b", "c")
 	tracker.Begin("a", time.Second)
 	wantChosen(t, tracker.Choose(all, time.Second), "b", "c")
-	tracker.Failed("a", time.Second)
+	if tracker.Failed("a", time.Second) {
+		t.Error("a probe that fails began an ejection")
+	}
 	wantChosen(t, tracker.Choose(all, 3*time.Second-1), "b", "c")
 	tracker.Begin("a", 3*time.Second)
-	tracker.Succeeded("a")
+	if !tracker.Succeeded("a") || tracker.Succeeded("a") {
+		t.Error("an ejection ends once")
+	}
 	wantChosen(t, tracker.Choose(all, 3*time.Second), "a", "b", "c")
 }
 
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
@@ -17,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 const (
@@ -39,6 +41,7 @@
 	freshness *freshness
 	metrics   *metrics
 	buffer    *buffer
+	log       *logrus.Entry
 
 	mutex   sync.Mutex
 	budgets map[state.ServiceName]*retry.Budget
@@ -210,31 +213,47 @@
 	target.queue.ReleaseUnused()
 }
 
-// learn tells the health tracker how the attempt went.
+// learn tells the health tracker how the attempt went, and logs what changed.
 func (e *executor) learn(exchange *Exchange, server *state.Server, failure *fault.Error, took time.Duration) {
-	tracker := e.fleet.health
 	if failure == nil {
-		tracker.Succeeded(server.ID)
+		e.alive(server)
 		return
 	}
 	switch failure.Kind {
 	case fault.Draining:
-		tracker.Succeeded(server.ID)
-		tracker.Drained(server)
-	case fault.ConnectFailed, fault.ConnectionLost, fault.AnswerTruncated, fault.AnswerMismatched:
-		tracker.Failed(server.ID, e.clock.Now())
+		e.alive(server)
+		if e.fleet.health.Drained(server) {
+			telemetry.With(e.log, telemetry.EventServerDraining).WithField("server", server.ID).Info("server takes no new work")
+		}
+	case fault.AnswerMismatched:
+		telemetry.WithError(e.log, telemetry.EventAnswerMismatched, failure).WithField("server", server.ID).Error("answer to another request")
+		e.failed(server, failure)
+	case fault.ConnectFailed, fault.ConnectionLost, fault.AnswerTruncated:
+		e.failed(server, failure)
 	case fault.DeadlineExceeded:
 		// A caller in a hurry proves nothing about the server.
 		const half = 2
 		if took >= exchange.service.DefaultTimeout/half {
-			tracker.Failed(server.ID, e.clock.Now())
+			e.failed(server, failure)
 			return
 		}
-		tracker.ProbeAbandoned(server.ID)
+		e.fleet.health.ProbeAbandoned(server.ID)
 	case fault.QueueFull:
-		tracker.ProbeAbandoned(server.ID)
+		e.fleet.health.ProbeAbandoned(server.ID)
 	default:
-		tracker.Succeeded(server.ID)
+		e.alive(server)
+	}
+}
+
+func (e *executor) alive(server *state.Server) {
+	if e.fleet.health.Succeeded(server.ID) {
+		telemetry.With(e.log, telemetry.EventServerReadmitted).WithField("server", server.ID).Info("server gets requests again")
+	}
+}
+
+func (e *executor) failed(server *state.Server, failure *fault.Error) {
+	if e.fleet.health.Failed(server.ID, e.clock.Now()) {
+		telemetry.WithError(e.log, telemetry.EventServerEjected, failure).WithField("server", server.ID).Warn("server gets no requests for a while")
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -131,7 +131,7 @@
 			BaseDelay:   r.settings.Retry.BackoffBase,
 			MaxDelay:    r.settings.Retry.BackoffMax,
 		},
-		metrics: r.metrics, buffer: r.buffer, budgets: make(map[state.ServiceName]*retry.Budget),
+		metrics: r.metrics, buffer: r.buffer, log: r.log, budgets: make(map[state.ServiceName]*retry.Budget),
 	}
 }
 
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -14,14 +14,11 @@
 
 // Events of every process.
 const (
-	EventStarted     Event = "started"
-	EventStopping    Event = "stopping"
-	EventStopped     Event = "stopped"
-	EventListening   Event = "listening"
-	EventFailed      Event = "failed"
-	EventMisuse      Event = "misuse"
-	EventPeerLost    Event = "peer_lost"
-	EventPeerRefused Event = "peer_refused"
+	EventStarted   Event = "started"
+	EventStopping  Event = "stopping"
+	EventStopped   Event = "stopped"
+	EventListening Event = "listening"
+	EventFailed    Event = "failed"
 
 	EventCertificateRenewed Event = "certificate_renewed"
 	EventCertificateFailed  Event = "certificate_failed"
@@ -49,11 +46,9 @@
 	EventShardAssigned     Event = "shard_assigned"
 	EventServerLeaving     Event = "server_leaving"
 	EventServerRetired     Event = "server_retired"
-	EventServerUnreachable Event = "server_unreachable"
 	EventPlatformFailed    Event = "platform_failed"
 	EventRouterJoined      Event = "router_joined"
 	EventRouterClosed      Event = "router_closed"
-	EventRouterSlow        Event = "router_slow"
 	EventPartitionsMoved   Event = "partitions_moved"
 )
 
@@ -94,9 +89,6 @@
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
 		{EventFailed, levelError, "The process cannot go on, and ends."},
-		{EventMisuse, levelWarning, "Another process sent what the protocol does not allow."},
-		{EventPeerLost, levelWarning, "The connection to another process broke."},
-		{EventPeerRefused, levelWarning, "Another process was refused, or refused this one."},
 		{EventCertificateRenewed, levelInfo, "Replaced certificate files were read and are in use."},
 		{EventCertificateFailed, levelWarning, "Replaced certificate files cannot be used; the earlier ones stay in use."},
 	}
@@ -124,11 +116,9 @@
 		{EventShardAssigned, levelInfo, "A shard has a new owner and epoch."},
 		{EventServerLeaving, levelInfo, "The platform's list says that a machine leaves, or no longer does."},
 		{EventServerRetired, levelInfo, "A retiring server holds no shard any more."},
-		{EventServerUnreachable, levelWarning, "A server does not answer renewals."},
 		{EventPlatformFailed, levelWarning, "The platform's list cannot be read."},
 		{EventRouterJoined, levelInfo, "A router has a session."},
 		{EventRouterClosed, levelInfo, "A router's session ended."},
-		{EventRouterSlow, levelWarning, "A router did not take its table in time and was disconnected."},
 		{EventPartitionsMoved, levelInfo, "Record partitions have other routers."},
 	}
 }
