--- a/internal/lab/bench/capacity/local.go
+++ b/internal/lab/bench/capacity/local.go
@@ -28,8 +28,9 @@
 	Shards  int `json:"shards"`
 	// StateMB is the heap that the state of a controller takes.
 	StateMB float64 `json:"state_mb"`
-	// EncodeMs, SnapshotMB and DecodeMs are of a controller's snapshot. The
-	// replica's loop waits for the encoding.
+	// FreezeMs, EncodeMs, SnapshotMB and DecodeMs are of a controller's snapshot.
+	// The replica's loop waits for the freezing alone.
+	FreezeMs   float64 `json:"freeze_ms"`
 	EncodeMs   float64 `json:"encode_ms"`
 	SnapshotMB float64 `json:"snapshot_mb"`
 	DecodeMs   float64 `json:"decode_ms"`
@@ -100,6 +101,18 @@
 	return float64(bytes) / (1 << 20)
 }
 
+// repetitions is how often an act of some length is timed; the shortest time
+// counts, since others use the machine as well.
+const repetitions = 3
+
+func shortest(act func()) float64 {
+	best := timed(act)
+	for range repetitions - 1 {
+		best = min(best, timed(act))
+	}
+	return milliseconds(best)
+}
+
 func timed(act func()) time.Duration {
 	began := time.Now()
 	act()
@@ -184,13 +197,15 @@
 func (p *Parts) measureSnapshot(view *state.State) error {
 	var encoded []byte
 	var err error
-	p.EncodeMs = milliseconds(timed(func() { encoded, err = view.Encode() }))
+	p.FreezeMs = shortest(func() { view.Freeze() })
+	frozen := view.Freeze()
+	p.EncodeMs = shortest(func() { encoded, err = frozen.Encode() })
 	if err != nil {
 		return err
 	}
 	p.SnapshotMB = megabytes(uint64(len(encoded)))
-	p.DecodeMs = milliseconds(timed(func() { _, err = state.Decode(encoded) }))
-	p.ObjectsMs = milliseconds(timed(func() { view.Objects() }))
+	p.DecodeMs = shortest(func() { _, err = state.Decode(encoded) })
+	p.ObjectsMs = shortest(func() { view.Objects() })
 	return err
 }
 
@@ -299,6 +314,7 @@
 		value      func(Parts) float64
 	}{
 		{"controller's state", "MB", func(p Parts) float64 { return p.StateMB }},
+		{"snapshot, freezing", "ms", func(p Parts) float64 { return p.FreezeMs }},
 		{"snapshot, encoding", "ms", func(p Parts) float64 { return p.EncodeMs }},
 		{"snapshot, size", "MB", func(p Parts) float64 { return p.SnapshotMB }},
 		{"snapshot, decoding", "ms", func(p Parts) float64 { return p.DecodeMs }},
