--- a/internal/lab/scenario/faultproxy/network_test.go
+++ b/internal/lab/scenario/faultproxy/network_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"testing"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // listen returns a listener that answers each message with the same bytes and
@@ -16,22 +18,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
 	received := make(chan string, 16)
-	go func() {
+	var serving conc.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	serving.Go(func() {
 		for {
 			connection, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go echo(connection, received)
+			serving.Go(func() { echo(connection, received) })
 		}
-	}()
+	})
 	return listener.Addr().String(), received
 }
 
 func echo(connection net.Conn, received chan<- string) {
-	defer connection.Close()
+	defer func() { _ = connection.Close() }()
 	buffer := make([]byte, 64)
 	for {
 		count, err := connection.Read(buffer)
@@ -52,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer connection.Close()
+	defer func() { _ = connection.Close() }()
 	if _, err := connection.Write([]byte(message)); err != nil {
 		t.Fatal(err)
 	}
