Plans predict the time without an owner from measured moves

The prediction was a fixed 50 ms. The leader now measures each move of a service from its revocation to the answer by which the new owner confirmed the shard, and keeps a smoothed mean for its term; a plan says whether its figure is measured or assumed. The loop answers inspections in place of the views channel.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -131,7 +131,8 @@
 		return a.storePlan(ctx, call, state.Plan{ID: known.ID, Intent: intent})
 	}
 	var built state.Plan
-	a.replica.view(func(view *state.State) { built, err = planner.Build(view, intent) })
+	costs := a.replica.handovers(ctx)
+	a.replica.view(func(view *state.State) { built, err = planner.Build(view, costs, intent) })
 	if err != nil {
 		return err
 	}
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -71,8 +71,8 @@
 	transfers chan chan error
 	// snapshots brings the end of the snapshot that is being written.
 	snapshots chan savedSnapshot
-	// viewsWanted asks for what the coordinator knows of the servers.
-	viewsWanted chan chan []coordinator.ServerView
+	// inspections run in the loop, to read what the coordinator knows.
+	inspections chan func(*coordinator.Coordinator)
 
 	// stateLock guards state against readers; the loop alone writes.
 	stateLock sync.RWMutex
@@ -116,7 +116,7 @@
 		joinInbox:   make(chan consensus.Member, 1),
 		transfers:   make(chan chan error),
 		snapshots:   make(chan savedSnapshot, 1),
-		viewsWanted: make(chan chan []coordinator.ServerView),
+		inspections: make(chan func(*coordinator.Coordinator)),
 		state:       disk.State,
 		applied:     disk.Initial.Snapshot.Index,
 	}
@@ -184,8 +184,8 @@
 			if err := r.adoptSnapshot(saved); err != nil {
 				return err
 			}
-		case wanted := <-r.viewsWanted:
-			wanted <- r.coordinator.Views(r.state)
+		case inspect := <-r.inspections:
+			inspect(r.coordinator)
 		}
 		r.takeMore()
 		if err := r.handleReady(); err != nil {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -61,18 +61,36 @@
 }
 
 // serverViews returns what a leader knows of the servers, and nothing on a
-// follower or once the context has ended. The loop makes them on request only,
-// since that takes a time that grows with the number of servers.
+// follower or once the context has ended.
 func (r *replica) serverViews(ctx context.Context) []coordinator.ServerView {
+	var views []coordinator.ServerView
+	r.inspect(ctx, func(leading *coordinator.Coordinator) { views = leading.Views(r.state) })
+	return views
+}
+
+// handovers returns what a leader measured of moves, and nothing on a follower
+// or once the context has ended.
+func (r *replica) handovers(ctx context.Context) coordinator.Handovers {
+	var measured coordinator.Handovers
+	r.inspect(ctx, func(leading *coordinator.Coordinator) { measured = leading.Handovers() })
+	return measured
+}
+
+// inspect runs a function in the loop of a leader and waits for its end. The
+// caller must not hold the state's lock, which the loop may wait for.
+func (r *replica) inspect(ctx context.Context, look func(*coordinator.Coordinator)) {
 	if !r.published.Load().leading {
-		return nil
+		return
+	}
+	done := make(chan struct{})
+	inspection := func(leading *coordinator.Coordinator) {
+		defer close(done)
+		look(leading)
 	}
-	wanted := make(chan []coordinator.ServerView, 1)
 	select {
-	case r.viewsWanted <- wanted:
-		return <-wanted
+	case r.inspections <- inspection:
+		<-done
 	case <-ctx.Done():
-		return nil
 	}
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -42,13 +42,15 @@
 	pendingRevoke  uint64
 	pendingBalance uint64
 	balancer       *balancer
+	// handovers measures the moves of this term.
+	handovers *handovers
 	// changedServices are those whose policy is to be looked at.
 	changedServices []state.ServiceName
 }
 
 // New returns a coordinator that does nothing until Lead.
 func New(config Config) *Coordinator {
-	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact), balancer: newBalancer()}
+	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact), balancer: newBalancer(), handovers: newHandovers()}
 }
 
 // Lead begins a term of leadership. The replicated state must hold every
@@ -87,6 +89,7 @@
 	c.pendingRevoke = 0
 	c.pendingBalance = 0
 	c.balancer = newBalancer()
+	c.handovers = newHandovers()
 	c.changedServices = nil
 }
 
@@ -96,6 +99,9 @@
 		return
 	}
 	for _, object := range objects {
+		if object.Shard != nil {
+			c.handovers.note(now, *object.Shard)
+		}
 		switch {
 		case object.Server != nil:
 			known := c.ensureContact(object.Server.ID, now)
@@ -260,6 +266,7 @@
 	changedProcess := answer.Incarnation != known.incarnation
 	known.learn(now, answer)
 	c.newestReading = now
+	c.handovers.confirmed(now, server, known.version)
 	c.noteLeaving(known)
 	c.balancer.count(now, known, answer.Load)
 	known.answered = true
--- a/internal/lab/sim/intents.go
+++ b/internal/lab/sim/intents.go
@@ -57,7 +57,7 @@
 		r.proposePlan(state.Command{StorePlan: &state.StorePlan{Plan: state.Plan{ID: id, Intent: intent}}}, answer)
 		return
 	}
-	built, err := planner.Build(r.state, intent)
+	built, err := planner.Build(r.state, r.coordinator.Handovers(), intent)
 	if err != nil {
 		answer(intentAnswer{err: err, refused: true})
 		return
--- a/internal/planner/adopt.go
+++ b/internal/planner/adopt.go
@@ -41,11 +41,11 @@
 	if mode == state.ModeManaged {
 		d.add(operation, "the controllers decide about the ownership of %s; each server gives up its own claims and gets a lease "+
 			"for the same keys; the scripts must not claim anything from now on", service.Name)
-		d.plan.Prediction.Unavailable = expectedHandover
+		d.predictHandover(service.Name)
 		return nil
 	}
 	d.add(operation, "the scripts decide about the ownership of %s; each server claims the keys that it owns now", service.Name)
-	d.plan.Prediction.Unavailable = expectedHandover
+	d.predictHandover(service.Name)
 	return nil
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,13 +13,20 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
+// Costs tells what moves took so far.
+type Costs interface {
+	// Expected returns how long a moved shard of the service had no owner, or
+	// false while no move was measured.
+	Expected(service state.ServiceName) (time.Duration, bool)
+}
+
 // Build returns the plan that answers an intent. Errors are of the kinds
 // invalid_argument, not_found and conflict.
-func Build(view *state.State, intent state.Intent) (state.Plan, error) {
+func Build(view *state.State, costs Costs, intent state.Intent) (state.Plan, error) {
 	if err := checkIntent(intent); err != nil {
 		return state.Plan{}, err
 	}
-	draft := &draft{view: view, plan: state.Plan{
+	draft := &draft{view: view, costs: costs, plan: state.Plan{
 		ID:     state.PlanID(intent.ID),
 		Intent: intent,
 		Status: state.PlanStored,
@@ -42,8 +50,9 @@
 
 // draft is a plan in the making.
 type draft struct {
-	view *state.State
-	plan state.Plan
+	view  *state.State
+	costs Costs
+	plan  state.Plan
 }
 
 func (d *draft) build(intent state.Intent) error {
--- a/internal/planner/predict.go
+++ b/internal/planner/predict.go
@@ -8,9 +8,10 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-// expectedHandover is the time that a moved shard has no owner when both
-// servers answer: one lease message to each and two log commits.
-const expectedHandover = 50 * time.Millisecond
+// assumedHandover is the time that a moved shard has no owner, for a service of
+// which no move was measured: one lease message to each server and two log
+// commits.
+const assumedHandover = 50 * time.Millisecond
 
 // plannedMove is what a prediction needs to know of one move.
 type plannedMove struct {
@@ -33,7 +34,17 @@
 		Moves: len(moves), ImbalanceBefore: before, ImbalanceAfter: imbalance(load), Churn: churn,
 	}
 	if len(moves) > 0 {
-		d.plan.Prediction.Unavailable = expectedHandover
+		d.predictHandover(service)
+	}
+}
+
+// predictHandover predicts from the moves of the service that were measured.
+func (d *draft) predictHandover(service state.ServiceName) {
+	measured, found := d.costs.Expected(service)
+	d.plan.Prediction.Measured = found
+	d.plan.Prediction.Unavailable = assumedHandover
+	if found {
+		d.plan.Prediction.Unavailable = measured
 	}
 }
 
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -186,6 +186,8 @@
 	Churn float64 `json:"churn"`
 	// Unavailable is the expected time that each moved shard has no owner.
 	Unavailable time.Duration `json:"unavailable_ns"`
+	// Measured is true if Unavailable rests on earlier moves of the service.
+	Measured bool `json:"measured"`
 }
 
 // PlanStatus is the step of a plan's life.
