Command line: status counts differing claims, plans say what is assumed

status has a column for the key ranges in which a server of an observed service and the imported map differ; plan marks a predicted time without an owner that no measured move stands behind. The expected tables in the tests grew by these cells.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -101,7 +101,7 @@
 i1    move_key  stored  7     -         abc
 
 MOVES  IMBALANCE BEFORE  IMBALANCE AFTER  CHURN   UNAVAILABLE PER SHARD
-2      1.500             1.250            12.50%  40ms
+2      1.500             1.250            12.50%  40ms (assumed)
 
 OPERATION    OBJECT   DETAIL
 isolate key  shard 3  hash 00000000000000ff to s2
@@ -197,9 +197,9 @@
 SERVICE  MODE     KEYED  SHARDS  OWNED  REVOKING  UNOWNED
 ledger   managed  yes    8       7      1         0
 
-SERVER  SERVICE  ADDRESS      ZONE  INTENT  SESSION OPEN  SHARDS  IN FORCE
-s1      ledger   127.0.0.1:9  -     active  yes           7       yes
-s2      ledger   127.0.0.1:6  -     active  no            0       no
+SERVER  SERVICE  ADDRESS      ZONE  INTENT  SESSION OPEN  SHARDS  IN FORCE  CLAIMS DIFFER
+s1      ledger   127.0.0.1:9  -     active  yes           7       yes       -
+s2      ledger   127.0.0.1:6  -     active  no            0       no        2
 
 ` + routersText
 
@@ -213,7 +213,7 @@
 		Services: []intentapi.ServiceStatus{{Name: "ledger", Mode: state.ModeManaged, Keyed: true, Shards: 8, Owned: 7, Revoking: 1}},
 		Servers: []intentapi.ServerStatus{
 			{ID: "s1", Service: "ledger", Address: "127.0.0.1:9", Intent: state.ServerActive, Open: true, Shards: 7, InForce: true},
-			{ID: "s2", Service: "ledger", Address: "127.0.0.1:6", Intent: state.ServerActive},
+			{ID: "s2", Service: "ledger", Address: "127.0.0.1:6", Intent: state.ServerActive, Observed: true, Differences: 2},
 		},
 		Routers: []intentapi.RouterStatus{{ID: "r1", Address: "127.0.0.1:8", Zone: "z1", Open: true, Revision: 7, LagMs: 120}},
 	}
--- a/internal/cli/planview.go
+++ b/internal/cli/planview.go
@@ -14,7 +14,7 @@
 	prediction := newTable("MOVES", "IMBALANCE BEFORE", "IMBALANCE AFTER", "CHURN", "UNAVAILABLE PER SHARD")
 	expected := plan.Prediction
 	prediction.add(fmt.Sprint(expected.Moves), fmt.Sprintf("%.3f", expected.ImbalanceBefore), fmt.Sprintf("%.3f", expected.ImbalanceAfter),
-		fmt.Sprintf("%.2f%%", 100*expected.Churn), expected.Unavailable.String())
+		fmt.Sprintf("%.2f%%", 100*expected.Churn), unavailableText(expected))
 	operations := newTable("OPERATION", "OBJECT", "DETAIL")
 	for _, operation := range plan.Operations {
 		operations.add(describeOperation(operation)...)
@@ -48,6 +48,13 @@
 }
 
 // describeOperation returns the cells of one operation's row.
+func unavailableText(expected state.Prediction) string {
+	if expected.Moves > 0 && !expected.Measured {
+		return expected.Unavailable.String() + " (assumed)"
+	}
+	return expected.Unavailable.String()
+}
+
 func describeOperation(operation state.Operation) []string {
 	switch {
 	case operation.PutService != nil:
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -130,14 +130,23 @@
 }
 
 func serverStatusTable(status *intentapi.Status) *table {
-	rows := newTable("SERVER", "SERVICE", "ADDRESS", "ZONE", "INTENT", "SESSION OPEN", "SHARDS", "IN FORCE")
+	rows := newTable("SERVER", "SERVICE", "ADDRESS", "ZONE", "INTENT", "SESSION OPEN", "SHARDS", "IN FORCE", "CLAIMS DIFFER")
 	for _, server := range status.Servers {
 		rows.add(string(server.ID), string(server.Service), server.Address, server.Zone, string(server.Intent),
-			yesNo(server.Open), fmt.Sprint(server.Shards), yesNo(server.InForce))
+			yesNo(server.Open), fmt.Sprint(server.Shards), yesNo(server.InForce), differenceText(server))
 	}
 	return rows
 }
 
+// differenceText counts the key ranges in which a server of an observed service
+// and the imported map differ.
+func differenceText(server intentapi.ServerStatus) string {
+	if !server.Observed {
+		return "-"
+	}
+	return fmt.Sprint(server.Differences)
+}
+
 func routerTable(routers []intentapi.RouterStatus) *table {
 	rows := newTable("ROUTER", "ADDRESS", "ZONE", "CONNECTED", "REVISION", "LAG", "IN FORCE")
 	for _, router := range routers {
