--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -199,7 +199,8 @@
 
 SERVER  SERVICE  ADDRESS      ZONE  INTENT  SESSION OPEN  SHARDS  IN FORCE  CLAIMS DIFFER
 s1      ledger   127.0.0.1:9  -     active  yes           7       yes       -
-s2      ledger   127.0.0.1:6  -     active  no            0       no        2
+s2      ledger   127.0.0.1:6  -     active  no            0       no        -
+s3      ledger   127.0.0.1:5  -     active  no            0       no        2
 
 ` + routersText
 
@@ -213,7 +214,8 @@
 		Services: []intentapi.ServiceStatus{{Name: "ledger", Mode: state.ModeManaged, Keyed: true, Shards: 8, Owned: 7, Revoking: 1}},
 		Servers: []intentapi.ServerStatus{
 			{ID: "s1", Service: "ledger", Address: "127.0.0.1:9", Intent: state.ServerActive, Open: true, Shards: 7, InForce: true},
-			{ID: "s2", Service: "ledger", Address: "127.0.0.1:6", Intent: state.ServerActive, Observed: true, Differences: 2},
+			{ID: "s2", Service: "ledger", Address: "127.0.0.1:6", Intent: state.ServerActive},
+			{ID: "s3", Service: "ledger", Address: "127.0.0.1:5", Intent: state.ServerActive, Observed: true, Differences: 2},
 		},
 		Routers: []intentapi.RouterStatus{{ID: "r1", Address: "127.0.0.1:8", Zone: "z1", Open: true, Revision: 7, LagMs: 120}},
 	}
