--- a/internal/lab/authority/authority.go
+++ b/internal/lab/authority/authority.go
@@ -57,12 +57,17 @@
 	return created, writePEM(created.path, "CERTIFICATE", signed)
 }
 
+// Paths returns where the files of a name stand once they are issued.
+func (a *Authority) Paths(name string) certificate.Files {
+	return certificate.Files{
+		Certificate: filepath.Join(a.folder, name+".crt"), Key: filepath.Join(a.folder, name+".key"), Authority: a.path,
+	}
+}
+
 // Issue writes a certificate for a process or operator of that common name on
 // this machine, for either side of a connection. An earlier one is replaced.
 func (a *Authority) Issue(name string) (certificate.Files, error) {
-	files := certificate.Files{
-		Certificate: filepath.Join(a.folder, name+".crt"), Key: filepath.Join(a.folder, name+".key"), Authority: a.path,
-	}
+	files := a.Paths(name)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return files, eris.Wrap(err, "draw a key")
--- a/internal/lab/fleet/encrypted.go
+++ b/internal/lab/fleet/encrypted.go
@@ -56,6 +56,12 @@
 	return certificate.Open(files)
 }
 
+// OperatorFiles returns the paths of the operator's certificate, which Start
+// issued. The fleet must be encrypted.
+func (f *Fleet) OperatorFiles() certificate.Files {
+	return f.authority.Paths(operatorName)
+}
+
 // tlsOf issues a process's certificate; empty for plain text.
 func (f *Fleet) tlsOf(name string) (tlsSettings, error) {
 	if f.authority == nil {
--- a/internal/lab/labcli/up.go
+++ b/internal/lab/labcli/up.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
+	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/lab/caller"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/trial"
@@ -33,9 +34,10 @@
 
 // upOptions are the flags of the command up.
 type upOptions struct {
-	folder  string
-	rate    float64
-	traffic time.Duration
+	folder    string
+	rate      float64
+	traffic   time.Duration
+	encrypted bool
 }
 
 func newUp() *cobra.Command {
@@ -52,6 +54,7 @@
 	flags.StringVar(&options.folder, "folder", "", "folder for settings, data, logs and records; a temporary one, removed at the end, when empty")
 	flags.Float64Var(&options.rate, "rate", upRate, "requests per second of each deployment; 0 for no traffic")
 	flags.DurationVar(&options.traffic, "traffic", upTraffic, "time after which the callers stop sending")
+	flags.BoolVar(&options.encrypted, "encrypted", false, "give every process of the product, and the operator, a certificate")
 	return command
 }
 
@@ -65,7 +68,7 @@
 	scale := fleet.Scale{MaxServers: upServersPerKind, ShardsPerServer: upShardsPerServer}
 	deployments := []fleet.Deployment{fleet.Paylink(scale), fleet.Derwent(scale)}
 	fmt.Fprintln(output, "starting the processes")
-	running, err := startUp(ctx, place, deployments)
+	running, err := startUp(ctx, place, deployments, options.encrypted)
 	if err != nil {
 		return eris.Wrapf(err, "logs are in %s", place.keep())
 	}
@@ -75,19 +78,19 @@
 			return err
 		}
 	}
-	describeUp(output, place, running)
+	describeUp(output, place, running, options.encrypted)
 	<-ctx.Done()
 	fmt.Fprintln(output, "\nstopping the processes")
 	return nil
 }
 
 // startUp starts the fleet and creates its services.
-func startUp(ctx context.Context, place *workplace, deployments []fleet.Deployment) (*fleet.Fleet, error) {
+func startUp(ctx context.Context, place *workplace, deployments []fleet.Deployment, encrypted bool) (*fleet.Fleet, error) {
 	ctx, cancel := context.WithTimeout(ctx, upStartTimeout)
 	defer cancel()
 	running, err := fleet.Start(ctx, fleet.Options{
 		Product: place.product, Lab: place.lab, Folder: place.folder,
-		Controllers: upControllers, Routers: upRouters, Deployments: deployments,
+		Controllers: upControllers, Routers: upRouters, Deployments: deployments, Encrypted: encrypted,
 	})
 	if err != nil {
 		return nil, err
@@ -120,7 +123,7 @@
 }
 
 // describeUp prints where the processes listen and what to try.
-func describeUp(output io.Writer, place *workplace, running *fleet.Fleet) {
+func describeUp(output io.Writer, place *workplace, running *fleet.Fleet, encrypted bool) {
 	fmt.Fprintf(output, "settings, data, logs and records: %s\n\n", place.folder)
 	for _, controller := range running.Controllers {
 		fmt.Fprintf(output, "%-14s intent API %s  peers %s\n", controller.Name, controller.AdminAddress, controller.PeerAddress)
@@ -130,10 +133,11 @@
 	}
 	fmt.Fprintf(output, "%-14s list       %s\n", "platform", running.Platform.Address)
 	fmt.Fprintf(output, "%d back ends; see get servers\n", len(running.BackEnds))
-	fmt.Fprintf(output, `
-In another shell:
-
-  export THORNTILLER_ENDPOINTS=%s
+	fmt.Fprintf(output, "\nIn another shell:\n\n")
+	if encrypted {
+		describeCertificates(output, running.OperatorFiles())
+	}
+	fmt.Fprintf(output, `  export THORNTILLER_ENDPOINTS=%s
   %[2]s status
   %[2]s get shards ledger-view
   %[2]s plan move-key ledger-view paylink-0
@@ -143,3 +147,8 @@
 Ctrl-C stops everything.
 `, strings.Join(running.Endpoints(), ","), place.product, running.Routers[0].Address)
 }
+
+func describeCertificates(output io.Writer, files certificate.Files) {
+	fmt.Fprintf(output, "  export THORNTILLER_CERTIFICATE=%s THORNTILLER_KEY=%s THORNTILLER_AUTHORITY=%s\n",
+		files.Certificate, files.Key, files.Authority)
+}
