Command line: get owner shows which server owns a key

get shards lists ranges of hashes, from which nobody could tell who owns a key. get owner hashes the key as the routers do and shows its shard; a service without keys is told so.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -221,6 +221,28 @@
 	}
 }
 
+func TestGetOwner(t *testing.T) {
+	half := uint64(1) << 63
+	shards := []state.Shard{
+		{ID: 1, Service: "ledger", Range: state.KeyRange{Last: half - 1}, Phase: state.ShardOwned, Owner: "s1", Epoch: 3, Revision: 5},
+		{ID: 2, Service: "ledger", Range: state.KeyRange{First: half, Last: ^uint64(0)}, Phase: state.ShardOwned, Owner: "s2", Epoch: 4, Revision: 5},
+	}
+	api := &stub{status: fasthttp.StatusOK, answers: map[string]string{"GET /v1/shards?service=ledger": encode(t, shards)}}
+	endpoint := api.start(t)
+	// The hash of the key is a9f1816fa2cd7e9c.
+	code, out, errors := run(t, "", "get", "owner", "ledger", "paylink-0", "--endpoints", endpoint)
+	const want = `SHARD  FIRST             LAST              PHASE  OWNER  EPOCH  TARGET  REVISION
+2      8000000000000000  ffffffffffffffff  owned  s2     4      -       5
+`
+	if code != ExitOK || out != want {
+		t.Errorf("code %d, errors %s, out:\n%s\nwant:\n%s", code, errors, out, want)
+	}
+	api.answers["GET /v1/shards?service=batch"] = "[]"
+	if code, _, errors := run(t, "", "get", "owner", "batch", "k", "--endpoints", endpoint); code != ExitUsage || !strings.Contains(errors, `"batch"`) {
+		t.Errorf("a service without keys: code %d, errors %s", code, errors)
+	}
+}
+
 func TestStatus(t *testing.T) {
 	status := exampleStatus()
 	api := &stub{status: fasthttp.StatusOK, answers: map[string]string{
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -19,6 +20,7 @@
 		newListCommand(program, "plans", "Show the stored plans", program.getPlans),
 		newGetPlanCommand(program),
 		newGetShardsCommand(program),
+		newGetOwnerCommand(program),
 	)
 	program.addClientFlags(command)
 	return command
@@ -69,6 +71,29 @@
 	}
 }
 
+func newGetOwnerCommand(program *program) *cobra.Command {
+	return &cobra.Command{
+		Use:   "owner SERVICE KEY",
+		Short: "Show which server owns a key",
+		Args:  exactly("SERVICE", "KEY"),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return program.withClient(command, func(ctx context.Context, client *intentapi.Client) error {
+				shards, err := client.Shards(ctx, state.ServiceName(arguments[0]))
+				if err != nil {
+					return err
+				}
+				hash := state.HashKey(arguments[1])
+				for _, shard := range shards {
+					if shard.Range.Contains(hash) {
+						return program.print(shard, shardTable([]state.Shard{shard}))
+					}
+				}
+				return fault.Newf(fault.NotFound, "service %q has no shard for the key; services without keys have no owners", arguments[0])
+			})
+		},
+	}
+}
+
 func shardTable(shards []state.Shard) *table {
 	rows := newTable("SHARD", "FIRST", "LAST", "PHASE", "OWNER", "EPOCH", "TARGET", "REVISION")
 	for _, shard := range shards {
--- a/internal/cli/planview.go
+++ b/internal/cli/planview.go
@@ -47,7 +47,7 @@
 	return fmt.Sprint(plan.Accepted)
 }
 
-// describeOperation returns the cells of one operation's row.
+// unavailableText marks a predicted time that no measured move stands behind.
 func unavailableText(expected state.Prediction) string {
 	if expected.Moves > 0 && !expected.Measured {
 		return expected.Unavailable.String() + " (assumed)"
@@ -55,6 +55,7 @@
 	return expected.Unavailable.String()
 }
 
+// describeOperation returns the cells of one operation's row.
 func describeOperation(operation state.Operation) []string {
 	switch {
 	case operation.PutService != nil:
