--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -12,9 +12,9 @@
 // may lie in the future of its clock, which may be ahead of the controller's.
 const lossSkew = 2 * ClockSkew
 
-// unevenPrimaries is the difference in primaries of two routers from which one
-// is moved.
-const unevenPrimaries = 2
+// uneven is the difference in the numbers of primaries, or of backups, of two
+// routers from which one is moved.
+const uneven = 2
 
 // placing is one look at all partitions.
 type placing struct {
@@ -131,15 +131,33 @@
 		return placed, true
 	case placed.BackupSynced && l.leaves(placed.Primary):
 		return l.promote(placed), true
-	case l.settled && l.primaries[placed.Primary]-l.primaries[placed.Backup] >= unevenPrimaries:
-		// One at a time: each costs a transfer to a new backup.
-		l.settled = false
-		return l.promote(placed), true
+	case l.settled:
+		next, changed := l.rebalance(placed)
+		l.settled = !changed
+		return next, changed
 	default:
 		return placed, false
 	}
 }
 
+// rebalance evens out the roles that routers have, one partition at a time,
+// since there is one whole copy only until the new backup has every record.
+func (l *placing) rebalance(placed state.RecordPartition) (state.RecordPartition, bool) {
+	if l.primaries[placed.Primary]-l.primaries[placed.Backup] >= uneven {
+		return l.promote(placed), true
+	}
+	best := l.bestBackup(placed.Primary)
+	if best == nil || best.ID == placed.Backup {
+		return placed, false
+	}
+	zone := l.routers[placed.Primary].Zone
+	apart := best.Zone != zone && l.routers[placed.Backup].Zone == zone
+	if apart || l.backups[placed.Backup]-l.backups[best.ID] >= uneven {
+		return l.replaceBackup(placed), true
+	}
+	return placed, false
+}
+
 func (l *placing) open(router state.RouterID, session state.SessionNumber) bool {
 	known, found := l.routers[router]
 	return found && known.Session.Open && known.Session.Number == session
@@ -194,26 +212,31 @@
 	l.primaries[chosen.ID]++
 }
 
-// setBackup chooses a router that answers the primary, in another zone if there
-// is one, with the fewest backups. Without such a router there is no backup.
 func (l *placing) setBackup(placed *state.RecordPartition) {
-	zone := l.routers[placed.Primary].Zone
 	placed.Backup, placed.BackupSession = "", 0
+	best := l.bestBackup(placed.Primary)
+	if best == nil {
+		return
+	}
+	placed.Backup, placed.BackupSession = best.ID, best.Session.Number
+	l.backups[best.ID]++
+}
+
+// bestBackup chooses a router that answers the primary, in another zone if there
+// is one, with the fewest backups. Without such a router it returns nil.
+func (l *placing) bestBackup(primary state.RouterID) *state.Router {
+	zone := l.routers[primary].Zone
 	var best *state.Router
 	for index := range l.candidates {
 		candidate := &l.candidates[index]
-		if candidate.ID == placed.Primary || l.avoids(placed.Primary, candidate) {
+		if candidate.ID == primary || l.avoids(primary, candidate) {
 			continue
 		}
 		if best == nil || l.better(candidate, best, zone) {
 			best = candidate
 		}
 	}
-	if best == nil {
-		return
-	}
-	placed.Backup, placed.BackupSession = best.ID, best.Session.Number
-	l.backups[best.ID]++
+	return best
 }
 
 func (l *placing) avoids(primary state.RouterID, backup *state.Router) bool {
