Records: a dead backup or a silent connection is asked once

Completions went on to call a backup that had failed, 500 ms each, and a call to a primary waited up to a second although claims may be sent again; both are bounded by one peer timeout now.

--- a/internal/router/records/ask.go
+++ b/internal/router/records/ask.go
@@ -9,10 +9,6 @@
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-// callTimeouts is how many peer timeouts a claim may take, since the primary
-// calls its backup meanwhile.
-const callTimeouts = 2
-
 // Claim asks the key's primary for the right to run a request. It returns true
 // when the claim may have been taken although no answer says so: then it must
 // be claimed again, or given up by a completion.
@@ -57,7 +53,7 @@
 	if err != nil {
 		return notPrimary, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeouts*s.options.Settings.PeerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.options.Settings.PeerTimeout)
 	defer cancel()
 	var answer message.RecordAnswer
 	return answer, client.Call(ctx, &call, &answer)
--- a/internal/router/records/primary.go
+++ b/internal/router/records/primary.go
@@ -37,10 +37,6 @@
 // claim serves a claim as the primary.
 func (s *Service) claim(target *held, claim record.Claim) *message.RecordAnswer {
 	target.mutex.Lock()
-	if target.failed == target.core.Epoch() {
-		target.mutex.Unlock()
-		return &message.RecordAnswer{Verdict: record.NotStored}
-	}
 	placed := target.core.Placed()
 	verdict, known := target.core.Claim(s.moment(), s.leaseOf(placed.PrimarySession), claim, s.open)
 	target.mutex.Unlock()
@@ -81,8 +77,12 @@
 }
 
 // storeOnBackup sends records to the backup and reports whether it has them. A
-// backup that does not answer is reported to the controllers.
+// backup that does not answer is reported to the controllers and not asked
+// again at this epoch.
 func (s *Service) storeOnBackup(target *held, placed state.RecordPartition, records []record.Record) bool {
+	if target.backupFailed(placed.Epoch) {
+		return false
+	}
 	answer, err := s.callBackup(placed, records)
 	if err == nil {
 		return answer.Stored
@@ -104,6 +104,12 @@
 	return false
 }
 
+func (h *held) backupFailed(epoch state.Epoch) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.failed == epoch
+}
+
 // callBackup sends records to the backup. Storing is idempotent, so that it is
 // sent again after a broken connection.
 func (s *Service) callBackup(placed state.RecordPartition, records []record.Record) (message.RecordAnswer, error) {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
@@ -16,6 +17,11 @@
 // maxPendingCalls bounds the calls of one client that wait for answers.
 const maxPendingCalls = 4096
 
+// silentCall is how long a call must have waited on a connection that brought
+// nothing meanwhile for the connection to be given up: after a cut, a new one
+// stands sooner than the old one recovers.
+const silentCall = 200 * time.Millisecond
+
 // errTooManyCalls refuses a call before it is sent.
 var errTooManyCalls = errors.New("too many calls wait for answers")
 
@@ -141,6 +147,7 @@
 		return because(ErrNotSent, err)
 	}
 	defer c.forget(number)
+	began, received := time.Now(), c.stream.BytesReceived()
 	if err := sendCall(ctx, c.stream, number, request); err != nil {
 		return err
 	}
@@ -154,6 +161,9 @@
 		}
 		return nil
 	case <-ctx.Done():
+		if time.Since(began) >= silentCall && c.stream.BytesReceived() == received {
+			c.stream.Close()
+		}
 		return because(ErrNoAnswer, ctx.Err())
 	}
 }
