Settings: two that nothing read are gone, one is used

api.plan_limit and lease.workers were checked and documented, but no code read them. The bound of stored plans must be the same on every replica and is a constant of the state; renewals are bounded by one in flight a server. A file that sets either is now refused with its line. cluster_name, which nothing showed, stands in the listening line of the log. The test of a number that is no whole one uses another integer field.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -61,7 +61,6 @@
 	ClockRateBound float64       `koanf:"clock_rate_bound" validate:"min=0,max=0.1" doc:"Largest difference in speed of two machines' clocks, as a share."`
 	Margin         time.Duration `koanf:"margin" validate:"min=1ms,max=10s" doc:"Time added before a lease counts as ended."`
 	RequestTimeout time.Duration `koanf:"request_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a server's answer to a renewal; below duration."`
-	Workers        int           `koanf:"workers" validate:"min=1,max=10000" doc:"Bound of renewals that run at the same time."`
 	MaxAnswerBytes int           `koanf:"max_answer_bytes" validate:"min=4096,max=67108864" doc:"Bound of a server's answer, in bytes."`
 }
 
@@ -94,7 +93,6 @@
 	MaxConnections int           `koanf:"max_connections" validate:"min=1,max=100000" doc:"Bound of open connections."`
 	RequestTimeout time.Duration `koanf:"request_timeout" validate:"min=100ms,max=1m" doc:"Longest time for one call."`
 	Operators      []Operator    `koanf:"operators" validate:"max=1000,dive" doc:"Rights of operators, by their certificates."`
-	PlanLimit      int           `koanf:"plan_limit" validate:"min=1,max=100000" doc:"Bound of stored plans; the oldest that are not in use go first."`
 }
 
 // Maintenance holds the settings of the leader's background work.
@@ -134,7 +132,6 @@
 			ClockRateBound: 0.01,
 			Margin:         20 * time.Millisecond,
 			RequestTimeout: 200 * time.Millisecond,
-			Workers:        256,
 			MaxAnswerBytes: mebibyte,
 		},
 		Platform: Platform{
@@ -150,7 +147,7 @@
 			WriteTimeout:    2 * time.Second,
 		},
 		Partitions:  Partitions{Count: 16, LeaseDuration: 800 * time.Millisecond},
-		API:         API{BodyLimit: mebibyte, MaxConnections: 256, RequestTimeout: 5 * time.Second, PlanLimit: 1000},
+		API:         API{BodyLimit: mebibyte, MaxConnections: 256, RequestTimeout: 5 * time.Second},
 		TLS:         defaultTLS(),
 		Maintenance: Maintenance{Interval: 20 * time.Millisecond},
 		StopTimeout: 10 * time.Second,
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -113,7 +113,7 @@
 	{"lease below three renewals", goodController, "700ms", "400ms", "lease.duration", "400ms", 9, "at least 450ms"},
 	{"renewal timeout above lease", goodController, "700ms", "700ms\n  request_timeout: 700ms", "lease.request_timeout", "700ms", 10, "less than 700ms"},
 	{"too large", goodController, "700ms", "700ms\n  clock_rate_bound: 0.5", "lease.clock_rate_bound", "0.5", 10, "at most 0.1"},
-	{"no whole number", goodController, "700ms", "700ms\n  workers: 1.5", "lease.workers", "1.5", 10, "digits alone"},
+	{"no whole number", goodController, "700ms", "700ms\n  max_answer_bytes: 1.5", "lease.max_answer_bytes", "1.5", 10, "digits alone"},
 	{"no boolean", goodController, "lease:", "allow_non_loopback: 1\nlease:", "allow_non_loopback", "1", 8, "true or false"},
 	{"no log level", goodController, "lease:", "log: {level: loud}\nlease:", "log.level", "loud", 8, "debug info"},
 	{"folder is a file", goodController, "DATA", "/dev/null/data", "data_directory", "/dev/null/data", 3, "name a folder"},
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -83,7 +83,7 @@
 		return eris.Wrapf(err, "api_address: listen on %s", n.settings.APIAddress)
 	}
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
-		WithField("api_address", n.settings.APIAddress).Info("listening")
+		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	return nil
 }
 
