--- a/internal/coordinator/balance_test.go
+++ b/internal/coordinator/balance_test.go
@@ -154,6 +154,20 @@
 	}
 }
 
+// Servers whose requests are too few to be seen in a busy slot change nothing
+// about the loads: the time of a request stays as it was learnt.
+func TestQuietReportsKeepTheTimeOfARequest(t *testing.T) {
+	l := newLoaded(t, true, func(keys state.KeyRange) float64 { return keys.Width() })
+	l.run(time.Minute)
+	before := l.core.balancer.serverLoad("s", fleetServer(0))
+	l.lies = func(_ state.ServerID, report *backendapi.LoadReport) { report.Running = 0 }
+	l.run(time.Minute)
+	after := l.core.balancer.serverLoad("s", fleetServer(0))
+	if before < 1 || math.Abs(after/before-1) > 0.1 || l.mostMoves > 0 {
+		t.Errorf("load %g became %g, and %d shards moved", before, after, l.mostMoves)
+	}
+}
+
 // A key that servers count by itself moves alone, and costs next to no churn.
 func TestHotKeyMovesAlone(t *testing.T) {
 	const hot = 1<<57 + 5
--- a/internal/coordinator/balancer.go
+++ b/internal/coordinator/balancer.go
@@ -37,6 +37,9 @@
 	reviewed account
 	begin    time.Duration
 	queue    []state.ShardID
+	// perRequest is the smoothed time that a request keeps a slot busy, in
+	// seconds; zero until a server told of busy slots.
+	perRequest float64
 	// active are the shards that executed anything lately.
 	active map[state.ShardID]struct{}
 }
@@ -45,8 +48,6 @@
 type account struct {
 	shards  map[state.ShardID]shardAccount
 	servers map[state.ServerID]*serverAccount
-	// perRequest is the time that a request keeps a slot busy, in seconds.
-	perRequest float64
 }
 
 // shardAccount is the requests of a shard, and of its busiest key.
@@ -233,7 +234,7 @@
 	b.reviewed = b.accounts
 	b.accounts = newAccount()
 	b.begin = now
-	b.reviewed.perRequest = b.reviewed.medianTime()
+	b.learnTime()
 	for shard := range b.reviewed.shards {
 		b.active[shard] = struct{}{}
 	}
@@ -244,21 +245,35 @@
 	slices.Sort(b.queue)
 }
 
-// medianTime is the time that a request keeps a slot busy, in seconds: the
-// median of the servers' words, which a minority of wrong ones cannot move far.
-// Without any word it is 1, since then only the ratios of loads matter.
-func (a account) medianTime() float64 {
-	times := make([]float64, 0, len(a.servers))
-	for _, own := range a.servers {
+const (
+	// lowTime is what a request counts, in seconds, while no server told of busy
+	// slots: so little that the reserve for the loss of a zone asks for nothing.
+	lowTime = 1e-4
+	// timeShare is the weight of the newest interval in the time of a request.
+	timeShare = 0.2
+	// enoughBusy is the number of busy slots, summed over the reports of an
+	// interval, from which a server's word on them is more than noise.
+	enoughBusy = 64
+)
+
+// learnTime takes the time of a request from the interval: the median of the
+// servers' words, which a minority of wrong ones cannot move far.
+func (b *balanced) learnTime() {
+	times := make([]float64, 0, len(b.reviewed.servers))
+	for _, own := range b.reviewed.servers {
 		if own.executed > 0 && own.covered > 0 && own.busy > 0 {
 			times = append(times, own.busy/float64(own.reports)/own.rate(own.executed))
 		}
 	}
 	if len(times) == 0 {
-		return 1
+		return
 	}
 	slices.Sort(times)
-	return times[len(times)/2]
+	median := times[len(times)/2]
+	if b.perRequest == 0 {
+		b.perRequest = median
+	}
+	b.perRequest += timeShare * (median - b.perRequest)
 }
 
 // take takes over the loads of some of the shards.
@@ -300,8 +315,8 @@
 		return placement.Observation{}, false
 	}
 	executed := b.reviewed.shards[id].executed
-	observation := placement.Observation{Shard: id, Routed: own.rate(executed) * b.reviewed.perRequest, RoutedKnown: true}
-	if own.executed > 0 && own.busy > 0 {
+	observation := placement.Observation{Shard: id, Routed: own.rate(executed) * max(b.perRequest, lowTime), RoutedKnown: true}
+	if own.executed > 0 && own.busy >= enoughBusy {
 		observation.Reported = float64(executed) / float64(own.executed) * own.busy / float64(own.reports)
 		observation.ReportedKnown = true
 	}
