--- a/internal/lab/scenario/backends.go
+++ b/internal/lab/scenario/backends.go
@@ -80,23 +80,26 @@
 	return within(ctx, r.Fleet.WaitOwned)
 }
 
-// cutBackEnd silences first what a server sends, then what it is sent. Bound:
+// cutBackEnd silences what one server sends, then what another one is sent. Bound:
 // its keys have a new owner within 1 s of each loss.
 func cutBackEnd(ctx context.Context, r *run) error {
+	// Each direction has a server of its own, since the first one's shards are
+	// elsewhere by then.
 	cuts := []struct {
-		name string
-		cut  func(string) error
+		name   string
+		server state.ServerID
+		cut    func(string) error
 	}{
-		{"recovery_sending", r.network.CutSending},
-		{"recovery_receiving", r.network.CutReceiving},
+		{"recovery_sending", victim, r.network.CutSending},
+		{"recovery_receiving", "ledger-view-3", r.network.CutReceiving},
 	}
 	for _, cut := range cuts {
 		if err := r.sleep(ctx, settle); err != nil {
 			return err
 		}
 		err := r.recoversWithin(ctx, cut.name, newOwnerLimit, 3*time.Second, func() error {
-			r.Say("cutting off %s: %s", victim, cut.name)
-			return cut.cut(string(victim))
+			r.Say("cutting off %s: %s", cut.server, cut.name)
+			return cut.cut(string(cut.server))
 		})
 		if err != nil {
 			return err
