Lab: goroutines of started processes run under conc

The house style has no bare go statement; the starter and the waiting for each process were the last two. The demonstration passes as before.

--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 )
 
 // Spec describes a process to start.
@@ -30,16 +31,20 @@
 	err     error
 }
 
+// background holds goroutines that nobody waits for: the starter, and one for
+// each process, which tells of its end by a channel.
+var background conc.WaitGroup
+
 // starter runs Start calls on one thread that lives as long as this process:
 // the kernel sends the parent-death signal when the starting thread ends.
 var starter = sync.OnceValue(func() chan func() {
 	work := make(chan func())
-	go func() {
+	background.Go(func() {
 		runtime.LockOSThread()
 		for task := range work {
 			task()
 		}
-	}()
+	})
 	return work
 })
 
@@ -60,7 +65,7 @@
 		return nil, eris.Wrapf(err, "start %s", spec.Name)
 	}
 	process := &Process{spec: spec, command: command, ended: make(chan struct{})}
-	go process.wait()
+	background.Go(process.wait)
 	return process, nil
 }
 
