State: sums over shards, so that plans and status need not look at each one

Cause: the prediction of a plan copied every shard of the service to add up the key space of each server, under the lock that applying needs; status did the same to count phases. Ruled out: the insertion of split shards into the ordered list (confirming takes 1.1 ms at 530,000) and the coordinator's tick, which looks at active shards only.

The state now keeps the phases of each service and the exact sum of ranges of each server with every change.

--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -105,27 +105,15 @@
 func serviceStatuses(view *state.State) []intentapi.ServiceStatus {
 	statuses := make([]intentapi.ServiceStatus, 0)
 	for _, service := range view.Services() {
-		status := intentapi.ServiceStatus{Name: service.Name, Mode: service.Mode, Keyed: service.Keyed}
-		for _, shard := range view.ShardsOf(service.Name) {
-			countShard(&status, shard)
-		}
-		statuses = append(statuses, status)
+		counts := view.PhaseCounts(service.Name)
+		statuses = append(statuses, intentapi.ServiceStatus{
+			Name: service.Name, Mode: service.Mode, Keyed: service.Keyed,
+			Shards: counts.All(), Owned: counts.Owned, Revoking: counts.Revoking, Unowned: counts.Unowned,
+		})
 	}
 	return statuses
 }
 
-func countShard(status *intentapi.ServiceStatus, shard state.Shard) {
-	status.Shards++
-	switch shard.Phase {
-	case state.ShardOwned:
-		status.Owned++
-	case state.ShardRevoking:
-		status.Revoking++
-	case state.ShardUnowned:
-		status.Unowned++
-	}
-}
-
 func serverStatuses(view *state.State, views []coordinator.ServerView) []intentapi.ServerStatus {
 	seen := make(map[state.ServerID]coordinator.ServerView, len(views))
 	for _, known := range views {
--- a/internal/planner/predict.go
+++ b/internal/planner/predict.go
@@ -52,13 +52,8 @@
 func (d *draft) keySpaceOf(service state.ServiceName) map[state.ServerID]float64 {
 	load := make(map[state.ServerID]float64)
 	for _, server := range d.view.ServersOf(service) {
-		if takesShards(server) {
-			load[server.ID] = 0
-		}
-	}
-	for _, shard := range d.view.ShardsOf(service) {
-		if shard.Owner != "" {
-			load[shard.Owner] += shard.Range.Width()
+		if takesShards(server) || d.view.OwnedCount(server.ID) > 0 {
+			load[server.ID] = d.view.OwnedWidth(server.ID)
 		}
 	}
 	return load
--- a/internal/state/object.go
+++ b/internal/state/object.go
@@ -18,9 +18,11 @@
 	return r.First <= hash && hash <= r.Last
 }
 
+// keySpace is the number of key hashes.
+const keySpace = float64(1<<63) * 2
+
 // Width returns the share of the whole key space that the range covers, 0 to 1.
 func (r KeyRange) Width() float64 {
-	const keySpace = float64(1<<63) * 2
 	return (float64(r.Last-r.First) + 1) / keySpace
 }
 
--- a/internal/state/put.go
+++ b/internal/state/put.go
@@ -46,6 +46,7 @@
 }
 
 func (s *State) putShard(previous, shard *Shard) {
+	s.totals.replace(previous, shard)
 	if previous == nil {
 		s.insertRange(shard)
 	} else if previous.Owner != "" {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -33,6 +33,7 @@
 	// active indexes the shards that are not simply owned: unowned, revoking,
 	// or owned with a target.
 	active map[ShardID]struct{}
+	totals totals
 }
 
 // New returns the empty state.
@@ -49,6 +50,7 @@
 		owned:      make(map[ServerID]map[ShardID]struct{}),
 		versions:   make(map[ServerID]Revision),
 		active:     make(map[ShardID]struct{}),
+		totals:     newTotals(),
 	}
 }
 
