--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -63,6 +63,7 @@
 	// The worst of all losses counts against the target, all parts included.
 	NewOwnerMs       []float64 `json:"new_owner_ms"`
 	NewOwnerMaxMs    float64   `json:"new_owner_max_ms"`
+	NewOwnerShards   []int     `json:"new_owner_shards"`
 	NewOwnerTargetMs float64   `json:"new_owner_target_ms"`
 	InForceMedianMs  float64   `json:"in_force_median_ms"`
 	InForceMaxMs     float64   `json:"in_force_max_ms"`
@@ -106,6 +107,9 @@
 	if err := r.rig.Own(ctx); err != nil {
 		return err
 	}
+	if err := r.rig.Spread(ctx); err != nil {
+		return err
+	}
 	if err := r.rig.Fleet.WaitRouters(ctx); err != nil {
 		return err
 	}
@@ -215,6 +219,7 @@
 			return err
 		}
 		r.result.NewOwnerMs = append(r.result.NewOwnerMs, milliseconds(course.Total()))
+		r.result.NewOwnerShards = append(r.result.NewOwnerShards, course.Shards)
 		r.options.Say("silent loss with %d shards: session closed after %.0f ms, new owners in the table after %.0f, granted after %.0f, in force everywhere after %.0f",
 			course.Shards, milliseconds(course.Closed), milliseconds(course.Owned), milliseconds(course.Granted), milliseconds(course.Everywhere))
 	}
--- a/internal/lab/bench/rig/acts.go
+++ b/internal/lab/bench/rig/acts.go
@@ -56,6 +56,19 @@
 	return record.Monotonic() - began, err
 }
 
+// Spread moves shards until the servers own about the same number: shards go to
+// the servers that answer first.
+func (r *Rig) Spread(ctx context.Context) error {
+	plan, err := r.Execute(ctx, state.Intent{Kind: state.IntentRebalance, Rebalance: &state.Rebalance{Service: Service}})
+	if err != nil {
+		return err
+	}
+	if _, err := r.Routers.WaitRevision(ctx, plan.Accepted); err != nil {
+		return err
+	}
+	return r.wait(ctx, "the moves of a rebalance", r.allSettled)
+}
+
 // Loss is the course of the silent loss of servers, from the moment at which
 // they went silent.
 type Loss struct {
