Scenarios: act on the server that owns the hot key; queue full at the freeze

Scenarios now act on the owner of the hot key. A failed attempt counts as an outage at its sending, an answered one while it waits.

--- a/internal/lab/scenario/backends.go
+++ b/internal/lab/scenario/backends.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/platform"
@@ -12,27 +13,31 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-// victim is the back end that most scenarios act on.
-const victim state.ServerID = "ledger-view-2"
+// keyedService is the service with keys whose servers most scenarios act on.
+const keyedService state.ServiceName = "ledger-view"
 
 func backEndScenarios() []Scenario {
 	return []Scenario{
 		{Name: "kill-backend", Proves: "servers come and go: a new owner within 1 s of a loss, nothing runs twice", steps: killBackEnd},
 		{Name: "freeze-backend", Proves: "a server that freezes past its lease with a full queue and comes back owns nothing: one owner at any time",
-			shape: shape{duration: 12 * time.Second}, steps: freezeBackEnd},
+			shape: shape{rate: 300, duration: 12 * time.Second}, steps: freezeBackEnd},
 		{Name: "cut-backend", Proves: "a server that is cut off in silence, in either direction, and heard again: one owner at any time",
 			shape: shape{duration: 14 * time.Second}, steps: cutBackEnd},
 		{Name: "misleading-signals", Proves: "health, load and machine lists that lag or mislead break no guarantee", steps: misleadingSignals},
 	}
 }
 
-// killBackEnd kills one server of a keyed service under load, and starts it
+// killBackEnd kills the owner of the hot key under load, and starts it
 // again. Bound: no request fails or is held up later than 1 s after the loss.
 func killBackEnd(ctx context.Context, r *run) error {
 	if err := r.sleep(ctx, settle); err != nil {
 		return err
 	}
-	err := r.recoversWithin(ctx, "recovery", newOwnerLimit, 4*time.Second, func() error {
+	victim, err := r.hotOwner(ctx)
+	if err != nil {
+		return err
+	}
+	err = r.recoversWithin(ctx, "recovery", newOwnerLimit, 4*time.Second, func() error {
 		r.Say("killing %s", victim)
 		return r.KillBackEnd(victim)
 	})
@@ -43,13 +48,18 @@
 	return within(ctx, r.RestartDead)
 }
 
-// freezeBackEnd fills the queue of a server, freezes it for three leases and
-// thaws it. Bound: its keys have a new owner within 1 s.
+// freezeBackEnd fills the queue of the hot key's owner, freezes it for two leases, which is
+// less than requests wait, and thaws it. Bounds: its keys have a new owner within
+// 1 s; the thawed server refuses what waited in its queue.
 func freezeBackEnd(ctx context.Context, r *run) error {
-	const slow, fill = 20, 500 * time.Millisecond
+	const slow, fill, frozenFor = 60, 600 * time.Millisecond, 1400 * time.Millisecond
 	if err := r.sleep(ctx, settle); err != nil {
 		return err
 	}
+	victim, err := r.hotOwner(ctx)
+	if err != nil {
+		return err
+	}
 	frozen, err := r.backEnd(victim)
 	if err != nil {
 		return err
@@ -64,42 +74,59 @@
 	err = r.recoversWithin(ctx, "recovery", newOwnerLimit, 3*time.Second, func() error {
 		r.Say("freezing %s", victim)
 		frozen.Process.Freeze()
-		return nil
+		defer frozen.Process.Thaw()
+		return r.sleep(ctx, frozenFor)
 	})
 	if err != nil {
 		return err
 	}
-	r.Say("thawing %s", victim)
-	frozen.Process.Thaw()
-	if err := r.sleep(ctx, settle); err != nil {
-		return err
-	}
 	if err := r.setFault(victim, backend.Fault{}); err != nil {
 		return err
 	}
+	r.checks = append(r.checks, func([]record.Attempt) Bound {
+		return atLeast("refused_by_lease", float64(leaseRefusals(frozen.RecordFile)), 1)
+	})
 	return within(ctx, r.Fleet.WaitOwned)
 }
 
-// cutBackEnd silences what one server sends, then what another one is sent. Bound:
+// leaseRefusals counts the requests that a server refused since its lease had
+// ended. A record that cannot be read proves none.
+func leaseRefusals(file string) int {
+	lines, err := record.ReadFile[record.Execution](file)
+	if err != nil {
+		return 0
+	}
+	count := 0
+	for _, line := range lines {
+		if line.Kind == record.ExecutionRefuse && line.Reason == string(backendapi.RefusalLeaseExpired) {
+			count++
+		}
+	}
+	return count
+}
+
+// cutBackEnd silences what the hot key's owner sends, then what its next owner
+// is sent. Bound:
 // its keys have a new owner within 1 s of each loss.
 func cutBackEnd(ctx context.Context, r *run) error {
-	// Each direction has a server of its own, since the first one's shards are
-	// elsewhere by then.
 	cuts := []struct {
-		name   string
-		server state.ServerID
-		cut    func(string) error
+		name string
+		cut  func(string) error
 	}{
-		{"recovery_sending", victim, r.network.CutSending},
-		{"recovery_receiving", "ledger-view-3", r.network.CutReceiving},
+		{"recovery_sending", r.network.CutSending},
+		{"recovery_receiving", r.network.CutReceiving},
 	}
 	for _, cut := range cuts {
 		if err := r.sleep(ctx, settle); err != nil {
 			return err
 		}
-		err := r.recoversWithin(ctx, cut.name, newOwnerLimit, 3*time.Second, func() error {
-			r.Say("cutting off %s: %s", cut.server, cut.name)
-			return cut.cut(string(cut.server))
+		victim, err := r.hotOwner(ctx)
+		if err != nil {
+			return err
+		}
+		err = r.recoversWithin(ctx, cut.name, newOwnerLimit, 3*time.Second, func() error {
+			r.Say("cutting off %s: %s", victim, cut.name)
+			return cut.cut(string(victim))
 		})
 		if err != nil {
 			return err
@@ -126,9 +153,13 @@
 			return err
 		}
 	}
+	called, err := r.hotOwner(ctx)
+	if err != nil {
+		return err
+	}
 	for _, machine := range []platformapi.MachineState{platformapi.MachineGone, platformapi.MachineLive} {
-		r.Say("the platform calls ledger-view-3 %s", machine)
-		if err := r.announce("ledger-view-3", machine); err != nil {
+		r.Say("the platform calls %s %s", called, machine)
+		if err := r.announce(called, machine); err != nil {
 			return err
 		}
 		if err := r.sleep(ctx, 3*time.Second); err != nil {
--- a/internal/lab/scenario/controllers.go
+++ b/internal/lab/scenario/controllers.go
@@ -82,7 +82,7 @@
 
 func (r *run) moveHotKey(ctx context.Context) error {
 	r.Say("moving the hot key")
-	return r.MoveKey(ctx, "ledger-view", trial.HotKey(paylink()))
+	return r.MoveKey(ctx, keyedService, trial.HotKey(paylink()))
 }
 
 // cutLeader cuts the leader off both ways for 10 s. Bound: requests recover
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/caller"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
@@ -118,7 +120,7 @@
 		if err := r.sleep(ctx, settle); err != nil {
 			return err
 		}
-		destination, err := r.otherThanOwner(ctx, "ledger-view", trial.HotKey(paylink()))
+		destination, err := r.otherThanOwner(ctx)
 		if err != nil {
 			return err
 		}
@@ -144,7 +146,7 @@
 	return within(ctx, func(ctx context.Context) error {
 		return r.Execute(ctx, state.Intent{
 			ID: state.IntentID("move-to-" + to), Operator: operatorName, Kind: state.IntentMoveKey,
-			MoveKey: &state.MoveKey{Service: "ledger-view", Key: trial.HotKey(paylink()), To: to},
+			MoveKey: &state.MoveKey{Service: keyedService, Key: trial.HotKey(paylink()), To: to},
 		})
 	})
 }
@@ -166,22 +168,30 @@
 	return r.Fleet.WaitOwned(ctx)
 }
 
-// otherThanOwner returns a server of a service that does not own a key.
-func (r *run) otherThanOwner(ctx context.Context, service state.ServiceName, key string) (state.ServerID, error) {
-	shards, err := r.Fleet.Client().Shards(ctx, service)
+// hotOwner returns the server that owns the hot key.
+func (r *run) hotOwner(ctx context.Context) (state.ServerID, error) {
+	shards, err := r.Fleet.Client().Shards(ctx, keyedService)
 	if err != nil {
 		return "", err
 	}
-	hash := state.HashKey(key)
-	var owner state.ServerID
+	hash := state.HashKey(trial.HotKey(paylink()))
 	for _, shard := range shards {
-		if shard.Range.Contains(hash) {
-			owner = shard.Owner
+		if shard.Range.Contains(hash) && shard.Owner != "" {
+			return shard.Owner, nil
 		}
 	}
+	return "", eris.New("the hot key has no owner")
+}
+
+// otherThanOwner returns a server that could own the hot key but does not.
+func (r *run) otherThanOwner(ctx context.Context) (state.ServerID, error) {
+	owner, err := r.hotOwner(ctx)
+	if err != nil {
+		return "", err
+	}
 	var others []state.ServerID
 	for _, target := range r.Fleet.BackEnds {
-		if target.Service.Name == service && target.Spec.ID != owner {
+		if target.Service.Name == keyedService && target.Spec.ID != owner {
 			others = append(others, target.Spec.ID)
 		}
 	}
--- a/internal/lab/scenario/measure.go
+++ b/internal/lab/scenario/measure.go
@@ -42,17 +42,21 @@
 }
 
 // recovery is the time from the start of a span until requests are served as
-// before. Each attempt sent within the span that fails, or is held up, shows that
-// its key was not available when it was sent, and for as long as it was held up
-// by then: what an attempt waits beyond slowAfter is not counted again, since one
-// that may not be repeated waits out a lost server to its timeout, whoever owns
-// the key by then.
+// before. An attempt that failed shows that its key was not available when it
+// was sent: one that may not be repeated waits out a lost server to its timeout,
+// whoever owns the key by then. An attempt that was held up and then answered
+// shows it for slowAfter more, at which time it still waited.
 func recovery(attempts []record.Attempt, within span, selects func(record.Attempt) bool) time.Duration {
 	last := within.from
 	for _, done := range attempts {
-		if within.contains(done.SentNs) && selects(done) && isImpaired(done) {
-			last = max(last, min(time.Duration(done.ReceivedNs), time.Duration(done.SentNs)+slowAfter))
+		if !within.contains(done.SentNs) || !selects(done) || !isImpaired(done) {
+			continue
 		}
+		shown := time.Duration(done.SentNs)
+		if done.Outcome == fault.Completed {
+			shown += slowAfter
+		}
+		last = max(last, shown)
 	}
 	return last - within.from
 }
--- a/internal/lab/scenario/measure_test.go
+++ b/internal/lab/scenario/measure_test.go
@@ -30,7 +30,8 @@
 		want    time.Duration
 	}{
 		{"none", attemptAt(4*time.Second, 4*time.Second+fast, fault.Completed), 0},
-		{"failure", attemptAt(4*time.Second, 4*time.Second+fast, fault.NotRun), 3*time.Second + fast},
+		{"failure", attemptAt(4*time.Second, 4*time.Second+fast, fault.NotRun), 3 * time.Second},
+		{"failure after a long wait", attemptAt(4*time.Second, 7*time.Second, fault.Unknown), 3 * time.Second},
 		{"held up", attemptAt(4*time.Second, 7*time.Second, fault.Completed), 3*time.Second + slowAfter},
 		{"failure before the span", attemptAt(time.Millisecond, 5*time.Millisecond, fault.NotRun), 0},
 		{"news of an earlier attempt", resent, 0},
--- a/internal/lab/scenario/stops.go
+++ b/internal/lab/scenario/stops.go
@@ -28,8 +28,12 @@
 	if err != nil {
 		return err
 	}
-	r.Say("stopping ledger-view-3 and payout-batcher-2")
-	if err := r.stopLeaving(ctx, "ledger-view-3"); err != nil {
+	owner, err := r.hotOwner(ctx)
+	if err != nil {
+		return err
+	}
+	r.Say("stopping %s and payout-batcher-2", owner)
+	if err := r.stopLeaving(ctx, owner); err != nil {
 		return err
 	}
 	if err := r.stopLeaving(ctx, "payout-batcher-2"); err != nil {
@@ -56,8 +60,12 @@
 	if err := r.sleep(ctx, settle); err != nil {
 		return err
 	}
-	r.Say("retiring %s", victim)
-	if err := within(ctx, func(ctx context.Context) error { return r.Retire(ctx, victim) }); err != nil {
+	owner, err := r.hotOwner(ctx)
+	if err != nil {
+		return err
+	}
+	r.Say("retiring %s", owner)
+	if err := within(ctx, func(ctx context.Context) error { return r.Retire(ctx, owner) }); err != nil {
 		return err
 	}
 	r.Say("retiring payout-batcher-1")
