Simulator: splits of the network, and accepted configuration that never reverts

A split now leaves one controller with some servers. A plan that comes in force must rest on the newest configuration, which nothing checked before.

--- a/internal/lab/sim/checker/checker.go
+++ b/internal/lab/sim/checker/checker.go
@@ -19,6 +19,7 @@
 	RouterTable      Guarantee = "router_tables_are_whole"
 	RevisionOrder    Guarantee = "router_revision_rises"
 	CurrentRead      Guarantee = "confirmed_reads_are_current"
+	ConfigOrder      Guarantee = "configuration_never_reverts"
 	OwnerLiveness    Guarantee = "every_key_gets_an_owner"
 	ConfigLiveness   Guarantee = "configuration_is_in_force"
 	IntentHistory    Guarantee = "intents_are_linearizable"
--- a/internal/lab/sim/checker/checker_test.go
+++ b/internal/lab/sim/checker/checker_test.go
@@ -50,6 +50,11 @@
 		"snapshot of another table": {LogAgreement, func(s *scene) { s.shardApplied(4, "x", 1); s.Restored("b", 4, 4, 99) }},
 		"epoch with two owners":     {EpochContent, func(s *scene) { s.shardApplied(4, "x", 2); s.shardApplied(5, "y", 2) }},
 		"epoch goes back":           {EpochOrder, func(s *scene) { s.shardApplied(4, "x", 2); s.shardApplied(5, "y", 1) }},
+		"plan that replaces what its operator did not see": {ConfigOrder, func(s *scene) {
+			put := &state.Service{Name: "s", Revision: 3}
+			s.Applied(AppliedEntry{Replica: "a", Index: 4, Changed: []state.Object{{Service: &state.Service{Name: "s", Revision: 4}}}})
+			s.Applied(AppliedEntry{Replica: "a", Index: 5, Confirmed: &state.Plan{Accepted: 5, Operations: []state.Operation{{PutService: put}}}})
+		}},
 		"leader without an acknowledged entry": {Durability, func(s *scene) {
 			s.shardApplied(4, "x", 1)
 			s.Acknowledged(4, "x")
--- a/internal/lab/sim/checker/log.go
+++ b/internal/lab/sim/checker/log.go
@@ -20,6 +20,8 @@
 	Digest uint64
 	// Changed are the objects that the entry changed.
 	Changed []state.Object
+	// Confirmed is the plan that the entry put in force, if any.
+	Confirmed *state.Plan
 }
 
 type entryContent struct {
@@ -46,6 +48,8 @@
 	owners  map[shardEpoch]state.ServerID
 	epochs  map[state.ShardID]state.Epoch
 	changes []tableChange
+	// services has the revision of each service's newest configuration.
+	services map[state.ServiceName]state.Revision
 	// acknowledged has, by term, the highest index whose effect someone was told
 	// of.
 	acknowledged map[uint64]acknowledgement
@@ -63,6 +67,7 @@
 		owners:  make(map[shardEpoch]state.ServerID),
 		epochs:  make(map[state.ShardID]state.Epoch),
 
+		services:     make(map[state.ServiceName]state.Revision),
 		acknowledged: make(map[uint64]acknowledgement),
 	}
 }
@@ -92,10 +97,34 @@
 	if len(entry.Changed) > 0 {
 		c.log.changes = append(c.log.changes, tableChange{at: c.now(), revision: entry.Table, digest: entry.Digest})
 	}
+	if entry.Confirmed != nil {
+		c.planConfirmed(*entry.Confirmed, state.Revision(entry.Index))
+	}
 	for _, object := range entry.Changed {
 		if object.Shard != nil {
 			c.shardChanged(*object.Shard)
 		}
+		if object.Service != nil {
+			c.log.services[object.Service.Name] = object.Service.Revision
+		}
+	}
+}
+
+// planConfirmed checks that a plan, when it comes in force, replaces only the
+// configuration that its operator saw: an accepted one never reverts.
+func (c *Checker) planConfirmed(plan state.Plan, revision state.Revision) {
+	if plan.Accepted != revision {
+		return
+	}
+	for _, operation := range plan.Operations {
+		if put := operation.PutService; put != nil && put.Revision != c.log.services[put.Name] {
+			c.Fail(ConfigOrder, "plan %s replaces service %s at revision %d, but was made at %d",
+				plan.ID, put.Name, c.log.services[put.Name], put.Revision)
+		}
+		if move := operation.MoveShard; move != nil && move.Epoch != c.log.epochs[move.Shard] {
+			c.Fail(ConfigOrder, "plan %s moves shard %d at epoch %d, but was made at %d",
+				plan.ID, move.Shard, c.log.epochs[move.Shard], move.Epoch)
+		}
 	}
 }
 
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"path"
+	"slices"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/consensus"
@@ -34,6 +35,7 @@
 	{1, (*simulation).flipBit},
 	{2, (*simulation).loseAnyDisk},
 	{5, (*simulation).cutLinks},
+	{3, (*simulation).splitNetwork},
 	{3, (*simulation).changeNetwork},
 	{4, (*simulation).freezeServer},
 	{3, (*simulation).crashServer},
@@ -76,6 +78,7 @@
 // endFaults heals everything: from here on nothing fails.
 func (s *simulation) endFaults() {
 	s.operating = false
+	s.calmSince = s.queue.Now()
 	s.trace("faults end")
 	s.network.HealAll()
 	clear(s.leaving)
@@ -285,6 +288,41 @@
 	duration := s.pauseTime()
 	s.counts.Cuts++
 	s.trace("%s is cut off (kind %d) for %v", one, kind, duration)
+	s.cutFor(duration, cut)
+}
+
+// splitNetwork divides the machines in two parts, in silence. One controller,
+// often the leader, stands alone with servers and routers that reach no other.
+func (s *simulation) splitNetwork() {
+	alone := s.likelyLeader().node
+	var parts [2][]network.Node
+	for _, node := range s.nodes() {
+		side := s.random.IntN(2)
+		if s.isController(node) {
+			side = 1
+		}
+		if node == alone {
+			side = 0
+		}
+		parts[side] = append(parts[side], node)
+	}
+	var cut [][2]network.Node
+	for _, one := range parts[0] {
+		for _, other := range parts[1] {
+			cut = append(cut, [2]network.Node{one, other}, [2]network.Node{other, one})
+		}
+	}
+	duration := s.pauseTime()
+	s.counts.Splits++
+	s.trace("%v are split from the others for %v", parts[0], duration)
+	s.cutFor(duration, cut)
+}
+
+func (s *simulation) isController(node network.Node) bool {
+	return slices.ContainsFunc(s.controllers, func(each *controller) bool { return each.node == node })
+}
+
+func (s *simulation) cutFor(duration time.Duration, cut [][2]network.Node) {
 	for _, link := range cut {
 		s.network.Cut(link[0], link[1])
 	}
--- a/internal/lab/sim/ready.go
+++ b/internal/lab/sim/ready.go
@@ -118,6 +118,7 @@
 		Replica: r.owner.name(), Index: entry.Index, Term: entry.Term,
 		Content: xxhash.Sum64(entry.Data) + uint64(entry.Kind),
 		Table:   r.state.Revision(), Digest: r.state.Digest(), Changed: result.Changed,
+		Confirmed: confirmedBy(content.Command, result),
 	})
 	if !carriesCommand {
 		return nil
@@ -140,6 +141,14 @@
 	return nil
 }
 
+// confirmedBy returns the plan that a command confirmed.
+func confirmedBy(command state.Command, result state.Result) *state.Plan {
+	if command.ConfirmPlan == nil {
+		return nil
+	}
+	return result.Plan
+}
+
 func (r *replica) applyCommand(index uint64, command state.Command) state.Result {
 	previous := r.state.Revision()
 	result := r.state.Apply(index, command)
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -22,6 +22,7 @@
 	LossesAfterRepair uint64 `json:"losses_after_repair"`
 	RefusedStarts     uint64 `json:"refused_starts"`
 	Cuts              uint64 `json:"cuts"`
+	Splits            uint64 `json:"splits"`
 	NetworkChanges    uint64 `json:"network_changes"`
 	Freezes           uint64 `json:"server_freezes"`
 	ServerCrashes     uint64 `json:"server_crashes"`
