Coordinator: the loss of a zone no longer costs the square of its shards

Each tick copied and sorted every shard without an owner, and each batch built the pool of servers anew.

--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -41,7 +41,9 @@
 		})
 	}
 	f.apply(state.Command{AssignShards: assign})
-	f.core = New(testConfig)
+	config := testConfig
+	config.MaxBatch = DefaultMaxBatch
+	f.core = New(config)
 	f.core.Lead(f.now, 1, f.view)
 	return f
 }
@@ -130,3 +132,32 @@
 		})
 	}
 }
+
+// BenchmarkZoneLoss measures the work from the end of the leases of one server
+// in seven until every shard has an owner, and on the fleet's clock how long
+// shards had none.
+func BenchmarkZoneLoss(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("servers=%d/shards=%d", size.servers, size.shards), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				f := newFleet(size.servers, size.shards)
+				for range 100 {
+					f.tick()
+				}
+				for number := 0; number < size.servers; number += 7 {
+					f.lost[fleetServer(number)] = true
+				}
+				for f.view.ActiveCount() == 0 {
+					f.tick()
+				}
+				began := f.now
+				b.StartTimer()
+				for f.view.ActiveCount() > 0 {
+					f.tick()
+				}
+				b.ReportMetric(float64((f.now - began).Milliseconds()), "fleet-ms")
+			}
+		})
+	}
+}
--- a/internal/coordinator/planner.go
+++ b/internal/coordinator/planner.go
@@ -37,6 +37,11 @@
 	return p.view.Server(chosen)
 }
 
+// hasTakers reports whether some server of the service can take shards.
+func (p *planner) hasTakers(service state.ServiceName) bool {
+	return p.poolOf(service).Len() > 0
+}
+
 func (p *planner) poolOf(service state.ServiceName) *placement.Pool {
 	if known, found := p.pools[service]; found {
 		return known
--- a/internal/coordinator/shards.go
+++ b/internal/coordinator/shards.go
@@ -11,25 +11,24 @@
 // tickShards carries each shard that needs work one step on: a move begins, a
 // revoked shard is released, an unowned shard is assigned.
 func (c *Coordinator) tickShards(now time.Duration, view *state.State, actions *Actions) {
-	active := view.ActiveShards()
-	c.releaseShards(active, view, actions)
+	c.releaseShards(view, actions)
 	planner := c.newPlanner(now, view)
 	if c.pendingAssign == 0 {
-		c.assignShards(active, planner, actions)
+		c.assignShards(planner, view, actions)
 	}
 	if c.pendingRevoke == 0 {
-		c.revokeShards(active, planner, view, actions)
+		c.revokeShards(planner, view, actions)
 	}
 	c.finishRetirements(view, actions)
 }
 
 // releaseShards proposes the release of revoked shards which their owner no
 // longer holds and of which it executes nothing.
-func (c *Coordinator) releaseShards(active []state.Shard, view *state.State, actions *Actions) {
+func (c *Coordinator) releaseShards(view *state.State, actions *Actions) {
 	released := make(map[state.ServerID][]state.ShardEpoch)
-	for _, shard := range active {
+	for _, shard := range view.RevokingShards() {
 		known := c.contacts[shard.Owner]
-		if shard.Phase != state.ShardRevoking || known == nil || known.pendingRelease != 0 {
+		if known == nil || known.pendingRelease != 0 {
 			continue
 		}
 		server, _ := view.Server(shard.Owner)
@@ -45,19 +44,26 @@
 	}
 }
 
-func (c *Coordinator) assignShards(active []state.Shard, planner *planner, actions *Actions) {
+// assignShards gives shards without an owner to servers, service by service. A
+// service without servers holds up no other.
+func (c *Coordinator) assignShards(planner *planner, view *state.State, actions *Actions) {
 	var assignments []state.ShardAssignment
-	for _, shard := range active {
-		if shard.Phase != state.ShardUnowned || len(assignments) == c.config.MaxBatch {
-			continue
+	for _, service := range view.UnownedServices() {
+		if len(assignments) == c.config.MaxBatch {
+			break
 		}
-		target, found := planner.choose(shard)
-		if !found {
+		if !planner.hasTakers(service) {
 			continue
 		}
-		assignments = append(assignments, state.ShardAssignment{
-			Shard: shard.ID, Epoch: shard.Epoch, Server: target.ID, Session: target.Session.Number,
-		})
+		for _, shard := range view.UnownedShards(service, c.config.MaxBatch-len(assignments)) {
+			target, found := planner.choose(shard)
+			if !found {
+				continue
+			}
+			assignments = append(assignments, state.ShardAssignment{
+				Shard: shard.ID, Epoch: shard.Epoch, Server: target.ID, Session: target.Session.Number,
+			})
+		}
 	}
 	if len(assignments) > 0 {
 		c.pendingAssign = c.propose(actions, state.Command{AssignShards: &state.AssignShards{Assignments: assignments}})
@@ -66,16 +72,15 @@
 
 // revokeShards begins moves within each service's bound: first those that a
 // plan asked for, then those off servers that are leaving.
-func (c *Coordinator) revokeShards(active []state.Shard, planner *planner, view *state.State, actions *Actions) {
-	if len(active) == 0 && len(c.leaving) == 0 {
+func (c *Coordinator) revokeShards(planner *planner, view *state.State, actions *Actions) {
+	targeted := view.TargetedShards()
+	if len(targeted) == 0 && len(c.leaving) == 0 {
 		return
 	}
-	budget := newMoveBudget(view, active)
+	budget := newMoveBudget(view)
 	var moves []state.MoveShard
-	for _, shard := range active {
-		if shard.Phase == state.ShardOwned && shard.Target != "" {
-			moves = appendMove(moves, shard, planner, budget)
-		}
+	for _, shard := range targeted {
+		moves = appendMove(moves, shard, planner, budget)
 	}
 	for _, known := range c.leaving {
 		server, found := view.Server(known.server)
@@ -129,15 +134,13 @@
 	left map[state.ServiceName]int
 }
 
-func newMoveBudget(view *state.State, active []state.Shard) *moveBudget {
+func newMoveBudget(view *state.State) *moveBudget {
 	budget := &moveBudget{left: make(map[state.ServiceName]int)}
 	for _, service := range view.Services() {
-		budget.left[service.Name] = service.MaxMoves
+		budget.left[service.Name] = service.MaxMoves - view.UnownedCount(service.Name)
 	}
-	for _, shard := range active {
-		if shard.Phase != state.ShardOwned {
-			budget.left[shard.Service]--
-		}
+	for _, shard := range view.RevokingShards() {
+		budget.left[shard.Service]--
 	}
 	return budget
 }
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -123,6 +123,9 @@
 	return ordered
 }
 
+// Len returns how many servers the pool has.
+func (p *Pool) Len() int { return len(p.entries) }
+
 // Take gives the orphan to the least loaded server that may have it. It returns
 // false when there is none.
 func (p *Pool) Take(orphan Orphan) (state.ServerID, bool) {
--- /dev/null
+++ b/internal/state/active.go
@@ -0,0 +1,100 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// activeIndex holds the shards that need work, by kind of work.
+type activeIndex struct {
+	unowned map[ServiceName]map[ShardID]struct{}
+	// revoking shards are to be released; targeted ones are owned and to move.
+	revoking map[ShardID]struct{}
+	targeted map[ShardID]struct{}
+}
+
+func newActiveIndex() activeIndex {
+	return activeIndex{
+		unowned:  make(map[ServiceName]map[ShardID]struct{}),
+		revoking: make(map[ShardID]struct{}), targeted: make(map[ShardID]struct{}),
+	}
+}
+
+func (a activeIndex) put(previous, shard *Shard) {
+	if previous != nil {
+		a.remove(previous)
+	}
+	switch {
+	case shard.Phase == ShardUnowned:
+		if a.unowned[shard.Service] == nil {
+			a.unowned[shard.Service] = make(map[ShardID]struct{})
+		}
+		a.unowned[shard.Service][shard.ID] = struct{}{}
+	case shard.Phase == ShardRevoking:
+		a.revoking[shard.ID] = struct{}{}
+	case shard.Target != "":
+		a.targeted[shard.ID] = struct{}{}
+	}
+}
+
+func (a activeIndex) remove(shard *Shard) {
+	delete(a.revoking, shard.ID)
+	delete(a.targeted, shard.ID)
+	if left := a.unowned[shard.Service]; left != nil {
+		delete(left, shard.ID)
+		if len(left) == 0 {
+			delete(a.unowned, shard.Service)
+		}
+	}
+}
+
+// ActiveShards returns the shards that need work: unowned, revoking, or owned
+// with a target. They come by identifier.
+func (s *State) ActiveShards() []Shard {
+	shards := slices.Concat(s.RevokingShards(), s.TargetedShards())
+	for _, service := range s.UnownedServices() {
+		shards = append(shards, s.shardsByID(s.active.unowned[service])...)
+	}
+	slices.SortFunc(shards, func(a, b Shard) int { return cmp.Compare(a.ID, b.ID) })
+	return shards
+}
+
+// ActiveCount returns how many shards need work.
+func (s *State) ActiveCount() int {
+	count := len(s.active.revoking) + len(s.active.targeted)
+	for _, unowned := range s.active.unowned {
+		count += len(unowned)
+	}
+	return count
+}
+
+// RevokingShards returns the shards that their owners are to release, by
+// identifier.
+func (s *State) RevokingShards() []Shard { return s.shardsByID(s.active.revoking) }
+
+// TargetedShards returns the owned shards that are to move, by identifier.
+func (s *State) TargetedShards() []Shard { return s.shardsByID(s.active.targeted) }
+
+// UnownedServices returns the services with shards that have no owner, by name.
+func (s *State) UnownedServices() []ServiceName {
+	return slices.Sorted(maps.Keys(s.active.unowned))
+}
+
+// UnownedCount returns how many shards of a service have no owner.
+func (s *State) UnownedCount(service ServiceName) int { return len(s.active.unowned[service]) }
+
+// UnownedShards returns up to limit shards of a service that have no owner, the
+// lowest identifiers first. It costs one pass over those without an owner.
+func (s *State) UnownedShards(service ServiceName, limit int) []Shard {
+	ids := make([]ShardID, 0, len(s.active.unowned[service]))
+	for id := range s.active.unowned[service] {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	shards := make([]Shard, 0, min(limit, len(ids)))
+	for _, id := range ids[:min(limit, len(ids))] {
+		shards = append(shards, *s.shards[id])
+	}
+	return shards
+}
--- a/internal/state/put.go
+++ b/internal/state/put.go
@@ -61,11 +61,7 @@
 		s.owned[shard.Owner][shard.ID] = struct{}{}
 		s.versions[shard.Owner] = shard.Revision
 	}
-	if shard.Phase == ShardOwned && shard.Target == "" {
-		delete(s.active, shard.ID)
-	} else {
-		s.active[shard.ID] = struct{}{}
-	}
+	s.active.put(previous, shard)
 }
 
 // insertRange adds a new shard to its service's ordered list. The order is by
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -32,7 +32,7 @@
 	versions map[ServerID]Revision
 	// active indexes the shards that are not simply owned: unowned, revoking,
 	// or owned with a target.
-	active map[ShardID]struct{}
+	active activeIndex
 	totals totals
 }
 
@@ -49,7 +49,7 @@
 		ranges:     make(map[ServiceName][]ShardID),
 		owned:      make(map[ServerID]map[ShardID]struct{}),
 		versions:   make(map[ServerID]Revision),
-		active:     make(map[ShardID]struct{}),
+		active:     newActiveIndex(),
 		totals:     newTotals(),
 	}
 }
@@ -249,12 +249,6 @@
 	return s.versions[server]
 }
 
-// ActiveShards returns the shards that need work: unowned, revoking, or owned
-// with a target. They come by identifier.
-func (s *State) ActiveShards() []Shard {
-	return s.shardsByID(s.active)
-}
-
 func (s *State) shardsByID(ids map[ShardID]struct{}) []Shard {
 	shards := make([]Shard, 0, len(ids))
 	for id := range ids {
