Intent API client: errors of the transport say what to do

A refused connection printed the layers of three libraries, and plain text sent to a controller with certificates printed fasthttp's advice to server authors. Both now name the endpoint, the cause and what to check.

--- a/internal/intentapi/call.go
+++ b/internal/intentapi/call.go
@@ -217,17 +217,30 @@
 func transportFault(endpoint string, err error) error {
 	var failed *dialError
 	switch {
-	case errors.As(err, &failed), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return fault.Newf(fault.ConnectFailed, "%s: %v", endpoint, err)
+	case errors.As(err, &failed):
+		return fault.Newf(fault.ConnectFailed, "%s cannot be reached: %v: check the address, and that the controller runs", endpoint, innermost(failed.cause))
+	case errors.Is(err, fasthttp.ErrNoFreeConns):
+		return fault.Newf(fault.ConnectFailed, "%s: all connections are in use", endpoint)
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return fault.Newf(fault.DeadlineExceeded, "%s: no answer in time", endpoint)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return fault.Newf(fault.Internal, "%s: the answer is larger than the client takes", endpoint)
+	case errors.Is(err, fasthttp.ErrConnectionClosed):
+		return fault.Newf(fault.ConnectionLost, "%s closed the connection without an answer: does one side use certificates and the other not?", endpoint)
 	default:
 		return fault.Newf(fault.ConnectionLost, "%s: %v", endpoint, err)
 	}
 }
 
+// innermost returns the cause that the layers of an error wrap, which is the
+// part that tells a person something.
+func innermost(err error) error {
+	for cause := errors.Unwrap(err); cause != nil; cause = errors.Unwrap(err) {
+		err = cause
+	}
+	return err
+}
+
 // backoff returns a wait between half of the bound for this attempt and all of
 // it, at random so that operators do not repeat in step.
 func (c *Client) backoff(attempt int) time.Duration {
