Table streams: each change and each whole table is encoded once

A router that asks again for a whole table names the revision that it holds, so that it is not sent an older one.

--- a/internal/controller/access.go
+++ b/internal/controller/access.go
@@ -49,11 +49,12 @@
 	return r.state.Revision(), r.state.Digest()
 }
 
-// table returns the whole routing table at one revision.
-func (r *replica) table() ([]state.Object, state.Revision, uint64) {
+// frozenTable returns the state at one revision, with the revision and digest
+// of the routing table. The lock is held for the freezing alone.
+func (r *replica) frozenTable() (*state.Frozen, state.Revision, uint64) {
 	r.stateLock.RLock()
 	defer r.stateLock.RUnlock()
-	return r.state.Objects(), r.state.Revision(), r.state.Digest()
+	return r.state.Freeze(), r.state.Revision(), r.state.Digest()
 }
 
 // view calls read with the state, which read must not keep.
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -23,6 +23,7 @@
 	r.leading = false
 	r.coordinator.Follow()
 	r.pending.drop(r.finish)
+	r.whole.forget()
 	r.joining.pending = make(map[consensus.ReplicaID]consensus.Member)
 	r.leadershipLock.Lock()
 	r.endLeadership()
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -46,6 +46,7 @@
 	leases   *leaseSender
 	metrics  *metrics
 	history  *tableHistory
+	whole    wholeTable
 	routers  *routerRegistry
 	// partitions places the idempotency records on routers.
 	partitions *partitionKeeper
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -27,6 +27,8 @@
 	// whole is true while the router needs a whole table, whatever the history
 	// holds.
 	whole bool
+	// held is the revision of the table that the router came with.
+	held state.Revision
 	// sent is the revision of the last frame.
 	sent  state.Revision
 	pongs chan message.Pong
@@ -94,9 +96,12 @@
 // where the history begins at revision zero: only a snapshot names the cluster,
 // and a router that holds a table refuses to go back.
 func (s *tableStream) begin(hello message.RouterHello) {
+	if hello.Cluster == s.cluster {
+		s.held = hello.Revision
+	}
 	revision, digest := s.replica.tablePosition()
 	switch {
-	case hello.Cluster != s.cluster, hello.Revision == 0, hello.Revision > revision:
+	case hello.Cluster != s.cluster, hello.Revision == 0, hello.Revision > revision, hello.Resync:
 		s.whole = true
 	case hello.Revision == revision && hello.Digest != digest:
 		s.whole = true
@@ -164,29 +169,34 @@
 // writeTable sends what the router lacks, and returns a channel that is closed
 // at the next change.
 func (s *tableStream) writeTable(ctx context.Context) (<-chan struct{}, error) {
-	deltas, changed, reached := s.replica.history.after(s.sent)
-	if s.whole || !reached {
-		return changed, s.writeSnapshot(ctx)
+	changes, changed, reached := s.replica.history.after(s.sent)
+	for s.whole || !reached {
+		// The whole table may be an older one, which changes follow.
+		if err := s.writeWhole(ctx); err != nil {
+			return changed, err
+		}
+		changes, changed, reached = s.replica.history.after(s.sent)
 	}
-	for _, delta := range deltas {
-		if err := s.connection.Send(ctx, &message.ControllerFrame{Delta: &delta}); err != nil {
+	for _, change := range changes {
+		frame, err := change.encoded()
+		if err != nil {
 			return changed, err
 		}
-		s.sent = delta.To
+		if err := s.connection.SendFrame(ctx, frame); err != nil {
+			return changed, err
+		}
+		s.sent = change.delta.To
 	}
 	return changed, nil
 }
 
-func (s *tableStream) writeSnapshot(ctx context.Context) error {
-	objects, revision, digest := s.replica.table()
-	size := s.replica.settings.Table.SnapshotObjects
-	for start := 0; start == 0 || start < len(objects); start += size {
-		end := min(start+size, len(objects))
-		part := message.TableSnapshot{
-			Cluster: s.cluster, Revision: revision, Digest: digest,
-			Objects: objects[start:end], First: start == 0, Last: end == len(objects),
-		}
-		if err := s.connection.Send(ctx, &message.ControllerFrame{Snapshot: &part}); err != nil {
+func (s *tableStream) writeWhole(ctx context.Context) error {
+	frames, revision, err := s.replica.whole.get(s.replica, max(s.held, s.sent))
+	if err != nil {
+		return err
+	}
+	for _, frame := range frames {
+		if err := s.connection.SendFrame(ctx, frame); err != nil {
 			return err
 		}
 	}
--- a/internal/controller/stream_test.go
+++ b/internal/controller/stream_test.go
@@ -116,6 +116,20 @@
 		t.Errorf("after a reconnect: %d snapshots and %d deltas", s.snapshots, s.deltas)
 	}
 
+	// The whole table that was made for the first router serves the next one,
+	// which changes then lead on; but not one that holds a newer table.
+	s = g.subscribe(leader, table.NewBuilder(), message.RouterHello{})
+	s.reach(third)
+	if s.snapshots != 1 || s.deltas < 2 {
+		t.Errorf("a second router: %d snapshots and %d deltas", s.snapshots, s.deltas)
+	}
+	damaged := held(builder)
+	damaged.Resync = true
+	s = g.subscribe(leader, builder, damaged)
+	if frame := s.receive(); frame.Snapshot == nil || frame.Snapshot.Revision < third {
+		t.Errorf("a resync from revision %d got %+v", third, frame)
+	}
+
 	stranger := held(builder)
 	stranger.Cluster = "another"
 	s = g.subscribe(leader, table.NewBuilder(), stranger)
@@ -149,6 +163,7 @@
 		hello message.RouterHello
 		whole bool
 	}{
+		"a damaged one":               {message.RouterHello{Cluster: "c", Revision: revision, Digest: digest, Resync: true}, true},
 		"nothing":                     {message.RouterHello{Cluster: "c"}, true},
 		"the same":                    {message.RouterHello{Cluster: "c", Revision: revision, Digest: digest}, false},
 		"an older one":                {message.RouterHello{Cluster: "c", Revision: revision - 1, Digest: 1}, false},
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -170,12 +170,10 @@
 
 func (s *subscription) hello() *message.RouterHello {
 	view := s.builder.Table()
-	hello := &message.RouterHello{Router: s.self, Cluster: view.Cluster()}
-	if !s.resync {
-		hello.Revision = view.Revision()
-		hello.Digest = view.Digest()
+	return &message.RouterHello{
+		Router: s.self, Cluster: view.Cluster(),
+		Revision: view.Revision(), Digest: view.Digest(), Resync: s.resync,
 	}
-	return hello
 }
 
 // pingUntil sends pings until the context ends, a write fails, or the
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -61,9 +61,21 @@
 func (c *Conn) Send(ctx context.Context, value any) error {
 	buffer := frameBuffers.Get().(*bytes.Buffer)
 	defer releaseBuffer(buffer)
-	if err := c.encode(buffer, value); err != nil {
+	if err := encode(buffer, value); err != nil {
 		return because(ErrNotSent, err)
 	}
+	return c.send(ctx, buffer.Bytes())
+}
+
+// SendFrame writes an encoded frame, like Send.
+func (c *Conn) SendFrame(ctx context.Context, frame Frame) error {
+	return c.send(ctx, frame.content)
+}
+
+func (c *Conn) send(ctx context.Context, frame []byte) error {
+	if length := len(frame) - lengthBytes; length > c.options.MaxFrameBytes {
+		return because(ErrNotSent, fmt.Errorf("%w: %d bytes, limit %d", ErrFrameTooLarge, length, c.options.MaxFrameBytes))
+	}
 	select {
 	case c.writing <- struct{}{}:
 		defer func() { <-c.writing }()
@@ -76,22 +88,7 @@
 	if c.closed.Load() {
 		return because(ErrNotSent, ErrClosed)
 	}
-	return c.write(ctx, buffer.Bytes())
-}
-
-// encode puts a whole frame into an empty buffer.
-func (c *Conn) encode(buffer *bytes.Buffer, value any) error {
-	buffer.Reset()
-	buffer.Write(make([]byte, lengthBytes))
-	if err := codec.Append(buffer, value); err != nil {
-		return err
-	}
-	length := buffer.Len() - lengthBytes
-	if length > c.options.MaxFrameBytes {
-		return fmt.Errorf("%w: %T of %d bytes, limit %d", ErrFrameTooLarge, value, length, c.options.MaxFrameBytes)
-	}
-	binary.BigEndian.PutUint32(buffer.Bytes(), uint32(length))
-	return nil
+	return c.write(ctx, frame)
 }
 
 // write sends a frame by one call, so that the kernel sees it whole. The write
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,41 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+
+	"github.com/thorntiller/thorntiller/internal/codec"
+)
+
+// Frame is an encoded value, ready to be sent on any number of connections.
+type Frame struct {
+	content []byte
+}
+
+// Encode returns the frame of a value.
+func Encode(value any) (Frame, error) {
+	var buffer bytes.Buffer
+	if err := encode(&buffer, value); err != nil {
+		return Frame{}, err
+	}
+	return Frame{content: buffer.Bytes()}, nil
+}
+
+// Bytes returns the size of the frame with its length.
+func (f Frame) Bytes() int { return len(f.content) }
+
+// encode puts a whole frame into a buffer, in place of what it held.
+func encode(buffer *bytes.Buffer, value any) error {
+	buffer.Reset()
+	buffer.Write(make([]byte, lengthBytes))
+	if err := codec.Append(buffer, value); err != nil {
+		return err
+	}
+	length := buffer.Len() - lengthBytes
+	if length > math.MaxUint32 {
+		return ErrFrameTooLarge
+	}
+	binary.BigEndian.PutUint32(buffer.Bytes(), uint32(length))
+	return nil
+}
