Hollow routers find the leader as real routers do

A refusal names the leader, and waits between connections are those of the router's subscription (25 to 250 ms); with the earlier ones, proof of a current table after the kill of a leader took the hollow routers up to 1.5 s.

--- a/internal/lab/hollow/router.go
+++ b/internal/lab/hollow/router.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,14 +21,21 @@
 
 // Waits between two connections, as real routers keep them.
 const (
-	reconnectBase = 50 * time.Millisecond
-	reconnectMax  = time.Second
+	reconnectBase = 25 * time.Millisecond
+	reconnectMax  = 250 * time.Millisecond
 )
 
-var (
-	errRefused = eris.New("the controller does not lead")
-	errGap     = eris.New("a change does not follow the table")
-)
+var errGap = eris.New("a change does not follow the table")
+
+// refusedError carries the address of the leader, if the controller named one.
+type refusedError struct {
+	leader string
+}
+
+// Error implements the error interface.
+func (e *refusedError) Error() string {
+	return "the controller does not lead; it names " + e.leader
+}
 
 // router is one hollow router.
 type router struct {
@@ -71,10 +80,9 @@
 	delay := reconnectBase
 	for ctx.Err() == nil {
 		began := time.Now()
-		// Whatever ended the connection, the next one tells what is missing.
-		_ = r.connect(ctx, r.options.Controllers[preferred])
+		err := r.connect(ctx, r.options.Controllers[preferred])
 		r.breaks.Add(1)
-		preferred = (preferred + 1) % len(r.options.Controllers)
+		preferred = r.next(preferred, err)
 		delay = min(2*delay, reconnectMax)
 		if time.Since(began) > reconnectMax {
 			delay = reconnectBase
@@ -83,6 +91,18 @@
 	}
 }
 
+// next returns the controller to try after a connection ended: the leader that
+// a refusal names, else the one after the last.
+func (r *router) next(last int, ended error) int {
+	var refused *refusedError
+	if errors.As(ended, &refused) {
+		if named := slices.Index(r.options.Controllers, refused.leader); named >= 0 {
+			return named
+		}
+	}
+	return (last + 1) % len(r.options.Controllers)
+}
+
 func pause(ctx context.Context, duration time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -237,7 +257,7 @@
 
 func (r *router) takeOther(pong *message.Pong, refusal *message.Refusal) error {
 	if refusal != nil {
-		return errRefused
+		return &refusedError{leader: refusal.Detail}
 	}
 	if pong == nil {
 		return eris.New("the controller sent an empty frame")
