State: closed routers are forgotten beyond a bound

Routers that come and go under new names stayed in the state and in every router's table for good: an unbounded map. At most 256 closed ones are kept, the newest, and those that a record partition names. The number of a router's session is now the revision, which is never used twice: a count that began again with a forgotten router could have been taken for an earlier session that a partition names.

--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
@@ -220,7 +223,9 @@
 	if found && previous.Session.Open {
 		return failure(fault.Conflict, "the router's session is still open")
 	}
-	router.Session.Number = previous.Session.Number + 1
+	// The revision rises and is never used twice, so that a session of a router
+	// that was forgotten meanwhile cannot be taken for a new one.
+	router.Session.Number = SessionNumber(tx.revision)
 	router.Session.Open = true
 	router.Revision = tx.revision
 	tx.put(Object{Router: &router})
@@ -235,9 +240,37 @@
 	router.Session.Open = false
 	router.Revision = tx.revision
 	tx.put(Object{Router: &router})
+	tx.forgetRouters()
 	return Result{}
 }
 
+// MaxClosedRouters bounds the routers without a session that are kept. Routers
+// come and go under new names for as long as the cluster lives.
+const MaxClosedRouters = 256
+
+// forgetRouters deletes the routers that were closed first, beyond the bound and
+// but for those that a record partition names.
+func (tx *transaction) forgetRouters() {
+	placed := make(map[RouterID]bool)
+	for _, partition := range tx.state.partitions {
+		placed[partition.Primary] = true
+		placed[partition.Backup] = true
+	}
+	var closed []Router
+	for _, router := range tx.state.Routers() {
+		if !router.Session.Open && !placed[router.ID] {
+			closed = append(closed, router)
+		}
+	}
+	if len(closed) <= MaxClosedRouters {
+		return
+	}
+	slices.SortFunc(closed, func(a, b Router) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, router := range closed[:len(closed)-MaxClosedRouters] {
+		tx.put(Object{Router: &Router{ID: router.ID, Revision: tx.revision}, Deleted: true})
+	}
+}
+
 func (tx *transaction) putPartitions(command *PutPartitions) Result {
 	for _, partition := range command.Partitions {
 		previous, found := tx.state.partitions[partition.Number]
--- a/internal/state/put.go
+++ b/internal/state/put.go
@@ -14,6 +14,8 @@
 	}
 	s.digest ^= ObjectDigest(object)
 	switch {
+	case object.Deleted && object.Router != nil:
+		delete(s.routers, object.Router.ID)
 	case object.Service != nil:
 		s.services[object.Service.Name] = object.Service
 	case object.Server != nil:
