Simulator: a lone leader may be paused; leases renewed without a quorum are found

Splits now isolate the leader, mostly for long enough for another to be elected, and pause it half of the time.

--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -292,9 +292,15 @@
 }
 
 // splitNetwork divides the machines in two parts, in silence. One controller,
-// often the leader, stands alone with servers and routers that reach no other.
+// the leader if there is one, stands alone with servers and routers that reach
+// no other. Most splits last long enough for another one to be elected, and the
+// lone leader may be paused at first, so that it wakes up without knowing.
 func (s *simulation) splitNetwork() {
-	alone := s.likelyLeader().node
+	lone := s.anyController()
+	if leader, found := s.leader(); found {
+		lone = leader.owner
+	}
+	alone := lone.node
 	var parts [2][]network.Node
 	for _, node := range s.nodes() {
 		side := s.random.IntN(2)
@@ -312,10 +318,13 @@
 			cut = append(cut, [2]network.Node{one, other}, [2]network.Node{other, one})
 		}
 	}
-	duration := s.pauseTime()
+	duration := s.between(shortestPause, longestPause)
 	s.counts.Splits++
 	s.trace("%v are split from the others for %v", parts[0], duration)
 	s.cutFor(duration, cut)
+	if s.chance(0.5) {
+		lone.pause(s.between(0, duration))
+	}
 }
 
 func (s *simulation) isController(node network.Node) bool {
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -104,6 +104,10 @@
 	for _, wanted := range actions.Proposals {
 		r.propose(proposal{command: wanted.Command, token: wanted.Token})
 	}
+	if actions.Round != 0 && r.sim.planted.assumeQuorum {
+		r.coordinator.RoundConfirmed(r.now(), actions.Round)
+		return
+	}
 	if actions.Round != 0 {
 		// A round that cannot begin is begun again by the coordinator.
 		_ = r.core.ReadIndex(coordinatorContext | actions.Round)
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -13,7 +13,7 @@
 
 const (
 	fixedSeeds     = 60
-	plantedSeeds   = 40
+	plantedSeeds   = 100
 	testWorkers    = 4
 	tracedSeed     = 8
 	traceLineLimit = 1500
@@ -88,6 +88,7 @@
 			planted{coordinator: func(config *coordinator.Config) { config.Margin = -config.LeaseDuration / 2 }},
 			[]checker.Guarantee{checker.OneOwner},
 		},
+		"lease is renewed without a quorum": {planted{assumeQuorum: true}, []checker.Guarantee{checker.OneOwner}},
 		"coordinator waits far too long": {
 			planted{coordinator: func(config *coordinator.Config) { config.Margin = 3 * time.Second }},
 			[]checker.Guarantee{checker.OwnerLiveness},
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -23,6 +23,8 @@
 	ignoreLeaseEnd bool
 	// coordinator changes the coordinator's settings.
 	coordinator func(*coordinator.Config)
+	// assumeQuorum: rounds of the coordinator count as confirmed at once.
+	assumeQuorum bool
 	// files wraps the disk that a controller sees.
 	files func(vfs.FileSystem) vfs.FileSystem
 	// forgetVote: the term and the vote are not written to the log.
