--- a/internal/cli/member.go
+++ b/internal/cli/member.go
@@ -23,7 +23,7 @@
 				if err := client.Transfer(ctx); err != nil {
 					return &writeError{cause: err}
 				}
-				fmt.Fprintln(program.streams.Err, "the leadership was handed over")
+				fmt.Fprintln(program.streams.Err, "the leader was asked to hand over; status shows who leads")
 				return nil
 			})
 		},
