Coordinator: a large loss is assigned server by server

Each batch touched nearly every server, and each of them then got its whole set again. Owners are now chosen up to 16 batches ahead and proposed in the order of servers; what changed meanwhile is left out and chosen anew. The new test fails with the old order: a set changed 23 times where 8 are allowed.

--- a/internal/coordinator/balance_test.go
+++ b/internal/coordinator/balance_test.go
@@ -218,3 +218,42 @@
 		t.Errorf("a lying server made %d shards move", l.mostMoves)
 	}
 }
+
+// After a loss of more shards than one batch holds, a second server that is
+// lost meanwhile gets none of them, and each server's set changes about once.
+func TestLargeLossIsAssignedServerByServer(t *testing.T) {
+	f := newFleet(40, 4000)
+	f.core.config.MaxBatch = 50
+	for range 100 {
+		f.tick()
+	}
+	for number := range 10 {
+		f.lost[fleetServer(number)] = true
+	}
+	for f.view.ActiveCount() == 0 {
+		f.tick()
+	}
+	versions := make(map[state.ServerID]int)
+	last := make(map[state.ServerID]state.Revision)
+	f.lost[fleetServer(20)] = true
+	for f.view.ActiveCount() > 0 || f.view.OwnedCount(fleetServer(20)) > 0 {
+		f.tick()
+		for number := 21; number < 40; number++ {
+			id := fleetServer(number)
+			if version := f.view.AssignmentVersion(id); version != last[id] {
+				versions[id]++
+				last[id] = version
+			}
+		}
+	}
+	for id, count := range versions {
+		if count > 8 {
+			t.Errorf("the set of %s changed %d times", id, count)
+		}
+	}
+	for number := range 10 {
+		if f.view.OwnedCount(fleetServer(number)) > 0 {
+			t.Errorf("the lost server %d owns shards", number)
+		}
+	}
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,7 +41,9 @@
 	pendingAssign  uint64
 	pendingRevoke  uint64
 	pendingBalance uint64
-	balancer       *balancer
+	// assignments are chosen and wait to be proposed.
+	assignments []state.ShardAssignment
+	balancer    *balancer
 	// handovers measures the moves of this term.
 	handovers *handovers
 	// changedServices are those whose policy is to be looked at.
@@ -88,6 +90,7 @@
 	c.pendingAssign = 0
 	c.pendingRevoke = 0
 	c.pendingBalance = 0
+	c.assignments = nil
 	c.balancer = newBalancer()
 	c.handovers = newHandovers()
 	c.changedServices = nil
--- a/internal/coordinator/shards.go
+++ b/internal/coordinator/shards.go
@@ -44,32 +44,6 @@
 	}
 }
 
-// assignShards gives shards without an owner to servers, service by service. A
-// service without servers holds up no other.
-func (c *Coordinator) assignShards(planner *planner, view *state.State, actions *Actions) {
-	var assignments []state.ShardAssignment
-	for _, service := range view.UnownedServices() {
-		if len(assignments) == c.config.MaxBatch {
-			break
-		}
-		if !planner.hasTakers(service) {
-			continue
-		}
-		for _, shard := range view.UnownedShards(service, c.config.MaxBatch-len(assignments)) {
-			target, found := planner.choose(shard)
-			if !found {
-				continue
-			}
-			assignments = append(assignments, state.ShardAssignment{
-				Shard: shard.ID, Epoch: shard.Epoch, Server: target.ID, Session: target.Session.Number,
-			})
-		}
-	}
-	if len(assignments) > 0 {
-		c.pendingAssign = c.propose(actions, state.Command{AssignShards: &state.AssignShards{Assignments: assignments}})
-	}
-}
-
 // revokeShards begins moves within each service's bound: first those that a
 // plan asked for, then those off servers that are leaving.
 func (c *Coordinator) revokeShards(planner *planner, view *state.State, actions *Actions) {
