--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -42,29 +41,6 @@
 	recent    recentChurn
 }
 
-// record is one shard with its past.
-type record struct {
-	Shard
-	live bool
-	// pinned shards are part of the decision in the making.
-	pinned bool
-	// source is the owner that a move under way began at.
-	source state.ServerID
-	// movedAt is when the shard last moved, if moved.
-	moved   bool
-	movedAt time.Duration
-	left    []departure
-}
-
-// departure is a server that a shard left.
-type departure struct {
-	server state.ServerID
-	at     time.Duration
-}
-
-// maxDepartures bounds what a shard remembers; the newest stay.
-const maxDepartures = 4
-
 // NewLayout returns an empty layout. All-zero weights mean DefaultWeights.
 func NewLayout(weights state.Weights, limits Limits) *Layout {
 	l := &Layout{limits: limits, hosts: make(map[state.ServerID]*host), positions: make(map[state.ShardID]int), sorted: true}
@@ -160,15 +136,6 @@
 	}
 }
 
-func (r *record) depart(at time.Duration, from state.ServerID) {
-	r.moved = true
-	r.movedAt = max(r.movedAt, at)
-	r.left = append(r.left, departure{server: from, at: at})
-	if len(r.left) > maxDepartures {
-		r.left = slices.Delete(r.left, 0, len(r.left)-maxDepartures)
-	}
-}
-
 func (l *Layout) insert(shard Shard) {
 	position := len(l.records)
 	if count := len(l.free); count > 0 {
@@ -245,8 +212,11 @@
 }
 
 func (l *Layout) setMoving(known *record, moving bool) {
-	if known.Moving != moving {
-		l.inFlight += map[bool]int{true: 1, false: -1}[moving]
+	switch {
+	case moving && !known.Moving:
+		l.inFlight++
+	case !moving && known.Moving:
+		l.inFlight--
 	}
 	known.Moving = moving
 }
@@ -282,56 +252,6 @@
 	return l.total / float64(l.slots)
 }
 
-// transfer gives a shard another owner within a decision.
-func (l *Layout) transfer(position int, to *host) {
-	shard := &l.records[position]
-	if from := l.hosts[shard.Owner]; from != nil {
-		l.change(from, func() { from.remove(position, shard.Load) })
-	}
-	shard.Owner = to.ID
-	l.change(to, func() { to.add(position, shard.Load) })
-}
-
-// isolate splits the hot key off a shard and returns the position of the part.
-func (l *Layout) isolate(position int) int {
-	child := l.records[position]
-	child.Range = state.KeyRange{First: child.HotHash, Last: child.HotHash}
-	child.Load *= child.HotShare
-	child.pinned = true
-	l.records[position].Load -= child.Load
-	l.records[position].pinned = true
-	l.records = append(l.records, child)
-	created := len(l.records) - 1
-	owner := l.hosts[child.Owner]
-	l.change(owner, func() { owner.shards = append(owner.shards, created) })
-	return created
-}
-
-// rejoin undoes isolate for the part that was created last.
-func (l *Layout) rejoin(position int, load float64) {
-	last := len(l.records) - 1
-	owner := l.hosts[l.records[last].Owner]
-	l.change(owner, func() { owner.drop(last) })
-	l.records = l.records[:last]
-	l.records[position].Load = load
-	l.records[position].pinned = false
-}
-
-// resting reports whether a shard may not move for the sake of balance.
-func (l *Layout) resting(known *record) bool {
-	return known.pinned || known.Moving || (known.moved && l.now-known.movedAt < l.limits.Cooldown)
-}
-
-// hasLeft reports whether the shard left the server within the window.
-func (l *Layout) hasLeft(known *record, server state.ServerID) bool {
-	for _, past := range known.left {
-		if past.server == server && l.now-past.at < max(l.limits.Window, l.limits.Cooldown) {
-			return true
-		}
-	}
-	return false
-}
-
 // prepare brings everything that is kept lazily up to date.
 func (l *Layout) prepare(now time.Duration) {
 	l.now = now
@@ -357,37 +277,3 @@
 
 // maxLoad bounds one shard's load, in busy slots.
 const maxLoad = 1e9
-
-// recentChurn is the share of the key space that moved within the window.
-type recentChurn struct {
-	moves []recentMove
-	sum   float64
-}
-
-type recentMove struct {
-	at    time.Duration
-	width float64
-}
-
-func (r *recentChurn) add(at time.Duration, width float64) {
-	r.moves = append(r.moves, recentMove{at: at, width: width})
-	r.sum += width
-}
-
-// expire forgets the moves before a time.
-func (r *recentChurn) expire(before time.Duration) {
-	kept := 0
-	for kept < len(r.moves) && r.moves[kept].at < before {
-		r.sum -= r.moves[kept].width
-		kept++
-	}
-	r.moves = slices.Delete(r.moves, 0, kept)
-	if len(r.moves) == 0 {
-		r.sum = 0
-	}
-}
-
-// compareRanges orders positions by range.
-func (l *Layout) compareRanges(a, b int32) int {
-	return cmp.Compare(l.records[a].Range.First, l.records[b].Range.First)
-}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -68,3 +68,8 @@
 	}
 	return l.order[first:last]
 }
+
+// compareRanges orders positions by range.
+func (l *Layout) compareRanges(a, b int32) int {
+	return cmp.Compare(l.records[a].Range.First, l.records[b].Range.First)
+}
