Coordinator: a large service is taken into balance bit by bit

With the policy on, a new leader built the layout of all shards in one tick and closed each interval over a map of all of them; at 530,000 shards that is longer than the 200 ms after which followers elect another leader. The layout now fills by 2,048 shards a tick and loads are kept and reviewed by server.

--- a/internal/coordinator/account.go
+++ b/internal/coordinator/account.go
@@ -7,18 +7,8 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-// account sums up the reports of one interval.
-type account struct {
-	shards  map[state.ShardID]shardAccount
-	servers map[state.ServerID]*serverAccount
-}
-
-// shardAccount is the requests of a shard, and of its busiest key.
-type shardAccount struct {
-	executed uint64
-	hotHash  uint64
-	hot      uint64
-}
+// account sums up the reports of one interval by server.
+type account map[state.ServerID]*serverAccount
 
 // serverAccount is one server's part: the requests that it counted over the
 // covered time, and its word on the slots that are busy.
@@ -27,6 +17,20 @@
 	covered  time.Duration
 	busy     float64
 	reports  int
+	// loads are the entries of its reports for shards that it owns.
+	loads []backendapi.ShardLoad
+}
+
+// byShard sums up the entries.
+func (s *serverAccount) byShard() map[state.ShardID]backendapi.ShardLoad {
+	sums := make(map[state.ShardID]backendapi.ShardLoad, len(s.loads))
+	for _, load := range s.loads {
+		sum := sums[state.ShardID(load.Shard)]
+		sum.Requests += load.Requests
+		sum.HotHash, sum.HotRequests = load.HotHash, min(load.HotRequests, load.Requests)
+		sums[state.ShardID(load.Shard)] = sum
+	}
+	return sums
 }
 
 // rate is the requests a second of which some were counted.
@@ -34,10 +38,6 @@
 	return float64(executed) / s.covered.Seconds()
 }
 
-func newAccount() account {
-	return account{shards: make(map[state.ShardID]shardAccount), servers: make(map[state.ServerID]*serverAccount)}
-}
-
 // wantsLoads reports whether the next message to a server should ask for the
 // loads of its shards.
 func (b *balancer) wantsLoads(now time.Duration, known *contact) bool {
@@ -52,10 +52,10 @@
 	if known == nil {
 		return
 	}
-	own := known.accounts.servers[server.server]
+	own := known.accounts[server.server]
 	if own == nil {
 		own = &serverAccount{}
-		known.accounts.servers[server.server] = own
+		known.accounts[server.server] = own
 	}
 	own.reports++
 	own.busy += float64(max(report.Running, 0))
@@ -70,15 +70,8 @@
 	own.covered += now - since
 	for _, load := range report.ShardLoads[:min(len(report.ShardLoads), backendapi.MaxShardLoads)] {
 		if shard, found := known.layout.Shard(state.ShardID(load.Shard)); found && shard.Owner == server.server {
-			known.accounts.add(load)
+			own.loads = append(own.loads, load)
 			own.executed += load.Requests
 		}
 	}
 }
-
-func (a account) add(load backendapi.ShardLoad) {
-	known := a.shards[state.ShardID(load.Shard)]
-	known.executed += load.Requests
-	known.hotHash, known.hot = load.HotHash, min(load.HotRequests, load.Requests)
-	a.shards[state.ShardID(load.Shard)] = known
-}
--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -15,6 +15,8 @@
 	for _, name := range slices.Sorted(maps.Keys(c.balancer.services)) {
 		known := c.balancer.services[name]
 		switch {
+		case !known.filled:
+			known.fill(now, name, view)
 		case len(known.queue) > 0:
 			known.take(now)
 			if len(known.queue) == 0 {
--- a/internal/coordinator/balancer.go
+++ b/internal/coordinator/balancer.go
@@ -11,9 +11,11 @@
 const (
 	// reviewInterval is the time between two looks at the loads of a service.
 	reviewInterval = 5 * time.Second
-	// reviewChunk bounds the shards whose loads are taken over in one tick, so
-	// that a large service does not hold up the leader.
+	// reviewChunk bounds the shards, or their loads, that are taken over in one
+	// tick, so that a large service does not hold up the leader.
 	reviewChunk = 2048
+	// maxParts bounds the new shards of one command that inherit a load.
+	maxParts = 64
 )
 
 // balancer keeps the layouts of the services whose policy lets the controllers
@@ -31,16 +33,18 @@
 	layout    *placement.Layout
 	estimator *placement.Estimator
 	// accounts counts since begin what servers report; reviewed is the account
-	// of the interval before, of which queue holds the shards still to look at.
+	// of the interval before, of which queue holds the servers still to look at.
 	accounts account
 	reviewed account
 	begin    time.Duration
-	queue    []state.ShardID
+	queue    []state.ServerID
 	// perRequest is the smoothed time that a request keeps a slot busy, in
 	// seconds; zero until a server told of busy slots.
 	perRequest float64
-	// active are the shards that executed anything lately.
-	active map[state.ShardID]struct{}
+	// filled is true once the layout holds every shard; until then it holds those
+	// of hashes below filledTo.
+	filled   bool
+	filledTo uint64
 }
 
 // load returns a shard's smoothed load in busy slots, or zero when the service
@@ -91,15 +95,30 @@
 	created := &balanced{
 		layout:    placement.NewLayout(service.Weights, limitsOf(service, view)),
 		estimator: placement.NewEstimator(placement.DefaultEstimatorConfig()),
-		accounts:  newAccount(), begin: now, active: make(map[state.ShardID]struct{}),
+		accounts:  make(account), begin: now,
 	}
 	c.noteTakers(service.Name, created, view)
-	for _, shard := range view.ShardsOf(service.Name) {
-		created.layout.PutShard(now, placed(shard))
-	}
 	return created
 }
 
+// fill takes some more of the service's shards into the layout, in the order of
+// their ranges, until it holds them all. What changes meanwhile comes by put.
+func (b *balanced) fill(now time.Duration, service state.ServiceName, view *state.State) {
+	for range reviewChunk {
+		shard, found := view.ShardAt(service, b.filledTo)
+		if !found {
+			b.filled = true
+			return
+		}
+		b.layout.PutShard(now, placed(shard))
+		b.filledTo = shard.Range.Last + 1
+		if b.filledTo == 0 {
+			b.filled = true
+			return
+		}
+	}
+}
+
 // placed returns a shard as placement sees it.
 func placed(shard state.Shard) placement.Shard {
 	return placement.Shard{
@@ -124,7 +143,8 @@
 			created = append(created, *object.Shard)
 		}
 	}
-	for _, shard := range created {
+	// A command that cuts shards makes few; others that come are not filled in yet.
+	for _, shard := range created[:min(len(created), maxParts)] {
 		b.services[shard.Service].inherit(kept, shard)
 	}
 	for _, shard := range slices.Concat(kept, created) {
@@ -146,7 +166,6 @@
 				part = max(part, before.HotShare)
 			}
 			b.estimator.Split(option.ID, created.ID, min(part, 1))
-			b.active[created.ID] = struct{}{}
 			return
 		}
 	}
@@ -155,15 +174,14 @@
 // close ends the interval and begins to review it.
 func (b *balanced) close(now time.Duration) {
 	b.reviewed = b.accounts
-	b.accounts = newAccount()
+	b.accounts = make(account)
 	b.begin = now
 	b.learnTime()
-	for shard := range b.reviewed.shards {
-		b.active[shard] = struct{}{}
-	}
 	b.queue = b.queue[:0]
-	for shard := range b.active {
-		b.queue = append(b.queue, shard)
+	for server, own := range b.reviewed {
+		if own.covered > 0 {
+			b.queue = append(b.queue, server)
+		}
 	}
 	slices.Sort(b.queue)
 }
@@ -182,8 +200,8 @@
 // learnTime takes the time of a request from the interval: the median of the
 // servers' words, which a minority of wrong ones cannot move far.
 func (b *balanced) learnTime() {
-	times := make([]float64, 0, len(b.reviewed.servers))
-	for _, own := range b.reviewed.servers {
+	times := make([]float64, 0, len(b.reviewed))
+	for _, own := range b.reviewed {
 		if own.executed > 0 && own.covered > 0 && own.busy > 0 {
 			times = append(times, own.busy/float64(own.reports)/own.rate(own.executed))
 		}
@@ -199,49 +217,41 @@
 	b.perRequest += timeShare * (median - b.perRequest)
 }
 
-// take takes over the loads of some of the shards.
+// take takes over the loads of some of the servers.
 func (b *balanced) take(now time.Duration) {
-	chunk := b.queue[:min(reviewChunk, len(b.queue))]
-	b.queue = b.queue[len(chunk):]
-	observations := make([]placement.Observation, 0, len(chunk))
-	for _, shard := range chunk {
-		if observation, found := b.observation(shard); found {
-			observations = append(observations, observation)
-		}
+	for taken := 0; taken < reviewChunk && len(b.queue) > 0; {
+		server := b.queue[0]
+		b.queue = b.queue[1:]
+		taken += b.takeServer(now, server, b.reviewed[server]) + 1
+	}
+}
+
+// takeServer takes over the loads of one server's shards and returns how many
+// there are. Those that it did not name executed nothing.
+func (b *balanced) takeServer(now time.Duration, server state.ServerID, own *serverAccount) int {
+	shards := b.layout.Owned(server)
+	counted := own.byShard()
+	observations := make([]placement.Observation, 0, len(shards))
+	for _, shard := range shards {
+		observations = append(observations, b.observation(shard.ID, counted[shard.ID].Requests, own))
 	}
 	b.estimator.Observe(now, observations)
-	for _, observed := range observations {
-		load, _ := b.estimator.ShardLoad(observed.Shard)
-		counted := b.reviewed.shards[observed.Shard]
-		b.layout.SetLoad(observed.Shard, load, counted.hotHash, float64(counted.hot)/float64(max(counted.executed, 1)))
-		if load < idleLoad && observed.Routed == 0 {
-			delete(b.active, observed.Shard)
-		}
+	for _, shard := range shards {
+		load, _ := b.estimator.ShardLoad(shard.ID)
+		counts := counted[shard.ID]
+		b.layout.SetLoad(shard.ID, load, counts.HotHash, float64(counts.HotRequests)/float64(max(counts.Requests, 1)))
 	}
+	return len(shards)
 }
 
-// idleLoad is the load, in busy slots, below which an idle shard is forgotten.
-const idleLoad = 1e-6
-
 // observation checks the two words of a server against each other: its counted
 // executions, at the time that a request takes on all servers, bound what it
-// says of its busy slots. The shards of a silent server are left as they were.
-func (b *balanced) observation(id state.ShardID) (placement.Observation, bool) {
-	shard, found := b.layout.Shard(id)
-	if !found {
-		b.estimator.Forget(id)
-		delete(b.active, id)
-		return placement.Observation{}, false
-	}
-	own := b.reviewed.servers[shard.Owner]
-	if own == nil || own.covered <= 0 {
-		return placement.Observation{}, false
-	}
-	executed := b.reviewed.shards[id].executed
+// says of its busy slots.
+func (b *balanced) observation(id state.ShardID, executed uint64, own *serverAccount) placement.Observation {
 	observation := placement.Observation{Shard: id, Routed: own.rate(executed) * max(b.perRequest, lowTime), RoutedKnown: true}
 	if own.executed > 0 && own.busy >= enoughBusy {
 		observation.Reported = float64(executed) / float64(own.executed) * own.busy / float64(own.reports)
 		observation.ReportedKnown = true
 	}
-	return observation, true
+	return observation
 }
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -180,6 +180,19 @@
 	return l.records[position].Shard, true
 }
 
+// Owned returns the shards that a server owns, in no particular order.
+func (l *Layout) Owned(id state.ServerID) []Shard {
+	known := l.hosts[id]
+	if known == nil {
+		return nil
+	}
+	shards := make([]Shard, 0, len(known.shards))
+	for _, position := range known.shards {
+		shards = append(shards, l.records[position].Shard)
+	}
+	return shards
+}
+
 // ServerLoad returns the load of the shards that a server owns.
 func (l *Layout) ServerLoad(id state.ServerID) float64 {
 	if known := l.hosts[id]; known != nil {
