--- a/internal/lab/bench/capacity/sweep.go
+++ b/internal/lab/bench/capacity/sweep.go
@@ -19,14 +19,16 @@
 // Sizes are the values that each sweep takes; zero is left out.
 type Sizes struct {
 	Servers []int
-	Shards  []int
-	Routers []int
+	// ShardsPerServer holds in the sweep of servers.
+	ShardsPerServer int
+	Shards          []int
+	Routers         []int
 }
 
 // DefaultSizes fit a machine of which others take a part.
 func DefaultSizes() Sizes {
 	return Sizes{
-		Servers: []int{250, 500, 1000, 2000},
+		Servers: []int{250, 500, 1000, 2000}, ShardsPerServer: shardsPerServer,
 		Shards:  []int{10_000, 25_000, 50_000, 100_000},
 		Routers: []int{10, 50, 100, 200},
 	}
@@ -48,7 +50,7 @@
 func (s Sizes) points() []plannedPoint {
 	var points []plannedPoint
 	for _, servers := range s.Servers {
-		points = append(points, plannedPoint{SweepServers, Point{Servers: servers, Shards: shardsPerServer * servers, Routers: fewRouters}})
+		points = append(points, plannedPoint{SweepServers, Point{Servers: servers, Shards: s.ShardsPerServer * servers, Routers: fewRouters}})
 	}
 	for _, shards := range s.Shards {
 		points = append(points, plannedPoint{SweepShards, Point{Servers: fewServers, Shards: shards, Routers: fewRouters}})
--- a/internal/lab/labcli/bench.go
+++ b/internal/lab/labcli/bench.go
@@ -88,6 +88,7 @@
 	flags.StringVar(&folder, "folder", "", "folder to work in; a temporary one when empty")
 	flags.StringVar(&output, "out", "", "file that takes rows and slopes as JSON")
 	flags.IntSliceVar(&sizes.Servers, "servers", sizes.Servers, "numbers of servers in the sweep of servers")
+	flags.IntVar(&sizes.ShardsPerServer, "shards-per-server", sizes.ShardsPerServer, "shards of each server in the sweep of servers")
 	flags.IntSliceVar(&sizes.Shards, "shards", sizes.Shards, "numbers of shards in the sweep of shards")
 	flags.IntSliceVar(&sizes.Routers, "routers", sizes.Routers, "numbers of hollow routers in the sweep of routers")
 	flags.DurationVar(&options.Window, "window", 5*time.Second, "how long the steady state is measured")
