Router: finds the new leader where addresses differ, and past one cut off

Refusals now carry the address that the refusing controller announces, by which routers recognise a later leader; and a controller whose serving connection was lost is left out for 500 ms, in which the others elect another. Cost: after a reset connection to a healthy leader a router waits up to 500 ms, well within the table's staleness limit of 4 s and the records' lease of 2 s.

--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -74,7 +74,7 @@
 // the router to hang up: a connection that is closed with frames unread is
 // reset, by which the refusal may be lost.
 func refuseTable(ctx context.Context, r *replica, connection *wire.Conn) error {
-	refusal := message.Refusal{Kind: fault.NotLeader}
+	refusal := message.Refusal{Kind: fault.NotLeader, From: r.self.Address}
 	if leader, known := r.leader(); known {
 		refusal.Detail = leader.Address
 	}
--- a/internal/controller/stream_test.go
+++ b/internal/controller/stream_test.go
@@ -143,7 +143,10 @@
 	if err := s.connection.Receive(&answer); err != nil || answer.Refusal == nil {
 		t.Fatalf("a follower answered %+v, %v", answer, err)
 	}
-	want := message.Refusal{Kind: fault.NotLeader, Detail: g.processes[leader].settings.PeerAddress}
+	want := message.Refusal{
+		Kind: fault.NotLeader, Detail: g.processes[leader].settings.PeerAddress,
+		From: g.processes[(leader+1)%groupSize].settings.PeerAddress,
+	}
 	if *answer.Refusal != want {
 		t.Errorf("a follower refused with %+v, want %+v", *answer.Refusal, want)
 	}
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -146,6 +146,10 @@
 
 // Refusal ends a connection with a reason.
 type Refusal struct {
-	Kind   fault.Kind
+	Kind fault.Kind
+	// Detail names the leader's address, with fault.NotLeader, if it is known.
 	Detail string
+	// From is the address that the refusing controller announces. Routers may
+	// reach it by another one.
+	From string
 }
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -27,6 +27,10 @@
 	// silentPings is how many pings may stay unanswered when pings are rare.
 	silentPings = 3
 
+	// avoidLost is how long a lost controller is left out; it is longer than an
+	// election with the default settings.
+	avoidLost = 500 * time.Millisecond
+
 	reconnectBase = 25 * time.Millisecond
 	// reconnectMax is well below a router's lease as a record primary, so that
 	// a change of leader does not end it.
@@ -70,6 +74,14 @@
 
 	// preferred is the index of the controller that answered last.
 	preferred int
+	// announced holds, by the same index, the addresses that controllers
+	// announce of themselves, which may differ from the configured ones.
+	announced []string
+	// served is true once the present connection brought a pong. lost is the
+	// controller whose serving connection ended last, at lostAt; zero for never.
+	served bool
+	lost   int
+	lostAt time.Duration
 	// resync asks for a whole snapshot on the next connection.
 	resync bool
 	nonce  uint64
@@ -89,6 +101,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		s.noteLost()
 		s.preferred = s.next(err)
 		failures++
 		if s.clock.Now()-began > reconnectMax {
@@ -111,16 +124,62 @@
 }
 
 // next returns the index of the controller to try after a connection ended: the
-// leader that a refusal names, if it is among the configured ones, else the one
-// after the last.
+// leader that a refusal names, if it is known here, else the one after the last.
+// A controller whose connection was lost a moment ago is left out: while it is
+// cut off in silence, the others name it as the leader until they elect another.
 func (s *subscription) next(ended error) int {
+	count := len(s.controllers)
+	chosen := (s.preferred + 1) % count
 	var refused *refusedError
 	if errors.As(ended, &refused) && refused.refusal.Kind == fault.NotLeader {
-		if named := slices.Index(s.controllers, refused.refusal.Detail); named >= 0 {
-			return named
+		if named := s.find(refused.refusal.Detail); named >= 0 {
+			chosen = named
 		}
 	}
-	return (s.preferred + 1) % len(s.controllers)
+	if s.avoids(chosen) {
+		chosen = (s.preferred + 1) % count
+	}
+	if s.avoids(chosen) {
+		chosen = (chosen + 1) % count
+	}
+	return chosen
+}
+
+// avoids reports whether the controller's connection was lost a moment ago.
+func (s *subscription) avoids(index int) bool {
+	return s.lostAt != 0 && index == s.lost && s.clock.Now()-s.lostAt < avoidLost
+}
+
+// noteLost remembers the controller that served this router until now.
+func (s *subscription) noteLost() {
+	if s.served {
+		s.lost = s.preferred
+		s.lostAt = s.clock.Now()
+	}
+	s.served = false
+}
+
+// find returns the index of the controller that is configured under an address,
+// or that announced it when it refused this router; -1 if there is none.
+func (s *subscription) find(address string) int {
+	if address == "" {
+		return -1
+	}
+	if configured := slices.Index(s.controllers, address); configured >= 0 {
+		return configured
+	}
+	return slices.Index(s.announced, address)
+}
+
+// learn keeps the address that the controller on this connection announces.
+func (s *subscription) learn(refusal message.Refusal) {
+	if refusal.From == "" {
+		return
+	}
+	if s.announced == nil {
+		s.announced = make([]string, len(s.controllers))
+	}
+	s.announced[s.preferred] = refusal.From
 }
 
 func reconnectDelay(failures int) time.Duration {
@@ -233,10 +292,12 @@
 		}
 		return s.checked(err)
 	case frame.Pong != nil:
+		s.served = true
 		s.freshness.observe(*frame.Pong, s.builder.Table().Revision())
 		s.records.Renew(*frame.Pong)
 		return nil
 	case frame.Refusal != nil:
+		s.learn(*frame.Refusal)
 		return &refusedError{refusal: *frame.Refusal}
 	default:
 		return eris.New("the controller sent an empty frame")
--- a/internal/router/subscription_test.go
+++ b/internal/router/subscription_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"testing"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -32,3 +33,58 @@
 		}
 	}
 }
+
+// TestSubscriptionLearnsAnnouncedAddresses: a leader is found by the address
+// that it announced, where routers reach the controllers by other addresses.
+func TestSubscriptionLearnsAnnouncedAddresses(t *testing.T) {
+	s := &subscription{controllers: []string{"a", "b", "c"}}
+	refused := func(from, leader string) error {
+		return s.take(message.ControllerFrame{Refusal: &message.Refusal{Kind: fault.NotLeader, Detail: leader, From: from}})
+	}
+	s.preferred = 1
+	if got := s.next(refused("B", "A")); got != 2 {
+		t.Errorf("a leader that never refused: tried %s next, want the one after", s.controllers[got])
+	}
+	if got := s.next(refused("B", "")); got != 2 {
+		t.Errorf("no leader named: tried %s next, want the one after", s.controllers[got])
+	}
+	s.preferred = 2
+	if got := s.next(refused("C", "B")); got != 1 {
+		t.Errorf("a leader that refused before it led: tried %s next, want b", s.controllers[got])
+	}
+}
+
+// setClock shows the time that the test sets.
+type setClock struct{ now time.Duration }
+
+func (c *setClock) Now() time.Duration { return c.now }
+
+// TestSubscriptionLeavesOutALostController: the one that served last is not
+// tried again at once, whoever names it, unless it is the only one.
+func TestSubscriptionLeavesOutALostController(t *testing.T) {
+	now := &setClock{now: time.Second}
+	s := &subscription{controllers: []string{"a", "b", "c"}, clock: now, served: true}
+	s.noteLost()
+	naming := func(leader string) error {
+		return s.take(message.ControllerFrame{Refusal: &message.Refusal{Kind: fault.NotLeader, Detail: leader}})
+	}
+	for _, step := range []struct {
+		at, want int
+		leader   string
+	}{{0, 1, "a"}, {1, 2, "a"}, {2, 1, "a"}, {2, 1, ""}, {1, 2, "c"}} {
+		s.preferred = step.at
+		if got := s.next(naming(step.leader)); got != step.want {
+			t.Errorf("at %d, naming %q: tried %d next, want %d", step.at, step.leader, got, step.want)
+		}
+	}
+	now.now += avoidLost
+	s.preferred = 1
+	if got := s.next(naming("a")); got != 0 {
+		t.Errorf("later: tried %d next, want 0", got)
+	}
+	alone := &subscription{controllers: []string{"a"}, clock: now, served: true}
+	alone.noteLost()
+	if got := alone.next(io.EOF); got != 0 {
+		t.Errorf("the only controller: tried %d next", got)
+	}
+}
