--- a/internal/lab/labcli/bench.go
+++ b/internal/lab/labcli/bench.go
@@ -91,6 +91,7 @@
 	flags.IntVar(&sizes.ShardsPerServer, "shards-per-server", sizes.ShardsPerServer, "shards of each server in the sweep of servers")
 	flags.IntSliceVar(&sizes.Shards, "shards", sizes.Shards, "numbers of shards in the sweep of shards")
 	flags.IntSliceVar(&sizes.Routers, "routers", sizes.Routers, "numbers of hollow routers in the sweep of routers")
+	flags.IntVar(&options.Services, "services", 1, "services that share servers and shards, created one after the other")
 	flags.DurationVar(&options.Window, "window", 5*time.Second, "how long the steady state is measured")
 	flags.DurationVar(&options.Timeout, "timeout", time.Minute, "bound of one run")
 	return command
