Controller: pings that wait are answered by one quorum round

Since routers ping each 150 ms and a record primary's lease is 800 ms from the ping; the leader answered one ping by one round, which takes longer than 150 ms there, so that pongs fell behind and leases had ended when they came: requests that may not be repeated got record_unavailable. Pings are now read apart and those that wait share a round that begins after the last came.

--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -125,7 +125,26 @@
 	return writeEnded
 }
 
+// readPings passes the router's pings on to answerPings until the connection
+// ends. A router whose pings find no room is held up by the connection.
 func (s *tableStream) readPings(ctx context.Context) error {
+	pings := make(chan message.Ping, s.replica.settings.Table.QueueFrames)
+	ctx, cancel := context.WithCancel(ctx)
+	answered := make(chan error, 1)
+	s.replica.background.Go(func() {
+		// A failed round ends the stream, so that the router looks elsewhere.
+		defer s.connection.Close()
+		answered <- s.answerPings(ctx, pings)
+	})
+	err := s.receivePings(ctx, pings)
+	cancel()
+	if answerError := <-answered; err == nil {
+		return answerError
+	}
+	return err
+}
+
+func (s *tableStream) receivePings(ctx context.Context, pings chan<- message.Ping) error {
 	for {
 		var frame message.RouterFrame
 		if err := s.connection.Receive(&frame); err != nil {
@@ -134,18 +153,57 @@
 		if frame.Ping == nil {
 			continue
 		}
+		select {
+		case pings <- *frame.Ping:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// answerPings answers all pings that wait by one quorum round, which begins
+// after the last of them came. A round for each ping would fall behind where a
+// round takes longer than the time between two pings.
+func (s *tableStream) answerPings(ctx context.Context, pings <-chan message.Ping) error {
+	for {
+		waiting, err := takePings(ctx, pings)
+		if err != nil {
+			return err
+		}
 		revision, err := s.replica.ReadRevision(ctx)
 		if err != nil {
 			return err
 		}
-		pong := s.replica.routers.pong(s.router, *frame.Ping, revision, s.replica.clock.Now())
-		s.replica.partitions.grant(s.leadership, s.process, *frame.Ping, &pong)
+		for _, ping := range waiting {
+			pong := s.replica.routers.pong(s.router, ping, revision, s.replica.clock.Now())
+			s.replica.partitions.grant(s.leadership, s.process, ping, &pong)
+			select {
+			case s.pongs <- pong:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+// takePings waits for one ping and takes those that wait behind it.
+func takePings(ctx context.Context, pings <-chan message.Ping) ([]message.Ping, error) {
+	var waiting []message.Ping
+	select {
+	case ping := <-pings:
+		waiting = append(waiting, ping)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	for range cap(pings) {
 		select {
-		case s.pongs <- pong:
-		case <-ctx.Done():
-			return ctx.Err()
+		case ping := <-pings:
+			waiting = append(waiting, ping)
+		default:
+			return waiting, nil
 		}
 	}
+	return waiting, nil
 }
 
 func (s *tableStream) write(ctx context.Context) error {
--- a/internal/controller/stream_test.go
+++ b/internal/controller/stream_test.go
@@ -103,6 +103,17 @@
 	if frame.Pong.Nonce != 7 || frame.Pong.SentNs != 11 || frame.Pong.Revision < second {
 		t.Errorf("pong %+v after revision %d", frame.Pong, second)
 	}
+	const burst = 50
+	for nonce := range uint64(burst) {
+		s.send(&message.RouterFrame{Ping: &message.Ping{Nonce: 100 + nonce, SentNs: 1, Revision: second}})
+	}
+	for nonce := range uint64(burst) {
+		for frame = s.receive(); frame.Pong == nil; frame = s.receive() {
+		}
+		if frame.Pong.Nonce != 100+nonce {
+			t.Fatalf("pong %d came in place of %d", frame.Pong.Nonce, 100+nonce)
+		}
+	}
 	g.eventually("the router's revision in the status", func() bool {
 		status, err := g.status(leader)
 		return err == nil && len(status.Routers) == 1 && status.Routers[0].Revision == second
