--- a/internal/controller/stream_test.go
+++ b/internal/controller/stream_test.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// wantPongsInOrder sends many pings at once and requires a pong for each.
+func (s *subscriber) wantPongsInOrder(count uint64, revision state.Revision) {
+	s.t.Helper()
+	const first = 100
+	for nonce := range count {
+		s.send(&message.RouterFrame{Ping: &message.Ping{Nonce: first + nonce, SentNs: 1, Revision: revision}})
+	}
+	for next := uint64(first); next < first+count; {
+		frame := s.receive()
+		if frame.Pong == nil {
+			continue
+		}
+		if frame.Pong.Nonce != next {
+			s.t.Fatalf("pong %d came in place of %d", frame.Pong.Nonce, next)
+		}
+		next++
+	}
+}
+
 func held(builder *table.Builder) message.RouterHello {
 	view := builder.Table()
 	return message.RouterHello{Cluster: view.Cluster(), Revision: view.Revision(), Digest: view.Digest()}
@@ -103,17 +122,7 @@
 	if frame.Pong.Nonce != 7 || frame.Pong.SentNs != 11 || frame.Pong.Revision < second {
 		t.Errorf("pong %+v after revision %d", frame.Pong, second)
 	}
-	const burst = 50
-	for nonce := range uint64(burst) {
-		s.send(&message.RouterFrame{Ping: &message.Ping{Nonce: 100 + nonce, SentNs: 1, Revision: second}})
-	}
-	for nonce := range uint64(burst) {
-		for frame = s.receive(); frame.Pong == nil; frame = s.receive() {
-		}
-		if frame.Pong.Nonce != 100+nonce {
-			t.Fatalf("pong %d came in place of %d", frame.Pong.Nonce, 100+nonce)
-		}
-	}
+	s.wantPongsInOrder(50, second)
 	g.eventually("the router's revision in the status", func() bool {
 		status, err := g.status(leader)
 		return err == nil && len(status.Routers) == 1 && status.Routers[0].Revision == second
