Coordinator: slow quorum rounds do not starve leases; first shards wait for the servers

Cause: a reading that no quorum round had covered after a renewal interval was replaced by a probe's newer one, which needed a later round; where rounds take longer than an interval, none was ever covered. A renewal now waits for its round up to half a lease. Shards that never had an owner now wait up to 1 s for the other active servers of the service. The test fails without it: 8 and 0 of 8 shards; with it 4 and 4.

--- a/internal/coordinator/assign.go
+++ b/internal/coordinator/assign.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -36,7 +37,7 @@
 		if len(chosen) == limit {
 			break
 		}
-		if !planner.hasTakers(service) {
+		if !planner.hasTakers(service) || c.awaitsServers(planner.now, service, view) {
 			continue
 		}
 		for _, shard := range view.UnownedShards(service, limit-len(chosen)) {
@@ -55,6 +56,29 @@
 	return chosen
 }
 
+// foundingWait bounds the wait for the servers of a new service.
+const foundingWait = time.Second
+
+// awaitsServers reports whether a service whose shards never had an owner waits
+// for more of its servers to answer: the first one would get everything.
+func (c *Coordinator) awaitsServers(now time.Duration, service state.ServiceName, view *state.State) bool {
+	first := view.UnownedShards(service, 1)
+	if len(first) == 0 || first[0].Epoch != 0 {
+		return false
+	}
+	since, found := c.founding[service]
+	if !found {
+		since = now
+		c.founding[service] = now
+	}
+	if now-since >= foundingWait {
+		return false
+	}
+	return slices.ContainsFunc(view.ServersOf(service), func(server state.Server) bool {
+		return server.Intent == state.ServerActive && !server.Leaving && !server.Session.Open
+	})
+}
+
 // stillGood reports whether nothing changed since the owner was chosen. What is
 // left out is chosen anew.
 func (c *Coordinator) stillGood(chosen state.ShardAssignment, view *state.State) bool {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -43,6 +43,9 @@
 	// assignments are chosen and wait to be proposed.
 	assignments []state.ShardAssignment
 	balancer    *balancer
+	// founding is when this leader first looked for owners of a new service's
+	// shards.
+	founding map[state.ServiceName]time.Duration
 	// handovers measures the moves of this term.
 	handovers *handovers
 	// changedServices are those whose policy is to be looked at.
@@ -51,7 +54,7 @@
 
 // New returns a coordinator that does nothing until Lead.
 func New(config Config) *Coordinator {
-	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact), balancer: newBalancer(), handovers: newHandovers()}
+	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact), balancer: newBalancer(), handovers: newHandovers(), founding: make(map[state.ServiceName]time.Duration)}
 }
 
 // Lead begins a term of leadership. The replicated state must hold every
@@ -92,6 +95,7 @@
 	c.assignments = nil
 	c.balancer = newBalancer()
 	c.handovers = newHandovers()
+	c.founding = make(map[state.ServiceName]time.Duration)
 	c.changedServices = nil
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -33,6 +33,11 @@
 	// silent servers answer nothing; others answer as incarnation.
 	silent      map[state.ServerID]bool
 	incarnation map[state.ServerID]string
+	// roundDelay, if set, is how long after its begin a quorum round is
+	// confirmed.
+	roundDelay time.Duration
+	roundAt    time.Duration
+	round      uint64
 	// running is what a server reports as still running.
 	running map[state.ServerID][]backendapi.Assignment
 	version map[state.ServerID]uint64
@@ -72,7 +77,13 @@
 func (b *bench) run(duration time.Duration) {
 	for end := b.now + duration; b.now < end; b.now += 10 * millisecond {
 		actions := b.core.Tick(b.now, b.view)
-		if actions.Round != 0 && b.confirm {
+		if b.round != 0 && b.now >= b.roundAt {
+			b.core.RoundConfirmed(b.now, b.round)
+			b.round = 0
+		}
+		if actions.Round != 0 && b.roundDelay > 0 {
+			b.round, b.roundAt = actions.Round, b.now+b.roundDelay
+		} else if actions.Round != 0 && b.confirm {
 			b.core.RoundConfirmed(b.now, actions.Round)
 		}
 		for _, proposal := range actions.Proposals {
@@ -164,6 +175,46 @@
 	}
 }
 
+// TestSlowRoundsDoNotStarveLeases: with controllers in regions far apart a
+// reading waits for the round under way and then for its own, longer than a
+// renewal interval. A probe must not replace it by a newer one meanwhile.
+func TestSlowRoundsDoNotStarveLeases(t *testing.T) {
+	b := newBench(t)
+	b.run(time.Second)
+	b.roundDelay = 200 * millisecond
+	before := b.renewals("a")
+	b.run(10 * time.Second)
+	if len(b.closed) != 0 {
+		t.Errorf("sessions of servers that answer were closed at %v", b.closed)
+	}
+	if renewed := b.renewals("a") - before; renewed < 20 {
+		t.Errorf("%d renewals in 10 s", renewed)
+	}
+}
+
+// TestFirstShardsAreSpreadOverEveryServer: the first server to answer does not
+// get all shards of a new service, and a server that never does holds them up
+// for a bounded time only.
+func TestFirstShardsAreSpreadOverEveryServer(t *testing.T) {
+	b := newBench(t)
+	b.silent["b"] = true
+	b.run(time.Second / 2)
+	if owned := b.ownedBy("a"); owned != 0 {
+		t.Errorf("the first server was given %d shards before the other answered", owned)
+	}
+	b.silent["b"] = false
+	b.run(time.Second / 2)
+	if b.ownedBy("a") != 4 || b.ownedBy("b") != 4 {
+		t.Errorf("shards are spread %d and %d", b.ownedBy("a"), b.ownedBy("b"))
+	}
+	b = newBench(t)
+	b.silent["b"] = true
+	b.run(time.Second + time.Second)
+	if owned := b.ownedBy("a"); owned != 8 {
+		t.Errorf("the only server that answers owns %d of 8 shards", owned)
+	}
+}
+
 func TestNewLeaderWaitsAFullLease(t *testing.T) {
 	b := newBench(t)
 	b.run(time.Second)
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -88,13 +88,15 @@
 }
 
 // awaitsRound reports whether a renewal waits for a quorum round alone. It is
-// then sent once the round is confirmed; a probe now would keep it back for a
-// whole interval.
+// then sent once the round is confirmed. A probe would bring a newer reading,
+// which waits for a later round still: where rounds take longer than a renewal
+// interval, no reading would ever be covered. So it waits for half a lease,
+// which leaves the other half to use.
 func (c *Coordinator) awaitsRound(now time.Duration, known *contact, server state.Server) bool {
 	if !server.Session.Open || known.closing == server.Session.Number || known.incarnation != server.Session.Incarnation {
 		return false
 	}
-	return known.readingAt > c.confirmedAt && now-known.readingAt < c.config.RenewInterval
+	return known.readingAt > c.confirmedAt && now-known.readingAt < c.config.LeaseDuration/2
 }
 
 func (c *Coordinator) contactServer(now time.Duration, known *contact, server state.Server, service state.Service, view *state.State, actions *Actions) {
