--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -107,6 +107,9 @@
 	if err := r.rig.Spread(ctx); err != nil {
 		return err
 	}
+	if err := r.rig.WaitInForce(ctx); err != nil {
+		return err
+	}
 	if err := r.rig.Fleet.WaitRouters(ctx); err != nil {
 		return err
 	}
--- a/internal/lab/bench/rig/acts.go
+++ b/internal/lab/bench/rig/acts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/intentapi"
@@ -69,6 +70,21 @@
 	return r.wait(ctx, "the moves of a rebalance", r.allSettled)
 }
 
+// WaitInForce waits until every server holds exactly its assignments.
+func (r *Rig) WaitInForce(ctx context.Context) error {
+	return fleet.WaitFor(ctx, "assignments in force on every server", func() bool {
+		leader, err := r.Fleet.Leader(ctx)
+		if err != nil {
+			return false
+		}
+		status, err := r.Fleet.Client().Status(ctx, leader.AdminAddress)
+		if err != nil {
+			return false
+		}
+		return !slices.ContainsFunc(status.Servers, func(server intentapi.ServerStatus) bool { return !server.InForce })
+	})
+}
+
 // Loss is the course of the silent loss of servers, from the moment at which
 // they went silent.
 type Loss struct {
