--- a/internal/lab/scenario/controllers.go
+++ b/internal/lab/scenario/controllers.go
@@ -25,7 +25,7 @@
 		{Name: "cut-leader-receiving", Proves: "a leader that hears nothing, one way, gives up its leadership",
 			shape: shape{duration: 14 * time.Second}, steps: cutLeaderReceiving},
 		{Name: "slow-control", Proves: "late messages between controllers and routers break no guarantee",
-			shape: shape{duration: 12 * time.Second}, steps: slowControl},
+			shape: shape{duration: 12 * time.Second, limits: trial.Limits{MaxUnavailable: time.Second}}, steps: slowControl},
 		{Name: "lost-disk", Proves: "a controller that lost its disk joins anew, and a second loss right after the repair is borne",
 			shape: shape{duration: 20 * time.Second}, steps: lostDisk},
 		{Name: "restart-controllers", Proves: "after hundreds of changes all controllers restart with what was accepted and acknowledged",
--- a/internal/lab/scenario/result.go
+++ b/internal/lab/scenario/result.go
@@ -27,6 +27,8 @@
 	Seed     uint64 `json:"seed"`
 	record.Summary
 	Bounds []Bound `json:"bounds,omitempty"`
+	// Exceeded lists the limits of the whole run that did not hold.
+	Exceeded []string `json:"exceeded,omitempty"`
 	// OK is true when every guarantee and every bound held.
 	OK         bool               `json:"ok"`
 	Violations []record.Violation `json:"violations,omitempty"`
@@ -45,7 +47,7 @@
 	}
 	result := Result{
 		Scenario: name, Seed: options.Seed, Summary: judged.Summary, Bounds: r.bounds, OK: judged.OK,
-		Violations: someOfEach(judged.Violations),
+		Violations: someOfEach(judged.Violations), Exceeded: judged.Exceeded,
 	}
 	for _, bound := range r.bounds {
 		result.OK = result.OK && bound.Held
@@ -67,7 +69,7 @@
 
 // Table returns the result as a table for people.
 func (r Result) Table() string {
-	told := trial.Result{Summary: r.Summary, Violations: r.Violations}
+	told := trial.Result{Summary: r.Summary, Violations: r.Violations, Exceeded: r.Exceeded}
 	told.OK = r.OK
 	var text strings.Builder
 	text.WriteString(told.Table())
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -33,6 +33,8 @@
 	duration time.Duration
 	// encrypted gives the processes certificates.
 	encrypted bool
+	// limits bound the whole run, its faults included.
+	limits trial.Limits
 	// caller changes the settings of each caller.
 	caller func(*caller.Config)
 }
@@ -97,7 +99,7 @@
 			Controllers: controllers, Routers: routers, Deployments: shape.deployments, Dial: network.Address,
 			Encrypted: shape.encrypted,
 		},
-		Rate: shape.rate, Duration: shape.duration, Seed: options.Seed, Caller: shape.caller, Say: options.Say,
+		Rate: shape.rate, Duration: shape.duration, Seed: options.Seed, Caller: shape.caller, Limits: shape.limits, Say: options.Say,
 		Steps: func(ctx context.Context, t *trial.Trial) error {
 			running.Trial = t
 			err := s.steps(ctx, running)
