--- a/internal/lab/labcli/up.go
+++ b/internal/lab/labcli/up.go
@@ -126,19 +126,24 @@
 func describeUp(output io.Writer, place *workplace, running *fleet.Fleet, encrypted bool) {
 	fmt.Fprintf(output, "settings, data, logs and records: %s\n\n", place.folder)
 	for _, controller := range running.Controllers {
-		fmt.Fprintf(output, "%-14s intent API %s  peers %s\n", controller.Name, controller.AdminAddress, controller.PeerAddress)
+		fmt.Fprintf(output, "%-18s pid %-8d intent API %s  peers %s\n",
+			controller.Name, controller.Process.PID(), controller.AdminAddress, controller.PeerAddress)
 	}
 	for _, router := range running.Routers {
-		fmt.Fprintf(output, "%-14s callers    %s  health and metrics %s\n", router.Name, router.Address, router.AdminAddress)
+		fmt.Fprintf(output, "%-18s pid %-8d callers    %s  health and metrics %s\n",
+			router.Name, router.Process.PID(), router.Address, router.AdminAddress)
+	}
+	fmt.Fprintf(output, "%-18s pid %-8d list       %s\n", "platform", running.Platform.Process.PID(), running.Platform.Address)
+	for _, backEnd := range running.BackEnds {
+		fmt.Fprintf(output, "%-18s pid %-8d back end   %s\n", backEnd.Spec.ID, backEnd.Process.PID(), backEnd.Address)
 	}
-	fmt.Fprintf(output, "%-14s list       %s\n", "platform", running.Platform.Address)
-	fmt.Fprintf(output, "%d back ends; see get servers\n", len(running.BackEnds))
 	fmt.Fprintf(output, "\nIn another shell:\n\n")
 	if encrypted {
 		describeCertificates(output, running.OperatorFiles())
 	}
 	fmt.Fprintf(output, `  export THORNTILLER_ENDPOINTS=%s
   %[2]s status
+  kill -9 PID       # of any process above; then look at status again
   %[2]s get shards ledger-view
   %[2]s plan move-key ledger-view paylink-0
   %[2]s plan retire-server viewer-1
