Simulator: its router looks for the leader as the product's does

Cause: the simulated router still waited up to 1 s between two controllers and did not follow the leader that a refusal names; with five controllers a round took 5 s, the whole bound. The simulated one now has the product's times and follows refusals.

--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -12,10 +12,10 @@
 
 // Times of a router, as internal/router has them.
 const (
-	pingInterval   = 200 * time.Millisecond
-	silenceLimit   = 1500 * time.Millisecond
-	reconnectBase  = 50 * time.Millisecond
-	reconnectMax   = time.Second
+	pingInterval   = 150 * time.Millisecond
+	silenceLimit   = 600 * time.Millisecond
+	reconnectBase  = 25 * time.Millisecond
+	reconnectMax   = 250 * time.Millisecond
 	requestEvery   = 30 * time.Millisecond
 	shortExecution = 20 * time.Millisecond
 	longExecution  = 400 * time.Millisecond
@@ -88,7 +88,7 @@
 		return
 	}
 	if r.now()-r.heard > max(silenceLimit, 3*pingInterval) {
-		r.disconnect()
+		r.disconnect("")
 		return
 	}
 	r.nonce++
@@ -97,11 +97,18 @@
 	}})
 }
 
-// disconnect goes on with the next controller after a delay.
-func (r *router) disconnect() {
+// disconnect goes on, after a delay, with the controller that a refusal named,
+// else with the next one.
+func (r *router) disconnect(named string) {
 	r.connection.close()
 	r.connection = nil
-	r.preferred = (r.preferred + 1) % len(r.sim.controllers)
+	following := (r.preferred + 1) % len(r.sim.controllers)
+	for index, target := range r.sim.controllers {
+		if string(target.node) == named && index != r.preferred {
+			following = index
+		}
+	}
+	r.preferred = following
 	delay := min(reconnectBase<<min(r.failures, 5), reconnectMax)
 	r.failures++
 	delay = delay/2 + time.Duration(r.sim.random.Int64N(int64(delay/2+1)))
@@ -127,7 +134,7 @@
 	case frame.Delta != nil:
 		err = r.applyDelta(*frame.Delta)
 	case frame.Refusal != nil:
-		r.disconnect()
+		r.disconnect(frame.Refusal.Detail)
 	}
 	if err == nil {
 		return
@@ -137,7 +144,7 @@
 	if eris.Is(err, table.ErrDigestMismatch) || eris.Is(err, table.ErrGap) || eris.Is(err, table.ErrPartOrder) {
 		r.resync = true
 	}
-	r.disconnect()
+	r.disconnect("")
 }
 
 func (r *router) applyDelta(delta message.TableDelta) error {
--- a/internal/lab/sim/stream.go
+++ b/internal/lab/sim/stream.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/network"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -82,7 +83,7 @@
 	}
 	switch {
 	case c.replica == nil || !c.replica.leading || from.generation != c.generation:
-		from.toRouter(message.ControllerFrame{Refusal: &message.Refusal{}})
+		from.toRouter(c.refusal())
 	case frame.Hello != nil:
 		c.replica.subscribe(from, *frame.Hello)
 	case frame.Ping != nil:
@@ -95,6 +96,20 @@
 	}
 }
 
+// refusal names the leader, if this controller knows one.
+func (c *controller) refusal() message.ControllerFrame {
+	refusal := message.Refusal{Kind: fault.NotLeader}
+	if c.replica != nil {
+		leader := c.replica.core.Status().Leader
+		for _, other := range c.sim.controllers {
+			if leader != 0 && other.self.Replica == leader {
+				refusal.Detail = string(other.node)
+			}
+		}
+	}
+	return message.ControllerFrame{Refusal: &refusal}
+}
+
 // subscribe decides what the router holds already, and sends the rest.
 func (r *replica) subscribe(from *connection, hello message.RouterHello) {
 	added := &stream{connection: from, sent: hello.Revision}
