Certificates: opening and watching stand once

The controller and the router each had the same code to open the files, or none, and to watch them; the command line had a part of it. It stands in the certificate package now.

--- a/internal/certificate/store.go
+++ b/internal/certificate/store.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 // Files are the paths of PEM files.
@@ -99,9 +102,22 @@
 	return true, nil
 }
 
-// Watch refreshes at each interval until the context ends, and reports what
-// came of it.
-func (s *Store) Watch(ctx context.Context, interval time.Duration, report func(renewed bool, err error)) {
+// OpenIfNamed reads the files, or returns nil, which stands for plain text, if
+// none is named.
+func OpenIfNamed(files Files) (*Store, error) {
+	if files.Empty() {
+		return nil, nil
+	}
+	store, err := Open(files)
+	return store, eris.Wrap(err, "tls")
+}
+
+// Watch refreshes at each interval until the context ends, and logs what came
+// of it. A nil store returns at once.
+func (s *Store) Watch(ctx context.Context, interval time.Duration, log *logrus.Entry) {
+	if s == nil {
+		return
+	}
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -109,11 +125,21 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			report(s.Refresh())
+			s.refreshAndLog(log)
 		}
 	}
 }
 
+func (s *Store) refreshAndLog(log *logrus.Entry) {
+	renewed, err := s.Refresh()
+	switch {
+	case err != nil:
+		telemetry.WithError(log, telemetry.EventCertificateFailed, err).Warn("the certificate files changed but cannot be used")
+	case renewed:
+		telemetry.With(log, telemetry.EventCertificateRenewed).Info("certificates read again")
+	}
+}
+
 // Listener accepts TLS connections whose peers present a certificate of the
 // authority. Connections that stand keep the material that they began with.
 func (s *Store) Listener(inner net.Listener) net.Listener {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -69,10 +69,7 @@
 
 // certificates opens the files, or returns nil for plain text.
 func (f clientFlags) certificates() (*certificate.Store, error) {
-	if f.files.Empty() {
-		return nil, nil
-	}
-	store, err := certificate.Open(f.files)
+	store, err := certificate.OpenIfNamed(f.files)
 	if err != nil {
 		return nil, &usageError{cause: fmt.Errorf("--certificate, --key and --authority must name PEM files that belong together: %w", err)}
 	}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -96,7 +96,7 @@
 	defer stopServing()
 	ready := make(chan struct{})
 	background.Go(func() { n.servePeers(serving, ready) })
-	background.Go(func() { n.security.watch(serving, n.log) })
+	background.Go(func() { n.security.store.Watch(serving, n.settings.TLS.ReloadInterval, n.log) })
 	if err := n.formation.run(ctx); err != nil {
 		if ctx.Err() != nil {
 			return nil
--- a/internal/controller/security.go
+++ b/internal/controller/security.go
@@ -1,18 +1,15 @@
 package controller
 
 import (
-	"context"
 	"net"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 
 	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
-	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
@@ -24,11 +21,8 @@
 }
 
 func newSecurity(settings config.Controller) (*security, error) {
-	if !settings.TLS.Enabled() {
-		return &security{settings: settings}, nil
-	}
-	store, err := certificate.Open(settings.TLS.Files())
-	return &security{settings: settings, store: store}, eris.Wrap(err, "tls")
+	store, err := certificate.OpenIfNamed(settings.TLS.Files())
+	return &security{settings: settings, store: store}, err
 }
 
 // dial returns how connections to other processes are opened; nil means plain.
@@ -46,21 +40,6 @@
 	return s.store.Listener(inner)
 }
 
-// watch takes up replaced certificates until the context ends.
-func (s *security) watch(ctx context.Context, log *logrus.Entry) {
-	if s.store == nil {
-		return
-	}
-	s.store.Watch(ctx, s.settings.TLS.ReloadInterval, func(renewed bool, err error) {
-		if err != nil {
-			telemetry.WithError(log, telemetry.EventCertificateFailed, err).Warn("the certificate files changed but cannot be used")
-		}
-		if renewed {
-			telemetry.With(log, telemetry.EventCertificateRenewed).Info("certificates read again")
-		}
-	})
-}
-
 // checkPeer requires that a peer is who it says, and that only configured
 // controllers take part in consensus and formation.
 func (s *security) checkPeer(connection *wire.Conn, hello message.Hello) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -88,7 +88,7 @@
 // gracefully. It returns an error when a listener cannot be opened or running
 // requests did not finish within the stop timeout.
 func Run(ctx context.Context, settings config.Router, log *logrus.Entry) error {
-	certificates, err := openCertificates(settings.TLS)
+	certificates, err := certificate.OpenIfNamed(settings.TLS.Files())
 	if err != nil {
 		return err
 	}
@@ -195,7 +195,7 @@
 	group.Go(func() { failed <- serveListener(callerServer, callers) })
 	group.Go(func() { failed <- serveListener(adminServer, admin) })
 	group.Go(func() { failed <- r.records.Run(background, r.secure(peers)) })
-	group.Go(func() { r.watchCertificates(background) })
+	group.Go(func() { r.certificates.Watch(background, r.settings.TLS.ReloadInterval, r.log) })
 	group.Go(func() { r.newSubscription().run(background) })
 	group.Go(func() { r.probe(background) })
 	group.Go(func() { r.watchFreshness(background) })
