Lint: a cache for each checkout

Cause: golangci-lint keeps findings with the path of the checkout in one cache for all checkouts.

Reproduced: clone a, lint (0 issues, rc 0), remove a, clone b, lint with the same cache: 1 issue, rc 1. Ruled out: a real finding (the line has its nolint with a reason; a cold cache gives 0 issues).

After: the cache stands in bin/ of its own checkout.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 
 GOLANGCI_LINT_VERSION := v2.12.2
 GOLANGCI_LINT := bin/golangci-lint-$(GOLANGCI_LINT_VERSION)
+# Findings are cached with the path of the checkout that they were found in, so a cache
+# that several checkouts share reports files of a checkout that is gone.
+GOLANGCI_LINT_CACHE := $(CURDIR)/bin/golangci-lint-cache
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X github.com/thorntiller/thorntiller/internal/cli.version=$(VERSION)
 
@@ -31,7 +34,7 @@
 	go vet ./...
 
 lint: $(GOLANGCI_LINT)
-	$(GOLANGCI_LINT) run ./...
+	GOLANGCI_LINT_CACHE=$(GOLANGCI_LINT_CACHE) $(GOLANGCI_LINT) run ./...
 
 $(GOLANGCI_LINT):
 	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
