Settings: a syntax error without a field no longer prints an empty name

Cause: Problem.String wrote 'FIELD = VALUE' whenever there was a value; a YAML syntax error has a value and no field, so the line read 't.yaml:2: = " router\n\t": is no valid YAML'. The test failed on the old code with 'f:2: = "\t": is no YAML; mend it'. After: 't.yaml:2: " router\n\t": is no valid YAML ...'.

--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -176,6 +176,22 @@
 	}
 }
 
+func TestProblemNamesWhatIsKnown(t *testing.T) {
+	for _, test := range []struct {
+		problem Problem
+		want    string
+	}{
+		{Problem{File: "f", Line: 2, Field: "a.b", Value: "7", Message: "is bad", Remedy: "mend it"}, `f:2: a.b = "7": is bad; mend it`},
+		{Problem{File: "f", Line: 2, Field: "a.b", Message: "is missing", Remedy: "add it"}, "f:2: a.b: is missing; add it"},
+		{Problem{File: "f", Line: 2, Value: "\t", Message: "is no YAML", Remedy: "mend it"}, `f:2: "\t": is no YAML; mend it`},
+		{Problem{File: "f", Message: "cannot be read", Remedy: "look"}, "f: cannot be read; look"},
+	} {
+		if got := test.problem.String(); got != test.want {
+			t.Errorf("got %s, want %s", got, test.want)
+		}
+	}
+}
+
 func TestDetectRole(t *testing.T) {
 	role, err := DetectRole(write(t, goodRouter))
 	if role != RoleRouter || err != nil {
--- a/internal/config/problem.go
+++ b/internal/config/problem.go
@@ -27,16 +27,26 @@
 	if p.Line > 0 {
 		place = fmt.Sprintf("%s:%d", p.File, p.Line)
 	}
-	subject := p.Field
-	if p.Value != "" {
-		subject = fmt.Sprintf("%s = %q", p.Field, p.Value)
-	}
+	subject := p.subject()
 	if subject == "" {
 		return fmt.Sprintf("%s: %s; %s", place, p.Message, p.Remedy)
 	}
 	return fmt.Sprintf("%s: %s: %s; %s", place, subject, p.Message, p.Remedy)
 }
 
+// subject names the field and the value, as far as they are known. A syntax
+// error has a value and no field.
+func (p Problem) subject() string {
+	switch {
+	case p.Value == "":
+		return p.Field
+	case p.Field == "":
+		return fmt.Sprintf("%q", p.Value)
+	default:
+		return fmt.Sprintf("%s = %q", p.Field, p.Value)
+	}
+}
+
 // Problems is every fault that was found. As an error its kind is
 // fault.InvalidArgument.
 type Problems []Problem
