Consensus: a membership is in force when it is appended

Cause: a change took effect when it was applied. A leader that promoted a repaired replica and lost its disk before the next message left voters that held the promotion in their logs, did not know it as committed, and waited for the machine that had been replaced. Nobody could be elected.

The simulator's bound of losses now rests on the newest membership that any replica has applied, the leader's, and no longer on what every replica knows.

How: the core folds the changes after the applied index into the membership as of that index whenever one is appended, replaced, restored or applied. A leader sends the log to the members of both until a removal is applied, so that the removed member still learns of it. The inference that the last but one change of a log is committed is gone: nothing rests on it any more.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -141,7 +141,7 @@
 	drop := status.Applied - r.snapshot.Metadata.Index
 	r.entries = slices.Clone(r.entries[min(drop, uint64(len(r.entries))):])
 	r.snapshot = Snapshot{
-		Metadata: SnapshotMetadata{Index: status.Applied, Term: term, Membership: status.Membership},
+		Metadata: SnapshotMetadata{Index: status.Applied, Term: term, Membership: status.AppliedMembership},
 		Data:     []byte(strings.Join(r.state, " ")),
 	}
 	return r.core.Compact(status.Applied)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -20,9 +20,15 @@
 	leader ReplicaID
 	log    *replicatedLog
 
-	// membership is the membership as of log.applied, sorted by identifier.
+	// membership is the membership in force, the newest in the log whether or
+	// not it is committed, sorted by identifier. voters are those of it.
 	membership Membership
 	voters     []ReplicaID
+	// appliedMembership is the membership as of log.applied. While it differs
+	// from membership, a change waits to be committed or applied.
+	appliedMembership Membership
+	// receivers are the members of both, to which a leader sends the log, sorted.
+	receivers []ReplicaID
 	// firstMembership is the membership at index 0. It is in no log entry, so
 	// the leader attaches it to appends that start at index 0.
 	firstMembership Membership
@@ -73,8 +79,8 @@
 		vote:     initial.HardState.Vote,
 		log:      newLog(initial),
 	}
-	core.setMembership(initial.Snapshot.Membership)
-	core.firstMembership = core.membership
+	core.restoreMembership(initial.Snapshot.Membership)
+	core.firstMembership = core.appliedMembership
 	core.persisted = initial.HardState
 	core.becomeFollower(core.term, 0)
 	return core, nil
@@ -119,8 +125,8 @@
 			active++
 		}
 	}
-	for _, member := range c.membership.Members {
-		c.progress[member.ID].recentActive = false
+	for _, id := range c.receivers {
+		c.progress[id].recentActive = false
 	}
 	return active >= c.quorum()
 }
@@ -153,6 +159,9 @@
 func (c *Core) appendOwn(kind EntryKind, data []byte) {
 	c.log.append(Entry{Index: c.log.lastIndex() + 1, Term: c.term, Kind: kind, Data: data})
 	c.uncommittedBytes += len(data)
+	if kind == EntryMembership {
+		c.refreshMembership()
+	}
 }
 
 // Compact drops the log entries up to index. The driver must have saved a
@@ -169,20 +178,20 @@
 	return nil
 }
 
-// Status describes the core at this moment. Membership is the membership as of
-// Applied, so it is what a snapshot taken at Applied must carry.
+// Status describes the core at this moment.
 func (c *Core) Status() Status {
 	status := Status{
-		ID:            c.config.ID,
-		Role:          c.role,
-		Term:          c.term,
-		Leader:        c.leader,
-		Commit:        c.log.committed,
-		Applied:       c.log.applied,
-		LastIndex:     c.log.lastIndex(),
-		FirstIndex:    c.log.firstIndex(),
-		Membership:    Membership{Members: slices.Clone(c.membership.Members)},
-		TermCommitted: c.termCommitted(),
+		ID:                c.config.ID,
+		Role:              c.role,
+		Term:              c.term,
+		Leader:            c.leader,
+		Commit:            c.log.committed,
+		Applied:           c.log.applied,
+		LastIndex:         c.log.lastIndex(),
+		FirstIndex:        c.log.firstIndex(),
+		Membership:        Membership{Members: slices.Clone(c.membership.Members)},
+		AppliedMembership: Membership{Members: slices.Clone(c.appliedMembership.Members)},
+		TermCommitted:     c.termCommitted(),
 	}
 	if c.role == RoleFollower && !c.isVoter(c.config.ID) {
 		status.Role = RoleLearner
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -24,10 +24,10 @@
 	c.electionTimeout = c.config.ElectionTicks + c.random.IntN(c.config.ElectionTicks)
 }
 
-// mayCampaign reports whether this replica may ask for votes. A replica with a
-// committed membership change that is not applied may not: see applyMembership.
+// mayCampaign reports whether this replica may ask for votes. One that knows of a
+// committed membership change applies it first, since it may be its own removal.
 func (c *Core) mayCampaign() bool {
-	return c.isVoter(c.config.ID) && c.log.pendingSnapshot == nil && !c.log.hasUnappliedMembership()
+	return c.mayLead() && c.log.pendingSnapshot == nil && !c.log.hasUnappliedMembership()
 }
 
 // startPreVote asks whether an election could be won, without raising the term.
@@ -72,7 +72,7 @@
 
 // handleVoteRequest answers a vote or pre-vote. A replica that believes itself
 // a learner answers too: a candidate asks only voters, so the candidate's newer
-// membership holds a promotion that this replica has not applied yet.
+// membership holds a promotion that this replica does not hold yet.
 func (c *Core) handleVoteRequest(request Message) {
 	answer := Message{Kind: MessageVoteAnswer, To: request.From}
 	preVote := request.Kind == MessagePreVote
@@ -150,9 +150,9 @@
 	c.role = RoleLeader
 	c.heartbeatElapsed = 0
 	c.uncommittedBytes = c.log.dataBytes(c.log.committed+1, c.log.lastIndex())
-	c.progress = make(map[ReplicaID]*progress, len(c.membership.Members))
-	for _, member := range c.membership.Members {
-		c.progress[member.ID] = newProgress(c.log.lastIndex() + 1)
+	c.progress = make(map[ReplicaID]*progress, len(c.receivers))
+	for _, id := range c.receivers {
+		c.progress[id] = newProgress(c.log.lastIndex() + 1)
 	}
 	c.progress[c.config.ID].match = c.log.stable
 	c.appendOwn(EntryCommand, nil)
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "github.com/rotisserie/eris"
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
 
 // handleFromLeader takes a message of the leader of the present term.
 func (c *Core) handleFromLeader(message Message) error {
@@ -42,10 +46,14 @@
 		c.rejectAppend(message)
 		return nil
 	}
+	held := c.holdsMembershipChange()
 	if !c.log.merge(message.Entries) {
 		return eris.Wrapf(ErrLogLost, "the leader's entries after index %d contradict the commit index %d",
 			message.Index, c.log.committed)
 	}
+	if held || slices.ContainsFunc(message.Entries, isMembershipChange) {
+		c.refreshMembership()
+	}
 	last := message.Index + uint64(len(message.Entries))
 	c.commitTo(min(message.Commit, last))
 	c.acceptAppend(message.From, last)
@@ -63,9 +71,9 @@
 		return
 	}
 	metadata := SnapshotMetadata{Membership: message.Snapshot.Metadata.Membership}
-	c.setMembership(metadata.Membership)
-	c.firstMembership = c.membership
 	c.log.restore(&Snapshot{Metadata: metadata})
+	c.restoreMembership(metadata.Membership)
+	c.firstMembership = c.appliedMembership
 }
 
 func (c *Core) acceptAppend(leader ReplicaID, index uint64) {
@@ -103,6 +111,6 @@
 		return
 	}
 	c.log.restore(message.Snapshot)
-	c.setMembership(metadata.Membership)
+	c.restoreMembership(metadata.Membership)
 	c.acceptAppend(message.From, metadata.Index)
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -30,22 +30,10 @@
 	}
 	log.stable = log.lastIndex()
 	log.persisting = log.stable
-	log.committed = max(initial.HardState.Commit, log.snapshotIndex, log.provenCommit())
+	log.committed = max(initial.HardState.Commit, log.snapshotIndex)
 	return log
 }
 
-// provenCommit returns the last but one membership change of the log, or 0: a
-// leader proposes a change only after it applied all earlier ones.
-func (l *replicatedLog) provenCommit() uint64 {
-	previous, last := uint64(0), uint64(0)
-	for _, entry := range l.entries {
-		if entry.Kind == EntryMembership {
-			previous, last = last, entry.Index
-		}
-	}
-	return previous
-}
-
 func (l *replicatedLog) firstIndex() uint64 {
 	return l.snapshotIndex + 1
 }
@@ -175,9 +163,7 @@
 
 // hasUnappliedMembership reports whether a committed change waits to be applied.
 func (l *replicatedLog) hasUnappliedMembership() bool {
-	return slices.ContainsFunc(l.view(l.applied+1, l.committed), func(entry Entry) bool {
-		return entry.Kind == EntryMembership
-	})
+	return slices.ContainsFunc(l.view(l.applied+1, l.committed), isMembershipChange)
 }
 
 // dataBytes sums the entry data from first to last.
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -51,8 +51,8 @@
 	return nil
 }
 
-// ProposeMembership appends one membership change to the leader's log. The next
-// change is accepted once this one is applied. The error is ErrNotLeader,
+// ProposeMembership appends one membership change to the leader's log, which puts
+// it in force here. The next change is accepted once this one is applied. The error is ErrNotLeader,
 // ErrMembershipPending, ErrProposalDropped, or tells why the change is refused.
 func (c *Core) ProposeMembership(change MembershipChange) error {
 	if c.role != RoleLeader {
@@ -77,7 +77,7 @@
 
 // checkChange refuses a change that does not fit the present membership.
 func (c *Core) checkChange(change MembershipChange) error {
-	member, found := c.member(change.Member.ID)
+	member, found := memberOf(c.membership, change.Member.ID)
 	switch change.Kind {
 	case AddLearner:
 		if found {
@@ -108,65 +108,114 @@
 	return nil
 }
 
-// applyMembership puts a committed change in force on this replica.
+// refreshMembership brings the membership in line with the log: the one as of
+// the applied index and the changes after it.
 //
-// A change takes effect when it is applied. Safety rests on this invariant: a
-// replica whose log holds change k+2 knows that change k+1 is committed. The
-// leader proposes a change only after it applied the one before and sends its
-// commit index with the entries; after a restart the log itself proves it (see
-// provenCommit). A replica does not campaign with a committed change unapplied.
-// So whoever can win an election uses a membership at most one change from the
-// one that committed the newest entries, and quorums of memberships that differ
-// by one voter intersect.
-func (c *Core) applyMembership(entry Entry) {
-	change, err := DecodeMembershipChange(entry.Data)
-	if err != nil {
-		// Only ProposeMembership makes these entries, and every replica
-		// decodes the same bytes to the same result: none applies it.
-		return
-	}
-	if change.Kind == RemoveMember && c.role == RoleLeader {
-		c.sendFarewell(change.Member.ID)
+// A change is in force from the moment at which it is appended to a replica's
+// log, on that replica, until the entry is replaced (section 4.1 of Ongaro's
+// thesis). Safety rests on two rules of ProposeMembership: a leader proposes a
+// change only after the one before is applied, and only after an entry of its
+// own term is. So the logs of all who can win an election hold memberships that
+// are at most one change apart, and quorums of memberships that differ by one
+// voter intersect. Whatever a crash leaves in a log is in force again after it.
+func (c *Core) refreshMembership() {
+	inForce := c.appliedMembership
+	for _, entry := range c.log.view(c.log.applied+1, c.log.lastIndex()) {
+		if entry.Kind == EntryMembership {
+			inForce = changedBy(inForce, entry)
+		}
 	}
-	c.setMembership(changed(c.membership, change))
+	c.setMembership(inForce)
 	if c.role == RoleLeader {
 		c.leaderMembershipChanged()
 	}
 }
 
-// sendFarewell tells a member that is being removed the commit index, so that
-// it learns of its removal: it gets no message afterwards.
-func (c *Core) sendFarewell(id ReplicaID) {
-	if _, found := c.progress[id]; found && id != c.config.ID {
-		c.sendHeartbeat(id)
-	}
+// restoreMembership begins with the membership at log.applied, which a snapshot
+// or the founding of the group gives.
+func (c *Core) restoreMembership(membership Membership) {
+	c.appliedMembership = sorted(membership)
+	c.refreshMembership()
 }
 
-// leaderMembershipChanged brings the leader's views in line with the new
-// membership. A leader that was removed steps down.
-func (c *Core) leaderMembershipChanged() {
-	if !c.isVoter(c.config.ID) {
+// holdsMembershipChange reports whether a change in the log is not applied yet.
+func (c *Core) holdsMembershipChange() bool {
+	return slices.ContainsFunc(c.log.view(c.log.applied+1, c.log.lastIndex()), isMembershipChange)
+}
+
+func isMembershipChange(entry Entry) bool {
+	return entry.Kind == EntryMembership
+}
+
+// applyMembership notes that a change which is in force is committed. A leader
+// that it removes steps down, and a removed member is no longer sent the log.
+func (c *Core) applyMembership(entry Entry) {
+	before := c.appliedMembership
+	c.appliedMembership = sorted(changedBy(before, entry))
+	if c.role == RoleLeader {
+		c.sendFarewells(before)
+	}
+	c.refreshMembership()
+	switch {
+	case c.role != RoleLeader:
+	case c.mayLead():
+		c.broadcastAppend()
+	default:
 		c.becomeFollower(c.term, 0)
-		return
 	}
-	kept := make(map[ReplicaID]*progress, len(c.membership.Members))
-	for _, member := range c.membership.Members {
-		view, found := c.progress[member.ID]
+}
+
+// sendFarewells tells the members that were removed the commit index, so that
+// they learn of their removal: they get no message afterwards.
+func (c *Core) sendFarewells(before Membership) {
+	for _, member := range before.Members {
+		_, remains := memberOf(c.appliedMembership, member.ID)
+		if !remains && member.ID != c.config.ID {
+			c.sendHeartbeat(member.ID)
+		}
+	}
+}
+
+// mayLead reports whether this replica is a voter of the membership in force, or
+// was one before a change that is not applied yet. The latter may still be
+// needed: if it alone holds the entry that removes it, nobody with a shorter log
+// can be elected, and it leads until that entry is committed. Its own vote and
+// its own copy of the log do not count then.
+func (c *Core) mayLead() bool {
+	return c.isVoter(c.config.ID) || isVoterOf(c.appliedMembership, c.config.ID)
+}
+
+// leaderMembershipChanged brings the leader's views in line with the
+// memberships.
+func (c *Core) leaderMembershipChanged() {
+	kept := make(map[ReplicaID]*progress, len(c.receivers))
+	for _, id := range c.receivers {
+		view, found := c.progress[id]
 		if !found {
 			view = newProgress(c.log.lastIndex() + 1)
 			view.recentActive = true
 		}
-		kept[member.ID] = view
+		kept[id] = view
 	}
 	c.progress = kept
 	if !c.isVoter(c.transferee) {
 		c.transferee = 0
 	}
 	c.advanceCommit()
-	c.broadcastAppend()
 	c.finishReadRound()
 }
 
+// changedBy returns the membership after the change that an entry holds. Only
+// ProposeMembership makes these entries, and every replica decodes the same
+// bytes to the same result: one that cannot be decoded changes nothing.
+func changedBy(membership Membership, entry Entry) Membership {
+	change, err := DecodeMembershipChange(entry.Data)
+	if err != nil {
+		return membership
+	}
+	return changed(membership, change)
+}
+
 // changed returns the membership after a change. A change that does not fit
 // leaves it as it is.
 func changed(membership Membership, change MembershipChange) Membership {
@@ -186,22 +235,35 @@
 	return Membership{Members: members}
 }
 
-// setMembership puts a membership in force, sorted so that the core visits
-// members in the same order on every run.
+// setMembership puts a membership in force.
 func (c *Core) setMembership(membership Membership) {
-	members := slices.Clone(membership.Members)
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	c.membership = Membership{Members: members}
+	c.membership = sorted(membership)
 	c.voters = nil
-	for _, member := range members {
+	c.receivers = nil
+	for _, member := range c.membership.Members {
+		c.receivers = append(c.receivers, member.ID)
 		if !member.Learner {
 			c.voters = append(c.voters, member.ID)
 		}
 	}
+	for _, member := range c.appliedMembership.Members {
+		if !slices.Contains(c.receivers, member.ID) {
+			c.receivers = append(c.receivers, member.ID)
+		}
+	}
+	slices.Sort(c.receivers)
 }
 
-func (c *Core) member(id ReplicaID) (Member, bool) {
-	for _, member := range c.membership.Members {
+// sorted returns a copy in the order of identifiers, so that the core visits
+// members in the same order on every run.
+func sorted(membership Membership) Membership {
+	members := slices.Clone(membership.Members)
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return Membership{Members: members}
+}
+
+func memberOf(membership Membership, id ReplicaID) (Member, bool) {
+	for _, member := range membership.Members {
 		if member.ID == id {
 			return member, true
 		}
@@ -209,9 +271,15 @@
 	return Member{}, false
 }
 
+func isVoterOf(membership Membership, id ReplicaID) bool {
+	member, found := memberOf(membership, id)
+	return found && !member.Learner
+}
+
+// isMember reports whether a replica is a member, or is being removed by a
+// change that is not applied yet.
 func (c *Core) isMember(id ReplicaID) bool {
-	_, found := c.member(id)
-	return found
+	return slices.Contains(c.receivers, id)
 }
 
 func (c *Core) isVoter(id ReplicaID) bool {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -7,9 +7,9 @@
 const snapshotRetryElections = 4
 
 func (c *Core) broadcastAppend() {
-	for _, member := range c.membership.Members {
-		if member.ID != c.config.ID {
-			c.sendAppend(member.ID, true)
+	for _, id := range c.receivers {
+		if id != c.config.ID {
+			c.sendAppend(id, true)
 		}
 	}
 }
@@ -84,8 +84,8 @@
 }
 
 func (c *Core) tickSnapshots() {
-	for _, member := range c.membership.Members {
-		view := c.progress[member.ID]
+	for _, id := range c.receivers {
+		view := c.progress[id]
 		if view.state != progressSnapshot {
 			continue
 		}
@@ -99,9 +99,9 @@
 // broadcastHeartbeat sends a heartbeat of the present read round to all.
 func (c *Core) broadcastHeartbeat() {
 	c.heartbeatElapsed = 0
-	for _, member := range c.membership.Members {
-		if member.ID != c.config.ID {
-			c.sendHeartbeat(member.ID)
+	for _, id := range c.receivers {
+		if id != c.config.ID {
+			c.sendHeartbeat(id)
 		}
 	}
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -166,7 +166,12 @@
 	Applied    uint64
 	LastIndex  uint64
 	FirstIndex uint64
+	// Membership is the membership in force: the newest in the log, committed or
+	// not. It may go back when the log's tail is replaced.
 	Membership Membership
+	// AppliedMembership is the membership as of Applied, which is what a
+	// snapshot taken at Applied must carry.
+	AppliedMembership Membership
 	// Progress is filled on the leader only.
 	Progress []Progress
 	// TermCommitted is true on a leader that has committed an entry of its own
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -47,7 +47,7 @@
 	r.storage.BeginSnapshot()
 	frozen := r.state.Freeze()
 	metadata := consensus.SnapshotMetadata{
-		Index: r.applied, Term: r.storage.AppliedTerm(), Membership: r.core.Status().Membership,
+		Index: r.applied, Term: r.storage.AppliedTerm(), Membership: r.core.Status().AppliedMembership,
 	}
 	r.background.Go(func() {
 		snapshot, err := r.writeSnapshot(frozen, metadata)
--- a/internal/durable/storage.go
+++ b/internal/durable/storage.go
@@ -139,8 +139,9 @@
 }
 
 // Applied counts an applied entry towards the next snapshot. A membership change
-// is on stable storage as committed when it returns, so that the replica goes by
-// the same members after a restart; call it before the change is put in force.
+// is on stable storage as committed when it returns: a replica that knows that it
+// was removed still knows it after a crash, and asks for no votes. (The change is
+// in force with its entry, committed or not.)
 func (s *Storage) Applied(entry consensus.Entry) error {
 	s.appliedTerm = entry.Term
 	s.appliedEntries++
--- a/internal/lab/sim/controller.go
+++ b/internal/lab/sim/controller.go
@@ -29,13 +29,27 @@
 	replica *replica
 	// promise is what the replica of this identity told others.
 	promise checker.Promise
-	// known is the membership that the replica goes by.
-	known     consensus.Membership
+	// known is the newest membership that a replica of this machine applied.
+	known     knownMembership
 	formation formation
 	// forgotten is the identifier that a lost disk held.
 	forgotten identity.Identity
 }
 
+// knownMembership is a committed membership and the log index up to which it was
+// applied.
+type knownMembership struct {
+	index   uint64
+	members consensus.Membership
+}
+
+// note keeps the newer one. A replica that starts again applies its log anew.
+func (k *knownMembership) note(status consensus.Status) {
+	if status.Applied >= k.index {
+		*k = knownMembership{index: status.Applied, members: status.AppliedMembership}
+	}
+}
+
 func (c *controller) name() string { return string(c.node) }
 
 func (c *controller) member() consensus.Member {
@@ -82,7 +96,7 @@
 		return
 	}
 	delete(c.sim.damaged, c.name())
-	c.known = c.replica.core.Status().Membership
+	c.known.note(c.replica.core.Status())
 	c.sim.trace("%s starts replica %s at snapshot %d with %d entries", c.node, shortID(c.self.Replica),
 		disk.Initial.Snapshot.Index, len(disk.Initial.Entries))
 	c.every(c.sim.settings.Platform.PollInterval, func() { c.step(func() { c.replica.readPlatform() }) })
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -7,6 +7,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/network"
+	"github.com/thorntiller/thorntiller/internal/membership"
 	"github.com/thorntiller/thorntiller/internal/message"
 )
 
@@ -202,31 +203,32 @@
 }
 
 // mayLose reports whether the loss of a machine's disk is one that the system
-// claims to tolerate: every other replica, by the membership that it goes by,
-// keeps a quorum of voters with their disks.
+// claims to tolerate: the newest membership that is known to be committed keeps a
+// quorum of voters with their disks. What a replica believes that lags behind
+// does not count.
 func (s *simulation) mayLose(target *controller) bool {
-	if !s.isIntactVoter(target.self.Replica) {
-		return false
-	}
-	for _, other := range s.controllers {
-		if other != target && !s.lost[other.self.Replica] && !s.keepsQuorum(other.known, target.self.Replica) {
-			return false
+	members := s.committedMembership()
+	return s.isIntactVoter(members, target.self.Replica) && s.keepsQuorum(members, target.self.Replica)
+}
+
+// committedMembership is the newest membership that a replica has applied, in
+// practice the leader's.
+func (s *simulation) committedMembership() consensus.Membership {
+	newest := s.controllers[0].known
+	for _, each := range s.controllers {
+		if each.known.index > newest.index {
+			newest = each.known
 		}
 	}
-	return true
+	return newest.members
 }
 
-func (s *simulation) isIntactVoter(id consensus.ReplicaID) bool {
+func (s *simulation) isIntactVoter(members consensus.Membership, id consensus.ReplicaID) bool {
 	host, found := s.hosts[id]
 	if !found || s.lost[id] || s.damaged[host.name()] {
 		return false
 	}
-	for _, member := range host.known.Members {
-		if member.ID == id {
-			return !member.Learner
-		}
-	}
-	return false
+	return membership.IsVoter(members, id)
 }
 
 func (s *simulation) keepsQuorum(members consensus.Membership, except consensus.ReplicaID) bool {
--- a/internal/lab/sim/ready.go
+++ b/internal/lab/sim/ready.go
@@ -190,7 +190,7 @@
 		return err
 	}
 	snapshot := consensus.Snapshot{Data: data, Metadata: consensus.SnapshotMetadata{
-		Index: r.applied, Term: r.storage.AppliedTerm(), Membership: r.core.Status().Membership,
+		Index: r.applied, Term: r.storage.AppliedTerm(), Membership: r.core.Status().AppliedMembership,
 	}}
 	if err := r.storage.SaveSnapshot(snapshot); err != nil {
 		return err
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -192,7 +192,7 @@
 // observeRole starts and ends what only a leader does.
 func (r *replica) observeRole() {
 	status := r.core.Status()
-	r.owner.known = status.Membership
+	r.owner.known.note(status)
 	if status.Role == consensus.RoleLeader {
 		r.sim.checker.Leader(status.Term, r.owner.name()+"/"+shortID(status.ID))
 	}
