A new leader counts leases from when the old one was last heard

Cause: a new leader counted every open session as renewed at its own election. A server that was lost together with the leader kept its shards for 0.2 to 0.4 s of election and 0.73 s of lease: more than 1 s.

Now each replica counts its ticks since it last acknowledged a leader, led or started, and puts the time into the vote that it grants; the winner takes the least of its votes as Status.QuietBeforeElection. No quorum round of an earlier leader can have begun in it (quiet.go has the argument). The coordinator takes it, less the clock rate bound, off the wait for sessions of servers that it asked and that did not answer. A server that answers still has a whole lease from the election for its renewal.

Ruled out: a fixed credit of one election timeout, with voters that refuse after a start and after leading. It changes who may vote, needs an exception for transfers, and gives 0.18 s in place of all the time since the last heartbeat. Ticks count two less, since one may wait and the next follow it.

A new check compares the quiet time with every confirmed round, in true time.

Planted: twice the quiet time, and an election timeout after a transfer; the new check finds both.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -39,6 +40,12 @@
 
 	// votes holds the answers of the present campaign.
 	votes map[ReplicaID]bool
+	// quietTicks, campaignQuiet and electionQuiet bound when earlier leaders were
+	// acknowledged: on this replica, by the votes of the present campaign, and by
+	// those that made it the leader. See quiet.go.
+	quietTicks    int
+	campaignQuiet time.Duration
+	electionQuiet time.Duration
 	// ownVoteTerm is the term of the own vote that waits to be persisted.
 	ownVoteTerm uint64
 
@@ -93,6 +100,7 @@
 		c.tickLeader()
 		return
 	}
+	c.quietTicks++
 	if c.electionElapsed >= c.electionTimeout {
 		c.resetElectionTimer()
 		c.leader = 0
@@ -198,6 +206,7 @@
 	}
 	if c.role == RoleLeader {
 		status.Progress = c.progressStatus()
+		status.QuietBeforeElection = c.electionQuiet
 	}
 	return status
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -7,6 +7,9 @@
 		c.term = term
 		c.vote = 0
 	}
+	if c.role == RoleLeader {
+		c.quietTicks = 0
+	}
 	c.role = RoleFollower
 	c.leader = leader
 	c.votes = nil
@@ -52,6 +55,7 @@
 	}
 	c.becomeFollower(c.term+1, 0)
 	c.role = RoleCandidate
+	c.campaignQuiet = c.quiet()
 	c.vote = c.config.ID
 	c.ownVoteTerm = c.term
 	c.votes = map[ReplicaID]bool{}
@@ -92,6 +96,7 @@
 		answer.Term = request.Term
 	} else {
 		c.vote = request.From
+		answer.Quiet = c.quiet()
 		c.resetElectionTimer()
 	}
 	c.send(answer)
@@ -102,11 +107,19 @@
 		return
 	}
 	if _, answered := c.votes[answer.From]; !answered {
-		c.votes[answer.From] = !answer.Reject
+		c.countAnswer(answer)
 	}
 	c.countVotes()
 }
 
+// countAnswer notes the first answer of a voter.
+func (c *Core) countAnswer(answer Message) {
+	c.votes[answer.From] = !answer.Reject
+	if !answer.Reject && c.role == RoleCandidate {
+		c.campaignQuiet = min(c.campaignQuiet, answer.Quiet)
+	}
+}
+
 func (c *Core) awaitsVoteAnswer(answer Message) bool {
 	if answer.Kind == MessageVoteAnswer {
 		return c.role == RoleCandidate && answer.Term == c.term
@@ -148,6 +161,7 @@
 func (c *Core) becomeLeader() {
 	c.becomeFollower(c.term, c.config.ID)
 	c.role = RoleLeader
+	c.electionQuiet = c.campaignQuiet
 	c.heartbeatElapsed = 0
 	c.uncommittedBytes = c.log.dataBytes(c.log.committed+1, c.log.lastIndex())
 	c.progress = make(map[ReplicaID]*progress, len(c.receivers))
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -15,6 +15,7 @@
 		c.becomeFollower(c.term, message.From)
 	}
 	c.electionElapsed = 0
+	c.quietTicks = 0
 	switch message.Kind {
 	case MessageHeartbeat:
 		return c.handleHeartbeat(message)
--- a/internal/consensus/script_test.go
+++ b/internal/consensus/script_test.go
@@ -119,6 +119,9 @@
 		c.age()
 	case "status":
 		c.printStatus()
+	case "quiet":
+		status := c.replicas[id].core.Status()
+		fmt.Fprintf(&c.output, "%d leads=%v term=%d quiet=%v\n", id, status.Role == RoleLeader, status.Term, status.QuietBeforeElection)
 	case "tick":
 		c.tick(id, int(second))
 	case "campaign":
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "time"
+
 // ReplicaID identifies one replica for its whole life. It is drawn at random
 // at first start; a replica whose disk was lost gets a new one. Zero means none.
 type ReplicaID uint64
@@ -118,6 +120,9 @@
 	Snapshot *Snapshot
 	// Transfer marks a vote request that a leadership transfer asked for.
 	Transfer bool
+	// Quiet, in a granted vote, is a time before it, by the voter's clock, in
+	// which the voter acknowledged no leader and led no term.
+	Quiet time.Duration
 }
 
 // ReadState says that a read request was confirmed: a quorum acknowledged this
@@ -177,6 +182,10 @@
 	// TermCommitted is true on a leader that has committed an entry of its own
 	// term: only then does its state hold every acknowledged entry.
 	TermCommitted bool
+	// QuietBeforeElection, on the leader only, is a time before its election in
+	// which no quorum round of an earlier leader began. It was measured by other
+	// replicas' clocks, so the clock rate bound is to be taken off.
+	QuietBeforeElection time.Duration
 }
 
 // Progress is what the leader knows of one member's log.
@@ -199,6 +208,10 @@
 	MaxInflight int
 	// MaxUncommittedBytes bounds proposals that are not yet committed.
 	MaxUncommittedBytes int
+	// TickInterval is the time between two ticks of the driver's clock. The driver
+	// drops a tick that finds the one before still waiting. Zero means that the
+	// interval is unknown; the replica then vouches for no quiet time.
+	TickInterval time.Duration
 	// Seed feeds the randomised election timeout.
 	Seed uint64
 }
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -10,6 +10,7 @@
 func (r *replica) startLeading(status consensus.Status) {
 	r.leading = true
 	r.coordinator.Lead(r.clock.Now(), status.Term, r.state)
+	r.coordinator.QuietBefore(status.QuietBeforeElection)
 	r.leadershipLock.Lock()
 	r.leadership, r.endLeadership = context.WithCancel(context.Background())
 	r.leadershipLock.Unlock()
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -130,6 +130,7 @@
 		MaxInflight:         settings.Consensus.MaxInflight,
 		MaxUncommittedBytes: settings.Consensus.MaxUncommittedBytes,
 		Seed:                rand.Uint64(),
+		TickInterval:        settings.Consensus.TickInterval,
 	}, disk.Initial, disk.Newest)
 	if err != nil {
 		return nil, err
--- a/internal/coordinator/contact.go
+++ b/internal/coordinator/contact.go
@@ -79,6 +79,16 @@
 	return true
 }
 
+// isSilent reports whether the server was asked in this term of leadership and
+// has not answered. Its open session, if there is one, is of an earlier leader,
+// since this one opens none without an answer, and is counted from the last quorum
+// round that an earlier leader can have begun. A server that answers has a whole
+// lease from the election for its renewal, so that a leader which needs long for
+// many servers closes no session of a living one.
+func (c *contact) isSilent() bool {
+	return c.readingAt < 0 && c.failures > 0
+}
+
 // learn takes over what an answer says about the process.
 func (c *contact) learn(now time.Duration, answer backendapi.LeaseAnswer) {
 	if answer.Incarnation != c.incarnation {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,7 +15,10 @@
 	leading   bool
 	term      uint64
 	leadSince time.Duration
-	contacts  map[state.ServerID]*contact
+	// quiet is a time before leadSince in which no quorum round of an earlier
+	// leader began, by this controller's clock.
+	quiet    time.Duration
+	contacts map[state.ServerID]*contact
 	// ordered holds the contacts by server, for a fixed order of actions.
 	ordered []*contact
 	// leaving holds, in the same order, those that are to give up their shards.
@@ -83,6 +86,7 @@
 // Follow ends a term of leadership. All that was known of servers is dropped.
 func (c *Coordinator) Follow() {
 	c.leading = false
+	c.quiet = 0
 	c.contacts = make(map[state.ServerID]*contact)
 	c.ordered = nil
 	c.leaving = nil
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -229,6 +229,37 @@
 	}
 }
 
+// TestNewLeaderCountsTheQuietTime: the time without a quorum round of an earlier
+// leader shortens the wait for a silent server, less the clock rate bound. It does
+// not for one that answers but can't be renewed yet, nor in a later term.
+func TestNewLeaderCountsTheQuietTime(t *testing.T) {
+	const quiet = 300 * millisecond
+	cases := map[string]struct {
+		silent, ledBefore bool
+		earlier           time.Duration
+	}{
+		"silent":                  {silent: true, earlier: quiet * 99 / 100},
+		"answers":                 {},
+		"silent, quiet last term": {silent: true, ledBefore: true},
+	}
+	for name, step := range cases {
+		b := newBench(t)
+		b.run(time.Second)
+		b.silent["a"], b.silent["b"] = step.silent, step.silent
+		b.confirm = false
+		b.core.Lead(b.now, 2, b.view)
+		b.core.QuietBefore(quiet)
+		if step.ledBefore {
+			b.core.Lead(b.now, 3, b.view)
+		}
+		due := b.now + waitOut - step.earlier
+		b.run(time.Second)
+		if len(b.closed) != 2 || b.closed[0] <= due || b.closed[0] > due+20*millisecond {
+			t.Errorf("%s: sessions were closed at %v, due at %v", name, b.closed, due)
+		}
+	}
+}
+
 func TestNewProcessIsNotRenewedUnderTheOldSession(t *testing.T) {
 	b := newBench(t)
 	b.run(time.Second)
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -32,13 +32,25 @@
 	}
 }
 
+// QuietBefore tells, after Lead, that no quorum round of an earlier leader began
+// within a time before this one was elected, measured by other controllers'
+// clocks. Earlier leaders renewed leases only from readings that are older than
+// such a round.
+func (c *Coordinator) QuietBefore(measured time.Duration) {
+	c.quiet = time.Duration(float64(measured) * (1 - c.config.ClockRateBound))
+}
+
 // surelyEnded returns when the last lease that the server may hold is over,
 // whatever became of the messages. The lease counts from a reading that was
 // taken before renewedAt, so a message that is held up cannot extend it. That
 // moment is sharper than the one of sending, which is later.
 func (c *Coordinator) surelyEnded(known *contact) time.Duration {
 	stretched := float64(c.config.LeaseDuration) * (1 + c.config.ClockRateBound)
-	return known.renewedAt + time.Duration(stretched) + c.config.Margin
+	renewedAt := known.renewedAt
+	if known.isSilent() {
+		renewedAt -= c.quiet
+	}
+	return renewedAt + time.Duration(stretched) + c.config.Margin
 }
 
 // tickSession opens a session for a process that answers, and closes the
--- a/internal/lab/sim/checker/checker.go
+++ b/internal/lab/sim/checker/checker.go
@@ -16,6 +16,7 @@
 	EpochOrder       Guarantee = "epochs_rise"
 	Durability       Guarantee = "acknowledged_survives"
 	OneOwner         Guarantee = "one_owner"
+	QuietElection    Guarantee = "no_quorum_round_in_quiet_time"
 	RouterTable      Guarantee = "router_tables_are_whole"
 	RevisionOrder    Guarantee = "router_revision_rises"
 	CurrentRead      Guarantee = "confirmed_reads_are_current"
@@ -37,11 +38,12 @@
 
 // Counts says how much a run checked.
 type Counts struct {
-	// Entries counts applied log entries, Reads confirmed reads, Tables router
-	// tables, Holdings lease messages, Executions requests that began, and
+	// Entries counts applied log entries, Reads confirmed reads, Rounds the quorum
+	// rounds that renewals rest on, Tables router tables, Holdings lease messages, Executions requests that began, and
 	// Operations the operations of histories.
 	Entries    int `json:"entries"`
 	Reads      int `json:"reads"`
+	Rounds     int `json:"rounds"`
 	Tables     int `json:"tables"`
 	Holdings   int `json:"holdings"`
 	Executions int `json:"executions"`
@@ -53,6 +55,7 @@
 func (c *Counts) Add(other Counts) {
 	c.Entries += other.Entries
 	c.Reads += other.Reads
+	c.Rounds += other.Rounds
 	c.Tables += other.Tables
 	c.Holdings += other.Holdings
 	c.Executions += other.Executions
@@ -68,6 +71,7 @@
 	counts    Counts
 	log       logChecker
 	owners    ownerChecker
+	rounds    roundChecker
 	routers   map[string]uint64
 	histories histories
 }
@@ -78,6 +82,7 @@
 		now:       now,
 		log:       newLogChecker(),
 		owners:    newOwnerChecker(),
+		rounds:    newRoundChecker(),
 		routers:   make(map[string]uint64),
 		histories: newHistories(),
 	}
--- a/internal/lab/sim/checker/checker_test.go
+++ b/internal/lab/sim/checker/checker_test.go
@@ -48,8 +48,16 @@
 			s.Applied(AppliedEntry{Replica: "b", Index: 4, Term: 1, Content: 7, Digest: 2})
 		}},
 		"snapshot of another table": {LogAgreement, func(s *scene) { s.shardApplied(4, "x", 1); s.Restored("b", 4, 4, 99) }},
-		"epoch with two owners":     {EpochContent, func(s *scene) { s.shardApplied(4, "x", 2); s.shardApplied(5, "y", 2) }},
-		"epoch goes back":           {EpochOrder, func(s *scene) { s.shardApplied(4, "x", 2); s.shardApplied(5, "y", 1) }},
+		"quorum round in the quiet time of a later leader": {QuietElection, func(s *scene) {
+			s.RoundConfirmed(3, 40*ms)
+			s.LeadsAfterQuiet(4, 39*ms)
+		}},
+		"round that is confirmed after the later leader's election": {QuietElection, func(s *scene) {
+			s.LeadsAfterQuiet(4, 39*ms)
+			s.RoundConfirmed(3, 40*ms)
+		}},
+		"epoch with two owners": {EpochContent, func(s *scene) { s.shardApplied(4, "x", 2); s.shardApplied(5, "y", 2) }},
+		"epoch goes back":       {EpochOrder, func(s *scene) { s.shardApplied(4, "x", 2); s.shardApplied(5, "y", 1) }},
 		"plan that replaces what its operator did not see": {ConfigOrder, func(s *scene) {
 			put := &state.Service{Name: "s", Revision: 3}
 			s.Applied(AppliedEntry{Replica: "a", Index: 4, Changed: []state.Object{{Service: &state.Service{Name: "s", Revision: 4}}}})
--- a/internal/lab/sim/controller.go
+++ b/internal/lab/sim/controller.go
@@ -145,11 +145,13 @@
 }
 
 // crash ends the process as a power failure does, and starts it again later.
-func (c *controller) crash() {
+func (c *controller) crash() { c.crashFor(restartDelay) }
+
+func (c *controller) crashFor(absence time.Duration) {
 	c.sim.trace("%s crashes", c.node)
 	c.stop()
 	c.disk.Crash()
-	c.startLater(restartDelay)
+	c.startLater(absence)
 }
 
 // loseDisk replaces the machine by one with an empty disk.
--- a/internal/lab/sim/ready.go
+++ b/internal/lab/sim/ready.go
@@ -82,7 +82,7 @@
 func (r *replica) confirmReads(confirmations []consensus.ReadState) {
 	for _, confirmation := range confirmations {
 		if confirmation.Context&coordinatorContext != 0 {
-			r.coordinator.RoundConfirmed(r.now(), confirmation.Context&^coordinatorContext)
+			r.confirmRound(confirmation.Context &^ coordinatorContext)
 			continue
 		}
 		r.reads.confirm(confirmation)
@@ -92,6 +92,15 @@
 	}
 }
 
+// confirmRound passes the end of a quorum round to the coordinator, which goes by
+// the newest alone.
+func (r *replica) confirmRound(round uint64) {
+	if r.leading && round == r.round {
+		r.sim.checker.RoundConfirmed(r.term, r.roundBegan)
+	}
+	r.coordinator.RoundConfirmed(r.now(), round)
+}
+
 func (r *replica) applyAll(entries []consensus.Entry) error {
 	for _, entry := range entries {
 		if err := r.apply(entry); err != nil {
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -31,6 +31,11 @@
 	streams     []*stream
 	applied     uint64
 	leading     bool
+	// term is the one that the replica leads or led; round and roundBegan are the
+	// coordinator's newest quorum round and the true time of its begin.
+	term       uint64
+	round      uint64
+	roundBegan time.Duration
 	// leadsSince is the true time at which the replica began to lead.
 	leadsSince time.Duration
 	joining    map[consensus.ReplicaID]consensus.Member
@@ -82,6 +87,7 @@
 		MaxInflight:         settings.MaxInflight,
 		MaxUncommittedBytes: settings.MaxUncommittedBytes,
 		Seed:                s.random.Uint64(),
+		TickInterval:        settings.TickInterval,
 	}, disk.Initial, disk.Newest)
 	r.core = core
 	return r, err
@@ -109,6 +115,7 @@
 		return
 	}
 	if actions.Round != 0 {
+		r.round, r.roundBegan = actions.Round, r.sim.queue.Now()
 		// A round that cannot begin is begun again by the coordinator.
 		_ = r.core.ReadIndex(coordinatorContext | actions.Round)
 	}
@@ -212,6 +219,20 @@
 	r.sim.trace("%s leads term %d at index %d", r.owner.node, status.Term, status.Applied)
 	r.sim.checker.MustHold(r.owner.name(), status.Term, status.Applied)
 	r.coordinator.Lead(r.now(), status.Term, r.state)
+	r.noteQuiet(status)
+}
+
+// noteQuiet tells the coordinator, and the checker in true time, since when no
+// earlier leader began a quorum round.
+func (r *replica) noteQuiet(status consensus.Status) {
+	quiet := status.QuietBeforeElection
+	if r.sim.planted.overstate != nil {
+		quiet = r.sim.planted.overstate(quiet)
+	}
+	r.coordinator.QuietBefore(quiet)
+	r.term = status.Term
+	counted := time.Duration(float64(quiet) * (1 - r.sim.coordination.ClockRateBound))
+	r.sim.checker.LeadsAfterQuiet(r.term, r.sim.queue.Now()-r.owner.trueDuration(counted))
 }
 
 func (r *replica) stopLeading() {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -94,6 +94,14 @@
 			[]checker.Guarantee{checker.OneOwner}, 1,
 		},
 		"lease is renewed without a quorum": {planted{assumeQuorum: true}, []checker.Guarantee{checker.OneOwner}, 30},
+		"leader counts the time without a leader twice": {
+			planted{overstate: func(quiet time.Duration) time.Duration { return 2 * quiet }},
+			[]checker.Guarantee{checker.QuietElection, checker.OneOwner}, 1,
+		},
+		"leader after a transfer counts an election timeout": {
+			planted{overstate: func(quiet time.Duration) time.Duration { return max(quiet, 200*time.Millisecond) }},
+			[]checker.Guarantee{checker.QuietElection, checker.OneOwner}, 1,
+		},
 		"coordinator waits far too long": {
 			planted{coordinator: func(config *coordinator.Config) { config.Margin = 3 * time.Second }},
 			[]checker.Guarantee{checker.OwnerLiveness}, 1,
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -35,6 +35,9 @@
 	skipDigest bool
 	// deafRouters: routers ignore what changes once they hold a table.
 	deafRouters bool
+	// overstate changes the time before its election that a new leader takes as
+	// free of quorum rounds.
+	overstate func(time.Duration) time.Duration
 	// forgetPlans: replicas forget plans once an operator was told of them.
 	forgetPlans bool
 }
@@ -169,6 +172,7 @@
 	s.endFaults()
 	s.settle()
 	s.loseServer()
+	s.loseServerWithLeader()
 	s.checkEnd()
 	return s.checker.Violation()
 }
