Driver: the loop of a replica stands once

The planted faults of the simulator go through what it hands the driver: a Log that leaves term and vote unwritten, a Core that confirms the coordinator's rounds without a quorum or overstates the quiet time before an election. The same Core notes the coordinator's rounds for the checkers. The driver knows of none of it.

Settled by the code of one side or the other: - waiting proposals end in the order in which they came when the leadership is lost; the process ended them in the order of a map. - the simulator's refusals are now told apart like the process's (not_leader, queue_full).

Ruled out: the state machine inside the driver, since the process's other goroutines read it under a lock that the simulator has no use for.

go test -race ./internal/driver/... ./internal/controller/... \ ./internal/lab/sim/... ./internal/durable/... passes

--- a/internal/controller/access.go
+++ b/internal/controller/access.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -11,15 +12,16 @@
 // are of the kinds not_leader and queue_full, which prove that the command will
 // not be applied, unavailable, which leaves it open, and those of the command.
 func (r *replica) Propose(ctx context.Context, command state.Command) (state.Result, error) {
-	request := proposal{command: command, done: make(chan outcome, 1)}
+	done := make(chan driver.Outcome, 1)
+	request := driver.Proposal{Command: command, Done: func(end driver.Outcome) { done <- end }}
 	select {
 	case r.proposals <- request:
 	case <-ctx.Done():
 		return state.Result{}, fault.New(fault.QueueFull, "the controller is busy: ask again")
 	}
 	select {
-	case end := <-request.done:
-		return end.result, end.err
+	case end := <-done:
+		return end.Result, end.Err
 	case <-ctx.Done():
 		return state.Result{}, fault.New(fault.Unavailable, "no quorum acknowledged the change in time: ask again with the same identifier")
 	}
@@ -28,14 +30,14 @@
 // ReadRevision returns the table revision after a quorum confirmed, in a round
 // that began after the call, that no newer one was acknowledged before it.
 func (r *replica) ReadRevision(ctx context.Context) (state.Revision, error) {
-	request := read{done: make(chan state.Revision, 1)}
+	done := make(chan state.Revision, 1)
 	select {
-	case r.reads <- request:
+	case r.reads <- func(revision state.Revision) { done <- revision }:
 	case <-ctx.Done():
 		return 0, fault.New(fault.Unavailable, "the controller is busy: ask again")
 	}
 	select {
-	case revision := <-request.done:
+	case revision := <-done:
 		return revision, nil
 	case <-ctx.Done():
 		return 0, fault.New(fault.Unavailable, "no quorum confirmed the read in time: ask again")
--- /dev/null
+++ b/internal/controller/host.go
@@ -0,0 +1,104 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/driver"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+var _ driver.Host = (*host)(nil)
+
+// host is the replica as its driver sees it.
+type host struct {
+	*replica
+	// membersChanged is true once a committed change of members was applied,
+	// until the senders to removed ones are stopped.
+	membersChanged bool
+}
+
+// Now implements driver.Host.
+func (h *host) Now() time.Duration { return h.clock.Now() }
+
+// Send implements driver.Transport.
+func (h *host) Send(messages []consensus.Message) { h.peers.send(messages) }
+
+// SendLease implements driver.Transport.
+func (h *host) SendLease(message coordinator.Send) { h.leases.send(message) }
+
+// State implements driver.StateMachine.
+func (h *host) State() *state.State { return h.state }
+
+// Apply implements driver.StateMachine.
+func (h *host) Apply(index uint64, command state.Command) state.Result {
+	h.stateLock.Lock()
+	defer h.stateLock.Unlock()
+	previous := h.state.Revision()
+	result := h.state.Apply(index, command)
+	if len(result.Changed) > 0 {
+		h.history.add(message.TableDelta{
+			From: previous, To: h.state.Revision(), Objects: result.Changed, Digest: h.state.Digest(),
+		})
+	}
+	return result
+}
+
+// Restored implements driver.StateMachine.
+func (h *host) Restored(index uint64, restored *state.State) {
+	h.stateLock.Lock()
+	h.state = restored
+	h.stateLock.Unlock()
+	h.history.reset(restored.Revision())
+	telemetry.With(h.log, telemetry.EventSnapshotReceived).WithField("index", index).Info("snapshot received")
+}
+
+// WriteSnapshot implements driver.SnapshotWriter.
+func (h *host) WriteSnapshot(write func() driver.SavedSnapshot) {
+	h.background.Go(func() {
+		saved := write()
+		logSnapshot(h.log, saved)
+		h.snapshots <- saved
+	})
+}
+
+func logSnapshot(log *logrus.Entry, saved driver.SavedSnapshot) {
+	if saved.Err != nil {
+		return
+	}
+	telemetry.With(log, telemetry.EventSnapshotTaken).WithField("index", saved.Snapshot.Metadata.Index).
+		WithField("bytes", len(saved.Snapshot.Data)).Info("snapshot taken")
+}
+
+// AwaitSnapshot implements driver.SnapshotWriter.
+func (h *host) AwaitSnapshot() driver.SavedSnapshot { return <-h.snapshots }
+
+// Applied implements driver.Observer.
+func (h *host) Applied(entry consensus.Entry, command state.Command, result state.Result) {
+	if entry.Kind == consensus.EntryMembership {
+		h.membersChanged = true
+	}
+	logResult(h.log, entry.Index, command, result)
+}
+
+// MembershipProposed implements driver.Observer.
+func (h *host) MembershipProposed(change consensus.MembershipChange) {
+	telemetry.With(h.log, telemetry.EventMemberChanged).WithField("member", change.Member.Name).
+		WithField("replica", change.Member.ID).WithField("change", changeNames[change.Kind]).Info("membership change proposed")
+}
+
+// Refused implements driver.Observer.
+func (h *host) Refused(what string, err error) { h.log.WithError(err).Debug(what) }
+
+// forgetRemoved stops the senders to replicas that a committed change removed.
+func (h *host) forgetRemoved() {
+	if h.membersChanged {
+		h.membersChanged = false
+		h.peers.forget(h.core.Status().Membership)
+	}
+}
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -7,29 +7,21 @@
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
-func (r *replica) startLeading(status consensus.Status) {
-	r.leading = true
-	r.coordinator.Lead(r.clock.Now(), status.Term, r.state)
-	r.coordinator.QuietBefore(status.QuietBeforeElection)
-	r.leadershipLock.Lock()
-	r.leadership, r.endLeadership = context.WithCancel(context.Background())
-	r.leadershipLock.Unlock()
-	telemetry.With(r.log, telemetry.EventLeaderElected).WithField("term", status.Term).Info("this replica leads")
+// StartedLeading implements driver.Observer.
+func (h *host) StartedLeading(status consensus.Status) {
+	h.leadershipLock.Lock()
+	h.leadership, h.endLeadership = context.WithCancel(context.Background())
+	h.leadershipLock.Unlock()
+	telemetry.With(h.log, telemetry.EventLeaderElected).WithField("term", status.Term).Info("this replica leads")
 }
 
-func (r *replica) stopLeading() {
-	if !r.leading {
-		return
-	}
-	r.leading = false
-	r.coordinator.Follow()
-	r.pending.drop(r.finish)
-	r.whole.forget()
-	r.joining.pending = make(map[consensus.ReplicaID]consensus.Member)
-	r.leadershipLock.Lock()
-	r.endLeadership()
-	r.leadershipLock.Unlock()
-	telemetry.With(r.log, telemetry.EventLeaderLost).Warn("this replica leads no longer")
+// StoppedLeading implements driver.Observer.
+func (h *host) StoppedLeading() {
+	h.whole.forget()
+	h.leadershipLock.Lock()
+	h.endLeadership()
+	h.leadershipLock.Unlock()
+	telemetry.With(h.log, telemetry.EventLeaderLost).Warn("this replica leads no longer")
 }
 
 // leadershipContext returns a context that ends when this replica stops
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -15,8 +15,8 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/durable"
-	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -30,12 +30,10 @@
 	resultsSize   = 1024
 	// inputsPerRound bounds the inputs taken before the outputs are handled.
 	inputsPerRound = 256
-	// maxWaitingReads bounds the reads that wait for a quorum.
-	maxWaitingReads = 16384
 )
 
-// replica drives the consensus core, the state machine and the coordinator in
-// one goroutine. Other goroutines reach it through its channels.
+// replica runs the driver of the consensus core, the state machine and the
+// coordinator in one goroutine. Other goroutines reach it through its channels.
 type replica struct {
 	settings config.Controller
 	log      *logrus.Entry
@@ -56,22 +54,17 @@
 
 	core        *consensus.Core
 	coordinator *coordinator.Coordinator
-	pending     *pendingProposals
-	rounds      readRounds
-	joining     joins
-	applied     uint64
-	leading     bool
-	// snapshotting is true while a snapshot is written beside the loop.
-	snapshotting bool
+	driver      *driver.Driver
+	host        *host
 
 	inbox     chan consensus.Message
-	proposals chan proposal
-	reads     chan read
+	proposals chan driver.Proposal
+	reads     chan driver.Read
 	results   chan leaseResult
 	joinInbox chan consensus.Member
 	transfers chan chan error
 	// snapshots brings the end of the snapshot that is being written.
-	snapshots chan savedSnapshot
+	snapshots chan driver.SavedSnapshot
 	// inspections run in the loop, to read what the coordinator knows.
 	inspections chan func(*coordinator.Coordinator)
 
@@ -109,17 +102,15 @@
 		metrics:     metrics,
 		routers:     newRouterRegistry(),
 		coordinator: coordinator.New(coordinatorConfig(settings)),
-		pending:     newPendingProposals(rand.Uint64() >> 1),
 		inbox:       make(chan consensus.Message, inboxSize),
-		proposals:   make(chan proposal, proposalsSize),
-		reads:       make(chan read, readsSize),
+		proposals:   make(chan driver.Proposal, proposalsSize),
+		reads:       make(chan driver.Read, readsSize),
 		results:     make(chan leaseResult, resultsSize),
 		joinInbox:   make(chan consensus.Member, 1),
 		transfers:   make(chan chan error),
-		snapshots:   make(chan savedSnapshot, 1),
+		snapshots:   make(chan driver.SavedSnapshot, 1),
 		inspections: make(chan func(*coordinator.Coordinator)),
 		state:       disk.State,
-		applied:     disk.Initial.Snapshot.Index,
 	}
 	r.history = newTableHistory(settings.Table.HistoryDeltas, r.state.Revision())
 	core, err := consensus.New(consensus.Config{
@@ -136,8 +127,19 @@
 		return nil, err
 	}
 	r.core = core
+	r.host = &host{replica: r}
+	r.driver = driver.New(driver.Config{
+		Self:            self.ID,
+		Core:            core,
+		Coordinator:     r.coordinator,
+		Storage:         disk,
+		Log:             disk.Log,
+		Host:            r.host,
+		FirstSequence:   rand.Uint64() >> 1,
+		SnapshotEntries: settings.Consensus.SnapshotEntries,
+		SnapshotBytes:   settings.Consensus.SnapshotBytes,
+	})
 	r.partitions = newPartitionKeeper(settings, r)
-	r.joining.pending = make(map[consensus.ReplicaID]consensus.Member)
 	r.publish()
 	return r, nil
 }
@@ -157,7 +159,7 @@
 func (r *replica) run(ctx context.Context) error {
 	ticker := time.NewTicker(r.settings.Consensus.TickInterval)
 	defer ticker.Stop()
-	defer r.stopLeading()
+	defer r.driver.StopLeading()
 	ctx, cancel := context.WithCancel(ctx)
 	var keeping conc.WaitGroup
 	keeping.Go(func() { r.partitions.run(ctx) })
@@ -169,31 +171,32 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			r.tick()
+			r.driver.Tick()
 		case input := <-r.inbox:
 			r.step(input)
 		case input := <-r.proposals:
-			r.propose(input)
+			r.driver.Propose(input)
 		case input := <-r.reads:
-			r.read(input)
+			r.driver.Read(input)
 		case input := <-r.results:
 			r.leaseAnswered(input)
 		case member := <-r.joinInbox:
-			r.joining.pending[member.ID] = member
+			r.driver.Join(member)
 		case done := <-r.transfers:
 			done <- r.transferLeadership()
 		case saved := <-r.snapshots:
-			if err := r.adoptSnapshot(saved); err != nil {
+			if err := r.driver.AdoptSnapshot(saved); err != nil {
 				return err
 			}
 		case inspect := <-r.inspections:
 			inspect(r.coordinator)
 		}
 		r.takeMore()
-		if err := r.handleReady(); err != nil {
+		if err := r.driver.HandleReady(); err != nil {
 			return err
 		}
-		r.observeRole()
+		r.host.forgetRemoved()
+		r.driver.ObserveRole()
 		r.publish()
 	}
 }
@@ -205,9 +208,9 @@
 		case input := <-r.inbox:
 			r.step(input)
 		case input := <-r.proposals:
-			r.propose(input)
+			r.driver.Propose(input)
 		case input := <-r.reads:
-			r.read(input)
+			r.driver.Read(input)
 		case input := <-r.results:
 			r.leaseAnswered(input)
 		default:
@@ -216,11 +219,12 @@
 	}
 }
 
-func (r *replica) tick() {
-	r.core.Tick()
-	r.rounds.begin(r.clock.Now(), r.core.ReadIndex)
-	r.runCoordinator()
-	r.tickMembership()
+// endSnapshot waits for the writer when the loop ends, and leaves what it wrote
+// to the next start.
+func (r *replica) endSnapshot() {
+	if r.driver.WritingSnapshot() {
+		<-r.snapshots
+	}
 }
 
 func (r *replica) step(input consensus.Message) {
@@ -229,45 +233,6 @@
 	}
 }
 
-func (r *replica) propose(input proposal) {
-	sequence := r.pending.add(input)
-	data, err := encodeEnvelope(envelope{Replica: r.self.ID, Sequence: sequence, Command: input.command})
-	if err == nil {
-		err = r.core.Propose(data)
-	}
-	if err == nil {
-		return
-	}
-	r.pending.take(sequence)
-	r.finish(input, outcome{err: r.refusalOf(err)})
-}
-
-// refusalOf turns the core's refusal of a proposal into an error kind. The
-// proposal did not enter the log.
-func (r *replica) refusalOf(err error) error {
-	if r.core.Status().Role != consensus.RoleLeader {
-		return fault.New(fault.NotLeader, "this replica does not lead")
-	}
-	return fault.Newf(fault.QueueFull, "the log takes no more at present: %v", err)
-}
-
-// finish reports the end of a proposal to whoever waits for it.
-func (r *replica) finish(ended proposal, end outcome) {
-	if ended.token != 0 {
-		r.coordinator.ProposalDone(ended.token)
-		return
-	}
-	ended.done <- end
-}
-
-func (r *replica) read(input read) {
-	if len(r.rounds.waiting)+len(r.rounds.started) >= maxWaitingReads {
-		return
-	}
-	r.rounds.add(input)
-	r.rounds.begin(r.clock.Now(), r.core.ReadIndex)
-}
-
 func (r *replica) leaseAnswered(result leaseResult) {
 	if result.answer == nil {
 		r.coordinator.Failed(result.server, result.sequence)
@@ -276,34 +241,6 @@
 	r.coordinator.Answered(r.clock.Now(), result.server, result.sequence, *result.answer)
 }
 
-func (r *replica) runCoordinator() {
-	actions := r.coordinator.Tick(r.clock.Now(), r.state)
-	for _, send := range actions.Sends {
-		r.leases.send(send)
-	}
-	for _, wanted := range actions.Proposals {
-		r.propose(proposal{command: wanted.Command, token: wanted.Token})
-	}
-	if actions.Round != 0 {
-		if err := r.core.ReadIndex(coordinatorContext | actions.Round); err != nil {
-			r.log.WithError(err).Debug("quorum round not begun")
-		}
-	}
-}
-
-// observeRole starts and ends the work that only a leader does. It begins once
-// the state holds every acknowledged entry.
-func (r *replica) observeRole() {
-	status := r.core.Status()
-	leads := status.Role == consensus.RoleLeader && status.TermCommitted && status.Applied == status.Commit
-	switch {
-	case leads && !r.leading:
-		r.startLeading(status)
-	case r.leading && status.Role != consensus.RoleLeader:
-		r.stopLeading()
-	}
-}
-
 func (r *replica) publish() {
-	r.published.Store(&published{status: r.core.Status(), leading: r.leading})
+	r.published.Store(&published{status: r.core.Status(), leading: r.driver.Leading()})
 }
--- /dev/null
+++ b/internal/driver/driver_test.go
@@ -0,0 +1,184 @@
+package driver
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+func want(t *testing.T, what string, got []string, wanted ...string) {
+	t.Helper()
+	if !slices.Equal(got, wanted) {
+		t.Errorf("%s: %q, want %q", what, got, wanted)
+	}
+}
+
+func entries(from, to uint64) []consensus.Entry {
+	var made []consensus.Entry
+	for index := from; index <= to; index++ {
+		made = append(made, consensus.Entry{Index: index, Term: 1})
+	}
+	return made
+}
+
+// TestOrderOfReady: nothing is sent, applied or acknowledged before it is on
+// stable storage; a snapshot is saved and restored before what follows it;
+// entries are applied in order and the core advances after them.
+func TestOrderOfReady(t *testing.T) {
+	h := newHarness(t)
+	h.driver.Read(func(state.Revision) { h.note("read answered") })
+	got, err := h.handle(consensus.Ready{
+		HardState: &consensus.HardState{Term: 1}, Entries: entries(1, 2), Committed: entries(1, 2),
+		Messages: make([]consensus.Message, 3), ReadStates: []consensus.ReadState{{Context: h.rounds[0], Index: 2}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "entries", got, "saved 2 entries", "sent 3 messages", "applied 1", "applied 2", "advanced", "read answered")
+
+	data, err := state.New().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := consensus.Snapshot{Data: data, Metadata: consensus.SnapshotMetadata{Index: 9, Term: 1}}
+	got, err = h.handle(consensus.Ready{Snapshot: &received, HardState: &consensus.HardState{Term: 1, Commit: 9}},
+		consensus.Ready{Entries: entries(10, 10), Committed: entries(10, 10)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "a snapshot", got, "restored at 9", "saved 0 entries", "sent 0 messages", "advanced",
+		"saved 1 entries", "sent 0 messages", "applied 10", "advanced")
+
+	h.saveErr = errDisk
+	got, err = h.handle(consensus.Ready{Entries: entries(11, 11), Committed: entries(11, 11), Messages: make([]consensus.Message, 1)})
+	if !errors.Is(err, errDisk) {
+		t.Errorf("a failed disk gives %v", err)
+	}
+	want(t, "a failed disk", got)
+}
+
+// TestSnapshotBesideTheLoop: the snapshot is of the moment at which it began,
+// one is written at a time, and the log is cut once it is saved.
+func TestSnapshotBesideTheLoop(t *testing.T) {
+	h := newHarness(t)
+	ready := func(from, to uint64) consensus.Ready {
+		return consensus.Ready{HardState: &consensus.HardState{Term: 1}, Entries: entries(from, to), Committed: entries(from, to)}
+	}
+	got, err := h.handle(ready(1, 5))
+	if err != nil || got[len(got)-1] != "snapshot begun" || !h.driver.WritingSnapshot() {
+		t.Fatalf("after five entries: %q, %v", got, err)
+	}
+	got, err = h.handle(ready(6, 10))
+	if err != nil || slices.Contains(got, "snapshot begun") {
+		t.Fatalf("while one is written: %q, %v", got, err)
+	}
+	saved := h.writing()
+	h.events = nil
+	if err := h.driver.AdoptSnapshot(saved); err != nil || saved.Snapshot.Metadata.Index != 5 {
+		t.Fatalf("snapshot at %d, %v", saved.Snapshot.Metadata.Index, err)
+	}
+	want(t, "adopted", h.events, "cut up to 2")
+	if err := h.driver.AdoptSnapshot(SavedSnapshot{Err: errDisk}); !errors.Is(err, errDisk) {
+		t.Errorf("a snapshot that was not saved gives %v", err)
+	}
+}
+
+// TestReadRounds: a read is answered only by a round that began after it was
+// asked for, and only once the round's log index is applied.
+func TestReadRounds(t *testing.T) {
+	h := newHarness(t)
+	answered := 0
+	count := func(state.Revision) { answered++ }
+	h.driver.Read(count)
+	h.driver.Read(count)
+	if len(h.rounds) != 1 {
+		t.Fatalf("%d rounds began for a read and one that came too late for it", len(h.rounds))
+	}
+	confirm := func(round int, index uint64) {
+		t.Helper()
+		if _, err := h.handle(consensus.Ready{ReadStates: []consensus.ReadState{{Context: h.rounds[round], Index: index}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	confirm(0, 0)
+	if answered != 1 || len(h.rounds) != 2 {
+		t.Fatalf("after the first round: %d answers, %d rounds", answered, len(h.rounds))
+	}
+	h.now += readRetry
+	h.driver.beginReads()
+	confirm(1, 0)
+	if answered != 1 {
+		t.Fatal("the answer of a round that was begun again counted")
+	}
+	confirm(2, 1)
+	if answered != 1 {
+		t.Fatal("answered before the index was applied")
+	}
+	if _, err := h.handle(consensus.Ready{Entries: entries(1, 1), HardState: &consensus.HardState{Term: 1}, Committed: entries(1, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	if answered != 2 {
+		t.Errorf("%d answers once the index was applied", answered)
+	}
+}
+
+// TestProposalsEnd: each proposal ends once: applied, refused, or with its
+// outcome open when the leadership is lost. An entry of another replica, or of
+// an earlier life of this one, ends none.
+func TestProposalsEnd(t *testing.T) {
+	h := newHarness(t)
+	h.status = consensus.Status{Role: consensus.RoleLeader, TermCommitted: true}
+	h.driver.ObserveRole()
+	var ends []Outcome
+	propose := func() {
+		h.driver.Propose(Proposal{
+			Command: state.Command{PutRouter: &state.PutRouter{Router: state.Router{ID: "r", Address: "127.0.0.1:1"}}},
+			Done:    func(end Outcome) { ends = append(ends, end) },
+		})
+	}
+	propose()
+	earlier, err := encodeEnvelope(envelope{Replica: self, Sequence: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := encodeEnvelope(envelope{Replica: self + 1, Sequence: 101})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var committed []consensus.Entry
+	for number, data := range [][]byte{earlier, other, h.proposed[0]} {
+		committed = append(committed, consensus.Entry{Index: uint64(number + 1), Term: 1, Data: data})
+	}
+	ready := consensus.Ready{HardState: &consensus.HardState{Term: 1}, Entries: committed, Committed: committed}
+	if _, err := h.handle(ready); err != nil {
+		t.Fatal(err)
+	}
+	if len(ends) != 1 || ends[0].Err != nil || ends[0].Index != 3 {
+		t.Fatalf("ends %+v, want one at index 3", ends)
+	}
+
+	h.refusal = consensus.ErrProposalDropped
+	propose()
+	if len(ends) != 2 || !fault.Is(ends[1].Err, fault.QueueFull) {
+		t.Errorf("a full log ends a proposal with %+v", ends[1:])
+	}
+	h.refusal = nil
+	propose()
+	h.status.Role = consensus.RoleFollower
+	h.events = nil
+	h.driver.ObserveRole()
+	h.driver.StopLeading()
+	want(t, "leadership lost", h.events, "follows")
+	if len(ends) != 3 || !fault.Is(ends[2].Err, fault.Unavailable) {
+		t.Errorf("lost leadership ends a proposal with %+v", ends[2:])
+	}
+	h.refusal = consensus.ErrNotLeader
+	propose()
+	if len(ends) != 4 || !fault.Is(ends[3].Err, fault.NotLeader) {
+		t.Errorf("a follower ends a proposal with %+v", ends[3:])
+	}
+}
--- a/internal/lab/sim/controller.go
+++ b/internal/lab/sim/controller.go
@@ -100,7 +100,7 @@
 	c.sim.trace("%s starts replica %s at snapshot %d with %d entries", c.node, shortID(c.self.Replica),
 		disk.Initial.Snapshot.Index, len(disk.Initial.Entries))
 	c.every(c.sim.settings.Platform.PollInterval, func() { c.step(func() { c.replica.readPlatform() }) })
-	c.every(c.sim.settings.Consensus.TickInterval, func() { c.step(func() { c.replica.tick() }) })
+	c.every(c.sim.settings.Consensus.TickInterval, func() { c.step(func() { c.replica.driver.Tick() }) })
 }
 
 func (c *controller) checkRecovered(disk *durable.Storage) {
--- a/internal/lab/sim/intents.go
+++ b/internal/lab/sim/intents.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/checker"
 	"github.com/thorntiller/thorntiller/internal/planner"
@@ -25,7 +26,7 @@
 
 // handleIntent serves a call as internal/controller does.
 func (c *controller) handleIntent(call intentCall, answer func(intentAnswer)) {
-	if c.replica == nil || !c.replica.leading {
+	if c.replica == nil || !c.replica.driver.Leading() {
 		answer(intentAnswer{refused: true, err: fault.New(fault.NotLeader, "this replica does not lead")})
 		return
 	}
@@ -66,9 +67,10 @@
 }
 
 func (r *replica) proposePlan(command state.Command, answer func(intentAnswer)) {
-	r.propose(proposal{command: command, done: func(end outcome) {
-		ended := intentAnswer{index: end.index, err: end.err, plan: end.result.Plan}
-		ended.refused = fault.Is(end.err, fault.NotLeader)
-		answer(ended)
+	r.driver.Propose(driver.Proposal{Command: command, Done: func(end driver.Outcome) {
+		answer(intentAnswer{
+			index: end.Index, err: end.Err, plan: end.Result.Plan,
+			refused: fault.Is(end.Err, fault.NotLeader) || fault.Is(end.Err, fault.QueueFull),
+		})
 	}})
 }
--- a/internal/lab/sim/operator.go
+++ b/internal/lab/sim/operator.go
@@ -95,8 +95,7 @@
 }
 
 func (o *operator) resendOrFinish(call intentCall, answer intentAnswer, answered bool, done func(intentAnswer)) {
-	settled := answered && !fault.Is(answer.err, fault.NotLeader) && !fault.Is(answer.err, fault.Unavailable)
-	if settled || o.resends >= maxResends*len(o.sim.controllers) {
+	if answered && !mayResend(answer.err) || o.resends >= maxResends*len(o.sim.controllers) {
 		done(answer)
 		return
 	}
@@ -108,6 +107,12 @@
 	o.after(20*time.Millisecond, func() { o.call(call, done) })
 }
 
+// mayResend reports whether another controller, or the same one later, may give
+// another answer than an error of this kind.
+func mayResend(err error) bool {
+	return fault.Is(err, fault.NotLeader) || fault.Is(err, fault.QueueFull) || fault.Is(err, fault.Unavailable)
+}
+
 // record tells the checker of a call and its answer.
 func (o *operator) record(call intentCall, called time.Duration, answer intentAnswer, answered bool) {
 	if answered && answer.refused || !answered && call.action == checker.ActionGet {
--- /dev/null
+++ b/internal/lab/sim/plant.go
@@ -0,0 +1,73 @@
+package sim
+
+import (
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/driver"
+	"github.com/thorntiller/thorntiller/internal/lab/sim/checker"
+)
+
+// notedLog notes what the replica saved, which it may tell others from then on.
+// Planted to forget, it leaves the term and the vote unwritten.
+type notedLog struct {
+	driver.Log
+	promise *checker.Promise
+	forgets bool
+}
+
+func (l notedLog) Save(hardState *consensus.HardState, entries []consensus.Entry) error {
+	saved := hardState
+	if l.forgets {
+		saved = nil
+	}
+	if err := l.Log.Save(saved, entries); err != nil {
+		return err
+	}
+	if hardState != nil {
+		l.promise.Note(hardState.Term, uint64(hardState.Vote))
+	}
+	return nil
+}
+
+// observedCore is the consensus core as the driver sees it. It notes the
+// coordinator's quorum rounds, and bears what is planted in the core.
+type observedCore struct {
+	*consensus.Core
+	replica *replica
+}
+
+func (c observedCore) Status() consensus.Status {
+	status := c.Core.Status()
+	if overstate := c.replica.sim.planted.overstate; overstate != nil {
+		status.QuietBeforeElection = overstate(status.QuietBeforeElection)
+	}
+	return status
+}
+
+// ReadIndex notes when a round of the coordinator begins. Planted to assume a
+// quorum, it confirms the round at once.
+func (c observedCore) ReadIndex(context uint64) error {
+	round, coordinators := driver.CoordinatorRound(context)
+	if !coordinators {
+		return c.Core.ReadIndex(context)
+	}
+	r := c.replica
+	if r.sim.planted.assumeQuorum {
+		r.coordinator.RoundConfirmed(r.host.Now(), round)
+		return nil
+	}
+	r.round, r.roundBegan = round, r.sim.queue.Now()
+	return c.Core.ReadIndex(context)
+}
+
+// Advance notes the rounds that the driver passes on to the coordinator next,
+// which goes by the newest alone.
+func (c observedCore) Advance(ready consensus.Ready) {
+	c.Core.Advance(ready)
+	r := c.replica
+	for _, confirmation := range ready.ReadStates {
+		round, coordinators := driver.CoordinatorRound(confirmation.Context)
+		if coordinators && r.driver.Leading() && round == r.round {
+			r.sim.checker.RoundConfirmed(r.term, r.roundBegan)
+		}
+	}
+}
--- a/internal/lab/sim/platform.go
+++ b/internal/lab/sim/platform.go
@@ -1,16 +1,17 @@
 package sim
 
 import (
+	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
 // readPlatform lets a leader record what the platform's list says of servers.
 func (r *replica) readPlatform() {
-	if !r.leading {
+	if !r.driver.Leading() {
 		return
 	}
 	for _, change := range r.platformChanges() {
-		r.propose(proposal{command: state.Command{SetLeaving: &change}, done: func(outcome) {}})
+		r.driver.Propose(driver.Proposal{Command: state.Command{SetLeaving: &change}, Done: func(driver.Outcome) {}})
 	}
 }
 
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -154,7 +154,7 @@
 	var newest *replica
 	term := uint64(0)
 	for _, candidate := range s.controllers {
-		if candidate.replica == nil || !candidate.replica.leading {
+		if candidate.replica == nil || !candidate.replica.driver.Leading() {
 			continue
 		}
 		if led := candidate.replica.core.Status().Term; led > term {
@@ -282,7 +282,7 @@
 		s.checker.Fail(checker.OwnerLiveness, "nobody leads at the end")
 		return
 	}
-	s.checker.MustHold(leader.owner.name(), leader.core.Status().Term, leader.applied)
+	s.checker.MustHold(leader.owner.name(), leader.core.Status().Term, leader.driver.Applied())
 	for _, id := range sortedKeys(s.plans) {
 		plan, stored := leader.state.Plan(id)
 		if !stored || plan.Status != state.PlanConfirmed || plan.Accepted != s.plans[id] {
--- a/internal/lab/sim/stream.go
+++ b/internal/lab/sim/stream.go
@@ -82,7 +82,7 @@
 		from.generation = c.generation
 	}
 	switch {
-	case c.replica == nil || !c.replica.leading || from.generation != c.generation:
+	case c.replica == nil || !c.replica.driver.Leading() || from.generation != c.generation:
 		from.toRouter(c.refusal())
 	case frame.Hello != nil:
 		c.replica.subscribe(from, *frame.Hello)
