Table streams: history and position stand once

Cause: the simulator kept a second history of table changes and a second decision of what a router gets: the whole table or changes. Its copy had no resync, and looked for a revision in another way.

Now internal/tablestream holds the history, what a router gets by what it says it holds, how far its stream has come, and the division of a whole table into parts.

Tests: TestStreamBegin moved from internal/controller to TestBegin with the same cases and demands, and now also counts the changes that follow. New are tests of the history's bound and of the parts.

--- a/internal/controller/access.go
+++ b/internal/controller/access.go
@@ -6,6 +6,7 @@
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/tablestream"
 )
 
 // Propose appends a command to the log and waits until it is applied. Errors
@@ -44,19 +45,24 @@
 	}
 }
 
-// tablePosition returns the revision and digest of the routing table.
-func (r *replica) tablePosition() (state.Revision, uint64) {
+// tablePosition names the present routing table.
+func (r *replica) tablePosition() tablestream.Table {
 	r.stateLock.RLock()
 	defer r.stateLock.RUnlock()
-	return r.state.Revision(), r.state.Digest()
+	return r.table()
 }
 
-// frozenTable returns the state at one revision, with the revision and digest
-// of the routing table. The lock is held for the freezing alone.
-func (r *replica) frozenTable() (*state.Frozen, state.Revision, uint64) {
+// frozenTable returns the state at one revision, and names its routing table.
+// The lock is held for the freezing alone.
+func (r *replica) frozenTable() (*state.Frozen, tablestream.Table) {
 	r.stateLock.RLock()
 	defer r.stateLock.RUnlock()
-	return r.state.Freeze(), r.state.Revision(), r.state.Digest()
+	return r.state.Freeze(), r.table()
+}
+
+// table needs the state's lock.
+func (r *replica) table() tablestream.Table {
+	return tablestream.Table{Cluster: r.cluster, Revision: r.state.Revision(), Digest: r.state.Digest()}
 }
 
 // view calls read with the state, which read must not keep.
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -8,7 +8,6 @@
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
 	"github.com/thorntiller/thorntiller/internal/driver"
-	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -39,14 +38,7 @@
 func (h *host) Apply(index uint64, command state.Command) state.Result {
 	h.stateLock.Lock()
 	defer h.stateLock.Unlock()
-	previous := h.state.Revision()
-	result := h.state.Apply(index, command)
-	if len(result.Changed) > 0 {
-		h.history.add(message.TableDelta{
-			From: previous, To: h.state.Revision(), Objects: result.Changed, Digest: h.state.Digest(),
-		})
-	}
-	return result
+	return h.history.Apply(h.state, index, command)
 }
 
 // Restored implements driver.StateMachine.
@@ -54,7 +46,7 @@
 	h.stateLock.Lock()
 	h.state = restored
 	h.stateLock.Unlock()
-	h.history.reset(restored.Revision())
+	h.history.Reset(restored.Revision())
 	telemetry.With(h.log, telemetry.EventSnapshotReceived).WithField("index", index).Info("snapshot received")
 }
 
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -39,8 +39,7 @@
 		return 0
 	})
 	m.registry.GaugeFunction("table_revision", "Newest revision of the routing table.", func() float64 {
-		revision, _ := r.tablePosition()
-		return float64(revision)
+		return float64(r.tablePosition().Revision)
 	})
 	m.registry.GaugeFunction("table_streams", "Routers connected to this replica.", func() float64 {
 		return float64(len(r.routers.list()))
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -19,6 +19,7 @@
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/tablestream"
 )
 
 // Bounds of the replica's inputs. A full inbox drops consensus messages, which
@@ -43,7 +44,7 @@
 	peers    *peers
 	leases   *leaseSender
 	metrics  *metrics
-	history  *tableHistory
+	history  *tablestream.History
 	whole    wholeTable
 	routers  *routerRegistry
 	// partitions places the idempotency records on routers.
@@ -112,7 +113,7 @@
 		inspections: make(chan func(*coordinator.Coordinator)),
 		state:       disk.State,
 	}
-	r.history = newTableHistory(settings.Table.HistoryDeltas, r.state.Revision())
+	r.history = tablestream.NewHistory(settings.Table.HistoryDeltas, r.state.Revision())
 	core, err := consensus.New(consensus.Config{
 		ID:                  self.ID,
 		ElectionTicks:       settings.Consensus.ElectionTicks,
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -8,6 +8,7 @@
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/tablestream"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -24,14 +25,9 @@
 	process state.Router
 	// leadership ends when this replica stops leading.
 	leadership context.Context
-	// whole is true while the router needs a whole table, whatever the history
-	// holds.
-	whole bool
-	// held is the revision of the table that the router came with.
-	held state.Revision
-	// sent is the revision of the last frame.
-	sent  state.Revision
-	pongs chan message.Pong
+	// position is how far the router's table has come.
+	position tablestream.Position
+	pongs    chan message.Pong
 }
 
 // serveTable runs one stream until the connection or the leadership ends.
@@ -57,11 +53,11 @@
 	stream := &tableStream{
 		replica: r, cluster: cluster, connection: connection,
 		router: first.Hello.Router.ID, process: first.Hello.Router, leadership: leadership,
-		pongs: make(chan message.Pong, r.settings.Table.QueueFrames),
+		position: tablestream.Begin(*first.Hello, r.tablePosition()),
+		pongs:    make(chan message.Pong, r.settings.Table.QueueFrames),
 	}
-	stream.begin(*first.Hello)
 	telemetry.With(r.log, telemetry.EventRouterJoined).WithField("router", stream.router).
-		WithField("revision", stream.sent).Info("router subscribed")
+		WithField("revision", stream.position.Sent()).Info("router subscribed")
 	defer r.routers.leave(stream.router)
 	r.routers.join(first.Hello.Router)
 	return stream.run(ctx, cancel)
@@ -90,26 +86,6 @@
 	return nil
 }
 
-// begin decides what the router holds already. A router starts anew that holds
-// nothing, another cluster's table, one that is ahead of the leader's, or one
-// whose digest differs at the same revision. Changes alone would not do even
-// where the history begins at revision zero: only a snapshot names the cluster,
-// and a router that holds a table refuses to go back.
-func (s *tableStream) begin(hello message.RouterHello) {
-	if hello.Cluster == s.cluster {
-		s.held = hello.Revision
-	}
-	revision, digest := s.replica.tablePosition()
-	switch {
-	case hello.Cluster != s.cluster, hello.Revision == 0, hello.Revision > revision, hello.Resync:
-		s.whole = true
-	case hello.Revision == revision && hello.Digest != digest:
-		s.whole = true
-	default:
-		s.sent = hello.Revision
-	}
-}
-
 func (s *tableStream) run(ctx context.Context, cancel context.CancelFunc) error {
 	defer cancel()
 	readEnded := make(chan error, 1)
@@ -227,29 +203,28 @@
 // writeTable sends what the router lacks, and returns a channel that is closed
 // at the next change.
 func (s *tableStream) writeTable(ctx context.Context) (<-chan struct{}, error) {
-	changes, changed, reached := s.replica.history.after(s.sent)
-	for s.whole || !reached {
-		// The whole table may be an older one, which changes follow.
+	changes, changed, reached := s.position.Next(s.replica.history)
+	for !reached {
 		if err := s.writeWhole(ctx); err != nil {
 			return changed, err
 		}
-		changes, changed, reached = s.replica.history.after(s.sent)
+		changes, changed, reached = s.position.Next(s.replica.history)
 	}
 	for _, change := range changes {
-		frame, err := change.encoded()
+		frame, err := change.Encoded()
 		if err != nil {
 			return changed, err
 		}
 		if err := s.connection.SendFrame(ctx, frame); err != nil {
 			return changed, err
 		}
-		s.sent = change.delta.To
+		s.position.SentChange(change)
 	}
 	return changed, nil
 }
 
 func (s *tableStream) writeWhole(ctx context.Context) error {
-	frames, revision, err := s.replica.whole.get(s.replica, max(s.held, s.sent))
+	frames, revision, err := s.replica.whole.get(s.replica, s.position.AtLeast())
 	if err != nil {
 		return err
 	}
@@ -258,7 +233,6 @@
 			return err
 		}
 	}
-	s.sent = revision
-	s.whole = false
+	s.position.SentWhole(revision)
 	return nil
 }
--- a/internal/controller/stream_test.go
+++ b/internal/controller/stream_test.go
@@ -171,33 +171,3 @@
 		t.Errorf("a follower refused with %+v, want %+v", *answer.Refusal, want)
 	}
 }
-
-// TestStreamBegin shows what a router gets by what it says it holds.
-func TestStreamBegin(t *testing.T) {
-	r := &replica{state: state.New()}
-	for index := range uint64(5) {
-		router := state.Router{ID: state.RouterID(serviceName(int(index))), Address: "127.0.0.1:1"}
-		if result := r.state.Apply(index+1, state.Command{PutRouter: &state.PutRouter{Router: router}}); result.Err != nil {
-			t.Fatal(result.Err)
-		}
-	}
-	revision, digest := r.tablePosition()
-	for name, c := range map[string]struct {
-		hello message.RouterHello
-		whole bool
-	}{
-		"a damaged one":               {message.RouterHello{Cluster: "c", Revision: revision, Digest: digest, Resync: true}, true},
-		"nothing":                     {message.RouterHello{Cluster: "c"}, true},
-		"the same":                    {message.RouterHello{Cluster: "c", Revision: revision, Digest: digest}, false},
-		"an older one":                {message.RouterHello{Cluster: "c", Revision: revision - 1, Digest: 1}, false},
-		"the same revision, not same": {message.RouterHello{Cluster: "c", Revision: revision, Digest: digest + 1}, true},
-		"a newer one":                 {message.RouterHello{Cluster: "c", Revision: revision + 1, Digest: digest}, true},
-		"another cluster's":           {message.RouterHello{Cluster: "d", Revision: revision, Digest: digest}, true},
-	} {
-		s := &tableStream{replica: r, cluster: "c"}
-		s.begin(c.hello)
-		if s.whole != c.whole || (!c.whole && s.sent != c.hello.Revision) {
-			t.Errorf("%s: whole %v from %d", name, s.whole, s.sent)
-		}
-	}
-}
--- a/internal/controller/whole_table.go
+++ b/internal/controller/whole_table.go
@@ -6,6 +6,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/tablestream"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
@@ -28,7 +29,7 @@
 func (t *wholeTable) get(r *replica, atLeast state.Revision) ([]wire.Frame, state.Revision, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	usable := t.frames != nil && t.revision >= atLeast && r.clock.Now()-t.made < sharedFor && r.history.reaches(t.revision)
+	usable := t.frames != nil && t.revision >= atLeast && r.clock.Now()-t.made < sharedFor && r.history.Reaches(t.revision)
 	if usable {
 		return t.frames, t.revision, nil
 	}
@@ -49,20 +50,14 @@
 
 // encodeTable encodes the present table in parts of a bounded size.
 func encodeTable(r *replica) ([]wire.Frame, state.Revision, error) {
-	frozen, revision, digest := r.frozenTable()
-	objects := frozen.Objects()
-	size := r.settings.Table.SnapshotObjects
+	frozen, table := r.frozenTable()
 	var frames []wire.Frame
-	for start := 0; start == 0 || start < len(objects); start += size {
-		end := min(start+size, len(objects))
-		frame, err := wire.Encode(&message.ControllerFrame{Snapshot: &message.TableSnapshot{
-			Cluster: r.cluster, Revision: revision, Digest: digest,
-			Objects: objects[start:end], First: start == 0, Last: end == len(objects),
-		}})
+	for _, part := range tablestream.Parts(table, frozen.Objects(), r.settings.Table.SnapshotObjects) {
+		frame, err := wire.Encode(&message.ControllerFrame{Snapshot: &part})
 		if err != nil {
 			return nil, 0, err
 		}
 		frames = append(frames, frame)
 	}
-	return frames, revision, nil
+	return frames, table.Revision, nil
 }
--- a/internal/lab/sim/host.go
+++ b/internal/lab/sim/host.go
@@ -11,7 +11,6 @@
 	"github.com/thorntiller/thorntiller/internal/coordinator"
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/checker"
-	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -71,12 +70,8 @@
 
 // Apply implements driver.StateMachine.
 func (h *host) Apply(index uint64, command state.Command) state.Result {
-	previous := h.state.Revision()
-	result := h.state.Apply(index, command)
+	result := h.history.Apply(h.state, index, command)
 	if len(result.Changed) > 0 {
-		h.history.add(message.TableDelta{
-			From: previous, To: h.state.Revision(), Objects: result.Changed, Digest: h.state.Digest(),
-		})
 		h.feedStreams()
 	}
 	return result
@@ -85,7 +80,7 @@
 // Restored implements driver.StateMachine.
 func (h *host) Restored(index uint64, restored *state.State) {
 	h.state = restored
-	h.history.reset(restored.Revision())
+	h.history.Reset(restored.Revision())
 	h.sim.counts.Snapshots++
 	h.sim.trace("%s takes the leader's snapshot at index %d", h.owner.node, index)
 	h.sim.checker.Restored(h.owner.name(), index, restored.Revision(), restored.Digest())
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -11,6 +11,7 @@
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/tablestream"
 )
 
 // replica is the replica of one controller and its driver, which runs input by
@@ -23,7 +24,7 @@
 	driver      *driver.Driver
 	host        *host
 	state       *state.State
-	history     tableHistory
+	history     *tablestream.History
 	streams     []*stream
 	// saved is a snapshot that was written and is not in use yet.
 	saved *driver.SavedSnapshot
@@ -40,7 +41,7 @@
 	s := owner.sim
 	r := &replica{owner: owner, sim: s, state: disk.State, coordinator: coordinator.New(s.coordination)}
 	r.host = &host{replica: r}
-	r.history.reset(r.state.Revision())
+	r.history = tablestream.NewHistory(s.settings.Table.HistoryDeltas, r.state.Revision())
 	firstSequence := s.random.Uint64() >> 1
 	settings := s.settings.Consensus
 	core, err := consensus.New(consensus.Config{
--- a/internal/lab/sim/stream.go
+++ b/internal/lab/sim/stream.go
@@ -5,41 +5,9 @@
 	"github.com/thorntiller/thorntiller/internal/lab/sim/network"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/tablestream"
 )
 
-// tableHistory keeps the newest deltas of the routing table.
-type tableHistory struct {
-	deltas []message.TableDelta
-	newest state.Revision
-}
-
-func (h *tableHistory) add(delta message.TableDelta) {
-	h.deltas = append(h.deltas, delta)
-	if len(h.deltas) > historyDeltas {
-		h.deltas = append([]message.TableDelta(nil), h.deltas[len(h.deltas)-historyDeltas/2:]...)
-	}
-	h.newest = delta.To
-}
-
-func (h *tableHistory) reset(newest state.Revision) {
-	h.deltas = nil
-	h.newest = newest
-}
-
-// after returns the deltas that lead on from a revision; false when the history
-// does not reach back to it.
-func (h *tableHistory) after(revision state.Revision) ([]message.TableDelta, bool) {
-	if revision == h.newest {
-		return nil, true
-	}
-	for position, delta := range h.deltas {
-		if delta.From == revision {
-			return h.deltas[position:], true
-		}
-	}
-	return nil, false
-}
-
 // connection is one table connection between a router and a controller.
 type connection struct {
 	router     *router
@@ -72,9 +40,7 @@
 // stream is the controller's side of a connection.
 type stream struct {
 	connection *connection
-	// whole is true while the router needs a whole table.
-	whole bool
-	sent  state.Revision
+	position   tablestream.Position
 }
 
 func (c *controller) takeFrame(from *connection, frame message.RouterFrame) {
@@ -112,16 +78,15 @@
 
 // subscribe decides what the router holds already, and sends the rest.
 func (r *replica) subscribe(from *connection, hello message.RouterHello) {
-	added := &stream{connection: from, sent: hello.Revision}
-	differs := hello.Revision == r.state.Revision() && hello.Digest != r.state.Digest()
-	if hello.Cluster != r.owner.self.Cluster || hello.Revision == 0 || hello.Revision > r.state.Revision() || differs {
-		added.whole = true
-		added.sent = 0
-	}
+	added := &stream{connection: from, position: tablestream.Begin(hello, r.table())}
 	r.streams = append(r.streams, added)
 	r.feed(added)
 }
 
+func (r *replica) table() tablestream.Table {
+	return tablestream.Table{Cluster: r.owner.self.Cluster, Revision: r.state.Revision(), Digest: r.state.Digest()}
+}
+
 func (r *replica) feedStreams() {
 	for _, subscribed := range r.streams {
 		r.feed(subscribed)
@@ -129,29 +94,29 @@
 }
 
 func (r *replica) feed(to *stream) {
-	deltas, reached := r.history.after(to.sent)
-	if to.whole || !reached {
-		r.feedSnapshot(to)
+	changes, _, reached := to.position.Next(r.history)
+	if !reached {
+		r.feedWhole(to)
 		return
 	}
-	for _, delta := range deltas {
-		to.connection.toRouter(message.ControllerFrame{Delta: r.sim.spoil(delta)})
-		to.sent = delta.To
+	for _, change := range changes {
+		to.connection.toRouter(message.ControllerFrame{Delta: r.sim.spoil(change.Delta)})
+		to.position.SentChange(change)
 	}
 }
 
-// feedSnapshot sends the whole table in two parts.
-func (r *replica) feedSnapshot(to *stream) {
+// feedWhole sends the whole table in two parts.
+func (r *replica) feedWhole(to *stream) {
 	objects := r.state.Objects()
+	table := r.table()
 	half := len(objects) / 2
-	whole := message.TableSnapshot{Cluster: r.owner.self.Cluster, Revision: r.state.Revision(), Digest: r.state.Digest()}
+	whole := message.TableSnapshot{Cluster: table.Cluster, Revision: table.Revision, Digest: table.Digest}
 	first, last := whole, whole
 	first.First, first.Objects = true, objects[:half]
 	last.Last, last.Objects = true, objects[half:]
 	to.connection.toRouter(message.ControllerFrame{Snapshot: &first})
 	to.connection.toRouter(message.ControllerFrame{Snapshot: &last})
-	to.sent = whole.Revision
-	to.whole = false
+	to.position.SentWhole(table.Revision)
 }
 
 func (r *replica) closeStreams() {
