Driver: read rounds are numbered anew at each start

Cause: the consensus core asks that contexts of ReadIndex are never used twice, not even across restarts, and adds a ReadState for any answer that comes. Both copies of the read rounds numbered them from 1 at each start. A replica that restarted could thus take the leader's late answer to round n of its earlier life for that of its own round n, and confirm a read by a quorum round that began before the read: it might not cover a change that was acknowledged in between.

The gap is narrow: a leader's own rounds do not travel, and reads are asked for on leaders alone, so it takes a read that was asked for just before the replica lost the leadership, and an answer to one of its earlier life.

Rounds are now numbered from the number that is drawn at each start for proposals. TestReadContextsOfLives failed first ("answered by a round that began before the read").

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -37,8 +37,9 @@
 	// Log is the log of Storage.
 	Log  Log
 	Host Host
-	// FirstSequence is drawn at random at each start, below 1<<63, so that an
-	// entry of an earlier life of the process is not taken for one of this.
+	// FirstSequence is drawn at random at each start, below 1<<63. Proposals and
+	// read rounds are numbered from it, so that an entry or an answer of an
+	// earlier life of the process is not taken for one of this.
 	FirstSequence uint64
 	// SnapshotEntries and SnapshotBytes are how much is applied between two
 	// snapshots. SnapshotEntries is also the tail of the log that a snapshot
@@ -71,6 +72,7 @@
 		coordinator: config.Coordinator,
 		storage:     config.Storage,
 		host:        config.Host,
+		reads:       readRounds{lastContext: config.FirstSequence},
 		pending:     newPendingProposals(config.FirstSequence),
 		joining:     make(joins),
 		applied:     config.Storage.Initial.Snapshot.Index,
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -29,7 +29,7 @@
 // stable storage; a snapshot is saved and restored before what follows it;
 // entries are applied in order and the core advances after them.
 func TestOrderOfReady(t *testing.T) {
-	h := newHarness(t)
+	h := newHarness(t, firstSequence)
 	h.driver.Read(func(state.Revision) { h.note("read answered") })
 	got, err := h.handle(consensus.Ready{
 		HardState: &consensus.HardState{Term: 1}, Entries: entries(1, 2), Committed: entries(1, 2),
@@ -64,7 +64,7 @@
 // TestSnapshotBesideTheLoop: the snapshot is of the moment at which it began,
 // one is written at a time, and the log is cut once it is saved.
 func TestSnapshotBesideTheLoop(t *testing.T) {
-	h := newHarness(t)
+	h := newHarness(t, firstSequence)
 	ready := func(from, to uint64) consensus.Ready {
 		return consensus.Ready{HardState: &consensus.HardState{Term: 1}, Entries: entries(from, to), Committed: entries(from, to)}
 	}
@@ -90,7 +90,7 @@
 // TestReadRounds: a read is answered only by a round that began after it was
 // asked for, and only once the round's log index is applied.
 func TestReadRounds(t *testing.T) {
-	h := newHarness(t)
+	h := newHarness(t, firstSequence)
 	answered := 0
 	count := func(state.Revision) { answered++ }
 	h.driver.Read(count)
@@ -126,11 +126,23 @@
 	}
 }
 
+// TestReadContextsOfLives: the late answer to a round of an earlier life of the
+// process answers no read of this one.
+func TestReadContextsOfLives(t *testing.T) {
+	earlier, later := newHarness(t, 100), newHarness(t, 200)
+	earlier.driver.Read(func(state.Revision) {})
+	later.driver.Read(func(state.Revision) { t.Error("answered by a round that began before the read") })
+	late := consensus.Ready{ReadStates: []consensus.ReadState{{Context: earlier.rounds[0]}}}
+	if _, err := later.handle(late); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestProposalsEnd: each proposal ends once: applied, refused, or with its
 // outcome open when the leadership is lost. An entry of another replica, or of
 // an earlier life of this one, ends none.
 func TestProposalsEnd(t *testing.T) {
-	h := newHarness(t)
+	h := newHarness(t, firstSequence)
 	h.status = consensus.Status{Role: consensus.RoleLeader, TermCommitted: true}
 	h.driver.ObserveRole()
 	var ends []Outcome
@@ -145,7 +157,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	other, err := encodeEnvelope(envelope{Replica: self + 1, Sequence: 101})
+	other, err := encodeEnvelope(envelope{Replica: self + 1, Sequence: firstSequence + 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/driver/fakes_test.go
+++ b/internal/driver/fakes_test.go
@@ -14,7 +14,10 @@
 	"github.com/thorntiller/thorntiller/internal/vfs"
 )
 
-const self = consensus.ReplicaID(7)
+const (
+	self          = consensus.ReplicaID(7)
+	firstSequence = 100
+)
 
 var errDisk = errors.New("the disk is full")
 
@@ -36,7 +39,7 @@
 	writing  func() SavedSnapshot
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, first uint64) *harness {
 	t.Helper()
 	disk := vfs.NewMemory(nil)
 	if err := durable.CreateLog(disk, "/data"); err != nil {
@@ -51,7 +54,7 @@
 	h.driver = New(Config{
 		Self: self, Core: scriptedCore{harness: h}, Storage: storage, Log: recordingLog{Log: storage.Log, harness: h}, Host: h,
 		Coordinator:   coordinator.New(coordinator.Config{LeaseDuration: time.Second, RenewInterval: time.Second, MaxBatch: 1}),
-		FirstSequence: 100, SnapshotEntries: 3, SnapshotBytes: 1 << 20,
+		FirstSequence: first, SnapshotEntries: 3, SnapshotBytes: 1 << 20,
 	})
 	return h
 }
--- a/internal/driver/reads.go
+++ b/internal/driver/reads.go
@@ -59,6 +59,8 @@
 // readRounds joins reads into quorum rounds. A read joins only a round that
 // begins after the read arrived.
 type readRounds struct {
+	// lastContext is the context of the newest round. None is used twice, not
+	// even across restarts.
 	lastContext uint64
 	// waiting reads belong to no round yet.
 	waiting []Read
