Controller and simulator: settings of the cores stand once

The configurations of the consensus core and of the coordinator were made from a controller's settings in the process and again in the simulator. Now internal/driver makes them.

--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -102,7 +102,7 @@
 		storage:     disk,
 		metrics:     metrics,
 		routers:     newRouterRegistry(),
-		coordinator: coordinator.New(coordinatorConfig(settings)),
+		coordinator: coordinator.New(driver.CoordinatorConfig(settings.Lease)),
 		inbox:       make(chan consensus.Message, inboxSize),
 		proposals:   make(chan driver.Proposal, proposalsSize),
 		reads:       make(chan driver.Read, readsSize),
@@ -114,16 +114,8 @@
 		state:       disk.State,
 	}
 	r.history = tablestream.NewHistory(settings.Table.HistoryDeltas, r.state.Revision())
-	core, err := consensus.New(consensus.Config{
-		ID:                  self.ID,
-		ElectionTicks:       settings.Consensus.ElectionTicks,
-		HeartbeatTicks:      settings.Consensus.HeartbeatTicks,
-		MaxAppendBytes:      settings.Consensus.MaxAppendBytes,
-		MaxInflight:         settings.Consensus.MaxInflight,
-		MaxUncommittedBytes: settings.Consensus.MaxUncommittedBytes,
-		Seed:                rand.Uint64(),
-		TickInterval:        settings.Consensus.TickInterval,
-	}, disk.Initial, disk.Newest)
+	consensusConfig := driver.ConsensusConfig(settings.Consensus, self.ID, rand.Uint64())
+	core, err := consensus.New(consensusConfig, disk.Initial, disk.Newest)
 	if err != nil {
 		return nil, err
 	}
@@ -145,17 +137,6 @@
 	return r, nil
 }
 
-func coordinatorConfig(settings config.Controller) coordinator.Config {
-	return coordinator.Config{
-		LeaseDuration:  settings.Lease.Duration,
-		RenewInterval:  settings.Lease.RenewInterval,
-		ClockRateBound: settings.Lease.ClockRateBound,
-		Margin:         settings.Lease.Margin,
-		RoundInterval:  coordinator.DefaultRoundInterval,
-		MaxBatch:       coordinator.DefaultMaxBatch,
-	}
-}
-
 // run drives the replica until the context ends or the disk fails.
 func (r *replica) run(ctx context.Context) error {
 	ticker := time.NewTicker(r.settings.Consensus.TickInterval)
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -44,16 +44,8 @@
 	r.history = tablestream.NewHistory(s.settings.Table.HistoryDeltas, r.state.Revision())
 	firstSequence := s.random.Uint64() >> 1
 	settings := s.settings.Consensus
-	core, err := consensus.New(consensus.Config{
-		ID:                  owner.self.Replica,
-		ElectionTicks:       settings.ElectionTicks,
-		HeartbeatTicks:      settings.HeartbeatTicks,
-		MaxAppendBytes:      settings.MaxAppendBytes,
-		MaxInflight:         settings.MaxInflight,
-		MaxUncommittedBytes: settings.MaxUncommittedBytes,
-		Seed:                s.random.Uint64(),
-		TickInterval:        settings.TickInterval,
-	}, disk.Initial, disk.Newest)
+	config := driver.ConsensusConfig(settings, owner.self.Replica, s.random.Uint64())
+	core, err := consensus.New(config, disk.Initial, disk.Newest)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/config"
-	"github.com/thorntiller/thorntiller/internal/coordinator"
 )
 
 // Times of a run, true time.
@@ -54,17 +53,6 @@
 	return settings
 }
 
-func coordinatorConfig(settings config.Controller) coordinator.Config {
-	return coordinator.Config{
-		LeaseDuration:  settings.Lease.Duration,
-		RenewInterval:  settings.Lease.RenewInterval,
-		ClockRateBound: settings.Lease.ClockRateBound,
-		Margin:         settings.Lease.Margin,
-		RoundInterval:  coordinator.DefaultRoundInterval,
-		MaxBatch:       coordinator.DefaultMaxBatch,
-	}
-}
-
 // settleNeed is the time that the design needs, after the last fault, until
 // every key has an owner: two rounds of elections with the longest timeouts,
 // the wait for leases that an earlier leader may have given, and the commits
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -9,6 +9,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/checker"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/event"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/network"
@@ -16,32 +17,6 @@
 	"github.com/thorntiller/thorntiller/internal/vfs"
 )
 
-// planted are faults of the product that tests plant, to prove that a checker
-// finds them.
-type planted struct {
-	// ignoreLeaseEnd: servers go on serving after their lease ended.
-	ignoreLeaseEnd bool
-	// coordinator changes the coordinator's settings.
-	coordinator func(*coordinator.Config)
-	// assumeQuorum: rounds of the coordinator count as confirmed at once.
-	assumeQuorum bool
-	// files wraps the disk that a controller sees.
-	files func(vfs.FileSystem) vfs.FileSystem
-	// forgetVote: the term and the vote are not written to the log.
-	forgetVote bool
-	// reuseIdentity: a replaced machine acts under the identity it had.
-	reuseIdentity bool
-	// skipDigest: routers take a delta's revision without its content.
-	skipDigest bool
-	// deafRouters: routers ignore what changes once they hold a table.
-	deafRouters bool
-	// overstate changes the time before its election that a new leader takes as
-	// free of quorum rounds.
-	overstate func(time.Duration) time.Duration
-	// forgetPlans: replicas forget plans once an operator was told of them.
-	forgetPlans bool
-}
-
 // simulation is one run.
 type simulation struct {
 	seed         uint64
@@ -94,7 +69,7 @@
 		leaving:  make(map[state.ServerID]bool),
 		plans:    make(map[state.PlanID]state.Revision),
 	}
-	s.coordination = coordinatorConfig(s.settings)
+	s.coordination = driver.CoordinatorConfig(s.settings.Lease)
 	if faults.coordinator != nil {
 		faults.coordinator(&s.coordination)
 	}
