Formation: who joins and who founds is decided once

Cause: the process and the simulator each decided from the answers of the other controllers whether a replica joins a group, founds one or asks again. Now durable.Formation decides, beside Adopt; the process still asks all at once, the simulator message by message.

--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -81,29 +80,31 @@
 }
 
 func (f *formation) attempt(ctx context.Context) error {
-	answers, everyone := f.askAll(ctx)
-	for _, answer := range answers {
-		if answer.Cluster != "" {
-			return f.adopt(answer)
-		}
-	}
-	if !everyone || !f.isFirst() {
+	answers := f.askAll(ctx)
+	next, decided := durable.Formation{
+		Own: f.identity(), Member: f.self, First: f.isFirst(), Others: len(f.settings.Controllers) - 1, Answers: answers,
+	}.Decide(func() message.ClusterID { return message.ClusterID(uuid.NewString()) })
+	if !decided {
 		return nil
 	}
-	return f.found(answers)
-}
-
-// adopt takes over a group that another controller belongs to.
-func (f *formation) adopt(answer message.FormationAnswer) error {
-	joined := durable.Adopt(f.identity(), answer)
-	if err := f.set(joined); err != nil {
+	if err := f.set(next); err != nil {
 		return err
 	}
-	telemetry.With(f.log, telemetry.EventGroupJoined).WithField("cluster", answer.Cluster).
-		WithField("founder", isFounder(joined)).Info("joined a group")
+	f.logFormation(next, answers)
 	return nil
 }
 
+// logFormation tells whether the replica formed its group or joined it.
+func (f *formation) logFormation(taken identity.Identity, answers []message.FormationAnswer) {
+	joined := slices.ContainsFunc(answers, func(answer message.FormationAnswer) bool { return answer.Cluster == taken.Cluster })
+	if !joined {
+		telemetry.With(f.log, telemetry.EventGroupFormed).WithField("cluster", taken.Cluster).Info("formed a new group")
+		return
+	}
+	telemetry.With(f.log, telemetry.EventGroupJoined).WithField("cluster", taken.Cluster).
+		WithField("founder", isFounder(taken)).Info("joined a group")
+}
+
 func isFounder(joined identity.Identity) bool {
 	return slices.ContainsFunc(joined.Founders, func(member consensus.Member) bool { return member.ID == joined.Replica })
 }
@@ -114,21 +115,6 @@
 	})
 }
 
-func (f *formation) found(answers []message.FormationAnswer) error {
-	formed := f.identity()
-	formed.Cluster = message.ClusterID(uuid.NewString())
-	formed.Founders = []consensus.Member{f.self}
-	for _, answer := range answers {
-		formed.Founders = append(formed.Founders, answer.Member)
-	}
-	slices.SortFunc(formed.Founders, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
-	if err := f.set(formed); err != nil {
-		return err
-	}
-	telemetry.With(f.log, telemetry.EventGroupFormed).WithField("cluster", formed.Cluster).Info("formed a new group")
-	return nil
-}
-
 // set makes the identity durable before it is told to anyone.
 func (f *formation) set(next identity.Identity) error {
 	f.mutex.Lock()
@@ -140,18 +126,15 @@
 	return nil
 }
 
-// askAll asks every other configured controller, and reports whether each one
-// answered.
-func (f *formation) askAll(ctx context.Context) ([]message.FormationAnswer, bool) {
+// askAll asks every other configured controller and returns the answers.
+func (f *formation) askAll(ctx context.Context) []message.FormationAnswer {
 	var group conc.WaitGroup
 	var mutex sync.Mutex
 	var answers []message.FormationAnswer
-	others := 0
 	for _, peer := range f.settings.Controllers {
 		if peer.Name == f.settings.Name {
 			continue
 		}
-		others++
 		group.Go(func() {
 			answer, err := f.ask(ctx, peer.PeerAddress)
 			if err != nil {
@@ -163,7 +146,7 @@
 		})
 	}
 	group.Wait()
-	return answers, len(answers) == others
+	return answers
 }
 
 func (f *formation) ask(ctx context.Context, address string) (message.FormationAnswer, error) {
--- a/internal/lab/sim/formation.go
+++ b/internal/lab/sim/formation.go
@@ -1,11 +1,8 @@
 package sim
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/identity"
 	"github.com/thorntiller/thorntiller/internal/membership"
@@ -58,26 +55,13 @@
 		return
 	}
 	f.answers = append(f.answers, answer)
-	if answer.Cluster != "" {
-		f.set(durable.Adopt(c.self, answer))
-		return
-	}
-	if len(f.answers) == len(c.sim.controllers)-1 && c == c.sim.controllers[0] {
-		f.found()
-	}
-}
-
-// found forms a new group of all controllers that answered.
-func (f *formation) found() {
-	c := f.controller
-	formed := c.self
-	formed.Cluster = "group"
-	formed.Founders = []consensus.Member{c.member()}
-	for _, answer := range f.answers {
-		formed.Founders = append(formed.Founders, answer.Member)
+	next, decided := durable.Formation{
+		Own: c.self, Member: c.member(), First: c == c.sim.controllers[0],
+		Others: len(c.sim.controllers) - 1, Answers: f.answers,
+	}.Decide(func() message.ClusterID { return "group" })
+	if decided {
+		f.set(next)
 	}
-	slices.SortFunc(formed.Founders, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
-	f.set(formed)
 }
 
 // set makes the identity durable before it is told to anyone.
