Simulator: whole tables travel in the process's parts

The simulator cut a whole table into two halves by itself. It now sends tablestream.Parts as the process does, at most six objects each, so that routers also meet tables of more than two parts, and pauses and crashes between them.

--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -35,6 +35,8 @@
 	keyCount     = 6
 	// historyDeltas is small so that routers also meet snapshots.
 	historyDeltas = 24
+	// snapshotObjects is small so that whole tables travel in several parts.
+	snapshotObjects = 6
 	// snapshotEntries is small so that logs are cut and replicas need snapshots.
 	snapshotEntries = 60
 	// segmentBytes is small so that the log gets many segments.
@@ -50,6 +52,7 @@
 	settings := config.DefaultController()
 	settings.Consensus.SnapshotEntries = snapshotEntries
 	settings.Table.HistoryDeltas = historyDeltas
+	settings.Table.SnapshotObjects = snapshotObjects
 	return settings
 }
 
--- a/internal/lab/sim/stream.go
+++ b/internal/lab/sim/stream.go
@@ -105,17 +105,12 @@
 	}
 }
 
-// feedWhole sends the whole table in two parts.
+// feedWhole sends the whole table in parts.
 func (r *replica) feedWhole(to *stream) {
-	objects := r.state.Objects()
 	table := r.table()
-	half := len(objects) / 2
-	whole := message.TableSnapshot{Cluster: table.Cluster, Revision: table.Revision, Digest: table.Digest}
-	first, last := whole, whole
-	first.First, first.Objects = true, objects[:half]
-	last.Last, last.Objects = true, objects[half:]
-	to.connection.toRouter(message.ControllerFrame{Snapshot: &first})
-	to.connection.toRouter(message.ControllerFrame{Snapshot: &last})
+	for _, part := range tablestream.Parts(table, r.state.Objects(), r.sim.settings.Table.SnapshotObjects) {
+		to.connection.toRouter(message.ControllerFrame{Snapshot: &part})
+	}
 	to.position.SentWhole(table.Revision)
 }
 
