Records: a primary that most other routers do not reach loses its partitions

Cause: a record primary that the controllers hear keeps its lease, whoever else reaches it. Requests that may not be repeated whose keys fall into its partitions were refused through every other router for as long as a cut between routers lasted. Its backup was moreover given up at once, since the primary could not store on it, so that the records were left on the one router that nobody reached.

Now routers probe those that have a role in a partition and report in their pings who left probes unanswered for 400 ms (record.Reach, 32 at most). record.Placement counts a router as cut off when it does not meet more than half of the other live routers, two at least, for 200 ms; either side's report tells that two do not meet. Then the whole backups of its partitions take over under a new epoch, as at a planned stop: the fences stay as they are. The backup must have been heard since and must not be cut off itself. Until the verdict the backup is kept. Bounds on moves: 10 s without a new role for the router, 10 s until a partition may move for this reason again.

Ruled out: the word of one router (its own link may be bad); the backup's word alone (with two routers each would blame the other); passive reports from failed claims (an idle router has no voice); ending the primary's lease first (not needed: with a whole backup the epoch is the fence, and the move keeps every record).

--- a/internal/controller/partitions.go
+++ b/internal/controller/partitions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/record"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 // partitionKeeper gives routers their sessions and leases and places the record
@@ -22,6 +24,8 @@
 	placement *record.Placement
 	// term is the leadership that the placement works for.
 	term context.Context
+	// cutOff are the routers that were logged as cut off.
+	cutOff []state.RouterID
 }
 
 func newPartitionKeeper(settings config.Controller, r *replica) *partitionKeeper {
@@ -77,10 +81,26 @@
 	k.replica.view(func(view *state.State) {
 		moment := record.Moment{Now: k.replica.clock.Now(), UnixMs: time.Now().UnixMilli()}
 		commands = k.placement.Tick(moment, view)
+		k.logCutOff(k.placement.CutOff(moment.Now, view))
 	})
 	return commands
 }
 
+// logCutOff writes a line for each router that is cut off now or no longer.
+func (k *partitionKeeper) logCutOff(routers []state.RouterID) {
+	for _, router := range routers {
+		if !slices.Contains(k.cutOff, router) {
+			telemetry.With(k.replica.log, telemetry.EventRouterCutOff).WithField("router", router).Warn("most other routers do not reach it")
+		}
+	}
+	for _, router := range k.cutOff {
+		if !slices.Contains(routers, router) {
+			telemetry.With(k.replica.log, telemetry.EventRouterMet).WithField("router", router).Info("no longer cut off from other routers")
+		}
+	}
+	k.cutOff = routers
+}
+
 // follow begins anew in each term of leadership.
 func (k *partitionKeeper) follow(leadership context.Context) {
 	if k.term == leadership {
@@ -101,7 +121,7 @@
 	k.follow(leadership)
 	report := record.Report{
 		Synced: partitionEpochs(ping.SyncedPartitions), Failed: partitionEpochs(ping.FailedBackups),
-		Leaving: ping.Leaving, Stopped: ping.Stopped,
+		Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable,
 	}
 	k.replica.view(func(view *state.State) {
 		session, lease := k.placement.Pinged(k.replica.clock.Now(), process, report, view)
--- a/internal/message/records.go
+++ b/internal/message/records.go
@@ -16,6 +16,8 @@
 	Completion *record.Completion
 	// Store gives records to the backup.
 	Store *RecordStore
+	// Probe asks for any answer, which shows that the router is reached.
+	Probe bool `msgpack:",omitempty"`
 }
 
 // RecordStore gives records from a partition's primary to its backup.
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -94,6 +94,8 @@
 	// Stopped promises that the router process acts as a primary never again, so
 	// that its lease need not be waited out.
 	Stopped bool `msgpack:"x,omitempty"`
+	// Unreachable lists routers that do not answer this one.
+	Unreachable []state.RouterID `msgpack:"u,omitempty"`
 }
 
 // PartitionSync names one record partition at one epoch.
--- a/internal/record/cluster_test.go
+++ b/internal/record/cluster_test.go
@@ -74,6 +74,7 @@
 	grants    int
 	kept      int
 	lost      int
+	moves     int
 	serial    int
 }
 
@@ -206,7 +207,10 @@
 // lead carries out what the placement wants. Each command may be lost.
 func (c *testCluster) lead() {
 	moment := Moment{Now: c.now, UnixMs: startMs + c.now.Milliseconds()}
-	for _, command := range c.placement.Tick(moment, c.state) {
+	before := len(c.placement.moved)
+	commands := c.placement.Tick(moment, c.state)
+	c.moves += len(c.placement.moved) - before
+	for _, command := range commands {
 		if c.random.IntN(10) == 0 {
 			continue
 		}
@@ -229,6 +233,7 @@
 	if r.core.Role() == RolePrimary && r.failed == at.Epoch {
 		report.Failed = append(report.Failed, at)
 	}
+	report.Unreachable = c.missed(r)
 	c.later(func() {
 		session, lease := c.placement.Pinged(c.now, r.identity, report, c.state)
 		c.later(func() {
@@ -239,6 +244,21 @@
 	})
 }
 
+// missed returns what a router says of others, true or not: one is blamed by most
+// of the others for a while, and any router may add one.
+func (c *testCluster) missed(r *testRouter) []state.RouterID {
+	var silent []state.RouterID
+	const blameTime = 6 * time.Second
+	blamed := c.routers[int(c.now/blameTime)%len(c.routers)].identity.ID
+	if int(c.now/blameTime)%3 > 0 && blamed != r.identity.ID {
+		silent = append(silent, blamed)
+	}
+	if c.random.IntN(20) == 0 {
+		silent = append(silent, c.pick().identity.ID)
+	}
+	return silent
+}
+
 // follow lets a router see a later version of the table, not always the newest.
 func (c *testCluster) follow(r *testRouter) {
 	if c.now < r.cutOff {
@@ -448,18 +468,19 @@
 func TestAtMostOneAttemptRuns(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(1)
 	parameters.MinSuccessfulTests = 400
-	var grants, kept, lost int
+	var grants, kept, lost, moves int
 	properties := gopter.NewProperties(parameters)
 	properties.Property("no key has two attempts that ran", prop.ForAll(func(seed uint64) string {
 		cluster := runTestCluster(seed)
 		grants += cluster.grants
 		kept += cluster.kept
 		lost += cluster.lost
+		moves += cluster.moves
 		return cluster.failure
 	}, gen.UInt64()))
 	properties.TestingRun(t)
-	t.Logf("granted %d, kept answers %d, refused after a loss %d", grants, kept, lost)
-	if grants < 1000 || kept < 100 || lost < 10 {
+	t.Logf("granted %d, kept answers %d, refused after a loss %d, first moves from a cut-off router %d", grants, kept, lost, moves)
+	if grants < 1000 || kept < 100 || lost < 10 || moves < 100 {
 		t.Errorf("too little happened: granted %d, kept answers %d, refused after a loss %d", grants, kept, lost)
 	}
 }
--- /dev/null
+++ b/internal/record/cutoff_test.go
@@ -0,0 +1,201 @@
+package record
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// epochs returns the sum of the partitions' epochs, which rises with each change.
+func (o *office) epochs() int {
+	sum := 0
+	for _, placed := range o.state.Partitions() {
+		sum += int(placed.Epoch)
+	}
+	return sum
+}
+
+func (o *office) primaries(id state.RouterID) int {
+	count := 0
+	for _, placed := range o.state.Partitions() {
+		if placed.Primary == id {
+			count++
+		}
+	}
+	return count
+}
+
+func TestReportsMovePartitionsOnlyByTheWordOfMost(t *testing.T) {
+	cases := []struct {
+		name    string
+		routers []state.RouterID
+		reports map[state.RouterID][]state.RouterID
+		// emptied have no primaries afterwards, all others have some.
+		emptied []state.RouterID
+	}{
+		{"nobody", []state.RouterID{"a", "b", "c"}, nil, nil},
+		{"one of three with a bad link", []state.RouterID{"a", "b", "c"}, map[state.RouterID][]state.RouterID{"c": {"a"}}, nil},
+		{"both others", []state.RouterID{"a", "b", "c"}, map[state.RouterID][]state.RouterID{"b": {"a"}, "c": {"a"}}, []state.RouterID{"a"}},
+		{"its own word", []state.RouterID{"a", "b", "c"}, map[state.RouterID][]state.RouterID{"a": {"b", "c"}}, []state.RouterID{"a"}},
+		{"half of four others", []state.RouterID{"a", "b", "c", "d", "e"}, map[state.RouterID][]state.RouterID{"b": {"a"}, "c": {"a"}}, nil},
+		{"most of four others", []state.RouterID{"a", "b", "c", "d", "e"},
+			map[state.RouterID][]state.RouterID{"b": {"a"}, "c": {"a"}, "d": {"a"}}, []state.RouterID{"a"}},
+		{"the only other", []state.RouterID{"a", "b"}, map[state.RouterID][]state.RouterID{"a": {"b"}, "b": {"a"}}, nil},
+		{"a liar about all but itself", []state.RouterID{"a", "b", "c", "d"}, map[state.RouterID][]state.RouterID{"a": {"b", "c", "d", "x"}}, []state.RouterID{"a"}},
+		{"everyone of everyone", []state.RouterID{"a", "b", "c"}, map[state.RouterID][]state.RouterID{"a": {"b", "c"}, "b": {"c"}}, nil},
+	}
+	for _, example := range cases {
+		t.Run(example.name, func(t *testing.T) {
+			o := newOffice(t, example.routers...)
+			for reporter, silent := range example.reports {
+				o.reports[reporter] = Report{Unreachable: silent}
+			}
+			before := o.epochs()
+			o.run(cutOffHold - 2*tick)
+			if o.epochs() != before {
+				t.Error("something moved before the verdict")
+			}
+			o.run(time.Second)
+			for _, id := range example.routers {
+				if empty := o.primaries(id) == 0; empty != slices.Contains(example.emptied, id) {
+					t.Errorf("%s is the primary of %d partitions", id, o.primaries(id))
+				}
+			}
+			if len(example.emptied) == 0 && o.epochs() != before {
+				t.Error("something moved")
+			}
+			for _, placed := range o.state.Partitions() {
+				if placed.LostBefore != 0 || (len(example.routers) > 2 && !placed.BackupSynced) {
+					t.Errorf("partition %+v", placed)
+				}
+			}
+			o.reports = map[state.RouterID]Report{}
+			for _, id := range example.routers {
+				o.reports[id] = Report{}
+			}
+			o.run(cutOffRest + 2*time.Second)
+			o.check("healed", true, false)
+		})
+	}
+}
+
+// TestRouterThatIsCutOffKeepsItsBackupUntilTheVerdict has the primary report its
+// backups as failed as soon as it is cut off.
+func TestRouterThatIsCutOffKeepsItsBackupUntilTheVerdict(t *testing.T) {
+	o := newOffice(t, "a", "b", "c")
+	report := Report{Unreachable: []state.RouterID{"b", "c"}}
+	backups := make(map[int]state.RouterID)
+	for _, placed := range o.state.Partitions() {
+		if placed.Primary == "a" {
+			report.Failed = append(report.Failed, PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch})
+			backups[placed.Number] = placed.Backup
+		}
+	}
+	o.reports["a"] = report
+	for end := o.now + time.Second; o.now < end && len(backups) > 0; {
+		o.run(tick)
+		for number, backup := range backups {
+			placed, _ := o.state.Partition(number)
+			if placed.Primary == "a" && placed.Backup == backup {
+				continue
+			}
+			delete(backups, number)
+			if placed.Primary != backup || placed.LostBefore != 0 {
+				t.Errorf("partition %+v did not go to its backup %s", placed, backup)
+			}
+		}
+	}
+	if len(backups) > 0 {
+		t.Errorf("partitions stayed on the router that is cut off: %v", backups)
+	}
+}
+
+// TestBackupThatEndedIsNotPromoted has a primary miss two routers that ended.
+func TestBackupThatEndedIsNotPromoted(t *testing.T) {
+	o := newOffice(t, "a", "b", "c")
+	delete(o.reports, "b")
+	delete(o.reports, "c")
+	o.reports["a"] = Report{Unreachable: []state.RouterID{"b", "c"}}
+	before := o.primaries("a")
+	o.run(testLease / 2)
+	if o.primaries("a") < before || o.primaries("a") == 0 {
+		t.Errorf("%d of %d partitions stayed on the one router left", o.primaries("a"), before)
+	}
+}
+
+// TestFlappingReportsAreBounded has two routers report the third on and off, and
+// counts moves: at most one of each partition in each rest, and nothing lost.
+func TestFlappingReportsAreBounded(t *testing.T) {
+	const flap, rests = time.Second, 3
+	o := newOffice(t, "a", "b", "c")
+	moves := 0
+	primaries := make(map[int]state.RouterID)
+	for _, placed := range o.state.Partitions() {
+		primaries[placed.Number] = placed.Primary
+	}
+	blamed := []state.RouterID{"a", "b", "c"}
+	for round := range int(rests * cutOffRest / flap) {
+		target := blamed[round%len(blamed)]
+		for id := range o.reports {
+			o.reports[id] = Report{}
+			if id != target && round%2 == 0 {
+				o.reports[id] = Report{Unreachable: []state.RouterID{target}}
+			}
+		}
+		o.run(flap)
+		for _, placed := range o.state.Partitions() {
+			if placed.Primary != primaries[placed.Number] {
+				primaries[placed.Number] = placed.Primary
+				moves++
+			}
+			if placed.LostBefore != 0 || placed.Primary == "" {
+				t.Fatalf("partition %+v", placed)
+			}
+		}
+	}
+	if most := (rests + 1) * len(primaries); moves == 0 || moves > most {
+		t.Errorf("%d moves, at most %d are due", moves, most)
+	}
+}
+
+func TestReachTellsSilenceFromPauses(t *testing.T) {
+	reach, now := NewReach(), time.Second
+	look := func(count int, answering ...state.RouterID) {
+		for range count {
+			now += ProbeInterval
+			reach.Look(now, []state.RouterID{"a", "b"})
+			for _, router := range answering {
+				reach.Answered(router, now)
+			}
+		}
+	}
+	look(5, "a", "b")
+	look(3, "a")
+	if silent := reach.Unreachable(now); len(silent) > 0 {
+		t.Errorf("reported %v too early", silent)
+	}
+	look(2, "a")
+	if silent := reach.Unreachable(now); !slices.Equal(silent, []state.RouterID{"b"}) || reach.Alone(now) {
+		t.Errorf("reported %v, alone %t", silent, reach.Alone(now))
+	}
+	look(3)
+	if !reach.Alone(now) {
+		t.Error("a router that no other answers is alone")
+	}
+	now += time.Minute
+	look(1)
+	if silent := reach.Unreachable(now); len(silent) > 0 {
+		t.Errorf("reported %v after a pause of its own", silent)
+	}
+	reach.Answered("stranger", now)
+	many := make([]state.RouterID, 0, 2*MaxProbed)
+	for number := range 2 * MaxProbed {
+		many = append(many, state.RouterID(fmt.Sprint(number)))
+	}
+	if probed := reach.Look(now, many); len(probed) != MaxProbed || len(reach.answered) != MaxProbed {
+		t.Errorf("%d routers probed, %d kept", len(probed), len(reach.answered))
+	}
+}
--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -63,6 +63,12 @@
 			look.candidates = append(look.candidates, router)
 		}
 	}
+	rested := slices.DeleteFunc(slices.Clone(look.candidates), func(router state.Router) bool {
+		return p.rests(moment.Now, router.ID)
+	})
+	if len(rested) > 0 {
+		look.candidates = rested
+	}
 	return look
 }
 
@@ -121,7 +127,11 @@
 		return l.promote(placed), true
 	case !primaryOpen:
 		return l.restart(placed)
-	case placed.Backup != "" && (!backupUsable || l.placement.failed[at]):
+	case backupUsable && l.leavesCutOff(placed):
+		return l.promoteFromCutOff(placed), true
+	case backupUsable && l.awaitsVerdict(placed):
+		return placed, false
+	case placed.Backup != "" && (!backupUsable || l.placement.failed[at] || l.replacesCutOff(placed)):
 		return l.replaceBackup(placed), true
 	case placed.Backup == "":
 		next := l.replaceBackup(placed)
@@ -143,7 +153,7 @@
 // rebalance evens out the roles that routers have, one partition at a time,
 // since there is one whole copy only until the new backup has every record.
 func (l *placing) rebalance(placed state.RecordPartition) (state.RecordPartition, bool) {
-	if l.primaries[placed.Primary]-l.primaries[placed.Backup] >= uneven {
+	if l.primaries[placed.Primary]-l.primaries[placed.Backup] >= uneven && !l.placement.rests(l.moment.Now, placed.Backup) {
 		return l.promote(placed), true
 	}
 	best := l.bestBackup(placed.Primary)
--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -59,6 +59,8 @@
 	Leaving bool
 	// Stopped promises that the process never acts as a primary again.
 	Stopped bool
+	// Unreachable lists routers that do not answer this one, MaxProbed at most.
+	Unreachable []state.RouterID
 }
 
 // Placement decides, on the leading controller, about the routers' sessions and
@@ -76,6 +78,8 @@
 	failed      map[PartitionEpoch]bool
 	// unreachable holds until when a primary does not choose a backup.
 	unreachable map[routerPair]time.Duration
+	// moved holds the moves away from routers that were cut off, by partition.
+	moved map[int]moved
 }
 
 // routerPair names a primary and a backup process, so that a restarted backup
@@ -98,6 +102,10 @@
 	renewedAt time.Duration
 	// closing is the session whose end is proposed; it gets no lease again.
 	closing state.SessionNumber
+	// cutOffSince is since when most others do not meet the router, zero while
+	// they do; cutOffSeen is when they did not last.
+	cutOffSince time.Duration
+	cutOffSeen  time.Duration
 }
 
 // NewPlacement returns a Placement that does not lead yet.
@@ -114,6 +122,7 @@
 	p.synced = make(map[PartitionEpoch]bool)
 	p.failed = make(map[PartitionEpoch]bool)
 	p.unreachable = make(map[routerPair]time.Duration)
+	p.moved = make(map[int]moved)
 	p.leadingSince = now
 	p.lastLook = now
 	p.firstUsable = 0
@@ -127,6 +136,7 @@
 	known := p.contact(process.ID)
 	known.wanted = process
 	known.pinged = now
+	report.Unreachable = report.Unreachable[:min(len(report.Unreachable), MaxProbed)]
 	known.report = report
 	p.learn(now, process.ID, report, view)
 	registered, found := view.Router(process.ID)
@@ -177,6 +187,7 @@
 func (p *Placement) Tick(moment Moment, view *state.State) []state.Command {
 	p.forgetFailures(moment.Now)
 	p.noticeSilence(moment.Now)
+	p.weighReports(moment.Now, view)
 	lastCopies := p.lastCopies(moment.Now, view)
 	var commands []state.Command
 	for _, router := range view.Routers() {
--- /dev/null
+++ b/internal/record/reach.go
@@ -0,0 +1,86 @@
+package record
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+const (
+	// ProbeInterval is the time between two probes of one router, and between
+	// two looks at who answered.
+	ProbeInterval = 100 * time.Millisecond
+	// unreachableAfter is how long a router may leave probes unanswered before it
+	// is reported.
+	unreachableAfter = 400 * time.Millisecond
+	// overdueAfter is how long the answers of all routers must be overdue for this
+	// router to count as cut off in its own eyes.
+	overdueAfter = 2 * ProbeInterval
+	// MaxProbed bounds the routers that one router probes, and thus its reports.
+	MaxProbed = 32
+)
+
+// Reach is what one router knows of whether it reaches others. It is not safe
+// for concurrent use.
+type Reach struct {
+	// answered holds, for each router that is probed, when the last probe that it
+	// answered was sent, or when it was probed first.
+	answered map[state.RouterID]time.Duration
+	lastLook time.Duration
+}
+
+// NewReach returns a Reach that knows no router.
+func NewReach() *Reach {
+	return &Reach{answered: make(map[state.RouterID]time.Duration)}
+}
+
+// Look begins a round of probes of the given routers, of which it takes the
+// first MaxProbed, and returns those. After a pause of this process the answers
+// that are missing say nothing about others.
+func (r *Reach) Look(now time.Duration, routers []state.RouterID) []state.RouterID {
+	routers = routers[:min(len(routers), MaxProbed)]
+	paused := now-r.lastLook > overdueAfter
+	r.lastLook = now
+	maps.DeleteFunc(r.answered, func(router state.RouterID, _ time.Duration) bool {
+		return !slices.Contains(routers, router)
+	})
+	for _, router := range routers {
+		if _, known := r.answered[router]; !known || paused {
+			r.answered[router] = now
+		}
+	}
+	return routers
+}
+
+// Answered notes that a router answered a probe that was sent at a time.
+func (r *Reach) Answered(router state.RouterID, sent time.Duration) {
+	if known, probed := r.answered[router]; probed {
+		r.answered[router] = max(known, sent)
+	}
+}
+
+// Unreachable returns the routers that left probes unanswered for too long, by
+// identifier.
+func (r *Reach) Unreachable(now time.Duration) []state.RouterID {
+	var silent []state.RouterID
+	for router, answered := range r.answered {
+		if now-answered >= unreachableAfter {
+			silent = append(silent, router)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
+
+// Alone reports whether the answers of all routers are overdue. Of a single one
+// it cannot be told whose fault it is.
+func (r *Reach) Alone(now time.Duration) bool {
+	for _, answered := range r.answered {
+		if now-answered < overdueAfter {
+			return false
+		}
+	}
+	return len(r.answered) >= minReporters
+}
--- a/internal/router/records/primary.go
+++ b/internal/router/records/primary.go
@@ -21,7 +21,7 @@
 func (s *Service) handle(_ context.Context, call *message.RecordCall) *message.RecordAnswer {
 	target := s.partition(call.Partition)
 	switch {
-	case target == nil:
+	case target == nil, call.Probe:
 		return &message.RecordAnswer{Verdict: record.NotPrimary}
 	case call.Claim != nil:
 		return s.claim(target, *call.Claim)
@@ -92,8 +92,9 @@
 	}
 	target.mutex.Lock()
 	first := target.failed != placed.Epoch
-	if target.core.Epoch() == placed.Epoch {
+	if first && target.core.Epoch() == placed.Epoch {
 		target.failed = placed.Epoch
+		target.failedAt = s.options.Clock.Now()
 	}
 	target.mutex.Unlock()
 	signal(s.reportDue)
--- a/internal/router/records/service.go
+++ b/internal/router/records/service.go
@@ -20,6 +20,10 @@
 // partitionAnswerBytes bounds the kept answers of one partition.
 const partitionAnswerBytes = 32 << 20
 
+// failedHold is how long a router that no other answers keeps to itself that a
+// backup failed: the fault is rather its own, and the backup may take over.
+const failedHold = time.Second
+
 // Options are what a Service needs.
 type Options struct {
 	// Self is the router, with its incarnation.
@@ -38,6 +42,7 @@
 type Service struct {
 	options Options
 	peers   *peers
+	prober  *prober
 	// reportDue gets a token when the controllers should hear something soon.
 	reportDue chan struct{}
 	// syncDue gets a token when a transfer to a backup may be due.
@@ -68,6 +73,8 @@
 	synced state.Epoch
 	// failed is the epoch at which the backup did not answer.
 	failed state.Epoch
+	// failedAt is when that was found out.
+	failedAt time.Duration
 }
 
 // New returns a Service that holds nothing yet.
@@ -78,6 +85,7 @@
 	}
 	service.lifetime, service.end = context.WithCancel(context.Background())
 	service.peers = newPeers(service)
+	service.prober = newProber(service)
 	return service
 }
 
@@ -222,12 +230,18 @@
 	ping.Leaving = s.leaving
 	ping.Stopped = s.stopped
 	s.mutex.RUnlock()
+	ping.Unreachable = s.prober.unreachable()
+	failedBefore := s.options.Clock.Now()
+	if s.prober.alone() {
+		failedBefore -= failedHold
+	}
 	for _, each := range s.all() {
-		each.report(ping)
+		each.report(ping, failedBefore)
 	}
 }
 
-func (h *held) report(ping *message.Ping) {
+// report tells of a failed backup only if that was found out before a time.
+func (h *held) report(ping *message.Ping, failedBefore time.Duration) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.core.Role() != record.RolePrimary {
@@ -238,7 +252,7 @@
 	if h.synced == epoch && !h.core.Placed().BackupSynced {
 		ping.SyncedPartitions = append(ping.SyncedPartitions, at)
 	}
-	if h.failed == epoch {
+	if h.failed == epoch && h.failedAt <= failedBefore {
 		ping.FailedBackups = append(ping.FailedBackups, at)
 	}
 }
--- a/internal/router/records/service_test.go
+++ b/internal/router/records/service_test.go
@@ -45,11 +45,12 @@
 	placement *record.Placement
 	members   []*member
 	attempts  atomic.Int64
+	cuts      *cuts
 }
 
 func newBench(t testing.TB, count int) *bench {
 	t.Helper()
-	b := &bench{t: t, clock: clock.NewSystem(), state: state.New(), placement: record.NewPlacement(record.PlacementSettings{
+	b := &bench{t: t, clock: clock.NewSystem(), state: state.New(), cuts: newCuts(), placement: record.NewPlacement(record.PlacementSettings{
 		Count: 4, LeaseDuration: testLease, ClockRateBound: 0.01, Margin: 10 * time.Millisecond,
 	})}
 	for number := range count {
@@ -72,7 +73,10 @@
 	}}
 	settings := config.DefaultRouter().Records
 	settings.PeerTimeout = 100 * time.Millisecond
-	m.service = New(Options{Self: m.self, Settings: settings, Clock: b.clock, Log: logrus.NewEntry(log), View: m.builder.Table})
+	b.cuts.listens(m.self.PeerAddress, id)
+	m.service = New(Options{
+		Self: m.self, Settings: settings, Clock: b.clock, Log: logrus.NewEntry(log), View: m.builder.Table, Dial: b.cuts.dialer(id),
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	m.ended.Go(func() { _ = m.service.Run(ctx, listener) })
@@ -85,6 +89,16 @@
 	m.ended.Wait()
 }
 
+func (b *bench) member(id state.RouterID) *member {
+	for _, m := range b.members {
+		if m.self.ID == id {
+			return m
+		}
+	}
+	b.t.Fatalf("no member %s", id)
+	return nil
+}
+
 func (b *bench) remove(id state.RouterID) *member {
 	for position, m := range b.members {
 		if m.self.ID == id {
@@ -101,7 +115,7 @@
 	for _, m := range b.members {
 		ping := message.Ping{SentNs: int64(b.clock.Now())}
 		m.service.Report(&ping)
-		report := record.Report{Leaving: ping.Leaving, Stopped: ping.Stopped}
+		report := record.Report{Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable}
 		for _, each := range ping.SyncedPartitions {
 			report.Synced = append(report.Synced, record.PartitionEpoch(each))
 		}
--- a/internal/router/records/sync.go
+++ b/internal/router/records/sync.go
@@ -29,6 +29,7 @@
 func (s *Service) Run(ctx context.Context, listener net.Listener) error {
 	var group conc.WaitGroup
 	group.Go(func() { s.keepSynced(ctx) })
+	group.Go(func() { s.prober.run(ctx) })
 	err := s.peers.serve(ctx, listener)
 	s.end()
 	s.peers.close()
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -50,6 +50,8 @@
 	EventRouterJoined      Event = "router_joined"
 	EventRouterClosed      Event = "router_closed"
 	EventPartitionsMoved   Event = "partitions_moved"
+	EventRouterCutOff      Event = "router_cut_off"
+	EventRouterMet         Event = "router_met"
 )
 
 // Events of the routers.
@@ -67,6 +69,8 @@
 	EventBackupSynced      Event = "backup_synced"
 	EventPrimaryBegan      Event = "primary_began"
 	EventPrimaryEnded      Event = "primary_ended"
+	EventPeerUnreachable   Event = "peer_unreachable"
+	EventPeerReached       Event = "peer_reached"
 	EventRequestOutcomeBad Event = "request_outcome_unknown"
 )
 
@@ -120,6 +124,8 @@
 		{EventRouterJoined, levelInfo, "A router has a session."},
 		{EventRouterClosed, levelInfo, "A router's session ended."},
 		{EventPartitionsMoved, levelInfo, "Record partitions have other routers."},
+		{EventRouterCutOff, levelWarning, "Most other routers do not reach a router; its record partitions move."},
+		{EventRouterMet, levelInfo, "A router is no longer cut off from the others, or no longer heard."},
 	}
 }
 
@@ -138,6 +144,8 @@
 		{EventBackupSynced, levelInfo, "The backup of a record partition holds every record."},
 		{EventPrimaryBegan, levelInfo, "This router is the primary of a record partition."},
 		{EventPrimaryEnded, levelInfo, "This router is the primary of a record partition no longer."},
+		{EventPeerUnreachable, levelWarning, "Another router does not answer this one; the controllers are told."},
+		{EventPeerReached, levelInfo, "Another router answers again, or has no record partition any more."},
 		{EventRequestOutcomeBad, levelWarning, "A request that may not be repeated ended with an unknown outcome."},
 	}
 }
