--- a/internal/config/cross.go
+++ b/internal/config/cross.go
@@ -68,6 +68,7 @@
 	}
 	r.loopback("address", settings.Address)
 	r.loopback("peer_address", settings.PeerAddress)
+	r.loopback("advertised_peer_address", settings.AdvertisedPeer)
 	r.loopback("admin_address", settings.AdminAddress)
 	for index, controller := range settings.Controllers {
 		r.loopback(fmt.Sprintf("controllers[%d]", index), controller)
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -14,6 +14,7 @@
 	Zone             string        `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
 	Address          string        `koanf:"address" validate:"address" doc:"IP:port that accepts callers' HTTP."`
 	PeerAddress      string        `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other routers."`
+	AdvertisedPeer   string        `koanf:"advertised_peer_address" validate:"omitempty,address" doc:"IP:port by which other routers reach peer_address; empty if they are the same."`
 	AdminAddress     string        `koanf:"admin_address" validate:"address" doc:"IP:port of the health checks and the metrics."`
 	AllowNonLoopback bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
 	Controllers      []string      `koanf:"controllers" validate:"required,max=7,dive,address" doc:"Peer addresses of the controllers, IP:port."`
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -31,6 +31,9 @@
 	// another, so that a fault proxy can stand in between. Back ends are reached
 	// from AnyProcess, since all use the address that the operator names.
 	Dial func(from, to, address string) (string, error)
+	// DialRouters lets Dial also give the address by which all others reach a
+	// router, which then stays reachable there after the router ended.
+	DialRouters bool
 	// Encrypted gives each process of the product, and the operator, a
 	// certificate.
 	Encrypted bool
--- a/internal/lab/fleet/settings.go
+++ b/internal/lab/fleet/settings.go
@@ -42,6 +42,7 @@
 	Zone         string      `yaml:"zone"`
 	Address      string      `yaml:"address"`
 	PeerAddress  string      `yaml:"peer_address"`
+	Advertised   string      `yaml:"advertised_peer_address"`
 	AdminAddress string      `yaml:"admin_address"`
 	Controllers  []string    `yaml:"controllers"`
 	TLS          tlsSettings `yaml:"tls"`
--- a/internal/lab/fleet/start.go
+++ b/internal/lab/fleet/start.go
@@ -84,6 +84,11 @@
 	if settings.TLS, err = f.tlsOf(router.Name); err != nil {
 		return err
 	}
+	if f.options.DialRouters {
+		if settings.Advertised, err = f.dial(AnyProcess, router.Name, router.PeerAddress); err != nil {
+			return err
+		}
+	}
 	for _, controller := range f.Controllers {
 		reached, err := f.dial(router.Name, controller.Name, controller.PeerAddress)
 		if err != nil {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -31,6 +31,10 @@
 	rate float64
 	// duration is how long callers send.
 	duration time.Duration
+	// routers is how many there are. With betweenRouters, faults can act on what
+	// all others send to a router.
+	routers        int
+	betweenRouters bool
 	// encrypted gives the processes certificates.
 	encrypted bool
 	// limits bound the whole run, its faults included.
@@ -60,6 +64,9 @@
 	if s.duration == 0 {
 		s.duration = defaultDuration
 	}
+	if s.routers == 0 {
+		s.routers = routers
+	}
 	return s
 }
 
@@ -96,8 +103,8 @@
 	judged, err := trial.Run(ctx, trial.Options{
 		Fleet: fleet.Options{
 			Product: options.Product, Lab: options.Lab, Folder: options.Folder,
-			Controllers: controllers, Routers: routers, Deployments: shape.deployments, Dial: network.Address,
-			Encrypted: shape.encrypted,
+			Controllers: controllers, Routers: shape.routers, Deployments: shape.deployments, Dial: network.Address,
+			DialRouters: shape.betweenRouters, Encrypted: shape.encrypted,
 		},
 		Rate: shape.rate, Duration: shape.duration, Seed: options.Seed, Caller: shape.caller, Limits: shape.limits, Say: options.Say,
 		Steps: func(ctx context.Context, t *trial.Trial) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -160,8 +161,9 @@
 
 func (r *Router) self() state.Router {
 	return state.Router{
-		ID: state.RouterID(r.settings.Name), Address: r.settings.Address, PeerAddress: r.settings.PeerAddress,
-		Zone: r.settings.Zone, Session: state.Session{Incarnation: r.incarnation},
+		ID: state.RouterID(r.settings.Name), Address: r.settings.Address,
+		PeerAddress: cmp.Or(r.settings.AdvertisedPeer, r.settings.PeerAddress),
+		Zone:        r.settings.Zone, Session: state.Session{Incarnation: r.incarnation},
 	}
 }
 
