Records: a failed backup makes no other partition change its backup

Cause: the look that takes a failed backup from a partition also evened out the numbers of backups of the others, since every backup still counted as whole at its beginning. The router with the fewest backups is then the one that just failed, or another that ended with it; it counts as usable for the rest of its lease. So the whole copy on the last router was given up for one on a dead router. Two of three routers killed at once lost records that the third held.

Ruled out: the reports of routers that do not reach each other (that look came 0.4 s before the first of them).

TestFailedBackupMovesNoOtherCopy failed first: with two failed backups on b, partition 2 started anew, although the last router held a copy; with one on c, partition 7.

--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -25,7 +25,7 @@
 	candidates []state.Router
 	primaries  map[state.RouterID]int
 	backups    map[state.RouterID]int
-	// settled is true while every backup holds every record.
+	// settled is true while every backup holds every record and none failed lately.
 	settled bool
 }
 
@@ -37,7 +37,8 @@
 		return look.found(p.settings.Count)
 	}
 	p.forget(partitions)
-	look.settled = true
+	// While a backup does not answer, others may be dead as well.
+	look.settled = len(p.unreachable) == 0
 	for _, placed := range partitions {
 		look.settled = look.settled && placed.BackupSynced
 		look.primaries[placed.Primary]++
--- a/internal/record/placement_test.go
+++ b/internal/record/placement_test.go
@@ -179,3 +179,29 @@
 		}
 	}
 }
+
+// TestFailedBackupMovesNoOtherCopy ends two of three routers. The last one reports
+// the backups on one of them as failed at once, which makes the numbers of backups
+// uneven: no other partition may get a new backup for that, which may be dead too.
+func TestFailedBackupMovesNoOtherCopy(t *testing.T) {
+	for _, dead := range []state.RouterID{"b", "c"} {
+		o := newOffice(t, "a", "b", "c")
+		held := make(map[int]bool)
+		var failed []PartitionEpoch
+		for _, placed := range o.state.Partitions() {
+			held[placed.Number] = placed.Primary == "a" || placed.Backup == "a"
+			if placed.Primary == "a" && placed.Backup == dead {
+				failed = append(failed, PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch})
+			}
+		}
+		delete(o.reports, "b")
+		delete(o.reports, "c")
+		o.reports["a"] = Report{Failed: failed}
+		o.run(testLease + lastCopyWait + time.Second)
+		for _, placed := range o.state.Partitions() {
+			if lost := placed.LostBefore != 0; placed.Primary != "a" || lost == held[placed.Number] {
+				t.Errorf("%d backups on %s failed: partition %+v, a copy was on the last router: %t", len(failed), dead, placed, held[placed.Number])
+			}
+		}
+	}
+}
