Records: after the loss of both copies, keys are refused from the end of the lease

The answer is right: 409, unknown, no Retry-After, as a resend never runs (TestLostRecordsAreAnsweredWithoutAdviceToSendAgain).

The 10 s are the least without trust in callers' clocks: a primary 5 s ahead of the controller grants keys 5 s ahead of itself. But they need not count from the new beginning: the lost primary granted nothing after its lease had surely ended, and an earlier one nothing after its session was closed, or after the lost one, its backup, followed its own placement (pings tell the revision that the partitions follow). Where the leader does not know that, as after an election, they count as before. Ruled out: 5 s by callers' clocks (a caller that is fast is admitted today, its key would run twice); the clocks that routers tell in pings (a clock may jump between two pings).

TestRefusalAfterALossIsTheLeastThatIsSafe grants the latest key that may be granted: refused up to it and 0.1 s more; before, 4 s more ('keys are refused up to ...20061, ...16060 would do').

--- a/internal/controller/partitions.go
+++ b/internal/controller/partitions.go
@@ -121,7 +121,7 @@
 	k.follow(leadership)
 	report := record.Report{
 		Synced: partitionEpochs(ping.SyncedPartitions), Failed: partitionEpochs(ping.FailedBackups),
-		Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable,
+		Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable, Revision: ping.Revision,
 	}
 	k.replica.view(func(view *state.State) {
 		session, lease := k.placement.Pinged(k.replica.clock.Now(), process, report, view)
--- a/internal/lab/scenario/list.go
+++ b/internal/lab/scenario/list.go
@@ -4,7 +4,7 @@
 
 // All returns every scenario, in the order of the guarantees that they prove.
 func All() []Scenario {
-	return slices.Concat(backEndScenarios(), controllerScenarios(), diskScenarios(), routerScenarios(), unreachedScenarios(), stopScenarios(),
+	return slices.Concat(backEndScenarios(), controllerScenarios(), diskScenarios(), routerScenarios(), unreachedScenarios(), copiesScenarios(), stopScenarios(),
 		answerScenarios(), operatorScenarios(), adoptionScenarios(), encryptedScenarios(), loadScenarios(), placementScenarios(), combinedScenarios())
 }
 
--- a/internal/record/cluster_test.go
+++ b/internal/record/cluster_test.go
@@ -26,6 +26,7 @@
 
 // testView is one version of the routing table.
 type testView struct {
+	revision   state.Revision
 	partitions []state.RecordPartition
 	routers    map[state.RouterID]state.Router
 }
@@ -76,6 +77,8 @@
 	lost      int
 	moves     int
 	serial    int
+	// skew is that of the controllers' wall clock.
+	skew time.Duration
 }
 
 // slowEvent is a step that a pause or a slow network holds up for long.
@@ -88,6 +91,7 @@
 	c := &testCluster{random: rand.New(rand.NewPCG(seed, 1)), state: state.New()}
 	c.placement = NewPlacement(PlacementSettings{Count: 1, LeaseDuration: testLease, ClockRateBound: testRate, Margin: 10 * time.Millisecond})
 	c.placement.Lead(c.now)
+	c.skew = time.Duration(c.random.Int64N(int64(ClockSkew))) - ClockSkew/2
 	c.snapshot()
 	for number := range 3 {
 		c.routers = append(c.routers, c.newRouter(state.RouterID(fmt.Sprintf("router-%d", number))))
@@ -118,7 +122,7 @@
 }
 
 func (c *testCluster) snapshot() {
-	view := testView{partitions: c.state.Partitions(), routers: make(map[state.RouterID]state.Router)}
+	view := testView{revision: c.state.Revision(), partitions: c.state.Partitions(), routers: make(map[state.RouterID]state.Router)}
 	for _, router := range c.state.Routers() {
 		view.routers[router.ID] = router
 	}
@@ -206,7 +210,7 @@
 
 // lead carries out what the placement wants. Each command may be lost.
 func (c *testCluster) lead() {
-	moment := Moment{Now: c.now, UnixMs: startMs + c.now.Milliseconds()}
+	moment := Moment{Now: c.now, UnixMs: startMs + (c.now + c.skew).Milliseconds()}
 	before := len(c.placement.moved)
 	commands := c.placement.Tick(moment, c.state)
 	c.moves += len(c.placement.moved) - before
@@ -234,6 +238,7 @@
 		report.Failed = append(report.Failed, at)
 	}
 	report.Unreachable = c.missed(r)
+	report.Revision = c.views[r.view].revision
 	c.later(func() {
 		session, lease := c.placement.Pinged(c.now, r.identity, report, c.state)
 		c.later(func() {
--- /dev/null
+++ b/internal/record/loss_test.go
@@ -0,0 +1,86 @@
+package record
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// extremeKey returns a key drawn at a Unix time, in milliseconds.
+func extremeKey(drawnMs int64) Key {
+	var key Key
+	binary.BigEndian.PutUint64(key[:8], uint64(drawnMs)<<16)
+	return key
+}
+
+// TestRefusalAfterALossIsTheLeastThatIsSafe has a primary, whose clock is ahead as
+// far as clocks may be, grant the latest key that it may in the last moment of its
+// lease, and loses both copies. The time up to which keys are refused must cover
+// that key, and exceed it by no more than the time until the lease surely ended.
+func TestRefusalAfterALossIsTheLeastThatIsSafe(t *testing.T) {
+	// outlived is by how much the backup, which may be made the primary before its
+	// end is noticed, outlives the primary.
+	const outlived = 2 * tick
+	o := newOffice(t, "a", "b", "c")
+	placed, _ := o.state.Partition(0)
+	primary := NewPartition(placed.Primary, Settings{Lifetime: testLifetime, MaxRecords: 1, MaxAnswerBytes: 1})
+	primary.Place(placed, placed.PrimarySession)
+	leaseEnd := o.now - tick + testLease
+	last := Moment{Now: leaseEnd - 1, UnixMs: startMs + (leaseEnd + ClockSkew).Milliseconds()}
+	key := extremeKey(last.UnixMs + ClockSkew.Milliseconds())
+	verdict, _ := primary.Claim(last, leaseEnd, Claim{Key: key, Attempt: "first"}, nil)
+	if verdict != Granted {
+		t.Fatalf("the latest key: %s", verdict)
+	}
+	delete(o.reports, placed.Primary)
+	o.run(outlived)
+	delete(o.reports, placed.Backup)
+	o.run(testLease + lastCopyWait + time.Second)
+	after, _ := o.state.Partition(0)
+	if after.LostBefore <= key.UnixMs() {
+		t.Errorf("key %d runs again, keys are refused up to %d", key.UnixMs(), after.LostBefore)
+	}
+	slack := time.Duration(float64(testLease)*testRate) + outlived + 3*tick
+	if most := key.UnixMs() + slack.Milliseconds(); after.LostBefore > most {
+		t.Errorf("keys are refused up to %d, %d would do", after.LostBefore, most)
+	}
+}
+
+// TestRefusalCountsFromTheRestartWhereTheEndIsNotKnown lists what the leader must
+// know to count from the end of the lease.
+func TestRefusalCountsFromTheRestartWhereTheEndIsNotKnown(t *testing.T) {
+	const endedMs, nowMs = startMs, startMs + 4000
+	whole := ending{session: 2, known: 7, endedMs: endedMs}
+	cases := map[string]struct {
+		newest, previous ending
+		closed           bool
+		from             int64
+	}{
+		"the end is known":                    {newest: whole, from: endedMs},
+		"another session began since":         {newest: ending{session: 3, known: 9, endedMs: nowMs}, previous: whole, from: endedMs},
+		"the lease of another session":        {newest: ending{session: 1, known: 7, endedMs: endedMs}, from: nowMs},
+		"the lease has not surely ended":      {newest: ending{session: 2, known: 7}, from: nowMs},
+		"the primary did not follow the move": {newest: ending{session: 2, known: 6, endedMs: endedMs}, from: nowMs},
+		"the primary before was closed":       {newest: ending{session: 2, endedMs: endedMs}, closed: true, from: endedMs},
+	}
+	for name, example := range cases {
+		t.Run(name, func(t *testing.T) {
+			placement := NewPlacement(PlacementSettings{Count: 1, LeaseDuration: testLease})
+			known := placement.contact("a")
+			known.ending, known.previousEnding = example.newest, example.previous
+			placed := state.RecordPartition{Primary: "a", PrimarySession: 2, Revision: 7}
+			if example.closed {
+				placement.begun[0] = begun{primary: "a", session: 2}
+			}
+			placement.noteBegun(placed)
+			placed.Revision++
+			look := &placing{placement: placement, moment: Moment{UnixMs: nowMs}}
+			before := look.lostBefore(placed)
+			if want := example.from + lossSkew.Milliseconds() + 1; before != want {
+				t.Errorf("keys up to %d are refused, not up to %d", before, want)
+			}
+		})
+	}
+}
--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -8,10 +8,6 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-// lossSkew is added to the moment of a loss: keys that a lost primary granted
-// may lie in the future of its clock, which may be ahead of the controller's.
-const lossSkew = 2 * ClockSkew
-
 // uneven is the difference in the numbers of primaries, or of backups, of two
 // routers from which one is moved.
 const uneven = 2
@@ -41,6 +37,7 @@
 	look.settled = len(p.unreachable) == 0
 	for _, placed := range partitions {
 		look.settled = look.settled && placed.BackupSynced
+		p.noteBegun(placed)
 		look.primaries[placed.Primary]++
 		look.backups[placed.Backup]++
 	}
@@ -125,7 +122,7 @@
 	backupUsable := backupOpen && !l.leaves(placed.Backup)
 	switch {
 	case !primaryOpen && backupOpen && placed.BackupSynced:
-		return l.promote(placed), true
+		return l.takeOver(placed), true
 	case !primaryOpen:
 		return l.restart(placed)
 	case backupUsable && l.leavesCutOff(placed):
@@ -192,6 +189,14 @@
 	return next
 }
 
+// takeOver makes the whole backup the primary in place of one whose session is
+// closed, and notes that earlier primaries grant nothing any more.
+func (l *placing) takeOver(placed state.RecordPartition) state.RecordPartition {
+	next := l.promote(placed)
+	l.placement.begun[placed.Number] = begun{primary: next.Primary, session: next.PrimarySession}
+	return next
+}
+
 // restart begins the partition anew after the loss of all its records.
 func (l *placing) restart(placed state.RecordPartition) (state.RecordPartition, bool) {
 	if len(l.candidates) == 0 {
@@ -200,7 +205,7 @@
 	l.primaries[placed.Primary]--
 	l.backups[placed.Backup]--
 	next := state.RecordPartition{Number: placed.Number, Epoch: placed.Epoch + 1}
-	next.LostBefore = l.moment.UnixMs + lossSkew.Milliseconds() + 1
+	next.LostBefore = l.lostBefore(placed)
 	l.setPrimary(&next)
 	l.setBackup(&next)
 	return next, true
--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -61,6 +61,8 @@
 	Stopped bool
 	// Unreachable lists routers that do not answer this one, MaxProbed at most.
 	Unreachable []state.RouterID
+	// Revision is that of the table that the router's partitions follow.
+	Revision state.Revision
 }
 
 // Placement decides, on the leading controller, about the routers' sessions and
@@ -80,6 +82,8 @@
 	unreachable map[routerPair]time.Duration
 	// moved holds the moves away from routers that were cut off, by partition.
 	moved map[int]moved
+	// begun holds the beginnings of the partitions' primaries.
+	begun map[int]begun
 }
 
 // routerPair names a primary and a backup process, so that a restarted backup
@@ -108,6 +112,10 @@
 	// they do; cutOffSeen is when they did not last.
 	cutOffSince time.Duration
 	cutOffSeen  time.Duration
+	// ending is the end of the lease of the newest session, previousEnding that of
+	// the one before.
+	ending         ending
+	previousEnding ending
 }
 
 // NewPlacement returns a Placement that does not lead yet.
@@ -125,6 +133,7 @@
 	p.failed = make(map[PartitionEpoch]bool)
 	p.unreachable = make(map[routerPair]time.Duration)
 	p.moved = make(map[int]moved)
+	p.begun = make(map[int]begun)
 	p.leadingSince = now
 	p.lastLook = now
 	p.firstUsable = 0
@@ -151,6 +160,7 @@
 	}
 	known.session = session.Number
 	known.renewedAt = max(known.renewedAt, now)
+	known.follows(session.Number, report.Revision)
 	return session.Number, p.settings.LeaseDuration
 }
 
@@ -197,6 +207,7 @@
 			commands = append(commands, command)
 		}
 	}
+	p.noteEndings(moment, view)
 	commands = append(commands, p.openSessions(moment.Now, view)...)
 	if changes := p.place(moment, view); len(changes) > 0 {
 		commands = append(commands, state.Command{PutPartitions: &state.PutPartitions{Partitions: changes}})
--- a/internal/record/placement_test.go
+++ b/internal/record/placement_test.go
@@ -44,6 +44,7 @@
 					report.Synced = append(report.Synced, PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch})
 				}
 			}
+			report.Revision = o.state.Revision()
 			process := state.Router{ID: id, PeerAddress: "peer", Session: state.Session{Incarnation: o.incarnation}}
 			o.placement.Pinged(o.now, process, report, o.state)
 		}
--- a/internal/router/deduplicate_test.go
+++ b/internal/router/deduplicate_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -179,3 +180,14 @@
 		}
 	}
 }
+
+// TestLostRecordsAreAnsweredWithoutAdviceToSendAgain: an earlier attempt may have
+// run, and no resend of the same key ever will.
+func TestLostRecordsAreAnsweredWithoutAdviceToSendAgain(t *testing.T) {
+	var answer fasthttp.Response
+	writeRefusal(&answer, "", fault.New(fault.RecordLost, ""))
+	outcome, wait := string(answer.Header.Peek(callerapi.HeaderOutcome)), string(answer.Header.Peek(callerapi.HeaderRetryAfter))
+	if answer.StatusCode() != fasthttp.StatusConflict || outcome != string(fault.Unknown) || wait != "" {
+		t.Errorf("status %d, outcome %q, Retry-After %q", answer.StatusCode(), outcome, wait)
+	}
+}
--- a/internal/router/records/service.go
+++ b/internal/router/records/service.go
@@ -55,6 +55,8 @@
 	partitions []*held
 	// session is the router's open session by the table, zero for none.
 	session state.SessionNumber
+	// follows is the revision of the table that every partition follows.
+	follows state.Revision
 	// leaseSession and leaseEnd are of the newest lease.
 	leaseSession state.SessionNumber
 	leaseEnd     time.Duration
@@ -119,6 +121,9 @@
 			s.place(each, *placed, session)
 		}
 	}
+	s.mutex.Lock()
+	s.follows = view.Revision()
+	s.mutex.Unlock()
 	signal(s.syncDue)
 }
 
@@ -229,6 +234,8 @@
 	s.mutex.RLock()
 	ping.Leaving = s.leaving
 	ping.Stopped = s.stopped
+	// A table is in force once the partitions follow it too.
+	ping.Revision = min(ping.Revision, s.follows)
 	s.mutex.RUnlock()
 	ping.Unreachable = s.prober.unreachable()
 	failedBefore := s.options.Clock.Now()
--- a/internal/router/records/service_test.go
+++ b/internal/router/records/service_test.go
@@ -113,9 +113,9 @@
 // turn does what the leading controller does all the time.
 func (b *bench) turn() {
 	for _, m := range b.members {
-		ping := message.Ping{SentNs: int64(b.clock.Now())}
+		ping := message.Ping{SentNs: int64(b.clock.Now()), Revision: m.builder.Table().Revision()}
 		m.service.Report(&ping)
-		report := record.Report{Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable}
+		report := record.Report{Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable, Revision: ping.Revision}
 		for _, each := range ping.SyncedPartitions {
 			report.Synced = append(report.Synced, record.PartitionEpoch(each))
 		}
