Settings: a router's times are compared with the controllers' and other routers'

Cause: ping_interval of the routers has to fit partitions.lease_duration of the controllers, staleness_limit an election, and records.lifetime the other routers. They stand in different files, so that no check saw them together. A router whose pings are rarer than the lease got sessions and partitions, and lost both, again and again.

Worse: with two lifetimes a key can run twice.

Now a router tells the three when it opens its stream (message.RouterHello.Times); config.CheckRouterTimes is the one place that compares them. What does not fit is a line settings_mismatch on both sides and stands in status, each with field, value and remedy. From the lease on, a ping interval gets no session: the router serves, but refuses requests that may not be repeated. Routers of two lifetimes never have sessions together (record.Placement), also after an election: no session is opened while one that is open has not been heard. Routers that tell nothing, as older ones, are taken as before, and get no notice.

Ruled out: refusing the stream (the router would serve nothing); the lifetime in state.Router (older routers would compute another digest of the table).

Clock bounds: routers have no setting for them; the 5 s and lease.clock_rate_bound stand on the controllers or in the code alone.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -57,6 +57,9 @@
 	tables := []*table{replicaTable(found.Replicas)}
 	if found.Cluster != nil {
 		tables = append(tables, summaryTable(found.Cluster), serviceStatusTable(found.Cluster), serverStatusTable(found.Cluster), routerTable(found.Cluster.Routers))
+		if problems := problemTable(found.Cluster.Routers); problems != nil {
+			tables = append(tables, problems)
+		}
 	}
 	if err := p.print(found, tables...); err != nil {
 		return err
@@ -156,6 +159,20 @@
 	return rows
 }
 
+// problemTable lists the settings that do not fit, and is nil if all do.
+func problemTable(routers []intentapi.RouterStatus) *table {
+	var rows *table
+	for _, router := range routers {
+		for _, problem := range router.Problems {
+			if rows == nil {
+				rows = newTable("ROUTER", "PROBLEM")
+			}
+			rows.add(string(router.ID), problem)
+		}
+	}
+	return rows
+}
+
 // laggardsNamed bounds the names in the summary.
 const laggardsNamed = 5
 
--- a/internal/config/cross.go
+++ b/internal/config/cross.go
@@ -14,6 +14,10 @@
 // message does not end it.
 const renewalsPerLease = 3
 
+// pingsPerLease is how many pings of a router must fit into its lease, so that one
+// lost ping does not end it.
+const pingsPerLease = 3
+
 // pingsPerStaleness is how many pings must fit into the staleness limit.
 const pingsPerStaleness = 3
 
--- a/internal/controller/partitions.go
+++ b/internal/controller/partitions.go
@@ -112,19 +112,23 @@
 
 // grant completes the pong for a ping that a quorum round followed. It grants
 // nothing once the leadership ended.
-func (k *partitionKeeper) grant(leadership context.Context, process state.Router, ping message.Ping, pong *message.Pong) {
+func (k *partitionKeeper) grant(stream *tableStream, ping message.Ping, pong *message.Pong) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if leadership.Err() != nil {
+	if stream.leadership.Err() != nil {
 		return
 	}
-	k.follow(leadership)
+	k.follow(stream.leadership)
 	report := record.Report{
 		Synced: partitionEpochs(ping.SyncedPartitions), Failed: partitionEpochs(ping.FailedBackups),
 		Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable, Revision: ping.Revision,
+		Unfit: stream.unfit(),
+	}
+	if stream.times != nil {
+		report.Lifetime = stream.times.RecordsLifetime
 	}
 	k.replica.view(func(view *state.State) {
-		session, lease := k.placement.Pinged(k.replica.clock.Now(), process, report, view)
+		session, lease := k.placement.Pinged(k.replica.clock.Now(), stream.process, report, view)
 		pong.Session = session
 		pong.LeaseNs = int64(lease)
 	})
--- a/internal/controller/routers.go
+++ b/internal/controller/routers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -22,13 +23,19 @@
 	streams   int
 	revision  state.Revision
 	confirmed time.Duration
+	// times are the settings that the router told, nil for none, and mismatches
+	// their problems.
+	times      *config.RouterTimes
+	mismatches []config.Mismatch
 }
 
 func newRouterRegistry() *routerRegistry {
 	return &routerRegistry{routers: make(map[state.RouterID]*connectedRouter)}
 }
 
-func (g *routerRegistry) join(router state.Router) {
+// join adds a stream of a router and returns how the settings that it told, nil
+// for none, do not fit those of this controller and of other connected routers.
+func (g *routerRegistry) join(router state.Router, times *config.RouterTimes, settings config.Controller) []config.Mismatch {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	known, found := g.routers[router.ID]
@@ -38,6 +45,25 @@
 	}
 	known.router = router
 	known.streams++
+	known.times = times
+	known.mismatches = nil
+	if times != nil {
+		told := config.NamedTimes{Router: string(router.ID), RouterTimes: *times}
+		known.mismatches = config.CheckRouterTimes(settings, told, g.told())
+	}
+	return known.mismatches
+}
+
+// told returns the settings that routers told, by identifier.
+func (g *routerRegistry) told() []config.NamedTimes {
+	var told []config.NamedTimes
+	for id, known := range g.routers {
+		if known.times != nil {
+			told = append(told, config.NamedTimes{Router: string(id), RouterTimes: *known.times})
+		}
+	}
+	slices.SortFunc(told, func(a, b config.NamedTimes) int { return cmp.Compare(a.Router, b.Router) })
+	return told
 }
 
 func (g *routerRegistry) leave(router state.RouterID) {
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -23,6 +24,10 @@
 	router     state.RouterID
 	// process is what the router said of itself.
 	process state.Router
+	// times are the settings that the router told, nil for none, and mismatches
+	// their problems.
+	times      *config.RouterTimes
+	mismatches []config.Mismatch
 	// leadership ends when this replica stops leading.
 	leadership context.Context
 	// position is how far the router's table has come.
@@ -52,14 +57,15 @@
 	defer stopWatching()
 	stream := &tableStream{
 		replica: r, cluster: cluster, connection: connection,
-		router: first.Hello.Router.ID, process: first.Hello.Router, leadership: leadership,
+		router: first.Hello.Router.ID, process: first.Hello.Router, times: first.Hello.Times, leadership: leadership,
 		position: tablestream.Begin(*first.Hello, r.tablePosition()),
 		pongs:    make(chan message.Pong, r.settings.Table.QueueFrames),
 	}
 	telemetry.With(r.log, telemetry.EventRouterJoined).WithField("router", stream.router).
 		WithField("revision", stream.position.Sent()).Info("router subscribed")
 	defer r.routers.leave(stream.router)
-	r.routers.join(first.Hello.Router)
+	stream.mismatches = r.routers.join(first.Hello.Router, first.Hello.Times, r.settings)
+	stream.logMismatches()
 	return stream.run(ctx, cancel)
 }
 
@@ -152,7 +158,7 @@
 		}
 		for _, ping := range waiting {
 			pong := s.replica.routers.pong(s.router, ping, revision, s.replica.clock.Now())
-			s.replica.partitions.grant(s.leadership, s.process, ping, &pong)
+			s.replica.partitions.grant(s, ping, &pong)
 			select {
 			case s.pongs <- pong:
 			case <-ctx.Done():
@@ -183,6 +189,9 @@
 }
 
 func (s *tableStream) write(ctx context.Context) error {
+	if err := s.writeNotice(ctx); err != nil {
+		return err
+	}
 	for {
 		changed, err := s.writeTable(ctx)
 		if err != nil {
--- a/internal/intentapi/types.go
+++ b/internal/intentapi/types.go
@@ -112,4 +112,7 @@
 	LagMs int64 `json:"lag_ms"`
 	// InForce is true if the router has the newest table.
 	InForce bool `json:"in_force"`
+	// Problems tell how the router's settings do not fit those of the controllers
+	// or of other routers: field, value and remedy.
+	Problems []string `json:"problems,omitempty"`
 }
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -67,6 +68,9 @@
 	Digest   uint64
 	// Resync asks for a whole table, not older than Revision.
 	Resync bool
+	// Times are the router's settings that must fit those of the controllers; nil
+	// from a process that does not tell them.
+	Times *config.RouterTimes `msgpack:",omitempty"`
 }
 
 // RouterFrame is a message from a router on a table connection; exactly one
@@ -111,6 +115,14 @@
 	Delta    *TableDelta    `msgpack:",omitempty"`
 	Pong     *Pong          `msgpack:",omitempty"`
 	Refusal  *Refusal       `msgpack:",omitempty"`
+	Notice   *Notice        `msgpack:",omitempty"`
+}
+
+// Notice tells a router that its settings do not fit those of the controllers or
+// of other routers. It is sent only to routers that told their settings.
+type Notice struct {
+	// Problems name field, value and remedy, one a line.
+	Problems []string
 }
 
 // TableSnapshot is a part of the whole routing table. Parts come in order; the
--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -63,6 +63,10 @@
 	Unreachable []state.RouterID
 	// Revision is that of the table that the router's partitions follow.
 	Revision state.Revision
+	// Unfit says that the router's settings allow it no session.
+	Unfit bool
+	// Lifetime is how long the router keeps records, zero if it does not tell.
+	Lifetime time.Duration
 }
 
 // Placement decides, on the leading controller, about the routers' sessions and
@@ -295,15 +299,20 @@
 
 func (p *Placement) openSessions(now time.Duration, view *state.State) []state.Command {
 	var commands []state.Command
+	var lifetime time.Duration
 	for _, id := range slices.Sorted(maps.Keys(p.contacts)) {
 		known := p.contacts[id]
-		if known.wanted.ID == "" || known.report.Stopped || known.report.Leaving || !p.answers(now, known) {
+		if known.wanted.ID == "" || !known.maySession() || !p.answers(now, known) || p.lifetimeDiffers(known, view) {
 			continue
 		}
 		registered, found := view.Router(id)
 		if found && registered.Session.Open {
 			continue
 		}
+		if len(commands) > 0 && known.report.Lifetime != lifetime {
+			continue
+		}
+		lifetime = known.report.Lifetime
 		commands = append(commands, state.Command{PutRouter: &state.PutRouter{Router: known.wanted}})
 	}
 	return commands
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -233,7 +233,7 @@
 
 func (r *Router) newSubscription() *subscription {
 	return &subscription{
-		self: r.self(), controllers: r.settings.Controllers, interval: r.settings.PingInterval,
+		self: r.self(), controllers: r.settings.Controllers, interval: r.settings.PingInterval, times: r.settings.Times(),
 		dial: r.dial, clock: r.clock, builder: r.builder, freshness: r.freshness, log: r.log,
 		changed: func() {
 			r.fleet.refresh(r.builder.Table())
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -62,11 +63,13 @@
 	self        state.Router
 	controllers []string
 	interval    time.Duration
-	dial        tableDialer
-	clock       clock.Clock
-	builder     *table.Builder
-	freshness   *freshness
-	log         *logrus.Entry
+	// times are the settings that the controllers are told.
+	times     config.RouterTimes
+	dial      tableDialer
+	clock     clock.Clock
+	builder   *table.Builder
+	freshness *freshness
+	log       *logrus.Entry
 	// changed is called after each new version of the table.
 	changed func()
 	// records adds to pings and takes leases from pongs.
@@ -231,7 +234,7 @@
 	view := s.builder.Table()
 	return &message.RouterHello{
 		Router: s.self, Cluster: view.Cluster(),
-		Revision: view.Revision(), Digest: view.Digest(), Resync: s.resync,
+		Revision: view.Revision(), Digest: view.Digest(), Resync: s.resync, Times: &s.times,
 	}
 }
 
@@ -296,6 +299,11 @@
 		s.freshness.observe(*frame.Pong, s.builder.Table().Revision())
 		s.records.Renew(*frame.Pong)
 		return nil
+	case frame.Notice != nil:
+		for _, problem := range frame.Notice.Problems {
+			telemetry.With(s.log, telemetry.EventSettingsMismatch).WithField("problem", problem).Warn("settings do not fit those of other processes")
+		}
+		return nil
 	case frame.Refusal != nil:
 		s.learn(*frame.Refusal)
 		return &refusedError{refusal: *frame.Refusal}
--- a/internal/router/subscription_test.go
+++ b/internal/router/subscription_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -88,3 +90,17 @@
 		t.Errorf("the only controller: tried %d next", got)
 	}
 }
+
+// TestSubscriptionTellsPeopleWhatDoesNotFit: a notice is logged with what the
+// controllers say, and the connection goes on.
+func TestSubscriptionTellsPeopleWhatDoesNotFit(t *testing.T) {
+	logger, hook := test.NewNullLogger()
+	s := &subscription{log: logrus.NewEntry(logger)}
+	if err := s.take(message.ControllerFrame{Notice: &message.Notice{Problems: []string{"ping_interval: too long"}}}); err != nil {
+		t.Fatal(err)
+	}
+	last := hook.LastEntry()
+	if last == nil || last.Level != logrus.WarnLevel || last.Data["problem"] != "ping_interval: too long" {
+		t.Errorf("logged %+v", last)
+	}
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -52,6 +52,7 @@
 	EventPartitionsMoved   Event = "partitions_moved"
 	EventRouterCutOff      Event = "router_cut_off"
 	EventRouterMet         Event = "router_met"
+	EventSettingsMismatch  Event = "settings_mismatch"
 )
 
 // Events of the routers.
@@ -125,6 +126,7 @@
 		{EventRouterClosed, levelInfo, "A router's session ended."},
 		{EventPartitionsMoved, levelInfo, "Record partitions have other routers."},
 		{EventRouterCutOff, levelWarning, "Most other routers do not reach a router; its record partitions move."},
+		{EventSettingsMismatch, levelWarning, "Settings of a router do not fit those of the controllers or of other routers; on both sides."},
 		{EventRouterMet, levelInfo, "A router is no longer cut off from the others, or no longer heard."},
 	}
 }
