Plans: a resend of a forgotten intent is answered, or refused, and has no second effect

After that an intent that was sent again was planned anew, and a program that confirms what it planned carried it out twice.

A resend of the intent or of the confirmation gets that answer, marked forgotten; other content is a conflict; a plan that was never confirmed is stale. After that it is refused as intent_expired. Which identifiers may be forgotten ones the state tells without a clock: the time in a UUID of version 7, which the commands draw, is not after the newest forgotten one; an identifier without a time is refused once one of that form was forgotten. One from the future is refused, since it would make all before it count as forgotten.

Ruled out: more whole plans (they have no bound on their size); expiry by a clock (leaders' clocks differ, and a burst would drop receipts early all the same); to go on planning identifiers without a time anew (a second effect).

Freezing copies none of them. Before: none of the three.

--- a/internal/cli/exitcode.go
+++ b/internal/cli/exitcode.go
@@ -34,7 +34,7 @@
 		{ExitFailure, "The command failed for another reason than those below.", "Read the message on the standard error stream."},
 		{ExitUsage, "A flag, an argument or a file is wrong, or the named object does not exist. Nothing was changed.", "Correct what the message names."},
 		{ExitStalePlan, "The state that the plan rests on has changed. Nothing was changed.", "Plan anew under a new intent identifier."},
-		{ExitConflict, "The intent identifier was used before with other content, or another operation is in the way. Nothing was changed.", "Read the stored plan, or use a new intent identifier."},
+		{ExitConflict, "The intent identifier was used before with other content, or may have been (intent_expired), or another operation is in the way. Nothing was changed.", "Read the stored plan, or use a new intent identifier."},
 		{ExitUnavailable, "No controller could be reached, or none leads. Nothing was changed.", "Check the endpoints, run status, then repeat the command."},
 		{ExitUnknown, "A write was sent, but its answer was lost: it may or may not be in force.", "Repeat it with the same intent or plan identifier, which is safe."},
 	}
@@ -79,7 +79,7 @@
 		return ExitUsage
 	case fault.StalePlan:
 		return ExitStalePlan
-	case fault.Conflict:
+	case fault.Conflict, fault.IntentExpired:
 		return ExitConflict
 	case fault.NotLeader, fault.Unavailable, fault.ConnectFailed, fault.ConnectionLost, fault.DeadlineExceeded,
 		fault.DeadlineBeforeStart, fault.AnswerTruncated:
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -127,8 +128,11 @@
 	if err := a.requireCurrent(ctx); err != nil {
 		return err
 	}
-	if known, found := a.storedPlan(state.PlanID(intent.ID)); found {
-		return a.storePlan(ctx, call, state.Plan{ID: known.ID, Intent: intent})
+	if a.answeredBefore(state.PlanID(intent.ID)) {
+		return a.storePlan(ctx, call, state.Plan{ID: state.PlanID(intent.ID), Intent: intent})
+	}
+	if err := checkDrawn(intent.ID, time.Now()); err != nil {
+		return err
 	}
 	var built state.Plan
 	costs := a.replica.handovers(ctx)
@@ -149,11 +153,29 @@
 	return call.JSON(result.Plan)
 }
 
-func (a *api) storedPlan(id state.PlanID) (state.Plan, bool) {
-	var plan state.Plan
-	var found bool
-	a.replica.view(func(view *state.State) { plan, found = view.Plan(id) })
-	return plan, found
+// answeredBefore reports whether the state alone answers an intent: it is known,
+// or may have been.
+func (a *api) answeredBefore(id state.PlanID) bool {
+	var answered bool
+	a.replica.view(func(view *state.State) {
+		_, planned := view.Plan(id)
+		_, received := view.Receipt(id)
+		answered = planned || received || view.Expired(id)
+	})
+	return answered
+}
+
+// maxAhead is how far in the future an identifier that tells its time may lie.
+const maxAhead = time.Minute
+
+// checkDrawn refuses an identifier from the future: once it is forgotten, every
+// identifier before it counts as forgotten too.
+func checkDrawn(id state.IntentID, now time.Time) error {
+	if !state.DrawnAfter(id, now.Add(maxAhead).UnixMilli()) {
+		return nil
+	}
+	return fault.Newf(fault.InvalidArgument,
+		"intent_id is %q, drawn more than %s in the future by the leader's clock; set the operator's clock, or draw another", id, maxAhead)
 }
 
 func (a *api) confirm(call fiber.Ctx) error {
@@ -179,6 +201,9 @@
 func (a *api) getPlan(call fiber.Ctx) error {
 	return a.readCurrent(call, func(view *state.State) error {
 		plan, found := view.Plan(state.PlanID(call.Params("id")))
+		if receipt, forgotten := view.Receipt(state.PlanID(call.Params("id"))); forgotten {
+			return call.JSON(receipt.Known())
+		}
 		if !found {
 			return fault.Newf(fault.NotFound, "no plan %q: list them with get plans", call.Params("id"))
 		}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -70,6 +70,9 @@
 	NotFound Kind = "not_found"
 	// Conflict: the request identifier was used before with other content.
 	Conflict Kind = "conflict"
+	// IntentExpired: the intent's identifier is as old as forgotten ones, so that
+	// it cannot be told whether the intent was carried out before.
+	IntentExpired Kind = "intent_expired"
 	// StalePlan: the state that the plan rests on has changed.
 	StalePlan Kind = "stale_plan"
 	// NotLeader: this controller replica is not the leader.
@@ -144,6 +147,7 @@
 	NotFound:        {Status: 404, Outcome: NotRun},
 	Conflict:        {Status: 409, Outcome: NotRun},
 	StalePlan:       {Status: 409, Outcome: NotRun},
+	IntentExpired:   {Status: 409, Outcome: NotRun},
 	NotLeader:       {Status: 421, Outcome: NotRun, RetryAfter: retrySoon},
 	Unavailable:     {Status: 503, Outcome: Unknown, RetryAfter: retrySoon},
 	Unauthorized:    {Status: 403, Outcome: NotRun},
--- a/internal/state/apply_plan.go
+++ b/internal/state/apply_plan.go
@@ -13,14 +13,16 @@
 func (tx *transaction) storePlan(command *StorePlan) Result {
 	existing, found := tx.state.Plan(command.Plan.ID)
 	if !found {
+		if answer, forgotten := tx.answerForgotten(command.Plan.ID, command.Plan.Intent); forgotten {
+			return answer
+		}
 		plan := command.Plan
 		plan.Status = PlanStored
 		tx.state.storePlan(plan)
 		return Result{Plan: &plan}
 	}
 	if !sameIntent(existing.Intent, command.Plan.Intent) {
-		return failure(fault.Conflict, "intent_id "+string(command.Plan.Intent.ID)+
-			" was used before with other content: choose a new intent_id")
+		return reusedIntent(command.Plan.Intent.ID)
 	}
 	return Result{Plan: &existing}
 }
@@ -38,7 +40,7 @@
 func (tx *transaction) confirmPlan(command *ConfirmPlan) Result {
 	plan, found := tx.state.Plan(command.Plan)
 	if !found {
-		return failure(fault.NotFound, "plan "+string(command.Plan)+": plan again")
+		return tx.confirmForgotten(command)
 	}
 	if plan.Digest != command.Digest {
 		return failure(fault.Conflict, "digest differs from the stored plan's: look at the plan again")
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -218,4 +218,7 @@
 	Accepted Revision `json:"accepted"`
 	// Operator who confirmed.
 	ConfirmedBy string `json:"confirmed_by,omitempty"`
+	// Forgotten says that the intent was answered before and that only status,
+	// digest and revision are still known.
+	Forgotten bool `json:"forgotten,omitempty" msgpack:",omitempty"`
 }
--- a/internal/state/put.go
+++ b/internal/state/put.go
@@ -83,6 +83,7 @@
 	}
 	s.plans[plan.ID] = &plan
 	for len(s.planOrder) > MaxPlans {
+		s.receipts.add(receiptOf(s.plans[s.planOrder[0]]))
 		delete(s.plans, s.planOrder[0])
 		s.planOrder = s.planOrder[1:]
 	}
--- /dev/null
+++ b/internal/state/receipt_test.go
@@ -0,0 +1,146 @@
+package state
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// timedID returns the identifier that was drawn at a time, in Unix milliseconds.
+func timedID(unixMs int) PlanID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(unixMs)<<16|timedVersion<<12)
+	binary.BigEndian.PutUint64(id[8:], 1<<63|uint64(unixMs))
+	return PlanID(id.String())
+}
+
+func planOf(id PlanID, service ServiceName) Plan {
+	return Plan{
+		ID: id, Digest: "d-" + string(id),
+		Intent: Intent{ID: IntentID(id), Operator: "first", Kind: IntentRebalance, Rebalance: &Rebalance{Service: service}},
+	}
+}
+
+func (m *machine) store(plan Plan) Result {
+	m.t.Helper()
+	return m.apply(Command{StorePlan: &StorePlan{Plan: plan}})
+}
+
+// wantError demands that a command is refused and changes nothing.
+func (m *machine) wantError(what string, kind fault.Kind, command Command) {
+	m.t.Helper()
+	result := m.apply(command)
+	if result.Err == nil || result.Err.Kind != kind || len(result.Changed) > 0 {
+		m.t.Errorf("%s: %+v, want %s", what, result, kind)
+	}
+}
+
+// TestForgottenPlansAreAnsweredByTheirReceipts confirms one plan and leaves one,
+// and lets others push them out; then the same after a snapshot.
+func TestForgottenPlansAreAnsweredByTheirReceipts(t *testing.T) {
+	m := withService(t, 1)
+	done, left := planOf("done", "s"), planOf("left", "s")
+	m.store(done)
+	confirm := Command{ConfirmPlan: &ConfirmPlan{Plan: done.ID, Digest: done.Digest, Operator: "second"}}
+	first := m.apply(confirm)
+	m.store(left)
+	for number := range MaxPlans {
+		m.store(planOf(timedID(1000+number), "s"))
+	}
+	m.wantReceipts(first.Plan, confirm, left)
+	encoded, err := m.state.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m.state, err = Decode(encoded); err != nil {
+		t.Fatal(err)
+	}
+	again, err := m.state.Encode()
+	if err != nil || string(again) != string(encoded) {
+		t.Errorf("the state differs after a snapshot: %d and %d bytes, %v", len(encoded), len(again), err)
+	}
+	m.wantReceipts(first.Plan, confirm, left)
+}
+
+func (m *machine) wantReceipts(first *Plan, confirm Command, left Plan) {
+	m.t.Helper()
+	if _, whole := m.state.Plan(first.ID); whole {
+		m.t.Fatal("the plan is not forgotten")
+	}
+	resent := planOf(first.ID, "s")
+	resent.Intent.Operator = "another"
+	for what, result := range map[string]Result{"the intent": m.store(resent), "the confirmation": m.apply(confirm)} {
+		if result.Err != nil || len(result.Changed) > 0 || result.Plan.Status != PlanConfirmed || result.Plan.Accepted != first.Accepted ||
+			result.Plan.Digest != first.Digest || result.Plan.ConfirmedBy != "second" || !result.Plan.Forgotten {
+			m.t.Errorf("%s was sent again: %+v", what, result)
+		}
+	}
+	m.wantError("other content", fault.Conflict, Command{StorePlan: &StorePlan{Plan: planOf(first.ID, "other")}})
+	m.wantError("another digest", fault.Conflict, Command{ConfirmPlan: &ConfirmPlan{Plan: first.ID, Digest: "wrong"}})
+	if result := m.store(left); result.Err != nil || result.Plan.Status != PlanStale || result.Plan.Digest != left.Digest {
+		m.t.Errorf("an intent that was never confirmed was sent again: %+v", result)
+	}
+	m.wantError("a late confirmation", fault.StalePlan, Command{ConfirmPlan: &ConfirmPlan{Plan: left.ID, Digest: left.Digest}})
+}
+
+// TestForgottenIdentifiersAreRefused: identifiers that tell their time are refused
+// once they may be among those whose receipts are forgotten too.
+func TestForgottenIdentifiersAreRefused(t *testing.T) {
+	m := newMachine(t)
+	const over = 10
+	for number := range MaxPlans + MaxReceipts + over {
+		m.store(planOf(timedID(1000+number), "s"))
+	}
+	if result := m.store(planOf("chosen", "s")); result.Err != nil {
+		t.Errorf("an identifier without a time, none of which is forgotten: %v", result.Err)
+	}
+	if kept := len(m.state.receipts.order); kept != MaxReceipts || len(m.state.receipts.byPlan) != MaxReceipts {
+		t.Errorf("%d receipts are kept", kept)
+	}
+	// The chosen one pushed one more out.
+	const lastForgotten = 1000 + over
+	old := timedID(lastForgotten - 1)
+	m.wantError("a forgotten intent", fault.IntentExpired, Command{StorePlan: &StorePlan{Plan: planOf(old, "s")}})
+	m.wantError("its confirmation", fault.IntentExpired, Command{ConfirmPlan: &ConfirmPlan{Plan: old, Digest: "d-" + string(old)}})
+	m.wantError("an unknown one as old", fault.IntentExpired, Command{StorePlan: &StorePlan{Plan: planOf(timedID(10), "s")}})
+	if result := m.store(planOf(timedID(lastForgotten+1), "s")); result.Err != nil || !result.Plan.Forgotten {
+		t.Errorf("the oldest that is kept: %+v", result)
+	}
+	if result := m.store(planOf(timedID(1_000_000), "s")); result.Err != nil || result.Plan.Forgotten {
+		t.Errorf("a new intent: %+v", result)
+	}
+	m.wantError("a confirmation of nothing", fault.NotFound, Command{ConfirmPlan: &ConfirmPlan{Plan: "unknown"}})
+	for number := range MaxPlans + MaxReceipts {
+		m.store(planOf(timedID(2_000_000+number), "s"))
+	}
+	m.wantError("one without a time, as a forgotten one", fault.IntentExpired, Command{StorePlan: &StorePlan{Plan: planOf("other", "s")}})
+}
+
+// BenchmarkReceipts is what receipts add to a state's snapshot and heap, with
+// every receipt and no plan.
+func BenchmarkReceipts(b *testing.B) {
+	full := New()
+	random := rand.New(rand.NewPCG(1, 1))
+	for number := range MaxReceipts {
+		id := uuid.MustParse(string(timedID(1_700_000_000_000 + number*7919)))
+		binary.BigEndian.PutUint64(id[8:], 1<<63|random.Uint64()>>2)
+		plan := planOf(PlanID(id.String()), "s")
+		plan.Digest = fmt.Sprintf("%016x", contentOf(plan.Intent))
+		plan.Status, plan.Accepted, plan.ConfirmedBy = PlanConfirmed, Revision(number), "operator-one"
+		full.receipts.add(receiptOf(&plan))
+	}
+	size := 0
+	for b.Loop() {
+		encoded, err := full.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(encoded)
+	}
+	b.ReportMetric(float64(size)/MaxReceipts, "bytes/receipt")
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -26,6 +26,8 @@
 	routers    []*Router
 	partitions []*RecordPartition
 	plans      []Plan
+	receipts   []*Receipt
+	forgotten  forgottenIDs
 	versions   []serverVersion
 }
 
@@ -36,6 +38,10 @@
 	Objects   []Object
 	Plans     []Plan
 	Versions  []serverVersion
+	// Receipts are those of forgotten plans, oldest first. Forgotten tells of the
+	// identifiers whose receipts are forgotten too.
+	Receipts  []*Receipt `msgpack:",omitempty"`
+	Forgotten forgottenIDs
 }
 
 // serverVersion is the snapshot form of one assignment version.
@@ -56,6 +62,8 @@
 		routers:    references(s.routers),
 		partitions: references(s.partitions),
 		plans:      s.Plans(),
+		receipts:   s.receipts.order[:len(s.receipts.order):len(s.receipts.order)],
+		forgotten:  s.receipts.forgotten,
 		versions:   make([]serverVersion, 0, len(s.versions)),
 	}
 	for server, version := range s.versions {
@@ -114,6 +122,8 @@
 		Objects:   f.Objects(),
 		Plans:     f.plans,
 		Versions:  f.versions,
+
+		Receipts: f.receipts, Forgotten: f.forgotten,
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "encode state")
@@ -161,6 +171,10 @@
 	for _, plan := range decoded.Plans {
 		restored.storePlan(plan)
 	}
+	for _, receipt := range decoded.Receipts {
+		restored.receipts.add(receipt)
+	}
+	restored.receipts.forgotten = decoded.Forgotten
 	clear(restored.versions)
 	for _, version := range decoded.Versions {
 		restored.versions[version.Server] = version.Version
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,8 +7,8 @@
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
-// MaxPlans bounds the stored plans; the oldest are forgotten first. A resend of
-// a forgotten intent is planned anew, which changes nothing until confirmed.
+// MaxPlans bounds the stored plans; the oldest are forgotten first. Of a
+// forgotten plan a Receipt is kept, by which a resend is answered.
 const MaxPlans = 4096
 
 // State is the whole replicated state. It is not safe for concurrent use.
@@ -23,6 +23,7 @@
 	partitions map[int]*RecordPartition
 	plans      map[PlanID]*Plan
 	planOrder  []PlanID
+	receipts   receipts
 	// ranges holds each service's shards in the order of their ranges.
 	ranges map[ServiceName][]ShardID
 	// owned indexes the shards by their owner.
@@ -46,6 +47,7 @@
 		routers:    make(map[RouterID]*Router),
 		partitions: make(map[int]*RecordPartition),
 		plans:      make(map[PlanID]*Plan),
+		receipts:   newReceipts(),
 		ranges:     make(map[ServiceName][]ShardID),
 		owned:      make(map[ServerID]map[ShardID]struct{}),
 		versions:   make(map[ServerID]Revision),
