Shards are merged: command, plan, policy, fencing

Cause: a shard can be split down to one key, but no command removed one, so that shards only ever multiplied.

What it does: MergeShards joins two neighbours of one service that one server owns in one open session, both owned, at rest and at the epochs named; all the pairs of a command or none, else conflict (from a plan: stale_plan). The lower one stays at an epoch above both, the other is gone and its number never used again. One delta of two objects, so that routers see both or neither. The intent merge_shards plans one; the policy placement.merge with min_shards lets the controllers merge cold neighbours, max_moves of them at a time until their owners confirmed. A shard must have been cold and uncut for 10 minutes, so that splits and merges do not alternate; a cold single key goes back to the owner of its neighbours once it may return there, since round-robin shards rarely have neighbours of one owner.

Ruled out: keeping the higher epoch of the two, as keys of the other shard would have an epoch at which their server did not hold them; a phase in which the owner releases both, which doubles the wait and buys nothing, as the keys stay with one process under one lease; an epoch that a back end accepts for a while after the merge, which would be two tokens for one key. With merges possible, the bound on splits no longer takes the present number of shards at each election, which let it rise.

Checks that changed, none weaker: the records' checker forbade a key to come back to a shard that it had left, which a merge does by right; it now demands that a key's epochs never fall, whatever the shard, where it compared them within one shard only, and lets a key come back only above all epochs before.

Conclusion: merges stand as a command, a plan and a policy. Wide neighbours with different owners are not brought together.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -373,3 +373,18 @@
 		}
 	}
 }
+
+func TestMergeShardsTakesNumbers(t *testing.T) {
+	api := &stub{status: fasthttp.StatusOK, answers: map[string]string{"POST /v1/plans": "{}"}}
+	endpoint := api.start(t)
+	if code, _, errors := run(t, "", "plan", "merge-shards", "ledger", "11", "33", "--intent-id", "i1", "--endpoints", endpoint); code != ExitOK {
+		t.Fatal(errors)
+	}
+	want := state.Intent{ID: "i1", Operator: "asha", Kind: state.IntentMergeShards, MergeShards: &state.MergeNeighbours{Service: "ledger", First: 11, Second: 33}}
+	if got := api.bodies["POST /v1/plans"]; got != encode(t, want) {
+		t.Errorf("sent %s", got)
+	}
+	if code, _, _ := run(t, "", "plan", "merge-shards", "ledger", "11", "x", "--endpoints", endpoint); code != ExitUsage {
+		t.Errorf("code %d", code)
+	}
+}
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -27,6 +27,7 @@
 		newRetireServerCommand(program, flags),
 		newRebalanceCommand(program, flags),
 		newSetModeCommand(program, flags),
+		newMergeShardsCommand(program, flags),
 	)
 	program.addClientFlags(command)
 	addOperatorFlag(command, &flags.operator)
--- a/internal/controller/logging.go
+++ b/internal/controller/logging.go
@@ -32,6 +32,8 @@
 			WithField("shards", len(result.Changed)).Info("shards released")
 	case command.AssignShards != nil:
 		telemetry.With(log, telemetry.EventShardAssigned).WithField("shards", len(result.Changed)).Info("shards assigned")
+	case command.MergeShards != nil:
+		telemetry.With(log, telemetry.EventShardMerged).WithField("merges", len(command.MergeShards.Merges)).Info("shards merged")
 	case command.SetLeaving != nil:
 		telemetry.With(log, telemetry.EventServerLeaving).WithField("server", command.SetLeaving.Server).
 			WithField("leaving", command.SetLeaving.Leaving).Info("platform list")
--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -44,6 +44,9 @@
 	if len(parts) > 0 {
 		c.pendingBalance = c.propose(actions, state.Command{SplitShards: &state.SplitShards{Parts: parts}})
 	}
+	if len(parts) == 0 && len(moves) == 0 {
+		c.merge(name, known, decision.Merges, view, actions)
+	}
 }
 
 // noteTakers tells the layout which servers take shards now.
--- a/internal/coordinator/balancer.go
+++ b/internal/coordinator/balancer.go
@@ -38,6 +38,8 @@
 	reviewed account
 	begin    time.Duration
 	queue    []state.ServerID
+	// merging holds merged shards that their owners have yet to confirm.
+	merging []state.ShardEpoch
 	// perRequest is the smoothed time that a request keeps a slot busy, in
 	// seconds; zero until a server told of busy slots.
 	perRequest float64
@@ -81,12 +83,18 @@
 }
 
 // limitsOf takes the bounds from the service. A service that was created with
-// many shards may have twice as many before splits stop.
+// many shards may have twice as many before splits stop. Where merges bring
+// their number down again, the least number takes the place of the present one.
 func limitsOf(service state.Service, view *state.State) placement.Limits {
 	limits := placement.DefaultLimits()
 	limits.MaxMoves = service.MaxMoves
+	wanted := view.ShardCount(service.Name)
+	if service.Placement.Merge {
+		wanted = service.Placement.MinShards
+		limits.MinShards = wanted
+	}
 	if servers := len(view.ServersOf(service.Name)); servers > 0 {
-		limits.ShardsPerServer = max(limits.ShardsPerServer, view.ShardCount(service.Name)/servers+1)
+		limits.ShardsPerServer = max(limits.ShardsPerServer, wanted/servers+1)
 	}
 	return limits
 }
@@ -132,17 +140,24 @@
 	if len(b.services) == 0 {
 		return
 	}
-	var kept, created []state.Shard
+	var kept, created, gone []state.Shard
 	for _, object := range objects {
 		if object.Shard == nil || b.services[object.Shard.Service] == nil {
 			continue
 		}
+		if object.Deleted {
+			gone = append(gone, *object.Shard)
+			continue
+		}
 		if _, found := b.services[object.Shard.Service].layout.Shard(object.Shard.ID); found {
 			kept = append(kept, *object.Shard)
 		} else {
 			created = append(created, *object.Shard)
 		}
 	}
+	for _, shard := range gone {
+		b.services[shard.Service].absorb(kept, shard)
+	}
 	// A command that cuts shards makes few; others that come are not filled in yet.
 	for _, shard := range created[:min(len(created), maxParts)] {
 		b.services[shard.Service].inherit(kept, shard)
@@ -171,6 +186,23 @@
 	}
 }
 
+// absorb gives the load of a shard that is gone to the one that took its keys.
+func (b *balanced) absorb(kept []state.Shard, gone state.Shard) {
+	before, found := b.layout.Shard(gone.ID)
+	if !found {
+		return
+	}
+	for _, option := range kept {
+		if option.Service == gone.Service && option.Range.Contains(before.Range.First) {
+			b.estimator.Merge(option.ID, gone.ID)
+			b.layout.MergeShard(option.ID, gone.ID)
+			return
+		}
+	}
+	b.estimator.Forget(gone.ID)
+	b.layout.RemoveShard(gone.ID)
+}
+
 // close ends the interval and begins to review it.
 func (b *balanced) close(now time.Duration) {
 	b.reviewed = b.accounts
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -109,7 +109,7 @@
 		return
 	}
 	for _, object := range objects {
-		if object.Shard != nil {
+		if object.Shard != nil && !object.Deleted {
 			c.handovers.note(now, *object.Shard)
 		}
 		switch {
--- a/internal/lab/lease/holder_test.go
+++ b/internal/lab/lease/holder_test.go
@@ -134,6 +134,39 @@
 	}
 }
 
+// A merge keeps what runs, under the new assignment, and fences every request
+// that was sent under the old ones.
+func TestRunningFollowsMergedShard(t *testing.T) {
+	holder := granted(t)
+	two := renewal(func(r *backendapi.LeaseRequest) {
+		r.Assignments = append(r.Assignments, backendapi.Assignment{Shard: 9, Epoch: 5, First: 200, Last: 299})
+	})
+	holder.HandleLease(now+2*time.Second, two)
+	first, second := holder.Begin(7, 150), holder.Begin(9, 250)
+	merged := backendapi.Assignment{Shard: 7, Epoch: 6, First: 100, Last: 299}
+	merge := renewal(func(r *backendapi.LeaseRequest) {
+		r.Fence.Sequence = 12
+		r.Assignments = []backendapi.Assignment{merged}
+	})
+	if answer := holder.HandleLease(now+2*time.Second, merge); !answer.Accepted || len(answer.Running) != 0 {
+		t.Fatalf("both keys are still assigned: %+v", answer)
+	}
+	for _, old := range []backendapi.Assignment{{Shard: 7, Epoch: 2, First: 150}, {Shard: 9, Epoch: 5, First: 250}} {
+		if refusal := holder.Check(now+2*time.Second, old.Shard, old.Epoch, old.First); refusal != backendapi.RefusalWrongEpoch {
+			t.Errorf("a request of the old shard %d: %q", old.Shard, refusal)
+		}
+	}
+	if refusal := holder.Check(now+2*time.Second, 7, 6, 250); refusal != "" {
+		t.Errorf("a request of the merged shard: %q", refusal)
+	}
+	revoked := renewal(func(r *backendapi.LeaseRequest) { r.Fence.Sequence, r.Assignments = 13, nil })
+	holder.End(first)
+	if answer := holder.HandleLease(now+2*time.Second, revoked); !reflect.DeepEqual(answer.Running, []backendapi.Assignment{merged}) {
+		t.Errorf("running is %+v, want %+v", answer.Running, merged)
+	}
+	holder.End(second)
+}
+
 func TestRunningFollowsSplitShard(t *testing.T) {
 	holder := granted(t)
 	run := holder.Begin(7, 150)
--- a/internal/lab/record/verify_test.go
+++ b/internal/lab/record/verify_test.go
@@ -153,6 +153,10 @@
 			h.executions[len(h.executions)-2].Shard = 8
 			h.runs("r5", "b", 2, 36*second)
 		}},
+		{"back to a lower epoch of another shard", CountDoubleOwner, func(h *history) {
+			h.runs("r4", "b", 1, 34*second)
+			h.executions[len(h.executions)-2].Shard = 8
+		}},
 		{"new work long after the drain", CountLateToDrained, func(h *history) { h.runs("r4", "a", 1, 18*second) }},
 		{"acknowledged assignment missing", CountLostAssignments, func(h *history) { h.inputs.Assignments.Observed[0].Missing = true }},
 		{"acknowledged assignment at a lower epoch", CountLostAssignments, func(h *history) { h.inputs.Assignments.Observed[0].Epoch = 1 }},
@@ -221,3 +225,15 @@
 		t.Error("an unknown kind of line was taken")
 	}
 }
+
+// A key that was split off, and whose shard was merged again at an epoch above
+// both, is back where it was by right.
+func TestMergedShardMayServeItsKeysAgain(t *testing.T) {
+	h := newHistory()
+	h.answered("r4", "b", 2, 34*second)
+	h.executions[len(h.executions)-2].Shard, h.executions[len(h.executions)-1].Shard = 8, 8
+	h.answered("r5", "b", 3, 37*second)
+	if summary := h.verify(t); summary.DoubleOwner != 0 {
+		t.Errorf("%+v", summary)
+	}
+}
--- a/internal/lab/sim/checker/checker.go
+++ b/internal/lab/sim/checker/checker.go
@@ -49,6 +49,8 @@
 	Executions int `json:"executions"`
 	Recoveries int `json:"recoveries"`
 	Operations int `json:"operations"`
+	// Merges counts the shards that were merged into others.
+	Merges int `json:"merges"`
 }
 
 // Add adds the counts of another run.
@@ -61,6 +63,7 @@
 	c.Executions += other.Executions
 	c.Recoveries += other.Recoveries
 	c.Operations += other.Operations
+	c.Merges += other.Merges
 }
 
 // Checker gathers what was observed in one run. It is not safe for concurrent
--- a/internal/lab/sim/checker/checker_test.go
+++ b/internal/lab/sim/checker/checker_test.go
@@ -63,6 +63,16 @@
 			s.Applied(AppliedEntry{Replica: "a", Index: 4, Changed: []state.Object{{Service: &state.Service{Name: "s", Revision: 4}}}})
 			s.Applied(AppliedEntry{Replica: "a", Index: 5, Confirmed: &state.Plan{Accepted: 5, Operations: []state.Operation{{PutService: put}}}})
 		}},
+		"shard that comes back after a merge": {EpochOrder, func(s *scene) {
+			gone := state.Object{Shard: &state.Shard{ID: 1, Service: "s"}, Deleted: true}
+			s.Applied(AppliedEntry{Replica: "a", Index: 4, Changed: []state.Object{gone}})
+			s.shardApplied(5, "x", 9)
+		}},
+		"merge that its operator did not see": {ConfigOrder, func(s *scene) {
+			s.shardApplied(4, "x", 2)
+			merge := &state.ShardMerge{First: state.ShardEpoch{Shard: 1, Epoch: 1}, Second: state.ShardEpoch{Shard: 1, Epoch: 1}}
+			s.Applied(AppliedEntry{Replica: "a", Index: 5, Confirmed: &state.Plan{Accepted: 5, Operations: []state.Operation{{MergeShards: merge}}}})
+		}},
 		"leader without an acknowledged entry": {Durability, func(s *scene) {
 			s.shardApplied(4, "x", 1)
 			s.Acknowledged(4, "x")
--- a/internal/lab/sim/operator.go
+++ b/internal/lab/sim/operator.go
@@ -174,6 +174,8 @@
 		return fmt.Sprintf("update timeout %d", intent.UpdateService.Settings.DefaultTimeoutMs)
 	case intent.RetireServer != nil:
 		return fmt.Sprintf("retire %s", intent.RetireServer.Server)
+	case intent.MergeShards != nil:
+		return mergeContent(*intent.MergeShards)
 	case intent.AddServers != nil:
 		return fmt.Sprintf("add %s", intent.AddServers.Servers[0].ID)
 	default:
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -31,6 +31,7 @@
 		"flipped bits": faults.FlippedBits, "lost disks": faults.LostDisks, "losses after a repair": faults.LossesAfterRepair,
 		"cuts": faults.Cuts, "freezes": faults.Freezes, "missed changes": faults.MissedChanges,
 		"races": faults.Races, "resends": faults.Resends, "snapshots": faults.Snapshots,
+		"merges": uint64(summary.Checks.Merges),
 	} {
 		if count == 0 {
 			t.Errorf("the fixed seeds meet no %s", name)
--- a/internal/lab/sim/workload.go
+++ b/internal/lab/sim/workload.go
@@ -18,6 +18,7 @@
 	wrongDigestChance = 0.05
 	skipDigestChance  = 0.3
 	longChance        = 0.05
+	mergeChance       = 0.3
 )
 
 // newDiskRandom gives a disk its own source, since the disk model is written
@@ -88,6 +89,11 @@
 }
 
 func (s *simulation) freshIntent() state.Intent {
+	if s.chance(mergeChance) {
+		if intent, found := s.mergeIntent(); found {
+			return intent
+		}
+	}
 	switch choice := s.random.IntN(10); {
 	case choice < 4:
 		to := state.ServerID("")
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -38,6 +38,7 @@
 		layout.PutShard(problem.Now, shard)
 	}
 	layout.remember(problem.History)
+	layout.assumeCold(problem.Now)
 	return layout.Decide(problem.Now)
 }
 
@@ -60,7 +61,7 @@
 	decision.Cost = search.cost
 	search.emit(&decision)
 	decision.Splits = search.splits()
-	decision.Merges = search.merges()
+	search.merge(&decision)
 	search.undoTo(0)
 	search.release()
 	return decision
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -102,7 +102,7 @@
 func (l *Layout) PutShard(now time.Duration, shard Shard) {
 	position, found := l.positions[shard.ID]
 	if !found {
-		l.insert(shard)
+		l.insert(now, shard)
 		return
 	}
 	known := &l.records[position]
@@ -117,6 +117,9 @@
 		l.unorder(position)
 		l.fresh = append(l.fresh, int32(position))
 	}
+	if shard.Range.Width() < known.Range.Width() {
+		known.warmAt = max(known.warmAt, now)
+	}
 	known.Range, known.Owner, known.Epoch = shard.Range, shard.Owner, shard.Epoch
 	l.setMoving(known, shard.Moving)
 	l.own(position)
@@ -136,7 +139,7 @@
 	}
 }
 
-func (l *Layout) insert(shard Shard) {
+func (l *Layout) insert(now time.Duration, shard Shard) {
 	position := len(l.records)
 	if count := len(l.free); count > 0 {
 		position = l.free[count-1]
@@ -148,7 +151,7 @@
 	moving := shard.Moving
 	shard.Load, shard.Moving = 0, false
 	shard.HotShare = min(sane(shard.HotShare), 1)
-	l.records[position] = record{Shard: shard, live: true}
+	l.records[position] = record{Shard: shard, live: true, warmAt: now}
 	l.positions[shard.ID] = position
 	l.fresh = append(l.fresh, int32(position))
 	l.own(position)
@@ -156,7 +159,7 @@
 	l.setMoving(&l.records[position], moving)
 }
 
-// RemoveShard forgets a shard that was merged into another.
+// RemoveShard forgets a shard that is gone.
 func (l *Layout) RemoveShard(id state.ShardID) {
 	position, found := l.positions[id]
 	if !found {
@@ -212,6 +215,9 @@
 	known.HotHash = hotHash
 	known.HotShare = min(sane(hotShare), 1)
 	l.addLoad(position, sane(load)-known.Load)
+	if known.Load > l.coldLoad() {
+		known.warmAt = max(known.warmAt, l.now)
+	}
 }
 
 func (l *Layout) addLoad(position int, difference float64) {
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -19,6 +19,9 @@
 	moved   bool
 	movedAt time.Duration
 	left    []departure
+	// warmAt is when the shard was last seen to be too busy to be merged, was
+	// cut, or came to be known.
+	warmAt time.Duration
 }
 
 // departure is a server that a shard left.
--- a/internal/placement/reshape.go
+++ b/internal/placement/reshape.go
@@ -16,19 +16,12 @@
 	// dominantShare is the share of a shard's load from which its busiest key
 	// is split off rather than the range halved.
 	dominantShare = 0.5
-	// mergeShare bounds the load of a merged shard, as a share of the mean load
-	// of a shard.
-	mergeShare = 0.5
 	// narrowest is the width from which a shard is not halved any more, as a
 	// share of the mean: what is left is as cheap to move whole, and one busy key
 	// cannot be halved.
 	narrowest = 1.0 / 1024
-	// maxSplits and maxMerges bound one decision.
+	// maxSplits bounds one decision.
 	maxSplits = 4
-	maxMerges = 64
-	// mergeScan bounds the neighbours that one decision compares; the next one
-	// goes on behind them.
-	mergeScan = 4096
 )
 
 // splits proposes cuts through the large shards of servers that stay too hot.
@@ -81,35 +74,3 @@
 	middle := shard.Range.First + (shard.Range.Last-shard.Range.First)/2
 	return state.KeyRange{First: middle + 1, Last: shard.Range.Last}
 }
-
-// merges proposes to join cold neighbours with the same owner while there are
-// more shards than wanted.
-func (s *search) merges() []Merge {
-	layout := s.layout
-	excess := len(layout.positions) - layout.limits.ShardsPerServer*layout.accepting
-	if excess <= 0 || len(layout.order) < 2 {
-		return nil
-	}
-	bound := mergeShare * layout.total / float64(len(layout.positions))
-	var merges []Merge
-	for scanned := 0; scanned < min(mergeScan, len(layout.order)) && len(merges) < min(excess, maxMerges); scanned++ {
-		layout.mergeCursor++
-		if layout.mergeCursor >= len(layout.order) {
-			layout.mergeCursor = 0
-			continue
-		}
-		first := &layout.records[layout.order[layout.mergeCursor-1]]
-		second := &layout.records[layout.order[layout.mergeCursor]]
-		if mergeable(first, second, bound) {
-			merges = append(merges, Merge{First: first.ID, Second: second.ID})
-			layout.mergeCursor++
-		}
-	}
-	return merges
-}
-
-func mergeable(first, second *record, bound float64) bool {
-	return first.Owner != "" && first.Owner == second.Owner && !first.Moving && !second.Moving &&
-		!first.pinned && !second.pinned &&
-		first.Range.Last+1 == second.Range.First && first.Load+second.Load <= bound
-}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -75,6 +75,12 @@
 	// ShardsPerServer is how many shards a server has on average before cold
 	// neighbours are merged; twice as many stop splits.
 	ShardsPerServer int
+	// MinShards, if not zero, is the number of shards of the service above which
+	// cold neighbours are merged, in place of ShardsPerServer.
+	MinShards int
+	// MergeRest is how long a shard must have been cold, and not been cut, before
+	// it is merged, so that splits and merges do not alternate.
+	MergeRest time.Duration
 }
 
 // Defaults of Limits.
@@ -90,6 +96,7 @@
 	defaultTolerance          = 0.1
 	defaultReserveUtilization = 0.9
 	defaultShardsPerServer    = 32
+	defaultMergeRest          = 10 * time.Minute
 )
 
 // DefaultLimits returns the limits that the product uses.
@@ -98,6 +105,7 @@
 		Horizon: defaultHorizon, Window: defaultWindow, Handover: defaultHandover, MaxMoves: defaultMaxMoves,
 		Cooldown: defaultCooldown, Ramp: defaultRamp, PayFactor: defaultPayFactor, MinGain: defaultMinGain, Tolerance: defaultTolerance,
 		ReserveUtilization: defaultReserveUtilization, ShardsPerServer: defaultShardsPerServer,
+		MergeRest: defaultMergeRest,
 	}
 }
 
@@ -126,6 +134,9 @@
 	ReasonBalance Reason = "balance"
 	// ReasonHotKey: one busy key moves alone.
 	ReasonHotKey Reason = "hot_key"
+	// ReasonReunite: a cold key goes back to the owner of its neighbours, to be
+	// merged with them.
+	ReasonReunite Reason = "reunite"
 )
 
 // Move is one change of owner. With Isolate set, only the key with the hash
--- a/internal/planner/check.go
+++ b/internal/planner/check.go
@@ -68,6 +68,7 @@
 		{state.IntentRetireServer, intent.RetireServer != nil},
 		{state.IntentRebalance, intent.Rebalance != nil},
 		{state.IntentSetMode, intent.SetMode != nil},
+		{state.IntentMergeShards, intent.MergeShards != nil},
 	}
 	for _, field := range present {
 		if field.set != (field.kind == intent.Kind) {
@@ -157,7 +158,7 @@
 	if weights.Imbalance < 0 || weights.Churn < 0 || weights.Unavailable < 0 {
 		return fault.Newf(fault.InvalidArgument, "%s.weights: negative: use 0 or more", field)
 	}
-	return nil
+	return checkPlacement(field+".placement", settings.Placement)
 }
 
 func checkServers(field string, specs []state.ServerSpec) error {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -71,6 +71,8 @@
 		return d.rebalance(*intent.Rebalance)
 	case state.IntentSetMode:
 		return d.setMode(*intent.SetMode)
+	case state.IntentMergeShards:
+		return d.mergeShards(*intent.MergeShards)
 	default:
 		return fault.Newf(fault.InvalidArgument, "kind: %q is unknown: see docs/OPERATIONS.md for the kinds", intent.Kind)
 	}
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -63,6 +63,8 @@
 		return tx.revokeShards(command.RevokeShards)
 	case command.SplitShards != nil:
 		return tx.splitShards(command.SplitShards)
+	case command.MergeShards != nil:
+		return tx.mergeShards(command.MergeShards)
 	case command.SetLeaving != nil:
 		return tx.setLeaving(command.SetLeaving)
 	case command.RetireServerDone != nil:
--- /dev/null
+++ b/internal/state/apply_merge.go
@@ -0,0 +1,106 @@
+package state
+
+import (
+	"strconv"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// mergeShards joins pairs of neighbours of services whose policy allows it, all
+// or none of them.
+func (tx *transaction) mergeShards(command *MergeShards) Result {
+	used := make(map[ShardID]bool, 2*len(command.Merges))
+	left := make(map[ServiceName]int)
+	for _, merge := range command.Merges {
+		if used[merge.First.Shard] || used[merge.Second.Shard] {
+			return failure(fault.Conflict, "a shard stands in two of the merges")
+		}
+		used[merge.First.Shard], used[merge.Second.Shard] = true, true
+		if problem := tx.mergeProblem(merge); problem != "" {
+			return failure(fault.Conflict, problem)
+		}
+		shard, _ := tx.state.Shard(merge.First.Shard)
+		left[shard.Service]++
+		if problem := tx.policyProblem(shard.Service, left[shard.Service]); problem != "" {
+			return failure(fault.Conflict, problem)
+		}
+	}
+	for _, merge := range command.Merges {
+		tx.merge(merge)
+	}
+	return Result{}
+}
+
+// policyProblem says why the controllers may not make a number of merges in a
+// service by themselves, or nothing.
+func (tx *transaction) policyProblem(name ServiceName, merges int) string {
+	service, _ := tx.state.Service(name)
+	if !service.Placement.Automatic || !service.Placement.Merge {
+		return "the policy of service " + string(name) + " allows no merges"
+	}
+	if tx.state.ShardCount(name)-merges < service.Placement.MinShards {
+		return "service " + string(name) + " would have fewer shards than its policy asks for"
+	}
+	return ""
+}
+
+// mergeProblem says why two shards cannot be merged, or nothing. Both must be
+// owned, at rest and at their epochs, by one server in the session named: a
+// shard that is changing hands keeps its identifier until it has.
+func (tx *transaction) mergeProblem(merge ShardMerge) string {
+	first, found := tx.state.Shard(merge.First.Shard)
+	if !found {
+		return shardName(merge.First.Shard) + " is gone"
+	}
+	second, found := tx.state.Shard(merge.Second.Shard)
+	if !found {
+		return shardName(merge.Second.Shard) + " is gone"
+	}
+	follows := first.Range.Last < second.Range.First && first.Range.Last+1 == second.Range.First
+	if first.Service != second.Service || !follows {
+		return shardName(second.ID) + " does not follow " + shardName(first.ID)
+	}
+	if tx.state.observed(first.Service) {
+		return "service " + string(first.Service) + " is observed"
+	}
+	if problem := restProblem(first, merge.First.Epoch, merge.Owner); problem != "" {
+		return problem
+	}
+	if problem := restProblem(second, merge.Second.Epoch, merge.Owner); problem != "" {
+		return problem
+	}
+	owner, found := tx.state.Server(merge.Owner)
+	if !found || !owner.Session.Open || owner.Session.Number != merge.Session {
+		return "the session of server " + string(merge.Owner) + " changed"
+	}
+	return ""
+}
+
+// restProblem says why a shard is not at rest with an owner at an epoch.
+func restProblem(shard Shard, epoch Epoch, owner ServerID) string {
+	switch {
+	case shard.Phase != ShardOwned || shard.Target != "":
+		return shardName(shard.ID) + " is moving or has no owner"
+	case shard.Owner != owner || shard.Epoch != epoch:
+		return shardName(shard.ID) + " changed its owner"
+	default:
+		return ""
+	}
+}
+
+func shardName(id ShardID) string {
+	return "shard " + strconv.FormatUint(uint64(id), 10)
+}
+
+// merge joins two neighbours. The epoch rises above both, so that for every key
+// a request under the earlier shard can be told from one under this: a back end
+// refuses the one until it holds the new set, and the other from then on.
+func (tx *transaction) merge(merge ShardMerge) {
+	first, _ := tx.state.Shard(merge.First.Shard)
+	second, _ := tx.state.Shard(merge.Second.Shard)
+	gone := Shard{ID: second.ID, Service: second.Service, Revision: tx.revision}
+	tx.put(Object{Shard: &gone, Deleted: true})
+	first.Range.Last = second.Range.Last
+	first.Epoch = max(first.Epoch, second.Epoch) + 1
+	tx.putShard(first)
+}
--- a/internal/state/apply_plan.go
+++ b/internal/state/apply_plan.go
@@ -104,6 +104,10 @@
 		return tx.checkObserveRanges(operation.ObserveRanges, created)
 	case operation.ChangeMode != nil:
 		return tx.checkChangeMode(operation.ChangeMode)
+	case operation.MergeShards != nil:
+		if problem := tx.mergeProblem(*operation.MergeShards); problem != "" {
+			return stale(problem)
+		}
 	}
 	return nil
 }
@@ -166,6 +170,8 @@
 		tx.observeRanges(operation.ObserveRanges)
 	case operation.ChangeMode != nil:
 		tx.changeMode(operation.ChangeMode)
+	case operation.MergeShards != nil:
+		tx.merge(*operation.MergeShards)
 	}
 }
 
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -16,6 +16,7 @@
 	AssignShards     *AssignShards
 	RevokeShards     *RevokeShards
 	SplitShards      *SplitShards
+	MergeShards      *MergeShards
 	SetLeaving       *SetLeaving
 	RetireServerDone *RetireServerDone
 	PutRouter        *PutRouter
@@ -53,8 +54,8 @@
 
 // ShardEpoch names a shard at one epoch.
 type ShardEpoch struct {
-	Shard ShardID
-	Epoch Epoch
+	Shard ShardID `json:"shard"`
+	Epoch Epoch   `json:"epoch"`
 }
 
 // ReleaseShards says that the owner acknowledged the revocation of shards and
@@ -98,6 +99,23 @@
 	To    ServerID
 }
 
+// MergeShards joins pairs of neighbours, as the service's policy allows. It is
+// refused as a whole, with the kind conflict, unless every pair may be merged.
+type MergeShards struct {
+	Merges []ShardMerge
+}
+
+// ShardMerge joins two shards of one service that one server owns: the range of
+// Second begins right after that of First. First stays, at an epoch above both,
+// and Second is gone.
+type ShardMerge struct {
+	First  ShardEpoch `json:"first"`
+	Second ShardEpoch `json:"second"`
+	// Owner must own both, in its open session Session.
+	Owner   ServerID      `json:"owner"`
+	Session SessionNumber `json:"session"`
+}
+
 // SetLeaving records the platform's word on a server's machine.
 type SetLeaving struct {
 	Server  ServerID
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -14,6 +14,7 @@
 	IntentRetireServer  IntentKind = "retire_server"
 	IntentRebalance     IntentKind = "rebalance"
 	IntentSetMode       IntentKind = "set_mode"
+	IntentMergeShards   IntentKind = "merge_shards"
 )
 
 // Intent is what an operator asks for. Exactly one of the pointer fields is
@@ -21,16 +22,17 @@
 type Intent struct {
 	// ID is chosen by the operator. A resend with the same content gets the
 	// first answer again; with other content it gets a conflict.
-	ID            IntentID       `json:"intent_id"`
-	Operator      string         `json:"operator"`
-	Kind          IntentKind     `json:"kind"`
-	CreateService *CreateService `json:"create_service,omitempty"`
-	UpdateService *UpdateService `json:"update_service,omitempty"`
-	AddServers    *AddServers    `json:"add_servers,omitempty"`
-	MoveKey       *MoveKey       `json:"move_key,omitempty"`
-	RetireServer  *RetireServer  `json:"retire_server,omitempty"`
-	Rebalance     *Rebalance     `json:"rebalance,omitempty"`
-	SetMode       *SetMode       `json:"set_mode,omitempty"`
+	ID            IntentID         `json:"intent_id"`
+	Operator      string           `json:"operator"`
+	Kind          IntentKind       `json:"kind"`
+	CreateService *CreateService   `json:"create_service,omitempty"`
+	UpdateService *UpdateService   `json:"update_service,omitempty"`
+	AddServers    *AddServers      `json:"add_servers,omitempty"`
+	MoveKey       *MoveKey         `json:"move_key,omitempty"`
+	RetireServer  *RetireServer    `json:"retire_server,omitempty"`
+	Rebalance     *Rebalance       `json:"rebalance,omitempty"`
+	SetMode       *SetMode         `json:"set_mode,omitempty"`
+	MergeShards   *MergeNeighbours `json:"merge_shards,omitempty" msgpack:",omitempty"`
 }
 
 // ServiceSettings are the operator's settings of a service.
@@ -106,6 +108,14 @@
 	Map OwnershipMap `json:"map"`
 }
 
+// MergeNeighbours asks that two neighbours with the same owner become one shard.
+// Their order does not matter.
+type MergeNeighbours struct {
+	Service ServiceName `json:"service"`
+	First   ShardID     `json:"first"`
+	Second  ShardID     `json:"second"`
+}
+
 // OwnershipMap is the ownership that a team's own scripts decided. Keys go
 // before Ranges, and both before Rest.
 type OwnershipMap struct {
@@ -151,6 +161,7 @@
 	MoveShard     *MoveShard     `json:"move_shard,omitempty"`
 	ObserveRanges *ObserveRanges `json:"observe_ranges,omitempty"`
 	ChangeMode    *ChangeMode    `json:"change_mode,omitempty"`
+	MergeShards   *ShardMerge    `json:"merge_shards,omitempty" msgpack:",omitempty"`
 }
 
 // CreateShards cuts a service's key space into Count equal ranges.
--- a/internal/state/put.go
+++ b/internal/state/put.go
@@ -16,6 +16,8 @@
 	switch {
 	case object.Deleted && object.Router != nil:
 		delete(s.routers, object.Router.ID)
+	case object.Deleted && object.Shard != nil:
+		s.removeShard(previous.Shard, object.Shard.Revision)
 	case object.Service != nil:
 		s.services[object.Service.Name] = object.Service
 	case object.Server != nil:
@@ -69,12 +71,31 @@
 // insertRange adds a new shard to its service's ordered list. The order is by
 // Range.First, which no two shards of a service share once a command ended.
 func (s *State) insertRange(shard *Shard) {
-	ids := s.ranges[shard.Service]
-	position, _ := slices.BinarySearchFunc(ids, shard.Range.First, func(id ShardID, first uint64) int {
+	position, _ := s.rangePosition(shard.Service, shard.Range.First)
+	s.shards[shard.ID] = shard
+	s.ranges[shard.Service] = slices.Insert(s.ranges[shard.Service], position, shard.ID)
+}
+
+// removeShard takes a shard that was merged into another out of every index.
+func (s *State) removeShard(previous *Shard, revision Revision) {
+	s.totals.remove(previous)
+	s.active.remove(previous)
+	if position, found := s.rangePosition(previous.Service, previous.Range.First); found {
+		s.ranges[previous.Service] = slices.Delete(s.ranges[previous.Service], position, position+1)
+	}
+	delete(s.shards, previous.ID)
+	if previous.Owner != "" {
+		delete(s.owned[previous.Owner], previous.ID)
+		s.versions[previous.Owner] = revision
+	}
+}
+
+// rangePosition returns where in its service's ordered list a shard that begins
+// at a hash stands, or would stand.
+func (s *State) rangePosition(service ServiceName, first uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.ranges[service], first, func(id ShardID, first uint64) int {
 		return cmp.Compare(s.shards[id].Range.First, first)
 	})
-	s.shards[shard.ID] = shard
-	s.ranges[shard.Service] = slices.Insert(ids, position, shard.ID)
 }
 
 func (s *State) storePlan(plan Plan) {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -199,9 +199,7 @@
 // order.
 func (s *State) ShardsWithin(service ServiceName, keys KeyRange) []Shard {
 	ids := s.ranges[service]
-	start, _ := slices.BinarySearchFunc(ids, keys.First, func(id ShardID, first uint64) int {
-		return cmp.Compare(s.shards[id].Range.First, first)
-	})
+	start, _ := s.rangePosition(service, keys.First)
 	var shards []Shard
 	for _, id := range ids[start:] {
 		shard := s.shards[id]
--- a/internal/state/totals.go
+++ b/internal/state/totals.go
@@ -28,16 +28,23 @@
 // replace takes the earlier version of a shard out, if there is one, and the new
 // version in.
 func (t *totals) replace(previous, shard *Shard) {
-	counts := t.phases[shard.Service]
 	if previous != nil {
-		counts.add(previous.Phase, -1)
-		t.spans[previous.Owner] -= previous.Range.Last - previous.Range.First
+		t.remove(previous)
 	}
+	counts := t.phases[shard.Service]
 	counts.add(shard.Phase, 1)
 	t.phases[shard.Service] = counts
 	t.spans[shard.Owner] += shard.Range.Last - shard.Range.First
 }
 
+// remove takes a shard out.
+func (t *totals) remove(previous *Shard) {
+	counts := t.phases[previous.Service]
+	counts.add(previous.Phase, -1)
+	t.phases[previous.Service] = counts
+	t.spans[previous.Owner] -= previous.Range.Last - previous.Range.First
+}
+
 func (c *PhaseCounts) add(phase ShardPhase, count int) {
 	switch phase {
 	case ShardUnowned:
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -73,6 +73,11 @@
 	// Automatic lets the controllers split and move shards for the sake of
 	// balance, within MaxMoves and as the weights price it. Off unless set.
 	Automatic bool `json:"automatic"`
+	// Merge lets them, besides, merge cold neighbours with the same owner.
+	Merge bool `json:"merge,omitempty" msgpack:",omitempty"`
+	// MinShards is the number of shards below which they merge none. It bounds
+	// no merge that an operator asks for.
+	MinShards int `json:"min_shards,omitempty" msgpack:",omitempty"`
 }
 
 // Weights price the three measures of placement against each other.
@@ -200,6 +205,6 @@
 	Router    *Router          `json:"router,omitempty" msgpack:",omitempty"`
 	Partition *RecordPartition `json:"partition,omitempty" msgpack:",omitempty"`
 	// Deleted names an object that is gone; its other fields are zero but for
-	// the identifier.
+	// the identifier, the revision and, of a shard, the service.
 	Deleted bool `json:"deleted,omitempty" msgpack:",omitempty"`
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -43,6 +43,7 @@
 	EventSessionClosed     Event = "session_closed"
 	EventShardRevoked      Event = "shard_revoked"
 	EventShardReleased     Event = "shard_released"
+	EventShardMerged       Event = "shard_merged"
 	EventShardAssigned     Event = "shard_assigned"
 	EventServerLeaving     Event = "server_leaving"
 	EventServerRetired     Event = "server_retired"
@@ -119,6 +120,7 @@
 		{EventShardRevoked, levelInfo, "A shard is being taken from its owner."},
 		{EventShardReleased, levelInfo, "The owner gave up a shard."},
 		{EventShardAssigned, levelInfo, "A shard has a new owner and epoch."},
+		{EventShardMerged, levelInfo, "The controllers merged neighbouring shards of one owner."},
 		{EventServerLeaving, levelInfo, "The platform's list says that a machine leaves, or no longer does."},
 		{EventServerRetired, levelInfo, "A retiring server holds no shard any more."},
 		{EventPlatformFailed, levelWarning, "The platform's list cannot be read."},
