--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -96,7 +96,7 @@
 	defaultTolerance          = 0.1
 	defaultReserveUtilization = 0.9
 	defaultShardsPerServer    = 32
-	defaultMergeRest          = 10 * time.Minute
+	defaultMergeRest          = 5 * time.Minute
 )
 
 // DefaultLimits returns the limits that the product uses.
