--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -26,19 +26,54 @@
 	return result
 }
 
+// objectKey identifies an object, as Object.Key does, without making a string.
+type objectKey struct {
+	kind   objectKind
+	name   string
+	number uint64
+}
+
+type objectKind uint8
+
+const (
+	kindNone objectKind = iota
+	kindService
+	kindServer
+	kindShard
+	kindRouter
+	kindPartition
+)
+
+func keyOf(object Object) objectKey {
+	switch {
+	case object.Shard != nil:
+		return objectKey{kind: kindShard, number: uint64(object.Shard.ID)}
+	case object.Server != nil:
+		return objectKey{kind: kindServer, name: string(object.Server.ID)}
+	case object.Service != nil:
+		return objectKey{kind: kindService, name: string(object.Service.Name)}
+	case object.Router != nil:
+		return objectKey{kind: kindRouter, name: string(object.Router.ID)}
+	case object.Partition != nil:
+		return objectKey{kind: kindPartition, number: uint64(object.Partition.Number)}
+	default:
+		return objectKey{kind: kindNone}
+	}
+}
+
 // newestVersions keeps the last version of each object, since a command may
 // change an object more than once. A table takes each object once in a delta.
 func newestVersions(changed []Object) []Object {
-	last := make(map[string]int, len(changed))
+	last := make(map[objectKey]int, len(changed))
 	for position, object := range changed {
-		last[object.Key()] = position
+		last[keyOf(object)] = position
 	}
 	if len(last) == len(changed) {
 		return changed
 	}
 	newest := make([]Object, 0, len(last))
 	for position, object := range changed {
-		if last[object.Key()] == position {
+		if last[keyOf(object)] == position {
 			newest = append(newest, object)
 		}
 	}
--- a/internal/state/object.go
+++ b/internal/state/object.go
@@ -4,8 +4,6 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/thorntiller/thorntiller/internal/codec"
 )
 
 // HashKey returns the 64-bit hash that places a key in a service's key space.
@@ -61,17 +59,3 @@
 		return 0
 	}
 }
-
-// ObjectDigest returns the xxhash of the object's msgpack encoding; zero for a
-// deleted object. The digest of a table is the exclusive-or over its objects.
-func ObjectDigest(object Object) uint64 {
-	if object.Deleted {
-		return 0
-	}
-	encoded, err := codec.Marshal(&object)
-	if err != nil {
-		// The types hold no value that msgpack cannot encode.
-		panic("state: encode object: " + err.Error())
-	}
-	return xxhash.Sum64(encoded)
-}
--- a/internal/state/put.go
+++ b/internal/state/put.go
@@ -60,9 +60,9 @@
 	s.shards[shard.ID] = shard
 	if shard.Owner != "" {
 		if s.owned[shard.Owner] == nil {
-			s.owned[shard.Owner] = make(map[ShardID]struct{})
+			s.owned[shard.Owner] = make(map[ShardID]*Shard)
 		}
-		s.owned[shard.Owner][shard.ID] = struct{}{}
+		s.owned[shard.Owner][shard.ID] = shard
 		s.versions[shard.Owner] = shard.Revision
 	}
 	s.active.put(previous, shard)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -27,7 +27,7 @@
 	// ranges holds each service's shards in the order of their ranges.
 	ranges map[ServiceName][]ShardID
 	// owned indexes the shards by their owner.
-	owned map[ServerID]map[ShardID]struct{}
+	owned map[ServerID]map[ShardID]*Shard
 	// versions holds, for each server, the revision at which the set of shards
 	// that it may serve last changed.
 	versions map[ServerID]Revision
@@ -49,7 +49,7 @@
 		plans:      make(map[PlanID]*Plan),
 		receipts:   newReceipts(),
 		ranges:     make(map[ServiceName][]ShardID),
-		owned:      make(map[ServerID]map[ShardID]struct{}),
+		owned:      make(map[ServerID]map[ShardID]*Shard),
 		versions:   make(map[ServerID]Revision),
 		active:     newActiveIndex(),
 		totals:     newTotals(),
@@ -235,7 +235,16 @@
 // OwnedBy returns the shards that a server owns, revoking ones included, by
 // identifier.
 func (s *State) OwnedBy(server ServerID) []Shard {
-	return s.shardsByID(s.owned[server])
+	owned := make([]*Shard, 0, len(s.owned[server]))
+	for _, shard := range s.owned[server] {
+		owned = append(owned, shard)
+	}
+	slices.SortFunc(owned, func(a, b *Shard) int { return cmp.Compare(a.ID, b.ID) })
+	shards := make([]Shard, 0, len(owned))
+	for _, shard := range owned {
+		shards = append(shards, *shard)
+	}
+	return shards
 }
 
 // OwnedCount returns how many shards a server owns.
@@ -250,11 +259,15 @@
 }
 
 func (s *State) shardsByID(ids map[ShardID]struct{}) []Shard {
-	shards := make([]Shard, 0, len(ids))
+	sorted := make([]ShardID, 0, len(ids))
 	for id := range ids {
+		sorted = append(sorted, id)
+	}
+	slices.Sort(sorted)
+	shards := make([]Shard, 0, len(sorted))
+	for _, id := range sorted {
 		shards = append(shards, *s.shards[id])
 	}
-	slices.SortFunc(shards, func(a, b Shard) int { return cmp.Compare(a.ID, b.ID) })
 	return shards
 }
 
