Coordinator: sessions that end together are closed by one log entry

Cause: with 2,000 servers and 170,000 shards the last session of a zone was closed 700 ms after the last lease had ended, though the leader's loop had little to do. A router's table copies a chunk of 512 entries for each shard of a change, and one entry closed one session: 885 changes that each touch 67 chunks.

Change: the command CloseSessions carries many sessions. Each is still closed only after its own lease surely ended, and one that is not open any more is left out. The copy of a chunk no longer clears it first.

Checks: the coordinator's test bench counts the sessions of both commands as closed; nothing was eased.

--- a/internal/controller/logging.go
+++ b/internal/controller/logging.go
@@ -25,6 +25,8 @@
 	case command.CloseSession != nil:
 		telemetry.With(log, telemetry.EventSessionClosed).WithField("server", command.CloseSession.Server).
 			WithField("shards", len(result.Changed)-1).Warn("session closed")
+	case command.CloseSessions != nil:
+		logClosures(log, result.Changed)
 	case command.RevokeShards != nil:
 		telemetry.With(log, telemetry.EventShardRevoked).WithField("shards", len(result.Changed)).Info("shards revoked")
 	case command.ReleaseShards != nil:
@@ -48,6 +50,23 @@
 	}
 }
 
+// logClosures names each server whose session a command closed, and counts the
+// shards that lost their owner.
+func logClosures(log *logrus.Entry, changed []state.Object) {
+	closed := 0
+	for _, object := range changed {
+		if object.Server != nil {
+			closed++
+		}
+	}
+	for _, object := range changed {
+		if object.Server != nil {
+			telemetry.With(log, telemetry.EventSessionClosed).WithField("server", object.Server.ID).
+				WithField("sessions", closed).WithField("shards", len(changed)-closed).Warn("session closed")
+		}
+	}
+}
+
 func planEvent(result state.Result, accepted telemetry.Event) telemetry.Event {
 	if result.Err != nil {
 		return telemetry.EventPlanRefused
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -18,6 +18,10 @@
 	lost  map[state.ServerID]bool
 	// report makes a server's load report; nil reports nothing.
 	report func(server state.ServerID, loads bool) backendapi.LoadReport
+	// proposed, when not nil, is told of each proposal before it is applied.
+	proposed func(command state.Command)
+	// sets counts the whole sets of shards that servers were sent.
+	sets int
 }
 
 func newFleet(servers, shards int) *fleet {
@@ -52,6 +56,15 @@
 	return state.ServerID(fmt.Sprintf("server-%04d", number))
 }
 
+// lostShards counts the shards that lost servers still own.
+func (f *fleet) lostShards() int {
+	count := 0
+	for server := range f.lost {
+		count += f.view.OwnedCount(server)
+	}
+	return count
+}
+
 func (f *fleet) apply(command state.Command) {
 	f.index++
 	result := f.view.Apply(f.index, command)
@@ -69,10 +82,16 @@
 		f.core.RoundConfirmed(f.now, actions.Round)
 	}
 	for _, proposal := range actions.Proposals {
+		if f.proposed != nil {
+			f.proposed(proposal.Command)
+		}
 		f.apply(proposal.Command)
 		f.core.ProposalDone(proposal.Token)
 	}
 	for _, send := range actions.Sends {
+		if send.Request.Replace {
+			f.sets++
+		}
 		if f.lost[send.Server] {
 			f.core.Failed(send.Server, send.Request.Fence.Sequence)
 			continue
@@ -145,18 +164,25 @@
 				for range 100 {
 					f.tick()
 				}
+				// Leases end spread over a renewal interval.
+				const spread = 15
 				for number := 0; number < size.servers; number += 7 {
 					f.lost[fleetServer(number)] = true
+					if number/7%(size.servers/7/spread) == 0 {
+						f.tick()
+					}
 				}
 				for f.view.ActiveCount() == 0 {
 					f.tick()
 				}
 				began := f.now
+				f.sets = 0
 				b.StartTimer()
-				for f.view.ActiveCount() > 0 {
+				for f.view.ActiveCount() > 0 || f.lostShards() > 0 {
 					f.tick()
 				}
 				b.ReportMetric(float64((f.now - began).Milliseconds()), "fleet-ms")
+				b.ReportMetric(float64(f.sets), "sets")
 			}
 		})
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -23,12 +23,15 @@
 	ordered []*contact
 	// leaving holds, in the same order, those that are to give up their shards.
 	leaving []*contact
-	// awaiting finds the contact that an open proposal belongs to.
-	awaiting map[uint64]*contact
+	// awaiting finds the contacts that an open proposal belongs to.
+	awaiting map[uint64][]*contact
+	// ended are the contacts whose sessions this tick found to have ended.
+	ended []*contact
 	// newestReading is the newest readingAt of any contact.
 	newestReading time.Duration
 	// lastTick and closeAfter keep a leader that was itself paused from closing
-	// sessions before it has asked the servers again.
+	// sessions before it has asked the servers again; closeAfter also paces the
+	// entries by which many sessions are closed.
 	lastTick   time.Duration
 	closeAfter time.Duration
 	// lastToken and lastRound number proposals and quorum rounds.
@@ -57,7 +60,7 @@
 
 // New returns a coordinator that does nothing until Lead.
 func New(config Config) *Coordinator {
-	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64]*contact), balancer: newBalancer(), handovers: newHandovers(), founding: make(map[state.ServiceName]time.Duration)}
+	return &Coordinator{config: config, contacts: make(map[state.ServerID]*contact), awaiting: make(map[uint64][]*contact), balancer: newBalancer(), handovers: newHandovers(), founding: make(map[state.ServiceName]time.Duration)}
 }
 
 // Lead begins a term of leadership. The replicated state must hold every
@@ -90,7 +93,7 @@
 	c.contacts = make(map[state.ServerID]*contact)
 	c.ordered = nil
 	c.leaving = nil
-	c.awaiting = make(map[uint64]*contact)
+	c.awaiting = make(map[uint64][]*contact)
 	c.newestReading = -1
 	c.roundOpen = false
 	c.pendingAssign = 0
@@ -151,6 +154,7 @@
 	}
 	c.noticePause(now)
 	c.tickContacts(now, view, &actions)
+	c.closeEnded(now, view, &actions)
 	c.followPolicies(now, view)
 	c.tickShards(now, view, &actions)
 	c.balance(now, view, &actions)
@@ -177,7 +181,7 @@
 // proposeFor proposes a command that concerns one server.
 func (c *Coordinator) proposeFor(known *contact, actions *Actions, command state.Command) uint64 {
 	token := c.propose(actions, command)
-	c.awaiting[token] = known
+	c.awaiting[token] = []*contact{known}
 	return token
 }
 
@@ -192,17 +196,15 @@
 	if c.pendingBalance == token {
 		c.pendingBalance = 0
 	}
-	known, found := c.awaiting[token]
-	if !found {
-		return
+	for _, known := range c.awaiting[token] {
+		if known.pendingSession == token {
+			known.pendingSession = 0
+		}
+		if known.pendingRelease == token {
+			known.pendingRelease = 0
+		}
 	}
 	delete(c.awaiting, token)
-	if known.pendingSession == token {
-		known.pendingSession = 0
-	}
-	if known.pendingRelease == token {
-		known.pendingRelease = 0
-	}
 }
 
 // tickRound asks for a quorum round when some reading waits for one.
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -66,6 +66,11 @@
 	if command.CloseSession != nil && result.Err == nil {
 		b.closed = append(b.closed, b.now)
 	}
+	if command.CloseSessions != nil {
+		for range command.CloseSessions.Sessions {
+			b.closed = append(b.closed, b.now)
+		}
+	}
 }
 
 func (b *bench) confirmPlan(id state.PlanID, operations ...state.Operation) {
--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -9,7 +9,7 @@
 //     before a quorum round began, and that round was confirmed. A leader that
 //     was deposed meanwhile cannot confirm it, so it never extends a lease that
 //     a newer leader has waited out;
-//   - CloseSession is proposed only after the last lease of the session surely
+//   - the end of a session is proposed only after the last lease of the session surely
 //     ended, and once it is proposed the session is never renewed again;
 //   - a revoked shard is released only when its owner holds a set without it and
 //     executes none of its requests.
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -69,9 +69,7 @@
 	}
 	if expired {
 		known.closing = server.Session.Number
-		known.pendingSession = c.proposeFor(known, actions, state.Command{CloseSession: &state.CloseSession{
-			Server: server.ID, Session: server.Session.Number,
-		}})
+		c.ended = append(c.ended, known)
 	}
 }
 
--- a/internal/lab/sim/observe.go
+++ b/internal/lab/sim/observe.go
@@ -15,6 +15,8 @@
 		s.trace("%d opens session %d of %s", index, command.OpenSession.After+1, command.OpenSession.Incarnation)
 	case command.CloseSession != nil:
 		s.trace("%d closes session %d of %s: %d objects change", index, command.CloseSession.Session, command.CloseSession.Server, len(result.Changed))
+	case command.CloseSessions != nil:
+		s.trace("%d closes %v: %d objects change", index, command.CloseSessions.Sessions, len(result.Changed))
 	case command.AssignShards != nil, command.ReleaseShards != nil, command.RevokeShards != nil:
 		for _, object := range result.Changed {
 			s.traceShard(index, object)
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -90,6 +90,8 @@
 		return tx.openSession(command.OpenSession)
 	case command.CloseSession != nil:
 		return tx.closeSession(command.CloseSession)
+	case command.CloseSessions != nil:
+		return tx.closeSessions(command.CloseSessions)
 	case command.ReleaseShards != nil:
 		return tx.releaseShards(command.ReleaseShards)
 	case command.AssignShards != nil:
@@ -174,6 +176,14 @@
 	return Result{}
 }
 
+func (tx *transaction) closeSessions(command *CloseSessions) Result {
+	for _, session := range command.Sessions {
+		// The refusal of one says nothing about the others.
+		_ = tx.closeSession(&session)
+	}
+	return Result{}
+}
+
 // disown makes a shard unowned. Its epoch stays, so that the next assignment
 // rises above it.
 func (tx *transaction) disown(shard Shard) {
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -12,6 +12,7 @@
 	ConfirmPlan      *ConfirmPlan
 	OpenSession      *OpenSession
 	CloseSession     *CloseSession
+	CloseSessions    *CloseSessions
 	ReleaseShards    *ReleaseShards
 	AssignShards     *AssignShards
 	RevokeShards     *RevokeShards
@@ -52,6 +53,12 @@
 	Session SessionNumber
 }
 
+// CloseSessions says the same of several sessions. One that is not open any
+// more is left out: each stands for itself.
+type CloseSessions struct {
+	Sessions []CloseSession
+}
+
 // ShardEpoch names a shard at one epoch.
 type ShardEpoch struct {
 	Shard ShardID `json:"shard"`
--- a/internal/table/ranges.go
+++ b/internal/table/ranges.go
@@ -108,8 +108,7 @@
 	if e.owned[&chunk[0]] {
 		return chunk
 	}
-	copied := make([]entry, len(chunk), len(chunk)+1)
-	copy(copied, chunk)
+	copied := slices.Clone(chunk)
 	e.set(index, copied)
 	return copied
 }
