Coordinator: owners for the shards of a zone are chosen together, and in larger entries

Cause: the leases of a zone's servers end spread over a renewal interval. Each set is looked up, sorted and sent by the leader.

Change: while 16 or more silent servers are about to lose their sessions, shards without an owner wait for the rest, for a renewal interval and two closure paces at most. Losses of fewer servers are handled as before. An entry carries 8,192 shards, before 2,048: one entry goes out in a tick, and 29 entries took 29 ticks and 29 copies of a router's table.

BenchmarkZoneLoss now spreads the contacts and waits for the last lost server.

--- a/internal/coordinator/assign.go
+++ b/internal/coordinator/assign.go
@@ -15,6 +15,9 @@
 
 // assignShards proposes the next batch of owners for shards without one.
 func (c *Coordinator) assignShards(planner *planner, view *state.State, actions *Actions) {
+	if c.awaitsClosures(planner.now, view) {
+		return
+	}
 	if len(c.assignments) == 0 {
 		c.assignments = c.chooseOwners(planner, view)
 	}
@@ -56,6 +59,24 @@
 	return chosen
 }
 
+// awaitsClosures reports whether shards without an owner wait for those of many
+// more servers that are about to be lost. Together each new owner takes one set
+// of shards, and routers a few large changes; one by one the last shard waits
+// for all of them.
+func (c *Coordinator) awaitsClosures(now time.Duration, view *state.State) bool {
+	if c.ending == 0 || len(view.UnownedServices()) == 0 {
+		c.gatheringSince = -1
+		return false
+	}
+	if c.gatheringSince < 0 {
+		if c.ending < manyClosures {
+			return false
+		}
+		c.gatheringSince = now
+	}
+	return now-c.gatheringSince < c.config.RenewInterval+2*closurePace
+}
+
 // foundingWait bounds the wait for the servers of a new service.
 const foundingWait = time.Second
 
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -56,6 +56,14 @@
 	return state.ServerID(fmt.Sprintf("server-%04d", number))
 }
 
+// stagger spreads the first messages to the servers, and with them all later
+// ones, over a renewal interval.
+func (f *fleet) stagger() {
+	for position, known := range f.core.ordered {
+		known.next = f.now + f.core.config.RenewInterval*time.Duration(position)/time.Duration(len(f.core.ordered))
+	}
+}
+
 // lostShards counts the shards that lost servers still own.
 func (f *fleet) lostShards() int {
 	count := 0
@@ -161,16 +169,12 @@
 			for b.Loop() {
 				b.StopTimer()
 				f := newFleet(size.servers, size.shards)
+				f.stagger()
 				for range 100 {
 					f.tick()
 				}
-				// Leases end spread over a renewal interval.
-				const spread = 15
 				for number := 0; number < size.servers; number += 7 {
 					f.lost[fleetServer(number)] = true
-					if number/7%(size.servers/7/spread) == 0 {
-						f.tick()
-					}
 				}
 				for f.view.ActiveCount() == 0 {
 					f.tick()
--- a/internal/coordinator/contact.go
+++ b/internal/coordinator/contact.go
@@ -43,6 +43,8 @@
 	claims   []backendapi.Assignment
 	// fenceTerm is the term of the newest message that the process took.
 	fenceTerm uint64
+	// open is true while the server's session is open.
+	open bool
 	// service is the server's; readyAt is when its open session began, and
 	// openedAs the number of that session.
 	service  state.ServiceName
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -27,6 +27,10 @@
 	awaiting map[uint64][]*contact
 	// ended are the contacts whose sessions this tick found to have ended.
 	ended []*contact
+	// ending counts the silent servers whose sessions end soon. gatheringSince is
+	// when shards began to wait for the end of many, -1 while none do.
+	ending         int
+	gatheringSince time.Duration
 	// newestReading is the newest readingAt of any contact.
 	newestReading time.Duration
 	// lastTick and closeAfter keep a leader that was itself paused from closing
@@ -100,6 +104,7 @@
 	c.pendingRevoke = 0
 	c.pendingBalance = 0
 	c.assignments = nil
+	c.gatheringSince = -1
 	c.balancer = newBalancer()
 	c.handovers = newHandovers()
 	c.founding = make(map[state.ServiceName]time.Duration)
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -11,7 +11,8 @@
 func (c *Coordinator) noteServer(known *contact, server state.Server) {
 	gone := server.Intent == state.ServerRetired && !server.Session.Open
 	known.service = server.Service
-	if server.Session.Open {
+	known.open = server.Session.Open
+	if known.open {
 		known.openedAs = server.Session.Number
 	}
 	known.withdrawn = !gone && (server.Leaving || server.Intent != state.ServerActive)
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -8,8 +8,13 @@
 )
 
 func (c *Coordinator) tickContacts(now time.Duration, view *state.State, actions *Actions) {
+	c.ending = 0
 	for _, known := range c.ordered {
-		expired := now > c.surelyEnded(known) && now > c.closeAfter
+		end := c.surelyEnded(known)
+		expired := now > end && now > c.closeAfter
+		if known.open && known.failures > 0 && end-now < c.config.RenewInterval {
+			c.ending++
+		}
 		if now < known.next && !expired && !known.answered {
 			continue
 		}
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -27,7 +27,7 @@
 // DefaultRoundInterval and DefaultMaxBatch suit every deployment so far.
 const (
 	DefaultRoundInterval = 20 * time.Millisecond
-	DefaultMaxBatch      = 2048
+	DefaultMaxBatch      = 8192
 )
 
 // Send is a lease message for one server.
