Coordinator: servers that answer together get their sessions by one log entry

Cause: the creation of one service with 1,500 servers at load 66 lost its leader three times before the first shard was assigned, as the controllers' logs show: 1,500 log entries opened a session each.

Each stands for itself: one that changed meanwhile is left out.

Tried and not taken: a window of 32,768 assigned shards whose owners have yet to take their sets.

--- a/internal/controller/logging.go
+++ b/internal/controller/logging.go
@@ -22,6 +22,10 @@
 		log.WithField("detail", result.Err.Error()).Debug("command refused")
 	case command.OpenSession != nil:
 		telemetry.With(log, telemetry.EventSessionOpened).WithField("server", command.OpenSession.Server).Info("session opened")
+	case command.OpenSessions != nil:
+		for _, object := range result.Changed {
+			telemetry.With(log, telemetry.EventSessionOpened).WithField("server", object.Server.ID).Info("session opened")
+		}
 	case command.CloseSession != nil:
 		telemetry.With(log, telemetry.EventSessionClosed).WithField("server", command.CloseSession.Server).
 			WithField("shards", len(result.Changed)-1).Warn("session closed")
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -27,6 +27,9 @@
 	awaiting map[uint64][]*contact
 	// ended are the contacts whose sessions this tick found to have ended.
 	ended []*contact
+	// opening are the sessions that this tick is to open, and openers their contacts.
+	opening []state.OpenSession
+	openers []*contact
 	// ending counts the silent servers whose sessions end soon. gatheringSince is
 	// when shards began to wait for the end of many, -1 while none do.
 	ending         int
@@ -159,6 +162,7 @@
 	}
 	c.noticePause(now)
 	c.tickContacts(now, view, &actions)
+	c.openAnswering(&actions)
 	c.closeEnded(now, view, &actions)
 	c.followPolicies(now, view)
 	c.tickShards(now, view, &actions)
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -30,7 +30,7 @@
 		}
 		begun := known.begin(now, server.Session)
 		expired = expired && !begun
-		c.tickSession(now, expired, known, server, service, actions)
+		c.tickSession(now, expired, known, server, service)
 		if now >= known.next && !known.inFlight {
 			c.contactServer(now, known, server, service, view, actions)
 		}
@@ -60,15 +60,16 @@
 
 // tickSession opens a session for a process that answers, and closes the
 // session of one whose lease surely ended.
-func (c *Coordinator) tickSession(now time.Duration, expired bool, known *contact, server state.Server, service state.Service, actions *Actions) {
+func (c *Coordinator) tickSession(now time.Duration, expired bool, known *contact, server state.Server, service state.Service) {
 	if known.pendingSession != 0 {
 		return
 	}
 	if !server.Session.Open {
 		if c.mayOpen(now, known, server, service) {
-			known.pendingSession = c.proposeFor(known, actions, state.Command{OpenSession: &state.OpenSession{
+			c.openers = append(c.openers, known)
+			c.opening = append(c.opening, state.OpenSession{
 				Server: server.ID, Incarnation: known.incarnation, After: server.Session.Number,
-			}})
+			})
 		}
 		return
 	}
--- a/internal/lab/sim/observe.go
+++ b/internal/lab/sim/observe.go
@@ -13,6 +13,8 @@
 	switch {
 	case command.OpenSession != nil:
 		s.trace("%d opens session %d of %s", index, command.OpenSession.After+1, command.OpenSession.Incarnation)
+	case command.OpenSessions != nil:
+		s.trace("%d opens %v: %d objects change", index, command.OpenSessions.Sessions, len(result.Changed))
 	case command.CloseSession != nil:
 		s.trace("%d closes session %d of %s: %d objects change", index, command.CloseSession.Session, command.CloseSession.Server, len(result.Changed))
 	case command.CloseSessions != nil:
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -93,6 +93,8 @@
 		return tx.confirmPlan(command.ConfirmPlan)
 	case command.OpenSession != nil:
 		return tx.openSession(command.OpenSession)
+	case command.OpenSessions != nil:
+		return tx.openSessions(command.OpenSessions)
 	case command.CloseSession != nil:
 		return tx.closeSession(command.CloseSession)
 	case command.CloseSessions != nil:
@@ -169,6 +171,14 @@
 	return Result{}
 }
 
+func (tx *transaction) openSessions(command *OpenSessions) Result {
+	for _, session := range command.Sessions {
+		// The refusal of one says nothing about the others.
+		_ = tx.openSession(&session)
+	}
+	return Result{}
+}
+
 func (tx *transaction) closeSession(command *CloseSession) Result {
 	server, found := tx.state.Server(command.Server)
 	if !found {
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -11,6 +11,7 @@
 	StorePlan        *StorePlan
 	ConfirmPlan      *ConfirmPlan
 	OpenSession      *OpenSession
+	OpenSessions     *OpenSessions
 	CloseSession     *CloseSession
 	CloseSessions    *CloseSessions
 	ReleaseShards    *ReleaseShards
@@ -46,6 +47,12 @@
 	After SessionNumber
 }
 
+// OpenSessions does so for several servers. One whose session changed meanwhile
+// is left out: each stands for itself.
+type OpenSessions struct {
+	Sessions []OpenSession
+}
+
 // CloseSession says that the lease of a session has surely ended. It makes the
 // server's shards unowned.
 type CloseSession struct {
