State: a shard's digest is encoded by the msgpack library

The bytes that the digest of a shard is taken of were put together by hand, a second writer of msgpack in the tree. Serialization is the library's work here, also where it is slower. The fields go one by one through the library's encoder, still without reflection.

TestShardDigest compares the bytes with the codec's as before.

--- a/internal/state/digest.go
+++ b/internal/state/digest.go
@@ -1,10 +1,10 @@
 package state
 
 import (
-	"encoding/binary"
-	"math"
+	"bytes"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
 )
@@ -30,83 +30,87 @@
 const shardRoom = 256
 
 // shardDigest is the digest of a shard's object. The loss of a zone changes tens of
-// thousands of shards within the time of a lease, so that the bytes are put
-// together without reflection.
+// thousands of shards within the time of a lease, so that the fields are encoded
+// one by one, without reflection.
 func shardDigest(shard *Shard) uint64 {
 	var room [shardRoom]byte
-	return xxhash.Sum64(appendShardObject(room[:0], shard))
+	encoded := bytes.NewBuffer(room[:0])
+	encodeShardObject(encoded, shard)
+	return xxhash.Sum64(encoded.Bytes())
 }
 
-// appendShardObject appends what codec.Marshal makes of an object that holds the
+// encodeShardObject writes what codec.Marshal makes of an object that holds the
 // shard alone.
-func appendShardObject(encoded []byte, shard *Shard) []byte {
-	const fieldsAlways = 6
-	fields := fieldsAlways
-	if shard.Owner != "" {
-		fields++
-	}
-	if shard.Target != "" {
-		fields++
+func encodeShardObject(encoded *bytes.Buffer, shard *Shard) {
+	fields := fieldEncoder{encoder: msgpack.GetEncoder()}
+	defer msgpack.PutEncoder(fields.encoder)
+	fields.encoder.Reset(encoded)
+	fields.open("S", shardFieldCount(shard))
+	fields.number("i", uint64(shard.ID))
+	fields.text("s", string(shard.Service))
+	const rangeFields = 2
+	fields.name("r")
+	fields.size(rangeFields)
+	fields.number("f", shard.Range.First)
+	fields.number("l", shard.Range.Last)
+	fields.text("p", string(shard.Phase))
+	fields.optional("o", string(shard.Owner))
+	fields.number("e", uint64(shard.Epoch))
+	fields.optional("t", string(shard.Target))
+	fields.number("v", uint64(shard.Revision))
+	if fields.failed != nil {
+		// A buffer takes all that is written to it.
+		panic("state: encode shard: " + fields.failed.Error())
 	}
-	encoded = append(encoded, fixedMap|1)
-	encoded = append(appendString(encoded, "S"), fixedMap|byte(fields))
-	encoded = appendUint(appendString(encoded, "i"), uint64(shard.ID))
-	encoded = appendString(appendString(encoded, "s"), string(shard.Service))
-	encoded = append(appendString(encoded, "r"), fixedMap|2) //nolint:mnd // a range has two fields
-	encoded = appendUint(appendString(encoded, "f"), shard.Range.First)
-	encoded = appendUint(appendString(encoded, "l"), shard.Range.Last)
-	encoded = appendString(appendString(encoded, "p"), string(shard.Phase))
+}
+
+// shardFieldCount returns how many fields are encoded; empty names are left out.
+func shardFieldCount(shard *Shard) int {
+	const always = 6
+	count := always
 	if shard.Owner != "" {
-		encoded = appendString(appendString(encoded, "o"), string(shard.Owner))
+		count++
 	}
-	encoded = appendUint(appendString(encoded, "e"), uint64(shard.Epoch))
 	if shard.Target != "" {
-		encoded = appendString(appendString(encoded, "t"), string(shard.Target))
+		count++
 	}
-	return appendUint(appendString(encoded, "v"), uint64(shard.Revision))
+	return count
 }
 
-// Leading bytes of msgpack, and the bounds of its short forms.
-const (
-	fixedMap       = 0x80
-	fixedString    = 0xa0
-	string8        = 0xd9
-	string16       = 0xda
-	string32       = 0xdb
-	uint8Code      = 0xcc
-	uint16Code     = 0xcd
-	uint32Code     = 0xce
-	uint64Code     = 0xcf
-	maxFixedUint   = 0x7f
-	maxFixedString = 31
-)
+// fieldEncoder writes the fields of an object and keeps the first error.
+type fieldEncoder struct {
+	encoder *msgpack.Encoder
+	failed  error
+}
 
-func appendUint(encoded []byte, value uint64) []byte {
-	switch {
-	case value <= maxFixedUint:
-		return append(encoded, byte(value))
-	case value <= math.MaxUint8:
-		return append(encoded, uint8Code, byte(value))
-	case value <= math.MaxUint16:
-		return binary.BigEndian.AppendUint16(append(encoded, uint16Code), uint16(value))
-	case value <= math.MaxUint32:
-		return binary.BigEndian.AppendUint32(append(encoded, uint32Code), uint32(value))
-	default:
-		return binary.BigEndian.AppendUint64(append(encoded, uint64Code), value)
+func (f *fieldEncoder) note(err error) {
+	if f.failed == nil {
+		f.failed = err
 	}
 }
 
-func appendString(encoded []byte, value string) []byte {
-	length := len(value)
-	switch {
-	case length <= maxFixedString:
-		encoded = append(encoded, fixedString|byte(length))
-	case length <= math.MaxUint8:
-		encoded = append(encoded, string8, byte(length))
-	case length <= math.MaxUint16:
-		encoded = binary.BigEndian.AppendUint16(append(encoded, string16), uint16(length))
-	default:
-		encoded = binary.BigEndian.AppendUint32(append(encoded, string32), uint32(length))
+// open begins an object that holds one other of so many fields.
+func (f *fieldEncoder) open(name string, fields int) {
+	f.size(1)
+	f.name(name)
+	f.size(fields)
+}
+
+func (f *fieldEncoder) size(fields int)  { f.note(f.encoder.EncodeMapLen(fields)) }
+func (f *fieldEncoder) name(name string) { f.note(f.encoder.EncodeString(name)) }
+
+func (f *fieldEncoder) number(name string, value uint64) {
+	f.name(name)
+	f.note(f.encoder.EncodeUint(value))
+}
+
+func (f *fieldEncoder) text(name, value string) {
+	f.name(name)
+	f.note(f.encoder.EncodeString(value))
+}
+
+func (f *fieldEncoder) optional(name, value string) {
+	if value != "" {
+		f.text(name, value)
 	}
-	return append(encoded, value...)
 }
--- a/internal/state/digest_test.go
+++ b/internal/state/digest_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"math"
 	"reflect"
 	"strings"
@@ -35,8 +36,10 @@
 				Epoch: Epoch(numbers[3]), Revision: Revision(numbers[4]), Service: ServiceName(strings.Repeat("s", lengths[0])),
 				Owner: ServerID(strings.Repeat("o", lengths[1])), Target: ServerID(strings.Repeat("t", lengths[2])),
 			}
+			var encoded bytes.Buffer
+			encodeShardObject(&encoded, &shard)
 			expected, err := codec.Marshal(&Object{Shard: &shard})
-			return err == nil && string(appendShardObject(nil, &shard)) == string(expected)
+			return err == nil && bytes.Equal(encoded.Bytes(), expected)
 		},
 		gen.SliceOfN(5, number, reflect.TypeFor[uint64]()), gen.SliceOfN(3, length, reflect.TypeFor[int]()),
 		gen.OneConstOf(ShardUnowned, ShardOwned, ShardRevoking),
@@ -48,6 +51,6 @@
 func TestShardFields(t *testing.T) {
 	const known = 8
 	if fields := reflect.TypeFor[Shard]().NumField(); fields != known {
-		t.Errorf("a shard has %d fields: put the new one into appendShardObject and into TestShardDigest", fields)
+		t.Errorf("a shard has %d fields: put the new one into encodeShardObject and into TestShardDigest", fields)
 	}
 }
