Lab: controllers on a disk that can be slowed down

The hidden command thorntiller-lab slow-controller runs the product's controller role on it; controller.RunOn takes the file layer, and Run is RunOn on the system's. Group tests of controllers can be given a file layer each.

--- a/internal/controller/group_test.go
+++ b/internal/controller/group_test.go
@@ -18,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/vfs"
 )
 
 const (
@@ -31,6 +32,7 @@
 // process is one controller of a group. It runs in this process.
 type process struct {
 	settings config.Controller
+	files    vfs.FileSystem
 	hook     *test.Hook
 	stop     context.CancelFunc
 	ended    chan error
@@ -46,6 +48,12 @@
 
 // newGroup starts a group and waits until it has formed.
 func newGroup(t *testing.T) *group {
+	t.Helper()
+	return newGroupOn(t, func(string) vfs.FileSystem { return vfs.System{} })
+}
+
+// newGroupOn is newGroup with a file layer for each controller, by its name.
+func newGroupOn(t *testing.T, filesOf func(name string) vfs.FileSystem) *group {
 	t.Helper()
 	g := &group{t: t}
 	addresses := freeAddresses(t, 2*groupSize)
@@ -64,7 +72,7 @@
 		settings.Consensus.SnapshotEntries = snapshotEntries
 		settings.API.RequestTimeout = time.Second
 		settings.API.BodyLimit = 64 << 10
-		g.processes = append(g.processes, &process{settings: settings})
+		g.processes = append(g.processes, &process{settings: settings, files: filesOf(peer.Name)})
 		endpoints = append(endpoints, peer.APIAddress)
 		g.start(number)
 	}
@@ -112,7 +120,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	ended := p.ended
-	g.running.Go(func() { ended <- Run(ctx, p.settings, logrus.NewEntry(logger)) })
+	g.running.Go(func() { ended <- RunOn(ctx, p.files, p.settings, logrus.NewEntry(logger)) })
 }
 
 // stop stops one controller gracefully, if it runs.
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -24,12 +24,17 @@
 // Run runs a controller until the context ends, and then stops it gracefully.
 // It returns an error when the replica cannot start or its disk fails.
 func Run(ctx context.Context, settings config.Controller, log *logrus.Entry) error {
+	return RunOn(ctx, vfs.System{}, settings, log)
+}
+
+// RunOn is Run on a given file layer, so that a run can inject a disk's faults.
+func RunOn(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
 	lock, err := identity.Lock(settings.DataDirectory)
 	if err != nil {
 		return err
 	}
 	defer closeQuietly(lock, log)
-	node, err := newNode(settings, log)
+	node, err := newNode(files, settings, log)
 	if err != nil {
 		return err
 	}
@@ -48,12 +53,12 @@
 	operators net.Listener
 }
 
-func newNode(settings config.Controller, log *logrus.Entry) (*node, error) {
+func newNode(files vfs.FileSystem, settings config.Controller, log *logrus.Entry) (*node, error) {
 	secured, err := newSecurity(settings)
 	if err != nil {
 		return nil, err
 	}
-	n := &node{settings: settings, log: log, files: vfs.System{}, security: secured}
+	n := &node{settings: settings, log: log, files: files, security: secured}
 	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, newReplicaID)
 	if err != nil {
 		return nil, err
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -37,6 +37,8 @@
 	// Encrypted gives each process of the product, and the operator, a
 	// certificate.
 	Encrypted bool
+	// SlowDisks runs the controllers on disks that SteerDisk slows down.
+	SlowDisks bool
 }
 
 // AnyProcess is the origin that Dial gets where many processes share a path.
--- a/internal/lab/fleet/start.go
+++ b/internal/lab/fleet/start.go
@@ -59,6 +59,10 @@
 	if err != nil {
 		return err
 	}
+	if f.options.SlowDisks {
+		controller.Process, err = f.start(controller.Name, f.options.Lab, "slow-controller", "--config", path, "--disk", f.diskOf(controller))
+		return err
+	}
 	controller.Process, err = f.start(controller.Name, f.options.Product, "controller", "--config", path)
 	return err
 }
--- a/internal/lab/labcli/root.go
+++ b/internal/lab/labcli/root.go
@@ -38,6 +38,7 @@
 	root.AddCommand(newScenario())
 	root.AddCommand(newExperiment())
 	root.AddCommand(newUp())
+	root.AddCommand(newSlowController())
 	return root
 }
 
