Controller: a leader whose disk stalls sends its callers away

Cause: the replica's loop waits for each sync. While the leader's disk stalled, another replica was elected within an election timeout and no lease was renewed by the old one, so nothing unsafe came of it. But its other goroutines went by the last published state: it went on to say that it led, took calls and held each one until the call's timeout, and kept the routers' streams open.

A watch beside the loop now ends the leadership for others once a turn of the loop has lasted for the longest election timeout, 400 ms by default, by which time others have asked for votes: streams end, calls are refused at once as not_leader, calls that wait end as unavailable (unknown), and it does not name itself as leader. When the loop comes round again and the core still leads, the leadership is put in force again. A single controller has no successor and waits as before.

--- a/internal/controller/access.go
+++ b/internal/controller/access.go
@@ -13,16 +13,24 @@
 // are of the kinds not_leader and queue_full, which prove that the command will
 // not be applied, unavailable, which leaves it open, and those of the command.
 func (r *replica) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	held := r.turns.current()
+	if held.Err() != nil {
+		return state.Result{}, errHeldUp()
+	}
 	done := make(chan driver.Outcome, 1)
 	request := driver.Proposal{Command: command, Done: func(end driver.Outcome) { done <- end }}
 	select {
 	case r.proposals <- request:
 	case <-ctx.Done():
 		return state.Result{}, fault.New(fault.QueueFull, "the controller is busy: ask again")
+	case <-held.Done():
+		return state.Result{}, errHeldUp()
 	}
 	select {
 	case end := <-done:
 		return end.Result, end.Err
+	case <-held.Done():
+		return state.Result{}, fault.New(fault.Unavailable, "this replica is held up, most likely by its disk: ask another one with the same identifier")
 	case <-ctx.Done():
 		return state.Result{}, fault.New(fault.Unavailable, "no quorum acknowledged the change in time: ask again with the same identifier")
 	}
@@ -31,15 +39,23 @@
 // ReadRevision returns the table revision after a quorum confirmed, in a round
 // that began after the call, that no newer one was acknowledged before it.
 func (r *replica) ReadRevision(ctx context.Context) (state.Revision, error) {
+	held := r.turns.current()
+	if held.Err() != nil {
+		return 0, errHeldUp()
+	}
 	done := make(chan state.Revision, 1)
 	select {
 	case r.reads <- func(revision state.Revision) { done <- revision }:
 	case <-ctx.Done():
 		return 0, fault.New(fault.Unavailable, "the controller is busy: ask again")
+	case <-held.Done():
+		return 0, errHeldUp()
 	}
 	select {
 	case revision := <-done:
 		return revision, nil
+	case <-held.Done():
+		return 0, errHeldUp()
 	case <-ctx.Done():
 		return 0, fault.New(fault.Unavailable, "no quorum confirmed the read in time: ask again")
 	}
--- /dev/null
+++ b/internal/controller/heldup.go
@@ -0,0 +1,110 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// turnWatch tells when the replica's loop has not come round for too long, as
+// when its disk stalls. Everyone else who waits for the loop then gives up,
+// since other replicas have held an election by that time.
+type turnWatch struct {
+	clock clock.Clock
+	// limit is the longest turn of a replica that may still lead; zero for none.
+	limit time.Duration
+
+	mutex  sync.Mutex
+	turned time.Duration
+	// held is done while the loop is held up.
+	held    context.Context
+	endTurn context.CancelFunc
+}
+
+func newTurnWatch(running clock.Clock, settings config.Controller) *turnWatch {
+	watch := &turnWatch{clock: running, turned: running.Now()}
+	if len(settings.Controllers) > 1 {
+		// The longest election timeout. A single controller has no successor.
+		watch.limit = 2 * time.Duration(settings.Consensus.ElectionTicks) * settings.Consensus.TickInterval
+	}
+	watch.held, watch.endTurn = context.WithCancel(context.Background())
+	return watch
+}
+
+// turn notes that the loop has come round.
+func (w *turnWatch) turn() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.turned = w.clock.Now()
+	if w.held.Err() != nil {
+		w.held, w.endTurn = context.WithCancel(context.Background())
+	}
+}
+
+// look ends the turn that has lasted for too long, and reports whether it was
+// still in force before.
+func (w *turnWatch) look() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.limit == 0 || w.held.Err() != nil || w.clock.Now()-w.turned < w.limit {
+		return false
+	}
+	w.endTurn()
+	return true
+}
+
+// current returns a context that is done while the loop is held up.
+func (w *turnWatch) current() context.Context {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.held
+}
+
+// watchTurns ends the leadership of a loop that is held up, until the context
+// ends. What the loop itself may do then is bounded already: it renews no lease
+// while it does not turn.
+func (r *replica) watchTurns(ctx context.Context) {
+	ticker := time.NewTicker(r.settings.Consensus.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if r.turns.look() {
+			r.leadershipHeldUp()
+		}
+	}
+}
+
+// renewLeadership puts the leadership in force for other goroutines: at its
+// begin, and again when the loop of a leader goes on that was held up.
+func (r *replica) renewLeadership() {
+	r.leadershipLock.Lock()
+	defer r.leadershipLock.Unlock()
+	if r.leadership == nil || r.leadership.Err() != nil {
+		r.leadership, r.endLeadership = context.WithCancel(context.Background())
+	}
+}
+
+// leadershipHeldUp ends the leadership for other goroutines while the loop
+// cannot. Table streams then end, and calls are sent to another replica.
+func (r *replica) leadershipHeldUp() {
+	r.leadershipLock.Lock()
+	defer r.leadershipLock.Unlock()
+	if r.leadership != nil && r.leadership.Err() == nil {
+		r.endLeadership()
+		telemetry.With(r.log, telemetry.EventLeaderHeldUp).Warn("the loop is held up, most likely by the disk; this replica leads no longer for others")
+	}
+}
+
+// errHeldUp is the answer to what was not handed to the loop.
+func errHeldUp() error {
+	return fault.New(fault.NotLeader, "this replica is held up, most likely by its disk, and leads no longer: ask another one")
+}
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -9,9 +9,7 @@
 
 // StartedLeading implements driver.Observer.
 func (h *host) StartedLeading(status consensus.Status) {
-	h.leadershipLock.Lock()
-	h.leadership, h.endLeadership = context.WithCancel(context.Background())
-	h.leadershipLock.Unlock()
+	h.renewLeadership()
 	telemetry.With(h.log, telemetry.EventLeaderElected).WithField("term", status.Term).Info("this replica leads")
 }
 
@@ -35,9 +33,13 @@
 	return r.leadership, r.leadership != nil && r.leadership.Err() == nil
 }
 
-// leader returns the member that leads, as far as this replica knows.
+// leader returns the member that leads, as far as this replica knows. It does
+// not name itself while its loop is held up.
 func (r *replica) leader() (consensus.Member, bool) {
 	status := r.published.Load().status
+	if status.Leader == r.self.ID && r.turns.current().Err() != nil {
+		return consensus.Member{}, false
+	}
 	return memberByID(status.Membership, status.Leader)
 }
 
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -57,6 +57,7 @@
 	coordinator *coordinator.Coordinator
 	driver      *driver.Driver
 	host        *host
+	turns       *turnWatch
 
 	inbox     chan consensus.Message
 	proposals chan driver.Proposal
@@ -113,6 +114,7 @@
 		inspections: make(chan func(*coordinator.Coordinator)),
 		state:       disk.State,
 	}
+	r.turns = newTurnWatch(r.clock, settings)
 	r.history = tablestream.NewHistory(settings.Table.HistoryDeltas, r.state.Revision())
 	consensusConfig := driver.ConsensusConfig(settings.Consensus, self.ID, rand.Uint64())
 	core, err := consensus.New(consensusConfig, disk.Initial, disk.Newest)
@@ -145,6 +147,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var keeping conc.WaitGroup
 	keeping.Go(func() { r.partitions.run(ctx) })
+	keeping.Go(func() { r.watchTurns(ctx) })
 	defer keeping.Wait()
 	defer cancel()
 	defer r.endSnapshot()
@@ -178,7 +181,11 @@
 			return err
 		}
 		r.host.forgetRemoved()
+		r.turns.turn()
 		r.driver.ObserveRole()
+		if r.driver.Leading() {
+			r.renewLeadership()
+		}
 		r.publish()
 	}
 }
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -90,6 +90,7 @@
 	select {
 	case r.inspections <- inspection:
 		<-done
+	case <-r.turns.current().Done():
 	case <-ctx.Done():
 	}
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -31,6 +31,7 @@
 	EventRecovered         Event = "recovered"
 	EventLeaderElected     Event = "leader_elected"
 	EventLeaderLost        Event = "leader_lost"
+	EventLeaderHeldUp      Event = "leader_held_up"
 	EventLeaderTransferred Event = "leader_transferred"
 	EventMemberChanged     Event = "member_changed"
 	EventSnapshotTaken     Event = "snapshot_taken"
@@ -107,6 +108,7 @@
 		{EventRecovered, levelInfo, "The state was read back from the data folder."},
 		{EventLeaderElected, levelInfo, "This replica leads."},
 		{EventLeaderLost, levelWarning, "This replica leads no longer."},
+		{EventLeaderHeldUp, levelWarning, "A step of this replica, which leads, takes longer than an election, most likely for its disk; callers are sent away."},
 		{EventLeaderTransferred, levelInfo, "The leadership was handed over on request."},
 		{EventMemberChanged, levelInfo, "A replica was added, promoted or removed."},
 		{EventSnapshotTaken, levelInfo, "A snapshot was taken and the log cut."},
