Lab: two processes that share a link can both be cut off

A link that has a fault keeps it.

TestBothEndsOfALinkAreCutOff; go test ./internal/lab/scenario/faultproxy: ok.

--- a/internal/lab/scenario/faultproxy/network.go
+++ b/internal/lab/scenario/faultproxy/network.go
@@ -59,8 +59,9 @@
 	return proxy.Listen, nil
 }
 
-// Add puts a fault on each link that the selector picks. It fails when no link
-// was picked.
+// Add puts a fault on each link that the selector picks. A link that has it
+// already, as one between two processes that are both cut off, keeps it. Add
+// fails when no link was picked.
 func (n *Network) Add(toxic Toxic, selects func(Link) bool) error {
 	encoded, err := json.Marshal(toxic)
 	if err != nil {
@@ -71,6 +72,9 @@
 		return eris.Errorf("the fault %s acts on no link", toxic.Name)
 	}
 	for _, proxy := range picked {
+		if proxy.Toxics.GetToxic(toxic.Name) != nil {
+			continue
+		}
 		if _, err := proxy.Toxics.AddToxicJson(bytes.NewReader(encoded)); err != nil {
 			return eris.Wrapf(err, "add the fault %s", toxic.Name)
 		}
--- a/internal/lab/scenario/faultproxy/network_test.go
+++ b/internal/lab/scenario/faultproxy/network_test.go
@@ -132,3 +132,26 @@
 		t.Error("a cut of an unknown process must fail")
 	}
 }
+
+// TestBothEndsOfALinkAreCutOff cuts off two processes that share a link.
+func TestBothEndsOfALinkAreCutOff(t *testing.T) {
+	network := New()
+	defer network.Close()
+	target, _ := listen(t)
+	address, err := network.Address("router", "controller", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, process := range []string{"controller", "router"} {
+		if err := network.CutOff(process); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if exchange(t, address, "cut", 50*time.Millisecond) {
+		t.Error("a link between two processes that are cut off carries an answer")
+	}
+	network.Heal()
+	if !exchange(t, address, "healed", 10*time.Second) {
+		t.Error("the healed link carries no answer")
+	}
+}
