Simulator: disks whose syncs are slow or stall

Cause: the simulator's disks lost, tore and damaged content, but took no time.

A new fault lets the next 1 to 20 syncs of a controller, the leader half of the time, take 5 to 80 ms each, or one of them stall for up to 2.5 s. The process is held up in the middle of its step, as by the existing pause between two messages: what follows in the step is sent once the sync has lasted. Faults come in another order for every seed.

TestFixedSeeds asserts that its seeds meet them. go test ./internal/lab/sim/...: ok, planted faults included.

--- a/internal/lab/sim/controller.go
+++ b/internal/lab/sim/controller.go
@@ -24,9 +24,12 @@
 	*process
 	disk *vfs.Memory
 	// files is the disk as the process sees it.
-	files   vfs.FileSystem
-	self    identity.Identity
-	replica *replica
+	files vfs.FileSystem
+	// slowSyncs is how many of the next syncs take syncTakes.
+	slowSyncs int
+	syncTakes time.Duration
+	self      identity.Identity
+	replica   *replica
 	// promise is what the replica of this identity told others.
 	promise checker.Promise
 	// known is the newest membership that a replica of this machine applied.
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -26,6 +26,7 @@
 	{3, (*simulation).crashInWrite},
 	{1, (*simulation).flipBit},
 	{2, (*simulation).loseAnyDisk},
+	{3, (*simulation).slowDisk},
 	{5, (*simulation).cutLinks},
 	{3, (*simulation).splitNetwork},
 	{3, (*simulation).changeNetwork},
@@ -76,6 +77,7 @@
 	clear(s.leaving)
 	for _, each := range s.controllers {
 		each.disk.CrashAfter(-1)
+		each.slowSyncs = 0
 		each.heal()
 		if !each.alive {
 			each.start()
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -19,6 +19,7 @@
 	TornWrites        uint64 `json:"crashes_in_write"`
 	FlippedBits       uint64 `json:"flipped_bits"`
 	LostDisks         uint64 `json:"lost_disks"`
+	SlowSyncs         uint64 `json:"slow_syncs"`
 	LossesAfterRepair uint64 `json:"losses_after_repair"`
 	RefusedStarts     uint64 `json:"refused_starts"`
 	Cuts              uint64 `json:"cuts"`
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -28,7 +28,7 @@
 	faults := summary.Faults
 	for name, count := range map[string]uint64{
 		"pauses": faults.Pauses, "crashes": faults.Crashes, "crashes in a write": faults.TornWrites,
-		"flipped bits": faults.FlippedBits, "lost disks": faults.LostDisks, "losses after a repair": faults.LossesAfterRepair,
+		"flipped bits": faults.FlippedBits, "lost disks": faults.LostDisks, "slow syncs": faults.SlowSyncs, "losses after a repair": faults.LossesAfterRepair,
 		"cuts": faults.Cuts, "freezes": faults.Freezes, "missed changes": faults.MissedChanges,
 		"races": faults.Races, "resends": faults.Resends, "snapshots": faults.Snapshots,
 		"merges": uint64(summary.Checks.Merges),
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -87,9 +87,10 @@
 	}
 	for number := 1; number <= group; number++ {
 		disk := vfs.NewMemory(newDiskRandom(s.random))
-		built := &controller{process: s.newProcess("controller-%d", number), disk: disk, files: disk}
+		built := &controller{process: s.newProcess("controller-%d", number), disk: disk}
+		built.files = slowFiles{FileSystem: disk, owner: built}
 		if s.planted.files != nil {
-			built.files = s.planted.files(disk)
+			built.files = s.planted.files(built.files)
 		}
 		s.controllers = append(s.controllers, built)
 	}
