--- a/internal/lab/record/types.go
+++ b/internal/lab/record/types.go
@@ -116,6 +116,9 @@
 	Status     int           `json:"status,omitempty"`
 	Body       BodyCheck     `json:"body,omitempty"`
 	Detail     string        `json:"detail,omitempty"`
+	// RetryAfterMs is the wait of the header Retry-After of a refusal; zero for
+	// none.
+	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
 }
 
 // EventKind tells what an Event line says.
--- a/internal/lab/scenario/disks.go
+++ b/internal/lab/scenario/disks.go
@@ -7,12 +7,16 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
+	"github.com/thorntiller/thorntiller/internal/lab/trial"
 )
 
 func diskScenarios() []Scenario {
 	return []Scenario{{
 		Name: "full-disk", Proves: "a leading controller that can no longer write acknowledges nothing, and another one takes over",
 		shape: shape{duration: 14 * time.Second}, steps: fullDisk,
+	}, {
+		Name: "slow-disk", Proves: "a controller whose disk is slow, and then stalls for longer than an election, holds up nobody and loses nothing",
+		shape: shape{duration: 18 * time.Second, slowDisks: true, limits: trial.Limits{MaxUnavailable: slowDiskOutage}}, steps: slowDisk,
 	}}
 }
 
--- a/internal/lab/scenario/measure.go
+++ b/internal/lab/scenario/measure.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -73,6 +74,26 @@
 	return done.Outcome != fault.Completed || time.Duration(done.ReceivedNs-done.SentNs) > slowAfter
 }
 
+// longestOutage returns the longest time without success of any service, by the
+// attempts that were sent within a span.
+func longestOutage(attempts []record.Attempt, within span) time.Duration {
+	sent := slices.DeleteFunc(slices.Clone(attempts), func(done record.Attempt) bool { return !within.contains(done.SentNs) })
+	slices.SortFunc(sent, func(a, b record.Attempt) int { return cmp.Compare(a.ReceivedNs, b.ReceivedNs) })
+	outages := make(map[string]*record.Outage)
+	for _, done := range sent {
+		if outages[done.Service] == nil {
+			outages[done.Service] = &record.Outage{}
+		}
+		outages[done.Service].Add(done)
+	}
+	var longest time.Duration
+	for _, outage := range outages {
+		outage.End(within.to.Nanoseconds())
+		longest = max(longest, time.Duration(outage.LongestNs()))
+	}
+	return longest
+}
+
 // completed counts the attempts that were sent within a span and answered.
 func completed(attempts []record.Attempt, within span, selects func(record.Attempt) bool) int {
 	count := 0
--- a/internal/lab/scenario/measure_test.go
+++ b/internal/lab/scenario/measure_test.go
@@ -45,6 +45,33 @@
 	}
 }
 
+// TestOutageOfOneServiceIsCaught plants a time without success of one service
+// beside another that is served.
+func TestOutageOfOneServiceIsCaught(t *testing.T) {
+	within := span{from: time.Second, to: 10 * time.Second}
+	of := func(service string, done record.Attempt) record.Attempt {
+		done.Service = service
+		return done
+	}
+	failed := of("lost", attemptAt(3*time.Second, 4*time.Second, fault.Unknown))
+	served := of("other", attemptAt(3*time.Second, 4*time.Second, fault.Completed))
+	back := of("lost", attemptAt(4*time.Second, 5*time.Second, fault.Completed))
+	tests := []struct {
+		name     string
+		attempts []record.Attempt
+		want     time.Duration
+	}{
+		{"served", []record.Attempt{served, back}, 0},
+		{"until the next success", []record.Attempt{back, served, failed}, 2 * time.Second},
+		{"to the end", []record.Attempt{served, failed}, 7 * time.Second},
+	}
+	for _, test := range tests {
+		if got := longestOutage(test.attempts, within); got != test.want {
+			t.Errorf("%s: the outage is %s, want %s", test.name, got, test.want)
+		}
+	}
+}
+
 // TestStaleServiceIsCaught plants an answer of a router that must refuse.
 func TestStaleServiceIsCaught(t *testing.T) {
 	stale := span{from: 5 * time.Second, to: 8 * time.Second}
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -43,6 +43,8 @@
 	random  *rand.Rand
 	bounds  []Bound
 	checks  []check
+	// changed numbers the changes of the configuration.
+	changed int
 }
 
 // sleep waits, unless the run ends first.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -37,6 +37,8 @@
 	betweenRouters bool
 	// encrypted gives the processes certificates.
 	encrypted bool
+	// slowDisks runs the controllers on disks that the run can slow down.
+	slowDisks bool
 	// limits bound the whole run, its faults included.
 	limits trial.Limits
 	// caller changes the settings of each caller.
@@ -104,7 +106,7 @@
 		Fleet: fleet.Options{
 			Product: options.Product, Lab: options.Lab, Folder: options.Folder,
 			Controllers: controllers, Routers: shape.routers, Deployments: shape.deployments, Dial: network.Address,
-			DialRouters: shape.betweenRouters, Encrypted: shape.encrypted,
+			DialRouters: shape.betweenRouters, Encrypted: shape.encrypted, SlowDisks: shape.slowDisks,
 		},
 		Rate: shape.rate, Duration: shape.duration, Seed: options.Seed, Caller: shape.caller, Limits: shape.limits, Say: options.Say,
 		Steps: func(ctx context.Context, t *trial.Trial) error {
