Controller: a leader that is held up keeps its routers' streams

Cause: the watch over the loop's turns also ended the leadership for the table streams. Nobody else was elected, and the loop went on 28 ms after the watch. But both routers had lost their streams, and came back only 0.96 s later, since a router leaves a controller out for 500 ms after it lost it; the leases on their records, 800 ms, had ended by then, and requests that may not be repeated were held up for up to 0.8 s.

The streams now stay open, as before the watch: routers leave a silent leader by themselves. New routers are refused while the loop is held up, and operators' calls are sent away as before.

--- a/internal/controller/access.go
+++ b/internal/controller/access.go
@@ -39,23 +39,15 @@
 // ReadRevision returns the table revision after a quorum confirmed, in a round
 // that began after the call, that no newer one was acknowledged before it.
 func (r *replica) ReadRevision(ctx context.Context) (state.Revision, error) {
-	held := r.turns.current()
-	if held.Err() != nil {
-		return 0, errHeldUp()
-	}
 	done := make(chan state.Revision, 1)
 	select {
 	case r.reads <- func(revision state.Revision) { done <- revision }:
 	case <-ctx.Done():
 		return 0, fault.New(fault.Unavailable, "the controller is busy: ask again")
-	case <-held.Done():
-		return 0, errHeldUp()
 	}
 	select {
 	case revision := <-done:
 		return revision, nil
-	case <-held.Done():
-		return 0, errHeldUp()
 	case <-ctx.Done():
 		return 0, fault.New(fault.Unavailable, "no quorum confirmed the read in time: ask again")
 	}
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -109,8 +109,7 @@
 	if _, leads := a.replica.leadershipContext(); !leads {
 		return fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
 	}
-	_, err := a.replica.ReadRevision(ctx)
-	return err
+	return a.replica.readHere(ctx)
 }
 
 func (a *api) plan(call fiber.Ctx) error {
--- a/internal/controller/heldup.go
+++ b/internal/controller/heldup.go
@@ -65,9 +65,11 @@
 	return w.held
 }
 
-// watchTurns ends the leadership of a loop that is held up, until the context
-// ends. What the loop itself may do then is bounded already: it renews no lease
-// while it does not turn.
+// watchTurns sends operators' calls away from a leader whose loop is held up,
+// until the context ends. What the loop itself may do then is bounded already:
+// it renews no lease while it does not turn. The routers' streams stay open, as
+// routers leave a silent leader by themselves, and lose a second when they come
+// back to one that closed their stream.
 func (r *replica) watchTurns(ctx context.Context) {
 	ticker := time.NewTicker(r.settings.Consensus.TickInterval)
 	defer ticker.Stop()
@@ -77,31 +79,28 @@
 			return
 		case <-ticker.C:
 		}
-		if r.turns.look() {
-			r.leadershipHeldUp()
+		if r.turns.look() && r.published.Load().leading {
+			telemetry.With(r.log, telemetry.EventLeaderHeldUp).Warn("the loop is held up, most likely by the disk; calls are sent to other replicas")
 		}
 	}
 }
 
-// renewLeadership puts the leadership in force for other goroutines: at its
-// begin, and again when the loop of a leader goes on that was held up.
-func (r *replica) renewLeadership() {
-	r.leadershipLock.Lock()
-	defer r.leadershipLock.Unlock()
-	if r.leadership == nil || r.leadership.Err() != nil {
-		r.leadership, r.endLeadership = context.WithCancel(context.Background())
+// readHere is ReadRevision for callers that can ask another replica: it gives up
+// once the loop is held up.
+func (r *replica) readHere(ctx context.Context) error {
+	held := r.turns.current()
+	if held.Err() != nil {
+		return errHeldUp()
 	}
-}
-
-// leadershipHeldUp ends the leadership for other goroutines while the loop
-// cannot. Table streams then end, and calls are sent to another replica.
-func (r *replica) leadershipHeldUp() {
-	r.leadershipLock.Lock()
-	defer r.leadershipLock.Unlock()
-	if r.leadership != nil && r.leadership.Err() == nil {
-		r.endLeadership()
-		telemetry.With(r.log, telemetry.EventLeaderHeldUp).Warn("the loop is held up, most likely by the disk; this replica leads no longer for others")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopWatching := context.AfterFunc(held, cancel)
+	defer stopWatching()
+	_, err := r.ReadRevision(ctx)
+	if err != nil && held.Err() != nil {
+		return errHeldUp()
 	}
+	return err
 }
 
 // errHeldUp is the answer to what was not handed to the loop.
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -9,7 +9,9 @@
 
 // StartedLeading implements driver.Observer.
 func (h *host) StartedLeading(status consensus.Status) {
-	h.renewLeadership()
+	h.leadershipLock.Lock()
+	h.leadership, h.endLeadership = context.WithCancel(context.Background())
+	h.leadershipLock.Unlock()
 	telemetry.With(h.log, telemetry.EventLeaderElected).WithField("term", status.Term).Info("this replica leads")
 }
 
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -183,9 +183,6 @@
 		r.host.forgetRemoved()
 		r.turns.turn()
 		r.driver.ObserveRole()
-		if r.driver.Leading() {
-			r.renewLeadership()
-		}
 		r.publish()
 	}
 }
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -45,7 +45,7 @@
 		return eris.New("a table connection must begin with a hello")
 	}
 	leadership, leads := r.leadershipContext()
-	if !leads {
+	if !leads || r.turns.current().Err() != nil {
 		return refuseTable(ctx, r, connection)
 	}
 	ctx, cancel := context.WithCancel(ctx)
