Router's table: 32 bytes a shard, without an index by shard number

Cause: a table of 530,000 shards was 53.4 MB of live heap, more than four fifths of what a node has for control. Half of it was the map from shard identifiers to places, the rest entries of 48 bytes.

Change: entries of 32 bytes without a pointer in sealed chunks; the end of a range is kept only where the next one does not follow; no map by identifier: a shard that is deleted or begins elsewhere is searched in the chunks whose bounds of identifiers admit it, and a new one is above every known one. Owners' names are read from the version's own list without a lock. A whole table is put into chunks as its parts come, and takes equal chunks over from the present table, so that the two share memory.

New ErrEntryBounds: more than 262,143 owners since the last whole table, or an epoch of more than 44 bits; the router then asks for a whole table, as after a digest mismatch.

Ruled out: shorter digests (a missed change must be found as surely as before); recomputed digests (need the target and the revision of each shard, no less).

--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
@@ -141,7 +139,7 @@
 	}
 	r.sim.trace("%s fetches the table anew: %v", r.node, err)
 	r.sim.counts.Resyncs++
-	if eris.Is(err, table.ErrDigestMismatch) || eris.Is(err, table.ErrGap) || eris.Is(err, table.ErrPartOrder) {
+	if table.NeedsWhole(err) {
 		r.resync = true
 	}
 	r.disconnect("")
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -319,7 +319,7 @@
 
 // checked asks for a whole snapshot after a message that did not fit the table.
 func (s *subscription) checked(err error) error {
-	if eris.Is(err, table.ErrDigestMismatch) || eris.Is(err, table.ErrGap) || eris.Is(err, table.ErrPartOrder) {
+	if table.NeedsWhole(err) {
 		s.resync = true
 		telemetry.WithError(s.log, telemetry.EventTableDigest, err).Warn("routing table is fetched anew")
 	}
--- a/internal/table/builder.go
+++ b/internal/table/builder.go
@@ -23,8 +23,16 @@
 	ErrDigestMismatch = eris.New("routing table digest mismatch")
 	// ErrPartOrder: the part of a snapshot came out of order.
 	ErrPartOrder = eris.New("routing table snapshot part out of order")
+	// ErrEntryBounds: a shard does not fit the table, because too many servers
+	// have owned shards since the last whole table; a whole table has room again.
+	ErrEntryBounds = eris.New("routing table cannot hold the shard")
 )
 
+// NeedsWhole reports whether only a whole table helps after an error.
+func NeedsWhole(err error) bool {
+	return eris.Is(err, ErrDigestMismatch) || eris.Is(err, ErrGap) || eris.Is(err, ErrPartOrder) || eris.Is(err, ErrEntryBounds)
+}
+
 // Builder applies snapshots and deltas and publishes each complete version.
 // One goroutine applies; any number may read.
 type Builder struct {
@@ -71,20 +79,23 @@
 		return false, err
 	}
 	if part.First {
-		b.pending = newDraft(part.Cluster, part.Revision)
+		b.pending = newDraft(part.Cluster, part.Revision, b.Table())
 	}
 	if b.pending == nil || b.pending.revision != part.Revision {
 		b.pending = nil
 		return false, eris.Wrapf(ErrPartOrder, "revision %d", part.Revision)
 	}
 	for _, object := range part.Objects {
-		b.pending.add(object)
+		b.pending.editor.apply(object)
 	}
 	if !part.Last {
 		return false, nil
 	}
-	next := b.pending.finish()
+	next, err := b.pending.finish()
 	b.pending = nil
+	if err != nil {
+		return false, err
+	}
 	if next.digest != part.Digest {
 		return false, eris.Wrapf(ErrDigestMismatch, "snapshot at revision %d", part.Revision)
 	}
@@ -115,7 +126,10 @@
 	if delta.From != current.revision {
 		return eris.Wrapf(ErrGap, "have %d, got delta from %d", current.revision, delta.From)
 	}
-	next := applyObjects(current, delta.Objects)
+	next, err := applyObjects(current, delta.Objects)
+	if err != nil {
+		return err
+	}
 	next.revision = delta.To
 	if next.digest != delta.Digest {
 		return eris.Wrapf(ErrDigestMismatch, "delta %d to %d", delta.From, delta.To)
@@ -124,46 +138,31 @@
 	return nil
 }
 
-// draft gathers the parts of a snapshot in compact form.
+// draft gathers the parts of a snapshot in compact form. It takes the shards of
+// the present table over in chunks where they are equal, so that a whole table
+// that replaces another one takes little memory beside it.
 type draft struct {
 	cluster  message.ClusterID
 	revision state.Revision
-	table    *Table
 	editor   *editor
-	shards   map[state.ServiceName][]entry
 }
 
-func newDraft(cluster message.ClusterID, revision state.Revision) *draft {
-	table := emptyTable()
-	return &draft{
-		cluster: cluster, revision: revision, table: table,
-		editor: newEditor(table), shards: make(map[state.ServiceName][]entry),
+func newDraft(cluster message.ClusterID, revision state.Revision, present *Table) *draft {
+	empty := emptyTable()
+	editor := newEditor(empty)
+	if !present.names.halfUsed() {
+		editor.next.names = present.names
+		editor.former = present
 	}
+	return &draft{cluster: cluster, revision: revision, editor: editor}
 }
 
-func (d *draft) add(object state.Object) {
-	shard := object.Shard
-	if shard == nil {
-		d.editor.apply(object)
-		return
-	}
-	item := d.editor.entryOf(object)
-	d.editor.next.digest ^= item.digest
-	d.shards[shard.Service] = append(d.shards[shard.Service], item)
-	d.editor.locations.put(shard.ID, location{
-		first:   shard.Range.First,
-		service: d.editor.next.names.number(string(shard.Service)),
-	})
-}
-
-func (d *draft) finish() *Table {
-	for name, entries := range d.shards {
-		view := *d.editor.view(name)
-		view.ranges = newRangeIndex(entries)
-		d.editor.next.services[name] = &view
+func (d *draft) finish() (*Table, error) {
+	next, err := d.editor.finish()
+	if err != nil {
+		return nil, err
 	}
-	next := d.editor.finish()
 	next.cluster = d.cluster
 	next.revision = d.revision
-	return next
+	return next, nil
 }
--- a/internal/table/doc.go
+++ b/internal/table/doc.go
@@ -3,6 +3,6 @@
 // as a whole at each change. Readers take the current Table without a lock and
 // keep it for as long as they need one consistent view.
 //
-// A change copies only the buckets and chunks that it touches, so its cost does
-// not grow with the number of shards.
+// A shard takes 32 bytes without a pointer. A change copies only the buckets and
+// chunks that it touches, so its cost hardly grows with the number of shards.
 package table
--- a/internal/table/editor.go
+++ b/internal/table/editor.go
@@ -13,10 +13,14 @@
 	servers    *bucketEdit[state.ServerID, *state.Server]
 	routers    *bucketEdit[state.RouterID, *state.Router]
 	partitions *bucketEdit[int, *state.RecordPartition]
-	locations  *bucketEdit[state.ShardID, location]
 	ranges     map[state.ServiceName]*rangeEdit
 	// ownsServers marks the services whose list of servers this edit made.
 	ownsServers map[state.ServiceName]bool
+	// former is a table whose shards are taken over where they are equal; nil for
+	// none.
+	former *Table
+	// err is the first object that the table cannot hold.
+	err error
 }
 
 func newEditor(from *Table) *editor {
@@ -27,41 +31,37 @@
 		servers:    from.servers.edit(),
 		routers:    from.routers.edit(),
 		partitions: from.partitions.edit(),
-		locations:  from.locations.edit(),
 		ranges:     make(map[state.ServiceName]*rangeEdit),
 
 		ownsServers: make(map[state.ServiceName]bool),
 	}
 }
 
-// applyObjects returns the table after the objects were put or deleted. Earlier
-// versions of shards that begin elsewhere now go first, since a split or merge
-// lets ranges overlap halfway through. Most changes leave a shard where it
-// begins; its entry is then replaced, and its location is not touched.
-func applyObjects(from *Table, objects []state.Object) *Table {
+// applyObjects returns the table after the objects were put or deleted.
+func applyObjects(from *Table, objects []state.Object) (*Table, error) {
 	edit := newEditor(from)
-	for _, object := range objects {
-		if object.Shard != nil && !edit.staysInPlace(object) {
-			edit.removeShard(object.Shard.ID)
-		}
-	}
+	edit.removeMoved(objects)
 	for _, object := range objects {
 		edit.apply(object)
 	}
 	return edit.finish()
 }
 
-func (e *editor) finish() *Table {
+func (e *editor) finish() (*Table, error) {
+	if e.err != nil {
+		return nil, e.err
+	}
 	for name, ranges := range e.ranges {
 		view := *e.view(name)
 		view.ranges = ranges.finish()
 		e.next.services[name] = &view
+		e.dropEmpty(name)
 	}
 	e.next.servers = e.servers.next
 	e.next.routers = e.routers.next
 	e.next.partitions = e.partitions.next
-	e.next.locations = e.locations.next
-	return e.next
+	e.next.owners = e.next.names.names
+	return e.next, nil
 }
 
 func (e *editor) apply(object state.Object) {
@@ -167,71 +167,3 @@
 	}
 	e.partitions.put(number, object.Partition)
 }
-
-func (e *editor) rangesOf(name state.ServiceName) *rangeEdit {
-	if ranges, found := e.ranges[name]; found {
-		return ranges
-	}
-	ranges := e.view(name).ranges.edit()
-	e.ranges[name] = ranges
-	return ranges
-}
-
-func (e *editor) entryOf(object state.Object) entry {
-	shard := object.Shard
-	return entry{
-		shard: shard.ID, span: shard.Range, epoch: shard.Epoch, phase: phaseOf(shard.Phase),
-		owner: e.next.names.number(string(shard.Owner)), digest: state.ObjectDigest(object),
-	}
-}
-
-func (e *editor) applyShard(object state.Object) {
-	if object.Deleted {
-		return
-	}
-	shard := object.Shard
-	item := e.entryOf(object)
-	ranges := e.rangesOf(shard.Service)
-	if e.staysInPlace(object) {
-		e.next.digest ^= ranges.digestAt(shard.Range.First, shard.ID)
-	} else {
-		e.locations.put(shard.ID, e.locationOf(shard))
-	}
-	ranges.put(item)
-	e.next.digest ^= item.digest
-}
-
-// staysInPlace reports whether the shard is in the table and begins where it
-// did.
-func (e *editor) staysInPlace(object state.Object) bool {
-	place, found := e.locations.get(object.Shard.ID)
-	return found && !object.Deleted && place == e.locationOf(object.Shard)
-}
-
-func (e *editor) locationOf(shard *state.Shard) location {
-	return location{first: shard.Range.First, service: e.next.names.number(string(shard.Service))}
-}
-
-func (e *editor) removeShard(id state.ShardID) {
-	place, found := e.locations.get(id)
-	if !found {
-		return
-	}
-	ranges := e.rangesOf(state.ServiceName(e.next.names.name(place.service)))
-	e.next.digest ^= ranges.digestAt(place.first, id)
-	ranges.remove(place.first, id)
-	e.locations.remove(id)
-}
-
-// digestAt returns the digest of the shard whose range begins at the hash.
-func (e *rangeEdit) digestAt(first uint64, shard state.ShardID) uint64 {
-	if len(e.chunks) == 0 {
-		return 0
-	}
-	chunk := e.chunks[e.chunkOf(first)]
-	at, found := search(chunk, first)
-	if !found || chunk[at].shard != shard {
-		return 0
-	}
-	return chunk[at].digest
-}
--- /dev/null
+++ b/internal/table/entry.go
@@ -0,0 +1,49 @@
+package table
+
+import "github.com/thorntiller/thorntiller/internal/state"
+
+// Bits of entry.packed: the epoch, the owner's number, the phase.
+const (
+	phaseBits = 2
+	ownerBits = 18
+	epochBits = 64 - ownerBits - phaseBits
+
+	maxPhase = 1<<phaseBits - 1
+	maxOwner = 1<<ownerBits - 1
+	maxEpoch = 1<<epochBits - 1
+)
+
+// phases lists the phases by their numbers in an entry.
+var phases = [...]state.ShardPhase{state.ShardUnowned, state.ShardOwned, state.ShardRevoking}
+
+// entry is the compact form of one shard, 32 bytes without a pointer, so that
+// the collector does not look into it. The end of its range is not here: nearly
+// every range ends where the next one begins.
+type entry struct {
+	first  uint64
+	digest uint64
+	shard  state.ShardID
+	packed uint64
+}
+
+func pack(epoch state.Epoch, owner uint64, phase state.ShardPhase) uint64 {
+	packed := uint64(epoch)<<(ownerBits+phaseBits) | owner<<phaseBits
+	for number, known := range phases {
+		if known == phase {
+			packed |= uint64(number)
+		}
+	}
+	return packed
+}
+
+func (e *entry) epoch() state.Epoch {
+	return state.Epoch(e.packed >> (ownerBits + phaseBits))
+}
+
+func (e *entry) owner() uint64 {
+	return e.packed >> phaseBits & maxOwner
+}
+
+func (e *entry) phase() state.ShardPhase {
+	return phases[e.packed&maxPhase]
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -10,16 +10,7 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-const (
-	shardBuckets  = 1024
-	objectBuckets = 128
-)
-
-// location tells where a shard's entry is.
-type location struct {
-	first   uint64
-	service uint32
-}
+const objectBuckets = 128
 
 // Table is one immutable version of the routing table.
 type Table struct {
@@ -31,8 +22,13 @@
 	servers    bucketMap[state.ServerID, *state.Server]
 	routers    bucketMap[state.RouterID, *state.Router]
 	partitions bucketMap[int, *state.RecordPartition]
-	locations  bucketMap[state.ShardID, location]
-	names      *nameIndex
+	// shards is how many shards there are, newest the highest identifier that any
+	// had.
+	shards int
+	newest state.ShardID
+	// owners are the names that shards refer to by number.
+	owners []string
+	names  *nameIndex
 }
 
 // serviceView is a service with what belongs to it.
@@ -72,7 +68,6 @@
 		servers:    newBucketMap[state.ServerID, *state.Server](objectBuckets, hashName[state.ServerID]),
 		routers:    newBucketMap[state.RouterID, *state.Router](objectBuckets, hashName[state.RouterID]),
 		partitions: newBucketMap[int, *state.RecordPartition](objectBuckets, func(n int) uint64 { return uint64(n) }),
-		locations:  newBucketMap[state.ShardID, location](shardBuckets, func(id state.ShardID) uint64 { return uint64(id) }),
 		names:      newNameIndex(),
 	}
 }
@@ -94,7 +89,7 @@
 func (t *Table) Summary() Summary {
 	return Summary{
 		Cluster: t.cluster, Revision: t.revision, Digest: t.digest,
-		Services: len(t.services), Servers: t.servers.length, Shards: t.locations.length,
+		Services: len(t.services), Servers: t.servers.length, Shards: t.shards,
 		Routers: t.routers.length, Partitions: t.partitions.length,
 	}
 }
@@ -162,38 +157,16 @@
 	if !found {
 		return Shard{}, false
 	}
-	item, found := view.ranges.lookup(keyHash)
+	item, last, found := view.ranges.lookup(keyHash)
 	if !found {
 		return Shard{}, false
 	}
 	return Shard{
-		ID: item.shard, Range: item.span, Epoch: item.epoch,
-		Phase: item.phase.state(), Owner: state.ServerID(t.names.name(item.owner)),
+		ID: item.shard, Range: state.KeyRange{First: item.first, Last: last}, Epoch: item.epoch(),
+		Phase: item.phase(), Owner: state.ServerID(t.owners[item.owner()]),
 	}, true
 }
 
-func (p phase) state() state.ShardPhase {
-	switch p {
-	case phaseOwned:
-		return state.ShardOwned
-	case phaseRevoking:
-		return state.ShardRevoking
-	default:
-		return state.ShardUnowned
-	}
-}
-
-func phaseOf(p state.ShardPhase) phase {
-	switch p {
-	case state.ShardOwned:
-		return phaseOwned
-	case state.ShardRevoking:
-		return phaseRevoking
-	default:
-		return phaseUnowned
-	}
-}
-
 // putServer replaces the server's earlier version, or adds the server.
 func (v *serviceView) putServer(server *state.Server) {
 	at, found := v.search(server.ID)
