Router: a memory limit for the collector

Cause: with the compact table, a router process that holds 530,000 shards and 6,200 servers still settled at 63 MB, and at 72 MB (78 MB at most) once a second whole table had replaced the first: the collector waits until the heap is twice what is live.

Change: memory_limit_bytes, 40 MiB by default, 0 for none. It holds only while the live heap is below 60 % of it, looked at once a second, so that requests in flight and records never make the collector run all the time.

Ruled out: GOGC=50, 62 MB settled and 68 at most, and twice the collections for every router; a limit of 48 MiB, 60 MB settled and 62 at most, too near to 64.

--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -26,6 +26,7 @@
 	MaxInFlight      int           `koanf:"max_in_flight" validate:"min=1,max=1000000" doc:"Bound of requests that the router holds at the same time."`
 	MaxTimeout       time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest timeout that a request may ask for."`
 	IdleTimeout      time.Duration `koanf:"idle_timeout" validate:"min=1s,max=1h" doc:"Time after which a caller's idle connection is closed."`
+	MemoryLimitBytes int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at while the live heap is below 60 % of it, in bytes; 0 for none. The program itself adds about 13 MB."`
 	BackEnd          BackEnd       `koanf:"back_end" doc:"Connections to the back ends."`
 	Retry            Retry         `koanf:"retry" doc:"Resends of requests that are proved not to have run."`
 	Health           Health        `koanf:"health" doc:"Judgement of the back ends' health."`
@@ -84,6 +85,9 @@
 		MaxInFlight:    4096,
 		MaxTimeout:     time.Minute,
 		IdleTimeout:    time.Minute,
+
+		MemoryLimitBytes: 40 * mebibyte,
+
 		BackEnd: BackEnd{
 			ConnectTimeout: 200 * time.Millisecond,
 			IdleTimeout:    30 * time.Second,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,6 +93,11 @@
 	if err != nil {
 		return err
 	}
+	watching, stop := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer stop()
+	group.Go(func() { limitMemory(watching, uint64(settings.MemoryLimitBytes)) })
 	return New(settings, log, Options{Certificates: certificates}).Run(ctx)
 }
 
