Router: the decisions about a request stand in a pure core

internal/router/execute.go decided between its calls whether an attempt is sent again, paid for, cancelled or given up, and what it says of the server's health, so that only runs with sockets reached these rules. They stand in internal/execution now: readings, queue places and ends of attempts in, one typed action out. The executor carries the actions out; a cancel still goes by the client that made the attempt. Behaviour is unchanged and no test was changed: go test -race ./internal/router/... ./internal/dispatch ./internal/admission ./internal/fault passes as before.

The buffer of requests that wait for an owner moved along; the conversion to a typed error moved to internal/fault.

--- a/internal/fault/error.go
+++ b/internal/fault/error.go
@@ -42,3 +42,13 @@
 	var typed *Error
 	return eris.As(err, &typed) && typed.Kind == kind
 }
+
+// From returns the typed error in the chain of an error, or one of kind
+// Internal when there is none.
+func From(err error) *Error {
+	var typed *Error
+	if eris.As(err, &typed) {
+		return typed
+	}
+	return New(Internal, eris.ToString(err, false))
+}
--- a/internal/router/deduplicate.go
+++ b/internal/router/deduplicate.go
@@ -136,7 +136,7 @@
 	case err == nil:
 		completion.Status = record.Completed
 		completion.Answer = keepAnswer(exchange.Answer, d.maxAnswerBytes)
-	case fault.AnswerFor(asFault(err).Kind).Outcome == fault.NotRun:
+	case fault.AnswerFor(fault.From(err).Kind).Outcome == fault.NotRun:
 		completion.Status = record.Released
 	}
 	return completion
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -41,7 +41,6 @@
 	key     string
 	service *state.Service
 	arrived time.Duration
-	history dispatch.History
 }
 
 // Handler serves an exchange. A nil error means that Answer holds a back end's
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -5,21 +5,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/thorntiller/thorntiller/internal/admission"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
+	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/health"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
 )
 
-// errSessionEnded sends waiting requests back to the planner.
-var errSessionEnded = eris.New("the server's session ended")
-
 // backEnd is what the router holds for one server.
 type backEnd struct {
 	// server is the newest version that the router has seen.
@@ -105,7 +101,7 @@
 		found.since.Store(int64(f.clock.Now()))
 	}
 	if earlier.Session != server.Session {
-		found.queue.Evict(errSessionEnded)
+		found.queue.Evict(execution.ErrSessionEnded)
 	}
 	f.limitLocked(found)
 	return found
@@ -163,7 +159,7 @@
 	for id, known := range f.servers {
 		server, found := view.Server(id)
 		if !found {
-			known.queue.Evict(errSessionEnded)
+			known.queue.Evict(execution.ErrSessionEnded)
 			known.client.Load().CloseIdle()
 			delete(f.servers, id)
 			continue
@@ -200,6 +196,14 @@
 	}
 }
 
+// Answered implements execution.Fleet.
+func (f *fleet) Answered(server *state.Server, now time.Duration) { f.get(server).answered(now) }
+
+// AnsweredSince implements execution.Fleet.
+func (f *fleet) AnsweredSince(server *state.Server, reading time.Duration) bool {
+	return f.get(server).answeredSince(reading)
+}
+
 // Choose implements dispatch.Fleet.
 func (f *fleet) Choose(servers []*state.Server, now time.Duration) []*state.Server {
 	return f.health.Choose(servers, now)
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -57,7 +57,7 @@
 // registerGauges adds gauges that are read at each scrape.
 func (r *Router) registerGauges(set *telemetry.Metrics) {
 	set.GaugeFunction("in_flight_requests", "Requests in flight.", func() float64 { return float64(r.limiter.Total()) })
-	set.GaugeFunction("owner_waits", "Requests that wait for an owner.", func() float64 { return float64(r.buffer.total()) })
+	set.GaugeFunction("owner_waits", "Requests that wait for an owner.", func() float64 { return float64(r.requests.OwnerWaits()) })
 	set.GaugeFunction("queued_requests", "Requests that wait for a place at a server.", r.queued)
 	set.GaugeFunction("records", "Idempotency records that this router holds.", func() float64 {
 		records, _ := r.records.Records()
--- a/internal/router/middleware.go
+++ b/internal/router/middleware.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 
-	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -37,7 +37,7 @@
 		r.metrics.observe(exchange, "", r.clock.Now())
 		return
 	}
-	failure := asFault(err)
+	failure := fault.From(err)
 	writeRefusal(&inbound.Response, exchange.CallerID, failure)
 	r.setConnection(inbound)
 	r.metrics.observe(exchange, failure.Kind, r.clock.Now())
@@ -55,14 +55,6 @@
 
 var keepAliveValue = fmt.Sprintf("timeout=%d", int(callerapi.KeepAlive.Seconds()))
 
-func asFault(err error) *fault.Error {
-	var typed *fault.Error
-	if eris.As(err, &typed) {
-		return typed
-	}
-	return fault.New(fault.Internal, eris.ToString(err, false))
-}
-
 func (r *Router) logUnknown(exchange *Exchange, failure *fault.Error) {
 	if exchange.Request.Repeatable || fault.AnswerFor(failure.Kind).Outcome != fault.Unknown {
 		return
@@ -87,16 +79,12 @@
 func (r *Router) refuseStale(next Handler) Handler {
 	return func(ctx context.Context, exchange *Exchange) error {
 		if !r.freshness.fresh(r.clock.Now()) {
-			return errStale()
+			return execution.Stale()
 		}
 		return next(ctx, exchange)
 	}
 }
 
-func errStale() *fault.Error {
-	return fault.New(fault.StaleRouter, "the router cannot prove that its configuration is current; send to another router")
-}
-
 // resolveService takes the service's settings from the table.
 func (r *Router) resolveService(next Handler) Handler {
 	return func(ctx context.Context, exchange *Exchange) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
+	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/router/records"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -42,7 +43,7 @@
 	freshness    *freshness
 	fleet        *fleet
 	limiter      *admission.Limiter
-	buffer       *buffer
+	requests     *execution.Core
 	metrics      *metrics
 	registry     *telemetry.Metrics
 	deduplicator Deduplicator
@@ -106,11 +107,12 @@
 	router := &Router{
 		settings: settings, log: log, clock: clock.NewSystem(), incarnation: newIncarnation(),
 		builder: table.NewBuilder(), freshness: newFreshness(settings.StalenessLimit),
-		limiter: admission.NewLimiter(settings.MaxInFlight), buffer: newBuffer(),
+		limiter:  admission.NewLimiter(settings.MaxInFlight),
 		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: controllerDialer(options.dial()), certificates: options.Certificates,
 	}
 	router.lifetime, router.end = context.WithCancel(context.Background())
 	router.fleet = newFleet(settings, router.clock, router.builder)
+	router.requests = router.newRequests()
 	router.metrics = newMetrics(router.registry)
 	router.records = records.New(records.Options{
 		Self: router.self(), Settings: settings.Records, Clock: router.clock, Log: log, View: router.builder.Table,
@@ -126,18 +128,25 @@
 	return router
 }
 
-func (r *Router) newExecutor() *executor {
+// newRequests returns the core that decides about requests.
+func (r *Router) newRequests() *execution.Core {
 	planning := dispatch.DefaultSettings(r.settings.Zone)
 	planning.RampUp = r.settings.Health.RampUp
-	return &executor{
-		clock: r.clock, builder: r.builder, fleet: r.fleet, freshness: r.freshness,
-		planner: dispatch.NewPlanner(planning, mathrand.IntN),
-		policy: retry.Policy{
+	return execution.New(execution.Options{
+		Planner: dispatch.NewPlanner(planning, mathrand.IntN),
+		Policy: retry.Policy{
 			MaxAttempts: r.settings.Retry.MaxAttempts,
 			BaseDelay:   r.settings.Retry.BackoffBase,
 			MaxDelay:    r.settings.Retry.BackoffMax,
 		},
-		metrics: r.metrics, buffer: r.buffer, log: r.log, budgets: make(map[state.ServiceName]*retry.Budget),
+		Fleet: r.fleet, Health: r.fleet.health, Jitter: mathrand.Float64,
+	})
+}
+
+func (r *Router) newExecutor() *executor {
+	return &executor{
+		clock: r.clock, builder: r.builder, fleet: r.fleet, freshness: r.freshness,
+		core: r.requests, metrics: r.metrics, log: r.log,
 	}
 }
 
