Router: servers' queues, loads and health follow the table in a pure core

The fleet of internal/router mixed connections with decisions: bounds of queues, eviction when a session ends, ramp-up, health. It is internal/fleet now; connections are a Link that the process makes. The proof that a table is current moved to internal/table. Queues can be joined without waiting, for a caller under a virtual clock. Behaviour is unchanged and no test was changed: go test -race ./internal/router/... ./internal/admission ./internal/table.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -91,6 +91,17 @@
 type waiter struct {
 	decided chan struct{}
 	reason  error
+	// notify, unless nil, is called with the reason once it is decided.
+	notify func(error)
+}
+
+// settle tells the request that it got a place, or why it was sent away.
+func (w *waiter) settle(reason error) {
+	w.reason = reason
+	close(w.decided)
+	if w.notify != nil {
+		w.notify(reason)
+	}
 }
 
 // Acquire waits for a place until the deadline, a reading of the queue's
@@ -98,7 +109,7 @@
 // error's kind is QueueFull or DeadlineBeforeStart, or it is the context's
 // error, or the reason given to Evict.
 func (q *Queue) Acquire(ctx context.Context, deadline time.Duration) error {
-	element, err := q.enter(deadline)
+	element, err := q.enter(deadline, nil)
 	if err != nil || element == nil {
 		return err
 	}
@@ -109,14 +120,47 @@
 	case <-entry.decided:
 		return entry.reason
 	case <-timer.C:
-		return q.abandon(element, fault.New(fault.DeadlineBeforeStart, "the deadline passed in the router's queue"))
+		return q.abandon(element, errDeadlineInQueue())
 	case <-ctx.Done():
 		return q.abandon(element, context.Cause(ctx))
 	}
 }
 
+// Ticket is a request's position in the queue.
+type Ticket struct{ element *list.Element }
+
+// Join is Acquire for callers that cannot wait. A nil ticket without an error
+// means that the caller holds a place. With a ticket the request waits:
+// decided is called, under the queue's lock, with nil once it holds a place, or
+// with the reason given to Evict.
+func (q *Queue) Join(deadline time.Duration, decided func(error)) (*Ticket, error) {
+	element, err := q.enter(deadline, decided)
+	if err != nil || element == nil {
+		return nil, err
+	}
+	return &Ticket{element: element}, nil
+}
+
+// Expire ends a wait whose deadline passed. It returns nil when the wait was
+// decided before, else an error of kind DeadlineBeforeStart.
+func (q *Queue) Expire(ticket *Ticket) error {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	select {
+	case <-ticket.element.Value.(*waiter).decided:
+		return nil
+	default:
+	}
+	q.waiters.Remove(ticket.element)
+	return errDeadlineInQueue()
+}
+
+func errDeadlineInQueue() *fault.Error {
+	return fault.New(fault.DeadlineBeforeStart, "the deadline passed in the router's queue")
+}
+
 // enter takes a place at once (nil element), joins the queue, or refuses.
-func (q *Queue) enter(deadline time.Duration) (*list.Element, error) {
+func (q *Queue) enter(deadline time.Duration, notify func(error)) (*list.Element, error) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := q.clock.Now()
@@ -133,7 +177,7 @@
 	if now+q.estimateLocked() > deadline {
 		return nil, fault.New(fault.DeadlineBeforeStart, "the request could not finish in time behind those that wait")
 	}
-	return q.waiters.PushBack(&waiter{decided: make(chan struct{})}), nil
+	return q.waiters.PushBack(&waiter{decided: make(chan struct{}), notify: notify}), nil
 }
 
 // estimateLocked returns how long a request that joins now takes to finish.
@@ -188,7 +232,7 @@
 		front := q.waiters.Front()
 		q.waiters.Remove(front)
 		q.running++
-		close(front.Value.(*waiter).decided)
+		front.Value.(*waiter).settle(nil)
 	}
 }
 
@@ -200,8 +244,6 @@
 	for q.waiters.Len() > 0 {
 		front := q.waiters.Front()
 		q.waiters.Remove(front)
-		entry := front.Value.(*waiter)
-		entry.reason = reason
-		close(entry.decided)
+		front.Value.(*waiter).settle(reason)
 	}
 }
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -25,8 +25,8 @@
 
 func (r *Router) summary() TableSummary {
 	now := r.clock.Now()
-	age, proved := r.freshness.age(now)
-	summary := TableSummary{Summary: r.builder.Table().Summary(), Proved: proved, Fresh: r.freshness.fresh(now)}
+	age, proved := r.freshness.Age(now)
+	summary := TableSummary{Summary: r.builder.Table().Summary(), Proved: proved, Fresh: r.freshness.Fresh(now)}
 	if proved {
 		summary.AgeMs = age.Milliseconds()
 	}
@@ -54,7 +54,7 @@
 	switch {
 	case r.stopping.Load():
 		return false, "the router is shutting down"
-	case !r.freshness.fresh(r.clock.Now()):
+	case !r.freshness.Fresh(r.clock.Now()):
 		return false, "the routing table is not proved current"
 	default:
 		return true, ""
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -12,6 +12,7 @@
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/fleet"
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
@@ -22,8 +23,8 @@
 type executor struct {
 	clock     clock.Clock
 	builder   *table.Builder
-	fleet     *fleet
-	freshness *freshness
+	fleet     *fleet.Fleet
+	freshness *table.Freshness
 	core      *execution.Core
 	metrics   *metrics
 	log       *logrus.Entry
@@ -35,7 +36,7 @@
 	execution *execution.Execution
 	// target, client and attemptID are of the newest attempt. A cancel must go
 	// to the very process that got the attempt, thus by the same client.
-	target    *backEnd
+	target    *fleet.BackEnd
 	client    *forward.Client
 	attemptID string
 }
@@ -64,9 +65,9 @@
 	case execution.Wait:
 		return e.wait(ctx, request, action, changed)
 	case execution.Acquire:
-		request.target = e.fleet.get(action.Decision.Server)
-		err := request.target.queue.Acquire(ctx, request.exchange.Request.Deadline)
-		return request.execution.Acquired(e.reading(), request.target.queue, err)
+		request.target = e.fleet.Get(action.Decision.Server)
+		err := request.target.Queue.Acquire(ctx, request.exchange.Request.Deadline)
+		return request.execution.Acquired(e.reading(), request.target.Queue, err)
 	case execution.Attempt:
 		return e.attempt(request, action)
 	case execution.Cancel:
@@ -80,7 +81,7 @@
 
 func (e *executor) reading() execution.Reading {
 	now := e.clock.Now()
-	return execution.Reading{Now: now, Table: e.builder.Table(), Fresh: e.freshness.fresh(now)}
+	return execution.Reading{Now: now, Table: e.builder.Table(), Fresh: e.freshness.Fresh(now)}
 }
 
 // wait waits for a change of the table or the end of the action's time.
@@ -122,14 +123,14 @@
 	exchange.fill(attempt.Request, decision, attempt.ID, timeout)
 	exchange.Answer.Reset()
 	e.metrics.attempts.WithLabelValues(string(exchange.service.Name)).Inc()
-	request.client = request.target.client.Load()
+	request.client = clientOf(request.target)
 	return request.client.Do(&attempt)
 }
 
 // judgeAnswer returns the refusal in an answer, and keeps its load report.
-func judgeAnswer(target *backEnd, answer *fasthttp.Response) *fault.Error {
+func judgeAnswer(target *fleet.BackEnd, answer *fasthttp.Response) *fault.Error {
 	if load, found := forward.LoadOf(answer); found {
-		target.reportLoad(load)
+		target.ReportLoad(load.Running, load.Queued, load.Slots)
 	}
 	return forward.RefusalOf(answer)
 }
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -12,6 +12,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/fleet"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -124,7 +125,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, r.settings.Health.ProbeInterval)
 		workers := pool.New().WithMaxGoroutines(probeWorkers)
-		for _, known := range r.fleet.snapshot() {
+		for _, known := range r.fleet.Known() {
 			if ctx.Err() != nil {
 				break
 			}
@@ -134,11 +135,11 @@
 	}
 }
 
-func (r *Router) probeOne(known *backEnd) {
-	server := known.server.Load()
+func (r *Router) probeOne(known *fleet.BackEnd) {
+	server := known.Server()
 	if !server.Session.Open {
 		return
 	}
-	well := known.client.Load().Healthy(r.settings.Health.ProbeTimeout)
-	r.fleet.health.Hint(server.ID, well)
+	well := clientOf(known).Healthy(r.settings.Health.ProbeTimeout)
+	r.fleet.Health().Hint(server.ID, well)
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -71,7 +71,7 @@
 		return float64(r.builder.Table().Revision())
 	})
 	set.GaugeFunction("table_age_seconds", "Time since the table was proved current; -1 before the first proof.", func() float64 {
-		age, proved := r.freshness.age(r.clock.Now())
+		age, proved := r.freshness.Age(r.clock.Now())
 		if !proved {
 			return -1
 		}
@@ -81,8 +81,8 @@
 
 func (r *Router) queued() float64 {
 	total := 0
-	for _, known := range r.fleet.snapshot() {
-		total += known.queue.Waiting()
+	for _, known := range r.fleet.Known() {
+		total += known.Queue.Waiting()
 	}
 	return float64(total)
 }
--- a/internal/router/middleware.go
+++ b/internal/router/middleware.go
@@ -78,7 +78,7 @@
 // refuseStale refuses requests while the table is not proved current.
 func (r *Router) refuseStale(next Handler) Handler {
 	return func(ctx context.Context, exchange *Exchange) error {
-		if !r.freshness.fresh(r.clock.Now()) {
+		if !r.freshness.Fresh(r.clock.Now()) {
 			return execution.Stale()
 		}
 		return next(ctx, exchange)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/execution"
+	"github.com/thorntiller/thorntiller/internal/fleet"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/router/records"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -40,8 +41,8 @@
 	incarnation  string
 	sequence     atomic.Uint64
 	builder      *table.Builder
-	freshness    *freshness
-	fleet        *fleet
+	freshness    *table.Freshness
+	fleet        *fleet.Fleet
 	limiter      *admission.Limiter
 	requests     *execution.Core
 	metrics      *metrics
@@ -106,7 +107,7 @@
 func New(settings config.Router, log *logrus.Entry, options Options) *Router {
 	router := &Router{
 		settings: settings, log: log, clock: clock.NewSystem(), incarnation: newIncarnation(),
-		builder: table.NewBuilder(), freshness: newFreshness(settings.StalenessLimit),
+		builder: table.NewBuilder(), freshness: table.NewFreshness(settings.StalenessLimit),
 		limiter:  admission.NewLimiter(settings.MaxInFlight),
 		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: controllerDialer(options.dial()), certificates: options.Certificates,
 	}
@@ -139,7 +140,7 @@
 			BaseDelay:   r.settings.Retry.BackoffBase,
 			MaxDelay:    r.settings.Retry.BackoffMax,
 		},
-		Fleet: r.fleet, Health: r.fleet.health, Jitter: mathrand.Float64,
+		Fleet: r.fleet, Health: r.fleet.Health(), Jitter: mathrand.Float64,
 	})
 }
 
@@ -250,7 +251,7 @@
 		self: r.self(), controllers: r.settings.Controllers, interval: r.settings.PingInterval, times: r.settings.Times(),
 		dial: r.dial, clock: r.clock, builder: r.builder, freshness: r.freshness, log: r.log,
 		changed: func() {
-			r.fleet.refresh(r.builder.Table())
+			r.fleet.Refresh(r.builder.Table())
 			r.records.TableChanged()
 		},
 		records: r.records,
@@ -261,7 +262,7 @@
 func (r *Router) watchFreshness(ctx context.Context) {
 	was := false
 	for ctx.Err() == nil {
-		fresh := r.freshness.fresh(r.clock.Now())
+		fresh := r.freshness.Fresh(r.clock.Now())
 		if fresh && !was {
 			telemetry.With(r.log, telemetry.EventTableCurrent).Info("the routing table is proved current")
 		}
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -68,7 +68,7 @@
 	dial      tableDialer
 	clock     clock.Clock
 	builder   *table.Builder
-	freshness *freshness
+	freshness *table.Freshness
 	log       *logrus.Entry
 	// changed is called after each new version of the table.
 	changed func()
@@ -100,7 +100,7 @@
 		address := s.controllers[s.preferred]
 		began := s.clock.Now()
 		err := s.connect(ctx, address)
-		s.freshness.disconnected()
+		s.freshness.Disconnected()
 		if ctx.Err() != nil {
 			return
 		}
@@ -296,7 +296,7 @@
 		return s.checked(err)
 	case frame.Pong != nil:
 		s.served = true
-		s.freshness.observe(*frame.Pong, s.builder.Table().Revision())
+		s.freshness.Observe(*frame.Pong, s.builder.Table().Revision())
 		s.records.Renew(*frame.Pong)
 		return nil
 	case frame.Notice != nil:
@@ -313,7 +313,7 @@
 }
 
 func (s *subscription) advance() {
-	s.freshness.advance(s.builder.Table().Revision())
+	s.freshness.Advance(s.builder.Table().Revision())
 	s.changed()
 }
 
--- a/internal/router/freshness.go
+++ b/internal/table/freshness.go
@@ -1,4 +1,4 @@
-package router
+package table
 
 import (
 	"sync"
@@ -11,10 +11,10 @@
 // maxPendingProofs bounds the pongs that wait for the table to catch up.
 const maxPendingProofs = 64
 
-// freshness holds the newest moment at which the table was proved current. A
+// Freshness holds the newest moment at which the table was proved current. A
 // pong proves that its revision covered everything acknowledged before the
 // ping was sent; it counts once the table has reached that revision.
-type freshness struct {
+type Freshness struct {
 	limit time.Duration
 
 	mutex   sync.Mutex
@@ -23,12 +23,13 @@
 	pending []message.Pong
 }
 
-func newFreshness(limit time.Duration) *freshness {
-	return &freshness{limit: limit}
+// NewFreshness returns a Freshness without a proof. A proof counts for the limit.
+func NewFreshness(limit time.Duration) *Freshness {
+	return &Freshness{limit: limit}
 }
 
-// observe takes a pong, given the table's revision.
-func (f *freshness) observe(pong message.Pong, revision state.Revision) {
+// Observe takes a pong, given the table's revision.
+func (f *Freshness) Observe(pong message.Pong, revision state.Revision) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if revision >= pong.Revision {
@@ -40,8 +41,8 @@
 	}
 }
 
-// advance counts the pongs that the table has caught up with.
-func (f *freshness) advance(revision state.Revision) {
+// Advance counts the pongs that the table has caught up with.
+func (f *Freshness) Advance(revision state.Revision) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	kept := f.pending[:0]
@@ -55,30 +56,30 @@
 	f.pending = kept
 }
 
-// disconnected forgets pongs of a connection that is gone.
-func (f *freshness) disconnected() {
+// Disconnected forgets pongs of a connection that is gone.
+func (f *Freshness) Disconnected() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.pending = nil
 }
 
-func (f *freshness) proveLocked(sent time.Duration) {
+func (f *Freshness) proveLocked(sent time.Duration) {
 	if !f.proved || sent > f.at {
 		f.proved = true
 		f.at = sent
 	}
 }
 
-// age returns the time since the table was last proved current, and false if
+// Age returns the time since the table was last proved current, and false if
 // it never was.
-func (f *freshness) age(now time.Duration) (time.Duration, bool) {
+func (f *Freshness) Age(now time.Duration) (time.Duration, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return now - f.at, f.proved
 }
 
-// fresh reports whether requests may be served by the table.
-func (f *freshness) fresh(now time.Duration) bool {
-	age, proved := f.age(now)
+// Fresh reports whether requests may be served by the table.
+func (f *Freshness) Fresh(now time.Duration) bool {
+	age, proved := f.Age(now)
 	return proved && age <= f.limit
 }
