Simulator: routers drive the request path

The simulator's routers sent requests by a loop of their own. They now drive the cores of the process: execution, dispatch, retry, admission, health, fleet, table and its freshness, against modelled back ends with slots, queues, shedding, drain, cancel and cold starts, for services with and without keys. The checker judges not_run, runs of non-repeatable requests, the age of tables that requests follow, drains, queue bounds, retry budgets and the time of final answers. Each has a planted fault that it catches: go test -run TestPlanted ./internal/lab/sim.

A connection now ends with the router process that opened it. No test was weakened; TestFixedSeeds asks for the new faults as well.

Nothing was found in the product. The stand-in back end of internal/lab/backend promises 'never started' for attempts of the process before it; that is left.

--- a/internal/lab/sim/checker/checker.go
+++ b/internal/lab/sim/checker/checker.go
@@ -26,6 +26,13 @@
 	IntentHistory    Guarantee = "intents_are_linearizable"
 	OwnershipHistory Guarantee = "ownership_is_linearizable"
 	NoFailure        Guarantee = "no_process_fails"
+	NotRunNeverRan   Guarantee = "not_run_never_ran"
+	AtMostOnce       Guarantee = "non_repeatable_runs_at_most_once"
+	CurrentTable     Guarantee = "requests_follow_a_current_table"
+	Drained          Guarantee = "leaving_servers_get_nothing_new"
+	BoundedQueue     Guarantee = "queues_are_bounded"
+	RetryBudget      Guarantee = "resends_within_budget"
+	AnswerAtOnce     Guarantee = "final_answers_go_at_once"
 )
 
 // Violation is the first broken guarantee of a run.
@@ -40,7 +47,9 @@
 type Counts struct {
 	// Entries counts applied log entries, Reads confirmed reads, Rounds the quorum
 	// rounds that renewals rest on, Tables router tables, Holdings lease messages, Executions requests that began, and
-	// Operations the operations of histories.
+	// Operations the operations of histories. Requests counts what routers took
+	// in, Attempts what they sent, Runs what back ends executed of that, Answers
+	// what callers got.
 	Entries    int `json:"entries"`
 	Reads      int `json:"reads"`
 	Rounds     int `json:"rounds"`
@@ -50,7 +59,11 @@
 	Recoveries int `json:"recoveries"`
 	Operations int `json:"operations"`
 	// Merges counts the shards that were merged into others.
-	Merges int `json:"merges"`
+	Merges   int `json:"merges"`
+	Requests int `json:"requests"`
+	Attempts int `json:"attempts"`
+	Runs     int `json:"runs"`
+	Answers  int `json:"answers"`
 }
 
 // Add adds the counts of another run.
@@ -64,6 +77,10 @@
 	c.Recoveries += other.Recoveries
 	c.Operations += other.Operations
 	c.Merges += other.Merges
+	c.Requests += other.Requests
+	c.Attempts += other.Attempts
+	c.Runs += other.Runs
+	c.Answers += other.Answers
 }
 
 // Checker gathers what was observed in one run. It is not safe for concurrent
@@ -75,6 +92,7 @@
 	log       logChecker
 	owners    ownerChecker
 	rounds    roundChecker
+	requests  requestChecker
 	routers   map[string]uint64
 	histories histories
 }
@@ -86,6 +104,7 @@
 		log:       newLogChecker(),
 		owners:    newOwnerChecker(),
 		rounds:    newRoundChecker(),
+		requests:  newRequestChecker(),
 		routers:   make(map[string]uint64),
 		histories: newHistories(),
 	}
--- a/internal/lab/sim/checker/log.go
+++ b/internal/lab/sim/checker/log.go
@@ -110,6 +110,9 @@
 		if object.Service != nil {
 			c.log.services[object.Service.Name] = object.Service.Revision
 		}
+		if object.Server != nil {
+			c.observeServer(object.Server)
+		}
 	}
 }
 
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -36,6 +36,7 @@
 	{1, (*simulation).pauseRouter},
 	{2, (*simulation).transferLeadership},
 	{1, (*simulation).listLeaving},
+	{2, (*simulation).misleadRouters},
 }
 
 // injectFaults runs the period of faults. Each seed has its own pace.
@@ -200,6 +201,14 @@
 	s.queue.After(s.pauseTime(), func() { delete(s.leaving, target) })
 }
 
+// misleadRouters lets a server's reports of load and health be wrong for a while.
+func (s *simulation) misleadRouters() {
+	target := s.servers[s.random.IntN(len(s.servers))]
+	s.counts.Misled++
+	target.misleads = true
+	s.queue.After(s.pauseTime(), func() { target.misleads = false })
+}
+
 // spoil drops one object from a delta now and then, as a faulty controller or
 // memory might, without changing its digest.
 func (s *simulation) spoil(delta message.TableDelta) *message.TableDelta {
--- a/internal/lab/sim/loss.go
+++ b/internal/lab/sim/loss.go
@@ -68,6 +68,20 @@
 	return nil, nil
 }
 
+// drainServer puts a server without keys on the platform's list as leaving and
+// goes on until nothing new may go there. The list is the first signal.
+func (s *simulation) drainServer() {
+	if s.checker.Violation() != nil || !s.await(s.queue.Now()+setupLimit, s.isHealthy) {
+		return
+	}
+	target, _ := s.server(freeServerSpec(1 + s.random.IntN(freeServers)).ID)
+	s.counts.Drains++
+	s.trace("%s is listed as leaving", target.id)
+	s.leaving[target.id] = true
+	s.checker.ServerLeaves(target.id)
+	s.advance(s.queue.Now() + requestBounds().Staleness + drainLook)
+}
+
 // isHealthy reports whether a leader that most controllers follow has led for so
 // long that no lease of an earlier one is left to wait out, faults ended so long
 // ago that no election which they caused can begin, and nothing that the platform
--- a/internal/lab/sim/network/network.go
+++ b/internal/lab/sim/network/network.go
@@ -97,3 +97,8 @@
 	}
 	return lowest + time.Duration(n.random.Int64N(int64(highest-lowest)))
 }
+
+// Reaches reports whether nothing is cut between two nodes, in both directions.
+func (n *Network) Reaches(one, other Node) bool {
+	return !n.isCut(one, other) && !n.isCut(other, one)
+}
--- a/internal/lab/sim/operator.go
+++ b/internal/lab/sim/operator.go
@@ -41,6 +41,10 @@
 		o.pursue(o.sim.createService())
 		return
 	}
+	if _, created := o.sim.plans[createFreeIntent]; !created && o.number == 1 {
+		o.pursue(o.sim.createFreeService())
+		return
+	}
 	if !o.sim.operating || !o.sim.chance(operatorChance) {
 		return
 	}
--- a/internal/lab/sim/planted.go
+++ b/internal/lab/sim/planted.go
@@ -34,6 +34,22 @@
 	overstate func(time.Duration) time.Duration
 	// forgetPlans: replicas forget plans once an operator was told of them.
 	forgetPlans bool
+	// forgetAttempts: servers promise that each cancelled attempt never started.
+	forgetAttempts bool
+	// repeatAll: routers take each request for one that may be repeated.
+	repeatAll bool
+	// claimNotRun: routers answer that a request of unknown outcome did not run.
+	claimNotRun bool
+	// trustOldTable: routers count their table as current for ever.
+	trustOldTable bool
+	// ignoreLeaving: routers send requests to servers that leave.
+	ignoreLeaving bool
+	// longQueues: routers let any number of requests wait for a server.
+	longQueues bool
+	// freeResends: resends cost nothing.
+	freeResends bool
+	// lateAnswers: a final answer goes out after a back-off.
+	lateAnswers bool
 }
 
 // notedLog notes what the replica saved, which it may tell others from then on.
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -19,16 +19,7 @@
 	longExecution  = 400 * time.Millisecond
 )
 
-// request is one request of a key on its way to a server.
-type request struct {
-	number       uint64
-	key          string
-	hash         uint64
-	shard, epoch uint64
-	duration     time.Duration
-}
-
-// router keeps a routing table and sends requests by it.
+// router keeps a routing table and drives the cores of requests by it.
 type router struct {
 	*process
 	starts     int
@@ -38,6 +29,7 @@
 	failures   int
 	resync     bool
 	nonce      uint64
+	requests   routerRequests
 	heard      time.Duration
 }
 
@@ -50,12 +42,13 @@
 	r.sim.checker.RouterStarts(string(r.node))
 	r.preferred = r.sim.random.IntN(len(r.sim.controllers))
 	r.every(pingInterval, r.ping)
-	r.every(requestEvery, r.sendRequest)
+	r.startRequests()
 	r.connect()
 }
 
 func (r *router) crash() {
 	r.sim.trace("%s crashes", r.node)
+	r.sim.checker.RouterDies(r.life())
 	if r.connection != nil {
 		r.connection.close()
 	}
@@ -100,6 +93,7 @@
 func (r *router) disconnect(named string) {
 	r.connection.close()
 	r.connection = nil
+	r.requests.freshness.Disconnected()
 	following := (r.preferred + 1) % len(r.sim.controllers)
 	for index, target := range r.sim.controllers {
 		if string(target.node) == named && index != r.preferred {
@@ -131,6 +125,8 @@
 		}
 	case frame.Delta != nil:
 		err = r.applyDelta(*frame.Delta)
+	case frame.Pong != nil:
+		r.requests.freshness.Observe(*frame.Pong, r.builder.Table().Revision())
 	case frame.Refusal != nil:
 		r.disconnect(frame.Refusal.Detail)
 	}
@@ -164,24 +160,5 @@
 	current := r.builder.Table()
 	r.sim.checker.Table(string(r.node), current.Revision(), current.Digest())
 	r.sim.checker.Acknowledged(uint64(current.Revision()), "the table of "+string(r.node))
-}
-
-// sendRequest sends a request of one of the keys to the owner in the table.
-func (r *router) sendRequest() {
-	key := r.sim.key()
-	hash := state.HashKey(key)
-	found, known := r.builder.Table().Lookup(serviceName, hash)
-	if !known || found.Owner == "" {
-		return
-	}
-	target, exists := r.sim.server(found.Owner)
-	if !exists {
-		return
-	}
-	r.sim.counts.Requests++
-	call := request{
-		number: r.sim.counts.Requests, key: key, hash: hash,
-		shard: uint64(found.ID), epoch: uint64(found.Epoch), duration: r.sim.executionTime(),
-	}
-	r.sendOnce(target.process, func() { target.execute(call) })
+	r.requests.tableChanged()
 }
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -36,7 +36,25 @@
 	Elections         uint64 `json:"elections"`
 	Snapshots         uint64 `json:"snapshots_received"`
 	Resyncs           uint64 `json:"table_resyncs"`
+	Drains            uint64 `json:"servers_drained"`
+	Misled            uint64 `json:"servers_misleading"`
+	Bursts            uint64 `json:"request_bursts"`
 	Requests          uint64 `json:"requests"`
+	Stale             uint64 `json:"requests_refused_as_stale"`
+	Limited           uint64 `json:"requests_refused_by_limit"`
+	Queued            uint64 `json:"requests_queued"`
+	OwnerWaits        uint64 `json:"requests_that_waited"`
+	Attempts          uint64 `json:"attempts"`
+	Resent            uint64 `json:"attempts_resent"`
+	ConnectFailures   uint64 `json:"connects_failed"`
+	ConnectionsCut    uint64 `json:"connections_cut"`
+	AnswersCut        uint64 `json:"answers_cut"`
+	TimedOut          uint64 `json:"attempts_timed_out"`
+	Cancels           uint64 `json:"cancels"`
+	NeverStarted      uint64 `json:"cancels_before_start"`
+	Completed         uint64 `json:"answered_completed"`
+	NotRun            uint64 `json:"answered_not_run"`
+	Unknown           uint64 `json:"answered_unknown"`
 	Refusals          uint64 `json:"refusals"`
 }
 
--- a/internal/lab/sim/server.go
+++ b/internal/lab/sim/server.go
@@ -11,7 +11,8 @@
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
-// server is a back end: the published lease rules around nothing.
+// server is a back end: the published lease rules around a modelled request
+// path.
 type server struct {
 	*process
 	id          state.ServerID
@@ -20,6 +21,11 @@
 	holder      *lease.Holder
 	// version is the newest assignment set that the process was given.
 	version uint64
+	// started is the first clock reading of the process.
+	started time.Duration
+	path    requestPath
+	// misleads is true while the reports of load and health are wrong.
+	misleads bool
 }
 
 func (s *server) start() {
@@ -28,11 +34,14 @@
 	s.incarnation = fmt.Sprintf("%s#%d", s.id, s.starts)
 	s.holder = lease.NewHolder(string(s.id), s.incarnation, s.now())
 	s.version = 0
+	s.started = s.now()
+	s.path = requestPath{attempts: make(map[uint64]*attempt)}
 }
 
 func (s *server) crash() {
 	s.sim.trace("%s crashes", s.node)
 	s.end()
+	s.resetConnections()
 	s.sim.checker.Died(s.incarnation)
 }
 
@@ -71,24 +80,3 @@
 	}
 	return s.trueTime(s.holder.LeaseEnd())
 }
-
-// execute runs a request if the holder allows it at this moment.
-func (s *server) execute(call request) {
-	reading := s.now()
-	if s.sim.planted.ignoreLeaseEnd {
-		reading = min(reading, s.holder.LeaseEnd()-1)
-	}
-	if refusal := s.holder.Check(reading, call.shard, call.epoch, call.hash); refusal != "" {
-		s.sim.counts.Refusals++
-		return
-	}
-	run := s.holder.Begin(call.shard, call.hash)
-	s.sim.checker.Begins(checker.Execution{
-		Request: call.number, Incarnation: s.incarnation, Session: s.holder.Session(),
-		Key: call.key, Epoch: call.epoch, LeaseEnd: s.leaseEnd(),
-	})
-	s.after(call.duration, func() {
-		s.holder.End(run)
-		s.sim.checker.Ends(call.number)
-	})
-}
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -21,18 +21,30 @@
 	lossLimit = time.Second
 	// settleSlack is added to settleNeed.
 	settleSlack = time.Second
+	// drainLook is how long requests are watched after a server must get none.
+	drainLook = 500 * time.Millisecond
 	// look is how often a condition is looked at while the run waits for it.
 	look = 10 * time.Millisecond
 )
 
 // Shape of the deployment.
 const (
-	serviceName  = "ledger"
-	firstServers = 4
-	spareServers = 2
-	routerCount  = 2
-	operators    = 3
-	keyCount     = 6
+	serviceName = "ledger"
+	// freeServiceName is the service without keys.
+	freeServiceName = "render"
+	freeServers     = 3
+	firstServers    = 4
+	spareServers    = 2
+	routerCount     = 2
+	operators       = 3
+	keyCount        = 6
+	queueLimit      = 16
+	requestLimit    = 64
+	retryRatio      = 0.2
+	// resendBurst is the bound of internal/execution.
+	resendBurst = 20
+	// stalenessLimit is small so that routers also find their table too old.
+	stalenessLimit = 1500 * time.Millisecond
 	// historyDeltas is small so that routers also meet snapshots.
 	historyDeltas = 24
 	// snapshotObjects is small so that whole tables travel in several parts.
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -30,6 +30,11 @@
 		"pauses": faults.Pauses, "crashes": faults.Crashes, "crashes in a write": faults.TornWrites,
 		"flipped bits": faults.FlippedBits, "lost disks": faults.LostDisks, "slow syncs": faults.SlowSyncs, "losses after a repair": faults.LossesAfterRepair,
 		"cuts": faults.Cuts, "freezes": faults.Freezes, "missed changes": faults.MissedChanges,
+		"drains": faults.Drains, "misleading servers": faults.Misled, "bursts": faults.Bursts, "stale routers": faults.Stale,
+		"full routers": faults.Limited, "queued requests": faults.Queued, "waits for owners": faults.OwnerWaits,
+		"resent requests": faults.Resent, "failed connects": faults.ConnectFailures, "cut connections": faults.ConnectionsCut,
+		"cut answers": faults.AnswersCut, "late answers": faults.TimedOut, "cancels": faults.Cancels,
+		"cancels before the start": faults.NeverStarted, "unknown outcomes": faults.Unknown, "refused requests": faults.NotRun,
 		"races": faults.Races, "resends": faults.Resends, "snapshots": faults.Snapshots,
 		"merges": uint64(summary.Checks.Merges),
 	} {
@@ -116,6 +121,16 @@
 		"router takes a change without look": {planted{skipDigest: true}, []checker.Guarantee{checker.RouterTable}, 1},
 		"router ignores changes":             {planted{deafRouters: true}, []checker.Guarantee{checker.ConfigLiveness}, 1},
 		"plan is forgotten":                  {planted{forgetPlans: true}, []checker.Guarantee{checker.IntentHistory}, 1},
+		"server promises what it cannot know": {
+			planted{forgetAttempts: true}, []checker.Guarantee{checker.NotRunNeverRan, checker.AtMostOnce}, 1,
+		},
+		"router repeats what may not be":  {planted{repeatAll: true}, []checker.Guarantee{checker.AtMostOnce}, 1},
+		"router claims not run":           {planted{claimNotRun: true}, []checker.Guarantee{checker.NotRunNeverRan}, 1},
+		"router trusts an old table":      {planted{trustOldTable: true}, []checker.Guarantee{checker.CurrentTable}, 1},
+		"router ignores who leaves":       {planted{ignoreLeaving: true}, []checker.Guarantee{checker.Drained}, 1},
+		"router's queues have no bound":   {planted{longQueues: true}, []checker.Guarantee{checker.BoundedQueue}, 1},
+		"resends cost nothing":            {planted{freeResends: true}, []checker.Guarantee{checker.RetryBudget}, 1},
+		"router answers after a back-off": {planted{lateAnswers: true}, []checker.Guarantee{checker.AnswerAtOnce}, 1},
 	}
 	for name, planted := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -74,6 +74,7 @@
 		faults.coordinator(&s.coordination)
 	}
 	s.checker = checker.New(s.queue.Now)
+	s.checker.BoundRequests(requestBounds())
 	s.network = network.New(&s.queue, s.random)
 	s.build()
 	return s
@@ -99,6 +100,11 @@
 		built.id = state.ServerID(built.node)
 		s.servers = append(s.servers, built)
 	}
+	for number := 1; number <= freeServers; number++ {
+		built := &server{process: s.newProcess("free-%d", number)}
+		built.id = state.ServerID(built.node)
+		s.servers = append(s.servers, built)
+	}
 	for number := 1; number <= routerCount; number++ {
 		s.routers = append(s.routers, &router{process: s.newProcess("router-%d", number)})
 	}
@@ -149,6 +155,7 @@
 	s.settle()
 	s.loseServer()
 	s.loseServerWithLeader()
+	s.drainServer()
 	s.checkEnd()
 	return s.checker.Violation()
 }
@@ -191,7 +198,7 @@
 
 // setUp lets the group form and the service be created, without faults.
 func (s *simulation) setUp() {
-	ready := s.await(setupLimit, s.everyKeyOwned)
+	ready := s.await(setupLimit, s.servicesReady)
 	if !ready {
 		s.checker.Fail(checker.OwnerLiveness, "the service is not in force after %v without faults", setupLimit)
 	}
@@ -221,6 +228,12 @@
 	return !gap
 }
 
+// servicesReady reports whether both services are served.
+func (s *simulation) servicesReady() bool {
+	_, created := s.plans[createFreeIntent]
+	return created && s.everyKeyOwned()
+}
+
 func (s *simulation) configurationInForce() bool {
 	newest := s.newestAccepted()
 	for _, each := range s.routers {
--- a/internal/lab/sim/workload.go
+++ b/internal/lab/sim/workload.go
@@ -44,20 +44,39 @@
 
 func serviceSettings(timeout int64) state.ServiceSettings {
 	return state.ServiceSettings{
-		DefaultTimeoutMs: timeout, QueueLimit: 16, RequestLimit: 64, MaxMoves: 3,
+		DefaultTimeoutMs: timeout, QueueLimit: queueLimit, RequestLimit: requestLimit, RetryRatio: retryRatio, MaxMoves: 3,
 		Weights: state.Weights{Imbalance: 1, Churn: 1, Unavailable: 1},
 	}
 }
 
+// freeServerSpec describes a server of the service without keys.
+func freeServerSpec(number int) state.ServerSpec {
+	spec := serverSpec(firstServers + spareServers + number)
+	spec.ID = state.ServerID(fmt.Sprintf("free-%d", number))
+	return spec
+}
+
 func serverSpec(number int) state.ServerSpec {
 	return state.ServerSpec{
 		ID: state.ServerID(fmt.Sprintf("server-%d", number)), Address: fmt.Sprintf("10.0.0.%d:80", number),
-		Zone: fmt.Sprintf("zone-%d", number%3), Slots: 2, Connections: 100,
+		Zone: fmt.Sprintf("zone-%d", number%3), Slots: serverSlots, Connections: 100,
 	}
 }
 
-// createIntent is the identifier of the intent that creates the service.
-const createIntent = "create"
+// Identifiers of the intents that create the services.
+const (
+	createIntent     = "create"
+	createFreeIntent = "create-free"
+)
+
+// createFreeService makes the service without keys.
+func (s *simulation) createFreeService() state.Intent {
+	create := state.CreateService{Name: freeServiceName, Settings: serviceSettings(1000)}
+	for number := 1; number <= freeServers; number++ {
+		create.Servers = append(create.Servers, freeServerSpec(number))
+	}
+	return state.Intent{ID: createFreeIntent, Operator: "operator-1", Kind: state.IntentCreateService, CreateService: &create}
+}
 
 func (s *simulation) createService() state.Intent {
 	create := state.CreateService{Name: serviceName, Keyed: true, Shards: 4 + int(s.seed%9), Settings: serviceSettings(1000)}
