Idempotency: what verdicts and ends of attempts mean stands in the pure core

internal/router/deduplicate.go decided which verdicts are final, how they are answered and with which status an attempt ends. Behaviour is unchanged and no test was changed: go test ./internal/router ./internal/record.

--- a/internal/router/deduplicate.go
+++ b/internal/router/deduplicate.go
@@ -86,7 +86,7 @@
 	for {
 		answer, open := d.client.Claim(ctx, claim)
 		uncertain = uncertain || open
-		if final(answer.Verdict) || ctx.Err() != nil {
+		if answer.Verdict.Final() || ctx.Err() != nil {
 			return answer, uncertain
 		}
 		pause(ctx, wait)
@@ -94,52 +94,20 @@
 	}
 }
 
-// final reports whether the same claim would get the same answer again.
-func final(verdict record.Verdict) bool {
-	switch verdict {
-	case record.NotPrimary, record.NotStored, record.InProgress:
-		return false
-	default:
-		return true
-	}
-}
-
 // conclude answers a request that was not granted.
 func (d *recordDeduplicator) conclude(exchange *Exchange, answer message.RecordAnswer) error {
-	switch answer.Verdict {
-	case record.AnswerKept:
+	if answer.Verdict == record.AnswerKept {
 		return restoreAnswer(exchange, answer.Answer)
-	case record.InProgress:
-		return fault.New(fault.DuplicateInProgress, "an earlier request with this Idempotency-Key still runs; ask again later")
-	case record.OutcomeUnknown:
-		return fault.New(fault.OutcomeUnknown, "an earlier request with this Idempotency-Key may have run; look its effect up")
-	case record.ContentDiffers:
-		return fault.New(fault.KeyReused, "this Idempotency-Key came with another request before; draw a new one for each request")
-	case record.TooOld:
-		return fault.New(fault.KeyExpired, "this Idempotency-Key is older than records are kept; look the request's effect up")
-	case record.FromFuture:
-		return fault.Newf(fault.InvalidRequest,
-			"header Idempotency-Key is %.64q, drawn more than %s in the future; set the caller's clock", exchange.IdempotencyKey, record.ClockSkew)
-	case record.RecordsLost:
-		return fault.New(fault.RecordLost, "records of the time when this Idempotency-Key was drawn were lost; look the request's effect up")
-	case record.Full:
-		return fault.New(fault.QueueFull, "the record partition of this Idempotency-Key is full; send again later")
-	default:
-		return fault.New(fault.RecordUnavailable, "the idempotency record could not be stored; the request was not sent; send again")
 	}
+	return answer.Verdict.Refusal(exchange.IdempotencyKey)
 }
 
 // completionOf tells how the exchange ended.
 func (d *recordDeduplicator) completionOf(claim record.Claim, exchange *Exchange, err error) record.Completion {
-	completion := record.Completion{Claim: claim, Status: record.Unknown}
-	switch {
-	case err == nil:
-		completion.Status = record.Completed
-		completion.Answer = keepAnswer(exchange.Answer, d.maxAnswerBytes)
-	case fault.AnswerFor(fault.From(err).Kind).Outcome == fault.NotRun:
-		completion.Status = record.Released
+	if err == nil {
+		return record.Completion{Claim: claim, Status: record.StatusAfter(nil), Answer: keepAnswer(exchange.Answer, d.maxAnswerBytes)}
 	}
-	return completion
+	return record.Completion{Claim: claim, Status: record.StatusAfter(fault.From(err))}
 }
 
 // finish records the end of an attempt. An answer goes to the caller without
