Clock: work at each interval stands once

Seven loops waited for a ticker or the end of a context in the same ten lines. clock.Every holds them. Loops that also wait for something else keep their own. Behaviour is unchanged: go test -race ./internal/clock ./internal/controller ./internal/router/records and go test ./internal/certificate ./internal/lab/trial: ok.

--- a/internal/certificate/store.go
+++ b/internal/certificate/store.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -118,16 +119,7 @@
 	if s == nil {
 		return
 	}
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.refreshAndLog(log)
-		}
-	}
+	clock.Every(ctx, interval, func() { s.refreshAndLog(log) })
 }
 
 func (s *Store) refreshAndLog(log *logrus.Entry) {
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/durable"
@@ -192,16 +193,9 @@
 // keepJoining asks to be taken into the group for as long as this replica is
 // not one of its voters.
 func (f *formation) keepJoining(ctx context.Context, isVoter func() bool) {
-	ticker := time.NewTicker(formationInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if !isVoter() {
-				f.askAll(ctx)
-			}
+	clock.Every(ctx, formationInterval, func() {
+		if !isVoter() {
+			f.askAll(ctx)
 		}
-	}
+	})
 }
--- a/internal/controller/heldup.go
+++ b/internal/controller/heldup.go
@@ -71,18 +71,11 @@
 // routers leave a silent leader by themselves, and lose a second when they come
 // back to one that closed their stream.
 func (r *replica) watchTurns(ctx context.Context) {
-	ticker := time.NewTicker(r.settings.Consensus.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, r.settings.Consensus.TickInterval, func() {
 		if r.turns.look() && r.published.Load().leading {
 			telemetry.With(r.log, telemetry.EventLeaderHeldUp).Warn("the loop is held up, most likely by the disk; calls are sent to other replicas")
 		}
-	}
+	})
 }
 
 // readHere is ReadRevision for callers that can ask another replica: it gives up
--- a/internal/controller/partitions.go
+++ b/internal/controller/partitions.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/record"
@@ -43,22 +44,15 @@
 
 // run looks after the partitions until the context ends.
 func (k *partitionKeeper) run(ctx context.Context) {
-	ticker := time.NewTicker(k.interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, k.interval, func() {
 		leadership, leads := k.replica.leadershipContext()
 		if !leads {
-			continue
+			return
 		}
 		for _, command := range k.due(leadership) {
 			k.propose(ctx, leadership, command)
 		}
-	}
+	})
 }
 
 // propose waits for the command's end, so that nothing is proposed twice. What
--- a/internal/controller/platform.go
+++ b/internal/controller/platform.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/platformapi"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -35,24 +35,17 @@
 	if p.settings.URL == "" {
 		return
 	}
-	ticker := time.NewTicker(p.settings.PollInterval)
-	defer ticker.Stop()
 	failing := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, p.settings.PollInterval, func() {
 		if _, leads := p.replica.leadershipContext(); !leads {
-			continue
+			return
 		}
 		err := p.poll(ctx)
 		if err != nil && !failing {
 			telemetry.WithError(p.replica.log, telemetry.EventPlatformFailed, err).Warn("platform list not read")
 		}
 		failing = err != nil
-	}
+	})
 }
 
 func (p *platformPoller) poll(ctx context.Context) error {
--- a/internal/lab/trial/observer.go
+++ b/internal/lab/trial/observer.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/router"
@@ -39,17 +40,10 @@
 }
 
 func (o *observer) run(ctx context.Context) {
-	ticker := time.NewTicker(observeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			// A read that fails during a fault is no observation.
-			_ = o.observeOnce(ctx)
-		}
-	}
+	clock.Every(ctx, observeInterval, func() {
+		// A read that fails during a fault is no observation.
+		_ = o.observeOnce(ctx)
+	})
 }
 
 // observeOnce reads everything once. Each owned shard that a current read shows
--- a/internal/router/records/probe.go
+++ b/internal/router/records/probe.go
@@ -4,10 +4,10 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/record"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -34,21 +34,14 @@
 
 // run probes until the context ends.
 func (p *prober) run(ctx context.Context) {
-	ticker := time.NewTicker(record.ProbeInterval)
-	defer ticker.Stop()
 	var group conc.WaitGroup
 	defer group.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, record.ProbeInterval, func() {
 		for _, router := range p.due() {
 			group.Go(func() { p.probe(ctx, router) })
 		}
 		p.tell()
-	}
+	})
 }
 
 // due returns the routers that are to be probed now.
