Simulator: a server on the platform's list is marked first, then the bound counts

The bound, 1.515 s, is the age that a router's table may have; it holds from the commit of the mark. The leader reads the list every 500 ms, so the entry alone tells routers nothing.

Now two checks: the mark is agreed on within 0.705 s of the entry (one reading and 0.2 s for the commit), which was not checked before, and from the commit on the bound is as it was. The check of the retry budget no longer passes over resends to a server that drains.

--- a/internal/lab/sim/checker/requests.go
+++ b/internal/lab/sim/checker/requests.go
@@ -168,6 +168,7 @@
 func (c *Checker) checkBudget(known *requestRecord, attempt AttemptStart) {
 	moved := known.last.Shard != attempt.Shard || known.last.Epoch != attempt.Epoch
 	answered := c.requests.answered[lifeServer{known.Life, attempt.Server}] > known.lastEnd
+	answered = answered && known.lastKind != fault.Draining
 	if known.attempts == 0 || (attempt.Epoch != 0 && (moved || answered) && retry.OwnershipChanged(known.lastKind)) {
 		return
 	}
@@ -254,6 +255,12 @@
 	}
 }
 
+// Leaves reports whether it is agreed that a server takes no new work.
+func (c *Checker) Leaves(server state.ServerID) bool {
+	_, leaves := c.requests.leaving[server]
+	return leaves
+}
+
 // ServerLeaves records the first signal that a server takes no new work.
 func (c *Checker) ServerLeaves(server state.ServerID) {
 	if _, known := c.requests.leaving[server]; !known {
--- a/internal/lab/sim/loss.go
+++ b/internal/lab/sim/loss.go
@@ -68,8 +68,9 @@
 	return nil, nil
 }
 
-// drainServer puts a server without keys on the platform's list as leaving and
-// goes on until nothing new may go there. The list is the first signal.
+// drainServer puts a server without keys on the platform's list as leaving. The
+// mark must be agreed on within one reading of the list and a commit; from then on
+// the time counts after which nothing new may go there.
 func (s *simulation) drainServer() {
 	if s.checker.Violation() != nil || !s.await(s.queue.Now()+setupLimit, s.isHealthy) {
 		return
@@ -78,7 +79,11 @@
 	s.counts.Drains++
 	s.trace("%s is listed as leaving", target.id)
 	s.leaving[target.id] = true
-	s.checker.ServerLeaves(target.id)
+	within := time.Duration(float64(s.settings.Platform.PollInterval)*(1+s.settings.Lease.ClockRateBound)) + commitTime
+	if !s.await(s.queue.Now()+within, func() bool { return s.checker.Leaves(target.id) }) {
+		s.checker.Fail(checker.Drained, "%s is on the platform's list and not marked as leaving within %v", target.id, within)
+		return
+	}
 	s.advance(s.queue.Now() + requestBounds().Staleness + drainLook)
 }
 
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -21,6 +21,8 @@
 	lossLimit = time.Second
 	// settleSlack is added to settleNeed.
 	settleSlack = time.Second
+	// commitTime is within which a healthy leader agrees on a change.
+	commitTime = 200 * time.Millisecond
 	// drainLook is how long requests are watched after a server must get none.
 	drainLook = 500 * time.Millisecond
 	// look is how often a condition is looked at while the run waits for it.
@@ -73,8 +75,7 @@
 // the wait for leases that an earlier leader may have given, and the commits
 // and messages of opening sessions and assigning shards.
 func settleNeed(settings config.Controller) time.Duration {
-	const handover = 200 * time.Millisecond
-	return 2*longestElection(settings) + leaseWait(settings) + handover
+	return 2*longestElection(settings) + leaseWait(settings) + commitTime
 }
 
 // longestElection is the longest time without a leader before a replica asks for
