Driver: a proposal that was taken before leading began ends with the leadership

Cause: the consensus core takes proposals once it is elected; the driver leads once an entry of the new term is committed, and ended waiting proposals only if it led. One that was taken in between and overwritten was never ended: a caller waited for its own timeout, and the poller of the platform's list, which has none, until the next loss of a leadership.

TestProposalBeforeLeadingEnds failed first ('ends [], want one that is open').

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -138,6 +138,21 @@
 	}
 }
 
+// TestProposalBeforeLeadingEnds: the core takes proposals as soon as it is elected;
+// one whose leadership ends before it began here ends with its outcome open.
+func TestProposalBeforeLeadingEnds(t *testing.T) {
+	h := newHarness(t, firstSequence)
+	h.status = consensus.Status{Role: consensus.RoleLeader}
+	h.driver.ObserveRole()
+	var ends []Outcome
+	h.driver.Propose(Proposal{Done: func(end Outcome) { ends = append(ends, end) }})
+	h.status.Role = consensus.RoleFollower
+	h.driver.ObserveRole()
+	if len(ends) != 1 || !fault.Is(ends[0].Err, fault.Unavailable) {
+		t.Errorf("ends %+v, want one that is open", ends)
+	}
+}
+
 // TestProposalsEnd: each proposal ends once: applied, refused, or with its
 // outcome open when the leadership is lost. An entry of another replica, or of
 // an earlier life of this one, ends none.
--- a/internal/driver/leading.go
+++ b/internal/driver/leading.go
@@ -15,6 +15,8 @@
 		d.host.StartedLeading(status)
 	case status.Role != consensus.RoleLeader:
 		d.StopLeading()
+		// The core takes proposals before leading begins here.
+		d.dropPending()
 	}
 }
 
