Record placement: lifetimes of open sessions are looked at once a tick

Cause: each look, every 20 ms under the lock that leases of routers need, asked for every live router whether another one keeps records for another time, and sorted all routers for it: quadratic, also when every session was open.

Now one pass takes the shortest and the longest lifetime of open sessions, and a router with an open session is passed over before. Same decisions: go test -race ./internal/record, ok. The look was not timed again.

--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -299,17 +299,18 @@
 
 func (p *Placement) openSessions(now time.Duration, view *state.State) []state.Command {
 	var commands []state.Command
+	open := p.openLifetimes(view.Routers())
 	var lifetime time.Duration
 	for _, id := range slices.Sorted(maps.Keys(p.contacts)) {
 		known := p.contacts[id]
-		if known.wanted.ID == "" || !known.maySession() || !p.answers(now, known) || p.lifetimeDiffers(known, view) {
+		if known.wanted.ID == "" || !known.maySession() || !p.answers(now, known) {
 			continue
 		}
 		registered, found := view.Router(id)
 		if found && registered.Session.Open {
 			continue
 		}
-		if len(commands) > 0 && known.report.Lifetime != lifetime {
+		if !open.admit(known.report.Lifetime) || (len(commands) > 0 && known.report.Lifetime != lifetime) {
 			continue
 		}
 		lifetime = known.report.Lifetime
