Request core: resends that another answer frees are few; a stop in a queue is not_run

Cause: a request that its owner refused may go out again without the retry budget once the owner answered another request. Now three for each request, and none when the refusal was 'draining'.

A request that waited in a server's queue when its router stopped ended as 'internal', outcome unknown, though nothing was sent. It ends as router_stopping, not_run, as one does that waits for an owner.

TestProvedResendsAreBounded (59 resends, wanted 23; 59, wanted 20) and TestStopInAQueueIsNotRun failed first.

--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,9 @@
 	cancelTime = 50 * time.Millisecond
 	// cancelShare is the part of a short request's time kept for the cancel.
 	cancelShare = 10
+	// maxProvedResends bounds what one request may send again without the budget
+	// because its owner answered another one.
+	maxProvedResends = 3
 )
 
 // Execution is one request on its way. It is not safe for concurrent use.
@@ -29,6 +33,8 @@
 	// queue is where the present attempt holds a place.
 	queue *admission.Queue
 	began time.Duration
+	// proved counts the resends that another request's answer allowed.
+	proved int
 	// failure is how the attempt under cancellation ended.
 	failure *fault.Error
 }
@@ -81,6 +87,21 @@
 	return Action{Kind: Wait, Until: e.decision.Until}
 }
 
+// provedResend reports whether the owner that refused has answered another request
+// since: it had not heard of its shard yet, and now it has its lease. An owner that
+// drains refuses on purpose. A server's answers may be for other shards, so that
+// these resends are bounded too.
+func (e *Execution) provedResend(last *dispatch.Attempt) bool {
+	if last.Kind == fault.Draining || e.proved >= maxProvedResends {
+		return false
+	}
+	if !e.core.options.Fleet.AnsweredSince(e.decision.Server, last.EndedAt) {
+		return false
+	}
+	e.proved++
+	return true
+}
+
 // payForResend takes a resend out of the budget, unless the request goes to a
 // new owner or epoch since the last refusal, or the owner has answered another
 // request since: it had not heard of its shard yet, and now it has. When the
@@ -95,8 +116,7 @@
 	if !retry.OwnershipChanged(last.Kind) || !e.request.Keyed || moved {
 		return true
 	}
-	answered := e.core.options.Fleet.AnsweredSince(e.decision.Server, last.EndedAt)
-	if answered || e.core.budget(e.service).TakeResend() {
+	if e.provedResend(last) || e.core.budget(e.service).TakeResend() {
 		return true
 	}
 	last.NotBefore = min(now+resendLook, e.request.Deadline)
@@ -114,6 +134,9 @@
 	if eris.Is(err, ErrSessionEnded) {
 		return Action{Kind: Plan}
 	}
+	if eris.Is(err, context.Canceled) {
+		return e.Stopped()
+	}
 	if err != nil {
 		return e.notAdmitted(reading.Now, fault.From(err))
 	}
--- a/internal/execution/resend_test.go
+++ b/internal/execution/resend_test.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -52,3 +53,35 @@
 		t.Fatal("an answer from before the refusal counts as proof")
 	}
 }
+
+// TestProvedResendsAreBounded: answers of the owner free no resend of what it
+// refuses since it drains, and no more than a few of what it refuses otherwise.
+func TestProvedResendsAreBounded(t *testing.T) {
+	for kind, want := range map[fault.Kind]int{fault.WrongEpoch: maxProvedResends, fault.Draining: 0} {
+		servers := &answeringFleet{}
+		core := New(Options{Fleet: servers, Jitter: func() float64 { return 0 }})
+		sending := core.Begin(&dispatch.Request{Keyed: true, Deadline: time.Hour}, &state.Service{Name: "service"})
+		sending.decision = dispatch.Decision{Action: dispatch.Send, Server: &state.Server{ID: "owner"}, Shard: 1, Epoch: 2}
+		sent := 0
+		for now := time.Second; now < time.Minute; now += time.Second {
+			sending.again(now, fault.New(kind, "planted"))
+			servers.Answered(sending.decision.Server, now+1)
+			if sending.payForResend(now + 1) {
+				sent++
+			}
+		}
+		if sent != want+resendBurst {
+			t.Errorf("%s: %d resends, want %d beside the budget's %d", kind, sent, want, resendBurst)
+		}
+	}
+}
+
+// TestStopInAQueueIsNotRun: nothing was sent when the router stops while the
+// request waits in a server's queue.
+func TestStopInAQueueIsNotRun(t *testing.T) {
+	sending := New(Options{}).Begin(&dispatch.Request{Deadline: time.Hour}, &state.Service{Name: "service"})
+	action := sending.Acquired(Reading{Now: time.Second}, nil, context.Canceled)
+	if action.Kind != Finish || action.Failure.Kind != fault.RouterStopping {
+		t.Errorf("ends with %+v", action)
+	}
+}
