Stand-in back end: a new process promises nothing for an earlier one's attempts

Cause: a cancel of an unknown attempt was answered never_started from the first moment of a process. An attempt that the process before had started would then count as not run, and its resend would run a second time, if the restart fell into the 50 ms of the cancel.

--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -81,7 +81,7 @@
 		coldUntil:   started + config.ColdStart,
 		holder:      lease.NewHolder(config.ID, incarnation, started),
 		queue:       slotQueue{slots: config.Slots, limit: config.QueueLimit},
-		attempts:    newAttemptTable(maxAttempts),
+		attempts:    newAttemptTable(maxAttempts, started),
 		random:      mathrand.New(mathrand.NewPCG(config.Seed, 0)),
 		balances:    make(map[string]uint64),
 		leaseLoads:  make(shardCounter),
