--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -203,6 +203,9 @@
 		if receipt, forgotten := view.Receipt(state.PlanID(call.Params("id"))); forgotten {
 			return call.JSON(receipt.Known())
 		}
+		if !found && view.Expired(state.PlanID(call.Params("id"))) {
+			return fault.Newf(fault.IntentExpired, "what became of plan %q is forgotten: look at what is in force", call.Params("id"))
+		}
 		if !found {
 			return fault.Newf(fault.NotFound, "no plan %q: list them with get plans", call.Params("id"))
 		}
