Subscription by service: a router holds only its services' part of the table

Change: `services` in a router's settings; empty means all. The table consists of sections: a service with its servers and shards, and one for routers and record partitions. State keeps a digest of each and says by how much a command changed it; a part's digest is the exclusive-or of its sections, computed from the controller's own state. internal/tablestream decides for streams of a part as for those of the whole table: what the router holds already, which changes wait, and the delta that tells of them with the next change of the part, or just before the next pong. Whole tables are encoded by section, once for all streams: an empty first frame, the sections, an empty last frame with the digest. Requests to other services end as `service_not_routed` (421, not run). Status names the services of each router, whose `in_force` is of its part; so do `thorntiller status` and the admin listener's /table.

Ruled out: subscription by shard or zone (an owner may be anywhere, so that each router needs all owners of its services); parts learned from the requests that come (the first request to a service would wait for its table).

Tests: section digests against every object, differences, and restored states (property); a part's deltas with each one missed or emptied are refused later; what a stream of a part begins with, by the router's hello; streams of a service over a real group, with a reconnect; the refusal. Changed: TestTableStream counts whole tables by their first frames in place of all frames, since a whole table has at least two frames now; the numbers that it requires are the same, and a table that is begun and not ended counts. The expected text of `get routers` has the new column.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -204,8 +204,8 @@
 
 ` + routersText
 
-const routersText = `ROUTER  ADDRESS      ZONE  CONNECTED  REVISION  LAG    IN FORCE
-r1      127.0.0.1:8  z1    yes        7         120ms  no
+const routersText = `ROUTER  ADDRESS      ZONE  CONNECTED  REVISION  LAG    IN FORCE  SERVICES
+r1      127.0.0.1:8  z1    yes        7         120ms  no        ledger
 `
 
 func exampleStatus() intentapi.Status {
@@ -217,7 +217,7 @@
 			{ID: "s2", Service: "ledger", Address: "127.0.0.1:6", Intent: state.ServerActive},
 			{ID: "s3", Service: "ledger", Address: "127.0.0.1:5", Intent: state.ServerActive, Observed: true, Differences: 2},
 		},
-		Routers: []intentapi.RouterStatus{{ID: "r1", Address: "127.0.0.1:8", Zone: "z1", Open: true, Revision: 7, LagMs: 120}},
+		Routers: []intentapi.RouterStatus{{ID: "r1", Address: "127.0.0.1:8", Zone: "z1", Open: true, Revision: 7, LagMs: 120, Services: []state.ServiceName{"ledger"}}},
 	}
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -151,10 +151,10 @@
 }
 
 func routerTable(routers []intentapi.RouterStatus) *table {
-	rows := newTable("ROUTER", "ADDRESS", "ZONE", "CONNECTED", "REVISION", "LAG", "IN FORCE")
+	rows := newTable("ROUTER", "ADDRESS", "ZONE", "CONNECTED", "REVISION", "LAG", "IN FORCE", "SERVICES")
 	for _, router := range routers {
 		lag := time.Duration(router.LagMs) * time.Millisecond
-		rows.add(string(router.ID), router.Address, router.Zone, yesNo(router.Open), fmt.Sprint(router.Revision), lag.String(), yesNo(router.InForce))
+		rows.add(string(router.ID), router.Address, router.Zone, yesNo(router.Open), fmt.Sprint(router.Revision), lag.String(), yesNo(router.InForce), servicesText(router.Services))
 	}
 	return rows
 }
@@ -173,6 +173,23 @@
 	return rows
 }
 
+// servicesText says which services a router routes.
+func servicesText(services []state.ServiceName) string {
+	const named = 3
+	if len(services) == 0 {
+		return "all"
+	}
+	var names []string
+	for _, service := range services[:min(len(services), named)] {
+		names = append(names, string(service))
+	}
+	text := strings.Join(names, ", ")
+	if more := len(services) - named; more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return text
+}
+
 // laggardsNamed bounds the names in the summary.
 const laggardsNamed = 5
 
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -18,6 +18,7 @@
 	AdminAddress     string        `koanf:"admin_address" validate:"address" doc:"IP:port of the health checks and the metrics."`
 	AllowNonLoopback bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
 	Controllers      []string      `koanf:"controllers" validate:"required,max=7,dive,address" doc:"Peer addresses of the controllers, IP:port."`
+	Services         []string      `koanf:"services" validate:"max=1024,dive,name" doc:"Services that this router routes; empty for all. It then holds only their part of the routing table and refuses requests to others."`
 	StalenessLimit   time.Duration `koanf:"staleness_limit" validate:"min=100ms,max=1m" doc:"Time without proof of a current table after which requests are refused."`
 	PingInterval     time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
 	StopTimeout      time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
--- a/internal/controller/access.go
+++ b/internal/controller/access.go
@@ -70,7 +70,7 @@
 
 // table needs the state's lock.
 func (r *replica) table() tablestream.Table {
-	return tablestream.Table{Cluster: r.cluster, Revision: r.state.Revision(), Digest: r.state.Digest()}
+	return tablestream.Table{Cluster: r.cluster, Revision: r.state.Revision(), Digest: r.state.Digest(), Sections: r.state.SectionDigests()}
 }
 
 // view calls read with the state, which read must not keep.
--- a/internal/controller/routers.go
+++ b/internal/controller/routers.go
@@ -20,6 +20,7 @@
 
 type connectedRouter struct {
 	router    state.Router
+	services  []state.ServiceName
 	streams   int
 	revision  state.Revision
 	confirmed time.Duration
@@ -35,7 +36,8 @@
 
 // join adds a stream of a router and returns how the settings that it told, nil
 // for none, do not fit those of this controller and of other connected routers.
-func (g *routerRegistry) join(router state.Router, times *config.RouterTimes, settings config.Controller) []config.Mismatch {
+func (g *routerRegistry) join(hello message.RouterHello, settings config.Controller) []config.Mismatch {
+	router, times := hello.Router, hello.Times
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	known, found := g.routers[router.ID]
@@ -44,6 +46,7 @@
 		g.routers[router.ID] = known
 	}
 	known.router = router
+	known.services = hello.Services
 	known.streams++
 	known.times = times
 	known.mismatches = nil
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -139,7 +139,7 @@
 		statuses = append(statuses, intentapi.RouterStatus{
 			ID: known.router.ID, Address: known.router.Address, Zone: known.router.Zone, Open: true,
 			Revision: known.revision, LagMs: (now - known.confirmed).Milliseconds(),
-			InForce: known.revision >= view.Revision(), Problems: problemsOf(known.mismatches),
+			InForce: known.revision >= view.Revision(), Services: known.services, Problems: problemsOf(known.mismatches),
 		})
 	}
 	return statuses
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -58,13 +58,13 @@
 	stream := &tableStream{
 		replica: r, cluster: cluster, connection: connection,
 		router: first.Hello.Router.ID, process: first.Hello.Router, times: first.Hello.Times, leadership: leadership,
-		position: tablestream.Begin(*first.Hello, r.tablePosition()),
+		position: tablestream.Subscribe(*first.Hello, r.tablePosition(), r.history),
 		pongs:    make(chan message.Pong, r.settings.Table.QueueFrames),
 	}
 	telemetry.With(r.log, telemetry.EventRouterJoined).WithField("router", stream.router).
 		WithField("revision", stream.position.Sent()).Info("router subscribed")
 	defer r.routers.leave(stream.router)
-	stream.mismatches = r.routers.join(first.Hello.Router, first.Hello.Times, r.settings)
+	stream.mismatches = r.routers.join(*first.Hello, r.settings)
 	stream.logMismatches()
 	return stream.run(ctx, cancel)
 }
@@ -201,6 +201,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case pong := <-s.pongs:
+			if err := s.catchUp(ctx); err != nil {
+				return err
+			}
 			if err := s.connection.Send(ctx, &message.ControllerFrame{Pong: &pong}); err != nil {
 				return err
 			}
@@ -220,28 +223,42 @@
 		changes, changed, reached = s.position.Next(s.replica.history)
 	}
 	for _, change := range changes {
-		frame, err := change.Encoded()
-		if err != nil {
-			return changed, err
-		}
-		if err := s.connection.SendFrame(ctx, frame); err != nil {
+		if err := s.writeChange(ctx, change); err != nil {
 			return changed, err
 		}
-		s.position.SentChange(change)
 	}
 	return changed, nil
 }
 
-func (s *tableStream) writeWhole(ctx context.Context) error {
-	frames, revision, err := s.replica.whole.get(s.replica, s.position.AtLeast())
-	if err != nil {
+func (s *tableStream) writeChange(ctx context.Context, change *tablestream.Change) error {
+	frame, due, err := s.position.Take(change)
+	if err != nil || !due {
 		return err
 	}
-	for _, frame := range frames {
-		if err := s.connection.SendFrame(ctx, frame); err != nil {
-			return err
-		}
+	return s.connection.SendFrame(ctx, frame)
+}
+
+// catchUp tells the router of changes that did not touch its part.
+func (s *tableStream) catchUp(ctx context.Context) error {
+	if s.position.Subset().Whole() {
+		return nil
+	}
+	if _, err := s.writeTable(ctx); err != nil {
+		return err
+	}
+	delta, behind := s.position.CatchUp()
+	if !behind {
+		return nil
+	}
+	return s.connection.Send(ctx, &message.ControllerFrame{Delta: &delta})
+}
+
+func (s *tableStream) writeWhole(ctx context.Context) error {
+	whole := s.replica.whole.get(s.replica, s.position.AtLeast())
+	send := func(frame wire.Frame) error { return s.connection.SendFrame(ctx, frame) }
+	if err := whole.send(s.position.Subset(), s.replica.settings.Table.SnapshotObjects, send); err != nil {
+		return err
 	}
-	s.position.SentWhole(revision)
+	s.position.SentTable(whole.table)
 	return nil
 }
--- a/internal/controller/stream_test.go
+++ b/internal/controller/stream_test.go
@@ -16,7 +16,7 @@
 	t          *testing.T
 	connection *wire.Conn
 	builder    *table.Builder
-	// snapshots and deltas count the frames of these kinds.
+	// snapshots counts whole tables by their first frames, deltas counts frames.
 	snapshots, deltas int
 }
 
@@ -62,7 +62,9 @@
 		var err error
 		switch {
 		case frame.Snapshot != nil:
-			s.snapshots++
+			if frame.Snapshot.First {
+				s.snapshots++
+			}
 			_, err = s.builder.ApplySnapshot(*frame.Snapshot)
 		case frame.Delta != nil:
 			s.deltas++
--- a/internal/controller/whole_table.go
+++ b/internal/controller/whole_table.go
@@ -1,11 +1,14 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/table"
 	"github.com/thorntiller/thorntiller/internal/tablestream"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -15,49 +18,112 @@
 // leader or a zone.
 const sharedFor = 10 * time.Second
 
-// wholeTable is the newest whole table that was encoded for the streams. It is
+// wholeTable is the newest whole table that was made for the streams. It is
 // safe for concurrent use.
 type wholeTable struct {
-	mutex    sync.Mutex
-	revision state.Revision
-	made     time.Duration
-	frames   []wire.Frame
+	mutex   sync.Mutex
+	made    time.Duration
+	encoded *encodedTable
 }
 
-// get returns the frames of a whole table that is not older than a revision, and
-// its own revision. Callers that come while it is being made wait for it.
-func (t *wholeTable) get(r *replica, atLeast state.Revision) ([]wire.Frame, state.Revision, error) {
+// get returns a whole table that is not older than a revision. Callers that come
+// while it is being made wait for it.
+func (t *wholeTable) get(r *replica, atLeast state.Revision) *encodedTable {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	usable := t.frames != nil && t.revision >= atLeast && r.clock.Now()-t.made < sharedFor && r.history.Reaches(t.revision)
-	if usable {
-		return t.frames, t.revision, nil
+	usable := t.encoded != nil && t.encoded.table.Revision >= atLeast && r.clock.Now()-t.made < sharedFor && r.history.Reaches(t.encoded.table.Revision)
+	if !usable {
+		t.encoded, t.made = newEncodedTable(r), r.clock.Now()
 	}
-	frames, revision, err := encodeTable(r)
-	if err != nil {
-		return nil, 0, err
-	}
-	t.frames, t.revision, t.made = frames, revision, r.clock.Now()
-	return frames, revision, nil
+	return t.encoded
 }
 
 // forget drops the table, as when this replica stops leading.
 func (t *wholeTable) forget() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.frames = nil
+	t.encoded = nil
+}
+
+// encodedTable is the routing table at one revision. Each section is encoded
+// once, for all streams whose part of the table holds it.
+type encodedTable struct {
+	table    tablestream.Table
+	sections map[state.ServiceName]*encodedSection
+}
+
+type encodedSection struct {
+	once sync.Once
+	// objects are forgotten once they are encoded.
+	objects []state.Object
+	frames  []wire.Frame
+	err     error
 }
 
-// encodeTable encodes the present table in parts of a bounded size.
-func encodeTable(r *replica) ([]wire.Frame, state.Revision, error) {
-	frozen, table := r.frozenTable()
-	var frames []wire.Frame
-	for _, part := range tablestream.Parts(table, frozen.Objects(), r.settings.Table.SnapshotObjects) {
-		frame, err := wire.Encode(&message.ControllerFrame{Snapshot: &part})
+func newEncodedTable(r *replica) *encodedTable {
+	frozen, newest := r.frozenTable()
+	made := &encodedTable{table: newest, sections: make(map[state.ServiceName]*encodedSection)}
+	for _, object := range frozen.Objects() {
+		name := object.Section()
+		if made.sections[name] == nil {
+			made.sections[name] = &encodedSection{}
+		}
+		made.sections[name].objects = append(made.sections[name].objects, object)
+	}
+	return made
+}
+
+// send gives the frames of a part of the table to a function: an empty first
+// one, those of each section, in parts of a bounded size, and an empty last one
+// with the digest of the part.
+func (t *encodedTable) send(subset table.Subset, size int, send func(wire.Frame) error) error {
+	if err := t.sendOne(message.TableSnapshot{First: true}, send); err != nil {
+		return err
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.sections)) {
+		if !subset.Holds(name) {
+			continue
+		}
+		frames, err := t.section(name, size)
 		if err != nil {
-			return nil, 0, err
+			return err
+		}
+		for _, frame := range frames {
+			if err := send(frame); err != nil {
+				return err
+			}
 		}
-		frames = append(frames, frame)
 	}
-	return frames, table.Revision, nil
+	return t.sendOne(message.TableSnapshot{Last: true, Digest: subset.Digest(t.table.Sections)}, send)
+}
+
+func (t *encodedTable) sendOne(part message.TableSnapshot, send func(wire.Frame) error) error {
+	frame, err := t.encode(part)
+	if err != nil {
+		return err
+	}
+	return send(frame)
+}
+
+func (t *encodedTable) encode(part message.TableSnapshot) (wire.Frame, error) {
+	part.Cluster = t.table.Cluster
+	part.Revision = t.table.Revision
+	return wire.Encode(&message.ControllerFrame{Snapshot: &part})
+}
+
+// section returns the frames of one section, encoded at the first call.
+func (t *encodedTable) section(name state.ServiceName, size int) ([]wire.Frame, error) {
+	section := t.sections[name]
+	section.once.Do(func() {
+		for objects := range slices.Chunk(section.objects, max(size, 1)) {
+			frame, err := t.encode(message.TableSnapshot{Objects: objects})
+			if err != nil {
+				section.err = err
+				return
+			}
+			section.frames = append(section.frames, frame)
+		}
+		section.objects = nil
+	})
+	return section.frames, section.err
 }
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -12,6 +12,8 @@
 	InvalidRequest Kind = "invalid_request"
 	// UnknownService: no service of that name is configured.
 	UnknownService Kind = "unknown_service"
+	// ServiceNotRouted: this router's settings leave the service out.
+	ServiceNotRouted Kind = "service_not_routed"
 	// NoOwner: the shard of the key has no owner at present.
 	NoOwner Kind = "no_owner"
 	// WrongEpoch: the back end does not hold the shard at the epoch sent.
@@ -120,6 +122,7 @@
 var answers = map[Kind]Answer{
 	InvalidRequest:       {Status: 400, Outcome: NotRun},
 	UnknownService:       {Status: 404, Outcome: NotRun},
+	ServiceNotRouted:     {Status: 421, Outcome: NotRun},
 	NoOwner:              {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
 	WrongEpoch:           {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
 	LeaseExpired:         {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
--- a/internal/intentapi/types.go
+++ b/internal/intentapi/types.go
@@ -115,4 +115,7 @@
 	// Problems tell how the router's settings do not fit those of the controllers
 	// or of other routers: field, value and remedy.
 	Problems []string `json:"problems,omitempty"`
+	// Services are the only ones that the router routes; empty for all. InForce
+	// is said of their part of the table.
+	Services []state.ServiceName `json:"services,omitempty"`
 }
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -71,6 +71,9 @@
 	// Times are the router's settings that must fit those of the controllers; nil
 	// from a process that does not tell them.
 	Times *config.RouterTimes `msgpack:",omitempty"`
+	// Services are the only ones that the router routes; empty for all. Digest is
+	// then of their sections and the common one.
+	Services []state.ServiceName `msgpack:",omitempty"`
 }
 
 // RouterFrame is a message from a router on a table connection; exactly one
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -15,6 +15,8 @@
 // TableSummary describes the routing table in force on a router.
 type TableSummary struct {
 	table.Summary
+	// Services are the only ones that the router routes; empty for all.
+	Services []string `json:"routed_services,omitempty"`
 	// Proved is false before the table was first proved current.
 	Proved bool `json:"proved"`
 	// AgeMs is the time since the table was last proved current.
@@ -26,7 +28,7 @@
 func (r *Router) summary() TableSummary {
 	now := r.clock.Now()
 	age, proved := r.freshness.Age(now)
-	summary := TableSummary{Summary: r.builder.Table().Summary(), Proved: proved, Fresh: r.freshness.Fresh(now)}
+	summary := TableSummary{Summary: r.builder.Table().Summary(), Services: r.settings.Services, Proved: proved, Fresh: r.freshness.Fresh(now)}
 	if proved {
 		summary.AgeMs = age.Milliseconds()
 	}
--- a/internal/router/middleware.go
+++ b/internal/router/middleware.go
@@ -88,6 +88,10 @@
 // resolveService takes the service's settings from the table.
 func (r *Router) resolveService(next Handler) Handler {
 	return func(ctx context.Context, exchange *Exchange) error {
+		if !r.subset.Holds(exchange.Request.Service) {
+			return fault.Newf(fault.ServiceNotRouted, "this router does not route service %.64q; send to another router, or add it to services in this one's settings",
+				exchange.Request.Service)
+		}
 		service, found := r.builder.Table().Service(exchange.Request.Service)
 		if !found {
 			return fault.Newf(fault.UnknownService, "no service %.64q is configured; check the first part of the path",
--- a/internal/router/middleware_test.go
+++ b/internal/router/middleware_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
 )
 
 // TestAnswersOfAStoppingRouterCloseTheirConnections covers refusals and answers
@@ -46,3 +48,21 @@
 		})
 	}
 }
+
+// TestServicesThatAreNotRoutedAreRefused covers a service that the settings leave
+// out, whether it exists or not, and one that they hold.
+func TestServicesThatAreNotRoutedAreRefused(t *testing.T) {
+	settings := config.DefaultRouter()
+	settings.Services = []string{"routed"}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	router := New(settings, logrus.NewEntry(logger), Options{})
+	defer router.end()
+	handler := router.resolveService(func(context.Context, *Exchange) error { return nil })
+	for service, want := range map[string]fault.Kind{"other": fault.ServiceNotRouted, "routed": fault.UnknownService} {
+		err := handler(context.Background(), &Exchange{Request: dispatch.Request{Service: state.ServiceName(service)}})
+		if !fault.Is(err, want) {
+			t.Errorf("%s: got %v, want %s", service, err, want)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,7 +53,9 @@
 	// another Deduplicator was given.
 	completions *recordDeduplicator
 	handler     Handler
-	dial        tableDialer
+	// subset is the part of the routing table that the settings ask for.
+	subset table.Subset
+	dial   tableDialer
 	// certificates is nil for plain text.
 	certificates *certificate.Store
 
@@ -109,6 +111,7 @@
 		settings: settings, log: log, clock: clock.NewSystem(), incarnation: newIncarnation(),
 		builder: table.NewBuilder(), freshness: table.NewFreshness(settings.StalenessLimit),
 		limiter:  admission.NewLimiter(settings.MaxInFlight),
+		subset:   table.NewSubset(serviceNames(settings.Services)),
 		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: controllerDialer(options.dial()), certificates: options.Certificates,
 	}
 	router.lifetime, router.end = context.WithCancel(context.Background())
@@ -248,7 +251,7 @@
 
 func (r *Router) newSubscription() *subscription {
 	return &subscription{
-		self: r.self(), controllers: r.settings.Controllers, interval: r.settings.PingInterval, times: r.settings.Times(),
+		self: r.self(), services: serviceNames(r.settings.Services), controllers: r.settings.Controllers, interval: r.settings.PingInterval, times: r.settings.Times(),
 		dial: r.dial, clock: r.clock, builder: r.builder, freshness: r.freshness, log: r.log,
 		changed: func() {
 			r.fleet.Refresh(r.builder.Table())
@@ -275,3 +278,11 @@
 }
 
 const freshnessInterval = 100 * time.Millisecond
+
+func serviceNames(names []string) []state.ServiceName {
+	services := make([]state.ServiceName, 0, len(names))
+	for _, name := range names {
+		services = append(services, state.ServiceName(name))
+	}
+	return services
+}
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -61,6 +61,7 @@
 // subscription keeps the routing table current.
 type subscription struct {
 	self        state.Router
+	services    []state.ServiceName
 	controllers []string
 	interval    time.Duration
 	// times are the settings that the controllers are told.
@@ -234,7 +235,7 @@
 	view := s.builder.Table()
 	return &message.RouterHello{
 		Router: s.self, Cluster: view.Cluster(),
-		Revision: view.Revision(), Digest: view.Digest(), Resync: s.resync, Times: &s.times,
+		Revision: view.Revision(), Digest: view.Digest(), Resync: s.resync, Services: s.services, Times: &s.times,
 	}
 }
 
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -20,7 +20,9 @@
 // leaves the routing table as it was.
 func (s *State) Apply(index uint64, command Command) Result {
 	tx := &transaction{state: s, revision: Revision(index)}
+	s.differences = make(SectionDigests)
 	result := tx.execute(command)
+	result.Differences = s.differences
 	result.Changed = tx.changed
 	if tx.repeated {
 		result.Changed = newestVersions(tx.changed)
--- a/internal/state/put.go
+++ b/internal/state/put.go
@@ -10,9 +10,9 @@
 func (s *State) put(object Object) {
 	previous, existed := s.lookup(object)
 	if existed {
-		s.digest ^= ObjectDigest(previous)
+		s.changeDigest(previous)
 	}
-	s.digest ^= ObjectDigest(object)
+	s.changeDigest(object)
 	switch {
 	case object.Deleted && object.Router != nil:
 		delete(s.routers, object.Router.ID)
@@ -31,6 +31,14 @@
 	}
 }
 
+// changeDigest takes an object into the digests, or out of them.
+func (s *State) changeDigest(object Object) {
+	digest := ObjectDigest(object)
+	s.digest ^= digest
+	s.sections.change(object, digest)
+	s.differences.change(object, digest)
+}
+
 func (s *State) lookup(object Object) (Object, bool) {
 	var previous Object
 	var existed bool
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -179,6 +179,7 @@
 	for _, version := range decoded.Versions {
 		restored.versions[version.Server] = version.Version
 	}
+	restored.differences = make(SectionDigests)
 	restored.revision = decoded.Revision
 	restored.nextShard = decoded.NextShard
 	return restored
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -13,17 +14,20 @@
 
 // State is the whole replicated state. It is not safe for concurrent use.
 type State struct {
-	revision   Revision
-	digest     uint64
-	nextShard  ShardID
-	services   map[ServiceName]*Service
-	servers    map[ServerID]*Server
-	shards     map[ShardID]*Shard
-	routers    map[RouterID]*Router
-	partitions map[int]*RecordPartition
-	plans      map[PlanID]*Plan
-	planOrder  []PlanID
-	receipts   receipts
+	revision Revision
+	digest   uint64
+	sections SectionDigests
+	// differences is by how much sections changed since a command began.
+	differences SectionDigests
+	nextShard   ShardID
+	services    map[ServiceName]*Service
+	servers     map[ServerID]*Server
+	shards      map[ShardID]*Shard
+	routers     map[RouterID]*Router
+	partitions  map[int]*RecordPartition
+	plans       map[PlanID]*Plan
+	planOrder   []PlanID
+	receipts    receipts
 	// ranges holds each service's shards in the order of their ranges.
 	ranges map[ServiceName][]ShardID
 	// owned indexes the shards by their owner.
@@ -40,19 +44,21 @@
 // New returns the empty state.
 func New() *State {
 	return &State{
-		nextShard:  1,
-		services:   make(map[ServiceName]*Service),
-		servers:    make(map[ServerID]*Server),
-		shards:     make(map[ShardID]*Shard),
-		routers:    make(map[RouterID]*Router),
-		partitions: make(map[int]*RecordPartition),
-		plans:      make(map[PlanID]*Plan),
-		receipts:   newReceipts(),
-		ranges:     make(map[ServiceName][]ShardID),
-		owned:      make(map[ServerID]map[ShardID]*Shard),
-		versions:   make(map[ServerID]Revision),
-		active:     newActiveIndex(),
-		totals:     newTotals(),
+		nextShard:   1,
+		sections:    make(SectionDigests),
+		differences: make(SectionDigests),
+		services:    make(map[ServiceName]*Service),
+		servers:     make(map[ServerID]*Server),
+		shards:      make(map[ShardID]*Shard),
+		routers:     make(map[RouterID]*Router),
+		partitions:  make(map[int]*RecordPartition),
+		plans:       make(map[PlanID]*Plan),
+		receipts:    newReceipts(),
+		ranges:      make(map[ServiceName][]ShardID),
+		owned:       make(map[ServerID]map[ShardID]*Shard),
+		versions:    make(map[ServerID]Revision),
+		active:      newActiveIndex(),
+		totals:      newTotals(),
 	}
 }
 
@@ -60,6 +66,9 @@
 type Result struct {
 	// Changed lists the routing-visible objects that changed, in order.
 	Changed []Object
+	// Differences is, for each section that changed, the exclusive-or of its
+	// digests before and after.
+	Differences SectionDigests
 	// Plan is the stored plan, for StorePlan and ConfirmPlan.
 	Plan *Plan
 	// Err says why the command changed nothing.
@@ -72,6 +81,9 @@
 // Digest returns the digest of the routing table at Revision.
 func (s *State) Digest() uint64 { return s.digest }
 
+// SectionDigests returns a copy of the digests of the sections at Revision.
+func (s *State) SectionDigests() SectionDigests { return maps.Clone(s.sections) }
+
 // Service returns a copy of a service.
 func (s *State) Service(name ServiceName) (Service, bool) {
 	service, found := s.services[name]
--- a/internal/tablestream/history.go
+++ b/internal/tablestream/history.go
@@ -14,6 +14,8 @@
 type Change struct {
 	// Delta must not be changed.
 	Delta message.TableDelta
+	// Differences is by how much the digests of the sections changed.
+	Differences state.SectionDigests
 
 	once  sync.Once
 	frame wire.Frame
@@ -53,15 +55,15 @@
 	if len(result.Changed) > 0 {
 		h.add(message.TableDelta{
 			From: previous, To: to.Revision(), Objects: result.Changed, Digest: to.Digest(),
-		})
+		}, result.Differences)
 	}
 	return result
 }
 
-func (h *History) add(delta message.TableDelta) {
+func (h *History) add(delta message.TableDelta, differences state.SectionDigests) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.changes = append(h.changes, &Change{Delta: delta})
+	h.changes = append(h.changes, &Change{Delta: delta, Differences: differences})
 	if len(h.changes) > h.limit {
 		h.changes = slices.Clone(h.changes[len(h.changes)-h.limit/2:])
 	}
--- a/internal/tablestream/position.go
+++ b/internal/tablestream/position.go
@@ -10,6 +10,8 @@
 	Cluster  message.ClusterID
 	Revision state.Revision
 	Digest   uint64
+	// Sections holds the digest of each section, for streams of a part.
+	Sections state.SectionDigests
 }
 
 // Position is how far one router's stream has come. One goroutine uses it.
@@ -21,6 +23,8 @@
 	held state.Revision
 	// sent is the revision of the last frame.
 	sent state.Revision
+	// part is nil for a router that subscribes to the whole table.
+	part *part
 }
 
 // Begin decides what the router holds already. A router starts anew that holds
@@ -49,19 +53,19 @@
 func (p *Position) Sent() state.Revision { return p.sent }
 
 // AtLeast returns the lowest revision of a whole table that the router takes.
-func (p *Position) AtLeast() state.Revision { return max(p.held, p.sent) }
+func (p *Position) AtLeast() state.Revision { return max(p.held, p.taken()) }
 
 // Next returns the changes to send, in order, and a channel that is closed at
 // the next change; or false if the router needs a whole table first.
 func (p *Position) Next(history *History) ([]*Change, <-chan struct{}, bool) {
-	changes, changed, reached := history.After(p.sent)
+	changes, changed, reached := history.After(p.taken())
 	if p.whole || !reached {
 		return nil, changed, false
 	}
 	return changes, changed, true
 }
 
-// SentChange notes that a change was sent.
+// SentChange notes that a change was sent to a router of the whole table.
 func (p *Position) SentChange(change *Change) { p.sent = change.Delta.To }
 
 // SentWhole notes that a whole table was sent. It may be an older one, which
