Simulator: the list's last entry is not lifted by an earlier fault

A fault had put the same server on the list twice, and the lifting of the second entry, due seconds later, removed the entry of the run's last step. The product was right: nothing said any more that the server leaves.

Now a fault does not lift the last step's entry.

--- a/internal/lab/sim/checker/requests.go
+++ b/internal/lab/sim/checker/requests.go
@@ -255,12 +255,6 @@
 	}
 }
 
-// Leaves reports whether it is agreed that a server takes no new work.
-func (c *Checker) Leaves(server state.ServerID) bool {
-	_, leaves := c.requests.leaving[server]
-	return leaves
-}
-
 // ServerLeaves records the first signal that a server takes no new work.
 func (c *Checker) ServerLeaves(server state.ServerID) {
 	if _, known := c.requests.leaving[server]; !known {
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -198,7 +198,11 @@
 	target := s.servers[s.random.IntN(len(s.servers))].id
 	s.counts.Leaving++
 	s.leaving[target] = true
-	s.queue.After(s.pauseTime(), func() { delete(s.leaving, target) })
+	s.queue.After(s.pauseTime(), func() {
+		if target != s.drained {
+			delete(s.leaving, target)
+		}
+	})
 }
 
 // misleadRouters lets a server's reports of load and health be wrong for a while.
--- a/internal/lab/sim/loss.go
+++ b/internal/lab/sim/loss.go
@@ -68,9 +68,9 @@
 	return nil, nil
 }
 
-// drainServer puts a server without keys on the platform's list as leaving. The
-// mark must be agreed on within one reading of the list and a commit; from then on
-// the time counts after which nothing new may go there.
+// drainServer puts a server without keys on the platform's list as leaving and
+// goes on until nothing new may go there. The list is the first signal; the mark
+// must be agreed on within one reading of it and a commit.
 func (s *simulation) drainServer() {
 	if s.checker.Violation() != nil || !s.await(s.queue.Now()+setupLimit, s.isHealthy) {
 		return
@@ -79,14 +79,22 @@
 	s.counts.Drains++
 	s.trace("%s is listed as leaving", target.id)
 	s.leaving[target.id] = true
+	s.drained = target.id
+	s.checker.ServerLeaves(target.id)
 	within := time.Duration(float64(s.settings.Platform.PollInterval)*(1+s.settings.Lease.ClockRateBound)) + commitTime
-	if !s.await(s.queue.Now()+within, func() bool { return s.checker.Leaves(target.id) }) {
+	if !s.await(s.queue.Now()+within, s.platformFollowed) {
 		s.checker.Fail(checker.Drained, "%s is on the platform's list and not marked as leaving within %v", target.id, within)
 		return
 	}
 	s.advance(s.queue.Now() + requestBounds().Staleness + drainLook)
 }
 
+// platformFollowed reports whether the leader agreed on all that the platform says.
+func (s *simulation) platformFollowed() bool {
+	leader, found := s.leader()
+	return found && len(leader.platformChanges()) == 0
+}
+
 // isHealthy reports whether a leader that most controllers follow has led for so
 // long that no lease of an earlier one is left to wait out, faults ended so long
 // ago that no election which they caused can begin, and nothing that the platform
@@ -98,7 +106,7 @@
 	leader, found := s.leader()
 	return found && s.followers(leader.core.Status().ID) > len(s.controllers)/2 &&
 		s.queue.Now()-leader.leadsSince > leaseWait(s.settings) &&
-		s.everyKeyOwned() && len(leader.platformChanges()) == 0
+		s.everyKeyOwned() && s.platformFollowed()
 }
 
 // followers counts the controllers that go by a leader, itself included.
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -42,6 +42,8 @@
 	damaged map[string]bool
 	// leaving is the platform's list of machines that leave.
 	leaving map[state.ServerID]bool
+	// drained is the server that the last step of a run puts on the list, for good.
+	drained state.ServerID
 	// calmSince is when the faults ended.
 	calmSince time.Duration
 	// operating lets operators begin new intents.
