--- a/internal/lab/scenario/combined.go
+++ b/internal/lab/scenario/combined.go
@@ -21,7 +21,7 @@
 
 // bothLostLimit is the time in which the keys of a server that is lost together
 // with the leading controller must have a new owner.
-const bothLostLimit = 1600 * time.Millisecond
+const bothLostLimit = time.Second
 
 // Bounds of two faults at once.
 const (
@@ -142,9 +142,9 @@
 }
 
 // killLeaderAndBackEnd kills the leading controller and the owner of the hot key
-// in the same moment. Bound: no request fails or is held up later than 1.6 s
-// after it: an election of at most 0.4 s, and then the wait for the lease that
-// the lost leader may have given last, 0.73 s, and the assignment.
+// in the same moment. Bound: no request fails or is held up later than 1 s after
+// it. The election, of at most 0.4 s, falls into the wait for the lease that the
+// lost leader may have given last, 0.73 s; the assignment follows.
 func killLeaderAndBackEnd(ctx context.Context, r *run) error {
 	if err := r.sleep(ctx, settle); err != nil {
 		return err
