Controller: a member being removed is sent to until the removal is applied

Cause: senders went by the membership in force, which since may hold a removal that is not committed. A new leader had no sender to such a member, and a follower that applied the change before stopped the one it had, so that the member could not learn of its removal as docs/DESIGN.md says. Liveness only: it would go on asking for votes under pre-vote.

TestMemberIsReachableUntilItsRemovalIsApplied; with the membership in force alone replica 2 is not reachable. Not mended: the farewell may still be queued when its sender is stopped.

--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -91,6 +91,6 @@
 func (h *host) forgetRemoved() {
 	if h.membersChanged {
 		h.membersChanged = false
-		h.peers.forget(h.core.Status().Membership)
+		h.peers.forget(h.core.Status())
 	}
 }
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -45,6 +45,15 @@
 	return memberByID(status.Membership, status.Leader)
 }
 
+// reachable finds a member that the core sends to: one of the membership in force,
+// or of the applied one, whose removal is not committed yet.
+func reachable(status consensus.Status, id consensus.ReplicaID) (consensus.Member, bool) {
+	if member, found := memberByID(status.Membership, id); found {
+		return member, true
+	}
+	return memberByID(status.AppliedMembership, id)
+}
+
 func memberByID(membership consensus.Membership, id consensus.ReplicaID) (consensus.Member, bool) {
 	for _, member := range membership.Members {
 		if member.ID == id {
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -36,7 +36,7 @@
 		log:      r.log,
 		dial:     dial,
 		member: func(id consensus.ReplicaID) (consensus.Member, bool) {
-			return memberByID(r.core.Status().Membership, id)
+			return reachable(r.core.Status(), id)
 		},
 		senders:    make(map[consensus.ReplicaID]*wire.PeerSender),
 		background: &r.background,
@@ -83,9 +83,9 @@
 }
 
 // forget stops the senders to replicas that are no longer members.
-func (p *peers) forget(membership consensus.Membership) {
+func (p *peers) forget(status consensus.Status) {
 	for id, sender := range p.senders {
-		if _, found := memberByID(membership, id); !found {
+		if _, found := reachable(status, id); !found {
 			delete(p.senders, id)
 			p.background.Go(sender.Stop)
 		}
