Fleet: an answer of a server that left the table makes no back end

Cause: Answered and AnsweredSince made the back end at first use. An attempt that ended after its server was dropped made entry, queue and client again, and the server was probed until the next change of the table.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -90,9 +90,7 @@
 
 // Get returns the back end of a server, made at first use.
 func (f *Fleet) Get(server *state.Server) *BackEnd {
-	f.mutex.RLock()
-	found, ok := f.servers[server.ID]
-	f.mutex.RUnlock()
+	found, ok := f.find(server.ID)
 	if ok && found.Server().Revision >= server.Revision {
 		return found
 	}
@@ -101,6 +99,13 @@
 	return f.updateLocked(server)
 }
 
+func (f *Fleet) find(id state.ServerID) (*BackEnd, bool) {
+	f.mutex.RLock()
+	defer f.mutex.RUnlock()
+	found, ok := f.servers[id]
+	return found, ok
+}
+
 func (f *Fleet) updateLocked(server *state.Server) *BackEnd {
 	found, ok := f.servers[server.ID]
 	if !ok {
@@ -205,12 +210,15 @@
 
 // Answered implements execution.Fleet.
 func (f *Fleet) Answered(server *state.Server, now time.Duration) {
-	f.Get(server).answeredAt.Store(int64(now))
+	if known, found := f.find(server.ID); found {
+		known.answeredAt.Store(int64(now))
+	}
 }
 
 // AnsweredSince implements execution.Fleet.
 func (f *Fleet) AnsweredSince(server *state.Server, reading time.Duration) bool {
-	return time.Duration(f.Get(server).answeredAt.Load()) > reading
+	known, found := f.find(server.ID)
+	return found && time.Duration(known.answeredAt.Load()) > reading
 }
 
 // Choose implements dispatch.Fleet.
