--- a/internal/lab/scenario/controllers.go
+++ b/internal/lab/scenario/controllers.go
@@ -36,10 +36,7 @@
 // killLeader kills the leading controller under load and starts it again.
 // Bound: no request fails or is held up later than 1 s after the loss.
 func killLeader(ctx context.Context, r *run) error {
-	if err := r.sleep(ctx, settle); err != nil {
-		return err
-	}
-	leading, err := r.leader(ctx)
+	leading, err := r.settledLeader(ctx)
 	if err != nil {
 		return err
 	}
@@ -57,10 +54,7 @@
 // pauseLeader pauses the leader for 4 s, moves a key under its successor, and
 // resumes it. Bound: requests recover within 1 s of the pause.
 func pauseLeader(ctx context.Context, r *run) error {
-	if err := r.sleep(ctx, settle); err != nil {
-		return err
-	}
-	leading, err := r.leader(ctx)
+	leading, err := r.settledLeader(ctx)
 	if err != nil {
 		return err
 	}
@@ -107,10 +101,7 @@
 // heals the network. The leader still reaches the back ends meanwhile, which is
 // the harder case: its renewals must stop by its own account.
 func (r *run) cutLeaderBy(ctx context.Context, lasting time.Duration, cut func(string) error) error {
-	if err := r.sleep(ctx, settle); err != nil {
-		return err
-	}
-	leading, err := r.leader(ctx)
+	leading, err := r.settledLeader(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scenario/disks.go
+++ b/internal/lab/scenario/disks.go
@@ -25,10 +25,7 @@
 // changes are accepted by another leader, and every one is in force at the end.
 func fullDisk(ctx context.Context, r *run) error {
 	const changes = 20
-	if err := r.sleep(ctx, settle); err != nil {
-		return err
-	}
-	full, err := r.leader(ctx)
+	full, err := r.settledLeader(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -167,6 +167,14 @@
 	return nil
 }
 
+// settledLeader waits until the run has settled and returns the leader.
+func (r *run) settledLeader(ctx context.Context) (*fleet.Node, error) {
+	if err := r.sleep(ctx, settle); err != nil {
+		return nil, err
+	}
+	return r.leader(ctx)
+}
+
 // leader returns the controller that leads now.
 func (r *run) leader(ctx context.Context) (*fleet.Node, error) {
 	var found *fleet.Node
