--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,256 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// Settings of a Balancer.
+type Settings struct {
+	// Zone is where this process stands.
+	Zone string
+	// CrossZone is added to the expected time of an instance in another zone.
+	CrossZone time.Duration
+	// FirstLatency is expected of an instance before anything was learned.
+	FirstLatency time.Duration
+	// EjectAfter is how many failures in a row eject an instance, for EjectFor,
+	// doubled each time up to EjectMost.
+	EjectAfter int
+	EjectFor   time.Duration
+	EjectMost  time.Duration
+	// MaxEjected bounds the share of a service's instances that are left out.
+	MaxEjected float64
+}
+
+// DefaultSettings suit services that answer within tenths of a second.
+func DefaultSettings(zone string) Settings {
+	return Settings{
+		Zone: zone, CrossZone: 10 * time.Millisecond, FirstLatency: 100 * time.Millisecond,
+		EjectAfter: 2, EjectFor: time.Second, EjectMost: 8 * time.Second, MaxEjected: 0.5,
+	}
+}
+
+// Balancer is safe for concurrent use.
+type Balancer struct {
+	settings Settings
+	mutex    sync.Mutex
+	loads    map[directory.InstanceID]*load
+	// latency is the mean over the instances of each service.
+	latency map[string]float64
+}
+
+// load is what is known of one instance.
+type load struct {
+	inFlight int
+	// latency is a moving mean in seconds; zero before the first answer.
+	latency      float64
+	failures     int
+	ejections    int
+	ejectedUntil time.Duration
+	seenAt       time.Duration
+}
+
+// New returns a balancer that knows of no instance.
+func New(settings Settings) *Balancer {
+	return &Balancer{settings: settings, loads: make(map[directory.InstanceID]*load), latency: make(map[string]float64)}
+}
+
+// Request is what a choice rests on.
+type Request struct {
+	Now     time.Duration
+	Service string
+	// Instances are those that may get the request.
+	Instances []directory.Instance
+	// Limit bounds the requests in flight from this process to one instance, by its
+	// slots.
+	Limit func(slots int) int
+	// Random are two numbers in [0, 1).
+	Random [2]float64
+}
+
+// Choose returns the instance that is to get a request and counts it as in flight,
+// or false while each has as many requests as it may.
+func (b *Balancer) Choose(request Request) (directory.Instance, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	free := b.free(request, b.wellOnes(request))
+	if len(free) == 0 {
+		return directory.Instance{}, false
+	}
+	first := b.draw(request, free, request.Random[0])
+	second := b.draw(request, free, request.Random[1])
+	chosen := first
+	if b.expected(request, second) < b.expected(request, first) {
+		chosen = second
+	}
+	b.begin(request.Now, chosen.ID)
+	return chosen, true
+}
+
+// wellOnes returns the instances that are not ejected, or all if too many are.
+func (b *Balancer) wellOnes(request Request) []directory.Instance {
+	well := make([]directory.Instance, 0, len(request.Instances))
+	for _, instance := range request.Instances {
+		if known, found := b.loads[instance.ID]; !found || known.ejectedUntil <= request.Now {
+			well = append(well, instance)
+		}
+	}
+	ejected := len(request.Instances) - len(well)
+	if float64(ejected) > b.settings.MaxEjected*float64(len(request.Instances)) {
+		return request.Instances
+	}
+	return well
+}
+
+func (b *Balancer) free(request Request, candidates []directory.Instance) []directory.Instance {
+	free := make([]directory.Instance, 0, len(candidates))
+	for _, instance := range candidates {
+		if known, found := b.loads[instance.ID]; !found || known.inFlight < request.Limit(instance.Slots) {
+			free = append(free, instance)
+		}
+	}
+	return free
+}
+
+// draw returns one of the candidates, the more likely the more requests it can
+// answer in a time.
+func (b *Balancer) draw(request Request, candidates []directory.Instance, random float64) directory.Instance {
+	total := 0.0
+	for _, instance := range candidates {
+		total += b.capacity(request, instance)
+	}
+	drawn := random * total
+	for _, instance := range candidates {
+		drawn -= b.capacity(request, instance)
+		if drawn < 0 {
+			return instance
+		}
+	}
+	return candidates[len(candidates)-1]
+}
+
+func (b *Balancer) capacity(request Request, instance directory.Instance) float64 {
+	return float64(max(instance.Slots, 1)) / b.alone(request, instance)
+}
+
+// alone is the time in seconds that the instance needs for a request.
+func (b *Balancer) alone(request Request, instance directory.Instance) float64 {
+	needed := b.latency[request.Service]
+	if needed == 0 {
+		needed = b.settings.FirstLatency.Seconds()
+	}
+	if known, found := b.loads[instance.ID]; found && known.latency > 0 {
+		needed = known.latency
+	}
+	if instance.Zone != b.settings.Zone {
+		needed += b.settings.CrossZone.Seconds()
+	}
+	return needed
+}
+
+// expected is the time in seconds until a request would be answered.
+func (b *Balancer) expected(request Request, instance directory.Instance) float64 {
+	needed := b.alone(request, instance)
+	known, found := b.loads[instance.ID]
+	if !found {
+		return needed
+	}
+	slots := max(instance.Slots, 1)
+	return needed * (1 + float64(known.inFlight)/float64(slots))
+}
+
+func (b *Balancer) begin(now time.Duration, id directory.InstanceID) {
+	known := b.load(id)
+	known.inFlight++
+	known.seenAt = now
+}
+
+func (b *Balancer) load(id directory.InstanceID) *load {
+	known, found := b.loads[id]
+	if !found {
+		known = &load{}
+		b.loads[id] = known
+	}
+	return known
+}
+
+// TryBegin counts a request to one instance as in flight, unless it has as many as
+// it may.
+func (b *Balancer) TryBegin(now time.Duration, instance directory.Instance, limit int) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.load(instance.ID).inFlight >= limit {
+		return false
+	}
+	b.begin(now, instance.ID)
+	return true
+}
+
+// Outcome is how one request to an instance ended.
+type Outcome struct {
+	Now      time.Duration
+	Service  string
+	Instance directory.InstanceID
+	// Took is how long the instance needed.
+	Took time.Duration
+	// Answered is true for a whole answer by which the instance did work.
+	Answered bool
+	// Failed is true if the instance was at fault.
+	Failed bool
+}
+
+// smoothing is the share of the newest latency in the moving mean.
+const smoothing = 0.2
+
+// End counts a request as ended. It reports whether the instance was ejected by it.
+func (b *Balancer) End(outcome Outcome) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known := b.load(outcome.Instance)
+	known.inFlight = max(known.inFlight-1, 0)
+	known.seenAt = outcome.Now
+	if outcome.Answered {
+		known.failures = 0
+		known.ejections = 0
+		known.ejectedUntil = 0
+		seconds := outcome.Took.Seconds()
+		known.latency = smoothed(known.latency, seconds)
+		b.latency[outcome.Service] = smoothed(b.latency[outcome.Service], seconds)
+	}
+	if !outcome.Failed {
+		return false
+	}
+	known.failures++
+	if known.failures < b.settings.EjectAfter {
+		return false
+	}
+	known.failures = 0
+	length := min(b.settings.EjectFor<<min(known.ejections, maxDoublings), b.settings.EjectMost)
+	known.ejections++
+	known.ejectedUntil = outcome.Now + length
+	return true
+}
+
+// maxDoublings keeps the shift of an ejection's length in bounds.
+const maxDoublings = 8
+
+func smoothed(mean, newest float64) float64 {
+	if mean == 0 {
+		return newest
+	}
+	return mean + smoothing*(newest-mean)
+}
+
+// Forget drops the instances that are not among those known and have no request in
+// flight.
+func (b *Balancer) Forget(known func(directory.InstanceID) bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for id, each := range b.loads {
+		if each.inFlight == 0 && !known(id) {
+			delete(b.loads, id)
+		}
+	}
+}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -47,8 +47,10 @@
 		_, err = config.LoadController(path)
 	case config.RoleRouter:
 		_, err = config.LoadRouter(path)
+	case config.RoleGateway:
+		_, err = config.LoadGateway(path)
 	default:
-		err = &usageError{cause: fmt.Errorf("--role %q is no role; use controller or router", role)}
+		err = &usageError{cause: fmt.Errorf("--role %q is no role; use controller, router or gateway", role)}
 	}
 	return role, err
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -64,6 +64,7 @@
 	root.AddCommand(
 		newControllerCommand(program),
 		newRouterCommand(program),
+		newGatewayCommand(program),
 		newConfigCommand(program),
 		newPlanCommand(program),
 		newConfirmCommand(program),
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -18,6 +18,8 @@
 type Runners struct {
 	Controller func(context.Context, config.Controller, *logrus.Entry) error
 	Router     func(context.Context, config.Router, *logrus.Entry) error
+	// Gateway takes besides how the settings are read again.
+	Gateway func(context.Context, config.Gateway, *logrus.Entry, func() (config.Gateway, error)) error
 }
 
 // overrideFlag is a flag that takes the place of a field of the settings file.
@@ -68,6 +70,22 @@
 		})
 }
 
+func newGatewayCommand(program *program) *cobra.Command {
+	flags := []overrideFlag{overrideName, overrideZone, overrideAddress, overrideAdmin}
+	return newRoleCommand("gateway", "Run a gateway, which routes by host and path", flags,
+		func(ctx context.Context, path string, overrides []config.Override) error {
+			reload := func() (config.Gateway, error) { return config.LoadGateway(path, overrides...) }
+			settings, err := reload()
+			if err != nil {
+				return err
+			}
+			log := telemetry.New(string(config.RoleGateway), settings.Name, settings.Log.Level, program.streams.Out)
+			return supervise(ctx, log, func(ctx context.Context) error {
+				return program.runners.Gateway(ctx, settings, log, reload)
+			})
+		})
+}
+
 type roleRunner func(ctx context.Context, path string, overrides []config.Override) error
 
 func newRoleCommand(use, short string, flags []overrideFlag, run roleRunner) *cobra.Command {
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -21,9 +21,12 @@
 	PeerAddress      string           `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other controllers and routers."`
 	APIAddress       string           `koanf:"api_address" validate:"address" doc:"IP:port of the intent API, the health checks and the metrics."`
 	AllowNonLoopback bool             `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
-	Controllers      []ControllerPeer `koanf:"controllers" validate:"required,max=5,dive" doc:"The configured group, this replica included: 1, 3 or 5 entries."`
+	Controllers      []ControllerPeer `koanf:"controllers" validate:"max=5,dive" doc:"The configured group, this replica included: 1, 3 or 5 entries. Empty where seeds are given."`
+	Seeds            []string         `koanf:"seeds" validate:"max=16,dive,address" doc:"Controllers by which the group is found or formed, IP:port, in place of controllers; only the IP number counts, peers listen at the port of peer_address."`
+	FirstStart       bool             `koanf:"first_start" doc:"With seeds: true only where the whole system starts for the first time, so that a new group may be formed."`
 	Consensus        Consensus        `koanf:"consensus" doc:"Replicated log."`
 	Lease            Lease            `koanf:"lease" doc:"Leases of the servers."`
+	Heartbeat        Heartbeat        `koanf:"heartbeat" doc:"Instances that announce themselves and renew leases by heartbeats."`
 	Platform         Platform         `koanf:"platform" doc:"The platform's list of machines."`
 	Table            Table            `koanf:"table" doc:"Routing table streams to the routers."`
 	Partitions       Partitions       `koanf:"partitions" doc:"Placement of the idempotency records on routers."`
@@ -64,6 +67,18 @@
 	MaxAnswerBytes int           `koanf:"max_answer_bytes" validate:"min=4096,max=67108864" doc:"Bound of a server's answer, in bytes."`
 }
 
+// Heartbeat holds the settings of leases that instances renew by heartbeats.
+type Heartbeat struct {
+	Lease          time.Duration `koanf:"lease" validate:"min=500ms,max=1m" doc:"How long an instance holds its keys, from the sending of a heartbeat."`
+	MaxLease       time.Duration `koanf:"max_lease" validate:"min=500ms,max=1m" doc:"Longest lease that any controller of the group grants or has granted; at least lease."`
+	ClockRateBound float64       `koanf:"clock_rate_bound" validate:"min=0,max=0.1" doc:"Largest difference in speed of two machines' clocks, as a share."`
+	Margin         time.Duration `koanf:"margin" validate:"min=1ms,max=10s" doc:"Time added before a lease counts as ended."`
+	Gather         time.Duration `koanf:"gather" validate:"min=0s,max=1m" doc:"How long a new keyed service waits for its instances before its keys are given out."`
+	AddressReuse   time.Duration `koanf:"address_reuse" validate:"min=0s,max=1h" doc:"Shortest time after which the platform gives an instance's address to another service."`
+	MaxMoves       int           `koanf:"max_moves" validate:"min=0,max=1000" doc:"Bound of key ranges of a service that move at the same time for the sake of balance."`
+	AnswerTimeout  time.Duration `koanf:"answer_timeout" validate:"min=10ms,max=30s" doc:"Time after which a heartbeat is not answered any more, since the instance has given it up."`
+}
+
 // Platform holds the settings of the platform's list of machines.
 type Platform struct {
 	URL            string        `koanf:"url" validate:"omitempty,platform_url" doc:"Where the list is served, http://IP:port/path; empty for none."`
@@ -134,6 +149,16 @@
 			RequestTimeout: 200 * time.Millisecond,
 			MaxAnswerBytes: mebibyte,
 		},
+		Heartbeat: Heartbeat{
+			Lease:          4 * time.Second,
+			MaxLease:       4 * time.Second,
+			ClockRateBound: 0.02,
+			Margin:         100 * time.Millisecond,
+			Gather:         2 * time.Second,
+			AddressReuse:   2 * time.Second,
+			MaxMoves:       2,
+			AnswerTimeout:  800 * time.Millisecond,
+		},
 		Platform: Platform{
 			PollInterval:   500 * time.Millisecond,
 			RequestTimeout: time.Second,
--- a/internal/config/cross.go
+++ b/internal/config/cross.go
@@ -30,6 +30,10 @@
 	r.group(settings)
 	r.consensus(settings.Consensus)
 	r.lease(settings.Lease)
+	if settings.Heartbeat.MaxLease < settings.Heartbeat.Lease {
+		r.add("heartbeat.max_lease", settings.Heartbeat.MaxLease.String(), "is below heartbeat.lease",
+			fmt.Sprintf("use at least %s", settings.Heartbeat.Lease))
+	}
 	r.directory(settings.DataDirectory)
 	r.tls(settings.TLS, settings.AllowNonLoopback)
 	r.operators(settings.API.Operators, settings.TLS.Enabled())
@@ -81,7 +85,15 @@
 
 // group checks the configured group of controllers.
 func (r *report) group(settings Controller) {
+	if len(settings.Seeds) > 0 {
+		r.seeds(settings)
+		return
+	}
 	count := len(settings.Controllers)
+	if count == 0 {
+		r.add("controllers", "", "is missing", "list the replicas of the group, or give seeds")
+		return
+	}
 	if count > 0 && count%2 == 0 {
 		r.add("controllers", fmt.Sprint(count), "an even number of controllers tolerates no more losses than one fewer", "use 1, 3 or 5 controllers")
 	}
@@ -106,6 +118,13 @@
 	r.same("api_address", settings.APIAddress, peer.APIAddress, own)
 }
 
+// seeds checks that a group is found by seeds alone.
+func (r *report) seeds(settings Controller) {
+	if len(settings.Controllers) > 0 {
+		r.add("seeds", "", "is given beside controllers", "keep one of the two")
+	}
+}
+
 // same checks that the replica listens where its entry of the group says.
 func (r *report) same(field, value, listed string, index int) {
 	if value == listed || r.has(field) {
--- /dev/null
+++ b/internal/config/gateway.go
@@ -0,0 +1,97 @@
+package config
+
+import "time"
+
+// RoleGateway is a router that finds services by the host and path of a request.
+const RoleGateway Role = "gateway"
+
+// Gateway holds the settings of one gateway.
+type Gateway struct {
+	Role             Role          `koanf:"role" validate:"eq=gateway" doc:"Kind of process; always gateway here."`
+	Name             string        `koanf:"name" validate:"name" doc:"Name of this gateway, unique in the cluster."`
+	Zone             string        `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
+	Dialect          string        `koanf:"dialect" validate:"name" doc:"Names of the headers that callers and instances use; thorntiller for our own."`
+	Address          string        `koanf:"address" validate:"address" doc:"IP:port that accepts callers' HTTP."`
+	AdminAddress     string        `koanf:"admin_address" validate:"address" doc:"IP:port of the health checks and the metrics."`
+	MetricsAddress   string        `koanf:"metrics_address" validate:"omitempty,address" doc:"Further IP:port of the metrics; empty for none."`
+	AllowNonLoopback bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
+	Seeds            []string      `koanf:"seeds" validate:"required,max=16,dive,address" doc:"Controllers by which the group is found, IP:port; only the IP number counts. Read again whenever no controller answers."`
+	ControllerPort   int           `koanf:"controller_port" validate:"min=1,max=65535" doc:"Port at which the controllers accept peers."`
+	PingInterval     time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
+	PongTimeout      time.Duration `koanf:"pong_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a proof that the directory is current; another controller is asked then."`
+	StopTimeout      time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
+	StopNotice       time.Duration `koanf:"stop_notice" validate:"min=0s,max=10m" doc:"How long new connections are still accepted once a stop began, until the platform has noticed it."`
+	DrainTime        time.Duration `koanf:"drain_time" validate:"min=0s,max=10m" doc:"How long a draining instance still gets requests for keys that it holds."`
+	MaxTimeout       time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest time that a request is held, also when neither caller nor route give one."`
+	MaxConnections   int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
+	RetryRatio       float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
+	RetryBurst       int           `koanf:"retry_burst" validate:"min=0,max=1000" doc:"Resends of a service beyond that share, until requests have made up for them."`
+	MemoryLimitBytes int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at, in bytes; 0 for none."`
+	BackEnd          BackEnd       `koanf:"back_end" doc:"Connections to the instances."`
+	Log              Log           `koanf:"log" doc:"Log lines."`
+}
+
+// DefaultGateway returns the settings that hold where a file says nothing. Fields
+// without a default are empty.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Role:           RoleGateway,
+		Zone:           "default",
+		Dialect:        "thorntiller",
+		Address:        "127.0.0.1:7301",
+		AdminAddress:   "127.0.0.1:7501",
+		ControllerPort: 7101,
+		PingInterval:   300 * time.Millisecond,
+		PongTimeout:    600 * time.Millisecond,
+		StopTimeout:    10 * time.Second,
+		StopNotice:     2500 * time.Millisecond,
+		DrainTime:      1200 * time.Millisecond,
+		MaxTimeout:     time.Minute,
+		MaxConnections: 2048,
+		RetryRatio:     0.1,
+		RetryBurst:     2,
+		BackEnd: BackEnd{
+			ConnectTimeout: 300 * time.Millisecond,
+			IdleTimeout:    8 * time.Second,
+			MaxConnections: 16,
+			MaxAnswerBytes: 64 * mebibyte,
+		},
+		Log: Log{Level: "info"},
+	}
+}
+
+// LoadGateway reads and checks a gateway's settings. The error is Problems and
+// holds every problem.
+func LoadGateway(path string, overrides ...Override) (Gateway, error) {
+	settings := DefaultGateway()
+	report := load(path, &settings, overrides)
+	report.gateway(settings)
+	if len(report.problems) > 0 {
+		return Gateway{}, report.sorted()
+	}
+	return settings, nil
+}
+
+// gateway checks what concerns more than one field of a gateway.
+func (r *report) gateway(settings Gateway) {
+	if len(r.lines) == 0 {
+		return
+	}
+	addresses := newClashes(r)
+	addresses.take("address", settings.Address)
+	addresses.take("admin_address", settings.AdminAddress)
+	if settings.MetricsAddress != "" {
+		addresses.take("metrics_address", settings.MetricsAddress)
+	}
+	if settings.StopNotice >= settings.StopTimeout {
+		r.add("stop_notice", settings.StopNotice.String(), "must be below stop_timeout", "use a shorter time")
+	}
+	if settings.AllowNonLoopback {
+		return
+	}
+	r.loopback("address", settings.Address)
+	r.loopback("admin_address", settings.AdminAddress)
+	if settings.MetricsAddress != "" {
+		r.loopback("metrics_address", settings.MetricsAddress)
+	}
+}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -61,10 +61,10 @@
 		}
 		report.lines["role"] = entry.Key.GetToken().Position.Line
 		role := Role(entry.Value.GetToken().Value)
-		if role == RoleController || role == RoleRouter {
+		if role == RoleController || role == RoleRouter || role == RoleGateway {
 			return role, nil
 		}
-		report.add("role", string(role), "is no role", "write role: controller or role: router")
+		report.add("role", string(role), "is no role", "write role: controller, role: router or role: gateway")
 	}
 	if len(report.problems) == 0 {
 		report.add("role", "", "is missing", "add a line role: controller or role: router")
--- a/internal/config/reference/reference.go
+++ b/internal/config/reference/reference.go
@@ -26,6 +26,7 @@
 	page.WriteString(introduction)
 	writeRole(&page, "Controller", config.DefaultController())
 	writeRole(&page, "Router", config.DefaultRouter())
+	writeRole(&page, "Gateway", config.DefaultGateway())
 	_, err := io.WriteString(out, page.String())
 	return err
 }
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -110,6 +110,9 @@
 
 func (c *Core) tickLeader() {
 	c.heartbeatElapsed++
+	for _, id := range c.receivers {
+		c.progress[id].silentTicks++
+	}
 	c.tickTransfer()
 	c.tickSnapshots()
 	if c.electionElapsed >= c.config.ElectionTicks {
@@ -211,6 +214,10 @@
 	return status
 }
 
+// silentElections is how many election timeouts a member is not heard before it
+// counts as silent.
+const silentElections = 2
+
 func (c *Core) progressStatus() []Progress {
 	list := make([]Progress, 0, len(c.membership.Members))
 	for _, member := range c.membership.Members {
@@ -220,6 +227,7 @@
 			Match:        view.match,
 			Next:         view.next,
 			RecentActive: view.recentActive || member.ID == c.config.ID,
+			Silent:       member.ID != c.config.ID && view.silentTicks >= silentElections*c.config.ElectionTicks,
 			Learner:      member.Learner,
 		})
 	}
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -20,6 +20,8 @@
 	next         uint64
 	state        progressState
 	recentActive bool
+	// silentTicks counts since the member was last heard.
+	silentTicks int
 	// paused holds back MessageAppend until an answer arrives.
 	paused bool
 	// inflight holds the last index of each unacknowledged MessageAppend.
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -136,6 +136,7 @@
 		return nil
 	}
 	view.recentActive = true
+	view.silentTicks = 0
 	switch message.Kind {
 	case MessageAppendAnswer:
 		c.handleAppendAnswer(message, view)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -194,7 +194,9 @@
 	Match        uint64
 	Next         uint64
 	RecentActive bool
-	Learner      bool
+	// Silent is true for a member that was not heard for two election timeouts.
+	Silent  bool
+	Learner bool
 }
 
 // Config configures a core. Ticks are the driver's unit of time.
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -34,6 +34,7 @@
 		ErrorHandler: service.answerError,
 	})
 	service.routes()
+	service.directoryRoutes()
 	service.app.Get(intentapi.PathLive, telemetry.LiveHandler())
 	service.app.Get(intentapi.PathReady, telemetry.ReadyHandler(ready))
 	service.app.Get(intentapi.PathMetrics, telemetry.MetricsHandler(metrics))
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -26,6 +26,11 @@
 	return membership.IsVoter(r.published.Load().status.Membership, r.self.ID)
 }
 
+// belongs reports whether this replica has a vote in its group and hears from it.
+func (r *replica) belongs() bool {
+	return r.isVoter() && r.published.Load().status.Leader != 0
+}
+
 // formationStatus returns what a joining controller asks for: the members and
 // the leader's peer address.
 func (r *replica) formationStatus() ([]consensus.Member, string) {
--- /dev/null
+++ b/internal/controller/directory_api.go
@@ -0,0 +1,123 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/directoryapi"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// directoryRoutes adds the calls of instances and the calls about items. A replica
+// that does not lead sends callers to the leader.
+func (a *api) directoryRoutes() {
+	a.app.Post(directoryapi.PathItems, a.toLeader(a.patchItems))
+	a.app.Post(directoryapi.PathReadItems, a.toLeader(a.readItems))
+	a.app.Post(directoryapi.PathHeartbeat, a.toLeader(a.heartbeat))
+	a.app.Post(directoryapi.PathLeave, a.toLeader(a.leave))
+}
+
+// toLeader answers a call here if this replica leads, and names the leader else.
+func (a *api) toLeader(handler fiber.Handler) fiber.Handler {
+	return func(call fiber.Ctx) error {
+		err := handler(call)
+		if err == nil || fault.KindOf(err) != fault.NotLeader {
+			return err
+		}
+		leader, known := a.replica.leader()
+		if !known || leader.ID == a.replica.self.ID {
+			return fault.New(fault.Unavailable, "no leader is known: ask another replica, or again")
+		}
+		call.Set(fiber.HeaderLocation, "http://"+leader.APIAddress+call.OriginalURL())
+		return call.SendStatus(fiber.StatusTemporaryRedirect)
+	}
+}
+
+func (a *api) directoryContext(call fiber.Ctx) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(call.Context(), a.replica.settings.Heartbeat.AnswerTimeout)
+}
+
+func (a *api) patchItems(call fiber.Ctx) error {
+	ctx, cancel := a.directoryContext(call)
+	defer cancel()
+	if _, err := a.security.authorize(call, config.RightConfirm, ""); err != nil {
+		return err
+	}
+	patch, err := directory.ReadPatch(call.Body())
+	if err != nil {
+		a.logRefusal(call, err)
+		return err
+	}
+	if _, err := a.replica.Propose(ctx, state.Command{Directory: &directory.Command{Patch: &patch}}); err != nil {
+		a.logRefusal(call, err)
+		return err
+	}
+	return call.JSON(struct{}{})
+}
+
+func (a *api) logRefusal(call fiber.Ctx, err error) {
+	telemetry.WithError(a.replica.log, telemetry.EventCallRefused, err).WithField("path", call.Path()).
+		WithField(telemetry.FieldKind, fault.KindOf(err)).Warn("a call was refused")
+}
+
+func (a *api) readItems(call fiber.Ctx) error {
+	ctx, cancel := a.directoryContext(call)
+	defer cancel()
+	if err := a.requireCurrent(ctx); err != nil {
+		return err
+	}
+	var set directory.ItemSet
+	configured := false
+	a.replica.view(func(view *state.State) {
+		set = view.Directory().ItemSet()
+		configured = view.Directory().Configured()
+	})
+	if !configured {
+		return fault.New(fault.Unavailable, "no items were taken yet: send them first")
+	}
+	return call.JSON(set)
+}
+
+func (a *api) heartbeat(call fiber.Ctx) error {
+	ctx, cancel := a.directoryContext(call)
+	defer cancel()
+	var body directoryapi.Heartbeat
+	if err := json.Unmarshal(call.Body(), &body); err != nil {
+		return fault.Newf(fault.InvalidArgument, "body: %v: see docs/BACKEND.md for the fields", err)
+	}
+	beat, err := body.Beat(instanceOf(call))
+	if err != nil {
+		a.logRefusal(call, err)
+		return err
+	}
+	grant, err := a.replica.heartbeats.beat(ctx, beat)
+	if err != nil {
+		if kind := fault.KindOf(err); kind == fault.InvalidArgument || kind == fault.Conflict {
+			a.logRefusal(call, err)
+		}
+		return err
+	}
+	return call.JSON(directoryapi.AnswerOf(grant, a.replica.self.APIAddress))
+}
+
+// instanceOf returns the instance that the path names. The framework uses the
+// memory of its strings again once the call has ended.
+func instanceOf(call fiber.Ctx) directory.InstanceID {
+	return directory.InstanceID(strings.Clone(call.Params("id")))
+}
+
+func (a *api) leave(call fiber.Ctx) error {
+	ctx, cancel := a.directoryContext(call)
+	defer cancel()
+	if err := a.replica.heartbeats.leave(ctx, instanceOf(call)); err != nil {
+		return err
+	}
+	return call.JSON(struct{}{})
+}
--- /dev/null
+++ b/internal/controller/directory_stream.go
@@ -0,0 +1,122 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// directoryStream serves the directory to one gateway: what it lacks, then each
+// change, and a pong for each ping. Any replica serves it. A pong follows a quorum
+// round, so that a gateway whose replica is cut off notices and asks another one.
+type directoryStream struct {
+	replica    *replica
+	connection *wire.Conn
+	// sent is the revision that the gateway holds.
+	sent        directory.Revision
+	controllers []string
+	pongs       chan uint64
+}
+
+// pingsWaiting bounds the pings of one gateway that wait for their quorum round.
+const pingsWaiting = 4
+
+// gatherChanges is how long a stream waits after a change for further ones.
+const gatherChanges = 5 * time.Millisecond
+
+func serveDirectory(ctx context.Context, r *replica, connection *wire.Conn) error {
+	var first message.DirectoryRequest
+	if err := connection.Receive(&first); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream := &directoryStream{replica: r, connection: connection, pongs: make(chan uint64, pingsWaiting)}
+	if first.Cluster == r.cluster {
+		stream.sent = first.Revision
+	}
+	r.background.Go(func() {
+		defer cancel()
+		stream.answerPings(ctx)
+	})
+	err := stream.write(ctx)
+	connection.Close()
+	return err
+}
+
+// answerPings confirms by a quorum round that the replica's directory is current,
+// for each ping, until the connection ends or a round fails.
+func (s *directoryStream) answerPings(ctx context.Context) {
+	for ctx.Err() == nil {
+		var request message.DirectoryRequest
+		if err := s.connection.Receive(&request); err != nil {
+			return
+		}
+		bounded, cancel := context.WithTimeout(ctx, s.replica.settings.Consensus.ProposalTimeout)
+		err := s.replica.readHere(bounded)
+		cancel()
+		if err != nil {
+			return
+		}
+		select {
+		case s.pongs <- request.Ping:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *directoryStream) write(ctx context.Context) error {
+	for {
+		changed := s.replica.directoryChanged.next()
+		if err := s.writeChanges(ctx, 0); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case pong := <-s.pongs:
+			if err := s.writeChanges(ctx, pong); err != nil {
+				return err
+			}
+		case <-changed:
+			time.Sleep(gatherChanges)
+		}
+	}
+}
+
+// writeChanges sends what the gateway lacks, with a pong if there is one.
+func (s *directoryStream) writeChanges(ctx context.Context, pong uint64) error {
+	update := message.DirectoryUpdate{Pong: pong}
+	s.replica.view(func(view *state.State) {
+		if view.Directory().Revision() > s.sent {
+			changes := view.Directory().Since(s.sent)
+			update.Changes = &changes
+		}
+	})
+	if controllers := s.replica.peerAddresses(); !slices.Equal(controllers, s.controllers) {
+		s.controllers = controllers
+		update.Controllers = controllers
+	}
+	if update.Changes == nil && update.Controllers == nil && pong == 0 {
+		return nil
+	}
+	if update.Changes != nil {
+		update.Cluster = s.replica.cluster
+		s.sent = update.Changes.To
+	}
+	return s.connection.Send(ctx, &update)
+}
+
+// peerAddresses returns the peer addresses of the members of the group.
+func (r *replica) peerAddresses() []string {
+	var addresses []string
+	for _, member := range r.published.Load().status.Membership.Members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +45,8 @@
 	known  identity.Identity
 	status func() (current []consensus.Member, leader string)
 	join   func(consensus.Member)
+	// learned are the peer addresses of the group's members, as last told.
+	learned []string
 }
 
 func (f *formation) identity() identity.Identity {
@@ -83,7 +86,7 @@
 func (f *formation) attempt(ctx context.Context) error {
 	answers := f.askAll(ctx)
 	next, decided := durable.Formation{
-		Own: f.identity(), Member: f.self, First: f.isFirst(), Others: len(f.settings.Controllers) - 1, Answers: answers,
+		Own: f.identity(), Member: f.self, First: f.isFirst(answers), Others: len(f.configured()), Answers: answers,
 	}.Decide(func() message.ClusterID { return message.ClusterID(uuid.NewString()) })
 	if !decided {
 		return nil
@@ -110,12 +113,78 @@
 	return slices.ContainsFunc(joined.Founders, func(member consensus.Member) bool { return member.ID == joined.Replica })
 }
 
-func (f *formation) isFirst() bool {
-	return !slices.ContainsFunc(f.settings.Controllers, func(peer config.ControllerPeer) bool {
-		return peer.Name < f.settings.Name
+// isFirst reports whether this replica is the one that forms a new group: the first
+// by name of the configured ones or, with seeds, the first by address of those
+// seeds that may form one.
+func (f *formation) isFirst(answers []message.FormationAnswer) bool {
+	if len(f.settings.Seeds) == 0 {
+		return !slices.ContainsFunc(f.settings.Controllers, func(peer config.ControllerPeer) bool {
+			return peer.Name < f.settings.Name
+		})
+	}
+	if !f.identity().MayFound || !slices.Contains(f.seeds(), f.settings.PeerAddress) {
+		return false
+	}
+	return !slices.ContainsFunc(answers, func(answer message.FormationAnswer) bool {
+		return answer.MayFound && answer.Member.Address < f.settings.PeerAddress
 	})
 }
 
+// seeds returns the peer addresses of the seeds.
+func (f *formation) seeds() []string {
+	_, port, err := net.SplitHostPort(f.settings.PeerAddress)
+	if err != nil {
+		return nil
+	}
+	addresses := make([]string, 0, len(f.settings.Seeds))
+	for _, seed := range f.settings.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if address := net.JoinHostPort(host, port); err == nil && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// configured returns the peer addresses of the other controllers that the settings
+// name.
+func (f *formation) configured() []string {
+	addresses := f.seeds()
+	for _, peer := range f.settings.Controllers {
+		if peer.Name != f.settings.Name {
+			addresses = append(addresses, peer.PeerAddress)
+		}
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == f.settings.PeerAddress })
+}
+
+// addresses returns whom to ask: the configured controllers and the members that
+// they told of.
+func (f *formation) addresses() []string {
+	addresses := f.configured()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, address := range f.learned {
+		if address != f.settings.PeerAddress && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// learn keeps the addresses of the members of the group.
+func (f *formation) learn(answer message.FormationAnswer) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(answer.Current) == 0 {
+		return
+	}
+	f.learned = nil
+	for _, member := range answer.Current {
+		f.learned = append(f.learned, member.Address)
+	}
+}
+
 // set makes the identity durable before it is told to anyone.
 func (f *formation) set(next identity.Identity) error {
 	f.mutex.Lock()
@@ -132,15 +201,13 @@
 	var group conc.WaitGroup
 	var mutex sync.Mutex
 	var answers []message.FormationAnswer
-	for _, peer := range f.settings.Controllers {
-		if peer.Name == f.settings.Name {
-			continue
-		}
+	for _, address := range f.addresses() {
 		group.Go(func() {
-			answer, err := f.ask(ctx, peer.PeerAddress)
+			answer, err := f.ask(ctx, address)
 			if err != nil {
 				return
 			}
+			f.learn(answer)
 			mutex.Lock()
 			defer mutex.Unlock()
 			answers = append(answers, answer)
@@ -178,7 +245,7 @@
 		return err
 	}
 	f.mutex.Lock()
-	answer := message.FormationAnswer{Member: f.self, Cluster: f.known.Cluster, Founders: f.known.Founders}
+	answer := message.FormationAnswer{Member: f.self, Cluster: f.known.Cluster, Founders: f.known.Founders, MayFound: f.known.MayFound}
 	status, join := f.status, f.join
 	f.mutex.Unlock()
 	if status != nil {
@@ -190,11 +257,11 @@
 	return connection.Send(ctx, &answer)
 }
 
-// keepJoining asks to be taken into the group for as long as this replica is
-// not one of its voters.
-func (f *formation) keepJoining(ctx context.Context, isVoter func() bool) {
+// keepJoining asks to be taken into the group for as long as this replica is not
+// one of its voters, or hears no leader: it may have been removed meanwhile.
+func (f *formation) keepJoining(ctx context.Context, belongs func() bool) {
 	clock.Every(ctx, formationInterval, func() {
-		if !isVoter() {
+		if !belongs() {
 			f.askAll(ctx)
 		}
 	})
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -47,6 +47,7 @@
 	h.state = restored
 	h.stateLock.Unlock()
 	h.history.Reset(restored.Revision())
+	h.directoryChanged.raise()
 	telemetry.With(h.log, telemetry.EventSnapshotReceived).WithField("index", index).Info("snapshot received")
 }
 
@@ -75,6 +76,10 @@
 	if entry.Kind == consensus.EntryMembership {
 		h.membersChanged = true
 	}
+	if command.Directory != nil {
+		h.directoryApplied(entry.Index, *command.Directory, result)
+		return
+	}
 	logResult(h.log, entry.Index, command, result)
 }
 
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -49,7 +49,11 @@
 	routers  *routerRegistry
 	// partitions places the idempotency records on routers.
 	partitions *partitionKeeper
-	cluster    message.ClusterID
+	// heartbeats takes the heartbeats of instances.
+	heartbeats *heartbeatKeeper
+	// directoryChanged tells the streams of the directory of changes.
+	directoryChanged *notice
+	cluster          message.ClusterID
 	// background holds the goroutines of table streams and of senders that stop.
 	background conc.WaitGroup
 
@@ -135,6 +139,8 @@
 		SnapshotBytes:   settings.Consensus.SnapshotBytes,
 	})
 	r.partitions = newPartitionKeeper(settings, r)
+	r.heartbeats = newHeartbeatKeeper(settings.Heartbeat, r)
+	r.directoryChanged = newNotice()
 	r.publish()
 	return r, nil
 }
@@ -147,6 +153,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var keeping conc.WaitGroup
 	keeping.Go(func() { r.partitions.run(ctx) })
+	keeping.Go(func() { r.heartbeats.run(ctx) })
 	keeping.Go(func() { r.watchTurns(ctx) })
 	defer keeping.Wait()
 	defer cancel()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	n := &node{settings: settings, log: log, files: files, security: secured}
-	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, newReplicaID)
+	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, settings.FirstStart, newReplicaID)
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +147,7 @@
 	service := newAPI(n.settings.API, r, n.security, r.metrics.registry, r.ready)
 	background.Go(func() { n.serveOperators(service) })
 	background.Go(func() { newPlatformPoller(n.settings.Platform, r).run(serving) })
-	background.Go(func() { n.formation.keepJoining(serving, r.isVoter) })
+	background.Go(func() { n.formation.keepJoining(serving, r.belongs) })
 	ended := make(chan error, 1)
 	background.Go(func() { ended <- r.run(driving) })
 	var err error
@@ -244,6 +244,8 @@
 	switch hello.Purpose {
 	case message.PurposeConsensus:
 		return n.replica.receiveConsensus(ctx, connection)
+	case message.PurposeDirectory:
+		return serveDirectory(ctx, n.replica, connection)
 	case message.PurposeTable:
 		return serveTable(ctx, n.replica, n.replica.cluster, connection)
 	default:
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Directory is not safe for concurrent use. Its objects are replaced and never
+// changed, so that a Clone stays as it is.
+type Directory struct {
+	revision  Revision
+	items     map[ItemKey]*Item
+	instances map[InstanceID]*Instance
+	layouts   map[string]*Layout
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		items:     make(map[ItemKey]*Item),
+		instances: make(map[InstanceID]*Instance),
+		layouts:   make(map[string]*Layout),
+	}
+}
+
+// Command changes the directory; exactly one field is set.
+type Command struct {
+	Patch     *Patch     `msgpack:"p,omitempty"`
+	Instances []Instance `msgpack:"i,omitempty"`
+	Layout    *PutLayout `msgpack:"l,omitempty"`
+}
+
+// Apply executes the command that stands at a log index. An error means that
+// nothing changed.
+func (d *Directory) Apply(revision Revision, command Command) error {
+	switch {
+	case command.Patch != nil:
+		return d.applyPatch(revision, *command.Patch)
+	case command.Layout != nil:
+		return d.applyLayout(revision, *command.Layout)
+	default:
+		d.applyInstances(revision, command.Instances)
+		return nil
+	}
+}
+
+// Revision returns the revision of the newest change.
+func (d *Directory) Revision() Revision { return d.revision }
+
+// Clone returns a copy that shares the objects.
+func (d *Directory) Clone() *Directory {
+	return &Directory{
+		revision:  d.revision,
+		items:     maps.Clone(d.items),
+		instances: maps.Clone(d.instances),
+		layouts:   maps.Clone(d.layouts),
+	}
+}
+
+// Content is what changed in a directory after one revision, up to another. It is
+// also the form in which a whole directory is saved.
+type Content struct {
+	From      Revision   `msgpack:"f,omitempty"`
+	To        Revision   `msgpack:"t"`
+	Items     []Item     `msgpack:"i,omitempty"`
+	Instances []Instance `msgpack:"n,omitempty"`
+	Layouts   []Layout   `msgpack:"l,omitempty"`
+}
+
+// Since returns what changed after a revision; zero gives everything.
+func (d *Directory) Since(after Revision) Content {
+	changes := Content{From: after, To: d.revision}
+	for _, item := range d.Items() {
+		if item.Revision > after {
+			changes.Items = append(changes.Items, item)
+		}
+	}
+	for _, instance := range d.Instances() {
+		if instance.Revision > after {
+			changes.Instances = append(changes.Instances, instance)
+		}
+	}
+	for _, layout := range d.layouts {
+		if layout.Revision > after {
+			changes.Layouts = append(changes.Layouts, *layout)
+		}
+	}
+	slices.SortFunc(changes.Layouts, func(a, b Layout) int { return cmp.Compare(a.Service, b.Service) })
+	return changes
+}
+
+// Take adds changes to the directory. Objects that are not newer than those held
+// change nothing, so that changes may come twice.
+func (d *Directory) Take(changes Content) {
+	for _, item := range changes.Items {
+		if held, found := d.items[item.Key]; !found || item.Revision > held.Revision {
+			d.items[item.Key] = &item
+		}
+	}
+	for _, instance := range changes.Instances {
+		if held, found := d.instances[instance.ID]; !found || instance.Revision > held.Revision {
+			d.instances[instance.ID] = &instance
+		}
+	}
+	for _, layout := range changes.Layouts {
+		if held, found := d.layouts[layout.Service]; !found || layout.Revision > held.Revision {
+			d.layouts[layout.Service] = &layout
+		}
+	}
+	d.revision = max(d.revision, changes.To)
+	d.forgetGone()
+}
--- /dev/null
+++ b/internal/directory/item.go
@@ -0,0 +1,118 @@
+package directory
+
+import "encoding/json"
+
+// Revision is the log index of the command that made a change.
+type Revision uint64
+
+// ItemKind tells what a named item configures.
+type ItemKind string
+
+// Kinds of items.
+const (
+	KindRoute   ItemKind = "route"
+	KindService ItemKind = "service"
+	KindLimits  ItemKind = "limits"
+)
+
+// limitsName is the name of the one item of the kind limits.
+const limitsName = "limits"
+
+// ItemKey identifies an item.
+type ItemKey struct {
+	Kind ItemKind `msgpack:"k"`
+	Name string   `msgpack:"n"`
+}
+
+// Item is one named item of the traffic configuration at its newest version.
+type Item struct {
+	Key     ItemKey `msgpack:"k"`
+	Version uint64  `msgpack:"v"`
+	// Content is the item as the operator sent it; empty for a dropped one.
+	Content json.RawMessage `msgpack:"c,omitempty"`
+	// Dropped items are kept, so that an older version that comes late does not
+	// bring them back.
+	Dropped  bool     `msgpack:"d,omitempty"`
+	Revision Revision `msgpack:"r"`
+}
+
+// RequestKind tells whether a request may run more than once.
+type RequestKind string
+
+// Kinds of requests.
+const (
+	// Repeatable requests may run more than once.
+	Repeatable RequestKind = "repeatable"
+	// AtMostOnce requests run at most once for each attempt of the caller.
+	AtMostOnce RequestKind = "at_most_once"
+)
+
+// Share is one part of a route's split.
+type Share struct {
+	Service string  `json:"service" msgpack:"s"`
+	Weight  float64 `json:"weight" msgpack:"w"`
+}
+
+// Route says which service gets the requests of a host below a path prefix.
+type Route struct {
+	Name string `json:"name" msgpack:"n"`
+	// Host is compared with the request's Host header, without regard to case and
+	// port.
+	Host string `json:"host" msgpack:"h"`
+	// Prefix begins and ends with a slash; the longest one that fits wins.
+	Prefix string `json:"prefix" msgpack:"p"`
+	// Service gets the requests unless Split is given.
+	Service string      `json:"service,omitempty" msgpack:"s,omitempty"`
+	Split   []Share     `json:"split,omitempty" msgpack:"w,omitempty"`
+	Kind    RequestKind `json:"kind" msgpack:"k"`
+	// TimeoutMs bounds the time that a router holds a request; zero for no bound.
+	TimeoutMs float64 `json:"timeout_ms" msgpack:"t"`
+	// TargetLatencyMs is the time within which an answer is of full use.
+	TargetLatencyMs float64 `json:"target_latency_ms" msgpack:"l"`
+	// Priority is the rank among the requests of a service; 0 comes first.
+	Priority int `json:"priority" msgpack:"o"`
+	// MaxAttempts bounds the servers that one request may be sent to.
+	MaxAttempts int    `json:"max_attempts" msgpack:"a"`
+	Version     uint64 `json:"version" msgpack:"v"`
+}
+
+// Services returns the names of all services that the route sends requests to.
+func (r Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, 0, len(r.Split))
+	for _, share := range r.Split {
+		names = append(names, share.Service)
+	}
+	return names
+}
+
+// Service is a group of servers that serve the same requests.
+type Service struct {
+	Name       string `json:"name" msgpack:"n"`
+	HealthPath string `json:"health_path" msgpack:"h"`
+	// MaxConnections bounds the connections of all callers to one server.
+	MaxConnections int `json:"max_connections" msgpack:"c"`
+	// Keyed services run a request only on the server that holds its key.
+	Keyed bool `json:"keyed" msgpack:"k"`
+	// WarmSeconds is how long keys without their last holder's handover are slow.
+	WarmSeconds float64 `json:"warm_seconds" msgpack:"w"`
+	Version     uint64  `json:"version" msgpack:"v"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes  int     `json:"max_header_bytes" msgpack:"h"`
+	MaxBodyBytes    int     `json:"max_body_bytes" msgpack:"b"`
+	HeaderTimeoutMs float64 `json:"header_timeout_ms" msgpack:"t"`
+	IdleTimeoutMs   float64 `json:"idle_timeout_ms" msgpack:"i"`
+	Version         uint64  `json:"version" msgpack:"v"`
+}
+
+// ItemSet is a set of items as operators send and read them.
+type ItemSet struct {
+	Routes   []json.RawMessage `json:"routes"`
+	Services []json.RawMessage `json:"services"`
+	Limits   json.RawMessage   `json:"limits,omitempty"`
+}
--- /dev/null
+++ b/internal/directory/items.go
@@ -0,0 +1,190 @@
+package directory
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// CheckPatch reports whether a patch may be applied: each service that a route
+// names must be configured once the patch is in force. A route that changes
+// nothing, since it is older than the one in force, needs services that were
+// configured at some time. The error is of the kind invalid_argument.
+func (d *Directory) CheckPatch(patch Patch) error {
+	after := make(map[ItemKey]Item, len(patch.Items))
+	for _, item := range patch.Items {
+		if d.newer(item) && item.Version >= after[item.Key].Version {
+			after[item.Key] = item
+		}
+	}
+	named := make(map[string]bool)
+	for _, item := range patch.Items {
+		if item.Key.Kind == KindService {
+			named[item.Key.Name] = true
+		}
+	}
+	standing := func(service string) bool {
+		key := ItemKey{Kind: KindService, Name: service}
+		if item, changed := after[key]; changed {
+			return !item.Dropped
+		}
+		item, found := d.items[key]
+		return found && !item.Dropped
+	}
+	known := func(service string) bool {
+		_, found := d.items[ItemKey{Kind: KindService, Name: service}]
+		return found || named[service]
+	}
+	for _, item := range patch.Items {
+		if item.Key.Kind != KindRoute || item.Dropped {
+			continue
+		}
+		allowed := known
+		if d.newer(item) {
+			allowed = standing
+		}
+		if err := checkServices(item, allowed); err != nil {
+			return err
+		}
+	}
+	return d.checkDroppedServices(after)
+}
+
+func checkServices(item Item, allowed func(service string) bool) error {
+	route, err := item.Route()
+	if err != nil {
+		return fault.Newf(fault.InvalidArgument, "routes: route %q: %v", item.Key.Name, err)
+	}
+	for _, service := range route.Services() {
+		if !allowed(service) {
+			return fault.Newf(fault.InvalidArgument,
+				"routes: route %q: service %q is not configured: add the service, or name another", item.Key.Name, service)
+		}
+	}
+	return nil
+}
+
+// checkDroppedServices refuses a patch that drops a service which a route uses.
+func (d *Directory) checkDroppedServices(after map[ItemKey]Item) error {
+	dropped := make(map[string]bool)
+	for key, item := range after {
+		if key.Kind == KindService && item.Dropped {
+			dropped[key.Name] = true
+		}
+	}
+	if len(dropped) == 0 {
+		return nil
+	}
+	for key, item := range d.items {
+		if _, changed := after[key]; changed || key.Kind != KindRoute || item.Dropped {
+			continue
+		}
+		inUse := func(service string) bool { return !dropped[service] }
+		if err := checkServices(*item, inUse); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newer reports whether an item takes the place of the one that is held.
+func (d *Directory) newer(item Item) bool {
+	held, found := d.items[item.Key]
+	return !found || item.Version > held.Version
+}
+
+// applyPatch takes the items of a patch that are newer than those held.
+func (d *Directory) applyPatch(revision Revision, patch Patch) error {
+	if err := d.CheckPatch(patch); err != nil {
+		return err
+	}
+	for _, item := range patch.Items {
+		if !d.newer(item) {
+			continue
+		}
+		item.Revision = revision
+		d.items[item.Key] = &item
+		d.revision = revision
+	}
+	return nil
+}
+
+// Items returns every item, dropped ones too, by kind and name.
+func (d *Directory) Items() []Item {
+	items := make([]Item, 0, len(d.items))
+	for _, item := range d.items {
+		items = append(items, *item)
+	}
+	slices.SortFunc(items, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(a.Key.Kind, b.Key.Kind), cmp.Compare(a.Key.Name, b.Key.Name))
+	})
+	return items
+}
+
+// ItemSet returns the items that stand, as operators sent them.
+func (d *Directory) ItemSet() ItemSet {
+	set := ItemSet{Routes: []json.RawMessage{}, Services: []json.RawMessage{}}
+	for _, item := range d.Items() {
+		switch {
+		case item.Dropped:
+		case item.Key.Kind == KindRoute:
+			set.Routes = append(set.Routes, item.Content)
+		case item.Key.Kind == KindService:
+			set.Services = append(set.Services, item.Content)
+		default:
+			set.Limits = item.Content
+		}
+	}
+	return set
+}
+
+// Configured reports whether any item was taken yet.
+func (d *Directory) Configured() bool { return len(d.items) > 0 }
+
+// Service returns the configuration of a service that stands.
+func (d *Directory) Service(name string) (Service, bool) {
+	item, found := d.items[ItemKey{Kind: KindService, Name: name}]
+	if !found || item.Dropped {
+		return Service{}, false
+	}
+	service, err := item.Service()
+	return service, err == nil
+}
+
+// KeyedServices returns the keyed services that stand, by name.
+func (d *Directory) KeyedServices() []Service {
+	var keyed []Service
+	for key, item := range d.items {
+		if key.Kind != KindService || item.Dropped {
+			continue
+		}
+		if service, err := item.Service(); err == nil && service.Keyed {
+			keyed = append(keyed, service)
+		}
+	}
+	slices.SortFunc(keyed, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return keyed
+}
+
+// Route decodes the content of an item of the kind route.
+func (i Item) Route() (Route, error) {
+	var route Route
+	err := json.Unmarshal(i.Content, &route)
+	return route, err
+}
+
+// Service decodes the content of an item of the kind service.
+func (i Item) Service() (Service, error) {
+	var service Service
+	err := json.Unmarshal(i.Content, &service)
+	return service, err
+}
+
+// Limits decodes the content of an item of the kind limits.
+func (i Item) Limits() (Limits, error) {
+	var limits Limits
+	err := json.Unmarshal(i.Content, &limits)
+	return limits, err
+}
--- a/internal/durable/identity.go
+++ b/internal/durable/identity.go
@@ -9,8 +9,8 @@
 
 // LoadIdentity reads the replica's identity from a data folder. If there is
 // none it takes an identifier from draw, never zero, and makes it durable
-// before anyone hears of it.
-func LoadIdentity(files vfs.FileSystem, folder string, draw func() consensus.ReplicaID) (identity.Identity, error) {
+// before anyone hears of it. The parameter mayFound is kept with it.
+func LoadIdentity(files vfs.FileSystem, folder string, mayFound bool, draw func() consensus.ReplicaID) (identity.Identity, error) {
 	known, found, err := identity.Load(files, folder)
 	if err != nil || found {
 		return known, err
@@ -18,7 +18,7 @@
 	if err := CreateLog(files, folder); err != nil {
 		return identity.Identity{}, err
 	}
-	fresh := identity.Identity{Replica: draw()}
+	fresh := identity.Identity{Replica: draw(), MayFound: mayFound}
 	return fresh, identity.Save(files, folder, fresh)
 }
 
--- a/internal/durable/identity_test.go
+++ b/internal/durable/identity_test.go
@@ -13,7 +13,7 @@
 // the membership at index 0 when it starts on that log again.
 func TestJoinedReplicaStartsAgain(t *testing.T) {
 	disk := vfs.NewMemory(nil)
-	self, err := LoadIdentity(disk, "/data", func() consensus.ReplicaID { return 7 })
+	self, err := LoadIdentity(disk, "/data", false, func() consensus.ReplicaID { return 7 })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,18 +8,19 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
 // Attempt is one sending of a request. Request must carry the attempt's
-// identifier in backendapi.HeaderRequestID. Response takes a whole answer.
+// identifier in the header that Settings name. Response takes a whole answer.
 type Attempt struct {
 	ID       string
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
 	// Timeout bounds the whole attempt.
 	Timeout time.Duration
+	// Interrupt gives the attempt up when the caller leaves; nil for never.
+	Interrupt *Interrupt
 }
 
 // Do makes the attempt. A nil error means that a whole answer to this attempt
@@ -33,13 +34,18 @@
 			return acquireFailure(err)
 		}
 		connection := pooled.Conn().(*countedConnection)
-		if connection.used && !connection.idle() {
+		if connection.used && !connection.reusable() {
 			c.pool.CloseConn(pooled)
 			continue
 		}
+		if !attempt.Interrupt.attach(connection) {
+			c.pool.ReleaseConn(pooled)
+			return fault.New(fault.CancelledBeforeStart, "the caller left before the request was sent")
+		}
 		connection.begin()
 		reusable, failure := c.exchange(connection, attempt, end)
-		if reusable {
+		interrupted := !attempt.Interrupt.detach()
+		if reusable && !interrupted {
 			c.pool.ReleaseConn(pooled)
 		} else {
 			c.pool.CloseConn(pooled)
@@ -66,13 +72,14 @@
 	}
 	reader := c.pool.AcquireReader(connection)
 	defer c.pool.ReleaseReader(reader)
-	if err := readAnswer(reader, attempt, c.settings.MaxAnswerBytes); err != nil {
+	if err := c.readAnswer(reader, attempt); err != nil {
 		return false, readFailure(connection, err)
 	}
-	if got := string(attempt.Response.Header.Peek(backendapi.HeaderRequestID)); got != attempt.ID {
+	if got := string(attempt.Response.Header.Peek(c.settings.IDHeader)); got != attempt.ID {
 		return false, fault.Newf(fault.AnswerMismatched, "the answer carries identifier %.64q instead of %q", got, attempt.ID)
 	}
 	reusable := !attempt.Response.ConnectionClose() && reader.Buffered() == 0
+	connection.keepFor(attempt.Response.Header.Peek(fasthttp.HeaderKeepAlive))
 	return reusable, nil
 }
 
@@ -120,7 +127,7 @@
 const maxInterimAnswers = 5
 
 // readAnswer reads one whole answer.
-func readAnswer(reader *bufio.Reader, attempt *Attempt, maxBytes int) error {
+func (c *Client) readAnswer(reader *bufio.Reader, attempt *Attempt) error {
 	response := attempt.Response
 	if err := readFinalHeader(reader, response); err != nil {
 		return err
@@ -132,10 +139,10 @@
 	const identity = -2
 	const chunked = -1
 	length := response.Header.ContentLength()
-	if length == identity {
+	if length == identity && !c.settings.AcceptUnframed {
 		return errUnframed
 	}
-	if err := response.ReadBody(reader, maxBytes); err != nil {
+	if err := response.ReadBody(reader, c.settings.MaxAnswerBytes); err != nil {
 		return err
 	}
 	if length == chunked {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
 )
 
 // Settings bound the connections to one back end.
@@ -20,6 +22,12 @@
 	ControlConnections int
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
+	// IDHeader names the header that carries the attempt's identifier, in the
+	// request and in its answer; empty means backendapi.HeaderRequestID.
+	IDHeader string
+	// AcceptUnframed takes an answer whose body ends with its connection as whole,
+	// unless the connection is reset.
+	AcceptUnframed bool
 }
 
 // Client sends attempts to one back end.
@@ -35,6 +43,9 @@
 // NewClient returns a client for the back end at the address, IP:port. No
 // connection is made before the first attempt.
 func NewClient(address string, settings Settings) *Client {
+	if settings.IDHeader == "" {
+		settings.IDHeader = backendapi.HeaderRequestID
+	}
 	return &Client{
 		address:  address,
 		settings: settings,
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"strconv"
+	"strings"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,6 +18,32 @@
 	read    int64
 	// used is true once an attempt was made on the connection.
 	used bool
+	// keptUntil is when the back end may close the connection, as it said; zero if
+	// it said nothing.
+	keptUntil time.Time
+}
+
+// keepAliveMargin is taken off the time that a back end keeps a connection, so
+// that no request crosses its close.
+const keepAliveMargin = 500 * time.Millisecond
+
+// keepFor takes the value of a header Keep-Alive.
+func (c *countedConnection) keepFor(header []byte) {
+	c.keptUntil = time.Time{}
+	for part := range strings.SplitSeq(string(header), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if seconds, err := strconv.Atoi(value); found && err == nil {
+			c.keptUntil = time.Now().Add(time.Duration(seconds)*time.Second - keepAliveMargin)
+		}
+	}
+}
+
+// reusable reports whether another attempt may be made on a kept connection.
+func (c *countedConnection) reusable() bool {
+	if !c.keptUntil.IsZero() && time.Now().After(c.keptUntil) {
+		return false
+	}
+	return c.idle()
 }
 
 // Write implements net.Conn.
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// asFault returns the typed error in the chain of an error.
+func asFault(err error) *fault.Error {
+	if err == nil {
+		return nil
+	}
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return fault.New(fault.Internal, err.Error())
+}
+
+// cleanAnswer takes out of an instance's answer what concerns its connection.
+func cleanAnswer(answer *fasthttp.Response) {
+	for _, name := range hopHeaders {
+		answer.Header.Del(name)
+	}
+	answer.Header.ResetConnectionClose()
+	if !answer.SkipBody {
+		answer.Header.SetContentLength(len(answer.Body()))
+	}
+}
+
+// retryAfter is when a caller is told to come back with a request that did not run.
+const retryAfter = 250 * time.Millisecond
+
+// statusOf returns the status of a refusal. A caller may take 503 for a proof that
+// the request did not run, and only that.
+func statusOf(failure *fault.Error) (status int, notRun bool) {
+	row := fault.AnswerFor(failure.Kind)
+	if row.Outcome != fault.NotRun {
+		if failure.Kind == fault.DeadlineExceeded {
+			return fasthttp.StatusGatewayTimeout, false
+		}
+		return fasthttp.StatusBadGateway, false
+	}
+	if row.Status >= fasthttp.StatusBadRequest && row.Status < fasthttp.StatusInternalServerError && failure.Kind != fault.RateLimited {
+		return row.Status, true
+	}
+	return fasthttp.StatusServiceUnavailable, true
+}
+
+// refuse answers in the gateway's own name.
+func (g *Gateway) refuse(current *request, failure *fault.Error) {
+	outbound := current.answer
+	outbound.Reset()
+	status, notRun := statusOf(failure)
+	outbound.SetStatusCode(status)
+	outbound.Header.SetContentType(callerapi.ContentTypeRefusal)
+	if notRun && status == fasthttp.StatusServiceUnavailable {
+		outbound.Header.Set(callerapi.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	}
+	if current.id != "" {
+		outbound.Header.Set(g.dialect.RequestID, current.id)
+	}
+	body, err := json.Marshal(callerapi.RefusalBody{
+		Kind: failure.Kind, Outcome: fault.AnswerFor(failure.Kind).Outcome, Detail: failure.Detail,
+		RetryAfterMs: retryAfter.Milliseconds(), RequestID: current.id,
+	})
+	if err == nil {
+		outbound.SetBodyRaw(body)
+	}
+}
--- /dev/null
+++ b/internal/gateway/callers.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/forward"
+)
+
+// callerInterval is the time between two looks whether callers are still there.
+const callerInterval = 100 * time.Millisecond
+
+// callers watches the connections of requests that wait for their answer, and gives
+// up the attempts of those whose caller has left. It looks at each connection
+// without reading from it, so that a request which waits behind stays whole. It is
+// safe for concurrent use.
+type callers struct {
+	mutex   sync.Mutex
+	last    uint64
+	watched map[uint64]watched
+}
+
+type watched struct {
+	connection syscall.RawConn
+	interrupt  *forward.Interrupt
+}
+
+func newCallers() *callers { return &callers{watched: make(map[uint64]watched)} }
+
+// watch begins to watch a connection and returns how to end it.
+func (c *callers) watch(connection net.Conn, interrupt *forward.Interrupt) (forget func()) {
+	system, ok := connection.(syscall.Conn)
+	if !ok {
+		return func() {}
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return func() {}
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.last++
+	number := c.last
+	c.watched[number] = watched{connection: raw, interrupt: interrupt}
+	return func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		delete(c.watched, number)
+	}
+}
+
+// run looks at the connections until the context ends.
+func (c *callers) run(ctx context.Context) {
+	clock.Every(ctx, callerInterval, func() {
+		for _, each := range c.snapshot() {
+			if hasLeft(each.connection) {
+				each.interrupt.Fire()
+			}
+		}
+	})
+}
+
+func (c *callers) snapshot() []watched {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	all := make([]watched, 0, len(c.watched))
+	for _, each := range c.watched {
+		all = append(all, each)
+	}
+	return all
+}
+
+// hasLeft reports whether the peer closed or reset a connection. Bytes that wait
+// say that it is there.
+func hasLeft(connection syscall.RawConn) bool {
+	left := false
+	err := connection.Control(func(descriptor uintptr) {
+		var buffer [1]byte
+		count, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			left = count == 0
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+		default:
+			left = true
+		}
+	})
+	return err != nil || left
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/retry"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+const role = "gateway"
+
+// Gateway is one gateway process.
+type Gateway struct {
+	settings     config.Gateway
+	dialect      Dialect
+	log          *logrus.Entry
+	clock        clock.Clock
+	subscription *subscription
+	splitter     *routing.Splitter
+	balancer     *balance.Balancer
+	upstreams    *upstreams
+	drains       *drains
+	callers      *callers
+	registry     *telemetry.Metrics
+	metrics      *metrics
+	// slots tells requests that wait of attempts that ended.
+	slots *broadcast
+
+	budgetLock sync.Mutex
+	budgets    map[string]*retry.Budget
+
+	// connections counts callers' open connections.
+	connections atomic.Int64
+	// accepted counts the connections that callers ever opened.
+	accepted atomic.Int64
+	// stopping is set once a stop began; each answer then closes its connection.
+	stopping atomic.Bool
+}
+
+// Options are parts that the caller of Run may give.
+type Options struct {
+	// Dialects are known by name, besides the product's own.
+	Dialects map[string]Dialect
+	// Reload reads the settings again; nil if they do not change.
+	Reload func() (config.Gateway, error)
+}
+
+// Run serves until the context ends, then stops gracefully.
+func Run(ctx context.Context, settings config.Gateway, log *logrus.Entry, options Options) error {
+	gateway, err := New(settings, log, options)
+	if err != nil {
+		return err
+	}
+	if settings.MemoryLimitBytes > 0 {
+		debug.SetMemoryLimit(int64(settings.MemoryLimitBytes))
+	}
+	return gateway.run(ctx)
+}
+
+// New returns a gateway that is not yet running.
+func New(settings config.Gateway, log *logrus.Entry, options Options) (*Gateway, error) {
+	dialect, found := options.Dialects[settings.Dialect]
+	if settings.Dialect == DefaultDialect {
+		dialect, found = ownDialect(), true
+	}
+	if !found {
+		return nil, eris.Errorf("dialect: %q is not known: use %s", settings.Dialect, DefaultDialect)
+	}
+	gateway := &Gateway{
+		settings: settings, dialect: dialect, log: log, clock: clock.NewSystem(),
+		subscription: newSubscription(settings, log, options.Reload),
+		splitter:     routing.NewSplitter(),
+		balancer:     balance.New(balance.DefaultSettings(settings.Zone)),
+		upstreams:    newUpstreams(settings.BackEnd, dialect),
+		drains:       newDrains(settings.DrainTime),
+		callers:      newCallers(),
+		registry:     telemetry.NewMetrics(role),
+		slots:        newBroadcast(),
+		budgets:      make(map[string]*retry.Budget),
+	}
+	gateway.metrics = newMetrics(gateway.registry)
+	gateway.subscription.changed = gateway.tableChanged
+	return gateway, nil
+}
+
+// tableChanged brings what is kept by instance in line with a new table.
+func (g *Gateway) tableChanged(table *routing.Table) {
+	g.drains.note(table)
+	present := make(map[directory.InstanceID]bool)
+	for _, name := range table.Services() {
+		service, _ := table.Service(name)
+		for _, instance := range service.Instances {
+			present[instance.ID] = true
+		}
+	}
+	known := func(id directory.InstanceID) bool { return present[id] }
+	g.balancer.Forget(known)
+	g.upstreams.forget(known)
+}
+
+// budget returns the budget of resends of a service.
+func (g *Gateway) budget(service string) *retry.Budget {
+	g.budgetLock.Lock()
+	defer g.budgetLock.Unlock()
+	budget, found := g.budgets[service]
+	if !found {
+		budget = retry.NewBudget(g.settings.RetryRatio, g.settings.RetryBurst)
+		g.budgets[service] = budget
+	}
+	return budget
+}
+
+// ready reports whether the gateway takes requests.
+func (g *Gateway) ready() (bool, string) {
+	switch {
+	case g.stopping.Load():
+		return false, "stopping"
+	case g.subscription.current() == nil:
+		return false, "no directory yet"
+	default:
+		return true, ""
+	}
+}
+
+func (g *Gateway) run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.settings.Address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on address %q", g.settings.Address)
+	}
+	admin, err := net.Listen("tcp", g.settings.AdminAddress)
+	if err != nil {
+		_ = callers.Close()
+		return eris.Wrapf(err, "listen on admin_address %q", g.settings.AdminAddress)
+	}
+	return g.serveOn(ctx, callers, admin)
+}
+
+func (g *Gateway) serveOn(ctx context.Context, callers, admin net.Listener) error {
+	background, stopBackground := context.WithCancel(context.Background())
+	callerServer := g.newCallerServer()
+	adminServer := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
+	var group conc.WaitGroup
+	failed := make(chan error, 3)
+	group.Go(func() { failed <- callerServer.Serve(callers) })
+	group.Go(func() { failed <- adminServer.Serve(admin) })
+	metricsServer := g.serveMetrics(&group)
+	group.Go(func() { g.subscription.run(background) })
+	group.Go(func() { g.callers.run(background) })
+	telemetry.With(g.log, telemetry.EventListening).
+		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("accepting callers")
+	var err error
+	select {
+	case <-ctx.Done():
+		err = g.stop(callerServer, callers)
+	case err = <-failed:
+		_ = callers.Close()
+	}
+	stopBackground()
+	_ = adminServer.Shutdown()
+	_ = metricsServer.Shutdown()
+	group.Wait()
+	return err
+}
+
+// serveMetrics serves the metrics at their own address, if there is one.
+func (g *Gateway) serveMetrics(group *conc.WaitGroup) *fasthttp.Server {
+	server := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
+	if g.settings.MetricsAddress == "" {
+		return server
+	}
+	group.Go(func() {
+		if err := server.ListenAndServe(g.settings.MetricsAddress); err != nil {
+			telemetry.WithError(g.log, telemetry.EventFailed, err).Warn("the metrics are not served")
+		}
+	})
+	return server
+}
--- /dev/null
+++ b/internal/gateway/observe.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// metrics of a gateway.
+type metrics struct {
+	requests *prometheus.CounterVec
+	resends  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	inFlight *gauge
+}
+
+// gauge is a gauge that the process reads, too.
+type gauge struct{ value atomic.Int64 }
+
+func (g *gauge) Inc() { g.value.Add(1) }
+func (g *gauge) Dec() { g.value.Add(-1) }
+
+func (m *metrics) running() int64 { return m.inFlight.value.Load() }
+
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5}
+
+func newMetrics(registry *telemetry.Metrics) *metrics {
+	built := &metrics{
+		requests: registry.Counters("requests_total", "Requests answered, by service and by the kind of failure; empty for an instance's answer.", "service", "kind"),
+		resends:  registry.Counters("resends_total", "Requests sent once more, by service and by the failure before.", "service", "kind"),
+		latency:  registry.Histograms("request_duration_seconds", "Time from a request's arrival to its answer, by service.", latencyBuckets, "service"),
+		inFlight: &gauge{},
+	}
+	registry.GaugeFunction("requests_in_flight", "Requests that wait for their answer.", func() float64 { return float64(built.running()) })
+	return built
+}
+
+// observe counts a request, and writes a line for one that the gateway answered in
+// its own name.
+func (g *Gateway) observe(current *request, failure *fault.Error) {
+	took := time.Since(current.arrived)
+	kind := ""
+	if failure != nil {
+		kind = string(failure.Kind)
+	}
+	g.metrics.requests.WithLabelValues(current.service, kind).Inc()
+	g.metrics.latency.WithLabelValues(current.service).Observe(took.Seconds())
+	if failure == nil && len(current.attempts) <= 1 {
+		return
+	}
+	line := telemetry.With(g.log, telemetry.EventRequestEnded).WithField(telemetry.FieldRequest, current.id).
+		WithField(telemetry.FieldService, current.service).WithField(telemetry.FieldRevision, current.revision).
+		WithField("table_age_ms", g.subscription.age().Milliseconds()).
+		WithField("attempts", current.attempts).WithField("status", current.answer.StatusCode()).
+		WithField(telemetry.FieldDuration, took.Milliseconds())
+	if current.route != nil {
+		line = line.WithField("route", current.route.Name)
+	}
+	if current.keyed {
+		line = line.WithField("key", current.key)
+	}
+	if failure == nil {
+		line.Info("answered after a resend")
+		return
+	}
+	line.WithField(telemetry.FieldKind, failure.Kind).WithField(telemetry.FieldError, failure.Detail).Info("answered by the gateway itself")
+}
+
+func (g *Gateway) logEjected(instance directory.Instance, failure *fault.Error) {
+	telemetry.WithError(g.log, telemetry.EventServerEjected, failure).WithField(telemetry.FieldServer, instance.ID).
+		WithField(telemetry.FieldService, instance.Service).Warn("the instance gets no requests for a while")
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/routing"
+)
+
+// request is one caller's request on its way through the gateway.
+type request struct {
+	id      string
+	inbound *fasthttp.Request
+	answer  *fasthttp.Response
+	arrived time.Time
+	// deadline is when the request is given up: the caller's own, or earlier by the
+	// route's timeout.
+	deadline time.Time
+	route    *directory.Route
+	service  string
+	keyed    bool
+	key      directory.Key
+	// attempts lists the instances that the request was sent to.
+	attempts []directory.InstanceID
+	// lastInstance is the newest of them, or the one that no attempt could be made to.
+	lastInstance directory.InstanceID
+	// waited is true once the request waited for an instance.
+	waited bool
+	// interrupt gives the attempt up when the caller leaves.
+	interrupt *forward.Interrupt
+	// revision is that of the table by which the request was routed.
+	revision directory.Revision
+}
+
+// readRequest takes what the request says and finds its route.
+func (g *Gateway) readRequest(context *fasthttp.RequestCtx, table *routing.Table) (*request, error) {
+	now := time.Now()
+	read := &request{
+		id:      string(context.Request.Header.Peek(g.dialect.RequestID)),
+		inbound: &context.Request, answer: &context.Response,
+		arrived: now, deadline: now.Add(g.settings.MaxTimeout), interrupt: &forward.Interrupt{},
+	}
+	if table == nil {
+		return read, fault.New(fault.StaleRouter, "this gateway has no directory yet")
+	}
+	read.revision = table.Revision
+	if err := read.readDeadline(g.dialect.Deadline); err != nil {
+		return read, err
+	}
+	target, _, _ := bytes.Cut(context.Request.Header.RequestURI(), []byte("?"))
+	route, found := table.Route(string(context.Request.Header.Host()), string(target))
+	if !found {
+		return read, fault.Newf(fault.UnknownService, "no route for host %.100q and path %.100q", context.Request.Header.Host(), target)
+	}
+	read.route = route
+	if route.TimeoutMs > 0 {
+		read.bound(time.Duration(route.TimeoutMs * float64(time.Millisecond)))
+	}
+	read.service = g.splitter.Pick(route, rand.Float64())
+	service, found := table.Service(read.service)
+	if !found {
+		return read, fault.Newf(fault.NoOwner, "service %q is not configured", read.service)
+	}
+	return read, read.readKey(g.dialect.Key, service.Config)
+}
+
+// bound brings the deadline forward to a time after the arrival.
+func (r *request) bound(timeout time.Duration) {
+	if end := r.arrived.Add(timeout); end.Before(r.deadline) {
+		r.deadline = end
+	}
+}
+
+func (r *request) readDeadline(header string) error {
+	value := string(r.inbound.Header.Peek(header))
+	if value == "" {
+		return nil
+	}
+	milliseconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || milliseconds < 0 {
+		return fault.Newf(fault.InvalidRequest, "header %s is %.32q: give milliseconds", header, value)
+	}
+	r.bound(time.Duration(milliseconds * float64(time.Millisecond)))
+	return nil
+}
+
+func (r *request) readKey(header string, service directory.Service) error {
+	if !service.Keyed {
+		return nil
+	}
+	value := string(r.inbound.Header.Peek(header))
+	number, err := strconv.Atoi(strings.TrimSpace(value))
+	if err != nil || number < 0 || directory.Key(number) > directory.MaxKey {
+		return fault.Newf(fault.InvalidRequest, "header %s is %.32q: give a key from 0 to %d", header, value, directory.MaxKey)
+	}
+	r.keyed = true
+	r.key = directory.Key(number)
+	return nil
+}
+
+// left is the time until the request is given up.
+func (r *request) left() time.Duration { return time.Until(r.deadline) }
+
+func (r *request) repeatable() bool { return r.route.Kind == directory.Repeatable }
+
+// target is the time within which an answer is of full use.
+func (r *request) target() time.Duration {
+	return time.Duration(r.route.TargetLatencyMs * float64(time.Millisecond))
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// fill makes the HTTP request of one attempt. Method, path, query and body stay as
+// the caller sent them.
+func (r *request) fill(outgoing *fasthttp.Request, dialect Dialect, instance directory.Instance) {
+	r.inbound.Header.CopyTo(&outgoing.Header)
+	for name := range strings.SplitSeq(string(r.inbound.Header.Peek(fasthttp.HeaderConnection)), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			outgoing.Header.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		outgoing.Header.Del(name)
+	}
+	outgoing.Header.SetProtocol("HTTP/1.1")
+	outgoing.Header.SetNoDefaultContentType(true)
+	outgoing.Header.SetRequestURIBytes(r.inbound.Header.RequestURI())
+	outgoing.Header.SetHostBytes(r.inbound.Header.Host())
+	body := r.inbound.Body()
+	outgoing.SetBodyRaw(body)
+	if len(body) > 0 || r.inbound.Header.ContentLength() != 0 {
+		outgoing.Header.SetContentLength(len(body))
+	}
+	outgoing.Header.Del(dialect.Deadline)
+	outgoing.Header.Set(dialect.Deadline, strconv.FormatInt(max(1, r.left().Milliseconds()), 10))
+	outgoing.Header.Del(dialect.ExpectInstance)
+	outgoing.Header.Set(dialect.ExpectInstance, string(instance.ID))
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/retry"
+)
+
+// serve answers one request of a caller.
+func (g *Gateway) serve(context *fasthttp.RequestCtx) {
+	g.metrics.inFlight.Inc()
+	defer g.metrics.inFlight.Dec()
+	current, err := g.readRequest(context, g.subscription.current())
+	if err == nil {
+		g.budget(current.service).Fresh()
+		forget := g.callers.watch(context.Conn(), current.interrupt)
+		err = g.execute(current)
+		forget()
+	}
+	failure := asFault(err)
+	if failure == nil {
+		cleanAnswer(current.answer)
+	} else {
+		g.refuse(current, failure)
+	}
+	if g.stopping.Load() {
+		context.SetConnectionClose()
+	}
+	g.observe(current, failure)
+}
+
+// execute sends the request to instances until one answers or nothing more can be
+// done. A nil error means that the answer holds an instance's whole answer.
+func (g *Gateway) execute(current *request) error {
+	for {
+		instance, err := g.acquire(current)
+		if err != nil {
+			return err
+		}
+		failure := g.attempt(current, instance)
+		if failure == nil {
+			return nil
+		}
+		if !g.mayResend(current, failure) {
+			return failure
+		}
+		g.metrics.resends.WithLabelValues(current.service, string(failure.Kind)).Inc()
+	}
+}
+
+// mayResend reports whether the request is to be sent once more after a failure,
+// and takes the resend out of the budget.
+func (g *Gateway) mayResend(current *request, failure *fault.Error) bool {
+	if current.interrupt.Fired() || len(current.attempts) >= current.route.MaxAttempts {
+		return false
+	}
+	if !retry.Allowed(failure.Kind, current.repeatable()) {
+		return false
+	}
+	if failure.Kind == fault.ConnectFailed {
+		// Nothing arrived anywhere: the budget counts arrivals.
+		current.attempts = current.attempts[:len(current.attempts)-1]
+		return current.left() > minimumLeft
+	}
+	return current.left() > minimumLeft && g.budget(current.service).TakeResend()
+}
+
+// minimumLeft is the time below which a request is not sent any more.
+const minimumLeft = 20 * time.Millisecond
+
+// attempt sends the request to one instance, for which the balancer has counted it
+// in.
+func (g *Gateway) attempt(current *request, instance directory.Instance) *fault.Error {
+	current.lastInstance = instance.ID
+	current.attempts = append(current.attempts, instance.ID)
+	current.answer.Reset()
+	outgoing := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(outgoing)
+	current.fill(outgoing, g.dialect, instance)
+	began := time.Now()
+	failure := g.upstreams.client(instance).Do(&forward.Attempt{
+		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.left(), Interrupt: current.interrupt,
+	})
+	if failure == nil {
+		failure = g.refusalOf(current.answer)
+	}
+	if failure != nil && current.interrupt.Fired() {
+		failure = fault.New(fault.ConnectionLost, "the caller left")
+	}
+	g.ended(current, instance, time.Since(began), failure)
+	return failure
+}
+
+// refusalOf returns the proof in an answer that the instance did not run the
+// request, as a failure; nil if there is none.
+func (g *Gateway) refusalOf(answer *fasthttp.Response) *fault.Error {
+	switch {
+	case answer.StatusCode() == fasthttp.StatusMisdirectedRequest:
+		return fault.New(fault.WrongEpoch, "the instance is another one, or does not hold the key")
+	case len(answer.Header.Peek(g.dialect.NotExecuted)) > 0:
+		return fault.Newf(fault.Shedding, "the instance refused with status %d", answer.StatusCode())
+	default:
+		return nil
+	}
+}
+
+// ended tells the balancer what became of an attempt.
+func (g *Gateway) ended(current *request, instance directory.Instance, took time.Duration, failure *fault.Error) {
+	outcome := balance.Outcome{Now: g.clock.Now(), Service: current.service, Instance: instance.ID, Took: took, Answered: failure == nil}
+	if failure != nil && !current.interrupt.Fired() {
+		switch failure.Kind {
+		case fault.ConnectFailed, fault.ConnectionLost, fault.AnswerTruncated, fault.AnswerMismatched, fault.DeadlineExceeded:
+			outcome.Failed = true
+		default:
+		}
+	}
+	if g.balancer.End(outcome) {
+		g.logEjected(instance, failure)
+	}
+	g.slots.raise()
+}
+
+// acquire waits until an instance may get the request. An error proves that the
+// request was not sent since the last attempt.
+func (g *Gateway) acquire(current *request) (directory.Instance, error) {
+	patience := g.patience(current)
+	for {
+		freed, updated := g.slots.next(), g.subscription.updates.next()
+		instance, failure := g.choose(current)
+		if failure == nil {
+			return instance, nil
+		}
+		wait := min(time.Until(patience), current.left()-minimumLeft)
+		if wait <= 0 || current.interrupt.Fired() {
+			return directory.Instance{}, failure
+		}
+		current.waited = true
+		timer := time.NewTimer(min(wait, lookInterval))
+		select {
+		case <-freed:
+		case <-updated:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// lookInterval bounds the time between two looks for an instance.
+const lookInterval = 50 * time.Millisecond
+
+// patience is until when a request waits for an instance: a quarter of the time in
+// which its answer is of full use, so that the caller can still ask again in time.
+func (g *Gateway) patience(current *request) time.Time {
+	const share = 4
+	wait := current.target() / share
+	if wait <= 0 {
+		wait = current.deadline.Sub(current.arrived) / share
+	}
+	return current.arrived.Add(wait)
+}
+
+// choose returns an instance that may get the request now, counted in by the
+// balancer.
+func (g *Gateway) choose(current *request) (directory.Instance, *fault.Error) {
+	table := g.subscription.current()
+	service, found := table.Service(current.service)
+	if !found {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "service %q is not configured", current.service)
+	}
+	current.revision = table.Revision
+	if current.keyed {
+		return g.chooseOwner(current, service.Layout, service.Instance)
+	}
+	candidates := make([]directory.Instance, 0, len(service.Instances))
+	for _, instance := range service.Instances {
+		if instance.Serving() && !slices.Contains(current.attempts, instance.ID) {
+			candidates = append(candidates, instance)
+		}
+	}
+	if len(candidates) == 0 {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "no instance of service %q is left to send to", current.service)
+	}
+	instance, chosen := g.balancer.Choose(balance.Request{
+		Now: g.clock.Now(), Service: current.service, Instances: candidates, Limit: inFlightLimit,
+		Random: [2]float64{rand.Float64(), rand.Float64()},
+	})
+	if !chosen {
+		return directory.Instance{}, fault.Newf(fault.QueueFull, "each instance of service %q has as many requests as it may", current.service)
+	}
+	return instance, nil
+}
+
+// inFlightLimit bounds the requests in flight from this gateway to an instance.
+func inFlightLimit(slots int) int { return max(slots, 1) }
+
+// keyedLimit bounds them for an instance that alone may run the request.
+func keyedLimit(slots int) int { return max(slots, 1) + 1 }
+
+// chooseOwner returns the instance that holds the request's key.
+func (g *Gateway) chooseOwner(current *request, layout directory.Layout, find func(directory.InstanceID) (directory.Instance, bool)) (directory.Instance, *fault.Error) {
+	holding, found := layout.At(current.key)
+	if !found || holding.Owner == "" || !holding.Granted {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "nobody holds key %d", current.key)
+	}
+	instance, found := find(holding.Owner)
+	if !found || instance.State == directory.InstanceDraining && !g.drains.mayServe(instance) {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d leaves", current.key)
+	}
+	if slices.Contains(current.attempts, instance.ID) {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d failed to run the request", current.key)
+	}
+	if !g.balancer.TryBegin(g.clock.Now(), instance, keyedLimit(instance.Slots)) {
+		return directory.Instance{}, fault.Newf(fault.QueueFull, "the holder of key %d has as many requests as it may", current.key)
+	}
+	return instance, nil
+}
--- /dev/null
+++ b/internal/gateway/subscription.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// subscription keeps the directory by the stream of one controller, and goes to
+// another one when that does not prove in time that it is current.
+type subscription struct {
+	settings config.Gateway
+	log      *logrus.Entry
+	// reload reads the settings again, for seeds that changed.
+	reload func() (config.Gateway, error)
+	// changed is told of each new table.
+	changed func(*routing.Table)
+
+	view        *directory.Directory
+	cluster     message.ClusterID
+	controllers []string
+	table       atomic.Pointer[routing.Table]
+	// provedAt is when the last ping that was answered was sent.
+	provedAt atomic.Pointer[time.Time]
+	// refresh asks for the table to be compared with the controllers' at once.
+	updates *broadcast
+}
+
+func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error)) *subscription {
+	return &subscription{
+		settings: settings, log: log, reload: reload, view: directory.New(), updates: newBroadcast(),
+		changed: func(*routing.Table) {},
+	}
+}
+
+// current returns the table, nil before the first items came.
+func (s *subscription) current() *routing.Table { return s.table.Load() }
+
+// age returns how long ago the directory was proved current.
+func (s *subscription) age() time.Duration {
+	proved := s.provedAt.Load()
+	if proved == nil {
+		return -1
+	}
+	return time.Since(*proved)
+}
+
+// reconnectPause is the wait after all controllers were asked in vain.
+const reconnectPause = 100 * time.Millisecond
+
+func (s *subscription) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, address := range s.candidates() {
+			err := s.follow(ctx, address)
+			if ctx.Err() != nil {
+				return
+			}
+			telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
+				WithField("table_age_ms", s.age().Milliseconds()).Warn("the stream of the directory broke")
+		}
+		s.reloadSeeds()
+		sleep(ctx, reconnectPause)
+	}
+}
+
+// candidates returns the controllers to ask: those of the group and the seeds,
+// those of the own network first, else in a random order.
+func (s *subscription) candidates() []string {
+	addresses := slices.Clone(s.controllers)
+	for _, seed := range s.settings.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		address := net.JoinHostPort(host, strconv.Itoa(s.settings.ControllerPort))
+		if err == nil && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	slices.SortStableFunc(addresses, func(a, b string) int {
+		return sharedPrefix(b, s.settings.Address) - sharedPrefix(a, s.settings.Address)
+	})
+	return addresses
+}
+
+// sharedPrefix counts the leading parts that two addresses share, two at most:
+// machines of one place usually have numbers of one network.
+func sharedPrefix(a, b string) int {
+	const parts = 2
+	shared, dots := 0, 0
+	for index := 0; index < min(len(a), len(b)) && a[index] == b[index] && dots < parts; index++ {
+		if a[index] == '.' {
+			dots++
+			shared = dots
+		}
+	}
+	return shared
+}
+
+// reloadSeeds takes the seeds of the settings as they are now.
+func (s *subscription) reloadSeeds() {
+	if s.reload == nil {
+		return
+	}
+	fresh, err := s.reload()
+	if err != nil || slices.Equal(fresh.Seeds, s.settings.Seeds) {
+		return
+	}
+	telemetry.With(s.log, telemetry.EventSettingsReloaded).WithField("seeds", fresh.Seeds).Info("seeds changed")
+	s.settings.Seeds = fresh.Seeds
+}
+
+var errNoProof = eris.New("no proof of a current directory came in time")
+
+// follow takes the stream of one controller until it breaks.
+func (s *subscription) follow(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	connection, err := wire.Dial(ctx, address, wire.Options{
+		DialTimeout: s.settings.BackEnd.ConnectTimeout, IdleTimeout: s.settings.PongTimeout, WriteTimeout: s.settings.PongTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	if err := connection.Send(ctx, &message.Hello{Purpose: message.PurposeDirectory, From: s.settings.Name}); err != nil {
+		return err
+	}
+	if err := connection.Send(ctx, &message.DirectoryRequest{Cluster: s.cluster, Revision: s.view.Revision()}); err != nil {
+		return err
+	}
+	pings := &pingLog{}
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	defer connection.Close()
+	group.Go(func() { s.ping(ctx, connection, pings) })
+	return s.receive(connection, pings, address)
+}
+
+// pingLog remembers when the newest pings were sent.
+type pingLog struct {
+	number atomic.Uint64
+	sentAt [pingsKept]atomic.Pointer[time.Time]
+}
+
+const pingsKept = 16
+
+func (l *pingLog) next() uint64 {
+	now := time.Now()
+	number := l.number.Add(1)
+	l.sentAt[number%pingsKept].Store(&now)
+	return number
+}
+
+func (s *subscription) ping(ctx context.Context, connection *wire.Conn, pings *pingLog) {
+	ticker := time.NewTicker(s.settings.PingInterval)
+	defer ticker.Stop()
+	for {
+		if connection.Send(ctx, &message.DirectoryRequest{Ping: pings.next()}) != nil {
+			connection.Close()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *subscription) receive(connection *wire.Conn, pings *pingLog, address string) error {
+	proved := time.Now()
+	logged := false
+	for {
+		var update message.DirectoryUpdate
+		if err := connection.Receive(&update); err != nil {
+			return err
+		}
+		s.take(update)
+		if update.Pong == 0 {
+			if time.Since(proved) > s.settings.PongTimeout {
+				return errNoProof
+			}
+			continue
+		}
+		proved = time.Now()
+		s.provedAt.Store(pings.sentAt[update.Pong%pingsKept].Load())
+		if !logged {
+			logged = true
+			telemetry.With(s.log, telemetry.EventTableCurrent).WithField(telemetry.FieldAddress, address).
+				WithField(telemetry.FieldRevision, s.view.Revision()).Info("the directory is proved current")
+		}
+	}
+}
+
+// take puts an update in force.
+func (s *subscription) take(update message.DirectoryUpdate) {
+	if update.Controllers != nil {
+		s.controllers = update.Controllers
+	}
+	if update.Changes == nil {
+		return
+	}
+	if update.Cluster != s.cluster {
+		s.cluster = update.Cluster
+		s.view = directory.New()
+	}
+	s.view.Take(*update.Changes)
+	if !s.view.Configured() {
+		return
+	}
+	table := routing.Build(s.view, s.table.Load())
+	s.table.Store(table)
+	s.changed(table)
+	s.updates.raise()
+}
--- /dev/null
+++ b/internal/heartbeat/layout.go
@@ -0,0 +1,261 @@
+package heartbeat
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// candidate is an instance that may get keys.
+type candidate struct {
+	id    directory.InstanceID
+	slots int
+	// keys counts the keys that it holds or is about to get.
+	keys int
+	warm bool
+}
+
+// draft is the next layout of one service.
+type draft struct {
+	core       *Core
+	now        time.Duration
+	view       *directory.Directory
+	layout     directory.Layout
+	changed    bool
+	candidates []*candidate
+}
+
+// pieces bounds into how many parts a holding that changes hands is cut.
+const pieces = 4
+
+// minimumWidth is the least number of keys in a part that is cut off.
+const minimumWidth = 64
+
+func (c *Core) draft(now time.Duration, service string, view *directory.Directory) *draft {
+	d := &draft{core: c, now: now, view: view, layout: view.Layout(service)}
+	d.layout.Holdings = slices.Clone(d.layout.Holdings)
+	for _, instance := range view.Instances() {
+		known, met := c.contacts[instance.ID]
+		heard := met && now-known.beatAt <= c.config.Lease/2
+		if instance.Service != service || instance.State != directory.InstanceReady || !heard {
+			continue
+		}
+		d.candidates = append(d.candidates, &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: now >= known.warmAt})
+	}
+	for _, holding := range d.layout.Holdings {
+		if owner := d.candidate(holding.Owner); owner != nil && !holding.Revoked {
+			owner.keys += holding.Width()
+		}
+	}
+	return d
+}
+
+func (d *draft) candidate(id directory.InstanceID) *candidate {
+	for _, each := range d.candidates {
+		if each.id == id {
+			return each
+		}
+	}
+	return nil
+}
+
+// commands returns the command that puts the draft in force, if it changed.
+func (d *draft) commands() []directory.Command {
+	if !d.changed {
+		return nil
+	}
+	return []directory.Command{{Layout: &directory.PutLayout{Layout: d.layout, After: d.layout.Revision}}}
+}
+
+// found makes the first layout once the instances had time to announce themselves.
+func (d *draft) found() {
+	first, seen := d.core.firstSeen[d.layout.Service]
+	if len(d.layout.Holdings) > 0 || !seen || d.now-first < d.core.config.Gather || len(d.candidates) == 0 {
+		return
+	}
+	total := 0
+	for _, each := range d.candidates {
+		total += each.slots
+	}
+	next, given := directory.Key(0), 0
+	for _, each := range d.candidates {
+		given += each.slots
+		last := directory.Key(given*int(directory.MaxKey+1)/total) - 1
+		d.layout.Holdings = append(d.layout.Holdings, directory.Holding{First: next, Last: last, Fence: 1, Owner: each.id})
+		each.keys += int(last-next) + 1
+		next = last + 1
+	}
+	d.changed = true
+}
+
+// release frees the revoked keys that their owner does not hold any more.
+func (d *draft) release(beat Beat) {
+	for index := range d.layout.Holdings {
+		holding := &d.layout.Holdings[index]
+		if holding.Owner != beat.Instance || !holding.Revoked {
+			continue
+		}
+		covers := func(held Held) bool { return held.Overlaps(rangeOf(*holding)) }
+		if slices.ContainsFunc(beat.Held, covers) {
+			continue
+		}
+		d.free(holding, handoverFor(*holding, beat.Released))
+	}
+}
+
+// handoverFor returns what the last holder left for keys that it let go.
+func handoverFor(holding directory.Holding, released []Released) string {
+	for _, row := range released {
+		if row.First <= holding.First && holding.Last <= row.Last {
+			return row.Handover
+		}
+	}
+	return ""
+}
+
+func (d *draft) free(holding *directory.Holding, handover string) {
+	holding.Owner = ""
+	holding.Revoked = false
+	holding.Granted = false
+	holding.Handover = handover
+	d.changed = true
+}
+
+// grant marks what the answer to the owner's heartbeat tells it.
+func (d *draft) grant(id directory.InstanceID) {
+	for index := range d.layout.Holdings {
+		holding := &d.layout.Holdings[index]
+		if holding.Owner == id && !holding.Revoked && !holding.Granted {
+			holding.Granted = true
+			d.changed = true
+		}
+	}
+}
+
+// revokeAll begins to take all keys from an instance that leaves, if others can
+// take them.
+func (d *draft) revokeAll(id directory.InstanceID) {
+	if len(d.candidates) == 0 || len(d.candidates) == 1 && d.candidates[0].id == id {
+		return
+	}
+	for index := range d.layout.Holdings {
+		holding := &d.layout.Holdings[index]
+		if holding.Owner == id && !holding.Revoked {
+			holding.Revoked = true
+			d.changed = true
+		}
+	}
+	d.candidates = slices.DeleteFunc(d.candidates, func(each *candidate) bool { return each.id == id })
+}
+
+// passOnEnded frees the keys of instances that surely hold nothing any more.
+func (d *draft) passOnEnded() {
+	for index := range d.layout.Holdings {
+		holding := &d.layout.Holdings[index]
+		if holding.Owner != "" && d.core.ended(d.now, holding.Owner, d.view) {
+			d.free(holding, "")
+		}
+	}
+}
+
+// settle gives the keys without an owner to the instances with the fewest keys.
+func (d *draft) settle() {
+	if len(d.candidates) == 0 {
+		return
+	}
+	var settled []directory.Holding
+	for _, holding := range d.layout.Holdings {
+		if holding.Owner != "" {
+			settled = append(settled, holding)
+			continue
+		}
+		settled = append(settled, d.share(holding)...)
+	}
+	d.layout.Holdings = settled
+}
+
+// share cuts a holding without an owner into parts and gives each to the instance
+// that has the fewest keys for its slots.
+func (d *draft) share(holding directory.Holding) []directory.Holding {
+	var parts []directory.Holding
+	for _, part := range cut(holding) {
+		target := d.least()
+		part.Owner = target.id
+		part.Fence = holding.Fence + 1
+		target.keys += part.Width()
+		last := len(parts) - 1
+		if last >= 0 && parts[last].Owner == part.Owner {
+			parts[last].Last = part.Last
+			continue
+		}
+		parts = append(parts, part)
+	}
+	d.changed = true
+	return parts
+}
+
+// cut divides a holding into parts of nearly the same width.
+func cut(holding directory.Holding) []directory.Holding {
+	count := max(1, min(pieces, holding.Width()/minimumWidth))
+	parts := make([]directory.Holding, 0, count)
+	width := holding.Width()
+	for index := range count {
+		part := holding
+		part.First = holding.First + directory.Key(index*width/count)
+		part.Last = holding.First + directory.Key((index+1)*width/count) - 1
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+func (d *draft) least() *candidate {
+	return slices.MinFunc(d.candidates, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(a.keys*b.slots, b.keys*a.slots), cmp.Compare(a.id, b.id))
+	})
+}
+
+// balance begins to move keys to a warm instance that has few.
+func (d *draft) balance() {
+	if len(d.candidates) < 2 || len(d.layout.Holdings) == 0 {
+		return
+	}
+	moving := 0
+	for _, holding := range d.layout.Holdings {
+		if holding.Revoked || holding.Owner == "" {
+			moving++
+		}
+	}
+	target := d.least()
+	fair := int(directory.MaxKey+1) / len(d.candidates)
+	if !target.warm || 2*target.keys > fair || moving >= d.core.config.MaxMoves {
+		return
+	}
+	d.takeFromLargest(fair)
+}
+
+// takeFromLargest revokes a part of the instance that has the most keys.
+func (d *draft) takeFromLargest(fair int) {
+	source := slices.MaxFunc(d.candidates, func(a, b *candidate) int { return cmp.Compare(a.keys, b.keys) })
+	surplus := min(source.keys-fair, fair)
+	if surplus < minimumWidth {
+		surplus = min(source.keys/2, fair/2)
+	}
+	if surplus < minimumWidth {
+		return
+	}
+	for index, holding := range d.layout.Holdings {
+		if holding.Owner != source.id || holding.Revoked || holding.Width() < 2*minimumWidth {
+			continue
+		}
+		taken := min(surplus, holding.Width()/2)
+		kept, moved := holding, holding
+		kept.Last = holding.Last - directory.Key(taken)
+		moved.First = kept.Last + 1
+		moved.Revoked = true
+		d.layout.Holdings = slices.Replace(d.layout.Holdings, index, index+1, kept, moved)
+		d.changed = true
+		return
+	}
+}
--- /dev/null
+++ b/internal/heartbeat/types.go
@@ -0,0 +1,83 @@
+package heartbeat
+
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// Config holds the settings of the core.
+type Config struct {
+	// Lease is how long an instance holds keys, from the sending of a heartbeat.
+	Lease time.Duration
+	// MaxLease is the longest lease that any earlier leader may have granted.
+	MaxLease time.Duration
+	// ClockRateBound is the largest difference in speed of two machines' clocks, as
+	// a share.
+	ClockRateBound float64
+	// Margin is added before a lease counts as ended.
+	Margin time.Duration
+	// Gather is how long a keyed service without a layout waits for instances.
+	Gather time.Duration
+	// AddressReuse is the shortest time after which an address passes to an
+	// instance of another service.
+	AddressReuse time.Duration
+	// MaxMoves bounds the holdings of a service that are being moved for the sake
+	// of balance.
+	MaxMoves int
+}
+
+// Range is a range of keys, both ends included.
+type Range struct {
+	First directory.Key
+	Last  directory.Key
+}
+
+// Overlaps reports whether two ranges share a key.
+func (r Range) Overlaps(other Range) bool { return r.First <= other.Last && other.First <= r.Last }
+
+// Held is a range that an instance holds or still works on.
+type Held struct {
+	Range
+	Fence directory.Fence
+}
+
+// Released is a range that an instance let go.
+type Released struct {
+	Range
+	// Handover is for the next holder.
+	Handover string
+}
+
+// Beat is one heartbeat.
+type Beat struct {
+	Instance directory.InstanceID
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// WarmUp is how much longer the instance is slow from its start.
+	WarmUp time.Duration
+	// Sequence rises with each heartbeat of the instance.
+	Sequence uint64
+	Held     []Held
+	Released []Released
+}
+
+// Grant is the answer to a heartbeat.
+type Grant struct {
+	// Renewed is false for an answer that renews nothing.
+	Renewed  bool
+	Holdings []directory.Holding
+	Lease    time.Duration
+}
+
+// contact is what this leader knows of an instance from its heartbeats.
+type contact struct {
+	beatAt   time.Duration
+	sequence uint64
+	// leaseEnd is when the last lease that the instance may hold has surely ended.
+	leaseEnd time.Duration
+	warmAt   time.Duration
+}
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -27,6 +27,10 @@
 	Cluster message.ClusterID
 	// Founders are the group's members at log index 0.
 	Founders []consensus.Member
+	// MayFound is true for a replica that first started together with the whole
+	// system, so that it may form a group. One that starts with an empty disk later
+	// must find the group that there is.
+	MayFound bool `msgpack:",omitempty"`
 }
 
 // Load returns the identity stored in a data folder; false if there is none.
--- a/internal/lab/sim/controller.go
+++ b/internal/lab/sim/controller.go
@@ -62,7 +62,7 @@
 // start starts the process on what the disk holds.
 func (c *controller) start() {
 	c.begin()
-	self, err := durable.LoadIdentity(c.files, dataFolder, c.drawIdentifier)
+	self, err := durable.LoadIdentity(c.files, dataFolder, false, c.drawIdentifier)
 	if err != nil {
 		c.failed(err)
 		return
--- a/internal/membership/change.go
+++ b/internal/membership/change.go
@@ -17,7 +17,7 @@
 	}
 	replaced, found := memberByName(status.Membership, joining)
 	if !found {
-		return consensus.MembershipChange{Kind: consensus.PromoteLearner, Member: current}, true
+		return changeBesideOthers(status, current)
 	}
 	if isActive(status, replaced.ID) {
 		// Two processes run under one name: an operator must stop one.
@@ -26,6 +26,43 @@
 	return consensus.MembershipChange{Kind: consensus.RemoveMember, Member: replaced}, true
 }
 
+// MaxVoters is the number of voters up to which learners are promoted without
+// another voter being removed. More voters would cost each commit more copies.
+const MaxVoters = 5
+
+// changeBesideOthers returns the change for a learner that has caught up and bears
+// the name of no other member. A voter that is silent is removed first: it may be
+// gone for good, and would count towards the quorum for ever. If it returns, it
+// joins again as a learner.
+func changeBesideOthers(status consensus.Status, learner consensus.Member) (consensus.MembershipChange, bool) {
+	if silent, found := silentVoter(status); found {
+		return consensus.MembershipChange{Kind: consensus.RemoveMember, Member: silent}, true
+	}
+	if voters(status.Membership) >= MaxVoters {
+		return consensus.MembershipChange{}, false
+	}
+	return consensus.MembershipChange{Kind: consensus.PromoteLearner, Member: learner}, true
+}
+
+func silentVoter(status consensus.Status) (consensus.Member, bool) {
+	for _, progress := range status.Progress {
+		if member, found := ByID(status.Membership, progress.ID); found && progress.Silent && !member.Learner {
+			return member, true
+		}
+	}
+	return consensus.Member{}, false
+}
+
+func voters(members consensus.Membership) int {
+	count := 0
+	for _, member := range members.Members {
+		if !member.Learner {
+			count++
+		}
+	}
+	return count
+}
+
 func caughtUp(status consensus.Status, id consensus.ReplicaID) bool {
 	for _, progress := range status.Progress {
 		if progress.ID == id {
@@ -38,7 +75,7 @@
 func isActive(status consensus.Status, id consensus.ReplicaID) bool {
 	for _, progress := range status.Progress {
 		if progress.ID == id {
-			return progress.RecentActive
+			return progress.RecentActive || !progress.Silent
 		}
 	}
 	return false
--- /dev/null
+++ b/internal/message/directory.go
@@ -0,0 +1,27 @@
+package message
+
+import "github.com/thorntiller/thorntiller/internal/directory"
+
+// DirectoryRequest is a message from a gateway on a directory connection. The
+// first one tells what the gateway holds, each later one asks for proof that the
+// directory is current.
+type DirectoryRequest struct {
+	// Cluster and Revision are what the gateway holds; zero for none.
+	Cluster  ClusterID          `msgpack:"c,omitempty"`
+	Revision directory.Revision `msgpack:"r,omitempty"`
+	// Ping is a number that the answer repeats; zero in the first message.
+	Ping uint64 `msgpack:"p,omitempty"`
+}
+
+// DirectoryUpdate is a message to a gateway on a directory connection.
+type DirectoryUpdate struct {
+	Cluster ClusterID `msgpack:"c,omitempty"`
+	// Changes follow the revision that the gateway holds; nil for none.
+	Changes *directory.Content `msgpack:"d,omitempty"`
+	// Pong repeats the number of a ping: the directory was current, and is whole with
+	// the changes sent before, at a moment after the ping came.
+	Pong uint64 `msgpack:"p,omitempty"`
+	// Controllers are the peer addresses of the members of the group, sent whenever
+	// they changed.
+	Controllers []string `msgpack:"m,omitempty"`
+}
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -21,6 +21,8 @@
 	PurposeFormation Purpose = "formation"
 	// PurposeTable subscribes a router to the routing table.
 	PurposeTable Purpose = "table"
+	// PurposeDirectory subscribes a gateway to the directory.
+	PurposeDirectory Purpose = "directory"
 	// PurposeRouter carries requests between routers.
 	PurposeRouter Purpose = "router"
 )
@@ -57,6 +59,8 @@
 	Current []consensus.Member
 	// Leader is the address of the leader, if known.
 	Leader string
+	// MayFound tells whether the answering controller may form a group.
+	MayFound bool `msgpack:",omitempty"`
 }
 
 // RouterHello introduces a router on a table connection.
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -121,6 +121,8 @@
 		return tx.closeRouter(command.CloseRouter)
 	case command.PutPartitions != nil:
 		return tx.putPartitions(command.PutPartitions)
+	case command.Directory != nil:
+		return tx.changeDirectory(*command.Directory)
 	default:
 		return failure(fault.InvalidArgument, "command without content")
 	}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
+	"github.com/thorntiller/thorntiller/internal/directory"
 )
 
 // Command changes the state; exactly one field is set.
@@ -24,6 +25,8 @@
 	PutRouter        *PutRouter
 	CloseRouter      *CloseRouter
 	PutPartitions    *PutPartitions
+	// Directory changes the directory of items and instances.
+	Directory *directory.Command `msgpack:",omitempty"`
 }
 
 // StorePlan stores the plan that answers an intent.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
+	"github.com/thorntiller/thorntiller/internal/directory"
 )
 
 // MaxSnapshotBytes bounds the memory that a snapshot may take once it is
@@ -29,6 +30,7 @@
 	receipts   []*Receipt
 	forgotten  forgottenIDs
 	versions   []serverVersion
+	directory  *directory.Directory
 }
 
 // encodedState is the snapshot form of State.
@@ -42,6 +44,8 @@
 	// identifiers whose receipts are forgotten too.
 	Receipts  []*Receipt `msgpack:",omitempty"`
 	Forgotten forgottenIDs
+	// Directory is everything that the directory holds.
+	Directory directory.Content `msgpack:",omitempty"`
 }
 
 // serverVersion is the snapshot form of one assignment version.
@@ -65,6 +69,7 @@
 		receipts:   s.receipts.order[:len(s.receipts.order):len(s.receipts.order)],
 		forgotten:  s.receipts.forgotten,
 		versions:   make([]serverVersion, 0, len(s.versions)),
+		directory:  s.directory.Clone(),
 	}
 	for server, version := range s.versions {
 		frozen.versions = append(frozen.versions, serverVersion{Server: server, Version: version})
@@ -124,6 +129,7 @@
 		Versions:  f.versions,
 
 		Receipts: f.receipts, Forgotten: f.forgotten,
+		Directory: f.directory.Since(0),
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "encode state")
@@ -175,6 +181,7 @@
 		restored.receipts.add(receipt)
 	}
 	restored.receipts.forgotten = decoded.Forgotten
+	restored.directory.Take(decoded.Directory)
 	clear(restored.versions)
 	for _, version := range decoded.Versions {
 		restored.versions[version.Server] = version.Version
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
@@ -39,6 +40,8 @@
 	// or owned with a target.
 	active activeIndex
 	totals totals
+	// directory is for routers by route; it has no part in the digests.
+	directory *directory.Directory
 }
 
 // New returns the empty state.
@@ -59,6 +62,7 @@
 		versions:    make(map[ServerID]Revision),
 		active:      newActiveIndex(),
 		totals:      newTotals(),
+		directory:   directory.New(),
 	}
 }
 
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -55,6 +55,8 @@
 	EventRouterCutOff      Event = "router_cut_off"
 	EventRouterMet         Event = "router_met"
 	EventSettingsMismatch  Event = "settings_mismatch"
+	EventDirectoryChanged  Event = "directory_changed"
+	EventCallRefused       Event = "call_refused"
 )
 
 // Events of the routers.
@@ -75,6 +77,9 @@
 	EventPeerUnreachable   Event = "peer_unreachable"
 	EventPeerReached       Event = "peer_reached"
 	EventRequestOutcomeBad Event = "request_outcome_unknown"
+	EventRequestEnded      Event = "request_ended"
+	EventRequestMalformed  Event = "request_malformed"
+	EventSettingsReloaded  Event = "settings_reloaded"
 )
 
 const (
@@ -131,6 +136,8 @@
 		{EventPartitionsMoved, levelInfo, "Record partitions have other routers."},
 		{EventRouterCutOff, levelWarning, "Most other routers do not reach a router; its record partitions move."},
 		{EventSettingsMismatch, levelWarning, "Settings of a router do not fit those of the controllers or of other routers; on both sides."},
+		{EventDirectoryChanged, levelInfo, "Items, an instance or the holders of keys changed, or a command that would change them was refused."},
+		{EventCallRefused, levelWarning, "A call of an operator or an instance was refused for its content."},
 		{EventRouterMet, levelInfo, "A router is no longer cut off from the others, or no longer heard."},
 	}
 }
@@ -152,6 +159,9 @@
 		{EventPrimaryEnded, levelInfo, "This router is the primary of a record partition no longer."},
 		{EventPeerUnreachable, levelWarning, "Another router does not answer this one; the controllers are told."},
 		{EventPeerReached, levelInfo, "Another router answers again, or has no record partition any more."},
+		{EventRequestEnded, levelInfo, "A gateway answered a request by itself, or after it was sent more than once."},
+		{EventRequestMalformed, levelInfo, "A request could not be read, and its connection was closed."},
+		{EventSettingsReloaded, levelInfo, "Settings that changed were taken over."},
 		{EventRequestOutcomeBad, levelWarning, "A request that may not be repeated ended with an unknown outcome."},
 	}
 }
