--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -44,12 +45,13 @@
 	flags := []overrideFlag{overrideName, overrideZone, overrideData, overridePeer, overrideAPI}
 	return newRoleCommand("controller", "Run one replica of the controllers", flags,
 		func(ctx context.Context, path string, overrides []config.Override) error {
-			settings, err := config.LoadController(path, overrides...)
+			reload := func() (config.Controller, error) { return config.LoadController(path, overrides...) }
+			settings, err := reload()
 			if err != nil {
 				return err
 			}
 			log := telemetry.New(string(config.RoleController), settings.Name, settings.Log.Level, program.streams.Err)
-			return supervise(ctx, log, func(ctx context.Context) error {
+			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Controller(ctx, settings, log)
 			})
 		})
@@ -59,12 +61,13 @@
 	flags := []overrideFlag{overrideName, overrideZone, overrideAddress, overridePeer, overrideAdmin, overrideControllers}
 	return newRoleCommand("router", "Run a router", flags,
 		func(ctx context.Context, path string, overrides []config.Override) error {
-			settings, err := config.LoadRouter(path, overrides...)
+			reload := func() (config.Router, error) { return config.LoadRouter(path, overrides...) }
+			settings, err := reload()
 			if err != nil {
 				return err
 			}
 			log := telemetry.New(string(config.RoleRouter), settings.Name, settings.Log.Level, program.streams.Err)
-			return supervise(ctx, log, func(ctx context.Context) error {
+			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Router(ctx, settings, log)
 			})
 		})
@@ -80,7 +83,7 @@
 				return err
 			}
 			log := telemetry.New(string(config.RoleGateway), settings.Name, settings.Log.Level, program.streams.Out)
-			return supervise(ctx, log, func(ctx context.Context) error {
+			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Gateway(ctx, settings, log, reload)
 			})
 		})
@@ -121,9 +124,19 @@
 	return overrides
 }
 
+// checked returns a function that reads the settings only to check them.
+func checked[T any](reload func() (T, error)) func() error {
+	return func() error {
+		_, err := reload()
+		return err
+	}
+}
+
 // supervise runs a role until a signal asks it to stop. After the first signal
 // the default action is back in place, so that a second one ends the process.
-func supervise(ctx context.Context, log *logrus.Entry, run func(context.Context) error) error {
+func supervise(ctx context.Context, log *logrus.Entry, reload func() error, run func(context.Context) error) error {
+	endReloads := watchReload(log, reload)
+	defer endReloads()
 	ctx, restore := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer restore()
 	telemetry.With(log, telemetry.EventStarted).Info("started")
@@ -141,6 +154,28 @@
 	return nil
 }
 
+// watchReload checks the settings file whenever SIGHUP says that it has changed, and
+// tells what came of it. It returns how to end that.
+func watchReload(log *logrus.Entry, reload func() error) (end func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	var watcher conc.WaitGroup
+	watcher.Go(func() {
+		for range signals {
+			if err := reload(); err != nil {
+				telemetry.WithError(log, telemetry.EventSettingsReloaded, err).Warn("the settings file is not valid; the settings stay as they are")
+				continue
+			}
+			telemetry.With(log, telemetry.EventSettingsReloaded).Info("the settings file was read again; what cannot change while the process runs waits for its next start")
+		}
+	})
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+		watcher.Wait()
+	}
+}
+
 // watchStop waits for the stop of the role and tells of it, unless the role
 // ends by itself before.
 func watchStop(ctx context.Context, finished <-chan struct{}, restore func(), log *logrus.Entry) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,7 +165,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		err = g.stop(callerServer, callers)
+		err = g.stop(callerServer)
 	case err = <-failed:
 		_ = callers.Close()
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -88,14 +88,12 @@
 
 // stop lets running requests finish. New connections are accepted until the
 // platform has noticed that the gateway is not ready, and each answer closes its
-// connection.
-func (g *Gateway) stop(server *fasthttp.Server, listener net.Listener) error {
+// connection. Connections that rest are closed then, so that no caller takes one up
+// again while there is no time left to answer.
+func (g *Gateway) stop(server *fasthttp.Server) error {
 	end := time.Now().Add(g.settings.StopTimeout - stopMargin)
 	g.stopping.Store(true)
-	noticed := time.Now().Add(g.settings.StopNotice)
-	time.Sleep(time.Until(noticed))
-	_ = listener.Close()
-	g.awaitConnections(end)
+	time.Sleep(g.settings.StopNotice)
 	bounded, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := server.ShutdownWithContext(bounded); err != nil && !eris.Is(err, net.ErrClosed) {
@@ -103,23 +101,3 @@
 	}
 	return nil
 }
-
-// quietTime is how long kept connections without a request are left open once new
-// ones are no longer accepted.
-const quietTime = time.Second
-
-// awaitConnections returns once no connection is open, or none has had a request
-// for a while, or at the given time.
-func (g *Gateway) awaitConnections(end time.Time) {
-	const interval = 10 * time.Millisecond
-	quietSince := time.Now()
-	for g.connections.Load() > 0 && time.Now().Before(end) {
-		if g.metrics.running() > 0 {
-			quietSince = time.Now()
-		}
-		if time.Since(quietSince) > quietTime {
-			return
-		}
-		time.Sleep(interval)
-	}
-}
