Heartbeat leases: keys move by the demand that gateways count

Cause: keys were divided evenly by number, but most requests are for few keys that lie together, so that one instance had 4 to 7 times the mean load. Gateways count requests by buckets of 16 keys and how long instances take, and tell the leader; at the heartbeat of an instance whose keys keep more than 45 % of its slots in use, the leader moves the part that evens it out with the one that has the least demand, preferring one whose own heartbeat comes soon after. Weighed against: moving at a tick (keys are without a holder until the taker's next heartbeat, 0.65 s more on average).

--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -20,9 +22,12 @@
 	// sent is the revision that the gateway holds.
 	sent        directory.Revision
 	controllers []string
+	leader      string
 	pongs       chan uint64
 }
 
+var errNotLeading = eris.New("this replica does not lead")
+
 // pingsWaiting bounds the pings of one gateway that wait for their quorum round.
 const pingsWaiting = 4
 
@@ -102,7 +107,11 @@
 		s.controllers = controllers
 		update.Controllers = controllers
 	}
-	if update.Changes == nil && update.Controllers == nil && pong == 0 {
+	if leader, known := s.replica.leader(); known && leader.Address != s.leader {
+		s.leader = leader.Address
+		update.Leader = leader.Address
+	}
+	if update.Changes == nil && update.Controllers == nil && update.Leader == "" && pong == 0 {
 		return nil
 	}
 	if update.Changes != nil {
@@ -120,3 +129,19 @@
 	}
 	return addresses
 }
+
+// takeDemand takes a gateway's counts of requests while this replica leads.
+func takeDemand(ctx context.Context, r *replica, connection *wire.Conn) error {
+	for ctx.Err() == nil {
+		var report message.DemandReport
+		if err := connection.Receive(&report); err != nil {
+			return err
+		}
+		leadership, leads := r.leadershipContext()
+		if !leads {
+			return errNotLeading
+		}
+		r.heartbeats.count(leadership, report)
+	}
+	return ctx.Err()
+}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -10,6 +10,7 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
+	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -147,6 +148,19 @@
 	return grant, nil
 }
 
+// count takes a gateway's counts of requests.
+func (k *heartbeatKeeper) count(leadership context.Context, report message.DemandReport) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if leadership.Err() != nil {
+		return
+	}
+	k.follow(leadership)
+	for _, service := range report.Services {
+		k.core.Count(k.replica.clock.Now(), service)
+	}
+}
+
 // leave takes an instance's word that it leaves for good.
 func (k *heartbeatKeeper) leave(ctx context.Context, id directory.InstanceID) error {
 	leadership, leads := k.replica.leadershipContext()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -246,6 +246,8 @@
 		return n.replica.receiveConsensus(ctx, connection)
 	case message.PurposeDirectory:
 		return serveDirectory(ctx, n.replica, connection)
+	case message.PurposeDemand:
+		return takeDemand(ctx, n.replica, connection)
 	case message.PurposeTable:
 		return serveTable(ctx, n.replica, n.replica.cluster, connection)
 	default:
--- /dev/null
+++ b/internal/gateway/demand.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/heartbeat"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// reportInterval is the time between two reports of the demand for keys.
+const reportInterval = 400 * time.Millisecond
+
+// demandCounter counts requests by their keys, for the leading controller, which
+// places keys by them. It is safe for concurrent use.
+type demandCounter struct {
+	subscription *subscription
+	mutex        sync.Mutex
+	services     map[string]*serviceCounts
+}
+
+type serviceCounts struct {
+	buckets   map[uint16]uint16
+	instances map[directory.InstanceID]*heartbeat.InstanceReport
+}
+
+func newDemandCounter(subscription *subscription) *demandCounter {
+	return &demandCounter{subscription: subscription, services: make(map[string]*serviceCounts)}
+}
+
+func (d *demandCounter) of(service string) *serviceCounts {
+	counts, found := d.services[service]
+	if !found {
+		counts = &serviceCounts{buckets: make(map[uint16]uint16), instances: make(map[directory.InstanceID]*heartbeat.InstanceReport)}
+		d.services[service] = counts
+	}
+	return counts
+}
+
+// arrived counts a request for a key.
+func (d *demandCounter) arrived(service string, key directory.Key) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.of(service).buckets[uint16(heartbeat.BucketOf(key))]++
+}
+
+// answered counts an answer and how long the instance took for it.
+func (d *demandCounter) answered(service string, instance directory.InstanceID, took time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	counts := d.of(service)
+	report, found := counts.instances[instance]
+	if !found {
+		report = &heartbeat.InstanceReport{ID: instance}
+		counts.instances[instance] = report
+	}
+	report.Answered++
+	report.BusyMs += uint32(took.Milliseconds())
+}
+
+// take returns what was counted since the last call.
+func (d *demandCounter) take() message.DemandReport {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var taken message.DemandReport
+	for service, counts := range d.services {
+		report := heartbeat.Report{Service: service}
+		for bucket, count := range counts.buckets {
+			report.Buckets = append(report.Buckets, bucket)
+			report.Counts = append(report.Counts, count)
+		}
+		for _, instance := range counts.instances {
+			report.Instances = append(report.Instances, *instance)
+		}
+		taken.Services = append(taken.Services, report)
+	}
+	d.services = make(map[string]*serviceCounts)
+	return taken
+}
+
+// run reports until the context ends. Reports that find no leader are lost: the
+// next ones tell as much.
+func (d *demandCounter) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if leader := d.subscription.leader.Load(); leader != nil {
+			d.reportTo(ctx, *leader)
+		}
+		sleep(ctx, reportInterval)
+	}
+}
+
+// reportTo reports to one controller until it does not lead any more.
+func (d *demandCounter) reportTo(ctx context.Context, leader string) {
+	settings := d.subscription.settings
+	connection, err := wire.Dial(ctx, leader, wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout})
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	if connection.Send(ctx, &message.Hello{Purpose: message.PurposeDemand, From: settings.Name}) != nil {
+		return
+	}
+	for ctx.Err() == nil && *d.subscription.leader.Load() == leader {
+		if report := d.take(); len(report.Services) > 0 {
+			if connection.Send(ctx, &report) != nil {
+				return
+			}
+		}
+		sleep(ctx, reportInterval)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	upstreams    *upstreams
 	drains       *drains
 	callers      *callers
+	demand       *demandCounter
 	registry     *telemetry.Metrics
 	metrics      *metrics
 	// slots tells requests that wait of attempts that ended.
@@ -93,6 +94,7 @@
 		budgets:      make(map[string]*retry.Budget),
 	}
 	gateway.metrics = newMetrics(gateway.registry)
+	gateway.demand = newDemandCounter(gateway.subscription)
 	gateway.subscription.changed = gateway.tableChanged
 	return gateway, nil
 }
@@ -160,6 +162,7 @@
 	metricsServer := g.serveMetrics(&group)
 	group.Go(func() { g.subscription.run(background) })
 	group.Go(func() { g.callers.run(background) })
+	group.Go(func() { g.demand.run(background) })
 	telemetry.With(g.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("accepting callers")
 	var err error
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,6 +21,9 @@
 	current, err := g.readRequest(context, g.subscription.current())
 	if err == nil {
 		g.budget(current.service).Fresh()
+		if current.keyed {
+			g.demand.arrived(current.service, current.key)
+		}
 		forget := g.callers.watch(context.Conn(), current.interrupt)
 		err = g.execute(current)
 		forget()
@@ -115,6 +118,9 @@
 // ended tells the balancer what became of an attempt.
 func (g *Gateway) ended(current *request, instance directory.Instance, took time.Duration, failure *fault.Error) {
 	outcome := balance.Outcome{Now: g.clock.Now(), Service: current.service, Instance: instance.ID, Took: took, Answered: failure == nil}
+	if failure == nil && current.keyed {
+		g.demand.answered(current.service, instance.ID, took)
+	}
 	if failure != nil && !current.interrupt.Fired() {
 		switch failure.Kind {
 		case fault.ConnectFailed, fault.ConnectionLost, fault.AnswerTruncated, fault.AnswerMismatched, fault.DeadlineExceeded:
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -34,7 +34,9 @@
 	view        *directory.Directory
 	cluster     message.ClusterID
 	controllers []string
-	table       atomic.Pointer[routing.Table]
+	// leader is the peer address of the controller that takes counts of requests.
+	leader atomic.Pointer[string]
+	table  atomic.Pointer[routing.Table]
 	// provedAt is when the last ping that was answered was sent.
 	provedAt atomic.Pointer[time.Time]
 	// refresh asks for the table to be compared with the controllers' at once.
@@ -212,6 +214,9 @@
 	if update.Controllers != nil {
 		s.controllers = update.Controllers
 	}
+	if update.Leader != "" {
+		s.leader.Store(&update.Leader)
+	}
 	if update.Changes == nil {
 		return
 	}
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -15,6 +15,10 @@
 	// firstSeen is when this leader first heard of an instance of a service that
 	// has no layout.
 	firstSeen map[string]time.Duration
+	// demands are the requests for each service, as gateways count them.
+	demands map[string]*demand
+	// targets are the instances that are to get keys which are being moved.
+	targets map[targetKey]directory.InstanceID
 }
 
 // New returns a core. Lead must be called before it is used.
@@ -30,6 +34,8 @@
 	c.leadSince = now
 	c.contacts = make(map[directory.InstanceID]*contact)
 	c.firstSeen = make(map[string]time.Duration)
+	c.demands = make(map[string]*demand)
+	c.targets = make(map[targetKey]directory.InstanceID)
 }
 
 // leaseEnd returns when the last lease of an instance has surely ended.
@@ -70,6 +76,7 @@
 		c.contacts[beat.Instance] = known
 	}
 	known.sequence = beat.Sequence
+	known.noteInterval(now)
 	known.beatAt = now
 	known.warmAt = now + beat.WarmUp
 	if _, seen := c.firstSeen[beat.Service]; !seen {
@@ -93,6 +100,9 @@
 			draft.revokeAll(beat.Instance)
 		}
 		draft.settle()
+		if !beat.Draining {
+			draft.relieve(beat.Instance)
+		}
 		draft.grant(beat.Instance)
 		commands = append(commands, draft.commands()...)
 	}
@@ -211,7 +221,6 @@
 		draft.found()
 		draft.passOnEnded()
 		draft.settle()
-		draft.balance()
 		commands = append(commands, draft.commands()...)
 	}
 	return commands
--- /dev/null
+++ b/internal/heartbeat/demand.go
@@ -0,0 +1,139 @@
+package heartbeat
+
+import (
+	"math"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// Demand is counted by buckets of neighbouring keys.
+const (
+	// BucketKeys is the number of keys in a bucket.
+	BucketKeys = 16
+	buckets    = (int(directory.MaxKey) + 1) / BucketKeys
+)
+
+// demandWindow is how far back demand counts: what came earlier counts by a factor
+// of e less.
+const demandWindow = 2 * time.Second
+
+// BucketOf returns the bucket of a key.
+func BucketOf(key directory.Key) int { return int(key) / BucketKeys }
+
+// Report is what one gateway counted of a service since its last report.
+type Report struct {
+	Service string `msgpack:"s"`
+	// Buckets and Counts are the requests by bucket of their key.
+	Buckets []uint16 `msgpack:"b"`
+	Counts  []uint16 `msgpack:"c"`
+	// Instances are those that answered.
+	Instances []InstanceReport `msgpack:"i"`
+}
+
+// InstanceReport is what one gateway counted of an instance.
+type InstanceReport struct {
+	ID       directory.InstanceID `msgpack:"i"`
+	Answered uint32               `msgpack:"a"`
+	// BusyMs is the sum of the times until each answer, in milliseconds.
+	BusyMs uint32 `msgpack:"b"`
+}
+
+// demand is what is known of the requests for one service, in requests a second.
+type demand struct {
+	decayedAt time.Duration
+	rates     [buckets]float64
+	// times is how long each instance needs for a request, in seconds.
+	times map[directory.InstanceID]float64
+	// mean is that of all instances.
+	mean float64
+}
+
+func newDemand(now time.Duration) *demand {
+	return &demand{decayedAt: now, times: make(map[directory.InstanceID]float64)}
+}
+
+// decay makes what came earlier count less.
+func (d *demand) decay(now time.Duration) {
+	elapsed := now - d.decayedAt
+	if elapsed <= 0 {
+		return
+	}
+	d.decayedAt = now
+	factor := math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+	for bucket := range d.rates {
+		d.rates[bucket] *= factor
+	}
+}
+
+// timeSmoothing is the weight of a report of one answer in an instance's time.
+const timeSmoothing = 0.05
+
+func (d *demand) take(now time.Duration, report Report) {
+	d.decay(now)
+	for index, bucket := range report.Buckets {
+		if int(bucket) < buckets && index < len(report.Counts) {
+			d.rates[bucket] += float64(report.Counts[index]) / demandWindow.Seconds()
+		}
+	}
+	for _, instance := range report.Instances {
+		if instance.Answered == 0 {
+			continue
+		}
+		const milliseconds = 1000
+		newest := float64(instance.BusyMs) / float64(instance.Answered) / milliseconds
+		weight := min(timeSmoothing*float64(instance.Answered), 1)
+		d.times[instance.ID] = blended(d.times[instance.ID], newest, weight)
+		d.mean = blended(d.mean, newest, weight)
+	}
+}
+
+func blended(mean, newest, weight float64) float64 {
+	if mean == 0 {
+		return newest
+	}
+	return mean + weight*(newest-mean)
+}
+
+// rate returns the requests a second for a range of keys.
+func (d *demand) rate(first, last directory.Key) float64 {
+	total := 0.0
+	for bucket := BucketOf(first); bucket <= BucketOf(last); bucket++ {
+		total += d.rates[bucket] * overlap(bucket, first, last)
+	}
+	return total
+}
+
+// overlap returns the share of a bucket that lies in a range.
+func overlap(bucket int, first, last directory.Key) float64 {
+	start := max(first, directory.Key(bucket*BucketKeys))
+	end := min(last, directory.Key((bucket+1)*BucketKeys-1))
+	return float64(end-start+1) / BucketKeys
+}
+
+// timeOf returns how long an instance needs for a request, in seconds. Waiting in
+// the queue of an instance with too much demand is no part of it, so that it is
+// bounded by twice the mean.
+func (d *demand) timeOf(id directory.InstanceID) float64 {
+	const most = 2
+	known, found := d.times[id]
+	if !found {
+		return d.mean
+	}
+	return min(known, most*d.mean)
+}
+
+// Count takes a gateway's report.
+func (c *Core) Count(now time.Duration, report Report) {
+	c.demandOf(now, report.Service).take(now, report)
+}
+
+func (c *Core) demandOf(now time.Duration, service string) *demand {
+	known, found := c.demands[service]
+	if !found {
+		known = newDemand(now)
+		c.demands[service] = known
+	}
+	known.decay(now)
+	return known
+}
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -15,6 +15,8 @@
 	// keys counts the keys that it holds or is about to get.
 	keys int
 	warm bool
+	// rate is the demand for its keys in requests a second.
+	rate float64
 }
 
 // draft is the next layout of one service.
@@ -28,7 +30,7 @@
 }
 
 // pieces bounds into how many parts a holding that changes hands is cut.
-const pieces = 4
+const pieces = 8
 
 // minimumWidth is the least number of keys in a part that is cut off.
 const minimumWidth = 64
@@ -162,9 +164,10 @@
 
 // settle gives the keys without an owner to the instances with the fewest keys.
 func (d *draft) settle() {
-	if len(d.candidates) == 0 {
+	if len(d.candidates) == 0 || d.moving() == 0 {
 		return
 	}
+	d.measure()
 	var settled []directory.Holding
 	for _, holding := range d.layout.Holdings {
 		if holding.Owner != "" {
@@ -176,15 +179,24 @@
 	d.layout.Holdings = settled
 }
 
-// share cuts a holding without an owner into parts and gives each to the instance
-// that has the fewest keys for its slots.
+// share gives a holding without an owner to the instance that it was taken away for,
+// or else cuts it into parts and gives each to the instance with the least burden.
 func (d *draft) share(holding directory.Holding) []directory.Holding {
+	if target := d.candidate(d.core.target(d.layout.Service, holding.First)); target != nil {
+		holding.Owner = target.id
+		holding.Fence++
+		d.core.clearTarget(d.layout.Service, holding.First)
+		target.keys += holding.Width()
+		d.changed = true
+		return []directory.Holding{holding}
+	}
 	var parts []directory.Holding
 	for _, part := range cut(holding) {
 		target := d.least()
 		part.Owner = target.id
 		part.Fence = holding.Fence + 1
 		target.keys += part.Width()
+		target.rate += d.demand().rate(part.First, part.Last)
 		last := len(parts) - 1
 		if last >= 0 && parts[last].Owner == part.Owner {
 			parts[last].Last = part.Last
@@ -210,52 +222,18 @@
 	return parts
 }
 
+// least returns the instance with the least demand for its slots and, where there
+// is none, the fewest keys.
 func (d *draft) least() *candidate {
 	return slices.MinFunc(d.candidates, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(a.keys*b.slots, b.keys*a.slots), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(d.burden(a), d.burden(b)), cmp.Compare(a.id, b.id))
 	})
 }
 
-// balance begins to move keys to a warm instance that has few.
-func (d *draft) balance() {
-	if len(d.candidates) < 2 || len(d.layout.Holdings) == 0 {
-		return
-	}
-	moving := 0
-	for _, holding := range d.layout.Holdings {
-		if holding.Revoked || holding.Owner == "" {
-			moving++
-		}
-	}
-	target := d.least()
-	fair := int(directory.MaxKey+1) / len(d.candidates)
-	if !target.warm || 2*target.keys > fair || moving >= d.core.config.MaxMoves {
-		return
-	}
-	d.takeFromLargest(fair)
-}
+// keysBurden is the share of the slots that all keys count for by their number, so
+// that keys without demand are spread as well.
+const keysBurden = 0.5
 
-// takeFromLargest revokes a part of the instance that has the most keys.
-func (d *draft) takeFromLargest(fair int) {
-	source := slices.MaxFunc(d.candidates, func(a, b *candidate) int { return cmp.Compare(a.keys, b.keys) })
-	surplus := min(source.keys-fair, fair)
-	if surplus < minimumWidth {
-		surplus = min(source.keys/2, fair/2)
-	}
-	if surplus < minimumWidth {
-		return
-	}
-	for index, holding := range d.layout.Holdings {
-		if holding.Owner != source.id || holding.Revoked || holding.Width() < 2*minimumWidth {
-			continue
-		}
-		taken := min(surplus, holding.Width()/2)
-		kept, moved := holding, holding
-		kept.Last = holding.Last - directory.Key(taken)
-		moved.First = kept.Last + 1
-		moved.Revoked = true
-		d.layout.Holdings = slices.Replace(d.layout.Holdings, index, index+1, kept, moved)
-		d.changed = true
-		return
-	}
+func (d *draft) burden(each *candidate) float64 {
+	return d.utilisation(each) + keysBurden*float64(each.keys)/float64(directory.MaxKey+1)/float64(each.slots)
 }
--- /dev/null
+++ b/internal/heartbeat/rebalance.go
@@ -0,0 +1,225 @@
+package heartbeat
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// Bounds of moves for the sake of load.
+const (
+	// busyEnough is the share of an instance's slots that must be in use by the
+	// demand for its keys before any are moved away.
+	busyEnough = 0.45
+	// leastGain is by how much that share must fall, as a share of the difference to
+	// the instance that would take keys over.
+	leastGain = 0.1
+	// leastDifference is the least difference between the two.
+	leastDifference = 0.2
+	// soonest and latest bound how long after the old owner's heartbeat that of the
+	// new one is best expected: between the two nobody holds the keys.
+	soonest = 150 * time.Millisecond
+	latest  = 600 * time.Millisecond
+	// closeEnough is the difference within which the moment of the heartbeat decides
+	// between two instances.
+	closeEnough = 0.15
+)
+
+// utilisation returns the share of an instance's slots that the demand for its keys
+// keeps in use.
+func (d *draft) utilisation(each *candidate) float64 {
+	return d.demand().timeOf(each.id) * each.rate / float64(each.slots)
+}
+
+func (d *draft) demand() *demand { return d.core.demandOf(d.now, d.layout.Service) }
+
+// measure sums the demand for the keys of each candidate.
+func (d *draft) measure() {
+	demand := d.demand()
+	for _, each := range d.candidates {
+		each.rate = 0
+	}
+	for _, holding := range d.layout.Holdings {
+		owner := d.candidate(holding.Owner)
+		if holding.Revoked {
+			owner = d.candidate(d.core.target(d.layout.Service, holding.First))
+		}
+		if owner != nil {
+			owner.rate += demand.rate(holding.First, holding.Last)
+		}
+	}
+}
+
+// relieve begins to move keys away from an instance, whose heartbeat has just come,
+// if the demand for its keys is much above that of another one.
+func (d *draft) relieve(id directory.InstanceID) {
+	source := d.candidate(id)
+	if source == nil || d.moving() >= d.core.config.MaxMoves || d.movingFrom(id) {
+		return
+	}
+	d.measure()
+	used := d.utilisation(source)
+	if used < busyEnough {
+		return
+	}
+	target := d.bestTarget(source)
+	if target == nil || used-d.utilisation(target) < leastDifference {
+		return
+	}
+	if index, part, found := d.bestPart(source, target); found {
+		d.revokePart(index, part, target)
+	}
+}
+
+func (d *draft) moving() int {
+	count := 0
+	for _, holding := range d.layout.Holdings {
+		if holding.Revoked || holding.Owner == "" {
+			count++
+		}
+	}
+	return count
+}
+
+func (d *draft) movingFrom(id directory.InstanceID) bool {
+	return slices.ContainsFunc(d.layout.Holdings, func(holding directory.Holding) bool {
+		return holding.Owner == id && holding.Revoked
+	})
+}
+
+// bestTarget returns the warm instance with the least demand for its slots; among
+// those that are nearly alike the one whose heartbeat is expected at the best moment.
+func (d *draft) bestTarget(source *candidate) *candidate {
+	var best *candidate
+	for _, each := range d.candidates {
+		if each == source || !each.warm {
+			continue
+		}
+		if best == nil || d.utilisation(each) < d.utilisation(best) {
+			best = each
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	bound := d.utilisation(best) + closeEnough
+	for _, each := range d.candidates {
+		if each != source && each.warm && d.utilisation(each) <= bound && d.comesWell(each) && !d.comesWell(best) {
+			best = each
+		}
+	}
+	return best
+}
+
+// comesWell reports whether an instance's next heartbeat is expected soon after the
+// old owner has let its keys go.
+func (d *draft) comesWell(each *candidate) bool {
+	known := d.core.contacts[each.id]
+	if known == nil || known.interval <= 0 {
+		return false
+	}
+	until := known.beatAt + known.interval - d.now
+	return soonest <= until && until <= latest
+}
+
+// bestPart returns which part of which of the source's holdings is to be moved, so
+// that both are then about equally busy.
+func (d *draft) bestPart(source, target *candidate) (int, Range, bool) {
+	demand := d.demand()
+	fromTime := demand.timeOf(source.id) / float64(source.slots)
+	toTime := demand.timeOf(target.id) / float64(target.slots)
+	if fromTime+toTime <= 0 {
+		return 0, Range{}, false
+	}
+	wanted := (d.utilisation(source) - d.utilisation(target)) / (fromTime + toTime)
+	bestIndex, bestPart, bestRate := -1, Range{}, 0.0
+	for index, holding := range d.layout.Holdings {
+		if holding.Owner != source.id || holding.Revoked {
+			continue
+		}
+		part, rate := d.partOf(holding, wanted)
+		if rate > bestRate {
+			bestIndex, bestPart, bestRate = index, part, rate
+		}
+	}
+	if bestIndex < 0 || bestRate < leastGain*wanted {
+		return 0, Range{}, false
+	}
+	return bestIndex, bestPart, true
+}
+
+// partOf returns the part at one end of a holding whose demand comes nearest to a
+// rate without exceeding it.
+func (d *draft) partOf(holding directory.Holding, wanted float64) (Range, float64) {
+	demand := d.demand()
+	if whole := demand.rate(holding.First, holding.Last); whole <= wanted {
+		return rangeOf(holding), whole
+	}
+	front, frontRate := Range{First: holding.First, Last: holding.First - 1}, 0.0
+	for next := cutAfter(holding.First); next < holding.Last; next += BucketKeys {
+		rate := demand.rate(holding.First, next)
+		if rate > wanted {
+			break
+		}
+		front.Last, frontRate = next, rate
+	}
+	back, backRate := Range{First: holding.Last + 1, Last: holding.Last}, 0.0
+	for next := cutAfter(holding.Last) - BucketKeys + 1; next > holding.First; next -= BucketKeys {
+		rate := demand.rate(next, holding.Last)
+		if rate > wanted {
+			break
+		}
+		back.First, backRate = next, rate
+	}
+	if backRate > frontRate {
+		return back, backRate
+	}
+	return front, frontRate
+}
+
+// cutAfter returns the last key of a key's bucket.
+func cutAfter(key directory.Key) directory.Key {
+	return directory.Key((BucketOf(key)+1)*BucketKeys - 1)
+}
+
+// revokePart begins to move a part of a holding.
+func (d *draft) revokePart(index int, part Range, target *candidate) {
+	holding := d.layout.Holdings[index]
+	var parts []directory.Holding
+	if holding.First < part.First {
+		before := holding
+		before.Last = part.First - 1
+		parts = append(parts, before)
+	}
+	moved := holding
+	moved.First, moved.Last, moved.Revoked = part.First, part.Last, true
+	parts = append(parts, moved)
+	if part.Last < holding.Last {
+		after := holding
+		after.First = part.Last + 1
+		parts = append(parts, after)
+	}
+	d.layout.Holdings = slices.Replace(d.layout.Holdings, index, index+1, parts...)
+	d.core.setTarget(d.layout.Service, part.First, target.id)
+	d.changed = true
+}
+
+// targetKey names keys that are being moved.
+type targetKey struct {
+	service string
+	first   directory.Key
+}
+
+// target returns the instance that is to get the keys which begin at one.
+func (c *Core) target(service string, first directory.Key) directory.InstanceID {
+	return c.targets[targetKey{service, first}]
+}
+
+func (c *Core) setTarget(service string, first directory.Key, target directory.InstanceID) {
+	c.targets[targetKey{service, first}] = target
+}
+
+func (c *Core) clearTarget(service string, first directory.Key) {
+	delete(c.targets, targetKey{service, first})
+}
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -75,9 +75,21 @@
 
 // contact is what this leader knows of an instance from its heartbeats.
 type contact struct {
-	beatAt   time.Duration
+	beatAt time.Duration
+	// interval is the time between two regular heartbeats, as last seen.
+	interval time.Duration
 	sequence uint64
 	// leaseEnd is when the last lease that the instance may hold has surely ended.
 	leaseEnd time.Duration
 	warmAt   time.Duration
 }
+
+// shortestInterval is less than the time between two regular heartbeats, and more
+// than that between those of an instance that lets keys go.
+const shortestInterval = 300 * time.Millisecond
+
+func (c *contact) noteInterval(now time.Duration) {
+	if elapsed := now - c.beatAt; c.beatAt > 0 && elapsed > shortestInterval {
+		c.interval = elapsed
+	}
+}
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -1,6 +1,9 @@
 package message
 
-import "github.com/thorntiller/thorntiller/internal/directory"
+import (
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/heartbeat"
+)
 
 // DirectoryRequest is a message from a gateway on a directory connection. The
 // first one tells what the gateway holds, each later one asks for proof that the
@@ -24,4 +27,12 @@
 	// Controllers are the peer addresses of the members of the group, sent whenever
 	// they changed.
 	Controllers []string `msgpack:"m,omitempty"`
+	// Leader is the peer address of the controller that takes counts of requests,
+	// sent whenever it changed.
+	Leader string `msgpack:"l,omitempty"`
+}
+
+// DemandReport carries a gateway's counts since its last one.
+type DemandReport struct {
+	Services []heartbeat.Report `msgpack:"s"`
 }
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -23,6 +23,8 @@
 	PurposeTable Purpose = "table"
 	// PurposeDirectory subscribes a gateway to the directory.
 	PurposeDirectory Purpose = "directory"
+	// PurposeDemand carries a gateway's counts of requests to the leader.
+	PurposeDemand Purpose = "demand"
 	// PurposeRouter carries requests between routers.
 	PurposeRouter Purpose = "router"
 )
