Gateway: requests for keys that nobody holds wait for their next holder

Cause: while keys pass from one instance to the next nobody holds them for 0.3 to 1.3 s. Requests waited a quarter of their target and were refused; most callers ask again only once, so the second refusal lost them. They wait up to 0.4 of the time they were given now; a request that finds its holder full is still refused after a quarter of its target.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,6 +32,8 @@
 	attempts []directory.InstanceID
 	// lastInstance is the newest of them, or the one that no attempt could be made to.
 	lastInstance directory.InstanceID
+	// refusedUntil is until when the holder of the key is left alone.
+	refusedUntil time.Time
 	// waited is true once the request waited for an instance.
 	waited bool
 	// interrupt gives the attempt up when the caller leaves.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,6 +55,7 @@
 		if !g.mayResend(current, failure) {
 			return failure
 		}
+		current.refusedUntil = time.Now().Add(refusalPause)
 		g.metrics.resends.WithLabelValues(current.service, string(failure.Kind)).Inc()
 	}
 }
@@ -68,6 +69,10 @@
 	if !retry.Allowed(failure.Kind, current.repeatable()) {
 		return false
 	}
+	if failure.Kind == fault.Shedding && current.keyed {
+		// Only the holder may run it, and the holder is full.
+		return false
+	}
 	if failure.Kind == fault.ConnectFailed {
 		// Nothing arrived anywhere: the budget counts arrivals.
 		current.attempts = current.attempts[:len(current.attempts)-1]
@@ -76,6 +81,10 @@
 	return current.left() > minimumLeft && g.budget(current.service).TakeResend()
 }
 
+// refusalPause is how long the one holder of a key is left alone by a request that
+// it refused.
+const refusalPause = 60 * time.Millisecond
+
 // minimumLeft is the time below which a request is not sent any more.
 const minimumLeft = 20 * time.Millisecond
 
@@ -137,14 +146,13 @@
 // acquire waits until an instance may get the request. An error proves that the
 // request was not sent since the last attempt.
 func (g *Gateway) acquire(current *request) (directory.Instance, error) {
-	patience := g.patience(current)
 	for {
 		freed, updated := g.slots.next(), g.subscription.updates.next()
 		instance, failure := g.choose(current)
 		if failure == nil {
 			return instance, nil
 		}
-		wait := min(time.Until(patience), current.left()-minimumLeft)
+		wait := min(time.Until(g.patience(current, failure)), current.left()-minimumLeft)
 		if wait <= 0 || current.interrupt.Fired() {
 			return directory.Instance{}, failure
 		}
@@ -162,13 +170,20 @@
 // lookInterval bounds the time between two looks for an instance.
 const lookInterval = 50 * time.Millisecond
 
-// patience is until when a request waits for an instance: a quarter of the time in
-// which its answer is of full use, so that the caller can still ask again in time.
-func (g *Gateway) patience(current *request) time.Time {
+// patience is until when a request waits for an instance, by why there is none. Keys
+// that nobody holds get a holder soon, so that waiting serves the caller better than
+// a refusal; but less than half of its time is spent so, since it can still ask
+// again with the rest.
+func (g *Gateway) patience(current *request, failure *fault.Error) time.Time {
+	const heldShare = 0.4
+	given := current.deadline.Sub(current.arrived)
+	if failure.Kind == fault.NoOwner {
+		return current.arrived.Add(time.Duration(heldShare * float64(given)))
+	}
 	const share = 4
 	wait := current.target() / share
 	if wait <= 0 {
-		wait = current.deadline.Sub(current.arrived) / share
+		wait = given / share
 	}
 	return current.arrived.Add(wait)
 }
@@ -220,8 +235,8 @@
 	if !found || instance.State == directory.InstanceDraining && !g.drains.mayServe(instance) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d leaves", current.key)
 	}
-	if slices.Contains(current.attempts, instance.ID) {
-		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d failed to run the request", current.key)
+	if slices.Contains(current.attempts, instance.ID) && time.Now().Before(current.refusedUntil) {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just refused the request", current.key)
 	}
 	if !g.balancer.TryBegin(g.clock.Now(), instance, keyedLimit(instance.Slots)) {
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "the holder of key %d has as many requests as it may", current.key)
