Heartbeat leases: keys that their new holder was not told of yet stay with it

Only granted keys are moved now.

The model (internal/heartbeat/model_test.go) drives the core with lost and late heartbeats, crashes, restarts, drains and changes of leader over 60 seeds: no key has two holders, fences rise, keys are held again; a core that waits for no lease is caught.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -228,7 +228,7 @@
 // chooseOwner returns the instance that holds the request's key.
 func (g *Gateway) chooseOwner(current *request, layout directory.Layout, find func(directory.InstanceID) (directory.Instance, bool)) (directory.Instance, *fault.Error) {
 	holding, found := layout.At(current.key)
-	if !found || holding.Owner == "" || !holding.Granted {
+	if !found || holding.Owner == "" || !holding.Granted || holding.Revoked {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "nobody holds key %d", current.key)
 	}
 	instance, found := find(holding.Owner)
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -63,10 +63,13 @@
 }
 
 // Receive takes a heartbeat that came at a time and returns the commands that must
-// be applied before it is answered. The error is of the kind conflict for a
-// heartbeat that is out of date or of an instance that left, and of the kind
+// be applied before it is answered. One of an instance that left changes nothing. The
+// error is of the kind conflict for a heartbeat that is out of date, and of the kind
 // invalid_argument for one that contradicts what is known.
 func (c *Core) Receive(now time.Duration, beat Beat, view *directory.Directory) ([]directory.Command, error) {
+	if instance, found := view.Instance(beat.Instance); found && instance.State == directory.InstanceGone {
+		return nil, nil
+	}
 	if err := c.check(now, beat, view); err != nil {
 		return nil, err
 	}
@@ -104,6 +107,7 @@
 			draft.relieve(beat.Instance)
 		}
 		draft.grant(beat.Instance)
+		draft.join(beat.Instance)
 		commands = append(commands, draft.commands()...)
 	}
 	return commands
@@ -123,9 +127,6 @@
 		return fault.Newf(fault.Conflict, "sequence %d is not above %d: a newer heartbeat came before", beat.Sequence, known.sequence)
 	}
 	if instance, exists := view.Instance(beat.Instance); exists {
-		if instance.State == directory.InstanceGone {
-			return fault.Newf(fault.Conflict, "instance %q has left: start again under a new identifier", beat.Instance)
-		}
 		if instance.Service != beat.Service {
 			return fault.Newf(fault.InvalidArgument, "service %q: instance %q announced itself for service %q", beat.Service, beat.Instance, instance.Service)
 		}
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -179,6 +179,40 @@
 	d.layout.Holdings = settled
 }
 
+// maxRows is the number of holdings of one instance above which neighbours are
+// joined, so that the answer to its heartbeat stays small.
+const maxRows = 40
+
+// join makes one holding of neighbours that one instance holds, if it has many. The
+// fence of the joined keys is the highest of theirs.
+func (d *draft) join(id directory.InstanceID) {
+	rows := 0
+	for _, holding := range d.layout.Holdings {
+		if holding.Owner == id {
+			rows++
+		}
+	}
+	if rows <= maxRows {
+		return
+	}
+	settled := func(holding directory.Holding) bool {
+		return holding.Owner == id && holding.Granted && !holding.Revoked
+	}
+	var joined []directory.Holding
+	for _, holding := range d.layout.Holdings {
+		last := len(joined) - 1
+		if last >= 0 && settled(joined[last]) && settled(holding) {
+			joined[last].Last = holding.Last
+			joined[last].Fence = max(joined[last].Fence, holding.Fence)
+			joined[last].Handover = ""
+			d.changed = true
+			continue
+		}
+		joined = append(joined, holding)
+	}
+	d.layout.Holdings = joined
+}
+
 // share gives a holding without an owner to the instance that it was taken away for,
 // or else cuts it into parts and gives each to the instance with the least burden.
 func (d *draft) share(holding directory.Holding) []directory.Holding {
--- /dev/null
+++ b/internal/heartbeat/model_test.go
@@ -0,0 +1,392 @@
+package heartbeat
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+const (
+	modelService  = "s"
+	modelStep     = 20 * time.Millisecond
+	modelInterval = 1300 * time.Millisecond
+	// callTimeout is how long an instance waits for an answer.
+	callTimeout = time.Second
+)
+
+// modelInstance keeps leases as docs/BACKEND.md asks of an instance.
+type modelInstance struct {
+	id       directory.InstanceID
+	address  string
+	alive    bool
+	draining bool
+	sequence uint64
+	next     time.Duration
+	held     []Held
+	leaseEnd time.Duration
+	// work is until when each range that was let go is still worked on.
+	work     map[Range]time.Duration
+	released []Released
+	// rate is how fast its clock runs: a slow one lets it hold for longer.
+	rate float64
+	seen map[directory.Key]directory.Fence
+}
+
+// flight is an answer on its way.
+type flight struct {
+	at       time.Duration
+	sentAt   time.Duration
+	instance *modelInstance
+	sequence uint64
+	grant    Grant
+}
+
+// model is a group of controllers as seen by instances: one leads, the directory is
+// what a quorum agreed on.
+type model struct {
+	t         *testing.T
+	random    *rand.Rand
+	now       time.Duration
+	core      *Core
+	view      *directory.Directory
+	revision  directory.Revision
+	instances []*modelInstance
+	flights   []flight
+	// holder is who last held a key, with its fence.
+	fences map[directory.Key]directory.Fence
+	owners map[directory.Key]directory.InstanceID
+	trace  []string
+	names  int
+	// faults are off towards the end, so that all keys are held again.
+	faults bool
+	moves  int
+	// failure is what was found wrong first.
+	failure string
+	// heldAt is when each probed key was last held.
+	heldAt map[directory.Key]time.Duration
+}
+
+func newModel(t *testing.T, seed uint64) *model {
+	m := &model{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), view: directory.New(), faults: true,
+		fences: make(map[directory.Key]directory.Fence), owners: make(map[directory.Key]directory.InstanceID), heldAt: make(map[directory.Key]time.Duration),
+		core: New(Config{
+			Lease: 3 * time.Second, MaxLease: 3 * time.Second, ClockRateBound: 0.02, Margin: 50 * time.Millisecond,
+			Gather: time.Second, AddressReuse: 2 * time.Second, MaxMoves: 3,
+		}),
+	}
+	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","keyed":true,"version":1}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.apply(directory.Command{Patch: &patch})
+	m.core.Lead(0)
+	for range 4 {
+		m.start("")
+	}
+	return m
+}
+
+func (m *model) start(address string) {
+	m.names++
+	if address == "" {
+		address = fmt.Sprintf("127.0.0.1:%d", m.names)
+	}
+	m.instances = append(m.instances, &modelInstance{
+		id: directory.InstanceID(fmt.Sprintf("i%d", m.names)), address: address, alive: true, next: m.now,
+		work: make(map[Range]time.Duration), rate: 1 + 0.02*m.random.Float64(), seen: make(map[directory.Key]directory.Fence),
+	})
+}
+
+func (m *model) apply(command directory.Command) bool {
+	m.revision++
+	return m.view.Apply(m.revision, command) == nil
+}
+
+func (m *model) note(format string, arguments ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%8s ", m.now)+fmt.Sprintf(format, arguments...))
+}
+
+// fail keeps the first failure.
+func (m *model) fail(format string, arguments ...any) {
+	if m.failure == "" {
+		m.failure = fmt.Sprintf(format, arguments...)
+	}
+}
+
+// run steps until a time, or until something failed.
+func (m *model) run(until time.Duration) {
+	for m.now < until && m.failure == "" {
+		m.step()
+	}
+}
+
+func (m *model) chance(percent int) bool { return m.faults && m.random.IntN(100) < percent }
+
+// step advances the time by one step.
+func (m *model) step() {
+	m.now += modelStep
+	if m.random.IntN(1000) < 4 && m.faults {
+		m.note("a new leader")
+		m.core.Lead(m.now)
+	}
+	if m.random.IntN(1000) < 8 && m.faults {
+		m.disturb()
+	}
+	if m.random.IntN(5) == 0 {
+		m.countDemand()
+		for _, command := range m.core.Tick(m.now, m.view) {
+			m.apply(command)
+		}
+	}
+	for _, instance := range m.instances {
+		instance.expire(m.now)
+		if instance.alive && m.now >= instance.next {
+			m.beat(instance)
+		}
+	}
+	m.deliver()
+	m.check()
+}
+
+// disturb crashes, restarts, drains or adds an instance.
+func (m *model) disturb() {
+	instance := m.instances[m.random.IntN(len(m.instances))]
+	switch m.random.IntN(4) {
+	case 0:
+		m.note("%s crashes", instance.id)
+		instance.alive = false
+	case 1:
+		if instance.alive {
+			m.note("%s restarts", instance.id)
+			instance.alive = false
+			m.start(instance.address)
+		}
+	case 2:
+		m.note("%s drains", instance.id)
+		instance.draining = true
+	default:
+		m.note("another one starts")
+		m.start("")
+	}
+}
+
+// countDemand reports demand for few neighbouring keys, which change.
+func (m *model) countDemand() {
+	hot := uint16(m.now/(5*time.Second)) * 97 % uint16(buckets)
+	report := Report{Service: modelService}
+	for offset := range uint16(8) {
+		report.Buckets = append(report.Buckets, (hot+offset)%uint16(buckets))
+		report.Counts = append(report.Counts, uint16(m.random.IntN(12)))
+	}
+	for _, instance := range m.instances {
+		report.Instances = append(report.Instances, InstanceReport{ID: instance.id, Answered: 1, BusyMs: 100})
+	}
+	m.core.Count(m.now, report)
+}
+
+func (m *model) beat(instance *modelInstance) {
+	instance.sequence++
+	sentAt := m.now
+	instance.next = m.now + modelInterval
+	if len(instance.work) > 0 || len(instance.released) > 0 {
+		instance.next = m.now + 100*time.Millisecond
+	}
+	beat := Beat{
+		Instance: instance.id, Service: modelService, Address: instance.address, Slots: 2, Draining: instance.draining,
+		Sequence: instance.sequence, Held: instance.rows(), Released: slices.Clone(instance.released),
+	}
+	if m.chance(10) {
+		return
+	}
+	commands, err := m.core.Receive(m.now, beat, m.view)
+	if err != nil {
+		m.note("%s refused: %v", instance.id, err)
+		return
+	}
+	for _, command := range commands {
+		if command.Layout != nil {
+			m.moves++
+		}
+		if !m.apply(command) {
+			return
+		}
+	}
+	grant := m.core.Answer(m.now, instance.id, m.view)
+	if m.chance(10) {
+		return
+	}
+	delay := time.Duration(m.random.IntN(60)) * time.Millisecond
+	if m.chance(10) {
+		delay = time.Duration(m.random.IntN(1500)) * time.Millisecond
+	}
+	m.flights = append(m.flights, flight{at: m.now + delay, sentAt: sentAt, instance: instance, sequence: beat.Sequence, grant: grant})
+}
+
+func (m *model) deliver() {
+	m.flights = slices.DeleteFunc(m.flights, func(arriving flight) bool {
+		if arriving.at > m.now {
+			return false
+		}
+		instance := arriving.instance
+		// An answer that comes too late, or to an earlier heartbeat, is not taken.
+		if instance.alive && arriving.sequence == instance.sequence && m.now-arriving.sentAt < callTimeout {
+			instance.take(m.now, arriving, m.random)
+		}
+		return true
+	})
+}
+
+// rows are the ranges that the instance holds or still works on.
+func (i *modelInstance) rows() []Held {
+	rows := slices.Clone(i.held)
+	for working := range i.work {
+		rows = append(rows, Held{Range: working})
+	}
+	return rows
+}
+
+func (i *modelInstance) take(now time.Duration, answer flight, random *rand.Rand) {
+	i.released = nil
+	if !answer.grant.Renewed {
+		return
+	}
+	var next []Held
+	for _, holding := range answer.grant.Holdings {
+		next = append(next, Held{Range: rangeOf(holding), Fence: holding.Fence})
+	}
+	for _, earlier := range i.held {
+		kept := func(row Held) bool { return row.First <= earlier.First && earlier.Last <= row.Last }
+		if !slices.ContainsFunc(next, kept) {
+			i.letGo(now, earlier, next, random)
+		}
+	}
+	i.held = next
+	i.leaseEnd = answer.sentAt + time.Duration(float64(answer.grant.Lease)*i.rate)
+}
+
+// letGo works on for a while on the keys of a range that are not among the next.
+func (i *modelInstance) letGo(now time.Duration, earlier Held, next []Held, random *rand.Rand) {
+	first := earlier.First
+	for _, row := range next {
+		if !row.Overlaps(earlier.Range) {
+			continue
+		}
+		if first < row.First {
+			i.work[Range{First: first, Last: row.First - 1}] = now + time.Duration(random.IntN(400))*time.Millisecond
+		}
+		first = row.Last + 1
+	}
+	if first <= earlier.Last {
+		i.work[Range{First: first, Last: earlier.Last}] = now + time.Duration(random.IntN(400))*time.Millisecond
+	}
+}
+
+// expire ends the lease and the work that is done.
+func (i *modelInstance) expire(now time.Duration) {
+	for working, until := range i.work {
+		if now >= until || now >= i.leaseEnd {
+			delete(i.work, working)
+			i.released = append(i.released, Released{Range: working, Handover: "left"})
+		}
+	}
+	if now >= i.leaseEnd {
+		i.held = nil
+		i.released = nil
+	}
+}
+
+// probes are the keys that are checked: ends and middles, and those near the demand.
+func probes() []directory.Key {
+	var keys []directory.Key
+	for key := directory.Key(0); key <= directory.MaxKey; key += 509 {
+		keys = append(keys, key)
+	}
+	return append(keys, directory.MaxKey)
+}
+
+// check states what must always hold.
+func (m *model) check() {
+	for _, key := range probes() {
+		var holder *modelInstance
+		for _, instance := range m.instances {
+			if !instance.alive {
+				continue
+			}
+			for _, row := range instance.rows() {
+				if key < row.First || key > row.Last {
+					continue
+				}
+				if holder != nil && holder != instance {
+					m.fail("at %s key %d is held by %s and %s", m.now, key, holder.id, instance.id)
+				}
+				holder = instance
+				m.heldAt[key] = m.now
+				m.checkFence(key, row, instance)
+			}
+		}
+	}
+}
+
+func (m *model) checkFence(key directory.Key, row Held, instance *modelInstance) {
+	if row.Fence == 0 || m.owners[key] == instance.id && row.Fence >= m.fences[key] {
+		if row.Fence > 0 {
+			m.fences[key] = row.Fence
+		}
+		return
+	}
+	if row.Fence <= m.fences[key] {
+		m.fail("at %s key %d passed from %s to %s with fence %d after %d", m.now, key, m.owners[key], instance.id, row.Fence, m.fences[key])
+	}
+	m.fences[key] = row.Fence
+	m.owners[key] = instance.id
+}
+
+// TestLeasesNeverOverlap drives the core with instances that crash, restart, drain
+// and come, with heartbeats and answers that are lost or late and leaders that
+// change, over many seeds: no key ever has two holders, fences only rise, and once
+// the faults end every key is held.
+func TestLeasesNeverOverlap(t *testing.T) {
+	const seeds = 60
+	moves := 0
+	for seed := range uint64(seeds) {
+		m := newModel(t, seed)
+		m.run(40 * time.Second)
+		m.faults = false
+		m.start("")
+		calm := m.now
+		m.run(calm + 14*time.Second)
+		for _, key := range probes() {
+			if m.heldAt[key] < calm+9*time.Second {
+				m.fail("key %d was last held at %s", key, m.heldAt[key])
+			}
+		}
+		moves += m.moves
+		if m.failure != "" {
+			t.Fatalf("seed %d: %s\n%s", seed, m.failure, strings.Join(m.trace, "\n"))
+		}
+	}
+	if moves < seeds {
+		t.Errorf("only %d changes of layouts: the model moves too little", moves)
+	}
+}
+
+// TestModelCatchesEarlyReassignment: the check sees a core that does not wait for
+// leases to end.
+func TestModelCatchesEarlyReassignment(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newModel(t, seed)
+		m.core.config.MaxLease = 0
+		m.core.config.Margin = -2 * time.Second
+		m.run(40 * time.Second)
+		if m.failure != "" {
+			return
+		}
+	}
+	t.Error("keys that pass on before their lease has ended were not noticed")
+}
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -135,7 +135,9 @@
 	wanted := (d.utilisation(source) - d.utilisation(target)) / (fromTime + toTime)
 	bestIndex, bestPart, bestRate := -1, Range{}, 0.0
 	for index, holding := range d.layout.Holdings {
-		if holding.Owner != source.id || holding.Revoked {
+		// Keys that the source was not told of yet stay: they would pass on from one
+		// instance to the next without anybody serving them.
+		if holding.Owner != source.id || holding.Revoked || !holding.Granted {
 			continue
 		}
 		part, rate := d.partOf(holding, wanted)
