Heartbeat leases: keys move to an instance that is told of them soon

Cause: between the heartbeat at which an instance lets keys go and that of the next holder nobody holds them, for up to a whole interval of 1.3 s, and requests for hot keys wait or are refused meanwhile. The next holder is chosen by the demand for its slots plus one slot share for each second of that gap.

--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -17,13 +17,13 @@
 	leastGain = 0.1
 	// leastDifference is the least difference between the two.
 	leastDifference = 0.2
-	// soonest and latest bound how long after the old owner's heartbeat that of the
-	// new one is best expected: between the two nobody holds the keys.
-	soonest = 150 * time.Millisecond
-	latest  = 600 * time.Millisecond
-	// closeEnough is the difference within which the moment of the heartbeat decides
-	// between two instances.
-	closeEnough = 0.15
+	// gapCost is what a second without a holder costs, as a share of slots in use.
+	gapCost = 1.0
+	// releaseTime is the time after which an instance that lets keys go sends its next
+	// heartbeat.
+	releaseTime = 100 * time.Millisecond
+	// unknownGap is expected of an instance whose heartbeats are not known yet.
+	unknownGap = time.Second
 )
 
 // utilisation returns the share of an instance's slots that the demand for its keys
@@ -88,39 +88,38 @@
 	})
 }
 
-// bestTarget returns the warm instance with the least demand for its slots; among
-// those that are nearly alike the one whose heartbeat is expected at the best moment.
+// bestTarget returns the warm instance that costs least as the next holder: by the
+// demand for its slots, and by the time until it is told of its keys, in which
+// nobody holds them.
 func (d *draft) bestTarget(source *candidate) *candidate {
 	var best *candidate
+	bestCost := 0.0
 	for _, each := range d.candidates {
 		if each == source || !each.warm {
 			continue
 		}
-		if best == nil || d.utilisation(each) < d.utilisation(best) {
-			best = each
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	bound := d.utilisation(best) + closeEnough
-	for _, each := range d.candidates {
-		if each != source && each.warm && d.utilisation(each) <= bound && d.comesWell(each) && !d.comesWell(best) {
-			best = each
+		cost := d.utilisation(each) + gapCost*d.gap(source, each).Seconds()
+		if best == nil || cost < bestCost {
+			best, bestCost = each, cost
 		}
 	}
 	return best
 }
 
-// comesWell reports whether an instance's next heartbeat is expected soon after the
-// old owner has let its keys go.
-func (d *draft) comesWell(each *candidate) bool {
-	known := d.core.contacts[each.id]
+// gap returns how long nobody is expected to hold keys that pass from one instance to
+// another: from the source's heartbeat, which has just come, to the first one of the
+// target after the source has let go.
+func (d *draft) gap(source, target *candidate) time.Duration {
+	known := d.core.contacts[target.id]
 	if known == nil || known.interval <= 0 {
-		return false
+		return unknownGap
 	}
+	letGo := releaseTime + time.Duration(d.demand().timeOf(source.id)*float64(time.Second))
 	until := known.beatAt + known.interval - d.now
-	return soonest <= until && until <= latest
+	for until < letGo {
+		until += known.interval
+	}
+	return until
 }
 
 // bestPart returns which part of which of the source's holdings is to be moved, so
