Controller: a full disk is waited out

The replica now leaves its group, waits for room and begins anew from what the disk holds. A failed sync still ends the process, since what the disk holds is in doubt then.

--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
+	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,13 +30,29 @@
 	return RunOn(ctx, vfs.System{}, settings, log)
 }
 
-// RunOn is Run on a given file layer, so that a run can inject a disk's faults.
+// RunOn is Run on a given file layer, so that a run can inject a disk's faults. A
+// replica whose disk is full leaves its group until there is room, and then begins
+// anew from what the disk holds: it writes nothing of which it does not know whether
+// it is there.
 func RunOn(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
 	lock, err := identity.Lock(settings.DataDirectory)
 	if err != nil {
 		return err
 	}
 	defer closeQuietly(lock, log)
+	for {
+		err := runOnce(ctx, files, settings, log)
+		if !errors.Is(err, syscall.ENOSPC) {
+			return err
+		}
+		telemetry.WithError(log, telemetry.EventDiskFull, err).Warn("the disk is full; this replica waits for room")
+		if !awaitRoom(ctx, files, settings.DataDirectory) {
+			return nil
+		}
+	}
+}
+
+func runOnce(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
 	node, err := newNode(files, settings, log)
 	if err != nil {
 		return err
@@ -41,6 +60,45 @@
 	return node.run(ctx)
 }
 
+const (
+	// roomInterval is the time between two looks whether a full disk has room.
+	roomInterval = 250 * time.Millisecond
+	// roomBytes is the room that must be there.
+	roomBytes = 64 << 10
+	roomFile  = "room"
+)
+
+// awaitRoom waits until a file of some size can be written, and reports false if the
+// context ends before.
+func awaitRoom(ctx context.Context, files vfs.FileSystem, folder string) bool {
+	ticker := time.NewTicker(roomInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if hasRoom(files, filepath.Join(folder, roomFile)) {
+			return true
+		}
+	}
+}
+
+func hasRoom(files vfs.FileSystem, path string) bool {
+	if files.MkdirAll(filepath.Dir(path)) != nil {
+		return false
+	}
+	file, err := files.Create(path)
+	if err != nil {
+		return false
+	}
+	_, writeError := file.Write(make([]byte, roomBytes))
+	closeError := file.Close()
+	removeError := files.Remove(path)
+	return writeError == nil && closeError == nil && removeError == nil
+}
+
 // node is one controller process.
 type node struct {
 	settings  config.Controller
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -37,6 +37,7 @@
 	EventSnapshotTaken     Event = "snapshot_taken"
 	EventSnapshotReceived  Event = "snapshot_received"
 	EventDiskFailed        Event = "disk_failed"
+	EventDiskFull          Event = "disk_full"
 	EventPlanStored        Event = "plan_stored"
 	EventPlanConfirmed     Event = "plan_confirmed"
 	EventPlanRefused       Event = "plan_refused"
@@ -119,6 +120,7 @@
 		{EventSnapshotTaken, levelInfo, "A snapshot was taken and the log cut."},
 		{EventSnapshotReceived, levelInfo, "A snapshot of the leader replaced the state."},
 		{EventDiskFailed, levelError, "A write or sync failed, or a file is damaged; the replica stops."},
+		{EventDiskFull, levelWarning, "The disk takes no more bytes; the replica is out of its group until there is room."},
 		{EventPlanStored, levelInfo, "An intent was answered with a plan."},
 		{EventPlanConfirmed, levelInfo, "An operator confirmed a plan; it is in force from this revision."},
 		{EventPlanRefused, levelInfo, "A plan or its confirmation was refused."},
