--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,7 +11,8 @@
 type Settings struct {
 	// Zone is where this process stands.
 	Zone string
-	// CrossZone is added to the expected time of an instance in another zone.
+	// CrossZone is by how much sooner an instance in another zone must be expected to
+	// answer to be preferred to one in the own zone.
 	CrossZone time.Duration
 	// FirstLatency is expected of an instance before anything was learned.
 	FirstLatency time.Duration
@@ -27,7 +28,7 @@
 // DefaultSettings suit services that answer within tenths of a second.
 func DefaultSettings(zone string) Settings {
 	return Settings{
-		Zone: zone, CrossZone: 10 * time.Millisecond, FirstLatency: 100 * time.Millisecond,
+		Zone: zone, CrossZone: 60 * time.Millisecond, FirstLatency: 100 * time.Millisecond,
 		EjectAfter: 2, EjectFor: time.Second, EjectMost: 8 * time.Second, MaxEjected: 0.5,
 	}
 }
@@ -79,16 +80,38 @@
 	if len(free) == 0 {
 		return directory.Instance{}, false
 	}
-	first := b.draw(request, free, request.Random[0])
-	second := b.draw(request, free, request.Random[1])
-	chosen := first
-	if b.expected(request, second) < b.expected(request, first) {
-		chosen = second
+	chosen := b.pick(request, free)
+	if near := b.near(free); len(near) > 0 && len(near) < len(free) {
+		nearest := b.pick(request, near)
+		if b.expected(request, nearest) <= b.expected(request, chosen)+b.settings.CrossZone.Seconds() {
+			chosen = nearest
+		}
 	}
 	b.begin(request.Now, chosen.ID)
 	return chosen, true
 }
 
+// pick draws two candidates and returns the one that is expected to answer sooner.
+func (b *Balancer) pick(request Request, candidates []directory.Instance) directory.Instance {
+	first := b.draw(request, candidates, request.Random[0])
+	second := b.draw(request, candidates, request.Random[1])
+	if b.expected(request, second) < b.expected(request, first) {
+		return second
+	}
+	return first
+}
+
+// near returns the candidates in the own zone.
+func (b *Balancer) near(candidates []directory.Instance) []directory.Instance {
+	var near []directory.Instance
+	for _, instance := range candidates {
+		if instance.Zone == b.settings.Zone {
+			near = append(near, instance)
+		}
+	}
+	return near
+}
+
 // wellOnes returns the instances that are not ejected, or all if too many are.
 func (b *Balancer) wellOnes(request Request) []directory.Instance {
 	well := make([]directory.Instance, 0, len(request.Instances))
@@ -144,9 +167,6 @@
 	if known, found := b.loads[instance.ID]; found && known.latency > 0 {
 		needed = known.latency
 	}
-	if instance.Zone != b.settings.Zone {
-		needed += b.settings.CrossZone.Seconds()
-	}
 	return needed
 }
 
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -102,27 +102,29 @@
 	MessageReadIndexAnswer
 )
 
-// Message travels between replicas. Fields that a kind does not use are zero.
+// Message travels between replicas. Fields that a kind does not use are zero, and left
+// out on the wire, where the others have short names: messages without entries are
+// most of what control sends.
 type Message struct {
-	Kind     MessageKind
-	From     ReplicaID
-	To       ReplicaID
-	Term     uint64
-	Index    uint64
-	LogTerm  uint64
-	Commit   uint64
-	Entries  []Entry
-	Reject   bool
-	Hint     uint64
-	HintTerm uint64
+	Kind     MessageKind `msgpack:"k,omitempty"`
+	From     ReplicaID   `msgpack:"f,omitempty"`
+	To       ReplicaID   `msgpack:"t,omitempty"`
+	Term     uint64      `msgpack:"T,omitempty"`
+	Index    uint64      `msgpack:"i,omitempty"`
+	LogTerm  uint64      `msgpack:"l,omitempty"`
+	Commit   uint64      `msgpack:"c,omitempty"`
+	Entries  []Entry     `msgpack:"e,omitempty"`
+	Reject   bool        `msgpack:"r,omitempty"`
+	Hint     uint64      `msgpack:"h,omitempty"`
+	HintTerm uint64      `msgpack:"H,omitempty"`
 	// Context matches a quorum round or read request to its answers.
-	Context  uint64
-	Snapshot *Snapshot
+	Context  uint64    `msgpack:"x,omitempty"`
+	Snapshot *Snapshot `msgpack:"s,omitempty"`
 	// Transfer marks a vote request that a leadership transfer asked for.
-	Transfer bool
+	Transfer bool `msgpack:"v,omitempty"`
 	// Quiet, in a granted vote, is a time before it, by the voter's clock, in
 	// which the voter acknowledged no leader and led no term.
-	Quiet time.Duration
+	Quiet time.Duration `msgpack:"q,omitempty"`
 }
 
 // ReadState says that a read request was confirmed: a quorum acknowledged this
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -39,8 +39,8 @@
 
 // ConsensusBatch carries consensus messages to one replica.
 type ConsensusBatch struct {
-	Cluster  ClusterID
-	Messages []consensus.Message
+	Cluster  ClusterID           `msgpack:"c"`
+	Messages []consensus.Message `msgpack:"m"`
 }
 
 // FormationRequest introduces a controller to another one.
