Balance: fewer requests in flight to the holder of a key that answers late

The bound falls by one with each answer that takes 2.5 times the mean or fails, and rises by a quarter with any other.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -51,6 +51,9 @@
 	ejections    int
 	ejectedUntil time.Duration
 	seenAt       time.Duration
+	// withheld is by how many requests the bound of those in flight is lowered,
+	// since the instance answers late.
+	withheld float64
 }
 
 // New returns a balancer that knows of no instance.
@@ -201,7 +204,8 @@
 func (b *Balancer) TryBegin(now time.Duration, instance directory.Instance, limit int) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.load(instance.ID).inFlight >= limit {
+	known := b.load(instance.ID)
+	if known.inFlight >= max(1, limit-int(known.withheld)) {
 		return false
 	}
 	b.begin(now, instance.ID)
@@ -239,6 +243,7 @@
 		known.latency = smoothed(known.latency, seconds)
 		b.latency[outcome.Service] = smoothed(b.latency[outcome.Service], seconds)
 	}
+	known.adapt(outcome, b.latency[outcome.Service])
 	if !outcome.Failed {
 		return false
 	}
@@ -253,6 +258,27 @@
 	return true
 }
 
+const (
+	// lateAnswer is how many times the mean an answer takes that counts as late.
+	lateAnswer = 2.5
+	// withholdStep and restoreStep are by how much the bound of requests in flight
+	// falls with a late answer and rises with any other.
+	withholdStep = 1.0
+	restoreStep  = 0.25
+	mostWithheld = 4.0
+)
+
+// adapt lowers the bound of the requests in flight while an instance answers late, as
+// its queue is then long, and raises it again by and by.
+func (l *load) adapt(outcome Outcome, mean float64) {
+	late := outcome.Failed || mean > 0 && outcome.Took.Seconds() > lateAnswer*mean
+	if late {
+		l.withheld = min(l.withheld+withholdStep, mostWithheld)
+		return
+	}
+	l.withheld = max(l.withheld-restoreStep, 0)
+}
+
 // maxDoublings keeps the shift of an ejection's length in bounds.
 const maxDoublings = 8
 
