--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -112,6 +112,7 @@
 	c.heartbeatElapsed++
 	for _, id := range c.receivers {
 		c.progress[id].silentTicks++
+		c.progress[id].probeTicks++
 	}
 	c.tickTransfer()
 	c.tickSnapshots()
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -22,6 +22,8 @@
 	recentActive bool
 	// silentTicks counts since the member was last heard.
 	silentTicks int
+	// probeTicks counts since the last MessageAppend that was sent in probe.
+	probeTicks int
 	// paused holds back MessageAppend until an answer arrives.
 	paused bool
 	// inflight holds the last index of each unacknowledged MessageAppend.
@@ -59,6 +61,7 @@
 func (p *progress) sent(count, maxInflight int) {
 	if p.state == progressProbe {
 		p.paused = true
+		p.probeTicks = 0
 		return
 	}
 	if count > 0 {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -164,8 +164,12 @@
 	}
 }
 
+// handleHeartbeatAnswer sends what the member lacks, as the last MessageAppend may be
+// lost. A probe is repeated once a heartbeat interval at most: when a cut heals, the
+// answers to all heartbeats that were held up come at once.
 func (c *Core) handleHeartbeatAnswer(answer Message, view *progress) {
-	if view.state != progressSnapshot {
+	probedNow := view.state == progressProbe && view.paused && view.probeTicks < c.config.HeartbeatTicks
+	if view.state != progressSnapshot && !probedNow {
 		view.paused = false
 		if view.match < c.log.lastIndex() {
 			c.sendAppend(answer.From, true)
