Logs go to the standard output through a bounded queue

A change of the layout logs the changed holdings only. TestRouterStopsAtSignal reads the standard output, where the lines are now.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -9,8 +9,10 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -331,6 +333,60 @@
 	}
 }
 
+// TestRoleOutlivesHangUp: SIGHUP says that the settings file has changed. It ended the
+// process, as no role took it.
+func TestRoleOutlivesHangUp(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "router.yaml")
+	if err := os.WriteFile(path, []byte(routerFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var log syncBuffer
+	hangUp := func(wanted string) error {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			return err
+		}
+		for end := time.Now().Add(patience); !strings.Contains(log.String(), wanted); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				return errors.New("no line with " + wanted + " in " + log.String())
+			}
+		}
+		return nil
+	}
+	runners := Runners{Router: func(context.Context, config.Router, *logrus.Entry) error {
+		if err := hangUp(`"event":"settings_reloaded","level":"info"`); err != nil {
+			return err
+		}
+		if err := os.WriteFile(path, []byte("role: router\nnone: 1\n"), 0o600); err != nil {
+			return err
+		}
+		return hangUp(`"event":"settings_reloaded","level":"warning"`)
+	}}
+	streams := Streams{Out: &log, Err: &bytes.Buffer{}}
+	if code := Execute(context.Background(), []string{"router", "-c", path}, streams, runners); code != ExitOK {
+		t.Errorf("code %d, log %s", code, log.String())
+	}
+}
+
+const patience = 20 * time.Second
+
+// syncBuffer is a buffer that several goroutines use.
+type syncBuffer struct {
+	mutex sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (b *syncBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.Write(data)
+}
+
+func (b *syncBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.String()
+}
+
 func TestRouterStopsAtSignal(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "router.yaml")
 	if err := os.WriteFile(path, []byte(routerFile), 0o600); err != nil {
@@ -346,7 +402,7 @@
 		return nil
 	}}
 	var log bytes.Buffer
-	streams := Streams{Out: &bytes.Buffer{}, Err: &log}
+	streams := Streams{Out: &log, Err: &bytes.Buffer{}}
 	code := Execute(context.Background(), []string{"router", "-c", path, "--name", "r2"}, streams, runners)
 	stopping := strings.Index(log.String(), `"event":"stopping"`)
 	stopped := strings.Index(log.String(), `"event":"stopped"`)
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -50,7 +50,8 @@
 			if err != nil {
 				return err
 			}
-			log := telemetry.New(string(config.RoleController), settings.Name, settings.Log.Level, program.streams.Err)
+			log, closeLog := program.openLog(config.RoleController, settings.Name, settings.Log)
+			defer closeLog()
 			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Controller(ctx, settings, log)
 			})
@@ -66,7 +67,8 @@
 			if err != nil {
 				return err
 			}
-			log := telemetry.New(string(config.RoleRouter), settings.Name, settings.Log.Level, program.streams.Err)
+			log, closeLog := program.openLog(config.RoleRouter, settings.Name, settings.Log)
+			defer closeLog()
 			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Router(ctx, settings, log)
 			})
@@ -82,13 +84,21 @@
 			if err != nil {
 				return err
 			}
-			log := telemetry.New(string(config.RoleGateway), settings.Name, settings.Log.Level, program.streams.Out)
+			log, closeLog := program.openLog(config.RoleGateway, settings.Name, settings.Log)
+			defer closeLog()
 			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Gateway(ctx, settings, log, reload)
 			})
 		})
 }
 
+// openLog returns the log of a role, and how its lines that wait are written at the
+// end.
+func (p *program) openLog(role config.Role, name string, settings config.Log) (*logrus.Entry, func()) {
+	queue := telemetry.NewQueue(p.streams.Out)
+	return telemetry.New(string(role), name, settings.Level, queue), queue.Close
+}
+
 type roleRunner func(ctx context.Context, path string, overrides []config.Override) error
 
 func newRoleCommand(use, short string, flags []overrideFlag, run roleRunner) *cobra.Command {
@@ -96,7 +106,7 @@
 	command := &cobra.Command{
 		Use:   use + " --config FILE",
 		Short: short,
-		Long: short + ".\n\nLog lines go to the standard error stream. SIGTERM and SIGINT begin a graceful\n" +
+		Long: short + ".\n\nLog lines go to the standard output. SIGTERM and SIGINT begin a graceful\n" +
 			"stop; a second signal ends the process at once.",
 		Args: exactly(),
 		RunE: func(command *cobra.Command, _ []string) error {
--- a/internal/consensus/probe_test.go
+++ b/internal/consensus/probe_test.go
@@ -37,21 +37,7 @@
 		}
 		return count
 	}
-	for core.Status().Role != RoleLeader {
-		core.Tick()
-		for core.HasReady() {
-			ready := core.Ready()
-			core.Advance(ready)
-			for _, message := range ready.Messages {
-				if message.Kind == MessagePreVote && message.To == other {
-					step(Message{Kind: MessagePreVoteAnswer, From: other})
-				}
-				if message.Kind == MessageVote && message.To == other {
-					step(Message{Kind: MessageVoteAnswer, From: other})
-				}
-			}
-		}
-	}
+	elect(core, other, step)
 	const proposals = 20
 	for range proposals {
 		if err := core.Propose([]byte("x")); err != nil {
@@ -74,3 +60,22 @@
 		t.Error("a probe that was lost is not repeated a heartbeat later")
 	}
 }
+
+// elect makes a core the leader by the votes of another member.
+func elect(core *Core, other ReplicaID, step func(Message)) {
+	for core.Status().Role != RoleLeader {
+		core.Tick()
+		for core.HasReady() {
+			ready := core.Ready()
+			core.Advance(ready)
+			for _, message := range ready.Messages {
+				if message.Kind == MessagePreVote && message.To == other {
+					step(Message{Kind: MessagePreVoteAnswer, From: other})
+				}
+				if message.Kind == MessageVote && message.To == other {
+					step(Message{Kind: MessageVoteAnswer, From: other})
+				}
+			}
+		}
+	}
+}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -187,8 +188,10 @@
 	case command.Patch != nil:
 		line.WithField(telemetry.FieldCount, len(command.Patch.Items)).WithField("items", itemNames(command.Patch.Items)).Info("items taken")
 	case command.Layout != nil:
-		line.WithField(telemetry.FieldService, command.Layout.Layout.Service).
-			WithField("holdings", changedHoldings(command.Layout.Layout)).Info("layout of keys changed")
+		layout := command.Layout.Layout
+		line.WithField(telemetry.FieldService, layout.Service).
+			WithField("holdings", changedHoldings(h.logged[layout.Service], layout.Holdings)).Info("layout of keys changed")
+		h.logged[layout.Service] = layout.Holdings
 	default:
 		for _, instance := range command.Instances {
 			line.WithField(telemetry.FieldServer, instance.ID).WithField(telemetry.FieldService, instance.Service).
@@ -215,12 +218,16 @@
 	Fence   directory.Fence      `json:"fence"`
 	Owner   directory.InstanceID `json:"owner"`
 	Revoked bool                 `json:"revoked,omitempty"`
+	Granted bool                 `json:"granted,omitempty"`
 }
 
-func changedHoldings(layout directory.Layout) []holdingLine {
-	lines := make([]holdingLine, 0, len(layout.Holdings))
-	for _, holding := range layout.Holdings {
-		lines = append(lines, holdingLine{holding.First, holding.Last, holding.Fence, holding.Owner, holding.Revoked})
+// changedHoldings returns the holdings that were not there before.
+func changedHoldings(before, after []directory.Holding) []holdingLine {
+	var lines []holdingLine
+	for _, holding := range after {
+		if !slices.Contains(before, holding) {
+			lines = append(lines, holdingLine{holding.First, holding.Last, holding.Fence, holding.Owner, holding.Revoked, holding.Granted})
+		}
 	}
 	return lines
 }
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -7,6 +7,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -20,6 +21,8 @@
 	// membersChanged is true once a committed change of members was applied,
 	// until the senders to removed ones are stopped.
 	membersChanged bool
+	// logged has the layout of each service as the log told it last.
+	logged map[string][]directory.Holding
 }
 
 // Now implements driver.Host.
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -15,6 +15,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -126,7 +127,7 @@
 		return nil, err
 	}
 	r.core = core
-	r.host = &host{replica: r}
+	r.host = &host{replica: r, logged: make(map[string][]directory.Holding)}
 	r.driver = driver.New(driver.Config{
 		Self:            self.ID,
 		Core:            core,
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -241,7 +241,7 @@
 		if !found {
 			continue
 		}
-		sameOwner := later.Owner == earlier.Owner && !(earlier.Revoked && !later.Revoked)
+		sameOwner := later.Owner == earlier.Owner && (!earlier.Revoked || later.Revoked)
 		if later.Fence < earlier.Fence || later.Fence == earlier.Fence && later.Owner != "" && !sameOwner {
 			return false
 		}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -81,10 +81,10 @@
 	err := connection.Control(func(descriptor uintptr) {
 		var buffer [1]byte
 		count, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == nil:
+		switch err {
+		case nil:
 			left = count == 0
-		case err == syscall.EAGAIN || err == syscall.EINTR:
+		case syscall.EAGAIN, syscall.EINTR:
 		default:
 			left = true
 		}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -20,6 +20,8 @@
 	EventListening Event = "listening"
 	EventFailed    Event = "failed"
 
+	EventLinesDropped Event = "log_lines_dropped"
+
 	EventCertificateRenewed Event = "certificate_renewed"
 	EventCertificateFailed  Event = "certificate_failed"
 )
@@ -102,6 +104,7 @@
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
 		{EventFailed, levelError, "The process cannot go on, and ends."},
+		{EventLinesDropped, levelWarning, "Log lines found their queue full and were dropped."},
 		{EventCertificateRenewed, levelInfo, "Replaced certificate files were read and are in use."},
 		{EventCertificateFailed, levelWarning, "Replaced certificate files cannot be used; the earlier ones stay in use."},
 	}
--- a/internal/telemetry/reference.go
+++ b/internal/telemetry/reference.go
@@ -8,7 +8,7 @@
 // WriteReference writes the page docs/LOGS.md.
 func WriteReference(out io.Writer) error {
 	head := "# Log lines\n\nMade from the code by `make docs`; do not edit.\n\n" +
-		"Each process writes one JSON object a line to its standard error stream. Every line has `" +
+		"Each process writes one JSON object a line to its standard output, through a bounded queue that drops and counts lines rather than wait. Every line has `" +
 		FieldTime + "`, `" + FieldLevel + "`, `" + FieldMessage + "`, `" + FieldRole + "` and `" + FieldName +
 		"`; `" + FieldEvent + "` is one of the names below, which do not change between versions.\n\n" +
 		"| event | level | meaning |\n|---|---|---|\n"
