--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -18,6 +19,8 @@
 // places keys by them. It is safe for concurrent use.
 type demandCounter struct {
 	subscription *subscription
+	options      wire.Options
+	name         string
 	mutex        sync.Mutex
 	services     map[string]*serviceCounts
 }
@@ -27,8 +30,11 @@
 	instances map[directory.InstanceID]*heartbeat.InstanceReport
 }
 
-func newDemandCounter(subscription *subscription) *demandCounter {
-	return &demandCounter{subscription: subscription, services: make(map[string]*serviceCounts)}
+func newDemandCounter(settings config.Gateway, subscription *subscription) *demandCounter {
+	return &demandCounter{
+		subscription: subscription, services: make(map[string]*serviceCounts), name: settings.Name,
+		options: wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout},
+	}
 }
 
 func (d *demandCounter) of(service string) *serviceCounts {
@@ -94,13 +100,12 @@
 
 // reportTo reports to one controller until it does not lead any more.
 func (d *demandCounter) reportTo(ctx context.Context, leader string) {
-	settings := d.subscription.settings
-	connection, err := wire.Dial(ctx, leader, wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout})
+	connection, err := wire.Dial(ctx, leader, d.options)
 	if err != nil {
 		return
 	}
 	defer connection.Close()
-	if connection.Send(ctx, &message.Hello{Purpose: message.PurposeDemand, From: settings.Name}) != nil {
+	if connection.Send(ctx, &message.Hello{Purpose: message.PurposeDemand, From: d.name}) != nil {
 		return
 	}
 	for ctx.Err() == nil && *d.subscription.leader.Load() == leader {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 		budgets:      make(map[string]*retry.Budget),
 	}
 	gateway.metrics = newMetrics(gateway.registry)
-	gateway.demand = newDemandCounter(gateway.subscription)
+	gateway.demand = newDemandCounter(settings, gateway.subscription)
 	gateway.subscription.changed = gateway.tableChanged
 	return gateway, nil
 }
