Controller: a replica that joins can answer a leader that founded nothing

Where another member led, it had no address for its answers, never caught up and kept no vote, until too few voters were left. It now goes by the members that other replicas told of when it asked to join. Ruled out: the change of members itself (it was proposed as soon as the learner had caught up), the leader's senders. TestGroupBySeeds forms a group from seeds, loses a disk while a non-founder leads, and replaces a machine by an empty one at another address; it fails without the change.

--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -45,8 +45,8 @@
 	known  identity.Identity
 	status func() (current []consensus.Member, leader string)
 	join   func(consensus.Member)
-	// learned are the peer addresses of the group's members, as last told.
-	learned []string
+	// learned are the members of the group, as last told.
+	learned []consensus.Member
 }
 
 func (f *formation) identity() identity.Identity {
@@ -164,27 +164,32 @@
 	addresses := f.configured()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for _, address := range f.learned {
-		if address != f.settings.PeerAddress && !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
+	for _, member := range f.learned {
+		if member.Address != f.settings.PeerAddress && !slices.Contains(addresses, member.Address) {
+			addresses = append(addresses, member.Address)
 		}
 	}
 	return addresses
 }
 
-// learn keeps the addresses of the members of the group.
+// learn keeps the members of the group.
 func (f *formation) learn(answer message.FormationAnswer) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if len(answer.Current) == 0 {
-		return
-	}
-	f.learned = nil
-	for _, member := range answer.Current {
-		f.learned = append(f.learned, member.Address)
+	if len(answer.Current) > 0 {
+		f.learned = answer.Current
 	}
 }
 
+// member returns a member of the group that others told of. A replica that joins
+// knows only the founders by its own log until a leader has sent it the rest, and
+// must be able to answer that leader.
+func (f *formation) member(id consensus.ReplicaID) (consensus.Member, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return memberByID(consensus.Membership{Members: f.learned}, id)
+}
+
 // set makes the identity durable before it is told to anyone.
 func (f *formation) set(next identity.Identity) error {
 	f.mutex.Lock()
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -29,14 +29,19 @@
 	background *conc.WaitGroup
 }
 
-func newPeers(r *replica, dial wire.DialFunc) *peers {
+// newPeers returns the senders of a replica. Told finds members that other replicas
+// told of, beyond those of the replica's own log.
+func newPeers(r *replica, dial wire.DialFunc, told func(consensus.ReplicaID) (consensus.Member, bool)) *peers {
 	return &peers{
 		settings: r.settings,
 		cluster:  r.cluster,
 		log:      r.log,
 		dial:     dial,
 		member: func(id consensus.ReplicaID) (consensus.Member, bool) {
-			return reachable(r.core.Status(), id)
+			if member, found := reachable(r.core.Status(), id); found {
+				return member, true
+			}
+			return told(id)
 		},
 		senders:    make(map[consensus.ReplicaID]*wire.PeerSender),
 		background: &r.background,
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -198,7 +198,7 @@
 	r := n.replica
 	driving, stopDriving := context.WithCancel(context.Background())
 	defer stopDriving()
-	r.peers = newPeers(r, n.security.dial())
+	r.peers = newPeers(r, n.security.dial(), n.formation.member)
 	defer r.peers.stop()
 	r.leases = newLeaseSender(driving, n.settings.Lease, r.results)
 	n.formation.attach(r.formationStatus, r.requestJoin)
--- /dev/null
+++ b/internal/controller/seeds_test.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/vfs"
+)
+
+// seedCount of the machines are the seeds, which found the group.
+const seedCount = 3
+
+// machineAddress returns a loopback address of this process's own for each machine,
+// so that all of them can use the same port.
+func machineAddress(number int) string {
+	return net.IPv4(127, byte(128+os.Getpid()>>15&0x7f), byte(os.Getpid()>>7), byte(number+10*(os.Getpid()&0xf))).String()
+}
+
+// newSeededGroup starts controllers that know only the seeds.
+func newSeededGroup(t *testing.T, size int) *group {
+	t.Helper()
+	g := &group{t: t}
+	var ports [2]int
+	for index := range ports {
+		listener, err := net.Listen("tcp", net.JoinHostPort(machineAddress(1), "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		ports[index] = listener.Addr().(*net.TCPAddr).Port
+	}
+	address := func(number, port int) string { return net.JoinHostPort(machineAddress(number), strconv.Itoa(port)) }
+	var endpoints, seeds []string
+	for number := 1; number <= size; number++ {
+		endpoints = append(endpoints, address(number, ports[1]))
+	}
+	seeds = endpoints[:seedCount]
+	for number := 1; number <= size; number++ {
+		settings := config.DefaultController()
+		settings.Name = fmt.Sprintf("c%d", number)
+		settings.PeerAddress, settings.APIAddress = address(number, ports[0]), endpoints[number-1]
+		settings.Seeds = seeds
+		settings.FirstStart = true
+		settings.DataDirectory = filepath.Join(t.TempDir(), settings.Name)
+		g.processes = append(g.processes, &process{settings: settings, files: vfs.System{}})
+	}
+	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: endpoints})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.client = client
+	t.Cleanup(func() {
+		client.Close()
+		for number := range g.processes {
+			g.stop(number)
+		}
+		g.running.Wait()
+	})
+	return g
+}
+
+func voterNames(members []consensus.Member) []string {
+	var names []string
+	for _, member := range members {
+		if !member.Learner {
+			names = append(names, member.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// wantVoters waits until the members with a vote bear the names.
+func (g *group) wantVoters(names ...string) {
+	g.t.Helper()
+	g.eventually(fmt.Sprint("voters ", names), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		members, err := g.client.Members(ctx)
+		return err == nil && slices.Equal(voterNames(members), names)
+	})
+}
+
+// TestGroupBySeeds: three seeds found a group, which the other machines join. With a
+// machine in the lead that founded nothing, one that lost its disk takes its own place
+// again, and an empty one at another address that of a machine that is gone. The first
+// of these waited for ever: it knew the founders alone, and could not answer the leader.
+func TestGroupBySeeds(t *testing.T) {
+	const size = 6
+	g := newSeededGroup(t, size)
+	for number := range size - 1 {
+		g.start(number)
+	}
+	g.wantVoters("c1", "c2", "c3", "c4", "c5")
+	for number := range g.processes {
+		g.processes[number].settings.FirstStart = false
+	}
+	g.eventually("a machine leads that founded nothing", func() bool {
+		if g.leader() >= seedCount {
+			return true
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = g.client.Transfer(ctx) // tried again
+		return false
+	})
+	g.stop(0)
+	if err := os.RemoveAll(g.processes[0].settings.DataDirectory); err != nil {
+		t.Fatal(err)
+	}
+	before := g.memberID("c1")
+	g.start(0)
+	g.eventually("c1 has a vote under a new identifier", func() bool {
+		id := g.memberID("c1")
+		return id != 0 && id != before
+	})
+	g.wantVoters("c1", "c2", "c3", "c4", "c5")
+
+	g.stop(1)
+	g.start(size - 1)
+	g.wantVoters("c1", "c3", "c4", "c5", "c6")
+}
+
+// memberID returns the identifier of the voter that bears a name, zero for none.
+func (g *group) memberID(name string) consensus.ReplicaID {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	members, err := g.client.Members(ctx)
+	if err != nil {
+		return 0
+	}
+	for _, member := range members {
+		if member.Name == name && !member.Learner {
+			return member.ID
+		}
+	}
+	return 0
+}
