--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -163,16 +163,30 @@
 
 // alone is the time in seconds that the instance needs for a request.
 func (b *Balancer) alone(request Request, instance directory.Instance) float64 {
-	needed := b.latency[request.Service]
-	if needed == 0 {
-		needed = b.settings.FirstLatency.Seconds()
+	mean := b.latency[request.Service]
+	if mean == 0 {
+		mean = b.settings.FirstLatency.Seconds()
 	}
-	if known, found := b.loads[instance.ID]; found && known.latency > 0 {
-		needed = known.latency
+	known, found := b.loads[instance.ID]
+	switch {
+	case !found || known.latency == 0:
+		return untried * mean
+	case request.Now-known.seenAt > forgetAfter:
+		return min(known.latency, mean)
+	default:
+		return known.latency
 	}
-	return needed
 }
 
+const (
+	// untried is what is expected of an instance that has not answered yet, as a
+	// share of the mean: less than one, so that it is tried.
+	untried = 0.5
+	// forgetAfter is how long an instance that was slow is expected to be so without
+	// being tried again.
+	forgetAfter = 5 * time.Second
+)
+
 // expected is the time in seconds until a request would be answered.
 func (b *Balancer) expected(request Request, instance directory.Instance) float64 {
 	needed := b.alone(request, instance)
