--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -314,3 +314,32 @@
 		}
 	}
 }
+
+// Standing is what is known of an instance's load, for logs.
+type Standing struct {
+	Instance directory.InstanceID `json:"instance"`
+	InFlight int                  `json:"in_flight"`
+	// LatencyMs is the moving mean; zero before the first answer.
+	LatencyMs int64 `json:"latency_ms"`
+	Ejected   bool  `json:"ejected,omitempty"`
+}
+
+// mostStandings bounds the instances that Standings returns.
+const mostStandings = 12
+
+// Standings returns what is known of the loads of instances.
+func (b *Balancer) Standings(now time.Duration, instances []directory.Instance) []Standing {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	standings := make([]Standing, 0, min(len(instances), mostStandings))
+	for _, instance := range instances[:min(len(instances), mostStandings)] {
+		standing := Standing{Instance: instance.ID}
+		if known, found := b.loads[instance.ID]; found {
+			standing.InFlight = known.inFlight
+			standing.LatencyMs = int64(known.latency * float64(time.Second/time.Millisecond))
+			standing.Ejected = known.ejectedUntil > now
+		}
+		standings = append(standings, standing)
+	}
+	return standings
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -71,6 +71,7 @@
 		newStatusCommand(program),
 		newGetCommand(program),
 		newMemberCommand(program),
+		newStoryCommand(program),
 		newReferenceCommand(program),
 		newVersionCommand(program),
 	)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -56,7 +56,7 @@
 	line := telemetry.With(g.log, telemetry.EventRequestEnded).WithField(telemetry.FieldRequest, current.id).
 		WithField(telemetry.FieldService, current.service).WithField(telemetry.FieldRevision, current.revision).
 		WithField("table_age_ms", g.subscription.age().Milliseconds()).
-		WithField("attempts", current.attempts).WithField("status", current.answer.StatusCode()).
+		WithField("attempts", current.outcomes).WithField("status", current.answer.StatusCode()).
 		WithField(telemetry.FieldDuration, took.Milliseconds())
 	if current.route != nil {
 		line = line.WithField("route", current.route.Name)
@@ -68,6 +68,9 @@
 		line.Info("answered after a resend")
 		return
 	}
+	if len(current.candidates) > 0 && len(current.outcomes) == 0 {
+		line = line.WithField("candidates", current.candidates)
+	}
 	line.WithField(telemetry.FieldKind, failure.Kind).WithField(telemetry.FieldError, failure.Detail).Info("answered by the gateway itself")
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/balance"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
@@ -30,18 +31,29 @@
 	key      directory.Key
 	// attempts lists the instances that the request was sent to.
 	attempts []directory.InstanceID
-	// lastInstance is the newest of them, or the one that no attempt could be made to.
-	lastInstance directory.InstanceID
+	// outcomes tell what became of each sending, for the log.
+	outcomes []attemptOutcome
+	// candidates are the instances that a refused request could not be sent to, with
+	// their loads, for the log.
+	candidates []balance.Standing
 	// refusedUntil is until when the holder of the key is left alone.
 	refusedUntil time.Time
-	// waited is true once the request waited for an instance.
-	waited bool
 	// interrupt gives the attempt up when the caller leaves.
 	interrupt *forward.Interrupt
 	// revision is that of the table by which the request was routed.
 	revision directory.Revision
 }
 
+// attemptOutcome is what became of one sending.
+type attemptOutcome struct {
+	Instance directory.InstanceID `json:"instance"`
+	// AfterMs is when it was sent, counted from the request's arrival.
+	AfterMs int64 `json:"after_ms"`
+	TookMs  int64 `json:"took_ms"`
+	// Kind is empty for an answer that was passed on.
+	Kind fault.Kind `json:"kind,omitempty"`
+}
+
 // readRequest takes what the request says and finds its route.
 func (g *Gateway) readRequest(context *fasthttp.RequestCtx, table *routing.Table) (*request, error) {
 	now := time.Now()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -91,7 +91,6 @@
 // attempt sends the request to one instance, for which the balancer has counted it
 // in.
 func (g *Gateway) attempt(current *request, instance directory.Instance) *fault.Error {
-	current.lastInstance = instance.ID
 	current.attempts = append(current.attempts, instance.ID)
 	current.answer.Reset()
 	outgoing := fasthttp.AcquireRequest()
@@ -107,10 +106,21 @@
 	if failure != nil && current.interrupt.Fired() {
 		failure = fault.New(fault.ConnectionLost, "the caller left")
 	}
-	g.ended(current, instance, time.Since(began), failure)
+	took := time.Since(began)
+	current.note(instance.ID, began, took, failure)
+	g.ended(current, instance, took, failure)
 	return failure
 }
 
+// note keeps what became of a sending.
+func (r *request) note(instance directory.InstanceID, began time.Time, took time.Duration, failure *fault.Error) {
+	outcome := attemptOutcome{Instance: instance, AfterMs: began.Sub(r.arrived).Milliseconds(), TookMs: took.Milliseconds()}
+	if failure != nil {
+		outcome.Kind = failure.Kind
+	}
+	r.outcomes = append(r.outcomes, outcome)
+}
+
 // refusalOf returns the proof in an answer that the instance did not run the
 // request, as a failure; nil if there is none.
 func (g *Gateway) refusalOf(answer *fasthttp.Response) *fault.Error {
@@ -156,7 +166,6 @@
 		if wait <= 0 || current.interrupt.Fired() {
 			return directory.Instance{}, failure
 		}
-		current.waited = true
 		timer := time.NewTimer(min(wait, lookInterval))
 		select {
 		case <-freed:
@@ -214,6 +223,7 @@
 		Random: [2]float64{rand.Float64(), rand.Float64()},
 	})
 	if !chosen {
+		current.candidates = g.balancer.Standings(g.clock.Now(), candidates)
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "each instance of service %q has as many requests as it may", current.service)
 	}
 	return instance, nil
@@ -239,6 +249,7 @@
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just refused the request", current.key)
 	}
 	if !g.balancer.TryBegin(g.clock.Now(), instance, keyedLimit(instance.Slots)) {
+		current.candidates = g.balancer.Standings(g.clock.Now(), []directory.Instance{instance})
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "the holder of key %d has as many requests as it may", current.key)
 	}
 	return instance, nil
