Heartbeat leases: each instance gets many ranges of keys, far apart from each other

Cause: busy keys lie together and change, so that each new hot spot of 60 or 200 keys met one instance, and moving keys takes two heartbeats of 1.3 s. A new service's keys are dealt out in 80 stripes an instance, so that a hot spot meets several instances before anything is known of it. Layouts change by the holdings that changed, in the log and in the gateways' streams, since a whole one is now 50 kB; handovers are told only until the instance shows that it holds the keys; several stripes move at a time.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,7 +39,7 @@
 		replica: r, settings: settings, changing: make(chan struct{}, 1),
 		core: heartbeat.New(heartbeat.Config{
 			Lease: settings.Lease, MaxLease: settings.MaxLease, ClockRateBound: settings.ClockRateBound,
-			Margin: settings.Margin, Gather: settings.Gather, AddressReuse: settings.AddressReuse, MaxMoves: settings.MaxMoves,
+			Margin: settings.Margin, Gather: settings.Gather, AddressReuse: settings.AddressReuse, MaxMoves: settings.MaxMoves, Stripes: settings.Stripes,
 		}),
 	}
 }
@@ -188,10 +187,9 @@
 	case command.Patch != nil:
 		line.WithField(telemetry.FieldCount, len(command.Patch.Items)).WithField("items", itemNames(command.Patch.Items)).Info("items taken")
 	case command.Layout != nil:
-		layout := command.Layout.Layout
-		line.WithField(telemetry.FieldService, layout.Service).
-			WithField("holdings", changedHoldings(h.logged[layout.Service], layout.Holdings)).Info("layout of keys changed")
-		h.logged[layout.Service] = layout.Holdings
+		changed := command.Layout.Changed
+		line.WithField(telemetry.FieldService, command.Layout.Service).WithField(telemetry.FieldCount, len(changed)).
+			WithField("holdings", holdingLines(changed)).Info("holders of keys changed")
 	default:
 		for _, instance := range command.Instances {
 			line.WithField(telemetry.FieldServer, instance.ID).WithField(telemetry.FieldService, instance.Service).
@@ -221,13 +219,13 @@
 	Granted bool                 `json:"granted,omitempty"`
 }
 
-// changedHoldings returns the holdings that were not there before.
-func changedHoldings(before, after []directory.Holding) []holdingLine {
+// namedHoldings bounds the holdings that a log line tells.
+const namedHoldings = 32
+
+func holdingLines(changed []directory.Holding) []holdingLine {
 	var lines []holdingLine
-	for _, holding := range after {
-		if !slices.Contains(before, holding) {
-			lines = append(lines, holdingLine{holding.First, holding.Last, holding.Fence, holding.Owner, holding.Revoked, holding.Granted})
-		}
+	for _, holding := range changed[:min(len(changed), namedHoldings)] {
+		lines = append(lines, holdingLine{holding.First, holding.Last, holding.Fence, holding.Owner, holding.Revoked, holding.Granted})
 	}
 	return lines
 }
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -7,7 +7,6 @@
 
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
-	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -21,8 +20,6 @@
 	// membersChanged is true once a committed change of members was applied,
 	// until the senders to removed ones are stopped.
 	membersChanged bool
-	// logged has the layout of each service as the log told it last.
-	logged map[string][]directory.Holding
 }
 
 // Now implements driver.Host.
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -15,7 +15,6 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
-	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -127,7 +126,7 @@
 		return nil, err
 	}
 	r.core = core
-	r.host = &host{replica: r, logged: make(map[string][]directory.Holding)}
+	r.host = &host{replica: r}
 	r.driver = driver.New(driver.Config{
 		Self:            self.ID,
 		Core:            core,
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -65,7 +65,8 @@
 	To        Revision   `msgpack:"t"`
 	Items     []Item     `msgpack:"i,omitempty"`
 	Instances []Instance `msgpack:"n,omitempty"`
-	Layouts   []Layout   `msgpack:"l,omitempty"`
+	// Layouts have only the holdings that changed.
+	Layouts []Layout `msgpack:"l,omitempty"`
 }
 
 // Since returns what changed after a revision; zero gives everything.
@@ -83,7 +84,7 @@
 	}
 	for _, layout := range d.layouts {
 		if layout.Revision > after {
-			changes.Layouts = append(changes.Layouts, *layout)
+			changes.Layouts = append(changes.Layouts, layout.since(after))
 		}
 	}
 	slices.SortFunc(changes.Layouts, func(a, b Layout) int { return cmp.Compare(a.Service, b.Service) })
@@ -104,7 +105,8 @@
 		}
 	}
 	for _, layout := range changes.Layouts {
-		if held, found := d.layouts[layout.Service]; !found || layout.Revision > held.Revision {
+		if held := d.Layout(layout.Service); layout.Revision > held.Revision {
+			layout.Holdings = overlay(held.Holdings, layout.Holdings)
 			d.layouts[layout.Service] = &layout
 		}
 	}
--- a/internal/directory/holding.go
+++ b/internal/directory/holding.go
@@ -29,6 +29,14 @@
 	Granted bool `msgpack:"g,omitempty"`
 	// Handover is what the last holder left for the next one; empty for nothing.
 	Handover string `msgpack:"h,omitempty"`
+	// Revision is that of the last change; a part that was cut off keeps it.
+	Revision Revision `msgpack:"r,omitempty"`
+}
+
+// Same reports whether two holdings say the same of their keys.
+func (h Holding) Same(other Holding) bool {
+	other.First, other.Last, other.Revision = h.First, h.Last, h.Revision
+	return h == other
 }
 
 // Width returns the number of keys.
@@ -45,6 +53,17 @@
 	Revision Revision  `msgpack:"r"`
 }
 
+// since returns the layout with only the holdings that changed after a revision.
+func (l Layout) since(after Revision) Layout {
+	changed := Layout{Service: l.Service, Revision: l.Revision}
+	for _, holding := range l.Holdings {
+		if holding.Revision > after {
+			changed.Holdings = append(changed.Holdings, holding)
+		}
+	}
+	return changed
+}
+
 // At returns the holding that a key lies in.
 func (l Layout) At(key Key) (Holding, bool) {
 	position, _ := slices.BinarySearchFunc(l.Holdings, key, func(holding Holding, key Key) int {
@@ -56,42 +75,91 @@
 	return l.Holdings[position], true
 }
 
-// PutLayout replaces the layout of a service, unless it changed meanwhile.
+// PutLayout changes holdings of a service, unless its layout changed meanwhile.
 type PutLayout struct {
-	Layout Layout `msgpack:"l"`
-	// After is the revision of the layout that this one was made from.
+	Service string `msgpack:"s"`
+	// After is the revision of the layout that the changes were made for.
 	After Revision `msgpack:"a"`
+	// Changed are the holdings that changed, in the order of their keys. They take the
+	// place of whatever covers their keys; a first layout covers all keys.
+	Changed []Holding `msgpack:"c"`
 }
 
 func (d *Directory) applyLayout(revision Revision, command PutLayout) error {
-	held := d.Layout(command.Layout.Service)
+	held := d.Layout(command.Service)
 	if held.Revision != command.After {
-		return fault.Newf(fault.Conflict, "the layout of service %q changed meanwhile", command.Layout.Service)
+		return fault.Newf(fault.Conflict, "the layout of service %q changed meanwhile", command.Service)
 	}
-	if err := checkSuccessor(held, command.Layout); err != nil {
+	if err := checkOrder(command.Changed); err != nil {
+		return err
+	}
+	if err := checkFences(held.Holdings, command.Changed); err != nil {
+		return err
+	}
+	changed := slices.Clone(command.Changed)
+	for index := range changed {
+		changed[index].Revision = revision
+	}
+	next := Layout{Service: command.Service, Holdings: overlay(held.Holdings, changed), Revision: revision}
+	if err := checkWhole(next.Holdings); err != nil {
 		return err
 	}
-	next := command.Layout
-	next.Revision = revision
 	d.layouts[next.Service] = &next
 	d.revision = revision
 	return nil
 }
 
-// checkSuccessor refuses a layout that breaks the invariant of fences or does not
-// cover all keys once.
-func checkSuccessor(held, next Layout) error {
-	expected := Key(0)
-	for _, holding := range next.Holdings {
-		if holding.First != expected || holding.Last < holding.First || holding.Last > MaxKey {
-			return fault.Newf(fault.InvalidArgument, "keys %d to %d do not follow key %d", holding.First, holding.Last, expected-1)
+// checkOrder refuses changes that are no ranges of keys in order.
+func checkOrder(changed []Holding) error {
+	next := Key(0)
+	for _, holding := range changed {
+		if holding.First < next || holding.Last < holding.First || holding.Last > MaxKey {
+			return fault.Newf(fault.InvalidArgument, "keys %d to %d are no range after key %d", holding.First, holding.Last, next-1)
+		}
+		next = holding.Last + 1
+	}
+	return nil
+}
+
+// checkWhole refuses a layout that does not cover all keys once.
+func checkWhole(holdings []Holding) error {
+	next := Key(0)
+	for _, holding := range holdings {
+		if holding.First != next {
+			return fault.Newf(fault.InvalidArgument, "keys %d to %d are missing", next, holding.First-1)
 		}
-		expected = holding.Last + 1
+		next = holding.Last + 1
+	}
+	if next != MaxKey+1 {
+		return fault.Newf(fault.InvalidArgument, "keys from %d on are missing", next)
 	}
-	if expected != MaxKey+1 {
-		return fault.Newf(fault.InvalidArgument, "keys from %d on are missing", expected)
+	return nil
+}
+
+// overlay returns holdings in which the changed ones have taken the place of what
+// covered their keys. Both are in the order of their keys.
+func overlay(base, changed []Holding) []Holding {
+	result := make([]Holding, 0, len(base)+len(changed))
+	next := 0
+	for _, holding := range base {
+		for holding.First <= holding.Last {
+			for next < len(changed) && changed[next].Last < holding.First {
+				result = append(result, changed[next])
+				next++
+			}
+			if next == len(changed) || changed[next].First > holding.Last {
+				result = append(result, holding)
+				break
+			}
+			if holding.First < changed[next].First {
+				part := holding
+				part.Last = changed[next].First - 1
+				result = append(result, part)
+			}
+			holding.First = changed[next].Last + 1
+		}
 	}
-	return checkFences(held.Holdings, next.Holdings)
+	return append(result, changed[next:]...)
 }
 
 func checkFences(held, next []Holding) error {
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -1,6 +1,8 @@
 package heartbeat
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -82,6 +84,7 @@
 	known.noteInterval(now)
 	known.beatAt = now
 	known.warmAt = now + beat.WarmUp
+	known.held = beat.Held
 	if _, seen := c.firstSeen[beat.Service]; !seen {
 		c.firstSeen[beat.Service] = now
 	}
@@ -152,26 +155,39 @@
 
 // checkHeld refuses ranges that overlap or have a fence that was never given.
 func checkHeld(beat Beat, view *directory.Directory) error {
+	ordered := slices.Clone(beat.Held)
+	slices.SortFunc(ordered, func(a, b Held) int { return cmp.Compare(a.First, b.First) })
 	layout := view.Layout(beat.Service)
-	for index, held := range beat.Held {
+	for index, held := range ordered {
 		if held.First > held.Last || held.First < 0 || held.Last > directory.MaxKey {
 			return fault.Newf(fault.InvalidArgument, "holdings: %d to %d is no range of keys from 0 to %d", held.First, held.Last, directory.MaxKey)
 		}
-		for _, other := range beat.Held[:index] {
-			if held.Overlaps(other.Range) {
-				return fault.Newf(fault.InvalidArgument, "holdings: %d to %d overlaps %d to %d", held.First, held.Last, other.First, other.Last)
-			}
+		if index > 0 && held.First <= ordered[index-1].Last {
+			return fault.Newf(fault.InvalidArgument, "holdings: %d to %d overlaps %d to %d", held.First, held.Last, ordered[index-1].First, ordered[index-1].Last)
 		}
-		for _, holding := range layout.Holdings {
-			if held.Overlaps(rangeOf(holding)) && held.Fence > holding.Fence {
-				return fault.Newf(fault.InvalidArgument, "holdings: fence %d of keys %d to %d was never given, the newest is %d",
-					held.Fence, held.First, held.Last, holding.Fence)
-			}
+		if err := checkFence(held, layout); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// checkFence refuses a range of which each part has a fence above the newest.
+func checkFence(held Held, layout directory.Layout) error {
+	for first := held.First; first <= held.Last; {
+		holding, found := layout.At(first)
+		if !found {
+			return nil
+		}
+		if held.Fence > holding.Fence {
+			return fault.Newf(fault.InvalidArgument, "holdings: fence %d of keys %d to %d was never given, the newest is %d",
+				held.Fence, held.First, held.Last, holding.Fence)
+		}
+		first = holding.Last + 1
+	}
+	return nil
+}
+
 func rangeOf(holding directory.Holding) Range {
 	return Range{First: holding.First, Last: holding.Last}
 }
@@ -192,9 +208,13 @@
 	}
 	grant := Grant{Renewed: true, Lease: c.config.Lease}
 	for _, holding := range view.Layout(instance.Service).Holdings {
-		if holding.Owner == id && !holding.Revoked {
-			grant.Holdings = append(grant.Holdings, holding)
+		if holding.Owner != id || holding.Revoked {
+			continue
+		}
+		if known.holds(holding) {
+			holding.Handover = ""
 		}
+		grant.Holdings = append(grant.Holdings, holding)
 	}
 	return grant
 }
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -21,12 +21,15 @@
 
 // draft is the next layout of one service.
 type draft struct {
-	core       *Core
-	now        time.Duration
-	view       *directory.Directory
+	core *Core
+	now  time.Duration
+	view *directory.Directory
+	// before is the layout in force, and layout the next one.
+	before     directory.Layout
 	layout     directory.Layout
 	changed    bool
 	candidates []*candidate
+	byID       map[directory.InstanceID]*candidate
 }
 
 // pieces bounds into how many parts a holding that changes hands is cut.
@@ -36,15 +39,18 @@
 const minimumWidth = 64
 
 func (c *Core) draft(now time.Duration, service string, view *directory.Directory) *draft {
-	d := &draft{core: c, now: now, view: view, layout: view.Layout(service)}
-	d.layout.Holdings = slices.Clone(d.layout.Holdings)
+	d := &draft{core: c, now: now, view: view, before: view.Layout(service), byID: make(map[directory.InstanceID]*candidate)}
+	d.layout = d.before
+	d.layout.Holdings = slices.Clone(d.before.Holdings)
 	for _, instance := range view.Instances() {
 		known, met := c.contacts[instance.ID]
 		heard := met && now-known.beatAt <= c.config.Lease/2
 		if instance.Service != service || instance.State != directory.InstanceReady || !heard {
 			continue
 		}
-		d.candidates = append(d.candidates, &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: now >= known.warmAt})
+		added := &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: now >= known.warmAt}
+		d.candidates = append(d.candidates, added)
+		d.byID[added.id] = added
 	}
 	for _, holding := range d.layout.Holdings {
 		if owner := d.candidate(holding.Owner); owner != nil && !holding.Revoked {
@@ -54,44 +60,65 @@
 	return d
 }
 
-func (d *draft) candidate(id directory.InstanceID) *candidate {
-	for _, each := range d.candidates {
-		if each.id == id {
-			return each
-		}
-	}
-	return nil
-}
+func (d *draft) candidate(id directory.InstanceID) *candidate { return d.byID[id] }
 
 // commands returns the command that puts the draft in force, if it changed.
 func (d *draft) commands() []directory.Command {
 	if !d.changed {
 		return nil
 	}
-	return []directory.Command{{Layout: &directory.PutLayout{Layout: d.layout, After: d.layout.Revision}}}
+	command := directory.PutLayout{Service: d.layout.Service, After: d.before.Revision}
+	for _, holding := range d.layout.Holdings {
+		earlier, found := d.before.At(holding.First)
+		if !found || !earlier.Contains(holding.Last) || !earlier.Same(holding) {
+			command.Changed = append(command.Changed, holding)
+		}
+	}
+	if len(command.Changed) == 0 {
+		return nil
+	}
+	return []directory.Command{{Layout: &command}}
 }
 
+// maxStripes bounds the ranges of a service at first.
+const maxStripes = 2048
+
 // found makes the first layout once the instances had time to announce themselves.
 func (d *draft) found() {
 	first, seen := d.core.firstSeen[d.layout.Service]
 	if len(d.layout.Holdings) > 0 || !seen || d.now-first < d.core.config.Gather || len(d.candidates) == 0 {
 		return
 	}
-	total := 0
-	for _, each := range d.candidates {
-		total += each.slots
-	}
-	next, given := directory.Key(0), 0
-	for _, each := range d.candidates {
-		given += each.slots
-		last := directory.Key(given*int(directory.MaxKey+1)/total) - 1
-		d.layout.Holdings = append(d.layout.Holdings, directory.Holding{First: next, Last: last, Fence: 1, Owner: each.id})
-		each.keys += int(last-next) + 1
+	owners := d.bySlots()
+	stripes := min(d.core.config.Stripes*len(d.candidates), maxStripes)
+	next := directory.Key(0)
+	for index := range stripes {
+		last := directory.Key((index+1)*int(directory.MaxKey+1)/stripes) - 1
+		owner := owners[index%len(owners)]
+		d.layout.Holdings = append(d.layout.Holdings, directory.Holding{First: next, Last: last, Fence: 1, Owner: owner.id})
+		owner.keys += int(last-next) + 1
 		next = last + 1
 	}
 	d.changed = true
 }
 
+// bySlots returns the candidates in turn, those with more slots the more often.
+func (d *draft) bySlots() []*candidate {
+	most := 0
+	for _, each := range d.candidates {
+		most = max(most, each.slots)
+	}
+	var turns []*candidate
+	for round := range most {
+		for _, each := range d.candidates {
+			if each.slots > round {
+				turns = append(turns, each)
+			}
+		}
+	}
+	return turns
+}
+
 // release frees the revoked keys that their owner does not hold any more.
 func (d *draft) release(beat Beat) {
 	for index := range d.layout.Holdings {
@@ -150,6 +177,7 @@
 		}
 	}
 	d.candidates = slices.DeleteFunc(d.candidates, func(each *candidate) bool { return each.id == id })
+	delete(d.byID, id)
 }
 
 // passOnEnded frees the keys of instances that surely hold nothing any more.
@@ -181,7 +209,7 @@
 
 // maxRows is the number of holdings of one instance above which neighbours are
 // joined, so that the answer to its heartbeat stays small.
-const maxRows = 40
+const maxRows = 120
 
 // join makes one holding of neighbours that one instance holds, if it has many. The
 // fence of the joined keys is the highest of theirs.
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -67,9 +67,7 @@
 	if target == nil || used-d.utilisation(target) < leastDifference {
 		return
 	}
-	if index, part, found := d.bestPart(source, target); found {
-		d.revokePart(index, part, target)
-	}
+	d.moveParts(source, target)
 }
 
 func (d *draft) moving() int {
@@ -122,16 +120,30 @@
 	return until
 }
 
-// bestPart returns which part of which of the source's holdings is to be moved, so
-// that both are then about equally busy.
-func (d *draft) bestPart(source, target *candidate) (int, Range, bool) {
+// moveParts begins to move the busiest of the source's keys, so that both instances
+// are then about equally busy.
+func (d *draft) moveParts(source, target *candidate) {
 	demand := d.demand()
 	fromTime := demand.timeOf(source.id) / float64(source.slots)
 	toTime := demand.timeOf(target.id) / float64(target.slots)
 	if fromTime+toTime <= 0 {
-		return 0, Range{}, false
+		return
 	}
 	wanted := (d.utilisation(source) - d.utilisation(target)) / (fromTime + toTime)
+	least := leastGain * wanted
+	for range d.core.config.MaxMoves {
+		index, part, rate := d.bestPart(source, wanted)
+		if index < 0 || rate < least {
+			return
+		}
+		d.revokePart(index, part, target)
+		wanted -= rate
+	}
+}
+
+// bestPart returns the busiest part of the source's holdings whose demand does not
+// exceed a rate; a negative index if there is none.
+func (d *draft) bestPart(source *candidate, wanted float64) (int, Range, float64) {
 	bestIndex, bestPart, bestRate := -1, Range{}, 0.0
 	for index, holding := range d.layout.Holdings {
 		// Keys that the source was not told of yet stay: they would pass on from one
@@ -144,10 +156,7 @@
 			bestIndex, bestPart, bestRate = index, part, rate
 		}
 	}
-	if bestIndex < 0 || bestRate < leastGain*wanted {
-		return 0, Range{}, false
-	}
-	return bestIndex, bestPart, true
+	return bestIndex, bestPart, bestRate
 }
 
 // partOf returns the part at one end of a holding whose demand comes nearest to a
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"slices"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -22,6 +23,10 @@
 	// AddressReuse is the shortest time after which an address passes to an
 	// instance of another service.
 	AddressReuse time.Duration
+	// Stripes is how many ranges of keys each instance gets at first, far apart from
+	// each other: keys that are busy at the same time lie close together, and are then
+	// spread over many instances before anything is known of them.
+	Stripes int
 	// MaxMoves bounds the holdings of a service that are being moved for the sake
 	// of balance.
 	MaxMoves int
@@ -82,6 +87,16 @@
 	// leaseEnd is when the last lease that the instance may hold has surely ended.
 	leaseEnd time.Duration
 	warmAt   time.Duration
+	// held is what the instance held at its last heartbeat.
+	held []Held
+}
+
+// holds reports whether the instance holds keys already, so that it needs no handover
+// for them.
+func (c *contact) holds(holding directory.Holding) bool {
+	return slices.ContainsFunc(c.held, func(held Held) bool {
+		return held.Fence == holding.Fence && held.First <= holding.First && holding.Last <= held.Last
+	})
 }
 
 // shortestInterval is less than the time between two regular heartbeats, and more
