Heartbeat leases: the answer to a heartbeat stays below 4 KiB when instances are lost

TestAnswersStaySmall takes nine of ten instances away; without the change one gets 119 rows (110 are the bound).

--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -12,8 +12,9 @@
 type candidate struct {
 	id    directory.InstanceID
 	slots int
-	// keys counts the keys that it holds or is about to get.
+	// keys and rows count the keys that it holds or is about to get, and their ranges.
 	keys int
+	rows int
 	warm bool
 	// rate is the demand for its keys in requests a second.
 	rate float64
@@ -55,6 +56,7 @@
 	for _, holding := range d.layout.Holdings {
 		if owner := d.candidate(holding.Owner); owner != nil && !holding.Revoked {
 			owner.keys += holding.Width()
+			owner.rows++
 		}
 	}
 	return d
@@ -202,14 +204,19 @@
 			settled = append(settled, holding)
 			continue
 		}
-		settled = append(settled, d.share(holding)...)
+		var before directory.InstanceID
+		if len(settled) > 0 {
+			before = settled[len(settled)-1].Owner
+		}
+		settled = append(settled, d.share(holding, before)...)
 	}
 	d.layout.Holdings = settled
 }
 
-// maxRows is the number of holdings of one instance above which neighbours are
-// joined, so that the answer to its heartbeat stays small.
-const maxRows = 120
+// maxRows is the number of ranges of one instance above which its neighbours are
+// joined and no others are added, so that the answer to its heartbeat has at most
+// 4 KiB: a row takes 20 to 36 bytes.
+const maxRows = 100
 
 // join makes one holding of neighbours that one instance holds, if it has many. The
 // fence of the joined keys is the highest of theirs.
@@ -243,18 +250,26 @@
 
 // share gives a holding without an owner to the instance that it was taken away for,
 // or else cuts it into parts and gives each to the instance with the least burden.
-func (d *draft) share(holding directory.Holding) []directory.Holding {
+// Where that one has many ranges already, the holding goes to the instance that holds
+// the keys before it, with which it will be joined.
+func (d *draft) share(holding directory.Holding, before directory.InstanceID) []directory.Holding {
 	if target := d.candidate(d.core.target(d.layout.Service, holding.First)); target != nil {
 		holding.Owner = target.id
 		holding.Fence++
 		d.core.clearTarget(d.layout.Service, holding.First)
 		target.keys += holding.Width()
+		target.rows++
 		d.changed = true
 		return []directory.Holding{holding}
 	}
 	var parts []directory.Holding
 	for _, part := range cut(holding) {
 		target := d.least()
+		if neighbour := d.candidate(before); target.rows >= maxRows && neighbour != nil {
+			target = neighbour
+		}
+		before = target.id
+		target.rows++
 		part.Owner = target.id
 		part.Fence = holding.Fence + 1
 		target.keys += part.Width()
--- a/internal/heartbeat/model_test.go
+++ b/internal/heartbeat/model_test.go
@@ -19,6 +19,9 @@
 	callTimeout = time.Second
 )
 
+// mostRows is how many rows an answer of 4 KiB has room for, each with a handover.
+const mostRows = 110
+
 // modelInstance keeps leases as docs/BACKEND.md asks of an instance.
 type modelInstance struct {
 	id       directory.InstanceID
@@ -218,6 +221,9 @@
 		}
 	}
 	grant := m.core.Answer(m.now, instance.id, m.view)
+	if len(grant.Holdings) > mostRows {
+		m.fail("%s gets %d rows", instance.id, len(grant.Holdings))
+	}
 	if m.chance(10) {
 		return
 	}
@@ -390,3 +396,28 @@
 	}
 	t.Error("keys that pass on before their lease has ended were not noticed")
 }
+
+// TestAnswersStaySmall: when most instances are lost one after the other, the ranges
+// of those that remain are joined, and all keys are held.
+func TestAnswersStaySmall(t *testing.T) {
+	m := newModel(t, 1)
+	m.faults = false
+	m.core.config.Stripes = 60
+	for range 6 {
+		m.start("")
+	}
+	m.run(6 * time.Second)
+	for _, instance := range m.instances[:9] {
+		instance.alive = false
+		m.run(m.now + 5*time.Second)
+	}
+	m.run(m.now + 10*time.Second)
+	for _, key := range probes() {
+		if m.heldAt[key] < m.now-2*time.Second {
+			m.fail("key %d was last held at %s", key, m.heldAt[key])
+		}
+	}
+	if m.failure != "" {
+		t.Fatalf("%s\n%s", m.failure, strings.Join(m.trace, "\n"))
+	}
+}
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -93,7 +93,7 @@
 	var best *candidate
 	bestCost := 0.0
 	for _, each := range d.candidates {
-		if each == source || !each.warm {
+		if each == source || !each.warm || each.rows >= maxRows {
 			continue
 		}
 		cost := d.utilisation(each) + gapCost*d.gap(source, each).Seconds()
