Leases: a new leader waits out the lease that is granted; holders that refused are not asked again at once

What the platform allows bounds the lease now; what was granted is waited out. Cause 3: a holder that sheds gets fewer requests at a time, as one that answers late does.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -237,6 +237,8 @@
 	Answered bool
 	// Failed is true if the instance was at fault.
 	Failed bool
+	// Full is true if the instance refused the request for want of room.
+	Full bool
 }
 
 // smoothing is the share of the newest latency in the moving mean.
@@ -285,7 +287,7 @@
 // adapt lowers the bound of the requests in flight while an instance answers late, as
 // its queue is then long, and raises it again by and by.
 func (l *load) adapt(outcome Outcome, mean float64) {
-	late := outcome.Failed || mean > 0 && outcome.Took.Seconds() > lateAnswer*mean
+	late := outcome.Failed || outcome.Full || mean > 0 && outcome.Took.Seconds() > lateAnswer*mean
 	if late {
 		l.withheld = min(l.withheld+withholdStep, mostWithheld)
 		return
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -70,7 +70,8 @@
 // Heartbeat holds the settings of leases that instances renew by heartbeats.
 type Heartbeat struct {
 	Lease          time.Duration `koanf:"lease" validate:"min=500ms,max=1m" doc:"How long an instance holds its keys, from the sending of a heartbeat."`
-	MaxLease       time.Duration `koanf:"max_lease" validate:"min=500ms,max=1m" doc:"Longest lease that any controller of the group grants or has granted; at least lease."`
+	LeaseLimit     time.Duration `koanf:"lease_limit" validate:"min=500ms,max=1m" doc:"Longest lease that the instances take; bounds lease."`
+	MaxLease       time.Duration `koanf:"max_lease" validate:"min=0s,max=1m" doc:"Longest lease that any controller of the group grants or has granted, waited out after a change of leader; 0s for the lease of these settings. Set it to the longer one while lease is changed from one controller to the next."`
 	ClockRateBound float64       `koanf:"clock_rate_bound" validate:"min=0,max=0.1" doc:"Largest difference in speed of two machines' clocks, as a share."`
 	Margin         time.Duration `koanf:"margin" validate:"min=1ms,max=10s" doc:"Time added before a lease counts as ended."`
 	Gather         time.Duration `koanf:"gather" validate:"min=0s,max=1m" doc:"How long a new keyed service waits for its instances before its keys are given out."`
@@ -80,6 +81,12 @@
 	AnswerTimeout  time.Duration `koanf:"answer_timeout" validate:"min=10ms,max=30s" doc:"Time after which a heartbeat is not answered any more, since the instance has given it up."`
 }
 
+// EffectiveLease returns the lease that is granted.
+func (h Heartbeat) EffectiveLease() time.Duration { return min(h.Lease, h.LeaseLimit) }
+
+// LongestLease returns the longest lease that may have been granted.
+func (h Heartbeat) LongestLease() time.Duration { return max(h.MaxLease, h.EffectiveLease()) }
+
 // Platform holds the settings of the platform's list of machines.
 type Platform struct {
 	URL            string        `koanf:"url" validate:"omitempty,platform_url" doc:"Where the list is served, http://IP:port/path; empty for none."`
@@ -152,7 +159,7 @@
 		},
 		Heartbeat: Heartbeat{
 			Lease:          4 * time.Second,
-			MaxLease:       4 * time.Second,
+			LeaseLimit:     10 * time.Second,
 			ClockRateBound: 0.02,
 			Margin:         100 * time.Millisecond,
 			Gather:         2 * time.Second,
--- a/internal/config/cross.go
+++ b/internal/config/cross.go
@@ -30,9 +30,9 @@
 	r.group(settings)
 	r.consensus(settings.Consensus)
 	r.lease(settings.Lease)
-	if settings.Heartbeat.MaxLease < settings.Heartbeat.Lease {
-		r.add("heartbeat.max_lease", settings.Heartbeat.MaxLease.String(), "is below heartbeat.lease",
-			fmt.Sprintf("use at least %s", settings.Heartbeat.Lease))
+	if longest := settings.Heartbeat.MaxLease; longest > 0 && longest < settings.Heartbeat.EffectiveLease() {
+		r.add("heartbeat.max_lease", longest.String(), "is below the lease that is granted",
+			fmt.Sprintf("use at least %s, or 0s", settings.Heartbeat.EffectiveLease()))
 	}
 	r.directory(settings.DataDirectory)
 	r.tls(settings.TLS, settings.AllowNonLoopback)
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -38,7 +38,7 @@
 	return &heartbeatKeeper{
 		replica: r, settings: settings, changing: make(chan struct{}, 1),
 		core: heartbeat.New(heartbeat.Config{
-			Lease: settings.Lease, MaxLease: settings.MaxLease, ClockRateBound: settings.ClockRateBound,
+			Lease: settings.EffectiveLease(), MaxLease: settings.LongestLease(), ClockRateBound: settings.ClockRateBound,
 			Margin: settings.Margin, Gather: settings.Gather, AddressReuse: settings.AddressReuse, MaxMoves: settings.MaxMoves, Stripes: settings.Stripes,
 		}),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	balancer     *balance.Balancer
 	upstreams    *upstreams
 	drains       *drains
+	lapses       *lapses
 	callers      *callers
 	demand       *demandCounter
 	registry     *telemetry.Metrics
@@ -88,6 +89,7 @@
 		balancer:     balance.New(balance.DefaultSettings(settings.Zone)),
 		upstreams:    newUpstreams(settings.BackEnd, dialect),
 		drains:       newDrains(settings.DrainTime),
+		lapses:       newLapses(),
 		callers:      newCallers(),
 		registry:     telemetry.NewMetrics(role),
 		slots:        newBroadcast(),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,8 +36,6 @@
 	// candidates are the instances that a refused request could not be sent to, with
 	// their loads, for the log.
 	candidates []balance.Standing
-	// refusedUntil is until when the holder of the key is left alone.
-	refusedUntil time.Time
 	// interrupt gives the attempt up when the caller leaves.
 	interrupt *forward.Interrupt
 	// revision is that of the table by which the request was routed.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,7 +55,6 @@
 		if !g.mayResend(current, failure) {
 			return failure
 		}
-		current.refusedUntil = time.Now().Add(refusalPause)
 		g.metrics.resends.WithLabelValues(current.service, string(failure.Kind)).Inc()
 	}
 }
@@ -81,10 +80,6 @@
 	return current.left() > minimumLeft && g.budget(current.service).TakeResend()
 }
 
-// refusalPause is how long the one holder of a key is left alone by a request that
-// it refused.
-const refusalPause = 60 * time.Millisecond
-
 // minimumLeft is the time below which a request is not sent any more.
 const minimumLeft = 20 * time.Millisecond
 
@@ -136,7 +131,13 @@
 
 // ended tells the balancer what became of an attempt.
 func (g *Gateway) ended(current *request, instance directory.Instance, took time.Duration, failure *fault.Error) {
-	outcome := balance.Outcome{Now: g.clock.Now(), Service: current.service, Instance: instance.ID, Took: took, Answered: failure == nil}
+	outcome := balance.Outcome{
+		Now: g.clock.Now(), Service: current.service, Instance: instance.ID, Took: took, Answered: failure == nil,
+		Full: failure != nil && failure.Kind == fault.Shedding,
+	}
+	if failure != nil && failure.Kind == fault.WrongEpoch && current.keyed {
+		g.lapses.note(instance.ID, g.layoutRevision(current.service))
+	}
 	if failure == nil && current.keyed {
 		g.demand.answered(current.service, instance.ID, took)
 	}
@@ -245,8 +246,8 @@
 	if !found || instance.State == directory.InstanceDraining && !g.drains.mayServe(instance) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d leaves", current.key)
 	}
-	if slices.Contains(current.attempts, instance.ID) && time.Now().Before(current.refusedUntil) {
-		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just refused the request", current.key)
+	if !g.lapses.mayAsk(instance.ID, layout.Revision) {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just said that it does not hold it", current.key)
 	}
 	if !g.balancer.TryBegin(g.clock.Now(), instance, keyedLimit(instance.Slots)) {
 		current.candidates = g.balancer.Standings(g.clock.Now(), []directory.Instance{instance})
@@ -254,3 +255,12 @@
 	}
 	return instance, nil
 }
+
+// layoutRevision returns the revision of a service's layout, by the newest table.
+func (g *Gateway) layoutRevision(service string) directory.Revision {
+	known, found := g.subscription.current().Service(service)
+	if !found {
+		return 0
+	}
+	return known.Layout.Revision
+}
