--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -52,6 +53,7 @@
 			}
 			log, closeLog := program.openLog(config.RoleController, settings.Name, settings.Log)
 			defer closeLog()
+			debug.SetGCPercent(settings.CollectorPercent)
 			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Controller(ctx, settings, log)
 			})
@@ -86,6 +88,7 @@
 			}
 			log, closeLog := program.openLog(config.RoleGateway, settings.Name, settings.Log)
 			defer closeLog()
+			debug.SetGCPercent(settings.CollectorPercent)
 			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
 				return program.runners.Gateway(ctx, settings, log, reload)
 			})
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// defaultCollectorPercent is the runtime's own.
+const defaultCollectorPercent = 100
+
 // Role names the kind of process that a settings file is for.
 type Role string
 
@@ -33,6 +36,7 @@
 	API              API              `koanf:"api" doc:"Intent API."`
 	TLS              TLS              `koanf:"tls" doc:"Certificates."`
 	Maintenance      Maintenance      `koanf:"maintenance" doc:"Background work of the leader."`
+	CollectorPercent int              `koanf:"collector_percent" validate:"min=5,max=1000" doc:"Growth of the heap, in percent, after which the collector runs: less memory for more processor time."`
 	StopTimeout      time.Duration    `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
 	Log              Log              `koanf:"log" doc:"Log lines."`
 }
@@ -185,6 +189,8 @@
 		TLS:         defaultTLS(),
 		Maintenance: Maintenance{Interval: 20 * time.Millisecond},
 		StopTimeout: 10 * time.Second,
-		Log:         Log{Level: "info"},
+
+		CollectorPercent: defaultCollectorPercent,
+		Log:              Log{Level: "info"},
 	}
 }
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -27,6 +27,7 @@
 	RetryRatio       float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
 	RetryBurst       int           `koanf:"retry_burst" validate:"min=0,max=1000" doc:"Resends of a service beyond that share, until requests have made up for them."`
 	MemoryLimitBytes int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at, in bytes; 0 for none."`
+	CollectorPercent int           `koanf:"collector_percent" validate:"min=5,max=1000" doc:"Growth of the heap, in percent, after which the collector runs: less memory for more processor time."`
 	BackEnd          BackEnd       `koanf:"back_end" doc:"Connections to the instances."`
 	Log              Log           `koanf:"log" doc:"Log lines."`
 }
@@ -48,8 +49,10 @@
 		DrainTime:      1200 * time.Millisecond,
 		MaxTimeout:     time.Minute,
 		MaxConnections: 2048,
-		RetryRatio:     0.1,
-		RetryBurst:     2,
+
+		CollectorPercent: defaultCollectorPercent,
+		RetryRatio:       0.1,
+		RetryBurst:       2,
 		BackEnd: BackEnd{
 			ConnectTimeout: 300 * time.Millisecond,
 			IdleTimeout:    8 * time.Second,
