--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -88,11 +88,11 @@
 	if _, seen := c.firstSeen[beat.Service]; !seen {
 		c.firstSeen[beat.Service] = now
 	}
-	return c.changes(now, beat, view), nil
+	return c.changes(now, beat, known, view), nil
 }
 
 // changes returns the commands that a heartbeat calls for.
-func (c *Core) changes(now time.Duration, beat Beat, view *directory.Directory) []directory.Command {
+func (c *Core) changes(now time.Duration, beat Beat, known *contact, view *directory.Directory) []directory.Command {
 	var commands []directory.Command
 	wanted := beat.instance()
 	held, found := view.Instance(beat.Instance)
@@ -103,7 +103,7 @@
 		draft := c.draft(now, beat.Service, view)
 		draft.release(beat)
 		if beat.Draining {
-			draft.revokeAll(beat.Instance)
+			draft.drain(beat.Instance, known.drains(now))
 		}
 		draft.settle()
 		if !beat.Draining {
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -87,6 +87,8 @@
 	// leaseEnd is when the last lease that the instance may hold has surely ended.
 	leaseEnd time.Duration
 	warmAt   time.Duration
+	// drainsSince is when the instance first said that it leaves; zero while it stays.
+	drainsSince time.Duration
 	// held is what the instance held at its last heartbeat.
 	held []Held
 }
@@ -108,3 +110,11 @@
 		c.interval = elapsed
 	}
 }
+
+// drains returns for how long the instance has said that it leaves.
+func (c *contact) drains(now time.Duration) time.Duration {
+	if c.drainsSince == 0 {
+		c.drainsSince = now
+	}
+	return now - c.drainsSince
+}
