Commands: get items, instances and holder show the directory

Operators see routes and services with their versions, the servers that announced themselves with state and keys, and who holds a key under which fence. Read after a quorum round, like the other lists.

--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -19,6 +19,9 @@
 		newListCommand(program, "members", "Show the replicas of the controllers", program.getMembers),
 		newListCommand(program, "plans", "Show the stored plans", program.getPlans),
 		newGetPlanCommand(program),
+		newListCommand(program, "items", "Show routes, services and limits with their versions", program.getItems),
+		newListCommand(program, "instances", "Show the servers that announced themselves, with the keys that they hold", program.getInstances),
+		newGetHolderCommand(program),
 		newGetShardsCommand(program),
 		newGetOwnerCommand(program),
 	)
--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -121,3 +121,8 @@
 	}
 	return call.JSON(struct{}{})
 }
+
+// directory answers what the directory holds, for people.
+func (a *api) directory(call fiber.Ctx) error {
+	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Directory().Since(0)) })
+}
--- a/internal/intentapi/client.go
+++ b/internal/intentapi/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -149,6 +150,13 @@
 	return routers, err
 }
 
+// Directory reads the items, the instances and who holds which keys.
+func (c *Client) Directory(ctx context.Context) (directory.Content, error) {
+	var content directory.Content
+	err := c.get(ctx, PathDirectory, &content)
+	return content, err
+}
+
 // Members reads the members of the group of controllers.
 func (c *Client) Members(ctx context.Context) ([]consensus.Member, error) {
 	var members []consensus.Member
--- a/internal/intentapi/types.go
+++ b/internal/intentapi/types.go
@@ -24,6 +24,8 @@
 	PathShards = "/v1/shards"
 	// PathRouters answers a list of RouterStatus by GET.
 	PathRouters = "/v1/routers"
+	// PathDirectory answers directory.Content by GET: items, instances and layouts.
+	PathDirectory = "/v1/directory"
 	// PathMembers answers a list of consensus.Member by GET.
 	PathMembers = "/v1/members"
 	// PathStatus answers Status on every replica, leader or not.
