Heartbeat leases: rows that are still worked on are no overlap

Rows within one another are taken now; rows that cross are refused. core_test.go drives the core by hand: senseless heartbeats, lost and leaving instances; the model tells rows as a server does. Both tests failed first.

--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -153,18 +153,26 @@
 	return nil
 }
 
-// checkHeld refuses ranges that overlap or have a fence that was never given.
+// checkHeld refuses ranges that cross each other or have a fence that was never
+// given. One within another is sound: a row that was cut or joined is told as long as
+// work on it lasts, beside the one that took its place.
 func checkHeld(beat Beat, view *directory.Directory) error {
 	ordered := slices.Clone(beat.Held)
-	slices.SortFunc(ordered, func(a, b Held) int { return cmp.Compare(a.First, b.First) })
+	slices.SortFunc(ordered, func(a, b Held) int { return cmp.Or(cmp.Compare(a.First, b.First), cmp.Compare(b.Last, a.Last)) })
 	layout := view.Layout(beat.Service)
-	for index, held := range ordered {
+	var around []Held
+	for _, held := range ordered {
 		if held.First > held.Last || held.First < 0 || held.Last > directory.MaxKey {
 			return fault.Newf(fault.InvalidArgument, "holdings: %d to %d is no range of keys from 0 to %d", held.First, held.Last, directory.MaxKey)
 		}
-		if index > 0 && held.First <= ordered[index-1].Last {
-			return fault.Newf(fault.InvalidArgument, "holdings: %d to %d overlaps %d to %d", held.First, held.Last, ordered[index-1].First, ordered[index-1].Last)
+		for len(around) > 0 && around[len(around)-1].Last < held.First {
+			around = around[:len(around)-1]
 		}
+		if len(around) > 0 && held.Last > around[len(around)-1].Last {
+			outer := around[len(around)-1]
+			return fault.Newf(fault.InvalidArgument, "holdings: %d to %d crosses %d to %d", held.First, held.Last, outer.First, outer.Last)
+		}
+		around = append(around, held)
 		if err := checkFence(held, layout); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/heartbeat/core_test.go
@@ -0,0 +1,211 @@
+package heartbeat
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// script drives one core by hand against a directory with the service "s".
+type script struct {
+	t        *testing.T
+	core     *Core
+	view     *directory.Directory
+	revision directory.Revision
+	now      time.Duration
+	sequence map[directory.InstanceID]uint64
+}
+
+func newScript(t *testing.T) *script {
+	t.Helper()
+	s := &script{t: t, view: directory.New(), sequence: make(map[directory.InstanceID]uint64)}
+	s.core = New(Config{
+		Lease: 3 * time.Second, MaxLease: 3 * time.Second, ClockRateBound: 0.02, Margin: 50 * time.Millisecond,
+		Gather: time.Second, AddressReuse: 2 * time.Second, MaxMoves: 4, Stripes: 1,
+	})
+	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","keyed":true,"version":1},{"name":"other","version":1}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.apply(directory.Command{Patch: &patch})
+	return s
+}
+
+func (s *script) apply(commands ...directory.Command) {
+	s.t.Helper()
+	for _, command := range commands {
+		s.revision++
+		if err := s.view.Apply(s.revision, command); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+func (s *script) tick(after time.Duration) {
+	s.now += after
+	s.apply(s.core.Tick(s.now, s.view)...)
+}
+
+// beat sends a heartbeat of an instance at its own address, changed as given.
+func (s *script) beat(id directory.InstanceID, change func(*Beat)) (Grant, error) {
+	s.t.Helper()
+	s.sequence[id]++
+	beat := Beat{Instance: id, Service: "s", Address: "address-" + string(id), Slots: 2, Sequence: s.sequence[id]}
+	if change != nil {
+		change(&beat)
+	}
+	commands, err := s.core.Receive(s.now, beat, s.view)
+	if err != nil {
+		return Grant{}, err
+	}
+	s.apply(commands...)
+	return s.core.Answer(s.now, id, s.view), nil
+}
+
+func holding(first, last directory.Key, fence directory.Fence) func(*Beat) {
+	return func(beat *Beat) {
+		beat.Held = append(beat.Held, Held{Range: Range{First: first, Last: last}, Fence: fence})
+	}
+}
+
+// founded returns a script in which two instances hold half of the keys each.
+func founded(t *testing.T) *script {
+	t.Helper()
+	s := newScript(t)
+	for _, id := range []directory.InstanceID{"a", "b"} {
+		if grant, err := s.beat(id, nil); err != nil || len(grant.Holdings) > 0 {
+			t.Fatalf("%s gets %+v, %v before the layout", id, grant, err)
+		}
+	}
+	s.tick(time.Second)
+	for _, id := range []directory.InstanceID{"a", "b"} {
+		if grant, err := s.beat(id, nil); err != nil || len(grant.Holdings) != 1 || grant.Lease != 3*time.Second {
+			t.Fatalf("%s gets %+v, %v", id, grant, err)
+		}
+	}
+	return s
+}
+
+const half = (directory.MaxKey + 1) / 2
+
+// TestSenselessHeartbeatsAreRefused: each by naming what is wrong, and nobody loses
+// anything by it.
+func TestSenselessHeartbeatsAreRefused(t *testing.T) {
+	cases := map[string]struct {
+		change func(*Beat)
+		kind   fault.Kind
+		names  string
+	}{
+		"crossing rows": {func(beat *Beat) { holding(0, 100, 1)(beat); holding(50, 200, 1)(beat) }, fault.InvalidArgument, "crosses"},
+		"beyond keys":   {holding(0, directory.MaxKey+1, 1), fault.InvalidArgument, "no range"},
+		"backwards":     {holding(9, 3, 1), fault.InvalidArgument, "no range"},
+		"unknown fence": {holding(0, 100, 9), fault.InvalidArgument, "fence 9"},
+		"other service": {func(beat *Beat) { beat.Service = "other" }, fault.InvalidArgument, "service"},
+		"late":          {func(beat *Beat) { beat.Sequence = 1 }, fault.Conflict, "sequence"},
+	}
+	for name, c := range cases {
+		s := founded(t)
+		before := s.view.Revision()
+		if _, err := s.beat("a", c.change); !fault.Is(err, c.kind) || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s: error %v, want %s that names %q", name, err, c.kind, c.names)
+		}
+		if s.view.Revision() != before {
+			t.Errorf("%s: the directory changed", name)
+		}
+	}
+	s := founded(t)
+	_, err := s.beat("thief", func(beat *Beat) { beat.Service, beat.Address = "other", "address-a" })
+	if !fault.Is(err, fault.InvalidArgument) {
+		t.Errorf("the address of a live instance of another service: %v", err)
+	}
+}
+
+// TestRowsThatAreStillWorkedOn: an instance whose rows were joined or cut tells the old
+// one beside the new one until its work on it is done. Such heartbeats were refused as
+// overlapping, and the instance lost all its keys.
+func TestRowsThatAreStillWorkedOn(t *testing.T) {
+	s := founded(t)
+	grant, err := s.beat("a", func(beat *Beat) {
+		holding(0, half-1, 1)(beat)
+		holding(0, 99, 1)(beat)
+		holding(100, 199, 0)(beat)
+	})
+	if err != nil || len(grant.Holdings) != 1 {
+		t.Errorf("granted %+v, %v", grant, err)
+	}
+}
+
+// TestKeysOfALostInstancePassOnAfterItsLease: not before its lease has surely ended,
+// with a higher fence and without a handover; after a change of leader a whole lease
+// later.
+func TestKeysOfALostInstancePassOnAfterItsLease(t *testing.T) {
+	const surely = 3*time.Second*102/100 + 50*time.Millisecond
+	s := founded(t)
+	lastBeat := s.now
+	keep := func() Grant {
+		t.Helper()
+		grant, err := s.beat("b", holding(half, directory.MaxKey, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return grant
+	}
+	for s.now < lastBeat+surely {
+		s.tick(100 * time.Millisecond)
+		if s.now <= lastBeat+surely && len(keep().Holdings) != 1 {
+			t.Fatalf("keys passed on %s after the last heartbeat", s.now-lastBeat)
+		}
+	}
+	s.tick(100 * time.Millisecond)
+	for _, got := range keep().Holdings {
+		if got.First < half && (got.Fence < 2 || got.Handover != "") {
+			t.Errorf("passed on as %+v", got)
+		}
+	}
+	if lost, _ := s.view.Instance("a"); lost.State != directory.InstanceSilent {
+		t.Errorf("the lost instance is %s", lost.State)
+	}
+	again := founded(t)
+	again.core.Lead(again.now)
+	elected := again.now
+	for again.now < elected+surely-100*time.Millisecond {
+		again.tick(100 * time.Millisecond)
+		if _, err := again.beat("b", holding(half, directory.MaxKey, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if held, _ := again.view.Layout("s").At(0); held.Owner != "a" {
+		t.Errorf("a new leader gave keys on before it had waited out a lease: %+v", held)
+	}
+}
+
+// TestLeavingInstanceHandsOver: its keys go in steps, with what it left, and all of
+// them are with others soon.
+func TestLeavingInstanceHandsOver(t *testing.T) {
+	s := founded(t)
+	leaves := func(beat *Beat) { beat.Draining = true }
+	if _, err := s.beat("a", func(beat *Beat) { leaves(beat); holding(0, half-1, 1)(beat) }); err != nil {
+		t.Fatal(err)
+	}
+	if left, _ := s.view.Instance("a"); left.State != directory.InstanceDraining {
+		t.Errorf("state %s", left.State)
+	}
+	s.now += drainSpread
+	grant, err := s.beat("a", func(beat *Beat) { leaves(beat); holding(0, half-1, 1)(beat) })
+	if err != nil || len(grant.Holdings) != 0 {
+		t.Errorf("at the end of the drain it is granted %+v, %v", grant, err)
+	}
+	if _, err := s.beat("a", func(beat *Beat) {
+		leaves(beat)
+		beat.Released = []Released{{Range: Range{First: 0, Last: half - 1}, Handover: "token"}}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	taken, err := s.beat("b", holding(half, directory.MaxKey, 1))
+	if err != nil || len(taken.Holdings) != 2 || taken.Holdings[0].Handover != "token" || taken.Holdings[0].Fence != 2 {
+		t.Errorf("the other one gets %+v, %v", taken, err)
+	}
+}
