--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -77,7 +77,7 @@
 
 func (s *directoryStream) write(ctx context.Context) error {
 	for {
-		changed := s.replica.directoryChanged.next()
+		changed := s.replica.directoryChanged.Next()
 		if err := s.writeChanges(ctx, 0); err != nil {
 			return err
 		}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -182,7 +182,7 @@
 		line.WithField(telemetry.FieldError, result.Err.Error()).Info("directory command refused")
 		return
 	}
-	h.directoryChanged.raise()
+	h.directoryChanged.Raise()
 	switch {
 	case command.Patch != nil:
 		line.WithField(telemetry.FieldCount, len(command.Patch.Items)).WithField("items", itemNames(command.Patch.Items)).Info("items taken")
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
@@ -52,7 +53,7 @@
 	// heartbeats takes the heartbeats of instances.
 	heartbeats *heartbeatKeeper
 	// directoryChanged tells the streams of the directory of changes.
-	directoryChanged *notice
+	directoryChanged *broadcast.Broadcast
 	cluster          message.ClusterID
 	// background holds the goroutines of table streams and of senders that stop.
 	background conc.WaitGroup
@@ -140,7 +141,7 @@
 	})
 	r.partitions = newPartitionKeeper(settings, r)
 	r.heartbeats = newHeartbeatKeeper(settings.Heartbeat, r)
-	r.directoryChanged = newNotice()
+	r.directoryChanged = broadcast.New()
 	r.publish()
 	return r, nil
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
 )
 
 // asFault returns the typed error in the chain of an error.
@@ -26,7 +27,7 @@
 
 // cleanAnswer takes out of an instance's answer what concerns its connection.
 func cleanAnswer(answer *fasthttp.Response) {
-	for _, name := range hopHeaders {
+	for _, name := range forward.HopHeaders() {
 		answer.Header.Del(name)
 	}
 	answer.Header.ResetConnectionClose()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -40,7 +41,7 @@
 	registry     *telemetry.Metrics
 	metrics      *metrics
 	// slots tells requests that wait of attempts that ended.
-	slots *broadcast
+	slots *broadcast.Broadcast
 
 	budgetLock sync.Mutex
 	budgets    map[string]*retry.Budget
@@ -92,7 +93,7 @@
 		lapses:       newLapses(),
 		callers:      newCallers(),
 		registry:     telemetry.NewMetrics(role),
-		slots:        newBroadcast(),
+		slots:        broadcast.New(),
 		budgets:      make(map[string]*retry.Budget),
 	}
 	gateway.metrics = newMetrics(gateway.registry)
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// TestStatusesThatPromise: 408, 421, 429 and 503 say that a request has not run and
+// never will; no kind with another outcome gets one of them.
+func TestStatusesThatPromise(t *testing.T) {
+	promises := []int{fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable}
+	for _, kind := range fault.Kinds() {
+		status, notRun := statusOf(fault.New(kind, ""))
+		proved := fault.AnswerFor(kind).Outcome == fault.NotRun
+		if notRun != proved {
+			t.Errorf("%s: not run %v, proved %v", kind, notRun, proved)
+		}
+		if slices.Contains(promises, status) && !proved {
+			t.Errorf("%s: status %d promises that the request did not run", kind, status)
+		}
+	}
+	for kind, want := range map[fault.Kind]int{
+		fault.DeadlineExceeded: fasthttp.StatusGatewayTimeout, fault.ConnectionLost: fasthttp.StatusBadGateway,
+		fault.ConnectFailed: fasthttp.StatusServiceUnavailable, fault.NoOwner: fasthttp.StatusServiceUnavailable,
+		fault.UnknownService: fasthttp.StatusNotFound, fault.InvalidRequest: fasthttp.StatusBadRequest,
+	} {
+		if status, _ := statusOf(fault.New(kind, "")); status != want {
+			t.Errorf("%s: status %d, want %d", kind, status, want)
+		}
+	}
+}
+
+// TestLapsedHolderIsLeftAlone: for a while, or until the layout changes.
+func TestLapsedHolderIsLeftAlone(t *testing.T) {
+	l := newLapses()
+	if !l.mayAsk("a", 7) {
+		t.Error("a holder that refused nothing is left alone")
+	}
+	l.note("a", 7)
+	if l.mayAsk("a", 7) || !l.mayAsk("b", 7) {
+		t.Error("the one that refused is left alone, and only that one")
+	}
+	if !l.mayAsk("a", 8) {
+		t.Error("under another layout it may be asked")
+	}
+	l.note("a", 8)
+	time.Sleep(lapsePause + 20*time.Millisecond)
+	if !l.mayAsk("a", 8) {
+		t.Error("after a while it may be asked")
+	}
+}
+
+// TestDrainingInstanceServesForAWhile: counted from when this gateway heard of it.
+func TestDrainingInstanceServesForAWhile(t *testing.T) {
+	const allowed = 50 * time.Millisecond
+	d := newDrains(allowed)
+	leaving := directory.Instance{ID: "a", State: directory.InstanceDraining}
+	d.since["a"] = time.Now()
+	if !d.mayServe(leaving) || d.mayServe(directory.Instance{ID: "b", State: directory.InstanceDraining}) {
+		t.Error("only one that this gateway knows to drain serves on")
+	}
+	time.Sleep(allowed + 10*time.Millisecond)
+	if d.mayServe(leaving) {
+		t.Error("it serves beyond the time allowed")
+	}
+}
+
+// TestDemandIsToldOnce: what was counted, by bucket, and nothing of it again.
+func TestDemandIsToldOnce(t *testing.T) {
+	d := &demandCounter{services: make(map[string]*serviceCounts)}
+	for _, key := range []directory.Key{0, 15, 16, 65535} {
+		d.arrived("s", key)
+	}
+	d.answered("s", "a", 30*time.Millisecond)
+	d.answered("s", "a", 50*time.Millisecond)
+	report := d.take()
+	if len(report.Services) != 1 || len(report.Services[0].Buckets) != 3 {
+		t.Fatalf("report %+v", report)
+	}
+	first := slices.Index(report.Services[0].Buckets, 0)
+	if first < 0 || report.Services[0].Counts[first] != 2 {
+		t.Errorf("buckets %v, counts %v", report.Services[0].Buckets, report.Services[0].Counts)
+	}
+	if told := report.Services[0].Instances; len(told) != 1 || told[0].Answered != 2 || told[0].BusyMs != 80 {
+		t.Errorf("instances %+v", told)
+	}
+	if again := d.take(); len(again.Services) != 0 {
+		t.Errorf("told again: %+v", again)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -128,12 +128,6 @@
 	return time.Duration(r.route.TargetLatencyMs * float64(time.Millisecond))
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // fill makes the HTTP request of one attempt. Method, path, query and body stay as
 // the caller sent them.
 func (r *request) fill(outgoing *fasthttp.Request, dialect Dialect, instance directory.Instance) {
@@ -143,7 +137,7 @@
 			outgoing.Header.Del(name)
 		}
 	}
-	for _, name := range hopHeaders {
+	for _, name := range forward.HopHeaders() {
 		outgoing.Header.Del(name)
 	}
 	outgoing.Header.SetProtocol("HTTP/1.1")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -151,14 +151,14 @@
 	if g.balancer.End(outcome) {
 		g.logEjected(instance, failure)
 	}
-	g.slots.raise()
+	g.slots.Raise()
 }
 
 // acquire waits until an instance may get the request. An error proves that the
 // request was not sent since the last attempt.
 func (g *Gateway) acquire(current *request) (directory.Instance, error) {
 	for {
-		freed, updated := g.slots.next(), g.subscription.updates.next()
+		freed, updated := g.slots.Next(), g.subscription.updates.Next()
 		instance, failure := g.choose(current)
 		if failure == nil {
 			return instance, nil
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -39,13 +40,13 @@
 	table  atomic.Pointer[routing.Table]
 	// provedAt is when the last ping that was answered was sent.
 	provedAt atomic.Pointer[time.Time]
-	// refresh asks for the table to be compared with the controllers' at once.
-	updates *broadcast
+	// updates tells of each new table.
+	updates *broadcast.Broadcast
 }
 
 func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error)) *subscription {
 	return &subscription{
-		settings: settings, log: log, reload: reload, view: directory.New(), updates: newBroadcast(),
+		settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(),
 		changed: func(*routing.Table) {},
 	}
 }
@@ -231,5 +232,5 @@
 	table := routing.Build(s.view, s.table.Load())
 	s.table.Store(table)
 	s.changed(table)
-	s.updates.raise()
+	s.updates.Raise()
 }
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -82,45 +82,6 @@
 	return []directory.Command{{Layout: &command}}
 }
 
-// maxStripes bounds the ranges of a service at first.
-const maxStripes = 2048
-
-// found makes the first layout once the instances had time to announce themselves.
-func (d *draft) found() {
-	first, seen := d.core.firstSeen[d.layout.Service]
-	if len(d.layout.Holdings) > 0 || !seen || d.now-first < d.core.config.Gather || len(d.candidates) == 0 {
-		return
-	}
-	owners := d.bySlots()
-	stripes := min(d.core.config.Stripes*len(d.candidates), maxStripes)
-	next := directory.Key(0)
-	for index := range stripes {
-		last := directory.Key((index+1)*int(directory.MaxKey+1)/stripes) - 1
-		owner := owners[index%len(owners)]
-		d.layout.Holdings = append(d.layout.Holdings, directory.Holding{First: next, Last: last, Fence: 1, Owner: owner.id})
-		owner.keys += int(last-next) + 1
-		next = last + 1
-	}
-	d.changed = true
-}
-
-// bySlots returns the candidates in turn, those with more slots the more often.
-func (d *draft) bySlots() []*candidate {
-	most := 0
-	for _, each := range d.candidates {
-		most = max(most, each.slots)
-	}
-	var turns []*candidate
-	for round := range most {
-		for _, each := range d.candidates {
-			if each.slots > round {
-				turns = append(turns, each)
-			}
-		}
-	}
-	return turns
-}
-
 // release frees the revoked keys that their owner does not hold any more.
 func (d *draft) release(beat Beat) {
 	for index := range d.layout.Holdings {
@@ -165,44 +126,6 @@
 	}
 }
 
-// drainSpread is how long the keys of an instance that leaves are taken away. While
-// it lets some go it sends a heartbeat each releaseTime, so that each time those keys
-// are taken whose next holder will be told soon; the others are served meanwhile.
-const drainSpread = 900 * time.Millisecond
-
-// drain takes a part of the keys of an instance that has said for a while that it
-// leaves, if others can take them, and all of them in the end.
-func (d *draft) drain(id directory.InstanceID, since time.Duration) {
-	d.candidates = slices.DeleteFunc(d.candidates, func(each *candidate) bool { return each.id == id })
-	delete(d.byID, id)
-	if len(d.candidates) == 0 {
-		return
-	}
-	var left []int
-	for index, holding := range d.layout.Holdings {
-		if holding.Owner == id && !holding.Revoked {
-			left = append(left, index)
-		}
-	}
-	beats := max(1, int((drainSpread-since)/releaseTime))
-	d.measure()
-	leaving := &candidate{id: id, slots: 1}
-	for _, index := range left[:(len(left)+beats-1)/beats] {
-		d.drainOne(index, leaving)
-	}
-}
-
-func (d *draft) drainOne(index int, leaving *candidate) {
-	holding := &d.layout.Holdings[index]
-	holding.Revoked = true
-	d.changed = true
-	if target := d.bestTarget(leaving); target != nil {
-		d.core.setTarget(d.layout.Service, holding.First, target.id)
-		target.rate += d.demand().rate(holding.First, holding.Last)
-		target.rows++
-	}
-}
-
 // passOnEnded frees the keys of instances that surely hold nothing any more.
 func (d *draft) passOnEnded() {
 	for index := range d.layout.Holdings {
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -10,13 +10,14 @@
 	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
 )
 
 // writeAnswer forwards a back end's whole answer.
 func writeAnswer(outbound *fasthttp.Response, exchange *Exchange) {
 	answer := exchange.Answer
 	answer.Header.CopyTo(&outbound.Header)
-	for _, name := range hopHeaders {
+	for _, name := range forward.HopHeaders() {
 		outbound.Header.Del(name)
 	}
 	for _, name := range []string{backendapi.HeaderLoad, backendapi.HeaderRequestID, callerapi.HeaderError} {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -167,16 +168,10 @@
 	return nil
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // fill makes the HTTP request of one attempt.
 func (e *Exchange) fill(request *fasthttp.Request, decision *dispatch.Decision, attemptID string, timeout time.Duration) {
 	e.Inbound.Header.CopyTo(&request.Header)
-	for _, name := range hopHeaders {
+	for _, name := range forward.HopHeaders() {
 		request.Header.Del(name)
 	}
 	request.Header.SetProtocol("HTTP/1.1")
--- a/internal/router/keptanswer.go
+++ b/internal/router/keptanswer.go
@@ -10,6 +10,7 @@
 	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/record"
 )
 
@@ -39,7 +40,7 @@
 
 // notKept are headers of a back end's answer that belong to one exchange.
 func notKept(name string) bool {
-	for _, other := range hopHeaders {
+	for _, other := range forward.HopHeaders() {
 		if name == other {
 			return true
 		}
