Tests: the client and the end of a group of controllers stand once

Cause: newSeededGroup repeated the last steps of newGroupOn. Nothing else changed; the tests that use either (TestGroupBySeeds, TestFullDiskIsWaitedOut) pass.

--- a/internal/controller/group_test.go
+++ b/internal/controller/group_test.go
@@ -76,20 +76,26 @@
 		endpoints = append(endpoints, peer.APIAddress)
 		g.start(number)
 	}
+	g.connect(endpoints)
+	g.leader()
+	return g
+}
+
+// connect gives the group a client, and ends everything with the test.
+func (g *group) connect(endpoints []string) {
+	g.t.Helper()
 	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: endpoints})
 	if err != nil {
-		t.Fatal(err)
+		g.t.Fatal(err)
 	}
 	g.client = client
-	t.Cleanup(func() {
+	g.t.Cleanup(func() {
 		client.Close()
 		for number := range g.processes {
 			g.stop(number)
 		}
 		g.running.Wait()
 	})
-	g.leader()
-	return g
 }
 
 // freeAddresses returns addresses that the kernel chose, on a loopback address
--- a/internal/controller/seeds_test.go
+++ b/internal/controller/seeds_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
-	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/vfs"
 )
 
@@ -54,18 +53,7 @@
 		settings.DataDirectory = filepath.Join(t.TempDir(), settings.Name)
 		g.processes = append(g.processes, &process{settings: settings, files: vfs.System{}})
 	}
-	client, err := intentapi.NewClient(intentapi.ClientConfig{Endpoints: endpoints})
-	if err != nil {
-		t.Fatal(err)
-	}
-	g.client = client
-	t.Cleanup(func() {
-		client.Close()
-		for number := range g.processes {
-			g.stop(number)
-		}
-		g.running.Wait()
-	})
+	g.connect(endpoints)
 	return g
 }
 
