Heartbeats are decided in batches; streams and tables cost what changed

Change: heartbeat.Batch decides what waits together, one log entry each; a heartbeat that changes nothing is answered without a draft, while its lease lasts; an index by owner and a sorted list of instances replace scans; a stream of the directory gathers 1 ms for each stream that is open (5 to 60 ms); a table takes over items that did not change.

--- a/internal/gateway/sleep.go
+++ b/internal/clock/sleep.go
@@ -1,12 +1,12 @@
-package gateway
+package clock
 
 import (
 	"context"
 	"time"
 )
 
-// sleep waits for a time or the end of the context.
-func sleep(ctx context.Context, duration time.Duration) {
+// Sleep waits for a duration or until the context ends.
+func Sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -31,8 +32,20 @@
 // pingsWaiting bounds the pings of one gateway that wait for their quorum round.
 const pingsWaiting = 4
 
-// gatherChanges is how long a stream waits after a change for further ones.
-const gatherChanges = 5 * time.Millisecond
+// A stream waits after a change for further ones: for the shortest time, and longer
+// where many streams are open, so that a controller sends a bounded number of updates
+// a second.
+const (
+	shortestGather = 5 * time.Millisecond
+	longestGather  = 60 * time.Millisecond
+	gatherOfStream = time.Millisecond
+)
+
+// gatherTime returns how long a stream waits after a change, by the streams open at
+// this controller.
+func gatherTime(streams int) time.Duration {
+	return min(max(shortestGather, time.Duration(streams)*gatherOfStream), longestGather)
+}
 
 func serveDirectory(ctx context.Context, r *replica, connection *wire.Conn) error {
 	var first message.DirectoryRequest
@@ -41,6 +54,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r.directoryStreams.Add(1)
+	defer r.directoryStreams.Add(-1)
 	stream := &directoryStream{replica: r, connection: connection, pongs: make(chan uint64, pingsWaiting)}
 	if first.Cluster == r.cluster {
 		stream.sent = first.Revision
@@ -89,7 +104,7 @@
 				return err
 			}
 		case <-changed:
-			time.Sleep(gatherChanges)
+			clock.Sleep(ctx, gatherTime(int(s.replica.directoryStreams.Load())))
 		}
 	}
 }
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -18,15 +21,23 @@
 // heartbeatTick is the time between two looks at leases that may have ended.
 const heartbeatTick = 100 * time.Millisecond
 
+// Bounds of the batches in which heartbeats are decided.
+const (
+	// gatherDecisions is how long a batch waits for further decisions after its first.
+	gatherDecisions = 3 * time.Millisecond
+	// maxBatch bounds the decisions of one batch.
+	maxBatch = 512
+	// decisionsWaiting bounds the decisions that wait for their batch.
+	decisionsWaiting = 8192
+)
+
 // heartbeatKeeper takes the heartbeats of instances while this replica leads. The
 // decisions are those of heartbeat.Core. It is safe for concurrent use.
 type heartbeatKeeper struct {
 	replica  *replica
 	settings config.Heartbeat
-
-	// changing is held from a decision until its commands are applied, so that no
-	// two decisions rest on the same state.
-	changing chan struct{}
+	// waiting are the decisions for the next batches.
+	waiting chan decision
 
 	mutex sync.Mutex
 	core  *heartbeat.Core
@@ -34,9 +45,17 @@
 	term context.Context
 }
 
+// decision is a part of a batch.
+type decision struct {
+	leadership context.Context
+	decide     func(*heartbeat.Batch) error
+	// done gets the outcome once the commands of the batch are applied.
+	done chan error
+}
+
 func newHeartbeatKeeper(settings config.Heartbeat, r *replica) *heartbeatKeeper {
 	return &heartbeatKeeper{
-		replica: r, settings: settings, changing: make(chan struct{}, 1),
+		replica: r, settings: settings, waiting: make(chan decision, decisionsWaiting),
 		core: heartbeat.New(heartbeat.Config{
 			Lease: settings.EffectiveLease(), MaxLease: settings.LongestLease(), ClockRateBound: settings.ClockRateBound,
 			Margin: settings.Margin, Gather: settings.Gather, AddressReuse: settings.AddressReuse, MaxMoves: settings.MaxMoves, Stripes: settings.Stripes,
@@ -44,60 +63,114 @@
 	}
 }
 
-// run looks after the leases until the context ends.
+// run decides, and looks after the leases, until the context ends.
 func (k *heartbeatKeeper) run(ctx context.Context) {
-	clock.Every(ctx, heartbeatTick, func() {
-		leadership, leads := k.replica.leadershipContext()
-		if !leads {
+	var ticking conc.WaitGroup
+	defer ticking.Wait()
+	ticking.Go(func() {
+		clock.Every(ctx, heartbeatTick, func() { k.tick(ctx) })
+	})
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case first := <-k.waiting:
+			clock.Sleep(ctx, gatherDecisions)
+			k.decideTogether(ctx, k.gather(first))
 		}
-		bounded, cancel := context.WithTimeout(ctx, k.replica.settings.Consensus.ProposalTimeout)
-		defer cancel()
-		err := k.change(bounded, leadership, func(now time.Duration, view *directory.Directory) ([]directory.Command, error) {
-			return k.core.Tick(now, view), nil
-		})
-		if err != nil {
-			k.replica.log.WithError(err).Debug("directory command not applied")
-		}
+	}
+}
+
+func (k *heartbeatKeeper) tick(ctx context.Context) {
+	leadership, leads := k.replica.leadershipContext()
+	if !leads {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, k.replica.settings.Consensus.ProposalTimeout)
+	defer cancel()
+	err := k.change(bounded, leadership, func(batch *heartbeat.Batch) error {
+		batch.Tick()
+		return nil
 	})
+	if err != nil {
+		k.replica.log.WithError(err).Debug("directory command not applied")
+	}
 }
 
-// decision returns the commands that the directory calls for.
-type decision func(now time.Duration, view *directory.Directory) ([]directory.Command, error)
+// gather returns the decisions that wait, the first one included.
+func (k *heartbeatKeeper) gather(first decision) []decision {
+	gathered := []decision{first}
+	for len(gathered) < maxBatch {
+		select {
+		case next := <-k.waiting:
+			gathered = append(gathered, next)
+		default:
+			return gathered
+		}
+	}
+	return gathered
+}
 
-// change decides and waits until the commands are applied.
-func (k *heartbeatKeeper) change(ctx, leadership context.Context, decide decision) error {
+// change decides in the next batch and waits until its commands are applied.
+func (k *heartbeatKeeper) change(ctx, leadership context.Context, decide func(*heartbeat.Batch) error) error {
+	busy := fault.New(fault.Unavailable, "the controller is busy: ask again")
+	made := decision{leadership: leadership, decide: decide, done: make(chan error, 1)}
 	select {
-	case k.changing <- struct{}{}:
-		defer func() { <-k.changing }()
+	case k.waiting <- made:
 	case <-ctx.Done():
-		return fault.New(fault.Unavailable, "the controller is busy: ask again")
+		return busy
 	}
-	commands, err := k.decide(leadership, decide)
-	if err != nil {
+	select {
+	case err := <-made.done:
 		return err
+	case <-ctx.Done():
+		return busy
 	}
-	for _, command := range commands {
-		if _, err := k.replica.Propose(ctx, state.Command{Directory: &command}); err != nil {
-			return err
+}
+
+// decideTogether puts decisions in force by one command. The next batch begins once
+// it is applied, so that no two batches rest on the same state.
+func (k *heartbeatKeeper) decideTogether(ctx context.Context, decisions []decision) {
+	commands, outcomes := k.decide(decisions)
+	var failure error
+	if len(commands) > 0 {
+		bounded, cancel := context.WithTimeout(ctx, k.replica.settings.Consensus.ProposalTimeout)
+		joined := directory.Joined(commands)
+		_, failure = k.replica.Propose(bounded, state.Command{Directory: &joined})
+		cancel()
+	}
+	for index, made := range decisions {
+		if outcomes[index] == nil {
+			outcomes[index] = failure
 		}
+		made.done <- outcomes[index]
 	}
-	return nil
 }
 
-func (k *heartbeatKeeper) decide(leadership context.Context, decide decision) ([]directory.Command, error) {
+// decide returns the commands of a batch, and what is wrong with each decision.
+func (k *heartbeatKeeper) decide(decisions []decision) ([]directory.Command, []error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if leadership.Err() != nil {
-		return nil, errLeadershipLost()
-	}
-	k.follow(leadership)
 	var commands []directory.Command
-	var err error
+	outcomes := make([]error, len(decisions))
 	k.replica.view(func(view *state.State) {
-		commands, err = decide(k.replica.clock.Now(), view.Directory())
+		var batch *heartbeat.Batch
+		for index, made := range decisions {
+			if made.leadership.Err() != nil {
+				outcomes[index] = errLeadershipLost()
+				continue
+			}
+			if batch == nil {
+				k.follow(made.leadership)
+				batch = k.core.Batch(k.replica.clock.Now(), view.Directory())
+			}
+			outcomes[index] = made.decide(batch)
+		}
+		if batch != nil {
+			commands = batch.Commands()
+		}
 	})
-	return commands, err
+	return commands, outcomes
 }
 
 func errLeadershipLost() error {
@@ -123,15 +196,33 @@
 	if err := k.replica.readHere(ctx); err != nil {
 		return heartbeat.Grant{}, err
 	}
-	err := k.change(ctx, leadership, func(now time.Duration, view *directory.Directory) ([]directory.Command, error) {
-		return k.core.Receive(now, beat, view)
-	})
+	if grant, renewed := k.renew(leadership, receivedAt, beat); renewed {
+		return grant, nil
+	}
+	err := k.change(ctx, leadership, func(batch *heartbeat.Batch) error { return batch.Receive(beat) })
 	if err != nil {
 		return heartbeat.Grant{}, err
 	}
 	return k.answer(leadership, receivedAt, beat)
 }
 
+// renew answers a heartbeat that changes nothing, without a batch.
+func (k *heartbeatKeeper) renew(leadership context.Context, receivedAt time.Duration, beat heartbeat.Beat) (heartbeat.Grant, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if leadership.Err() != nil || k.term != leadership {
+		return heartbeat.Grant{}, false
+	}
+	var grant heartbeat.Grant
+	renewed := false
+	k.replica.view(func(view *state.State) {
+		if renewed = k.core.Renew(k.replica.clock.Now(), beat, view.Directory()); renewed {
+			grant = k.core.Answer(receivedAt, beat.Instance, view.Directory())
+		}
+	})
+	return grant, renewed
+}
+
 func (k *heartbeatKeeper) answer(leadership context.Context, receivedAt time.Duration, beat heartbeat.Beat) (heartbeat.Grant, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -170,8 +261,9 @@
 	if err := k.replica.readHere(ctx); err != nil {
 		return err
 	}
-	return k.change(ctx, leadership, func(_ time.Duration, view *directory.Directory) ([]directory.Command, error) {
-		return k.core.Leave(id, view), nil
+	return k.change(ctx, leadership, func(batch *heartbeat.Batch) error {
+		batch.Leave(id)
+		return nil
 	})
 }
 
@@ -183,13 +275,26 @@
 		return
 	}
 	h.directoryChanged.Raise()
+	h.logDirectoryChange(line, command)
+}
+
+// logDirectoryChange logs what a command changed. The holders of keys are told in
+// full by the leader alone.
+func (h *host) logDirectoryChange(line *logrus.Entry, command directory.Command) {
 	switch {
+	case command.Batch != nil:
+		for _, each := range command.Batch {
+			h.logDirectoryChange(line, each)
+		}
 	case command.Patch != nil:
 		line.WithField(telemetry.FieldCount, len(command.Patch.Items)).WithField("items", itemNames(command.Patch.Items)).Info("items taken")
 	case command.Layout != nil:
 		changed := command.Layout.Changed
-		line.WithField(telemetry.FieldService, command.Layout.Service).WithField(telemetry.FieldCount, len(changed)).
-			WithField("holdings", holdingLines(changed)).Info("holders of keys changed")
+		line = line.WithField(telemetry.FieldService, command.Layout.Service).WithField(telemetry.FieldCount, len(changed))
+		if h.published.Load().leading {
+			line = line.WithField("holdings", holdingLines(changed))
+		}
+		line.Info("holders of keys changed")
 	default:
 		for _, instance := range command.Instances {
 			line.WithField(telemetry.FieldServer, instance.ID).WithField(telemetry.FieldService, instance.Service).
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -54,6 +54,8 @@
 	heartbeats *heartbeatKeeper
 	// directoryChanged tells the streams of the directory of changes.
 	directoryChanged *broadcast.Broadcast
+	// directoryStreams counts the open streams of the directory.
+	directoryStreams atomic.Int64
 	cluster          message.ClusterID
 	// background holds the goroutines of table streams and of senders that stop.
 	background conc.WaitGroup
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"slices"
 )
@@ -9,16 +10,23 @@
 // Directory is not safe for concurrent use. Its objects are replaced and never
 // changed, so that a Clone stays as it is.
 type Directory struct {
-	revision  Revision
-	items     map[ItemKey]*Item
+	revision Revision
+	items    map[ItemKey]*Item
+	// itemsRevision is the revision of the newest change of an item.
+	itemsRevision Revision
+	// services has the items of the kind service that stand, decoded.
+	services  map[string]Service
 	instances map[InstanceID]*Instance
-	layouts   map[string]*Layout
+	// ordered has the instances by identifier.
+	ordered []*Instance
+	layouts map[string]*Layout
 }
 
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
 		items:     make(map[ItemKey]*Item),
+		services:  make(map[string]Service),
 		instances: make(map[InstanceID]*Instance),
 		layouts:   make(map[string]*Layout),
 	}
@@ -29,12 +37,24 @@
 	Patch     *Patch     `msgpack:"p,omitempty"`
 	Instances []Instance `msgpack:"i,omitempty"`
 	Layout    *PutLayout `msgpack:"l,omitempty"`
+	// Batch has commands that are applied in their order, each as if it stood alone.
+	Batch []Command `msgpack:"b,omitempty"`
+}
+
+// Joined returns one command for several; the only one as it is.
+func Joined(commands []Command) Command {
+	if len(commands) == 1 {
+		return commands[0]
+	}
+	return Command{Batch: commands}
 }
 
 // Apply executes the command that stands at a log index. An error means that
-// nothing changed.
+// nothing changed, or for a batch, that one of its commands changed nothing.
 func (d *Directory) Apply(revision Revision, command Command) error {
 	switch {
+	case command.Batch != nil:
+		return d.applyBatch(revision, command.Batch)
 	case command.Patch != nil:
 		return d.applyPatch(revision, *command.Patch)
 	case command.Layout != nil:
@@ -45,16 +65,27 @@
 	}
 }
 
+func (d *Directory) applyBatch(revision Revision, commands []Command) error {
+	var failures []error
+	for _, command := range commands {
+		failures = append(failures, d.Apply(revision, command))
+	}
+	return errors.Join(failures...)
+}
+
 // Revision returns the revision of the newest change.
 func (d *Directory) Revision() Revision { return d.revision }
 
 // Clone returns a copy that shares the objects.
 func (d *Directory) Clone() *Directory {
 	return &Directory{
-		revision:  d.revision,
-		items:     maps.Clone(d.items),
-		instances: maps.Clone(d.instances),
-		layouts:   maps.Clone(d.layouts),
+		revision:      d.revision,
+		items:         maps.Clone(d.items),
+		itemsRevision: d.itemsRevision,
+		services:      maps.Clone(d.services),
+		instances:     maps.Clone(d.instances),
+		ordered:       slices.Clone(d.ordered),
+		layouts:       maps.Clone(d.layouts),
 	}
 }
 
@@ -72,12 +103,10 @@
 // Since returns what changed after a revision; zero gives everything.
 func (d *Directory) Since(after Revision) Content {
 	changes := Content{From: after, To: d.revision}
-	for _, item := range d.Items() {
-		if item.Revision > after {
-			changes.Items = append(changes.Items, item)
-		}
+	if d.itemsRevision > after {
+		changes.Items = slices.DeleteFunc(d.Items(), func(item Item) bool { return item.Revision <= after })
 	}
-	for _, instance := range d.Instances() {
+	for instance := range d.EachInstance() {
 		if instance.Revision > after {
 			changes.Instances = append(changes.Instances, instance)
 		}
@@ -96,12 +125,12 @@
 func (d *Directory) Take(changes Content) {
 	for _, item := range changes.Items {
 		if held, found := d.items[item.Key]; !found || item.Revision > held.Revision {
-			d.items[item.Key] = &item
+			d.putItem(item)
 		}
 	}
 	for _, instance := range changes.Instances {
 		if held, found := d.instances[instance.ID]; !found || instance.Revision > held.Revision {
-			d.instances[instance.ID] = &instance
+			d.keepInstance(instance)
 		}
 	}
 	for _, layout := range changes.Layouts {
--- a/internal/directory/instance.go
+++ b/internal/directory/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 )
 
@@ -71,7 +72,7 @@
 // replaceAtAddress marks the earlier instances at an address as gone: a process
 // that listens there proves that theirs has ended.
 func (d *Directory) replaceAtAddress(revision Revision, newer Instance) {
-	for _, instance := range d.Instances() {
+	for instance := range d.EachInstance() {
 		if instance.Address != newer.Address || instance.ID == newer.ID || instance.Ended {
 			continue
 		}
@@ -83,12 +84,40 @@
 
 func (d *Directory) putInstance(revision Revision, instance Instance) {
 	instance.Revision = revision
-	d.instances[instance.ID] = &instance
+	d.keepInstance(instance)
 	d.revision = revision
 }
 
+// keepInstance takes an instance in place of an earlier reading of it.
+func (d *Directory) keepInstance(instance Instance) {
+	position, found := d.position(instance.ID)
+	if found {
+		d.ordered[position] = &instance
+	} else {
+		d.ordered = slices.Insert(d.ordered, position, &instance)
+	}
+	d.instances[instance.ID] = &instance
+}
+
+func (d *Directory) forgetInstance(id InstanceID) {
+	if position, found := d.position(id); found {
+		d.ordered = slices.Delete(d.ordered, position, position+1)
+	}
+	delete(d.instances, id)
+}
+
+// position returns where an instance stands in the order, or would stand.
+func (d *Directory) position(id InstanceID) (int, bool) {
+	return slices.BinarySearchFunc(d.ordered, id, func(instance *Instance, id InstanceID) int {
+		return cmp.Compare(instance.ID, id)
+	})
+}
+
 // forgetGone forgets those that left first, beyond the bound.
 func (d *Directory) forgetGone() {
+	if len(d.instances) <= maxGone {
+		return
+	}
 	var gone []Instance
 	for _, instance := range d.instances {
 		if instance.State == InstanceGone {
@@ -102,7 +131,7 @@
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.ID, b.ID))
 	})
 	for _, instance := range gone[:len(gone)-maxGone] {
-		delete(d.instances, instance.ID)
+		d.forgetInstance(instance.ID)
 	}
 }
 
@@ -115,12 +144,17 @@
 	return *instance, true
 }
 
-// Instances returns every instance by identifier, those that are gone too.
-func (d *Directory) Instances() []Instance {
-	instances := make([]Instance, 0, len(d.instances))
-	for _, instance := range d.instances {
-		instances = append(instances, *instance)
+// EachInstance yields every instance by identifier, those that are gone too. An
+// instance may be changed meanwhile, but none added.
+func (d *Directory) EachInstance() iter.Seq[Instance] {
+	return func(yield func(Instance) bool) {
+		for _, instance := range d.ordered {
+			if !yield(*instance) {
+				return
+			}
+		}
 	}
-	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return instances
 }
+
+// Instances returns every instance by identifier, those that are gone too.
+func (d *Directory) Instances() []Instance { return slices.Collect(d.EachInstance()) }
--- a/internal/directory/items.go
+++ b/internal/directory/items.go
@@ -105,12 +105,27 @@
 			continue
 		}
 		item.Revision = revision
-		d.items[item.Key] = &item
+		d.putItem(item)
 		d.revision = revision
 	}
 	return nil
 }
 
+func (d *Directory) putItem(item Item) {
+	d.items[item.Key] = &item
+	d.itemsRevision = max(d.itemsRevision, item.Revision)
+	if item.Key.Kind != KindService {
+		return
+	}
+	delete(d.services, item.Key.Name)
+	if service, err := item.Service(); err == nil && !item.Dropped {
+		d.services[item.Key.Name] = service
+	}
+}
+
+// ItemsRevision returns the revision of the newest change of an item.
+func (d *Directory) ItemsRevision() Revision { return d.itemsRevision }
+
 // Items returns every item, dropped ones too, by kind and name.
 func (d *Directory) Items() []Item {
 	items := make([]Item, 0, len(d.items))
@@ -145,22 +160,15 @@
 
 // Service returns the configuration of a service that stands.
 func (d *Directory) Service(name string) (Service, bool) {
-	item, found := d.items[ItemKey{Kind: KindService, Name: name}]
-	if !found || item.Dropped {
-		return Service{}, false
-	}
-	service, err := item.Service()
-	return service, err == nil
+	service, found := d.services[name]
+	return service, found
 }
 
 // KeyedServices returns the keyed services that stand, by name.
 func (d *Directory) KeyedServices() []Service {
 	var keyed []Service
-	for key, item := range d.items {
-		if key.Kind != KindService || item.Dropped {
-			continue
-		}
-		if service, err := item.Service(); err == nil && service.Keyed {
+	for _, service := range d.services {
+		if service.Keyed {
 			keyed = append(keyed, service)
 		}
 	}
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
@@ -94,7 +95,7 @@
 		if leader := d.subscription.leader.Load(); leader != nil {
 			d.reportTo(ctx, *leader)
 		}
-		sleep(ctx, reportInterval)
+		clock.Sleep(ctx, reportInterval)
 	}
 }
 
@@ -114,6 +115,6 @@
 				return
 			}
 		}
-		sleep(ctx, reportInterval)
+		clock.Sleep(ctx, reportInterval)
 	}
 }
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/broadcast"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
@@ -77,7 +78,7 @@
 				WithField("table_age_ms", s.age().Milliseconds()).Warn("the stream of the directory broke")
 		}
 		s.reloadSeeds()
-		sleep(ctx, reconnectPause)
+		clock.Sleep(ctx, reconnectPause)
 	}
 }
 
@@ -221,15 +222,17 @@
 	if update.Changes == nil {
 		return
 	}
+	earlier := s.table.Load()
 	if update.Cluster != s.cluster {
 		s.cluster = update.Cluster
 		s.view = directory.New()
+		earlier = nil
 	}
 	s.view.Take(*update.Changes)
 	if !s.view.Configured() {
 		return
 	}
-	table := routing.Build(s.view, s.table.Load())
+	table := routing.Build(s.view, earlier)
 	s.table.Store(table)
 	s.changed(table)
 	s.updates.Raise()
--- /dev/null
+++ b/internal/heartbeat/batch.go
@@ -0,0 +1,216 @@
+package heartbeat
+
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// Batch collects decisions that are put in force together: they rest on one reading
+// of the directory and on one draft of each service's layout, so that their cost does
+// not grow with the number of heartbeats. It is used once, at one time.
+type Batch struct {
+	core *Core
+	now  time.Duration
+	view *directory.Directory
+	// drafts are the next layouts, by service, in the order of their first use.
+	drafts    map[string]*draft
+	order     []*draft
+	instances []directory.Instance
+}
+
+// Batch begins a batch of decisions at a time.
+func (c *Core) Batch(now time.Duration, view *directory.Directory) *Batch {
+	return &Batch{core: c, now: now, view: view, drafts: make(map[string]*draft)}
+}
+
+// Commands returns what must be applied before any heartbeat of the batch is
+// answered.
+func (b *Batch) Commands() []directory.Command {
+	var commands []directory.Command
+	if len(b.instances) > 0 {
+		commands = append(commands, directory.Command{Instances: b.instances})
+	}
+	for _, draft := range b.order {
+		commands = append(commands, draft.commands()...)
+	}
+	return commands
+}
+
+func (b *Batch) draft(service string) *draft {
+	known, found := b.drafts[service]
+	if !found {
+		known = b.core.draft(b.now, service, b.view)
+		b.drafts[service] = known
+		b.order = append(b.order, known)
+	}
+	return known
+}
+
+// Receive takes a heartbeat. One of an instance that left changes nothing. The error
+// is of the kind conflict for a heartbeat that is out of date, and of the kind
+// invalid_argument for one that contradicts what is known; it leaves the batch as it
+// was.
+func (b *Batch) Receive(beat Beat) error {
+	if instance, found := b.view.Instance(beat.Instance); found && instance.State == directory.InstanceGone {
+		return nil
+	}
+	if err := b.core.check(b.now, beat, b.view); err != nil {
+		return err
+	}
+	known := b.core.note(b.now, beat)
+	wanted := beat.instance()
+	if held, found := b.view.Instance(beat.Instance); !found || !held.Same(wanted) {
+		b.instances = append(b.instances, wanted)
+	}
+	service, found := b.view.Service(beat.Service)
+	if !found || !service.Keyed {
+		return nil
+	}
+	if _, drafted := b.drafts[beat.Service]; !drafted && b.core.changesNothing(b.now, beat, b.view) {
+		return nil
+	}
+	b.draft(beat.Service).receive(beat, known.drains)
+	return nil
+}
+
+// Renew takes a heartbeat if it changes nothing, and reports whether it did. The lease
+// of the instance must not have ended: until then no batch that is being applied has
+// passed on its keys, so that the heartbeat may be answered without waiting for one.
+func (c *Core) Renew(now time.Duration, beat Beat, view *directory.Directory) bool {
+	known, met := c.contacts[beat.Instance]
+	held, found := view.Instance(beat.Instance)
+	if !met || !found || now > known.leaseEnd || !held.Same(beat.instance()) {
+		return false
+	}
+	service, found := view.Service(beat.Service)
+	if !found || c.check(now, beat, view) != nil {
+		return false
+	}
+	if service.Keyed && !c.changesNothing(now, beat, view) {
+		return false
+	}
+	c.note(now, beat)
+	return true
+}
+
+// note remembers a heartbeat as the newest of its instance.
+func (c *Core) note(now time.Duration, beat Beat) *contact {
+	known, found := c.contacts[beat.Instance]
+	if !found {
+		known = &contact{}
+		c.contacts[beat.Instance] = known
+	}
+	known.sequence = beat.Sequence
+	known.noteInterval(now)
+	known.beatAt = now
+	known.warmAt = now + beat.WarmUp
+	known.held = beat.Held
+	if _, seen := c.firstSeen[beat.Service]; !seen {
+		c.firstSeen[beat.Service] = now
+	}
+	return known
+}
+
+// receive takes what a heartbeat says of the keys of its instance.
+func (d *draft) receive(beat Beat, drains func(now time.Duration) time.Duration) {
+	d.release(beat)
+	if beat.Draining {
+		d.drain(beat.Instance, drains(d.now))
+	}
+	d.settle()
+	if !beat.Draining {
+		d.relieve(beat.Instance)
+	}
+	d.grant(beat.Instance)
+	d.join(beat.Instance)
+}
+
+// Leave takes an instance's word that it leaves for good. Its keys pass on once its
+// lease has ended.
+func (b *Batch) Leave(id directory.InstanceID) {
+	instance, found := b.view.Instance(id)
+	if !found {
+		// Remembered as gone, so that a late heartbeat does not announce it.
+		instance = directory.Instance{ID: id}
+	}
+	if instance.State == directory.InstanceGone {
+		return
+	}
+	instance.State = directory.InstanceGone
+	b.instances = append(b.instances, instance)
+}
+
+// Tick decides what is due by itself.
+func (b *Batch) Tick() {
+	b.silent()
+	for _, service := range b.view.KeyedServices() {
+		if _, drafted := b.drafts[service.Name]; !drafted && !b.due(service.Name) {
+			continue
+		}
+		draft := b.draft(service.Name)
+		draft.found()
+		draft.passOnEnded()
+		draft.settle()
+	}
+}
+
+// due reports whether a service has no layout yet, keys without an owner, or keys of an
+// instance that surely holds nothing any more.
+func (b *Batch) due(service string) bool {
+	index := b.core.index(service, b.view)
+	if len(index.owned) == 0 || index.free > 0 {
+		return true
+	}
+	for owner := range index.owned {
+		if b.core.ended(b.now, owner, b.view) {
+			return true
+		}
+	}
+	return false
+}
+
+// silent marks the instances whose lease has ended without a heartbeat.
+func (b *Batch) silent() {
+	for instance := range b.view.EachInstance() {
+		alive := instance.State == directory.InstanceReady || instance.State == directory.InstanceDraining
+		if !alive || b.now <= b.core.leaseEnd(instance.ID) || b.core.heardNow(b.now, instance.ID) {
+			continue
+		}
+		if instance.State == directory.InstanceDraining {
+			instance.State = directory.InstanceGone
+		} else {
+			instance.State = directory.InstanceSilent
+		}
+		b.instances = append(b.instances, instance)
+	}
+}
+
+// heardNow reports whether a heartbeat of this very batch came from an instance.
+func (c *Core) heardNow(now time.Duration, id directory.InstanceID) bool {
+	known, found := c.contacts[id]
+	return found && known.beatAt == now
+}
+
+// Receive is a batch of one heartbeat.
+func (c *Core) Receive(now time.Duration, beat Beat, view *directory.Directory) ([]directory.Command, error) {
+	batch := c.Batch(now, view)
+	if err := batch.Receive(beat); err != nil {
+		return nil, err
+	}
+	return batch.Commands(), nil
+}
+
+// Leave is a batch of one instance that leaves.
+func (c *Core) Leave(id directory.InstanceID, view *directory.Directory) []directory.Command {
+	batch := c.Batch(0, view)
+	batch.Leave(id)
+	return batch.Commands()
+}
+
+// Tick is a batch of what is due by itself.
+func (c *Core) Tick(now time.Duration, view *directory.Directory) []directory.Command {
+	batch := c.Batch(now, view)
+	batch.Tick()
+	return batch.Commands()
+}
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -19,6 +19,8 @@
 	firstSeen map[string]time.Duration
 	// demands are the requests for each service, as gateways count them.
 	demands map[string]*demand
+	// indexes are those of the layouts in force, by service.
+	indexes map[string]*index
 	// targets are the instances that are to get keys which are being moved.
 	targets map[targetKey]directory.InstanceID
 }
@@ -37,6 +39,7 @@
 	c.contacts = make(map[directory.InstanceID]*contact)
 	c.firstSeen = make(map[string]time.Duration)
 	c.demands = make(map[string]*demand)
+	c.indexes = make(map[string]*index)
 	c.targets = make(map[targetKey]directory.InstanceID)
 }
 
@@ -64,58 +67,6 @@
 	return now > c.leaseEnd(id)
 }
 
-// Receive takes a heartbeat that came at a time and returns the commands that must
-// be applied before it is answered. One of an instance that left changes nothing. The
-// error is of the kind conflict for a heartbeat that is out of date, and of the kind
-// invalid_argument for one that contradicts what is known.
-func (c *Core) Receive(now time.Duration, beat Beat, view *directory.Directory) ([]directory.Command, error) {
-	if instance, found := view.Instance(beat.Instance); found && instance.State == directory.InstanceGone {
-		return nil, nil
-	}
-	if err := c.check(now, beat, view); err != nil {
-		return nil, err
-	}
-	known, found := c.contacts[beat.Instance]
-	if !found {
-		known = &contact{}
-		c.contacts[beat.Instance] = known
-	}
-	known.sequence = beat.Sequence
-	known.noteInterval(now)
-	known.beatAt = now
-	known.warmAt = now + beat.WarmUp
-	known.held = beat.Held
-	if _, seen := c.firstSeen[beat.Service]; !seen {
-		c.firstSeen[beat.Service] = now
-	}
-	return c.changes(now, beat, known, view), nil
-}
-
-// changes returns the commands that a heartbeat calls for.
-func (c *Core) changes(now time.Duration, beat Beat, known *contact, view *directory.Directory) []directory.Command {
-	var commands []directory.Command
-	wanted := beat.instance()
-	held, found := view.Instance(beat.Instance)
-	if !found || !held.Same(wanted) {
-		commands = append(commands, directory.Command{Instances: []directory.Instance{wanted}})
-	}
-	if service, keyed := view.Service(beat.Service); keyed && service.Keyed {
-		draft := c.draft(now, beat.Service, view)
-		draft.release(beat)
-		if beat.Draining {
-			draft.drain(beat.Instance, known.drains(now))
-		}
-		draft.settle()
-		if !beat.Draining {
-			draft.relieve(beat.Instance)
-		}
-		draft.grant(beat.Instance)
-		draft.join(beat.Instance)
-		commands = append(commands, draft.commands()...)
-	}
-	return commands
-}
-
 func (b Beat) instance() directory.Instance {
 	state := directory.InstanceReady
 	if b.Draining {
@@ -142,7 +93,7 @@
 
 // checkAddress refuses an address at which an instance of another service lives.
 func (c *Core) checkAddress(now time.Duration, beat Beat, view *directory.Directory) error {
-	for _, other := range view.Instances() {
+	for other := range view.EachInstance() {
 		if other.Address != beat.Address || other.ID == beat.Instance || other.Service == beat.Service || other.State == directory.InstanceGone {
 			continue
 		}
@@ -215,8 +166,8 @@
 		return Grant{}
 	}
 	grant := Grant{Renewed: true, Lease: c.config.Lease}
-	for _, holding := range view.Layout(instance.Service).Holdings {
-		if holding.Owner != id || holding.Revoked {
+	for _, holding := range c.index(instance.Service, view).owned[id] {
+		if holding.Revoked {
 			continue
 		}
 		if known.holds(holding) {
@@ -226,52 +177,3 @@
 	}
 	return grant
 }
-
-// Leave returns the command by which an instance leaves for good. Its keys pass on
-// once its lease has ended.
-func (c *Core) Leave(id directory.InstanceID, view *directory.Directory) []directory.Command {
-	instance, found := view.Instance(id)
-	if !found {
-		// Remembered as gone, so that a late heartbeat does not announce it.
-		instance = directory.Instance{ID: id}
-	}
-	if instance.State == directory.InstanceGone {
-		return nil
-	}
-	instance.State = directory.InstanceGone
-	return []directory.Command{{Instances: []directory.Instance{instance}}}
-}
-
-// Tick returns the commands that are due by themselves.
-func (c *Core) Tick(now time.Duration, view *directory.Directory) []directory.Command {
-	commands := c.silent(now, view)
-	for _, service := range view.KeyedServices() {
-		draft := c.draft(now, service.Name, view)
-		draft.found()
-		draft.passOnEnded()
-		draft.settle()
-		commands = append(commands, draft.commands()...)
-	}
-	return commands
-}
-
-// silent marks the instances whose lease has ended without a heartbeat.
-func (c *Core) silent(now time.Duration, view *directory.Directory) []directory.Command {
-	var changed []directory.Instance
-	for _, instance := range view.Instances() {
-		alive := instance.State == directory.InstanceReady || instance.State == directory.InstanceDraining
-		if !alive || now <= c.leaseEnd(instance.ID) {
-			continue
-		}
-		if instance.State == directory.InstanceDraining {
-			instance.State = directory.InstanceGone
-		} else {
-			instance.State = directory.InstanceSilent
-		}
-		changed = append(changed, instance)
-	}
-	if len(changed) == 0 {
-		return nil
-	}
-	return []directory.Command{{Instances: changed}}
-}
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -11,7 +11,7 @@
 
 // script drives one core by hand against a directory with the service "s".
 type script struct {
-	t        *testing.T
+	t        testing.TB
 	core     *Core
 	view     *directory.Directory
 	revision directory.Revision
--- /dev/null
+++ b/internal/heartbeat/index.go
@@ -0,0 +1,85 @@
+package heartbeat
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// index tells of one layout what each instance holds, so that a heartbeat which
+// changes nothing does not look at the holdings of the others.
+type index struct {
+	revision directory.Revision
+	owned    map[directory.InstanceID][]directory.Holding
+	// moving counts the holdings that are revoked or have no owner, and free those
+	// without an owner.
+	moving int
+	free   int
+}
+
+func newIndex(layout directory.Layout) *index {
+	made := &index{revision: layout.Revision, owned: make(map[directory.InstanceID][]directory.Holding)}
+	for _, holding := range layout.Holdings {
+		if holding.Owner == "" {
+			made.free++
+		} else {
+			made.owned[holding.Owner] = append(made.owned[holding.Owner], holding)
+		}
+		if holding.Revoked || holding.Owner == "" {
+			made.moving++
+		}
+	}
+	return made
+}
+
+// index returns that of a service's layout in force.
+func (c *Core) index(service string, view *directory.Directory) *index {
+	layout := view.Layout(service)
+	known, found := c.indexes[service]
+	if !found || known.revision != layout.Revision {
+		known = newIndex(layout)
+		c.indexes[service] = known
+	}
+	return known
+}
+
+// changesNothing reports whether a heartbeat leaves the layout as it is: the instance
+// stays, has been told of its keys, lets none go, and is not too busy.
+func (c *Core) changesNothing(now time.Duration, beat Beat, view *directory.Directory) bool {
+	index := c.index(beat.Service, view)
+	if index.free > 0 {
+		return false
+	}
+	owned := index.owned[beat.Instance]
+	if len(owned) == 0 {
+		return true
+	}
+	inForce := func(holding directory.Holding) bool { return holding.Granted && !holding.Revoked }
+	if beat.Draining || len(owned) > maxRows {
+		return false
+	}
+	if !slices.ContainsFunc(owned, func(holding directory.Holding) bool { return !inForce(holding) }) {
+		return index.moving >= c.config.MaxMoves || c.used(now, beat, owned) < busyEnough
+	}
+	return slices.ContainsFunc(owned, func(holding directory.Holding) bool { return holding.Revoked }) &&
+		!slices.ContainsFunc(owned, func(holding directory.Holding) bool {
+			return mayRelease(holding, beat) || !holding.Granted && !holding.Revoked
+		})
+}
+
+// mayRelease reports whether a heartbeat lets a revoked holding go.
+func mayRelease(holding directory.Holding, beat Beat) bool {
+	return holding.Revoked && !slices.ContainsFunc(beat.Held, func(held Held) bool { return held.Overlaps(rangeOf(holding)) })
+}
+
+// used returns the share of an instance's slots that the demand for its keys keeps in
+// use.
+func (c *Core) used(now time.Duration, beat Beat, owned []directory.Holding) float64 {
+	demand := c.demandOf(now, beat.Service)
+	rate := 0.0
+	for _, holding := range owned {
+		rate += demand.rate(holding.First, holding.Last)
+	}
+	return demand.timeOf(beat.Instance) * rate / float64(max(beat.Slots, 1))
+}
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -26,9 +26,12 @@
 	now  time.Duration
 	view *directory.Directory
 	// before is the layout in force, and layout the next one.
-	before     directory.Layout
-	layout     directory.Layout
-	changed    bool
+	before  directory.Layout
+	layout  directory.Layout
+	changed bool
+	// measured is true once the rates of the candidates are known; they are kept up
+	// to date from then on.
+	measured   bool
 	candidates []*candidate
 	byID       map[directory.InstanceID]*candidate
 }
@@ -43,7 +46,7 @@
 	d := &draft{core: c, now: now, view: view, before: view.Layout(service), byID: make(map[directory.InstanceID]*candidate)}
 	d.layout = d.before
 	d.layout.Holdings = slices.Clone(d.before.Holdings)
-	for _, instance := range view.Instances() {
+	for instance := range view.EachInstance() {
 		known, met := c.contacts[instance.ID]
 		heard := met && now-known.beatAt <= c.config.Lease/2
 		if instance.Service != service || instance.State != directory.InstanceReady || !heard {
@@ -86,11 +89,7 @@
 func (d *draft) release(beat Beat) {
 	for index := range d.layout.Holdings {
 		holding := &d.layout.Holdings[index]
-		if holding.Owner != beat.Instance || !holding.Revoked {
-			continue
-		}
-		covers := func(held Held) bool { return held.Overlaps(rangeOf(*holding)) }
-		if slices.ContainsFunc(beat.Held, covers) {
+		if holding.Owner != beat.Instance || !mayRelease(*holding, beat) {
 			continue
 		}
 		d.free(holding, handoverFor(*holding, beat.Released))
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -34,15 +34,17 @@
 
 func (d *draft) demand() *demand { return d.core.demandOf(d.now, d.layout.Service) }
 
-// measure sums the demand for the keys of each candidate.
+// measure sums the demand for the keys of each candidate, once in a draft. Keys that
+// are being moved count for the instance that they were taken away for.
 func (d *draft) measure() {
-	demand := d.demand()
-	for _, each := range d.candidates {
-		each.rate = 0
+	if d.measured {
+		return
 	}
+	d.measured = true
+	demand := d.demand()
 	for _, holding := range d.layout.Holdings {
 		owner := d.candidate(holding.Owner)
-		if holding.Revoked {
+		if holding.Revoked || holding.Owner == "" {
 			owner = d.candidate(d.core.target(d.layout.Service, holding.First))
 		}
 		if owner != nil {
@@ -137,6 +139,8 @@
 			return
 		}
 		d.revokePart(index, part, target)
+		source.rate -= rate
+		target.rate += rate
 		wanted -= rate
 	}
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -14,7 +14,8 @@
 
 // Service is a service with its instances and the holders of its keys.
 type Service struct {
-	Config    directory.Service
+	Config directory.Service
+	// Instances are those that are not gone, by identifier.
 	Instances []directory.Instance
 	Layout    directory.Layout
 }
@@ -23,6 +24,8 @@
 type Table struct {
 	Revision directory.Revision
 	Limits   directory.Limits
+	// itemsRevision is the revision of the newest item.
+	itemsRevision directory.Revision
 	// hosts has the routes of each host, the longest prefix first.
 	hosts    map[string][]*directory.Route
 	services map[string]*Service
@@ -35,24 +38,16 @@
 	route    *directory.Route
 }
 
-// Build returns the table of a directory. Routes that did not change are taken over
-// from an earlier table, which may be nil.
+// Build returns the table of a directory. What did not change is taken over from an
+// earlier table of the same directory, which may be nil.
 func Build(view *directory.Directory, earlier *Table) *Table {
-	table := &Table{
-		Revision: view.Revision(),
-		hosts:    make(map[string][]*directory.Route),
-		services: make(map[string]*Service),
-		parsed:   make(map[string]parsedRoute),
+	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service)}
+	if earlier != nil && earlier.itemsRevision == table.itemsRevision {
+		table.keepItems(earlier)
+	} else {
+		table.readItems(view, earlier)
 	}
-	for _, item := range view.Items() {
-		table.addItem(item, earlier)
-	}
-	for _, routes := range table.hosts {
-		slices.SortFunc(routes, func(a, b *directory.Route) int {
-			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(b.Version, a.Version), cmp.Compare(a.Name, b.Name))
-		})
-	}
-	for _, instance := range view.Instances() {
+	for instance := range view.EachInstance() {
 		if service, found := table.services[instance.Service]; found && instance.State != directory.InstanceGone {
 			service.Instances = append(service.Instances, instance)
 		}
@@ -63,6 +58,30 @@
 	return table
 }
 
+// keepItems takes over what an earlier table read from the same items.
+func (t *Table) keepItems(earlier *Table) {
+	t.Limits = earlier.Limits
+	t.hosts = earlier.hosts
+	t.parsed = earlier.parsed
+	for name, service := range earlier.services {
+		t.services[name] = &Service{Config: service.Config, Instances: make([]directory.Instance, 0, len(service.Instances))}
+	}
+}
+
+// readItems reads the items anew, but for routes that did not change.
+func (t *Table) readItems(view *directory.Directory, earlier *Table) {
+	t.hosts = make(map[string][]*directory.Route)
+	t.parsed = make(map[string]parsedRoute)
+	for _, item := range view.Items() {
+		t.addItem(item, earlier)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *directory.Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(b.Version, a.Version), cmp.Compare(a.Name, b.Name))
+		})
+	}
+}
+
 // addItem adds an item that stands. Items were checked before they were taken, so
 // that one which cannot be read is left out.
 func (t *Table) addItem(item directory.Item, earlier *Table) {
@@ -136,10 +155,11 @@
 
 // Instance returns an instance of the service by its identifier.
 func (s *Service) Instance(id directory.InstanceID) (directory.Instance, bool) {
-	for _, instance := range s.Instances {
-		if instance.ID == id {
-			return instance, true
-		}
+	position, found := slices.BinarySearchFunc(s.Instances, id, func(instance directory.Instance, id directory.InstanceID) int {
+		return cmp.Compare(instance.ID, id)
+	})
+	if !found {
+		return directory.Instance{}, false
 	}
-	return directory.Instance{}, false
+	return s.Instances[position], true
 }
