Heartbeat leases: demand by key, several targets for an overloaded instance, moves by the number of instances

Cause: a bucket of 16 keys was the least that could be counted apart and moved, an overloaded instance gave keys to one other at each of its heartbeats, and 16 ranges moved at a time whatever the number of instances; 64 hot neighbours that need 16 instances were on 3 of 40 after six rounds of heartbeats (TestHotKeysSideBySideAreSpread, failing first).

--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -27,7 +27,7 @@
 }
 
 type serviceCounts struct {
-	buckets   map[uint16]uint16
+	keys      map[uint16]uint16
 	instances map[directory.InstanceID]*heartbeat.InstanceReport
 }
 
@@ -41,7 +41,7 @@
 func (d *demandCounter) of(service string) *serviceCounts {
 	counts, found := d.services[service]
 	if !found {
-		counts = &serviceCounts{buckets: make(map[uint16]uint16), instances: make(map[directory.InstanceID]*heartbeat.InstanceReport)}
+		counts = &serviceCounts{keys: make(map[uint16]uint16), instances: make(map[directory.InstanceID]*heartbeat.InstanceReport)}
 		d.services[service] = counts
 	}
 	return counts
@@ -51,7 +51,7 @@
 func (d *demandCounter) arrived(service string, key directory.Key) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.of(service).buckets[uint16(heartbeat.BucketOf(key))]++
+	d.of(service).keys[uint16(key)]++
 }
 
 // answered counts an answer and how long the instance took for it.
@@ -75,8 +75,8 @@
 	var taken message.DemandReport
 	for service, counts := range d.services {
 		report := heartbeat.Report{Service: service}
-		for bucket, count := range counts.buckets {
-			report.Buckets = append(report.Buckets, bucket)
+		for key, count := range counts.keys {
+			report.Keys = append(report.Keys, key)
 			report.Counts = append(report.Counts, count)
 		}
 		for _, instance := range counts.instances {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -71,21 +71,21 @@
 	}
 }
 
-// TestDemandIsToldOnce: what was counted, by bucket, and nothing of it again.
+// TestDemandIsToldOnce: what was counted, by key, and nothing of it again.
 func TestDemandIsToldOnce(t *testing.T) {
 	d := &demandCounter{services: make(map[string]*serviceCounts)}
-	for _, key := range []directory.Key{0, 15, 16, 65535} {
+	for _, key := range []directory.Key{0, 0, 16, 65535} {
 		d.arrived("s", key)
 	}
 	d.answered("s", "a", 30*time.Millisecond)
 	d.answered("s", "a", 50*time.Millisecond)
 	report := d.take()
-	if len(report.Services) != 1 || len(report.Services[0].Buckets) != 3 {
+	if len(report.Services) != 1 || len(report.Services[0].Keys) != 3 {
 		t.Fatalf("report %+v", report)
 	}
-	first := slices.Index(report.Services[0].Buckets, 0)
+	first := slices.Index(report.Services[0].Keys, 0)
 	if first < 0 || report.Services[0].Counts[first] != 2 {
-		t.Errorf("buckets %v, counts %v", report.Services[0].Buckets, report.Services[0].Counts)
+		t.Errorf("keys %v, counts %v", report.Services[0].Keys, report.Services[0].Counts)
 	}
 	if told := report.Services[0].Instances; len(told) != 1 || told[0].Answered != 2 || told[0].BusyMs != 80 {
 		t.Errorf("instances %+v", told)
--- a/internal/heartbeat/demand.go
+++ b/internal/heartbeat/demand.go
@@ -1,32 +1,21 @@
 package heartbeat
 
 import (
-	"math"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
 )
 
-// Demand is counted by buckets of neighbouring keys.
-const (
-	// BucketKeys is the number of keys in a bucket.
-	BucketKeys = 16
-	buckets    = (int(directory.MaxKey) + 1) / BucketKeys
-)
-
 // demandWindow is how far back demand counts: what came earlier counts by a factor
 // of e less.
 const demandWindow = 2 * time.Second
 
-// BucketOf returns the bucket of a key.
-func BucketOf(key directory.Key) int { return int(key) / BucketKeys }
-
 // Report is what one gateway counted of a service since its last report.
 type Report struct {
 	Service string `msgpack:"s"`
-	// Buckets and Counts are the requests by bucket of their key.
-	Buckets []uint16 `msgpack:"b"`
-	Counts  []uint16 `msgpack:"c"`
+	// Keys and Counts are the requests by key.
+	Keys   []uint16 `msgpack:"k"`
+	Counts []uint16 `msgpack:"c"`
 	// Instances are those that answered.
 	Instances []InstanceReport `msgpack:"i"`
 }
@@ -39,10 +28,9 @@
 	BusyMs uint32 `msgpack:"b"`
 }
 
-// demand is what is known of the requests for one service, in requests a second.
+// demand is what is known of the requests for one service.
 type demand struct {
-	decayedAt time.Duration
-	rates     [buckets]float64
+	rates keyRates
 	// times is how long each instance needs for a request, in seconds.
 	times map[directory.InstanceID]float64
 	// mean is that of all instances.
@@ -50,30 +38,17 @@
 }
 
 func newDemand(now time.Duration) *demand {
-	return &demand{decayedAt: now, times: make(map[directory.InstanceID]float64)}
-}
-
-// decay makes what came earlier count less.
-func (d *demand) decay(now time.Duration) {
-	elapsed := now - d.decayedAt
-	if elapsed <= 0 {
-		return
-	}
-	d.decayedAt = now
-	factor := math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
-	for bucket := range d.rates {
-		d.rates[bucket] *= factor
-	}
+	return &demand{rates: keyRates{weighedAt: now, now: now}, times: make(map[directory.InstanceID]float64)}
 }
 
 // timeSmoothing is the weight of a report of one answer in an instance's time.
 const timeSmoothing = 0.05
 
 func (d *demand) take(now time.Duration, report Report) {
-	d.decay(now)
-	for index, bucket := range report.Buckets {
-		if int(bucket) < buckets && index < len(report.Counts) {
-			d.rates[bucket] += float64(report.Counts[index]) / demandWindow.Seconds()
+	d.rates.advance(now)
+	for index, key := range report.Keys {
+		if index < len(report.Counts) {
+			d.rates.add(directory.Key(key), float64(report.Counts[index])/demandWindow.Seconds())
 		}
 	}
 	for _, instance := range report.Instances {
@@ -96,20 +71,7 @@
 }
 
 // rate returns the requests a second for a range of keys.
-func (d *demand) rate(first, last directory.Key) float64 {
-	total := 0.0
-	for bucket := BucketOf(first); bucket <= BucketOf(last); bucket++ {
-		total += d.rates[bucket] * overlap(bucket, first, last)
-	}
-	return total
-}
-
-// overlap returns the share of a bucket that lies in a range.
-func overlap(bucket int, first, last directory.Key) float64 {
-	start := max(first, directory.Key(bucket*BucketKeys))
-	end := min(last, directory.Key((bucket+1)*BucketKeys-1))
-	return float64(end-start+1) / BucketKeys
-}
+func (d *demand) rate(first, last directory.Key) float64 { return d.rates.between(first, last) }
 
 // timeOf returns how long an instance needs for a request, in seconds. Waiting in
 // the queue of an instance with too much demand is no part of it, so that it is
@@ -134,6 +96,6 @@
 		known = newDemand(now)
 		c.demands[service] = known
 	}
-	known.decay(now)
+	known.rates.advance(now)
 	return known
 }
--- /dev/null
+++ b/internal/heartbeat/demand_test.go
@@ -0,0 +1,130 @@
+package heartbeat
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// TestRatesAgreeWithSums: of ranges, after decays that weigh the values anew.
+func TestRatesAgreeWithSums(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	plain := make(map[directory.Key]float64)
+	var rates keyRates
+	now := time.Duration(0)
+	for range 400 {
+		elapsed := time.Duration(random.IntN(400)) * time.Millisecond
+		now += elapsed
+		rates.advance(now)
+		for key := range plain {
+			plain[key] *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+		}
+		key := directory.Key(random.IntN(200) * 327)
+		rates.add(key, 3)
+		plain[key] += 3
+		first := directory.Key(random.IntN(keys))
+		last := first + directory.Key(random.IntN(keys-int(first)))
+		want := 0.0
+		for key, rate := range plain {
+			if first <= key && key <= last {
+				want += rate
+			}
+		}
+		if got := rates.between(first, last); math.Abs(got-want) > 1e-6 {
+			t.Fatalf("at %s keys %d to %d have %f, want %f", now, first, last, got, want)
+		}
+	}
+}
+
+// TestWidestRanges: as wide as the rate allows, from either end.
+func TestWidestRanges(t *testing.T) {
+	var rates keyRates
+	for _, key := range []directory.Key{10, 20, 30} {
+		rates.add(key, 1)
+	}
+	for _, c := range []struct {
+		rate        float64
+		front, back directory.Key
+	}{{0, 9, 31}, {1, 19, 21}, {2.5, 29, 11}, {3, 40, 0}} {
+		if front := rates.widestFrom(0, 40, c.rate); front != c.front {
+			t.Errorf("rate %v: the range from 0 ends at %d, want %d", c.rate, front, c.front)
+		}
+		if back := rates.widestTo(0, 40, c.rate); back != c.back {
+			t.Errorf("rate %v: the range to 40 begins at %d, want %d", c.rate, back, c.back)
+		}
+	}
+}
+
+// TestHotKeysSideBySideAreSpread: 64 neighbouring keys that only 16 instances together
+// can serve are spread over them within three heartbeats of each. With demand counted by buckets
+// of 16 keys, and 16 moves at a time, four instances got them all.
+func TestHotKeysSideBySideAreSpread(t *testing.T) {
+	const instances, hotKeys, interval = 40, 64, time.Second
+	s := newScript(t)
+	s.core.config.MaxMoves = 16
+	var ids []directory.InstanceID
+	for index := range instances {
+		ids = append(ids, directory.InstanceID(fmt.Sprintf("i%02d", index)))
+	}
+	round := func() {
+		for _, id := range ids {
+			s.now += interval / instances
+			s.countHotKeys(hotKeys, ids)
+			beatWithHoldings(t, s, id)
+		}
+		s.apply(s.core.Tick(s.now, s.view)...)
+	}
+	for range 6 {
+		round()
+	}
+	busiest, rate := directory.InstanceID(""), 0
+	load := make(map[directory.InstanceID]int)
+	for key := range directory.Key(hotKeys) {
+		if holding, found := s.view.Layout("s").At(key); found && holding.Granted && !holding.Revoked {
+			load[holding.Owner]++
+		}
+	}
+	for id, keys := range load {
+		if keys > rate {
+			busiest, rate = id, keys
+		}
+	}
+	if rate > 6 || len(load) < 14 {
+		t.Errorf("%d instances hold the hot keys, %s holds %d of them", len(load), busiest, rate)
+	}
+}
+
+// countHotKeys tells of 5 requests a second for each of the first keys, for a fortieth
+// of a second.
+func (s *script) countHotKeys(hotKeys int, ids []directory.InstanceID) {
+	report := Report{Service: "s"}
+	for key := range uint16(hotKeys) {
+		if (int(key)+int(s.now/time.Millisecond)/25)%8 == 0 {
+			report.Keys, report.Counts = append(report.Keys, key), append(report.Counts, 1)
+		}
+	}
+	for _, id := range ids {
+		report.Instances = append(report.Instances, InstanceReport{ID: id, Answered: 1, BusyMs: 100})
+	}
+	s.core.Count(s.now, report)
+}
+
+// beatWithHoldings sends a heartbeat that tells what the last answer granted.
+func beatWithHoldings(t *testing.T, s *script, id directory.InstanceID) {
+	t.Helper()
+	_, err := s.beat(id, func(beat *Beat) {
+		for _, holding := range s.view.Layout("s").Holdings {
+			if holding.Owner == id && holding.Granted && !holding.Revoked {
+				holding := Held{Range: rangeOf(holding), Fence: holding.Fence}
+				beat.Held = append(beat.Held, holding)
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/heartbeat/drain.go
+++ b/internal/heartbeat/drain.go
@@ -38,7 +38,7 @@
 	holding := &d.layout.Holdings[index]
 	holding.Revoked = true
 	d.changed = true
-	if target := d.bestTarget(leaving); target != nil {
+	if target := d.bestTarget(leaving, nil); target != nil {
 		d.core.setTarget(d.layout.Service, holding.First, target.id)
 		target.rate += d.demand().rate(holding.First, holding.Last)
 		target.rows++
--- a/internal/heartbeat/index.go
+++ b/internal/heartbeat/index.go
@@ -55,17 +55,17 @@
 	if len(owned) == 0 {
 		return true
 	}
-	inForce := func(holding directory.Holding) bool { return holding.Granted && !holding.Revoked }
 	if beat.Draining || len(owned) > maxRows {
 		return false
 	}
-	if !slices.ContainsFunc(owned, func(holding directory.Holding) bool { return !inForce(holding) }) {
-		return index.moving >= c.config.MaxMoves || c.used(now, beat, owned) < busyEnough
+	revoked := false
+	for _, holding := range owned {
+		if mayRelease(holding, beat) || !holding.Granted && !holding.Revoked {
+			return false
+		}
+		revoked = revoked || holding.Revoked
 	}
-	return slices.ContainsFunc(owned, func(holding directory.Holding) bool { return holding.Revoked }) &&
-		!slices.ContainsFunc(owned, func(holding directory.Holding) bool {
-			return mayRelease(holding, beat) || !holding.Granted && !holding.Revoked
-		})
+	return revoked || index.moving >= c.mostMoves(len(index.owned)) || c.used(now, beat, owned) < busyEnough
 }
 
 // mayRelease reports whether a heartbeat lets a revoked holding go.
--- a/internal/heartbeat/model_test.go
+++ b/internal/heartbeat/model_test.go
@@ -182,10 +182,11 @@
 
 // countDemand reports demand for few neighbouring keys, which change.
 func (m *model) countDemand() {
-	hot := uint16(m.now/(5*time.Second)) * 97 % uint16(buckets)
+	const apart = 16
+	hot := uint16(m.now/(5*time.Second)) * 97 * apart
 	report := Report{Service: modelService}
 	for offset := range uint16(8) {
-		report.Buckets = append(report.Buckets, (hot+offset)%uint16(buckets))
+		report.Keys = append(report.Keys, hot+offset*apart)
 		report.Counts = append(report.Counts, uint16(m.random.IntN(12)))
 	}
 	for _, instance := range m.instances {
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -54,22 +54,63 @@
 }
 
 // relieve begins to move keys away from an instance, whose heartbeat has just come,
-// if the demand for its keys is much above that of another one.
+// if the demand for its keys is much above that of others.
 func (d *draft) relieve(id directory.InstanceID) {
 	source := d.candidate(id)
-	if source == nil || d.moving() >= d.core.config.MaxMoves || d.movingFrom(id) {
+	if source == nil || d.moving() >= d.core.mostMoves(len(d.candidates)) || d.movingFrom(id) {
 		return
 	}
 	d.measure()
-	used := d.utilisation(source)
-	if used < busyEnough {
+	if d.utilisation(source) < busyEnough {
 		return
 	}
-	target := d.bestTarget(source)
-	if target == nil || used-d.utilisation(target) < leastDifference {
-		return
+	targets, level := d.targets(source)
+	for _, target := range targets {
+		d.moveParts(source, target, (level-d.utilisation(target))/d.timeInSlots(target))
 	}
-	d.moveParts(source, target)
+}
+
+// targets returns the instances that are to take over keys of a source, and the
+// share of their slots that is then in use at each of them and at the source: as few
+// as bring the source below the share from which on it is relieved.
+func (d *draft) targets(source *candidate) ([]*candidate, float64) {
+	var chosen []*candidate
+	used := d.utilisation(source)
+	perRate := d.timeInSlots(source)
+	// The source gives what the targets take: level is where they meet.
+	level, given, taken := used, used, 1.0
+	for level > busyEnough {
+		next := d.bestTarget(source, chosen)
+		if next == nil || used-d.utilisation(next) < leastDifference || level <= d.utilisation(next) || d.timeInSlots(next) <= 0 {
+			break
+		}
+		chosen = append(chosen, next)
+		ratio := perRate / d.timeInSlots(next)
+		given += ratio * d.utilisation(next)
+		taken += ratio
+		level = given / taken
+	}
+	return chosen, level
+}
+
+// timeInSlots is the share of an instance's slots that one request a second keeps in
+// use.
+func (d *draft) timeInSlots(each *candidate) float64 {
+	return d.demand().timeOf(each.id) / float64(each.slots)
+}
+
+// instancesOfMove is how many instances of a service allow one range of keys to move at
+// the same time, beyond the configured bound.
+const instancesOfMove = 2
+
+// mostMoves bounds the ranges of a service that move at the same time, by the number
+// of its instances: a change of what is busy concerns the more of them the more there
+// are.
+func (c *Core) mostMoves(instances int) int {
+	if c.config.MaxMoves == 0 {
+		return 0
+	}
+	return max(c.config.MaxMoves, instances/instancesOfMove)
 }
 
 func (d *draft) moving() int {
@@ -90,12 +131,12 @@
 
 // bestTarget returns the warm instance that costs least as the next holder: by the
 // demand for its slots, and by the time until it is told of its keys, in which
-// nobody holds them.
-func (d *draft) bestTarget(source *candidate) *candidate {
+// nobody holds them. Those chosen already are left out.
+func (d *draft) bestTarget(source *candidate, chosen []*candidate) *candidate {
 	var best *candidate
 	bestCost := 0.0
 	for _, each := range d.candidates {
-		if each == source || !each.warm || each.rows >= maxRows {
+		if each == source || !each.warm || each.rows >= maxRows || slices.Contains(chosen, each) {
 			continue
 		}
 		cost := d.utilisation(each) + gapCost*d.gap(source, each).Seconds()
@@ -122,25 +163,19 @@
 	return until
 }
 
-// moveParts begins to move the busiest of the source's keys, so that both instances
-// are then about equally busy.
-func (d *draft) moveParts(source, target *candidate) {
-	demand := d.demand()
-	fromTime := demand.timeOf(source.id) / float64(source.slots)
-	toTime := demand.timeOf(target.id) / float64(target.slots)
-	if fromTime+toTime <= 0 {
-		return
-	}
-	wanted := (d.utilisation(source) - d.utilisation(target)) / (fromTime + toTime)
+// moveParts begins to move the busiest of the source's keys to a target, up to a rate
+// of requests.
+func (d *draft) moveParts(source, target *candidate, wanted float64) {
 	least := leastGain * wanted
-	for range d.core.config.MaxMoves {
+	for d.moving() < d.core.mostMoves(len(d.candidates)) {
 		index, part, rate := d.bestPart(source, wanted)
-		if index < 0 || rate < least {
+		if index < 0 || rate < least || rate <= 0 {
 			return
 		}
 		d.revokePart(index, part, target)
 		source.rate -= rate
 		target.rate += rate
+		target.rows++
 		wanted -= rate
 	}
 }
@@ -170,33 +205,15 @@
 	if whole := demand.rate(holding.First, holding.Last); whole <= wanted {
 		return rangeOf(holding), whole
 	}
-	front, frontRate := Range{First: holding.First, Last: holding.First - 1}, 0.0
-	for next := cutAfter(holding.First); next < holding.Last; next += BucketKeys {
-		rate := demand.rate(holding.First, next)
-		if rate > wanted {
-			break
-		}
-		front.Last, frontRate = next, rate
-	}
-	back, backRate := Range{First: holding.Last + 1, Last: holding.Last}, 0.0
-	for next := cutAfter(holding.Last) - BucketKeys + 1; next > holding.First; next -= BucketKeys {
-		rate := demand.rate(next, holding.Last)
-		if rate > wanted {
-			break
-		}
-		back.First, backRate = next, rate
-	}
+	front := Range{First: holding.First, Last: demand.rates.widestFrom(holding.First, holding.Last-1, wanted)}
+	back := Range{First: demand.rates.widestTo(holding.First+1, holding.Last, wanted), Last: holding.Last}
+	frontRate, backRate := demand.rate(front.First, front.Last), demand.rate(back.First, back.Last)
 	if backRate > frontRate {
 		return back, backRate
 	}
 	return front, frontRate
 }
 
-// cutAfter returns the last key of a key's bucket.
-func cutAfter(key directory.Key) directory.Key {
-	return directory.Key((BucketOf(key)+1)*BucketKeys - 1)
-}
-
 // revokePart begins to move a part of a holding.
 func (d *draft) revokePart(index int, part Range, target *candidate) {
 	holding := d.layout.Holdings[index]
