Heartbeat leases: an instance that joined gets keys although none is busy

Change: an instance without keys, heard of late and warm, gets half of the demand of one that has more than most, at that one's heartbeat; until then heartbeats of its service take the longer way.

--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -21,6 +21,9 @@
 	demands map[string]*demand
 	// indexes are those of the layouts in force, by service.
 	indexes map[string]*index
+	// newcomers are the instances of each service that hold no keys, and when each was
+	// heard last.
+	newcomers map[string]map[directory.InstanceID]time.Duration
 	// targets are the instances that are to get keys which are being moved.
 	targets map[targetKey]directory.InstanceID
 }
@@ -40,6 +43,7 @@
 	c.firstSeen = make(map[string]time.Duration)
 	c.demands = make(map[string]*demand)
 	c.indexes = make(map[string]*index)
+	c.newcomers = make(map[string]map[directory.InstanceID]time.Duration)
 	c.targets = make(map[targetKey]directory.InstanceID)
 }
 
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -209,3 +209,36 @@
 		t.Errorf("the other one gets %+v, %v", taken, err)
 	}
 }
+
+// TestNewcomerGetsKeys: an instance that joins while none is busy gets some of the keys
+// that are asked for, once it is warm. It got none, and served nobody for as long as it
+// lived.
+func TestNewcomerGetsKeys(t *testing.T) {
+	s := founded(t)
+	s.core.config.MaxMoves = 4
+	ids := []directory.InstanceID{"a", "b", "c"}
+	for round := range 8 {
+		report := Report{Service: "s"}
+		for key := range uint16(64) {
+			report.Keys, report.Counts = append(report.Keys, key*1000), append(report.Counts, 1)
+		}
+		s.core.Count(s.now, report)
+		for _, id := range ids {
+			s.now += 300 * time.Millisecond
+			beatWithHoldings(t, s, id)
+		}
+		if round == 0 {
+			continue
+		}
+		s.apply(s.core.Tick(s.now, s.view)...)
+	}
+	rate := 0.0
+	for _, holding := range s.view.Layout("s").Holdings {
+		if holding.Owner == "c" && holding.Granted {
+			rate += s.core.demandOf(s.now, "s").rate(holding.First, holding.Last)
+		}
+	}
+	if rate <= 0 {
+		t.Error("the newcomer holds no keys that are asked for")
+	}
+}
--- a/internal/heartbeat/drain.go
+++ b/internal/heartbeat/drain.go
@@ -41,6 +41,6 @@
 	if target := d.bestTarget(leaving, nil); target != nil {
 		d.core.setTarget(d.layout.Service, holding.First, target.id)
 		target.rate += d.demand().rate(holding.First, holding.Last)
-		target.rows++
+		target.awaited++
 	}
 }
--- a/internal/heartbeat/index.go
+++ b/internal/heartbeat/index.go
@@ -52,6 +52,7 @@
 		return false
 	}
 	owned := index.owned[beat.Instance]
+	c.noteNewcomer(now, beat, len(owned) == 0)
 	if len(owned) == 0 {
 		return true
 	}
@@ -65,9 +66,38 @@
 		}
 		revoked = revoked || holding.Revoked
 	}
+	if !revoked && c.hasNewcomer(now, beat.Service) {
+		return false
+	}
 	return revoked || index.moving >= c.mostMoves(len(index.owned)) || c.used(now, beat, owned) < busyEnough
 }
 
+// noteNewcomer remembers whether an instance holds no keys, so that others give it some
+// at their heartbeats.
+func (c *Core) noteNewcomer(now time.Duration, beat Beat, without bool) {
+	waiting := c.newcomers[beat.Service]
+	switch {
+	case !without || beat.Draining:
+		delete(waiting, beat.Instance)
+	case waiting == nil:
+		c.newcomers[beat.Service] = map[directory.InstanceID]time.Duration{beat.Instance: now}
+	default:
+		waiting[beat.Instance] = now
+	}
+}
+
+// hasNewcomer reports whether an instance without keys sent a heartbeat of late.
+func (c *Core) hasNewcomer(now time.Duration, service string) bool {
+	waiting := c.newcomers[service]
+	for id, heardAt := range waiting {
+		if now-heardAt <= c.config.Lease/2 {
+			return true
+		}
+		delete(waiting, id)
+	}
+	return false
+}
+
 // mayRelease reports whether a heartbeat lets a revoked holding go.
 func mayRelease(holding directory.Holding, beat Beat) bool {
 	return holding.Revoked && !slices.ContainsFunc(beat.Held, func(held Held) bool { return held.Overlaps(rangeOf(holding)) })
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -15,7 +15,9 @@
 	// keys and rows count the keys that it holds or is about to get, and their ranges.
 	keys int
 	rows int
-	warm bool
+	// awaited counts the ranges that are being moved to it.
+	awaited int
+	warm    bool
 	// rate is the demand for its keys in requests a second.
 	rate float64
 }
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -45,7 +45,7 @@
 	for _, holding := range d.layout.Holdings {
 		owner := d.candidate(holding.Owner)
 		if holding.Revoked || holding.Owner == "" {
-			owner = d.candidate(d.core.target(d.layout.Service, holding.First))
+			owner = d.awaiting(holding)
 		}
 		if owner != nil {
 			owner.rate += demand.rate(holding.First, holding.Last)
@@ -53,6 +53,15 @@
 	}
 }
 
+// awaiting returns the instance that keys are being moved to, and counts them for it.
+func (d *draft) awaiting(holding directory.Holding) *candidate {
+	target := d.candidate(d.core.target(d.layout.Service, holding.First))
+	if target != nil {
+		target.awaited++
+	}
+	return target
+}
+
 // relieve begins to move keys away from an instance, whose heartbeat has just come,
 // if the demand for its keys is much above that of others.
 func (d *draft) relieve(id directory.InstanceID) {
@@ -61,6 +70,7 @@
 		return
 	}
 	d.measure()
+	d.welcome(source)
 	if d.utilisation(source) < busyEnough {
 		return
 	}
@@ -70,6 +80,25 @@
 	}
 }
 
+// welcome begins to move a part of the source's keys to an instance that holds none, so
+// that one which joined serves as well, and its speed gets known. Those with more
+// demand than most give first.
+func (d *draft) welcome(source *candidate) {
+	total := 0.0
+	var newcomer *candidate
+	for _, each := range d.candidates {
+		total += each.rate
+		if each.rows == 0 && each.awaited == 0 && each.warm {
+			newcomer = each
+		}
+	}
+	if newcomer == nil || source.rate <= 0 || source.rate*float64(len(d.candidates)) < total {
+		return
+	}
+	const given = 0.5
+	d.moveParts(source, newcomer, given*source.rate)
+}
+
 // targets returns the instances that are to take over keys of a source, and the
 // share of their slots that is then in use at each of them and at the source: as few
 // as bring the source below the share from which on it is relieved.
@@ -136,7 +165,7 @@
 	var best *candidate
 	bestCost := 0.0
 	for _, each := range d.candidates {
-		if each == source || !each.warm || each.rows >= maxRows || slices.Contains(chosen, each) {
+		if each == source || !each.warm || each.rows+each.awaited >= maxRows || slices.Contains(chosen, each) {
 			continue
 		}
 		cost := d.utilisation(each) + gapCost*d.gap(source, each).Seconds()
@@ -175,7 +204,7 @@
 		d.revokePart(index, part, target)
 		source.rate -= rate
 		target.rate += rate
-		target.rows++
+		target.awaited++
 		wanted -= rate
 	}
 }
