Between processes: long frames are compressed, and may take their time on a narrow link; streams share encoded changes

A frame had to arrive whole within pong_timeout (900 ms); the whole directory of 308 servers, 2,048 ranges and 1,400 routes is 400 KB and more, a link has 2 Mbit/s, and each new stream began from the start.

TestFrameOnNarrowLink, failing first with the error of the logs.

--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -111,13 +112,17 @@
 
 // writeChanges sends what the gateway lacks, with a pong if there is one.
 func (s *directoryStream) writeChanges(ctx context.Context, pong uint64) error {
-	update := message.DirectoryUpdate{Pong: pong}
-	s.replica.view(func(view *state.State) {
-		if view.Directory().Revision() > s.sent {
-			changes := view.Directory().Since(s.sent)
-			update.Changes = &changes
+	changes, err := s.replica.changesAfter(s.sent)
+	if err != nil {
+		return err
+	}
+	if changes != nil {
+		if err := s.connection.SendFrame(ctx, changes.frame); err != nil {
+			return err
 		}
-	})
+		s.sent = changes.to
+	}
+	update := message.DirectoryUpdate{Pong: pong}
 	if controllers := s.replica.peerAddresses(); !slices.Equal(controllers, s.controllers) {
 		s.controllers = controllers
 		update.Controllers = controllers
@@ -126,16 +131,53 @@
 		s.leader = leader.Address
 		update.Leader = leader.Address
 	}
-	if update.Changes == nil && update.Controllers == nil && update.Leader == "" && pong == 0 {
+	if update.Controllers == nil && update.Leader == "" && pong == 0 {
 		return nil
 	}
-	if update.Changes != nil {
-		update.Cluster = s.replica.cluster
-		s.sent = update.Changes.To
-	}
 	return s.connection.Send(ctx, &update)
 }
 
+// directoryChanges are changes of the directory as they are sent to gateways.
+type directoryChanges struct {
+	from, to directory.Revision
+	frame    wire.Frame
+}
+
+// directoryFeed keeps the newest changes that were encoded: most streams stand at the
+// same revision. It is safe for concurrent use.
+type directoryFeed struct {
+	mutex  sync.Mutex
+	newest *directoryChanges
+}
+
+// changesAfter returns the changes after a revision; nil if there are none.
+func (r *replica) changesAfter(sent directory.Revision) (*directoryChanges, error) {
+	r.feed.mutex.Lock()
+	defer r.feed.mutex.Unlock()
+	var content *directory.Content
+	known := r.feed.newest
+	r.view(func(view *state.State) {
+		revision := view.Directory().Revision()
+		if revision <= sent || known != nil && known.from == sent && known.to == revision {
+			return
+		}
+		changes := view.Directory().Since(sent)
+		content = &changes
+	})
+	if content == nil {
+		if known != nil && known.from == sent && known.to > sent {
+			return known, nil
+		}
+		return nil, nil
+	}
+	frame, err := wire.Encode(&message.DirectoryUpdate{Cluster: r.cluster, Changes: content})
+	if err != nil {
+		return nil, err
+	}
+	r.feed.newest = &directoryChanges{from: sent, to: content.To, frame: frame}
+	return r.feed.newest, nil
+}
+
 // peerAddresses returns the peer addresses of the members of the group.
 func (r *replica) peerAddresses() []string {
 	var addresses []string
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -54,6 +54,7 @@
 	heartbeats *heartbeatKeeper
 	// directoryChanged tells the streams of the directory of changes.
 	directoryChanged *broadcast.Broadcast
+	feed             directoryFeed
 	// directoryStreams counts the open streams of the directory.
 	directoryStreams atomic.Int64
 	cluster          message.ClusterID
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -196,7 +196,7 @@
 		}
 		s.take(update)
 		if update.Pong == 0 {
-			if time.Since(proved) > s.settings.PongTimeout {
+			if time.Since(proved) > s.patience(update) {
 				return errNoProof
 			}
 			continue
@@ -211,6 +211,18 @@
 	}
 }
 
+// catchUp is by how much longer a proof is waited for while changes come: they take
+// their time on a narrow link, and the proof comes behind them.
+const catchUp = 4
+
+// patience is how long a proof is waited for once an update came.
+func (s *subscription) patience(update message.DirectoryUpdate) time.Duration {
+	if update.Changes != nil {
+		return catchUp * s.settings.PongTimeout
+	}
+	return s.settings.PongTimeout
+}
+
 // take puts an update in force.
 func (s *subscription) take(update message.DirectoryUpdate) {
 	if update.Controllers != nil {
--- /dev/null
+++ b/internal/wire/compression_test.go
@@ -0,0 +1,71 @@
+package wire
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/codec"
+)
+
+// TestLongFramesAreCompressed: they arrive as they were, in far fewer bytes.
+func TestLongFramesAreCompressed(t *testing.T) {
+	want := note{Text: strings.Repeat("a holding of keys ", 10_000), Number: 7}
+	connection, far := pair(t, Options{})
+	receiver := NewConn(far, Options{})
+	group.Go(func() { _ = connection.Send(context.Background(), &want) })
+	var got note
+	if err := receiver.Receive(&got); err != nil || got != want {
+		t.Fatalf("received %d bytes of text, %v", len(got.Text), err)
+	}
+	if sent := connection.BytesSent(); sent > uint64(len(want.Text)/20) {
+		t.Errorf("%d bytes were sent for %d of text", sent, len(want.Text))
+	}
+}
+
+// TestDecompressionIsBounded: a short frame does not grow beyond the limit.
+func TestDecompressionIsBounded(t *testing.T) {
+	frame, err := Encode(&note{Text: strings.Repeat("a", 1<<20)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	connection, far := pair(t, Options{MaxFrameBytes: 100_000})
+	group.Go(func() { _, _ = far.Write(frame.content) })
+	if err := connection.Receive(&note{}); !errors.Is(err, ErrFrameTooLarge) {
+		t.Errorf("got %v", err)
+	}
+	connection, far = pair(t, Options{})
+	var broken [lengthBytes + 3]byte
+	binary.BigEndian.PutUint32(broken[:], compressedFlag|3)
+	group.Go(func() { _, _ = far.Write(broken[:]) })
+	if err := connection.Receive(&note{}); err == nil {
+		t.Error("a content that cannot be decompressed is taken")
+	}
+}
+
+// TestFrameOnNarrowLink: one that takes longer than the idle time arrives as long as its
+// bytes keep coming. A gateway behind a narrow link asked for the whole directory
+// again and again, and never had it.
+func TestFrameOnNarrowLink(t *testing.T) {
+	const idle, pieces = 100 * time.Millisecond, 6
+	want := note{Text: strings.Repeat("a", 2000), Number: 7}
+	content, err := codec.Marshal(&want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(content))), content...)
+	connection, far := pair(t, Options{IdleTimeout: idle})
+	group.Go(func() {
+		for piece := range pieces {
+			_, _ = far.Write(frame[piece*len(frame)/pieces : (piece+1)*len(frame)/pieces])
+			time.Sleep(idle / 3)
+		}
+	})
+	var got note
+	if err := connection.Receive(&got); err != nil || got != want {
+		t.Errorf("received %d bytes of text, %v", len(got.Text), err)
+	}
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"math"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
 )
@@ -32,10 +31,17 @@
 	if err := codec.Append(buffer, value); err != nil {
 		return err
 	}
+	header := uint32(0)
+	if buffer.Len() > compressAbove {
+		if err := compress(buffer); err != nil {
+			return err
+		}
+		header = compressedFlag
+	}
 	length := buffer.Len() - lengthBytes
-	if length > math.MaxUint32 {
+	if length > mostLength {
 		return ErrFrameTooLarge
 	}
-	binary.BigEndian.PutUint32(buffer.Bytes(), uint32(length))
+	binary.BigEndian.PutUint32(buffer.Bytes(), header|uint32(length))
 	return nil
 }
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -28,7 +28,7 @@
 	MaxFrameBytes int
 	// WriteTimeout bounds the writing of one frame.
 	WriteTimeout time.Duration
-	// IdleTimeout bounds the wait for a frame, and then for the rest of it.
+	// IdleTimeout bounds the wait for the next bytes, of a frame or within one.
 	IdleTimeout time.Duration
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
