--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"maps"
 	"slices"
 )
@@ -65,12 +64,15 @@
 	}
 }
 
+// applyBatch applies each command, and returns the first error.
 func (d *Directory) applyBatch(revision Revision, commands []Command) error {
-	var failures []error
+	var first error
 	for _, command := range commands {
-		failures = append(failures, d.Apply(revision, command))
+		if err := d.Apply(revision, command); err != nil && first == nil {
+			first = err
+		}
 	}
-	return errors.Join(failures...)
+	return first
 }
 
 // Revision returns the revision of the newest change.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -277,3 +277,20 @@
 		t.Errorf("a first layout with a gap gives %v", err)
 	}
 }
+
+// TestBatchAppliesEachCommand: a command that is refused takes nothing from the others.
+func TestBatchAppliesEachCommand(t *testing.T) {
+	d := New()
+	stale := Command{Layout: &PutLayout{Service: "s", After: 7, Changed: []Holding{{First: 0, Last: MaxKey, Fence: 1, Owner: "a"}}}}
+	first := Command{Instances: []Instance{{ID: "a", Service: "s", Address: "1", State: InstanceReady}}}
+	last := Command{Instances: []Instance{{ID: "b", Service: "s", Address: "2", State: InstanceReady}}}
+	if err := d.Apply(3, Joined([]Command{first, stale, last})); !fault.Is(err, fault.Conflict) {
+		t.Errorf("a stale layout in a batch: %v", err)
+	}
+	if len(d.Instances()) != 2 || d.Revision() != 3 || len(d.Layout("s").Holdings) != 0 {
+		t.Errorf("instances %+v at revision %d", d.Instances(), d.Revision())
+	}
+	if single := Joined([]Command{first}); single.Batch != nil {
+		t.Error("a single command is wrapped")
+	}
+}
