Gateway: a stop ends within its time; callers of one without a directory go elsewhere soon

The server of the health checks waited without a bound for a connection that had sent nothing (5 s). TestStopDoesNotWaitForSilentConnections, failing first (4.8 s, bound 1.5 s). With it: a gateway that was started while it is cut off from every controller cannot route; callers are told to come back after 20 ms in place of 250, since another gateway can.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -36,8 +36,21 @@
 	}
 }
 
-// retryAfter is when a caller is told to come back with a request that did not run.
-const retryAfter = 250 * time.Millisecond
+// When a caller is told to come back with a request that did not run.
+const (
+	// retryAfter lets an instance end what it works on, or keys get their next holder.
+	retryAfter = 250 * time.Millisecond
+	// retryElsewhere is for a gateway that cannot route at all: another one can.
+	retryElsewhere = 20 * time.Millisecond
+)
+
+// retryAfterOf returns when a caller is told to come back after a failure.
+func retryAfterOf(kind fault.Kind) time.Duration {
+	if kind == fault.StaleRouter {
+		return retryElsewhere
+	}
+	return retryAfter
+}
 
 // statusOf returns the status of a refusal. A caller may take 503 for a proof that
 // the request did not run, and only that.
@@ -63,14 +76,14 @@
 	outbound.SetStatusCode(status)
 	outbound.Header.SetContentType(callerapi.ContentTypeRefusal)
 	if notRun && status == fasthttp.StatusServiceUnavailable {
-		outbound.Header.Set(callerapi.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+		outbound.Header.Set(callerapi.HeaderRetryAfter, strconv.FormatFloat(retryAfterOf(failure.Kind).Seconds(), 'f', -1, 64))
 	}
 	if current.id != "" {
 		outbound.Header.Set(g.dialect.RequestID, current.id)
 	}
 	body, err := json.Marshal(callerapi.RefusalBody{
 		Kind: failure.Kind, Outcome: fault.AnswerFor(failure.Kind).Outcome, Detail: failure.Detail,
-		RetryAfterMs: retryAfter.Milliseconds(), RequestID: current.id,
+		RetryAfterMs: retryAfterOf(failure.Kind).Milliseconds(), RequestID: current.id,
 	})
 	if err == nil {
 		outbound.SetBodyRaw(body)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,12 +176,21 @@
 		_ = callers.Close()
 	}
 	stopBackground()
-	_ = adminServer.Shutdown()
-	_ = metricsServer.Shutdown()
+	endServers(adminServer, metricsServer)
 	group.Wait()
 	return err
 }
 
+// endServers ends servers of health checks and metrics. Their open connections are
+// not waited for longer than a moment.
+func endServers(servers ...*fasthttp.Server) {
+	bounded, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	for _, server := range servers {
+		_ = server.ShutdownWithContext(bounded) // the process ends in any case
+	}
+}
+
 // serveMetrics serves the metrics at their own address, if there is one.
 func (g *Gateway) serveMetrics(group *conc.WaitGroup) *fasthttp.Server {
 	server := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,14 +1,20 @@
 package gateway
 
 import (
+	"context"
+	"io"
+	"net"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 // TestStatusesThatPromise: 408, 421, 429 and 503 say that a request has not run and
@@ -94,3 +100,45 @@
 		t.Errorf("told again: %+v", again)
 	}
 }
+
+// TestStopDoesNotWaitForSilentConnections: to the callers' address or to that of the
+// health checks. A gateway waited 5 s for each kind, and was killed at the end of the
+// platform's grace time.
+func TestStopDoesNotWaitForSilentConnections(t *testing.T) {
+	settings := config.DefaultGateway()
+	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
+	settings.StopNotice, settings.StopTimeout = 0, 1500*time.Millisecond
+	gateway, err := New(settings, telemetry.New(role, "g", "error", io.Discard), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := func() net.Listener {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return listener
+	}
+	callers, admin := listen(), listen()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	var group conc.WaitGroup
+	group.Go(func() { ended <- gateway.serveOn(ctx, callers, admin) })
+	defer group.Wait()
+	for _, listener := range []net.Listener{callers, admin} {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+	}
+	for gateway.connections.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	cancel()
+	<-ended
+	if took := time.Since(began); took > settings.StopTimeout {
+		t.Errorf("the stop took %s, the bound is %s", took, settings.StopTimeout)
+	}
+}
