Heartbeat leases: an old heartbeat takes nothing back

And the first heartbeat of an instance that nobody knows ended the one that lives at its address, for good. TestOldHeartbeatAfterAChangeOfLeader, TestGhostTakesNoAddress, failing first.

Change: an instance that drains never comes back; the first heartbeat of a term frees no keys; a stranger at the address of an instance that was heard of late is taken at its second heartbeat.

--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -58,19 +58,25 @@
 	if err := b.core.check(b.now, beat, b.view); err != nil {
 		return err
 	}
+	held, found := b.view.Instance(beat.Instance)
+	if err := b.core.checkGhost(b.now, beat, found, b.view); err != nil {
+		return err
+	}
+	// One that leaves does not come back: a heartbeat that says so was sent before.
+	beat.Draining = beat.Draining || held.State == directory.InstanceDraining
 	known := b.core.note(b.now, beat)
 	wanted := beat.instance()
-	if held, found := b.view.Instance(beat.Instance); !found || !held.Same(wanted) {
+	if !found || !held.Same(wanted) {
 		b.instances = append(b.instances, wanted)
 	}
-	service, found := b.view.Service(beat.Service)
-	if !found || !service.Keyed {
+	service, configured := b.view.Service(beat.Service)
+	if !configured || !service.Keyed {
 		return nil
 	}
 	if _, drafted := b.drafts[beat.Service]; !drafted && b.core.changesNothing(b.now, beat, b.view) {
 		return nil
 	}
-	b.draft(beat.Service).receive(beat, known.drains)
+	b.draft(beat.Service).receive(beat, known)
 	return nil
 }
 
@@ -101,6 +107,7 @@
 		known = &contact{}
 		c.contacts[beat.Instance] = known
 	}
+	known.inSequence = found
 	known.sequence = beat.Sequence
 	known.noteInterval(now)
 	known.beatAt = now
@@ -113,10 +120,12 @@
 }
 
 // receive takes what a heartbeat says of the keys of its instance.
-func (d *draft) receive(beat Beat, drains func(now time.Duration) time.Duration) {
-	d.release(beat)
+func (d *draft) receive(beat Beat, known *contact) {
+	if known.inSequence {
+		d.release(beat)
+	}
 	if beat.Draining {
-		d.drain(beat.Instance, drains(d.now))
+		d.drain(beat.Instance, known.drains(d.now))
 	}
 	d.settle()
 	if !beat.Draining {
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -24,6 +24,9 @@
 	// newcomers are the instances of each service that hold no keys, and when each was
 	// heard last.
 	newcomers map[string]map[directory.InstanceID]time.Duration
+	// strangers are instances that were not taken at their first heartbeat, with its
+	// sequence.
+	strangers map[directory.InstanceID]uint64
 	// targets are the instances that are to get keys which are being moved.
 	targets map[targetKey]directory.InstanceID
 }
@@ -43,6 +46,7 @@
 	c.firstSeen = make(map[string]time.Duration)
 	c.demands = make(map[string]*demand)
 	c.indexes = make(map[string]*index)
+	c.strangers = make(map[directory.InstanceID]uint64)
 	c.newcomers = make(map[string]map[directory.InstanceID]time.Duration)
 	c.targets = make(map[targetKey]directory.InstanceID)
 }
@@ -108,6 +112,27 @@
 	return nil
 }
 
+// checkGhost refuses the first heartbeat of an instance that nobody knows at an address
+// where another one was heard of late: it may have been sent long ago, by one that has
+// ended since. One that lives sends another.
+func (c *Core) checkGhost(now time.Duration, beat Beat, known bool, view *directory.Directory) error {
+	if known {
+		return nil
+	}
+	for other := range view.EachInstance() {
+		heard, met := c.contacts[other.ID]
+		if other.Address != beat.Address || other.State == directory.InstanceGone || !met || now-heard.beatAt > c.config.Lease {
+			continue
+		}
+		if c.strangers[beat.Instance] == 0 || beat.Sequence <= c.strangers[beat.Instance] {
+			c.strangers[beat.Instance] = beat.Sequence
+			return fault.Newf(fault.Unavailable, "address %s: instance %q was heard there of late: send another heartbeat", beat.Address, other.ID)
+		}
+	}
+	delete(c.strangers, beat.Instance)
+	return nil
+}
+
 // checkHeld refuses ranges that cross each other or have a fence that was never
 // given. One within another is sound: a row that was cut or joined is told as long as
 // work on it lasts, beside the one that took its place.
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -242,3 +242,60 @@
 		t.Error("the newcomer holds no keys that are asked for")
 	}
 }
+
+// TestOldHeartbeatAfterAChangeOfLeader: one that was sent before others, and comes to a
+// leader that has not heard of the instance yet, takes nothing back: the instance goes
+// on draining, and keys that are being taken from it are not free.
+func TestOldHeartbeatAfterAChangeOfLeader(t *testing.T) {
+	s := founded(t)
+	leaves := func(beat *Beat) { beat.Draining = true; holding(0, half-1, 1)(beat) }
+	if _, err := s.beat("a", leaves); err != nil {
+		t.Fatal(err)
+	}
+	s.now += drainSpread
+	if _, err := s.beat("a", leaves); err != nil {
+		t.Fatal(err)
+	}
+	if held, _ := s.view.Layout("s").At(0); !held.Revoked || held.Owner != "a" {
+		t.Fatalf("before the change of leader: %+v", held)
+	}
+	s.core.Lead(s.now)
+	newest := s.sequence["a"]
+	s.sequence["a"] = 0
+	if _, err := s.beat("a", nil); err != nil {
+		t.Fatal(err)
+	}
+	if instance, _ := s.view.Instance("a"); instance.State != directory.InstanceDraining {
+		t.Errorf("the instance is %s again", instance.State)
+	}
+	if held, _ := s.view.Layout("s").At(0); held.Owner != "a" {
+		t.Errorf("its keys are free: %+v", held)
+	}
+	s.sequence["a"] = newest
+	if _, err := s.beat("a", func(beat *Beat) { beat.Draining = true }); err != nil {
+		t.Fatal(err)
+	}
+	if held, _ := s.view.Layout("s").At(0); held.Owner == "a" {
+		t.Errorf("its keys are not free though it let them go: %+v", held)
+	}
+}
+
+// TestGhostTakesNoAddress: a heartbeat that was sent long ago, of an instance that nobody
+// knows, takes nothing from the one that lives at its address now. One that comes
+// again is there.
+func TestGhostTakesNoAddress(t *testing.T) {
+	s := founded(t)
+	atAddress := func(beat *Beat) { beat.Address = "address-a" }
+	if _, err := s.beat("ghost", atAddress); !fault.Is(err, fault.Unavailable) {
+		t.Errorf("the first heartbeat at a live address: %v", err)
+	}
+	if instance, _ := s.view.Instance("a"); instance.State != directory.InstanceReady {
+		t.Errorf("the instance that lives there is %s", instance.State)
+	}
+	if _, err := s.beat("ghost", atAddress); err != nil {
+		t.Errorf("the second heartbeat: %v", err)
+	}
+	if instance, _ := s.view.Instance("a"); !instance.Ended {
+		t.Errorf("the earlier one at the address is %+v", instance)
+	}
+}
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -84,6 +84,10 @@
 	// interval is the time between two regular heartbeats, as last seen.
 	interval time.Duration
 	sequence uint64
+	// inSequence is true once a heartbeat came after another one of the same term, so
+	// that it is surely newer. The first one may have been sent long ago, and says
+	// nothing of what the instance holds now.
+	inSequence bool
 	// leaseEnd is when the last lease that the instance may hold has surely ended.
 	leaseEnd time.Duration
 	warmAt   time.Duration
