Heartbeat leases: free keys after a change of leader go to all that live; no answer exceeds 4 KiB

One got 380 ranges; an instance takes no answer above 4 KiB, so its lease ran out, and all its keys were refused with 421 for ten seconds.

--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -104,7 +104,12 @@
 		}
 		return err
 	}
-	return call.JSON(directoryapi.AnswerOf(grant, a.replica.self.APIAddress))
+	answer, leftOut := directoryapi.AnswerOf(grant, a.replica.self.APIAddress)
+	if leftOut > 0 {
+		telemetry.With(a.replica.log, telemetry.EventAnswerCut).WithField(telemetry.FieldServer, beat.Instance).
+			WithField(telemetry.FieldCount, leftOut).Warn("an instance holds more ranges of keys than an answer has room for")
+	}
+	return call.JSON(answer)
 }
 
 // instanceOf returns the instance that the path names. The framework uses the
--- a/internal/directoryapi/types.go
+++ b/internal/directoryapi/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -124,17 +125,48 @@
 	return json.Marshal([]any{r.First, r.Last, r.Fence, r.Handover})
 }
 
-// AnswerOf returns the answer for a grant by the controller at an address.
-func AnswerOf(grant heartbeat.Grant, address string) Answer {
-	answer := Answer{HeartbeatAddress: address}
+// Bounds of an answer, in bytes.
+const (
+	// MaxAnswerBytes is the largest answer that an instance takes.
+	MaxAnswerBytes = 4096
+	// envelopeBytes is the most that the answer takes beside its rows.
+	envelopeBytes = 112
+	// rowBytes is what a row takes beside its numbers and its handover.
+	rowBytes = len(`[,,,""],`)
+)
+
+// AnswerOf returns the answer for a grant by the controller at an address. One that
+// would be larger than an instance takes is cut: first handovers are left out, of the
+// last rows first, then rows, which the instance then lets go. It reports how many rows
+// were left out.
+func AnswerOf(grant heartbeat.Grant, address string) (answer Answer, leftOut int) {
+	answer = Answer{HeartbeatAddress: address}
 	if !grant.Renewed {
-		return answer
+		return answer, 0
 	}
 	rows := make([]GrantedRow, 0, len(grant.Holdings))
+	size := envelopeBytes
 	for _, holding := range grant.Holdings {
 		rows = append(rows, GrantedRow(holding))
+		size += GrantedRow(holding).size()
+	}
+	for index := len(rows) - 1; index >= 0 && size > MaxAnswerBytes; index-- {
+		size -= len(rows[index].Handover)
+		rows[index].Handover = ""
+	}
+	for size > MaxAnswerBytes {
+		last := len(rows) - 1
+		size -= rows[last].size()
+		rows = rows[:last]
 	}
 	answer.Holdings = &rows
 	answer.LeaseMs = grant.Lease.Milliseconds()
-	return answer
+	return answer, len(grant.Holdings) - len(rows)
+}
+
+// size returns the bytes of the row in an answer.
+func (r GrantedRow) size() int {
+	const decimal = 10
+	digits := func(number uint64) int { return len(strconv.FormatUint(number, decimal)) }
+	return rowBytes + digits(uint64(r.First)) + digits(uint64(r.Last)) + digits(uint64(r.Fence)) + len(r.Handover)
 }
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -299,3 +299,33 @@
 		t.Errorf("the earlier one at the address is %+v", instance)
 	}
 }
+
+// TestNewLeaderSharesAmongAll: keys that are free soon after a change of leader are given
+// to all instances that live, not only to those whose heartbeat came first. One of them got
+// hundreds of ranges, more than an answer holds, and lost all its keys.
+func TestNewLeaderSharesAmongAll(t *testing.T) {
+	s := newScript(t)
+	s.core.config.Stripes = 8
+	ids := []directory.InstanceID{"a", "b", "c", "d"}
+	round := func(ids ...directory.InstanceID) {
+		for _, id := range ids {
+			beatWithHoldings(t, s, id)
+		}
+	}
+	round(ids...)
+	s.tick(time.Second)
+	round(ids...)
+	s.core.Lead(s.now)
+	round("a")
+	if _, err := s.beat("x", func(beat *Beat) { beat.Address, beat.Service = "address-d", "other" }); err != nil {
+		t.Fatal(err)
+	}
+	s.tick(100 * time.Millisecond)
+	rows := make(map[directory.InstanceID]int)
+	for _, holding := range s.view.Layout("s").Holdings {
+		rows[holding.Owner]++
+	}
+	if rows["d"] != 0 || rows["b"] <= 8 || rows["c"] <= 8 {
+		t.Errorf("ranges by instance: %v", rows)
+	}
+}
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -49,12 +49,10 @@
 	d.layout = d.before
 	d.layout.Holdings = slices.Clone(d.before.Holdings)
 	for instance := range view.EachInstance() {
-		known, met := c.contacts[instance.ID]
-		heard := met && now-known.beatAt <= c.config.Lease/2
-		if instance.Service != service || instance.State != directory.InstanceReady || !heard {
+		if instance.Service != service || instance.State != directory.InstanceReady || !c.lives(now, instance.ID) {
 			continue
 		}
-		added := &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: now >= known.warmAt}
+		added := &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: c.warm(now, instance.ID)}
 		d.candidates = append(d.candidates, added)
 		d.byID[added.id] = added
 	}
@@ -67,6 +65,23 @@
 	return d
 }
 
+// lives reports whether an instance was heard of late. A new leader has heard nobody: it
+// takes all for alive until they had the time for a heartbeat, lest those whose
+// heartbeat comes first get everything.
+func (c *Core) lives(now time.Duration, id directory.InstanceID) bool {
+	heardAt := c.leadSince
+	if known, met := c.contacts[id]; met {
+		heardAt = known.beatAt
+	}
+	return now-heardAt <= c.config.Lease/2
+}
+
+// warm reports whether an instance is not slow from its start any more.
+func (c *Core) warm(now time.Duration, id directory.InstanceID) bool {
+	known, met := c.contacts[id]
+	return !met || now >= known.warmAt
+}
+
 func (d *draft) candidate(id directory.InstanceID) *candidate { return d.byID[id] }
 
 // commands returns the command that puts the draft in force, if it changed.
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -70,6 +70,7 @@
 	EventTableCurrent      Event = "table_current"
 	EventControllerLost    Event = "controller_lost"
 	EventServerEjected     Event = "server_ejected"
+	EventAnswerCut         Event = "answer_cut"
 	EventServerReadmitted  Event = "server_readmitted"
 	EventServerDraining    Event = "server_draining"
 	EventAnswerMismatched  Event = "answer_mismatched"
@@ -155,6 +156,7 @@
 		{EventTableCurrent, levelInfo, "The table is proved current again."},
 		{EventControllerLost, levelWarning, "The connection to the controllers broke."},
 		{EventServerEjected, levelWarning, "A server failed too often and gets no requests for a while."},
+		{EventAnswerCut, levelWarning, "An instance holds more ranges of keys than the answer to its heartbeat has room for; it lets the others go."},
 		{EventServerReadmitted, levelInfo, "An ejected server gets requests again."},
 		{EventServerDraining, levelInfo, "A server takes no new work."},
 		{EventAnswerMismatched, levelError, "A back end answered with another request's identifier."},
