--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -154,28 +154,30 @@
 func (r *replica) changesAfter(sent directory.Revision) (*directoryChanges, error) {
 	r.feed.mutex.Lock()
 	defer r.feed.mutex.Unlock()
-	var content *directory.Content
+	var changes *directoryChanges
+	var content directory.Content
 	known := r.feed.newest
 	r.view(func(view *state.State) {
 		revision := view.Directory().Revision()
-		if revision <= sent || known != nil && known.from == sent && known.to == revision {
-			return
+		switch {
+		case revision <= sent:
+		case known != nil && known.from == sent && known.to == revision:
+			changes = known
+		default:
+			content = view.Directory().Since(sent)
+			changes = &directoryChanges{from: sent, to: content.To}
 		}
-		changes := view.Directory().Since(sent)
-		content = &changes
 	})
-	if content == nil {
-		if known != nil && known.from == sent && known.to > sent {
-			return known, nil
-		}
-		return nil, nil
+	if changes == nil || changes == known {
+		return changes, nil
 	}
-	frame, err := wire.Encode(&message.DirectoryUpdate{Cluster: r.cluster, Changes: content})
+	var err error
+	changes.frame, err = wire.Encode(&message.DirectoryUpdate{Cluster: r.cluster, Changes: &content})
 	if err != nil {
 		return nil, err
 	}
-	r.feed.newest = &directoryChanges{from: sent, to: content.To, frame: frame}
-	return r.feed.newest, nil
+	r.feed.newest = changes
+	return changes, nil
 }
 
 // peerAddresses returns the peer addresses of the members of the group.
