--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -190,7 +190,7 @@
 	if failure.Kind == fault.NoOwner {
 		return current.arrived.Add(time.Duration(heldShare * float64(given)))
 	}
-	const share = 4
+	const share = 5
 	wait := current.target() / share
 	if wait <= 0 {
 		wait = given / share
