--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -142,3 +143,28 @@
 		t.Errorf("the stop took %s, the bound is %s", took, settings.StopTimeout)
 	}
 }
+
+// TestAnotherClusterReplacesTheTable: nothing of the earlier one is taken over, though
+// the revisions are the same.
+func TestAnotherClusterReplacesTheTable(t *testing.T) {
+	s := newSubscription(config.DefaultGateway(), telemetry.New(role, "g", "error", io.Discard), nil)
+	for _, host := range []string{"a.example", "b.example"} {
+		patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","version":1}],"routes":[{"name":"r","host":"` + host +
+			`","prefix":"/","service":"s","kind":"repeatable","max_attempts":1,"version":1}]}}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		view := directory.New()
+		if err := view.Apply(7, directory.Command{Patch: &patch}); err != nil {
+			t.Fatal(err)
+		}
+		changes := view.Since(0)
+		s.take(message.DirectoryUpdate{Cluster: message.ClusterID(host), Changes: &changes})
+		if _, found := s.current().Route(host, "/"); !found {
+			t.Errorf("no route for %s", host)
+		}
+	}
+	if _, found := s.current().Route("a.example", "/"); found {
+		t.Error("a route of the earlier cluster stands")
+	}
+}
