--- a/internal/directoryapi/types_test.go
+++ b/internal/directoryapi/types_test.go
@@ -13,14 +13,7 @@
 // handover, fit an answer of 4 KiB, beyond which an instance takes none.
 func TestAnswerSize(t *testing.T) {
 	const rows, fresh, most = 165, 12, 4096
-	grant := heartbeat.Grant{Renewed: true, Lease: 4 * time.Second}
-	for row := range rows {
-		holding := directory.Holding{First: directory.Key(60000 + row), Last: directory.MaxKey, Fence: 99}
-		if row < fresh {
-			holding.Handover = "5c0e7a21d94b36f8"
-		}
-		grant.Holdings = append(grant.Holdings, holding)
-	}
+	grant := grantOf(rows, fresh, 99)
 	answer, leftOut := AnswerOf(grant, "255.255.255.255:65535")
 	encoded, err := json.Marshal(answer)
 	if err != nil {
@@ -31,18 +24,24 @@
 	}
 }
 
+// grantOf returns a grant of rows, the first of which have a handover.
+func grantOf(rows, handovers int, fence directory.Fence) heartbeat.Grant {
+	grant := heartbeat.Grant{Renewed: true, Lease: 4 * time.Second}
+	for row := range rows {
+		holding := directory.Holding{First: directory.Key(60000 + row), Last: directory.MaxKey, Fence: fence}
+		if row < handovers {
+			holding.Handover = "5c0e7a21d94b36f8"
+		}
+		grant.Holdings = append(grant.Holdings, holding)
+	}
+	return grant
+}
+
 // TestAnswerIsCutToSize: an instance that is granted more than an answer holds gets one
 // that it takes: without the last handovers, and only then without the last rows.
 func TestAnswerIsCutToSize(t *testing.T) {
 	for _, c := range []struct{ rows, handovers, leftOut int }{{160, 80, 0}, {250, 250, 30}} {
-		grant := heartbeat.Grant{Renewed: true, Lease: 4 * time.Second}
-		for row := range c.rows {
-			holding := directory.Holding{First: directory.Key(60000 + row), Last: directory.MaxKey, Fence: 9}
-			if row < c.handovers {
-				holding.Handover = "5c0e7a21d94b36f8"
-			}
-			grant.Holdings = append(grant.Holdings, holding)
-		}
+		grant := grantOf(c.rows, c.handovers, 9)
 		answer, leftOut := AnswerOf(grant, "255.255.255.255:65535")
 		encoded, err := json.Marshal(answer)
 		if err != nil {
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -19,7 +19,7 @@
 	sequence map[directory.InstanceID]uint64
 }
 
-func newScript(t *testing.T) *script {
+func newScript(t testing.TB) *script {
 	t.Helper()
 	s := &script{t: t, view: directory.New(), sequence: make(map[directory.InstanceID]uint64)}
 	s.core = New(Config{
--- a/internal/heartbeat/size_bench_test.go
+++ b/internal/heartbeat/size_bench_test.go
@@ -12,16 +12,8 @@
 // many that hold no keys, as on a deployment of some hundred servers.
 func sizedScript(b *testing.B, instances int) (*script, []directory.InstanceID) {
 	b.Helper()
-	s := &script{t: b, view: directory.New(), sequence: make(map[directory.InstanceID]uint64)}
-	s.core = New(Config{
-		Lease: 4 * time.Second, MaxLease: 4 * time.Second, ClockRateBound: 0.02, Margin: 50 * time.Millisecond,
-		Gather: time.Second, AddressReuse: 2 * time.Second, MaxMoves: 4, Stripes: 110,
-	})
-	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","keyed":true,"version":1},{"name":"other","version":1}]}}`))
-	if err != nil {
-		b.Fatal(err)
-	}
-	s.apply(directory.Command{Patch: &patch})
+	s := newScript(b)
+	s.core.config.Stripes = 110
 	var ids []directory.InstanceID
 	for index := range instances {
 		ids = append(ids, directory.InstanceID(fmt.Sprintf("i-%08x", index)))
