Leases: a heartbeat that is taken counts as renewed before it is answered

The leader took a heartbeat of an instance whose lease had just ended (14.58 s), by a batch that changed nothing. Its lease was extended only when the answer was made. The next batch, decided in between, saw a lease that had ended, marked the instance silent and passed on its keys (applied at 14.6135 s); the answer was made from the state before that, and granted them once more.

Ruled out: a change of leader (term 2 led throughout); an old fence or a handover (fence 1 to 2 rises); a proposal that timed out (the commit took some 30 ms). That last one can have the same effect, though, and was not prevented: a batch given up after proposal_timeout may commit later, and a command decided in one term could enter the log in a later one.

Change: the lease counts as renewed from the moment at which the heartbeat is taken (Core.note), no longer in Answer and HoldBack. The keeper waits for the end of a proposal, whatever time it takes, before it decides the next batch; callers keep their own timeouts. A proposal carries whether it is still valid, asked when it enters the log. Renewal costs no further quorum round.

Tests: the model of the leases has batches that commit late and answers that the controller comes to late, and instances that are cut off for about a lease.

--- a/internal/controller/access.go
+++ b/internal/controller/access.go
@@ -36,6 +36,31 @@
 	}
 }
 
+// ProposeDecided appends a command that was decided during a leadership and waits until
+// its end is known, however long that takes: until it is applied, or surely will not be,
+// or the leadership ends. A command that did not enter the log during that leadership
+// never does. The context is that of the process.
+func (r *replica) ProposeDecided(ctx, leadership context.Context, command state.Command) error {
+	done := make(chan driver.Outcome, 1)
+	request := driver.Proposal{
+		Command:    command,
+		StillValid: func() bool { return leadership.Err() == nil },
+		Done:       func(end driver.Outcome) { done <- end },
+	}
+	stopped := fault.New(fault.Unavailable, "this replica stops: ask another one")
+	select {
+	case r.proposals <- request:
+	case <-ctx.Done():
+		return stopped
+	}
+	select {
+	case end := <-done:
+		return end.Err
+	case <-ctx.Done():
+		return stopped
+	}
+}
+
 // ReadRevision returns the table revision after a quorum confirmed, in a round
 // that began after the call, that no newer one was acknowledged before it.
 func (r *replica) ReadRevision(ctx context.Context) (state.Revision, error) {
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -36,6 +36,9 @@
 type heartbeatKeeper struct {
 	replica  *replica
 	settings config.Heartbeat
+	// propose puts a command in force that was decided during a leadership, and returns
+	// once its end is known.
+	propose func(ctx, leadership context.Context, command state.Command) error
 	// waiting are the decisions for the next batches.
 	waiting chan decision
 
@@ -55,7 +58,7 @@
 
 func newHeartbeatKeeper(settings config.Heartbeat, r *replica) *heartbeatKeeper {
 	return &heartbeatKeeper{
-		replica: r, settings: settings, waiting: make(chan decision, decisionsWaiting),
+		replica: r, settings: settings, propose: r.ProposeDecided, waiting: make(chan decision, decisionsWaiting),
 		core: heartbeat.New(heartbeat.Config{
 			Lease: settings.EffectiveLease(), MaxLease: settings.LongestLease(), ClockRateBound: settings.ClockRateBound,
 			Margin: settings.Margin, Gather: settings.Gather, AddressReuse: settings.AddressReuse, MaxMoves: settings.MaxMoves, Stripes: settings.Stripes,
@@ -130,48 +133,58 @@
 }
 
 // decideTogether puts decisions in force by one command. The next batch begins once
-// it is applied, so that no two batches rest on the same state.
+// its end is known: one that was given up may commit later, and would take keys away
+// that the next batch, which knows nothing of it, has granted anew. Callers stop waiting
+// by their own timeouts meanwhile.
 func (k *heartbeatKeeper) decideTogether(ctx context.Context, decisions []decision) {
-	commands, outcomes := k.decide(decisions)
+	batch := k.decide(decisions)
 	var failure error
-	if len(commands) > 0 {
-		bounded, cancel := context.WithTimeout(ctx, k.replica.settings.Consensus.ProposalTimeout)
-		joined := directory.Joined(commands)
-		_, failure = k.replica.Propose(bounded, state.Command{Directory: &joined})
-		cancel()
+	if len(batch.commands) > 0 {
+		joined := directory.Joined(batch.commands)
+		failure = k.propose(ctx, batch.leadership, state.Command{Directory: &joined})
 	}
 	for index, made := range decisions {
-		if outcomes[index] == nil {
-			outcomes[index] = failure
+		outcome := batch.outcomes[index]
+		if outcome == nil {
+			outcome = failure
 		}
-		made.done <- outcomes[index]
+		made.done <- outcome
 	}
 }
 
-// decide returns the commands of a batch, and what is wrong with each decision.
-func (k *heartbeatKeeper) decide(decisions []decision) ([]directory.Command, []error) {
+// decidedBatch is a batch whose commands are not in force yet.
+type decidedBatch struct {
+	// leadership is that during which it was decided.
+	leadership context.Context
+	commands   []directory.Command
+	// outcomes tell what is wrong with each decision.
+	outcomes []error
+}
+
+// decide decides a batch on the state that is applied.
+func (k *heartbeatKeeper) decide(decisions []decision) decidedBatch {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	var commands []directory.Command
-	outcomes := make([]error, len(decisions))
+	decided := decidedBatch{outcomes: make([]error, len(decisions))}
 	k.replica.view(func(view *state.State) {
 		var batch *heartbeat.Batch
 		for index, made := range decisions {
 			if made.leadership.Err() != nil {
-				outcomes[index] = errLeadershipLost()
+				decided.outcomes[index] = errLeadershipLost()
 				continue
 			}
 			if batch == nil {
 				k.follow(made.leadership)
+				decided.leadership = made.leadership
 				batch = k.core.Batch(k.replica.clock.Now(), view.Directory())
 			}
-			outcomes[index] = made.decide(batch)
+			decided.outcomes[index] = made.decide(batch)
 		}
 		if batch != nil {
-			commands = batch.Commands()
+			decided.commands = batch.Commands()
 		}
 	})
-	return commands, outcomes
+	return decided
 }
 
 func errLeadershipLost() error {
@@ -270,7 +283,7 @@
 	}
 	var grant heartbeat.Grant
 	k.replica.view(func(view *state.State) {
-		grant = k.core.Answer(receivedAt, beat.Instance, view.Directory())
+		grant = k.core.Answer(beat.Instance, view.Directory())
 	})
 	return grant, nil
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -209,3 +209,24 @@
 		t.Errorf("a follower ends a proposal with %+v", ends[3:])
 	}
 }
+
+// TestOutdatedProposalStaysOut: a command whose ground is gone when its turn comes does not
+// enter the log.
+func TestOutdatedProposalStaysOut(t *testing.T) {
+	h := newHarness(t, firstSequence)
+	h.status = consensus.Status{Role: consensus.RoleLeader, TermCommitted: true}
+	h.driver.ObserveRole()
+	var ends []Outcome
+	for _, valid := range []bool{false, true} {
+		h.driver.Propose(Proposal{
+			StillValid: func() bool { return valid },
+			Done:       func(end Outcome) { ends = append(ends, end) },
+		})
+	}
+	if len(ends) != 1 || !fault.Is(ends[0].Err, fault.NotLeader) {
+		t.Errorf("ends %+v, want one of kind not_leader", ends)
+	}
+	if len(h.proposed) != 1 {
+		t.Errorf("%d commands entered the log, want the valid one", len(h.proposed))
+	}
+}
--- a/internal/driver/proposal.go
+++ b/internal/driver/proposal.go
@@ -59,6 +59,9 @@
 // Proposal is a command on its way through the log.
 type Proposal struct {
 	Command state.Command
+	// StillValid is asked right before the command enters the log; one that is not
+	// valid any more ends with an error of kind not_leader. Nil stands for always.
+	StillValid func() bool
 	// Done is called once. It may propose again.
 	Done func(Outcome)
 }
@@ -76,6 +79,10 @@
 }
 
 func (d *Driver) propose(input waitingProposal) {
+	if input.StillValid != nil && !input.StillValid() {
+		d.finish(input, Outcome{Err: fault.New(fault.NotLeader, "leadership was lost before the change entered the log")})
+		return
+	}
 	sequence := d.pending.add(input)
 	data, err := encodeEnvelope(envelope{Replica: d.config.Self, Sequence: sequence, Command: input.Command})
 	if err == nil {
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -83,7 +83,8 @@
 
 // Renew takes a heartbeat if it changes nothing, and reports whether it did. The lease
 // of the instance must not have ended: until then no batch that is being applied has
-// passed on its keys, so that the heartbeat may be answered without waiting for one.
+// passed on its keys, and since the heartbeat counts as answered from now on no later
+// batch does, so that it may be answered without waiting for one.
 func (c *Core) Renew(now time.Duration, beat Beat, view *directory.Directory) bool {
 	known, met := c.contacts[beat.Instance]
 	held, found := view.Instance(beat.Instance)
@@ -101,7 +102,10 @@
 	return true
 }
 
-// note remembers a heartbeat as the newest of its instance.
+// note remembers a heartbeat as the newest of its instance. Its answer is given later,
+// from the state that is applied by then, and may renew the lease. So the lease counts
+// as renewed from here on: a batch that is decided before the answer is given must not
+// pass on keys that the answer grants.
 func (c *Core) note(now time.Duration, beat Beat) *contact {
 	known, found := c.contacts[beat.Instance]
 	if !found {
@@ -112,6 +116,7 @@
 	known.sequence = beat.Sequence
 	known.noteInterval(now)
 	known.beatAt = now
+	known.leaseEnd = max(known.leaseEnd, now+c.waitFor(c.config.Lease))
 	known.warmAt = now + beat.WarmUp
 	known.held = beat.Held
 	known.slots = beat.Slots
--- a/internal/heartbeat/batch_test.go
+++ b/internal/heartbeat/batch_test.go
@@ -36,7 +36,7 @@
 		t.Errorf("granted by %+v", commands)
 	}
 	for _, id := range ids {
-		if grant := s.core.Answer(s.now, id, s.view); len(grant.Holdings) != 1 {
+		if grant := s.core.Answer(id, s.view); len(grant.Holdings) != 1 {
 			t.Errorf("%s gets %+v", id, grant)
 		}
 	}
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -183,17 +183,20 @@
 	return Range{First: holding.First, Last: holding.Last}
 }
 
-// Answer returns what the heartbeat that came at a time is granted. It must be
+// Answer returns what the newest heartbeat of an instance is granted. It must be
 // called after the commands of Receive were applied, in the same term, and after a
 // quorum round that began after the heartbeat came.
-func (c *Core) Answer(receivedAt time.Duration, id directory.InstanceID, view *directory.Directory) Grant {
+//
+// Invariant: no batch that was decided since Receive or Renew took the heartbeat passes
+// on keys that the answer grants, since the lease counts as renewed from then on; and
+// one that was decided before is applied, since the next batch waits for its end.
+func (c *Core) Answer(id directory.InstanceID, view *directory.Directory) Grant {
 	instance, found := view.Instance(id)
 	known := c.contacts[id]
 	if !found || known == nil || instance.State == directory.InstanceGone {
 		return Grant{}
 	}
 	service, found := view.Service(instance.Service)
-	known.leaseEnd = max(known.leaseEnd, receivedAt+c.waitFor(c.config.Lease))
 	if !found || !service.Keyed {
 		return Grant{}
 	}
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -62,7 +62,7 @@
 		return Grant{}, err
 	}
 	s.apply(commands...)
-	return s.core.Answer(s.now, id, s.view), nil
+	return s.core.Answer(id, s.view), nil
 }
 
 func holding(first, last directory.Key, fence directory.Fence) func(*Beat) {
--- a/internal/heartbeat/model_test.go
+++ b/internal/heartbeat/model_test.go
@@ -38,7 +38,9 @@
 	released []Released
 	// rate is how fast its clock runs: a slow one lets it hold for longer.
 	rate float64
-	seen map[directory.Key]directory.Fence
+	// cutUntil is until when none of its heartbeats arrives.
+	cutUntil time.Duration
+	seen     map[directory.Key]directory.Fence
 }
 
 // flight is an answer on its way.
@@ -50,11 +52,13 @@
 	grant    Grant
 }
 
-// heldAnswer is an answer that a controller holds back.
+// heldAnswer is an answer that a controller holds back, or has not come to yet.
 type heldAnswer struct {
 	receivedAt time.Duration
-	instance   *modelInstance
-	beat       Beat
+	// notBefore is when the controller comes to it.
+	notBefore time.Duration
+	instance  *modelInstance
+	beat      Beat
 }
 
 // model is a group of controllers as seen by instances: one leads, the directory is
@@ -69,6 +73,8 @@
 	instances []*modelInstance
 	flights   []flight
 	held      []heldAnswer
+	// decisions are put in force as a controller does it.
+	decisions decisionPipeline
 	// heldBack counts the answers that waited for news.
 	heldBack int
 	// holder is who last held a key, with its fence.
@@ -78,7 +84,9 @@
 	names  int
 	// faults are off towards the end, so that all keys are held again.
 	faults bool
-	moves  int
+	// withoutDemand leaves keys where they are unless instances come or go.
+	withoutDemand bool
+	moves         int
 	// failure is what was found wrong first.
 	failure string
 	// heldAt is when each probed key was last held.
@@ -147,37 +155,31 @@
 	m.now += modelStep
 	if m.random.IntN(1000) < 4 && m.faults {
 		m.note("a new leader")
-		m.core.Lead(m.now)
-		m.held = nil
+		m.changeLeader()
 	}
 	if m.random.IntN(1000) < 8 && m.faults {
 		m.disturb()
 	}
 	if m.random.IntN(5) == 0 {
 		m.countDemand()
-		for _, command := range m.core.Tick(m.now, m.view) {
-			m.apply(command)
-		}
+		m.decisions.waiting = append(m.decisions.waiting, modelDecision{})
 	}
+	m.decide()
 	for _, instance := range m.instances {
 		instance.expire(m.now)
 		if instance.alive && m.now >= instance.next {
 			m.beat(instance)
 		}
 	}
-	waiting := m.held
-	m.held = nil
-	for _, due := range waiting {
-		m.answer(due)
-	}
+	m.answerHeld()
 	m.deliver()
 	m.check()
 }
 
-// disturb crashes, restarts, drains or adds an instance.
+// disturb crashes, restarts, cuts off, drains or adds an instance.
 func (m *model) disturb() {
 	instance := m.instances[m.random.IntN(len(m.instances))]
-	switch m.random.IntN(4) {
+	switch m.random.IntN(5) {
 	case 0:
 		m.note("%s crashes", instance.id)
 		instance.alive = false
@@ -190,14 +192,29 @@
 	case 2:
 		m.note("%s drains", instance.id)
 		instance.draining = true
+	case 3:
+		m.cutOff(instance)
 	default:
 		m.note("another one starts")
 		m.start("")
 	}
 }
 
+// cutOff loses the heartbeats of an instance. They arrive again about when its lease has
+// ended.
+func (m *model) cutOff(instance *modelInstance) {
+	if m.now < instance.cutUntil {
+		return
+	}
+	m.note("%s is cut off", instance.id)
+	instance.cutUntil = m.now + m.core.config.Lease*time.Duration(80+m.random.IntN(40))/100
+}
+
 // countDemand reports demand for few neighbouring keys, which change.
 func (m *model) countDemand() {
+	if m.withoutDemand {
+		return
+	}
 	const apart = 16
 	hot := uint16(m.now/(5*time.Second)) * 97 * apart
 	report := Report{Service: modelService}
@@ -221,23 +238,15 @@
 		Instance: instance.id, Service: modelService, Address: instance.address, Slots: 2, Draining: instance.draining,
 		Sequence: instance.sequence, Held: instance.rows(), Released: slices.Clone(instance.released),
 	}
-	if m.chance(10) {
+	if m.chance(10) || m.now < instance.cutUntil {
 		return
 	}
-	commands, err := m.core.Receive(m.now, beat, m.view)
-	if err != nil {
-		m.note("%s refused: %v", instance.id, err)
+	received := heldAnswer{receivedAt: m.now, instance: instance, beat: beat}
+	if m.core.Renew(m.now, beat, m.view) {
+		m.answerSoon(received)
 		return
 	}
-	for _, command := range commands {
-		if command.Layout != nil {
-			m.moves++
-		}
-		if !m.apply(command) {
-			return
-		}
-	}
-	m.answer(heldAnswer{receivedAt: m.now, instance: instance, beat: beat})
+	m.decisions.waiting = append(m.decisions.waiting, modelDecision{beat: &received})
 }
 
 // answer sends an answer, unless it is held back for news.
@@ -247,11 +256,14 @@
 		m.heldBack++
 		return
 	}
-	if !m.core.Newest(due.beat) {
+	if !m.core.Newest(due.beat) || m.now-due.receivedAt > answerTimeout {
 		return
 	}
 	instance := due.instance
-	grant := m.core.Answer(due.receivedAt, instance.id, m.view)
+	grant := m.core.Answer(instance.id, m.view)
+	if m.decisions.renewsLate {
+		m.core.contacts[instance.id].leaseEnd = due.receivedAt + m.core.waitFor(m.core.config.Lease)
+	}
 	if len(grant.Holdings) > mostRows {
 		m.fail("%s gets %d rows", instance.id, len(grant.Holdings))
 	}
--- a/internal/heartbeat/poll.go
+++ b/internal/heartbeat/poll.go
@@ -18,9 +18,7 @@
 const decisionMargin = 80 * time.Millisecond
 
 // HoldBack reports whether the answer to an instance's newest heartbeat, received at a
-// time, has no news for it and may wait for some. From then on the lease counts as
-// granted, since keys must not pass on before it has ended. It must be called where
-// Answer could be.
+// time, has no news for it and may wait for some. It must be called where Answer could be.
 func (c *Core) HoldBack(now, receivedAt time.Duration, beat Beat, view *directory.Directory) bool {
 	known := c.contacts[beat.Instance]
 	if !c.Newest(beat) || beat.Draining || c.config.HoldBack == 0 {
@@ -32,7 +30,6 @@
 		return false
 	}
 	known.answerableUntil = receivedAt + c.config.HoldBack - decisionMargin
-	known.leaseEnd = max(known.leaseEnd, receivedAt+c.waitFor(c.config.Lease))
 	return true
 }
 
--- a/internal/heartbeat/size_bench_test.go
+++ b/internal/heartbeat/size_bench_test.go
@@ -37,7 +37,7 @@
 		b.Fatal(err)
 	}
 	s.apply(commands...)
-	s.core.Answer(s.now, id, s.view)
+	s.core.Answer(id, s.view)
 }
 
 // BenchmarkHeartbeat is one heartbeat that changes nothing.
