Gateways: a controller without power is dialed again, callers come back after an outage

The opening packet to a machine without power is lost and sent again after a second, so that each dial lasted its 300 ms and the next one began only then; the first directory came 0.2 to 0.5 s after the last seed. Refused callers were told to come back in 150 ms and were refused again.

Change: in the search for a controller one that has not accepted a connection within 100 ms is dialed once more beside the first attempt, and one stream wins, whichever connection it has. A gateway that has reached no controller tells callers to come back after 400 ms, one that has after 150 ms.

Tests: TestControllerIsDialedAgain, TestCallersComeBackWhenThereIsADirectory.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -40,17 +40,25 @@
 const (
 	// retryAfter lets an instance end what it works on, or keys get their next holder.
 	retryAfter = 250 * time.Millisecond
-	// retryElsewhere is for a gateway that has no directory yet: it gets one within some
-	// tenths of a second, and so do others that started with it.
+	// retryElsewhere is for a gateway that has no directory yet while controllers answer:
+	// it gets one within a tenth or two, and other gateways have it.
 	retryElsewhere = 150 * time.Millisecond
+	// retryOutage is for one that has reached no controller: most likely all have lost
+	// power, and other gateways have no directory either. A controller takes some 150 ms
+	// to start, and the directory of 700 instances 200 ms on a link of 2 Mbit/s.
+	retryOutage = 400 * time.Millisecond
 )
 
 // retryAfterOf returns when a caller is told to come back after a failure.
-func retryAfterOf(kind fault.Kind) time.Duration {
-	if kind == fault.StaleRouter {
+func (g *Gateway) retryAfterOf(kind fault.Kind) time.Duration {
+	switch {
+	case kind != fault.StaleRouter:
+		return retryAfter
+	case g.subscription.reached.Load():
 		return retryElsewhere
+	default:
+		return retryOutage
 	}
-	return retryAfter
 }
 
 // statusOf returns the status of a refusal. A caller may take 503 for a proof that
@@ -73,18 +81,19 @@
 func (g *Gateway) refuse(current *request, failure *fault.Error) {
 	outbound := current.answer
 	outbound.Reset()
+	wait := g.retryAfterOf(failure.Kind)
 	status, notRun := statusOf(failure)
 	outbound.SetStatusCode(status)
 	outbound.Header.SetContentType(callerapi.ContentTypeRefusal)
 	if notRun && status == fasthttp.StatusServiceUnavailable {
-		outbound.Header.Set(callerapi.HeaderRetryAfter, strconv.FormatFloat(retryAfterOf(failure.Kind).Seconds(), 'f', -1, 64))
+		outbound.Header.Set(callerapi.HeaderRetryAfter, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	}
 	if current.id != "" {
 		outbound.Header.Set(g.dialect.RequestID, current.id)
 	}
 	body, err := json.Marshal(callerapi.RefusalBody{
 		Kind: failure.Kind, Outcome: fault.AnswerFor(failure.Kind).Outcome, Detail: failure.Detail,
-		RetryAfterMs: retryAfterOf(failure.Kind).Milliseconds(), RequestID: current.id,
+		RetryAfterMs: wait.Milliseconds(), RequestID: current.id,
 	})
 	if err == nil {
 		outbound.SetBodyRaw(body)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -176,3 +176,24 @@
 		t.Error("a route of the earlier cluster stands")
 	}
 }
+
+// TestCallersComeBackWhenThereIsADirectory: soon where controllers answer, and later after
+// a loss of all power, when a second refusal is all that a caller would get soon.
+func TestCallersComeBackWhenThereIsADirectory(t *testing.T) {
+	settings := config.DefaultGateway()
+	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
+	gateway, err := New(settings, telemetry.New(role, "g", "error", io.Discard), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if wait := gateway.retryAfterOf(fault.StaleRouter); wait != retryOutage {
+		t.Errorf("without a controller callers come back after %s", wait)
+	}
+	controller := startStub(t)
+	gateway.subscription.controllers = []string{controller.address}
+	runInBackground(t, gateway.subscription.run)
+	eventually(t, "the controller is reached", func() bool { return gateway.retryAfterOf(fault.StaleRouter) == retryElsewhere })
+	if wait := gateway.retryAfterOf(fault.NoOwner); wait != retryAfter {
+		t.Errorf("for keys that move callers come back after %s", wait)
+	}
+}
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -39,69 +39,85 @@
 
 // race is one search for a controller that confirms the directory.
 type race struct {
-	mutex sync.Mutex
-	// cancels end the streams of the candidates that are being asked.
-	cancels map[string]context.CancelFunc
-	// connected are the connections of those that have accepted, with the time at which
-	// they did.
-	connected map[*wire.Conn]time.Time
-	winner    string
+	mutex      sync.Mutex
+	candidates map[*candidate]struct{}
+	winner     *candidate
 }
 
-func newRace() *race {
-	return &race{cancels: make(map[string]context.CancelFunc), connected: make(map[*wire.Conn]time.Time)}
+// candidate is one controller that is being asked, over one connection.
+type candidate struct {
+	address string
+	// cancel ends its stream.
+	cancel  context.CancelFunc
+	askedAt time.Time
+	// connection is the one that it accepted, at connectedAt; nil before.
+	connection  *wire.Conn
+	connectedAt time.Time
 }
 
+func newRace() *race { return &race{candidates: make(map[*candidate]struct{})} }
+
 var errOtherController = eris.New("another controller answered first")
 
 // claim makes the first caller the winner, and ends the streams of the others. It
 // reports whether the caller has won.
-func (r *race) claim(address string) bool {
+func (r *race) claim(claiming *candidate) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.winner == "" {
-		r.winner = address
-		for other, cancel := range r.cancels {
-			if other != address {
-				cancel()
+	if r.winner == nil {
+		r.winner = claiming
+		for other := range r.candidates {
+			if other != claiming {
+				other.cancel()
 			}
 		}
 	}
-	return r.winner == address
+	return r.winner == claiming
 }
 
-// enter adds a candidate. It reports false for one that is being asked already, and once
-// there is a winner.
-func (r *race) enter(address string, cancel context.CancelFunc) bool {
+// redialAfter is how long a controller may take to accept a connection before it is
+// dialed once more beside the first attempt. The opening packet to a machine that has no
+// power yet is lost, and is sent again after a second only. A dial within a region takes
+// a few milliseconds; a longer one is left to end by itself.
+const redialAfter = 100 * time.Millisecond
+
+// enter adds a candidate. It returns nil for a controller that is being asked already,
+// and once there is a winner.
+func (r *race) enter(address string, cancel context.CancelFunc) *candidate {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if _, asked := r.cancels[address]; asked || r.winner != "" {
-		return false
+	if r.winner != nil {
+		return nil
 	}
-	r.cancels[address] = cancel
-	return true
+	for other := range r.candidates {
+		if other.address == address && (other.connection != nil || time.Since(other.askedAt) < redialAfter) {
+			return nil
+		}
+	}
+	entered := &candidate{address: address, cancel: cancel, askedAt: time.Now()}
+	r.candidates[entered] = struct{}{}
+	return entered
 }
 
-func (r *race) leave(address string) {
+func (r *race) leave(leaving *candidate) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	delete(r.cancels, address)
+	delete(r.candidates, leaving)
 }
 
-// connect notes that a candidate accepted the connection; the returned function notes
-// that it has ended.
-func (r *race) connect(connection *wire.Conn) (end func()) {
-	if r == nil {
-		return func() {}
-	}
+// connected notes that a candidate accepted the connection. It reports false if another
+// connection to the same controller was accepted before.
+func (r *race) connected(accepted *candidate, connection *wire.Conn) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.connected[connection] = time.Now()
-	return func() {
-		r.mutex.Lock()
-		defer r.mutex.Unlock()
-		delete(r.connected, connection)
+	for other := range r.candidates {
+		if other != accepted && other.address == accepted.address && other.connection != nil {
+			return false
+		}
 	}
+	accepted.connection = connection
+	accepted.connectedAt = time.Now()
+	return true
 }
 
 // mayAskNext reports whether the next candidate is to be asked: nobody has accepted a
@@ -109,23 +125,28 @@
 func (r *race) mayAskNext() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for connection, since := range r.connected {
-		patience := connectedPatience
-		if connection.BytesReceived() >= directoryBegun {
-			patience = transferPatience
-		}
-		if time.Since(since) < patience {
+	for each := range r.candidates {
+		if each.connection != nil && time.Since(each.connectedAt) < each.patience() {
 			return false
 		}
 	}
-	return r.winner == ""
+	return r.winner == nil
+}
+
+// patience is how long a candidate that accepted the connection may take before the next
+// one is asked.
+func (c *candidate) patience() time.Duration {
+	if c.connection.BytesReceived() >= directoryBegun {
+		return transferPatience
+	}
+	return connectedPatience
 }
 
 // over reports whether there is a winner.
 func (r *race) over() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.winner != ""
+	return r.winner != nil
 }
 
 // followFirst asks the candidates in turn, and takes the stream of the first that
@@ -149,14 +170,15 @@
 // ask follows one candidate in the background, unless it is being asked already.
 func (s *subscription) ask(ctx context.Context, contest *race, address string, group *conc.WaitGroup) {
 	ctx, cancel := context.WithCancel(ctx)
-	if !contest.enter(address, cancel) {
+	asked := contest.enter(address, cancel)
+	if asked == nil {
 		cancel()
 		return
 	}
 	group.Go(func() {
 		defer cancel()
-		defer contest.leave(address)
-		err := s.follow(ctx, source{address: address, contest: contest})
+		defer contest.leave(asked)
+		err := s.follow(ctx, source{address: address, contest: contest, candidate: asked})
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/gateway/race_test.go
+++ b/internal/gateway/race_test.go
@@ -4,12 +4,14 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 // TestSilentControllerDoesNotDelayTheDirectory: of two controllers one accepts connections
@@ -75,3 +77,36 @@
 		t.Error("the request did not wait for the directory")
 	}
 }
+
+// TestControllerIsDialedAgain: one that has not accepted a connection for a while is dialed
+// once more, since the first packet to a machine without power is lost; one that has
+// accepted is not, and one stream wins, whichever connection it uses.
+func TestControllerIsDialedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		contest := newRace()
+		ended := 0
+		cancel := func() { ended++ }
+		first := contest.enter("c", cancel)
+		if first == nil || contest.enter("c", cancel) != nil {
+			t.Fatal("a controller is asked twice at once")
+		}
+		time.Sleep(redialAfter)
+		second := contest.enter("c", cancel)
+		if second == nil {
+			t.Fatal("a controller that does not accept connections is not dialed again")
+		}
+		if !contest.connected(second, &wire.Conn{}) || contest.connected(first, &wire.Conn{}) {
+			t.Error("want one connection to a controller")
+		}
+		time.Sleep(redialAfter)
+		if contest.enter("c", cancel) != nil {
+			t.Error("a controller that has accepted a connection is dialed again")
+		}
+		if !contest.claim(second) || contest.claim(first) || ended != 1 {
+			t.Errorf("%d streams were ended, want that of the first connection", ended)
+		}
+		if contest.enter("d", cancel) != nil {
+			t.Error("another controller is asked after one has won")
+		}
+	})
+}
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -48,6 +48,8 @@
 	// the last one that a controller answered was.
 	provedAt    atomic.Pointer[time.Time]
 	confirmedAt atomic.Pointer[time.Time]
+	// reached is true once a controller has accepted a connection.
+	reached atomic.Bool
 	// updates tells of each new table.
 	updates *broadcast.Broadcast
 }
@@ -129,6 +131,9 @@
 	s.settings.Seeds = fresh.Seeds
 }
 
+// errAskedTwice ends a connection to a controller that accepted an earlier one meanwhile.
+var errAskedTwice = eris.New("the controller has accepted another connection of this gateway")
+
 var errNoProof = eris.New("no proof of a current directory came in time")
 
 // source is where a stream of the directory comes from.
@@ -136,8 +141,9 @@
 	address string
 	// peer is true for another gateway, false for a controller.
 	peer bool
-	// contest is the search that the stream takes part in; nil for none.
-	contest *race
+	// contest is the search that the stream takes part in as a candidate; nil for none.
+	contest   *race
+	candidate *candidate
 }
 
 // request returns the first message on a stream.
@@ -159,7 +165,10 @@
 	}
 	defer connection.Close()
 	defer context.AfterFunc(ctx, connection.Close)()
-	defer from.contest.connect(connection)()
+	s.reached.Store(true)
+	if from.contest != nil && !from.contest.connected(from.candidate, connection) {
+		return errAskedTwice
+	}
 	if err := connection.Send(ctx, &message.Hello{Purpose: message.PurposeDirectory, From: s.settings.Name}); err != nil {
 		return err
 	}
@@ -225,7 +234,7 @@
 			}
 			continue
 		}
-		if from.contest != nil && !from.contest.claim(from.address) {
+		if from.contest != nil && !from.contest.claim(from.candidate) {
 			return errOtherController
 		}
 		proved = time.Now()
