Service times: the leader sums those of all services, gateways choose by them

Cause: with hundreds of gateways each one meets a given instance about once a minute, so that nearly every instance is untried at each choice, while those of one service differ in speed by a factor of two and more.

Change: gateways report the answers of all services; the leader publishes the service time of an instance of a service without keys in the directory once it differs from the mean by more than chance, and again when it changes. Where such times are known gateways draw by their inverse square and compare two drawn instances by what they know of their own alone. Answers of 500 and above do not count as fast ones.

A command and an instance have a field more. Older replicas pass over it, so that controllers of both versions must not run together for long.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,9 @@
 	Limit func(slots int) int
 	// Random are two numbers in [0, 1).
 	Random [2]float64
+	// timesPublished is true if the service times of some instances are known from all
+	// gateways: the others then take about the mean.
+	timesPublished bool
 }
 
 // Choose returns the instance that is to get a request and counts it as in flight,
@@ -79,6 +83,7 @@
 func (b *Balancer) Choose(request Request) (directory.Instance, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	request.timesPublished = slices.ContainsFunc(request.Instances, func(instance directory.Instance) bool { return instance.ServiceTime > 0 })
 	free := b.free(request, b.wellOnes(request))
 	if len(free) == 0 {
 		return directory.Instance{}, false
@@ -158,7 +163,14 @@
 }
 
 func (b *Balancer) capacity(request Request, instance directory.Instance) float64 {
-	return float64(max(instance.Slots, 1)) / b.alone(request, instance)
+	alone := b.alone(request, instance)
+	if request.timesPublished {
+		// By the square, so that slow instances get less than what fills them as much as
+		// the others: they answer late even when idle. Fast ones that get too much take
+		// longer, which the published times tell in turn.
+		alone *= alone
+	}
+	return float64(max(instance.Slots, 1)) / alone
 }
 
 // alone is the time in seconds that the instance needs for a request.
@@ -168,8 +180,17 @@
 		mean = b.settings.FirstLatency.Seconds()
 	}
 	known, found := b.loads[instance.ID]
+	tried := found && known.latency > 0
+	if published := instance.ServiceTime.Seconds(); published > 0 {
+		if !tried || request.Now-known.seenAt > forgetAfter {
+			return published
+		}
+		return (known.latency + published) / 2
+	}
 	switch {
-	case !found || known.latency == 0:
+	case !tried && request.timesPublished:
+		return mean
+	case !tried:
 		return untried * mean
 	case request.Now-known.seenAt > forgetAfter:
 		return min(known.latency, mean)
@@ -187,9 +208,26 @@
 	forgetAfter = 5 * time.Second
 )
 
+// compared is the time in seconds by which two drawn instances are compared. Where the
+// service times are known from all gateways the draw has counted them already: if each
+// gateway preferred the faster of two once more, all would crowd at the fastest, and
+// none sees the requests of the others. There only what this process has found out of late
+// counts.
+func (b *Balancer) compared(request Request, instance directory.Instance) float64 {
+	if !request.timesPublished {
+		return b.alone(request, instance)
+	}
+	mean := b.latency[request.Service]
+	known, found := b.loads[instance.ID]
+	if !found || known.latency == 0 || request.Now-known.seenAt > forgetAfter || instance.ServiceTime <= 0 {
+		return mean
+	}
+	return mean * max(1, known.latency/instance.ServiceTime.Seconds())
+}
+
 // expected is the time in seconds until a request would be answered.
 func (b *Balancer) expected(request Request, instance directory.Instance) float64 {
-	needed := b.alone(request, instance)
+	needed := b.compared(request, instance)
 	known, found := b.loads[instance.ID]
 	if !found {
 		return needed
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -194,3 +194,48 @@
 		t.Errorf("%d admitted after answers in time", got)
 	}
 }
+
+// TestPublishedTimesSpreadRequests: instances that this process has never met get requests
+// by the service times that all gateways measured, the slow ones far fewer; and many
+// processes that know nothing else do not crowd at the fastest.
+func TestPublishedTimesSpreadRequests(t *testing.T) {
+	all := instances("z", "z", "z", "z")
+	for index, milliseconds := range []time.Duration{100, 100, 100, 300} {
+		all[index].ServiceTime = milliseconds * time.Millisecond
+	}
+	random := rand.New(rand.NewPCG(3, 3))
+	counts := make(map[directory.InstanceID]int)
+	const processes = 4000
+	for range processes {
+		b := New(DefaultSettings("z"))
+		chosen, _ := b.Choose(request(0, random, all))
+		counts[chosen.ID]++
+	}
+	if slow := counts["d"]; slow > processes/12 || slow == 0 {
+		t.Errorf("the slow instance gets %d of %d requests", slow, processes)
+	}
+	for _, id := range []directory.InstanceID{"a", "b", "c"} {
+		if counts[id] < processes/4 {
+			t.Errorf("%s gets %d of %d requests", id, counts[id], processes)
+		}
+	}
+}
+
+// TestOwnAnswersCountBesidePublishedTimes: an instance that has turned slow for this
+// process gets fewer requests before the others tell of it.
+func TestOwnAnswersCountBesidePublishedTimes(t *testing.T) {
+	all := instances("z", "z")
+	for index := range all {
+		all[index].ServiceTime = 100 * time.Millisecond
+	}
+	b := New(DefaultSettings("z"))
+	counts := drive(b, all, 400, func(instance directory.Instance) time.Duration {
+		if instance.ID == "b" {
+			return 900 * time.Millisecond
+		}
+		return 100 * time.Millisecond
+	})
+	if counts["b"] > counts["a"]/4 {
+		t.Errorf("the slow instance gets %d requests, the other one %d", counts["b"], counts["a"])
+	}
+}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -346,6 +346,8 @@
 			line = line.WithField("holdings", holdingLines(changed))
 		}
 		line.Info("key assignments changed")
+	case command.Times != nil:
+		line.WithField(telemetry.FieldCount, len(command.Times)).WithField("service_times", timeLines(command.Times)).Info("service times measured anew")
 	default:
 		for _, instance := range command.Instances {
 			line.WithField(telemetry.FieldServer, instance.ID).WithField(telemetry.FieldService, instance.Service).
@@ -354,6 +356,20 @@
 	}
 }
 
+// timeLine is a service time in a log line.
+type timeLine struct {
+	Server        directory.InstanceID `json:"server"`
+	ServiceTimeMs int64                `json:"service_time_ms"`
+}
+
+func timeLines(times []directory.InstanceTime) []timeLine {
+	var lines []timeLine
+	for _, each := range times[:min(len(times), namedItems)] {
+		lines = append(lines, timeLine{each.ID, each.ServiceTime.Milliseconds()})
+	}
+	return lines
+}
+
 // namedItems bounds the items that a log line names.
 const namedItems = 8
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,8 @@
 	Patch     *Patch     `msgpack:"p,omitempty"`
 	Instances []Instance `msgpack:"i,omitempty"`
 	Layout    *PutLayout `msgpack:"l,omitempty"`
+	// Times are service times that were measured anew.
+	Times []InstanceTime `msgpack:"t,omitempty"`
 	// Batch has commands that are applied in their order, each as if it stood alone.
 	Batch []Command `msgpack:"b,omitempty"`
 }
@@ -58,6 +60,9 @@
 		return d.applyPatch(revision, *command.Patch)
 	case command.Layout != nil:
 		return d.applyLayout(revision, *command.Layout)
+	case command.Times != nil:
+		d.applyTimes(revision, command.Times)
+		return nil
 	default:
 		d.applyInstances(revision, command.Instances)
 		return nil
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -294,3 +295,29 @@
 		t.Error("a single command is wrapped")
 	}
 }
+
+// TestTimesChangeNothingElse: a service time is taken for an instance that is there, and
+// brings none back that has left.
+func TestTimesChangeNothingElse(t *testing.T) {
+	d := New()
+	there := Instance{ID: "a", Service: "s", Address: "1", Slots: 2, State: InstanceDraining}
+	commands := []Command{
+		{Instances: []Instance{there, {ID: "b", Service: "s", Address: "2", State: InstanceGone}}},
+		{Times: []InstanceTime{{ID: "a", ServiceTime: time.Second}, {ID: "b", ServiceTime: time.Second}, {ID: "c", ServiceTime: time.Second}}},
+	}
+	for index, command := range commands {
+		if err := d.Apply(Revision(index+1), command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	there.ServiceTime, there.Revision = time.Second, 2
+	if got, _ := d.Instance("a"); got != there {
+		t.Errorf("got %+v, want %+v", got, there)
+	}
+	if gone, _ := d.Instance("b"); gone.ServiceTime != 0 || gone.State != InstanceGone {
+		t.Errorf("one that has left is %+v", gone)
+	}
+	if _, found := d.Instance("c"); found {
+		t.Error("an instance that nobody knows came by its service time")
+	}
+}
--- a/internal/directory/instance.go
+++ b/internal/directory/instance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"slices"
+	"time"
 )
 
 // InstanceID names one incarnation of a server: each start draws a new one.
@@ -35,8 +36,12 @@
 	Slots   int           `msgpack:"n"`
 	State   InstanceState `msgpack:"t"`
 	// Ended is true once its process surely ended: another one has its address.
-	Ended    bool     `msgpack:"e,omitempty"`
-	Revision Revision `msgpack:"r"`
+	Ended bool `msgpack:"e,omitempty"`
+	// ServiceTime is how long the instance needs for a request, the wait in its queue
+	// left out, as all gateways together measured it; zero while it is not known to
+	// differ from that of other instances of its service.
+	ServiceTime time.Duration `msgpack:"w,omitempty"`
+	Revision    Revision      `msgpack:"r"`
 }
 
 // Same reports whether two readings of an instance differ in nothing but when they
@@ -69,6 +74,25 @@
 	d.forgetGone()
 }
 
+// InstanceTime is the service time of one instance.
+type InstanceTime struct {
+	ID          InstanceID    `msgpack:"i"`
+	ServiceTime time.Duration `msgpack:"w"`
+}
+
+// applyTimes takes the service times of instances that are still there.
+func (d *Directory) applyTimes(revision Revision, times []InstanceTime) {
+	for _, measured := range times {
+		held, found := d.instances[measured.ID]
+		if !found || held.State == InstanceGone {
+			continue
+		}
+		instance := *held
+		instance.ServiceTime = measured.ServiceTime
+		d.putInstance(revision, instance)
+	}
+}
+
 // replaceAtAddress marks the earlier instances at an address as gone: a process
 // that listens there proves that theirs has ended.
 func (d *Directory) replaceAtAddress(revision Revision, newer Instance) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -164,7 +164,8 @@
 	if failure != nil && failure.Kind == fault.WrongEpoch && current.keyed {
 		g.lapses.note(instance.ID, current.rangeFirst, current.layoutRevision)
 	}
-	if failure == nil && current.keyed {
+	if failure == nil && current.answer.StatusCode() < fasthttp.StatusInternalServerError {
+		// An instance that fails at once is not a fast one.
 		g.demand.answered(current.service, instance.ID, took)
 	}
 	if failure != nil && failure.Kind == fault.WrongEpoch && !current.keyed {
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -17,6 +17,7 @@
 	drafts    map[string]*draft
 	order     []*draft
 	instances []directory.Instance
+	times     []directory.InstanceTime
 }
 
 // Batch begins a batch of decisions at a time.
@@ -31,6 +32,9 @@
 	if len(b.instances) > 0 {
 		commands = append(commands, directory.Command{Instances: b.instances})
 	}
+	if len(b.times) > 0 {
+		commands = append(commands, directory.Command{Times: b.times})
+	}
 	for _, draft := range b.order {
 		draft.tellReachable()
 		commands = append(commands, draft.commands()...)
@@ -66,7 +70,7 @@
 	// One that leaves does not come back: a heartbeat that says so was sent before.
 	beat.Draining = beat.Draining || held.State == directory.InstanceDraining
 	known := b.core.note(b.now, beat)
-	wanted := beat.instance()
+	wanted := beat.instance(held)
 	if !found || !held.Same(wanted) {
 		b.instances = append(b.instances, wanted)
 	}
@@ -88,7 +92,7 @@
 func (c *Core) Renew(now time.Duration, beat Beat, view *directory.Directory) bool {
 	known, met := c.contacts[beat.Instance]
 	held, found := view.Instance(beat.Instance)
-	if !met || !found || now > known.leaseEnd || !held.Same(beat.instance()) {
+	if !met || !found || now > known.leaseEnd || !held.Same(beat.instance(held)) {
 		return false
 	}
 	service, found := view.Service(beat.Service)
@@ -161,6 +165,7 @@
 // Tick decides what is due by itself.
 func (b *Batch) Tick() {
 	b.silent()
+	b.publishTimes()
 	for _, service := range b.view.KeyedServices() {
 		if _, drafted := b.drafts[service.Name]; !drafted && !b.due(service.Name) {
 			continue
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -31,6 +31,8 @@
 	strangers map[directory.InstanceID]uint64
 	// targets are the instances that are to get keys which are being moved.
 	targets map[targetKey]directory.InstanceID
+	// publishedAt is when service times were looked at last.
+	publishedAt time.Duration
 }
 
 // New returns a core. Lead must be called before it is used.
@@ -78,12 +80,14 @@
 	return now > c.leaseEnd(id)
 }
 
-func (b Beat) instance() directory.Instance {
+// instance returns the instance as the heartbeat tells of it. What others measured of it
+// is kept.
+func (b Beat) instance(held directory.Instance) directory.Instance {
 	state := directory.InstanceReady
 	if b.Draining {
 		state = directory.InstanceDraining
 	}
-	return directory.Instance{ID: b.Instance, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: b.Slots, State: state}
+	return directory.Instance{ID: b.Instance, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: b.Slots, State: state, ServiceTime: held.ServiceTime}
 }
 
 func (c *Core) check(now time.Duration, beat Beat, view *directory.Directory) error {
--- a/internal/heartbeat/index.go
+++ b/internal/heartbeat/index.go
@@ -76,7 +76,7 @@
 	if !revoked && c.hasNewcomer(now, beat.Service) {
 		return false
 	}
-	return revoked || index.moving >= c.mostMoves(len(index.owned)) || c.used(now, beat.instance(), owned) < c.busyFrom(now, beat.Service, view)
+	return revoked || index.moving >= c.mostMoves(len(index.owned)) || c.used(now, directory.Instance{ID: beat.Instance, Service: beat.Service, Slots: beat.Slots}, owned) < c.busyFrom(now, beat.Service, view)
 }
 
 // noteNewcomer remembers whether an instance holds no keys, so that others give it some
--- a/internal/heartbeat/rates.go
+++ b/internal/heartbeat/rates.go
@@ -20,7 +20,8 @@
 	since time.Duration
 	// sums is the tree, from position 1 on. Its values are those of weighedAt: they
 	// are divided by the weight of now when they are read.
-	sums      [keys + 1]float64
+	// It is made at the first count: most services have no keys.
+	sums      []float64
 	weighedAt time.Duration
 	now       time.Duration
 }
@@ -53,6 +54,9 @@
 
 // count adds requests for a key.
 func (r *keyRates) count(key directory.Key, requests float64) {
+	if r.sums == nil {
+		r.sums = make([]float64, keys+1)
+	}
 	value := requests / r.window.Seconds() * r.weight()
 	for position := int(key) + 1; position <= keys; position += position & -position {
 		r.sums[position] += value
@@ -72,6 +76,9 @@
 
 // below sums the values of the keys below one.
 func (r *keyRates) below(key int) float64 {
+	if r.sums == nil {
+		return 0
+	}
 	total := 0.0
 	for position := key; position > 0; position -= position & -position {
 		total += r.sums[position]
--- a/internal/heartbeat/speed.go
+++ b/internal/heartbeat/speed.go
@@ -12,8 +12,10 @@
 // queue in it, and the slots divided by the answers a second have idle slots in them.
 // The first is close while the instance has room, the second once it is full.
 type speed struct {
-	// latency is the mean time to an answer, in seconds.
+	// latency is the mean time to an answer, in seconds, and answers how many of them
+	// came.
 	latency float64
+	answers float64
 	// answered is the rate of answers in requests a second, as of ratedAt; it decays
 	// like the demand for keys.
 	answered float64
@@ -46,7 +48,12 @@
 func (s *speed) take(now time.Duration, answered uint32, latency float64, slots int) {
 	s.answered = s.rate(now) + float64(answered)/demandWindow.Seconds()
 	s.ratedAt = now
-	weight := min(latencySmoothing*float64(answered), mostLatencyWeight)
+	s.answers += float64(answered)
+	// The first answers count alike, so that the mean does not rest on the first of them.
+	weight := min(max(latencySmoothing, 1/s.answers)*float64(answered), 1)
+	if s.answers > 1/latencySmoothing {
+		weight = min(weight, mostLatencyWeight)
+	}
 	if latency > s.latency && s.answered*s.latency > saturated*float64(slots) {
 		weight *= saturatedWeight
 	}
