Directory: instances are found by their address

Cause: each heartbeat looked through all instances for another one at its address, and each instance that joined did so once more on every replica.

Change: the directory keeps the instances of each address.

Test: TestInstancesAtTheirAddresses (random changes, a copy, forgotten ones).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -18,7 +18,10 @@
 	instances map[InstanceID]*Instance
 	// ordered has the instances by identifier.
 	ordered []*Instance
-	layouts map[string]*Layout
+	// byAddress has the instances that are at each address, or were until they left. The
+	// lists are replaced and never changed.
+	byAddress map[string][]InstanceID
+	layouts   map[string]*Layout
 }
 
 // New returns an empty directory.
@@ -27,6 +30,7 @@
 		items:     make(map[ItemKey]*Item),
 		services:  make(map[string]Service),
 		instances: make(map[InstanceID]*Instance),
+		byAddress: make(map[string][]InstanceID),
 		layouts:   make(map[string]*Layout),
 	}
 }
@@ -91,6 +95,7 @@
 		itemsRevision: d.itemsRevision,
 		services:      maps.Clone(d.services),
 		instances:     maps.Clone(d.instances),
+		byAddress:     maps.Clone(d.byAddress),
 		ordered:       slices.Clone(d.ordered),
 		layouts:       maps.Clone(d.layouts),
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -321,3 +324,38 @@
 		t.Error("an instance that nobody knows came by its service time")
 	}
 }
+
+// TestInstancesAtTheirAddresses: over random changes each address has the instances that
+// say so, also in a copy and after those that left first are forgotten.
+func TestInstancesAtTheirAddresses(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	d := New()
+	const addresses = 40
+	for revision := range Revision(6000) {
+		instance := Instance{
+			ID: InstanceID(fmt.Sprint(random.IntN(3000))), Service: "s", Address: fmt.Sprint(random.IntN(addresses)), State: InstanceReady,
+		}
+		if err := d.Apply(revision+1, Command{Instances: []Instance{instance}}); err != nil {
+			t.Fatal(err)
+		}
+		if revision == 3000 {
+			d = d.Clone()
+		}
+	}
+	for number := range addresses {
+		address := fmt.Sprint(number)
+		var want, got []InstanceID
+		for instance := range d.EachInstance() {
+			if instance.Address == address {
+				want = append(want, instance.ID)
+			}
+		}
+		for instance := range d.InstancesAt(address) {
+			got = append(got, instance.ID)
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			t.Errorf("address %s has %v, want %v", address, got, want)
+		}
+	}
+}
--- a/internal/directory/instance.go
+++ b/internal/directory/instance.go
@@ -96,8 +96,8 @@
 // replaceAtAddress marks the earlier instances at an address as gone: a process
 // that listens there proves that theirs has ended.
 func (d *Directory) replaceAtAddress(revision Revision, newer Instance) {
-	for instance := range d.EachInstance() {
-		if instance.Address != newer.Address || instance.ID == newer.ID || instance.Ended {
+	for instance := range d.InstancesAt(newer.Address) {
+		if instance.ID == newer.ID || instance.Ended {
 			continue
 		}
 		instance.State = InstanceGone
@@ -114,6 +114,12 @@
 
 // keepInstance takes an instance in place of an earlier reading of it.
 func (d *Directory) keepInstance(instance Instance) {
+	if held, known := d.instances[instance.ID]; known && held.Address != instance.Address {
+		d.leaveAddress(*held)
+	}
+	if !slices.Contains(d.byAddress[instance.Address], instance.ID) {
+		d.byAddress[instance.Address] = append(slices.Clone(d.byAddress[instance.Address]), instance.ID)
+	}
 	position, found := d.position(instance.ID)
 	if found {
 		d.ordered[position] = &instance
@@ -123,7 +129,20 @@
 	d.instances[instance.ID] = &instance
 }
 
+// leaveAddress takes an instance out of those at its address.
+func (d *Directory) leaveAddress(leaving Instance) {
+	left := slices.DeleteFunc(slices.Clone(d.byAddress[leaving.Address]), func(id InstanceID) bool { return id == leaving.ID })
+	if len(left) == 0 {
+		delete(d.byAddress, leaving.Address)
+		return
+	}
+	d.byAddress[leaving.Address] = left
+}
+
 func (d *Directory) forgetInstance(id InstanceID) {
+	if held, found := d.instances[id]; found {
+		d.leaveAddress(*held)
+	}
 	if position, found := d.position(id); found {
 		d.ordered = slices.Delete(d.ordered, position, position+1)
 	}
@@ -168,6 +187,18 @@
 	return *instance, true
 }
 
+// InstancesAt yields the instances at an address, those that are gone too. An instance
+// may be changed meanwhile, but none added.
+func (d *Directory) InstancesAt(address string) iter.Seq[Instance] {
+	return func(yield func(Instance) bool) {
+		for _, id := range d.byAddress[address] {
+			if !yield(*d.instances[id]) {
+				return
+			}
+		}
+	}
+}
+
 // EachInstance yields every instance by identifier, those that are gone too. An
 // instance may be changed meanwhile, but none added.
 func (d *Directory) EachInstance() iter.Seq[Instance] {
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -108,8 +108,8 @@
 
 // checkAddress refuses an address at which an instance of another service lives.
 func (c *Core) checkAddress(now time.Duration, beat Beat, view *directory.Directory) error {
-	for other := range view.EachInstance() {
-		if other.Address != beat.Address || other.ID == beat.Instance || other.Service == beat.Service || other.State == directory.InstanceGone {
+	for other := range view.InstancesAt(beat.Address) {
+		if other.ID == beat.Instance || other.Service == beat.Service || other.State == directory.InstanceGone {
 			continue
 		}
 		if known, found := c.contacts[other.ID]; found && now-known.beatAt < c.config.AddressReuse {
@@ -126,9 +126,9 @@
 	if known {
 		return nil
 	}
-	for other := range view.EachInstance() {
+	for other := range view.InstancesAt(beat.Address) {
 		heard, met := c.contacts[other.ID]
-		if other.Address != beat.Address || other.State == directory.InstanceGone || !met || now-heard.beatAt > c.config.Lease {
+		if other.State == directory.InstanceGone || !met || now-heard.beatAt > c.config.Lease {
 			continue
 		}
 		if c.strangers[beat.Instance] == 0 || beat.Sequence <= c.strangers[beat.Instance] {
