Simulator: leases by heartbeats with real consensus, cuts and slow commits

The simulator did not drive the heartbeats: the OWNER finding had a model test alone, whose directory is what a quorum agreed on.

Change: lease runs play controllers with their consensus, log, disks and network, and instances that renew by heartbeats.

Planted faults are found: answers without a quorum, leases not waited out, leases of an earlier leader forgotten.

Draining instances are not played there.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 
 soak: build
 	bin/thorntiller-lab sim --seeds $(or $(SEEDS),1-2000)
+	bin/thorntiller-lab sim --leases --seeds $(or $(SEEDS),1-2000)
 
 bench: build
 	bin/thorntiller-lab bench
--- a/internal/lab/labcli/sim.go
+++ b/internal/lab/labcli/sim.go
@@ -20,6 +20,15 @@
 	seed    uint64
 	trace   bool
 	workers int
+	leases  bool
+}
+
+// runner returns what runs a seed.
+func (o simOptions) runner() sim.Runner {
+	if o.leases {
+		return sim.RunLeases
+	}
+	return sim.Run
 }
 
 func newSim() *cobra.Command {
@@ -38,6 +47,7 @@
 	flags.StringVar(&options.seeds, "seeds", "1-200", "seeds to run, A-B")
 	flags.Uint64Var(&options.seed, "seed", 0, "run this seed alone")
 	flags.BoolVar(&options.trace, "trace", false, "with --seed: print what happens, the same bytes every time")
+	flags.BoolVar(&options.leases, "leases", false, "controllers and instances that renew leases by heartbeats, in place of whole deployments")
 	flags.IntVar(&options.workers, "workers", defaultWorkers, "seeds that run at the same time")
 	return command
 }
@@ -45,9 +55,9 @@
 func replaySeed(command *cobra.Command, options simOptions) error {
 	output := command.OutOrStdout()
 	if !options.trace {
-		return reportSearch(command, sim.RunSeeds(options.seed, options.seed, 1, func(sim.Failure) {}))
+		return reportSearch(command, sim.RunSeeds(options.runner(), options.seed, options.seed, 1, func(sim.Failure) {}))
 	}
-	result := sim.Run(options.seed, output)
+	result := options.runner()(options.seed, output)
 	if err := printJSON(output, result); err != nil {
 		return err
 	}
@@ -65,7 +75,7 @@
 	if options.workers < 1 {
 		return eris.Errorf("--workers: %d: give 1 or more", options.workers)
 	}
-	return reportSearch(command, sim.RunSeeds(first, last, options.workers, func(failure sim.Failure) {
+	return reportSearch(command, sim.RunSeeds(options.runner(), first, last, options.workers, func(failure sim.Failure) {
 		fmt.Fprintln(command.OutOrStdout(), failure.Describe())
 	}))
 }
--- a/internal/lab/sim/controller.go
+++ b/internal/lab/sim/controller.go
@@ -104,6 +104,9 @@
 		disk.Initial.Snapshot.Index, len(disk.Initial.Entries))
 	c.every(c.sim.settings.Platform.PollInterval, func() { c.step(func() { c.replica.readPlatform() }) })
 	c.every(c.sim.settings.Consensus.TickInterval, func() { c.step(func() { c.replica.driver.Tick() }) })
+	if c.replica.leases != nil {
+		c.every(keeperTick, func() { c.step(func() { c.replica.leases.tick() }) })
+	}
 }
 
 func (c *controller) checkRecovered(disk *durable.Storage) {
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -54,13 +54,16 @@
 	}
 }
 
-func (s *simulation) injectOne() {
+func (s *simulation) injectOne() { s.inject(faultKinds) }
+
+// inject injects one of the kinds, by their weights.
+func (s *simulation) inject(kinds []faultKind) {
 	total := 0
-	for _, kind := range faultKinds {
+	for _, kind := range kinds {
 		total += kind.weight
 	}
 	choice := s.random.IntN(total)
-	for _, kind := range faultKinds {
+	for _, kind := range kinds {
 		if choice < kind.weight {
 			kind.inject(s)
 			return
--- a/internal/lab/sim/faults_network.go
+++ b/internal/lab/sim/faults_network.go
@@ -95,6 +95,11 @@
 	for _, each := range s.routers {
 		nodes = append(nodes, each.node)
 	}
+	if s.leaseWorld != nil {
+		for _, each := range s.leaseWorld.instances {
+			nodes = append(nodes, each.node)
+		}
+	}
 	return nodes
 }
 
--- a/internal/lab/sim/host.go
+++ b/internal/lab/sim/host.go
@@ -127,6 +127,9 @@
 	h.sim.trace("%s leads term %d at index %d", h.owner.node, status.Term, status.Applied)
 	h.sim.checker.MustHold(h.owner.name(), status.Term, status.Applied)
 	h.noteQuiet(status)
+	if h.leases != nil {
+		h.leases.changeLeadership()
+	}
 }
 
 // noteQuiet tells the checker in true time since when no earlier leader began a
@@ -141,6 +144,9 @@
 func (h *host) StoppedLeading() {
 	h.sim.trace("%s leads no longer", h.owner.node)
 	h.closeStreams()
+	if h.leases != nil {
+		h.leases.changeLeadership()
+	}
 }
 
 // MembershipProposed implements driver.Observer.
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -35,6 +35,8 @@
 	roundBegan time.Duration
 	// leadsSince is the true time at which the replica began to lead.
 	leadsSince time.Duration
+	// leases takes heartbeats in lease runs.
+	leases *leaseKeeper
 }
 
 func newReplica(owner *controller, disk *durable.Storage) (*replica, error) {
@@ -61,6 +63,9 @@
 		SnapshotEntries: settings.SnapshotEntries,
 		SnapshotBytes:   settings.SnapshotBytes,
 	})
+	if s.leaseWorld != nil {
+		r.leases = newLeaseKeeper(r)
+	}
 	return r, nil
 }
 
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -121,16 +121,19 @@
 // maxFailures bounds the failures that a summary describes.
 const maxFailures = 20
 
+// Runner runs one seed: Run or RunLeases.
+type Runner func(seed uint64, traceTo io.Writer) Result
+
 // RunSeeds runs the seeds from first to last, several at a time, and calls
 // report with each failure, in the order in which they are found.
-func RunSeeds(first, last uint64, workers int, report func(Failure)) Summary {
+func RunSeeds(run Runner, first, last uint64, workers int, report func(Failure)) Summary {
 	var mutex sync.Mutex
 	results := make([]*Failure, last-first+1)
 	summary := Summary{Seeds: last - first + 1, Failed: []uint64{}}
 	group := pool.New().WithMaxGoroutines(workers)
 	for seed := first; seed <= last; seed++ {
 		group.Go(func() {
-			result := Run(seed, nil)
+			result := run(seed, nil)
 			mutex.Lock()
 			defer mutex.Unlock()
 			summary.Steps += result.Steps
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -22,7 +22,7 @@
 // TestFixedSeeds runs the same seeds every time, and makes sure that they meet
 // every kind of fault.
 func TestFixedSeeds(t *testing.T) {
-	summary := RunSeeds(1, fixedSeeds, testWorkers, func(failure Failure) { t.Error(failure.Describe()) })
+	summary := RunSeeds(Run, 1, fixedSeeds, testWorkers, func(failure Failure) { t.Error(failure.Describe()) })
 	t.Logf("faults %+v", summary.Faults)
 	t.Logf("checks %+v", summary.Checks)
 	faults := summary.Faults
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -58,11 +58,24 @@
 	digest uint64
 	// observed is the highest log index that was traced.
 	observed uint64
+	// leaseWorld is nil but in lease runs.
+	leaseWorld *leaseWorld
 }
 
 func newSimulation(seed uint64, faults planted, traceTo io.Writer) *simulation {
+	s := newEmptySimulation(seed, traceTo)
+	s.planted = faults
+	if faults.coordinator != nil {
+		faults.coordinator(&s.coordination)
+	}
+	s.build()
+	return s
+}
+
+// newEmptySimulation has a network, and no machine.
+func newEmptySimulation(seed uint64, traceTo io.Writer) *simulation {
 	s := &simulation{
-		seed: seed, planted: faults, traceTo: traceTo,
+		seed: seed, traceTo: traceTo,
 		random:   rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // a run must replay from its seed
 		settings: controllerSettings(),
 		hosts:    make(map[consensus.ReplicaID]*controller),
@@ -72,18 +85,14 @@
 		plans:    make(map[state.PlanID]state.Revision),
 	}
 	s.coordination = driver.CoordinatorConfig(s.settings.Lease)
-	if faults.coordinator != nil {
-		faults.coordinator(&s.coordination)
-	}
 	s.checker = checker.New(s.queue.Now)
 	s.checker.BoundRequests(requestBounds())
 	s.network = network.New(&s.queue, s.random)
-	s.build()
 	return s
 }
 
-// build makes the machines; nothing runs yet.
-func (s *simulation) build() {
+// buildControllers makes the machines of the controllers; nothing runs yet.
+func (s *simulation) buildControllers() {
 	group := 3
 	if s.seed%4 == 0 {
 		group = 5
@@ -97,6 +106,11 @@
 		}
 		s.controllers = append(s.controllers, built)
 	}
+}
+
+// build makes the machines; nothing runs yet.
+func (s *simulation) build() {
+	s.buildControllers()
 	for number := 1; number <= firstServers+spareServers; number++ {
 		built := &server{process: s.newProcess("server-%d", number)}
 		built.id = state.ServerID(built.node)
