--- a/internal/lab/sim/lease_run.go
+++ b/internal/lab/sim/lease_run.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"runtime/debug"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -76,19 +75,10 @@
 	return runPlantedLeases(seed, plantedLeases{}, traceTo)
 }
 
-func runPlantedLeases(seed uint64, planted plantedLeases, traceTo io.Writer) (result Result) {
+func runPlantedLeases(seed uint64, planted plantedLeases, traceTo io.Writer) Result {
 	s := newLeaseSimulation(seed, planted, traceTo)
-	defer func() {
-		if cause := recover(); cause != nil {
-			s.checker.Fail(checker.NoFailure, "panic: %v\n%s", cause, debug.Stack())
-		}
-		result = Result{
-			Seed: seed, Violation: s.checker.Violation(), Steps: s.queue.Steps(), Digest: s.digest,
-			Faults: s.counts, Checks: s.checker.Counts(),
-		}
-		result.Checks.Holdings += s.leaseWorld.checked
-	}()
-	s.runLeases()
+	result := s.play(s.runLeases)
+	result.Checks.Holdings += s.leaseWorld.checked
 	return result
 }
 
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -84,18 +84,23 @@
 	return runPlanted(seed, planted{}, traceTo)
 }
 
-func runPlanted(seed uint64, faults planted, traceTo io.Writer) (result Result) {
+func runPlanted(seed uint64, faults planted, traceTo io.Writer) Result {
 	s := newSimulation(seed, faults, traceTo)
+	return s.play(func() { s.run() })
+}
+
+// play runs to the end, or to a panic, and returns the outcome.
+func (s *simulation) play(run func()) (result Result) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			s.checker.Fail(checker.NoFailure, "panic: %v\n%s", cause, debug.Stack())
 		}
 		result = Result{
-			Seed: seed, Violation: s.checker.Violation(), Steps: s.queue.Steps(), Digest: s.digest,
+			Seed: s.seed, Violation: s.checker.Violation(), Steps: s.queue.Steps(), Digest: s.digest,
 			Faults: s.counts, Checks: s.checker.Counts(),
 		}
 	}()
-	s.run()
+	run()
 	return result
 }
 
