Names: rejections, offload, seed and reduction in place of words of our own

lapse, relieve, welcome and withheld stood for what the field calls a rejection that is remembered, offloading, seeding a new instance and a reduced limit of requests in flight.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -52,9 +52,9 @@
 	ejections    int
 	ejectedUntil time.Duration
 	seenAt       time.Duration
-	// withheld is by how many requests the bound of those in flight is lowered,
+	// reduction is by how many requests the bound of those in flight is lowered,
 	// since the instance answers late.
-	withheld float64
+	reduction float64
 }
 
 // New returns a balancer that knows of no instance.
@@ -257,7 +257,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known := b.load(instance.ID)
-	if known.inFlight >= max(1, limit-int(known.withheld)) {
+	if known.inFlight >= max(1, limit-int(known.reduction)) {
 		return false
 	}
 	b.begin(now, instance.ID)
@@ -321,22 +321,22 @@
 const (
 	// lateAnswer is how many times the mean an answer takes that counts as late.
 	lateAnswer = 2.5
-	// withholdStep and restoreStep are by how much the bound of requests in flight
+	// reductionStep and restoreStep are by how much the bound of requests in flight
 	// falls with a late answer and rises with any other.
-	withholdStep = 1.0
-	restoreStep  = 0.25
-	mostWithheld = 4.0
+	reductionStep = 1.0
+	restoreStep   = 0.25
+	mostReduction = 4.0
 )
 
 // adapt lowers the bound of the requests in flight while an instance answers late, as
-// its queue is then long, and raises it again by and by.
+// its queue is then long, and raises it again gradually.
 func (l *load) adapt(outcome Outcome, mean float64) {
 	late := outcome.Failed || outcome.Full || mean > 0 && outcome.Took.Seconds() > lateAnswer*mean
 	if late {
-		l.withheld = min(l.withheld+withholdStep, mostWithheld)
+		l.reduction = min(l.reduction+reductionStep, mostReduction)
 		return
 	}
-	l.withheld = max(l.withheld-restoreStep, 0)
+	l.reduction = max(l.reduction-restoreStep, 0)
 }
 
 // maxDoublings keeps the shift of an ejection's length in bounds.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -185,9 +185,9 @@
 	if got := admitted(); got != limit-2 {
 		t.Errorf("%d admitted after two late answers", got)
 	}
-	b.loads["a"].withheld = mostWithheld
+	b.loads["a"].reduction = mostReduction
 	if got := admitted(); got != 1 {
-		t.Errorf("%d admitted at the most withheld", got)
+		t.Errorf("%d admitted at the largest reduction", got)
 	}
 	answer(100*time.Millisecond, 40)
 	if got := admitted(); got != limit {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,7 @@
 	balancer     *balance.Balancer
 	upstreams    *upstreams
 	drains       *drains
-	lapses       *lapses
+	rejections   *rejections
 	callers      *callers
 	demand       *demandCounter
 	registry     *telemetry.Metrics
@@ -90,7 +90,7 @@
 		balancer:     balance.New(balance.DefaultSettings(settings.Zone)),
 		upstreams:    newUpstreams(settings.BackEnd, dialect),
 		drains:       newDrains(settings.DrainTime),
-		lapses:       newLapses(),
+		rejections:   newRejections(),
 		callers:      newCallers(),
 		registry:     telemetry.NewMetrics(role),
 		slots:        broadcast.New(),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,7 +47,7 @@
 // of the same holder still are, until it has rejected several. One rejection shut out all
 // keys of a holder.
 func TestRejectedRangeIsNotAskedFor(t *testing.T) {
-	l := newLapses()
+	l := newRejections()
 	if !l.mayAsk("a", 0, 7) {
 		t.Error("holder without rejections must stay selectable")
 	}
@@ -55,7 +55,7 @@
 	if l.mayAsk("a", 0, 7) || !l.mayAsk("a", 100, 7) || !l.mayAsk("b", 0, 7) {
 		t.Error("only the rejected range of the holder that rejected it must be left out")
 	}
-	for first := range directory.Key(lapsedAll) {
+	for first := range directory.Key(rejectionsOfAll) {
 		l.note("a", first*10, 7)
 	}
 	if l.mayAsk("a", 100, 7) {
@@ -65,7 +65,7 @@
 		t.Error("under another layout it must be selectable")
 	}
 	l.note("a", 0, 8)
-	time.Sleep(lapsePause + 20*time.Millisecond)
+	time.Sleep(rejectionPause + 20*time.Millisecond)
 	if !l.mayAsk("a", 0, 8) {
 		t.Error("after a while it must be selectable")
 	}
--- /dev/null
+++ b/internal/gateway/rejections.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// rejectionPause is how long a holder that refused a key is not asked again, unless the
+// layout changes before.
+const rejectionPause = 250 * time.Millisecond
+
+// rejections remembers which holders rejected a key that the layout gives them: a change
+// is on its way, or their lease has ended. Each further request for those keys would
+// only be rejected, and counts as an arrival at the service. One that rejects keys of
+// several ranges has most likely lost all. It is safe for concurrent use.
+type rejections struct {
+	mutex sync.Mutex
+	noted map[directory.InstanceID]rejectedRanges
+}
+
+// rejectedRanges is what one holder rejected under a revision of the layout.
+type rejectedRanges struct {
+	revision directory.Revision
+	// until is when each range may be asked for again, by its first key.
+	until map[directory.Key]time.Time
+}
+
+// rejectionsOfAll is the number of ranges from which on all keys of a holder are taken for
+// lost.
+const rejectionsOfAll = 3
+
+func newRejections() *rejections {
+	return &rejections{noted: make(map[directory.InstanceID]rejectedRanges)}
+}
+
+// note takes a rejection by a holder, of a key in the range that begins at first, under
+// a revision of the layout.
+func (r *rejections) note(id directory.InstanceID, first directory.Key, revision directory.Revision) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, found := r.noted[id]
+	if !found || known.revision != revision {
+		known = rejectedRanges{revision: revision, until: make(map[directory.Key]time.Time)}
+		r.noted[id] = known
+	}
+	known.until[first] = time.Now().Add(rejectionPause)
+}
+
+// mayAsk reports whether a holder may be asked for a range under a revision of the
+// layout.
+func (r *rejections) mayAsk(id directory.InstanceID, first directory.Key, revision directory.Revision) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, found := r.noted[id]
+	if !found {
+		return true
+	}
+	if known.revision != revision {
+		delete(r.noted, id)
+		return true
+	}
+	now := time.Now()
+	for start, until := range known.until {
+		if !now.Before(until) {
+			delete(known.until, start)
+		}
+	}
+	_, rejected := known.until[first]
+	return !rejected && len(known.until) < rejectionsOfAll
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -162,7 +162,7 @@
 		Full: failure != nil && failure.Kind == fault.Shedding,
 	}
 	if failure != nil && failure.Kind == fault.WrongEpoch && current.keyed {
-		g.lapses.note(instance.ID, current.rangeFirst, current.layoutRevision)
+		g.rejections.note(instance.ID, current.rangeFirst, current.layoutRevision)
 	}
 	if failure == nil && current.answer.StatusCode() < fasthttp.StatusInternalServerError {
 		// An instance that fails at once is not a fast one.
@@ -278,7 +278,7 @@
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d leaves", current.key)
 	}
 	current.rangeFirst, current.layoutRevision = holding.First, layout.Revision
-	if !g.lapses.mayAsk(instance.ID, holding.First, layout.Revision) {
+	if !g.rejections.mayAsk(instance.ID, holding.First, layout.Revision) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just said that it does not hold it", current.key)
 	}
 	if !g.balancer.TryBegin(g.clock.Now(), instance, keyedLimit(instance.Slots)) {
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -141,7 +141,7 @@
 	}
 	d.settle()
 	if !beat.Draining {
-		d.relieve(beat.Instance)
+		d.offload(beat.Instance)
 	}
 	d.grant(beat.Instance)
 	d.join(beat.Instance)
@@ -174,7 +174,7 @@
 		draft.found()
 		draft.passOnEnded()
 		draft.settle()
-		draft.relieveReachable()
+		draft.offloadReachable()
 	}
 }
 
--- a/internal/heartbeat/poll.go
+++ b/internal/heartbeat/poll.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// relieveReachable begins to move keys away from busy instances whose answers wait.
-func (d *draft) relieveReachable() {
+// offloadReachable begins to move keys away from busy instances whose answers wait.
+func (d *draft) offloadReachable() {
 	for _, each := range d.candidates {
 		if d.core.reachable(d.now, each.id) {
-			d.relieve(each.id)
+			d.offload(each.id)
 		}
 	}
 }
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -74,15 +74,15 @@
 	return target
 }
 
-// relieve begins to move keys away from an instance, whose heartbeat has just come,
+// offload begins to move keys away from an instance, whose heartbeat has just come,
 // if the demand for its keys is much above that of others.
-func (d *draft) relieve(id directory.InstanceID) {
+func (d *draft) offload(id directory.InstanceID) {
 	source := d.candidate(id)
 	if source == nil || d.moving() >= d.core.mostMoves(len(d.candidates)) || d.movingFrom(id) {
 		return
 	}
 	d.measure()
-	d.welcome(source)
+	d.seedNewcomer(source)
 	if d.timeInSlots(source)*source.surely < d.core.busyFrom(d.now, d.layout.Service, d.view) {
 		return
 	}
@@ -107,10 +107,10 @@
 	return min(max(busyEnough, aboveMean*mean), overloaded)
 }
 
-// welcome begins to move a part of the source's keys to an instance that holds none, so
+// seedNewcomer begins to move a part of the source's keys to an instance that holds none, so
 // that one which joined serves as well, and its speed gets known. Those with more
 // demand than most give first.
-func (d *draft) welcome(source *candidate) {
+func (d *draft) seedNewcomer(source *candidate) {
 	total := 0.0
 	var newcomer *candidate
 	for _, each := range d.candidates {
@@ -128,7 +128,7 @@
 
 // targets returns the instances that are to take over keys of a source, and the
 // share of their slots that is then in use at each of them and at the source: as few
-// as bring the source below the share from which on it is relieved.
+// as bring the source below the share from which on it is offloaded.
 func (d *draft) targets(source *candidate) ([]*candidate, float64) {
 	var chosen []*candidate
 	used := d.utilisation(source)
