Zones are evacuated, cold instances limited over the fleet, strangers wait

Change: a zone is evacuated and restored by intent (plan, confirm, CLI) or by the platform's call, replicated in the directory; keys leave like those of draining instances, gateways leave its instances one by one and holders before the limit; servers of the own path follow. Cold instances are told in the directory; each gateway admits an equal share of a rate that keeps the sum over the fleet five deviations below the bound (package warmup; the number of gateways is counted by the leader). Cold instances get keys last. An unknown instance at an address where another was heard of late takes it over only after half a second without a heartbeat of the other.

Weighed for cold servers: rates handed out by the leader for each gateway and server (state and messages grow by their product), a few gateways by rendezvous hashing (needs equal lists: with two lists twice the rate), the equal share (needs only the number). Kept: the equal share.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -264,6 +264,15 @@
 	return true
 }
 
+// Release takes back that a request counts as in flight to an instance, since it was not
+// sent.
+func (b *Balancer) Release(id directory.InstanceID) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known := b.load(id)
+	known.inFlight = max(known.inFlight-1, 0)
+}
+
 // Outcome is how one request to an instance ended.
 type Outcome struct {
 	Now      time.Duration
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -30,10 +30,15 @@
 		newMergeShardsCommand(program, flags),
 	)
 	program.addClientFlags(command)
+	addPlanFlags(command, flags)
+	return command
+}
+
+// addPlanFlags adds the flags that all kinds of intent share.
+func addPlanFlags(command *cobra.Command, flags *planFlags) {
 	addOperatorFlag(command, &flags.operator)
 	command.PersistentFlags().StringVar(&flags.intentID, "intent-id", "",
 		"identifier of the intent; a resend with the same one gets the first answer (default a new UUID)")
-	return command
 }
 
 func newCreateServiceCommand(program *program, flags *planFlags) *cobra.Command {
--- a/internal/cli/planview.go
+++ b/internal/cli/planview.go
@@ -77,6 +77,9 @@
 		return []string{"observe ranges", string(observe.Service), fmt.Sprintf("%d ranges", len(observe.Ranges))}
 	case operation.ChangeMode != nil:
 		return []string{"change mode", string(operation.ChangeMode.Service), string(operation.ChangeMode.Mode)}
+	case operation.PutZone != nil:
+		zone := operation.PutZone
+		return []string{"put zone", zone.Name, map[bool]string{true: "evacuated", false: "in service"}[zone.Evacuated]}
 	case operation.MergeShards != nil:
 		merge := operation.MergeShards
 		return []string{"merge shards", fmt.Sprintf("shard %d", merge.First.Shard), fmt.Sprintf("with shard %d on %s", merge.Second.Shard, merge.Owner)}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -68,6 +68,7 @@
 		newConfigCommand(program),
 		newPlanCommand(program),
 		newConfirmCommand(program),
+		newZoneCommand(program),
 		newStatusCommand(program),
 		newGetCommand(program),
 		newMemberCommand(program),
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -20,6 +20,7 @@
 	Name             string           `koanf:"name" validate:"name" doc:"Name of this replica, one of the names in controllers."`
 	ClusterName      string           `koanf:"cluster_name" validate:"name" doc:"Name of the cluster, for people; the same on each process."`
 	Zone             string           `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
+	Zones            []string         `koanf:"zones" validate:"max=1024,dive,name" doc:"Zones of the deployment, by which an order about a zone that does not exist is found out; empty if only zones in which instances have announced themselves are known."`
 	DataDirectory    string           `koanf:"data_directory" validate:"required" doc:"Folder of the log, the snapshots and the replica's identity."`
 	PeerAddress      string           `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other controllers and routers."`
 	APIAddress       string           `koanf:"api_address" validate:"address" doc:"IP:port of the intent API, the health checks and the metrics."`
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -23,6 +23,8 @@
 	StopTimeout      time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
 	StopNotice       time.Duration `koanf:"stop_notice" validate:"min=0s,max=10m" doc:"How long new connections are still accepted once a stop began, until the platform has noticed it."`
 	DrainTime        time.Duration `koanf:"drain_time" validate:"min=0s,max=10m" doc:"How long a draining instance still gets requests for keys that it holds."`
+	EvacuationLimit  time.Duration `koanf:"evacuation_limit" validate:"min=0s,max=10m" doc:"Longest time after the order to evacuate a zone in which its instances still get requests."`
+	WarmUp           WarmUp        `koanf:"warm_up" doc:"Requests to cold instances."`
 	MaxTimeout       time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest time that a request is held, also when neither caller nor route give one."`
 	MaxConnections   int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
 	RetryRatio       float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
@@ -33,6 +35,13 @@
 	Log              Log           `koanf:"log" doc:"Log lines."`
 }
 
+// WarmUp bounds the requests that a cold instance may get in a second from all gateways
+// together, beyond what its service says that it carries.
+type WarmUp struct {
+	Overrun float64 `koanf:"overrun" validate:"min=0,max=100" doc:"Factor on the requests that a cold instance carries in a second."`
+	Slack   float64 `koanf:"slack" validate:"min=0,max=100000" doc:"Requests a second beyond that."`
+}
+
 // DefaultGateway returns the settings that hold where a file says nothing. Fields
 // without a default are empty.
 func DefaultGateway() Gateway {
@@ -49,7 +58,10 @@
 		StopNotice:     2500 * time.Millisecond,
 		DrainTime:      1200 * time.Millisecond,
 		MaxTimeout:     time.Minute,
-		MaxConnections: 2048,
+
+		EvacuationLimit: 5 * time.Second,
+		WarmUp:          WarmUp{Overrun: 1},
+		MaxConnections:  2048,
 
 		CollectorPercent: defaultCollectorPercent,
 		RetryRatio:       0.18,
--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -22,6 +22,8 @@
 	a.app.Post(directoryapi.PathReadItems, a.toLeader(a.readItems))
 	a.app.Post(directoryapi.PathHeartbeat, a.toLeader(a.heartbeat))
 	a.app.Post(directoryapi.PathLeave, a.toLeader(a.leave))
+	a.app.Post(directoryapi.PathEvacuate, a.toLeader(a.changeZone(true)))
+	a.app.Post(directoryapi.PathRestore, a.toLeader(a.changeZone(false)))
 }
 
 // toLeader answers a call here if this replica leads, and names the leader else.
@@ -92,6 +94,10 @@
 	if err := json.Unmarshal(call.Body(), &body); err != nil {
 		return fault.Newf(fault.InvalidArgument, "body: %v: see docs/BACKEND.md for the fields", err)
 	}
+	if !body.WarmUpInBounds() {
+		telemetry.With(a.replica.log, telemetry.EventCallRefused).WithField(telemetry.FieldServer, instanceOf(call)).
+			WithField("warm_up_left_ms", body.WarmUpLeftMs).Warn("warm_up_left_ms of a heartbeat is out of bounds and was limited")
+	}
 	beat, err := body.Beat(instanceOf(call))
 	if err != nil {
 		a.logRefusal(call, err)
@@ -127,6 +133,31 @@
 	return call.JSON(struct{}{})
 }
 
+// changeZone evacuates or restores a zone. It is answered once a quorum holds the order,
+// which takes the place of any earlier one for the zone.
+func (a *api) changeZone(evacuated bool) fiber.Handler {
+	return func(call fiber.Ctx) error {
+		ctx, cancel := a.directoryContext(call)
+		defer cancel()
+		if _, err := a.security.authorize(call, config.RightConfirm, ""); err != nil {
+			return err
+		}
+		zone := directory.Zone{Name: strings.Clone(call.Params("zone")), Evacuated: evacuated}
+		err := a.requireCurrent(ctx)
+		if err == nil {
+			a.replica.view(func(view *state.State) { err = view.Directory().CheckZone(zone, a.replica.settings.Zones) })
+		}
+		if err == nil {
+			_, err = a.replica.Propose(ctx, state.Command{Directory: &directory.Command{Zone: &zone}})
+		}
+		if err != nil {
+			a.logRefusal(call, err)
+			return err
+		}
+		return call.JSON(struct{}{})
+	}
+}
+
 // directory answers what the directory holds, for people.
 func (a *api) directory(call fiber.Ctx) error {
 	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Directory().Since(0)) })
--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -199,7 +199,10 @@
 }
 
 // takeDemand takes a gateway's counts of requests while this replica leads.
-func takeDemand(ctx context.Context, r *replica, connection *wire.Conn) error {
+func takeDemand(ctx context.Context, r *replica, connection *wire.Conn, gateway string) error {
+	if leadership, leads := r.leadershipContext(); leads {
+		r.heartbeats.count(leadership, gateway, message.DemandReport{})
+	}
 	for ctx.Err() == nil {
 		var report message.DemandReport
 		if err := connection.Receive(&report); err != nil {
@@ -209,7 +212,7 @@
 		if !leads {
 			return errNotLeading
 		}
-		r.heartbeats.count(leadership, report)
+		r.heartbeats.count(leadership, gateway, report)
 	}
 	return ctx.Err()
 }
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -212,6 +213,11 @@
 	}
 	if !k.renew(leadership, beat) {
 		err := k.change(ctx, leadership, func(batch *heartbeat.Batch) error { return batch.Receive(beat) })
+		if errors.Is(err, heartbeat.ErrProvisional) && !beat.Draining {
+			telemetry.With(k.replica.log, telemetry.EventDirectoryChanged).WithField(telemetry.FieldServer, beat.Instance).
+				WithField(telemetry.FieldAddress, beat.Address).Info("unknown instance waits for its next heartbeat: another one was heard at its address")
+			return heartbeat.Grant{}, nil
+		}
 		if err != nil {
 			return heartbeat.Grant{}, err
 		}
@@ -288,14 +294,15 @@
 	return grant, nil
 }
 
-// count takes a gateway's counts of requests.
-func (k *heartbeatKeeper) count(leadership context.Context, report message.DemandReport) {
+// count takes the counts of requests of a gateway, by its name.
+func (k *heartbeatKeeper) count(leadership context.Context, gateway string, report message.DemandReport) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if leadership.Err() != nil {
 		return
 	}
 	k.follow(leadership)
+	k.core.HearGateway(k.replica.clock.Now(), gateway)
 	for _, service := range report.Services {
 		k.core.Count(k.replica.clock.Now(), service)
 	}
@@ -346,6 +353,10 @@
 			line = line.WithField("holdings", holdingLines(changed))
 		}
 		line.Info("key assignments changed")
+	case command.Zone != nil:
+		line.WithField("zone", command.Zone.Name).WithField("evacuated", command.Zone.Evacuated).Info("zone changed")
+	case command.Gateways > 0:
+		line.WithField(telemetry.FieldCount, command.Gateways).Info("gateways counted")
 	case command.Times != nil:
 		line.WithField(telemetry.FieldCount, len(command.Times)).WithField("service_times", timeLines(command.Times)).Info("service times measured anew")
 	default:
--- a/internal/controller/news.go
+++ b/internal/controller/news.go
@@ -54,6 +54,10 @@
 			n.wake(holding.Owner)
 		}
 	}
+	if command.Zone != nil {
+		// The instances of the zone are to let their keys go.
+		n.wakeAll()
+	}
 	if command.Patch != nil {
 		// A service may have changed its way.
 		n.wakeAll()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -265,7 +265,7 @@
 	case message.PurposeDirectory:
 		return serveDirectory(ctx, n.replica, connection)
 	case message.PurposeDemand:
-		return takeDemand(ctx, n.replica, connection)
+		return takeDemand(ctx, n.replica, connection, hello.From)
 	case message.PurposeTable:
 		return serveTable(ctx, n.replica, n.replica.cluster, connection)
 	default:
--- a/internal/coordinator/assign.go
+++ b/internal/coordinator/assign.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	return slices.ContainsFunc(view.ServersOf(service), func(server state.Server) bool {
-		return server.Intent == state.ServerActive && !server.Leaving && !server.Session.Open
+		return server.Intent == state.ServerActive && !server.Withdrawn() && !server.Session.Open
 	})
 }
 
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -15,7 +15,7 @@
 	if known.open {
 		known.openedAs = server.Session.Number
 	}
-	known.withdrawn = !gone && (server.Leaving || server.Intent != state.ServerActive)
+	known.withdrawn = !gone && (server.Withdrawn() || server.Intent != state.ServerActive)
 	c.noteLeaving(known)
 }
 
--- a/internal/coordinator/shards.go
+++ b/internal/coordinator/shards.go
@@ -87,7 +87,7 @@
 
 // leaves reports whether a server is to give up its shards.
 func leaves(server state.Server, known *contact) bool {
-	return server.Leaving || server.Intent != state.ServerActive || known.draining
+	return server.Withdrawn() || server.Intent != state.ServerActive || known.draining
 }
 
 func (c *Coordinator) finishRetirements(view *state.State, actions *Actions) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -22,6 +22,10 @@
 	// lists are replaced and never changed.
 	byAddress map[string][]InstanceID
 	layouts   map[string]*Layout
+	// zones are those that were evacuated at some time, by name.
+	zones map[string]*Zone
+	// fleet is how many gateways share the instances, zero while it is not known.
+	fleet Fleet
 }
 
 // New returns an empty directory.
@@ -32,6 +36,7 @@
 		instances: make(map[InstanceID]*Instance),
 		byAddress: make(map[string][]InstanceID),
 		layouts:   make(map[string]*Layout),
+		zones:     make(map[string]*Zone),
 	}
 }
 
@@ -42,6 +47,10 @@
 	Layout    *PutLayout `msgpack:"l,omitempty"`
 	// Times are service times that were measured anew.
 	Times []InstanceTime `msgpack:"t,omitempty"`
+	// Zone is evacuated or restored.
+	Zone *Zone `msgpack:"z,omitempty"`
+	// Gateways is how many of them share the instances.
+	Gateways int `msgpack:"g,omitempty"`
 	// Batch has commands that are applied in their order, each as if it stood alone.
 	Batch []Command `msgpack:"b,omitempty"`
 }
@@ -67,6 +76,11 @@
 	case command.Times != nil:
 		d.applyTimes(revision, command.Times)
 		return nil
+	case command.Zone != nil:
+		return d.applyZone(revision, *command.Zone)
+	case command.Gateways > 0:
+		d.applyGateways(revision, command.Gateways)
+		return nil
 	default:
 		d.applyInstances(revision, command.Instances)
 		return nil
@@ -98,6 +112,8 @@
 		byAddress:     maps.Clone(d.byAddress),
 		ordered:       slices.Clone(d.ordered),
 		layouts:       maps.Clone(d.layouts),
+		zones:         maps.Clone(d.zones),
+		fleet:         d.fleet,
 	}
 }
 
@@ -110,6 +126,8 @@
 	Instances []Instance `msgpack:"n,omitempty"`
 	// Layouts have only the holdings that changed.
 	Layouts []Layout `msgpack:"l,omitempty"`
+	Zones   []Zone   `msgpack:"z,omitempty"`
+	Fleet   *Fleet   `msgpack:"g,omitempty"`
 }
 
 // Since returns what changed after a revision; zero gives everything.
@@ -129,6 +147,15 @@
 		}
 	}
 	slices.SortFunc(changes.Layouts, func(a, b Layout) int { return cmp.Compare(a.Service, b.Service) })
+	for _, zone := range d.Zones() {
+		if zone.Revision > after {
+			changes.Zones = append(changes.Zones, zone)
+		}
+	}
+	if d.fleet.Revision > after {
+		fleet := d.fleet
+		changes.Fleet = &fleet
+	}
 	return changes
 }
 
@@ -151,6 +178,14 @@
 			d.layouts[layout.Service] = &layout
 		}
 	}
+	for _, zone := range changes.Zones {
+		if held, found := d.zones[zone.Name]; !found || zone.Revision > held.Revision {
+			d.zones[zone.Name] = &zone
+		}
+	}
+	if changes.Fleet != nil && changes.Fleet.Revision > d.fleet.Revision {
+		d.fleet = *changes.Fleet
+	}
 	d.revision = max(d.revision, changes.To)
 	d.forgetGone()
 }
--- a/internal/directory/instance.go
+++ b/internal/directory/instance.go
@@ -41,7 +41,12 @@
 	// left out, as all gateways together measured it; zero while it is not known to
 	// differ from that of other instances of its service.
 	ServiceTime time.Duration `msgpack:"w,omitempty"`
-	Revision    Revision      `msgpack:"r"`
+	// WarmUp is how much longer the instance was cold when that became known, at the
+	// revision ColdSince; zero for an instance that is warm. A cold instance carries few
+	// requests, see Service.
+	WarmUp    time.Duration `msgpack:"c,omitempty"`
+	ColdSince Revision      `msgpack:"v,omitempty"`
+	Revision  Revision      `msgpack:"r"`
 }
 
 // Same reports whether two readings of an instance differ in nothing but when they
@@ -66,6 +71,9 @@
 		if held, found := d.instances[instance.ID]; found && held.State == InstanceGone {
 			continue
 		}
+		if instance.WarmUp > 0 && instance.ColdSince == 0 {
+			instance.ColdSince = revision
+		}
 		d.putInstance(revision, instance)
 		if instance.State != InstanceGone {
 			d.replaceAtAddress(revision, instance)
--- a/internal/directory/item.go
+++ b/internal/directory/item.go
@@ -1,6 +1,9 @@
 package directory
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Revision is the log index of the command that made a change.
 type Revision uint64
@@ -98,7 +101,21 @@
 	Keyed bool `json:"keyed" msgpack:"k"`
 	// WarmSeconds is how long keys without their last holder's handover are slow.
 	WarmSeconds float64 `json:"warm_seconds" msgpack:"w"`
-	Version     uint64  `json:"version" msgpack:"v"`
+	// WarmUpSeconds is how long an instance is cold after its start, and
+	// WarmUpPerSecond how many requests a second it carries meanwhile; zero for no
+	// bound.
+	WarmUpSeconds   float64 `json:"warm_up_seconds" msgpack:"u"`
+	WarmUpPerSecond float64 `json:"warm_up_per_second" msgpack:"p"`
+	Version         uint64  `json:"version" msgpack:"v"`
+}
+
+// LimitsCold reports whether instances of the service carry fewer requests while they
+// are cold.
+func (s Service) LimitsCold() bool { return s.WarmUpPerSecond > 0 }
+
+// WarmUpTime is how long an instance is cold after its start.
+func (s Service) WarmUpTime() time.Duration {
+	return time.Duration(s.WarmUpSeconds * float64(time.Second))
 }
 
 // Limits bound what a caller may send.
--- a/internal/directoryapi/types.go
+++ b/internal/directoryapi/types.go
@@ -21,6 +21,10 @@
 	PathReadItems = "/v1/items/read"
 	// PathHeartbeat takes a Heartbeat and answers an Answer.
 	PathHeartbeat = "/v1/instances/:id/heartbeat"
+	// PathEvacuate asks that the instances of a zone get no requests, and PathRestore
+	// takes that back. Neither has a body, and both may be sent again.
+	PathEvacuate = "/v1/zones/:zone/evacuate"
+	PathRestore  = "/v1/zones/:zone/restore"
 	// PathLeave says that an instance leaves for good.
 	PathLeave = "/v1/instances/:id/leave"
 )
@@ -96,7 +100,7 @@
 	}
 	beat := heartbeat.Beat{
 		Instance: id, Service: h.Service, Address: h.Address, Zone: h.Zone, Slots: h.Slots,
-		Draining: h.State == StateDraining, WarmUp: time.Duration(h.WarmUpLeftMs * float64(time.Millisecond)), Sequence: h.Sequence,
+		Draining: h.State == StateDraining, WarmUp: h.warmUp(), Sequence: h.Sequence,
 	}
 	for _, row := range h.Holdings {
 		beat.Held = append(beat.Held, heartbeat.Held(row))
@@ -107,6 +111,19 @@
 	return beat, nil
 }
 
+// longestWarmUpMs bounds the time for which an instance may say that it is slow.
+const longestWarmUpMs = 60_000
+
+// WarmUpInBounds reports whether the time that the instance is still slow makes sense.
+func (h Heartbeat) WarmUpInBounds() bool {
+	return h.WarmUpLeftMs >= 0 && h.WarmUpLeftMs <= longestWarmUpMs
+}
+
+// warmUp returns the time that the instance is still slow, within bounds.
+func (h Heartbeat) warmUp() time.Duration {
+	return time.Duration(min(max(h.WarmUpLeftMs, 0), longestWarmUpMs) * float64(time.Millisecond))
+}
+
 // Answer is the answer to a heartbeat.
 type Answer struct {
 	// HeartbeatAddress takes the instance's later heartbeats.
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -42,7 +42,7 @@
 func inService(servers []*state.Server, observed bool) []*state.Server {
 	present := make([]*state.Server, 0, len(servers))
 	for _, server := range servers {
-		if server.Intent == state.ServerActive && (server.Session.Open || observed) && !server.Leaving {
+		if server.Intent == state.ServerActive && (server.Session.Open || observed) && !server.Withdrawn() {
 			present = append(present, server)
 		}
 	}
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -166,7 +166,7 @@
 		return found && shard.ID == e.decision.Shard && shard.Epoch == e.decision.Epoch && shard.Phase == state.ShardOwned
 	}
 	server, found := reading.Table.Server(e.decision.Server.ID)
-	return found && server.Session == e.decision.Server.Session && !server.Leaving &&
+	return found && server.Session == e.decision.Server.Session && !server.Withdrawn() &&
 		server.Intent == state.ServerActive && !e.core.options.Health.Draining(server)
 }
 
--- /dev/null
+++ b/internal/gateway/coldstart.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/warmup"
+)
+
+// coldStarts limits the requests of this gateway to cold instances. It is safe for
+// concurrent use.
+type coldStarts struct {
+	mutex   sync.Mutex
+	limiter *warmup.Limiter
+}
+
+func newColdStarts(bounds warmup.Bounds) *coldStarts {
+	return &coldStarts{limiter: warmup.NewLimiter(bounds)}
+}
+
+// note takes a new table.
+func (c *coldStarts) note(now time.Duration, table *routing.Table, known func(directory.InstanceID) bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, name := range table.Services() {
+		service, _ := table.Service(name)
+		if !service.Config.LimitsCold() {
+			continue
+		}
+		for _, instance := range service.Instances {
+			c.limiter.Note(now, instance, service.Config, table.Gateways, rand.Float64())
+		}
+	}
+	c.limiter.Forget(known)
+}
+
+// allows reports whether an instance may get a request now.
+func (c *coldStarts) allows(now time.Duration, id directory.InstanceID) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.limiter.Allows(now, id)
+}
+
+// take reports whether an instance may get a request now, and counts it.
+func (c *coldStarts) take(now time.Duration, id directory.InstanceID) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.limiter.Take(now, id)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/warmup"
 )
 
 const role = "gateway"
@@ -36,6 +37,8 @@
 	upstreams    *upstreams
 	drains       *drains
 	rejections   *rejections
+	evacuations  *evacuations
+	coldStarts   *coldStarts
 	callers      *callers
 	demand       *demandCounter
 	registry     *telemetry.Metrics
@@ -91,6 +94,8 @@
 		upstreams:    newUpstreams(settings.BackEnd, dialect),
 		drains:       newDrains(settings.DrainTime),
 		rejections:   newRejections(),
+		evacuations:  newEvacuations(settings.EvacuationLimit),
+		coldStarts:   newColdStarts(warmup.Bounds{Overrun: settings.WarmUp.Overrun, Slack: settings.WarmUp.Slack}),
 		callers:      newCallers(),
 		registry:     telemetry.NewMetrics(role),
 		slots:        broadcast.New(),
@@ -105,6 +110,7 @@
 // tableChanged brings what is kept by instance in line with a new table.
 func (g *Gateway) tableChanged(table *routing.Table) {
 	g.drains.note(table)
+	g.evacuations.note(table)
 	present := make(map[directory.InstanceID]bool)
 	for _, name := range table.Services() {
 		service, _ := table.Service(name)
@@ -113,6 +119,7 @@
 		}
 	}
 	known := func(id directory.InstanceID) bool { return present[id] }
+	g.coldStarts.note(g.clock.Now(), table, known)
 	g.balancer.Forget(known)
 	g.upstreams.forget(known)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -241,26 +241,42 @@
 	if current.keyed {
 		return g.chooseOwner(current, service.Layout, service.Instance)
 	}
-	candidates := make([]directory.Instance, 0, len(service.Instances))
-	for _, instance := range service.Instances {
-		if instance.Serving() && !slices.Contains(current.attempts, instance.ID) {
-			candidates = append(candidates, instance)
-		}
-	}
+	now := g.clock.Now()
+	candidates := g.candidates(now, current, service.Instances)
 	if len(candidates) == 0 {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "no instance of service %q is left to send to", current.service)
 	}
 	instance, chosen := g.balancer.Choose(balance.Request{
-		Now: g.clock.Now(), Service: current.service, Instances: candidates, Limit: inFlightLimit,
+		Now: now, Service: current.service, Instances: candidates, Limit: inFlightLimit,
 		Random: [2]float64{rand.Float64(), rand.Float64()},
 	})
 	if !chosen {
 		current.candidates = g.balancer.Standings(g.clock.Now(), candidates)
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "each instance of service %q has as many requests as it may", current.service)
 	}
+	if !g.coldStarts.take(now, instance.ID) {
+		// Another request took the turn meanwhile; this one looks again.
+		g.balancer.Release(instance.ID)
+		return directory.Instance{}, fault.Newf(fault.QueueFull, "instance %s is cold and gets no more requests now", instance.ID)
+	}
 	return instance, nil
 }
 
+// candidates returns the instances that a request may be sent to.
+func (g *Gateway) candidates(now time.Duration, current *request, instances []directory.Instance) []directory.Instance {
+	candidates := make([]directory.Instance, 0, len(instances))
+	for _, instance := range instances {
+		if !instance.Serving() || slices.Contains(current.attempts, instance.ID) {
+			continue
+		}
+		if g.evacuations.left(instance) || !g.coldStarts.allows(now, instance.ID) {
+			continue
+		}
+		candidates = append(candidates, instance)
+	}
+	return candidates
+}
+
 // inFlightLimit bounds the requests in flight from this gateway to an instance.
 func inFlightLimit(slots int) int { return max(slots, 1) }
 
@@ -277,6 +293,9 @@
 	if !found || instance.State == directory.InstanceDraining && !g.drains.mayServe(instance) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d leaves", current.key)
 	}
+	if g.evacuations.leftByHolder(instance) {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "the zone of the holder of key %d is evacuated", current.key)
+	}
 	current.rangeFirst, current.layoutRevision = holding.First, layout.Revision
 	if !g.rejections.mayAsk(instance.ID, holding.First, layout.Revision) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just said that it does not hold it", current.key)
@@ -285,5 +304,9 @@
 		current.candidates = g.balancer.Standings(g.clock.Now(), []directory.Instance{instance})
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "the holder of key %d has as many requests as it may", current.key)
 	}
+	if !g.coldStarts.take(g.clock.Now(), instance.ID) {
+		g.balancer.Release(instance.ID)
+		return directory.Instance{}, fault.Newf(fault.QueueFull, "the holder of key %d is cold and gets no more requests now", current.key)
+	}
 	return instance, nil
 }
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -18,6 +18,8 @@
 	order     []*draft
 	instances []directory.Instance
 	times     []directory.InstanceTime
+	// gateways is the number of gateways if it is to be published, else zero.
+	gateways int
 }
 
 // Batch begins a batch of decisions at a time.
@@ -35,6 +37,9 @@
 	if len(b.times) > 0 {
 		commands = append(commands, directory.Command{Times: b.times})
 	}
+	if b.gateways > 0 {
+		commands = append(commands, directory.Command{Gateways: b.gateways})
+	}
 	for _, draft := range b.order {
 		draft.tellReachable()
 		commands = append(commands, draft.commands()...)
@@ -64,13 +69,17 @@
 		return err
 	}
 	held, found := b.view.Instance(beat.Instance)
-	if err := b.core.checkGhost(b.now, beat, found, b.view); err != nil {
-		return err
+	if !found {
+		if err := b.core.checkStranger(b.now, beat, b.view); err != nil {
+			return err
+		}
 	}
 	// One that leaves does not come back: a heartbeat that says so was sent before.
 	beat.Draining = beat.Draining || held.State == directory.InstanceDraining
+	coldAgain := b.core.turnedCold(b.now, beat)
 	known := b.core.note(b.now, beat)
 	wanted := beat.instance(held)
+	b.core.noteWarmUp(&wanted, beat, coldAgain, b.view)
 	if !found || !held.Same(wanted) {
 		b.instances = append(b.instances, wanted)
 	}
@@ -95,6 +104,9 @@
 	if !met || !found || now > known.leaseEnd || !held.Same(beat.instance(held)) {
 		return false
 	}
+	if held.WarmUp > 0 || beat.WarmUp > 0 {
+		return false
+	}
 	service, found := view.Service(beat.Service)
 	if !found || c.check(now, beat, view) != nil {
 		return false
@@ -136,8 +148,10 @@
 	if known.inSequence {
 		d.release(beat)
 	}
-	if beat.Draining {
+	if beat.Draining || d.view.Evacuated(beat.Zone) {
 		d.drain(beat.Instance, known.drains(d.now))
+	} else {
+		known.drainsSince = 0
 	}
 	d.settle()
 	if !beat.Draining {
@@ -166,6 +180,7 @@
 func (b *Batch) Tick() {
 	b.silent()
 	b.publishTimes()
+	b.publishGateways()
 	for _, service := range b.view.KeyedServices() {
 		if _, drafted := b.drafts[service.Name]; !drafted && !b.due(service.Name) {
 			continue
@@ -173,6 +188,7 @@
 		draft := b.draft(service.Name)
 		draft.found()
 		draft.passOnEnded()
+		draft.drainEvacuated()
 		draft.settle()
 		draft.offloadReachable()
 	}
@@ -186,7 +202,7 @@
 		return true
 	}
 	for owner := range index.owned {
-		if b.core.ended(b.now, owner, b.view) {
+		if b.core.ended(b.now, owner, b.view) || b.core.leavesZone(owner, index, b.view) {
 			return true
 		}
 	}
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -26,13 +26,16 @@
 	newcomers map[string]map[directory.InstanceID]time.Duration
 	// reservedUntil is until when each instance that is to get a hot key gets no others.
 	reservedUntil map[directory.InstanceID]time.Duration
-	// strangers are instances that were not taken at their first heartbeat, with its
-	// sequence.
-	strangers map[directory.InstanceID]uint64
+	// strangers are instances that were not taken at their first heartbeat.
+	strangers map[directory.InstanceID]stranger
 	// targets are the instances that are to get keys which are being moved.
 	targets map[targetKey]directory.InstanceID
 	// publishedAt is when service times were looked at last.
 	publishedAt time.Duration
+	// gateways are when each gateway was heard of last, by name.
+	gateways map[string]time.Duration
+	// countedAt is when their number was published last.
+	countedAt time.Duration
 }
 
 // New returns a core. Lead must be called before it is used.
@@ -51,9 +54,11 @@
 	c.demands = make(map[string]*demand)
 	c.indexes = make(map[string]*index)
 	c.reservedUntil = make(map[directory.InstanceID]time.Duration)
-	c.strangers = make(map[directory.InstanceID]uint64)
+	c.strangers = make(map[directory.InstanceID]stranger)
 	c.newcomers = make(map[string]map[directory.InstanceID]time.Duration)
 	c.targets = make(map[targetKey]directory.InstanceID)
+	c.gateways = make(map[string]time.Duration)
+	c.countedAt = 0
 }
 
 // leaseEnd returns when the last lease of an instance has surely ended.
@@ -87,7 +92,10 @@
 	if b.Draining {
 		state = directory.InstanceDraining
 	}
-	return directory.Instance{ID: b.Instance, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: b.Slots, State: state, ServiceTime: held.ServiceTime}
+	return directory.Instance{
+		ID: b.Instance, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: b.Slots, State: state,
+		ServiceTime: held.ServiceTime, WarmUp: held.WarmUp, ColdSince: held.ColdSince,
+	}
 }
 
 func (c *Core) check(now time.Duration, beat Beat, view *directory.Directory) error {
@@ -119,27 +127,6 @@
 	return nil
 }
 
-// checkGhost refuses the first heartbeat of an instance that nobody knows at an address
-// where another one was heard of late: it may have been sent long ago, by one that has
-// ended since. One that lives sends another.
-func (c *Core) checkGhost(now time.Duration, beat Beat, known bool, view *directory.Directory) error {
-	if known {
-		return nil
-	}
-	for other := range view.InstancesAt(beat.Address) {
-		heard, met := c.contacts[other.ID]
-		if other.State == directory.InstanceGone || !met || now-heard.beatAt > c.config.Lease {
-			continue
-		}
-		if c.strangers[beat.Instance] == 0 || beat.Sequence <= c.strangers[beat.Instance] {
-			c.strangers[beat.Instance] = beat.Sequence
-			return fault.Newf(fault.Unavailable, "address %s: instance %q was heard there of late: send another heartbeat", beat.Address, other.ID)
-		}
-	}
-	delete(c.strangers, beat.Instance)
-	return nil
-}
-
 // checkHeld refuses ranges that cross each other or have a fence that was never
 // given. One within another is sound: a row that was cut or joined is told as long as
 // work on it lasts, beside the one that took its place.
--- a/internal/heartbeat/index.go
+++ b/internal/heartbeat/index.go
@@ -63,7 +63,7 @@
 	if len(owned) == 0 {
 		return true
 	}
-	if beat.Draining || len(owned) > maxRows {
+	if beat.Draining || view.Evacuated(beat.Zone) || len(owned) > maxRows {
 		return false
 	}
 	revoked := false
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -51,7 +51,7 @@
 	d.layout = d.before
 	d.layout.Holdings = slices.Clone(d.before.Holdings)
 	for instance := range view.EachInstance() {
-		if instance.Service != service || instance.State != directory.InstanceReady || !c.lives(now, instance.ID) {
+		if instance.Service != service || instance.State != directory.InstanceReady || !c.lives(now, instance.ID) || view.Evacuated(instance.Zone) {
 			continue
 		}
 		added := &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: c.warm(now, instance.ID)}
@@ -263,13 +263,25 @@
 }
 
 // least returns the instance with the least demand for its slots and, where there
-// is none, the fewest keys.
+// is none, the fewest keys. A cold instance carries few requests, so that it gets keys
+// only while no warm one is there.
 func (d *draft) least() *candidate {
 	return slices.MinFunc(d.candidates, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(d.burden(a), d.burden(b)), cmp.Compare(a.id, b.id))
+		return cmp.Or(compareCold(a, b), cmp.Compare(d.burden(a), d.burden(b)), cmp.Compare(a.id, b.id))
 	})
 }
 
+func compareCold(a, b *candidate) int {
+	switch {
+	case a.warm == b.warm:
+		return 0
+	case a.warm:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // keysBurden is the share of the slots that all keys count for by their number, so
 // that keys without demand are spread as well.
 const keysBurden = 0.5
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -98,7 +98,8 @@
 	// answerableUntil is until when the answer to the newest heartbeat can still carry
 	// what is decided; zero once it was given.
 	answerableUntil time.Duration
-	// drainsSince is when the instance first said that it leaves; zero while it stays.
+	// drainsSince is when the instance first said that it leaves, or its zone was found
+	// evacuated; zero while it stays.
 	drainsSince time.Duration
 	// held is what the instance held at its last heartbeat.
 	held []Held
--- a/internal/planner/check.go
+++ b/internal/planner/check.go
@@ -69,6 +69,8 @@
 		{state.IntentRebalance, intent.Rebalance != nil},
 		{state.IntentSetMode, intent.SetMode != nil},
 		{state.IntentMergeShards, intent.MergeShards != nil},
+		{state.IntentEvacuateZone, intent.EvacuateZone != nil},
+		{state.IntentRestoreZone, intent.RestoreZone != nil},
 	}
 	for _, field := range present {
 		if field.set != (field.kind == intent.Kind) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -73,6 +74,10 @@
 		return d.setMode(*intent.SetMode)
 	case state.IntentMergeShards:
 		return d.mergeShards(*intent.MergeShards)
+	case state.IntentEvacuateZone:
+		return d.changeZone("evacuate_zone", directory.Zone{Name: intent.EvacuateZone.Zone, Evacuated: true})
+	case state.IntentRestoreZone:
+		return d.changeZone("restore_zone", directory.Zone{Name: intent.RestoreZone.Zone})
 	default:
 		return fault.Newf(fault.InvalidArgument, "kind: %q is unknown: see docs/OPERATIONS.md for the kinds", intent.Kind)
 	}
@@ -209,7 +214,7 @@
 }
 
 func takesShards(server state.Server) bool {
-	return server.Session.Open && server.Intent == state.ServerActive && !server.Leaving
+	return server.Session.Open && server.Intent == state.ServerActive && !server.Withdrawn()
 }
 
 func (d *draft) leastLoaded(service state.ServiceName, except state.ServerID) (state.Server, error) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,6 +24,10 @@
 type Table struct {
 	Revision directory.Revision
 	Limits   directory.Limits
+	// Evacuated are the zones that get no requests, by name.
+	Evacuated []string
+	// Gateways is how many of them share the instances, zero if that is not known.
+	Gateways int
 	// itemsRevision is the revision of the newest item.
 	itemsRevision directory.Revision
 	// hosts has the routes of each host, the longest prefix first.
@@ -41,7 +45,12 @@
 // Build returns the table of a directory. What did not change is taken over from an
 // earlier table of the same directory, which may be nil.
 func Build(view *directory.Directory, earlier *Table) *Table {
-	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service)}
+	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service), Gateways: view.Gateways()}
+	for _, zone := range view.Zones() {
+		if zone.Evacuated {
+			table.Evacuated = append(table.Evacuated, zone.Name)
+		}
+	}
 	if earlier != nil && earlier.itemsRevision == table.itemsRevision {
 		table.keepItems(earlier)
 	} else {
--- a/internal/state/apply_directory.go
+++ b/internal/state/apply_directory.go
@@ -14,6 +14,9 @@
 func (tx *transaction) changeDirectory(command directory.Command) Result {
 	err := tx.state.directory.Apply(directory.Revision(tx.revision), command)
 	if err == nil {
+		if command.Zone != nil {
+			tx.changeZone(*command.Zone)
+		}
 		return Result{}
 	}
 	var refused *fault.Error
@@ -22,3 +25,13 @@
 	}
 	return failure(fault.Internal, err.Error())
 }
+
+// changeZone marks the servers of a zone that was evacuated or restored.
+func (tx *transaction) changeZone(zone directory.Zone) {
+	for _, server := range tx.state.Servers() {
+		if server.Zone == zone.Name && server.Evacuated != zone.Evacuated {
+			server.Evacuated = zone.Evacuated
+			tx.putServer(server)
+		}
+	}
+}
--- a/internal/state/apply_plan.go
+++ b/internal/state/apply_plan.go
@@ -5,6 +5,7 @@
 	"math/bits"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
@@ -104,6 +105,10 @@
 		return tx.checkObserveRanges(operation.ObserveRanges, created)
 	case operation.ChangeMode != nil:
 		return tx.checkChangeMode(operation.ChangeMode)
+	case operation.PutZone != nil:
+		if tx.state.directory.Evacuated(operation.PutZone.Name) == operation.PutZone.Evacuated {
+			return stale("zone " + operation.PutZone.Name + " changed")
+		}
 	case operation.MergeShards != nil:
 		if problem := tx.mergeProblem(*operation.MergeShards); problem != "" {
 			return stale(problem)
@@ -170,6 +175,8 @@
 		tx.observeRanges(operation.ObserveRanges)
 	case operation.ChangeMode != nil:
 		tx.changeMode(operation.ChangeMode)
+	case operation.PutZone != nil:
+		tx.changeDirectory(directory.Command{Zone: operation.PutZone})
 	case operation.MergeShards != nil:
 		tx.merge(*operation.MergeShards)
 	}
@@ -182,6 +189,7 @@
 		planned.Session = current.Session
 		planned.Leaving = current.Leaving
 	}
+	planned.Evacuated = tx.state.directory.Evacuated(planned.Zone)
 	planned.ConfigRevision = tx.revision
 	tx.putServer(planned)
 }
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -1,6 +1,10 @@
 package state
 
-import "time"
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
 
 // IntentKind names what an operator asks for.
 type IntentKind string
@@ -15,6 +19,8 @@
 	IntentRebalance     IntentKind = "rebalance"
 	IntentSetMode       IntentKind = "set_mode"
 	IntentMergeShards   IntentKind = "merge_shards"
+	IntentEvacuateZone  IntentKind = "evacuate_zone"
+	IntentRestoreZone   IntentKind = "restore_zone"
 )
 
 // Intent is what an operator asks for. Exactly one of the pointer fields is
@@ -33,6 +39,8 @@
 	Rebalance     *Rebalance       `json:"rebalance,omitempty"`
 	SetMode       *SetMode         `json:"set_mode,omitempty"`
 	MergeShards   *MergeNeighbours `json:"merge_shards,omitempty" msgpack:",omitempty"`
+	EvacuateZone  *ZoneRequest     `json:"evacuate_zone,omitempty" msgpack:",omitempty"`
+	RestoreZone   *ZoneRequest     `json:"restore_zone,omitempty" msgpack:",omitempty"`
 }
 
 // ServiceSettings are the operator's settings of a service.
@@ -116,6 +124,12 @@
 	Second  ShardID     `json:"second"`
 }
 
+// ZoneRequest asks that the servers and instances of a zone get no requests and no keys,
+// or that they get them again.
+type ZoneRequest struct {
+	Zone string `json:"zone"`
+}
+
 // OwnershipMap is the ownership that a team's own scripts decided. Keys go
 // before Ranges, and both before Rest.
 type OwnershipMap struct {
@@ -154,14 +168,15 @@
 
 // Operation is one step of a plan; exactly one field is set.
 type Operation struct {
-	PutService    *Service       `json:"put_service,omitempty"`
-	PutServer     *Server        `json:"put_server,omitempty"`
-	CreateShards  *CreateShards  `json:"create_shards,omitempty"`
-	IsolateKey    *IsolateKey    `json:"isolate_key,omitempty"`
-	MoveShard     *MoveShard     `json:"move_shard,omitempty"`
-	ObserveRanges *ObserveRanges `json:"observe_ranges,omitempty"`
-	ChangeMode    *ChangeMode    `json:"change_mode,omitempty"`
-	MergeShards   *ShardMerge    `json:"merge_shards,omitempty" msgpack:",omitempty"`
+	PutService    *Service        `json:"put_service,omitempty"`
+	PutServer     *Server         `json:"put_server,omitempty"`
+	CreateShards  *CreateShards   `json:"create_shards,omitempty"`
+	IsolateKey    *IsolateKey     `json:"isolate_key,omitempty"`
+	MoveShard     *MoveShard      `json:"move_shard,omitempty"`
+	ObserveRanges *ObserveRanges  `json:"observe_ranges,omitempty"`
+	ChangeMode    *ChangeMode     `json:"change_mode,omitempty"`
+	MergeShards   *ShardMerge     `json:"merge_shards,omitempty" msgpack:",omitempty"`
+	PutZone       *directory.Zone `json:"put_zone,omitempty" msgpack:",omitempty"`
 }
 
 // CreateShards cuts a service's key space into Count equal ranges.
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -121,13 +121,19 @@
 	Connections int          `json:"connections"`
 	Intent      ServerIntent `json:"intent"`
 	// Leaving is true while the platform's list says that the machine leaves.
-	Leaving bool    `json:"leaving"`
-	Session Session `json:"session"`
+	Leaving bool `json:"leaving"`
+	// Evacuated is true while operators want nothing sent to the server's zone.
+	Evacuated bool    `json:"evacuated,omitempty" msgpack:",omitempty"`
+	Session   Session `json:"session"`
 	// ConfigRevision is the revision of the last change by an operator.
 	ConfigRevision Revision `json:"config_revision"`
 	Revision       Revision `json:"revision"`
 }
 
+// Withdrawn reports whether the server gets no new work though its operators did not retire
+// it: its machine leaves, or its zone is evacuated.
+func (s Server) Withdrawn() bool { return s.Leaving || s.Evacuated }
+
 // KeyRange is a contiguous range of the 64-bit hash of the key, both ends
 // included.
 type KeyRange struct {
