Gateways: requests are admitted by the room on the own link

Cause: a gateway's link of 2.3 Mbit/s carries 287 KB/s in each direction; 38 to 42 requests a second with answers of 5 KB take 66 % of it in the mean and more than all of it at some gateways, or in a burst of 1.6 times. The queue before the link then makes every answer late, and dials time out.

Change: package link models the queue from the bytes of admitted requests; a request that would wait there for more than 0.15 (least urgent) to 0.35 (most urgent) of its target is rejected at once and told to come back in 30 ms, to another gateway; no resend into a full link; the directory's bytes count. Setting link_megabits, from the machine's limits.

--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -28,6 +28,9 @@
 	QueueFull Kind = "queue_full"
 	// RateLimited: the service's admission limit was reached.
 	RateLimited Kind = "rate_limited"
+	// LinkCongested: the router's own network link is nearly full, so that the request was
+	// not taken on.
+	LinkCongested Kind = "link_congested"
 	// ConnectFailed: no connection was made, so nothing was written.
 	ConnectFailed Kind = "connect_failed"
 	// DeadlineBeforeStart: the deadline passed before execution began.
@@ -129,6 +132,7 @@
 	Draining:             {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
 	Shedding:             {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retryLater},
 	QueueFull:            {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retryLater},
+	LinkCongested:        {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
 	RateLimited:          {Status: 429, Outcome: NotRun, RetryAfter: retryLater},
 	ConnectFailed:        {Status: 502, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
 	DeadlineBeforeStart:  {Status: 504, Outcome: NotRun, RetryAfter: retrySoon},
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -47,11 +47,16 @@
 	// power, and other gateways have no directory either. A controller takes some 150 ms
 	// to start, and the directory of 700 instances 200 ms on a link of 2 Mbit/s.
 	retryOutage = 400 * time.Millisecond
+	// retryCongested lets a caller reach another gateway, whose link has room: soon, since
+	// its time runs from its first try.
+	retryCongested = 30 * time.Millisecond
 )
 
 // retryAfterOf returns when a caller is told to come back after a failure.
 func (g *Gateway) retryAfterOf(kind fault.Kind) time.Duration {
 	switch {
+	case kind == fault.LinkCongested:
+		return retryCongested
 	case kind != fault.StaleRouter:
 		return retryAfter
 	case g.subscription.reached.Load():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	rejections   *rejections
 	evacuations  *evacuations
 	coldStarts   *coldStarts
+	ownLink      *ownLink
 	callers      *callers
 	demand       *demandCounter
 	registry     *telemetry.Metrics
@@ -95,6 +96,7 @@
 		drains:       newDrains(settings.DrainTime),
 		rejections:   newRejections(),
 		evacuations:  newEvacuations(settings.EvacuationLimit),
+		ownLink:      newOwnLink(settings.LinkMegabits),
 		coldStarts:   newColdStarts(warmup.Bounds{Overrun: settings.WarmUp.Overrun, Slack: settings.WarmUp.Slack}),
 		callers:      newCallers(),
 		registry:     telemetry.NewMetrics(role),
@@ -104,6 +106,7 @@
 	gateway.metrics = newMetrics(gateway.registry)
 	gateway.demand = newDemandCounter(settings, gateway.subscription)
 	gateway.subscription.changed = gateway.tableChanged
+	gateway.subscription.received = func(bytes uint64) { gateway.ownLink.other(gateway.clock.Now(), bytes) }
 	return gateway, nil
 }
 
--- /dev/null
+++ b/internal/gateway/link.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/link"
+)
+
+// messageOverhead is what a request or an answer takes on a link beside its body, in bytes:
+// some 250 of headers, and 40 for each packet and its acknowledgement.
+const messageOverhead = 400
+
+// defaultTarget stands for the target latency of routes that name none.
+const defaultTarget = 500 * time.Millisecond
+
+// ownLink admits requests by the room on this machine's network link. It is safe for
+// concurrent use.
+type ownLink struct {
+	mutex     sync.Mutex
+	admission *link.Admission
+}
+
+func newOwnLink(megabits float64) *ownLink { return &ownLink{admission: link.NewAdmission(megabits)} }
+
+// linkRequest is what the admission of a request rests on.
+func (g *Gateway) linkRequest(current *request) link.Request {
+	target := current.target()
+	if target <= 0 {
+		target = defaultTarget
+	}
+	return link.Request{Now: g.clock.Now(), Route: current.route.Name, Target: target, Urgency: current.urgency}
+}
+
+// admit takes a request on, or returns why not.
+func (g *Gateway) admit(current *request) error {
+	g.ownLink.mutex.Lock()
+	defer g.ownLink.mutex.Unlock()
+	admission := g.ownLink.admission
+	reserved, admitted := admission.Admit(g.linkRequest(current))
+	if !admitted {
+		return fault.Newf(fault.LinkCongested, "answers wait %s before this gateway's link", admission.Delay(g.clock.Now()).Round(time.Millisecond))
+	}
+	current.reserved = reserved
+	return nil
+}
+
+// linkFull reports whether a request would wait too long before the link.
+func (g *Gateway) linkFull(current *request) bool {
+	g.ownLink.mutex.Lock()
+	defer g.ownLink.mutex.Unlock()
+	return g.ownLink.admission.Full(g.linkRequest(current))
+}
+
+// leaveLink corrects what was reserved for an admitted request by what it took.
+func (g *Gateway) leaveLink(current *request, served bool) {
+	took := float64(len(current.answer.Body()) + messageOverhead)
+	if len(current.attempts) > 0 {
+		took += float64(len(current.inbound.Body()) + messageOverhead)
+	}
+	g.ownLink.mutex.Lock()
+	defer g.ownLink.mutex.Unlock()
+	g.ownLink.admission.Done(g.clock.Now(), current.route.Name, current.reserved, took, served && current.answer.StatusCode() < fasthttp.StatusBadRequest)
+}
+
+// other counts bytes that passed the link for other reasons than requests.
+func (l *ownLink) other(now time.Duration, bytes uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.admission.Other(now, float64(bytes))
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,10 @@
 	// candidates are the instances that a refused request could not be sent to, with
 	// their loads, for the log.
 	candidates []balance.Standing
+	// urgency is the rank of its route's priority, from 0 for the least urgent to 1.
+	urgency float64
+	// reserved is the room that was reserved on the own link, in bytes.
+	reserved float64
 	// interrupt gives the attempt up when the caller leaves.
 	interrupt *forward.Interrupt
 	// revision is that of the table by which the request was routed.
@@ -77,6 +81,7 @@
 		return read, fault.Newf(fault.UnknownService, "no route for host %.100q and path %.100q", context.Request.Header.Host(), target)
 	}
 	read.route = route
+	read.urgency = table.Urgency(route.Priority)
 	if route.TimeoutMs > 0 {
 		read.bound(time.Duration(route.TimeoutMs * float64(time.Millisecond)))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -27,7 +27,7 @@
 			g.demand.arrived(current.service, current.key)
 		}
 		forget := g.callers.watch(context.Conn(), current.interrupt)
-		err = g.execute(current)
+		err = g.executeAdmitted(current)
 		forget()
 	}
 	failure := asFault(err)
@@ -42,6 +42,16 @@
 	g.observe(current, failure)
 }
 
+// executeAdmitted executes the request if the own link has room for it.
+func (g *Gateway) executeAdmitted(current *request) error {
+	if err := g.admit(current); err != nil {
+		return err
+	}
+	err := g.execute(current)
+	g.leaveLink(current, err == nil)
+	return err
+}
+
 // tableWait is the share of a caller's time for which its request waits for the first
 // directory: a request that is refused after more of it counts as held in vain.
 const tableWait = 0.08
@@ -94,6 +104,10 @@
 	if !retry.Allowed(failure.Kind, current.repeatable()) {
 		return false
 	}
+	if g.linkFull(current) {
+		// The attempt may have failed for that alone, and the next one would add to it.
+		return false
+	}
 	if failure.Kind == fault.Shedding && current.keyed {
 		// Only the holder may run it, and the holder is full.
 		return false
--- /dev/null
+++ b/internal/link/admission_test.go
@@ -0,0 +1,89 @@
+package link
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	megabits = 2.3
+	target   = 500 * time.Millisecond
+)
+
+// kind is a kind of request with its size in bytes and its share of the requests.
+type kind struct {
+	route   string
+	urgency float64
+	bytes   float64
+	share   float64
+}
+
+var kinds = []kind{{"reads", 0, 5800, 0.5}, {"orders", 1, 9800, 0.2}, {"payouts", 0.5, 2300, 0.3}}
+
+// play offers requests at a rate for some seconds to a link whose true queue is kept
+// aside, and returns the longest true delay and the share admitted of each route.
+func play(t *testing.T, admission *Admission, perSecond float64, trueMegabits float64) (time.Duration, map[string]float64) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(7, 7))
+	actual := NewQueue(trueMegabits)
+	offered, admitted := make(map[string]float64), make(map[string]float64)
+	longest := time.Duration(0)
+	for now := time.Duration(0); now < 20*time.Second; now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
+		drawn := random.Float64()
+		for _, each := range kinds {
+			if drawn -= each.share; drawn >= 0 {
+				continue
+			}
+			offered[each.route]++
+			reserved, taken := admission.Admit(Request{Now: now, Route: each.route, Target: target, Urgency: each.urgency})
+			if taken {
+				admitted[each.route]++
+				actual.Add(now, each.bytes)
+				admission.Done(now, each.route, reserved, each.bytes, true)
+			}
+			break
+		}
+		longest = max(longest, actual.Delay(now))
+	}
+	for route := range offered {
+		admitted[route] /= offered[route]
+	}
+	return longest, admitted
+}
+
+// TestQueueStaysShort: under more than the link carries nobody waits longer than the most
+// urgent request may, and less urgent requests are rejected first. All waited, for seconds.
+func TestQueueStaysShort(t *testing.T) {
+	longest, admitted := play(t, NewAdmission(megabits), 75, megabits)
+	if most := (Request{Target: target, Urgency: 1}).Limit() + 50*time.Millisecond; longest > most {
+		t.Errorf("a request waits %s, at most %s are allowed", longest, most)
+	}
+	if admitted["orders"] < 0.9 || admitted["reads"] > 0.8 || admitted["payouts"] < admitted["reads"] {
+		t.Errorf("admitted shares %v", admitted)
+	}
+	unbounded, _ := play(t, NewAdmission(0), 75, megabits)
+	if unbounded < 5*time.Second {
+		t.Errorf("without admission a request waits %s: the test does not fill the link", unbounded)
+	}
+}
+
+// TestCalmLinkAdmitsAll at half of what it carries.
+func TestCalmLinkAdmitsAll(t *testing.T) {
+	if _, admitted := play(t, NewAdmission(megabits), 25, megabits); admitted["reads"] < 0.97 || admitted["orders"] < 1 {
+		t.Errorf("admitted shares %v", admitted)
+	}
+}
+
+// TestReservationsAreCorrected: what was expected and did not come does not fill the link.
+func TestReservationsAreCorrected(t *testing.T) {
+	admission := NewAdmission(megabits)
+	request := Request{Route: "r", Target: target}
+	for range 1000 {
+		reserved, admitted := admission.Admit(request)
+		if !admitted {
+			t.Fatal("a request is rejected though none before it took any bytes")
+		}
+		admission.Done(0, "r", reserved, 0, false)
+	}
+}
