Gateways: unreachable holders are rejected at once, the directory is no queue

And each request to a holder without power waited for connections of its own, four times in a row.

Change: received bytes are not counted.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -284,6 +284,9 @@
 	Answered bool
 	// Failed is true if the instance was at fault.
 	Failed bool
+	// Unreachable is true if no connection to the instance could be made: it is ejected at
+	// once, since an attempt to connect costs a caller more than the choice of another.
+	Unreachable bool
 	// Gone is true if another instance answered at its address.
 	Gone bool
 	// Full is true if the instance refused the request for want of room.
@@ -317,7 +320,7 @@
 		return false
 	}
 	known.failures++
-	if known.failures < b.settings.EjectAfter {
+	if known.failures < b.settings.EjectAfter && !outcome.Unreachable {
 		return false
 	}
 	known.failures = 0
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -239,3 +239,15 @@
 		t.Errorf("the slow instance gets %d requests, the other one %d", counts["b"], counts["a"])
 	}
 }
+
+// TestUnreachableInstanceIsEjectedAtOnce: a second attempt to connect would cost another
+// caller as much as the first.
+func TestUnreachableInstanceIsEjectedAtOnce(t *testing.T) {
+	b := New(DefaultSettings("z"))
+	if !b.End(Outcome{Now: time.Second, Service: "s", Instance: "a", Failed: true, Unreachable: true}) {
+		t.Error("an instance that cannot be reached is not ejected")
+	}
+	if b.End(Outcome{Now: time.Second, Service: "s", Instance: "b", Failed: true}) {
+		t.Error("another failure ejects at once")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	upstreams    *upstreams
 	drains       *drains
 	rejections   *rejections
+	unreachable  *unreachable
 	evacuations  *evacuations
 	coldStarts   *coldStarts
 	ownLink      *ownLink
@@ -95,6 +96,7 @@
 		upstreams:    newUpstreams(settings.BackEnd, dialect),
 		drains:       newDrains(settings.DrainTime),
 		rejections:   newRejections(),
+		unreachable:  newUnreachable(),
 		evacuations:  newEvacuations(settings.EvacuationLimit),
 		ownLink:      newOwnLink(settings.LinkMegabits),
 		coldStarts:   newColdStarts(warmup.Bounds{Overrun: settings.WarmUp.Overrun, Slack: settings.WarmUp.Slack}),
@@ -106,7 +108,6 @@
 	gateway.metrics = newMetrics(gateway.registry)
 	gateway.demand = newDemandCounter(settings, gateway.subscription)
 	gateway.subscription.changed = gateway.tableChanged
-	gateway.subscription.received = func(bytes uint64) { gateway.ownLink.other(gateway.clock.Now(), bytes) }
 	return gateway, nil
 }
 
@@ -123,6 +124,7 @@
 	}
 	known := func(id directory.InstanceID) bool { return present[id] }
 	g.coldStarts.note(g.clock.Now(), table, known)
+	g.unreachable.forget(known)
 	g.balancer.Forget(known)
 	g.upstreams.forget(known)
 }
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -63,10 +63,3 @@
 	defer g.ownLink.mutex.Unlock()
 	g.ownLink.admission.Done(g.clock.Now(), current.route.Name, current.reserved, took, served && current.answer.StatusCode() < fasthttp.StatusBadRequest)
 }
-
-// other counts bytes that passed the link for other reasons than requests.
-func (l *ownLink) other(now time.Duration, bytes uint64) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.admission.Other(now, float64(bytes))
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -191,11 +191,21 @@
 	}
 	if failure != nil && !current.interrupt.Fired() {
 		switch failure.Kind {
-		case fault.ConnectFailed, fault.ConnectionLost, fault.AnswerTruncated, fault.AnswerMismatched, fault.DeadlineExceeded:
+		case fault.ConnectFailed:
+			// Behind a full link of this machine a connection says nothing of the instance.
+			outcome.Unreachable = !g.linkFull(current)
+			outcome.Failed = outcome.Unreachable
+		case fault.ConnectionLost, fault.AnswerTruncated, fault.AnswerMismatched, fault.DeadlineExceeded:
 			outcome.Failed = true
 		default:
 		}
 	}
+	if current.keyed && outcome.Unreachable {
+		g.unreachable.note(outcome.Now, instance.ID)
+	}
+	if current.keyed && failure == nil {
+		g.unreachable.reached(instance.ID)
+	}
 	if g.balancer.End(outcome) {
 		g.logEjected(instance, failure)
 	}
@@ -234,6 +244,9 @@
 // again with the rest.
 func (g *Gateway) patience(current *request, failure *fault.Error) time.Time {
 	const heldShare = 0.4
+	if failure.Kind == fault.ConnectFailed {
+		return current.arrived
+	}
 	given := current.deadline.Sub(current.arrived)
 	if failure.Kind == fault.NoOwner {
 		return current.arrived.Add(time.Duration(heldShare * float64(given)))
@@ -318,6 +331,9 @@
 	if !g.rejections.mayAsk(instance.ID, holding.First, layout.Revision) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just said that it does not hold it", current.key)
 	}
+	if !g.unreachable.mayAsk(g.clock.Now(), instance.ID) {
+		return directory.Instance{}, fault.Newf(fault.ConnectFailed, "no connection to the holder of key %d could be made of late", current.key)
+	}
 	if !g.balancer.TryBegin(g.clock.Now(), instance, keyedLimit(instance.Slots)) {
 		current.candidates = g.balancer.Standings(g.clock.Now(), []directory.Instance{instance})
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "the holder of key %d has as many requests as it may", current.key)
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -31,9 +31,8 @@
 	log      *logrus.Entry
 	// reload reads the settings again, for seeds that changed.
 	reload func() (config.Gateway, error)
-	// changed is told of each new table, and received of the bytes that came.
-	changed  func(*routing.Table)
-	received func(bytes uint64)
+	// changed is told of each new table.
+	changed func(*routing.Table)
 
 	// viewLock guards the fields below it.
 	viewLock    sync.Mutex
@@ -58,7 +57,7 @@
 func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error)) *subscription {
 	return &subscription{
 		settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(),
-		changed: func(*routing.Table) {}, received: func(uint64) {},
+		changed: func(*routing.Table) {},
 	}
 }
 
@@ -220,15 +219,11 @@
 func (s *subscription) receive(connection *wire.Conn, pings *pingLog, from source) error {
 	proved := time.Now()
 	logged := false
-	counted := uint64(0)
 	for {
 		var update message.DirectoryUpdate
 		if err := connection.Receive(&update); err != nil {
 			return err
 		}
-		total := connection.BytesReceived()
-		s.received(total - counted)
-		counted = total
 		if from.peer && s.confirmed() {
 			return errControllerAnswers
 		}
--- a/internal/link/admission.go
+++ b/internal/link/admission.go
@@ -68,13 +68,6 @@
 // Delay returns how long a byte waits before the link.
 func (a *Admission) Delay(now time.Duration) time.Duration { return a.queue.Delay(now) }
 
-// Other counts bytes that pass the link for other reasons.
-func (a *Admission) Other(now time.Duration, bytes float64) {
-	if a.queue.Bounded() {
-		a.queue.Add(now, bytes)
-	}
-}
-
 // Done corrects what was reserved for a request by the bytes that it took. Whole is true
 // for one that a server answered, from which the mean of its route is learnt.
 func (a *Admission) Done(now time.Duration, route string, reserved, took float64, whole bool) {
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -100,8 +100,10 @@
 	if limiter.Take(0, "a") || !limiter.Take(0, "b") {
 		t.Error("a cold instance must wait for its turn, a warm one must not")
 	}
-	if !limiter.Take(2*coldTime, "a") || !limiter.Take(2*coldTime, "a") {
-		t.Error("it must be warm once its time has passed")
+	for range 2 {
+		if !limiter.Take(2*coldTime, "a") {
+			t.Error("it must be warm once its time has passed")
+		}
 	}
 	cold.ColdSince = 9
 	limiter.Note(2*coldTime, cold, carries, fleetSize, 0.9)
