Gateways: "not run" is said of all attempts of a request

Cause: a repeatable request whose first attempt lost its answer, and whose second one was rejected, was answered 503, which promises that it has not run. Found by reading. Change: the failure of the attempt after which it may have run is answered (502). TestNotRunIsSaidOfAllAttempts failed first.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -197,3 +197,16 @@
 		t.Errorf("for keys that move callers come back after %s", wait)
 	}
 }
+
+// TestNotRunIsSaidOfAllAttempts: a request that may have run at one instance and was rejected
+// by the next may have run. It was answered 503, which promises that it did not.
+func TestNotRunIsSaidOfAllAttempts(t *testing.T) {
+	lost, full, late := fault.New(fault.ConnectionLost, ""), fault.New(fault.Shedding, ""), fault.New(fault.DeadlineExceeded, "")
+	for _, c := range []struct{ unknown, last, want *fault.Error }{
+		{nil, full, full}, {lost, full, lost}, {lost, late, late}, {nil, late, late},
+	} {
+		if got := truthful(c.unknown, c.last); got != c.want {
+			t.Errorf("after %v and %v: %v", c.unknown, c.last, got)
+		}
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -82,22 +82,36 @@
 // execute sends the request to instances until one answers or nothing more can be
 // done. A nil error means that the answer holds an instance's whole answer.
 func (g *Gateway) execute(current *request) error {
+	// unknown is the failure of an attempt after which the request may have run.
+	var unknown *fault.Error
 	for {
 		instance, err := g.acquire(current)
 		if err != nil {
-			return err
+			return truthful(unknown, asFault(err))
 		}
 		failure := g.attempt(current, instance)
 		if failure == nil {
 			return nil
 		}
+		if fault.AnswerFor(failure.Kind).Outcome == fault.Unknown {
+			unknown = failure
+		}
 		if !g.mayResend(current, failure) {
-			return failure
+			return truthful(unknown, failure)
 		}
 		g.metrics.resends.WithLabelValues(current.service, string(failure.Kind)).Inc()
 	}
 }
 
+// truthful returns the failure that tells what is known of a request after all of its
+// attempts: that the last one did not run says nothing of an earlier one that may have.
+func truthful(unknown, last *fault.Error) *fault.Error {
+	if unknown != nil && fault.AnswerFor(last.Kind).Outcome == fault.NotRun {
+		return unknown
+	}
+	return last
+}
+
 // mayResend reports whether the request is to be sent once more after a failure,
 // and takes the resend out of the budget.
 func (g *Gateway) mayResend(current *request, failure *fault.Error) bool {
