--- a/internal/lab/labcli/root.go
+++ b/internal/lab/labcli/root.go
@@ -34,7 +34,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBackend(), newPlatform(), newCaller(), newDemo(), newSim(), newHollow(), newCapacity(), newBench())
+	root.AddCommand(newBackend(), newPlatform(), newCaller(), newDemo(), newSim(), newHollow(), newBench())
 	root.AddCommand(newScenario())
 	root.AddCommand(newExperiment())
 	root.AddCommand(newUp())
