--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -84,7 +84,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	request.timesPublished = slices.ContainsFunc(request.Instances, func(instance directory.Instance) bool { return instance.ServiceTime > 0 })
-	free := b.free(request, b.wellOnes(request))
+	free := b.free(request, b.notEjected(request))
 	if len(free) == 0 {
 		return directory.Instance{}, false
 	}
@@ -120,19 +120,19 @@
 	return near
 }
 
-// wellOnes returns the instances that are not ejected, or all if too many are.
-func (b *Balancer) wellOnes(request Request) []directory.Instance {
-	well := make([]directory.Instance, 0, len(request.Instances))
+// notEjected returns the instances that are not ejected, or all if too many are.
+func (b *Balancer) notEjected(request Request) []directory.Instance {
+	usable := make([]directory.Instance, 0, len(request.Instances))
 	for _, instance := range request.Instances {
 		if known, found := b.loads[instance.ID]; !found || known.ejectedUntil <= request.Now {
-			well = append(well, instance)
+			usable = append(usable, instance)
 		}
 	}
-	ejected := len(request.Instances) - len(well)
+	ejected := len(request.Instances) - len(usable)
 	if float64(ejected) > b.settings.MaxEjected*float64(len(request.Instances)) {
 		return request.Instances
 	}
-	return well
+	return usable
 }
 
 func (b *Balancer) free(request Request, candidates []directory.Instance) []directory.Instance {
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -53,26 +53,26 @@
 	e.noted = true
 }
 
-// left reports whether an instance gets no more requests that others can serve as well.
-func (e *evacuations) left(instance directory.Instance) bool {
+// excludes reports whether an instance gets no more requests that others can serve as well.
+func (e *evacuations) excludes(instance directory.Instance) bool {
 	share := instanceShare(instance.ID)
-	return e.over(instance.Zone, time.Duration(share*float64(min(evacuationFade, e.last()))))
+	return e.evacuatedFor(instance.Zone, time.Duration(share*float64(min(evacuationFade, e.lastRequestAfter()))))
 }
 
-// leftByHolder reports whether an instance gets no more requests for keys that it holds.
-func (e *evacuations) leftByHolder(instance directory.Instance) bool {
-	return e.over(instance.Zone, e.last())
+// excludesHolder reports whether an instance gets no more requests for keys that it holds.
+func (e *evacuations) excludesHolder(instance directory.Instance) bool {
+	return e.evacuatedFor(instance.Zone, e.lastRequestAfter())
 }
 
-// last is how long after the news the last request may be sent.
-func (e *evacuations) last() time.Duration { return max(0, e.limit-evacuationMargin) }
+// lastRequestAfter is how long after the news the last request may be sent.
+func (e *evacuations) lastRequestAfter() time.Duration { return max(0, e.limit-evacuationMargin) }
 
-// over reports whether a zone has been known as evacuated for a time.
-func (e *evacuations) over(zone string, after time.Duration) bool {
+// evacuatedFor reports whether a zone has been known as evacuated for at least a time.
+func (e *evacuations) evacuatedFor(zone string, atLeast time.Duration) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	since, found := e.since[zone]
-	return found && time.Since(since) >= after
+	return found && time.Since(since) >= atLeast
 }
 
 // instanceShare spreads instances evenly over [0, 1), alike at each gateway.
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -16,31 +16,31 @@
 	e.note(&routing.Table{})
 	e.note(&routing.Table{Evacuated: []string{"west"}})
 	holder := directory.Instance{ID: "h", Zone: "west"}
-	if e.leftByHolder(holder) || e.left(directory.Instance{ID: "h", Zone: "east"}) {
+	if e.excludesHolder(holder) || e.excludes(directory.Instance{ID: "h", Zone: "east"}) {
 		t.Error("holders serve until their keys have moved, and other zones go on")
 	}
 	e.since["west"] = time.Now().Add(-evacuationFade / 2)
 	left := 0
 	const instances = 200
 	for index := range instances {
-		if e.left(directory.Instance{ID: directory.InstanceID(fmt.Sprint("i", index)), Zone: "west"}) {
+		if e.excludes(directory.Instance{ID: directory.InstanceID(fmt.Sprint("i", index)), Zone: "west"}) {
 			left++
 		}
 	}
 	if left < instances/4 || left > 3*instances/4 {
 		t.Errorf("%d of %d instances are left after half of the time", left, instances)
 	}
-	e.since["west"] = time.Now().Add(-e.last())
-	if !e.left(holder) || !e.leftByHolder(holder) {
+	e.since["west"] = time.Now().Add(-e.lastRequestAfter())
+	if !e.excludes(holder) || !e.excludesHolder(holder) {
 		t.Error("nothing is sent to the zone after the limit")
 	}
 	e.note(&routing.Table{})
-	if e.left(holder) || e.leftByHolder(holder) {
+	if e.excludes(holder) || e.excludesHolder(holder) {
 		t.Error("a restored zone gets requests")
 	}
 	started := newEvacuations(5 * time.Second)
 	started.note(&routing.Table{Evacuated: []string{"west"}})
-	if !started.left(holder) || !started.leftByHolder(holder) {
+	if !started.excludes(holder) || !started.excludesHolder(holder) {
 		t.Error("a gateway that starts sends nothing to an evacuated zone")
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,7 +56,7 @@
 }
 
 // tableWait is the share of a caller's time for which its request waits for the first
-// directory: a request that is refused after more of it counts as held in vain.
+// directory: a request that is refused after more of it counts as held without success.
 const tableWait = 0.08
 
 // awaitTable returns the table. A gateway that has just started waits for it for a
@@ -313,7 +313,7 @@
 		if !instance.Serving() || slices.Contains(current.attempts, instance.ID) {
 			continue
 		}
-		if g.evacuations.left(instance) || !g.coldStarts.allows(now, instance.ID) {
+		if g.evacuations.excludes(instance) || !g.coldStarts.allows(now, instance.ID) {
 			continue
 		}
 		candidates = append(candidates, instance)
@@ -338,7 +338,7 @@
 	if !found || instance.State == directory.InstanceDraining && !g.drains.mayServe(instance) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d leaves", current.key)
 	}
-	if g.evacuations.leftByHolder(instance) {
+	if g.evacuations.excludesHolder(instance) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the zone of the holder of key %d is evacuated", current.key)
 	}
 	current.rangeFirst, current.layoutRevision = holding.First, layout.Revision
--- a/internal/lab/bench/rig/rig.go
+++ b/internal/lab/bench/rig/rig.go
@@ -202,7 +202,7 @@
 	for !r.observer.holds(condition) {
 		select {
 		case <-ctx.Done():
-			return eris.Errorf("waited in vain for %s: %s", what, r.observer.summary())
+			return eris.Errorf("waited without success for %s: %s", what, r.observer.summary())
 		case <-ticker.C:
 		}
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -290,7 +290,7 @@
 	for !holds() {
 		select {
 		case <-ctx.Done():
-			return eris.Errorf("waited in vain for %s", what)
+			return eris.Errorf("waited without success for %s", what)
 		case <-ticker.C:
 		}
 	}
--- a/internal/lab/hollow/routers.go
+++ b/internal/lab/hollow/routers.go
@@ -124,7 +124,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return 0, eris.Errorf("%s waited in vain for %s", r.routers[position].id, what)
+			return 0, eris.Errorf("%s waited without success for %s", r.routers[position].id, what)
 		case <-ticker.C:
 		}
 	}
--- a/internal/placement/host.go
+++ b/internal/placement/host.go
@@ -138,7 +138,7 @@
 }
 
 // hottest returns the accepting server with the highest utilization that some
-// move may relieve.
+// move may take load off.
 func (l *Layout) hottest() *host {
 	var hottest *host
 	for _, known := range l.zones {
