--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -27,10 +27,10 @@
 	service := &api{settings: settings, replica: r, security: security}
 	service.app = fiber.New(fiber.Config{
 		BodyLimit:    settings.BodyLimit,
-		Concurrency:  settings.MaxConnections,
+		Concurrency:  connectionsOf(settings.MaxConnections),
 		ReadTimeout:  settings.RequestTimeout,
 		WriteTimeout: settings.RequestTimeout,
-		IdleTimeout:  12 * settings.RequestTimeout,
+		IdleTimeout:  settings.IdleTimeout,
 		ErrorHandler: service.answerError,
 	})
 	service.routes()
@@ -41,6 +41,19 @@
 	return service
 }
 
+// connectionReserve is kept of the connections for what else takes descriptors: the log and
+// its files, the other replicas, and a stream and a report of each of some hundred gateways.
+const connectionReserve = 700
+
+// connectionsOf returns how many connections the API accepts. A bound that is large stands
+// for all descriptors of the process.
+func connectionsOf(bound int) int {
+	if bound < 2*connectionReserve {
+		return bound
+	}
+	return bound - connectionReserve
+}
+
 func (a *api) routes() {
 	a.app.Post(intentapi.PathPlans, a.plan)
 	a.app.Get(intentapi.PathPlans, a.plans)
--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -1,15 +1,22 @@
 package controller
 
 import (
+	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 func encoded(t *testing.T, value any) string {
@@ -98,3 +105,45 @@
 	g.stop((leader + 2) % groupSize)
 	g.wantError(leader, get, intentapi.PathServices, "", fault.Unavailable)
 }
+
+// TestRestingConnectionsAreClosed: those of instances that have gone elsewhere or ended would
+// leave no room for others. They stayed for a minute, and with 3,000 instances an operator
+// found no connection after the loss of a zone.
+func TestRestingConnectionsAreClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := config.DefaultController().API
+	settings.IdleTimeout = 150 * time.Millisecond
+	ready := func() (bool, string) { return true, "" }
+	service := newAPI(settings, nil, nil, telemetry.NewMetrics("controller"), ready)
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { _ = service.serve(listener) })
+	defer func() { _ = service.stop(context.Background()) }()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	if _, err := connection.Write([]byte("GET " + intentapi.PathLive + " HTTP/1.1\r\nHost: c\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if err := connection.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(connection)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200") {
+		t.Errorf("the connection gave %q, %v before its end", answer, err)
+	}
+}
+
+// TestConnectionsLeaveRoom for files and streams, where the bound is that of the process.
+func TestConnectionsLeaveRoom(t *testing.T) {
+	for bound, want := range map[int]int{256: 256, 4096: 4096 - connectionReserve} {
+		if got := connectionsOf(bound); got != want {
+			t.Errorf("of %d: %d, want %d", bound, got, want)
+		}
+	}
+}
