--- a/internal/heartbeat/throttle.go
+++ b/internal/heartbeat/throttle.go
@@ -18,10 +18,11 @@
 	// throttleInterval is the time between two looks at hot keys: as often as gateways
 	// report.
 	throttleInterval = 200 * time.Millisecond
-	// throttleFrom is the share of a holder's slots that the demand for its keys must ask
-	// for before hot keys are throttled, and throttleTo the share that they are throttled
-	// to: the queue before it then stays short.
-	throttleFrom = 1.1
+	// throttleFrom is how many times its slots the demand for a holder's keys must ask for
+	// before hot keys are throttled: below it the bounds of the gateways keep the queue in
+	// order, and rejecting ahead of it costs requests that would be served. throttleTo is
+	// the share of the slots that they are throttled to: the queue then stays short.
+	throttleFrom = 3.0
 	throttleTo   = 0.85
 	// throttleChange is the ratio by which a share must change to be told anew.
 	throttleChange = 1.25
