Gateways: what passes the own link is counted by direction and kind

Cause: nobody could tell what fills the links of 2.3 Mbit/s of the new sites. Admission works out the way out from bodies and 400 bytes a message; the way in, the directory stream, heads and connections were counted by nobody.

Change: link.Meter counts bytes by direction and kind; connections of callers, servers and other processes feed it. Each gateway writes one line link_bytes each 10 s and at its stop, with the busiest second of each kind, and serves thorntiller_gateway_link_bytes_total{direction,kind}. Nothing is decided by it yet.

Ruled out: counting in the kernel (TCP_INFO by connection), which misses what closed connections carried.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -26,11 +26,27 @@
 	// IDHeader names the header that carries the attempt's identifier, in the
 	// request and in its answer; empty means backendapi.HeaderRequestID.
 	IDHeader string
+	// Traffic is told of what the connections for attempts carry; nil for nobody.
+	Traffic Traffic
 	// AcceptUnframed takes an answer whose body ends with its connection as whole,
 	// unless the connection is reset.
 	AcceptUnframed bool
 }
 
+// Traffic is told of connections and of their bytes. It must be safe for concurrent use.
+type Traffic interface {
+	// Opened is called for each connection that was made.
+	Opened()
+	// Passed is called with the bytes that were read or written.
+	Passed(received, sent int)
+}
+
+// noTraffic tells nobody.
+type noTraffic struct{}
+
+func (noTraffic) Opened()         {}
+func (noTraffic) Passed(int, int) {}
+
 // Client sends attempts to one back end.
 type Client struct {
 	address  string
@@ -47,6 +63,9 @@
 	if settings.IDHeader == "" {
 		settings.IDHeader = backendapi.HeaderRequestID
 	}
+	if settings.Traffic == nil {
+		settings.Traffic = noTraffic{}
+	}
 	return &Client{
 		address:  address,
 		settings: settings,
@@ -68,7 +87,7 @@
 		ConnPoolStrategy:          fasthttp.LIFO,
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
-		DialTimeout:               dialer(settings.ConnectTimeout),
+		DialTimeout:               dialer(settings.ConnectTimeout, settings.Traffic),
 	}
 }
 
@@ -76,7 +95,7 @@
 	return false, false
 }
 
-func dialer(bound time.Duration) fasthttp.DialFuncWithTimeout {
+func dialer(bound time.Duration, traffic Traffic) fasthttp.DialFuncWithTimeout {
 	return func(address string, timeout time.Duration) (net.Conn, error) {
 		if timeout <= 0 || timeout > bound {
 			timeout = bound
@@ -86,7 +105,8 @@
 			return nil, err
 		}
 		wire.EndOnSilence(connection, wire.SilenceTimeout)
-		return &countedConnection{Conn: connection}, nil
+		traffic.Opened()
+		return &countedConnection{Conn: connection, traffic: traffic}, nil
 	}
 }
 
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -14,6 +14,7 @@
 // that a failed attempt can tell whether anything was written.
 type countedConnection struct {
 	net.Conn
+	traffic Traffic
 	written int64
 	read    int64
 	// used is true once an attempt was made on the connection.
@@ -50,6 +51,7 @@
 func (c *countedConnection) Write(data []byte) (int, error) {
 	count, err := c.Conn.Write(data)
 	c.written += int64(count)
+	c.traffic.Passed(0, count)
 	return count, err
 }
 
@@ -57,6 +59,7 @@
 func (c *countedConnection) Read(data []byte) (int, error) {
 	count, err := c.Conn.Read(data)
 	c.read += int64(count)
+	c.traffic.Passed(count, 0)
 	return count, err
 }
 
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -9,6 +9,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
+	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -31,10 +32,10 @@
 	instances map[directory.InstanceID]*heartbeat.InstanceReport
 }
 
-func newDemandCounter(settings config.Gateway, subscription *subscription) *demandCounter {
+func newDemandCounter(settings config.Gateway, subscription *subscription, meter *link.Meter) *demandCounter {
 	return &demandCounter{
 		subscription: subscription, services: make(map[string]*serviceCounts), name: settings.Name,
-		options: wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout},
+		options: wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout, Passed: streamOf(meter, link.Demand)},
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -41,6 +42,7 @@
 	evacuations  *evacuations
 	coldStarts   *coldStarts
 	ownLink      *ownLink
+	meter        *link.Meter
 	callers      *callers
 	demand       *demandCounter
 	registry     *telemetry.Metrics
@@ -88,17 +90,19 @@
 	if !found {
 		return nil, eris.Errorf("dialect: %q is not known: use %s", settings.Dialect, DefaultDialect)
 	}
+	meter := &link.Meter{}
 	gateway := &Gateway{
 		settings: settings, dialect: dialect, log: log, clock: clock.NewSystem(),
-		subscription: newSubscription(settings, log, options.Reload),
+		subscription: newSubscription(settings, log, options.Reload, meter),
 		splitter:     routing.NewSplitter(),
 		balancer:     balance.New(balance.DefaultSettings(settings.Zone)),
-		upstreams:    newUpstreams(settings.BackEnd, dialect),
+		upstreams:    newUpstreams(settings.BackEnd, dialect, streamTraffic{meter}),
 		drains:       newDrains(settings.DrainTime),
 		rejections:   newRejections(),
 		unreachable:  newUnreachable(),
 		evacuations:  newEvacuations(settings.EvacuationLimit),
 		ownLink:      newOwnLink(settings.LinkMegabits),
+		meter:        meter,
 		coldStarts:   newColdStarts(warmup.Bounds{Overrun: settings.WarmUp.Overrun, Slack: settings.WarmUp.Slack}),
 		callers:      newCallers(),
 		registry:     telemetry.NewMetrics(role),
@@ -106,7 +110,8 @@
 		budgets:      make(map[string]*retry.Budget),
 	}
 	gateway.metrics = newMetrics(gateway.registry)
-	gateway.demand = newDemandCounter(settings, gateway.subscription)
+	registerLinkBytes(gateway.registry, meter)
+	gateway.demand = newDemandCounter(settings, gateway.subscription, meter)
 	gateway.subscription.changed = gateway.tableChanged
 	return gateway, nil
 }
@@ -172,13 +177,14 @@
 	adminServer := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
 	var group conc.WaitGroup
 	failed := make(chan error, 3)
-	group.Go(func() { failed <- callerServer.Serve(callers) })
+	group.Go(func() { failed <- callerServer.Serve(meteredListener{callers, streamTraffic{g.meter}}) })
 	group.Go(func() { failed <- adminServer.Serve(admin) })
 	metricsServer := g.serveMetrics(&group)
 	group.Go(func() { g.subscription.run(background) })
 	g.servePeers(background, &group)
 	group.Go(func() { g.callers.run(background) })
 	group.Go(func() { g.demand.run(background) })
+	group.Go(func() { g.reportLinkBytes(background) })
 	telemetry.With(g.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
 	var err error
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -155,7 +156,7 @@
 // TestAnotherClusterReplacesTheTable: nothing of the earlier one is taken over, though
 // the revisions are the same.
 func TestAnotherClusterReplacesTheTable(t *testing.T) {
-	s := newSubscription(config.DefaultGateway(), telemetry.New(role, "g", "error", io.Discard), nil)
+	s := newSubscription(config.DefaultGateway(), telemetry.New(role, "g", "error", io.Discard), nil, &link.Meter{})
 	for _, host := range []string{"a.example", "b.example"} {
 		patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","version":1}],"routes":[{"name":"r","host":"` + host +
 			`","prefix":"/","service":"s","kind":"repeatable","max_attempts":1,"version":1}]}}`))
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -11,6 +11,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -88,7 +89,7 @@
 func (s *subscription) servePeers(ctx context.Context, listener net.Listener) error {
 	server := &wire.Server{
 		MaxConnections: maxPeerStreams,
-		Options:        wire.Options{IdleTimeout: s.settings.PongTimeout, WriteTimeout: s.settings.PongTimeout},
+		Options:        wire.Options{IdleTimeout: s.settings.PongTimeout, WriteTimeout: s.settings.PongTimeout, Passed: streamOf(s.meter, link.Directory)},
 	}
 	return server.Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) {
 		if err := s.servePeer(ctx, connection); err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
@@ -20,6 +21,7 @@
 func (g *Gateway) serve(context *fasthttp.RequestCtx) {
 	g.metrics.inFlight.Inc()
 	defer g.metrics.inFlight.Dec()
+	g.meter.Add(link.In, link.Bodies, len(context.Request.Body()))
 	current, err := g.readRequest(context, g.awaitTable(context))
 	if err == nil {
 		g.budget(current.service).Fresh()
@@ -39,6 +41,7 @@
 	if g.stopping.Load() {
 		context.SetConnectionClose()
 	}
+	g.meter.Add(link.Out, link.Answers, len(current.answer.Body()))
 	g.observe(current, failure)
 }
 
@@ -152,7 +155,11 @@
 	failure := g.upstreams.client(instance).Do(&forward.Attempt{
 		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.left(), Interrupt: current.interrupt,
 	})
+	if failure == nil || failure.Kind != fault.ConnectFailed && failure.Kind != fault.QueueFull {
+		g.meter.Add(link.Out, link.Attempts, len(current.inbound.Body()))
+	}
 	if failure == nil {
+		g.meter.Add(link.In, link.Answers, len(current.answer.Body()))
 		failure = g.refusalOf(current.answer)
 	}
 	if failure != nil && current.interrupt.Fired() {
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -18,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -52,11 +53,12 @@
 	reached atomic.Bool
 	// updates tells of each new table.
 	updates *broadcast.Broadcast
+	meter   *link.Meter
 }
 
-func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error)) *subscription {
+func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error), meter *link.Meter) *subscription {
 	return &subscription{
-		settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(),
+		settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(), meter: meter,
 		changed: func(*routing.Table) {},
 	}
 }
@@ -159,6 +161,7 @@
 	defer cancel()
 	connection, err := wire.Dial(ctx, from.address, wire.Options{
 		DialTimeout: s.settings.BackEnd.ConnectTimeout, IdleTimeout: s.settings.PongTimeout, WriteTimeout: s.settings.PongTimeout,
+		Passed: streamOf(s.meter, link.Directory),
 	})
 	if err != nil {
 		return err
--- a/internal/link/admission_test.go
+++ b/internal/link/admission_test.go
@@ -19,7 +19,7 @@
 	share   float64
 }
 
-var kinds = []kind{{"reads", 0, 5800, 0.5}, {"orders", 1, 9800, 0.2}, {"payouts", 0.5, 2300, 0.3}}
+var requestKinds = []kind{{"reads", 0, 5800, 0.5}, {"orders", 1, 9800, 0.2}, {"payouts", 0.5, 2300, 0.3}}
 
 // play offers requests at a rate for some seconds to a link whose true queue is kept
 // aside, and returns the longest true delay and the share admitted of each route.
@@ -31,7 +31,7 @@
 	longest := time.Duration(0)
 	for now := time.Duration(0); now < 20*time.Second; now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
 		drawn := random.Float64()
-		for _, each := range kinds {
+		for _, each := range requestKinds {
 			if drawn -= each.share; drawn >= 0 {
 				continue
 			}
--- /dev/null
+++ b/internal/link/meter_test.go
@@ -0,0 +1,27 @@
+package link
+
+import "testing"
+
+// TestMeterTellsOverheadApart: what connections carry beside bodies is overhead, and a body
+// that was counted before its connection carried it makes none negative.
+func TestMeterTellsOverheadApart(t *testing.T) {
+	meter := &Meter{}
+	meter.Add(In, Bodies, 4000)
+	if got := meter.Total(In, Overhead); got != 0 {
+		t.Errorf("overhead %d before the connection carried anything, want 0", got)
+	}
+	meter.Opened()
+	meter.AddStream(In, 4300)
+	meter.AddStream(Out, 500)
+	meter.Add(Out, Answers, 200)
+	meter.Add(In, Directory, 1000)
+	if got, want := meter.Total(In, Overhead), int64(300+connectionBytes); got != want {
+		t.Errorf("overhead in %d, want %d", got, want)
+	}
+	if got, want := meter.Total(Out, Overhead), int64(300+connectionBytes); got != want {
+		t.Errorf("overhead out %d, want %d", got, want)
+	}
+	if got, want := meter.All(In), int64(4300+1000+connectionBytes); got != want {
+		t.Errorf("all in %d, want %d", got, want)
+	}
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -84,6 +84,7 @@
 	EventRequestEnded      Event = "request_ended"
 	EventRequestMalformed  Event = "request_malformed"
 	EventSettingsReloaded  Event = "settings_reloaded"
+	EventLinkBytes         Event = "link_bytes"
 )
 
 const (
@@ -168,6 +169,7 @@
 		{EventPeerReached, levelInfo, "Another router answers again, or has no record partition any more."},
 		{EventRequestEnded, levelInfo, "A gateway answered a request by itself, or after it was sent more than once."},
 		{EventRequestMalformed, levelInfo, "A request could not be read, and its connection was closed."},
+		{EventLinkBytes, levelInfo, "Bytes that passed a gateway's link since the last such line, by direction and kind."},
 		{EventSettingsReloaded, levelInfo, "Settings that changed were taken over."},
 		{EventRequestOutcomeBad, levelWarning, "A request that may not be repeated ended with an unknown outcome."},
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -46,6 +46,13 @@
 	return counters
 }
 
+// CounterFunction makes a counter with fixed labels whose value is read at each scrape. The
+// name ends in _total; the function must be fast and safe for concurrent use.
+func (m *Metrics) CounterFunction(name, help string, labels map[string]string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Namespace: namespace, Subsystem: m.subsystem, Name: name, Help: help, ConstLabels: labels}, read))
+}
+
 // Gauge makes a gauge.
 func (m *Metrics) Gauge(name, help string) prometheus.Gauge {
 	gauge := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: m.subsystem, Name: name, Help: help})
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -50,7 +50,7 @@
 	return &Conn{
 		stream:  stream,
 		options: options,
-		reader:  bufio.NewReaderSize(progressReader{stream, options.IdleTimeout}, readBufferBytes),
+		reader:  bufio.NewReaderSize(progressReader{stream, options}, readBufferBytes),
 		writing: make(chan struct{}, 1),
 	}
 }
@@ -106,6 +106,7 @@
 	}
 	count, err := c.stream.Write(frame)
 	c.sent.Add(uint64(count))
+	c.options.Passed(0, count)
 	if err == nil {
 		return nil
 	}
@@ -195,16 +196,18 @@
 // progressReader reads from a stream and gives up once no byte came for a time, however
 // long the frame is: a narrow link needs its time for a long one.
 type progressReader struct {
-	stream net.Conn
-	idle   time.Duration
+	stream  net.Conn
+	options Options
 }
 
 // Read implements io.Reader.
 func (r progressReader) Read(target []byte) (int, error) {
-	if err := r.stream.SetReadDeadline(time.Now().Add(r.idle)); err != nil {
+	if err := r.stream.SetReadDeadline(time.Now().Add(r.options.IdleTimeout)); err != nil {
 		return 0, eris.Wrap(err, "set the read deadline")
 	}
-	return r.stream.Read(target)
+	count, err := r.stream.Read(target)
+	r.options.Passed(count, 0)
+	return count, err
 }
 
 // Close ends the connection; blocked calls return. It may be called repeatedly.
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -34,6 +34,9 @@
 	DialTimeout time.Duration
 	// Dial opens connections; nil means TCP.
 	Dial DialFunc
+	// Passed is told of bytes as they are read and written; nil for nobody. It must be fast
+	// and safe for concurrent use.
+	Passed func(received, sent int)
 }
 
 func (o Options) withDefaults() Options {
@@ -52,6 +55,9 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
+	if o.Passed == nil {
+		o.Passed = func(int, int) {}
+	}
 	return o
 }
 
