--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -26,6 +26,7 @@
 	EvacuationLimit  time.Duration `koanf:"evacuation_limit" validate:"min=0s,max=10m" doc:"Longest time after the order to evacuate a zone in which its instances still get requests."`
 	WarmUp           WarmUp        `koanf:"warm_up" doc:"Requests to cold instances."`
 	LinkMegabits     float64       `koanf:"link_megabits" validate:"min=0,max=1000000" doc:"What the machine's network link carries in each direction, in Mbit/s. Requests that it has no room for are rejected at once, the least urgent first; 0 for no bound."`
+	KeepPlaces       bool          `koanf:"keep_places" doc:"Takes part in giving out the places of instances: each instance has one gateway that counts what all of them send to it. Needs peer_address."`
 	MaxTimeout       time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest time that a request is held, also when neither caller nor route give one."`
 	MaxConnections   int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
 	RetryRatio       float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
@@ -103,6 +104,9 @@
 	if settings.PeerAddress != "" {
 		addresses.take("peer_address", settings.PeerAddress)
 	}
+	if settings.KeepPlaces && settings.PeerAddress == "" {
+		r.add("keep_places", "true", "needs peer_address", "give the address at which other gateways ask")
+	}
 	if settings.StopNotice >= settings.StopTimeout {
 		r.add("stop_notice", settings.StopNotice.String(), "must be below stop_timeout", "use a shorter time")
 	}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -302,7 +302,7 @@
 		return
 	}
 	k.follow(leadership)
-	k.core.HearGateway(k.replica.clock.Now(), gateway)
+	k.core.HearGateway(k.replica.clock.Now(), gateway, report.Gateway)
 	for _, service := range report.Services {
 		k.core.Count(k.replica.clock.Now(), service)
 	}
@@ -357,6 +357,8 @@
 		line.WithField("zone", command.Zone.Name).WithField("evacuated", command.Zone.Evacuated).Info("zone changed")
 	case command.Throttles != nil:
 		line.WithField(telemetry.FieldService, command.Throttles.Service).WithField("throttles", command.Throttles.Keys).Info("hot keys throttled")
+	case len(command.Keepers) > 0:
+		line.WithField("keepers", command.Keepers).Info("keepers of places named")
 	case command.Gateways > 0:
 		line.WithField(telemetry.FieldCount, command.Gateways).Info("gateways counted")
 	case command.Times != nil:
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -59,6 +59,8 @@
 	Throttles *Throttles `msgpack:"h,omitempty"`
 	// Gateways is how many of them share the instances.
 	Gateways int `msgpack:"g,omitempty"`
+	// Keepers are the gateways that give out the places of instances.
+	Keepers []Keeper `msgpack:"k,omitempty"`
 	// Batch has commands that are applied in their order, each as if it stood alone.
 	Batch []Command `msgpack:"b,omitempty"`
 }
@@ -92,6 +94,9 @@
 	case command.Gateways > 0:
 		d.applyGateways(revision, command.Gateways)
 		return nil
+	case len(command.Keepers) > 0:
+		d.applyKeepers(revision, command.Keepers)
+		return nil
 	default:
 		d.applyInstances(revision, command.Instances)
 		return nil
--- a/internal/directory/packing.go
+++ b/internal/directory/packing.go
@@ -23,7 +23,7 @@
 // instance writes the reference of an instance; where that does not stand for it alone, zero
 // and the identifier.
 func (p *packer) instance(id InstanceID) {
-	reference := referenceOf(id)
+	reference := ReferenceOf(id)
 	if p.known.clear(reference) {
 		p.bytes = binary.BigEndian.AppendUint32(p.bytes, uint32(reference))
 		return
--- a/internal/directory/reference.go
+++ b/internal/directory/reference.go
@@ -10,7 +10,8 @@
 // of its identifier, which both ends work out. Zero stands for none.
 type Reference uint32
 
-func referenceOf(id InstanceID) Reference { return Reference(xxhash.Sum64String(string(id))) }
+// ReferenceOf returns the reference of an instance.
+func ReferenceOf(id InstanceID) Reference { return Reference(xxhash.Sum64String(string(id))) }
 
 // references finds instances by their references. It is never changed once it was built.
 type references struct {
@@ -22,7 +23,7 @@
 func newReferences(instances map[InstanceID]*Instance) *references {
 	built := &references{instances: make(map[Reference]InstanceID, len(instances)), shared: make(map[Reference]bool)}
 	for id := range maps.Keys(instances) {
-		reference := referenceOf(id)
+		reference := ReferenceOf(id)
 		if _, taken := built.instances[reference]; taken {
 			built.shared[reference] = true
 		}
--- a/internal/directory/routingchanges_test.go
+++ b/internal/directory/routingchanges_test.go
@@ -182,7 +182,7 @@
 func TestSharedReferences(t *testing.T) {
 	m := newMoves(t, 1, 10, 100)
 	known := m.view.knownReferences()
-	shared := &references{instances: known.instances, shared: map[Reference]bool{referenceOf(m.id(3)): true}}
+	shared := &references{instances: known.instances, shared: map[Reference]bool{ReferenceOf(m.id(3)): true}}
 	holdings := m.view.Layout("s").Holdings
 	unpacked, err := unpackHolders(packHolders(holdings, shared), shared, 1)
 	if err != nil || len(unpacked) != len(holdings) {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -50,6 +50,11 @@
 	// retryCongested lets a caller reach another gateway, whose link has room: soon, since
 	// its time runs from its first try.
 	retryCongested = 30 * time.Millisecond
+	// shortestReturn and longestReturn bound when a caller is told to come back once there is
+	// room: an estimate of milliseconds is not worth another refusal, and one of many
+	// seconds is worth nothing.
+	shortestReturn = 50 * time.Millisecond
+	longestReturn  = 2 * time.Second
 )
 
 // retryAfterOf returns when a caller is told to come back after a failure.
@@ -87,6 +92,9 @@
 	outbound := current.answer
 	outbound.Reset()
 	wait := g.retryAfterOf(failure.Kind)
+	if current.noRoom {
+		wait = min(max(current.retryIn, shortestReturn), longestReturn)
+	}
 	status, notRun := statusOf(failure)
 	outbound.SetStatusCode(status)
 	outbound.Header.SetContentType(callerapi.ContentTypeRefusal)
--- a/internal/gateway/coldstart.go
+++ b/internal/gateway/coldstart.go
@@ -37,6 +37,13 @@
 	c.limiter.Forget(known)
 }
 
+// cold reports whether an instance is cold.
+func (c *coldStarts) cold(now time.Duration, id directory.InstanceID) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.limiter.Cold(now, id)
+}
+
 // allows reports whether an instance may get a request now.
 func (c *coldStarts) allows(now time.Duration, id directory.InstanceID) bool {
 	c.mutex.Lock()
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
@@ -17,14 +18,21 @@
 // reportInterval is the time between two reports of the demand for keys.
 const reportInterval = 200 * time.Millisecond
 
+// aliveInterval is the longest time between two reports: one that says nothing tells that
+// the gateway is alive.
+const aliveInterval = 350 * time.Millisecond
+
 // demandCounter counts requests by their keys, for the leading controller, which
 // places keys by them. It is safe for concurrent use.
 type demandCounter struct {
 	subscription *subscription
 	options      wire.Options
 	name         string
-	mutex        sync.Mutex
-	services     map[string]*serviceCounts
+	offer        heartbeat.GatewayOffer
+	// stopping is set once the gateway's stop began.
+	stopping atomic.Bool
+	mutex    sync.Mutex
+	services map[string]*serviceCounts
 }
 
 type serviceCounts struct {
@@ -35,6 +43,7 @@
 func newDemandCounter(settings config.Gateway, subscription *subscription, meter *link.Meter) *demandCounter {
 	return &demandCounter{
 		subscription: subscription, services: make(map[string]*serviceCounts), name: settings.Name,
+		offer:   offerOf(settings),
 		options: wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout, Passed: streamOf(meter, link.Demand)},
 	}
 }
@@ -110,12 +119,37 @@
 	if connection.Send(ctx, &message.Hello{Purpose: message.PurposeDemand, From: d.name}) != nil {
 		return
 	}
+	var told *heartbeat.GatewayOffer
+	var sentAt time.Time
 	for ctx.Err() == nil && *d.subscription.leader.Load() == leader {
-		if report := d.take(); len(report.Services) > 0 {
+		report := d.take()
+		if offer := d.currentOffer(); told == nil || *told != offer {
+			told, report.Gateway = &offer, &offer
+		}
+		if len(report.Services) > 0 || report.Gateway != nil || time.Since(sentAt) > aliveInterval {
 			if connection.Send(ctx, &report) != nil {
 				return
 			}
+			sentAt = time.Now()
 		}
 		clock.Sleep(ctx, reportInterval)
 	}
 }
+
+// currentOffer is what the gateway offers now: no places once it stops.
+func (d *demandCounter) currentOffer() heartbeat.GatewayOffer {
+	offer := d.offer
+	if d.stopping.Load() {
+		offer.Address = ""
+	}
+	return offer
+}
+
+// offerOf returns what a gateway offers to others.
+func offerOf(settings config.Gateway) heartbeat.GatewayOffer {
+	offer := heartbeat.GatewayOffer{Zone: settings.Zone, Megabits: settings.LinkMegabits}
+	if takesPart(settings) {
+		offer.Address = settings.PeerAddress
+	}
+	return offer
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	coldStarts   *coldStarts
 	ownLink      *ownLink
 	meter        *link.Meter
+	places       *places
 	pacer        *pacer
 	callers      *callers
 	demand       *demandCounter
@@ -115,6 +116,7 @@
 	registerLinkBytes(gateway.registry, meter)
 	gateway.demand = newDemandCounter(settings, gateway.subscription, meter)
 	gateway.subscription.changed = gateway.tableChanged
+	gateway.places = newPlaces(settings, newPlaceKeeper(gateway.clock, gateway.mayKeep), meter)
 	return gateway, nil
 }
 
@@ -134,6 +136,7 @@
 	g.unreachable.forget(known)
 	g.balancer.Forget(known)
 	g.upstreams.forget(known)
+	g.places.note(table)
 }
 
 // budget returns the budget of resends of a service.
@@ -184,6 +187,7 @@
 	metricsServer := g.serveMetrics(&group)
 	group.Go(func() { g.subscription.run(background) })
 	g.servePeers(background, &group)
+	group.Go(func() { g.places.run(background) })
 	group.Go(func() { g.callers.run(background) })
 	group.Go(func() { g.demand.run(background) })
 	group.Go(func() { g.reportLinkBytes(background) })
@@ -212,11 +216,11 @@
 	group.Go(func() {
 		listener, err := net.Listen("tcp", g.settings.PeerAddress)
 		if err == nil {
-			err = g.subscription.servePeers(ctx, listener)
+			err = g.servePeersOn(ctx, listener)
 		}
 		if err != nil {
 			telemetry.WithError(g.log, telemetry.EventFailed, err).WithField(telemetry.FieldAddress, g.settings.PeerAddress).
-				Warn("directory not served to other gateways")
+				Warn("other gateways not served")
 		}
 	})
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -168,7 +168,9 @@
 			t.Fatal(err)
 		}
 		changes := view.RoutingSince(0)
-		s.take(message.DirectoryUpdate{Cluster: message.ClusterID(host), Changes: &changes})
+		if err := s.take(message.DirectoryUpdate{Cluster: message.ClusterID(host), Changes: &changes}); err != nil {
+			t.Fatal(err)
+		}
 		if _, found := s.current().Route(host, "/"); !found {
 			t.Errorf("no route for %s", host)
 		}
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -161,7 +161,7 @@
 	began := time.Now()
 	tell := func() {
 		telemetry.With(g.log, telemetry.EventLinkBytes).WithField(telemetry.FieldDuration, time.Since(began).Milliseconds()).
-			WithFields(report.take()).Info("bytes on the own link")
+			WithFields(report.take()).WithField("places", g.places.takeAsked()).Info("bytes on the own link")
 		began = time.Now()
 	}
 	clock.Every(ctx, busiestInterval, func() {
--- /dev/null
+++ b/internal/gateway/outbox.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+)
+
+// outbox collects what is to be sent while the last message is being sent. It is safe for
+// concurrent use.
+type outbox[T any] struct {
+	mutex   sync.Mutex
+	waiting []T
+	wake    chan struct{}
+}
+
+func newOutbox[T any]() *outbox[T] { return &outbox[T]{wake: make(chan struct{}, 1)} }
+
+// mostInOutbox bounds what waits for a connection that does not carry it; more is dropped.
+const mostInOutbox = 4096
+
+// add takes more to be sent. It does not block.
+func (o *outbox[T]) add(more []T) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if len(o.waiting)+len(more) > mostInOutbox {
+		return
+	}
+	o.waiting = append(o.waiting, more...)
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *outbox[T]) take() []T {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	taken := o.waiting
+	o.waiting = nil
+	return taken
+}
+
+// run sends until the context ends or sending fails.
+func (o *outbox[T]) run(ctx context.Context, send func([]T) error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.wake:
+		}
+		if batch := o.take(); len(batch) > 0 && send(batch) != nil {
+			return
+		}
+	}
+}
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -11,7 +11,6 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
-	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -35,6 +34,10 @@
 	// maxPeerStreams bounds the gateways that take the directory from this one: twice
 	// as many as are told of it, see maxPeers of the controllers.
 	maxPeerStreams = 8
+	// maxPeerConnections bounds the connections of other gateways for all purposes.
+	maxPeerConnections = 4096
+	// placeIdle is how long a gateway that asks for places may be silent.
+	placeIdle = time.Minute
 )
 
 // confirmed reports whether a controller has confirmed of late that the directory is
@@ -85,29 +88,48 @@
 	errNotConfirmed      = eris.New("no controller confirms this gateway's directory: ask another gateway")
 )
 
-// servePeers serves the directory to other gateways until the context ends.
-func (s *subscription) servePeers(ctx context.Context, listener net.Listener) error {
+// servePeersOn serves other gateways until the context ends.
+func (g *Gateway) servePeersOn(ctx context.Context, listener net.Listener) error {
 	server := &wire.Server{
-		MaxConnections: maxPeerStreams,
-		Options:        wire.Options{IdleTimeout: s.settings.PongTimeout, WriteTimeout: s.settings.PongTimeout, Passed: streamOf(s.meter, link.Directory)},
+		MaxConnections: maxPeerConnections,
+		Options: wire.Options{
+			IdleTimeout: g.settings.PongTimeout, WriteTimeout: g.settings.PongTimeout, ReadBufferBytes: placeReadBuffer,
+		},
 	}
 	return server.Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) {
-		if err := s.servePeer(ctx, connection); err != nil {
-			s.log.WithError(err).WithField(telemetry.FieldAddress, connection.RemoteAddress()).Debug("directory stream to another gateway ended")
+		if err := g.servePeer(ctx, connection); err != nil {
+			g.log.WithError(err).WithField(telemetry.FieldAddress, connection.RemoteAddress()).Debug("connection of another gateway ended")
 		}
 	})
 }
 
-// servePeer serves one gateway: what it lacks, then each change, and a pong for each
-// ping while the own directory is confirmed.
-func (s *subscription) servePeer(ctx context.Context, connection *wire.Conn) error {
+// servePeer serves what another gateway asks for.
+func (g *Gateway) servePeer(ctx context.Context, connection *wire.Conn) error {
 	var hello message.Hello
 	if err := connection.Receive(&hello); err != nil {
 		return err
 	}
-	if hello.Purpose != message.PurposeDirectory {
+	switch hello.Purpose {
+	case message.PurposeDirectory:
+		return g.subscription.servePeer(ctx, connection)
+	case message.PurposePlaces:
+		connection.SetIdleTimeout(placeIdle)
+		return g.places.keeper.serve(ctx, connection)
+	default:
 		return eris.Errorf("purpose %q is not served by a gateway", hello.Purpose)
 	}
+}
+
+// errPeersServed ends a connection beyond the bound.
+var errPeersServed = eris.New("as many gateways as may take the directory from this one")
+
+// servePeer serves the directory to one gateway: what it lacks, then each change, and a pong
+// for each ping while the own directory is confirmed.
+func (s *subscription) servePeer(ctx context.Context, connection *wire.Conn) error {
+	defer s.peerStreams.Add(-1)
+	if s.peerStreams.Add(1) > maxPeerStreams {
+		return errPeersServed
+	}
 	var first message.DirectoryRequest
 	if err := connection.Receive(&first); err != nil {
 		return err
--- a/internal/gateway/peer_test.go
+++ b/internal/gateway/peer_test.go
@@ -148,7 +148,7 @@
 	controller := startStub(t)
 	connected := startSubscription(t, controller.address)
 	peerListener := listen(t)
-	runInBackground(t, func(ctx context.Context) { _ = connected.servePeers(ctx, peerListener) })
+	runInBackground(t, func(ctx context.Context) { _ = servePeersOf(ctx, connected, peerListener) })
 	eventually(t, "the first gateway is confirmed by its controller", connected.confirmed)
 
 	unreachable := startStub(t)
@@ -189,7 +189,7 @@
 func TestUnconfirmedDirectoryIsNotPassedOn(t *testing.T) {
 	lonely := startSubscription(t)
 	listener := listen(t)
-	runInBackground(t, func(ctx context.Context) { _ = lonely.servePeers(ctx, listener) })
+	runInBackground(t, func(ctx context.Context) { _ = servePeersOf(ctx, lonely, listener) })
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	connection, err := wire.Dial(ctx, listener.Addr().String(), wire.Options{})
@@ -215,3 +215,9 @@
 	s := startSubscription(t, controller.address)
 	eventually(t, "the gateway knows others", func() bool { return len(s.knownPeers()) == 2 })
 }
+
+// servePeersOf serves the directory of one subscription to other gateways.
+func servePeersOf(ctx context.Context, s *subscription, listener net.Listener) error {
+	gateway := &Gateway{settings: s.settings, subscription: s, log: s.log}
+	return gateway.servePeersOn(ctx, listener)
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/room"
+	"github.com/thorntiller/thorntiller/internal/routing"
+)
+
+// mayKeep reports whether an instance without keys gets requests now. Cold ones get theirs by
+// each gateway's share, see coldStarts.
+func (g *Gateway) mayKeep(instance directory.Instance) bool {
+	return instance.Serving() && !g.evacuations.excludes(instance) && !g.coldStarts.cold(g.clock.Now(), instance.ID)
+}
+
+// leastPlaceMegabits is the link below which a gateway takes no part in giving out places: on
+// 2.3 Mbit/s an ask waited 45 ms for its answer in the median under bursts, behind answers and
+// bodies, which is more than a place saves.
+const leastPlaceMegabits = 20
+
+// takesPart reports whether a gateway asks for places and gives them out.
+func takesPart(settings config.Gateway) bool {
+	return settings.KeepPlaces && (settings.LinkMegabits == 0 || settings.LinkMegabits >= leastPlaceMegabits)
+}
+
+// asksForPlace reports whether a keeper is to be asked for a request: once, and not for one
+// that is sent again, which knows where it must not go.
+func (g *Gateway) asksForPlace(current *request) bool {
+	return takesPart(g.settings) && !current.asked && len(current.attempts) == 0
+}
+
+// placeInService asks for a place at any instance of a service. Decided is false if the
+// gateway is to choose by its own counts.
+func (g *Gateway) placeInService(current *request, service *routing.Service) (chosen directory.Instance, failure *fault.Error, decided bool) {
+	if !g.asksForPlace(current) {
+		return directory.Instance{}, nil, false
+	}
+	current.asked = true
+	answer := g.places.ofService(current)
+	switch answer.verdict {
+	case room.Granted:
+		for _, instance := range service.Instances {
+			if directory.ReferenceOf(instance.ID) == answer.server && g.mayKeep(instance) {
+				g.begin(current, instance, answer)
+				return instance, nil, true
+			}
+		}
+		answer.place.end(room.Unused, 0)
+		return directory.Instance{}, nil, false
+	case room.Rejected:
+		if instance, found := g.coldInstance(current, service); found {
+			return instance, nil, true
+		}
+		return directory.Instance{}, current.rejected(answer), true
+	default:
+		return directory.Instance{}, nil, false
+	}
+}
+
+// placeAtHolder asks for a place at the holder of a request's key. Decided is false if the
+// gateway is to go by its own counts.
+func (g *Gateway) placeAtHolder(current *request, holder directory.Instance) (failure *fault.Error, decided bool) {
+	if !g.asksForPlace(current) || g.coldStarts.cold(g.clock.Now(), holder.ID) {
+		return nil, false
+	}
+	current.asked = true
+	answer := g.places.ofHolder(current, holder)
+	switch answer.verdict {
+	case room.Granted:
+		if !g.stillHolds(current, holder.ID) {
+			answer.place.end(room.Unused, 0)
+			current.asked = false
+			return fault.Newf(fault.NoOwner, "key %d passed on to another holder", current.key), true
+		}
+		g.begin(current, holder, answer)
+		return nil, true
+	case room.Rejected:
+		return current.rejected(answer), true
+	default:
+		return nil, false
+	}
+}
+
+// stillHolds reports whether an instance holds the request's key by the newest table.
+func (g *Gateway) stillHolds(current *request, id directory.InstanceID) bool {
+	service, found := g.subscription.current().Service(current.service)
+	if !found {
+		return false
+	}
+	holding, found := service.Layout.At(current.key)
+	return found && holding.Owner == id && holding.Granted && !holding.Revoked
+}
+
+// begin counts a request with a place as in flight to its instance.
+func (g *Gateway) begin(current *request, instance directory.Instance, answer placeAnswer) {
+	g.balancer.TryBegin(g.clock.Now(), instance, math.MaxInt)
+	current.place = answer.place
+}
+
+// coldInstance returns a cold instance that may get a request of this gateway now.
+func (g *Gateway) coldInstance(current *request, service *routing.Service) (directory.Instance, bool) {
+	now := g.clock.Now()
+	var cold []directory.Instance
+	for _, instance := range g.candidates(now, current, service.Instances) {
+		if g.coldStarts.cold(now, instance.ID) {
+			cold = append(cold, instance)
+		}
+	}
+	if len(cold) == 0 {
+		return directory.Instance{}, false
+	}
+	instance, chosen := g.balancer.Choose(balance.Request{Now: now, Service: current.service, Instances: cold, Limit: inFlightLimit})
+	if !chosen {
+		return directory.Instance{}, false
+	}
+	if !g.coldStarts.take(now, instance.ID) {
+		g.balancer.Release(instance.ID)
+		return directory.Instance{}, false
+	}
+	return instance, true
+}
+
+// rejected notes that there is no place in time.
+func (r *request) rejected(answer placeAnswer) *fault.Error {
+	r.noRoom, r.retryIn = true, answer.wait
+	return fault.Newf(fault.QueueFull, "no place at service %q in time; the next one is expected in %s", r.service, answer.wait.Round(time.Millisecond))
+}
+
+// endPlace gives the place of an attempt back.
+func (g *Gateway) endPlace(current *request, took time.Duration, failure *fault.Error) {
+	outcome := room.Answered
+	switch {
+	case current.interrupt.Fired():
+		outcome = room.Unused
+	case failure == nil:
+	case failure.Kind == fault.Shedding || failure.Kind == fault.WrongEpoch:
+		outcome = room.Full
+	case failure.Kind == fault.ConnectFailed && g.linkFull(current):
+		outcome = room.Unused
+	default:
+		outcome = room.Failed
+	}
+	current.place.end(outcome, took)
+	current.place = nil
+}
--- /dev/null
+++ b/internal/gateway/placekeeper.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/room"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+const (
+	// keeperTick is the time between two looks at places that end by themselves and at
+	// requests that wait in vain.
+	keeperTick = 20 * time.Millisecond
+	// urgencyScale is the urgency of the most urgent route in messages.
+	urgencyScale = 100
+)
+
+// placeKeeper gives out the places of the instances that this gateway keeps, to itself and
+// to others. It is safe for concurrent use.
+type placeKeeper struct {
+	clock clock.Clock
+	// usable reports whether an instance of a pool gets requests now.
+	usable func(directory.Instance) bool
+	// kept are the queues of the newest table.
+	kept  atomic.Pointer[map[uint32]keptQueue]
+	last  atomic.Uint64
+	mutex sync.Mutex
+	core  *room.Keeper
+	// askers take the answers for each asker.
+	askers map[room.Asker]func([]message.PlaceAnswer)
+}
+
+// keptQueue is what an ask may wait for.
+type keptQueue struct {
+	name    string
+	servers []directory.Instance
+	// pool is true for instances of which any may serve a request.
+	pool bool
+}
+
+func newPlaceKeeper(system clock.Clock, usable func(directory.Instance) bool) *placeKeeper {
+	k := &placeKeeper{
+		clock: system, usable: usable, core: room.New(rand.Uint64()), askers: make(map[room.Asker]func([]message.PlaceAnswer)),
+	}
+	k.kept.Store(&map[uint32]keptQueue{})
+	return k
+}
+
+// poolQueue and holderQueue number the queues of a pool and of a holder of keys.
+func poolQueue(pool room.Pool) uint32 { return uint32(xxhash.Sum64String(pool.Name)) }
+
+func holderQueue(id directory.InstanceID) uint32 { return uint32(directory.ReferenceOf(id)) }
+
+// note takes a new table: asks for any of its instances are served, whoever is said to keep
+// them, since the asker may have a newer table.
+func (k *placeKeeper) note(table *routing.Table) {
+	kept := make(map[uint32]keptQueue)
+	for _, name := range table.Services() {
+		service, _ := table.Service(name)
+		if service.Config.Keyed {
+			for _, instance := range service.Instances {
+				kept[holderQueue(instance.ID)] = keptQueue{name: string(instance.ID), servers: []directory.Instance{instance}}
+			}
+			continue
+		}
+		for _, pool := range room.Pools(name, service.Instances, table.Keepers) {
+			kept[poolQueue(pool)] = keptQueue{name: pool.Name, servers: pool.Servers, pool: true}
+		}
+	}
+	k.kept.Store(&kept)
+}
+
+// join adds an asker, whose answers are given to a function that must not block.
+func (k *placeKeeper) join(address string, answered func([]message.PlaceAnswer)) room.Asker {
+	asker := room.Asker(fmt.Sprintf("%s#%d", address, k.last.Add(1)))
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.askers[asker] = answered
+	return asker
+}
+
+// leave takes note that an asker went away.
+func (k *placeKeeper) leave(asker room.Asker) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	delete(k.askers, asker)
+	k.core.Lose(k.clock.Now(), asker)
+}
+
+// take takes a message of an asker.
+func (k *placeKeeper) take(asker room.Asker, request message.PlaceRequest) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := k.clock.Now()
+	for _, end := range request.Ends {
+		outcome := room.Outcome(end.Outcome)
+		if !outcome.Valid() {
+			outcome = room.Unused
+		}
+		k.core.End(now, room.End{ID: placeID(asker, end.Number), Outcome: outcome, Took: milliseconds(end.TookMs)})
+	}
+	kept := *k.kept.Load()
+	for _, ask := range request.Asks {
+		k.core.Ask(now, k.askOf(asker, ask, kept[ask.Queue]))
+	}
+	k.tell()
+}
+
+func placeID(asker room.Asker, number uint32) room.PlaceID {
+	return room.PlaceID{Asker: asker, Number: room.Number(number)}
+}
+
+func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
+// askOf returns an ask with the instances that get requests now.
+func (k *placeKeeper) askOf(asker room.Asker, ask message.PlaceAsk, queue keptQueue) room.Ask {
+	servers := make([]directory.Instance, 0, len(queue.servers))
+	for _, instance := range queue.servers {
+		if !queue.pool || k.usable(instance) {
+			servers = append(servers, instance)
+		}
+	}
+	return room.Ask{
+		ID: placeID(asker, ask.Number), Queue: queue.name, Servers: servers,
+		Urgency:    float64(min(ask.Urgency, urgencyScale)) / urgencyScale,
+		TargetLeft: milliseconds(ask.TargetMs), DeadlineLeft: milliseconds(ask.DeadlineMs),
+	}
+}
+
+// tell hands the answers that are due to their askers. The mutex must be held.
+func (k *placeKeeper) tell() {
+	due := make(map[room.Asker][]message.PlaceAnswer)
+	for _, answer := range k.core.Take() {
+		told := message.PlaceAnswer{
+			Number: uint32(answer.ID.Number), Verdict: uint8(answer.Verdict), WaitMs: uint32(answer.Wait.Milliseconds()),
+		}
+		if answer.Server != "" {
+			told.Server = uint32(directory.ReferenceOf(answer.Server))
+		}
+		due[answer.ID.Asker] = append(due[answer.ID.Asker], told)
+	}
+	for asker, answers := range due {
+		if answered, found := k.askers[asker]; found {
+			answered(answers)
+		}
+	}
+}
+
+// run ends what is due by itself until the context ends.
+func (k *placeKeeper) run(ctx context.Context) {
+	clock.Every(ctx, keeperTick, func() {
+		k.mutex.Lock()
+		defer k.mutex.Unlock()
+		k.core.Tick(k.clock.Now())
+		k.tell()
+	})
+}
+
+// serve serves one gateway until its connection ends.
+func (k *placeKeeper) serve(ctx context.Context, connection *wire.Conn) error {
+	ctx, cancel := context.WithCancel(ctx)
+	answers := newOutbox[message.PlaceAnswer]()
+	asker := k.join(connection.RemoteAddress(), answers.add)
+	defer k.leave(asker)
+	var writing conc.WaitGroup
+	defer writing.Wait()
+	defer cancel()
+	defer connection.Close()
+	writing.Go(func() {
+		defer connection.Close()
+		answers.run(ctx, func(batch []message.PlaceAnswer) error {
+			return connection.Send(ctx, &message.PlaceReply{Answers: batch})
+		})
+	})
+	for {
+		var request message.PlaceRequest
+		if err := connection.Receive(&request); err != nil {
+			return err
+		}
+		k.take(asker, request)
+	}
+}
--- /dev/null
+++ b/internal/gateway/places.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/room"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+const (
+	// firstAnswer is how long a keeper may take to say anything: many times the way there and
+	// back within a region, and the queue before two full links.
+	firstAnswer = 50 * time.Millisecond
+	// queuedSilence is how long a keeper with which a request waits may say nothing: it repeats
+	// that the request waits.
+	queuedSilence = 2*room.RepeatInterval + firstAnswer
+	// otherZone is by how much sooner a place in another zone must be expected to be preferred
+	// to one in the own zone: requests and answers between zones cost.
+	otherZone = 60 * time.Millisecond
+	// poolsAsked bounds the pools that one request asks in turn.
+	poolsAsked = 2
+)
+
+// places asks the keepers of instances for places. It is safe for concurrent use.
+type places struct {
+	settings config.Gateway
+	keeper   *placeKeeper
+	meter    *link.Meter
+	mutex    sync.Mutex
+	// context ends the connections; nil before run.
+	context context.Context
+	group   conc.WaitGroup
+	links   map[string]*placeLink
+	// pools are those of each service without keys, in the newest table.
+	pools   map[string][]room.Pool
+	keepers []directory.Keeper
+	// waits are what keepers said last of each queue.
+	waits map[uint32]toldWait
+	// asked counts what became of asks since the last line about them.
+	asked askCounts
+}
+
+// askCounts are asks by what became of them.
+type askCounts struct {
+	Granted    int64 `json:"granted"`
+	Rejected   int64 `json:"rejected"`
+	Unreached  int64 `json:"unreached"`
+	Unanswered int64 `json:"unanswered"`
+	Unknown    int64 `json:"unknown"`
+	// WaitMs is the time until the verdict, summed over those granted.
+	WaitMs int64 `json:"granted_wait_ms"`
+}
+
+// toldWait is when a place was expected.
+type toldWait struct {
+	at   time.Time
+	wait time.Duration
+}
+
+// left is how much of the wait is left.
+func (t toldWait) left() time.Duration { return max(0, t.wait-time.Since(t.at)) }
+
+func newPlaces(settings config.Gateway, keeper *placeKeeper, meter *link.Meter) *places {
+	return &places{
+		settings: settings, keeper: keeper, meter: meter,
+		links: make(map[string]*placeLink), pools: make(map[string][]room.Pool), waits: make(map[uint32]toldWait),
+	}
+}
+
+// run gives out places until the context ends.
+func (p *places) run(ctx context.Context) {
+	p.mutex.Lock()
+	p.context = ctx
+	p.mutex.Unlock()
+	p.keeper.run(ctx)
+	p.group.Wait()
+}
+
+// note takes a new table.
+func (p *places) note(table *routing.Table) {
+	if !takesPart(p.settings) {
+		return
+	}
+	p.keeper.note(table)
+	pools := make(map[string][]room.Pool)
+	for _, name := range table.Services() {
+		if service, _ := table.Service(name); !service.Config.Keyed {
+			pools[name] = room.Pools(name, service.Instances, table.Keepers)
+		}
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pools, p.keepers = pools, table.Keepers
+	for _, keeper := range table.Keepers {
+		p.linkTo(keeper.Address)
+	}
+}
+
+// linkTo returns the way to a keeper, connected or not. The mutex must be held.
+func (p *places) linkTo(address string) *placeLink {
+	known, found := p.links[address]
+	if !found {
+		known = &placeLink{
+			address: address, name: p.settings.Name, pending: make(map[uint32]chan message.PlaceAnswer),
+			options: wire.Options{
+				DialTimeout: p.settings.BackEnd.ConnectTimeout, WriteTimeout: p.settings.PongTimeout,
+				ReadBufferBytes: placeReadBuffer, Passed: streamOf(p.meter, link.Places),
+			},
+		}
+		if address == p.settings.PeerAddress {
+			asker := p.keeper.join(address, known.answered)
+			known.local = func(request message.PlaceRequest) { p.keeper.take(asker, request) }
+		}
+		p.links[address] = known
+	}
+	if p.context != nil {
+		known.connect(p.context, &p.group)
+	}
+	return known
+}
+
+// heldPlace is a place at an instance, to be given back by end.
+type heldPlace struct {
+	link   *placeLink
+	number uint32
+}
+
+func (h *heldPlace) end(outcome room.Outcome, took time.Duration) {
+	if h != nil {
+		h.link.end(message.PlaceEnd{Number: h.number, Outcome: uint8(outcome), TookMs: uint32(took.Milliseconds())})
+	}
+}
+
+// placeAnswer is what became of an ask: the verdict Unknown if no keeper gave one.
+type placeAnswer struct {
+	verdict room.Verdict
+	server  directory.Reference
+	place   *heldPlace
+	// wait is when there is room again.
+	wait time.Duration
+}
+
+// ofHolder asks for a place at the holder of a request's key.
+func (p *places) ofHolder(current *request, holder directory.Instance) placeAnswer {
+	p.mutex.Lock()
+	address := room.KeeperOf(holder, p.keepers)
+	if address == "" {
+		p.mutex.Unlock()
+		return placeAnswer{verdict: room.Unknown}
+	}
+	way := p.linkTo(address)
+	p.mutex.Unlock()
+	return p.ask(current, way, holderQueue(holder.ID))
+}
+
+// ofService asks for a place at any instance of a service without keys.
+func (p *places) ofService(current *request) placeAnswer {
+	answer := placeAnswer{verdict: room.Unknown}
+	asked := make(map[uint32]bool)
+	for range poolsAsked {
+		way, queue, found := p.bestPool(current.service, asked)
+		if !found {
+			break
+		}
+		asked[queue] = true
+		answer = p.ask(current, way, queue)
+		if answer.verdict == room.Granted {
+			break
+		}
+	}
+	return answer
+}
+
+// bestPool returns the pool with the shortest wait, that of the own zone unless another one is
+// clearly better.
+func (p *places) bestPool(service string, asked map[uint32]bool) (*placeLink, uint32, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var best room.Pool
+	bestWait := time.Duration(-1)
+	pools := p.pools[service]
+	start := rand.IntN(max(len(pools), 1))
+	for offset := range pools {
+		pool := pools[(start+offset)%len(pools)]
+		if asked[poolQueue(pool)] {
+			continue
+		}
+		wait := p.waits[poolQueue(pool)].left()
+		if pool.Zone != p.settings.Zone {
+			wait += otherZone
+		}
+		if bestWait < 0 || wait < bestWait {
+			best, bestWait = pool, wait
+		}
+	}
+	if bestWait < 0 {
+		return nil, 0, false
+	}
+	return p.linkTo(best.Keeper), poolQueue(best), true
+}
+
+// takeAsked returns the counts since the last call.
+func (p *places) takeAsked() askCounts {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	taken := p.asked
+	p.asked = askCounts{}
+	return taken
+}
+
+// count adds an ask to the counts.
+func (p *places) count(add func(*askCounts)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	add(&p.asked)
+}
+
+// ask asks one keeper, waits for its verdict and counts it.
+func (p *places) ask(current *request, way *placeLink, queue uint32) placeAnswer {
+	began := time.Now()
+	answer := p.askKeeper(current, way, queue)
+	p.count(func(counts *askCounts) {
+		switch answer.verdict {
+		case room.Granted:
+			counts.Granted++
+			counts.WaitMs += time.Since(began).Milliseconds()
+		case room.Rejected:
+			counts.Rejected++
+		default:
+			counts.Unknown++
+		}
+	})
+	return answer
+}
+
+// askKeeper asks one keeper and waits for its verdict.
+func (p *places) askKeeper(current *request, way *placeLink, queue uint32) placeAnswer {
+	number, answers, reached := way.ask(message.PlaceAsk{
+		Queue: queue, Urgency: uint8(urgencyScale * current.urgency),
+		TargetMs: uint32(max(0, time.Until(current.arrived.Add(current.target()))).Milliseconds()), DeadlineMs: uint32(max(0, current.left()).Milliseconds()),
+	}, current.target())
+	if !reached {
+		p.count(func(counts *askCounts) { counts.Unreached++ })
+		return placeAnswer{verdict: room.Unknown}
+	}
+	defer way.forget(number)
+	began, first := time.Now(), true
+	held := &heldPlace{link: way, number: number}
+	timer := time.NewTimer(firstAnswer)
+	defer timer.Stop()
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
+	for {
+		select {
+		case told, open := <-answers:
+			if first {
+				first = false
+				way.answeredAfter(time.Since(began))
+			}
+			if !open {
+				return placeAnswer{verdict: room.Unknown}
+			}
+			wait := milliseconds(told.WaitMs)
+			p.told(queue, wait)
+			if room.Verdict(told.Verdict) != room.Queued {
+				return placeAnswer{verdict: room.Verdict(told.Verdict), server: directory.Reference(told.Server), place: held, wait: wait}
+			}
+			timer.Reset(queuedSilence)
+		case <-look.C:
+			if current.interrupt.Fired() {
+				held.end(room.Unused, 0)
+				return placeAnswer{verdict: room.Rejected}
+			}
+		case <-timer.C:
+			held.end(room.Unused, 0)
+			if first {
+				way.answeredAfter(firstAnswer)
+			}
+			way.noAnswer()
+			p.count(func(counts *askCounts) { counts.Unanswered++ })
+			return placeAnswer{verdict: room.Unknown}
+		}
+	}
+}
+
+// told keeps what a keeper said of a queue.
+func (p *places) told(queue uint32, wait time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.waits[queue] = toldWait{at: time.Now(), wait: wait}
+}
--- /dev/null
+++ b/internal/gateway/places_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/room"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// placeTable is a table with one service of one server, and one keeper.
+func placeTable(t *testing.T, keeper string) *routing.Table {
+	t.Helper()
+	view := directory.New()
+	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","version":1}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for index, command := range []directory.Command{
+		{Patch: &patch},
+		{Instances: []directory.Instance{{ID: "i", Service: "s", Address: "127.0.0.1:9", Zone: "z", Slots: 1, State: directory.InstanceReady}}},
+		{Keepers: []directory.Keeper{{Address: keeper, Zone: "z"}}},
+	} {
+		if err := view.Apply(directory.Revision(index+1), command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return routing.Build(view, nil)
+}
+
+// placeRequest is a request for that service.
+func placeRequest(left time.Duration) *request {
+	now := time.Now()
+	return &request{
+		service: "s", arrived: now, deadline: now.Add(left), interrupt: &forward.Interrupt{},
+		route: &directory.Route{TargetLatencyMs: float64(left.Milliseconds())},
+	}
+}
+
+func placeSettings(address string) config.Gateway {
+	settings := config.DefaultGateway()
+	settings.Name, settings.Zone, settings.KeepPlaces, settings.PeerAddress = "g", "z", true, address
+	return settings
+}
+
+func everyInstance(directory.Instance) bool { return true }
+
+// startKeeper serves a gateway that keeps the server, and returns its address and how to stop it.
+func startKeeper(t *testing.T, address string) (*places, string, context.CancelFunc) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := placeSettings(listener.Addr().String())
+	keeping := newPlaces(settings, newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
+	keeping.note(placeTable(t, settings.PeerAddress))
+	gateway := &Gateway{settings: settings, places: keeping, log: telemetry.New(role, "g", "error", io.Discard)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = gateway.servePeersOn(ctx, listener)
+	}()
+	go keeping.keeper.run(ctx)
+	stop := func() {
+		cancel()
+		<-ended
+	}
+	t.Cleanup(stop)
+	return keeping, settings.PeerAddress, stop
+}
+
+// startAsker returns a gateway that is connected to a keeper.
+func startAsker(t *testing.T, keeper string) *places {
+	t.Helper()
+	asking := newPlaces(placeSettings("127.0.0.1:1"), newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
+	runInBackground(t, asking.run)
+	table := placeTable(t, keeper)
+	eventually(t, "the keeper is reached", func() bool {
+		asking.note(table)
+		asking.mutex.Lock()
+		way := asking.links[keeper]
+		asking.mutex.Unlock()
+		way.mutex.Lock()
+		defer way.mutex.Unlock()
+		return way.outgoing != nil
+	})
+	return asking
+}
+
+const placeTime = 20 * time.Second
+
+// TestGatewaysShareAServer: two gateways together get as many places as one server has; the
+// next request waits until one of them is given back, and hears of it.
+func TestGatewaysShareAServer(t *testing.T) {
+	keeping, address, _ := startKeeper(t, "127.0.0.1:0")
+	asking := startAsker(t, address)
+	var held []*heldPlace
+	for _, gateway := range []*places{keeping, asking} {
+		answer := gateway.ofService(placeRequest(placeTime))
+		if answer.verdict != room.Granted || answer.server != directory.ReferenceOf("i") {
+			t.Fatalf("got %+v, want a place", answer)
+		}
+		held = append(held, answer.place)
+	}
+	third := make(chan placeAnswer, 1)
+	go func() { third <- asking.ofService(placeRequest(placeTime)) }()
+	select {
+	case answer := <-third:
+		t.Fatalf("got %+v though the server is full", answer)
+	case <-time.After(3 * queuedSilence / 2): // longer than a silent keeper is waited for
+	}
+	held[0].end(room.Answered, 5*time.Millisecond)
+	if answer := <-third; answer.verdict != room.Granted {
+		t.Errorf("got %+v once a place was given back", answer)
+	}
+	hurried := placeRequest(placeTime)
+	hurried.arrived = time.Now().Add(-placeTime)
+	if answer := asking.ofService(hurried); answer.verdict != room.Rejected {
+		t.Errorf("got %+v for a request that cannot be in time", answer)
+	}
+}
+
+// TestCallerThatLeavesEndsItsWait, and its gateway takes no place for it.
+func TestCallerThatLeavesEndsItsWait(t *testing.T) {
+	keeping, address, _ := startKeeper(t, "127.0.0.1:0")
+	asking := startAsker(t, address)
+	for range 2 {
+		asking.ofService(placeRequest(placeTime))
+	}
+	leaving := placeRequest(placeTime)
+	ended := make(chan placeAnswer, 1)
+	go func() { ended <- asking.ofService(leaving) }()
+	eventually(t, "the request waits", func() bool {
+		asking.mutex.Lock()
+		defer asking.mutex.Unlock()
+		return asking.waits[poolQueue(asking.pools["s"][0])].wait > 0
+	})
+	leaving.interrupt.Fire()
+	if answer := <-ended; answer.verdict != room.Rejected {
+		t.Errorf("got %+v for a caller that left", answer)
+	}
+	_ = keeping
+}
+
+// TestGatewayGoesOnWithoutItsKeeper: while a request waits and its keeper ends, the gateway is
+// to choose by its own counts at once; it asks again once there is a keeper.
+func TestGatewayGoesOnWithoutItsKeeper(t *testing.T) {
+	_, address, stop := startKeeper(t, "127.0.0.9:0")
+	asking := startAsker(t, address)
+	for range 2 {
+		asking.ofService(placeRequest(placeTime))
+	}
+	waiting := make(chan placeAnswer, 1)
+	go func() { waiting <- asking.ofService(placeRequest(placeTime)) }()
+	time.Sleep(queuedSilence / 4)
+	stop()
+	if answer := <-waiting; answer.verdict != room.Unknown {
+		t.Errorf("got %+v from a keeper that ended", answer)
+	}
+	began := time.Now()
+	if answer := asking.ofService(placeRequest(placeTime)); answer.verdict != room.Unknown || time.Since(began) > firstAnswer {
+		t.Errorf("got %+v after %s without a keeper", answer, time.Since(began))
+	}
+	startKeeper(t, address)
+	table := placeTable(t, address)
+	eventually(t, "the new keeper gives places", func() bool {
+		asking.note(table)
+		return asking.ofService(placeRequest(placeTime)).verdict == room.Granted
+	})
+}
+
+// TestSilentKeeperIsNotWaitedFor: one that is frozen takes connections and says nothing. The
+// first request waits for it for firstAnswer, the next ones not at all.
+func TestSilentKeeperIsNotWaitedFor(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := &wire.Server{}
+	runInBackground(t, func(ctx context.Context) {
+		_ = silent.Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) {
+			var hello message.Hello
+			for connection.Receive(&hello) == nil {
+				continue
+			}
+		})
+	})
+	asking := startAsker(t, listener.Addr().String())
+	if answer := asking.ofService(placeRequest(placeTime)); answer.verdict != room.Unknown {
+		t.Errorf("got %+v from a keeper that says nothing", answer)
+	}
+	began := time.Now()
+	if answer := asking.ofService(placeRequest(placeTime)); answer.verdict != room.Unknown || time.Since(began) >= firstAnswer {
+		t.Errorf("got %+v, after %s", answer, time.Since(began))
+	}
+}
+
+// TestKeeperTakesBadMessages: numbers, outcomes and queues that nobody gave change nothing.
+func TestKeeperTakesBadMessages(t *testing.T) {
+	keeper := newPlaceKeeper(clock.NewSystem(), everyInstance)
+	keeper.note(placeTable(t, "127.0.0.1:1"))
+	var answers []message.PlaceAnswer
+	asker := keeper.join("a", func(told []message.PlaceAnswer) { answers = append(answers, told...) })
+	keeper.take(asker, message.PlaceRequest{
+		Asks: []message.PlaceAsk{{Number: 1, Queue: 12345, Urgency: 255, TargetMs: 1 << 31, DeadlineMs: 1<<32 - 1}},
+		Ends: []message.PlaceEnd{{Number: 99, Outcome: 200, TookMs: 1<<32 - 1}},
+	})
+	if len(answers) != 1 || room.Verdict(answers[0].Verdict) != room.Unknown {
+		t.Errorf("answers %+v, want one that knows no such queue", answers)
+	}
+	keeper.leave(asker)
+	keeper.take("nobody#1", message.PlaceRequest{Ends: []message.PlaceEnd{{Number: 1}}})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -44,6 +44,12 @@
 	urgency float64
 	// reserved is the room that was reserved on the own link, in bytes.
 	reserved float64
+	// asked is true once a keeper was asked for a place, and place is the one that it gave.
+	asked bool
+	place *heldPlace
+	// noRoom is true if there is no place in time, and retryIn when there is one again.
+	noRoom  bool
+	retryIn time.Duration
 	// interrupt gives the attempt up when the caller leaves.
 	interrupt *forward.Interrupt
 	// revision is that of the table by which the request was routed.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -234,6 +234,7 @@
 	if current.keyed && failure == nil {
 		g.unreachable.reached(instance.ID)
 	}
+	g.endPlace(current, took, failure)
 	if g.balancer.End(outcome) {
 		g.logEjected(instance, failure)
 	}
@@ -272,7 +273,7 @@
 // again with the rest.
 func (g *Gateway) patience(current *request, failure *fault.Error) time.Time {
 	const heldShare = 0.4
-	if failure.Kind == fault.ConnectFailed {
+	if failure.Kind == fault.ConnectFailed || current.noRoom {
 		return current.arrived
 	}
 	given := current.deadline.Sub(current.arrived)
@@ -299,6 +300,9 @@
 	if current.keyed {
 		return g.chooseOwner(current, service)
 	}
+	if instance, failure, decided := g.placeInService(current, service); decided {
+		return instance, failure
+	}
 	now := g.clock.Now()
 	candidates := g.candidates(now, current, service.Instances)
 	if len(candidates) == 0 {
@@ -362,6 +366,9 @@
 	if !g.unreachable.mayAsk(g.clock.Now(), instance.ID) {
 		return directory.Instance{}, fault.Newf(fault.ConnectFailed, "no connection to the holder of key %d could be made of late", current.key)
 	}
+	if failure, decided := g.placeAtHolder(current, instance); decided {
+		return instance, failure
+	}
 	if !g.balancer.TryBegin(g.clock.Now(), instance, keyedLimit(instance.Slots)) {
 		current.candidates = g.balancer.Standings(g.clock.Now(), []directory.Instance{instance})
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "the holder of key %d has as many requests as it may", current.key)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -93,6 +93,7 @@
 func (g *Gateway) stop(server *fasthttp.Server) error {
 	end := time.Now().Add(g.settings.StopTimeout - stopMargin)
 	g.stopping.Store(true)
+	g.demand.stopping.Store(true)
 	time.Sleep(g.settings.StopNotice)
 	bounded, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -51,6 +51,8 @@
 	confirmedAt atomic.Pointer[time.Time]
 	// reached is true once a controller has accepted a connection.
 	reached atomic.Bool
+	// peerStreams counts the gateways that take the directory from this one.
+	peerStreams atomic.Int64
 	// updates tells of each new table.
 	updates *broadcast.Broadcast
 	meter   *link.Meter
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -21,6 +21,8 @@
 	throttles []directory.Throttles
 	// gateways is the number of gateways if it is to be published, else zero.
 	gateways int
+	// keepers are published if there are any.
+	keepers []directory.Keeper
 }
 
 // Batch begins a batch of decisions at a time.
@@ -44,6 +46,9 @@
 	if b.gateways > 0 {
 		commands = append(commands, directory.Command{Gateways: b.gateways})
 	}
+	if len(b.keepers) > 0 {
+		commands = append(commands, directory.Command{Keepers: b.keepers})
+	}
 	for _, draft := range b.order {
 		draft.tellReachable()
 		commands = append(commands, draft.commands()...)
@@ -185,6 +190,7 @@
 	b.silent()
 	b.publishTimes()
 	b.publishGateways()
+	b.publishKeepers()
 	throttleDue := b.throttleDue()
 	for _, service := range b.view.KeyedServices() {
 		if throttleDue {
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -33,11 +33,13 @@
 	// publishedAt is when service times were looked at last.
 	publishedAt time.Duration
 	// gateways are when each gateway was heard of last, by name.
-	gateways map[string]time.Duration
+	gateways map[string]gateway
 	// throttledAt is when hot keys were looked at last.
 	throttledAt time.Duration
 	// countedAt is when their number was published last.
 	countedAt time.Duration
+	// keepersAt is when the keepers were looked at last.
+	keepersAt time.Duration
 }
 
 // New returns a core. Lead must be called before it is used.
@@ -59,8 +61,9 @@
 	c.strangers = make(map[directory.InstanceID]stranger)
 	c.newcomers = make(map[string]map[directory.InstanceID]time.Duration)
 	c.targets = make(map[targetKey]directory.InstanceID)
-	c.gateways = make(map[string]time.Duration)
+	c.gateways = make(map[string]gateway)
 	c.countedAt = 0
+	c.keepersAt = 0
 	c.throttledAt = 0
 }
 
--- a/internal/heartbeat/gateways.go
+++ b/internal/heartbeat/gateways.go
@@ -18,8 +18,32 @@
 	fewerGateways = 0.9
 )
 
-// HearGateway notes that a gateway reports to this leader.
-func (c *Core) HearGateway(now time.Duration, name string) { c.gateways[name] = now }
+// GatewayOffer is what a gateway offers to others.
+type GatewayOffer struct {
+	// Address is where others ask it for the places of instances, IP:port; empty if it does
+	// not give any out.
+	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z"`
+	// Megabits is what its link carries in each direction, in Mbit/s; zero for no bound.
+	Megabits float64 `msgpack:"m"`
+}
+
+// gateway is what this leader knows of one.
+type gateway struct {
+	heardAt time.Duration
+	offer   GatewayOffer
+}
+
+// HearGateway notes that a gateway reports to this leader. What it offers is told once on
+// each connection, and nil later.
+func (c *Core) HearGateway(now time.Duration, name string, offer *GatewayOffer) {
+	known := c.gateways[name]
+	known.heardAt = now
+	if offer != nil {
+		known.offer = *offer
+	}
+	c.gateways[name] = known
+}
 
 // publishGateways tells the number of gateways if it has changed.
 func (b *Batch) publishGateways() {
@@ -28,8 +52,8 @@
 		return
 	}
 	core.countedAt = b.now
-	for name, heardAt := range core.gateways {
-		if b.now-heardAt > gatewayMemory {
+	for name, known := range core.gateways {
+		if b.now-known.heardAt > gatewayMemory {
 			delete(core.gateways, name)
 		}
 	}
--- a/internal/link/meter.go
+++ b/internal/link/meter.go
@@ -34,6 +34,8 @@
 	Directory
 	// Demand are reports of what was asked for, to the leading controller.
 	Demand
+	// Places are messages about the places of instances, between gateways.
+	Places
 	// Overhead are heads of requests and answers, and what connections take.
 	Overhead
 	kinds
@@ -41,11 +43,11 @@
 
 // String returns the kind's name in logs and metrics.
 func (k Kind) String() string {
-	return [kinds]string{"bodies", "answers", "attempts", "directory", "demand", "overhead"}[k]
+	return [kinds]string{"bodies", "answers", "attempts", "directory", "demand", "places", "overhead"}[k]
 }
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Bodies, Answers, Attempts, Directory, Demand, Overhead} }
+func Kinds() []Kind { return []Kind{Bodies, Answers, Attempts, Directory, Demand, Places, Overhead} }
 
 // connectionBytes is what opening and closing a connection takes in each direction: three
 // packets of 40 to 60 bytes.
@@ -92,5 +94,5 @@
 
 // All returns all bytes that passed in a direction since the start.
 func (m *Meter) All(direction Direction) int64 {
-	return m.streams[direction].Load() + m.Total(direction, Directory) + m.Total(direction, Demand)
+	return m.streams[direction].Load() + m.Total(direction, Directory) + m.Total(direction, Demand) + m.Total(direction, Places)
 }
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -41,5 +41,7 @@
 
 // DemandReport carries a gateway's counts since its last one.
 type DemandReport struct {
-	Services []heartbeat.Report `msgpack:"s"`
+	// Gateway is what the gateway offers to others, in the first report on a connection.
+	Gateway  *heartbeat.GatewayOffer `msgpack:"g,omitempty"`
+	Services []heartbeat.Report      `msgpack:"s"`
 }
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -25,6 +25,8 @@
 	PurposeDirectory Purpose = "directory"
 	// PurposeDemand carries a gateway's counts of requests to the leader.
 	PurposeDemand Purpose = "demand"
+	// PurposePlaces asks a gateway for the places of instances.
+	PurposePlaces Purpose = "places"
 	// PurposeRouter carries requests between routers.
 	PurposeRouter Purpose = "router"
 )
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -29,6 +29,8 @@
 	Evacuated []string
 	// Gateways is how many of them share the instances, zero if that is not known.
 	Gateways int
+	// Keepers are the gateways that give out the places of instances.
+	Keepers []directory.Keeper
 	// itemsRevision is the revision of the newest item.
 	itemsRevision directory.Revision
 	// priorities are those of the routes, each once, the most urgent first.
@@ -48,7 +50,7 @@
 // Build returns the table of a directory. What did not change is taken over from an
 // earlier table of the same directory, which may be nil.
 func Build(view *directory.Directory, earlier *Table) *Table {
-	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service), Gateways: view.Gateways()}
+	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service), Gateways: view.Gateways(), Keepers: view.Keepers()}
 	for _, zone := range view.Zones() {
 		if zone.Evacuated {
 			table.Evacuated = append(table.Evacuated, zone.Name)
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -41,20 +41,23 @@
 	closed   atomic.Bool
 	sent     atomic.Uint64
 	received atomic.Uint64
+	// idle bounds the wait for the next bytes, in nanoseconds.
+	idle atomic.Int64
 }
 
 // NewConn returns a Conn that owns the stream.
 func NewConn(stream net.Conn, options Options) *Conn {
 	tune(stream)
 	options = options.withDefaults()
-	return &Conn{
-		stream:  stream,
-		options: options,
-		reader:  bufio.NewReaderSize(progressReader{stream, options}, readBufferBytes),
-		writing: make(chan struct{}, 1),
-	}
+	connection := &Conn{stream: stream, options: options, writing: make(chan struct{}, 1)}
+	connection.idle.Store(int64(options.IdleTimeout))
+	connection.reader = bufio.NewReaderSize(progressReader{connection}, options.ReadBufferBytes)
+	return connection
 }
 
+// SetIdleTimeout changes the bound of the wait for the next bytes, from the next read on.
+func (c *Conn) SetIdleTimeout(idle time.Duration) { c.idle.Store(int64(idle)) }
+
 // Send writes one value as a frame. It waits for other Sends until the context
 // ends. An error that satisfies errors.Is(err, ErrNotSent) means that nothing
 // was written and the connection is as before; any other error closes the
@@ -195,18 +198,16 @@
 
 // progressReader reads from a stream and gives up once no byte came for a time, however
 // long the frame is: a narrow link needs its time for a long one.
-type progressReader struct {
-	stream  net.Conn
-	options Options
-}
+type progressReader struct{ connection *Conn }
 
 // Read implements io.Reader.
 func (r progressReader) Read(target []byte) (int, error) {
-	if err := r.stream.SetReadDeadline(time.Now().Add(r.options.IdleTimeout)); err != nil {
+	stream := r.connection.stream
+	if err := stream.SetReadDeadline(time.Now().Add(time.Duration(r.connection.idle.Load()))); err != nil {
 		return 0, eris.Wrap(err, "set the read deadline")
 	}
-	count, err := r.stream.Read(target)
-	r.options.Passed(count, 0)
+	count, err := stream.Read(target)
+	r.connection.options.Passed(count, 0)
 	return count, err
 }
 
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -28,6 +28,8 @@
 	MaxFrameBytes int
 	// WriteTimeout bounds the writing of one frame.
 	WriteTimeout time.Duration
+	// ReadBufferBytes is the size of the buffer for reading.
+	ReadBufferBytes int
 	// IdleTimeout bounds the wait for the next bytes, of a frame or within one.
 	IdleTimeout time.Duration
 	// DialTimeout bounds the opening of a connection.
@@ -43,6 +45,9 @@
 	if o.MaxFrameBytes <= 0 {
 		o.MaxFrameBytes = DefaultMaxFrameBytes
 	}
+	if o.ReadBufferBytes <= 0 {
+		o.ReadBufferBytes = readBufferBytes
+	}
 	if o.WriteTimeout <= 0 {
 		o.WriteTimeout = DefaultWriteTimeout
 	}
