Gateways: connections to former keepers of places end, keepers lost and reached are logged

Cause: by reading: the way to each gateway that was ever a keeper stayed open, and what keepers said of queues of instances that left was kept for good. Nothing told an operator that a keeper was lost.

Change: ways to gateways that are keepers no longer are closed (TestFormerKeepersAreLeft), the notes of waits are bounded, one line each when a keeper is lost or reached.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 	registerLinkBytes(gateway.registry, meter)
 	gateway.demand = newDemandCounter(settings, gateway.subscription, meter)
 	gateway.subscription.changed = gateway.tableChanged
-	gateway.places = newPlaces(settings, newPlaceKeeper(gateway.clock, gateway.mayKeep), meter)
+	gateway.places = newPlaces(settings, log, newPlaceKeeper(gateway.clock, gateway.mayKeep), meter)
 	return gateway, nil
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -32,7 +32,7 @@
 	if target <= 0 {
 		target = defaultTarget
 	}
-	return link.Request{Now: g.clock.Now(), Route: current.route.Name, Target: target, Urgency: current.urgency}
+	return link.Request{Now: g.clock.Now(), Route: current.route.Name, Target: target, Deadline: current.deadline.Sub(current.arrived), Urgency: current.urgency}
 }
 
 // admit takes a request on, or returns why not.
--- a/internal/gateway/placelink.go
+++ b/internal/gateway/placelink.go
@@ -5,9 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
@@ -37,7 +39,12 @@
 	local   func(message.PlaceRequest)
 	options wire.Options
 	name    string
+	log     *logrus.Entry
 	mutex   sync.Mutex
+	// closed is true once the gateway on the other end is a keeper no longer, and cancel ends
+	// the connection to it; nil while there is none.
+	closed bool
+	cancel context.CancelFunc
 	// outgoing is that of the open connection; nil while there is none.
 	outgoing *outbox[outgoingPlace]
 	dialing  bool
@@ -158,13 +165,24 @@
 func (l *placeLink) connect(ctx context.Context, group *conc.WaitGroup) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.local != nil || l.outgoing != nil || l.dialing || time.Now().Before(l.redialAt) || ctx.Err() != nil {
+	if l.local != nil || l.outgoing != nil || l.dialing || l.closed || time.Now().Before(l.redialAt) || ctx.Err() != nil {
 		return
 	}
 	l.dialing = true
+	ctx, l.cancel = context.WithCancel(ctx)
 	group.Go(func() { l.follow(ctx) })
 }
 
+// close ends the connection for good.
+func (l *placeLink) close() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closed = true
+	if l.cancel != nil {
+		l.cancel()
+	}
+}
+
 // follow keeps one connection until it breaks. Asks that wait get no answer then.
 func (l *placeLink) follow(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -204,13 +222,19 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.outgoing, l.dialing = outgoing, false
+	telemetry.With(l.log, telemetry.EventPeerReached).WithField(telemetry.FieldAddress, l.address).Info("keeper of places reached")
 }
 
 // broken tells those who wait that no answer comes.
 func (l *placeLink) broken() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.outgoing, l.dialing = nil, false
+	if l.outgoing != nil && !l.closed {
+		telemetry.With(l.log, telemetry.EventPeerUnreachable).WithField(telemetry.FieldAddress, l.address).
+			WithField("waiting", len(l.pending)).Warn("connection to a keeper of places lost")
+	}
+	l.cancel()
+	l.outgoing, l.dialing, l.cancel = nil, false, nil
 	l.redialAt = time.Now().Add(redialPause)
 	for number, waiting := range l.pending {
 		close(waiting)
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/config"
@@ -27,6 +29,8 @@
 	// otherZone is by how much sooner a place in another zone must be expected to be preferred
 	// to one in the own zone: requests and answers between zones cost.
 	otherZone = 60 * time.Millisecond
+	// mostWaits bounds the queues of which it is remembered what their keepers said.
+	mostWaits = 4096
 	// poolsAsked bounds the pools that one request asks in turn.
 	poolsAsked = 2
 )
@@ -34,6 +38,7 @@
 // places asks the keepers of instances for places. It is safe for concurrent use.
 type places struct {
 	settings config.Gateway
+	log      *logrus.Entry
 	keeper   *placeKeeper
 	meter    *link.Meter
 	mutex    sync.Mutex
@@ -70,9 +75,9 @@
 // left is how much of the wait is left.
 func (t toldWait) left() time.Duration { return max(0, t.wait-time.Since(t.at)) }
 
-func newPlaces(settings config.Gateway, keeper *placeKeeper, meter *link.Meter) *places {
+func newPlaces(settings config.Gateway, log *logrus.Entry, keeper *placeKeeper, meter *link.Meter) *places {
 	return &places{
-		settings: settings, keeper: keeper, meter: meter,
+		settings: settings, log: log, keeper: keeper, meter: meter,
 		links: make(map[string]*placeLink), pools: make(map[string][]room.Pool), waits: make(map[uint32]toldWait),
 	}
 }
@@ -104,6 +109,19 @@
 	for _, keeper := range table.Keepers {
 		p.linkTo(keeper.Address)
 	}
+	p.closeOthers()
+}
+
+// closeOthers ends the connections to gateways that are keepers no longer. The mutex must be
+// held.
+func (p *places) closeOthers() {
+	for address, way := range p.links {
+		named := slices.ContainsFunc(p.keepers, func(keeper directory.Keeper) bool { return keeper.Address == address })
+		if !named && way.local == nil {
+			way.close()
+			delete(p.links, address)
+		}
+	}
 }
 
 // linkTo returns the way to a keeper, connected or not. The mutex must be held.
@@ -111,7 +129,7 @@
 	known, found := p.links[address]
 	if !found {
 		known = &placeLink{
-			address: address, name: p.settings.Name, pending: make(map[uint32]chan message.PlaceAnswer),
+			address: address, name: p.settings.Name, log: p.log, pending: make(map[uint32]chan message.PlaceAnswer),
 			options: wire.Options{
 				DialTimeout: p.settings.BackEnd.ConnectTimeout, WriteTimeout: p.settings.PongTimeout,
 				ReadBufferBytes: placeReadBuffer, Passed: streamOf(p.meter, link.Places),
@@ -297,5 +315,9 @@
 func (p *places) told(queue uint32, wait time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if len(p.waits) >= mostWaits {
+		// Most are of instances that left.
+		clear(p.waits)
+	}
 	p.waits[queue] = toldWait{at: time.Now(), wait: wait}
 }
--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -54,6 +56,8 @@
 	return settings
 }
 
+func quiet() *logrus.Entry { return telemetry.New(role, "g", "error", io.Discard) }
+
 func everyInstance(directory.Instance) bool { return true }
 
 // startKeeper serves a gateway that keeps the server, and returns its address and how to stop it.
@@ -64,9 +68,9 @@
 		t.Fatal(err)
 	}
 	settings := placeSettings(listener.Addr().String())
-	keeping := newPlaces(settings, newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
+	keeping := newPlaces(settings, quiet(), newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
 	keeping.note(placeTable(t, settings.PeerAddress))
-	gateway := &Gateway{settings: settings, places: keeping, log: telemetry.New(role, "g", "error", io.Discard)}
+	gateway := &Gateway{settings: settings, places: keeping, log: quiet()}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -85,7 +89,7 @@
 // startAsker returns a gateway that is connected to a keeper.
 func startAsker(t *testing.T, keeper string) *places {
 	t.Helper()
-	asking := newPlaces(placeSettings("127.0.0.1:1"), newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
+	asking := newPlaces(placeSettings("127.0.0.1:1"), quiet(), newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
 	runInBackground(t, asking.run)
 	table := placeTable(t, keeper)
 	eventually(t, "the keeper is reached", func() bool {
@@ -224,3 +228,22 @@
 	keeper.leave(asker)
 	keeper.take("nobody#1", message.PlaceRequest{Ends: []message.PlaceEnd{{Number: 1}}})
 }
+
+// TestFormerKeepersAreLeft: connections to gateways that are keepers no longer end.
+func TestFormerKeepersAreLeft(t *testing.T) {
+	keeping, address, _ := startKeeper(t, "127.0.0.1:0")
+	asking := startAsker(t, address)
+	asking.ofService(placeRequest(placeTime))
+	asking.note(placeTable(t, "127.0.0.1:2"))
+	asking.mutex.Lock()
+	_, known := asking.links[address]
+	asking.mutex.Unlock()
+	if known {
+		t.Error("the way to a former keeper is still known")
+	}
+	eventually(t, "the former keeper has no asker but itself", func() bool {
+		keeping.keeper.mutex.Lock()
+		defer keeping.keeper.mutex.Unlock()
+		return len(keeping.keeper.askers) == 1
+	})
+}
