Review: work done once, errors of keepers logged, a test that could not fail

Found in reading the whole change: pools of each new table were worked out twice, changed holdings were collected twice for each message to gateways, an error in reaching a keeper was dropped without a line, TestCallerThatLeavesEndsItsWait did not look at the keeper, and link.Meter.All served its own test alone.

Change: pools are made once and handed on; Directory.sinceWithoutLayouts serves both forms; one line when a keeper is out of reach, until it was reached; the test wants that nobody waits with the keeper and that only the two other places are held (it fails with the end of the wait taken out); Meter.All goes, its test looks at the directory's bytes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -153,6 +153,18 @@
 
 // Since returns what changed after a revision; zero gives everything.
 func (d *Directory) Since(after Revision) Content {
+	changes := d.sinceWithoutLayouts(after)
+	for _, layout := range d.layouts {
+		if layout.Revision > after {
+			changes.Layouts = append(changes.Layouts, layout.since(after))
+		}
+	}
+	slices.SortFunc(changes.Layouts, func(a, b Layout) int { return cmp.Compare(a.Service, b.Service) })
+	return changes
+}
+
+// sinceWithoutLayouts returns what changed after a revision but the holders of keys.
+func (d *Directory) sinceWithoutLayouts(after Revision) Content {
 	changes := Content{From: after, To: d.revision}
 	if d.itemsRevision > after {
 		changes.Items = slices.DeleteFunc(d.Items(), func(item Item) bool { return item.Revision <= after })
@@ -162,12 +174,6 @@
 			changes.Instances = append(changes.Instances, instance)
 		}
 	}
-	for _, layout := range d.layouts {
-		if layout.Revision > after {
-			changes.Layouts = append(changes.Layouts, layout.since(after))
-		}
-	}
-	slices.SortFunc(changes.Layouts, func(a, b Layout) int { return cmp.Compare(a.Service, b.Service) })
 	for _, zone := range d.Zones() {
 		if zone.Revision > after {
 			changes.Zones = append(changes.Zones, zone)
--- a/internal/directory/routingchanges.go
+++ b/internal/directory/routingchanges.go
@@ -37,7 +37,7 @@
 
 // RoutingSince returns what changed after a revision; zero gives everything.
 func (d *Directory) RoutingSince(after Revision) RoutingChanges {
-	content := d.Since(after)
+	content := d.sinceWithoutLayouts(after)
 	changes := RoutingChanges{
 		From: content.From, To: content.To, Items: content.Items,
 		Zones: content.Zones, Fleet: content.Fleet, Throttles: content.Throttles,
--- a/internal/gateway/placekeeper.go
+++ b/internal/gateway/placekeeper.go
@@ -63,9 +63,9 @@
 
 func holderQueue(id directory.InstanceID) uint32 { return uint32(directory.ReferenceOf(id)) }
 
-// note takes a new table: asks for any of its instances are served, whoever is said to keep
+// note takes a new table with the pools of its services: asks for any of its instances are served, whoever is said to keep
 // them, since the asker may have a newer table.
-func (k *placeKeeper) note(table *routing.Table) {
+func (k *placeKeeper) note(table *routing.Table, pools map[string][]room.Pool) {
 	kept := make(map[uint32]keptQueue)
 	for _, name := range table.Services() {
 		service, _ := table.Service(name)
@@ -75,7 +75,7 @@
 			}
 			continue
 		}
-		for _, pool := range room.Pools(name, service.Instances, table.Keepers) {
+		for _, pool := range pools[name] {
 			kept[poolQueue(pool)] = keptQueue{name: pool.Name, servers: pool.Servers, pool: true}
 		}
 	}
--- a/internal/gateway/placelink.go
+++ b/internal/gateway/placelink.go
@@ -48,9 +48,11 @@
 	// outgoing is that of the open connection; nil while there is none.
 	outgoing *outbox[outgoingPlace]
 	dialing  bool
-	redialAt time.Time
-	suspect  time.Time
-	last     uint32
+	// unreachable is true once it was logged that the keeper is out of reach.
+	unreachable bool
+	redialAt    time.Time
+	suspect     time.Time
+	last        uint32
 	// answerTime is the mean time until a first answer, and probedAt when one was asked for
 	// last.
 	answerTime time.Duration
@@ -190,11 +192,13 @@
 	defer l.broken()
 	connection, err := wire.Dial(ctx, l.address, l.options)
 	if err != nil {
+		l.noteUnreachable(err)
 		return
 	}
 	defer connection.Close()
 	defer context.AfterFunc(ctx, connection.Close)()
-	if connection.Send(ctx, &message.Hello{Purpose: message.PurposePlaces, From: l.name}) != nil {
+	if err := connection.Send(ctx, &message.Hello{Purpose: message.PurposePlaces, From: l.name}); err != nil {
+		l.noteUnreachable(err)
 		return
 	}
 	var writing conc.WaitGroup
@@ -218,10 +222,22 @@
 	}
 }
 
+// noteUnreachable logs that the keeper could not be reached, once until it was.
+func (l *placeLink) noteUnreachable(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.unreachable || l.closed {
+		return
+	}
+	l.unreachable = true
+	telemetry.WithError(l.log, telemetry.EventPeerUnreachable, err).WithField(telemetry.FieldAddress, l.address).
+		Warn("keeper of places out of reach")
+}
+
 func (l *placeLink) opened(outgoing *outbox[outgoingPlace]) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.outgoing, l.dialing = outgoing, false
+	l.outgoing, l.dialing, l.unreachable = outgoing, false, false
 	telemetry.With(l.log, telemetry.EventPeerReached).WithField(telemetry.FieldAddress, l.address).Info("keeper of places reached")
 }
 
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -57,6 +57,8 @@
 
 // askCounts are asks by what became of them.
 type askCounts struct {
+	// Unreached and Unanswered are those that no keeper could be asked for, and to which one
+	// said nothing in time; Unknown are all without a verdict, these among them.
 	Granted    int64 `json:"granted"`
 	Rejected   int64 `json:"rejected"`
 	Unreached  int64 `json:"unreached"`
@@ -96,13 +98,13 @@
 	if !takesPart(p.settings) {
 		return
 	}
-	p.keeper.note(table)
 	pools := make(map[string][]room.Pool)
 	for _, name := range table.Services() {
 		if service, _ := table.Service(name); !service.Config.Keyed {
 			pools[name] = room.Pools(name, service.Instances, table.Keepers)
 		}
 	}
+	p.keeper.note(table, pools)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.pools, p.keepers = pools, table.Keepers
--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -156,7 +156,16 @@
 	if answer := <-ended; answer.verdict != room.Rejected {
 		t.Errorf("got %+v for a caller that left", answer)
 	}
-	_ = keeping
+	held := 0
+	eventually(t, "nobody waits with the keeper", func() bool {
+		keeping.keeper.mutex.Lock()
+		defer keeping.keeper.mutex.Unlock()
+		held = keeping.keeper.core.Held()
+		return keeping.keeper.core.Waiting() == 0
+	})
+	if held != 2 {
+		t.Errorf("%d places are held, want those of the two requests that stay", held)
+	}
 }
 
 // TestGatewayGoesOnWithoutItsKeeper: while a request waits and its keeper ends, the gateway is
@@ -215,7 +224,9 @@
 // TestKeeperTakesBadMessages: numbers, outcomes and queues that nobody gave change nothing.
 func TestKeeperTakesBadMessages(t *testing.T) {
 	keeper := newPlaceKeeper(clock.NewSystem(), everyInstance)
-	keeper.note(placeTable(t, "127.0.0.1:1"))
+	table := placeTable(t, "127.0.0.1:1")
+	service, _ := table.Service("s")
+	keeper.note(table, map[string][]room.Pool{"s": room.Pools("s", service.Instances, table.Keepers)})
 	var answers []message.PlaceAnswer
 	asker := keeper.join("a", func(told []message.PlaceAnswer) { answers = append(answers, told...) })
 	keeper.take(asker, message.PlaceRequest{
--- a/internal/link/meter.go
+++ b/internal/link/meter.go
@@ -91,8 +91,3 @@
 	// A body may be counted before its connection has carried the whole of it.
 	return max(0, overhead)
 }
-
-// All returns all bytes that passed in a direction since the start.
-func (m *Meter) All(direction Direction) int64 {
-	return m.streams[direction].Load() + m.Total(direction, Directory) + m.Total(direction, Demand) + m.Total(direction, Places)
-}
--- a/internal/link/meter_test.go
+++ b/internal/link/meter_test.go
@@ -21,7 +21,7 @@
 	if got, want := meter.Total(Out, Overhead), int64(300+connectionBytes); got != want {
 		t.Errorf("overhead out %d, want %d", got, want)
 	}
-	if got, want := meter.All(In), int64(4300+1000+connectionBytes); got != want {
-		t.Errorf("all in %d, want %d", got, want)
+	if got := meter.Total(In, Directory); got != 1000 {
+		t.Errorf("directory in %d, want 1000", got)
 	}
 }
--- a/internal/room/keeper.go
+++ b/internal/room/keeper.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// Held returns the number of places that are given out.
+func (k *Keeper) Held() int { return len(k.places) }
+
+// Waiting returns the number of requests that wait for a place.
+func (k *Keeper) Waiting() int {
+	count := 0
+	for _, asked := range k.queues {
+		count += len(asked.waiting)
+	}
+	return count
+}
+
 // Take returns the answers that became due since the last call, in their order.
 func (k *Keeper) Take() []Answer {
 	taken := k.answers
