Tests: the wait of a caller that left outlasts its test

With a target of 100 s it fails after 30 s (run with the end taken out), and passes in the tree as it is.

--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -104,7 +104,8 @@
 	return asking
 }
 
-const placeTime = 20 * time.Second
+// placeTime is longer than a test waits for anything, so that no wait ends by itself.
+const placeTime = 100 * time.Second
 
 // TestGatewaysShareAServer: two gateways together get as many places as one server has; the
 // next request waits until one of them is given back, and hears of it.
