Routes of downloads, tenants with API keys

Cause: the first configuration of customers with downloads or tenants was answered 400, so that nothing of theirs was served. Change: a third kind of route, download, which may be repeated. Items of the kind tenant: keys, priority, rate, burst, regions; a patch after which two tenants share a key is refused, since it would not tell whose requests they are. A tenant's priority goes before that of the route. Once a tenant was configured, keys are required for good, also when the last one is gone. With revocation.fail_closed a gateway that no controller has confirmed for revocation.limit takes no keys on. Link admission counts groups by route and urgency, since tenants on one route may differ in theirs.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -25,6 +25,8 @@
 	DrainTime        time.Duration `koanf:"drain_time" validate:"min=0s,max=10m" doc:"How long a draining instance still gets requests for keys that it holds."`
 	EvacuationLimit  time.Duration `koanf:"evacuation_limit" validate:"min=0s,max=10m" doc:"Longest time after the order to evacuate a zone in which its instances still get requests."`
 	WarmUp           WarmUp        `koanf:"warm_up" doc:"Requests to cold instances."`
+	Revocation       Revocation    `koanf:"revocation" doc:"API keys that were taken away."`
+	Regions          []ZoneRegion  `koanf:"regions" validate:"max=256,dive" doc:"Region of each zone. Requests stay in the own zone, then in the own region, where they can."`
 	LinkMegabits     float64       `koanf:"link_megabits" validate:"min=0,max=1000000" doc:"What the machine's network link carries in each direction, in Mbit/s. Requests that it has no room for are rejected at once, the least urgent first; 0 for no bound."`
 	KeepPlaces       bool          `koanf:"keep_places" doc:"Takes part in giving out the places of instances: each instance has one gateway that counts what all of them send to it. Needs peer_address."`
 	MaxTimeout       time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest time that a request is held, also when neither caller nor route give one."`
@@ -44,6 +46,18 @@
 	Slack   float64 `koanf:"slack" validate:"min=0,max=100000" doc:"Requests a second beyond that."`
 }
 
+// ZoneRegion names the region of a zone.
+type ZoneRegion struct {
+	Zone   string `koanf:"zone" validate:"name" doc:"Name of the zone."`
+	Region string `koanf:"region" validate:"name" doc:"Name of its region."`
+}
+
+// Revocation says for how long a gateway without a controller trusts API keys.
+type Revocation struct {
+	Limit      time.Duration `koanf:"limit" validate:"min=0s,max=10m" doc:"Longest time in which a revoked API key may still be taken; 0 for no bound."`
+	FailClosed bool          `koanf:"fail_closed" doc:"Rejects requests with API keys once no controller has confirmed the directory for that time; else the keys that were known are taken on."`
+}
+
 // DefaultGateway returns the settings that hold where a file says nothing. Fields
 // without a default are empty.
 func DefaultGateway() Gateway {
--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -160,5 +160,5 @@
 
 // directory answers what the directory holds, for people.
 func (a *api) directory(call fiber.Ctx) error {
-	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Directory().Since(0)) })
+	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Directory().Since(0).Redacted()) })
 }
--- a/internal/directory/item.go
+++ b/internal/directory/item.go
@@ -15,6 +15,7 @@
 const (
 	KindRoute   ItemKind = "route"
 	KindService ItemKind = "service"
+	KindTenant  ItemKind = "tenant"
 	KindLimits  ItemKind = "limits"
 )
 
@@ -48,8 +49,16 @@
 	Repeatable RequestKind = "repeatable"
 	// AtMostOnce requests run at most once for each attempt of the caller.
 	AtMostOnce RequestKind = "at_most_once"
+	// Download requests may run more than once and have large answers.
+	Download RequestKind = "download"
 )
 
+// Known reports whether the kind is one of those above.
+func (k RequestKind) Known() bool { return k == Repeatable || k == AtMostOnce || k == Download }
+
+// MayRepeat reports whether a request of the kind may run more than once.
+func (k RequestKind) MayRepeat() bool { return k == Repeatable || k == Download }
+
 // Share is one part of a route's split.
 type Share struct {
 	Service string  `json:"service" msgpack:"s"`
@@ -75,8 +84,12 @@
 	// Priority is the rank among the requests of a service; 0 comes first.
 	Priority int `json:"priority" msgpack:"o"`
 	// MaxAttempts bounds the servers that one request may be sent to.
-	MaxAttempts int    `json:"max_attempts" msgpack:"a"`
-	Version     uint64 `json:"version" msgpack:"v"`
+	MaxAttempts int `json:"max_attempts" msgpack:"a"`
+	// AllowAnonymous routes take requests without an API key, too.
+	AllowAnonymous bool `json:"allow_anonymous,omitempty" msgpack:"y,omitempty"`
+	// AllowedRegions are the only ones whose servers may get the requests; empty for all.
+	AllowedRegions []string `json:"allowed_regions,omitempty" msgpack:"g,omitempty"`
+	Version        uint64   `json:"version" msgpack:"v"`
 }
 
 // Services returns the names of all services that the route sends requests to.
@@ -131,5 +144,6 @@
 type ItemSet struct {
 	Routes   []json.RawMessage `json:"routes"`
 	Services []json.RawMessage `json:"services"`
+	Tenants  []json.RawMessage `json:"tenants,omitempty"`
 	Limits   json.RawMessage   `json:"limits,omitempty"`
 }
--- a/internal/directory/items.go
+++ b/internal/directory/items.go
@@ -49,6 +49,9 @@
 			return err
 		}
 	}
+	if err := d.checkSharedKeys(after); err != nil {
+		return err
+	}
 	return d.checkDroppedServices(after)
 }
 
@@ -148,6 +151,8 @@
 			set.Routes = append(set.Routes, item.Content)
 		case item.Key.Kind == KindService:
 			set.Services = append(set.Services, item.Content)
+		case item.Key.Kind == KindTenant:
+			set.Tenants = append(set.Tenants, item.Content)
 		default:
 			set.Limits = item.Content
 		}
@@ -190,6 +195,13 @@
 	return service, err
 }
 
+// Tenant decodes the content of an item of the kind tenant.
+func (i Item) Tenant() (Tenant, error) {
+	var tenant Tenant
+	err := json.Unmarshal(i.Content, &tenant)
+	return tenant, err
+}
+
 // Limits decodes the content of an item of the kind limits.
 func (i Item) Limits() (Limits, error) {
 	var limits Limits
--- a/internal/directory/patch.go
+++ b/internal/directory/patch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 
@@ -20,6 +21,7 @@
 type Removal struct {
 	Routes   []RemovedItem `json:"routes"`
 	Services []RemovedItem `json:"services"`
+	Tenants  []RemovedItem `json:"tenants"`
 }
 
 // RemovedItem is an item that is dropped at a version.
@@ -65,6 +67,16 @@
 		}
 		patch.set(KindService, service.Name, service.Version, content)
 	}
+	for _, content := range read.Set.Tenants {
+		var tenant Tenant
+		if err := readItem(content, "tenants", &tenant); err != nil {
+			return Patch{}, err
+		}
+		if err := checkTenant(tenant); err != nil {
+			return Patch{}, err
+		}
+		patch.set(KindTenant, tenant.Name, tenant.Version, content)
+	}
 	if len(read.Set.Limits) > 0 && !bytes.Equal(read.Set.Limits, []byte("null")) {
 		var limits Limits
 		if err := readItem(read.Set.Limits, limitsName, &limits); err != nil {
@@ -74,6 +86,7 @@
 	}
 	patch.drop(KindRoute, read.Remove.Routes)
 	patch.drop(KindService, read.Remove.Services)
+	patch.drop(KindTenant, read.Remove.Tenants)
 	return patch, nil
 }
 
@@ -118,8 +131,8 @@
 		return invalid("host", "is empty: give the host name that callers use")
 	case !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/"):
 		return invalid("prefix", "must begin and end with a slash")
-	case route.Kind != Repeatable && route.Kind != AtMostOnce:
-		return invalid("kind", "is neither repeatable nor at_most_once")
+	case !route.Kind.Known():
+		return invalid("kind", fmt.Sprintf("is %.32q: use %s, %s or %s", route.Kind, Repeatable, AtMostOnce, Download))
 	case route.MaxAttempts < 1:
 		return invalid("max_attempts", "is below 1: allow one server at least")
 	case route.TimeoutMs < 0:
--- a/internal/directory/routingchanges.go
+++ b/internal/directory/routingchanges.go
@@ -39,7 +39,7 @@
 func (d *Directory) RoutingSince(after Revision) RoutingChanges {
 	content := d.sinceWithoutLayouts(after)
 	changes := RoutingChanges{
-		From: content.From, To: content.To, Items: content.Items,
+		From: content.From, To: content.To, Items: itemsForGateways(content.Items),
 		Zones: content.Zones, Fleet: content.Fleet, Throttles: content.Throttles,
 	}
 	known := d.knownReferences()
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -10,6 +10,10 @@
 const (
 	// InvalidRequest: the caller's request is malformed.
 	InvalidRequest Kind = "invalid_request"
+	// Unauthenticated: the request shows no API key that is known.
+	Unauthenticated Kind = "unauthenticated"
+	// QuotaExceeded: the tenant has asked for more than it may.
+	QuotaExceeded Kind = "quota_exceeded"
 	// UnknownService: no service of that name is configured.
 	UnknownService Kind = "unknown_service"
 	// ServiceNotRouted: this router's settings leave the service out.
@@ -124,6 +128,8 @@
 
 var answers = map[Kind]Answer{
 	InvalidRequest:       {Status: 400, Outcome: NotRun},
+	Unauthenticated:      {Status: 401, Outcome: NotRun},
+	QuotaExceeded:        {Status: 429, Outcome: NotRun, RetryAfter: retrySoon},
 	UnknownService:       {Status: 404, Outcome: NotRun},
 	ServiceNotRouted:     {Status: 421, Outcome: NotRun},
 	NoOwner:              {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// statusOf returns the status of a refusal. A caller may take 503 for a proof that
-// the request did not run, and only that.
+// statusOf returns the status of a refusal, and whether it proves that the request did not
+// run: a caller may take 429 and 503 for that proof.
 func statusOf(failure *fault.Error) (status int, notRun bool) {
 	row := fault.AnswerFor(failure.Kind)
 	if row.Outcome != fault.NotRun {
@@ -98,7 +98,11 @@
 	status, notRun := statusOf(failure)
 	outbound.SetStatusCode(status)
 	outbound.Header.SetContentType(callerapi.ContentTypeRefusal)
-	if notRun && status == fasthttp.StatusServiceUnavailable {
+	if status == fasthttp.StatusUnauthorized {
+		outbound.Header.Set(fasthttp.HeaderWWWAuthenticate, bearerScheme)
+	}
+	mayReturn := status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests
+	if notRun && mayReturn {
 		outbound.Header.Set(callerapi.HeaderRetryAfter, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	}
 	if current.id != "" {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -19,6 +19,8 @@
 	NotExecuted string
 	// Key carries the key of a request to a keyed service.
 	Key string
+	// Tenant names the tenant whose API key the caller showed, to the instance.
+	Tenant string
 }
 
 // DefaultDialect is the name of the product's own dialect.
@@ -32,5 +34,6 @@
 		ExpectInstance: "Thorntiller-Instance",
 		NotExecuted:    backendapi.HeaderRefusal,
 		Key:            callerapi.HeaderKey,
+		Tenant:         "Thorntiller-Tenant",
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -27,8 +27,12 @@
 	deadline time.Time
 	route    *directory.Route
 	service  string
-	keyed    bool
-	key      directory.Key
+	// keyRequired is true if callers must show an API key, and tenant is whose key it is;
+	// nil for none.
+	keyRequired bool
+	tenant      *directory.Tenant
+	keyed       bool
+	key         directory.Key
 	// rangeFirst is the first key of the range that holds the key, under
 	// layoutRevision, when the holder was last chosen.
 	rangeFirst     directory.Key
@@ -87,7 +91,10 @@
 		return read, fault.Newf(fault.UnknownService, "no route for host %.100q and path %.100q", context.Request.Header.Host(), target)
 	}
 	read.route = route
-	read.urgency = table.Urgency(route.Priority)
+	if err := g.readTenant(read, table); err != nil {
+		return read, err
+	}
+	read.urgency = table.Urgency(route, read.tenant)
 	if route.TimeoutMs > 0 {
 		read.bound(time.Duration(route.TimeoutMs * float64(time.Millisecond)))
 	}
@@ -147,7 +154,7 @@
 // left is the time until the request is given up.
 func (r *request) left() time.Duration { return time.Until(r.deadline) }
 
-func (r *request) repeatable() bool { return r.route.Kind == directory.Repeatable }
+func (r *request) repeatable() bool { return r.route.Kind.MayRepeat() }
 
 // target is the time within which an answer is of full use.
 func (r *request) target() time.Duration {
@@ -179,4 +186,5 @@
 	outgoing.Header.Set(dialect.Deadline, strconv.FormatInt(max(1, r.left().Milliseconds()), 10))
 	outgoing.Header.Del(dialect.ExpectInstance)
 	outgoing.Header.Set(dialect.ExpectInstance, string(instance.ID))
+	r.fillTenant(outgoing, dialect)
 }
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -77,6 +78,16 @@
 	return time.Since(*proved)
 }
 
+// confirmedAge returns how long ago a controller proved that the directory is current; the
+// longest time if none did.
+func (s *subscription) confirmedAge() time.Duration {
+	confirmed := s.confirmedAt.Load()
+	if confirmed == nil {
+		return math.MaxInt64
+	}
+	return time.Since(*confirmed)
+}
+
 // reconnectPause is the wait after all controllers were asked without success.
 const reconnectPause = 20 * time.Millisecond
 
--- /dev/null
+++ b/internal/gateway/tenant.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/routing"
+)
+
+const bearerScheme = "Bearer"
+
+// apiKey returns the API key that a request shows, empty for none.
+func apiKey(header *fasthttp.RequestHeader) string {
+	scheme, key, found := strings.Cut(string(header.Peek(fasthttp.HeaderAuthorization)), " ")
+	if !found || !strings.EqualFold(scheme, bearerScheme) {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// readTenant finds the tenant of the request by its API key.
+func (g *Gateway) readTenant(read *request, table *routing.Table) error {
+	if !table.RequiresKeys() {
+		return nil
+	}
+	read.keyRequired = true
+	key := apiKey(&read.inbound.Header)
+	if key == "" && read.route.AllowAnonymous {
+		return nil
+	}
+	if g.mayBeRevoked() {
+		return fault.New(fault.StaleRouter, "API keys may have been revoked since a controller was heard last")
+	}
+	tenant, found := table.Tenant(key)
+	if !found {
+		return fault.New(fault.Unauthenticated, "no tenant has this API key: send Authorization: Bearer KEY with a key of yours")
+	}
+	read.tenant = tenant
+	return nil
+}
+
+// mayBeRevoked reports whether API keys are not to be trusted, since no controller has
+// confirmed the directory for too long.
+func (g *Gateway) mayBeRevoked() bool {
+	limit := g.settings.Revocation.Limit
+	return g.settings.Revocation.FailClosed && limit > 0 && g.subscription.confirmedAge() > limit
+}
+
+// fillTenant names the tenant to the instance, whatever the caller sent, and keeps the API key
+// from it.
+func (r *request) fillTenant(outgoing *fasthttp.Request, dialect Dialect) {
+	outgoing.Header.Del(dialect.Tenant)
+	if r.tenant != nil {
+		outgoing.Header.Set(dialect.Tenant, r.tenant.Name)
+	}
+	if r.keyRequired {
+		outgoing.Header.Del(fasthttp.HeaderAuthorization)
+	}
+}
--- a/internal/link/admission.go
+++ b/internal/link/admission.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -32,13 +33,18 @@
 	queue *Queue
 	// sizes are the mean bytes of a request and its answer, by route.
 	sizes map[string]float64
-	// uses are the routes for which requests came of late.
-	uses map[string]*routeUse
+	// uses are the groups of which requests came of late.
+	uses map[group]*groupUse
 }
 
-// routeUse is what is known of the requests of one route.
-type routeUse struct {
+// group are the requests of one route and one urgency: tenants may differ in theirs.
+type group struct {
+	route   string
 	urgency float64
+}
+
+// groupUse is what is known of the requests of one group.
+type groupUse struct {
 	// patience is how long its requests may wait by their target.
 	patience time.Duration
 	// recent counts the requests, with less weight the longer before at they came.
@@ -47,14 +53,14 @@
 }
 
 // recentAt returns the count of recent requests at a time.
-func (u *routeUse) recentAt(now time.Duration) float64 {
+func (u *groupUse) recentAt(now time.Duration) float64 {
 	return u.recent * math.Exp(-(now-u.at).Seconds()/useMemory.Seconds())
 }
 
 // NewAdmission returns an admission for a link of a number of Mbit/s in each direction;
 // zero for one without a bound, which admits all.
 func NewAdmission(megabits float64) *Admission {
-	return &Admission{queue: NewQueue(megabits), sizes: make(map[string]float64), uses: make(map[string]*routeUse)}
+	return &Admission{queue: NewQueue(megabits), sizes: make(map[string]float64), uses: make(map[group]*groupUse)}
 }
 
 // Request is what the admission of a request rests on.
@@ -83,23 +89,32 @@
 	for _, use := range a.uses {
 		total += use.recentAt(request.Now)
 	}
-	for _, use := range a.uses {
-		if use.urgency > request.Urgency && use.recentAt(request.Now) >= leastUse*total {
+	for of, use := range a.uses {
+		if of.urgency > request.Urgency && use.recentAt(request.Now) >= leastUse*total {
 			limit = min(limit, use.patience)
 		}
 	}
 	return limit
 }
 
-// use notes that a request of a route came.
+// use notes that a request of a group came.
 func (a *Admission) use(request Request) {
-	use, known := a.uses[request.Route]
+	of := group{route: request.Route, urgency: request.Urgency}
+	use, known := a.uses[of]
 	if !known {
-		use = &routeUse{}
-		a.uses[request.Route] = use
+		a.forgetUnused(request.Now)
+		use = &groupUse{}
+		a.uses[of] = use
 	}
 	use.recent = use.recentAt(request.Now) + 1
-	use.at, use.urgency, use.patience = request.Now, request.Urgency, request.byTarget()
+	use.at, use.patience = request.Now, request.byTarget()
+}
+
+// forgetUnused forgets groups of which nothing counts as recent any more, so that those of
+// routes and tenants that are gone do not pile up.
+func (a *Admission) forgetUnused(now time.Duration) {
+	const unused = 0.001
+	maps.DeleteFunc(a.uses, func(_ group, use *groupUse) bool { return use.recentAt(now) < unused })
 }
 
 // Admit reports whether a request may be taken on, and reserves the bytes that are expected
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -33,8 +33,10 @@
 	Keepers []directory.Keeper
 	// itemsRevision is the revision of the newest item.
 	itemsRevision directory.Revision
-	// priorities are those of the routes, each once, the most urgent first.
-	priorities []int
+	// ranks are those of the priorities of routes and tenants.
+	ranks ranks
+	// tenants are found by the hashes of their API keys.
+	tenants tenants
 	// hosts has the routes of each host, the longest prefix first.
 	hosts    map[string][]*directory.Route
 	services map[string]*Service
@@ -78,7 +80,8 @@
 	t.Limits = earlier.Limits
 	t.hosts = earlier.hosts
 	t.parsed = earlier.parsed
-	t.priorities = earlier.priorities
+	t.ranks = earlier.ranks
+	t.tenants = earlier.tenants
 	for name, service := range earlier.services {
 		t.services[name] = &Service{Config: service.Config, Instances: make([]directory.Instance, 0, len(service.Instances))}
 	}
@@ -88,14 +91,11 @@
 func (t *Table) readItems(view *directory.Directory, earlier *Table) {
 	t.hosts = make(map[string][]*directory.Route)
 	t.parsed = make(map[string]parsedRoute)
+	t.tenants = newTenants()
 	for _, item := range view.Items() {
 		t.addItem(item, earlier)
 	}
-	for _, parsed := range t.parsed {
-		t.priorities = append(t.priorities, parsed.route.Priority)
-	}
-	slices.Sort(t.priorities)
-	t.priorities = slices.Compact(t.priorities)
+	t.ranks = newRanks(t.parsed, t.tenants.byName)
 	for _, routes := range t.hosts {
 		slices.SortFunc(routes, func(a, b *directory.Route) int {
 			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(b.Version, a.Version), cmp.Compare(a.Name, b.Name))
@@ -106,6 +106,10 @@
 // addItem adds an item that stands. Items were checked before they were taken, so
 // that one which cannot be read is left out.
 func (t *Table) addItem(item directory.Item, earlier *Table) {
+	if item.Key.Kind == directory.KindTenant {
+		t.tenants.add(item, earlier)
+		return
+	}
 	if item.Dropped {
 		return
 	}
@@ -158,16 +162,6 @@
 	return nil, false
 }
 
-// Urgency returns the rank of a priority among those of the routes, from 0 for the least
-// urgent to 1 for the most urgent.
-func (t *Table) Urgency(priority int) float64 {
-	if len(t.priorities) < 2 {
-		return 1
-	}
-	position, _ := slices.BinarySearch(t.priorities, priority)
-	return 1 - float64(min(position, len(t.priorities)-1))/float64(len(t.priorities)-1)
-}
-
 // Service returns a service by name.
 func (t *Table) Service(name string) (*Service, bool) {
 	service, found := t.services[name]
