Limits of tenants, counted over all gateways

Cause: a tenant's rate and burst were not read. No gateway sees the others' requests. Ways weighed: equal shares of the rate for each gateway (a tenant whose callers sit at 2 of 81 gateways gets a fortieth of its rate); a counting gateway for each tenant by rendezvous hashing (each gateway connects to nearly each other one); tokens given out by the leader ahead of need (built), over the connection on which demand is reported already: one message in 200 ms at most while tokens suffice. Change: package quota, both ends pure. Requests that have not run give their token back.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -31,6 +31,7 @@
 	Consensus        Consensus        `koanf:"consensus" doc:"Replicated log."`
 	Lease            Lease            `koanf:"lease" doc:"Leases of the servers."`
 	Heartbeat        Heartbeat        `koanf:"heartbeat" doc:"Instances that announce themselves and renew leases by heartbeats."`
+	Quota            Quota            `koanf:"quota" doc:"Limits of tenants."`
 	Platform         Platform         `koanf:"platform" doc:"The platform's list of machines."`
 	Table            Table            `koanf:"table" doc:"Routing table streams to the routers."`
 	Partitions       Partitions       `koanf:"partitions" doc:"Placement of the idempotency records on routers."`
@@ -87,6 +88,11 @@
 	AnswerTimeout  time.Duration `koanf:"answer_timeout" validate:"min=10ms,max=30s" doc:"Time after which a heartbeat is not answered any more, since the instance has given it up."`
 }
 
+// Quota holds the settings of the limits of tenants, which are counted over all gateways.
+type Quota struct {
+	Slack float64 `koanf:"slack" validate:"min=0,max=100000" doc:"Requests of a tenant beyond its limit that do no harm; half of them are let through, so that chance rejects nothing within the limit."`
+}
+
 // EffectiveLease returns the lease that is granted.
 func (h Heartbeat) EffectiveLease() time.Duration { return min(h.Lease, h.LeaseLimit) }
 
--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -202,10 +202,12 @@
 	return addresses
 }
 
-// takeDemand takes a gateway's counts of requests while this replica leads.
+// takeDemand takes a gateway's counts of requests while this replica leads, and gives out the
+// tokens of tenants that it asks for.
 func takeDemand(ctx context.Context, r *replica, connection *wire.Conn, gateway string) error {
 	if leadership, leads := r.leadershipContext(); leads {
 		r.heartbeats.count(leadership, gateway, message.DemandReport{})
+		r.quotas.connect(leadership, gateway)
 	}
 	for ctx.Err() == nil {
 		var report message.DemandReport
@@ -216,7 +218,16 @@
 		if !leads {
 			return errNotLeading
 		}
-		r.heartbeats.count(leadership, gateway, report)
+		if len(report.Services) > 0 || report.Gateway != nil || len(report.Quotas) == 0 {
+			r.heartbeats.count(leadership, gateway, report)
+		}
+		grants := r.quotas.hear(leadership, gateway, report.Quotas)
+		if len(report.Quotas) == 0 {
+			continue
+		}
+		if err := connection.Send(ctx, &message.QuotaAnswer{Grants: grants}); err != nil {
+			return err
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -52,6 +52,8 @@
 	partitions *partitionKeeper
 	// heartbeats takes the heartbeats of instances.
 	heartbeats *heartbeatKeeper
+	// quotas gives out the tokens of tenants.
+	quotas *quotaKeeper
 	// directoryChanged tells the streams of the directory of changes.
 	directoryChanged *broadcast.Broadcast
 	// instanceNews tells the heartbeats that wait of news of their instances.
@@ -148,6 +150,7 @@
 	})
 	r.partitions = newPartitionKeeper(settings, r)
 	r.heartbeats = newHeartbeatKeeper(settings.Heartbeat, r)
+	r.quotas = newQuotaKeeper(settings.Quota, r)
 	r.directoryChanged = broadcast.New()
 	r.instanceNews = newInstanceNews()
 	r.gateways = newGatewayList()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,7 +15,9 @@
 	// itemsRevision is the revision of the newest change of an item.
 	itemsRevision Revision
 	// services has the items of the kind service that stand, decoded.
-	services  map[string]Service
+	services map[string]Service
+	// tenants has the items of the kind tenant that stand, decoded.
+	tenants   map[string]Tenant
 	instances map[InstanceID]*Instance
 	// ordered has the instances by identifier.
 	ordered []*Instance
@@ -38,6 +40,7 @@
 	return &Directory{
 		items:     make(map[ItemKey]*Item),
 		services:  make(map[string]Service),
+		tenants:   make(map[string]Tenant),
 		instances: make(map[InstanceID]*Instance),
 		byAddress: make(map[string][]InstanceID),
 		layouts:   make(map[string]*Layout),
@@ -124,6 +127,7 @@
 		items:         maps.Clone(d.items),
 		itemsRevision: d.itemsRevision,
 		services:      maps.Clone(d.services),
+		tenants:       maps.Clone(d.tenants),
 		instances:     maps.Clone(d.instances),
 		byAddress:     maps.Clone(d.byAddress),
 		ordered:       slices.Clone(d.ordered),
--- a/internal/directory/items.go
+++ b/internal/directory/items.go
@@ -117,15 +117,27 @@
 func (d *Directory) putItem(item Item) {
 	d.items[item.Key] = &item
 	d.itemsRevision = max(d.itemsRevision, item.Revision)
-	if item.Key.Kind != KindService {
-		return
-	}
-	delete(d.services, item.Key.Name)
-	if service, err := item.Service(); err == nil && !item.Dropped {
-		d.services[item.Key.Name] = service
+	switch item.Key.Kind {
+	case KindService:
+		delete(d.services, item.Key.Name)
+		if service, err := item.Service(); err == nil && !item.Dropped {
+			d.services[item.Key.Name] = service
+		}
+	case KindTenant:
+		delete(d.tenants, item.Key.Name)
+		if tenant, err := item.Tenant(); err == nil && !item.Dropped {
+			d.tenants[item.Key.Name] = tenant
+		}
+	default:
 	}
 }
 
+// Tenant returns a tenant that stands.
+func (d *Directory) Tenant(name string) (Tenant, bool) {
+	tenant, found := d.tenants[name]
+	return tenant, found
+}
+
 // ItemsRevision returns the revision of the newest change of an item.
 func (d *Directory) ItemsRevision() Revision { return d.itemsRevision }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -92,6 +92,9 @@
 	outbound := current.answer
 	outbound.Reset()
 	wait := g.retryAfterOf(failure.Kind)
+	if failure.Kind == fault.QuotaExceeded {
+		wait = current.retryIn
+	}
 	if current.noRoom {
 		wait = min(max(current.retryIn, shortestReturn), longestReturn)
 	}
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -22,10 +24,22 @@
 // the gateway is alive.
 const aliveInterval = 350 * time.Millisecond
 
+const (
+	// silentDemand is how long the leader may say nothing on a connection for reports: it only
+	// answers asks for tokens.
+	silentDemand = time.Hour
+	// unansweredAsk is how long the leader may leave an ask without an answer before the
+	// connection is given up: it may have gone silent for good.
+	unansweredAsk = time.Second
+	// demandReadBuffer suffices for the tokens of some hundred tenants, in bytes.
+	demandReadBuffer = 4 << 10
+)
+
 // demandCounter counts requests by their keys, for the leading controller, which
 // places keys by them. It is safe for concurrent use.
 type demandCounter struct {
 	subscription *subscription
+	quotas       *quotas
 	options      wire.Options
 	name         string
 	offer        heartbeat.GatewayOffer
@@ -40,11 +54,11 @@
 	instances map[directory.InstanceID]*heartbeat.InstanceReport
 }
 
-func newDemandCounter(settings config.Gateway, subscription *subscription, meter *link.Meter) *demandCounter {
+func newDemandCounter(settings config.Gateway, subscription *subscription, quotas *quotas, meter *link.Meter) *demandCounter {
 	return &demandCounter{
-		subscription: subscription, services: make(map[string]*serviceCounts), name: settings.Name,
+		subscription: subscription, quotas: quotas, services: make(map[string]*serviceCounts), name: settings.Name,
 		offer:   offerOf(settings),
-		options: wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout, Passed: streamOf(meter, link.Demand)},
+		options: wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout, IdleTimeout: silentDemand, ReadBufferBytes: demandReadBuffer, Passed: streamOf(meter, link.Demand)},
 	}
 }
 
@@ -115,24 +129,77 @@
 	if err != nil {
 		return
 	}
+	defer d.quotas.disconnected()
 	defer connection.Close()
 	if connection.Send(ctx, &message.Hello{Purpose: message.PurposeDemand, From: d.name}) != nil {
 		return
 	}
-	var told *heartbeat.GatewayOffer
-	var sentAt time.Time
-	for ctx.Err() == nil && *d.subscription.leader.Load() == leader {
-		report := d.take()
-		if offer := d.currentOffer(); told == nil || *told != offer {
-			told, report.Gateway = &offer, &offer
+	ctx, cancel := context.WithCancel(ctx)
+	var reading conc.WaitGroup
+	defer reading.Wait()
+	defer connection.Close()
+	defer cancel()
+	reading.Go(func() {
+		defer cancel()
+		d.receiveGrants(connection)
+	})
+	var sent reportsSent
+	for ctx.Err() == nil && *d.subscription.leader.Load() == leader && d.quotas.unanswered() < unansweredAsk {
+		report := d.nextReport(&sent)
+		if report != nil && connection.Send(ctx, report) != nil {
+			return
+		}
+		d.pause(ctx, sent)
+	}
+}
+
+// reportsSent is what was told on a connection.
+type reportsSent struct {
+	offer *heartbeat.GatewayOffer
+	// countedAt is when counts were taken last, and at when anything was sent last.
+	countedAt, at time.Time
+}
+
+// nextReport returns what is to be reported now, nil for nothing: asks for tokens at any time,
+// counts after each interval.
+func (d *demandCounter) nextReport(sent *reportsSent) *message.DemandReport {
+	var report message.DemandReport
+	now := time.Now()
+	if now.Sub(sent.countedAt) >= reportInterval {
+		sent.countedAt = now
+		report = d.take()
+		if offer := d.currentOffer(); sent.offer == nil || *sent.offer != offer {
+			sent.offer, report.Gateway = &offer, &offer
 		}
-		if len(report.Services) > 0 || report.Gateway != nil || time.Since(sentAt) > aliveInterval {
-			if connection.Send(ctx, &report) != nil {
-				return
-			}
-			sentAt = time.Now()
+	}
+	report.Quotas = d.quotas.asks()
+	silent := len(report.Services) == 0 && report.Gateway == nil && len(report.Quotas) == 0
+	if silent && now.Sub(sent.at) <= aliveInterval {
+		return nil
+	}
+	sent.at = now
+	return &report
+}
+
+// pause waits for the next interval, or until a token is asked for at once.
+func (d *demandCounter) pause(ctx context.Context, sent reportsSent) {
+	timer := time.NewTimer(reportInterval - time.Since(sent.countedAt))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.quotas.urgent:
+	}
+}
+
+// receiveGrants takes the leader's answers until the connection ends.
+func (d *demandCounter) receiveGrants(connection *wire.Conn) {
+	for {
+		var answer message.QuotaAnswer
+		if connection.Receive(&answer) != nil {
+			return
 		}
-		clock.Sleep(ctx, reportInterval)
+		d.quotas.answered(answer.Grants)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 	pacer        *pacer
 	callers      *callers
 	demand       *demandCounter
+	quotas       *quotas
 	registry     *telemetry.Metrics
 	metrics      *metrics
 	// slots tells requests that wait of attempts that ended.
@@ -107,6 +108,7 @@
 		meter:        meter,
 		coldStarts:   newColdStarts(warmup.Bounds{Overrun: settings.WarmUp.Overrun, Slack: settings.WarmUp.Slack}),
 		callers:      newCallers(),
+		quotas:       newQuotas(clock.NewSystem()),
 		registry:     telemetry.NewMetrics(role),
 		slots:        broadcast.New(),
 		budgets:      make(map[string]*retry.Budget),
@@ -114,7 +116,7 @@
 	gateway.pacer = newPacer(gateway.clock, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
-	gateway.demand = newDemandCounter(settings, gateway.subscription, meter)
+	gateway.demand = newDemandCounter(settings, gateway.subscription, gateway.quotas, meter)
 	gateway.subscription.changed = gateway.tableChanged
 	gateway.places = newPlaces(settings, log, newPlaceKeeper(gateway.clock, gateway.mayKeep), meter)
 	return gateway, nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,8 @@
 	// noRoom is true if there is no place in time, and retryIn when there is one again.
 	noRoom  bool
 	retryIn time.Duration
+	// quotaTaken is true once a token of the tenant was taken.
+	quotaTaken bool
 	// interrupt gives the attempt up when the caller leaves.
 	interrupt *forward.Interrupt
 	// revision is that of the table by which the request was routed.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -53,10 +53,14 @@
 	if err := g.admit(current); err != nil {
 		return err
 	}
-	err := g.throttled(current)
+	err := g.takeQuota(current)
+	if err == nil {
+		err = g.throttled(current)
+	}
 	if err == nil {
 		err = g.execute(current)
 	}
+	g.returnQuota(current, err)
 	g.leaveLink(current, err == nil)
 	return err
 }
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
+	"github.com/thorntiller/thorntiller/internal/quota"
 )
 
 // DirectoryRequest is a message from a gateway on a directory connection. The
@@ -44,4 +45,11 @@
 	// Gateway is what the gateway offers to others, in the first report on a connection.
 	Gateway  *heartbeat.GatewayOffer `msgpack:"g,omitempty"`
 	Services []heartbeat.Report      `msgpack:"s"`
+	// Quotas ask for tokens of tenants; each report with some is answered by a QuotaAnswer.
+	Quotas []quota.Ask `msgpack:"q,omitempty"`
+}
+
+// QuotaAnswer answers the asks of a DemandReport.
+type QuotaAnswer struct {
+	Grants []quota.Grant `msgpack:"g"`
 }
--- /dev/null
+++ b/internal/quota/accounts.go
@@ -0,0 +1,268 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// AnswerTime is how long the leader may take to answer an ask before the gateway goes on
+	// without it: many times the way there and back, and less than a caller notices.
+	AnswerTime = 150 * time.Millisecond
+	// idleTime is after how long without a request a gateway gives its tokens back.
+	idleTime = time.Second
+	// askAgain is the least time between two asks while requests wait.
+	askAgain = 20 * time.Millisecond
+	// leastShort and longestShort bound the time for which the word that tokens ran out is
+	// believed: callers of a tenant far beyond its limit would else make each gateway ask the
+	// leader for each of their requests.
+	leastShort   = 100 * time.Millisecond
+	longestShort = 300 * time.Millisecond
+	// shortestReturn and longestReturn bound the time after which a rejected caller is told to
+	// come back: the longer, the smaller the part of its tenant's requests that is let through.
+	shortestReturn = 200 * time.Millisecond
+	longestReturn  = 2 * time.Second
+	// fallbackDepth is how many seconds of its rate a gateway without the leader saves up.
+	fallbackDepth = 0.5
+)
+
+// Verdict is what becomes of a request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Taken requests have a token.
+	Taken Verdict = iota
+	// Wait for the leader's answer, for AnswerTime at most.
+	Wait
+	// Rejected requests are beyond the limit.
+	Rejected
+)
+
+// Accounts are the stocks of one gateway.
+type Accounts struct {
+	accounts map[string]*account
+	// lost is true while the leader leaves asks without an answer.
+	lost bool
+	// unansweredSince is when the oldest ask without an answer was made; zero for none.
+	unansweredSince time.Duration
+	// lostAt is when the leader stopped to answer, for the end of the fallback.
+	lostAt time.Duration
+}
+
+// account is the stock of one tenant.
+type account struct {
+	tokens   uint32
+	used     uint32
+	returned uint32
+	// arrivals is the rate of requests, rejected ones too, and taken that of tokens used.
+	arrivals smoothedRate
+	taken    smoothedRate
+	usedAt   time.Duration
+	askedAt  time.Duration
+	// waiting counts requests that wait for a token.
+	waiting uint32
+	// shortUntil is until when no tokens are expected.
+	shortUntil time.Duration
+	// spare are the requests that may go without the leader, at spareAt.
+	spare   float64
+	spareAt time.Duration
+	// frozen is the rate at which tokens were taken when the leader was lost.
+	frozen float64
+}
+
+// NewAccounts returns the accounts of a gateway that has not heard of the leader.
+func NewAccounts() *Accounts { return &Accounts{accounts: make(map[string]*account)} }
+
+// Tenant is whose token is wanted.
+type Tenant struct {
+	Name  string
+	Limit Limit
+	// Gateways is how many share the limit, as the directory tells; zero if unknown.
+	Gateways int
+}
+
+func (a *Accounts) of(now time.Duration, name string) *account {
+	known, met := a.accounts[name]
+	if !met {
+		known = &account{usedAt: now, spareAt: now}
+		a.accounts[name] = known
+	}
+	return known
+}
+
+// Arrive decides on a request of a tenant. Waited is true for one that has waited before.
+func (a *Accounts) Arrive(now time.Duration, tenant Tenant, waited bool) (verdict Verdict, retryIn time.Duration) {
+	known := a.of(now, tenant.Name)
+	known.usedAt = now
+	if !waited {
+		known.arrivals.add(now, 1)
+	}
+	switch {
+	case known.tokens > 0:
+		known.take(now)
+		return Taken, 0
+	case !a.reachable(now):
+		return a.withoutLeader(now, known, tenant)
+	case now < known.shortUntil:
+		return Rejected, known.returnTime(now)
+	default:
+		return Wait, 0
+	}
+}
+
+func (k *account) take(now time.Duration) {
+	k.tokens--
+	k.used++
+	k.taken.add(now, 1)
+}
+
+// returnTime is when a rejected caller is told to come back.
+func (k *account) returnTime(now time.Duration) time.Duration {
+	arrivals := k.arrivals.value(now)
+	if arrivals <= 0 {
+		return shortestReturn
+	}
+	rejected := 1 - min(1, k.taken.value(now)/arrivals)
+	return shortestReturn + time.Duration(rejected*float64(longestReturn-shortestReturn))
+}
+
+// Refund gives the token of a request back that has not run.
+func (a *Accounts) Refund(now time.Duration, tenant string) {
+	known := a.of(now, tenant)
+	if known.used == 0 {
+		return
+	}
+	known.used--
+	known.tokens++
+}
+
+// Waiting counts requests that began or ceased to wait for a token.
+func (a *Accounts) Waiting(now time.Duration, tenant string, change int) {
+	known := a.of(now, tenant)
+	known.waiting = uint32(max(0, int(known.waiting)+change))
+}
+
+// reachable reports whether the leader answers.
+func (a *Accounts) reachable(now time.Duration) bool {
+	if a.unansweredSince > 0 && now-a.unansweredSince > AnswerTime {
+		a.Lose(now)
+	}
+	return !a.lost
+}
+
+// Unanswered returns for how long the leader has left an ask without an answer.
+func (a *Accounts) Unanswered(now time.Duration) time.Duration {
+	if a.unansweredSince == 0 {
+		return 0
+	}
+	return now - a.unansweredSince
+}
+
+// Lose notes that the leader does not answer any more.
+func (a *Accounts) Lose(now time.Duration) {
+	if a.lost {
+		return
+	}
+	a.lost = true
+	a.lostAt = now
+	for _, known := range a.accounts {
+		known.frozen = fallbackShare * known.taken.value(now)
+		known.spare, known.spareAt = 0, now
+	}
+}
+
+// Disconnected notes that the connection to the leader ended: asks without an answer are lost.
+func (a *Accounts) Disconnected(now time.Duration) {
+	a.Lose(now)
+	a.unansweredSince = 0
+	for _, known := range a.accounts {
+		// The next leader does not know of them.
+		known.used, known.returned = 0, 0
+	}
+}
+
+// withoutLeader lets requests pass at the rate that the gateway had, for a bounded time, and at
+// an equal part of a small share of the limit.
+func (a *Accounts) withoutLeader(now time.Duration, known *account, tenant Tenant) (Verdict, time.Duration) {
+	rate := 0.0
+	if tenant.Gateways > 0 {
+		rate = floorShare * tenant.Limit.Rate / float64(tenant.Gateways)
+	}
+	if now-a.lostAt <= fallbackTime {
+		rate += min(known.frozen, tenant.Limit.Rate)
+	}
+	known.spare = min(known.spare+rate*(now-known.spareAt).Seconds(), max(1, fallbackDepth*rate))
+	known.spareAt = now
+	if known.spare >= 1 {
+		known.spare--
+		return Taken, 0
+	}
+	return Rejected, known.returnTime(now)
+}
+
+// Urgent reports whether requests wait that have not been asked for yet.
+func (a *Accounts) Urgent(now time.Duration) bool {
+	for _, known := range a.accounts {
+		if known.waiting > 0 && (known.askedAt == 0 || now-known.askedAt >= askAgain) {
+			return true
+		}
+	}
+	return false
+}
+
+// Asks returns what the leader is to be told, and asked for, now. A gateway that needs nothing
+// and used nothing asks nothing.
+func (a *Accounts) Asks(now time.Duration) []Ask {
+	var asks []Ask
+	for name, known := range a.accounts {
+		idle := now-known.usedAt > idleTime && known.waiting == 0
+		if idle {
+			known.returned += known.tokens
+			known.tokens = 0
+		}
+		ask := Ask{Tenant: name, Used: known.used, Returned: known.returned}
+		if !idle {
+			ask.Want = known.want(now)
+		}
+		if idle && ask.Used == 0 && ask.Returned == 0 {
+			if now-known.usedAt > fallbackTime {
+				delete(a.accounts, name)
+			}
+			continue
+		}
+		known.used, known.returned = 0, 0
+		if ask.Want == 0 && ask.Used == 0 && ask.Returned == 0 {
+			continue
+		}
+		known.askedAt = now
+		asks = append(asks, ask)
+	}
+	if len(asks) > 0 && a.unansweredSince == 0 {
+		a.unansweredSince = max(now, 1)
+	}
+	return asks
+}
+
+// want is how many tokens the account lacks for what is expected within the horizon.
+func (k *account) want(now time.Duration) uint32 {
+	expected := uint32(math.Ceil(k.arrivals.value(now)*horizon.Seconds())) + k.waiting
+	if expected <= k.tokens {
+		return 0
+	}
+	return expected - k.tokens
+}
+
+// Answered takes the leader's answer to an ask.
+func (a *Accounts) Answered(now time.Duration, grants []Grant) {
+	a.lost = false
+	a.unansweredSince = 0
+	for _, grant := range grants {
+		known := a.of(now, grant.Tenant)
+		known.tokens += grant.Tokens
+		known.shortUntil = 0
+		if grant.ShortMs > 0 {
+			known.shortUntil = now + min(max(time.Duration(grant.ShortMs)*time.Millisecond, leastShort), longestShort)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,213 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// gatewaySilence is how long a gateway may be silent before what it may use without the
+	// leader is kept back for it: gateways report at least each 350 ms.
+	gatewaySilence = time.Second
+	// reserveInterval is the least time between two looks at silent gateways.
+	reserveInterval = 200 * time.Millisecond
+	// mostShort bounds the time after which a gateway that got too few tokens asks again.
+	mostShort = 5 * time.Second
+)
+
+func decay(elapsed time.Duration) float64 { return math.Exp(-elapsed.Seconds() / rateMemory.Seconds()) }
+
+// Ledger counts the tokens of all tenants while this process leads.
+type Ledger struct {
+	// slack is how many requests of a tenant beyond its limit do no harm: half of them
+	// deepen its bucket, so that chance does not reject requests of one that stays within.
+	slack    float64
+	buckets  map[string]*bucket
+	gateways map[string]*gateway
+	// reservedAt is when silent gateways were looked at last.
+	reservedAt time.Duration
+}
+
+// bucket has the tokens of one tenant that no gateway has.
+type bucket struct {
+	limit  Limit
+	tokens float64
+	at     time.Duration
+	// outstanding are tokens that gateways got and have not told the use of.
+	outstanding float64
+	// reserved is the rate, in tokens a second, that silent gateways may use.
+	reserved float64
+	// granted is the rate at which all gateways take tokens.
+	granted smoothedRate
+}
+
+// gateway is what one gateway has of each tenant.
+type gateway struct {
+	heardAt time.Duration
+	shares  map[string]*share
+}
+
+type share struct {
+	outstanding float64
+	used        smoothedRate
+}
+
+// NewLedger returns a ledger that knows of no gateway.
+func NewLedger(slack float64) *Ledger {
+	ledger := &Ledger{slack: slack}
+	ledger.Lead()
+	return ledger
+}
+
+// Lead begins a term of leadership: what gateways have is unknown, and buckets are empty.
+func (l *Ledger) Lead() {
+	l.buckets = make(map[string]*bucket)
+	l.gateways = make(map[string]*gateway)
+	l.reservedAt = 0
+}
+
+// Connect notes a new connection of a gateway: what it has of tokens it will not tell the use
+// of, so that they count as used.
+func (l *Ledger) Connect(name string) {
+	known, met := l.gateways[name]
+	if !met {
+		return
+	}
+	for tenant, own := range known.shares {
+		l.takeBack(tenant, own)
+		own.outstanding = 0
+	}
+}
+
+// Hear takes the asks of a gateway, none to tell only that it is alive, and returns what it is
+// granted. LimitOf returns the limit of a tenant, false for one without.
+func (l *Ledger) Hear(now time.Duration, name string, asks []Ask, limitOf func(tenant string) (Limit, bool)) []Grant {
+	known, met := l.gateways[name]
+	if !met {
+		known = &gateway{shares: make(map[string]*share)}
+		l.gateways[name] = known
+	}
+	known.heardAt = now
+	l.reserve(now)
+	var grants []Grant
+	for _, ask := range asks {
+		limit, limited := limitOf(ask.Tenant)
+		if !limited {
+			// Granted at once: a gateway may not know yet that the limit is gone.
+			grants = append(grants, Grant{Tenant: ask.Tenant, Tokens: ask.Want})
+			l.forget(ask.Tenant)
+			continue
+		}
+		grants = append(grants, l.grant(now, known, ask, limit))
+	}
+	return grants
+}
+
+func (l *Ledger) forget(tenant string) {
+	delete(l.buckets, tenant)
+	for _, each := range l.gateways {
+		delete(each.shares, tenant)
+	}
+}
+
+func (l *Ledger) grant(now time.Duration, known *gateway, ask Ask, limit Limit) Grant {
+	filled := l.bucket(now, ask.Tenant, limit)
+	own, met := known.shares[ask.Tenant]
+	if !met {
+		own = &share{}
+		known.shares[ask.Tenant] = own
+	}
+	settled := min(float64(ask.Used)+float64(ask.Returned), own.outstanding)
+	own.outstanding -= settled
+	own.used.add(now, float64(ask.Used))
+	filled.outstanding -= settled
+	filled.tokens = min(filled.tokens+min(float64(ask.Returned), settled), l.room(filled))
+	tokens := math.Floor(min(float64(ask.Want), max(0, filled.tokens)))
+	filled.tokens -= tokens
+	filled.outstanding += tokens
+	filled.granted.add(now, tokens)
+	own.outstanding += tokens
+	return Grant{Tenant: ask.Tenant, Tokens: uint32(tokens), ShortMs: filled.short(ask, tokens)}
+}
+
+// short returns in how many milliseconds more tokens are expected; zero if all were granted.
+func (b *bucket) short(ask Ask, tokens float64) uint32 {
+	if tokens >= float64(ask.Want) {
+		return 0
+	}
+	wait := mostShort
+	if rate := b.rate(); rate > 0 {
+		wait = min(wait, time.Duration((1-math.Mod(max(b.tokens, 0), 1))/rate*float64(time.Second)))
+	}
+	return uint32(max(1, wait.Milliseconds()))
+}
+
+// rate is that at which the bucket fills.
+func (b *bucket) rate() float64 { return max(0, b.limit.Rate-b.reserved) }
+
+// depth is the most tokens that gateways and the bucket may have together.
+func (l *Ledger) depth(limit Limit) float64 { return max(1, limit.Burst+l.slack/2) }
+
+// room is the most that the bucket may hold beside what gateways have.
+func (l *Ledger) room(b *bucket) float64 { return max(0, l.depth(b.limit)-b.outstanding) }
+
+// bucket returns the bucket of a tenant, filled up to now.
+func (l *Ledger) bucket(now time.Duration, tenant string, limit Limit) *bucket {
+	known, met := l.buckets[tenant]
+	if !met {
+		known = &bucket{limit: limit, at: now}
+		l.buckets[tenant] = known
+	}
+	known.tokens += known.rate() * (now - known.at).Seconds()
+	known.at = now
+	known.limit = limit
+	known.tokens = min(known.tokens, l.room(known))
+	return known
+}
+
+// reserve keeps back what silent gateways may use without the leader, and forgets those that
+// have been silent for too long.
+func (l *Ledger) reserve(now time.Duration) {
+	if now-l.reservedAt < reserveInterval {
+		return
+	}
+	l.reservedAt = now
+	reserved := make(map[string]float64)
+	for name, each := range l.gateways {
+		silent := now - each.heardAt
+		if silent <= gatewaySilence {
+			continue
+		}
+		for tenant, own := range each.shares {
+			if silent > fallbackTime+gatewaySilence {
+				l.takeBack(tenant, own)
+				continue
+			}
+			reserved[tenant] += fallbackShare * own.used.value(each.heardAt)
+		}
+		if silent > fallbackTime+gatewaySilence {
+			delete(l.gateways, name)
+		}
+	}
+	for tenant, known := range l.buckets {
+		// Filled at the old rate up to now.
+		l.bucket(now, tenant, known.limit)
+		known.reserved = reserved[tenant]
+	}
+}
+
+// takeBack counts the tokens of a gateway that is gone as used.
+func (l *Ledger) takeBack(tenant string, own *share) {
+	if known, met := l.buckets[tenant]; met {
+		known.outstanding = max(0, known.outstanding-own.outstanding)
+	}
+}
+
+// Use tells of a tenant how many tokens a second gateways take, for operators.
+func (l *Ledger) Use(now time.Duration, tenant string) float64 {
+	known, met := l.buckets[tenant]
+	if !met {
+		return 0
+	}
+	return known.granted.value(now)
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,251 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// What a deployment allows beyond a limit in a window, as in quota_window, overrun and slack of
+// its bounds.
+const (
+	window  = 5 * time.Second
+	overrun = 0.1
+	slack   = 20
+	step    = 5 * time.Millisecond
+)
+
+// fleet plays gateways and a leader in steps. A message takes one step each way.
+type fleet struct {
+	random   *rand.Rand
+	ledger   *Ledger
+	now      time.Duration
+	gateways []*gatewayNode
+	limits   map[string]Limit
+	// perSecond is what the callers of each tenant ask for, at the gateways homes.
+	perSecond map[string]float64
+	homes     map[string][]int
+	due       map[string]float64
+	leads     bool
+	// passed are the times at which requests of a tenant passed, and asked and served count.
+	passed map[string][]time.Duration
+	asked  map[string]int
+	served map[string]int
+}
+
+type gatewayNode struct {
+	accounts   *Accounts
+	cut, dead  bool
+	reportedAt time.Duration
+	connected  bool
+	answers    [][]Grant
+	waiting    []waitingRequest
+}
+
+type waitingRequest struct {
+	tenant string
+	since  time.Duration
+}
+
+func newFleet(seed uint64, gateways int, tenants int) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 7)), ledger: NewLedger(slack), limits: make(map[string]Limit), leads: true,
+		perSecond: make(map[string]float64), homes: make(map[string][]int), due: make(map[string]float64),
+		passed: make(map[string][]time.Duration), asked: make(map[string]int), served: make(map[string]int),
+	}
+	for index := range gateways {
+		f.gateways = append(f.gateways, &gatewayNode{accounts: NewAccounts(), reportedAt: time.Duration(index) * time.Millisecond})
+	}
+	for index := range tenants {
+		name := fmt.Sprintf("tenant-%d", index)
+		usual := 400 / float64(index+1)
+		f.limits[name] = Limit{Rate: 1.6 * usual, Burst: 1.6 * usual}
+		f.perSecond[name] = usual
+		homes := max(1, int(usual/4))
+		for range min(homes, gateways) {
+			f.homes[name] = append(f.homes[name], f.random.IntN(gateways))
+		}
+	}
+	return f
+}
+
+func (f *fleet) limitOf(tenant string) (Limit, bool) {
+	limit, found := f.limits[tenant]
+	return limit, found
+}
+
+func (f *fleet) play(length time.Duration) {
+	for end := f.now + length; f.now < end; f.now += step {
+		f.arrivals()
+		for index, node := range f.gateways {
+			f.stepGateway(fmt.Sprint(index), node)
+		}
+	}
+}
+
+func (f *fleet) arrivals() {
+	for name, perSecond := range f.perSecond {
+		f.due[name] += perSecond * step.Seconds()
+		for ; f.due[name] >= 1; f.due[name]-- {
+			node := f.gateways[f.homes[name][f.random.IntN(len(f.homes[name]))]]
+			if node.dead {
+				node = f.gateways[f.random.IntN(len(f.gateways))]
+			}
+			if node.dead {
+				continue
+			}
+			f.asked[name]++
+			f.arrive(node, waitingRequest{tenant: name, since: f.now}, false)
+		}
+	}
+}
+
+func (f *fleet) arrive(node *gatewayNode, request waitingRequest, waited bool) {
+	tenant := Tenant{Name: request.tenant, Limit: f.limits[request.tenant], Gateways: len(f.gateways)}
+	verdict, _ := node.accounts.Arrive(f.now, tenant, waited)
+	if verdict == Wait && f.now-request.since >= AnswerTime {
+		node.accounts.Lose(f.now)
+		verdict, _ = node.accounts.Arrive(f.now, tenant, true)
+	}
+	switch verdict {
+	case Taken:
+		f.passed[request.tenant] = append(f.passed[request.tenant], f.now)
+		f.served[request.tenant]++
+	case Wait:
+		node.accounts.Waiting(f.now, request.tenant, 1)
+		node.waiting = append(node.waiting, request)
+	default:
+	}
+}
+
+func (f *fleet) stepGateway(name string, node *gatewayNode) {
+	if node.dead {
+		return
+	}
+	reached := f.leads && !node.cut
+	for _, grants := range node.answers {
+		if reached {
+			node.accounts.Answered(f.now, grants)
+		}
+	}
+	node.answers = nil
+	waiting := node.waiting
+	node.waiting = nil
+	for _, request := range waiting {
+		node.accounts.Waiting(f.now, request.tenant, -1)
+		f.arrive(node, request, true)
+	}
+	const reports = 200 * time.Millisecond
+	if f.now-node.reportedAt < reports && !node.accounts.Urgent(f.now) {
+		return
+	}
+	node.reportedAt = f.now
+	if reached && !node.connected {
+		f.ledger.Connect(name)
+	}
+	if node.connected && !reached {
+		node.accounts.Disconnected(f.now)
+	}
+	node.connected = reached
+	asks := node.accounts.Asks(f.now)
+	if reached {
+		node.answers = append(node.answers, f.ledger.Hear(f.now, name, asks, f.limitOf))
+	}
+}
+
+// most returns by how much the busiest window of any tenant exceeds what is allowed, and
+// whose it was.
+func (f *fleet) most() (excess float64, tenant string) {
+	excess = -1e9
+	for name, times := range f.passed {
+		limit := f.limits[name]
+		allowed := (limit.Rate*window.Seconds()+limit.Burst)*(1+overrun) + slack
+		first := 0
+		for last := range times {
+			for times[last]-times[first] >= window {
+				first++
+			}
+			if over := float64(last-first+1) - allowed; over > excess {
+				excess, tenant = over, name
+			}
+		}
+	}
+	return excess, tenant
+}
+
+// served99 names a tenant that stayed within its limit and was served less than 0.99 of what
+// it asked for.
+func (f *fleet) served99() string {
+	const wanted = 0.99
+	for name, asked := range f.asked {
+		within := f.perSecond[name] <= f.limits[name].Rate
+		if within && float64(f.served[name]) < wanted*float64(asked)-1 {
+			return fmt.Sprintf("%s: %d of %d", name, f.served[name], asked)
+		}
+	}
+	return ""
+}
+
+func (f *fleet) forgetCounts() {
+	f.asked, f.served = make(map[string]int), make(map[string]int)
+}
+
+// trouble plays a day in which one tenant, drawn by chance, sends many times its usual, while
+// gateways are cut off, die and return, and the leader changes. It returns what is wrong.
+func trouble(f *fleet) string {
+	f.play(1500 * time.Millisecond)
+	f.forgetCounts()
+	f.play(5 * time.Second)
+	if short := f.served99(); short != "" {
+		return "in the calm " + short
+	}
+	hot := fmt.Sprintf("tenant-%d", f.random.IntN(8))
+	f.perSecond[hot] *= 7.5
+	f.forgetCounts()
+	f.play(1500 * time.Millisecond)
+	if short := f.served99(); short != "" {
+		return "beside a hot tenant " + short
+	}
+	for index, node := range f.gateways {
+		node.cut = index%5 < 2
+		node.dead = index%7 == 1
+	}
+	f.play(5 * time.Second)
+	f.leads = false
+	f.play(1200 * time.Millisecond)
+	f.ledger.Lead()
+	f.leads = true
+	f.play(2 * time.Second)
+	for _, node := range f.gateways {
+		if node.dead {
+			node.accounts, node.connected = NewAccounts(), false
+		}
+		node.cut, node.dead = false, false
+	}
+	f.play(2 * time.Second)
+	if excess, tenant := f.most(); excess > 0 {
+		return fmt.Sprintf("%s passed %.0f more than allowed in a window, hot was %s", tenant, excess, hot)
+	}
+	return ""
+}
+
+// TestLimitsHoldOverTheFleet: over 300 gateways and 100 tenants no tenant passes more than the
+// deployment allows in any window, and those within their limits are served.
+func TestLimitsHoldOverTheFleet(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20)
+	parameters.MinSuccessfulTests = 8
+	properties := gopter.NewProperties(parameters)
+	properties.Property("limits hold", prop.ForAllNoShrink(func(seed uint64) bool {
+		wrong := trouble(newFleet(seed, 300, 100))
+		if wrong != "" {
+			t.Logf("seed %d: %s", seed, wrong)
+		}
+		return wrong == ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
