Gateways send to the own region before others, and where regions are allowed

Cause: zones of other regions counted like those of the own one, at the price of 20 ms a way and of their bytes; regions that route and tenant allow were not read. Change: an instance in another region must be expected 200 ms sooner to be preferred, one in another zone 60 ms as before. Settings name the region of each zone. Keyed requests whose holder stands in a region that is not allowed are rejected. Tests: TestNearInstancesAreLoadedFirst, TestAllowedRegionsBindRouteAndTenant.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,6 +15,10 @@
 	// CrossZone is by how much sooner an instance in another zone must be expected to
 	// answer to be preferred to one in the own zone.
 	CrossZone time.Duration
+	// Regions has the region of each zone; a zone without one stands in the own region.
+	Regions map[string]string
+	// CrossRegion is CrossZone for an instance in another region.
+	CrossRegion time.Duration
 	// FirstLatency is expected of an instance before anything was learned.
 	FirstLatency time.Duration
 	// EjectAfter is how many failures in a row eject an instance, for EjectFor,
@@ -29,7 +33,7 @@
 // DefaultSettings suit services that answer within tenths of a second.
 func DefaultSettings(zone string) Settings {
 	return Settings{
-		Zone: zone, CrossZone: 60 * time.Millisecond, FirstLatency: 100 * time.Millisecond,
+		Zone: zone, CrossZone: 60 * time.Millisecond, CrossRegion: 200 * time.Millisecond, FirstLatency: 100 * time.Millisecond,
 		EjectAfter: 2, EjectFor: time.Second, EjectMost: 8 * time.Second, MaxEjected: 0.5,
 	}
 }
@@ -89,9 +93,14 @@
 		return directory.Instance{}, false
 	}
 	chosen := b.pick(request, free)
-	if near := b.near(free); len(near) > 0 && len(near) < len(free) {
+	for _, most := range []time.Duration{b.settings.CrossZone, 0} {
+		near := b.within(free, most)
+		if len(near) == 0 || len(near) == len(free) {
+			continue
+		}
 		nearest := b.pick(request, near)
-		if b.expected(request, nearest) <= b.expected(request, chosen)+b.settings.CrossZone.Seconds() {
+		sooner := b.distance(chosen) - b.distance(nearest)
+		if b.expected(request, nearest) <= b.expected(request, chosen)+sooner.Seconds() {
 			chosen = nearest
 		}
 	}
@@ -109,11 +118,24 @@
 	return first
 }
 
-// near returns the candidates in the own zone.
-func (b *Balancer) near(candidates []directory.Instance) []directory.Instance {
+// distance is by how much sooner an instance must be expected to answer to be preferred to one
+// in the own zone.
+func (b *Balancer) distance(instance directory.Instance) time.Duration {
+	if instance.Zone == b.settings.Zone {
+		return 0
+	}
+	own, known := b.settings.Regions[b.settings.Zone]
+	if region, told := b.settings.Regions[instance.Zone]; known && told && region != own {
+		return b.settings.CrossRegion
+	}
+	return b.settings.CrossZone
+}
+
+// within returns the candidates that are no farther away.
+func (b *Balancer) within(candidates []directory.Instance, most time.Duration) []directory.Instance {
 	var near []directory.Instance
 	for _, instance := range candidates {
-		if instance.Zone == b.settings.Zone {
+		if b.distance(instance) <= most {
 			near = append(near, instance)
 		}
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -251,3 +251,22 @@
 		t.Error("another failure ejects at once")
 	}
 }
+
+// TestNearInstancesAreLoadedFirst: the own zone, then the own region, then others, and farther
+// ones once the near ones are full.
+func TestNearInstancesAreLoadedFirst(t *testing.T) {
+	settings := DefaultSettings("a1")
+	settings.Regions = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	b := New(settings)
+	instances := []directory.Instance{
+		{ID: "far", Zone: "b1", Slots: 1}, {ID: "near", Zone: "a1", Slots: 1}, {ID: "middle", Zone: "a2", Slots: 1},
+	}
+	for index, want := range []directory.InstanceID{"near", "middle", "far"} {
+		chosen, found := b.Choose(Request{
+			Service: "s", Instances: instances, Limit: func(int) int { return 1 }, Random: [2]float64{0.1, 0.9},
+		})
+		if !found || chosen.ID != want {
+			t.Errorf("choice %d is %q, want %q", index, chosen.ID, want)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,21 +35,23 @@
 	subscription *subscription
 	splitter     *routing.Splitter
 	balancer     *balance.Balancer
-	upstreams    *upstreams
-	drains       *drains
-	rejections   *rejections
-	unreachable  *unreachable
-	evacuations  *evacuations
-	coldStarts   *coldStarts
-	ownLink      *ownLink
-	meter        *link.Meter
-	places       *places
-	pacer        *pacer
-	callers      *callers
-	demand       *demandCounter
-	quotas       *quotas
-	registry     *telemetry.Metrics
-	metrics      *metrics
+	// regions has the region of each zone.
+	regions     map[string]string
+	upstreams   *upstreams
+	drains      *drains
+	rejections  *rejections
+	unreachable *unreachable
+	evacuations *evacuations
+	coldStarts  *coldStarts
+	ownLink     *ownLink
+	meter       *link.Meter
+	places      *places
+	pacer       *pacer
+	callers     *callers
+	demand      *demandCounter
+	quotas      *quotas
+	registry    *telemetry.Metrics
+	metrics     *metrics
 	// slots tells requests that wait of attempts that ended.
 	slots *broadcast.Broadcast
 
@@ -98,7 +100,8 @@
 		settings: settings, dialect: dialect, log: log, clock: clock.NewSystem(),
 		subscription: newSubscription(settings, log, options.Reload, meter),
 		splitter:     routing.NewSplitter(),
-		balancer:     balance.New(balance.DefaultSettings(settings.Zone)),
+		balancer:     balance.New(balanceSettings(settings)),
+		regions:      regionsOf(settings),
 		upstreams:    newUpstreams(settings.BackEnd, dialect, streamTraffic{meter}),
 		drains:       newDrains(settings.DrainTime),
 		rejections:   newRejections(),
@@ -106,7 +109,7 @@
 		evacuations:  newEvacuations(settings.EvacuationLimit),
 		ownLink:      newOwnLink(settings.LinkMegabits),
 		meter:        meter,
-		coldStarts:   newColdStarts(warmup.Bounds{Overrun: settings.WarmUp.Overrun, Slack: settings.WarmUp.Slack}),
+		coldStarts:   newColdStarts(warmUpBounds(settings)),
 		callers:      newCallers(),
 		quotas:       newQuotas(clock.NewSystem()),
 		registry:     telemetry.NewMetrics(role),
@@ -122,6 +125,10 @@
 	return gateway, nil
 }
 
+func warmUpBounds(settings config.Gateway) warmup.Bounds {
+	return warmup.Bounds{Overrun: settings.WarmUp.Overrun, Slack: settings.WarmUp.Slack}
+}
+
 // tableChanged brings what is kept by instance in line with a new table.
 func (g *Gateway) tableChanged(table *routing.Table) {
 	g.drains.note(table)
--- /dev/null
+++ b/internal/gateway/regions_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// TestAllowedRegionsBindRouteAndTenant: both must allow the region of an instance; one in a zone
+// of no known region is allowed only where nothing is bound.
+func TestAllowedRegionsBindRouteAndTenant(t *testing.T) {
+	settings := config.DefaultGateway()
+	settings.Regions = []config.ZoneRegion{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}}
+	g := &Gateway{regions: regionsOf(settings), evacuations: newEvacuations(time.Second), coldStarts: newColdStarts(warmUpBounds(settings))}
+	instances := []directory.Instance{
+		{ID: "in-a", Zone: "a1", State: directory.InstanceReady}, {ID: "in-b", Zone: "b1", State: directory.InstanceReady},
+		{ID: "anywhere", Zone: "x", State: directory.InstanceReady},
+	}
+	for _, c := range []struct {
+		route, tenant []string
+		want          []directory.InstanceID
+	}{
+		{nil, nil, []directory.InstanceID{"in-a", "in-b", "anywhere"}},
+		{[]string{"a"}, nil, []directory.InstanceID{"in-a"}},
+		{nil, []string{"b"}, []directory.InstanceID{"in-b"}},
+		{[]string{"a", "b"}, []string{"b"}, []directory.InstanceID{"in-b"}},
+		{[]string{"a"}, []string{"b"}, nil},
+	} {
+		current := &request{route: &directory.Route{AllowedRegions: c.route}, tenant: &directory.Tenant{AllowedRegions: c.tenant}}
+		var got []directory.InstanceID
+		for _, instance := range g.candidates(0, current, instances) {
+			got = append(got, instance.ID)
+		}
+		if len(got) != len(c.want) {
+			t.Errorf("route %v, tenant %v: %v, want %v", c.route, c.tenant, got, c.want)
+			continue
+		}
+		for index := range got {
+			if got[index] != c.want[index] {
+				t.Errorf("route %v, tenant %v: %v, want %v", c.route, c.tenant, got, c.want)
+			}
+		}
+		if bound := current.regionBound(); bound != (len(c.route)+len(c.tenant) > 0) {
+			t.Errorf("route %v, tenant %v: bound %v", c.route, c.tenant, bound)
+		}
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -304,8 +304,10 @@
 	if current.keyed {
 		return g.chooseOwner(current, service)
 	}
-	if instance, failure, decided := g.placeInService(current, service); decided {
-		return instance, failure
+	if !current.regionBound() {
+		if instance, failure, decided := g.placeInService(current, service); decided {
+			return instance, failure
+		}
 	}
 	now := g.clock.Now()
 	candidates := g.candidates(now, current, service.Instances)
@@ -335,7 +337,7 @@
 		if !instance.Serving() || slices.Contains(current.attempts, instance.ID) {
 			continue
 		}
-		if g.evacuations.excludes(instance) || !g.coldStarts.allows(now, instance.ID) {
+		if !g.mayServeHere(current, instance) || g.evacuations.excludes(instance) || !g.coldStarts.allows(now, instance.ID) {
 			continue
 		}
 		candidates = append(candidates, instance)
@@ -360,6 +362,9 @@
 	if !found || instance.State == directory.InstanceDraining && !g.drains.mayServe(instance) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d leaves", current.key)
 	}
+	if !g.mayServeHere(current, instance) {
+		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d stands in a region that route or tenant do not allow", current.key)
+	}
 	if g.evacuations.excludesHolder(instance) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the zone of the holder of key %d is evacuated", current.key)
 	}
