--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -95,10 +95,10 @@
 		return fault.Newf(fault.InvalidArgument, "body: %v: see docs/BACKEND.md for the fields", err)
 	}
 	if !body.WarmUpInBounds() {
-		telemetry.With(a.replica.log, telemetry.EventCallRefused).WithField(telemetry.FieldServer, instanceOf(call)).
+		telemetry.With(a.replica.log, telemetry.EventCallRefused).WithField(telemetry.FieldServer, serverOf(call)).
 			WithField("warm_up_left_ms", body.WarmUpLeftMs).Warn("warm_up_left_ms of a heartbeat is out of bounds and was limited")
 	}
-	beat, err := body.Beat(instanceOf(call))
+	beat, err := body.Beat(serverOf(call))
 	if err != nil {
 		a.logRefusal(call, err)
 		return err
@@ -118,16 +118,20 @@
 	return call.JSON(answer)
 }
 
-// instanceOf returns the instance that the path names. The framework uses the
+// serverOf returns the identifier of the server that the path names. The framework uses the
 // memory of its strings again once the call has ended.
-func instanceOf(call fiber.Ctx) directory.InstanceID {
-	return directory.InstanceID(strings.Clone(call.Params("id")))
-}
+func serverOf(call fiber.Ctx) string { return strings.Clone(call.Params("id")) }
 
 func (a *api) leave(call fiber.Ctx) error {
 	ctx, cancel := a.directoryContext(call)
 	defer cancel()
-	if err := a.replica.heartbeats.leave(ctx, instanceOf(call)); err != nil {
+	body, err := directoryapi.ReadLeave(call.Body())
+	if err != nil {
+		a.logRefusal(call, err)
+		return err
+	}
+	leaving := directory.Incarnation{Server: serverOf(call), Born: uint64(body.Born)}
+	if err := a.replica.heartbeats.leave(ctx, leaving); err != nil {
 		return err
 	}
 	return call.JSON(struct{}{})
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -308,8 +308,8 @@
 	}
 }
 
-// leave takes an instance's word that it leaves for good.
-func (k *heartbeatKeeper) leave(ctx context.Context, id directory.InstanceID) error {
+// leave takes a server's word that it leaves for good.
+func (k *heartbeatKeeper) leave(ctx context.Context, leaving directory.Incarnation) error {
 	leadership, leads := k.replica.leadershipContext()
 	if !leads {
 		return fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
@@ -318,7 +318,7 @@
 		return err
 	}
 	return k.change(ctx, leadership, func(batch *heartbeat.Batch) error {
-		batch.Leave(id)
+		batch.Leave(leaving)
 		return nil
 	})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -24,7 +24,9 @@
 	// byAddress has the instances that are at each address, or were until they left. The
 	// lists are replaced and never changed.
 	byAddress map[string][]InstanceID
-	layouts   map[string]*Layout
+	// byServer has the lives of each server, in lists of the same kind.
+	byServer map[string][]InstanceID
+	layouts  map[string]*Layout
 	// zones are those that were evacuated at some time, by name.
 	zones map[string]*Zone
 	// throttles are those of each service with hot keys.
@@ -43,6 +45,7 @@
 		tenants:   make(map[string]Tenant),
 		instances: make(map[InstanceID]*Instance),
 		byAddress: make(map[string][]InstanceID),
+		byServer:  make(map[string][]InstanceID),
 		layouts:   make(map[string]*Layout),
 		zones:     make(map[string]*Zone),
 		throttles: make(map[string]*Throttles),
@@ -130,6 +133,7 @@
 		tenants:       maps.Clone(d.tenants),
 		instances:     maps.Clone(d.instances),
 		byAddress:     maps.Clone(d.byAddress),
+		byServer:      maps.Clone(d.byServer),
 		ordered:       slices.Clone(d.ordered),
 		layouts:       maps.Clone(d.layouts),
 		zones:         maps.Clone(d.zones),
--- a/internal/directory/instance.go
+++ b/internal/directory/instance.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// InstanceID names one incarnation of a server: each start draws a new one.
+// InstanceID names one incarnation of a server, see Incarnation: each start has one of its own.
 type InstanceID string
 
 // InstanceState is what is known of an instance.
@@ -83,6 +83,7 @@
 		d.putInstance(revision, instance)
 		if instance.State != InstanceGone {
 			d.replaceAtAddress(revision, instance)
+			d.endEarlierLives(revision, instance)
 		}
 	}
 	d.forgetGone()
@@ -141,6 +142,7 @@
 		d.ordered[position] = &instance
 	} else {
 		d.ordered = slices.Insert(d.ordered, position, &instance)
+		d.addLife(instance.ID)
 		d.references.Store(nil)
 	}
 	d.instances[instance.ID] = &instance
@@ -159,6 +161,7 @@
 func (d *Directory) forgetInstance(id InstanceID) {
 	if held, found := d.instances[id]; found {
 		d.leaveAddress(*held)
+		d.removeLife(id)
 	}
 	if position, found := d.position(id); found {
 		d.ordered = slices.Delete(d.ordered, position, position+1)
--- a/internal/directory/tenant_test.go
+++ b/internal/directory/tenant_test.go
@@ -95,3 +95,29 @@
 		t.Errorf("shown to people: %s", shown)
 	}
 }
+
+// FuzzPatch: a call that is taken can be applied or is refused for a reason, and what was taken
+// is read back.
+func FuzzPatch(f *testing.F) {
+	f.Add([]byte(`{"set":{"routes":[{"name":"r","host":"h","prefix":"/","kind":"download","service":"s","max_attempts":1,"version":1}],"services":[{"name":"s","version":1}],"tenants":[{"name":"t","api_keys":["k"],"rate_per_second":2,"version":1}],"limits":{"version":1}},"remove":{"tenants":[{"name":"x","version":2}]}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		patch, err := ReadPatch(body)
+		if err != nil {
+			return
+		}
+		view := New()
+		if view.Apply(1, Command{Patch: &patch}) != nil {
+			if view.Configured() {
+				t.Error("a call that was refused left something behind")
+			}
+			return
+		}
+		gateway := New()
+		if err := gateway.TakeRouting(view.RoutingSince(0)); err != nil {
+			t.Error(err)
+		}
+		if got, want := len(gateway.Items()), len(view.Items()); got != want {
+			t.Errorf("a gateway has %d items of %d", got, want)
+		}
+	})
+}
--- a/internal/directoryapi/types.go
+++ b/internal/directoryapi/types.go
@@ -4,7 +4,9 @@
 package directoryapi
 
 import (
+	"bytes"
 	"encoding/json"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -46,6 +48,9 @@
 	// WarmUpLeftMs is how much longer the instance is slow from its start.
 	WarmUpLeftMs float64 `json:"warm_up_left_ms"`
 	Sequence     uint64  `json:"sequence"`
+	// Born is when the server started, as Unix milliseconds of its own clock: a server may
+	// start again under its identifier.
+	Born StartTime `json:"born"`
 	// Holdings are rows of first key, last key and fence that the instance holds or
 	// still works on.
 	Holdings []HeldRow `json:"holdings"`
@@ -54,6 +59,40 @@
 	Released []ReleasedRow `json:"released"`
 }
 
+// StartTime is when a server started, as Unix milliseconds; zero for one that does not tell it.
+type StartTime uint64
+
+// latestStart bounds the times of start: what a JSON number holds exactly.
+const latestStart = 1 << 53
+
+// UnmarshalJSON implements json.Unmarshaler. Only whole numbers above 0 are times of start.
+func (t *StartTime) UnmarshalJSON(data []byte) error {
+	const decimal, bits = 10, 64
+	milliseconds, err := strconv.ParseUint(string(data), decimal, bits)
+	if err != nil || milliseconds == 0 || milliseconds > latestStart {
+		return fault.Newf(fault.InvalidArgument, "born: %.40s is no time of a start: give whole Unix milliseconds", data)
+	}
+	*t = StartTime(milliseconds)
+	return nil
+}
+
+// Leave is the body by which a server says that it leaves for good; it may be empty.
+type Leave struct {
+	Born StartTime `json:"born"`
+}
+
+// ReadLeave reads the body of a server's word that it leaves.
+func ReadLeave(body []byte) (Leave, error) {
+	var leave Leave
+	if len(bytes.TrimSpace(body)) == 0 {
+		return leave, nil
+	}
+	if err := json.Unmarshal(body, &leave); err != nil {
+		return Leave{}, fault.Newf(fault.InvalidArgument, "body: %v: leave it out, or send one JSON object", err)
+	}
+	return leave, nil
+}
+
 // HeldRow is a row of first key, last key and fence.
 type HeldRow heartbeat.Held
 
@@ -87,19 +126,25 @@
 }
 
 // Beat checks the body and returns it in the terms of package heartbeat.
-func (h Heartbeat) Beat(id directory.InstanceID) (heartbeat.Beat, error) {
+func (h Heartbeat) Beat(server string) (heartbeat.Beat, error) {
 	switch {
-	case id == "":
-		return heartbeat.Beat{}, fault.New(fault.InvalidArgument, "instance: is empty: put the identifier into the path")
+	case !directory.ValidServer(server):
+		return heartbeat.Beat{}, fault.Newf(fault.InvalidArgument, "instance: %.64q is no identifier: put one without @ into the path", server)
+	case h.Zone == "":
+		return heartbeat.Beat{}, fault.New(fault.InvalidArgument, "zone: is empty: name the zone that the server stands in")
+	case h.Slots < 1:
+		return heartbeat.Beat{}, fault.Newf(fault.InvalidArgument, "slots: %d is below 1: tell how many requests the server works on at once", h.Slots)
+	case h.Sequence == 0:
+		return heartbeat.Beat{}, fault.New(fault.InvalidArgument, "sequence: is missing: begin at 1 and raise it with each heartbeat")
 	case h.Service == "":
 		return heartbeat.Beat{}, fault.New(fault.InvalidArgument, "service: is empty: name the service")
-	case h.Address == "":
-		return heartbeat.Beat{}, fault.New(fault.InvalidArgument, "address: is empty: give IP:port")
+	case !validAddress(h.Address):
+		return heartbeat.Beat{}, fault.Newf(fault.InvalidArgument, "address: %.64q is not IP:port", h.Address)
 	case h.State != StateReady && h.State != StateDraining:
 		return heartbeat.Beat{}, fault.Newf(fault.InvalidArgument, "state: %q is neither ready nor draining", h.State)
 	}
 	beat := heartbeat.Beat{
-		Instance: id, Service: h.Service, Address: h.Address, Zone: h.Zone, Slots: h.Slots,
+		Instance: directory.Incarnation{Server: server, Born: uint64(h.Born)}.ID(), Service: h.Service, Address: h.Address, Zone: h.Zone, Slots: h.Slots,
 		Draining: h.State == StateDraining, WarmUp: h.warmUp(), Sequence: h.Sequence,
 	}
 	for _, row := range h.Holdings {
@@ -111,6 +156,11 @@
 	return beat, nil
 }
 
+func validAddress(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Port() != 0
+}
+
 // longestWarmUpMs bounds the time for which an instance may say that it is slow.
 const longestWarmUpMs = 60_000
 
--- a/internal/directoryapi/types_test.go
+++ b/internal/directoryapi/types_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +83,77 @@
 		t.Error("a row of two cells is taken")
 	}
 }
+
+// readBeat reads a heartbeat as the controllers do.
+func readBeat(server string, body []byte) (heartbeat.Beat, error) {
+	var read Heartbeat
+	if err := json.Unmarshal(body, &read); err != nil {
+		return heartbeat.Beat{}, err
+	}
+	return read.Beat(server)
+}
+
+const soundBeat = `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","warm_up_left_ms":0,"sequence":4,"born":1796000000000}`
+
+// TestHeartbeatsOfOtherWriters: a heartbeat with fields that are missing or of another type, a
+// state that is not known, or bytes that cannot be read, names no server.
+func TestHeartbeatsOfOtherWriters(t *testing.T) {
+	sound, err := readBeat("i-1", []byte(soundBeat))
+	if err != nil || sound.Instance != "i-1@1796000000000" {
+		t.Fatalf("%+v, %v", sound, err)
+	}
+	replaced := func(old, fresh string) string { return strings.Replace(soundBeat, old, fresh, 1) }
+	for _, body := range []string{
+		"", "{", "null", "[]", "7", "\x00\xff", soundBeat[:40],
+		replaced(`"service":"s",`, ""), replaced(`"s"`, "7"), replaced(`"s"`, "null"), replaced(`"address":"10.0.0.1:80",`, ""),
+		replaced("10.0.0.1:80", "10.0.0.1"), replaced("10.0.0.1:80", "name:80"), replaced("10.0.0.1:80", "10.0.0.1:0"),
+		replaced(`"zone":"z",`, ""), replaced(`"slots":4`, `"slots":"4"`), replaced(`"slots":4`, `"slots":-4`), replaced(`"slots":4,`, ""),
+		replaced(`"slots":4`, `"slots":1.5`), replaced(`"ready"`, `"leaving"`), replaced(`"ready"`, "true"), replaced(`"state":"ready",`, ""),
+		replaced(`"sequence":4`, `"sequence":"4"`), replaced(`"sequence":4`, `"sequence":-4`), replaced(`"sequence":4,`, ""),
+		replaced("1796000000000", "-1"), replaced("1796000000000", "0"), replaced("1796000000000", "1.5"), replaced("1796000000000", `"x"`),
+		replaced("1796000000000", "null"), replaced("1796000000000", "true"), replaced("1796000000000", "1e30"), replaced("1796000000000", "99999999999999999999"),
+		replaced(`"sequence"`, `"holdings":[[1,2]],"sequence"`), replaced(`"sequence"`, `"holdings":{"a":1},"sequence"`),
+		replaced(`"sequence"`, `"holdings":[[1,"2",3]],"sequence"`), replaced(`"sequence"`, `"released":[[1,2,3]],"sequence"`),
+	} {
+		if beat, err := readBeat("i-1", []byte(body)); err == nil {
+			t.Errorf("%s names %+v", body, beat)
+		}
+	}
+	for _, server := range []string{"", "i-1@5"} {
+		if _, err := readBeat(server, []byte(soundBeat)); err == nil {
+			t.Errorf("server %q is taken", server)
+		}
+	}
+}
+
+// TestLeaveTellsItsLife: the body may be empty; one that cannot be read takes nobody out.
+func TestLeaveTellsItsLife(t *testing.T) {
+	for body, want := range map[string]StartTime{"": 0, "{}": 0, `{"born":17}`: 17} {
+		if got, err := ReadLeave([]byte(body)); err != nil || got.Born != want {
+			t.Errorf("%q: %+v, %v", body, got, err)
+		}
+	}
+	for _, body := range []string{"{", "7", `{"born":-1}`, `{"born":"x"}`, `{"born":1.5}`} {
+		if got, err := ReadLeave([]byte(body)); err == nil {
+			t.Errorf("%q is read as %+v", body, got)
+		}
+	}
+}
+
+// FuzzHeartbeat: whatever comes is refused, or names a server that can be used.
+func FuzzHeartbeat(f *testing.F) {
+	f.Add("i-1", []byte(soundBeat))
+	f.Add("i-1", []byte(`{"service":"s","address":"[::1]:80","zone":"z","slots":1,"state":"draining","sequence":1,"holdings":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]}`))
+	f.Fuzz(func(t *testing.T, server string, body []byte) {
+		beat, err := readBeat(server, body)
+		if err != nil {
+			return
+		}
+		if beat.Service == "" || beat.Zone == "" || beat.Slots < 1 || beat.Sequence == 0 || beat.WarmUp < 0 || beat.WarmUp > time.Minute {
+			t.Errorf("%s is taken as %+v", body, beat)
+		}
+		if got := beat.Instance.Server(); got != server {
+			t.Errorf("server %q is taken as %q", server, got)
+		}
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -187,6 +187,6 @@
 	outgoing.Header.Del(dialect.Deadline)
 	outgoing.Header.Set(dialect.Deadline, strconv.FormatInt(max(1, r.left().Milliseconds()), 10))
 	outgoing.Header.Del(dialect.ExpectInstance)
-	outgoing.Header.Set(dialect.ExpectInstance, string(instance.ID))
+	outgoing.Header.Set(dialect.ExpectInstance, instance.ID.Server())
 	r.fillTenant(outgoing, dialect)
 }
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -170,9 +170,17 @@
 	d.join(beat.Instance)
 }
 
-// Leave takes an instance's word that it leaves for good. Its keys pass on once its
-// lease has ended.
-func (b *Batch) Leave(id directory.InstanceID) {
+// Leave takes a server's word that it leaves for good. Its keys pass on once its lease has
+// ended. Where the word does not tell the time of its start, the newest life leaves.
+func (b *Batch) Leave(leaving directory.Incarnation) {
+	id := leaving.ID()
+	if leaving.Born == 0 {
+		for _, life := range b.view.Lives(leaving.Server) {
+			if incarnation := life.ID.Incarnation(); incarnation.Born > leaving.Born {
+				id, leaving = life.ID, incarnation
+			}
+		}
+	}
 	instance, found := b.view.Instance(id)
 	if !found {
 		// Remembered as gone, so that a late heartbeat does not announce it.
@@ -257,7 +265,7 @@
 // Leave is a batch of one instance that leaves.
 func (c *Core) Leave(id directory.InstanceID, view *directory.Directory) []directory.Command {
 	batch := c.Batch(0, view)
-	batch.Leave(id)
+	batch.Leave(id.Incarnation())
 	return batch.Commands()
 }
 
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -114,6 +114,9 @@
 			return fault.Newf(fault.InvalidArgument, "service %q: instance %q announced itself for service %q", beat.Service, beat.Instance, instance.Service)
 		}
 	}
+	if err := c.checkLife(now, beat, view); err != nil {
+		return err
+	}
 	if err := c.checkAddress(now, beat, view); err != nil {
 		return err
 	}
--- a/internal/heartbeat/stranger.go
+++ b/internal/heartbeat/stranger.go
@@ -39,6 +39,12 @@
 		delete(c.strangers, beat.Instance)
 		return nil
 	}
+	return c.goesOn(now, beat, heardAt)
+}
+
+// goesOn returns ErrProvisional until a stranger has sent heartbeats for long enough while
+// nothing was heard of the other one since a time.
+func (c *Core) goesOn(now time.Duration, beat Beat, heardAt time.Duration) error {
 	known, met := c.strangers[beat.Instance]
 	if !met || heardAt > known.firstAt {
 		c.strangers[beat.Instance] = stranger{firstAt: now, sequence: beat.Sequence}
@@ -56,13 +62,11 @@
 func (c *Core) heardAt(now time.Duration, beat Beat, view *directory.Directory) (time.Duration, bool) {
 	newest, found := time.Duration(0), false
 	for other := range view.InstancesAt(beat.Address) {
-		if other.ID == beat.Instance || other.State == directory.InstanceGone {
+		sameServer := other.ID.Server() == beat.Instance.Server() // checkLife has decided on it
+		if sameServer || other.State == directory.InstanceGone {
 			continue
 		}
-		heard := c.leadSince
-		if known, met := c.contacts[other.ID]; met {
-			heard = known.beatAt
-		}
+		heard := c.heardOf(other.ID)
 		if now-heard <= c.config.Lease {
 			newest, found = max(newest, heard), true
 		}
--- a/internal/lab/labcli/sim.go
+++ b/internal/lab/labcli/sim.go
@@ -21,14 +21,19 @@
 	trace   bool
 	workers int
 	leases  bool
+	sameID  bool
 }
 
 // runner returns what runs a seed.
 func (o simOptions) runner() sim.Runner {
-	if o.leases {
+	switch {
+	case o.sameID:
+		return sim.RunSameIDLeases
+	case o.leases:
 		return sim.RunLeases
+	default:
+		return sim.Run
 	}
-	return sim.Run
 }
 
 func newSim() *cobra.Command {
@@ -48,6 +53,7 @@
 	flags.Uint64Var(&options.seed, "seed", 0, "run this seed alone")
 	flags.BoolVar(&options.trace, "trace", false, "with --seed: print what happens, the same bytes every time")
 	flags.BoolVar(&options.leases, "leases", false, "controllers and instances that renew leases by heartbeats, in place of whole deployments")
+	flags.BoolVar(&options.sameID, "same-id", false, "as --leases, with instances that start again under their identifiers")
 	flags.IntVar(&options.workers, "workers", defaultWorkers, "seeds that run at the same time")
 	return command
 }
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -27,7 +27,7 @@
 )
 
 // instance is one server that renews its lease by heartbeats, as docs/BACKEND.md asks. A
-// restart gives it a new identifier at its old address.
+// restart gives it a new identifier at its old address, or a later time of its start.
 type instance struct {
 	*process
 	id       directory.InstanceID
@@ -48,12 +48,27 @@
 func (i *instance) start() {
 	i.begin()
 	i.lives++
-	i.id = directory.InstanceID(fmt.Sprintf("%s.%d", i.node, i.lives))
-	i.sequence, i.held, i.released, i.leaseEnd = 0, nil, nil, 0
+	i.id = i.nextID()
+	if !i.sim.leaseWorld.planted.ignoreBorn {
+		i.sequence = 0
+	}
+	i.held, i.released, i.leaseEnd = nil, nil, 0
 	i.work = make(map[heartbeat.Held]time.Duration)
 	i.beat()
 }
 
+func (i *instance) nextID() directory.InstanceID {
+	world := i.sim.leaseWorld
+	switch {
+	case !world.sameID:
+		return directory.InstanceID(fmt.Sprintf("%s.%d", i.node, i.lives))
+	case world.planted.ignoreBorn:
+		return directory.InstanceID(i.node)
+	default:
+		return directory.Incarnation{Server: string(i.node), Born: uint64(i.lives)}.ID()
+	}
+}
+
 // beat sends a heartbeat to the controller that answered last, or to the next one.
 func (i *instance) beat() {
 	i.expire()
@@ -191,9 +206,9 @@
 		if key < row.First || row.Last < key {
 			continue
 		}
-		if known.owner != granted.id && row.Fence <= known.fence {
+		if passed := known.owner != granted.id || known.life != granted.lives; passed && row.Fence <= known.fence {
 			s.checker.Fail(checker.EpochOrder, "key %d passed from %s to %s with fence %d after %d", key, known.owner, granted.id, row.Fence, known.fence)
 		}
-		s.leaseWorld.holders[key] = keyHolder{owner: granted.id, fence: max(known.fence, row.Fence)}
+		s.leaseWorld.holders[key] = keyHolder{owner: granted.id, life: granted.lives, fence: max(known.fence, row.Fence)}
 	}
 }
--- a/internal/lab/sim/lease_run.go
+++ b/internal/lab/sim/lease_run.go
@@ -29,7 +29,9 @@
 
 // leaseWorld is what only lease runs have.
 type leaseWorld struct {
-	planted   plantedLeases
+	planted plantedLeases
+	// sameID lets servers start again under the identifier that they had.
+	sameID    bool
 	config    heartbeat.Config
 	instances []*instance
 	holders   map[directory.Key]keyHolder
@@ -40,6 +42,8 @@
 // keyHolder is who held a key last.
 type keyHolder struct {
 	owner directory.InstanceID
+	// life counts the starts of the owner's process.
+	life  int
 	fence directory.Fence
 }
 
@@ -47,6 +51,9 @@
 type plantedLeases struct {
 	// skipQuorum: heartbeats are answered without a quorum round.
 	skipQuorum bool
+	// ignoreBorn: servers that start again are not told from their earlier lives, whose
+	// sequence they go on with.
+	ignoreBorn bool
 	// config changes the settings of the leases.
 	config func(*heartbeat.Config)
 }
@@ -75,8 +82,22 @@
 	return runPlantedLeases(seed, plantedLeases{}, traceTo)
 }
 
-func runPlantedLeases(seed uint64, planted plantedLeases, traceTo io.Writer) Result {
+// RunSameIDLeases runs one seed in which instances start again under their identifiers.
+func RunSameIDLeases(seed uint64, traceTo io.Writer) Result {
+	return runLeasesOfSameID(seed, plantedLeases{}, traceTo)
+}
+
+func runLeasesOfSameID(seed uint64, planted plantedLeases, traceTo io.Writer) Result {
 	s := newLeaseSimulation(seed, planted, traceTo)
+	s.leaseWorld.sameID = true
+	return s.playLeases()
+}
+
+func runPlantedLeases(seed uint64, planted plantedLeases, traceTo io.Writer) Result {
+	return newLeaseSimulation(seed, planted, traceTo).playLeases()
+}
+
+func (s *simulation) playLeases() Result {
 	result := s.play(s.runLeases)
 	result.Checks.Holdings += s.leaseWorld.checked
 	return result
--- a/internal/lab/sim/lease_run_test.go
+++ b/internal/lab/sim/lease_run_test.go
@@ -65,3 +65,18 @@
 		})
 	}
 }
+
+// TestRestartsUnderTheSameID: servers that start again under their identifiers hold nothing of
+// before. The checker finds it if the time of their start is ignored.
+func TestRestartsUnderTheSameID(t *testing.T) {
+	summary := RunSeeds(RunSameIDLeases, 1, fixedLeaseSeeds, testWorkers, func(failure Failure) { t.Error(failure.Describe()) })
+	if summary.Faults.ServerCrashes == 0 {
+		t.Error("no server started again")
+	}
+	for seed := uint64(1); seed <= plantedSeeds; seed++ {
+		if runLeasesOfSameID(seed, plantedLeases{ignoreBorn: true}, nil).Violation != nil {
+			return
+		}
+	}
+	t.Error("no checker found that the time of the start is ignored")
+}
