--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -31,6 +31,9 @@
 	zones map[string]*Zone
 	// throttles are those of each service with hot keys.
 	throttles map[string]*Throttles
+	// changes are the newest changes of instances, and gone counts those that left.
+	changes changeLog
+	gone    int
 	// references finds the instances by their references; nil until it is asked for.
 	references atomic.Pointer[references]
 	// fleet is how many gateways share the instances, zero while it is not known.
@@ -140,7 +143,7 @@
 		fleet:         d.fleet,
 		throttles:     maps.Clone(d.throttles),
 	}
-	clone.references.Store(d.references.Load())
+	clone.changes, clone.gone = d.changes.clone(), d.gone
 	return clone
 }
 
@@ -177,11 +180,7 @@
 	if d.itemsRevision > after {
 		changes.Items = slices.DeleteFunc(d.Items(), func(item Item) bool { return item.Revision <= after })
 	}
-	for instance := range d.EachInstance() {
-		if instance.changedAt() > after {
-			changes.Instances = append(changes.Instances, instance)
-		}
-	}
+	changes.Instances = d.instancesSince(after)
 	for _, zone := range d.Zones() {
 		if zone.Revision > after {
 			changes.Zones = append(changes.Zones, zone)
@@ -200,6 +199,26 @@
 	return changes
 }
 
+// instancesSince returns the instances that changed after a revision, by identifier.
+func (d *Directory) instancesSince(after Revision) []Instance {
+	var changed []Instance
+	ids, known := d.changes.since(after)
+	if !known || after == 0 {
+		for instance := range d.EachInstance() {
+			if instance.changedAt() > after {
+				changed = append(changed, instance)
+			}
+		}
+		return changed
+	}
+	for _, id := range ids {
+		if instance, found := d.instances[id]; found && instance.changedAt() > after {
+			changed = append(changed, *instance)
+		}
+	}
+	return changed
+}
+
 // Take adds changes to the directory. Objects that are not newer than those held
 // change nothing, so that changes may come twice.
 func (d *Directory) Take(changes Content) {
--- a/internal/directory/instance.go
+++ b/internal/directory/instance.go
@@ -137,17 +137,28 @@
 	if !slices.Contains(d.byAddress[instance.Address], instance.ID) {
 		d.byAddress[instance.Address] = append(slices.Clone(d.byAddress[instance.Address]), instance.ID)
 	}
+	d.changes.add(instance.changedAt(), instance.ID)
 	position, found := d.position(instance.ID)
 	if found {
+		d.countGone(*d.ordered[position], -1)
 		d.ordered[position] = &instance
 	} else {
 		d.ordered = slices.Insert(d.ordered, position, &instance)
 		d.addLife(instance.ID)
-		d.references.Store(nil)
+		if known := d.references.Load(); known != nil {
+			known.add(instance.ID)
+		}
 	}
+	d.countGone(instance, 1)
 	d.instances[instance.ID] = &instance
 }
 
+func (d *Directory) countGone(instance Instance, change int) {
+	if instance.State == InstanceGone {
+		d.gone += change
+	}
+}
+
 // leaveAddress takes an instance out of those at its address.
 func (d *Directory) leaveAddress(leaving Instance) {
 	left := slices.DeleteFunc(slices.Clone(d.byAddress[leaving.Address]), func(id InstanceID) bool { return id == leaving.ID })
@@ -162,6 +173,7 @@
 	if held, found := d.instances[id]; found {
 		d.leaveAddress(*held)
 		d.removeLife(id)
+		d.countGone(*held, -1)
 	}
 	if position, found := d.position(id); found {
 		d.ordered = slices.Delete(d.ordered, position, position+1)
@@ -179,7 +191,7 @@
 
 // forgetGone forgets those that left first, beyond the bound.
 func (d *Directory) forgetGone() {
-	if len(d.instances) <= maxGone {
+	if d.gone <= maxGone {
 		return
 	}
 	var gone []Instance
@@ -188,9 +200,6 @@
 			gone = append(gone, *instance)
 		}
 	}
-	if len(gone) <= maxGone {
-		return
-	}
 	slices.SortFunc(gone, func(a, b Instance) int {
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.ID, b.ID))
 	})
@@ -220,6 +229,15 @@
 	}
 }
 
+// Find returns an instance, also one that is gone. It must not be changed, and never changes.
+func (d *Directory) Find(id InstanceID) (*Instance, bool) {
+	instance, found := d.instances[id]
+	return instance, found
+}
+
+// EachFound yields every instance by identifier, as Find returns it.
+func (d *Directory) EachFound() iter.Seq[*Instance] { return slices.Values(d.ordered) }
+
 // EachInstance yields every instance by identifier, those that are gone too. An
 // instance may be changed meanwhile, but none added.
 func (d *Directory) EachInstance() iter.Seq[Instance] {
--- a/internal/directory/reference.go
+++ b/internal/directory/reference.go
@@ -13,7 +13,8 @@
 // ReferenceOf returns the reference of an instance.
 func ReferenceOf(id InstanceID) Reference { return Reference(xxhash.Sum64String(string(id))) }
 
-// references finds instances by their references. It is never changed once it was built.
+// references finds instances by their references. It belongs to one directory, and instances are
+// added as they come; it is built anew once one was forgotten.
 type references struct {
 	instances map[Reference]InstanceID
 	// shared are references that several instances have.
@@ -23,15 +24,19 @@
 func newReferences(instances map[InstanceID]*Instance) *references {
 	built := &references{instances: make(map[Reference]InstanceID, len(instances)), shared: make(map[Reference]bool)}
 	for id := range maps.Keys(instances) {
-		reference := ReferenceOf(id)
-		if _, taken := built.instances[reference]; taken {
-			built.shared[reference] = true
-		}
-		built.instances[reference] = id
+		built.add(id)
 	}
 	return built
 }
 
+func (r *references) add(id InstanceID) {
+	reference := ReferenceOf(id)
+	if _, taken := r.instances[reference]; taken {
+		r.shared[reference] = true
+	}
+	r.instances[reference] = id
+}
+
 // clear reports whether a reference stands for one known instance alone.
 func (r *references) clear(reference Reference) bool {
 	_, known := r.instances[reference]
--- a/internal/gateway/coldstart.go
+++ b/internal/gateway/coldstart.go
@@ -25,13 +25,10 @@
 func (c *coldStarts) note(now time.Duration, table *routing.Table, known func(directory.InstanceID) bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, name := range table.Services() {
-		service, _ := table.Service(name)
-		if !service.Config.LimitsCold() {
-			continue
-		}
-		for _, instance := range service.Instances {
-			c.limiter.Note(now, instance, service.Config, table.Gateways, rand.Float64())
+	for _, instance := range table.Changed {
+		service, found := table.Service(instance.Service)
+		if found && service.Config.LimitsCold() && instance.State != directory.InstanceGone {
+			c.limiter.Note(now, *instance, service.Config, table.Gateways, rand.Float64())
 		}
 	}
 	c.limiter.Forget(known)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -23,19 +24,16 @@
 func (d *drains) note(table *routing.Table) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	earlier := d.since
-	d.since = make(map[directory.InstanceID]time.Time)
-	for _, name := range table.Services() {
-		service, _ := table.Service(name)
-		for _, instance := range service.Instances {
-			if instance.State != directory.InstanceDraining {
-				continue
-			}
-			since, found := earlier[instance.ID]
-			if !found {
-				since = time.Now()
-			}
-			d.since[instance.ID] = since
+	if table.Whole {
+		maps.DeleteFunc(d.since, func(id directory.InstanceID, _ time.Time) bool { return !table.Knows(id) })
+	}
+	for _, instance := range table.Changed {
+		if instance.State != directory.InstanceDraining {
+			delete(d.since, instance.ID)
+			continue
+		}
+		if _, found := d.since[instance.ID]; !found {
+			d.since[instance.ID] = time.Now()
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
-	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
@@ -133,14 +132,7 @@
 func (g *Gateway) tableChanged(table *routing.Table) {
 	g.drains.note(table)
 	g.evacuations.note(table)
-	present := make(map[directory.InstanceID]bool)
-	for _, name := range table.Services() {
-		service, _ := table.Service(name)
-		for _, instance := range service.Instances {
-			present[instance.ID] = true
-		}
-	}
-	known := func(id directory.InstanceID) bool { return present[id] }
+	known := table.Knows
 	g.coldStarts.note(g.clock.Now(), table, known)
 	g.unreachable.forget(known)
 	g.balancer.Forget(known)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -45,9 +45,9 @@
 	switch answer.verdict {
 	case room.Granted:
 		for _, instance := range service.Instances {
-			if directory.ReferenceOf(instance.ID) == answer.server && g.mayKeep(instance) {
-				g.begin(current, instance, answer)
-				return instance, nil, true
+			if directory.ReferenceOf(instance.ID) == answer.server && g.mayKeep(*instance) {
+				g.begin(current, *instance, answer)
+				return *instance, nil, true
 			}
 		}
 		answer.place.end(room.Unused, 0)
--- a/internal/gateway/placekeeper.go
+++ b/internal/gateway/placekeeper.go
@@ -71,7 +71,7 @@
 		service, _ := table.Service(name)
 		if service.Config.Keyed {
 			for _, instance := range service.Instances {
-				kept[holderQueue(instance.ID)] = keptQueue{name: string(instance.ID), servers: []directory.Instance{instance}}
+				kept[holderQueue(instance.ID)] = keptQueue{name: string(instance.ID), servers: []directory.Instance{*instance}}
 			}
 			continue
 		}
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -101,7 +101,7 @@
 	pools := make(map[string][]room.Pool)
 	for _, name := range table.Services() {
 		if service, _ := table.Service(name); !service.Config.Keyed {
-			pools[name] = room.Pools(name, service.Instances, table.Keepers)
+			pools[name] = room.Pools(name, service.All(), table.Keepers)
 		}
 	}
 	p.keeper.note(table, pools)
--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -227,7 +227,7 @@
 	keeper := newPlaceKeeper(clock.NewSystem(), everyInstance)
 	table := placeTable(t, "127.0.0.1:1")
 	service, _ := table.Service("s")
-	keeper.note(table, map[string][]room.Pool{"s": room.Pools("s", service.Instances, table.Keepers)})
+	keeper.note(table, map[string][]room.Pool{"s": room.Pools("s", service.All(), table.Keepers)})
 	var answers []message.PlaceAnswer
 	asker := keeper.join("a", func(told []message.PlaceAnswer) { answers = append(answers, told...) })
 	keeper.take(asker, message.PlaceRequest{
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -331,9 +331,10 @@
 }
 
 // candidates returns the instances that a request may be sent to.
-func (g *Gateway) candidates(now time.Duration, current *request, instances []directory.Instance) []directory.Instance {
+func (g *Gateway) candidates(now time.Duration, current *request, instances []*directory.Instance) []directory.Instance {
 	candidates := make([]directory.Instance, 0, len(instances))
-	for _, instance := range instances {
+	for _, each := range instances {
+		instance := *each
 		if !instance.Serving() || slices.Contains(current.attempts, instance.ID) {
 			continue
 		}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -121,3 +122,92 @@
 		t.Errorf("without a split: %q", got)
 	}
 }
+
+// TestTablesChangeAsTheDirectoryDoes: a table that follows step by step is the same as one that is
+// built anew, through instances that come, change, drain, leave and are forgotten, and services
+// that come and go; earlier tables stay as they were.
+func TestTablesChangeAsTheDirectoryDoes(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	table, view := build(t, nil, set(route("x", "a.example", "/x/", 1)))
+	revision := directory.Revision(100)
+	apply := func(command directory.Command) {
+		t.Helper()
+		revision++
+		if err := view.Apply(revision, command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names := []string{"s", "late", "never"}
+	states := []directory.InstanceState{directory.InstanceReady, directory.InstanceDraining, directory.InstanceGone, directory.InstanceReady}
+	for step := range 400 {
+		var changed []directory.Instance
+		for range 1 + random.IntN(30) {
+			number := random.IntN(4000)
+			changed = append(changed, directory.Instance{
+				ID: directory.InstanceID(fmt.Sprintf("i%d", number)), Service: names[number%len(names)],
+				Address: fmt.Sprintf("127.0.0.1:%d", number), State: states[random.IntN(len(states))],
+			})
+		}
+		apply(directory.Command{Instances: changed})
+		if step == 200 {
+			patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"late","version":1}]}}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			apply(directory.Command{Patch: &patch})
+		}
+		if random.IntN(3) == 0 {
+			continue // the next table follows after several changes
+		}
+		before := fmt.Sprint(listed(table))
+		next := Build(view, table)
+		if fmt.Sprint(listed(table)) != before {
+			t.Fatal("an earlier table has changed")
+		}
+		if got, want := fmt.Sprint(listed(next)), fmt.Sprint(listed(Build(view, nil))); got != want {
+			t.Fatalf("step %d: the table that follows has %s, built anew %s", step, got, want)
+		}
+		table = next
+	}
+}
+
+func listed(table *Table) []string {
+	var lines []string
+	for _, name := range table.Services() {
+		service, _ := table.Service(name)
+		for _, instance := range service.Instances {
+			lines = append(lines, fmt.Sprint(name, " ", *instance))
+		}
+	}
+	return lines
+}
+
+// BenchmarkTableOfFleet builds the next table of 10,000 instances after one of them changed.
+func BenchmarkTableOfFleet(b *testing.B) {
+	view := directory.New()
+	patch, err := directory.ReadPatch([]byte(set(route("x", "a.example", "/x/", 1))))
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := view.Apply(1, directory.Command{Patch: &patch}); err != nil {
+		b.Fatal(err)
+	}
+	instance := func(number int) directory.Instance {
+		return directory.Instance{ID: directory.InstanceID(fmt.Sprint("i", number)), Service: "s", Address: fmt.Sprint("10.0.0.1:", number), State: directory.InstanceReady}
+	}
+	revision := directory.Revision(2)
+	for number := range 10_000 {
+		if err := view.Apply(revision, directory.Command{Instances: []directory.Instance{instance(number)}}); err != nil {
+			b.Fatal(err)
+		}
+		revision++
+	}
+	table := Build(view, nil)
+	for b.Loop() {
+		revision++
+		if err := view.Apply(revision, directory.Command{Instances: []directory.Instance{instance(int(revision) % 10_000)}}); err != nil {
+			b.Fatal(err)
+		}
+		table = Build(view, table)
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -15,8 +16,9 @@
 // Service is a service with its instances and the holders of its keys.
 type Service struct {
 	Config directory.Service
-	// Instances are those that are not gone, by identifier.
-	Instances []directory.Instance
+	// Instances are those that are not gone, by identifier. They are replaced and never
+	// changed.
+	Instances []*directory.Instance
 	Layout    directory.Layout
 	Throttles directory.Throttles
 }
@@ -31,6 +33,10 @@
 	Gateways int
 	// Keepers are the gateways that give out the places of instances.
 	Keepers []directory.Keeper
+	// Changed are the instances that changed since the earlier table, those that are gone too;
+	// all if Whole is true.
+	Changed []*directory.Instance
+	Whole   bool
 	// itemsRevision is the revision of the newest item.
 	itemsRevision directory.Revision
 	// ranks are those of the priorities of routes and tenants.
@@ -63,11 +69,7 @@
 	} else {
 		table.readItems(view, earlier)
 	}
-	for instance := range view.EachInstance() {
-		if service, found := table.services[instance.Service]; found && instance.State != directory.InstanceGone {
-			service.Instances = append(service.Instances, instance)
-		}
-	}
+	table.takeInstances(view, earlier)
 	for name, service := range table.services {
 		service.Layout = view.Layout(name)
 		service.Throttles = view.Throttles(name)
@@ -75,6 +77,72 @@
 	return table
 }
 
+// takeInstances takes the instances of an earlier table with what changed since then, or all.
+func (t *Table) takeInstances(view *directory.Directory, earlier *Table) {
+	if earlier != nil && t.sameServices(earlier) {
+		if changed, known := view.ChangedInstances(earlier.Revision); known {
+			t.keepInstances(earlier)
+			t.changeInstances(view, changed)
+			return
+		}
+	}
+	t.Whole = true
+	for instance := range view.EachFound() {
+		t.Changed = append(t.Changed, instance)
+		if service, found := t.services[instance.Service]; found && instance.State != directory.InstanceGone {
+			service.Instances = append(service.Instances, instance)
+		}
+	}
+}
+
+// sameServices reports whether the services are configured as in an earlier table.
+func (t *Table) sameServices(earlier *Table) bool {
+	return maps.EqualFunc(t.services, earlier.services, func(a, b *Service) bool { return a.Config == b.Config })
+}
+
+// keepInstances takes over the instances of an earlier table with the same services.
+func (t *Table) keepInstances(earlier *Table) {
+	for name, service := range t.services {
+		service.Instances = earlier.services[name].Instances
+	}
+}
+
+// changeInstances takes those that changed, in the order of their identifiers. The lists of the
+// earlier table stay as they are.
+func (t *Table) changeInstances(view *directory.Directory, changed []directory.InstanceID) {
+	copied := make(map[string]bool)
+	for _, id := range changed {
+		instance, found := view.Find(id)
+		if !found {
+			continue // forgotten since; it had left before
+		}
+		t.Changed = append(t.Changed, instance)
+		service, found := t.services[instance.Service]
+		if !found {
+			continue
+		}
+		if !copied[instance.Service] {
+			copied[instance.Service] = true
+			service.Instances = slices.Clone(service.Instances)
+		}
+		service.change(instance)
+	}
+}
+
+// change takes an instance at its new state.
+func (s *Service) change(instance *directory.Instance) {
+	position, found := s.position(instance.ID)
+	switch {
+	case instance.State == directory.InstanceGone && found:
+		s.Instances = slices.Delete(s.Instances, position, position+1)
+	case instance.State == directory.InstanceGone:
+	case found:
+		s.Instances[position] = instance
+	default:
+		s.Instances = slices.Insert(s.Instances, position, instance)
+	}
+}
+
 // keepItems takes over what an earlier table read from the same items.
 func (t *Table) keepItems(earlier *Table) {
 	t.Limits = earlier.Limits
@@ -83,7 +151,7 @@
 	t.ranks = earlier.ranks
 	t.tenants = earlier.tenants
 	for name, service := range earlier.services {
-		t.services[name] = &Service{Config: service.Config, Instances: make([]directory.Instance, 0, len(service.Instances))}
+		t.services[name] = &Service{Config: service.Config}
 	}
 }
 
@@ -180,11 +248,34 @@
 
 // Instance returns an instance of the service by its identifier.
 func (s *Service) Instance(id directory.InstanceID) (directory.Instance, bool) {
-	position, found := slices.BinarySearchFunc(s.Instances, id, func(instance directory.Instance, id directory.InstanceID) int {
-		return cmp.Compare(instance.ID, id)
-	})
+	position, found := s.position(id)
 	if !found {
 		return directory.Instance{}, false
 	}
-	return s.Instances[position], true
+	return *s.Instances[position], true
+}
+
+func (s *Service) position(id directory.InstanceID) (int, bool) {
+	return slices.BinarySearchFunc(s.Instances, id, func(instance *directory.Instance, id directory.InstanceID) int {
+		return cmp.Compare(instance.ID, id)
+	})
+}
+
+// All returns copies of the instances of the service.
+func (s *Service) All() []directory.Instance {
+	all := make([]directory.Instance, 0, len(s.Instances))
+	for _, instance := range s.Instances {
+		all = append(all, *instance)
+	}
+	return all
+}
+
+// Knows reports whether an instance of any service is known and not gone.
+func (t *Table) Knows(id directory.InstanceID) bool {
+	for _, service := range t.services {
+		if _, found := service.position(id); found {
+			return true
+		}
+	}
+	return false
 }
