Controllers encode changes of the directory once for all streams; reports come by the size of the fleet

Cause: each stream gathered changes for itself and sent them before each pong, so that streams stood at as many revisions as there were streams, and each change was encoded nearly once for each. Each gateway reported its demand five times a second whatever their number. Reports come each 0.7 ms for each gateway, 200 to 850 ms. Test: TestFramesAreSharedByAllStreams counts encodings for 50 and 100 streams: 40 changes, 43 at most for both.

--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -3,21 +3,18 @@
 import (
 	"context"
 	"slices"
-	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-// directoryStream serves the directory to one gateway: what it lacks, then each
-// change, and a pong for each ping. Any replica serves it. A pong follows a quorum
-// round, so that a gateway whose replica is cut off notices and asks another one.
+// directoryStream serves the directory to one gateway: what it lacks, then each frame of the
+// feed, and a pong for each ping. Any replica serves it. A pong follows a quorum round, so that
+// a gateway whose replica is cut off notices and asks another one.
 type directoryStream struct {
 	replica    *replica
 	connection *wire.Conn
@@ -29,7 +26,15 @@
 	// told of.
 	address string
 	peers   []string
-	pongs   chan uint64
+	pongs   chan pong
+	// waiting are pongs that wait until the gateway holds what they prove.
+	waiting []pong
+}
+
+// pong proves that a directory was current at a revision.
+type pong struct {
+	ping     uint64
+	revision directory.Revision
 }
 
 var errNotLeading = eris.New("this replica does not lead")
@@ -37,21 +42,6 @@
 // pingsWaiting bounds the pings of one gateway that wait for their quorum round.
 const pingsWaiting = 4
 
-// A stream waits after a change for further ones: for the shortest time, and longer
-// where many streams are open, so that a controller sends a bounded number of updates
-// a second.
-const (
-	shortestGather = 5 * time.Millisecond
-	longestGather  = 60 * time.Millisecond
-	gatherOfStream = time.Millisecond
-)
-
-// gatherTime returns how long a stream waits after a change, by the streams open at
-// this controller.
-func gatherTime(streams int) time.Duration {
-	return min(max(shortestGather, time.Duration(streams)*gatherOfStream), longestGather)
-}
-
 func serveDirectory(ctx context.Context, r *replica, connection *wire.Conn) error {
 	var first message.DirectoryRequest
 	if err := connection.Receive(&first); err != nil {
@@ -62,7 +52,7 @@
 	r.directoryStreams.Add(1)
 	defer r.directoryStreams.Add(-1)
 	defer r.gateways.add(first.Address)()
-	stream := &directoryStream{replica: r, connection: connection, address: first.Address, pongs: make(chan uint64, pingsWaiting)}
+	stream := &directoryStream{replica: r, connection: connection, address: first.Address, pongs: make(chan pong, pingsWaiting)}
 	if first.Cluster == r.cluster {
 		stream.sent = first.Revision
 	}
@@ -89,8 +79,10 @@
 		if err != nil {
 			return
 		}
+		proved := pong{ping: request.Ping}
+		s.replica.view(func(view *state.State) { proved.revision = view.Directory().Revision() })
 		select {
-		case s.pongs <- request.Ping:
+		case s.pongs <- proved:
 		case <-ctx.Done():
 		}
 	}
@@ -98,36 +90,41 @@
 
 func (s *directoryStream) write(ctx context.Context) error {
 	for {
-		changed := s.replica.directoryChanged.Next()
-		if err := s.writeChanges(ctx, 0); err != nil {
+		advanced := s.replica.feed.advanced.Next()
+		if err := s.writeFrames(ctx); err != nil {
+			return err
+		}
+		if err := s.writeNews(ctx); err != nil {
 			return err
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case pong := <-s.pongs:
-			if err := s.writeChanges(ctx, pong); err != nil {
-				return err
-			}
-		case <-changed:
-			clock.Sleep(ctx, gatherTime(int(s.replica.directoryStreams.Load())))
+		case proved := <-s.pongs:
+			s.waiting = append(s.waiting, proved)
+		case <-advanced:
 		}
 	}
 }
 
-// writeChanges sends what the gateway lacks, with a pong if there is one.
-func (s *directoryStream) writeChanges(ctx context.Context, pong uint64) error {
-	changes, err := s.replica.changesAfter(s.sent)
+// writeFrames sends what the gateway lacks.
+func (s *directoryStream) writeFrames(ctx context.Context) error {
+	frames, err := s.replica.framesAfter(s.sent)
 	if err != nil {
 		return err
 	}
-	if changes != nil {
+	for _, changes := range frames {
 		if err := s.connection.SendFrame(ctx, changes.frame); err != nil {
 			return err
 		}
 		s.sent = changes.to
 	}
-	update := message.DirectoryUpdate{Pong: pong}
+	return nil
+}
+
+// writeNews sends the pongs that are due, and what has changed of controllers and gateways.
+func (s *directoryStream) writeNews(ctx context.Context) error {
+	update := message.DirectoryUpdate{}
 	if controllers := s.replica.peerAddresses(); !slices.Equal(controllers, s.controllers) {
 		s.controllers = controllers
 		update.Controllers = controllers
@@ -140,59 +137,16 @@
 		s.peers = peers
 		update.Peers = peers
 	}
-	if update.Controllers == nil && update.Leader == "" && update.Peers == nil && pong == 0 {
+	for len(s.waiting) > 0 && s.waiting[0].revision <= s.sent {
+		update.Pong = s.waiting[0].ping
+		s.waiting = s.waiting[1:]
+	}
+	if update.Controllers == nil && update.Leader == "" && update.Peers == nil && update.Pong == 0 {
 		return nil
 	}
 	return s.connection.Send(ctx, &update)
 }
 
-// directoryChanges are changes of the directory as they are sent to gateways.
-type directoryChanges struct {
-	from, to directory.Revision
-	frame    wire.Frame
-}
-
-// directoryFeed keeps the newest changes that were encoded: most streams stand at the
-// same revision. It is safe for concurrent use.
-type directoryFeed struct {
-	mutex  sync.Mutex
-	newest *directoryChanges
-}
-
-// changesAfter returns the changes after a revision; nil if there are none.
-func (r *replica) changesAfter(sent directory.Revision) (*directoryChanges, error) {
-	r.feed.mutex.Lock()
-	defer r.feed.mutex.Unlock()
-	var changes *directoryChanges
-	var content directory.RoutingChanges
-	known := r.feed.newest
-	r.view(func(view *state.State) {
-		revision := view.Directory().Revision()
-		switch {
-		case revision <= sent:
-		case known != nil && known.from == sent && known.to == revision:
-			changes = known
-		default:
-			content = view.Directory().RoutingSince(sent)
-			changes = &directoryChanges{from: sent, to: content.To}
-		}
-	})
-	if changes == nil || changes == known {
-		return changes, nil
-	}
-	var err error
-	update := &message.DirectoryUpdate{Changes: &content}
-	if sent == 0 {
-		update.Cluster = r.cluster
-	}
-	changes.frame, err = wire.Encode(update)
-	if err != nil {
-		return nil, err
-	}
-	r.feed.newest = changes
-	return changes, nil
-}
-
 // peerAddresses returns the peer addresses of the members of the group.
 func (r *replica) peerAddresses() []string {
 	var addresses []string
--- a/internal/controller/feed_test.go
+++ b/internal/controller/feed_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,3 +54,65 @@
 		}
 	}
 }
+
+// TestFramesAreSharedByAllStreams: what a change costs a controller to encode does not grow with
+// its streams, wherever they stand, and what they get does not depend on when they look.
+func TestFramesAreSharedByAllStreams(t *testing.T) {
+	for _, streams := range []int{50, 100} {
+		r := &replica{state: state.New(), feed: newDirectoryFeed()}
+		index := uint64(0)
+		announce := func() {
+			t.Helper()
+			index++
+			id := directory.InstanceID(fmt.Sprint("i", index))
+			command := directory.Command{Instances: []directory.Instance{{ID: id, Service: "s", Address: string(id), State: directory.InstanceReady}}}
+			if result := r.state.Apply(index, state.Command{Directory: &command}); result.Err != nil {
+				t.Fatal(result.Err)
+			}
+		}
+		announce()
+		held := make([]directory.Revision, streams)
+		encoded := make(map[*directoryChanges]bool)
+		const rounds = 40
+		for round := range rounds {
+			announce()
+			if err := r.cutFrame(); err != nil {
+				t.Fatal(err)
+			}
+			for stream := range streams {
+				if (round+stream)%3 == 0 {
+					continue // looks later, and gets several frames then
+				}
+				frames, err := r.framesAfter(held[stream])
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, changes := range frames {
+					encoded[changes] = true
+					if changes.from > held[stream] || changes.to <= held[stream] {
+						t.Fatalf("stream %d at %d gets changes from %d to %d", stream, held[stream], changes.from, changes.to)
+					}
+					held[stream] = changes.to
+				}
+			}
+		}
+		if most := rounds + 3; len(encoded) > most {
+			t.Errorf("%d streams: %d frames were encoded for %d changes, want %d at most", streams, len(encoded), rounds, most)
+		}
+		for stream, revision := range held {
+			frames, err := r.framesAfter(revision)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, changes := range frames {
+				if changes.from > revision {
+					t.Errorf("stream %d at %d lacks what comes before %d", stream, revision, changes.from)
+				}
+				revision = changes.to
+			}
+			if revision != directory.Revision(index) {
+				t.Errorf("stream %d gets changes up to %d of %d", stream, revision, index)
+			}
+		}
+	}
+}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -328,6 +328,9 @@
 	line := telemetry.With(h.log, telemetry.EventDirectoryChanged).WithField(telemetry.FieldIndex, index)
 	// A batch may have an error and parts that were applied all the same.
 	h.instanceNews.Applied(command)
+	if isUrgent(command) {
+		h.feed.urgent.Raise()
+	}
 	h.directoryChanged.Raise()
 	if result.Err != nil {
 		line.WithField(telemetry.FieldError, result.Err.Error()).Info("directory command rejected")
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -48,6 +48,7 @@
 	h.stateLock.Unlock()
 	h.history.Reset(restored.Revision())
 	h.instanceNews.RaiseAll()
+	h.feed.urgent.Raise()
 	h.directoryChanged.Raise()
 	telemetry.With(h.log, telemetry.EventSnapshotReceived).WithField("index", index).Info("snapshot received")
 }
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -152,6 +152,7 @@
 	r.heartbeats = newHeartbeatKeeper(settings.Heartbeat, r)
 	r.quotas = newQuotaKeeper(settings.Quota, r)
 	r.directoryChanged = broadcast.New()
+	r.feed = newDirectoryFeed()
 	r.instanceNews = newInstanceNews()
 	r.gateways = newGatewayList()
 	r.publish()
@@ -167,6 +168,7 @@
 	var keeping conc.WaitGroup
 	keeping.Go(func() { r.partitions.run(ctx) })
 	keeping.Go(func() { r.heartbeats.run(ctx) })
+	keeping.Go(func() { r.runFeed(ctx) })
 	keeping.Go(func() { r.watchTurns(ctx) })
 	defer keeping.Wait()
 	defer cancel()
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -17,12 +17,20 @@
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-// reportInterval is the time between two reports of the demand for keys.
-const reportInterval = 200 * time.Millisecond
+// Reports of the demand for keys come the more seldom the more gateways there are, so that the
+// leader takes no more than some 1,400 a second up to 1,200 gateways.
+const (
+	shortestReport  = 200 * time.Millisecond
+	longestReport   = 850 * time.Millisecond
+	reportOfGateway = 700 * time.Microsecond
+	// aliveMargin is by how much longer a gateway may be silent that has nothing to tell.
+	aliveMargin = 150 * time.Millisecond
+)
 
-// aliveInterval is the longest time between two reports: one that says nothing tells that
-// the gateway is alive.
-const aliveInterval = 350 * time.Millisecond
+// reportInterval returns the time between two reports of each of a number of gateways.
+func reportInterval(gateways int) time.Duration {
+	return min(max(shortestReport, time.Duration(gateways)*reportOfGateway), longestReport)
+}
 
 const (
 	// silentDemand is how long the leader may say nothing on a connection for reports: it only
@@ -119,8 +127,17 @@
 		if leader := d.subscription.leader.Load(); leader != nil {
 			d.reportTo(ctx, *leader)
 		}
-		clock.Sleep(ctx, reportInterval)
+		clock.Sleep(ctx, shortestReport)
+	}
+}
+
+// interval returns the time between two reports.
+func (d *demandCounter) interval() time.Duration {
+	table := d.subscription.current()
+	if table == nil {
+		return shortestReport
 	}
+	return reportInterval(table.Gateways)
 }
 
 // reportTo reports to one controller until it does not lead any more.
@@ -165,7 +182,7 @@
 func (d *demandCounter) nextReport(sent *reportsSent) *message.DemandReport {
 	var report message.DemandReport
 	now := time.Now()
-	if now.Sub(sent.countedAt) >= reportInterval {
+	if now.Sub(sent.countedAt) >= d.interval() {
 		sent.countedAt = now
 		report = d.take()
 		if offer := d.currentOffer(); sent.offer == nil || *sent.offer != offer {
@@ -174,7 +191,7 @@
 	}
 	report.Quotas = d.quotas.asks()
 	silent := len(report.Services) == 0 && report.Gateway == nil && len(report.Quotas) == 0
-	if silent && now.Sub(sent.at) <= aliveInterval {
+	if silent && now.Sub(sent.at) <= d.interval()+aliveMargin {
 		return nil
 	}
 	sent.at = now
@@ -183,7 +200,7 @@
 
 // pause waits for the next interval, or until a token is asked for at once.
 func (d *demandCounter) pause(ctx context.Context, sent reportsSent) {
-	timer := time.NewTimer(reportInterval - time.Since(sent.countedAt))
+	timer := time.NewTimer(d.interval() - time.Since(sent.countedAt))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -7,8 +7,8 @@
 
 const (
 	// gatewaySilence is how long a gateway may be silent before what it may use without the
-	// leader is kept back for it: gateways report at least each 350 ms.
-	gatewaySilence = time.Second
+	// leader is kept back for it: gateways report once a second at least.
+	gatewaySilence = 1500 * time.Millisecond
 	// reserveInterval is the least time between two looks at silent gateways.
 	reserveInterval = 200 * time.Millisecond
 	// mostShort bounds the time after which a gateway that got too few tokens asks again.
