Leases: an instance that comes back after its lease waits for its batch

Cause: a batch looks at ended leases and takes heartbeats. One that passed on the keys of an instance, and took a heartbeat of that instance behind, counted its lease as renewed from then on. While the batch was on its way through the log, the next heartbeat was answered at once from the state before it, with the keys that the batch had passed on: two holders. Ruled out: the order of a batch alone (a heartbeat before the look renews the lease, and is kept). Change: a heartbeat that comes after the end of the lease is followed by no quick answer until it has its own. Test: TestReturnedInstanceWaitsForItsBatch, which fails without the change.

--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -104,13 +104,14 @@
 }
 
 // Renew takes a heartbeat if it changes nothing, and reports whether it did. The lease
-// of the instance must not have ended: until then no batch that is being applied has
-// passed on its keys, and since the heartbeat counts as answered from now on no later
-// batch does, so that it may be answered without waiting for one.
+// of the instance must not have ended, nor must a heartbeat after its end wait for its batch:
+// until then no batch that is being applied has passed on its keys, and since the heartbeat
+// counts as answered from now on no later batch does, so that it may be answered without waiting
+// for one.
 func (c *Core) Renew(now time.Duration, beat Beat, view *directory.Directory) bool {
 	known, met := c.contacts[beat.Instance]
 	held, found := view.Instance(beat.Instance)
-	if !met || !found || now > known.leaseEnd || !held.Same(beat.instance(held)) {
+	if !met || !found || now > known.leaseEnd || known.returned || !held.Same(beat.instance(held)) {
 		return false
 	}
 	if held.WarmUp > 0 || beat.WarmUp > 0 {
@@ -132,11 +133,13 @@
 // as renewed from here on: a batch that is decided before the answer is given must not
 // pass on keys that the answer grants.
 func (c *Core) note(now time.Duration, beat Beat) *contact {
+	ended := now > c.leaseEnd(beat.Instance)
 	known, found := c.contacts[beat.Instance]
 	if !found {
 		known = &contact{}
 		c.contacts[beat.Instance] = known
 	}
+	known.returned = ended
 	known.inSequence = found
 	known.sequence = beat.Sequence
 	known.noteInterval(now)
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -201,6 +201,7 @@
 		return Grant{}
 	}
 	known.answerableUntil = 0
+	known.returned = false
 	grant := Grant{Renewed: true, Lease: c.config.Lease}
 	for _, holding := range c.index(instance.Service, view).owned[id] {
 		if holding.Revoked || !holding.Granted {
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -315,3 +315,45 @@
 		t.Errorf("ranges by instance: %v", rows)
 	}
 }
+
+// TestReturnedInstanceWaitsForItsBatch: a batch that passes on the keys of an instance, since its
+// lease has ended, may take a heartbeat of that instance as well. While the batch is not applied
+// the next heartbeat must not be answered from the state before it: two instances would hold the
+// keys.
+func TestReturnedInstanceWaitsForItsBatch(t *testing.T) {
+	l := newLives(t)
+	for _, server := range []string{"a", "b"} {
+		address := "127.0.0.1:" + map[string]string{"a": "1", "b": "2"}[server]
+		if err := l.beatAt(address, 2*time.Second, server, 0, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.apply(l.core.Tick(2100*time.Millisecond, l.view))
+	if l.held("a") == 0 {
+		t.Fatal("a holds nothing")
+	}
+	for server, address := range map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:2"} {
+		if err := l.beatAt(address, 2200*time.Millisecond, server, 0, 2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late := 5 * time.Second
+	if err := l.beatAt("127.0.0.1:2", late-time.Millisecond, "b", 0, 3); err != nil {
+		t.Fatal(err)
+	}
+	batch := l.core.Batch(late, l.view)
+	batch.Tick()
+	beat := Beat{Instance: "a", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 2, Sequence: 3}
+	if err := batch.Receive(beat); err != nil {
+		t.Fatal(err)
+	}
+	commands := batch.Commands()
+	beat.Sequence = 4
+	if l.core.Renew(late+200*time.Millisecond, beat, l.view) {
+		t.Error("the next heartbeat is answered before the batch that passes on the keys is applied")
+	}
+	l.apply(commands)
+	if grant := l.core.Answer("a", l.view); len(grant.Holdings) != 0 {
+		t.Errorf("keys that passed on are granted: %+v", grant.Holdings)
+	}
+}
--- a/internal/heartbeat/life_test.go
+++ b/internal/heartbeat/life_test.go
@@ -42,9 +42,14 @@
 
 // beat takes a heartbeat of a life and returns what is wrong with it.
 func (l *lives) beat(now time.Duration, server string, born, sequence uint64) error {
+	l.t.Helper()
+	return l.beatAt("127.0.0.1:1", now, server, born, sequence)
+}
+
+func (l *lives) beatAt(address string, now time.Duration, server string, born, sequence uint64) error {
 	l.t.Helper()
 	commands, err := l.core.Receive(now, Beat{
-		Instance: directory.Incarnation{Server: server, Born: born}.ID(), Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 2, Sequence: sequence,
+		Instance: directory.Incarnation{Server: server, Born: born}.ID(), Service: "s", Address: address, Zone: "z", Slots: 2, Sequence: sequence,
 	}, l.view)
 	if err == nil {
 		l.apply(commands)
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -93,6 +93,10 @@
 	inSequence bool
 	// leaseEnd is when the last lease that the instance may hold has surely ended.
 	leaseEnd time.Duration
+	// returned is true from the heartbeat that came after the end of a lease until it is
+	// answered: the batch that took it may have passed on the keys before, and is not applied
+	// yet.
+	returned bool
 	warmAt   time.Duration
 	slots    int
 	// answerableUntil is until when the answer to the newest heartbeat can still carry
