Leader: leases by the time between heartbeats, and its own work bounded with thousands of instances

With heartbeats 3 s apart a lease of 4 s ends with one that fails; an instance counted as alive for 2 s; and while instances without keys wait for some, each heartbeat needed a look at all instances and ranges, in batches 3 ms apart. Change: the platform tells the time between heartbeats (heartbeat.interval): the lease is at least that and 2.5 s (5.5 s there, 4 s elsewhere as before). Instances below the mean of the demand give nothing to newcomers and are answered from the index. A batch gathers for at least four times as long as the last one took to decide. The first layout waits while instances go on to register (8 s at most), and has a range for each. Followers count changed instances in their logs, the leader names them.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -76,6 +76,7 @@
 // Heartbeat holds the settings of leases that instances renew by heartbeats.
 type Heartbeat struct {
 	Lease          time.Duration `koanf:"lease" validate:"min=500ms,max=1m" doc:"How long an instance holds its keys, from the sending of a heartbeat."`
+	Interval       time.Duration `koanf:"interval" validate:"min=0s,max=1m" doc:"Longest regular time between two heartbeats of an instance, as the platform tells it; 0s if it does not. The lease is at least that and 2.5 s, so that one heartbeat may fail, or a leader be replaced, before keys are lost."`
 	LeaseLimit     time.Duration `koanf:"lease_limit" validate:"min=500ms,max=1m" doc:"Longest lease that the instances take; bounds lease."`
 	MaxLease       time.Duration `koanf:"max_lease" validate:"min=0s,max=1m" doc:"Longest lease that any controller of the group grants or has granted, waited out after a change of leader; 0s for the lease of these settings. Set it to the longer one while lease is changed from one controller to the next."`
 	ClockRateBound float64       `koanf:"clock_rate_bound" validate:"min=0,max=0.1" doc:"Largest difference in speed of two machines' clocks, as a share."`
@@ -93,8 +94,18 @@
 	Slack float64 `koanf:"slack" validate:"min=0,max=100000" doc:"Requests of a tenant beyond its limit that do no harm; half of them are let through, so that chance rejects nothing within the limit."`
 }
 
+// leaseBeyondInterval is by how much a lease is longer than the time between two heartbeats: a
+// heartbeat that fails is given up after a second, and a new leader takes about one to answer.
+const leaseBeyondInterval = 2500 * time.Millisecond
+
 // EffectiveLease returns the lease that is granted.
-func (h Heartbeat) EffectiveLease() time.Duration { return min(h.Lease, h.LeaseLimit) }
+func (h Heartbeat) EffectiveLease() time.Duration {
+	lease := h.Lease
+	if h.Interval > 0 {
+		lease = max(lease, h.Interval+leaseBeyondInterval)
+	}
+	return min(lease, h.LeaseLimit)
+}
 
 // LongestLease returns the longest lease that may have been granted.
 func (h Heartbeat) LongestLease() time.Duration { return max(h.MaxLease, h.EffectiveLease()) }
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -24,8 +24,13 @@
 
 // Bounds of the batches in which heartbeats are decided.
 const (
-	// gatherDecisions is how long a batch waits for further decisions after its first.
+	// gatherDecisions is how long a batch waits for further decisions after its first, at least.
 	gatherDecisions = 3 * time.Millisecond
+	// decisionRest is how many times the time that the last batch took to decide the next one
+	// waits, and longestGatherDecisions the longest wait: a batch looks at all instances and
+	// ranges of keys, so that with thousands of them the leader would do nothing else.
+	decisionRest           = 4
+	longestGatherDecisions = 200 * time.Millisecond
 	// maxBatch bounds the decisions of one batch.
 	maxBatch = 512
 	// decisionsWaiting bounds the decisions that wait for their batch.
@@ -63,7 +68,7 @@
 		core: heartbeat.New(heartbeat.Config{
 			Lease: settings.EffectiveLease(), MaxLease: settings.LongestLease(), ClockRateBound: settings.ClockRateBound,
 			Margin: settings.Margin, Gather: settings.Gather, AddressReuse: settings.AddressReuse, MaxMoves: settings.MaxMoves, Stripes: settings.Stripes,
-			HoldBack: settings.HoldBack,
+			HoldBack: settings.HoldBack, Interval: settings.Interval,
 		}),
 	}
 }
@@ -75,17 +80,24 @@
 	ticking.Go(func() {
 		clock.Every(ctx, heartbeatTick, func() { k.tick(ctx) })
 	})
+	gather := gatherDecisions
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case first := <-k.waiting:
-			clock.Sleep(ctx, gatherDecisions)
-			k.decideTogether(ctx, k.gather(first))
+			clock.Sleep(ctx, gather)
+			took := k.decideTogether(ctx, k.gather(first))
+			gather = decisionGather(took)
 		}
 	}
 }
 
+// decisionGather returns how long a batch gathers decisions after one that took a time to decide.
+func decisionGather(took time.Duration) time.Duration {
+	return min(max(gatherDecisions, decisionRest*took), longestGatherDecisions)
+}
+
 func (k *heartbeatKeeper) tick(ctx context.Context) {
 	leadership, leads := k.replica.leadershipContext()
 	if !leads {
@@ -136,9 +148,11 @@
 // decideTogether puts decisions in force by one command. The next batch begins once
 // its end is known: one that was given up may commit later, and would take keys away
 // that the next batch, which knows nothing of it, has granted anew. Callers stop waiting
-// by their own timeouts meanwhile.
-func (k *heartbeatKeeper) decideTogether(ctx context.Context, decisions []decision) {
+// by their own timeouts meanwhile. It returns how long the decisions took.
+func (k *heartbeatKeeper) decideTogether(ctx context.Context, decisions []decision) time.Duration {
+	began := k.replica.clock.Now()
 	batch := k.decide(decisions)
+	took := k.replica.clock.Now() - began
 	var failure error
 	if len(batch.commands) > 0 {
 		joined := directory.Joined(batch.commands)
@@ -151,6 +165,7 @@
 		}
 		made.done <- outcome
 	}
+	return took
 }
 
 // decidedBatch is a batch whose commands are not in force yet.
@@ -339,8 +354,8 @@
 	h.logDirectoryChange(line, command)
 }
 
-// logDirectoryChange logs what a command changed. The holders of keys are told in
-// full by the leader alone.
+// logDirectoryChange logs what a command changed. Instances and the holders of keys are named by
+// the leader alone.
 func (h *host) logDirectoryChange(line *logrus.Entry, command directory.Command) {
 	switch {
 	case command.Batch != nil:
@@ -366,6 +381,10 @@
 		line.WithField(telemetry.FieldCount, command.Gateways).Info("gateways counted")
 	case command.Times != nil:
 		line.WithField(telemetry.FieldCount, len(command.Times)).WithField("service_times", timeLines(command.Times)).Info("service times measured anew")
+	case !h.published.Load().leading:
+		// The leader names them; a line for each at every controller would be as many as there
+		// are instances when all register.
+		line.WithField(telemetry.FieldCount, len(command.Instances)).Info("instances changed")
 	default:
 		for _, instance := range command.Instances {
 			line.WithField(telemetry.FieldServer, instance.ID).WithField(telemetry.FieldService, instance.Service).
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -138,6 +138,7 @@
 	if !found {
 		known = &contact{}
 		c.contacts[beat.Instance] = known
+		c.lastSeen[beat.Service] = now
 	}
 	known.returned = ended
 	known.inSequence = found
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -17,6 +17,8 @@
 	// firstSeen is when this leader first heard of an instance of a service that
 	// has no layout.
 	firstSeen map[string]time.Duration
+	// lastSeen is when it last heard of one for the first time.
+	lastSeen map[string]time.Duration
 	// demands are the requests for each service, as gateways count them.
 	demands map[string]*demand
 	// indexes are those of the layouts in force, by service.
@@ -55,6 +57,7 @@
 	c.leadSince = now
 	c.contacts = make(map[directory.InstanceID]*contact)
 	c.firstSeen = make(map[string]time.Duration)
+	c.lastSeen = make(map[string]time.Duration)
 	c.demands = make(map[string]*demand)
 	c.indexes = make(map[string]*index)
 	c.reservedUntil = make(map[directory.InstanceID]time.Duration)
--- a/internal/heartbeat/found.go
+++ b/internal/heartbeat/found.go
@@ -1,18 +1,39 @@
 package heartbeat
 
-import "github.com/thorntiller/thorntiller/internal/directory"
+import (
+	"time"
 
-// maxStripes bounds the ranges of a service at first.
-const maxStripes = 2048
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+const (
+	// maxStripes bounds the ranges of a service at first, unless it has more instances: each
+	// gets one at least.
+	maxStripes = 2048
+	// mostGathers is for how many times Gather the first layout waits while instances go on to
+	// announce themselves: where thousands do, those of the first two seconds would get all
+	// keys.
+	mostGathers = 4
+	// announcePause is the time without a new instance after which no more are waited for.
+	announcePause = 300 * time.Millisecond
+)
+
+// announced reports whether the instances had time to announce themselves.
+func (c *Core) announced(now time.Duration, service string) bool {
+	first, seen := c.firstSeen[service]
+	if !seen || now-first < c.config.Gather {
+		return false
+	}
+	return now-c.lastSeen[service] >= announcePause || now-first >= mostGathers*c.config.Gather
+}
 
 // found makes the first layout once the instances had time to announce themselves.
 func (d *draft) found() {
-	first, seen := d.core.firstSeen[d.layout.Service]
-	if len(d.layout.Holdings) > 0 || !seen || d.now-first < d.core.config.Gather || len(d.candidates) == 0 {
+	if len(d.layout.Holdings) > 0 || !d.core.announced(d.now, d.layout.Service) || len(d.candidates) == 0 {
 		return
 	}
 	owners := d.bySlots()
-	stripes := min(d.core.config.Stripes*len(d.candidates), maxStripes)
+	stripes := min(d.core.config.Stripes*len(d.candidates), max(maxStripes, len(owners)), int(directory.MaxKey)+1)
 	next := directory.Key(0)
 	for index := range stripes {
 		last := directory.Key((index+1)*int(directory.MaxKey+1)/stripes) - 1
--- a/internal/heartbeat/index.go
+++ b/internal/heartbeat/index.go
@@ -73,10 +73,30 @@
 		}
 		revoked = revoked || holding.Revoked
 	}
-	if !revoked && c.hasNewcomer(now, beat.Service) {
+	if revoked {
+		return true
+	}
+	if index.moving >= c.mostMoves(len(index.owned)) {
+		return true
+	}
+	if c.hasNewcomer(now, beat.Service) && c.mayGive(now, beat.Service, owned, len(index.owned)) {
 		return false
 	}
-	return revoked || index.moving >= c.mostMoves(len(index.owned)) || c.used(now, directory.Instance{ID: beat.Instance, Service: beat.Service, Slots: beat.Slots}, owned) < c.busyFrom(now, beat.Service, view)
+	return c.used(now, directory.Instance{ID: beat.Instance, Service: beat.Service, Slots: beat.Slots}, owned) < c.busyFrom(now, beat.Service, view)
+}
+
+// mayGive reports whether an instance has at least the mean of the demand, so that it may give
+// keys to one that has none. The others need no look at the whole layout: of 5,800 instances that
+// wait for 3,900 newcomers each heartbeat would else cost one.
+func (c *Core) mayGive(now time.Duration, service string, owned []directory.Holding, holders int) bool {
+	demand := c.demandOf(now, service)
+	var own counted
+	for _, holding := range owned {
+		own = own.plus(demand.counts(holding.First, holding.Last))
+	}
+	rate := demand.estimate(own).rate
+	total := demand.estimate(demand.counts(0, directory.MaxKey)).rate
+	return rate > 0 && rate*float64(holders+len(c.newcomers[service])) >= total
 }
 
 // noteNewcomer remembers whether an instance holds no keys, so that others give it some
@@ -97,7 +117,7 @@
 func (c *Core) hasNewcomer(now time.Duration, service string) bool {
 	waiting := c.newcomers[service]
 	for id, heardAt := range waiting {
-		if now-heardAt <= c.config.Lease/2 {
+		if now-heardAt <= c.config.recent() {
 			return true
 		}
 		delete(waiting, id)
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -75,7 +75,7 @@
 	if known, met := c.contacts[id]; met {
 		heardAt = known.beatAt
 	}
-	return now-heardAt <= c.config.Lease/2
+	return now-heardAt <= c.config.recent()
 }
 
 // warm reports whether an instance is not slow from its start any more.
--- a/internal/heartbeat/poll_test.go
+++ b/internal/heartbeat/poll_test.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -152,3 +153,64 @@
 		t.Errorf("the next answer tells %+v, %v", grant.Holdings, err)
 	}
 }
+
+// slowHeartbeats counts the heartbeats of one round that need a look at the whole layout, of
+// instances that hold keys with some demand each, while as many others hold none.
+func slowHeartbeats(t *testing.T, instances int) int {
+	t.Helper()
+	l := newLives(t)
+	l.core.config.Stripes = 2
+	now := 2 * time.Second
+	address := func(number int) string { return fmt.Sprintf("127.0.0.1:%d", number) }
+	for number := range instances {
+		if err := l.beatAt(address(number), now, fmt.Sprint("holder-", number), 0, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.apply(l.core.Tick(now+400*time.Millisecond, l.view))
+	now += 500 * time.Millisecond
+	for number := range instances {
+		if err := l.beatAt(address(number), now, fmt.Sprint("holder-", number), 0, 2); err != nil {
+			t.Fatal(err)
+		}
+		if err := l.beatAt(address(instances+number), now, fmt.Sprint("newcomer-", number), 0, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	report := Report{Service: "s"}
+	for _, holding := range l.view.Layout("s").Holdings {
+		// A quarter of the ranges has most of the demand.
+		count := uint16(1)
+		if holding.First%4 == 0 {
+			count = 5
+		}
+		report.Keys, report.Counts = append(report.Keys, uint16(holding.First)), append(report.Counts, count)
+	}
+	now += 100 * time.Millisecond
+	l.core.Count(now, report)
+	slow := 0
+	for number := range instances {
+		beat := Beat{
+			Instance: directory.InstanceID(fmt.Sprint("holder-", number)), Service: "s", Address: address(number), Zone: "z", Slots: 2, Sequence: 3,
+		}
+		if !l.core.Renew(now, beat, l.view) {
+			slow++
+			if err := l.beatAt(address(number), now, fmt.Sprint("holder-", number), 0, 3); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return slow
+}
+
+// TestNewcomersDoNotSlowAllHeartbeatsDown: a heartbeat that needs a look at the whole layout costs
+// what grows with the instances, so that those that need one must be few, of many instances too:
+// as many as may give keys at the same time, and no more.
+func TestNewcomersDoNotSlowAllHeartbeatsDown(t *testing.T) {
+	for _, instances := range []int{200, 400} {
+		slow := slowHeartbeats(t, instances)
+		if most := instances/4 + instances/instancesOfMove; slow > most || slow == 0 {
+			t.Errorf("%d of %d heartbeats looked at the whole layout, want 1 to %d", slow, instances, most)
+		}
+	}
+}
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -11,6 +11,8 @@
 type Config struct {
 	// Lease is how long an instance holds keys, from the sending of a heartbeat.
 	Lease time.Duration
+	// Interval is the longest regular time between two heartbeats, zero if it is not known.
+	Interval time.Duration
 	// MaxLease is the longest lease that any earlier leader may have granted.
 	MaxLease time.Duration
 	// ClockRateBound is the largest difference in speed of two machines' clocks, as
@@ -35,6 +37,19 @@
 	MaxMoves int
 }
 
+// heartbeatDelay is by how much a heartbeat may come later than its regular time: one that was
+// not answered is sent again a second later.
+const heartbeatDelay = 1200 * time.Millisecond
+
+// recent is how long after a heartbeat an instance counts as alive for what it might get: half a
+// lease, but not less than to the next heartbeat.
+func (c Config) recent() time.Duration {
+	if c.Interval == 0 {
+		return c.Lease / 2
+	}
+	return min(max(c.Lease/2, c.Interval+heartbeatDelay), c.Lease)
+}
+
 // Range is a range of keys, both ends included.
 type Range struct {
 	First directory.Key
