Tenants for operators: get tenants, the tenant in a failed request's line

thorntiller get tenants shows limits and what gateways take of them, as the leader counts it; keys are counted, not shown. The lines about failed requests name the tenant. The two seeds of the model that had two holders of a key are played by TestLeasesNeverOverlap.

--- a/internal/cli/directory.go
+++ b/internal/cli/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -62,6 +63,26 @@
 	return p.print(content.Instances, rows)
 }
 
+func (p *program) getTenants(ctx context.Context, client *intentapi.Client) error {
+	tenants, err := client.Tenants(ctx)
+	if err != nil {
+		return err
+	}
+	rows := newTable("TENANT", "KEYS", "PRIORITY", "RATE LIMIT", "BURST", "USE A SECOND", "REGIONS")
+	for _, tenant := range tenants {
+		priority := ""
+		if tenant.Priority != nil {
+			priority = fmt.Sprint(*tenant.Priority)
+		}
+		limit, burst := "none", ""
+		if tenant.RatePerSecond > 0 {
+			limit, burst = fmt.Sprint(tenant.RatePerSecond), fmt.Sprint(tenant.Burst)
+		}
+		rows.add(tenant.Name, fmt.Sprint(tenant.Keys), priority, limit, burst, fmt.Sprintf("%.1f", tenant.UsePerSecond), strings.Join(tenant.AllowedRegions, ", "))
+	}
+	return p.print(tenants, rows)
+}
+
 func newGetHolderCommand(program *program) *cobra.Command {
 	return &cobra.Command{
 		Use:   "holder SERVICE KEY",
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -21,6 +21,7 @@
 		newGetPlanCommand(program),
 		newListCommand(program, "items", "Show routes, services and limits with their versions", program.getItems),
 		newListCommand(program, "instances", "Show the servers that announced themselves, with the keys that they hold", program.getInstances),
+		newListCommand(program, "tenants", "Show the tenants with their limits and what they use", program.getTenants),
 		newGetHolderCommand(program),
 		newGetShardsCommand(program),
 		newGetOwnerCommand(program),
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -64,6 +64,7 @@
 	a.app.Get(intentapi.PathShards, a.shards)
 	a.app.Get(intentapi.PathRouters, a.routers)
 	a.app.Get(intentapi.PathDirectory, a.directory)
+	a.app.Get(intentapi.PathTenants, a.tenants)
 	a.app.Get(intentapi.PathMembers, a.members)
 	a.app.Get(intentapi.PathStatus, a.status)
 	a.app.Post(intentapi.PathTransfer, a.transfer)
--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -11,6 +11,7 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/directoryapi"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -162,6 +163,26 @@
 	}
 }
 
+// tenants answers the tenants with their limits and use, without their keys.
+func (a *api) tenants(call fiber.Ctx) error {
+	var tenants []directory.Tenant
+	err := a.readCurrent(call, func(view *state.State) error {
+		tenants = view.Directory().Tenants()
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	answer := []intentapi.Tenant{}
+	for _, tenant := range tenants {
+		answer = append(answer, intentapi.Tenant{
+			Name: tenant.Name, Keys: len(tenant.APIKeys), Priority: tenant.Priority, RatePerSecond: tenant.RatePerSecond,
+			Burst: tenant.Burst, AllowedRegions: tenant.AllowedRegions, UsePerSecond: a.replica.quotas.use(tenant.Name),
+		})
+	}
+	return call.JSON(answer)
+}
+
 // directory answers what the directory holds, for people.
 func (a *api) directory(call fiber.Ctx) error {
 	return a.readCurrent(call, func(view *state.State) error { return call.JSON(view.Directory().Since(0).Redacted()) })
--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -55,6 +55,13 @@
 	return grants
 }
 
+// use returns how many tokens a second gateways take for a tenant.
+func (k *quotaKeeper) use(tenant string) float64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.ledger.Use(k.clock.Now(), tenant)
+}
+
 func limitOfTenant(view *directory.Directory, name string) (quota.Limit, bool) {
 	tenant, found := view.Tenant(name)
 	if !found || !tenant.Limited() {
--- a/internal/directory/items.go
+++ b/internal/directory/items.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -132,6 +133,11 @@
 	}
 }
 
+// Tenants returns the tenants that stand, by name.
+func (d *Directory) Tenants() []Tenant {
+	return slices.SortedFunc(maps.Values(d.tenants), func(a, b Tenant) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Tenant returns a tenant that stands.
 func (d *Directory) Tenant(name string) (Tenant, bool) {
 	tenant, found := d.tenants[name]
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -61,6 +61,9 @@
 	if current.route != nil {
 		line = line.WithField("route", current.route.Name)
 	}
+	if current.tenant != nil {
+		line = line.WithField("tenant", current.tenant.Name)
+	}
 	if current.keyed {
 		line = line.WithField("key", current.key)
 	}
--- a/internal/heartbeat/model_test.go
+++ b/internal/heartbeat/model_test.go
@@ -383,8 +383,13 @@
 // the faults end every key is held.
 func TestLeasesNeverOverlap(t *testing.T) {
 	const seeds = 30
-	moves, heldBack := 0, 0
+	// These two had a key with two holders: see TestReturnedInstanceWaitsForItsBatch.
+	played := []uint64{485, 1081}
 	for seed := range uint64(seeds) {
+		played = append(played, seed)
+	}
+	moves, heldBack := 0, 0
+	for _, seed := range played {
 		m := newModel(t, seed)
 		m.run(40 * time.Second)
 		m.faults = false
--- a/internal/intentapi/client.go
+++ b/internal/intentapi/client.go
@@ -150,6 +150,13 @@
 	return routers, err
 }
 
+// Tenants reads the tenants with their limits and their use.
+func (c *Client) Tenants(ctx context.Context) ([]Tenant, error) {
+	var tenants []Tenant
+	err := c.get(ctx, PathTenants, &tenants)
+	return tenants, err
+}
+
 // Directory reads the items, the instances and who holds which keys.
 func (c *Client) Directory(ctx context.Context) (directory.Content, error) {
 	var content directory.Content
--- a/internal/intentapi/types.go
+++ b/internal/intentapi/types.go
@@ -24,6 +24,8 @@
 	PathShards = "/v1/shards"
 	// PathRouters answers a list of RouterStatus by GET.
 	PathRouters = "/v1/routers"
+	// PathTenants answers a list of Tenant by GET.
+	PathTenants = "/v1/tenants"
 	// PathDirectory answers directory.Content by GET: items, instances and layouts.
 	PathDirectory = "/v1/directory"
 	// PathMembers answers a list of consensus.Member by GET.
@@ -121,3 +123,17 @@
 	// is said of their part of the table.
 	Services []state.ServiceName `json:"services,omitempty"`
 }
+
+// Tenant is a tenant as operators see it.
+type Tenant struct {
+	Name string `json:"name"`
+	// Keys is how many API keys it has.
+	Keys           int      `json:"keys"`
+	Priority       *int     `json:"priority,omitempty"`
+	RatePerSecond  float64  `json:"rate_per_second,omitempty"`
+	Burst          float64  `json:"burst,omitempty"`
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	// UsePerSecond is how many tokens a second gateways take, as the leader counts them; zero
+	// for a tenant without a limit.
+	UsePerSecond float64 `json:"use_per_second"`
+}
