Links: long answers have a share of their own

One answer of 90 KB counts as 176 ms before a link of 5.1 Mbit/s; short requests may wait 150 ms there by their target, so that a single download rejected whoever came after it. Change: the model of the queue and the order of what leaves know long messages (32 KB and more, and routes of downloads): they get two fifths of the link while short ones wait as well, all of it else. A long answer may wait two fifths of its target behind others of its kind. Tests: TestLongAnswersLeaveRoomForShortOnes, TestLongMessagesShareTheLink.

--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/link"
 )
@@ -32,7 +33,7 @@
 	if target <= 0 {
 		target = defaultTarget
 	}
-	return link.Request{Now: g.clock.Now(), Route: current.route.Name, Target: target, Deadline: current.deadline.Sub(current.arrived), Urgency: current.urgency}
+	return link.Request{Now: g.clock.Now(), Route: current.route.Name, Target: target, Deadline: current.deadline.Sub(current.arrived), Urgency: current.urgency, Bulk: current.route.Kind == directory.Download}
 }
 
 // admit takes a request on, or returns why not.
@@ -61,5 +62,5 @@
 	took += float64(current.sendings() * (len(current.inbound.Body()) + messageOverhead))
 	g.ownLink.mutex.Lock()
 	defer g.ownLink.mutex.Unlock()
-	g.ownLink.admission.Done(g.clock.Now(), current.route.Name, current.reserved, took, served && current.answer.StatusCode() < fasthttp.StatusBadRequest)
+	g.ownLink.admission.Done(g.linkRequest(current), current.reserved, took, served && current.answer.StatusCode() < fasthttp.StatusBadRequest)
 }
--- a/internal/gateway/pacer.go
+++ b/internal/gateway/pacer.go
@@ -35,7 +35,7 @@
 }
 
 // wait returns once bytes of a request may leave.
-func (p *pacer) wait(bytes int, urgency float64, target time.Duration) {
+func (p *pacer) wait(bytes int, like link.Turn) {
 	p.mutex.Lock()
 	now := p.clock.Now()
 	if bytes <= smallWrite {
@@ -43,7 +43,8 @@
 		p.mutex.Unlock()
 		return
 	}
-	turn := &link.Turn{Bytes: bytes, Urgency: urgency, Target: target}
+	turn := &like
+	turn.Bytes = bytes
 	if p.schedule.Ask(now, turn) {
 		p.mutex.Unlock()
 		return
@@ -77,11 +78,12 @@
 	}
 }
 
-// turnOf returns what waits for the turns of a request's bytes.
-func (p *pacer) turnOf(current *request) func(bytes int) {
-	target := p.clock.Now() + time.Until(current.arrived.Add(current.target()))
-	urgency := current.urgency
-	return func(bytes int) { p.wait(bytes, urgency, target) }
+// turnOf returns what waits for the turns of the bytes of a request or its answer, of a size.
+func (p *pacer) turnOf(current *request, size int) func(bytes int) {
+	turn := link.Turn{
+		Urgency: current.urgency, Target: p.clock.Now() + time.Until(current.arrived.Add(current.target())), Bulk: size >= link.BulkBytes,
+	}
+	return func(bytes int) { p.wait(bytes, turn) }
 }
 
 // writeInTurns writes data in parts, each once its turn has come.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -42,7 +42,7 @@
 		context.SetConnectionClose()
 	}
 	if connection, metered := context.Conn().(*meteredConnection); metered && current.route != nil {
-		connection.turn = g.pacer.turnOf(current)
+		connection.turn = g.pacer.turnOf(current, len(current.answer.Body()))
 	}
 	g.meter.Add(link.Out, link.Answers, len(current.answer.Body()))
 	g.observe(current, failure)
@@ -158,7 +158,7 @@
 	outgoing := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(outgoing)
 	current.fill(outgoing, g.dialect, instance)
-	turn := g.pacer.turnOf(current)
+	turn := g.pacer.turnOf(current, len(current.inbound.Body()))
 	began := time.Now()
 	failure := g.upstreams.client(instance).Do(&forward.Attempt{
 		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.left(), Interrupt: current.interrupt,
--- a/internal/link/admission.go
+++ b/internal/link/admission.go
@@ -17,6 +17,11 @@
 	// 0.1, on links of 1.7 Mbit/s under a wave, 9 in 100 fewer of the most urgent requests were in
 	// time, for 6 in 100 more of the patient ones that were served late; at 0.04 none.
 	patientShare = 0.04
+	// bulkPatience is the share of its target latency that a long answer may wait behind others
+	// of its kind: its own way over the link takes most of the rest.
+	bulkPatience = 0.4
+	// BulkBytes is the size from which on a message counts as long: some 50 ms on 5 Mbit/s.
+	BulkBytes = 32 << 10
 	// useMemory is the time over which the requests of a route count as recent, and leastUse
 	// the share of the recent requests from which on less urgent ones make room for them.
 	useMemory = 5 * time.Second
@@ -73,8 +78,13 @@
 	Deadline time.Duration
 	// Urgency is its rank among the routes, from 0 for the least urgent to 1.
 	Urgency float64
+	// Bulk is true for a route whose answers are long as a rule.
+	Bulk bool
 }
 
+// bulk reports whether a request counts among the long ones.
+func (a *Admission) bulk(request Request) bool { return request.Bulk || a.sizes[request.Route] >= BulkBytes }
+
 // byTarget is how long a request may wait by its target.
 func (r Request) byTarget() time.Duration {
 	return time.Duration((leastShare + (mostShare-leastShare)*r.Urgency) * float64(r.Target))
@@ -84,6 +94,9 @@
 // caller's time if that is longer, but not longer than those that are more urgent may by
 // their target. All wait in the same queue, which would else be filled by the patient ones.
 func (a *Admission) Limit(request Request) time.Duration {
+	if a.bulk(request) {
+		return time.Duration(bulkPatience * float64(request.Target))
+	}
 	limit := max(request.byTarget(), time.Duration(patientShare*float64(request.Deadline)))
 	total := 0.0
 	for _, use := range a.uses {
@@ -131,13 +144,28 @@
 	if !known {
 		size = firstSize
 	}
-	a.queue.Add(request.Now, size)
+	a.add(request, size)
 	return size, true
 }
 
+func (a *Admission) add(request Request, bytes float64) {
+	if a.bulk(request) {
+		a.queue.AddBulk(request.Now, bytes)
+		return
+	}
+	a.queue.Add(request.Now, bytes)
+}
+
 // Full reports whether a request would wait too long before the link.
 func (a *Admission) Full(request Request) bool {
-	return a.queue.Bounded() && a.queue.Delay(request.Now) > a.Limit(request)
+	if !a.queue.Bounded() {
+		return false
+	}
+	delay := a.queue.Delay(request.Now)
+	if a.bulk(request) {
+		delay = a.queue.BulkDelay(request.Now)
+	}
+	return delay > a.Limit(request)
 }
 
 // Delay returns how long a byte waits before the link.
@@ -145,16 +173,16 @@
 
 // Done corrects what was reserved for a request by the bytes that it took. Whole is true
 // for one that a server answered, from which the mean of its route is learnt.
-func (a *Admission) Done(now time.Duration, route string, reserved, took float64, whole bool) {
+func (a *Admission) Done(request Request, reserved, took float64, whole bool) {
 	if !a.queue.Bounded() {
 		return
 	}
-	a.queue.Add(now, took-reserved)
+	a.add(request, took-reserved)
 	if !whole {
 		return
 	}
-	if mean, known := a.sizes[route]; known {
+	if mean, known := a.sizes[request.Route]; known {
 		took = mean + sizeSmoothing*(took-mean)
 	}
-	a.sizes[route] = took
+	a.sizes[request.Route] = took
 }
--- a/internal/link/admission_test.go
+++ b/internal/link/admission_test.go
@@ -40,7 +40,7 @@
 			if taken {
 				admitted[each.route]++
 				actual.Add(now, each.bytes)
-				admission.Done(now, each.route, reserved, each.bytes, true)
+				admission.Done(Request{Now: now, Route: each.route}, reserved, each.bytes, true)
 			}
 			break
 		}
@@ -84,7 +84,7 @@
 		if !admitted {
 			t.Fatal("a request is rejected though none before it took any bytes")
 		}
-		admission.Done(0, "r", reserved, 0, false)
+		admission.Done(request, reserved, 0, false)
 	}
 }
 
@@ -103,7 +103,7 @@
 			reserved, ok := admission.Admit(Request{Now: now, Route: "search", Target: target, Deadline: deadline})
 			if ok {
 				taken++
-				admission.Done(now, "search", reserved, bytes, true)
+				admission.Done(Request{Now: now, Route: "search"}, reserved, bytes, true)
 			}
 		}
 		return taken / offered
@@ -141,3 +141,31 @@
 		t.Errorf("the patient request waits up to %s though no urgent one came for a minute, want %s", limit, alone)
 	}
 }
+
+// TestLongAnswersLeaveRoomForShortOnes: on a link of 5.1 Mbit/s a quarter of which long answers of
+// 90 KB take, short requests are admitted as if there were none, and nearly all long ones are,
+// too. In one queue each long answer had some of the short ones behind it rejected.
+func TestLongAnswersLeaveRoomForShortOnes(t *testing.T) {
+	const wide = 5.1
+	admission := NewAdmission(wide)
+	random := rand.New(rand.NewPCG(5, 5))
+	offered, admitted := make(map[string]float64), make(map[string]float64)
+	const perSecond = 18
+	for now := time.Duration(0); now < 60*time.Second; now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
+		request, bytes := Request{Now: now, Route: "search", Target: time.Second, Deadline: 4 * time.Second}, 2500.0
+		if random.Float64() < 0.09 {
+			request = Request{Now: now, Route: "download", Target: 1200 * time.Millisecond, Deadline: 5 * time.Second, Bulk: true}
+			bytes = 90_000 * random.ExpFloat64()
+		}
+		offered[request.Route]++
+		if reserved, taken := admission.Admit(request); taken {
+			admitted[request.Route]++
+			admission.Done(request, reserved, bytes, true)
+		}
+	}
+	for route, least := range map[string]float64{"search": 0.995, "download": 0.85} {
+		if share := admitted[route] / offered[route]; share < least {
+			t.Errorf("%.3f of the requests of route %s are admitted, want %.3f", share, route, least)
+		}
+	}
+}
--- a/internal/link/schedule.go
+++ b/internal/link/schedule.go
@@ -26,6 +26,8 @@
 	Urgency float64
 	// Target is when the answer should be there to be of full use.
 	Target time.Duration
+	// Bulk is true for a part of a long message.
+	Bulk bool
 	// asked is when the turn was asked for.
 	asked time.Duration
 }
@@ -51,6 +53,10 @@
 	// busyUntil is when the link has carried what was handed to it.
 	busyUntil time.Duration
 	waiting   turns
+	// bulk are the parts of long messages that wait, and credit what they may send before
+	// others, in bytes: while both wait they get their share of the link.
+	bulk   turns
+	credit float64
 }
 
 // NewSchedule returns the schedule of a link of a number of Mbit/s; zero for one without a
@@ -69,13 +75,17 @@
 // Ask takes a turn. It reports true if the bytes may leave at once; else Next returns the turn
 // once it has come.
 func (s *Schedule) Ask(now time.Duration, turn *Turn) bool {
-	if s.rate <= 0 || len(s.waiting.turns) == 0 && s.free(now) {
+	if s.rate <= 0 || len(s.waiting.turns)+len(s.bulk.turns) == 0 && s.free(now) {
 		s.Passed(now, turn.Bytes)
 		return true
 	}
 	turn.asked = now
-	s.waiting.now = now
-	heap.Push(&s.waiting, turn)
+	queue := &s.waiting
+	if turn.Bulk {
+		queue = &s.bulk
+	}
+	queue.now = now
+	heap.Push(queue, turn)
 	return false
 }
 
@@ -84,26 +94,52 @@
 // Next returns the turn that has come, nil if none has, and when to ask again; zero if none
 // waits.
 func (s *Schedule) Next(now time.Duration) (*Turn, time.Duration) {
-	if len(s.waiting.turns) == 0 {
+	if len(s.waiting.turns)+len(s.bulk.turns) == 0 {
 		return nil, 0
 	}
 	if !s.free(now) {
 		return nil, s.busyUntil - ahead
 	}
-	// Turns become late or overdue while they wait, so that their order is not lasting.
-	s.waiting.now = now
-	heap.Init(&s.waiting)
-	next := heap.Pop(&s.waiting).(*Turn)
+	next := s.first(now)
 	s.Passed(now, next.Bytes)
 	return next, now
 }
 
+// first takes out the turn that goes first: of the long messages if their share is due, or
+// nothing else waits.
+func (s *Schedule) first(now time.Duration) *Turn {
+	switch {
+	case len(s.waiting.turns) == 0:
+		s.credit = 0
+		return s.bulk.pop(now)
+	case len(s.bulk.turns) == 0:
+		s.credit = 0
+		return s.waiting.pop(now)
+	case s.credit > 0:
+		turn := s.bulk.pop(now)
+		s.credit -= float64(turn.Bytes)
+		return turn
+	default:
+		turn := s.waiting.pop(now)
+		s.credit += float64(turn.Bytes) * bulkShare / (1 - bulkShare)
+		return turn
+	}
+}
+
 // turns implements heap.Interface.
 type turns struct {
 	now   time.Duration
 	turns []*Turn
 }
 
+// pop takes out the first turn. Turns become late or overdue while they wait, so that their order
+// is not lasting.
+func (t *turns) pop(now time.Duration) *Turn {
+	t.now = now
+	heap.Init(t)
+	return heap.Pop(t).(*Turn)
+}
+
 // Len implements heap.Interface.
 func (t *turns) Len() int { return len(t.turns) }
 
--- a/internal/link/schedule_test.go
+++ b/internal/link/schedule_test.go
@@ -150,3 +150,64 @@
 		}
 	}
 }
+
+// playLong lets short answers and parts of long ones become ready at a link, and returns the share
+// of the short ones that leave in time and how many long bytes left.
+func playLong(bulk bool) (timely float64, longBytes int) {
+	const (
+		wide  = 5.1
+		part  = 8 << 10
+		parts = 11
+	)
+	random := rand.New(rand.NewPCG(9, 9))
+	schedule := NewSchedule(wide)
+	shorts, inTime := 0.0, 0.0
+	short := make(map[*Turn]bool)
+	left := func(turn *Turn, at time.Duration) {
+		switch {
+		case !short[turn]:
+			longBytes += turn.Bytes
+		case at <= turn.Target:
+			inTime++
+		}
+	}
+	for now := time.Duration(0); now < 60*time.Second; now += time.Millisecond {
+		for at := max(0, schedule.busyUntil-ahead); at <= now; at = max(0, schedule.busyUntil-ahead) {
+			turn, _ := schedule.Next(at)
+			if turn == nil {
+				break
+			}
+			left(turn, at)
+		}
+		ask := func(turn *Turn) {
+			if schedule.Ask(now, turn) {
+				left(turn, now)
+			}
+		}
+		if random.Float64() < 0.06 {
+			turn := &Turn{Bytes: 2000, Urgency: 0.5, Target: now + 60*time.Millisecond}
+			short[turn] = true
+			shorts++
+			ask(turn)
+		}
+		if random.Float64() < 0.002 {
+			for range parts {
+				ask(&Turn{Bytes: part, Urgency: 0.9, Target: now + 900*time.Millisecond, Bulk: bulk})
+			}
+		}
+	}
+	return inTime / shorts, longBytes
+}
+
+// TestLongMessagesShareTheLink: parts of long answers that are more urgent do not hold short ones
+// up, and leave all the same. As turns like any other they did.
+func TestLongMessagesShareTheLink(t *testing.T) {
+	mixed, _ := playLong(false)
+	timely, longBytes := playLong(true)
+	if timely < 0.99 || mixed > 0.97 {
+		t.Errorf("%.3f of the short answers leave in time, %.3f where long ones are turns like any other", timely, mixed)
+	}
+	if longBytes < 9_000_000 {
+		t.Errorf("%d bytes of long answers left", longBytes)
+	}
+}
