Quotas: buckets fill from the beginning of a term, and requests wait a moment for a token

Change: a bucket fills from the begin of the leader's term. The leader tells when a token is expected that no other gateway takes; a request waits for one that is due within 100 ms, 150 ms in all, and is rejected at once else. A gateway that waits in vain asks again each 50 ms, and takes the leader for lost only if that has not answered. Test: the fleet of TestLimitsHoldOverTheFleet now meets callers that come all at once after 2 s; with buckets that begin at the first ask it fails.

--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -30,7 +30,7 @@
 func (k *quotaKeeper) follow(leadership context.Context) {
 	if k.term != leadership {
 		k.term = leadership
-		k.ledger.Lead()
+		k.ledger.Lead(k.clock.Now())
 	}
 }
 
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -68,38 +68,39 @@
 	q.wait(tenant.Name, 1)
 	defer q.wait(tenant.Name, -1)
 	q.askAtOnce()
-	timer := time.NewTimer(quota.AnswerTime)
-	defer timer.Stop()
+	ticker := time.NewTicker(quota.AskPause)
+	defer ticker.Stop()
 	for verdict == quota.Wait && !left() {
+		if q.clock.Now()-began >= quota.AnswerTime {
+			return q.giveUp(tenant, began)
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-ticker.C:
+			q.askIfDue()
 		}
 		changed = q.changed.Next()
-		if q.clock.Now()-began >= quota.AnswerTime {
-			q.lose()
-		}
 		verdict, retryIn = q.arrive(tenant, true)
 	}
 	return verdict, retryIn
 }
 
-func (q *quotas) arrive(tenant quota.Tenant, waited bool) (quota.Verdict, time.Duration) {
+func (q *quotas) giveUp(tenant quota.Tenant, since time.Duration) (quota.Verdict, time.Duration) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.accounts.Arrive(q.clock.Now(), tenant, waited)
+	return q.accounts.GiveUp(q.clock.Now(), tenant, since)
 }
 
-func (q *quotas) wait(tenant string, change int) {
+func (q *quotas) arrive(tenant quota.Tenant, waited bool) (quota.Verdict, time.Duration) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.accounts.Waiting(q.clock.Now(), tenant, change)
+	return q.accounts.Arrive(q.clock.Now(), tenant, waited)
 }
 
-func (q *quotas) lose() {
+func (q *quotas) wait(tenant string, change int) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.accounts.Lose(q.clock.Now())
+	q.accounts.Waiting(q.clock.Now(), tenant, change)
 }
 
 func (q *quotas) askAtOnce() {
@@ -126,10 +127,17 @@
 func (q *quotas) answered(grants []quota.Grant) {
 	q.mutex.Lock()
 	q.accounts.Answered(q.clock.Now(), grants)
-	waits := q.accounts.Urgent(q.clock.Now())
 	q.mutex.Unlock()
 	q.changed.Raise()
-	if waits {
+	q.askIfDue()
+}
+
+// askIfDue asks the leader at once if requests wait for tokens that were not asked for of late.
+func (q *quotas) askIfDue() {
+	q.mutex.Lock()
+	due := q.accounts.Urgent(q.clock.Now())
+	q.mutex.Unlock()
+	if due {
 		q.askAtOnce()
 	}
 }
--- a/internal/link/admission.go
+++ b/internal/link/admission.go
@@ -83,7 +83,9 @@
 }
 
 // bulk reports whether a request counts among the long ones.
-func (a *Admission) bulk(request Request) bool { return request.Bulk || a.sizes[request.Route] >= BulkBytes }
+func (a *Admission) bulk(request Request) bool {
+	return request.Bulk || a.sizes[request.Route] >= BulkBytes
+}
 
 // byTarget is how long a request may wait by its target.
 func (r Request) byTarget() time.Duration {
--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -11,12 +11,16 @@
 	AnswerTime = 150 * time.Millisecond
 	// idleTime is after how long without a request a gateway gives its tokens back.
 	idleTime = time.Second
-	// askAgain is the least time between two asks while requests wait.
+	// askAgain is the least time between two asks while requests wait, and askShort that after
+	// tokens ran out.
 	askAgain = 20 * time.Millisecond
-	// leastShort and longestShort bound the time for which the word that tokens ran out is
-	// believed: callers of a tenant far beyond its limit would else make each gateway ask the
-	// leader for each of their requests.
-	leastShort   = 100 * time.Millisecond
+	askShort = AskPause
+	// AskPause is the time after which a request that waits looks whether to ask once more.
+	AskPause = 50 * time.Millisecond
+	// worthWaiting is how soon a token must be expected for a request to wait for it: a caller
+	// notices that less than a rejection.
+	worthWaiting = 100 * time.Millisecond
+	// longestShort bounds the time for which the word that tokens ran out is believed.
 	longestShort = 300 * time.Millisecond
 	// shortestReturn and longestReturn bound the time after which a rejected caller is told to
 	// come back: the longer, the smaller the part of its tenant's requests that is let through.
@@ -46,6 +50,8 @@
 	lost bool
 	// unansweredSince is when the oldest ask without an answer was made; zero for none.
 	unansweredSince time.Duration
+	// answeredAt is when the leader answered last.
+	answeredAt time.Duration
 	// lostAt is when the leader stopped to answer, for the end of the fallback.
 	lostAt time.Duration
 }
@@ -62,8 +68,10 @@
 	askedAt  time.Duration
 	// waiting counts requests that wait for a token.
 	waiting uint32
-	// shortUntil is until when no tokens are expected.
+	// shortUntil is until when no tokens are expected, and short whether they ran out at the last
+	// ask.
 	shortUntil time.Duration
+	short      bool
 	// spare are the requests that may go without the leader, at spareAt.
 	spare   float64
 	spareAt time.Duration
@@ -104,7 +112,7 @@
 		return Taken, 0
 	case !a.reachable(now):
 		return a.withoutLeader(now, known, tenant)
-	case now < known.shortUntil:
+	case now+worthWaiting < known.shortUntil:
 		return Rejected, known.returnTime(now)
 	default:
 		return Wait, 0
@@ -117,6 +125,17 @@
 	k.taken.add(now, 1)
 }
 
+// GiveUp decides on a request that has waited for AnswerTime: without the leader if that has not
+// answered since, else it is rejected.
+func (a *Accounts) GiveUp(now time.Duration, tenant Tenant, since time.Duration) (verdict Verdict, retryIn time.Duration) {
+	known := a.of(now, tenant.Name)
+	if a.answeredAt >= since {
+		return Rejected, known.returnTime(now)
+	}
+	a.Lose(now)
+	return a.withoutLeader(now, known, tenant)
+}
+
 // returnTime is when a rejected caller is told to come back.
 func (k *account) returnTime(now time.Duration) time.Duration {
 	arrivals := k.arrivals.value(now)
@@ -204,13 +223,21 @@
 // Urgent reports whether requests wait that have not been asked for yet.
 func (a *Accounts) Urgent(now time.Duration) bool {
 	for _, known := range a.accounts {
-		if known.waiting > 0 && (known.askedAt == 0 || now-known.askedAt >= askAgain) {
+		if known.waiting > 0 && known.mayAsk(now) {
 			return true
 		}
 	}
 	return false
 }
 
+func (k *account) mayAsk(now time.Duration) bool {
+	pause := askAgain
+	if k.short {
+		pause = askShort
+	}
+	return k.askedAt == 0 || now-k.askedAt >= pause
+}
+
 // Asks returns what the leader is to be told, and asked for, now. A gateway that needs nothing
 // and used nothing asks nothing.
 func (a *Accounts) Asks(now time.Duration) []Ask {
@@ -256,13 +283,12 @@
 // Answered takes the leader's answer to an ask.
 func (a *Accounts) Answered(now time.Duration, grants []Grant) {
 	a.lost = false
+	a.answeredAt = now
 	a.unansweredSince = 0
 	for _, grant := range grants {
 		known := a.of(now, grant.Tenant)
 		known.tokens += grant.Tokens
-		known.shortUntil = 0
-		if grant.ShortMs > 0 {
-			known.shortUntil = now + min(max(time.Duration(grant.ShortMs)*time.Millisecond, leastShort), longestShort)
-		}
+		known.short = grant.ShortMs > 0
+		known.shortUntil = now + min(time.Duration(grant.ShortMs)*time.Millisecond, longestShort)
 	}
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -24,7 +24,9 @@
 	slack    float64
 	buckets  map[string]*bucket
 	gateways map[string]*gateway
-	// reservedAt is when silent gateways were looked at last.
+	// leadSince is when the term of leadership began, and reservedAt when silent gateways were
+	// looked at last.
+	leadSince  time.Duration
 	reservedAt time.Duration
 }
 
@@ -37,8 +39,10 @@
 	outstanding float64
 	// reserved is the rate, in tokens a second, that silent gateways may use.
 	reserved float64
-	// granted is the rate at which all gateways take tokens.
+	// granted is the rate at which all gateways take tokens, and lacking that of tokens that they
+	// wanted and did not get.
 	granted smoothedRate
+	lacking smoothedRate
 }
 
 // gateway is what one gateway has of each tenant.
@@ -55,12 +59,13 @@
 // NewLedger returns a ledger that knows of no gateway.
 func NewLedger(slack float64) *Ledger {
 	ledger := &Ledger{slack: slack}
-	ledger.Lead()
+	ledger.Lead(0)
 	return ledger
 }
 
 // Lead begins a term of leadership: what gateways have is unknown, and buckets are empty.
-func (l *Ledger) Lead() {
+func (l *Ledger) Lead(now time.Duration) {
+	l.leadSince = now
 	l.buckets = make(map[string]*bucket)
 	l.gateways = make(map[string]*gateway)
 	l.reservedAt = 0
@@ -127,17 +132,23 @@
 	filled.outstanding += tokens
 	filled.granted.add(now, tokens)
 	own.outstanding += tokens
-	return Grant{Tenant: ask.Tenant, Tokens: uint32(tokens), ShortMs: filled.short(ask, tokens)}
+	filled.lacking.add(now, float64(ask.Want)-tokens)
+	return Grant{Tenant: ask.Tenant, Tokens: uint32(tokens), ShortMs: filled.short(now, ask, tokens)}
 }
 
-// short returns in how many milliseconds more tokens are expected; zero if all were granted.
-func (b *bucket) short(ask Ask, tokens float64) uint32 {
+// backlog is the time for which tokens that gateways lacked are expected to be asked for again.
+const backlog = 200 * time.Millisecond
+
+// short returns in how many milliseconds a token is expected that no other gateway takes; zero if
+// all were granted.
+func (b *bucket) short(now time.Duration, ask Ask, tokens float64) uint32 {
 	if tokens >= float64(ask.Want) {
 		return 0
 	}
 	wait := mostShort
 	if rate := b.rate(); rate > 0 {
-		wait = min(wait, time.Duration((1-math.Mod(max(b.tokens, 0), 1))/rate*float64(time.Second)))
+		before := max(0, b.lacking.value(now)*backlog.Seconds()-b.tokens)
+		wait = min(wait, time.Duration((1+before)/rate*float64(time.Second)))
 	}
 	return uint32(max(1, wait.Milliseconds()))
 }
@@ -155,7 +166,7 @@
 func (l *Ledger) bucket(now time.Duration, tenant string, limit Limit) *bucket {
 	known, met := l.buckets[tenant]
 	if !met {
-		known = &bucket{limit: limit, at: now}
+		known = &bucket{limit: limit, at: l.leadSince}
 		l.buckets[tenant] = known
 	}
 	known.tokens += known.rate() * (now - known.at).Seconds()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -109,8 +109,7 @@
 	tenant := Tenant{Name: request.tenant, Limit: f.limits[request.tenant], Gateways: len(f.gateways)}
 	verdict, _ := node.accounts.Arrive(f.now, tenant, waited)
 	if verdict == Wait && f.now-request.since >= AnswerTime {
-		node.accounts.Lose(f.now)
-		verdict, _ = node.accounts.Arrive(f.now, tenant, true)
+		verdict, _ = node.accounts.GiveUp(f.now, tenant, request.since)
 	}
 	switch verdict {
 	case Taken:
@@ -198,8 +197,11 @@
 // trouble plays a day in which one tenant, drawn by chance, sends many times its usual, while
 // gateways are cut off, die and return, and the leader changes. It returns what is wrong.
 func trouble(f *fleet) string {
-	f.play(1500 * time.Millisecond)
-	f.forgetCounts()
+	// The controllers are up for a while before the callers come, all at once.
+	usual := f.perSecond
+	f.perSecond = nil
+	f.play(2 * time.Second)
+	f.perSecond = usual
 	f.play(5 * time.Second)
 	if short := f.served99(); short != "" {
 		return "in the calm " + short
@@ -218,7 +220,7 @@
 	f.play(5 * time.Second)
 	f.leads = false
 	f.play(1200 * time.Millisecond)
-	f.ledger.Lead()
+	f.ledger.Lead(f.now)
 	f.leads = true
 	f.play(2 * time.Second)
 	for _, node := range f.gateways {
