Controllers take heartbeats and hand them on to the leader

Ways weighed: larger limits (not to be had); groups of controllers by service (CAPACITY.md, not built); followers that take heartbeats and hand them on over one connection each (built): decisions stay with the leader, a lease counts from the sending as before. Change: with more servers than a quarter of its connections the leader names other controllers to servers, most of them in the server's own network. A follower hands heartbeats and words of leaving on. A listener without descriptors waits. More descriptors are kept for gateways on large machines.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -21,10 +21,12 @@
 	replica  *replica
 	security *security
 	app      *fiber.App
+	// forwarder hands heartbeats on while another replica leads.
+	forwarder *forwarder
 }
 
 func newAPI(settings config.API, r *replica, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
-	service := &api{settings: settings, replica: r, security: security}
+	service := &api{settings: settings, replica: r, security: security, forwarder: &forwarder{replica: r}}
 	service.app = fiber.New(fiber.Config{
 		BodyLimit:    settings.BodyLimit,
 		Concurrency:  connectionsOf(settings.MaxConnections),
@@ -41,9 +43,13 @@
 	return service
 }
 
-// connectionReserve is kept of the connections for what else takes descriptors: the log and
-// its files, the other replicas, and a stream and a report of each of some hundred gateways.
-const connectionReserve = 700
+const (
+	// connectionReserve is kept of the connections for what else takes descriptors: the log and
+	// its files, the other replicas, and a stream and a report of each of some hundred gateways.
+	connectionReserve = 700
+	// reservedShare is kept of them at least: a large machine serves more gateways, too.
+	reservedShare = 0.17
+)
 
 // connectionsOf returns how many connections the API accepts. A bound that is large stands
 // for all descriptors of the process.
@@ -51,7 +57,7 @@
 	if bound < 2*connectionReserve {
 		return bound
 	}
-	return bound - connectionReserve
+	return bound - max(connectionReserve, int(reservedShare*float64(bound)))
 }
 
 func (a *api) routes() {
@@ -75,6 +81,7 @@
 }
 
 func (a *api) stop(ctx context.Context) error {
+	defer a.forwarder.close()
 	return a.app.ShutdownWithContext(ctx)
 }
 
--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -104,14 +104,14 @@
 		a.logRefusal(call, err)
 		return err
 	}
-	grant, err := a.replica.heartbeats.beat(ctx, beat)
+	grant, err := a.beat(ctx, beat)
 	if err != nil {
 		if kind := fault.KindOf(err); kind == fault.InvalidArgument || kind == fault.Conflict {
 			a.logRefusal(call, err)
 		}
 		return err
 	}
-	answer, leftOut := directoryapi.AnswerOf(grant, a.replica.self.APIAddress)
+	answer, leftOut := directoryapi.AnswerOf(grant, a.heartbeatAddress(beat.Address))
 	if leftOut > 0 {
 		telemetry.With(a.replica.log, telemetry.EventAnswerCut).WithField(telemetry.FieldServer, beat.Instance).
 			WithField(telemetry.FieldCount, leftOut).Warn("an instance holds more ranges of keys than an answer has room for")
@@ -132,7 +132,7 @@
 		return err
 	}
 	leaving := directory.Incarnation{Server: serverOf(call), Born: uint64(body.Born)}
-	if err := a.replica.heartbeats.leave(ctx, leaving); err != nil {
+	if err := a.leaving(ctx, leaving); err != nil {
 		return err
 	}
 	return call.JSON(struct{}{})
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -105,6 +105,9 @@
 	if n.operators, err = net.Listen("tcp", n.settings.APIAddress); err != nil {
 		return eris.Wrapf(err, "api_address: listen on %s", n.settings.APIAddress)
 	}
+	n.operators = wire.Patient(n.operators, func(err error) {
+		n.log.WithError(err).Debug("connection to the API not accepted")
+	})
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	return nil
@@ -266,6 +269,8 @@
 		return serveDirectory(ctx, n.replica, connection)
 	case message.PurposeDemand:
 		return takeDemand(ctx, n.replica, connection, hello.From)
+	case message.PurposeHeartbeats:
+		return serveHeartbeats(ctx, n.replica, connection)
 	case message.PurposeTable:
 		return serveTable(ctx, n.replica, n.replica.cluster, connection)
 	default:
--- a/internal/directory/instance.go
+++ b/internal/directory/instance.go
@@ -208,6 +208,9 @@
 	}
 }
 
+// Living returns how many instances are not gone.
+func (d *Directory) Living() int { return len(d.instances) - d.gone }
+
 // Instance returns an instance, also one that is gone.
 func (d *Directory) Instance(id InstanceID) (Instance, bool) {
 	instance, found := d.instances[id]
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -19,6 +19,8 @@
 	PurposeConsensus Purpose = "consensus"
 	// PurposeFormation asks a controller for the group's formation.
 	PurposeFormation Purpose = "formation"
+	// PurposeHeartbeats hands heartbeats of instances on to the leader.
+	PurposeHeartbeats Purpose = "heartbeats"
 	// PurposeTable subscribes a router to the routing table.
 	PurposeTable Purpose = "table"
 	// PurposeDirectory subscribes a gateway to the directory.
