Controllers: a line a second about their own work; learners take heartbeats, too

A controller tells in control_load how many heartbeats it answered, by kind of failure, how long the slowest took, and what batches and frames cost: which of them grows with the fleet was not to be seen.

--- a/internal/controller/directory_feed.go
+++ b/internal/controller/directory_feed.go
@@ -143,6 +143,7 @@
 	if excess := len(r.feed.frames) - framesKept; excess > 0 {
 		r.feed.frames = append([]*directoryChanges(nil), r.feed.frames[excess:]...)
 	}
+	r.load.frame()
 	r.feed.advanced.Raise()
 	return nil
 }
--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -112,10 +112,12 @@
 
 // beat takes a heartbeat here if this replica leads, and hands it on else.
 func (a *api) beat(ctx context.Context, beat heartbeat.Beat) (heartbeat.Grant, error) {
+	began := time.Now()
 	grant, err := a.replica.heartbeats.beat(ctx, beat)
 	if fault.Is(err, fault.NotLeader) && a.spreads() {
-		return a.forwarder.call(ctx, message.HeartbeatCall{Beat: &beat})
+		grant, err = a.forwarder.call(ctx, message.HeartbeatCall{Beat: &beat})
 	}
+	a.replica.load.heartbeat(time.Since(began), err)
 	return grant, err
 }
 
@@ -156,13 +158,13 @@
 }
 
 // otherController returns a controller that takes the heartbeats of a server at an address, not
-// this one nor the leader: one of those whose addresses share the most with the server's, or with
+// this one nor the leader, learners too: one of those whose addresses share the most with the server's, or with
 // a small chance any. Random is a number in [0, 1).
 func otherController(members []consensus.Member, self, leader consensus.ReplicaID, server string, random float64) (consensus.Member, bool) {
 	var others, nearest []consensus.Member
 	most := 0
 	for _, member := range members {
-		if member.ID == self || member.ID == leader || member.Learner {
+		if member.ID == self || member.ID == leader {
 			continue
 		}
 		others = append(others, member)
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -52,6 +52,8 @@
 	partitions *partitionKeeper
 	// heartbeats takes the heartbeats of instances.
 	heartbeats *heartbeatKeeper
+	// load counts what this replica does for servers and gateways.
+	load controlLoad
 	// quotas gives out the tokens of tenants.
 	quotas *quotaKeeper
 	// directoryChanged tells the streams of the directory of changes.
@@ -169,6 +171,7 @@
 	keeping.Go(func() { r.partitions.run(ctx) })
 	keeping.Go(func() { r.heartbeats.run(ctx) })
 	keeping.Go(func() { r.runFeed(ctx) })
+	keeping.Go(func() { r.reportLoad(ctx) })
 	keeping.Go(func() { r.watchTurns(ctx) })
 	defer keeping.Wait()
 	defer cancel()
--- /dev/null
+++ b/internal/heartbeat/fleet_bench_test.go
@@ -0,0 +1,93 @@
+package heartbeat
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// fleetOf is a service of instances that hold keys with some demand each, and of a quarter as
+// many that hold none, whose answers wait for news.
+func fleetOf(tb testing.TB, instances int) (*Core, *directory.Directory, time.Duration) {
+	tb.Helper()
+	view := directory.New()
+	core := New(Config{
+		Lease: 5500 * time.Millisecond, MaxLease: 5500 * time.Millisecond, Gather: 2 * time.Second, MaxMoves: 16, Stripes: 110,
+		HoldBack: 700 * time.Millisecond, Interval: 3 * time.Second, AddressReuse: 2 * time.Second,
+	})
+	core.Lead(0)
+	revision := directory.Revision(0)
+	apply := func(commands []directory.Command) {
+		for _, command := range commands {
+			revision++
+			if err := view.Apply(revision, command); err != nil {
+				tb.Fatal(err)
+			}
+		}
+	}
+	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","keyed":true,"version":1}]}}`))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	apply([]directory.Command{{Patch: &patch}})
+	beats := func(now time.Duration, first, last int, sequence uint64) {
+		batch := core.Batch(now, view)
+		for number := first; number < last; number++ {
+			beat := Beat{
+				Instance: directory.InstanceID(fmt.Sprintf("i-%06d@1767373210492", number)), Service: "s", Zone: "z", Slots: 2, Sequence: sequence,
+				Address: fmt.Sprintf("10.1.%d.%d:80", number/250, number%250+1),
+			}
+			if err := batch.Receive(beat); err != nil {
+				tb.Fatal(err)
+			}
+		}
+		apply(batch.Commands())
+	}
+	now := 6 * time.Second
+	beats(now, 0, instances, 1)
+	now += 2500 * time.Millisecond
+	apply(core.Tick(now, view))
+	beats(now+100*time.Millisecond, 0, instances, 2)
+	now += 200 * time.Millisecond
+	beats(now, instances, instances+instances/4, 1)
+	report := Report{Service: "s"}
+	for _, holding := range view.Layout("s").Holdings {
+		report.Keys, report.Counts = append(report.Keys, uint16(holding.First)), append(report.Counts, 1+uint16(holding.First%3))
+	}
+	core.Count(now, report)
+	return core, view, now
+}
+
+// BenchmarkTickOfFleet decides what is due by itself, with keys to move to newcomers.
+func BenchmarkTickOfFleet(b *testing.B) {
+	for _, instances := range []int{1450, 2900, 5800} {
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			core, view, now := fleetOf(b, instances)
+			for b.Loop() {
+				core.Tick(now+10*time.Millisecond, view)
+			}
+		})
+	}
+}
+
+// BenchmarkSlowHeartbeatOfFleet takes a heartbeat that needs a look at the whole layout.
+func BenchmarkSlowHeartbeatOfFleet(b *testing.B) {
+	for _, instances := range []int{1450, 2900, 5800} {
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			core, view, now := fleetOf(b, instances)
+			sequence := uint64(2)
+			for b.Loop() {
+				sequence++
+				batch := core.Batch(now+10*time.Millisecond, view)
+				if err := batch.Receive(Beat{
+					Instance: "i-000007@1767373210492", Service: "s", Zone: "z", Slots: 2, Sequence: sequence, Address: "10.1.0.8:80", Draining: true,
+				}); err != nil {
+					b.Fatal(err)
+				}
+				batch.Commands()
+			}
+		})
+	}
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -59,6 +59,7 @@
 	EventRouterMet         Event = "router_met"
 	EventSettingsMismatch  Event = "settings_mismatch"
 	EventDirectoryChanged  Event = "directory_changed"
+	EventControlLoad       Event = "control_load"
 	EventCallRefused       Event = "call_refused"
 )
 
@@ -143,6 +144,7 @@
 		{EventPartitionsMoved, levelInfo, "Record partitions have other routers."},
 		{EventRouterCutOff, levelWarning, "Most other routers do not reach a router; its record partitions move."},
 		{EventSettingsMismatch, levelWarning, "Settings of a router do not fit those of the controllers or of other routers; on both sides."},
+		{EventControlLoad, levelInfo, "What a controller did in the last second: heartbeats by the kind of failure, batches of decisions and frames of the directory."},
 		{EventDirectoryChanged, levelInfo, "Items, an instance or the holders of keys changed, or a command that would change them was refused."},
 		{EventCallRefused, levelWarning, "A call of an operator or an instance was refused for its content."},
 		{EventRouterMet, levelInfo, "A router is no longer cut off from the others, or no longer heard."},
