Leader: heartbeats that change nothing cost nothing in a batch, either

Cause: one heartbeat in a batch that needed a look at the layout made all others of the batch take one, 0.23 ms each at 5,800 instances. Change: what a draft gives to such an instance is told by its waiting answer, as between batches.

--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -96,7 +96,8 @@
 	if !configured || !service.Keyed {
 		return nil
 	}
-	if _, drafted := b.drafts[beat.Service]; !drafted && b.core.changesNothing(b.now, beat, b.view) {
+	if b.core.changesNothing(b.now, beat, b.view) {
+		// What a draft of this batch gives to the instance its waiting answer will tell.
 		return nil
 	}
 	b.draft(beat.Service).receive(beat, known)
