Quotas: tokens taken in advance are charged, and gateways hear of tenants without any

Cause, found in reading the change again: a token taken in advance was counted against what the gateway had, below zero, and never taken out of the bucket; a gateway whose callers come seldom forgot its account, and took one in advance each time. Change: what a gateway used beyond what it was granted is taken out of the bucket at once, which may fall below zero; each answer names the tenants without a token left, so that no gateway takes any in advance for them, and their accounts are kept.

--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -262,18 +262,20 @@
 		idle := now-known.usedAt > idleTime && known.waiting == 0
 		if idle {
 			known.returned += uint32(max(0, known.tokens))
-			known.tokens = min(known.tokens, 0)
+			known.tokens = min(known.tokens, 0) // what was used in advance is still to be told
 		}
 		ask := Ask{Tenant: name, Used: known.used, Returned: known.returned}
 		if !idle {
 			ask.Want = known.want(now)
 		}
 		if idle && ask.Used == 0 && ask.Returned == 0 {
-			if now-known.usedAt > fallbackTime {
+			if now-known.usedAt > fallbackTime && !known.short {
 				delete(a.accounts, name)
 			}
 			continue
 		}
+		// The leader takes tokens used in advance out of the bucket with this report.
+		known.tokens = max(0, known.tokens)
 		known.used, known.returned = 0, 0
 		if ask.Want == 0 && ask.Used == 0 && ask.Returned == 0 {
 			continue
@@ -293,11 +295,14 @@
 	return uint32(max(0, expected-k.tokens))
 }
 
-// Answered takes the leader's answer to an ask.
+// Answered takes the leader's answer to an ask. It names each tenant that has no token left.
 func (a *Accounts) Answered(now time.Duration, grants []Grant) {
 	a.lost = false
 	a.answeredAt = now
 	a.unansweredSince = 0
+	for _, known := range a.accounts {
+		known.short = false
+	}
 	for _, grant := range grants {
 		known := a.of(now, grant.Tenant)
 		known.tokens += int(grant.Tokens)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,8 @@
 	reserveInterval = 200 * time.Millisecond
 	// mostShort bounds the time after which a gateway that got too few tokens asks again.
 	mostShort = 5 * time.Second
+	// mostTold bounds the tenants that one answer tells of, some 4 KB.
+	mostTold = 128
 )
 
 func decay(elapsed time.Duration) float64 { return math.Exp(-elapsed.Seconds() / rateMemory.Seconds()) }
@@ -24,6 +27,9 @@
 	slack    float64
 	buckets  map[string]*bucket
 	gateways map[string]*gateway
+	// short are the tenants that have no token left: each gateway is told of them, so that none
+	// takes any in advance.
+	short map[string]bool
 	// leadSince is when the term of leadership began, and reservedAt when silent gateways were
 	// looked at last.
 	leadSince  time.Duration
@@ -68,6 +74,7 @@
 	l.leadSince = now
 	l.buckets = make(map[string]*bucket)
 	l.gateways = make(map[string]*gateway)
+	l.short = make(map[string]bool)
 	l.reservedAt = 0
 }
 
@@ -105,11 +112,28 @@
 		}
 		grants = append(grants, l.grant(now, known, ask, limit))
 	}
+	return l.tellShort(now, grants)
+}
+
+// tellShort adds the tenants that have no token left to what a gateway is told.
+func (l *Ledger) tellShort(now time.Duration, grants []Grant) []Grant {
+	for tenant := range l.short {
+		filled := l.bucket(now, tenant, l.buckets[tenant].limit)
+		if filled.tokens >= 1 {
+			delete(l.short, tenant)
+			continue
+		}
+		asked := slices.ContainsFunc(grants, func(grant Grant) bool { return grant.Tenant == tenant })
+		if !asked && len(grants) < mostTold {
+			grants = append(grants, Grant{Tenant: tenant, ShortMs: filled.expected(now)})
+		}
+	}
 	return grants
 }
 
 func (l *Ledger) forget(tenant string) {
 	delete(l.buckets, tenant)
+	delete(l.short, tenant)
 	for _, each := range l.gateways {
 		delete(each.shares, tenant)
 	}
@@ -122,19 +146,23 @@
 		own = &share{}
 		known.shares[ask.Tenant] = own
 	}
-	// Tokens used in advance are more than the gateway had; it asks for them as well.
-	// Counts beyond what it can have used or have left are wrong, and bounded.
-	used := min(float64(ask.Used), max(0, own.outstanding)+limit.Rate+1)
-	returned := min(float64(ask.Returned), max(0, own.outstanding-used))
-	own.outstanding -= used + returned
+	// Counts beyond what it can have used or have left are wrong, and bounded. Tokens used in
+	// advance, beyond those that it had, are taken out of the bucket now.
+	used := min(float64(ask.Used), own.outstanding+limit.Rate+1)
+	granted := min(used, own.outstanding)
+	returned := min(float64(ask.Returned), own.outstanding-granted)
+	own.outstanding -= granted + returned
 	own.used.add(now, used)
-	filled.outstanding -= used + returned
-	filled.tokens = min(filled.tokens+returned, l.room(filled))
+	filled.outstanding -= granted + returned
+	filled.tokens = min(filled.tokens+returned-(used-granted), l.room(filled))
 	tokens := math.Floor(min(float64(ask.Want), max(0, filled.tokens)))
 	filled.tokens -= tokens
 	filled.outstanding += tokens
 	filled.granted.add(now, tokens)
 	own.outstanding += tokens
+	if filled.tokens < 1 {
+		l.short[ask.Tenant] = true
+	}
 	filled.lacking.add(now, float64(ask.Want)-tokens)
 	return Grant{Tenant: ask.Tenant, Tokens: uint32(tokens), ShortMs: filled.short(now, ask, tokens)}
 }
@@ -148,6 +176,11 @@
 	if tokens >= float64(ask.Want) {
 		return 0
 	}
+	return b.expected(now)
+}
+
+// expected returns in how many milliseconds a token is expected that no other gateway takes.
+func (b *bucket) expected(now time.Duration) uint32 {
 	wait := mostShort
 	if rate := b.rate(); rate > 0 {
 		before := max(0, b.lacking.value(now)*backlog.Seconds()-b.tokens)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -269,3 +269,24 @@
 		t.Errorf("%d tokens were granted in %d s, want %d at most", granted, seconds, most)
 	}
 }
+
+// TestAdvancesAreCharged: a tenant whose callers come seldom to each of many gateways, and so with
+// tokens taken in advance each time, passes no more than its limit, however long that lasts.
+func TestAdvancesAreCharged(t *testing.T) {
+	const gateways, length = 100, 90 * time.Second
+	f := newFleet(1, gateways, 1)
+	f.limits["tenant-0"] = Limit{Rate: 2, Burst: 2}
+	f.perSecond["tenant-0"] = 8
+	f.homes["tenant-0"] = nil
+	for index := range gateways {
+		f.homes["tenant-0"] = append(f.homes["tenant-0"], index)
+	}
+	f.play(length)
+	limit := f.limits["tenant-0"]
+	if most := int(limit.Rate*length.Seconds()*(1+overrun) + limit.Burst + slack); f.served["tenant-0"] > most {
+		t.Errorf("%d requests passed in %s, want %d at most", f.served["tenant-0"], length, most)
+	}
+	if excess, _ := f.most(); excess > 0 {
+		t.Errorf("%.0f more than allowed passed in a window", excess)
+	}
+}
