Directory: what changed since a revision is found whatever the order of the changes

Cause, found in reading the change again: the log of changes was searched from its end up to the first older entry. Test: TestChangesSinceAnyRevision, at each seventh revision of a restored and of a streamed directory; it fails without the change.

--- a/internal/directory/changelog.go
+++ b/internal/directory/changelog.go
@@ -38,14 +38,17 @@
 }
 
 // since returns the instances that changed after a revision, each once and in order, or false
-// if not all changes since then are remembered.
+// if not all changes since then are remembered. Entries do not stand in the order of their
+// revisions: a whole directory and a frame of changes are taken by identifier.
 func (l *changeLog) since(after Revision) ([]InstanceID, bool) {
 	if after < l.completeAfter {
 		return nil, false
 	}
 	var changed []InstanceID
-	for index := len(l.entries) - 1; index >= 0 && l.entries[index].revision > after; index-- {
-		changed = append(changed, l.entries[index].id)
+	for _, entry := range l.entries {
+		if entry.revision > after {
+			changed = append(changed, entry.id)
+		}
 	}
 	slices.Sort(changed)
 	return slices.Compact(changed), true
