--- a/internal/controller/directory_feed.go
+++ b/internal/controller/directory_feed.go
@@ -10,6 +10,7 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
@@ -87,7 +88,7 @@
 		}
 		r.gather(ctx, urgent)
 		if err := r.cutFrame(); err != nil {
-			r.log.WithError(err).Error("changes of the directory cannot be encoded: gateways get them whole")
+			telemetry.WithError(r.log, telemetry.EventFailed, err).Error("changes of the directory not encoded: gateways wait for the next ones")
 			clock.Sleep(ctx, longestGather)
 		}
 	}
@@ -118,7 +119,8 @@
 	return r.feed.end() < r.directoryRevision()
 }
 
-// end is the revision of the newest frame; where there is none, that which the first one follows. The mutex must be held.
+// end is the revision of the newest frame; where there is none, that which the first one
+// follows. The mutex must be held.
 func (f *directoryFeed) end() directory.Revision {
 	if len(f.frames) == 0 {
 		return f.begun
