Leader: a choice of the next holder looks at 256 instances at most

Change: above 256 instances a choice is made among the next 256 in turn. Sites of today with fewer choose as before. TestChoicesLookAtABoundedNumber counts at 100, 1,000 and 2,000 instances.

--- a/internal/heartbeat/fleet_bench_test.go
+++ b/internal/heartbeat/fleet_bench_test.go
@@ -126,3 +126,30 @@
 		}
 	}
 }
+
+// TestChoicesLookAtABoundedNumber: a choice among n and 2n instances looks at the same number of
+// them, the choices of a batch at all in turn, and none at one instance twice.
+func TestChoicesLookAtABoundedNumber(t *testing.T) {
+	for _, instances := range []int{100, 1000, 2000} {
+		core, view, now := fleetOf(t, instances)
+		draft := core.draft(now, "s", view)
+		met := make(map[*candidate]int)
+		for range 2 * len(draft.candidates) / mostLooked {
+			window := draft.window()
+			if want := min(len(draft.candidates), mostLooked); len(window) != want {
+				t.Fatalf("%d of %d candidates looked at, want %d", len(window), len(draft.candidates), want)
+			}
+			distinct := make(map[*candidate]bool)
+			for _, each := range window {
+				met[each]++
+				distinct[each] = true
+			}
+			if len(distinct) != len(window) {
+				t.Fatal("a candidate is looked at twice in one choice")
+			}
+		}
+		if len(draft.candidates) > mostLooked && len(met) != len(draft.candidates) {
+			t.Errorf("%d of %d candidates met", len(met), len(draft.candidates))
+		}
+	}
+}
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -313,11 +313,28 @@
 	return parts
 }
 
+// mostLooked bounds the candidates among which one choice is made. A choice among all 5,800
+// instances of a service took 2.7 ms, and the keys of 116 instances that left at once 323 ms, in
+// which the leader answered nobody; the best of 256 is nearly as good.
+const mostLooked = 256
+
+// window returns the candidates among which the next choice is made: all, or the next ones in
+// turn.
+func (d *draft) window() []*candidate {
+	if len(d.candidates) <= mostLooked {
+		return d.candidates
+	}
+	first := d.core.looked % len(d.candidates)
+	d.core.looked = first + mostLooked
+	window := d.candidates[first:min(first+mostLooked, len(d.candidates))]
+	return append(slices.Clip(window), d.candidates[:mostLooked-len(window)]...)
+}
+
 // least returns the instance with the least demand for its slots and, where there
 // is none, the fewest keys. A cold instance carries few requests, so that it gets keys
 // only while no warm one is there.
 func (d *draft) least() *candidate {
-	return slices.MinFunc(d.candidates, func(a, b *candidate) int {
+	return slices.MinFunc(d.window(), func(a, b *candidate) int {
 		return cmp.Or(compareCold(a, b), cmp.Compare(d.burden(a), d.burden(b)), cmp.Compare(a.id, b.id))
 	})
 }
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -208,7 +208,7 @@
 func (d *draft) bestTarget(source *candidate, chosen []*candidate) *candidate {
 	var best *candidate
 	bestCost := 0.0
-	for _, each := range d.candidates {
+	for _, each := range d.window() {
 		if each == source || !each.warm || each.rows+each.awaited >= maxRows || slices.Contains(chosen, each) || d.reserved(each) {
 			continue
 		}
