Leader: keys that nobody holds go to instances that are told soon

Cause: keys of a lost instance went to the one with the least demand, which hears of them at its next heartbeat: with 3 s between heartbeats 1.5 s later in the mean, though the answers of one in eight to four instances wait and carry them at once. Keys that move were given by the time until they are told already.

Change: the same cost for keys without an owner: the share of the slots in use plus gapCost for each second until the instance is told.

--- a/internal/heartbeat/fleet_bench_test.go
+++ b/internal/heartbeat/fleet_bench_test.go
@@ -153,3 +153,36 @@
 		}
 	}
 }
+
+// TestLostKeysGoToThoseWhoAreToldAtOnce: keys of instances that were lost go to instances whose
+// answers wait, of which there are as many at 3 s between heartbeats as at one: the others would
+// hear of them up to 3 s later, and nobody would serve them until then.
+func TestLostKeysGoToThoseWhoAreToldAtOnce(t *testing.T) {
+	for _, instances := range []int{200, 400} {
+		core, view, now := fleetOf(t, instances)
+		reachable := make(map[directory.InstanceID]bool)
+		number := 0
+		for id, known := range core.contacts {
+			known.interval, known.answerableUntil = 3*time.Second, 0
+			if number++; number%4 == 0 {
+				known.answerableUntil = now + time.Second
+				reachable[id] = true
+			}
+		}
+		draft := core.draft(now, "s", view)
+		const lost = 20
+		for index := range lost {
+			draft.freeHolding(&draft.layout.Holdings[index*5], "")
+		}
+		draft.settle()
+		told := 0
+		for index := range lost {
+			if reachable[draft.layout.Holdings[index*5].Owner] {
+				told++
+			}
+		}
+		if told < lost {
+			t.Errorf("%d of %d lost ranges go to instances that are told at once", told, lost)
+		}
+	}
+}
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -330,15 +330,29 @@
 	return append(slices.Clip(window), d.candidates[:mostLooked-len(window)]...)
 }
 
-// least returns the instance with the least demand for its slots and, where there
-// is none, the fewest keys. A cold instance carries few requests, so that it gets keys
-// only while no warm one is there.
+// least returns the instance to which keys that nobody holds cost least: by the demand for its
+// slots, the keys that it has, and the time until it is told, in which nobody serves them. A cold
+// instance carries few requests, so that it gets keys only while no warm one is there.
 func (d *draft) least() *candidate {
+	cost := func(each *candidate) float64 { return d.burden(each) + gapCost*d.untilTold(each).Seconds() }
 	return slices.MinFunc(d.window(), func(a, b *candidate) int {
-		return cmp.Or(compareCold(a, b), cmp.Compare(d.burden(a), d.burden(b)), cmp.Compare(a.id, b.id))
+		return cmp.Or(compareCold(a, b), cmp.Compare(cost(a), cost(b)), cmp.Compare(a.id, b.id))
 	})
 }
 
+// untilTold returns how long it is expected to take until an instance hears of keys that it gets
+// now: nothing while its answer waits, else until its next heartbeat.
+func (d *draft) untilTold(each *candidate) time.Duration {
+	known := d.core.contacts[each.id]
+	if known == nil || known.interval <= 0 {
+		return unknownGap
+	}
+	if d.now < known.answerableUntil {
+		return 0
+	}
+	return max(known.beatAt+known.interval-d.now, 0)
+}
+
 func compareCold(a, b *candidate) int {
 	switch {
 	case a.warm == b.warm:
