Gateways: the directory comes from a controller of the own zone, each from its home

Change: once it hears of the other controllers a gateway goes over, within 1 to 3 s, to its home: of those that share the most of its address the one that a rendezvous hash draws. A home that does not answer is tried again after 30 s. TestGatewaysSpreadOverControllers: 300 and 600 gateways, no stream crosses a border, each controller has its part.

Weighed: a relay tree of gateways (two frames a zone in place of two hundred; not needed while ten controllers carry a hundred streams each); asking seeds for the nearest first (one more round trip at each start).

--- /dev/null
+++ b/internal/gateway/nearby_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+)
+
+// TestGatewaysSpreadOverControllers: with n and 2n gateways in five zones that start with three
+// seeds, no stream crosses a border in the end, and each controller has its part of them.
+func TestGatewaysSpreadOverControllers(t *testing.T) {
+	const zones, each = 5, 2
+	var controllers, seeds []string
+	for zone := range zones {
+		for number := range each {
+			controllers = append(controllers, fmt.Sprintf("10.%d.0.%d:7000", zone+1, number+1))
+		}
+	}
+	for _, zone := range []int{1, 2, 2} {
+		seeds = append(seeds, fmt.Sprintf("10.%d.0.1:8000", zone))
+	}
+	for _, gateways := range []int{300, 600} {
+		streams := make(map[string]int)
+		for number := range gateways {
+			own := fmt.Sprintf("10.%d.3.%d:80", number%zones+1, number%250)
+			s := &subscription{settings: config.Gateway{Address: own, Seeds: seeds, ControllerPort: 7000}}
+			present := s.candidates()[0]
+			s.controllers = controllers
+			if homeOf(own, controllers) != present {
+				present = s.candidates()[0]
+			}
+			if homeOf(own, controllers) != present || sharedPrefix(present, own) != 2 {
+				t.Fatalf("gateway %s stays at %s", own, present)
+			}
+			streams[present]++
+		}
+		for _, controller := range controllers {
+			if count, share := streams[controller], gateways/len(controllers); count < share/2 || count > 2*share {
+				t.Errorf("%d of %d streams at controller %s", count, gateways, controller)
+			}
+		}
+	}
+}
+
+// TestGoesOverOnceAndLater: a gateway goes over within some seconds, not together with all others,
+// and seldom tries again while its home does not answer.
+func TestGoesOverOnceAndLater(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	began := time.Unix(0, 0)
+	var within [3]int
+	for range 600 {
+		var h homing
+		var moves []time.Duration
+		for elapsed := time.Duration(0); elapsed < 30*time.Second; elapsed += 500 * time.Millisecond {
+			if h.look(began.Add(elapsed), true, random.Float64()) {
+				moves = append(moves, elapsed)
+			}
+		}
+		if len(moves) == 0 || moves[0] < homeSoonest || moves[0] > homeLatest+time.Second {
+			t.Fatalf("goes over after %s", moves)
+		}
+		if len(moves) > 2 {
+			t.Errorf("goes over %d times in 30 s though its home does not answer", len(moves))
+		}
+		within[min(int(moves[0]/time.Second)-1, 2)]++
+	}
+	for second, count := range within[:2] {
+		if count < 100 || count > 500 {
+			t.Errorf("%d of 600 gateways go over in second %d", count, second+1)
+		}
+	}
+	var h homing
+	h.look(began, true, 0.5)
+	h.look(began, false, 0.5)
+	if h.look(began.Add(time.Minute), false, 0.5) || h.look(began.Add(time.Minute), true, 0.5) {
+		t.Error("goes over at once after the controller was the home")
+	}
+}
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -182,7 +183,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
-			WithField("table_age_ms", s.age().Milliseconds()).Warn("directory stream broke")
+		line := telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
+			WithField("table_age_ms", s.age().Milliseconds())
+		if errors.Is(err, errGoesHome) {
+			line.Info("directory stream left for that of another controller")
+			return
+		}
+		line.Warn("directory stream broke")
 	})
 }
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
-	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +54,7 @@
 	// updates tells of each new table.
 	updates *broadcast.Broadcast
 	meter   *link.Meter
+	homing  homing
 }
 
 func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error), meter *link.Meter) *subscription {
@@ -99,40 +97,6 @@
 	}
 }
 
-// candidates returns the controllers to ask: those of the group and the seeds,
-// those of the own network first, else in a random order.
-func (s *subscription) candidates() []string {
-	s.viewLock.Lock()
-	addresses := slices.Clone(s.controllers)
-	s.viewLock.Unlock()
-	for _, seed := range s.settings.Seeds {
-		host, _, err := net.SplitHostPort(seed)
-		address := net.JoinHostPort(host, strconv.Itoa(s.settings.ControllerPort))
-		if err == nil && !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
-		}
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	slices.SortStableFunc(addresses, func(a, b string) int {
-		return sharedPrefix(b, s.settings.Address) - sharedPrefix(a, s.settings.Address)
-	})
-	return addresses
-}
-
-// sharedPrefix counts the leading parts that two addresses share, two at most:
-// machines of one place usually have numbers of one network.
-func sharedPrefix(a, b string) int {
-	const parts = 2
-	shared, dots := 0, 0
-	for index := 0; index < min(len(a), len(b)) && a[index] == b[index] && dots < parts; index++ {
-		if a[index] == '.' {
-			dots++
-			shared = dots
-		}
-	}
-	return shared
-}
-
 // reloadSeeds takes the seeds of the settings as they are now.
 func (s *subscription) reloadSeeds() {
 	if s.reload == nil {
@@ -257,6 +221,9 @@
 		}
 		proved = time.Now()
 		s.confirm(pings.sentAt[update.Pong%pingsKept].Load(), from)
+		if s.goesHome(from) {
+			return errGoesHome
+		}
 		if !logged {
 			logged = true
 			telemetry.With(s.log, telemetry.EventTableCurrent).WithField(telemetry.FieldAddress, from.address).
