Gateways: the bursts of resends of all gateways keep to the slack of the fleet

Cause, by reading: each gateway may resend two requests of a service beyond its share, whatever the number of gateways: 985 of them 1,970 at once, where 1,040 are allowed beyond the share. It did not show, since keyed requests are not sent again after a rejection and others mostly find no connection, which does not count.

Change: retry_slack, filled in from the platform's bound, divided by the gateways that the directory counts, one at least; sites of today with 8 to 11 gateways keep their two.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -33,6 +33,7 @@
 	MaxConnections   int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
 	RetryRatio       float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
 	RetryBurst       int           `koanf:"retry_burst" validate:"min=0,max=1000" doc:"Resends of a service beyond that share, until requests have made up for them."`
+	RetrySlack       float64       `koanf:"retry_slack" validate:"min=0,max=1000000" doc:"Resends of a service that all gateways together may send at once beyond their share, which bounds retry_burst by the number of gateways; 0 if it is not bounded."`
 	MemoryLimitBytes int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at, in bytes; 0 for none."`
 	CollectorPercent int           `koanf:"collector_percent" validate:"min=5,max=1000" doc:"Growth of the heap, in percent, after which the collector runs: less memory for more processor time."`
 	BackEnd          BackEnd       `koanf:"back_end" doc:"Connections to the instances."`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 
 	budgetLock sync.Mutex
 	budgets    map[string]*retry.Budget
+	// resendBurst is the burst of each budget.
+	resendBurst float64
 
 	// connections counts callers' open connections.
 	connections atomic.Int64
@@ -114,6 +116,7 @@
 		registry:     telemetry.NewMetrics(role),
 		slots:        broadcast.New(),
 		budgets:      make(map[string]*retry.Budget),
+		resendBurst:  float64(settings.RetryBurst),
 	}
 	gateway.pacer = newPacer(gateway.clock, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
@@ -130,6 +133,7 @@
 
 // tableChanged brings what is kept by instance in line with a new table.
 func (g *Gateway) tableChanged(table *routing.Table) {
+	g.boundResends(table.Gateways)
 	g.drains.note(table)
 	g.evacuations.note(table)
 	known := table.Knows
@@ -140,6 +144,20 @@
 	g.places.note(table)
 }
 
+// boundResends bounds the resends of each service by the number of gateways.
+func (g *Gateway) boundResends(gateways int) {
+	g.budgetLock.Lock()
+	defer g.budgetLock.Unlock()
+	burst := retry.BurstOf(g.settings.RetrySlack, gateways, g.settings.RetryBurst)
+	if burst == g.resendBurst {
+		return
+	}
+	g.resendBurst = burst
+	for _, budget := range g.budgets {
+		budget.SetBurst(burst)
+	}
+}
+
 // budget returns the budget of resends of a service.
 func (g *Gateway) budget(service string) *retry.Budget {
 	g.budgetLock.Lock()
@@ -147,6 +165,7 @@
 	budget, found := g.budgets[service]
 	if !found {
 		budget = retry.NewBudget(g.settings.RetryRatio, g.settings.RetryBurst)
+		budget.SetBurst(g.resendBurst)
 		g.budgets[service] = budget
 	}
 	return budget
