Gateways: a keyed request is sent to its holder once more where that has room

Ruled out: fullness (what the callers of all gateways ask of a holder is told by the gateway's own requests to it and the number of gateways).

Change: balance.HasRoom estimates that; within the budget of resends, which is bounded over the fleet, and the attempts of the route, the holder is asked again. A holder that is asked for more than it does is not, as before.

Weighed: asking again after any rejection (a full holder rejects once more, and the arrivals count against the budget); the leader's demand by key told to all gateways (a message for each key).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -56,6 +56,9 @@
 	ejections    int
 	ejectedUntil time.Duration
 	seenAt       time.Duration
+	// sent is how many requests were sent of late, as of sentAt.
+	sent   float64
+	sentAt time.Duration
 	// reduction is by how many requests the bound of those in flight is lowered,
 	// since the instance answers late.
 	reduction float64
@@ -262,6 +265,7 @@
 	known := b.load(id)
 	known.inFlight++
 	known.seenAt = now
+	known.countSent(now)
 }
 
 func (b *Balancer) load(id directory.InstanceID) *load {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -213,3 +213,38 @@
 		}
 	}
 }
+
+// TestKeyedRequestsAreSentAgainWhereThereIsRoom: to a holder that rejected one although hardly any
+// come to it, within the budget; not to one that is asked for more than it does.
+func TestKeyedRequestsAreSentAgainWhereThereIsRoom(t *testing.T) {
+	settings := config.DefaultGateway()
+	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
+	gateway, err := New(settings, quiet(), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway.subscription.table.Store(placeTable(t, "127.0.0.1:9"))
+	holder := directory.Instance{ID: "i", Slots: 1}
+	shed := fault.New(fault.Shedding, "")
+	rejected := func() *request {
+		current := placeRequest(time.Second)
+		current.keyed, current.route.MaxAttempts = true, 2
+		gateway.balancer.TryBegin(gateway.clock.Now(), holder, 1000)
+		current.attempts = append(current.attempts, holder.ID)
+		return current
+	}
+	if !gateway.mayResend(rejected(), shed) {
+		t.Error("not sent again though the holder has room")
+	}
+	current := rejected()
+	current.attempts = append(current.attempts, holder.ID)
+	if gateway.mayResend(current, shed) {
+		t.Error("sent more often than its route allows")
+	}
+	for range 40 {
+		rejected()
+	}
+	if gateway.mayResend(rejected(), shed) {
+		t.Error("sent again to a holder that is asked for more than it does")
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -135,7 +135,7 @@
 		// The attempt may have failed for that alone, and the next one would add to it.
 		return false
 	}
-	if failure.Kind == fault.Shedding && current.keyed {
+	if failure.Kind == fault.Shedding && current.keyed && !g.holderHasRoom(current) {
 		// Only the holder may run it, and the holder is full.
 		return false
 	}
@@ -147,6 +147,17 @@
 	return current.left() > minimumLeft && g.budget(current.service).TakeResend()
 }
 
+// holderHasRoom reports whether the holder that rejected a request should have had room for it.
+func (g *Gateway) holderHasRoom(current *request) bool {
+	table := g.subscription.current()
+	service, found := table.Service(current.service)
+	if !found {
+		return false
+	}
+	holder, found := service.Instance(current.attempts[len(current.attempts)-1])
+	return found && g.balancer.HasRoom(g.clock.Now(), current.service, holder, table.Gateways)
+}
+
 // minimumLeft is the time below which a request is not sent any more.
 const minimumLeft = 20 * time.Millisecond
 
