Gateways: room is judged by the whole service, and a caller rejected in spite of it returns soon

Change: HasRoom asks for both, the service in the mean and the instance; the rejection then says 0.05 s.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -45,6 +45,8 @@
 	loads    map[directory.InstanceID]*load
 	// latency is the mean over the instances of each service.
 	latency map[string]float64
+	// sent are the requests to each service.
+	sent map[string]sending
 }
 
 // load is what is known of one instance.
@@ -56,9 +58,7 @@
 	ejections    int
 	ejectedUntil time.Duration
 	seenAt       time.Duration
-	// sent is how many requests were sent of late, as of sentAt.
-	sent   float64
-	sentAt time.Duration
+	sent         sending
 	// reduction is by how many requests the bound of those in flight is lowered,
 	// since the instance answers late.
 	reduction float64
@@ -66,7 +66,7 @@
 
 // New returns a balancer that knows of no instance.
 func New(settings Settings) *Balancer {
-	return &Balancer{settings: settings, loads: make(map[directory.InstanceID]*load), latency: make(map[string]float64)}
+	return &Balancer{settings: settings, loads: make(map[directory.InstanceID]*load), latency: make(map[string]float64), sent: make(map[string]sending)}
 }
 
 // Request is what a choice rests on.
@@ -107,7 +107,7 @@
 			chosen = nearest
 		}
 	}
-	b.begin(request.Now, chosen.ID)
+	b.begin(request.Now, chosen)
 	return chosen, true
 }
 
@@ -261,11 +261,12 @@
 	return needed * (1 + float64(known.inFlight)/float64(slots))
 }
 
-func (b *Balancer) begin(now time.Duration, id directory.InstanceID) {
-	known := b.load(id)
+func (b *Balancer) begin(now time.Duration, instance directory.Instance) {
+	known := b.load(instance.ID)
 	known.inFlight++
 	known.seenAt = now
-	known.countSent(now)
+	known.sent = known.sent.with(now)
+	b.sent[instance.Service] = b.sent[instance.Service].with(now)
 }
 
 func (b *Balancer) load(id directory.InstanceID) *load {
@@ -286,7 +287,7 @@
 	if known.inFlight >= max(1, limit-int(known.reduction)) {
 		return false
 	}
-	b.begin(now, instance.ID)
+	b.begin(now, instance)
 	return true
 }
 
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -20,33 +20,49 @@
 	roomyUse = 0.5
 )
 
+// Fleet is what shares the instances of a service.
+type Fleet struct {
+	// Senders is the number of processes like this one that send requests.
+	Senders int
+	// Slots are those of all instances of the service.
+	Slots int
+}
+
 // HasRoom reports whether an instance that has just rejected a request of this process should have
-// had room for it, as far as can be told from the requests that this one of a number of alike
-// senders has sent it: where each of 985 sends a request in half an hour, and this one a second within two
-// seconds, the key is a hot one.
-func (b *Balancer) HasRoom(now time.Duration, service string, instance directory.Instance, senders int) bool {
+// had room for it, as far as can be told from the requests that this one of the senders has sent:
+// those to the whole service tell how busy its instances are in the mean, and those to the instance
+// whether it is asked for far more than the others. Where each of 985 sends an instance a request in
+// half an hour, and this one a second within two seconds, the key is a hot one.
+func (b *Balancer) HasRoom(now time.Duration, instance directory.Instance, fleet Fleet) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	needed := b.latency[service]
+	needed := b.latency[instance.Service]
 	if needed == 0 {
 		needed = b.settings.FirstLatency.Seconds()
 	}
-	known, found := b.loads[instance.ID]
-	if !found {
-		return true
+	// inUse are the slots that a number of requests of late keeps in use, those of all senders.
+	inUse := func(sent float64) float64 {
+		return sent / useWindow.Seconds() * needed * float64(max(fleet.Senders, 1))
 	}
 	const thisOne = 1
-	others := max(known.sentOfLate(now)-thisOne, 0) / useWindow.Seconds()
-	return others*float64(max(senders, 1))*needed < roomyUse*float64(max(instance.Slots, 1))
+	own := 0.0
+	if known, found := b.loads[instance.ID]; found {
+		own = max(known.sent.ofLate(now)-thisOne, 0)
+	}
+	all := b.sent[instance.Service].ofLate(now)
+	return inUse(own) < roomyUse*float64(max(instance.Slots, 1)) && inUse(all) < roomyUse*float64(max(fleet.Slots, 1))
 }
 
-// sentOfLate is the number of requests sent, of which earlier ones count less and less.
-func (l *load) sentOfLate(now time.Duration) float64 {
-	return l.sent * math.Exp(-max(0, now-l.sentAt).Seconds()/useWindow.Seconds())
+// sending counts requests sent, of which earlier ones count less and less.
+type sending struct {
+	count float64
+	at    time.Duration
 }
 
-// countSent counts a request.
-func (l *load) countSent(now time.Duration) {
-	l.sent = l.sentOfLate(now) + 1
-	l.sentAt = now
+// ofLate is the number of requests as of now.
+func (s sending) ofLate(now time.Duration) float64 {
+	return s.count * math.Exp(-max(0, now-s.at).Seconds()/useWindow.Seconds())
 }
+
+// with returns the count with one more request.
+func (s sending) with(now time.Duration) sending { return sending{count: s.ofLate(now) + 1, at: now} }
--- a/internal/balance/room_test.go
+++ b/internal/balance/room_test.go
@@ -12,7 +12,7 @@
 // which is asked for the same share of its slots by all together, and returns the share of its
 // requests at which a holder that rejects counts as one with room.
 func rejectionsWithRoom(senders, holders int, use float64) float64 {
-	const service, seconds = "s", 60
+	const seconds = 60
 	const took = 160 * time.Millisecond
 	random := rand.New(rand.NewPCG(7, uint64(senders)))
 	b := New(DefaultSettings("z"))
@@ -21,13 +21,13 @@
 	for now := time.Duration(0); now < seconds*time.Second; now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
 		holder := instances("z")[0]
 		holder.ID = directory.InstanceID(rune('a' + random.IntN(holders)))
-		holder.Slots = 2
+		holder.Slots, holder.Service = 2, "s"
 		if !b.TryBegin(now, holder, 1000) {
 			continue
 		}
-		b.End(Outcome{Now: now, Service: service, Instance: holder.ID, Took: took, Answered: true})
+		b.End(Outcome{Now: now, Service: holder.Service, Instance: holder.ID, Took: took, Answered: true})
 		asked++
-		if b.HasRoom(now, service, holder, senders) {
+		if b.HasRoom(now, holder, Fleet{Senders: senders, Slots: 2 * holders}) {
 			roomy++
 		}
 	}
@@ -36,7 +36,7 @@
 
 // TestRejectionsAreToldApart: where holders have room, most rejections are found to be no want of
 // it, in a small fleet and a large one; where the holder of a hot key is asked for twice what it
-// does, hardly any.
+// does, or all holders for what they do, hardly any.
 func TestRejectionsAreToldApart(t *testing.T) {
 	for _, fleet := range []struct {
 		senders, holders int
@@ -44,7 +44,10 @@
 		least, most      float64
 	}{
 		{8, 14, 0.2, 0.6, 1}, {60, 150, 0.2, 0.6, 1}, {985, 5783, 0.022, 0.9, 1}, {1970, 11566, 0.022, 0.9, 1},
+		// Those of one key.
 		{8, 1, 2, 0, 0.1}, {60, 1, 2, 0, 0.2},
+		// All are full, and each gateway meets one of them now and then.
+		{8, 14, 1.2, 0, 0.1}, {68, 105, 0.9, 0, 0.1}, {60, 150, 1.2, 0, 0.1}, {985, 5783, 0.9, 0, 0.1},
 	} {
 		if share := rejectionsWithRoom(fleet.senders, fleet.holders, fleet.use); share < fleet.least || share > fleet.most {
 			t.Errorf("%+v: %.2f of the rejections count as no want of room", fleet, share)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -95,6 +95,10 @@
 	if failure.Kind == fault.QuotaExceeded {
 		wait = current.retryIn
 	}
+	if current.rejectedWithRoom {
+		// The next try may succeed at once, and the caller's time runs from its first one.
+		wait = shortestReturn
+	}
 	if current.noRoom {
 		wait = min(max(current.retryIn, shortestReturn), longestReturn)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -228,11 +228,16 @@
 	shed := fault.New(fault.Shedding, "")
 	rejected := func() *request {
 		current := placeRequest(time.Second)
-		current.keyed, current.route.MaxAttempts = true, 2
+		current.keyed, current.route.MaxAttempts, current.answer = true, 2, &fasthttp.Response{}
 		gateway.balancer.TryBegin(gateway.clock.Now(), holder, 1000)
 		current.attempts = append(current.attempts, holder.ID)
+		current.rejectedWithRoom = gateway.hasRoom(current)
 		return current
 	}
+	returnsAfter := func(current *request) string {
+		gateway.refuse(current, shed)
+		return string(current.answer.Header.Peek(fasthttp.HeaderRetryAfter))
+	}
 	if !gateway.mayResend(rejected(), shed) {
 		t.Error("not sent again though the holder has room")
 	}
@@ -241,10 +246,17 @@
 	if gateway.mayResend(current, shed) {
 		t.Error("sent more often than its route allows")
 	}
+	if wait := returnsAfter(current); wait != "0.05" {
+		t.Errorf("the caller is to come back after %s s though the holder has room", wait)
+	}
 	for range 40 {
 		rejected()
 	}
-	if gateway.mayResend(rejected(), shed) {
+	full := rejected()
+	if gateway.mayResend(full, shed) {
 		t.Error("sent again to a holder that is asked for more than it does")
 	}
+	if wait := returnsAfter(full); wait != "0.25" {
+		t.Errorf("the caller of a full holder is to come back after %s s", wait)
+	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,9 @@
 	// noRoom is true if there is no place in time, and retryIn when there is one again.
 	noRoom  bool
 	retryIn time.Duration
+	// rejectedWithRoom is true if the instance that rejected the request last should have had
+	// room for it.
+	rejectedWithRoom bool
 	// quotaTaken is true once a token of the tenant was taken.
 	quotaTaken bool
 	// interrupt gives the attempt up when the caller leaves.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -106,6 +106,7 @@
 		if fault.AnswerFor(failure.Kind).Outcome == fault.Unknown {
 			unknown = failure
 		}
+		current.rejectedWithRoom = failure.Kind == fault.Shedding && g.hasRoom(current)
 		if !g.mayResend(current, failure) {
 			return truthful(unknown, failure)
 		}
@@ -135,7 +136,7 @@
 		// The attempt may have failed for that alone, and the next one would add to it.
 		return false
 	}
-	if failure.Kind == fault.Shedding && current.keyed && !g.holderHasRoom(current) {
+	if failure.Kind == fault.Shedding && current.keyed && !current.rejectedWithRoom {
 		// Only the holder may run it, and the holder is full.
 		return false
 	}
@@ -147,15 +148,15 @@
 	return current.left() > minimumLeft && g.budget(current.service).TakeResend()
 }
 
-// holderHasRoom reports whether the holder that rejected a request should have had room for it.
-func (g *Gateway) holderHasRoom(current *request) bool {
+// hasRoom reports whether the instance that rejected a request should have had room for it.
+func (g *Gateway) hasRoom(current *request) bool {
 	table := g.subscription.current()
 	service, found := table.Service(current.service)
 	if !found {
 		return false
 	}
-	holder, found := service.Instance(current.attempts[len(current.attempts)-1])
-	return found && g.balancer.HasRoom(g.clock.Now(), current.service, holder, table.Gateways)
+	instance, found := service.Instance(current.attempts[len(current.attempts)-1])
+	return found && g.balancer.HasRoom(g.clock.Now(), instance, balance.Fleet{Senders: table.Gateways, Slots: service.Slots()})
 }
 
 // minimumLeft is the time below which a request is not sent any more.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -23,6 +23,15 @@
 	Throttles directory.Throttles
 }
 
+// Slots returns those of all instances.
+func (s *Service) Slots() int {
+	slots := 0
+	for _, instance := range s.Instances {
+		slots += max(instance.Slots, 1)
+	}
+	return slots
+}
+
 // Table is what a gateway routes by.
 type Table struct {
 	Revision directory.Revision
