--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -1,136 +1,15 @@
 package heartbeat
 
 import (
-	"cmp"
-	"slices"
-	"time"
-
 	"github.com/thorntiller/thorntiller/internal/directory"
 )
 
-// candidate is an instance that may get keys.
-type candidate struct {
-	id    directory.InstanceID
-	slots int
-	// keys and rows count the keys that it holds or is about to get, and their ranges.
-	keys int
-	rows int
-	// awaited counts the ranges that are being moved to it.
-	awaited int
-	warm    bool
-	// rate is the demand for its keys in requests a second, and surely the part of it
-	// that is not chance, when the draft was begun.
-	rate   float64
-	surely float64
-}
-
-// draft is the next layout of one service.
-type draft struct {
-	core *Core
-	now  time.Duration
-	view *directory.Directory
-	// before is the layout in force, and layout the next one.
-	before  directory.Layout
-	layout  directory.Layout
-	changed bool
-	// owned are the holdings of each instance in the layout in force. They are those of the
-	// draft, too, for all instances that are not in touched.
-	owned   map[directory.InstanceID][]directory.Holding
-	touched map[directory.InstanceID]bool
-	// free counts the holdings without an owner, and moving those and the revoked ones.
-	free   int
-	moving int
-	// walks counts how often all holdings were looked at. A heartbeat that concerns its own
-	// instance alone must not add to it: with 5,800 instances, 118 heartbeats that each walked
-	// through the layout and copied it held the leader up for 1.1 s.
-	walks int
-	// measured is true once the rates of the candidates are known; they are kept up
-	// to date from then on. total is their sum, and busy the share of its slots from which
-	// on an instance gives keys away.
-	measured bool
-	total    float64
-	busy     float64
-	// newcomers may hold no keys; those that got some are dropped when they are met.
-	newcomers  []*candidate
-	candidates []*candidate
-	byID       map[directory.InstanceID]*candidate
-}
-
 // pieces bounds into how many parts a holding that changes hands is cut.
 const pieces = 8
 
 // minimumWidth is the least number of keys in a part that is cut off.
 const minimumWidth = 64
 
-func (c *Core) draft(now time.Duration, service string, view *directory.Directory) *draft {
-	d := &draft{
-		core: c, now: now, view: view, before: view.Layout(service),
-		touched: make(map[directory.InstanceID]bool), byID: make(map[directory.InstanceID]*candidate),
-	}
-	index := c.index(service, view)
-	d.owned, d.free, d.moving = index.owned, index.free, index.moving
-	d.layout = d.before
-	d.layout.Holdings = slices.Clone(d.before.Holdings)
-	for instance := range view.EachInstance() {
-		if instance.Service != service || instance.State != directory.InstanceReady || !c.lives(now, instance.ID) || view.Evacuated(instance.Zone) {
-			continue
-		}
-		added := &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: c.warm(now, instance.ID)}
-		d.candidates = append(d.candidates, added)
-		d.byID[added.id] = added
-	}
-	for _, holding := range d.layout.Holdings {
-		if owner := d.candidate(holding.Owner); owner != nil && !holding.Revoked {
-			owner.keys += holding.Width()
-			owner.rows++
-		}
-	}
-	return d
-}
-
-// lives reports whether an instance was heard of late. A new leader has heard nobody: it
-// takes all for alive until they had the time for a heartbeat, lest those whose
-// heartbeat comes first get everything.
-func (c *Core) lives(now time.Duration, id directory.InstanceID) bool {
-	heardAt := c.leadSince
-	if known, met := c.contacts[id]; met {
-		heardAt = known.beatAt
-	}
-	return now-heardAt <= c.config.recent()
-}
-
-// warm reports whether an instance is not slow from its start any more.
-func (c *Core) warm(now time.Duration, id directory.InstanceID) bool {
-	known, met := c.contacts[id]
-	return !met || now >= known.warmAt
-}
-
-func (d *draft) candidate(id directory.InstanceID) *candidate { return d.byID[id] }
-
-// commands returns the command that puts the draft in force, if it changed.
-func (d *draft) commands() []directory.Command {
-	if !d.changed {
-		return nil
-	}
-	command := directory.PutLayout{Service: d.layout.Service, After: d.before.Revision}
-	for _, holding := range d.layout.Holdings {
-		earlier, found := d.before.At(holding.First)
-		if !found || !earlier.Contains(holding.Last) || !earlier.Same(holding) {
-			command.Changed = append(command.Changed, holding)
-		}
-	}
-	if len(command.Changed) == 0 {
-		return nil
-	}
-	return []directory.Command{{Layout: &command}}
-}
-
-// any reports whether an instance has a holding of a kind, or may have: those of an instance
-// that the draft has touched are not looked at.
-func (d *draft) any(id directory.InstanceID, kind func(directory.Holding) bool) bool {
-	return d.touched[id] || slices.ContainsFunc(d.owned[id], kind)
-}
-
 // release frees the revoked keys that their owner does not hold any more.
 func (d *draft) release(beat Beat) {
 	if !d.any(beat.Instance, func(holding directory.Holding) bool { return mayRelease(holding, beat) }) {
@@ -312,62 +191,3 @@
 	}
 	return parts
 }
-
-// mostLooked bounds the candidates among which one choice is made. A choice among all 5,800
-// instances of a service took 2.7 ms, and the keys of 116 instances that left at once 323 ms, in
-// which the leader answered nobody; the best of 256 is nearly as good.
-const mostLooked = 256
-
-// window returns the candidates among which the next choice is made: all, or the next ones in
-// turn.
-func (d *draft) window() []*candidate {
-	if len(d.candidates) <= mostLooked {
-		return d.candidates
-	}
-	first := d.core.looked % len(d.candidates)
-	d.core.looked = first + mostLooked
-	window := d.candidates[first:min(first+mostLooked, len(d.candidates))]
-	return append(slices.Clip(window), d.candidates[:mostLooked-len(window)]...)
-}
-
-// least returns the instance to which keys that nobody holds cost least: by the demand for its
-// slots, the keys that it has, and the time until it is told, in which nobody serves them. A cold
-// instance carries few requests, so that it gets keys only while no warm one is there.
-func (d *draft) least() *candidate {
-	cost := func(each *candidate) float64 { return d.burden(each) + gapCost*d.untilTold(each).Seconds() }
-	return slices.MinFunc(d.window(), func(a, b *candidate) int {
-		return cmp.Or(compareCold(a, b), cmp.Compare(cost(a), cost(b)), cmp.Compare(a.id, b.id))
-	})
-}
-
-// untilTold returns how long it is expected to take until an instance hears of keys that it gets
-// now: nothing while its answer waits, else until its next heartbeat.
-func (d *draft) untilTold(each *candidate) time.Duration {
-	known := d.core.contacts[each.id]
-	if known == nil || known.interval <= 0 {
-		return unknownGap
-	}
-	if d.now < known.answerableUntil {
-		return 0
-	}
-	return max(known.beatAt+known.interval-d.now, 0)
-}
-
-func compareCold(a, b *candidate) int {
-	switch {
-	case a.warm == b.warm:
-		return 0
-	case a.warm:
-		return -1
-	default:
-		return 1
-	}
-}
-
-// keysBurden is the share of the slots that all keys count for by their number, so
-// that keys without demand are spread as well.
-const keysBurden = 0.5
-
-func (d *draft) burden(each *candidate) float64 {
-	return d.utilisation(each) + keysBurden*float64(each.keys)/float64(directory.MaxKey+1)/float64(each.slots)
-}
--- a/internal/heartbeat/rebalance.go
+++ b/internal/heartbeat/rebalance.go
@@ -202,43 +202,6 @@
 	})
 }
 
-// bestTarget returns the warm instance that costs least as the next holder: by the
-// demand for its slots, and by the time until it is told of its keys, in which
-// nobody holds them. Those chosen already are left out.
-func (d *draft) bestTarget(source *candidate, chosen []*candidate) *candidate {
-	var best *candidate
-	bestCost := 0.0
-	for _, each := range d.window() {
-		if each == source || !each.warm || each.rows+each.awaited >= maxRows || slices.Contains(chosen, each) || d.reserved(each) {
-			continue
-		}
-		cost := d.utilisation(each) + gapCost*d.gap(source, each).Seconds()
-		if best == nil || cost < bestCost {
-			best, bestCost = each, cost
-		}
-	}
-	return best
-}
-
-// gap returns how long nobody is expected to hold keys that pass from one instance to
-// another: from the source's heartbeat, which has just come, to the first one of the
-// target after the source has let go.
-func (d *draft) gap(source, target *candidate) time.Duration {
-	known := d.core.contacts[target.id]
-	if known == nil || known.interval <= 0 {
-		return unknownGap
-	}
-	letGo := releaseTime + time.Duration(d.serviceTime(source)*float64(time.Second))
-	if d.now+letGo < known.answerableUntil {
-		return letGo
-	}
-	until := known.beatAt + known.interval - d.now
-	for until < letGo {
-		until += known.interval
-	}
-	return until
-}
-
 // moveParts begins to move the busiest of the source's keys to a target, up to a rate
 // of requests.
 func (d *draft) moveParts(source, target *candidate, wanted float64) {
