Losses of tenants: thorntiller losses --by-tenant

What the requests of each tenant failed of was told by their log lines alone. The tenant's field of the line has a name of its own now. TestLossesOfTenantsStandApart.

--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -18,18 +18,19 @@
 
 // newLossesCommand prints what failed requests failed of.
 func newLossesCommand(program *program) *cobra.Command {
-	span, rows := defaultLossSpan, defaultLossRows
+	grouping, rows := story.Grouping{Span: defaultLossSpan}, defaultLossRows
 	command := &cobra.Command{
 		Use:   "losses FILE...",
 		Short: "Print what failed requests failed of, by moment, service and cause",
 		Long: "Print what the requests failed of that log files of any number of gateways\n" +
 			"tell of: how many, since when, of which service, for which cause, and how their\n" +
-			"attempts ended. The most frequent come first.",
+			"attempts ended. The most frequent come first. With --by-tenant those of each\n" +
+			"tenant stand apart.",
 		Args: func(command *cobra.Command, arguments []string) error {
 			if len(arguments) == 0 {
 				return usage(command, "give one log file at least")
 			}
-			if span <= 0 || rows <= 0 {
+			if grouping.Span <= 0 || rows <= 0 {
 				return usage(command, "--span and --rows must be above 0")
 			}
 			return nil
@@ -39,10 +40,11 @@
 			if err != nil {
 				return err
 			}
-			return story.WriteLosses(program.streams.Out, story.Losses(lines, span), rows)
+			return story.WriteLosses(program.streams.Out, story.Losses(lines, grouping), rows)
 		},
 	}
-	command.Flags().DurationVar(&span, "span", span, "time that one row covers")
+	command.Flags().DurationVar(&grouping.Span, "span", grouping.Span, "time that one row covers")
+	command.Flags().BoolVar(&grouping.ByTenant, "by-tenant", false, "tell the requests of each tenant apart")
 	command.Flags().IntVar(&rows, "rows", rows, "rows to print")
 	return command
 }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -62,7 +62,7 @@
 		line = line.WithField("route", current.route.Name)
 	}
 	if current.tenant != nil {
-		line = line.WithField("tenant", current.tenant.Name)
+		line = line.WithField(telemetry.FieldTenant, current.tenant.Name)
 	}
 	if current.keyed {
 		line = line.WithField("key", current.key)
--- a/internal/story/losses_test.go
+++ b/internal/story/losses_test.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	losses := Losses(lines, 2*time.Second)
+	losses := Losses(lines, Grouping{Span: 2 * time.Second})
 	if len(losses) != 3 {
 		t.Fatalf("losses %+v", losses)
 	}
@@ -40,3 +40,31 @@
 		t.Errorf("table:\n%s", text)
 	}
 }
+
+// TestLossesOfTenantsStandApart: only if that is asked for.
+func TestLossesOfTenantsStandApart(t *testing.T) {
+	log := `
+0.1 g {"ts":"2026-01-01T00:00:01.1Z","name":"g","event":"request_ended","service":"s","tenant":"a","kind":"quota_exceeded"}
+0.2 g {"ts":"2026-01-01T00:00:01.2Z","name":"g","event":"request_ended","service":"s","tenant":"a","kind":"quota_exceeded"}
+0.3 g {"ts":"2026-01-01T00:00:01.3Z","name":"g","event":"request_ended","service":"s","tenant":"b","kind":"quota_exceeded"}
+0.4 g {"ts":"2026-01-01T00:00:01.4Z","name":"g","event":"request_ended","service":"s","kind":"quota_exceeded"}
+`
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if together := Losses(lines, Grouping{Span: 2 * time.Second}); len(together) != 1 || together[0].Requests != 4 || together[0].Tenant != "" {
+		t.Errorf("together: %+v", together)
+	}
+	apart := Losses(lines, Grouping{Span: 2 * time.Second, ByTenant: true})
+	if len(apart) != 3 || apart[0].Tenant != "a" || apart[0].Requests != 2 {
+		t.Fatalf("apart: %+v", apart)
+	}
+	var table bytes.Buffer
+	if err := WriteLosses(&table, apart, 3); err != nil {
+		t.Fatal(err)
+	}
+	if rows := strings.Split(table.String(), "\n"); !strings.Contains(rows[1], " a ") || !strings.Contains(rows[2], " - ") || !strings.Contains(rows[3], " b ") {
+		t.Errorf("table:\n%s", table.String())
+	}
+}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -23,6 +23,7 @@
 	FieldIndex    = "index"
 	FieldRevision = "revision"
 	FieldService  = "service"
+	FieldTenant   = "tenant"
 	FieldServer   = "server"
 	FieldShard    = "shard"
 	FieldEpoch    = "epoch"
