Places: tests of a one-way cut to the keeper, and of a loss of all power with places given out

A cut in either direction: the gateway goes by its own counts, what it held ends by itself, it is given places again after the cut. A keeper that starts anew knows of no place and gives out those of its server, no more. No change of the product.

--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,10 +89,18 @@
 
 // startAsker returns a gateway that is connected to a keeper.
 func startAsker(t *testing.T, keeper string) *places {
+	t.Helper()
+	return startAskerBy(t, keeper, nil)
+}
+
+// startAskerBy is startAsker with a way to open connections; nil for plain TCP.
+func startAskerBy(t *testing.T, keeper string, dial wire.DialFunc) *places {
 	t.Helper()
 	asking := newPlaces(placeSettings("127.0.0.1:1"), quiet(), newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
-	runInBackground(t, asking.run)
 	table := placeTable(t, keeper)
+	asking.note(table)
+	asking.links[keeper].options.Dial = dial
+	runInBackground(t, asking.run)
 	eventually(t, "the keeper is reached", func() bool {
 		asking.note(table)
 		asking.mutex.Lock()
@@ -222,6 +231,102 @@
 	}
 }
 
+// halfCut is a connection of which one direction may be cut off in silence.
+type halfCut struct {
+	net.Conn
+	deaf, mute *atomic.Bool
+}
+
+// Read implements net.Conn: what comes while the connection is deaf is lost.
+func (c *halfCut) Read(into []byte) (int, error) {
+	for {
+		read, err := c.Conn.Read(into)
+		if err != nil || !c.deaf.Load() {
+			return read, err
+		}
+	}
+}
+
+// Write implements net.Conn: what goes while it is mute is lost.
+func (c *halfCut) Write(data []byte) (int, error) {
+	if c.mute.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// TestOneWayCutToTheKeeper: a gateway that does not hear its keeper, or that the keeper does not
+// hear, goes by its own counts; the places that it was given end by themselves, so that others get
+// them; once the cut has healed it is given places again.
+func TestOneWayCutToTheKeeper(t *testing.T) {
+	for _, direction := range []string{"deaf", "mute"} {
+		t.Run(direction, func(t *testing.T) {
+			keeping, address, _ := startKeeper(t, "127.0.0.1:0")
+			var deaf, mute atomic.Bool
+			cut := map[string]*atomic.Bool{"deaf": &deaf, "mute": &mute}[direction]
+			asking := startAskerBy(t, address, func(ctx context.Context, address string) (net.Conn, error) {
+				connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				return &halfCut{Conn: connection, deaf: &deaf, mute: &mute}, err
+			})
+			const deadline = time.Second
+			if answer := asking.ofService(placeRequest(deadline)); answer.verdict != room.Granted {
+				t.Fatalf("got %+v before the cut", answer)
+			}
+			cut.Store(true)
+			if answer := asking.ofService(placeRequest(deadline)); answer.verdict != room.Unknown {
+				t.Errorf("got %+v behind the cut", answer)
+			}
+			eventually(t, "the places given before and behind the cut have ended", func() bool {
+				keeping.keeper.mutex.Lock()
+				defer keeping.keeper.mutex.Unlock()
+				return keeping.keeper.core.Held() == 0
+			})
+			if answer := keeping.ofService(placeRequest(deadline)); answer.verdict != room.Granted {
+				t.Errorf("another gateway got %+v", answer)
+			}
+			cut.Store(false)
+			table := placeTable(t, address)
+			eventually(t, "places are given again", func() bool {
+				asking.note(table)
+				return asking.ofService(placeRequest(deadline)).verdict == room.Granted
+			})
+		})
+	}
+}
+
+// TestKeeperAndAskerStartAnew: after a loss of all power with places given out nothing is known of
+// them, and the server is filled twice at most until their requests have ended.
+func TestKeeperAndAskerStartAnew(t *testing.T) {
+	_, address, stop := startKeeper(t, "127.0.0.10:0")
+	for asked, before := 0, startAsker(t, address); asked < 2; asked++ {
+		if answer := before.ofService(placeRequest(placeTime)); answer.verdict != room.Granted {
+			t.Fatalf("got %+v before the loss", answer)
+		}
+	}
+	stop()
+	keeping, _, _ := startKeeper(t, address)
+	after := startAsker(t, address)
+	granted := 0
+	for range 2 {
+		if after.ofService(placeRequest(placeTime)).verdict == room.Granted {
+			granted++
+		}
+	}
+	if granted != 2 {
+		t.Errorf("%d places of a server whose keeper knows nothing of earlier ones, want its 2", granted)
+	}
+	hurried := placeRequest(placeTime)
+	hurried.arrived = time.Now().Add(-placeTime)
+	if answer := after.ofService(hurried); answer.verdict != room.Rejected {
+		t.Errorf("got %+v beyond its places", answer)
+	}
+	keeping.keeper.mutex.Lock()
+	defer keeping.keeper.mutex.Unlock()
+	if held := keeping.keeper.core.Held(); held != 2 {
+		t.Errorf("%d places are held", held)
+	}
+}
+
 // TestKeeperTakesBadMessages: numbers, outcomes and queues that nobody gave change nothing.
 func TestKeeperTakesBadMessages(t *testing.T) {
 	keeper := newPlaceKeeper(clock.NewSystem(), everyInstance)
