--- a/internal/heartbeat/choice.go
+++ b/internal/heartbeat/choice.go
@@ -19,8 +19,8 @@
 	if len(d.candidates) <= mostLooked {
 		return d.candidates
 	}
-	first := d.core.looked % len(d.candidates)
-	d.core.looked = first + mostLooked
+	first := d.core.windowStart % len(d.candidates)
+	d.core.windowStart = first + mostLooked
 	window := d.candidates[first:min(first+mostLooked, len(d.candidates))]
 	return append(slices.Clip(window), d.candidates[:mostLooked-len(window)]...)
 }
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -32,9 +32,9 @@
 	strangers map[directory.InstanceID]stranger
 	// targets are the instances that are to get keys which are being moved.
 	targets map[targetKey]directory.InstanceID
-	// looked is the position among the candidates of a service after those that were looked at
-	// last.
-	looked int
+	// windowStart is the position of the next candidates that a choice looks at, where there
+	// are too many for one.
+	windowStart int
 	// publishedAt is when service times were looked at last.
 	publishedAt time.Duration
 	// gateways are when each gateway was heard of last, by name.
--- a/internal/heartbeat/draft.go
+++ b/internal/heartbeat/draft.go
@@ -55,6 +55,7 @@
 	byID       map[directory.InstanceID]*candidate
 }
 
+// draft begins the next layout of a service with the one in force.
 func (c *Core) draft(now time.Duration, service string, view *directory.Directory) *draft {
 	d := &draft{
 		core: c, now: now, view: view, before: view.Layout(service),
@@ -64,11 +65,18 @@
 	d.owned, d.free, d.moving = index.owned, index.free, index.moving
 	d.layout = d.before
 	d.layout.Holdings = slices.Clone(d.before.Holdings)
-	for instance := range view.EachInstance() {
-		if instance.Service != service || instance.State != directory.InstanceReady || !c.lives(now, instance.ID) || view.Evacuated(instance.Zone) {
+	d.addCandidates()
+	return d
+}
+
+// addCandidates adds the instances that may get keys, with what they hold.
+func (d *draft) addCandidates() {
+	for instance := range d.view.EachInstance() {
+		ready := instance.Service == d.layout.Service && instance.State == directory.InstanceReady
+		if !ready || !d.core.lives(d.now, instance.ID) || d.view.Evacuated(instance.Zone) {
 			continue
 		}
-		added := &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: c.warm(now, instance.ID)}
+		added := &candidate{id: instance.ID, slots: max(instance.Slots, 1), warm: d.core.warm(d.now, instance.ID)}
 		d.candidates = append(d.candidates, added)
 		d.byID[added.id] = added
 	}
@@ -78,7 +86,6 @@
 			owner.rows++
 		}
 	}
-	return d
 }
 
 // lives reports whether an instance was heard of late. A new leader has heard nobody: it
@@ -118,8 +125,8 @@
 	return []directory.Command{{Layout: &command}}
 }
 
-// any reports whether an instance has a holding of a kind, or may have: those of an instance
-// that the draft has touched are not looked at.
-func (d *draft) any(id directory.InstanceID, kind func(directory.Holding) bool) bool {
+// mayHave reports whether an instance has a holding of a kind, or may have one: those of an
+// instance that the draft has touched are not looked at.
+func (d *draft) mayHave(id directory.InstanceID, kind func(directory.Holding) bool) bool {
 	return d.touched[id] || slices.ContainsFunc(d.owned[id], kind)
 }
--- a/internal/heartbeat/drain.go
+++ b/internal/heartbeat/drain.go
@@ -23,7 +23,7 @@
 	if len(d.candidates) == 0 {
 		return
 	}
-	if !d.any(id, func(holding directory.Holding) bool { return !holding.Revoked }) {
+	if !d.mayHave(id, func(holding directory.Holding) bool { return !holding.Revoked }) {
 		return
 	}
 	d.walks++
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -12,7 +12,7 @@
 
 // release frees the revoked keys that their owner does not hold any more.
 func (d *draft) release(beat Beat) {
-	if !d.any(beat.Instance, func(holding directory.Holding) bool { return mayRelease(holding, beat) }) {
+	if !d.mayHave(beat.Instance, func(holding directory.Holding) bool { return mayRelease(holding, beat) }) {
 		return
 	}
 	d.walks++
@@ -51,7 +51,7 @@
 // grant marks what the answer to the owner's heartbeat tells it.
 func (d *draft) grant(id directory.InstanceID) {
 	untold := func(holding directory.Holding) bool { return !holding.Revoked && !holding.Granted }
-	if !d.any(id, untold) {
+	if !d.mayHave(id, untold) {
 		return
 	}
 	d.walks++
