Gateways: the home is drawn by the gateway's name

Found in reading: it was drawn by the address at which a gateway listens. Gateways that listen on all interfaces, at 0.0.0.0, would all have had the same home. TestGatewaysAtOneAddressSpread fails with the address in the hash (all 300 at one controller, since the input is the same).

--- a/internal/gateway/home.go
+++ b/internal/gateway/home.go
@@ -72,7 +72,7 @@
 	}
 	s.viewLock.Lock()
 	defer s.viewLock.Unlock()
-	home := homeOf(s.settings.Address, s.controllers)
+	home := s.home(s.controllers)
 	if s.homing.tried || home == "" || home == from.address {
 		return nil
 	}
@@ -87,18 +87,24 @@
 	}
 	s.viewLock.Lock()
 	defer s.viewLock.Unlock()
-	home := homeOf(s.settings.Address, s.controllers)
+	home := s.home(s.controllers)
 	return s.homing.look(time.Now(), home != "" && home != from.address, rand.Float64())
 }
 
-// homeOf returns the home of a gateway by their addresses: the one of the controllers that share
-// the most with its own which a rendezvous hash draws, so that few change when controllers come or
-// go. It is empty if there are none.
-func homeOf(own string, controllers []string) string {
+// home returns the home of this gateway among controllers.
+func (s *subscription) home(controllers []string) string {
+	return homeOf(s.settings.Name, s.settings.Address, controllers)
+}
+
+// homeOf returns the home of a gateway: of the controllers whose addresses share the most with its
+// own the one that a rendezvous hash draws by its name, so that few change when controllers come or
+// go. Gateways that listen at one address on all of their interfaces share none, and are spread
+// over all. It is empty if there are no controllers.
+func homeOf(name, own string, controllers []string) string {
 	home, homeShared, homeWeight := "", -1, uint64(0)
 	for _, each := range controllers {
 		shared := sharedPrefix(each, own)
-		weight := xxhash.Sum64String(own + " " + each)
+		weight := xxhash.Sum64String(name + " " + each)
 		if shared > homeShared || shared == homeShared && weight > homeWeight {
 			home, homeShared, homeWeight = each, shared, weight
 		}
@@ -112,7 +118,7 @@
 	s.viewLock.Lock()
 	addresses := slices.Clone(s.controllers)
 	s.viewLock.Unlock()
-	home := homeOf(s.settings.Address, addresses)
+	home := s.home(addresses)
 	for _, seed := range s.settings.Seeds {
 		host, _, err := net.SplitHostPort(seed)
 		address := net.JoinHostPort(host, strconv.Itoa(s.settings.ControllerPort))
--- a/internal/gateway/home_test.go
+++ b/internal/gateway/home_test.go
@@ -29,13 +29,13 @@
 		streams := make(map[string]int)
 		for number := range gateways {
 			own := fmt.Sprintf("10.%d.3.%d:80", number%zones+1, number%250)
-			s := &subscription{settings: config.Gateway{Address: own, Seeds: seeds, ControllerPort: 7000}}
+			s := &subscription{settings: config.Gateway{Name: fmt.Sprintf("gateway-%d", number), Address: own, Seeds: seeds, ControllerPort: 7000}}
 			present := s.candidates()[0]
 			s.controllers = controllers
-			if homeOf(own, controllers) != present {
+			if s.home(controllers) != present {
 				present = s.candidates()[0]
 			}
-			if homeOf(own, controllers) != present || sharedPrefix(present, own) != 2 {
+			if s.home(controllers) != present || sharedPrefix(present, own) != 2 {
 				t.Fatalf("gateway %s stays at %s", own, present)
 			}
 			streams[present]++
@@ -48,6 +48,21 @@
 	}
 }
 
+// TestGatewaysAtOneAddressSpread: those that listen on all interfaces do not all have one home.
+func TestGatewaysAtOneAddressSpread(t *testing.T) {
+	controllers := []string{"10.1.0.1:7000", "10.2.0.1:7000", "10.3.0.1:7000"}
+	const gateways = 300
+	streams := make(map[string]int)
+	for number := range gateways {
+		streams[homeOf(fmt.Sprintf("gateway-%d", number), "0.0.0.0:80", controllers)]++
+	}
+	for _, controller := range controllers {
+		if count, share := streams[controller], gateways/len(controllers); count < share/2 || count > 2*share {
+			t.Errorf("%d of %d streams at controller %s", count, gateways, controller)
+		}
+	}
+}
+
 // TestGoesOverOnceAndLater: a gateway goes over within some seconds, not together with all others,
 // and seldom tries again while its home does not answer.
 func TestGoesOverOnceAndLater(t *testing.T) {
@@ -95,10 +110,10 @@
 		var atSeed int64
 		for number := range gateways {
 			s := newSubscription(config.DefaultGateway(), quiet(), nil, &link.Meter{})
-			s.settings.Name, s.settings.Address = "g", fmt.Sprintf("127.0.0.1:%d", 10000+number)
+			s.settings.Name, s.settings.Address = fmt.Sprintf("gateway-%d", number), fmt.Sprintf("127.0.0.1:%d", 10000+number)
 			seedOnly := seed.address
 			s.settings.Seeds, s.settings.ControllerPort = []string{seedOnly}, portOf(t, seedOnly)
-			if homeOf(s.settings.Address, seed.controllers) == seed.address {
+			if s.home(seed.controllers) == seed.address {
 				atSeed++
 			}
 			runInBackground(t, s.run)
