Quotas: a request that waited for a silent leader is not rejected below the limit

The gateway then went by its part of the limit, 0.08 of 1,000 a second by two gateways, but counted it from the moment at which the wait ended, so that the request that had waited found nothing.

Ruled out: the limit itself (6 of 1,000 tokens were used), the return time, which tells the share of requests that were rejected and so followed from it.

Change: what may go without the leader counts from the ask that was left without an answer, at most the time that an answer is waited for. TestTenantFarBelowItsLimitPassesWhenTheLeaderFallsSilent failed before; TestLimitsHoldOverTheFleet passes with it.

--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -194,16 +194,22 @@
 	return now - a.unansweredSince
 }
 
-// Lose notes that the leader does not answer any more.
+// Lose notes that the leader does not answer any more. What may go without it counts from the ask
+// that it left without an answer: a request that has waited since then is not rejected though its
+// tenant is far below its limit.
 func (a *Accounts) Lose(now time.Duration) {
 	if a.lost {
 		return
 	}
 	a.lost = true
 	a.lostAt = now
+	silentSince := now
+	if a.unansweredSince > 0 {
+		silentSince = max(a.unansweredSince, now-AnswerTime)
+	}
 	for _, known := range a.accounts {
 		known.frozen = fallbackShare * known.taken.value(now)
-		known.spare, known.spareAt = 0, now
+		known.spare, known.spareAt = 0, silentSince
 	}
 }
 
