--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -168,7 +167,7 @@
 			continue
 		}
 		others = append(others, member)
-		shared := sharedNetwork(member.APIAddress, server)
+		shared := wire.SharedNetwork(member.APIAddress, server)
 		if shared > most {
 			most, nearest = shared, nil
 		}
@@ -185,15 +184,3 @@
 	random = (random - anyController) / (1 - anyController)
 	return nearest[int(random*float64(len(nearest)))], true
 }
-
-// sharedNetwork counts the leading parts that two addresses share, two at most: machines of one
-// place usually have numbers of one network.
-func sharedNetwork(a, b string) int {
-	const parts = 2
-	left, right := strings.SplitN(a, ".", parts+1), strings.SplitN(b, ".", parts+1)
-	shared := 0
-	for shared < min(parts, len(left)-1, len(right)-1) && left[shared] == right[shared] {
-		shared++
-	}
-	return shared
-}
--- a/internal/controller/forwarding_test.go
+++ b/internal/controller/forwarding_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 // TestServersAreSpreadOverControllers: most go to the controllers of their own network, some to
@@ -30,7 +31,7 @@
 				t.Fatalf("server %d is sent to %+v", number, other)
 			}
 			counts[other.ID]++
-			if sharedNetwork(other.APIAddress, fmt.Sprintf("10.%d.7.8:80", zone)) == 2 {
+			if wire.SharedNetwork(other.APIAddress, fmt.Sprintf("10.%d.7.8:80", zone)) == 2 {
 				near++
 			}
 		}
--- a/internal/gateway/home.go
+++ b/internal/gateway/home.go
@@ -103,7 +103,7 @@
 func homeOf(name, own string, controllers []string) string {
 	home, homeShared, homeWeight := "", -1, uint64(0)
 	for _, each := range controllers {
-		shared := sharedPrefix(each, own)
+		shared := wire.SharedNetwork(each, own)
 		weight := xxhash.Sum64String(name + " " + each)
 		if shared > homeShared || shared == homeShared && weight > homeWeight {
 			home, homeShared, homeWeight = each, shared, weight
@@ -129,24 +129,10 @@
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	rank := func(address string) int {
 		if address == home {
-			return 2*sharedPrefix(address, s.settings.Address) + 1
+			return 2*wire.SharedNetwork(address, s.settings.Address) + 1
 		}
-		return 2 * sharedPrefix(address, s.settings.Address)
+		return 2 * wire.SharedNetwork(address, s.settings.Address)
 	}
 	slices.SortStableFunc(addresses, func(a, b string) int { return rank(b) - rank(a) })
 	return addresses
 }
-
-// sharedPrefix counts the leading parts that two addresses share, two at most:
-// machines of one place usually have numbers of one network.
-func sharedPrefix(a, b string) int {
-	const parts = 2
-	shared, dots := 0, 0
-	for index := 0; index < min(len(a), len(b)) && a[index] == b[index] && dots < parts; index++ {
-		if a[index] == '.' {
-			dots++
-			shared = dots
-		}
-	}
-	return shared
-}
--- a/internal/gateway/home_test.go
+++ b/internal/gateway/home_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 // TestGatewaysSpreadOverControllers: with n and 2n gateways in five zones that start with three
@@ -35,7 +36,7 @@
 			if s.home(controllers) != present {
 				present = s.candidates()[0]
 			}
-			if s.home(controllers) != present || sharedPrefix(present, own) != 2 {
+			if s.home(controllers) != present || wire.SharedNetwork(present, own) != 2 {
 				t.Fatalf("gateway %s stays at %s", own, present)
 			}
 			streams[present]++
