Limits of instances: requests of before the leader's term are not owed

What callers saw: a server that takes 0.25 requests a second got none for 10 s after a change of leader, though callers waited; all were rejected.

Cause: gateways tell the leader what they sent without it, and did not say when.

Now gateways tell only of requests of the last 4 s, the window of limits, and how long ago the last one went; the leader charges none of before its term.

--- a/internal/quota/accounts.go
+++ b/internal/quota/accounts.go
@@ -89,8 +89,8 @@
 	// spare are the requests that may go without the leader, at spareAt.
 	spare   float64
 	spareAt time.Duration
-	// alone counts requests that went without the leader, which is not told of them yet.
-	alone uint32
+	// alone are the requests that went without the leader, which is not told of them yet.
+	alone sentAlone
 	// frozen is the rate at which tokens were taken when the leader was lost.
 	frozen float64
 }
@@ -280,7 +280,9 @@
 	known.spareAt = now
 	if known.spare >= 1 {
 		known.spare--
-		known.alone++
+		if a.policy.OnDemand {
+			known.alone.add(now)
+		}
 		return Taken, 0
 	}
 	return Rejected, known.returnTime(now)
@@ -351,8 +353,8 @@
 // askOnDemand asks for the most urgent requests that wait, and gives back what none waits for.
 // Without the leader it asks for one token, to learn whether the leader is back.
 func (a *Accounts) askOnDemand(now time.Duration, name string, known *account, idle bool) Ask {
-	ask := Ask{Subject: name, Rate: known.rate, Used: known.alone}
-	known.alone = 0
+	ask := Ask{Subject: name, Rate: known.rate}
+	ask.Used, ask.UsedAgoMs = known.alone.tell(now)
 	waits, urgency := known.waiting.mostUrgent()
 	ask.Urgency = urgency
 	switch {
--- a/internal/quota/instance_test.go
+++ b/internal/quota/instance_test.go
@@ -111,7 +111,8 @@
 }
 
 // TestLimitsOfInstancesHoldOverTheFleet: over 1 to 300 gateways no instance gets more within a
-// window than one and a half times what it said and a few requests, and none is starved.
+// window than one and a half times what it said and a few requests, and none is starved. It guards
+// against an instance that gets nothing after a change of leader, for requests of long before.
 func TestLimitsOfInstancesHoldOverTheFleet(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(40)
 	parameters.MinSuccessfulTests = 2
@@ -242,6 +243,42 @@
 	}
 }
 
+// TestRequestsOfAnEarlierTermAreNotOwed guards against an instance that gets nothing after a change
+// of leader: its bucket was charged with requests of before the term, or of more than 4 s before.
+func TestRequestsOfAnEarlierTermAreNotOwed(t *testing.T) {
+	const rate, term = 0.25, time.Minute
+	limitOf := func(string) (Limit, bool) { return LimitOfInstance(rate), true }
+	for _, c := range []struct {
+		name      string
+		sentAgo   time.Duration
+		told      uint32
+		token     time.Duration
+		connected time.Duration
+	}{
+		{"before the term", 2 * time.Second, 1, 4 * time.Second, time.Second},
+		{"in the term", 2 * time.Second, 1, 8 * time.Second, 3 * time.Second},
+		{"too long ago to count", 2 * chargeTime, 0, 4 * time.Second, 3 * chargeTime},
+	} {
+		var alone sentAlone
+		alone.add(term + c.connected - c.sentAgo)
+		ask := Ask{Subject: "view-1", Rate: rate, Want: 1, Urgency: MostUrgent}
+		ask.Used, ask.UsedAgoMs = alone.tell(term + c.connected)
+		if ask.Used != c.told {
+			t.Errorf("%s: %d requests are told, want %d", c.name, ask.Used, c.told)
+		}
+		ledger := NewLedger(InstancePolicy(), 0)
+		ledger.Lead(term)
+		now := term + c.connected
+		for ledger.Hear(now, "g", []Ask{ask}, limitOf)[0].Tokens == 0 && now < 2*term {
+			ask.Used = 0
+			now += step
+		}
+		if got, want := now-term, max(c.connected, c.token); got < want-step || got > want+step {
+			t.Errorf("%s: the first token after %s, want %s", c.name, got, want)
+		}
+	}
+}
+
 func TestWaitingByUrgency(t *testing.T) {
 	w := make(waiting)
 	for range 3 {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -131,8 +131,8 @@
 	own := known.share(ask.Subject)
 	returned := min(float64(ask.Returned), own.granted)
 	// What went without the leader is owed, a burst at most.
-	alone := min(float64(ask.Used), limit.Rate+1)
-	filled.tokens = max(min(filled.tokens+returned, l.room(filled))-alone, -max(1, limit.Burst))
+	owed := l.owed(now, ask, limit)
+	filled.tokens = max(min(filled.tokens+returned, l.room(filled))-owed, -max(1, limit.Burst))
 	kept := l.keptFor(limit, ask.Urgency)
 	tokens := math.Floor(min(float64(ask.Want), max(0, filled.tokens-kept)))
 	filled.tokens -= tokens
@@ -143,6 +143,16 @@
 	return Grant{Subject: ask.Subject, Tokens: uint32(tokens), ShortMs: filled.short(now, ask, tokens)}
 }
 
+// owed returns how many of the requests that went without the leader are taken out of the bucket.
+// The empty bucket that a term begins with stands for all that went before it.
+func (l *Ledger) owed(now time.Duration, ask Ask, limit Limit) float64 {
+	lastAgo := time.Duration(ask.UsedAgoMs) * time.Millisecond
+	if lastAgo > now-l.leadSince {
+		return 0
+	}
+	return min(float64(ask.Used), limit.Rate+1)
+}
+
 // keptFor returns how many tokens of a bucket are kept from requests of an urgency for more
 // urgent ones.
 func (l *Ledger) keptFor(limit Limit, urgency uint8) float64 {
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -60,6 +60,9 @@
 	Rate float64
 	// Urgency is that of the requests that wait for the tokens wanted, higher for more urgent.
 	Urgency uint8
+	// UsedAgoMs is how long ago the last of the requests went that Used counts without the leader,
+	// in milliseconds.
+	UsedAgoMs uint32
 }
 
 // Grant is the answer to an ask.
