Gateways: a request that waits behind answers is not lost with its connection in a stop

What callers saw: a request sent 2.33 s after its gateway was told to stop ended 0.23 s later with a closed connection.

Cause: a stopping gateway closed all connections without a request after a fixed time. Requests come over the same link as answers of servers, and one sent behind a few of 90 KB on 5 Mbit/s comes after that.

Now a gateway waits with the close until its link delivers less than its rate, which it does only once nothing waits for it, and no resting connection holds unread bytes, for half of the time left at most; a request that may outlast the stop is rejected at once.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -78,16 +78,24 @@
 // say that it is there.
 func hasLeft(connection syscall.RawConn) bool {
 	left := false
-	err := connection.Control(func(descriptor uintptr) {
-		var buffer [1]byte
-		count, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch err {
-		case nil:
-			left = count == 0
-		case syscall.EAGAIN, syscall.EINTR:
-		default:
-			left = true
-		}
-	})
+	err := connection.Control(func(descriptor uintptr) { left = peek(descriptor) == 0 })
 	return err != nil || left
 }
+
+// nothingYet is what peek returns for an open connection without unread bytes.
+const nothingYet = -1
+
+// peek looks at a connection without reading from it. It returns 1 if bytes wait, 0 if the peer
+// closed or reset it, and nothingYet otherwise.
+func peek(descriptor uintptr) int {
+	var buffer [1]byte
+	count, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch err {
+	case nil:
+		return count
+	case syscall.EAGAIN, syscall.EINTR:
+		return nothingYet
+	default:
+		return 0
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -67,8 +68,12 @@
 	connections atomic.Int64
 	// accepted counts the connections that callers ever opened.
 	accepted atomic.Int64
+	// resting are the callers' connections without a request.
+	resting *restingConnections
 	// stopping is set once a stop began; each answer then closes its connection.
 	stopping atomic.Bool
+	// stopEnd is when a stop ends, set once callers have noticed the stop.
+	stopEnd atomic.Pointer[time.Time]
 }
 
 // Options are parts that the caller of Run may give.
@@ -117,6 +122,7 @@
 		meter:        meter,
 		coldStarts:   newColdStarts(warmUpBounds(settings)),
 		callers:      newCallers(),
+		resting:      newRestingConnections(),
 		registry:     telemetry.NewMetrics(role),
 		slots:        broadcast.New(),
 		budgets:      make(map[string]*retry.Budget),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,9 +28,7 @@
 		if current.keyed {
 			g.demand.arrived(current.service, current.key)
 		}
-		forget := g.callers.watch(context.Conn(), current.interrupt)
-		err = g.executeAdmitted(current)
-		forget()
+		err = g.executeWatched(context, current)
 	}
 	failure := asFault(err)
 	if failure == nil {
@@ -48,6 +46,16 @@
 	g.observe(current, failure)
 }
 
+// executeWatched executes the request and gives it up when its caller leaves. A request that this
+// gateway may not live to answer is rejected.
+func (g *Gateway) executeWatched(context *fasthttp.RequestCtx, current *request) error {
+	if err := g.endsBeforeStop(current); err != nil {
+		return err
+	}
+	defer g.callers.watch(context.Conn(), current.interrupt)()
+	return g.executeAdmitted(current)
+}
+
 // executeAdmitted executes the request if the own link has room for it.
 func (g *Gateway) executeAdmitted(current *request) error {
 	if err := g.admit(current); err != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -53,7 +52,8 @@
 	return limited
 }
 
-func (g *Gateway) countConnection(_ net.Conn, change fasthttp.ConnState) {
+func (g *Gateway) countConnection(connection net.Conn, change fasthttp.ConnState) {
+	g.resting.note(connection, change)
 	switch change {
 	case fasthttp.StateNew:
 		g.connections.Add(1)
@@ -82,23 +82,3 @@
 	inbound.SetConnectionClose()
 	telemetry.WithError(g.log, telemetry.EventRequestMalformed, err).WithField("status", status).Info("malformed request rejected")
 }
-
-// stopMargin is kept of the stop timeout for what comes after the last request.
-const stopMargin = 300 * time.Millisecond
-
-// stop lets running requests finish. New connections are accepted until the
-// platform has noticed that the gateway is not ready, and each answer closes its
-// connection. Connections that rest are closed then, so that no caller takes one up
-// again while there is no time left to answer.
-func (g *Gateway) stop(server *fasthttp.Server) error {
-	end := time.Now().Add(g.settings.StopTimeout - stopMargin)
-	g.stopping.Store(true)
-	g.demand.stopping.Store(true)
-	time.Sleep(g.settings.StopNotice)
-	bounded, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := server.ShutdownWithContext(bounded); err != nil && !eris.Is(err, net.ErrClosed) {
-		return eris.Wrap(err, "requests did not finish within stop_timeout")
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+const (
+	// stopMargin is kept of the stop timeout for what comes after the last request.
+	stopMargin = 300 * time.Millisecond
+	// quietInterval is the time between two looks whether requests are still on their way in.
+	quietInterval = 100 * time.Millisecond
+)
+
+// stop lets running requests finish. New connections are accepted until the platform has noticed
+// that the gateway is not ready, and each answer closes its connection. Connections that rest are
+// closed once no request can be on its way to them any more, so that no caller takes one up again
+// while there is no time left to answer.
+func (g *Gateway) stop(server *fasthttp.Server) error {
+	end := time.Now().Add(g.settings.StopTimeout - stopMargin)
+	g.stopping.Store(true)
+	g.demand.stopping.Store(true)
+	time.Sleep(g.settings.StopNotice)
+	g.stopEnd.Store(&end)
+	g.awaitQuiet(end)
+	bounded, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := server.ShutdownWithContext(bounded); err != nil && !eris.Is(err, net.ErrClosed) {
+		return eris.Wrap(err, "requests did not finish within stop_timeout")
+	}
+	return nil
+}
+
+// awaitQuiet waits while requests may be on their way in, for half of the time until the end at
+// most: requests that wait behind long answers on the own link, or that have come and were not
+// read yet.
+func (g *Gateway) awaitQuiet(end time.Time) {
+	began := time.Now()
+	latest := began.Add(time.Until(end) / 2)
+	backlog := link.NewBacklog(g.settings.LinkMegabits, g.clock.Now(), g.meter.Passed(link.In))
+	for time.Now().Before(latest) {
+		time.Sleep(quietInterval)
+		if !backlog.Waits(g.clock.Now(), g.meter.Passed(link.In)) && !g.resting.unread() {
+			break
+		}
+	}
+	telemetry.With(g.log, telemetry.EventRestingClosed).WithField(telemetry.FieldDuration, time.Since(began).Milliseconds()).
+		WithField("connections", g.connections.Load()).Info("resting connections closed")
+}
+
+// endsBeforeStop rejects a request that may be cut off by the end of a stop: its caller is better
+// off at another gateway. Before callers have noticed the stop all requests are taken.
+func (g *Gateway) endsBeforeStop(current *request) error {
+	end := g.stopEnd.Load()
+	if end == nil || !current.deadline.After(*end) {
+		return nil
+	}
+	return fault.Newf(fault.RouterStopping, "this gateway stops in %s: ask another one", time.Until(*end).Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// TestRequestsThatOutlastAStopAreRejected guards against requests that a stopping gateway takes and
+// cuts off when it ends.
+func TestRequestsThatOutlastAStopAreRejected(t *testing.T) {
+	g := &Gateway{}
+	now := time.Now()
+	if err := g.endsBeforeStop(&request{deadline: now.Add(time.Hour)}); err != nil {
+		t.Errorf("before a stop: %v", err)
+	}
+	end := now.Add(time.Second)
+	g.stopEnd.Store(&end)
+	if err := g.endsBeforeStop(&request{deadline: end}); err != nil {
+		t.Errorf("a request that ends in time: %v", err)
+	}
+	if err := g.endsBeforeStop(&request{deadline: end.Add(time.Millisecond)}); fault.KindOf(err) != fault.RouterStopping {
+		t.Errorf("a request that outlasts the stop: %v", err)
+	}
+}
+
+// TestUnreadRequestsAreSeen guards against a gateway that closes a connection whose request has come
+// and was not read yet.
+func TestUnreadRequestsAreSeen(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	resting := newRestingConnections()
+	resting.note(accepted, fasthttp.StateNew)
+	if resting.unread() {
+		t.Error("nothing was sent")
+	}
+	if _, err := caller.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); !resting.unread(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("bytes that came are not seen")
+		}
+	}
+	resting.note(accepted, fasthttp.StateActive)
+	if resting.unread() {
+		t.Error("a connection whose request is served does not rest")
+	}
+}
--- a/internal/link/meter.go
+++ b/internal/link/meter.go
@@ -91,3 +91,12 @@
 	// A body may be counted before its connection has carried the whole of it.
 	return max(0, overhead)
 }
+
+// Passed returns all bytes that passed in a direction since the start.
+func (m *Meter) Passed(direction Direction) int64 {
+	passed := int64(0)
+	for _, kind := range Kinds() {
+		passed += m.Total(direction, kind)
+	}
+	return passed
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -86,6 +86,7 @@
 	EventRequestMalformed  Event = "request_malformed"
 	EventSettingsReloaded  Event = "settings_reloaded"
 	EventLinkBytes         Event = "link_bytes"
+	EventRestingClosed     Event = "resting_closed"
 	EventServerLimit       Event = "server_limit"
 	EventServerRest        Event = "server_rest"
 	EventServerSaysLeaving Event = "server_says_leaving"
@@ -176,6 +177,7 @@
 		{EventRequestEnded, levelInfo, "A gateway answered a request by itself, or after it was sent more than once."},
 		{EventRequestMalformed, levelInfo, "A request could not be read, and its connection was closed."},
 		{EventLinkBytes, levelInfo, "Bytes that passed a gateway's link since the last such line, by direction and kind."},
+		{EventRestingClosed, levelInfo, "A gateway that stops closes the callers' connections without a request; it waited until none was on its way, at most half of the time left."},
 		{EventServerLimit, levelInfo, "An answer of an instance named a limit of requests a second from all gateways, another one, or none any more (0)."},
 		{EventServerRest, levelInfo, "An instance rejected a request and wants none of this gateway for a time."},
 		{EventServerSaysLeaving, levelInfo, "An answer of an instance says that it leaves."},
