Heartbeats end with the leadership of the controller that has them

What callers saw: 1,844 requests at servers without their keys, while the controllers were split and links lost packets: the leases of these servers had ended.

Cause, one of two: a leader that is cut off kept the heartbeats that waited for its quorum for as long as servers wait, also once it had lost leadership, so that each server asked the next controller a second late.

Now a heartbeat, or a server's word that it leaves, ends with the leadership. TestHeartbeatEndsWithTheLeadership failed before (637.5 ms late, "unavailable") and passes; all tests of the controller pass with the race detector.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -106,11 +106,33 @@
 }
 
 // beat takes one heartbeat and returns its answer.
-func (k *heartbeatKeeper) beat(ctx context.Context, beat heartbeat.Beat) (heartbeat.Grant, error) {
+func (k *heartbeatKeeper) beat(ctx context.Context, beat heartbeat.Beat) (grant heartbeat.Grant, err error) {
+	err = k.whileLeading(ctx, func(ctx, leadership context.Context) error {
+		grant, err = k.beatWhileLeading(ctx, leadership, beat)
+		return err
+	})
+	return grant, err
+}
+
+// whileLeading does what only a leader may do. It ends with the leadership: the sender then has time
+// left to ask the next leader.
+func (k *heartbeatKeeper) whileLeading(ctx context.Context, do func(ctx, leadership context.Context) error) error {
 	leadership, leads := k.replica.leadershipContext()
 	if !leads {
-		return heartbeat.Grant{}, fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
+		return fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopWatching := context.AfterFunc(leadership, cancel)
+	defer stopWatching()
+	err := do(ctx, leadership)
+	if err != nil && leadership.Err() != nil {
+		return errLeadershipLost()
+	}
+	return err
+}
+
+func (k *heartbeatKeeper) beatWhileLeading(ctx, leadership context.Context, beat heartbeat.Beat) (heartbeat.Grant, error) {
 	receivedAt := k.replica.clock.Now()
 	if err := k.replica.readHere(ctx); err != nil {
 		return heartbeat.Grant{}, err
@@ -216,15 +238,13 @@
 
 // leave takes a server's word that it leaves for good.
 func (k *heartbeatKeeper) leave(ctx context.Context, leaving directory.Incarnation) error {
-	leadership, leads := k.replica.leadershipContext()
-	if !leads {
-		return fault.New(fault.NotLeader, "this replica does not lead: ask the leader")
-	}
-	if err := k.replica.readHere(ctx); err != nil {
-		return err
-	}
-	return k.change(ctx, leadership, func(batch *heartbeat.Batch) error {
-		batch.Leave(leaving)
-		return nil
+	return k.whileLeading(ctx, func(ctx, leadership context.Context) error {
+		if err := k.replica.readHere(ctx); err != nil {
+			return err
+		}
+		return k.change(ctx, leadership, func(batch *heartbeat.Batch) error {
+			batch.Leave(leaving)
+			return nil
+		})
 	})
 }
--- a/internal/controller/heartbeats_test.go
+++ b/internal/controller/heartbeats_test.go
@@ -11,6 +11,8 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/driver"
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -124,3 +126,35 @@
 		}
 	}
 }
+
+// TestHeartbeatEndsWithTheLeadership guards against servers that lose their keys while a leader is cut
+// off: it kept their heartbeats for as long as they wait, though it did not lead any more, so that
+// they asked the next controller a second late. 94 of 186 servers did so in one second.
+func TestHeartbeatEndsWithTheLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := config.DefaultController()
+		settings.Controllers = make([]config.ControllerPeer, 3)
+		running := clock.NewSystem()
+		r := &replica{settings: settings, clock: running, state: state.New(), reads: make(chan driver.Read, 1), turns: newTurnWatch(running, settings)}
+		r.published.Store(&published{leading: true})
+		var lose context.CancelFunc
+		r.leadership, lose = context.WithCancel(t.Context())
+		keeper := newHeartbeatKeeper(settings.Heartbeat, r)
+		ended := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), settings.Heartbeat.AnswerTimeout)
+			defer cancel()
+			_, err := keeper.beat(ctx, heartbeat.Beat{Instance: "i", Service: "s", Address: "10.0.0.1:1", Sequence: 1})
+			ended <- err
+		}()
+		time.Sleep(settings.Heartbeat.AnswerTimeout / 4)
+		lost := time.Now()
+		lose()
+		if err := <-ended; fault.KindOf(err) != fault.NotLeader {
+			t.Errorf("the heartbeat ends with %v", err)
+		}
+		if late := time.Since(lost); late > 0 {
+			t.Errorf("it ends %s after the leadership", late)
+		}
+	})
+}
