A failing test: a move for balance leaves a whole copy in reach

Nobody serves the keys of a primary that is cut off before the new backup of a role that moves for balance has the records: the old backup's copy is given up with the move.

--- a/internal/record/cutoff_test.go
+++ b/internal/record/cutoff_test.go
@@ -207,3 +207,40 @@
 		t.Errorf("%d routers probed, %d kept", len(probed), len(reach.answered))
 	}
 }
+
+// TestMoveForBalanceLeavesAWholeCopyInReach guards against keys that nobody serves: a role moves for
+// balance, and the primary is cut off before its new backup has the records. The copy of the old
+// backup is given up with the move, so that nobody else has them.
+func TestMoveForBalanceLeavesAWholeCopyInReach(t *testing.T) {
+	const reported = 400 * time.Millisecond
+	o := newOffice(t, "a", "b", "c")
+	o.reports["d"] = Report{}
+	var moving state.RecordPartition
+	for end := o.now + 5*time.Second; moving.Primary == "" && o.now < end; {
+		o.run(tick)
+		for _, placed := range o.state.Partitions() {
+			if !placed.BackupSynced {
+				moving = placed
+			}
+		}
+	}
+	if moving.Primary == "" {
+		t.Fatal("no role moved to the router that joined")
+	}
+	o.cut = map[state.RouterID]bool{moving.Primary: true}
+	o.run(reported)
+	var others []state.RouterID
+	for id := range o.reports {
+		if id != moving.Primary {
+			others = append(others, id)
+			o.reports[id] = Report{Unreachable: []state.RouterID{moving.Primary}}
+		}
+	}
+	o.reports[moving.Primary] = Report{Unreachable: others}
+	o.run(2 * time.Second)
+	for _, placed := range o.state.Partitions() {
+		if placed.Primary == moving.Primary {
+			t.Errorf("partition %d stays at %s, which is cut off; its backup %s has the records: %v", placed.Number, placed.Primary, placed.Backup, placed.BackupSynced)
+		}
+	}
+}
--- a/internal/record/placement_test.go
+++ b/internal/record/placement_test.go
@@ -20,6 +20,8 @@
 	closed    []state.RouterID
 	// incarnation is that of all routers.
 	incarnation string
+	// cut are routers whose backups do not get their records.
+	cut map[state.RouterID]bool
 }
 
 func newOffice(t *testing.T, routers ...state.RouterID) *office {
@@ -40,7 +42,7 @@
 	for end := o.now + duration; o.now < end; o.now += tick {
 		for id, report := range o.reports {
 			for _, placed := range o.state.Partitions() {
-				if placed.Primary == id && placed.Backup != "" {
+				if placed.Primary == id && placed.Backup != "" && !o.cut[id] {
 					report.Synced = append(report.Synced, PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch})
 				}
 			}
