Controllers found by seeds: a leader whose disk stalls sends calls away

Cause: whether the loop is held up was looked at only by controllers whose settings list more than one, and those that find each other by seeds list none: the leader kept heartbeats and operators' calls until these were given up, while another one led.

Now the members of the group tell whether there may be a successor. TestHeldUpLoopIsNoticedInAGroupFoundBySeeds failed before; all tests of the controller pass with the race detector.

--- a/internal/controller/heldup.go
+++ b/internal/controller/heldup.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -16,7 +18,7 @@
 // since other replicas have held an election by that time.
 type turnWatch struct {
 	clock clock.Clock
-	// limit is the longest turn of a replica that may still lead; zero for none.
+	// limit is the longest turn of a replica that may still lead: the longest election timeout.
 	limit time.Duration
 
 	mutex  sync.Mutex
@@ -27,10 +29,9 @@
 }
 
 func newTurnWatch(running clock.Clock, settings config.Controller) *turnWatch {
-	watch := &turnWatch{clock: running, turned: running.Now()}
-	if len(settings.Controllers) > 1 {
-		// The longest election timeout. A single controller has no successor.
-		watch.limit = 2 * time.Duration(settings.Consensus.ElectionTicks) * settings.Consensus.TickInterval
+	watch := &turnWatch{
+		clock: running, turned: running.Now(),
+		limit: 2 * time.Duration(settings.Consensus.ElectionTicks) * settings.Consensus.TickInterval,
 	}
 	watch.held, watch.endTurn = context.WithCancel(context.Background())
 	return watch
@@ -51,7 +52,7 @@
 func (w *turnWatch) look() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.limit == 0 || w.held.Err() != nil || w.clock.Now()-w.turned < w.limit {
+	if w.held.Err() != nil || w.clock.Now()-w.turned < w.limit {
 		return false
 	}
 	w.endTurn()
@@ -72,12 +73,18 @@
 // back to one that closed their stream.
 func (r *replica) watchTurns(ctx context.Context) {
 	clock.Every(ctx, r.settings.Consensus.TickInterval, func() {
-		if r.turns.look() && r.published.Load().leading {
+		if r.mayBeSucceeded() && r.turns.look() && r.published.Load().leading {
 			telemetry.With(r.log, telemetry.EventLeaderHeldUp).Warn("the loop is held up, most likely by the disk; calls are sent to other replicas")
 		}
 	})
 }
 
+// mayBeSucceeded reports whether the group has another voter, which may have been elected meanwhile.
+func (r *replica) mayBeSucceeded() bool {
+	members := r.published.Load().status.Membership.Members
+	return slices.ContainsFunc(members, func(member consensus.Member) bool { return !member.Learner && member.ID != r.self.ID })
+}
+
 // readHere is ReadRevision for callers that can ask another replica: it gives up
 // once the loop is held up.
 func (r *replica) readHere(ctx context.Context) error {
--- a/internal/controller/heldup_test.go
+++ b/internal/controller/heldup_test.go
@@ -4,9 +4,14 @@
 	"context"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/lab/slowdisk"
 	"github.com/thorntiller/thorntiller/internal/vfs"
@@ -36,6 +41,39 @@
 	})
 }
 
+// TestHeldUpLoopIsNoticedInAGroupFoundBySeeds guards against a leader with a stalled disk that keeps
+// the calls of servers and operators: it looked only in groups whose settings list the controllers,
+// and those that find each other by seeds list none. A controller without a successor keeps them.
+func TestHeldUpLoopIsNoticedInAGroupFoundBySeeds(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		members []consensus.Member
+		noticed bool
+	}{
+		{"three voters", []consensus.Member{{ID: 1}, {ID: 2}, {ID: 3}}, true},
+		{"a voter and a learner", []consensus.Member{{ID: 1}, {ID: 2, Learner: true}}, false},
+		{"alone", []consensus.Member{{ID: 1}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := config.DefaultController()
+				settings.Seeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+				running := clock.NewSystem()
+				r := &replica{settings: settings, clock: running, self: consensus.Member{ID: 1}, turns: newTurnWatch(running, settings)}
+				r.published.Store(&published{status: consensus.Status{Membership: consensus.Membership{Members: c.members}}})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go r.watchTurns(ctx)
+				time.Sleep(r.turns.limit + 10*settings.Consensus.TickInterval)
+				synctest.Wait()
+				if noticed := r.turns.current().Err() != nil; noticed != c.noticed {
+					t.Errorf("noticed %v, want %v", noticed, c.noticed)
+				}
+			})
+		})
+	}
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
