Controllers without a leader send callers to those that they do not hear

Cause: a controller that knew no leader said so and no more, and servers asked the two controllers of the smaller part again and again: 166 heartbeats in 3 s.

Now one that has known no leader for twice the longest election, and hears too few voters to elect one, sends callers to a voter that it does not hear; one that is held up sends them to any other.

--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -27,18 +27,22 @@
 	a.app.Post(directoryapi.PathRestore, a.toLeader(a.changeZone(false)))
 }
 
-// toLeader answers a call here if this replica leads, and names the leader else.
+// toLeader answers a call here if this replica leads, and names the leader else, or a replica that may
+// know it.
 func (a *api) toLeader(handler fiber.Handler) fiber.Handler {
 	return func(call fiber.Ctx) error {
 		err := handler(call)
 		if err == nil || fault.KindOf(err) != fault.NotLeader {
 			return err
 		}
-		leader, known := a.replica.leader()
-		if !known || leader.ID == a.replica.self.ID {
+		next, known := a.replica.leader()
+		if !known || next.ID == a.replica.self.ID {
+			next, known = a.replica.elsewhere()
+		}
+		if !known {
 			return fault.New(fault.Unavailable, "no leader is known: ask another replica, or again")
 		}
-		call.Set(fiber.HeaderLocation, "http://"+leader.APIAddress+call.OriginalURL())
+		call.Set(fiber.HeaderLocation, "http://"+next.APIAddress+call.OriginalURL())
 		return call.SendStatus(fiber.StatusTemporaryRedirect)
 	}
 }
--- a/internal/controller/heldup.go
+++ b/internal/controller/heldup.go
@@ -31,7 +31,7 @@
 func newTurnWatch(running clock.Clock, settings config.Controller) *turnWatch {
 	watch := &turnWatch{
 		clock: running, turned: running.Now(),
-		limit: 2 * time.Duration(settings.Consensus.ElectionTicks) * settings.Consensus.TickInterval,
+		limit: electionTime(settings.Consensus),
 	}
 	watch.held, watch.endTurn = context.WithCancel(context.Background())
 	return watch
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -124,6 +124,7 @@
 		if incoming.To != r.self.ID {
 			continue
 		}
+		r.contact.heard(r.clock.Now(), incoming.From)
 		select {
 		case r.inbox <- incoming:
 		default:
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -74,6 +74,8 @@
 	driver      *driver.Driver
 	host        *host
 	turns       *turnWatch
+	// contact is when this replica heard the others.
+	contact *groupContact
 
 	inbox     chan consensus.Message
 	proposals chan driver.Proposal
@@ -133,6 +135,7 @@
 		state:       disk.State,
 	}
 	r.turns = newTurnWatch(r.clock, settings)
+	r.contact = newGroupContact(r.clock.Now())
 	r.history = tablestream.NewHistory(settings.Table.HistoryDeltas, r.state.Revision())
 	consensusConfig := driver.ConsensusConfig(settings.Consensus, self.ID, rand.Uint64())
 	core, err := consensus.New(consensusConfig, disk.Initial, disk.Newest)
@@ -255,5 +258,9 @@
 }
 
 func (r *replica) publish() {
-	r.published.Store(&published{status: r.core.Status(), leading: r.driver.Leading()})
+	known := &published{status: r.core.Status(), leading: r.driver.Leading()}
+	if known.status.Leader != 0 {
+		r.contact.leaderKnown(r.clock.Now())
+	}
+	r.published.Store(known)
 }
