Client of the intent API: a call that a busy controller did not take is repeated

What operators saw: "queue_full: the controller is busy: ask again", with a minute left.

Cause: the client repeats calls without an answer, and gave up at this one, which proves that the call had no effect.

Now the client repeats such calls until its time ends.

--- a/internal/intentapi/call.go
+++ b/internal/intentapi/call.go
@@ -166,7 +166,7 @@
 // otherwise.
 func mayDiffer(err error) bool {
 	switch fault.KindOf(err) {
-	case fault.NotLeader, fault.Unavailable, fault.ConnectFailed, fault.ConnectionLost, fault.DeadlineExceeded,
+	case fault.NotLeader, fault.QueueFull, fault.Unavailable, fault.ConnectFailed, fault.ConnectionLost, fault.DeadlineExceeded,
 		fault.DeadlineBeforeStart, fault.AnswerTruncated:
 		return true
 	default:
@@ -176,7 +176,7 @@
 
 // wasNotTaken reports whether the error proves that the call had no effect.
 func wasNotTaken(err error) bool {
-	return fault.Is(err, fault.NotLeader) || fault.Is(err, fault.ConnectFailed)
+	return fault.Is(err, fault.NotLeader) || fault.Is(err, fault.QueueFull) || fault.Is(err, fault.ConnectFailed)
 }
 
 func isUnknown(err error) bool {
--- a/internal/intentapi/client_test.go
+++ b/internal/intentapi/client_test.go
@@ -119,6 +119,26 @@
 	}
 }
 
+// TestClientRepeatsWhileTheControllerIsBusy guards against an operator's call that fails at once with
+// "ask again", though it has not run and there is time left to ask again.
+func TestClientRepeatsWhileTheControllerIsBusy(t *testing.T) {
+	var refusals atomic.Int32
+	busy := refuse(fault.QueueFull, "")
+	replica := startReplica(t, func(context *fasthttp.RequestCtx) {
+		if refusals.Add(1) <= 3 {
+			busy(context)
+			return
+		}
+		answerPlan(context)
+	})
+	if _, err := client(t, replica.address).Plan(within(t, time.Minute), state.Intent{ID: "i1"}); err != nil {
+		t.Fatal(err)
+	}
+	if replica.calls.Load() != 4 {
+		t.Errorf("%d calls, want 4", replica.calls.Load())
+	}
+}
+
 func TestClientKeepsUnknownOutcome(t *testing.T) {
 	// The first call is lost after it was sent, all later ones are refused: the
 	// refusals do not tell what became of the first.
