--- a/internal/heartbeat/model_test.go
+++ b/internal/heartbeat/model_test.go
@@ -382,7 +382,7 @@
 // change, over many seeds: no key ever has two holders, fences only rise, and once
 // the faults end every key is held.
 func TestLeasesNeverOverlap(t *testing.T) {
-	const seeds = 30
+	const seeds = 60
 	// These two had a key with two holders: see TestReturnedInstanceWaitsForItsBatch.
 	played := []uint64{485, 1081}
 	for seed := range uint64(seeds) {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	fixedSeeds     = 40
+	fixedSeeds     = 60
 	plantedSeeds   = 100
 	testWorkers    = 4
 	replayedSeeds  = 5
--- a/internal/quota/instance_test.go
+++ b/internal/quota/instance_test.go
@@ -130,13 +130,13 @@
 }
 
 // TestLimitsHoldWhileTheLeaderAnswersLate: gateways whose links are full hear the leader late.
-// Where many answers come later than a request waits, the gateways go by what they may send
-// without the leader, while that goes on granting; where most come in time, the room is used.
+// Where most answers come in time the room is used, and half of it where most come later than a
+// request waits. It guards against an instance that gets too much, or little, of what it takes.
 func TestLimitsHoldWhileTheLeaderAnswersLate(t *testing.T) {
 	for _, c := range []struct {
 		longest time.Duration
 		served  float64
-	}{{AnswerTime, 0.7}, {3 * AnswerTime, 0.1}} {
+	}{{AnswerTime, 0.7}, {3 * AnswerTime, 0.5}} {
 		for _, gateways := range []int{11, 81, 300} {
 			f := newInstanceFleet(uint64(gateways), gateways, InstancePolicy(), 1, 5.2, 13, 60)
 			f.answerDelay = func() time.Duration { return time.Duration(f.random.Float64() * float64(c.longest)) }
