Names and bounds: the voters of a group in one place, replicas that are remembered bounded

Reading the change as a whole: the two questions about other voters share one function, the replicas that were heard are bounded, and the check of requests that outlast a stop is named for what it does.

--- a/internal/controller/elsewhere.go
+++ b/internal/controller/elsewhere.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 // before it takes itself for cut off: an election takes one or two.
 const leaderlessElections = 2
 
+// mostHeard bounds the replicas that are remembered: many times the members of a group, since replaced
+// ones stay among them.
+const mostHeard = 64
+
 // groupContact is when this replica heard the others. It is safe for concurrent use.
 type groupContact struct {
 	mutex   sync.Mutex
@@ -29,6 +34,9 @@
 func (c *groupContact) heard(now time.Duration, from consensus.ReplicaID) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if len(c.heardAt) >= mostHeard {
+		clear(c.heardAt)
+	}
 	c.heardAt[from] = now
 }
 
@@ -70,17 +78,8 @@
 // held up any other voter, which may have elected one, and while it is cut off with a minority one of
 // those that it does not hear. Callers would else come back here again and again.
 func (r *replica) elsewhere() (consensus.Member, bool) {
-	var voters, others []consensus.Member
-	for _, member := range r.published.Load().status.Membership.Members {
-		if member.Learner {
-			continue
-		}
-		voters = append(voters, member)
-		if member.ID != r.self.ID {
-			others = append(others, member)
-		}
-	}
-	candidates := others
+	voters := r.voters()
+	candidates := slices.DeleteFunc(slices.Clone(voters), func(voter consensus.Member) bool { return voter.ID == r.self.ID })
 	if r.turns.current().Err() == nil {
 		candidates = r.contact.silent(r.clock.Now(), leaderlessElections*electionTime(r.settings.Consensus), r.self.ID, voters)
 	}
@@ -89,3 +88,9 @@
 	}
 	return candidates[rand.IntN(len(candidates))], true
 }
+
+// voters returns the members of the group that vote.
+func (r *replica) voters() []consensus.Member {
+	members := r.published.Load().status.Membership.Members
+	return slices.DeleteFunc(slices.Clone(members), func(member consensus.Member) bool { return member.Learner })
+}
--- a/internal/controller/heldup.go
+++ b/internal/controller/heldup.go
@@ -29,10 +29,7 @@
 }
 
 func newTurnWatch(running clock.Clock, settings config.Controller) *turnWatch {
-	watch := &turnWatch{
-		clock: running, turned: running.Now(),
-		limit: electionTime(settings.Consensus),
-	}
+	watch := &turnWatch{clock: running, turned: running.Now(), limit: electionTime(settings.Consensus)}
 	watch.held, watch.endTurn = context.WithCancel(context.Background())
 	return watch
 }
@@ -81,8 +78,7 @@
 
 // mayBeSucceeded reports whether the group has another voter, which may have been elected meanwhile.
 func (r *replica) mayBeSucceeded() bool {
-	members := r.published.Load().status.Membership.Members
-	return slices.ContainsFunc(members, func(member consensus.Member) bool { return !member.Learner && member.ID != r.self.ID })
+	return slices.ContainsFunc(r.voters(), func(voter consensus.Member) bool { return voter.ID != r.self.ID })
 }
 
 // readHere is ReadRevision for callers that can ask another replica: it gives up
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,7 +49,7 @@
 // executeWatched executes the request and gives it up when its caller leaves. A request that this
 // gateway may not live to answer is rejected.
 func (g *Gateway) executeWatched(context *fasthttp.RequestCtx, current *request) error {
-	if err := g.endsBeforeStop(current); err != nil {
+	if err := g.rejectBeforeStop(current); err != nil {
 		return err
 	}
 	defer g.callers.watch(context.Conn(), current.interrupt)()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -56,9 +56,9 @@
 		WithField("connections", g.connections.Load()).Info("resting connections closed")
 }
 
-// endsBeforeStop rejects a request that may be cut off by the end of a stop: its caller is better
+// rejectBeforeStop rejects a request that may be cut off by the end of a stop: its caller is better
 // off at another gateway. Before callers have noticed the stop all requests are taken.
-func (g *Gateway) endsBeforeStop(current *request) error {
+func (g *Gateway) rejectBeforeStop(current *request) error {
 	end := g.stopEnd.Load()
 	if end == nil || !current.deadline.After(*end) {
 		return nil
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -15,15 +15,15 @@
 func TestRequestsThatOutlastAStopAreRejected(t *testing.T) {
 	g := &Gateway{}
 	now := time.Now()
-	if err := g.endsBeforeStop(&request{deadline: now.Add(time.Hour)}); err != nil {
+	if err := g.rejectBeforeStop(&request{deadline: now.Add(time.Hour)}); err != nil {
 		t.Errorf("before a stop: %v", err)
 	}
 	end := now.Add(time.Second)
 	g.stopEnd.Store(&end)
-	if err := g.endsBeforeStop(&request{deadline: end}); err != nil {
+	if err := g.rejectBeforeStop(&request{deadline: end}); err != nil {
 		t.Errorf("a request that ends in time: %v", err)
 	}
-	if err := g.endsBeforeStop(&request{deadline: end.Add(time.Millisecond)}); fault.KindOf(err) != fault.RouterStopping {
+	if err := g.rejectBeforeStop(&request{deadline: end.Add(time.Millisecond)}); fault.KindOf(err) != fault.RouterStopping {
 		t.Errorf("a request that outlasts the stop: %v", err)
 	}
 }
