Reports of gateways: the age of requests without the leader stands beside the asks

What operators would have seen: added a field to asks for tokens, which are encoded as arrays. Gateways and controllers of two versions reject each other's reports then ("number of fields in array-encoded struct has changed"), so that quotas of tenants and limits of instances are counted by nobody while one after the other is upgraded.

Now asks have the fields that they had, and the ages stand in a field of the report that earlier versions ignore. TestReportsOfTwoVersionsAreRead failed in both directions before and passes; TestLimitsOfInstancesHoldOverTheFleet passes unchanged.

--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -64,7 +64,7 @@
 	defer k.mutex.Unlock()
 	k.follow(leadership)
 	now := k.clock.Now()
-	answer := message.QuotaAnswer{Instances: k.hearOfInstances(now, gateway, report.Instances)}
+	answer := message.QuotaAnswer{Instances: k.hearOfInstances(now, gateway, report.InstanceAsks())}
 	k.view(func(view *state.State) {
 		limitOf := func(name string) (quota.Limit, bool) { return limitOfTenant(view.Directory(), name) }
 		answer.Grants = k.tenants.Hear(now, gateway, report.Quotas, limitOf)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -207,7 +207,7 @@
 		}
 	}
 	report.Quotas = d.tenants.asks()
-	report.Instances = d.instances.asks()
+	report.AskForInstances(d.instances.asks())
 	silent := len(report.Services) == 0 && report.Gateway == nil && !report.Asks()
 	if silent && now.Sub(sent.at) <= d.interval()+aliveMargin {
 		return nil
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -49,6 +49,27 @@
 	// each report with some is answered by a QuotaAnswer.
 	Quotas    []quota.Ask `msgpack:"q,omitempty"`
 	Instances []quota.Ask `msgpack:"i,omitempty"`
+	// InstancesUsedAgoMs are the UsedAgoMs of Instances, in their order. They stand apart since a
+	// controller of another version rejects asks with another number of fields.
+	InstancesUsedAgoMs []uint32 `msgpack:"a,omitempty"`
+}
+
+// AskForInstances adds asks for tokens of instances to the report.
+func (r *DemandReport) AskForInstances(asks []quota.Ask) {
+	r.Instances = asks
+	r.InstancesUsedAgoMs = make([]uint32, len(asks))
+	for index, ask := range asks {
+		r.InstancesUsedAgoMs[index] = ask.UsedAgoMs
+	}
+}
+
+// InstanceAsks returns the asks for tokens of instances. What a gateway of an earlier version counts
+// as used went just now, as far as is known.
+func (r *DemandReport) InstanceAsks() []quota.Ask {
+	for index := range min(len(r.Instances), len(r.InstancesUsedAgoMs)) {
+		r.Instances[index].UsedAgoMs = r.InstancesUsedAgoMs[index]
+	}
+	return r.Instances
 }
 
 // Asks reports whether the report asks for tokens.
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -61,8 +61,8 @@
 	// Urgency is that of the requests that wait for the tokens wanted, higher for more urgent.
 	Urgency uint8
 	// UsedAgoMs is how long ago the last of the requests went that Used counts without the leader,
-	// in milliseconds.
-	UsedAgoMs uint32
+	// in milliseconds. It travels beside the asks of a report.
+	UsedAgoMs uint32 `msgpack:"-"`
 }
 
 // Grant is the answer to an ask.
