--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-
 	"github.com/thorntiller/thorntiller/internal/balance"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
