Gateways: log lines tell the same request under other identifiers, and the end of a server

No line said whether two requests were the same, or whether a lost connection was the end of its server. A gateway that loses an attempt now asks whether anybody listens at the instance's address, and logs server_crashed with the requests that were in flight and their fingerprints (a hash of method, host, path, caller, key and body under a key that the gateways of a cluster share). Nothing is decided by it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,6 +122,9 @@
 	took := time.Since(began)
 	current.note(instance.ID, began, took, failure)
 	g.ended(current, instance, took, failure)
+	if failure != nil {
+		g.noteLoss(current, instance, took, failure)
+	}
 	return failure
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	unreachable *unreachable
 	signals     *instanceSignals
 	evacuations *evacuations
+	crashes     *crashes
 	coldStarts  *coldStarts
 	ownLink     *ownLink
 	meter       *link.Meter
@@ -128,6 +129,7 @@
 		budgets:      make(map[string]*retry.Budget),
 		resendBurst:  float64(settings.RetryBurst),
 	}
+	gateway.crashes = newCrashes(gateway.clock, log)
 	gateway.pacer = newPacer(gateway.clock, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
@@ -147,6 +149,7 @@
 	g.boundResends(table.Gateways)
 	g.drains.note(table)
 	g.evacuations.note(table)
+	g.crashes.note(table)
 	known := table.Knows
 	g.coldStarts.note(g.clock.Now(), table, known)
 	g.unreachable.forget(known)
@@ -221,6 +224,7 @@
 	g.servePeers(background, &group)
 	group.Go(func() { g.places.run(background) })
 	group.Go(func() { g.callers.run(background) })
+	group.Go(func() { g.crashes.run(background) })
 	group.Go(func() { g.demand.run(background) })
 	group.Go(func() { g.reportLinkBytes(background) })
 	telemetry.With(g.log, telemetry.EventListening).
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -64,6 +64,9 @@
 	if current.tenant != nil {
 		line = line.WithField(telemetry.FieldTenant, current.tenant.Name)
 	}
+	if current.fingerprinted {
+		line = line.WithField(telemetry.FieldFingerprint, current.fingerprint.String())
+	}
 	if current.keyed {
 		line = line.WithField("key", current.key)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,8 @@
 	id      string
 	inbound *fasthttp.Request
 	answer  *fasthttp.Response
+	// remote is the address that the caller connected from.
+	remote  net.Addr
 	arrived time.Time
 	// deadline is when the request is given up: the caller's own, or earlier by the
 	// route's timeout.
@@ -69,6 +72,9 @@
 	resting *fault.Error
 	// interrupt gives the attempt up when the caller leaves.
 	interrupt *forward.Interrupt
+	// fingerprint stands for the request once fingerprinted is true.
+	fingerprint   directory.Fingerprint
+	fingerprinted bool
 	// revision is that of the table by which the request was routed.
 	revision directory.Revision
 }
@@ -88,7 +94,7 @@
 	now := time.Now()
 	read := &request{
 		id:      string(context.Request.Header.Peek(g.dialect.RequestID)),
-		inbound: &context.Request, answer: &context.Response,
+		inbound: &context.Request, answer: &context.Response, remote: context.RemoteAddr(),
 		arrived: now, deadline: now.Add(g.settings.MaxTimeout), interrupt: &forward.Interrupt{},
 	}
 	if table == nil {
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -18,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -34,9 +35,12 @@
 	changed func(*routing.Table)
 
 	// viewLock guards the fields below it.
-	viewLock    sync.Mutex
-	view        *directory.Directory
-	cluster     message.ClusterID
+	viewLock sync.Mutex
+	view     *directory.Directory
+	cluster  message.ClusterID
+	// hasher computes fingerprints under a key that the gateways of the cluster share; nil before
+	// the first directory came.
+	hasher      atomic.Pointer[quarantine.Hasher]
 	controllers []string
 	// peers are gateways that serve the directory while no controller answers.
 	peers []string
@@ -282,6 +286,7 @@
 	earlier := s.table.Load()
 	if update.Cluster != "" && update.Cluster != s.cluster {
 		s.cluster = update.Cluster
+		s.hasher.Store(quarantine.NewHasher(string(update.Cluster)))
 		s.view = directory.New()
 		earlier = nil
 	}
--- /dev/null
+++ b/internal/quarantine/witness.go
@@ -0,0 +1,105 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
+
+// Loss is an attempt that ended without an answer of its instance.
+type Loss struct {
+	Fingerprint directory.Fingerprint
+	Path        directory.PathHash
+	Service     string
+	Instance    directory.InstanceID
+	// RequestID is the caller's identifier of the attempt, for log lines.
+	RequestID string
+	// Began and Ended are when the attempt was sent and lost.
+	Began, Ended time.Duration
+}
+
+const (
+	// confirmTime is how long after a loss its instance is waited for to prove that it ended.
+	confirmTime = 5 * time.Second
+	// settleTime is how long after a loss a connection to the instance may still reach a process
+	// that is ending.
+	settleTime = 300 * time.Millisecond
+	// endedTime is how long an instance that ended is remembered: attempts that were sent to it
+	// before may be given up later.
+	endedTime = 30 * time.Second
+	// mostLosses bounds the losses that wait for a proof.
+	mostLosses = 1024
+)
+
+// Witness tells crashes of instances from lost connections. Identifiers name incarnations, so that
+// an instance ends once.
+type Witness struct {
+	losses map[directory.InstanceID][]Loss
+	count  int
+	ended  map[directory.InstanceID]time.Duration
+}
+
+// NewWitness returns a witness that has seen nothing.
+func NewWitness() *Witness {
+	return &Witness{losses: make(map[directory.InstanceID][]Loss), ended: make(map[directory.InstanceID]time.Duration)}
+}
+
+// Lost takes a loss, and returns those that are now known to be of a crash.
+func (w *Witness) Lost(now time.Duration, loss Loss) []Loss {
+	w.expire(now)
+	if _, ended := w.ended[loss.Instance]; ended {
+		return []Loss{loss}
+	}
+	if w.count < mostLosses {
+		w.losses[loss.Instance] = append(w.losses[loss.Instance], loss)
+		w.count++
+	}
+	return nil
+}
+
+// Ended takes a proof that the process of an instance ended, and returns the losses that this
+// explains.
+func (w *Witness) Ended(now time.Duration, id directory.InstanceID) []Loss {
+	w.expire(now)
+	w.ended[id] = now
+	return w.take(id)
+}
+
+// Reached takes that a connection to an instance was made: what it lost long enough before was not
+// lost by a crash.
+func (w *Witness) Reached(now time.Duration, id directory.InstanceID) {
+	var later []Loss
+	for _, loss := range w.take(id) {
+		if now-loss.Ended < settleTime {
+			later = append(later, loss)
+		}
+	}
+	if len(later) > 0 {
+		w.losses[id] = later
+		w.count += len(later)
+	}
+}
+
+// Waiting reports whether losses of an instance wait for a proof.
+func (w *Witness) Waiting(id directory.InstanceID) bool { return len(w.losses[id]) > 0 }
+
+func (w *Witness) take(id directory.InstanceID) []Loss {
+	taken := w.losses[id]
+	delete(w.losses, id)
+	w.count -= len(taken)
+	return taken
+}
+
+// expire forgets losses without a proof, and instances that ended long ago.
+func (w *Witness) expire(now time.Duration) {
+	for id, losses := range w.losses {
+		if now-losses[len(losses)-1].Ended > confirmTime {
+			w.take(id)
+		}
+	}
+	for id, at := range w.ended {
+		if now-at > endedTime {
+			delete(w.ended, id)
+		}
+	}
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -71,6 +71,7 @@
 	EventTableCurrent      Event = "table_current"
 	EventControllerLost    Event = "controller_lost"
 	EventServerEjected     Event = "server_ejected"
+	EventServerCrashed     Event = "server_crashed"
 	EventAnswerCut         Event = "answer_cut"
 	EventServerReadmitted  Event = "server_readmitted"
 	EventServerDraining    Event = "server_draining"
@@ -164,6 +165,7 @@
 		{EventTableCurrent, levelInfo, "The table is proved current again."},
 		{EventControllerLost, levelWarning, "The connection to the controllers broke."},
 		{EventServerEjected, levelWarning, "A server failed too often and gets no requests for a while."},
+		{EventServerCrashed, levelWarning, "An instance ended while requests ran at it. Requests that are the same, by path, caller and body, have the same fingerprint."},
 		{EventAnswerCut, levelWarning, "An instance holds more ranges of keys than the answer to its heartbeat has room for; it lets the others go."},
 		{EventServerReadmitted, levelInfo, "An ejected server gets requests again."},
 		{EventServerDraining, levelInfo, "A server takes no new work."},
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -32,9 +32,11 @@
 	FieldPlan     = "plan"
 	FieldOperator = "operator"
 	FieldRequest  = "request_id"
-	FieldKind     = "kind"
-	FieldCount    = "count"
-	FieldDuration = "duration_ms"
+	// FieldFingerprint names the same request under different identifiers.
+	FieldFingerprint = "fingerprint"
+	FieldKind        = "kind"
+	FieldCount       = "count"
+	FieldDuration    = "duration_ms"
 )
 
 // New returns a logger that writes one JSON object a line to out, each with the
