Requests that crash servers are put in quarantine, over all gateways

What callers saw: one request took down each server that ran it. It came again with the same path, caller and body, under another identifier and through another gateway, met the next holder of its key and ended that, too; every other request in flight there got 502, and the keys were without a holder for seconds.

Cause: no process remembered under which request a server had ended. Each arrival was a new request, by its identifier, and what one gateway met no other one heard of.

Why this works: a gateway that loses an attempt and finds nobody listening at the instance's address tells the leader the fingerprints of what was in flight. The leader counts distinct instances over all gateways; an answer by any instance clears a request. After the third crash, and a moment in which an answer could clear it, the request is in quarantine: written to the replicated directory, so that it holds for each gateway, also one that starts later, and outlasts leaders and losses of power. It is rejected at once, checked again right before each send, with 503 and no time to return. A suspected request is not resent by the gateway. One that was in flight at several crashes at the same time may be tried once by one gateway.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -32,6 +32,7 @@
 	Lease            Lease            `koanf:"lease" doc:"Leases of the servers."`
 	Heartbeat        Heartbeat        `koanf:"heartbeat" doc:"Instances that announce themselves and renew leases by heartbeats."`
 	Quota            Quota            `koanf:"quota" doc:"Limits of tenants."`
+	Quarantine       Quarantine       `koanf:"quarantine" doc:"Requests that crash their servers."`
 	Platform         Platform         `koanf:"platform" doc:"The platform's list of machines."`
 	Table            Table            `koanf:"table" doc:"Routing table streams to the routers."`
 	Partitions       Partitions       `koanf:"partitions" doc:"Placement of the idempotency records on routers."`
@@ -94,6 +95,17 @@
 	Slack float64 `koanf:"slack" validate:"min=0,max=100000" doc:"Requests of a tenant beyond its limit that do no harm; half of them are let through, so that chance rejects nothing within the limit."`
 }
 
+// Quarantine holds the settings for requests that crash the servers that run them.
+type Quarantine struct {
+	Crashes     int           `koanf:"crashes" validate:"min=2,max=8" doc:"Servers that crash under a request before it is put in quarantine: it is sent to none any more."`
+	SuspectTime time.Duration `koanf:"suspect_time" validate:"min=10s,max=24h" doc:"How long after a crash the requests that were in flight are remembered."`
+	Time        time.Duration `koanf:"time" validate:"min=1m,max=8760h" doc:"How long after it came last a request stays in quarantine."`
+}
+
+// defaultQuarantineCrashes is the number of servers that a request may take down: one crash may have
+// any cause, and two may meet by chance.
+const defaultQuarantineCrashes = 3
+
 // leaseBeyondInterval is by how much a lease is longer than the time between two heartbeats: a
 // heartbeat that fails is given up after a second, and a new leader takes about one to answer.
 const leaseBeyondInterval = 2500 * time.Millisecond
@@ -193,6 +205,7 @@
 			HoldBack:       700 * time.Millisecond,
 			AnswerTimeout:  850 * time.Millisecond,
 		},
+		Quarantine: Quarantine{Crashes: defaultQuarantineCrashes, SuspectTime: 10 * time.Minute, Time: 24 * time.Hour},
 		Platform: Platform{
 			PollInterval:   500 * time.Millisecond,
 			RequestTimeout: time.Second,
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -7,37 +7,38 @@
 
 // Gateway holds the settings of one gateway.
 type Gateway struct {
-	Role             Role          `koanf:"role" validate:"eq=gateway" doc:"Kind of process; always gateway here."`
-	Name             string        `koanf:"name" validate:"name" doc:"Name of this gateway, unique in the cluster."`
-	Zone             string        `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
-	Dialect          string        `koanf:"dialect" validate:"name" doc:"Names of the headers that callers and instances use; thorntiller for our own."`
-	Address          string        `koanf:"address" validate:"address" doc:"IP:port that accepts callers' HTTP."`
-	AdminAddress     string        `koanf:"admin_address" validate:"address" doc:"IP:port of the health checks and the metrics."`
-	MetricsAddress   string        `koanf:"metrics_address" validate:"omitempty,address" doc:"Further IP:port of the metrics; empty for none."`
-	AllowNonLoopback bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
-	Seeds            []string      `koanf:"seeds" validate:"required,max=16,dive,address" doc:"Controllers by which the group is found, IP:port; only the IP number counts. Read again whenever no controller answers."`
-	ControllerPort   int           `koanf:"controller_port" validate:"min=1,max=65535" doc:"Port at which the controllers accept peers."`
-	PeerAddress      string        `koanf:"peer_address" validate:"omitempty,address" doc:"IP:port at which other gateways take the directory while no controller answers them; empty for none."`
-	PingInterval     time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
-	PongTimeout      time.Duration `koanf:"pong_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a proof that the directory is current; another controller is asked then."`
-	StopTimeout      time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
-	StopNotice       time.Duration `koanf:"stop_notice" validate:"min=0s,max=10m" doc:"How long new connections are still accepted once a stop began, until the platform has noticed it."`
-	DrainTime        time.Duration `koanf:"drain_time" validate:"min=0s,max=10m" doc:"How long a draining instance still gets requests for keys that it holds."`
-	EvacuationLimit  time.Duration `koanf:"evacuation_limit" validate:"min=0s,max=10m" doc:"Longest time after the order to evacuate a zone in which its instances still get requests."`
-	WarmUp           WarmUp        `koanf:"warm_up" doc:"Requests to cold instances."`
-	Revocation       Revocation    `koanf:"revocation" doc:"API keys that were taken away."`
-	Regions          []ZoneRegion  `koanf:"regions" validate:"max=256,dive" doc:"Region of each zone. Requests stay in the own zone, then in the own region, where they can."`
-	LinkMegabits     float64       `koanf:"link_megabits" validate:"min=0,max=1000000" doc:"What the machine's network link carries in each direction, in Mbit/s. Requests that it has no room for are rejected at once, the least urgent first; 0 for no bound."`
-	KeepPlaces       bool          `koanf:"keep_places" doc:"Takes part in giving out the places of instances: each instance has one gateway that counts what all of them send to it. Needs peer_address."`
-	MaxTimeout       time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest time that a request is held, also when neither caller nor route give one."`
-	MaxConnections   int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
-	RetryRatio       float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
-	RetryBurst       int           `koanf:"retry_burst" validate:"min=0,max=1000" doc:"Resends of a service beyond that share, until requests have made up for them."`
-	RetrySlack       float64       `koanf:"retry_slack" validate:"min=0,max=1000000" doc:"Resends of a service that all gateways together may send at once beyond their share, which bounds retry_burst by the number of gateways; 0 if it is not bounded."`
-	MemoryLimitBytes int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at, in bytes; 0 for none."`
-	CollectorPercent int           `koanf:"collector_percent" validate:"min=5,max=1000" doc:"Growth of the heap, in percent, after which the collector runs: less memory for more processor time."`
-	BackEnd          BackEnd       `koanf:"back_end" doc:"Connections to the instances."`
-	Log              Log           `koanf:"log" doc:"Log lines."`
+	Role              Role          `koanf:"role" validate:"eq=gateway" doc:"Kind of process; always gateway here."`
+	Name              string        `koanf:"name" validate:"name" doc:"Name of this gateway, unique in the cluster."`
+	Zone              string        `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
+	Dialect           string        `koanf:"dialect" validate:"name" doc:"Names of the headers that callers and instances use; thorntiller for our own."`
+	Address           string        `koanf:"address" validate:"address" doc:"IP:port that accepts callers' HTTP."`
+	AdminAddress      string        `koanf:"admin_address" validate:"address" doc:"IP:port of the health checks and the metrics."`
+	MetricsAddress    string        `koanf:"metrics_address" validate:"omitempty,address" doc:"Further IP:port of the metrics; empty for none."`
+	AllowNonLoopback  bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
+	Seeds             []string      `koanf:"seeds" validate:"required,max=16,dive,address" doc:"Controllers by which the group is found, IP:port; only the IP number counts. Read again whenever no controller answers."`
+	ControllerPort    int           `koanf:"controller_port" validate:"min=1,max=65535" doc:"Port at which the controllers accept peers."`
+	PeerAddress       string        `koanf:"peer_address" validate:"omitempty,address" doc:"IP:port at which other gateways take the directory while no controller answers them; empty for none."`
+	PingInterval      time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
+	PongTimeout       time.Duration `koanf:"pong_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a proof that the directory is current; another controller is asked then."`
+	StopTimeout       time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
+	StopNotice        time.Duration `koanf:"stop_notice" validate:"min=0s,max=10m" doc:"How long new connections are still accepted once a stop began, until the platform has noticed it."`
+	DrainTime         time.Duration `koanf:"drain_time" validate:"min=0s,max=10m" doc:"How long a draining instance still gets requests for keys that it holds."`
+	EvacuationLimit   time.Duration `koanf:"evacuation_limit" validate:"min=0s,max=10m" doc:"Longest time after the order to evacuate a zone in which its instances still get requests."`
+	WarmUp            WarmUp        `koanf:"warm_up" doc:"Requests to cold instances."`
+	Revocation        Revocation    `koanf:"revocation" doc:"API keys that were taken away."`
+	Regions           []ZoneRegion  `koanf:"regions" validate:"max=256,dive" doc:"Region of each zone. Requests stay in the own zone, then in the own region, where they can."`
+	LinkMegabits      float64       `koanf:"link_megabits" validate:"min=0,max=1000000" doc:"What the machine's network link carries in each direction, in Mbit/s. Requests that it has no room for are rejected at once, the least urgent first; 0 for no bound."`
+	KeepPlaces        bool          `koanf:"keep_places" doc:"Takes part in giving out the places of instances: each instance has one gateway that counts what all of them send to it. Needs peer_address."`
+	MaxTimeout        time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest time that a request is held, also when neither caller nor route give one."`
+	MaxConnections    int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
+	RetryRatio        float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
+	RetryBurst        int           `koanf:"retry_burst" validate:"min=0,max=1000" doc:"Resends of a service beyond that share, until requests have made up for them."`
+	RetrySlack        float64       `koanf:"retry_slack" validate:"min=0,max=1000000" doc:"Resends of a service that all gateways together may send at once beyond their share, which bounds retry_burst by the number of gateways; 0 if it is not bounded."`
+	QuarantineCrashes int           `koanf:"quarantine_crashes" validate:"min=2,max=8" doc:"Servers that crash under a request before this gateway by itself, while no controller tells it more, sends it to none any more."`
+	MemoryLimitBytes  int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at, in bytes; 0 for none."`
+	CollectorPercent  int           `koanf:"collector_percent" validate:"min=5,max=1000" doc:"Growth of the heap, in percent, after which the collector runs: less memory for more processor time."`
+	BackEnd           BackEnd       `koanf:"back_end" doc:"Connections to the instances."`
+	Log               Log           `koanf:"log" doc:"Log lines."`
 }
 
 // WarmUp bounds the requests that a cold instance may get in a second from all gateways
@@ -80,9 +81,10 @@
 		WarmUp:          WarmUp{Overrun: 1},
 		MaxConnections:  2048,
 
-		CollectorPercent: defaultCollectorPercent,
-		RetryRatio:       0.18,
-		RetryBurst:       2,
+		CollectorPercent:  defaultCollectorPercent,
+		QuarantineCrashes: defaultQuarantineCrashes,
+		RetryRatio:        0.18,
+		RetryBurst:        2,
 		BackEnd: BackEnd{
 			ConnectTimeout: 300 * time.Millisecond,
 			IdleTimeout:    8 * time.Second,
--- a/internal/controller/directory_feed.go
+++ b/internal/controller/directory_feed.go
@@ -60,7 +60,7 @@
 }
 
 // isUrgent reports whether gateways must hear of a command soon: of keys that change hands, of
-// instances that leave, of zones and of the configuration.
+// instances that leave, of zones, of the configuration, and of requests that crash instances.
 func isUrgent(command directory.Command) bool {
 	for _, each := range command.Batch {
 		if isUrgent(each) {
@@ -72,7 +72,7 @@
 			return true
 		}
 	}
-	return command.Layout != nil || command.Patch != nil || command.Zone != nil
+	return command.Layout != nil || command.Patch != nil || command.Zone != nil || command.Suspects != nil || command.Release != nil
 }
 
 // runFeed makes a frame of what has changed, again and again, until the context ends.
--- a/internal/controller/directory_log.go
+++ b/internal/controller/directory_log.go
@@ -43,6 +43,10 @@
 		line.Info("key assignments changed")
 	case command.Zone != nil:
 		line.WithField("zone", command.Zone.Name).WithField("evacuated", command.Zone.Evacuated).Info("zone changed")
+	case command.Suspects != nil:
+		line.WithField(telemetry.FieldCount, len(command.Suspects.List)).Info("suspected requests changed")
+	case command.Release != nil:
+		line.WithField(telemetry.FieldFingerprint, command.Release.String()).Info("request released from quarantine")
 	case command.Throttles != nil:
 		line.WithField(telemetry.FieldService, command.Throttles.Service).WithField("throttles", command.Throttles.Keys).Info("hot keys throttled")
 	case len(command.Keepers) > 0:
--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -205,6 +205,10 @@
 		if !report.Asks() {
 			continue
 		}
+		if report.Quarantine != nil {
+			r.suspects.hear(leadership, gateway, *report.Quarantine)
+			answer.Heard = report.Quarantine.Number
+		}
 		if err := connection.Send(ctx, &answer); err != nil {
 			return err
 		}
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -56,6 +56,8 @@
 	load controlLoad
 	// quotas gives out the tokens of tenants.
 	quotas *quotaKeeper
+	// suspects puts requests in quarantine.
+	suspects *suspectKeeper
 	// directoryChanged tells the streams of the directory of changes.
 	directoryChanged *broadcast.Broadcast
 	// instanceNews tells the heartbeats that wait of news of their instances.
@@ -158,6 +160,7 @@
 	r.partitions = newPartitionKeeper(settings, r)
 	r.heartbeats = newHeartbeatKeeper(settings.Heartbeat, r)
 	r.quotas = newQuotaKeeper(settings.Quota, r.clock, r.view, r.leadingSince)
+	r.suspects = newSuspectKeeper(settings.Quarantine, r)
 	r.directoryChanged = broadcast.New()
 	r.feed = newDirectoryFeed()
 	r.instanceNews = newInstanceNews()
@@ -175,6 +178,7 @@
 	var keeping conc.WaitGroup
 	keeping.Go(func() { r.partitions.run(ctx) })
 	keeping.Go(func() { r.heartbeats.run(ctx) })
+	keeping.Go(func() { r.suspects.run(ctx) })
 	keeping.Go(func() { r.runFeed(ctx) })
 	keeping.Go(func() { r.reportLoad(ctx) })
 	keeping.Go(func() { r.watchTurns(ctx) })
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -31,6 +31,8 @@
 	zones map[string]*Zone
 	// throttles are those of each service with hot keys.
 	throttles map[string]*Throttles
+	// suspects are the requests under which instances crashed.
+	suspects Suspects
 	// changes are the newest changes of instances, and gone counts those that left.
 	changes changeLog
 	gone    int
@@ -70,6 +72,9 @@
 	Gateways int `msgpack:"g,omitempty"`
 	// Keepers are the gateways that give out the places of instances.
 	Keepers []Keeper `msgpack:"k,omitempty"`
+	// Suspects replace those that are known, and Release takes one out of quarantine.
+	Suspects *PutSuspects `msgpack:"u,omitempty"`
+	Release  *Fingerprint `msgpack:"e,omitempty"`
 	// Batch has commands that are applied in their order, each as if it stood alone.
 	Batch []Command `msgpack:"b,omitempty"`
 }
@@ -100,6 +105,11 @@
 	case command.Throttles != nil:
 		d.applyThrottles(revision, *command.Throttles)
 		return nil
+	case command.Suspects != nil:
+		return d.applySuspects(revision, *command.Suspects)
+	case command.Release != nil:
+		d.applyRelease(revision, *command.Release)
+		return nil
 	case command.Gateways > 0:
 		d.applyGateways(revision, command.Gateways)
 		return nil
@@ -142,6 +152,7 @@
 		zones:         maps.Clone(d.zones),
 		fleet:         d.fleet,
 		throttles:     maps.Clone(d.throttles),
+		suspects:      d.suspects,
 	}
 	clone.changes, clone.gone = d.changes.clone(), d.gone
 	return clone
@@ -160,6 +171,8 @@
 	Fleet   *Fleet   `msgpack:"g,omitempty"`
 	// Throttles are whole lists of services.
 	Throttles []Throttles `msgpack:"h,omitempty"`
+	// Suspects are all of them.
+	Suspects *Suspects `msgpack:"u,omitempty"`
 }
 
 // Since returns what changed after a revision; zero gives everything.
@@ -196,6 +209,10 @@
 		fleet := d.fleet
 		changes.Fleet = &fleet
 	}
+	if d.suspects.Revision > after {
+		suspects := d.suspects
+		changes.Suspects = &suspects
+	}
 	return changes
 }
 
@@ -251,6 +268,9 @@
 	if changes.Fleet != nil && changes.Fleet.Revision > d.fleet.Revision {
 		d.fleet = *changes.Fleet
 	}
+	if changes.Suspects != nil && changes.Suspects.Revision > d.suspects.Revision {
+		d.suspects = *changes.Suspects
+	}
 	d.revision = max(d.revision, changes.To)
 	d.forgetGone()
 }
--- a/internal/directory/routingchanges.go
+++ b/internal/directory/routingchanges.go
@@ -22,6 +22,7 @@
 	Zones     []Zone           `msgpack:"z,omitempty"`
 	Fleet     *Fleet           `msgpack:"g,omitempty"`
 	Throttles []Throttles      `msgpack:"h,omitempty"`
+	Suspects  *Suspects        `msgpack:"u,omitempty"`
 }
 
 // HoldersChanges are ranges of keys of one service, packed, with the instances that requests
@@ -42,6 +43,10 @@
 		From: content.From, To: content.To, Items: itemsForGateways(content.Items),
 		Zones: content.Zones, Fleet: content.Fleet, Throttles: content.Throttles,
 	}
+	if content.Suspects != nil {
+		suspects := content.Suspects.forGateways()
+		changes.Suspects = &suspects
+	}
 	known := d.knownReferences()
 	var times []InstanceTime
 	for _, instance := range content.Instances {
@@ -85,6 +90,7 @@
 	d.Take(Content{
 		From: changes.From, To: changes.To, Items: changes.Items, Instances: changes.Instances,
 		Zones: changes.Zones, Fleet: changes.Fleet, Throttles: changes.Throttles,
+		Suspects: changes.Suspects,
 	})
 	known := d.knownReferences()
 	times, err := unpackTimes(changes.Times, known)
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -39,6 +39,8 @@
 	ServerLimited Kind = "server_limited"
 	// ServerResting: the server rejected a request and wants none of this gateway for a time.
 	ServerResting Kind = "server_resting"
+	// RequestQuarantined: servers crashed under the same request before, so that it is sent to none.
+	RequestQuarantined Kind = "request_quarantined"
 	// ConnectFailed: no connection was made, so nothing was written.
 	ConnectFailed Kind = "connect_failed"
 	// DeadlineBeforeStart: the deadline passed before execution began.
@@ -146,6 +148,7 @@
 	RateLimited:          {Status: 429, Outcome: NotRun, RetryAfter: retryLater},
 	ServerLimited:        {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
 	ServerResting:        {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
+	RequestQuarantined:   {Status: 503, Outcome: NotRun},
 	ConnectFailed:        {Status: 502, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
 	DeadlineBeforeStart:  {Status: 504, Outcome: NotRun, RetryAfter: retrySoon},
 	CancelledBeforeStart: {Status: 504, Outcome: NotRun, RetryAfter: retrySoon},
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -60,9 +60,11 @@
 	longestReturnSpread = 250 * time.Millisecond
 )
 
-// retryAfterOf returns when a caller is told to come back after a failure.
+// retryAfterOf returns when a caller is told to come back after a failure; zero if it had better not.
 func (g *Gateway) retryAfterOf(kind fault.Kind) time.Duration {
 	switch {
+	case kind == fault.RequestQuarantined:
+		return 0
 	case kind == fault.LinkCongested:
 		return retryCongested
 	case kind != fault.StaleRouter:
@@ -117,7 +119,7 @@
 		outbound.Header.Set(fasthttp.HeaderWWWAuthenticate, bearerScheme)
 	}
 	mayReturn := status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests
-	if notRun && mayReturn {
+	if notRun && mayReturn && wait > 0 {
 		outbound.Header.Set(callerapi.HeaderRetryAfter, strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	}
 	if current.id != "" {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,6 +56,10 @@
 	if !retry.Allowed(failure.Kind, current.repeatable()) {
 		return false
 	}
+	if fault.AnswerFor(failure.Kind).Outcome == fault.Unknown && g.suspected(current) {
+		// It may have taken down one instance already, and the next attempt another one.
+		return false
+	}
 	if g.linkFull(current) {
 		// The attempt may have failed for that alone, and the next one would add to it.
 		return false
@@ -122,7 +126,10 @@
 	took := time.Since(began)
 	current.note(instance.ID, began, took, failure)
 	g.ended(current, instance, took, failure)
-	if failure != nil {
+	g.endTrial(current, failure)
+	if failure == nil {
+		g.noteAnswered(current)
+	} else {
 		g.noteLoss(current, instance, took, failure)
 	}
 	return failure
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -148,13 +148,16 @@
 	}
 	failure := g.departed(instance)
 	if failure == nil {
-		wait := g.signals.begin(g.clock.Now(), instance.ID)
-		if wait == 0 {
-			return nil
+		if wait := g.signals.begin(g.clock.Now(), instance.ID); wait > 0 {
+			failure = resting(current, instance.ID, wait)
 		}
-		failure = resting(current, instance.ID, wait)
 	}
-	g.refundInstanceToken(current)
+	if failure == nil {
+		failure = g.quarantinedBeforeSend(current)
+	}
+	if failure != nil {
+		g.refundInstanceToken(current)
+	}
 	return failure
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -23,6 +23,9 @@
 				return instance, nil
 			}
 			g.giveBack(current, instance)
+			if failure.Kind == fault.RequestQuarantined {
+				return directory.Instance{}, failure
+			}
 			if !current.keyed {
 				continue
 			}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -10,11 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
-	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -37,6 +35,8 @@
 	log     *logrus.Entry
 	mutex   sync.Mutex
 	witness *quarantine.Witness
+	// found takes the requests that were in flight at a crash.
+	found func([]quarantine.Loss)
 	// probed are the instances that are probed now, or wait for it.
 	probed map[directory.InstanceID]bool
 	// wanted has the instances that are to be probed.
@@ -49,8 +49,8 @@
 	address string
 }
 
-func newCrashes(system clock.Clock, log *logrus.Entry) *crashes {
-	return &crashes{clock: system, log: log, witness: quarantine.NewWitness(), probed: make(map[directory.InstanceID]bool), wanted: make(chan probeTarget, mostProbes)}
+func newCrashes(system clock.Clock, log *logrus.Entry, found func([]quarantine.Loss)) *crashes {
+	return &crashes{clock: system, log: log, found: found, witness: quarantine.NewWitness(), probed: make(map[directory.InstanceID]bool), wanted: make(chan probeTarget, mostProbes)}
 }
 
 // run probes instances until the context ends.
@@ -146,6 +146,7 @@
 	if len(crashed) == 0 {
 		return
 	}
+	c.found(crashed)
 	var requests []requestInFlight
 	for _, loss := range crashed[:min(len(crashed), mostLogged)] {
 		requests = append(requests, requestInFlight{loss.RequestID, loss.Fingerprint.String(), (loss.Ended - loss.Began).Milliseconds()})
@@ -156,70 +157,3 @@
 		WithField("requests", requests).WithField("age_ms", (c.clock.Now() - last.Ended).Milliseconds()).
 		Warn("an instance ended while requests ran at it")
 }
-
-// noteLoss takes an attempt that may have ended with its instance. An instance that leaves may end
-// at any time, whatever it runs.
-func (g *Gateway) noteLoss(current *request, instance directory.Instance, took time.Duration, failure *fault.Error) {
-	connectionEnded := false
-	switch failure.Kind {
-	case fault.ConnectionLost, fault.AnswerTruncated:
-		connectionEnded = !current.interrupt.Fired()
-	case fault.DeadlineExceeded:
-	default:
-		return
-	}
-	if _, leaves := g.signals.leaving(g.clock.Now(), instance.ID); leaves || !instance.Serving() {
-		return
-	}
-	fingerprint, known := g.fingerprintOf(current)
-	if !known {
-		return
-	}
-	now := g.clock.Now()
-	g.crashes.lost(quarantine.Loss{
-		Fingerprint: fingerprint, Path: pathOf(current), Service: current.service, Instance: instance.ID,
-		RequestID: current.id, Began: now - took, Ended: now,
-	}, instance.Address, connectionEnded)
-}
-
-// fingerprintOf returns the fingerprint of a request; false while the gateway does not know the key
-// of its cluster.
-func (g *Gateway) fingerprintOf(current *request) (directory.Fingerprint, bool) {
-	if current.fingerprinted {
-		return current.fingerprint, true
-	}
-	hasher := g.subscription.hasher.Load()
-	if hasher == nil {
-		return 0, false
-	}
-	header := &current.inbound.Header
-	fingerprint, err := hasher.Fingerprint(quarantine.Request{
-		Method: header.Method(), Host: header.Host(), URI: header.RequestURI(), Caller: callerOf(current),
-		Key: header.Peek(g.dialect.Key), Body: current.inbound.Body(),
-	})
-	if err != nil {
-		telemetry.WithError(g.log, telemetry.EventFailed, err).WithField(telemetry.FieldRequest, current.id).Error("request without a fingerprint")
-		return 0, false
-	}
-	current.fingerprint, current.fingerprinted = fingerprint, true
-	return fingerprint, true
-}
-
-func pathOf(current *request) directory.PathHash {
-	return quarantine.PathOf(current.inbound.Header.Host(), current.inbound.Header.RequestURI())
-}
-
-// callerOf tells the caller of a request from others: by its tenant, by the credential that it
-// shows, or by its IP address.
-func callerOf(current *request) string {
-	if current.tenant != nil {
-		return "tenant " + current.tenant.Name
-	}
-	if credential := current.inbound.Header.Peek(fasthttp.HeaderAuthorization); len(credential) > 0 {
-		return "credential " + string(credential)
-	}
-	if address, ok := current.remote.(*net.TCPAddr); ok {
-		return "address " + address.IP.String()
-	}
-	return ""
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 	signals     *instanceSignals
 	evacuations *evacuations
 	crashes     *crashes
+	guard       *requestGuard
 	coldStarts  *coldStarts
 	ownLink     *ownLink
 	meter       *link.Meter
@@ -129,11 +130,13 @@
 		budgets:      make(map[string]*retry.Budget),
 		resendBurst:  float64(settings.RetryBurst),
 	}
-	gateway.crashes = newCrashes(gateway.clock, log)
 	gateway.pacer = newPacer(gateway.clock, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
 	gateway.demand = newDemandCounter(settings, gateway.subscription, meter)
+	gateway.guard = gateway.demand.guard
+	gateway.crashes = newCrashes(gateway.clock, log, gateway.guard.crashed)
+	registerSuspects(gateway.registry, gateway.guard)
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
 	gateway.subscription.changed = gateway.tableChanged
 	gateway.places = newPlaces(settings, log, newPlaceKeeper(gateway.clock, gateway.mayKeep), meter)
@@ -150,6 +153,7 @@
 	g.drains.note(table)
 	g.evacuations.note(table)
 	g.crashes.note(table)
+	g.guard.note(table)
 	known := table.Knows
 	g.coldStarts.note(g.clock.Now(), table, known)
 	g.unreachable.forget(known)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -19,6 +19,18 @@
 	inFlight *gauge
 }
 
+// registerSuspects shows the requests under which instances crashed.
+func registerSuspects(registry *telemetry.Metrics, guard *requestGuard) {
+	registry.GaugeFunction("suspected_requests", "Requests that were in flight at a crash of an instance, those in quarantine included.", func() float64 {
+		suspected, _ := guard.suspects()
+		return float64(suspected)
+	})
+	registry.GaugeFunction("quarantined_requests", "Requests that are sent to no instance, since instances crashed under them.", func() float64 {
+		_, quarantined := guard.suspects()
+		return float64(quarantined)
+	})
+}
+
 // gauge is a gauge that the process reads, too.
 type gauge struct{ value atomic.Int64 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -75,6 +75,8 @@
 	// fingerprint stands for the request once fingerprinted is true.
 	fingerprint   directory.Fingerprint
 	fingerprinted bool
+	// onTrial is true for a request in quarantine that is sent to find out whether it is to blame.
+	onTrial bool
 	// revision is that of the table by which the request was routed.
 	revision directory.Revision
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,6 +16,9 @@
 	defer g.metrics.inFlight.Dec()
 	g.meter.Add(link.In, link.Bodies, len(context.Request.Body()))
 	current, err := g.readRequest(context, g.awaitTable(context))
+	if err == nil {
+		err = g.rejectQuarantined(current)
+	}
 	if err == nil {
 		g.budget(current.service).Fresh()
 		if current.keyed {
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
+	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/quota"
 )
 
@@ -52,6 +53,8 @@
 	// InstancesUsedAgoMs are the UsedAgoMs of Instances, in their order. They stand apart since a
 	// controller of another version rejects asks with another number of fields.
 	InstancesUsedAgoMs []uint32 `msgpack:"a,omitempty"`
+	// Quarantine tells of requests under which instances crash; it is answered by a QuotaAnswer, too.
+	Quarantine *quarantine.Report `msgpack:"c,omitempty"`
 }
 
 // AskForInstances adds asks for tokens of instances to the report.
@@ -72,12 +75,16 @@
 	return r.Instances
 }
 
-// Asks reports whether the report asks for tokens.
-func (r *DemandReport) Asks() bool { return len(r.Quotas) > 0 || len(r.Instances) > 0 }
+// Asks reports whether the report is to be answered.
+func (r *DemandReport) Asks() bool {
+	return len(r.Quotas) > 0 || len(r.Instances) > 0 || r.Quarantine != nil
+}
 
 // QuotaAnswer answers the asks of a DemandReport.
 type QuotaAnswer struct {
 	Grants []quota.Grant `msgpack:"g"`
 	// Instances are the grants for instances that named a limit.
 	Instances []quota.Grant `msgpack:"i,omitempty"`
+	// Heard is the number of the quarantine report that was heard; zero for none.
+	Heard uint64 `msgpack:"h,omitempty"`
 }
--- a/internal/message/directory_test.go
+++ b/internal/message/directory_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
+	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/quota"
 )
 
@@ -40,6 +41,10 @@
 	if asks := same.InstanceAsks(); len(asks) != 2 || asks[1] != ask || asks[0].UsedAgoMs != 0 {
 		t.Errorf("the same version reads %+v", asks)
 	}
+	report.Quarantine = &quarantine.Report{Number: 4, Crashes: []quarantine.Crash{{Fingerprint: 5, Instance: "view-1"}}}
+	if encoded, err = codec.Marshal(&report); err != nil {
+		t.Fatal(err)
+	}
 	var earlier reportOfEarlierVersions
 	if err := codec.Unmarshal(encoded, &earlier); err != nil || len(earlier.Instances) != 2 || earlier.Instances[1].Used != 2 || earlier.Quotas[0].Want != 5 {
 		t.Errorf("an earlier version reads %+v: %v", earlier, err)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -40,6 +40,8 @@
 	Evacuated []string
 	// Gateways is how many of them share the instances, zero if that is not known.
 	Gateways int
+	// Suspects are the requests under which instances crashed.
+	Suspects directory.Suspects
 	// Keepers are the gateways that give out the places of instances.
 	Keepers []directory.Keeper
 	// Changed are the instances that changed since the earlier table, those that are gone too;
@@ -67,7 +69,7 @@
 // Build returns the table of a directory. What did not change is taken over from an
 // earlier table of the same directory, which may be nil.
 func Build(view *directory.Directory, earlier *Table) *Table {
-	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service), Gateways: view.Gateways(), Keepers: view.Keepers()}
+	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service), Gateways: view.Gateways(), Keepers: view.Keepers(), Suspects: view.Suspects()}
 	for _, zone := range view.Zones() {
 		if zone.Evacuated {
 			table.Evacuated = append(table.Evacuated, zone.Name)
