Gateways hear at once of plans that change the directory

What operators saw: a zone that was evacuated by a plan was in force at gateways only once anything else changed in the directory.

Cause: the streams to gateways are woken by commands about the directory. A confirmed plan changes it as well, but is another command.

TestConfirmedPlansReachTheStreams failed before, passes now.

Why this works: an applied confirmation whose plan changes the directory wakes the streams as an urgent change does.

--- a/internal/controller/feed_test.go
+++ b/internal/controller/feed_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/thorntiller/thorntiller/internal/broadcast"
+	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -116,3 +121,31 @@
 		}
 	}
 }
+
+// TestConfirmedPlansReachTheStreams: gateways hear of a zone that a plan evacuated without another
+// change of the directory.
+func TestConfirmedPlansReachTheStreams(t *testing.T) {
+	for name, operation := range map[string]state.Operation{
+		"zone": {PutZone: &directory.Zone{Name: "west", Evacuated: true}},
+	} {
+		r := &replica{
+			state: state.New(), feed: newDirectoryFeed(), directoryChanged: broadcast.New(),
+			log: logrus.NewEntry(&logrus.Logger{Out: io.Discard}),
+		}
+		h := &host{replica: r}
+		r.state.Apply(2, state.Command{StorePlan: &state.StorePlan{Plan: state.Plan{ID: "plan", Operations: []state.Operation{operation}}}})
+		changed, urgent := r.directoryChanged.Next(), r.feed.urgent.Next()
+		confirm := state.Command{ConfirmPlan: &state.ConfirmPlan{Plan: "plan"}}
+		h.Applied(consensus.Entry{Index: 3}, confirm, r.state.Apply(3, confirm))
+		if r.state.Directory().Revision() != 3 {
+			t.Fatalf("%s: the plan did not change the directory", name)
+		}
+		for _, told := range []<-chan struct{}{changed, urgent} {
+			select {
+			case <-told:
+			default:
+				t.Errorf("%s: the streams are not told of a confirmed plan", name)
+			}
+		}
+	}
+}
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -82,6 +82,10 @@
 		h.directoryApplied(entry.Index, *command.Directory, result)
 		return
 	}
+	if command.ConfirmPlan != nil && result.Err == nil && result.Plan != nil && result.Plan.ChangesDirectory() {
+		h.feed.urgent.Raise()
+		h.directoryChanged.Raise()
+	}
 	logResult(h.log, entry.Index, command, result)
 }
 
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"slices"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -179,6 +180,11 @@
 	PutZone       *directory.Zone `json:"put_zone,omitempty" msgpack:",omitempty"`
 }
 
+// ChangesDirectory reports whether the plan changes what gateways route by.
+func (p Plan) ChangesDirectory() bool {
+	return slices.ContainsFunc(p.Operations, func(operation Operation) bool { return operation.PutZone != nil })
+}
+
 // CreateShards cuts a service's key space into Count equal ranges.
 type CreateShards struct {
 	Service ServiceName `json:"service"`
