Requests in quarantine can be listed and released

thorntiller get suspects shows the requests under which servers crashed; plan release-request and confirm take one out of quarantine.

--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -22,6 +22,7 @@
 		newListCommand(program, "items", "Show routes, services and limits with their versions", program.getItems),
 		newListCommand(program, "instances", "Show the servers that announced themselves, with the keys that they hold", program.getInstances),
 		newListCommand(program, "tenants", "Show the tenants with their limits and what they use", program.getTenants),
+		newListCommand(program, "suspects", "Show the requests under which servers crashed, and which are in quarantine", program.getSuspects),
 		newGetHolderCommand(program),
 		newGetShardsCommand(program),
 		newGetOwnerCommand(program),
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -28,6 +28,7 @@
 		newRebalanceCommand(program, flags),
 		newSetModeCommand(program, flags),
 		newMergeShardsCommand(program, flags),
+		newReleaseRequestCommand(program, flags),
 	)
 	program.addClientFlags(command)
 	addPlanFlags(command, flags)
--- a/internal/cli/planview.go
+++ b/internal/cli/planview.go
@@ -80,6 +80,8 @@
 	case operation.PutZone != nil:
 		zone := operation.PutZone
 		return []string{"put zone", zone.Name, map[bool]string{true: "evacuated", false: "in service"}[zone.Evacuated]}
+	case operation.Release != nil:
+		return []string{"release request", operation.Release.Fingerprint, "sent to servers again"}
 	case operation.MergeShards != nil:
 		merge := operation.MergeShards
 		return []string{"merge shards", fmt.Sprintf("shard %d", merge.First.Shard), fmt.Sprintf("with shard %d on %s", merge.Second.Shard, merge.Owner)}
--- a/internal/controller/feed_test.go
+++ b/internal/controller/feed_test.go
@@ -122,17 +122,20 @@
 	}
 }
 
-// TestConfirmedPlansReachTheStreams: gateways hear of a zone that a plan evacuated without another
-// change of the directory.
+// TestConfirmedPlansReachTheStreams: gateways hear of a zone that a plan evacuated, or of a request
+// that it released, without another change of the directory.
 func TestConfirmedPlansReachTheStreams(t *testing.T) {
 	for name, operation := range map[string]state.Operation{
-		"zone": {PutZone: &directory.Zone{Name: "west", Evacuated: true}},
+		"zone":    {PutZone: &directory.Zone{Name: "west", Evacuated: true}},
+		"release": {Release: &state.ReleaseRequest{Fingerprint: directory.Fingerprint(5).String()}},
 	} {
 		r := &replica{
 			state: state.New(), feed: newDirectoryFeed(), directoryChanged: broadcast.New(),
 			log: logrus.NewEntry(&logrus.Logger{Out: io.Discard}),
 		}
 		h := &host{replica: r}
+		suspects := directory.PutSuspects{List: []directory.Suspect{{Fingerprint: 5, Quarantined: true}}}
+		r.state.Apply(1, state.Command{Directory: &directory.Command{Suspects: &suspects}})
 		r.state.Apply(2, state.Command{StorePlan: &state.StorePlan{Plan: state.Plan{ID: "plan", Operations: []state.Operation{operation}}}})
 		changed, urgent := r.directoryChanged.Next(), r.feed.urgent.Next()
 		confirm := state.Command{ConfirmPlan: &state.ConfirmPlan{Plan: "plan"}}
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
@@ -14,6 +15,16 @@
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// ParseFingerprint reads what String returned.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	const digits = 16
+	value, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != digits {
+		return 0, fault.Newf(fault.InvalidArgument, "fingerprint: %.64q: give the %d hexadecimal digits that get suspects shows", text, digits)
+	}
+	return Fingerprint(value), nil
+}
+
 // PathHash is a hash of the host and path of a request, by which the few requests are found whose
 // fingerprints are worth computing.
 type PathHash uint64
--- a/internal/planner/check.go
+++ b/internal/planner/check.go
@@ -71,6 +71,7 @@
 		{state.IntentMergeShards, intent.MergeShards != nil},
 		{state.IntentEvacuateZone, intent.EvacuateZone != nil},
 		{state.IntentRestoreZone, intent.RestoreZone != nil},
+		{state.IntentRelease, intent.Release != nil},
 	}
 	for _, field := range present {
 		if field.set != (field.kind == intent.Kind) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -78,6 +78,8 @@
 		return d.changeZone("evacuate_zone", directory.Zone{Name: intent.EvacuateZone.Zone, Evacuated: true})
 	case state.IntentRestoreZone:
 		return d.changeZone("restore_zone", directory.Zone{Name: intent.RestoreZone.Zone})
+	case state.IntentRelease:
+		return d.release(*intent.Release)
 	default:
 		return fault.Newf(fault.InvalidArgument, "kind: %q is unknown: see docs/OPERATIONS.md for the kinds", intent.Kind)
 	}
--- /dev/null
+++ b/internal/planner/release_test.go
@@ -0,0 +1,49 @@
+package planner
+
+import (
+	"testing"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/state"
+)
+
+// TestReleaseIsPlannedAndConfirmed: nothing changes before the confirmation; what is not in
+// quarantine, or is no fingerprint, is named; a plan that somebody went before is stale.
+func TestReleaseIsPlannedAndConfirmed(t *testing.T) {
+	view := state.New()
+	revision := state.Revision(1)
+	put := directory.PutSuspects{List: []directory.Suspect{{Fingerprint: 5, Service: "s", Crashes: []directory.InstanceID{"a"}, Quarantined: true}, {Fingerprint: 6}}}
+	view.Apply(uint64(revision), state.Command{Directory: &directory.Command{Suspects: &put}})
+	intent := func(id, fingerprint string) state.Intent {
+		return state.Intent{ID: state.IntentID(id), Kind: state.IntentRelease, Release: &state.ReleaseRequest{Fingerprint: fingerprint}}
+	}
+	for fingerprint, kind := range map[string]fault.Kind{
+		"": fault.InvalidArgument, "5": fault.InvalidArgument, "000000000000000g": fault.InvalidArgument,
+		directory.Fingerprint(6).String(): fault.NotFound, directory.Fingerprint(7).String(): fault.NotFound,
+	} {
+		if _, err := Build(view, nil, intent("bad", fingerprint)); fault.KindOf(err) != kind {
+			t.Errorf("%q: %v, want kind %s", fingerprint, err, kind)
+		}
+	}
+	late, err := Build(view, nil, intent("late", directory.Fingerprint(5).String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if suspect, _ := view.Directory().Suspect(5); !suspect.Quarantined {
+		t.Error("a plan alone released it")
+	}
+	if _, err := confirmed(t, view, &revision, intent("first", directory.Fingerprint(5).String())); err != nil {
+		t.Fatal(err)
+	}
+	if suspect, _ := view.Directory().Suspect(5); suspect.Quarantined {
+		t.Error("still in quarantine after the confirmation")
+	}
+	revision++
+	view.Apply(uint64(revision), state.Command{StorePlan: &state.StorePlan{Plan: late}})
+	revision++
+	result := view.Apply(uint64(revision), state.Command{ConfirmPlan: &state.ConfirmPlan{Plan: late.ID, Digest: late.Digest, Operator: "o"}})
+	if result.Err == nil || result.Err.Kind != fault.StalePlan {
+		t.Errorf("a plan that somebody went before: %v", result.Err)
+	}
+}
--- a/internal/state/apply_directory.go
+++ b/internal/state/apply_directory.go
@@ -35,3 +35,22 @@
 		}
 	}
 }
+
+// checkRelease verifies that a request is in quarantine.
+func (tx *transaction) checkRelease(request ReleaseRequest) *fault.Error {
+	fingerprint, err := directory.ParseFingerprint(request.Fingerprint)
+	if err != nil {
+		return fault.From(err)
+	}
+	if suspect, found := tx.state.directory.Suspect(fingerprint); !found || !suspect.Quarantined {
+		return stale("request " + request.Fingerprint + " is no longer in quarantine")
+	}
+	return nil
+}
+
+// release takes a request out of quarantine, which checkRelease has allowed.
+func (tx *transaction) release(request ReleaseRequest) {
+	if fingerprint, err := directory.ParseFingerprint(request.Fingerprint); err == nil {
+		tx.changeDirectory(directory.Command{Release: &fingerprint})
+	}
+}
--- a/internal/state/apply_plan.go
+++ b/internal/state/apply_plan.go
@@ -109,6 +109,8 @@
 		if tx.state.directory.Evacuated(operation.PutZone.Name) == operation.PutZone.Evacuated {
 			return stale("zone " + operation.PutZone.Name + " changed")
 		}
+	case operation.Release != nil:
+		return tx.checkRelease(*operation.Release)
 	case operation.MergeShards != nil:
 		if problem := tx.mergeProblem(*operation.MergeShards); problem != "" {
 			return stale(problem)
@@ -177,6 +179,8 @@
 		tx.changeMode(operation.ChangeMode)
 	case operation.PutZone != nil:
 		tx.changeDirectory(directory.Command{Zone: operation.PutZone})
+	case operation.Release != nil:
+		tx.release(*operation.Release)
 	case operation.MergeShards != nil:
 		tx.merge(*operation.MergeShards)
 	}
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -22,6 +22,7 @@
 	IntentMergeShards   IntentKind = "merge_shards"
 	IntentEvacuateZone  IntentKind = "evacuate_zone"
 	IntentRestoreZone   IntentKind = "restore_zone"
+	IntentRelease       IntentKind = "release_request"
 )
 
 // Intent is what an operator asks for. Exactly one of the pointer fields is
@@ -42,6 +43,7 @@
 	MergeShards   *MergeNeighbours `json:"merge_shards,omitempty" msgpack:",omitempty"`
 	EvacuateZone  *ZoneRequest     `json:"evacuate_zone,omitempty" msgpack:",omitempty"`
 	RestoreZone   *ZoneRequest     `json:"restore_zone,omitempty" msgpack:",omitempty"`
+	Release       *ReleaseRequest  `json:"release_request,omitempty" msgpack:",omitempty"`
 }
 
 // ServiceSettings are the operator's settings of a service.
@@ -131,6 +133,13 @@
 	Zone string `json:"zone"`
 }
 
+// ReleaseRequest asks that a request in quarantine is sent to servers again. One more crash puts it
+// back.
+type ReleaseRequest struct {
+	// Fingerprint names the request, in hexadecimal digits.
+	Fingerprint string `json:"fingerprint"`
+}
+
 // OwnershipMap is the ownership that a team's own scripts decided. Keys go
 // before Ranges, and both before Rest.
 type OwnershipMap struct {
@@ -178,11 +187,14 @@
 	ChangeMode    *ChangeMode     `json:"change_mode,omitempty"`
 	MergeShards   *ShardMerge     `json:"merge_shards,omitempty" msgpack:",omitempty"`
 	PutZone       *directory.Zone `json:"put_zone,omitempty" msgpack:",omitempty"`
+	Release       *ReleaseRequest `json:"release_request,omitempty" msgpack:",omitempty"`
 }
 
 // ChangesDirectory reports whether the plan changes what gateways route by.
 func (p Plan) ChangesDirectory() bool {
-	return slices.ContainsFunc(p.Operations, func(operation Operation) bool { return operation.PutZone != nil })
+	return slices.ContainsFunc(p.Operations, func(operation Operation) bool {
+		return operation.PutZone != nil || operation.Release != nil
+	})
 }
 
 // CreateShards cuts a service's key space into Count equal ranges.
