Quarantine: instances that are heard did not crash, and what the leader heard counts there alone

Found in reading, before anybody met it: a gateway that is refused connections by what stands between it and a server would have told of crashes of servers that run on; the leader now takes a heartbeat 5 s after a crash for the proof that there was none. And a gateway kept counting crashes by itself that the leader had heard of and dropped, so that a request that the fleet had cleared could have stayed in quarantine there as long as it came. Tests of the probe; losses are aged twice a second, not with each.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -105,6 +105,16 @@
 	}
 }
 
+// lastHeartbeat returns when an instance was heard last during a leadership; false if it was not.
+func (k *heartbeatKeeper) lastHeartbeat(leadership context.Context, id directory.InstanceID) (time.Duration, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.term != leadership {
+		return 0, false
+	}
+	return k.core.LastHeartbeat(id)
+}
+
 // beat takes one heartbeat and returns its answer.
 func (k *heartbeatKeeper) beat(ctx context.Context, beat heartbeat.Beat) (grant heartbeat.Grant, err error) {
 	err = k.whileLeading(ctx, func(ctx, leadership context.Context) error {
--- a/internal/controller/suspects.go
+++ b/internal/controller/suspects.go
@@ -121,6 +121,11 @@
 	k.follow(leadership)
 	now := k.replica.clock.Now()
 	k.replica.view(func(view *state.State) { k.ledger.Adopt(now, view.Directory().Suspects()) })
+	for _, id := range k.ledger.Ended() {
+		if at, heard := k.replica.heartbeats.lastHeartbeat(leadership, id); heard {
+			k.ledger.Heard(now, id, at)
+		}
+	}
 	put, changed := k.ledger.Decide(now)
 	return put, changed, k.ledger.Events()
 }
@@ -137,7 +142,7 @@
 		level, text = logrus.WarnLevel, "request in quarantine: it is sent to no server"
 		line = line.WithField("doubtful", suspect.Doubtful)
 	case quarantine.Cleared:
-		text = "request no longer suspected: a server answered it"
+		text = "request no longer suspected: a server answered it, or did not crash"
 	case quarantine.Tried:
 		text = "request in quarantine may be sent once"
 		line = line.WithField("gateway", suspect.TrialBy).WithField("trial", suspect.Trials)
--- /dev/null
+++ b/internal/gateway/crashes_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/quarantine"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// TestLostConnectionsAreProbed: an instance that ended refuses connections, or its address belongs to
+// another one; one that only closed a connection has not crashed.
+func TestLostConnectionsAreProbed(t *testing.T) {
+	found := make(chan []quarantine.Loss, 8)
+	system := clock.NewSystem()
+	watch := newCrashes(system, telemetry.New(role, "g", "error", io.Discard), func(losses []quarantine.Loss) { found <- losses })
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() { watch.run(ctx) })
+	lose := func(id directory.InstanceID, address string, probe bool) {
+		now := system.Now()
+		watch.lost(quarantine.Loss{Fingerprint: 1, Instance: id, Began: now - time.Millisecond, Ended: now}, address, probe)
+	}
+	alive, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ending, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ended.Close()
+	expect := func(want directory.InstanceID) {
+		t.Helper()
+		select {
+		case losses := <-found:
+			if len(losses) != 1 || losses[0].Instance != want {
+				t.Errorf("crashes %+v, want of %s", losses, want)
+			}
+		case <-time.After(patience):
+			t.Errorf("no crash of %s", want)
+		}
+	}
+	lose("ended", ended.Addr().String(), true)
+	expect("ended")
+	lose("ending", ending.Addr().String(), true)
+	time.Sleep(probePause / 4)
+	_ = ending.Close()
+	expect("ending")
+	lose("replaced", alive.Addr().String(), false)
+	watch.note(&routing.Table{Changed: []*directory.Instance{{ID: "replaced", Ended: true}}})
+	expect("replaced")
+	lose("alive", alive.Addr().String(), true)
+	time.Sleep(probePause + probeTimeout)
+	_ = alive.Close()
+	watch.note(&routing.Table{Changed: []*directory.Instance{{ID: "alive", Ended: true}}})
+	select {
+	case losses := <-found:
+		t.Errorf("crashes %+v of an instance that was reached", losses)
+	default:
+	}
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -25,6 +25,8 @@
 	idle  atomic.Bool
 	mutex sync.Mutex
 	guard *quarantine.Guard
+	// revision is that of the suspects that the guard has.
+	revision directory.Revision
 	// urgent gets an entry when the leader is to be told at once.
 	urgent chan struct{}
 }
@@ -53,7 +55,10 @@
 // note takes the suspects of a new table.
 func (g *requestGuard) note(table *routing.Table) {
 	g.do(func(now time.Duration, guard *quarantine.Guard) bool {
-		guard.Take(now, table.Suspects.List)
+		if table.Whole || table.Suspects.Revision != g.revision {
+			g.revision = table.Suspects.Revision
+			guard.Take(now, table.Suspects.List)
+		}
 		return false
 	})
 }
--- a/internal/heartbeat/life.go
+++ b/internal/heartbeat/life.go
@@ -39,6 +39,15 @@
 	return c.leadSince
 }
 
+// LastHeartbeat returns when this leader heard an instance last; false if it has not.
+func (c *Core) LastHeartbeat(id directory.InstanceID) (time.Duration, bool) {
+	known, found := c.contacts[id]
+	if !found {
+		return 0, false
+	}
+	return known.beatAt, true
+}
+
 // mayLive reports whether an instance was heard so little ago that it may be alive.
 func (c *Core) mayLive(now time.Duration, instance directory.Instance) bool {
 	return !instance.Ended && now <= c.leaseEnd(instance.ID)
--- a/internal/quarantine/event.go
+++ b/internal/quarantine/event.go
@@ -15,7 +15,7 @@
 	Suspected Decision = "suspected"
 	// Quarantined: it is sent to no instance any more.
 	Quarantined Decision = "quarantined"
-	// Cleared: an instance answered it.
+	// Cleared: an instance answered it, or did not crash.
 	Cleared Decision = "cleared"
 	// Tried: a gateway may send it once.
 	Tried Decision = "tried"
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -42,8 +42,8 @@
 	crashes int
 	// suspects are those of the directory.
 	suspects map[directory.Fingerprint]directory.Suspect
-	// own are the requests that were in flight at crashes seen by this gateway. They count until the
-	// directory has them, so that a gateway without a leader goes by what it knows.
+	// own are the requests that were in flight at crashes that no leader has heard of yet: a gateway
+	// without a leader goes by what it knows.
 	own map[directory.Fingerprint]*ownSuspect
 	// paths counts the requests of both by their paths.
 	paths map[directory.PathHash]bool
@@ -309,7 +309,25 @@
 // Heard takes the number of a report that the leader heard.
 func (g *Guard) Heard(number uint64) {
 	for _, each := range g.told {
-		each.heard = each.heard || each.report > 0 && each.report <= number
+		if each.heard || each.report == 0 || each.report > number {
+			continue
+		}
+		each.heard = true
+		if each.crash != nil {
+			g.disown(*each.crash)
+		}
+	}
+}
+
+// disown leaves a crash to the leader.
+func (g *Guard) disown(crash Crash) {
+	own, found := g.own[crash.Fingerprint]
+	if !found {
+		return
+	}
+	delete(own.instances, crash.Instance)
+	if len(own.instances) == 0 {
+		delete(g.own, crash.Fingerprint)
 	}
 }
 
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -72,7 +72,13 @@
 	if !found || second.Number <= first.Number || second.Crashes[0].EndedAgoMs != 1000 {
 		t.Fatalf("second report %+v", second)
 	}
+	if !g.Suspected(1) {
+		t.Error("a crash that no leader heard of is forgotten")
+	}
 	g.Heard(second.Number)
+	if g.Suspected(1) {
+		t.Error("a crash that the leader heard of still counts here")
+	}
 	if again, found := g.Report(time.Second + 10*retellPause); found {
 		t.Errorf("told again though it was heard: %+v", again)
 	}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -40,6 +40,9 @@
 	rejectedLately = 10 * time.Second
 	// endsRemembered is how long instances that crashed are remembered.
 	endsRemembered = 2 * time.Minute
+	// aliveAfter is how long after its crash a heartbeat shows that an instance did not crash: one that
+	// it sent before may come seconds late.
+	aliveAfter = 5 * time.Second
 	// answersRemembered is how long answers are remembered, for crashes before them that are told
 	// later.
 	answersRemembered = time.Minute
@@ -229,6 +232,41 @@
 	return len(e.suspect.Crashes) >= crashes
 }
 
+// Ended returns the instances that crashed lately, as gateways told.
+func (l *Ledger) Ended() []directory.InstanceID {
+	ids := make([]directory.InstanceID, 0, len(l.ends))
+	for id := range l.ends {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Heard takes when a heartbeat of an instance came last. One that is alive did not crash: a gateway
+// may have been refused connections by what stands between the two.
+func (l *Ledger) Heard(now time.Duration, id directory.InstanceID, at time.Duration) {
+	end, found := l.ends[id]
+	if !found || at-end.at <= aliveAfter {
+		return
+	}
+	delete(l.ends, id)
+	for fingerprint, known := range l.entries {
+		position := slices.Index(known.suspect.Crashes, id)
+		if position < 0 {
+			continue
+		}
+		known.suspect.Crashes = slices.Delete(slices.Clone(known.suspect.Crashes), position, position+1)
+		if len(known.suspect.Crashes) == 0 {
+			delete(l.entries, fingerprint)
+			l.tell(now, Cleared, known)
+			continue
+		}
+		if known.suspect.Quarantined && !known.enough(l.config.Crashes) {
+			known.suspect.Quarantined, known.suspect.TrialBy = false, ""
+			l.tell(now, Cleared, known)
+		}
+	}
+}
+
 // Decide returns the suspects as they are to be, and whether the directory has others.
 func (l *Ledger) Decide(now time.Duration) (directory.PutSuspects, bool) {
 	l.expire(now)
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -218,3 +218,28 @@
 		t.Error("the quarantine of a request that does not come again does not end")
 	}
 }
+
+// TestInstanceThatIsHeardDidNotCrash: though a gateway was refused connections to it. One late
+// heartbeat proves nothing.
+func TestInstanceThatIsHeardDidNotCrash(t *testing.T) {
+	l := newTestLedger()
+	now := hearCrashes(l, 0, 1, 3) + grace
+	if suspect, _ := suspectOf(t, l, now, 1); !suspect.Quarantined {
+		t.Fatal("not in quarantine after three crashes")
+	}
+	first := directory.InstanceID("0000000000000001-0")
+	l.Heard(now, first, time.Second+aliveAfter)
+	if suspect, _ := suspectOf(t, l, now, 1); !suspect.Quarantined {
+		t.Error("a late heartbeat ended the quarantine")
+	}
+	l.Heard(now, first, time.Second+aliveAfter+time.Millisecond)
+	if suspect, found := suspectOf(t, l, now, 1); !found || suspect.Quarantined || len(suspect.Crashes) != 2 {
+		t.Errorf("one of three instances did not crash: %+v, found %t", suspect, found)
+	}
+	for _, id := range l.Ended() {
+		l.Heard(now, id, now+time.Minute)
+	}
+	if _, found := suspectOf(t, l, now, 1); found {
+		t.Error("suspected though no instance crashed")
+	}
+}
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -27,6 +27,8 @@
 	// endedTime is how long an instance that ended is remembered: attempts that were sent to it
 	// before may be given up later.
 	endedTime = 30 * time.Second
+	// expireInterval is the time between two looks for what is too old.
+	expireInterval = 500 * time.Millisecond
 	// mostLosses bounds the losses that wait for a proof.
 	mostLosses = 1024
 )
@@ -37,6 +39,8 @@
 	losses map[directory.InstanceID][]Loss
 	count  int
 	ended  map[directory.InstanceID]time.Duration
+	// expiredAt is when what is too old was looked for last.
+	expiredAt time.Duration
 }
 
 // NewWitness returns a witness that has seen nothing.
@@ -92,6 +96,10 @@
 
 // expire forgets losses without a proof, and instances that ended long ago.
 func (w *Witness) expire(now time.Duration) {
+	if now-w.expiredAt < expireInterval {
+		return
+	}
+	w.expiredAt = now
 	for id, losses := range w.losses {
 		if now-losses[len(losses)-1].Ended > confirmTime {
 			w.take(id)
