A request that meets a defect takes down no process of ours

Same class as servers that crash under a request: a panic in a handler ended the gateway, router or controller that met it, and its caller's next try the next one; no HTTP handler recovered. Panics of one request are now answered (502 by gateways, 500 by routers and controllers: it may have run) and logged with their stack (event panicked). Panics in handlers of our own connections were recovered before, but unsaid. TestRequestThatMeetsADefectIsAnswered and TestCallThatMeetsADefectIsAnswered; the former ended the test process before.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	recoverer "github.com/gofiber/fiber/v3/middleware/recover"
+	"github.com/sirupsen/logrus"
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -19,14 +23,15 @@
 type api struct {
 	settings config.API
 	replica  *replica
+	log      *logrus.Entry
 	security *security
 	app      *fiber.App
 	// forwarder hands heartbeats on while another replica leads.
 	forwarder *forwarder
 }
 
-func newAPI(settings config.API, r *replica, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
-	service := &api{settings: settings, replica: r, security: security, forwarder: &forwarder{replica: r}}
+func newAPI(settings config.API, r *replica, log *logrus.Entry, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
+	service := &api{settings: settings, replica: r, log: log, security: security, forwarder: &forwarder{replica: r}}
 	service.app = fiber.New(fiber.Config{
 		BodyLimit:    settings.BodyLimit,
 		Concurrency:  connectionsOf(settings.MaxConnections),
@@ -35,6 +40,7 @@
 		IdleTimeout:  settings.IdleTimeout,
 		ErrorHandler: service.answerError,
 	})
+	service.app.Use(recoverer.New(recoverer.Config{EnableStackTrace: true, StackTraceHandler: service.logPanic}))
 	service.routes()
 	service.directoryRoutes()
 	service.app.Get(intentapi.PathLive, telemetry.LiveHandler())
@@ -103,6 +109,13 @@
 	return call.Status(answer.Status).JSON(body)
 }
 
+// logPanic tells of a call that met a defect: it would take down one controller after the other as its
+// caller sends it again.
+func (a *api) logPanic(call fiber.Ctx, cause any) {
+	telemetry.With(a.log, telemetry.EventPanicked).WithField("path", call.Path()).WithField(telemetry.FieldError, fmt.Sprint(cause)).
+		WithField("stack", string(debug.Stack())).Error("a call met a defect of this program")
+}
+
 // detailOf returns the text for people without the kind, which has its own field.
 func detailOf(err error) string {
 	var typed *fault.Error
--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -1,10 +1,13 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -117,7 +120,7 @@
 	settings := config.DefaultController().API
 	settings.IdleTimeout = 150 * time.Millisecond
 	ready := func() (bool, string) { return true, "" }
-	service := newAPI(settings, nil, nil, telemetry.NewMetrics("controller"), ready)
+	service := newAPI(settings, nil, nil, nil, telemetry.NewMetrics("controller"), ready)
 	var group conc.WaitGroup
 	defer group.Wait()
 	group.Go(func() { _ = service.serve(listener) })
@@ -147,3 +150,26 @@
 		}
 	}
 }
+
+// TestCallThatMeetsADefectIsAnswered: it took down one controller after the other as its caller sent
+// it again.
+func TestCallThatMeetsADefectIsAnswered(t *testing.T) {
+	var lines bytes.Buffer
+	log := telemetry.New("controller", "c", "info", &lines)
+	ready := func() (bool, string) { return true, "" }
+	// Without a replica the call for its status meets a nil pointer.
+	service := newAPI(config.DefaultController().API, nil, log, nil, telemetry.NewMetrics("controller"), ready)
+	for range 2 {
+		response, err := service.app.Test(httptest.NewRequest(http.MethodGet, intentapi.PathStatus, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusInternalServerError {
+			t.Errorf("status %d, want 500", response.StatusCode)
+		}
+	}
+	if !strings.Contains(lines.String(), string(telemetry.EventPanicked)) {
+		t.Errorf("no line tells of it: %s", lines.String())
+	}
+}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -165,7 +165,7 @@
 	defer r.peers.stop()
 	r.leases = newLeaseSender(driving, n.settings.Lease, r.results)
 	n.formation.attach(r.formationStatus, r.requestJoin)
-	service := newAPI(n.settings.API, r, n.security, r.metrics.registry, r.ready)
+	service := newAPI(n.settings.API, r, n.log, n.security, r.metrics.registry, r.ready)
 	background.Go(func() { n.serveOperators(service) })
 	background.Go(func() { newPlatformPoller(n.settings.Platform, r).run(serving) })
 	background.Go(func() { n.formation.keepJoining(serving, r.belongs) })
@@ -235,7 +235,7 @@
 
 // servePeers accepts connections from controllers and routers.
 func (n *node) servePeers(ctx context.Context, ready <-chan struct{}) {
-	server := wire.Server{MaxConnections: n.settings.Table.StreamLimit, Options: wire.Options{WriteTimeout: n.settings.Table.WriteTimeout}}
+	server := wire.Server{MaxConnections: n.settings.Table.StreamLimit, Options: wire.Options{WriteTimeout: n.settings.Table.WriteTimeout}, Panicked: telemetry.PanicLogger(n.log)}
 	err := server.Serve(ctx, n.security.listener(n.peers), func(ctx context.Context, connection *wire.Conn) {
 		if err := n.servePeer(ctx, connection, ready); err != nil {
 			n.log.WithError(err).Debug("peer connection ended")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -260,3 +260,33 @@
 		t.Errorf("the caller of a full holder is to come back after %s s", wait)
 	}
 }
+
+// TestRequestThatMeetsADefectIsAnswered: it took down one gateway after the other as its caller sent
+// it again.
+func TestRequestThatMeetsADefectIsAnswered(t *testing.T) {
+	settings := config.DefaultGateway()
+	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
+	gateway, err := New(settings, telemetry.New(role, "g", "error", io.Discard), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway.meter = nil // each request meets a nil pointer
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := gateway.newCallerServer()
+	var group conc.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	defer group.Wait()
+	defer func() { _ = server.Shutdown() }()
+	for range 2 {
+		status, _, err := fasthttp.Get(nil, "http://"+listener.Addr().String()+"/")
+		if err != nil || status != fasthttp.StatusBadGateway {
+			t.Errorf("status %d, %v; want 502", status, err)
+		}
+	}
+	if running := gateway.metrics.running(); running != 0 {
+		t.Errorf("%d requests count as in flight", running)
+	}
+}
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -92,6 +92,7 @@
 func (g *Gateway) servePeersOn(ctx context.Context, listener net.Listener) error {
 	server := &wire.Server{
 		MaxConnections: maxPeerConnections,
+		Panicked:       telemetry.PanicLogger(g.log),
 		Options: wire.Options{
 			IdleTimeout: g.settings.PongTimeout, WriteTimeout: g.settings.PongTimeout, ReadBufferBytes: placeReadBuffer,
 		},
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -39,11 +39,7 @@
 
 // do calls a function with the guard, and tells the leader at once if it returns true.
 func (g *requestGuard) do(call func(now time.Duration, guard *quarantine.Guard) (tell bool)) {
-	g.mutex.Lock()
-	tell := call(g.clock.Now(), g.guard)
-	g.idle.Store(g.guard.Idle())
-	g.mutex.Unlock()
-	if !tell {
+	if !g.locked(call) {
 		return
 	}
 	select {
@@ -52,6 +48,14 @@
 	}
 }
 
+func (g *requestGuard) locked(call func(now time.Duration, guard *quarantine.Guard) bool) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	tell := call(g.clock.Now(), g.guard)
+	g.idle.Store(g.guard.Idle())
+	return tell
+}
+
 // note takes the suspects of a new table.
 func (g *requestGuard) note(table *routing.Table) {
 	g.do(func(now time.Duration, guard *quarantine.Guard) bool {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,7 +23,7 @@
 
 func (g *Gateway) newCallerServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                      g.serve,
+		Handler:                      telemetry.Recovered(g.log, g.serve, refusePanicked),
 		HeaderReceived:               g.requestConfig,
 		ErrorHandler:                 g.refuseMalformed,
 		Name:                         role,
@@ -82,3 +82,9 @@
 	inbound.SetConnectionClose()
 	telemetry.WithError(g.log, telemetry.EventRequestMalformed, err).WithField("status", status).Info("malformed request rejected")
 }
+
+// refusePanicked answers a request that met a defect: it may have run.
+func refusePanicked(inbound *fasthttp.RequestCtx) {
+	inbound.Response.Reset()
+	inbound.SetStatusCode(fasthttp.StatusBadGateway)
+}
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -32,7 +32,7 @@
 
 func (r *Router) newCallerServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               r.serve,
+		Handler:               telemetry.Recovered(r.log, r.serve, refusePanicked),
 		ErrorHandler:          refuseMalformed,
 		Name:                  role,
 		Concurrency:           r.settings.MaxConnections,
@@ -84,6 +84,11 @@
 	inbound.SetConnectionClose()
 }
 
+// refusePanicked answers a request that met a defect: it may have run.
+func refusePanicked(inbound *fasthttp.RequestCtx) {
+	writeRefusal(&inbound.Response, "", fault.New(fault.Internal, "this router has a defect; its log tells where"))
+}
+
 // stop closes the listener, lets kept connections finish, and waits for the
 // running requests within the stop timeout.
 func (r *Router) stop(server *fasthttp.Server, listener net.Listener) error {
--- a/internal/router/records/peers.go
+++ b/internal/router/records/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
@@ -89,7 +90,7 @@
 
 // serve accepts connections of other routers until the context ends.
 func (p *peers) serve(ctx context.Context, listener net.Listener) error {
-	server := wire.Server{MaxConnections: peerConnections, Options: wire.Options{
+	server := wire.Server{MaxConnections: peerConnections, Panicked: telemetry.PanicLogger(p.service.options.Log), Options: wire.Options{
 		WriteTimeout: p.service.options.Settings.PeerTimeout, IdleTimeout: serverIdle,
 	}}
 	return server.Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -20,6 +20,7 @@
 	EventListening Event = "listening"
 	EventFailed    Event = "failed"
 
+	EventPanicked     Event = "panicked"
 	EventLinesDropped Event = "log_lines_dropped"
 
 	EventCertificateRenewed Event = "certificate_renewed"
@@ -114,6 +115,7 @@
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
 		{EventFailed, levelError, "The process cannot go on, and ends."},
+		{EventPanicked, levelError, "A request met a defect of this program, which goes on; the stack tells where. Report it."},
 		{EventLinesDropped, levelWarning, "Log lines found their queue full and were dropped."},
 		{EventCertificateRenewed, levelInfo, "Replaced certificate files were read and are in use."},
 		{EventCertificateFailed, levelWarning, "Replaced certificate files cannot be used; the earlier ones stay in use."},
