Routers keep requests that crash their servers from further ones, too

What callers saw on the project's own interface: the same as through gateways. One GET, sent each 0.25 s in turn to two routers, took down 14 servers in 11 s, 8 of them later than 3 s after the third (3 allowed); the router's own resends added to it.

Why this works: one guard and one watch for both roles (internal/crashwatch, moved out of the gateway). Routers tell the leader in their pings and get the list in its pongs. A connection that is made is no proof any more that an instance lives, since a proxy may stand between; that its server lives again, by another process, proves that it ended. A request that was in flight at a crash before is not resent.

--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -9,31 +9,32 @@
 
 // Router holds the settings of one router.
 type Router struct {
-	Role             Role          `koanf:"role" validate:"eq=router" doc:"Kind of process; always router here."`
-	Name             string        `koanf:"name" validate:"name" doc:"Name of this router, unique in the cluster."`
-	Zone             string        `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
-	Address          string        `koanf:"address" validate:"address" doc:"IP:port that accepts callers' HTTP."`
-	PeerAddress      string        `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other routers."`
-	AdvertisedPeer   string        `koanf:"advertised_peer_address" validate:"omitempty,address" doc:"IP:port by which other routers reach peer_address; empty if they are the same."`
-	AdminAddress     string        `koanf:"admin_address" validate:"address" doc:"IP:port of the health checks and the metrics."`
-	AllowNonLoopback bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
-	Controllers      []string      `koanf:"controllers" validate:"required,max=7,dive,address" doc:"Peer addresses of the controllers, IP:port."`
-	Services         []string      `koanf:"services" validate:"max=1024,dive,name" doc:"Services that this router routes; empty for all. It then holds only their part of the routing table and refuses requests to others."`
-	StalenessLimit   time.Duration `koanf:"staleness_limit" validate:"min=100ms,max=1m" doc:"Time without proof of a current table after which requests are refused."`
-	PingInterval     time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
-	StopTimeout      time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
-	MaxBodyBytes     int           `koanf:"max_body_bytes" validate:"min=1024,max=1073741824" doc:"Bound of a caller's request body, in bytes."`
-	MaxConnections   int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
-	MaxInFlight      int           `koanf:"max_in_flight" validate:"min=1,max=1000000" doc:"Bound of requests that the router holds at the same time."`
-	MaxTimeout       time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest timeout that a request may ask for."`
-	IdleTimeout      time.Duration `koanf:"idle_timeout" validate:"min=1s,max=1h" doc:"Time after which a caller's idle connection is closed."`
-	MemoryLimitBytes int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at while the live heap is below 60 % of it, in bytes; 0 for none. The program itself adds about 13 MB."`
-	BackEnd          BackEnd       `koanf:"back_end" doc:"Connections to the back ends."`
-	Retry            Retry         `koanf:"retry" doc:"Resends of requests that are proved not to have run."`
-	Health           Health        `koanf:"health" doc:"Judgement of the back ends' health."`
-	Records          Records       `koanf:"records" doc:"Idempotency records."`
-	TLS              TLS           `koanf:"tls" doc:"Certificates."`
-	Log              Log           `koanf:"log" doc:"Log lines."`
+	Role              Role          `koanf:"role" validate:"eq=router" doc:"Kind of process; always router here."`
+	Name              string        `koanf:"name" validate:"name" doc:"Name of this router, unique in the cluster."`
+	Zone              string        `koanf:"zone" validate:"name" doc:"Zone that the machine stands in."`
+	Address           string        `koanf:"address" validate:"address" doc:"IP:port that accepts callers' HTTP."`
+	PeerAddress       string        `koanf:"peer_address" validate:"address" doc:"IP:port that accepts other routers."`
+	AdvertisedPeer    string        `koanf:"advertised_peer_address" validate:"omitempty,address" doc:"IP:port by which other routers reach peer_address; empty if they are the same."`
+	AdminAddress      string        `koanf:"admin_address" validate:"address" doc:"IP:port of the health checks and the metrics."`
+	AllowNonLoopback  bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
+	Controllers       []string      `koanf:"controllers" validate:"required,max=7,dive,address" doc:"Peer addresses of the controllers, IP:port."`
+	Services          []string      `koanf:"services" validate:"max=1024,dive,name" doc:"Services that this router routes; empty for all. It then holds only their part of the routing table and refuses requests to others."`
+	StalenessLimit    time.Duration `koanf:"staleness_limit" validate:"min=100ms,max=1m" doc:"Time without proof of a current table after which requests are refused."`
+	PingInterval      time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
+	StopTimeout       time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
+	MaxBodyBytes      int           `koanf:"max_body_bytes" validate:"min=1024,max=1073741824" doc:"Bound of a caller's request body, in bytes."`
+	MaxConnections    int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
+	MaxInFlight       int           `koanf:"max_in_flight" validate:"min=1,max=1000000" doc:"Bound of requests that the router holds at the same time."`
+	MaxTimeout        time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest timeout that a request may ask for."`
+	IdleTimeout       time.Duration `koanf:"idle_timeout" validate:"min=1s,max=1h" doc:"Time after which a caller's idle connection is closed."`
+	MemoryLimitBytes  int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at while the live heap is below 60 % of it, in bytes; 0 for none. The program itself adds about 13 MB."`
+	BackEnd           BackEnd       `koanf:"back_end" doc:"Connections to the back ends."`
+	Retry             Retry         `koanf:"retry" doc:"Resends of requests that are proved not to have run."`
+	Health            Health        `koanf:"health" doc:"Judgement of the back ends' health."`
+	Records           Records       `koanf:"records" doc:"Idempotency records."`
+	QuarantineCrashes int           `koanf:"quarantine_crashes" validate:"min=2,max=8" doc:"Servers that crash under a request before this router by itself, while no controller tells it more, sends it to none any more."`
+	TLS               TLS           `koanf:"tls" doc:"Certificates."`
+	Log               Log           `koanf:"log" doc:"Log lines."`
 }
 
 // BackEnd holds the settings of connections to back ends.
@@ -87,6 +88,8 @@
 		MaxTimeout:     time.Minute,
 		IdleTimeout:    time.Minute,
 
+		QuarantineCrashes: defaultQuarantineCrashes,
+
 		MemoryLimitBytes: 40 * mebibyte,
 
 		BackEnd: BackEnd{
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -159,6 +159,7 @@
 		for _, ping := range waiting {
 			pong := s.replica.routers.pong(s.router, ping, revision, s.replica.clock.Now())
 			s.replica.partitions.grant(s, ping, &pong)
+			s.answerQuarantine(ping, &pong)
 			select {
 			case s.pongs <- pong:
 			case <-ctx.Done():
@@ -168,6 +169,21 @@
 	}
 }
 
+// answerQuarantine takes what a router tells of requests under which servers crash, and tells it of
+// those that it does not know.
+func (s *tableStream) answerQuarantine(ping message.Ping, pong *message.Pong) {
+	if ping.Quarantine != nil {
+		s.replica.suspects.hear(s.leadership, string(s.router), *ping.Quarantine)
+		pong.Heard = ping.Quarantine.Number
+	}
+	s.replica.view(func(view *state.State) {
+		if current := view.Directory().Suspects(); current.Revision > ping.Suspects {
+			known := current.ForSenders()
+			pong.Suspects = &known
+		}
+	})
+}
+
 // takePings waits for one ping and takes those that wait behind it.
 func takePings(ctx context.Context, pings <-chan message.Ping) ([]message.Ping, error) {
 	var waiting []message.Ping
--- a/internal/gateway/crashes.go
+++ b/internal/crashwatch/watch.go
@@ -1,4 +1,4 @@
-package gateway
+package crashwatch
 
 import (
 	"context"
@@ -14,7 +14,6 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/quarantine"
-	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -28,9 +27,9 @@
 	mostProbes = 64
 )
 
-// crashes finds the requests that were in flight at instances when these crashed. It is safe for
+// Watch finds the requests that were in flight at instances when these crashed. It is safe for
 // concurrent use.
-type crashes struct {
+type Watch struct {
 	clock   clock.Clock
 	log     *logrus.Entry
 	mutex   sync.Mutex
@@ -49,85 +48,84 @@
 	address string
 }
 
-func newCrashes(system clock.Clock, log *logrus.Entry, found func([]quarantine.Loss)) *crashes {
-	return &crashes{clock: system, log: log, found: found, witness: quarantine.NewWitness(), probed: make(map[directory.InstanceID]bool), wanted: make(chan probeTarget, mostProbes)}
+// NewWatch returns a watch that tells a function of the requests that it found.
+func NewWatch(system clock.Clock, log *logrus.Entry, found func([]quarantine.Loss)) *Watch {
+	return &Watch{clock: system, log: log, found: found, witness: quarantine.NewWitness(), probed: make(map[directory.InstanceID]bool), wanted: make(chan probeTarget, mostProbes)}
 }
 
-// run probes instances until the context ends.
-func (c *crashes) run(ctx context.Context) {
+// Run probes instances until the context ends.
+func (w *Watch) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case target := <-c.wanted:
-			group.Go(func() { c.probe(ctx, target) })
+		case target := <-w.wanted:
+			group.Go(func() { w.probe(ctx, target) })
 		}
 	}
 }
 
-// lost takes a request that an instance left without an answer. Probe is true if the connection
+// Lost takes a request that an instance left without an answer. Probe is true if the connection
 // ended, which the end of the instance would explain.
-func (c *crashes) lost(loss quarantine.Loss, address string, probe bool) {
-	c.mutex.Lock()
-	crashed := c.witness.Lost(c.clock.Now(), loss)
-	start := probe && len(crashed) == 0 && !c.probed[loss.Instance] && len(c.probed) < mostProbes
+func (w *Watch) Lost(loss quarantine.Loss, address string, probe bool) {
+	w.mutex.Lock()
+	crashed := w.witness.Lost(w.clock.Now(), loss)
+	start := probe && len(crashed) == 0 && !w.probed[loss.Instance] && len(w.probed) < mostProbes
 	if start {
-		c.probed[loss.Instance] = true
+		w.probed[loss.Instance] = true
 	}
-	c.mutex.Unlock()
-	c.report(crashed)
+	w.mutex.Unlock()
+	w.report(crashed)
 	if start {
-		c.wanted <- probeTarget{loss.Instance, address}
+		w.wanted <- probeTarget{loss.Instance, address}
 	}
 }
 
 // probe finds out whether an instance has ended: nobody listens at its address then.
-func (c *crashes) probe(ctx context.Context, target probeTarget) {
-	refused, reached := connectionRefused(target.address)
+func (w *Watch) probe(ctx context.Context, target probeTarget) {
+	refused := connectionRefused(target.address)
 	if !refused {
 		clock.Sleep(ctx, probePause)
-		refused, reached = connectionRefused(target.address)
+		refused = connectionRefused(target.address)
 	}
-	c.mutex.Lock()
-	delete(c.probed, target.id)
-	if reached {
-		c.witness.Reached(c.clock.Now(), target.id)
-	}
-	c.mutex.Unlock()
+	w.mutex.Lock()
+	delete(w.probed, target.id)
+	w.mutex.Unlock()
 	if refused {
-		c.ended(target.id)
+		w.ended(target.id)
 	}
 }
 
-// connectionRefused reports whether nobody listens at an address, or whether a connection was made.
-// Neither is true where the machine does not answer.
-func connectionRefused(address string) (refused, reached bool) {
+// connectionRefused reports whether nobody listens at an address. A connection that is made proves
+// nothing: a proxy may stand between.
+func connectionRefused(address string) bool {
 	connection, err := net.DialTimeout("tcp", address, probeTimeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED), false
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = connection.Close() // nothing was sent
-	return false, true
+	return false
 }
 
 // ended takes a proof that an instance ended.
-func (c *crashes) ended(id directory.InstanceID) {
-	c.mutex.Lock()
-	crashed := c.witness.Ended(c.clock.Now(), id)
-	c.mutex.Unlock()
-	c.report(crashed)
+func (w *Watch) ended(id directory.InstanceID) {
+	w.mutex.Lock()
+	crashed := w.witness.Ended(w.clock.Now(), id)
+	w.mutex.Unlock()
+	w.report(crashed)
 }
 
-// note takes a new table: an instance whose address belongs to another one has ended.
-func (c *crashes) note(table *routing.Table) {
-	for _, instance := range table.Changed {
-		c.mutex.Lock()
-		waiting := instance.Ended && c.witness.Waiting(instance.ID)
-		c.mutex.Unlock()
-		if waiting {
-			c.ended(instance.ID)
+// Check asks of each instance whose end would explain losses whether it has ended, as the caller knows
+// it: its address belongs to another instance, or its server lives again.
+func (w *Watch) Check(hasEnded func(directory.InstanceID) bool) {
+	w.mutex.Lock()
+	waiting := w.witness.Waiting()
+	w.mutex.Unlock()
+	for _, id := range waiting {
+		if hasEnded(id) {
+			w.ended(id)
 		}
 	}
 }
@@ -142,18 +140,18 @@
 // mostLogged bounds the requests that a log line names.
 const mostLogged = 16
 
-func (c *crashes) report(crashed []quarantine.Loss) {
+func (w *Watch) report(crashed []quarantine.Loss) {
 	if len(crashed) == 0 {
 		return
 	}
-	c.found(crashed)
+	w.found(crashed)
 	var requests []requestInFlight
 	for _, loss := range crashed[:min(len(crashed), mostLogged)] {
 		requests = append(requests, requestInFlight{loss.RequestID, loss.Fingerprint.String(), (loss.Ended - loss.Began).Milliseconds()})
 	}
 	last := crashed[len(crashed)-1]
-	telemetry.With(c.log, telemetry.EventServerCrashed).WithField(telemetry.FieldServer, last.Instance).
+	telemetry.With(w.log, telemetry.EventServerCrashed).WithField(telemetry.FieldServer, last.Instance).
 		WithField(telemetry.FieldService, last.Service).WithField(telemetry.FieldCount, len(crashed)).
-		WithField("requests", requests).WithField("age_ms", (c.clock.Now() - last.Ended).Milliseconds()).
+		WithField("requests", requests).WithField("age_ms", (w.clock.Now() - last.Ended).Milliseconds()).
 		Warn("an instance ended while requests ran at it")
 }
--- a/internal/directory/routingchanges.go
+++ b/internal/directory/routingchanges.go
@@ -44,7 +44,7 @@
 		Zones: content.Zones, Fleet: content.Fleet, Throttles: content.Throttles,
 	}
 	if content.Suspects != nil {
-		suspects := content.Suspects.forGateways()
+		suspects := content.Suspects.ForSenders()
 		changes.Suspects = &suspects
 	}
 	known := d.knownReferences()
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -112,8 +112,8 @@
 	d.revision = revision
 }
 
-// forGateways returns the suspects without what gateways need not know.
-func (s Suspects) forGateways() Suspects {
+// ForSenders returns the suspects without what gateways and routers need not know.
+func (s Suspects) ForSenders() Suspects {
 	list := make([]Suspect, 0, len(s.List))
 	for _, suspect := range s.List {
 		suspect.Service, suspect.Crashes = "", nil
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -35,6 +35,8 @@
 	began time.Duration
 	// proved counts the resends that another request's answer allowed.
 	proved int
+	// final is true once the request must not be sent again.
+	final bool
 	// failure is how the attempt under cancellation ended.
 	failure *fault.Error
 }
@@ -42,6 +44,9 @@
 // Attempts returns how many attempts have ended so far.
 func (e *Execution) Attempts() int { return len(e.history.Attempts) }
 
+// ForbidResend lets the present attempt be the last one.
+func (e *Execution) ForbidResend() { e.final = true }
+
 // End counts the request out. More calls than one do no harm.
 func (e *Execution) End() {
 	if e.history.Waiting {
--- a/internal/execution/outcome.go
+++ b/internal/execution/outcome.go
@@ -114,7 +114,7 @@
 		Server: e.decision.Server.ID, Shard: e.decision.Shard, Epoch: e.decision.Epoch,
 		Kind: failure.Kind, EndedAt: now, NotBefore: now + delay,
 	})
-	if !retry.Allowed(failure.Kind, e.request.Repeatable) || now+delay >= e.request.Deadline {
+	if e.final || !retry.Allowed(failure.Kind, e.request.Repeatable) || now+delay >= e.request.Deadline {
 		return false
 	}
 	if e.request.Keyed && retry.OwnershipChanged(failure.Kind) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,7 +56,7 @@
 	if !retry.Allowed(failure.Kind, current.repeatable()) {
 		return false
 	}
-	if fault.AnswerFor(failure.Kind).Outcome == fault.Unknown && g.suspected(current) {
+	if fault.AnswerFor(failure.Kind).Outcome == fault.Unknown && current.suspicion.Suspected() {
 		// It may have taken down one instance already, and the next attempt another one.
 		return false
 	}
@@ -126,7 +126,7 @@
 	took := time.Since(began)
 	current.note(instance.ID, began, took, failure)
 	g.ended(current, instance, took, failure)
-	g.endTrial(current, failure)
+	g.guard.EndTrial(&current.suspicion, failure)
 	if failure == nil {
 		g.noteAnswered(current)
 	} else {
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -153,7 +153,7 @@
 		}
 	}
 	if failure == nil {
-		failure = g.quarantinedBeforeSend(current)
+		failure = g.guard.CheckBeforeSend(&current.suspicion)
 	}
 	if failure != nil {
 		g.refundInstanceToken(current)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -10,6 +10,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
 	"github.com/thorntiller/thorntiller/internal/link"
@@ -50,7 +51,7 @@
 	subscription *subscription
 	tenants      *tokens
 	instances    *tokens
-	guard        *requestGuard
+	guard        *crashwatch.Guard
 	// urgent gets an entry when a token is to be asked for at once.
 	urgent  chan struct{}
 	options wire.Options
@@ -74,7 +75,7 @@
 		subscription: subscription, urgent: urgent,
 		tenants:   newTokens(system, quota.TenantPolicy(), urgent),
 		instances: newTokens(system, quota.InstancePolicy(), urgent),
-		guard:     newRequestGuard(system, settings.Name, settings.QuarantineCrashes, urgent),
+		guard:     crashwatch.NewGuard(system, settings.Name, settings.QuarantineCrashes, urgent),
 		services:  make(map[string]*serviceCounts), name: settings.Name,
 		offer:   offerOf(settings),
 		options: wire.Options{DialTimeout: settings.BackEnd.ConnectTimeout, WriteTimeout: settings.PongTimeout, IdleTimeout: silentDemand, ReadBufferBytes: demandReadBuffer, Passed: streamOf(meter, link.Demand)},
@@ -174,7 +175,7 @@
 		defer cancel()
 		d.receiveGrants(connection)
 	})
-	d.guard.connected()
+	d.guard.Connected()
 	var sent reportsSent
 	for ctx.Err() == nil && *d.subscription.leader.Load() == leader && d.unanswered() < unansweredAsk {
 		report := d.nextReport(&sent)
@@ -211,7 +212,7 @@
 	}
 	report.Quotas = d.tenants.asks()
 	report.AskForInstances(d.instances.asks())
-	report.Quarantine = d.guard.report()
+	report.Quarantine = d.guard.Report()
 	silent := len(report.Services) == 0 && report.Gateway == nil && !report.Asks()
 	if silent && now.Sub(sent.at) <= d.interval()+aliveMargin {
 		return nil
@@ -244,7 +245,7 @@
 		if len(answer.Instances) > 0 {
 			d.instances.answered(answer.Instances)
 		}
-		d.guard.heard(answer.Heard)
+		d.guard.Heard(answer.Heard)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
@@ -43,8 +44,8 @@
 	unreachable *unreachable
 	signals     *instanceSignals
 	evacuations *evacuations
-	crashes     *crashes
-	guard       *requestGuard
+	crashes     *crashwatch.Watch
+	guard       *crashwatch.Guard
 	coldStarts  *coldStarts
 	ownLink     *ownLink
 	meter       *link.Meter
@@ -135,8 +136,9 @@
 	registerLinkBytes(gateway.registry, meter)
 	gateway.demand = newDemandCounter(settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
-	gateway.crashes = newCrashes(gateway.clock, log, gateway.guard.crashed)
-	registerSuspects(gateway.registry, gateway.guard)
+	gateway.crashes = crashwatch.NewWatch(gateway.clock, log, gateway.guard.Crashed)
+	gateway.guard.RegisterMetrics(gateway.registry)
+	gateway.subscription.joined = gateway.guard.Join
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
 	gateway.subscription.changed = gateway.tableChanged
 	gateway.places = newPlaces(settings, log, newPlaceKeeper(gateway.clock, gateway.mayKeep), meter)
@@ -152,8 +154,8 @@
 	g.boundResends(table.Gateways)
 	g.drains.note(table)
 	g.evacuations.note(table)
-	g.crashes.note(table)
-	g.guard.note(table)
+	g.noteEnded(table)
+	g.guard.Take(table.Suspects)
 	known := table.Knows
 	g.coldStarts.note(g.clock.Now(), table, known)
 	g.unreachable.forget(known)
@@ -228,7 +230,7 @@
 	g.servePeers(background, &group)
 	group.Go(func() { g.places.run(background) })
 	group.Go(func() { g.callers.run(background) })
-	group.Go(func() { g.crashes.run(background) })
+	group.Go(func() { g.crashes.Run(background) })
 	group.Go(func() { g.demand.run(background) })
 	group.Go(func() { g.reportLinkBytes(background) })
 	telemetry.With(g.log, telemetry.EventListening).
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -19,18 +19,6 @@
 	inFlight *gauge
 }
 
-// registerSuspects shows the requests under which instances crashed.
-func registerSuspects(registry *telemetry.Metrics, guard *requestGuard) {
-	registry.GaugeFunction("suspected_requests", "Requests that were in flight at a crash of an instance, those in quarantine included.", func() float64 {
-		suspected, _ := guard.suspects()
-		return float64(suspected)
-	})
-	registry.GaugeFunction("quarantined_requests", "Requests that are sent to no instance, since instances crashed under them.", func() float64 {
-		_, quarantined := guard.suspects()
-		return float64(quarantined)
-	})
-}
-
 // gauge is a gauge that the process reads, too.
 type gauge struct{ value atomic.Int64 }
 
@@ -76,8 +64,8 @@
 	if current.tenant != nil {
 		line = line.WithField(telemetry.FieldTenant, current.tenant.Name)
 	}
-	if current.fingerprinted {
-		line = line.WithField(telemetry.FieldFingerprint, current.fingerprint.String())
+	if fingerprint, known := current.suspicion.Fingerprint(); known {
+		line = line.WithField(telemetry.FieldFingerprint, fingerprint.String())
 	}
 	if current.keyed {
 		line = line.WithField("key", current.key)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,9 +11,11 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
 
@@ -72,11 +74,8 @@
 	resting *fault.Error
 	// interrupt gives the attempt up when the caller leaves.
 	interrupt *forward.Interrupt
-	// fingerprint stands for the request once fingerprinted is true.
-	fingerprint   directory.Fingerprint
-	fingerprinted bool
-	// onTrial is true for a request in quarantine that is sent to find out whether it is to blame.
-	onTrial bool
+	// suspicion is what is known of the request as one under which instances crash.
+	suspicion crashwatch.Request
 	// revision is that of the table by which the request was routed.
 	revision directory.Revision
 }
@@ -99,6 +98,7 @@
 		inbound: &context.Request, answer: &context.Response, remote: context.RemoteAddr(),
 		arrived: now, deadline: now.Add(g.settings.MaxTimeout), interrupt: &forward.Interrupt{},
 	}
+	read.suspicion.Identify = func() quarantine.Request { return g.identify(read) }
 	if table == nil {
 		return read, fault.New(fault.StaleRouter, "this gateway has no directory yet")
 	}
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -18,7 +18,6 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
-	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -33,14 +32,13 @@
 	reload func() (config.Gateway, error)
 	// changed is told of each new table.
 	changed func(*routing.Table)
+	// joined is told of the cluster whose directory this is.
+	joined func(cluster string)
 
 	// viewLock guards the fields below it.
-	viewLock sync.Mutex
-	view     *directory.Directory
-	cluster  message.ClusterID
-	// hasher computes fingerprints under a key that the gateways of the cluster share; nil before
-	// the first directory came.
-	hasher      atomic.Pointer[quarantine.Hasher]
+	viewLock    sync.Mutex
+	view        *directory.Directory
+	cluster     message.ClusterID
 	controllers []string
 	// peers are gateways that serve the directory while no controller answers.
 	peers []string
@@ -64,7 +62,7 @@
 func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error), meter *link.Meter) *subscription {
 	return &subscription{
 		settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(), meter: meter,
-		changed: func(*routing.Table) {},
+		changed: func(*routing.Table) {}, joined: func(string) {},
 	}
 }
 
@@ -286,7 +284,7 @@
 	earlier := s.table.Load()
 	if update.Cluster != "" && update.Cluster != s.cluster {
 		s.cluster = update.Cluster
-		s.hasher.Store(quarantine.NewHasher(string(update.Cluster)))
+		s.joined(string(update.Cluster))
 		s.view = directory.New()
 		earlier = nil
 	}
--- a/internal/lab/backend/execute.go
+++ b/internal/lab/backend/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"os"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
@@ -9,6 +10,12 @@
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 )
 
+// DeadlyRequest is the last segment of the path of a request under which the process ends.
+const DeadlyRequest = "deadly"
+
+// crashStatus is the exit status of a process that a request ended.
+const crashStatus = 3
+
 // execution is one request on its way through the back end.
 type execution struct {
 	request  request
@@ -40,6 +47,9 @@
 		return answer{}, "", err
 	}
 	time.Sleep(executing.duration)
+	if executing.request.logicalRequest() == DeadlyRequest {
+		os.Exit(crashStatus)
+	}
 	b.faults.waitWhile(func(fault Fault) bool { return fault.HoldExecutions })
 	if err := b.recordFinish(executing); err != nil {
 		return answer{}, "", err
--- a/internal/lab/scenario/backends.go
+++ b/internal/lab/scenario/backends.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/platform"
@@ -19,6 +22,8 @@
 func backEndScenarios() []Scenario {
 	return []Scenario{
 		{Name: "kill-backend", Proves: "servers come and go: a new owner within 1 s of a loss, nothing runs twice", steps: killBackEnd},
+		{Name: "deadly-request", Proves: "a request that crashes the servers that run it reaches few of them, over all routers",
+			shape: shape{duration: 14 * time.Second}, steps: deadlyRequest},
 		{Name: "freeze-backend", Proves: "a server that freezes past its lease with a full queue and comes back owns nothing: one owner at any time",
 			shape: shape{rate: 300, duration: 12 * time.Second}, steps: freezeBackEnd},
 		{Name: "cut-backend", Proves: "a server that is cut off in silence, in either direction, and heard again: one owner at any time",
@@ -48,6 +53,75 @@
 	return within(ctx, r.RestartDead)
 }
 
+// Of a request that crashes servers: deadlyCrashes must have ended before the bound holds, from
+// deadlyContact after the last of them, on mostDeadlyRepeats at most.
+const (
+	deadlyCrashes     = 3
+	deadlyContact     = 3 * time.Second
+	mostDeadlyRepeats = 3
+	deadlyPause       = 250 * time.Millisecond
+)
+
+// deadlyRequest sends one request again and again, in turn by the routers, under which each server ends
+// that runs it. Servers that ended are started again. Bound: the number of servers that end later than
+// deadlyContact after the third.
+func deadlyRequest(ctx context.Context, r *run) error {
+	if err := r.sleep(ctx, settle); err != nil {
+		return err
+	}
+	var crashes []time.Time
+	end := time.Now().Add(11 * time.Second)
+	for number := 0; time.Now().Before(end); number++ {
+		r.sendDeadly(r.Fleet.Routers[number%len(r.Fleet.Routers)].Address)
+		if err := r.sleep(ctx, deadlyPause); err != nil {
+			return err
+		}
+		ended, err := r.startEnded()
+		if err != nil {
+			return err
+		}
+		for range ended {
+			crashes = append(crashes, time.Now())
+		}
+	}
+	late := 0
+	for index, at := range crashes {
+		if index >= deadlyCrashes && at.Sub(crashes[deadlyCrashes-1]) > deadlyContact {
+			late++
+		}
+	}
+	r.Say("%d servers ended, %d of them later than %s after the third", len(crashes), late, deadlyContact)
+	r.bounds = append(r.bounds, atMost("late_crashes", float64(late), mostDeadlyRepeats))
+	return within(ctx, r.RestartDead)
+}
+
+// sendDeadly sends the request once. What it is answered does not matter.
+func (r *run) sendDeadly(router string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + router + "/" + string(keyedService) + "/" + backend.DeadlyRequest)
+	request.Header.Set(callerapi.HeaderKey, "deadly")
+	if err := fasthttp.DoTimeout(request, response, faultTimeout); err == nil {
+		r.Say("status %d: %.100s", response.StatusCode(), response.Body())
+	}
+}
+
+// startEnded starts the back ends again that have ended, and returns how many did.
+func (r *run) startEnded() (int, error) {
+	ended := 0
+	for _, backEnd := range r.Fleet.BackEnds {
+		if backEnd.Process.Running() {
+			continue
+		}
+		ended++
+		if err := r.Fleet.StartBackEnd(backEnd); err != nil {
+			return ended, err
+		}
+	}
+	return ended, nil
+}
+
 // freezeBackEnd fills the queue of the hot key's owner, freezes it for two leases, which is
 // less than requests wait, and thaws it. Bounds: its keys have a new owner within
 // 1 s; the thawed server refuses what waited in its queue.
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -113,6 +115,10 @@
 	Stopped bool `msgpack:"x,omitempty"`
 	// Unreachable lists routers that do not answer this one.
 	Unreachable []state.RouterID `msgpack:"u,omitempty"`
+	// Quarantine tells of requests under which servers crash, and Suspects is the revision of the
+	// suspected requests that the router has.
+	Quarantine *quarantine.Report `msgpack:"q,omitempty"`
+	Suspects   directory.Revision `msgpack:"d,omitempty"`
 }
 
 // PartitionSync names one record partition at one epoch.
@@ -169,6 +175,10 @@
 	// LeaseNs is how long, counted from SentNs on the router's clock, the
 	// router may act as a record primary. Zero grants nothing.
 	LeaseNs int64 `msgpack:"l,omitempty"`
+	// Heard is the number of the quarantine report in the ping; zero for none. Suspects are all
+	// suspected requests, if the router has not those of the newest revision.
+	Heard    uint64              `msgpack:"h,omitempty"`
+	Suspects *directory.Suspects `msgpack:"u,omitempty"`
 }
 
 // Refusal ends a connection with a reason.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/binary"
 	"hash"
+	"net"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
 	"golang.org/x/crypto/blake2b"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -35,16 +35,17 @@
 }
 
 // Fingerprint returns that of a request.
-func (h *Hasher) Fingerprint(request Request) (directory.Fingerprint, error) {
+func (h *Hasher) Fingerprint(request Request) directory.Fingerprint {
 	const fingerprintBytes = 8
 	state, err := blake2b.New(fingerprintBytes, h.key)
 	if err != nil {
-		return 0, eris.Wrap(err, "hash a request")
+		// Size and key are within the bounds of the hash.
+		panic("quarantine: hash a request: " + err.Error())
 	}
 	for _, part := range [][]byte{request.Method, request.Host, request.URI, []byte(request.Caller), request.Key, request.Body} {
 		writePart(state, part)
 	}
-	return directory.Fingerprint(binary.BigEndian.Uint64(state.Sum(nil))), nil
+	return directory.Fingerprint(binary.BigEndian.Uint64(state.Sum(nil)))
 }
 
 // writePart adds a part with its length, so that bytes cannot pass from one part to the next.
@@ -55,6 +56,17 @@
 	_, _ = state.Write(part)
 }
 
+// CallerOf tells a caller from others by the credential that it shows, or by its IP address.
+func CallerOf(credential []byte, remote net.Addr) string {
+	if len(credential) > 0 {
+		return "credential " + string(credential)
+	}
+	if address, ok := remote.(*net.TCPAddr); ok {
+		return "address " + address.IP.String()
+	}
+	return ""
+}
+
 // PathOf returns the hash of a request's host and path.
 func PathOf(host, uri []byte) directory.PathHash {
 	digest := xxhash.New()
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -21,9 +21,6 @@
 const (
 	// confirmTime is how long after a loss its instance is waited for to prove that it ended.
 	confirmTime = 5 * time.Second
-	// settleTime is how long after a loss a connection to the instance may still reach a process
-	// that is ending.
-	settleTime = 300 * time.Millisecond
 	// endedTime is how long an instance that ended is remembered: attempts that were sent to it
 	// before may be given up later.
 	endedTime = 30 * time.Second
@@ -69,24 +66,15 @@
 	return w.take(id)
 }
 
-// Reached takes that a connection to an instance was made: what it lost long enough before was not
-// lost by a crash.
-func (w *Witness) Reached(now time.Duration, id directory.InstanceID) {
-	var later []Loss
-	for _, loss := range w.take(id) {
-		if now-loss.Ended < settleTime {
-			later = append(later, loss)
-		}
-	}
-	if len(later) > 0 {
-		w.losses[id] = later
-		w.count += len(later)
+// Waiting returns the instances of which losses wait for a proof.
+func (w *Witness) Waiting() []directory.InstanceID {
+	waiting := make([]directory.InstanceID, 0, len(w.losses))
+	for id := range w.losses {
+		waiting = append(waiting, id)
 	}
+	return waiting
 }
 
-// Waiting reports whether losses of an instance wait for a proof.
-func (w *Witness) Waiting(id directory.InstanceID) bool { return len(w.losses[id]) > 0 }
-
 func (w *Witness) take(id directory.InstanceID) []Loss {
 	taken := w.losses[id]
 	delete(w.losses, id)
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -11,9 +12,11 @@
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -38,6 +41,10 @@
 	// Answer takes the back end's whole answer when the handler returns nil.
 	Answer *fasthttp.Response
 
+	// remote is the address that the caller connected from.
+	remote net.Addr
+	// suspicion is what is known of the request as one under which servers crash.
+	suspicion crashwatch.Request
 	// key is the caller's key.
 	key     string
 	service *state.Service
@@ -69,7 +76,9 @@
 		Inbound:        request,
 		Answer:         fasthttp.AcquireResponse(),
 		arrived:        r.clock.Now(),
+		remote:         context.RemoteAddr(),
 	}
+	exchange.suspicion.Identify = exchange.identify
 	if err := exchange.readTarget(request); err != nil {
 		return exchange, err
 	}
@@ -82,6 +91,15 @@
 	return exchange, exchange.readRepeatable(request)
 }
 
+// identify returns what makes the request the same as another one.
+func (e *Exchange) identify() quarantine.Request {
+	header := &e.Inbound.Header
+	return quarantine.Request{
+		Method: header.Method(), Host: []byte(e.Request.Service), URI: []byte(e.Target),
+		Caller: quarantine.CallerOf(header.Peek(fasthttp.HeaderAuthorization), e.remote), Key: []byte(e.key), Body: e.Inbound.Body(),
+	}
+}
+
 // readTarget splits /<service>/<rest>. The rest goes on as the caller wrote
 // it; its normal form decides whether it is allowed.
 func (e *Exchange) readTarget(request *fasthttp.Request) error {
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/crashwatch"
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -28,6 +31,8 @@
 	core      *execution.Core
 	metrics   *metrics
 	log       *logrus.Entry
+	guard     *crashwatch.Guard
+	crashes   *crashwatch.Watch
 }
 
 // outgoing is one request with its state in the core.
@@ -43,6 +48,9 @@
 
 // run is the innermost Handler: it acts until the core finishes the request.
 func (e *executor) run(ctx context.Context, exchange *Exchange) error {
+	if failure := e.guard.Check(&exchange.suspicion); failure != nil {
+		return failure
+	}
 	request := &outgoing{exchange: exchange, execution: e.core.Begin(&exchange.Request, exchange.service)}
 	defer request.execution.End()
 	changed := e.builder.Changed()
@@ -101,9 +109,9 @@
 func (e *executor) attempt(request *outgoing, action execution.Action) execution.Action {
 	exchange := request.exchange
 	server := action.Decision.Server
-	failure := e.send(request, action.Decision, action.Timeout)
+	failure := e.guard.CheckBeforeSend(&exchange.suspicion)
 	if failure == nil {
-		failure = judgeAnswer(request.target, exchange.Answer)
+		failure = e.sendGuarded(request, action)
 	}
 	if failure != nil && failure.Kind == fault.AnswerMismatched {
 		telemetry.WithError(e.log, telemetry.EventAnswerMismatched, failure).WithField("server", server.ID).Error("answer to another request")
@@ -113,6 +121,61 @@
 	return e.counted(request, next)
 }
 
+// sendGuarded sends a request that is not in quarantine, and notes whether its server crashed. One that
+// was in flight at a crash before is not sent again: it may take down another server.
+func (e *executor) sendGuarded(request *outgoing, action execution.Action) *fault.Error {
+	exchange := request.exchange
+	if exchange.suspicion.Suspected() {
+		request.execution.ForbidResend()
+	}
+	began := e.clock.Now()
+	failure := e.send(request, action.Decision, action.Timeout)
+	if failure == nil {
+		failure = judgeAnswer(request.target, exchange.Answer)
+	}
+	e.guard.EndTrial(&exchange.suspicion, failure)
+	switch {
+	case failure == nil:
+		if exchange.Answer.StatusCode() < fasthttp.StatusInternalServerError {
+			e.guard.Answered(&exchange.suspicion)
+		}
+	case failure.Kind == fault.ConnectionLost || failure.Kind == fault.AnswerTruncated || failure.Kind == fault.DeadlineExceeded:
+		e.noteLoss(exchange, action.Decision.Server, e.clock.Now()-began, failure)
+	default:
+	}
+	return failure
+}
+
+// noteLoss takes an attempt that may have ended with its server. A server that leaves may end at any
+// time, whatever it runs.
+func (e *executor) noteLoss(exchange *Exchange, server *state.Server, took time.Duration, failure *fault.Error) {
+	if server.Leaving || server.Intent != state.ServerActive {
+		return
+	}
+	e.guard.Lost(e.crashes, &exchange.suspicion, crashwatch.Attempt{
+		Service: string(server.Service), Instance: incarnationOf(server), Address: server.Address, RequestID: exchange.ID,
+		Took: took, ConnectionEnded: failure.Kind != fault.DeadlineExceeded,
+	})
+}
+
+// noteEnded tells of the servers of which another process runs than that which lost requests.
+func (r *Router) noteEnded() {
+	view := r.builder.Table()
+	r.crashes.Check(func(id directory.InstanceID) bool {
+		name, _, _ := strings.Cut(string(id), incarnationMark)
+		server, found := view.Server(state.ServerID(name))
+		return found && incarnationOf(server) != id
+	})
+}
+
+// incarnationMark stands between a server's identifier and that of its process.
+const incarnationMark = "#"
+
+// incarnationOf names the process of a server that had the newest session.
+func incarnationOf(server *state.Server) directory.InstanceID {
+	return directory.InstanceID(string(server.ID) + incarnationMark + server.Session.Incarnation)
+}
+
 func (e *executor) send(request *outgoing, decision *dispatch.Decision, timeout time.Duration) *fault.Error {
 	exchange := request.exchange
 	request.attemptID = exchange.ID + "." + strconv.Itoa(request.execution.Attempts()+1)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fleet"
@@ -58,6 +59,11 @@
 	dial   tableDialer
 	// certificates is nil for plain text.
 	certificates *certificate.Store
+	// guard keeps requests in quarantine from being sent, and crashes finds those under which servers
+	// crash; crashed gets an entry when the controllers are to be told at once.
+	guard   *crashwatch.Guard
+	crashes *crashwatch.Watch
+	crashed chan struct{}
 
 	// connections counts callers' open connections.
 	connections atomic.Int64
@@ -114,6 +120,10 @@
 		subset:   table.NewSubset(serviceNames(settings.Services)),
 		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: controllerDialer(options.dial()), certificates: options.Certificates,
 	}
+	router.crashed = make(chan struct{}, 1)
+	router.guard = crashwatch.NewGuard(router.clock, settings.Name, settings.QuarantineCrashes, router.crashed)
+	router.crashes = crashwatch.NewWatch(router.clock, log, router.guard.Crashed)
+	router.guard.RegisterMetrics(router.registry)
 	router.lifetime, router.end = context.WithCancel(context.Background())
 	router.fleet = newFleet(settings, router.clock, router.builder)
 	router.requests = router.newRequests()
@@ -150,7 +160,7 @@
 func (r *Router) newExecutor() *executor {
 	return &executor{
 		clock: r.clock, builder: r.builder, fleet: r.fleet, freshness: r.freshness,
-		core: r.requests, metrics: r.metrics, log: r.log,
+		core: r.requests, metrics: r.metrics, log: r.log, guard: r.guard, crashes: r.crashes,
 	}
 }
 
@@ -218,6 +228,7 @@
 	group.Go(func() { r.certificates.Watch(background, r.settings.TLS.ReloadInterval, r.log) })
 	group.Go(func() { r.newSubscription().run(background) })
 	group.Go(func() { r.probe(background) })
+	group.Go(func() { r.crashes.Run(background) })
 	group.Go(func() { r.watchFreshness(background) })
 	telemetry.With(r.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
@@ -256,8 +267,9 @@
 		changed: func() {
 			r.fleet.Refresh(r.builder.Table())
 			r.records.TableChanged()
+			r.noteEnded()
 		},
-		records: r.records,
+		records: r.records, guard: r.guard, crashed: r.crashed,
 	}
 }
 
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -15,6 +15,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -75,6 +76,10 @@
 	changed func()
 	// records adds to pings and takes leases from pongs.
 	records recordReporter
+	// guard tells and hears of requests under which servers crash, and crashed gets an entry when the
+	// controllers are to be told at once.
+	guard   *crashwatch.Guard
+	crashed <-chan struct{}
 
 	// preferred is the index of the controller that answered last.
 	preferred int
@@ -215,6 +220,7 @@
 		return err
 	}
 	s.heard.Store(int64(s.clock.Now()))
+	s.guard.Connected()
 	if err := connection.Send(message.RouterFrame{Hello: s.hello()}); err != nil {
 		_ = connection.Close()
 		return err
@@ -253,12 +259,14 @@
 		}
 		ping := &message.Ping{Nonce: s.nonce, SentNs: int64(now), Revision: s.builder.Table().Revision()}
 		s.records.Report(ping)
+		ping.Quarantine, ping.Suspects = s.guard.Report(), s.guard.Revision()
 		if err := connection.Send(message.RouterFrame{Ping: ping}); err != nil {
 			return
 		}
 		select {
 		case <-ticker.C:
 		case <-s.records.ReportDue():
+		case <-s.crashed:
 		case <-ctx.Done():
 			return
 		}
@@ -284,6 +292,7 @@
 		complete, err := s.builder.ApplySnapshot(*frame.Snapshot)
 		if complete {
 			s.resync = false
+			s.guard.Join(string(s.builder.Table().Cluster()))
 			telemetry.With(s.log, telemetry.EventTableSnapshot).
 				WithField(telemetry.FieldRevision, frame.Snapshot.Revision).Info("routing table received")
 			s.advance()
@@ -299,6 +308,7 @@
 		s.served = true
 		s.freshness.Observe(*frame.Pong, s.builder.Table().Revision())
 		s.records.Renew(*frame.Pong)
+		s.takeSuspects(*frame.Pong)
 		return nil
 	case frame.Notice != nil:
 		for _, problem := range frame.Notice.Problems {
@@ -313,6 +323,13 @@
 	}
 }
 
+func (s *subscription) takeSuspects(pong message.Pong) {
+	s.guard.Heard(pong.Heard)
+	if pong.Suspects != nil {
+		s.guard.Take(*pong.Suspects)
+	}
+}
+
 func (s *subscription) advance() {
 	s.freshness.Advance(s.builder.Table().Revision())
 	s.changed()
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -31,23 +31,45 @@
 	buildBinaries(t, binaries)
 	for _, name := range []string{"kill-backend", "kill-leader"} {
 		t.Run(name, func(t *testing.T) {
-			chosen, found := scenario.Find(name)
-			if !found {
-				t.Fatalf("no scenario is named %q", name)
-			}
-			ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
-			defer cancel()
-			result, err := chosen.Run(ctx, scenario.Options{
-				Product: filepath.Join(binaries, "thorntiller"), Lab: filepath.Join(binaries, "thorntiller-lab"),
-				Folder: t.TempDir(), Seed: 1, Say: t.Logf,
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%s", result.Table())
+			result := runScenario(t, binaries, name)
 			if !result.Summary.OK {
 				t.Errorf("a guarantee broke: %+v", result.Violations)
 			}
 		})
 	}
 }
+
+// TestDeadlyRequest: a request that crashes the servers that run it reaches few of them, over all
+// routers. Each router sent it on for as long as it came.
+func TestDeadlyRequest(t *testing.T) {
+	binaries := t.TempDir()
+	buildBinaries(t, binaries)
+	result := runScenario(t, binaries, "deadly-request")
+	if !result.Summary.OK {
+		t.Errorf("a guarantee broke: %+v", result.Violations)
+	}
+	for _, bound := range result.Bounds {
+		if !bound.Held {
+			t.Errorf("%s is %g, want %g at most", bound.Name, bound.Value, bound.Limit)
+		}
+	}
+}
+
+func runScenario(t *testing.T, binaries, name string) scenario.Result {
+	t.Helper()
+	chosen, found := scenario.Find(name)
+	if !found {
+		t.Fatalf("no scenario is named %q", name)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
+	defer cancel()
+	result, err := chosen.Run(ctx, scenario.Options{
+		Product: filepath.Join(binaries, "thorntiller"), Lab: filepath.Join(binaries, "thorntiller-lab"),
+		Folder: t.TempDir(), Seed: 1, Say: t.Logf,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s", result.Table())
+	return result
+}
