Records: the copy of a router that gives a role up is kept until the new backup is whole

What callers saw: requests with an Idempotency-Key got record_unavailable for as long as their partition's primary was cut off from the other routers, if that happened while a role moved for the sake of balance.

Cause: the move gave the old whole copy up at once; the new backup had to be filled by the primary, so that nobody else had the records.

Why this works: a partition remembers the former copy until the backup has every record; the primary stores each change on it, too, before it grants anything, and the placement lets it take over. Former copies are kept only while every router that answers knows of them; without one a partition has the same form and digest as before (TestPartitionsOfTwoVersions).

--- a/internal/controller/partitions.go
+++ b/internal/controller/partitions.go
@@ -115,6 +115,7 @@
 	k.follow(stream.leadership)
 	report := record.Report{
 		Synced: partitionEpochs(ping.SyncedPartitions), Failed: partitionEpochs(ping.FailedBackups),
+		FailedFormers: partitionEpochs(ping.FailedFormers), Earlier: !ping.KeepsFormers,
 		Leaving: ping.Leaving, Stopped: ping.Stopped, Unreachable: ping.Unreachable, Revision: ping.Revision,
 		Unfit: stream.unfit(),
 	}
--- a/internal/message/records.go
+++ b/internal/message/records.go
@@ -23,6 +23,9 @@
 // RecordStore gives records from a partition's primary to its backup.
 type RecordStore struct {
 	Epoch state.Epoch
+	// Former is the epoch since which the receiver holds every record as the former copy; zero for a
+	// backup.
+	Former state.Epoch `msgpack:",omitempty"`
 	// Incarnation is the backup process that the primary means.
 	Incarnation string
 	Records     []record.Record
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -108,6 +108,10 @@
 	SyncedPartitions []PartitionSync `msgpack:"s,omitempty"`
 	// FailedBackups lists partitions whose backup does not answer the primary.
 	FailedBackups []PartitionSync `msgpack:"f,omitempty"`
+	// FailedFormers lists partitions whose former copy does not answer the primary, and KeepsFormers
+	// says that the router knows of former copies.
+	FailedFormers []PartitionSync `msgpack:"o,omitempty"`
+	KeepsFormers  bool            `msgpack:"k,omitempty"`
 	// Leaving says that the router stops and wants its partitions moved.
 	Leaving bool `msgpack:"l,omitempty"`
 	// Stopped promises that the router process acts as a primary never again, so
--- a/internal/record/cluster_test.go
+++ b/internal/record/cluster_test.go
@@ -39,6 +39,8 @@
 	lease    map[state.SessionNumber]time.Duration
 	synced   state.Epoch
 	failed   state.Epoch
+	// failedFormer is the epoch at which the former copy did not answer.
+	failedFormer state.Epoch
 	// rate and skew are those of the machine's clocks.
 	rate float64
 	skew time.Duration
@@ -76,7 +78,9 @@
 	kept      int
 	lost      int
 	moves     int
-	serial    int
+	// formers counts the changes that were stored on a former copy.
+	formers int
+	serial  int
 	// skew is that of the controllers' wall clock.
 	skew time.Duration
 }
@@ -214,6 +218,9 @@
 	before := len(c.placement.moved)
 	commands := c.placement.Tick(moment, c.state)
 	c.moves += len(c.placement.moved) - before
+	if command, due := c.balance(moment); due {
+		commands = append(commands, command)
+	}
 	for _, command := range commands {
 		if c.random.IntN(10) == 0 {
 			continue
@@ -224,6 +231,26 @@
 	}
 }
 
+// balance moves a role now and then, as where routers have several partitions.
+func (c *testCluster) balance(moment Moment) (state.Command, bool) {
+	partitions := c.state.Partitions()
+	if len(partitions) == 0 || !partitions[0].BackupSynced || c.random.IntN(20) > 0 {
+		return state.Command{}, false
+	}
+	placed := partitions[0]
+	look := c.placement.look(moment, c.state)
+	if !look.open(placed.Primary, placed.PrimarySession) || !look.open(placed.Backup, placed.BackupSession) {
+		return state.Command{}, false
+	}
+	primary, backup := holder{placed.Primary, placed.PrimarySession}, holder{placed.Backup, placed.BackupSession}
+	next, former := look.replaceBackup(placed), backup
+	if c.random.IntN(2) == 0 {
+		next, former = look.promote(placed, backup), primary
+	}
+	next = look.withFormer(next, former, placed.Epoch)
+	return state.Command{PutPartitions: &state.PutPartitions{Partitions: []state.RecordPartition{next}}}, true
+}
+
 func (c *testCluster) ping(r *testRouter) {
 	if c.now < r.cutOff {
 		return
@@ -237,6 +264,9 @@
 	if r.core.Role() == RolePrimary && r.failed == at.Epoch {
 		report.Failed = append(report.Failed, at)
 	}
+	if r.core.Role() == RolePrimary && r.failedFormer == at.Epoch {
+		report.FailedFormers = append(report.FailedFormers, at)
+	}
 	report.Unreachable = c.missed(r)
 	report.Revision = c.views[r.view].revision
 	c.later(func() {
@@ -348,26 +378,41 @@
 	})
 }
 
-// replicate mirrors the router's order: backup first, then the check.
+// replicate mirrors the router's order: the former copy, the backup, then the check.
 func (c *testCluster) replicate(primary *testRouter, placed state.RecordPartition, stored Record, done func()) {
 	confirm := func() {
 		if !primary.dead && primary.core.Confirm(c.moment(primary), primary.lease[placed.PrimarySession], placed.Epoch) {
 			c.later(done)
 		}
 	}
-	if placed.Backup == "" {
-		c.later(confirm)
+	if c.random.IntN(150) == 0 && primary.core.Epoch() == placed.Epoch && placed.Backup != "" {
+		primary.failed = placed.Epoch
+	}
+	if c.random.IntN(150) == 0 && primary.core.Epoch() == placed.Epoch && placed.Former != "" {
+		primary.failedFormer = placed.Epoch
 		return
 	}
-	if c.random.IntN(150) == 0 && primary.core.Epoch() == placed.Epoch {
-		primary.failed = placed.Epoch
+	next := func() { c.later(confirm) }
+	if placed.Backup != "" && placed.Backup != placed.Former {
+		next = c.storing(primary, placed, placed.Backup, placed.BackupSession, 0, stored, next)
+	}
+	if placed.Former != "" {
+		c.formers++
+		next = c.storing(primary, placed, placed.Former, placed.FormerSession, placed.FormerEpoch, stored, next)
+	}
+	next()
+}
+
+// storing returns a step that stores a record on one copy and goes on if that has it.
+func (c *testCluster) storing(primary *testRouter, placed state.RecordPartition, id state.RouterID, session state.SessionNumber, formerEpoch state.Epoch, stored Record, next func()) func() {
+	return func() {
+		receiver := c.byIncarnation(id, session, c.views[primary.view])
+		c.later(func() {
+			if receiver != nil && !receiver.dead && receiver.core.Store(placed.Epoch, formerEpoch, []Record{stored}) {
+				next()
+			}
+		})
 	}
-	backup := c.byIncarnation(placed.Backup, placed.BackupSession, c.views[primary.view])
-	c.later(func() {
-		if backup != nil && !backup.dead && backup.core.Store(placed.Epoch, []Record{stored}) {
-			c.later(confirm)
-		}
-	})
 }
 
 func (c *testCluster) granted(attempt *testAttempt) {
@@ -435,13 +480,17 @@
 	if primary.core.Role() != RolePrimary || placed.Backup == "" || primary.core.Epoch() != placed.Epoch {
 		return
 	}
+	formerEpoch := state.Epoch(0)
+	if placed.Backup == placed.Former {
+		formerEpoch = placed.FormerEpoch
+	}
 	keys := primary.core.Keys()
 	backup := c.byIncarnation(placed.Backup, placed.BackupSession, c.views[primary.view])
 	c.later(func() {
 		for first := true; first || len(keys) > 0; first = false {
 			var part []Record
 			part, keys = primary.core.Records(keys, 2, 1<<20)
-			if backup == nil || backup.dead || primary.dead || !backup.core.Store(placed.Epoch, part) {
+			if backup == nil || backup.dead || primary.dead || !backup.core.Store(placed.Epoch, formerEpoch, part) {
 				return
 			}
 		}
@@ -473,7 +522,7 @@
 func TestAtMostOneAttemptRuns(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(1)
 	parameters.MinSuccessfulTests = 400
-	var grants, kept, lost, moves int
+	var grants, kept, lost, moves, formers int
 	properties := gopter.NewProperties(parameters)
 	properties.Property("no key has two attempts that ran", prop.ForAll(func(seed uint64) string {
 		cluster := runTestCluster(seed)
@@ -481,11 +530,12 @@
 		kept += cluster.kept
 		lost += cluster.lost
 		moves += cluster.moves
+		formers += cluster.formers
 		return cluster.failure
 	}, gen.UInt64()))
 	properties.TestingRun(t)
-	t.Logf("granted %d, kept answers %d, refused after a loss %d, first moves from a cut-off router %d", grants, kept, lost, moves)
-	if grants < 1000 || kept < 100 || lost < 10 || moves < 100 {
-		t.Errorf("too little happened: granted %d, kept answers %d, refused after a loss %d", grants, kept, lost)
+	t.Logf("granted %d, kept answers %d, refused after a loss %d, first moves from a cut-off router %d, stored on former copies %d", grants, kept, lost, moves, formers)
+	if grants < 1000 || kept < 100 || lost < 10 || moves < 100 || formers < 1000 {
+		t.Errorf("too little happened: granted %d, kept answers %d, refused after a loss %d, stored on former copies %d", grants, kept, lost, formers)
 	}
 }
--- a/internal/record/cutoff.go
+++ b/internal/record/cutoff.go
@@ -133,25 +133,27 @@
 // awaitsVerdict reports whether the primary may be cut off, in which case its
 // whole backup is not given up for another one yet.
 func (l *placing) awaitsVerdict(placed state.RecordPartition) bool {
-	now := l.moment.Now
-	if !placed.BackupSynced || l.placement.cutOff(now, placed.Primary) {
-		return false
-	}
-	known := l.placement.contact(placed.Primary)
-	since, missed := known.missed[placed.Backup]
-	young := missed && now-since < verdictWait && len(known.missed) >= minReporters
+	return placed.BackupSynced && !l.placement.cutOff(l.moment.Now, placed.Primary) && l.mayBeCutOff(placed.Primary, placed.Backup)
+}
+
+// mayBeCutOff reports whether a primary that does not reach another router may be the one that is cut
+// off, as far as the others were heard.
+func (l *placing) mayBeCutOff(primary, other state.RouterID) bool {
+	known := l.placement.contact(primary)
+	since, missed := known.missed[other]
+	young := missed && l.moment.Now-since < verdictWait && len(known.missed) >= minReporters
 	return known.cutOffSince > 0 || young
 }
 
-// leavesCutOff reports whether a partition's whole backup is to take over from a
-// primary that is cut off. The backup must have been heard since, and must meet
-// the others itself.
-func (l *placing) leavesCutOff(placed state.RecordPartition) bool {
+// leavesCutOff reports whether the holder of a partition's whole copy is to take over
+// from a primary that is cut off. It must have been heard since, and must meet the
+// others itself.
+func (l *placing) leavesCutOff(placed state.RecordPartition, heir state.RouterID) bool {
 	now := l.moment.Now
-	if !placed.BackupSynced || !l.placement.cutOff(now, placed.Primary) {
+	if !l.placement.cutOff(now, placed.Primary) {
 		return false
 	}
-	backup := l.placement.contact(placed.Backup)
+	backup := l.placement.contact(heir)
 	if backup.cutOffSince > 0 || backup.pinged <= l.placement.contact(placed.Primary).cutOffSince {
 		return false
 	}
@@ -173,7 +175,7 @@
 }
 
 // promoteFromCutOff is promote with a note that bounds further moves.
-func (l *placing) promoteFromCutOff(placed state.RecordPartition) state.RecordPartition {
+func (l *placing) promoteFromCutOff(placed state.RecordPartition, heir holder) state.RecordPartition {
 	l.placement.moved[placed.Number] = moved{from: placed.Epoch, at: l.moment.Now}
-	return l.promote(placed)
+	return l.promote(placed, heir)
 }
--- a/internal/record/partition.go
+++ b/internal/record/partition.go
@@ -48,7 +48,8 @@
 // Place takes over the placement in the routing table, given the number of the
 // router's open session, zero for none. It reports whether the role or the
 // epoch changed. Records are kept only by a router that was primary or backup
-// before and is primary now, and by a backup of the same epoch.
+// before and is primary now, by a backup of the same epoch, and by the former
+// copy, which is a backup that holds every record already.
 func (p *Partition) Place(placed state.RecordPartition, session state.SessionNumber) bool {
 	if placed.Epoch < p.epoch {
 		return false
@@ -57,6 +58,7 @@
 	changed := placed.Epoch != p.epoch || role != p.role
 	keep := role == RolePrimary && p.role != RoleNone
 	keep = keep || (role == RoleBackup && p.role == RoleBackup && placed.Epoch == p.epoch)
+	keep = keep || (role == RoleBackup && placed.Former == p.self && p.heldSince(placed.FormerEpoch))
 	if changed && !keep {
 		p.clear()
 	}
@@ -66,13 +68,16 @@
 	return changed
 }
 
+// heldSince reports whether this router has had a copy of every record since an epoch.
+func (p *Partition) heldSince(epoch state.Epoch) bool { return p.role != RoleNone && p.epoch >= epoch }
+
 func roleOf(placed state.RecordPartition, self state.RouterID, session state.SessionNumber) Role {
 	switch {
 	case session == 0:
 		return RoleNone
 	case placed.Primary == self && placed.PrimarySession == session:
 		return RolePrimary
-	case placed.Backup == self && placed.BackupSession == session:
+	case placed.Backup == self && placed.BackupSession == session, placed.Former == self && placed.FormerSession == session:
 		return RoleBackup
 	default:
 		return RoleNone
@@ -185,11 +190,11 @@
 // change writes a new version of a record and returns a copy.
 func (p *Partition) change(claim Claim, status Status, answer *Answer) Record {
 	next := Record{
-		Key: claim.Key, Fingerprint: claim.Fingerprint, Version: 1, Status: status,
+		Key: claim.Key, Fingerprint: claim.Fingerprint, Version: p.firstVersion(), Status: status,
 		Attempt: claim.Attempt, Router: claim.Router, Session: claim.Session, Answer: answer,
 	}
 	if known, found := p.records[claim.Key]; found {
-		next.Version = known.Version + 1
+		next.Version = max(next.Version, known.Version+1)
 	}
 	if answer != nil && p.answerBytes+answer.size() > p.settings.MaxAnswerBytes {
 		next.Answer = &Answer{Status: answer.Status, Omitted: true}
@@ -198,6 +203,13 @@
 	return next
 }
 
+// versionBits are those of a record's version that count its changes within one epoch.
+const versionBits = 32
+
+// firstVersion is the lowest version that is written at the present epoch: above all that an earlier
+// primary wrote, also what it could not store on its backup before it became the former copy.
+func (p *Partition) firstVersion() uint64 { return uint64(p.epoch)<<versionBits + 1 }
+
 func (p *Partition) put(next Record) {
 	known, found := p.records[next.Key]
 	if found {
@@ -221,13 +233,18 @@
 
 // Store takes records from the primary at an epoch and reports whether this
 // router holds them now. A higher epoch than the known one makes the router a
-// new backup, which begins with nothing.
-func (p *Partition) Store(epoch state.Epoch, records []Record) bool {
+// new backup, which begins with nothing, unless it is the former copy: formerEpoch
+// is then the epoch since which it holds every record, and zero for others.
+func (p *Partition) Store(epoch, formerEpoch state.Epoch, records []Record) bool {
 	if epoch < p.epoch || (epoch == p.epoch && p.role != RoleBackup) {
 		return false
 	}
 	if epoch > p.epoch {
-		p.clear()
+		if formerEpoch == 0 {
+			p.clear()
+		} else if !p.heldSince(formerEpoch) {
+			return false
+		}
 		p.role = RoleBackup
 		p.epoch = epoch
 	}
--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -86,7 +86,7 @@
 	for _, placed := range partitions {
 		current[PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch}] = true
 	}
-	for _, reports := range []map[PartitionEpoch]bool{p.synced, p.failed} {
+	for _, reports := range []map[PartitionEpoch]bool{p.synced, p.failed, p.failedFormers} {
 		for reported := range reports {
 			if !current[reported] {
 				delete(reports, reported)
@@ -118,17 +118,15 @@
 
 // next returns the partition as it should be, and whether that differs.
 func (l *placing) next(placed state.RecordPartition) (state.RecordPartition, bool) {
+	if next, changed, decided := l.nextPrimary(placed); decided {
+		return next, changed
+	}
 	at := PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch}
-	primaryOpen := l.open(placed.Primary, placed.PrimarySession)
-	backupOpen := l.open(placed.Backup, placed.BackupSession)
-	backupUsable := backupOpen && !l.leaves(placed.Backup)
+	backupUsable := l.open(placed.Backup, placed.BackupSession) && !l.leaves(placed.Backup)
 	switch {
-	case !primaryOpen && backupOpen && placed.BackupSynced:
-		return l.takeOver(placed), true
-	case !primaryOpen:
-		return l.restart(placed)
-	case backupUsable && l.leavesCutOff(placed):
-		return l.promoteFromCutOff(placed), true
+	case l.dropsFormer(placed):
+		placed.DropFormer()
+		return placed, true
 	case backupUsable && l.awaitsVerdict(placed):
 		return placed, false
 	case placed.Backup != "" && (!backupUsable || l.placement.failed[at] || l.replacesCutOff(placed)):
@@ -138,9 +136,10 @@
 		return next, next.Backup != ""
 	case !placed.BackupSynced && l.placement.synced[at]:
 		placed.BackupSynced = true
+		placed.DropFormer()
 		return placed, true
 	case placed.BackupSynced && l.leaves(placed.Primary):
-		return l.promote(placed), true
+		return l.promote(placed, holder{placed.Backup, placed.BackupSession}), true
 	case l.settled:
 		next, changed := l.rebalance(placed)
 		l.settled = !changed
@@ -150,11 +149,61 @@
 	}
 }
 
-// rebalance evens out the roles that routers have, one partition at a time,
-// since there is one whole copy only until the new backup has every record.
+// nextPrimary decides about a primary that ended or is cut off from the others. It reports false for
+// one that stays as far as that goes.
+func (l *placing) nextPrimary(placed state.RecordPartition) (next state.RecordPartition, changed, decided bool) {
+	heir, whole := l.wholeCopy(placed)
+	switch {
+	case l.open(placed.Primary, placed.PrimarySession):
+		if !whole || l.leaves(heir.router) || !l.leavesCutOff(placed, heir.router) {
+			return placed, false, false
+		}
+		return l.promoteFromCutOff(placed, heir), true, true
+	case whole:
+		return l.takeOver(placed, heir), true, true
+	default:
+		next, changed = l.restart(placed)
+		return next, changed, true
+	}
+}
+
+// holder is one process of a router.
+type holder struct {
+	router  state.RouterID
+	session state.SessionNumber
+}
+
+// wholeCopy returns the holder of every record beside the primary, if there is one that may still run.
+func (l *placing) wholeCopy(placed state.RecordPartition) (holder, bool) {
+	if placed.BackupSynced && l.open(placed.Backup, placed.BackupSession) {
+		return holder{placed.Backup, placed.BackupSession}, true
+	}
+	if placed.Former != "" && l.open(placed.Former, placed.FormerSession) {
+		return holder{placed.Former, placed.FormerSession}, true
+	}
+	return holder{}, false
+}
+
+// dropsFormer reports whether the former copy is given up: its router leaves or does not answer. A
+// primary that may be cut off itself does not decide that.
+func (l *placing) dropsFormer(placed state.RecordPartition) bool {
+	switch {
+	case placed.Former == "":
+		return false
+	case !l.open(placed.Former, placed.FormerSession), l.leaves(placed.Former), !l.placement.keepsFormers(l.moment.Now):
+		return true
+	default:
+		failed := l.placement.failedFormers[PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch}]
+		return failed && !l.mayBeCutOff(placed.Primary, placed.Former)
+	}
+}
+
+// rebalance evens out the roles that routers have, one partition at a time. The copy of the router that
+// loses a role is kept up to date until the new backup has every record.
 func (l *placing) rebalance(placed state.RecordPartition) (state.RecordPartition, bool) {
 	if l.primaries[placed.Primary]-l.primaries[placed.Backup] >= uneven && !l.placement.rests(l.moment.Now, placed.Backup) {
-		return l.promote(placed), true
+		next := l.promote(placed, holder{placed.Backup, placed.BackupSession})
+		return l.withFormer(next, holder{placed.Primary, placed.PrimarySession}, placed.Epoch), true
 	}
 	best := l.bestBackup(placed.Primary)
 	if best == nil || best.ID == placed.Backup {
@@ -163,11 +212,20 @@
 	zone := l.routers[placed.Primary].Zone
 	apart := best.Zone != zone && l.routers[placed.Backup].Zone == zone
 	if apart || l.backups[placed.Backup]-l.backups[best.ID] >= uneven {
-		return l.replaceBackup(placed), true
+		next := l.replaceBackup(placed)
+		return l.withFormer(next, holder{placed.Backup, placed.BackupSession}, placed.Epoch), true
 	}
 	return placed, false
 }
 
+// withFormer keeps the copy of a router that held every record at an epoch.
+func (l *placing) withFormer(placed state.RecordPartition, former holder, epoch state.Epoch) state.RecordPartition {
+	if l.placement.keepsFormers(l.moment.Now) {
+		placed.Former, placed.FormerSession, placed.FormerEpoch = former.router, former.session, epoch
+	}
+	return placed
+}
+
 func (l *placing) open(router state.RouterID, session state.SessionNumber) bool {
 	known, found := l.routers[router]
 	return found && known.Session.Open && known.Session.Number == session
@@ -178,23 +236,24 @@
 	return known.report.Leaving || known.report.Stopped
 }
 
-// promote makes the backup, which holds every record, the primary.
-func (l *placing) promote(placed state.RecordPartition) state.RecordPartition {
+// promote makes the heir, which holds every record, the primary.
+func (l *placing) promote(placed state.RecordPartition, heir holder) state.RecordPartition {
 	l.primaries[placed.Primary]--
 	l.backups[placed.Backup]--
 	next := placed
-	next.Primary, next.PrimarySession = placed.Backup, placed.BackupSession
+	next.Primary, next.PrimarySession = heir.router, heir.session
 	next.Epoch++
 	next.BackupSynced = false
+	next.DropFormer()
 	l.primaries[next.Primary]++
 	l.setBackup(&next)
 	return next
 }
 
-// takeOver makes the whole backup the primary in place of one whose session is
-// closed, and notes that earlier primaries grant nothing any more.
-func (l *placing) takeOver(placed state.RecordPartition) state.RecordPartition {
-	next := l.promote(placed)
+// takeOver makes the heir the primary in place of one whose session is closed, and
+// notes that earlier primaries grant nothing any more.
+func (l *placing) takeOver(placed state.RecordPartition, heir holder) state.RecordPartition {
+	next := l.promote(placed, heir)
 	l.placement.begun[placed.Number] = begun{primary: next.Primary, session: next.PrimarySession}
 	return next
 }
--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -55,6 +55,10 @@
 	Synced []PartitionEpoch
 	// Failed lists partitions whose backup does not answer this primary.
 	Failed []PartitionEpoch
+	// FailedFormers lists partitions whose former copy does not answer this primary.
+	FailedFormers []PartitionEpoch
+	// Earlier is true for a process of a version that does not know of former copies.
+	Earlier bool
 	// Leaving asks to move the router's partitions.
 	Leaving bool
 	// Stopped promises that the process never acts as a primary again.
@@ -82,6 +86,8 @@
 	firstUsable time.Duration
 	synced      map[PartitionEpoch]bool
 	failed      map[PartitionEpoch]bool
+	// failedFormers are the partitions whose former copy does not answer.
+	failedFormers map[PartitionEpoch]bool
 	// unreachable holds until when a primary does not choose a backup.
 	unreachable map[routerPair]time.Duration
 	// moved holds the moves away from routers that were cut off, by partition.
@@ -135,6 +141,7 @@
 	p.contacts = make(map[state.RouterID]*contact)
 	p.synced = make(map[PartitionEpoch]bool)
 	p.failed = make(map[PartitionEpoch]bool)
+	p.failedFormers = make(map[PartitionEpoch]bool)
 	p.unreachable = make(map[routerPair]time.Duration)
 	p.moved = make(map[int]moved)
 	p.begun = make(map[int]begun)
@@ -154,6 +161,7 @@
 	known.report = report
 	known.misses(now, report.Unreachable)
 	p.learn(now, process.ID, report, view)
+	p.learnFormers(process.ID, report, view)
 	registered, found := view.Router(process.ID)
 	session := registered.Session
 	if !found || !session.Open || session.Incarnation != process.Session.Incarnation {
@@ -193,6 +201,25 @@
 	}
 }
 
+// learnFormers keeps what a primary says of former copies.
+func (p *Placement) learnFormers(router state.RouterID, report Report, view *state.State) {
+	for _, reported := range report.FailedFormers {
+		if placed, found := view.Partition(reported.Number); found && placed.Primary == router && placed.Epoch == reported.Epoch {
+			p.failedFormers[reported] = true
+		}
+	}
+}
+
+// keepsFormers reports whether all routers that answer know of former copies.
+func (p *Placement) keepsFormers(now time.Duration) bool {
+	for _, known := range p.contacts {
+		if known.report.Earlier && p.answers(now, known) {
+			return false
+		}
+	}
+	return true
+}
+
 // forgetFailures drops what no longer keeps a backup from being chosen.
 func (p *Placement) forgetFailures(now time.Duration) {
 	maps.DeleteFunc(p.unreachable, func(_ routerPair, until time.Duration) bool { return now >= until })
@@ -277,12 +304,16 @@
 	for _, placed := range view.Partitions() {
 		primary := p.holds(now, view, placed.Primary, placed.PrimarySession)
 		backup := placed.BackupSynced && p.holds(now, view, placed.Backup, placed.BackupSession)
-		if !backup {
+		former := placed.Former != "" && p.holds(now, view, placed.Former, placed.FormerSession)
+		if !backup && !former {
 			last[placed.Primary] = true
 		}
 		if !primary && placed.BackupSynced {
 			last[placed.Backup] = true
 		}
+		if !primary && placed.Former != "" {
+			last[placed.Former] = true
+		}
 	}
 	return last
 }
--- a/internal/router/records/primary.go
+++ b/internal/router/records/primary.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/record"
@@ -62,11 +63,13 @@
 	return s.replicate(target, placed, known, record.Stored)
 }
 
-// replicate stores a record on the backup and then checks that this router is
+// replicate stores a record on each copy and then checks that this router is
 // still the primary at the same epoch and under its lease.
 func (s *Service) replicate(target *held, placed state.RecordPartition, changed record.Record, verdict record.Verdict) *message.RecordAnswer {
-	if placed.Backup != "" && !s.storeOnBackup(target, placed, []record.Record{changed}) {
-		return &message.RecordAnswer{Verdict: record.NotStored}
+	for _, copyOf := range copiesOf(placed) {
+		if !s.storeOn(target, placed, copyOf, []record.Record{changed}) {
+			return &message.RecordAnswer{Verdict: record.NotStored}
+		}
 	}
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
@@ -76,55 +79,95 @@
 	return &message.RecordAnswer{Verdict: verdict}
 }
 
-// storeOnBackup sends records to the backup and reports whether it has them. A
-// backup that does not answer is reported to the controllers and not asked
-// again at this epoch.
-func (s *Service) storeOnBackup(target *held, placed state.RecordPartition, records []record.Record) bool {
-	if target.backupFailed(placed.Epoch) {
+// replica is one copy of a partition beside that of the primary.
+type replica struct {
+	router  state.RouterID
+	session state.SessionNumber
+	// formerEpoch is the epoch since which it holds every record as the former copy; zero for a
+	// backup.
+	formerEpoch state.Epoch
+}
+
+// copiesOf returns the copies that each change is stored on: the whole one first.
+func copiesOf(placed state.RecordPartition) []replica {
+	var copies []replica
+	if placed.Former != "" {
+		copies = append(copies, replica{placed.Former, placed.FormerSession, placed.FormerEpoch})
+	}
+	if placed.Backup != "" && placed.Backup != placed.Former {
+		copies = append(copies, backupOf(placed))
+	}
+	return copies
+}
+
+// backupOf returns the backup of a partition, which may be the former copy as well.
+func backupOf(placed state.RecordPartition) replica {
+	backup := replica{router: placed.Backup, session: placed.BackupSession}
+	if placed.Backup == placed.Former {
+		backup.formerEpoch = placed.FormerEpoch
+	}
+	return backup
+}
+
+// storeOn sends records to a copy and reports whether it has them. One that does
+// not answer is reported to the controllers and not asked again at this epoch.
+func (s *Service) storeOn(target *held, placed state.RecordPartition, receiver replica, records []record.Record) bool {
+	if target.hasFailed(placed, receiver) {
 		return false
 	}
-	answer, err := s.callBackup(placed, records)
+	answer, err := s.callReplica(placed, receiver, records)
 	if err == nil {
 		return answer.Stored
 	}
 	if s.lifetime.Err() != nil || errors.Is(err, errNoSuchRouter) {
 		return false
 	}
-	target.mutex.Lock()
-	first := target.failed != placed.Epoch
-	if first && target.core.Epoch() == placed.Epoch {
-		target.failed = placed.Epoch
-		target.failedAt = s.options.Clock.Now()
-	}
-	target.mutex.Unlock()
+	first := target.noteFailed(placed, receiver, s.options.Clock.Now())
 	signal(s.reportDue)
 	if first {
 		telemetry.WithError(s.options.Log, telemetry.EventBackupLost, err).
-			WithField("partition", placed.Number).WithField("router", placed.Backup).Warn("the backup does not answer")
+			WithField("partition", placed.Number).WithField("router", receiver.router).Warn("the backup does not answer")
 	}
 	return false
 }
 
-func (h *held) backupFailed(epoch state.Epoch) bool {
+func (h *held) hasFailed(placed state.RecordPartition, receiver replica) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.failed == epoch
+	return receiver.router == placed.Backup && h.failed == placed.Epoch || receiver.formerEpoch > 0 && h.failedFormer == placed.Epoch
+}
+
+// noteFailed notes a copy that does not answer, and reports whether that is news.
+func (h *held) noteFailed(placed state.RecordPartition, receiver replica, now time.Duration) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.core.Epoch() != placed.Epoch {
+		return false
+	}
+	first := false
+	if receiver.router == placed.Backup && h.failed != placed.Epoch {
+		h.failed, h.failedAt, first = placed.Epoch, now, true
+	}
+	if receiver.formerEpoch > 0 && h.failedFormer != placed.Epoch {
+		h.failedFormer, h.formerFailedAt, first = placed.Epoch, now, true
+	}
+	return first
 }
 
-// callBackup sends records to the backup. Storing is idempotent, so that it is
+// callReplica sends records to a copy. Storing is idempotent, so that it is
 // sent again after a broken connection.
-func (s *Service) callBackup(placed state.RecordPartition, records []record.Record) (message.RecordAnswer, error) {
+func (s *Service) callReplica(placed state.RecordPartition, receiver replica, records []record.Record) (message.RecordAnswer, error) {
 	var answer message.RecordAnswer
-	backup, found := s.options.View().Router(placed.Backup)
-	if !found || backup.Session.Number != placed.BackupSession {
+	router, found := s.options.View().Router(receiver.router)
+	if !found || router.Session.Number != receiver.session {
 		return answer, errNoSuchRouter
 	}
 	call := &message.RecordCall{Partition: placed.Number, Store: &message.RecordStore{
-		Epoch: placed.Epoch, Incarnation: backup.Session.Incarnation, Records: records,
+		Epoch: placed.Epoch, Former: receiver.formerEpoch, Incarnation: router.Session.Incarnation, Records: records,
 	}}
 	ctx, cancel := context.WithTimeout(s.lifetime, s.options.Settings.PeerTimeout)
 	defer cancel()
-	client, err := s.peers.client(backup, purposeStore)
+	client, err := s.peers.client(router, purposeStore)
 	for range storeAttempts {
 		if err != nil {
 			return answer, err
@@ -144,5 +187,5 @@
 	}
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	return target.core.Store(call.Epoch, call.Records)
+	return target.core.Store(call.Epoch, call.Former, call.Records)
 }
--- a/internal/router/records/service.go
+++ b/internal/router/records/service.go
@@ -77,6 +77,9 @@
 	failed state.Epoch
 	// failedAt is when that was found out.
 	failedAt time.Duration
+	// failedFormer is the epoch at which the former copy did not answer, found out at formerFailedAt.
+	failedFormer   state.Epoch
+	formerFailedAt time.Duration
 }
 
 // New returns a Service that holds nothing yet.
@@ -237,6 +240,7 @@
 	// A table is in force once the partitions follow it too.
 	ping.Revision = min(ping.Revision, s.follows)
 	s.mutex.RUnlock()
+	ping.KeepsFormers = true
 	ping.Unreachable = s.prober.unreachable()
 	failedBefore := s.options.Clock.Now()
 	if s.prober.alone() {
@@ -247,7 +251,7 @@
 	}
 }
 
-// report tells of a failed backup only if that was found out before a time.
+// report tells of a failed copy only if that was found out before a time.
 func (h *held) report(ping *message.Ping, failedBefore time.Duration) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -262,6 +266,9 @@
 	if h.failed == epoch && h.failedAt <= failedBefore {
 		ping.FailedBackups = append(ping.FailedBackups, at)
 	}
+	if h.failedFormer == epoch && h.core.Placed().Former != "" && h.formerFailedAt <= failedBefore {
+		ping.FailedFormers = append(ping.FailedFormers, at)
+	}
 }
 
 // Records returns how many records this router holds, and of how many
--- a/internal/router/records/sync.go
+++ b/internal/router/records/sync.go
@@ -78,7 +78,7 @@
 	each.mutex.Unlock()
 	for first := true; first || len(keys) > 0; first = false {
 		part, left, current := each.part(keys, placed.Epoch)
-		if !current || !s.storeOnBackup(each, placed, part) {
+		if !current || !s.storeOn(each, placed, backupOf(placed), part) {
 			return
 		}
 		keys = left
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -344,7 +344,7 @@
 func (tx *transaction) putPartitions(command *PutPartitions) Result {
 	for _, partition := range command.Partitions {
 		previous, found := tx.state.partitions[partition.Number]
-		if found && previous.Epoch+1 != partition.Epoch && !onlySynced(*previous, partition) {
+		if found && previous.Epoch+1 != partition.Epoch && !keepsRoles(*previous, partition) {
 			continue
 		}
 		partition.Revision = tx.revision
@@ -353,11 +353,17 @@
 	return Result{}
 }
 
-// onlySynced reports whether the partition differs from its previous version
-// only in that its backup now holds every record.
-func onlySynced(previous, partition RecordPartition) bool {
+// keepsRoles reports whether the partition differs from its previous version only in that its backup
+// now holds every record, or that there is no former copy any more.
+func keepsRoles(previous, partition RecordPartition) bool {
 	wanted := previous
-	wanted.BackupSynced = true
 	wanted.Revision = partition.Revision
-	return !previous.BackupSynced && wanted == partition
+	if partition.BackupSynced {
+		wanted.BackupSynced = true
+	}
+	if partition.Former == "" {
+		wanted.DropFormer()
+	}
+	previous.Revision = partition.Revision
+	return partition != previous && partition == wanted
 }
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -156,7 +156,7 @@
 }
 
 // PutPartitions replaces record partitions, each only if its epoch is still
-// the one before. At the same epoch it may only set BackupSynced.
+// the one before. At the same epoch it may only set BackupSynced and drop the former copy.
 type PutPartitions struct {
 	Partitions []RecordPartition
 }
--- a/internal/state/partitions_test.go
+++ b/internal/state/partitions_test.go
@@ -1,10 +1,18 @@
 package state
 
-import "testing"
+import (
+	"bytes"
+	"testing"
+
+	"github.com/thorntiller/thorntiller/internal/codec"
+)
 
 func TestPartitionsRiseByOneEpoch(t *testing.T) {
-	held := RecordPartition{Number: 3, Primary: "a", PrimarySession: 1, Backup: "b", BackupSession: 2, Epoch: 5}
-	moved, synced := held, held
+	held := RecordPartition{
+		Number: 3, Primary: "a", PrimarySession: 1, Backup: "b", BackupSession: 2, Epoch: 5, Former: "c", FormerSession: 3, FormerEpoch: 4,
+	}
+	moved, synced, dropped := held, held, held
+	dropped.DropFormer()
 	moved.Epoch, moved.Primary, moved.PrimarySession = 6, "b", 2
 	synced.BackupSynced = true
 	with := func(from RecordPartition, change func(*RecordPartition)) RecordPartition {
@@ -17,6 +25,10 @@
 	}{
 		"next epoch":                    {moved, true},
 		"backup synced":                 {synced, true},
+		"former dropped":                {dropped, true},
+		"synced and former dropped":     {with(synced, func(p *RecordPartition) { p.DropFormer() }), true},
+		"nothing changed":               {held, false},
+		"same epoch, other former":      {with(synced, func(p *RecordPartition) { p.Former = "d" }), false},
 		"same epoch, other primary":     {with(synced, func(p *RecordPartition) { p.Primary = "c" }), false},
 		"same epoch, other backup":      {with(synced, func(p *RecordPartition) { p.BackupSession = 9 }), false},
 		"same epoch, records forgotten": {with(synced, func(p *RecordPartition) { p.LostBefore = 1 }), false},
@@ -54,3 +66,33 @@
 		t.Errorf("changed %v", seen)
 	}
 }
+
+// partitionOfEarlierVersions is RecordPartition as processes of earlier versions have it.
+type partitionOfEarlierVersions struct {
+	Number         int
+	Primary        RouterID
+	PrimarySession SessionNumber
+	Backup         RouterID
+	BackupSession  SessionNumber
+	Epoch          Epoch
+	BackupSynced   bool
+	LostBefore     int64
+	Revision       Revision
+}
+
+// TestPartitionsOfTwoVersions: without a former copy a partition has the form, and so the digest, that
+// earlier versions know; a state file of theirs can be read.
+func TestPartitionsOfTwoVersions(t *testing.T) {
+	earlier, err := codec.Marshal(&partitionOfEarlierVersions{Number: 3, Primary: "a", PrimarySession: 1, Backup: "b", BackupSession: 2, Epoch: 5, BackupSynced: true, Revision: 9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded RecordPartition
+	if err := codec.Unmarshal(earlier, &decoded); err != nil || decoded.Backup != "b" || decoded.Former != "" {
+		t.Fatalf("read %+v, %v", decoded, err)
+	}
+	again, err := codec.Marshal(&decoded)
+	if err != nil || !bytes.Equal(again, earlier) {
+		t.Errorf("written as %q, earlier as %q, %v", again, earlier, err)
+	}
+}
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -197,12 +197,23 @@
 	Epoch Epoch `json:"epoch"`
 	// BackupSynced is true once the backup holds every record of the primary.
 	BackupSynced bool `json:"backup_synced"`
+	// Former is the router whose copy was whole when the backup was replaced, in the session
+	// FormerSession. It gets each change of a record until the backup holds every record; empty
+	// for none. FormerEpoch is the epoch from which on it held every record.
+	Former        RouterID      `json:"former,omitempty" msgpack:",omitempty"`
+	FormerSession SessionNumber `json:"former_session,omitempty" msgpack:",omitempty"`
+	FormerEpoch   Epoch         `json:"former_epoch,omitempty" msgpack:",omitempty"`
 	// LostBefore is the time, in Unix milliseconds, before which records may
 	// have been lost; zero when none was lost. Keys drawn before it never run.
 	LostBefore int64    `json:"lost_before"`
 	Revision   Revision `json:"revision"`
 }
 
+// DropFormer forgets the former copy.
+func (p *RecordPartition) DropFormer() {
+	p.Former, p.FormerSession, p.FormerEpoch = "", 0, 0
+}
+
 // Object is one routing-visible object, exactly one field of which is set.
 type Object struct {
 	Service   *Service         `json:"service,omitempty" msgpack:",omitempty"`
