Gateways let connections rest, and headers come, for as long as the operator says

What callers would see: a request on a connection that rested for 30 s is lost though idle_timeout_ms lets it rest longer.

Cause: these bounds were fixed settings of the HTTP server; of the operator's limits only max_body_bytes was read.

Why this works: each wait for a caller takes its bound from the table in force. A connection rests 1 s longer than allowed, so that no request crosses its close; without a limit of the operator answers tell the time. max_header_bytes and max_connections stay open.

--- /dev/null
+++ b/internal/gateway/connectiontimes_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// TestTimesOfLimits: connections rest for as long as the operator says, also for longer than without
+// a limit, so that no request crosses their end.
+func TestTimesOfLimits(t *testing.T) {
+	for limits, want := range map[directory.Limits]connectionTimes{
+		{}: {defaultHeaderTimeout, defaultIdleTimeout},
+		{HeaderTimeoutMs: 3000, IdleTimeoutMs: 60000}: {3 * time.Second, time.Minute + idleSlack},
+	} {
+		if got := timesOf(limits); got != want {
+			t.Errorf("%+v: %+v, want %+v", limits, got, want)
+		}
+	}
+}
+
+// serveLimits serves callers under the operator's limits and returns the address.
+func serveLimits(t *testing.T, limits directory.Limits) string {
+	t.Helper()
+	settings := config.DefaultGateway()
+	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
+	gateway, err := New(settings, telemetry.New(role, "g", "error", io.Discard), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway.subscription.table.Store(&routing.Table{Limits: limits})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := gateway.newCallerServer()
+	var group conc.WaitGroup
+	group.Go(func() { _ = server.Serve(meteredListener{listener, streamTraffic{gateway.meter}}) })
+	t.Cleanup(func() {
+		_ = server.Shutdown()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// exchangeUntilClosed sends bytes and returns all that came until the gateway closed the connection,
+// and how long that took.
+func exchangeUntilClosed(t *testing.T, address, sent string) (string, time.Duration) {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	began := time.Now()
+	if _, err := connection.Write([]byte(sent)); err != nil {
+		t.Fatal(err)
+	}
+	if err := connection.SetReadDeadline(began.Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(connection)
+	if err != nil {
+		t.Fatalf("after %q: %v", answer, err)
+	}
+	return string(answer), time.Since(began)
+}
+
+const wholeRequest = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+// TestConnectionsRestAsTheOperatorSays: they were closed after 30 s, whatever the operator said, and
+// callers that took them up later lost a request.
+func TestConnectionsRestAsTheOperatorSays(t *testing.T) {
+	const idle = 400 * time.Millisecond
+	address := serveLimits(t, directory.Limits{IdleTimeoutMs: float64(idle.Milliseconds()), HeaderTimeoutMs: 200})
+	answer, took := exchangeUntilClosed(t, address, wholeRequest)
+	if least, most := idle+idleSlack, idle+idleSlack+2*time.Second; took < least || took > most {
+		t.Errorf("the connection rested for %s, want %s to %s", took, least, most)
+	}
+	if !strings.HasPrefix(answer, "HTTP/1.1 404") || strings.Contains(answer, "Keep-Alive") {
+		t.Errorf("answer %q", answer)
+	}
+}
+
+// TestHeadersMayTakeAsLongAsTheOperatorSays: on the first request of a connection and on later ones.
+func TestHeadersMayTakeAsLongAsTheOperatorSays(t *testing.T) {
+	const header = 300 * time.Millisecond
+	address := serveLimits(t, directory.Limits{IdleTimeoutMs: 10_000, HeaderTimeoutMs: float64(header.Milliseconds())})
+	for name, sent := range map[string]string{"first": "GET / HT", "second": wholeRequest + "GET / HT"} {
+		answer, took := exchangeUntilClosed(t, address, sent)
+		if took < header || took > header+2*time.Second || !strings.Contains(answer, "HTTP/1.1 408") {
+			t.Errorf("%s request: closed after %s with %q", name, took, answer)
+		}
+	}
+}
+
+// TestBodiesMayTakeLongerThanHeaders: the bound of a header does not hold for the body behind it.
+func TestBodiesMayTakeLongerThanHeaders(t *testing.T) {
+	const header = 200 * time.Millisecond
+	address := serveLimits(t, directory.Limits{HeaderTimeoutMs: float64(header.Milliseconds())})
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	for range 2 {
+		if _, err := connection.Write([]byte("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\na")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * header)
+		if _, err := connection.Write([]byte("b")); err != nil {
+			t.Fatal(err)
+		}
+		buffer := make([]byte, 4096)
+		count, err := connection.Read(buffer)
+		answer := string(buffer[:count])
+		if err != nil || !strings.HasPrefix(answer, "HTTP/1.1 404") || !strings.Contains(answer, "Keep-Alive: timeout=25") {
+			t.Errorf("answer %q, %v", answer, err)
+		}
+	}
+}
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -66,6 +66,8 @@
 	traffic streamTraffic
 	// turn waits for the turn of bytes of the answer that is written; nil for none.
 	turn func(bytes int)
+	// wait bounds the waits for the caller.
+	wait waitBound
 }
 
 // The connection is still looked at without being read, see callers.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,6 +34,8 @@
 	}
 	if g.stopping.Load() {
 		context.SetConnectionClose()
+	} else {
+		g.tellIdleTime(context)
 	}
 	if connection, metered := context.Conn().(*meteredConnection); metered && current.route != nil {
 		connection.turn = g.pacer.turnOf(current, len(current.answer.Body()))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -54,6 +54,7 @@
 
 func (g *Gateway) countConnection(connection net.Conn, change fasthttp.ConnState) {
 	g.resting.note(connection, change)
+	g.boundWait(connection, change)
 	switch change {
 	case fasthttp.StateNew:
 		g.connections.Add(1)
