Quarantine: crashes that no leader heard of count beside those of the directory

Found in reading: a gateway did not count its own crashes of a request that the directory already suspected, so that without a leader such a request would have gone on crashing servers through it. Names and comments: a process is a gateway or router.

--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// probePause is the time between the two connections by which a gateway finds out whether an
-	// instance that lost a request has ended: the first one may reach a process that is ending.
+	// probePause is the time between the two connections that tell whether an instance that lost a
+	// request has ended: the first one may reach a process that is ending.
 	probePause = 400 * time.Millisecond
 	// probeTimeout bounds the wait for such a connection.
 	probeTimeout = 250 * time.Millisecond
@@ -50,7 +50,10 @@
 
 // NewWatch returns a watch that tells a function of the requests that it found.
 func NewWatch(system clock.Clock, log *logrus.Entry, found func([]quarantine.Loss)) *Watch {
-	return &Watch{clock: system, log: log, found: found, witness: quarantine.NewWitness(), probed: make(map[directory.InstanceID]bool), wanted: make(chan probeTarget, mostProbes)}
+	return &Watch{
+		clock: system, log: log, found: found, witness: quarantine.NewWitness(),
+		probed: make(map[directory.InstanceID]bool), wanted: make(chan probeTarget, mostProbes),
+	}
 }
 
 // Run probes instances until the context ends.
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -34,14 +34,14 @@
 	Fingerprint Fingerprint `msgpack:"f"`
 	Path        PathHash    `msgpack:"p"`
 	// Service and Crashes, the instances that crashed under it since it was answered last, are left
-	// out of what gateways get.
+	// out of what gateways and routers get.
 	Service string       `msgpack:"s,omitempty"`
 	Crashes []InstanceID `msgpack:"c,omitempty"`
 	// Quarantined requests are sent to no instance.
 	Quarantined bool `msgpack:"q,omitempty"`
 	// Doubtful is true if something else may explain the crashes, so that it may be tried.
 	Doubtful bool `msgpack:"d,omitempty"`
-	// Trials counts those that were granted, and TrialBy is the gateway that may send it once.
+	// Trials counts those that were granted, and TrialBy is the gateway or router that may send it once.
 	Trials  int    `msgpack:"t,omitempty"`
 	TrialBy string `msgpack:"b,omitempty"`
 	// Released is true once an operator took it out of quarantine: one more crash puts it back.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -29,37 +29,42 @@
 	rejectedPause = 5 * time.Second
 	// mostTold bounds what waits to be told, of each kind.
 	mostTold = 512
-	// ownTime is how long after it came last a gateway keeps a request in quarantine by its own
-	// crashes alone.
+	// ownTime is how long after it came last a process keeps a request in quarantine by itself.
 	ownTime = time.Minute
-	// mostOwn bounds the requests that are suspected by own crashes.
+	// mostOwn bounds the requests that a process suspects by itself.
 	mostOwn = 256
 )
 
-// Guard decides at a gateway which requests are sent, and keeps what the leader is to be told.
+// Guard decides at one gateway or router which requests are sent, and keeps what the leader is to be
+// told.
 type Guard struct {
-	gateway string
+	// process is the name of the gateway or router.
+	process string
+	// crashes are enough to put a request in quarantine here while no leader hears of them.
 	crashes int
 	// suspects are those of the directory.
 	suspects map[directory.Fingerprint]directory.Suspect
-	// own are the requests that were in flight at crashes that no leader has heard of yet: a gateway
-	// without a leader goes by what it knows.
+	// own are the requests that were in flight at crashes that no leader has heard of yet: without a
+	// leader a process goes by what it knows.
 	own map[directory.Fingerprint]*ownSuspect
-	// paths counts the requests of both by their paths.
+	// paths has the paths of the requests in both.
 	paths map[directory.PathHash]bool
 	// tried is the number of the last trial of each request in quarantine that was used here.
 	tried map[directory.Fingerprint]int
 	// number is that of the last report.
-	number   uint64
+	number uint64
+	// told is what the leader was told, or is to be, and rejected are the requests in quarantine that
+	// came again.
 	told     []*observation
 	rejected map[directory.Fingerprint]*rejection
 }
 
-// ownSuspect is a request that this gateway suspects.
+// ownSuspect is a request that this process suspects by itself.
 type ownSuspect struct {
 	path      directory.PathHash
 	instances map[directory.InstanceID]bool
-	// lastAt is when the last crash was seen or the request came last, and enoughAt when there were enough for a quarantine.
+	// lastAt is when the last crash was seen or the request came last, and enoughAt when there were
+	// enough crashes for a quarantine.
 	lastAt, enoughAt time.Duration
 }
 
@@ -82,11 +87,11 @@
 	toldAt time.Duration
 }
 
-// NewGuard returns a guard of a gateway, which puts a request in quarantine by itself after a number
-// of crashes.
-func NewGuard(gateway string, crashes int) *Guard {
+// NewGuard returns the guard of a process, which puts a request in quarantine by itself after a number
+// of crashes that no leader heard of.
+func NewGuard(process string, crashes int) *Guard {
 	return &Guard{
-		gateway: gateway, crashes: crashes,
+		process: process, crashes: crashes,
 		suspects: make(map[directory.Fingerprint]directory.Suspect), own: make(map[directory.Fingerprint]*ownSuspect),
 		paths: make(map[directory.PathHash]bool), tried: make(map[directory.Fingerprint]int),
 		rejected: make(map[directory.Fingerprint]*rejection),
@@ -98,7 +103,6 @@
 	clear(g.suspects)
 	for _, suspect := range suspects {
 		g.suspects[suspect.Fingerprint] = suspect
-		delete(g.own, suspect.Fingerprint)
 	}
 	for fingerprint := range g.tried {
 		if _, found := g.suspects[fingerprint]; !found {
@@ -154,14 +158,13 @@
 
 // Check returns whether a request may be sent. A trial is used up by TakeTrial.
 func (g *Guard) Check(now time.Duration, fingerprint directory.Fingerprint) Verdict {
-	suspect, known := g.suspects[fingerprint]
+	suspect := g.suspects[fingerprint]
 	switch {
-	case known && !suspect.Quarantined:
-		return Send
-	case known && suspect.TrialBy == g.gateway && g.tried[fingerprint] < suspect.Trials:
+	case suspect.Quarantined && suspect.TrialBy == g.process && g.tried[fingerprint] < suspect.Trials:
 		return Try
-	case known:
+	case suspect.Quarantined:
 		return Reject
+	default:
 	}
 	own, found := g.own[fingerprint]
 	if !found || len(own.instances) < g.crashes || now-own.enoughAt < grace || now-own.lastAt > ownTime {
@@ -207,9 +210,7 @@
 		g.add(&observation{at: loss.Ended, took: loss.Ended - loss.Began, crash: &Crash{
 			Fingerprint: loss.Fingerprint, Path: loss.Path, Service: loss.Service, Instance: loss.Instance,
 		}})
-		if _, known := g.suspects[loss.Fingerprint]; !known {
-			g.suspect(now, loss)
-		}
+		g.suspect(now, loss)
 	}
 	g.index(now)
 }
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -36,12 +36,17 @@
 		now += ownTime / 2
 	}
 	g.Take(now, []directory.Suspect{{Fingerprint: 1, Path: 7}})
+	if got := g.Check(now, 1); got != Reject {
+		t.Errorf("the directory has it by other crashes, and no leader hears of these: verdict %d", got)
+	}
+	report, _ := g.Report(now)
+	g.Heard(report.Number)
 	if got := g.Check(now, 1); got != Send {
-		t.Errorf("the directory has it, not in quarantine: verdict %d", got)
+		t.Errorf("the leader heard of all and does not put it in quarantine: verdict %d", got)
 	}
 	g.Take(now, nil)
-	if got := g.Check(now, 1); got != Send || !g.Idle() {
-		t.Errorf("the leader no longer suspects it: verdict %d, idle %t", got, g.Idle())
+	if !g.Idle() {
+		t.Error("suspected though the leader no longer does")
 	}
 }
 
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -34,9 +34,9 @@
 	// first one comes at once, the next after nextTrial, counted from its quarantine.
 	mostTrials = 2
 	nextTrial  = 30 * time.Second
-	// trialTime is how long a gateway that may try a request has for it.
+	// trialTime is how long a process that may try a request has for it.
 	trialTime = 20 * time.Second
-	// rejectedLately is how long ago a gateway rejected a request at most that it may try.
+	// rejectedLately is how long ago a process rejected a request at most that it may try.
 	rejectedLately = 10 * time.Second
 	// endsRemembered is how long instances that crashed are remembered.
 	endsRemembered = 2 * time.Minute
@@ -144,8 +144,8 @@
 	e.suspect = suspect
 }
 
-// Hear takes the report of a gateway.
-func (l *Ledger) Hear(now time.Duration, gateway string, report Report) {
+// Hear takes the report of a gateway or router.
+func (l *Ledger) Hear(now time.Duration, process string, report Report) {
 	for _, answered := range report.Answered {
 		l.answered(now, now-milliseconds(answered.AgoMs), answered.Fingerprint)
 	}
@@ -154,7 +154,7 @@
 	}
 	for _, fingerprint := range report.Rejected {
 		if known, found := l.entries[fingerprint]; found {
-			known.seenAt, known.seenBy = now, gateway
+			known.seenAt, known.seenBy = now, process
 		}
 	}
 }
@@ -301,7 +301,7 @@
 	}
 }
 
-// mayBeTried reports whether a gateway is to send a request in quarantine once.
+// mayBeTried reports whether a process is to send a request in quarantine once.
 func (e *entry) mayBeTried(now time.Duration) bool {
 	suspect := e.suspect
 	if !suspect.Quarantined || !suspect.Doubtful || suspect.TrialBy != "" || suspect.Trials >= mostTrials {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -2,7 +2,7 @@
 
 import "github.com/thorntiller/thorntiller/internal/directory"
 
-// Report is what a gateway tells the leading controller.
+// Report is what a gateway or router tells the leading controller.
 type Report struct {
 	// Number rises with each report, and is repeated by the leader that heard it.
 	Number uint64 `msgpack:"n"`
