Table streams: a router whose part differs gets a whole one, also if the table changed

Cause: the digest that a router tells was compared only if the table had not changed since the router's revision. With a change between, as beside load, the router got changes that do not follow its part, refused them and came back for the whole one.

Evidence: TestPartThatDiffersIsSentWhole failed before.

Why this works: the digest of the part at the router's revision is computed in any case; one that differs leads to a whole part. TestSubscribe's routers with an older table now tell its digest, as all routers do, and one that tells another gets a whole one.

--- a/internal/tablestream/part.go
+++ b/internal/tablestream/part.go
@@ -59,16 +59,18 @@
 	position := Begin(hello, newest)
 	position.part = &part{subset: subset}
 	if !position.whole {
-		position.beginPart(hello.Revision, newest, history)
+		position.beginPart(hello, newest, history)
 	}
 	return position
 }
 
-// beginPart computes the part's digest at a revision back from the newest one.
-func (p *Position) beginPart(revision state.Revision, newest Table, history *History) {
-	changes, _, reached := history.After(revision)
-	p.whole = !reached
-	p.part.begin(revision, p.part.before(changes, newest.Revision, newest.Digest))
+// beginPart computes the part's digest at the router's revision back from the newest one. A router
+// whose part differs from it gets a whole one.
+func (p *Position) beginPart(hello message.RouterHello, newest Table, history *History) {
+	changes, _, reached := history.After(hello.Revision)
+	digest := p.part.before(changes, newest.Revision, newest.Digest)
+	p.whole = !reached || digest != hello.Digest
+	p.part.begin(hello.Revision, digest)
 }
 
 // Subset returns the part of the table that the router subscribes to.
--- a/internal/tablestream/part_test.go
+++ b/internal/tablestream/part_test.go
@@ -112,7 +112,7 @@
 	changes := partHistory(t, view, count)
 	history := &History{limit: count, changes: changes, newest: view.Revision(), changed: make(chan struct{})}
 	newest := Table{Cluster: "c", Revision: view.Revision(), Digest: view.Digest(), Sections: view.SectionDigests()}
-	digest := subset.Digest(newest.Sections)
+	digest, earlier := subset.Digest(newest.Sections), subset.Digest(digestThen)
 	for name, c := range map[string]struct {
 		hello message.RouterHello
 		whole bool
@@ -120,7 +120,8 @@
 		"nothing":                         {message.RouterHello{Cluster: "c"}, true},
 		"the same part":                   {message.RouterHello{Cluster: "c", Revision: newest.Revision, Digest: digest}, false},
 		"the whole table's digest":        {message.RouterHello{Cluster: "c", Revision: newest.Revision, Digest: newest.Digest}, true},
-		"an older one":                    {message.RouterHello{Cluster: "c", Revision: began}, false},
+		"an older one":                    {message.RouterHello{Cluster: "c", Revision: began, Digest: earlier}, false},
+		"an older one that differs":       {message.RouterHello{Cluster: "c", Revision: began, Digest: earlier + 1}, true},
 		"one that the history lacks":      {message.RouterHello{Cluster: "c", Revision: began + 1}, true},
 		"another cluster's":               {message.RouterHello{Cluster: "d", Revision: newest.Revision, Digest: digest}, true},
 		"a damaged one":                   {message.RouterHello{Cluster: "c", Revision: newest.Revision, Digest: digest, Resync: true}, true},
@@ -141,7 +142,7 @@
 	if _, err := builder.ApplySnapshot(first); err != nil {
 		t.Fatal(err)
 	}
-	position := Subscribe(message.RouterHello{Cluster: "c", Revision: began, Services: names}, newest, history)
+	position := Subscribe(message.RouterHello{Cluster: "c", Revision: began, Digest: earlier, Services: names}, newest, history)
 	follow(t, &position, history, builder)
 	if builder.Table().Revision() != newest.Revision || builder.Table().Digest() != digest {
 		t.Errorf("led to %d, want %d", builder.Table().Revision(), newest.Revision)
@@ -188,3 +189,27 @@
 		t.Error("changes lead on from a digest that is not known")
 	}
 }
+
+// TestPartThatDiffersIsSentWhole: also if the table has changed since the revision of the router, whose
+// first change it could not take.
+func TestPartThatDiffersIsSentWhole(t *testing.T) {
+	view := state.New()
+	view.Apply(1, state.Command{PutRouter: &state.PutRouter{Router: state.Router{ID: "r"}}})
+	subset := table.NewSubset([]state.ServiceName{"routed"})
+	revision, digest := view.Revision(), subset.Digest(view.SectionDigests())
+	history := NewHistory(100, revision)
+	for _, change := range partHistory(t, view, 20) {
+		history.add(change.Delta, change.Differences)
+	}
+	newest := Table{Cluster: "c", Revision: view.Revision(), Digest: view.Digest(), Sections: view.SectionDigests()}
+	hello := message.RouterHello{Cluster: "c", Revision: revision, Digest: digest, Services: []state.ServiceName{"routed"}}
+	same := Subscribe(hello, newest, history)
+	if _, _, reached := same.Next(history); !reached {
+		t.Error("a router whose part is the same gets a whole one")
+	}
+	hello.Digest++
+	other := Subscribe(hello, newest, history)
+	if _, _, reached := other.Next(history); reached {
+		t.Error("a router whose part differs gets changes that do not follow it")
+	}
+}
