--- a/internal/router/records/primary.go
+++ b/internal/router/records/primary.go
@@ -126,7 +126,7 @@
 	signal(s.reportDue)
 	if first {
 		telemetry.WithError(s.options.Log, telemetry.EventBackupLost, err).
-			WithField("partition", placed.Number).WithField("router", receiver.router).Warn("the backup does not answer")
+			WithField("partition", placed.Number).WithField("router", receiver.router).Warn("a copy of the partition does not answer")
 	}
 	return false
 }
