Clock: readings count the time in which a machine is suspended

Callers of a router whose machine had been suspended were served by a table that was out of force: the router took its table for fresh for as long again as the suspension had lasted. Two servers could run requests for one key, if the servers were stand-ins that read the same clock.

Cause: internal/clock read Go's monotonic time, which is CLOCK_MONOTONIC and stands still while the machine is suspended. The age of the table (1.5 s in the simulator) is a difference of two such readings. The same holds for the stand-in servers of the lab, whose lease ended late by the suspension.

Evidence: the simulator has suspensions as a fault of its own now, for each role, between steps and in the middle of one: timers stand still, the clock goes on.

Why this works: clock.System reads CLOCK_BOOTTIME, which goes on, so that a suspension is to every core what a freeze of the process is.

The cancel goes to where the attempt went now; the check is as before.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,26 +1,44 @@
 // Package clock gives the time to code that must also run under a virtual
-// clock. Readings are monotonic.
+// clock. A reading of Clock counts the time in which the machine is suspended:
+// whatever another machine may count on, such as a lease, a deadline or the age of
+// a table, is measured by it. time.Time and timers are for waits alone, since they
+// stand still while the machine is suspended.
 package clock
 
-import "time"
+import (
+	"time"
 
-// Clock reads a monotonic clock.
+	"golang.org/x/sys/unix"
+)
+
+// Clock reads a clock that never goes back, and goes on while the process is
+// frozen or its machine is suspended.
 type Clock interface {
 	// Now returns the time since a fixed origin of this process.
 	Now() time.Duration
 }
 
-// System is the process's own monotonic clock.
+// System is the machine's CLOCK_BOOTTIME.
 type System struct {
-	origin time.Time
+	origin time.Duration
 }
 
 // NewSystem returns a clock whose origin is the moment of the call.
 func NewSystem() *System {
-	return &System{origin: time.Now()}
+	return &System{origin: BootTime()}
 }
 
 // Now implements Clock.
 func (s *System) Now() time.Duration {
-	return time.Since(s.origin)
+	return BootTime() - s.origin
+}
+
+// BootTime returns the time since the machine started, its suspensions included.
+func BootTime() time.Duration {
+	var reading unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading); err != nil {
+		// Linux has had this clock since 2.6.39.
+		panic("clock: read CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Duration(reading.Nano())
 }
--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/lease"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 )
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	started := record.Monotonic()
+	started := clock.BootTime()
 	created := &Backend{
 		config:      config,
 		incarnation: incarnation,
--- a/internal/lab/backend/backend_test.go
+++ b/internal/lab/backend/backend_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 )
 
@@ -67,7 +68,7 @@
 	f.post(backendapi.PathLease, backendapi.LeaseRequest{
 		Server: "a", Incarnation: f.backend.Incarnation(), Session: f.fence, Version: 1, Replace: true,
 		Fence:     backendapi.Fence{Term: 1, Sequence: f.fence},
-		ReadingNs: int64(record.Monotonic()), DurationNs: int64(duration),
+		ReadingNs: int64(clock.BootTime()), DurationNs: int64(duration),
 		Assignments: []backendapi.Assignment{{Shard: 7, Epoch: 2, First: 0, Last: 1<<64 - 1}},
 	}, &answer)
 	if !answer.Accepted {
--- a/internal/lab/backend/execute.go
+++ b/internal/lab/backend/execute.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/lease"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 )
@@ -69,7 +70,7 @@
 	if current.overLimit {
 		return nil, backendapi.RefusalQueueFull
 	}
-	if refusal := b.checkLocked(record.Monotonic(), current); refusal != "" {
+	if refusal := b.checkLocked(clock.BootTime(), current); refusal != "" {
 		return nil, refusal
 	}
 	if b.config.ShedAbove > 0 && b.queue.queued() >= b.config.ShedAbove {
@@ -81,7 +82,7 @@
 	}
 	entering := b.queue.enter()
 	if entering == nil {
-		b.attempts.end(record.Monotonic(), current.requestID, arrived)
+		b.attempts.end(clock.BootTime(), current.requestID, arrived)
 		return nil, backendapi.RefusalQueueFull
 	}
 	return &execution{request: current, attempt: arrived, waiter: entering}, ""
@@ -104,7 +105,7 @@
 func (b *Backend) awaitSlot(waiting *execution) backendapi.Refusal {
 	var expired <-chan time.Time
 	if deadline := waiting.request.deadline; deadline != 0 {
-		timer := time.NewTimer(deadline - record.Monotonic())
+		timer := time.NewTimer(deadline - clock.BootTime())
 		defer timer.Stop()
 		expired = timer.C
 	}
@@ -123,7 +124,7 @@
 func (b *Backend) begin(starting *execution) backendapi.Refusal {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	now := record.Monotonic()
+	now := clock.BootTime()
 	current := starting.request
 	if refusal := b.checkLocked(now, current); refusal != "" {
 		return refusal
@@ -169,7 +170,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.queue.leave(refused.waiter)
-	b.attempts.end(record.Monotonic(), refused.request.requestID, refused.attempt)
+	b.attempts.end(clock.BootTime(), refused.request.requestID, refused.attempt)
 }
 
 // finish gives back what a request that ran held.
@@ -178,7 +179,7 @@
 	defer b.mutex.Unlock()
 	b.holder.End(finished.run)
 	b.queue.leave(finished.waiter)
-	b.attempts.end(record.Monotonic(), finished.request.requestID, finished.attempt)
+	b.attempts.end(clock.BootTime(), finished.request.requestID, finished.attempt)
 }
 
 func (b *Backend) buildAnswer(finished *execution) (answer, error) {
@@ -221,13 +222,13 @@
 func (b *Backend) recordFinish(finished *execution) error {
 	line := finished.record
 	line.Kind = record.ExecutionFinish
-	line.MonotonicNs = int64(record.Monotonic())
+	line.MonotonicNs = int64(clock.BootTime())
 	line.UnixNs = time.Now().UnixNano()
 	return b.write(line)
 }
 
 func (b *Backend) recordRefusal(refused request, refusal backendapi.Refusal) error {
-	line := b.newRecord(record.Monotonic(), record.ExecutionRefuse, refused)
+	line := b.newRecord(clock.BootTime(), record.ExecutionRefuse, refused)
 	line.Reason = string(refusal)
 	return b.write(line)
 }
--- a/internal/lab/backend/handler.go
+++ b/internal/lab/backend/handler.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
+	"github.com/thorntiller/thorntiller/internal/clock"
 )
 
 const contentTypeJSON = "application/json"
@@ -36,7 +36,7 @@
 
 func (b *Backend) handleRequest(ctx *fasthttp.RequestCtx) {
 	b.arrivals.Add(1)
-	current, wellFormed := readRequest(ctx, record.Monotonic())
+	current, wellFormed := readRequest(ctx, clock.BootTime())
 	if !wellFormed {
 		ctx.Error("request id, shard, epoch or timeout header: missing or not decimal", fasthttp.StatusBadRequest)
 		return
@@ -109,7 +109,7 @@
 		return
 	}
 	b.mutex.Lock()
-	answered := b.holder.HandleLease(record.Monotonic(), message)
+	answered := b.holder.HandleLease(clock.BootTime(), message)
 	answered.Load = b.loadLocked()
 	if answered.Accepted && message.ReportLoads {
 		answered.Load.ShardLoads = b.leaseLoads.take()
@@ -128,7 +128,7 @@
 		return
 	}
 	b.mutex.Lock()
-	outcome := b.attempts.cancel(record.Monotonic(), message.RequestID)
+	outcome := b.attempts.cancel(clock.BootTime(), message.RequestID)
 	b.mutex.Unlock()
 	writeJSON(ctx, backendapi.CancelAnswer{RequestID: message.RequestID, Outcome: outcome})
 }
@@ -160,7 +160,7 @@
 
 func (b *Backend) handleLoad(ctx *fasthttp.RequestCtx) {
 	b.mutex.Lock()
-	report := b.lagging.get(record.Monotonic(), b.freshReportLocked)
+	report := b.lagging.get(clock.BootTime(), b.freshReportLocked)
 	b.mutex.Unlock()
 	writeJSON(ctx, report)
 }
--- a/internal/lab/bench/rig/acts.go
+++ b/internal/lab/bench/rig/acts.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -33,19 +33,19 @@
 	if err != nil {
 		return Change{}, err
 	}
-	began := record.Monotonic()
+	began := clock.BootTime()
 	confirmed, err := client.Confirm(ctx, plan.ID, intentapi.ConfirmRequest{Operator: operator, Digest: plan.Digest})
 	if err != nil {
 		return Change{}, err
 	}
-	accepted := record.Monotonic()
+	accepted := clock.BootTime()
 	everywhere, err := r.Routers.WaitRevision(ctx, confirmed.Accepted)
 	return Change{Accepted: accepted - began, InForce: everywhere - began}, err
 }
 
 // Move moves one key to another server and waits until the move is complete.
 func (r *Rig) Move(ctx context.Context, key string) (time.Duration, error) {
-	began := record.Monotonic()
+	began := clock.BootTime()
 	plan, err := r.Execute(ctx, state.Intent{Kind: state.IntentMoveKey, MoveKey: &state.MoveKey{Service: Service, Key: key}})
 	if err != nil {
 		return 0, err
@@ -54,7 +54,7 @@
 		return 0, err
 	}
 	err = r.wait(ctx, "the move of "+key, r.allSettled)
-	return record.Monotonic() - began, err
+	return clock.BootTime() - began, err
 }
 
 // Spread moves shards until the servers own about the same number: shards go to
@@ -136,7 +136,7 @@
 	defer r.observer.stopWatching()
 	var course Loss
 	course.Servers, course.Shards = len(servers), lost.shards
-	began := record.Monotonic()
+	began := clock.BootTime()
 	for _, number := range numbers {
 		r.BackEnds.Silence(number)
 		defer r.BackEnds.Thaw(number)
@@ -190,17 +190,17 @@
 	r.BackEnds.TakeGaps()
 	term := r.BackEnds.LowestTerm()
 	_, closures := r.observer.closed("")
-	began := record.Monotonic()
+	began := clock.BootTime()
 	leader.Process.Kill()
 	if err := r.Fleet.WaitLeader(ctx); err != nil {
 		return course, err
 	}
-	course.Leader = record.Monotonic() - began
+	course.Leader = clock.BootTime() - began
 	err = fleet.WaitFor(ctx, "leases of the new leader", func() bool { return r.BackEnds.LowestTerm() > term })
 	if err != nil {
 		return course, err
 	}
-	course.Renewed = record.Monotonic() - began
+	course.Renewed = clock.BootTime() - began
 	proved, err := r.Routers.WaitProved(ctx, began)
 	if err != nil {
 		return course, err
--- a/internal/lab/bench/rig/window.go
+++ b/internal/lab/bench/rig/window.go
@@ -5,9 +5,9 @@
 	"os"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/hollow"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
 )
 
 // Load is what one process used in a window.
@@ -45,7 +45,7 @@
 }
 
 func (r *Rig) read() (reading, error) {
-	now := reading{at: record.Monotonic(), usage: make(map[*fleet.Node]Usage)}
+	now := reading{at: clock.BootTime(), usage: make(map[*fleet.Node]Usage)}
 	now.processes = append(append(now.processes, r.Fleet.Controllers...), r.Fleet.Routers...)
 	for _, node := range now.processes {
 		usage, err := ReadUsage(node.Process.PID())
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 )
@@ -99,7 +100,7 @@
 // perform sends one logical request until it is answered, its attempts are used
 // up, a resend is pointless, or the run ends.
 func (c *Caller) perform(ctx context.Context, sending *request) error {
-	first := int64(record.Monotonic())
+	first := int64(clock.BootTime())
 	router := sending.random.IntN(len(c.config.Routers))
 	var last result
 	outcome := fault.NotRun
--- a/internal/lab/caller/send.go
+++ b/internal/lab/caller/send.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
@@ -75,7 +76,7 @@
 		Key:            sending.key,
 		Repeatable:     sending.repeatable(),
 		Router:         router,
-		SentNs:         int64(record.Monotonic()),
+		SentNs:         int64(clock.BootTime()),
 	}
 	if err := c.records.Write(line); err != nil {
 		return result{}, err
@@ -92,7 +93,7 @@
 	fill(request, sending, line)
 	err := c.client.DoTimeout(request, response, sending.load.Timeout+answerSlack)
 	line.Kind = record.AttemptDone
-	line.ReceivedNs = int64(record.Monotonic())
+	line.ReceivedNs = int64(clock.BootTime())
 	if err != nil {
 		return result{line: withError(line, err)}
 	}
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/lab/trial"
 )
 
@@ -99,11 +99,11 @@
 func perform(ctx context.Context, t *trial.Trial, next step) error {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	started := record.Monotonic()
+	started := clock.BootTime()
 	if err := next.act(ctx, t); err != nil {
 		return eris.Wrap(err, next.say)
 	}
-	t.Say("  done in %d ms", (record.Monotonic() - started).Milliseconds())
+	t.Say("  done in %d ms", (clock.BootTime() - started).Milliseconds())
 	return nil
 }
 
--- a/internal/lab/hollow/backend.go
+++ b/internal/lab/hollow/backend.go
@@ -11,8 +11,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/lease"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -43,7 +43,7 @@
 
 func newBackEnd(id, address string) *backEnd {
 	incarnation := strconv.FormatUint(rand.Uint64(), 16)
-	return &backEnd{id: id, address: address, holder: lease.NewHolder(id, incarnation, record.Monotonic())}
+	return &backEnd{id: id, address: address, holder: lease.NewHolder(id, incarnation, clock.BootTime())}
 }
 
 func (h *backEnd) silence() {
@@ -130,7 +130,7 @@
 func (h *backEnd) renew(message backendapi.LeaseRequest) (time.Duration, backendapi.LeaseAnswer) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	now := record.Monotonic()
+	now := clock.BootTime()
 	before := h.holder.LeaseEnd()
 	answer := h.holder.HandleLease(now, message)
 	if answer.Accepted && message.Incarnation != "" {
@@ -164,7 +164,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if shardErr != nil || epochErr != nil {
-		return h.holder.CheckUnkeyed(record.Monotonic())
+		return h.holder.CheckUnkeyed(clock.BootTime())
 	}
-	return h.holder.Check(record.Monotonic(), shard, epoch, hash)
+	return h.holder.Check(clock.BootTime(), shard, epoch, hash)
 }
--- a/internal/lab/hollow/backends.go
+++ b/internal/lab/hollow/backends.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -134,7 +134,7 @@
 // messages and answers none. It returns the moment, by record.Monotonic.
 func (b *BackEnds) Silence(number int) time.Duration {
 	b.ordered[number].silence()
-	return record.Monotonic()
+	return clock.BootTime()
 }
 
 // Thaw ends the silence; what was held up is handled then.
@@ -195,7 +195,7 @@
 
 // Counts reads the counters.
 func (b *BackEnds) Counts() BackEndCounts {
-	now := record.Monotonic()
+	now := clock.BootTime()
 	counts := BackEndCounts{
 		Leases: b.leases.read(), Probes: b.probes.read(), Requests: b.requests.read(), Refused: b.refused.Load(),
 	}
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -173,7 +173,7 @@
 	routers := startRouters(t, controller(t, tableFrames()...), 1)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	before := record.Monotonic()
+	before := clock.BootTime()
 	if _, err := routers.WaitRevision(ctx, 2); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/hollow/router.go
+++ b/internal/lab/hollow/router.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
-	"github.com/thorntiller/thorntiller/internal/lab/record"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
@@ -162,7 +162,7 @@
 	ticker := time.NewTicker(r.options.PingInterval)
 	defer ticker.Stop()
 	for nonce := uint64(1); ; nonce++ {
-		ping := message.Ping{Nonce: nonce, SentNs: int64(record.Monotonic()), Revision: state.Revision(r.revision.Load())}
+		ping := message.Ping{Nonce: nonce, SentNs: int64(clock.BootTime()), Revision: state.Revision(r.revision.Load())}
 		if err := connection.Send(ctx, &message.RouterFrame{Ping: &ping}); err != nil {
 			return
 		}
@@ -217,7 +217,7 @@
 		return err
 	}
 	if r.onObjects != nil {
-		r.onObjects(record.Monotonic(), objects)
+		r.onObjects(clock.BootTime(), objects)
 	}
 	if complete {
 		view := r.builder.Table()
--- a/internal/lab/hollow/routers.go
+++ b/internal/lab/hollow/routers.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
-	"github.com/thorntiller/thorntiller/internal/lab/record"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -128,7 +128,7 @@
 		case <-ticker.C:
 		}
 	}
-	return record.Monotonic(), nil
+	return clock.BootTime(), nil
 }
 
 // Check compares what the routers hold once no change is under way: the same
--- a/internal/lab/record/doc.go
+++ b/internal/lab/record/doc.go
@@ -3,6 +3,6 @@
 // and whoever runs the fleet writes Event lines. Verify reads them and counts
 // each broken guarantee; it never asks the product.
 //
-// Times are CLOCK_MONOTONIC of the machine in nanoseconds, so that lines of
+// Times are CLOCK_BOOTTIME of the machine in nanoseconds, so that lines of
 // several processes of one machine can be ordered.
 package record
--- a/internal/lab/record/writer.go
+++ b/internal/lab/record/writer.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/json"
 	"os"
-	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 )
 
 const recordFileMode = 0o644
@@ -47,14 +45,3 @@
 func (w *Writer[L]) Close() error {
 	return eris.Wrapf(w.file.Close(), "close record file %s", w.file.Name())
 }
-
-// Monotonic reads the machine's CLOCK_MONOTONIC, which all processes of the
-// machine share.
-func Monotonic() time.Duration {
-	var reading unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &reading); err != nil {
-		// CLOCK_MONOTONIC is always there on Linux.
-		panic("record: read CLOCK_MONOTONIC: " + err.Error())
-	}
-	return time.Duration(reading.Nano())
-}
--- a/internal/lab/scenario/backends.go
+++ b/internal/lab/scenario/backends.go
@@ -8,6 +8,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/platform"
@@ -282,7 +283,7 @@
 	if err != nil {
 		return err
 	}
-	from := record.Monotonic()
+	from := clock.BootTime()
 	if err := r.announce(server, platformapi.MachineLeaving); err != nil {
 		return err
 	}
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/caller"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
@@ -86,7 +87,7 @@
 	if err := r.sleep(ctx, time.Second); err != nil {
 		return err
 	}
-	loaded := span{from: record.Monotonic(), to: record.Monotonic() + lasting - time.Second}
+	loaded := span{from: clock.BootTime(), to: clock.BootTime() + lasting - time.Second}
 	if err := r.sleep(ctx, lasting); err != nil {
 		return err
 	}
--- a/internal/lab/scenario/merge.go
+++ b/internal/lab/scenario/merge.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	whole := span{from: record.Monotonic()}
+	whole := span{from: clock.BootTime()}
 	for round := range 2 {
 		if err := r.splitOffAndBack(ctx, round); err != nil {
 			return err
@@ -45,7 +46,7 @@
 			return err
 		}
 	}
-	whole.to = record.Monotonic()
+	whole.to = clock.BootTime()
 	after, err := r.Fleet.Client().Shards(ctx, keyedService)
 	if err != nil {
 		return err
--- a/internal/lab/scenario/placement.go
+++ b/internal/lab/scenario/placement.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -47,7 +47,7 @@
 	if err := r.allowMoves(ctx); err != nil {
 		return err
 	}
-	began := record.Monotonic()
+	began := clock.BootTime()
 	var after []state.Shard
 	err = fleet.WaitFor(ctx, "a hot key to move alone", func() bool {
 		after, err = r.Fleet.Client().Shards(ctx, placedService)
@@ -58,7 +58,7 @@
 	}
 	const most = 0.1
 	r.bounds = append(r.bounds,
-		atMost("hot_key_moves_ms", milliseconds(record.Monotonic()-began), milliseconds(limit)),
+		atMost("hot_key_moves_ms", milliseconds(clock.BootTime()-began), milliseconds(limit)),
 		atMost("churn", churn(unchanged, after), most))
 	return r.sleep(ctx, settle)
 }
--- a/internal/lab/scenario/resends.go
+++ b/internal/lab/scenario/resends.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/caller"
@@ -62,7 +63,7 @@
 	if err := within(ctx, r.moveHotKey); err != nil {
 		return err
 	}
-	moved := record.Monotonic().Nanoseconds()
+	moved := clock.BootTime().Nanoseconds()
 	r.checks = append(r.checks,
 		func(attempts []record.Attempt) Bound {
 			return atLeast("resent_while_running", float64(resent(attempts, whileRunning)), 1)
--- a/internal/lab/scenario/routers.go
+++ b/internal/lab/scenario/routers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/lab/scenario/faultproxy"
@@ -40,11 +41,11 @@
 	if err := within(ctx, r.RestartDead); err != nil {
 		return err
 	}
-	back := span{from: record.Monotonic()}
+	back := span{from: clock.BootTime()}
 	if err := r.sleep(ctx, settle); err != nil {
 		return err
 	}
-	back.to = record.Monotonic()
+	back.to = clock.BootTime()
 	r.checks = append(r.checks, r.servesWithin(lost.Address, "served_after_restart", back))
 	return nil
 }
@@ -74,7 +75,7 @@
 	}
 	lost, other := r.Fleet.Routers[0], r.Fleet.Routers[1]
 	r.Say("cutting off %s from control", lost.Name)
-	cutAt := record.Monotonic()
+	cutAt := clock.BootTime()
 	fromRouter := func(link faultproxy.Link) bool { return link.From == lost.Name }
 	for _, direction := range []faultproxy.Direction{faultproxy.Upstream, faultproxy.Downstream} {
 		if err := r.network.Add(faultproxy.Silence(direction), fromRouter); err != nil {
@@ -87,10 +88,10 @@
 	if err := within(ctx, r.moveHotKey); err != nil {
 		return err
 	}
-	if err := r.sleep(ctx, 2*staleAfter-(record.Monotonic()-cutAt)); err != nil {
+	if err := r.sleep(ctx, 2*staleAfter-(clock.BootTime()-cutAt)); err != nil {
 		return err
 	}
-	stale := span{from: cutAt + staleAfter + staleSlack, to: record.Monotonic()}
+	stale := span{from: cutAt + staleAfter + staleSlack, to: clock.BootTime()}
 	r.checks = append(r.checks, servedWhileStale(lost.Address, stale), refusedAsStale(lost.Address, stale),
 		r.servesWithin(other.Address, "served_by_other", stale))
 	return r.healRouter(ctx, lost.Address)
@@ -104,11 +105,11 @@
 	if err := within(ctx, r.Fleet.WaitRouters); err != nil {
 		return err
 	}
-	back := span{from: record.Monotonic()}
+	back := span{from: clock.BootTime()}
 	if err := r.sleep(ctx, 2*settle); err != nil {
 		return err
 	}
-	back.to = record.Monotonic()
+	back.to = clock.BootTime()
 	r.checks = append(r.checks, r.servesWithin(address, "served_after_heal", back))
 	return nil
 }
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
@@ -59,12 +60,12 @@
 
 // during acts and waits until the span has lasted.
 func (r *run) during(ctx context.Context, lasting time.Duration, act func() error) (span, error) {
-	within := span{from: record.Monotonic()}
+	within := span{from: clock.BootTime()}
 	if err := act(); err != nil {
 		return within, err
 	}
-	err := r.sleep(ctx, lasting-(record.Monotonic()-within.from))
-	within.to = record.Monotonic()
+	err := r.sleep(ctx, lasting-(clock.BootTime()-within.from))
+	within.to = clock.BootTime()
 	return within, err
 }
 
--- a/internal/lab/scenario/slowdisk.go
+++ b/internal/lab/scenario/slowdisk.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/lab/slowdisk"
 )
 
@@ -91,12 +91,12 @@
 
 // changeInTime makes changes and bounds the time until the first is accepted.
 func (r *run) changeInTime(ctx context.Context, name string) error {
-	asked := record.Monotonic()
+	asked := clock.BootTime()
 	return within(ctx, func(ctx context.Context) error {
 		if _, err := r.changeOften(ctx, 1); err != nil {
 			return err
 		}
-		r.bounds = append(r.bounds, atMost("change_ms_"+name, milliseconds(record.Monotonic()-asked), milliseconds(changeLimit)))
+		r.bounds = append(r.bounds, atMost("change_ms_"+name, milliseconds(clock.BootTime()-asked), milliseconds(changeLimit)))
 		_, err := r.changeOften(ctx, changesOnSlowDisk)
 		return err
 	})
--- a/internal/lab/scenario/stops.go
+++ b/internal/lab/scenario/stops.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 )
 
@@ -45,11 +46,11 @@
 	}
 	return r.recoversWithin(ctx, "recovery_controller", failoverLimit, 3*time.Second, func() error {
 		r.Say("stopping %s, which leads", leading.Name)
-		from := record.Monotonic()
+		from := clock.BootTime()
 		if err := leading.Process.Stop(stepTimeout); err != nil {
 			return err
 		}
-		r.Say("  stopped in %d ms", (record.Monotonic() - from).Milliseconds())
+		r.Say("  stopped in %d ms", (clock.BootTime() - from).Milliseconds())
 		return nil
 	})
 }
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -48,6 +48,7 @@
 	end := s.queue.Now() + faultPeriod
 	pace := s.between(60*time.Millisecond, 600*time.Millisecond)
 	s.watchRepairs(end)
+	s.suspendMachines(end)
 	for s.queue.Now() < end && s.checker.Violation() == nil {
 		s.advance(min(end, s.queue.Now()+s.between(0, 2*pace)))
 		s.injectOne()
@@ -135,6 +136,7 @@
 	target := s.likelyLeader()
 	target.pauseAfterSends = 1 + s.random.IntN(12)
 	target.pauseFor = s.pauseTime()
+	target.sleepInStep = false
 }
 
 func (s *simulation) crashController() {
--- a/internal/lab/sim/flight.go
+++ b/internal/lab/sim/flight.go
@@ -23,9 +23,11 @@
 	request   dispatch.Request
 	service   *state.Service
 	execution *execution.Execution
-	// target and attempt are of the newest attempt.
+	// target, attempt and sentTo are of the newest attempt. It went to sentTo, which is
+	// another server than the target's with a planted fault alone.
 	target  *fleet.BackEnd
 	attempt uint64
+	sentTo  state.ServerID
 	sent    bool
 	// turn counts the steps, so that what an earlier one waited for does nothing.
 	turn int
@@ -142,6 +144,7 @@
 		f.sim.counts.Resent++
 	}
 	f.sent = true
+	f.sentTo = server
 	f.attempt = f.sim.counts.Attempts
 	f.sim.checker.AttemptBegins(checker.AttemptStart{
 		Request: f.number, Server: server, Shard: decision.Shard, Epoch: decision.Epoch,
@@ -228,7 +231,7 @@
 		}
 	}
 	router.after(action.Timeout, func() { end(false) })
-	target, found := f.sim.server(f.target.Server().ID)
+	target, found := f.sim.server(f.sentTo)
 	if !found {
 		return
 	}
--- a/internal/lab/sim/lease_run.go
+++ b/internal/lab/sim/lease_run.go
@@ -54,6 +54,8 @@
 	// ignoreBorn: servers that start again are not told from their earlier lives, whose
 	// sequence they go on with.
 	ignoreBorn bool
+	// steadyClocks is as for other runs.
+	steadyClocks []machineRole
 	// config changes the settings of the leases.
 	config func(*heartbeat.Config)
 }
@@ -67,12 +69,13 @@
 			Gather: 500 * time.Millisecond, AddressReuse: 500 * time.Millisecond, MaxMoves: 4, Stripes: 5, HoldBack: 200 * time.Millisecond,
 		},
 	}
+	s.planted.steadyClocks = planted.steadyClocks
 	if planted.config != nil {
 		planted.config(&s.leaseWorld.config)
 	}
 	s.buildControllers()
 	for number := 1; number <= instanceCount; number++ {
-		s.leaseWorld.instances = append(s.leaseWorld.instances, &instance{process: s.newProcess("instance-%d", number)})
+		s.leaseWorld.instances = append(s.leaseWorld.instances, &instance{process: s.newProcess(instanceMachine, "instance-%d", number)})
 	}
 	return s
 }
@@ -186,6 +189,7 @@
 func (s *simulation) injectLeaseFaults() {
 	end := s.queue.Now() + leaseFaultPeriod
 	pace := s.between(80*time.Millisecond, 700*time.Millisecond)
+	s.suspendMachines(end)
 	for s.queue.Now() < end && s.checker.Violation() == nil {
 		s.advance(min(end, s.queue.Now()+s.between(0, 2*pace)))
 		s.inject(leaseFaultKinds)
--- a/internal/lab/sim/planted.go
+++ b/internal/lab/sim/planted.go
@@ -50,6 +50,9 @@
 	freeResends bool
 	// lateAnswers: a final answer goes out after a back-off.
 	lateAnswers bool
+	// steadyClocks: machines of these roles read a clock that stands still while they
+	// are suspended.
+	steadyClocks []machineRole
 }
 
 // notedLog notes what the replica saved, which it may tell others from then on.
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -11,13 +11,22 @@
 const maxBacklog = 2048
 
 // process is one process on its own machine: it has a clock, it may be paused
-// or dead, and what is sent to it while it is paused waits.
+// or dead, and what is sent to it while it is paused waits. Its machine may be
+// suspended: then timers stand still as well, while the clock goes on.
 type process struct {
 	sim  *simulation
 	node network.Node
+	role machineRole
 	// offset and rate make the machine's clock: offset + true time × rate.
 	offset time.Duration
 	rate   float64
+	// asleep sums the suspensions that have ended. The present one, if suspended is
+	// set, began at suspendedAt.
+	asleep      time.Duration
+	suspended   bool
+	suspendedAt time.Duration
+	// atWake sets timers again that ended in true time while the machine was suspended.
+	atWake []func()
 
 	alive bool
 	// generation counts the starts; timers of an earlier one do nothing.
@@ -27,9 +36,11 @@
 	// outbox is what a step that was paused in its middle has yet to send.
 	outbox []func()
 	// pauseAfterSends, when above zero, pauses the process in the middle of a
-	// step: before it sends the message of that number.
+	// step: before it sends the message of that number. The machine is suspended
+	// in its place if sleepInStep is set.
 	pauseAfterSends int
 	pauseFor        time.Duration
+	sleepInStep     bool
 }
 
 // now reads the machine's clock.
@@ -46,8 +57,32 @@
 	return time.Duration(float64(local) / p.rate)
 }
 
+// slept returns for how long the machine has been suspended so far, in true time.
+func (p *process) slept() time.Duration {
+	if !p.suspended {
+		return p.asleep
+	}
+	return p.asleep + p.sim.queue.Now() - p.suspendedAt
+}
+
+// wake ends a suspension of the machine.
+func (p *process) wake() {
+	slept := p.slept() - p.asleep
+	p.asleep += slept
+	p.suspended = false
+	if p.sim.stepsClockBack(p) {
+		p.offset -= time.Duration(float64(slept) * p.rate)
+	}
+	waiting := p.atWake
+	p.atWake = nil
+	for _, set := range waiting {
+		set()
+	}
+}
+
 // begin starts the process and ends its timers of earlier lives.
 func (p *process) begin() {
+	p.wake()
 	p.alive = true
 	p.paused = false
 	p.backlog = nil
@@ -58,6 +93,7 @@
 
 // end kills the process.
 func (p *process) end() {
+	p.wake()
 	p.alive = false
 	p.backlog = nil
 	p.outbox = nil
@@ -67,7 +103,24 @@
 // after runs a step once a duration of the machine's clock has passed.
 func (p *process) after(local time.Duration, run func()) {
 	generation := p.generation
-	p.sim.queue.After(p.trueDuration(local), func() { p.enter(generation, run) })
+	p.onTimer(p.trueDuration(local), func() { p.enter(generation, run) })
+}
+
+// onTimer calls fire once a true duration has passed in which the machine was not
+// suspended.
+func (p *process) onTimer(wait time.Duration, fire func()) {
+	before := p.slept()
+	p.sim.queue.After(wait, func() {
+		slept := p.slept() - before
+		switch {
+		case slept == 0:
+			fire()
+		case p.suspended:
+			p.atWake = append(p.atWake, func() { p.onTimer(slept, fire) })
+		default:
+			p.onTimer(slept, fire)
+		}
+	})
 }
 
 // every runs a step at an interval. Like a ticker it drops ticks that find the
@@ -77,7 +130,7 @@
 	waiting := false
 	var arm func()
 	arm = func() {
-		p.sim.queue.After(p.trueDuration(interval), func() {
+		p.onTimer(p.trueDuration(interval), func() {
 			if p.generation != generation {
 				return
 			}
@@ -117,9 +170,24 @@
 	if !p.alive || p.paused {
 		return
 	}
-	p.paused = true
 	p.sim.counts.Pauses++
 	p.sim.trace("%s pauses for %v", p.node, duration)
+	p.stopFor(duration)
+}
+
+// suspend stops the whole machine for a true duration.
+func (p *process) suspend(duration time.Duration) {
+	if !p.alive || p.paused {
+		return
+	}
+	p.sim.counts.Suspensions++
+	p.sim.trace("%s is suspended for %v", p.node, duration)
+	p.suspended, p.suspendedAt = true, p.sim.queue.Now()
+	p.stopFor(duration)
+}
+
+func (p *process) stopFor(duration time.Duration) {
+	p.paused = true
 	generation := p.generation
 	p.sim.queue.After(duration, func() { p.resume(generation) })
 }
@@ -130,6 +198,7 @@
 		return
 	}
 	p.paused = false
+	p.wake()
 	p.sim.trace("%s goes on with %d waiting", p.node, len(p.backlog))
 	unsent := p.outbox
 	p.outbox = nil
@@ -149,7 +218,7 @@
 	if p.pauseAfterSends > 0 {
 		p.pauseAfterSends--
 		if p.pauseAfterSends == 0 {
-			p.pause(p.pauseFor)
+			p.stopInStep()
 		}
 	}
 	if p.paused {
@@ -159,6 +228,14 @@
 	transmit()
 }
 
+func (p *process) stopInStep() {
+	if p.sleepInStep {
+		p.suspend(p.pauseFor)
+		return
+	}
+	p.pause(p.pauseFor)
+}
+
 // send carries a datagram to another process.
 func (p *process) send(to *process, deliver func()) {
 	p.outgoing(func() {
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -15,6 +15,7 @@
 // Counts says what happened in runs: injected faults, and what they met.
 type Counts struct {
 	Pauses            uint64 `json:"pauses"`
+	Suspensions       uint64 `json:"suspensions"`
 	Crashes           uint64 `json:"crashes"`
 	TornWrites        uint64 `json:"crashes_in_write"`
 	FlippedBits       uint64 `json:"flipped_bits"`
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -99,7 +99,7 @@
 	}
 	for number := 1; number <= group; number++ {
 		disk := vfs.NewMemory(newDiskRandom(s.random))
-		built := &controller{process: s.newProcess("controller-%d", number), disk: disk}
+		built := &controller{process: s.newProcess(controllerMachine, "controller-%d", number), disk: disk}
 		built.files = slowFiles{FileSystem: disk, owner: built}
 		if s.planted.files != nil {
 			built.files = s.planted.files(built.files)
@@ -112,26 +112,26 @@
 func (s *simulation) build() {
 	s.buildControllers()
 	for number := 1; number <= firstServers+spareServers; number++ {
-		built := &server{process: s.newProcess("server-%d", number)}
+		built := &server{process: s.newProcess(serverMachine, "server-%d", number)}
 		built.id = state.ServerID(built.node)
 		s.servers = append(s.servers, built)
 	}
 	for number := 1; number <= freeServers; number++ {
-		built := &server{process: s.newProcess("free-%d", number)}
+		built := &server{process: s.newProcess(serverMachine, "free-%d", number)}
 		built.id = state.ServerID(built.node)
 		s.servers = append(s.servers, built)
 	}
 	for number := 1; number <= routerCount; number++ {
-		s.routers = append(s.routers, &router{process: s.newProcess("router-%d", number)})
+		s.routers = append(s.routers, &router{process: s.newProcess(routerMachine, "router-%d", number)})
 	}
 	for number := 1; number <= operators; number++ {
-		s.operators = append(s.operators, &operator{process: s.newProcess("operator-%d", number), number: number})
+		s.operators = append(s.operators, &operator{process: s.newProcess(operatorMachine, "operator-%d", number), number: number})
 	}
 }
 
-func (s *simulation) newProcess(name string, number int) *process {
+func (s *simulation) newProcess(role machineRole, name string, number int) *process {
 	return &process{
-		sim: s, node: network.Node(fmt.Sprintf(name, number)),
+		sim: s, role: role, node: network.Node(fmt.Sprintf(name, number)),
 		offset: time.Duration(s.random.Int64N(int64(time.Hour))),
 		rate:   1 + clockRateSpread*(2*s.random.Float64()-1),
 	}
--- a/internal/lab/trial/acts.go
+++ b/internal/lab/trial/acts.go
@@ -7,8 +7,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
-	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
 
@@ -16,7 +16,7 @@
 const operator = "lab"
 
 func intentID(name string) state.IntentID {
-	return state.IntentID(fmt.Sprintf("%s-%d", name, record.Monotonic().Nanoseconds()))
+	return state.IntentID(fmt.Sprintf("%s-%d", name, clock.BootTime().Nanoseconds()))
 }
 
 // Execute plans an intent, shows the plan, and confirms it. The accepted
@@ -153,7 +153,7 @@
 // it again.
 func (t *Trial) StopRouter(ctx context.Context, router *fleet.Node) error {
 	const patience = 20 * time.Second
-	from := record.Monotonic()
+	from := clock.BootTime()
 	if err := router.Process.Stop(patience); err != nil {
 		return err
 	}
--- a/internal/lab/trial/observer.go
+++ b/internal/lab/trial/observer.go
@@ -77,12 +77,12 @@
 }
 
 func (o *observer) observeService(ctx context.Context, service state.Service, acknowledge bool) error {
-	asked := record.Monotonic().Nanoseconds()
+	asked := clock.BootTime().Nanoseconds()
 	shards, err := o.fleet.Client().Shards(ctx, service.Name)
 	if err != nil {
 		return eris.Wrapf(err, "read the shards of %s", service.Name)
 	}
-	answered := record.Monotonic().Nanoseconds()
+	answered := clock.BootTime().Nanoseconds()
 	o.observeMissing(service.Name, shards, asked)
 	for _, shard := range shards {
 		o.known[shard.ID] = shard
@@ -148,7 +148,7 @@
 	}
 	o.revisions.Observed = append(o.revisions.Observed, record.Revision{
 		Name: tableName, Revision: uint64(table.Revision), Digest: strconv.FormatUint(table.Digest, 16),
-		AtNs: record.Monotonic().Nanoseconds(), Source: node.Name,
+		AtNs: clock.BootTime().Nanoseconds(), Source: node.Name,
 	})
 }
 
@@ -157,6 +157,6 @@
 	o.accepting.Lock()
 	defer o.accepting.Unlock()
 	o.revisions.Accepted = append(o.revisions.Accepted, record.Revision{
-		Name: tableName, Revision: uint64(plan.Accepted), AtNs: record.Monotonic().Nanoseconds(),
+		Name: tableName, Revision: uint64(plan.Accepted), AtNs: clock.BootTime().Nanoseconds(),
 	})
 }
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/caller"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
 	"github.com/thorntiller/thorntiller/internal/lab/process"
@@ -202,14 +203,14 @@
 
 // MarkDrain records that a server is to get no new work from now on.
 func (t *Trial) MarkDrain(server state.ServerID) error {
-	return t.events.Write(record.Event{Kind: record.EventDrain, Server: string(server), FromNs: record.Monotonic().Nanoseconds()})
+	return t.events.Write(record.Event{Kind: record.EventDrain, Server: string(server), FromNs: clock.BootTime().Nanoseconds()})
 }
 
 // MarkPlannedStop records the span of a planned stop.
 func (t *Trial) MarkPlannedStop(server state.ServerID, router string, from time.Duration) error {
 	return t.events.Write(record.Event{
 		Kind: record.EventPlannedStop, Server: string(server), Router: router,
-		FromNs: from.Nanoseconds(), ToNs: record.Monotonic().Nanoseconds(),
+		FromNs: from.Nanoseconds(), ToNs: clock.BootTime().Nanoseconds(),
 	})
 }
 
