Gateways measure ages and deadlines by the clock that counts suspensions

After a suspension of its machine a gateway took API keys beyond revocation.limit, sent requests to instances and zones beyond the time that they may serve on, named servers a deadline that was too late by the suspension, and let callers wait as much longer.

Cause: the age of the directory, drains, evacuations, rejections, waits told by keepers, the end of a stop, kept connections and callers' deadlines were time.Time, which Go compares by CLOCK_MONOTONIC.

Why this works: all of these are readings of the gateway's clock now, a time.Duration, which the compiler keeps apart from the time.Time of waits. A service time stays a time.Time: a suspension of the gateway is no time that the instance took. Attempts have timers, which stand still; the look at callers each 100 ms gives up those whose deadline has passed by 100 ms. machine_suspended is logged by each role, for how long.

The test of the held-up loop runs in a synctest bubble and takes the bubble's time now; its check is the same. Tests set readings in place of time.Time.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -6,12 +6,14 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -156,8 +158,10 @@
 	finished := make(chan struct{})
 	var watcher conc.WaitGroup
 	watcher.Go(func() { watchStop(ctx, finished, restore, log) })
+	endWatch := watchSuspensions(log)
 	err := run(ctx)
 	close(finished)
+	endWatch()
 	watcher.Wait()
 	if err != nil {
 		telemetry.WithError(log, telemetry.EventFailed, err).Error("the process ends")
@@ -167,6 +171,21 @@
 	return nil
 }
 
+// watchSuspensions tells of suspensions of the machine. It returns how to end that.
+func watchSuspensions(log *logrus.Entry) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var watcher conc.WaitGroup
+	watcher.Go(func() {
+		clock.WatchSuspensions(ctx, func(slept time.Duration) {
+			telemetry.With(log, telemetry.EventSuspended).WithField(telemetry.FieldDuration, slept.Milliseconds()).Warn("the machine was suspended")
+		})
+	})
+	return func() {
+		cancel()
+		watcher.Wait()
+	}
+}
+
 // watchReload checks the settings file whenever SIGHUP says that it has changed, and
 // tells what came of it. It returns how to end that.
 func watchReload(log *logrus.Entry, reload func() error) (end func()) {
--- a/internal/controller/heldup_test.go
+++ b/internal/controller/heldup_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
@@ -58,7 +57,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				settings := config.DefaultController()
 				settings.Seeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
-				running := clock.NewSystem()
+				running := bubbleClock{origin: time.Now()}
 				r := &replica{settings: settings, clock: running, self: consensus.Member{ID: 1}, turns: newTurnWatch(running, settings)}
 				r.published.Store(&published{status: consensus.Status{Membership: consensus.Membership{Members: c.members}}})
 				ctx, cancel := context.WithCancel(t.Context())
@@ -74,6 +73,12 @@
 	}
 }
 
+// bubbleClock is the time of a synctest bubble.
+type bubbleClock struct{ origin time.Time }
+
+// Now implements clock.Clock.
+func (c bubbleClock) Now() time.Duration { return time.Since(c.origin) }
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
 )
 
 // countedConnection counts the bytes that the kernel accepted and gave, so
@@ -21,9 +23,9 @@
 	inTurn func(data []byte, write func([]byte) (int, error)) (int, error)
 	// used is true once an attempt was made on the connection.
 	used bool
-	// keptUntil is when the back end may close the connection, as it said; zero if
+	// keptUntil is when the back end may close the connection, as it said, by clock.BootTime; zero if
 	// it said nothing.
-	keptUntil time.Time
+	keptUntil time.Duration
 }
 
 // keepAliveMargin is taken off the time that a back end keeps a connection, so
@@ -32,18 +34,18 @@
 
 // keepFor takes the value of a header Keep-Alive.
 func (c *countedConnection) keepFor(header []byte) {
-	c.keptUntil = time.Time{}
+	c.keptUntil = 0
 	for part := range strings.SplitSeq(string(header), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if seconds, err := strconv.Atoi(value); found && err == nil {
-			c.keptUntil = time.Now().Add(time.Duration(seconds)*time.Second - keepAliveMargin)
+			c.keptUntil = clock.BootTime() + time.Duration(seconds)*time.Second - keepAliveMargin
 		}
 	}
 }
 
 // reusable reports whether another attempt may be made on a kept connection.
 func (c *countedConnection) reusable() bool {
-	if !c.keptUntil.IsZero() && time.Now().After(c.keptUntil) {
+	if c.keptUntil != 0 && clock.BootTime() > c.keptUntil {
 		return false
 	}
 	return c.idle()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,7 +102,7 @@
 	defer fasthttp.ReleaseRequest(outgoing)
 	current.fill(outgoing, g.dialect, instance)
 	turn := g.pacer.turnOf(current, len(current.inbound.Body()))
-	began, sentAt := time.Now(), g.clock.Now()
+	began, sentAt := time.Now(), g.clock.Now() // a suspension is no time of the instance's
 	failure := g.upstreams.client(instance).Do(&forward.Attempt{
 		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.left(), Interrupt: current.interrupt,
 		Write: func(data []byte, write func([]byte) (int, error)) (int, error) {
@@ -121,10 +121,10 @@
 		}
 	}
 	if failure != nil && current.interrupt.Fired() {
-		failure = fault.New(fault.ConnectionLost, "the caller left")
+		failure = current.interrupted()
 	}
 	took := time.Since(began)
-	current.note(instance.ID, began, took, failure)
+	current.note(instance.ID, sentAt, took, failure)
 	g.ended(current, instance, took, failure)
 	g.guard.EndTrial(&current.suspicion, failure)
 	if failure == nil {
@@ -136,8 +136,8 @@
 }
 
 // note keeps what became of a sending.
-func (r *request) note(instance directory.InstanceID, began time.Time, took time.Duration, failure *fault.Error) {
-	outcome := attemptOutcome{Instance: instance, AfterMs: began.Sub(r.arrived).Milliseconds(), TookMs: took.Milliseconds()}
+func (r *request) note(instance directory.InstanceID, began, took time.Duration, failure *fault.Error) {
+	outcome := attemptOutcome{Instance: instance, AfterMs: (began - r.arrived).Milliseconds(), TookMs: took.Milliseconds()}
 	if failure != nil {
 		outcome.Kind = failure.Kind
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -8,14 +8,19 @@
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
 )
 
 // callerInterval is the time between two looks whether callers are still there.
 const callerInterval = 100 * time.Millisecond
 
+// overdue is by how much the deadline of a request has passed when its attempt is given up here.
+// Timers give it up in time, but for one whose machine was suspended: they stand still then.
+const overdue = 100 * time.Millisecond
+
 // callers watches the connections of requests that wait for their answer, and gives
-// up the attempts of those whose caller has left. It looks at each connection
+// up the attempts of those whose caller has left or whose deadline has passed. It looks at each connection
 // without reading from it, so that a request which waits behind stays whole. It is
 // safe for concurrent use.
 type callers struct {
@@ -25,6 +30,8 @@
 }
 
 type watched struct {
+	// left returns the time until the request is given up.
+	left       func() time.Duration
 	connection syscall.RawConn
 	interrupt  *forward.Interrupt
 }
@@ -32,7 +39,7 @@
 func newCallers() *callers { return &callers{watched: make(map[uint64]watched)} }
 
 // watch begins to watch a connection and returns how to end it.
-func (c *callers) watch(connection net.Conn, interrupt *forward.Interrupt) (forget func()) {
+func (c *callers) watch(connection net.Conn, current *request) (forget func()) {
 	system, ok := connection.(syscall.Conn)
 	if !ok {
 		return func() {}
@@ -45,7 +52,7 @@
 	defer c.mutex.Unlock()
 	c.last++
 	number := c.last
-	c.watched[number] = watched{connection: raw, interrupt: interrupt}
+	c.watched[number] = watched{left: current.left, connection: raw, interrupt: current.interrupt}
 	return func() {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
@@ -56,14 +63,19 @@
 // run looks at the connections until the context ends.
 func (c *callers) run(ctx context.Context) {
 	clock.Every(ctx, callerInterval, func() {
-		for _, each := range c.snapshot() {
-			if hasLeft(each.connection) {
-				each.interrupt.Fire()
-			}
-		}
+		c.look(func(each watched) bool { return hasLeft(each.connection) })
 	})
 }
 
+// look gives up the attempts whose deadline has passed or whose caller has left.
+func (c *callers) look(left func(watched) bool) {
+	for _, each := range c.snapshot() {
+		if each.left() < -overdue || left(each) {
+			each.interrupt.Fire()
+		}
+	}
+}
+
 func (c *callers) snapshot() []watched {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -74,6 +86,15 @@
 	return all
 }
 
+// interrupted is the failure of an attempt that was given up: its caller left, or its deadline
+// passed while the machine was suspended, which the timers of the attempt do not count.
+func (r *request) interrupted() *fault.Error {
+	if r.left() <= 0 {
+		return fault.New(fault.DeadlineExceeded, "the deadline passed before the instance's answer was whole")
+	}
+	return fault.New(fault.ConnectionLost, "the caller left")
+}
+
 // hasLeft reports whether the peer closed or reset a connection. Bytes that wait
 // say that it is there.
 func hasLeft(connection syscall.RawConn) bool {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,7 +30,7 @@
 				continue
 			}
 		}
-		wait := min(time.Until(g.patience(current, failure)), current.left()-minimumLeft)
+		wait := min(g.patience(current, failure)-g.clock.Now(), current.left()-minimumLeft)
 		if wait <= 0 || current.interrupt.Fired() {
 			return directory.Instance{}, failure
 		}
@@ -47,26 +47,26 @@
 // lookInterval bounds the time between two looks for an instance.
 const lookInterval = 50 * time.Millisecond
 
-// patience is until when a request waits for an instance, by why there is none. Keys
+// patience is until when, by the clock, a request waits for an instance, by why there is none. Keys
 // that nobody holds get a holder soon, so that waiting serves the caller better than
 // a refusal; but less than half of its time is spent so, since it can still ask
 // again with the rest.
-func (g *Gateway) patience(current *request, failure *fault.Error) time.Time {
+func (g *Gateway) patience(current *request, failure *fault.Error) time.Duration {
 	const heldShare = 0.4
 	if failure.Kind == fault.ConnectFailed || failure.Kind == fault.ServerLimited || current.noRoom {
 		return current.arrived
 	}
-	given := current.deadline.Sub(current.arrived)
+	given := current.deadline - current.arrived
 	if failure.Kind == fault.NoOwner {
-		return current.arrived.Add(time.Duration(heldShare * float64(given)))
+		return current.arrived + time.Duration(heldShare*float64(given))
 	}
 	const share = 5
 	wait := current.target() / share
 	if wait <= 0 {
 		wait = given / share
 	}
-	until := current.arrived.Add(wait)
-	if failure.Kind == fault.ServerResting && time.Now().Add(current.retryIn).After(until) {
+	until := current.arrived + wait
+	if failure.Kind == fault.ServerResting && g.clock.Now()+current.retryIn > until {
 		return current.arrived
 	}
 	return until
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -68,9 +68,8 @@
 	instances map[directory.InstanceID]*heartbeat.InstanceReport
 }
 
-func newDemandCounter(settings config.Gateway, subscription *subscription, meter *link.Meter) *demandCounter {
+func newDemandCounter(system clock.Clock, settings config.Gateway, subscription *subscription, meter *link.Meter) *demandCounter {
 	urgent := make(chan struct{}, 1)
-	system := clock.NewSystem()
 	return &demandCounter{
 		subscription: subscription, urgent: urgent,
 		tenants:   newTokens(system, quota.TenantPolicy(), urgent),
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,19 +5,22 @@
 	"sync"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
 
 // drains remembers since when each instance drains. It is safe for concurrent use.
 type drains struct {
+	clock   clock.Clock
 	allowed time.Duration
 	mutex   sync.Mutex
-	since   map[directory.InstanceID]time.Time
+	// since has readings of the clock.
+	since map[directory.InstanceID]time.Duration
 }
 
-func newDrains(allowed time.Duration) *drains {
-	return &drains{allowed: allowed, since: make(map[directory.InstanceID]time.Time)}
+func newDrains(system clock.Clock, allowed time.Duration) *drains {
+	return &drains{clock: system, allowed: allowed, since: make(map[directory.InstanceID]time.Duration)}
 }
 
 // note takes a new table.
@@ -25,7 +28,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if table.Whole {
-		maps.DeleteFunc(d.since, func(id directory.InstanceID, _ time.Time) bool { return !table.Knows(id) })
+		maps.DeleteFunc(d.since, func(id directory.InstanceID, _ time.Duration) bool { return !table.Knows(id) })
 	}
 	for _, instance := range table.Changed {
 		if instance.State != directory.InstanceDraining {
@@ -33,7 +36,7 @@
 			continue
 		}
 		if _, found := d.since[instance.ID]; !found {
-			d.since[instance.ID] = time.Now()
+			d.since[instance.ID] = d.clock.Now()
 		}
 	}
 }
@@ -44,5 +47,5 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	since, found := d.since[instance.ID]
-	return found && time.Since(since) < d.allowed
+	return found && d.clock.Now()-since < d.allowed
 }
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
@@ -20,21 +21,25 @@
 	evacuationMargin = 1200 * time.Millisecond
 )
 
+// evacuatedBefore is since when zones count as evacuated that are so in the first table.
+const evacuatedBefore = time.Duration(math.MinInt64 / 2)
+
 // evacuations remembers since when this gateway has known each zone as evacuated. It is
 // safe for concurrent use.
 type evacuations struct {
+	clock clock.Clock
 	// limit is how long after the order an instance may get its last request.
 	limit time.Duration
 	mutex sync.Mutex
-	// since has the zones that are evacuated.
-	since map[string]time.Time
+	// since has the zones that are evacuated, with readings of the clock.
+	since map[string]time.Duration
 	// noted is true once a table was taken. What is evacuated in the first one may have
 	// been for long.
 	noted bool
 }
 
-func newEvacuations(limit time.Duration) *evacuations {
-	return &evacuations{limit: limit, since: make(map[string]time.Time)}
+func newEvacuations(system clock.Clock, limit time.Duration) *evacuations {
+	return &evacuations{clock: system, limit: limit, since: make(map[string]time.Duration)}
 }
 
 // note takes a new table.
@@ -42,11 +47,15 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	earlier := e.since
-	e.since = make(map[string]time.Time)
+	e.since = make(map[string]time.Duration)
 	for _, zone := range table.Evacuated {
 		since, found := earlier[zone]
-		if !found && e.noted {
-			since = time.Now()
+		switch {
+		case found:
+		case e.noted:
+			since = e.clock.Now()
+		default:
+			since = evacuatedBefore
 		}
 		e.since[zone] = since
 	}
@@ -72,7 +81,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	since, found := e.since[zone]
-	return found && time.Since(since) >= atLeast
+	return found && e.clock.Now()-since >= atLeast
 }
 
 // instanceShare spreads instances evenly over [0, 1), alike at each gateway.
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -12,14 +12,14 @@
 // TestEvacuatedZoneIsLeft: its instances one by one, holders of keys last, all of them
 // before the limit; and at once by a gateway that finds the zone evacuated at its start.
 func TestEvacuatedZoneIsLeft(t *testing.T) {
-	e := newEvacuations(5 * time.Second)
+	e := newEvacuations(testClock, 5*time.Second)
 	e.note(&routing.Table{})
 	e.note(&routing.Table{Evacuated: []string{"west"}})
 	holder := directory.Instance{ID: "h", Zone: "west"}
 	if e.excludesHolder(holder) || e.excludes(directory.Instance{ID: "h", Zone: "east"}) {
 		t.Error("holders serve until their keys have moved, and other zones go on")
 	}
-	e.since["west"] = time.Now().Add(-evacuationFade / 2)
+	e.since["west"] = testClock.Now() - evacuationFade/2
 	left := 0
 	const instances = 200
 	for index := range instances {
@@ -30,7 +30,7 @@
 	if left < instances/4 || left > 3*instances/4 {
 		t.Errorf("%d of %d instances are left after half of the time", left, instances)
 	}
-	e.since["west"] = time.Now().Add(-e.lastRequestAfter())
+	e.since["west"] = testClock.Now() - e.lastRequestAfter()
 	if !e.excludes(holder) || !e.excludesHolder(holder) {
 		t.Error("nothing is sent to the zone after the limit")
 	}
@@ -38,7 +38,7 @@
 	if e.excludes(holder) || e.excludesHolder(holder) {
 		t.Error("a restored zone gets requests")
 	}
-	started := newEvacuations(5 * time.Second)
+	started := newEvacuations(testClock, 5*time.Second)
 	started.note(&routing.Table{Evacuated: []string{"west"}})
 	if !started.excludes(holder) || !started.excludesHolder(holder) {
 		t.Error("a gateway that starts sends nothing to an evacuated zone")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,7 @@
 	// stopping is set once a stop began; each answer then closes its connection.
 	stopping atomic.Bool
 	// stopEnd is when a stop ends, set once callers have noticed the stop.
-	stopEnd atomic.Pointer[time.Time]
+	stopEnd atomic.Pointer[time.Duration]
 }
 
 // Options are parts that the caller of Run may give.
@@ -101,6 +101,10 @@
 
 // New returns a gateway that is not yet running.
 func New(settings config.Gateway, log *logrus.Entry, options Options) (*Gateway, error) {
+	return newWithClock(clock.NewSystem(), settings, log, options)
+}
+
+func newWithClock(system clock.Clock, settings config.Gateway, log *logrus.Entry, options Options) (*Gateway, error) {
 	dialect, found := options.Dialects[settings.Dialect]
 	if settings.Dialect == DefaultDialect {
 		dialect, found = ownDialect(), true
@@ -110,17 +114,17 @@
 	}
 	meter := &link.Meter{}
 	gateway := &Gateway{
-		settings: settings, dialect: dialect, log: log, clock: clock.NewSystem(),
-		subscription: newSubscription(settings, log, options.Reload, meter),
+		settings: settings, dialect: dialect, log: log, clock: system,
+		subscription: newSubscription(system, settings, log, options.Reload, meter),
 		splitter:     routing.NewSplitter(),
 		balancer:     balance.New(balanceSettings(settings)),
 		regions:      regionsOf(settings),
 		upstreams:    newUpstreams(settings.BackEnd, dialect, streamTraffic{meter}),
-		drains:       newDrains(settings.DrainTime),
-		rejections:   newRejections(),
+		drains:       newDrains(system, settings.DrainTime),
+		rejections:   newRejections(system),
 		unreachable:  newUnreachable(),
 		signals:      newInstanceSignals(),
-		evacuations:  newEvacuations(settings.EvacuationLimit),
+		evacuations:  newEvacuations(system, settings.EvacuationLimit),
 		ownLink:      newOwnLink(settings.LinkMegabits),
 		meter:        meter,
 		coldStarts:   newColdStarts(warmUpBounds(settings)),
@@ -131,17 +135,17 @@
 		budgets:      make(map[string]*retry.Budget),
 		resendBurst:  float64(settings.RetryBurst),
 	}
-	gateway.pacer = newPacer(gateway.clock, settings.LinkMegabits)
+	gateway.pacer = newPacer(system, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
-	gateway.demand = newDemandCounter(settings, gateway.subscription, meter)
+	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
-	gateway.crashes = crashwatch.NewWatch(gateway.clock, log, gateway.guard.Crashed)
+	gateway.crashes = crashwatch.NewWatch(system, log, gateway.guard.Crashed)
 	gateway.guard.RegisterMetrics(gateway.registry)
 	gateway.subscription.joined = gateway.guard.Join
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
 	gateway.subscription.changed = gateway.tableChanged
-	gateway.places = newPlaces(settings, log, newPlaceKeeper(gateway.clock, gateway.mayKeep), meter)
+	gateway.places = newPlaces(system, settings, log, newPlaceKeeper(system, gateway.mayKeep), meter)
 	return gateway, nil
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -48,7 +48,7 @@
 // of the same holder still are, until it has rejected several. One rejection shut out all
 // keys of a holder.
 func TestRejectedRangeIsNotAskedFor(t *testing.T) {
-	l := newRejections()
+	l := newRejections(testClock)
 	if !l.mayAsk("a", 0, 7) {
 		t.Error("holder without rejections must stay selectable")
 	}
@@ -75,9 +75,9 @@
 // TestDrainingInstanceServesForAWhile: counted from when this gateway heard of it.
 func TestDrainingInstanceServesForAWhile(t *testing.T) {
 	const allowed = 50 * time.Millisecond
-	d := newDrains(allowed)
+	d := newDrains(testClock, allowed)
 	leaving := directory.Instance{ID: "a", State: directory.InstanceDraining}
-	d.since["a"] = time.Now()
+	d.since["a"] = testClock.Now()
 	if !d.mayServe(leaving) || d.mayServe(directory.Instance{ID: "b", State: directory.InstanceDraining}) {
 		t.Error("only one that this gateway knows to drain serves on")
 	}
@@ -156,7 +156,7 @@
 // TestAnotherClusterReplacesTheTable: nothing of the earlier one is taken over, though
 // the revisions are the same.
 func TestAnotherClusterReplacesTheTable(t *testing.T) {
-	s := newSubscription(config.DefaultGateway(), telemetry.New(role, "g", "error", io.Discard), nil, &link.Meter{})
+	s := newSubscription(testClock, config.DefaultGateway(), telemetry.New(role, "g", "error", io.Discard), nil, &link.Meter{})
 	for _, host := range []string{"a.example", "b.example"} {
 		patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","version":1}],"routes":[{"name":"r","host":"` + host +
 			`","prefix":"/","service":"s","kind":"repeatable","max_attempts":1,"version":1}]}}`))
--- a/internal/gateway/home_test.go
+++ b/internal/gateway/home_test.go
@@ -110,7 +110,7 @@
 		other.controllers = seed.controllers
 		var atSeed int64
 		for number := range gateways {
-			s := newSubscription(config.DefaultGateway(), quiet(), nil, &link.Meter{})
+			s := newSubscription(testClock, config.DefaultGateway(), quiet(), nil, &link.Meter{})
 			s.settings.Name, s.settings.Address = fmt.Sprintf("gateway-%d", number), fmt.Sprintf("127.0.0.1:%d", 10000+number)
 			seedOnly := seed.address
 			s.settings.Seeds, s.settings.ControllerPort = []string{seedOnly}, portOf(t, seedOnly)
@@ -126,7 +126,7 @@
 	}
 	seed := startStub(t)
 	seed.controllers = []string{down}
-	s := newSubscription(config.DefaultGateway(), quiet(), nil, &link.Meter{})
+	s := newSubscription(testClock, config.DefaultGateway(), quiet(), nil, &link.Meter{})
 	s.settings.Name, s.settings.Address = "g", "127.0.0.1:10000"
 	s.settings.Seeds, s.settings.ControllerPort = []string{seed.address}, portOf(t, seed.address)
 	runInBackground(t, s.run)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -33,7 +33,7 @@
 	if target <= 0 {
 		target = defaultTarget
 	}
-	return link.Request{Now: g.clock.Now(), Route: current.route.Name, Target: target, Deadline: current.deadline.Sub(current.arrived), Urgency: current.urgency, Bulk: current.route.Kind == directory.Download}
+	return link.Request{Now: g.clock.Now(), Route: current.route.Name, Target: target, Deadline: current.deadline - current.arrived, Urgency: current.urgency, Bulk: current.route.Kind == directory.Download}
 }
 
 // admit takes a request on, or returns why not.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -43,7 +42,7 @@
 // observe counts a request, and writes a line for one that the gateway answered in
 // its own name.
 func (g *Gateway) observe(current *request, failure *fault.Error) {
-	took := time.Since(current.arrived)
+	took := g.clock.Now() - current.arrived
 	kind := ""
 	if failure != nil {
 		kind = string(failure.Kind)
--- a/internal/gateway/pacer.go
+++ b/internal/gateway/pacer.go
@@ -81,7 +81,7 @@
 // turnOf returns what waits for the turns of the bytes of a request or its answer, of a size.
 func (p *pacer) turnOf(current *request, size int) func(bytes int) {
 	turn := link.Turn{
-		Urgency: current.urgency, Target: p.clock.Now() + time.Until(current.arrived.Add(current.target())), Bulk: size >= link.BulkBytes,
+		Urgency: current.urgency, Target: current.arrived + current.target(), Bulk: size >= link.BulkBytes,
 	}
 	return func(bytes int) { p.wait(bytes, turn) }
 }
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -44,7 +44,7 @@
 // current.
 func (s *subscription) confirmed() bool {
 	confirmed := s.confirmedAt.Load()
-	return confirmed != nil && time.Since(*confirmed) < s.settings.PongTimeout+s.settings.PingInterval
+	return confirmed != nil && s.clock.Now()-*confirmed < s.settings.PongTimeout+s.settings.PingInterval
 }
 
 // lostControllers reports whether controllers confirmed the directory once and do not any
--- a/internal/gateway/peer_test.go
+++ b/internal/gateway/peer_test.go
@@ -136,7 +136,7 @@
 	settings := config.DefaultGateway()
 	settings.Name, settings.Address = "g", "127.0.0.1:1"
 	settings.PingInterval, settings.PongTimeout = 20*time.Millisecond, pongTimeout
-	s := newSubscription(settings, telemetry.New(role, "g", "error", io.Discard), nil, &link.Meter{})
+	s := newSubscription(testClock, settings, telemetry.New(role, "g", "error", io.Discard), nil, &link.Meter{})
 	s.controllers = controllers
 	runInBackground(t, s.run)
 	return s
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/link"
@@ -37,6 +38,7 @@
 
 // places asks the keepers of instances for places. It is safe for concurrent use.
 type places struct {
+	clock    clock.Clock
 	settings config.Gateway
 	log      *logrus.Entry
 	keeper   *placeKeeper
@@ -70,16 +72,16 @@
 
 // toldWait is when a place was expected.
 type toldWait struct {
-	at   time.Time
+	at   time.Duration
 	wait time.Duration
 }
 
 // left is how much of the wait is left.
-func (t toldWait) left() time.Duration { return max(0, t.wait-time.Since(t.at)) }
+func (t toldWait) left(now time.Duration) time.Duration { return max(0, t.wait-(now-t.at)) }
 
-func newPlaces(settings config.Gateway, log *logrus.Entry, keeper *placeKeeper, meter *link.Meter) *places {
+func newPlaces(system clock.Clock, settings config.Gateway, log *logrus.Entry, keeper *placeKeeper, meter *link.Meter) *places {
 	return &places{
-		settings: settings, log: log, keeper: keeper, meter: meter,
+		clock: system, settings: settings, log: log, keeper: keeper, meter: meter,
 		links: make(map[string]*placeLink), pools: make(map[string][]room.Pool), waits: make(map[uint32]toldWait),
 	}
 }
@@ -215,7 +217,7 @@
 		if asked[poolQueue(pool)] {
 			continue
 		}
-		wait := p.waits[poolQueue(pool)].left()
+		wait := p.waits[poolQueue(pool)].left(p.clock.Now())
 		if pool.Zone != p.settings.Zone {
 			wait += otherZone
 		}
@@ -267,7 +269,7 @@
 func (p *places) askKeeper(current *request, toKeeper *placeLink, queue uint32) placeAnswer {
 	number, answers, reached := toKeeper.ask(message.PlaceAsk{
 		Queue: queue, Urgency: uint8(urgencyScale * current.urgency),
-		TargetMs: uint32(max(0, time.Until(current.arrived.Add(current.target()))).Milliseconds()), DeadlineMs: uint32(max(0, current.left()).Milliseconds()),
+		TargetMs: uint32(max(0, current.arrived+current.target()-p.clock.Now()).Milliseconds()), DeadlineMs: uint32(max(0, current.left()).Milliseconds()),
 	}, current.target())
 	if !reached {
 		p.count(func(counts *askCounts) { counts.Unreached++ })
@@ -321,5 +323,5 @@
 		// Most are of instances that left.
 		clear(p.waits)
 	}
-	p.waits[queue] = toldWait{at: time.Now(), wait: wait}
+	p.waits[queue] = toldWait{at: p.clock.Now(), wait: wait}
 }
--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -44,9 +44,9 @@
 
 // placeRequest is a request for that service.
 func placeRequest(left time.Duration) *request {
-	now := time.Now()
+	now := testClock.Now()
 	return &request{
-		service: "s", arrived: now, deadline: now.Add(left), interrupt: &forward.Interrupt{},
+		service: "s", clock: testClock, arrived: now, deadline: now + left, interrupt: &forward.Interrupt{},
 		route: &directory.Route{TargetLatencyMs: float64(left.Milliseconds())},
 	}
 }
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	settings := placeSettings(listener.Addr().String())
-	keeping := newPlaces(settings, quiet(), newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
+	keeping := newPlaces(testClock, settings, quiet(), newPlaceKeeper(testClock, everyInstance), &link.Meter{})
 	keeping.note(placeTable(t, settings.PeerAddress))
 	gateway := &Gateway{settings: settings, places: keeping, log: quiet()}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -96,7 +96,7 @@
 // startAskerBy is startAsker with a way to open connections; nil for plain TCP.
 func startAskerBy(t *testing.T, keeper string, dial wire.DialFunc) *places {
 	t.Helper()
-	asking := newPlaces(placeSettings("127.0.0.1:1"), quiet(), newPlaceKeeper(clock.NewSystem(), everyInstance), &link.Meter{})
+	asking := newPlaces(testClock, placeSettings("127.0.0.1:1"), quiet(), newPlaceKeeper(testClock, everyInstance), &link.Meter{})
 	table := placeTable(t, keeper)
 	asking.note(table)
 	asking.links[keeper].options.Dial = dial
@@ -141,7 +141,7 @@
 		t.Errorf("got %+v once a place was given back", answer)
 	}
 	hurried := placeRequest(placeTime)
-	hurried.arrived = time.Now().Add(-placeTime)
+	hurried.arrived -= placeTime
 	if answer := asking.ofService(hurried); answer.verdict != room.Rejected {
 		t.Errorf("got %+v for a request that cannot be in time", answer)
 	}
@@ -316,7 +316,7 @@
 		t.Errorf("%d places of a server whose keeper knows nothing of earlier ones, want its 2", granted)
 	}
 	hurried := placeRequest(placeTime)
-	hurried.arrived = time.Now().Add(-placeTime)
+	hurried.arrived -= placeTime
 	if answer := after.ofService(hurried); answer.verdict != room.Rejected {
 		t.Errorf("got %+v beyond its places", answer)
 	}
--- a/internal/gateway/race_test.go
+++ b/internal/gateway/race_test.go
@@ -46,7 +46,7 @@
 	})
 	_, before := counts()
 	confirmedAt := *s.confirmedAt.Load()
-	eventually(t, "the stream goes on", func() bool { return s.confirmedAt.Load().Sub(confirmedAt) > 3*s.settings.PongTimeout })
+	eventually(t, "the stream goes on", func() bool { return *s.confirmedAt.Load()-confirmedAt > 3*s.settings.PongTimeout })
 	if open, after := counts(); open != 1 || after != before {
 		t.Errorf("%d streams are open, %d were opened anew", open, after-before)
 	}
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 )
@@ -14,7 +13,7 @@
 func TestAllowedRegionsBindRouteAndTenant(t *testing.T) {
 	settings := config.DefaultGateway()
 	settings.Regions = []config.ZoneRegion{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}}
-	g := &Gateway{regions: regionsOf(settings), evacuations: newEvacuations(time.Second), coldStarts: newColdStarts(warmUpBounds(settings)), signals: newInstanceSignals(), unreachable: newUnreachable(), clock: clock.NewSystem()}
+	g := &Gateway{regions: regionsOf(settings), evacuations: newEvacuations(testClock, time.Second), coldStarts: newColdStarts(warmUpBounds(settings)), signals: newInstanceSignals(), unreachable: newUnreachable(), clock: testClock}
 	instances := []*directory.Instance{
 		{ID: "in-a", Zone: "a1", State: directory.InstanceReady}, {ID: "in-b", Zone: "b1", State: directory.InstanceReady},
 		{ID: "anywhere", Zone: "x", State: directory.InstanceReady},
--- a/internal/gateway/rejections.go
+++ b/internal/gateway/rejections.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 )
 
@@ -16,6 +17,7 @@
 // only be rejected, and counts as an arrival at the service. One that rejects keys of
 // several ranges has most likely lost all. It is safe for concurrent use.
 type rejections struct {
+	clock clock.Clock
 	mutex sync.Mutex
 	noted map[directory.InstanceID]rejectedRanges
 }
@@ -23,16 +25,16 @@
 // rejectedRanges is what one holder rejected under a revision of the layout.
 type rejectedRanges struct {
 	revision directory.Revision
-	// until is when each range may be asked for again, by its first key.
-	until map[directory.Key]time.Time
+	// until is when each range may be asked for again, by its first key: readings of the clock.
+	until map[directory.Key]time.Duration
 }
 
 // rejectionsOfAll is the number of ranges from which on all keys of a holder are taken for
 // lost.
 const rejectionsOfAll = 3
 
-func newRejections() *rejections {
-	return &rejections{noted: make(map[directory.InstanceID]rejectedRanges)}
+func newRejections(system clock.Clock) *rejections {
+	return &rejections{clock: system, noted: make(map[directory.InstanceID]rejectedRanges)}
 }
 
 // note takes a rejection by a holder, of a key in the range that begins at first, under
@@ -42,10 +44,10 @@
 	defer r.mutex.Unlock()
 	known, found := r.noted[id]
 	if !found || known.revision != revision {
-		known = rejectedRanges{revision: revision, until: make(map[directory.Key]time.Time)}
+		known = rejectedRanges{revision: revision, until: make(map[directory.Key]time.Duration)}
 		r.noted[id] = known
 	}
-	known.until[first] = time.Now().Add(rejectionPause)
+	known.until[first] = r.clock.Now() + rejectionPause
 }
 
 // mayAsk reports whether a holder may be asked for a range under a revision of the
@@ -61,9 +63,9 @@
 		delete(r.noted, id)
 		return true
 	}
-	now := time.Now()
+	now := r.clock.Now()
 	for start, until := range known.until {
-		if !now.Before(until) {
+		if now >= until {
 			delete(known.until, start)
 		}
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -25,11 +26,13 @@
 	inbound *fasthttp.Request
 	answer  *fasthttp.Response
 	// remote is the address that the caller connected from.
-	remote  net.Addr
-	arrived time.Time
+	remote net.Addr
+	// clock is that of the gateway, by which arrived and deadline are.
+	clock   clock.Clock
+	arrived time.Duration
 	// deadline is when the request is given up: the caller's own, or earlier by the
 	// route's timeout.
-	deadline time.Time
+	deadline time.Duration
 	route    *directory.Route
 	service  string
 	// keyRequired is true if callers must show an API key, and tenant is whose key it is;
@@ -92,11 +95,11 @@
 
 // readRequest takes what the request says and finds its route.
 func (g *Gateway) readRequest(context *fasthttp.RequestCtx, table *routing.Table) (*request, error) {
-	now := time.Now()
+	now := g.clock.Now()
 	read := &request{
 		id:      string(context.Request.Header.Peek(g.dialect.RequestID)),
 		inbound: &context.Request, answer: &context.Response, remote: context.RemoteAddr(),
-		arrived: now, deadline: now.Add(g.settings.MaxTimeout), interrupt: &forward.Interrupt{},
+		clock: g.clock, arrived: now, deadline: now + g.settings.MaxTimeout, interrupt: &forward.Interrupt{},
 	}
 	read.suspicion.Identify = func() quarantine.Request { return g.identify(read) }
 	if table == nil {
@@ -129,9 +132,7 @@
 
 // bound brings the deadline forward to a time after the arrival.
 func (r *request) bound(timeout time.Duration) {
-	if end := r.arrived.Add(timeout); end.Before(r.deadline) {
-		r.deadline = end
-	}
+	r.deadline = min(r.deadline, r.arrived+timeout)
 }
 
 func (r *request) readDeadline(header string) error {
@@ -173,7 +174,7 @@
 }
 
 // left is the time until the request is given up.
-func (r *request) left() time.Duration { return time.Until(r.deadline) }
+func (r *request) left() time.Duration { return r.deadline - r.clock.Now() }
 
 func (r *request) repeatable() bool { return r.route.Kind.MayRepeat() }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -50,7 +50,7 @@
 	if err := g.rejectBeforeStop(current); err != nil {
 		return err
 	}
-	defer g.callers.watch(context.Conn(), current.interrupt)()
+	defer g.callers.watch(context.Conn(), current)()
 	return g.executeAdmitted(current)
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -25,13 +25,13 @@
 // closed once no request can be on its way to them any more, so that no caller takes one up again
 // while there is no time left to answer.
 func (g *Gateway) stop(server *fasthttp.Server) error {
-	end := time.Now().Add(g.settings.StopTimeout - stopMargin)
+	end := g.clock.Now() + g.settings.StopTimeout - stopMargin
 	g.stopping.Store(true)
 	g.demand.stopping.Store(true)
 	time.Sleep(g.settings.StopNotice)
 	g.stopEnd.Store(&end)
 	g.awaitQuiet(end)
-	bounded, cancel := context.WithDeadline(context.Background(), end)
+	bounded, cancel := context.WithTimeout(context.Background(), end-g.clock.Now())
 	defer cancel()
 	if err := server.ShutdownWithContext(bounded); err != nil && !eris.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "requests did not finish within stop_timeout")
@@ -42,17 +42,17 @@
 // awaitQuiet waits while requests may be on their way in, for half of the time until the end at
 // most: requests that wait behind long answers on the own link, or that have come and were not
 // read yet.
-func (g *Gateway) awaitQuiet(end time.Time) {
-	began := time.Now()
-	latest := began.Add(time.Until(end) / 2)
-	backlog := link.NewBacklog(g.settings.LinkMegabits, g.clock.Now(), g.meter.Passed(link.In))
-	for time.Now().Before(latest) {
+func (g *Gateway) awaitQuiet(end time.Duration) {
+	began := g.clock.Now()
+	latest := began + (end-began)/2
+	backlog := link.NewBacklog(g.settings.LinkMegabits, began, g.meter.Passed(link.In))
+	for g.clock.Now() < latest {
 		time.Sleep(quietInterval)
 		if !backlog.Waits(g.clock.Now(), g.meter.Passed(link.In)) && !g.resting.unread() {
 			break
 		}
 	}
-	telemetry.With(g.log, telemetry.EventRestingClosed).WithField(telemetry.FieldDuration, time.Since(began).Milliseconds()).
+	telemetry.With(g.log, telemetry.EventRestingClosed).WithField(telemetry.FieldDuration, (g.clock.Now()-began).Milliseconds()).
 		WithField("connections", g.connections.Load()).Info("resting connections closed")
 }
 
@@ -60,8 +60,8 @@
 // off at another gateway. Before callers have noticed the stop all requests are taken.
 func (g *Gateway) rejectBeforeStop(current *request) error {
 	end := g.stopEnd.Load()
-	if end == nil || !current.deadline.After(*end) {
+	if end == nil || current.deadline <= *end {
 		return nil
 	}
-	return fault.Newf(fault.RouterStopping, "this gateway stops in %s: ask another one", time.Until(*end).Round(time.Millisecond))
+	return fault.Newf(fault.RouterStopping, "this gateway stops in %s: ask another one", (*end - g.clock.Now()).Round(time.Millisecond))
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -13,17 +13,17 @@
 // TestRequestsThatOutlastAStopAreRejected guards against requests that a stopping gateway takes and
 // cuts off when it ends.
 func TestRequestsThatOutlastAStopAreRejected(t *testing.T) {
-	g := &Gateway{}
-	now := time.Now()
-	if err := g.rejectBeforeStop(&request{deadline: now.Add(time.Hour)}); err != nil {
+	g := &Gateway{clock: testClock}
+	now := testClock.Now()
+	if err := g.rejectBeforeStop(&request{deadline: now + time.Hour}); err != nil {
 		t.Errorf("before a stop: %v", err)
 	}
-	end := now.Add(time.Second)
+	end := now + time.Second
 	g.stopEnd.Store(&end)
 	if err := g.rejectBeforeStop(&request{deadline: end}); err != nil {
 		t.Errorf("a request that ends in time: %v", err)
 	}
-	if err := g.rejectBeforeStop(&request{deadline: end.Add(time.Millisecond)}); fault.KindOf(err) != fault.RouterStopping {
+	if err := g.rejectBeforeStop(&request{deadline: end + time.Millisecond}); fault.KindOf(err) != fault.RouterStopping {
 		t.Errorf("a request that outlasts the stop: %v", err)
 	}
 }
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -26,6 +26,7 @@
 // subscription keeps the directory by the stream of one controller, and goes to
 // another one when that does not prove in time that it is current.
 type subscription struct {
+	clock    clock.Clock
 	settings config.Gateway
 	log      *logrus.Entry
 	// reload reads the settings again, for seeds that changed.
@@ -46,9 +47,9 @@
 	leader atomic.Pointer[string]
 	table  atomic.Pointer[routing.Table]
 	// provedAt is when the last ping that was answered was sent, and confirmedAt when
-	// the last one that a controller answered was.
-	provedAt    atomic.Pointer[time.Time]
-	confirmedAt atomic.Pointer[time.Time]
+	// the last one that a controller answered was, by the clock.
+	provedAt    atomic.Pointer[time.Duration]
+	confirmedAt atomic.Pointer[time.Duration]
 	// reached is true once a controller has accepted a connection.
 	reached atomic.Bool
 	// peerStreams counts the gateways that take the directory from this one.
@@ -59,9 +60,9 @@
 	homing  homing
 }
 
-func newSubscription(settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error), meter *link.Meter) *subscription {
+func newSubscription(system clock.Clock, settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error), meter *link.Meter) *subscription {
 	return &subscription{
-		settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(), meter: meter,
+		clock: system, settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(), meter: meter,
 		changed: func(*routing.Table) {}, joined: func(string) {},
 	}
 }
@@ -75,7 +76,7 @@
 	if proved == nil {
 		return -1
 	}
-	return time.Since(*proved)
+	return s.clock.Now() - *proved
 }
 
 // confirmedAge returns how long ago a controller proved that the directory is current; the
@@ -85,7 +86,7 @@
 	if confirmed == nil {
 		return math.MaxInt64
 	}
-	return time.Since(*confirmed)
+	return s.clock.Now() - *confirmed
 }
 
 // reconnectPause is the wait after all controllers were asked without success.
@@ -163,7 +164,7 @@
 			return err
 		}
 	}
-	pings := &pingLog{}
+	pings := &pingLog{clock: s.clock}
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer cancel()
@@ -174,14 +175,15 @@
 
 // pingLog remembers when the newest pings were sent.
 type pingLog struct {
+	clock  clock.Clock
 	number atomic.Uint64
-	sentAt [pingsKept]atomic.Pointer[time.Time]
+	sentAt [pingsKept]atomic.Pointer[time.Duration]
 }
 
 const pingsKept = 16
 
 func (l *pingLog) next() uint64 {
-	now := time.Now()
+	now := l.clock.Now()
 	number := l.number.Add(1)
 	l.sentAt[number%pingsKept].Store(&now)
 	return number
@@ -204,7 +206,7 @@
 }
 
 func (s *subscription) receive(connection *wire.Conn, pings *pingLog, from source) error {
-	proved := time.Now()
+	proved := s.clock.Now()
 	logged := false
 	for {
 		var update message.DirectoryUpdate
@@ -218,7 +220,7 @@
 			return err
 		}
 		if update.Pong == 0 {
-			if time.Since(proved) > s.patience(update) {
+			if s.clock.Now()-proved > s.patience(update) {
 				return errNoProof
 			}
 			continue
@@ -226,7 +228,7 @@
 		if from.contest != nil && !from.contest.claim(from.candidate) {
 			return errOtherController
 		}
-		proved = time.Now()
+		proved = s.clock.Now()
 		s.confirm(pings.sentAt[update.Pong%pingsKept].Load(), from)
 		if s.goesHome(from) {
 			return errGoesHome
@@ -240,7 +242,7 @@
 }
 
 // confirm notes that the directory was current when a ping was sent.
-func (s *subscription) confirm(sentAt *time.Time, from source) {
+func (s *subscription) confirm(sentAt *time.Duration, from source) {
 	s.provedAt.Store(sentAt)
 	if !from.peer {
 		s.confirmedAt.Store(sentAt)
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -20,6 +20,7 @@
 	EventListening Event = "listening"
 	EventFailed    Event = "failed"
 
+	EventSuspended    Event = "machine_suspended"
 	EventPanicked     Event = "panicked"
 	EventLinesDropped Event = "log_lines_dropped"
 
@@ -115,6 +116,7 @@
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
 		{EventFailed, levelError, "The process cannot go on, and ends."},
+		{EventSuspended, levelWarning, "The machine was suspended and goes on; duration_ms tells for how long. What was decided before it is checked anew before it is acted on."},
 		{EventPanicked, levelError, "A request met a defect of this program, which goes on; the stack tells where. Report it."},
 		{EventLinesDropped, levelWarning, "Log lines found their queue full and were dropped."},
 		{EventCertificateRenewed, levelInfo, "Replaced certificate files were read and are in use."},
