Attempts are decided once more right before their first byte

A request went to a server as it had been decided, however long the wait for a connection or for a turn on the link had been, and though the machine had been suspended or the process frozen in between: to a server that had left, by a table that was out of force, or after its caller's deadline.

Cause: the last look was before the connection was taken from the pool.

Evidence: TestSuspensionBetweenChoiceAndSend gets one request at the server in both of its cases without the check. The simulator looks once more when the bytes of an attempt leave the router, and finds a router that does not check (TestPlantedFaults, "router does not check again").

Why this works: forward.Attempt has a check that the connection asks before the first byte is written, so that nothing stands between the two but the call of write. An attempt that it stops has reached nobody: it costs no budget, gives its token and place back, and is planned anew while time is left. Servers that rest are not looked at again: the first request after a rest would hold itself back.

--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -175,6 +175,32 @@
 		server.Intent == state.ServerActive && !e.core.options.Health.Draining(server)
 }
 
+// MaySend returns why the present attempt must not be sent any more, right before its
+// first byte goes out; nil if it may. The wait for a connection may have been long, and
+// the machine may have been suspended since the decision.
+func (e *Execution) MaySend(reading Reading) *fault.Error {
+	switch {
+	case reading.Now >= e.request.Deadline:
+		return fault.New(fault.DeadlineBeforeStart, "the deadline passed before the request could be sent")
+	case !reading.Fresh:
+		return Stale()
+	case !e.valid(reading):
+		return fault.New(fault.NoOwner, "the server was withdrawn before the request could be sent")
+	default:
+		return nil
+	}
+}
+
+// Withdrawn takes that the present attempt was not sent, since MaySend forbade it.
+func (e *Execution) Withdrawn(reading Reading, reason *fault.Error) Action {
+	e.queue.ReleaseUnused()
+	e.core.options.Health.ProbeAbandoned(e.decision.Server.ID)
+	if reason.Kind == fault.DeadlineBeforeStart {
+		return e.giveUp(reason)
+	}
+	return e.Plan(reading)
+}
+
 // attempt sends the request, if its time allows that and a cancel after it.
 func (e *Execution) attempt(now time.Duration) Action {
 	left := e.request.Deadline - now
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -21,6 +21,9 @@
 	Timeout time.Duration
 	// Write writes a part of the request by a function, in its turn; nil for at once.
 	Write func(data []byte, write func([]byte) (int, error)) (int, error)
+	// Check is asked right before the first byte is written, when the wait for a connection and
+	// for a turn is over. Its failure ends the attempt; nothing was written then. Nil for no check.
+	Check func() *fault.Error
 	// Interrupt gives the attempt up when the caller leaves; nil for never.
 	Interrupt *Interrupt
 }
@@ -44,7 +47,7 @@
 			c.pool.ReleaseConn(pooled)
 			return fault.New(fault.CancelledBeforeStart, "the caller left before the request was sent")
 		}
-		connection.begin(attempt.Write)
+		connection.begin(attempt)
 		reusable, failure := c.exchange(connection, attempt, end)
 		interrupted := !attempt.Interrupt.detach()
 		if reusable && !interrupted {
@@ -95,6 +98,10 @@
 }
 
 func writeFailure(connection *countedConnection, err error) *fault.Error {
+	var rejected *fault.Error
+	if eris.As(err, &rejected) {
+		return rejected
+	}
 	if connection.written == 0 {
 		return fault.Newf(fault.ConnectFailed, "nothing could be written: %v", err)
 	}
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
 // countedConnection counts the bytes that the kernel accepted and gave, so
@@ -21,6 +22,9 @@
 	read    int64
 	// inTurn writes in the turn of the present attempt; nil for at once.
 	inTurn func(data []byte, write func([]byte) (int, error)) (int, error)
+	// check is asked right before the first byte of the present attempt is written; nil for
+	// never.
+	check func() *fault.Error
 	// used is true once an attempt was made on the connection.
 	used bool
 	// keptUntil is when the back end may close the connection, as it said, by clock.BootTime; zero if
@@ -60,6 +64,11 @@
 }
 
 func (c *countedConnection) write(data []byte) (int, error) {
+	if c.written == 0 && c.check != nil {
+		if failure := c.check(); failure != nil {
+			return 0, failure
+		}
+	}
 	count, err := c.Conn.Write(data)
 	c.written += int64(count)
 	c.traffic.Passed(0, count)
@@ -75,8 +84,9 @@
 }
 
 // begin starts the count of a new attempt.
-func (c *countedConnection) begin(inTurn func(data []byte, write func([]byte) (int, error)) (int, error)) {
-	c.inTurn = inTurn
+func (c *countedConnection) begin(attempt *Attempt) {
+	c.inTurn = attempt.Write
+	c.check = attempt.Check
 	c.written = 0
 	c.read = 0
 	c.used = true
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,7 +71,7 @@
 		// Only the holder may run it, and the holder is full.
 		return false
 	}
-	if failure.Kind == fault.ConnectFailed {
+	if failure.Kind == fault.ConnectFailed || current.withdrawn {
 		// Nothing arrived anywhere: the budget counts arrivals.
 		current.attempts = current.attempts[:len(current.attempts)-1]
 		return current.left() > minimumLeft
@@ -98,6 +98,7 @@
 func (g *Gateway) attempt(current *request, instance directory.Instance) *fault.Error {
 	current.attempts = append(current.attempts, instance.ID)
 	current.answer.Reset()
+	current.withdrawn = false
 	outgoing := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(outgoing)
 	current.fill(outgoing, g.dialect, instance)
@@ -105,11 +106,12 @@
 	began, sentAt := time.Now(), g.clock.Now() // a suspension is no time of the instance's
 	failure := g.upstreams.client(instance).Do(&forward.Attempt{
 		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.left(), Interrupt: current.interrupt,
+		Check: func() *fault.Error { return g.maySendNow(current, instance) },
 		Write: func(data []byte, write func([]byte) (int, error)) (int, error) {
 			return writeInTurns(data, turn, write)
 		},
 	})
-	if failure == nil || failure.Kind != fault.ConnectFailed && failure.Kind != fault.QueueFull {
+	if failure == nil || !current.withdrawn && failure.Kind != fault.ConnectFailed && failure.Kind != fault.QueueFull {
 		g.meter.Add(link.Out, link.Attempts, len(current.inbound.Body()))
 	}
 	if failure == nil {
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -209,8 +209,8 @@
 		current.tokenOf = ""
 		return
 	}
-	switch failure.Kind {
-	case fault.ConnectFailed, fault.QueueFull, fault.CancelledBeforeStart:
+	switch {
+	case current.withdrawn, failure.Kind == fault.ConnectFailed, failure.Kind == fault.QueueFull, failure.Kind == fault.CancelledBeforeStart:
 		g.refundInstanceToken(current)
 	default:
 		current.tokenOf = ""
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -135,7 +135,7 @@
 func (g *Gateway) endPlace(current *request, took time.Duration, failure *fault.Error) {
 	outcome := room.Answered
 	switch {
-	case current.interrupt.Fired():
+	case current.interrupt.Fired() || current.withdrawn:
 		outcome = room.Unused
 	case failure == nil:
 	case failure.Kind == fault.Shedding || failure.Kind == fault.ServerResting || failure.Kind == fault.WrongEpoch:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,8 @@
 	urgency float64
 	// reserved is the room that was reserved on the own link, in bytes.
 	reserved float64
+	// withdrawn is true if the newest attempt was not sent, see maySendNow.
+	withdrawn bool
 	// asked is true once a keeper was asked for a place, and place is the one that it gave.
 	asked bool
 	place *heldPlace
--- /dev/null
+++ b/internal/gateway/sendcheck.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// maySendNow returns why a request must not go to the chosen instance any more, right before its
+// first byte is written; nil if it may. The wait for a connection or for a turn on the own link may
+// have been long, and the machine may have been suspended since the choice.
+func (g *Gateway) maySendNow(current *request, instance directory.Instance) *fault.Error {
+	current.withdrawn = true
+	if current.left() <= 0 {
+		return fault.New(fault.DeadlineBeforeStart, "the deadline passed before the request could be sent")
+	}
+	if g.maySendTo(current, instance) {
+		current.withdrawn = false
+		return nil
+	}
+	return fault.Newf(fault.NoOwner, "instance %s may not get the request any more", instance.ID)
+}
+
+// maySendTo reports whether an instance that was chosen may still get a request.
+func (g *Gateway) maySendTo(current *request, chosen directory.Instance) bool {
+	service, found := g.subscription.current().Service(current.service)
+	if !found {
+		return false
+	}
+	instance, found := service.Instance(chosen.ID)
+	if !found || g.departed(instance) != nil {
+		return false
+	}
+	if current.keyed {
+		return g.stillHolds(current, instance.ID) && !g.evacuations.excludesHolder(instance) &&
+			(instance.State != directory.InstanceDraining || g.drains.mayServe(instance))
+	}
+	return instance.Serving() && !g.evacuations.excludes(instance)
+}
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +55,45 @@
 	}
 }
 
+// onDial calls a function when a connection to an instance was made, before anything is sent.
+type onDial struct{ call func() }
+
+func (d onDial) Opened()         { d.call() }
+func (d onDial) Passed(int, int) {}
+
+// startInstance answers each request by its identifier, and counts them.
+func startInstance(t *testing.T, idHeader string) (address string, arrivals *atomic.Int64) {
+	t.Helper()
+	arrivals = &atomic.Int64{}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		arrivals.Add(1)
+		ctx.Response.Header.Set(idHeader, string(ctx.Request.Header.Peek(idHeader)))
+	}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return listener.Addr().String(), arrivals
+}
+
+// oneInstance is a table with one service of one instance.
+func oneInstance(t *testing.T, instance directory.Instance) *routing.Table {
+	t.Helper()
+	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","version":1}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := directory.New()
+	for index, command := range []directory.Command{{Patch: &patch}, {Instances: []directory.Instance{instance}}} {
+		if err := view.Apply(directory.Revision(index+1), command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return routing.Build(view, nil)
+}
+
 // newRequest is a request for that service, which may take a second.
 func newRequest(machine *manualClock) *request {
 	now := machine.Now()
@@ -62,6 +103,57 @@
 	}
 }
 
+// TestSuspensionBetweenChoiceAndSend guards against a request that is sent after its deadline, or to an
+// instance that left meanwhile, since the machine was suspended after the choice.
+func TestSuspensionBetweenChoiceAndSend(t *testing.T) {
+	instance := directory.Instance{ID: "i", Service: "s", Zone: "z", Slots: 1, State: directory.InstanceReady}
+	for _, c := range []struct {
+		name      string
+		meanwhile func(*Gateway, *manualClock)
+		want      fault.Kind
+	}{
+		{"nothing", func(*Gateway, *manualClock) {}, ""},
+		{"the deadline passes", func(_ *Gateway, machine *manualClock) { machine.suspend(suspension) }, fault.DeadlineBeforeStart},
+		{"the instance leaves", func(g *Gateway, _ *manualClock) {
+			leaving := instance
+			leaving.State = directory.InstanceDraining
+			g.subscription.table.Store(oneInstance(t, leaving))
+		}, fault.NoOwner},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			machine := &manualClock{}
+			settings := config.DefaultGateway()
+			settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
+			g, err := newWithClock(machine, settings, quiet(), Options{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			chosen := instance
+			var arrivals *atomic.Int64
+			chosen.Address, arrivals = startInstance(t, g.dialect.RequestID)
+			g.upstreams.settings.Traffic = onDial{func() { c.meanwhile(g, machine) }}
+			g.subscription.table.Store(oneInstance(t, instance))
+			current := newRequest(machine)
+			current.inbound.Header.SetHost("s.example")
+			current.inbound.Header.Set(g.dialect.RequestID, current.id)
+			failure := g.attempt(current, chosen)
+			if got := kindOf(failure); got != c.want {
+				t.Errorf("got %v, want %q", failure, c.want)
+			}
+			if sent := arrivals.Load() == 1; sent != (c.want == "") {
+				t.Errorf("%d requests reached the instance", arrivals.Load())
+			}
+		})
+	}
+}
+
+func kindOf(failure *fault.Error) fault.Kind {
+	if failure == nil {
+		return ""
+	}
+	return failure.Kind
+}
+
 // TestDeadlinePassesInASuspension guards against callers who wait on for as long as their gateway's
 // machine was suspended: the timers of an attempt stand still meanwhile.
 func TestDeadlinePassesInASuspension(t *testing.T) {
--- a/internal/lab/sim/backend.go
+++ b/internal/lab/sim/backend.go
@@ -58,10 +58,12 @@
 
 // reply is what comes back of an attempt; nil failure means the whole answer.
 type reply struct {
-	failure *fault.Error
-	load    bool
-	running int
-	queued  int
+	// withdrawn is why the attempt was not sent; nil if it was.
+	withdrawn *fault.Error
+	failure   *fault.Error
+	load      bool
+	running   int
+	queued    int
 }
 
 // refusedKinds are the kinds of the refusals of a back end.
--- a/internal/lab/sim/checker/requests.go
+++ b/internal/lab/sim/checker/requests.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// Transmits records that the bytes of the newest attempt of a request leave its router. The same
+// holds then as when the attempt began: the router may have stood still in between.
+func (c *Checker) Transmits(request uint64) {
+	known, found := c.requests.requests[request]
+	if !found {
+		return
+	}
+	c.checkCurrent(known, known.last)
+	c.checkLeaving(known, known.last)
+}
+
 func (c *Checker) checkCurrent(known *requestRecord, attempt AttemptStart) {
 	needed := c.tableAt(c.now() - c.requests.bounds.Staleness)
 	if attempt.Table < needed {
--- a/internal/lab/sim/flight.go
+++ b/internal/lab/sim/flight.go
@@ -187,6 +187,10 @@
 	}
 	call.generation = target.generation
 	router.outgoing(func() {
+		if f.withdraws(call) {
+			return
+		}
+		f.sim.checker.Transmits(call.request)
 		f.sim.network.SendOnce(router.node, target.node, func() {
 			if !target.alive || target.generation != call.generation {
 				target.reset(call)
@@ -197,6 +201,17 @@
 	})
 }
 
+// withdraws ends an attempt that must not be sent any more when its bytes would go out.
+func (f *flight) withdraws(call *attempt) bool {
+	reason := f.execution.MaySend(f.requests.reading())
+	if reason == nil || f.sim.planted.uncheckedSends {
+		return false
+	}
+	f.sim.counts.Withdrawn++
+	call.take(reply{withdrawn: reason})
+	return true
+}
+
 func (f *flight) failConnect(call *attempt, delay time.Duration) {
 	f.sim.counts.ConnectFailures++
 	f.requests.router.after(delay, func() {
@@ -205,6 +220,11 @@
 }
 
 func (f *flight) answered(back reply) {
+	if back.withdrawn != nil {
+		f.sim.checker.AttemptEnds(f.number, back.withdrawn.Kind, false)
+		f.carryOut(f.execution.Withdrawn(f.requests.reading(), back.withdrawn))
+		return
+	}
 	if back.load {
 		f.target.ReportLoad(back.running, back.queued, serverSlots)
 	}
--- a/internal/lab/sim/planted.go
+++ b/internal/lab/sim/planted.go
@@ -50,6 +50,8 @@
 	freeResends bool
 	// lateAnswers: a final answer goes out after a back-off.
 	lateAnswers bool
+	// uncheckedSends: routers send what they decided on however long ago that was.
+	uncheckedSends bool
 	// steadyClocks: machines of these roles read a clock that stands still while they
 	// are suspended.
 	steadyClocks []machineRole
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -46,6 +46,7 @@
 	Queued            uint64 `json:"requests_queued"`
 	OwnerWaits        uint64 `json:"requests_that_waited"`
 	Attempts          uint64 `json:"attempts"`
+	Withdrawn         uint64 `json:"attempts_withdrawn"`
 	Resent            uint64 `json:"attempts_resent"`
 	ConnectFailures   uint64 `json:"connects_failed"`
 	ConnectionsCut    uint64 `json:"connections_cut"`
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -27,7 +27,7 @@
 	t.Logf("checks %+v", summary.Checks)
 	faults := summary.Faults
 	for name, count := range map[string]uint64{
-		"pauses": faults.Pauses, "crashes": faults.Crashes, "crashes in a write": faults.TornWrites,
+		"pauses": faults.Pauses, "suspensions": faults.Suspensions, "withdrawn attempts": faults.Withdrawn, "crashes": faults.Crashes, "crashes in a write": faults.TornWrites,
 		"flipped bits": faults.FlippedBits, "lost disks": faults.LostDisks, "slow syncs": faults.SlowSyncs, "losses after a repair": faults.LossesAfterRepair,
 		"cuts": faults.Cuts, "freezes": faults.Freezes, "missed changes": faults.MissedChanges,
 		"drains": faults.Drains, "misleading servers": faults.Misled, "bursts": faults.Bursts, "stale routers": faults.Stale,
@@ -127,6 +127,7 @@
 		"router repeats what may not be":  {planted{repeatAll: true}, []checker.Guarantee{checker.AtMostOnce}, 1},
 		"router claims not run":           {planted{claimNotRun: true}, []checker.Guarantee{checker.NotRunNeverRan}, 1},
 		"router trusts an old table":      {planted{trustOldTable: true}, []checker.Guarantee{checker.CurrentTable}, 1},
+		"router does not check again":     {planted{uncheckedSends: true}, []checker.Guarantee{checker.CurrentTable, checker.Drained}, 1},
 		"router ignores who leaves":       {planted{ignoreLeaving: true}, []checker.Guarantee{checker.Drained}, 1},
 		"router's queues have no bound":   {planted{longQueues: true}, []checker.Guarantee{checker.BoundedQueue}, 1},
 		"resends cost nothing":            {planted{freeResends: true}, []checker.Guarantee{checker.RetryBudget}, 1},
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -44,6 +44,8 @@
 	target    *fleet.BackEnd
 	client    *forward.Client
 	attemptID string
+	// withdrawn is why the newest attempt was not sent; nil if it was.
+	withdrawn *fault.Error
 }
 
 // run is the innermost Handler: it acts until the core finishes the request.
@@ -116,6 +118,9 @@
 	if failure != nil && failure.Kind == fault.AnswerMismatched {
 		telemetry.WithError(e.log, telemetry.EventAnswerMismatched, failure).WithField("server", server.ID).Error("answer to another request")
 	}
+	if request.withdrawn != nil {
+		return request.execution.Withdrawn(e.reading(), request.withdrawn)
+	}
 	next := request.execution.Answered(e.clock.Now(), failure)
 	e.logEvents(server, next.Events, failure)
 	return e.counted(request, next)
@@ -179,8 +184,13 @@
 func (e *executor) send(request *outgoing, decision *dispatch.Decision, timeout time.Duration) *fault.Error {
 	exchange := request.exchange
 	request.attemptID = exchange.ID + "." + strconv.Itoa(request.execution.Attempts()+1)
+	request.withdrawn = nil
 	attempt := forward.Attempt{
 		ID: request.attemptID, Request: fasthttp.AcquireRequest(), Response: exchange.Answer, Timeout: timeout,
+		Check: func() *fault.Error {
+			request.withdrawn = request.execution.MaySend(e.reading())
+			return request.withdrawn
+		},
 	}
 	defer fasthttp.ReleaseRequest(attempt.Request)
 	exchange.fill(attempt.Request, decision, attempt.ID, timeout)
