A heartbeat that meets a defect no longer ends the controllers one by one

Callers would see keys without a holder: a server's heartbeat whose decision panics ended the leader, then its successor, to which the server turned, and so on; nobody leads meanwhile, and all leases end.

Cause: heartbeats are decided in a goroutine of their own. Recover stood in HTTP handlers and in connections alone. The class is that of the request that crashes servers, one level down.

Evidence: TestHeartbeatThatMeetsADefectEndsAlone plants a decision that changes the batch and panics. Before, the process of the test ended ("panic: planted defect"); now the two other heartbeats of the batch are in force, nothing of the planted one is, and the log names its sender.

Why this works: each decision runs guarded. After a panic the rest of the batch is decided anew, and the core of the leases begins as that of a new leader, so that what was changed halfway is forgotten; a new leader waits out all that may have been granted. The sender is held off, longer each time (TestSenderOfADefectIsHeldOff); a batch with many defects is given up (TestManyDefectsGiveABatchUp).

--- a/internal/controller/heartbeat_batches.go
+++ b/internal/controller/heartbeat_batches.go
@@ -21,6 +21,8 @@
 	longestGatherDecisions = 200 * time.Millisecond
 	// maxBatch bounds the decisions of one batch.
 	maxBatch = 512
+	// mostDefects bounds the decisions of one batch that may meet a defect before it is given up.
+	mostDefects = 8
 	// decisionsWaiting bounds the decisions that wait for their batch.
 	decisionsWaiting = 8192
 )
@@ -30,7 +32,9 @@
 	// ctx ends when nobody waits for the outcome any more.
 	ctx        context.Context
 	leadership context.Context
-	decide     func(*heartbeat.Batch) error
+	// sender is the instance that asks for the decision, or noSender.
+	sender directory.InstanceID
+	decide func(*heartbeat.Batch) error
 	// done gets the outcome once the commands of the batch are applied.
 	done chan error
 }
@@ -64,20 +68,24 @@
 	return append(gathered, next)
 }
 
-// change decides in the next batch and waits until its commands are applied.
-func (k *heartbeatKeeper) change(ctx, leadership context.Context, decide func(*heartbeat.Batch) error) error {
-	busy := fault.New(fault.Unavailable, "the controller is busy: ask again")
-	made := decision{ctx: ctx, leadership: leadership, decide: decide, done: make(chan error, 1)}
+func errBusy() error { return fault.New(fault.Unavailable, "the controller is busy: ask again") }
+
+// change decides for a sender in the next batch and waits until its commands are applied.
+func (k *heartbeatKeeper) change(ctx, leadership context.Context, sender directory.InstanceID, decide func(*heartbeat.Batch) error) error {
+	if err := k.mayDecide(sender); err != nil {
+		return err
+	}
+	made := decision{ctx: ctx, leadership: leadership, sender: sender, decide: decide, done: make(chan error, 1)}
 	select {
 	case k.waiting <- made:
 	case <-ctx.Done():
-		return busy
+		return errBusy()
 	}
 	select {
 	case err := <-made.done:
 		return err
 	case <-ctx.Done():
-		return busy
+		return errBusy()
 	}
 }
 
@@ -114,30 +122,69 @@
 	outcomes []error
 }
 
-// decide decides a batch on the state that is applied.
+// decide decides a batch on the state that is applied. If a decision meets a defect the others are
+// decided anew without it, since a part of the batch may be wrong.
 func (k *heartbeatKeeper) decide(decisions []decision) decidedBatch {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	defects := make(map[int]error)
+	for len(defects) <= mostDefects {
+		decided, defective, err := k.decideAll(decisions, defects)
+		if err == nil {
+			return decided
+		}
+		if defective == len(decisions) {
+			break
+		}
+		defects[defective] = err
+	}
+	return givenUp(decisions, defects)
+}
+
+// givenUp is the end of a batch in which too many decisions met a defect.
+func givenUp(decisions []decision, defects map[int]error) decidedBatch {
 	decided := decidedBatch{outcomes: make([]error, len(decisions))}
-	k.replica.view(func(view *state.State) {
-		var batch *heartbeat.Batch
-		for index, made := range decisions {
-			if made.leadership.Err() != nil {
-				decided.outcomes[index] = errLeadershipLost()
-				continue
+	for index := range decisions {
+		decided.outcomes[index] = defects[index]
+		if decided.outcomes[index] == nil {
+			decided.outcomes[index] = errBusy()
+		}
+	}
+	return decided
+}
+
+// decideAll decides a batch but for those that met a defect before. If another one does, it returns
+// which and the failure for it; the number of decisions if the commands could not be made.
+func (k *heartbeatKeeper) decideAll(decisions []decision, defects map[int]error) (decided decidedBatch, defective int, err error) {
+	decided = decidedBatch{outcomes: make([]error, len(decisions))}
+	sender := noSender
+	err = k.guarded(&sender, func() {
+		k.replica.view(func(view *state.State) {
+			var batch *heartbeat.Batch
+			for index, made := range decisions {
+				defective, sender = index, made.sender
+				if defects[index] != nil {
+					decided.outcomes[index] = defects[index]
+					continue
+				}
+				if made.leadership.Err() != nil {
+					decided.outcomes[index] = errLeadershipLost()
+					continue
+				}
+				if batch == nil {
+					k.follow(made.leadership)
+					decided.leadership = made.leadership
+					batch = k.core.Batch(k.replica.clock.Now(), view.Directory())
+				}
+				decided.outcomes[index] = made.decide(batch)
 			}
-			if batch == nil {
-				k.follow(made.leadership)
-				decided.leadership = made.leadership
-				batch = k.core.Batch(k.replica.clock.Now(), view.Directory())
+			defective, sender = len(decisions), wholeBatch
+			if batch != nil {
+				decided.commands = batch.Commands()
 			}
-			decided.outcomes[index] = made.decide(batch)
-		}
-		if batch != nil {
-			decided.commands = batch.Commands()
-		}
+		})
 	})
-	return decided
+	return decided, defective, err
 }
 
 func errLeadershipLost() error {
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -37,6 +37,8 @@
 
 	mutex sync.Mutex
 	core  *heartbeat.Core
+	// heldOff has the senders whose heartbeats met a defect.
+	heldOff holdOffs
 	// term is the leadership that the core works for.
 	term context.Context
 }
@@ -44,6 +46,7 @@
 func newHeartbeatKeeper(settings config.Heartbeat, r *replica) *heartbeatKeeper {
 	return &heartbeatKeeper{
 		replica: r, settings: settings, propose: r.ProposeDecided, waiting: make(chan decision, decisionsWaiting),
+		heldOff: make(holdOffs),
 		core: heartbeat.New(heartbeat.Config{
 			Lease: settings.EffectiveLease(), MaxLease: settings.LongestLease(), ClockRateBound: settings.ClockRateBound,
 			Margin: settings.Margin, Gather: settings.Gather, AddressReuse: settings.AddressReuse, MaxMoves: settings.MaxMoves, Stripes: settings.Stripes,
@@ -96,7 +99,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, k.replica.settings.Consensus.ProposalTimeout)
 	defer cancel()
-	err := k.change(bounded, leadership, func(batch *heartbeat.Batch) error {
+	err := k.change(bounded, leadership, noSender, func(batch *heartbeat.Batch) error {
 		batch.Tick()
 		return nil
 	})
@@ -148,7 +151,7 @@
 		return heartbeat.Grant{}, err
 	}
 	if !k.renew(leadership, beat) {
-		err := k.change(ctx, leadership, func(batch *heartbeat.Batch) error { return batch.Receive(beat) })
+		err := k.change(ctx, leadership, beat.Instance, func(batch *heartbeat.Batch) error { return batch.Receive(beat) })
 		if errors.Is(err, heartbeat.ErrProvisional) && !beat.Draining {
 			telemetry.With(k.replica.log, telemetry.EventDirectoryChanged).WithField(telemetry.FieldServer, beat.Instance).
 				WithField(telemetry.FieldAddress, beat.Address).Info("unknown instance waits for its next heartbeat: another one was heard at its address")
@@ -170,10 +173,12 @@
 		return false
 	}
 	renewed := false
-	k.replica.view(func(view *state.State) {
-		renewed = k.core.Renew(k.replica.clock.Now(), beat, view.Directory())
+	err := k.guarded(&beat.Instance, func() {
+		k.replica.view(func(view *state.State) {
+			renewed = k.core.Renew(k.replica.clock.Now(), beat, view.Directory())
+		})
 	})
-	return renewed
+	return renewed && err == nil
 }
 
 // holdBack waits with the answer to a heartbeat until there is news for the instance,
@@ -207,10 +212,12 @@
 		return false
 	}
 	held := false
-	k.replica.view(func(view *state.State) {
-		held = k.core.HoldBack(k.replica.clock.Now(), receivedAt, beat, view.Directory())
+	err := k.guarded(&beat.Instance, func() {
+		k.replica.view(func(view *state.State) {
+			held = k.core.HoldBack(k.replica.clock.Now(), receivedAt, beat, view.Directory())
+		})
 	})
-	return held
+	return held && err == nil
 }
 
 func (k *heartbeatKeeper) answer(leadership context.Context, receivedAt time.Duration, beat heartbeat.Beat) (heartbeat.Grant, error) {
@@ -226,9 +233,14 @@
 		return heartbeat.Grant{}, fault.New(fault.Unavailable, "the heartbeat took too long: send the next one")
 	}
 	var grant heartbeat.Grant
-	k.replica.view(func(view *state.State) {
-		grant = k.core.Answer(beat.Instance, view.Directory())
+	err := k.guarded(&beat.Instance, func() {
+		k.replica.view(func(view *state.State) {
+			grant = k.core.Answer(beat.Instance, view.Directory())
+		})
 	})
+	if err != nil {
+		return heartbeat.Grant{}, err
+	}
 	return grant, nil
 }
 
@@ -240,10 +252,17 @@
 		return
 	}
 	k.follow(leadership)
-	k.core.HearGateway(k.replica.clock.Now(), gateway, report.Gateway)
-	for _, service := range report.Services {
-		k.core.Count(k.replica.clock.Now(), service)
+	sender := directory.InstanceID("gateway " + gateway)
+	if k.heldOff.holds(k.replica.clock.Now(), sender) {
+		return
 	}
+	// A report that meets a defect is lost; the line in the log says so.
+	_ = k.guarded(&sender, func() {
+		k.core.HearGateway(k.replica.clock.Now(), gateway, report.Gateway)
+		for _, service := range report.Services {
+			k.core.Count(k.replica.clock.Now(), service)
+		}
+	})
 }
 
 // leave takes a server's word that it leaves for good.
@@ -252,7 +271,7 @@
 		if err := k.replica.readHere(ctx); err != nil {
 			return err
 		}
-		return k.change(ctx, leadership, func(batch *heartbeat.Batch) error {
+		return k.change(ctx, leadership, leaving.ID(), func(batch *heartbeat.Batch) error {
 			batch.Leave(leaving)
 			return nil
 		})
