Heartbeats of controllers take turns on three connections

Callers got rejections and requests reached servers without the key, again and again, while the core was split and links of a zone lost packets: the leader lost its quorum, and leases that were due ended.

Cause: heartbeats and their answers went over one connection behind log entries. A lost packet holds up what follows for one retransmission, 200 ms, which is as long as a leader goes without a quorum.

--- a/internal/lab/sim/host.go
+++ b/internal/lab/sim/host.go
@@ -12,6 +12,7 @@
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/lab/sim/checker"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 var _ driver.Host = (*host)(nil)
@@ -34,10 +35,23 @@
 		}
 		// Receivers must not share the sender's memory.
 		outgoing.Entries = slices.Clone(outgoing.Entries)
-		h.owner.send(target.process, func() { target.consensusMessage(outgoing) })
+		h.owner.sendOn(h.connection(outgoing), target.process, func() { target.consensusMessage(outgoing) })
 	}
 }
 
+// connection returns the number of the connection that a message goes by.
+func (h *host) connection(outgoing consensus.Message) int {
+	if h.sim.planted.oneConnection {
+		return 0
+	}
+	turns, found := h.turns[outgoing.To]
+	if !found {
+		turns = &wire.Turns{}
+		h.turns[outgoing.To] = turns
+	}
+	return turns.Connection(outgoing)
+}
+
 // SendLease implements driver.Transport. It carries a lease message to a server
 // and its answer back, unless the exchange takes longer than the timeout of the
 // HTTP call.
--- a/internal/lab/sim/network/network.go
+++ b/internal/lab/sim/network/network.go
@@ -30,17 +30,25 @@
 
 type link struct{ from, to Node }
 
+// Connection is one of the connections from a node to another.
+type Connection struct {
+	From, To Node
+	Number   int
+}
+
 // Network connects nodes.
 type Network struct {
 	queue      *event.Queue
 	random     *rand.Rand
 	conditions Conditions
 	cuts       map[link]bool
+	// stalled says until when nothing that is sent on a connection arrives.
+	stalled map[Connection]time.Duration
 }
 
 // New returns a calm network.
 func New(queue *event.Queue, random *rand.Rand) *Network {
-	return &Network{queue: queue, random: random, conditions: Calm(), cuts: make(map[link]bool)}
+	return &Network{queue: queue, random: random, conditions: Calm(), cuts: make(map[link]bool), stalled: make(map[Connection]time.Duration)}
 }
 
 // Set changes the conditions for datagrams that are sent from now on.
@@ -60,6 +68,21 @@
 
 func (n *Network) isCut(from, to Node) bool { return n.cuts[link{from, to}] }
 
+// Stall holds up for a duration what is sent on a connection, as while a lost packet is sent again.
+func (n *Network) Stall(connection Connection, duration time.Duration) {
+	n.stalled[connection] = n.queue.Now() + duration
+}
+
+// SendOn carries a datagram as Send does, once the connection is stalled no longer.
+func (n *Network) SendOn(connection Connection, deliver func()) {
+	send := func() { n.Send(connection.From, connection.To, deliver) }
+	if wait := n.stalled[connection] - n.queue.Now(); wait > 0 {
+		n.queue.After(wait, send)
+		return
+	}
+	send()
+}
+
 // Send carries a datagram, which may be duplicated.
 func (n *Network) Send(from, to Node, deliver func()) {
 	n.SendOnce(from, to, deliver)
--- a/internal/lab/sim/planted.go
+++ b/internal/lab/sim/planted.go
@@ -52,6 +52,8 @@
 	lateAnswers bool
 	// uncheckedSends: routers send what they decided on however long ago that was.
 	uncheckedSends bool
+	// oneConnection: controllers send all messages by one connection.
+	oneConnection bool
 	// steadyClocks: machines of these roles read a clock that stands still while they
 	// are suspended.
 	steadyClocks []machineRole
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -243,6 +243,13 @@
 	})
 }
 
+// sendOn carries a datagram to another process by the connection of a number.
+func (p *process) sendOn(connection int, to *process, deliver func()) {
+	p.outgoing(func() {
+		p.sim.network.SendOn(network.Connection{From: p.node, To: to.node, Number: connection}, func() { to.receive(deliver) })
+	})
+}
+
 // sendOnce carries a message that the transport does not duplicate.
 func (p *process) sendOnce(to *process, deliver func()) {
 	p.outgoing(func() {
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -12,6 +12,7 @@
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/tablestream"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 // replica is the replica of one controller and its driver, which runs input by
@@ -35,13 +36,18 @@
 	roundBegan time.Duration
 	// leadsSince is the true time at which the replica began to lead.
 	leadsSince time.Duration
+	// turns chooses the connection to each replica.
+	turns map[consensus.ReplicaID]*wire.Turns
 	// leases takes heartbeats in lease runs.
 	leases *leaseKeeper
 }
 
 func newReplica(owner *controller, disk *durable.Storage) (*replica, error) {
 	s := owner.sim
-	r := &replica{owner: owner, sim: s, state: disk.State, coordinator: coordinator.New(s.coordination)}
+	r := &replica{
+		owner: owner, sim: s, state: disk.State, coordinator: coordinator.New(s.coordination),
+		turns: make(map[consensus.ReplicaID]*wire.Turns),
+	}
 	r.host = &host{replica: r}
 	r.history = tablestream.NewHistory(s.settings.Table.HistoryDeltas, r.state.Revision())
 	firstSequence := s.random.Uint64() >> 1
--- a/internal/wire/peer_sender.go
+++ b/internal/wire/peer_sender.go
@@ -20,10 +20,80 @@
 	redialPause = 50 * time.Millisecond
 )
 
-// PeerSender sends consensus messages to one replica over a connection that it
-// opens again whenever it breaks. Messages that find no room or no connection
-// are dropped, as the consensus algorithm allows; nothing is sent twice.
+// peerConnections is the number of connections to one replica.
+const peerConnections = 3
+
+// PeerSender sends consensus messages to one replica. Heartbeats and their answers
+// take turns on three connections: what follows a lost packet on a connection waits
+// until the packet has been sent again, which takes as long as a leader may go
+// without a quorum. All else keeps its order on the first connection.
 type PeerSender struct {
+	connections [peerConnections]*peerConnection
+	// turns is used by the caller's goroutine alone.
+	turns Turns
+}
+
+// Turns chooses the connection to a replica for each message. The zero value is
+// ready for use.
+type Turns struct{ taken int }
+
+// Connection returns the number of the connection that a message goes by.
+func (t *Turns) Connection(sent consensus.Message) int {
+	if sent.Kind != consensus.MessageHeartbeat && sent.Kind != consensus.MessageHeartbeatAnswer {
+		return 0
+	}
+	t.taken++
+	return t.taken % peerConnections
+}
+
+// NewPeerSender starts a sender to an address. Hello is sent first on each
+// connection.
+func NewPeerSender(address string, hello message.Hello, options Options) *PeerSender {
+	sender := &PeerSender{}
+	for index := range sender.connections {
+		sender.connections[index] = newPeerConnection(address, hello, options)
+	}
+	return sender
+}
+
+// Send queues messages without waiting; they are dropped if a queue is full. One
+// goroutine at a time may call it.
+func (s *PeerSender) Send(messages []consensus.Message) {
+	var batches [peerConnections][]consensus.Message
+	for _, each := range messages {
+		index := s.turns.Connection(each)
+		batches[index] = append(batches[index], each)
+	}
+	for index, batch := range batches {
+		if len(batch) > 0 {
+			s.connections[index].send(batch)
+		}
+	}
+}
+
+// Dropped returns how many messages were not sent.
+func (s *PeerSender) Dropped() uint64 {
+	dropped := uint64(0)
+	for _, each := range s.connections {
+		dropped += each.dropped.Load()
+	}
+	return dropped
+}
+
+// Stop closes the connections and waits for the sender's goroutines.
+func (s *PeerSender) Stop() {
+	for _, each := range s.connections {
+		each.cancel()
+	}
+	for _, each := range s.connections {
+		each.group.Wait()
+	}
+}
+
+// peerConnection is one connection to a replica, opened again whenever it breaks.
+// Messages that find no room or no connection are dropped, as the consensus
+// algorithm allows; nothing is sent twice.
+type peerConnection struct {
 	address string
 	hello   message.Hello
 	options Options
@@ -33,58 +103,47 @@
 	group   conc.WaitGroup
 }
 
-// NewPeerSender starts a sender to an address. Hello is sent first on each
-// connection.
-func NewPeerSender(address string, hello message.Hello, options Options) *PeerSender {
+func newPeerConnection(address string, hello message.Hello, options Options) *peerConnection {
 	ctx, cancel := context.WithCancel(context.Background())
-	sender := &PeerSender{
+	connection := &peerConnection{
 		address: address,
 		hello:   hello,
 		options: options,
 		queue:   make(chan []consensus.Message, peerQueue),
 		cancel:  cancel,
 	}
-	sender.group.Go(func() { sender.run(ctx) })
-	return sender
+	connection.group.Go(func() { connection.run(ctx) })
+	return connection
 }
 
-// Send queues messages without waiting; they are dropped if the queue is full.
-func (s *PeerSender) Send(messages []consensus.Message) {
+// send queues messages without waiting.
+func (c *peerConnection) send(messages []consensus.Message) {
 	select {
-	case s.queue <- messages:
+	case c.queue <- messages:
 	default:
-		s.dropped.Add(uint64(len(messages)))
+		c.dropped.Add(uint64(len(messages)))
 	}
 }
 
-// Dropped returns how many messages were not sent.
-func (s *PeerSender) Dropped() uint64 { return s.dropped.Load() }
-
-// Stop closes the connection and waits for the sender's goroutine.
-func (s *PeerSender) Stop() {
-	s.cancel()
-	s.group.Wait()
-}
-
-func (s *PeerSender) run(ctx context.Context) {
+func (c *peerConnection) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		connection, err := s.connect(ctx)
+		connection, err := c.connect(ctx)
 		if err != nil {
-			s.dropWaiting()
+			c.dropWaiting()
 			pause(ctx, redialPause)
 			continue
 		}
-		s.write(ctx, connection)
+		c.write(ctx, connection)
 		connection.Close()
 	}
 }
 
-func (s *PeerSender) connect(ctx context.Context) (*Conn, error) {
-	connection, err := Dial(ctx, s.address, s.options)
+func (c *peerConnection) connect(ctx context.Context) (*Conn, error) {
+	connection, err := Dial(ctx, c.address, c.options)
 	if err != nil {
 		return nil, err
 	}
-	if err := connection.Send(ctx, &s.hello); err != nil {
+	if err := connection.Send(ctx, &c.hello); err != nil {
 		connection.Close()
 		return nil, err
 	}
@@ -93,7 +152,7 @@
 
 // write sends batches until a write fails, the peer closes, or the context
 // ends.
-func (s *PeerSender) write(ctx context.Context, connection *Conn) {
+func (c *peerConnection) write(ctx context.Context, connection *Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The peer sends nothing on this connection; a read ends when it closes.
@@ -108,11 +167,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case batch := <-s.queue:
-			batch = s.joinWaiting(batch)
-			frame := message.ConsensusBatch{Cluster: s.hello.Cluster, Messages: batch}
+		case batch := <-c.queue:
+			batch = c.joinWaiting(batch)
+			frame := message.ConsensusBatch{Cluster: c.hello.Cluster, Messages: batch}
 			if err := connection.Send(ctx, &frame); err != nil {
-				s.dropped.Add(uint64(len(batch)))
+				c.dropped.Add(uint64(len(batch)))
 				return
 			}
 		}
@@ -120,10 +179,10 @@
 }
 
 // joinWaiting adds batches that wait already, so that one write carries them.
-func (s *PeerSender) joinWaiting(batch []consensus.Message) []consensus.Message {
+func (c *peerConnection) joinWaiting(batch []consensus.Message) []consensus.Message {
 	for len(batch) < batchMessages {
 		select {
-		case next := <-s.queue:
+		case next := <-c.queue:
 			batch = append(batch[:len(batch):len(batch)], next...)
 		default:
 			return batch
@@ -134,11 +193,11 @@
 
 // dropWaiting empties the queue: messages that waited for a connection are out
 // of date once it stands.
-func (s *PeerSender) dropWaiting() {
+func (c *peerConnection) dropWaiting() {
 	for {
 		select {
-		case batch := <-s.queue:
-			s.dropped.Add(uint64(len(batch)))
+		case batch := <-c.queue:
+			c.dropped.Add(uint64(len(batch)))
 		default:
 			return
 		}
