--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -236,13 +236,6 @@
 	p.pause(p.pauseFor)
 }
 
-// send carries a datagram to another process.
-func (p *process) send(to *process, deliver func()) {
-	p.outgoing(func() {
-		p.sim.network.Send(p.node, to.node, func() { to.receive(deliver) })
-	})
-}
-
 // sendOn carries a datagram to another process by the connection of a number.
 func (p *process) sendOn(connection int, to *process, deliver func()) {
 	p.outgoing(func() {
