Routers give attempts up whose time passed in a suspension

Callers of a router waited beyond their deadline, by as much as its machine had been suspended, for an answer that did not come.

Cause: an attempt is bounded by the deadlines of its connection, which are timers and stand still meanwhile.

Why this works: a look each 100 ms interrupts attempts that are 100 ms over their time by the clock that counts suspensions; its timers end any other in time before. The failure is that of a deadline that passed, and its outcome stays unknown.

--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -33,6 +33,7 @@
 	log       *logrus.Entry
 	guard     *crashwatch.Guard
 	crashes   *crashwatch.Watch
+	overdue   *overdueWatch
 }
 
 // outgoing is one request with its state in the core.
@@ -185,8 +186,10 @@
 	exchange := request.exchange
 	request.attemptID = exchange.ID + "." + strconv.Itoa(request.execution.Attempts()+1)
 	request.withdrawn = nil
+	interrupt := &forward.Interrupt{}
+	defer e.overdue.begin(interrupt, timeout)()
 	attempt := forward.Attempt{
-		ID: request.attemptID, Request: fasthttp.AcquireRequest(), Response: exchange.Answer, Timeout: timeout,
+		ID: request.attemptID, Request: fasthttp.AcquireRequest(), Response: exchange.Answer, Timeout: timeout, Interrupt: interrupt,
 		Check: func() *fault.Error {
 			request.withdrawn = request.execution.MaySend(e.reading())
 			return request.withdrawn
@@ -197,7 +200,11 @@
 	exchange.Answer.Reset()
 	e.metrics.attempts.WithLabelValues(string(exchange.service.Name)).Inc()
 	request.client = clientOf(request.target)
-	return request.client.Do(&attempt)
+	failure := request.client.Do(&attempt)
+	if failure != nil && interrupt.Fired() && fault.AnswerFor(failure.Kind).Outcome == fault.Unknown {
+		return fault.New(fault.DeadlineExceeded, "the deadline passed before the back end's answer was whole")
+	}
+	return failure
 }
 
 // judgeAnswer returns the refusal in an answer, and keeps its load report.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,7 @@
 	// crash; crashed gets an entry when the controllers are to be told at once.
 	guard   *crashwatch.Guard
 	crashes *crashwatch.Watch
+	overdue *overdueWatch
 	crashed chan struct{}
 
 	// connections counts callers' open connections.
@@ -124,6 +125,7 @@
 	router.guard = crashwatch.NewGuard(router.clock, settings.Name, settings.QuarantineCrashes, router.crashed)
 	router.crashes = crashwatch.NewWatch(router.clock, log, router.guard.Crashed)
 	router.guard.RegisterMetrics(router.registry)
+	router.overdue = newOverdueWatch(router.clock)
 	router.lifetime, router.end = context.WithCancel(context.Background())
 	router.fleet = newFleet(settings, router.clock, router.builder)
 	router.requests = router.newRequests()
@@ -161,6 +163,7 @@
 	return &executor{
 		clock: r.clock, builder: r.builder, fleet: r.fleet, freshness: r.freshness,
 		core: r.requests, metrics: r.metrics, log: r.log, guard: r.guard, crashes: r.crashes,
+		overdue: r.overdue,
 	}
 }
 
@@ -229,6 +232,7 @@
 	group.Go(func() { r.newSubscription().run(background) })
 	group.Go(func() { r.probe(background) })
 	group.Go(func() { r.crashes.Run(background) })
+	group.Go(func() { r.overdue.run(background) })
 	group.Go(func() { r.watchFreshness(background) })
 	telemetry.With(r.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
