Records: the copy of a router that leaves is kept until the new backup is whole

Requests with an Idempotency-Key got record_unavailable for as long as the successor of a router that stopped as planned was cut off from the others.

Cause: a primary that leaves hands over to its backup, and a backup that leaves is replaced; its whole copy was given up with the move. Until the new backup has every record the primary alone has them, and nobody can take over.

Why this works: the former copy, which moves for balance keep already, is kept for routers that leave as well. It takes over from a primary that is cut off unless its process has promised to have stopped, and the process waits for its former copies, too, before it promises that, within its time to stop.

--- a/internal/record/cutoff_test.go
+++ b/internal/record/cutoff_test.go
@@ -244,3 +244,45 @@
 		}
 	}
 }
+
+// TestLeavingPrimaryLeavesAWholeCopyInReach guards against keys that nobody serves: a primary that leaves
+// hands over to its backup, which is cut off before its own backup has the records. The copy of the
+// router that leaves is given up with the move, so that nobody else has them.
+func TestLeavingPrimaryLeavesAWholeCopyInReach(t *testing.T) {
+	const reported = 400 * time.Millisecond
+	o := newOffice(t, "a", "b", "c")
+	earlier := make(map[int]bool)
+	for _, placed := range o.state.Partitions() {
+		earlier[placed.Number] = placed.Primary == "a"
+	}
+	o.reports["a"] = Report{Leaving: true}
+	var moving state.RecordPartition
+	for end := o.now + 5*time.Second; moving.Primary == "" && o.now < end; {
+		o.run(tick)
+		for _, placed := range o.state.Partitions() {
+			if earlier[placed.Number] && placed.Primary != "a" && !placed.BackupSynced {
+				moving = placed
+			}
+		}
+	}
+	if moving.Primary == "" {
+		t.Fatal("no partition left the router that leaves")
+	}
+	o.cut = map[state.RouterID]bool{moving.Primary: true}
+	o.run(reported)
+	var others []state.RouterID
+	for id, report := range o.reports {
+		if id != moving.Primary {
+			others = append(others, id)
+			report.Unreachable = []state.RouterID{moving.Primary}
+			o.reports[id] = report
+		}
+	}
+	o.reports[moving.Primary] = Report{Unreachable: others}
+	o.run(2 * time.Second)
+	for _, placed := range o.state.Partitions() {
+		if placed.Primary == moving.Primary {
+			t.Errorf("partition %d stays at %s, which is cut off; its backup %s has the records: %v", placed.Number, placed.Primary, placed.Backup, placed.BackupSynced)
+		}
+	}
+}
--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -130,7 +130,7 @@
 	case backupUsable && l.awaitsVerdict(placed):
 		return placed, false
 	case placed.Backup != "" && (!backupUsable || l.placement.failed[at] || l.replacesCutOff(placed)):
-		return l.replaceBackup(placed), true
+		return l.replaceUnusable(placed), true
 	case placed.Backup == "":
 		next := l.replaceBackup(placed)
 		return next, next.Backup != ""
@@ -139,7 +139,11 @@
 		placed.DropFormer()
 		return placed, true
 	case placed.BackupSynced && l.leaves(placed.Primary):
-		return l.promote(placed, holder{placed.Backup, placed.BackupSession}), true
+		next := l.promote(placed, holder{placed.Backup, placed.BackupSession})
+		if l.stopped(placed.Primary) {
+			return next, true
+		}
+		return l.withFormer(next, holder{placed.Primary, placed.PrimarySession}, placed.Epoch), true
 	case l.settled:
 		next, changed := l.rebalance(placed)
 		l.settled = !changed
@@ -155,7 +159,7 @@
 	heir, whole := l.wholeCopy(placed)
 	switch {
 	case l.open(placed.Primary, placed.PrimarySession):
-		if !whole || l.leaves(heir.router) || !l.leavesCutOff(placed, heir.router) {
+		if !whole || l.refuses(placed, heir) || !l.leavesCutOff(placed, heir.router) {
 			return placed, false, false
 		}
 		return l.promoteFromCutOff(placed, heir), true, true
@@ -184,13 +188,23 @@
 	return holder{}, false
 }
 
-// dropsFormer reports whether the former copy is given up: its router leaves or does not answer. A
+// refuses reports whether an heir does not take over from a primary that is cut off: its router has
+// stopped, or leaves and is the backup, in whose place another one comes. A former copy takes over though
+// its router leaves, since nobody else in reach has the records.
+func (l *placing) refuses(placed state.RecordPartition, heir holder) bool {
+	if heir.router == placed.Former {
+		return l.stopped(heir.router)
+	}
+	return l.leaves(heir.router)
+}
+
+// dropsFormer reports whether the former copy is given up: its router stopped or does not answer. A
 // primary that may be cut off itself does not decide that.
 func (l *placing) dropsFormer(placed state.RecordPartition) bool {
 	switch {
 	case placed.Former == "":
 		return false
-	case !l.open(placed.Former, placed.FormerSession), l.leaves(placed.Former), !l.placement.keepsFormers(l.moment.Now):
+	case !l.open(placed.Former, placed.FormerSession), l.stopped(placed.Former), !l.placement.keepsFormers(l.moment.Now):
 		return true
 	default:
 		failed := l.placement.failedFormers[PartitionEpoch{Number: placed.Number, Epoch: placed.Epoch}]
@@ -236,6 +250,9 @@
 	return known.report.Leaving || known.report.Stopped
 }
 
+// stopped reports whether a router promised that it never acts as a primary again.
+func (l *placing) stopped(router state.RouterID) bool { return l.placement.contact(router).report.Stopped }
+
 // promote makes the heir, which holds every record, the primary.
 func (l *placing) promote(placed state.RecordPartition, heir holder) state.RecordPartition {
 	l.primaries[placed.Primary]--
@@ -272,6 +289,17 @@
 	return next, true
 }
 
+// replaceUnusable replaces a backup that is gone, does not answer, is cut off or leaves. The whole copy of
+// one that leaves is kept until the new backup has every record.
+func (l *placing) replaceUnusable(placed state.RecordPartition) state.RecordPartition {
+	next := l.replaceBackup(placed)
+	backup := holder{placed.Backup, placed.BackupSession}
+	if placed.BackupSynced && l.open(backup.router, backup.session) && l.leaves(backup.router) && !l.stopped(backup.router) {
+		return l.withFormer(next, backup, placed.Epoch)
+	}
+	return next
+}
+
 func (l *placing) replaceBackup(placed state.RecordPartition) state.RecordPartition {
 	l.backups[placed.Backup]--
 	next := placed
--- a/internal/router/records/leave.go
+++ b/internal/router/records/leave.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// placedHere reports whether a partition is still placed on this router, and
-// another router could take it.
+// placedHere reports whether a partition still needs this router, as its primary or
+// for its former copy, and another router could take it.
 func (s *Service) placedHere() bool {
 	view := s.options.View()
 	session := s.openSession(view)
@@ -52,7 +52,12 @@
 	}
 	for number := range view.Partitions() {
 		placed, found := view.Partition(number)
-		if found && placed.Primary == s.options.Self.ID && placed.PrimarySession == session {
+		if !found {
+			continue
+		}
+		primary := placed.Primary == s.options.Self.ID && placed.PrimarySession == session
+		former := placed.Former == s.options.Self.ID && placed.FormerSession == session
+		if primary || former {
 			return true
 		}
 	}
