--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -251,7 +251,9 @@
 }
 
 // stopped reports whether a router promised that it never acts as a primary again.
-func (l *placing) stopped(router state.RouterID) bool { return l.placement.contact(router).report.Stopped }
+func (l *placing) stopped(router state.RouterID) bool {
+	return l.placement.contact(router).report.Stopped
+}
 
 // promote makes the heir, which holds every record, the primary.
 func (l *placing) promote(placed state.RecordPartition, heir holder) state.RecordPartition {
