Controllers that find each other by seeds may use certificates

With seeds and tls no group formed: each controller refused the others.

Cause: only names listed under controllers take part in consensus and formation, and settings with seeds list none.

A fourth process whose certificate is not a controller's stays out.

Why this works: with seeds a controller is known by the organizational unit of its certificate, controller_unit. Plain text and listed controllers are as before.

--- a/internal/certificate/store.go
+++ b/internal/certificate/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"crypto/x509/pkix"
 	"net"
 	"os"
 	"sync/atomic"
@@ -177,13 +178,24 @@
 // PeerName returns the common name of the certificate that the peer of a TLS
 // connection presented, or false for a plain connection or before the handshake.
 func PeerName(connection net.Conn) (string, bool) {
+	subject, known := peerSubject(connection)
+	return subject.CommonName, known
+}
+
+// PeerUnits returns the organizational units of that certificate; none where PeerName knows no name.
+func PeerUnits(connection net.Conn) []string {
+	subject, _ := peerSubject(connection)
+	return subject.OrganizationalUnit
+}
+
+func peerSubject(connection net.Conn) (pkix.Name, bool) {
 	secured, isTLS := connection.(*tls.Conn)
 	if !isTLS {
-		return "", false
+		return pkix.Name{}, false
 	}
 	presented := secured.ConnectionState().PeerCertificates
 	if len(presented) == 0 {
-		return "", false
+		return pkix.Name{}, false
 	}
-	return presented[0].Subject.CommonName, true
+	return presented[0].Subject, true
 }
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -28,6 +28,7 @@
 	Controllers      []ControllerPeer `koanf:"controllers" validate:"max=5,dive" doc:"The configured group, this replica included: 1, 3 or 5 entries. Empty where seeds are given."`
 	Seeds            []string         `koanf:"seeds" validate:"max=16,dive,address" doc:"Controllers by which the group is found or formed, IP:port, in place of controllers; only the IP number counts, peers listen at the port of peer_address."`
 	FirstStart       bool             `koanf:"first_start" doc:"With seeds: true only where the whole system starts for the first time, so that a new group may be formed."`
+	ControllerUnit   string           `koanf:"controller_unit" validate:"name" doc:"With seeds and certificates: the organizational unit (OU) that the certificates of controllers bear, and those of no other process. Only they take part in consensus and formation."`
 	Consensus        Consensus        `koanf:"consensus" doc:"Replicated log."`
 	Lease            Lease            `koanf:"lease" doc:"Leases of the servers."`
 	Heartbeat        Heartbeat        `koanf:"heartbeat" doc:"Instances that announce themselves and renew leases by heartbeats."`
@@ -168,12 +169,13 @@
 // Fields without a default (name, controllers and the like) are empty.
 func DefaultController() Controller {
 	return Controller{
-		Role:          RoleController,
-		ClusterName:   "thorntiller",
-		Zone:          "default",
-		DataDirectory: "data",
-		PeerAddress:   "127.0.0.1:7101",
-		APIAddress:    "127.0.0.1:7201",
+		Role:           RoleController,
+		ClusterName:    "thorntiller",
+		Zone:           "default",
+		DataDirectory:  "data",
+		PeerAddress:    "127.0.0.1:7101",
+		APIAddress:     "127.0.0.1:7201",
+		ControllerUnit: "controllers",
 		Consensus: Consensus{
 			TickInterval:        10 * time.Millisecond,
 			HeartbeatTicks:      4,
--- a/internal/controller/security.go
+++ b/internal/controller/security.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
@@ -40,8 +41,9 @@
 	return s.store.Listener(inner)
 }
 
-// checkPeer requires that a peer is who it says, and that only configured
-// controllers take part in consensus and formation.
+// checkPeer requires that a peer is who it says, and that only controllers take part in
+// consensus and formation: those that the settings list, or with seeds those whose
+// certificates bear the unit of controllers.
 func (s *security) checkPeer(connection *wire.Conn, hello message.Hello) error {
 	if s.store == nil {
 		return nil
@@ -53,6 +55,9 @@
 	if hello.Purpose != message.PurposeConsensus && hello.Purpose != message.PurposeFormation {
 		return nil
 	}
+	if len(s.settings.Controllers) == 0 {
+		return s.checkUnit(name, connection.PeerUnits())
+	}
 	for _, peer := range s.settings.Controllers {
 		if peer.Name == name {
 			return nil
@@ -61,6 +66,14 @@
 	return eris.Errorf("%q is not among the configured controllers", name)
 }
 
+// checkUnit requires that a certificate is that of a controller.
+func (s *security) checkUnit(name string, units []string) error {
+	if slices.Contains(units, s.settings.ControllerUnit) {
+		return nil
+	}
+	return eris.Errorf("the certificate of %q has the organizational units %q: one of a controller bears %q, see controller_unit", name, units, s.settings.ControllerUnit)
+}
+
 // authorize requires a right of the caller and returns the name to record:
 // that of the certificate, or the claimed one where there are no certificates.
 func (s *security) authorize(call fiber.Ctx, right config.Right, claimed string) (string, error) {
--- a/internal/controller/seeds_test.go
+++ b/internal/controller/seeds_test.go
@@ -11,8 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/lab/authority"
 	"github.com/thorntiller/thorntiller/internal/vfs"
 )
 
@@ -57,6 +60,50 @@
 	return g
 }
 
+// encrypt gives each controller a certificate with a unit, and the client one.
+func (g *group) encrypt(unit func(name string) string) {
+	g.t.Helper()
+	issuer, err := authority.New(g.t.TempDir(), "authority")
+	must(g.t, err)
+	for _, each := range g.processes {
+		host, _, err := net.SplitHostPort(each.settings.PeerAddress)
+		must(g.t, err)
+		files, err := issuer.IssueTo(authority.Holder{Name: each.settings.Name, Unit: unit(each.settings.Name), Addresses: []net.IP{net.ParseIP(host)}})
+		must(g.t, err)
+		each.settings.TLS.Certificate, each.settings.TLS.Key, each.settings.TLS.Authority = files.Certificate, files.Key, files.Authority
+	}
+	files, err := issuer.Issue("operator")
+	must(g.t, err)
+	store, err := certificate.OpenIfNamed(files)
+	must(g.t, err)
+	var endpoints []string
+	for _, each := range g.processes {
+		endpoints = append(endpoints, each.settings.APIAddress)
+	}
+	g.client.Close()
+	g.client, err = intentapi.NewClient(intentapi.ClientConfig{Endpoints: endpoints, Certificates: store})
+	must(g.t, err)
+}
+
+// TestGroupBySeedsWithCertificates guards against controllers that find each other by seeds and refuse
+// each other: no settings list their names. One whose certificate is not a controller's stays out.
+func TestGroupBySeedsWithCertificates(t *testing.T) {
+	const size, stranger = 4, "c4"
+	g := newSeededGroup(t, size)
+	g.encrypt(func(name string) string {
+		if name == stranger {
+			return ""
+		}
+		return config.DefaultController().ControllerUnit
+	})
+	for number := range g.processes {
+		g.start(number)
+	}
+	g.wantVoters("c1", "c2", "c3")
+	time.Sleep(2 * time.Second)
+	g.wantVoters("c1", "c2", "c3")
+}
+
 func voterNames(members []consensus.Member) []string {
 	var names []string
 	for _, member := range members {
--- a/internal/lab/authority/authority.go
+++ b/internal/lab/authority/authority.go
@@ -67,18 +67,37 @@
 // Issue writes a certificate for a process or operator of that common name on
 // this machine, for either side of a connection. An earlier one is replaced.
 func (a *Authority) Issue(name string) (certificate.Files, error) {
+	return a.IssueTo(Holder{Name: name, Addresses: []net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback}})
+}
+
+// Holder is whom a certificate is issued to.
+type Holder struct {
+	// Name is the common name, Unit the organizational unit; empty for none.
+	Name, Unit string
+	// Addresses are those by which others reach the process.
+	Addresses []net.IP
+}
+
+// IssueTo writes a certificate for a holder, for either side of a connection. An earlier one
+// of the same name is replaced.
+func (a *Authority) IssueTo(holder Holder) (certificate.Files, error) {
+	name := holder.Name
 	files := a.Paths(name)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return files, eris.Wrap(err, "draw a key")
 	}
 	a.issued++
+	subject := pkix.Name{CommonName: name}
+	if holder.Unit != "" {
+		subject.OrganizationalUnit = []string{holder.Unit}
+	}
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(a.issued), Subject: pkix.Name{CommonName: name},
+		SerialNumber: big.NewInt(a.issued), Subject: subject,
 		NotBefore: time.Now().Add(-skew), NotAfter: time.Now().Add(lifetime),
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback},
+		IPAddresses: holder.Addresses,
 	}
 	signed, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
 	if err != nil {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -228,6 +228,9 @@
 // plain connection. On the accepting side it is known once a frame was received.
 func (c *Conn) PeerName() (string, bool) { return certificate.PeerName(c.stream) }
 
+// PeerUnits returns the organizational units of the peer's certificate, as PeerName does its name.
+func (c *Conn) PeerUnits() []string { return certificate.PeerUnits(c.stream) }
+
 // RemoteAddress returns the peer's address, for logs.
 func (c *Conn) RemoteAddress() string { return c.stream.RemoteAddr().String() }
 
