Heartbeats of controllers leave out connections that do not stand

A machine that starts may be reached by one connection a second before another, since a first packet to a machine without power is sent again after a second only. Heartbeats that took their turn on a connection that did not stand were dropped, two of three while only the first one stood.

Now such a message goes by the first connection.

--- a/internal/wire/peer_sender.go
+++ b/internal/wire/peer_sender.go
@@ -61,7 +61,7 @@
 func (s *PeerSender) Send(messages []consensus.Message) {
 	var batches [peerConnections][]consensus.Message
 	for _, each := range messages {
-		index := s.turns.Connection(each)
+		index := s.usable(s.turns.Connection(each))
 		batches[index] = append(batches[index], each)
 	}
 	for index, batch := range batches {
@@ -71,6 +71,15 @@
 	}
 }
 
+// usable returns the connection itself if it stands, else the first one: a machine that
+// starts may be reached by one connection a second before another.
+func (s *PeerSender) usable(connection int) int {
+	if s.connections[connection].open.Load() {
+		return connection
+	}
+	return 0
+}
+
 // Dropped returns how many messages were not sent.
 func (s *PeerSender) Dropped() uint64 {
 	dropped := uint64(0)
@@ -99,8 +108,10 @@
 	options Options
 	queue   chan []consensus.Message
 	dropped atomic.Uint64
-	cancel  context.CancelFunc
-	group   conc.WaitGroup
+	// open is true while the connection stands.
+	open   atomic.Bool
+	cancel context.CancelFunc
+	group  conc.WaitGroup
 }
 
 func newPeerConnection(address string, hello message.Hello, options Options) *peerConnection {
@@ -133,7 +144,9 @@
 			pause(ctx, redialPause)
 			continue
 		}
+		c.open.Store(true)
 		c.write(ctx, connection)
+		c.open.Store(false)
 		connection.Close()
 	}
 }
