Test servers end though they were told to before they began

Cause: fasthttp's Shutdown returns at once for a server whose Serve has not begun, and leaves its listener open. The server then serves for ever, and the test waits for it. The stacks of the hung process show a stand-in replica in Accept and the clean-up of its test in Wait.

Evidence: with the start of one stand-in 0.3 s late (planted by hand) TestClientFollowsLeaderHint hangs until its time limit; with the change it passes in 0.3 s.

Why this works: the clean-up closes the listener too, so that a late Serve returns. The same in the four other test servers that are waited for. Roles of the product wait for their notice or for open requests before they shut their servers down, which have begun by then.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -69,6 +69,7 @@
 		if err := server.Shutdown(); err != nil {
 			t.Errorf("shut down: %v", err)
 		}
+		_ = listener.Close() // Shutdown leaves it open if Serve has not begun
 		group.Wait()
 	})
 	return listener.Addr().String()
--- a/internal/gateway/connectiontimes_test.go
+++ b/internal/gateway/connectiontimes_test.go
@@ -47,6 +47,7 @@
 	group.Go(func() { _ = server.Serve(meteredListener{listener, streamTraffic{gateway.meter}}) })
 	t.Cleanup(func() {
 		_ = server.Shutdown()
+		_ = listener.Close() // Shutdown leaves it open if Serve has not begun
 		group.Wait()
 	})
 	return listener.Addr().String()
--- a/internal/intentapi/client_test.go
+++ b/internal/intentapi/client_test.go
@@ -42,6 +42,7 @@
 		if err := server.Shutdown(); err != nil {
 			t.Errorf("shut down: %v", err)
 		}
+		_ = listener.Close() // Shutdown leaves it open if Serve has not begun
 		group.Wait()
 	})
 	return stub
--- a/internal/lab/bench/load/load_test.go
+++ b/internal/lab/bench/load/load_test.go
@@ -38,6 +38,7 @@
 	group.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
 		_ = server.Shutdown()
+		_ = listener.Close() // Shutdown leaves it open if Serve has not begun
 		group.Wait()
 	})
 	address := listener.Addr().String()
--- a/internal/lab/caller/caller_test.go
+++ b/internal/lab/caller/caller_test.go
@@ -58,6 +58,7 @@
 			if err := server.Shutdown(); err != nil {
 				t.Error(err)
 			}
+			_ = listener.Close() // Shutdown leaves it open if Serve has not begun
 			serving.Wait()
 		})
 	}
