What the leader decides by itself outlasts a defect, too

Heartbeats were guarded, but the loops that decide on suspected requests and on record partitions were not: a report or ping that meets a defect there would have ended one leader after the other as before. A report that panicked in a connection was recovered there, and left the lock of the suspects held, so that no request was put in quarantine any more.

Evidence: TestPeriodicDecisionsOutlastADefect ended with a nil pointer before; each decision meets a state that is missing. Now both are logged, begin anew as a new leader does, and decide again once the defect is gone.

Why this works: the decisions run guarded under a lock that is given back by defer. A new leader knows nothing, and waits out what may have been granted.

--- a/internal/controller/defects.go
+++ b/internal/controller/defects.go
@@ -65,12 +65,23 @@
 	now := k.replica.clock.Now()
 	k.heldOff.note(now, *sender)
 	k.core.Lead(now)
-	telemetry.WithError(k.replica.log, telemetry.EventPanicked, recovered.AsError()).WithField("stack", string(recovered.Stack)).
-		WithField(telemetry.FieldServer, *sender).WithField("held_off_ms", k.heldOff[*sender].last.Milliseconds()).
+	telemetry.Panicked(k.replica.log, recovered).WithField(telemetry.FieldServer, *sender).WithField("held_off_ms", k.heldOff[*sender].last.Milliseconds()).
 		Error("a decision on heartbeats met a defect of this program")
 	return errDefect()
 }
 
+// guard runs a part of a decision of this replica, and reports false if it panicked, which is logged. The
+// caller must forget what it may have changed halfway.
+func (r *replica) guard(part string, decide func()) bool {
+	recovered := panics.Try(decide)
+	if recovered == nil {
+		return true
+	}
+	telemetry.Panicked(r.log, recovered).WithField("part", part).WithField("held_off_ms", shortestHoldOff.Milliseconds()).
+		Error("a decision met a defect of this program")
+	return false
+}
+
 // mayDecide returns why nothing is decided for a sender now; nil if it is.
 func (k *heartbeatKeeper) mayDecide(sender directory.InstanceID) error {
 	k.mutex.Lock()
--- a/internal/controller/defects_test.go
+++ b/internal/controller/defects_test.go
@@ -130,3 +130,33 @@
 		t.Errorf("%d decisions were begun, the directory is at revision %d", runs, applied.Revision())
 	}
 }
+
+// TestPeriodicDecisionsOutlastADefect guards against a defect in what the leader decides by itself, which ended
+// one leader after the other. The state is missing, so that each look at it panics.
+func TestPeriodicDecisionsOutlastADefect(t *testing.T) {
+	lines := &bytes.Buffer{}
+	settings := config.DefaultController()
+	r := &replica{settings: settings, clock: &manualClock{reading: time.Hour}, metrics: newMetrics(), log: telemetry.New("controller", "a", "error", lines)}
+	partitions, suspects := newPartitionKeeper(settings, r), newSuspectKeeper(settings.Quarantine, r)
+	if commands, decided := partitions.due(t.Context()); decided || len(commands) > 0 {
+		t.Errorf("partitions: %d commands without a state", len(commands))
+	}
+	if partitions.term != nil {
+		t.Error("the placement goes on with what it may have changed halfway")
+	}
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	if written := suspects.decide(stopped, t.Context()); written != 0 {
+		t.Errorf("%d suspects without a state", written)
+	}
+	if suspects.ledger != nil {
+		t.Error("the ledger goes on with what it may have changed halfway")
+	}
+	if count := strings.Count(lines.String(), string(telemetry.EventPanicked)); count != 2 {
+		t.Errorf("%d lines about defects, want 2: %s", count, lines)
+	}
+	r.state = state.New()
+	if _, decided := partitions.due(t.Context()); !decided {
+		t.Error("partitions are not decided once the defect is gone")
+	}
+}
--- a/internal/controller/partitions.go
+++ b/internal/controller/partitions.go
@@ -49,7 +49,12 @@
 		if !leads {
 			return
 		}
-		for _, command := range k.due(leadership) {
+		commands, decided := k.due(leadership)
+		if !decided {
+			clock.Sleep(ctx, shortestHoldOff)
+			return
+		}
+		for _, command := range commands {
 			k.propose(ctx, leadership, command)
 		}
 	})
@@ -67,17 +72,29 @@
 	}
 }
 
-func (k *partitionKeeper) due(leadership context.Context) []state.Command {
+// due returns the commands that are due, and false if they could not be decided.
+func (k *partitionKeeper) due(leadership context.Context) (commands []state.Command, decided bool) {
+	decided = k.guarded(func() {
+		k.follow(leadership)
+		k.replica.view(func(view *state.State) {
+			moment := record.Moment{Now: k.replica.clock.Now(), UnixMs: time.Now().UnixMilli()}
+			commands = k.placement.Tick(moment, view)
+			k.logCutOff(k.placement.CutOff(moment.Now, view))
+		})
+	})
+	return commands, decided
+}
+
+// guarded runs a decision. After a panic the placement begins anew, as that of a new leader does. It reports
+// false then.
+func (k *partitionKeeper) guarded(decide func()) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.follow(leadership)
-	var commands []state.Command
-	k.replica.view(func(view *state.State) {
-		moment := record.Moment{Now: k.replica.clock.Now(), UnixMs: time.Now().UnixMilli()}
-		commands = k.placement.Tick(moment, view)
-		k.logCutOff(k.placement.CutOff(moment.Now, view))
-	})
-	return commands
+	if k.replica.guard("record partitions", decide) {
+		return true
+	}
+	k.term = nil
+	return false
 }
 
 // logCutOff writes a line for each router that is cut off now or no longer.
@@ -107,8 +124,10 @@
 // grant completes the pong for a ping that a quorum round followed. It grants
 // nothing once the leadership ended.
 func (k *partitionKeeper) grant(stream *tableStream, ping message.Ping, pong *message.Pong) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.guarded(func() { k.grantLocked(stream, ping, pong) })
+}
+
+func (k *partitionKeeper) grantLocked(stream *tableStream, ping message.Ping, pong *message.Pong) {
 	if stream.leadership.Err() != nil {
 		return
 	}
--- a/internal/controller/suspects.go
+++ b/internal/controller/suspects.go
@@ -52,16 +52,28 @@
 
 // hear takes the report of a gateway.
 func (k *suspectKeeper) hear(leadership context.Context, gateway string, report quarantine.Report) {
-	k.mutex.Lock()
-	k.follow(leadership)
-	k.ledger.Hear(k.replica.clock.Now(), gateway, report)
-	k.mutex.Unlock()
+	k.guarded(func() {
+		k.follow(leadership)
+		k.ledger.Hear(k.replica.clock.Now(), gateway, report)
+	})
 	select {
 	case k.heard <- struct{}{}:
 	default:
 	}
 }
 
+// guarded runs a part of a decision. After a panic the ledger begins anew, as that of a new leader does. It
+// reports false then.
+func (k *suspectKeeper) guarded(decide func()) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.replica.guard("suspected requests", decide) {
+		return true
+	}
+	k.ledger = nil
+	return false
+}
+
 // follow begins anew in each term of leadership. The mutex must be held.
 func (k *suspectKeeper) follow(leadership context.Context) {
 	if k.ledger == nil || k.term != leadership {
@@ -93,7 +105,13 @@
 
 // decide puts in force what the ledger decides, and returns the length of the list that it wrote.
 func (k *suspectKeeper) decide(ctx, leadership context.Context) int {
-	put, changed, events := k.next(leadership)
+	var put directory.PutSuspects
+	var changed bool
+	var events []quarantine.Event
+	if !k.guarded(func() { put, changed, events = k.next(leadership) }) {
+		clock.Sleep(ctx, shortestHoldOff)
+		return 0
+	}
 	for _, event := range events {
 		k.log(event)
 	}
@@ -108,16 +126,15 @@
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if k.term == leadership {
+	if k.term == leadership && k.ledger != nil {
 		k.ledger.Committed(put)
 	}
 	return len(put.List)
 }
 
-// next returns the suspects as they are to be, and whether the directory has others.
+// next returns the suspects as they are to be, and whether the directory has others. The mutex must be
+// held.
 func (k *suspectKeeper) next(leadership context.Context) (directory.PutSuspects, bool, []quarantine.Event) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
 	k.follow(leadership)
 	now := k.replica.clock.Now()
 	k.replica.view(func(view *state.State) { k.ledger.Adopt(now, view.Directory().Suspects()) })
--- a/internal/telemetry/recover.go
+++ b/internal/telemetry/recover.go
@@ -14,7 +14,7 @@
 		if recovered == nil {
 			return
 		}
-		panicLine(log, recovered).WithField("path", string(call.Path())).Error("a request met a defect of this program")
+		Panicked(log, recovered).WithField("path", string(call.Path())).Error("a request met a defect of this program")
 		refuse(call)
 		call.SetConnectionClose()
 	}
@@ -23,10 +23,11 @@
 // PanicLogger returns a function that logs panics in handlers of connections.
 func PanicLogger(log *logrus.Entry) func(*panics.Recovered) {
 	return func(recovered *panics.Recovered) {
-		panicLine(log, recovered).Error("a connection met a defect of this program")
+		Panicked(log, recovered).Error("a connection met a defect of this program")
 	}
 }
 
-func panicLine(log *logrus.Entry, recovered *panics.Recovered) *logrus.Entry {
+// Panicked begins the line of a panic that was outlasted.
+func Panicked(log *logrus.Entry, recovered *panics.Recovered) *logrus.Entry {
 	return WithError(log, EventPanicked, recovered.AsError()).WithField("stack", string(recovered.Stack))
 }
