Simulator: the test of suspensions looks at each role

Found by reading the change once more: TestSuspensionsMeetEachRole counted all suspensions together, so that it could not fail while one role was suspended. It finds each role's machines in the trace now. With routers and instances left out by hand it fails for both.

--- a/internal/lab/sim/suspension_test.go
+++ b/internal/lab/sim/suspension_test.go
@@ -1,6 +1,9 @@
 package sim
 
 import (
+	"bytes"
+	"io"
+	"regexp"
 	"slices"
 	"testing"
 
@@ -9,16 +12,24 @@
 
 // TestSuspensionsMeetEachRole guards against a search that suspends some machines only.
 func TestSuspensionsMeetEachRole(t *testing.T) {
-	for name, play := range map[string]func(uint64) Counts{
-		"requests": func(seed uint64) Counts { return Run(seed, nil).Faults },
-		"leases":   func(seed uint64) Counts { return RunLeases(seed, nil).Faults },
+	const runs = 3
+	for name, c := range map[string]struct {
+		play func(uint64, io.Writer) Result
+		// machines are the beginnings of the names of machines of each role.
+		machines []string
+	}{
+		"requests": {Run, []string{"controller-", "server-", "router-"}},
+		"leases":   {RunLeases, []string{"controller-", "instance-"}},
 	} {
+		var trace bytes.Buffer
 		suspensions := uint64(0)
-		for seed := uint64(1); seed <= replayedSeeds; seed++ {
-			suspensions += play(seed).Suspensions
+		for seed := uint64(1); seed <= runs; seed++ {
+			suspensions += c.play(seed, &trace).Faults.Suspensions
 		}
-		if suspensions == 0 {
-			t.Errorf("%s: no machine is suspended", name)
+		for _, machine := range c.machines {
+			if !regexp.MustCompile(machine + `[0-9]+ is suspended`).Match(trace.Bytes()) {
+				t.Errorf("%s: no machine %s is suspended in %d suspensions", name, machine, suspensions)
+			}
 		}
 	}
 }
