Gateway: tell when most instances are unreachable; connections to instances by an option

Nothing in the logs said how many instances a gateway reaches and since when, so that a gateway without any way could not be told from one that rests on an old belief. The lines servers_unreachable and servers_reached say it with counts and duration, and servers_unreachable in the metrics counts them.

The function that opens connections to instances is an option of Run, for attempts and for the probes after a lost request, so that a test can cut one gateway off from servers that all run in the process of the test.

--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -36,6 +36,7 @@
 	detector *quarantine.CrashDetector
 	// onCrash is called with the requests that were in flight at a crash.
 	onCrash func([]quarantine.Loss)
+	dial    forward.DialFunc
 	// probing has the instances that are being probed or wait in probeQueue.
 	probing map[directory.InstanceID]bool
 	// probeQueue holds the instances to be probed. Its capacity is the limit on probing, so that sends to it
@@ -49,10 +50,14 @@
 	address string
 }
 
-// NewWatch returns a watch that calls onCrash with the requests that were in flight at a crash.
-func NewWatch(system clock.Clock, log *logrus.Entry, onCrash func([]quarantine.Loss)) *Watch {
+// NewWatch returns a watch that calls onCrash with the requests that were in flight at a crash. It probes
+// instances with dial; nil means TCP.
+func NewWatch(system clock.Clock, log *logrus.Entry, onCrash func([]quarantine.Loss), dial forward.DialFunc) *Watch {
+	if dial == nil {
+		dial = forward.DialTCP
+	}
 	return &Watch{
-		clock: system, log: log, onCrash: onCrash, detector: quarantine.NewCrashDetector(),
+		clock: system, log: log, onCrash: onCrash, dial: dial, detector: quarantine.NewCrashDetector(),
 		probing: make(map[directory.InstanceID]bool), probeQueue: make(chan probeTarget, maxConcurrentProbes),
 	}
 }
@@ -89,10 +94,10 @@
 
 // probe treats an instance as ended if its address refuses connections.
 func (w *Watch) probe(ctx context.Context, target probeTarget) {
-	refused := connectionRefused(target.address)
+	refused := w.connectionRefused(target.address)
 	if !refused {
 		clock.Sleep(ctx, probeInterval)
-		refused = connectionRefused(target.address)
+		refused = w.connectionRefused(target.address)
 	}
 	w.mutex.Lock()
 	delete(w.probing, target.id)
@@ -104,8 +109,8 @@
 
 // connectionRefused reports whether nothing listens at an address. A successful connection does not prove
 // that the instance is alive, because it may have been accepted by a proxy.
-func connectionRefused(address string) bool {
-	connection, err := net.DialTimeout("tcp", address, probeTimeout)
+func (w *Watch) connectionRefused(address string) bool {
+	connection, err := w.dial(address, probeTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -22,7 +22,7 @@
 func TestLostConnectionsAreProbed(t *testing.T) {
 	found := make(chan []quarantine.Loss, 8)
 	system := clock.NewSystem()
-	watch := NewWatch(system, telemetry.New("gateway", "g", "error", io.Discard), func(losses []quarantine.Loss) { found <- losses })
+	watch := NewWatch(system, telemetry.New("gateway", "g", "error", io.Discard), func(losses []quarantine.Loss) { found <- losses }, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	defer group.Wait()
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -29,11 +29,21 @@
 	IDHeader string
 	// Traffic, if not nil, is notified of opened connections and of transferred bytes.
 	Traffic Traffic
+	// Dial opens connections; nil means TCP.
+	Dial DialFunc
 	// AcceptUnframed accepts an answer whose body ends with its connection as complete,
 	// unless the connection is reset.
 	AcceptUnframed bool
 }
 
+// DialFunc opens a connection to an address, IP:port, within a timeout.
+type DialFunc func(address string, timeout time.Duration) (net.Conn, error)
+
+// DialTCP is the default DialFunc.
+func DialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, timeout)
+}
+
 // Traffic is notified of connections and of their bytes. It must be safe for concurrent use.
 type Traffic interface {
 	// Opened is called after a connection was opened.
@@ -67,6 +77,9 @@
 	if settings.Traffic == nil {
 		settings.Traffic = noTraffic{}
 	}
+	if settings.Dial == nil {
+		settings.Dial = DialTCP
+	}
 	return &Client{
 		address:  address,
 		settings: settings,
@@ -88,7 +101,7 @@
 		ConnPoolStrategy:          fasthttp.LIFO,
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
-		DialTimeout:               dialer(settings.ConnectTimeout, settings.Traffic),
+		DialTimeout:               dialer(settings),
 	}
 }
 
@@ -96,18 +109,18 @@
 	return false, false
 }
 
-func dialer(maxTimeout time.Duration, traffic Traffic) fasthttp.DialFuncWithTimeout {
+func dialer(settings Settings) fasthttp.DialFuncWithTimeout {
 	return func(address string, timeout time.Duration) (net.Conn, error) {
-		if timeout <= 0 || timeout > maxTimeout {
-			timeout = maxTimeout
+		if timeout <= 0 || timeout > settings.ConnectTimeout {
+			timeout = settings.ConnectTimeout
 		}
-		connection, err := net.DialTimeout("tcp", address, timeout)
+		connection, err := settings.Dial(address, timeout)
 		if err != nil {
 			return nil, err
 		}
 		wire.EndOnSilence(connection, wire.SilenceTimeout)
-		traffic.Opened()
-		return &countingConnection{Conn: connection, traffic: traffic}, nil
+		settings.Traffic.Opened()
+		return &countingConnection{Conn: connection, traffic: settings.Traffic}, nil
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/crashwatch"
+	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
@@ -83,6 +84,8 @@
 type Options struct {
 	// Dialects are further dialects by name, besides the built-in one.
 	Dialects map[string]Dialect
+	// DialInstance opens connections to instances; nil means TCP.
+	DialInstance forward.DialFunc
 	// Reload reads the settings again; nil if they do not change.
 	Reload func() (config.Gateway, error)
 }
@@ -119,7 +122,7 @@
 		splitter:     routing.NewSplitter(),
 		balancer:     balance.New(balanceSettings(settings)),
 		regions:      regionsOf(settings),
-		upstreams:    newUpstreams(settings.BackEnd, dialect, connectionTraffic{meter}),
+		upstreams:    newUpstreams(settings.BackEnd, dialect, connectionTraffic{meter}, options.DialInstance),
 		drains:       newDrains(system, settings.DrainTime),
 		rejections:   newRejections(system),
 		unreachable:  newUnreachable(),
@@ -138,9 +141,10 @@
 	gateway.pacer = newPacer(system, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
+	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.unreachable.count()) })
 	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
-	gateway.crashes = crashwatch.NewWatch(system, log, gateway.guard.Crashed)
+	gateway.crashes = crashwatch.NewWatch(system, log, gateway.guard.Crashed, options.DialInstance)
 	gateway.guard.RegisterMetrics(gateway.registry)
 	gateway.subscription.onCluster = gateway.guard.SetSecret
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
@@ -237,6 +241,7 @@
 	group.Go(func() { g.crashes.Run(background) })
 	group.Go(func() { g.demand.run(background) })
 	group.Go(func() { g.reportLinkBytes(background) })
+	group.Go(func() { g.logReach(background) })
 	telemetry.With(g.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
 	var err error
--- a/internal/gateway/unreachable.go
+++ b/internal/gateway/unreachable.go
@@ -21,6 +21,8 @@
 	none        atomic.Bool
 	mutex       sync.Mutex
 	pausedUntil map[directory.InstanceID]time.Duration
+	// lostSince is when most instances became unreachable; zero while most are reachable.
+	lostSince time.Duration
 }
 
 func newUnreachable() *unreachable {
@@ -88,3 +90,29 @@
 	}
 	u.none.Store(len(u.pausedUntil) == 0)
 }
+
+// count returns the number of unreachable instances.
+func (u *unreachable) count() int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return len(u.pausedUntil)
+}
+
+// updateLost records whether most of the known instances are unreachable. It reports whether that changed, and
+// since when most were unreachable.
+func (u *unreachable) updateLost(now time.Duration, known int) (most, changed bool, since time.Duration) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	most = known > 0 && 2*len(u.pausedUntil) > known
+	since = u.lostSince
+	switch {
+	case most && since == 0:
+		u.lostSince = now
+		return true, true, now
+	case !most && since != 0:
+		u.lostSince = 0
+		return false, true, since
+	default:
+		return most, false, since
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -249,6 +249,15 @@
 	return service, found
 }
 
+// InstanceCount returns the number of instances of all services.
+func (t *Table) InstanceCount() int {
+	count := 0
+	for _, service := range t.services {
+		count += len(service.Instances)
+	}
+	return count
+}
+
 // Services returns the names of all services.
 func (t *Table) Services() []string {
 	names := make([]string, 0, len(t.services))
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -75,6 +75,8 @@
 	EventControllerLost    Event = "controller_lost"
 	EventServerEjected     Event = "server_ejected"
 	EventServerCrashed     Event = "server_crashed"
+	EventServersUnreached  Event = "servers_unreachable"
+	EventServersReached    Event = "servers_reached"
 	EventAnswerCut         Event = "answer_cut"
 	EventServerReadmitted  Event = "server_readmitted"
 	EventServerDraining    Event = "server_draining"
@@ -171,6 +173,8 @@
 		{EventTableCurrent, levelInfo, "The table is proved current again."},
 		{EventControllerLost, levelWarning, "The connection to the controllers broke."},
 		{EventServerEjected, levelWarning, "A server failed too often and gets no requests for a while."},
+		{EventServersUnreached, levelWarning, "No connection can be made to most of the instances to which this gateway sent requests of late."},
+		{EventServersReached, levelInfo, "Connections to most instances can be made again."},
 		{EventServerCrashed, levelWarning, "An instance ended while requests ran at it. Requests that are the same, by path, caller and body, have the same fingerprint."},
 		{EventAnswerCut, levelWarning, "An instance holds more ranges of keys than the answer to its heartbeat has room for; it lets the others go."},
 		{EventServerReadmitted, levelInfo, "An ejected server gets requests again."},
