--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -17,7 +17,7 @@
 	AllowNonLoopback  bool          `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
 	Seeds             []string      `koanf:"seeds" validate:"required,max=16,dive,address" doc:"Controllers by which the group is found, IP:port; only the IP number counts. Read again whenever no controller answers."`
 	ControllerPort    int           `koanf:"controller_port" validate:"min=1,max=65535" doc:"Port at which the controllers accept peers."`
-	PeerAddress       string        `koanf:"peer_address" validate:"omitempty,address" doc:"IP:port at which other gateways take the directory while no controller answers them; empty for none."`
+	PeerAddress       string        `koanf:"peer_address" validate:"omitempty,address" doc:"IP:port at which other gateways take the directory while no controller answers them, ask for places, and have requests relayed to instances that they cannot reach; empty for none of it."`
 	PingInterval      time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
 	PongTimeout       time.Duration `koanf:"pong_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a proof that the directory is current; another controller is asked then."`
 	StopTimeout       time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
--- a/internal/controller/directory_log.go
+++ b/internal/controller/directory_log.go
@@ -51,6 +51,8 @@
 		entry.WithField(telemetry.FieldService, command.Throttles.Service).WithField("throttles", command.Throttles.Keys).Info("hot keys throttled")
 	case len(command.Keepers) > 0:
 		entry.WithField("keepers", command.Keepers).Info("place keepers changed")
+	case len(command.Relays) > 0:
+		entry.WithField(telemetry.FieldCount, len(command.Relays)).Info("relays changed")
 	case command.Gateways > 0:
 		entry.WithField(telemetry.FieldCount, command.Gateways).Info("gateway count changed")
 	case command.Times != nil:
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,6 +73,8 @@
 	Gateways int `msgpack:"g,omitempty"`
 	// Keepers replace the gateways that allocate slots of instances.
 	Keepers []Keeper `msgpack:"k,omitempty"`
+	// Relays replace the gateways that pass requests on for others.
+	Relays []Relay `msgpack:"y,omitempty"`
 	// Suspects replace all suspects. Release is the request to release from quarantine.
 	Suspects *PutSuspects `msgpack:"u,omitempty"`
 	Release  *Fingerprint `msgpack:"e,omitempty"`
@@ -117,6 +119,9 @@
 	case len(command.Keepers) > 0:
 		d.applyKeepers(revision, command.Keepers)
 		return nil
+	case len(command.Relays) > 0:
+		d.applyRelays(revision, command.Relays)
+		return nil
 	default:
 		d.applyInstances(revision, command.Instances)
 		return nil
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,6 +26,11 @@
 	// connection and in Write. If it returns an error, nothing is written and the attempt ends
 	// with that error.
 	Check func() *fault.Error
+	// Unanswered is set by Do: true if the request was sent and no byte of an answer came.
+	Unanswered bool
+	// Unacknowledged is set by Do: true if the connection broke because bytes that were sent on it stayed
+	// unacknowledged for wire.SilenceTimeout.
+	Unacknowledged bool
 	// Interrupt, if not nil, can abort the attempt from another goroutine, for example when the
 	// caller has left.
 	Interrupt *Interrupt
@@ -52,6 +57,7 @@
 		}
 		connection.beginAttempt(attempt)
 		reusable, failure := c.exchange(connection, attempt, deadline)
+		attempt.Unanswered = connection.bytesWritten > 0 && connection.bytesRead == 0
 		interrupted := !attempt.Interrupt.detach()
 		if reusable && !interrupted {
 			c.pool.ReleaseConn(pooled)
@@ -76,12 +82,14 @@
 		return false, fault.Newf(fault.ConnectFailed, "set deadline: %v", err)
 	}
 	if err := c.write(connection, attempt.Request); err != nil {
-		return false, writeFailure(connection, err)
+		attempt.Unacknowledged = isTimeout(err) && time.Now().Before(deadline)
+		return false, writeFailure(connection, err, deadline)
 	}
 	reader := c.pool.AcquireReader(connection)
 	defer c.pool.ReleaseReader(reader)
 	if err := c.readAnswer(reader, attempt); err != nil {
-		return false, readFailure(connection, err)
+		attempt.Unacknowledged = isTimeout(err) && time.Now().Before(deadline)
+		return false, readFailure(connection, err, deadline)
 	}
 	if got := string(attempt.Response.Header.Peek(c.settings.IDHeader)); got != attempt.ID {
 		return false, fault.Newf(fault.AnswerMismatched, "the answer carries identifier %.64q instead of %q", got, attempt.ID)
@@ -100,7 +108,7 @@
 	return writer.Flush()
 }
 
-func writeFailure(connection *countingConnection, err error) *fault.Error {
+func writeFailure(connection *countingConnection, err error, deadline time.Time) *fault.Error {
 	var rejected *fault.Error
 	if eris.As(err, &rejected) {
 		return rejected
@@ -108,15 +116,15 @@
 	if connection.bytesWritten == 0 {
 		return fault.Newf(fault.ConnectFailed, "nothing could be written: %v", err)
 	}
-	if isTimeout(err) {
+	if isTimeout(err) && !time.Now().Before(deadline) {
 		return fault.New(fault.DeadlineExceeded, "the deadline passed while the request was written")
 	}
 	return fault.Newf(fault.ConnectionLost, "the connection broke while the request was written: %v", err)
 }
 
-func readFailure(connection *countingConnection, err error) *fault.Error {
+func readFailure(connection *countingConnection, err error, deadline time.Time) *fault.Error {
 	switch {
-	case isTimeout(err):
+	case isTimeout(err) && !time.Now().Before(deadline):
 		return fault.New(fault.DeadlineExceeded, "the deadline passed before the back end's answer was whole")
 	case connection.bytesRead == 0:
 		return fault.Newf(fault.ConnectionLost, "the connection broke before an answer came: %v", err)
@@ -125,7 +133,8 @@
 	}
 }
 
-// isTimeout checks for the method Timeout rather than for a net.Error, because fasthttp
+// isTimeout reports whether a deadline passed or, before the deadline of the attempt, sent bytes stayed
+// unacknowledged for wire.SilenceTimeout. It checks for the method Timeout rather than for a net.Error, because fasthttp
 // reports an exceeded read deadline as an error of its own that is not a net.Error.
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
@@ -66,6 +68,8 @@
 	// control holds separate connections for cancels and health checks, so that they do
 	// not wait behind requests.
 	control *fasthttp.HostClient
+	// spare is the connection that the last probe opened; nil for none.
+	spare atomic.Pointer[countingConnection]
 }
 
 // NewClient returns a client for the back end at the address, IP:port. The first attempt
@@ -80,12 +84,11 @@
 	if settings.Dial == nil {
 		settings.Dial = DialTCP
 	}
-	return &Client{
-		address:  address,
-		settings: settings,
-		pool:     newPool(address, settings, settings.MaxConnections),
-		control:  newPool(address, settings, settings.ControlConnections),
-	}
+	client := &Client{address: address, settings: settings}
+	client.pool = newPool(address, settings, settings.MaxConnections)
+	client.pool.DialTimeout = client.dialForAttempt
+	client.control = newPool(address, settings, settings.ControlConnections)
+	return client
 }
 
 // newPool returns a pool of connections. The pool's own Do method is only used for
@@ -124,6 +127,29 @@
 	}
 }
 
+// Probe opens a connection, which the next attempt uses.
+func (c *Client) Probe() error {
+	opened, err := dialer(c.settings)(c.address, c.settings.ConnectTimeout)
+	if err != nil {
+		return eris.Wrap(err, "probe")
+	}
+	if former := c.spare.Swap(opened.(*countingConnection)); former != nil {
+		_ = former.Close() // nothing was sent
+	}
+	return nil
+}
+
+// dialForAttempt takes the connection of the last probe, or opens one.
+func (c *Client) dialForAttempt(address string, timeout time.Duration) (net.Conn, error) {
+	if probed := c.spare.Swap(nil); probed != nil {
+		if probed.idle() {
+			return probed, nil
+		}
+		_ = probed.Close() // the back end has closed it
+	}
+	return dialer(c.settings)(address, timeout)
+}
+
 // SetMaxConnections changes the maximum number of connections for attempts. Open
 // connections stay open.
 func (c *Client) SetMaxConnections(limit int) {
@@ -139,4 +165,7 @@
 func (c *Client) CloseIdle() {
 	c.pool.CloseIdleConnections()
 	c.control.CloseIdleConnections()
+	if probed := c.spare.Swap(nil); probed != nil {
+		_ = probed.Close() // nothing was sent
+	}
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -201,11 +201,11 @@
 	_ = far.Close()
 	broken := &countingConnection{Conn: near, traffic: noTraffic{}}
 	_, writeErr := broken.Write([]byte("x"))
-	if got := writeFailure(broken, writeErr); got.Kind != fault.ConnectFailed {
+	if got := writeFailure(broken, writeErr, time.Now()); got.Kind != fault.ConnectFailed {
 		t.Errorf("nothing written: got %v", got)
 	}
 	broken.bytesWritten = 1
-	if got := writeFailure(broken, writeErr); got.Kind != fault.ConnectionLost {
+	if got := writeFailure(broken, writeErr, time.Now()); got.Kind != fault.ConnectionLost {
 		t.Errorf("one byte written: got %v", got)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/relay"
 	"github.com/thorntiller/thorntiller/internal/retry"
 )
 
@@ -97,24 +98,19 @@
 func (g *Gateway) attempt(current *request, instance directory.Instance) *fault.Error {
 	current.attempts = append(current.attempts, instance.ID)
 	current.answer.Reset()
-	current.withdrawn = false
-	outgoing := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(outgoing)
-	current.buildOutgoing(outgoing, g.dialect, instance)
-	waitTurn := g.pacer.turnFunc(current, len(current.inbound.Body()))
+	current.withdrawn, current.relayFailed = false, false
 	began, sentAt := time.Now(), g.clock.Now() // time.Now does not count a suspension as time of the instance
-	failure := g.upstreams.client(instance).Do(&forward.Attempt{
-		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.remaining(), Interrupt: current.interrupt,
-		Check: func() *fault.Error { return g.checkBeforeWrite(current, instance) },
-		Write: func(data []byte, write func([]byte) (int, error)) (int, error) {
-			return writeInTurns(data, waitTurn, write)
-		},
-	})
-	if failure == nil || !current.withdrawn && failure.Kind != fault.ConnectFailed && failure.Kind != fault.QueueFull {
-		g.meter.Add(link.Out, link.Attempts, len(current.inbound.Body()))
+	chosen, failure := g.chooseWay(current, instance)
+	if failure == nil {
+		var sent *forward.Attempt
+		sent, failure = g.send(current, instance, chosen)
+		if chosen.relay == "" {
+			g.recordReach(current, instance.ID, sent, failure)
+		} else {
+			failure = g.endRelayed(current, instance.ID, chosen.relay, current.answer, failure)
+		}
 	}
 	if failure == nil {
-		g.meter.Add(link.In, link.Answers, len(current.answer.Body()))
 		rest := g.recordSignal(current, instance, sentAt)
 		failure = g.refusalOf(current.answer)
 		if failure != nil && rest > 0 {
@@ -125,20 +121,47 @@
 		failure = current.interrupted()
 	}
 	took := time.Since(began)
-	current.recordAttempt(instance.ID, sentAt, took, failure)
-	g.recordResult(current, instance, took, failure)
+	current.recordAttempt(instance.ID, chosen.relay, sentAt, took, failure)
+	g.recordResult(current, instance, chosen, took, failure)
 	g.guard.EndTrial(&current.suspicion, failure)
 	if failure == nil {
 		g.recordAnswered(current)
-	} else {
+	} else if !current.relayFailed {
 		g.recordLoss(current, instance, took, failure)
 	}
 	return failure
 }
 
+// send sends the request to an instance, or to the relay on the way to it, and receives the answer.
+func (g *Gateway) send(current *request, instance directory.Instance, chosen way) (*forward.Attempt, *fault.Error) {
+	outgoing := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(outgoing)
+	current.buildOutgoing(outgoing, g.dialect, instance)
+	if chosen.relay != "" {
+		relay.SetTarget(&outgoing.Header, targetOf(current, instance))
+	}
+	body := len(current.inbound.Body())
+	waitTurn := g.pacer.turnFunc(current, body)
+	attempt := &forward.Attempt{
+		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.remaining(), Interrupt: current.interrupt,
+		Check: chosen.check,
+		Write: func(data []byte, write func([]byte) (int, error)) (int, error) {
+			return writeInTurns(data, waitTurn, write)
+		},
+	}
+	failure := chosen.client.Do(attempt)
+	if failure == nil || !current.withdrawn && failure.Kind != fault.ConnectFailed && failure.Kind != fault.QueueFull {
+		g.meter.Add(link.Out, link.Attempts, body)
+	}
+	if failure == nil {
+		g.meter.Add(link.In, link.Answers, len(current.answer.Body()))
+	}
+	return attempt, failure
+}
+
 // recordAttempt records the result of an attempt.
-func (r *request) recordAttempt(instance directory.InstanceID, began, took time.Duration, failure *fault.Error) {
-	outcome := attemptOutcome{Instance: instance, AfterMs: (began - r.arrived).Milliseconds(), TookMs: took.Milliseconds()}
+func (r *request) recordAttempt(instance directory.InstanceID, relayAddress string, began, took time.Duration, failure *fault.Error) {
+	outcome := attemptOutcome{Instance: instance, Relay: relayAddress, AfterMs: (began - r.arrived).Milliseconds(), TookMs: took.Milliseconds()}
 	if failure != nil {
 		outcome.Kind = failure.Kind
 	}
@@ -160,7 +183,7 @@
 
 // recordResult passes the result of an attempt to the balancer and to everything else that tracks
 // instances.
-func (g *Gateway) recordResult(current *request, instance directory.Instance, took time.Duration, failure *fault.Error) {
+func (g *Gateway) recordResult(current *request, instance directory.Instance, chosen way, took time.Duration, failure *fault.Error) {
 	outcome := balance.Outcome{
 		Now: g.clock.Now(), Service: current.service, Instance: instance.ID, Took: took, Answered: failure == nil,
 		Full: failure != nil && (failure.Kind == fault.Shedding || failure.Kind == fault.ServerResting),
@@ -181,19 +204,13 @@
 		switch failure.Kind {
 		case fault.ConnectFailed:
 			// While this machine's own link is full, a failed connection proves nothing about the instance.
-			outcome.Unreachable = !g.linkFull(current)
+			outcome.Unreachable = chosen.relay == "" && !g.linkFull(current)
 			outcome.Failed = outcome.Unreachable
 		case fault.ConnectionLost, fault.AnswerTruncated, fault.AnswerMismatched, fault.DeadlineExceeded:
-			outcome.Failed = true
+			outcome.Failed = !current.relayFailed
 		default:
 		}
 	}
-	if outcome.Unreachable {
-		g.unreachable.record(outcome.Now, instance.ID)
-	}
-	if failure == nil {
-		g.unreachable.markReachable(instance.ID)
-	}
 	g.endPlace(current, took, failure)
 	g.endInstanceToken(current, failure)
 	if g.balancer.End(outcome) {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -102,6 +102,16 @@
 	return err != nil || closed
 }
 
+// hasDisconnected reports whether the peer closed or reset a connection.
+func hasDisconnected(connection net.Conn) bool {
+	system, ok := connection.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
+	return err == nil && disconnected(raw)
+}
+
 // noUnreadBytes is what peek returns for an open connection without unread bytes.
 const noUnreadBytes = -1
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -95,20 +95,19 @@
 		}
 	}
 	now := g.clock.Now()
-	candidates := g.candidates(now, current, service.Instances)
+	direct, relayed := g.candidates(now, current, service.Instances)
+	candidates := append(slices.Clone(direct), relayed...)
 	if len(candidates) == 0 {
 		return directory.Instance{}, current.noInstanceFailure()
 	}
-	instance, chosen := g.chooseAmong(now, current, candidates)
+	instance, chosen := g.chooseAmong(now, current, direct)
+	if !chosen {
+		instance, chosen = g.chooseAmong(now, current, relayed)
+	}
 	if !chosen {
 		current.candidates = g.balancer.InstanceLoads(g.clock.Now(), candidates)
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "each instance of service %q has as many requests as it may", current.service)
 	}
-	if !g.unreachable.mayAsk(now, instance.ID) {
-		// Another request probes whether the instance is reachable again.
-		g.balancer.Release(instance.ID)
-		return directory.Instance{}, fault.Newf(fault.QueueFull, "no connection to instance %s could be made of late", instance.ID)
-	}
 	if !g.coldStarts.take(now, instance.ID) {
 		// Another request took the slot meanwhile; the caller chooses again.
 		g.balancer.Release(instance.ID)
@@ -145,14 +144,18 @@
 	if r.restFailure != nil {
 		return r.restFailure
 	}
+	if r.reachFailure != nil {
+		return r.reachFailure
+	}
 	return fault.Newf(fault.NoOwner, "no instance of service %q is left to send to", r.service)
 }
 
-// candidates returns the instances to which the request may be sent.
-func (g *Gateway) candidates(now time.Duration, current *request, instances []*directory.Instance) []directory.Instance {
-	candidates := make([]directory.Instance, 0, len(instances))
+// candidates returns the instances to which the request may be sent: those that this gateway reaches, and those
+// to which another gateway may relay it.
+func (g *Gateway) candidates(now time.Duration, current *request, instances []*directory.Instance) (direct, relayed []directory.Instance) {
+	direct = make([]directory.Instance, 0, len(instances))
 	var leaving []directory.Instance
-	current.restFailure = nil
+	current.restFailure, current.reachFailure = nil, nil
 	for _, each := range instances {
 		instance := *each
 		if !instance.Serving() || slices.Contains(current.attempts, instance.ID) || slices.Contains(current.limitedAt, instance.ID) {
@@ -161,7 +164,8 @@
 		if !g.allowsRegionOf(current, instance) || g.evacuations.excludes(instance) || !g.coldStarts.allows(now, instance.ID) {
 			continue
 		}
-		if g.unreachable.paused(now, instance.ID) {
+		if !g.mayReach(current, instance.ID) {
+			current.reachFailure = fault.Newf(fault.ConnectFailed, "neither a connection to instance %s can be made, nor does a gateway relay requests to it", instance.ID)
 			continue
 		}
 		if wait := g.signals.rest(now, instance.ID); wait > 0 {
@@ -174,12 +178,16 @@
 			}
 			continue
 		}
-		candidates = append(candidates, instance)
+		if g.reach.Reachable(instance.ID) {
+			direct = append(direct, instance)
+		} else {
+			relayed = append(relayed, instance)
+		}
 	}
-	if len(candidates) == 0 {
-		return leaving
+	if len(direct)+len(relayed) == 0 {
+		return leaving, nil
 	}
-	return candidates
+	return direct, relayed
 }
 
 // inFlightLimit bounds the requests in flight from this gateway to an instance.
@@ -212,8 +220,8 @@
 	if !g.rejections.mayAsk(instance.ID, holding.First, layout.Revision) {
 		return directory.Instance{}, fault.Newf(fault.NoOwner, "the holder of key %d has just said that it does not hold it", current.key)
 	}
-	if !g.unreachable.mayAsk(g.clock.Now(), instance.ID) {
-		return directory.Instance{}, fault.Newf(fault.ConnectFailed, "no connection to the holder of key %d could be made of late", current.key)
+	if !g.mayReach(current, instance.ID) {
+		return directory.Instance{}, fault.Newf(fault.ConnectFailed, "neither a connection to the holder of key %d can be made, nor does a gateway relay requests to it", current.key)
 	}
 	if failure, decided := g.placeAtHolder(current, instance); decided {
 		return instance, failure
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -264,5 +264,6 @@
 	if usesPlaces(settings) {
 		offer.Address = settings.PeerAddress
 	}
+	offer.Relay = settings.PeerAddress
 	return offer
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/reach"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -42,7 +43,9 @@
 	upstreams   *upstreams
 	drains      *drains
 	rejections  *rejections
-	unreachable *unreachable
+	reach       *reach.Reach
+	relays      *relays
+	relayServer *fasthttp.Server
 	signals     *instanceSignals
 	evacuations *evacuations
 	crashes     *crashwatch.Watch
@@ -74,6 +77,10 @@
 	accepted atomic.Int64
 	// idleCallers has the callers' connections without a request.
 	idleCallers *idleConnections
+	// relayStreams counts the connections of other gateways for relayed requests, and relayedRunning the
+	// requests that this gateway relays now.
+	relayStreams   atomic.Int64
+	relayedRunning atomic.Int64
 	// stopping is set once a stop began; each answer then closes its connection.
 	stopping atomic.Bool
 	// stopDeadline is the clock reading at which a stop ends, set once StopNotice has passed.
@@ -125,7 +132,7 @@
 		upstreams:    newUpstreams(settings.BackEnd, dialect, connectionTraffic{meter}, options.DialInstance),
 		drains:       newDrains(system, settings.DrainTime),
 		rejections:   newRejections(system),
-		unreachable:  newUnreachable(),
+		reach:        reach.New(),
 		signals:      newInstanceSignals(),
 		evacuations:  newEvacuations(system, settings.EvacuationLimit),
 		ownLink:      newOwnLink(settings.LinkMegabits),
@@ -141,7 +148,7 @@
 	gateway.pacer = newPacer(system, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
-	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.unreachable.count()) })
+	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
 	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
 	gateway.crashes = crashwatch.NewWatch(system, log, gateway.guard.Crashed, options.DialInstance)
@@ -149,6 +156,8 @@
 	gateway.subscription.onCluster = gateway.guard.SetSecret
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
 	gateway.subscription.onTable = gateway.tableChanged
+	gateway.relays = newRelays(settings, dialect, connectionTraffic{meter}, gateway.subscription.clusterID)
+	gateway.relayServer = gateway.newRelayServer()
 	gateway.places = newPlaceClient(system, settings, log, newPlaceKeeper(system, gateway.usableByKeeper), meter)
 	return gateway, nil
 }
@@ -166,7 +175,8 @@
 	g.guard.SetSuspects(table.Suspects)
 	known := table.Knows
 	g.coldStarts.update(g.clock.Now(), table, known)
-	g.unreachable.forget(known)
+	g.reach.Forget(known)
+	g.relays.setRelays(table.Relays, known)
 	g.signals.forget(known)
 	g.balancer.Forget(known)
 	g.upstreams.forget(known)
@@ -241,7 +251,7 @@
 	group.Go(func() { g.crashes.Run(background) })
 	group.Go(func() { g.demand.run(background) })
 	group.Go(func() { g.reportLinkBytes(background) })
-	group.Go(func() { g.logReach(background) })
+	group.Go(func() { g.watchReach(background) })
 	telemetry.With(g.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
 	var err error
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -110,6 +110,8 @@
 	case message.PurposePlaces:
 		connection.SetIdleTimeout(placeIdleTimeout)
 		return g.places.keeper.serve(ctx, connection)
+	case message.PurposeRelay:
+		return g.serveRelay(ctx, hello, connection)
 	default:
 		return eris.Errorf("purpose %q is not served by a gateway", hello.Purpose)
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -106,7 +106,8 @@
 func (g *Gateway) coldInstance(current *request, service *routing.Service) (directory.Instance, bool) {
 	now := g.clock.Now()
 	var cold []directory.Instance
-	for _, instance := range g.candidates(now, current, service.Instances) {
+	direct, relayed := g.candidates(now, current, service.Instances)
+	for _, instance := range append(direct, relayed...) {
 		if g.coldStarts.cold(now, instance.ID) {
 			cold = append(cold, instance)
 		}
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/reach"
 )
 
 // TestAllowedRegionsBindRouteAndTenant checks that both the route and the tenant must allow the region of an
@@ -13,7 +14,7 @@
 func TestAllowedRegionsBindRouteAndTenant(t *testing.T) {
 	settings := config.DefaultGateway()
 	settings.Regions = []config.ZoneRegion{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}}
-	g := &Gateway{regions: regionsOf(settings), evacuations: newEvacuations(testClock, time.Second), coldStarts: newColdStarts(warmUpBounds(settings)), signals: newInstanceSignals(), unreachable: newUnreachable(), clock: testClock}
+	g := &Gateway{regions: regionsOf(settings), evacuations: newEvacuations(testClock, time.Second), coldStarts: newColdStarts(warmUpBounds(settings)), signals: newInstanceSignals(), reach: reach.New(), relays: newRelays(settings, Dialect{}, nil, nil), clock: testClock}
 	instances := []*directory.Instance{
 		{ID: "in-a", Zone: "a1", State: directory.InstanceReady}, {ID: "in-b", Zone: "b1", State: directory.InstanceReady},
 		{ID: "anywhere", Zone: "x", State: directory.InstanceReady},
@@ -30,7 +31,8 @@
 	} {
 		current := &request{route: &directory.Route{AllowedRegions: c.route}, tenant: &directory.Tenant{AllowedRegions: c.tenant}}
 		var got []directory.InstanceID
-		for _, instance := range g.candidates(0, current, instances) {
+		direct, relayed := g.candidates(0, current, instances)
+		for _, instance := range append(direct, relayed...) {
 			got = append(got, instance.ID)
 		}
 		if len(got) != len(c.want) {
--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/relay"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// stubRelay is a gateway that answers relayed requests as a test says.
+type stubRelay struct {
+	address string
+	// requests counts the requests that arrived whole.
+	requests atomic.Int64
+}
+
+// startStubRelay starts a relay that sends an answer to each request, "" for none, and then closes the
+// connection.
+func startStubRelay(t *testing.T, answer string) *stubRelay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &stubRelay{address: listener.Addr().String()}
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { s.serve(accepted, answer) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	return s
+}
+
+func (s *stubRelay) serve(accepted net.Conn, answer string) {
+	defer func() { _ = accepted.Close() }()
+	connection := wire.NewConn(accepted, wire.Options{})
+	var hello message.Hello
+	if connection.Receive(&hello) != nil || hello.Purpose != message.PurposeRelay || hello.Cluster != "cluster" {
+		return
+	}
+	var request fasthttp.Request
+	if request.Read(bufio.NewReader(connection.Detach())) != nil {
+		return
+	}
+	s.requests.Add(1)
+	_, _ = io.WriteString(accepted, answer)
+}
+
+// relayed returns an answer of a relay with a result.
+func relayed(result relay.Result, body string) string {
+	var header fasthttp.ResponseHeader
+	relay.SetResult(&header, result, "")
+	header.SetContentLength(len(body))
+	header.Set("Thorntiller-Request-Id", "x")
+	header.SetNoDefaultContentType(true)
+	return header.String() + body
+}
+
+// newCutOffGateway returns a gateway that cannot reach the instances of two services, and knows some relays. The
+// path /once/ may run at most once, /again/ may be repeated.
+func newCutOffGateway(t *testing.T, relays ...*stubRelay) *Gateway {
+	t.Helper()
+	settings := config.DefaultGateway()
+	settings.Name, settings.Seeds, settings.RetryBurst = "g", []string{"127.0.0.1:1"}, 100
+	gateway, err := New(settings, telemetry.New(role, "g", "error", io.Discard), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","version":1}],"routes":[
+		{"name":"once","host":"h.example","prefix":"/once/","service":"s","kind":"at_most_once","max_attempts":3,"version":1},
+		{"name":"again","host":"h.example","prefix":"/again/","service":"s","kind":"repeatable","max_attempts":3,"version":1}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var instances []directory.Instance
+	for number := range 3 {
+		instances = append(instances, directory.Instance{
+			ID: directory.InstanceID("i" + strconv.Itoa(number)), Service: "s", Address: "127.0.0.1:" + strconv.Itoa(1+number), Zone: "z", Slots: 4, State: directory.InstanceReady,
+		})
+	}
+	var named []directory.Relay
+	for _, each := range relays {
+		named = append(named, directory.Relay{Address: each.address, Zone: "z"})
+	}
+	view := directory.New()
+	for index, command := range []directory.Command{{Patch: &patch}, {Instances: instances}, {Relays: named}} {
+		if command.Patch == nil && len(command.Instances)+len(command.Relays) == 0 {
+			continue
+		}
+		if err := view.Apply(directory.Revision(index+1), command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	changes := view.RoutingSince(0)
+	if err := gateway.subscription.apply(message.DirectoryUpdate{Cluster: "cluster", Changes: &changes}); err != nil {
+		t.Fatal(err)
+	}
+	for _, instance := range instances {
+		gateway.reach.Failed(gateway.clock.Now(), instance.ID)
+	}
+	return gateway
+}
+
+// ask sends a request to a gateway.
+func ask(gateway *Gateway, path string) *fasthttp.Response {
+	var request fasthttp.Request
+	request.SetRequestURI(path)
+	request.Header.SetHost("h.example")
+	request.Header.Set("Thorntiller-Request-Id", "x")
+	request.Header.Set("Thorntiller-Timeout-Ms", "3000")
+	var context fasthttp.RequestCtx
+	context.Init(&request, nil, nil)
+	gateway.serve(&context)
+	return &context.Response
+}
+
+// TestRelayedRequestRunsAtMostOnce checks what callers get, and how often a request is handed over, for each way
+// in which a relay can end it: it is asked again elsewhere only after a proof that nothing was sent, and rejected
+// as not run only then.
+func TestRelayedRequestRunsAtMostOnce(t *testing.T) {
+	const foreign = "HTTP/1.1 200 OK\r\nThorntiller-Request-Id: x\r\nContent-Length: 2\r\n\r\nno"
+	for _, c := range []struct {
+		name, answer, path string
+		status             int
+		// handedOver is the number of relays, of two, that get the request.
+		handedOver int64
+	}{
+		{"answer", relayed(relay.Answered, "all"), "/once/", fasthttp.StatusOK, 1},
+		{"broken connection", "", "/once/", fasthttp.StatusBadGateway, 1},
+		{"broken connection, repeatable", "", "/again/", fasthttp.StatusBadGateway, 2},
+		{"half an answer", relayed(relay.Answered, "all")[:60], "/once/", fasthttp.StatusBadGateway, 1},
+		{"no result", foreign, "/once/", fasthttp.StatusBadGateway, 1},
+		{"server lost", relayed(relay.Lost, ""), "/once/", fasthttp.StatusBadGateway, 1},
+		{"timed out", relayed(relay.TimedOut, ""), "/once/", fasthttp.StatusGatewayTimeout, 1},
+		{"not sent", relayed(relay.NotSent, ""), "/once/", fasthttp.StatusServiceUnavailable, 2},
+		{"cut off as well", relayed(relay.CutOff, ""), "/once/", fasthttp.StatusServiceUnavailable, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := startStubRelay(t, c.answer), startStubRelay(t, c.answer)
+			gateway := newCutOffGateway(t, first, second)
+			began := time.Now()
+			got := ask(gateway, c.path)
+			if got.StatusCode() != c.status {
+				t.Errorf("status %d, want %d: %s", got.StatusCode(), c.status, got.Body())
+			}
+			if count := first.requests.Load() + second.requests.Load(); count != c.handedOver {
+				t.Errorf("handed over %d times, want %d", count, c.handedOver)
+			}
+			if strings.Contains(got.Header.String(), "Relay") {
+				t.Errorf("the caller sees %q", got.Header.String())
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("took %s", took)
+			}
+		})
+	}
+}
+
+// TestNoWayIsRejectedAtOnce checks that a gateway which reaches neither instances nor relays rejects requests
+// without a wait, as not run and with a time to return.
+func TestNoWayIsRejectedAtOnce(t *testing.T) {
+	gateway := newCutOffGateway(t)
+	began := time.Now()
+	got := ask(gateway, "/once/")
+	if got.StatusCode() != fasthttp.StatusServiceUnavailable || len(got.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
+		t.Errorf("answer %q", got.String())
+	}
+	if took := time.Since(began); took > 100*time.Millisecond {
+		t.Errorf("rejected after %s", took)
+	}
+}
+
+// TestRelayedRequestIsNotRelayedAgain checks that a relay which cannot reach the instance itself says so, even if
+// it knows further relays.
+func TestRelayedRequestIsNotRelayedAgain(t *testing.T) {
+	further := startStubRelay(t, relayed(relay.Answered, "all"))
+	gateway := newCutOffGateway(t, further)
+	var request fasthttp.Request
+	request.SetRequestURI("/once/")
+	request.Header.SetHost("h.example")
+	request.Header.Set("Thorntiller-Request-Id", "x")
+	relay.SetTarget(&request.Header, relay.Target{Service: "s", Instance: "i0"})
+	var context fasthttp.RequestCtx
+	context.Init(&request, nil, nil)
+	gateway.serveRelayed(&context)
+	if result, failure := relay.TakeResult(&context.Response.Header); result != relay.CutOff || failure == nil {
+		t.Errorf("result %q, %v", result, failure)
+	}
+	if count := further.requests.Load(); count != 0 {
+		t.Errorf("relayed %d times", count)
+	}
+}
+
+// TestOnlyGatewaysOfTheClusterMayRelay checks that a connection for relayed requests from elsewhere is closed.
+func TestOnlyGatewaysOfTheClusterMayRelay(t *testing.T) {
+	gateway := newCutOffGateway(t)
+	for _, cluster := range []message.ClusterID{"", "other"} {
+		near, far := net.Pipe()
+		err := gateway.serveRelay(t.Context(), message.Hello{Purpose: message.PurposeRelay, Cluster: cluster}, wire.NewConn(near, wire.Options{}))
+		if err == nil {
+			t.Errorf("cluster %q is served", cluster)
+		}
+		_, _ = near.Close(), far.Close()
+	}
+	starting := newSubscription(testClock, config.DefaultGateway(), gateway.log, nil, &link.Meter{})
+	gateway.subscription = starting
+	near, far := net.Pipe()
+	defer func() { _, _ = near.Close(), far.Close() }()
+	if gateway.serveRelay(t.Context(), message.Hello{Purpose: message.PurposeRelay}, wire.NewConn(near, wire.Options{})) == nil {
+		t.Error("a gateway that has no directory yet serves anybody")
+	}
+}
--- /dev/null
+++ b/internal/gateway/relayserver.go
@@ -0,0 +1,245 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/relay"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+const (
+	// maxRelayConnections bounds the connections of other gateways for relayed requests, each of which carries
+	// one request at a time.
+	maxRelayConnections = 512
+	// relayHeaderBytes bounds the header of a relayed request: that of a caller and the target.
+	relayHeaderBytes = 2*defaultHeaderBytes + 1<<10
+	relayIdleTimeout = 30 * time.Second
+)
+
+var (
+	errOtherCluster  = eris.New("the gateway belongs to another cluster")
+	errTooManyRelays = eris.New("the maximum number of connections for relayed requests is reached")
+)
+
+func (g *Gateway) newRelayServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      telemetry.Recovered(g.log, g.serveRelayed, refusePanicked),
+		HeaderReceived:               g.requestConfig,
+		Name:                         role,
+		ReadBufferSize:               relayHeaderBytes,
+		MaxRequestBodySize:           defaultBodyBytes,
+		ReadTimeout:                  bodyTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  relayIdleTimeout,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       g.log,
+	}
+}
+
+// serveRelay serves relayed requests on a connection of another gateway until it ends.
+func (g *Gateway) serveRelay(ctx context.Context, hello message.Hello, connection *wire.Conn) error {
+	if cluster := g.subscription.clusterID(); cluster == "" || hello.Cluster != cluster {
+		return errOtherCluster
+	}
+	defer g.relayStreams.Add(-1)
+	if g.relayStreams.Add(1) > maxRelayConnections {
+		return errTooManyRelays
+	}
+	defer context.AfterFunc(ctx, connection.Close)()
+	stream := &meteredStream{Conn: connection.Detach(), traffic: connectionTraffic{g.meter}}
+	return eris.Wrap(g.relayServer.ServeConn(stream), "serve relayed requests")
+}
+
+// meteredStream is a connection with relayed requests whose bytes are counted.
+type meteredStream struct {
+	net.Conn
+	traffic connectionTraffic
+	// turn waits for the turn to send bytes of the answer; nil for none.
+	turn func(bytes int)
+}
+
+// Read implements net.Conn.
+func (s *meteredStream) Read(target []byte) (int, error) {
+	count, err := s.Conn.Read(target)
+	s.traffic.Passed(count, 0)
+	return count, err
+}
+
+// Write implements net.Conn.
+func (s *meteredStream) Write(data []byte) (int, error) {
+	if s.turn == nil {
+		return s.write(data)
+	}
+	return writeInTurns(data, s.turn, s.write)
+}
+
+func (s *meteredStream) write(data []byte) (int, error) {
+	count, err := s.Conn.Write(data)
+	s.traffic.Passed(0, count)
+	return count, err
+}
+
+// SyscallConn implements syscall.Conn, through which the callers type peeks at the connection.
+func (s *meteredStream) SyscallConn() (syscall.RawConn, error) {
+	system, ok := s.Conn.(syscall.Conn)
+	if !ok {
+		return nil, eris.New("the connection has no descriptor")
+	}
+	return system.SyscallConn()
+}
+
+// serveRelayed sends one request of another gateway to the instance that this gateway has chosen.
+func (g *Gateway) serveRelayed(context *fasthttp.RequestCtx) {
+	g.relayedRunning.Add(1)
+	defer g.relayedRunning.Add(-1)
+	g.metrics.inFlight.Inc()
+	defer g.metrics.inFlight.Dec()
+	g.meter.Add(link.In, link.Bodies, len(context.Request.Body()))
+	current, instance, failure := g.readRelayed(context)
+	result := relay.NotSent
+	if failure == nil {
+		result, failure = g.executeRelayed(context, current, instance)
+	}
+	detail := ""
+	if failure != nil {
+		detail = failure.Detail
+		context.Response.Reset()
+		context.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		context.Response.Header.SetBytesV(g.dialect.RequestID, context.Request.Header.Peek(g.dialect.RequestID))
+	} else {
+		cleanAnswer(&context.Response)
+	}
+	relay.SetResult(&context.Response.Header, result, detail)
+	if g.stopping.Load() {
+		context.SetConnectionClose()
+	}
+	g.metrics.relayed.WithLabelValues(relayedIn, string(result)).Inc()
+	g.logRelayed(current, instance.ID, result, failure)
+}
+
+// readRelayed parses a relayed request.
+func (g *Gateway) readRelayed(context *fasthttp.RequestCtx) (*request, directory.Instance, *fault.Error) {
+	now := g.clock.Now()
+	header := &context.Request.Header
+	current := &request{
+		id: string(header.Peek(g.dialect.RequestID)), inbound: &context.Request, answer: &context.Response, clock: g.clock,
+		arrived: now, deadline: now + g.settings.MaxTimeout, interrupt: &forward.Interrupt{},
+	}
+	target, failure := relay.TakeTarget(header)
+	if failure != nil {
+		return current, directory.Instance{}, failure
+	}
+	table := g.subscription.current()
+	if g.stopping.Load() || table == nil {
+		return current, directory.Instance{}, fault.New(fault.RouterStopping, "this gateway is starting or stopping")
+	}
+	if err := current.readDeadline(g.dialect.Deadline); err != nil {
+		return current, directory.Instance{}, asFault(err)
+	}
+	path, _, _ := bytes.Cut(header.RequestURI(), []byte("?"))
+	route, found := table.Route(string(header.Host()), string(path))
+	if !found {
+		return current, directory.Instance{}, fault.Newf(fault.UnknownService, "no route for host %.100q", header.Host())
+	}
+	current.route, current.urgency = route, table.Urgency(route, nil)
+	current.service, current.keyed, current.key = target.Service, target.Keyed, target.Key
+	service, found := table.Service(target.Service)
+	if !found {
+		return current, directory.Instance{}, fault.Newf(fault.NoOwner, "service %q is not configured", target.Service)
+	}
+	instance, found := service.Instance(target.Instance)
+	if !found {
+		return current, directory.Instance{}, fault.Newf(fault.NoOwner, "instance %s is not known", target.Instance)
+	}
+	return current, instance, nil
+}
+
+// executeRelayed makes the attempt of a relayed request, over a connection of this gateway or not at all.
+func (g *Gateway) executeRelayed(context *fasthttp.RequestCtx, current *request, instance directory.Instance) (relay.Result, *fault.Error) {
+	if !g.reach.Reachable(instance.ID) {
+		return g.unreachedResult(), fault.Newf(fault.ConnectFailed, "this gateway cannot reach instance %s", instance.ID)
+	}
+	if err := g.admitToLink(current); err != nil {
+		return relay.NotSent, asFault(err)
+	}
+	result, failure := g.sendRelayed(context, current, instance)
+	g.settleLink(current, failure == nil)
+	return result, failure
+}
+
+// sendRelayed sends a relayed request that was admitted.
+func (g *Gateway) sendRelayed(context *fasthttp.RequestCtx, current *request, instance directory.Instance) (relay.Result, *fault.Error) {
+	defer g.callers.watch(context.Conn(), current)()
+	now := g.clock.Now()
+	g.balancer.TryBegin(now, instance, math.MaxInt)
+	began := time.Now()
+	attempt, failure := g.send(current, instance, way{
+		client: g.upstreams.client(instance),
+		check:  func() *fault.Error { return g.checkRelayed(context.Conn(), current, instance) },
+	})
+	if failure == nil {
+		g.recordSignal(current, instance, now)
+	}
+	g.recordReach(current, instance.ID, attempt, failure)
+	g.balancer.End(balance.Outcome{Now: g.clock.Now(), Service: current.service, Instance: instance.ID, Took: time.Since(began), Answered: failure == nil})
+	g.attemptEnded.Raise()
+	if stream, metered := context.Conn().(*meteredStream); metered {
+		stream.turn = g.pacer.turnFunc(current, len(current.answer.Body()))
+	}
+	if failure != nil && failure.Kind == fault.ConnectFailed {
+		return g.unreachedResult(), failure
+	}
+	return relay.ResultOf(failure), failure
+}
+
+// unreachedResult returns the result for an instance that this gateway cannot reach.
+func (g *Gateway) unreachedResult() relay.Result {
+	if g.reach.CutOff() {
+		return relay.CutOff
+	}
+	return relay.InstanceUnreached
+}
+
+// checkRelayed is called just before the first byte of a relayed request is written. It returns why the request
+// may no longer be sent; nil if it may.
+func (g *Gateway) checkRelayed(connection net.Conn, current *request, instance directory.Instance) *fault.Error {
+	if current.remaining() <= 0 || hasDisconnected(connection) {
+		return fault.New(fault.DeadlineBeforeStart, "the deadline passed, or the other gateway gave the request up, before it was sent")
+	}
+	if wait := g.signals.rest(g.clock.Now(), instance.ID); wait > 0 {
+		return fault.Newf(fault.NoOwner, "instance %s wants no requests for %s", instance.ID, wait.Round(time.Millisecond))
+	}
+	if !g.maySendTo(current, instance) {
+		return fault.Newf(fault.NoOwner, "instance %s may not get the request any more", instance.ID)
+	}
+	return nil
+}
+
+// logRelayed logs a relayed request that got no answer of its instance.
+func (g *Gateway) logRelayed(current *request, id directory.InstanceID, result relay.Result, failure *fault.Error) {
+	if failure == nil {
+		return
+	}
+	telemetry.WithError(g.log, telemetry.EventRelayFailed, failure).WithField(telemetry.FieldRequest, current.id).
+		WithField(telemetry.FieldServer, id).WithField(telemetry.FieldService, current.service).WithField("result", result).
+		WithField(telemetry.FieldDuration, (g.clock.Now() - current.arrived).Milliseconds()).Info("relayed request failed")
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -73,10 +73,16 @@
 	limitFailure *fault.Error
 	// restFailure is the failure for the instance whose rest ends first; nil for none.
 	restFailure *fault.Error
+	// reachFailure is the failure for an instance to which there is no way; nil for none.
+	reachFailure *fault.Error
 	// interrupt aborts the attempt when the caller disconnects.
 	interrupt *forward.Interrupt
 	// suspicion is the state of the request with regard to crashes of instances.
 	suspicion crashwatch.Request
+	// relaysTried are the relays that did not send the request. relayFailed is true if the latest attempt ended
+	// with its connection to a relay, which says nothing of the instance.
+	relaysTried []string
+	relayFailed bool
 	// revision is that of the table with which the request was routed.
 	revision directory.Revision
 }
@@ -84,6 +90,8 @@
 // attemptOutcome is the result of one attempt.
 type attemptOutcome struct {
 	Instance directory.InstanceID `json:"instance"`
+	// Relay is the address of the gateway that relayed the attempt; empty for a direct one.
+	Relay string `json:"relay,omitempty"`
 	// AfterMs is when the attempt began, relative to the arrival of the request.
 	AfterMs int64 `json:"after_ms"`
 	TookMs  int64 `json:"took_ms"`
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -18,6 +18,8 @@
 	stopMargin = 300 * time.Millisecond
 	// incomingPollInterval is the interval at which incoming requests are checked for during a stop.
 	incomingPollInterval = 100 * time.Millisecond
+	// relayedPollInterval is the interval at which relayed requests are checked for during a stop.
+	relayedPollInterval = 20 * time.Millisecond
 )
 
 // stop lets running requests finish. New connections are accepted until the platform has noticed that the
@@ -35,6 +37,17 @@
 	if err := server.ShutdownWithContext(bounded); err != nil && !eris.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "requests did not finish within stop_timeout")
 	}
+	return g.awaitRelayed(end)
+}
+
+// awaitRelayed waits until no request of another gateway runs; new ones are declined once a stop began.
+func (g *Gateway) awaitRelayed(end time.Duration) error {
+	for g.relayedRunning.Load() > 0 {
+		if g.clock.Now() >= end {
+			return eris.New("relayed requests did not finish within stop_timeout")
+		}
+		time.Sleep(relayedPollInterval)
+	}
 	return nil
 }
 
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// clusterID returns the cluster to which the directory belongs; empty until the directory has been received.
+func (s *subscription) clusterID() message.ClusterID {
+	s.viewLock.Lock()
+	defer s.viewLock.Unlock()
+	return s.cluster
+}
+
 // current returns the table; nil until the directory has been received.
 func (s *subscription) current() *routing.Table { return s.table.Load() }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -37,6 +37,14 @@
 	return client
 }
 
+// find returns the client of an instance to which requests were sent.
+func (u *upstreams) find(id directory.InstanceID) (*forward.Client, bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	client, found := u.clients[id]
+	return client, found
+}
+
 // forget closes the idle connections to instances that are gone.
 func (u *upstreams) forget(known func(directory.InstanceID) bool) {
 	u.mutex.Lock()
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -25,6 +25,8 @@
 	gatewayCount int
 	// keepers is the new list of keepers to publish; empty if it is not published.
 	keepers []directory.Keeper
+	// relays is the new list of relays to publish; empty if it is not published.
+	relays []directory.Relay
 }
 
 // Batch starts an empty batch of decisions made at now.
@@ -50,6 +52,9 @@
 	if len(b.keepers) > 0 {
 		commands = append(commands, directory.Command{Keepers: b.keepers})
 	}
+	if len(b.relays) > 0 {
+		commands = append(commands, directory.Command{Relays: b.relays})
+	}
 	for _, draft := range b.order {
 		draft.grantPending()
 		commands = append(commands, draft.commands()...)
@@ -228,6 +233,7 @@
 	b.publishTimes()
 	b.publishGateways()
 	b.publishKeepers()
+	b.publishRelays()
 	throttleDue := b.throttlesDue()
 	for _, service := range b.view.KeyedServices() {
 		if throttleDue {
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -44,6 +44,8 @@
 	gatewaysCheckedAt time.Duration
 	// keepersCheckedAt is when the keepers were last checked.
 	keepersCheckedAt time.Duration
+	// relaysCheckedAt is when the relays were last checked.
+	relaysCheckedAt time.Duration
 }
 
 // New returns a core. Lead must be called before it is used.
@@ -69,6 +71,7 @@
 	c.gateways = make(map[string]gateway)
 	c.gatewaysCheckedAt = 0
 	c.keepersCheckedAt = 0
+	c.relaysCheckedAt = 0
 	c.throttlesCheckedAt = 0
 }
 
--- a/internal/heartbeat/gateways.go
+++ b/internal/heartbeat/gateways.go
@@ -26,6 +26,8 @@
 	Zone    string `msgpack:"z"`
 	// Megabits is the bandwidth of its link in each direction, in Mbit/s; zero if not limited.
 	Megabits float64 `msgpack:"m"`
+	// Relay is the IP:port at which the gateway relays requests of others; empty if it does not.
+	Relay string `msgpack:"r,omitempty"`
 }
 
 // gateway is what this leader knows about a gateway.
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -31,6 +31,8 @@
 	PurposeDemand Purpose = "demand"
 	// PurposePlaces carries requests for places to a keeper; see PlaceRequest.
 	PurposePlaces Purpose = "places"
+	// PurposeRelay carries HTTP requests that the accepting gateway sends to instances for the connecting one.
+	PurposeRelay Purpose = "relay"
 	// PurposeRouter carries requests between routers.
 	PurposeRouter Purpose = "router"
 )
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -44,6 +44,8 @@
 	Suspects directory.Suspects
 	// Keepers are the gateways that grant places at instances.
 	Keepers []directory.Keeper
+	// Relays are the gateways that pass requests on to instances for others.
+	Relays []directory.Relay
 	// Changed are the instances that changed since the earlier table, including those that
 	// are gone. If Whole is true, it holds all instances.
 	Changed []*directory.Instance
@@ -68,7 +70,7 @@
 // Build returns the table of a directory. Unchanged parts are reused from earlier, a
 // previous table of the same directory, which may be nil.
 func Build(view *directory.Directory, earlier *Table) *Table {
-	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service), Gateways: view.Gateways(), Keepers: view.Keepers(), Suspects: view.Suspects()}
+	table := &Table{Revision: view.Revision(), itemsRevision: view.ItemsRevision(), services: make(map[string]*Service), Gateways: view.Gateways(), Keepers: view.Keepers(), Relays: view.Relays(), Suspects: view.Suspects()}
 	for _, zone := range view.Zones() {
 		if zone.Evacuated {
 			table.Evacuated = append(table.Evacuated, zone.Name)
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -11,6 +11,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -212,6 +213,36 @@
 	return count, err
 }
 
+// Detach returns the stream, with the bytes that were received after the last frame, for another protocol. The
+// connection must not be used for frames any more; closing it closes the stream.
+func (c *Conn) Detach() net.Conn {
+	_ = c.stream.SetReadDeadline(time.Time{}) // a broken stream reports it at the next read
+	return &detachedStream{Conn: c.stream, reader: c.reader}
+}
+
+// detachedStream reads what was received after the last frame, then from the stream.
+type detachedStream struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (s *detachedStream) Read(target []byte) (int, error) {
+	if s.reader.Buffered() > 0 {
+		return s.reader.Read(target)
+	}
+	return s.Conn.Read(target)
+}
+
+// SyscallConn implements syscall.Conn.
+func (s *detachedStream) SyscallConn() (syscall.RawConn, error) {
+	system, ok := s.Conn.(syscall.Conn)
+	if !ok {
+		return nil, eris.New("the stream has no descriptor")
+	}
+	return system.SyscallConn()
+}
+
 // Close closes the connection; blocked calls return. It may be called repeatedly.
 func (c *Conn) Close() {
 	if c.closed.CompareAndSwap(false, true) {
