Quarantine: refused connections of a gateway that is cut off are no crashes

What callers saw: when eight of eleven gateways lost all connections to servers, the leader took 337 decisions on suspected requests within a second, though no server had ended; real suspects were evicted by too many others, and suspected requests get no second attempt.

Cause: a gateway took a refused connection as a proof that an instance had ended. During some partitions all connections are refused.

Change: a refusal counts only if another instance, one of a sample of three, accepts a connection; else the line crash_unproven says so, and the directory tells the end of instances as before. Routers do the same. With no other instance known, a refusal is still taken as a proof, since a cut cannot be told from an end then.

--- a/internal/crashwatch/guard_test.go
+++ b/internal/crashwatch/guard_test.go
@@ -79,7 +79,7 @@
 func TestLossesAreToldAtOnce(t *testing.T) {
 	fingerprint, _ := identityHashes(t)
 	guard, request := newTestGuard()
-	watch := NewWatch(guard.clock, nil, guard.Crashed, nil)
+	watch := NewWatch(guard.clock, nil, Options{OnCrash: guard.Crashed})
 	guard.Lost(watch, request, Attempt{Service: "s", Instance: "a", Took: time.Millisecond})
 	if report := guard.Report(); report != nil {
 		t.Fatalf("reported before the instance was known to have ended: %+v", report)
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -34,9 +34,7 @@
 	log      *logrus.Entry
 	mutex    sync.Mutex
 	detector *quarantine.CrashDetector
-	// onCrash is called with the requests that were in flight at a crash.
-	onCrash func([]quarantine.Loss)
-	dial    forward.DialFunc
+	options  Options
 	// probing has the instances that are being probed or wait in probeQueue.
 	probing map[directory.InstanceID]bool
 	// probeQueue holds the instances to be probed. Its capacity is the limit on probing, so that sends to it
@@ -50,14 +48,25 @@
 	address string
 }
 
-// NewWatch returns a watch that calls onCrash with the requests that were in flight at a crash. It probes
-// instances with dial; nil means TCP.
-func NewWatch(system clock.Clock, log *logrus.Entry, onCrash func([]quarantine.Loss), dial forward.DialFunc) *Watch {
-	if dial == nil {
-		dial = forward.DialTCP
+// Options are the functions that a watch calls.
+type Options struct {
+	// OnCrash is called with the requests that were in flight at a crash.
+	OnCrash func([]quarantine.Loss)
+	// Dial opens the connections of probes; nil means TCP.
+	Dial forward.DialFunc
+	// Others returns addresses of instances other than the given one. A refused connection proves that an
+	// instance has ended only if one of them accepts a connection: else this process may be cut off from all.
+	// Nil, or no address, means that nothing is known of others; a refusal is then taken as a proof.
+	Others func(id directory.InstanceID) []string
+}
+
+// NewWatch returns a watch that finds no crash yet.
+func NewWatch(system clock.Clock, log *logrus.Entry, options Options) *Watch {
+	if options.Dial == nil {
+		options.Dial = forward.DialTCP
 	}
 	return &Watch{
-		clock: system, log: log, onCrash: onCrash, dial: dial, detector: quarantine.NewCrashDetector(),
+		clock: system, log: log, options: options, detector: quarantine.NewCrashDetector(),
 		probing: make(map[directory.InstanceID]bool), probeQueue: make(chan probeTarget, maxConcurrentProbes),
 	}
 }
@@ -92,13 +101,18 @@
 	}
 }
 
-// probe treats an instance as ended if its address refuses connections.
+// probe treats an instance as ended if its address refuses connections and others accept them.
 func (w *Watch) probe(ctx context.Context, target probeTarget) {
 	refused := w.connectionRefused(target.address)
 	if !refused {
 		clock.Sleep(ctx, probeInterval)
 		refused = w.connectionRefused(target.address)
 	}
+	if refused && !w.reachesOthers(target.id) {
+		refused = false
+		telemetry.With(w.log, telemetry.EventCrashUnproven).WithField(telemetry.FieldServer, target.id).
+			Info("instance refuses connections, and so do others: no proof that it ended")
+	}
 	w.mutex.Lock()
 	delete(w.probing, target.id)
 	w.mutex.Unlock()
@@ -110,7 +124,7 @@
 // connectionRefused reports whether nothing listens at an address. A successful connection does not prove
 // that the instance is alive, because it may have been accepted by a proxy.
 func (w *Watch) connectionRefused(address string) bool {
-	connection, err := w.dial(address, probeTimeout)
+	connection, err := w.options.Dial(address, probeTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -118,6 +132,22 @@
 	return false
 }
 
+// reachesOthers reports whether an instance other than the given one accepts a connection, or none is known.
+func (w *Watch) reachesOthers(id directory.InstanceID) bool {
+	if w.options.Others == nil {
+		return true
+	}
+	addresses := w.options.Others(id)
+	for _, address := range addresses {
+		connection, err := w.options.Dial(address, probeTimeout)
+		if err == nil {
+			_ = connection.Close() // nothing was sent
+			return true
+		}
+	}
+	return len(addresses) == 0
+}
+
 // confirmEnd records a proof that an instance has ended, and reports the crash.
 func (w *Watch) confirmEnd(id directory.InstanceID) {
 	w.mutex.Lock()
@@ -153,7 +183,7 @@
 	if len(crashed) == 0 {
 		return
 	}
-	w.onCrash(crashed)
+	w.options.OnCrash(crashed)
 	var requests []requestInFlight
 	for _, loss := range crashed[:min(len(crashed), maxLoggedRequests)] {
 		requests = append(requests, requestInFlight{loss.RequestID, loss.Fingerprint.String(), (loss.Ended - loss.Began).Milliseconds()})
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,7 +24,7 @@
 func TestLostConnectionsAreProbed(t *testing.T) {
 	found := make(chan []quarantine.Loss, 8)
 	system := clock.NewSystem()
-	watch := NewWatch(system, telemetry.New("gateway", "g", "error", io.Discard), func(losses []quarantine.Loss) { found <- losses }, nil)
+	watch := NewWatch(system, telemetry.New("gateway", "g", "error", io.Discard), Options{OnCrash: func(losses []quarantine.Loss) { found <- losses }})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -75,3 +77,53 @@
 	}
 	_ = alive.Close()
 }
+
+// TestRefusalsOfACutAreNoCrash checks that a refused connection proves no crash while other instances refuse
+// connections too, and that it does as soon as one of them accepts.
+func TestRefusalsOfACutAreNoCrash(t *testing.T) {
+	found := make(chan []quarantine.Loss, 1)
+	system := clock.NewSystem()
+	var healed atomic.Bool
+	watch := NewWatch(system, telemetry.New("gateway", "g", "error", io.Discard), Options{
+		OnCrash: func(losses []quarantine.Loss) { found <- losses },
+		Dial: func(address string, _ time.Duration) (net.Conn, error) {
+			if address == "ended" || !healed.Load() {
+				return nil, syscall.ECONNREFUSED
+			}
+			near, far := net.Pipe()
+			return near, far.Close()
+		},
+		Others: func(directory.InstanceID) []string { return []string{"other"} },
+	})
+	target := probeTarget{"ended", "ended"}
+	watch.Lost(quarantine.Loss{Fingerprint: 1, Instance: target.id}, target.address, false)
+	watch.probe(t.Context(), target)
+	if len(found) > 0 {
+		t.Error("a refusal counts as a crash though others refuse as well")
+	}
+	healed.Store(true)
+	watch.probe(t.Context(), target)
+	if len(found) != 1 {
+		t.Error("a refusal does not count as a crash though others accept connections")
+	}
+}
+
+// TestOthersAreASample checks that few addresses are kept, and that none is left out always.
+func TestOthersAreASample(t *testing.T) {
+	chosen := make(map[string]int)
+	for range 300 {
+		var others Others
+		for _, address := range []string{"a", "b", "c", "d", "e", "f"} {
+			others.Add(address)
+		}
+		if len(others.Addresses()) != maxOthers {
+			t.Fatalf("sample %v", others.Addresses())
+		}
+		for _, address := range others.Addresses() {
+			chosen[address]++
+		}
+	}
+	if len(chosen) != 6 {
+		t.Errorf("chosen: %v", chosen)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,7 +151,9 @@
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
 	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
-	gateway.crashes = crashwatch.NewWatch(system, log, gateway.guard.Crashed, options.DialInstance)
+	gateway.crashes = crashwatch.NewWatch(system, log, crashwatch.Options{
+		OnCrash: gateway.guard.Crashed, Dial: options.DialInstance, Others: gateway.otherInstances,
+	})
 	gateway.guard.RegisterMetrics(gateway.registry)
 	gateway.subscription.onCluster = gateway.guard.SetSecret
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -20,6 +20,24 @@
 	})
 }
 
+// otherInstances returns addresses of instances other than the given one.
+func (g *Gateway) otherInstances(id directory.InstanceID) []string {
+	table := g.subscription.current()
+	if table == nil {
+		return nil
+	}
+	var others crashwatch.Others
+	for _, name := range table.Services() {
+		service, _ := table.Service(name)
+		for _, instance := range service.Instances {
+			if instance.ID != id && instance.Serving() {
+				others.Add(instance.Address)
+			}
+		}
+	}
+	return others.Addresses()
+}
+
 // rejectQuarantined returns an error for a request in quarantine.
 func (g *Gateway) rejectQuarantined(current *request) error {
 	if failure := g.guard.Check(&current.suspicion); failure != nil {
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -180,6 +180,18 @@
 	})
 }
 
+// otherServers returns addresses of servers other than the one of a process.
+func (r *Router) otherServers(id directory.InstanceID) []string {
+	name, _, _ := strings.Cut(string(id), incarnationSeparator)
+	var others crashwatch.Others
+	r.builder.Table().EachServer(func(server *state.Server) {
+		if string(server.ID) != name && server.Session.Incarnation != "" {
+			others.Add(server.Address)
+		}
+	})
+	return others.Addresses()
+}
+
 // incarnationSeparator separates a server's identifier from that of its process.
 const incarnationSeparator = "#"
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -123,7 +123,7 @@
 	}
 	router.crashed = make(chan struct{}, 1)
 	router.guard = crashwatch.NewGuard(router.clock, settings.Name, settings.QuarantineCrashes, router.crashed)
-	router.crashes = crashwatch.NewWatch(router.clock, log, router.guard.Crashed, nil)
+	router.crashes = crashwatch.NewWatch(router.clock, log, crashwatch.Options{OnCrash: router.guard.Crashed, Others: router.otherServers})
 	router.guard.RegisterMetrics(router.registry)
 	router.overdue = newOverdueWatch(router.clock)
 	router.lifetime, router.endLifetime = context.WithCancel(context.Background())
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -77,6 +77,7 @@
 	EventServerCrashed     Event = "server_crashed"
 	EventServersUnreached  Event = "servers_unreachable"
 	EventServersReached    Event = "servers_reached"
+	EventCrashUnproven     Event = "crash_unproven"
 	EventRelayFailed       Event = "relay_failed"
 	EventAnswerCut         Event = "answer_cut"
 	EventServerReadmitted  Event = "server_readmitted"
@@ -176,6 +177,7 @@
 		{EventServerEjected, levelWarning, "A server failed too often and gets no requests for a while."},
 		{EventServersUnreached, levelWarning, "No connection can be made to most of the instances to which this gateway sent requests of late."},
 		{EventServersReached, levelInfo, "Connections to most instances can be made again."},
+		{EventCrashUnproven, levelInfo, "An instance that lost requests refuses connections, and so do others: this process may be cut off from all of them, so that it is no proof of a crash."},
 		{EventRelayFailed, levelInfo, "A request that this gateway relays for another one got no answer of its instance."},
 		{EventServerCrashed, levelWarning, "An instance ended while requests ran at it. Requests that are the same, by path, caller and body, have the same fingerprint."},
 		{EventAnswerCut, levelWarning, "An instance holds more ranges of keys than the answer to its heartbeat has room for; it lets the others go."},
