Relays: a connection is accepted before requests are sent; a gateway cut off from relays stops asking

It now welcomes the connection first, and a request is sent only after that. Test: 'connection not accepted' is rejected as not run and handed over to none. - a gateway that is cut off from other gateways too tried up to six relays for each request, each up to the connection timeout. After three failed connections to relays with no answer between them it asks none for 400 ms, and a connection to a relay may take 150 ms. Test: IsolatedGatewayStopsAsking. - the connection of a probe that no request took stayed open until the server closed it, and a request could meet it at that moment: it is closed after 1 s. - metrics take known results of relays alone.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -133,12 +133,22 @@
 	if err != nil {
 		return eris.Wrap(err, "probe")
 	}
-	if former := c.spare.Swap(opened.(*countingConnection)); former != nil {
+	probed := opened.(*countingConnection)
+	if former := c.spare.Swap(probed); former != nil {
 		_ = former.Close() // nothing was sent
 	}
+	time.AfterFunc(spareTimeout, func() {
+		if c.spare.CompareAndSwap(probed, nil) {
+			_ = probed.Close() // nothing was sent
+		}
+	})
 	return nil
 }
 
+// spareTimeout is how long the connection of a probe is kept for the next attempt. It is shorter than the idle
+// timeout of back ends, which is not known before their first answer.
+const spareTimeout = time.Second
+
 // dialForAttempt takes the connection of the last probe, or opens one.
 func (c *Client) dialForAttempt(address string, timeout time.Duration) (net.Conn, error) {
 	if probed := c.spare.Swap(nil); probed != nil {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -42,7 +42,7 @@
 		resends:  registry.Counters("resends_total", "Requests sent once more, by service and by the failure before.", "service", "kind"),
 		latency:  registry.Histograms("request_duration_seconds", "Time from a request's arrival to its answer, by service.", latencyBuckets, "service"),
 		inFlight: &gauge{},
-		relayed:  registry.Counters("relayed_requests_total", "Requests that passed through another gateway, by direction and by what the relay told; empty if it told nothing.", "direction", "result"),
+		relayed:  registry.Counters("relayed_requests_total", "Requests that passed through another gateway, by direction and by what the relay told; none if it told nothing.", "direction", "result"),
 	}
 	registry.GaugeFunction("requests_in_flight", "Requests that wait for their answer.", func() float64 { return float64(built.running()) })
 	return built
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -16,7 +16,7 @@
 )
 
 // reachInterval is the time between two checks for unreachable instances that are to be probed.
-const reachInterval = 50 * time.Millisecond
+const reachInterval = 100 * time.Millisecond
 
 // watchReach probes unreachable instances, and logs when most instances become unreachable and when they are
 // reachable again, until the context ends.
@@ -26,6 +26,9 @@
 	var most bool
 	var since time.Duration
 	clock.Every(ctx, reachInterval, func() {
+		if !most && g.reach.AllReachable() {
+			return
+		}
 		now := g.clock.Now()
 		for _, id := range g.reach.DueProbes(now) {
 			probes.Go(func() { g.probe(id) })
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -19,8 +20,12 @@
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-// relayConnections bounds the connections to one relay.
-const relayConnections = 64
+const (
+	// relayConnections bounds the connections to one relay.
+	relayConnections = 64
+	// relayDialTimeout bounds the time to open a connection to a relay: many round trips within a region.
+	relayDialTimeout = 150 * time.Millisecond
+)
 
 // relays sends requests to instances through other gateways. It is safe for concurrent use.
 type relays struct {
@@ -37,7 +42,7 @@
 	return &relays{
 		chooser: relay.NewChooser(settings.PeerAddress, settings.Zone), clients: make(map[string]*forward.Client),
 		settings: forward.Settings{
-			ConnectTimeout: settings.BackEnd.ConnectTimeout, IdleTimeout: settings.BackEnd.IdleTimeout, MaxConnections: relayConnections,
+			ConnectTimeout: min(relayDialTimeout, settings.BackEnd.ConnectTimeout), IdleTimeout: settings.BackEnd.IdleTimeout, MaxConnections: relayConnections,
 			ControlConnections: 1, MaxAnswerBytes: settings.BackEnd.MaxAnswerBytes, IDHeader: dialect.RequestID,
 			Traffic: traffic,
 			Dial: func(address string, timeout time.Duration) (net.Conn, error) {
@@ -47,18 +52,20 @@
 	}
 }
 
-// dialRelay opens a connection to another gateway that carries relayed requests.
+// dialRelay opens a connection to another gateway that carries relayed requests. It waits until the gateway has
+// accepted it, so that no request is sent to one that belongs to another cluster or has too many.
 func dialRelay(address string, timeout time.Duration, hello message.Hello) (net.Conn, error) {
 	connection, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to a relay")
 	}
-	opened := wire.NewConn(connection, wire.Options{WriteTimeout: timeout})
-	if err := opened.Send(context.Background(), &hello); err != nil {
+	opened := wire.NewConn(connection, wire.Options{WriteTimeout: timeout, IdleTimeout: timeout, ReadBufferBytes: placeReadBuffer})
+	var welcome message.RelayWelcome
+	if err := errors.Join(opened.Send(context.Background(), &hello), opened.Receive(&welcome)); err != nil {
 		opened.Close()
 		return nil, eris.Wrap(err, "introduce this gateway to a relay")
 	}
-	return connection, nil
+	return opened.Detach(), nil
 }
 
 func (r *relays) client(address string) *forward.Client {
@@ -150,6 +157,8 @@
 	if failure == nil {
 		result, failure = relay.TakeResult(&answer.Header)
 		outcome = result.Outcome()
+	} else if failure.Kind == fault.ConnectFailed {
+		outcome = relay.RelayUnreachable
 	}
 	now := g.clock.Now()
 	if current.interrupt.Fired() || current.withdrawn {
@@ -166,6 +175,6 @@
 		current.withdrawn = true
 	}
 	current.relayFailed = failure != nil && result == ""
-	g.metrics.relayed.WithLabelValues(relayedOut, string(result)).Inc()
+	g.metrics.relayed.WithLabelValues(relayedOut, result.Label()).Inc()
 	return failure
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"strconv"
@@ -29,6 +30,9 @@
 	requests atomic.Int64
 }
 
+// noWelcome is the answer of a relay that does not accept connections of this gateway.
+const noWelcome = "none"
+
 // startStubRelay starts a relay that sends an answer to each request, "" for none, and then closes the
 // connection.
 func startStubRelay(t *testing.T, answer string) *stubRelay {
@@ -62,6 +66,9 @@
 	if connection.Receive(&hello) != nil || hello.Purpose != message.PurposeRelay || hello.Cluster != "cluster" {
 		return
 	}
+	if answer == noWelcome || connection.Send(context.Background(), &message.RelayWelcome{}) != nil {
+		return
+	}
 	var request fasthttp.Request
 	if request.Read(bufio.NewReader(connection.Detach())) != nil {
 		return
@@ -132,10 +139,10 @@
 	request.Header.SetHost("h.example")
 	request.Header.Set("Thorntiller-Request-Id", "x")
 	request.Header.Set("Thorntiller-Timeout-Ms", "3000")
-	var context fasthttp.RequestCtx
-	context.Init(&request, nil, nil)
-	gateway.serve(&context)
-	return &context.Response
+	var exchange fasthttp.RequestCtx
+	exchange.Init(&request, nil, nil)
+	gateway.serve(&exchange)
+	return &exchange.Response
 }
 
 // TestRelayedRequestRunsAtMostOnce checks what callers get, and how often a request is handed over, for each way
@@ -152,6 +159,7 @@
 		{"answer", relayed(relay.Answered, "all"), "/once/", fasthttp.StatusOK, 1},
 		{"broken connection", "", "/once/", fasthttp.StatusBadGateway, 1},
 		{"broken connection, repeatable", "", "/again/", fasthttp.StatusBadGateway, 2},
+		{"connection not accepted", noWelcome, "/once/", fasthttp.StatusServiceUnavailable, 0},
 		{"half an answer", relayed(relay.Answered, "all")[:60], "/once/", fasthttp.StatusBadGateway, 1},
 		{"no result", foreign, "/once/", fasthttp.StatusBadGateway, 1},
 		{"server lost", relayed(relay.Lost, ""), "/once/", fasthttp.StatusBadGateway, 1},
@@ -204,10 +212,10 @@
 	request.Header.SetHost("h.example")
 	request.Header.Set("Thorntiller-Request-Id", "x")
 	relay.SetTarget(&request.Header, relay.Target{Service: "s", Instance: "i0"})
-	var context fasthttp.RequestCtx
-	context.Init(&request, nil, nil)
-	gateway.serveRelayed(&context)
-	if result, failure := relay.TakeResult(&context.Response.Header); result != relay.CutOff || failure == nil {
+	var exchange fasthttp.RequestCtx
+	exchange.Init(&request, nil, nil)
+	gateway.serveRelayed(&exchange)
+	if result, failure := relay.TakeResult(&exchange.Response.Header); result != relay.CutOff || failure == nil {
 		t.Errorf("result %q, %v", result, failure)
 	}
 	if count := further.requests.Load(); count != 0 {
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -65,6 +65,9 @@
 		return errTooManyRelays
 	}
 	defer context.AfterFunc(ctx, connection.Close)()
+	if err := connection.Send(ctx, &message.RelayWelcome{}); err != nil {
+		return err
+	}
 	stream := &meteredStream{Conn: connection.Detach(), traffic: connectionTraffic{g.meter}}
 	return eris.Wrap(g.relayServer.ServeConn(stream), "serve relayed requests")
 }
@@ -132,7 +135,7 @@
 	if g.stopping.Load() {
 		context.SetConnectionClose()
 	}
-	g.metrics.relayed.WithLabelValues(relayedIn, string(result)).Inc()
+	g.metrics.relayed.WithLabelValues(relayedIn, result.Label()).Inc()
 	g.logRelayed(current, instance.ID, result, failure)
 }
 
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -45,6 +45,9 @@
 	From string
 }
 
+// RelayWelcome is the first message from a gateway that accepts a connection for relayed requests.
+type RelayWelcome struct{}
+
 // ConsensusBatch carries consensus messages to one replica.
 type ConsensusBatch struct {
 	Cluster  ClusterID           `msgpack:"c"`
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -64,6 +64,9 @@
 	return !r.cutOff && (!found || known.suspected)
 }
 
+// AllReachable reports whether connections to all instances can be opened, as far as is known.
+func (r *Reach) AllReachable() bool { return r.all.Load() }
+
 // CutOff reports whether this process is cut off from all instances.
 func (r *Reach) CutOff() bool {
 	if r.all.Load() {
@@ -219,6 +222,7 @@
 	for id := range r.losses {
 		if !known(id) {
 			delete(r.losses, id)
+			delete(r.failing, id)
 		}
 	}
 	if len(r.losses) == 0 {
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -19,6 +19,10 @@
 	// maxSingleTries replaces MaxTries for an instance that this gateway cannot reach while it reaches others:
 	// most likely the instance is dead, and its requests are better rejected soon.
 	maxSingleTries = 3
+	// isolatedAfter is the number of relays to which connections must fail, without an answer of any relay, for
+	// this gateway to count as cut off from the relays too. isolationPause is how long it then relays nothing.
+	isolatedAfter  = 3
+	isolationPause = 400 * time.Millisecond
 	// reportTime is how long a gateway that could not reach an instance is not asked for it.
 	reportTime = time.Second
 	// crossZoneLoad is the number of requests in flight that outweighs another zone.
@@ -32,6 +36,10 @@
 	mutex     sync.Mutex
 	relays    []directory.Relay
 	states    map[string]*state
+	// unreached counts the failed connections to relays since the last answer of any, and isolatedUntil is when
+	// relays are asked again after too many.
+	unreached     int
+	isolatedUntil time.Duration
 	// reports has, for each instance, the gateways that could not reach it, and until when that counts.
 	reports map[directory.InstanceID]map[string]time.Duration
 }
@@ -117,7 +125,7 @@
 	if request.CutOff {
 		tries = MaxTries
 	}
-	if len(request.Tried) >= tries || c.reporting(request.Now, request.Instance) >= MaxTries {
+	if request.Now < c.isolatedUntil || len(request.Tried) >= tries || c.reporting(request.Now, request.Instance) >= MaxTries {
 		return nil
 	}
 	var usable []directory.Relay
@@ -153,8 +161,10 @@
 	Worked Outcome = iota
 	// InstanceUnreachable means that the relay reaches other instances, but not this one.
 	InstanceUnreachable
-	// RelayUnusable means that the relay does not answer, or is cut off from all instances itself.
+	// RelayUnusable means that the relay broke the connection, or is cut off from all instances itself.
 	RelayUnusable
+	// RelayUnreachable means that no connection to the relay could be opened.
+	RelayUnreachable
 	// Declined means that the relay did not send the request for another reason.
 	Declined
 )
@@ -165,19 +175,32 @@
 	defer c.mutex.Unlock()
 	known := c.state(address)
 	known.inFlight = max(known.inFlight-1, 0)
+	if outcome == RelayUnreachable {
+		c.recordUnreached(now)
+	} else {
+		c.unreached = 0
+	}
 	switch outcome {
 	case Worked:
 		known.pause = firstPause
 		delete(c.reports[id], address)
 	case InstanceUnreachable:
 		c.report(now, address, id)
-	case RelayUnusable:
+	case RelayUnusable, RelayUnreachable:
 		known.pausedUntil = now + known.pause
 		known.pause = min(2*known.pause, maxPause)
 	case Declined:
 	}
 }
 
+// recordUnreached records that no connection to a relay could be opened. The mutex must be held.
+func (c *Chooser) recordUnreached(now time.Duration) {
+	c.unreached++
+	if c.unreached >= isolatedAfter {
+		c.isolatedUntil = now + isolationPause
+	}
+}
+
 // report records that a relay cannot reach an instance. The mutex must be held.
 func (c *Chooser) report(now time.Duration, address string, id directory.InstanceID) {
 	reports, found := c.reports[id]
--- a/internal/relay/chooser_test.go
+++ b/internal/relay/chooser_test.go
@@ -202,3 +202,41 @@
 		t.Errorf("a request that is bound to a region passes through %v", chosen)
 	}
 }
+
+// TestIsolatedGatewayStopsAsking guards against a gateway that is cut off from other gateways as well, and lets
+// each request wait for one relay after the other.
+func TestIsolatedGatewayStopsAsking(t *testing.T) {
+	chooser := NewChooser("own", "z")
+	chooser.SetRelays(named(make([]string, 10)...))
+	request := Request{Instance: "i", CutOff: true}
+	fail := func(now time.Duration) bool {
+		request.Now = now
+		chosen, found := chooser.Choose(request)
+		if found {
+			chooser.End(now, chosen.Address, "i", RelayUnreachable)
+		}
+		return found
+	}
+	for try := range isolatedAfter {
+		if !fail(0) {
+			t.Fatalf("no relay for try %d", try)
+		}
+	}
+	if fail(isolationPause - 1) {
+		t.Error("relays are asked though none could be reached")
+	}
+	if !fail(isolationPause) || fail(isolationPause) {
+		t.Error("after the pause one relay must be asked, and none if it cannot be reached either")
+	}
+	request.Now = 2 * isolationPause
+	chosen, found := chooser.Choose(request)
+	if !found {
+		t.Fatal("no relay after the second pause")
+	}
+	chooser.End(request.Now, chosen.Address, "i", Worked)
+	for range isolatedAfter - 1 {
+		if !fail(request.Now) {
+			t.Error("a relay that answered must end the isolation")
+		}
+	}
+}
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -140,6 +140,16 @@
 	}
 }
 
+// Label returns the name of the result in metrics: "none" for an attempt whose relay told nothing that is known.
+func (r Result) Label() string {
+	switch r {
+	case Answered, NotSent, InstanceUnreached, CutOff, Withdrawn, Lost, Truncated, Mismatched, TimedOut:
+		return string(r)
+	default:
+		return "none"
+	}
+}
+
 // Outcome returns what a result says of the relay and of the instance.
 func (r Result) Outcome() Outcome {
 	switch r {
