Places: a gateway that cannot reach an instance does not blame it at the keeper

Cause: an attempt that failed to connect ended its place as failed, and three such ends in a row eject the instance at its keeper for all gateways, for 1 s and longer. A gateway that is cut off from all instances fails at each of them.

Change: an attempt that a relay did not send, or that failed to connect while this gateway is cut off, ends its place as unused. Evidence: TestCutOffGatewayBlamesNoInstance, whose case of the cut gateway is new; before, only a full link excused a failed connection. Until three instances failed, the first reports still count.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -211,7 +211,7 @@
 		default:
 		}
 	}
-	g.endPlace(current, took, failure)
+	g.endPlace(current, chosen, took, failure)
 	g.endInstanceToken(current, failure)
 	if g.balancer.End(outcome) {
 		g.logEjected(instance, failure)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -133,19 +133,24 @@
 }
 
 // endPlace returns the place of an attempt with its outcome.
-func (g *Gateway) endPlace(current *request, took time.Duration, failure *fault.Error) {
-	outcome := room.Answered
+func (g *Gateway) endPlace(current *request, chosen way, took time.Duration, failure *fault.Error) {
+	current.place.end(g.placeOutcome(current, chosen, failure), took)
+	current.place = nil
+}
+
+// placeOutcome returns what an attempt says of its instance to the keeper, which counts failures for all gateways.
+func (g *Gateway) placeOutcome(current *request, chosen way, failure *fault.Error) room.Outcome {
 	switch {
-	case current.interrupt.Fired() || current.withdrawn:
-		outcome = room.Unused
+	case current.interrupt.Fired() || current.withdrawn || current.relayFailed:
+		return room.Unused
 	case failure == nil:
+		return room.Answered
 	case failure.Kind == fault.Shedding || failure.Kind == fault.ServerResting || failure.Kind == fault.WrongEpoch:
-		outcome = room.Full
-	case failure.Kind == fault.ConnectFailed && g.linkFull(current):
-		outcome = room.Unused
+		return room.Full
+	case failure.Kind == fault.ConnectFailed && (chosen.relay != "" || g.reach.CutOff() || g.linkFull(current)):
+		// The cause may be this gateway, its link or the relay.
+		return room.Unused
 	default:
-		outcome = room.Failed
+		return room.Failed
 	}
-	current.place.end(outcome, took)
-	current.place = nil
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -16,9 +16,12 @@
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/relay"
+	"github.com/thorntiller/thorntiller/internal/room"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -242,3 +245,35 @@
 		t.Error("a gateway that has no directory yet serves anybody")
 	}
 }
+
+// TestCutOffGatewayBlamesNoInstance guards against a keeper that ejects instances for all gateways because one of
+// them cannot reach any.
+func TestCutOffGatewayBlamesNoInstance(t *testing.T) {
+	failed := func() *request {
+		return &request{interrupt: &forward.Interrupt{}, clock: testClock, route: &directory.Route{}}
+	}
+	connectFailed, lost := fault.New(fault.ConnectFailed, ""), fault.New(fault.ConnectionLost, "")
+	cutOff, connected := newCutOffGateway(t), newCutOffGateway(t)
+	connected.reach.Reached(0, "i0")
+	brokenRelay := failed()
+	brokenRelay.relayFailed = true
+	for _, c := range []struct {
+		name    string
+		gateway *Gateway
+		current *request
+		chosen  way
+		failure *fault.Error
+		want    room.Outcome
+	}{
+		{"cut off", cutOff, failed(), way{}, connectFailed, room.Unused},
+		{"connected", connected, failed(), way{}, connectFailed, room.Failed},
+		{"relay that cannot reach it", connected, failed(), way{relay: "r"}, connectFailed, room.Unused},
+		{"relay that broke", connected, brokenRelay, way{relay: "r"}, lost, room.Unused},
+		{"instance that broke behind a relay", connected, failed(), way{relay: "r"}, lost, room.Failed},
+		{"answer through a relay", cutOff, failed(), way{relay: "r"}, nil, room.Answered},
+	} {
+		if got := c.gateway.placeOutcome(c.current, c.chosen, c.failure); got != c.want {
+			t.Errorf("%s: outcome %d, want %d", c.name, got, c.want)
+		}
+	}
+}
