Relays: a slow instance or a busy connection pool does not make a relay unusable

Three deadlines in a row without an answer now count against a relay, and a request without a free connection goes elsewhere. Test: DeadlinesOfOneInstanceLeaveTheRelay.

The list of candidates is no longer copied for each request.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -96,8 +96,7 @@
 	}
 	now := g.clock.Now()
 	direct, relayed := g.candidates(now, current, service.Instances)
-	candidates := append(slices.Clone(direct), relayed...)
-	if len(candidates) == 0 {
+	if len(direct)+len(relayed) == 0 {
 		return directory.Instance{}, current.noInstanceFailure()
 	}
 	instance, chosen := g.chooseAmong(now, current, direct)
@@ -105,7 +104,7 @@
 		instance, chosen = g.chooseAmong(now, current, relayed)
 	}
 	if !chosen {
-		current.candidates = g.balancer.InstanceLoads(g.clock.Now(), candidates)
+		current.candidates = g.balancer.InstanceLoads(g.clock.Now(), append(direct, relayed...))
 		return directory.Instance{}, fault.Newf(fault.QueueFull, "each instance of service %q has as many requests as it may", current.service)
 	}
 	if !g.coldStarts.take(now, instance.ID) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -153,17 +153,17 @@
 // endRelayed records what became of a request at a relay, and returns its failure. Failure is that of the
 // connection to the relay; nil if the relay answered.
 func (g *Gateway) endRelayed(current *request, id directory.InstanceID, address string, answer *fasthttp.Response, failure *fault.Error) *fault.Error {
-	result, outcome := relay.Result(""), relay.RelayUnusable
+	result, outcome := relay.Result(""), relay.Declined
 	if failure == nil {
 		result, failure = relay.TakeResult(&answer.Header)
 		outcome = result.Outcome()
-	} else if failure.Kind == fault.ConnectFailed {
-		outcome = relay.RelayUnreachable
+	} else {
+		current.relayFailed = true
+		if !current.interrupt.Fired() && !current.withdrawn {
+			outcome, failure = relayFailure(failure)
+		}
 	}
 	now := g.clock.Now()
-	if current.interrupt.Fired() || current.withdrawn {
-		outcome = relay.Declined
-	}
 	g.relays.chooser.End(now, address, id, outcome)
 	if outcome == relay.Worked {
 		g.reach.Relayed(now, id)
@@ -174,7 +174,21 @@
 	if result == relay.Withdrawn {
 		current.withdrawn = true
 	}
-	current.relayFailed = failure != nil && result == ""
 	g.metrics.relayed.WithLabelValues(relayedOut, result.Label()).Inc()
 	return failure
 }
+
+// relayFailure returns what the failure of a connection to a relay says of the relay, and the failure of the
+// attempt: without a free connection to one relay, another one may be asked.
+func relayFailure(failure *fault.Error) (relay.Outcome, *fault.Error) {
+	switch failure.Kind {
+	case fault.ConnectFailed:
+		return relay.RelayUnreachable, failure
+	case fault.QueueFull:
+		return relay.Declined, fault.New(fault.ConnectFailed, "all connections to the relay are in use")
+	case fault.DeadlineExceeded:
+		return relay.Unanswered, failure
+	default:
+		return relay.RelayUnusable, failure
+	}
+}
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -23,6 +23,9 @@
 	// this gateway to count as cut off from the relays too. isolationPause is how long it then relays nothing.
 	isolatedAfter  = 3
 	isolationPause = 400 * time.Millisecond
+	// silentAfter is the number of deadlines that must pass in a row, without an answer of a relay between them,
+	// for the relay to count as unusable: one may be the fault of an instance.
+	silentAfter = 3
 	// reportTime is how long a gateway that could not reach an instance is not asked for it.
 	reportTime = time.Second
 	// crossZoneLoad is the number of requests in flight that outweighs another zone.
@@ -49,6 +52,8 @@
 	inFlight    int
 	pausedUntil time.Duration
 	pause       time.Duration
+	// unanswered counts the deadlines that passed since the last answer.
+	unanswered int
 }
 
 // NewChooser returns a chooser for the gateway with a peer address and a zone.
@@ -163,6 +168,8 @@
 	InstanceUnreachable
 	// RelayUnusable means that the relay broke the connection, or is cut off from all instances itself.
 	RelayUnusable
+	// Unanswered means that the deadline passed without an answer, of the instance or the relay.
+	Unanswered
 	// RelayUnreachable means that no connection to the relay could be opened.
 	RelayUnreachable
 	// Declined means that the relay did not send the request for another reason.
@@ -182,17 +189,29 @@
 	}
 	switch outcome {
 	case Worked:
-		known.pause = firstPause
+		known.pause, known.unanswered = firstPause, 0
 		delete(c.reports[id], address)
 	case InstanceUnreachable:
+		known.unanswered = 0
 		c.report(now, address, id)
 	case RelayUnusable, RelayUnreachable:
-		known.pausedUntil = now + known.pause
-		known.pause = min(2*known.pause, maxPause)
+		known.endUnusable(now)
+	case Unanswered:
+		known.unanswered++
+		if known.unanswered >= silentAfter {
+			known.endUnusable(now)
+		}
 	case Declined:
 	}
 }
 
+// endUnusable starts a pause in which the relay is not asked.
+func (s *state) endUnusable(now time.Duration) {
+	s.pausedUntil = now + s.pause
+	s.pause = min(2*s.pause, maxPause)
+	s.unanswered = 0
+}
+
 // recordUnreached records that no connection to a relay could be opened. The mutex must be held.
 func (c *Chooser) recordUnreached(now time.Duration) {
 	c.unreached++
--- a/internal/relay/chooser_test.go
+++ b/internal/relay/chooser_test.go
@@ -240,3 +240,26 @@
 		}
 	}
 }
+
+// TestDeadlinesOfOneInstanceLeaveTheRelay guards against a relay that is left out because an instance behind it is
+// slow. Only several deadlines in a row, with no answer between them, count against the relay.
+func TestDeadlinesOfOneInstanceLeaveTheRelay(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		outcomes  []Outcome
+		available bool
+	}{
+		{"deadlines between answers", []Outcome{Unanswered, Unanswered, Worked, Unanswered, Unanswered}, true},
+		{"deadlines alone", []Outcome{Unanswered, Unanswered, Unanswered}, false},
+		{"no free connection", []Outcome{Declined, Declined, Declined, Declined}, true},
+	} {
+		chooser := NewChooser("own", "z")
+		chooser.SetRelays(named("z"))
+		for _, outcome := range c.outcomes {
+			chooser.End(0, "g0", "i", outcome)
+		}
+		if got := chooser.Available(Request{Instance: "i", CutOff: true}); got != c.available {
+			t.Errorf("%s: available %v, want %v", c.name, got, c.available)
+		}
+	}
+}
