--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -48,7 +49,8 @@
 	return built
 }
 
-// observe records a request in the metrics, and logs it if the gateway refused it or sent it more than once.
+// observe records a request in the metrics, and logs it if the gateway refused it, or sent it more than once or
+// through another gateway.
 func (g *Gateway) observe(current *request, failure *fault.Error) {
 	took := g.clock.Now() - current.arrived
 	kind := ""
@@ -57,7 +59,8 @@
 	}
 	g.metrics.requests.WithLabelValues(current.service, kind).Inc()
 	g.metrics.latency.WithLabelValues(current.service).Observe(took.Seconds())
-	if failure == nil && len(current.attempts) <= 1 {
+	relayed := slices.ContainsFunc(current.outcomes, func(outcome attemptOutcome) bool { return outcome.Relay != "" })
+	if failure == nil && len(current.attempts) <= 1 && !relayed {
 		return
 	}
 	line := telemetry.With(g.log, telemetry.EventRequestEnded).WithField(telemetry.FieldRequest, current.id).
@@ -77,6 +80,10 @@
 	if current.keyed {
 		line = line.WithField("key", current.key)
 	}
+	if failure == nil && relayed {
+		line.Info("request answered through another gateway")
+		return
+	}
 	if failure == nil {
 		line.Info("request answered after a resend")
 		return
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -190,7 +190,7 @@
 		{EventPrimaryEnded, levelInfo, "This router is the primary of a record partition no longer."},
 		{EventPeerUnreachable, levelWarning, "Another router does not answer this one; the controllers are told."},
 		{EventPeerReached, levelInfo, "Another router answers again, or has no record partition any more."},
-		{EventRequestEnded, levelInfo, "A gateway answered a request by itself, or after it was sent more than once."},
+		{EventRequestEnded, levelInfo, "A gateway answered a request by itself, or after it was sent more than once or through another gateway."},
 		{EventRequestMalformed, levelInfo, "A request could not be read, and its connection was closed."},
 		{EventLinkBytes, levelInfo, "Bytes that passed a gateway's link since the last such line, by direction and kind."},
 		{EventRestingClosed, levelInfo, "A gateway that stops closes the callers' connections without a request; it waited until none was on its way, at most half of the time left."},
