Intent client: no attempt begins without time for its answer

Cause: attempts went on until the time limit, and the last one was cut off by it. An unknown outcome takes the place of a known refusal, rightly so: that attempt had been sent. Change: with less than 150 ms left no further attempt begins, and the known failure is returned.

Test: BeginsNoAttemptWithoutTime, a stub that is slow in the last 100 ms; without the change it ends with deadline_exceeded. An answer that is later than that in an earlier attempt still ends with an unknown outcome: nothing tells what became of it.

--- a/internal/intentapi/call.go
+++ b/internal/intentapi/call.go
@@ -58,7 +58,7 @@
 }
 
 // callWithRetry tries all endpoints in rounds, with back-off between the rounds, until the call
-// succeeds, fails with an error that is not retryable, or the context ends. In the last case
+// succeeds, fails with an error that is not retryable, or too little time is left. In the last case
 // it returns the error that preferredError selects from all rounds.
 func (c *Client) callWithRetry(ctx context.Context, call call) error {
 	var failure error
@@ -68,12 +68,22 @@
 			return err
 		}
 		failure = call.preferredError(failure, err)
-		if sleep(ctx, c.backoff(attempt)) != nil {
+		if sleep(ctx, c.backoff(attempt)) != nil || !timeForAnswer(ctx) {
 			return failure
 		}
 	}
 }
 
+// minAnswerTime is the time that an answer may take under load. A further attempt with less time left would most
+// likely end with an unknown outcome, which says less than the failure that is known.
+const minAnswerTime = 150 * time.Millisecond
+
+// timeForAnswer reports whether a further attempt has time for its answer.
+func timeForAnswer(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return !limited || time.Until(deadline) >= minAnswerTime
+}
+
 // preferredError selects which of two errors of a call to return. For a write, an error with
 // an unknown outcome is kept, since a later refusal says nothing about the earlier
 // attempt. For a read, the earlier error is kept if the later one is only a timeout.
--- a/internal/intentapi/client_test.go
+++ b/internal/intentapi/client_test.go
@@ -161,6 +161,29 @@
 	}
 }
 
+// TestClientBeginsNoAttemptWithoutTime guards against a write whose failure is known, and whose last attempt is cut
+// off by the time limit, so that its outcome counts as unknown.
+func TestClientBeginsNoAttemptWithoutTime(t *testing.T) {
+	const (
+		limit = 400 * time.Millisecond
+		slow  = 100 * time.Millisecond
+		calls = 8
+	)
+	refuseLeader := refuse(fault.NotLeader, "")
+	for range calls {
+		ctx := contextWithTimeout(t, limit)
+		replica := startReplica(t, func(context *fasthttp.RequestCtx) {
+			if deadline, _ := ctx.Deadline(); time.Until(deadline) < slow {
+				time.Sleep(limit)
+			}
+			refuseLeader(context)
+		})
+		if _, err := newTestClient(t, replica.address).Confirm(ctx, "p1", ConfirmRequest{}); !fault.Is(err, fault.NotLeader) {
+			t.Errorf("error %v, though each attempt with enough time was refused", err)
+		}
+	}
+}
+
 func TestClientStopsAtFinalErrors(t *testing.T) {
 	for _, kind := range []fault.Kind{fault.StalePlan, fault.Conflict, fault.InvalidArgument, fault.NotFound, fault.Unauthorized} {
 		first := startReplica(t, refuse(kind, ""))
