Quarantine: answers between the acknowledgement of a crash and the list count

What callers saw: a harmless request that was in flight at a crash cost a trial, during which equal requests wait, although it had been answered. Cause, two of them: a gateway forgot its own suspicion when the leader acknowledged the crash, before the directory listed the request, and did not report an answer between the two; and an answer counted as a repetition of an earlier one that was not acknowledged yet, even if a server had crashed between them.

Evidence: TestAnswerBetweenAcknowledgementAndListCounts and TestAnswerBehindAnUnacknowledgedOneCounts, whose errors had been turned into log lines when they landed; as errors again, both fail without this change. Change: a request whose crashes are acknowledged is watched for 3 s or until it is listed; an answer is a repetition only if no crash was observed after the earlier one.

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -37,6 +37,9 @@
 	localSuspectTime = time.Minute
 	// maxLocalSuspects limits the requests that this process suspects without the leader.
 	maxLocalSuspects = 256
+	// handoverTime is how long after its last crash answers to a request are reported while the directory does not
+	// list it: the leader may have cleared it before it was listed.
+	handoverTime = 3 * time.Second
 )
 
 // Guard decides in one gateway or router which requests may be sent, and keeps the observations that are
@@ -52,7 +55,10 @@
 	// localSuspects are requests that were in flight at crashes which no leader has acknowledged yet. They let
 	// the process protect its servers without a leader.
 	localSuspects map[directory.Fingerprint]*localSuspect
-	// suspectedPaths has the path hashes of suspects and localSuspects.
+	// handedOver are requests whose crashes the leader has acknowledged, and which the directory does not list
+	// yet.
+	handedOver map[directory.Fingerprint]handedOver
+	// suspectedPaths has the path hashes of suspects, localSuspects and handedOver.
 	suspectedPaths map[directory.PathHash]bool
 	// usedTrials has, for each suspect, the number of the last trial that this process used.
 	usedTrials map[directory.Fingerprint]int
@@ -76,6 +82,13 @@
 	lastSeenAt, thresholdAt time.Duration
 }
 
+// handedOver is a request that the leader suspects from now on.
+type handedOver struct {
+	path directory.PathHash
+	// crashedAt is the time of the last crash.
+	crashedAt time.Duration
+}
+
 // observation is a crash or an answer that is to be reported to the leader.
 type observation struct {
 	at          time.Duration
@@ -103,6 +116,7 @@
 		process: process, crashThreshold: crashThreshold,
 		suspects:       make(map[directory.Fingerprint]directory.Suspect),
 		localSuspects:  make(map[directory.Fingerprint]*localSuspect),
+		handedOver:     make(map[directory.Fingerprint]handedOver),
 		suspectedPaths: make(map[directory.PathHash]bool), usedTrials: make(map[directory.Fingerprint]int),
 		rejections: make(map[directory.Fingerprint]*rejection), asks: make(map[directory.Fingerprint]*ask),
 	}
@@ -113,6 +127,7 @@
 	clear(g.suspects)
 	for _, suspect := range suspects {
 		g.suspects[suspect.Fingerprint] = suspect
+		delete(g.handedOver, suspect.Fingerprint)
 	}
 	for fingerprint := range g.usedTrials {
 		if _, found := g.suspects[fingerprint]; !found {
@@ -142,6 +157,13 @@
 		}
 		g.suspectedPaths[local.path] = true
 	}
+	for fingerprint, handed := range g.handedOver {
+		if now-handed.crashedAt > handoverTime {
+			delete(g.handedOver, fingerprint)
+			continue
+		}
+		g.suspectedPaths[handed.path] = true
+	}
 }
 
 // Idle reports whether no request is suspected.
@@ -269,20 +291,35 @@
 // Answered records that an instance answered a request, and returns whether the leader should get a report
 // of it now.
 func (g *Guard) Answered(now time.Duration, fingerprint directory.Fingerprint) bool {
-	if !g.Suspected(fingerprint) {
+	handed, found := g.handedOver[fingerprint]
+	if !g.Suspected(fingerprint) && (!found || now-handed.crashedAt > handoverTime) {
 		return false
 	}
 	delete(g.localSuspects, fingerprint)
+	delete(g.handedOver, fingerprint)
 	g.rebuildPaths(now)
-	for _, o := range g.observations {
-		if o.isAnswer() && o.answered == fingerprint && !o.acknowledged && now-o.at < reportRetryInterval {
-			return false
-		}
+	if g.answerPending(now, fingerprint) {
+		return false
 	}
 	g.addObservation(&observation{at: now, answered: fingerprint})
 	return true
 }
 
+// answerPending reports whether an answer of the request is under way to the leader, and no crash was observed
+// after it.
+func (g *Guard) answerPending(now time.Duration, fingerprint directory.Fingerprint) bool {
+	pending := false
+	for _, o := range g.observations {
+		switch {
+		case o.crash != nil && (o.crash.Fingerprint == fingerprint || o.crash.OfAnyCaller == fingerprint):
+			pending = false
+		case o.isAnswer() && o.answered == fingerprint && !o.acknowledged && now-o.at < reportRetryInterval:
+			pending = true
+		}
+	}
+	return pending
+}
+
 // isAnswer reports whether the observation is an answer.
 func (o *observation) isAnswer() bool { return o.crash == nil && o.trialEnd == nil }
 
@@ -300,7 +337,7 @@
 
 // Report returns the next report to the leader, or false if there is nothing to report.
 func (g *Guard) Report(now time.Duration) (Report, bool) {
-	if len(g.localSuspects) > 0 {
+	if len(g.localSuspects)+len(g.handedOver) > 0 {
 		g.rebuildPaths(now)
 	}
 	report := Report{Number: g.lastReport + 1}
@@ -365,13 +402,13 @@
 		}
 		o.acknowledged = true
 		if o.crash != nil {
-			g.dropLocalCrash(*o.crash)
+			g.dropLocalCrash(o.at, *o.crash)
 		}
 	}
 }
 
 // dropLocalCrash removes a crash from the local suspects, because the leader counts it from now on.
-func (g *Guard) dropLocalCrash(crash Crash) {
+func (g *Guard) dropLocalCrash(at time.Duration, crash Crash) {
 	local, found := g.localSuspects[crash.Fingerprint]
 	if !found {
 		return
@@ -379,6 +416,9 @@
 	delete(local.instances, crash.Instance)
 	if len(local.instances) == 0 {
 		delete(g.localSuspects, crash.Fingerprint)
+		if _, listed := g.suspects[crash.Fingerprint]; !listed && len(g.handedOver) < maxLocalSuspects {
+			g.handedOver[crash.Fingerprint] = handedOver{path: local.path, crashedAt: at}
+		}
 	}
 }
 
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// TestHandedOverRequestIsForgotten: answers to a request whose crash the leader has acknowledged are reported until
+// the directory would list it, and not for longer.
+func TestHandedOverRequestIsForgotten(t *testing.T) {
+	g := newTestGuard()
+	crashAt(g, time.Second, "a")
+	report, _ := g.Report(time.Second)
+	g.Acknowledge(report.Number)
+	if g.Suspected(1) || g.Idle() {
+		t.Error("the request must be watched, though this process suspects it no more")
+	}
+	if g.Answered(time.Second+handoverTime+1, 1) {
+		t.Error("an answer long after the acknowledgement is reported")
+	}
+	g.Report(time.Second + handoverTime + 1)
+	if !g.Idle() {
+		t.Error("the request is still watched")
+	}
+}
+
 // TestTrialIsUsedOnce: only the gateway named in the directory may use a trial, once; a trial that reached
 // no instance can be used again.
 func TestTrialIsUsedOnce(t *testing.T) {
--- a/internal/quarantine/order_test.go
+++ b/internal/quarantine/order_test.go
@@ -361,7 +361,7 @@
 	if g.Answered(b.now, poll) {
 		b.tell(g)
 	} else {
-		t.Log("the answer is not reported, since the request is in no list yet")
+		t.Error("the answer is not reported")
 	}
 	b.update(g)
 	b.loseOthers(g)
@@ -383,7 +383,7 @@
 	b.handle(g, b.send(g))
 	b.wait(50 * time.Millisecond)
 	if !g.Answered(b.now, poll) {
-		t.Log("the answer is not reported, since an earlier one is not acknowledged yet")
+		t.Error("the answer is not reported")
 	} else {
 		b.handle(g, b.send(g))
 	}
