Relays: the tenant reaches the instance, and a stop waits until answers are written

Found on reading the change once more: - the relay took off the header that names the tenant, as it does with what callers send, so that an instance behind it served the request without one. Test: TestRelayedRequestArrivesAsItWasSent, which fails with tenant "" without the change. - a stop counted a relayed request as ended when its handler returned, before the answer was written, and could cut it off. It now counts until the connection is idle again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,7 @@
 	// idleCallers has the callers' connections without a request.
 	idleCallers *idleConnections
 	// relayStreams counts the connections of other gateways for relayed requests, and relayedRunning the
-	// requests that this gateway relays now.
+	// relayed requests whose answers are not written yet.
 	relayStreams   atomic.Int64
 	relayedRunning atomic.Int64
 	// stopping is set once a stop began; each answer then closes its connection.
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -277,3 +279,93 @@
 		}
 	}
 }
+
+// TestRelayedRequestArrivesAsItWasSent checks that an instance behind a relay gets the tenant that the first gateway
+// named and none of the relay's headers, and that a stop waits until the answer is written.
+func TestRelayedRequestArrivesAsItWasSent(t *testing.T) {
+	arrived, release := make(chan http.Header, 1), make(chan struct{})
+	instance := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		arrived <- request.Header.Clone()
+		<-release
+		writer.Header().Set("Thorntiller-Request-Id", "x")
+		_, _ = io.WriteString(writer, strings.Repeat("a", 100_000))
+	}))
+	defer instance.Close()
+	gateway := newCutOffGateway(t)
+	gateway.reach.Reached(0, "i0")
+	changed := directory.New()
+	if err := changed.Apply(9, directory.Command{Instances: []directory.Instance{{
+		ID: "i0", Service: "s", Address: instance.Listener.Addr().String(), Zone: "z", Slots: 4, State: directory.InstanceReady,
+	}}}); err != nil {
+		t.Fatal(err)
+	}
+	changes := changed.RoutingSince(0)
+	changes.From = 2
+	if err := gateway.subscription.apply(message.DirectoryUpdate{Changes: &changes}); err != nil {
+		t.Fatal(err)
+	}
+	near, far := tcpPair(t)
+	var serving conc.WaitGroup
+	defer serving.Wait()
+	serving.Go(func() {
+		_ = gateway.serveRelay(context.Background(), message.Hello{Cluster: "cluster"}, wire.NewConn(far, wire.Options{}))
+	})
+	connection := wire.NewConn(near, wire.Options{})
+	defer connection.Close()
+	var welcome message.RelayWelcome
+	if err := connection.Receive(&welcome); err != nil {
+		t.Fatal(err)
+	}
+	var request fasthttp.Request
+	request.SetRequestURI("/once/")
+	request.Header.SetHost("h.example")
+	request.Header.Set("Thorntiller-Request-Id", "x")
+	request.Header.Set("Thorntiller-Tenant", "team")
+	relay.SetTarget(&request.Header, relay.Target{Service: "s", Instance: "i0"})
+	stream := connection.Detach()
+	if _, err := request.WriteTo(stream); err != nil {
+		t.Fatal(err)
+	}
+	header := <-arrived
+	for name := range header {
+		if strings.Contains(name, "Relay") {
+			t.Errorf("the instance gets %s", name)
+		}
+	}
+	if header.Get("Thorntiller-Tenant") != "team" {
+		t.Errorf("the instance gets tenant %q", header.Get("Thorntiller-Tenant"))
+	}
+	if gateway.relayedRunning.Load() != 1 {
+		t.Errorf("%d relayed requests are counted", gateway.relayedRunning.Load())
+	}
+	close(release)
+	var answer fasthttp.Response
+	if err := answer.Read(bufio.NewReader(stream)); err != nil {
+		t.Fatal(err)
+	}
+	if result, failure := relay.TakeResult(&answer.Header); failure != nil || len(answer.Body()) != 100_000 {
+		t.Errorf("result %q, %v, %d bytes", result, failure, len(answer.Body()))
+	}
+	if err := gateway.awaitRelayed(gateway.clock.Now() + time.Minute); err != nil {
+		t.Error(err)
+	}
+}
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	near, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -51,10 +51,27 @@
 		NoDefaultDate:                true,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
+		ConnState:                    g.countRelayed,
 		Logger:                       g.log,
 	}
 }
 
+// countRelayed counts the connections that carry a relayed request, from its first byte until its answer is written.
+func (g *Gateway) countRelayed(connection net.Conn, change fasthttp.ConnState) {
+	stream, ok := connection.(*meteredStream)
+	if !ok {
+		return
+	}
+	active := change == fasthttp.StateActive
+	switch {
+	case active && !stream.active:
+		g.relayedRunning.Add(1)
+	case !active && stream.active:
+		g.relayedRunning.Add(-1)
+	}
+	stream.active = active
+}
+
 // serveRelay serves relayed requests on a connection of another gateway until it ends.
 func (g *Gateway) serveRelay(ctx context.Context, hello message.Hello, connection *wire.Conn) error {
 	if cluster := g.subscription.clusterID(); cluster == "" || hello.Cluster != cluster {
@@ -78,6 +95,8 @@
 	traffic connectionTraffic
 	// turn waits for the turn to send bytes of the answer; nil for none.
 	turn func(bytes int)
+	// active is true while the connection carries a request.
+	active bool
 }
 
 // Read implements net.Conn.
@@ -112,8 +131,6 @@
 
 // serveRelayed sends one request of another gateway to the instance that this gateway has chosen.
 func (g *Gateway) serveRelayed(context *fasthttp.RequestCtx) {
-	g.relayedRunning.Add(1)
-	defer g.relayedRunning.Add(-1)
 	g.metrics.inFlight.Inc()
 	defer g.metrics.inFlight.Dec()
 	g.meter.Add(link.In, link.Bodies, len(context.Request.Body()))
@@ -163,7 +180,10 @@
 	if !found {
 		return current, directory.Instance{}, fault.Newf(fault.UnknownService, "no route for host %.100q", header.Host())
 	}
-	current.route, current.urgency = route, table.Urgency(route, nil)
+	if name := string(header.Peek(g.dialect.Tenant)); name != "" {
+		current.tenant = &directory.Tenant{Name: name}
+	}
+	current.route, current.urgency = route, table.Urgency(route, current.tenant)
 	current.service, current.keyed, current.key = target.Service, target.Keyed, target.Key
 	service, found := table.Service(target.Service)
 	if !found {
