Reach: dead instances whose probes fail together are no cut

Found on reading. Each failed probe counted as a failure at its instance, so that three dead instances probed between two answers made the gateway count as cut off; the next answer ended that and had all unreachable instances probed at once, again and again. After the loss of a zone of a large fleet that would be a dozen connections each 100 ms from each gateway. Now an instance counts once, when it becomes unreachable, and the end of a cut hastens the probes of those that became unreachable with it alone.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -32,7 +32,9 @@
 	// failing has the instances to which a connection failed since the last success at any instance, and when.
 	failing map[directory.InstanceID]time.Duration
 	cutOff  bool
-	probes  int
+	// cutOffSince is when this process was last cut off.
+	cutOffSince time.Duration
+	probes      int
 	// sampledAt is when an instance that answered through a relay was last chosen for a probe.
 	sampledAt time.Duration
 }
@@ -42,8 +44,10 @@
 	// suspected is true for an instance that is still reachable as far as is known.
 	suspected bool
 	probing   bool
-	probeAt   time.Duration
-	pause     time.Duration
+	// failedAt is when the first connection failed.
+	failedAt time.Duration
+	probeAt  time.Duration
+	pause    time.Duration
 }
 
 // New returns a Reach by which all instances are reachable.
@@ -84,15 +88,19 @@
 	known, found := r.losses[id]
 	switch {
 	case !found:
-		r.losses[id] = &loss{probeAt: now + firstPause, pause: firstPause}
+		r.losses[id] = &loss{failedAt: now, probeAt: now + firstPause, pause: firstPause}
 	case known.suspected:
-		known.suspected = false
+		known.suspected, known.failedAt = false, now
+	default:
+		// An instance that stays unreachable says nothing new of the others.
+		return
 	}
 	r.noteFailure(now, id)
 	r.all.Store(false)
 }
 
-// noteFailure updates whether this process is cut off. The mutex must be held.
+// noteFailure updates whether this process is cut off, after an instance became unreachable. The mutex must be
+// held.
 func (r *Reach) noteFailure(now time.Duration, id directory.InstanceID) {
 	r.failing[id] = now
 	recent := 0
@@ -101,7 +109,9 @@
 			recent++
 		}
 	}
-	r.cutOff = r.cutOff || recent >= cutOffInstances
+	if !r.cutOff && recent >= cutOffInstances {
+		r.cutOff, r.cutOffSince = true, now
+	}
 }
 
 // Suspect schedules a probe of an instance whose open connection may have gone dead: a request got no byte of
@@ -129,7 +139,7 @@
 }
 
 // Reached records that an instance answered or accepted a connection. If this process was cut off, it is so no
-// longer, and the other unreachable instances are probed at once.
+// longer, and the other instances that became unreachable with it are probed at once.
 func (r *Reach) Reached(now time.Duration, id directory.InstanceID) {
 	if r.all.Load() {
 		return
@@ -141,7 +151,9 @@
 	if r.cutOff {
 		r.cutOff = false
 		for _, other := range r.losses {
-			other.probeAt = min(other.probeAt, now)
+			if other.failedAt >= r.cutOffSince-cutOffWindow {
+				other.probeAt = min(other.probeAt, now)
+			}
 		}
 	}
 	r.updateAll()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -147,3 +147,29 @@
 		}
 	})
 }
+
+// TestDeadInstancesAreNoCutWhenProbed guards against many dead instances whose probes fail together, between two
+// answers of others: the process would count as cut off each time, and probe all of them again at once.
+func TestDeadInstancesAreNoCutWhenProbed(t *testing.T) {
+	r := New()
+	now := time.Duration(0)
+	for index := range 10 {
+		r.Failed(now, directory.InstanceID(rune('a'+index)))
+		r.Reached(now, "alive")
+	}
+	probes := 0
+	const length = 10 * time.Second
+	for ; now < length; now += 100 * time.Millisecond {
+		for _, id := range r.DueProbes(now) {
+			probes++
+			r.ProbeEnded(now, id, false)
+		}
+		if r.CutOff() {
+			t.Fatalf("cut off at %s", now)
+		}
+		r.Reached(now, "alive")
+	}
+	if most := 10 * int(length/maxPause+1); probes > most {
+		t.Errorf("%d probes of ten dead instances in %s, want at most %d", probes, length, most)
+	}
+}
