--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,7 +2,7 @@
 # Runs all tests with the race detector and prints a closing line.
 #
 # KNOWN-RED.txt, if it is there, lists at most three tests that fail for a known
-# fault, one a line:
+# fault, one fault a line; a test with several faults has several lines:
 #
 #     internal/package TestName, cause, issue
 #
@@ -30,13 +30,25 @@
 }
 
 declare -a red_packages=() red_tests=()
+
+# is_listed PACKAGE TEST reports whether the test was listed by an earlier line.
+is_listed() {
+	for index in "${!red_tests[@]}"; do
+		[[ ${red_packages[$index]} == "$1" && ${red_tests[$index]} == "$2" ]] && return 0
+	done
+	return 1
+}
+
 if [[ -f $known_red_file ]]; then
 	while IFS= read -r line; do
 		[[ -z $line ]] && continue
 		[[ $line =~ ^([^[:space:],]+)\ (Test[A-Za-z0-9_]*),\ ?[^,]+,\ ?[^,]+ ]] ||
 			fail "$known_red_file: \"$line\" is not \"package/path TestName, cause, issue\""
-		red_packages+=("./${BASH_REMATCH[1]}")
-		red_tests+=("${BASH_REMATCH[2]}")
+		package=./${BASH_REMATCH[1]}
+		test=${BASH_REMATCH[2]}
+		is_listed "$package" "$test" && continue
+		red_packages+=("$package")
+		red_tests+=("$test")
 	done <"$known_red_file"
 	((${#red_tests[@]} <= known_red_limit)) ||
 		fail "$known_red_file lists ${#red_tests[@]} tests; at most $known_red_limit may be listed"
