Quarantine: the leader logs each end of a trial with its reason

Cause: a second trial of a released request was granted 5.2 s after the first one, and no line told whether the gateway had reported an end, the leader had given the process up, or a crash was ambiguous. Change: the decision trial_ended with the reason reported_without_crash, process_restarted, process_silent or ambiguous_crash.

--- a/internal/controller/suspects.go
+++ b/internal/controller/suspects.go
@@ -173,6 +173,9 @@
 	case quarantine.Tried:
 		text = "suspected request may be sent once as a trial"
 		entry = entry.WithField("gateway", suspect.TrialBy).WithField("trial", suspect.Trials)
+	case quarantine.TrialEnded:
+		text = "trial of a suspected request is over; the request stays on probation"
+		entry = entry.WithField("gateway", suspect.TrialBy).WithField("trial", suspect.Trials).WithField("reason", event.Reason)
 	case quarantine.Expired:
 		text = "request no longer suspected: it was not seen again"
 	case quarantine.Evicted:
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -149,7 +149,7 @@
 		l.handleCrash(now, process, crash)
 	}
 	for _, end := range report.TrialEnds {
-		l.handleTrialEnd(process, end)
+		l.handleTrialEnd(now, process, end)
 	}
 	for _, fingerprint := range report.Rejected {
 		if e, found := l.entries[fingerprint]; found {
@@ -368,6 +368,7 @@
 	case e.trialCrashAt > 0:
 		l.decideTrialCrash(now, e)
 	case suspect.TrialBy != "" && now >= e.trialUntil:
+		l.recordTrialEnd(now, ProcessSilent, e)
 		e.endTrial()
 	case l.quarantineDueWithoutTrial(now, e):
 		suspect.Doubtful = suspect.Doubtful || l.othersCrashedAsOften(e)
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -84,6 +84,7 @@
 		}
 		if e.trialCrashAt == 0 && e.suspect.TrialAsk < ask.Number {
 			// A process asks again only if it does not use its trial: it has restarted.
+			l.recordTrialEnd(now, ProcessRestarted, e)
 			e.endTrial()
 		}
 	}
@@ -136,9 +137,10 @@
 }
 
 // handleTrialEnd frees a request for the next trial.
-func (l *Ledger) handleTrialEnd(process string, end TrialEnd) {
+func (l *Ledger) handleTrialEnd(now time.Duration, process string, end TrialEnd) {
 	e, found := l.entries[end.Fingerprint]
 	if found && e.trialCrashAt == 0 && e.suspect.IsTrial(process, end.Number) {
+		l.recordTrialEnd(now, ReportedWithoutCrash, e)
 		e.endTrial()
 	}
 }
@@ -188,6 +190,7 @@
 	switch {
 	case ambiguous:
 		e.ambiguousTrials++
+		l.recordTrialEnd(now, AmbiguousCrash, e)
 	case ofOneCaller:
 		l.quarantineProved(now, caller, e.trialCrash)
 	case enough:
