--- a/internal/controller/suspects.go
+++ b/internal/controller/suspects.go
@@ -111,7 +111,8 @@
 	var put directory.PutSuspects
 	var changed bool
 	var events []quarantine.Event
-	if !m.guarded(func() { put, changed, events = m.decideLocked(leadership) }) {
+	answers := m.awaitedAnswers(ctx)
+	if !m.guarded(func() { put, changed, events = m.decideLocked(leadership, answers) }) {
 		clock.Sleep(ctx, minBackoff)
 		return 0
 	}
@@ -135,9 +136,9 @@
 	return len(put.List)
 }
 
-// decideLocked returns the suspects to write and whether they differ from the directory. The mutex must be
-// held.
-func (m *suspectManager) decideLocked(leadership context.Context) (directory.PutSuspects, bool, []quarantine.Event) {
+// decideLocked returns the suspects to write and whether they differ from the directory. Answers are those of
+// awaitedAnswers. The mutex must be held.
+func (m *suspectManager) decideLocked(leadership context.Context, answers serverAnswers) (directory.PutSuspects, bool, []quarantine.Event) {
 	m.startTermIfNew(leadership)
 	now := m.replica.clock.Now()
 	m.adopt(now)
@@ -146,6 +147,9 @@
 			m.ledger.HandleHeartbeat(now, id, heartbeatAt)
 		}
 	}
+	for _, id := range m.ledger.AwaitedInstances() {
+		m.ledger.HandleInstance(now, id, m.instanceState(leadership, id, answers))
+	}
 	put, changed := m.ledger.Decide(now)
 	return put, changed, m.ledger.Events()
 }
@@ -173,6 +177,10 @@
 	case quarantine.Tried:
 		text = "suspected request may be sent once as a trial"
 		entry = entry.WithField("gateway", suspect.TrialBy).WithField("trial", suspect.Trials)
+	case quarantine.TrialLost:
+		text = "trial of a suspected request was lost: its server may have crashed"
+		entry = entry.WithField("gateway", suspect.TrialBy).WithField("trial", suspect.Trials).
+			WithField(telemetry.FieldServer, suspect.TrialLostAt)
 	case quarantine.TrialEnded:
 		text = "trial of a suspected request is over; the request stays on probation"
 		entry = entry.WithField("gateway", suspect.TrialBy).WithField("trial", suspect.Trials).WithField("reason", event.Reason)
--- a/internal/crashwatch/guard.go
+++ b/internal/crashwatch/guard.go
@@ -158,9 +158,8 @@
 	onTrial bool
 	// triedFor is the fingerprint of the suspect that is tried.
 	triedFor directory.Fingerprint
-	// ask is the number of the request's ask for a trial; zero for none. outcome is that of the trial.
-	ask     quarantine.AskNumber
-	outcome quarantine.TrialOutcome
+	// ask is the number of the request's ask for a trial; zero for none.
+	ask quarantine.AskNumber
 	// askedFor is the fingerprint for which the trial was asked.
 	askedFor directory.Fingerprint
 	// waitUntil is until when the request waits for a trial; zero before it first did.
@@ -217,10 +216,11 @@
 	return g.computeIdentity(request)
 }
 
-// Check returns an error if the request is in quarantine, else nil.
+// Check returns an error if the request is in quarantine, or on probation without any prospect of a trial, else nil.
 func (g *Guard) Check(request *Request) *fault.Error {
 	return g.check(request, func(now time.Duration, guard *quarantine.Guard, fingerprint directory.Fingerprint) bool {
-		return guard.Check(now, fingerprint, request.ask) != quarantine.Reject
+		verdict := guard.Check(now, fingerprint, request.ask)
+		return verdict != quarantine.Reject && verdict != quarantine.Hold
 	})
 }
 
@@ -273,25 +273,27 @@
 	}
 }
 
-// EndTrial makes the trial available again if the failure proves that the request did not run. Failure is
-// nil for a request that was answered.
-func (g *Guard) EndTrial(request *Request, failure *fault.Error) {
+// EndTrial makes the trial available again if the failure proves that the request did not run. If it may have run,
+// the leader is to find out whether the instance crashed, unless that is leaving. Failure is nil for a request that
+// was answered.
+func (g *Guard) EndTrial(request *Request, attempt Attempt, failure *fault.Error) {
 	if !request.onTrial {
 		return
 	}
 	request.onTrial = false
-	switch {
-	case failure == nil:
-		request.outcome = quarantine.Finished
-		return
-	case fault.AnswerFor(failure.Kind).Outcome != fault.NotRun:
-		request.outcome = quarantine.Lost
+	if failure == nil {
 		return
-	default:
 	}
-	g.withGuard(func(_ time.Duration, guard *quarantine.Guard) bool {
-		guard.ReturnTrial(request.triedFor)
-		return false
+	g.withGuard(func(now time.Duration, guard *quarantine.Guard) bool {
+		if fault.AnswerFor(failure.Kind).Outcome == fault.NotRun {
+			guard.ReturnTrial(request.triedFor)
+			return false
+		}
+		if request.ask == 0 || attempt.Leaving {
+			return false
+		}
+		guard.TrialLost(request.triedFor, request.ask, request.loss(now, attempt))
+		return true
 	})
 }
 
@@ -320,22 +322,31 @@
 	Took time.Duration
 	// ConnectionEnded is true if the instance closed the connection.
 	ConnectionEnded bool
+	// Leaving is true if the instance leaves, so that it may end at any time, whatever it runs.
+	Leaving bool
 }
 
-// Lost reports to the watch an attempt that may have ended because its instance did.
-func (g *Guard) Lost(watch *Watch, request *Request, attempt Attempt) {
-	identity, known := g.computeIdentity(request)
-	if !known {
-		return
-	}
-	now := g.clock.Now()
+// loss returns an attempt of the request that ended now without an answer. The identity must be known.
+func (r *Request) loss(now time.Duration, attempt Attempt) quarantine.Loss {
 	loss := quarantine.Loss{
-		Fingerprint: identity.OfCaller, Path: request.pathHash(), Service: attempt.Service,
+		Fingerprint: r.identity.OfCaller, Path: r.pathHash(), Service: attempt.Service,
 		Instance: attempt.Instance, RequestID: attempt.RequestID, Began: now - attempt.Took, Ended: now,
-		TrialAsk: request.ask,
+		TrialAsk: r.ask,
+	}
+	if r.identity.OfAnyCaller != r.identity.OfCaller {
+		loss.OfAnyCaller = r.identity.OfAnyCaller
 	}
-	if identity.OfAnyCaller != identity.OfCaller {
-		loss.OfAnyCaller = identity.OfAnyCaller
+	return loss
+}
+
+// Lost reports to the watch an attempt that may have ended because its instance did. Instances that are leaving are
+// ignored.
+func (g *Guard) Lost(watch *Watch, request *Request, attempt Attempt) {
+	if attempt.Leaving {
+		return
+	}
+	if _, known := g.computeIdentity(request); !known {
+		return
 	}
-	watch.Lost(loss, attempt.Address, attempt.ConnectionEnded)
+	watch.Lost(request.loss(g.clock.Now(), attempt), attempt.Address, attempt.ConnectionEnded)
 }
--- a/internal/crashwatch/probation.go
+++ b/internal/crashwatch/probation.go
@@ -29,7 +29,8 @@
 }
 
 // AwaitTrial waits until a request on probation may be sent: the leader grants it a trial, or an answer to an equal
-// request ends the probation. The result is an error if the request is in quarantine, or if it waited too long.
+// request ends the probation. The result is an error if the request is in quarantine, if it waited too long, or at once
+// if the last trial was lost.
 // Cancelled reports whether the caller has left. End must be called once the request has ended.
 func (g *Guard) AwaitTrial(request *Request, remaining time.Duration, cancelled func() bool) *fault.Error {
 	identity, suspected := g.suspectIdentity(request)
@@ -125,7 +126,7 @@
 		return
 	}
 	g.withGuard(func(now time.Duration, guard *quarantine.Guard) bool {
-		guard.EndAsk(now, request.askedFor, request.ask, request.outcome)
+		guard.EndAsk(now, request.askedFor, request.ask)
 		return true
 	})
 	request.ask = 0
--- a/internal/crashwatch/probation_test.go
+++ b/internal/crashwatch/probation_test.go
@@ -97,6 +97,64 @@
 	}
 }
 
+// TestNothingWaitsForALostTrial: a request is rejected as not run at once while the last trial of it is lost and not
+// decided.
+func TestNothingWaitsForALostTrial(t *testing.T) {
+	fingerprint, path := identityHashes(t)
+	guard, request := newTestGuard(directory.Suspect{
+		Fingerprint: fingerprint, Path: path, Probation: true, Trials: 1, TrialBy: "other", TrialAsk: 3, TrialLostAt: "a",
+	})
+	for name, check := range map[string]func() *fault.Error{
+		"on arrival":            func() *fault.Error { return guard.Check(request) },
+		"instead of waiting":    func() *fault.Error { return guard.AwaitTrial(request, requestTime, stay) },
+		"before it is sent":     func() *fault.Error { return guard.CheckBeforeSend(request) },
+		"before its first byte": func() *fault.Error { return guard.CheckBeforeWrite(request) },
+	} {
+		began := time.Now()
+		failure := check()
+		if failure == nil || failure.Kind != fault.RequestOnProbation || fault.AnswerFor(failure.Kind).Outcome != fault.NotRun {
+			t.Errorf("%s: %v", name, failure)
+		}
+		if took := time.Since(began); took > trialCheckInterval {
+			t.Errorf("%s: rejected after %s", name, took)
+		}
+	}
+	if report := guard.Report(); report != nil {
+		t.Errorf("asks for a trial: %+v", report)
+	}
+}
+
+// TestLostTrialIsReported: the leader learns at once at which instance a trial was lost, whatever the failure was, and
+// the trial stays open; one that was lost at an instance that leaves is over.
+func TestLostTrialIsReported(t *testing.T) {
+	fingerprint, path := identityHashes(t)
+	for _, kind := range []fault.Kind{fault.ConnectionLost, fault.AnswerTruncated, fault.DeadlineExceeded, fault.AnswerMismatched} {
+		for _, leaving := range []bool{false, true} {
+			guard, request := newTestGuard(directory.Suspect{Fingerprint: fingerprint, Path: path, Probation: true})
+			guard.ask(request, fingerprint, guard.clock.Now()+requestTime)
+			guard.SetSuspects(directory.Suspects{Revision: 2, List: []directory.Suspect{
+				{Fingerprint: fingerprint, Path: path, Probation: true, Trials: 1, TrialBy: "g", TrialAsk: request.ask},
+			}})
+			if failure := guard.CheckBeforeSend(request); failure != nil {
+				t.Fatal(failure)
+			}
+			guard.EndTrial(request, Attempt{Service: "s", Instance: "a", Leaving: leaving}, fault.New(kind, ""))
+			guard.End(request)
+			select {
+			case <-guard.urgent:
+			default:
+				t.Errorf("%s: the report is not urgent", kind)
+			}
+			report := guard.Report()
+			lost := report != nil && len(report.LostTrials) == 1 && report.LostTrials[0].Instance == "a" && len(report.TrialEnds) == 0
+			ended := report != nil && len(report.LostTrials) == 0 && len(report.TrialEnds) == 1
+			if lost == leaving || ended != leaving {
+				t.Errorf("%s, leaving %t: %+v", kind, leaving, report)
+			}
+		}
+	}
+}
+
 // TestTrialEndsWithItsRequest: the end of a trial that was answered without clearing the request, or that was not
 // used, is reported when the request ends.
 func TestTrialEndsWithItsRequest(t *testing.T) {
@@ -110,7 +168,7 @@
 		if failure := guard.CheckBeforeSend(request); failure != nil {
 			t.Fatal(failure)
 		}
-		guard.EndTrial(request, failure)
+		guard.EndTrial(request, Attempt{}, failure)
 		guard.End(request)
 		report := guard.Report()
 		if report == nil || len(report.TrialEnds) != 1 {
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -51,6 +51,9 @@
 	TrialAsk uint64 `msgpack:"k,omitempty"`
 	// TrialMs is how long the trial lasts at most, in milliseconds.
 	TrialMs uint32 `msgpack:"m,omitempty"`
+	// TrialLostAt is the instance at which the current trial ended without an answer. The request is not
+	// sent until the leader knows whether that instance crashed. Empty for none.
+	TrialLostAt InstanceID `msgpack:"l,omitempty"`
 	// Callers has, for each of Crashes, the fingerprint of the caller's request, if the suspect stands for equal
 	// requests of any caller. Gateways and routers do not get it.
 	Callers []Fingerprint `msgpack:"n,omitempty"`
@@ -73,7 +76,7 @@
 	return slices.Equal(s.Crashes, other.Crashes) && s.Fingerprint == other.Fingerprint && s.Path == other.Path && s.Service == other.Service &&
 		s.Probation == other.Probation && s.Quarantined == other.Quarantined && s.Doubtful == other.Doubtful &&
 		s.Trials == other.Trials && s.TrialBy == other.TrialBy && s.TrialAsk == other.TrialAsk &&
-		s.TrialMs == other.TrialMs && s.Released == other.Released &&
+		s.TrialMs == other.TrialMs && s.TrialLostAt == other.TrialLostAt && s.Released == other.Released &&
 		slices.Equal(s.Callers, other.Callers)
 }
 
@@ -127,7 +130,8 @@
 	list := slices.Clone(d.suspects.List)
 	for index := range list {
 		if list[index].Fingerprint == fingerprint {
-			list[index].Quarantined, list[index].Released, list[index].TrialBy = false, true, ""
+			list[index].Quarantined, list[index].Released = false, true
+			list[index].TrialBy, list[index].TrialLostAt = "", ""
 		}
 	}
 	d.suspects = Suspects{List: list, Revision: revision}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,11 +123,12 @@
 	took := time.Since(began)
 	current.recordAttempt(instance.ID, chosen.relay, sentAt, took, failure)
 	g.recordResult(current, instance, chosen, took, failure)
-	g.guard.EndTrial(&current.suspicion, failure)
+	attempt := g.watchedAttempt(current, instance, took)
+	g.guard.EndTrial(&current.suspicion, attempt, failure)
 	if failure == nil {
 		g.recordAnswered(current)
 	} else if !current.relayFailed {
-		g.recordLoss(current, instance, took, failure)
+		g.recordLoss(current, attempt, failure)
 	}
 	return failure
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -54,24 +54,25 @@
 	}
 }
 
-// recordLoss records an attempt that may have ended with a crash of its instance. Instances that are
-// leaving are ignored: they may end at any time, whatever they run.
-func (g *Gateway) recordLoss(current *request, instance directory.Instance, took time.Duration, failure *fault.Error) {
-	connectionEnded := false
+// watchedAttempt describes an attempt that has ended, for the crash watch.
+func (g *Gateway) watchedAttempt(current *request, instance directory.Instance, took time.Duration) crashwatch.Attempt {
+	_, leaves := g.signals.leaving(g.clock.Now(), instance.ID)
+	return crashwatch.Attempt{
+		Service: current.service, Instance: instance.ID, Address: instance.Address, RequestID: current.id,
+		Took: took, Leaving: leaves || !instance.Serving(),
+	}
+}
+
+// recordLoss records an attempt that may have ended with a crash of its instance.
+func (g *Gateway) recordLoss(current *request, attempt crashwatch.Attempt, failure *fault.Error) {
 	switch failure.Kind {
 	case fault.ConnectionLost, fault.AnswerTruncated:
-		connectionEnded = !current.interrupt.Fired()
+		attempt.ConnectionEnded = !current.interrupt.Fired()
 	case fault.DeadlineExceeded:
 	default:
 		return
 	}
-	if _, leaves := g.signals.leaving(g.clock.Now(), instance.ID); leaves || !instance.Serving() {
-		return
-	}
-	g.guard.Lost(g.crashes, &current.suspicion, crashwatch.Attempt{
-		Service: current.service, Instance: instance.ID, Address: instance.Address, RequestID: current.id,
-		Took: took, ConnectionEnded: connectionEnded,
-	})
+	g.guard.Lost(g.crashes, &current.suspicion, attempt)
 }
 
 // identify returns the properties by which repetitions of a request are recognised.
--- a/internal/quarantine/adopt.go
+++ b/internal/quarantine/adopt.go
@@ -35,10 +35,12 @@
 // newAdoptedEntry returns an entry for a suspect from the directory. All its times start now, because the
 // directory does not hold the earlier ones.
 func newAdoptedEntry(now time.Duration, suspect directory.Suspect) *entry {
-	return &entry{
+	e := &entry{
 		suspect: suspect, suspectedAt: now, lastCrashAt: now, thresholdAt: now, quarantinedAt: now, seenAt: now,
 		trialUntil: now + milliseconds(suspect.TrialMs), trialsBefore: suspect.Trials,
 	}
+	e.adoptLostTrial(now)
+	return e
 }
 
 // adopt merges the directory's state of a request with what was reported to this leader.
@@ -68,5 +70,6 @@
 	}
 	suspect.Quarantined = suspect.Quarantined || e.suspect.Quarantined
 	e.suspect = suspect
+	e.adoptLostTrial(now)
 	e.findTrialCrash(now)
 }
--- a/internal/quarantine/ask.go
+++ b/internal/quarantine/ask.go
@@ -17,24 +17,11 @@
 	reportedAt time.Duration
 	// used is true while the request is sent under the trial, or after it was.
 	used bool
-	// unresolvedUntil is when an attempt that was lost during the trial no longer counts as a possible crash;
-	// zero as long as the request has not ended.
-	unresolvedUntil time.Duration
+	// lost is true once the trial ended without an answer. The ask stays open until the directory shows that the
+	// leader has ended the trial.
+	lost bool
 }
 
-// TrialOutcome is how a request that waited for a trial ended.
-type TrialOutcome int
-
-// Outcomes of a request that waited for a trial.
-const (
-	// Unsent means that the request certainly did not run.
-	Unsent TrialOutcome = iota
-	// Finished means that an instance answered.
-	Finished
-	// Lost means that the request ended without an answer, so that its instance may have crashed.
-	Lost
-)
-
 // StartAsksAfter sets the number after which asks are counted. It must be higher than those of the process's earlier
 // runs.
 func (g *Guard) StartAsksAfter(number AskNumber) { g.lastAsk = number }
@@ -58,22 +45,24 @@
 	})
 }
 
-// EndAsk ends the ask of a request that has ended. A trial that was lost stays open until its instance is known
-// to have crashed or that can no longer be proved.
-func (g *Guard) EndAsk(now time.Duration, fingerprint directory.Fingerprint, number AskNumber, outcome TrialOutcome) {
+// TrialLost records that the trial granted for an ask ended without an answer, so that its instance may have crashed.
+func (g *Guard) TrialLost(fingerprint directory.Fingerprint, number AskNumber, loss Loss) {
 	open, found := g.asks[fingerprint]
-	if !found || open.number != number {
-		return
-	}
-	if open.used && outcome == Lost {
-		open.unresolvedUntil = now + confirmTimeout
+	if !found || open.number != number || !open.used {
 		return
 	}
-	g.closeAsk(now, fingerprint, open)
+	open.lost = true
+	lost := loss.crash(number)
+	g.addObservation(&observation{at: loss.Ended, inFlightFor: loss.Ended - loss.Began, lostTrial: &lost})
 }
 
-// closeAsk removes an ask, and reports the end of its trial if it was granted.
-func (g *Guard) closeAsk(now time.Duration, fingerprint directory.Fingerprint, open *ask) {
+// EndAsk ends the ask of a request that has ended, and reports the end of its trial if one was granted. The leader
+// decides on the end of a trial that was lost.
+func (g *Guard) EndAsk(now time.Duration, fingerprint directory.Fingerprint, number AskNumber) {
+	open, found := g.asks[fingerprint]
+	if !found || open.number != number || open.lost {
+		return
+	}
 	delete(g.asks, fingerprint)
 	if g.granted(g.suspects[fingerprint], open.number) {
 		g.addObservation(&observation{at: now, trialEnd: &TrialEnd{Fingerprint: fingerprint, Number: open.number}})
@@ -102,13 +91,42 @@
 	return found && open.number == number && !open.used && now < open.until
 }
 
-// forgetTrialEnds removes the ends of trials that the leader has acknowledged and that are in the list of suspects.
-func (g *Guard) forgetTrialEnds() {
+// forgetEndedTrials removes lost trials that the leader has ended, and the ends of trials that it has acknowledged
+// and that are in the list of suspects.
+func (g *Guard) forgetEndedTrials() {
+	for fingerprint, open := range g.asks {
+		if open.lost && !g.granted(g.suspects[fingerprint], open.number) {
+			delete(g.asks, fingerprint)
+		}
+	}
 	g.observations = slices.DeleteFunc(g.observations, func(o *observation) bool {
-		return o.trialEnd != nil && o.acknowledged && !g.granted(g.suspects[o.trialEnd.Fingerprint], o.trialEnd.Number)
+		switch {
+		case o.trialEnd != nil:
+			return o.acknowledged && !g.granted(g.suspects[o.trialEnd.Fingerprint], o.trialEnd.Number)
+		case o.lostTrial != nil:
+			return !g.awaitsLostTrial(o.lostTrial)
+		default:
+			return false
+		}
 	})
 }
 
+// awaitsLostTrial reports whether the leader has yet to end a trial that was lost.
+func (g *Guard) awaitsLostTrial(lost *Crash) bool {
+	for _, fingerprint := range []directory.Fingerprint{lost.Fingerprint, lost.OfAnyCaller} {
+		if open, found := g.asks[fingerprint]; found && open.lost && open.number == lost.TrialAsk {
+			return true
+		}
+	}
+	return false
+}
+
+// trialPending reports whether a suspect's last trial was lost, so that nothing is sent until the leader has ended it.
+func (g *Guard) trialPending(suspect directory.Suspect) bool {
+	open, found := g.asks[suspect.Fingerprint]
+	return suspect.TrialLostAt != "" || found && open.lost
+}
+
 // declineTrials reports the end of trials that were granted for requests which no longer wait.
 func (g *Guard) declineTrials(now time.Duration) {
 	for fingerprint, suspect := range g.suspects {
@@ -122,26 +140,18 @@
 	}
 }
 
-// endReported reports whether the end of a trial, or a crash during it, is among the observations.
+// endReported reports whether the end of a trial, its loss or a crash during it is among the observations.
 func (g *Guard) endReported(fingerprint directory.Fingerprint, number AskNumber) bool {
 	for _, o := range g.observations {
 		if o.trialEnd != nil && o.trialEnd.Fingerprint == fingerprint && o.trialEnd.Number == number ||
-			o.crash != nil && o.crash.concerns(fingerprint) && o.crash.TrialAsk == number {
+			o.crash != nil && o.crash.concerns(fingerprint) && o.crash.TrialAsk == number ||
+			o.lostTrial != nil && o.lostTrial.concerns(fingerprint) && o.lostTrial.TrialAsk == number {
 			return true
 		}
 	}
 	return false
 }
 
-// endUnresolvedTrials ends the trials whose instance cannot be proved to have crashed any more.
-func (g *Guard) endUnresolvedTrials(now time.Duration) {
-	for fingerprint, open := range g.asks {
-		if open.unresolvedUntil > 0 && now >= open.unresolvedUntil {
-			g.closeAsk(now, fingerprint, open)
-		}
-	}
-}
-
 // endAskByCrash removes the ask under whose trial an instance crashed; the report of the crash ends the trial.
 func (g *Guard) endAskByCrash(loss Loss) {
 	for _, fingerprint := range []directory.Fingerprint{loss.Fingerprint, loss.OfAnyCaller} {
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -13,6 +13,9 @@
 //     together send it one attempt at a time, each a trial that the leader grants to one request that asks for it.
 //   - in quarantine: an instance crashed during a trial. It is not sent, until an operator releases it.
 //
+// A trial that ends without an answer is lost. The leader grants no further one until it knows whether the instance
+// crashed: by the proof of the process that lost it, or by what the leader hears of the instance (InstanceState).
+//
 // An answer of an instance ends the suspicion in each state.
 //
 // A request is doubtful if processes of an earlier version, which know no probation, reported its crashes and these
--- a/internal/quarantine/event.go
+++ b/internal/quarantine/event.go
@@ -21,6 +21,9 @@
 	OnProbation Decision = "on_probation"
 	// Tried means that one gateway or router may send the request once.
 	Tried Decision = "tried"
+	// TrialLost means that a trial ended without an answer. No further one is granted until it is known whether its
+	// instance crashed.
+	TrialLost Decision = "trial_lost"
 	// TrialEnded means that a trial is over and the next one may be granted; Event.Reason tells why.
 	TrialEnded Decision = "trial_ended"
 	// Expired means that the request was not seen for the configured time.
@@ -35,12 +38,16 @@
 // Reasons for the end of a trial.
 const (
 	// ReportedWithoutCrash means that the process reported the end: the trial was not used, was answered without
-	// clearing the request, or was lost without a proved crash.
+	// clearing the request, or was lost at an instance that is leaving.
 	ReportedWithoutCrash TrialEndReason = "reported_without_crash"
 	// ProcessRestarted means that the process asked again, which it does only after a restart.
 	ProcessRestarted TrialEndReason = "process_restarted"
 	// ProcessSilent means that the process did not report the end in time.
 	ProcessSilent TrialEndReason = "process_silent"
+	// InstanceAlive means that the trial was lost, and its instance sent heartbeats afterwards.
+	InstanceAlive TrialEndReason = "instance_alive"
+	// InstanceLeft means that the trial was lost at an instance that left as announced.
+	InstanceLeft TrialEndReason = "instance_left"
 	// AmbiguousCrash means that an instance crashed, possibly for another cause.
 	AmbiguousCrash TrialEndReason = "ambiguous_crash"
 )
--- a/internal/quarantine/expiry.go
+++ b/internal/quarantine/expiry.go
@@ -9,7 +9,7 @@
 // expire removes entries, crashed instances and answers that are too old.
 func (l *Ledger) expire(now time.Duration) {
 	for fingerprint, e := range l.entries {
-		if !e.suspect.Quarantined && now-e.lastCrashAt > l.config.SuspectTime ||
+		if !e.suspect.Quarantined && e.lostTrial == nil && now-e.lastCrashAt > l.config.SuspectTime ||
 			e.suspect.Quarantined && now-e.seenAt > l.config.Time {
 			delete(l.entries, fingerprint)
 			l.recordEvent(now, Expired, e)
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -19,6 +19,9 @@
 	Reject
 	// Wait means that the request is on probation and may be sent only once the leader grants a trial; see Ask.
 	Wait
+	// Hold means that the request is on probation and its last trial was lost: nothing is sent until the leader
+	// knows whether the instance crashed, which takes longer than requests wait.
+	Hold
 )
 
 const (
@@ -95,6 +98,7 @@
 	crash       *Crash
 	inFlightFor time.Duration
 	trialEnd    *TrialEnd
+	lostTrial   *Crash
 	answered    directory.Fingerprint
 	// reportNumber is the number of the report that contained it last, sent at reportedAt; zero if there was
 	// none. acknowledged is true once the leader has confirmed that number.
@@ -139,7 +143,7 @@
 			delete(g.rejections, fingerprint)
 		}
 	}
-	g.forgetTrialEnds()
+	g.forgetEndedTrials()
 	g.declineTrials(now)
 	g.rebuildPaths(now)
 }
@@ -208,6 +212,8 @@
 		return Try
 	case suspect.Quarantined:
 		return Reject
+	case suspect.NeedsTrial() && g.trialPending(suspect):
+		return Hold
 	case suspect.NeedsTrial():
 		return Wait
 	default:
@@ -261,10 +267,9 @@
 func (g *Guard) Crashed(now time.Duration, losses []Loss) {
 	for _, loss := range losses {
 		g.lastCrash++
-		g.addObservation(&observation{at: loss.Ended, inFlightFor: loss.Ended - loss.Began, crash: &Crash{
-			Fingerprint: loss.Fingerprint, Path: loss.Path, Service: loss.Service, Instance: loss.Instance,
-			Number: g.lastCrash, TrialAsk: loss.TrialAsk, OfAnyCaller: loss.OfAnyCaller,
-		}})
+		crash := loss.crash(loss.TrialAsk)
+		crash.Number = g.lastCrash
+		g.addObservation(&observation{at: loss.Ended, inFlightFor: loss.Ended - loss.Began, crash: &crash})
 		g.addLocalCrash(now, loss)
 		g.endAskByCrash(loss)
 	}
@@ -321,7 +326,9 @@
 }
 
 // isAnswer reports whether the observation is an answer.
-func (o *observation) isAnswer() bool { return o.crash == nil && o.trialEnd == nil }
+func (o *observation) isAnswer() bool {
+	return o.crash == nil && o.trialEnd == nil && o.lostTrial == nil
+}
 
 func (g *Guard) addObservation(o *observation) {
 	count := 0
@@ -341,10 +348,9 @@
 		g.rebuildPaths(now)
 	}
 	report := Report{Number: g.lastReport + 1}
-	g.endUnresolvedTrials(now)
 	kept := g.observations[:0]
 	for _, o := range g.observations {
-		if now-o.at > observationRetention && !g.keepsLocalSuspect(o) {
+		if now-o.at > observationRetention && !g.stillNeeded(o) {
 			continue
 		}
 		kept = append(kept, o)
@@ -370,8 +376,12 @@
 	return report, true
 }
 
-// keepsLocalSuspect reports whether the observation is a crash that keeps a request suspected locally.
-func (g *Guard) keepsLocalSuspect(o *observation) bool {
+// stillNeeded reports whether an observation is kept beyond its retention: it is a trial that the leader has yet to
+// end, or a crash that keeps a request suspected locally.
+func (g *Guard) stillNeeded(o *observation) bool {
+	if o.lostTrial != nil {
+		return g.awaitsLostTrial(o.lostTrial)
+	}
 	if o.crash == nil {
 		return false
 	}
@@ -385,13 +395,19 @@
 		return
 	}
 	agoMs := uint32((now - o.at).Milliseconds())
-	if o.crash == nil {
+	tookMs := uint32(o.inFlightFor.Milliseconds())
+	switch {
+	case o.lostTrial != nil:
+		lost := *o.lostTrial
+		lost.EndedAgoMs, lost.TookMs = agoMs, tookMs
+		report.LostTrials = append(report.LostTrials, lost)
+	case o.crash != nil:
+		crash := *o.crash
+		crash.EndedAgoMs, crash.TookMs = agoMs, tookMs
+		report.Crashes = append(report.Crashes, crash)
+	default:
 		report.Answered = append(report.Answered, Answered{Fingerprint: o.answered, AgoMs: agoMs})
-		return
 	}
-	crash := *o.crash
-	crash.EndedAgoMs, crash.TookMs = agoMs, uint32(o.inFlightFor.Milliseconds())
-	report.Crashes = append(report.Crashes, crash)
 }
 
 // Acknowledge handles the leader's confirmation of the report with this number and of all earlier ones.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -98,6 +98,9 @@
 	trialCrash      directory.InstanceID
 	trialCrashAt    time.Duration
 	ambiguousTrials int
+	// lostTrial is the current trial if it ended without an answer and it is not known whether its instance
+	// crashed; nil otherwise.
+	lostTrial *lostTrial
 	// provedBy is the instance whose crash during a trial put the request in quarantine; empty if that is not known.
 	provedBy directory.InstanceID
 	// trialsBefore is the number of trials before the request was put in quarantine.
@@ -148,6 +151,9 @@
 	for _, crash := range report.Crashes {
 		l.handleCrash(now, process, crash)
 	}
+	for _, lost := range report.LostTrials {
+		l.handleLostTrial(now, process, lost)
+	}
 	for _, end := range report.TrialEnds {
 		l.handleTrialEnd(now, process, end)
 	}
@@ -367,6 +373,8 @@
 	switch {
 	case e.trialCrashAt > 0:
 		l.decideTrialCrash(now, e)
+	case e.lostTrial != nil:
+		// HandleInstance ends the trial.
 	case suspect.TrialBy != "" && now >= e.trialUntil:
 		l.recordTrialEnd(now, ProcessSilent, e)
 		e.endTrial()
--- a/internal/quarantine/model_test.go
+++ b/internal/quarantine/model_test.go
@@ -43,6 +43,12 @@
 	blockAtFirstCrash
 	// holdBackLocally does the same as sendOnProbation, but a gateway that lost the request itself holds it back.
 	holdBackLocally
+	// endLostTrials and endLostTrialsLater end a trial that was lost without a proof of a crash after confirmTimeout,
+	// or after three times as long.
+	endLostTrials
+	endLostTrialsLater
+	// blameLostTrials takes each trial that was lost for a crash.
+	blameLostTrials
 )
 
 // faultIntervals are the mean times between two faults of each kind; zero for none.
@@ -65,8 +71,14 @@
 	// releaseAt is when the poison request is released; zero for never. From mendAt on it crashes no server. After
 	// each of its crashes no server may run it for holderGap, as for a key that passes to another holder.
 	releaseAt, mendAt, holderGap time.Duration
-	duration                     time.Duration
-	random                       *rand.Rand
+	// away is how long servers are away after a crash; zero for 1 to 5 s. If unproved is set, gateways never prove
+	// the crash of a server after the release.
+	away     time.Duration
+	unproved bool
+	// lossUntil is until when, after the release, each second connection to servers is lost though they are alive.
+	lossUntil time.Duration
+	duration  time.Duration
+	random    *rand.Rand
 }
 
 type result struct {
@@ -80,6 +92,8 @@
 	// after its release it was answered first, and clearedAfter when every gateway could send it freely.
 	crashesAfterRelease         int
 	answeredAfter, clearedAfter time.Duration
+	// quarantinedAgain is true if the poison request was in quarantine after its release.
+	quarantinedAgain bool
 }
 
 type modelServer struct {
@@ -87,6 +101,7 @@
 	zone        int
 	incarnation int
 	up          bool
+	crashedAt   time.Duration
 	restartAt   time.Duration
 	inFlight    []*attempt
 }
@@ -245,8 +260,11 @@
 	if !server.up {
 		return
 	}
-	server.up = false
+	server.up, server.crashedAt = false, m.now
 	server.restartAt = m.now + time.Second + time.Duration(m.random.Int64N(int64(4*time.Second)))
+	if m.away > 0 && m.released {
+		server.restartAt = m.now + m.away
+	}
 	lostAttempts := server.inFlight
 	server.inFlight = nil
 	newest := time.Duration(-1)
@@ -259,7 +277,10 @@
 		}
 		gateway := m.gateways[a.gateway]
 		loss := Loss{Fingerprint: a.fingerprint, Path: directory.PathHash(a.fingerprint), Service: "s", Instance: server.id, Began: a.began, Ended: m.now, TrialAsk: a.ask}
-		gateway.guard.EndAsk(m.now, a.fingerprint, a.ask, Lost)
+		endLostTrial(gateway.guard, m.now, a.ask, loss)
+		if m.unproved && m.released {
+			continue
+		}
 		m.lossNotices = append(m.lossNotices, delayed[func()]{m.now + time.Duration(m.random.Int64N(int64(30*time.Millisecond))), func() {
 			gateway.guard.Crashed(m.now, []Loss{loss})
 			if loss.Fingerprint == poison {
@@ -328,11 +349,54 @@
 		m.proposal = nil
 	}
 	m.ledger.Adopt(m.now, m.directory.Suspects())
+	m.decideLostTrials()
 	if put, changed := m.ledger.Decide(m.now); changed {
 		m.proposal = &delayed[directory.PutSuspects]{m.now + 2*step + time.Duration(m.random.Int64N(int64(20*time.Millisecond))), put}
 	}
 }
 
+// leaseTime is how long the leases of servers last, and heartbeatTime is between two heartbeats.
+const (
+	leaseTime     = 3 * time.Second
+	heartbeatTime = time.Second
+)
+
+// decideLostTrials ends lost trials by the rule of the scenario.
+func (m *model) decideLostTrials() {
+	for _, id := range m.ledger.AwaitedInstances() {
+		if m.rule != endLostTrials && m.rule != endLostTrialsLater && m.rule != blameLostTrials {
+			m.ledger.HandleInstance(m.now, id, m.instanceState(id))
+			continue
+		}
+		for _, e := range m.ledger.entries {
+			switch {
+			case e.lostTrial == nil || e.trialCrashAt > 0:
+			case m.rule == blameLostTrials:
+				m.ledger.confirmTrialCrash(m.now, e)
+			case m.rule == endLostTrials && m.now-e.lostTrial.at >= confirmTimeout,
+				m.rule == endLostTrialsLater && m.now-e.lostTrial.at >= 3*confirmTimeout:
+				e.endTrial()
+			default:
+			}
+		}
+	}
+}
+
+// instanceState returns what the leader knows of an instance by its heartbeats.
+func (m *model) instanceState(id directory.InstanceID) InstanceState {
+	for _, server := range m.servers {
+		if server.id != id {
+			continue
+		}
+		if server.up {
+			return InstanceState{HeardAt: m.now - m.now%heartbeatTime}
+		}
+		heardAt := server.crashedAt - server.crashedAt%heartbeatTime
+		return InstanceState{HeardAt: heardAt, LeaseExpired: m.now > heardAt+leaseTime}
+	}
+	return InstanceState{Ended: true}
+}
+
 func (m *model) send() {
 	if m.now%m.poisonInterval < step {
 		for range m.poisonBatch {
@@ -391,14 +455,14 @@
 		case verdict == Wait && m.now < w.until:
 			m.waiters = append(m.waiters, w)
 		case verdict == Wait:
-			w.guard.EndAsk(m.now, w.fingerprint, w.ask, Unsent)
+			w.guard.EndAsk(m.now, w.fingerprint, w.ask)
 			if w.fingerprint != poison && len(m.serversUp()) > 0 {
 				m.result.onProbation++
 			}
 		case verdict == Send, verdict == Try && w.guard.TakeTrial(m.now, w.fingerprint, w.ask):
 			m.dispatch(w.gateway, w.fingerprint, w.ask)
 		default:
-			w.guard.EndAsk(m.now, w.fingerprint, w.ask, Unsent)
+			w.guard.EndAsk(m.now, w.fingerprint, w.ask)
 			m.reject(m.gateways[w.gateway], w.fingerprint)
 		}
 	}
@@ -420,6 +484,7 @@
 // can be sent freely again.
 func (m *model) release() {
 	suspect, suspected := m.directory.Suspect(poison)
+	m.result.quarantinedAgain = m.result.quarantinedAgain || m.released && suspect.Quarantined
 	if m.releaseAt > 0 && !m.released && m.now >= m.releaseAt && suspected && suspect.Quarantined {
 		m.revision++
 		released := poison
@@ -466,7 +531,7 @@
 	up := m.serversUp()
 	if len(up) == 0 || fingerprint == poison && m.now < m.noHolderUntil {
 		gateway.guard.ReturnTrial(fingerprint)
-		gateway.guard.EndAsk(m.now, fingerprint, ask, Unsent)
+		gateway.guard.EndAsk(m.now, fingerprint, ask)
 		return
 	}
 	server := up[m.random.IntN(len(up))]
@@ -490,6 +555,8 @@
 			switch {
 			case a.endsAt > m.now:
 				unfinished = append(unfinished, a)
+			case m.released && m.now < m.lossUntil && m.random.IntN(2) == 0:
+				m.loseConnection(server, a)
 			case a.fingerprint == poison && (m.mendAt == 0 || m.now < m.mendAt):
 				crashes = true
 				unfinished = append(unfinished, a)
@@ -500,7 +567,7 @@
 				if m.rule != ignoreAnswers {
 					m.gateways[a.gateway].guard.Answered(m.now, a.fingerprint)
 				}
-				m.gateways[a.gateway].guard.EndAsk(m.now, a.fingerprint, a.ask, Finished)
+				m.gateways[a.gateway].guard.EndAsk(m.now, a.fingerprint, a.ask)
 			}
 		}
 		server.inFlight = unfinished
@@ -518,6 +585,12 @@
 	}
 }
 
+// loseConnection ends an attempt without an answer, although its server is alive.
+func (m *model) loseConnection(server *modelServer, a *attempt) {
+	loss := Loss{Fingerprint: a.fingerprint, Path: directory.PathHash(a.fingerprint), Service: "s", Instance: server.id, Began: a.began, Ended: m.now, TrialAsk: a.ask}
+	endLostTrial(m.gateways[a.gateway].guard, m.now, a.ask, loss)
+}
+
 // scenarios returns a scenario for each kind of fault, and one for all kinds together.
 func scenarios(random *rand.Rand) map[string]scenario {
 	base := scenario{
--- a/internal/quarantine/order_test.go
+++ b/internal/quarantine/order_test.go
@@ -165,11 +165,24 @@
 // loseTrial makes a gateway learn that an instance crashed during its trial, and reports it.
 func (b *orderBench) loseTrial(g *Guard, number AskNumber, id directory.InstanceID) {
 	b.t.Helper()
-	g.EndAsk(b.now, poison, number, Lost)
-	g.Crashed(b.now, []Loss{{Fingerprint: poison, Path: 7, Service: "s", Instance: id, Began: b.now - 20*time.Millisecond, Ended: b.now, TrialAsk: number}})
+	loss := b.endLostTrial(g, number, id)
+	g.Crashed(b.now, []Loss{loss})
 	b.tell(g)
 }
 
+// endLostTrial ends a gateway's request that was lost at an instance during its trial, and returns the loss.
+func (b *orderBench) endLostTrial(g *Guard, number AskNumber, id directory.InstanceID) Loss {
+	loss := Loss{Fingerprint: poison, Path: 7, Service: "s", Instance: id, Began: b.now - 20*time.Millisecond, Ended: b.now, TrialAsk: number}
+	endLostTrial(g, b.now, number, loss)
+	return loss
+}
+
+// endLostTrial ends a request that was lost during its trial.
+func endLostTrial(g *Guard, now time.Duration, number AskNumber, loss Loss) {
+	g.TrialLost(loss.Fingerprint, number, loss)
+	g.EndAsk(now, loss.Fingerprint, number)
+}
+
 // TestReleasedRequestIsNotSentWithoutTrial guards against two crashes after a release in place of one: a gateway that
 // has the release before the leader has noticed it, and two gateways at once, must not send the request.
 func TestReleasedRequestIsNotSentWithoutTrial(t *testing.T) {
@@ -258,7 +271,7 @@
 					if got := g.Check(b.now, poison, ask); got == Send || got == Try {
 						t.Fatalf("verdict %d %s after the crash: the request reaches a second server", got, elapsed)
 					}
-					g.EndAsk(b.now, poison, ask, Unsent)
+					g.EndAsk(b.now, poison, ask)
 				}
 				b.wait(decisionTick / 4)
 			}
--- a/internal/quarantine/probation_test.go
+++ b/internal/quarantine/probation_test.go
@@ -112,11 +112,9 @@
 			t.Fatal("no trial")
 		}
 		b.decideFor(time.Second)
-		g.EndAsk(b.now, poison, number, Lost)
-		lostAt := b.now
+		loss := b.endLostTrial(g, number, directory.InstanceID(fmt.Sprint("t", trial)))
 		b.decideFor(confirmTimeout - time.Second)
-		g.Crashed(b.now, []Loss{{Fingerprint: poison, Path: 7, Service: "s", Instance: directory.InstanceID(fmt.Sprint("t", trial)),
-			Began: lostAt - time.Second, Ended: lostAt, TrialAsk: number}})
+		g.Crashed(b.now, []Loss{loss})
 		b.tell(g)
 		b.decideFor(gracePeriod + decisionTick)
 		b.update(g)
@@ -195,7 +193,7 @@
 		if !g.TakeTrial(now, fingerprint, number) {
 			t.Fatal("no trial")
 		}
-		g.EndAsk(now, fingerprint, number, Finished)
+		g.EndAsk(now, fingerprint, number)
 		report, _ := g.Report(now)
 		g.Acknowledge(report.Number)
 	}
@@ -208,8 +206,9 @@
 	if !g.TakeTrial(now, fingerprint, number) {
 		t.Fatal("no trial")
 	}
-	g.EndAsk(now, fingerprint, number, Lost)
-	g.Crashed(now, []Loss{{Fingerprint: fingerprint, Path: 7, Instance: "a", TrialAsk: number, Ended: now}})
+	loss := Loss{Fingerprint: fingerprint, Path: 7, Instance: "a", TrialAsk: number, Ended: now}
+	endLostTrial(g, now, number, loss)
+	g.Crashed(now, []Loss{loss})
 	if report, _ := g.Report(now); len(report.Crashes) != 1 {
 		t.Errorf("the crash of a trial is not reported after %d ended trials in 11 s: %+v", maxObservations, report)
 	}
@@ -229,7 +228,7 @@
 	if !g.TakeTrial(0, fingerprint, number) {
 		t.Fatal("setup")
 	}
-	g.EndAsk(0, fingerprint, number, Finished)
+	g.EndAsk(0, fingerprint, number)
 	// Answered, and on probation again by a loss of power in the next list.
 	g.SetSuspects(time.Second, probation("", noAsk))
 	number, _ = g.Ask(fingerprint, 2*time.Second, 2*time.Second)
@@ -303,9 +302,9 @@
 				switch {
 				case w.g.TakeTrial(b.now, poison, w.number):
 					used++
-					w.g.EndAsk(b.now, poison, w.number, Finished)
+					w.g.EndAsk(b.now, poison, w.number)
 				case b.now >= w.until:
-					w.g.EndAsk(b.now, poison, w.number, Unsent)
+					w.g.EndAsk(b.now, poison, w.number)
 				default:
 					kept = append(kept, w)
 				}
@@ -378,7 +377,7 @@
 	g.Crashed(now, losses)
 	report, _ := g.Report(now)
 	g.Acknowledge(report.Number)
-	for _, outcome := range []TrialOutcome{Unsent, Finished} {
+	for _, answered := range []bool{false, true} {
 		now += time.Second
 		g.SetSuspects(now, probation("", noAsk))
 		number, opened := g.Ask(fingerprint, now+time.Second, now+time.Second)
@@ -386,16 +385,16 @@
 		if !opened {
 			t.Fatal("no ask")
 		}
-		if outcome == Finished {
+		if answered {
 			g.Answered(now, fingerprint)
 		}
-		g.EndAsk(now, fingerprint, number, outcome)
+		g.EndAsk(now, fingerprint, number)
 		report, _ := g.Report(now)
 		g.Acknowledge(report.Number)
 		if len(report.TrialEnds) != 1 {
-			t.Errorf("outcome %d: the end of the trial is not reported: %+v", outcome, report)
+			t.Errorf("answered %t: the end of the trial is not reported: %+v", answered, report)
 		}
-		if outcome == Finished && len(report.Answered) != 1 {
+		if answered && len(report.Answered) != 1 {
 			t.Errorf("the answer is not reported: %+v", report)
 		}
 	}
@@ -433,8 +432,8 @@
 					break
 				}
 				b.wait(20 * time.Millisecond)
-				first.EndAsk(b.now, poison, number, Lost)
-				first.Crashed(b.now, []Loss{{Fingerprint: poison, Path: directory.PathHash(poison), Service: "s", Instance: directory.InstanceID(fmt.Sprintf("t%d", trial)), Began: b.now - 20*time.Millisecond, Ended: b.now, TrialAsk: number}})
+				loss := b.endLostTrial(first, number, directory.InstanceID(fmt.Sprintf("t%d", trial)))
+				first.Crashed(b.now, []Loss{loss})
 				b.tell(first)
 				b.decideFor(gracePeriod + 2*decisionTick)
 				b.update(first)
--- a/internal/quarantine/release_model_test.go
+++ b/internal/quarantine/release_model_test.go
@@ -79,3 +79,80 @@
 		}
 	}
 }
+
+// unprovedScenario releases the poison request while gateways cannot prove crashes, as when machines are lost together
+// with their servers.
+func unprovedScenario(gateways int, away time.Duration, rule countingRule, seed uint64) scenario {
+	s := releaseScenario(gateways, 0, rule, seed)
+	s.unproved, s.away, s.duration = true, away, 40*time.Second
+	return s
+}
+
+// unprovedAways are the times until a restart: before and after the lease of the instance has ended, and never.
+var unprovedAways = []time.Duration{time.Second, 12 * time.Second, time.Hour}
+
+// TestReleaseCostsOneInstanceWithoutProofs: a released request crashes one more instance although no gateway can prove
+// that, whenever the instance comes back.
+func TestReleaseCostsOneInstanceWithoutProofs(t *testing.T) {
+	for _, gateways := range []int{2, 11, 300} {
+		for _, away := range unprovedAways {
+			for seed := range uint64(releaseSeeds) {
+				got := unprovedScenario(gateways, away, production, seed).run()
+				if got.crashesAfterRelease != 1 || !got.quarantinedAgain {
+					t.Errorf("%d gateways, back after %s, seed %d: %d crashes, quarantined %t",
+						gateways, away, seed, got.crashesAfterRelease, got.quarantinedAgain)
+				}
+			}
+		}
+	}
+}
+
+// TestModelCatchesLostTrialsThatEndByTime: if a lost trial ends because time has passed, a release must cost several
+// instances, however long that time is.
+func TestModelCatchesLostTrialsThatEndByTime(t *testing.T) {
+	for name, rule := range map[string]countingRule{"after 5 s": endLostTrials, "after 15 s": endLostTrialsLater} {
+		worst := 0
+		for _, away := range unprovedAways {
+			for seed := range uint64(releaseSeeds) {
+				got := unprovedScenario(11, away, rule, seed).run()
+				t.Logf("%s, back after %s, seed %d: %d crashes in 30 s", name, away, seed, got.crashesAfterRelease)
+				worst = max(worst, got.crashesAfterRelease)
+			}
+		}
+		if worst <= 1 {
+			t.Errorf("%s: %d crash at most: the model does not detect this", name, worst)
+		}
+	}
+}
+
+// TestHarmlessReleasedRequestBesideLostConnections: a released request that crashes no instance any more is never in
+// quarantine again because connections to living servers are lost, and is sent freely soon after that has ended.
+func TestHarmlessReleasedRequestBesideLostConnections(t *testing.T) {
+	const (
+		lossy = 3 * time.Second
+		soon  = lateHeartbeatMargin + 2*heartbeatTime
+	)
+	blamed := 0
+	for _, gateways := range []int{2, 11, 300} {
+		for seed := range uint64(5 * releaseSeeds) {
+			for _, rule := range []countingRule{production, blameLostTrials} {
+				s := releaseScenario(gateways, 0, rule, seed)
+				s.mendAt, s.lossUntil, s.duration = s.releaseAt, s.releaseAt+lossy, 30*time.Second
+				got := s.run()
+				t.Logf("%d gateways, seed %d, rule %d: sent freely after %s, quarantined %t", gateways, seed, rule, got.clearedAfter, got.quarantinedAgain)
+				if rule == blameLostTrials {
+					if got.quarantinedAgain {
+						blamed++
+					}
+					continue
+				}
+				if got.quarantinedAgain || got.clearedAfter == 0 || got.clearedAfter > lossy+soon {
+					t.Errorf("%d gateways, seed %d: sent freely after %s, quarantined %t", gateways, seed, got.clearedAfter, got.quarantinedAgain)
+				}
+			}
+		}
+	}
+	if blamed == 0 {
+		t.Error("no harmless request is in quarantine though each lost trial is taken for a crash: the model does not detect this")
+	}
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -12,8 +12,11 @@
 	// that were received again.
 	Answered []Answered              `msgpack:"a,omitempty"`
 	Rejected []directory.Fingerprint `msgpack:"r,omitempty"`
-	// Asks are for trials of requests that wait in this process, and TrialEnds are the trials that ended
-	// without a crash.
+	// LostTrials are the trials that ended without an answer, as long as no crash is proved: the leader finds out
+	// whether the instance crashed.
+	LostTrials []Crash `msgpack:"l,omitempty"`
+	// Asks are for trials of requests that wait in this process, and TrialEnds are the trials that were not used,
+	// or were answered.
 	Asks      []Ask      `msgpack:"q,omitempty"`
 	TrialEnds []TrialEnd `msgpack:"t,omitempty"`
 }
@@ -63,13 +66,13 @@
 	RemainingMs uint32 `msgpack:"r"`
 }
 
-// TrialEnd tells that the trial granted for an ask is over: it was not used, or it ended without an answer and
-// without a crash.
+// TrialEnd tells that the trial granted for an ask is over without a crash: it was not used, was answered, or was
+// lost at an instance that is leaving.
 type TrialEnd struct {
 	Fingerprint directory.Fingerprint `msgpack:"f"`
 	Number      AskNumber             `msgpack:"n"`
 }
 
 func (r Report) empty() bool {
-	return len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Rejected) == 0 && len(r.Asks) == 0 && len(r.TrialEnds) == 0
+	return len(r.Crashes) == 0 && len(r.LostTrials) == 0 && len(r.Answered) == 0 && len(r.Rejected) == 0 && len(r.Asks) == 0 && len(r.TrialEnds) == 0
 }
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -82,7 +82,7 @@
 		if e.suspect.TrialAsk == ask.Number {
 			return
 		}
-		if e.trialCrashAt == 0 && e.suspect.TrialAsk < ask.Number {
+		if e.trialCrashAt == 0 && e.lostTrial == nil && e.suspect.TrialAsk < ask.Number {
 			// A process asks again only if it does not use its trial: it has restarted.
 			l.recordTrialEnd(now, ProcessRestarted, e)
 			e.endTrial()
@@ -116,8 +116,8 @@
 
 // endTrial frees the request for the next trial.
 func (e *entry) endTrial() {
-	e.suspect.TrialBy, e.suspect.TrialAsk, e.suspect.TrialMs = "", noAsk, 0
-	e.trialCrash, e.trialCrashAt = "", 0
+	e.suspect.TrialBy, e.suspect.TrialAsk, e.suspect.TrialMs, e.suspect.TrialLostAt = "", noAsk, 0, ""
+	e.trialCrash, e.trialCrashAt, e.lostTrial = "", 0, nil
 }
 
 // takeAsk removes and returns the ask whose request waits longest from now on, and removes those whose request
@@ -139,7 +139,7 @@
 // handleTrialEnd frees a request for the next trial.
 func (l *Ledger) handleTrialEnd(now time.Duration, process string, end TrialEnd) {
 	e, found := l.entries[end.Fingerprint]
-	if found && e.trialCrashAt == 0 && e.suspect.IsTrial(process, end.Number) {
+	if found && e.trialCrashAt == 0 && e.lostTrial == nil && e.suspect.IsTrial(process, end.Number) {
 		l.recordTrialEnd(now, ReportedWithoutCrash, e)
 		e.endTrial()
 	}
@@ -173,6 +173,7 @@
 	for _, crashed := range e.crashedTrials {
 		if e.suspect.IsTrial(crashed.process, crashed.ask) {
 			e.trialCrash, e.trialCrashAt = crashed.instance, now
+			e.suspect.TrialLostAt = crashed.instance
 		}
 	}
 }
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -265,21 +265,20 @@
 	}
 }
 
-// TestEndsOfTrialsAreReported: the leader learns at once of a trial that is not used or that was answered, and
-// of a lost one by the crash or once that can no longer be proved.
+// TestEndsOfTrialsAreReported: the leader learns at once of a trial that is not used or that was answered, and of a
+// lost one with its instance. However much time passes, the process ends a lost trial only by the proof of a crash.
 func TestEndsOfTrialsAreReported(t *testing.T) {
 	for name, c := range map[string]struct {
-		used    bool
-		outcome TrialOutcome
-		crashes bool
-		at      time.Duration
-		ends    int
+		used, lost, crashes bool
+		at                  time.Duration
+		ends, losses        int
 	}{
-		"not used":                   {false, Unsent, false, 0, 1},
-		"answered":                   {true, Finished, false, 0, 1},
-		"lost, may have crashed":     {true, Lost, false, confirmTimeout - time.Millisecond, 0},
-		"lost, no crash was proved":  {true, Lost, false, confirmTimeout, 1},
-		"lost, the instance crashed": {true, Lost, true, confirmTimeout, 0},
+		"not used":                   {false, false, false, 0, 1, 0},
+		"answered":                   {true, false, false, 0, 1, 0},
+		"lost":                       {true, true, false, 0, 0, 1},
+		"lost, after 5 s":            {true, true, false, confirmTimeout, 0, 1},
+		"lost, after an hour":        {true, true, false, time.Hour, 0, 1},
+		"lost, the instance crashed": {true, true, true, confirmTimeout, 0, 0},
 	} {
 		g := newTestGuard()
 		g.SetSuspects(0, probation("", noAsk))
@@ -288,14 +287,22 @@
 		if c.used && !g.TakeTrial(0, fingerprint, number) {
 			t.Fatalf("%s: no trial", name)
 		}
-		g.EndAsk(0, fingerprint, number, c.outcome)
+		loss := Loss{Fingerprint: fingerprint, Path: 7, Instance: "a", TrialAsk: number}
+		if c.lost {
+			g.TrialLost(fingerprint, number, loss)
+		}
+		g.EndAsk(0, fingerprint, number)
 		if c.crashes {
-			g.Crashed(0, []Loss{{Fingerprint: fingerprint, Path: 7, Instance: "a", TrialAsk: number}})
+			g.Crashed(0, []Loss{loss})
+			g.SetSuspects(0, probation("", noAsk))
 		}
 		report, _ := g.Report(c.at)
 		if len(report.TrialEnds) != c.ends {
 			t.Errorf("%s: ends %+v", name, report.TrialEnds)
 		}
+		if len(report.LostTrials) != c.losses || c.losses > 0 && (report.LostTrials[0].Instance != "a" || report.LostTrials[0].TrialAsk != number) {
+			t.Errorf("%s: lost trials %+v", name, report.LostTrials)
+		}
 		if c.crashes && (len(report.Crashes) != 1 || report.Crashes[0].TrialAsk != number) {
 			t.Errorf("%s: crashes %+v", name, report.Crashes)
 		}
@@ -307,7 +314,7 @@
 	g := newTestGuard()
 	g.SetSuspects(0, probation("", noAsk))
 	number, _ := g.Ask(fingerprint, time.Second, time.Second)
-	g.EndAsk(0, fingerprint, number, Unsent)
+	g.EndAsk(0, fingerprint, number)
 	for range 2 {
 		g.SetSuspects(0, probation("g", number))
 	}
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -22,6 +22,14 @@
 	OfAnyCaller directory.Fingerprint
 }
 
+// crash returns the report of a loss under the trial granted for an ask.
+func (l Loss) crash(trialAsk AskNumber) Crash {
+	return Crash{
+		Fingerprint: l.Fingerprint, Path: l.Path, Service: l.Service, Instance: l.Instance,
+		TrialAsk: trialAsk, OfAnyCaller: l.OfAnyCaller,
+	}
+}
+
 const (
 	// confirmTimeout is how long after a loss a proof that its instance has ended is accepted.
 	confirmTimeout = 5 * time.Second
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -144,29 +143,27 @@
 	if failure == nil {
 		failure = checkAnswer(request.target, exchange.Answer)
 	}
-	e.guard.EndTrial(&exchange.suspicion, failure)
+	attempt := watchedAttempt(exchange, action.Decision.Server, e.clock.Now()-sentAt)
+	e.guard.EndTrial(&exchange.suspicion, attempt, failure)
 	switch {
 	case failure == nil:
 		if exchange.Answer.StatusCode() < fasthttp.StatusInternalServerError {
 			e.guard.Answered(&exchange.suspicion)
 		}
 	case failure.Kind == fault.ConnectionLost || failure.Kind == fault.AnswerTruncated || failure.Kind == fault.DeadlineExceeded:
-		e.recordLoss(exchange, action.Decision.Server, e.clock.Now()-sentAt, failure)
+		attempt.ConnectionEnded = failure.Kind != fault.DeadlineExceeded
+		e.guard.Lost(e.crashes, &exchange.suspicion, attempt)
 	default:
 	}
 	return failure
 }
 
-// recordLoss reports an attempt during which the server may have crashed. Servers that are leaving are
-// ignored, because they may exit at any time for reasons other than the request.
-func (e *executor) recordLoss(exchange *Exchange, server *state.Server, elapsed time.Duration, failure *fault.Error) {
-	if server.Leaving || server.Intent != state.ServerActive {
-		return
+// watchedAttempt describes an attempt that has ended, for the crash watch.
+func watchedAttempt(exchange *Exchange, server *state.Server, elapsed time.Duration) crashwatch.Attempt {
+	return crashwatch.Attempt{
+		Service: string(server.Service), Instance: server.Process(), Address: server.Address, RequestID: exchange.ID,
+		Took: elapsed, Leaving: server.Leaving || server.Intent != state.ServerActive,
 	}
-	e.guard.Lost(e.crashes, &exchange.suspicion, crashwatch.Attempt{
-		Service: string(server.Service), Instance: incarnationOf(server), Address: server.Address, RequestID: exchange.ID,
-		Took: elapsed, ConnectionEnded: failure.Kind != fault.DeadlineExceeded,
-	})
 }
 
 // checkReplacedProcesses reports to the crash watch which of the server processes that lost requests have been
@@ -174,32 +171,23 @@
 func (r *Router) checkReplacedProcesses() {
 	view := r.builder.Table()
 	r.crashes.Check(func(id directory.InstanceID) bool {
-		name, _, _ := strings.Cut(string(id), incarnationSeparator)
-		server, found := view.Server(state.ServerID(name))
-		return found && incarnationOf(server) != id
+		server, found := view.Server(state.ServerOfProcess(id))
+		return found && server.Process() != id
 	})
 }
 
 // otherServers returns addresses of servers other than the one of a process.
 func (r *Router) otherServers(id directory.InstanceID) []string {
-	name, _, _ := strings.Cut(string(id), incarnationSeparator)
+	own := state.ServerOfProcess(id)
 	var others crashwatch.Others
 	r.builder.Table().EachServer(func(server *state.Server) {
-		if string(server.ID) != name && server.Session.Incarnation != "" {
+		if server.ID != own && server.Session.Incarnation != "" {
 			others.Add(server.Address)
 		}
 	})
 	return others.Addresses()
 }
 
-// incarnationSeparator separates a server's identifier from that of its process.
-const incarnationSeparator = "#"
-
-// incarnationOf returns an identifier of the process that opened the server's latest session.
-func incarnationOf(server *state.Server) directory.InstanceID {
-	return directory.InstanceID(string(server.ID) + incarnationSeparator + server.Session.Incarnation)
-}
-
 func (e *executor) send(request *outgoingRequest, decision *dispatch.Decision, timeout time.Duration) *fault.Error {
 	exchange := request.exchange
 	request.attemptID = exchange.ID + "." + strconv.Itoa(request.execution.Attempts()+1)
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -1,6 +1,11 @@
 package state
 
-import "time"
+import (
+	"strings"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+)
 
 // Names and identifiers.
 type (
@@ -132,6 +137,20 @@
 	Revision       Revision `json:"revision"`
 }
 
+// processSeparator separates a server's identifier from that of its process.
+const processSeparator = "#"
+
+// Process identifies the process that opened the server's latest session.
+func (s Server) Process() directory.InstanceID {
+	return directory.InstanceID(string(s.ID) + processSeparator + s.Session.Incarnation)
+}
+
+// ServerOfProcess returns the server of a process as identified by Server.Process.
+func ServerOfProcess(id directory.InstanceID) ServerID {
+	name, _, _ := strings.Cut(string(id), processSeparator)
+	return ServerID(name)
+}
+
 // Withdrawn reports whether the server gets no new work although it is not retired, because
 // its machine is leaving or its zone is evacuated.
 func (s Server) Withdrawn() bool { return s.Leaving || s.Evacuated }
