Crash watch tests: the check of an urgent report can fail

Cause: TestLostTrialIsReported found the signal of the ask that it had opened before, so that its check of an urgent report could not fail; the set-up stood twice. Result: go test ./internal/crashwatch -count=3 passes.

--- a/internal/crashwatch/probation_test.go
+++ b/internal/crashwatch/probation_test.go
@@ -124,20 +124,28 @@
 	}
 }
 
+// newGuardWithTrial returns a guard and a request that is about to be sent under its trial. No report is urgent.
+func newGuardWithTrial(t *testing.T) (*Guard, *Request) {
+	t.Helper()
+	fingerprint, path := identityHashes(t)
+	guard, request := newTestGuard(directory.Suspect{Fingerprint: fingerprint, Path: path, Probation: true})
+	guard.ask(request, fingerprint, guard.clock.Now()+requestTime)
+	<-guard.urgent
+	guard.SetSuspects(directory.Suspects{Revision: 2, List: []directory.Suspect{
+		{Fingerprint: fingerprint, Path: path, Probation: true, Trials: 1, TrialBy: "g", TrialAsk: request.ask},
+	}})
+	if failure := guard.CheckBeforeSend(request); failure != nil {
+		t.Fatal(failure)
+	}
+	return guard, request
+}
+
 // TestLostTrialIsReported: the leader learns at once at which instance a trial was lost, whatever the failure was, and
 // the trial stays open; one that was lost at an instance that leaves is over.
 func TestLostTrialIsReported(t *testing.T) {
-	fingerprint, path := identityHashes(t)
 	for _, kind := range []fault.Kind{fault.ConnectionLost, fault.AnswerTruncated, fault.DeadlineExceeded, fault.AnswerMismatched} {
 		for _, leaving := range []bool{false, true} {
-			guard, request := newTestGuard(directory.Suspect{Fingerprint: fingerprint, Path: path, Probation: true})
-			guard.ask(request, fingerprint, guard.clock.Now()+requestTime)
-			guard.SetSuspects(directory.Suspects{Revision: 2, List: []directory.Suspect{
-				{Fingerprint: fingerprint, Path: path, Probation: true, Trials: 1, TrialBy: "g", TrialAsk: request.ask},
-			}})
-			if failure := guard.CheckBeforeSend(request); failure != nil {
-				t.Fatal(failure)
-			}
+			guard, request := newGuardWithTrial(t)
 			guard.EndTrial(request, Attempt{Service: "s", Instance: "a", Leaving: leaving}, fault.New(kind, ""))
 			guard.End(request)
 			select {
@@ -158,16 +166,8 @@
 // TestTrialEndsWithItsRequest: the end of a trial that was answered without clearing the request, or that was not
 // used, is reported when the request ends.
 func TestTrialEndsWithItsRequest(t *testing.T) {
-	fingerprint, path := identityHashes(t)
 	for name, failure := range map[string]*fault.Error{"answered": nil, "not run": fault.New(fault.NoOwner, "")} {
-		guard, request := newTestGuard(directory.Suspect{Fingerprint: fingerprint, Path: path, Probation: true})
-		guard.ask(request, fingerprint, guard.clock.Now()+requestTime)
-		guard.SetSuspects(directory.Suspects{Revision: 2, List: []directory.Suspect{
-			{Fingerprint: fingerprint, Path: path, Probation: true, Trials: 1, TrialBy: "g", TrialAsk: request.ask},
-		}})
-		if failure := guard.CheckBeforeSend(request); failure != nil {
-			t.Fatal(failure)
-		}
+		guard, request := newGuardWithTrial(t)
 		guard.EndTrial(request, Attempt{}, failure)
 		guard.End(request)
 		report := guard.Report()
