Gateway, router: an answered attempt is not described for the crash watch

Cause: described each attempt for the crash watch before it knew whether it was answered. At a gateway that takes the lock of the instances' signals once more for every request, at a router it builds a string. Change: EndTrial for answered requests takes no attempt, FailTrial for the others does. Behaviour is the same. Result: go test ./internal/quarantine ./internal/crashwatch ./internal/gateway ./internal/router passes.

--- a/internal/crashwatch/guard.go
+++ b/internal/crashwatch/guard.go
@@ -273,17 +273,17 @@
 	}
 }
 
-// EndTrial makes the trial available again if the failure proves that the request did not run. If it may have run,
-// the leader is to find out whether the instance crashed, unless that is leaving. Failure is nil for a request that
-// was answered.
-func (g *Guard) EndTrial(request *Request, attempt Attempt, failure *fault.Error) {
+// EndTrial ends the trial of a request that was answered.
+func (g *Guard) EndTrial(request *Request) { request.onTrial = false }
+
+// FailTrial ends the trial of a request that was not answered. It makes the trial available again if the failure
+// proves that the request did not run. If it may have run, the leader is to find out whether the instance crashed,
+// unless that is leaving.
+func (g *Guard) FailTrial(request *Request, attempt Attempt, failure *fault.Error) {
 	if !request.onTrial {
 		return
 	}
 	request.onTrial = false
-	if failure == nil {
-		return
-	}
 	g.withGuard(func(now time.Duration, guard *quarantine.Guard) bool {
 		if fault.AnswerFor(failure.Kind).Outcome == fault.NotRun {
 			guard.ReturnTrial(request.triedFor)
--- a/internal/crashwatch/guard_test.go
+++ b/internal/crashwatch/guard_test.go
@@ -67,7 +67,7 @@
 		if failure := guard.CheckBeforeSend(request); failure != nil {
 			t.Fatal(failure)
 		}
-		guard.EndTrial(request, Attempt{}, fault.New(kind, ""))
+		guard.FailTrial(request, Attempt{}, fault.New(kind, ""))
 		if failure := guard.CheckBeforeSend(request); (failure == nil) != returned {
 			t.Errorf("after %s: %v", kind, failure)
 		}
--- a/internal/crashwatch/probation_test.go
+++ b/internal/crashwatch/probation_test.go
@@ -146,7 +146,7 @@
 	for _, kind := range []fault.Kind{fault.ConnectionLost, fault.AnswerTruncated, fault.DeadlineExceeded, fault.AnswerMismatched} {
 		for _, leaving := range []bool{false, true} {
 			guard, request := newGuardWithTrial(t)
-			guard.EndTrial(request, Attempt{Service: "s", Instance: "a", Leaving: leaving}, fault.New(kind, ""))
+			guard.FailTrial(request, Attempt{Service: "s", Instance: "a", Leaving: leaving}, fault.New(kind, ""))
 			guard.End(request)
 			select {
 			case <-guard.urgent:
@@ -168,7 +168,11 @@
 func TestTrialEndsWithItsRequest(t *testing.T) {
 	for name, failure := range map[string]*fault.Error{"answered": nil, "not run": fault.New(fault.NoOwner, "")} {
 		guard, request := newGuardWithTrial(t)
-		guard.EndTrial(request, Attempt{}, failure)
+		if failure == nil {
+			guard.EndTrial(request)
+		} else {
+			guard.FailTrial(request, Attempt{}, failure)
+		}
 		guard.End(request)
 		report := guard.Report()
 		if report == nil || len(report.TrialEnds) != 1 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,12 +123,15 @@
 	took := time.Since(began)
 	current.recordAttempt(instance.ID, chosen.relay, sentAt, took, failure)
 	g.recordResult(current, instance, chosen, took, failure)
-	attempt := g.watchedAttempt(current, instance, took)
-	g.guard.EndTrial(&current.suspicion, attempt, failure)
 	if failure == nil {
+		g.guard.EndTrial(&current.suspicion)
 		g.recordAnswered(current)
-	} else if !current.relayFailed {
-		g.recordLoss(current, attempt, failure)
+		return nil
+	}
+	lost := g.lostAttempt(current, instance, took)
+	g.guard.FailTrial(&current.suspicion, lost, failure)
+	if !current.relayFailed {
+		g.recordLoss(current, lost, failure)
 	}
 	return failure
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// watchedAttempt describes an attempt that has ended, for the crash watch.
-func (g *Gateway) watchedAttempt(current *request, instance directory.Instance, took time.Duration) crashwatch.Attempt {
+// lostAttempt describes an attempt that ended without an answer, for the crash watch.
+func (g *Gateway) lostAttempt(current *request, instance directory.Instance, took time.Duration) crashwatch.Attempt {
 	_, leaves := g.signals.leaving(g.clock.Now(), instance.ID)
 	return crashwatch.Attempt{
 		Service: current.service, Instance: instance.ID, Address: instance.Address, RequestID: current.id,
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -143,23 +143,26 @@
 	if failure == nil {
 		failure = checkAnswer(request.target, exchange.Answer)
 	}
-	attempt := watchedAttempt(exchange, action.Decision.Server, e.clock.Now()-sentAt)
-	e.guard.EndTrial(&exchange.suspicion, attempt, failure)
-	switch {
-	case failure == nil:
+	if failure == nil {
+		e.guard.EndTrial(&exchange.suspicion)
 		if exchange.Answer.StatusCode() < fasthttp.StatusInternalServerError {
 			e.guard.Answered(&exchange.suspicion)
 		}
-	case failure.Kind == fault.ConnectionLost || failure.Kind == fault.AnswerTruncated || failure.Kind == fault.DeadlineExceeded:
-		attempt.ConnectionEnded = failure.Kind != fault.DeadlineExceeded
-		e.guard.Lost(e.crashes, &exchange.suspicion, attempt)
+		return nil
+	}
+	lost := lostAttempt(exchange, action.Decision.Server, e.clock.Now()-sentAt)
+	e.guard.FailTrial(&exchange.suspicion, lost, failure)
+	switch failure.Kind {
+	case fault.ConnectionLost, fault.AnswerTruncated, fault.DeadlineExceeded:
+		lost.ConnectionEnded = failure.Kind != fault.DeadlineExceeded
+		e.guard.Lost(e.crashes, &exchange.suspicion, lost)
 	default:
 	}
 	return failure
 }
 
-// watchedAttempt describes an attempt that has ended, for the crash watch.
-func watchedAttempt(exchange *Exchange, server *state.Server, elapsed time.Duration) crashwatch.Attempt {
+// lostAttempt describes an attempt that ended without an answer, for the crash watch.
+func lostAttempt(exchange *Exchange, server *state.Server, elapsed time.Duration) crashwatch.Attempt {
 	return crashwatch.Attempt{
 		Service: string(server.Service), Instance: server.Process(), Address: server.Address, RequestID: exchange.ID,
 		Took: elapsed, Leaving: server.Leaving || server.Intent != state.ServerActive,
