Review, case 2: late heartbeats end a live server, whose keys go to others

A server starts behind a cut, crashes, and starts again at its address. Two of its first incarnation's heartbeats arrive late, 700 ms apart, between two heartbeats of the new one. The leader then counts the new one as ended and gives its keys to other servers at once, without waiting for its lease.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,8 @@
 type playFunc func(ctx context.Context, record *recorder, program string, trouble bool) (bool, error)
 
 var cases = map[string]playFunc{
-	"surplus": surplusAnswers,
+	"surplus":  surplusAnswers,
+	"takeover": lateHeartbeats,
 }
 
 func main() { os.Exit(run()) }
