Review, case 3: after a change of leader a late heartbeat frees leased keys

A leader takes the second heartbeat of a term for newer than everything that was granted before. Two heartbeats of a server's first seconds, held up by a cut, arrive at a new leader while the server leaves: the first lets the leader revoke keys, the second, which lists none, counts as their release. They go to other servers while the lease of the first one runs.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,8 +24,9 @@
 type playFunc func(ctx context.Context, record *recorder, program string, trouble bool) (bool, error)
 
 var cases = map[string]playFunc{
-	"surplus":  surplusAnswers,
-	"takeover": lateHeartbeats,
+	"surplus":   surplusAnswers,
+	"takeover":  lateHeartbeats,
+	"newleader": newLeader,
 }
 
 func main() { os.Exit(run()) }
