Gateway: log when changed items come into force, and on which proof a request is routed

Cause: the logs can't tell the hypotheses of the incident apart. Nothing says when a version of a route came into force at a gateway and from whom, how long pings take, whether a broken stream had brought anything, or that a request which was answered was routed by a table without recent proof. Change: event items_in_force with the changed routes and versions, source and age of the proof; controller_lost tells the bytes received; metrics table_age_seconds, table_round_trip_seconds and requests_by_stale_table_total; the line of a request has the age of the proof when it was routed, and one answered request a second is logged while the table is stale.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -20,6 +20,7 @@
 	PeerAddress       string        `koanf:"peer_address" validate:"omitempty,address" doc:"IP:port at which other gateways take the directory while no controller answers them, ask for places, and have requests relayed to instances that they cannot reach; empty for none of it."`
 	PingInterval      time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
 	PongTimeout       time.Duration `koanf:"pong_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a proof that the directory is current; another controller is asked then."`
+	StalenessLimit    time.Duration `koanf:"staleness_limit" validate:"min=100ms,max=10m" doc:"Age of the last proof that the directory is current from which on a change may be in force elsewhere and unknown here; the time within which a change must be in force at all gateways."`
 	StopTimeout       time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
 	StopNotice        time.Duration `koanf:"stop_notice" validate:"min=0s,max=10m" doc:"How long new connections are still accepted once a stop began, until the platform has noticed it."`
 	DrainTime         time.Duration `koanf:"drain_time" validate:"min=0s,max=10m" doc:"How long a draining instance still gets requests for keys that it holds."`
@@ -72,6 +73,7 @@
 		ControllerPort: 7101,
 		PingInterval:   500 * time.Millisecond,
 		PongTimeout:    900 * time.Millisecond,
+		StalenessLimit: 2 * time.Second,
 		StopTimeout:    10 * time.Second,
 		StopNotice:     2500 * time.Millisecond,
 		DrainTime:      1200 * time.Millisecond,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,8 +61,10 @@
 	// tenant, and to an instance that advertises a rate limit.
 	tenantTokens   *tokens
 	instanceTokens *tokens
-	registry       *telemetry.Metrics
-	metrics        *metrics
+	// staleLoggedAt is the clock reading of the last line of a request that was answered by a stale table.
+	staleLoggedAt atomic.Int64
+	registry      *telemetry.Metrics
+	metrics       *metrics
 	// attemptEnded wakes waiting requests when an attempt ends.
 	attemptEnded *broadcast.Broadcast
 
@@ -149,6 +151,7 @@
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
+	gateway.subscription.registerMetrics(gateway.registry)
 	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
 	gateway.crashes = crashwatch.NewWatch(system, log, crashwatch.Options{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -168,7 +168,7 @@
 			t.Fatal(err)
 		}
 		changes := view.RoutingSince(0)
-		if err := s.apply(message.DirectoryUpdate{Cluster: message.ClusterID(host), Changes: &changes}); err != nil {
+		if err := s.apply(message.DirectoryUpdate{Cluster: message.ClusterID(host), Changes: &changes}, source{}); err != nil {
 			t.Fatal(err)
 		}
 		if _, found := s.current().Route(host, "/"); !found {
--- a/internal/gateway/home.go
+++ b/internal/gateway/home.go
@@ -67,7 +67,7 @@
 	if err := connection.Receive(&update); err != nil {
 		return err
 	}
-	if err := s.apply(update); err != nil {
+	if err := s.apply(update, from); err != nil {
 		return err
 	}
 	s.viewLock.Lock()
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -17,6 +18,8 @@
 	resends  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	inFlight *gauge
+	// staleRouted counts requests that were routed by a table whose proof was older than the staleness limit.
+	staleRouted *prometheus.CounterVec
 	// relayed counts relayed requests by direction and result.
 	relayed *prometheus.CounterVec
 }
@@ -43,14 +46,16 @@
 		resends:  registry.Counters("resends_total", "Requests sent once more, by service and by the failure before.", "service", "kind"),
 		latency:  registry.Histograms("request_duration_seconds", "Time from a request's arrival to its answer, by service.", latencyBuckets, "service"),
 		inFlight: &gauge{},
-		relayed:  registry.Counters("relayed_requests_total", "Requests that passed through another gateway, by direction and by what the relay told; none if it told nothing.", "direction", "result"),
+
+		staleRouted: registry.Counters("requests_by_stale_table_total", "Requests routed by a table whose last proof was older than the staleness limit, by service and by the kind of failure; empty for an instance's answer.", "service", "kind"),
+		relayed:     registry.Counters("relayed_requests_total", "Requests that passed through another gateway, by direction and by what the relay told; none if it told nothing.", "direction", "result"),
 	}
 	registry.GaugeFunction("requests_in_flight", "Requests that wait for their answer.", func() float64 { return float64(built.running()) })
 	return built
 }
 
-// observe records a request in the metrics, and logs it if the gateway refused it, or sent it more than once or
-// through another gateway.
+// observe records a request in the metrics, and logs it if the gateway refused it, sent it more than once or
+// through another gateway, or routed it by a stale table.
 func (g *Gateway) observe(current *request, failure *fault.Error) {
 	took := g.clock.Now() - current.arrived
 	kind := ""
@@ -60,12 +65,15 @@
 	g.metrics.requests.WithLabelValues(current.service, kind).Inc()
 	g.metrics.latency.WithLabelValues(current.service).Observe(took.Seconds())
 	relayed := slices.ContainsFunc(current.outcomes, func(outcome attemptOutcome) bool { return outcome.Relay != "" })
-	if failure == nil && len(current.attempts) <= 1 && !relayed {
+	if current.staleTable {
+		g.metrics.staleRouted.WithLabelValues(current.service, kind).Inc()
+	}
+	if failure == nil && len(current.attempts) <= 1 && !relayed && !g.shouldLogStale(current) {
 		return
 	}
 	line := telemetry.With(g.log, telemetry.EventRequestEnded).WithField(telemetry.FieldRequest, current.id).
 		WithField(telemetry.FieldService, current.service).WithField(telemetry.FieldRevision, current.revision).
-		WithField("table_age_ms", g.subscription.age().Milliseconds()).
+		WithField(fieldTableAge, current.tableAge.Milliseconds()).
 		WithField("attempts", current.outcomes).WithField("status", current.answer.StatusCode()).
 		WithField(telemetry.FieldDuration, took.Milliseconds())
 	if current.route != nil {
@@ -84,6 +92,10 @@
 		line.Info("request answered through another gateway")
 		return
 	}
+	if failure == nil && len(current.attempts) <= 1 {
+		line.Info("request answered by a table without recent proof")
+		return
+	}
 	if failure == nil {
 		line.Info("request answered after a resend")
 		return
@@ -94,6 +106,20 @@
 	line.WithField(telemetry.FieldKind, failure.Kind).WithField(telemetry.FieldError, failure.Detail).Info("request failed")
 }
 
+// staleLogInterval is the time between two lines of answered requests that were routed by a stale table; the
+// metric counts all of them.
+const staleLogInterval = time.Second
+
+// shouldLogStale reports whether to log an answered request because it was routed by a stale table.
+func (g *Gateway) shouldLogStale(current *request) bool {
+	if !current.staleTable {
+		return false
+	}
+	last := g.staleLoggedAt.Load()
+	now := int64(g.clock.Now())
+	return now-last >= int64(staleLogInterval) && g.staleLoggedAt.CompareAndSwap(last, now)
+}
+
 func (g *Gateway) logEjected(instance directory.Instance, failure *fault.Error) {
 	telemetry.WithError(g.log, telemetry.EventServerEjected, failure).WithField(telemetry.FieldServer, instance.ID).
 		WithField(telemetry.FieldService, instance.Service).Warn("instance ejected")
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -74,7 +74,7 @@
 	}
 	err := s.follow(ctx, source{address: address, peer: true})
 	telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
-		WithField("table_age_ms", s.age().Milliseconds()).Info("directory stream from another gateway ended")
+		WithField(fieldTableAge, s.age().Milliseconds()).Info("directory stream from another gateway ended")
 }
 
 var (
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -143,6 +143,14 @@
 	return r.winner == nil && !r.abandoned
 }
 
+// bytesReceived returns the number of bytes that the candidate's stream brought.
+func (c *candidate) bytesReceived() uint64 {
+	if c.connection == nil {
+		return 0
+	}
+	return c.connection.BytesReceived()
+}
+
 // timeout returns how long a candidate that accepted the connection may take before the next one is asked.
 func (c *candidate) timeout() time.Duration {
 	if c.connection.BytesReceived() >= directoryBegunBytes {
@@ -192,7 +200,7 @@
 			return
 		}
 		line := telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
-			WithField("table_age_ms", s.age().Milliseconds())
+			WithField(fieldTableAge, s.age().Milliseconds()).WithField("bytes", asked.bytesReceived())
 		if errors.Is(err, errSwitchToHome) {
 			search.abandon()
 			line.Info("switching the directory stream to the home controller")
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -128,7 +128,7 @@
 		}
 	}
 	changes := view.RoutingSince(0)
-	if err := gateway.subscription.apply(message.DirectoryUpdate{Cluster: "cluster", Changes: &changes}); err != nil {
+	if err := gateway.subscription.apply(message.DirectoryUpdate{Cluster: "cluster", Changes: &changes}, source{}); err != nil {
 		t.Fatal(err)
 	}
 	for _, instance := range instances {
@@ -301,7 +301,7 @@
 	}
 	changes := changed.RoutingSince(0)
 	changes.From = 2
-	if err := gateway.subscription.apply(message.DirectoryUpdate{Changes: &changes}); err != nil {
+	if err := gateway.subscription.apply(message.DirectoryUpdate{Changes: &changes}, source{}); err != nil {
 		t.Fatal(err)
 	}
 	near, far := tcpPair(t)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -83,8 +83,11 @@
 	// with its connection to a relay, which says nothing of the instance.
 	relaysTried []string
 	relayFailed bool
-	// revision is that of the table with which the request was routed.
-	revision directory.Revision
+	// revision is that of the table with which the request was routed, tableAge the age of its proof then, and
+	// staleTable is true if that was older than the staleness limit.
+	revision   directory.Revision
+	tableAge   time.Duration
+	staleTable bool
 }
 
 // attemptOutcome is the result of one attempt.
@@ -111,7 +114,7 @@
 	if table == nil {
 		return read, fault.New(fault.StaleRouter, "this gateway has no directory yet")
 	}
-	read.revision = table.Revision
+	read.revision, read.tableAge, read.staleTable = table.Revision, g.subscription.age(), g.subscription.stale()
 	if err := read.readDeadline(g.dialect.Deadline); err != nil {
 		return read, err
 	}
--- /dev/null
+++ b/internal/gateway/staleness.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// maxLoggedRoutes bounds the changed routes in one log line.
+const maxLoggedRoutes = 20
+
+// fieldTableAge is the time since the last proof that the directory was current, in milliseconds; -1 if there
+// was none.
+const fieldTableAge = "table_age_ms"
+
+// logItemsInForce logs which configuration items a new table changes.
+func (s *subscription) logItemsInForce(table *routing.Table, from source) {
+	if !table.ItemsChanged {
+		return
+	}
+	changed := table.ChangedRoutes
+	telemetry.With(s.log, telemetry.EventItemsInForce).WithField(telemetry.FieldRevision, table.Revision).
+		WithField("routes", changed[:min(len(changed), maxLoggedRoutes)]).WithField(telemetry.FieldCount, len(changed)).
+		WithField(fieldTableAge, s.age().Milliseconds()).WithField(telemetry.FieldAddress, from.address).
+		WithField("peer", from.peer).Info("configuration items are in force")
+}
+
+// stale reports whether an acknowledged change may be in force elsewhere that this gateway does not know.
+func (s *subscription) stale() bool {
+	age := s.age()
+	return age < 0 || age > s.settings.StalenessLimit
+}
+
+// registerMetrics registers the metrics of the directory stream.
+func (s *subscription) registerMetrics(registry *telemetry.Metrics) {
+	registry.GaugeFunction("table_age_seconds", "Time since the last proof that the directory was current; negative if there was none.",
+		func() float64 { return s.age().Seconds() })
+	registry.GaugeFunction("table_round_trip_seconds", "Time that the last answered ping to a controller, or another gateway in its place, took.",
+		func() float64 { return time.Duration(s.roundTrip.Load()).Seconds() })
+}
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -48,7 +48,9 @@
 	table  atomic.Pointer[routing.Table]
 	// provedAt is the clock reading when the last answered ping was sent, and confirmedAt when the last ping
 	// answered by a controller was sent.
-	provedAt    atomic.Pointer[time.Duration]
+	provedAt atomic.Pointer[time.Duration]
+	// roundTrip is how long the last answered ping took, in nanoseconds.
+	roundTrip   atomic.Int64
 	confirmedAt atomic.Pointer[time.Duration]
 	// controllerReached is true once a controller has accepted a connection.
 	controllerReached atomic.Bool
@@ -223,7 +225,7 @@
 		if from.peer && s.confirmed() {
 			return errControllerAnswers
 		}
-		if err := s.apply(update); err != nil {
+		if err := s.apply(update, from); err != nil {
 			return err
 		}
 		if update.Pong == 0 {
@@ -236,7 +238,7 @@
 			return errOtherController
 		}
 		proved = s.clock.Now()
-		s.confirm(pings.sentAt[update.Pong%pingsKept].Load(), from)
+		s.recordProof(pings.sentAt[update.Pong%pingsKept].Load(), from)
 		if s.shouldSwitchHome(from) {
 			return errSwitchToHome
 		}
@@ -248,6 +250,12 @@
 	}
 }
 
+// recordProof records a ping's answer.
+func (s *subscription) recordProof(sentAt *time.Duration, from source) {
+	s.confirm(sentAt, from)
+	s.roundTrip.Store(int64(s.clock.Now() - *sentAt))
+}
+
 // confirm records that the directory was current when a ping was sent.
 func (s *subscription) confirm(sentAt *time.Duration, from source) {
 	s.provedAt.Store(sentAt)
@@ -275,7 +283,7 @@
 }
 
 // apply applies an update. After an error the whole directory is requested.
-func (s *subscription) apply(update message.DirectoryUpdate) error {
+func (s *subscription) apply(update message.DirectoryUpdate, from source) error {
 	s.viewLock.Lock()
 	defer s.viewLock.Unlock()
 	if update.Peers != nil {
@@ -306,6 +314,7 @@
 	}
 	table := routing.Build(s.view, earlier)
 	s.table.Store(table)
+	s.logItemsInForce(table, from)
 	s.onTable(table)
 	s.updates.Raise()
 	return nil
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -50,6 +50,11 @@
 	// are gone. If Whole is true, it holds all instances.
 	Changed []*directory.Instance
 	Whole   bool
+	// ChangedRoutes are the routes that were added, changed or dropped since the earlier
+	// table; empty if there was none.
+	ChangedRoutes []RouteChange
+	// ItemsChanged is true if any configuration item changed since the earlier table.
+	ItemsChanged bool
 	// itemsRevision is the revision of the newest configuration item.
 	itemsRevision directory.Revision
 	ranks         ranks
@@ -62,6 +67,13 @@
 	parsedRoutes map[string]parsedRoute
 }
 
+// RouteChange names a version of a route.
+type RouteChange struct {
+	Name string `json:"name"`
+	// Version is the version in force, zero for a route that was dropped.
+	Version uint64 `json:"version"`
+}
+
 type parsedRoute struct {
 	revision directory.Revision
 	route    *directory.Route
@@ -80,6 +92,8 @@
 		table.reuseItems(earlier)
 	} else {
 		table.parseItems(view, earlier)
+		table.ItemsChanged = true
+		table.ChangedRoutes = table.routeChanges(earlier)
 	}
 	table.loadInstances(view, earlier)
 	for name, service := range table.services {
@@ -186,6 +200,26 @@
 	}
 }
 
+// routeChanges returns the routes that differ from those of an earlier table, which may be nil, by name.
+func (t *Table) routeChanges(earlier *Table) []RouteChange {
+	if earlier == nil {
+		return nil
+	}
+	var changes []RouteChange
+	for name, parsed := range t.parsedRoutes {
+		if earlier.parsedRoutes[name].revision != parsed.revision {
+			changes = append(changes, RouteChange{Name: name, Version: parsed.route.Version})
+		}
+	}
+	for name := range earlier.parsedRoutes {
+		if _, found := t.parsedRoutes[name]; !found {
+			changes = append(changes, RouteChange{Name: name})
+		}
+	}
+	slices.SortFunc(changes, func(a, b RouteChange) int { return cmp.Compare(a.Name, b.Name) })
+	return changes
+}
+
 // addItem adds an item unless it was dropped. Items were validated when they were
 // accepted, so an item that cannot be parsed is skipped without an error.
 func (t *Table) addItem(item directory.Item, earlier *Table) {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -73,6 +73,7 @@
 	EventTableStale        Event = "table_stale"
 	EventTableCurrent      Event = "table_current"
 	EventControllerLost    Event = "controller_lost"
+	EventItemsInForce      Event = "items_in_force"
 	EventServerEjected     Event = "server_ejected"
 	EventServerCrashed     Event = "server_crashed"
 	EventServersUnreached  Event = "servers_unreachable"
@@ -174,6 +175,7 @@
 		{EventTableStale, levelWarning, "The table is not proved current; requests are refused."},
 		{EventTableCurrent, levelInfo, "The table is proved current again."},
 		{EventControllerLost, levelWarning, "The connection to the controllers broke."},
+		{EventItemsInForce, levelInfo, "Changed configuration items are in force at this gateway."},
 		{EventServerEjected, levelWarning, "A server failed too often and gets no requests for a while."},
 		{EventServersUnreached, levelWarning, "No connection can be made to most of the instances to which this gateway sent requests of late."},
 		{EventServersReached, levelInfo, "Connections to most instances can be made again."},
