Gateway: a directory stream is kept until another one confirms the directory

What callers saw: single gateways refused requests on routes that had been added, or sent them to the service of an older version, long after the change was acknowledged. Cause: a gateway left a controller when no byte had come for 900 ms, and began at the next one with a connection, a request and a wait of the same length. Over a round trip of more than that, each stream was given up while its answer was on the way: no directory, no change and no proof ever arrived, though no message was lost. Three further bounds had the same effect: 300 ms for the connection, 1.2 s for unacknowledged bytes at either end, and errNoProof for a first message after 900 ms. Change: a stream that is silent for the pong timeout stays, and the others are asked beside it; the first that confirms the directory wins, which may be the silent one. Each controller has one patient connection, which waits for 5 s; others beside it are replaced as soon as before, since those to a machine that was down are dead. A ping is found by its number, so that an answer that comes after 16 more pings is no longer taken for that of a later one, and an older proof does not replace a newer one. Why this works: an answer that arrives counts whenever it arrives, and giving up no longer depends on a fixed time as long as nothing better is there. What another controller would bring sooner, it still brings.

--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -49,6 +49,7 @@
 	if err := connection.Receive(&first); err != nil {
 		return err
 	}
+	connection.SetSilenceTimeout(wire.PatientSilenceTimeout)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.directoryStreams.Add(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/warmup"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 const role = "gateway"
@@ -95,6 +96,8 @@
 	Dialects map[string]Dialect
 	// DialInstance opens connections to instances; nil means TCP.
 	DialInstance forward.DialFunc
+	// DialPeer opens connections for the directory stream, to controllers and other gateways; nil means TCP.
+	DialPeer wire.DialFunc
 	// Reload reads the settings again; nil if they do not change.
 	Reload func() (config.Gateway, error)
 }
@@ -151,6 +154,7 @@
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
+	gateway.subscription.dial = options.DialPeer
 	gateway.subscription.registerMetrics(gateway.registry)
 	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -48,12 +48,19 @@
 // has just started waits for them: a whole directory would saturate the narrow link of another gateway.
 func (s *subscription) lostControllers() bool { return s.confirmedAt.Load() != nil && !s.confirmed() }
 
-// followPeers follows the directory of other gateways while no controller answers, until the context ends.
+// followPeers follows the directory of other gateways while no controller answers, until the context ends. It
+// waits longer for the next answers after none has come in time.
 func (s *subscription) followPeers(ctx context.Context) {
+	wait := s.settings.PongTimeout
 	for ctx.Err() == nil {
 		if peers := s.knownPeers(); len(peers) > 0 && s.lostControllers() {
+			before := s.age()
 			for _, address := range peers {
-				s.followPeer(ctx, address)
+				s.followPeer(ctx, address, wait)
+			}
+			wait = min(2*wait, patience)
+			if s.age() < before {
+				wait = s.settings.PongTimeout
 			}
 			clock.Sleep(ctx, peerRetryPause)
 		}
@@ -67,12 +74,13 @@
 	return slices.Clone(s.peers)
 }
 
-// followPeer follows the stream of another gateway until it breaks or a controller answers again.
-func (s *subscription) followPeer(ctx context.Context, address string) {
+// followPeer follows the stream of another gateway until it breaks, is silent for longer than the wait, or a
+// controller answers again.
+func (s *subscription) followPeer(ctx context.Context, address string, wait time.Duration) {
 	if s.confirmed() || ctx.Err() != nil {
 		return
 	}
-	err := s.follow(ctx, source{address: address, peer: true})
+	err := s.follow(ctx, source{address: address, peer: true, wait: wait})
 	telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
 		WithField(fieldTableAge, s.age().Milliseconds()).Info("directory stream from another gateway ended")
 }
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -14,11 +14,14 @@
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-// While a gateway has no directory stream, it connects to several controllers, each a short time after the
-// previous one. After a power failure machines come back one by one, and a machine that is still down does not
-// answer: waiting for it to time out costs the callers more than a second connection does. Once a controller
+// While no directory stream brings proofs, the gateway connects to several controllers, each a short time after
+// the previous one. After a power failure machines come back one by one, and a machine that is still down does
+// not answer: waiting for it to time out costs the callers more than a second connection does. Once a controller
 // has accepted a connection, no further one is asked for a while: a whole directory takes long on a narrow
 // link and should not be sent twice.
+//
+// A stream that has become silent is kept until another one confirms the directory: where round trips take
+// longer than any timeout, each stream that is given up for a new one loses the answers that are on their way.
 
 const (
 	// raceStagger is the delay before the next controller is asked as well, about ten times the time to
@@ -34,45 +37,68 @@
 	directoryBegunBytes = 1500
 	// raceRounds is how often each controller is asked before the settings are reloaded.
 	raceRounds = 3
+	// patience is how long a patient candidate may be silent, which bounds the round trips over which a gateway
+	// follows the directory.
+	patience = wire.PatientSilenceTimeout
 )
 
-// race is one search for a controller that confirms the directory.
+// race finds a controller that confirms the directory, and finds another one when that falls silent.
 type race struct {
+	// silenceLimit is how long an accepted connection may be silent before another one is tried beside it.
+	silenceLimit time.Duration
+
 	mutex      sync.Mutex
 	candidates map[*candidate]struct{}
-	winner     *candidate
-	// abandoned is true once the search ended without a winner.
-	abandoned bool
+	// winner is the candidate that the gateway follows; nil for none. It can win once more against those that
+	// are asked after it fell silent.
+	winner *candidate
+	// searching is true while the first candidate that confirms the directory wins.
+	searching bool
+	// restarts counts the searches that were begun anew.
+	restarts int
 }
 
 // candidate is a controller that is being asked over one connection.
 type candidate struct {
 	address string
-	// cancel ends its stream.
+	// patient is true for one connection to each controller, which waits for slow answers. Others are replaced
+	// soon, since those to a machine that was down are dead.
+	patient bool
+	// cancel ends its stream, and ended is closed once that has ended.
 	cancel  context.CancelFunc
+	ended   chan struct{}
 	askedAt time.Time
-	// connection is the accepted connection, since connectedAt; nil before.
+	// connection is the accepted connection, since connectedAt; nil before. Bytes last arrived at heardAt, and
+	// proof at provedAt.
 	connection  *wire.Conn
 	connectedAt time.Time
+	heardAt     time.Time
+	provedAt    time.Time
 }
 
-func newRace() *race { return &race{candidates: make(map[*candidate]struct{})} }
+func newRace(silenceLimit time.Duration) *race {
+	return &race{silenceLimit: silenceLimit, candidates: make(map[*candidate]struct{}), searching: true}
+}
 
 var errOtherController = eris.New("another controller answered first")
 
-// claim makes the first candidate that calls it the winner and ends the streams of the others. It reports
-// whether the calling candidate is the winner.
+// claim is called with each proof of a candidate. While searching, it makes the candidate the winner and ends the
+// streams of the others. It reports whether the candidate is the winner.
 func (r *race) claim(claiming *candidate) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.winner == nil {
-		r.winner = claiming
+	if _, entered := r.candidates[claiming]; !entered {
+		return false
+	}
+	if r.searching {
+		r.winner, r.searching = claiming, false
 		for other := range r.candidates {
 			if other != claiming {
 				other.cancel()
 			}
 		}
 	}
+	claiming.provedAt = time.Now()
 	return r.winner == claiming
 }
 
@@ -81,55 +107,81 @@
 // Connecting within a region takes a few milliseconds; a slower attempt is left to end by itself.
 const redialAfter = 100 * time.Millisecond
 
-// enter adds a candidate. It returns nil for a controller that is already being asked, and once the search has
-// ended.
+// enter adds a candidate. It returns nil for a controller that is already being asked, and after the search.
 func (r *race) enter(address string, cancel context.CancelFunc) *candidate {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.winner != nil || r.abandoned {
+	if !r.searching {
 		return nil
 	}
+	patient := true
 	for other := range r.candidates {
-		if other.address == address && (other.connection != nil || time.Since(other.askedAt) < redialAfter) {
+		if other.address != address {
+			continue
+		}
+		if !r.overdue(other) {
 			return nil
 		}
+		patient = patient && !other.patient
 	}
-	entered := &candidate{address: address, cancel: cancel, askedAt: time.Now()}
+	entered := &candidate{address: address, patient: patient, cancel: cancel, ended: make(chan struct{}), askedAt: time.Now()}
 	r.candidates[entered] = struct{}{}
 	return entered
 }
 
-// abandon ends the search and all of its streams.
-func (r *race) abandon() {
+// overdue reports whether a candidate has not connected in time, or is silent. The mutex must be held.
+func (r *race) overdue(asked *candidate) bool {
+	if asked.connection == nil {
+		return time.Since(asked.askedAt) >= redialAfter
+	}
+	return time.Since(asked.heardAt) >= r.silenceLimit
+}
+
+// restart ends all streams, so that the controllers are asked anew from the first one on.
+func (r *race) restart() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.abandoned = true
 	for each := range r.candidates {
 		each.cancel()
 	}
+	clear(r.candidates)
+	r.winner, r.searching = nil, true
+	r.restarts++
 }
 
 func (r *race) leave(leaving *candidate) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.candidates, leaving)
+	if r.winner == leaving {
+		r.winner, r.searching = nil, true
+	}
+	close(leaving.ended)
 }
 
 // connected records that a candidate accepted the connection. It returns false if another connection to the
-// same controller was accepted before.
+// same controller was accepted before and is not silent.
 func (r *race) connected(accepted *candidate, connection *wire.Conn) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for other := range r.candidates {
-		if other != accepted && other.address == accepted.address && other.connection != nil {
+		if other != accepted && other.address == accepted.address && other.connection != nil && !r.overdue(other) {
 			return false
 		}
 	}
 	accepted.connection = connection
 	accepted.connectedAt = time.Now()
+	accepted.heardAt = accepted.connectedAt
 	return true
 }
 
+// heard records that bytes arrived from a candidate.
+func (r *race) heard(from *candidate) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	from.heardAt = time.Now()
+}
+
 // mayAskNext reports whether the next candidate is to be asked: no candidate has accepted a connection, or
 // those that have are taking too long.
 func (r *race) mayAskNext() bool {
@@ -140,7 +192,7 @@
 			return false
 		}
 	}
-	return r.winner == nil && !r.abandoned
+	return r.searching
 }
 
 // bytesReceived returns the number of bytes that the candidate's stream brought.
@@ -159,26 +211,57 @@
 	return firstBytesTimeout
 }
 
-// finished reports whether the search has ended, with or without a winner.
-func (r *race) finished() bool {
+// state returns whether a winner is searched, and how often the search was begun anew.
+func (r *race) state() (searching bool, restarts int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.searching, r.restarts
+}
+
+// searchIfSilent begins a search beside the winner if it is silent: no bytes have arrived for the silence limit,
+// or no proof for the proof limit. Otherwise it returns when that will be, and a channel that is closed once the
+// winner's stream has ended.
+func (r *race) searchIfSilent(proofLimit time.Duration) (in time.Duration, ended <-chan struct{}) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.winner != nil || r.abandoned
-}
-
-// followFirst asks the candidates in turn, and follows the stream of the first that confirms the directory
-// until it breaks.
-func (s *subscription) followFirst(ctx context.Context, candidates []string) {
-	search := newRace()
-	var group conc.WaitGroup
-	defer group.Wait()
-	for range raceRounds {
-		for _, address := range candidates {
-			s.ask(ctx, search, address, &group)
-			for clock.Sleep(ctx, raceStagger); !search.mayAskNext(); clock.Sleep(ctx, raceStagger) {
-				if ctx.Err() != nil || search.finished() {
-					return
-				}
+	if r.searching {
+		return 0, nil
+	}
+	in = min(r.silenceLimit-time.Since(r.winner.heardAt), proofLimit-time.Since(r.winner.provedAt))
+	if in <= 0 {
+		r.searching = true
+	}
+	return in, r.winner.ended
+}
+
+// awaitSilence blocks until the winner is silent or its stream has ended.
+func (s *subscription) awaitSilence(ctx context.Context, search *race) {
+	for ctx.Err() == nil {
+		in, ended := search.searchIfSilent(changesTimeoutFactor * s.settings.PongTimeout)
+		if in <= 0 {
+			return
+		}
+		timer := time.NewTimer(in)
+		select {
+		case <-ctx.Done():
+		case <-ended:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// askAll asks the controllers in turn until one confirms the directory or the search begins anew.
+func (s *subscription) askAll(ctx context.Context, search *race, group *conc.WaitGroup) {
+	searching, restarts := search.state()
+	if !searching {
+		return
+	}
+	for _, address := range s.candidates() {
+		s.ask(ctx, search, address, group)
+		for clock.Sleep(ctx, raceStagger); !search.mayAskNext(); clock.Sleep(ctx, raceStagger) {
+			if searching, now := search.state(); ctx.Err() != nil || !searching || now != restarts {
+				return
 			}
 		}
 	}
@@ -202,7 +285,7 @@
 		line := telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
 			WithField(fieldTableAge, s.age().Milliseconds()).WithField("bytes", asked.bytesReceived())
 		if errors.Is(err, errSwitchToHome) {
-			search.abandon()
+			search.restart()
 			line.Info("switching the directory stream to the home controller")
 			return
 		}
--- a/internal/gateway/race_test.go
+++ b/internal/gateway/race_test.go
@@ -83,7 +83,7 @@
 // one is not, and one stream wins, whichever connection it uses.
 func TestControllerIsDialedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		search := newRace()
+		search := newRace(config.DefaultGateway().PongTimeout)
 		ended := 0
 		cancel := func() { ended++ }
 		first := search.enter("c", cancel)
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -52,7 +52,7 @@
 	applyPatch(t, view, routesPatch("1", "kept", "moved", "dropped"))
 	update(0)
 	proved := machine.Now()
-	s.confirm(&proved, source{})
+	s.confirm(proved, source{})
 	machine.suspend(time.Second)
 	lines.Reset()
 	applyPatch(t, view, routesPatch("7", "moved", "added"))
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -31,6 +31,8 @@
 	log      *logrus.Entry
 	// reload reads the settings again, in case the seeds changed.
 	reload func() (config.Gateway, error)
+	// dial opens connections to controllers and other gateways; nil means TCP.
+	dial wire.DialFunc
 	// onTable is called with each new table.
 	onTable func(*routing.Table)
 	// onCluster is called with the name of the cluster to which the directory belongs.
@@ -102,10 +104,18 @@
 const reconnectPause = 20 * time.Millisecond
 
 func (s *subscription) run(ctx context.Context) {
+	search := newRace(s.settings.PongTimeout)
+	var group conc.WaitGroup
+	defer group.Wait()
 	for ctx.Err() == nil {
-		s.followFirst(ctx, s.candidates())
-		s.reloadSeeds()
-		clock.Sleep(ctx, reconnectPause)
+		s.awaitSilence(ctx, search)
+		for range raceRounds {
+			s.askAll(ctx, search, &group)
+		}
+		if searching, _ := search.state(); searching {
+			s.reloadSeeds()
+			clock.Sleep(ctx, reconnectPause)
+		}
 	}
 }
 
@@ -125,13 +135,13 @@
 // errAskedTwice ends a connection to a controller that meanwhile accepted an earlier one.
 var errAskedTwice = eris.New("the controller has accepted another connection of this gateway")
 
-var errNoProof = eris.New("no proof of a current directory came in time")
-
 // source is the origin of a directory stream.
 type source struct {
 	address string
 	// peer is true for another gateway, false for a controller.
 	peer bool
+	// wait is how long another gateway may be silent.
+	wait time.Duration
 	// search is the search in which the stream takes part as a candidate; nil for none.
 	search    *race
 	candidate *candidate
@@ -148,10 +158,7 @@
 func (s *subscription) follow(ctx context.Context, from source) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	connection, err := wire.Dial(ctx, from.address, wire.Options{
-		DialTimeout: s.settings.BackEnd.ConnectTimeout, IdleTimeout: s.settings.PongTimeout, WriteTimeout: s.settings.PongTimeout,
-		Passed: countAs(s.meter, link.Directory),
-	})
+	connection, err := wire.Dial(ctx, from.address, s.streamOptions(from))
 	if err != nil {
 		return err
 	}
@@ -182,20 +189,27 @@
 	return s.receive(connection, pings, from)
 }
 
-// pingLog records when the latest pings were sent.
-type pingLog struct {
-	clock  clock.Clock
-	number atomic.Uint64
-	sentAt [pingsKept]atomic.Pointer[time.Duration]
-}
-
-const pingsKept = 16
-
-func (l *pingLog) next() uint64 {
-	now := l.clock.Now()
-	number := l.number.Add(1)
-	l.sentAt[number%pingsKept].Store(&now)
-	return number
+// streamOptions returns the options of the connection for a stream.
+func (s *subscription) streamOptions(from source) wire.Options {
+	options := wire.Options{
+		DialTimeout: s.settings.BackEnd.ConnectTimeout, IdleTimeout: s.settings.PongTimeout, WriteTimeout: s.settings.PongTimeout,
+		Passed: countAs(s.meter, link.Directory), Dial: s.dial,
+	}
+	if from.search == nil {
+		options.IdleTimeout = from.wait
+		return options
+	}
+	if from.candidate.patient {
+		options.DialTimeout, options.IdleTimeout, options.SilenceTimeout = patience, patience, patience
+	}
+	count := options.Passed
+	options.Passed = func(received, sent int) {
+		count(received, sent)
+		if received > 0 {
+			from.search.heard(from.candidate)
+		}
+	}
+	return options
 }
 
 func (s *subscription) ping(ctx context.Context, connection *wire.Conn, pings *pingLog) {
@@ -215,7 +229,6 @@
 }
 
 func (s *subscription) receive(connection *wire.Conn, pings *pingLog, from source) error {
-	proved := s.clock.Now()
 	logged := false
 	for {
 		var update message.DirectoryUpdate
@@ -228,17 +241,18 @@
 		if err := s.apply(update, from); err != nil {
 			return err
 		}
-		if update.Pong == 0 {
-			if s.clock.Now()-proved > s.proofTimeout(update) {
-				return errNoProof
-			}
+		sentAt, known := pings.sentAt(update.Pong)
+		if !known {
 			continue
 		}
 		if from.search != nil && !from.search.claim(from.candidate) {
 			return errOtherController
 		}
-		proved = s.clock.Now()
-		s.recordProof(pings.sentAt[update.Pong%pingsKept].Load(), from)
+		if from.search != nil {
+			connection.SetIdleTimeout(patience)
+			connection.SetSilenceTimeout(patience)
+		}
+		s.recordProof(sentAt, from)
 		if s.shouldSwitchHome(from) {
 			return errSwitchToHome
 		}
@@ -250,17 +264,29 @@
 	}
 }
 
-// recordProof records a ping's answer.
-func (s *subscription) recordProof(sentAt *time.Duration, from source) {
+// recordProof records the answer to a ping.
+func (s *subscription) recordProof(sentAt time.Duration, from source) {
+	now := s.clock.Now()
 	s.confirm(sentAt, from)
-	s.roundTrip.Store(int64(s.clock.Now() - *sentAt))
+	s.roundTrip.Store(int64(now - sentAt))
 }
 
-// confirm records that the directory was current when a ping was sent.
-func (s *subscription) confirm(sentAt *time.Duration, from source) {
-	s.provedAt.Store(sentAt)
+// confirm records that the directory was current at a clock reading. The proof of a stream that was silent may
+// be older than that of another one.
+func (s *subscription) confirm(at time.Duration, from source) {
+	raise(&s.provedAt, at)
 	if !from.peer {
-		s.confirmedAt.Store(sentAt)
+		raise(&s.confirmedAt, at)
+	}
+}
+
+// raise sets a clock reading unless it is later already.
+func raise(reading *atomic.Pointer[time.Duration], to time.Duration) {
+	for {
+		current := reading.Load()
+		if current != nil && *current >= to || reading.CompareAndSwap(current, &to) {
+			return
+		}
 	}
 }
 
@@ -270,18 +296,10 @@
 	return s.view.Revision()
 }
 
-// changesTimeoutFactor is the factor by which the wait for a proof is extended while changes arrive: they
-// take time on a narrow link, and the proof is queued behind them.
+// changesTimeoutFactor is the factor on the pong timeout by which the wait for a proof is extended while bytes
+// arrive: changes take time on a narrow link, and the proof is queued behind them.
 const changesTimeoutFactor = 4
 
-// proofTimeout returns how long to wait for a proof after an update.
-func (s *subscription) proofTimeout(update message.DirectoryUpdate) time.Duration {
-	if update.Changes != nil {
-		return changesTimeoutFactor * s.settings.PongTimeout
-	}
-	return s.settings.PongTimeout
-}
-
 // apply applies an update. After an error the whole directory is requested.
 func (s *subscription) apply(update message.DirectoryUpdate, from source) error {
 	s.viewLock.Lock()
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -26,7 +26,7 @@
 	g := &Gateway{clock: machine, subscription: newSubscription(machine, config.DefaultGateway(), discardLog(), nil, &link.Meter{})}
 	g.settings.Revocation = config.Revocation{FailClosed: true, Limit: suspension / 2}
 	confirmed := machine.Now()
-	g.subscription.confirm(&confirmed, source{})
+	g.subscription.confirm(confirmed, source{})
 	if g.mayBeRevoked() || !g.subscription.confirmed() {
 		t.Fatal("the directory was confirmed a moment ago")
 	}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -49,8 +49,8 @@
 
 // NewConn returns a Conn that owns the stream.
 func NewConn(stream net.Conn, options Options) *Conn {
-	setTCPOptions(stream)
 	options = options.withDefaults()
+	setTCPOptions(stream, options.SilenceTimeout)
 	connection := &Conn{stream: stream, options: options, writeToken: make(chan struct{}, 1)}
 	connection.idle.Store(int64(options.IdleTimeout))
 	connection.reader = bufio.NewReaderSize(progressReader{connection}, options.ReadBufferBytes)
@@ -60,6 +60,13 @@
 // SetIdleTimeout sets how long a read waits for the next bytes, starting with the next read.
 func (c *Conn) SetIdleTimeout(idle time.Duration) { c.idle.Store(int64(idle)) }
 
+// SetSilenceTimeout sets how long sent bytes may stay unacknowledged. It has no effect on streams other than TCP.
+func (c *Conn) SetSilenceTimeout(after time.Duration) {
+	if connection, isTCP := tcpOf(c.stream); isTCP {
+		EndOnSilence(connection, after)
+	}
+}
+
 // Send writes one value as a frame. It waits for concurrent Sends until the
 // context ends. An error that matches ErrNotSent means that nothing was written,
 // and the connection stays open unless the stream itself failed; any other error
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -33,6 +33,9 @@
 	ReadBufferBytes int
 	// IdleTimeout bounds the wait for the next bytes, between frames or within one.
 	IdleTimeout time.Duration
+	// SilenceTimeout is how long sent bytes may stay unacknowledged on a TCP connection;
+	// SilenceTimeout, the constant, by default.
+	SilenceTimeout time.Duration
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// Dial opens connections; nil means TCP.
@@ -55,6 +58,9 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
+	if o.SilenceTimeout <= 0 {
+		o.SilenceTimeout = SilenceTimeout
+	}
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
@@ -87,19 +93,25 @@
 // setTCPOptions sets socket options. They affect only latency and the detection of
 // dead peers, so errors are ignored; the next read or write reports a broken
 // connection.
-func setTCPOptions(stream net.Conn) {
-	if secured, isTLS := stream.(*tls.Conn); isTLS {
-		stream = secured.NetConn()
-	}
-	connection, isTCP := stream.(*net.TCPConn)
+func setTCPOptions(stream net.Conn, silence time.Duration) {
+	connection, isTCP := tcpOf(stream)
 	if !isTCP {
 		return
 	}
 	_ = connection.SetNoDelay(true)
-	EndOnSilence(connection, SilenceTimeout)
+	EndOnSilence(connection, silence)
 	_ = connection.SetKeepAliveConfig(net.KeepAliveConfig{
 		Enable:   true,
 		Idle:     keepAlivePeriod,
 		Interval: keepAlivePeriod,
 	})
 }
+
+// tcpOf returns the TCP connection of a stream, also below TLS.
+func tcpOf(stream net.Conn) (*net.TCPConn, bool) {
+	if secured, isTLS := stream.(*tls.Conn); isTLS {
+		stream = secured.NetConn()
+	}
+	connection, isTCP := stream.(*net.TCPConn)
+	return connection, isTCP
+}
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -14,6 +14,10 @@
 // milliseconds, and short enough that another peer can still be asked in time.
 const SilenceTimeout = 1200 * time.Millisecond
 
+// PatientSilenceTimeout is the same for a connection that is kept while no other one is better: behind a full queue of
+// a narrow link, a round trip takes seconds.
+const PatientSilenceTimeout = 5 * time.Second
+
 // EndOnSilence sets TCP_USER_TIMEOUT, so that a connection fails once sent bytes have stayed
 // unacknowledged for the given time. It has no effect on connections other than TCP. If the
 // system rejects the option, the timeouts of reads and writes still apply.
