Gateway: a proof that another gateway passes on keeps its age

A gateway that follows another one took each answer to a ping for proof of the moment of the ping. The other one answers while its own proof is up to 1.4 s old (pong_timeout and ping_interval), so that a directory that lacks a change of the last 1.4 s counted as current. It could also answer a ping before it sent changes that it already had. Change: the answer carries the age of the proof behind it, and follows the changes that this proof covers. An answer without an age, from an earlier version, counts as old as that version allows. Result: TestPassedOnProofKeepsItsAge: a proof of 1 s ago was taken for one of 0 s before, and is 1 s old now. go test ./internal/gateway ./internal/message passes.

--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -168,34 +169,53 @@
 
 func (s *subscription) writePeer(ctx context.Context, connection *wire.Conn, first message.DirectoryRequest, pings <-chan uint64) error {
 	sent, cluster := first.Revision, first.Cluster
+	var ping uint64
 	for {
 		changed := s.updates.Next()
 		if !s.confirmed() {
 			return errNotConfirmed
 		}
+		// The proof is read before the changes, which then include all that it covers.
+		age := s.confirmedAge()
 		update := s.updateAfter(cluster, sent)
-		if update.Changes != nil {
+		if ping != 0 {
+			update.Pong, update.ProofAgeMs = ping, proofAgeMs(age)
+		}
+		if update.Changes != nil || update.Pong != 0 {
 			if err := connection.Send(ctx, &update); err != nil {
 				return err
 			}
+		}
+		if update.Changes != nil {
 			sent = update.Changes.To
-			if update.Cluster != "" {
-				cluster = update.Cluster
-			}
 		}
+		if update.Cluster != "" {
+			cluster = update.Cluster
+		}
+		ping = 0
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case ping := <-pings:
-			if err := connection.Send(ctx, &message.DirectoryUpdate{Pong: ping}); err != nil {
-				return err
-			}
+		case ping = <-pings:
 		case <-changed:
 			clock.Sleep(ctx, peerUpdateDelay)
 		}
 	}
 }
 
+// proofAgeMs returns the age of a proof as it is passed on.
+func proofAgeMs(age time.Duration) uint32 {
+	return uint32(min((age+time.Millisecond-1)/time.Millisecond, math.MaxUint32-1)) + 1
+}
+
+// proofAge returns how old the proof in an update was when its source answered.
+func (s *subscription) proofAge(update message.DirectoryUpdate, from source) time.Duration {
+	if from.peer && update.ProofAgeMs == 0 {
+		return s.settings.PongTimeout + s.settings.PingInterval // a gateway of an earlier version, see confirmed
+	}
+	return time.Duration(update.ProofAgeMs) * time.Millisecond
+}
+
 // updateAfter returns the changes that a gateway lacks which has a given revision of a cluster's directory.
 func (s *subscription) updateAfter(cluster message.ClusterID, held directory.Revision) message.DirectoryUpdate {
 	s.viewLock.Lock()
--- a/internal/gateway/peer_test.go
+++ b/internal/gateway/peer_test.go
@@ -231,3 +231,30 @@
 	gateway := &Gateway{settings: s.settings, subscription: s, log: s.log}
 	return gateway.servePeersOn(ctx, listener)
 }
+
+// TestPassedOnProofKeepsItsAge guards against a gateway that takes the answer of another gateway for proof of the
+// moment at which it asked: that one's own proof may be more than a second older.
+func TestPassedOnProofKeepsItsAge(t *testing.T) {
+	const proofAge = time.Second
+	settings := config.DefaultGateway()
+	serving := newSubscription(testClock, settings, discardLog(), nil, &link.Meter{})
+	view := directory.New()
+	applyPatch(t, view, routesPatch("1", "known"))
+	changes := view.RoutingSince(0)
+	if err := serving.apply(message.DirectoryUpdate{Cluster: "c", Changes: &changes}, source{}); err != nil {
+		t.Fatal(err)
+	}
+	serving.confirm(testClock.Now()-proofAge, source{})
+	listener := listen(t)
+	runInBackground(t, func(ctx context.Context) {
+		_ = servePeersOf(ctx, serving, listener) // ends with the test
+	})
+	following := newSubscription(testClock, settings, discardLog(), nil, &link.Meter{})
+	runInBackground(t, func(ctx context.Context) {
+		_ = following.follow(ctx, source{address: listener.Addr().String(), peer: true, wait: eventuallyTimeout}) // ends with the test
+	})
+	eventually(t, "the directory is proved", func() bool { return following.age() >= 0 })
+	if age := following.age(); age < proofAge {
+		t.Errorf("the proof is %s old, want at least %s", age, proofAge)
+	}
+}
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -252,7 +252,7 @@
 			connection.SetIdleTimeout(patience)
 			connection.SetSilenceTimeout(patience)
 		}
-		s.recordProof(sentAt, from)
+		s.recordProof(sentAt-s.proofAge(update, from), from)
 		if s.shouldSwitchHome(from) {
 			return errSwitchToHome
 		}
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -29,6 +29,9 @@
 	// Pong repeats the number of a ping. The directory, with the changes sent before this message,
 	// was complete and current at some moment after the ping was received.
 	Pong uint64 `msgpack:"p,omitempty"`
+	// ProofAgeMs is sent with a Pong by a gateway that serves the directory to others: how long before the
+	// pong its own directory was proved current, rounded up and at least 1. It is zero from a controller.
+	ProofAgeMs uint32 `msgpack:"o,omitempty"`
 	// Controllers are the peer addresses of the group's members, sent whenever they have changed.
 	Controllers []string `msgpack:"m,omitempty"`
 	// Leader is the peer address of the controller that receives demand reports, sent whenever it
