Gateway: no decision denies a route by a directory without recent proof

Cause: nothing that routes or refuses a request looked at the age of the directory's proof. A gateway that heard of no change answered 404 for routes that had been added, for as long as that lasted; callers do not come back after a 404. Change: a request without a route is denied only while the directory was proved current within staleness_limit, the time in which changes must be in force everywhere. Otherwise it is refused with 503 and a short Retry-After, and not_run: another gateway may know the route. Where proofs arrive but are older than twice that limit, changes take more than the limit with equal delays in both directions, and all requests are refused.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -121,7 +121,10 @@
 	target, _, _ := bytes.Cut(context.Request.Header.RequestURI(), []byte("?"))
 	route, found := table.Route(string(context.Request.Header.Host()), string(target))
 	if !found {
-		return read, fault.Newf(fault.UnknownService, "no route for host %.100q and path %.100q", context.Request.Header.Host(), target)
+		return read, read.noRoute(context.Request.Header.Host(), target)
+	}
+	if g.subscription.behind() {
+		return read, fault.Newf(fault.StaleRouter, "the directory was last proved current %d ms ago, and changes may be unknown here", read.tableAge.Milliseconds())
 	}
 	read.route = route
 	if err := g.readTenant(read, table); err != nil {
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -32,6 +33,31 @@
 	return age < 0 || age > s.settings.StalenessLimit
 }
 
+// maxOneWayShare is how much older than the staleness limit a proof may be that arrives: with equal delays in both
+// directions, a change takes half of a round trip.
+const maxOneWayShare = 2
+
+// behind reports whether proofs arrive, but so late that changes are probably not in force in time. While no
+// proof arrives, most likely no controller can acknowledge changes.
+func (s *subscription) behind() bool {
+	received := s.proofReceivedAt.Load()
+	return received != nil && s.age() > maxOneWayShare*s.settings.StalenessLimit && s.clock.Now()-*received <= s.settings.StalenessLimit
+}
+
+// noRoute returns the failure of a request for which the table has no route. A route may have been added that this
+// gateway does not know.
+func (r *request) noRoute(host, path []byte) *fault.Error {
+	switch {
+	case r.staleTable && r.tableAge < 0:
+		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory has not been proved current yet", host, path)
+	case r.staleTable:
+		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory was last proved current %d ms ago",
+			host, path, r.tableAge.Milliseconds())
+	default:
+		return fault.Newf(fault.UnknownService, "no route for host %.100q and path %.100q", host, path)
+	}
+}
+
 // registerMetrics registers the metrics of the directory stream.
 func (s *subscription) registerMetrics(registry *telemetry.Metrics) {
 	registry.GaugeFunction("table_age_seconds", "Time since the last proof that the directory was current; negative if there was none.",
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -80,3 +83,87 @@
 		t.Errorf("logged %s", lines.String())
 	}
 }
+
+// routeOne reads a request to a path by the current table.
+func routeOne(g *Gateway, path string) *fault.Error {
+	context := &fasthttp.RequestCtx{}
+	context.Request.Header.SetHost("a.example")
+	context.Request.SetRequestURI(path)
+	_, err := g.readRequest(context, g.subscription.current())
+	return asFault(err)
+}
+
+// newRoutingGateway returns a gateway with the route /known/ whose clock stands still.
+func newRoutingGateway(t *testing.T) (*Gateway, *manualClock) {
+	t.Helper()
+	machine := &manualClock{}
+	settings := config.DefaultGateway()
+	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
+	g, err := newWithClock(machine, settings, discardLog(), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := directory.New()
+	applyPatch(t, view, routesPatch("1", "known"))
+	changes := view.RoutingSince(0)
+	if err := g.subscription.apply(message.DirectoryUpdate{Cluster: "c", Changes: &changes}, source{}); err != nil {
+		t.Fatal(err)
+	}
+	return g, machine
+}
+
+// TestUnknownRouteIsDeniedOnlyByAProvedTable guards against a 404 for a route that was added while the gateway
+// heard of no change. Only a table that was proved current within the staleness limit says that there is no route.
+func TestUnknownRouteIsDeniedOnlyByAProvedTable(t *testing.T) {
+	g, machine := newRoutingGateway(t)
+	for _, step := range []struct {
+		name   string
+		proof  time.Duration
+		want   fault.Kind
+		status int
+	}{
+		{"never proved", -1, fault.StaleRouter, fasthttp.StatusServiceUnavailable},
+		{"just proved", 0, fault.UnknownService, fasthttp.StatusNotFound},
+		{"at the limit", g.settings.StalenessLimit, fault.UnknownService, fasthttp.StatusNotFound},
+		{"beyond the limit", g.settings.StalenessLimit + time.Millisecond, fault.StaleRouter, fasthttp.StatusServiceUnavailable},
+	} {
+		if step.proof >= 0 {
+			g.subscription.confirm(machine.Now(), source{})
+			machine.suspend(step.proof)
+		}
+		failure := routeOne(g, "/added/1")
+		if status, notRun := statusOf(failure); failure.Kind != step.want || status != step.status || !notRun {
+			t.Errorf("%s: %s with status %d, want %s with %d", step.name, failure.Kind, status, step.want, step.status)
+		}
+		if failure := routeOne(g, "/known/1"); failure != nil {
+			t.Errorf("%s: a request with a known route is refused: %v", step.name, failure)
+		}
+	}
+}
+
+// TestLateProofsRefuseRequests guards against requests that go to the service of an earlier version of a route while
+// the controllers work and their messages come too late. Without any proof, requests are routed by the last table.
+func TestLateProofsRefuseRequests(t *testing.T) {
+	g, machine := newRoutingGateway(t)
+	limit := g.settings.StalenessLimit
+	for _, step := range []struct {
+		name         string
+		age, arrived time.Duration
+		refused      bool
+	}{
+		{"half a round trip within the limit", 2 * limit, 0, false},
+		{"half a round trip beyond the limit", 2*limit + time.Millisecond, 0, true},
+		{"no proof any more", 2*limit + time.Millisecond, limit + time.Millisecond, false},
+	} {
+		machine.suspend(10 * limit)
+		now := machine.Now()
+		received := now - step.arrived
+		proved := now - step.age
+		g.subscription.provedAt.Store(&proved)
+		g.subscription.proofReceivedAt.Store(&received)
+		failure := routeOne(g, "/known/1")
+		if refused := failure != nil && failure.Kind == fault.StaleRouter; refused != step.refused {
+			t.Errorf("%s: refused %t, want %t", step.name, refused, step.refused)
+		}
+	}
+}
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -51,6 +51,8 @@
 	// provedAt is the clock reading when the last answered ping was sent, and confirmedAt when the last ping
 	// answered by a controller was sent.
 	provedAt atomic.Pointer[time.Duration]
+	// proofReceivedAt is the clock reading when the last answer to a ping arrived.
+	proofReceivedAt atomic.Pointer[time.Duration]
 	// roundTrip is how long the last answered ping took, in nanoseconds.
 	roundTrip   atomic.Int64
 	confirmedAt atomic.Pointer[time.Duration]
@@ -268,6 +270,7 @@
 func (s *subscription) recordProof(sentAt time.Duration, from source) {
 	now := s.clock.Now()
 	s.confirm(sentAt, from)
+	s.proofReceivedAt.Store(&now)
 	s.roundTrip.Store(int64(now - sentAt))
 }
 
