Gateway: the stream in use lasts until the home controller confirms the directory

To switch to its home controller a gateway ended the stream that worked, and connected anew. Where round trips take long, nothing arrives meanwhile. Change: the home controller is asked beside the stream in use and takes its place with its first proof; the switch is given up after 5 s, or when the stream in use falls silent. TestStreamsBringChangesAndProofs runs a gateway's streams on a virtual clock: delays of up to 1 s each way, connections that go silent, resets, controllers that are away. No proof claims more than the gateway has, and an undisturbed network brings changes in 2 s. TestPlantedStreamFaults finds impatient streams and controllers that vouch for what they did not send.

--- a/internal/gateway/home.go
+++ b/internal/gateway/home.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
@@ -80,15 +81,21 @@
 	return errSwitchToHome
 }
 
-// shouldSwitchHome reports whether to switch from a controller's stream to that of the home controller.
-func (s *subscription) shouldSwitchHome(from source) bool {
-	if from.peer {
-		return false
+// homeToSwitchTo returns the home controller if it is time to switch to it from the stream of another one, else an
+// empty address.
+func (s *subscription) homeToSwitchTo(from source) string {
+	if from.search == nil {
+		return ""
 	}
 	s.viewLock.Lock()
 	defer s.viewLock.Unlock()
 	home := s.home(s.controllers)
-	return s.homeSwitch.due(time.Now(), home != "" && home != from.address, rand.Float64())
+	if !s.homeSwitch.due(time.Now(), home != "" && home != from.address, rand.Float64()) {
+		return ""
+	}
+	telemetry.With(s.log, telemetry.EventControllerLost).WithField(telemetry.FieldAddress, from.address).WithField("home", home).
+		WithField(fieldTableAge, s.age().Milliseconds()).Info("switching the directory stream to the home controller")
+	return home
 }
 
 // home returns the home controller of this gateway.
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -54,6 +54,10 @@
 	winner *candidate
 	// searching is true while the first candidate that confirms the directory wins.
 	searching bool
+	// switchTo is the only controller to ask, and the only one to win against the winner, since switchBegan; empty
+	// for none.
+	switchTo    string
+	switchBegan time.Time
 	// restarts counts the searches that were begun anew.
 	restarts int
 }
@@ -90,18 +94,61 @@
 	if _, entered := r.candidates[claiming]; !entered {
 		return false
 	}
-	if r.searching {
-		r.winner, r.searching = claiming, false
-		for other := range r.candidates {
-			if other != claiming {
-				other.cancel()
-			}
-		}
+	r.endSwitch()
+	if r.searching && (r.switchTo == "" || claiming != r.winner) {
+		r.winner, r.searching, r.switchTo = claiming, false, ""
+		r.cancelOthers()
 	}
 	claiming.provedAt = time.Now()
 	return r.winner == claiming
 }
 
+// cancelOthers ends the streams of all candidates but the winner. The mutex must be held.
+func (r *race) cancelOthers() {
+	for other := range r.candidates {
+		if other != r.winner {
+			other.cancel()
+		}
+	}
+}
+
+// beginSwitch asks another controller, which takes the place of the winner once it confirms the directory.
+func (r *race) beginSwitch(to string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.searching {
+		return
+	}
+	r.searching, r.switchTo, r.switchBegan = true, to, time.Now()
+}
+
+// endSwitch gives a switch up if the winner is lost, so that all controllers are asked, or if the other controller
+// takes too long. The mutex must be held.
+func (r *race) endSwitch() {
+	if r.switchTo == "" {
+		return
+	}
+	lost := r.winner == nil || r.overdue(r.winner)
+	if lost || time.Since(r.switchBegan) >= patience {
+		r.switchTo, r.searching = "", lost
+		if !lost {
+			r.cancelOthers()
+		}
+	}
+}
+
+// awaits reports whether any candidate but the patient ones and the winner is being asked.
+func (r *race) awaits() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for each := range r.candidates {
+		if !each.patient && each != r.winner {
+			return r.searching
+		}
+	}
+	return false
+}
+
 // redialAfter is how long a controller may take to accept a connection before a second attempt is made beside
 // the first. The SYN to a machine that is not powered on yet is lost and retransmitted only after a second.
 // Connecting within a region takes a few milliseconds; a slower attempt is left to end by itself.
@@ -111,7 +158,8 @@
 func (r *race) enter(address string, cancel context.CancelFunc) *candidate {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.searching {
+	r.endSwitch()
+	if !r.searching || r.switchTo != "" && r.switchTo != address {
 		return nil
 	}
 	patient := true
@@ -145,7 +193,7 @@
 		each.cancel()
 	}
 	clear(r.candidates)
-	r.winner, r.searching = nil, true
+	r.winner, r.searching, r.switchTo = nil, true, ""
 	r.restarts++
 }
 
@@ -215,6 +263,7 @@
 func (r *race) state() (searching bool, restarts int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.endSwitch()
 	return r.searching, r.restarts
 }
 
@@ -267,6 +316,13 @@
 	}
 }
 
+// awaitCandidates blocks until the candidates that do not wait for long have ended.
+func (s *subscription) awaitCandidates(ctx context.Context, search *race) {
+	for ctx.Err() == nil && search.awaits() {
+		clock.Sleep(ctx, reconnectPause)
+	}
+}
+
 // ask follows one candidate in the background, unless it is already being asked.
 func (s *subscription) ask(ctx context.Context, search *race, address string, group *conc.WaitGroup) {
 	ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/internal/gateway/streams_property_test.go
@@ -0,0 +1,374 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/wire"
+)
+
+// The streams of one gateway run on a virtual clock, over a network that delays bytes, silences connections, resets
+// them and takes controllers away, by seed. After each step it is checked that no proof claims more than the gateway
+// has, and, once the network has been left alone for long enough, that changes arrive in time.
+
+const (
+	simulatedControllers = 3
+	simulatedTime        = 90 * time.Second
+	simulatedStep        = 50 * time.Millisecond
+	// longestDelay is the longest delay in each direction.
+	longestDelay = time.Second
+	// settleTime is how long after a disturbance changes may be late: until the silence is noticed, all controllers
+	// are asked in turn, and one of them has accepted a connection and answered twice.
+	settleTime = 900*time.Millisecond + simulatedControllers*(raceStagger+firstBytesTimeout) + 4*2*longestDelay
+)
+
+// virtualClock reads the time of a synctest bubble.
+type virtualClock struct{ start time.Time }
+
+func (c virtualClock) Now() time.Duration { return time.Since(c.start) }
+
+// simulatedCore is the directory that all simulated controllers serve, and when each of its revisions began.
+type simulatedCore struct {
+	mutex sync.Mutex
+	view  *directory.Directory
+	since []time.Time
+	// vouchesEarly answers pings before the changes that the answer vouches for.
+	vouchesEarly bool
+}
+
+// change adds a revision.
+func (c *simulatedCore) change(t *testing.T) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	applyPatch(t, c.view, fmt.Sprintf(`{"set":{"services":[{"name":"s%d","version":1}]}}`, c.view.Revision()))
+	c.since = append(c.since, time.Now())
+}
+
+// revisionAt returns the newest revision from before a moment.
+func (c *simulatedCore) revisionAt(moment time.Time) directory.Revision {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	newest := directory.Revision(0)
+	for index, since := range c.since {
+		if since.Before(moment) {
+			newest = directory.Revision(index + 1)
+		}
+	}
+	return newest
+}
+
+// changesAfter returns the update that a gateway lacks; nil for none.
+func (c *simulatedCore) changesAfter(held directory.Revision) *message.DirectoryUpdate {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.view.Revision() <= held {
+		return nil
+	}
+	changes := c.view.RoutingSince(held)
+	return &message.DirectoryUpdate{Cluster: "c", Changes: &changes}
+}
+
+// serve serves the directory on one connection: changes at once, and an answer to each ping after the changes.
+func (c *simulatedCore) serve(ctx context.Context, stream net.Conn) {
+	connection := wire.NewConn(stream, wire.Options{})
+	defer connection.Close()
+	var hello message.Hello
+	var first message.DirectoryRequest
+	if connection.Receive(&hello) != nil || connection.Receive(&first) != nil {
+		return
+	}
+	if first.Revision == 0 && connection.Send(ctx, &message.DirectoryUpdate{Leader: "leader"}) != nil {
+		return
+	}
+	pings := make(chan uint64, pingsKept)
+	var reading conc.WaitGroup
+	defer reading.Wait()
+	defer connection.Close()
+	reading.Go(func() {
+		defer close(pings)
+		receivePings(ctx, connection, pings)
+	})
+	c.write(ctx, connection, first.Revision, pings)
+}
+
+func (c *simulatedCore) write(ctx context.Context, connection *wire.Conn, held directory.Revision, pings <-chan uint64) {
+	ticker := time.NewTicker(simulatedStep)
+	defer ticker.Stop()
+	for {
+		var answer *message.DirectoryUpdate
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case ping, open := <-pings:
+			if !open {
+				return
+			}
+			answer = &message.DirectoryUpdate{Pong: ping}
+		}
+		if c.vouchesEarly && answer != nil && connection.Send(ctx, answer) != nil {
+			return
+		}
+		if update := c.changesAfter(held); update != nil && !(c.vouchesEarly && answer != nil) {
+			held = update.Changes.To
+			if connection.Send(ctx, update) != nil {
+				return
+			}
+		}
+		if !c.vouchesEarly && answer != nil && connection.Send(ctx, answer) != nil {
+			return
+		}
+	}
+}
+
+// simulatedNetwork connects the gateway to the controllers.
+type simulatedNetwork struct {
+	core   *simulatedCore
+	group  conc.WaitGroup
+	mutex  sync.Mutex
+	delays map[string]time.Duration
+	down   map[string]bool
+	open   []*simulatedStream
+}
+
+// simulatedStream is one connection to a controller.
+type simulatedStream struct {
+	address string
+	end     context.CancelFunc
+	mutex   sync.Mutex
+	silent  bool
+}
+
+func (s *simulatedStream) isSilent() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.silent
+}
+
+func (n *simulatedNetwork) delay(address string) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.delays[address]
+}
+
+func (n *simulatedNetwork) isDown(address string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.down[address]
+}
+
+// dial connects to a controller, which takes one round trip. A controller that is down does not answer.
+func (n *simulatedNetwork) dial(ctx context.Context, address string) (net.Conn, error) {
+	timer := time.NewTimer(2 * n.delay(address))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if n.isDown(address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, nearEnd := net.Pipe()
+	far, farEnd := net.Pipe()
+	lifetime, end := context.WithCancel(context.Background())
+	stream := &simulatedStream{address: address, end: end}
+	n.mutex.Lock()
+	n.open = append(n.open, stream)
+	n.mutex.Unlock()
+	closeAll := func() {
+		end()
+		_ = nearEnd.Close()
+		_ = farEnd.Close()
+	}
+	n.group.Go(func() { <-lifetime.Done(); closeAll() })
+	n.group.Go(func() { n.forward(stream, nearEnd, farEnd) })
+	n.group.Go(func() { n.forward(stream, farEnd, nearEnd) })
+	n.group.Go(func() { n.core.serve(lifetime, far) })
+	return near, nil
+}
+
+type simulatedBytes struct {
+	content []byte
+	at      time.Time
+}
+
+// forward delivers bytes after the delay that holds when they are sent.
+func (n *simulatedNetwork) forward(stream *simulatedStream, from, to net.Conn) {
+	queue := make(chan simulatedBytes, 4096)
+	var reading conc.WaitGroup
+	defer reading.Wait()
+	defer stream.end()
+	reading.Go(func() {
+		defer close(queue)
+		for {
+			buffer := make([]byte, 16<<10)
+			count, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			queue <- simulatedBytes{content: buffer[:count], at: time.Now().Add(n.delay(stream.address))}
+		}
+	})
+	for next := range queue {
+		time.Sleep(time.Until(next.at))
+		if stream.isSilent() {
+			continue
+		}
+		if _, err := to.Write(next.content); err != nil {
+			_ = from.Close()
+			for range queue { // let the reader end
+			}
+			return
+		}
+	}
+}
+
+// disturb does one random thing to the network.
+func (n *simulatedNetwork) disturb(random *rand.Rand, addresses []string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	address := addresses[random.IntN(len(addresses))]
+	switch random.IntN(5) {
+	case 0, 1:
+		delay := time.Duration(random.Int64N(int64(longestDelay)))
+		for _, each := range addresses {
+			n.delays[each] = delay
+		}
+	case 2:
+		n.delays[address] = time.Duration(random.Int64N(int64(longestDelay)))
+	case 3:
+		for _, stream := range n.open {
+			if random.IntN(2) == 0 {
+				stream.mutex.Lock()
+				stream.silent = true
+				stream.mutex.Unlock()
+			}
+		}
+	default:
+		n.down[address] = !n.down[address] && len(n.down) < simulatedControllers-1
+		for _, stream := range n.open {
+			if stream.address == address && random.IntN(2) == 0 {
+				stream.end()
+			}
+		}
+	}
+}
+
+// plant is a planted fault.
+type plant struct {
+	// impatient streams end after the pong timeout.
+	impatient bool
+	// vouchesEarly controllers answer pings before they send the changes.
+	vouchesEarly bool
+}
+
+var (
+	errUnsound = errors.New("the directory lacks what it is proved to have")
+	errLate    = errors.New("a change did not arrive in time")
+)
+
+// simulateStreams runs one seed and returns the first violation.
+func simulateStreams(t *testing.T, seed uint64, planted plant) (violation error) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		start := time.Now()
+		core := &simulatedCore{view: directory.New(), vouchesEarly: planted.vouchesEarly}
+		core.change(t)
+		network := &simulatedNetwork{core: core, delays: make(map[string]time.Duration), down: make(map[string]bool)}
+		settings := config.DefaultGateway()
+		settings.Name, settings.Address = "g", "127.0.0.1:1"
+		s := newSubscription(virtualClock{start}, settings, discardLog(), nil, &link.Meter{})
+		s.dial = network.dial
+		if planted.impatient {
+			s.patience = settings.PongTimeout
+		}
+		for number := range simulatedControllers {
+			s.controllers = append(s.controllers, fmt.Sprintf("127.0.0.1:%d", 100+number))
+		}
+		addresses := append([]string(nil), s.controllers...)
+		ctx, cancel := context.WithCancel(context.Background())
+		network.group.Go(func() { s.run(ctx) })
+		disturbed := start
+		for time.Since(start) < simulatedTime && violation == nil {
+			time.Sleep(simulatedStep)
+			if random.IntN(20) == 0 {
+				core.change(t)
+			}
+			if random.IntN(300) == 0 {
+				network.disturb(random, addresses)
+				disturbed = time.Now()
+			}
+			violation = checkStreams(s, core, start, disturbed)
+		}
+		cancel()
+		network.mutex.Lock()
+		for _, stream := range network.open {
+			stream.end()
+		}
+		network.mutex.Unlock()
+		network.group.Wait()
+	})
+	return violation
+}
+
+func checkStreams(s *subscription, core *simulatedCore, start, disturbed time.Time) error {
+	proved := s.provedAt.Load()
+	held := s.revision()
+	if proved != nil {
+		if needed := core.revisionAt(start.Add(*proved)); held < needed {
+			return fmt.Errorf("%w: revision %d, proved current at %s, when it was %d", errUnsound, held, *proved, needed)
+		}
+	}
+	if time.Since(disturbed) < settleTime {
+		return nil
+	}
+	if needed := core.revisionAt(time.Now().Add(-configurationBound)); held < needed {
+		return fmt.Errorf("%w: revision %d, %s ago it was %d", errLate, held, configurationBound, needed)
+	}
+	return nil
+}
+
+// TestStreamsBringChangesAndProofs checks random networks: proofs are sound, and changes arrive within the bound at a
+// gateway whose network is left alone, whatever came before.
+func TestStreamsBringChangesAndProofs(t *testing.T) {
+	for seed := range uint64(40) {
+		if violation := simulateStreams(t, seed, plant{}); violation != nil {
+			t.Errorf("seed %d: %v", seed, violation)
+		}
+	}
+}
+
+// TestPlantedStreamFaults checks that the checks of TestStreamsBringChangesAndProofs find what they are there for.
+func TestPlantedStreamFaults(t *testing.T) {
+	for name, planted := range map[string]struct {
+		plant
+		want error
+	}{
+		"streams that are given up before their answer":     {plant{impatient: true}, errLate},
+		"controllers that vouch for what they did not send": {plant{vouchesEarly: true}, errUnsound},
+	} {
+		found := error(nil)
+		for seed := uint64(0); seed < 40 && found == nil; seed++ {
+			found = simulateStreams(t, seed, planted.plant)
+		}
+		if !errors.Is(found, planted.want) || !strings.Contains(found.Error(), "revision") {
+			t.Errorf("%s: found %v, want %v", name, found, planted.want)
+		}
+	}
+}
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -31,6 +31,8 @@
 	log      *logrus.Entry
 	// reload reads the settings again, in case the seeds changed.
 	reload func() (config.Gateway, error)
+	// patience is how long a patient stream may be silent.
+	patience time.Duration
 	// dial opens connections to controllers and other gateways; nil means TCP.
 	dial wire.DialFunc
 	// onTable is called with each new table.
@@ -69,7 +71,8 @@
 func newSubscription(system clock.Clock, settings config.Gateway, log *logrus.Entry, reload func() (config.Gateway, error), meter *link.Meter) *subscription {
 	return &subscription{
 		clock: system, settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(), meter: meter,
-		onTable: func(*routing.Table) {}, onCluster: func(string) {},
+		patience: patience,
+		onTable:  func(*routing.Table) {}, onCluster: func(string) {},
 	}
 }
 
@@ -114,6 +117,7 @@
 		for range raceRounds {
 			s.askAll(ctx, search, &group)
 		}
+		s.awaitCandidates(ctx, search)
 		if searching, _ := search.state(); searching {
 			s.reloadSeeds()
 			clock.Sleep(ctx, reconnectPause)
@@ -202,7 +206,7 @@
 		return options
 	}
 	if from.candidate.patient {
-		options.DialTimeout, options.IdleTimeout, options.SilenceTimeout = patience, patience, patience
+		options.DialTimeout, options.IdleTimeout, options.SilenceTimeout = s.patience, s.patience, s.patience
 	}
 	count := options.Passed
 	options.Passed = func(received, sent int) {
@@ -251,12 +255,12 @@
 			return errOtherController
 		}
 		if from.search != nil {
-			connection.SetIdleTimeout(patience)
-			connection.SetSilenceTimeout(patience)
+			connection.SetIdleTimeout(s.patience)
+			connection.SetSilenceTimeout(s.patience)
 		}
 		s.recordProof(sentAt-s.proofAge(update, from), from)
-		if s.shouldSwitchHome(from) {
-			return errSwitchToHome
+		if home := s.homeToSwitchTo(from); home != "" {
+			from.search.beginSwitch(home)
 		}
 		if !logged {
 			logged = true
