Forwarding: all answers together are bounded in memory while they are received

What callers saw: nothing here yet; other operators report answers without end, and a machine has 144 to 424 MB. Each answer could take 64 MiB, twice that while its buffer grows, and a body with a length was allocated whole before its first byte came. Change: bytes of an answer beyond 64 KiB are taken from a memory that all answers share, before they are read: the announced length, or twice what has arrived. An answer that needs more than is left is broken off, its connection closed, and ends as answer_truncated; the request's log line says why. The metric is answer_memory_bytes. Routers have the same bound.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -92,6 +92,7 @@
 			IdleTimeout:    8 * time.Second,
 			MaxConnections: 16,
 			MaxAnswerBytes: 64 * mebibyte,
+			AnswerMemory:   128 * mebibyte,
 		},
 		Log: Log{Level: "info"},
 	}
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -43,6 +43,7 @@
 	IdleTimeout    time.Duration `koanf:"idle_timeout" validate:"min=100ms,max=1h" doc:"Time after which an idle connection is closed."`
 	MaxConnections int           `koanf:"max_connections" validate:"min=1,max=10000" doc:"Bound of connections from this router to one server."`
 	MaxAnswerBytes int           `koanf:"max_answer_bytes" validate:"min=1024,max=1073741824" doc:"Bound of a back end's answer, in bytes."`
+	AnswerMemory   int           `koanf:"answer_memory" validate:"min=1048576,max=1099511627776" doc:"Memory that answers beyond 64 KiB may take together while they are received, in bytes; one that needs more than is left is broken off. An answer without a length takes twice its size."`
 }
 
 // Retry holds the settings of resends.
@@ -97,6 +98,7 @@
 			IdleTimeout:    30 * time.Second,
 			MaxConnections: 16,
 			MaxAnswerBytes: 64 * mebibyte,
+			AnswerMemory:   128 * mebibyte,
 		},
 		Retry: Retry{MaxAttempts: 3, BackoffBase: 20 * time.Millisecond, BackoffMax: 500 * time.Millisecond},
 		Health: Health{
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -87,7 +87,8 @@
 	}
 	reader := c.pool.AcquireReader(connection)
 	defer c.pool.ReleaseReader(reader)
-	if err := c.readAnswer(reader, attempt); err != nil {
+	defer connection.releaseMemory()
+	if err := c.readAnswer(reader, connection, attempt); err != nil {
 		attempt.Unacknowledged = isTimeout(err) && time.Now().Before(deadline)
 		return false, readFailure(connection, err, deadline)
 	}
@@ -148,7 +149,7 @@
 const maxInterimAnswers = 5
 
 // readAnswer reads one complete answer.
-func (c *Client) readAnswer(reader *bufio.Reader, attempt *Attempt) error {
+func (c *Client) readAnswer(reader *bufio.Reader, connection *countingConnection, attempt *Attempt) error {
 	response := attempt.Response
 	if err := readFinalHeader(reader, response); err != nil {
 		return err
@@ -164,6 +165,13 @@
 	if length == identity && !c.settings.AcceptUnframed {
 		return errUnframed
 	}
+	if length > 0 {
+		// The buffer is allocated for the whole body before it is read.
+		connection.framed = true
+		if err := connection.reserveFor(int64(length)); err != nil {
+			return err
+		}
+	}
 	if err := response.ReadBody(reader, c.settings.MaxAnswerBytes); err != nil {
 		return err
 	}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -26,6 +26,9 @@
 	ControlConnections int
 	// MaxAnswerBytes is the maximum size of an answer's body.
 	MaxAnswerBytes int
+	// AnswerMemory bounds the memory of all answers while they are received; nil means that only MaxAnswerBytes
+	// bounds each of them.
+	AnswerMemory *AnswerMemory
 	// IDHeader names the header that carries the attempt's identifier, in the
 	// request and in its answer; empty means backendapi.HeaderRequestID.
 	IDHeader string
@@ -123,7 +126,7 @@
 		}
 		wire.EndOnSilence(connection, wire.SilenceTimeout)
 		settings.Traffic.Opened()
-		return &countingConnection{Conn: connection, traffic: settings.Traffic}, nil
+		return &countingConnection{Conn: connection, traffic: settings.Traffic, memory: settings.AnswerMemory}, nil
 	}
 }
 
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -22,6 +22,11 @@
 	bytesRead    int64
 	// scheduleWrite is Attempt.Write of the current attempt.
 	scheduleWrite func(data []byte, write func([]byte) (int, error)) (int, error)
+	// memory is shared by all answers; reserved is what the current one has taken of it, and framed is true once
+	// the length of its body is known and reserved.
+	memory   *AnswerMemory
+	reserved int64
+	framed   bool
 	// check is Attempt.Check of the current attempt.
 	check func() *fault.Error
 	// used is true once the connection has served an attempt.
@@ -79,6 +84,11 @@
 	count, err := c.Conn.Read(data)
 	c.bytesRead += int64(count)
 	c.traffic.Passed(count, 0)
+	if !c.framed {
+		if full := c.reserveFor(bufferGrowth * c.bytesRead); full != nil {
+			return 0, full
+		}
+	}
 	return count, err
 }
 
@@ -88,6 +98,7 @@
 	c.check = attempt.Check
 	c.bytesWritten = 0
 	c.bytesRead = 0
+	c.framed = false
 	c.used = true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,13 +128,14 @@
 		return nil, eris.Errorf("dialect: %q is not known: use %s", settings.Dialect, DefaultDialect)
 	}
 	meter := &link.Meter{}
+	memory := forward.NewAnswerMemory(settings.BackEnd.AnswerMemory)
 	gateway := &Gateway{
 		settings: settings, dialect: dialect, log: log, clock: system,
 		subscription: newSubscription(system, settings, log, options.Reload, meter),
 		splitter:     routing.NewSplitter(),
 		balancer:     balance.New(balanceSettings(settings)),
 		regions:      regionsOf(settings),
-		upstreams:    newUpstreams(settings.BackEnd, dialect, connectionTraffic{meter}, options.DialInstance),
+		upstreams:    newUpstreams(settings.BackEnd, dialect, connectionTraffic{meter}, memory, options.DialInstance),
 		drains:       newDrains(system, settings.DrainTime),
 		rejections:   newRejections(system),
 		reach:        reach.New(),
@@ -153,6 +154,7 @@
 	gateway.pacer = newPacer(system, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
+	gateway.registry.GaugeFunction("answer_memory_bytes", "Memory reserved for large answers that are being received.", func() float64 { return float64(memory.Used()) })
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
 	gateway.subscription.dial = options.DialPeer
 	gateway.subscription.registerMetrics(gateway.registry)
@@ -165,7 +167,7 @@
 	gateway.subscription.onCluster = gateway.guard.SetSecret
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
 	gateway.subscription.onTable = gateway.tableChanged
-	gateway.relays = newRelays(settings, dialect, connectionTraffic{meter}, gateway.subscription.clusterID)
+	gateway.relays = newRelays(settings, dialect, connectionTraffic{meter}, memory, gateway.subscription.clusterID)
 	gateway.relayServer = gateway.newRelayServer()
 	gateway.places = newPlaceClient(system, settings, log, newPlaceKeeper(system, gateway.usableByKeeper), meter)
 	return gateway, nil
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -14,7 +14,7 @@
 func TestAllowedRegionsBindRouteAndTenant(t *testing.T) {
 	settings := config.DefaultGateway()
 	settings.Regions = []config.ZoneRegion{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}}
-	g := &Gateway{regions: regionsOf(settings), evacuations: newEvacuations(testClock, time.Second), coldStarts: newColdStarts(warmUpBounds(settings)), signals: newInstanceSignals(), reach: reach.New(), relays: newRelays(settings, Dialect{}, nil, nil), clock: testClock}
+	g := &Gateway{regions: regionsOf(settings), evacuations: newEvacuations(testClock, time.Second), coldStarts: newColdStarts(warmUpBounds(settings)), signals: newInstanceSignals(), reach: reach.New(), relays: newRelays(settings, Dialect{}, nil, nil, nil), clock: testClock}
 	instances := []*directory.Instance{
 		{ID: "in-a", Zone: "a1", State: directory.InstanceReady}, {ID: "in-b", Zone: "b1", State: directory.InstanceReady},
 		{ID: "anywhere", Zone: "x", State: directory.InstanceReady},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,7 +35,7 @@
 	clients  map[string]*forward.Client
 }
 
-func newRelays(settings config.Gateway, dialect Dialect, traffic forward.Traffic, cluster func() message.ClusterID) *relays {
+func newRelays(settings config.Gateway, dialect Dialect, traffic forward.Traffic, memory *forward.AnswerMemory, cluster func() message.ClusterID) *relays {
 	hello := func() message.Hello {
 		return message.Hello{Purpose: message.PurposeRelay, Cluster: cluster(), From: settings.Name}
 	}
@@ -44,7 +44,7 @@
 		settings: forward.Settings{
 			ConnectTimeout: min(relayDialTimeout, settings.BackEnd.ConnectTimeout), IdleTimeout: settings.BackEnd.IdleTimeout, MaxConnections: relayConnections,
 			ControlConnections: 1, MaxAnswerBytes: settings.BackEnd.MaxAnswerBytes, IDHeader: dialect.RequestID,
-			Traffic: traffic,
+			AnswerMemory: memory, Traffic: traffic,
 			Dial: func(address string, timeout time.Duration) (net.Conn, error) {
 				return dialRelay(address, timeout, hello())
 			},
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -15,13 +15,13 @@
 	clients  map[directory.InstanceID]*forward.Client
 }
 
-func newUpstreams(settings config.BackEnd, dialect Dialect, traffic forward.Traffic, dial forward.DialFunc) *upstreams {
+func newUpstreams(settings config.BackEnd, dialect Dialect, traffic forward.Traffic, memory *forward.AnswerMemory, dial forward.DialFunc) *upstreams {
 	return &upstreams{
 		clients: make(map[directory.InstanceID]*forward.Client),
 		settings: forward.Settings{
 			ConnectTimeout: settings.ConnectTimeout, IdleTimeout: settings.IdleTimeout, MaxConnections: settings.MaxConnections,
 			ControlConnections: 1, MaxAnswerBytes: settings.MaxAnswerBytes, IDHeader: dialect.RequestID, AcceptUnframed: true,
-			Traffic: traffic, Dial: dial,
+			AnswerMemory: memory, Traffic: traffic, Dial: dial,
 		},
 	}
 }
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -17,6 +17,7 @@
 const maxEjection = 30 * time.Second
 
 func newFleet(settings config.Router, systemClock clock.Clock, builder *table.Builder) *fleet.Fleet {
+	memory := forward.NewAnswerMemory(settings.BackEnd.AnswerMemory)
 	return fleet.New(fleet.Options{
 		Clock: systemClock, MaxConnections: settings.BackEnd.MaxConnections, Table: builder.Table,
 		Health: health.Settings{
@@ -26,7 +27,7 @@
 			MaxRatio:     settings.Health.MaxEjectedRatio,
 		},
 		Open: func(server *state.Server, connections int) fleet.Link {
-			return newLink(settings.BackEnd, server, connections)
+			return newLink(settings.BackEnd, memory, server, connections)
 		},
 	})
 }
@@ -34,13 +35,14 @@
 // link manages the connections to one back end. It implements fleet.Link.
 type link struct {
 	settings config.BackEnd
+	memory   *forward.AnswerMemory
 	// address is guarded by the fleet's lock.
 	address string
 	client  atomic.Pointer[forward.Client]
 }
 
-func newLink(settings config.BackEnd, server *state.Server, connections int) *link {
-	result := &link{settings: settings, address: server.Address}
+func newLink(settings config.BackEnd, memory *forward.AnswerMemory, server *state.Server, connections int) *link {
+	result := &link{settings: settings, memory: memory, address: server.Address}
 	result.client.Store(result.newClient(connections))
 	return result
 }
@@ -52,6 +54,7 @@
 		MaxConnections:     connections,
 		ControlConnections: admission.ControlConnections,
 		MaxAnswerBytes:     l.settings.MaxAnswerBytes,
+		AnswerMemory:       l.memory,
 	})
 }
 
