Gateway: a controller that sends updates without proof is not waited for

Cause: since streams are kept, a search began once no byte came for the pong timeout. A controller that is cut off from the others, and still sends who leads, kept its gateways for four times that: they learned of new holders of keys later. Change: an update without changes from a controller that gave no proof for the pong timeout begins a search beside its stream at once; one with changes after four times that, as before the streams were kept. Result: TestControllerThatProvesNothingIsLeft fails without the change (not within 30 s) and passes.

--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -60,6 +61,8 @@
 	switchBegan time.Time
 	// restarts counts the searches that were begun anew.
 	restarts int
+	// searchBegan is raised when a search begins before the winner is silent.
+	searchBegan *broadcast.Broadcast
 }
 
 // candidate is a controller that is being asked over one connection.
@@ -81,7 +84,7 @@
 }
 
 func newRace(silenceLimit time.Duration) *race {
-	return &race{silenceLimit: silenceLimit, candidates: make(map[*candidate]struct{}), searching: true}
+	return &race{silenceLimit: silenceLimit, candidates: make(map[*candidate]struct{}), searching: true, searchBegan: broadcast.New()}
 }
 
 var errOtherController = eris.New("another controller answered first")
@@ -120,6 +123,7 @@
 		return
 	}
 	r.searching, r.switchTo, r.switchBegan = true, to, time.Now()
+	r.searchBegan.Raise()
 }
 
 // endSwitch gives a switch up if the winner is lost, so that all controllers are asked, or if the other controller
@@ -267,26 +271,38 @@
 	return r.searching, r.restarts
 }
 
-// searchIfSilent begins a search beside the winner if it is silent: no bytes have arrived for the silence limit,
-// or no proof for the proof limit. Otherwise it returns when that will be, and a channel that is closed once the
-// winner's stream has ended.
-func (r *race) searchIfSilent(proofLimit time.Duration) (in time.Duration, ended <-chan struct{}) {
+// searchIfSilent begins a search beside the winner if no bytes have arrived from it for the silence limit. Otherwise
+// it returns when that will be, and a channel that is closed once the winner's stream has ended.
+func (r *race) searchIfSilent() (in time.Duration, ended <-chan struct{}) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.searching {
 		return 0, nil
 	}
-	in = min(r.silenceLimit-time.Since(r.winner.heardAt), proofLimit-time.Since(r.winner.provedAt))
+	in = r.silenceLimit - time.Since(r.winner.heardAt)
 	if in <= 0 {
 		r.searching = true
 	}
 	return in, r.winner.ended
 }
 
+// searchWithoutProof begins a search beside a winner that sent an update, but no proof for the limit: most likely it
+// is cut off from the other controllers.
+func (r *race) searchWithoutProof(from *candidate, limit time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.winner != from || time.Since(from.provedAt) <= limit || r.searching && r.switchTo == "" {
+		return
+	}
+	r.searching, r.switchTo = true, ""
+	r.searchBegan.Raise()
+}
+
 // awaitSilence blocks until the winner is silent or its stream has ended.
 func (s *subscription) awaitSilence(ctx context.Context, search *race) {
 	for ctx.Err() == nil {
-		in, ended := search.searchIfSilent(changesTimeoutFactor * s.settings.PongTimeout)
+		began := search.searchBegan.Next()
+		in, ended := search.searchIfSilent()
 		if in <= 0 {
 			return
 		}
@@ -294,6 +310,7 @@
 		select {
 		case <-ctx.Done():
 		case <-ended:
+		case <-began:
 		case <-timer.C:
 		}
 		timer.Stop()
--- a/internal/gateway/slowstream_test.go
+++ b/internal/gateway/slowstream_test.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"context"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/lab/slowpath"
 	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
 // configurationBound is the time within which an acknowledged change must be in force at a gateway in touch
@@ -77,3 +82,44 @@
 		})
 	}
 }
+
+// TestControllerThatProvesNothingIsLeft guards against a gateway that stays with a controller that is cut off from the
+// others, and still sends updates: another controller that confirms the directory is followed.
+func TestControllerThatProvesNothingIsLeft(t *testing.T) {
+	listener := listen(t)
+	var cutOff atomic.Bool
+	runInBackground(t, func(ctx context.Context) {
+		_ = (&wire.Server{}).Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) { // ends with the test
+			serveUntilCutOff(ctx, connection, &cutOff)
+		})
+	})
+	other := startStub(t)
+	other.silent.Store(true)
+	s := startSubscription(t, listener.Addr().String(), other.address)
+	eventually(t, "the directory is confirmed", s.confirmed)
+	other.silent.Store(false)
+	cutOff.Store(true)
+	cutAt := testClock.Now()
+	eventually(t, "the other controller confirms the directory", func() bool { return *s.confirmedAt.Load() > cutAt+s.settings.PongTimeout })
+}
+
+// serveUntilCutOff answers pings until the controller is cut off, and sends updates without proof from then on.
+func serveUntilCutOff(ctx context.Context, connection *wire.Conn, cutOff *atomic.Bool) {
+	var hello message.Hello
+	var first, ping message.DirectoryRequest
+	if connection.Receive(&hello) != nil || connection.Receive(&first) != nil {
+		return
+	}
+	if first.Revision == 0 && connection.Send(ctx, &message.DirectoryUpdate{Leader: "leader"}) != nil {
+		return
+	}
+	for number := 0; connection.Receive(&ping) == nil; number++ {
+		update := message.DirectoryUpdate{Pong: ping.Ping}
+		if cutOff.Load() {
+			update = message.DirectoryUpdate{Leader: strconv.Itoa(number)}
+		}
+		if connection.Send(ctx, &update) != nil {
+			return
+		}
+	}
+}
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -249,6 +249,9 @@
 		}
 		sentAt, known := pings.sentAt(update.Pong)
 		if !known {
+			if from.search != nil {
+				from.search.searchWithoutProof(from.candidate, s.proofTimeout(update))
+			}
 			continue
 		}
 		if from.search != nil && !from.search.claim(from.candidate) {
@@ -307,6 +310,14 @@
 // arrive: changes take time on a narrow link, and the proof is queued behind them.
 const changesTimeoutFactor = 4
 
+// proofTimeout returns how long to wait for a proof after an update until other controllers are asked.
+func (s *subscription) proofTimeout(update message.DirectoryUpdate) time.Duration {
+	if update.Changes != nil {
+		return changesTimeoutFactor * s.settings.PongTimeout
+	}
+	return s.settings.PongTimeout
+}
+
 // apply applies an update. After an error the whole directory is requested.
 func (s *subscription) apply(update message.DirectoryUpdate, from source) error {
 	s.viewLock.Lock()
