Router: silent connections are given more time once no controller answers

A router closes a connection without a frame after 600 ms and asks the next controller, so that over a longer round trip it never gets a table, and refuses all requests as stale. Change: the time doubles, up to 5 s, once the connections to all controllers in turn were closed for silence; the first frame resets it. Refused connections do not count. Result: TestSilentConnectionsAreGivenMoreTime fails without the change, by reading: the time was constant. go test -race ./internal/router passes. A whole router over long round trips was not run.

--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -30,6 +30,9 @@
 	// maxSilentPings is the number of ping intervals without a frame after which the
 	// connection is closed, if that is longer than silenceTimeout.
 	maxSilentPings = 3
+	// maxSilence is the longest such time. It doubles once the connections to all controllers have brought no frame,
+	// since a round trip may take longer than they lasted. Behind longer ones the table cannot be proved current.
+	maxSilence = 5 * time.Second
 
 	// lostControllerPause is the time for which a controller is not tried again after its
 	// connection was lost. It is longer than an election with the default settings.
@@ -97,6 +100,10 @@
 	// resync requests a full snapshot on the next connection.
 	resync bool
 	nonce  uint64
+	// silentConnections counts the connections that were closed without a frame since the last one that received any.
+	silentConnections int
+	// heard is true once the current connection has received a frame, and silent once it was closed for silence.
+	heard, silent atomic.Bool
 	// lastFrameAt is the clock reading at which the last frame was received, in nanoseconds.
 	lastFrameAt atomic.Int64
 }
@@ -108,7 +115,10 @@
 	for ctx.Err() == nil {
 		address := s.controllers[s.preferred]
 		startedAt := s.clock.Now()
+		s.heard.Store(false)
+		s.silent.Store(false)
 		err := s.connect(ctx, address)
+		s.countSilence()
 		s.freshness.Disconnected()
 		if ctx.Err() != nil {
 			return
@@ -255,11 +265,12 @@
 func (s *subscription) pingUntil(ctx context.Context, connection tableConnection) {
 	ticker := time.NewTicker(s.pingInterval)
 	defer ticker.Stop()
-	timeout := max(silenceTimeout, maxSilentPings*s.pingInterval)
+	timeout := s.silence()
 	for {
 		s.nonce++
 		now := s.clock.Now()
 		if now-time.Duration(s.lastFrameAt.Load()) > timeout {
+			s.silent.Store(true)
 			return
 		}
 		ping := &message.Ping{Nonce: s.nonce, SentNs: int64(now), Revision: s.builder.Table().Revision()}
@@ -278,6 +289,25 @@
 	}
 }
 
+// silence returns the time without a frame after which the connection is closed.
+func (s *subscription) silence() time.Duration {
+	silence := max(silenceTimeout, maxSilentPings*s.pingInterval)
+	for range s.silentConnections / len(s.controllers) {
+		silence = max(silence, min(2*silence, maxSilence))
+	}
+	return silence
+}
+
+// countSilence counts a connection that ended.
+func (s *subscription) countSilence() {
+	switch {
+	case s.heard.Load():
+		s.silentConnections = 0
+	case s.silent.Load() && s.silence() < maxSilence:
+		s.silentConnections++
+	}
+}
+
 func (s *subscription) receive(connection tableConnection) error {
 	for {
 		frame, err := connection.Receive()
@@ -285,6 +315,7 @@
 			return err
 		}
 		s.lastFrameAt.Store(int64(s.clock.Now()))
+		s.heard.Store(true)
 		if err := s.handleFrame(frame); err != nil {
 			return err
 		}
--- a/internal/router/subscription_test.go
+++ b/internal/router/subscription_test.go
@@ -36,6 +36,33 @@
 	}
 }
 
+// TestSilentConnectionsAreGivenMoreTime guards against a router that closes each connection before the first frame can
+// arrive, for as long as round trips take longer than it waits.
+func TestSilentConnectionsAreGivenMoreTime(t *testing.T) {
+	s := &subscription{pingInterval: 150 * time.Millisecond, controllers: []string{"a", "b", "c"}}
+	s.silent.Store(true)
+	for _, want := range []time.Duration{silenceTimeout, 2 * silenceTimeout, 4 * silenceTimeout, 8 * silenceTimeout, maxSilence, maxSilence} {
+		for range s.controllers {
+			if got := s.silence(); got != min(want, maxSilence) {
+				t.Errorf("after %d silent connections, the next may be silent for %s, want %s", s.silentConnections, got, min(want, maxSilence))
+			}
+			s.countSilence()
+		}
+	}
+	s.heard.Store(true)
+	if s.countSilence(); s.silence() != silenceTimeout {
+		t.Errorf("after a frame, a connection may be silent for %s, want %s", s.silence(), silenceTimeout)
+	}
+	s.heard.Store(false)
+	s.silent.Store(false)
+	for range 10 {
+		s.countSilence()
+	}
+	if s.silence() != silenceTimeout {
+		t.Errorf("after connections that were refused, one may be silent for %s, want %s", s.silence(), silenceTimeout)
+	}
+}
+
 // TestSubscriptionLearnsAnnouncedAddresses: a named leader is found by the address that it has
 // announced if the router's settings list the controllers under other addresses.
 func TestSubscriptionLearnsAnnouncedAddresses(t *testing.T) {
