--- a/internal/gateway/home.go
+++ b/internal/gateway/home.go
@@ -94,7 +94,7 @@
 		return ""
 	}
 	telemetry.With(s.log, telemetry.EventControllerLost).WithField(telemetry.FieldAddress, from.address).WithField("home", home).
-		WithField(fieldTableAge, s.age().Milliseconds()).Info("switching the directory stream to the home controller")
+		WithField(fieldTableAge, ageMs(s.age())).Info("switching the directory stream to the home controller")
 	return home
 }
 
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -73,7 +73,7 @@
 	}
 	line := telemetry.With(g.log, telemetry.EventRequestEnded).WithField(telemetry.FieldRequest, current.id).
 		WithField(telemetry.FieldService, current.service).WithField(telemetry.FieldRevision, current.revision).
-		WithField(fieldTableAge, current.tableAge.Milliseconds()).
+		WithField(fieldTableAge, ageMs(current.tableAge)).
 		WithField("attempts", current.outcomes).WithField("status", current.answer.StatusCode()).
 		WithField(telemetry.FieldDuration, took.Milliseconds())
 	if current.route != nil {
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -83,7 +83,7 @@
 	}
 	err := s.follow(ctx, source{address: address, peer: true, wait: wait})
 	telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
-		WithField(fieldTableAge, s.age().Milliseconds()).Info("directory stream from another gateway ended")
+		WithField(fieldTableAge, ageMs(s.age())).Info("directory stream from another gateway ended")
 }
 
 var (
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -23,10 +25,64 @@
 	changed := table.ChangedRoutes
 	telemetry.With(s.log, telemetry.EventItemsInForce).WithField(telemetry.FieldRevision, table.Revision).
 		WithField("routes", changed[:min(len(changed), maxLoggedRoutes)]).WithField(telemetry.FieldCount, len(changed)).
-		WithField(fieldTableAge, s.age().Milliseconds()).WithField(telemetry.FieldAddress, from.address).
+		WithField(fieldTableAge, ageMs(s.age())).WithField(telemetry.FieldAddress, from.address).
 		WithField("peer", from.peer).Info("configuration items are in force")
 }
 
+// age returns how long ago the directory was proved current; -1 if it never was.
+func (s *subscription) age() time.Duration {
+	proved := s.provedAt.Load()
+	if proved == nil {
+		return -1
+	}
+	return s.clock.Now() - *proved
+}
+
+// confirmedAge returns how long ago a controller proved that the directory is current; the maximum duration if
+// none did.
+func (s *subscription) confirmedAge() time.Duration {
+	confirmed := s.confirmedAt.Load()
+	if confirmed == nil {
+		return math.MaxInt64
+	}
+	return s.clock.Now() - *confirmed
+}
+
+// ageMs returns an age as it is logged.
+func ageMs(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// recordProof records the answer to a ping, with the age of the proof in it.
+func (s *subscription) recordProof(sentAt, age time.Duration, from source) {
+	now := s.clock.Now()
+	s.confirm(sentAt-age, from)
+	s.proofReceivedAt.Store(&now)
+	s.roundTrip.Store(int64(now - sentAt))
+}
+
+// confirm records that the directory was current at a clock reading. The proof of a stream that was silent may
+// be older than that of another one.
+func (s *subscription) confirm(at time.Duration, from source) {
+	raise(&s.provedAt, at)
+	if !from.peer {
+		raise(&s.confirmedAt, at)
+	}
+}
+
+// raise sets a clock reading unless it is later already.
+func raise(reading *atomic.Pointer[time.Duration], to time.Duration) {
+	for {
+		current := reading.Load()
+		if current != nil && *current >= to || reading.CompareAndSwap(current, &to) {
+			return
+		}
+	}
+}
+
 // stale reports whether an acknowledged change may be in force elsewhere that this gateway does not know.
 func (s *subscription) stale() bool {
 	age := s.age()
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,9 @@
 	}
 	applyPatch(t, view, routesPatch("1", "kept", "moved", "dropped"))
 	update(0)
+	if !strings.Contains(lines.String(), `"table_age_ms":-1`) {
+		t.Errorf("a table without proof is logged as %s", lines.String())
+	}
 	proved := machine.Now()
 	s.confirm(proved, source{})
 	machine.suspend(time.Second)
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,58 +84,6 @@
 // current returns the table; nil until the directory has been received.
 func (s *subscription) current() *routing.Table { return s.table.Load() }
 
-// age returns how long ago the directory was proved current; -1 if it never was.
-func (s *subscription) age() time.Duration {
-	proved := s.provedAt.Load()
-	if proved == nil {
-		return -1
-	}
-	return s.clock.Now() - *proved
-}
-
-// confirmedAge returns how long ago a controller proved that the directory is current; the maximum duration if
-// none did.
-func (s *subscription) confirmedAge() time.Duration {
-	confirmed := s.confirmedAt.Load()
-	if confirmed == nil {
-		return math.MaxInt64
-	}
-	return s.clock.Now() - *confirmed
-}
-
-// reconnectPause is the delay after all controllers were asked without success.
-const reconnectPause = 20 * time.Millisecond
-
-func (s *subscription) run(ctx context.Context) {
-	search := newRace(s.settings.PongTimeout)
-	var group conc.WaitGroup
-	defer group.Wait()
-	for ctx.Err() == nil {
-		s.awaitSilence(ctx, search)
-		for range raceRounds {
-			s.askAll(ctx, search, &group)
-		}
-		s.awaitCandidates(ctx, search)
-		if searching, _ := search.state(); searching {
-			s.reloadSeeds()
-			clock.Sleep(ctx, reconnectPause)
-		}
-	}
-}
-
-// reloadSeeds applies changes of the seeds in the settings.
-func (s *subscription) reloadSeeds() {
-	if s.reload == nil {
-		return
-	}
-	fresh, err := s.reload()
-	if err != nil || slices.Equal(fresh.Seeds, s.settings.Seeds) {
-		return
-	}
-	telemetry.With(s.log, telemetry.EventSettingsReloaded).WithField("seeds", fresh.Seeds).Info("seeds changed")
-	s.settings.Seeds = fresh.Seeds
-}
-
 // errAskedTwice ends a connection to a controller that meanwhile accepted an earlier one.
 var errAskedTwice = eris.New("the controller has accepted another connection of this gateway")
 
@@ -261,7 +207,7 @@
 			connection.SetIdleTimeout(s.patience)
 			connection.SetSilenceTimeout(s.patience)
 		}
-		s.recordProof(sentAt-s.proofAge(update, from), from)
+		s.recordProof(sentAt, s.proofAge(update, from), from)
 		if home := s.homeToSwitchTo(from); home != "" {
 			from.search.beginSwitch(home)
 		}
@@ -273,33 +219,6 @@
 	}
 }
 
-// recordProof records the answer to a ping.
-func (s *subscription) recordProof(sentAt time.Duration, from source) {
-	now := s.clock.Now()
-	s.confirm(sentAt, from)
-	s.proofReceivedAt.Store(&now)
-	s.roundTrip.Store(int64(now - sentAt))
-}
-
-// confirm records that the directory was current at a clock reading. The proof of a stream that was silent may
-// be older than that of another one.
-func (s *subscription) confirm(at time.Duration, from source) {
-	raise(&s.provedAt, at)
-	if !from.peer {
-		raise(&s.confirmedAt, at)
-	}
-}
-
-// raise sets a clock reading unless it is later already.
-func raise(reading *atomic.Pointer[time.Duration], to time.Duration) {
-	for {
-		current := reading.Load()
-		if current != nil && *current >= to || reading.CompareAndSwap(current, &to) {
-			return
-		}
-	}
-}
-
 func (s *subscription) revision() directory.Revision {
 	s.viewLock.Lock()
 	defer s.viewLock.Unlock()
