Gateway: a search goes on beside a controller that sends updates and proves nothing

Cause: after three rounds the search waits for its short attempts to end. One whose controller goes on sending updates without proof does not end, so that no other controller would be asked any more. Found on reading; such an attempt needs a patient connection to the same controller that is silent. Change: the wait ends after the pong timeout. Result: TestSearchGoesOnBesideACandidateThatDoesNotEnd does not end without the change and passes with it.

--- a/internal/gateway/race_test.go
+++ b/internal/gateway/race_test.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -110,3 +111,23 @@
 		}
 	})
 }
+
+// TestSearchGoesOnBesideACandidateThatDoesNotEnd guards against a gateway that asks no controller any more because one
+// that proves nothing goes on sending updates.
+func TestSearchGoesOnBesideACandidateThatDoesNotEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := config.DefaultGateway()
+		s := newSubscription(testClock, settings, discardLog(), nil, &link.Meter{})
+		search := newRace(settings.PongTimeout)
+		search.enter("c", func() {})
+		time.Sleep(redialAfter)
+		if search.enter("c", func() {}) == nil || !search.awaits() {
+			t.Fatal("the controller is not asked again")
+		}
+		began := time.Now()
+		s.awaitCandidates(t.Context(), search)
+		if took := time.Since(began); took > 2*settings.PongTimeout {
+			t.Errorf("the search went on after %s", took)
+		}
+	})
+}
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -80,9 +80,10 @@
 	}
 }
 
-// awaitCandidates blocks until the candidates that do not wait for long have ended.
+// awaitCandidates blocks until the candidates that do not wait for long have ended. One that sends updates without
+// proof does not end, and others may be back before it does.
 func (s *subscription) awaitCandidates(ctx context.Context, search *race) {
-	for ctx.Err() == nil && search.awaits() {
+	for began := time.Now(); ctx.Err() == nil && search.awaits() && time.Since(began) < s.settings.PongTimeout; {
 		clock.Sleep(ctx, reconnectPause)
 	}
 }
