Gateway: the age of a proof is read before the table that it covers

Cause: a request took the table and read the age of the proof afterwards. A gateway that is not given time in between takes in a change and its proof there, and then denies a route by the table from before, which the new proof does not cover. Found on reading. Change: the age is read first. Tables are put into force before their proof is recorded, so that a table read later has at least what the proof covers. Result: go test ./internal/gateway passes; no test shows the order.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -102,8 +102,8 @@
 	Kind fault.Kind `json:"kind,omitempty"`
 }
 
-// readRequest parses the request and finds its route.
-func (g *Gateway) readRequest(context *fasthttp.RequestCtx, table *routing.Table) (*request, error) {
+// readRequest parses the request and finds its route in a table, whose proof had the given age before it was read.
+func (g *Gateway) readRequest(context *fasthttp.RequestCtx, table *routing.Table, age time.Duration) (*request, error) {
 	now := g.clock.Now()
 	read := &request{
 		id:      string(context.Request.Header.Peek(g.dialect.RequestID)),
@@ -114,7 +114,7 @@
 	if table == nil {
 		return read, fault.New(fault.StaleRouter, "this gateway has no directory yet")
 	}
-	read.revision, read.tableAge, read.staleTable = table.Revision, g.subscription.age(), g.subscription.stale()
+	read.revision, read.tableAge, read.staleTable = table.Revision, age, g.subscription.stale(age)
 	if err := read.readDeadline(g.dialect.Deadline); err != nil {
 		return read, err
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,7 +15,9 @@
 	g.metrics.inFlight.Inc()
 	defer g.metrics.inFlight.Dec()
 	g.meter.Add(link.In, link.Bodies, len(context.Request.Body()))
-	current, err := g.readRequest(context, g.awaitTable(context))
+	// The age is read before the table, which then includes all that the proof covers.
+	age := g.subscription.age()
+	current, err := g.readRequest(context, g.awaitTable(context), age)
 	if err == nil {
 		err = g.rejectQuarantined(current)
 	}
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -83,9 +83,8 @@
 	}
 }
 
-// stale reports whether an acknowledged change may be in force elsewhere that this gateway does not know.
-func (s *subscription) stale() bool {
-	age := s.age()
+// stale reports whether an acknowledged change may be in force elsewhere that a table lacks whose proof has this age.
+func (s *subscription) stale(age time.Duration) bool {
 	return age < 0 || age > s.settings.StalenessLimit
 }
 
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -93,7 +93,7 @@
 	context := &fasthttp.RequestCtx{}
 	context.Request.Header.SetHost("a.example")
 	context.Request.SetRequestURI(path)
-	_, err := g.readRequest(context, g.subscription.current())
+	_, err := g.readRequest(context, g.subscription.current(), g.subscription.age())
 	return asFault(err)
 }
 
