Gateway tests: answers of a relay that break off at any byte

Cause: the report on heads that break off was not played through a relay. Change: an answer of a relay cut at every byte of its head and body; the caller gets 502 in each case. No product code changes.

--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -193,6 +193,18 @@
 	}
 }
 
+// TestAnswerOfARelayCutAtAnyByteIsNoAnswer guards against an answer that breaks off behind a relay, in its head or in its
+// body, and that the caller gets as a whole one.
+func TestAnswerOfARelayCutAtAnyByteIsNoAnswer(t *testing.T) {
+	whole := relayed(relay.Answered, "all of it")
+	for cut := range len(whole) {
+		response := ask(newCutOffGateway(t, startStubRelay(t, whole[:cut])), "/once/")
+		if response.StatusCode() != fasthttp.StatusBadGateway {
+			t.Errorf("%d of %d bytes: status %d, body %q", cut, len(whole), response.StatusCode(), response.Body())
+		}
+	}
+}
+
 // TestNoWayIsRejectedAtOnce checks that a gateway which reaches neither instances nor relays rejects requests
 // without a wait, as not run and with a time to return.
 func TestNoWayIsRejectedAtOnce(t *testing.T) {
