Gateway tests: the stub controller sends a change at once

Cause: it sent a change after the next ping, so that the test of slow control messages, with 1 s each way, had 0.5 s of its bound of 2 s left for a busy machine. Change: the change is sent when it is made, as controllers do. The bound is the same.

--- a/internal/gateway/peer_test.go
+++ b/internal/gateway/peer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/link"
@@ -99,14 +100,12 @@
 	if connection.Send(ctx, &message.DirectoryUpdate{Cluster: "cluster", Changes: &changes, Peers: c.peers, Pong: ping.Ping}) != nil {
 		return
 	}
-	added := false
+	ctx, cancel := context.WithCancel(ctx)
+	var sending conc.WaitGroup
+	defer sending.Wait()
+	defer cancel()
+	sending.Go(func() { c.sendAddedService(ctx, connection, view) })
 	for !c.silent.Load() {
-		if c.addService.Load() && !added {
-			added = true
-			if connection.Send(ctx, addedService(view)) != nil {
-				return
-			}
-		}
 		var ping message.DirectoryRequest
 		if connection.Receive(&ping) != nil || connection.Send(ctx, &message.DirectoryUpdate{Pong: ping.Ping}) != nil {
 			return
@@ -114,6 +113,17 @@
 	}
 }
 
+// sendAddedService sends the change as soon as the service is added.
+func (c *stubController) sendAddedService(ctx context.Context, connection *wire.Conn, view *directory.Directory) {
+	for !c.addService.Load() {
+		clock.Sleep(ctx, 5*time.Millisecond)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	_ = connection.Send(ctx, addedService(view)) // the connection may have ended
+}
+
 // addedService adds a service to a directory and returns the change.
 func addedService(view *directory.Directory) *message.DirectoryUpdate {
 	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"added","version":2}]}}`))
