--- a/internal/forward/cuthead_test.go
+++ b/internal/forward/cuthead_test.go
@@ -10,16 +10,24 @@
 // with an empty or short body.
 func TestHeadCutAtAnyByteIsNoAnswer(t *testing.T) {
 	for name, framing := range map[string]string{"length": "Content-Length: 25\r\n", "chunks": "Transfer-Encoding: chunked\r\n", "close": "Connection: close\r\n"} {
-		head := okHead + framing + "\r\n"
-		for cut := range len(head) {
-			address := serveRaw(t, func(c net.Conn) { _, _ = c.Write([]byte(head[:cut])) })
-			client := NewClient(address, Settings{
-				ConnectTimeout: testTimeout, IdleTimeout: time.Minute, MaxConnections: 1, ControlConnections: 1, MaxAnswerBytes: 1000, AcceptUnframed: true,
-			})
-			if response, failure := send(client, "GET", "/", "x", testTimeout); failure == nil {
-				t.Errorf("%s, %d of %d bytes of the head: status %d, body %q", name, cut, len(head), response.StatusCode(), response.Body())
+		for _, acceptUnframed := range []bool{true, false} { // gateways, routers
+			head := okHead + framing + "\r\n"
+			for cut := range len(head) {
+				checkCutHead(t, name, head[:cut], acceptUnframed)
 			}
-			client.CloseIdle()
 		}
 	}
 }
+
+// checkCutHead checks that the beginning of a head is not taken for an answer.
+func checkCutHead(t *testing.T, name, beginning string, acceptUnframed bool) {
+	t.Helper()
+	address := serveRaw(t, func(c net.Conn) { _, _ = c.Write([]byte(beginning)) })
+	client := NewClient(address, Settings{
+		ConnectTimeout: testTimeout, IdleTimeout: time.Minute, MaxConnections: 1, ControlConnections: 1, MaxAnswerBytes: 1000, AcceptUnframed: acceptUnframed,
+	})
+	defer client.CloseIdle()
+	if response, failure := send(client, "GET", "/", "x", testTimeout); failure == nil {
+		t.Errorf("%s, the first %d bytes of the head: status %d, body %q", name, len(beginning), response.StatusCode(), response.Body())
+	}
+}
