Roles: each start and each end by itself is one line in the log

Cause: the record of the incident cannot tell a process that ended by itself from one that was killed, nor how long after its start it handled signals. Settings that are not valid, and a panic of a role, left no line in the log.

Change: started has process_age_ms, from the kernel's start of the process to the point at which signals are handled; failed has exit_status, and is written for settings that are not valid and for panics as well. A log that ends without failed or stopped is that of a killed process. The three roles share one way to start, which stood three times.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
@@ -44,57 +45,80 @@
 	overrideControllers = overrideFlag{"controllers", "controllers", "peer addresses of the controllers, with commas between them"}
 )
 
+// role is how a process of one kind is started from its settings.
+type role[T any] struct {
+	name config.Role
+	load func(path string, overrides ...config.Override) (T, error)
+	// common returns what all roles have in their settings.
+	common func(T) commonSettings
+	run    func(ctx context.Context, settings T, log *logrus.Entry, reload func() (T, error)) error
+}
+
+// commonSettings are settings that all roles have. CollectorPercent is zero for the default of the runtime.
+type commonSettings struct {
+	name             string
+	log              config.Log
+	collectorPercent int
+}
+
 func newControllerCommand(program *program) *cobra.Command {
 	flags := []overrideFlag{overrideName, overrideZone, overrideData, overridePeer, overrideAPI}
-	return newRoleCommand("controller", "Run one replica of the controllers", flags,
-		func(ctx context.Context, path string, overrides []config.Override) error {
-			reload := func() (config.Controller, error) { return config.LoadController(path, overrides...) }
-			settings, err := reload()
-			if err != nil {
-				return err
-			}
-			log, closeLog := program.openLog(config.RoleController, settings.Name, settings.Log)
-			defer closeLog()
-			debug.SetGCPercent(settings.CollectorPercent)
-			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
-				return program.runners.Controller(ctx, settings, log)
-			})
-		})
+	return newRoleCommand("controller", "Run one replica of the controllers", flags, starter(program, role[config.Controller]{
+		name: config.RoleController, load: config.LoadController,
+		common: func(settings config.Controller) commonSettings {
+			return commonSettings{settings.Name, settings.Log, settings.CollectorPercent}
+		},
+		run: func(ctx context.Context, settings config.Controller, log *logrus.Entry, _ func() (config.Controller, error)) error {
+			return program.runners.Controller(ctx, settings, log)
+		},
+	}))
 }
 
 func newRouterCommand(program *program) *cobra.Command {
 	flags := []overrideFlag{overrideName, overrideZone, overrideAddress, overridePeer, overrideAdmin, overrideControllers}
-	return newRoleCommand("router", "Run a router", flags,
-		func(ctx context.Context, path string, overrides []config.Override) error {
-			reload := func() (config.Router, error) { return config.LoadRouter(path, overrides...) }
-			settings, err := reload()
-			if err != nil {
-				return err
-			}
-			log, closeLog := program.openLog(config.RoleRouter, settings.Name, settings.Log)
-			defer closeLog()
-			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
-				return program.runners.Router(ctx, settings, log)
-			})
-		})
+	return newRoleCommand("router", "Run a router", flags, starter(program, role[config.Router]{
+		name: config.RoleRouter, load: config.LoadRouter,
+		common: func(settings config.Router) commonSettings {
+			return commonSettings{name: settings.Name, log: settings.Log}
+		},
+		run: func(ctx context.Context, settings config.Router, log *logrus.Entry, _ func() (config.Router, error)) error {
+			return program.runners.Router(ctx, settings, log)
+		},
+	}))
 }
 
 func newGatewayCommand(program *program) *cobra.Command {
 	flags := []overrideFlag{overrideName, overrideZone, overrideAddress, overrideAdmin}
-	return newRoleCommand("gateway", "Run a gateway, which routes by host and path", flags,
-		func(ctx context.Context, path string, overrides []config.Override) error {
-			reload := func() (config.Gateway, error) { return config.LoadGateway(path, overrides...) }
-			settings, err := reload()
-			if err != nil {
-				return err
-			}
-			log, closeLog := program.openLog(config.RoleGateway, settings.Name, settings.Log)
+	return newRoleCommand("gateway", "Run a gateway, which routes by host and path", flags, starter(program, role[config.Gateway]{
+		name: config.RoleGateway, load: config.LoadGateway,
+		common: func(settings config.Gateway) commonSettings {
+			return commonSettings{settings.Name, settings.Log, settings.CollectorPercent}
+		},
+		run: program.runners.Gateway,
+	}))
+}
+
+// starter returns how a role is run from the path of its settings.
+func starter[T any](program *program, role role[T]) roleRunner {
+	return func(ctx context.Context, path string, overrides []config.Override) error {
+		reload := func() (T, error) { return role.load(path, overrides...) }
+		settings, err := reload()
+		if err != nil {
+			log, closeLog := program.openLog(role.name, "", config.Log{})
 			defer closeLog()
-			debug.SetGCPercent(settings.CollectorPercent)
-			return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
-				return program.runners.Gateway(ctx, settings, log, reload)
-			})
+			logEnd(log, err)
+			return err
+		}
+		common := role.common(settings)
+		log, closeLog := program.openLog(role.name, common.name, common.log)
+		defer closeLog()
+		if common.collectorPercent > 0 {
+			debug.SetGCPercent(common.collectorPercent)
+		}
+		return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
+			return role.run(ctx, settings, log, reload)
 		})
+	}
 }
 
 // openLog returns the log of a role, and how its lines that wait are written at the
@@ -154,23 +178,48 @@
 	defer endReloads()
 	ctx, restore := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer restore()
-	telemetry.With(log, telemetry.EventStarted).Info("started")
+	logStart(log)
 	finished := make(chan struct{})
 	var watcher conc.WaitGroup
 	watcher.Go(func() { watchStop(ctx, finished, restore, log) })
 	endWatch := watchSuspensions(log)
-	err := run(ctx)
+	err := runRecovered(ctx, log, run)
 	close(finished)
 	endWatch()
 	watcher.Wait()
 	if err != nil {
-		telemetry.WithError(log, telemetry.EventFailed, err).Error("the process ends")
+		logEnd(log, err)
 		return err
 	}
 	telemetry.With(log, telemetry.EventStopped).Info("stopped")
 	return nil
 }
 
+// runRecovered turns a panic of a role into an error, so that the log tells why the process ends.
+func runRecovered(ctx context.Context, log *logrus.Entry, run func(context.Context) error) error {
+	var err error
+	if recovered := panics.Try(func() { err = run(ctx) }); recovered != nil {
+		telemetry.Panicked(log, recovered).Error("panic while running the role")
+		return recovered.AsError()
+	}
+	return err
+}
+
+// logStart logs the start, with the time that passed until signals were handled.
+func logStart(log *logrus.Entry) {
+	line := telemetry.With(log, telemetry.EventStarted)
+	if age, known := processAge(); known {
+		line = line.WithField("process_age_ms", age.Milliseconds())
+	}
+	line.Info("started")
+}
+
+// logEnd logs why the process ends by itself, and with which status. A process that ends without such a line was
+// killed.
+func logEnd(log *logrus.Entry, err error) {
+	telemetry.WithError(log, telemetry.EventFailed, err).WithField("exit_status", int(exitCodeOf(err))).Error("the process ends")
+}
+
 // watchSuspensions tells of suspensions of the machine. It returns how to end that.
 func watchSuspensions(log *logrus.Entry) (end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -116,11 +116,11 @@
 
 func commonEvents() []EventRow {
 	return []EventRow{
-		{EventStarted, levelInfo, "The process has its settings and begins."},
+		{EventStarted, levelInfo, "The process has its settings, handles signals and begins; process_age_ms tells how long after the kernel started it, to 10 ms."},
 		{EventListening, levelInfo, "A listener accepts connections."},
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
-		{EventFailed, levelError, "The process cannot go on, and ends."},
+		{EventFailed, levelError, "The process cannot go on, and ends with exit_status. A process whose log ends without this line or stopped was killed."},
 		{EventSuspended, levelWarning, "The machine was suspended and goes on; duration_ms tells for how long. What was decided before it is checked anew before it is acted on."},
 		{EventPanicked, levelError, "A request met a defect of this program, which goes on; the stack tells where. Report it."},
 		{EventLinesDropped, levelWarning, "Log lines found their queue full and were dropped."},
