--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +14,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/signals"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -101,6 +100,9 @@
 // starter returns how a role is run from the path of its settings.
 func starter[T any](program *program, role role[T]) roleRunner {
 	return func(ctx context.Context, path string, overrides []config.Override) error {
+		// A change of the settings that is told from here on is read, now or again.
+		handler, ctx := signals.New(ctx)
+		defer handler.Close()
 		reload := func() (T, error) { return role.load(path, overrides...) }
 		settings, err := reload()
 		if err != nil {
@@ -115,7 +117,7 @@
 		if common.collectorPercent > 0 {
 			debug.SetGCPercent(common.collectorPercent)
 		}
-		return supervise(ctx, log, checked(reload), func(ctx context.Context) error {
+		return supervise(ctx, handler, log, checked(reload), func(ctx context.Context) error {
 			return role.run(ctx, settings, log, reload)
 		})
 	}
@@ -173,15 +175,12 @@
 
 // supervise runs a role until a signal asks it to stop. After the first signal
 // the default action is back in place, so that a second one ends the process.
-func supervise(ctx context.Context, log *logrus.Entry, reload func() error, run func(context.Context) error) error {
-	endReloads := watchReload(log, reload)
-	defer endReloads()
-	ctx, restore := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-	defer restore()
+func supervise(ctx context.Context, handler *signals.Handler, log *logrus.Entry, reload func() error, run func(context.Context) error) error {
 	logStart(log)
 	finished := make(chan struct{})
 	var watcher conc.WaitGroup
-	watcher.Go(func() { watchStop(ctx, finished, restore, log) })
+	watcher.Go(func() { watchReload(handler.HangUps(), finished, log, reload) })
+	watcher.Go(func() { watchStop(ctx, finished, handler.RestoreStop, log) })
 	endWatch := watchSuspensions(log)
 	err := runRecovered(ctx, log, run)
 	close(finished)
@@ -236,24 +235,19 @@
 }
 
 // watchReload checks the settings file whenever SIGHUP says that it has changed, and
-// tells what came of it. It returns how to end that.
-func watchReload(log *logrus.Entry, reload func() error) (end func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	var watcher conc.WaitGroup
-	watcher.Go(func() {
-		for range signals {
-			if err := reload(); err != nil {
-				telemetry.WithError(log, telemetry.EventSettingsReloaded, err).Warn("the settings file is not valid; the settings stay as they are")
-				continue
-			}
-			telemetry.With(log, telemetry.EventSettingsReloaded).Info("the settings file was read again; what cannot change while the process runs waits for its next start")
+// tells what came of it, until the role has ended.
+func watchReload(hangUps <-chan os.Signal, finished <-chan struct{}, log *logrus.Entry, reload func() error) {
+	for {
+		select {
+		case <-finished:
+			return
+		case <-hangUps:
 		}
-	})
-	return func() {
-		signal.Stop(signals)
-		close(signals)
-		watcher.Wait()
+		if err := reload(); err != nil {
+			telemetry.WithError(log, telemetry.EventSettingsReloaded, err).Warn("the settings file is not valid; the settings stay as they are")
+			continue
+		}
+		telemetry.With(log, telemetry.EventSettingsReloaded).Info("the settings file was read again; what cannot change while the process runs waits for its next start")
 	}
 }
 
