Listeners wait for an address that is not free yet

What operators saw: a process that is started while the former one still holds its port, or before the machine has its address, ends with status 1 and is started again later. A gateway whose peer port was taken never served other gateways.

Cause: the first failure to listen was final.

Change: package listen tries again each 50 ms while the address is in use or not there, or descriptors, buffers or memory are lacking, and logs listen_waiting at first and each 10 s; any other error is final as before. Controllers, gateways and routers listen through it, at all of their addresses. A controller closes its listeners before it starts anew after a full disk: the one of the API stayed open if the replica had not started, and would now be waited for.

--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -17,6 +17,7 @@
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/identity"
+	"github.com/thorntiller/thorntiller/internal/listen"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/vfs"
@@ -55,6 +56,13 @@
 	if err != nil {
 		return err
 	}
+	defer node.closeListeners()
+	if err := node.listen(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
 	return node.run(ctx)
 }
 
@@ -87,7 +95,7 @@
 			ID: self.Replica, Name: settings.Name, Address: settings.PeerAddress, APIAddress: settings.APIAddress,
 		},
 	}
-	return n, n.listen()
+	return n, nil
 }
 
 // newReplicaID returns a random identifier. Its highest bit is set because zero means no replica.
@@ -95,12 +103,12 @@
 	return consensus.ReplicaID(rand.Uint64() | 1<<63)
 }
 
-func (n *node) listen() error {
+func (n *node) listen(ctx context.Context) error {
 	var err error
-	if n.peerListener, err = net.Listen("tcp", n.settings.PeerAddress); err != nil {
+	if n.peerListener, err = listen.TCP(ctx, n.settings.PeerAddress, n.log); err != nil {
 		return eris.Wrapf(err, "peer_address: listen on %s", n.settings.PeerAddress)
 	}
-	if n.apiListener, err = net.Listen("tcp", n.settings.APIAddress); err != nil {
+	if n.apiListener, err = listen.TCP(ctx, n.settings.APIAddress, n.log); err != nil {
 		return eris.Wrapf(err, "api_address: listen on %s", n.settings.APIAddress)
 	}
 	n.apiListener = wire.Patient(n.apiListener, func(err error) {
@@ -111,6 +119,15 @@
 	return nil
 }
 
+// closeListeners closes the listeners that are open, so that the replica can listen again when it restarts.
+func (n *node) closeListeners() {
+	for _, listener := range []net.Listener{n.peerListener, n.apiListener} {
+		if listener != nil {
+			_ = listener.Close() // fails if its server has closed it
+		}
+	}
+}
+
 // run forms or joins the group and then runs the replica. The peer listener serves from the start, since
 // controllers form a group by asking each other.
 func (n *node) run(ctx context.Context) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/listen"
 	"github.com/thorntiller/thorntiller/internal/reach"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
@@ -234,11 +235,17 @@
 }
 
 func (g *Gateway) run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", g.settings.Address)
+	callers, err := listen.TCP(ctx, g.settings.Address, g.log)
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on address %q", g.settings.Address)
 	}
-	admin, err := net.Listen("tcp", g.settings.AdminAddress)
+	admin, err := listen.TCP(ctx, g.settings.AdminAddress, g.log)
+	if ctx.Err() != nil {
+		return callers.Close()
+	}
 	if err != nil {
 		_ = callers.Close()
 		return eris.Wrapf(err, "listen on admin_address %q", g.settings.AdminAddress)
@@ -254,7 +261,7 @@
 	failed := make(chan error, 3)
 	group.Go(func() { failed <- callerServer.Serve(meteredListener{callers, connectionTraffic{g.meter}}) })
 	group.Go(func() { failed <- adminServer.Serve(admin) })
-	metricsServer := g.serveMetrics(&group)
+	metricsServer := g.serveMetrics(background, &group)
 	group.Go(func() { g.subscription.run(background) })
 	g.servePeers(background, &group)
 	group.Go(func() { g.places.run(background) })
@@ -285,11 +292,11 @@
 		return
 	}
 	group.Go(func() {
-		listener, err := net.Listen("tcp", g.settings.PeerAddress)
+		listener, err := listen.TCP(ctx, g.settings.PeerAddress, g.log)
 		if err == nil {
 			err = g.servePeersOn(ctx, listener)
 		}
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			telemetry.WithError(g.log, telemetry.EventFailed, err).WithField(telemetry.FieldAddress, g.settings.PeerAddress).
 				Warn("cannot serve other gateways at the peer address")
 		}
@@ -307,13 +314,17 @@
 }
 
 // serveMetrics serves the metrics at their own address, if one is set.
-func (g *Gateway) serveMetrics(group *conc.WaitGroup) *fasthttp.Server {
+func (g *Gateway) serveMetrics(ctx context.Context, group *conc.WaitGroup) *fasthttp.Server {
 	server := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
 	if g.settings.MetricsAddress == "" {
 		return server
 	}
 	group.Go(func() {
-		if err := server.ListenAndServe(g.settings.MetricsAddress); err != nil {
+		listener, err := listen.TCP(ctx, g.settings.MetricsAddress, g.log)
+		if err == nil {
+			err = server.Serve(listener)
+		}
+		if err != nil && ctx.Err() == nil {
 			telemetry.WithError(g.log, telemetry.EventFailed, err).Warn("metrics endpoint failed")
 		}
 	})
--- a/internal/gateway/peer_test.go
+++ b/internal/gateway/peer_test.go
@@ -40,7 +40,7 @@
 	addService atomic.Bool
 }
 
-func listen(t *testing.T) net.Listener {
+func listenOnLoopback(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -52,7 +52,7 @@
 // startStub runs a controller until the test ends.
 func startStub(t *testing.T, peers ...string) *stubController {
 	t.Helper()
-	listener := listen(t)
+	listener := listenOnLoopback(t)
 	stub := &stubController{address: listener.Addr().String(), peers: peers}
 	runInBackground(t, func(ctx context.Context) {
 		_ = (&wire.Server{}).Serve(ctx, listener, stub.serve) // ends with the test
@@ -167,7 +167,7 @@
 func TestDirectoryFromAnotherGateway(t *testing.T) {
 	controller := startStub(t)
 	connected := startSubscription(t, controller.address)
-	peerListener := listen(t)
+	peerListener := listenOnLoopback(t)
 	runInBackground(t, func(ctx context.Context) { _ = servePeersOf(ctx, connected, peerListener) })
 	eventually(t, "the first gateway is confirmed by its controller", connected.confirmed)
 
@@ -208,7 +208,7 @@
 // rejects other gateways, so that two gateways without a controller do not confirm each other.
 func TestUnconfirmedDirectoryIsNotPassedOn(t *testing.T) {
 	unconfirmed := startSubscription(t)
-	listener := listen(t)
+	listener := listenOnLoopback(t)
 	runInBackground(t, func(ctx context.Context) { _ = servePeersOf(ctx, unconfirmed, listener) })
 	ctx, cancel := context.WithTimeout(context.Background(), eventuallyTimeout)
 	defer cancel()
@@ -255,7 +255,7 @@
 		t.Fatal(err)
 	}
 	serving.confirm(testClock.Now()-proofAge, source{})
-	listener := listen(t)
+	listener := listenOnLoopback(t)
 	runInBackground(t, func(ctx context.Context) {
 		_ = servePeersOf(ctx, serving, listener) // ends with the test
 	})
--- a/internal/gateway/slowstream_test.go
+++ b/internal/gateway/slowstream_test.go
@@ -86,7 +86,7 @@
 // TestControllerThatProvesNothingIsLeft guards against a gateway that stays with a controller that is cut off from the
 // others, and still sends updates: another controller that confirms the directory is followed.
 func TestControllerThatProvesNothingIsLeft(t *testing.T) {
-	listener := listen(t)
+	listener := listenOnLoopback(t)
 	var cutOff atomic.Bool
 	runInBackground(t, func(ctx context.Context) {
 		_ = (&wire.Server{}).Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) { // ends with the test
--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,72 @@
+package listen
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+const (
+	// retryInterval is the wait after an address could not be taken.
+	retryInterval = 50 * time.Millisecond
+	// logInterval is the time between two log lines about an address that cannot be taken.
+	logInterval = 10 * time.Second
+)
+
+// temporaryErrors are the errors of listen(2) and its like that pass without a change of the settings.
+var temporaryErrors = []error{
+	syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+}
+
+// TCP listens on an address, IP:port. While the address cannot be taken for a reason that passes, it logs that and tries
+// again until the context ends.
+func TCP(ctx context.Context, address string, log *logrus.Entry) (net.Listener, error) {
+	waiting := waitingLog{log: log, address: address}
+	for {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !isAny(err, temporaryErrors) {
+			return listener, err
+		}
+		waiting.failed(time.Now(), err)
+		if clock.Sleep(ctx, retryInterval); ctx.Err() != nil {
+			return nil, eris.Wrapf(ctx.Err(), "listen on %s", address)
+		}
+	}
+}
+
+func isAny(err error, targets []error) bool {
+	for _, target := range targets {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingLog logs failures to take an address, but not each one.
+type waitingLog struct {
+	log      *logrus.Entry
+	address  string
+	since    time.Time
+	loggedAt time.Time
+}
+
+func (w *waitingLog) failed(now time.Time, err error) {
+	if w.since.IsZero() {
+		w.since = now
+	}
+	if !w.loggedAt.IsZero() && now.Sub(w.loggedAt) < logInterval {
+		return
+	}
+	w.loggedAt = now
+	telemetry.WithError(w.log, telemetry.EventListenWaiting, err).WithField(telemetry.FieldAddress, w.address).
+		WithField(telemetry.FieldDuration, now.Sub(w.since).Milliseconds()).Warn("cannot listen; trying again")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fleet"
+	"github.com/thorntiller/thorntiller/internal/listen"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/router/records"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -201,22 +202,36 @@
 
 // Run serves until the context ends.
 func (r *Router) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", r.settings.Address)
-	if err != nil {
-		return eris.Wrapf(err, "listen for callers on address %q", r.settings.Address)
+	addresses := []string{r.settings.Address, r.settings.AdminAddress, r.settings.PeerAddress}
+	listeners, err := r.listen(ctx, addresses)
+	if ctx.Err() != nil {
+		closeAll(listeners)
+		return nil
 	}
-	admin, err := net.Listen("tcp", r.settings.AdminAddress)
 	if err != nil {
-		_ = callers.Close()
-		return eris.Wrapf(err, "listen on admin_address %q", r.settings.AdminAddress)
+		closeAll(listeners)
+		return err
 	}
-	peers, err := net.Listen("tcp", r.settings.PeerAddress)
-	if err != nil {
-		_ = callers.Close()
-		_ = admin.Close()
-		return eris.Wrapf(err, "listen for routers on peer_address %q", r.settings.PeerAddress)
+	return r.serveOn(ctx, listeners[0], listeners[1], listeners[2])
+}
+
+// listen opens a listener for each address. After an error it returns those that are open.
+func (r *Router) listen(ctx context.Context, addresses []string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := listen.TCP(ctx, address, r.log)
+		if err != nil {
+			return listeners, eris.Wrapf(err, "listen on %s", address)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, listener := range listeners {
+		_ = listener.Close() // nothing was accepted
 	}
-	return r.serveOn(ctx, callers, admin, peers)
 }
 
 func (r *Router) serveOn(ctx context.Context, callers, admin, peers net.Listener) error {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -19,6 +19,8 @@
 	EventStopped   Event = "stopped"
 	EventListening Event = "listening"
 	EventFailed    Event = "failed"
+	// EventListenWaiting is logged while an address cannot be taken.
+	EventListenWaiting Event = "listen_waiting"
 
 	EventSuspended    Event = "machine_suspended"
 	EventPanicked     Event = "panicked"
@@ -118,6 +120,7 @@
 	return []EventRow{
 		{EventStarted, levelInfo, "The process has its settings, handles signals and begins; process_age_ms tells how long after the kernel started it, to 10 ms."},
 		{EventListening, levelInfo, "A listener accepts connections."},
+		{EventListenWaiting, levelWarning, "An address cannot be taken yet, since another process holds it, the machine does not have it, or no file descriptor is left; the process tries again."},
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
 		{EventFailed, levelError, "The process cannot go on, and ends with exit_status. A process whose log ends without this line or stopped was killed."},
