Controllers wait for a data folder that the former process still holds

What operators saw: a controller that is started 0.6 s before the former one has ended exits with status 1.

Cause: the lock of the data folder was tried once.

Change: it is tried each 50 ms until the process is told to stop, and the log says data_folder_waiting once. Waiting is safe: nothing of the folder is read before it is locked.

--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/durable"
@@ -34,7 +35,10 @@
 // leaves its group until there is free space, and then restarts from the content of the disk: it never
 // continues after a write whose outcome is unknown.
 func RunOn(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
-	lock, err := identity.Lock(settings.DataDirectory)
+	lock, err := lockDataFolder(ctx, settings.DataDirectory, log)
+	if ctx.Err() != nil && lock == nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -51,6 +55,26 @@
 	}
 }
 
+// lockRetryInterval is the wait before another attempt to lock the data folder.
+const lockRetryInterval = 50 * time.Millisecond
+
+// lockDataFolder locks the data folder. While another process holds it, which is most likely the former process of
+// this replica that still ends, it waits until the context ends.
+func lockDataFolder(ctx context.Context, folder string, log *logrus.Entry) (*identity.FolderLock, error) {
+	for attempt := 0; ; attempt++ {
+		lock, err := identity.Lock(folder)
+		if !errors.Is(err, identity.ErrLocked) {
+			return lock, err
+		}
+		if attempt == 0 {
+			telemetry.WithError(log, telemetry.EventDataFolderWaiting, err).Warn("data folder is locked; waiting until it is released")
+		}
+		if clock.Sleep(ctx, lockRetryInterval); ctx.Err() != nil {
+			return nil, eris.Wrapf(err, "stopped")
+		}
+	}
+}
+
 func runOnce(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
 	node, err := newNode(files, settings, log)
 	if err != nil {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -34,6 +34,7 @@
 const (
 	EventGroupFormed       Event = "group_formed"
 	EventGroupJoined       Event = "group_joined"
+	EventDataFolderWaiting Event = "data_folder_waiting"
 	EventRecovered         Event = "recovered"
 	EventLeaderElected     Event = "leader_elected"
 	EventLeaderLost        Event = "leader_lost"
@@ -136,6 +137,7 @@
 	return []EventRow{
 		{EventGroupFormed, levelInfo, "The controllers formed a new group."},
 		{EventGroupJoined, levelInfo, "This replica joined a group that was formed before."},
+		{EventDataFolderWaiting, levelWarning, "Another process holds the data folder, most likely the former one of this replica; this one waits until it ends."},
 		{EventRecovered, levelInfo, "The state was read back from the data folder."},
 		{EventLeaderElected, levelInfo, "This replica leads."},
 		{EventLeaderLost, levelWarning, "This replica leads no longer."},
