Roles outlive the reader of their log

What operators saw: a process whose standard output is a pipe that nobody reads any more ends by SIGPIPE at its next log line.

Cause: the default action of SIGPIPE for the standard streams.

Change: roles ignore SIGPIPE, so that the write fails. A line that cannot be written counts as dropped, and is told of once lines can be written again. Commands for operators keep the default, since their output is what they are for.

--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -18,6 +18,8 @@
 	// One place is enough: a signal that waits stands for all changes until it is read.
 	handler := &Handler{hangUps: make(chan os.Signal, 1)}
 	signal.Notify(handler.hangUps, syscall.SIGHUP)
+	// A write to a standard stream that nobody reads fails, in place of ending the process.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, restore := signal.NotifyContext(parent, syscall.SIGINT, syscall.SIGTERM)
 	handler.restore = restore
 	return handler, ctx
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -127,7 +127,7 @@
 		{EventFailed, levelError, "The process cannot go on, and ends with exit_status. A process whose log ends without this line or stopped was killed."},
 		{EventSuspended, levelWarning, "The machine was suspended and goes on; duration_ms tells for how long. What was decided before it is checked anew before it is acted on."},
 		{EventPanicked, levelError, "A request met a defect of this program, which goes on; the stack tells where. Report it."},
-		{EventLinesDropped, levelWarning, "Log lines found their queue full and were dropped."},
+		{EventLinesDropped, levelWarning, "Log lines found their queue full, or could not be written, and were dropped."},
 		{EventCertificateRenewed, levelInfo, "Replaced certificate files were read and are in use."},
 		{EventCertificateFailed, levelWarning, "Replaced certificate files cannot be used; the earlier ones stay in use."},
 	}
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -20,7 +20,7 @@
 )
 
 // Queue writes log lines in a goroutine of its own, so that a slow log reader does not block
-// the goroutines that log. If the queue is full, lines are dropped and counted, and a log
+// the goroutines that log. Lines that find the queue full or cannot be written are dropped and counted, and a log
 // line reports the count. It is safe for concurrent use.
 type Queue struct {
 	out     io.Writer
@@ -84,14 +84,19 @@
 	}
 }
 
-// writeLine writes a line, preceded by a line with the number of dropped lines if there are any.
-// Write errors are ignored because there is nowhere to report them.
+// writeLine writes a line, preceded by a line with the number of dropped lines if there are any. A line that
+// cannot be written counts as dropped.
 func (q *Queue) writeLine(line []byte) {
 	if dropped := q.dropped.Swap(0); dropped > 0 {
-		_, _ = fmt.Fprintf(q.out, "{%q:%q,%q:%q,%q:%q,%q:%d}\n", FieldTime, time.Now().Format(time.RFC3339Nano),
+		_, err := fmt.Fprintf(q.out, "{%q:%q,%q:%q,%q:%q,%q:%d}\n", FieldTime, time.Now().Format(time.RFC3339Nano),
 			FieldLevel, levelWarning, FieldEvent, EventLinesDropped, FieldCount, dropped)
+		if err != nil {
+			q.dropped.Add(dropped)
+		}
+	}
+	if _, err := q.out.Write(line); err != nil {
+		q.dropped.Add(1)
 	}
-	_, _ = q.out.Write(line)
 	q.bytes.Add(-int64(len(line)))
 }
 
--- a/internal/telemetry/queue_test.go
+++ b/internal/telemetry/queue_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -51,3 +52,31 @@
 		t.Errorf("%d lines written and %d reported as dropped, of %d", written, dropped, lines)
 	}
 }
+
+// failingWriter fails the given number of writes.
+type failingWriter struct {
+	failures int
+	written  bytes.Buffer
+}
+
+func (f *failingWriter) Write(line []byte) (int, error) {
+	if f.failures > 0 {
+		f.failures--
+		return 0, syscall.EPIPE
+	}
+	return f.written.Write(line)
+}
+
+func TestLinesThatCannotBeWrittenAreCounted(t *testing.T) {
+	writer := &failingWriter{failures: 1}
+	queue := NewQueue(writer)
+	for range 2 {
+		if _, err := queue.Write([]byte("{}\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	queue.Close()
+	if text := writer.written.String(); !strings.Contains(text, `"event":"log_lines_dropped","count":1`) || strings.Count(text, "{}\n") != 1 {
+		t.Errorf("written %q", text)
+	}
+}
