Roles wait for a settings file that is being written

What operators saw: a process that starts while its settings file is cut, empty or missing for a moment ends with status 2.

Cause: the first failure to read the settings was final, whether somebody was writing them or not.

Change: the file is read again each 20 ms until it has not changed for 3 s; its problems are final then, and at once if it was last changed earlier. The log says settings_waiting with the problems at first. SIGTERM ends the wait. Not covered: a file that is cut where the rest is optional is valid.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -104,11 +104,8 @@
 		handler, ctx := signals.New(ctx)
 		defer handler.Close()
 		reload := func() (T, error) { return role.load(path, overrides...) }
-		settings, err := reload()
+		settings, err := loadSettings(ctx, program, role.name, path, reload)
 		if err != nil {
-			log, closeLog := program.openLog(role.name, "", config.Log{})
-			defer closeLog()
-			logEnd(log, err)
 			return err
 		}
 		common := role.common(settings)
@@ -123,6 +120,17 @@
 	}
 }
 
+// loadSettings loads the settings of a role, whose log is not open yet.
+func loadSettings[T any](ctx context.Context, program *program, role config.Role, path string, load func() (T, error)) (T, error) {
+	log, closeLog := program.openLog(role, "", config.Log{})
+	defer closeLog()
+	settings, err := awaitSettings(ctx, path, log, load)
+	if err != nil {
+		logEnd(log, err)
+	}
+	return settings, err
+}
+
 // openLog returns the log of a role, and how its lines that wait are written at the
 // end.
 func (p *program) openLog(role config.Role, name string, settings config.Log) (*logrus.Entry, func()) {
--- /dev/null
+++ b/internal/cli/settings.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+const (
+	// settingsSettleTime is how long a settings file must be unchanged for its problems to be final: what writes
+	// it may be at work, or may have removed it to lay another one.
+	settingsSettleTime = 3 * time.Second
+	// settingsRetryInterval is the wait before the file is read again.
+	settingsRetryInterval = 20 * time.Millisecond
+)
+
+// fileVersion tells versions of a file apart. It is zero for a file that cannot be read.
+type fileVersion struct {
+	modified time.Time
+	size     int64
+}
+
+func versionOf(path string) fileVersion {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileVersion{}
+	}
+	return fileVersion{modified: info.ModTime(), size: info.Size()}
+}
+
+// awaitSettings loads settings from a file. It tries again while the file is missing or not valid, until the file has
+// not changed for settingsSettleTime.
+func awaitSettings[T any](ctx context.Context, path string, log *logrus.Entry, load func() (T, error)) (T, error) {
+	var last fileVersion
+	var unchangedSince time.Time
+	for attempt := 0; ; attempt++ {
+		version := versionOf(path)
+		settings, err := load()
+		if err == nil {
+			return settings, nil
+		}
+		now := time.Now()
+		if attempt == 0 || version != last {
+			last, unchangedSince = version, now
+		}
+		settled := now.Sub(unchangedSince) >= settingsSettleTime
+		old := !version.modified.IsZero() && now.Sub(version.modified) >= settingsSettleTime
+		if settled || old || ctx.Err() != nil {
+			return settings, err
+		}
+		if attempt == 0 {
+			telemetry.WithError(log, telemetry.EventSettingsWaiting, err).Warn("the settings file is not valid; waiting, since it may be being written")
+		}
+		clock.Sleep(ctx, settingsRetryInterval)
+	}
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -19,6 +19,8 @@
 	EventStopped   Event = "stopped"
 	EventListening Event = "listening"
 	EventFailed    Event = "failed"
+	// EventSettingsWaiting is logged once while the settings file is missing or not valid.
+	EventSettingsWaiting Event = "settings_waiting"
 	// EventListenWaiting is logged while an address cannot be taken.
 	EventListenWaiting Event = "listen_waiting"
 
@@ -121,6 +123,7 @@
 	return []EventRow{
 		{EventStarted, levelInfo, "The process has its settings, handles signals and begins; process_age_ms tells how long after the kernel started it, to 10 ms."},
 		{EventListening, levelInfo, "A listener accepts connections."},
+		{EventSettingsWaiting, levelWarning, "The settings file is missing or not valid, and may be being written; the process ends if it stays so for 3 s."},
 		{EventListenWaiting, levelWarning, "An address cannot be taken yet, since another process holds it, the machine does not have it, or no file descriptor is left; the process tries again."},
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
