Roles that are told to stop while they wait to start end with status 0

Cause: the wait for an address or a data folder ended with the error of its context, which the roles turned into success in three places, against the linter's nilerr.

Change: the roles return it, and the command takes an end by its own stop for what it is.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"runtime/debug"
 	"time"
@@ -181,7 +182,7 @@
 	}
 }
 
-// supervise runs a role until a signal asks it to stop. After the first signal
+// supervise runs a role until a signal asks it to stop, which may come while the role still waits to start. After the first signal
 // the default action is back in place, so that a second one ends the process.
 func supervise(ctx context.Context, handler *signals.Handler, log *logrus.Entry, reload func() error, run func(context.Context) error) error {
 	logStart(log)
@@ -194,7 +195,8 @@
 	close(finished)
 	endWatch()
 	watcher.Wait()
-	if err != nil {
+	stoppedEarly := ctx.Err() != nil && errors.Is(err, context.Canceled)
+	if err != nil && !stoppedEarly {
 		logEnd(log, err)
 		return err
 	}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -36,9 +36,6 @@
 // continues after a write whose outcome is unknown.
 func RunOn(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
 	lock, err := lockDataFolder(ctx, settings.DataDirectory, log)
-	if ctx.Err() != nil && lock == nil {
-		return nil
-	}
 	if err != nil {
 		return err
 	}
@@ -70,7 +67,7 @@
 			telemetry.WithError(log, telemetry.EventDataFolderWaiting, err).Warn("data folder is locked; waiting until it is released")
 		}
 		if clock.Sleep(ctx, lockRetryInterval); ctx.Err() != nil {
-			return nil, eris.Wrapf(err, "stopped")
+			return nil, eris.Wrapf(ctx.Err(), "lock %s", folder)
 		}
 	}
 }
@@ -82,9 +79,6 @@
 	}
 	defer node.closeListeners()
 	if err := node.listen(ctx); err != nil {
-		if ctx.Err() != nil {
-			return nil
-		}
 		return err
 	}
 	return node.run(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,18 +236,12 @@
 
 func (g *Gateway) run(ctx context.Context) error {
 	callers, err := listen.TCP(ctx, g.settings.Address, g.log)
-	if ctx.Err() != nil {
-		return nil
-	}
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on address %q", g.settings.Address)
 	}
 	admin, err := listen.TCP(ctx, g.settings.AdminAddress, g.log)
-	if ctx.Err() != nil {
-		return callers.Close()
-	}
 	if err != nil {
-		_ = callers.Close()
+		_ = callers.Close() // nothing was accepted
 		return eris.Wrapf(err, "listen on admin_address %q", g.settings.AdminAddress)
 	}
 	return g.serveOn(ctx, callers, admin)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -204,10 +204,6 @@
 func (r *Router) Run(ctx context.Context) error {
 	addresses := []string{r.settings.Address, r.settings.AdminAddress, r.settings.PeerAddress}
 	listeners, err := r.listen(ctx, addresses)
-	if ctx.Err() != nil {
-		closeAll(listeners)
-		return nil
-	}
 	if err != nil {
 		closeAll(listeners)
 		return err
--- a/test/lifecycle_test.go
+++ b/test/lifecycle_test.go
@@ -475,3 +475,28 @@
 		})
 	}
 }
+
+// TestStopWhileWaitingToStart: a process that waits for its port ends when it is told to stop, as by a planned stop.
+func TestStopWhileWaitingToStart(t *testing.T) {
+	for _, role := range roles {
+		t.Run(role, func(t *testing.T) {
+			p := newRole(t, role)
+			holder, err := net.Listen("tcp", p.callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = holder.Close() }()
+			p.start()
+			p.logged("listen_waiting")
+			p.signal(syscall.SIGTERM)
+			select {
+			case <-p.ended:
+			case <-time.After(patience):
+				t.Fatal("the process did not stop")
+			}
+			if !p.command.ProcessState.Success() {
+				t.Errorf("%s; output: %s", p.command.ProcessState, p.output.String())
+			}
+		})
+	}
+}
