Gateways and routers outlive want of descriptors

What operators saw: a gateway or router that has no file descriptor left when a caller or a health check connects ends with status 1, and all its requests with it.

Cause: the HTTP server takes a failed accept for the end of its listener. The controllers' API had a listener that waits (package wire); the others had none.

Change: that listener moves to package listen, which all listeners of the three roles come from, and waits for buffers and memory as well. What was a debug line is accept_waiting, at most once in 10 s.

--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -129,9 +129,6 @@
 	if n.apiListener, err = listen.TCP(ctx, n.settings.APIAddress, n.log); err != nil {
 		return eris.Wrapf(err, "api_address: listen on %s", n.settings.APIAddress)
 	}
-	n.apiListener = wire.Patient(n.apiListener, func(err error) {
-		n.log.WithError(err).Debug("connection to the API not accepted")
-	})
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	return nil
--- a/internal/wire/patient_test.go
+++ b/internal/listen/accept_test.go
@@ -1,4 +1,4 @@
-package wire
+package listen
 
 import (
 	"errors"
@@ -27,10 +27,11 @@
 // run out, and that any other error is returned. Without the retry, the API of a leader with
 // 9,999 servers stopped for good when it found no descriptor.
 func TestListenerOutlastsWantOfDescriptors(t *testing.T) {
-	reported := 0
-	listener := Patient(&failingListener{failures: []error{syscall.EMFILE, syscall.ENFILE, nil, syscall.EINVAL}}, func(error) { reported++ })
-	if connection, err := listener.Accept(); err != nil || connection == nil || reported != 2 {
-		t.Errorf("connection %v, error %v, reported %d times", connection, err, reported)
+	failures := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, nil, syscall.EINVAL}
+	failing := &failingListener{failures: failures}
+	listener := &retryingListener{Listener: failing, waiting: waitingLog{log: silentLog()}}
+	if connection, err := listener.Accept(); err != nil || connection == nil || len(failing.failures) != 1 {
+		t.Errorf("connection %v, error %v, %d failures left", connection, err, len(failing.failures))
 	}
 	if _, err := listener.Accept(); !errors.Is(err, syscall.EINVAL) {
 		t.Errorf("another error: %v", err)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -27,13 +27,16 @@
 }
 
 // TCP listens on an address, IP:port. While the address cannot be taken for a reason that passes, it logs that and tries
-// again until the context ends.
+// again until the context ends. The listener retries to accept connections as long as descriptors or memory are lacking.
 func TCP(ctx context.Context, address string, log *logrus.Entry) (net.Listener, error) {
-	waiting := waitingLog{log: log, address: address}
+	waiting := waitingLog{log: log, event: telemetry.EventListenWaiting, address: address}
 	for {
 		listener, err := net.Listen("tcp", address)
-		if err == nil || !isAny(err, temporaryErrors) {
-			return listener, err
+		if err == nil {
+			return newRetryingListener(listener, log), nil
+		}
+		if !isAny(err, temporaryErrors) {
+			return nil, err
 		}
 		waiting.failed(time.Now(), err)
 		if clock.Sleep(ctx, retryInterval); ctx.Err() != nil {
@@ -51,9 +54,10 @@
 	return false
 }
 
-// waitingLog logs failures to take an address, but not each one.
+// waitingLog logs failures at an address, but not each one.
 type waitingLog struct {
 	log      *logrus.Entry
+	event    telemetry.Event
 	address  string
 	since    time.Time
 	loggedAt time.Time
@@ -67,6 +71,6 @@
 		return
 	}
 	w.loggedAt = now
-	telemetry.WithError(w.log, telemetry.EventListenWaiting, err).WithField(telemetry.FieldAddress, w.address).
-		WithField(telemetry.FieldDuration, now.Sub(w.since).Milliseconds()).Warn("cannot listen; trying again")
+	telemetry.WithError(w.log, w.event, err).WithField(telemetry.FieldAddress, w.address).
+		WithField(telemetry.FieldDuration, now.Sub(w.since).Milliseconds()).Warn("trying again")
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -23,6 +23,8 @@
 	EventSettingsWaiting Event = "settings_waiting"
 	// EventListenWaiting is logged while an address cannot be taken.
 	EventListenWaiting Event = "listen_waiting"
+	// EventAcceptWaiting is logged while connections cannot be accepted.
+	EventAcceptWaiting Event = "accept_waiting"
 
 	EventSuspended    Event = "machine_suspended"
 	EventPanicked     Event = "panicked"
@@ -125,6 +127,7 @@
 		{EventListening, levelInfo, "A listener accepts connections."},
 		{EventSettingsWaiting, levelWarning, "The settings file is missing or not valid, and may be being written; the process ends if it stays so for 3 s."},
 		{EventListenWaiting, levelWarning, "An address cannot be taken yet, since another process holds it, the machine does not have it, or no file descriptor is left; the process tries again."},
+		{EventAcceptWaiting, levelWarning, "A connection cannot be accepted for lack of file descriptors or memory; the process tries again. Told once in 10 s."},
 		{EventStopping, levelInfo, "A graceful stop began."},
 		{EventStopped, levelInfo, "The process finished its graceful stop."},
 		{EventFailed, levelError, "The process cannot go on, and ends with exit_status. A process whose log ends without this line or stopped was killed."},
