A repeated SIGTERM does not cut a stop short

What callers saw: the requests that a process was finishing in a planned stop were cut off when its supervisor sent SIGTERM once more.

Cause: after the first signal the default actions were back in place, so that a second one of either kind ended the process.

Change: each further SIGTERM is ignored; stop_timeout bounds the stop. SIGINT during a stop still ends the process at once, for an operator at a terminal. The line stopping names the signal.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -147,7 +147,7 @@
 		Use:   use + " --config FILE",
 		Short: short,
 		Long: short + ".\n\nLog lines go to the standard output. SIGTERM and SIGINT begin a graceful\n" +
-			"stop; a second signal ends the process at once.",
+			"stop; SIGINT during a stop ends the process at once.",
 		Args: exactly(),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if path == "" {
@@ -182,14 +182,13 @@
 	}
 }
 
-// supervise runs a role until a signal asks it to stop, which may come while the role still waits to start. After the first signal
-// the default action is back in place, so that a second one ends the process.
+// supervise runs a role until a signal asks it to stop, which may come while the role still waits to start.
 func supervise(ctx context.Context, handler *signals.Handler, log *logrus.Entry, reload func() error, run func(context.Context) error) error {
 	logStart(log)
 	finished := make(chan struct{})
 	var watcher conc.WaitGroup
 	watcher.Go(func() { watchReload(handler.HangUps(), finished, log, reload) })
-	watcher.Go(func() { watchStop(ctx, finished, handler.RestoreStop, log) })
+	watcher.Go(func() { watchStop(ctx, finished, log) })
 	endWatch := watchSuspensions(log)
 	err := runRecovered(ctx, log, run)
 	close(finished)
@@ -263,7 +262,7 @@
 
 // watchStop waits for the stop of the role and tells of it, unless the role
 // ends by itself before.
-func watchStop(ctx context.Context, finished <-chan struct{}, restore func(), log *logrus.Entry) {
+func watchStop(ctx context.Context, finished <-chan struct{}, log *logrus.Entry) {
 	select {
 	case <-ctx.Done():
 	case <-finished:
@@ -271,6 +270,5 @@
 			return
 		}
 	}
-	restore()
-	telemetry.With(log, telemetry.EventStopping).Info("stopping; a second signal ends the process at once")
+	telemetry.WithError(log, telemetry.EventStopping, context.Cause(ctx)).Info("stopping; SIGINT ends the process at once")
 }
--- a/test/lifecycle_test.go
+++ b/test/lifecycle_test.go
@@ -500,3 +500,23 @@
 		})
 	}
 }
+
+// TestInterruptDuringAStop: an operator at a terminal need not wait for a stop.
+func TestInterruptDuringAStop(t *testing.T) {
+	p := newRole(t, "gateway")
+	p.writeSettings(p.text + "stop_timeout: 10m\nstop_notice: 9m\n")
+	p.start()
+	p.logged("listening")
+	p.signal(syscall.SIGTERM)
+	p.logged("stopping")
+	p.signal(syscall.SIGINT)
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		t.Fatal("SIGINT did not end the process")
+	}
+	status, ok := p.command.ProcessState.Sys().(syscall.WaitStatus)
+	if !ok || status.Signal() != syscall.SIGINT {
+		t.Errorf("%s; output: %s", p.command.ProcessState, p.output.String())
+	}
+}
