Health checks and cancels take nothing from the memory for answers

What callers saw: after enough health checks of its back ends a router breaks off every answer beyond 64 KiB (answer_truncated, "needs more memory"), and its health checks fail.

Cause: connections for cancels and health checks counted their bytes like those of attempts, but over their whole life, and nobody gave the memory back: each byte beyond the first 32 KiB of a connection reserved two bytes for ever, also after the connection was closed.

Change: control connections have no part in the account. Their answers are bounded one by one, at 64 KiB instead of max_answer_bytes.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -90,10 +90,21 @@
 	client := &Client{address: address, settings: settings}
 	client.pool = newPool(address, settings, settings.MaxConnections)
 	client.pool.DialTimeout = client.dialForAttempt
-	client.control = newPool(address, settings, settings.ControlConnections)
+	client.control = newPool(address, controlSettings(settings), settings.ControlConnections)
 	return client
 }
 
+// controlAnswerBytes bounds the body of an answer to a cancel or a health check.
+const controlAnswerBytes = 64 << 10
+
+// controlSettings returns the settings of the connections for cancels and health checks. Their few answers are bounded
+// one by one; they take nothing from the memory for the answers of attempts.
+func controlSettings(settings Settings) Settings {
+	settings.MaxAnswerBytes = min(settings.MaxAnswerBytes, controlAnswerBytes)
+	settings.AnswerMemory = nil
+	return settings
+}
+
 // newPool returns a pool of connections. The pool's own Do method is only used for
 // cancels and health checks and never resends.
 func newPool(address string, settings Settings, connections int) *fasthttp.HostClient {
