Answers that are refused for their size take no memory for a moment

What callers saw: an answer beyond 64 KiB that fits is broken off (answer_truncated) while another one is refused for its size.

Cause: the refused one was added to the account first and taken off again; in between the account looked full to all others.

Change: the account is compared before it is changed.

--- a/internal/forward/answermemory.go
+++ b/internal/forward/answermemory.go
@@ -38,11 +38,15 @@
 	if m == nil {
 		return true
 	}
-	if m.used.Add(bytes) <= m.limit {
-		return true
+	for {
+		used := m.used.Load()
+		if used+bytes > m.limit {
+			return false
+		}
+		if m.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
 	}
-	m.used.Add(-bytes)
-	return false
 }
 
 func (m *AnswerMemory) release(bytes int64) {
--- a/internal/forward/answermemory_test.go
+++ b/internal/forward/answermemory_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,3 +109,32 @@
 		})
 	}
 }
+
+// TestRefusedAnswersTakeNoMemory guards against an answer that is broken off because another one, which was refused
+// for its size, had taken memory for a moment.
+func TestRefusedAnswersTakeNoMemory(t *testing.T) {
+	const limit, rounds = 1 << 20, 200_000
+	memory := NewAnswerMemory(limit)
+	var stopped atomic.Bool
+	var group conc.WaitGroup
+	group.Go(func() {
+		for !stopped.Load() {
+			if memory.reserve(limit + 1) {
+				t.Error("more than the limit was reserved")
+			}
+		}
+	})
+	refused := 0
+	for range rounds {
+		if !memory.reserve(limit / 2) {
+			refused++
+			continue
+		}
+		memory.release(limit / 2)
+	}
+	stopped.Store(true)
+	group.Wait()
+	if refused > 0 {
+		t.Errorf("%d of %d answers that fit were refused", refused, rounds)
+	}
+}
