A chunk takes the memory of what arrives of it, not of what it announces

What operators saw (elsewhere): a faulty server sends bytes without end, the machine that called it keeps them all and runs out of memory. Here each answer could still take max_answer_bytes (64 MiB), in all connections at once.

Cause: the account counted the bytes that a connection received. fasthttp allocates a whole chunk as soon as its size line is read, so that a chunk of 57 MiB took 64 MiB while the account showed nothing. Sizes are rounded up to powers of two, and a growing buffer is held beside the larger one: neither was counted.

Change: bodies beyond 64 KiB or without a length are read as a stream. Memory is reserved before it is allocated: the length exactly, or segments of at most 64 KiB, which are joined in the end. A deadline that passes within the framing of a chunk is reported as such (deadline_exceeded) in all places.

Not changed: an announced length within the account is reserved until the attempt ends.

--- a/internal/forward/answermemory.go
+++ b/internal/forward/answermemory.go
@@ -6,14 +6,9 @@
 	"github.com/rotisserie/eris"
 )
 
-const (
-	// freeAnswerBytes is the size up to which an answer takes nothing from the shared memory, so that ordinary
-	// answers pass while it is used up.
-	freeAnswerBytes = 64 << 10
-	// bufferGrowth is how many times more memory a body of unknown length takes than it has bytes, because its
-	// buffer grows by doubling.
-	bufferGrowth = 2
-)
+// freeAnswerBytes is the size up to which an answer takes nothing from the shared memory, so that ordinary answers
+// pass while it is used up.
+const freeAnswerBytes = 64 << 10
 
 // AnswerMemory bounds the memory that all large answers take together while they are received. It is safe for
 // concurrent use. A nil AnswerMemory has no bound.
@@ -58,7 +53,7 @@
 // errAnswerMemory ends an answer that does not fit beside the others.
 var errAnswerMemory = eris.New("the answer needs more memory than is left for answers")
 
-// reserveFor reserves memory for an answer that takes the given number of bytes.
+// reserveFor reserves memory for an answer that takes the given number of bytes in all.
 func (c *countingConnection) reserveFor(bytes int64) error {
 	needed := bytes - freeAnswerBytes - c.reserved
 	if needed <= 0 {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -158,27 +158,10 @@
 		response.SkipBody = attempt.Request.Header.IsHead()
 		return nil
 	}
-	// ContentLength returns these values if the header has no Content-Length.
-	const identity = -2
-	const chunked = -1
-	length := response.Header.ContentLength()
-	if length == identity && !c.settings.AcceptUnframed {
+	if response.Header.ContentLength() == lengthIdentity && !c.settings.AcceptUnframed {
 		return errUnframed
 	}
-	if length > 0 {
-		// The buffer is allocated for the whole body before it is read.
-		connection.framed = true
-		if err := connection.reserveFor(int64(length)); err != nil {
-			return err
-		}
-	}
-	if err := response.ReadBody(reader, c.settings.MaxAnswerBytes); err != nil {
-		return err
-	}
-	if length == chunked {
-		return response.Header.ReadTrailer(reader)
-	}
-	return nil
+	return readBody(reader, response, connection, c.settings.MaxAnswerBytes)
 }
 
 func readFinalHeader(reader *bufio.Reader, response *fasthttp.Response) error {
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -22,11 +23,11 @@
 	bytesRead    int64
 	// scheduleWrite is Attempt.Write of the current attempt.
 	scheduleWrite func(data []byte, write func([]byte) (int, error)) (int, error)
-	// memory is shared by all answers; reserved is what the current one has taken of it, and framed is true once
-	// the length of its body is known and reserved.
+	// readError is why the last read of the current attempt failed; nil if it did not or the peer ended the stream.
+	readError error
+	// memory is shared by all answers; reserved is what the current one has taken of it.
 	memory   *AnswerMemory
 	reserved int64
-	framed   bool
 	// check is Attempt.Check of the current attempt.
 	check func() *fault.Error
 	// used is true once the connection has served an attempt.
@@ -84,10 +85,8 @@
 	count, err := c.Conn.Read(data)
 	c.bytesRead += int64(count)
 	c.traffic.Passed(count, 0)
-	if !c.framed {
-		if full := c.reserveFor(bufferGrowth * c.bytesRead); full != nil {
-			return 0, full
-		}
+	if err != nil && !eris.Is(err, io.EOF) {
+		c.readError = err
 	}
 	return count, err
 }
@@ -98,7 +97,7 @@
 	c.check = attempt.Check
 	c.bytesWritten = 0
 	c.bytesRead = 0
-	c.framed = false
+	c.readError = nil
 	c.used = true
 }
 
