Requests that wait while a stop begins are not sent when they cannot be answered

What callers saw (elsewhere): in a planned stop of one gateway requests were passed on late, and cut at its end without an answer, among them requests that may not be repeated. Here: requests that came before the stop, or within stop_notice, and waited for an instance or a holder of their key were passed on up to 5 s later, whatever was left.

Cause: whether the gateway can still answer was asked once, on arrival.

Change: it is asked before each attempt, while a request waits, and right before the first byte; likewise for requests of other gateways. Its caller gets 503, not run, and another gateway serves it.

TestRelayedRequestsThatOutlastAStopAreNotSent failed before and passes.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -15,6 +15,9 @@
 // since the last attempt.
 func (g *Gateway) acquire(current *request) (directory.Instance, error) {
 	for {
+		if failure := g.rejectBeforeStop(current); failure != nil {
+			return directory.Instance{}, failure
+		}
 		freed, updated := g.attemptEnded.Next(), g.subscription.updates.Next()
 		instance, failure := g.choose(current)
 		if failure == nil {
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -248,6 +248,9 @@
 	if current.remaining() <= 0 || hasDisconnected(connection) {
 		return fault.New(fault.DeadlineBeforeStart, "the deadline passed, or the other gateway gave the request up, before it was sent")
 	}
+	if failure := g.rejectBeforeStop(current); failure != nil {
+		return failure
+	}
 	if wait := g.signals.rest(g.clock.Now(), instance.ID); wait > 0 {
 		return fault.Newf(fault.NoOwner, "instance %s wants no requests for %s", instance.ID, wait.Round(time.Millisecond))
 	}
--- a/internal/gateway/sendcheck.go
+++ b/internal/gateway/sendcheck.go
@@ -13,6 +13,9 @@
 	if current.remaining() <= 0 {
 		return fault.New(fault.DeadlineBeforeStart, "the deadline passed before the request could be sent")
 	}
+	if failure := g.rejectBeforeStop(current); failure != nil {
+		return failure
+	}
 	if failure := g.guard.CheckBeforeWrite(&current.suspicion); failure != nil {
 		return failure
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -69,8 +69,9 @@
 }
 
 // rejectBeforeStop rejects a request whose deadline is after the end of the stop: its caller is better served
-// by another gateway. Until StopNotice has passed all requests are accepted.
-func (g *Gateway) rejectBeforeStop(current *request) error {
+// by another gateway. It is asked before each attempt, since requests wait for instances. Until StopNotice has
+// passed all requests are accepted.
+func (g *Gateway) rejectBeforeStop(current *request) *fault.Error {
 	end := g.stopDeadline.Load()
 	if end == nil || current.deadline <= *end {
 		return nil
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 )
 
@@ -23,11 +24,30 @@
 	if err := g.rejectBeforeStop(&request{deadline: end}); err != nil {
 		t.Errorf("a request that ends in time: %v", err)
 	}
-	if err := g.rejectBeforeStop(&request{deadline: end + time.Millisecond}); fault.KindOf(err) != fault.RouterStopping {
+	if err := g.rejectBeforeStop(&request{deadline: end + time.Millisecond}); err == nil || err.Kind != fault.RouterStopping {
 		t.Errorf("a request that outlasts the stop: %v", err)
 	}
 }
 
+// TestRelayedRequestsThatOutlastAStopAreNotSent guards against a relayed request that waited for its turn when the stop
+// began, and is cut off after it was sent.
+func TestRelayedRequestsThatOutlastAStopAreNotSent(t *testing.T) {
+	g := newCutOffGateway(t)
+	near, _ := tcpPair(t)
+	now := g.clock.Now()
+	end := now + time.Minute
+	g.stopDeadline.Store(&end)
+	instance := directory.Instance{ID: "i0", Service: "s"}
+	current := &request{service: "s", deadline: end, clock: g.clock}
+	if failure := g.checkRelayed(near, current, instance); failure != nil {
+		t.Errorf("a request that ends in time: %v", failure)
+	}
+	current.deadline++
+	if failure := g.checkRelayed(near, current, instance); failure == nil || failure.Kind != fault.RouterStopping {
+		t.Errorf("a request that outlasts the stop: %v", failure)
+	}
+}
+
 // TestUnreadRequestsAreSeen guards against a gateway that closes a connection with an unread request.
 func TestUnreadRequestsAreSeen(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
