Requests that outlast a stop are rejected while there is another gateway to ask

Here: until stop_notice has passed a stopping gateway passed every request on, also one whose service works for longer than the gateway lives, and cut it at the end.

Cause: whatever came before stop_notice had passed was taken without a look at the time left.

Change: a request whose deadline is after the end is passed on during stop_notice if three times the usual time of its service (the moving mean that the balancer keeps) ends before. Where the usual time is unknown the deadline decides, as it does for all after stop_notice. Weighed: rejecting all whose deadline is after the end sends away work of milliseconds that comes without a deadline; rejecting none cuts work that may not be repeated.

Not covered: requests that were sent before the stop.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -265,6 +265,14 @@
 	return needed * (1 + float64(known.inFlight)/float64(slots))
 }
 
+// UsualTime returns the moving mean of the time that a service takes for a request, or false before its first answer.
+func (b *Balancer) UsualTime(service string) (time.Duration, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	seconds, known := b.serviceLatency[service]
+	return time.Duration(seconds * float64(time.Second)), known
+}
+
 // begin counts a request to an instance as sent and in flight.
 func (b *Balancer) begin(now time.Duration, instance directory.Instance) {
 	known := b.state(instance.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -87,8 +86,8 @@
 	relayedRunning atomic.Int64
 	// stopping is set once a stop began; each answer then closes its connection.
 	stopping atomic.Bool
-	// stopDeadline is the clock reading at which a stop ends, set once StopNotice has passed.
-	stopDeadline atomic.Pointer[time.Duration]
+	// stopPlan is set once a stop began.
+	stopPlan atomic.Pointer[stopPlan]
 }
 
 // Options are optional parts that the caller of Run may set.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -26,11 +26,12 @@
 // gateway is not ready, and each answer closes its connection. Idle connections are closed once no request can
 // be on its way to them, so that no caller reuses one when there is no time left to answer.
 func (g *Gateway) stop(server *fasthttp.Server) error {
-	end := g.clock.Now() + g.settings.StopTimeout - stopMargin
+	began := g.clock.Now()
+	end := began + g.settings.StopTimeout - stopMargin
+	g.stopPlan.Store(&stopPlan{noticed: began + g.settings.StopNotice, end: end})
 	g.stopping.Store(true)
 	g.demand.stopping.Store(true)
 	time.Sleep(g.settings.StopNotice)
-	g.stopDeadline.Store(&end)
 	g.awaitIncoming(end)
 	bounded, cancel := context.WithTimeout(context.Background(), end-g.clock.Now())
 	defer cancel()
@@ -68,13 +69,30 @@
 		WithField("connections", g.connections.Load()).Info("idle connections closed")
 }
 
-// rejectBeforeStop rejects a request whose deadline is after the end of the stop: its caller is better served
-// by another gateway. It is asked before each attempt, since requests wait for instances. Until StopNotice has
-// passed all requests are accepted.
+// rejectBeforeStop rejects a request that the gateway may not be able to answer before it ends: its caller is better
+// served by another gateway. It is asked before each attempt, since requests wait for instances.
 func (g *Gateway) rejectBeforeStop(current *request) *fault.Error {
-	end := g.stopDeadline.Load()
-	if end == nil || current.deadline <= *end {
+	plan := g.stopPlan.Load()
+	if plan == nil || current.deadline <= plan.end {
+		return nil
+	}
+	now := g.clock.Now()
+	if usual, known := g.balancer.UsualTime(current.service); plan.bearable(now, usual, known) {
 		return nil
 	}
-	return fault.Newf(fault.RouterStopping, "this gateway stops in %s: ask another one", (*end - g.clock.Now()).Round(time.Millisecond))
+	return fault.Newf(fault.RouterStopping, "this gateway stops in %s: ask another one", (plan.end - now).Round(time.Millisecond))
+}
+
+// stopPlan has the clock readings of a stop: callers have noticed it, and the gateway ends.
+type stopPlan struct {
+	noticed, end time.Duration
+}
+
+// usualTimes is how many times the usual time of its service a request is assumed to take.
+const usualTimes = 3
+
+// bearable reports whether a request whose deadline is after the end will most likely be answered before. Until callers
+// have noticed the stop, the usual time of the service counts; where it is unknown, and later, the deadline alone.
+func (p stopPlan) bearable(now, usual time.Duration, known bool) bool {
+	return now < p.noticed && known && now+usualTimes*usual <= p.end
 }
--- a/internal/gateway/stop_property_test.go
+++ b/internal/gateway/stop_property_test.go
@@ -27,6 +27,7 @@
 
 const (
 	stopSeeds         = 60
+	beforeStop        = 2 * time.Second
 	simulatedStop     = 6 * time.Second
 	requestsOfAStop   = 60
 	longestWorkOfStop = 8 * time.Second
@@ -48,7 +49,7 @@
 	at time.Time
 }
 
-// TestNoRequestSentInAStopIsCut guards against requests that a gateway passes on late in a stop and cannot answer any more.
+// TestNoRequestSentInAStopIsCut guards against requests that a gateway passes on in a stop and cannot answer any more.
 func TestNoRequestSentInAStopIsCut(t *testing.T) {
 	passedOn := 0
 	for seed := range uint64(stopSeeds) {
@@ -66,7 +67,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	s := newStoppedGateway(t, time.Duration(random.Int64N(int64(longestWorkOfStop))))
 	s.learn(random.IntN(2) == 0)
-	began := time.Now()
+	began := time.Now().Add(beforeStop)
 	end := began.Add(simulatedStop - stopMargin)
 	var group conc.WaitGroup
 	ended := make([]time.Time, requestsOfAStop)
@@ -79,11 +80,12 @@
 		})
 	}
 	group.Go(func() {
+		time.Sleep(beforeStop)
 		if err := s.stop(&fasthttp.Server{}); err != nil {
 			t.Error(err)
 		}
 	})
-	holderKnown := time.Duration(random.Int64N(int64(simulatedStop)))
+	holderKnown := time.Duration(random.Int64N(int64(beforeStop + simulatedStop)))
 	group.Go(func() {
 		time.Sleep(holderKnown)
 		s.grantKeys()
@@ -98,7 +100,7 @@
 			continue // before the stop
 		}
 		passedOn++
-		if sent.at.Sub(began) > s.settings.StopNotice && ended[number].After(end) {
+		if sent.at.After(began) && ended[number].After(end) {
 			t.Errorf("work of %s: request %d was sent %s after the stop began and is cut at its end", s.work, number, sent.at.Sub(began))
 		}
 	}
@@ -109,7 +111,7 @@
 func (s *stoppedGateway) drawRequest(random *rand.Rand) (after time.Duration, path string, timeout time.Duration) {
 	timeouts := []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 20 * time.Second}
 	paths := []string{"/once/", "/again/", "/keyed/"}
-	return time.Duration(random.Int64N(int64(simulatedStop))), paths[random.IntN(len(paths))], timeouts[random.IntN(len(timeouts))]
+	return time.Duration(random.Int64N(int64(beforeStop + simulatedStop))), paths[random.IntN(len(paths))], timeouts[random.IntN(len(timeouts))]
 }
 
 func newStoppedGateway(t *testing.T, work time.Duration) *stoppedGateway {
