Stopping routers refuse requests that outlast the stop

What callers would see: a router that stops takes requests on its open connections for up to 3 s more; one whose timeout is longer than what is left of stop_timeout was sent on and cut off at the end, without an answer.

Cause and class: as in gateways, whether an answer is still possible was not asked.

Change: once a stop has begun, such a request is refused as router_stopping, not run; the listener is closed by then, so its caller goes to another router in any case.

Measured: TestRequestsThatOutlastAStopAreRefused checks the new step alone; the loss itself was found by reading and is not shown by a run of a whole router. Not covered: requests that waited for a back end when the stop began.

--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -95,6 +95,8 @@
 func (r *Router) stop(server *fasthttp.Server, listener net.Listener) error {
 	telemetry.With(r.log, telemetry.EventStopping).Info("stopping")
 	deadline := time.Now().Add(r.settings.StopTimeout)
+	end := r.clock.Now() + r.settings.StopTimeout
+	r.stopEnd.Store(&end)
 	r.stopping.Store(true)
 	_ = listener.Close()
 	r.awaitConnections(time.Now().Add(min(connectionGrace, r.settings.StopTimeout/graceDivisor)))
--- a/internal/router/middleware.go
+++ b/internal/router/middleware.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -76,6 +77,17 @@
 	}
 }
 
+// refuseOutlasting refuses requests whose deadline is after the end of a stop that has begun: they would be cut off
+// then, and other routers have the time.
+func (r *Router) refuseOutlasting(next Handler) Handler {
+	return func(ctx context.Context, exchange *Exchange) error {
+		if end := r.stopEnd.Load(); end != nil && exchange.Request.Deadline > *end {
+			return fault.Newf(fault.RouterStopping, "the router stops in %s; send to another router", (*end - r.clock.Now()).Round(time.Millisecond))
+		}
+		return next(ctx, exchange)
+	}
+}
+
 // refuseStale refuses requests while the routing table is not proved current.
 func (r *Router) refuseStale(next Handler) Handler {
 	return func(ctx context.Context, exchange *Exchange) error {
--- a/internal/router/middleware_test.go
+++ b/internal/router/middleware_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -66,3 +68,37 @@
 		}
 	}
 }
+
+// TestRequestsThatOutlastAStopAreRefused guards against requests that a stopping router sends on and cuts off when it
+// ends.
+func TestRequestsThatOutlastAStopAreRefused(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	settings := config.DefaultRouter()
+	settings.StopTimeout = time.Hour
+	router := New(settings, logrus.NewEntry(logger), Options{})
+	defer router.endLifetime()
+	sent := 0
+	handler := router.refuseOutlasting(func(context.Context, *Exchange) error {
+		sent++
+		return nil
+	})
+	long := &Exchange{Request: dispatch.Request{Deadline: router.clock.Now() + 2*time.Hour}}
+	short := &Exchange{Request: dispatch.Request{Deadline: router.clock.Now() + time.Minute}}
+	if err := handler(t.Context(), long); err != nil || sent != 1 {
+		t.Fatalf("before the stop: %v", err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := router.stop(router.newCallerServer(), listener); err != nil {
+		t.Fatal(err)
+	}
+	if err := handler(t.Context(), short); err != nil || sent != 2 {
+		t.Errorf("a request that ends in time: %v", err)
+	}
+	if err := handler(t.Context(), long); fault.KindOf(err) != fault.RouterStopping || sent != 2 {
+		t.Errorf("a request that outlasts the stop: %v", err)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,6 +72,8 @@
 
 	// stopping is set when a stop begins; answers then close their connections.
 	stopping atomic.Bool
+	// stopEnd is the reading of clock at which a stop ends, set when it begins.
+	stopEnd atomic.Pointer[time.Duration]
 	// closed is set after the grace period of a stop; requests are then refused.
 	closed atomic.Bool
 	// lifetime is cancelled when running requests must be aborted.
@@ -141,7 +143,7 @@
 	}
 	router.registerGauges(router.registry)
 	router.handler = chain(router.newExecutor().run,
-		router.refuseAfterStop, router.refuseStale, router.resolveService, router.limitRequests, router.deduplicate)
+		router.refuseAfterStop, router.refuseStale, router.resolveService, router.refuseOutlasting, router.limitRequests, router.deduplicate)
 	return router
 }
 
