Peers take only short first messages from strangers

What operators would see: whoever connects to the port for controllers and gateways and announces a message of up to 64 MiB can send it whole; at a gateway up to 4,096 connections may do so at once, and a compressed one of 64 KiB expands to as much.

Cause: the bound of a message was that of the largest one of all (64 MiB), also before the sender has said who it is, and for messages that are always short.

Change: ReceiveShort takes at most 16 KiB, also once decompressed: for the first message at controllers, gateways and routers, for requests of the directory and of formation, and for the welcome of a relay.

Not changed: whoever names one of the purposes consensus, table, demand, heartbeats or places may send messages of up to 64 MiB then, one a connection.

--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -46,7 +46,7 @@
 
 func serveDirectory(ctx context.Context, r *replica, connection *wire.Conn) error {
 	var first message.DirectoryRequest
-	if err := connection.Receive(&first); err != nil {
+	if err := connection.ReceiveShort(&first); err != nil {
 		return err
 	}
 	connection.SetSilenceTimeout(wire.PatientSilenceTimeout)
@@ -73,7 +73,7 @@
 func (s *directoryStream) answerPings(ctx context.Context) {
 	for first := true; ctx.Err() == nil; first = false {
 		var request message.DirectoryRequest
-		if err := s.connection.Receive(&request); err != nil {
+		if err := s.connection.ReceiveShort(&request); err != nil {
 			return
 		}
 		if first {
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -242,7 +242,7 @@
 // serve answers one formation request.
 func (f *formation) serve(ctx context.Context, connection *wire.Conn) error {
 	var request message.FormationRequest
-	if err := connection.Receive(&request); err != nil {
+	if err := connection.ReceiveShort(&request); err != nil {
 		return err
 	}
 	f.mutex.Lock()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -281,7 +281,7 @@
 
 func (n *node) servePeer(ctx context.Context, connection *wire.Conn, ready <-chan struct{}) error {
 	var hello message.Hello
-	if err := connection.Receive(&hello); err != nil {
+	if err := connection.ReceiveShort(&hello); err != nil {
 		return err
 	}
 	if err := n.security.checkPeer(connection, hello); err != nil {
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -110,7 +110,7 @@
 // servePeer serves one connection of another gateway.
 func (g *Gateway) servePeer(ctx context.Context, connection *wire.Conn) error {
 	var hello message.Hello
-	if err := connection.Receive(&hello); err != nil {
+	if err := connection.ReceiveShort(&hello); err != nil {
 		return err
 	}
 	switch hello.Purpose {
@@ -137,7 +137,7 @@
 		return errTooManyPeers
 	}
 	var first message.DirectoryRequest
-	if err := connection.Receive(&first); err != nil {
+	if err := connection.ReceiveShort(&first); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -156,7 +156,7 @@
 func receivePings(ctx context.Context, connection *wire.Conn, pings chan<- uint64) {
 	for {
 		var request message.DirectoryRequest
-		if connection.Receive(&request) != nil {
+		if connection.ReceiveShort(&request) != nil {
 			return
 		}
 		select {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -61,7 +61,7 @@
 	}
 	opened := wire.NewConn(connection, wire.Options{WriteTimeout: timeout, IdleTimeout: timeout, ReadBufferBytes: placeReadBuffer})
 	var welcome message.RelayWelcome
-	if err := errors.Join(opened.Send(context.Background(), &hello), opened.Receive(&welcome)); err != nil {
+	if err := errors.Join(opened.Send(context.Background(), &hello), opened.ReceiveShort(&welcome)); err != nil {
 		opened.Close()
 		return nil, eris.Wrap(err, "introduce this gateway to a relay")
 	}
--- a/internal/router/records/peers.go
+++ b/internal/router/records/peers.go
@@ -102,7 +102,7 @@
 
 func (p *peers) servePeer(ctx context.Context, connection *wire.Conn) error {
 	var hello message.Hello
-	if err := connection.Receive(&hello); err != nil {
+	if err := connection.ReceiveShort(&hello); err != nil {
 		return err
 	}
 	if name, secured := connection.PeerName(); secured && name != hello.From {
--- a/internal/wire/compression_test.go
+++ b/internal/wire/compression_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// TestShortFramesAreShort checks that a short frame that expands to a long one is not taken for a short one.
+func TestShortFramesAreShort(t *testing.T) {
+	for _, length := range []int{maxShortFrameBytes / 2, 1 << 20} {
+		frame, err := Encode(&payload{Text: strings.Repeat("a", length), Number: 7})
+		if err != nil {
+			t.Fatal(err)
+		}
+		connection, far := pair(t, Options{})
+		group.Go(func() { _, _ = far.Write(frame.content) })
+		var got payload
+		err = connection.ReceiveShort(&got)
+		if long := length > maxShortFrameBytes; long != errors.Is(err, ErrFrameTooLarge) || !long && got.Number != 7 {
+			t.Errorf("content of %d bytes in a frame of %d: %v", length, frame.Bytes(), err)
+		}
+	}
+}
+
 // TestFrameOnNarrowLink checks that a frame that takes longer than IdleTimeout arrives as
 // long as its bytes keep coming. Otherwise a gateway on a low-bandwidth link requests the
 // whole directory again and again and never receives it.
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -138,23 +138,34 @@
 // Receive reads one frame into value, a pointer. It returns io.EOF if the peer
 // closed the connection between two frames, and an error that matches
 // io.ErrUnexpectedEOF if it closed within one. Any error closes the connection.
-func (c *Conn) Receive(value any) error {
-	err := c.receive(value)
+func (c *Conn) Receive(value any) error { return c.receiveWithin(value, c.options.MaxFrameBytes) }
+
+// maxShortFrameBytes bounds the content of a short frame.
+const maxShortFrameBytes = 16 << 10
+
+// ReceiveShort is Receive for a value that is always short, such as the first of a peer that is not known yet. A frame
+// above 16 KiB is an error, however large others may be.
+func (c *Conn) ReceiveShort(value any) error {
+	return c.receiveWithin(value, min(maxShortFrameBytes, c.options.MaxFrameBytes))
+}
+
+func (c *Conn) receiveWithin(value any, limit int) error {
+	err := c.receive(value, limit)
 	if err != nil {
 		c.Close()
 	}
 	return err
 }
 
-func (c *Conn) receive(value any) error {
-	length, compressed, err := c.receiveLength()
+func (c *Conn) receive(value any, limit int) error {
+	length, compressed, err := c.receiveLength(limit)
 	if err != nil {
 		return err
 	}
 	if err := c.receiveContent(length); err != nil {
 		return err
 	}
-	err = c.decode(compressed, value)
+	err = c.decode(compressed, value, limit)
 	if c.frame.Cap() > maxPooledBufferBytes {
 		c.frame = bytes.Buffer{}
 	}
@@ -162,11 +173,11 @@
 }
 
 // decode decodes the content of the received frame into value.
-func (c *Conn) decode(compressed bool, value any) error {
+func (c *Conn) decode(compressed bool, value any, limit int) error {
 	if !compressed {
 		return codec.Unmarshal(c.frame.Bytes(), value)
 	}
-	plain, err := decompress(c.frame.Bytes(), c.options.MaxFrameBytes)
+	plain, err := decompress(c.frame.Bytes(), limit)
 	if err != nil {
 		return err
 	}
@@ -174,7 +185,7 @@
 	return codec.Unmarshal(plain.Bytes(), value)
 }
 
-func (c *Conn) receiveLength() (length int64, compressed bool, err error) {
+func (c *Conn) receiveLength(limit int) (length int64, compressed bool, err error) {
 	var header [lengthBytes]byte
 	count, err := io.ReadFull(c.reader, header[:])
 	c.received.Add(uint64(count))
@@ -186,8 +197,8 @@
 	}
 	prefix := binary.BigEndian.Uint32(header[:])
 	length = int64(prefix &^ compressedFlag)
-	if length > int64(c.options.MaxFrameBytes) {
-		return 0, false, fmt.Errorf("%w: received length %d, limit %d", ErrFrameTooLarge, length, c.options.MaxFrameBytes)
+	if length > int64(limit) {
+		return 0, false, fmt.Errorf("%w: received length %d, limit %d", ErrFrameTooLarge, length, limit)
 	}
 	return length, prefix&compressedFlag != 0, nil
 }
