--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -41,6 +41,7 @@
 	TLS              TLS              `koanf:"tls" doc:"Certificates."`
 	Maintenance      Maintenance      `koanf:"maintenance" doc:"Background work of the leader."`
 	CollectorPercent int              `koanf:"collector_percent" validate:"min=5,max=1000" doc:"Growth of the heap, in percent, after which the collector runs: less memory for more processor time."`
+	DescriptorLimit  int              `koanf:"descriptor_limit" validate:"min=0,max=10000000" doc:"File descriptors that the process may have open, if fewer than its own limit (RLIMIT_NOFILE); 0 for that limit. Connections leave a part of them to files, and clients one to other processes of the system."`
 	StopTimeout      time.Duration    `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
 	Log              Log              `koanf:"log" doc:"Log lines."`
 }
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -16,6 +16,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
+	"github.com/thorntiller/thorntiller/internal/descriptor"
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/identity"
 	"github.com/thorntiller/thorntiller/internal/listen"
@@ -31,9 +32,9 @@
 	return RunOn(ctx, vfs.System{}, settings, log)
 }
 
-// RunOn is Run on a given file system, so that disk faults can be injected. A replica whose disk is full
-// leaves its group until there is free space, and then restarts from the content of the disk: it never
-// continues after a write whose outcome is unknown.
+// RunOn is Run on a given file system, so that disk faults can be injected. A replica whose disk is full, or
+// that has no descriptor left for its files, leaves its group until that has passed, and then restarts from the
+// content of the disk: it never continues after a write whose outcome is unknown.
 func RunOn(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
 	lock, err := lockDataFolder(ctx, settings.DataDirectory, log)
 	if err != nil {
@@ -42,10 +43,14 @@
 	defer closeQuietly(lock, log)
 	for {
 		err := runOnce(ctx, files, settings, log)
-		if !errors.Is(err, syscall.ENOSPC) {
+		switch {
+		case errors.Is(err, syscall.ENOSPC):
+			telemetry.WithError(log, telemetry.EventDiskFull, err).Warn("disk is full; replica waits for free space")
+		case descriptor.Exhausted(err):
+			telemetry.WithError(log, telemetry.EventNoDescriptor, err).Warn("no descriptor is left; replica waits for some")
+		default:
 			return err
 		}
-		telemetry.WithError(log, telemetry.EventDiskFull, err).Warn("disk is full; replica waits for free space")
 		if !awaitDiskSpace(ctx, files, settings.DataDirectory) {
 			return nil
 		}
@@ -56,15 +61,15 @@
 const lockRetryInterval = 50 * time.Millisecond
 
 // lockDataFolder locks the data folder. While another process holds it, which is most likely the former process of
-// this replica that still ends, it waits until the context ends.
+// this replica that still ends, or no descriptor is left, it waits until the context ends.
 func lockDataFolder(ctx context.Context, folder string, log *logrus.Entry) (*identity.FolderLock, error) {
 	for attempt := 0; ; attempt++ {
 		lock, err := identity.Lock(folder)
-		if !errors.Is(err, identity.ErrLocked) {
+		if !errors.Is(err, identity.ErrLocked) && !descriptor.Exhausted(err) {
 			return lock, err
 		}
 		if attempt == 0 {
-			telemetry.WithError(log, telemetry.EventDataFolderWaiting, err).Warn("data folder is locked; waiting until it is released")
+			telemetry.WithError(log, telemetry.EventDataFolderWaiting, err).Warn("data folder cannot be locked yet; waiting")
 		}
 		if clock.Sleep(ctx, lockRetryInterval); ctx.Err() != nil {
 			return nil, eris.Wrapf(ctx.Err(), "lock %s", folder)
@@ -92,6 +97,7 @@
 	security     *security
 	formation    *formation
 	replica      *replica
+	connections  *connections
 	peerListener net.Listener
 	apiListener  net.Listener
 }
@@ -101,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &node{settings: settings, log: log, files: files, security: security}
+	n := &node{settings: settings, log: log, files: files, security: security, connections: newConnections(settings, log)}
 	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, settings.FirstStart, newReplicaID)
 	if err != nil {
 		return nil, err
@@ -132,6 +138,8 @@
 	n.apiListener = wire.Patient(n.apiListener, func(err error) {
 		n.log.WithError(err).Debug("connection to the API not accepted")
 	})
+	n.peerListener = descriptor.Bound(n.peerListener, n.connections.admitsPeer)
+	n.apiListener = descriptor.Bound(n.apiListener, n.connections.admitsClient)
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	return nil
@@ -199,6 +207,7 @@
 	r.leases = newLeaseSender(driveContext, n.settings.Lease, r.results)
 	n.formation.attach(r.formationStatus, r.requestJoin)
 	service := newAPI(n.settings.API, r, n.log, n.security, r.metrics.registry, r.ready)
+	n.connections.attach(service.app.Server())
 	background.Go(func() { n.serveAPI(service) })
 	background.Go(func() { newPlatformPoller(n.settings.Platform, r).run(serveContext) })
 	background.Go(func() { n.formation.keepJoining(serveContext, r.isActiveVoter) })
@@ -268,8 +277,7 @@
 
 // servePeers accepts connections from controllers, routers and gateways.
 func (n *node) servePeers(ctx context.Context, ready <-chan struct{}) {
-	server := wire.Server{MaxConnections: n.settings.Table.StreamLimit, Options: wire.Options{WriteTimeout: n.settings.Table.WriteTimeout}, Panicked: telemetry.PanicLogger(n.log)}
-	err := server.Serve(ctx, n.security.listener(n.peerListener), func(ctx context.Context, connection *wire.Conn) {
+	err := n.connections.peers.Serve(ctx, n.security.listener(n.peerListener), func(ctx context.Context, connection *wire.Conn) {
 		if err := n.servePeer(ctx, connection, ready); err != nil {
 			n.log.WithError(err).Debug("peer connection ended")
 		}
--- /dev/null
+++ b/internal/descriptor/descriptor_test.go
@@ -0,0 +1,99 @@
+package descriptor
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+func TestShares(t *testing.T) {
+	for limit, want := range map[int]Shares{
+		0:       {},
+		16:      {Accepted: 4, Clients: 2},
+		39:      {Accepted: 9, Clients: 4},
+		64:      {Accepted: 32, Clients: 16},
+		256:     {Accepted: 224, Clients: 112},
+		1024:    {Accepted: 938, Clients: 588},
+		4096:    {Accepted: 3754, Clients: 3404},
+		4100:    {Accepted: 3758, Clients: 3408},
+		16384:   {Accepted: 15018, Clients: 13707},
+		1 << 20: {Accepted: 961194, Clients: 877308},
+	} {
+		if got := Divide(limit); got != want {
+			t.Errorf("of %d descriptors: %+v, want %+v", limit, got, want)
+		}
+	}
+}
+
+func TestSharesAreWithinTheLimit(t *testing.T) {
+	for limit := range 20000 {
+		shares, next := Divide(limit), Divide(limit+1)
+		if shares.Clients > shares.Accepted || shares.Accepted > limit || next.Clients < shares.Clients || next.Accepted < shares.Accepted {
+			t.Fatalf("of %d descriptors: %+v, of one more: %+v", limit, shares, next)
+		}
+	}
+}
+
+func TestLimit(t *testing.T) {
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil {
+		t.Fatal(err)
+	}
+	if got := Limit(0); uint64(got) > own.Cur {
+		t.Errorf("limit %d is above that of the process, %d", got, own.Cur)
+	}
+	if got := Limit(5); got != 5 {
+		t.Errorf("limit %d, want the bound, 5", got)
+	}
+}
+
+func TestExhausted(t *testing.T) {
+	for err, want := range map[error]bool{
+		&os.PathError{Op: "open", Err: syscall.EMFILE}: true, &os.PathError{Op: "open", Err: syscall.ENFILE}: true,
+		&os.PathError{Op: "open", Err: syscall.EIO}: false, nil: false,
+	} {
+		if got := Exhausted(err); got != want {
+			t.Errorf("%v: %t", err, got)
+		}
+	}
+	if !Exhausted(fmt.Errorf("save: %w", syscall.EMFILE)) {
+		t.Error("a wrapped error is not recognized")
+	}
+}
+
+func TestBoundListenerClosesConnectionsBeyondTheShare(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = inner.Close() }()
+	asked := 0
+	listener := Bound(inner, func() bool { asked++; return asked > 1 })
+	refused := dial(t, inner.Addr().String())
+	admitted := dial(t, inner.Addr().String())
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if accepted.RemoteAddr().String() != admitted.LocalAddr().String() {
+		t.Errorf("accepted %s, want %s", accepted.RemoteAddr(), admitted.LocalAddr())
+	}
+	if _, err := refused.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection beyond the share is open")
+	}
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = connection.Close() })
+	return connection
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -47,6 +47,7 @@
 	EventSnapshotReceived  Event = "snapshot_received"
 	EventDiskFailed        Event = "disk_failed"
 	EventDiskFull          Event = "disk_full"
+	EventNoDescriptor      Event = "no_descriptor"
 	EventPlanStored        Event = "plan_stored"
 	EventPlanConfirmed     Event = "plan_confirmed"
 	EventPlanRefused       Event = "plan_refused"
@@ -140,7 +141,7 @@
 	return []EventRow{
 		{EventGroupFormed, levelInfo, "The controllers formed a new group."},
 		{EventGroupJoined, levelInfo, "This replica joined a group that was formed before."},
-		{EventDataFolderWaiting, levelWarning, "Another process holds the data folder, most likely the former one of this replica; this one waits until it ends."},
+		{EventDataFolderWaiting, levelWarning, "Another process holds the data folder, most likely the former one of this replica, or no file descriptor is left; this process waits."},
 		{EventRecovered, levelInfo, "The state was read back from the data folder."},
 		{EventLeaderElected, levelInfo, "This replica leads."},
 		{EventLeaderLost, levelWarning, "This replica leads no longer."},
@@ -151,6 +152,7 @@
 		{EventSnapshotReceived, levelInfo, "A snapshot of the leader replaced the state."},
 		{EventDiskFailed, levelError, "A write or sync failed, or a file is damaged; the replica stops."},
 		{EventDiskFull, levelWarning, "The disk takes no more bytes; the replica is out of its group until there is room."},
+		{EventNoDescriptor, levelWarning, "A file of the replica cannot be opened, since no file descriptor is left; the replica closes its connections and starts again once files can be opened."},
 		{EventPlanStored, levelInfo, "An intent was answered with a plan."},
 		{EventPlanConfirmed, levelInfo, "An operator confirmed a plan; it is in force from this revision."},
 		{EventPlanRefused, levelInfo, "A plan or its confirmation was refused."},
--- a/internal/vfs/system.go
+++ b/internal/vfs/system.go
@@ -3,6 +3,11 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/descriptor"
 )
 
 const (
@@ -33,13 +38,29 @@
 // openFile returns a nil File on error, rather than a non-nil File that holds a
 // nil *os.File.
 func openFile(path string, flags int) (File, error) {
-	file, err := os.OpenFile(filepath.Clean(path), flags, filePermissions)
+	file, err := open(path, flags)
 	if err != nil {
 		return nil, err
 	}
 	return file, nil
 }
 
+const (
+	// openPatience is how long an open that fails for want of a descriptor is repeated.
+	openPatience      = time.Second
+	openRetryInterval = 5 * time.Millisecond
+)
+
+// open opens a file. It tries again for a while if no descriptor is left: such an open has changed nothing.
+func open(path string, flags int) (*os.File, error) {
+	for start := time.Now(); ; time.Sleep(openRetryInterval) {
+		file, err := os.OpenFile(filepath.Clean(path), flags, filePermissions)
+		if !descriptor.Exhausted(err) || time.Since(start) > openPatience {
+			return file, err
+		}
+	}
+}
+
 // Rename implements FileSystem.
 func (System) Rename(from, to string) error {
 	return os.Rename(from, to)
@@ -83,12 +104,18 @@
 	}
 }
 
-// ReadDir implements FileSystem. os.ReadDir sorts by name.
+// ReadDir implements FileSystem.
 func (System) ReadDir(path string) ([]string, error) {
-	entries, err := os.ReadDir(path)
+	directory, err := open(path, os.O_RDONLY)
+	if err != nil {
+		return nil, err
+	}
+	entries, err := directory.ReadDir(-1)
+	_ = directory.Close() // it was only read
 	if err != nil {
 		return nil, err
 	}
+	slices.SortFunc(entries, func(a, b os.DirEntry) int { return strings.Compare(a.Name(), b.Name()) })
 	names := make([]string, 0, len(entries))
 	for _, entry := range entries {
 		if entry.Type().IsRegular() {
@@ -114,7 +141,7 @@
 
 // SyncDir implements FileSystem.
 func (System) SyncDir(path string) error {
-	directory, err := os.Open(filepath.Clean(path))
+	directory, err := open(path, os.O_RDONLY)
 	if err != nil {
 		return err
 	}
