Instances are not blamed for what the own machine lacks

What callers saw: a gateway that lacks descriptors, ports, buffers or memory for new connections takes all instances for unreachable and itself for cut off, and rejects requests after that has long passed, until probes succeed; a router ejects its back ends; the keeper of places counts a failure of the instance for all gateways.

Cause: each error of a dial became connect_failed, whoever it is about.

Change: EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM of a dial become socket_unavailable: 503, not run, to be sent again. Nothing is recorded against the instance or relay: reach, balancer, keeper, health and rate tokens treat it as an attempt that was never made. A request is tried at the other instances, which may have an open connection, within its attempts and without the retry budget, and is then rejected at once. A probe that cannot be made is repeated; a health check that cannot be made is no hint. Crash probes took only a refused connection for a proof already.

Healthy returns an error as well, so that the call of it in forward_test.go changes; it requires the same, and no error besides.

--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -47,6 +47,9 @@
 	RequestOnProbation Kind = "request_on_probation"
 	// ConnectFailed: no connection was established, so nothing was sent.
 	ConnectFailed Kind = "connect_failed"
+	// SocketUnavailable: this machine lacked a descriptor, a port or memory for a connection, so
+	// nothing was sent; it says nothing of the back end.
+	SocketUnavailable Kind = "socket_unavailable"
 	// DeadlineBeforeStart: the deadline passed before execution started.
 	DeadlineBeforeStart Kind = "deadline_before_start"
 	// CancelledBeforeStart: the back end acknowledged a cancel as "never started".
@@ -155,6 +158,7 @@
 	RequestQuarantined:   {Status: 503, Outcome: NotRun},
 	RequestOnProbation:   {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
 	ConnectFailed:        {Status: 502, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
+	SocketUnavailable:    {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
 	DeadlineBeforeStart:  {Status: 504, Outcome: NotRun, RetryAfter: retrySoon},
 	CancelledBeforeStart: {Status: 504, Outcome: NotRun, RetryAfter: retrySoon},
 	DeadlineExceeded:     {Status: 504, Outcome: Unknown, RetryAfter: retrySoon},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,8 +37,8 @@
 }
 
 // Do makes the attempt. A nil error means that Response holds the complete answer to
-// this attempt, which may be the back end's refusal. With the kinds ConnectFailed and
-// QueueFull nothing was written.
+// this attempt, which may be the back end's refusal. With the kinds ConnectFailed,
+// SocketUnavailable and QueueFull nothing was written.
 func (c *Client) Do(attempt *Attempt) *fault.Error {
 	deadline := time.Now().Add(attempt.Timeout)
 	for {
@@ -72,6 +72,9 @@
 	if eris.Is(err, fasthttp.ErrNoFreeConns) {
 		return fault.New(fault.QueueFull, "all connections to the back end are in use")
 	}
+	if IsLocal(err) {
+		return fault.Newf(fault.SocketUnavailable, "connect to the back end: %v", err)
+	}
 	return fault.Newf(fault.ConnectFailed, "connect to the back end: %v", err)
 }
 
--- a/internal/forward/control.go
+++ b/internal/forward/control.go
@@ -37,14 +37,18 @@
 }
 
 // Healthy reports whether the back end's health endpoint answers with status 200. The
-// result is only a hint.
-func (c *Client) Healthy(timeout time.Duration) bool {
+// result is only a hint. The error is not nil if it could not be asked for a reason that
+// IsLocal recognizes.
+func (c *Client) Healthy(timeout time.Duration) (bool, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	err := c.controlCall(backendapi.PathHealth, request, response, timeout)
-	return err == nil && response.StatusCode() == fasthttp.StatusOK
+	if IsLocal(err) {
+		return false, err
+	}
+	return err == nil && response.StatusCode() == fasthttp.StatusOK, nil
 }
 
 func (c *Client) controlCall(path string, request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -225,8 +225,8 @@
 			t.Errorf("cancel %s: proved %v", current, proved)
 		}
 	}
-	if !client.Healthy(testTimeout) {
-		t.Error("not healthy")
+	if healthy, err := client.Healthy(testTimeout); !healthy || err != nil {
+		t.Errorf("healthy %t, %v", healthy, err)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,6 +72,11 @@
 		// Only the holder may run the request, and the holder is at capacity.
 		return false
 	}
+	if failure.Kind == fault.SocketUnavailable {
+		// Nothing reached an instance, and another one may have an open connection.
+		current.socketFailure = failure
+		return current.remaining() > minRemaining
+	}
 	if failure.Kind == fault.ConnectFailed || current.withdrawn {
 		// Nothing reached an instance, and the budget counts arrivals.
 		current.attempts = current.attempts[:len(current.attempts)-1]
@@ -154,7 +159,7 @@
 		},
 	}
 	failure := chosen.client.Do(attempt)
-	if failure == nil || !current.withdrawn && failure.Kind != fault.ConnectFailed && failure.Kind != fault.QueueFull {
+	if failure == nil || !current.withdrawn && !neverSent(failure) {
 		g.meter.Add(link.Out, link.Attempts, body)
 	}
 	if failure == nil {
@@ -163,6 +168,16 @@
 	return attempt, failure
 }
 
+// neverSent reports whether an attempt failed before it had a connection.
+func neverSent(failure *fault.Error) bool {
+	switch failure.Kind {
+	case fault.ConnectFailed, fault.SocketUnavailable, fault.QueueFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordAttempt records the result of an attempt.
 func (r *request) recordAttempt(instance directory.InstanceID, relayAddress string, began, took time.Duration, failure *fault.Error) {
 	outcome := attemptOutcome{Instance: instance, Relay: relayAddress, AfterMs: (began - r.arrived).Milliseconds(), TookMs: took.Milliseconds()}
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -212,7 +212,7 @@
 		return
 	}
 	switch {
-	case current.withdrawn, failure.Kind == fault.ConnectFailed, failure.Kind == fault.QueueFull, failure.Kind == fault.CancelledBeforeStart:
+	case current.withdrawn, neverSent(failure), failure.Kind == fault.CancelledBeforeStart:
 		g.refundInstanceToken(current)
 	default:
 		current.tokenInstance = ""
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -58,7 +58,12 @@
 // wait takes less than half of the caller's time, so that it can still retry with the rest.
 func (g *Gateway) waitUntil(current *request, failure *fault.Error) time.Duration {
 	const noOwnerShare = 0.4
-	if failure.Kind == fault.ConnectFailed || failure.Kind == fault.ServerLimited || current.noCapacity {
+	switch failure.Kind {
+	case fault.ConnectFailed, fault.SocketUnavailable, fault.ServerLimited:
+		return current.arrived
+	default:
+	}
+	if current.noCapacity {
 		return current.arrived
 	}
 	timeout := current.deadline - current.arrived
@@ -146,6 +151,9 @@
 	if r.reachFailure != nil {
 		return r.reachFailure
 	}
+	if r.socketFailure != nil {
+		return r.socketFailure
+	}
 	return fault.Newf(fault.NoOwner, "no instance of service %q is left to send to", r.service)
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -145,6 +145,8 @@
 		return room.Unused
 	case failure == nil:
 		return room.Answered
+	case failure.Kind == fault.SocketUnavailable:
+		return room.Unused
 	case failure.Kind == fault.Shedding || failure.Kind == fault.ServerResting || failure.Kind == fault.WrongEpoch:
 		return room.Full
 	case failure.Kind == fault.ConnectFailed && (chosen.relay != "" || g.reach.CutOff() || g.linkFull(current)):
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -51,6 +51,10 @@
 		return
 	}
 	err := client.Probe()
+	if forward.IsLocal(err) {
+		g.reach.ProbeAbandoned(g.clock.Now(), id)
+		return
+	}
 	if isTimeout(err) {
 		// Open connections are most likely dead as well.
 		client.CloseIdle()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -184,6 +184,8 @@
 	switch failure.Kind {
 	case fault.ConnectFailed:
 		return relay.RelayUnreachable, failure
+	case fault.SocketUnavailable:
+		return relay.Declined, failure
 	case fault.QueueFull:
 		return relay.Declined, fault.New(fault.ConnectFailed, "all connections to the relay are in use")
 	case fault.DeadlineExceeded:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -67,6 +67,8 @@
 	quotaTaken bool
 	// tokenInstance is the instance whose token the request holds; empty for none.
 	tokenInstance directory.InstanceID
+	// socketFailure is the failure of an attempt for which this machine could open no connection; nil for none.
+	socketFailure *fault.Error
 	// limitedAt has the instances whose rate limits had no capacity for the request, and limitFailure is
 	// the last failure for that reason; nil for none.
 	limitedAt    []directory.InstanceID
@@ -178,7 +180,7 @@
 func (r *request) sentAttempts() int {
 	count := 0
 	for _, outcome := range r.outcomes {
-		if outcome.Kind != fault.ConnectFailed {
+		if outcome.Kind != fault.ConnectFailed && outcome.Kind != fault.SocketUnavailable {
 			count++
 		}
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -162,7 +162,7 @@
 // updateAll updates the flag for the case that all instances are reachable. The mutex must be held.
 func (r *Reach) updateAll() { r.all.Store(len(r.losses) == 0 && !r.cutOff) }
 
-// DueProbes returns the instances to probe now. The caller calls ProbeEnded for each.
+// DueProbes returns the instances to probe now. The caller calls ProbeEnded or ProbeAbandoned for each.
 func (r *Reach) DueProbes(now time.Duration) []directory.InstanceID {
 	if r.all.Load() {
 		return nil
@@ -200,6 +200,17 @@
 	r.failedProbe(now, id)
 }
 
+// ProbeAbandoned records that a probe could not be made; the instance is probed again.
+func (r *Reach) ProbeAbandoned(now time.Duration, id directory.InstanceID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.probes--
+	if known, found := r.losses[id]; found {
+		known.probing = false
+		known.probeAt = now + known.pause
+	}
+}
+
 // failedProbe records a failed probe of an instance that is still recorded: one that has answered meanwhile is
 // reachable.
 func (r *Reach) failedProbe(now time.Duration, id directory.InstanceID) {
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -147,6 +147,8 @@
 	if !server.Session.Open {
 		return
 	}
-	healthy := clientOf(backEnd).Healthy(r.settings.Health.ProbeTimeout)
-	r.fleet.Health().Hint(server.ID, healthy)
+	healthy, err := clientOf(backEnd).Healthy(r.settings.Health.ProbeTimeout)
+	if err == nil {
+		r.fleet.Health().Hint(server.ID, healthy)
+	}
 }
