Gateways and routers keep descriptors for health checks and back ends

What operators saw: callers or other gateways that open as many connections as they can take the descriptors of the health checks for as long as they stay: the process counts as not ready, and has none left for its instances.

Cause: max_connections and the bound of peers were fixed numbers each, whatever the limit of the process.

Change: callers and peers get shares of the limit as at the controllers, fewer since a process that forwards needs connections of its own: of 4,096 descriptors 2,627 together and 2,064 for callers, which is above the default max_connections of a gateway (2,048). The decision is descriptor.Budget, for all three roles. descriptor_limit is a setting of each role now; 0, the default, stands for the limit of the process.

Not covered: connections to instances are bounded for each instance only; where they take the rest of the descriptors, further ones fail as socket_unavailable, and a health check waits until one is closed.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -32,6 +32,7 @@
 	KeepPlaces        bool          `koanf:"keep_places" doc:"Takes part in giving out the places of instances: each instance has one gateway that counts what all of them send to it. Needs peer_address."`
 	MaxTimeout        time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest time that a request is held, also when neither caller nor route give one."`
 	MaxConnections    int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
+	DescriptorLimit   int           `koanf:"descriptor_limit" validate:"min=0,max=10000000" doc:"File descriptors that the process may have open, if fewer than its own limit (RLIMIT_NOFILE); 0 for that limit. Callers and other processes of the system leave a part of them to back ends, health checks and files."`
 	RetryRatio        float64       `koanf:"retry_ratio" validate:"min=0,max=1" doc:"Resends of a service as a share of its requests through this gateway."`
 	RetryBurst        int           `koanf:"retry_burst" validate:"min=0,max=1000" doc:"Resends of a service beyond that share, until requests have made up for them."`
 	RetrySlack        float64       `koanf:"retry_slack" validate:"min=0,max=1000000" doc:"Resends of a service that all gateways together may send at once beyond their share, which bounds retry_burst by the number of gateways; 0 if it is not bounded."`
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -138,8 +138,8 @@
 	n.apiListener = wire.Patient(n.apiListener, func(err error) {
 		n.log.WithError(err).Debug("connection to the API not accepted")
 	})
-	n.peerListener = descriptor.Bound(n.peerListener, n.connections.admitsPeer)
-	n.apiListener = descriptor.Bound(n.apiListener, n.connections.admitsClient)
+	n.peerListener = descriptor.Bound(n.peerListener, n.connections.budget.AdmitsPeer)
+	n.apiListener = descriptor.Bound(n.apiListener, n.connections.budget.AdmitsClient)
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	return nil
--- a/internal/descriptor/descriptor_test.go
+++ b/internal/descriptor/descriptor_test.go
@@ -38,6 +38,37 @@
 	}
 }
 
+// TestForwardingLeavesDescriptorsToBackEnds: 4,096 descriptors are enough for the default max_connections of a gateway,
+// 2,048.
+func TestForwardingLeavesDescriptorsToBackEnds(t *testing.T) {
+	for limit, want := range map[int]Shares{
+		39: {Accepted: 6, Clients: 4}, 1024: {Accepted: 656, Clients: 515}, 4096: {Accepted: 2627, Clients: 2064},
+	} {
+		if got := DivideForwarding(limit); got != want {
+			t.Errorf("of %d descriptors: %+v, want %+v", limit, got, want)
+		}
+	}
+}
+
+func TestBudgetCountsClientsAndPeersTogether(t *testing.T) {
+	clients, peers := 0, 0
+	budget := Budget{
+		Bound: 10, Divide: func(int) Shares { return Shares{Accepted: 5, Clients: 3} },
+		Clients: func() int { return clients }, Peers: func() int { return peers },
+	}
+	for _, c := range []struct {
+		clients, peers           int
+		admitsClient, admitsPeer bool
+	}{
+		{0, 0, true, true}, {2, 2, true, true}, {3, 1, false, true}, {3, 2, false, false}, {1, 4, false, false}, {0, 5, false, false},
+	} {
+		clients, peers = c.clients, c.peers
+		if client, peer := budget.AdmitsClient(), budget.AdmitsPeer(); client != c.admitsClient || peer != c.admitsPeer {
+			t.Errorf("beside %d clients and %d peers: client %t, peer %t", clients, peers, client, peer)
+		}
+	}
+}
+
 func TestLimit(t *testing.T) {
 	var own unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil {
--- a/internal/descriptor/shares.go
+++ b/internal/descriptor/shares.go
@@ -13,6 +13,10 @@
 	peersShare = 0.08
 	// minClientsShare is what clients get of a limit that is hardly above minPeers.
 	minClientsShare = 1.0 / 2
+	// forwardedAccepted and forwardedClients are the parts of the accepted connections that are left to a process which
+	// forwards requests, and needs connections to back ends as well.
+	forwardedAccepted = 0.7
+	forwardedClients  = 0.55
 )
 
 // Shares are the bounds of the connections that a process accepts, in descriptors.
@@ -30,3 +34,9 @@
 	clients := max(accepted-max(minPeers, peersShare*whole), minClientsShare*accepted)
 	return Shares{Accepted: int(accepted), Clients: int(clients)}
 }
+
+// DivideForwarding is Divide for a process that forwards the requests of its clients.
+func DivideForwarding(limit int) Shares {
+	accepted := float64(Divide(limit).Accepted)
+	return Shares{Accepted: int(forwardedAccepted * accepted), Clients: int(forwardedClients * accepted)}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/crashwatch"
+	"github.com/thorntiller/thorntiller/internal/descriptor"
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/listen"
@@ -75,6 +76,10 @@
 	// resendBurst is the burst of each budget.
 	resendBurst float64
 
+	// descriptors bounds the connections of callers and of other gateways. The latter are those of peerServer; nil
+	// while they are not served.
+	descriptors descriptor.Budget
+	peerServer  atomic.Pointer[wire.Server]
 	// connections counts callers' open connections.
 	connections atomic.Int64
 	// accepted counts all connections that callers have opened.
@@ -152,6 +157,10 @@
 		budgets:      make(map[string]*retry.Budget),
 		resendBurst:  float64(settings.RetryBurst),
 	}
+	gateway.descriptors = descriptor.Budget{
+		Bound: settings.DescriptorLimit, Divide: descriptor.DivideForwarding,
+		Clients: func() int { return int(gateway.connections.Load()) }, Peers: gateway.peerConnections,
+	}
 	gateway.pacer = newPacer(system, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	registerLinkBytes(gateway.registry, meter)
@@ -249,6 +258,7 @@
 
 func (g *Gateway) serveOn(ctx context.Context, callers, admin net.Listener) error {
 	background, stopBackground := context.WithCancel(context.Background())
+	callers = descriptor.Bound(callers, g.descriptors.AdmitsClient)
 	callerServer := g.newCallerServer()
 	adminServer := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
 	var group conc.WaitGroup
@@ -288,7 +298,7 @@
 	group.Go(func() {
 		listener, err := listen.TCP(ctx, g.settings.PeerAddress, g.log)
 		if err == nil {
-			err = g.servePeersOn(ctx, listener)
+			err = g.servePeersOn(ctx, descriptor.Bound(listener, g.descriptors.AdmitsPeer))
 		}
 		if err != nil && ctx.Err() == nil {
 			telemetry.WithError(g.log, telemetry.EventFailed, err).WithField(telemetry.FieldAddress, g.settings.PeerAddress).
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -91,6 +91,14 @@
 	errNotConfirmed      = eris.New("no controller confirms this gateway's directory: ask another gateway")
 )
 
+// peerConnections returns the number of open connections of other gateways.
+func (g *Gateway) peerConnections() int {
+	if server := g.peerServer.Load(); server != nil {
+		return server.Connections()
+	}
+	return 0
+}
+
 // servePeersOn serves other gateways until the context ends.
 func (g *Gateway) servePeersOn(ctx context.Context, listener net.Listener) error {
 	server := &wire.Server{
@@ -100,6 +108,7 @@
 			IdleTimeout: g.settings.PongTimeout, WriteTimeout: g.settings.PongTimeout, ReadBufferBytes: placeReadBuffer,
 		},
 	}
+	g.peerServer.Store(server)
 	return server.Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) {
 		if err := g.servePeer(ctx, connection); err != nil {
 			g.log.WithError(err).WithField(telemetry.FieldAddress, connection.RemoteAddress()).Debug("connection of another gateway ended")
--- a/internal/router/records/peers.go
+++ b/internal/router/records/peers.go
@@ -42,6 +42,7 @@
 // peers holds the clients for calls to other routers.
 type peers struct {
 	service *Service
+	server  *wire.Server
 
 	mutex   sync.Mutex
 	clients map[peerKey]*wire.Client
@@ -49,7 +50,10 @@
 }
 
 func newPeers(service *Service) *peers {
-	return &peers{service: service, clients: make(map[peerKey]*wire.Client)}
+	return &peers{service: service, clients: make(map[peerKey]*wire.Client), server: &wire.Server{
+		MaxConnections: peerConnections, Panicked: telemetry.PanicLogger(service.options.Log),
+		Options: wire.Options{WriteTimeout: service.options.Settings.PeerTimeout, IdleTimeout: serverIdle},
+	}}
 }
 
 // client returns the client for a router. It creates one at first use and whenever the
@@ -90,10 +94,7 @@
 
 // serve accepts connections from other routers until the context ends.
 func (p *peers) serve(ctx context.Context, listener net.Listener) error {
-	server := wire.Server{MaxConnections: peerConnections, Panicked: telemetry.PanicLogger(p.service.options.Log), Options: wire.Options{
-		WriteTimeout: p.service.options.Settings.PeerTimeout, IdleTimeout: serverIdle,
-	}}
-	return server.Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) {
+	return p.server.Serve(ctx, listener, func(ctx context.Context, connection *wire.Conn) {
 		if err := p.servePeer(ctx, connection); err != nil {
 			p.service.options.Log.WithError(err).Debug("connection from another router ended")
 		}
--- a/internal/router/records/service.go
+++ b/internal/router/records/service.go
@@ -106,6 +106,9 @@
 	return s.session
 }
 
+// PeerConnections returns the number of open connections of other routers.
+func (s *Service) PeerConnections() int { return s.peers.server.Connections() }
+
 // TableChanged applies the placements of a new version of the table. Calls must be made
 // in the order of the versions.
 func (s *Service) TableChanged() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/crashwatch"
+	"github.com/thorntiller/thorntiller/internal/descriptor"
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fleet"
@@ -230,8 +231,17 @@
 	}
 }
 
+func (r *Router) descriptorBudget() descriptor.Budget {
+	return descriptor.Budget{
+		Bound: r.settings.DescriptorLimit, Divide: descriptor.DivideForwarding,
+		Clients: func() int { return int(r.connections.Load()) }, Peers: r.records.PeerConnections,
+	}
+}
+
 func (r *Router) serveOn(ctx context.Context, callers, admin, peers net.Listener) error {
-	callers = &onceListener{Listener: callers}
+	budget := r.descriptorBudget()
+	callers = &onceListener{Listener: descriptor.Bound(callers, budget.AdmitsClient)}
+	peers = descriptor.Bound(peers, budget.AdmitsPeer)
 	background, stopBackground := context.WithCancel(context.Background())
 	callerServer := r.newCallerServer()
 	adminServer := &fasthttp.Server{Handler: r.serveAdmin(r.registry), Name: role, Concurrency: adminConnections}
