--- a/internal/forward/controlmemory_test.go
+++ b/internal/forward/controlmemory_test.go
@@ -29,8 +29,8 @@
 	})
 	t.Cleanup(client.CloseIdle)
 	for range checks {
-		if !client.Healthy(testTimeout) {
-			t.Fatal("a health check failed")
+		if healthy, err := client.Healthy(testTimeout); !healthy || err != nil {
+			t.Fatalf("a health check failed: %v", err)
 		}
 		if never, err := client.Cancel("x", testTimeout); !never || err != nil {
 			t.Fatalf("a cancel failed: %v, %v", never, err)
