--- a/internal/forward/controlmemory_test.go
+++ b/internal/forward/controlmemory_test.go
@@ -48,7 +48,7 @@
 		ConnectTimeout: testTimeout, IdleTimeout: time.Minute, MaxConnections: 1, ControlConnections: 1, MaxAnswerBytes: 64 << 20,
 	})
 	t.Cleanup(client.CloseIdle)
-	if client.Healthy(testTimeout) {
+	if healthy, _ := client.Healthy(testTimeout); healthy {
 		t.Error("an answer of 60 MB to a health check was received")
 	}
 }
