Tests of a gateway under clients that hold memory and make no progress

What operators saw: clients that were not under their control ended a process for want of memory: many large bodies that stop just short of their end, in one piece or in chunks, and long answers read slowly.

The tests start a controller, a gateway of the smallest machine (144 MB, 4,100 descriptors, told by memory_limit_bytes) and a stand-in server, play a crowd, and check that the gateway lives, its peak memory (VmHWM) and descriptors stay within the machine, and an ordinary request is served afterwards.

scripts/test.sh runs the package after all others, by itself and uncached: a cached result would not know the processes that the tests start.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,9 +8,12 @@
 #
 # These run apart from the others and their result is printed, but their failure
 # does not fail this script. Every other test of their package still counts.
+#
+# Tests that measure processes run after all others, one at a time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+measuring=./test/crowd
 known_red_file=${KNOWN_RED_FILE:-KNOWN-RED.txt}
 flags=(-race -timeout 20m)
 log=$(mktemp)
@@ -68,21 +71,29 @@
 packages=()
 for package in $listed; do
 	relative=./${package#"$module"/}
+	[[ $relative == "$measuring" ]] && continue
 	[[ -z $(skip_pattern "$relative") ]] && packages+=("$package")
 done
 run_tests "${packages[@]}"
 
 for package in $(printf '%s\n' "${red_packages[@]}" | sort -u); do
+	[[ $package == "$measuring" ]] && continue
 	run_tests -skip "$(skip_pattern "$package")" "$package"
 done
 
+# A result in the cache of go test does not know the processes that the test started.
+measuring_flags=(-count=1 -p 1 -parallel 1)
+skipped=$(skip_pattern "$measuring")
+[[ -z $skipped ]] || measuring_flags+=(-skip "$skipped")
+run_tests "${measuring_flags[@]}" "$measuring"
+
 red_failed=0
 for index in "${!red_tests[@]}"; do
 	package=${red_packages[$index]}
 	test=${red_tests[$index]}
 	[[ -n $(go test -list "^$test\$" "$package" | grep -x "$test") ]] ||
 		fail "$known_red_file lists $test, which $package does not have"
-	if go test "${flags[@]}" -run "^$test\$" "$package"; then
+	if go test "${flags[@]}" -count=1 -run "^$test\$" "$package"; then
 		echo "known red: $package $test passes now; take it off $known_red_file"
 	else
 		echo "known red: $package $test FAILED (passed over, see $known_red_file)"
