Gateways bound the memory and the places of callers that make no progress

What callers saw: clients that sent large bodies of legal size and stopped just short of their end, or did not read their answers, made the process grow until it was ended for its memory, and every other caller's requests with it. 2,048 connections at rest shut all other callers out for a minute.

Cause: whoever makes a process hold memory owned it without a budget. A body was read whole into a buffer of its own for each connection, allocated from its announced length or doubled as it grew; an answer was counted while it was received, not while it waited for its reader; buffers of large bodies stayed with their connections; a place was kept however little came.

Change: package overload holds one account of connections, bodies and answers, which is taken from before memory is used: the whole length at the head of a body, parts of a body of unknown length as they come (package intake), answers as they are received until they are taken. Where it is short, connections whose client has made no progress (1 KiB) for longest give way, if nothing of it waits to be read; a body for which there is no memory gets 503 with its promise and Retry-After, one above the limit 413, before it is read. Bodies up to 8 KiB need nothing of it.

Bodies are held whole within the account, not streamed to the server: a request that is sent to a second server needs its body again. Streaming was not built.

The hash of a request takes its body in parts; tests of it changed mechanically.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -37,7 +37,8 @@
 	RetryBurst        int           `koanf:"retry_burst" validate:"min=0,max=1000" doc:"Resends of a service beyond that share, until requests have made up for them."`
 	RetrySlack        float64       `koanf:"retry_slack" validate:"min=0,max=1000000" doc:"Resends of a service that all gateways together may send at once beyond their share, which bounds retry_burst by the number of gateways; 0 if it is not bounded."`
 	QuarantineCrashes int           `koanf:"quarantine_crashes" validate:"min=2,max=8" doc:"Servers that crash under a request before this gateway by itself, while no controller tells it more, sends it to none any more."`
-	MemoryLimitBytes  int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that the collector aims at, in bytes; 0 for none."`
+	MemoryLimitBytes  int           `koanf:"memory_limit_bytes" validate:"min=0,max=1099511627776" doc:"Memory that this process may use, in bytes: the collector aims at seven tenths of it, since the program itself and garbage come on top; 0 for no limit."`
+	RequestMemory     int           `koanf:"request_memory" validate:"min=0,max=1099511627776" doc:"Memory in bytes that callers' connections, the bodies of their requests and the answers that wait until a caller takes them may use together. Beyond it callers that make no progress are disconnected, and requests with a body above 8 KiB rejected; 0 for half of memory_limit_bytes, or 512 MiB without one."`
 	CollectorPercent  int           `koanf:"collector_percent" validate:"min=5,max=1000" doc:"Growth of the heap, in percent, after which the collector runs: less memory for more processor time."`
 	BackEnd           BackEnd       `koanf:"back_end" doc:"Connections to the instances."`
 	Log               Log           `koanf:"log" doc:"Log lines."`
@@ -62,6 +63,32 @@
 	FailClosed bool          `koanf:"fail_closed" doc:"Rejects requests with API keys once no controller has confirmed the directory for that time; else the keys that were known are taken on."`
 }
 
+const (
+	// requestMemoryPercent is the share of memory_limit_bytes that requests may take by default: the largest body that
+	// is allowed by default fits into it on a machine of 144 MB, and the rest is for the program, answers that are
+	// being received and garbage.
+	requestMemoryPercent = 50
+	// defaultRequestMemory applies without a limit of the memory.
+	defaultRequestMemory = 512 * mebibyte
+)
+
+// EffectiveRequestMemory returns the bytes that requests may take together.
+func (g Gateway) EffectiveRequestMemory() int64 {
+	switch {
+	case g.RequestMemory > 0:
+		return int64(g.RequestMemory)
+	case g.MemoryLimitBytes > 0:
+		return int64(g.MemoryLimitBytes) / 100 * requestMemoryPercent
+	default:
+		return defaultRequestMemory
+	}
+}
+
+// CollectorTarget returns the memory in bytes that the collector aims at, and false for none.
+func (g Gateway) CollectorTarget() (int64, bool) {
+	return int64(g.MemoryLimitBytes) / 10 * 7, g.MemoryLimitBytes > 0
+}
+
 // DefaultGateway returns the settings that hold where a file says nothing. Fields
 // without a default are empty.
 func DefaultGateway() Gateway {
--- a/internal/crashwatch/guard_test.go
+++ b/internal/crashwatch/guard_test.go
@@ -12,7 +12,7 @@
 
 var identity = quarantine.Request{
 	Method: []byte("GET"), Host: []byte("shop.example"), URI: []byte("/albums/some/long/path/of/a/gallery?page=7"),
-	Caller: "address 10.0.0.1", Body: make([]byte, 1<<10),
+	Caller: "address 10.0.0.1", Body: [][]byte{make([]byte, 1<<10)},
 }
 
 // newTestGuard returns a guard with the given suspects, and a request.
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -35,6 +35,9 @@
 	// LinkCongested: the router's own network link is nearly saturated, so the request was
 	// not accepted.
 	LinkCongested Kind = "link_congested"
+	// MemoryExhausted: no memory is left for the request beside those of other callers, so it was
+	// not accepted.
+	MemoryExhausted Kind = "memory_exhausted"
 	// ServerLimited: the request rate limit that the server announced is used up.
 	ServerLimited Kind = "server_limited"
 	// ServerResting: the server rejected a request and asked this gateway to send none for some time.
@@ -152,6 +155,7 @@
 	Shedding:             {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retryLater},
 	QueueFull:            {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retryLater},
 	LinkCongested:        {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
+	MemoryExhausted:      {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
 	RateLimited:          {Status: 429, Outcome: NotRun, RetryAfter: retryLater},
 	ServerLimited:        {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
 	ServerResting:        {Status: 503, Outcome: NotRun, Resend: true, RetryAfter: retrySoon},
--- a/internal/forward/answermemory.go
+++ b/internal/forward/answermemory.go
@@ -62,6 +62,10 @@
 	if !c.memory.reserve(needed) {
 		return errAnswerMemory
 	}
+	if c.reserve != nil && !c.reserve(needed) {
+		c.memory.release(needed)
+		return errAnswerMemory
+	}
 	c.reserved += needed
 	return nil
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,6 +26,9 @@
 	// connection and in Write. If it returns an error, nothing is written and the attempt ends
 	// with that error.
 	Check func() *fault.Error
+	// Reserve, if not nil, is called before further memory is taken for a large answer, besides Settings.AnswerMemory. It
+	// may wait. If it returns false, the answer is broken off. What it reserves is the caller's to return.
+	Reserve func(bytes int64) bool
 	// Unanswered is set by Do: true if the request was sent and no byte of an answer came.
 	Unanswered bool
 	// Unacknowledged is set by Do: true if the connection broke because bytes that were sent on it stayed
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -28,6 +28,8 @@
 	// memory is shared by all answers; reserved is what the current one has taken of it.
 	memory   *AnswerMemory
 	reserved int64
+	// reserve is Attempt.Reserve of the current attempt.
+	reserve func(bytes int64) bool
 	// check is Attempt.Check of the current attempt.
 	check func() *fault.Error
 	// used is true once the connection has served an attempt.
@@ -95,6 +97,7 @@
 func (c *countingConnection) beginAttempt(attempt *Attempt) {
 	c.scheduleWrite = attempt.Write
 	c.check = attempt.Check
+	c.reserve = attempt.Reserve
 	c.bytesWritten = 0
 	c.bytesRead = 0
 	c.readError = nil
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -149,16 +149,19 @@
 	if chosen.relay != "" {
 		relay.SetTarget(&outgoing.Header, targetOf(current, instance))
 	}
-	body := len(current.inbound.Body())
+	body := current.body.Len()
 	waitTurn := g.pacer.turnFunc(current, body)
 	attempt := &forward.Attempt{
 		ID: current.id, Request: outgoing, Response: current.answer, Timeout: current.remaining(), Interrupt: current.interrupt,
-		Check: chosen.check,
+		Check: chosen.check, Reserve: func(bytes int64) bool { return current.reserveAnswer(g.clock, bytes) },
 		Write: func(data []byte, write func([]byte) (int, error)) (int, error) {
 			return writeInTurns(data, waitTurn, write)
 		},
 	}
 	failure := chosen.client.Do(attempt)
+	if failure != nil {
+		current.returnAnswer()
+	}
 	if failure == nil || !current.withdrawn && !neverSent(failure) {
 		g.meter.Add(link.Out, link.Attempts, body)
 	}
--- a/internal/gateway/connectiontimes_test.go
+++ b/internal/gateway/connectiontimes_test.go
@@ -46,7 +46,7 @@
 	}
 	server := gateway.newCallerServer()
 	var group conc.WaitGroup
-	group.Go(func() { _ = server.Serve(meteredListener{listener, connectionTraffic{gateway.meter}}) })
+	group.Go(func() { _ = server.Serve(gateway.meteredListener(listener)) })
 	t.Cleanup(func() {
 		_ = server.Shutdown()
 		_ = listener.Close() // Shutdown leaves it open if Serve has not begun
--- /dev/null
+++ b/internal/gateway/eviction.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"net"
+	"runtime"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/intake"
+	"github.com/thorntiller/thorntiller/internal/overload"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
+)
+
+// past is a deadline that ends a wait at once.
+var past = time.Unix(1, 0)
+
+var (
+	_ overload.Client = (*meteredConnection)(nil)
+	_ overload.Client = (*meteredStream)(nil)
+)
+
+// Stalled implements overload.Client. A caller whose bytes were not read yet waits for this gateway.
+func (c *meteredConnection) Stalled(phase overload.Phase) bool {
+	return phase == overload.Writing || !intake.HasUnread(c)
+}
+
+// Evict implements overload.Client. A request that is being read can still be refused.
+func (c *meteredConnection) Evict(phase overload.Phase) {
+	if phase == overload.Writing {
+		_ = c.Close() // the write fails
+		return
+	}
+	_ = c.TCPConn.SetReadDeadline(past) // fails if the connection is closed
+}
+
+// Stalled implements overload.Client.
+func (s *meteredStream) Stalled(phase overload.Phase) bool {
+	return phase == overload.Writing || !intake.HasUnread(s)
+}
+
+// Evict implements overload.Client.
+func (s *meteredStream) Evict(phase overload.Phase) {
+	if phase == overload.Writing {
+		_ = s.Close() // the write fails
+		return
+	}
+	_ = s.Conn.SetReadDeadline(past) // fails if the connection is closed
+}
+
+// SetReadDeadline implements net.Conn.
+func (s *meteredStream) SetReadDeadline(deadline time.Time) error {
+	err := s.Conn.SetReadDeadline(deadline)
+	if s.load.Evicted() {
+		// The eviction may have set its deadline before.
+		err = s.Conn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// enterPhase follows the state of a caller's connection.
+func (g *Gateway) enterPhase(connection net.Conn, change fasthttp.ConnState) {
+	intake.Follow(intake.LoadOf(connection), g.clock.Now(), change)
+}
+
+// Load implements intake.Bounded.
+func (c *meteredConnection) Load() *overload.Connection { return c.load }
+
+// Load implements intake.Bounded.
+func (s *meteredStream) Load() *overload.Connection { return s.load }
+
+// reserveAnswer reserves memory for an answer, which is held until the caller has taken the answer.
+func (r *request) reserveAnswer(now clock.Clock, bytes int64) bool {
+	reserved := intake.Reserve(r.load, now, bytes)
+	if reserved {
+		r.answerReserved += bytes
+	}
+	return reserved
+}
+
+// returnAnswer returns what was reserved for an answer that did not come whole.
+func (r *request) returnAnswer() {
+	r.load.Return(r.answerReserved)
+	r.answerReserved = 0
+}
+
+// maxKeptAnswerBytes is the size up to which the buffer of an answer is kept with its connection for further ones.
+const maxKeptAnswerBytes = 16 << 10
+
+// holdAnswer counts an answer until its caller has taken it. The buffer of a large one is not kept for further answers.
+func (g *Gateway) holdAnswer(current *request) {
+	now := g.clock.Now()
+	if bytes := int64(len(current.answer.Body())); bytes > maxKeptAnswerBytes {
+		current.answer.SetBodyRaw(current.answer.SwapBody(nil))
+		current.load.Take(now, max(0, bytes-current.answerReserved))
+	}
+	current.load.Enter(now, overload.Writing)
+}
+
+func newClientBudget(settings config.Gateway) *overload.Budget {
+	return overload.NewBudget(overload.Limits{
+		Bytes: settings.EffectiveRequestMemory(), ConnectionBytes: overload.TypicalConnectionBytes,
+		Connections: settings.MaxConnections, Collect: runtime.GC,
+	})
+}
+
+func registerBudget(registry *telemetry.Metrics, budget *overload.Budget) {
+	registry.GaugeFunction("request_memory_bytes", "Memory taken by callers' connections, bodies of requests and answers that wait to be taken.",
+		func() float64 { return float64(budget.Used()) })
+	registry.GaugeFunction("request_memory_peak_bytes", "Largest value of request_memory_bytes since the start.",
+		func() float64 { return float64(budget.Peak()) })
+	registry.CounterFunction("connections_evicted_total", "Callers' connections that were closed since they made no progress while memory or connections were short.",
+		nil, func() float64 { return float64(budget.Evicted()) })
+	registry.CounterFunction("overload_refused_total", "Callers' connections and requests that were refused for lack of memory or places.",
+		nil, func() float64 { return float64(budget.Refused()) })
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/listen"
+	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/reach"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
@@ -79,6 +80,8 @@
 	// while they are not served.
 	descriptors descriptor.Budget
 	peerServer  atomic.Pointer[wire.Server]
+	// clientBudget bounds what callers' connections, requests and answers take.
+	clientBudget *overload.Budget
 	// connections counts callers' open connections.
 	connections atomic.Int64
 	// accepted counts all connections that callers have opened.
@@ -113,8 +116,8 @@
 	if err != nil {
 		return err
 	}
-	if settings.MemoryLimitBytes > 0 {
-		debug.SetMemoryLimit(int64(settings.MemoryLimitBytes))
+	if target, limited := settings.CollectorTarget(); limited {
+		debug.SetMemoryLimit(target)
 	}
 	return gateway.run(ctx)
 }
@@ -150,6 +153,7 @@
 		meter:        meter,
 		coldStarts:   newColdStarts(warmUpBounds(settings)),
 		callers:      newCallers(),
+		clientBudget: newClientBudget(settings),
 		idleCallers:  newIdleConnections(),
 		registry:     telemetry.NewMetrics(role),
 		attemptEnded: broadcast.New(),
@@ -165,6 +169,7 @@
 	registerLinkBytes(gateway.registry, meter)
 	gateway.registry.GaugeFunction("answer_memory_bytes", "Memory reserved for large answers that are being received.", func() float64 { return float64(memory.Used()) })
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
+	registerBudget(gateway.registry, gateway.clientBudget)
 	gateway.subscription.dial = options.DialPeer
 	gateway.subscription.registerMetrics(gateway.registry)
 	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
@@ -262,7 +267,7 @@
 	adminServer := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
 	var group conc.WaitGroup
 	failed := make(chan error, 3)
-	group.Go(func() { failed <- callerServer.Serve(meteredListener{callers, connectionTraffic{g.meter}}) })
+	group.Go(func() { failed <- callerServer.Serve(g.meteredListener(callers)) })
 	group.Go(func() { failed <- adminServer.Serve(admin) })
 	metricsServer := g.serveMetrics(background, &group)
 	group.Go(func() { g.subscription.run(background) })
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -58,7 +58,7 @@
 // settleLink replaces the reservation of an admitted request by the bytes that it took.
 func (g *Gateway) settleLink(current *request, served bool) {
 	took := float64(len(current.answer.Body()) + messageOverhead)
-	took += float64(current.sentAttempts() * (len(current.inbound.Body()) + messageOverhead))
+	took += float64(current.sentAttempts() * (current.body.Len() + messageOverhead))
 	g.ownLink.mutex.Lock()
 	defer g.ownLink.mutex.Unlock()
 	g.ownLink.admission.Done(g.linkRequest(current), current.reserved, took, served && current.answer.StatusCode() < fasthttp.StatusBadRequest)
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -10,6 +10,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -44,20 +45,32 @@
 type meteredListener struct {
 	net.Listener
 	traffic connectionTraffic
+	budget  *overload.Budget
+	clock   clock.Clock
 }
 
-// Accept implements net.Listener.
+func (g *Gateway) meteredListener(listener net.Listener) meteredListener {
+	return meteredListener{Listener: listener, traffic: connectionTraffic{g.meter}, budget: g.clientBudget, clock: g.clock}
+}
+
+// Accept implements net.Listener. It closes connections for which there is no place.
 func (l meteredListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.traffic.Opened()
-	tcp, isTCP := accepted.(*net.TCPConn)
-	if !isTCP {
-		return accepted, nil
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.traffic.Opened()
+		tcp, isTCP := accepted.(*net.TCPConn)
+		if !isTCP {
+			return accepted, nil
+		}
+		connection := &meteredConnection{TCPConn: tcp, traffic: l.traffic, clock: l.clock}
+		if connection.load = l.budget.Open(l.clock.Now(), connection); connection.load != nil {
+			return connection, nil
+		}
+		_ = tcp.Close() // nothing was read
 	}
-	return &meteredConnection{TCPConn: tcp, traffic: l.traffic}, nil
 }
 
 // meteredConnection is a caller's connection whose bytes are counted.
@@ -68,6 +81,9 @@
 	turn func(bytes int)
 	// readDeadline overrides the deadlines of the waits for the caller.
 	readDeadline readDeadlineOverride
+	clock        clock.Clock
+	// load is what the connection takes of the budget; nil for no bound.
+	load *overload.Connection
 }
 
 // The callers type peeks at the connection through syscall.Conn.
@@ -88,12 +104,23 @@
 	return c.write(data)
 }
 
+// write writes in parts, so that the progress of a slow reader is known.
 func (c *meteredConnection) write(data []byte) (int, error) {
-	count, err := c.TCPConn.Write(data)
-	c.traffic.Passed(0, count)
-	return count, err
+	written := 0
+	for {
+		count, err := c.TCPConn.Write(data[written:min(len(data), written+maxWriteBytes)])
+		c.traffic.Passed(0, count)
+		c.load.Passed(c.clock.Now(), count)
+		written += count
+		if err != nil || written >= len(data) {
+			return written, err
+		}
+	}
 }
 
+// maxWriteBytes is the largest part of an answer that is written at a time.
+const maxWriteBytes = 64 << 10
+
 // registerLinkBytes registers the counters of bytes on the link.
 func registerLinkBytes(registry *telemetry.Metrics, meter *link.Meter) {
 	for _, direction := range link.Directions() {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -80,7 +80,7 @@
 	header := &current.inbound.Header
 	return quarantine.Request{
 		Method: header.Method(), Host: header.Host(), URI: header.RequestURI(), Caller: callerOf(current),
-		Key: header.Peek(g.dialect.Key), Body: current.inbound.Body(),
+		Key: header.Peek(g.dialect.Key), Body: current.body.Parts(),
 	}
 }
 
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -12,11 +12,13 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/balance"
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
-	"github.com/thorntiller/thorntiller/internal/link"
+	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/relay"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -42,6 +44,7 @@
 		HeaderReceived:               g.requestConfig,
 		Name:                         role,
 		ReadBufferSize:               relayHeaderBytes,
+		StreamRequestBody:            true,
 		MaxRequestBodySize:           defaultBodyBytes,
 		ReadTimeout:                  bodyTimeout,
 		WriteTimeout:                 writeTimeout,
@@ -70,6 +73,7 @@
 		g.relayedRunning.Add(-1)
 	}
 	stream.active = active
+	g.enterPhase(stream, change)
 }
 
 // serveRelay serves relayed requests on a connection of another gateway until it ends.
@@ -85,7 +89,11 @@
 	if err := connection.Send(ctx, &message.RelayWelcome{}); err != nil {
 		return err
 	}
-	stream := &meteredStream{Conn: connection.Detach(), traffic: connectionTraffic{g.meter}}
+	stream := &meteredStream{Conn: connection.Detach(), traffic: connectionTraffic{g.meter}, clock: g.clock}
+	if stream.load = g.clientBudget.Open(g.clock.Now(), stream); stream.load == nil {
+		return errTooManyRelays
+	}
+	defer stream.load.Close()
 	return eris.Wrap(g.relayServer.ServeConn(stream), "serve relayed requests")
 }
 
@@ -97,6 +105,9 @@
 	turn func(bytes int)
 	// active is true while the connection carries a request.
 	active bool
+	clock  clock.Clock
+	// load is what the connection takes of the budget.
+	load *overload.Connection
 }
 
 // Read implements net.Conn.
@@ -117,6 +128,7 @@
 func (s *meteredStream) write(data []byte) (int, error) {
 	count, err := s.Conn.Write(data)
 	s.traffic.Passed(0, count)
+	s.load.Passed(s.clock.Now(), count)
 	return count, err
 }
 
@@ -133,8 +145,12 @@
 func (g *Gateway) serveRelayed(context *fasthttp.RequestCtx) {
 	g.metrics.inFlight.Inc()
 	defer g.metrics.inFlight.Dec()
-	g.meter.Add(link.In, link.Bodies, len(context.Request.Body()))
+	body, err := g.readBody(context)
 	current, instance, failure := g.readRelayed(context)
+	if err != nil {
+		failure = asFault(err)
+	}
+	current.body, current.load = body, intake.LoadOf(context.Conn())
 	result := relay.NotSent
 	if failure == nil {
 		result, failure = g.executeRelayed(context, current, instance)
@@ -149,9 +165,10 @@
 		cleanAnswer(&context.Response)
 	}
 	relay.SetResult(&context.Response.Header, result, detail)
-	if g.stopping.Load() {
+	if err != nil || g.stopping.Load() {
 		context.SetConnectionClose()
 	}
+	g.holdAnswer(current)
 	g.metrics.relayed.WithLabelValues(relayedIn, result.Label()).Inc()
 	g.logRelayed(current, instance.ID, result, failure)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,8 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
+	"github.com/thorntiller/thorntiller/internal/intake"
+	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
@@ -23,7 +25,11 @@
 type request struct {
 	id      string
 	inbound *fasthttp.Request
+	body    intake.Body
 	answer  *fasthttp.Response
+	// load is what the caller's connection takes of the budget, answerReserved what it has reserved for the answer.
+	load           *overload.Connection
+	answerReserved int64
 	// clock is the gateway's clock, whose readings arrived and deadline are.
 	clock   clock.Clock
 	arrived time.Duration
@@ -213,10 +219,9 @@
 	outgoing.Header.SetNoDefaultContentType(true)
 	outgoing.Header.SetRequestURIBytes(r.inbound.Header.RequestURI())
 	outgoing.Header.SetHostBytes(r.inbound.Header.Host())
-	body := r.inbound.Body()
-	outgoing.SetBodyRaw(body)
-	if len(body) > 0 || r.inbound.Header.ContentLength() != 0 {
-		outgoing.Header.SetContentLength(len(body))
+	r.body.SetTo(outgoing)
+	if r.body.Len() > 0 || r.inbound.Header.ContentLength() != 0 {
+		outgoing.Header.SetContentLength(r.body.Len())
 	}
 	outgoing.Header.Del(dialect.Deadline)
 	outgoing.Header.Set(dialect.Deadline, strconv.FormatInt(max(1, r.remaining().Milliseconds()), 10))
--- a/internal/gateway/resting.go
+++ b/internal/gateway/resting.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/intake"
 )
 
 // idleConnections has the callers' connections on which no request is being served. It is safe for
@@ -36,19 +38,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for connection := range r.connections {
-		if system, ok := connection.(syscall.Conn); ok && hasUnread(system) {
+		if system, ok := connection.(syscall.Conn); ok && intake.HasUnread(system) {
 			return true
 		}
 	}
 	return false
 }
-
-func hasUnread(connection syscall.Conn) bool {
-	raw, err := connection.SyscallConn()
-	if err != nil {
-		return false // closed
-	}
-	count := 0
-	err = raw.Control(func(descriptor uintptr) { count = peek(descriptor) })
-	return err == nil && count > 0
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,18 +6,24 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
 
 // serve answers one request of a caller.
 func (g *Gateway) serve(context *fasthttp.RequestCtx) {
+	body, err := g.readBody(context)
+	if err != nil {
+		g.refuseBody(context, err)
+		return
+	}
 	g.metrics.inFlight.Inc()
 	defer g.metrics.inFlight.Dec()
-	g.meter.Add(link.In, link.Bodies, len(context.Request.Body()))
 	// The age is read before the table, which then includes all that the proof covers.
 	age := g.subscription.age()
 	current, err := g.readRequest(context, g.awaitTable(context), age)
+	current.body, current.load = body, intake.LoadOf(context.Conn())
 	if err == nil {
 		err = g.rejectQuarantined(current)
 	}
@@ -44,6 +50,7 @@
 	}
 	g.meter.Add(link.Out, link.Answers, len(current.answer.Body()))
 	g.observe(current, failure)
+	g.holdAnswer(current)
 }
 
 // executeWatched executes the request and aborts it when its caller disconnects. A request that this gateway
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"math"
 	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -23,11 +25,13 @@
 
 func (g *Gateway) newCallerServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                      telemetry.Recovered(g.log, g.serve, refusePanicked),
-		HeaderReceived:               g.requestConfig,
-		ErrorHandler:                 g.refuseMalformed,
-		Name:                         role,
-		Concurrency:                  g.settings.MaxConnections,
+		Handler:        telemetry.Recovered(g.log, g.serve, refusePanicked),
+		HeaderReceived: g.requestConfig,
+		ErrorHandler:   g.refuseMalformed,
+		Name:           role,
+		// The listener bounds the connections.
+		Concurrency:                  math.MaxInt32,
+		StreamRequestBody:            true,
 		ReadBufferSize:               defaultHeaderBytes,
 		MaxRequestBodySize:           defaultBodyBytes,
 		ReadTimeout:                  defaultHeaderTimeout,
@@ -45,16 +49,21 @@
 
 // requestConfig applies the operator's limits to a request whose header was received.
 func (g *Gateway) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	limited := fasthttp.RequestConfig{ReadTimeout: bodyTimeout, WriteTimeout: writeTimeout, MaxRequestBodySize: defaultBodyBytes}
+	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout, WriteTimeout: writeTimeout, MaxRequestBodySize: g.maxBodyBytes()}
+}
+
+// maxBodyBytes returns the operator's limit of the body of a request.
+func (g *Gateway) maxBodyBytes() int {
 	if table := g.subscription.current(); table != nil && table.Limits.MaxBodyBytes > 0 {
-		limited.MaxRequestBodySize = table.Limits.MaxBodyBytes
+		return table.Limits.MaxBodyBytes
 	}
-	return limited
+	return defaultBodyBytes
 }
 
 func (g *Gateway) countConnection(connection net.Conn, change fasthttp.ConnState) {
 	g.idleCallers.update(connection, change)
 	g.overrideReadDeadline(connection, change)
+	g.enterPhase(connection, change)
 	switch change {
 	case fasthttp.StateNew:
 		g.connections.Add(1)
@@ -72,7 +81,7 @@
 	switch {
 	case eris.As(err, &tooSmall):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case eris.Is(err, fasthttp.ErrBodyTooLarge):
+	case eris.Is(err, fasthttp.ErrBodyTooLarge), eris.Is(err, intake.ErrTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
 	case eris.As(err, &timeout) && timeout.Timeout():
 		status = fasthttp.StatusRequestTimeout
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -17,8 +17,9 @@
 	// Caller identifies the caller by what its server gets of it; see CallerOf. It is empty for anonymous callers.
 	Caller string
 	// Key is the value of the header with the request's key; empty if there is none.
-	Key  []byte
-	Body []byte
+	Key []byte
+	// Body is the body in any number of parts.
+	Body [][]byte
 }
 
 // Hasher computes keyed fingerprints. It is safe for concurrent use.
@@ -56,19 +57,26 @@
 		// Cannot happen: the size and the key are within the limits of BLAKE2b.
 		panic("quarantine: hash a request: " + err.Error())
 	}
-	for _, part := range [][]byte{request.Method, request.Host, request.URI, []byte(request.Caller), request.Key, request.Body} {
-		writePart(state, part)
+	for _, part := range [][]byte{request.Method, request.Host, request.URI, []byte(request.Caller), request.Key} {
+		writeParts(state, part)
 	}
+	writeParts(state, request.Body...)
 	return directory.Fingerprint(binary.BigEndian.Uint64(state.Sum(nil)))
 }
 
-// writePart writes a part prefixed with its length, so that moving bytes from one part to the next
-// changes the hash.
-func writePart(state hash.Hash, part []byte) {
+// writeParts writes the parts of one value prefixed with their total length, so that moving bytes from one value to the
+// next changes the hash.
+func writeParts(state hash.Hash, parts ...[]byte) {
+	total := 0
+	for _, part := range parts {
+		total += len(part)
+	}
 	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+	binary.BigEndian.PutUint64(length[:], uint64(total))
 	_, _ = state.Write(length[:]) // hash.Hash.Write never returns an error
-	_, _ = state.Write(part)
+	for _, part := range parts {
+		_, _ = state.Write(part)
+	}
 }
 
 // CallerOf returns a string that identifies a caller by the credential and the cookies that it sent.
--- a/internal/quarantine/witness_test.go
+++ b/internal/quarantine/witness_test.go
@@ -65,7 +65,7 @@
 // the secret; equal requests have equal fingerprints at all gateways.
 func TestFingerprintTellsRequestsApart(t *testing.T) {
 	hasher := NewHasher("secret of a cluster")
-	base := Request{Method: []byte("POST"), Host: []byte("a.example"), URI: []byte("/x/1?y"), Caller: "address 10.0.0.1", Key: []byte("7"), Body: []byte("body")}
+	base := Request{Method: []byte("POST"), Host: []byte("a.example"), URI: []byte("/x/1?y"), Caller: "address 10.0.0.1", Key: []byte("7"), Body: [][]byte{[]byte("body")}}
 	known := map[directory.Fingerprint]string{}
 	add := func(name string, hasher *Hasher, request Request) {
 		t.Helper()
@@ -86,7 +86,7 @@
 	add("path", hasher, change(func(r *Request) { r.URI = []byte("/x/1?z") }))
 	add("caller", hasher, change(func(r *Request) { r.Caller = "address 10.0.0.2" }))
 	add("key", hasher, change(func(r *Request) { r.Key = []byte("8") }))
-	add("body", hasher, change(func(r *Request) { r.Body = []byte("bodY") }))
+	add("body", hasher, change(func(r *Request) { r.Body = [][]byte{[]byte("bodY")} }))
 	add("boundary between host and path", hasher, change(func(r *Request) { r.Host, r.URI = []byte("a.example/"), []byte("x/1?y") }))
 	add("another cluster", NewHasher("secret of another"), base)
 	if again := NewHasher("secret of a cluster").Fingerprint(base); known[again] != "base" {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -93,7 +93,7 @@
 	header := &e.Inbound.Header
 	return quarantine.Request{
 		Method: header.Method(), Host: []byte(e.Request.Service), URI: []byte(e.Target),
-		Caller: quarantine.CallerOf(header.Peek(fasthttp.HeaderAuthorization), header.Peek(fasthttp.HeaderCookie)), Key: []byte(e.key), Body: e.Inbound.Body(),
+		Caller: quarantine.CallerOf(header.Peek(fasthttp.HeaderAuthorization), header.Peek(fasthttp.HeaderCookie)), Key: []byte(e.key), Body: [][]byte{e.Inbound.Body()},
 	}
 }
 
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -101,6 +101,7 @@
 	EventRequestOutcomeBad Event = "request_outcome_unknown"
 	EventRequestEnded      Event = "request_ended"
 	EventRequestMalformed  Event = "request_malformed"
+	EventRequestRefused    Event = "request_refused"
 	EventSettingsReloaded  Event = "settings_reloaded"
 	EventLinkBytes         Event = "link_bytes"
 	EventRestingClosed     Event = "resting_closed"
@@ -207,6 +208,7 @@
 		{EventPeerReached, levelInfo, "Another router answers again, or has no record partition any more."},
 		{EventRequestEnded, levelInfo, "A gateway answered a request by itself, or after it was sent more than once or through another gateway."},
 		{EventRequestMalformed, levelInfo, "A request could not be read, and its connection was closed."},
+		{EventRequestRefused, levelInfo, "A request was rejected before its body was read whole, for lack of memory or of progress while memory was short, and its connection was closed."},
 		{EventLinkBytes, levelInfo, "Bytes that passed a gateway's link since the last such line, by direction and kind."},
 		{EventRestingClosed, levelInfo, "A gateway that stops closes the callers' connections without a request; it waited until none was on its way, at most half of the time left."},
 		{EventServerLimit, levelInfo, "An answer of an instance named a limit of requests a second from all gateways, another one, or none any more (0)."},
