Tests that ordinary callers are served beside a crowd that holds memory

A bound of memory could be kept by turning everybody away. Two guards: an ordinary request is served while 24 bodies of 16 MiB, or 24 slow readers of 16 MiB, stay and come again.

--- a/test/crowd/gateway_test.go
+++ b/test/crowd/gateway_test.go
@@ -128,6 +128,29 @@
 	newSite(t, restingPlaces).answersBesideResting(func(status int) bool { return status == http.StatusOK })
 }
 
+// TestCallersAreServedBesideLargeBodies guards against a shortage of memory that leaves ordinary callers out.
+func TestCallersAreServedBesideLargeBodies(t *testing.T) {
+	s := newSite(t, "")
+	s.servesBeside(newCrowd(t, s.callers, 24, bodyShort(16*mebibyte)))
+}
+
+// TestCallersAreServedBesideSlowReaders guards against a shortage of memory that leaves ordinary callers out.
+func TestCallersAreServedBesideSlowReaders(t *testing.T) {
+	s := newSite(t, "")
+	s.servesBeside(newCrowd(t, s.callers, 24, slowReader(16*mebibyte)))
+}
+
+// servesBeside waits until an ordinary request is served while a crowd stays and comes again.
+func (s *site) servesBeside(c *crowd) {
+	s.t.Helper()
+	c.again = true
+	c.arrive()
+	s.gateway.settles()
+	s.answersOrdinary()
+	c.leave()
+	s.answersOrdinary()
+}
+
 // restingPlaces are settings with fewer places for connections than restingClients.
 const (
 	restingPlaces  = "max_connections: 200\n"
