A stop beside a caller that does not read is tried

A guard; no fault was found: a caller that does not read an answer of 16 MiB does not keep a gateway from ending within stop_timeout. The answer is cut then; there is no time left in which it could be finished.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	runtimemetrics "runtime/metrics"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
@@ -134,6 +137,52 @@
 	}
 }
 
+// TestStopDoesNotWaitForSlowReaders guards against a stop that outlasts its time because a caller does not read a long
+// answer. The answer cannot be finished; the process still ends in time.
+func TestStopDoesNotWaitForSlowReaders(t *testing.T) {
+	const length = 16 << 20
+	gateway := newCutOffGateway(t)
+	gateway.settings.StopNotice, gateway.settings.StopTimeout = 0, 1500*time.Millisecond
+	body := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nThorntiller-Request-Id: x\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("a", length))
+	putInstances(t, gateway, func(connection net.Conn) {
+		if _, err := connection.Read(make([]byte, 4096)); err == nil {
+			_, _ = connection.Write(body)
+		}
+	})
+	var listeners [2]net.Listener
+	for index := range listeners {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[index] = listener
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	var group conc.WaitGroup
+	group.Go(func() { ended <- gateway.serveOn(ctx, listeners[0], listeners[1]) })
+	defer group.Wait()
+	caller, err := net.Dial("tcp", listeners[0].Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	if _, err := fmt.Fprint(caller, "GET /once/ HTTP/1.1\r\nHost: h.example\r\nThorntiller-Request-Id: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	first := make([]byte, len("HTTP/1.1 200"))
+	if _, err := io.ReadFull(caller, first); err != nil || string(first) != "HTTP/1.1 200" {
+		t.Fatalf("the answer begins with %q: %v", first, err)
+	}
+	began := time.Now()
+	cancel()
+	<-ended
+	if took := time.Since(began); took > gateway.settings.StopTimeout {
+		t.Errorf("the stop took %s, the bound is %s", took, gateway.settings.StopTimeout)
+	}
+}
+
 // heapAllocated returns the number of bytes that the process has ever allocated on its heap.
 func heapAllocated() uint64 {
 	samples := []runtimemetrics.Sample{{Name: "/gc/heap/allocs:bytes"}}
