Process tests: ports at an address of the test's own

Cause: TestRelayedChunkedBodiesThatStopShort failed once since its gateway did not listen within 40 s; inferred: a connection of an earlier crowd had taken the port that was found to be free, for which the gateway now waits.

Change: tests of real processes listen at a loopback address that is derived from their process, and outgoing connections take their ports from another.

--- a/test/crowd/process_test.go
+++ b/test/crowd/process_test.go
@@ -233,12 +233,18 @@
 	p.staysWithin(allowed)
 }
 
+// ownAddress returns a loopback address that is specific to this process. Outgoing connections take their ports from
+// another one, so that none of them can hold a port that was found to be free.
+func ownAddress() string {
+	return net.IPv4(127, byte(64+os.Getpid()>>16), byte(os.Getpid()>>8), byte(os.Getpid())).String()
+}
+
 // freePorts returns loopback addresses whose ports nobody listens at.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(ownAddress(), "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
