Routers bound the memory and the places of callers that make no progress

What callers saw: as at gateways: 24 bodies of 16 MiB that stop a byte short took a router to three and six times the memory of its machine.

Cause: the router's HTTP server read bodies whole into buffers of their own.

Change: bodies, and answers that wait for their readers, are taken from a budget as at gateways (request_memory, 64 MiB by default, connections not counted); stalled callers give way, other requests get 503 with its promise.

Tests of the router pass with -race.

--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -24,6 +24,7 @@
 	StopTimeout       time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
 	MaxBodyBytes      int           `koanf:"max_body_bytes" validate:"min=1024,max=1073741824" doc:"Bound of a caller's request body, in bytes."`
 	MaxConnections    int           `koanf:"max_connections" validate:"min=1,max=1000000" doc:"Bound of callers' open connections."`
+	RequestMemory     int           `koanf:"request_memory" validate:"min=65536,max=1099511627776" doc:"Memory in bytes that the bodies of callers' requests and the answers that wait until a caller takes them may use together. Beyond it callers that make no progress are disconnected, and requests with a body above 8 KiB rejected."`
 	DescriptorLimit   int           `koanf:"descriptor_limit" validate:"min=0,max=10000000" doc:"File descriptors that the process may have open, if fewer than its own limit (RLIMIT_NOFILE); 0 for that limit. Callers and other processes of the system leave a part of them to back ends, health checks and files."`
 	MaxInFlight       int           `koanf:"max_in_flight" validate:"min=1,max=1000000" doc:"Bound of requests that the router holds at the same time."`
 	MaxTimeout        time.Duration `koanf:"max_timeout" validate:"min=10ms,max=1h" doc:"Longest timeout that a request may ask for."`
@@ -86,6 +87,7 @@
 		StopTimeout:    10 * time.Second,
 		MaxBodyBytes:   16 * mebibyte,
 		MaxConnections: 4096,
+		RequestMemory:  64 * mebibyte,
 		MaxInFlight:    4096,
 		MaxTimeout:     time.Minute,
 		IdleTimeout:    time.Minute,
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -11,8 +13,11 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/callerapi"
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/fleet"
+	"github.com/thorntiller/thorntiller/internal/intake"
+	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -33,10 +38,12 @@
 
 func (r *Router) newCallerServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               telemetry.Recovered(r.log, r.serve, refusePanicked),
-		ErrorHandler:          refuseMalformed,
-		Name:                  role,
-		Concurrency:           r.settings.MaxConnections,
+		Handler:      telemetry.Recovered(r.log, r.serve, refusePanicked),
+		ErrorHandler: refuseMalformed,
+		Name:         role,
+		// The listener bounds the connections.
+		Concurrency:           math.MaxInt32,
+		StreamRequestBody:     true,
 		MaxRequestBodySize:    r.settings.MaxBodyBytes,
 		ReadTimeout:           r.settings.MaxTimeout,
 		WriteTimeout:          r.settings.MaxTimeout,
@@ -52,7 +59,8 @@
 	}
 }
 
-func (r *Router) countConnection(_ net.Conn, change fasthttp.ConnState) {
+func (r *Router) countConnection(connection net.Conn, change fasthttp.ConnState) {
+	intake.Follow(intake.LoadOf(connection), r.clock.Now(), change)
 	switch change {
 	case fasthttp.StateNew:
 		r.connections.Add(1)
@@ -61,6 +69,24 @@
 	}
 }
 
+func newClientBudget(settings config.Router) *overload.Budget {
+	return overload.NewBudget(overload.Limits{
+		Bytes: int64(settings.RequestMemory), Connections: settings.MaxConnections, Collect: runtime.GC,
+	})
+}
+
+// refuseBody answers a request whose body was not read whole, and closes its connection.
+func (r *Router) refuseBody(inbound *fasthttp.RequestCtx, err error) {
+	telemetry.WithError(r.log, telemetry.EventRequestRefused, err).WithField("request_memory_bytes", r.clientBudget.Used()).
+		Info("request rejected before its body was read")
+	if !eris.Is(err, intake.ErrNoMemory) && !eris.Is(err, intake.ErrEvicted) {
+		refuseMalformed(inbound, err)
+		return
+	}
+	writeRefusal(&inbound.Response, string(inbound.Request.Header.Peek(callerapi.HeaderRequestID)), fault.New(fault.MemoryExhausted, err.Error()))
+	inbound.SetConnectionClose()
+}
+
 // onceListener is a listener that may be closed twice: by stop, and by the server's own
 // shutdown.
 type onceListener struct {
@@ -78,7 +104,7 @@
 // refuseMalformed answers a request that could not be parsed.
 func refuseMalformed(inbound *fasthttp.RequestCtx, err error) {
 	detail := "the request could not be read; check its syntax and size"
-	if eris.Is(err, fasthttp.ErrBodyTooLarge) {
+	if eris.Is(err, fasthttp.ErrBodyTooLarge) || eris.Is(err, intake.ErrTooLarge) {
 		detail = "the request's body is larger than max_body_bytes of this router; send less"
 	}
 	writeRefusal(&inbound.Response, "", fault.New(fault.InvalidRequest, detail))
--- a/internal/router/middleware.go
+++ b/internal/router/middleware.go
@@ -10,6 +10,7 @@
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -27,6 +28,12 @@
 
 // serve handles callers' requests.
 func (r *Router) serve(inbound *fasthttp.RequestCtx) {
+	load := intake.LoadOf(inbound.Conn())
+	if err := intake.ReadJoined(inbound, r.settings.MaxBodyBytes, load, r.clock); err != nil {
+		r.refuseBody(inbound, err)
+		return
+	}
+	defer func() { intake.Answered(&inbound.Response, load, r.clock) }()
 	exchange, err := r.readExchange(inbound)
 	defer fasthttp.ReleaseResponse(exchange.Answer)
 	if err == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,7 +25,9 @@
 	"github.com/thorntiller/thorntiller/internal/dispatch"
 	"github.com/thorntiller/thorntiller/internal/execution"
 	"github.com/thorntiller/thorntiller/internal/fleet"
+	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/listen"
+	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/router/records"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -38,6 +40,8 @@
 
 // Router is one router process.
 type Router struct {
+	// clientBudget bounds what callers' connections, requests and answers take.
+	clientBudget *overload.Budget
 	settings     config.Router
 	log          *logrus.Entry
 	clock        clock.Clock
@@ -125,6 +129,7 @@
 		subset:   table.NewSubset(serviceNames(settings.Services)),
 		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: controllerDialer(options.dial()), certificates: options.Certificates,
 	}
+	router.clientBudget = newClientBudget(settings)
 	router.crashed = make(chan struct{}, 1)
 	router.guard = crashwatch.NewGuard(router.clock, settings.Name, settings.QuarantineCrashes, router.crashed)
 	router.crashes = crashwatch.NewWatch(router.clock, log, crashwatch.Options{OnCrash: router.guard.Crashed, Others: router.otherServers})
@@ -242,7 +247,8 @@
 
 func (r *Router) serveOn(ctx context.Context, callers, admin, peers net.Listener) error {
 	budget := r.descriptorBudget()
-	callers = &onceListener{Listener: descriptor.Bound(callers, budget.AdmitsClient)}
+	callers = intake.Listen(descriptor.Bound(callers, budget.AdmitsClient), r.clientBudget, r.clock)
+	callers = &onceListener{Listener: callers}
 	peers = descriptor.Bound(peers, budget.AdmitsPeer)
 	background, stopBackground := context.WithCancel(context.Background())
 	callerServer := r.newCallerServer()
