Controllers bound the memory and the places of clients that make no progress

What operators saw: 500 calls with a body of 1 MiB that stop a byte short took a controller to twice the memory of its machine; a killed controller ends leases.

Cause: the API's HTTP server read bodies whole, on as many connections as the machine has descriptors.

Change: bodies of calls, and answers that wait for their readers, are taken from a budget (api.request_memory, 64 MiB); stalled clients give way, other calls with a body above 8 KiB get 503 with its promise. Heartbeats are below that.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -151,6 +151,7 @@
 type API struct {
 	BodyLimit      int           `koanf:"body_limit" validate:"min=1024,max=67108864" doc:"Bound of a request body, in bytes."`
 	MaxConnections int           `koanf:"max_connections" validate:"min=1,max=100000" doc:"Bound of open connections."`
+	RequestMemory  int           `koanf:"request_memory" validate:"min=65536,max=1099511627776" doc:"Memory in bytes that the bodies of calls and the answers that wait until a client takes them may use together. Beyond it clients that make no progress are disconnected, and calls with a body above 8 KiB rejected."`
 	RequestTimeout time.Duration `koanf:"request_timeout" validate:"min=100ms,max=1m" doc:"Longest time for one call."`
 	IdleTimeout    time.Duration `koanf:"idle_timeout" validate:"min=100ms,max=10m" doc:"Time after which a connection without a call is closed; above the time between two heartbeats of an instance."`
 	Operators      []Operator    `koanf:"operators" validate:"max=1000,dive" doc:"Rights of operators, by their certificates."`
@@ -222,7 +223,7 @@
 			WriteTimeout:    2 * time.Second,
 		},
 		Partitions:  Partitions{Count: 16, LeaseDuration: 800 * time.Millisecond},
-		API:         API{BodyLimit: mebibyte, MaxConnections: 256, RequestTimeout: 5 * time.Second, IdleTimeout: 6 * time.Second},
+		API:         API{BodyLimit: mebibyte, MaxConnections: 256, RequestMemory: 64 * mebibyte, RequestTimeout: 5 * time.Second, IdleTimeout: 6 * time.Second},
 		TLS:         defaultTLS(),
 		Maintenance: Maintenance{Interval: 20 * time.Millisecond},
 		StopTimeout: 10 * time.Second,
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"runtime/debug"
 	"time"
@@ -11,9 +12,12 @@
 	recoverer "github.com/gofiber/fiber/v3/middleware/recover"
 	"github.com/sirupsen/logrus"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/intentapi"
+	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/planner"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -26,21 +30,31 @@
 	log      *logrus.Entry
 	security *security
 	app      *fiber.App
+	clock    clock.Clock
+	// budget bounds what clients' connections, calls and answers take.
+	budget *overload.Budget
 	// forwarder forwards heartbeats to the leader while another replica leads.
 	forwarder *forwarder
 }
 
 func newAPI(settings config.API, r *replica, log *logrus.Entry, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
-	service := &api{settings: settings, replica: r, log: log, security: security, forwarder: &forwarder{replica: r}}
+	service := &api{
+		settings: settings, replica: r, log: log, security: security, clock: clock.NewSystem(), budget: newClientBudget(settings),
+		forwarder: &forwarder{replica: r},
+	}
 	service.app = fiber.New(fiber.Config{
-		BodyLimit:    settings.BodyLimit,
-		Concurrency:  apiConnections(settings.MaxConnections),
-		ReadTimeout:  settings.RequestTimeout,
-		WriteTimeout: settings.RequestTimeout,
-		IdleTimeout:  settings.IdleTimeout,
-		ErrorHandler: service.answerError,
+		BodyLimit: settings.BodyLimit,
+		// The listener bounds the connections.
+		Concurrency:       math.MaxInt32,
+		StreamRequestBody: true,
+		ReadTimeout:       settings.RequestTimeout,
+		WriteTimeout:      settings.RequestTimeout,
+		IdleTimeout:       settings.IdleTimeout,
+		ErrorHandler:      service.answerError,
 	})
+	service.app.Server().ConnState = service.followConnection
 	service.app.Use(recoverer.New(recoverer.Config{EnableStackTrace: true, StackTraceHandler: service.logPanic}))
+	service.app.Use(service.readBody)
 	service.routes()
 	service.directoryRoutes()
 	service.app.Get(intentapi.PathLive, telemetry.LiveHandler())
@@ -82,6 +96,11 @@
 	a.app.Post(intentapi.PathTransfer, a.transfer)
 }
 
+// listener returns a listener that admits connections to the budget.
+func (a *api) listener(inner net.Listener) net.Listener {
+	return intake.Listen(inner, a.budget, a.clock)
+}
+
 func (a *api) serve(listener net.Listener) error {
 	return a.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
 }
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -225,7 +225,7 @@
 }
 
 func (n *node) serveAPI(service *api) {
-	if err := service.serve(n.security.listener(n.apiListener)); err != nil {
+	if err := service.serve(n.security.listener(service.listener(n.apiListener))); err != nil {
 		telemetry.WithError(n.log, telemetry.EventFailed, err).Error("intent API server stopped")
 	}
 }
