Settings that are not valid are waited for, whatever the time of their file

What operators saw: a process that starts while its settings file is cut ends with status 2 at once if the time of day was set forward by more than 3 s since the write; and so does one whose certificate is being replaced, since the settings that name it have not changed for long.

Cause: the problems of a file whose modification time lies 3 s back were final. That is a difference of two readings of the time of day, which may be set between them, and says nothing of the files that the settings name.

Change: problems are final once the process itself has seen the file unchanged for 3 s. A process with wrong settings ends 3 s later than before; its log tells the problems at once.

--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -34,7 +34,8 @@
 }
 
 // awaitSettings loads settings from a file. It tries again while the file is missing or not valid, until the file has
-// not changed for settingsSettleTime.
+// not changed for settingsSettleTime. The age of the file does not count, since the time of day may have been set since
+// it was written.
 func awaitSettings[T any](ctx context.Context, path string, log *logrus.Entry, load func() (T, error)) (T, error) {
 	var last fileVersion
 	var unchangedSince time.Time
@@ -48,9 +49,7 @@
 		if attempt == 0 || version != last {
 			last, unchangedSince = version, now
 		}
-		settled := now.Sub(unchangedSince) >= settingsSettleTime
-		old := !version.modified.IsZero() && now.Sub(version.modified) >= settingsSettleTime
-		if settled || old || ctx.Err() != nil {
+		if now.Sub(unchangedSince) >= settingsSettleTime || ctx.Err() != nil {
 			return settings, err
 		}
 		if attempt == 0 {
