--- a/internal/listen/accept_test.go
+++ b/internal/listen/accept_test.go
@@ -37,3 +37,22 @@
 		t.Errorf("another error: %v", err)
 	}
 }
+
+// TestListenerOutlastsConnectionsThatFailed guards against a server that stops for good because one connection was
+// reset, or its network was down, before it was accepted.
+func TestListenerOutlastsConnectionsThatFailed(t *testing.T) {
+	failures := []error{
+		syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EPERM, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP,
+		syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH, syscall.ENONET, syscall.ETIMEDOUT,
+		syscall.ENOSPC,
+	}
+	for _, failure := range failures {
+		t.Run(failure.Error(), func(t *testing.T) {
+			failing := &failingListener{failures: []error{failure, nil}}
+			listener := &retryingListener{Listener: failing, waiting: waitingLog{log: silentLog()}}
+			if connection, err := listener.Accept(); err != nil || connection == nil {
+				t.Errorf("connection %v, error %v", connection, err)
+			}
+		})
+	}
+}
