Roles open no port before all of their ports are free

What operators saw: a process that starts while the one before it still ends takes the callers' port, which is let go first, and then waits for the port of the health checks. Callers connect meanwhile and get no answer until that port is free too. Before roles waited for ports, the process ended and callers were refused.

Cause: ports were opened one after the other, each with a wait of its own; the kernel accepts connections at those that are open and not served.

Change: listen.All opens the ports of a role at once, or closes those that it has and tries again. What connects within such an attempt is reset. Errors that do not pass name the setting in the same words in all roles.

--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -122,13 +122,12 @@
 }
 
 func (n *node) listen(ctx context.Context) error {
-	var err error
-	if n.peerListener, err = listen.TCP(ctx, n.settings.PeerAddress, n.log); err != nil {
-		return eris.Wrapf(err, "peer_address: listen on %s", n.settings.PeerAddress)
-	}
-	if n.apiListener, err = listen.TCP(ctx, n.settings.APIAddress, n.log); err != nil {
-		return eris.Wrapf(err, "api_address: listen on %s", n.settings.APIAddress)
+	listeners, err := listen.All(ctx, n.log, listen.Address{Setting: "peer_address", Address: n.settings.PeerAddress},
+		listen.Address{Setting: "api_address", Address: n.settings.APIAddress})
+	if err != nil {
+		return err
 	}
+	n.peerListener, n.apiListener = listeners[0], listeners[1]
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -235,16 +235,12 @@
 }
 
 func (g *Gateway) run(ctx context.Context) error {
-	callers, err := listen.TCP(ctx, g.settings.Address, g.log)
+	listeners, err := listen.All(ctx, g.log, listen.Address{Setting: "address", Address: g.settings.Address},
+		listen.Address{Setting: "admin_address", Address: g.settings.AdminAddress})
 	if err != nil {
-		return eris.Wrapf(err, "listen for callers on address %q", g.settings.Address)
-	}
-	admin, err := listen.TCP(ctx, g.settings.AdminAddress, g.log)
-	if err != nil {
-		_ = callers.Close() // nothing was accepted
-		return eris.Wrapf(err, "listen on admin_address %q", g.settings.AdminAddress)
+		return err
 	}
-	return g.serveOn(ctx, callers, admin)
+	return g.serveOn(ctx, listeners[0], listeners[1])
 }
 
 func (g *Gateway) serveOn(ctx context.Context, callers, admin net.Listener) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -202,34 +202,15 @@
 
 // Run serves until the context ends.
 func (r *Router) Run(ctx context.Context) error {
-	addresses := []string{r.settings.Address, r.settings.AdminAddress, r.settings.PeerAddress}
-	listeners, err := r.listen(ctx, addresses)
+	listeners, err := listen.All(ctx, r.log, listen.Address{Setting: "address", Address: r.settings.Address},
+		listen.Address{Setting: "admin_address", Address: r.settings.AdminAddress},
+		listen.Address{Setting: "peer_address", Address: r.settings.PeerAddress})
 	if err != nil {
-		closeAll(listeners)
 		return err
 	}
 	return r.serveOn(ctx, listeners[0], listeners[1], listeners[2])
 }
 
-// listen opens a listener for each address. After an error it returns those that are open.
-func (r *Router) listen(ctx context.Context, addresses []string) ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := listen.TCP(ctx, address, r.log)
-		if err != nil {
-			return listeners, eris.Wrapf(err, "listen on %s", address)
-		}
-		listeners = append(listeners, listener)
-	}
-	return listeners, nil
-}
-
-func closeAll(listeners []net.Listener) {
-	for _, listener := range listeners {
-		_ = listener.Close() // nothing was accepted
-	}
-}
-
 func (r *Router) serveOn(ctx context.Context, callers, admin, peers net.Listener) error {
 	callers = &onceListener{Listener: callers}
 	background, stopBackground := context.WithCancel(context.Background())
--- a/test/startwait_test.go
+++ b/test/startwait_test.go
@@ -1,7 +1,9 @@
 package test
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -77,3 +79,44 @@
 		})
 	}
 }
+
+// TestConnectionsAreRefusedWhileAnotherPortIsTaken guards against callers that wait at a port which a process has opened
+// and does not serve, since it waits for another port.
+func TestConnectionsAreRefusedWhileAnotherPortIsTaken(t *testing.T) {
+	for _, role := range roles {
+		t.Run(role, func(t *testing.T) {
+			p := newRole(t, role)
+			taken, free := p.admin, p.callers
+			if role == "controller" {
+				free = p.peers
+			}
+			holder, err := net.Listen("tcp", taken)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = holder.Close() }()
+			p.start()
+			p.logged("listen_waiting")
+			p.eventually("a connection to "+free+" is refused or reset", func() bool { return !staysOpen(t, free) })
+			if err := holder.Close(); err != nil {
+				t.Fatal(err)
+			}
+			p.answers(p.callers, "/any")
+		})
+	}
+}
+
+// staysOpen reports whether a connection to an address is accepted and kept open for a while.
+func staysOpen(t *testing.T, address string) bool {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = connection.Close() }()
+	if err := connection.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = connection.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
