Controllers that look for their group take over changed seeds

What operators saw: a controller whose seeds have all been replaced since its settings were read never joins its group. It listens, logs that its settings were read again, and asks the former seeds until it is restarted. The same holds for one that was removed from its group while it was cut off.

Cause: the seeds of the start were kept for good; gateways read theirs again.

Change: a controller reads the seeds again before it asks, and asks the new ones besides those of the start and the members that it has learned of. One that may form a group, and belongs to none, keeps to the seeds of the start: a group is formed only if all of them answer, and answers of others must not count for that.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -21,10 +21,10 @@
 
 // Runners run the roles of a process until their context ends.
 type Runners struct {
-	Controller func(context.Context, config.Controller, *logrus.Entry) error
-	Router     func(context.Context, config.Router, *logrus.Entry) error
-	// Gateway takes besides how the settings are read again.
-	Gateway func(context.Context, config.Gateway, *logrus.Entry, func() (config.Gateway, error)) error
+	Router func(context.Context, config.Router, *logrus.Entry) error
+	// Controller and Gateway take besides how the settings are read again.
+	Controller func(context.Context, config.Controller, *logrus.Entry, func() (config.Controller, error)) error
+	Gateway    func(context.Context, config.Gateway, *logrus.Entry, func() (config.Gateway, error)) error
 }
 
 // overrideFlag is a flag that takes the place of a field of the settings file.
@@ -68,9 +68,7 @@
 		common: func(settings config.Controller) commonSettings {
 			return commonSettings{settings.Name, settings.Log, settings.CollectorPercent}
 		},
-		run: func(ctx context.Context, settings config.Controller, log *logrus.Entry, _ func() (config.Controller, error)) error {
-			return program.runners.Controller(ctx, settings, log)
-		},
+		run: program.runners.Controller,
 	}))
 }
 
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -26,7 +26,7 @@
 	APIAddress       string           `koanf:"api_address" validate:"address" doc:"IP:port of the intent API, the health checks and the metrics."`
 	AllowNonLoopback bool             `koanf:"allow_non_loopback" doc:"Allows addresses beyond the loopback interface."`
 	Controllers      []ControllerPeer `koanf:"controllers" validate:"max=5,dive" doc:"The configured group, this replica included: 1, 3 or 5 entries. Empty where seeds are given."`
-	Seeds            []string         `koanf:"seeds" validate:"max=16,dive,address" doc:"Controllers by which the group is found or formed, IP:port, in place of controllers; only the IP number counts, peers listen at the port of peer_address."`
+	Seeds            []string         `koanf:"seeds" validate:"max=16,dive,address" doc:"Controllers by which the group is found or formed, IP:port, in place of controllers; only the IP number counts, peers listen at the port of peer_address. Read again while this controller belongs to no group or knows no leader."`
 	FirstStart       bool             `koanf:"first_start" doc:"With seeds: true only where the whole system starts for the first time, so that a new group may be formed."`
 	ControllerUnit   string           `koanf:"controller_unit" validate:"name" doc:"With seeds and certificates: the organizational unit (OU) that the certificates of controllers bear, and those of no other process. Only they take part in consensus and formation."`
 	Consensus        Consensus        `koanf:"consensus" doc:"Replicated log."`
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -38,6 +38,8 @@
 	log      *logrus.Entry
 	dial     wire.DialFunc
 	save     func(identity.Identity) error
+	// reload reads the settings again; nil if they do not change.
+	reload func() (config.Controller, error)
 
 	mutex  sync.Mutex
 	self   consensus.Member
@@ -46,6 +48,8 @@
 	join   func(consensus.Member)
 	// learned holds the members of the group from the latest answer that listed them.
 	learned []consensus.Member
+	// changedSeeds holds the seeds of the settings as they were last read, if they differ from those of the start.
+	changedSeeds []string
 }
 
 func (f *formation) identity() identity.Identity {
@@ -128,14 +132,17 @@
 	})
 }
 
-// seeds returns the peer addresses of the seeds.
-func (f *formation) seeds() []string {
+// seeds returns the peer addresses of the seeds that the settings had at the start.
+func (f *formation) seeds() []string { return f.peerAddresses(f.settings.Seeds) }
+
+// peerAddresses returns the peer addresses of seeds, whose ports are those of their APIs.
+func (f *formation) peerAddresses(seeds []string) []string {
 	_, port, err := net.SplitHostPort(f.settings.PeerAddress)
 	if err != nil {
 		return nil
 	}
-	addresses := make([]string, 0, len(f.settings.Seeds))
-	for _, seed := range f.settings.Seeds {
+	addresses := make([]string, 0, len(seeds))
+	for _, seed := range seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if address := net.JoinHostPort(host, port); err == nil && !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
@@ -155,20 +162,44 @@
 	return slices.DeleteFunc(addresses, func(address string) bool { return address == f.settings.PeerAddress })
 }
 
-// addresses returns the peer addresses to ask: those of the configured controllers and of the members learned
-// from them.
+// addresses returns the peer addresses to ask: those of the configured controllers, of the members learned
+// from them, and of seeds that were added to the settings since the start.
 func (f *formation) addresses() []string {
 	addresses := f.configuredPeers()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	further := f.peerAddresses(f.changedSeeds)
 	for _, member := range f.learned {
-		if member.Address != f.settings.PeerAddress && !slices.Contains(addresses, member.Address) {
-			addresses = append(addresses, member.Address)
+		further = append(further, member.Address)
+	}
+	for _, address := range further {
+		if address != f.settings.PeerAddress && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
 		}
 	}
 	return addresses
 }
 
+// reloadSeeds reads the seeds again, since those of the start may all have been replaced. A replica that may form a group
+// keeps to those of the start: all of them have to agree on who forms it.
+func (f *formation) reloadSeeds() {
+	own := f.identity()
+	if f.reload == nil || len(f.settings.Seeds) == 0 || own.MayFound && own.Cluster == "" {
+		return
+	}
+	fresh, err := f.reload()
+	if err != nil {
+		return // the check at SIGHUP logs it
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if slices.Equal(fresh.Seeds, f.changedSeeds) || f.changedSeeds == nil && slices.Equal(fresh.Seeds, f.settings.Seeds) {
+		return
+	}
+	f.changedSeeds = fresh.Seeds
+	telemetry.With(f.log, telemetry.EventSettingsReloaded).WithField("seeds", fresh.Seeds).Info("seeds changed")
+}
+
 // learn stores the members of the group that an answer lists.
 func (f *formation) learn(answer message.FormationAnswer) {
 	f.mutex.Lock()
@@ -199,6 +230,7 @@
 
 // askAll asks every other known controller and returns the answers.
 func (f *formation) askAll(ctx context.Context) []message.FormationAnswer {
+	f.reloadSeeds()
 	var group conc.WaitGroup
 	var mutex sync.Mutex
 	var answers []message.FormationAnswer
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -25,28 +25,43 @@
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-// Run runs a controller until the context ends and then stops it gracefully. It returns an error if the
-// replica cannot start or its disk fails.
+// Options are optional parts that the caller of RunWith may set.
+type Options struct {
+	// Files is the file system of the data folder, so that disk faults can be injected; nil means the operating system's.
+	Files vfs.FileSystem
+	// Reload reads the settings again; nil if they do not change.
+	Reload func() (config.Controller, error)
+}
+
+// Run is RunWith without options.
 func Run(ctx context.Context, settings config.Controller, log *logrus.Entry) error {
-	return RunOn(ctx, vfs.System{}, settings, log)
+	return RunWith(ctx, settings, log, Options{})
 }
 
-// RunOn is Run on a given file system, so that disk faults can be injected. A replica whose disk is full
-// leaves its group until there is free space, and then restarts from the content of the disk: it never
-// continues after a write whose outcome is unknown.
+// RunOn is RunWith on a given file system.
 func RunOn(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
+	return RunWith(ctx, settings, log, Options{Files: files})
+}
+
+// RunWith runs a controller until the context ends and then stops it gracefully. It returns an error if the
+// replica cannot start or its disk fails. A replica whose disk is full leaves its group until there is free space,
+// and then restarts from the content of the disk: it never continues after a write whose outcome is unknown.
+func RunWith(ctx context.Context, settings config.Controller, log *logrus.Entry, options Options) error {
+	if options.Files == nil {
+		options.Files = vfs.System{}
+	}
 	lock, err := lockDataFolder(ctx, settings.DataDirectory, log)
 	if err != nil {
 		return err
 	}
 	defer closeQuietly(lock, log)
 	for {
-		err := runOnce(ctx, files, settings, log)
+		err := runOnce(ctx, options, settings, log)
 		if !errors.Is(err, syscall.ENOSPC) {
 			return err
 		}
 		telemetry.WithError(log, telemetry.EventDiskFull, err).Warn("disk is full; replica waits for free space")
-		if !awaitDiskSpace(ctx, files, settings.DataDirectory) {
+		if !awaitDiskSpace(ctx, options.Files, settings.DataDirectory) {
 			return nil
 		}
 	}
@@ -72,8 +87,8 @@
 	}
 }
 
-func runOnce(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
-	node, err := newNode(files, settings, log)
+func runOnce(ctx context.Context, options Options, settings config.Controller, log *logrus.Entry) error {
+	node, err := newNode(options, settings, log)
 	if err != nil {
 		return err
 	}
@@ -96,18 +111,18 @@
 	apiListener  net.Listener
 }
 
-func newNode(files vfs.FileSystem, settings config.Controller, log *logrus.Entry) (*node, error) {
+func newNode(options Options, settings config.Controller, log *logrus.Entry) (*node, error) {
 	security, err := newSecurity(settings)
 	if err != nil {
 		return nil, err
 	}
-	n := &node{settings: settings, log: log, files: files, security: security}
+	n := &node{settings: settings, log: log, files: options.Files, security: security}
 	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, settings.FirstStart, newReplicaID)
 	if err != nil {
 		return nil, err
 	}
 	n.formation = &formation{
-		settings: settings, log: log, dial: security.dial(), own: self,
+		settings: settings, log: log, dial: security.dial(), own: self, reload: options.Reload,
 		save: func(next identity.Identity) error { return identity.Save(n.files, settings.DataDirectory, next) },
 		self: consensus.Member{
 			ID: self.Replica, Name: settings.Name, Address: settings.PeerAddress, APIAddress: settings.APIAddress,
