Servers of a role that is stopped while it starts do not begin to serve

What operators saw: a controller that gets SIGTERM within some milliseconds of its "recovered" line logs "stopping" and never ends; since repeated SIGTERMs are ignored, only SIGKILL or SIGINT ends it. It keeps its ports and its data folder, for which the next process waits.

Cause: fasthttp servers are started in goroutines. A Shutdown that comes before Serve stops nothing, and Serve then accepts until its listener is closed, which the controller does only after that goroutine has ended. Stack of such a process: node.run waits for its background group, in which serveAPI is in Accept.

Change: the API's listener is closed by the stop itself. The servers of gateways and routers for callers, health checks and metrics had the same order and get the same change; there it was found by reading, since their stops take seconds.

--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -241,6 +241,8 @@
 	if err := service.stop(ctx); err != nil {
 		n.log.WithError(err).Debug("API calls were still open at shutdown")
 	}
+	// A server that has not begun to serve yet is not stopped, and would begin later.
+	_ = n.apiListener.Close() // fails if the server has closed it
 }
 
 // handOver asks other voters to take over the leadership until one does. It repeats the request after an
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -271,6 +271,8 @@
 	}
 	stopBackground()
 	shutDownServers(adminServer, metricsServer)
+	// A server that has not begun to serve yet is not stopped, and would begin later.
+	_, _ = callers.Close(), admin.Close() // fail if their servers have closed them
 	group.Wait()
 	return err
 }
@@ -312,6 +314,7 @@
 	group.Go(func() {
 		listener, err := listen.TCP(ctx, g.settings.MetricsAddress, g.log)
 		if err == nil {
+			defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // fails if the server has closed it
 			err = server.Serve(listener)
 		}
 		if err != nil && ctx.Err() == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -244,6 +244,8 @@
 		r.ownDeduplicator.wait()
 	}
 	_ = adminServer.Shutdown()
+	// A server that has not begun to serve yet is not stopped, and would begin later.
+	_, _ = callers.Close(), admin.Close() // fail if their servers have closed them
 	group.Wait()
 	return err
 }
--- a/test/startwait_test.go
+++ b/test/startwait_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,6 +82,44 @@
 	}
 }
 
+// awaitStop waits until the process has stopped as planned.
+func (p *roleProcess) awaitStop() {
+	p.t.Helper()
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		p.signal(syscall.SIGQUIT) // prints the goroutines
+		<-p.ended
+		p.t.Fatalf("the process did not stop; output: %s", p.output.String())
+	}
+	if !p.command.ProcessState.Success() || !strings.Contains(p.output.String(), `"event":"stopped"`) {
+		p.t.Errorf("%s; output: %s", p.command.ProcessState, p.output.String())
+	}
+}
+
+// startsStopped is how often a role is stopped in its start: what the test guards against depends on the order of
+// goroutines. Stops of controllers are quick.
+var startsStopped = map[string]int{"controller": 12, "gateway": 4, "router": 4}
+
+// TestStopDuringTheStart guards against a server that begins to serve after it was stopped, and keeps its process from
+// ending.
+func TestStopDuringTheStart(t *testing.T) {
+	for _, role := range roles {
+		t.Run(role, func(t *testing.T) {
+			for range startsStopped[role] {
+				p := newRole(t, role)
+				if role == "gateway" {
+					p.writeSettings(p.text + "stop_timeout: 1s\nstop_notice: 0s\n")
+				}
+				p.start()
+				p.logged("listening")
+				p.signal(syscall.SIGTERM)
+				p.awaitStop()
+			}
+		})
+	}
+}
+
 // TestConnectionsAreRefusedWhileAnotherPortIsTaken guards against callers that wait at a port which a process has opened
 // and does not serve, since it waits for another port.
 func TestConnectionsAreRefusedWhileAnotherPortIsTaken(t *testing.T) {
