SIGTERM is heard while a role reads its settings or waits for them

What operators saw: a process that waits for valid settings and gets SIGTERM ends with status 2 and the line "the process ends", as if by itself. One whose read of the settings does not end (a pipe without a writer, a remote file system that hangs) does not hear SIGTERM at all, at its start or after SIGHUP; before signals were handled from the start on, the default action ended it.

Cause: the wait returned the problems of the file, whatever ended it; and the read was in the way of everything else.

Change: the file is read in a goroutine, and the context of the signals ends the wait for it. Such an end is a stop: status 0 and the line "stopped".

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -102,11 +102,15 @@
 		// A change of the settings that is told from here on is read, now or again.
 		handler, ctx := signals.New(ctx)
 		defer handler.Close()
-		reload := func() (T, error) { return role.load(path, overrides...) }
-		settings, err := loadSettings(ctx, program, role.name, path, reload)
+		load := func() (T, error) { return role.load(path, overrides...) }
+		settings, err := loadSettings(ctx, program, role.name, path, load)
+		if isStop(ctx, err) {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
+		reload := func() (T, error) { return loadUntilStopped(ctx, load) }
 		common := role.common(settings)
 		log, closeLog := program.openLog(role.name, common.name, common.log)
 		defer closeLog()
@@ -125,7 +129,7 @@
 	defer closeLog()
 	settings, err := awaitSettings(ctx, path, log, load)
 	if err != nil {
-		logEnd(log, err)
+		logEnd(ctx, log, err)
 	}
 	return settings, err
 }
@@ -192,13 +196,16 @@
 	close(finished)
 	endWatch()
 	watcher.Wait()
-	stoppedEarly := ctx.Err() != nil && errors.Is(err, context.Canceled)
-	if err != nil && !stoppedEarly {
-		logEnd(log, err)
-		return err
+	logEnd(ctx, log, err)
+	if isStop(ctx, err) {
+		return nil
 	}
-	telemetry.With(log, telemetry.EventStopped).Info("stopped")
-	return nil
+	return err
+}
+
+// isStop reports whether an error only says that a signal ended a wait.
+func isStop(ctx context.Context, err error) bool {
+	return ctx.Err() != nil && errors.Is(err, context.Canceled)
 }
 
 // runRecovered turns a panic of a role into an error, so that the log tells why the process ends.
@@ -220,9 +227,13 @@
 	line.Info("started")
 }
 
-// logEnd logs why the process ends by itself, and with which status. A process that ends without such a line was
-// killed.
-func logEnd(log *logrus.Entry, err error) {
+// logEnd logs that the process was stopped or why it ends by itself, and with which status. A process that ends without
+// such a line was killed.
+func logEnd(ctx context.Context, log *logrus.Entry, err error) {
+	if err == nil || isStop(ctx, err) {
+		telemetry.With(log, telemetry.EventStopped).Info("stopped")
+		return
+	}
 	telemetry.WithError(log, telemetry.EventFailed, err).WithField("exit_status", int(exitCodeOf(err))).Error("the process ends")
 }
 
@@ -250,7 +261,11 @@
 			return
 		case <-hangUps:
 		}
-		if err := reload(); err != nil {
+		err := reload()
+		if errors.Is(err, context.Canceled) {
+			return // the role stops
+		}
+		if err != nil {
 			telemetry.WithError(log, telemetry.EventSettingsReloaded, err).Warn("the settings file is not valid; the settings stay as they are")
 			continue
 		}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
@@ -34,22 +35,25 @@
 }
 
 // awaitSettings loads settings from a file. It tries again while the file is missing or not valid, until the file has
-// not changed for settingsSettleTime. The age of the file does not count, since the time of day may have been set since
-// it was written.
+// not changed for settingsSettleTime, or the context ends. The age of the file does not count, since the time of day may
+// have been set since it was written.
 func awaitSettings[T any](ctx context.Context, path string, log *logrus.Entry, load func() (T, error)) (T, error) {
 	var last fileVersion
 	var unchangedSince time.Time
 	for attempt := 0; ; attempt++ {
 		version := versionOf(path)
-		settings, err := load()
+		settings, err := loadUntilStopped(ctx, load)
 		if err == nil {
 			return settings, nil
 		}
+		if ctx.Err() != nil {
+			return settings, eris.Wrap(ctx.Err(), "wait for the settings file")
+		}
 		now := time.Now()
 		if attempt == 0 || version != last {
 			last, unchangedSince = version, now
 		}
-		if now.Sub(unchangedSince) >= settingsSettleTime || ctx.Err() != nil {
+		if now.Sub(unchangedSince) >= settingsSettleTime {
 			return settings, err
 		}
 		if attempt == 0 {
@@ -58,3 +62,24 @@
 		clock.Sleep(ctx, settingsRetryInterval)
 	}
 }
+
+// loadUntilStopped loads settings unless the context ends before, as it may while a pipe or a remote file system holds up
+// the read.
+func loadUntilStopped[T any](ctx context.Context, load func() (T, error)) (T, error) {
+	type result struct {
+		settings T
+		err      error
+	}
+	loaded := make(chan result, 1)
+	go func() {
+		settings, err := load()
+		loaded <- result{settings, err}
+	}()
+	select {
+	case result := <-loaded:
+		return result.settings, result.err
+	case <-ctx.Done():
+		var none T
+		return none, eris.Wrap(ctx.Err(), "read the settings file")
+	}
+}
--- a/test/startwait_test.go
+++ b/test/startwait_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/thorntiller/thorntiller/internal/lab/authority"
 )
 
@@ -120,6 +122,61 @@
 	}
 }
 
+// makeSettingsPipe replaces the settings file by a pipe.
+func (p *roleProcess) makeSettingsPipe() {
+	p.t.Helper()
+	if err := os.Remove(p.settings); err != nil {
+		p.t.Fatal(err)
+	}
+	if err := unix.Mkfifo(p.settings, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// TestStopWhileSettingsAreNotValid: a process that waits for its settings ends when it is told to stop, as by a planned
+// stop.
+func TestStopWhileSettingsAreNotValid(t *testing.T) {
+	for _, role := range roles {
+		t.Run(role, func(t *testing.T) {
+			p := newRole(t, role)
+			p.writeSettings(p.text[:len(p.text)/2])
+			p.start()
+			p.logged("settings_waiting")
+			p.signal(syscall.SIGTERM)
+			p.awaitStop()
+		})
+	}
+}
+
+// TestStopWhileSettingsAreRead guards against a process that does not hear SIGTERM while the read of its settings does
+// not end, at the start or after SIGHUP.
+func TestStopWhileSettingsAreRead(t *testing.T) {
+	for _, role := range roles {
+		for _, when := range []string{"start", "reload"} {
+			t.Run(role+"/"+when, func(t *testing.T) {
+				p := newRole(t, role)
+				if when == "reload" {
+					p.start()
+					p.logged("listening")
+					p.makeSettingsPipe()
+					p.signal(syscall.SIGHUP)
+				} else {
+					p.makeSettingsPipe()
+					p.start()
+				}
+				// The open returns once the process reads.
+				writer, err := os.OpenFile(p.settings, os.O_WRONLY, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = writer.Close() }()
+				p.signal(syscall.SIGTERM)
+				p.awaitStop()
+			})
+		}
+	}
+}
+
 // TestConnectionsAreRefusedWhileAnotherPortIsTaken guards against callers that wait at a port which a process has opened
 // and does not serve, since it waits for another port.
 func TestConnectionsAreRefusedWhileAnotherPortIsTaken(t *testing.T) {
