--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -26,23 +26,39 @@
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
-// Run runs a controller until the context ends and then stops it gracefully. It returns an error if the
-// replica cannot start or its disk fails.
+// Options are optional parts that the caller of RunWith may set.
+type Options struct {
+	// Files is the file system of the data folder, so that disk faults can be injected; nil means the operating system's.
+	Files vfs.FileSystem
+	// Reload reads the settings again; nil if they do not change.
+	Reload func() (config.Controller, error)
+}
+
+// Run is RunWith without options.
 func Run(ctx context.Context, settings config.Controller, log *logrus.Entry) error {
-	return RunOn(ctx, vfs.System{}, settings, log)
+	return RunWith(ctx, settings, log, Options{})
 }
 
-// RunOn is Run on a given file system, so that disk faults can be injected. A replica whose disk is full, or
-// that has no descriptor left for its files, leaves its group until that has passed, and then restarts from the
-// content of the disk: it never continues after a write whose outcome is unknown.
+// RunOn is RunWith on a given file system.
 func RunOn(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
+	return RunWith(ctx, settings, log, Options{Files: files})
+}
+
+// RunWith runs a controller until the context ends and then stops it gracefully. It returns an error if the
+// replica cannot start or its disk fails. A replica whose disk is full, or that has no descriptor left for its files,
+// leaves its group until that has passed, and then restarts from the content of the disk: it never continues after a
+// write whose outcome is unknown.
+func RunWith(ctx context.Context, settings config.Controller, log *logrus.Entry, options Options) error {
+	if options.Files == nil {
+		options.Files = vfs.System{}
+	}
 	lock, err := lockDataFolder(ctx, settings.DataDirectory, log)
 	if err != nil {
 		return err
 	}
 	defer closeQuietly(lock, log)
 	for {
-		err := runOnce(ctx, files, settings, log)
+		err := runOnce(ctx, options, settings, log)
 		switch {
 		case errors.Is(err, syscall.ENOSPC):
 			telemetry.WithError(log, telemetry.EventDiskFull, err).Warn("disk is full; replica waits for free space")
@@ -51,7 +67,7 @@
 		default:
 			return err
 		}
-		if !awaitDiskSpace(ctx, files, settings.DataDirectory) {
+		if !awaitDiskSpace(ctx, options.Files, settings.DataDirectory) {
 			return nil
 		}
 	}
@@ -77,8 +93,8 @@
 	}
 }
 
-func runOnce(ctx context.Context, files vfs.FileSystem, settings config.Controller, log *logrus.Entry) error {
-	node, err := newNode(files, settings, log)
+func runOnce(ctx context.Context, options Options, settings config.Controller, log *logrus.Entry) error {
+	node, err := newNode(options, settings, log)
 	if err != nil {
 		return err
 	}
@@ -102,18 +118,18 @@
 	apiListener  net.Listener
 }
 
-func newNode(files vfs.FileSystem, settings config.Controller, log *logrus.Entry) (*node, error) {
+func newNode(options Options, settings config.Controller, log *logrus.Entry) (*node, error) {
 	security, err := newSecurity(settings)
 	if err != nil {
 		return nil, err
 	}
-	n := &node{settings: settings, log: log, files: files, security: security, connections: newConnections(settings, log)}
+	n := &node{settings: settings, log: log, files: options.Files, security: security, connections: newConnections(settings, log)}
 	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, settings.FirstStart, newReplicaID)
 	if err != nil {
 		return nil, err
 	}
 	n.formation = &formation{
-		settings: settings, log: log, dial: security.dial(), own: self,
+		settings: settings, log: log, dial: security.dial(), own: self, reload: options.Reload,
 		save: func(next identity.Identity) error { return identity.Save(n.files, settings.DataDirectory, next) },
 		self: consensus.Member{
 			ID: self.Replica, Name: settings.Name, Address: settings.PeerAddress, APIAddress: settings.APIAddress,
@@ -128,15 +144,13 @@
 }
 
 func (n *node) listen(ctx context.Context) error {
-	var err error
-	if n.peerListener, err = listen.TCP(ctx, n.settings.PeerAddress, n.log); err != nil {
-		return eris.Wrapf(err, "peer_address: listen on %s", n.settings.PeerAddress)
-	}
-	if n.apiListener, err = listen.TCP(ctx, n.settings.APIAddress, n.log); err != nil {
-		return eris.Wrapf(err, "api_address: listen on %s", n.settings.APIAddress)
+	listeners, err := listen.All(ctx, n.log, listen.Address{Setting: "peer_address", Address: n.settings.PeerAddress},
+		listen.Address{Setting: "api_address", Address: n.settings.APIAddress})
+	if err != nil {
+		return err
 	}
-	n.peerListener = descriptor.Bound(n.peerListener, n.connections.budget.AdmitsPeer)
-	n.apiListener = descriptor.Bound(n.apiListener, n.connections.budget.AdmitsClient)
+	n.peerListener = descriptor.Bound(listeners[0], n.connections.budget.AdmitsPeer)
+	n.apiListener = descriptor.Bound(listeners[1], n.connections.budget.AdmitsClient)
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	return nil
@@ -236,6 +250,8 @@
 	if err := service.stop(ctx); err != nil {
 		n.log.WithError(err).Debug("API calls were still open at shutdown")
 	}
+	// A server that has not begun to serve yet is not stopped, and would begin later.
+	_ = n.apiListener.Close() // fails if the server has closed it
 }
 
 // handOver asks other voters to take over the leadership until one does. It repeats the request after an
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,16 +248,12 @@
 }
 
 func (g *Gateway) run(ctx context.Context) error {
-	callers, err := listen.TCP(ctx, g.settings.Address, g.log)
+	listeners, err := listen.All(ctx, g.log, listen.Address{Setting: "address", Address: g.settings.Address},
+		listen.Address{Setting: "admin_address", Address: g.settings.AdminAddress})
 	if err != nil {
-		return eris.Wrapf(err, "listen for callers on address %q", g.settings.Address)
-	}
-	admin, err := listen.TCP(ctx, g.settings.AdminAddress, g.log)
-	if err != nil {
-		_ = callers.Close() // nothing was accepted
-		return eris.Wrapf(err, "listen on admin_address %q", g.settings.AdminAddress)
+		return err
 	}
-	return g.serveOn(ctx, callers, admin)
+	return g.serveOn(ctx, listeners[0], listeners[1])
 }
 
 func (g *Gateway) serveOn(ctx context.Context, callers, admin net.Listener) error {
@@ -289,6 +285,8 @@
 	}
 	stopBackground()
 	shutDownServers(adminServer, metricsServer)
+	// A server that has not begun to serve yet is not stopped, and would begin later.
+	_, _ = callers.Close(), admin.Close() // fail if their servers have closed them
 	group.Wait()
 	return err
 }
@@ -330,6 +328,7 @@
 	group.Go(func() {
 		listener, err := listen.TCP(ctx, g.settings.MetricsAddress, g.log)
 		if err == nil {
+			defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // fails if the server has closed it
 			err = server.Serve(listener)
 		}
 		if err != nil && ctx.Err() == nil {
