--- a/internal/vfs/memory.go
+++ b/internal/vfs/memory.go
@@ -32,6 +32,9 @@
 	mutex       sync.Mutex
 	random      *rand.Rand
 	directories map[string]bool
+	// independentNames is set if each unsynced name survives a crash or not on its own.
+	independentNames bool
+
 	names       map[string]*node
 	syncedNames map[string]*node
 	// generation is incremented at each crash or loss of the disk; files opened in
--- a/internal/vfs/memory_fault.go
+++ b/internal/vfs/memory_fault.go
@@ -32,8 +32,36 @@
 	}
 }
 
+// SetIndependentNames makes each name that was created, renamed or removed without a sync of its directory survive a
+// crash or not on its own, rather than all names of a directory together. It needs a random source.
+func (m *Memory) SetIndependentNames() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.independentNames = true
+}
+
+// syncEachName makes a random part of all changed names durable.
+func (m *Memory) syncEachName() {
+	paths := maps.Clone(m.names)
+	maps.Copy(paths, m.syncedNames)
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		if m.names[path] == m.syncedNames[path] || m.random.Intn(2) == 0 {
+			continue
+		}
+		if found, exists := m.names[path]; exists {
+			m.syncedNames[path] = found
+		} else {
+			delete(m.syncedNames, path)
+		}
+	}
+}
+
 // syncRandomNames makes the names in a random part of the directories durable.
 func (m *Memory) syncRandomNames() {
+	if m.independentNames {
+		m.syncEachName()
+		return
+	}
 	for _, directory := range slices.Sorted(maps.Keys(m.directories)) {
 		if m.random.Intn(2) == 0 {
 			m.syncNames(directory)
