A panic in the background is told at once and leaves no process without its work

Cause: conc.WaitGroup keeps a panic of a goroutine until Wait, which for the goroutines of a role is the stop. The goroutine is gone until then.

Change: package background. Keep logs the panic (event panicked, with the part) and runs the loop again after 0.5 s, doubled up to 30 s; it is used for the loops of the three roles that can begin anew, and those that start further goroutines cancel these first. What cannot begin anew ends the process with an error: the loop of a replica, whose state is unknown then, and the servers. A stream of the directory that panics counts as broken; a probe that panics is repeated.

Measured: TestPanicOfALoopIsToldAndTheLoopGoesOn failed ("the panic is logged: not within 30s") and passes. TestPanicWhileASnapshotIsTakenIsTold and TestPanicOfTheReplicaEndsTheProcess did not end within 60 s without the changes in host.go and run.go, and pass.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -74,10 +75,14 @@
 
 // run decides queued batches and checks leases until the context ends.
 func (m *heartbeatManager) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	var ticking conc.WaitGroup
 	defer ticking.Wait()
+	defer cancel()
 	ticking.Go(func() {
-		clock.Every(ctx, heartbeatTick, func() { m.tick(ctx) })
+		background.Keep(ctx, m.replica.log, "heartbeat ticks", func(ctx context.Context) {
+			clock.Every(ctx, heartbeatTick, func() { m.tick(ctx) })
+		})
 	})
 	batchDelay := minBatchDelay
 	for {
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/consensus"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
 	"github.com/thorntiller/thorntiller/internal/driver"
@@ -56,14 +57,17 @@
 // WriteSnapshot implements driver.SnapshotWriter.
 func (h *host) WriteSnapshot(write func() driver.SavedSnapshot) {
 	h.background.Go(func() {
-		saved := write()
+		var saved driver.SavedSnapshot
+		if background.Try(h.log, "snapshot", func() { saved = write() }) {
+			saved = driver.SavedSnapshot{Abandoned: true}
+		}
 		logSnapshot(h.log, saved)
 		h.snapshots <- saved
 	})
 }
 
 func logSnapshot(log *logrus.Entry, saved driver.SavedSnapshot) {
-	if saved.Err != nil {
+	if saved.Err != nil || saved.Abandoned {
 		return
 	}
 	telemetry.With(log, telemetry.EventSnapshotTaken).WithField("index", saved.Snapshot.Metadata.Index).
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
@@ -176,12 +177,12 @@
 	defer r.driver.StopLeading()
 	ctx, cancel := context.WithCancel(ctx)
 	var workers conc.WaitGroup
-	workers.Go(func() { r.partitions.run(ctx) })
-	workers.Go(func() { r.heartbeats.run(ctx) })
-	workers.Go(func() { r.suspects.run(ctx) })
-	workers.Go(func() { r.runFeed(ctx) })
-	workers.Go(func() { r.reportLoad(ctx) })
-	workers.Go(func() { r.watchLoop(ctx) })
+	workers.Go(func() { background.Keep(ctx, r.log, "partitions", r.partitions.run) })
+	workers.Go(func() { background.Keep(ctx, r.log, "heartbeats", r.heartbeats.run) })
+	workers.Go(func() { background.Keep(ctx, r.log, "suspects", r.suspects.run) })
+	workers.Go(func() { background.Keep(ctx, r.log, "feed", r.runFeed) })
+	workers.Go(func() { background.Keep(ctx, r.log, "load", r.reportLoad) })
+	workers.Go(func() { background.Keep(ctx, r.log, "watchdog", r.watchLoop) })
 	defer workers.Wait()
 	defer cancel()
 	defer r.awaitSnapshotWriter()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/consensus"
@@ -158,12 +159,14 @@
 // controllers form a group by asking each other.
 func (n *node) run(ctx context.Context) error {
 	serveContext, stopServing := context.WithCancel(context.Background())
-	var background conc.WaitGroup
-	defer background.Wait()
+	var group conc.WaitGroup
+	defer group.Wait()
 	defer stopServing()
 	ready := make(chan struct{})
-	background.Go(func() { n.servePeers(serveContext, ready) })
-	background.Go(func() { n.security.store.Watch(serveContext, n.settings.TLS.ReloadInterval, n.log) })
+	group.Go(func() { n.servePeers(serveContext, ready) })
+	group.Go(func() {
+		n.keep(serveContext, "certificates", func(ctx context.Context) { n.security.store.Watch(ctx, n.settings.TLS.ReloadInterval, n.log) })
+	})
 	if err := n.formation.run(ctx); err != nil {
 		if ctx.Err() != nil {
 			return nil
@@ -174,7 +177,7 @@
 		return err
 	}
 	close(ready)
-	return n.runReplica(ctx, serveContext, &background)
+	return n.runReplica(ctx, serveContext, &group)
 }
 
 func (n *node) startReplica() error {
@@ -198,7 +201,7 @@
 
 // runReplica runs the replica and the services that depend on it. A planned stop first transfers the
 // leadership, so that no caller has to wait for an election.
-func (n *node) runReplica(ctx, serveContext context.Context, background *conc.WaitGroup) error {
+func (n *node) runReplica(ctx, serveContext context.Context, group *conc.WaitGroup) error {
 	r := n.replica
 	driveContext, stopDriving := context.WithCancel(context.Background())
 	defer stopDriving()
@@ -208,11 +211,15 @@
 	n.formation.attach(r.formationStatus, r.requestJoin)
 	service := newAPI(n.settings.API, r, n.log, n.security, r.metrics.registry, r.ready)
 	n.connections.attach(service.app.Server())
-	background.Go(func() { n.serveAPI(service) })
-	background.Go(func() { newPlatformPoller(n.settings.Platform, r).run(serveContext) })
-	background.Go(func() { n.formation.keepJoining(serveContext, r.isActiveVoter) })
+	group.Go(func() { n.serveAPI(service) })
+	group.Go(func() { n.keep(serveContext, "platform", newPlatformPoller(n.settings.Platform, r).run) })
+	group.Go(func() {
+		n.keep(serveContext, "joining", func(ctx context.Context) { n.formation.keepJoining(ctx, r.isActiveVoter) })
+	})
 	ended := make(chan error, 1)
-	background.Go(func() { ended <- r.run(driveContext) })
+	group.Go(func() {
+		ended <- background.Result(n.log, "replica", func() error { return r.run(driveContext) })
+	})
 	var err error
 	select {
 	case err = <-ended:
@@ -227,8 +234,14 @@
 	return err
 }
 
+// keep runs a loop in the background, see background.Keep.
+func (n *node) keep(ctx context.Context, loop string, run func(context.Context)) {
+	background.Keep(ctx, n.log, loop, run)
+}
+
 func (n *node) serveAPI(service *api) {
-	if err := service.serve(n.security.listener(n.apiListener)); err != nil {
+	err := background.Result(n.log, "api server", func() error { return service.serve(n.security.listener(n.apiListener)) })
+	if err != nil {
 		telemetry.WithError(n.log, telemetry.EventFailed, err).Error("intent API server stopped")
 	}
 }
--- a/internal/driver/host.go
+++ b/internal/driver/host.go
@@ -41,6 +41,8 @@
 type SavedSnapshot struct {
 	Snapshot consensus.Snapshot
 	Err      error
+	// Abandoned is true if nothing is known of the snapshot; a later one takes its place.
+	Abandoned bool
 }
 
 // SnapshotWriter writes one snapshot at a time, normally outside the driver's
--- a/internal/driver/snapshot.go
+++ b/internal/driver/snapshot.go
@@ -69,6 +69,9 @@
 // AdoptSnapshot makes a saved snapshot the newest one and compacts the log.
 func (d *Driver) AdoptSnapshot(saved SavedSnapshot) error {
 	d.writingSnapshot = false
+	if saved.Abandoned {
+		return nil
+	}
 	if saved.Err != nil {
 		return saved.Err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/balance"
 	"github.com/thorntiller/thorntiller/internal/broadcast"
 	"github.com/thorntiller/thorntiller/internal/clock"
@@ -257,23 +258,26 @@
 }
 
 func (g *Gateway) serveOn(ctx context.Context, callers, admin net.Listener) error {
-	background, stopBackground := context.WithCancel(context.Background())
+	running, stopRunning := context.WithCancel(context.Background())
 	callers = descriptor.Bound(callers, g.descriptors.AdmitsClient)
 	callerServer := g.newCallerServer()
 	adminServer := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
 	var group conc.WaitGroup
 	failed := make(chan error, 3)
-	group.Go(func() { failed <- callerServer.Serve(meteredListener{callers, connectionTraffic{g.meter}}) })
-	group.Go(func() { failed <- adminServer.Serve(admin) })
-	metricsServer := g.serveMetrics(background, &group)
-	group.Go(func() { g.subscription.run(background) })
-	g.servePeers(background, &group)
-	group.Go(func() { g.places.run(background) })
-	group.Go(func() { g.callers.run(background) })
-	group.Go(func() { g.crashes.Run(background) })
-	group.Go(func() { g.demand.run(background) })
-	group.Go(func() { g.reportLinkBytes(background) })
-	group.Go(func() { g.watchReach(background) })
+	serve := func(server *fasthttp.Server, listener net.Listener) {
+		failed <- background.Result(g.log, "server", func() error { return server.Serve(listener) })
+	}
+	group.Go(func() { serve(callerServer, meteredListener{callers, connectionTraffic{g.meter}}) })
+	group.Go(func() { serve(adminServer, admin) })
+	metricsServer := g.serveMetrics(running, &group)
+	group.Go(func() { g.keep(running, "subscription", g.subscription.run) })
+	g.servePeers(running, &group)
+	group.Go(func() { g.keep(running, "places", g.places.run) })
+	group.Go(func() { g.keep(running, "callers", g.callers.run) })
+	group.Go(func() { g.keep(running, "crashes", g.crashes.Run) })
+	group.Go(func() { g.keep(running, "demand", g.demand.run) })
+	group.Go(func() { g.keep(running, "link bytes", g.reportLinkBytes) })
+	group.Go(func() { g.keep(running, "reach", g.watchReach) })
 	telemetry.With(g.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
 	var err error
@@ -283,22 +287,28 @@
 	case err = <-failed:
 		_ = callers.Close()
 	}
-	stopBackground()
+	stopRunning()
 	shutDownServers(adminServer, metricsServer)
 	group.Wait()
 	return err
 }
 
+// keep runs a loop in the background, see background.Keep.
+func (g *Gateway) keep(ctx context.Context, loop string, run func(context.Context)) {
+	background.Keep(ctx, g.log, loop, run)
+}
+
 // servePeers serves the directory to other gateways, and follows theirs while no controller answers.
 func (g *Gateway) servePeers(ctx context.Context, group *conc.WaitGroup) {
-	group.Go(func() { g.subscription.followPeers(ctx) })
+	group.Go(func() { g.keep(ctx, "peers", g.subscription.followPeers) })
 	if g.settings.PeerAddress == "" {
 		return
 	}
 	group.Go(func() {
 		listener, err := listen.TCP(ctx, g.settings.PeerAddress, g.log)
 		if err == nil {
-			err = g.servePeersOn(ctx, descriptor.Bound(listener, g.descriptors.AdmitsPeer))
+			listener = descriptor.Bound(listener, g.descriptors.AdmitsPeer)
+			err = background.Result(g.log, "peer server", func() error { return g.servePeersOn(ctx, listener) })
 		}
 		if err != nil && ctx.Err() == nil {
 			telemetry.WithError(g.log, telemetry.EventFailed, err).WithField(telemetry.FieldAddress, g.settings.PeerAddress).
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -31,7 +32,11 @@
 		}
 		now := g.clock.Now()
 		for _, id := range g.reach.DueProbes(now) {
-			probes.Go(func() { g.probe(id) })
+			probes.Go(func() {
+				if background.Try(g.log, "probe", func() { g.probe(id) }) {
+					g.reach.ProbeAbandoned(g.clock.Now(), id)
+				}
+			})
 		}
 		if was := most; g.mostUnreachable() != was {
 			most = !was
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -17,8 +18,10 @@
 
 func (s *subscription) run(ctx context.Context) {
 	search := newRace(s.settings.PongTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
+	defer cancel()
 	for ctx.Err() == nil {
 		s.awaitSilence(ctx, search)
 		for range raceRounds {
@@ -99,7 +102,9 @@
 	group.Go(func() {
 		defer cancel()
 		defer search.leave(asked)
-		err := s.follow(ctx, source{address: address, search: search, candidate: asked})
+		err := background.Result(s.log, "directory stream", func() error {
+			return s.follow(ctx, source{address: address, search: search, candidate: asked})
+		})
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/admission"
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/certificate"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
@@ -231,6 +232,11 @@
 	}
 }
 
+// keep runs a loop in the background, see background.Keep.
+func (r *Router) keep(ctx context.Context, loop string, run func(context.Context)) {
+	background.Keep(ctx, r.log, loop, run)
+}
+
 func (r *Router) descriptorBudget() descriptor.Budget {
 	return descriptor.Budget{
 		Bound: r.settings.DescriptorLimit, Divide: descriptor.DivideForwarding,
@@ -242,20 +248,23 @@
 	budget := r.descriptorBudget()
 	callers = &onceListener{Listener: descriptor.Bound(callers, budget.AdmitsClient)}
 	peers = descriptor.Bound(peers, budget.AdmitsPeer)
-	background, stopBackground := context.WithCancel(context.Background())
+	running, stopRunning := context.WithCancel(context.Background())
 	callerServer := r.newCallerServer()
 	adminServer := &fasthttp.Server{Handler: r.serveAdmin(r.registry), Name: role, Concurrency: adminConnections}
 	var group conc.WaitGroup
 	failed := make(chan error, 3)
-	group.Go(func() { failed <- serveListener(callerServer, callers) })
-	group.Go(func() { failed <- serveListener(adminServer, admin) })
-	group.Go(func() { failed <- r.records.Run(background, r.tlsListener(peers)) })
-	group.Go(func() { r.certificates.Watch(background, r.settings.TLS.ReloadInterval, r.log) })
-	group.Go(func() { r.newSubscription().run(background) })
-	group.Go(func() { r.probe(background) })
-	group.Go(func() { r.crashes.Run(background) })
-	group.Go(func() { r.overdue.run(background) })
-	group.Go(func() { r.watchFreshness(background) })
+	serve := func(server string, run func() error) { failed <- background.Result(r.log, server, run) }
+	group.Go(func() { serve("server", func() error { return serveListener(callerServer, callers) }) })
+	group.Go(func() { serve("admin server", func() error { return serveListener(adminServer, admin) }) })
+	group.Go(func() { serve("records", func() error { return r.records.Run(running, r.tlsListener(peers)) }) })
+	group.Go(func() {
+		r.keep(running, "certificates", func(ctx context.Context) { r.certificates.Watch(ctx, r.settings.TLS.ReloadInterval, r.log) })
+	})
+	group.Go(func() { r.keep(running, "subscription", r.newSubscription().run) })
+	group.Go(func() { r.keep(running, "probes", r.probe) })
+	group.Go(func() { r.keep(running, "crashes", r.crashes.Run) })
+	group.Go(func() { r.keep(running, "overdue", r.overdue.run) })
+	group.Go(func() { r.keep(running, "freshness", r.watchFreshness) })
 	telemetry.With(r.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
 	var err error
@@ -267,7 +276,7 @@
 	case err = <-failed:
 		_ = callers.Close()
 	}
-	stopBackground()
+	stopRunning()
 	r.endLifetime()
 	if r.ownDeduplicator != nil {
 		r.ownDeduplicator.wait()
