A call that panics ends its connection at once

What callers saw: a call between processes whose handler panics is not answered until the connection has been idle for 30 s, and the log tells of it only then.

Cause: the goroutine of the call keeps its panic until the connection ends.

Change: the panic closes the connection, so that the server logs it and the caller learns that there is no answer.

Measured: TestPanicOfACallIsToldAtOnce failed ("the caller waited 20.01 s", its timeout) and passes; package wire passes with -race, linter 0 issues there.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thorntiller/thorntiller/internal/codec"
@@ -17,7 +18,7 @@
 }
 
 // ServeCalls answers requests of type Q with answers of type A until the
-// connection ends. At most limit calls run at a time; further requests stay
+// connection ends, which a panic of a handler makes it do. At most limit calls run at a time; further requests stay
 // unread in the connection. It returns once every handler has returned. The
 // context passed to the handlers is cancelled when the connection ends.
 func ServeCalls[Q, A any](ctx context.Context, connection *Conn, limit int, handle func(context.Context, *Q) *A) error {
@@ -43,8 +44,14 @@
 		}
 		running.Go(func() {
 			defer func() { <-slots }()
-			// A failed send closes the connection, which ends the loop above.
-			_ = sendCall(ctx, connection, frame.Number, handle(ctx, request))
+			recovered := panics.Try(func() {
+				// A failed send closes the connection, which ends the loop above.
+				_ = sendCall(ctx, connection, frame.Number, handle(ctx, request))
+			})
+			if recovered != nil {
+				connection.Close()
+				panic(recovered.AsError())
+			}
 		})
 	}
 }
