Gateways share the bounded connections of package intake

Cause: connections of callers and of other gateways repeated what routers and controllers use to follow a budget.

Change: both embed intake.Connection; the budget, the deadlines of evictions and the progress of writes are in one place. No change of behaviour but that bytes sent are counted for each write, as before the budget, not for each part of it.

--- a/internal/gateway/connectiontimes.go
+++ b/internal/gateway/connectiontimes.go
@@ -81,12 +81,7 @@
 	if bound := time.Duration(c.readDeadline.next.Swap(0)); bound > 0 && !deadline.IsZero() {
 		deadline = time.Now().Add(bound)
 	}
-	err := c.TCPConn.SetReadDeadline(deadline)
-	if c.load.Evicted() {
-		// The eviction may have set its deadline before.
-		err = c.TCPConn.SetReadDeadline(past)
-	}
-	return err
+	return c.Connection.SetReadDeadline(deadline)
 }
 
 // overrideReadDeadline overrides the deadline of the next wait for a caller with the operator's limits.
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"runtime"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,63 +13,11 @@
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
-// past is a deadline that ends a wait at once.
-var past = time.Unix(1, 0)
-
-var (
-	_ overload.Client = (*meteredConnection)(nil)
-	_ overload.Client = (*meteredStream)(nil)
-)
-
-// Stalled implements overload.Client. A caller whose bytes were not read yet waits for this gateway.
-func (c *meteredConnection) Stalled(phase overload.Phase) bool {
-	return phase == overload.Writing || !intake.HasUnread(c)
-}
-
-// Evict implements overload.Client. A request that is being read can still be refused.
-func (c *meteredConnection) Evict(phase overload.Phase) {
-	if phase == overload.Writing {
-		_ = c.Close() // the write fails
-		return
-	}
-	_ = c.TCPConn.SetReadDeadline(past) // fails if the connection is closed
-}
-
-// Stalled implements overload.Client.
-func (s *meteredStream) Stalled(phase overload.Phase) bool {
-	return phase == overload.Writing || !intake.HasUnread(s)
-}
-
-// Evict implements overload.Client.
-func (s *meteredStream) Evict(phase overload.Phase) {
-	if phase == overload.Writing {
-		_ = s.Close() // the write fails
-		return
-	}
-	_ = s.Conn.SetReadDeadline(past) // fails if the connection is closed
-}
-
-// SetReadDeadline implements net.Conn.
-func (s *meteredStream) SetReadDeadline(deadline time.Time) error {
-	err := s.Conn.SetReadDeadline(deadline)
-	if s.load.Evicted() {
-		// The eviction may have set its deadline before.
-		err = s.Conn.SetReadDeadline(past)
-	}
-	return err
-}
-
 // enterPhase follows the state of a caller's connection.
 func (g *Gateway) enterPhase(connection net.Conn, change fasthttp.ConnState) {
 	intake.Follow(intake.LoadOf(connection), g.clock.Now(), change)
 }
 
-// Load implements intake.Bounded.
-func (c *meteredConnection) Load() *overload.Connection { return c.load }
-
-// Load implements intake.Bounded.
-func (s *meteredStream) Load() *overload.Connection { return s.load }
-
 // reserveAnswer reserves memory for an answer, which is held until the caller has taken the answer.
 func (r *request) reserveAnswer(now clock.Clock, bytes int64) bool {
 	reserved := intake.Reserve(r.load, now, bytes)
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -61,29 +62,21 @@
 			return nil, err
 		}
 		l.traffic.Opened()
-		tcp, isTCP := accepted.(*net.TCPConn)
-		if !isTCP {
-			return accepted, nil
+		if admitted := intake.Admit(accepted, l.budget, l.clock); admitted != nil {
+			return &meteredConnection{Connection: admitted, traffic: l.traffic}, nil
 		}
-		connection := &meteredConnection{TCPConn: tcp, traffic: l.traffic, clock: l.clock}
-		if connection.load = l.budget.Open(l.clock.Now(), connection); connection.load != nil {
-			return connection, nil
-		}
-		_ = tcp.Close() // nothing was read
+		_ = accepted.Close() // nothing was read
 	}
 }
 
 // meteredConnection is a caller's connection whose bytes are counted.
 type meteredConnection struct {
-	*net.TCPConn
+	*intake.Connection
 	traffic connectionTraffic
 	// turn waits for the turn to send bytes of the answer; nil for none.
 	turn func(bytes int)
 	// readDeadline overrides the deadlines of the waits for the caller.
 	readDeadline readDeadlineOverride
-	clock        clock.Clock
-	// load is what the connection takes of the budget; nil for no bound.
-	load *overload.Connection
 }
 
 // The callers type peeks at the connection through syscall.Conn.
@@ -91,7 +84,7 @@
 
 // Read implements net.Conn.
 func (c *meteredConnection) Read(target []byte) (int, error) {
-	count, err := c.TCPConn.Read(target)
+	count, err := c.Connection.Read(target)
 	c.traffic.Passed(count, 0)
 	return count, err
 }
@@ -104,23 +97,12 @@
 	return c.write(data)
 }
 
-// write writes in parts, so that the progress of a slow reader is known.
 func (c *meteredConnection) write(data []byte) (int, error) {
-	written := 0
-	for {
-		count, err := c.TCPConn.Write(data[written:min(len(data), written+maxWriteBytes)])
-		c.traffic.Passed(0, count)
-		c.load.Passed(c.clock.Now(), count)
-		written += count
-		if err != nil || written >= len(data) {
-			return written, err
-		}
-	}
+	count, err := c.Connection.Write(data)
+	c.traffic.Passed(0, count)
+	return count, err
 }
 
-// maxWriteBytes is the largest part of an answer that is written at a time.
-const maxWriteBytes = 64 << 10
-
 // registerLinkBytes registers the counters of bytes on the link.
 func registerLinkBytes(registry *telemetry.Metrics, meter *link.Meter) {
 	for _, direction := range link.Directions() {
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -5,20 +5,17 @@
 	"context"
 	"math"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/balance"
-	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/message"
-	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/relay"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -89,30 +86,28 @@
 	if err := connection.Send(ctx, &message.RelayWelcome{}); err != nil {
 		return err
 	}
-	stream := &meteredStream{Conn: connection.Detach(), traffic: connectionTraffic{g.meter}, clock: g.clock}
-	if stream.load = g.clientBudget.Open(g.clock.Now(), stream); stream.load == nil {
+	admitted := intake.Admit(connection.Detach(), g.clientBudget, g.clock)
+	if admitted == nil {
 		return errTooManyRelays
 	}
-	defer stream.load.Close()
+	defer admitted.Load().Close()
+	stream := &meteredStream{Connection: admitted, traffic: connectionTraffic{g.meter}}
 	return eris.Wrap(g.relayServer.ServeConn(stream), "serve relayed requests")
 }
 
 // meteredStream is a connection with relayed requests whose bytes are counted.
 type meteredStream struct {
-	net.Conn
+	*intake.Connection
 	traffic connectionTraffic
 	// turn waits for the turn to send bytes of the answer; nil for none.
 	turn func(bytes int)
 	// active is true while the connection carries a request.
 	active bool
-	clock  clock.Clock
-	// load is what the connection takes of the budget.
-	load *overload.Connection
 }
 
 // Read implements net.Conn.
 func (s *meteredStream) Read(target []byte) (int, error) {
-	count, err := s.Conn.Read(target)
+	count, err := s.Connection.Read(target)
 	s.traffic.Passed(count, 0)
 	return count, err
 }
@@ -126,21 +121,11 @@
 }
 
 func (s *meteredStream) write(data []byte) (int, error) {
-	count, err := s.Conn.Write(data)
+	count, err := s.Connection.Write(data)
 	s.traffic.Passed(0, count)
-	s.load.Passed(s.clock.Now(), count)
 	return count, err
 }
 
-// SyscallConn implements syscall.Conn, through which the callers type peeks at the connection.
-func (s *meteredStream) SyscallConn() (syscall.RawConn, error) {
-	system, ok := s.Conn.(syscall.Conn)
-	if !ok {
-		return nil, eris.New("the connection has no descriptor")
-	}
-	return system.SyscallConn()
-}
-
 // serveRelayed sends one request of another gateway to the instance that this gateway has chosen.
 func (g *Gateway) serveRelayed(context *fasthttp.RequestCtx) {
 	g.metrics.inFlight.Inc()
--- a/internal/intake/connection.go
+++ b/internal/intake/connection.go
@@ -68,33 +68,44 @@
 		if err != nil {
 			return nil, err
 		}
-		admitted := &connection{Conn: accepted, clock: l.clock}
-		if admitted.load = l.budget.Open(l.clock.Now(), admitted); admitted.load != nil {
+		if admitted := Admit(accepted, l.budget, l.clock); admitted != nil {
 			return admitted, nil
 		}
 		_ = accepted.Close() // nothing was read
 	}
 }
 
-// connection is a client's connection that takes a part of a budget.
-type connection struct {
+// Connection is a client's connection that takes a part of a budget.
+type Connection struct {
 	net.Conn
 	clock clock.Clock
 	load  *overload.Connection
 }
 
-var _ overload.Client = (*connection)(nil)
+var (
+	_ overload.Client = (*Connection)(nil)
+	_ syscall.Conn    = (*Connection)(nil)
+)
+
+// Admit returns a connection that takes a part of a budget until it is closed, or nil if there is no place for it.
+func Admit(inner net.Conn, budget *overload.Budget, now clock.Clock) *Connection {
+	admitted := &Connection{Conn: inner, clock: now}
+	if admitted.load = budget.Open(now.Now(), admitted); admitted.load == nil {
+		return nil
+	}
+	return admitted
+}
 
 // Load implements Bounded.
-func (c *connection) Load() *overload.Connection { return c.load }
+func (c *Connection) Load() *overload.Connection { return c.load }
 
 // Stalled implements overload.Client. A client whose bytes were not read yet waits for this process.
-func (c *connection) Stalled(phase overload.Phase) bool {
+func (c *Connection) Stalled(phase overload.Phase) bool {
 	return phase == overload.Writing || !HasUnread(c)
 }
 
 // Evict implements overload.Client. A request that is being read can still be refused.
-func (c *connection) Evict(phase overload.Phase) {
+func (c *Connection) Evict(phase overload.Phase) {
 	if phase == overload.Writing {
 		_ = c.Conn.Close() // the write fails
 		return
@@ -103,7 +114,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *connection) SetReadDeadline(deadline time.Time) error {
+func (c *Connection) SetReadDeadline(deadline time.Time) error {
 	err := c.Conn.SetReadDeadline(deadline)
 	if c.load.Evicted() {
 		// The eviction may have set its deadline before.
@@ -113,7 +124,7 @@
 }
 
 // SetDeadline implements net.Conn.
-func (c *connection) SetDeadline(deadline time.Time) error {
+func (c *Connection) SetDeadline(deadline time.Time) error {
 	if err := c.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
@@ -121,7 +132,7 @@
 }
 
 // Write implements net.Conn.
-func (c *connection) Write(data []byte) (int, error) {
+func (c *Connection) Write(data []byte) (int, error) {
 	written := 0
 	for {
 		count, err := c.Conn.Write(data[written:min(len(data), written+maxWriteBytes)])
@@ -134,13 +145,13 @@
 }
 
 // Close implements net.Conn.
-func (c *connection) Close() error {
+func (c *Connection) Close() error {
 	c.load.Close()
 	return c.Conn.Close()
 }
 
 // SyscallConn implements syscall.Conn.
-func (c *connection) SyscallConn() (syscall.RawConn, error) {
+func (c *Connection) SyscallConn() (syscall.RawConn, error) {
 	system, isSystem := c.Conn.(syscall.Conn)
 	if !isSystem {
 		return nil, eris.New("the connection has no descriptor")
