Gateways refuse unfinished requests before a stop ends

What callers saw: a request whose body was still coming at the end of a planned stop ended with its connection, and the gateway with status 1, as if it had ended by a failure.

Cause: the stop waits for each connection that is active, and a request that never comes whole is active for up to a minute.

Change: 200 ms before the end of a stop requests that have not come whole are refused with the promise that they did not run.

Measured: TestStopBesideAnUnfinishedRequest failed for bodies of 100 bytes and of 100 kB before (no answer, exit status 1) and passes.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -16,6 +16,9 @@
 const (
 	// stopMargin is reserved from the stop timeout for the work after the last request.
 	stopMargin = 300 * time.Millisecond
+	// unfinishedMargin is the time before the end of a stop at which requests that have not come whole are refused: their
+	// callers learn that they did not run.
+	unfinishedMargin = 200 * time.Millisecond
 	// incomingPollInterval is the interval at which incoming requests are checked for during a stop.
 	incomingPollInterval = 100 * time.Millisecond
 	// relayedPollInterval is the interval at which relayed requests are checked for during a stop.
@@ -35,6 +38,8 @@
 	g.awaitIncoming(end)
 	bounded, cancel := context.WithTimeout(context.Background(), end-g.clock.Now())
 	defer cancel()
+	refusing := time.AfterFunc(end-g.clock.Now()-unfinishedMargin, g.clientBudget.EvictReading)
+	defer refusing.Stop()
 	if err := server.ShutdownWithContext(bounded); err != nil && !eris.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "requests did not finish within stop_timeout")
 	}
--- a/internal/overload/evict.go
+++ b/internal/overload/evict.go
@@ -51,6 +51,18 @@
 	}
 }
 
+// EvictReading evicts all connections whose requests have not come whole.
+func (b *Budget) EvictReading() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for each := range b.connections {
+		if each.phase.CompareAndSwap(int32(Reading), int32(Evicted)) {
+			b.evicted.Add(1)
+			each.client.Evict(Reading)
+		}
+	}
+}
+
 // candidates returns the connections that may be evicted, in order. While only memory is wanted, those that hold none
 // for a body are left out, unless the connections themselves use up the memory. Those on the way out count as evicted.
 func (b *Budget) candidates(now time.Duration, wanted need) []candidate {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -146,3 +146,16 @@
 		t.Errorf("%d collections", collections)
 	}
 }
+
+func TestUnfinishedRequestsAreEvictedAtTheEnd(t *testing.T) {
+	budget := NewBudget(Limits{Bytes: mebibyte, Connections: 10})
+	phases := []Phase{Idle, Reading, Serving, Writing}
+	for _, phase := range phases {
+		connection, client := open(t, budget, 0)
+		connection.Enter(0, phase)
+		budget.EvictReading()
+		if client.evicted != (phase == Reading) {
+			t.Errorf("phase %d: evicted %t", phase, client.evicted)
+		}
+	}
+}
--- a/test/lifecycle_test.go
+++ b/test/lifecycle_test.go
@@ -526,3 +526,39 @@
 		t.Errorf("%s; output: %s", p.command.ProcessState, p.output.String())
 	}
 }
+
+// TestStopBesideAnUnfinishedRequest guards against a planned stop that fails because of a request that never comes whole.
+func TestStopBesideAnUnfinishedRequest(t *testing.T) {
+	for _, length := range []int{100, 100_000} {
+		t.Run(fmt.Sprintf("%d bytes", length), func(t *testing.T) {
+			p := newRole(t, "gateway")
+			p.writeSettings(p.text + "stop_timeout: 2s\nstop_notice: 100ms\n")
+			p.start()
+			p.answers(p.admin, "/health/live")
+			connection, err := net.Dial("tcp", p.callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = connection.Close() }()
+			request := fmt.Sprintf("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length-1))
+			if _, err := io.WriteString(connection, request); err != nil {
+				t.Fatal(err)
+			}
+			// The request must have arrived before the stop begins.
+			time.Sleep(200 * time.Millisecond)
+			p.signal(syscall.SIGTERM)
+			answer, err := io.ReadAll(connection)
+			if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503") && !strings.HasPrefix(string(answer), "HTTP/1.1 408") {
+				t.Errorf("answer %q, %v", answer, err)
+			}
+			select {
+			case <-p.ended:
+			case <-time.After(patience):
+				t.Fatal("the process did not stop")
+			}
+			if !p.command.ProcessState.Success() {
+				t.Errorf("%s; output: %s", p.command.ProcessState, p.output.String())
+			}
+		})
+	}
+}
