Memory of a connection is returned once when a stop closes it

No caller saw this; the account of a stopping process could fall below what clients hold, so that more was admitted than the bound allows.

Cause: a stop closes idle connections from its own goroutine, while the goroutine of the connection may release the memory of its last answer. Both read the sum before either had subtracted it.

--- a/internal/overload/budget.go
+++ b/internal/overload/budget.go
@@ -113,6 +113,12 @@
 	b.garbage.Add(-garbage)
 }
 
+// returned returns the memory of bodies.
+func (b *Budget) returned(bytes int64) {
+	b.garbage.Add(bytes)
+	b.release(bytes)
+}
+
 func (b *Budget) release(bytes int64) {
 	if bytes == 0 {
 		return
--- a/internal/overload/connection.go
+++ b/internal/overload/connection.go
@@ -127,8 +127,7 @@
 func (c *Connection) Return(bytes int64) {
 	if c != nil {
 		c.bytes.Add(-bytes)
-		c.budget.garbage.Add(bytes)
-		c.budget.release(bytes)
+		c.budget.returned(bytes)
 	}
 }
 
@@ -142,11 +141,11 @@
 // Release returns all memory that the connection has taken for bodies.
 func (c *Connection) Release() {
 	if c != nil {
-		c.Return(c.bytes.Load())
+		c.budget.returned(c.bytes.Swap(0))
 	}
 }
 
-// Close returns everything. It may be called repeatedly.
+// Close returns everything. It may be called repeatedly, and concurrently with Release.
 func (c *Connection) Close() {
 	if c == nil {
 		return
