A request without a body is refused once its connection was evicted

Other callers saw refusals for lack of memory while an evicted connection held an answer that its caller did not take: an evicted connection counts as one that is about to return its memory, so nothing else was evicted in its place, for up to the write timeout.

Cause: the reader of bodies ignored that the phase could not be entered if the request had no body, as it does not for those with one.

Evidence: the test failed on the code before with 'error <nil>'. The request is refused with 503 now, as one with a body is: it has not run.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -181,3 +181,20 @@
 	}
 	t.Error("the stalled body keeps its memory")
 }
+
+// TestRequestOfAnEvictedConnectionIsNotServed guards against a request without a body that runs though its connection was
+// evicted: nothing could evict the connection while its answer waits to be taken.
+func TestRequestOfAnEvictedConnectionIsNotServed(t *testing.T) {
+	const short = time.Second
+	budget := overload.NewBudget(overload.Limits{Bytes: mebibyte, Connections: 1})
+	var context fasthttp.RequestCtx
+	load := budget.Open(0, stalledClient{&net.TCPConn{}})
+	load.Enter(0, overload.Reading)
+	budget.Open(short, stalledClient{&net.TCPConn{}})
+	if !load.Evicted() {
+		t.Fatal("the connection was not evicted")
+	}
+	if _, err := Read(&context, mebibyte, load, clock.NewSystem()); !errors.Is(err, ErrEvicted) {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/intake/read.go
+++ b/internal/intake/read.go
@@ -30,7 +30,9 @@
 func Read(context *fasthttp.RequestCtx, maxBytes int, connection *overload.Connection, now clock.Clock) (Body, error) {
 	stream := context.RequestBodyStream()
 	if stream == nil {
-		connection.Enter(now.Now(), overload.Serving)
+		if !connection.Enter(now.Now(), overload.Serving) {
+			return Body{}, ErrEvicted
+		}
 		return NewBody(context.Request.Body()), nil
 	}
 	length := context.Request.Header.ContentLength()
