Controllers count the memory of forms before they are read

A crowd of multipart/form-data calls could exhaust a controller's memory, as bodies of other types could before they were counted.

Cause: the server parses a form of known length whole before the handler runs, in memory that the account does not see.

Evidence: a form of 512 KiB that stops short took 0 bytes of the account for 5 s (trial of the test with that timeout, on the code before). Forms are not parsed by the server now, so they are read like any other body.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -47,10 +47,12 @@
 		// The listener bounds the connections.
 		Concurrency:       math.MaxInt32,
 		StreamRequestBody: true,
-		ReadTimeout:       settings.RequestTimeout,
-		WriteTimeout:      settings.RequestTimeout,
-		IdleTimeout:       settings.IdleTimeout,
-		ErrorHandler:      service.answerError,
+		// A form would be read before its memory is reserved.
+		DisablePreParseMultipartForm: true,
+		ReadTimeout:                  settings.RequestTimeout,
+		WriteTimeout:                 settings.RequestTimeout,
+		IdleTimeout:                  settings.IdleTimeout,
+		ErrorHandler:                 service.answerError,
 	})
 	service.app.Server().ConnState = service.followConnection
 	service.app.Use(recoverer.New(recoverer.Config{EnableStackTrace: true, StackTraceHandler: service.logPanic}))
