Answers that wait for the gateway's own link are not evicted

While memory is short, callers whose answers wait for a turn on the gateway's narrow link lost them, though their requests had run and they would have read them.

Cause: an answer counts as waiting for its caller from the end of the handler on, also while the pacer makes it wait for its turn. Turns of answers that are less urgent may take longer than the time without progress after which a connection may be evicted.

The wait counts as one for the process now, and the time without progress begins when it ends.

--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -46,6 +46,11 @@
 	current.load.Enter(now, overload.Writing)
 }
 
+// holdingTurn returns a turn during which the connection is not evicted: its caller is not what the answer waits for.
+func holdingTurn(connection *intake.Connection, turn func(bytes int)) func(bytes int) {
+	return func(bytes int) { connection.Await(func() { turn(bytes) }) }
+}
+
 func newClientBudget(settings config.Gateway) *overload.Budget {
 	return overload.NewBudget(overload.Limits{
 		Bytes: settings.EffectiveRequestMemory(), ConnectionBytes: overload.TypicalConnectionBytes,
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -92,7 +92,7 @@
 // Write implements net.Conn.
 func (c *meteredConnection) Write(data []byte) (int, error) {
 	if c.turn != nil {
-		return writeInTurns(data, c.turn, c.write)
+		return writeInTurns(data, holdingTurn(c.Connection, c.turn), c.write)
 	}
 	return c.write(data)
 }
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -117,7 +117,7 @@
 	if s.turn == nil {
 		return s.write(data)
 	}
-	return writeInTurns(data, s.turn, s.write)
+	return writeInTurns(data, holdingTurn(s.Connection, s.turn), s.write)
 }
 
 func (s *meteredStream) write(data []byte) (int, error) {
--- a/internal/intake/connection.go
+++ b/internal/intake/connection.go
@@ -99,6 +99,13 @@
 // Load implements Bounded.
 func (c *Connection) Load() *overload.Connection { return c.load }
 
+// Await calls wait, which waits for something other than the client, amid an answer.
+func (c *Connection) Await(wait func()) {
+	c.load.Hold()
+	wait()
+	c.load.Resume(c.clock.Now())
+}
+
 // Stalled implements overload.Client. A client whose bytes were not read yet waits for this process.
 func (c *Connection) Stalled(phase overload.Phase) bool {
 	return phase == overload.Writing || !HasUnread(c)
--- a/internal/overload/connection.go
+++ b/internal/overload/connection.go
@@ -72,6 +72,21 @@
 	c.progressAt.Store(int64(now))
 }
 
+// Hold begins a wait of the process for something other than its client, amid an answer.
+func (c *Connection) Hold() {
+	if c != nil {
+		c.phase.CompareAndSwap(int32(Writing), int32(Serving))
+	}
+}
+
+// Resume ends the wait that Hold began.
+func (c *Connection) Resume(now time.Duration) {
+	if c != nil {
+		c.progressAt.Store(int64(now))
+		c.phase.CompareAndSwap(int32(Serving), int32(Writing))
+	}
+}
+
 // Passed records bytes that the client sent or took.
 func (c *Connection) Passed(now time.Duration, bytes int) {
 	if c == nil {
