--- a/internal/overload/connection.go
+++ b/internal/overload/connection.go
@@ -72,6 +72,21 @@
 	c.progressAt.Store(int64(now))
 }
 
+// Hold begins a wait of the process for something other than its client, amid an answer.
+func (c *Connection) Hold() {
+	if c != nil {
+		c.phase.CompareAndSwap(int32(Writing), int32(Serving))
+	}
+}
+
+// Resume ends the wait that Hold began.
+func (c *Connection) Resume(now time.Duration) {
+	if c != nil {
+		c.progressAt.Store(int64(now))
+		c.phase.CompareAndSwap(int32(Serving), int32(Writing))
+	}
+}
+
 // Passed records bytes that the client sent or took.
 func (c *Connection) Passed(now time.Duration, bytes int) {
 	if c == nil {
@@ -127,8 +142,7 @@
 func (c *Connection) Return(bytes int64) {
 	if c != nil {
 		c.bytes.Add(-bytes)
-		c.budget.garbage.Add(bytes)
-		c.budget.release(bytes)
+		c.budget.returned(bytes)
 	}
 }
 
@@ -142,11 +156,11 @@
 // Release returns all memory that the connection has taken for bodies.
 func (c *Connection) Release() {
 	if c != nil {
-		c.Return(c.bytes.Load())
+		c.budget.returned(c.bytes.Swap(0))
 	}
 }
 
-// Close returns everything. It may be called repeatedly.
+// Close returns everything. It may be called repeatedly, and concurrently with Release.
 func (c *Connection) Close() {
 	if c == nil {
 		return
