An answer for which this process has no memory is no fault of its back end

What callers would see: while a few clients held the memory for answers, other requests with answers above 64 KiB failed, their healthy servers were ejected and suspected of a crash, and requests that may be repeated were sent again.

Cause: an answer that could not be reserved beside what clients hold ended as one that the server had cut off (answer_truncated).

Change: a kind of its own, answer_dropped: the request may have run, it is not sent again, and no server is ejected or suspected for it; relays pass it on.

--- a/internal/execution/outcome.go
+++ b/internal/execution/outcome.go
@@ -77,7 +77,7 @@
 			return e.recordFailure(now)
 		}
 		health.ProbeAbandoned(server.ID)
-	case fault.QueueFull, fault.SocketUnavailable:
+	case fault.QueueFull, fault.SocketUnavailable, fault.AnswerDropped:
 		health.ProbeAbandoned(server.ID)
 	default:
 		return e.recordSuccess()
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -63,6 +63,8 @@
 	ConnectionLost Kind = "connection_lost"
 	// AnswerTruncated: the back end's answer ended early.
 	AnswerTruncated Kind = "answer_truncated"
+	// AnswerDropped: this router had no memory left for the answer, which says nothing of the back end.
+	AnswerDropped Kind = "answer_dropped"
 	// AnswerMismatched: the answer carried another request's identifier.
 	AnswerMismatched Kind = "answer_mismatched"
 	// StaleRouter: the router cannot prove its configuration is current.
@@ -168,6 +170,7 @@
 	DeadlineExceeded:     {Status: 504, Outcome: Unknown, RetryAfter: retrySoon},
 	ConnectionLost:       {Status: 502, Outcome: Unknown, RetryAfter: retrySoon},
 	AnswerTruncated:      {Status: 502, Outcome: Unknown, RetryAfter: retrySoon},
+	AnswerDropped:        {Status: 502, Outcome: Unknown, RetryAfter: retrySoon},
 	AnswerMismatched:     {Status: 502, Outcome: Unknown, RetryAfter: retrySoon},
 	StaleRouter:          {Status: 503, Outcome: NotRun, RetryAfter: retryLater},
 	RouterStopping:       {Status: 503, Outcome: NotRun, RetryAfter: retrySoon},
--- a/internal/forward/answermemory.go
+++ b/internal/forward/answermemory.go
@@ -53,6 +53,9 @@
 // errAnswerMemory ends an answer that does not fit beside the others.
 var errAnswerMemory = eris.New("the answer needs more memory than is left for answers")
 
+// errNoMemory ends an answer for which this process has no memory left beside what its clients hold.
+var errNoMemory = eris.New("this process has no memory left for the answer")
+
 // reserveFor reserves memory for an answer that takes the given number of bytes in all.
 func (c *countingConnection) reserveFor(bytes int64) error {
 	needed := bytes - freeAnswerBytes - c.reserved
@@ -64,7 +67,7 @@
 	}
 	if c.reserve != nil && !c.reserve(needed) {
 		c.memory.release(needed)
-		return errAnswerMemory
+		return errNoMemory
 	}
 	c.reserved += needed
 	return nil
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,7 +27,7 @@
 	// with that error.
 	Check func() *fault.Error
 	// Reserve, if not nil, is called before further memory is taken for a large answer, besides Settings.AnswerMemory. It
-	// may wait. If it returns false, the answer is broken off. What it reserves is the caller's to return.
+	// may wait. If it returns false, the answer is broken off and the attempt fails with the kind AnswerDropped. What it reserves is the caller's to return.
 	Reserve func(bytes int64) bool
 	// Unanswered is set by Do: true if the request was sent and no byte of an answer came.
 	Unanswered bool
@@ -133,6 +133,8 @@
 	switch {
 	case isTimeout(err) && !time.Now().Before(deadline):
 		return fault.New(fault.DeadlineExceeded, "the deadline passed before the back end's answer was whole")
+	case eris.Is(err, errNoMemory):
+		return fault.New(fault.AnswerDropped, errNoMemory.Error())
 	case connection.bytesRead == 0:
 		return fault.Newf(fault.ConnectionLost, "the connection broke before an answer came: %v", err)
 	default:
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -76,6 +76,8 @@
 	Lost Result = "connection_lost"
 	// Truncated means that the request was sent, and the answer ended early.
 	Truncated Result = "answer_truncated"
+	// Dropped means that the request was sent, and the relay had no memory left for the answer.
+	Dropped Result = "answer_dropped"
 	// Mismatched means that the request was sent, and the answer belongs to another one.
 	Mismatched Result = "answer_mismatched"
 	// TimedOut means that the request was sent, and its deadline passed.
@@ -84,7 +86,7 @@
 
 // sentFailures are the failures after which the instance may have run the request.
 var sentFailures = map[Result]fault.Kind{
-	Lost: fault.ConnectionLost, Truncated: fault.AnswerTruncated, Mismatched: fault.AnswerMismatched, TimedOut: fault.DeadlineExceeded,
+	Lost: fault.ConnectionLost, Truncated: fault.AnswerTruncated, Dropped: fault.AnswerDropped, Mismatched: fault.AnswerMismatched, TimedOut: fault.DeadlineExceeded,
 }
 
 // ResultOf returns the result of an attempt that a relay made. A failure that does not prove that nothing was sent
