Overload, intake: comments speak of limits, not of places

Cause: a place is an instance's slot elsewhere in the gateway.

Change: comments and the help of one metric.

Measured: go vet is clean; no code changed.

--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -65,6 +65,6 @@
 		func() float64 { return float64(budget.Peak()) })
 	registry.CounterFunction("connections_evicted_total", "Callers' connections that were closed since they made no progress while memory or connections were short.",
 		nil, func() float64 { return float64(budget.Evicted()) })
-	registry.CounterFunction("overload_refused_total", "Callers' connections and requests that were refused for lack of memory or places.",
+	registry.CounterFunction("overload_refused_total", "Callers' connections and requests that were refused for lack of memory or beyond max_connections.",
 		nil, func() float64 { return float64(budget.Refused()) })
 }
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -54,7 +54,7 @@
 	return meteredListener{Listener: listener, traffic: connectionTraffic{g.meter}, budget: g.clientBudget, clock: g.clock}
 }
 
-// Accept implements net.Listener. It closes connections for which there is no place.
+// Accept implements net.Listener. It closes connections that the budget refuses.
 func (l meteredListener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
--- a/internal/intake/connection.go
+++ b/internal/intake/connection.go
@@ -56,7 +56,7 @@
 	clock  clock.Clock
 }
 
-// Listen returns a listener that admits connections to a budget, and closes those for which there is no place.
+// Listen returns a listener that admits connections to a budget, and closes those that it refuses.
 func Listen(inner net.Listener, budget *overload.Budget, now clock.Clock) net.Listener {
 	return &listener{Listener: inner, budget: budget, clock: now}
 }
@@ -87,7 +87,7 @@
 	_ syscall.Conn    = (*Connection)(nil)
 )
 
-// Admit returns a connection that takes a part of a budget until it is closed, or nil if there is no place for it.
+// Admit returns a connection that takes a part of a budget until it is closed, or nil if the budget refuses it.
 func Admit(inner net.Conn, budget *overload.Budget, now clock.Clock) *Connection {
 	admitted := &Connection{Conn: inner, clock: now}
 	if admitted.load = budget.Open(now.Now(), admitted); admitted.load == nil {
--- a/internal/overload/evict.go
+++ b/internal/overload/evict.go
@@ -26,7 +26,7 @@
 	holdsBody bool
 }
 
-// evictionBatch is how many connections with a stalled request are evicted at a time once places are short: a search
+// evictionBatch is how many connections with a stalled request are evicted at a time once the limit of connections is reached: a search
 // for them looks at all connections.
 const evictionBatch = spareConnections / 2
 
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// TestByteByByteIsNoProgress: a client that keeps its connection busy by single bytes gives way as well.
+// TestByteByByteIsNoProgress: a client that keeps its connection busy by single bytes is evicted as well.
 func TestByteByByteIsNoProgress(t *testing.T) {
 	budget := NewBudget(Limits{ConnectionBytes: TypicalConnectionBytes, Bytes: mebibyte, Connections: 1})
 	slow, client := open(t, budget, 0)
