Settings that are complete and wrong end a process at once

What operators saw: a process whose settings were whole and wrong waited 3 s before it said so, at each start, since the file might still be written.

Cause: awaitSettings took each problem for one that more of the file might solve.

Change: a problem is final if nothing that may follow in the file can solve it: it is the problem of a value by itself (its form, its range, an unknown field), and the value is complete, since another top-level field follows or its line has ended. Missing fields, syntax, checks that compare fields and certificates are waited for as before.

Evidence: TestWrongSettingsThatAreCompleteAreFinal counts the reads (one; it read for 3 s before).

--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -34,8 +36,8 @@
 	return fileVersion{modified: info.ModTime(), size: info.Size()}
 }
 
-// awaitSettings loads settings from a file. It tries again while the file is missing or not valid, until the file has
-// not changed for settingsSettleTime, or the context ends. The age of the file does not count, since the time of day may
+// awaitSettings loads settings from a file. It tries again while the file is missing or not valid, until a problem is
+// final, the file has not changed for settingsSettleTime, or the context ends. The age of the file does not count, since the time of day may
 // have been set since it was written.
 func awaitSettings[T any](ctx context.Context, path string, log *logrus.Entry, load func() (T, error)) (T, error) {
 	var last fileVersion
@@ -49,6 +51,9 @@
 		if ctx.Err() != nil {
 			return settings, eris.Wrap(ctx.Err(), "wait for the settings file")
 		}
+		if problems := (config.Problems)(nil); errors.As(err, &problems) && problems.Final() {
+			return settings, err
+		}
 		now := time.Now()
 		if attempt == 0 || version != last {
 			last, unchangedSince = version, now
--- a/internal/cli/settings_test.go
+++ b/internal/cli/settings_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -62,3 +63,23 @@
 		})
 	}
 }
+
+// TestWrongSettingsThatAreCompleteAreFinal guards against a process that waits for its settings although the value that
+// is wrong was written whole.
+func TestWrongSettingsThatAreCompleteAreFinal(t *testing.T) {
+	log := telemetry.New("gateway", "", "info", io.Discard)
+	path := filepath.Join(t.TempDir(), "gateway.yaml")
+	text := "role: gateway\nback_end:\n  answer_memory: 0\nname: g1\nseeds: ['127.0.0.1:7101']\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	loads := 0
+	_, err := awaitSettings(context.Background(), path, log, func() (config.Gateway, error) {
+		loads++
+		return config.LoadGateway(path)
+	})
+	var problems config.Problems
+	if !errors.As(err, &problems) || problems[0].Field != "back_end.answer_memory" || problems[0].Remedy == "" || loads != 1 {
+		t.Errorf("error %v after %d loads", err, loads)
+	}
+}
--- a/internal/config/bind.go
+++ b/internal/config/bind.go
@@ -40,7 +40,7 @@
 	if near := nearest(fields, name); near != "" {
 		remedy = fmt.Sprintf("did you mean %s?", near)
 	}
-	b.report.add(path, "", "unknown field", remedy)
+	b.report.addOwn(path, "", "unknown field", remedy, true)
 }
 
 // value binds the value of one field. It returns false after it reported a
@@ -49,7 +49,7 @@
 	switch field.Kind {
 	case KindGroup:
 		if !isMapping(node) {
-			return b.wrong(path, node, "must be a group of fields", "write its fields on indented lines below it")
+			return b.wrong(path, node, false, "must be a group of fields", "write its fields on indented lines below it")
 		}
 		return b.group(path, field.Fields, node), true
 	case KindGroups, KindTexts:
@@ -62,7 +62,7 @@
 func (b *binder) list(path string, field Field, node ast.Node) (any, bool) {
 	sequence, isSequence := node.(*ast.SequenceNode)
 	if !isSequence {
-		return b.wrong(path, node, "must be a list", "write one entry a line, each after a dash")
+		return b.wrong(path, node, false, "must be a list", "write one entry a line, each after a dash")
 	}
 	values := make([]any, 0, len(sequence.Values))
 	for index, entry := range sequence.Values {
@@ -92,46 +92,48 @@
 				return value, true
 			}
 		}
-		return b.wrong(path, node, "must be a whole number", "write digits alone, such as 100")
+		return b.wrong(path, node, true, "must be a whole number", "write digits alone, such as 100")
 	case KindNumber:
 		if value, err := strconv.ParseFloat(node.GetToken().Value, 64); err == nil && isNumber(node) {
 			return value, true
 		}
-		return b.wrong(path, node, "must be a number", "write digits, such as 0.01")
+		return b.wrong(path, node, true, "must be a number", "write digits, such as 0.01")
 	case KindBoolean:
 		if boolean, isBoolean := node.(*ast.BoolNode); isBoolean {
 			return boolean.Value, true
 		}
-		return b.wrong(path, node, "must be true or false", "write true or false")
+		return b.wrong(path, node, true, "must be true or false", "write true or false")
 	default:
 		if text, isText := node.(*ast.StringNode); isText {
 			return text.Value, true
 		}
-		return b.wrong(path, node, "must be text", "put the value in double quotes")
+		return b.wrong(path, node, true, "must be text", "put the value in double quotes")
 	}
 }
 
 func (b *binder) duration(path string, node ast.Node) (any, bool) {
 	text := node.GetToken().Value
 	if isNumber(node) {
-		return b.wrong(path, node, "a duration needs a unit", fmt.Sprintf("write %sms, or another of the units us, ms, s, m, h", text))
+		return b.wrong(path, node, true, "a duration needs a unit", fmt.Sprintf("write %sms, or another of the units us, ms, s, m, h", text))
 	}
 	if _, err := time.ParseDuration(text); err != nil {
-		return b.wrong(path, node, "is no duration", "write a number with one of the units us, ms, s, m, h, such as 150ms")
+		return b.wrong(path, node, true, "is no duration", "write a number with one of the units us, ms, s, m, h, such as 150ms")
 	}
 	return text, true
 }
 
-func (b *binder) wrong(path string, node ast.Node, message, remedy string) (any, bool) {
+// wrong reports a value that cannot be bound. Single is true where a single value must stand.
+func (b *binder) wrong(path string, node ast.Node, single bool, message, remedy string) (any, bool) {
 	text := ""
 	if !isMapping(node) && node.Type() != ast.SequenceType {
 		text = node.GetToken().Value
 	}
 	if node.Type() == ast.NullType {
+		single = false // its entries may follow
 		message = "has no value"
 		remedy = "give it a value, or remove the line"
 	}
-	b.report.add(path, text, message, remedy)
+	b.report.addOwn(path, text, message, remedy, single)
 	return nil, false
 }
 
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -128,6 +129,7 @@
 		r.problems = append(r.problems, Problem{File: r.file, Message: "cannot be read: " + err.Error(), Remedy: "give the path of a readable settings file"})
 		return nil
 	}
+	r.endedLines = bytes.Count(content, []byte("\n"))
 	file, err := parser.ParseBytes(content, 0)
 	if err != nil {
 		r.syntax(err)
@@ -145,6 +147,9 @@
 		r.problems = append(r.problems, Problem{File: r.file, Line: root.GetToken().Position.Line, Message: "is no group of fields", Remedy: "write one field a line, such as role: router"})
 		return nil
 	}
+	for _, entry := range entriesOf(root) {
+		r.lastField = entry.Key.GetToken().Position.Line
+	}
 	return root
 }
 
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -206,3 +206,33 @@
 		t.Error("want an error for an absent file")
 	}
 }
+
+// TestFinalProblems checks which problems of a file that is being written no later part of it can solve.
+func TestFinalProblems(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		final bool
+	}{
+		"value of a middle line":          {"role: gateway\nstop_timeout: 6\nname: g1\n", true},
+		"value too small":                 {"role: gateway\nback_end:\n  answer_memory: 0\nname: g1\n", true},
+		"value of the last line":          {"role: gateway\nname: g1\nstop_timeout: 6\n", true},
+		"value of a line without end":     {"role: gateway\nname: g1\nstop_timeout: 6", false},
+		"no value before another field":   {"role: gateway\nback_end:\nname: g1\n", true},
+		"no value at the end":             {"role: gateway\nname: g1\nback_end:\n", false},
+		"unknown field in the middle":     {"role: gateway\nnam: g1\nzone: a\n", true},
+		"unknown field that may be cut":   {"role: gateway\nzone: a\nnam: ", false},
+		"required fields that may follow": {"role: gateway\n", false},
+		"syntax":                          {"role: gateway\nname: \"g1\n", false},
+		"empty":                           {"", false},
+	} {
+		path := filepath.Join(t.TempDir(), "gateway.yaml")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadGateway(path)
+		var problems Problems
+		if !errors.As(err, &problems) || problems.Final() != c.final {
+			t.Errorf("%s: problems %v, final %t, want %t", name, err, problems.Final(), c.final)
+		}
+	}
+}
--- a/internal/config/problem.go
+++ b/internal/config/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
@@ -19,6 +20,8 @@
 	Value   string `json:"value"`
 	Message string `json:"message"`
 	Remedy  string `json:"remedy"`
+	// final is true if nothing that may still be written behind the value solves the problem.
+	final bool
 }
 
 // String returns the problem on one line.
@@ -60,6 +63,12 @@
 	return strings.Join(lines, "\n")
 }
 
+// Final reports whether a problem stays whatever is written behind the part of the file that was read, so that it need
+// not be read again.
+func (p Problems) Final() bool {
+	return slices.ContainsFunc(p, func(problem Problem) bool { return problem.final })
+}
+
 // Unwrap gives the problems a kind of the closed list.
 func (p Problems) Unwrap() error {
 	return fault.New(fault.InvalidArgument, "the settings have problems")
@@ -71,6 +80,9 @@
 	lines    map[string]int
 	flags    map[string]string
 	problems Problems
+	// endedLines is the number of lines that end with a line break, and lastField the line of the last top-level field.
+	endedLines int
+	lastField  int
 }
 
 func newReport(file string) *report {
@@ -91,6 +103,18 @@
 	r.problems = append(r.problems, problem)
 }
 
+// addOwn records a problem of what stands at a field itself, which no other field can solve. It is final once another
+// top-level field follows and, for a single value, once its line has ended.
+func (r *report) addOwn(field, value, message, remedy string, single bool) {
+	if r.has(field) {
+		return
+	}
+	r.add(field, value, message, remedy)
+	_, overridden := r.flags[field]
+	line, found := r.lines[field]
+	r.problems[len(r.problems)-1].final = overridden || found && (line < r.lastField || single && line <= r.endedLines)
+}
+
 func (r *report) has(field string) bool {
 	for _, problem := range r.problems {
 		if problem.Field == field {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -53,7 +53,7 @@
 	for _, failure := range failures {
 		_, path, _ := strings.Cut(failure.Namespace(), ".")
 		found := explain(failure)
-		r.add(path, valueText(failure), found.message, found.remedy)
+		r.addOwn(path, valueText(failure), found.message, found.remedy, failure.Kind() != reflect.Slice)
 	}
 }
 
