Attempts in the log name their connection; surplus bytes are counted

Change: each attempt in a request_ended line has the number of its connection, how many requests that has carried, and the bytes that were left behind the answer. surplus_answers_total counts bytes that belong to no request by what was done: connection closed while idle, closed behind an answer, attempt failed. Gateways and routers; no decision changes.

An order that ran twice, as its gateway tells it:

: i-3 connection 4 request 7 shedding after 0 ms i-3 connection 4 request 8 shedding after 20 ms i-3 connection 4 request 9 answered after 90 ms

and as the server does: turned away at 13347.2, run at 13347.5, the 429 sent a second time at 13367.6, run again at 13458.3. So one connection carried all three attempts, and the second one ended when the second copy arrived.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,6 +34,8 @@
 	// Unacknowledged is set by Do: true if the connection broke because bytes that were sent on it stayed
 	// unacknowledged for wire.SilenceTimeout.
 	Unacknowledged bool
+	// Connection is set by Do: what the attempt met on its connection. It is zero if there was none.
+	Connection ConnectionReport
 	// Interrupt, if not nil, can abort the attempt from another goroutine, for example when the
 	// caller has left.
 	Interrupt *Interrupt
@@ -50,7 +52,7 @@
 			return acquireFailure(err)
 		}
 		connection := pooled.Conn().(*countingConnection)
-		if connection.used && !connection.reusable() {
+		if connection.requests > 0 && !connection.reusable() {
 			c.pool.CloseConn(pooled)
 			continue
 		}
@@ -60,6 +62,7 @@
 		}
 		connection.beginAttempt(attempt)
 		reusable, failure := c.exchange(connection, attempt, deadline)
+		attempt.Connection = connection.report
 		attempt.Unanswered = connection.bytesWritten > 0 && connection.bytesRead == 0
 		interrupted := !attempt.Interrupt.detach()
 		if reusable && !interrupted {
@@ -99,9 +102,13 @@
 		return false, readFailure(connection, err, deadline)
 	}
 	if got := string(attempt.Response.Header.Peek(c.settings.IDHeader)); got != attempt.ID {
+		c.settings.Traffic.Surplus(SurplusRejected)
 		return false, fault.Newf(fault.AnswerMismatched, "the answer carries identifier %.64q instead of %q", got, attempt.ID)
 	}
 	reusable := !attempt.Response.ConnectionClose() && reader.Buffered() == 0
+	if connection.report.LeftOverBytes = reader.Buffered(); connection.report.LeftOverBytes > 0 {
+		c.settings.Traffic.Surplus(SurplusBehind)
+	}
 	connection.setKeepAlive(attempt.Response.Header.Peek(fasthttp.HeaderKeepAlive))
 	return reusable, nil
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -55,6 +55,8 @@
 	Opened()
 	// Passed is called after each read or write with the number of bytes.
 	Passed(received, sent int)
+	// Surplus is called with what was done about bytes of a back end that belong to no request in flight.
+	Surplus(action Surplus)
 }
 
 // noTraffic ignores all notifications.
@@ -62,6 +64,7 @@
 
 func (noTraffic) Opened()         {}
 func (noTraffic) Passed(int, int) {}
+func (noTraffic) Surplus(Surplus) {}
 
 // Client sends attempts to one back end.
 type Client struct {
@@ -137,7 +140,9 @@
 		}
 		wire.EndOnSilence(connection, wire.SilenceTimeout)
 		settings.Traffic.Opened()
-		return &countingConnection{Conn: connection, traffic: settings.Traffic, memory: settings.AnswerMemory}, nil
+		return &countingConnection{
+			Conn: connection, traffic: settings.Traffic, memory: settings.AnswerMemory, number: lastConnection.Add(1),
+		}, nil
 	}
 }
 
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -32,8 +32,10 @@
 	reserve func(bytes int64) bool
 	// check is Attempt.Check of the current attempt.
 	check func() *fault.Error
-	// used is true once the connection has served an attempt.
-	used bool
+	// requests is the number of requests that the connection has carried. report is that of the current attempt.
+	requests int
+	number   uint64
+	report   ConnectionReport
 	// reuseUntil is the clock.BootTime until which the connection may be reused according to the back
 	// end's Keep-Alive header; zero if it sent none.
 	reuseUntil time.Duration
@@ -101,7 +103,8 @@
 	c.bytesWritten = 0
 	c.bytesRead = 0
 	c.readError = nil
-	c.used = true
+	c.requests++
+	c.report = ConnectionReport{Number: c.number, Requests: c.requests}
 }
 
 // idle reports whether a pooled connection is still open and has no bytes to read. It is
@@ -115,14 +118,18 @@
 	if err != nil {
 		return false
 	}
-	quiet := false
+	quiet, surplus := false, false
 	// raw.Read would fail once the deadline of the last attempt has passed.
-	err = raw.Control(func(descriptor uintptr) { quiet = peekWouldBlock(int(descriptor)) })
+	err = raw.Control(func(descriptor uintptr) { quiet, surplus = peek(int(descriptor)) })
+	if surplus {
+		c.traffic.Surplus(SurplusIdle)
+	}
 	return err == nil && quiet
 }
 
-func peekWouldBlock(descriptor int) bool {
+// peek reports whether a connection is open without bytes to read, and whether there are any.
+func peek(descriptor int) (quiet, readable bool) {
 	var buffer [1]byte
-	_, _, err := syscall.Recvfrom(descriptor, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return eris.Is(err, syscall.EAGAIN)
+	count, _, err := syscall.Recvfrom(descriptor, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return eris.Is(err, syscall.EAGAIN), err == nil && count > 0
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,9 +106,11 @@
 	current.withdrawn, current.relayFailed = false, false
 	began, sentAt := time.Now(), g.clock.Now() // time.Now does not count a suspension as time of the instance
 	chosen, failure := g.chooseWay(current, instance)
+	var connection forward.ConnectionReport
 	if failure == nil {
 		var sent *forward.Attempt
 		sent, failure = g.send(current, instance, chosen)
+		connection = sent.Connection
 		if chosen.relay == "" {
 			g.recordReach(current, instance.ID, sent, failure)
 		} else {
@@ -126,7 +128,7 @@
 		failure = current.interrupted()
 	}
 	took := time.Since(began)
-	current.recordAttempt(instance.ID, chosen.relay, sentAt, took, failure)
+	current.recordAttempt(instance.ID, chosen.relay, connection, sentAt, took, failure)
 	g.recordResult(current, instance, chosen, took, failure)
 	if failure == nil {
 		g.guard.EndTrial(&current.suspicion)
@@ -182,8 +184,12 @@
 }
 
 // recordAttempt records the result of an attempt.
-func (r *request) recordAttempt(instance directory.InstanceID, relayAddress string, began, took time.Duration, failure *fault.Error) {
-	outcome := attemptOutcome{Instance: instance, Relay: relayAddress, AfterMs: (began - r.arrived).Milliseconds(), TookMs: took.Milliseconds()}
+func (r *request) recordAttempt(
+	instance directory.InstanceID, relayAddress string, connection forward.ConnectionReport, began, took time.Duration, failure *fault.Error,
+) {
+	outcome := attemptOutcome{
+		Instance: instance, Relay: relayAddress, AfterMs: (began - r.arrived).Milliseconds(), TookMs: took.Milliseconds(), ConnectionReport: connection,
+	}
 	if failure != nil {
 		outcome.Kind = failure.Kind
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,6 @@
 		splitter:     routing.NewSplitter(),
 		balancer:     balance.New(balanceSettings(settings)),
 		regions:      regionsOf(settings),
-		upstreams:    newUpstreams(settings.BackEnd, dialect, connectionTraffic{meter}, memory, options.DialInstance),
 		drains:       newDrains(system, settings.DrainTime),
 		rejections:   newRejections(system),
 		reach:        reach.New(),
@@ -167,6 +166,8 @@
 	}
 	gateway.pacer = newPacer(system, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
+	traffic := upstreamTraffic{connectionTraffic{meter}, gateway.metrics}
+	gateway.upstreams = newUpstreams(settings.BackEnd, dialect, traffic, memory, options.DialInstance)
 	registerLinkBytes(gateway.registry, meter)
 	gateway.registry.GaugeFunction("answer_memory_bytes", "Memory reserved for large answers that are being received.", func() float64 { return float64(memory.Used()) })
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
@@ -182,7 +183,7 @@
 	gateway.subscription.onCluster = gateway.guard.SetSecret
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
 	gateway.subscription.onTable = gateway.tableChanged
-	gateway.relays = newRelays(settings, dialect, connectionTraffic{meter}, memory, gateway.subscription.clusterID)
+	gateway.relays = newRelays(settings, dialect, traffic, memory, gateway.subscription.clusterID)
 	gateway.relayServer = gateway.newRelayServer()
 	gateway.places = newPlaceClient(system, settings, log, newPlaceKeeper(system, gateway.usableByKeeper), meter)
 	return gateway, nil
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/thorntiller/thorntiller/internal/clock"
+	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/overload"
@@ -34,6 +35,17 @@
 	t.meter.AddStream(link.Out, sent)
 }
 
+// upstreamTraffic counts the bytes of connections to instances and relays, and bytes that belong to no request.
+type upstreamTraffic struct {
+	connectionTraffic
+	metrics *metrics
+}
+
+// Surplus implements forward.Traffic.
+func (t upstreamTraffic) Surplus(action forward.Surplus) {
+	t.metrics.surplus.WithLabelValues(string(action)).Inc()
+}
+
 // countAs returns a function that counts all bytes of a connection as one kind.
 func countAs(meter *link.Meter, kind link.Kind) func(received, sent int) {
 	return func(received, sent int) {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -22,6 +22,8 @@
 	staleRouted *prometheus.CounterVec
 	// relayed counts relayed requests by direction and result.
 	relayed *prometheus.CounterVec
+	// surplus counts what was done about bytes of instances that belong to no request.
+	surplus *prometheus.CounterVec
 }
 
 // Directions of relayed requests: sent to another gateway, and received from one.
@@ -49,6 +51,7 @@
 
 		staleRouted: registry.Counters("requests_by_stale_table_total", "Requests routed by a table whose last proof was older than the staleness limit, by service and by the kind of failure; empty for an instance's answer.", "service", "kind"),
 		relayed:     registry.Counters("relayed_requests_total", "Requests that passed through another gateway, by direction and by what the relay told; none if it told nothing.", "direction", "result"),
+		surplus:     registry.Counters("surplus_answers_total", "Bytes of instances that belong to no request in flight, by what was done about them.", "action"),
 	}
 	registry.GaugeFunction("requests_in_flight", "Requests that wait for their answer.", func() float64 { return float64(built.running()) })
 	return built
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -108,6 +108,7 @@
 	TookMs  int64 `json:"took_ms"`
 	// Kind is empty for an answer that was forwarded.
 	Kind fault.Kind `json:"kind,omitempty"`
+	forward.ConnectionReport
 }
 
 // readRequest parses the request and finds its route in a table, whose proof had the given age before it was read.
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -61,6 +61,8 @@
 func (d onDial) Opened()         { d.call() }
 func (d onDial) Passed(int, int) {}
 
+func (d onDial) Surplus(forward.Surplus) {}
+
 // startInstance starts an instance that returns the identifier of each request, and counts the requests.
 func startInstance(t *testing.T, idHeader string) (address string, arrivals *atomic.Int64) {
 	t.Helper()
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -16,7 +16,7 @@
 
 const maxEjection = 30 * time.Second
 
-func newFleet(settings config.Router, systemClock clock.Clock, builder *table.Builder) *fleet.Fleet {
+func newFleet(settings config.Router, systemClock clock.Clock, builder *table.Builder, traffic forward.Traffic) *fleet.Fleet {
 	memory := forward.NewAnswerMemory(settings.BackEnd.AnswerMemory)
 	return fleet.New(fleet.Options{
 		Clock: systemClock, MaxConnections: settings.BackEnd.MaxConnections, Table: builder.Table,
@@ -27,7 +27,7 @@
 			MaxRatio:     settings.Health.MaxEjectedRatio,
 		},
 		Open: func(server *state.Server, connections int) fleet.Link {
-			return newLink(settings.BackEnd, memory, server, connections)
+			return newLink(settings.BackEnd, memory, traffic, server, connections)
 		},
 	})
 }
@@ -36,13 +36,14 @@
 type link struct {
 	settings config.BackEnd
 	memory   *forward.AnswerMemory
+	traffic  forward.Traffic
 	// address is guarded by the fleet's lock.
 	address string
 	client  atomic.Pointer[forward.Client]
 }
 
-func newLink(settings config.BackEnd, memory *forward.AnswerMemory, server *state.Server, connections int) *link {
-	result := &link{settings: settings, memory: memory, address: server.Address}
+func newLink(settings config.BackEnd, memory *forward.AnswerMemory, traffic forward.Traffic, server *state.Server, connections int) *link {
+	result := &link{settings: settings, memory: memory, traffic: traffic, address: server.Address}
 	result.client.Store(result.newClient(connections))
 	return result
 }
@@ -55,6 +56,7 @@
 		ControlConnections: admission.ControlConnections,
 		MaxAnswerBytes:     l.settings.MaxAnswerBytes,
 		AnswerMemory:       l.memory,
+		Traffic:            l.traffic,
 	})
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -16,8 +17,19 @@
 	resends  *prometheus.CounterVec
 	claims   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	// surplus counts what was done about bytes of back ends that belong to no request.
+	surplus *prometheus.CounterVec
 }
 
+// Opened implements forward.Traffic.
+func (*metrics) Opened() {}
+
+// Passed implements forward.Traffic.
+func (*metrics) Passed(int, int) {}
+
+// Surplus implements forward.Traffic.
+func (m *metrics) Surplus(action forward.Surplus) { m.surplus.WithLabelValues(string(action)).Inc() }
+
 // unresolvedService is the label for all services that are not configured, so that callers
 // cannot create arbitrary label values.
 const unresolvedService = "unknown"
@@ -32,6 +44,7 @@
 		resends:  set.Counters("resends_total", "Attempts that will be sent again, by the kind of failure.", "service", "kind"),
 		claims:   set.Counters("record_claims_total", "Claims of idempotency records, by verdict.", "verdict"),
 		latency:  set.Histograms("request_seconds", "Time from a request's arrival to its answer.", latencyBuckets(), "service"),
+		surplus:  set.Counters("surplus_answers_total", "Bytes of back ends that belong to no request in flight, by what was done about them.", "action"),
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -137,9 +137,9 @@
 	router.guard.RegisterMetrics(router.registry)
 	router.overdue = newOverdueWatch(router.clock)
 	router.lifetime, router.endLifetime = context.WithCancel(context.Background())
-	router.fleet = newFleet(settings, router.clock, router.builder)
-	router.core = router.newCore()
 	router.metrics = newMetrics(router.registry)
+	router.fleet = newFleet(settings, router.clock, router.builder, router.metrics)
+	router.core = router.newCore()
 	router.records = records.New(records.Options{
 		Self: router.self(), Settings: settings.Records, Clock: router.clock, Log: log, View: router.builder.Table,
 		Dial: options.dial(),
