A connection carries no identifier twice

Cause: all attempts of a request share its identifier, and the resend to the holder of a key took the connection that had brought the refusal, since the pool gives out the one that was used last. The second copy of the refusal was due to nobody, arrived in the slot of the second attempt, bore the right identifier and was taken for its answer. The server was at work on that attempt; the gateway refused the request, or sent it a third time.

Change: a connection remembers the identifiers of all requests that it has carried (by hashes of 4 bytes), and carries none of them again. An attempt whose identifier a pooled connection has carried sets that one aside, and takes another one or opens it; the former goes back to the pool, or is closed where there is no place for both. connections_set_aside_total counts both. A connection is replaced after 1,024 requests, which bounds its memory to 4 KiB. An idle time beyond back_end.idle_timeout ends a connection even if it was set aside meanwhile.

Why it works: an answer with identifier X on a connection that has carried X once is that of this attempt; there is no other. It does not rest on a wait, on who sends (a resend, two callers with one identifier) or on the way: the pool of a relay keeps the rule for what it sends to servers.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,42 +46,26 @@
 // SocketUnavailable and QueueFull nothing was written.
 func (c *Client) Do(attempt *Attempt) *fault.Error {
 	deadline := time.Now().Add(attempt.Timeout)
-	for {
-		pooled, err := c.pool.AcquireConn(time.Until(deadline), false)
-		if err != nil {
-			return acquireFailure(err)
-		}
-		connection := pooled.Conn().(*countingConnection)
-		if connection.requests > 0 && !connection.reusable() {
-			c.pool.CloseConn(pooled)
-			continue
-		}
-		if !attempt.Interrupt.attach(connection) {
-			c.pool.ReleaseConn(pooled)
-			return fault.New(fault.CancelledBeforeStart, "the caller left before the request was sent")
-		}
-		connection.beginAttempt(attempt)
-		reusable, failure := c.exchange(connection, attempt, deadline)
-		attempt.Connection = connection.report
-		attempt.Unanswered = connection.bytesWritten > 0 && connection.bytesRead == 0
-		interrupted := !attempt.Interrupt.detach()
-		if reusable && !interrupted {
-			c.pool.ReleaseConn(pooled)
-		} else {
-			c.pool.CloseConn(pooled)
-		}
+	connection, failure := c.acquire(attempt.ID, deadline)
+	if failure != nil {
 		return failure
 	}
-}
-
-func acquireFailure(err error) *fault.Error {
-	if eris.Is(err, fasthttp.ErrNoFreeConns) {
-		return fault.New(fault.QueueFull, "all connections to the back end are in use")
-	}
-	if IsLocal(err) {
-		return fault.Newf(fault.SocketUnavailable, "connect to the back end: %v", err)
-	}
-	return fault.Newf(fault.ConnectFailed, "connect to the back end: %v", err)
+	if !attempt.Interrupt.attach(connection) {
+		connection.release()
+		return fault.New(fault.CancelledBeforeStart, "the caller left before the request was sent")
+	}
+	connection.beginAttempt(attempt)
+	reusable, failure := c.exchange(connection, attempt, deadline)
+	connection.endAttempt()
+	attempt.Connection = connection.report
+	attempt.Unanswered = connection.bytesWritten > 0 && connection.bytesRead == 0
+	interrupted := !attempt.Interrupt.detach()
+	if reusable && !interrupted {
+		connection.release()
+	} else {
+		connection.close()
+	}
+	return failure
 }
 
 // exchange writes the request and reads the answer. It reports whether the connection
@@ -105,7 +89,7 @@
 		c.settings.Traffic.Surplus(SurplusRejected)
 		return false, fault.Newf(fault.AnswerMismatched, "the answer carries identifier %.64q instead of %q", got, attempt.ID)
 	}
-	reusable := !attempt.Response.ConnectionClose() && reader.Buffered() == 0
+	reusable := !attempt.Response.ConnectionClose() && reader.Buffered() == 0 && !connection.carried.full()
 	if connection.report.LeftOverBytes = reader.Buffered(); connection.report.LeftOverBytes > 0 {
 		c.settings.Traffic.Surplus(SurplusBehind)
 	}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -57,6 +57,9 @@
 	Passed(received, sent int)
 	// Surplus is called with what was done about bytes of a back end that belong to no request in flight.
 	Surplus(action Surplus)
+	// SetAside is called when a connection is not used because it has carried the identifier of the request before, with
+	// whether the connection was kept.
+	SetAside(kept bool)
 }
 
 // noTraffic ignores all notifications.
@@ -65,6 +68,7 @@
 func (noTraffic) Opened()         {}
 func (noTraffic) Passed(int, int) {}
 func (noTraffic) Surplus(Surplus) {}
+func (noTraffic) SetAside(bool)   {}
 
 // Client sends attempts to one back end.
 type Client struct {
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -32,7 +32,12 @@
 	reserve func(bytes int64) bool
 	// check is Attempt.Check of the current attempt.
 	check func() *fault.Error
-	// requests is the number of requests that the connection has carried. report is that of the current attempt.
+	// release returns the connection to its pool, close removes it from there.
+	release, close func()
+	// carried has the identifiers of all requests that the connection has carried, and endedAt is the clock.BootTime at
+	// the end of the last one. report is that of the current attempt.
+	carried  carriedIDs
+	endedAt  time.Duration
 	requests int
 	number   uint64
 	report   ConnectionReport
@@ -57,8 +62,9 @@
 }
 
 // reusable reports whether another attempt may be made on a pooled connection.
-func (c *countingConnection) reusable() bool {
-	if c.reuseUntil != 0 && clock.BootTime() > c.reuseUntil {
+func (c *countingConnection) reusable(idleTimeout time.Duration) bool {
+	now := clock.BootTime()
+	if c.reuseUntil != 0 && now > c.reuseUntil || now-c.endedAt > idleTimeout {
 		return false
 	}
 	return c.idle()
@@ -104,9 +110,13 @@
 	c.bytesRead = 0
 	c.readError = nil
 	c.requests++
+	c.carried.add(attempt.ID)
 	c.report = ConnectionReport{Number: c.number, Requests: c.requests}
 }
 
+// endAttempt records the end of the current attempt.
+func (c *countingConnection) endAttempt() { c.endedAt = clock.BootTime() }
+
 // idle reports whether a pooled connection is still open and has no bytes to read. It is
 // unusable if the peer has closed it or has sent unrequested bytes.
 func (c *countingConnection) idle() bool {
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -46,6 +47,11 @@
 	t.metrics.surplus.WithLabelValues(string(action)).Inc()
 }
 
+// SetAside implements forward.Traffic.
+func (t upstreamTraffic) SetAside(kept bool) {
+	t.metrics.setAside.WithLabelValues(strconv.FormatBool(kept)).Inc()
+}
+
 // countAs returns a function that counts all bytes of a connection as one kind.
 func countAs(meter *link.Meter, kind link.Kind) func(received, sent int) {
 	return func(received, sent int) {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -24,6 +24,8 @@
 	relayed *prometheus.CounterVec
 	// surplus counts what was done about bytes of instances that belong to no request.
 	surplus *prometheus.CounterVec
+	// setAside counts connections that were not used since they had carried the identifier of the request before.
+	setAside *prometheus.CounterVec
 }
 
 // Directions of relayed requests: sent to another gateway, and received from one.
@@ -52,6 +54,7 @@
 		staleRouted: registry.Counters("requests_by_stale_table_total", "Requests routed by a table whose last proof was older than the staleness limit, by service and by the kind of failure; empty for an instance's answer.", "service", "kind"),
 		relayed:     registry.Counters("relayed_requests_total", "Requests that passed through another gateway, by direction and by what the relay told; none if it told nothing.", "direction", "result"),
 		surplus:     registry.Counters("surplus_answers_total", "Bytes of instances that belong to no request in flight, by what was done about them.", "action"),
+		setAside:    registry.Counters("connections_set_aside_total", "Connections to instances that were not used since they had carried the identifier of the request before, by whether they were kept.", "kept"),
 	}
 	registry.GaugeFunction("requests_in_flight", "Requests that wait for their answer.", func() float64 { return float64(built.running()) })
 	return built
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -62,6 +62,7 @@
 func (d onDial) Passed(int, int) {}
 
 func (d onDial) Surplus(forward.Surplus) {}
+func (d onDial) SetAside(bool)           {}
 
 // startInstance starts an instance that returns the identifier of each request, and counts the requests.
 func startInstance(t *testing.T, idHeader string) (address string, arrivals *atomic.Int64) {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +20,8 @@
 	latency  *prometheus.HistogramVec
 	// surplus counts what was done about bytes of back ends that belong to no request.
 	surplus *prometheus.CounterVec
+	// setAside counts connections that were not used since they had carried the identifier of the attempt before.
+	setAside *prometheus.CounterVec
 }
 
 // Opened implements forward.Traffic.
@@ -30,6 +33,9 @@
 // Surplus implements forward.Traffic.
 func (m *metrics) Surplus(action forward.Surplus) { m.surplus.WithLabelValues(string(action)).Inc() }
 
+// SetAside implements forward.Traffic.
+func (m *metrics) SetAside(kept bool) { m.setAside.WithLabelValues(strconv.FormatBool(kept)).Inc() }
+
 // unresolvedService is the label for all services that are not configured, so that callers
 // cannot create arbitrary label values.
 const unresolvedService = "unknown"
@@ -45,6 +51,7 @@
 		claims:   set.Counters("record_claims_total", "Claims of idempotency records, by verdict.", "verdict"),
 		latency:  set.Histograms("request_seconds", "Time from a request's arrival to its answer.", latencyBuckets(), "service"),
 		surplus:  set.Counters("surplus_answers_total", "Bytes of back ends that belong to no request in flight, by what was done about them.", "action"),
+		setAside: set.Counters("connections_set_aside_total", "Connections to back ends that were not used since they had carried the identifier of the attempt before, by whether they were kept.", "kept"),
 	}
 }
 
