Surplus answers to earlier requests are skipped

Cause: a second copy of an answer that arrives after the next request was written was read in its slot, and its identifier ended the attempt.

Change: an answer with another identifier is read to its end and dropped, and the next one is read, if this connection has carried that identifier: it is a surplus one to a request that got its answer. All else ends the attempt as before.

TestSkippedAnswers has the bounds, eleven cases.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -85,7 +85,7 @@
 		attempt.Unacknowledged = isTimeout(err) && time.Now().Before(deadline)
 		return false, readFailure(connection, err, deadline)
 	}
-	if got := string(attempt.Response.Header.Peek(c.settings.IDHeader)); got != attempt.ID {
+	if got := c.answeredID(attempt.Response); got != attempt.ID {
 		c.settings.Traffic.Surplus(SurplusRejected)
 		return false, fault.Newf(fault.AnswerMismatched, "the answer carries identifier %.64q instead of %q", got, attempt.ID)
 	}
@@ -147,11 +147,24 @@
 
 const maxInterimAnswers = 5
 
-// readAnswer reads one complete answer.
+// answeredID returns the identifier that an answer carries.
+func (c *Client) answeredID(response *fasthttp.Response) string {
+	return string(response.Header.Peek(c.settings.IDHeader))
+}
+
+// readAnswer reads one complete answer, behind surplus ones to earlier requests.
 func (c *Client) readAnswer(reader *bufio.Reader, connection *countingConnection, attempt *Attempt) error {
 	response := attempt.Response
-	if err := readFinalHeader(reader, response); err != nil {
-		return err
+	for {
+		if err := readFinalHeader(reader, response); err != nil {
+			return err
+		}
+		if !connection.maySkip(c.answeredID(response), attempt.ID) {
+			break
+		}
+		if err := c.skip(reader, connection, response); err != nil {
+			return err
+		}
 	}
 	if hasNoBody(attempt.Request, response) {
 		response.SkipBody = attempt.Request.Header.IsHead()
@@ -176,6 +189,10 @@
 }
 
 func hasNoBody(request *fasthttp.Request, response *fasthttp.Response) bool {
-	status := response.StatusCode()
-	return request.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	return request.Header.IsHead() || isBodiless(response.StatusCode())
+}
+
+// isBodiless reports whether no answer with a status has a body.
+func isBodiless(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -41,6 +41,8 @@
 	requests int
 	number   uint64
 	report   ConnectionReport
+	// carriedHead is true once the connection has carried a HEAD request.
+	carriedHead bool
 	// reuseUntil is the clock.BootTime until which the connection may be reused according to the back
 	// end's Keep-Alive header; zero if it sent none.
 	reuseUntil time.Duration
@@ -111,6 +113,7 @@
 	c.readError = nil
 	c.requests++
 	c.carried.add(attempt.ID)
+	c.carriedHead = c.carriedHead || attempt.Request.Header.IsHead()
 	c.report = ConnectionReport{Number: c.number, Requests: c.requests}
 }
 
--- a/internal/forward/surplus_test.go
+++ b/internal/forward/surplus_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -191,3 +192,87 @@
 		}
 	}
 }
+
+// TestAnswerBehindASurplusOneIsRead guards against a request that fails although its whole answer follows a second copy
+// of the answer to an earlier request.
+func TestAnswerBehindASurplusOneIsRead(t *testing.T) {
+	s := &repeatingBackEnd{share: 1, work: 20 * time.Millisecond, delay: 5 * time.Millisecond, random: rand.New(rand.NewPCG(1, 5))}
+	startRepeating(t, s)
+	counted := &countedTraffic{}
+	client := NewClient(s.address, Settings{ConnectTimeout: testTimeout, IdleTimeout: time.Minute, MaxConnections: 2, MaxAnswerBytes: 1000, Traffic: counted})
+	t.Cleanup(client.CloseIdle)
+	for number := range 20 {
+		if failures := sendRepeatedly(t, client, fmt.Sprint(number), 1); len(failures) > 0 {
+			t.Errorf("request %d: %v", number, failures)
+		}
+	}
+	if counted.surplus[SurplusSkipped] == 0 {
+		t.Error("no surplus answer met a request")
+	}
+}
+
+// TestSkippedAnswers checks which answers in front of the one that is due may be skipped.
+func TestSkippedAnswers(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nThorntiller-Request-Id: earlier\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	unframed := "HTTP/1.1 200 OK\r\nThorntiller-Request-Id: earlier\r\n\r\nabc"
+	sized := string(framedAnswer("earlier", 3, "abc"))
+	due := string(framedAnswer("due", 4, "mine"))
+	for name, c := range map[string]struct {
+		method, surplus string
+		want            fault.Kind
+	}{
+		"sized":                  {fasthttp.MethodPost, sized, ""},
+		"chunked":                {fasthttp.MethodPost, chunked, ""},
+		"without content":        {fasthttp.MethodPost, "HTTP/1.1 204 No Content\r\nThorntiller-Request-Id: earlier\r\n\r\n", ""},
+		"as many as are skipped": {fasthttp.MethodPost, strings.Repeat(sized, maxSurplusAnswers), ""},
+		"one more":               {fasthttp.MethodPost, strings.Repeat(sized, maxSurplusAnswers+1), fault.AnswerMismatched},
+		"of no earlier request":  {fasthttp.MethodPost, string(framedAnswer("other", 3, "abc")), fault.AnswerMismatched},
+		"without identifier":     {fasthttp.MethodPost, string(framedAnswer("", 3, "abc")), fault.AnswerMismatched},
+		"without length":         {fasthttp.MethodPost, unframed, fault.AnswerTruncated},
+		"too long":               {fasthttp.MethodPost, string(framedAnswer("earlier", 1001, strings.Repeat("a", 1001))), fault.AnswerTruncated},
+		"cut":                    {fasthttp.MethodPost, string(framedAnswer("earlier", 3000, "abc")), fault.AnswerTruncated},
+		"behind a HEAD request":  {fasthttp.MethodHead, sized, fault.AnswerMismatched},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(path, id string) ([]byte, bool) {
+				if id == "earlier" {
+					return framedAnswer(id, 0, ""), true
+				}
+				return []byte(c.surplus + due), true
+			})
+			client := newTestClient(t, s.address)
+			if _, failure := send(client, c.method, "/earlier", "earlier", testTimeout); failure != nil {
+				t.Fatal(failure)
+			}
+			response, failure := send(client, fasthttp.MethodPost, "/due", "due", testTimeout)
+			switch {
+			case failure == nil && c.want == "" && string(response.Body()) == "mine":
+			case failure != nil && failure.Kind == c.want:
+			default:
+				t.Errorf("answer %q, failure %v, want %q", response.Body(), failure, c.want)
+			}
+			if kept := client.Connections() == 1; kept != (c.want == "") {
+				t.Errorf("connection kept: %t", kept)
+			}
+		})
+	}
+}
+
+// TestSurplusAnswerAloneIsNoAnswer checks that an attempt that got nothing but a surplus answer counts as unanswered.
+func TestSurplusAnswerAloneIsNoAnswer(t *testing.T) {
+	s := serve(t, func(_, id string) ([]byte, bool) { return framedAnswer("earlier", 3, "abc"), id == "earlier" })
+	client := newTestClient(t, s.address)
+	for _, id := range []string{"earlier", "due"} {
+		var request fasthttp.Request
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.Header.SetRequestURI("/p")
+		request.Header.SetHost("back-end")
+		request.Header.Set(backendapi.HeaderRequestID, id)
+		attempt := &Attempt{ID: id, Request: &request, Response: &fasthttp.Response{}, Timeout: testTimeout}
+		failure := client.Do(attempt)
+		lost := failure != nil && failure.Kind == fault.ConnectionLost
+		if due := id == "due"; lost != due || attempt.Unanswered != due {
+			t.Errorf("%s: failure %v, unanswered %t", id, failure, attempt.Unanswered)
+		}
+	}
+}
