Late heartbeats of an unknown instance end nobody at its address

Cause: an unknown instance took over an address once two of its heartbeats, 500 ms apart, arrived without one of the known instance between, which calls each 1.3 s. The takeover marks the known instance as ended, and what has ended holds nothing, so that its keys were reassigned while its lease ran. An instance that had said that it leaves was ended by a single late heartbeat.

Change: an unknown instance takes over an address once the lease of each other instance there has certainly expired. A silent one, whose lease expired in an earlier term, delays nobody.

Why it works: no heartbeat of another process is proof of an end any more; a live instance renews its lease with each of its own.

The price: a server that starts again at its address within a lease waits for the end of that lease (3.9 s after the last heartbeat, where heartbeats come each 1.3 s) in place of 0.5 to 1.3 s.

Checks changed: TestRestartedInstanceReplacesTheOneBefore wanted the takeover at the second heartbeat, 1.9 s after the last one of the live instance, which is the fault; it wants now that each heartbeat before the end of the lease has no effect and the first one after it has. TestNewLeaderSharesAmongAll ends an instance by a restart of its server in place of such a takeover; its checks are unchanged.

--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -1,7 +1,6 @@
 package heartbeat
 
 import (
-	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -298,12 +297,8 @@
 	beatAll(ids...)
 	s.core.Lead(s.now)
 	beatAll("a")
-	atAddressOfD := func(beat *Beat) { beat.Address, beat.Service = "address-d", "other" }
-	if _, err := s.beat("x", atAddressOfD); !errors.Is(err, ErrProvisional) {
-		t.Fatal(err)
-	}
-	s.now += provisionalTime
-	if _, err := s.beat("x", atAddressOfD); err != nil {
+	// The server of d starts again, for another service, which ends d.
+	if _, err := s.beat("d@1", func(beat *Beat) { beat.Address, beat.Service = "address-d", "other" }); err != nil {
 		t.Fatal(err)
 	}
 	s.tick(100 * time.Millisecond)
--- a/internal/heartbeat/doc.go
+++ b/internal/heartbeat/doc.go
@@ -11,7 +11,6 @@
 // Invariants:
 //   - keys are reassigned only after their owner reported, in a heartbeat sent after the
 //     last answer that granted them, that it does not hold them; or after its last lease
-//     has certainly expired; or after its process has ended, since another instance
-//     answers at its address or its server started again;
+//     has certainly expired; or after its server has started again;
 //   - revoked keys are not granted in any later answer.
 package heartbeat
--- a/internal/heartbeat/stranger_test.go
+++ b/internal/heartbeat/stranger_test.go
@@ -52,17 +52,51 @@
 	}
 }
 
+// TestLateHeartbeatsOfManyMomentsReplaceNobody guards against replacing a live instance after two heartbeats of a crashed
+// one that arrive further apart, between two of the live one.
+func TestLateHeartbeatsOfManyMomentsReplaceNobody(t *testing.T) {
+	s := newScriptWithLayout(t)
+	for range 8 {
+		for range 4 {
+			s.now += 240 * time.Millisecond
+			if err := s.beatAtAddressOfA("delayed"); !errors.Is(err, ErrProvisional) {
+				t.Fatalf("delayed heartbeat: error %v, want ErrProvisional", err)
+			}
+		}
+		if grant, err := s.beatInZone("a", ""); err != nil || len(grant.Holdings) != 1 {
+			t.Fatalf("the live instance is granted %+v, %v", grant, err)
+		}
+	}
+}
+
+// TestLateHeartbeatDoesNotEndAnInstanceThatLeaves guards against keys that get another holder while an instance that has
+// said that it leaves serves on: a late heartbeat of an earlier instance at its address is no proof of its end.
+func TestLateHeartbeatDoesNotEndAnInstanceThatLeaves(t *testing.T) {
+	s := newScriptWithLayout(t)
+	s.now += 300 * time.Millisecond
+	s.apply(s.core.Leave("a", s.view)...)
+	if err := s.beatAtAddressOfA("delayed"); !errors.Is(err, ErrProvisional) {
+		t.Errorf("delayed heartbeat: error %v, want ErrProvisional", err)
+	}
+	if leaving, _ := s.view.Instance("a"); leaving.Ended {
+		t.Error("the instance counts as ended while its lease runs")
+	}
+}
+
 // TestRestartedInstanceReplacesTheOneBefore checks that a restarted instance replaces the previous one, which is
-// silent, at its second regular heartbeat.
+// silent, at its first heartbeat after the lease of that one, not earlier.
 func TestRestartedInstanceReplacesTheOneBefore(t *testing.T) {
 	s := newScriptWithLayout(t)
-	s.now += time.Second
-	if err := s.beatAtAddressOfA("next"); !errors.Is(err, ErrProvisional) {
-		t.Fatalf("first heartbeat: error %v, want ErrProvisional", err)
+	expiry := s.core.leaseEnd("a")
+	for s.now < expiry {
+		if err := s.beatAtAddressOfA("next"); !errors.Is(err, ErrProvisional) {
+			t.Fatalf("heartbeat %s before the expiry: error %v, want ErrProvisional", expiry-s.now, err)
+		}
+		s.now = min(s.now+870*time.Millisecond, expiry)
 	}
-	s.now += 870 * time.Millisecond
+	s.now++
 	if err := s.beatAtAddressOfA("next"); err != nil {
-		t.Fatalf("second heartbeat: %v", err)
+		t.Fatalf("heartbeat after the expiry: %v", err)
 	}
 	before, _ := s.view.Instance("a")
 	next, known := s.view.Instance("next")
