Keys are released only by heartbeats from after their grant

Cause: which heartbeat is newer than a grant was known by the order of arrival at one leader: any but the first of a term counted. A new leader knows no sequence numbers.

Change: a holding records the number of the last heartbeat that did not list its keys and whose answer contains them (GrantSequence), replicated before that answer. A heartbeat frees revoked keys only if its number is higher. The number never falls while the owner stays. An answer leaves out keys that its heartbeat does not list and whose grant is not recorded with it; a pending answer gets them by the next batch.

Why it works: an instance that did not hold keys when it sent heartbeat q and holds them now got them in the answer to q or to a later one, whose number is recorded. So q is not above it, at whatever leader and in whatever order it arrives, also twice. The first heartbeat of a term may release keys now.

The price: a replicated write for a heartbeat after a lost answer; none in calm, since a grant changes the layout already.

--- a/internal/directory/holding.go
+++ b/internal/directory/holding.go
@@ -27,6 +27,9 @@
 	Revoked bool `msgpack:"v,omitempty"`
 	// Granted is true once the owner was told that it holds the keys.
 	Granted bool `msgpack:"g,omitempty"`
+	// GrantSequence is the number of the last heartbeat of the owner that did not list the keys and was answered with
+	// them, so that later heartbeats alone tell whether it has released them; zero if that is not known.
+	GrantSequence uint64 `msgpack:"q,omitempty"`
 	// Handover is the token that the last owner passes to the next one; empty for none.
 	Handover string `msgpack:"h,omitempty"`
 	// Revision is that of the last change; a part that is split off keeps it.
--- a/internal/heartbeat/batch.go
+++ b/internal/heartbeat/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -59,6 +60,7 @@
 		draft.grantPending()
 		commands = append(commands, draft.commands()...)
 	}
+	maps.DeleteFunc(b.core.unrecorded, func(id directory.InstanceID, _ bool) bool { return !b.core.answerPending(b.now, id) })
 	return commands
 }
 
@@ -166,9 +168,7 @@
 
 // applyHeartbeat updates the layout by what a heartbeat says about the keys of its instance.
 func (d *draft) applyHeartbeat(beat Beat, state *heartbeatState) {
-	if state.inSequence {
-		d.freeReleased(beat)
-	}
+	d.freeReleased(beat, state)
 	if beat.Draining || d.view.Evacuated(beat.Zone) {
 		d.drain(beat.Instance, state.drainingFor(d.now))
 	} else {
@@ -178,7 +178,7 @@
 	if !beat.Draining {
 		d.offload(beat.Instance)
 	}
-	d.markGranted(beat.Instance)
+	d.markGranted(beat.Instance, state)
 	d.mergeRanges(beat.Instance)
 }
 
@@ -252,8 +252,8 @@
 }
 
 // needsDraft reports whether a service has no layout yet, keys without an owner, keys of an instance
-// that certainly holds nothing any more, keys in an evacuated zone that are not revoked yet, or a
-// busy instance whose answer is pending.
+// that certainly holds nothing any more, keys in an evacuated zone that are not revoked yet, keys that a
+// pending answer is to grant, or a busy instance whose answer is pending.
 func (b *Batch) needsDraft(service string) bool {
 	index := b.core.index(service, b.view)
 	if len(index.owned) == 0 || index.unowned > 0 {
@@ -264,6 +264,11 @@
 			return true
 		}
 	}
+	for id := range b.core.unrecorded {
+		if slices.ContainsFunc(index.owned[id], func(holding directory.Holding) bool { return b.core.grantsPending(b.now, holding) }) {
+			return true
+		}
+	}
 	return b.busyInstancePending(service)
 }
 
--- a/internal/heartbeat/core.go
+++ b/internal/heartbeat/core.go
@@ -29,6 +29,9 @@
 	reservedUntil map[directory.InstanceID]time.Duration
 	// provisional are the instances whose first heartbeat was not accepted.
 	provisional map[directory.InstanceID]provisionalInstance
+	// unrecorded are the instances whose pending answers may not contain keys that were granted to them by a batch that
+	// was decided before their newest heartbeat, until a batch has recorded the grants anew.
+	unrecorded map[directory.InstanceID]bool
 	// targets are the next owners of keys that are being moved.
 	targets map[targetKey]directory.InstanceID
 	// nextCandidate is the position of the next window of candidates in services that have more than
@@ -67,6 +70,7 @@
 	c.reservedUntil = make(map[directory.InstanceID]time.Duration)
 	c.provisional = make(map[directory.InstanceID]provisionalInstance)
 	c.emptyInstances = make(map[string]map[directory.InstanceID]time.Duration)
+	c.unrecorded = make(map[directory.InstanceID]bool)
 	c.targets = make(map[targetKey]directory.InstanceID)
 	c.gateways = make(map[string]gateway)
 	c.gatewaysCheckedAt = 0
@@ -224,6 +228,10 @@
 			// one. Gateways do not route requests for them to the instance until then.
 			continue
 		}
+		if !state.maySend(holding) {
+			// A batch that was decided before the heartbeat granted them; the next one records the grant anew.
+			continue
+		}
 		if state.holds(holding) {
 			holding.Handover = ""
 		}
--- a/internal/heartbeat/core_test.go
+++ b/internal/heartbeat/core_test.go
@@ -280,6 +280,40 @@
 	}
 }
 
+// TestLateHeartbeatAtANewLeaderReleasesNothing guards against keys with two holders after two heartbeats that were sent
+// before the keys were granted arrive at a new leader, when the keys are being taken from their holder.
+func TestLateHeartbeatAtANewLeaderReleasesNothing(t *testing.T) {
+	s := newScriptWithLayout(t)
+	drainingBeat := func(beat *Beat) { beat.Draining = true; holding(0, half-1, 1)(beat) }
+	for range 2 {
+		if _, err := s.beat("a", drainingBeat); err != nil {
+			t.Fatal(err)
+		}
+		s.now += drainDuration
+	}
+	newest := s.sequence["a"]
+	for range 2 {
+		s.core.Lead(s.now)
+		s.sequence["a"] = 0
+		for range 2 {
+			if _, err := s.beat("a", nil); err != nil {
+				t.Fatal(err)
+			}
+			s.now += 400 * time.Millisecond
+		}
+		if held, _ := s.view.Layout("s").At(0); held.Owner != "a" || !held.Revoked {
+			t.Fatalf("keys that are held were freed by a late heartbeat: %+v", held)
+		}
+	}
+	s.sequence["a"] = newest
+	if _, err := s.beat("a", func(beat *Beat) { beat.Draining = true }); err != nil {
+		t.Fatal(err)
+	}
+	if held, _ := s.view.Layout("s").At(0); held.Owner == "a" {
+		t.Errorf("keys were not freed although their holder released them: %+v", held)
+	}
+}
+
 // TestNewLeaderSharesAmongAll checks that keys that become free soon after a change of leader are assigned
 // to all live instances, not only to those whose heartbeats arrived first. One of these got hundreds of
 // ranges, more than fit an answer, and lost all its keys.
--- a/internal/heartbeat/doc.go
+++ b/internal/heartbeat/doc.go
@@ -10,7 +10,9 @@
 //
 // Invariants:
 //   - keys are reassigned only after their owner reported, in a heartbeat sent after the
-//     last answer that granted them, that it does not hold them; or after its last lease
-//     has certainly expired; or after its server has started again;
+//     last one whose answer granted them, that it does not hold them; or after its last
+//     lease has certainly expired; or after its server has started again;
+//   - an answer contains keys that its heartbeat does not list only if the sequence number
+//     of that heartbeat, or of a later one, is recorded with the grant;
 //   - revoked keys are not granted in any later answer.
 package heartbeat
--- a/internal/heartbeat/index.go
+++ b/internal/heartbeat/index.go
@@ -68,7 +68,7 @@
 	}
 	hasRevoked := false
 	for _, holding := range owned {
-		if releasesHolding(holding, beat) || !holding.Granted && !holding.Revoked {
+		if releasesHolding(holding, beat) || mustRecord(holding, beat.Sequence, beat.Held) {
 			return false
 		}
 		hasRevoked = hasRevoked || holding.Revoked
--- a/internal/heartbeat/layout.go
+++ b/internal/heartbeat/layout.go
@@ -11,14 +11,17 @@
 const minPartWidth = 64
 
 // freeReleased frees the revoked holdings that their owner no longer holds.
-func (d *draft) freeReleased(beat Beat) {
-	if !d.mayHaveHolding(beat.Instance, func(holding directory.Holding) bool { return releasesHolding(holding, beat) }) {
+func (d *draft) freeReleased(beat Beat, state *heartbeatState) {
+	released := func(holding directory.Holding) bool {
+		return releasesHolding(holding, beat) && state.isAfterGrant(holding)
+	}
+	if !d.mayHaveHolding(beat.Instance, released) {
 		return
 	}
 	d.layoutScans++
 	for index := range d.layout.Holdings {
 		holding := &d.layout.Holdings[index]
-		if holding.Owner != beat.Instance || !releasesHolding(*holding, beat) {
+		if holding.Owner != beat.Instance || !released(*holding) {
 			continue
 		}
 		d.freeHolding(holding, handoverFor(*holding, beat.Released))
@@ -45,26 +48,40 @@
 	holding.Owner = ""
 	holding.Revoked = false
 	holding.Granted = false
+	holding.GrantSequence = 0
 	holding.Handover = handover
 	d.changed = true
 }
 
-// markGranted marks the holdings that the answer to their owner's heartbeat contains.
-func (d *draft) markGranted(id directory.InstanceID) {
-	ungranted := func(holding directory.Holding) bool { return !holding.Revoked && !holding.Granted }
-	if !d.mayHaveHolding(id, ungranted) {
+// markGranted marks the holdings that the answer to their owner's newest heartbeat contains. Those that the heartbeat
+// does not list are granted with it, for the first time or once more.
+func (d *draft) markGranted(id directory.InstanceID, state *heartbeatState) {
+	granted := func(holding directory.Holding) bool { return mustRecord(holding, state.sequence, state.held) }
+	if !d.mayHaveHolding(id, granted) {
 		return
 	}
 	d.layoutScans++
 	for index := range d.layout.Holdings {
 		holding := &d.layout.Holdings[index]
-		if holding.Owner == id && !holding.Revoked && !holding.Granted {
-			holding.Granted = true
-			d.changed = true
+		if holding.Owner == id && granted(*holding) {
+			d.grant(holding, state)
 		}
 	}
 }
 
+// mustRecord reports whether the answer to a heartbeat with a sequence number and held ranges grants a holding in a way
+// that is not recorded yet: for the first time, or once more to an instance that did not list it.
+func mustRecord(holding directory.Holding, sequence uint64, held []Held) bool {
+	return !holding.Revoked && (!holding.Granted || holding.GrantSequence < sequence && !listsKeys(held, holding))
+}
+
+// grant records that the answer to the owner's newest heartbeat grants a holding.
+func (d *draft) grant(holding *directory.Holding, state *heartbeatState) {
+	holding.Granted = true
+	holding.GrantSequence = max(holding.GrantSequence, state.sequence)
+	d.changed = true
+}
+
 // freeExpired frees the holdings of instances that certainly hold nothing any more.
 func (d *draft) freeExpired() {
 	d.layoutScans++
@@ -128,6 +145,7 @@
 		if last >= 0 && mergeable(merged[last]) && mergeable(holding) {
 			merged[last].Last = holding.Last
 			merged[last].Fence = max(merged[last].Fence, holding.Fence)
+			merged[last].GrantSequence = max(merged[last].GrantSequence, holding.GrantSequence)
 			merged[last].Handover = ""
 			d.changed = true
 			continue
--- a/internal/heartbeat/poll.go
+++ b/internal/heartbeat/poll.go
@@ -71,6 +71,10 @@
 		if holding.Revoked || !holding.Granted {
 			continue
 		}
+		if !state.maySend(holding) {
+			c.unrecorded[beat.Instance] = true
+			continue
+		}
 		if !state.holds(holding) {
 			return true
 		}
@@ -85,6 +89,15 @@
 	return tracked && now < state.answerableUntil
 }
 
+// grantsPending reports whether a pending answer is to grant a holding in a way that is not recorded yet.
+func (c *Core) grantsPending(now time.Duration, holding directory.Holding) bool {
+	if holding.Owner == "" || holding.Granted && !c.unrecorded[holding.Owner] {
+		return false
+	}
+	state, tracked := c.heartbeats[holding.Owner]
+	return tracked && now < state.answerableUntil && mustRecord(holding, state.sequence, state.held)
+}
+
 // grantPending marks the holdings that pending answers will contain, and merges the ranges of instances
 // that then have too many for an answer.
 func (d *draft) grantPending() {
@@ -92,11 +105,10 @@
 	d.layoutScans++
 	for index := range d.layout.Holdings {
 		holding := &d.layout.Holdings[index]
-		if holding.Owner == "" || holding.Revoked || holding.Granted || !d.core.answerPending(d.now, holding.Owner) {
+		if !d.core.grantsPending(d.now, *holding) {
 			continue
 		}
-		holding.Granted = true
-		d.changed = true
+		d.grant(holding, d.core.heartbeats[holding.Owner])
 		granted[holding.Owner] = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(granted)) {
--- a/internal/heartbeat/types.go
+++ b/internal/heartbeat/types.go
@@ -101,9 +101,7 @@
 	// interval is the most recently observed time between two regular heartbeats.
 	interval time.Duration
 	sequence uint64
-	// inSequence is true once a second heartbeat was received in the same term, which is certainly
-	// newer than the first. The first one may have been sent long ago, and does not show what the
-	// instance holds now.
+	// inSequence is true once a second heartbeat was received in the same term.
 	inSequence bool
 	// leaseEnd is the time after which the last lease of the instance has certainly expired.
 	leaseEnd time.Duration
@@ -134,6 +132,40 @@
 	})
 }
 
+// maySend reports whether the answer to the newest heartbeat may contain a granted holding: the instance lists all of
+// its keys, or the grant is recorded.
+func (s *heartbeatState) maySend(holding directory.Holding) bool {
+	return holding.GrantSequence >= s.sequence || listsKeys(s.held, holding)
+}
+
+// listsKeys reports whether ranges of a heartbeat include all keys of a holding, with whatever fences.
+func listsKeys(rows []Held, holding directory.Holding) bool {
+	next := holding.First
+	for next <= holding.Last {
+		reached := next
+		for _, held := range rows {
+			if held.First <= next && next <= held.Last {
+				reached = max(reached, held.Last+1)
+			}
+		}
+		if reached == next {
+			return false
+		}
+		next = reached
+	}
+	return true
+}
+
+// isAfterGrant reports whether the newest heartbeat was sent after the instance got a holding, so that it tells whether
+// the instance has released it. One from before may arrive late, also twice, at a leader that knows no newer ones. For
+// a grant of unknown sequence, by a controller of an earlier version, the second heartbeat of a term counts.
+func (s *heartbeatState) isAfterGrant(holding directory.Holding) bool {
+	if holding.GrantSequence == 0 {
+		return s.inSequence
+	}
+	return s.sequence > holding.GrantSequence
+}
+
 // minRegularInterval is shorter than the time between two regular heartbeats, and longer than the time
 // between those of an instance that is releasing keys.
 const minRegularInterval = 300 * time.Millisecond
