--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,6 +9,13 @@
 # These run apart from the others and their result is printed, but their failure
 # does not fail this script. Every other test of their package still counts.
 #
+# A case of an independent review is listed by its script, with real processes:
+#
+#     review/N run.sh, cause, issue
+#
+# It exits with 1 where the rule is broken, which is passed over. That it cannot
+# run (2) fails this script.
+#
 # Tests that measure processes run after all others, one at a time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -31,7 +38,7 @@
 	go test "${flags[@]}" "$@" 2>&1 | tee -a "$log" || status=1
 }
 
-declare -a red_packages=() red_tests=()
+declare -a red_packages=() red_tests=() red_cases=()
 
 # is_listed PACKAGE TEST reports whether the test was listed by an earlier line.
 is_listed() {
@@ -44,8 +51,12 @@
 if [[ -f $known_red_file ]]; then
 	while IFS= read -r line; do
 		[[ -z $line ]] && continue
+		if [[ $line =~ ^(review/[0-9]+)\ run\.sh,\ ?[^,]+,\ ?[^,]+ ]]; then
+			red_cases+=("${BASH_REMATCH[1]}")
+			continue
+		fi
 		[[ $line =~ ^([^[:space:],]+)\ (Test[A-Za-z0-9_]*),\ ?[^,]+,\ ?[^,]+ ]] ||
-			fail "$known_red_file: \"$line\" is not \"package/path TestName, cause, issue\""
+			fail "$known_red_file: \"$line\" is neither \"package/path TestName, cause, issue\" nor \"review/N run.sh, cause, issue\""
 		package=./${BASH_REMATCH[1]}
 		test=${BASH_REMATCH[2]}
 		is_listed "$package" "$test" && continue
@@ -101,8 +112,32 @@
 	fi
 done
 
+# run_case CASE runs a listed case of the review.
+run_case() {
+	local result=0
+	"$1/run.sh" || result=$?
+	case $result in
+	0) echo "known red: $1 passes now; take it off $known_red_file" ;;
+	1)
+		echo "known red: $1 FAILED (passed over, see $known_red_file)"
+		red_failed=$((red_failed + 1))
+		;;
+	*)
+		echo "$1 could not run (status $result)"
+		status=1
+		;;
+	esac
+}
+
+if ((${#red_cases[@]} > 0)); then
+	review/build.sh
+	for each in "${red_cases[@]}"; do
+		run_case "$each"
+	done
+fi
+
 passed=$(grep -c '^ok[[:space:]]' "$log" || true)
 failed=$(grep -c '^FAIL[[:space:]]' "$log" || true)
 untested=$(grep -c 'no test files' "$log" || true)
-echo "go test: $passed packages ok, $failed failed, $untested without tests; known red: $red_failed of ${#red_tests[@]} failed"
+echo "go test: $passed packages ok, $failed failed, $untested without tests; known red: $red_failed of $((${#red_tests[@]} + ${#red_cases[@]})) failed"
 exit "$status"
