Comments of surplus actions in the form that the linter wants

Change: the comments, and a function isFinal in place of a condition with an assignment. No decision changes.

--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -37,8 +37,8 @@
 }
 
 // awaitSettings loads settings from a file. It tries again while the file is missing or not valid, until a problem is
-// final, the file has not changed for settingsSettleTime, or the context ends. The age of the file does not count, since the time of day may
-// have been set since it was written.
+// final, the file has not changed for settingsSettleTime, or the context ends. The age of the file does not count, since
+// the time of day may have been set since it was written.
 func awaitSettings[T any](ctx context.Context, path string, log *logrus.Entry, load func() (T, error)) (T, error) {
 	var last fileVersion
 	var unchangedSince time.Time
@@ -51,7 +51,7 @@
 		if ctx.Err() != nil {
 			return settings, eris.Wrap(ctx.Err(), "wait for the settings file")
 		}
-		if problems := (config.Problems)(nil); errors.As(err, &problems) && problems.Final() {
+		if isFinal(err) {
 			return settings, err
 		}
 		now := time.Now()
@@ -68,6 +68,12 @@
 	}
 }
 
+// isFinal reports whether no further writing of the settings file can solve its problems.
+func isFinal(err error) bool {
+	var problems config.Problems
+	return errors.As(err, &problems) && problems.Final()
+}
+
 // loadUntilStopped loads settings unless the context ends before, as it may while a pipe or a remote file system holds up
 // the read.
 func loadUntilStopped[T any](ctx context.Context, load func() (T, error)) (T, error) {
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -22,12 +22,12 @@
 type Surplus string
 
 const (
-	// SurplusIdle: they arrived on an idle connection, which was closed.
+	// SurplusIdle is for bytes on an idle connection, which was closed.
 	SurplusIdle Surplus = "closed_idle"
-	// SurplusBehind: they arrived behind a whole answer, whose connection was closed.
+	// SurplusBehind is for bytes behind a whole answer, whose connection was closed.
 	SurplusBehind Surplus = "closed_behind_answer"
-	// SurplusSkipped: a second answer to an earlier request arrived in place of the one that was due, which was read after it.
+	// SurplusSkipped is for a second answer to an earlier request, which was dropped so that the one that is due was read.
 	SurplusSkipped Surplus = "skipped"
-	// SurplusRejected: an answer of another request arrived in place of the one that was due, and the attempt failed.
+	// SurplusRejected is for the answer to a request that the connection never carried: the attempt failed.
 	SurplusRejected Surplus = "attempt_failed"
 )
