Tests of package forward and of the leases share their set-up

Cause: the change repeats an accept loop three times and the end of a model run twice, and an answer's identifier was copied twice on the request path.

Change: listenRaw and runWithFaults, and readAnswer returns the identifier that it read. No decision and no check changes.

--- a/internal/forward/answermemory_test.go
+++ b/internal/forward/answermemory_test.go
@@ -19,30 +19,11 @@
 // serveRaw starts a back end that reads one request a connection and then calls write.
 func serveRaw(t *testing.T, write func(net.Conn)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group conc.WaitGroup
-	group.Go(func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = connection.Close() }()
-				if _, err := connection.Read(make([]byte, 4096)); err == nil {
-					write(connection)
-				}
-			})
+	return listenRaw(t, func(connection net.Conn) {
+		if _, err := connection.Read(make([]byte, 4096)); err == nil {
+			write(connection)
 		}
 	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
-	return listener.Addr().String()
 }
 
 const okHead = "HTTP/1.1 200 OK\r\nThorntiller-Request-Id: x\r\n"
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -81,11 +81,12 @@
 	reader := c.pool.AcquireReader(connection)
 	defer c.pool.ReleaseReader(reader)
 	defer connection.releaseMemory()
-	if err := c.readAnswer(reader, connection, attempt); err != nil {
+	got, err := c.readAnswer(reader, connection, attempt)
+	if err != nil {
 		attempt.Unacknowledged = isTimeout(err) && time.Now().Before(deadline)
 		return false, readFailure(connection, err, deadline)
 	}
-	if got := c.answeredID(attempt.Response); got != attempt.ID {
+	if got != attempt.ID {
 		c.settings.Traffic.Surplus(SurplusRejected)
 		return false, fault.Newf(fault.AnswerMismatched, "the answer carries identifier %.64q instead of %q", got, attempt.ID)
 	}
@@ -147,33 +148,30 @@
 
 const maxInterimAnswers = 5
 
-// answeredID returns the identifier that an answer carries.
-func (c *Client) answeredID(response *fasthttp.Response) string {
-	return string(response.Header.Peek(c.settings.IDHeader))
-}
-
-// readAnswer reads one complete answer, behind surplus ones to earlier requests.
-func (c *Client) readAnswer(reader *bufio.Reader, connection *countingConnection, attempt *Attempt) error {
+// readAnswer reads one complete answer, behind surplus ones to earlier requests, and returns the identifier that it
+// carries.
+func (c *Client) readAnswer(reader *bufio.Reader, connection *countingConnection, attempt *Attempt) (id string, err error) {
 	response := attempt.Response
 	for {
 		if err := readFinalHeader(reader, response); err != nil {
-			return err
+			return "", err
 		}
-		if !connection.maySkip(c.answeredID(response), attempt.ID) {
+		id = string(response.Header.Peek(c.settings.IDHeader))
+		if !connection.maySkip(id, attempt.ID) {
 			break
 		}
 		if err := c.skip(reader, connection, response); err != nil {
-			return err
+			return "", err
 		}
 	}
 	if hasNoBody(attempt.Request, response) {
 		response.SkipBody = attempt.Request.Header.IsHead()
-		return nil
+		return id, nil
 	}
 	if response.Header.ContentLength() == lengthIdentity && !c.settings.AcceptUnframed {
-		return errUnframed
+		return "", errUnframed
 	}
-	return readBody(reader, response, connection, c.settings.MaxAnswerBytes)
+	return id, readBody(reader, response, connection, c.settings.MaxAnswerBytes)
 }
 
 func readFinalHeader(reader *bufio.Reader, response *fasthttp.Response) error {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -24,15 +24,13 @@
 	closed  chan struct{}
 }
 
-// serve starts a back end that answers each request with the bytes that reply returns, and
-// then closes the connection if reply returns false.
-func serve(t *testing.T, reply func(path, id string) ([]byte, bool)) *scriptedBackEnd {
+// listenRaw accepts connections until the test ends, calls serve for each, and closes it.
+func listenRaw(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedBackEnd{address: listener.Addr().String(), arrived: make(map[string]int), closed: make(chan struct{}, 100)}
 	var group conc.WaitGroup
 	group.Go(func() {
 		for {
@@ -40,13 +38,25 @@
 			if err != nil {
 				return
 			}
-			group.Go(func() { s.serveConnection(connection, reply) })
+			group.Go(func() {
+				defer func() { _ = connection.Close() }()
+				serve(connection)
+			})
 		}
 	})
 	t.Cleanup(func() {
 		_ = listener.Close()
 		group.Wait()
 	})
+	return listener.Addr().String()
+}
+
+// serve starts a back end that answers each request with the bytes that reply returns, and
+// then closes the connection if reply returns false.
+func serve(t *testing.T, reply func(path, id string) ([]byte, bool)) *scriptedBackEnd {
+	t.Helper()
+	s := &scriptedBackEnd{arrived: make(map[string]int), closed: make(chan struct{}, 100)}
+	s.address = listenRaw(t, func(connection net.Conn) { s.serveConnection(connection, reply) })
 	return s
 }
 
--- a/internal/forward/surplus_test.go
+++ b/internal/forward/surplus_test.go
@@ -30,25 +30,7 @@
 
 func startRepeating(t *testing.T, s *repeatingBackEnd) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.address = listener.Addr().String()
-	var group conc.WaitGroup
-	group.Go(func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() { s.serveConnection(connection) })
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
+	s.address = listenRaw(t, s.serveConnection)
 }
 
 func (s *repeatingBackEnd) repeats() bool {
@@ -58,7 +40,6 @@
 }
 
 func (s *repeatingBackEnd) serveConnection(connection net.Conn) {
-	defer func() { _ = connection.Close() }()
 	var writing sync.Mutex
 	write := func(answer []byte) error {
 		writing.Lock()
--- a/internal/heartbeat/model_late_test.go
+++ b/internal/heartbeat/model_late_test.go
@@ -91,29 +91,14 @@
 	m.late.cutOff[first] = m.now + time.Duration(2000+m.late.random.IntN(3000))*time.Millisecond
 }
 
-// runLate simulates late heartbeats among the other faults, and returns the first failure.
-func runLate(t *testing.T, seed uint64, change func(*model)) *model {
-	m := newModel(t, seed)
-	m.late = newLateHeartbeats(seed)
-	change(m)
-	m.run(40 * time.Second)
-	m.faults = false
-	m.start("")
-	faultsEndedAt := m.now
-	m.run(faultsEndedAt + 14*time.Second)
-	for _, key := range probedKeys() {
-		if m.heldAt[key] < faultsEndedAt+9*time.Second {
-			m.fail("key %d was last held at %s", key, m.heldAt[key])
-		}
-	}
-	return m
-}
-
 // TestLateHeartbeatsMoveNoKeys guards against keys with two holders after heartbeats that arrive late: of an instance
 // that has crashed, whose address belongs to another one by now, and of a live one at a leader that knows no newer ones.
 func TestLateHeartbeatsMoveNoKeys(t *testing.T) {
 	for _, seed := range lateSeeds {
-		if m := runLate(t, seed, func(*model) {}); m.failure != "" {
+		m := newModel(t, seed)
+		m.late = newLateHeartbeats(seed)
+		m.runWithFaults()
+		if m.failure != "" {
 			t.Errorf("seed %d: %s\n%s", seed, m.failure, strings.Join(m.trace[max(0, len(m.trace)-25):], "\n"))
 		}
 	}
--- a/internal/heartbeat/model_test.go
+++ b/internal/heartbeat/model_test.go
@@ -391,6 +391,20 @@
 	m.owners[key] = instance.id
 }
 
+// runWithFaults runs with faults and then without, and checks that every key is held once they have ended.
+func (m *model) runWithFaults() {
+	m.run(40 * time.Second)
+	m.faults = false
+	m.start("")
+	faultsEndedAt := m.now
+	m.run(faultsEndedAt + 14*time.Second)
+	for _, key := range probedKeys() {
+		if m.heldAt[key] < faultsEndedAt+9*time.Second {
+			m.fail("key %d was last held at %s", key, m.heldAt[key])
+		}
+	}
+}
+
 // TestLeasesNeverOverlap simulates instances that crash, restart, drain and join, heartbeats and answers that
 // are lost or late, and leaders that change, over many seeds. No key may ever have two holders, fences may
 // only rise, and every key must be held once the faults end.
@@ -404,16 +418,7 @@
 	layoutChanges, heldBack := 0, 0
 	for _, seed := range seedsToRun {
 		m := newModel(t, seed)
-		m.run(40 * time.Second)
-		m.faults = false
-		m.start("")
-		faultsEndedAt := m.now
-		m.run(faultsEndedAt + 14*time.Second)
-		for _, key := range probedKeys() {
-			if m.heldAt[key] < faultsEndedAt+9*time.Second {
-				m.fail("key %d was last held at %s", key, m.heldAt[key])
-			}
-		}
+		m.runWithFaults()
 		layoutChanges += m.layoutChanges
 		heldBack += m.heldBack
 		if m.failure != "" {
