A start says how far it has come, and what it waits for

Cause: the users saw a gateway that did not become ready in time, and nothing in their record or in a log could tell a process that had ended from one that waited, or for what. A gateway whose seeds do not listen logged each attempt and never that it is not ready; a controller whose group does not form logged nothing after "listening"; a read of the settings file that does not end, as of a pipe, nothing at all.

Change: package startup. Each role logs one line for each step of its start with the age of the process, and one line while it is not ready, after 2 s and then at intervals that double up to 1 min, with the reason, the addresses that do not answer, how often and with which error. The same text answers /health/ready; the metrics ready and dependency_failures_total count. An address that fails is logged once until it answers again. A read of the settings file that takes longer than 2 s is logged.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -16,6 +16,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/signals"
+	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -110,10 +111,10 @@
 		if err != nil {
 			return err
 		}
-		reload := func() (T, error) { return loadUntilStopped(ctx, load) }
 		common := role.common(settings)
 		log, closeLog := program.openLog(role.name, common.name, common.log)
 		defer closeLog()
+		reload := func() (T, error) { return loadUntilStopped(ctx, log, load) }
 		if common.collectorPercent > 0 {
 			debug.SetGCPercent(common.collectorPercent)
 		}
@@ -221,7 +222,7 @@
 // logStart logs the start, with the time that passed until signals were handled.
 func logStart(log *logrus.Entry) {
 	line := telemetry.With(log, telemetry.EventStarted)
-	if age, known := processAge(); known {
+	if age, known := startup.ProcessAge(); known {
 		line = line.WithField("process_age_ms", age.Milliseconds())
 	}
 	line.Info("started")
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -20,6 +20,9 @@
 	settingsSettleTime = 3 * time.Second
 	// settingsRetryInterval is the wait before the file is read again.
 	settingsRetryInterval = 20 * time.Millisecond
+	// slowRead is how long a read of the settings file may take until that is logged, and again after each doubling of
+	// that time.
+	slowRead = 2 * time.Second
 )
 
 // fileVersion tells versions of a file apart. It is zero for a file that cannot be read.
@@ -44,7 +47,7 @@
 	var unchangedSince time.Time
 	for attempt := 0; ; attempt++ {
 		version := versionOf(path)
-		settings, err := loadUntilStopped(ctx, load)
+		settings, err := loadUntilStopped(ctx, log, load)
 		if err == nil {
 			return settings, nil
 		}
@@ -75,8 +78,8 @@
 }
 
 // loadUntilStopped loads settings unless the context ends before, as it may while a pipe or a remote file system holds up
-// the read.
-func loadUntilStopped[T any](ctx context.Context, load func() (T, error)) (T, error) {
+// the read, which is logged.
+func loadUntilStopped[T any](ctx context.Context, log *logrus.Entry, load func() (T, error)) (T, error) {
 	type result struct {
 		settings T
 		err      error
@@ -86,11 +89,21 @@
 		settings, err := load()
 		loaded <- result{settings, err}
 	}()
-	select {
-	case result := <-loaded:
-		return result.settings, result.err
-	case <-ctx.Done():
-		var none T
-		return none, eris.Wrap(ctx.Err(), "read the settings file")
+	begun, notice := time.Now(), slowRead
+	timer := time.NewTimer(notice)
+	defer timer.Stop()
+	for {
+		select {
+		case result := <-loaded:
+			return result.settings, result.err
+		case <-timer.C:
+			telemetry.With(log, telemetry.EventSettingsWaiting).WithField(telemetry.FieldDuration, time.Since(begun).Milliseconds()).
+				Warn("the read of the settings file does not end; waiting")
+			timer.Reset(notice)
+			notice *= 2
+		case <-ctx.Done():
+			var none T
+			return none, eris.Wrap(ctx.Err(), "read the settings file")
+		}
 	}
 }
--- a/internal/cli/settings_test.go
+++ b/internal/cli/settings_test.go
@@ -1,12 +1,15 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/config"
@@ -83,3 +86,25 @@
 		t.Errorf("error %v after %d loads", err, loads)
 	}
 }
+
+// TestHangingReadOfTheSettingsIsLogged guards against a process that waits for its settings file, such as a pipe that
+// nobody writes to, and does not say so.
+func TestHangingReadOfTheSettingsIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		ctx, cancel := context.WithTimeout(t.Context(), 5*slowRead)
+		defer cancel()
+		ended := make(chan struct{})
+		defer close(ended)
+		_, err := loadUntilStopped(ctx, telemetry.New("gateway", "", "info", &lines), func() (int, error) {
+			<-ended
+			return 0, nil
+		})
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("error %v", err)
+		}
+		if count := strings.Count(lines.String(), string(telemetry.EventSettingsWaiting)); count != 3 {
+			t.Errorf("%d lines in %s, want one after each doubling of %s: %s", count, 5*slowRead, slowRead, lines.String())
+		}
+	})
+}
--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -17,6 +17,7 @@
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/identity"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -36,6 +37,8 @@
 type formation struct {
 	settings config.Controller
 	log      *logrus.Entry
+	// progress is told which controllers answer.
+	progress *startup.Progress
 	dial     wire.DialFunc
 	save     func(identity.Identity) error
 	// reload reads the settings again; nil if they do not change.
@@ -238,8 +241,10 @@
 		group.Go(func() {
 			answer, err := f.ask(ctx, address)
 			if err != nil {
+				f.recordFailure(ctx, address, err)
 				return
 			}
+			f.progress.Answered(address)
 			f.learn(answer)
 			mutex.Lock()
 			defer mutex.Unlock()
@@ -250,6 +255,14 @@
 	return answers
 }
 
+// recordFailure logs the first failure of a controller, unless this process stops.
+func (f *formation) recordFailure(ctx context.Context, address string, err error) {
+	if ctx.Err() == nil && f.progress.Failed(address, err) {
+		telemetry.WithError(f.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
+			Info("another controller does not answer")
+	}
+}
+
 func (f *formation) ask(ctx context.Context, address string) (message.FormationAnswer, error) {
 	var answer message.FormationAnswer
 	ctx, cancel := context.WithTimeout(ctx, formationTimeout)
@@ -294,8 +307,10 @@
 // leader: it may have been removed in the meantime.
 func (f *formation) keepJoining(ctx context.Context, isActiveVoter func() bool) {
 	clock.Every(ctx, formationInterval, func() {
-		if !isActiveVoter() {
-			f.askAll(ctx)
+		if isActiveVoter() {
+			f.progress.Dependencies.Forget()
+			return
 		}
+		f.askAll(ctx)
 	})
 }
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -22,6 +22,7 @@
 	"github.com/thorntiller/thorntiller/internal/identity"
 	"github.com/thorntiller/thorntiller/internal/listen"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/vfs"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -53,17 +54,23 @@
 	if options.Files == nil {
 		options.Files = vfs.System{}
 	}
+	progress, endWatch := watchProgress(ctx, log)
+	defer endWatch()
+	progress.WaitFor("the lock of the data folder " + settings.DataDirectory)
 	lock, err := lockDataFolder(ctx, settings.DataDirectory, log)
 	if err != nil {
 		return err
 	}
 	defer closeQuietly(lock, log)
+	progress.Reach(startup.StepDataFolderLocked)
 	for {
-		err := runOnce(ctx, options, settings, log)
+		err := runOnce(ctx, options, settings, log, progress)
 		switch {
 		case errors.Is(err, syscall.ENOSPC):
+			progress.WaitFor("free space for the data folder " + settings.DataDirectory)
 			telemetry.WithError(log, telemetry.EventDiskFull, err).Warn("disk is full; replica waits for free space")
 		case descriptor.Exhausted(err):
+			progress.WaitFor("a file descriptor for the files of the data folder")
 			telemetry.WithError(log, telemetry.EventNoDescriptor, err).Warn("no descriptor is left; replica waits for some")
 		default:
 			return err
@@ -74,6 +81,18 @@
 	}
 }
 
+// watchProgress returns the progress of this process, which is logged until the context ends or endWatch is called.
+func watchProgress(ctx context.Context, log *logrus.Entry) (progress *startup.Progress, endWatch func()) {
+	progress = startup.New(clock.NewSystem(), log)
+	ctx, cancel := context.WithCancel(ctx)
+	var watcher conc.WaitGroup
+	watcher.Go(func() { background.Keep(ctx, log, "readiness", progress.Watch) })
+	return progress, func() {
+		cancel()
+		watcher.Wait()
+	}
+}
+
 // lockRetryInterval is the wait before another attempt to lock the data folder.
 const lockRetryInterval = 50 * time.Millisecond
 
@@ -94,8 +113,8 @@
 	}
 }
 
-func runOnce(ctx context.Context, options Options, settings config.Controller, log *logrus.Entry) error {
-	node, err := newNode(options, settings, log)
+func runOnce(ctx context.Context, options Options, settings config.Controller, log *logrus.Entry, progress *startup.Progress) error {
+	node, err := newNode(options, settings, log, progress)
 	if err != nil {
 		return err
 	}
@@ -108,29 +127,37 @@
 
 // node is one controller process.
 type node struct {
-	settings     config.Controller
-	log          *logrus.Entry
-	files        vfs.FileSystem
-	security     *security
-	formation    *formation
+	settings  config.Controller
+	log       *logrus.Entry
+	files     vfs.FileSystem
+	security  *security
+	formation *formation
+	// progress tells how far the start has come.
+	progress     *startup.Progress
+	metrics      *metrics
 	replica      *replica
 	connections  *connections
 	peerListener net.Listener
 	apiListener  net.Listener
 }
 
-func newNode(options Options, settings config.Controller, log *logrus.Entry) (*node, error) {
+func newNode(options Options, settings config.Controller, log *logrus.Entry, progress *startup.Progress) (*node, error) {
+	progress.WaitFor("the files of the data folder " + settings.DataDirectory)
 	security, err := newSecurity(settings)
 	if err != nil {
 		return nil, err
 	}
-	n := &node{settings: settings, log: log, files: options.Files, security: security, connections: newConnections(settings, log)}
+	n := &node{
+		settings: settings, log: log, files: options.Files, security: security, progress: progress, metrics: newMetrics(),
+		connections: newConnections(settings, log),
+	}
+	progress.Register(n.metrics.registry)
 	self, err := durable.LoadIdentity(n.files, settings.DataDirectory, settings.FirstStart, newReplicaID)
 	if err != nil {
 		return nil, err
 	}
 	n.formation = &formation{
-		settings: settings, log: log, dial: security.dial(), own: self, reload: options.Reload,
+		settings: settings, log: log, dial: security.dial(), own: self, reload: options.Reload, progress: progress,
 		save: func(next identity.Identity) error { return identity.Save(n.files, settings.DataDirectory, next) },
 		self: consensus.Member{
 			ID: self.Replica, Name: settings.Name, Address: settings.PeerAddress, APIAddress: settings.APIAddress,
@@ -145,6 +172,7 @@
 }
 
 func (n *node) listen(ctx context.Context) error {
+	n.progress.WaitFor("the addresses peer_address and api_address")
 	listeners, err := listen.All(ctx, n.log, listen.Address{Setting: "peer_address", Address: n.settings.PeerAddress},
 		listen.Address{Setting: "api_address", Address: n.settings.APIAddress})
 	if err != nil {
@@ -154,6 +182,7 @@
 	n.apiListener = descriptor.Bound(listeners[1], n.connections.budget.AdmitsClient)
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
+	n.progress.Reach(startup.StepListening)
 	return nil
 }
 
@@ -178,19 +207,27 @@
 	group.Go(func() {
 		n.keep(serveContext, "certificates", func(ctx context.Context) { n.security.store.Watch(ctx, n.settings.TLS.ReloadInterval, n.log) })
 	})
-	if err := n.formation.run(ctx); err != nil {
-		if ctx.Err() != nil {
+	if err := n.prepareReplica(ctx); err != nil {
+		if errors.Is(err, ctx.Err()) {
 			return nil
 		}
 		return err
 	}
-	if err := n.startReplica(); err != nil {
-		return err
-	}
 	close(ready)
 	return n.runReplica(ctx, serveContext, &group)
 }
 
+// prepareReplica forms or joins the group and recovers the state. Its error is that of the context if that ends before.
+func (n *node) prepareReplica(ctx context.Context) error {
+	n.progress.WaitFor("the other controllers, to form a group or join theirs")
+	if err := n.formation.run(ctx); err != nil {
+		return err
+	}
+	n.progress.Reach(startup.StepGroupKnown)
+	n.progress.WaitFor("the state in the data folder " + n.settings.DataDirectory)
+	return n.startReplica()
+}
+
 func (n *node) startReplica() error {
 	self := n.formation.identity()
 	disk, err := durable.Open(n.files, n.settings.DataDirectory, self, durable.Options{})
@@ -198,15 +235,15 @@
 		telemetry.WithError(n.log, telemetry.EventDiskFailed, err).Error("cannot open the data directory")
 		return err
 	}
-	metrics := newMetrics()
-	n.replica, err = newReplica(n.settings, n.log, n.formation.self, disk, metrics)
+	n.replica, err = newReplica(n.settings, n.log, n.formation.self, disk, n.metrics)
 	if err != nil {
 		return err
 	}
 	n.replica.cluster = self.Cluster
-	metrics.attach(n.replica)
+	n.metrics.attach(n.replica)
 	telemetry.With(n.log, telemetry.EventRecovered).WithField("index", disk.Initial.Snapshot.Index).
 		WithField("entries", len(disk.Initial.Entries)).Info("state recovered from the data directory")
+	n.progress.Reach(startup.StepStateRecovered)
 	return nil
 }
 
@@ -220,7 +257,8 @@
 	defer r.peers.stop()
 	r.leases = newLeaseSender(driveContext, n.settings.Lease, r.results)
 	n.formation.attach(r.formationStatus, r.requestJoin)
-	service := newAPI(n.settings.API, r, n.log, n.security, r.metrics.registry, r.ready)
+	n.progress.Follow(r.ready)
+	service := newAPI(n.settings.API, r, n.log, n.security, r.metrics.registry, n.progress.Ready)
 	n.connections.attach(service.app.Server())
 	group.Go(func() { n.serveAPI(service) })
 	group.Go(func() { n.keep(serveContext, "platform", newPlatformPoller(n.settings.Platform, r).run) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/thorntiller/thorntiller/internal/reach"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/warmup"
 	"github.com/thorntiller/thorntiller/internal/wire"
@@ -40,8 +41,10 @@
 	log          *logrus.Entry
 	clock        clock.Clock
 	subscription *subscription
-	splitter     *routing.Splitter
-	balancer     *balance.Balancer
+	// progress tells how far the start has come.
+	progress *startup.Progress
+	splitter *routing.Splitter
+	balancer *balance.Balancer
 	// regions has the region of each zone.
 	regions     map[string]string
 	upstreams   *upstreams
@@ -173,6 +176,9 @@
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
 	registerBudget(gateway.registry, gateway.clientBudget)
 	gateway.subscription.dial = options.DialPeer
+	gateway.progress = gateway.subscription.progress
+	gateway.progress.Follow(gateway.ready)
+	gateway.progress.Register(gateway.registry)
 	gateway.subscription.registerMetrics(gateway.registry)
 	gateway.demand = newDemandCounter(system, settings, gateway.subscription, meter)
 	gateway.guard = gateway.demand.guard
@@ -262,7 +268,7 @@
 	running, stopRunning := context.WithCancel(context.Background())
 	callers = descriptor.Bound(callers, g.descriptors.AdmitsClient)
 	callerServer := g.newCallerServer()
-	adminServer := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
+	adminServer := &fasthttp.Server{Handler: g.adminHandler(), Name: role}
 	var group conc.WaitGroup
 	failed := make(chan error, 3)
 	serve := func(server *fasthttp.Server, listener net.Listener) {
@@ -279,6 +285,8 @@
 	group.Go(func() { g.keep(running, "demand", g.demand.run) })
 	group.Go(func() { g.keep(running, "link bytes", g.reportLinkBytes) })
 	group.Go(func() { g.keep(running, "reach", g.watchReach) })
+	group.Go(func() { g.keep(ctx, "readiness", g.progress.Watch) })
+	g.progress.Reach(startup.StepListening)
 	telemetry.With(g.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
 	var err error
@@ -320,6 +328,11 @@
 	})
 }
 
+// adminHandler serves the health checks and the metrics.
+func (g *Gateway) adminHandler() fasthttp.RequestHandler {
+	return telemetry.Handler(g.registry, g.progress.Ready)
+}
+
 // shutDownServers stops the servers of health checks and metrics. It waits only briefly for their open
 // connections.
 func shutDownServers(servers ...*fasthttp.Server) {
@@ -332,7 +345,7 @@
 
 // serveMetrics serves the metrics at their own address, if one is set.
 func (g *Gateway) serveMetrics(ctx context.Context, group *conc.WaitGroup) *fasthttp.Server {
-	server := &fasthttp.Server{Handler: telemetry.Handler(g.registry, g.ready), Name: role}
+	server := &fasthttp.Server{Handler: g.adminHandler(), Name: role}
 	if g.settings.MetricsAddress == "" {
 		return server
 	}
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"slices"
@@ -82,8 +83,10 @@
 		return
 	}
 	err := s.follow(ctx, source{address: address, peer: true, wait: wait})
-	telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
-		WithField(fieldTableAge, ageMs(s.age())).Info("directory stream from another gateway ended")
+	if errors.Is(err, errControllerAnswers) || s.progress.Failed(address, err) {
+		telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
+			WithField(fieldTableAge, ageMs(s.age())).Info("directory stream from another gateway ended")
+	}
 }
 
 var (
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -110,11 +110,14 @@
 		}
 		line := telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
 			WithField(fieldTableAge, ageMs(s.age())).WithField("bytes", asked.bytesReceived())
-		if errors.Is(err, errSwitchToHome) {
+		switch {
+		case errors.Is(err, errSwitchToHome):
 			search.restart()
 			line.Info("switching the directory stream to the home controller")
-			return
+		case errors.Is(err, errAskedTwice):
+			line.Debug("directory stream ended")
+		case s.progress.Failed(address, err):
+			line.Warn("directory stream broke")
 		}
-		line.Warn("directory stream broke")
 	})
 }
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -17,6 +17,7 @@
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -31,6 +32,8 @@
 	reload func() (config.Gateway, error)
 	// patience is how long a patient stream may be silent.
 	patience time.Duration
+	// progress is told which controllers answer.
+	progress *startup.Progress
 	// dial opens connections to controllers and other gateways; nil means TCP.
 	dial wire.DialFunc
 	// onTable is called with each new table.
@@ -70,6 +73,7 @@
 	return &subscription{
 		clock: system, settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(), meter: meter,
 		patience: patience,
+		progress: startup.New(system, log),
 		onTable:  func(*routing.Table) {}, onCluster: func(string) {},
 	}
 }
@@ -117,6 +121,9 @@
 	defer connection.Close()
 	defer context.AfterFunc(ctx, connection.Close)()
 	s.controllerReached.Store(true)
+	if !from.peer {
+		s.progress.Reach(startup.StepControllerReached)
+	}
 	if from.search != nil && !from.search.connected(from.candidate, connection) {
 		return errAskedTwice
 	}
@@ -213,12 +220,24 @@
 		}
 		if !logged {
 			logged = true
-			telemetry.With(s.log, telemetry.EventTableCurrent).WithField(telemetry.FieldAddress, from.address).
-				WithField("peer", from.peer).WithField(telemetry.FieldRevision, s.revision()).Info("directory confirmed")
+			s.logConfirmed(from)
 		}
 	}
 }
 
+// logConfirmed logs the first proof of a stream, with the failed attempts at its address before.
+func (s *subscription) logConfirmed(from source) {
+	line := telemetry.With(s.log, telemetry.EventTableCurrent).WithField(telemetry.FieldAddress, from.address).
+		WithField("peer", from.peer).WithField(telemetry.FieldRevision, s.revision())
+	if outage, ended := s.progress.Answered(from.address); ended {
+		line = line.WithField("failures", outage.Failures).WithField("outage_ms", outage.Duration.Milliseconds())
+	}
+	if !from.peer {
+		s.progress.Dependencies.Forget()
+	}
+	line.Info("directory confirmed")
+}
+
 func (s *subscription) revision() directory.Revision {
 	s.viewLock.Lock()
 	defer s.viewLock.Unlock()
@@ -269,6 +288,7 @@
 	}
 	table := routing.Build(s.view, earlier)
 	s.table.Store(table)
+	s.progress.Reach(startup.StepTableReceived)
 	s.logItemsInForce(table, from)
 	s.onTable(table)
 	s.updates.Raise()
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -36,7 +36,7 @@
 }
 
 func (r *Router) serveAdmin(set *telemetry.Metrics) fasthttp.RequestHandler {
-	common := telemetry.Handler(set, r.ready)
+	common := telemetry.Handler(set, r.progress.Ready)
 	return func(inbound *fasthttp.RequestCtx) {
 		if string(inbound.Path()) != PathTable {
 			common(inbound)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,6 +31,7 @@
 	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/retry"
 	"github.com/thorntiller/thorntiller/internal/router/records"
+	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -55,6 +56,8 @@
 	core         *execution.Core
 	metrics      *metrics
 	registry     *telemetry.Metrics
+	// progress tells how far the start has come.
+	progress     *startup.Progress
 	deduplicator Deduplicator
 	records      *records.Service
 	// ownDeduplicator is the deduplicator if Options has none, else nil. It holds the
@@ -130,6 +133,9 @@
 		subset:   table.NewSubset(serviceNames(settings.Services)),
 		registry: telemetry.NewMetrics(role), deduplicator: options.Deduplicator, dial: controllerDialer(options.dial()), certificates: options.Certificates,
 	}
+	router.progress = startup.New(router.clock, log)
+	router.progress.Follow(router.ready)
+	router.progress.Register(router.registry)
 	router.clientBudget = newClientBudget(settings)
 	router.crashed = make(chan struct{}, 1)
 	router.guard = crashwatch.NewGuard(router.clock, settings.Name, settings.QuarantineCrashes, router.crashed)
@@ -254,6 +260,8 @@
 	group.Go(func() { r.keep(running, "crashes", r.crashes.Run) })
 	group.Go(func() { r.keep(running, "overdue", r.overdue.run) })
 	group.Go(func() { r.keep(running, "freshness", r.watchFreshness) })
+	group.Go(func() { r.keep(ctx, "readiness", r.progress.Watch) })
+	r.progress.Reach(startup.StepListening)
 	telemetry.With(r.log, telemetry.EventListening).
 		WithField(telemetry.FieldAddress, callers.Addr().String()).Info("listening for client requests")
 	var err error
@@ -296,7 +304,7 @@
 			r.records.TableChanged()
 			r.checkReplacedProcesses()
 		},
-		records: r.records, guard: r.guard, crashed: r.crashed,
+		records: r.records, guard: r.guard, crashed: r.crashed, progress: r.progress,
 	}
 }
 
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -18,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/crashwatch"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/table"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -77,6 +78,8 @@
 	builder   *table.Builder
 	freshness *table.Freshness
 	log       *logrus.Entry
+	// progress is told which controllers answer.
+	progress *startup.Progress
 	// onTableChange is called after each new version of the table.
 	onTableChange func()
 	// records adds its reports to pings and applies the leases in pongs.
@@ -129,8 +132,10 @@
 		if s.clock.Now()-startedAt > reconnectMax {
 			failures = 1
 		}
-		telemetry.WithError(s.log, telemetry.EventControllerLost, err).
-			WithField(telemetry.FieldAddress, address).Warn("connection to the controller ended; reconnecting")
+		if s.progress.Failed(address, err) {
+			telemetry.WithError(s.log, telemetry.EventControllerLost, err).
+				WithField(telemetry.FieldAddress, address).Warn("connection to the controller ended; reconnecting")
+		}
 		pause(ctx, reconnectDelay(failures))
 	}
 }
@@ -183,6 +188,19 @@
 	s.served = false
 }
 
+// recordServed records that the current connection serves this router.
+func (s *subscription) recordServed() {
+	if s.served {
+		return
+	}
+	s.served = true
+	if outage, ended := s.progress.Answered(s.controllers[s.preferred]); ended {
+		telemetry.With(s.log, telemetry.EventControllerReached).WithField(telemetry.FieldAddress, s.controllers[s.preferred]).
+			WithField("failures", outage.Failures).WithField("outage_ms", outage.Duration.Milliseconds()).Info("the controller answers again")
+	}
+	s.progress.Dependencies.Forget()
+}
+
 // indexOf returns the index of the controller with the configured address, or that announced
 // the address when it refused this router; -1 if there is none.
 func (s *subscription) indexOf(address string) int {
@@ -234,6 +252,7 @@
 	if err != nil {
 		return err
 	}
+	s.progress.Reach(startup.StepControllerReached)
 	s.lastFrameAt.Store(int64(s.clock.Now()))
 	s.guard.Connected()
 	if err := connection.Send(message.RouterFrame{Hello: s.hello()}); err != nil {
@@ -331,6 +350,7 @@
 			s.guard.SetSecret(string(s.builder.Table().Cluster()))
 			telemetry.With(s.log, telemetry.EventTableSnapshot).
 				WithField(telemetry.FieldRevision, frame.Snapshot.Revision).Info("routing table received")
+			s.progress.Reach(startup.StepTableReceived)
 			s.tableChanged()
 		}
 		return s.checkTable(err)
@@ -341,7 +361,7 @@
 		}
 		return s.checkTable(err)
 	case frame.Pong != nil:
-		s.served = true
+		s.recordServed()
 		s.freshness.Observe(*frame.Pong, s.builder.Table().Revision())
 		s.records.Renew(*frame.Pong)
 		s.handleSuspects(*frame.Pong)
--- a/internal/cli/processage.go
+++ b/internal/startup/processage.go
@@ -1,4 +1,4 @@
-package cli
+package startup
 
 import (
 	"bytes"
@@ -17,8 +17,8 @@
 	startTimeUnit = 10 * time.Millisecond
 )
 
-// processAge returns the time since the kernel started this process, to 10 ms, and false if it is not known.
-func processAge() (time.Duration, bool) {
+// ProcessAge returns the time since the kernel started this process, to 10 ms, and false if it is not known.
+func ProcessAge() (time.Duration, bool) {
 	content, err := os.ReadFile("/proc/self/stat")
 	if err != nil {
 		return 0, false
--- a/internal/cli/processage_test.go
+++ b/internal/startup/processage_test.go
@@ -1,4 +1,4 @@
-package cli
+package startup
 
 import (
 	"testing"
@@ -6,12 +6,12 @@
 )
 
 func TestProcessAgeGrows(t *testing.T) {
-	first, known := processAge()
+	first, known := ProcessAge()
 	if !known || first > time.Hour {
 		t.Fatalf("age %s, known %t", first, known)
 	}
 	time.Sleep(2 * startTimeUnit)
-	if second, _ := processAge(); second <= first {
+	if second, _ := ProcessAge(); second <= first {
 		t.Errorf("age %s after %s", second, first)
 	}
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -18,7 +18,11 @@
 	EventStopping  Event = "stopping"
 	EventStopped   Event = "stopped"
 	EventListening Event = "listening"
-	EventFailed    Event = "failed"
+	EventStartStep Event = "start_step"
+	// EventNotReady is logged at growing intervals while the process is not ready.
+	EventNotReady   Event = "not_ready"
+	EventReadyAgain Event = "ready_again"
+	EventFailed     Event = "failed"
 	// EventSettingsWaiting is logged once while the settings file is missing or not valid.
 	EventSettingsWaiting Event = "settings_waiting"
 	// EventListenWaiting is logged while an address cannot be taken.
@@ -81,6 +85,7 @@
 	EventTableStale        Event = "table_stale"
 	EventTableCurrent      Event = "table_current"
 	EventControllerLost    Event = "controller_lost"
+	EventControllerReached Event = "controller_reached"
 	EventItemsInForce      Event = "items_in_force"
 	EventServerEjected     Event = "server_ejected"
 	EventServerCrashed     Event = "server_crashed"
@@ -127,7 +132,10 @@
 	return []EventRow{
 		{EventStarted, levelInfo, "The process has its settings, handles signals and begins; process_age_ms tells how long after the kernel started it, to 10 ms."},
 		{EventListening, levelInfo, "A listener accepts connections."},
-		{EventSettingsWaiting, levelWarning, "The settings file is missing or not valid, and may be being written; the process ends if it stays so for 3 s."},
+		{EventStartStep, levelInfo, "The start has come to a step, the last of which is ready; process_age_ms tells how long after the kernel started the process."},
+		{EventNotReady, levelWarning, "The process is not ready for 2 s, and then at intervals that double up to 1 min: reason tells why, attempts the addresses that do not answer and with which error, duration_ms since when."},
+		{EventReadyAgain, levelInfo, "The process is ready again after a line not_ready."},
+		{EventSettingsWaiting, levelWarning, "The settings file is missing or not valid, and may be being written; the process ends if it stays so for 3 s. Or a read of it does not end, which the process waits for."},
 		{EventListenWaiting, levelWarning, "An address cannot be taken yet, since another process holds it, the machine does not have it, or no file descriptor is left; the process tries again."},
 		{EventAcceptWaiting, levelWarning, "A connection cannot be accepted for lack of file descriptors or memory; the process tries again. Told once in 10 s."},
 		{EventStopping, levelInfo, "A graceful stop began."},
@@ -187,8 +195,9 @@
 		{EventTableSnapshot, levelInfo, "The whole routing table was received."},
 		{EventTableDigest, levelWarning, "The table differs from the controllers'; it is fetched anew."},
 		{EventTableStale, levelWarning, "The table is not proved current; requests are refused."},
-		{EventTableCurrent, levelInfo, "The table is proved current again."},
-		{EventControllerLost, levelWarning, "The connection to the controllers broke."},
+		{EventTableCurrent, levelInfo, "The table is proved current again; failures and outage_ms tell of failed attempts at that address before."},
+		{EventControllerLost, levelWarning, "A controller cannot be reached, or the connection to it broke; told once until it answers again."},
+		{EventControllerReached, levelInfo, "A controller that could not be reached answers again, after failures failed attempts in outage_ms."},
 		{EventItemsInForce, levelInfo, "Changed configuration items are in force at this gateway."},
 		{EventServerEjected, levelWarning, "A server failed too often and gets no requests for a while."},
 		{EventServersUnreached, levelWarning, "No connection can be made to most of the instances to which this gateway sent requests of late."},
