Controllers answer calls while their group does not form

What callers saw: a controller listened at its API address from the start and accepted nothing until it belonged to a group. Calls, health checks included, were neither answered nor refused; operators and servers waited for their own time-outs at a controller that had not joined, and nobody could ask it why.

Cause: the API was made and served only after formation, on a listener that is open before it.

Change: the API serves from the start on. Before the replica runs, health checks and metrics answer, calls of operators get not_leader (421, proved not to have run) so that clients ask another controller, those of servers and about items get 503; both name what is waited for.

Why this works: an answer needs no group. What needs one is rejected by a flag that is set once the replica can be asked.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -23,10 +24,15 @@
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
-// api serves the intent API, the health checks and the metrics.
+// api serves the intent API, the health checks and the metrics. It serves from the start on: before the replica runs,
+// calls are rejected at once rather than kept waiting for a group that may not form.
 type api struct {
 	settings config.API
-	replica  *replica
+	// replica is set before running is.
+	replica *replica
+	running atomic.Bool
+	// ready is the readiness of the process.
+	ready    telemetry.Ready
 	log      *logrus.Entry
 	security *security
 	app      *fiber.App
@@ -37,10 +43,11 @@
 	forwarder *forwarder
 }
 
-func newAPI(settings config.API, r *replica, log *logrus.Entry, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
+// newAPI returns the API without its replica, see attach.
+func newAPI(settings config.API, log *logrus.Entry, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
 	service := &api{
-		settings: settings, replica: r, log: log, security: security, clock: clock.NewSystem(), budget: newClientBudget(settings),
-		forwarder: &forwarder{replica: r},
+		settings: settings, log: log, security: security, clock: clock.NewSystem(), budget: newClientBudget(settings),
+		ready: ready, forwarder: &forwarder{},
 	}
 	service.app = fiber.New(fiber.Config{
 		BodyLimit: settings.BodyLimit,
@@ -57,14 +64,35 @@
 	service.app.Server().ConnState = service.followConnection
 	service.app.Use(recoverer.New(recoverer.Config{EnableStackTrace: true, StackTraceHandler: service.logPanic}))
 	service.app.Use(service.readBody)
-	service.routes()
-	service.directoryRoutes()
 	service.app.Get(intentapi.PathLive, telemetry.LiveHandler())
 	service.app.Get(intentapi.PathReady, telemetry.ReadyHandler(ready))
 	service.app.Get(intentapi.PathMetrics, telemetry.MetricsHandler(metrics))
+	service.directoryRoutes()
+	service.app.Use(service.requireReplica)
+	service.routes()
 	return service
 }
 
+// attach lets the replica answer the calls from now on.
+func (a *api) attach(r *replica) {
+	a.replica, a.forwarder.replica = r, r
+	a.running.Store(true)
+}
+
+// requireReplica rejects calls before the replica runs.
+func (a *api) requireReplica(call fiber.Ctx) error {
+	if a.running.Load() {
+		return call.Next()
+	}
+	return fault.New(fault.NotLeader, a.notRunning())
+}
+
+// notRunning returns why calls are rejected before the replica runs.
+func (a *api) notRunning() string {
+	_, reason := a.ready()
+	return "this replica does not run yet: " + reason
+}
+
 const (
 	// minReservedConnections are set aside for other users of file descriptors: the log and its files, the
 	// other replicas, and a stream and a report connection for each of several hundred gateways.
@@ -121,7 +149,7 @@
 	body := intentapi.ErrorBody{Kind: fault.KindOf(err), Detail: detailOf(err)}
 	answer := fault.AnswerFor(body.Kind)
 	body.Outcome = answer.Outcome
-	if body.Kind == fault.NotLeader {
+	if body.Kind == fault.NotLeader && a.running.Load() {
 		if leader, known := a.replica.leader(); known {
 			body.Leader = leader.APIAddress
 		}
--- a/internal/controller/directory_api.go
+++ b/internal/controller/directory_api.go
@@ -31,6 +31,9 @@
 // to a replica that may know it.
 func (a *api) redirectToLeader(handler fiber.Handler) fiber.Handler {
 	return func(call fiber.Ctx) error {
+		if !a.running.Load() {
+			return fault.New(fault.Unavailable, a.notRunning())
+		}
 		err := handler(call)
 		if err == nil || fault.KindOf(err) != fault.NotLeader {
 			return err
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -196,7 +196,7 @@
 }
 
 // run forms or joins the group and then runs the replica. The peer listener serves from the start, since
-// controllers form a group by asking each other.
+// controllers form a group by asking each other, and so does the API, which rejects calls until the replica runs.
 func (n *node) run(ctx context.Context) error {
 	serveContext, stopServing := context.WithCancel(context.Background())
 	var group conc.WaitGroup
@@ -207,14 +207,18 @@
 	group.Go(func() {
 		n.keep(serveContext, "certificates", func(ctx context.Context) { n.security.store.Watch(ctx, n.settings.TLS.ReloadInterval, n.log) })
 	})
+	service := newAPI(n.settings.API, n.log, n.security, n.metrics.registry, n.progress.Ready)
+	n.connections.attach(service.app.Server())
+	group.Go(func() { n.serveAPI(service) })
 	if err := n.prepareReplica(ctx); err != nil {
+		n.stopAPI(service)
 		if errors.Is(err, ctx.Err()) {
 			return nil
 		}
 		return err
 	}
 	close(ready)
-	return n.runReplica(ctx, serveContext, &group)
+	return n.runReplica(ctx, serveContext, &group, service)
 }
 
 // prepareReplica forms or joins the group and recovers the state. Its error is that of the context if that ends before.
@@ -249,7 +253,7 @@
 
 // runReplica runs the replica and the services that depend on it. A planned stop first transfers the
 // leadership, so that no caller has to wait for an election.
-func (n *node) runReplica(ctx, serveContext context.Context, group *conc.WaitGroup) error {
+func (n *node) runReplica(ctx, serveContext context.Context, group *conc.WaitGroup, service *api) error {
 	r := n.replica
 	driveContext, stopDriving := context.WithCancel(context.Background())
 	defer stopDriving()
@@ -257,10 +261,8 @@
 	defer r.peers.stop()
 	r.leases = newLeaseSender(driveContext, n.settings.Lease, r.results)
 	n.formation.attach(r.formationStatus, r.requestJoin)
+	service.attach(r)
 	n.progress.Follow(r.ready)
-	service := newAPI(n.settings.API, r, n.log, n.security, r.metrics.registry, n.progress.Ready)
-	n.connections.attach(service.app.Server())
-	group.Go(func() { n.serveAPI(service) })
 	group.Go(func() { n.keep(serveContext, "platform", newPlatformPoller(n.settings.Platform, r).run) })
 	group.Go(func() {
 		n.keep(serveContext, "joining", func(ctx context.Context) { n.formation.keepJoining(ctx, r.isActiveVoter) })
