--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -65,7 +66,24 @@
 	// AdminAddress serves health and metrics: a controller's intent API too.
 	AdminAddress string
 	DataFolder   string
-	Process      *process.Process
+	// Process is replaced by the goroutine that starts nodes, which alone may read it; others call Running.
+	Process *process.Process
+	// replacing guards changes of Process.
+	replacing sync.Mutex
+}
+
+// setProcess sets the process of the node once it has been started.
+func (n *Node) setProcess(started *process.Process) {
+	n.replacing.Lock()
+	defer n.replacing.Unlock()
+	n.Process = started
+}
+
+// Running reports whether the node's process runs. It is safe for concurrent use.
+func (n *Node) Running() bool {
+	n.replacing.Lock()
+	defer n.replacing.Unlock()
+	return n.Process != nil && n.Process.Running()
 }
 
 // Fleet is a running deployment.
--- a/internal/lab/fleet/start.go
+++ b/internal/lab/fleet/start.go
@@ -60,11 +60,9 @@
 		return err
 	}
 	if f.options.SlowDisks {
-		controller.Process, err = f.start(controller.Name, f.options.Lab, "slow-controller", "--config", path, "--disk", f.diskOf(controller))
-		return err
+		return f.startNode(controller, f.options.Lab, "slow-controller", "--config", path, "--disk", f.diskOf(controller))
 	}
-	controller.Process, err = f.start(controller.Name, f.options.Product, "controller", "--config", path)
-	return err
+	return f.startNode(controller, f.options.Product, "controller", "--config", path)
 }
 
 // peerOf returns how a controller is told to reach one of the group.
@@ -104,7 +102,13 @@
 	if err != nil {
 		return err
 	}
-	router.Process, err = f.start(router.Name, f.options.Product, "router", "--config", path)
+	return f.startNode(router, f.options.Product, "router", "--config", path)
+}
+
+// startNode starts the process of a node.
+func (f *Fleet) startNode(node *Node, program string, arguments ...string) error {
+	started, err := f.start(node.Name, program, arguments...)
+	node.setProcess(started)
 	return err
 }
 
--- a/internal/lab/trial/observer.go
+++ b/internal/lab/trial/observer.go
@@ -135,7 +135,7 @@
 }
 
 func (o *observer) observeRouter(node *fleet.Node) {
-	if !node.Process.Running() {
+	if !node.Running() {
 		return
 	}
 	status, body, err := fasthttp.GetTimeout(nil, "http://"+node.AdminAddress+router.PathTable, observeTimeout)
