--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector and prints a closing line.
+# Runs all tests with the race detector, then the cases of the independent review,
+# and prints a closing line.
 #
 # KNOWN-RED.txt, if it is there, lists tests that fail for a known fault, one
 # fault a line; a test with several faults has several lines:
@@ -9,12 +10,12 @@
 # These run apart from the others and their result is printed, but their failure
 # does not fail this script. Every other test of their package still counts.
 #
-# A case of an independent review is listed by its script, with real processes:
+# The cases of the review run as they are, with real processes, each with its
+# disruption and without. A case that breaks its rule (1) is listed by its script:
 #
 #     review/N run.sh, cause, issue
 #
-# It exits with 1 where the rule is broken, which is passed over. That it cannot
-# run (2) fails this script.
+# That a case cannot run (2) fails this script, whether it is listed or not.
 #
 # Tests that measure processes run after all others, one at a time.
 set -euo pipefail
@@ -112,32 +113,67 @@
 	fi
 done
 
-# run_case CASE runs a listed case of the review.
-run_case() {
-	local result=0
-	"$1/run.sh" || result=$?
-	case $result in
-	0) echo "known red: $1 passes now; take it off $known_red_file" ;;
+# is_red_case CASE reports whether a case of the review is listed.
+is_red_case() {
+	local each
+	for each in "${red_cases[@]}"; do
+		[[ $each == "$1" ]] && return 0
+	done
+	return 1
+}
+
+# judge_case CASE TROUBLE RESULT prints the result of a case, and notes a failure.
+judge_case() {
+	local run="$1 with TROUBLE=$2"
+	case $3 in
+	0)
+		echo "$run: passed"
+		((cases_passed += 1))
+		;;
 	1)
-		echo "known red: $1 FAILED (passed over, see $known_red_file)"
-		red_failed=$((red_failed + 1))
+		if [[ $2 == 1 ]] && is_red_case "$1"; then
+			echo "known red: $run FAILED (passed over, see $known_red_file)"
+			red_failed=$((red_failed + 1))
+			return
+		fi
+		echo "$run: FAILED, the rule was broken"
+		status=1
 		;;
 	*)
-		echo "$1 could not run (status $result)"
+		echo "$run: FAILED, it could not run (status $3)"
 		status=1
 		;;
 	esac
 }
 
-if ((${#red_cases[@]} > 0)); then
-	review/build.sh
-	for each in "${red_cases[@]}"; do
-		run_case "$each"
+# run_cases TROUBLE runs all cases of the review side by side.
+run_cases() {
+	local each
+	declare -A running=()
+	for each in review/[0-9]*; do
+		TROUBLE=$1 "$each/run.sh" &
+		running[$each]=$!
 	done
-fi
+	for each in review/[0-9]*; do
+		local result=0
+		wait "${running[$each]}" || result=$?
+		judge_case "$each" "$1" "$result"
+		((cases_run += 1))
+	done
+}
+
+cases_run=0
+cases_passed=0
+for each in "${red_cases[@]}"; do
+	[[ -x $each/run.sh ]] || fail "$known_red_file lists $each, which does not exist"
+done
+# A program that was built from other code must not be played.
+review/build.sh
+run_cases 1
+run_cases 0
 
 passed=$(grep -c '^ok[[:space:]]' "$log" || true)
 failed=$(grep -c '^FAIL[[:space:]]' "$log" || true)
 untested=$(grep -c 'no test files' "$log" || true)
-echo "go test: $passed packages ok, $failed failed, $untested without tests; known red: $red_failed of $((${#red_tests[@]} + ${#red_cases[@]})) failed"
+echo "go test: $passed packages ok, $failed failed, $untested without tests; review: $cases_passed of $cases_run plays passed; known red: $red_failed of $((${#red_tests[@]} + ${#red_cases[@]})) failed"
 exit "$status"
