Connections beyond the descriptors make room like those beyond max_connections

What callers saw: beside 5,000 clients that each leave a body one byte short and dial again a second after they were closed, a gateway with 4,100 descriptors served none of its ordinary callers; nothing was evicted and nothing logged.

Cause: two bounds on accept. The bound of the descriptors, 2,066 connections of callers there, stood below the budget of connections, 2,048 and 64 more, and closed what came beyond it. In a burst all places were taken by connections too young to be evicted; from then on the budget, which alone makes room, was never asked again. Gateways, routers and the controllers' API were built alike.

Change: the budget reads the descriptors' bound with each connection, and is the only one that admits clients. Its spare places lie below that bound, so that a newcomer is admitted while what it takes the place of is being closed. A refusal is always preceded by an attempt to make room.

Evidence: TestCallersAreServedBesideMoreRestingConnectionsThanDescriptors, 300 clients on 201 places of descriptors: no ordinary request was served in 40 s before; it passes in 2 s since. TestPlacesOfTheProcessGiveWay takes bounds above, at and below each other on a virtual clock.

Why this works: one decision per connection, which sees both numbers, cannot be kept from evicting by a bound that it does not know.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -43,10 +43,10 @@
 	forwarder *forwarder
 }
 
-// newAPI returns the API without its replica, see attach.
-func newAPI(settings config.API, log *logrus.Entry, security *security, metrics *telemetry.Metrics, ready telemetry.Ready) *api {
+// newAPI returns the API without its replica, see attach. Places is as in overload.Limits.
+func newAPI(settings config.API, log *logrus.Entry, security *security, metrics *telemetry.Metrics, ready telemetry.Ready, places func() int) *api {
 	service := &api{
-		settings: settings, log: log, security: security, clock: clock.NewSystem(), budget: newClientBudget(settings),
+		settings: settings, log: log, security: security, clock: clock.NewSystem(), budget: newClientBudget(settings, places),
 		ready: ready, forwarder: &forwarder{},
 	}
 	service.app = fiber.New(fiber.Config{
--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -120,7 +120,7 @@
 	settings := config.DefaultController().API
 	settings.IdleTimeout = 150 * time.Millisecond
 	ready := func() (bool, string) { return true, "" }
-	service := newAPI(settings, nil, nil, telemetry.NewMetrics("controller"), ready)
+	service := newAPI(settings, nil, nil, telemetry.NewMetrics("controller"), ready, nil)
 	var group conc.WaitGroup
 	defer group.Wait()
 	group.Go(func() { _ = service.serve(listener) })
@@ -159,7 +159,7 @@
 	log := telemetry.New("controller", "c", "info", &lines)
 	ready := func() (bool, string) { return true, "" }
 	// The status call dereferences the replica, which is nil here, and panics.
-	service := newAPI(config.DefaultController().API, log, nil, telemetry.NewMetrics("controller"), ready)
+	service := newAPI(config.DefaultController().API, log, nil, telemetry.NewMetrics("controller"), ready, nil)
 	service.attach(nil)
 	for range 2 {
 		response, err := service.app.Test(httptest.NewRequest(http.MethodGet, intentapi.PathStatus, nil))
--- a/internal/controller/body.go
+++ b/internal/controller/body.go
@@ -15,9 +15,9 @@
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
-func newClientBudget(settings config.API) *overload.Budget {
+func newClientBudget(settings config.API, places func() int) *overload.Budget {
 	return overload.NewBudget(overload.Limits{
-		Bytes: int64(settings.RequestMemory), Connections: apiConnections(settings.MaxConnections), Collect: runtime.GC,
+		Bytes: int64(settings.RequestMemory), Connections: apiConnections(settings.MaxConnections), Places: places, Collect: runtime.GC,
 	})
 }
 
--- a/internal/controller/body_test.go
+++ b/internal/controller/body_test.go
@@ -23,7 +23,7 @@
 		t.Fatal(err)
 	}
 	ready := func() (bool, string) { return true, "" }
-	service := newAPI(config.DefaultController().API, telemetry.New("controller", "c", "info", io.Discard), nil, telemetry.NewMetrics("controller"), ready)
+	service := newAPI(config.DefaultController().API, telemetry.New("controller", "c", "info", io.Discard), nil, telemetry.NewMetrics("controller"), ready, nil)
 	var group conc.WaitGroup
 	defer group.Wait()
 	group.Go(func() { _ = service.serve(service.listener(listener)) })
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -179,7 +179,7 @@
 		return err
 	}
 	n.peerListener = descriptor.Bound(listeners[0], n.connections.budget.AdmitsPeer)
-	n.apiListener = descriptor.Bound(listeners[1], n.connections.budget.AdmitsClient)
+	n.apiListener = listeners[1]
 	telemetry.With(n.log, telemetry.EventListening).WithField("peer_address", n.settings.PeerAddress).
 		WithField("api_address", n.settings.APIAddress).WithField("cluster_name", n.settings.ClusterName).Info("listening")
 	n.progress.Reach(startup.StepListening)
@@ -207,7 +207,7 @@
 	group.Go(func() {
 		n.keep(serveContext, "certificates", func(ctx context.Context) { n.security.store.Watch(ctx, n.settings.TLS.ReloadInterval, n.log) })
 	})
-	service := newAPI(n.settings.API, n.log, n.security, n.metrics.registry, n.progress.Ready)
+	service := newAPI(n.settings.API, n.log, n.security, n.metrics.registry, n.progress.Ready, n.connections.budget.ClientPlaces)
 	n.connections.attach(service.app.Server())
 	group.Go(func() { n.serveAPI(service) })
 	if err := n.prepareReplica(ctx); err != nil {
--- a/internal/descriptor/budget.go
+++ b/internal/descriptor/budget.go
@@ -11,10 +11,10 @@
 	Clients, Peers func() int
 }
 
-// AdmitsClient reports whether there is room for a further connection of a client.
-func (b Budget) AdmitsClient() bool {
-	shares, clients := b.Divide(Limit(b.Bound)), b.Clients()
-	return clients < shares.Clients && clients+b.Peers() < shares.Accepted
+// ClientPlaces returns how many connections of clients may be open beside those that other processes have.
+func (b Budget) ClientPlaces() int {
+	shares := b.Divide(Limit(b.Bound))
+	return max(0, min(shares.Clients, shares.Accepted-b.Peers()))
 }
 
 // AdmitsPeer reports whether there is room for a further connection of another process of the system.
--- a/internal/descriptor/descriptor_test.go
+++ b/internal/descriptor/descriptor_test.go
@@ -60,10 +60,10 @@
 		clients, peers           int
 		admitsClient, admitsPeer bool
 	}{
-		{0, 0, true, true}, {2, 2, true, true}, {3, 1, false, true}, {3, 2, false, false}, {1, 4, false, false}, {0, 5, false, false},
+		{0, 0, true, true}, {2, 2, true, true}, {3, 1, false, true}, {3, 2, false, false}, {1, 4, false, false}, {0, 5, false, false}, {0, 6, false, false},
 	} {
 		clients, peers = c.clients, c.peers
-		if client, peer := budget.AdmitsClient(), budget.AdmitsPeer(); client != c.admitsClient || peer != c.admitsPeer {
+		if client, peer := clients < budget.ClientPlaces(), budget.AdmitsPeer(); client != c.admitsClient || peer != c.admitsPeer {
 			t.Errorf("beside %d clients and %d peers: client %t, peer %t", clients, peers, client, peer)
 		}
 	}
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -51,10 +51,10 @@
 	return func(bytes int) { connection.Await(func() { turn(bytes) }) }
 }
 
-func newClientBudget(settings config.Gateway) *overload.Budget {
+func newClientBudget(settings config.Gateway, places func() int) *overload.Budget {
 	return overload.NewBudget(overload.Limits{
 		Bytes: settings.EffectiveRequestMemory(), ConnectionBytes: overload.TypicalConnectionBytes,
-		Connections: settings.MaxConnections, Collect: runtime.GC,
+		Connections: settings.MaxConnections, Places: places, Collect: runtime.GC,
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,6 @@
 		meter:        meter,
 		coldStarts:   newColdStarts(warmUpBounds(settings)),
 		callers:      newCallers(),
-		clientBudget: newClientBudget(settings),
 		idleCallers:  newIdleConnections(),
 		registry:     telemetry.NewMetrics(role),
 		attemptEnded: broadcast.New(),
@@ -167,6 +166,7 @@
 		Bound: settings.DescriptorLimit, Divide: descriptor.DivideForwarding,
 		Clients: func() int { return int(gateway.connections.Load()) }, Peers: gateway.peerConnections,
 	}
+	gateway.clientBudget = newClientBudget(settings, gateway.descriptors.ClientPlaces)
 	gateway.pacer = newPacer(system, settings.LinkMegabits)
 	gateway.metrics = newMetrics(gateway.registry)
 	traffic := upstreamTraffic{connectionTraffic{meter}, gateway.metrics}
@@ -266,7 +266,6 @@
 
 func (g *Gateway) serveOn(ctx context.Context, callers, admin net.Listener) error {
 	running, stopRunning := context.WithCancel(context.Background())
-	callers = descriptor.Bound(callers, g.descriptors.AdmitsClient)
 	callerServer := g.newCallerServer()
 	adminServer := &fasthttp.Server{Handler: g.adminHandler(), Name: role}
 	var group conc.WaitGroup
--- a/internal/overload/budget.go
+++ b/internal/overload/budget.go
@@ -20,6 +20,8 @@
 	minStall = 250 * time.Millisecond
 	// spareConnections may be open beyond the limit while evicted ones are being closed.
 	spareConnections = 64
+	// sparePart is the part of Limits.Places that is spare where there are few.
+	sparePart = 8
 )
 
 // Limits bound a Budget.
@@ -30,6 +32,9 @@
 	ConnectionBytes int64
 	// Connections is the number of connections that may be open.
 	Connections int
+	// Places, if not nil, returns how many connections the process has descriptors for, with the spare ones. It is read
+	// for each connection.
+	Places func() int
 	// Collect, if not nil, frees the memory of bodies that was returned. It is called when that would otherwise exceed
 	// Bytes together with the memory that is taken.
 	Collect func()
@@ -73,9 +78,11 @@
 func (b *Budget) Open(now time.Duration, client Client) *Connection {
 	opened := &Connection{budget: b, client: client}
 	opened.enter(now, Idle)
+	limit, most := b.limits.connections()
 	b.mutex.Lock()
-	excess := len(b.connections) + 1 - b.limits.Connections
-	if excess > spareConnections {
+	count := len(b.connections) + 1
+	excess := count - limit
+	if count > most {
 		b.mutex.Unlock()
 		b.evict(now, need{connections: 1})
 		b.refused.Add(1)
@@ -90,6 +97,19 @@
 	return opened
 }
 
+// connections returns the number of open connections beyond which others give way to a further one, and the number
+// beyond which it is refused.
+func (l Limits) connections() (limit, most int) {
+	limit, most = l.Connections, l.Connections+spareConnections
+	if l.Places == nil {
+		return limit, most
+	}
+	if places := l.Places(); places < most {
+		limit, most = min(limit, places-min(spareConnections, places/sparePart)), places
+	}
+	return limit, most
+}
+
 // take adds to the bytes that are taken, and returns them.
 func (b *Budget) take(bytes int64) int64 {
 	used := b.used.Add(bytes)
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -120,6 +120,49 @@
 	}
 }
 
+// TestPlacesOfTheProcessGiveWay guards against a burst that takes all descriptors and keeps them: once it rests, each further
+// connection but perhaps the first is admitted and one of the burst gives way, whichever of the two bounds is lower.
+func TestPlacesOfTheProcessGiveWay(t *testing.T) {
+	for _, connections := range []int{2, 40, 200, 2048, 5000} {
+		for _, places := range []int{1, 2, 7, 40, 64, 200, 2066, 6000} {
+			budget := NewBudget(Limits{Bytes: 1 << 40, Connections: connections, Places: func() int { return places }})
+			crowd := make(map[*Connection]*testClient)
+			for range 2 * max(connections, places) {
+				client := &testClient{}
+				if opened := budget.Open(0, client); opened != nil {
+					opened.Enter(0, Reading)
+					crowd[opened] = client
+				}
+			}
+			if len(crowd) > places {
+				t.Fatalf("limit %d, %d places: %d connections are open", connections, places, len(crowd))
+			}
+			admitted := 0
+			for second := range 10 {
+				now := time.Duration(second+1) * time.Second
+				for each, client := range crowd {
+					if client.evicted {
+						each.Close()
+						delete(crowd, each)
+					}
+				}
+				ordinary := budget.Open(now, &testClient{})
+				if ordinary == nil {
+					continue
+				}
+				admitted++
+				if !ordinary.Enter(now, Serving) {
+					t.Fatalf("limit %d, %d places: an ordinary connection was evicted", connections, places)
+				}
+				ordinary.Close()
+			}
+			if admitted < 9 {
+				t.Errorf("limit %d, %d places: %d of 10 ordinary connections were admitted beside a burst at rest", connections, places, admitted)
+			}
+		}
+	}
+}
+
 func TestNilConnectionHasNoBound(t *testing.T) {
 	var none *Connection
 	if !none.Reserve(0, 1<<40) || !none.Enter(0, Serving) || none.Evicted() {
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -69,9 +69,9 @@
 	}
 }
 
-func newClientBudget(settings config.Router) *overload.Budget {
+func newClientBudget(settings config.Router, places func() int) *overload.Budget {
 	return overload.NewBudget(overload.Limits{
-		Bytes: int64(settings.RequestMemory), Connections: settings.MaxConnections, Collect: runtime.GC,
+		Bytes: int64(settings.RequestMemory), Connections: settings.MaxConnections, Places: places, Collect: runtime.GC,
 	})
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -136,7 +136,6 @@
 	router.progress = startup.New(router.clock, log)
 	router.progress.Follow(router.ready)
 	router.progress.Register(router.registry)
-	router.clientBudget = newClientBudget(settings)
 	router.crashed = make(chan struct{}, 1)
 	router.guard = crashwatch.NewGuard(router.clock, settings.Name, settings.QuarantineCrashes, router.crashed)
 	router.crashes = crashwatch.NewWatch(router.clock, log, crashwatch.Options{OnCrash: router.guard.Crashed, Others: router.otherServers})
@@ -150,6 +149,7 @@
 		Self: router.self(), Settings: settings.Records, Clock: router.clock, Log: log, View: router.builder.Table,
 		Dial: options.dial(),
 	})
+	router.clientBudget = newClientBudget(settings, router.descriptorBudget().ClientPlaces)
 	if router.deduplicator == nil {
 		router.ownDeduplicator = router.newDeduplicator()
 		router.deduplicator = router.ownDeduplicator
@@ -239,10 +239,9 @@
 }
 
 func (r *Router) serveOn(ctx context.Context, callers, admin, peers net.Listener) error {
-	budget := r.descriptorBudget()
-	callers = intake.Listen(descriptor.Bound(callers, budget.AdmitsClient), r.clientBudget, r.clock)
+	callers = intake.Listen(callers, r.clientBudget, r.clock)
 	callers = &onceListener{Listener: callers}
-	peers = descriptor.Bound(peers, budget.AdmitsPeer)
+	peers = descriptor.Bound(peers, r.descriptorBudget().AdmitsPeer)
 	running, stopRunning := context.WithCancel(context.Background())
 	callerServer := r.newCallerServer()
 	adminServer := &fasthttp.Server{Handler: r.serveAdmin(r.registry), Name: role, Concurrency: adminConnections}
--- a/test/crowd/gateway_test.go
+++ b/test/crowd/gateway_test.go
@@ -128,6 +128,12 @@
 	newSite(t, restingPlaces).answersBesideResting(func(status int) bool { return status == http.StatusOK })
 }
 
+// TestCallersAreServedBesideMoreRestingConnectionsThanDescriptors guards against connections without progress that take
+// all descriptors of callers: those beyond them were closed at once, and no other one ever gave way.
+func TestCallersAreServedBesideMoreRestingConnectionsThanDescriptors(t *testing.T) {
+	newSite(t, restingDescriptors).answersBesideResting(func(status int) bool { return status == http.StatusOK })
+}
+
 // TestCallersAreServedBesideLargeBodies guards against a shortage of memory that leaves ordinary callers out.
 func TestCallersAreServedBesideLargeBodies(t *testing.T) {
 	s := newSite(t, "")
@@ -155,6 +161,8 @@
 const (
 	restingPlaces  = "max_connections: 200\n"
 	restingClients = 300
+	// restingDescriptors leave callers fewer connections than restingClients, and fewer than max_connections.
+	restingDescriptors = "descriptor_limit: 400\n"
 )
 
 // answersBesideResting waits for an answer to an ordinary request while connections beyond max_connections rest.
