Control calls to back ends use no connection with unread bytes

What callers saw: behind a back end that answers one cancel or health check twice, every later cancel of that connection got the answer to the one before, so that attempts which never started ended with an unknown outcome, until the connection ended.

Cause: the same as of answers taken for later attempts: a connection was used again although bytes of an earlier answer stood on it. The pool of the control calls had no check before reuse, unlike that of the attempts.

Change: control calls take their connection as attempts do: one that is closed, idle for too long or has unread bytes is replaced. One on which bytes are left behind an answer is closed.

Why this works: what was received before a call is written cannot answer it. An answer that arrives later than that is told apart by the identifier in a cancel's answer; one of a health check stays a hint.

--- a/internal/forward/acquire.go
+++ b/internal/forward/acquire.go
@@ -22,7 +22,7 @@
 		}
 	}()
 	for {
-		connection, err := c.take(deadline)
+		connection, err := take(c.pool, deadline)
 		last := len(carriers) - 1
 		switch {
 		case eris.Is(err, fasthttp.ErrNoFreeConns) && last >= 0:
@@ -41,16 +41,16 @@
 	}
 }
 
-// take takes the connection that was used last from the pool, or opens one.
-func (c *Client) take(deadline time.Time) (*countingConnection, error) {
-	pooled, err := c.pool.AcquireConn(time.Until(deadline), false)
+// take takes the connection that was used last from a pool, or opens one.
+func take(pool *fasthttp.HostClient, deadline time.Time) (*countingConnection, error) {
+	pooled, err := pool.AcquireConn(time.Until(deadline), false)
 	if err != nil {
 		return nil, err
 	}
 	connection := pooled.Conn().(*countingConnection)
 	if connection.release == nil {
-		connection.release = func() { c.pool.ReleaseConn(pooled) }
-		connection.close = func() { c.pool.CloseConn(pooled) }
+		connection.release = func() { pool.ReleaseConn(pooled) }
+		connection.close = func() { pool.CloseConn(pooled) }
 	}
 	return connection, nil
 }
--- a/internal/forward/control.go
+++ b/internal/forward/control.go
@@ -51,10 +51,52 @@
 	return err == nil && response.StatusCode() == fasthttp.StatusOK, nil
 }
 
+// controlCall makes one call on a connection without unread bytes: a surplus answer to an earlier call would otherwise be
+// taken for that to each later one.
 func (c *Client) controlCall(path string, request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
 	request.SetRequestURI("http://" + c.address + path)
-	if err := c.control.DoTimeout(request, response, timeout); err != nil {
+	deadline := time.Now().Add(timeout)
+	connection, err := c.acquireControl(deadline)
+	if err != nil {
+		return eris.Wrapf(err, "call %s", path)
+	}
+	reusable, err := c.exchangeControl(connection, request, response, deadline)
+	connection.endAttempt()
+	if !reusable {
+		connection.close()
 		return eris.Wrapf(err, "call %s", path)
 	}
+	connection.release()
 	return nil
 }
+
+// acquireControl takes a connection for a control call from the pool, or opens one.
+func (c *Client) acquireControl(deadline time.Time) (*countingConnection, error) {
+	for {
+		connection, err := take(c.control, deadline)
+		if err != nil {
+			return nil, err
+		}
+		if connection.requests == 0 || connection.reusable(c.settings.IdleTimeout) {
+			connection.requests++
+			return connection, nil
+		}
+		connection.close()
+	}
+}
+
+// exchangeControl writes a control call and reads its answer. It reports whether the connection may be used again.
+func (c *Client) exchangeControl(connection *countingConnection, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) (bool, error) {
+	if err := connection.SetDeadline(deadline); err != nil {
+		return false, err
+	}
+	if err := c.write(connection, request); err != nil {
+		return false, err
+	}
+	reader := c.control.AcquireReader(connection)
+	defer c.control.ReleaseReader(reader)
+	if err := response.ReadLimitBody(reader, c.control.MaxResponseBodySize); err != nil {
+		return false, err
+	}
+	return !response.ConnectionClose() && reader.Buffered() == 0, nil
+}
