Lease messages take no answer of an earlier message

What callers saw: nothing yet; found by looking for the cause of answers taken for later attempts on related paths. Behind a server of the own interface that answers one lease message twice, the controller took each answer for that to the next message of the connection: state that is a message old, and an acceptance of a message that the server had not seen.

Cause: an answer was tied to its message by the order on the connection alone.

Change: a lease message is not written while bytes of an earlier answer are unread; the message fails, its connection is closed, and the next one opens another. An accepted answer must carry the fence of its message, which the server holds then; a probe is answered without taking it.

Evidence: TestLeaseAnswersBehindSurplusOnes, a server that repeats its first answer after 50 ms and its third one right before the next answer: before, messages 2 and 4 get the answers to 1 and 3; since, none of ten gets another's, and each surplus answer costs one message, or two where it comes late.

Why this works: what arrived before a message cannot answer it, and what arrives after it and accepts an older fence is not its answer either.

--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"net"
+	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
+	"github.com/thorntiller/thorntiller/internal/intake"
 )
 
 // Buffer sizes of the connections to servers. Each server has its own connection, so small buffers limit the
@@ -58,7 +61,25 @@
 }
 
 func dialTimeout(address string, timeout time.Duration) (net.Conn, error) {
-	return fasthttp.DialTimeout(address, timeout)
+	connection, err := fasthttp.DialTimeout(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &leaseConnection{connection}, nil
+}
+
+// leaseConnection is a connection for lease messages. A message is not written while bytes of an earlier answer are
+// unread, which would be taken for its own; the client closes the connection then.
+type leaseConnection struct{ net.Conn }
+
+var errUnreadAnswer = eris.New("bytes of an answer to an earlier message are unread")
+
+// Write implements net.Conn.
+func (c *leaseConnection) Write(data []byte) (int, error) {
+	if system, ok := c.Conn.(syscall.Conn); ok && intake.HasUnread(system) {
+		return 0, errUnreadAnswer
+	}
+	return c.Conn.Write(data)
 }
 
 // send sends one message in the background and delivers its outcome on the results channel.
@@ -95,6 +116,11 @@
 	if err := json.Unmarshal(response.Body(), answer); err != nil {
 		return nil, err
 	}
+	// A probe, which names no incarnation, is answered without taking its fence.
+	isProbe := message.Request.Incarnation == ""
+	if answer.Accepted && !isProbe && answer.Fence != message.Request.Fence {
+		return nil, eris.Errorf("the answer accepts the fence %+v, not that of this message, %+v", answer.Fence, message.Request.Fence)
+	}
 	return answer, nil
 }
 
