Crowds beyond the descriptors at routers and controllers, by tests

Cause: only gateways were tested with more resting connections than the process has descriptors for; routers and the controllers' API were built alike.

Change: a test for each.

--- a/test/crowd/controller_test.go
+++ b/test/crowd/controller_test.go
@@ -49,8 +49,19 @@
 // TestControllerServesBesideRestingConnections guards against connections without progress that take all places of
 // instances and operators.
 func TestControllerServesBesideRestingConnections(t *testing.T) {
-	g := newGroup(t, "api: {max_connections: 200}\n")
-	c := newCrowd(t, g.api, restingClients, bodyShort(10_000))
+	newGroup(t, "api: {max_connections: 200}\n").servesBesideResting()
+}
+
+// TestControllerServesBesideMoreRestingConnectionsThanDescriptors guards against connections without progress that take
+// all descriptors of instances and operators, and keep them.
+func TestControllerServesBesideMoreRestingConnectionsThanDescriptors(t *testing.T) {
+	newGroup(t, allConnections+restingDescriptors).servesBesideResting()
+}
+
+// servesBesideResting waits until an ordinary call is served while connections beyond the places rest.
+func (g *group) servesBesideResting() {
+	g.t.Helper()
+	c := newCrowd(g.t, g.api, restingClients, bodyShort(10_000))
 	c.again = true
 	c.arrive()
 	g.answersOrdinary()
--- a/test/crowd/router_test.go
+++ b/test/crowd/router_test.go
@@ -14,13 +14,13 @@
 	callers, peers string
 }
 
-func newRouter(t *testing.T) *router {
+func newRouter(t *testing.T, settings string) *router {
 	t.Helper()
 	ports := freePorts(t, 5)
 	r := &router{t: t, callers: ports[0], peers: ports[1]}
 	startController(t, ports[2], ports[3], "")
 	r.process = startProcess(t, "router", fmt.Sprintf("role: router\nname: r1\naddress: %s\npeer_address: %s\nadmin_address: %s\ncontrollers: [%q]\n",
-		r.callers, r.peers, ports[4], ports[3])+memorySetting)
+		r.callers, r.peers, ports[4], ports[3])+memorySetting+settings)
 	r.process.listens(ports[4])
 	r.answersOrdinary()
 	return r
@@ -28,22 +28,35 @@
 
 // TestRouterBodiesThatStopShort guards against a router that runs out of memory by large bodies with a length.
 func TestRouterBodiesThatStopShort(t *testing.T) {
-	r := newRouter(t)
+	r := newRouter(t, "")
 	r.outlasts(newCrowd(t, r.callers, 24, bodyShort(16*mebibyte)))
 }
 
 // TestRouterChunkedBodiesThatStopShort guards against a router that runs out of memory by large bodies in chunks.
 func TestRouterChunkedBodiesThatStopShort(t *testing.T) {
-	r := newRouter(t)
+	r := newRouter(t, "")
 	r.outlasts(newCrowd(t, r.callers, 24, chunkedShort(16*mebibyte, 64<<10)))
 }
 
 // TestRouterFramesThatStopShort guards against a router that runs out of memory by messages of its peers' port.
 func TestRouterFramesThatStopShort(t *testing.T) {
-	r := newRouter(t)
+	r := newRouter(t, "")
 	r.outlasts(newCrowd(t, r.peers, 24, frameShort(16*mebibyte)))
 }
 
+// TestRouterAnswersBesideMoreRestingConnectionsThanDescriptors guards against connections without progress that take all
+// descriptors of callers, and keep them.
+func TestRouterAnswersBesideMoreRestingConnectionsThanDescriptors(t *testing.T) {
+	r := newRouter(t, restingDescriptors)
+	c := newCrowd(t, r.callers, restingClients, bodyShort(10_000))
+	c.again = true
+	c.arrive()
+	r.answersOrdinary()
+	c.leave()
+	r.answersOrdinary()
+	r.process.staysWithin(smallestMachine)
+}
+
 // answersOrdinary waits until a request is answered by the table: it has no service.
 func (r *router) answersOrdinary() {
 	r.t.Helper()
