Simulator: heartbeats that arrive late, as a seeded fault

Only the model of the lease core had late heartbeats, without consensus, disks and network.

Runs of the other kinds draw the same numbers as before.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 	bin/thorntiller-lab sim --seeds $(or $(SEEDS),1-2000)
 	bin/thorntiller-lab sim --leases --seeds $(or $(SEEDS),1-2000)
 	bin/thorntiller-lab sim --same-id --seeds $(or $(SEEDS),1-2000)
+	bin/thorntiller-lab sim --late --seeds $(or $(SEEDS),1-2000)
 	go test ./internal/directoryapi -run '^$$' -fuzz FuzzHeartbeat -fuzztime 60s
 	go test ./internal/directory -run '^$$' -fuzz FuzzPatch -fuzztime 60s
 
--- a/internal/lab/labcli/sim.go
+++ b/internal/lab/labcli/sim.go
@@ -22,11 +22,14 @@
 	workers int
 	leases  bool
 	sameID  bool
+	late    bool
 }
 
 // runner returns what runs a seed.
 func (o simOptions) runner() sim.Runner {
 	switch {
+	case o.late:
+		return sim.RunLateLeases
 	case o.sameID:
 		return sim.RunSameIDLeases
 	case o.leases:
@@ -54,6 +57,7 @@
 	flags.BoolVar(&options.trace, "trace", false, "with --seed: print what happens, the same bytes every time")
 	flags.BoolVar(&options.leases, "leases", false, "controllers and instances that renew leases by heartbeats, in place of whole deployments")
 	flags.BoolVar(&options.sameID, "same-id", false, "as --leases, with instances that start again under their identifiers")
+	flags.BoolVar(&options.late, "late", false, "as --leases, with copies of heartbeats that arrive late")
 	flags.IntVar(&options.workers, "workers", defaultWorkers, "seeds that run at the same time")
 	return command
 }
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -42,6 +42,7 @@
 	// work is until when rows that were let go are still worked on, by the own clock.
 	work     map[heartbeat.Held]time.Duration
 	released []heartbeat.Released
+	late     lateHeartbeats
 }
 
 // start begins a new life, which holds nothing.
@@ -81,11 +82,14 @@
 	}
 	controllers := i.sim.controllers
 	target := controllers[i.target%len(controllers)]
-	i.sendOnce(target.process, func() {
-		target.heartbeat(sent, func(answer leaseAnswer) {
-			target.sendOnce(i.process, func() { i.take(sequence, sentAt, answer) })
+	i.late.keep(sent)
+	if i.generation != i.late.cutOff {
+		i.sendOnce(target.process, func() {
+			target.heartbeat(sent, func(answer leaseAnswer) {
+				target.sendOnce(i.process, func() { i.take(sequence, sentAt, answer) })
+			})
 		})
-	})
+	}
 	i.after(instanceCallTimeout, func() {
 		if i.sequence == sequence && !i.answered {
 			i.askNext()
--- a/internal/lab/sim/lease_keeper.go
+++ b/internal/lab/sim/lease_keeper.go
@@ -110,6 +110,7 @@
 	}
 	batch := k.core.Batch(k.replica.host.Now(), k.replica.state.Directory())
 	var taken []leaseDecision
+	ended := k.endedByStrangers()
 	for _, decision := range k.waiting {
 		if decision.beat == nil {
 			batch.Tick()
@@ -120,7 +121,30 @@
 		taken = append(taken, decision)
 	}
 	k.waiting = nil
-	k.propose(batch.Commands(), taken)
+	k.propose(append(ended, batch.Commands()...), taken)
+}
+
+// endedByStrangers plants the fault endOthers. It returns the commands that end the other instances at the addresses of
+// unknown ones.
+func (k *leaseKeeper) endedByStrangers() []directory.Command {
+	if !k.replica.sim.leaseWorld.planted.endOthers {
+		return nil
+	}
+	view := k.replica.state.Directory()
+	var commands []directory.Command
+	for _, decision := range k.waiting {
+		if decision.beat == nil {
+			continue
+		}
+		if _, known := view.Instance(decision.beat.Instance); known {
+			continue
+		}
+		for other := range view.InstancesAt(decision.beat.Address) {
+			other.Ended = true
+			commands = append(commands, directory.Command{Instances: []directory.Instance{other}})
+		}
+	}
+	return commands
 }
 
 func (k *leaseKeeper) propose(commands []directory.Command, taken []leaseDecision) {
--- a/internal/lab/sim/lease_run.go
+++ b/internal/lab/sim/lease_run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
@@ -31,7 +32,10 @@
 type leaseWorld struct {
 	planted plantedLeases
 	// sameID lets servers start again under the identifier that they had.
-	sameID    bool
+	sameID bool
+	// late lets copies of heartbeats arrive late, until faultsEnd.
+	late      bool
+	faultsEnd time.Duration
 	config    heartbeat.Config
 	instances []*instance
 	holders   map[directory.Key]keyHolder
@@ -54,6 +58,10 @@
 	// ignoreBorn: servers that start again are not told from their earlier lives, whose
 	// sequence they go on with.
 	ignoreBorn bool
+	// renumberLate: late heartbeats have numbers of later ones.
+	renumberLate bool
+	// endOthers: a heartbeat of an unknown instance ends the others at its address.
+	endOthers bool
 	// steadyClocks is as for other runs.
 	steadyClocks []machineRole
 	// config changes the settings of the leases.
@@ -96,6 +104,17 @@
 	return s.playLeases()
 }
 
+// RunLateLeases runs one seed in which copies of heartbeats arrive late.
+func RunLateLeases(seed uint64, traceTo io.Writer) Result {
+	return runPlantedLateLeases(seed, plantedLeases{}, traceTo)
+}
+
+func runPlantedLateLeases(seed uint64, planted plantedLeases, traceTo io.Writer) Result {
+	s := newLeaseSimulation(seed, planted, traceTo)
+	s.leaseWorld.late = true
+	return s.playLeases()
+}
+
 func runPlantedLeases(seed uint64, planted plantedLeases, traceTo io.Writer) Result {
 	return newLeaseSimulation(seed, planted, traceTo).playLeases()
 }
@@ -122,6 +141,7 @@
 	s.endFaults()
 	for _, each := range s.leaseWorld.instances {
 		each.heal()
+		each.late.cutOff = 0
 		if !each.alive {
 			each.start()
 		}
@@ -188,11 +208,16 @@
 
 func (s *simulation) injectLeaseFaults() {
 	end := s.queue.Now() + leaseFaultPeriod
+	s.leaseWorld.faultsEnd = end
+	kinds := leaseFaultKinds
+	if s.leaseWorld.late {
+		kinds = append(slices.Clone(kinds), lateFaultKinds...)
+	}
 	pace := s.between(80*time.Millisecond, 700*time.Millisecond)
 	s.suspendMachines(end)
 	for s.queue.Now() < end && s.checker.Violation() == nil {
 		s.advance(min(end, s.queue.Now()+s.between(0, 2*pace)))
-		s.inject(leaseFaultKinds)
+		s.inject(kinds)
 	}
 }
 
--- a/internal/lab/sim/lease_run_test.go
+++ b/internal/lab/sim/lease_run_test.go
@@ -89,3 +89,34 @@
 	}
 	t.Error("no checker found that the time of the start is ignored")
 }
+
+// TestLateHeartbeatSeeds: over the same seeds every time no two instances hold one key while copies of heartbeats arrive
+// late, and every key is held again afterwards.
+func TestLateHeartbeatSeeds(t *testing.T) {
+	summary := RunSeeds(RunLateLeases, 1, fixedLeaseSeeds, testWorkers, func(failure Failure) { t.Error(failure.Describe()) })
+	if late := summary.Faults.LateHeartbeats; late < 10*fixedLeaseSeeds || summary.Faults.Elections < 3*fixedLeaseSeeds {
+		t.Errorf("the seeds meet too little: %d late heartbeats, faults %+v", late, summary.Faults)
+	}
+}
+
+// TestPlantedLateHeartbeatFaults: the checker of sole ownership finds that late heartbeats are taken for later ones, and
+// that those of an unknown instance end the others at its address.
+func TestPlantedLateHeartbeatFaults(t *testing.T) {
+	for name, planted := range map[string]plantedLeases{
+		"late heartbeats are taken for later ones": {renumberLate: true},
+		"an unknown instance ends the others":      {endOthers: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= plantedSeeds; seed++ {
+				violation := runPlantedLateLeases(seed, planted, nil).Violation
+				if violation == nil || violation.Guarantee != checker.OneOwner {
+					continue
+				}
+				t.Logf("found by seed %d", seed)
+				return
+			}
+			t.Errorf("no seed up to %d finds the fault", plantedSeeds)
+		})
+	}
+}
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -28,6 +28,7 @@
 	NetworkChanges    uint64 `json:"network_changes"`
 	Freezes           uint64 `json:"server_freezes"`
 	ServerCrashes     uint64 `json:"server_crashes"`
+	LateHeartbeats    uint64 `json:"late_heartbeats"`
 	RouterCrashes     uint64 `json:"router_crashes"`
 	Transfers         uint64 `json:"transfers"`
 	Leaving           uint64 `json:"servers_listed_leaving"`
