--- a/internal/startup/progress.go
+++ b/internal/startup/progress.go
@@ -152,7 +152,7 @@
 		}
 		return 0
 	})
-	registry.CounterFunction("dependency_failures_total", "Failed attempts to reach controllers, or connections to them that broke.", nil,
+	registry.CounterFunction("dependency_failures_total", "Failed attempts to reach controllers, or other gateways in their place, and connections to them that broke.", nil,
 		func() float64 { return float64(p.Dependencies.Failures()) })
 }
 
