Log lines and errors in the field's terms: confirmed, candidate, leadership lost

Cause: rows of the list of events and some errors said that a table is "proved current", that an instance "is left to send to", that a replica "leads no longer".

Change: their words. No decision, no field and no event changes.

Measured: tests of telemetry, gateway, router, cli and fault pass.

--- a/internal/controller/heldup.go
+++ b/internal/controller/heldup.go
@@ -100,5 +100,5 @@
 
 // errStalled is the error for a request that was not passed to the loop because it is stalled.
 func errStalled() error {
-	return fault.New(fault.NotLeader, "this replica is held up, most likely by its disk, and leads no longer: ask another one")
+	return fault.New(fault.NotLeader, "this replica is held up, most likely by its disk, and has lost the leadership: ask another one")
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -157,7 +157,7 @@
 	if r.socketFailure != nil {
 		return r.socketFailure
 	}
-	return fault.Newf(fault.NoOwner, "no instance of service %q is left to send to", r.service)
+	return fault.Newf(fault.NoOwner, "no candidate instance of service %q is left", r.service)
 }
 
 // candidates returns the instances to which the request may be sent: those that this gateway reaches, and those
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -133,7 +133,7 @@
 		return read, read.noRoute(context.Request.Header.Host(), target)
 	}
 	if g.subscription.behind() {
-		return read, fault.Newf(fault.StaleRouter, "the directory was last proved current %d ms ago, and changes may be unknown here", read.tableAge.Milliseconds())
+		return read, fault.Newf(fault.StaleRouter, "the directory was last confirmed %d ms ago, and changes may be unknown here", read.tableAge.Milliseconds())
 	}
 	read.route = route
 	if err := g.readTenant(read, table); err != nil {
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -104,9 +104,9 @@
 func (r *request) noRoute(host, path []byte) *fault.Error {
 	switch {
 	case r.staleTable && r.tableAge < 0:
-		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory has not been proved current yet", host, path)
+		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory has not been confirmed yet", host, path)
 	case r.staleTable:
-		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory was last proved current %d ms ago",
+		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory was last confirmed %d ms ago",
 			host, path, r.tableAge.Milliseconds())
 	default:
 		return fault.Newf(fault.UnknownService, "no route for host %.100q and path %.100q", host, path)
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -57,7 +57,7 @@
 	case r.stopping.Load():
 		return false, "the router is shutting down"
 	case !r.freshness.Fresh(r.clock.Now()):
-		return false, "the routing table is not proved current"
+		return false, "the routing table is not confirmed to be current"
 	default:
 		return true, ""
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -313,10 +313,10 @@
 	for ctx.Err() == nil {
 		fresh := r.freshness.Fresh(r.clock.Now())
 		if fresh && !wasFresh {
-			telemetry.With(r.log, telemetry.EventTableCurrent).Info("the routing table is proved current")
+			telemetry.With(r.log, telemetry.EventTableCurrent).Info("routing table confirmed")
 		}
 		if !fresh && wasFresh {
-			telemetry.With(r.log, telemetry.EventTableStale).Warn("the routing table is no longer proved current")
+			telemetry.With(r.log, telemetry.EventTableStale).Warn("routing table no longer confirmed")
 		}
 		wasFresh = fresh
 		pause(ctx, freshnessInterval)
