--- a/internal/forward/controlsurplus_test.go
+++ b/internal/forward/controlsurplus_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,30 +13,22 @@
 	"github.com/thorntiller/thorntiller/internal/backendapi"
 )
 
-// serveTwice answers each control call with its number in order, and sends the answers of the first two once more: the
+// serveTwice proves for each cancel that its attempt never started. It sends the answers to the first two once more: the
 // first at once, the second after a pause.
 func serveTwice(t *testing.T) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	var calls atomic.Int64
-	answerCalls := func(connection net.Conn) {
-		defer func() { _ = connection.Close() }()
+	return listenRaw(t, func(connection net.Conn) {
 		reader := bufio.NewReader(connection)
 		for {
 			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			body, err := io.ReadAll(request.Body)
-			if err != nil {
+			var call backendapi.CancelRequest
+			if json.NewDecoder(request.Body).Decode(&call) != nil {
 				return
 			}
-			id, _, _ := strings.Cut(strings.TrimPrefix(string(body), `{"request_id":"`), `"`)
-			content := fmt.Sprintf(`{"request_id":%q,"outcome":%q}`, id, backendapi.CancelNeverStarted)
+			content := fmt.Sprintf(`{"request_id":%q,"outcome":%q}`, call.RequestID, backendapi.CancelNeverStarted)
 			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(content), content)
 			number := calls.Add(1)
 			if number == 1 {
@@ -51,17 +42,7 @@
 				_, _ = connection.Write([]byte(answer)) // the client may have closed the connection
 			}
 		}
-	}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerCalls(connection)
-		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 const surplusPause = 100 * time.Millisecond
--- a/test/crowd/controller_test.go
+++ b/test/crowd/controller_test.go
@@ -61,13 +61,7 @@
 // servesBesideResting waits until an ordinary call is served while connections beyond the places rest.
 func (g *group) servesBesideResting() {
 	g.t.Helper()
-	c := newCrowd(g.t, g.api, restingClients, bodyShort(10_000))
-	c.again = true
-	c.arrive()
-	g.answersOrdinary()
-	c.leave()
-	g.answersOrdinary()
-	g.controller.staysWithin(controllerMachine)
+	g.controller.servesBesideResting(g.api, controllerMachine, g.answersOrdinary)
 }
 
 // answersOrdinary waits until an ordinary call is served.
--- a/test/crowd/process_test.go
+++ b/test/crowd/process_test.go
@@ -233,6 +233,19 @@
 	p.staysWithin(allowed)
 }
 
+// servesBesideResting waits until an ordinary request is answered while more connections rest at an address than it has
+// places for, and again afterwards.
+func (p *process) servesBesideResting(address string, allowed machine, answersOrdinary func()) {
+	p.t.Helper()
+	c := newCrowd(p.t, address, restingClients, bodyShort(10_000))
+	c.again = true
+	c.arrive()
+	answersOrdinary()
+	c.leave()
+	answersOrdinary()
+	p.staysWithin(allowed)
+}
+
 // ownAddress returns a loopback address that is specific to this process. Outgoing connections take their ports from
 // another one, so that none of them can hold a port that was found to be free.
 func ownAddress() string {
--- a/test/crowd/router_test.go
+++ b/test/crowd/router_test.go
@@ -48,13 +48,7 @@
 // descriptors of callers, and keep them.
 func TestRouterAnswersBesideMoreRestingConnectionsThanDescriptors(t *testing.T) {
 	r := newRouter(t, restingDescriptors)
-	c := newCrowd(t, r.callers, restingClients, bodyShort(10_000))
-	c.again = true
-	c.arrive()
-	r.answersOrdinary()
-	c.leave()
-	r.answersOrdinary()
-	r.process.staysWithin(smallestMachine)
+	r.process.servesBesideResting(r.callers, smallestMachine, r.answersOrdinary)
 }
 
 // answersOrdinary waits until a request is answered by the table: it has no service.
