A controller that answers again is told once, by controllers as well

Cause: the loss of another controller was logged by each role, its return by routers and gateways alone. A controller that reads the files of its certificate said that it waits for its data folder.

Change: Progress logs the end of an outage for all three, and the wait for the certificate has its own reason.

Measured: TestOutageEndsWithOneLine; tests of startup (with -race), router, gateway and of the forming of groups pass. Logging alone; no decision changes.

--- a/internal/controller/formation.go
+++ b/internal/controller/formation.go
@@ -244,7 +244,7 @@
 				f.recordFailure(ctx, address, err)
 				return
 			}
-			f.progress.Answered(address)
+			f.progress.LogAnswered(address)
 			f.learn(answer)
 			mutex.Lock()
 			defer mutex.Unlock()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -142,11 +142,12 @@
 }
 
 func newNode(options Options, settings config.Controller, log *logrus.Entry, progress *startup.Progress) (*node, error) {
-	progress.WaitFor("the files of the data folder " + settings.DataDirectory)
+	progress.WaitFor("the files of the certificate")
 	security, err := newSecurity(settings)
 	if err != nil {
 		return nil, err
 	}
+	progress.WaitFor("the files of the data folder " + settings.DataDirectory)
 	n := &node{
 		settings: settings, log: log, files: options.Files, security: security, progress: progress, metrics: newMetrics(),
 		connections: newConnections(settings, log),
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -229,13 +229,10 @@
 func (s *subscription) logConfirmed(from source) {
 	line := telemetry.With(s.log, telemetry.EventTableCurrent).WithField(telemetry.FieldAddress, from.address).
 		WithField("peer", from.peer).WithField(telemetry.FieldRevision, s.revision())
-	if outage, ended := s.progress.Answered(from.address); ended {
-		line = line.WithField("failures", outage.Failures).WithField("outage_ms", outage.Duration.Milliseconds())
-	}
+	s.progress.WithAnswered(from.address, line).Info("directory confirmed")
 	if !from.peer {
 		s.progress.Dependencies.Forget()
 	}
-	line.Info("directory confirmed")
 }
 
 func (s *subscription) revision() directory.Revision {
--- a/internal/router/subscription.go
+++ b/internal/router/subscription.go
@@ -194,10 +194,7 @@
 		return
 	}
 	s.served = true
-	if outage, ended := s.progress.Answered(s.controllers[s.preferred]); ended {
-		telemetry.With(s.log, telemetry.EventControllerReached).WithField(telemetry.FieldAddress, s.controllers[s.preferred]).
-			WithField("failures", outage.Failures).WithField("outage_ms", outage.Duration.Milliseconds()).Info("the controller answers again")
-	}
+	s.progress.LogAnswered(s.controllers[s.preferred])
 	s.progress.Dependencies.Forget()
 }
 
--- a/internal/startup/progress.go
+++ b/internal/startup/progress.go
@@ -32,6 +32,9 @@
 	fieldProcessAge = "process_age_ms"
 	fieldAttempts   = "attempts"
 	fieldReason     = "reason"
+	fieldFailures   = "failures"
+	// fieldOutage is the time since the first failure, in milliseconds.
+	fieldOutage = "outage_ms"
 )
 
 const (
@@ -128,6 +131,29 @@
 	return p.Dependencies.Answered(p.clock.Now(), address)
 }
 
+// LogAnswered is Answered, and logs the outage that this ends.
+func (p *Progress) LogAnswered(address string) {
+	outage, ended := p.Answered(address)
+	if !ended {
+		return
+	}
+	outage.describe(telemetry.With(p.log, telemetry.EventControllerReached)).WithField(telemetry.FieldAddress, address).
+		Info("the controller answers again")
+}
+
+// describe adds an outage to a log line.
+func (o Outage) describe(line *logrus.Entry) *logrus.Entry {
+	return line.WithField(fieldFailures, o.Failures).WithField(fieldOutage, o.Duration.Milliseconds())
+}
+
+// WithAnswered is Answered, and adds the outage that this ends to a log line.
+func (p *Progress) WithAnswered(address string, line *logrus.Entry) *logrus.Entry {
+	if outage, ended := p.Answered(address); ended {
+		return outage.describe(line)
+	}
+	return line
+}
+
 // Watch logs when the process becomes ready, and what it waits for while it is not, until the context ends.
 func (p *Progress) Watch(ctx context.Context) {
 	var due notices
--- a/internal/startup/startup_test.go
+++ b/internal/startup/startup_test.go
@@ -66,6 +66,24 @@
 	}
 }
 
+// TestOutageEndsWithOneLine checks that a regained dependency is logged once, with its outage, and one that was never lost
+// is not.
+func TestOutageEndsWithOneLine(t *testing.T) {
+	var lines bytes.Buffer
+	system := &manualClock{}
+	progress := New(system, telemetry.New("test", "t", "info", &lines))
+	progress.LogAnswered("127.0.0.1:1")
+	progress.Failed("127.0.0.1:1", errors.New("connection refused"))
+	progress.Failed("127.0.0.1:1", errors.New("connection refused"))
+	system.now = 3 * time.Second
+	progress.LogAnswered("127.0.0.1:1")
+	progress.LogAnswered("127.0.0.1:1")
+	logged := lines.String()
+	if strings.Count(logged, string(telemetry.EventControllerReached)) != 1 || !strings.Contains(logged, `"failures":2`) || !strings.Contains(logged, `"outage_ms":3000`) {
+		t.Errorf("logged %s", logged)
+	}
+}
+
 // TestDependenciesAreBounded checks that addresses that fail, and the texts of their errors, take bounded memory.
 func TestDependenciesAreBounded(t *testing.T) {
 	dependencies := newDependencies()
