The crowd at a controller rests for longer than its test waits

Cause: TestControllerServesBesideMoreRestingConnectionsThanDescriptors passed on the code before the fault was mended as well, after 5 s, when the bodies of the crowd ran into the API's time limit. It could not fail for its fault.

Change: the controller of that test allows a call a minute, the longest setting, where the test waits 40 s.

--- a/test/crowd/controller_test.go
+++ b/test/crowd/controller_test.go
@@ -28,6 +28,9 @@
 // allConnections lets the API use the descriptors of the machine.
 const allConnections = "api: {max_connections: 4096}\n"
 
+// patientConnections is allConnections, with bodies that may take longer than the test waits.
+const patientConnections = "api: {max_connections: 4096, request_timeout: 1m}\n"
+
 // TestControllerBodiesThatStopShort guards against a controller that runs out of memory by bodies with a length.
 func TestControllerBodiesThatStopShort(t *testing.T) {
 	g := newGroup(t, allConnections)
@@ -55,7 +58,7 @@
 // TestControllerServesBesideMoreRestingConnectionsThanDescriptors guards against connections without progress that take
 // all descriptors of instances and operators, and keep them.
 func TestControllerServesBesideMoreRestingConnectionsThanDescriptors(t *testing.T) {
-	newGroup(t, allConnections+restingDescriptors).servesBesideResting()
+	newGroup(t, patientConnections+restingDescriptors).servesBesideResting()
 }
 
 // servesBesideResting waits until an ordinary call is served while connections beyond the places rest.
