Log lines that tell late proofs from none, and versions of applied items

Change: proof_received_ms and round_trip_ms in that line, the gauge table_proof_received_seconds, and name, version and dropped of each item in the controller's "configuration applied".

No decision changed.

--- a/internal/controller/directory_log.go
+++ b/internal/controller/directory_log.go
@@ -33,7 +33,7 @@
 			h.logDirectoryChange(entry, each)
 		}
 	case command.Patch != nil:
-		entry.WithField(telemetry.FieldCount, len(command.Patch.Items)).WithField("items", itemNames(command.Patch.Items)).Info("configuration applied")
+		entry.WithField(telemetry.FieldCount, len(command.Patch.Items)).WithField("items", itemLines(command.Patch.Items)).Info("configuration applied")
 	case command.Layout != nil:
 		changed := command.Layout.Changed
 		entry = entry.WithField(telemetry.FieldService, command.Layout.Service).WithField(telemetry.FieldCount, len(changed))
@@ -86,12 +86,19 @@
 // maxLoggedItems bounds the items that a log line lists.
 const maxLoggedItems = 8
 
-func itemNames(items []directory.Item) []string {
-	var names []string
+// itemLine is a version of a configuration item in a log line.
+type itemLine struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Dropped bool   `json:"dropped,omitempty"`
+}
+
+func itemLines(items []directory.Item) []itemLine {
+	var lines []itemLine
 	for _, item := range items[:min(len(items), maxLoggedItems)] {
-		names = append(names, item.Key.Name)
+		lines = append(lines, itemLine{Name: item.Key.Name, Version: item.Version, Dropped: item.Dropped})
 	}
-	return names
+	return lines
 }
 
 // holdingLine is a holding in a log line.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -94,6 +94,10 @@
 	if current.keyed {
 		line = line.WithField("key", current.key)
 	}
+	if current.staleTable {
+		line = line.WithField(fieldProofReceived, ageMs(g.subscription.proofReceivedAge())).
+			WithField("round_trip_ms", time.Duration(g.subscription.roundTrip.Load()).Milliseconds())
+	}
 	if failure == nil && relayed {
 		line.Info("request answered through another gateway")
 		return
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -17,6 +17,10 @@
 // was none.
 const fieldTableAge = "table_age_ms"
 
+// fieldProofReceived is the time since the last answer to a ping arrived, in milliseconds; -1 if there was none. With an
+// old table it tells late proofs from none.
+const fieldProofReceived = "proof_received_ms"
+
 // logItemsInForce logs which configuration items a new table changes.
 func (s *subscription) logItemsInForce(table *routing.Table, from source) {
 	if !table.ItemsChanged {
@@ -38,6 +42,15 @@
 	return s.clock.Now() - *proved
 }
 
+// proofReceivedAge returns how long ago the last answer to a ping arrived; -1 if none did.
+func (s *subscription) proofReceivedAge() time.Duration {
+	received := s.proofReceivedAt.Load()
+	if received == nil {
+		return -1
+	}
+	return s.clock.Now() - *received
+}
+
 // confirmedAge returns how long ago a controller proved that the directory is current; the maximum duration if
 // none did.
 func (s *subscription) confirmedAge() time.Duration {
@@ -117,6 +130,8 @@
 func (s *subscription) registerMetrics(registry *telemetry.Metrics) {
 	registry.GaugeFunction("table_age_seconds", "Time since the last proof that the directory was current; negative if there was none.",
 		func() float64 { return s.age().Seconds() })
+	registry.GaugeFunction("table_proof_received_seconds", "Time since the last proof that the directory was current arrived; negative if there was none.",
+		func() float64 { return s.proofReceivedAge().Seconds() })
 	registry.GaugeFunction("table_round_trip_seconds", "Time that the last answered ping to a controller, or another gateway in its place, took.",
 		func() float64 { return time.Duration(s.roundTrip.Load()).Seconds() })
 }
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -171,3 +171,28 @@
 		}
 	}
 }
+
+// TestLineOfAStaleRouteTellsLateProofsFromNone checks the log line of a request that was routed by an old table: whether
+// proofs still arrive is what tells a slow path from a silent one.
+func TestLineOfAStaleRouteTellsLateProofsFromNone(t *testing.T) {
+	g, machine := newRoutingGateway(t)
+	limit := g.settings.StalenessLimit
+	for name, step := range map[string]struct {
+		received time.Duration
+		want     string
+	}{
+		"late proofs": {time.Second, `"proof_received_ms":1000`},
+		"no proof":    {3 * limit, `"proof_received_ms":6000`},
+	} {
+		var lines bytes.Buffer
+		g.log = telemetry.New(role, "g", "info", &lines)
+		g.staleLoggedAt.Store(0)
+		machine.suspend(10 * limit)
+		received := machine.Now() - step.received
+		g.subscription.proofReceivedAt.Store(&received)
+		g.observe(&request{arrived: machine.Now(), clock: machine, answer: &fasthttp.Response{}, tableAge: 4 * limit, staleTable: true}, nil)
+		if !strings.Contains(lines.String(), step.want) || !strings.Contains(lines.String(), `"table_age_ms":8000`) {
+			t.Errorf("%s: logged %q, want %s", name, lines.String(), step.want)
+		}
+	}
+}
