--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -196,3 +196,34 @@
 		}
 	}
 }
+
+// TestKnownRouteIsFollowedOnlyByAProvedTable guards against requests that run by an older route at a gateway that has just
+// started, or that has heard no proof for longer than a change may take.
+func TestKnownRouteIsFollowedOnlyByAProvedTable(t *testing.T) {
+	g, machine := newRoutingGateway(t)
+	limit := g.settings.StalenessLimit
+	for _, step := range []struct {
+		name  string
+		proof time.Duration
+		want  fault.Kind
+	}{
+		{"never proved", -1, fault.StaleRouter},
+		{"just proved", 0, ""},
+		{"at the limit", limit, ""},
+		{"beyond the limit", limit + time.Millisecond, fault.StaleRouter},
+		{"long ago", 10 * limit, fault.StaleRouter},
+		{"proved again", 0, ""},
+	} {
+		if step.proof >= 0 {
+			g.subscription.confirm(machine.Now(), source{})
+			machine.suspend(step.proof)
+		}
+		got := fault.Kind("")
+		if failure := routeOne(g, "/known/1"); failure != nil {
+			got = failure.Kind
+		}
+		if got != step.want {
+			t.Errorf("%s: failure %q, want %q", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/gateway/streams_property_test.go
+++ b/internal/gateway/streams_property_test.go
@@ -139,57 +139,86 @@
 
 // simulatedNetwork connects the gateway to the controllers.
 type simulatedNetwork struct {
-	core   *simulatedCore
-	group  conc.WaitGroup
-	mutex  sync.Mutex
-	delays map[string]time.Duration
-	down   map[string]bool
-	open   []*simulatedStream
+	core  *simulatedCore
+	group conc.WaitGroup
+	mutex sync.Mutex
+	paths map[string]simulatedPath
+	open  []*simulatedStream
+}
+
+// simulatedPath is the way to and from one controller.
+type simulatedPath struct {
+	// there and back are the delays towards the controller and from it.
+	there, back time.Duration
+	// silent paths deliver nothing until they are no longer silent; a controller that is down accepts no connection.
+	silent, down bool
+}
+
+func newSimulatedNetwork(core *simulatedCore) *simulatedNetwork {
+	return &simulatedNetwork{core: core, paths: make(map[string]simulatedPath)}
+}
+
+// simulatedAddresses returns the addresses of the simulated controllers.
+func simulatedAddresses() []string {
+	var addresses []string
+	for number := range simulatedControllers {
+		addresses = append(addresses, fmt.Sprintf("127.0.0.1:%d", 100+number))
+	}
+	return addresses
 }
 
 // simulatedStream is one connection to a controller.
 type simulatedStream struct {
 	address string
 	end     context.CancelFunc
+	ended   <-chan struct{}
 	mutex   sync.Mutex
 	silent  bool
 }
 
+func (s *simulatedStream) hasEnded() bool {
+	select {
+	case <-s.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *simulatedStream) isSilent() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.silent
 }
 
-func (n *simulatedNetwork) delay(address string) time.Duration {
+func (n *simulatedNetwork) path(address string) simulatedPath {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.delays[address]
+	return n.paths[address]
 }
 
-func (n *simulatedNetwork) isDown(address string) bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.down[address]
-}
+// there and back return the delay of one direction.
+func (p simulatedPath) delayThere() time.Duration { return p.there }
+func (p simulatedPath) delayBack() time.Duration  { return p.back }
 
 // dial connects to a controller, which takes one round trip. A controller that is down does not answer.
 func (n *simulatedNetwork) dial(ctx context.Context, address string) (net.Conn, error) {
-	timer := time.NewTimer(2 * n.delay(address))
+	path := n.path(address)
+	timer := time.NewTimer(path.there + path.back)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if n.isDown(address) {
+	if path := n.path(address); path.down || path.silent {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	near, nearEnd := net.Pipe()
 	far, farEnd := net.Pipe()
 	lifetime, end := context.WithCancel(context.Background())
-	stream := &simulatedStream{address: address, end: end}
+	stream := &simulatedStream{address: address, end: end, ended: lifetime.Done()}
 	n.mutex.Lock()
 	n.open = append(n.open, stream)
 	n.mutex.Unlock()
@@ -199,8 +228,8 @@
 		_ = farEnd.Close()
 	}
 	n.group.Go(func() { <-lifetime.Done(); closeAll() })
-	n.group.Go(func() { n.forward(stream, nearEnd, farEnd) })
-	n.group.Go(func() { n.forward(stream, farEnd, nearEnd) })
+	n.group.Go(func() { n.forward(stream, nearEnd, farEnd, simulatedPath.delayThere) })
+	n.group.Go(func() { n.forward(stream, farEnd, nearEnd, simulatedPath.delayBack) })
 	n.group.Go(func() { n.core.serve(lifetime, far) })
 	return near, nil
 }
@@ -211,7 +240,7 @@
 }
 
 // forward delivers bytes after the delay that holds when they are sent.
-func (n *simulatedNetwork) forward(stream *simulatedStream, from, to net.Conn) {
+func (n *simulatedNetwork) forward(stream *simulatedStream, from, to net.Conn, delay func(simulatedPath) time.Duration) {
 	queue := make(chan simulatedBytes, 4096)
 	var reading conc.WaitGroup
 	defer reading.Wait()
@@ -224,11 +253,14 @@
 			if err != nil {
 				return
 			}
-			queue <- simulatedBytes{content: buffer[:count], at: time.Now().Add(n.delay(stream.address))}
+			queue <- simulatedBytes{content: buffer[:count], at: time.Now().Add(delay(n.path(stream.address)))}
 		}
 	})
 	for next := range queue {
 		time.Sleep(time.Until(next.at))
+		for n.path(stream.address).silent && !stream.hasEnded() {
+			time.Sleep(simulatedStep)
+		}
 		if stream.isSilent() {
 			continue
 		}
@@ -250,10 +282,10 @@
 	case 0, 1:
 		delay := time.Duration(random.Int64N(int64(longestDelay)))
 		for _, each := range addresses {
-			n.delays[each] = delay
+			n.setDelay(each, delay)
 		}
 	case 2:
-		n.delays[address] = time.Duration(random.Int64N(int64(longestDelay)))
+		n.setDelay(address, time.Duration(random.Int64N(int64(longestDelay))))
 	case 3:
 		for _, stream := range n.open {
 			if random.IntN(2) == 0 {
@@ -263,7 +295,9 @@
 			}
 		}
 	default:
-		n.down[address] = !n.down[address] && len(n.down) < simulatedControllers-1
+		path := n.paths[address]
+		path.down = !path.down && n.downCount() < simulatedControllers-1
+		n.paths[address] = path
 		for _, stream := range n.open {
 			if stream.address == address && random.IntN(2) == 0 {
 				stream.end()
@@ -272,6 +306,24 @@
 	}
 }
 
+// setDelay sets the delay in each direction. The mutex must be held.
+func (n *simulatedNetwork) setDelay(address string, delay time.Duration) {
+	path := n.paths[address]
+	path.there, path.back = delay, delay
+	n.paths[address] = path
+}
+
+// downCount counts the controllers that are down. The mutex must be held.
+func (n *simulatedNetwork) downCount() int {
+	count := 0
+	for _, path := range n.paths {
+		if path.down {
+			count++
+		}
+	}
+	return count
+}
+
 // end ends all connections and waits for everything that runs.
 func (n *simulatedNetwork) end() {
 	n.mutex.Lock()
@@ -304,9 +356,7 @@
 	if planted.impatient {
 		s.patience = settings.PongTimeout
 	}
-	for number := range simulatedControllers {
-		s.controllers = append(s.controllers, fmt.Sprintf("127.0.0.1:%d", 100+number))
-	}
+	s.controllers = simulatedAddresses()
 	return s, slices.Clone(s.controllers)
 }
 
@@ -317,7 +367,7 @@
 		start := time.Now()
 		core := &simulatedCore{view: directory.New(), vouchesEarly: planted.vouchesEarly}
 		core.change(t)
-		network := &simulatedNetwork{core: core, delays: make(map[string]time.Duration), down: make(map[string]bool)}
+		network := newSimulatedNetwork(core)
 		s, addresses := newSimulatedSubscription(network, start, planted)
 		ctx, cancel := context.WithCancel(context.Background())
 		network.group.Go(func() { s.run(ctx) })
