Proofs are dated by the clock of the controller that gave them

What callers saw: requests ran at the former service of a route, up to 2 s beyond the bound, while a gateway's proofs arrived late.

Cause: a proof counted from the moment of its ping, and requests were rejected from twice the limit on, since half of a round trip was taken for each direction. A queue delays one direction alone: with 3 s towards the gateway and nothing from it, proofs and changes are both 3 s old, and the age of 3 s is below 4 s.

Why it works: an answer carries the reading of its source's clock when the ping arrived. Clocks keep their distance but for drift, and the fastest ping bounds it from below, so that each later proof has an earliest moment that is sound whatever the delays are. Requests are rejected from the limit on, not from twice the limit.

TestLateProofsRefuseRequests expected that a table is followed up to twice the limit, which is the fault; it now expects a rejection from the limit on, in all cases of the old rows.

--- a/internal/controller/directory_stream.go
+++ b/internal/controller/directory_stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/remoteclock"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -37,6 +38,8 @@
 type pong struct {
 	ping     uint64
 	revision directory.Revision
+	// pinged is when the ping had arrived.
+	pinged remoteclock.Reading
 }
 
 var errNotLeading = eris.New("this replica does not lead")
@@ -79,13 +82,14 @@
 		if first {
 			close(s.pinged)
 		}
+		pinged := s.replica.clockReading()
 		readContext, cancel := context.WithTimeout(ctx, s.replica.settings.Consensus.ProposalTimeout)
 		err := s.replica.confirmCurrent(readContext)
 		cancel()
 		if err != nil {
 			return
 		}
-		confirmed := pong{ping: request.Ping}
+		confirmed := pong{ping: request.Ping, pinged: pinged}
 		s.replica.view(func(view *state.State) { confirmed.revision = view.Directory().Revision() })
 		select {
 		case s.pongs <- confirmed:
@@ -165,7 +169,8 @@
 		update.Peers = peers
 	}
 	for len(s.pendingPongs) > 0 && s.pendingPongs[0].revision <= s.sent {
-		update.Pong = s.pendingPongs[0].ping
+		answered := s.pendingPongs[0]
+		update.Pong, update.ProvedAt = answered.ping, &answered.pinged
 		s.pendingPongs = s.pendingPongs[1:]
 	}
 	if update.Controllers == nil && update.Leader == "" && update.Peers == nil && update.Pong == 0 {
@@ -174,6 +179,11 @@
 	return s.connection.Send(ctx, &update)
 }
 
+// clockReading returns a reading of this replica's clock for other processes.
+func (r *replica) clockReading() remoteclock.Reading {
+	return remoteclock.ReadingAt(r.clockOrigin, r.clock.Now())
+}
+
 // peerAddresses returns the peer addresses of the members of the group.
 func (r *replica) peerAddresses() []string {
 	var addresses []string
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -20,6 +20,7 @@
 	"github.com/thorntiller/thorntiller/internal/driver"
 	"github.com/thorntiller/thorntiller/internal/durable"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/remoteclock"
 	"github.com/thorntiller/thorntiller/internal/state"
 	"github.com/thorntiller/thorntiller/internal/tablestream"
 )
@@ -38,17 +39,19 @@
 // replica runs the driver of the consensus core, the state machine and the coordinator in one goroutine, the
 // replica's loop. Other goroutines communicate with the loop through channels.
 type replica struct {
-	settings  config.Controller
-	log       *logrus.Entry
-	clock     clock.Clock
-	self      consensus.Member
-	storage   *durable.Storage
-	peers     *peers
-	leases    *leaseSender
-	metrics   *metrics
-	history   *tablestream.History
-	fullTable fullTableCache
-	routers   *routerRegistry
+	settings config.Controller
+	log      *logrus.Entry
+	clock    clock.Clock
+	// clockOrigin names the clock in readings for other processes.
+	clockOrigin uint64
+	self        consensus.Member
+	storage     *durable.Storage
+	peers       *peers
+	leases      *leaseSender
+	metrics     *metrics
+	history     *tablestream.History
+	fullTable   fullTableCache
+	routers     *routerRegistry
 	// partitions places the idempotency records on routers.
 	partitions *partitionManager
 	// heartbeats processes the heartbeats of instances.
@@ -122,6 +125,7 @@
 		settings:    settings,
 		log:         log,
 		clock:       clock.NewSystem(),
+		clockOrigin: remoteclock.NewOrigin(),
 		self:        self,
 		storage:     disk,
 		metrics:     metrics,
--- a/internal/gateway/followed_property_test.go
+++ b/internal/gateway/followed_property_test.go
@@ -70,12 +70,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		start := time.Now()
-		core := &simulatedCore{view: directory.New()}
+		core := &simulatedCore{view: directory.New(), start: start}
 		applyPatch(t, core.view, routesPatch("1", "known"))
 		core.since = append(core.since, start)
 		network := newSimulatedNetwork(core)
 		settings := config.DefaultGateway()
-		settings.Name, settings.Address, settings.Seeds = "g", "127.0.0.1:1", []string{"127.0.0.1:1"}
+		settings.Name, settings.Address = "g", "127.0.0.1:1"
 		g, err := newWithClock(virtualClock{start}, settings, discardLog(), Options{DialPeer: network.dial})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -14,6 +14,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/remoteclock"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
@@ -187,11 +188,13 @@
 		if !s.confirmed() {
 			return errNotConfirmed
 		}
-		// The proof is read before the changes, which then include all that it covers.
+		// The proof is read before the changes, which then include all that it covers, and after the clock, from which its
+		// age is counted.
+		provedAt := s.clockReading()
 		age := s.confirmedAge()
 		update := s.updateAfter(cluster, sent)
 		if ping != 0 {
-			update.Pong, update.ProofAgeMs = ping, proofAgeMs(age)
+			update.Pong, update.ProofAgeMs, update.ProvedAt = ping, proofAgeMs(age), &provedAt
 		}
 		if update.Changes != nil || update.Pong != 0 {
 			if err := connection.Send(ctx, &update); err != nil {
@@ -220,6 +223,11 @@
 	return uint32(min((age+time.Millisecond-1)/time.Millisecond, math.MaxUint32-1)) + 1
 }
 
+// clockReading returns a reading of this gateway's clock for other gateways.
+func (s *subscription) clockReading() remoteclock.Reading {
+	return remoteclock.ReadingAt(s.clockOrigin, s.clock.Now())
+}
+
 // proofAge returns how old the proof in an update was when its source answered.
 func (s *subscription) proofAge(update message.DirectoryUpdate, from source) time.Duration {
 	if from.peer && update.ProofAgeMs == 0 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -132,7 +132,7 @@
 	if !found {
 		return read, read.noRoute(context.Request.Header.Host(), target)
 	}
-	if g.subscription.behind() {
+	if g.subscription.behind(age) {
 		return read, fault.Newf(fault.StaleRouter, "the directory was last confirmed %d ms ago, and changes may be unknown here", read.tableAge.Milliseconds())
 	}
 	read.route = route
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -69,10 +70,14 @@
 	return age.Milliseconds()
 }
 
-// recordProof records the answer to a ping, with the age of the proof in it.
-func (s *subscription) recordProof(sentAt, age time.Duration, from source) {
+// recordProof records the answer to a ping.
+func (s *subscription) recordProof(sentAt time.Duration, answer message.DirectoryUpdate, from source) {
 	now := s.clock.Now()
-	s.confirm(sentAt-age, from)
+	provedAt := sentAt
+	if answer.ProvedAt != nil {
+		provedAt = s.distances.EarliestOf(*answer.ProvedAt, sentAt, now)
+	}
+	s.confirm(provedAt-s.proofAge(answer, from), from)
 	s.proofReceivedAt.Store(&now)
 	s.roundTrip.Store(int64(now - sentAt))
 }
@@ -101,15 +106,10 @@
 	return age < 0 || age > s.settings.StalenessLimit
 }
 
-// maxOneWayShare is how much older than the staleness limit a proof may be that arrives: with equal delays in both
-// directions, a change takes half of a round trip.
-const maxOneWayShare = 2
-
-// behind reports whether proofs arrive, but so late that changes are probably not in force in time. While no
-// proof arrives, most likely no controller can acknowledge changes.
-func (s *subscription) behind() bool {
-	received := s.proofReceivedAt.Load()
-	return received != nil && s.age() > maxOneWayShare*s.settings.StalenessLimit && s.clock.Now()-*received <= s.settings.StalenessLimit
+// behind reports whether proofs arrive, but too late for a table whose proof has this age. While no proof arrives, most
+// likely no controller can acknowledge changes.
+func (s *subscription) behind(age time.Duration) bool {
+	return s.stale(age) && s.proofReceivedAt.Load() != nil && s.proofReceivedAge() <= s.settings.StalenessLimit
 }
 
 // noRoute returns the failure of a request for which the table has no route. A route may have been added that this
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -14,6 +14,7 @@
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/remoteclock"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -146,7 +147,7 @@
 }
 
 // TestLateProofsRefuseRequests guards against requests that go to the service of an earlier version of a route while
-// the controllers work and their messages come too late. Without any proof, requests are routed by the last table.
+// the controllers work and their messages come too late.
 func TestLateProofsRefuseRequests(t *testing.T) {
 	g, machine := newRoutingGateway(t)
 	limit := g.settings.StalenessLimit
@@ -155,8 +156,9 @@
 		age, arrived time.Duration
 		refused      bool
 	}{
-		{"half a round trip within the limit", 2 * limit, 0, false},
-		{"half a round trip beyond the limit", 2*limit + time.Millisecond, 0, true},
+		{"proofs at the limit", limit, 0, false},
+		{"proofs beyond the limit", limit + time.Millisecond, 0, true},
+		{"the last one a moment ago", 2 * limit, limit, true},
 		{"no proof any more", 2*limit + time.Millisecond, limit + time.Millisecond, false},
 	} {
 		machine.suspend(10 * limit)
@@ -227,3 +229,34 @@
 		}
 	}
 }
+
+// TestProofIsDatedByTheClockOfItsSource guards against a proof whose age counts from its ping though only the ping took
+// long, and against one that counts from its arrival though the changes before it took as long.
+func TestProofIsDatedByTheClockOfItsSource(t *testing.T) {
+	g, machine := newRoutingGateway(t)
+	const short, long, pause = time.Millisecond, 3 * time.Second, time.Minute
+	const drift = 100 * time.Millisecond
+	answer := func(there, back time.Duration) time.Duration {
+		machine.suspend(pause)
+		sentAt := machine.Now()
+		machine.suspend(there)
+		reading := remoteclock.ReadingAt(7, time.Hour+machine.Now())
+		machine.suspend(back)
+		g.subscription.recordProof(sentAt, message.DirectoryUpdate{Pong: 1, ProvedAt: &reading}, source{})
+		return g.subscription.age()
+	}
+	for _, step := range []struct {
+		name                        string
+		there, back, atLeast, below time.Duration
+	}{
+		{"first answer, slow ping", long, short, long, long + drift},
+		{"both fast", short, short, short, drift},
+		{"slow ping", long, short, short, drift},
+		{"slow answer", short, long, long, long + drift},
+		{"both slow", long, long, long, long + drift},
+	} {
+		if age := answer(step.there, step.back); age < step.atLeast || age > step.below {
+			t.Errorf("%s: the proof is %s old, want from %s to %s", step.name, age, step.atLeast, step.below)
+		}
+	}
+}
--- a/internal/gateway/streams_property_test.go
+++ b/internal/gateway/streams_property_test.go
@@ -13,12 +13,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/remoteclock"
 	"github.com/thorntiller/thorntiller/internal/wire"
 )
 
@@ -32,6 +34,8 @@
 	simulatedStep        = 50 * time.Millisecond
 	// longestDelay is the longest delay in each direction.
 	longestDelay = time.Second
+	// simulatedDrift is how much faster or slower the clock of a controller runs than that of the gateway.
+	simulatedDrift = 5e-4
 	// settleTime is how long after a disturbance changes may be late: until the silence is noticed, all controllers
 	// are asked in turn, and one of them has accepted a connection and answered twice.
 	settleTime = 900*time.Millisecond + simulatedControllers*(raceStagger+firstBytesTimeout) + 4*2*longestDelay
@@ -47,6 +51,7 @@
 	mutex sync.Mutex
 	view  *directory.Directory
 	since []time.Time
+	start time.Time
 	// vouchesEarly answers pings before the changes that the answer vouches for.
 	vouchesEarly bool
 }
@@ -84,7 +89,7 @@
 }
 
 // serve serves the directory on one connection: changes at once, and an answer to each ping after the changes.
-func (c *simulatedCore) serve(ctx context.Context, stream net.Conn) {
+func (c *simulatedCore) serve(ctx context.Context, stream net.Conn, address string) {
 	connection := wire.NewConn(stream, wire.Options{})
 	defer connection.Close()
 	var hello message.Hello
@@ -103,10 +108,17 @@
 		defer close(pings)
 		receivePings(ctx, connection, pings)
 	})
-	c.write(ctx, connection, first.Revision, pings)
+	c.write(ctx, connection, first.Revision, pings, address)
 }
 
-func (c *simulatedCore) write(ctx context.Context, connection *wire.Conn, held directory.Revision, pings <-chan uint64) {
+// clockReading returns a reading of the clock of one controller. Their origins lie apart, and each runs at a rate of its own.
+func (c *simulatedCore) clockReading(address string) remoteclock.Reading {
+	number := xxhash.Sum64String(address)
+	rate := 1 + simulatedDrift*(2*float64(number%1000)/1000-1)
+	return remoteclock.ReadingAt(number|1, time.Duration(number%uint64(time.Hour))+time.Duration(rate*float64(time.Since(c.start))))
+}
+
+func (c *simulatedCore) write(ctx context.Context, connection *wire.Conn, held directory.Revision, pings <-chan uint64, address string) {
 	ticker := time.NewTicker(simulatedStep)
 	defer ticker.Stop()
 	for {
@@ -119,7 +131,8 @@
 			if !open {
 				return
 			}
-			answer = &message.DirectoryUpdate{Pong: ping}
+			pinged := c.clockReading(address)
+			answer = &message.DirectoryUpdate{Pong: ping, ProvedAt: &pinged}
 		}
 		update := c.changesAfter(held)
 		if c.vouchesEarly && answer != nil {
@@ -230,7 +243,7 @@
 	n.group.Go(func() { <-lifetime.Done(); closeAll() })
 	n.group.Go(func() { n.forward(stream, nearEnd, farEnd, simulatedPath.delayThere) })
 	n.group.Go(func() { n.forward(stream, farEnd, nearEnd, simulatedPath.delayBack) })
-	n.group.Go(func() { n.core.serve(lifetime, far) })
+	n.group.Go(func() { n.core.serve(lifetime, far, address) })
 	return near, nil
 }
 
@@ -365,7 +378,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		start := time.Now()
-		core := &simulatedCore{view: directory.New(), vouchesEarly: planted.vouchesEarly}
+		core := &simulatedCore{view: directory.New(), start: start, vouchesEarly: planted.vouchesEarly}
 		core.change(t)
 		network := newSimulatedNetwork(core)
 		s, addresses := newSimulatedSubscription(network, start, planted)
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -16,6 +16,7 @@
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/link"
 	"github.com/thorntiller/thorntiller/internal/message"
+	"github.com/thorntiller/thorntiller/internal/remoteclock"
 	"github.com/thorntiller/thorntiller/internal/routing"
 	"github.com/thorntiller/thorntiller/internal/startup"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
@@ -51,11 +52,15 @@
 	// leader is the peer address of the leading controller, to which demand is reported.
 	leader atomic.Pointer[string]
 	table  atomic.Pointer[routing.Table]
-	// provedAt is the clock reading when the last answered ping was sent, and confirmedAt when the last ping
-	// answered by a controller was sent.
+	// provedAt is the latest clock reading at which the directory was proved current, and confirmedAt the latest one at
+	// which a controller proved it.
 	provedAt atomic.Pointer[time.Duration]
 	// proofReceivedAt is the clock reading when the last answer to a ping arrived.
 	proofReceivedAt atomic.Pointer[time.Duration]
+	// clockOrigin names the clock in readings for other gateways, and distances are those to the clocks of the processes
+	// that answer.
+	clockOrigin uint64
+	distances   remoteclock.Distances
 	// roundTrip is how long the last answered ping took, in nanoseconds.
 	roundTrip   atomic.Int64
 	confirmedAt atomic.Pointer[time.Duration]
@@ -73,8 +78,8 @@
 	return &subscription{
 		clock: system, settings: settings, log: log, reload: reload, view: directory.New(), updates: broadcast.New(), meter: meter,
 		patience: patience,
-		progress: startup.New(system, log),
-		onTable:  func(*routing.Table) {}, onCluster: func(string) {},
+		progress: startup.New(system, log), clockOrigin: remoteclock.NewOrigin(),
+		onTable: func(*routing.Table) {}, onCluster: func(string) {},
 	}
 }
 
@@ -214,7 +219,7 @@
 			connection.SetIdleTimeout(s.patience)
 			connection.SetSilenceTimeout(s.patience)
 		}
-		s.recordProof(sentAt, s.proofAge(update, from), from)
+		s.recordProof(sentAt, update, from)
 		if home := s.homeToSwitchTo(from); home != "" {
 			from.search.beginSwitch(home)
 		}
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -5,6 +5,7 @@
 	"github.com/thorntiller/thorntiller/internal/heartbeat"
 	"github.com/thorntiller/thorntiller/internal/quarantine"
 	"github.com/thorntiller/thorntiller/internal/quota"
+	"github.com/thorntiller/thorntiller/internal/remoteclock"
 )
 
 // DirectoryRequest is a message from a gateway on a directory connection. The first one describes
@@ -32,6 +33,8 @@
 	// ProofAgeMs is sent with a Pong by a gateway that serves the directory to others: how long before the
 	// pong its own directory was proved current, rounded up and at least 1. It is zero from a controller.
 	ProofAgeMs uint32 `msgpack:"o,omitempty"`
+	// ProvedAt is sent with a Pong: the sender's clock when the ping had arrived, from which ProofAgeMs counts.
+	ProvedAt *remoteclock.Reading `msgpack:"k,omitempty"`
 	// Controllers are the peer addresses of the group's members, sent whenever they have changed.
 	Controllers []string `msgpack:"m,omitempty"`
 	// Leader is the peer address of the controller that receives demand reports, sent whenever it
