Gateways follow no route without recent proof, unless others get none either

Cause: a gateway denied an unknown route only by a directory that was proved within staleness_limit, and followed a known one however old that was: while no proof arrived, when proofs had just begun to come late, and before the first one. The absence of proofs was taken for an outage of the controllers, which it is only if others have none either.

Why it works: a request is routed by a table whose last proof is within the bound, or in an outage that is shown: another gateway answered a ping within the bound that no controller confirms its directory, and no proof arrived. Silence shows nothing, so that a gateway that is cut off rejects with 503 and is not ready. Gateways without a controller ask all others that they know side by side, and follow the first that proves the directory.

Tests of other matters confirm their directory now.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -20,7 +20,7 @@
 	PeerAddress       string        `koanf:"peer_address" validate:"omitempty,address" doc:"IP:port at which other gateways take the directory while no controller answers them, ask for places, and have requests relayed to instances that they cannot reach; empty for none of it."`
 	PingInterval      time.Duration `koanf:"ping_interval" validate:"min=10ms,max=20s" doc:"Time between two pings to the controllers."`
 	PongTimeout       time.Duration `koanf:"pong_timeout" validate:"min=10ms,max=30s" doc:"Longest wait for a proof that the directory is current; other controllers are asked beside this one then."`
-	StalenessLimit    time.Duration `koanf:"staleness_limit" validate:"min=100ms,max=10m" doc:"Age of the last proof that the directory is current from which on a change may be in force elsewhere and unknown here; the time within which a change must be in force at all gateways."`
+	StalenessLimit    time.Duration `koanf:"staleness_limit" validate:"min=100ms,max=10m" doc:"Time within which a change must be in force at all gateways. Requests are rejected once the last proof that the directory is current is older, unless other gateways answer that they get none either."`
 	StopTimeout       time.Duration `koanf:"stop_timeout" validate:"min=100ms,max=10m" doc:"Longest time that a graceful stop may take."`
 	StopNotice        time.Duration `koanf:"stop_notice" validate:"min=0s,max=10m" doc:"How long new connections are still accepted once a stop began, until the platform has noticed it."`
 	DrainTime         time.Duration `koanf:"drain_time" validate:"min=0s,max=10m" doc:"How long a draining instance still gets requests for keys that it holds."`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -250,6 +250,8 @@
 		return false, "stopping"
 	case g.subscription.current() == nil:
 		return false, "no directory yet"
+	case !g.subscription.mayFollow(g.subscription.age()):
+		return false, "the directory is not confirmed"
 	default:
 		return true, ""
 	}
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -51,23 +51,45 @@
 // has just started waits for them: a whole directory would saturate the narrow link of another gateway.
 func (s *subscription) lostControllers() bool { return s.confirmedAt.Load() != nil && !s.confirmed() }
 
-// followPeers follows the directory of other gateways while no controller answers, until the context ends. It
-// waits longer for the next answers after none has come in time.
+// followPeers follows the directory of other gateways while no controller answers, until the context ends.
 func (s *subscription) followPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.lostControllers() {
+			s.askPeers(ctx)
+		}
+		clock.Sleep(ctx, peerPollInterval)
+	}
+}
+
+// askPeers asks the known gateways side by side until a controller answers.
+func (s *subscription) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	search := &peerSearch{limit: s.settings.PongTimeout}
+	for _, address := range s.knownPeers() {
+		group.Go(func() { s.askPeer(ctx, address, search) })
+	}
+	for ctx.Err() == nil && !s.confirmed() {
+		clock.Sleep(ctx, peerPollInterval)
+	}
+}
+
+// askPeer asks one gateway until the context ends. It waits longer for the next answers after none has come in time.
+func (s *subscription) askPeer(ctx context.Context, address string, search *peerSearch) {
 	wait := s.settings.PongTimeout
 	for ctx.Err() == nil {
-		if peers := s.knownPeers(); len(peers) > 0 && s.lostControllers() {
+		if search.mayAsk(address) {
 			before := s.age()
-			for _, address := range peers {
-				s.followPeer(ctx, address, wait)
-			}
+			s.followPeer(ctx, source{address: address, peer: true, wait: wait, peers: search})
+			search.release(address)
 			wait = min(2*wait, patience)
 			if s.age() < before {
 				wait = s.settings.PongTimeout
 			}
-			clock.Sleep(ctx, peerRetryPause)
 		}
-		clock.Sleep(ctx, peerPollInterval)
+		clock.Sleep(ctx, peerRetryPause)
 	}
 }
 
@@ -79,19 +101,20 @@
 
 // followPeer follows the stream of another gateway until it breaks, is silent for longer than the wait, or a
 // controller answers again.
-func (s *subscription) followPeer(ctx context.Context, address string, wait time.Duration) {
-	if s.confirmed() || ctx.Err() != nil {
+func (s *subscription) followPeer(ctx context.Context, from source) {
+	err := s.follow(ctx, from)
+	if ctx.Err() != nil || errors.Is(err, errOtherPeer) {
 		return
 	}
-	err := s.follow(ctx, source{address: address, peer: true, wait: wait})
-	if errors.Is(err, errControllerAnswers) || s.progress.Failed(address, err) {
-		telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, address).
+	if errors.Is(err, errControllerAnswers) || s.progress.Failed(from.address, err) {
+		telemetry.WithError(s.log, telemetry.EventControllerLost, err).WithField(telemetry.FieldAddress, from.address).
 			WithField(fieldTableAge, ageMs(s.age())).Info("directory stream from another gateway ended")
 	}
 }
 
 var (
 	errControllerAnswers = eris.New("a controller answers again")
+	errOtherPeer         = eris.New("another gateway confirms the directory already")
 	errNotConfirmed      = eris.New("no controller confirms this gateway's directory: ask another gateway")
 )
 
@@ -143,7 +166,7 @@
 var errTooManyPeers = eris.New("the maximum number of gateways already follow the directory of this one")
 
 // servePeer serves the directory to one gateway: the changes since its revision, then each further change, and
-// a pong for each ping while this gateway's directory is confirmed.
+// a pong for each ping while this gateway's directory is confirmed. While controllers no longer confirm it, it tells so.
 func (s *subscription) servePeer(ctx context.Context, connection *wire.Conn) error {
 	defer s.peerStreams.Add(-1)
 	if s.peerStreams.Add(1) > maxPeerStreams {
@@ -185,18 +208,11 @@
 	var ping uint64
 	for {
 		changed := s.updates.Next()
-		if !s.confirmed() {
-			return errNotConfirmed
-		}
-		// The proof is read before the changes, which then include all that it covers, and after the clock, from which its
-		// age is counted.
-		provedAt := s.clockReading()
-		age := s.confirmedAge()
-		update := s.updateAfter(cluster, sent)
-		if ping != 0 {
-			update.Pong, update.ProofAgeMs, update.ProvedAt = ping, proofAgeMs(age), &provedAt
+		update, err := s.peerUpdate(cluster, sent, ping)
+		if err != nil {
+			return err
 		}
-		if update.Changes != nil || update.Pong != 0 {
+		if update.Changes != nil || update.Pong != 0 || update.Unconfirmed != 0 {
 			if err := connection.Send(ctx, &update); err != nil {
 				return err
 			}
@@ -218,6 +234,26 @@
 	}
 }
 
+// peerUpdate returns the next message to a gateway that has a revision of a cluster's directory: what it lacks, and the
+// answer to a ping, unless that is zero.
+func (s *subscription) peerUpdate(cluster message.ClusterID, held directory.Revision, ping uint64) (message.DirectoryUpdate, error) {
+	if s.lostControllers() {
+		return message.DirectoryUpdate{Unconfirmed: ping}, nil
+	}
+	if !s.confirmed() {
+		return message.DirectoryUpdate{}, errNotConfirmed
+	}
+	// The proof is read before the changes, which then include all that it covers, and after the clock, from which its
+	// age is counted.
+	provedAt := s.clockReading()
+	age := s.confirmedAge()
+	update := s.updateAfter(cluster, held)
+	if ping != 0 {
+		update.Pong, update.ProofAgeMs, update.ProvedAt = ping, proofAgeMs(age), &provedAt
+	}
+	return update, nil
+}
+
 // proofAgeMs returns the age of a proof as it is passed on.
 func proofAgeMs(age time.Duration) uint32 {
 	return uint32(min((age+time.Millisecond-1)/time.Millisecond, math.MaxUint32-1)) + 1
--- a/internal/gateway/peer_test.go
+++ b/internal/gateway/peer_test.go
@@ -268,3 +268,77 @@
 		t.Errorf("the proof is %s old, want at least %s", age, proofAge)
 	}
 }
+
+// confirmedBy starts a gateway that serves others while it follows a controller.
+func confirmedBy(t *testing.T, controller *stubController) (s *subscription, address string) {
+	t.Helper()
+	s = startSubscription(t, controller.address)
+	listener := listenOnLoopback(t)
+	runInBackground(t, func(ctx context.Context) {
+		_ = servePeersOf(ctx, s, listener) // ends with the test
+	})
+	runInBackground(t, s.followPeers)
+	eventually(t, "the directory is confirmed", s.confirmed)
+	return s, listener.Addr().String()
+}
+
+func (s *subscription) setPeers(addresses ...string) {
+	s.viewLock.Lock()
+	defer s.viewLock.Unlock()
+	s.peers = addresses
+}
+
+// TestOutageIsToldFromAnIsolatedGateway guards against gateways that reject all requests while no controller can acknowledge
+// a change, and against one that follows an old directory because nobody answers it: only a gateway that hears that others
+// get no proof either goes on.
+func TestOutageIsToldFromAnIsolatedGateway(t *testing.T) {
+	controllers := []*stubController{startStub(t), startStub(t), startStub(t)}
+	first, firstAddress := confirmedBy(t, controllers[0])
+	second, secondAddress := confirmedBy(t, controllers[1])
+	isolated, _ := confirmedBy(t, controllers[2])
+	unreachable := listenOnLoopback(t)
+	defer func() { _ = unreachable.Close() }()
+	silent := unreachable.Addr().String() // accepts connections, and never answers
+	first.setPeers(silent, secondAddress)
+	second.setPeers(firstAddress, silent)
+	isolated.setPeers(silent)
+	for _, controller := range controllers {
+		controller.silent.Store(true)
+	}
+	mayFollow := func(s *subscription) bool { return s.mayFollow(s.age()) }
+	eventually(t, "the isolated gateway stops", func() bool { return !mayFollow(isolated) })
+	for range 20 {
+		if !mayFollow(first) || !mayFollow(second) || mayFollow(isolated) {
+			t.Fatalf("in an outage the gateways follow their tables: %t and %t, and the isolated one: %t", mayFollow(first), mayFollow(second), mayFollow(isolated))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, controller := range controllers {
+		controller.silent.Store(false)
+	}
+	eventually(t, "all are confirmed again", func() bool { return first.confirmed() && second.confirmed() && isolated.confirmed() })
+}
+
+// TestOneOfManyPeersIsFollowed guards against changes that come from each of several gateways, and against a gateway that
+// stays with one that lost its controller.
+func TestOneOfManyPeersIsFollowed(t *testing.T) {
+	controllers := []*stubController{startStub(t), startStub(t), startStub(t)}
+	first, firstAddress := confirmedBy(t, controllers[0])
+	second, secondAddress := confirmedBy(t, controllers[1])
+	following, _ := confirmedBy(t, controllers[2])
+	following.setPeers(firstAddress, secondAddress)
+	controllers[2].silent.Store(true)
+	streams := func() int64 { return first.peerStreams.Load() + second.peerStreams.Load() }
+	eventually(t, "one of them is followed", func() bool { return following.lostControllers() && streams() == 1 && following.age() < time.Second })
+	followedFirst := first.peerStreams.Load() == 1
+	if followedFirst {
+		controllers[0].silent.Store(true)
+	} else {
+		controllers[1].silent.Store(true)
+	}
+	other := first
+	if followedFirst {
+		other = second
+	}
+	eventually(t, "the other one is followed", func() bool { return other.peerStreams.Load() == 1 && following.age() < time.Second })
+}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -131,6 +131,7 @@
 	if err := gateway.subscription.apply(message.DirectoryUpdate{Cluster: "cluster", Changes: &changes}, source{}); err != nil {
 		t.Fatal(err)
 	}
+	confirmForTest(gateway)
 	for _, instance := range instances {
 		gateway.reach.Failed(gateway.clock.Now(), instance.ID)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -132,8 +132,8 @@
 	if !found {
 		return read, read.noRoute(context.Request.Header.Host(), target)
 	}
-	if g.subscription.behind(age) {
-		return read, fault.Newf(fault.StaleRouter, "the directory was last confirmed %d ms ago, and changes may be unknown here", read.tableAge.Milliseconds())
+	if !g.subscription.mayFollow(age) {
+		return read, read.outdated()
 	}
 	read.route = route
 	if err := g.readTenant(read, table); err != nil {
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -106,10 +106,42 @@
 	return age < 0 || age > s.settings.StalenessLimit
 }
 
-// behind reports whether proofs arrive, but too late for a table whose proof has this age. While no proof arrives, most
-// likely no controller can acknowledge changes.
-func (s *subscription) behind(age time.Duration) bool {
-	return s.stale(age) && s.proofReceivedAt.Load() != nil && s.proofReceivedAge() <= s.settings.StalenessLimit
+// mayFollow reports whether requests may be routed by a table whose proof has this age.
+func (s *subscription) mayFollow(age time.Duration) bool {
+	return !s.stale(age) || s.knowledge(age).maySuffice(s.settings.StalenessLimit)
+}
+
+// knowledge returns what is known about changes that a table may lack whose proof has this age.
+func (s *subscription) knowledge(age time.Duration) knowledge {
+	known := knowledge{proofAge: age, sinceProof: s.proofReceivedAge(), sinceUnconfirmed: -1}
+	if at := s.unconfirmedAt.Load(); at != nil {
+		known.sinceUnconfirmed = s.clock.Now() - *at
+	}
+	s.viewLock.Lock()
+	controllers, alone := s.controllers, len(s.peers) == 0
+	s.viewLock.Unlock()
+	if at, refuse := s.refusals.byMajority(controllers); alone && refuse {
+		known.sinceUnconfirmed = s.clock.Now() - at
+	}
+	return known
+}
+
+// knowledge is what a gateway knows about changes that its table may lack. Times are negative for never.
+type knowledge struct {
+	// proofAge is how long ago the table was proved current, and sinceProof how long ago the last proof arrived.
+	proofAge, sinceProof time.Duration
+	// sinceUnconfirmed is how long ago another gateway was asked that has no proof either. Where there is no other gateway,
+	// it is how long ago most controllers refused connections.
+	sinceUnconfirmed time.Duration
+}
+
+// maySuffice reports whether no change that is older than the limit can be missing, or most likely none can be
+// acknowledged: other gateways answer, and get no proof either. A gateway that nobody answers is cut off itself, and one
+// whose proofs arrive late is behind the others.
+func (k knowledge) maySuffice(limit time.Duration) bool {
+	within := func(since time.Duration) bool { return since >= 0 && since <= limit }
+	outage := k.proofAge >= 0 && within(k.sinceUnconfirmed) && !within(k.sinceProof)
+	return within(k.proofAge) || outage
 }
 
 // noRoute returns the failure of a request for which the table has no route. A route may have been added that this
@@ -126,6 +158,14 @@
 	}
 }
 
+// outdated returns the failure of a request for which there may be a newer route.
+func (r *request) outdated() *fault.Error {
+	if r.tableAge < 0 {
+		return fault.New(fault.StaleRouter, "the directory has not been confirmed yet, and changes may be unknown here")
+	}
+	return fault.Newf(fault.StaleRouter, "the directory was last confirmed %d ms ago, and changes may be unknown here", r.tableAge.Milliseconds())
+}
+
 // registerMetrics registers the metrics of the directory stream.
 func (s *subscription) registerMetrics(registry *telemetry.Metrics) {
 	registry.GaugeFunction("table_age_seconds", "Time since the last proof that the directory was current; negative if there was none.",
--- a/internal/gateway/stop_property_test.go
+++ b/internal/gateway/stop_property_test.go
@@ -126,6 +126,7 @@
 		t.Fatal(err)
 	}
 	s.Gateway = gateway
+	confirmForTest(gateway)
 	patch, err := directory.ReadPatch([]byte(`{"set":{"services":[{"name":"s","version":1},{"name":"k","keyed":true,"version":1}],"routes":[
 		{"name":"once","host":"h.example","prefix":"/once/","service":"s","kind":"at_most_once","max_attempts":3,"version":1},
 		{"name":"again","host":"h.example","prefix":"/again/","service":"s","kind":"repeatable","max_attempts":3,"version":1},
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -64,6 +64,11 @@
 	// roundTrip is how long the last answered ping took, in nanoseconds.
 	roundTrip   atomic.Int64
 	confirmedAt atomic.Pointer[time.Duration]
+	// refusals are those of connections to controllers.
+	refusals refusals
+	// unconfirmedAt is the clock reading when the last ping was sent to which another gateway answered that no controller
+	// confirms its directory.
+	unconfirmedAt atomic.Pointer[time.Duration]
 	// controllerReached is true once a controller has accepted a connection.
 	controllerReached atomic.Bool
 	// peerStreams counts the gateways that follow the directory of this one.
@@ -101,8 +106,9 @@
 	address string
 	// peer is true for another gateway, false for a controller.
 	peer bool
-	// wait is how long another gateway may be silent.
-	wait time.Duration
+	// wait is how long another gateway may be silent, and peers the search in which it takes part; nil for none.
+	wait  time.Duration
+	peers *peerSearch
 	// search is the search in which the stream takes part as a candidate; nil for none.
 	search    *race
 	candidate *candidate
@@ -120,6 +126,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	connection, err := wire.Dial(ctx, from.address, s.streamOptions(from))
+	if !from.peer && ctx.Err() == nil {
+		s.refusals.attempted(from.address, err, s.clock.Now())
+	}
 	if err != nil {
 		return err
 	}
@@ -205,6 +214,12 @@
 		if err := s.apply(update, from); err != nil {
 			return err
 		}
+		if sentAt, known := pings.sentAt(update.Unconfirmed); known && from.peer {
+			raise(&s.unconfirmedAt, sentAt)
+			if from.peers != nil {
+				from.peers.release(from.address)
+			}
+		}
 		sentAt, known := pings.sentAt(update.Pong)
 		if !known {
 			if from.search != nil {
@@ -215,6 +230,9 @@
 		if from.search != nil && !from.search.claim(from.candidate) {
 			return errOtherController
 		}
+		if from.peers != nil && !from.peers.claim(from.address) {
+			return errOtherPeer
+		}
 		if from.search != nil {
 			connection.SetIdleTimeout(s.patience)
 			connection.SetSilenceTimeout(s.patience)
--- a/internal/message/directory.go
+++ b/internal/message/directory.go
@@ -35,6 +35,9 @@
 	ProofAgeMs uint32 `msgpack:"o,omitempty"`
 	// ProvedAt is sent with a Pong: the sender's clock when the ping had arrived, from which ProofAgeMs counts.
 	ProvedAt *remoteclock.Reading `msgpack:"k,omitempty"`
+	// Unconfirmed is sent in place of Pong by a gateway that serves the directory to others, while no controller confirms
+	// its own. It repeats the number of a ping.
+	Unconfirmed uint64 `msgpack:"n,omitempty"`
 	// Controllers are the peer addresses of the group's members, sent whenever they have changed.
 	Controllers []string `msgpack:"m,omitempty"`
 	// Leader is the peer address of the controller that receives demand reports, sent whenever it
