An old table denies no request

In an outage that other gateways confirm, a gateway follows its last table. It then answered 401 to an API key and 400 to a request without a key of a sharded service as that table says, though a change may allow them; callers do not try again after these.

Cause: only the denial of an unknown route asked how old the table was.

Evidence: TestOldTableDeniesNothing fails before for 400 and 401 and passes.

Why it works: each denial that rests on the configuration goes through one function, which answers 503 by a table without recent proof.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -130,7 +130,7 @@
 	target, _, _ := bytes.Cut(context.Request.Header.RequestURI(), []byte("?"))
 	route, found := table.Route(string(context.Request.Header.Host()), string(target))
 	if !found {
-		return read, read.noRoute(context.Request.Header.Host(), target)
+		return read, read.denied(fault.UnknownService, "no route for host %.100q and path %.100q", context.Request.Header.Host(), target)
 	}
 	if !g.subscription.mayFollow(age) {
 		return read, read.outdated()
@@ -176,7 +176,7 @@
 	value := string(r.inbound.Header.Peek(header))
 	number, err := strconv.Atoi(strings.TrimSpace(value))
 	if err != nil || number < 0 || directory.Key(number) > directory.MaxKey {
-		return fault.Newf(fault.InvalidRequest, "header %s is %.32q: give a key from 0 to %d", header, value, directory.MaxKey)
+		return r.denied(fault.InvalidRequest, "header %s is %.32q: give a key from 0 to %d", header, value, directory.MaxKey)
 	}
 	r.keyed = true
 	r.key = directory.Key(number)
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math"
 	"sync/atomic"
 	"time"
@@ -144,18 +145,13 @@
 	return within(k.proofAge) || outage
 }
 
-// noRoute returns the failure of a request for which the table has no route. A route may have been added that this
+// denied returns the failure of a request that the configuration does not allow. A change may have allowed it that this
 // gateway does not know.
-func (r *request) noRoute(host, path []byte) *fault.Error {
-	switch {
-	case r.staleTable && r.tableAge < 0:
-		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory has not been confirmed yet", host, path)
-	case r.staleTable:
-		return fault.Newf(fault.StaleRouter, "no route for host %.100q and path %.100q is known, but the directory was last confirmed %d ms ago",
-			host, path, r.tableAge.Milliseconds())
-	default:
-		return fault.Newf(fault.UnknownService, "no route for host %.100q and path %.100q", host, path)
+func (r *request) denied(kind fault.Kind, format string, arguments ...any) *fault.Error {
+	if !r.staleTable {
+		return fault.Newf(kind, format, arguments...)
 	}
+	return fault.Newf(fault.StaleRouter, "%s, but %s", fmt.Sprintf(format, arguments...), r.outdated().Detail)
 }
 
 // outdated returns the failure of a request for which there may be a newer route.
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -279,3 +279,37 @@
 		}
 	}
 }
+
+// TestOldTableDeniesNothing guards against a 400, 401 or 404 for what a change allows that this gateway does not know: in an
+// outage that others confirm, it follows an old table, and denies nothing by it.
+func TestOldTableDeniesNothing(t *testing.T) {
+	g, machine := newRoutingGateway(t)
+	view := directory.New()
+	applyPatch(t, view, routesPatch("1", "known"))
+	applyPatch(t, view, `{"set":{"services":[{"name":"k","keyed":true,"version":2}],"routes":[{"name":"keyed","host":"a.example","prefix":"/keyed/","kind":"repeatable","service":"k","max_attempts":1,"allow_anonymous":true,"version":2}]}}`)
+	applyPatch(t, view, `{"set":{"tenants":[{"name":"t","version":3}]}}`)
+	changes := view.RoutingSince(0)
+	if err := g.subscription.apply(message.DirectoryUpdate{Changes: &changes}, source{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct {
+		path string
+		kind fault.Kind
+	}{
+		{"/added/1", fault.UnknownService},
+		{"/keyed/1", fault.InvalidRequest},
+		{"/known/1", fault.Unauthenticated},
+	} {
+		g.subscription.confirm(machine.Now(), source{})
+		if failure := routeOne(g, step.path); failure == nil || failure.Kind != step.kind {
+			t.Errorf("%s by a proved table: %v, want %s", step.path, failure, step.kind)
+		}
+		machine.suspend(2 * g.settings.StalenessLimit)
+		now := machine.Now()
+		g.subscription.unconfirmedAt.Store(&now)
+		failure := routeOne(g, step.path)
+		if status, notRun := statusOf(failure); failure.Kind != fault.StaleRouter || status != fasthttp.StatusServiceUnavailable || !notRun {
+			t.Errorf("%s by an old table: %v with status %d, want %s", step.path, failure, status, fault.StaleRouter)
+		}
+	}
+}
--- a/internal/gateway/tenant.go
+++ b/internal/gateway/tenant.go
@@ -35,7 +35,7 @@
 	}
 	tenant, found := table.Tenant(key)
 	if !found {
-		return fault.New(fault.Unauthenticated, "no tenant has this API key: send Authorization: Bearer KEY with a key of yours")
+		return read.denied(fault.Unauthenticated, "no tenant has this API key: send Authorization: Bearer KEY with a key of yours")
 	}
 	read.tenant = tenant
 	return nil
