Requests that waited are not sent by a table without recent proof

Cause: the last check before the first byte asked what the table says of the instance, and not how old that is.

Evidence: TestWaitingRequestIsNotSentByAnOldTable: before, the request reaches the instance 1 ms beyond the limit.

Why it works: the check right before the write, of gateways and of relays, asks for the proof first. The request ends with 503 as not run, or keeps the open outcome of an earlier attempt; it is not sent again by the same table. TestSuspensionBetweenChoiceAndSend confirms its directory now.

--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -256,6 +256,9 @@
 	if wait := g.signals.rest(g.clock.Now(), instance.ID); wait > 0 {
 		return fault.Newf(fault.NoOwner, "instance %s wants no requests for %s", instance.ID, wait.Round(time.Millisecond))
 	}
+	if failure := g.checkTable(); failure != nil {
+		return failure
+	}
 	if !g.maySendTo(current, instance) {
 		return fault.Newf(fault.NoOwner, "instance %s may not get the request any more", instance.ID)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -133,7 +133,7 @@
 		return read, read.denied(fault.UnknownService, "no route for host %.100q and path %.100q", context.Request.Header.Host(), target)
 	}
 	if !g.subscription.mayFollow(age) {
-		return read, read.outdated()
+		return read, outdated(age)
 	}
 	read.route = route
 	if err := g.readTenant(read, table); err != nil {
--- a/internal/gateway/sendcheck.go
+++ b/internal/gateway/sendcheck.go
@@ -19,6 +19,9 @@
 	if failure := g.guard.CheckBeforeWrite(&current.suspicion); failure != nil {
 		return failure
 	}
+	if failure := g.checkTable(); failure != nil {
+		return failure
+	}
 	if g.maySendTo(current, instance) {
 		current.withdrawn = false
 		return nil
@@ -26,6 +29,16 @@
 	return fault.Newf(fault.NoOwner, "instance %s may not get the request any more", instance.ID)
 }
 
+// checkTable returns the failure of a request that may no longer be sent by the current table; nil if it may. An instance may
+// have left, or keys may have moved, without word of it here.
+func (g *Gateway) checkTable() *fault.Error {
+	age := g.subscription.age()
+	if g.subscription.mayFollow(age) {
+		return nil
+	}
+	return outdated(age)
+}
+
 // maySendTo reports whether an instance that was chosen may still get the request.
 func (g *Gateway) maySendTo(current *request, chosen directory.Instance) bool {
 	service, found := g.subscription.current().Service(current.service)
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -151,15 +151,15 @@
 	if !r.staleTable {
 		return fault.Newf(kind, format, arguments...)
 	}
-	return fault.Newf(fault.StaleRouter, "%s, but %s", fmt.Sprintf(format, arguments...), r.outdated().Detail)
+	return fault.Newf(fault.StaleRouter, "%s, but %s", fmt.Sprintf(format, arguments...), outdated(r.tableAge).Detail)
 }
 
-// outdated returns the failure of a request for which there may be a newer route.
-func (r *request) outdated() *fault.Error {
-	if r.tableAge < 0 {
+// outdated returns the failure of a request that would be routed by a table whose proof has an age.
+func outdated(age time.Duration) *fault.Error {
+	if age < 0 {
 		return fault.New(fault.StaleRouter, "the directory has not been confirmed yet, and changes may be unknown here")
 	}
-	return fault.Newf(fault.StaleRouter, "the directory was last confirmed %d ms ago, and changes may be unknown here", r.tableAge.Milliseconds())
+	return fault.Newf(fault.StaleRouter, "the directory was last confirmed %d ms ago, and changes may be unknown here", age.Milliseconds())
 }
 
 // registerMetrics registers the metrics of the directory stream.
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -313,3 +313,42 @@
 		}
 	}
 }
+
+// TestWaitingRequestIsNotSentByAnOldTable guards against a request that was routed by a proved table, waits, and is sent to
+// an instance that left meanwhile without word of it at this gateway.
+func TestWaitingRequestIsNotSentByAnOldTable(t *testing.T) {
+	limit := config.DefaultGateway().StalenessLimit
+	for name, step := range map[string]struct {
+		age  time.Duration
+		want fault.Kind
+	}{
+		"within the limit": {limit, ""},
+		"beyond the limit": {limit + time.Millisecond, fault.StaleRouter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, machine := newRoutingGateway(t)
+			instance := directory.Instance{ID: "i", Service: "s", Zone: "z", Slots: 1, State: directory.InstanceReady}
+			chosen := instance
+			var arrivals *atomic.Int64
+			chosen.Address, arrivals = startInstance(t, g.dialect.RequestID)
+			g.subscription.table.Store(oneInstance(t, instance))
+			g.subscription.confirm(machine.Now(), source{})
+			current := newRequest(machine)
+			current.deadline += step.age
+			current.inbound.Header.SetHost("s.example")
+			current.inbound.Header.Set(g.dialect.RequestID, current.id)
+			machine.suspend(step.age)
+			relayed := g.checkRelayed(nil, current, instance)
+			failure := g.attempt(current, chosen)
+			if kindOf(failure) != step.want || kindOf(relayed) != step.want {
+				t.Errorf("sent directly %v, for another gateway %v, want %q", failure, relayed, step.want)
+			}
+			if sent := arrivals.Load() == 1; sent != (step.want == "") {
+				t.Errorf("%d requests reached the instance", arrivals.Load())
+			}
+			if step.want != "" && g.mayResend(current, failure) {
+				t.Error("the request would be sent again by the same table")
+			}
+		})
+	}
+}
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -136,6 +136,7 @@
 			chosen.Address, arrivals = startInstance(t, g.dialect.RequestID)
 			g.upstreams.settings.Traffic = onDial{func() { c.meanwhile(g, machine) }}
 			g.subscription.table.Store(oneInstance(t, instance))
+			confirmForTest(g)
 			current := newRequest(machine)
 			current.inbound.Header.SetHost("s.example")
 			current.inbound.Header.Set(g.dialect.RequestID, current.id)
