An answer whose status is none is no answer

What callers saw: a back end that wrote a whole answer with status 000 was passed on as 200; behind 001 to 099, and behind 101 which nobody asked for, callers waited until their deadline. A health check with 000 counted as healthy, and a cancel with 000 as proof that a request never started.

Cause: the library's StatusCode returns 200 where the status is zero, and everything below 200 was read as an interim answer.

Evidence: before, TestStatusThatIsNoneIsNoAnswer answers 200 for 000 alone, behind an interim answer and behind a blank line, and takes the whole 20 s for 001, 020, 099 and 101; TestControlCallsTakeNoStatusThatIsNone finds a proof and a healthy back end by 000. Both pass now in 0.1 s a case.

Why it works: package statusline looks at the status line before it is parsed, and takes 100 to 999; only interim answers other than 101 are skipped. The connection is closed, and the outcome of the request is open: it may have run. 600 to 999 pass as they are.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // Attempt is one attempt of a request. Request must carry the attempt's identifier in
@@ -146,14 +147,12 @@
 // answer would look complete.
 var errUnframed = eris.New("the answer has neither Content-Length nor chunks")
 
-const maxInterimAnswers = 5
-
 // readAnswer reads one complete answer, behind surplus ones to earlier requests, and returns the identifier that it
 // carries.
 func (c *Client) readAnswer(reader *bufio.Reader, connection *countingConnection, attempt *Attempt) (id string, err error) {
 	response := attempt.Response
 	for {
-		if err := readFinalHeader(reader, response); err != nil {
+		if err := statusline.ReadFinalHeader(reader, &response.Header); err != nil {
 			return "", err
 		}
 		id = string(response.Header.Peek(c.settings.IDHeader))
@@ -174,18 +173,6 @@
 	return id, readBody(reader, response, connection, c.settings.MaxAnswerBytes)
 }
 
-func readFinalHeader(reader *bufio.Reader, response *fasthttp.Response) error {
-	for range maxInterimAnswers {
-		if err := response.Header.Read(reader); err != nil {
-			return err
-		}
-		if response.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-	return eris.New("too many interim answers")
-}
-
 func hasNoBody(request *fasthttp.Request, response *fasthttp.Response) bool {
 	return request.Header.IsHead() || isBodiless(response.StatusCode())
 }
--- a/internal/forward/control.go
+++ b/internal/forward/control.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // Cancel asks the back end to cancel an attempt. It returns true only if the back end
@@ -95,8 +96,13 @@
 	}
 	reader := c.control.AcquireReader(connection)
 	defer c.control.ReleaseReader(reader)
-	if err := response.ReadLimitBody(reader, c.control.MaxResponseBodySize); err != nil {
+	if err := statusline.ReadFinalHeader(reader, &response.Header); err != nil {
 		return false, err
 	}
+	if !isBodiless(response.StatusCode()) {
+		if err := response.ReadBody(reader, c.control.MaxResponseBodySize); err != nil {
+			return false, err
+		}
+	}
 	return !response.ConnectionClose() && reader.Buffered() == 0, nil
 }
