Clients of leases, machine lists and intents take no answer without a status

What callers saw: nothing yet; found on looking for status 000 elsewhere. A server that answered a lease message with 000 or 001 and a body that accepts it counted as holding the lease; a list of machines with 000 was read, and an intent answered with 000 counted as done.

Cause: these clients leave parsing to the library, which takes 000 for 200.

Evidence: TestStatusThatIsNoneAcceptsNoLease and TestStatusThatIsNoneAcknowledgesNothing fail before and pass now.

Why it works: their connections are guarded by package statusline, which looks at the first line of each answer; reading fails, so that the library closes the connection and the caller sees an open outcome. The caller of the lab is guarded too, so that it does not count such an answer of a router as success.

--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -15,6 +15,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
 	"github.com/thorntiller/thorntiller/internal/intake"
+	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // Buffer sizes of the connections to servers. Each server has its own connection, so small buffers limit the
@@ -51,7 +52,7 @@
 			// No retries: a newer message replaces a lost one.
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                neverRetry,
-			DialTimeout:               dialTimeout,
+			DialTimeout:               dialLease,
 		},
 	}
 }
@@ -60,12 +61,13 @@
 	return false, false
 }
 
-func dialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+// dialLease connects to a server for lease messages.
+func dialLease(address string, timeout time.Duration) (net.Conn, error) {
 	connection, err := fasthttp.DialTimeout(address, timeout)
 	if err != nil {
 		return nil, err
 	}
-	return &leaseConnection{connection}, nil
+	return statusline.Guard(&leaseConnection{connection}), nil
 }
 
 // leaseConnection is a connection for lease messages. A message is not written while bytes of an earlier answer are
--- a/internal/controller/platform.go
+++ b/internal/controller/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -11,6 +12,7 @@
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/platformapi"
 	"github.com/thorntiller/thorntiller/internal/state"
+	"github.com/thorntiller/thorntiller/internal/statusline"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -28,6 +30,13 @@
 		ReadTimeout:         settings.RequestTimeout,
 		WriteTimeout:        settings.RequestTimeout,
 		MaxResponseBodySize: settings.MaxAnswerBytes,
+		Dial: func(address string) (net.Conn, error) {
+			connection, err := fasthttp.DialTimeout(address, settings.RequestTimeout)
+			if err != nil {
+				return nil, err
+			}
+			return statusline.Guard(connection), nil
+		},
 	}}
 }
 
--- /dev/null
+++ b/internal/controller/status_test.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/config"
+	"github.com/thorntiller/thorntiller/internal/coordinator"
+)
+
+// answerWith accepts connections and answers each request with a status, and a body that accepts a lease message or is an
+// empty list of machines.
+func answerWith(t *testing.T, code string) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(connection net.Conn) {
+		defer func() { _ = connection.Close() }()
+		for reader := bufio.NewReader(connection); ; {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			content := []byte("[]")
+			if request.Method == http.MethodPost {
+				var message backendapi.LeaseRequest
+				_ = json.NewDecoder(request.Body).Decode(&message) // an empty one is answered as well
+				content, _ = json.Marshal(backendapi.LeaseAnswer{Server: message.Server, Accepted: true, Fence: message.Fence})
+			}
+			if _, err := fmt.Fprintf(connection, "HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", code, len(content), content); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(connection)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestStatusThatIsNoneAcceptsNoLease guards against a lease, and a list of machines, that are taken from an answer with status
+// 000.
+func TestStatusThatIsNoneAcceptsNoLease(t *testing.T) {
+	for code, valid := range map[string]bool{"000": false, "001": false, "200": true} {
+		address := answerWith(t, code)
+		settings := config.DefaultController()
+		sender := newLeaseSender(t.Context(), settings.Lease, nil)
+		request := backendapi.LeaseRequest{Server: "s", Incarnation: "i", Fence: backendapi.Fence{Term: 1, Sequence: 1}}
+		answer, err := sender.exchange(coordinator.Send{Server: "s", Address: address, Request: request})
+		sender.stop()
+		if accepted := err == nil && answer.Accepted; accepted != valid {
+			t.Errorf("status %s: accepted %t with %v, want %t", code, accepted, err, valid)
+		}
+		settings.Platform.URL = "http://" + address + "/machines"
+		if _, err := newPlatformPoller(settings.Platform, nil).fetch(); (err == nil) != valid {
+			t.Errorf("status %s: list of machines with %v, want valid %t", code, err, valid)
+		}
+	}
+}
--- a/internal/intentapi/call.go
+++ b/internal/intentapi/call.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thorntiller/thorntiller/internal/fault"
+	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // dialTimeout is the timeout for establishing one connection.
@@ -211,7 +212,7 @@
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return connection, nil
+	return statusline.Guard(connection), nil
 }
 
 func (c ClientConfig) connect(address string) (net.Conn, error) {
--- a/internal/intentapi/client_test.go
+++ b/internal/intentapi/client_test.go
@@ -1,8 +1,10 @@
 package intentapi
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -247,3 +249,36 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// TestStatusThatIsNoneAcknowledgesNothing guards against a call that counts as done by an answer with status 000.
+func TestStatusThatIsNoneAcknowledgesNothing(t *testing.T) {
+	for code, valid := range map[string]bool{"000": false, "200": true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var group conc.WaitGroup
+		group.Go(func() {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = connection.Close() }()
+			var request fasthttp.Request
+			if request.Read(bufio.NewReader(connection)) == nil {
+				_, _ = io.WriteString(connection, "HTTP/1.1 "+code+" Odd\r\nContent-Length: 2\r\n\r\n{}") // the client may have closed
+			}
+		})
+		client, err := NewClient(ClientConfig{Endpoints: []string{listener.Addr().String()}, CallTimeout: 10 * time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = client.send(t.Context(), listener.Addr().String(), call{method: fasthttp.MethodPost, path: "/", body: []byte("{}")})
+		if (err == nil) != valid || !valid && !isUnknown(err) {
+			t.Errorf("status %s: %v, want done %t, else an open outcome", code, err, valid)
+		}
+		client.Close()
+		_ = listener.Close()
+		group.Wait()
+	}
+}
--- a/internal/lab/caller/send.go
+++ b/internal/lab/caller/send.go
@@ -16,6 +16,7 @@
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
+	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 const (
@@ -45,7 +46,7 @@
 			if err != nil {
 				return nil, errors.Join(errDial, err)
 			}
-			return connection, nil
+			return statusline.Guard(connection), nil
 		},
 	}
 }
