A lease message counts as accepted only with status 200

What callers saw: nothing yet; found beside status 000. A server in trouble that answered a lease message with 500 and the body of an earlier answer counted as holding the lease.

Cause: the sender read the body whatever the status was. docs/BACKEND.md promises 200 for an answer.

Evidence: the row 500 of TestStatusThatIsNoneAcceptsNoLease fails before.

Why it works: any other status is no answer; the lease then ends by its time, as it does for a lost message.

--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -114,6 +114,9 @@
 	if err := l.client.DoTimeout(request, response, l.settings.RequestTimeout); err != nil {
 		return nil, err
 	}
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return nil, eris.Errorf("the lease message was answered with status %d", status)
+	}
 	answer := &backendapi.LeaseAnswer{}
 	if err := json.Unmarshal(response.Body(), answer); err != nil {
 		return nil, err
--- a/internal/controller/status_test.go
+++ b/internal/controller/status_test.go
@@ -53,9 +53,9 @@
 }
 
 // TestStatusThatIsNoneAcceptsNoLease guards against a lease, and a list of machines, that are taken from an answer with status
-// 000.
+// 000, or with one of a failure.
 func TestStatusThatIsNoneAcceptsNoLease(t *testing.T) {
-	for code, valid := range map[string]bool{"000": false, "001": false, "200": true} {
+	for code, valid := range map[string]bool{"000": false, "001": false, "500": false, "200": true} {
 		address := answerWith(t, code)
 		settings := config.DefaultController()
 		sender := newLeaseSender(t.Context(), settings.Lease, nil)
