Gateways log each change of the standing of their routing table

Change: table_stale and table_current at gateways, once a change, with the standing, the one before, and the ages that it follows from.

Result: TestChangesOfTheStandingAreLogged; no decision changed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -286,6 +286,7 @@
 	group.Go(func() { g.keep(running, "demand", g.demand.run) })
 	group.Go(func() { g.keep(running, "link bytes", g.reportLinkBytes) })
 	group.Go(func() { g.keep(running, "reach", g.watchReach) })
+	group.Go(func() { g.keep(running, "standing", g.subscription.watchStanding) })
 	group.Go(func() { g.keep(ctx, "readiness", g.progress.Watch) })
 	g.progress.Reach(startup.StepListening)
 	telemetry.With(g.log, telemetry.EventListening).
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"sync/atomic"
 	"time"
 
+	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/message"
 	"github.com/thorntiller/thorntiller/internal/routing"
@@ -109,7 +111,7 @@
 
 // mayFollow reports whether requests may be routed by a table whose proof has this age.
 func (s *subscription) mayFollow(age time.Duration) bool {
-	return !s.stale(age) || s.knowledge(age).maySuffice(s.settings.StalenessLimit)
+	return !s.stale(age) || s.knowledge(age).standing(s.settings.StalenessLimit) == standingOutage
 }
 
 // knowledge returns what is known about changes that a table may lack whose proof has this age.
@@ -127,22 +129,30 @@
 	return known
 }
 
-// knowledge is what a gateway knows about changes that its table may lack. Times are negative for never.
-type knowledge struct {
-	// proofAge is how long ago the table was proved current, and sinceProof how long ago the last proof arrived.
-	proofAge, sinceProof time.Duration
-	// sinceUnconfirmed is how long ago another gateway was asked that has no proof either. Where there is no other gateway,
-	// it is how long ago most controllers refused connections.
-	sinceUnconfirmed time.Duration
+// standingPollInterval is the time between two looks at the standing for the log.
+const standingPollInterval = 100 * time.Millisecond
+
+// watchStanding logs each change of the standing until the context ends.
+func (s *subscription) watchStanding(ctx context.Context) {
+	last := standingUnproved
+	clock.Every(ctx, standingPollInterval, func() { last = s.logStanding(last) })
 }
 
-// maySuffice reports whether no change that is older than the limit can be missing, or most likely none can be
-// acknowledged: other gateways answer, and get no proof either. A gateway that nobody answers is cut off itself, and one
-// whose proofs arrive late is behind the others.
-func (k knowledge) maySuffice(limit time.Duration) bool {
-	within := func(since time.Duration) bool { return since >= 0 && since <= limit }
-	outage := k.proofAge >= 0 && within(k.sinceUnconfirmed) && !within(k.sinceProof)
-	return within(k.proofAge) || outage
+// logStanding logs the standing if it is not the last one, and returns it.
+func (s *subscription) logStanding(last standing) standing {
+	known := s.knowledge(s.age())
+	now := known.standing(s.settings.StalenessLimit)
+	if now == last {
+		return now
+	}
+	event := telemetry.EventTableStale
+	if now == standingCurrent {
+		event = telemetry.EventTableCurrent
+	}
+	telemetry.With(s.log, event).WithField("standing", now).WithField("before", last).WithField(telemetry.FieldRevision, s.revision()).
+		WithField(fieldTableAge, ageMs(known.proofAge)).WithField(fieldProofReceived, ageMs(known.sinceProof)).
+		WithField("unconfirmed_elsewhere_ms", ageMs(known.sinceUnconfirmed)).Info("standing of the routing table changed")
+	return now
 }
 
 // denied returns the failure of a request that the configuration does not allow. A change may have allowed it that this
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -242,6 +242,9 @@
 			if followed := failure == nil; followed != step.followed || !followed && failure.Kind != fault.StaleRouter {
 				t.Errorf("followed %t with failure %v, want %t", followed, failure, step.followed)
 			}
+			if got := g.subscription.knowledge(g.subscription.age()).standing(limit); (got == standingCurrent || got == standingOutage) != step.followed {
+				t.Errorf("the standing is %s", got)
+			}
 			if ready, why := g.ready(); ready != step.followed {
 				t.Errorf("ready %t (%s), want %t", ready, why, step.followed)
 			}
@@ -352,3 +355,37 @@
 		})
 	}
 }
+
+// TestChangesOfTheStandingAreLogged checks that the log tells once when requests are no longer routed by a proved table, and
+// why.
+func TestChangesOfTheStandingAreLogged(t *testing.T) {
+	g, machine := newRoutingGateway(t)
+	var lines bytes.Buffer
+	g.subscription.log = telemetry.New(role, "g", "info", &lines)
+	last := standingUnproved
+	for _, step := range []struct {
+		change func()
+		want   standing
+	}{
+		{func() {}, standingUnproved},
+		{func() { g.subscription.confirm(machine.Now(), source{}) }, standingCurrent},
+		{func() { machine.suspend(2 * g.settings.StalenessLimit) }, standingCutOff},
+		{func() { raise(&g.subscription.unconfirmedAt, machine.Now()) }, standingOutage},
+		{func() { raise(&g.subscription.proofReceivedAt, machine.Now()) }, standingBehind},
+		{func() { g.subscription.confirm(machine.Now(), source{}) }, standingCurrent},
+	} {
+		lines.Reset()
+		step.change()
+		before := last
+		for range 3 {
+			last = g.subscription.logStanding(last)
+		}
+		want := 1
+		if step.want == before {
+			want = 0
+		}
+		if last != step.want || strings.Count(lines.String(), `"standing":"`+string(step.want)+`"`) != want {
+			t.Errorf("%s, want %s logged %d times: %s", last, step.want, want, lines.String())
+		}
+	}
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -194,7 +194,7 @@
 	return []EventRow{
 		{EventTableSnapshot, levelInfo, "The whole routing table was received."},
 		{EventTableDigest, levelWarning, "The table differs from the controllers'; it is fetched anew."},
-		{EventTableStale, levelWarning, "The table is not confirmed to be current; requests are rejected."},
+		{EventTableStale, levelWarning, "The table is not confirmed to be current; requests are rejected. At a gateway, standing tells why; in an outage, requests are routed by the last table."},
 		{EventTableCurrent, levelInfo, "The table is confirmed to be current again; failures and outage_ms tell of failed attempts at that address before."},
 		{EventControllerLost, levelWarning, "A controller cannot be reached, or the connection to it broke; told once until it answers again."},
 		{EventControllerReached, levelInfo, "A controller that could not be reached answers again, after failures failed attempts in outage_ms."},
