--- a/internal/gateway/streams_property_test.go
+++ b/internal/gateway/streams_property_test.go
@@ -52,6 +52,8 @@
 	view  *directory.Directory
 	since []time.Time
 	start time.Time
+	// rests is true while the controllers have no quorum: nothing changes, and pings are not answered.
+	rests bool
 	// vouchesEarly answers pings before the changes that the answer vouches for.
 	vouchesEarly bool
 }
@@ -64,6 +66,18 @@
 	c.since = append(c.since, time.Now())
 }
 
+func (c *simulatedCore) setRest(rests bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.rests = rests
+}
+
+func (c *simulatedCore) isResting() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.rests
+}
+
 // revisionAt returns the newest revision from before a moment.
 func (c *simulatedCore) revisionAt(moment time.Time) directory.Revision {
 	c.mutex.Lock()
@@ -131,6 +145,9 @@
 			if !open {
 				return
 			}
+			if c.isResting() {
+				continue
+			}
 			pinged := c.clockReading(address)
 			answer = &message.DirectoryUpdate{Pong: ping, ProvedAt: &pinged}
 		}
@@ -157,6 +174,8 @@
 	mutex sync.Mutex
 	paths map[string]simulatedPath
 	open  []*simulatedStream
+	// gateways serve connections to the addresses of other gateways.
+	gateways map[string]func(context.Context, net.Conn)
 }
 
 // simulatedPath is the way to and from one controller.
@@ -243,7 +262,13 @@
 	n.group.Go(func() { <-lifetime.Done(); closeAll() })
 	n.group.Go(func() { n.forward(stream, nearEnd, farEnd, simulatedPath.delayThere) })
 	n.group.Go(func() { n.forward(stream, farEnd, nearEnd, simulatedPath.delayBack) })
-	n.group.Go(func() { n.core.serve(lifetime, far, address) })
+	n.group.Go(func() {
+		if serve, found := n.gateways[address]; found {
+			serve(lifetime, far)
+			return
+		}
+		n.core.serve(lifetime, far, address)
+	})
 	return near, nil
 }
 
