--- a/internal/gateway/streams_property_test.go
+++ b/internal/gateway/streams_property_test.go
@@ -229,7 +229,7 @@
 	return n.paths[address]
 }
 
-// there and back return the delay of one direction.
+// delayThere and delayBack return the delay of one direction.
 func (p simulatedPath) delayThere() time.Duration { return p.there }
 func (p simulatedPath) delayBack() time.Duration  { return p.back }
 
