Planted faults for the simulated tables and outages; one accept loop for lease tests

Cause: TestRoutesAreFollowedOnlyWithinTheBound and TestOutagesAreNeitherInferredNorMissed had been shown to find faults by hand only, and two tests of the controllers had the same accept loop.

Change: TestPlantedLimitsAreFound (a limit that is 0.5 s too long is found as an outdated table, one of 0.1 s as a rejection by a current one) and TestPlantedOutageFaults (gateways that ask nobody, and that take silence for an outage). acceptAll serves the lease tests.

--- a/internal/controller/leases_test.go
+++ b/internal/controller/leases_test.go
@@ -14,15 +14,30 @@
 	"github.com/thorntiller/thorntiller/internal/coordinator"
 )
 
-// repeatingServer accepts lease messages. It repeats its answer to the first one at once, and that to the third one
-// right before its answer to the next message.
-func repeatingServer(t *testing.T) (address string) {
+// acceptAll serves each connection to an address until the test ends.
+func acceptAll(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(connection)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// repeatingServer accepts lease messages. It repeats its answer to the first one at once, and that to the third one
+// right before its answer to the next message.
+func repeatingServer(t *testing.T) (address string) {
+	t.Helper()
 	serve := func(connection net.Conn) {
 		defer func() { _ = connection.Close() }()
 		reader := bufio.NewReader(connection)
@@ -51,16 +66,7 @@
 			}
 		}
 	}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(connection)
-		}
-	}()
-	return listener.Addr().String()
+	return acceptAll(t, serve)
 }
 
 const surplusDelay = 50 * time.Millisecond
--- a/internal/controller/status_test.go
+++ b/internal/controller/status_test.go
@@ -17,11 +17,6 @@
 // empty list of machines.
 func answerWith(t *testing.T, code string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	serve := func(connection net.Conn) {
 		defer func() { _ = connection.Close() }()
 		for reader := bufio.NewReader(connection); ; {
@@ -40,16 +35,7 @@
 			}
 		}
 	}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(connection)
-		}
-	}()
-	return listener.Addr().String()
+	return acceptAll(t, serve)
 }
 
 // TestStatusThatIsNoneAcceptsNoLease guards against a lease, and a list of machines, that are taken from an answer with status
--- a/internal/gateway/followed_property_test.go
+++ b/internal/gateway/followed_property_test.go
@@ -65,8 +65,9 @@
 	return true
 }
 
-// simulateFollowing runs one seed and returns the first violation, and how many requests were routed and rejected.
-func simulateFollowing(t *testing.T, seed uint64) (routed, rejected int, violation error) {
+// simulateFollowing runs one seed with a staleness limit, and returns the first violation, and how many requests were routed
+// and rejected.
+func simulateFollowing(t *testing.T, seed uint64, limit time.Duration) (routed, rejected int, violation error) {
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		start := time.Now()
@@ -75,7 +76,7 @@
 		core.since = append(core.since, start)
 		network := newSimulatedNetwork(core)
 		settings := config.DefaultGateway()
-		settings.Name, settings.Address = "g", "127.0.0.1:1"
+		settings.Name, settings.Address, settings.StalenessLimit = "g", "127.0.0.1:1", limit
 		g, err := newWithClock(virtualClock{start}, settings, discardLog(), Options{DialPeer: network.dial})
 		if err != nil {
 			t.Fatal(err)
@@ -119,7 +120,7 @@
 func TestRoutesAreFollowedOnlyWithinTheBound(t *testing.T) {
 	routed, rejected := 0, 0
 	for seed := range uint64(40) {
-		followed, refused, violation := simulateFollowing(t, seed)
+		followed, refused, violation := simulateFollowing(t, seed, configurationBound)
 		if violation != nil {
 			t.Errorf("seed %d: %v", seed, violation)
 		}
@@ -129,3 +130,20 @@
 		t.Errorf("%d requests were routed and %d rejected: the seeds do not meet both", routed, rejected)
 	}
 }
+
+// TestPlantedLimitsAreFound checks that the checks of TestRoutesAreFollowedOnlyWithinTheBound find a gateway that follows
+// tables for too long, and one that rejects requests by tables that are current.
+func TestPlantedLimitsAreFound(t *testing.T) {
+	for limit, want := range map[time.Duration]error{
+		configurationBound + 500*time.Millisecond: errFollowedOutdated,
+		100 * time.Millisecond:                    errRejectedCurrent,
+	} {
+		found := error(nil)
+		for seed := uint64(0); seed < 40 && found == nil; seed++ {
+			_, _, found = simulateFollowing(t, seed, limit)
+		}
+		if !errors.Is(found, want) {
+			t.Errorf("limit of %s: found %v, want %v", limit, found, want)
+		}
+	}
+}
--- a/internal/gateway/outage_property_test.go
+++ b/internal/gateway/outage_property_test.go
@@ -72,10 +72,18 @@
 	return f
 }
 
-func (f *simulatedFleet) run(ctx context.Context) {
+// outagePlant is a planted fault.
+type outagePlant struct {
+	// asksNobody gateways never ask others, and infersOutages gateways take silence for an outage.
+	asksNobody, infersOutages bool
+}
+
+func (f *simulatedFleet) run(ctx context.Context, planted outagePlant) {
 	for number, g := range f.gateways {
 		f.networks[number].group.Go(func() { g.subscription.run(ctx) })
-		f.networks[number].group.Go(func() { g.subscription.followPeers(ctx) })
+		if !planted.asksNobody {
+			f.networks[number].group.Go(func() { g.subscription.followPeers(ctx) })
+		}
 	}
 }
 
@@ -155,7 +163,7 @@
 }
 
 // simulateOutages runs one seed and returns the first violation.
-func simulateOutages(t *testing.T, seed uint64) (violation error) {
+func simulateOutages(t *testing.T, seed uint64, planted outagePlant) (violation error) {
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		start := time.Now()
@@ -164,7 +172,7 @@
 		core.since = append(core.since, start)
 		f := newSimulatedFleet(t, core)
 		ctx, cancel := context.WithCancel(context.Background())
-		f.run(ctx)
+		f.run(ctx, planted)
 		disturbed := start
 		for time.Since(start) < 2*simulatedTime && violation == nil {
 			time.Sleep(simulatedStep)
@@ -175,7 +183,10 @@
 				f.disturb(random)
 				disturbed = time.Now()
 			}
-			for number := range f.gateways {
+			for number, g := range f.gateways {
+				if planted.infersOutages {
+					raise(&g.subscription.unconfirmedAt, g.clock.Now())
+				}
 				if time.Since(disturbed) > outageTime && violation == nil {
 					violation = f.check(number)
 				}
@@ -191,8 +202,24 @@
 // outage, and against a fleet that stops because its controllers have no quorum.
 func TestOutagesAreNeitherInferredNorMissed(t *testing.T) {
 	for seed := range uint64(10) {
-		if violation := simulateOutages(t, seed); violation != nil {
+		if violation := simulateOutages(t, seed, outagePlant{}); violation != nil {
 			t.Errorf("seed %d: %v", seed, violation)
 		}
 	}
 }
+
+// TestPlantedOutageFaults checks that the checks of TestOutagesAreNeitherInferredNorMissed find what they are there for.
+func TestPlantedOutageFaults(t *testing.T) {
+	for planted, want := range map[outagePlant]error{
+		{asksNobody: true}:    errMissedOutage,
+		{infersOutages: true}: errInferredOutage,
+	} {
+		found := error(nil)
+		for seed := uint64(0); seed < 20 && found == nil; seed++ {
+			found = simulateOutages(t, seed, planted)
+		}
+		if !errors.Is(found, want) {
+			t.Errorf("%+v: found %v, want %v", planted, found, want)
+		}
+	}
+}
