Package statusline becomes answerhead

Change: statusline becomes answerhead, ReadFinalHeader ReadFinal, and ErrInvalid ErrInvalidStatus. No behaviour changes.

--- a/internal/statusline/statusline.go
+++ b/internal/answerhead/answerhead.go
@@ -1,4 +1,4 @@
-package statusline
+package answerhead
 
 import (
 	"bufio"
@@ -16,31 +16,31 @@
 )
 
 var (
-	// ErrInvalid rejects an answer without a valid status. Whether its request ran is open.
-	ErrInvalid = eris.New("the answer has no valid status")
+	// ErrInvalidStatus rejects an answer without a valid status. Whether its request ran is open.
+	ErrInvalidStatus = eris.New("the answer has no valid status")
 	// ErrSwitched rejects an answer that switches to another protocol, which was not asked for.
 	ErrSwitched = eris.New("the answer switches to another protocol")
 
 	errTooManyInterim = eris.New("too many interim answers")
 )
 
-// check returns ErrInvalid unless a status line has a status from 100 to 999.
+// check returns ErrInvalidStatus unless a status line has a status from 100 to 999.
 func check(line []byte) error {
 	_, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimSpace(rest), []byte(" "))
 	if len(code) != statusDigits || code[0] == '0' {
-		return eris.Wrapf(ErrInvalid, "status %.16q", code)
+		return eris.Wrapf(ErrInvalidStatus, "status %.16q", code)
 	}
 	for _, digit := range code {
 		if digit < '0' || digit > '9' {
-			return eris.Wrapf(ErrInvalid, "status %.16q", code)
+			return eris.Wrapf(ErrInvalidStatus, "status %.16q", code)
 		}
 	}
 	return nil
 }
 
-// ReadFinalHeader reads the header of an answer, behind interim ones.
-func ReadFinalHeader(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+// ReadFinal reads the header of an answer, behind interim ones.
+func ReadFinal(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	for range maxInterimAnswers {
 		if line := peekLine(reader); line != nil {
 			if err := check(line); err != nil {
--- a/internal/statusline/statusline_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -1,4 +1,4 @@
-package statusline
+package answerhead
 
 import (
 	"bufio"
@@ -22,7 +22,7 @@
 // TestCheck checks which status lines are valid.
 func TestCheck(t *testing.T) {
 	for line, valid := range answers {
-		if err := check([]byte(line + "\r")); (err == nil) != valid || err != nil && !errors.Is(err, ErrInvalid) {
+		if err := check([]byte(line + "\r")); (err == nil) != valid || err != nil && !errors.Is(err, ErrInvalidStatus) {
 			t.Errorf("%q: %v, want valid %t", line, err, valid)
 		}
 	}
@@ -32,7 +32,7 @@
 func TestHeaderThatBreaksOff(t *testing.T) {
 	for _, content := range []string{"", "HTTP/1.1 00", "\r\n\r\n", strings.Repeat("\r\n", 4096), "HTTP/1.1 200 OK\r\nA:"} {
 		var header fasthttp.ResponseHeader
-		if err := ReadFinalHeader(bufio.NewReaderSize(strings.NewReader(content), 64), &header); err == nil || errors.Is(err, ErrInvalid) {
+		if err := ReadFinal(bufio.NewReaderSize(strings.NewReader(content), 64), &header); err == nil || errors.Is(err, ErrInvalidStatus) {
 			t.Errorf("%.20q: %v", content, err)
 		}
 	}
--- a/internal/statusline/guard.go
+++ b/internal/answerhead/guard.go
@@ -1,4 +1,4 @@
-package statusline
+package answerhead
 
 import "net"
 
--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -11,11 +11,11 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 	"github.com/thorntiller/thorntiller/internal/backendapi"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/coordinator"
 	"github.com/thorntiller/thorntiller/internal/intake"
-	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // Buffer sizes of the connections to servers. Each server has its own connection, so small buffers limit the
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return statusline.Guard(&leaseConnection{connection}), nil
+	return answerhead.Guard(&leaseConnection{connection}), nil
 }
 
 // leaseConnection is a connection for lease messages. A message is not written while bytes of an earlier answer are
--- a/internal/controller/platform.go
+++ b/internal/controller/platform.go
@@ -8,11 +8,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/config"
 	"github.com/thorntiller/thorntiller/internal/platformapi"
 	"github.com/thorntiller/thorntiller/internal/state"
-	"github.com/thorntiller/thorntiller/internal/statusline"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -35,7 +35,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return statusline.Guard(connection), nil
+			return answerhead.Guard(connection), nil
 		},
 	}}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 	"github.com/thorntiller/thorntiller/internal/fault"
-	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // Attempt is one attempt of a request. Request must carry the attempt's identifier in
@@ -152,7 +152,7 @@
 func (c *Client) readAnswer(reader *bufio.Reader, connection *countingConnection, attempt *Attempt) (id string, err error) {
 	response := attempt.Response
 	for {
-		if err := statusline.ReadFinalHeader(reader, &response.Header); err != nil {
+		if err := answerhead.ReadFinal(reader, &response.Header); err != nil {
 			return "", err
 		}
 		id = string(response.Header.Peek(c.settings.IDHeader))
--- a/internal/forward/control.go
+++ b/internal/forward/control.go
@@ -7,8 +7,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 	"github.com/thorntiller/thorntiller/internal/backendapi"
-	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // Cancel asks the back end to cancel an attempt. It returns true only if the back end
@@ -96,7 +96,7 @@
 	}
 	reader := c.control.AcquireReader(connection)
 	defer c.control.ReleaseReader(reader)
-	if err := statusline.ReadFinalHeader(reader, &response.Header); err != nil {
+	if err := answerhead.ReadFinal(reader, &response.Header); err != nil {
 		return false, err
 	}
 	if !isBodiless(response.StatusCode()) {
--- a/internal/intentapi/call.go
+++ b/internal/intentapi/call.go
@@ -11,8 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 	"github.com/thorntiller/thorntiller/internal/fault"
-	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 // dialTimeout is the timeout for establishing one connection.
@@ -212,7 +212,7 @@
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return statusline.Guard(connection), nil
+	return answerhead.Guard(connection), nil
 }
 
 func (c ClientConfig) connect(address string) (net.Conn, error) {
--- a/internal/lab/caller/send.go
+++ b/internal/lab/caller/send.go
@@ -11,12 +11,12 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 	"github.com/thorntiller/thorntiller/internal/callerapi"
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
-	"github.com/thorntiller/thorntiller/internal/statusline"
 )
 
 const (
@@ -46,7 +46,7 @@
 			if err != nil {
 				return nil, errors.Join(errDial, err)
 			}
-			return statusline.Guard(connection), nil
+			return answerhead.Guard(connection), nil
 		},
 	}
 }
