An answer whose head is malformed is no answer

What callers saw: a server in trouble sent an answer with a blank in the name of a field, and callers got it: with that line passed on, or, where the name was that of the length or of the chunks, with a body that was not the server's. An order that may run once at most ran at three servers, and its caller was told by 503 that it had not run, where the line was "Thorntiller-Not-Executed : 1".

Cause: the library's parser refuses the bytes that no name may have, but for the blank. A blank inside makes the field an unknown one; one before the colon is trimmed. Only the status line was checked before the head was parsed.

Change: a scanner checks each byte of a head as it arrives, before anything of it is parsed: status line, names, values, line ends. Attempts, answers through relays, interim and surplus answers, health checks and cancels read heads through it. A field over two lines and a line that ends in LF alone are malformed, since two readers may frame such a head differently; a head of lines with LF alone held callers until their deadline before.

Why it works: nothing is believed of a head that the grammar does not allow, whatever field it is in. The connection is closed and the outcome is open, so that 502 is said, and no second server gets an order.

The status is read by the same scanner; what counts as valid is as before, and TestStatusLines takes the rows of TestCheck as they were.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -2,15 +2,15 @@
 
 import (
 	"bufio"
-	"bytes"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 )
 
 const (
-	// statusDigits is the number of digits of a status, the first of which is not zero.
-	statusDigits = 3
+	// maxStatusDigits is the number of digits of a status, and minStatus the lowest one.
+	maxStatusDigits = 3
+	minStatus       = 100
 	// maxInterimAnswers bounds the interim answers before a final one.
 	maxInterimAnswers = 5
 )
@@ -24,60 +24,42 @@
 	errTooManyInterim = eris.New("too many interim answers")
 )
 
-// check returns ErrInvalidStatus unless a status line has a status from 100 to 999.
-func check(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	code, _, _ := bytes.Cut(bytes.TrimSpace(rest), []byte(" "))
-	if len(code) != statusDigits || code[0] == '0' {
-		return eris.Wrapf(ErrInvalidStatus, "status %.16q", code)
-	}
-	for _, digit := range code {
-		if digit < '0' || digit > '9' {
-			return eris.Wrapf(ErrInvalidStatus, "status %.16q", code)
-		}
-	}
-	return nil
+// isInterim reports whether another answer follows to the same request.
+func isInterim(status int) bool {
+	return status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
 }
 
-// ReadFinal reads the header of an answer, behind interim ones.
+// ReadFinal reads the head of an answer, behind interim ones. Nothing of a head is parsed before it is complete and
+// checked. Errors of the reader are returned as they are, but for wrapping.
 func ReadFinal(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	for range maxInterimAnswers {
-		if line := peekLine(reader); line != nil {
-			if err := check(line); err != nil {
-				return err
-			}
+		var head scanner
+		if err := head.await(reader); err != nil {
+			return err
 		}
 		if err := header.Read(reader); err != nil {
 			return err
 		}
-		switch status := header.StatusCode(); {
-		case status == fasthttp.StatusSwitchingProtocols:
+		switch {
+		case head.status == fasthttp.StatusSwitchingProtocols:
 			return ErrSwitched
-		case status >= fasthttp.StatusOK:
+		case !isInterim(head.status):
 			return nil
 		}
 	}
 	return errTooManyInterim
 }
 
-// peekLine returns the first line that is not empty; nil if it does not come whole, which the parser will report.
-func peekLine(reader *bufio.Reader) []byte {
-	for {
+// await checks a head as it arrives, and leaves it in the reader's buffer.
+func (s *scanner) await(reader *bufio.Reader) error {
+	for checked := 0; ; {
 		buffered, _ := reader.Peek(reader.Buffered()) // these bytes are there
-		if line := firstLine(buffered); line != nil {
-			return line
+		if _, err := s.scan(buffered[checked:]); err != nil || s.state == complete {
+			return err
 		}
-		if _, err := reader.Peek(len(buffered) + 1); err != nil {
-			return nil
+		checked = len(buffered)
+		if _, err := reader.Peek(checked + 1); err != nil {
+			return eris.Wrapf(err, "the head of the answer ends after %d bytes", checked)
 		}
 	}
 }
-
-// firstLine returns the first line that is not empty; nil if that is not whole.
-func firstLine(content []byte) []byte {
-	line, _, whole := bytes.Cut(bytes.TrimLeft(content, "\r\n"), []byte("\n"))
-	if !whole {
-		return nil
-	}
-	return line
-}
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -19,10 +19,11 @@
 	"HTTP/1.1 ": false, "HTTP/1.1": false,
 }
 
-// TestCheck checks which status lines are valid.
-func TestCheck(t *testing.T) {
+// TestStatusLines checks which status lines are valid.
+func TestStatusLines(t *testing.T) {
 	for line, valid := range answers {
-		if err := check([]byte(line + "\r")); (err == nil) != valid || err != nil && !errors.Is(err, ErrInvalidStatus) {
+		var head scanner
+		if _, err := head.scan([]byte(line + "\r\n")); (err == nil) != valid || err != nil && !errors.Is(err, ErrInvalidStatus) {
 			t.Errorf("%q: %v, want valid %t", line, err, valid)
 		}
 	}
@@ -91,3 +92,46 @@
 		}
 	}
 }
+
+// heads are the lines of heads behind the status line, and whether they are well-formed.
+var heads = map[string]bool{
+	"": true, "A: b\r\n": true, "a!#$%&'*+-.^_`|~9Z:\r\n": true, "A:\tb \t\r\n": true, "A: b:c \x80\xff\"(),/:;<=>?@[]{}\r\n": true,
+	"A b: c\r\n": false, "A : b\r\n": false, "A\t: b\r\n": false, " A: b\r\n": false, "A: b\r\n c\r\n": false, "A: b\r\n\tc: d\r\n": false,
+	"A\x00: b\r\n": false, "A\x01: b\r\n": false, "A\x7f: b\r\n": false, "A\x80: b\r\n": false, "A\"b: c\r\n": false, "A/b: c\r\n": false,
+	": b\r\n": false, "A\r\n": false, "A\n": false, "A: b\n": false, "A: b\rc\r\n": false, "A: b\r\r\n": false, "\n": false, "\r\r\n": false,
+	"A: 1234567\x00\r\n": false, "A: 123456789\x1f12345678\r\n": false, "A: 12345678\x7f12345678\r\n": false, "A: \x80\x80\x80\x80\x80\x80\x80\x01\r\n": false,
+}
+
+// TestHeads checks which heads are well-formed, whatever parts they arrive in.
+func TestHeads(t *testing.T) {
+	for lines, valid := range heads {
+		content := "HTTP/1.1 200 OK\r\n" + lines + "\r\n"
+		for _, size := range []int{1, 2, 7, 1000} {
+			var head scanner
+			var err error
+			for rest := content; rest != "" && err == nil; rest = rest[min(size, len(rest)):] {
+				_, err = head.scan([]byte(rest[:min(size, len(rest))]))
+			}
+			if valid && (err != nil || head.state != complete || head.status != 200) || !valid && !errors.Is(err, ErrMalformed) {
+				t.Errorf("%q in parts of %d bytes: %v, status %d, want valid %t", content, size, err, head.status, valid)
+			}
+		}
+	}
+}
+
+// TestHeadEndsBeforeTheBody guards against bytes of a body that are checked as a part of the head.
+func TestHeadEndsBeforeTheBody(t *testing.T) {
+	head, body := "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "\x00 \n\r\n\r\n"
+	var scanned scanner
+	if used, err := scanned.scan([]byte(head + body)); used != len(head) || err != nil || scanned.state != complete {
+		t.Errorf("%d bytes, %v, want %d", used, err, len(head))
+	}
+	reader := bufio.NewReader(strings.NewReader(head + body))
+	var header fasthttp.ResponseHeader
+	if err := ReadFinal(reader, &header); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(reader); string(rest) != body || err != nil {
+		t.Errorf("%q, %v, want %q", rest, err, body)
+	}
+}
--- a/internal/answerhead/guard.go
+++ b/internal/answerhead/guard.go
@@ -1,9 +1,10 @@
 package answerhead
 
-import "net"
+import (
+	"net"
 
-// maxLine bounds the bytes that are kept of a status line.
-const maxLine = 64
+	"github.com/rotisserie/eris"
+)
 
 // Guard returns a connection of a client that reads one answer after each request: reading fails at an answer without a
 // valid status. It is for clients of the library, which parse answers themselves.
@@ -11,34 +12,27 @@
 
 type guarded struct {
 	net.Conn
-	// line has the first bytes of the answer while its status is not known.
-	line  []byte
-	begun bool
+	head scanner
+	// due is true until the status line of the answer to the last request has been read.
+	due bool
 }
 
 // Write implements net.Conn.
 func (g *guarded) Write(data []byte) (int, error) {
-	g.line, g.begun = g.line[:0], true
+	g.head, g.due = scanner{}, true
 	return g.Conn.Write(data)
 }
 
 // Read implements net.Conn.
 func (g *guarded) Read(target []byte) (int, error) {
 	count, err := g.Conn.Read(target)
-	if !g.begun || count == 0 {
+	if !g.due {
 		return count, err
 	}
-	g.line = append(g.line, target[:min(count, maxLine-len(g.line))]...)
-	line := firstLine(g.line)
-	if line == nil && len(g.line) < maxLine {
-		return count, err
-	}
-	if line == nil {
-		line = g.line
-	}
-	g.begun = false
-	if invalid := check(line); invalid != nil {
+	_, invalid := g.head.scan(target[:count])
+	if eris.Is(invalid, ErrInvalidStatus) {
 		return 0, invalid
 	}
+	g.due = invalid == nil && g.head.state < lineEnd
 	return count, err
 }
--- /dev/null
+++ b/internal/forward/malformedhead_test.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/backendapi"
+	"github.com/thorntiller/thorntiller/internal/fault"
+)
+
+// malformedLines are lines that make a head malformed, between its status line and its other fields.
+var malformedLines = map[string]string{
+	"blank in a name":           "X Odd: v\r\n",
+	"blank before the colon":    "X-Odd : v\r\n",
+	"tab in a name":             "X\tOdd: v\r\n",
+	"control byte in a name":    "X\x01Odd: v\r\n",
+	"DEL in a name":             "X\x7fOdd: v\r\n",
+	"byte above 127 in a name":  "X\x80Odd: v\r\n",
+	"separator in a name":       "X(Odd): v\r\n",
+	"field over two lines":      "X-Odd: v\r\n w\r\n",
+	"no name":                   ": v\r\n",
+	"no colon":                  "X-Odd\r\n",
+	"control byte in a value":   "X-Odd: v\x00w\r\n",
+	"CR in a value":             "X-Odd: v\rw\r\n",
+	"LF alone":                  "X-Odd: v\n",
+	"refusal with a blank":      "Thorntiller-Refusal : shedding\r\n",
+	"further length, blank":     "Content Length: 0\r\n",
+	"chunks, blank in the name": "Transfer Encoding: chunked\r\n",
+}
+
+// checkNoAnswer checks that an attempt fails at once with an open outcome, and that its connection is not used again.
+func checkNoAnswer(t *testing.T, backEnd *scriptedBackEnd) {
+	t.Helper()
+	began := time.Now()
+	response, failure := send(newTestClient(t, backEnd.address), fasthttp.MethodPost, "/", "r", testTimeout)
+	if failure == nil || fault.AnswerFor(failure.Kind).Outcome != fault.Unknown {
+		t.Errorf("answered %d with failure %v, want an open outcome", response.StatusCode(), failure)
+		return
+	}
+	if took := time.Since(began); took > testTimeout/2 {
+		t.Errorf("the failure took %s", took)
+	}
+	if arrived := backEnd.arrivals("/"); arrived != 1 {
+		t.Errorf("%d requests arrived, want 1", arrived)
+	}
+	<-backEnd.closed
+}
+
+// TestMalformedHeadIsNoAnswer guards against an answer whose head violates the grammar and that is passed on, framed by what
+// the parser makes of it, or taken as the back end's refusal.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for name, line := range malformedLines {
+		final := func(id, lines string) string {
+			return "HTTP/1.1 200 OK\r\n" + lines + backendapi.HeaderRequestID + ": " + id + "\r\nContent-Length: 4\r\n\r\nbody"
+		}
+		for place, answer := range map[string]func(id string) string{
+			"first":                    func(id string) string { return final(id, line) },
+			"later":                    func(id string) string { return final(id, "X-Even: v\r\n"+line) },
+			"interim":                  func(id string) string { return "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + final(id, "") },
+			"behind an interim answer": func(id string) string { return "HTTP/1.1 100 Continue\r\n\r\n" + final(id, line) },
+		} {
+			t.Run(name+", "+place, func(t *testing.T) {
+				t.Parallel()
+				checkNoAnswer(t, serve(t, func(_, id string) ([]byte, bool) { return []byte(answer(id)), true }))
+			})
+		}
+	}
+}
+
+// TestMalformedStatusLineIsNoAnswer guards against an answer that is passed on with control bytes in its reason, and against
+// a caller that waits for the end of a head whose lines end in LF alone.
+func TestMalformedStatusLineIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 200 O\x01K\r\n", "HTTP/1.1 200 O\x7fK\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 OK\n", "\nHTTP/1.1 200 OK\r\n", "\x00HTTP/1.1 200 OK\r\n"} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Parallel()
+			checkNoAnswer(t, serve(t, func(_, id string) ([]byte, bool) {
+				return fmt.Appendf(nil, "%s%s: %s\r\nContent-Length: 4\r\n\r\nbody", line, backendapi.HeaderRequestID, id), true
+			}))
+		})
+	}
+}
+
+// TestSurplusAnswerWithMalformedHeadIsNotSkipped guards against a surplus answer that is skipped by what the parser makes of
+// a malformed head, so that the rest of it is taken for the answer that is due.
+func TestSurplusAnswerWithMalformedHeadIsNotSkipped(t *testing.T) {
+	due := func(id string) string { return string(framedAnswer(id, 4, "fine")) }
+	for name, line := range malformedLines {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backEnd := serve(t, func(path, id string) ([]byte, bool) {
+				if path == "/first" {
+					return []byte(due(id)), true
+				}
+				return []byte(strings.Replace(due("first"), "\r\n", "\r\n"+line, 1) + due(id)), true
+			})
+			client := newTestClient(t, backEnd.address)
+			if _, failure := send(client, fasthttp.MethodPost, "/first", "first", testTimeout); failure != nil {
+				t.Fatal(failure)
+			}
+			if _, failure := send(client, fasthttp.MethodPost, "/", "r", testTimeout); failure == nil || fault.AnswerFor(failure.Kind).Outcome != fault.Unknown {
+				t.Fatalf("failure %v, want an open outcome", failure)
+			}
+			<-backEnd.closed
+		})
+	}
+}
+
+// TestControlCallsTakeNoMalformedHead guards against a back end that counts as healthy, and against a proof that a request
+// never started, by an answer with a malformed head.
+func TestControlCallsTakeNoMalformedHead(t *testing.T) {
+	for name, line := range malformedLines {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backEnd := serve(t, func(path, _ string) ([]byte, bool) {
+				content := ""
+				if path == backendapi.PathCancel {
+					content = fmt.Sprintf(`{"request_id":"r","outcome":%q}`, backendapi.CancelNeverStarted)
+				}
+				return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", line, len(content), content), true
+			})
+			client := newTestClient(t, backEnd.address)
+			proved, _ := client.Cancel("r", testTimeout)
+			healthy, _ := client.Healthy(testTimeout)
+			if proved || healthy {
+				t.Errorf("never started %t, healthy %t, want neither", proved, healthy)
+			}
+		})
+	}
+}
