Leases, machine lists and intents take no answer with a malformed head

What callers saw: nothing yet; found on looking for other readers of answers. A server whose answer to a lease message had a blank in the name of a field counted as holding the lease; such a list of machines was read, and such an answer acknowledged an intent. "Content Length: 2" held the call until its time-out.

Cause: these clients leave parsing to the library, and the guard of their connections looked at the first line alone.

--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -53,6 +53,42 @@
 	}
 }
 
+// askGuarded asks a server twice by a guarded client of the library, and checks that the answer, which arrives some bytes at a
+// time, is taken only if it is valid.
+func askGuarded(t *testing.T, answer string, size int, valid bool) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerInParts(connection, answer, size)
+		}
+	}()
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, Dial: func(address string) (net.Conn, error) {
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return Guard(connection), nil
+	}}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		_, body, err := client.GetTimeout(nil, "http://"+listener.Addr().String(), askTimeout)
+		if (err == nil) != valid || valid && string(body) != "ok" || errors.Is(err, fasthttp.ErrTimeout) {
+			t.Errorf("%q in parts of %d bytes: %q, %v, want valid %t", answer, size, body, err, valid)
+		}
+	}
+}
+
+const askTimeout = 10 * time.Second
+
 // TestGuardedClientTakesNoStatusThatIsNone guards against a client of the library that takes an answer with status 000 for
 // success, however its bytes arrive, and against a guard that breaks valid answers on a connection that is used again.
 func TestGuardedClientTakesNoStatusThatIsNone(t *testing.T) {
@@ -61,38 +97,25 @@
 			continue // an interim answer, and one without a body
 		}
 		for _, size := range []int{1, 7, 1000} {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			go func() {
-				for {
-					connection, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go answerInParts(connection, line+"\r\nContent-Length: 2\r\n\r\nok", size)
-				}
-			}()
-			client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, Dial: func(address string) (net.Conn, error) {
-				connection, err := net.Dial("tcp", address)
-				if err != nil {
-					return nil, err
-				}
-				return Guard(connection), nil
-			}}
-			for range 2 {
-				_, body, err := client.GetTimeout(nil, "http://"+listener.Addr().String(), 10*time.Second)
-				if (err == nil) != valid || valid && string(body) != "ok" {
-					t.Errorf("%q in parts of %d bytes: %q, %v, want valid %t", line, size, body, err, valid)
-				}
-			}
-			client.CloseIdleConnections()
-			_ = listener.Close()
+			askGuarded(t, line+"\r\nContent-Length: 2\r\n\r\nok", size, valid)
 		}
 	}
 }
 
+// TestGuardedClientTakesNoMalformedHead guards against a client of the library that takes an answer with a malformed head for
+// success, or waits for a body whose length it has lost.
+func TestGuardedClientTakesNoMalformedHead(t *testing.T) {
+	for lines, valid := range heads {
+		for _, size := range []int{1, 7, 1000} {
+			askGuarded(t, "HTTP/1.1 200 OK\r\n"+lines+"Content-Length: 2\r\n\r\nok", size, valid)
+			askGuarded(t, "HTTP/1.1 103 Early Hints\r\n"+lines+"\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", size, valid)
+		}
+	}
+	for _, line := range []string{"Content Length: 2", "Content-Length : 2", "Transfer Encoding: chunked"} {
+		askGuarded(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nok", 1000, false)
+	}
+}
+
 // heads are the lines of heads behind the status line, and whether they are well-formed.
 var heads = map[string]bool{
 	"": true, "A: b\r\n": true, "a!#$%&'*+-.^_`|~9Z:\r\n": true, "A:\tb \t\r\n": true, "A: b:c \x80\xff\"(),/:;<=>?@[]{}\r\n": true,
--- a/internal/intentapi/client_test.go
+++ b/internal/intentapi/client_test.go
@@ -250,35 +250,49 @@
 	}
 }
 
-// TestStatusThatIsNoneAcknowledgesNothing guards against a call that counts as done by an answer with status 000.
-func TestStatusThatIsNoneAcknowledgesNothing(t *testing.T) {
-	for code, valid := range map[string]bool{"000": false, "200": true} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		var group conc.WaitGroup
-		group.Go(func() {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = connection.Close() }()
-			var request fasthttp.Request
-			if request.Read(bufio.NewReader(connection)) == nil {
-				_, _ = io.WriteString(connection, "HTTP/1.1 "+code+" Odd\r\nContent-Length: 2\r\n\r\n{}") // the client may have closed
-			}
-		})
-		client, err := NewClient(ClientConfig{Endpoints: []string{listener.Addr().String()}, CallTimeout: 10 * time.Second})
+// checkAcknowledged checks whether a call is acknowledged by an answer with a head, to which the length is added. Its outcome
+// must be open if not.
+func checkAcknowledged(t *testing.T, head string, want bool) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		connection, err := listener.Accept()
 		if err != nil {
-			t.Fatal(err)
+			return
 		}
-		_, err = client.send(t.Context(), listener.Addr().String(), call{method: fasthttp.MethodPost, path: "/", body: []byte("{}")})
-		if (err == nil) != valid || !valid && !isUnknown(err) {
-			t.Errorf("status %s: %v, want done %t, else an open outcome", code, err, valid)
+		defer func() { _ = connection.Close() }()
+		var request fasthttp.Request
+		if request.Read(bufio.NewReader(connection)) == nil {
+			_, _ = io.WriteString(connection, head+"Content-Length: 2\r\n\r\n{}") // the client may have closed
 		}
-		client.Close()
-		_ = listener.Close()
-		group.Wait()
+	})
+	client, err := NewClient(ClientConfig{Endpoints: []string{listener.Addr().String()}, CallTimeout: 10 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = client.send(t.Context(), listener.Addr().String(), call{method: fasthttp.MethodPost, path: "/", body: []byte("{}")})
+	if (err == nil) != want || !want && !isUnknown(err) {
+		t.Errorf("%q: %v, want acknowledged %t, else an open outcome", head, err, want)
+	}
+	client.Close()
+	_ = listener.Close()
+	group.Wait()
+}
+
+// TestStatusThatIsNoneAcknowledgesNothing guards against a call that counts as done by an answer with status 000.
+func TestStatusThatIsNoneAcknowledgesNothing(t *testing.T) {
+	for code, valid := range map[string]bool{"000": false, "200": true} {
+		checkAcknowledged(t, "HTTP/1.1 "+code+" Odd\r\n", valid)
+	}
+}
+
+// TestMalformedHeadAcknowledgesNothing guards against a call that counts as done by an answer whose head violates the grammar.
+func TestMalformedHeadAcknowledgesNothing(t *testing.T) {
+	for line, valid := range map[string]bool{"X Odd: v": false, "X-Odd : v": false, "X\x01Odd: v": false, "X-Odd: v\r\n w": false, "X-Odd: v": true} {
+		checkAcknowledged(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n", valid)
 	}
 }
--- a/internal/lab/caller/caller_test.go
+++ b/internal/lab/caller/caller_test.go
@@ -86,6 +86,19 @@
 	ctx.Hijack(func(net.Conn) {})
 }
 
+// completeWith answers as a back end does, with a further line in the head, and closes the connection.
+func completeWith(line string) fasthttp.RequestHandler {
+	whole := complete(unchanged)
+	return func(ctx *fasthttp.RequestCtx) {
+		whole(ctx)
+		answer := strings.Replace(ctx.Response.String(), "\r\n", "\r\n"+line+"\r\nConnection: close\r\n", 1)
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(connection net.Conn) {
+			_, _ = io.WriteString(connection, answer) // the caller may have closed
+		})
+	}
+}
+
 func refuse(kind fault.Kind, retryAfterMs string) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		ctx.SetStatusCode(fault.AnswerFor(kind).Status)
@@ -252,6 +265,17 @@
 	}
 }
 
+// TestMalformedHeadIsNoAnswer guards against callers that count an answer of a router as a success though its head violates
+// the grammar.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for line, valid := range map[string]bool{"X Odd: v": false, "X-Odd : v": false, "X-Odd: v": true} {
+		_, report := run(t, startRouters(t, completeWith(line)), func(config *Config) { config.Attempts = 1 })
+		if valid && report.Answered != 5 || !valid && (report.Answered != 0 || report.Unknown != 5) {
+			t.Errorf("%q: report %+v, want valid %t", line, report, valid)
+		}
+	}
+}
+
 func TestSameSeedSameRequests(t *testing.T) {
 	load := Load{Service: "s", Keyed: true, Rate: 10, Keys: 50, Skew: 1.2, Reads: 0.5}
 	first, second := newStream(load, 7, 0), newStream(load, 7, 0)
