An answer whose trailers are malformed is no answer

What callers saw: an answer in chunks with the trailer "X Odd: v" reached them as 200 with that line in its head, since a gateway sends the trailers that it has read as fields of the head. With "X-Odd : v", or a trailer over two lines, likewise.

Cause: trailers are read by the same parser as heads, which lets blanks pass, and were not checked before. Control calls did not read trailers at all, and took the body in front of them as a proof.

Change: chunks are read by httputil.NewChunkedReader, which stops in front of the trailers, and these by ReadTrailers, which checks them by the scanner of heads before the parser gets them. Surplus answers and control calls do the same.

Why it works: the parser's stream read chunks and trailers in one call, so that nothing could be checked in between; now trailers are complete and checked before the answer is.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -50,7 +50,17 @@
 	return errTooManyInterim
 }
 
-// await checks a head as it arrives, and leaves it in the reader's buffer.
+// ReadTrailers reads the trailers behind the last chunk of a body. Nothing of them is parsed before they are complete and
+// checked.
+func ReadTrailers(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	trailers := newTrailerScanner()
+	if err := trailers.await(reader); err != nil {
+		return err
+	}
+	return header.ReadTrailer(reader)
+}
+
+// await checks a head or trailers as they arrive, and leaves them in the reader's buffer.
 func (s *scanner) await(reader *bufio.Reader) error {
 	for checked := 0; ; {
 		buffered, _ := reader.Peek(reader.Buffered()) // these bytes are there
@@ -59,7 +69,7 @@
 		}
 		checked = len(buffered)
 		if _, err := reader.Peek(checked + 1); err != nil {
-			return eris.Wrapf(err, "the head of the answer ends after %d bytes", checked)
+			return eris.Wrapf(err, "the head or the trailers of the answer end after %d bytes", checked)
 		}
 	}
 }
--- a/internal/answerhead/scanner.go
+++ b/internal/answerhead/scanner.go
@@ -6,14 +6,17 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrMalformed rejects an answer whose head violates the grammar of HTTP/1.1 (RFC 9112). Whether its request ran is open.
-var ErrMalformed = eris.New("the head of the answer is malformed")
+// ErrMalformed rejects an answer whose head or trailers violate the grammar of HTTP/1.1 (RFC 9112). Whether its request ran
+// is open.
+var ErrMalformed = eris.New("the answer is malformed")
 
-// scanner checks a head whose bytes arrive in any number of parts. Each byte is looked at once. It is stricter than
-// RFC 9112 requires of a recipient: lines end with CR LF, and a field is one line, so that nobody who reads the head
-// further on can frame the answer differently.
+// scanner checks a head, or the trailers behind a body, whose bytes arrive in any number of parts. Each byte is looked at
+// once. It is stricter than RFC 9112 requires of a recipient: lines end with CR LF, and a field is one line, so that nobody
+// who reads the head further on can frame the answer differently. The zero value is for a head.
 type scanner struct {
 	state state
+	// inTrailers is true if trailers are checked.
+	inTrailers bool
 	// line is the number of the current line, from 0.
 	line int
 	// status is the code in the status line, and statusDigits the number of its digits so far.
@@ -21,7 +24,10 @@
 	statusDigits int
 }
 
-// state is what the next byte of a head belongs to.
+// newTrailerScanner returns a scanner of trailers.
+func newTrailerScanner() scanner { return scanner{state: lineStart, inTrailers: true} }
+
+// state is what the next byte of a head or of trailers belongs to.
 type state uint8
 
 const (
@@ -35,7 +41,7 @@
 	lineStart
 	inName
 	inValue
-	headEnd // the LF of the empty line behind the fields
+	sectionEnd // the LF of the empty line behind the fields
 	complete
 )
 
@@ -61,7 +67,8 @@
 	return set
 }
 
-// scan checks the next bytes. It returns how many of them belong to the head; it is complete if these are not all.
+// scan checks the next bytes. It returns how many of them belong to the head or the trailers, which are complete if these are
+// not all.
 func (s *scanner) scan(data []byte) (used int, err error) {
 	for used < len(data) && s.state != complete {
 		used += s.skip(data[used:])
@@ -132,7 +139,7 @@
 			return nil
 		}
 		if each == '\r' {
-			s.state = headEnd
+			s.state = sectionEnd
 			return nil
 		}
 	case inName:
@@ -156,7 +163,7 @@
 	switch {
 	case s.state == beforeStatusLine && each == '\r':
 		s.state = emptyLineEnd
-	case s.state == emptyLineEnd || s.state == lineEnd || s.state == headEnd || each != '\r' && !isText[each]:
+	case s.state == emptyLineEnd || s.state == lineEnd || s.state == sectionEnd || each != '\r' && !isText[each]:
 		return s.malformed(each)
 	case s.state == beforeStatusLine:
 		s.state = inVersion
@@ -200,7 +207,7 @@
 		s.state = beforeStatusLine
 	case lineEnd:
 		s.state = lineStart
-	case headEnd:
+	case sectionEnd:
 		s.state = complete
 	default:
 		return s.malformed('\n')
@@ -211,12 +218,16 @@
 
 // malformed returns the error for a byte that may not come next. It tells the place, and none of the bytes.
 func (s *scanner) malformed(each byte) error {
-	return eris.Wrapf(ErrMalformed, "line %d: %s", s.line+1, s.violation(each))
+	section := "head"
+	if s.inTrailers {
+		section = "trailers"
+	}
+	return eris.Wrapf(ErrMalformed, "%s, line %d: %s", section, s.line+1, s.violation(each))
 }
 
 func (s *scanner) violation(each byte) string {
 	switch {
-	case each != '\n' && (s.state == emptyLineEnd || s.state == lineEnd || s.state == headEnd):
+	case each != '\n' && (s.state == emptyLineEnd || s.state == lineEnd || s.state == sectionEnd):
 		return "CR without LF"
 	case s.state == lineStart && (each == ' ' || each == '\t'):
 		return "a blank before the name of a field"
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -3,14 +3,20 @@
 import (
 	"bufio"
 	"io"
+	"net/http/httputil"
 	"slices"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 )
 
-// lengthIdentity is the Content-Length that fasthttp reports for a body that ends with its connection.
-const lengthIdentity = -2
+// Content-Lengths that fasthttp reports for a body that comes in chunks, and for one that ends with its connection.
+const (
+	lengthChunked  = -1
+	lengthIdentity = -2
+)
 
 const (
 	// firstSegmentBytes is the size of the first segment of a body of unknown length. Each further one is as large as
@@ -31,6 +37,9 @@
 	if length >= 0 && length <= freeAnswerBytes {
 		return response.ReadBody(reader, limit)
 	}
+	if length == lengthChunked {
+		return readChunks(reader, response, connection, limit)
+	}
 	response.StreamBody = true
 	err := response.ReadBody(reader, limit) // reads nothing yet
 	response.StreamBody = false
@@ -51,6 +60,19 @@
 	return nil
 }
 
+// readChunks reads a body that comes in chunks, and its trailers.
+func readChunks(reader *bufio.Reader, response *fasthttp.Response, connection *countingConnection, limit int) error {
+	body, err := connection.readStream(httputil.NewChunkedReader(reader), lengthChunked, limit)
+	if err != nil {
+		return err
+	}
+	if err := answerhead.ReadTrailers(reader, &response.Header); err != nil {
+		return err
+	}
+	response.SwapBody(body) // routers take it by SwapBody, which ignores a raw body
+	return nil
+}
+
 // readStream reads a whole body. Length is negative if it is not known.
 func (c *countingConnection) readStream(stream io.Reader, length, limit int) (body []byte, err error) {
 	if length >= 0 {
--- a/internal/forward/control.go
+++ b/internal/forward/control.go
@@ -103,6 +103,11 @@
 		if err := response.ReadBody(reader, c.control.MaxResponseBodySize); err != nil {
 			return false, err
 		}
+		if response.Header.ContentLength() == lengthChunked {
+			if err := answerhead.ReadTrailers(reader, &response.Header); err != nil {
+				return false, err
+			}
+		}
 	}
 	return !response.ConnectionClose() && reader.Buffered() == 0, nil
 }
--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -84,27 +86,33 @@
 	}
 }
 
+// checkNotSkipped checks that a surplus answer to a request that is named "first" is not skipped.
+func checkNotSkipped(t *testing.T, surplus string) {
+	t.Helper()
+	due := func(id string) string { return string(framedAnswer(id, 4, "fine")) }
+	backEnd := serve(t, func(path, id string) ([]byte, bool) {
+		if path == "/first" {
+			return []byte(due(id)), true
+		}
+		return []byte(surplus + due(id)), true
+	})
+	client := newTestClient(t, backEnd.address)
+	if _, failure := send(client, fasthttp.MethodPost, "/first", "first", testTimeout); failure != nil {
+		t.Fatal(failure)
+	}
+	if _, failure := send(client, fasthttp.MethodPost, "/", "r", testTimeout); failure == nil || fault.AnswerFor(failure.Kind).Outcome != fault.Unknown {
+		t.Fatalf("failure %v, want an open outcome", failure)
+	}
+	<-backEnd.closed
+}
+
 // TestSurplusAnswerWithMalformedHeadIsNotSkipped guards against a surplus answer that is skipped by what the parser makes of
 // a malformed head, so that the rest of it is taken for the answer that is due.
 func TestSurplusAnswerWithMalformedHeadIsNotSkipped(t *testing.T) {
-	due := func(id string) string { return string(framedAnswer(id, 4, "fine")) }
 	for name, line := range malformedLines {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			backEnd := serve(t, func(path, id string) ([]byte, bool) {
-				if path == "/first" {
-					return []byte(due(id)), true
-				}
-				return []byte(strings.Replace(due("first"), "\r\n", "\r\n"+line, 1) + due(id)), true
-			})
-			client := newTestClient(t, backEnd.address)
-			if _, failure := send(client, fasthttp.MethodPost, "/first", "first", testTimeout); failure != nil {
-				t.Fatal(failure)
-			}
-			if _, failure := send(client, fasthttp.MethodPost, "/", "r", testTimeout); failure == nil || fault.AnswerFor(failure.Kind).Outcome != fault.Unknown {
-				t.Fatalf("failure %v, want an open outcome", failure)
-			}
-			<-backEnd.closed
+			checkNotSkipped(t, strings.Replace(string(framedAnswer("first", 4, "fine")), "\r\n", "\r\n"+line, 1))
 		})
 	}
 }
@@ -131,3 +139,37 @@
 		})
 	}
 }
+
+// chunkedAnswer returns an answer whose body comes in a chunk, with lines of trailers.
+func chunkedAnswer(id, body, trailers string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n", backendapi.HeaderRequestID, id, len(body), body, trailers)
+}
+
+// TestMalformedTrailersAreNoAnswer guards against an answer that is passed on, or skipped as a surplus one, though its trailers
+// violate the grammar.
+func TestMalformedTrailersAreNoAnswer(t *testing.T) {
+	for name, line := range malformedLines {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkNoAnswer(t, serve(t, func(_, id string) ([]byte, bool) { return chunkedAnswer(id, "body", line), true }))
+			checkNotSkipped(t, string(chunkedAnswer("first", "body", line)))
+		})
+	}
+}
+
+// TestControlCallsTakeNoMalformedTrailers guards against a proof that a request never started by an answer whose trailers
+// violate the grammar.
+func TestControlCallsTakeNoMalformedTrailers(t *testing.T) {
+	for _, line := range append(slices.Collect(maps.Values(malformedLines)), "", "X-Odd: v\r\n") {
+		backEnd := serve(t, func(path, _ string) ([]byte, bool) {
+			return chunkedAnswer("", fmt.Sprintf(`{"request_id":"r","outcome":%q}`, backendapi.CancelNeverStarted), line), true
+		})
+		client := newTestClient(t, backEnd.address)
+		valid := line == "" || line == "X-Odd: v\r\n"
+		for range 2 {
+			if proved, _ := client.Cancel("r", testTimeout); proved != valid {
+				t.Errorf("%q: never started %t, want %t", line, proved, valid)
+			}
+		}
+	}
+}
--- a/internal/forward/surplus.go
+++ b/internal/forward/surplus.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"io"
+	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/thorntiller/thorntiller/internal/answerhead"
 )
 
 // maxSurplusAnswers is the number of surplus answers that one attempt skips. A back end that sends more of them is at
@@ -46,17 +49,12 @@
 	case length == lengthIdentity:
 		return 0, errUnframed
 	}
-	response.StreamBody = true
-	defer func() { response.StreamBody = false }()
-	if err := response.ReadBody(reader, limit); err != nil { // reads nothing yet
-		return 0, err
-	}
-	count, err := io.Copy(io.Discard, io.LimitReader(response.BodyStream(), int64(limit)+1))
-	if closed := response.CloseBodyStream(); err == nil {
-		err = closed
-	}
+	count, err := io.Copy(io.Discard, io.LimitReader(httputil.NewChunkedReader(reader), int64(limit)+1))
 	if err == nil && count > int64(limit) {
 		err = errAnswerTooLarge
 	}
+	if err == nil {
+		err = answerhead.ReadTrailers(reader, &response.Header)
+	}
 	return int(count), err
 }
