Leases, machine lists and intents take no answer with malformed trailers

What callers saw: nothing; found as the last reader of trailers. The clients of the library took the body of an answer for a success though its trailers were malformed.

Cause: the guard of their connections ended with the head.

Evidence: TestGuardedClientTakesNoMalformedTrailers fails in 36 checks with the guard of, and passes now.

Change: where a head announces chunks, the guard passes over these to the trailers, and checks them by the scanner. It finds their beginning by itself, since the library reads chunks and trailers from the same buffer.

Why it works: the library gets the last byte of the trailers only if they are well-formed. An answer whose chunks the guard cannot follow is refused, so that it never looks for trailers in another place than the library.

--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -116,6 +116,38 @@
 	}
 }
 
+// TestGuardedClientTakesNoMalformedTrailers guards against a client of the library that takes an answer with malformed trailers
+// for success, and against a guard that takes chunks of a body for trailers.
+func TestGuardedClientTakesNoMalformedTrailers(t *testing.T) {
+	for lines, valid := range heads {
+		for _, size := range []int{1, 7, 1000} {
+			askGuarded(t, "HTTP/1.1 200 OK\r\ntransfer-Encoding: chunked\r\n\r\n01;a=\"b\"\r\no\r\n1\r\nk\r\n0\r\n"+lines+"\r\n", size, valid)
+		}
+	}
+}
+
+// TestChunks checks where trailers begin, whatever parts the chunks arrive in.
+func TestChunks(t *testing.T) {
+	for content, valid := range map[string]bool{
+		"0\r\n": true, "000\r\n": true, "1\r\n\n\r\n0\r\n": true, "5\r\n0\r\n\r\n\r\n0\r\n": true, "aB\r\n" + strings.Repeat("x", 0xab) + "\r\n0\r\n": true,
+		"1;a\r\nx\r\n0 ;b\r\n": true, "": false, "\r\n": false, "g\r\n": false, "-1\r\n": false, "0\n": false, "1\r\nxy": false, "1\r\nx\n": false, "0\r\r": false, "1;\n": false,
+		"10000000000000000\r\n": false,
+	} {
+		for _, size := range []int{1, 3, 1000} {
+			var chunks chunkScanner
+			total, used := 0, 0
+			var err error
+			for rest := content + "X: 0"; rest != "" && err == nil && chunks.state != lastChunk; rest = rest[used:] {
+				used, err = chunks.scan([]byte(rest[:min(size, len(rest))]))
+				total += used
+			}
+			if valid && (err != nil || total != len(content) || chunks.state != lastChunk) || !valid && !errors.Is(err, ErrMalformed) {
+				t.Errorf("%q in parts of %d bytes: %d bytes, %v, want valid %t", content, size, total, err, valid)
+			}
+		}
+	}
+}
+
 // heads are the lines of heads behind the status line, and whether they are well-formed.
 var heads = map[string]bool{
 	"": true, "A: b\r\n": true, "a!#$%&'*+-.^_`|~9Z:\r\n": true, "A:\tb \t\r\n": true, "A: b:c \x80\xff\"(),/:;<=>?@[]{}\r\n": true,
--- a/internal/answerhead/scanner.go
+++ b/internal/answerhead/scanner.go
@@ -1,6 +1,7 @@
 package answerhead
 
 import (
+	"bytes"
 	"encoding/binary"
 
 	"github.com/rotisserie/eris"
@@ -22,8 +23,16 @@
 	// status is the code in the status line, and statusDigits the number of its digits so far.
 	status       int
 	statusDigits int
+	// nameSize is the number of bytes of the current name so far. differs is true if these are not the beginning of
+	// transferEncoding, and chunked if there was a field of that name.
+	nameSize int
+	differs  bool
+	chunked  bool
 }
 
+// transferEncoding is the name of the field that announces chunks, the only coding that the parser accepts.
+var transferEncoding = []byte("transfer-encoding")
+
 // newTrailerScanner returns a scanner of trailers.
 func newTrailerScanner() scanner { return scanner{state: lineStart, inTrailers: true} }
 
@@ -86,8 +95,10 @@
 // skip passes over bytes that do not change the state, and returns their number.
 func (s *scanner) skip(data []byte) int {
 	switch s.state {
-	case inName:
-		return tokenPrefix(data)
+	case lineStart, inName:
+		count := tokenPrefix(data)
+		s.addToName(data[:count])
+		return count
 	case inReason, inValue:
 		return textPrefix(data)
 	default:
@@ -95,6 +106,19 @@
 	}
 }
 
+// addToName adds bytes to the name of a field, which begins at the start of a line.
+func (s *scanner) addToName(part []byte) {
+	if len(part) == 0 {
+		return
+	}
+	if s.state == lineStart {
+		s.state, s.nameSize, s.differs = inName, 0, false
+	}
+	end := s.nameSize + len(part)
+	s.differs = s.differs || end > len(transferEncoding) || !bytes.EqualFold(part, transferEncoding[s.nameSize:end])
+	s.nameSize = end
+}
+
 // tokenPrefix returns the number of leading bytes that belong to a token.
 func tokenPrefix(data []byte) int {
 	for index, each := range data {
@@ -134,10 +158,6 @@
 	}
 	switch s.state {
 	case lineStart:
-		if isToken[each] {
-			s.state = inName
-			return nil
-		}
 		if each == '\r' {
 			s.state = sectionEnd
 			return nil
@@ -145,6 +165,7 @@
 	case inName:
 		if each == ':' {
 			s.state = inValue
+			s.chunked = s.chunked || !s.differs && s.nameSize == len(transferEncoding)
 			return nil
 		}
 	case inValue:
