--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/intentapi"
 	"github.com/thorntiller/thorntiller/internal/lab/authority"
+	"github.com/thorntiller/thorntiller/internal/lab/httpclient"
 	"github.com/thorntiller/thorntiller/internal/lab/process"
 	"github.com/thorntiller/thorntiller/internal/state"
 )
@@ -284,7 +285,7 @@
 func (f *Fleet) WaitRouters(ctx context.Context) error {
 	return WaitFor(ctx, "ready routers", func() bool {
 		for _, router := range f.Routers {
-			status, _, err := fasthttp.GetTimeout(nil, "http://"+router.AdminAddress+intentapi.PathReady, time.Second)
+			status, _, err := httpclient.Default.GetTimeout(nil, "http://"+router.AdminAddress+intentapi.PathReady, time.Second)
 			if router.Process.Running() && (err != nil || status != fasthttp.StatusOK) {
 				return false
 			}
--- a/internal/lab/platform/client.go
+++ b/internal/lab/platform/client.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/lab/httpclient"
 	"github.com/thorntiller/thorntiller/internal/platformapi"
 )
 
@@ -20,7 +21,9 @@
 // NewClient returns a client of the platform at address, IP:port. Each call
 // fails after timeout.
 func NewClient(address string, timeout time.Duration) *Client {
-	return &Client{address: address, timeout: timeout, client: &fasthttp.Client{MaxIdemponentCallAttempts: 1}}
+	client := httpclient.New()
+	client.MaxIdemponentCallAttempts = 1
+	return &Client{address: address, timeout: timeout, client: client}
 }
 
 // Machines reads the list.
--- a/internal/lab/scenario/backends.go
+++ b/internal/lab/scenario/backends.go
@@ -11,6 +11,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
+	"github.com/thorntiller/thorntiller/internal/lab/httpclient"
 	"github.com/thorntiller/thorntiller/internal/lab/platform"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/platformapi"
@@ -103,7 +104,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + router + "/" + string(keyedService) + "/" + backend.DeadlyRequest)
 	request.Header.Set(callerapi.HeaderKey, "deadly")
-	if err := fasthttp.DoTimeout(request, response, faultTimeout); err == nil {
+	if err := httpclient.Default.DoTimeout(request, response, faultTimeout); err == nil {
 		r.Say("status %d: %.100s", response.StatusCode(), response.Body())
 	}
 }
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -11,6 +11,7 @@
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/backend"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
+	"github.com/thorntiller/thorntiller/internal/lab/httpclient"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/lab/scenario/faultproxy"
 	"github.com/thorntiller/thorntiller/internal/lab/trial"
@@ -159,7 +160,7 @@
 	request.SetRequestURI("http://" + target.Address + backend.PathFault)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetBody(body)
-	if err := fasthttp.DoTimeout(request, response, faultTimeout); err != nil {
+	if err := httpclient.Default.DoTimeout(request, response, faultTimeout); err != nil {
 		return eris.Wrapf(err, "set the fault of %s", server)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
--- a/internal/lab/trial/observer.go
+++ b/internal/lab/trial/observer.go
@@ -12,6 +12,7 @@
 
 	"github.com/thorntiller/thorntiller/internal/clock"
 	"github.com/thorntiller/thorntiller/internal/lab/fleet"
+	"github.com/thorntiller/thorntiller/internal/lab/httpclient"
 	"github.com/thorntiller/thorntiller/internal/lab/record"
 	"github.com/thorntiller/thorntiller/internal/router"
 	"github.com/thorntiller/thorntiller/internal/state"
@@ -138,7 +139,7 @@
 	if !node.Running() {
 		return
 	}
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+node.AdminAddress+router.PathTable, observeTimeout)
+	status, body, err := httpclient.Default.GetTimeout(nil, "http://"+node.AdminAddress+router.PathTable, observeTimeout)
 	if err != nil || status != fasthttp.StatusOK {
 		return
 	}
