Failures quote no bytes of a broken answer

What callers saw: the detail of a 502 had up to 400 bytes of the broken answer, of its body too, and the log had the same.

Cause: the parser's errors carry what it had in its buffer, and they went into the failure as they were.

Change: ReadFinal and ReadTrailers return errors of their own that tell what is wrong and where. A head that does not fit the buffer is told with the size of that; its outcome is as before.

Why it works: no error of the parser leaves the package.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -30,7 +30,7 @@
 }
 
 // ReadFinal reads the head of an answer, behind interim ones. Nothing of a head is parsed before it is complete and
-// checked. Errors of the reader are returned as they are, but for wrapping.
+// checked. Errors of the reader are wrapped. No error has bytes of the answer.
 func ReadFinal(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	for range maxInterimAnswers {
 		var head scanner
@@ -38,7 +38,7 @@
 			return err
 		}
 		if err := header.Read(reader); err != nil {
-			return err
+			return eris.Wrap(ErrMalformed, "the parser rejects the version, the length or the coding in the head") // its own error quotes the answer
 		}
 		switch {
 		case head.status == fasthttp.StatusSwitchingProtocols:
@@ -57,7 +57,10 @@
 	if err := trailers.await(reader); err != nil {
 		return err
 	}
-	return header.ReadTrailer(reader)
+	if err := header.ReadTrailer(reader); err != nil {
+		return eris.Wrap(ErrMalformed, "the parser rejects a field in the trailers") // its own error quotes the answer
+	}
+	return nil
 }
 
 // await checks a head or trailers as they arrive, and leaves them in the reader's buffer.
@@ -68,7 +71,11 @@
 			return err
 		}
 		checked = len(buffered)
-		if _, err := reader.Peek(checked + 1); err != nil {
+		_, err := reader.Peek(checked + 1)
+		if eris.Is(err, bufio.ErrBufferFull) {
+			return eris.Errorf("the head or the trailers of the answer are larger than %d bytes", reader.Size())
+		}
+		if err != nil {
 			return eris.Wrapf(err, "the head or the trailers of the answer end after %d bytes", checked)
 		}
 	}
--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -173,3 +173,27 @@
 		}
 	}
 }
+
+// TestFailuresQuoteNoAnswer guards against a failure whose text, which callers and logs get, has bytes of a broken answer.
+func TestFailuresQuoteNoAnswer(t *testing.T) {
+	const secret = "secret"
+	lines := map[string]string{
+		"length that is no number": "Content-Length: secret\r\n", "two lengths": "Content-Length: 6\r\nContent-Length: 7\r\n",
+		"unknown coding": "Transfer-Encoding: secret\r\n", "head that is too large": "X-Odd: " + strings.Repeat(secret, 10_000) + "\r\n",
+	}
+	maps.Copy(lines, malformedLines)
+	answers := map[string]string{
+		"status": "HTTP/1.1 secret Odd\r\n\r\nsecret", "version": "HTTPS/secret 200 OK\r\n\r\nsecret", "no answer": "secret\r\n\r\n", "cut head": "HTTP/1.1 200 OK\r\nX-Odd: secret",
+		"size of a chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nsecret\r\n", "cut chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nsecret",
+		"length as a trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nsecret\r\n0\r\nContent-Length: secret\r\n\r\n",
+	}
+	for name, line := range lines {
+		answers[name] = "HTTP/1.1 200 OK\r\nX-Even: secret\r\n" + line + "\r\nsecret"
+	}
+	for name, answer := range answers {
+		backEnd := serve(t, func(string, string) ([]byte, bool) { return []byte(answer), false })
+		if _, failure := send(newTestClient(t, backEnd.address), fasthttp.MethodGet, "/", "r", testTimeout); failure == nil || strings.Contains(failure.Error(), secret) {
+			t.Errorf("%s: %.300v", name, failure)
+		}
+	}
+}
