--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -197,3 +197,18 @@
 		}
 	}
 }
+
+// TestDeadlineWithinAHead guards against a deadline that passes within a head or trailers and is taken for a broken answer.
+func TestDeadlineWithinAHead(t *testing.T) {
+	for _, beginning := range []string{
+		"HTTP", "HTTP/1.1 200 OK\r\nX-Odd", "HTTP/1.1 103 Early Hints\r\n\r\n", string(chunkedAnswer("r", "body", "X-Odd")),
+	} {
+		t.Run(beginning, func(t *testing.T) {
+			t.Parallel()
+			backEnd := serve(t, func(string, string) ([]byte, bool) { return []byte(strings.TrimSuffix(beginning, "\r\n")), true })
+			if _, failure := send(newTestClient(t, backEnd.address), fasthttp.MethodGet, "/", "r", 2*time.Second); failure == nil || failure.Kind != fault.DeadlineExceeded {
+				t.Errorf("%v, want %s", failure, fault.DeadlineExceeded)
+			}
+		})
+	}
+}
