Test of the search for control bytes; what skip passes over

Cause: textPrefix looks at eight bytes together, and only some rows of TestHeads cross its words; the comment of skip was wrong for the start of a line.

Result: TestTextPrefix tries each byte at each place of three words, among five kinds of others; it passes. No code changed.

--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -174,6 +175,26 @@
 	}
 }
 
+// TestTextPrefix checks that each byte that is no text is found at each place, whatever stands around it.
+func TestTextPrefix(t *testing.T) {
+	const length = 2*wordBytes + 3
+	for _, around := range []byte{'x', ' ', '\t', 0x80, 0xff} {
+		for each := range isText {
+			for place := range length {
+				data := bytes.Repeat([]byte{around}, length)
+				data[place] = byte(each)
+				want := length
+				if !isText[each] {
+					want = place
+				}
+				if got := textPrefix(data); got != want {
+					t.Fatalf("%q: %d bytes of text, want %d", data, got, want)
+				}
+			}
+		}
+	}
+}
+
 // TestHeadEndsBeforeTheBody guards against bytes of a body that are checked as a part of the head.
 func TestHeadEndsBeforeTheBody(t *testing.T) {
 	head, body := "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "\x00 \n\r\n\r\n"
--- a/internal/answerhead/scanner.go
+++ b/internal/answerhead/scanner.go
@@ -92,7 +92,7 @@
 	return used, nil
 }
 
-// skip passes over bytes that do not change the state, and returns their number.
+// skip passes over bytes of a name, a reason or a value, and returns their number.
 func (s *scanner) skip(data []byte) int {
 	switch s.state {
 	case lineStart, inName:
