--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -27,10 +27,12 @@
 	ports   ports
 	record  *record
 
-	mutex    sync.Mutex
-	seeds    []string
-	machines map[string]*machine
-	next     int
+	mutex sync.Mutex
+	seeds []string
+	// maxHoldMs is the bound of leases in the settings of the moment.
+	maxHoldMs int
+	machines  map[string]*machine
+	next      int
 }
 
 // machine is one process of the system.
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{program: program, folder: folder, record: record, machines: make(map[string]*machine)}
+	f := &fleet{program: program, folder: folder, record: record, maxHoldMs: 10000, machines: make(map[string]*machine)}
 	for range 200 {
 		f.network = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), 1+rand.IntN(250))
 		first := 11000 + 10*rand.IntN(1800)
@@ -95,7 +97,7 @@
 			"allow_non_loopback": true, "tls": map[string]any{"allow_plaintext": true}, "zones": zones, "seeds": f.seeds,
 			"first_start": firstStart, "descriptor_limit": 4096, "api": map[string]any{"max_connections": 4096},
 			"table":     map[string]any{"stream_limit": 4096},
-			"heartbeat": map[string]any{"interval": "1500ms", "lease_limit": "10000ms", "address_reuse": "2s"}, "stop_timeout": "6s",
+			"heartbeat": map[string]any{"interval": heartbeatInterval.String(), "lease_limit": fmt.Sprintf("%dms", f.maxHoldMs), "address_reuse": "2s"}, "stop_timeout": "6s",
 			"collector_percent": 40,
 		}
 	} else {
@@ -118,6 +120,13 @@
 	return text
 }
 
+// nameSeeds names the seeds in the settings of machines that start from now on.
+func (f *fleet) nameSeeds(machines []*machine) {
+	for _, seed := range machines {
+		f.seeds = append(f.seeds, address(seed.ip, f.ports.control))
+	}
+}
+
 // add makes a machine without starting it.
 func (f *fleet) add(name, role string) *machine {
 	m := &machine{name: name, role: role, ip: f.newIP()}
--- /dev/null
+++ b/review/standin2/lease.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+const (
+	heartbeatInterval = 1300 * time.Millisecond
+	// lowerHold is the new maxHoldMs: more than a heartbeat interval.
+	lowerHold = 2000
+	// overlapAllowed is the bound of the rule OWNER.
+	overlapAllowed = 500 * time.Millisecond
+)
+
+// leaseLowered is the case of a platform that lowers maxHoldMs in the settings and stops and starts the core
+// machines in turn, while a server is partitioned from the core.
+func leaseLowered(f *fleet, trouble bool) int {
+	controllers, _, err := deployment(f, 1)
+	if err != nil {
+		return notRun(err)
+	}
+	op := &operator{fleet: f, nodes: func() []*machine { return controllers }}
+	first := items([]map[string]any{route("r", "a.example", "/a/", "repeatable", "k", 7)}, []map[string]any{service("k", true, 7)})
+	if status, _ := op.order("/v1/items", first, 40*time.Second); status != http.StatusOK {
+		return notRun("the first configuration was not taken")
+	}
+	nodes := controlAddresses(f, controllers)
+	x, err := newHolder(f, "i-x", heartbeatInterval, nodes)
+	if err != nil {
+		return notRun(err)
+	}
+	y, err := newHolder(f, "i-y", heartbeatInterval, nodes)
+	if err != nil {
+		return notRun(err)
+	}
+	for end := time.Now().Add(30 * time.Second); x.holds() == 0 || y.holds() == 0; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			return notRun("the servers hold no keys")
+		}
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		f.maxHoldMs = lowerHold
+	}
+	lead := leader(f, controllers)
+	if lead == nil {
+		return notRun("no controller leads")
+	}
+	for _, m := range controllers {
+		if m != lead && !f.restart(m) {
+			return notRun(m.name + " did not come back")
+		}
+	}
+	if now := leader(f, controllers); now != lead {
+		return notRun("the leader changed before its turn")
+	}
+	x.awaitBeat()
+	x.setCut(true)
+	f.signal(lead, syscall.SIGTERM)
+	<-lead.ended
+	if err := f.start(lead, false); err != nil {
+		return notRun(err)
+	}
+	time.Sleep(6 * time.Second)
+	x.setCut(false)
+	time.Sleep(4 * time.Second)
+	longest, what := longestOverlap(x, y)
+	f.record.note("longest time with two holders: %v, %s", longest, what)
+	fmt.Printf("longest time with two holders: %v (%s)\n", longest.Round(time.Millisecond), what)
+	if longest > overlapAllowed {
+		fmt.Println("OWNER: two servers that are up held the same keys for more than half a second")
+		return ruleBroken
+	}
+	return ruleHeld
+}
+
+// awaitBeat waits for the next answer to a heartbeat.
+func (h *holder) awaitBeat() {
+	h.mutex.Lock()
+	before := h.until
+	h.mutex.Unlock()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		h.mutex.Lock()
+		renewed := h.until.After(before)
+		h.mutex.Unlock()
+		if renewed {
+			return
+		}
+	}
+}
+
+// restart stops a machine with SIGTERM, starts it with the settings of that moment and waits until it is back.
+func (f *fleet) restart(m *machine) bool {
+	f.signal(m, syscall.SIGTERM)
+	<-m.ended
+	if err := f.start(m, false); err != nil {
+		return false
+	}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		answer, err := httpClient.Get("http://" + address(m.ip, f.ports.control) + "/health/ready")
+		if err != nil {
+			continue
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			time.Sleep(time.Second)
+			return true
+		}
+	}
+	return false
+}
--- a/review/standin2/seedlost.go
+++ b/review/standin2/seedlost.go
@@ -70,14 +70,11 @@
 		controllers = append(controllers, f.add(fmt.Sprintf("core-%d", index+1), "controller"))
 	}
 	fronts := []*machine{f.add("front-1", "gateway"), f.add("front-2", "gateway")}
-	for _, seed := range controllers[:3] {
-		f.seeds = append(f.seeds, address(seed.ip, f.ports.control))
-	}
+	f.nameSeeds(controllers[:3])
 	lost, last := controllers[1], controllers[2]
 	for _, m := range append([]*machine{lost, controllers[0], controllers[3], controllers[4]}, fronts...) {
 		if err := f.start(m, true); err != nil {
-			fmt.Println(err)
-			return 2
+			return notRun(err)
 		}
 	}
 	time.Sleep(seedLostAt)
@@ -86,8 +83,7 @@
 	}
 	time.Sleep(startSpread - seedLostAt)
 	if err := f.start(last, true); err != nil {
-		fmt.Println(err)
-		return 2
+		return notRun(err)
 	}
 	began := time.Now()
 	if trouble {
@@ -95,8 +91,7 @@
 		controllers[1] = f.add("core-6", "controller")
 		f.replaceSeed(lost, controllers[1])
 		if err := f.start(controllers[1], false); err != nil {
-			fmt.Println(err)
-			return 2
+			return notRun(err)
 		}
 	}
 	op := &operator{fleet: f, nodes: func() []*machine { return controllers }}
@@ -104,8 +99,7 @@
 		[]map[string]any{service("s", false, 7)}), seedTraffic)
 	for index := range 2 {
 		if _, err := newServer(f, fmt.Sprintf("i-%d", index+1), "s", f.newIP(), controlAddresses(f, controllers), answerOK); err != nil {
-			fmt.Println(err)
-			return 2
+			return notRun(err)
 		}
 	}
 	users, served := newClient(f), 0
@@ -123,9 +117,9 @@
 	fmt.Printf("%d requests sent, %d served, ends by status %v, in %.1f s\n", users.sent, served, users.ends, time.Since(began).Seconds())
 	if served == 0 {
 		fmt.Println("Fault: no request is served")
-		return 1
+		return ruleBroken
 	}
-	return 0
+	return ruleHeld
 }
 
 // replaceSeed names another seed in the settings of all machines, and tells them by SIGHUP.
--- a/review/standin2/standins.go
+++ b/review/standin2/standins.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,10 +100,9 @@
 	service  string
 	zone     string
 	listener net.Listener
-	control  atomic.Value // string: where heartbeats go
+	// control are the addresses for heartbeats.
+	control  []string
 	sequence atomic.Int64
-	state    atomic.Value // string
-	stopped  atomic.Bool
 	// answer handles one request on a connection; it returns false to end the connection.
 	answer func(s *server, r *http.Request, body []byte, connection net.Conn) bool
 
@@ -112,14 +110,12 @@
 	ran   map[string]int
 }
 
-func newServer(f *fleet, id, service, ip, control string, answer func(*server, *http.Request, []byte, net.Conn) bool) (*server, error) {
+func newServer(f *fleet, id, service, ip string, control []string, answer func(*server, *http.Request, []byte, net.Conn) bool) (*server, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	s := &server{fleet: f, id: id, service: service, zone: zones[0], listener: listener, answer: answer, ran: make(map[string]int)}
-	s.control.Store(control)
-	s.state.Store("ready")
+	s := &server{fleet: f, id: id, service: service, zone: zones[0], listener: listener, control: control, answer: answer, ran: make(map[string]int)}
 	go s.serve()
 	go s.beat()
 	return s, nil
@@ -166,16 +162,6 @@
 	s.fleet.record.note("server %s runs %s %s %s, %d bytes of body", s.id, id, r.Method, r.URL.RequestURI(), len(body))
 }
 
-func (s *server) runs() map[string]int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	copied := make(map[string]int, len(s.ran))
-	for id, count := range s.ran {
-		copied[id] = count
-	}
-	return copied
-}
-
 // answerOK is the answer of a sound server.
 func answerOK(s *server, r *http.Request, body []byte, connection net.Conn) bool {
 	s.note(r, body)
@@ -185,29 +171,23 @@
 	return err == nil
 }
 
-// beat sends heartbeats at the platform's interval.
+// beat sends heartbeats.
 func (s *server) beat() {
-	for !s.stopped.Load() {
+	for {
 		s.beatOnce()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(heartbeatInterval)
 	}
 }
 
 func (s *server) beatOnce() {
 	body := map[string]any{
-		"service": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "slots": 4, "state": s.state.Load(),
+		"service": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "slots": 4, "state": "ready",
 		"warm_up_left_ms": 0, "sequence": s.sequence.Add(1), "holdings": [][]any{}, "released": [][]any{},
 	}
-	for _, target := range strings.Split(s.control.Load().(string), ",") {
-		code, content, err := post(target, "/v1/instances/"+s.id+"/heartbeat", body)
+	for _, target := range s.control {
+		code, _, err := post(target, "/v1/instances/"+s.id+"/heartbeat", body)
 		if err == nil && code == http.StatusOK {
 			return
 		}
-		_ = content
 	}
 }
-
-func (s *server) stop() {
-	s.stopped.Store(true)
-	_ = s.listener.Close()
-}
