--- a/review/standin2/keyed.go
+++ b/review/standin2/keyed.go
@@ -25,7 +25,6 @@
 	sequence int
 	rows     map[row]bool
 	until    time.Time
-	fences   map[row]bool
 	cut      bool
 	history  []tenure
 }
