Show that a trailer behind a whole answer makes an order run twice

Case 4 has three of six servers spoil 3 in 100 of their answers by a trailer with the name of the field by which servers turn requests away.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 	"seed-lost":     seedLost,
 	"lease-lowered": leaseLowered,
 	"limit-raised":  limitRaised,
+	"trailer-taken": trailerTaken,
 }
 
 func main() {
