--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -10,11 +10,16 @@
 
 // Exit codes of a case.
 const (
-	ruleHeld     = 0
-	ruleBroken   = 1
-	caseNotRun   = 2
-	caseArgument = 1
-	recordFile   = 2
+	ruleHeld   = 0
+	ruleBroken = 1
+	caseNotRun = 2
+)
+
+// Arguments of the program.
+const (
+	caseArgument = 1 + iota
+	recordArgument
+	troubleArgument
 )
 
 // cases are the scripts of the review by name. trouble is false for a run without the disruption.
@@ -26,15 +31,15 @@
 }
 
 func main() {
-	if len(os.Args) <= recordFile || cases[os.Args[caseArgument]] == nil {
-		fmt.Println("usage: review-standin2 CASE RECORD-FILE; set TROUBLE=0 for a run without the disruption")
+	if len(os.Args) <= troubleArgument || cases[os.Args[caseArgument]] == nil {
+		fmt.Println("usage: review-standin2 CASE RECORD-FILE TROUBLE; TROUBLE is 0 for a run without the disruption, else 1")
 		os.Exit(caseNotRun)
 	}
-	os.Exit(run(cases[os.Args[caseArgument]], os.Args[recordFile]))
+	os.Exit(run(cases[os.Args[caseArgument]], os.Args[recordArgument], os.Args[troubleArgument] != "0"))
 }
 
-// run plays a case on a fleet of its own.
-func run(play func(*fleet, bool) int, path string) int {
+// run plays a case on a fleet of its own, and writes its record to a path.
+func run(play func(*fleet, bool) int, path string, trouble bool) int {
 	record, err := newRecord(path)
 	if err != nil {
 		fmt.Println(err)
@@ -46,7 +51,7 @@
 		return caseNotRun
 	}
 	defer f.close()
-	return play(f, os.Getenv("TROUBLE") != "0")
+	return play(f, trouble)
 }
 
 // notRun reports why a case could not be played.
