Tell which limits a gateway follows

Cause: nothing showed whether a change of the item limits had reached a gateway. items_in_force counted changed routes alone, so that a limit that did not arrive and one that nothing applies read alike.

Change: items_in_force has the limits with their version; limits_version is a metric. The limits, their defaults and what follows from them stand in one file.

--- a/internal/gateway/connectiontimes.go
+++ b/internal/gateway/connectiontimes.go
@@ -38,17 +38,10 @@
 	return timeouts
 }
 
-func (g *Gateway) connectionTimeouts() connectionTimeouts {
-	if table := g.subscription.current(); table != nil {
-		return timeoutsOf(table.Limits)
-	}
-	return timeoutsOf(directory.Limits{})
-}
-
 // setKeepAlive tells the caller the idle timeout of its connection, unless the operator sets one, which
 // callers know.
 func (g *Gateway) setKeepAlive(context *fasthttp.RequestCtx) {
-	if table := g.subscription.current(); table != nil && table.Limits.IdleTimeoutMs > 0 {
+	if limitsOf(g.subscription.current()).IdleTimeoutMs > 0 {
 		return
 	}
 	seconds := int((defaultIdleTimeout - keepAliveHeaderMargin).Seconds())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,6 +175,7 @@
 	gateway.registry.GaugeFunction("answer_memory_bytes", "Memory reserved for large answers that are being received.", func() float64 { return float64(memory.Used()) })
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
 	registerBudget(gateway.registry, gateway.clientBudget)
+	gateway.registerLimits()
 	gateway.subscription.dial = options.DialPeer
 	gateway.progress = gateway.subscription.progress
 	gateway.progress.Follow(gateway.ready)
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/routing"
+)
+
+// Limits where the operator sets none, and until the operator's are known.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 64 << 20
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
+)
+
+// limitsOf returns the operator's limits according to a table, which may be nil. Fields without a limit are zero.
+func limitsOf(table *routing.Table) directory.Limits {
+	if table == nil {
+		return directory.Limits{}
+	}
+	return table.Limits
+}
+
+// maxBodyBytes returns the limit of the body of a request.
+func (g *Gateway) maxBodyBytes() int {
+	if limits := limitsOf(g.subscription.current()); limits.MaxBodyBytes > 0 {
+		return limits.MaxBodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// connectionTimeouts returns the timeouts of the waits for a caller.
+func (g *Gateway) connectionTimeouts() connectionTimeouts {
+	return timeoutsOf(limitsOf(g.subscription.current()))
+}
+
+// registerLimits registers the metrics of the limits, which an operator compares with those that were acknowledged.
+func (g *Gateway) registerLimits() {
+	g.registry.GaugeFunction("limits_version", "Version of the item limits in the directory that is followed; 0 if it has none.",
+		func() float64 { return float64(limitsOf(g.subscription.current()).Version) })
+}
+
+// limitFields are the limits as a log line tells them.
+func limitFields(limits directory.Limits) map[string]any {
+	return map[string]any{
+		"version": limits.Version, "max_header_bytes": limits.MaxHeaderBytes, "max_body_bytes": limits.MaxBodyBytes,
+		"header_timeout_ms": limits.HeaderTimeoutMs, "idle_timeout_ms": limits.IdleTimeoutMs,
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,12 +12,7 @@
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
-// Limits until the operator's are known.
 const (
-	defaultHeaderBytes   = 16 << 10
-	defaultBodyBytes     = 64 << 20
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 30 * time.Second
 	// bodyTimeout is the timeout for the body of a request.
 	bodyTimeout  = time.Minute
 	writeTimeout = 30 * time.Second
@@ -52,14 +47,6 @@
 	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout, WriteTimeout: writeTimeout, MaxRequestBodySize: g.maxBodyBytes()}
 }
 
-// maxBodyBytes returns the operator's limit of the body of a request.
-func (g *Gateway) maxBodyBytes() int {
-	if table := g.subscription.current(); table != nil && table.Limits.MaxBodyBytes > 0 {
-		return table.Limits.MaxBodyBytes
-	}
-	return defaultBodyBytes
-}
-
 func (g *Gateway) countConnection(connection net.Conn, change fasthttp.ConnState) {
 	g.idleCallers.update(connection, change)
 	g.overrideReadDeadline(connection, change)
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -34,7 +34,7 @@
 	telemetry.With(s.log, telemetry.EventItemsInForce).WithField(telemetry.FieldRevision, table.Revision).
 		WithField("routes", changed[:min(len(changed), maxLoggedRoutes)]).WithField(telemetry.FieldCount, len(changed)).
 		WithField(fieldTableAge, ageMs(s.age())).WithField(telemetry.FieldAddress, from.address).
-		WithField("peer", from.peer).Info("configuration items are in force")
+		WithField("peer", from.peer).WithField("limits", limitFields(table.Limits)).Info("configuration items are in force")
 }
 
 // age returns how long ago the directory was proved current; -1 if it never was.
