Bring a raised limit of request heads into force

Cause: the limit of heads was the size of the buffer that the HTTP server takes, a constant of 16 KiB. It is taken once for a server, and a connection keeps its reader until it is closed, so that no number in its place could reach a kept connection. directory.Limits.MaxHeaderBytes was decoded and read by nothing.

Change: the limit is asked for when bytes of a large head come. intake.HeadReader stands between connection and server; it copies a head that may outgrow the server's buffer, in memory that the budget of bodies and connections reserves as the head grows. A head that does outgrow it ends the work of that server without an answer, and the connection goes, from the first byte of the head on, to a server with the next buffer that is large enough. The buffer counts until the connection is closed. Heads up to 16 KiB take the path that they took. A stop waits for these requests, and closes these connections at rest. A head within the limit that cannot be moved, because its first bytes came with the request before, or for which there is no memory, gets 503 and not 431.

Weighed: buffers of the whole limit for all connections.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -15,8 +15,8 @@
 func (g *Gateway) readBody(context *fasthttp.RequestCtx) (intake.Body, error) {
 	body, err := intake.Read(context, g.maxBodyBytes(), intake.LoadOf(context.Conn()), g.clock)
 	g.meter.Add(link.In, link.Bodies, body.Len())
-	if eris.Is(err, intake.ErrNoMemory) || eris.Is(err, intake.ErrEvicted) {
-		return body, fault.New(fault.MemoryExhausted, err.Error())
+	if failure := g.temporary(context, err); failure != nil {
+		return body, failure
 	}
 	return body, err
 }
@@ -28,6 +28,11 @@
 		g.refuseMalformed(context, err)
 		return
 	}
+	g.refuseUnread(context, failure)
+}
+
+// refuseUnread answers a request that was not read whole, and closes its connection.
+func (g *Gateway) refuseUnread(context *fasthttp.RequestCtx, failure *fault.Error) {
 	refused := &request{
 		id: string(context.Request.Header.Peek(g.dialect.RequestID)), inbound: &context.Request, answer: &context.Response,
 		clock: g.clock, arrived: g.clock.Now(), interrupt: &forward.Interrupt{},
@@ -35,5 +40,5 @@
 	g.refuse(refused, failure)
 	context.SetConnectionClose()
 	telemetry.WithError(g.log, telemetry.EventRequestRefused, failure).WithField(telemetry.FieldRequest, refused.id).
-		WithField("request_memory_bytes", g.clientBudget.Used()).Info("request rejected before its body was read")
+		WithField("request_memory_bytes", g.clientBudget.Used()).Info("request rejected before it was read whole")
 }
--- a/internal/gateway/connectiontimes_test.go
+++ b/internal/gateway/connectiontimes_test.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := gateway.newCallerServer()
+	server := gateway.newCallerServer(callerBufferBytes)
 	var group conc.WaitGroup
 	group.Go(func() { _ = server.Serve(gateway.meteredListener(listener)) })
 	t.Cleanup(func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	peerServer  atomic.Pointer[wire.Server]
 	// clientBudget bounds what callers' connections, requests and answers take.
 	clientBudget *overload.Budget
+	largeHeads   largeHeads
 	// connections counts callers' open connections.
 	connections atomic.Int64
 	// accepted counts all connections that callers have opened.
@@ -176,6 +177,7 @@
 	gateway.registry.GaugeFunction("servers_unreachable", "Instances to which the last connection failed.", func() float64 { return float64(gateway.reach.Unreachable()) })
 	registerBudget(gateway.registry, gateway.clientBudget)
 	gateway.registerLimits()
+	gateway.largeHeads.servers = newHeadServers(gateway.newCallerServer)
 	gateway.subscription.dial = options.DialPeer
 	gateway.progress = gateway.subscription.progress
 	gateway.progress.Follow(gateway.ready)
@@ -269,7 +271,7 @@
 
 func (g *Gateway) serveOn(ctx context.Context, callers, admin net.Listener) error {
 	running, stopRunning := context.WithCancel(context.Background())
-	callerServer := g.newCallerServer()
+	callerServer := g.newCallerServer(callerBufferBytes)
 	adminServer := &fasthttp.Server{Handler: g.adminHandler(), Name: role}
 	var group conc.WaitGroup
 	failed := make(chan error, 3)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -276,7 +276,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := gateway.newCallerServer()
+	server := gateway.newCallerServer(callerBufferBytes)
 	var group conc.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
 	defer group.Wait()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -23,6 +23,14 @@
 	return table.Limits
 }
 
+// maxHeaderBytes returns the limit of the head of a request: its request line, its fields and their line ends.
+func (g *Gateway) maxHeaderBytes() int {
+	if limits := limitsOf(g.subscription.current()); limits.MaxHeaderBytes > 0 {
+		return limits.MaxHeaderBytes
+	}
+	return defaultHeaderBytes
+}
+
 // maxBodyBytes returns the limit of the body of a request.
 func (g *Gateway) maxBodyBytes() int {
 	if limits := limitsOf(g.subscription.current()); limits.MaxBodyBytes > 0 {
@@ -40,6 +48,14 @@
 func (g *Gateway) registerLimits() {
 	g.registry.GaugeFunction("limits_version", "Version of the item limits in the directory that is followed; 0 if it has none.",
 		func() float64 { return float64(limitsOf(g.subscription.current()).Version) })
+	g.registry.GaugeFunction("max_header_bytes", "Limit of the head of a request that is in force.",
+		func() float64 { return float64(g.maxHeaderBytes()) })
+	g.registry.GaugeFunction("max_body_bytes", "Limit of the body of a request that is in force.",
+		func() float64 { return float64(g.maxBodyBytes()) })
+	g.registry.GaugeFunction("header_timeout_seconds", "Timeout for the head of a request that is in force.",
+		func() float64 { return g.connectionTimeouts().header.Seconds() })
+	g.registry.GaugeFunction("idle_timeout_seconds", "Time that a caller's connection may be idle between two requests, as it is in force.",
+		func() float64 { return g.connectionTimeouts().idle.Seconds() })
 }
 
 // limitFields are the limits as a log line tells them.
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -13,7 +15,6 @@
 	"github.com/thorntiller/thorntiller/internal/forward"
 	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/link"
-	"github.com/thorntiller/thorntiller/internal/overload"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
@@ -63,13 +64,11 @@
 // meteredListener counts the bytes of callers' connections.
 type meteredListener struct {
 	net.Listener
-	traffic connectionTraffic
-	budget  *overload.Budget
-	clock   clock.Clock
+	gateway *Gateway
 }
 
 func (g *Gateway) meteredListener(listener net.Listener) meteredListener {
-	return meteredListener{Listener: listener, traffic: connectionTraffic{g.meter}, budget: g.clientBudget, clock: g.clock}
+	return meteredListener{Listener: listener, gateway: g}
 }
 
 // Accept implements net.Listener. It closes connections that the budget refuses.
@@ -79,18 +78,39 @@
 		if err != nil {
 			return nil, err
 		}
-		l.traffic.Opened()
-		if admitted := intake.Admit(accepted, l.budget, l.clock); admitted != nil {
-			return &meteredConnection{Connection: admitted, traffic: l.traffic}, nil
+		l.gateway.meter.Opened()
+		if admitted := intake.Admit(accepted, l.gateway.clientBudget, l.gateway.clock); admitted != nil {
+			return l.gateway.newCallerConnection(admitted), nil
 		}
 		_ = accepted.Close() // nothing was read
 	}
 }
 
-// meteredConnection is a caller's connection whose bytes are counted.
+// countedReader counts the bytes that are read from a connection.
+type countedReader struct {
+	connection *intake.Connection
+	traffic    connectionTraffic
+}
+
+// Read implements io.Reader.
+func (r countedReader) Read(target []byte) (int, error) {
+	count, err := r.connection.Read(target)
+	r.traffic.Passed(count, 0)
+	return count, err
+}
+
+// meteredConnection is a caller's connection whose bytes are counted, as one server has it.
 type meteredConnection struct {
 	*intake.Connection
 	traffic connectionTraffic
+	heads   *intake.HeadReader
+	// outgrown is called when the server gets no more of a head that does not fit into its buffer, and move when it closes
+	// the connection after that.
+	outgrown func()
+	move     func(*meteredConnection)
+	moving   sync.Once
+	// large is true if the connection was moved, and running while it carries a request then.
+	large, running bool
 	// turn waits for the turn to send bytes of the answer; nil for none.
 	turn func(bytes int)
 	// readDeadline overrides the deadlines of the waits for the caller.
@@ -100,13 +120,38 @@
 // The callers type peeks at the connection through syscall.Conn.
 var _ syscall.Conn = (*meteredConnection)(nil)
 
+// newCallerConnection returns a connection that was accepted.
+func (g *Gateway) newCallerConnection(admitted *intake.Connection) *meteredConnection {
+	source := countedReader{admitted, connectionTraffic{g.meter}}
+	return g.newMeteredConnection(admitted, intake.NewHeadReader(source, callerBufferBytes, g.maxHeaderBytes, admitted.Load(), g.clock))
+}
+
+func (g *Gateway) newMeteredConnection(admitted *intake.Connection, heads *intake.HeadReader) *meteredConnection {
+	return &meteredConnection{
+		Connection: admitted, traffic: connectionTraffic{g.meter}, heads: heads, outgrown: g.largeHeads.outgrown, move: g.moveCaller,
+	}
+}
+
+func (c *meteredConnection) headReader() *intake.HeadReader { return c.heads }
+
 // Read implements net.Conn.
 func (c *meteredConnection) Read(target []byte) (int, error) {
-	count, err := c.Connection.Read(target)
-	c.traffic.Passed(count, 0)
+	count, err := c.heads.Read(target)
+	if errors.Is(err, intake.ErrOutgrown) && !c.running {
+		c.outgrown()
+	}
 	return count, err
 }
 
+// Close implements net.Conn. A connection whose head has outgrown the server's buffer goes to another server instead.
+func (c *meteredConnection) Close() error {
+	if c.heads != nil && c.heads.Outgrown() {
+		c.moving.Do(func() { c.move(c) })
+		return nil
+	}
+	return c.Connection.Close()
+}
+
 // Write implements net.Conn.
 func (c *meteredConnection) Write(data []byte) (int, error) {
 	if c.turn != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/fault"
 	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -18,7 +19,12 @@
 	writeTimeout = 30 * time.Second
 )
 
-func (g *Gateway) newCallerServer() *fasthttp.Server {
+// callerBufferBytes is the size of the buffer with which a caller's connection begins. A larger head moves it to a server
+// with a larger one.
+const callerBufferBytes = defaultHeaderBytes
+
+// newCallerServer returns a server for callers whose heads fit into buffers of the given size.
+func (g *Gateway) newCallerServer(bufferBytes int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:        telemetry.Recovered(g.log, g.serve, refusePanicked),
 		HeaderReceived: g.requestConfig,
@@ -27,7 +33,7 @@
 		// The listener bounds the connections.
 		Concurrency:                  math.MaxInt32,
 		StreamRequestBody:            true,
-		ReadBufferSize:               defaultHeaderBytes,
+		ReadBufferSize:               bufferBytes,
 		MaxRequestBodySize:           defaultBodyBytes,
 		ReadTimeout:                  defaultHeaderTimeout,
 		WriteTimeout:                 writeTimeout,
@@ -48,9 +54,17 @@
 }
 
 func (g *Gateway) countConnection(connection net.Conn, change fasthttp.ConnState) {
+	metered, isMetered := connection.(*meteredConnection)
+	if isMetered && change == fasthttp.StateClosed && metered.heads.Outgrown() {
+		return // another server has it
+	}
+	if isMetered {
+		g.countLarge(metered, change)
+	}
 	g.idleCallers.update(connection, change)
 	g.overrideReadDeadline(connection, change)
 	g.enterPhase(connection, change)
+	followHeads(connection, change)
 	switch change {
 	case fasthttp.StateNew:
 		g.connections.Add(1)
@@ -60,13 +74,17 @@
 	}
 }
 
-// refuseMalformed answers a request that could not be parsed, and closes its connection.
+// refuseMalformed answers a request that could not be read, and closes its connection.
 func (g *Gateway) refuseMalformed(inbound *fasthttp.RequestCtx, err error) {
+	if failure := g.temporary(inbound, err); failure != nil {
+		g.refuseUnread(inbound, failure)
+		return
+	}
 	status := fasthttp.StatusBadRequest
 	var tooSmall *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
-	case eris.As(err, &tooSmall):
+	case eris.As(err, &tooSmall), eris.Is(err, intake.ErrHeadTooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case eris.Is(err, fasthttp.ErrBodyTooLarge), eris.Is(err, intake.ErrTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
@@ -79,6 +97,21 @@
 	telemetry.WithError(g.log, telemetry.EventRequestMalformed, err).WithField("status", status).Info("malformed request rejected")
 }
 
+// temporary returns the failure of a request that could not be read though it may be proper, so that its caller may send it
+// again; nil for another one.
+func (g *Gateway) temporary(inbound *fasthttp.RequestCtx, err error) *fault.Error {
+	var tooSmall *fasthttp.ErrSmallBuffer
+	switch {
+	case eris.Is(err, intake.ErrNoMemory), eris.Is(err, intake.ErrEvicted):
+		return fault.New(fault.MemoryExhausted, err.Error())
+	case eris.As(err, &tooSmall) && g.maxHeaderBytes() > bufferBytesOf(inbound.Conn()):
+		// Its first bytes came with the request before, or before the limit was raised.
+		return fault.New(fault.MemoryExhausted, "the head does not fit into the buffer of its connection: send it on another one")
+	default:
+		return nil
+	}
+}
+
 // refusePanicked answers a request whose handler panicked, with a status that does not promise that the
 // request did not run.
 func refusePanicked(inbound *fasthttp.RequestCtx) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,8 +22,8 @@
 	unfinishedMargin = 200 * time.Millisecond
 	// incomingPollInterval is the interval at which incoming requests are checked for during a stop.
 	incomingPollInterval = 100 * time.Millisecond
-	// relayedPollInterval is the interval at which relayed requests are checked for during a stop.
-	relayedPollInterval = 20 * time.Millisecond
+	// runningPollInterval is the interval at which requests are checked for that the server's shutdown does not wait for.
+	runningPollInterval = 20 * time.Millisecond
 )
 
 // stop lets running requests finish. New connections are accepted until the platform has noticed that the
@@ -36,6 +37,7 @@
 	g.demand.stopping.Store(true)
 	time.Sleep(g.settings.StopNotice)
 	g.awaitIncoming(end)
+	g.idleCallers.closeLarge()
 	bounded, cancel := context.WithTimeout(context.Background(), end-g.clock.Now())
 	defer cancel()
 	refusing := time.AfterFunc(end-g.clock.Now()-unfinishedMargin, g.clientBudget.EvictReading)
@@ -43,16 +45,24 @@
 	if err := server.ShutdownWithContext(bounded); err != nil && !eris.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "requests did not finish within stop_timeout")
 	}
+	if err := g.awaitNone(&g.largeHeads.running, "requests with large heads", end); err != nil {
+		return err
+	}
 	return g.awaitRelayed(end)
 }
 
 // awaitRelayed waits until no request of another gateway runs; new ones are declined once a stop began.
 func (g *Gateway) awaitRelayed(end time.Duration) error {
-	for g.relayedRunning.Load() > 0 {
+	return g.awaitNone(&g.relayedRunning, "relayed requests", end)
+}
+
+// awaitNone waits until no request is counted that the server's shutdown does not wait for.
+func (g *Gateway) awaitNone(running *atomic.Int64, what string, end time.Duration) error {
+	for running.Load() > 0 {
 		if g.clock.Now() >= end {
-			return eris.New("relayed requests did not finish within stop_timeout")
+			return eris.Errorf("%s did not finish within stop_timeout", what)
 		}
-		time.Sleep(relayedPollInterval)
+		time.Sleep(runningPollInterval)
 	}
 	return nil
 }
--- a/internal/overload/connection.go
+++ b/internal/overload/connection.go
@@ -43,8 +43,9 @@
 	phase  atomic.Int32
 	// progressAt is the clock reading of the last progress of the client.
 	progressAt atomic.Int64
-	// bytes is what the connection has taken besides Limits.ConnectionBytes.
+	// bytes is what the connection has taken besides Limits.ConnectionBytes, and kept the part of it that Release leaves.
 	bytes atomic.Int64
+	kept  atomic.Int64
 	// passed counts bytes towards the next progress.
 	passed int
 }
@@ -153,10 +154,25 @@
 	}
 }
 
-// Release returns all memory that the connection has taken for bodies.
-func (c *Connection) Release() {
+// Keep marks a part of the memory that was reserved as one that the connection needs until it is closed.
+func (c *Connection) Keep(bytes int64) {
 	if c != nil {
-		c.budget.returned(c.bytes.Swap(0))
+		c.kept.Add(bytes)
+	}
+}
+
+// Release returns the memory that the connection has taken for requests and answers, except what it keeps.
+func (c *Connection) Release() {
+	if c == nil {
+		return
+	}
+	for {
+		taken := c.bytes.Load()
+		kept := min(taken, c.kept.Load())
+		if c.bytes.CompareAndSwap(taken, kept) {
+			c.budget.returned(taken - kept)
+			return
+		}
 	}
 }
 
@@ -165,6 +181,7 @@
 	if c == nil {
 		return
 	}
+	c.kept.Store(0)
 	c.Release()
 	c.budget.mutex.Lock()
 	_, open := c.budget.connections[c]
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -107,6 +107,7 @@
 	EventRequestEnded      Event = "request_ended"
 	EventRequestMalformed  Event = "request_malformed"
 	EventRequestRefused    Event = "request_refused"
+	EventConnectionFailed  Event = "connection_failed"
 	EventSettingsReloaded  Event = "settings_reloaded"
 	EventLinkBytes         Event = "link_bytes"
 	EventRestingClosed     Event = "resting_closed"
@@ -217,6 +218,7 @@
 		{EventPeerReached, levelInfo, "Another router answers again, or has no record partition any more."},
 		{EventRequestEnded, levelInfo, "A gateway answered a request by itself, or after it was sent more than once or through another gateway."},
 		{EventRequestMalformed, levelInfo, "A request could not be read, and its connection was closed."},
+		{EventConnectionFailed, levelInfo, "A caller's connection that had sent a large request head ended with an error."},
 		{EventRequestRefused, levelInfo, "A request was rejected before its body was read whole, for lack of memory or of progress while memory was short, and its connection was closed."},
 		{EventLinkBytes, levelInfo, "Bytes that passed a gateway's link since the last such line, by direction and kind."},
 		{EventRestingClosed, levelInfo, "A gateway that stops closes the callers' connections without a request; it waited until none was on its way, at most half of the time left."},
--- a/test/crowd/clients_test.go
+++ b/test/crowd/clients_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -225,6 +226,26 @@
 	}
 }
 
+// largeHead sends a request with a head of length bytes and reads the answer.
+func largeHead(length int) func(net.Conn, int) error {
+	return func(connection net.Conn, number int) error {
+		begin := strings.TrimSuffix(head(number, "/look/answer?bytes=100", "Content-Length: 0\r\nX-Padding: "), "\r\n")
+		if _, err := io.WriteString(connection, begin+strings.Repeat("x", length-len(begin))+"\r\n\r\n"); err != nil {
+			return err
+		}
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", response.StatusCode)
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return err
+	}
+}
+
 // slowReader asks for an answer of length bytes, reads a little of it slowly and then no more.
 func slowReader(length int) func(net.Conn, int) error {
 	const pieces, pieceBytes = 10, 256
--- a/test/crowd/gateway_test.go
+++ b/test/crowd/gateway_test.go
@@ -65,6 +65,38 @@
 	s.outlasts(c)
 }
 
+// TestLargeHeadsWithoutEnd guards against a gateway that runs out of memory by heads that do not end, where large ones are
+// allowed.
+func TestLargeHeadsWithoutEnd(t *testing.T) {
+	s := newSiteWithLargeHeads(t, 64<<10)
+	c := newCrowd(t, s.callers, 3500, headWithoutEnd(60_000))
+	c.again = true
+	s.outlasts(c)
+}
+
+// TestVeryLargeHeadsWithoutEnd guards against the same by fewer heads, as large as the stand-in takes them.
+func TestVeryLargeHeadsWithoutEnd(t *testing.T) {
+	s := newSiteWithLargeHeads(t, mebibyte)
+	c := newCrowd(t, s.callers, 400, headWithoutEnd(1_000_000))
+	c.again = true
+	s.outlasts(c)
+}
+
+// TestConnectionsAtRestAfterLargeHeads guards against a gateway that runs out of memory by the buffers of connections on
+// which a large head has come.
+func TestConnectionsAtRestAfterLargeHeads(t *testing.T) {
+	s := newSiteWithLargeHeads(t, 64<<10)
+	c := newCrowd(t, s.callers, 2000, largeHead(60_000))
+	c.again = true
+	s.outlasts(c)
+}
+
+// TestCallersAreServedBesideLargeHeads guards against a shortage of memory that leaves ordinary callers out.
+func TestCallersAreServedBesideLargeHeads(t *testing.T) {
+	s := newSiteWithLargeHeads(t, 64<<10)
+	s.servesBeside(newCrowd(t, s.callers, 1500, headWithoutEnd(60_000)))
+}
+
 // TestAnnouncedBodies guards against memory that is taken for bodies of which only the length has come.
 func TestAnnouncedBodies(t *testing.T) {
 	s := newSite(t, "")
--- a/test/crowd/site_test.go
+++ b/test/crowd/site_test.go
@@ -73,8 +73,31 @@
 	return p
 }
 
+// newSiteWithLargeHeads starts a site whose gateway serves requests with heads of the given size.
+func newSiteWithLargeHeads(t *testing.T, maxBytes int) *site {
+	t.Helper()
+	s := newSite(t, "")
+	sendItems(s.controller, s.api, fmt.Sprintf(`{"set":{"limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":5000,"idle_timeout_ms":30000,"version":2}}}`,
+		maxBytes, maxBodyBytes))
+	const margin = 1000
+	s.gateway.eventually("a large head is served", func() bool {
+		request, err := http.NewRequest(http.MethodGet, "http://"+host+"/look/ordinary?bytes=100", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(callerapi.HeaderRequestID, fmt.Sprintf("large-%d", s.lastID.Add(1)))
+		request.Header.Set("X-Padding", strings.Repeat("x", maxBytes-margin))
+		status, err := exchange(s.callers, request)
+		return err == nil && status == http.StatusOK
+	})
+	return s
+}
+
 // configure sends the configuration until it is acknowledged.
-func configure(controller *process, api string) {
+func configure(controller *process, api string) { sendItems(controller, api, items) }
+
+// sendItems sends items until they are acknowledged.
+func sendItems(controller *process, api, items string) {
 	controller.t.Helper()
 	client := &http.Client{Timeout: patience}
 	defer client.CloseIdleConnections()
