Bring a lowered limit of request heads into force

Seen by callers: after maxHeaderBytes is lowered, heads beyond it are served, on new connections and on kept ones, up to the 16 KiB of the server's buffer.

Cause: the size of the server's buffer was the only bound of a head. A limit below it bounds nothing, and so does one below the larger buffer that a connection has got since.

Change: each request's head is measured when it was parsed, against the limit that is in force then, and rejected by 431 before its body is read.

A head of exactly the limit is served.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/thorntiller/thorntiller/internal/directory"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
@@ -31,6 +33,12 @@
 	return defaultHeaderBytes
 }
 
+// headBytes returns the size of a head, without empty lines before it.
+func headBytes(header *fasthttp.RequestHeader) int {
+	const separators = len("  \r\n") // of the request line
+	return len(header.Method()) + len(header.RequestURI()) + len(header.Protocol()) + separators + len(header.RawHeaders())
+}
+
 // maxBodyBytes returns the limit of the body of a request.
 func (g *Gateway) maxBodyBytes() int {
 	if limits := limitsOf(g.subscription.current()); limits.MaxBodyBytes > 0 {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,6 +13,10 @@
 
 // serve answers one request of a caller.
 func (g *Gateway) serve(context *fasthttp.RequestCtx) {
+	if headBytes(&context.Request.Header) > g.maxHeaderBytes() {
+		g.refuseMalformed(context, intake.ErrHeadTooLarge)
+		return
+	}
 	body, err := g.readBody(context)
 	if err != nil {
 		g.refuseBody(context, err)
