Let relays take the heads that gateways have accepted

Seen by callers: at a gateway that cannot reach a server, requests with heads above 33 KiB fail though the limit allows them, and for a while requests with small heads as well.

Cause: the buffer of relays was twice the limit of before, a constant. A larger head was answered by the library's own 431, which has no result of a relay; the gateway that had asked took the relay for unusable and asked it no more.

Change: relays move connections to servers with larger buffers as gateways do for callers. Whose limit counts: that of the gateway that the request came to, by the table that it followed then. The relay's table may be older or newer by a moment, so a relay takes what its memory for requests allows.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,24 +46,24 @@
 	splitter *routing.Splitter
 	balancer *balance.Balancer
 	// regions has the region of each zone.
-	regions     map[string]string
-	upstreams   *upstreams
-	drains      *drains
-	rejections  *rejections
-	reach       *reach.Reach
-	relays      *relays
-	relayServer *fasthttp.Server
-	signals     *instanceSignals
-	evacuations *evacuations
-	crashes     *crashwatch.Watch
-	guard       *crashwatch.Guard
-	coldStarts  *coldStarts
-	ownLink     *ownLink
-	meter       *link.Meter
-	places      *placeClient
-	pacer       *pacer
-	callers     *callers
-	demand      *demandCounter
+	regions      map[string]string
+	upstreams    *upstreams
+	drains       *drains
+	rejections   *rejections
+	reach        *reach.Reach
+	relays       *relays
+	relayServers *headServers
+	signals      *instanceSignals
+	evacuations  *evacuations
+	crashes      *crashwatch.Watch
+	guard        *crashwatch.Guard
+	coldStarts   *coldStarts
+	ownLink      *ownLink
+	meter        *link.Meter
+	places       *placeClient
+	pacer        *pacer
+	callers      *callers
+	demand       *demandCounter
 	// tenantTokens and instanceTokens bound the rate at which all gateways together send requests for a
 	// tenant, and to an instance that advertises a rate limit.
 	tenantTokens   *tokens
@@ -193,7 +193,7 @@
 	gateway.tenantTokens, gateway.instanceTokens = gateway.demand.tenants, gateway.demand.instances
 	gateway.subscription.onTable = gateway.tableChanged
 	gateway.relays = newRelays(settings, dialect, traffic, memory, gateway.subscription.clusterID)
-	gateway.relayServer = gateway.newRelayServer()
+	gateway.relayServers = newHeadServers(gateway.newRelayServer)
 	gateway.places = newPlaceClient(system, settings, log, newPlaceKeeper(system, gateway.usableByKeeper), meter)
 	return gateway, nil
 }
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -25,8 +25,9 @@
 	// maxRelayConnections bounds the connections of other gateways for relayed requests, each of which carries
 	// one request at a time.
 	maxRelayConnections = 512
-	// relayHeaderBytes bounds the header of a relayed request: that of a caller and the target.
-	relayHeaderBytes = 2*defaultHeaderBytes + 1<<10
+	// relayBufferBytes is the size of the buffer with which a connection for relayed requests begins. A larger head moves it
+	// to a server with a larger one.
+	relayBufferBytes = 2*defaultHeaderBytes + 1<<10
 	relayIdleTimeout = 30 * time.Second
 )
 
@@ -35,12 +36,12 @@
 	errTooManyRelays = eris.New("the maximum number of connections for relayed requests is reached")
 )
 
-func (g *Gateway) newRelayServer() *fasthttp.Server {
+func (g *Gateway) newRelayServer(bufferBytes int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      telemetry.Recovered(g.log, g.serveRelayed, refusePanicked),
 		HeaderReceived:               g.requestConfig,
 		Name:                         role,
-		ReadBufferSize:               relayHeaderBytes,
+		ReadBufferSize:               bufferBytes,
 		StreamRequestBody:            true,
 		MaxRequestBodySize:           defaultBodyBytes,
 		ReadTimeout:                  bodyTimeout,
@@ -59,7 +60,7 @@
 // countRelayed counts the connections that carry a relayed request, from its first byte until its answer is written.
 func (g *Gateway) countRelayed(connection net.Conn, change fasthttp.ConnState) {
 	stream, ok := connection.(*meteredStream)
-	if !ok {
+	if !ok || change == fasthttp.StateClosed && stream.heads.Outgrown() {
 		return
 	}
 	active := change == fasthttp.StateActive
@@ -71,6 +72,7 @@
 	}
 	stream.active = active
 	g.enterPhase(stream, change)
+	followHeads(stream, change)
 }
 
 // serveRelay serves relayed requests on a connection of another gateway until it ends.
@@ -91,25 +93,50 @@
 		return errTooManyRelays
 	}
 	defer admitted.Load().Close()
-	stream := &meteredStream{Connection: admitted, traffic: connectionTraffic{g.meter}}
-	return eris.Wrap(g.relayServer.ServeConn(stream), "serve relayed requests")
+	return eris.Wrap(g.serveRelayStream(admitted), "serve relayed requests")
+}
+
+// serveRelayStream serves relayed requests on a connection, by servers with larger buffers where heads need them. The limit
+// of heads is applied by the gateway that a request came to: what that has accepted, a relay takes as far as the memory for
+// requests allows.
+func (g *Gateway) serveRelayStream(admitted *intake.Connection) error {
+	traffic := connectionTraffic{g.meter}
+	limit := func() int { return int(g.settings.EffectiveRequestMemory()) }
+	heads := intake.NewHeadReader(countedReader{admitted, traffic}, relayBufferBytes, limit, admitted.Load(), g.clock)
+	stream := &meteredStream{Connection: admitted, traffic: traffic, heads: heads}
+	bufferBytes := relayBufferBytes
+	for {
+		err := g.relayServers.of(bufferBytes).ServeConn(stream)
+		if !stream.heads.Outgrown() {
+			return err
+		}
+		heads, bufferBytes = stream.heads.Moved()
+		stream = &meteredStream{Connection: admitted, traffic: traffic, heads: heads, active: true}
+	}
 }
 
 // meteredStream is a connection with relayed requests whose bytes are counted.
 type meteredStream struct {
 	*intake.Connection
 	traffic connectionTraffic
+	heads   *intake.HeadReader
 	// turn waits for the turn to send bytes of the answer; nil for none.
 	turn func(bytes int)
 	// active is true while the connection carries a request.
 	active bool
 }
 
+func (s *meteredStream) headReader() *intake.HeadReader { return s.heads }
+
 // Read implements net.Conn.
-func (s *meteredStream) Read(target []byte) (int, error) {
-	count, err := s.Connection.Read(target)
-	s.traffic.Passed(count, 0)
-	return count, err
+func (s *meteredStream) Read(target []byte) (int, error) { return s.heads.Read(target) }
+
+// Close implements net.Conn. A connection whose head has outgrown the server's buffer stays open for another one.
+func (s *meteredStream) Close() error {
+	if s.heads.Outgrown() {
+		return nil
+	}
+	return s.Connection.Close()
 }
 
 // Write implements net.Conn.
