Let callers take a rejection though they still write

Seen by callers: a 431, 413 or 400 to a request that was not read whole can get lost; the write fails by a reset instead.

Cause: the connection was closed at once behind the answer. The system resets a connection that is closed with unread bytes.

Change: after such an answer a connection is closed for writing, and what its caller still sends is read and dropped for at most a second. It can be evicted meanwhile. Connections whose request made no progress (408) are closed as before.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -39,6 +39,7 @@
 	}
 	g.refuse(refused, failure)
 	context.SetConnectionClose()
+	linger(context.Conn())
 	telemetry.WithError(g.log, telemetry.EventRequestRefused, failure).WithField(telemetry.FieldRequest, refused.id).
 		WithField("request_memory_bytes", g.clientBudget.Used()).Info("request rejected before it was read whole")
 }
--- a/internal/gateway/connectiontimes_test.go
+++ b/internal/gateway/connectiontimes_test.go
@@ -30,6 +30,12 @@
 
 // serveLimits serves callers under the operator's limits and returns the address.
 func serveLimits(t *testing.T, limits directory.Limits) string {
+	t.Helper()
+	return serveTable(t, &routing.Table{Limits: limits}, true)
+}
+
+// serveTable serves callers by a table, which may be nil, and returns the address.
+func serveTable(t *testing.T, table *routing.Table, confirmed bool) string {
 	t.Helper()
 	settings := config.DefaultGateway()
 	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
@@ -37,8 +43,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	gateway.subscription.table.Store(&routing.Table{Limits: limits})
-	confirmForTest(gateway)
+	gateway.subscription.table.Store(table)
+	if confirmed {
+		confirmForTest(gateway)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -94,9 +94,19 @@
 	inbound.Response.Reset()
 	inbound.SetStatusCode(status)
 	inbound.SetConnectionClose()
+	if status != fasthttp.StatusRequestTimeout {
+		linger(inbound.Conn())
+	}
 	telemetry.WithError(g.log, telemetry.EventRequestMalformed, err).WithField("status", status).Info("malformed request rejected")
 }
 
+// linger lets a caller take the answer to a request that was not read whole.
+func linger(connection net.Conn) {
+	if lingering, ok := connection.(interface{ Linger() }); ok {
+		lingering.Linger()
+	}
+}
+
 // temporary returns the failure of a request that could not be read though it may be proper, so that its caller may send it
 // again; nil for another one.
 func (g *Gateway) temporary(inbound *fasthttp.RequestCtx, err error) *fault.Error {
--- a/internal/intake/connection.go
+++ b/internal/intake/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,13 @@
 // known.
 const maxWriteBytes = 64 << 10
 
+const (
+	// lingerTimeout bounds the time for a client to take an answer that ends its connection: some round trips.
+	lingerTimeout = time.Second
+	// lingerBytes is the size of the buffer for what the client still sends.
+	lingerBytes = 4 << 10
+)
+
 // Bounded is a connection that takes a part of a budget.
 type Bounded interface {
 	// Load returns what the connection takes; nil if it has no bound.
@@ -80,6 +88,8 @@
 	net.Conn
 	clock clock.Clock
 	load  *overload.Connection
+	// lingers is true if the client may still send while the connection is closed.
+	lingers atomic.Bool
 }
 
 var (
@@ -151,12 +161,34 @@
 	}
 }
 
+// Linger lets Close wait until the client has taken the answer that was written. It is for answers to requests that were
+// not read whole: the system resets a connection that is closed before its bytes were read, and the client may lose the
+// answer by that.
+func (c *Connection) Linger() { c.lingers.Store(true) }
+
 // Close implements net.Conn.
 func (c *Connection) Close() error {
+	if c.lingers.Swap(false) {
+		c.drain()
+	}
 	c.load.Close()
 	return c.Conn.Close()
 }
 
+// drain ends the answer, and reads what the client still sends until it closes the connection or the time is over.
+func (c *Connection) drain() {
+	halfClosing, can := c.Conn.(interface{ CloseWrite() error })
+	if !can || halfClosing.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return // the connection is closed already
+	}
+	buffer := make([]byte, lingerBytes)
+	for {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Connection) SyscallConn() (syscall.RawConn, error) {
 	system, isSystem := c.Conn.(syscall.Conn)
