Forbid by limits only while their table is proved

Seen by callers: a gateway that has no table yet, or one without a recent proof, answers 431 and 413 by its default or by a limit that may have been raised since. Clients never send such a request again.

Change: beyond a limit, a request gets 503 (stale_router, with Retry-After) unless the table was confirmed within staleness_limit. A request within the limits is not affected.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -6,8 +6,52 @@
 	"testing"
 
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/routing"
 )
 
+// TestLimitsForbidOnlyWhileTheirTableIsProved guards against a 431 or 413, which clients never send again, by a default or by
+// a limit that may have been raised since.
+func TestLimitsForbidOnlyWhileTheirTableIsProved(t *testing.T) {
+	largeHead := "GET / HTTP/1.1\r\nHost: a.example\r\nX-Padding: " + strings.Repeat("x", 3000) + "\r\n\r\n"
+	veryLargeHead := strings.Replace(largeHead, "X-Padding: ", "X-Padding: "+strings.Repeat("x", callerBufferBytes), 1)
+	largeBody := "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 70000000\r\n\r\n" + strings.Repeat("x", 10_000)
+	chunkedBody := "POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n0\r\n\r\n"
+	limits := &routing.Table{Limits: directory.Limits{MaxHeaderBytes: 2000, MaxBodyBytes: 2000}}
+	for name, test := range map[string]struct {
+		table      *routing.Table
+		confirmed  bool
+		sent, want string
+	}{
+		"head, no table":                    {nil, false, veryLargeHead, "503"},
+		"head, table without proof":         {limits, false, largeHead, "503"},
+		"large head, table without it":      {limits, false, veryLargeHead, "503"},
+		"head, proved table":                {limits, true, largeHead, "431"},
+		"large head, proved table":          {limits, true, veryLargeHead, "431"},
+		"body, no table":                    {nil, false, largeBody, "503"},
+		"body, table without proof":         {limits, false, largeBody, "503"},
+		"body, proved table":                {limits, true, largeBody, "413"},
+		"chunks, table without proof":       {limits, false, chunkedBody, "503"},
+		"chunks, proved table":              {limits, true, chunkedBody, "413"},
+		"head, proved table, no limits":     {&routing.Table{}, true, veryLargeHead, "431"},
+		"small head, proved, no such route": {limits, true, wholeRequest, "404"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer, _ := exchangeUntilClosed(t, serveTable(t, test.table, test.confirmed), closing(test.sent))
+			if !strings.HasPrefix(answer, "HTTP/1.1 "+test.want) {
+				t.Errorf("answer %.300q, want %s", answer, test.want)
+			}
+			if wantsRetry := test.want == "503"; wantsRetry != strings.Contains(answer, "Retry-After: ") {
+				t.Errorf("answer %.300q", answer)
+			}
+		})
+	}
+}
+
+// closing returns a request that asks for the end of its connection.
+func closing(request string) string {
+	return strings.Replace(request, "Host: ", "Connection: close\r\nHost: ", 1)
+}
+
 // TestRejectionArrivesThoughItsCallerStillWrites guards against answers that callers lose: the system resets a connection that
 // is closed with unread bytes, and a caller that still writes fails by that.
 func TestRejectionArrivesThoughItsCallerStillWrites(t *testing.T) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -80,17 +80,7 @@
 		g.refuseUnread(inbound, failure)
 		return
 	}
-	status := fasthttp.StatusBadRequest
-	var tooSmall *fasthttp.ErrSmallBuffer
-	var timeout net.Error
-	switch {
-	case eris.As(err, &tooSmall), eris.Is(err, intake.ErrHeadTooLarge):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case eris.Is(err, fasthttp.ErrBodyTooLarge), eris.Is(err, intake.ErrTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
-	case eris.As(err, &timeout) && timeout.Timeout():
-		status = fasthttp.StatusRequestTimeout
-	}
+	status := statusOfUnread(err)
 	inbound.Response.Reset()
 	inbound.SetStatusCode(status)
 	inbound.SetConnectionClose()
@@ -107,19 +97,42 @@
 	}
 }
 
+// statusOfUnread returns the status for a request that could not be read.
+func statusOfUnread(err error) int {
+	var tooSmall *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case eris.As(err, &tooSmall), eris.Is(err, intake.ErrHeadTooLarge):
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case eris.Is(err, fasthttp.ErrBodyTooLarge), eris.Is(err, intake.ErrTooLarge):
+		return fasthttp.StatusRequestEntityTooLarge
+	case eris.As(err, &timeout) && timeout.Timeout():
+		return fasthttp.StatusRequestTimeout
+	default:
+		return fasthttp.StatusBadRequest
+	}
+}
+
 // temporary returns the failure of a request that could not be read though it may be proper, so that its caller may send it
 // again; nil for another one.
 func (g *Gateway) temporary(inbound *fasthttp.RequestCtx, err error) *fault.Error {
-	var tooSmall *fasthttp.ErrSmallBuffer
-	switch {
-	case eris.Is(err, intake.ErrNoMemory), eris.Is(err, intake.ErrEvicted):
+	if eris.Is(err, intake.ErrNoMemory) || eris.Is(err, intake.ErrEvicted) {
 		return fault.New(fault.MemoryExhausted, err.Error())
-	case eris.As(err, &tooSmall) && g.maxHeaderBytes() > bufferBytesOf(inbound.Conn()):
+	}
+	status := statusOfUnread(err)
+	if status != fasthttp.StatusRequestHeaderFieldsTooLarge && status != fasthttp.StatusRequestEntityTooLarge {
+		return nil
+	}
+	// Callers never send again what a limit forbids, and a change may have raised it that this gateway does not know.
+	if age := g.subscription.age(); g.subscription.stale(age) {
+		return outdated(age)
+	}
+	var tooSmall *fasthttp.ErrSmallBuffer
+	if eris.As(err, &tooSmall) && g.maxHeaderBytes() > bufferBytesOf(inbound.Conn()) {
 		// Its first bytes came with the request before, or before the limit was raised.
 		return fault.New(fault.MemoryExhausted, "the head does not fit into the buffer of its connection: send it on another one")
-	default:
-		return nil
 	}
+	return nil
 }
 
 // refusePanicked answers a request whose handler panicked, with a status that does not promise that the
