Apply the limit of bodies at the gateway that accepted a request

Seen by callers: after the limit of bodies changes, a request that one gateway has accepted by the newer limit can be declined by its relay, which still has the older one, or the other way round.

Cause: the relay applied the limit of its own table.

Change: a relay bounds head and body by its memory for requests alone. The limits of the operator are applied where the caller is.

Measured: TestRelayTakesBodiesThatTheOtherGatewayAccepted fails on the commit before (not_sent, "the body is larger than allowed") and passes since.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -11,9 +11,9 @@
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
-// readBody reads the body of a request.
-func (g *Gateway) readBody(context *fasthttp.RequestCtx) (intake.Body, error) {
-	body, err := intake.Read(context, g.maxBodyBytes(), intake.LoadOf(context.Conn()), g.clock)
+// readBody reads the body of a request, of the given size at most.
+func (g *Gateway) readBody(context *fasthttp.RequestCtx, maxBytes int) (intake.Body, error) {
+	body, err := intake.Read(context, maxBytes, intake.LoadOf(context.Conn()), g.clock)
 	g.meter.Add(link.In, link.Bodies, body.Len())
 	if failure := g.temporary(context, err); failure != nil {
 		return body, failure
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"strings"
 	"testing"
 
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
 	"github.com/thorntiller/thorntiller/internal/directory"
+	"github.com/thorntiller/thorntiller/internal/intake"
+	"github.com/thorntiller/thorntiller/internal/relay"
 	"github.com/thorntiller/thorntiller/internal/routing"
 )
 
@@ -71,3 +77,36 @@
 		})
 	}
 }
+
+// TestRelayTakesBodiesThatTheOtherGatewayAccepted guards against a relay that applies limits by its own table, which may be
+// older or newer by a moment than that of the gateway that accepted the request.
+func TestRelayTakesBodiesThatTheOtherGatewayAccepted(t *testing.T) {
+	gateway := newCutOffGateway(t)
+	table := *gateway.subscription.current()
+	table.Limits = directory.Limits{MaxHeaderBytes: 100, MaxBodyBytes: 100}
+	gateway.subscription.table.Store(&table)
+	near, far := tcpPair(t)
+	var serving conc.WaitGroup
+	defer serving.Wait()
+	defer func() { _ = near.Close() }()
+	serving.Go(func() { _ = gateway.serveRelayStream(intake.Admit(far, gateway.clientBudget, gateway.clock)) })
+	var request fasthttp.Request
+	request.SetRequestURI("/once/")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetHost("h.example")
+	request.Header.Set("Thorntiller-Request-Id", "x")
+	relay.SetTarget(&request.Header, relay.Target{Service: "s", Instance: "i0"})
+	for _, size := range []int{1000, 100_000} {
+		request.SetBody(make([]byte, size))
+		if _, err := request.WriteTo(near); err != nil {
+			t.Fatal(err)
+		}
+		var answer fasthttp.Response
+		if err := answer.Read(bufio.NewReader(near)); err != nil {
+			t.Fatal(err)
+		}
+		if result, failure := relay.TakeResult(&answer.Header); result == relay.NotSent {
+			t.Errorf("a body of %d bytes: %s, %v", size, result, failure)
+		}
+	}
+}
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -96,13 +96,14 @@
 	return eris.Wrap(g.serveRelayStream(admitted), "serve relayed requests")
 }
 
-// serveRelayStream serves relayed requests on a connection, by servers with larger buffers where heads need them. The limit
-// of heads is applied by the gateway that a request came to: what that has accepted, a relay takes as far as the memory for
-// requests allows.
+// maxRelayedBytes bounds the head and the body of a relayed request. The operator's limits are applied by the gateway that
+// a request came to, by the table that it follows: what that has accepted, a relay takes as far as its memory allows.
+func (g *Gateway) maxRelayedBytes() int { return int(g.settings.EffectiveRequestMemory()) }
+
+// serveRelayStream serves relayed requests on a connection, by servers with larger buffers where heads need them.
 func (g *Gateway) serveRelayStream(admitted *intake.Connection) error {
 	traffic := connectionTraffic{g.meter}
-	limit := func() int { return int(g.settings.EffectiveRequestMemory()) }
-	heads := intake.NewHeadReader(countedReader{admitted, traffic}, relayBufferBytes, limit, admitted.Load(), g.clock)
+	heads := intake.NewHeadReader(countedReader{admitted, traffic}, relayBufferBytes, g.maxRelayedBytes, admitted.Load(), g.clock)
 	stream := &meteredStream{Connection: admitted, traffic: traffic, heads: heads}
 	bufferBytes := relayBufferBytes
 	for {
@@ -157,7 +158,7 @@
 func (g *Gateway) serveRelayed(context *fasthttp.RequestCtx) {
 	g.metrics.inFlight.Inc()
 	defer g.metrics.inFlight.Dec()
-	body, err := g.readBody(context)
+	body, err := g.readBody(context, g.maxRelayedBytes())
 	current, instance, failure := g.readRelayed(context)
 	if err != nil {
 		failure = asFault(err)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,7 +17,7 @@
 		g.refuseMalformed(context, intake.ErrHeadTooLarge)
 		return
 	}
-	body, err := g.readBody(context)
+	body, err := g.readBody(context, g.maxBodyBytes())
 	if err != nil {
 		g.refuseBody(context, err)
 		return
