Apply a raised idle timeout to connections that are idle

Seen by callers: after idleTimeoutMs is raised, a connection that was idle at the change is closed by the former timeout. A caller that goes by the newer one sends a request on it and loses it.

Cause: the timeout was read when a wait began. For up to the whole former timeout the change was not in force on such a connection.

Change: a gateway extends the waits of idle connections when a new table has a longer timeout. A shorter one holds from the next wait on, since a caller may be sending by the former one. The timeout of a wait is read when the wait begins rather than when the state of the connection changes before it.

--- a/internal/gateway/connectiontimes_test.go
+++ b/internal/gateway/connectiontimes_test.go
@@ -36,6 +36,13 @@
 
 // serveTable serves callers by a table, which may be nil, and returns the address.
 func serveTable(t *testing.T, table *routing.Table, confirmed bool) string {
+	t.Helper()
+	_, address := serveGateway(t, table, confirmed)
+	return address
+}
+
+// serveGateway is serveTable for tests that need the gateway.
+func serveGateway(t *testing.T, table *routing.Table, confirmed bool) (gateway *Gateway, address string) {
 	t.Helper()
 	settings := config.DefaultGateway()
 	settings.Name, settings.Seeds = "g", []string{"127.0.0.1:1"}
@@ -59,7 +66,7 @@
 		_ = listener.Close() // Shutdown leaves it open if Serve has not begun
 		group.Wait()
 	})
-	return listener.Addr().String()
+	return gateway, listener.Addr().String()
 }
 
 // exchangeUntilClosed sends bytes, and returns all bytes received until the gateway closed the connection and
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,8 @@
 	// clientBudget bounds what callers' connections, requests and answers take.
 	clientBudget *overload.Budget
 	largeHeads   largeHeads
+	// idleTimeout is the idle timeout of the last table, in nanoseconds.
+	idleTimeout atomic.Int64
 	// connections counts callers' open connections.
 	connections atomic.Int64
 	// accepted counts all connections that callers have opened.
@@ -217,6 +219,7 @@
 	g.balancer.Forget(known)
 	g.upstreams.forget(known)
 	g.places.update(table)
+	g.extendIdleConnections()
 }
 
 // updateResendBurst adjusts the burst of the resend budgets to the number of gateways.
--- a/internal/gateway/largeheads.go
+++ b/internal/gateway/largeheads.go
@@ -89,13 +89,11 @@
 // closeLarge ends the waits for a next request on connections that were moved: their servers have no listener, and so close
 // none when the gateway stops.
 func (r *idleConnections) closeLarge() {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for connection := range r.connections {
-		if metered, ok := connection.(*meteredConnection); ok && metered.large {
-			_ = metered.Connection.SetReadDeadline(past) // fails if the connection is closed
+	r.each(func(connection *meteredConnection) {
+		if connection.large {
+			_ = connection.Connection.SetReadDeadline(past) // fails if the connection is closed
 		}
-	}
+	})
 }
 
 // followHeads tells the reader of heads what the server has come to on a connection.
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
@@ -110,3 +113,44 @@
 		}
 	}
 }
+
+// TestRaisedIdleTimeoutHoldsForIdleConnections guards against connections that are closed by the former timeout, though their
+// callers know the raised one and send a request on them later.
+func TestRaisedIdleTimeoutHoldsForIdleConnections(t *testing.T) {
+	const idle, raised = 300 * time.Millisecond, time.Minute
+	tableOf := func(timeout time.Duration) *routing.Table {
+		return &routing.Table{Limits: directory.Limits{IdleTimeoutMs: float64(timeout.Milliseconds())}}
+	}
+	for name, test := range map[string]struct {
+		next     time.Duration
+		survives bool
+	}{"raised": {raised, true}, "lowered": {idle / 2, false}, "unchanged": {idle, false}} {
+		t.Run(name, func(t *testing.T) {
+			gateway, address := serveGateway(t, tableOf(idle), true)
+			gateway.extendIdleConnections()
+			connection, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = connection.Close() }()
+			reader := bufio.NewReader(connection)
+			exchange := func() error {
+				if _, err := io.WriteString(connection, wholeRequest); err != nil {
+					return err
+				}
+				var answer fasthttp.Response
+				return answer.Read(reader)
+			}
+			if err := exchange(); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(idle / 2)
+			gateway.subscription.table.Store(tableOf(test.next))
+			gateway.extendIdleConnections()
+			time.Sleep(idle + idleSlack)
+			if err := exchange(); (err == nil) != test.survives {
+				t.Errorf("after %s the next request got %v", idle+idleSlack+idle/2, err)
+			}
+		})
+	}
+}
--- a/internal/gateway/linkbytes.go
+++ b/internal/gateway/linkbytes.go
@@ -113,8 +113,9 @@
 	large, running bool
 	// turn waits for the turn to send bytes of the answer; nil for none.
 	turn func(bytes int)
-	// readDeadline overrides the deadlines of the waits for the caller.
+	// readDeadline overrides the deadlines of the waits for the caller by the timeouts that are in force.
 	readDeadline readDeadlineOverride
+	timeouts     func() connectionTimeouts
 }
 
 // The callers type peeks at the connection through syscall.Conn.
@@ -128,7 +129,8 @@
 
 func (g *Gateway) newMeteredConnection(admitted *intake.Connection, heads *intake.HeadReader) *meteredConnection {
 	return &meteredConnection{
-		Connection: admitted, traffic: connectionTraffic{g.meter}, heads: heads, outgrown: g.largeHeads.outgrown, move: g.moveCaller,
+		Connection: admitted, traffic: connectionTraffic{g.meter}, heads: heads, timeouts: g.connectionTimeouts,
+		outgrown: g.largeHeads.outgrown, move: g.moveCaller,
 	}
 }
 
--- a/internal/gateway/resting.go
+++ b/internal/gateway/resting.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// each calls a function for each connection. None of them becomes active meanwhile.
+func (r *idleConnections) each(apply func(*meteredConnection)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for connection := range r.connections {
+		if metered, ok := connection.(*meteredConnection); ok {
+			apply(metered)
+		}
+	}
+}
+
 // unread reports whether an idle connection has unread bytes of a request.
 func (r *idleConnections) unread() bool {
 	r.mutex.Lock()
