Keep fields of malformed requests out of the log

Seen: request_malformed quotes the beginning and the end of a head that could not be read, with Authorization or an API key if that is there.

Cause: the library's error has a snippet of the buffer.

Change: its setting that leaves the snippet out, for callers and relays.

Measured: TestLogOfMalformedRequestsQuotesNone fails without the setting and passes with it.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -16,6 +18,7 @@
 	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/relay"
 	"github.com/thorntiller/thorntiller/internal/routing"
+	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
 
 // TestLimitsForbidOnlyWhileTheirTableIsProved guards against a 431 or 413, which clients never send again, by a default or by
@@ -154,3 +157,29 @@
 		})
 	}
 }
+
+// TestLogOfMalformedRequestsQuotesNone guards against fields of requests, which may be secret, in the log.
+func TestLogOfMalformedRequestsQuotesNone(t *testing.T) {
+	const secret = "hidden-word"
+	gateway, address := serveGateway(t, &routing.Table{}, true)
+	gateway.log.Logger.SetLevel(logrus.InfoLevel)
+	lines := logtest.NewLocal(gateway.log.Logger)
+	for _, sent := range []string{
+		"GET / HTTP/1.1\r\nHost: a.example\r\nAuthorization: " + secret + "\r\nNo colon\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a.example\r\nAuthorization: " + secret + strings.Repeat("x", callerBufferBytes) + "\r\n\r\n",
+	} {
+		exchangeUntilClosed(t, address, sent)
+	}
+	rejected := 0
+	for _, line := range lines.AllEntries() {
+		if line.Data[telemetry.FieldEvent] == string(telemetry.EventRequestMalformed) {
+			rejected++
+		}
+		if text, err := line.String(); err != nil || strings.Contains(text, secret) {
+			t.Errorf("line %.500s, %v", text, err)
+		}
+	}
+	if rejected != 2 {
+		t.Errorf("%d lines about malformed requests, want 2", rejected)
+	}
+}
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -52,6 +52,7 @@
 		NoDefaultDate:                true,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
+		SecureErrorLogMessage:        true,
 		ConnState:                    g.countRelayed,
 		Logger:                       g.log,
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -43,6 +43,7 @@
 		NoDefaultDate:                true,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
+		SecureErrorLogMessage:        true,
 		ConnState:                    g.countConnection,
 		Logger:                       g.log,
 	}
