Log panics on connections with large heads

A connection that is moved to a server with a larger buffer is served by a goroutine of its own, which would end the process by a panic outside of the handler. It is guarded as the other background work is. Found by reading.

--- a/internal/gateway/largeheads.go
+++ b/internal/gateway/largeheads.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thorntiller/thorntiller/internal/background"
 	"github.com/thorntiller/thorntiller/internal/intake"
 	"github.com/thorntiller/thorntiller/internal/telemetry"
 )
@@ -62,7 +63,8 @@
 }
 
 func (g *Gateway) serveMoved(moved *meteredConnection, bufferBytes int) {
-	if err := g.largeHeads.servers.of(bufferBytes).ServeConn(moved); err != nil {
+	server := g.largeHeads.servers.of(bufferBytes)
+	if err := background.Result(g.log, "large heads", func() error { return server.ServeConn(moved) }); err != nil {
 		telemetry.WithError(g.log, telemetry.EventConnectionFailed, err).WithField("buffer_bytes", bufferBytes).
 			Info("connection with a large request head failed")
 	}
--- a/internal/intake/connection.go
+++ b/internal/intake/connection.go
@@ -183,7 +183,7 @@
 	}
 	buffer := make([]byte, lingerBytes)
 	for {
-		if _, err := c.Conn.Read(buffer); err != nil {
+		if _, err := c.Read(buffer); err != nil {
 			return
 		}
 	}
