Count connections that got a larger buffer

A wait that a stop ends is ended by one function, in the package that owns the connection. Found by reading the change as a newcomer would.

--- a/internal/gateway/largeheads.go
+++ b/internal/gateway/largeheads.go
@@ -4,7 +4,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -51,9 +50,6 @@
 	h.moved.Add(1)
 }
 
-// ended uncounts a request.
-func (h *largeHeads) ended() { h.running.Add(-1) }
-
 // moveCaller serves a connection whose head has outgrown its server's buffer on a server with a larger one.
 func (g *Gateway) moveCaller(outgrown *meteredConnection) {
 	heads, bufferBytes := outgrown.heads.Moved()
@@ -81,19 +77,16 @@
 	if active {
 		g.largeHeads.running.Add(1)
 	} else {
-		g.largeHeads.ended()
+		g.largeHeads.running.Add(-1)
 	}
 }
 
-// past is a deadline that ends a wait at once.
-var past = time.Unix(1, 0)
-
 // closeLarge ends the waits for a next request on connections that were moved: their servers have no listener, and so close
 // none when the gateway stops.
 func (r *idleConnections) closeLarge() {
 	r.each(func(connection *meteredConnection) {
 		if connection.large {
-			_ = connection.Connection.SetReadDeadline(past) // fails if the connection is closed
+			connection.EndWait()
 		}
 	})
 }
--- a/internal/gateway/limitsreport.go
+++ b/internal/gateway/limitsreport.go
@@ -14,6 +14,8 @@
 		func() float64 { return g.connectionTimeouts().header.Seconds() })
 	g.registry.GaugeFunction("idle_timeout_seconds", "Time that a caller's connection may be idle between two requests, as it is in force.",
 		func() float64 { return g.connectionTimeouts().idle.Seconds() })
+	g.registry.CounterFunction("connections_moved_total", "Callers' connections that got a larger buffer, since the head of a request did not fit into theirs.",
+		nil, func() float64 { return float64(g.largeHeads.moved.Load()) })
 }
 
 // limitFields are the limits as a log line tells them.
--- a/internal/intake/connection.go
+++ b/internal/intake/connection.go
@@ -127,6 +127,11 @@
 		_ = c.Conn.Close() // the write fails
 		return
 	}
+	c.EndWait()
+}
+
+// EndWait ends a wait for bytes of the client at once.
+func (c *Connection) EndWait() {
 	_ = c.Conn.SetReadDeadline(past) // fails if the connection is closed
 }
 
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -30,8 +30,8 @@
 
 // HeadReader reads the requests on a connection for a server whose parser needs each head whole in a buffer of a fixed size.
 // It copies a head that may outgrow the buffer, into memory that is reserved as it grows. If it does, the server gets
-// ErrOutgrown, and the HeadReader that Outgrown returns gives the same bytes to a server with a larger buffer. Only
-// Outgrown may be called concurrently.
+// ErrOutgrown, and the HeadReader that Moved returns gives the same bytes to a server with a larger buffer. Only Outgrown may
+// be called concurrently.
 type HeadReader struct {
 	source io.Reader
 	// limit returns the largest size of a head in bytes. It is asked whenever bytes of a large head have come.
