Look at the error of a body only if there is one

Reading the change once more: readBody looked for the kind of an error on each request, also where there was none, and took memory for that. It returns before now. temporary and fills get names that say what they return. No behaviour changes.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -15,7 +15,10 @@
 func (g *Gateway) readBody(context *fasthttp.RequestCtx, maxBytes int) (intake.Body, error) {
 	body, err := intake.Read(context, maxBytes, intake.LoadOf(context.Conn()), g.clock)
 	g.meter.Add(link.In, link.Bodies, body.Len())
-	if failure := g.temporary(context, err); failure != nil {
+	if err == nil {
+		return body, nil
+	}
+	if failure := g.temporaryFailure(context, err); failure != nil {
 		return body, failure
 	}
 	return body, err
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -77,7 +77,7 @@
 
 // refuseMalformed answers a request that could not be read, and closes its connection.
 func (g *Gateway) refuseMalformed(inbound *fasthttp.RequestCtx, err error) {
-	if failure := g.temporary(inbound, err); failure != nil {
+	if failure := g.temporaryFailure(inbound, err); failure != nil {
 		g.refuseUnread(inbound, failure)
 		return
 	}
@@ -114,9 +114,9 @@
 	}
 }
 
-// temporary returns the failure of a request that could not be read though it may be proper, so that its caller may send it
+// temporaryFailure returns the failure of a request that could not be read though it may be proper, so that its caller may send it
 // again; nil for another one.
-func (g *Gateway) temporary(inbound *fasthttp.RequestCtx, err error) *fault.Error {
+func (g *Gateway) temporaryFailure(inbound *fasthttp.RequestCtx, err error) *fault.Error {
 	if eris.Is(err, intake.ErrNoMemory) || eris.Is(err, intake.ErrEvicted) {
 		return fault.New(fault.MemoryExhausted, err.Error())
 	}
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -99,7 +99,7 @@
 	switch {
 	case r.failure != nil:
 		return 0, r.failure
-	case r.fills():
+	case r.isBufferFull():
 		r.failure = r.readRest()
 		return 0, r.failure
 	case r.passed < len(r.held):
@@ -112,8 +112,8 @@
 	return count, err
 }
 
-// fills reports whether the head has not ended and fills the server's buffer.
-func (r *HeadReader) fills() bool { return r.inHead && len(r.held) >= r.bufferBytes }
+// isBufferFull reports whether the server's buffer is full though the head has not ended.
+func (r *HeadReader) isBufferFull() bool { return r.inHead && len(r.held) >= r.bufferBytes }
 
 // pass gives the server bytes that are held.
 func (r *HeadReader) pass(target []byte) int {
@@ -135,7 +135,7 @@
 		return len(data)
 	}
 	kept := 0
-	if r.fills() {
+	if r.isBufferFull() {
 		kept = 1
 	}
 	r.passed = len(r.held) - kept
